--- /dev/null
+++ b/packages/heatherarch-claims/claim_fold.ts
@@ -0,0 +1,227 @@
+/**
+ * The fold of a claims stream: which claim of a key came first. Its clock is the log's own
+ * time, so every reader forgets and refuses the same keys.
+ *
+ * @module
+ */
+import { assertInvariant } from "heatherarch-core";
+import {
+  type ClaimEntry,
+  type ClaimRecord,
+  CLAIMS_FORMAT,
+  type KeyState,
+  parseClaimRecord,
+} from "./claim_records.ts";
+
+/** What became of a claim, by the order of the log. */
+export type ClaimVerdict =
+  | { readonly kind: "granted" }
+  | { readonly kind: "taken"; readonly holder: KeyState }
+  | { readonly kind: "reused" }
+  | { readonly kind: "expired" };
+
+/** A record as the log keeps it. */
+export interface TimedRecord {
+  readonly offset: number;
+  readonly appendedAtMs: number;
+  readonly data: unknown;
+}
+
+/** Guards that make the fold safe; the proofs switch them off one at a time. */
+export const CLAIM_GUARDS = [
+  "firstClaimWins",
+  "dropRepeatedId",
+  "refuseExpired",
+] as const;
+/** Name of a guard. */
+export type ClaimGuard = typeof CLAIM_GUARDS[number];
+
+/** Options of {@linkcode ClaimFold}. */
+export interface ClaimFoldOptions {
+  /** How long a key is remembered after the time that it carries. */
+  readonly keyWindowMs: number;
+  /** How far in the future a key's time may lie. */
+  readonly futureSkewMs: number;
+  readonly disabledGuards?: ReadonlySet<ClaimGuard>;
+}
+
+const SEEN_LIMIT = 500;
+const SNAPSHOT_PART_KEYS = 500;
+
+/** Keys of one shard, up to one offset. */
+export class ClaimFold {
+  readonly #options: ClaimFoldOptions;
+  readonly #off: ReadonlySet<ClaimGuard>;
+  #keys = new Map<string, KeyState>();
+  #seen = new Set<string>();
+  #offset = -1;
+  #logTimeMs = 0;
+  #nextSweepMs = 0;
+
+  constructor(options: ClaimFoldOptions) {
+    this.#options = options;
+    this.#off = options.disabledGuards ?? new Set();
+  }
+
+  /** Last offset applied. */
+  get offset(): number {
+    return this.#offset;
+  }
+
+  /** Keys remembered. */
+  get size(): number {
+    return this.#keys.size;
+  }
+
+  getKey(key: string): KeyState | undefined {
+    return this.#keys.get(key);
+  }
+
+  /** Applies the next record; returns a verdict for each claim in it, by claim id. */
+  apply(record: TimedRecord): ReadonlyMap<string, ClaimVerdict> {
+    assertInvariant(
+      record.offset === this.#offset + 1,
+      "claims-contiguous",
+      `offset ${record.offset} after ${this.#offset}`,
+    );
+    this.#offset = record.offset;
+    this.#logTimeMs = Math.max(this.#logTimeMs, record.appendedAtMs);
+    const verdicts = new Map<string, ClaimVerdict>();
+    const parsed = parseClaimRecord(record.data);
+    if (parsed?.type !== "batch") return verdicts;
+    if (this.#noteId(parsed.id)) return verdicts;
+    for (const entry of parsed.entries) this.#applyEntry(entry, verdicts);
+    this.#sweep();
+    return verdicts;
+  }
+
+  /** Builds the records of a snapshot of the present state. */
+  buildSnapshot(createId: () => string): ClaimRecord[] {
+    const keys = [...this.#keys.values()];
+    const parts = Math.max(1, Math.ceil(keys.length / SNAPSHOT_PART_KEYS));
+    const snapshotId = createId();
+    return Array.from({ length: parts }, (_, part) => ({
+      type: "snapshot",
+      format: CLAIMS_FORMAT,
+      id: createId(),
+      snapshotId,
+      coversOffset: this.#offset,
+      part,
+      parts,
+      logTimeMs: this.#logTimeMs,
+      keys: keys.slice(
+        part * SNAPSHOT_PART_KEYS,
+        (part + 1) * SNAPSHOT_PART_KEYS,
+      ),
+      seen: part === 0 ? [...this.#seen] : [],
+    }));
+  }
+
+  /**
+   * Loads the newest whole snapshot among `records`, which start at the oldest kept offset,
+   * and applies what follows. Returns whether one bridged the trimmed part.
+   */
+  loadSnapshot(records: readonly TimedRecord[]): boolean {
+    const best = findSnapshot(records);
+    if (best === undefined || best[0].coversOffset <= this.#offset) {
+      return false;
+    }
+    this.#keys = new Map(
+      best.flatMap((part) => part.keys).map((key) => [key.key, key]),
+    );
+    this.#seen = new Set(best.flatMap((part) => part.seen));
+    this.#offset = best[0].coversOffset;
+    this.#logTimeMs = best[0].logTimeMs;
+    for (const record of records) {
+      if (record.offset > this.#offset) this.apply(record);
+    }
+    return true;
+  }
+
+  #applyEntry(entry: ClaimEntry, verdicts: Map<string, ClaimVerdict>): void {
+    if (entry.op === "claim") {
+      verdicts.set(entry.claimId, this.#applyClaim(entry));
+      return;
+    }
+    const known = this.#keys.get(entry.key);
+    if (known === undefined || known.claimId !== entry.claimId) return;
+    if (entry.op === "release") {
+      if (known.outcome === undefined) this.#keys.delete(entry.key);
+    } else if (known.outcome === undefined) {
+      this.#keys.set(entry.key, { ...known, outcome: entry.outcome });
+    }
+  }
+
+  #applyClaim(entry: Extract<ClaimEntry, { op: "claim" }>): ClaimVerdict {
+    const ageMs = this.#logTimeMs - entry.madeAtMs;
+    const { keyWindowMs, futureSkewMs } = this.#options;
+    const outside = ageMs >= keyWindowMs || ageMs < -futureSkewMs;
+    if (outside && !this.#off.has("refuseExpired")) return { kind: "expired" };
+    const known = this.#keys.get(entry.key);
+    if (known !== undefined && !this.#off.has("firstClaimWins")) {
+      if (known.claimId === entry.claimId) return { kind: "granted" };
+      if (known.fingerprint !== entry.fingerprint) return { kind: "reused" };
+      return { kind: "taken", holder: known };
+    }
+    const { claimId, key, madeAtMs, fingerprint, vm } = entry;
+    const claimedAtMs = this.#logTimeMs;
+    this.#keys.set(key, {
+      key,
+      claimId,
+      madeAtMs,
+      claimedAtMs,
+      fingerprint,
+      vm,
+    });
+    return { kind: "granted" };
+  }
+
+  /** Notes a record's id; true where it has been applied before. */
+  #noteId(id: string): boolean {
+    if (this.#seen.has(id)) return !this.#off.has("dropRepeatedId");
+    this.#seen.add(id);
+    if (this.#seen.size > SEEN_LIMIT) {
+      const oldest = this.#seen.values().next().value as string;
+      this.#seen.delete(oldest);
+    }
+    return false;
+  }
+
+  /** Forgets keys that the window has passed; the fold refuses them by their own time. */
+  #sweep(): void {
+    if (this.#logTimeMs < this.#nextSweepMs) return;
+    const { keyWindowMs } = this.#options;
+    this.#nextSweepMs = this.#logTimeMs + keyWindowMs / 20;
+    for (const [key, state] of this.#keys) {
+      if (this.#logTimeMs - state.madeAtMs >= keyWindowMs) {
+        this.#keys.delete(key);
+      }
+    }
+  }
+}
+
+type SnapshotRecord = Extract<ClaimRecord, { type: "snapshot" }>;
+
+function findSnapshot(
+  records: readonly TimedRecord[],
+): SnapshotRecord[] | undefined {
+  const first = records[0]?.offset ?? 0;
+  const groups = new Map<string, SnapshotRecord[]>();
+  let best: SnapshotRecord[] | undefined;
+  for (const record of records) {
+    const parsed = parseClaimRecord(record.data);
+    if (parsed?.type !== "snapshot" || parsed.coversOffset < first - 1) {
+      continue;
+    }
+    if (parsed.coversOffset >= record.offset) continue;
+    const group = groups.get(parsed.snapshotId) ?? [];
+    if (!group.some((part) => part.part === parsed.part)) group.push(parsed);
+    groups.set(parsed.snapshotId, group);
+    const whole = group.length === parsed.parts;
+    if (
+      whole &&
+      (best === undefined || parsed.coversOffset > best[0].coversOffset)
+    ) best = group;
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/heatherarch-claims/claim_shard.ts
@@ -0,0 +1,212 @@
+/**
+ * The owner of one shard on one VM: groups claims into one append at a time, and answers
+ * each claim only after the stream has been read without a gap up to it.
+ *
+ * @module
+ */
+import { type Clock, createId, sleep } from "heatherarch-core";
+import {
+  appendOnce,
+  judgeSlice,
+  type LogPort,
+  LogUnavailableError,
+} from "heatherarch-log";
+import {
+  ClaimFold,
+  type ClaimFoldOptions,
+  type ClaimVerdict,
+} from "./claim_fold.ts";
+import { buildClaimStream } from "./claim_key.ts";
+import {
+  type ClaimEntry,
+  CLAIMS_FORMAT,
+  type KeyState,
+} from "./claim_records.ts";
+
+/** Options of {@linkcode ClaimShard}. */
+export interface ClaimShardOptions extends ClaimFoldOptions {
+  readonly shard: number;
+  readonly log: LogPort;
+  readonly clock: Clock;
+  /** Time to gather claims before an append. */
+  readonly batchMs: number;
+  readonly maxBatch: number;
+  /** Longest time that a claim waits for its verdict. */
+  readonly timeoutMs: number;
+  /** Records after which a snapshot is appended. */
+  readonly snapshotEveryRecords: number;
+}
+
+interface QueuedEntry {
+  readonly entry: ClaimEntry;
+  readonly resolve: (verdict: ClaimVerdict | undefined) => void;
+  readonly reject: (error: Error) => void;
+}
+
+/** Counters of a shard. */
+export interface ClaimShardCounters {
+  readonly appends: number;
+  readonly entries: number;
+  readonly keys: number;
+  readonly offset: number;
+}
+
+const READ_PAGE = 500;
+
+/** Claims of one shard. */
+export class ClaimShard {
+  readonly #options: ClaimShardOptions;
+  readonly #stream: string;
+  readonly #fold: ClaimFold;
+  #queue: QueuedEntry[] = [];
+  #committing = false;
+  #appends = 0;
+  #entries = 0;
+  #sinceSnapshot = 0;
+  #verdicts = new Map<string, ClaimVerdict>();
+  #awaited = new Set<string>();
+
+  constructor(options: ClaimShardOptions) {
+    this.#options = options;
+    this.#stream = buildClaimStream(options.shard);
+    this.#fold = new ClaimFold(options);
+  }
+
+  readCounters(): ClaimShardCounters {
+    return {
+      appends: this.#appends,
+      entries: this.#entries,
+      keys: this.#fold.size,
+      offset: this.#fold.offset,
+    };
+  }
+
+  /**
+   * Claims a key. Rejects with {@linkcode LogUnavailableError} where the verdict is not
+   * known; the claim may then stand in the log, but it was not granted.
+   */
+  async claim(
+    entry: Extract<ClaimEntry, { op: "claim" }>,
+  ): Promise<ClaimVerdict> {
+    const verdict = await this.#enqueue(entry);
+    if (verdict === undefined) {
+      throw new LogUnavailableError("no verdict on the claim");
+    }
+    return verdict;
+  }
+
+  /** Records an outcome, or that the holder dropped its claim without using it. */
+  async conclude(entry: Exclude<ClaimEntry, { op: "claim" }>): Promise<void> {
+    await this.#enqueue(entry);
+  }
+
+  /** What the log says of a key now. Reads up to the end first. */
+  async lookUp(key: string): Promise<KeyState | undefined> {
+    await this.#catchUp();
+    return this.#fold.getKey(key);
+  }
+
+  #enqueue(entry: ClaimEntry): Promise<ClaimVerdict | undefined> {
+    return new Promise((resolve, reject) => {
+      this.#queue.push({ entry, resolve, reject });
+      if (!this.#committing) void this.#commitLoop();
+    });
+  }
+
+  async #commitLoop(): Promise<void> {
+    this.#committing = true;
+    if (this.#options.batchMs > 0) await sleep(this.#options.batchMs);
+    while (this.#queue.length > 0) {
+      const batch = this.#queue.splice(0, this.#options.maxBatch);
+      await this.#commit(batch);
+    }
+    this.#committing = false;
+  }
+
+  async #commit(batch: readonly QueuedEntry[]): Promise<void> {
+    const record = {
+      type: "batch" as const,
+      format: CLAIMS_FORMAT,
+      id: createId("batch"),
+      entries: batch.map((queued) => queued.entry),
+    };
+    this.#awaited = new Set(batch.map((queued) => queued.entry.claimId));
+    this.#verdicts.clear();
+    try {
+      const offset = await appendOnce(this.#options.log, this.#stream, record, {
+        searchFrom: this.#fold.offset + 1,
+        timeoutMs: this.#options.timeoutMs,
+        readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
+      });
+      this.#appends++;
+      this.#entries += batch.length;
+      await this.#catchUp(offset);
+      for (const queued of batch) {
+        queued.resolve(this.#verdicts.get(queued.entry.claimId));
+      }
+    } catch (error) {
+      for (const queued of batch) queued.reject(error as Error);
+    }
+    await this.#writeSnapshotWhenDue();
+  }
+
+  /** Reads without a gap up to `offset`, or to the end of the stream. */
+  async #catchUp(offset?: number): Promise<void> {
+    const until = this.#options.clock.readMonotonicMs() +
+      this.#options.timeoutMs;
+    while (true) {
+      const from = this.#fold.offset + 1;
+      const options = { maxRecords: READ_PAGE };
+      const slice = await this.#options.log.read(this.#stream, from, options);
+      const verdict = judgeSlice(from, slice);
+      if (verdict.kind === "gap") {
+        await this.#recoverFromGap();
+        continue;
+      }
+      for (const record of verdict.records) {
+        this.#sinceSnapshot++;
+        for (const [id, own] of this.#fold.apply(record)) {
+          if (this.#awaited.has(id)) this.#verdicts.set(id, own);
+        }
+      }
+      if (
+        offset === undefined ? verdict.current : this.#fold.offset >= offset
+      ) return;
+      if (this.#options.clock.readMonotonicMs() > until) {
+        throw new LogUnavailableError(
+          "reading up to the own claim took too long",
+        );
+      }
+    }
+  }
+
+  async #recoverFromGap(): Promise<void> {
+    const records = [];
+    let from = 0;
+    while (true) {
+      const slice = await this.#options.log.read(this.#stream, from, {
+        maxRecords: READ_PAGE,
+      });
+      records.push(...slice.records);
+      const last = slice.records.at(-1);
+      if (last === undefined || last.offset + 1 >= slice.next) break;
+      from = last.offset + 1;
+    }
+    if (this.#fold.loadSnapshot(records)) return;
+    throw new LogUnavailableError(
+      "records were trimmed and no snapshot bridges them",
+    );
+  }
+
+  async #writeSnapshotWhenDue(): Promise<void> {
+    if (this.#sinceSnapshot < this.#options.snapshotEveryRecords) return;
+    this.#sinceSnapshot = 0;
+    try {
+      for (const part of this.#fold.buildSnapshot(() => createId("snap"))) {
+        await this.#options.log.append(this.#stream, part);
+      }
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+    }
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-claims/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * At-most-once claims: the fold of a shard's stream, and group commit.
+ *
+ * @module
+ */
+export * from "./claim_fold.ts";
+export * from "./claim_key.ts";
+export * from "./claim_records.ts";
+export * from "./claim_shard.ts";
--- /dev/null
+++ b/packages/heatherarch-cli/bin/heatherarch.ts
@@ -0,0 +1,191 @@
+#!/usr/bin/env node
+/**
+ * `heatherarch`: the operators' command line.
+ *
+ * @module
+ */
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import {
+  checkFleet,
+  type CommandContext,
+  deleteProfile,
+  diffFleet,
+  directTarget,
+  getProfile,
+  listProfiles,
+  publishFleet,
+  putProfile,
+  reviseProfile,
+  showAudit,
+  showConfig,
+  showStatus,
+} from "../commands.ts";
+import { CommandError, EXIT_CODES } from "../exit_codes.ts";
+import { OperatorClient } from "../operator_client.ts";
+
+const DEFAULT_URL = "http://127.0.0.1:9080";
+
+interface GlobalArguments {
+  readonly vm?: string[];
+  readonly token?: string;
+  readonly operator?: string;
+  readonly json?: boolean;
+  readonly wait?: boolean;
+  readonly waitTimeoutMs?: number;
+}
+
+function buildContext(parsed: object): CommandContext {
+  const args = parsed as GlobalArguments;
+  const fromEnvironment = process.env.HEATHERARCH_VM?.split(",");
+  const client = new OperatorClient({
+    urls: args.vm ?? fromEnvironment ?? [DEFAULT_URL],
+    token: args.token ?? process.env.HEATHERARCH_TOKEN,
+    operator: args.operator ?? process.env.USER,
+  });
+  return {
+    client,
+    json: args.json ?? false,
+    wait: args.wait ?? false,
+    waitTimeoutMs: args.waitTimeoutMs ?? 30_000,
+    print: (line) => console.log(line),
+  };
+}
+
+const FILE = { type: "string", demandOption: true } as const;
+const BASE = {
+  type: "number",
+  describe: "revision that the change is made against",
+} as const;
+
+const parser = yargs(hideBin(process.argv))
+  .scriptName("heatherarch")
+  .option("vm", {
+    type: "string",
+    array: true,
+    describe: "URL of an operators' port (repeatable)",
+  })
+  .option("token", {
+    type: "string",
+    describe: "operator's token; HEATHERARCH_TOKEN",
+  })
+  .option("operator", {
+    type: "string",
+    describe: "name for the audit trail on an open port",
+  })
+  .option("json", { type: "boolean", describe: "print JSON" })
+  .option("wait", {
+    type: "boolean",
+    describe: "wait until in force everywhere",
+  })
+  .option("wait-timeout-ms", { type: "number", default: 30_000 })
+  .command("config", "the fleet configuration", (config) =>
+    config
+      .command("publish <file>", "publish a fleet configuration", (y) =>
+        y.positional("file", FILE).option("base", BASE), (args) =>
+        publishFleet(buildContext(args), args.file, args.base))
+      .command("check <file>", "check a file without publishing it", (y) =>
+        y.positional("file", FILE), (args) =>
+        checkFleet(buildContext(args), args.file))
+      .command("diff <file>", "compare a file with what is in force", (y) =>
+        y.positional("file", FILE), (args) =>
+        diffFleet(buildContext(args), args.file))
+      .command("show", "print what is in force", {}, (args) =>
+        showConfig(buildContext(args)))
+      .demandCommand(1))
+  .command("profile", "profiles", (profile) =>
+    profile
+      .command("list", "list profiles", {}, (args) =>
+        listProfiles(buildContext(args)))
+      .command("get <name>", "print a profile", (y) =>
+        y.positional("name", FILE), (args) =>
+        getProfile(buildContext(args), args.name))
+      .command(
+        "put <file>",
+        "create a profile, or replace revision --base",
+        (y) =>
+          y.positional("file", FILE).option("base", BASE),
+        (args) =>
+          putProfile(buildContext(args), args.file, args.base),
+      )
+      .command(
+        "revise <name> <assignments..>",
+        "change fields: KEY=VALUE…",
+        (y) =>
+          y.positional("name", FILE)
+            .positional("assignments", {
+              type: "string",
+              array: true,
+              demandOption: true,
+            })
+            .option("base", BASE),
+        (args) =>
+          reviseProfile(buildContext(args), args.name, {
+            assignments: args.assignments,
+            base: args.base,
+          }),
+      )
+      .command("delete <name>", "delete a profile", (y) =>
+        y.positional("name", FILE), (args) =>
+        deleteProfile(buildContext(args), args.name))
+      .demandCommand(1))
+  .command(
+    "drain <target>",
+    "give a target no new work",
+    (y) => y.positional("target", FILE),
+    (args) =>
+      directTarget(buildContext(args), "drain", { target: args.target }),
+  )
+  .command(
+    "withdraw <target>",
+    "take a target out for good",
+    (y) => y.positional("target", FILE),
+    (args) =>
+      directTarget(buildContext(args), "withdraw", { target: args.target }),
+  )
+  .command(
+    "restore <target>",
+    "put a target back in service",
+    (y) => y.positional("target", FILE),
+    (args) =>
+      directTarget(buildContext(args), "restore", { target: args.target }),
+  )
+  .command(
+    "replace <target> <file>",
+    "drain a target and add the one in FILE",
+    (y) => y.positional("target", FILE).positional("file", FILE),
+    (args) =>
+      directTarget(buildContext(args), "replace", {
+        target: args.target,
+        replacementFile: args.file,
+      }),
+  )
+  .command(
+    "status",
+    "VMs, zones, engines, leases, staleness",
+    {},
+    (args) => showStatus(buildContext(args)),
+  )
+  .command(
+    "audit",
+    "who changed what, when, with which verdict",
+    (y) => y.option("limit", { type: "number", default: 50 }),
+    (args) => showAudit(buildContext(args), args.limit),
+  )
+  .demandCommand(1)
+  .strict()
+  .epilogue(
+    "exit codes: " +
+      Object.entries(EXIT_CODES).map(([name, code]) => `${code} ${name}`).join(
+        ", ",
+      ),
+  )
+  .fail((message, error) => {
+    const known = error instanceof CommandError;
+    console.error(known ? error.message : message ?? String(error));
+    process.exit(
+      known ? error.exitCode : error ? EXIT_CODES.failed : EXIT_CODES.badInput,
+    );
+  });
+
+await parser.parseAsync();
--- /dev/null
+++ b/packages/heatherarch-cli/commands.ts
@@ -0,0 +1,349 @@
+/**
+ * The commands of `heatherarch`.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { isDeepStrictEqual } from "node:util";
+import {
+  type Fault,
+  formatFaults,
+  parseFleet,
+  parseProfile,
+  parseToml,
+} from "heatherarch-settings";
+import { CommandError } from "./exit_codes.ts";
+import type {
+  ChangeAnswer,
+  OperatorClient,
+  StatusAnswer,
+} from "./operator_client.ts";
+
+/** Where and how results are written. */
+export interface CommandContext {
+  readonly client: OperatorClient;
+  readonly json: boolean;
+  /** Wait until the change is in force everywhere. */
+  readonly wait: boolean;
+  readonly waitTimeoutMs: number;
+  readonly print: (line: string) => void;
+}
+
+/** Reads TOML or JSON by the file's ending. */
+export function readDocument(file: string): unknown {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (error) {
+    throw new CommandError("badInput", (error as Error).message);
+  }
+  if (file.endsWith(".json")) {
+    try {
+      return JSON.parse(text);
+    } catch (error) {
+      throw new CommandError(
+        "badInput",
+        `${file}: ${(error as Error).message}`,
+      );
+    }
+  }
+  const parsed = parseToml(text);
+  if (!parsed.ok) throw buildFaultError(file, parsed.val as Fault[]);
+  return parsed.val;
+}
+
+/** Checks a fleet configuration and returns it with defaults filled in. */
+export function readFleetFile(file: string): unknown {
+  const fleet = parseFleet(readDocument(file));
+  if (!fleet.ok) throw buildFaultError(file, fleet.val as Fault[]);
+  return fleet.val;
+}
+
+/** `config publish FILE` */
+export async function publishFleet(
+  context: CommandContext,
+  file: string,
+  base: number | undefined,
+): Promise<void> {
+  const fleet = readFleetFile(file);
+  const baseRevision = base ??
+    (await context.client.readConfig()).fleetRevision;
+  const answer = await context.client.publish(
+    { kind: "publishFleet", fleet },
+    baseRevision,
+  );
+  await report(context, answer, "fleet");
+}
+
+/** `config check FILE` */
+export function checkFleet(context: CommandContext, file: string): void {
+  readFleetFile(file);
+  context.print(`${file}: ok`);
+}
+
+/** `config show` */
+export async function showConfig(context: CommandContext): Promise<void> {
+  context.print(JSON.stringify(await context.client.readConfig(), null, 2));
+}
+
+/** `config diff FILE` */
+export async function diffFleet(
+  context: CommandContext,
+  file: string,
+): Promise<void> {
+  const { fleet, fleetRevision } = await context.client.readConfig();
+  const lines = listDifferences(fleet, readFleetFile(file), "");
+  if (context.json) {
+    context.print(JSON.stringify({ fleetRevision, differences: lines }));
+  } else for (const line of lines) context.print(line);
+  if (lines.length === 0 && !context.json) context.print("no difference");
+}
+
+/** `profile list` */
+export async function listProfiles(context: CommandContext): Promise<void> {
+  const { profiles } = await context.client.readConfig();
+  if (context.json) {
+    context.print(JSON.stringify(profiles));
+    return;
+  }
+  for (const [name, { revision }] of Object.entries(profiles)) {
+    context.print(`${name}\trevision ${revision}`);
+  }
+}
+
+/** `profile get NAME` */
+export async function getProfile(
+  context: CommandContext,
+  name: string,
+): Promise<void> {
+  const { profiles } = await context.client.readConfig();
+  const found = profiles[name];
+  if (found === undefined) {
+    throw new CommandError("badInput", `no profile is named ${name}`);
+  }
+  context.print(JSON.stringify(found, null, 2));
+}
+
+/** `profile put FILE`: creates a profile, or replaces the revision `base`. */
+export async function putProfile(
+  context: CommandContext,
+  file: string,
+  base: number | undefined,
+): Promise<void> {
+  const profile = parseProfile(readDocument(file));
+  if (!profile.ok) throw buildFaultError(file, profile.val as Fault[]);
+  const { name } = profile.val as { name: string };
+  const baseRevision = base ?? -1;
+  const answer = await context.client.publish({
+    kind: "putProfile",
+    profile: profile.val,
+  }, baseRevision);
+  await report(context, answer, `profile ${name}`);
+}
+
+/** `profile revise NAME KEY=VALUE…`: changes fields of the present revision. */
+export async function reviseProfile(
+  context: CommandContext,
+  name: string,
+  change: { assignments: readonly string[]; base: number | undefined },
+): Promise<void> {
+  const { profiles } = await context.client.readConfig();
+  const found = profiles[name];
+  if (found === undefined) {
+    throw new CommandError("badInput", `no profile is named ${name}`);
+  }
+  const next = { ...found.profile };
+  for (const assignment of change.assignments) {
+    const [key, value] = splitAssignment(assignment);
+    next[key] = value;
+  }
+  const profile = parseProfile(next);
+  if (!profile.ok) throw buildFaultError(name, profile.val as Fault[]);
+  const baseRevision = change.base ?? found.revision;
+  const answer = await context.client.publish({
+    kind: "putProfile",
+    profile: profile.val,
+  }, baseRevision);
+  await report(context, answer, `profile ${name}`);
+}
+
+/** `profile delete NAME` */
+export async function deleteProfile(
+  context: CommandContext,
+  name: string,
+): Promise<void> {
+  const { profiles } = await context.client.readConfig();
+  const revision = profiles[name]?.revision ?? -1;
+  const answer = await context.client.publish(
+    { kind: "deleteProfile", name },
+    revision,
+  );
+  await report(context, answer, `profile ${name}`);
+}
+
+/** `drain|withdraw|restore TARGET` and `replace TARGET FILE` */
+export async function directTarget(
+  context: CommandContext,
+  directive: string,
+  options: { target: string; replacementFile?: string },
+): Promise<void> {
+  const { target, replacementFile } = options;
+  const { directives } = await context.client.readConfig();
+  const replacement = replacementFile === undefined
+    ? undefined
+    : readDocument(replacementFile);
+  const change = {
+    kind: "directTarget",
+    target,
+    directive,
+    ...(replacement ? { replacement } : {}),
+  };
+  const answer = await context.client.publish(
+    change,
+    directives[target]?.revision ?? -1,
+  );
+  await report(context, answer, `${directive} ${target}`);
+}
+
+/** `status` */
+export async function showStatus(context: CommandContext): Promise<void> {
+  const status = await context.client.readStatus();
+  if (context.json) {
+    context.print(JSON.stringify(status));
+    return;
+  }
+  for (const line of formatStatus(status)) context.print(line);
+}
+
+/** `audit` */
+export async function showAudit(
+  context: CommandContext,
+  limit: number,
+): Promise<void> {
+  const { entries } = await context.client.call("GET", "/v1/audit") as {
+    entries: AuditLine[];
+  };
+  const last = entries.slice(-limit);
+  if (context.json) {
+    context.print(JSON.stringify(last));
+    return;
+  }
+  for (const entry of last) {
+    const when = new Date(entry.atMs).toISOString();
+    const reason = entry.reason ? ` (${entry.reason})` : "";
+    const { offset, author, what, baseRevision, verdict } = entry;
+    context.print(
+      `${offset}\t${when}\t${author}\t${what}\tfrom ${baseRevision}\t${verdict}${reason}`,
+    );
+  }
+}
+
+interface AuditLine {
+  readonly offset: number;
+  readonly atMs: number;
+  readonly author: string;
+  readonly what: string;
+  readonly baseRevision: number;
+  readonly verdict: string;
+  readonly reason?: string;
+}
+
+async function report(
+  context: CommandContext,
+  answer: ChangeAnswer,
+  what: string,
+): Promise<void> {
+  if (context.json) context.print(JSON.stringify(answer));
+  else if (answer.verdict === "accepted") {
+    context.print(`${what}: accepted at ${answer.offset}`);
+  } else {context.print(
+      `${what}: spreading from VM to VM; publish again once the platform answers`,
+    );}
+  if (answer.verdict !== "accepted") {
+    throw new CommandError(
+      "platformUnavailable",
+      answer.reason ?? "platform unavailable",
+    );
+  }
+  if (!context.wait) return;
+  await context.client.waitInForce(answer.offset, context.waitTimeoutMs);
+  if (!context.json) context.print("in force everywhere");
+}
+
+function formatStatus(status: StatusAnswer): string[] {
+  const { vm, config, lease } = status;
+  const stale = config.staleMs === null
+    ? "never current"
+    : `${config.staleMs} ms old`;
+  const lines = [
+    `vm ${vm.id} in ${vm.availabilityZone}${
+      vm.leaving ? " (leaving)" : ""
+    }, ${vm.inFlight} in flight`,
+    `config offset ${config.offset}, ${stale}, platform ${
+      config.platformUp ? "up" : "down"
+    }`,
+    `lease ${lease.holder ?? "none"}, fencing ${
+      lease.fencing ?? "-"
+    }, ${lease.roleChanges} role changes`,
+    "members:",
+  ];
+  for (const member of status.members) {
+    const heard = member.lastHeardMs === null
+      ? "never"
+      : `${member.lastHeardMs} ms ago`;
+    lines.push(
+      `  ${member.id}\t${member.availabilityZone}\t${member.status}\toffset ${member.configOffset}\theard ${heard}`,
+    );
+  }
+  lines.push("targets:");
+  for (const target of status.targets) {
+    const state = target.usable ? "in service" : target.reason;
+    lines.push(
+      `  ${target.id}\t${target.service}\t${target.availabilityZone}\t${target.role}\t${state}\trunning ${target.running}\there ${target.outstandingHere}`,
+    );
+  }
+  return lines;
+}
+
+/** Paths at which two documents differ, one line each. */
+export function listDifferences(
+  before: unknown,
+  after: unknown,
+  path: string,
+): string[] {
+  if (isDeepStrictEqual(before, after)) return [];
+  const isTree = (value: unknown): value is Record<string, unknown> =>
+    typeof value === "object" && value !== null;
+  if (!isTree(before) || !isTree(after)) {
+    return [
+      `${path || "(document)"}: ${JSON.stringify(before)} -> ${
+        JSON.stringify(after)
+      }`,
+    ];
+  }
+  const keys = new Set([...Object.keys(before), ...Object.keys(after)]);
+  return [...keys].flatMap((key) =>
+    listDifferences(
+      before[key],
+      after[key],
+      path === "" ? key : `${path}.${key}`,
+    )
+  );
+}
+
+function splitAssignment(assignment: string): [string, unknown] {
+  const at = assignment.indexOf("=");
+  if (at < 1) {
+    throw new CommandError("badInput", `${assignment}: expected KEY=VALUE`);
+  }
+  const text = assignment.slice(at + 1);
+  try {
+    return [assignment.slice(0, at), JSON.parse(text)];
+  } catch {
+    return [assignment.slice(0, at), text];
+  }
+}
+
+function buildFaultError(file: string, faults: readonly Fault[]): CommandError {
+  return new CommandError("badInput", `${file}:\n${formatFaults(faults)}`);
+}
--- /dev/null
+++ b/packages/heatherarch-cli/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The operators' command line.
+ *
+ * @module
+ */
+export * from "./commands.ts";
+export * from "./exit_codes.ts";
+export * from "./operator_client.ts";
--- /dev/null
+++ b/packages/heatherarch-core/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Shared vocabulary of all heatherarch packages.
+ *
+ * @module
+ */
+export * from "./clock.ts";
+export * from "./errors.ts";
+export * from "./hash.ts";
+export * from "./ids.ts";
+export * from "./invariant.ts";
+export * from "./random.ts";
+export * from "./result.ts";
+export * from "./task.ts";
+export * from "./tokens.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/heatherarch-core/task.ts
@@ -0,0 +1,56 @@
+/**
+ * Tasks: each owns its state and its sockets, and others reach it only through messages.
+ *
+ * @module
+ */
+
+/** Called with what a handler threw. */
+export type TaskErrorListener = (task: string, error: unknown) => void;
+
+/** A task that handles its messages one at a time, in the order they were posted. */
+export abstract class Task<Message> {
+  readonly taskName: string;
+  readonly #queue: Message[] = [];
+  readonly #onError: TaskErrorListener;
+  #running = false;
+  #stopped = false;
+
+  constructor(taskName: string, onError: TaskErrorListener) {
+    this.taskName = taskName;
+    this.#onError = onError;
+  }
+
+  /** Adds a message to the queue. Messages to a stopped task are dropped. */
+  post(message: Message): void {
+    if (this.#stopped) return;
+    this.#queue.push(message);
+    if (!this.#running) void this.#drain();
+  }
+
+  /** Drops what is queued and takes no further message. */
+  stopTask(): void {
+    this.#stopped = true;
+    this.#queue.length = 0;
+  }
+
+  get isStopped(): boolean {
+    return this.#stopped;
+  }
+
+  /** Handles one message; the next one waits until the returned promise settles. */
+  protected abstract handle(message: Message): void | Promise<void>;
+
+  async #drain(): Promise<void> {
+    this.#running = true;
+    while (this.#queue.length > 0) {
+      const message = this.#queue.shift() as Message;
+      try {
+        const pending = this.handle(message);
+        if (pending) await pending;
+      } catch (error) {
+        this.#onError(this.taskName, error);
+      }
+    }
+    this.#running = false;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/claim_service.ts
@@ -0,0 +1,286 @@
+/**
+ * At-most-once claims across the VMs of an availability zone: finds the owner of a key's
+ * shard, asks it, and limits the permission that comes back.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  createId,
+  pickRendezvous,
+  ServeError,
+  sleep,
+} from "heatherarch-core";
+import {
+  ClaimShard,
+  type ClaimShardCounters,
+  type ClaimVerdict,
+  computeShard,
+  type KeyState,
+} from "heatherarch-claims";
+import type {
+  ClaimAnswer,
+  ClaimClient,
+  HeldClaim,
+  KeptAnswer,
+} from "heatherarch-gateway";
+import type { LogPort } from "heatherarch-log";
+import type { Membership, MeshNode } from "heatherarch-mesh";
+import type { ProcessSettings } from "heatherarch-settings";
+import { z } from "zod";
+
+/** Options of {@linkcode ClaimService}. */
+export interface ClaimServiceOptions {
+  readonly vmId: string;
+  readonly incarnation: string;
+  readonly availabilityZone: string;
+  readonly log: LogPort;
+  readonly clock: Clock;
+  readonly membership: Membership;
+  readonly mesh: MeshNode;
+  readonly settings: ProcessSettings["claims"];
+  readonly snapshotEveryRecords: number;
+}
+
+const CLAIM_CALL = z.object({
+  claimId: z.string(),
+  key: z.string(),
+  madeAtMs: z.number(),
+  fingerprint: z.string(),
+  vm: z.string(),
+});
+const CONCLUDE_CALL = z.object({
+  claimId: z.string(),
+  key: z.string(),
+  answer: z.object({
+    status: z.int(),
+    headers: z.record(z.string(), z.string()),
+    body: z.string().optional(),
+  }).optional(),
+});
+
+type ClaimCall = z.infer<typeof CLAIM_CALL>;
+type ConcludeCall = z.infer<typeof CONCLUDE_CALL>;
+
+const CONCLUDE_RETRY_MS = 500;
+const CONCLUDE_LIMIT_MS = 600_000;
+/** A claim without an outcome is called unknown, not in progress, after this long. */
+const IN_PROGRESS_LIMIT_MS = 60_000;
+
+/** Claims for one VM, and the shards that it owns. */
+export class ClaimService implements ClaimClient {
+  readonly #options: ClaimServiceOptions;
+  readonly #shards = new Map<number, ClaimShard>();
+  #concluding = 0;
+
+  constructor(options: ClaimServiceOptions) {
+    this.#options = options;
+    const { mesh } = options;
+    mesh.registerCall(
+      "claims.claim",
+      (body) => this.#claimHere(CLAIM_CALL.parse(body)),
+    );
+    mesh.registerCall(
+      "claims.conclude",
+      (body) => this.#concludeHere(CONCLUDE_CALL.parse(body)),
+    );
+  }
+
+  /** Outcomes that are not in the log yet. */
+  get concluding(): number {
+    return this.#concluding;
+  }
+
+  listCounters(): ClaimShardCounters[] {
+    return [...this.#shards.values()].map((shard) => shard.readCounters());
+  }
+
+  async claim(
+    request: { key: string; madeAtMs: number; fingerprint: string },
+  ): Promise<ClaimAnswer> {
+    const { clock, vmId, incarnation, settings } = this.#options;
+    const sentAtMs = clock.readMonotonicMs();
+    const owner = this.#findOwner(request.key);
+    const call = {
+      ...request,
+      claimId: createId("claim"),
+      vm: `${vmId}/${incarnation}`,
+    };
+    const verdict = await this.#ask(owner, call);
+    const validUntilMs = sentAtMs + settings.permissionMs;
+    const isValid = (): boolean =>
+      clock.readMonotonicMs() < validUntilMs &&
+      this.#findOwner(request.key) === owner;
+    if (verdict === undefined) {
+      // Never used: the key is given back as soon as the log answers.
+      void this.#concludeLater({ claimId: call.claimId, key: call.key });
+      const message =
+        "the platform's log can't confirm the key; the call was not run";
+      return buildRefusal(
+        new ServeError("platformUnavailable", message, { run: "no" }),
+      );
+    }
+    return this.#buildAnswer(verdict, call, isValid);
+  }
+
+  /** Waits until outcomes have reached the log. */
+  async flush(timeoutMs: number): Promise<void> {
+    const until = this.#options.clock.readMonotonicMs() + timeoutMs;
+    while (
+      this.#concluding > 0 && this.#options.clock.readMonotonicMs() < until
+    ) await sleep(20);
+  }
+
+  #buildAnswer(
+    verdict: ClaimVerdict,
+    call: ClaimCall,
+    isValid: () => boolean,
+  ): ClaimAnswer {
+    switch (verdict.kind) {
+      case "granted":
+        return { kind: "granted", claim: this.#buildHeld(call, isValid) };
+      case "taken":
+        return this.#buildTaken(verdict.holder);
+      case "reused":
+        return buildRefusal(
+          new ServeError("keyReused", "the key was used for another call"),
+        );
+      case "expired": {
+        const message =
+          "the key's time lies outside the window in which keys are remembered";
+        return buildRefusal(new ServeError("keyExpired", message));
+      }
+    }
+  }
+
+  #buildTaken(holder: KeyState): ClaimAnswer {
+    if (holder.outcome !== undefined) {
+      return { kind: "answered", answer: holder.outcome };
+    }
+    const ageMs = this.#options.clock.readWallMs() - holder.claimedAtMs;
+    if (ageMs < IN_PROGRESS_LIMIT_MS && this.#isAlive(holder.vm)) {
+      const message = "a call with this key is in progress";
+      return buildRefusal(new ServeError("keyInProgress", message));
+    }
+    const message =
+      "a call with this key was begun and its outcome is not known; " +
+      "it will not be run again";
+    return buildRefusal(new ServeError("outcomeUnknown", message));
+  }
+
+  #buildHeld(call: ClaimCall, isValid: () => boolean): HeldClaim {
+    const { claimId, key } = call;
+    return {
+      isValid,
+      conclude: (answer: KeptAnswer) =>
+        void this.#concludeLater({ claimId, key, answer }),
+      release: () => void this.#concludeLater({ claimId, key }),
+    };
+  }
+
+  #isAlive(holder: string): boolean {
+    const { vmId, incarnation, membership } = this.#options;
+    if (holder === `${vmId}/${incarnation}`) return true;
+    const [id, heldBy] = holder.split("/");
+    const member = membership.getMember(id);
+    return member !== undefined && member.status !== "suspect" &&
+      member.incarnation === heldBy;
+  }
+
+  /** The VM of this zone that owns the key's shard, by the membership as seen here. */
+  #findOwner(key: string): string {
+    const { membership, availabilityZone, settings } = this.#options;
+    const shard = computeShard(key, settings.shards);
+    return pickRendezvous(
+      `claims.${shard}`,
+      membership.listLive(availabilityZone),
+      1,
+    )[0];
+  }
+
+  /** Asks the owner, then the log itself; undefined where no verdict could be had. */
+  async #ask(
+    owner: string,
+    call: ClaimCall,
+  ): Promise<ClaimVerdict | undefined> {
+    const { vmId, mesh, settings } = this.#options;
+    if (owner !== vmId) {
+      try {
+        const reply = await mesh.call(
+          owner,
+          "claims.claim",
+          call,
+          settings.permissionMs,
+        );
+        return reply as ClaimVerdict;
+      } catch {
+        return undefined;
+      }
+    }
+    return await this.#claimHere(call).catch(() => undefined);
+  }
+
+  #claimHere(call: ClaimCall): Promise<ClaimVerdict> {
+    return this.#getShard(call.key).claim({ op: "claim", ...call });
+  }
+
+  async #concludeHere(call: ConcludeCall): Promise<boolean> {
+    const { claimId, key, answer } = call;
+    await this.#getShard(key).conclude(
+      answer === undefined
+        ? { op: "release", claimId, key }
+        : { op: "conclude", claimId, key, outcome: answer },
+    );
+    return true;
+  }
+
+  async #concludeLater(call: ConcludeCall): Promise<void> {
+    const { clock, mesh, vmId } = this.#options;
+    const until = clock.readMonotonicMs() + CONCLUDE_LIMIT_MS;
+    this.#concluding++;
+    try {
+      while (clock.readMonotonicMs() < until) {
+        try {
+          const owner = this.#findOwner(call.key);
+          if (owner === vmId) await this.#concludeHere(call);
+          else {await mesh.call(
+              owner,
+              "claims.conclude",
+              call,
+              this.#options.settings.permissionMs,
+            );}
+          return;
+        } catch {
+          await sleep(CONCLUDE_RETRY_MS);
+        }
+      }
+    } finally {
+      this.#concluding--;
+    }
+  }
+
+  #getShard(key: string): ClaimShard {
+    const { settings, log, clock, snapshotEveryRecords } = this.#options;
+    const number = computeShard(key, settings.shards);
+    let shard = this.#shards.get(number);
+    if (shard === undefined) {
+      shard = new ClaimShard({
+        shard: number,
+        log,
+        clock,
+        batchMs: settings.batchMs,
+        maxBatch: settings.maxBatch,
+        timeoutMs: settings.permissionMs,
+        snapshotEveryRecords,
+        keyWindowMs: settings.keyWindowMs,
+        futureSkewMs: settings.futureSkewMs,
+      });
+      this.#shards.set(number, shard);
+    }
+    return shard;
+  }
+}
+
+function buildRefusal(error: ServeError): ClaimAnswer {
+  return { kind: "refused", error };
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/config_reader.ts
@@ -0,0 +1,309 @@
+/**
+ * Keeps the configuration current: relays of each availability zone read the log, the others
+ * follow their peers, and a VM without either asks whoever answers.
+ *
+ * @module
+ */
+import {
+  assertInvariant,
+  type Clock,
+  createId,
+  pickRendezvous,
+  sleep,
+} from "heatherarch-core";
+import {
+  applyConfigRecord,
+  CONFIG_FORMAT,
+  CONFIG_STREAM,
+  type ConfigState,
+  EMPTY_CONFIG,
+  judgeSlice,
+  loadConfigSnapshot,
+  type LogPort,
+  type LogRecord,
+  LogUnavailableError,
+  parseConfigRecord,
+  parseConfigState,
+} from "heatherarch-log";
+import type { Membership, MeshNode } from "heatherarch-mesh";
+import { z } from "zod";
+import type { Logger } from "./logger.ts";
+
+/** Options of {@linkcode ConfigReader}. */
+export interface ConfigReaderOptions {
+  readonly vmId: string;
+  readonly availabilityZone: string;
+  readonly log: LogPort;
+  readonly clock: Clock;
+  readonly membership: Membership;
+  readonly mesh: MeshNode;
+  readonly logger: Logger;
+  readonly pollWaitMs: number;
+  readonly snapshotEveryRecords: number;
+}
+
+/** Called with each new state. */
+export type ConfigListener = (
+  state: ConfigState,
+  previous: ConfigState,
+) => void;
+
+const RELAYS_PER_ZONE = 2;
+/** How often a VM that is no relay looks at the log itself. */
+const FOLLOWER_POLL_MS = 5000;
+const PEER_CALL_MS = 1000;
+const RETRY_MS = 200;
+const KEPT_RECORDS = 1000;
+const READ_PAGE = 500;
+
+const PEER_ANSWER = z.union([
+  z.object({
+    kind: z.literal("records"),
+    records: z.array(
+      z.object({
+        offset: z.int(),
+        appendedAtMs: z.number(),
+        data: z.unknown(),
+      }),
+    ),
+  }),
+  z.object({ kind: z.literal("state"), state: z.unknown() }),
+]);
+const PEER_REQUEST = z.object({ from: z.int().min(0) });
+
+/** The configuration of one process. */
+export class ConfigReader {
+  readonly #options: ConfigReaderOptions;
+  readonly #listeners = new Set<ConfigListener>();
+  #state: ConfigState = EMPTY_CONFIG;
+  #recent: LogRecord[] = [];
+  #currentAtMs = -Infinity;
+  #snapshotOffset = -1;
+  #fetching = false;
+  #stopped = false;
+  #platformUp = true;
+
+  constructor(options: ConfigReaderOptions) {
+    this.#options = options;
+    options.mesh.registerCall(
+      "config.read",
+      async (body) => this.#answerPeer(body),
+    );
+    options.mesh.registerHeartbeatListener((heartbeat, from) => {
+      if (heartbeat.configOffset > this.#state.offset) {
+        void this.#fetchFromPeer(from.id);
+      }
+    });
+  }
+
+  get state(): ConfigState {
+    return this.#state;
+  }
+
+  /** Monotonic time at which the configuration was last known to be current. */
+  get currentAtMs(): number {
+    return this.#currentAtMs;
+  }
+
+  /** Whether the platform answered the last time it was asked. */
+  get isPlatformUp(): boolean {
+    return this.#platformUp;
+  }
+
+  /** Whether a configuration has been loaded from anywhere. */
+  get isLoaded(): boolean {
+    return this.#state.offset >= 0 || this.#currentAtMs > -Infinity;
+  }
+
+  /** Registers a listener and returns its undo. */
+  registerListener(listener: ConfigListener): () => void {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Reads until stopped. */
+  async run(): Promise<void> {
+    let nextPollMs = 0;
+    while (!this.#stopped) {
+      const nowMs = this.#options.clock.readMonotonicMs();
+      const relay = this.isRelay();
+      if (!relay && nowMs < nextPollMs) {
+        await sleep(RETRY_MS);
+        continue;
+      }
+      try {
+        const current = await this.#readLog(
+          relay ? this.#options.pollWaitMs : 0,
+        );
+        this.#notePlatform(true);
+        if (current) nextPollMs = nowMs + FOLLOWER_POLL_MS;
+        if (relay) await this.#writeSnapshotWhenDue();
+      } catch (error) {
+        if (!(error instanceof LogUnavailableError)) throw error;
+        this.#notePlatform(false);
+        await this.#fetchFromAnyPeer();
+        await sleep(RETRY_MS);
+      }
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Reads the log up to its end now, whatever this VM's part is. */
+  async catchUp(): Promise<void> {
+    while (!(await this.#readLog(0)));
+    this.#notePlatform(true);
+  }
+
+  /** Whether this VM reads the log for its availability zone. */
+  isRelay(): boolean {
+    const { vmId, membership, availabilityZone } = this.#options;
+    const live = membership.listLive(availabilityZone);
+    return pickRendezvous("config-relay", live, RELAYS_PER_ZONE).includes(vmId);
+  }
+
+  /** Reads one page; true where the end of the stream was reached. */
+  async #readLog(waitMs: number): Promise<boolean> {
+    const from = this.#state.offset + 1;
+    const askedAtMs = this.#options.clock.readMonotonicMs();
+    const options = { maxRecords: READ_PAGE, waitMs };
+    const slice = await this.#options.log.read(CONFIG_STREAM, from, options);
+    const verdict = judgeSlice(from, slice);
+    if (verdict.kind === "gap") {
+      await this.#recoverFromGap();
+      return false;
+    }
+    for (const record of verdict.records) this.#apply(record);
+    if (verdict.current) this.#currentAtMs = askedAtMs;
+    return verdict.current;
+  }
+
+  async #recoverFromGap(): Promise<void> {
+    const records: LogRecord[] = [];
+    let from = 0;
+    while (true) {
+      const page = await this.#options.log.read(CONFIG_STREAM, from, {
+        maxRecords: READ_PAGE,
+      });
+      records.push(...page.records);
+      const last = page.records.at(-1);
+      if (last === undefined || last.offset + 1 >= page.next) break;
+      from = last.offset + 1;
+    }
+    const state = loadConfigSnapshot(records);
+    if (state !== undefined && state.offset > this.#state.offset) {
+      return this.#replace(state);
+    }
+    await this.#fetchFromAnyPeer();
+    throw new LogUnavailableError(
+      "records were trimmed and no snapshot bridges them",
+    );
+  }
+
+  #apply(record: LogRecord): void {
+    if (record.offset !== this.#state.offset + 1) return;
+    const previous = this.#state;
+    this.#state = applyConfigRecord(previous, record);
+    if (parseConfigRecord(record.data)?.type === "snapshot") {
+      this.#snapshotOffset = record.offset;
+    }
+    this.#recent.push(record);
+    if (this.#recent.length > KEPT_RECORDS) this.#recent.shift();
+    this.#tell(previous);
+  }
+
+  #replace(state: ConfigState): void {
+    const previous = this.#state;
+    assertInvariant(
+      state.offset > previous.offset,
+      "config-never-reverts",
+      `${state.offset} after ${previous.offset}`,
+    );
+    this.#state = state;
+    this.#recent = [];
+    this.#snapshotOffset = state.offset;
+    this.#tell(previous);
+  }
+
+  #tell(previous: ConfigState): void {
+    for (const listener of this.#listeners) listener(this.#state, previous);
+    this.#options.mesh.sendHeartbeats();
+  }
+
+  #notePlatform(up: boolean): void {
+    if (up === this.#platformUp) return;
+    this.#platformUp = up;
+    this.#options.logger.info(
+      up ? "platform log reachable" : "platform log unreachable",
+      {
+        configOffset: this.#state.offset,
+      },
+    );
+  }
+
+  async #fetchFromAnyPeer(): Promise<void> {
+    const peers = this.#options.membership.listMembers()
+      .filter((member) => this.#options.mesh.hasLink(member.id))
+      .sort((a, b) => b.configOffset - a.configOffset);
+    for (const peer of peers.slice(0, 3)) await this.#fetchFromPeer(peer.id);
+  }
+
+  async #fetchFromPeer(peerId: string): Promise<void> {
+    if (this.#fetching) return;
+    this.#fetching = true;
+    try {
+      const body = { from: this.#state.offset + 1 };
+      const reply = await this.#options.mesh.call(
+        peerId,
+        "config.read",
+        body,
+        PEER_CALL_MS,
+      );
+      const answer = PEER_ANSWER.parse(reply);
+      if (answer.kind === "records") {
+        for (const record of answer.records) this.#apply(record as LogRecord);
+        return;
+      }
+      const state = parseConfigState(answer.state);
+      if (state !== undefined && state.offset > this.#state.offset) {
+        this.#replace(state);
+      }
+    } catch {
+      // The peer is gone or talks nonsense; the next heartbeat or poll tries again.
+    } finally {
+      this.#fetching = false;
+    }
+  }
+
+  #answerPeer(body: unknown): unknown {
+    const { from } = PEER_REQUEST.parse(body);
+    const first = this.#recent[0]?.offset ?? this.#state.offset + 1;
+    if (from >= first) {
+      return { kind: "records", records: this.#recent.slice(from - first) };
+    }
+    return { kind: "state", state: this.#state };
+  }
+
+  async #writeSnapshotWhenDue(): Promise<void> {
+    const { snapshotEveryRecords, vmId, membership } = this.#options;
+    if (this.#state.offset - this.#snapshotOffset < snapshotEveryRecords) {
+      return;
+    }
+    // One writer over all zones where they see each other; several do no harm.
+    if (
+      pickRendezvous("config-snapshot", membership.listLive(), 1)[0] !== vmId
+    ) return;
+    this.#snapshotOffset = this.#state.offset;
+    await this.#options.log.append(CONFIG_STREAM, {
+      type: "snapshot",
+      format: CONFIG_FORMAT,
+      id: createId("snap"),
+      coversOffset: this.#state.offset,
+      state: this.#state,
+    });
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -0,0 +1,685 @@
+/**
+ * One entry VM: builds all parts from its settings, starts them, and shuts them down
+ * gracefully.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import {
+  asFunction,
+  asValue,
+  type AwilixContainer,
+  createContainer,
+  InjectionMode,
+} from "awilix";
+import {
+  type Clock,
+  createId,
+  RuntimeClock,
+  ServeError,
+  sleep,
+} from "heatherarch-core";
+import { Gateway, type GatewayHost } from "heatherarch-gateway";
+import {
+  appendOnce,
+  CONFIG_FORMAT,
+  CONFIG_STREAM,
+  HttpLog,
+  HttpVmList,
+  type LogPort,
+  LogUnavailableError,
+  type VmListPort,
+} from "heatherarch-log";
+import {
+  type Heartbeat,
+  type LinkIdentity,
+  Membership,
+  MeshNode,
+  splitAddress,
+} from "heatherarch-mesh";
+import {
+  createRouter,
+  type Demand,
+  DemandMeter,
+  EngineModel,
+  LoadTracker,
+  RetryBudget,
+  type Router,
+  sumDemand,
+} from "heatherarch-policy";
+import type { ProcessSettings, RoutingKind } from "heatherarch-settings";
+import { ClaimService } from "./claim_service.ts";
+import { ConfigReader } from "./config_reader.ts";
+import { ControlTask } from "./control_task.ts";
+import { HeartbeatBuilder } from "./heartbeat_builder.ts";
+import type { Logger } from "./logger.ts";
+import { Metrics } from "./metrics.ts";
+import {
+  OperatorServer,
+  type PublishAnswer,
+  type PublishRequest,
+} from "./operator_server.ts";
+import { OrderExecutor } from "./order_executor.ts";
+import { TargetTable } from "./target_table.ts";
+import { TargetWatcher } from "./target_watcher.ts";
+
+/** Options of {@linkcode EntryVm}. */
+export interface EntryVmOptions {
+  readonly settings: ProcessSettings;
+  readonly logger: Logger;
+}
+
+const DEMAND_WINDOW_MS = 6000;
+const REPORT_LAG_MS = 300;
+const PUBLISH_TIMEOUT_MS = 8000;
+const REMOTE_READ_MS = 3000;
+const METRICS_MS = 1000;
+const FLUSH_MS = 5000;
+/** How long a peer's demand counts after its last heartbeat. */
+const DEMAND_KEPT_MS = 3000;
+
+/** The parts of the process, as the container holds them. */
+interface Parts {
+  readonly settings: ProcessSettings;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  readonly identity: LinkIdentity;
+  readonly log: LogPort;
+  readonly vmList: VmListPort;
+  readonly metrics: Metrics;
+  readonly membership: Membership;
+  readonly tracker: LoadTracker;
+  readonly model: EngineModel;
+  readonly demand: DemandMeter;
+  readonly table: TargetTable;
+  readonly mesh: MeshNode;
+  readonly config: ConfigReader;
+  readonly control: ControlTask;
+  readonly claims: ClaimService;
+  readonly executor: OrderExecutor;
+  readonly watcher: TargetWatcher;
+  readonly heartbeats: HeartbeatBuilder;
+  readonly gateway: Gateway;
+  readonly operators: OperatorServer;
+}
+
+interface ZoneSummary {
+  configOffset: number;
+  vms: number;
+  heardAtMs: number;
+}
+
+/** The process. */
+export class EntryVm {
+  readonly #container: AwilixContainer<Parts>;
+  readonly #peerDemand = new Map<string, { demand: Demand; atMs: number }>();
+  readonly #zones = new Map<string, ZoneSummary>();
+  readonly #routers = new Map<RoutingKind, Router>();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #leaving = false;
+  #closedToCallers = false;
+  #stopping: Promise<void> | undefined;
+
+  constructor(options: EntryVmOptions) {
+    this.#container = createContainer<Parts>({
+      injectionMode: InjectionMode.PROXY,
+    });
+    this.#register(options);
+  }
+
+  get #parts(): Parts {
+    return this.#container.cradle;
+  }
+
+  /** Starts all parts. */
+  async start(): Promise<void> {
+    const {
+      settings,
+      config,
+      table,
+      mesh,
+      control,
+      executor,
+      watcher,
+      metrics,
+    } = this.#parts;
+    const { logger, gateway, operators } = this.#parts;
+    config.registerListener((state) => table.applyConfig(state));
+    mesh.registerHeartbeatListener((heartbeat, from) =>
+      this.#takeHeartbeat(heartbeat, from)
+    );
+    mesh.registerCall("stream.read", async (body) => {
+      const { requestId, from } = body as { requestId: string; from: number };
+      return await gateway.store.readNext(requestId, from, REMOTE_READ_MS / 3);
+    });
+    this.#parts.membership.noteListed(settings.mesh.peers);
+    await mesh.start();
+    void this.#guard("config", config.run());
+    void this.#guard("control", control.run());
+    void this.#guard("executor", executor.run());
+    watcher.start();
+    void this.#pollVmList();
+    const { operators: operatorsAt, callers } = settings.listen;
+    await operators.listen(
+      splitAddress(operatorsAt).host,
+      splitAddress(operatorsAt).port,
+    );
+    await gateway.listen(
+      splitAddress(callers).host,
+      splitAddress(callers).port,
+    );
+    this.#timers.push(setInterval(() => this.#updateMetrics(), METRICS_MS));
+    metrics.members.set(1);
+    logger.info("started", {
+      callers,
+      operators: operatorsAt,
+      mesh: settings.listen.mesh,
+    });
+  }
+
+  /** Shuts down gracefully. A second call changes nothing. */
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
+    const {
+      settings,
+      gateway,
+      mesh,
+      executor,
+      control,
+      claims,
+      logger,
+      config,
+    } = this.#parts;
+    logger.info("shutting down", { inFlight: gateway.inFlight });
+    this.#leaving = true;
+    mesh.sendHeartbeats();
+    executor.stop();
+    await sleep(settings.shutdown.noticeMs);
+    this.#closedToCallers = true;
+    const drained = await gateway.drain(settings.shutdown.drainTimeoutMs);
+    const until = performance.now() + FLUSH_MS;
+    while (executor.isBusy && performance.now() < until) await sleep(20);
+    await control.resign();
+    await claims.flush(FLUSH_MS);
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#parts.watcher.stop();
+    config.stop();
+    gateway.close();
+    this.#parts.operators.close();
+    mesh.stop();
+    await this.#parts.table.close();
+    logger.info("stopped", { drained, inFlight: gateway.inFlight });
+  }
+
+  #register({ settings, logger }: EntryVmOptions): void {
+    const clock = new RuntimeClock();
+    const { vm, platform } = settings;
+    const identity: LinkIdentity = {
+      id: vm.id,
+      incarnation: createId("run"),
+      availabilityZone: vm.availabilityZone,
+      mesh: settings.listen.mesh,
+    };
+    const timeoutMs = platform.requestTimeoutMs;
+    this.#container.register({
+      settings: asValue(settings),
+      logger: asValue(logger),
+      clock: asValue(clock),
+      identity: asValue(identity),
+      log: asValue(new HttpLog({ url: platform.log, timeoutMs })),
+      vmList: asValue(new HttpVmList({ url: platform.vmList, timeoutMs })),
+      metrics: asValue(new Metrics()),
+      membership: asValue(
+        new Membership({ self: identity, silenceMs: settings.mesh.silenceMs }),
+      ),
+      tracker: asValue(new LoadTracker({ reportLagMs: REPORT_LAG_MS })),
+      model: asValue(new EngineModel()),
+      demand: asValue(new DemandMeter(DEMAND_WINDOW_MS)),
+      table: asFunction(buildTable).singleton(),
+      mesh: asFunction((parts: Parts) => this.#buildMesh(parts)).singleton(),
+      config: asFunction(buildConfigReader).singleton(),
+      control: asFunction((parts: Parts) => this.#buildControl(parts))
+        .singleton(),
+      claims: asFunction(buildClaims).singleton(),
+      executor: asFunction((parts: Parts) => this.#buildExecutor(parts))
+        .singleton(),
+      watcher: asFunction(buildWatcher).singleton(),
+      heartbeats: asFunction((parts: Parts) => this.#buildHeartbeats(parts))
+        .singleton(),
+      gateway: asFunction((parts: Parts) => this.#buildGateway(parts))
+        .singleton(),
+      operators: asFunction((parts: Parts) => this.#buildOperators(parts))
+        .singleton(),
+    });
+  }
+
+  #buildMesh(parts: Parts): MeshNode {
+    const { settings, identity, clock, membership, metrics } = parts;
+    const { mesh, listen, network } = settings;
+    const tls = listen.meshTls;
+    return new MeshNode({
+      self: identity,
+      listen: listen.mesh,
+      ...mesh,
+      clock,
+      membership,
+      translate: (address) => network.translate[address] ?? address,
+      // The builder is looked up late: it needs parts that need the mesh.
+      buildHeartbeat: (link, peer) => this.#parts.heartbeats.build(link, peer),
+      onFault: (fault) => metrics.faults.inc({ kind: `mesh:${fault}` }),
+      ...(tls === undefined ? {} : {
+        tls: {
+          cert: readFileSync(tls.certificateFile, "utf8"),
+          key: readFileSync(tls.privateKeyFile, "utf8"),
+          ca: readFileSync(tls.authorityFile ?? tls.certificateFile, "utf8"),
+        },
+      }),
+    });
+  }
+
+  #buildControl(parts: Parts): ControlTask {
+    const { settings, identity, log, clock, membership, logger, table } = parts;
+    return new ControlTask({
+      vmId: identity.id,
+      incarnation: identity.incarnation,
+      availabilityZone: identity.availabilityZone,
+      log,
+      clock,
+      membership,
+      settings: settings.lease,
+      pollWaitMs: settings.platform.pollWaitMs,
+      snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+      logger,
+      onState: (state) => {
+        table.applyChanging(Object.keys(state.open), state.offset);
+        this.#parts.mesh.sendHeartbeats();
+      },
+    });
+  }
+
+  #buildExecutor(parts: Parts): OrderExecutor {
+    const {
+      settings,
+      identity,
+      clock,
+      control,
+      table,
+      membership,
+      model,
+      logger,
+    } = parts;
+    return new OrderExecutor({
+      availabilityZone: identity.availabilityZone,
+      clock,
+      control,
+      table,
+      membership,
+      model,
+      settings: settings.lease,
+      logger,
+      readFleet: () => this.#parts.config.state.fleet,
+      readDemand: () => this.#readZoneDemand(),
+      noteOutcome: (result) => parts.metrics.roleChanges.inc({ result }),
+    });
+  }
+
+  #buildHeartbeats(parts: Parts): HeartbeatBuilder {
+    const { identity, membership, table, config, control, demand, clock } =
+      parts;
+    return new HeartbeatBuilder({
+      vmId: identity.id,
+      availabilityZone: identity.availabilityZone,
+      membership,
+      table,
+      readProgress: () => ({
+        configOffset: config.state.offset,
+        controlOffset: control.state.offset,
+        leaving: this.#leaving,
+      }),
+      readDemand: () => demand.read(clock.readMonotonicMs()),
+      listChanging: () => Object.keys(control.state.open),
+    });
+  }
+
+  #buildGateway(parts: Parts): Gateway {
+    const {
+      settings,
+      identity,
+      clock,
+      table,
+      tracker,
+      model,
+      demand,
+      claims,
+      metrics,
+    } = parts;
+    const host: GatewayHost = {
+      vmId: identity.id,
+      clock,
+      limits: settings.requests,
+      claimLimits: settings.claims,
+      targets: table,
+      tracker,
+      model,
+      demand,
+      retries: new RetryBudget({ share: settings.requests.retryShare }),
+      claims,
+      events: metrics,
+      readRefusal: () => this.#readRefusal(),
+      readFleet: () => this.#parts.config.state.fleet,
+      findProfile: (name) => this.#parts.config.state.profiles[name]?.profile,
+      getRouter: (kind) => this.#getRouter(kind),
+      countVms: () => this.#countVms(),
+      readRemoteStream: async (vmId, requestId, from) => {
+        const unknown = { texts: [], state: "unknown" as const, model: "" };
+        const body = { requestId, from };
+        const call = this.#parts.mesh.call(
+          vmId,
+          "stream.read",
+          body,
+          REMOTE_READ_MS,
+        );
+        return await (call as Promise<typeof unknown>).catch(() => unknown);
+      },
+    };
+    const tls = settings.listen.callersTls;
+    return new Gateway(
+      host,
+      tls === undefined ? {} : { tls: readCertificate(tls) },
+    );
+  }
+
+  #buildOperators(parts: Parts): OperatorServer {
+    const { settings, config, table, metrics } = parts;
+    const tls = settings.listen.operatorsTls;
+    return new OperatorServer({
+      settings,
+      readConfig: () => config.state,
+      readStatus: () => this.#readStatus(),
+      readMetrics: () => {
+        this.#updateMetrics();
+        return metrics.registry.metrics();
+      },
+      readUnready: () =>
+        this.#leaving ? "shutting down" : this.#readRefusal()?.message,
+      publish: (request) => this.#publish(request),
+      markLeaving: (target) => {
+        table.leaving.mark(target, config.state.offset);
+        this.#parts.mesh.sendHeartbeats();
+      },
+    }, tls === undefined ? {} : { tls: readCertificate(tls) });
+  }
+
+  #readRefusal(): ServeError | undefined {
+    if (this.#closedToCallers) {
+      return new ServeError("shuttingDown", "this VM is shutting down");
+    }
+    const { config } = this.#parts;
+    if (!config.isLoaded) {
+      return new ServeError(
+        "notReady",
+        "no configuration has been loaded from platform or peers",
+      );
+    }
+    if (config.state.fleet === null) {
+      return new ServeError(
+        "notReady",
+        "no fleet configuration has been published",
+      );
+    }
+    return undefined;
+  }
+
+  #getRouter(kind: RoutingKind): Router {
+    let router = this.#routers.get(kind);
+    if (router === undefined) {
+      router = createRouter(kind, this.#parts.model);
+      this.#routers.set(kind, router);
+    }
+    return router;
+  }
+
+  #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
+    const { table, clock, identity } = this.#parts;
+    const nowMs = clock.readMonotonicMs();
+    for (const mark of heartbeat.leavingTargets ?? []) {
+      table.leaving.mark(mark.target, mark.sinceOffset);
+    }
+    for (const row of heartbeat.reports ?? []) table.noteReport(row, from.id);
+    table.refreshReports(from.id);
+    if (heartbeat.zone !== undefined) {
+      this.#noteZone(from.availabilityZone, heartbeat.zone, nowMs);
+    }
+    if (from.availabilityZone !== identity.availabilityZone) return;
+    if (heartbeat.changing !== undefined) {
+      table.applyChanging(heartbeat.changing, heartbeat.controlOffset);
+    }
+    if (heartbeat.demand !== undefined) {
+      const [prefillTokensPerSecond, decodeTokensPerSecond] = heartbeat.demand;
+      const demand = { prefillTokensPerSecond, decodeTokensPerSecond };
+      this.#peerDemand.set(from.id, { demand, atMs: nowMs });
+    }
+  }
+
+  #noteZone(zone: string, summary: [number, number], nowMs: number): void {
+    const [configOffset, vms] = summary;
+    this.#zones.set(zone, { configOffset, vms, heardAtMs: nowMs });
+  }
+
+  #readZoneDemand(): Demand {
+    const { demand, clock } = this.#parts;
+    const nowMs = clock.readMonotonicMs();
+    const heard = [...this.#peerDemand.values()]
+      .filter((entry) => nowMs - entry.atMs < DEMAND_KEPT_MS)
+      .map((entry) => entry.demand);
+    return sumDemand([demand.read(nowMs), ...heard]);
+  }
+
+  #countVms(): number {
+    const { membership, identity } = this.#parts;
+    let count = membership.listLive(identity.availabilityZone).length;
+    for (const [zone, summary] of this.#zones) {
+      if (zone !== identity.availabilityZone) count += summary.vms;
+    }
+    return count;
+  }
+
+  async #publish(request: PublishRequest): Promise<PublishAnswer> {
+    const { config, log, clock } = this.#parts;
+    const record = {
+      type: "change" as const,
+      format: CONFIG_FORMAT,
+      id: request.id,
+      author: request.author,
+      atMs: clock.readWallMs(),
+      baseRevision: request.baseRevision,
+      change: request.change,
+    };
+    try {
+      const offset = await appendOnce(log, CONFIG_STREAM, record, {
+        searchFrom: config.state.offset + 1,
+        timeoutMs: PUBLISH_TIMEOUT_MS,
+        readMonotonicMs: () => clock.readMonotonicMs(),
+      });
+      while (config.state.offset < offset) await config.catchUp();
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+      const message =
+        "the platform's log does not answer; whether the change stands is not known";
+      throw new ServeError("platformUnavailable", message, { run: "unknown" });
+    }
+    const entry = config.state.audit.find((candidate) =>
+      candidate.id === request.id
+    );
+    if (entry === undefined) {
+      throw new ServeError("internal", "no verdict on the change");
+    }
+    const { verdict, offset, reason } = entry;
+    return { verdict, offset, ...(reason === undefined ? {} : { reason }) };
+  }
+
+  async #pollVmList(): Promise<void> {
+    const { settings, vmList, membership, watcher } = this.#parts;
+    while (this.#stopping === undefined) {
+      try {
+        const vms = await vmList.readVms();
+        const entries = vms.flatMap((vm) =>
+          vm.kind === "entry" && vm.address !== undefined
+            ? [{
+              id: vm.id,
+              availabilityZone: vm.availabilityZone,
+              mesh: vm.address,
+            }]
+            : []
+        );
+        membership.noteListed([...settings.mesh.peers, ...entries]);
+        watcher.noteListed(vms);
+      } catch {
+        // The list is a hint; membership goes on by what peers answer.
+      }
+      await sleep(settings.platform.vmListIntervalMs);
+    }
+  }
+
+  #readStatus(): unknown {
+    const {
+      identity,
+      config,
+      control,
+      membership,
+      table,
+      claims,
+      clock,
+      gateway,
+      mesh,
+    } = this.#parts;
+    const nowMs = clock.readMonotonicMs();
+    const { claim } = control.state;
+    return {
+      vm: { ...identity, leaving: this.#leaving, inFlight: gateway.inFlight },
+      config: {
+        offset: config.state.offset,
+        fleetRevision: config.state.fleetRevision,
+        relay: config.isRelay(),
+        platformUp: config.isPlatformUp,
+        staleMs: Number.isFinite(config.currentAtMs)
+          ? Math.round(nowMs - config.currentAtMs)
+          : null,
+      },
+      lease: {
+        holder: claim?.vm ?? null,
+        fencing: claim?.claimOffset ?? null,
+        released: claim?.released ?? false,
+        heldHere: control.hasAuthority(),
+        controlOffset: control.state.offset,
+        open: Object.values(control.state.open),
+        recent: control.state.recent.slice(-10),
+        roleChanges: control.state.roleChanges,
+      },
+      members: membership.listMembers().map((member) => ({
+        ...member,
+        lastHeardMs: Number.isFinite(member.lastHeardMs)
+          ? Math.round(nowMs - member.lastHeardMs)
+          : null,
+      })),
+      availabilityZones: Object.fromEntries(this.#zones),
+      targets: table.listStatus(),
+      claims: claims.listCounters(),
+      mesh: { ...mesh.readTraffic(), resets: mesh.resets },
+      demand: this.#readZoneDemand(),
+    };
+  }
+
+  #updateMetrics(): void {
+    const { metrics, config, control, gateway, membership, mesh, clock } =
+      this.#parts;
+    const nowMs = clock.readMonotonicMs();
+    metrics.configOffset.set(config.state.offset);
+    if (Number.isFinite(config.currentAtMs)) {
+      metrics.configStaleness.set((nowMs - config.currentAtMs) / 1000);
+    }
+    metrics.leaseHeld.set(control.hasAuthority() ? 1 : 0);
+    metrics.inFlight.set(gateway.inFlight);
+    metrics.members.set(membership.listLive().length);
+    const traffic = mesh.readTraffic();
+    metrics.meshBytes.set({ direction: "sent" }, traffic.bytesSent);
+    metrics.meshBytes.set({ direction: "received" }, traffic.bytesReceived);
+    gateway.sweep();
+  }
+
+  /** A part that ends with an error takes the process down; the platform starts a new one. */
+  async #guard(part: string, running: Promise<void>): Promise<void> {
+    try {
+      await running;
+    } catch (error) {
+      this.#parts.logger.error("part failed", { part, error: String(error) });
+      process.exitCode = 1;
+      await this.stop();
+      process.exit(1);
+    }
+  }
+}
+
+function readCertificate(
+  tls: { certificateFile: string; privateKeyFile: string },
+) {
+  return {
+    cert: readFileSync(tls.certificateFile, "utf8"),
+    key: readFileSync(tls.privateKeyFile, "utf8"),
+  };
+}
+
+function buildTable(
+  { identity, clock, tracker, settings }: Parts,
+): TargetTable {
+  const { availabilityZone } = identity;
+  return new TargetTable({ availabilityZone, clock, tracker, settings });
+}
+
+function buildConfigReader(parts: Parts): ConfigReader {
+  const { identity, log, clock, membership, mesh, logger, settings } = parts;
+  return new ConfigReader({
+    vmId: identity.id,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership,
+    mesh,
+    logger,
+    pollWaitMs: settings.platform.pollWaitMs,
+    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+  });
+}
+
+function buildClaims(parts: Parts): ClaimService {
+  const { identity, log, clock, membership, mesh, settings } = parts;
+  return new ClaimService({
+    vmId: identity.id,
+    incarnation: identity.incarnation,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership,
+    mesh,
+    settings: settings.claims,
+    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+  });
+}
+
+function buildWatcher(parts: Parts): TargetWatcher {
+  const { identity, clock, membership, table, settings, config } = parts;
+  return new TargetWatcher({
+    vmId: identity.id,
+    availabilityZone: identity.availabilityZone,
+    clock,
+    membership,
+    table,
+    settings: settings.targets,
+    listServices: () => config.state.fleet?.services ?? [],
+    readConfigOffset: () => config.state.offset,
+  });
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -0,0 +1,122 @@
+/**
+ * What this VM tells each peer: progress, targets that are leaving or changing, and the load
+ * rows that changed since the last heartbeat on that link.
+ *
+ * @module
+ */
+import type {
+  Heartbeat,
+  Link,
+  LinkIdentity,
+  Membership,
+  ReportRow,
+} from "heatherarch-mesh";
+import type { Demand } from "heatherarch-policy";
+import type { TargetTable } from "./target_table.ts";
+
+/** Options of {@linkcode HeartbeatBuilder}. */
+export interface HeartbeatBuilderOptions {
+  readonly vmId: string;
+  readonly availabilityZone: string;
+  readonly membership: Membership;
+  readonly table: TargetTable;
+  readonly readProgress: () => {
+    configOffset: number;
+    controlOffset: number;
+    leaving: boolean;
+  };
+  readonly readDemand: () => Demand;
+  /** Targets of the zone with an open order, where this VM reads the control stream. */
+  readonly listChanging: () => readonly string[];
+}
+
+interface LinkProgress {
+  leavingVersion: number;
+  rowVersion: number;
+  changing: string;
+}
+
+/** Builds heartbeats. */
+export class HeartbeatBuilder {
+  readonly #options: HeartbeatBuilderOptions;
+  readonly #progress = new WeakMap<Link, LinkProgress>();
+
+  constructor(options: HeartbeatBuilderOptions) {
+    this.#options = options;
+  }
+
+  build(link: Link, peer: LinkIdentity): Heartbeat {
+    let progress = this.#progress.get(link);
+    if (progress === undefined) {
+      progress = { leavingVersion: 0, rowVersion: 0, changing: "" };
+      this.#progress.set(link, progress);
+    }
+    const { configOffset, controlOffset, leaving } = this.#options
+      .readProgress();
+    return {
+      kind: "heartbeat",
+      configOffset,
+      controlOffset,
+      leaving,
+      zone: this.#summarizeZone(configOffset),
+      ...this.#buildLeaving(progress),
+      ...this.#buildReports(progress, peer),
+      ...this.#buildZoneParts(progress, peer),
+    };
+  }
+
+  #buildLeaving(progress: LinkProgress): Partial<Heartbeat> {
+    const { leaving } = this.#options.table;
+    if (leaving.version === progress.leavingVersion) return {};
+    progress.leavingVersion = leaving.version;
+    return { leavingTargets: leaving.listMarks() };
+  }
+
+  /** Own zone: what this VM watches itself. Other zones: all that is known of this zone. */
+  #buildReports(
+    progress: LinkProgress,
+    peer: LinkIdentity,
+  ): Partial<Heartbeat> {
+    const { vmId, availabilityZone, table } = this.#options;
+    const sameZone = peer.availabilityZone === availabilityZone;
+    const { rows, version } = table.listRowsSince(
+      progress.rowVersion,
+      (target, report) =>
+        sameZone
+          ? report.from === vmId
+          : target.availabilityZone === availabilityZone,
+    );
+    progress.rowVersion = version;
+    return rows.length === 0 ? {} : { reports: rows as ReportRow[] };
+  }
+
+  #buildZoneParts(
+    progress: LinkProgress,
+    peer: LinkIdentity,
+  ): Partial<Heartbeat> {
+    if (peer.availabilityZone !== this.#options.availabilityZone) return {};
+    const { prefillTokensPerSecond, decodeTokensPerSecond } = this.#options
+      .readDemand();
+    const demand: [number, number] = [
+      Math.round(prefillTokensPerSecond),
+      Math.round(decodeTokensPerSecond),
+    ];
+    const changing = [...this.#options.listChanging()];
+    const key = changing.join(" ");
+    if (key === progress.changing) return { demand };
+    progress.changing = key;
+    return { demand, changing };
+  }
+
+  #summarizeZone(own: number): [number, number] {
+    const { membership, availabilityZone } = this.#options;
+    const live = membership.listMembers().filter((member) =>
+      member.status === "live" && member.availabilityZone === availabilityZone
+    );
+    const lowest = live.reduce(
+      (low, member) => Math.min(low, member.configOffset),
+      own,
+    );
+    return [lowest, live.length + 1];
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/logger.ts
@@ -0,0 +1,26 @@
+/**
+ * JSON logs: lines for changes of state only.
+ *
+ * @module
+ */
+import winston from "winston";
+
+/** Writes log lines. */
+export type Logger = Pick<winston.Logger, "info" | "warn" | "error" | "debug">;
+
+/** Creates the process's logger, which writes JSON lines to standard error. */
+export function createLogger(options: { level: string; vm: string }): Logger {
+  return winston.createLogger({
+    level: options.level,
+    defaultMeta: { vm: options.vm },
+    format: winston.format.combine(
+      winston.format.timestamp(),
+      winston.format.json(),
+    ),
+    transports: [
+      new winston.transports.Console({
+        stderrLevels: ["error", "warn", "info", "debug"],
+      }),
+    ],
+  });
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/metrics.ts
@@ -0,0 +1,216 @@
+/**
+ * Metrics of one process.
+ *
+ * @module
+ */
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
+import { registerViolationListener } from "heatherarch-core";
+import type { GatewayEvents, RequestEnd } from "heatherarch-gateway";
+
+const SECONDS = [
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  0.87,
+  1.5,
+  3,
+  6,
+  15,
+  60,
+];
+const GAP_SECONDS = [
+  0.005,
+  0.01,
+  0.015,
+  0.02,
+  0.03,
+  0.037,
+  0.05,
+  0.075,
+  0.1,
+  0.25,
+  1,
+];
+
+/** All metrics. */
+export class Metrics implements GatewayEvents {
+  readonly registry = new Registry();
+  readonly requests = this.#createCounter(
+    "requests_total",
+    "Requests by how they ended",
+    [
+      "service",
+      "profile",
+      "outcome",
+    ],
+  );
+  readonly goodput = this.#createCounter(
+    "goodput_requests_total",
+    "Whole answers within their deadline",
+    ["service", "profile"],
+  );
+  readonly goodputTokens = this.#createCounter(
+    "goodput_tokens_total",
+    "Tokens of whole answers within their deadline",
+    ["service"],
+  );
+  readonly retries = this.#createCounter(
+    "retries_total",
+    "Tries after the first, nothing delivered yet",
+    [
+      "reason",
+    ],
+  );
+  readonly continuations = this.#createCounter(
+    "continuations_total",
+    "Answers continued on another try after some tokens",
+    ["reason"],
+  );
+  readonly hedges = this.#createCounter(
+    "hedges_total",
+    "Second tries sent early",
+    [],
+  );
+  readonly roleChanges = this.#createCounter(
+    "role_changes_total",
+    "Role changes concluded under this VM's lease",
+    ["result"],
+  );
+  readonly violations = this.#createCounter(
+    "invariant_violations_total",
+    "Broken invariants",
+    [
+      "invariant",
+    ],
+  );
+  readonly faults = this.#createCounter(
+    "faults_total",
+    "Faults met and handled",
+    ["kind"],
+  );
+  readonly firstToken = this.#createHistogram(
+    "first_token_seconds",
+    "Time to the first token",
+    SECONDS,
+    [
+      "profile",
+    ],
+  );
+  readonly tokenGap = this.#createHistogram(
+    "token_gap_seconds",
+    "Mean gap between tokens of an answer",
+    GAP_SECONDS,
+    ["profile"],
+  );
+  readonly duration = this.#createHistogram(
+    "request_seconds",
+    "Time to the whole answer",
+    SECONDS,
+    [
+      "service",
+    ],
+  );
+  readonly configOffset = this.#createGauge(
+    "config_offset",
+    "Applied configuration offset",
+  );
+  readonly configStaleness = this.#createGauge(
+    "config_staleness_seconds",
+    "Time since the configuration was known to be current",
+  );
+  readonly leaseHeld = this.#createGauge(
+    "lease_held",
+    "1 while this VM may give orders",
+  );
+  readonly inFlight = this.#createGauge(
+    "requests_in_flight",
+    "Requests in progress",
+  );
+  readonly members = this.#createGauge(
+    "members_live",
+    "Live entry VMs, this one included",
+  );
+  readonly meshBytes = this.#createGauge(
+    "mesh_bytes",
+    "Bytes on the mesh since the start",
+    ["direction"],
+  );
+
+  constructor() {
+    collectDefaultMetrics({ register: this.registry, prefix: "heatherarch_" });
+    registerViolationListener((error) =>
+      this.violations.inc({ invariant: error.invariant })
+    );
+  }
+
+  noteEnd(end: RequestEnd): void {
+    const { service, profile, outcome } = end;
+    this.requests.inc({ service, profile, outcome });
+    this.duration.observe({ service }, end.durationMs / 1000);
+    if (end.firstTokenMs !== undefined) {
+      this.firstToken.observe({ profile }, end.firstTokenMs / 1000);
+    }
+    if (end.gapMs !== undefined) {
+      this.tokenGap.observe({ profile }, end.gapMs / 1000);
+    }
+    if (!end.inTime) return;
+    this.goodput.inc({ service, profile });
+    this.goodputTokens.inc({ service }, end.outputTokens ?? 0);
+  }
+
+  noteRetry(reason: string): void {
+    this.retries.inc({ reason });
+  }
+
+  noteContinuation(reason: string): void {
+    this.continuations.inc({ reason });
+  }
+
+  noteHedge(): void {
+    this.hedges.inc();
+  }
+
+  #createCounter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: `heatherarch_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  #createGauge(name: string, help: string, labelNames: string[] = []): Gauge {
+    return new Gauge({
+      name: `heatherarch_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  #createHistogram(
+    name: string,
+    help: string,
+    buckets: number[],
+    labelNames: string[],
+  ): Histogram {
+    const registers = [this.registry];
+    return new Histogram({
+      name: `heatherarch_${name}`,
+      help,
+      buckets,
+      labelNames,
+      registers,
+    });
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/operator_server.ts
@@ -0,0 +1,235 @@
+/**
+ * The operators' HTTP interface: health, metrics, status, publications and the audit trail.
+ *
+ * @module
+ */
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import Koa from "koa";
+import {
+  buildErrorBody,
+  createId,
+  ServeError,
+  toServeError,
+} from "heatherarch-core";
+import {
+  type ConfigChange,
+  type ConfigState,
+  parseConfigRecord,
+} from "heatherarch-log";
+import {
+  buildFaults,
+  formatFaults,
+  type ProcessSettings,
+} from "heatherarch-settings";
+import { z } from "zod";
+
+/** What the operators' interface needs from the process. */
+export interface OperatorHost {
+  readonly settings: ProcessSettings;
+  readonly readConfig: () => ConfigState;
+  readonly readStatus: () => unknown;
+  readonly readMetrics: () => Promise<string>;
+  /** Why the balancer should send nothing here; undefined where it should. */
+  readonly readUnready: () => string | undefined;
+  /** Publishes a change; resolves with the verdict that the fold gave. */
+  readonly publish: (request: PublishRequest) => Promise<PublishAnswer>;
+  /** Takes an operator's direct word that a target is leaving. */
+  readonly markLeaving: (target: string) => void;
+}
+
+/** A publication. */
+export interface PublishRequest {
+  /** Idempotency id: the same one has one effect. */
+  readonly id: string;
+  readonly author: string;
+  readonly baseRevision: number;
+  readonly change: ConfigChange;
+}
+
+/** What became of a publication. */
+export interface PublishAnswer {
+  readonly verdict: "accepted" | "rejected";
+  readonly offset: number;
+  readonly reason?: string;
+}
+
+const PUBLISH_BODY = z.strictObject({
+  id: z.string().min(1).max(100).optional(),
+  baseRevision: z.int(),
+  change: z.unknown(),
+});
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const LEAVING_DIRECTIVES = ["drain", "replace", "withdraw"];
+
+/** Serves operators, the balancer and the metrics collector. */
+export class OperatorServer {
+  readonly #host: OperatorHost;
+  readonly #server: Server;
+
+  constructor(
+    host: OperatorHost,
+    options: { tls?: { cert: string; key: string } } = {},
+  ) {
+    this.#host = host;
+    const app = new Koa();
+    app.silent = true;
+    app.use((ctx) => this.#handle(ctx));
+    this.#server = options.tls === undefined
+      ? createServer(app.callback())
+      : createTlsServer(options.tls, app.callback());
+  }
+
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(ctx: Koa.Context): Promise<void> {
+    const requestId = createId("op");
+    try {
+      await this.#route(ctx);
+    } catch (thrown) {
+      const error = toServeError(thrown);
+      ctx.status = error.status;
+      ctx.body = buildErrorBody(error, requestId);
+    }
+  }
+
+  async #route(ctx: Koa.Context): Promise<void> {
+    switch (ctx.path) {
+      case "/healthz":
+        ctx.body = { status: "ok" };
+        return;
+      case "/readyz": {
+        const unready = this.#host.readUnready();
+        ctx.status = unready === undefined ? 200 : 503;
+        ctx.body = {
+          ready: unready === undefined,
+          ...(unready ? { reason: unready } : {}),
+        };
+        return;
+      }
+      case "/metrics":
+        ctx.type = "text/plain; version=0.0.4";
+        ctx.body = await this.#host.readMetrics();
+        return;
+    }
+    const operator = this.#authenticate(ctx);
+    switch (ctx.path) {
+      case "/v1/status":
+        ctx.body = this.#host.readStatus();
+        return;
+      case "/v1/config":
+        ctx.body = this.#readConfig();
+        return;
+      case "/v1/audit":
+        ctx.body = { entries: this.#host.readConfig().audit };
+        return;
+      case "/v1/changes":
+        if (ctx.method !== "POST") {
+          throw new ServeError("methodNotAllowed", "takes POST");
+        }
+        ctx.body = await this.#publish(ctx, operator);
+        return;
+    }
+    throw new ServeError("notFound", `there is nothing at ${ctx.path}`);
+  }
+
+  #readConfig(): unknown {
+    const { offset, fleetRevision, fleet, profiles, directives } = this.#host
+      .readConfig();
+    return { offset, fleetRevision, fleet, profiles, directives };
+  }
+
+  /** The operator's name; without configured operators the caller names itself. */
+  #authenticate(ctx: Koa.Context): string {
+    const { operators } = this.#host.settings;
+    if (operators.length === 0) return ctx.get("x-operator") || "local";
+    const token = /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1] ?? "";
+    const digest = createHash("sha256").update(token).digest();
+    const operator = operators.find(({ tokenSha256 }) =>
+      timingSafeEqual(Buffer.from(tokenSha256, "hex"), digest)
+    );
+    if (operator === undefined) {
+      throw new ServeError(
+        "unauthenticated",
+        "an operator's bearer token is needed",
+      );
+    }
+    return operator.name;
+  }
+
+  async #publish(ctx: Koa.Context, author: string): Promise<unknown> {
+    const body = PUBLISH_BODY.safeParse(await readJson(ctx));
+    if (!body.success) {
+      throw new ServeError("badRequest", formatFaults(buildFaults(body.error)));
+    }
+    const { baseRevision, id = createId("pub") } = body.data;
+    const change = checkChange(body.data.change);
+    try {
+      const answer = await this.#host.publish({
+        id,
+        author,
+        baseRevision,
+        change,
+      });
+      if (answer.verdict === "rejected") {
+        throw new ServeError("conflict", answer.reason ?? "");
+      }
+      return { id, ...answer };
+    } catch (thrown) {
+      const error = toServeError(thrown);
+      const leaving = change.kind === "directTarget" &&
+        LEAVING_DIRECTIVES.includes(change.directive);
+      if (error.kind !== "platformUnavailable" || !leaving) throw error;
+      // A drain also works during an outage: the word spreads from VM to VM.
+      this.#host.markLeaving(change.target);
+      return { id, verdict: "spreading", offset: -1, reason: error.message };
+    }
+  }
+}
+
+function checkChange(change: unknown): ConfigChange {
+  const record = parseConfigRecord({
+    type: "change",
+    format: 1,
+    id: "check",
+    author: "",
+    atMs: 0,
+    baseRevision: 0,
+    change,
+  });
+  if (record?.type !== "change") {
+    throw new ServeError("badRequest", "change: unknown kind or shape");
+  }
+  return record.change;
+}
+
+async function readJson(ctx: Koa.Context): Promise<unknown> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of ctx.req) {
+    size += (part as Buffer).length;
+    if (size > MAX_BODY_BYTES) {
+      throw new ServeError("payloadTooLarge", "the body is too large");
+    }
+    parts.push(part as Buffer);
+  }
+  try {
+    return JSON.parse(Buffer.concat(parts).toString("utf8"));
+  } catch (error) {
+    throw new ServeError(
+      "badRequest",
+      `the body is not JSON: ${(error as Error).message}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/order_executor.ts
@@ -0,0 +1,368 @@
+/**
+ * Carries out orders under the lease: resolves what a predecessor left open, drains an
+ * engine, gives it its order, and waits for the outcome. One order at a time.
+ *
+ * @module
+ */
+import {
+  assertInvariant,
+  type Clock,
+  createId,
+  type EngineOrder,
+  type EngineState,
+  sleep,
+} from "heatherarch-core";
+import {
+  CONTROL_FORMAT,
+  describeOrder,
+  type OpenIntent,
+  type OrderResult,
+} from "heatherarch-lease";
+import type { Membership } from "heatherarch-mesh";
+import {
+  createRolePlanner,
+  type Demand,
+  type EngineModel,
+  type PlannedEngine,
+  type RolePlanner,
+} from "heatherarch-policy";
+import type { Fleet, ProcessSettings, Target } from "heatherarch-settings";
+import type { ControlTask } from "./control_task.ts";
+import type { Logger } from "./logger.ts";
+import type { TargetTable } from "./target_table.ts";
+
+/** Options of {@linkcode OrderExecutor}. */
+export interface OrderExecutorOptions {
+  readonly availabilityZone: string;
+  readonly clock: Clock;
+  readonly control: ControlTask;
+  readonly table: TargetTable;
+  readonly membership: Membership;
+  readonly model: EngineModel;
+  readonly settings: ProcessSettings["lease"];
+  readonly logger: Logger;
+  readonly readFleet: () => Fleet | null;
+  readonly readDemand: () => Demand;
+  readonly noteOutcome: (result: OrderResult) => void;
+}
+
+const READ_TIMEOUT_MS = 1000;
+const ORDER_TIMEOUT_MS = 2000;
+const APPEND_TIMEOUT_MS = 3000;
+const LOOP_MS = 100;
+/** Longest wait for the zone's other VMs to have read an intent. */
+const SPREAD_LIMIT_MS = 2000;
+const DRAIN_LIMIT_MS = 60_000;
+/** Idle reads in a row before an engine counts as drained. */
+const IDLE_READS = 3;
+const IDLE_READ_GAP_MS = 150;
+const CHANGE_LIMIT_MS = 60_000;
+
+/** Gives orders to the engines of one availability zone. */
+export class OrderExecutor {
+  readonly #options: OrderExecutorOptions;
+  #planner: RolePlanner | undefined;
+  #plannerOf: Fleet["planning"] | undefined;
+  #nextPlanMs = 0;
+  #authorityFromMs: number | undefined;
+  #stopped = false;
+  #busy = false;
+
+  constructor(options: OrderExecutorOptions) {
+    this.#options = options;
+  }
+
+  /** Whether an order is in progress. */
+  get isBusy(): boolean {
+    return this.#busy;
+  }
+
+  /** Starts no further order. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Works until stopped. */
+  async run(): Promise<void> {
+    while (!this.#stopped) {
+      await sleep(LOOP_MS);
+      if (!this.#options.control.hasAuthority()) {
+        this.#authorityFromMs = undefined;
+        continue;
+      }
+      this.#authorityFromMs ??= this.#options.clock.readMonotonicMs();
+      this.#busy = true;
+      try {
+        await this.#step();
+      } finally {
+        this.#busy = false;
+      }
+    }
+  }
+
+  async #step(): Promise<void> {
+    const { control } = this.#options;
+    const inherited = Object.values(control.state.open)
+      .filter((intent) => intent.claimOffset !== control.machine.fencing);
+    if (inherited.length > 0) {
+      await this.#resolve(inherited[0]);
+      return;
+    }
+    const own = Object.values(control.state.open)[0];
+    if (own !== undefined) {
+      await this.#conclude(own, "abandoned", "left open by this holder");
+      return;
+    }
+    const next = this.#planNext();
+    if (next !== undefined) await this.#execute(next.target, next.order);
+  }
+
+  /** Settles an order that a predecessor announced, by what the engine itself says. */
+  async #resolve(intent: OpenIntent): Promise<void> {
+    const target = this.#options.table.findTarget(intent.target);
+    if (target === undefined) {
+      return await this.#conclude(intent, "abandoned", "no such target");
+    }
+    if (!this.#hasSettled(target)) return;
+    const state = await this.#readState(target);
+    if (state === undefined) {
+      const { directive } = this.#findStatus(target.id);
+      if (directive !== "active") {
+        await this.#conclude(intent, "abandoned", "target is leaving");
+      }
+      return;
+    }
+    if (state.busyWithOrder) return;
+    const done = isAsOrdered(state, intent.order);
+    await this.#conclude(
+      intent,
+      done ? "done" : "abandoned",
+      "resolved by a new holder",
+    );
+  }
+
+  /** Engines that ignore fencing numbers are left alone for a time after a takeover. */
+  #hasSettled(target: Target): boolean {
+    if (target.checksFencing) return true;
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const sinceMs = nowMs - (this.#authorityFromMs ?? nowMs);
+    return sinceMs >= this.#options.settings.settleMs;
+  }
+
+  #planNext(): { target: Target; order: EngineOrder } | undefined {
+    const fleet = this.#options.readFleet();
+    const nowMs = this.#options.clock.readMonotonicMs();
+    if (fleet === null || nowMs < this.#nextPlanMs) return undefined;
+    this.#nextPlanMs = nowMs + fleet.planning.intervalMs;
+    const engines = this.#listEngines(fleet);
+    if (this.#plannerOf !== fleet.planning) {
+      this.#plannerOf = fleet.planning;
+      this.#planner = createRolePlanner(fleet.planning, this.#options.model);
+    }
+    const change = this.#planner?.plan({
+      engines,
+      demand: this.#options.readDemand(),
+      changing: false,
+      nowMs,
+    });
+    if (change === undefined) return undefined;
+    const target = this.#options.table.findTarget(change.engine);
+    if (target === undefined || !this.#hasSettled(target)) return undefined;
+    return { target, order: { kind: "setRole", role: change.role } };
+  }
+
+  #listEngines(fleet: Fleet): PlannedEngine[] {
+    const { availabilityZone, table } = this.#options;
+    const models = new Set(
+      fleet.services.filter((service) => service.kind === "model").map((
+        service,
+      ) => service.name),
+    );
+    return table.listStatus()
+      .filter((status) =>
+        status.availabilityZone === availabilityZone && status.usable
+      )
+      .filter((status) => models.has(status.service))
+      .map((status) => ({
+        id: status.id,
+        role: status.role,
+        running: status.running,
+      }));
+  }
+
+  /** Intent, drain, order, wait, outcome. */
+  async #execute(target: Target, order: EngineOrder): Promise<void> {
+    const { control, logger } = this.#options;
+    const id = createId("ord");
+    const announced = await control.appendAndRead(
+      {
+        type: "intent",
+        format: CONTROL_FORMAT,
+        id,
+        claimOffset: control.machine.fencing,
+        target: target.id,
+        order,
+      },
+      (state) => state.open[target.id]?.intentId === id,
+      APPEND_TIMEOUT_MS,
+    );
+    if (!announced) return;
+    const intent = control.state.open[target.id];
+    logger.info("order announced", {
+      target: target.id,
+      order: describeOrder(order),
+    });
+    const problem = await this.#drain(target, intent);
+    if (problem !== "") {
+      return await this.#conclude(intent, "abandoned", problem);
+    }
+    const answer = await this.#give(target, intent);
+    if (answer !== "") return await this.#conclude(intent, "failed", answer);
+    await this.#awaitOutcome(target, intent);
+  }
+
+  /** Waits until no VM sends the engine new work and it has finished what it had. */
+  async #drain(target: Target, intent: OpenIntent): Promise<string> {
+    const { clock, control } = this.#options;
+    const startMs = clock.readMonotonicMs();
+    while (
+      !this.#hasSpread(intent) &&
+      clock.readMonotonicMs() - startMs < SPREAD_LIMIT_MS
+    ) {
+      await sleep(LOOP_MS);
+    }
+    let idleReads = 0;
+    while (idleReads < IDLE_READS) {
+      if (!control.hasAuthority() || this.#stopped) {
+        return "authority lost while draining";
+      }
+      if (clock.readMonotonicMs() - startMs > DRAIN_LIMIT_MS) {
+        return "draining took too long";
+      }
+      if (this.#findStatus(target.id).directive !== "active") {
+        return "target is leaving";
+      }
+      const state = await this.#readState(target);
+      const idle = state !== undefined && state.running + state.waiting === 0;
+      const own = this.#findStatus(target.id).outstandingHere;
+      idleReads = idle && own === 0 ? idleReads + 1 : 0;
+      await sleep(IDLE_READ_GAP_MS);
+    }
+    return "";
+  }
+
+  #hasSpread(intent: OpenIntent): boolean {
+    const { membership, availabilityZone } = this.#options;
+    return membership.listMembers()
+      .filter((member) => member.status === "live")
+      .filter((member) => member.availabilityZone === availabilityZone)
+      .every((member) => member.controlOffset >= intent.offset);
+  }
+
+  /** Gives the order; the reason where it was not taken. */
+  async #give(target: Target, intent: OpenIntent): Promise<string> {
+    const { control, table } = this.#options;
+    const engine = table.getEngine(target);
+    const before = await this.#readState(target);
+    if (before === undefined || before.busyWithOrder) {
+      return "engine not ready for an order";
+    }
+    const fencing = control.machine.fencing;
+    assertInvariant(
+      intent.claimOffset === fencing,
+      "order-under-own-lease",
+      target.id,
+    );
+    const answer = await engine.giveOrder(intent.order, {
+      fencing,
+      guard: () =>
+        control.hasAuthority() && control.machine.fencing === fencing,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+    switch (answer.kind) {
+      case "accepted":
+      // The order may have arrived: what the engine does next tells.
+      case "unknown":
+        return "";
+      case "fenced":
+        return "the engine obeys a later holder";
+      case "withheld":
+        return "authority lapsed before the order was written";
+      case "refused":
+        return answer.detail;
+    }
+  }
+
+  async #awaitOutcome(target: Target, intent: OpenIntent): Promise<void> {
+    const { clock, control } = this.#options;
+    const startMs = clock.readMonotonicMs();
+    while (
+      control.hasAuthority() &&
+      clock.readMonotonicMs() - startMs < CHANGE_LIMIT_MS
+    ) {
+      await sleep(LOOP_MS);
+      const state = await this.#readState(target);
+      if (state === undefined || state.busyWithOrder) continue;
+      const done = isAsOrdered(state, intent.order);
+      return await this.#conclude(intent, done ? "done" : "failed", "");
+    }
+    if (control.hasAuthority()) {
+      await this.#conclude(intent, "failed", "no outcome in time");
+    }
+  }
+
+  async #conclude(
+    intent: OpenIntent,
+    result: OrderResult,
+    detail: string,
+  ): Promise<void> {
+    const { control, logger, noteOutcome } = this.#options;
+    const { intentId, target } = intent;
+    const read = await control.appendAndRead(
+      {
+        type: "outcome",
+        format: CONTROL_FORMAT,
+        id: createId("out"),
+        claimOffset: control.machine.fencing,
+        intentId,
+        result,
+        detail,
+      },
+      (state) => state.open[target]?.intentId !== intentId,
+      APPEND_TIMEOUT_MS,
+    );
+    if (!read) return;
+    noteOutcome(result);
+    logger.info("order concluded", {
+      target,
+      order: describeOrder(intent.order),
+      result,
+      detail,
+    });
+  }
+
+  async #readState(target: Target): Promise<EngineState | undefined> {
+    try {
+      const engine = this.#options.table.getEngine(target);
+      return await engine.readState({
+        timeoutMs: READ_TIMEOUT_MS,
+        fresh: true,
+      });
+    } catch {
+      return undefined;
+    }
+  }
+
+  #findStatus(id: string) {
+    const status = this.#options.table.listStatus().find((entry) =>
+      entry.id === id
+    );
+    return status ?? { directive: "withdrawn", outstandingHere: 0 };
+  }
+}
+
+function isAsOrdered(state: EngineState, order: EngineOrder): boolean {
+  return order.kind === "setRole"
+    ? state.role === order.role
+    : state.model === order.model && state.version === order.version;
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -0,0 +1,325 @@
+/**
+ * All targets as this VM sees them: configuration, reports, directives and open orders.
+ *
+ * @module
+ */
+import { type Clock, ENGINE_ROLES, type EngineRole } from "heatherarch-core";
+import type { TargetReader } from "heatherarch-gateway";
+import type { ConfigState } from "heatherarch-log";
+import { LeavingSet, type ReportRow } from "heatherarch-mesh";
+import type { Candidate, LoadReport, LoadTracker } from "heatherarch-policy";
+import type { ProcessSettings, Target } from "heatherarch-settings";
+import {
+  createEngine,
+  type EngineOptions,
+  type EnginePort,
+  HttpService,
+  type ServicePort,
+} from "heatherarch-targets";
+
+/** Options of {@linkcode TargetTable}. */
+export interface TargetTableOptions {
+  readonly availabilityZone: string;
+  readonly clock: Clock;
+  readonly tracker: LoadTracker;
+  readonly settings: ProcessSettings;
+}
+
+/** What was last reported of a target. */
+export interface TargetReport extends LoadReport {
+  readonly role: EngineRole;
+  readonly busyWithOrder: boolean;
+  readonly leaving: boolean;
+  readonly unreachable: boolean;
+  /** VM that watches the target. */
+  readonly from: string;
+  /** Increases with each change of the row. */
+  readonly version: number;
+}
+
+/** State of a target for operators. */
+export interface TargetStatus {
+  readonly id: string;
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly role: EngineRole;
+  readonly directive: string;
+  readonly usable: boolean;
+  /** Why it gets no new work; empty where it does. */
+  readonly reason: string;
+  readonly running: number;
+  readonly waiting: number;
+  readonly outstandingHere: number;
+  readonly reportAgeMs: number | null;
+}
+
+const FLAG_BUSY = 1;
+const FLAG_LEAVING = 2;
+const FLAG_UNREACHABLE = 4;
+const EJECT_FIRST_MS = 250;
+const EJECT_LIMIT_MS = 4000;
+/** Extra time to reach another availability zone, for ranking. */
+const OTHER_ZONE_MS = 8;
+
+interface Ejection {
+  readonly untilMs: number;
+  readonly failures: number;
+}
+
+/** The targets of one process. */
+export class TargetTable implements TargetReader {
+  readonly leaving = new LeavingSet();
+  readonly #options: TargetTableOptions;
+  readonly #engines = new Map<string, EnginePort>();
+  readonly #services = new Map<string, ServicePort>();
+  readonly #reports = new Map<string, TargetReport>();
+  readonly #ejections = new Map<string, Ejection>();
+  #targets = new Map<string, Target>();
+  #byService = new Map<string, Target[]>();
+  #config: ConfigState | undefined;
+  #changing: ReadonlySet<string> = new Set();
+  #changingOffset = -1;
+  #versions = 0;
+
+  constructor(options: TargetTableOptions) {
+    this.#options = options;
+  }
+
+  /** Takes in a new configuration. */
+  applyConfig(state: ConfigState): void {
+    this.#config = state;
+    const targets = state.fleet?.targets ?? [];
+    this.#targets = new Map(targets.map((target) => [target.id, target]));
+    this.#byService = new Map();
+    for (const target of targets) {
+      const list = this.#byService.get(target.service) ?? [];
+      list.push(target);
+      this.#byService.set(target.service, list);
+    }
+    for (
+      const [id, { directive, revision }] of Object.entries(state.directives)
+    ) {
+      if (directive === "active") this.leaving.restore(id, revision);
+      else this.leaving.mark(id, revision);
+    }
+    this.#closeRemoved();
+  }
+
+  /** Takes in which targets have an open order, as of a control offset. */
+  applyChanging(targets: readonly string[], controlOffset: number): void {
+    if (controlOffset < this.#changingOffset) return;
+    this.#changingOffset = controlOffset;
+    this.#changing = new Set(targets);
+  }
+
+  get changing(): ReadonlySet<string> {
+    return this.#changing;
+  }
+
+  listCandidates(service: string): Candidate[] {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const usable: Candidate[] = [];
+    const ejected: Candidate[] = [];
+    for (const target of this.#byService.get(service) ?? []) {
+      if (this.#judge(target, nowMs) !== "") continue;
+      const out = (this.#ejections.get(target.id)?.untilMs ?? 0) > nowMs;
+      (out ? ejected : usable).push(this.#buildCandidate(target));
+    }
+    return usable.length > 0 ? usable : ejected;
+  }
+
+  findTarget(id: string): Target | undefined {
+    return this.#targets.get(id);
+  }
+
+  listTargets(): readonly Target[] {
+    return [...this.#targets.values()];
+  }
+
+  getReport(id: string): TargetReport | undefined {
+    return this.#reports.get(id);
+  }
+
+  getEngine(target: Target): EnginePort {
+    let engine = this.#engines.get(target.id);
+    if (engine === undefined) {
+      engine = createEngine(target.dialect, this.#buildConnection(target));
+      this.#engines.set(target.id, engine);
+    }
+    return engine;
+  }
+
+  getService(target: Target): ServicePort {
+    let service = this.#services.get(target.id);
+    if (service === undefined) {
+      service = new HttpService(this.#buildConnection(target));
+      this.#services.set(target.id, service);
+    }
+    return service;
+  }
+
+  noteFailure(id: string): void {
+    const failures = (this.#ejections.get(id)?.failures ?? 0) + 1;
+    const ms = Math.min(EJECT_LIMIT_MS, EJECT_FIRST_MS * 2 ** (failures - 1));
+    this.#ejections.set(id, {
+      untilMs: this.#options.clock.readMonotonicMs() + ms,
+      failures,
+    });
+  }
+
+  noteSuccess(id: string): void {
+    this.#ejections.delete(id);
+  }
+
+  /** Takes in a report of a target that this VM or a peer watches. */
+  noteReport(row: ReportRow, from: string): void {
+    const [id, role, flags, running, waiting, pendingPrefillTokens] = row;
+    const known = this.#reports.get(id);
+    const same = known !== undefined && isSameRow(buildRow(id, known), row);
+    this.#reports.set(id, {
+      role: ENGINE_ROLES[role] ?? "mixed",
+      busyWithOrder: (flags & FLAG_BUSY) !== 0,
+      leaving: (flags & FLAG_LEAVING) !== 0,
+      unreachable: (flags & FLAG_UNREACHABLE) !== 0,
+      running,
+      waiting,
+      pendingPrefillTokens,
+      atMs: this.#options.clock.readMonotonicMs(),
+      from,
+      version: same ? known.version : ++this.#versions,
+    });
+  }
+
+  /** A watcher is alive: what it reported and has not changed since still holds. */
+  refreshReports(from: string): void {
+    const atMs = this.#options.clock.readMonotonicMs();
+    for (const [id, report] of this.#reports) {
+      if (report.from === from) this.#reports.set(id, { ...report, atMs });
+    }
+  }
+
+  /** Rows that changed after `version`, of targets that `picks` says yes to. */
+  listRowsSince(
+    version: number,
+    picks: (target: Target, report: TargetReport) => boolean,
+  ): { rows: ReportRow[]; version: number } {
+    const rows: ReportRow[] = [];
+    for (const [id, report] of this.#reports) {
+      const target = this.#targets.get(id);
+      if (
+        report.version <= version || target === undefined ||
+        !picks(target, report)
+      ) continue;
+      rows.push(buildRow(id, report));
+    }
+    return { rows, version: this.#versions };
+  }
+
+  /** The state of all targets, for operators. */
+  listStatus(): TargetStatus[] {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    return this.listTargets().map((target) => {
+      const report = this.#reports.get(target.id);
+      const reason = this.#judge(target, nowMs);
+      return {
+        id: target.id,
+        service: target.service,
+        availabilityZone: target.availabilityZone,
+        role: report?.role ?? target.role,
+        directive: this.#config?.directives[target.id]?.directive ?? "active",
+        usable: reason === "",
+        reason,
+        running: report?.running ?? 0,
+        waiting: report?.waiting ?? 0,
+        outstandingHere: this.#options.tracker.countOutstanding(target.id),
+        reportAgeMs: report === undefined
+          ? null
+          : Math.round(nowMs - report.atMs),
+      };
+    });
+  }
+
+  async close(): Promise<void> {
+    const ports = [...this.#engines.values(), ...this.#services.values()];
+    await Promise.all(ports.map((port) => port.close()));
+  }
+
+  /** Why a target gets no new work; empty where it may. */
+  #judge(target: Target, nowMs: number): string {
+    const directive = this.#config?.directives[target.id]?.directive ??
+      "active";
+    if (directive !== "active") return directive;
+    if (this.leaving.has(target.id)) return "leaving";
+    if (this.#changing.has(target.id)) return "changing";
+    const report = this.#reports.get(target.id);
+    if (report === undefined) return "not reported yet";
+    if (report.leaving) return "leaving by its own report";
+    if (report.busyWithOrder) return "busy with an order";
+    if (report.unreachable) return "unreachable";
+    if (nowMs - report.atMs > this.#options.settings.targets.staleMs) {
+      return "report is stale";
+    }
+    return "";
+  }
+
+  #buildCandidate(target: Target): Candidate {
+    const report = this.#reports.get(target.id);
+    const sameZone = target.availabilityZone === this.#options.availabilityZone;
+    return {
+      id: target.id,
+      sameZone,
+      role: report?.role ?? target.role,
+      load: this.#options.tracker.estimate(target.id, report),
+      maxConcurrent: target.maxConcurrent,
+      distanceMs: sameZone ? 0 : OTHER_ZONE_MS,
+    };
+  }
+
+  #buildConnection(target: Target): EngineOptions {
+    const { settings } = this.#options;
+    const { connectTimeoutMs, firstByteTimeoutMs, gapTimeoutMs } =
+      settings.requests;
+    return {
+      address: settings.network.translate[target.address] ?? target.address,
+      maxConnections: target.maxConcurrent * 2 + 4,
+      timeouts: {
+        connectMs: connectTimeoutMs,
+        firstByteMs: firstByteTimeoutMs,
+        gapMs: gapTimeoutMs,
+      },
+    };
+  }
+
+  /** Targets that left the fleet are forgotten once nothing of ours runs on them. */
+  #closeRemoved(): void {
+    for (const id of [...this.#engines.keys(), ...this.#services.keys()]) {
+      if (
+        this.#targets.has(id) || this.#options.tracker.countOutstanding(id) > 0
+      ) continue;
+      void this.#engines.get(id)?.close();
+      void this.#services.get(id)?.close();
+      this.#engines.delete(id);
+      this.#services.delete(id);
+      this.#reports.delete(id);
+    }
+  }
+}
+
+/** Flags of a row. */
+export function buildFlags(
+  state: { busyWithOrder: boolean; leaving: boolean; unreachable: boolean },
+): number {
+  return (state.busyWithOrder ? FLAG_BUSY : 0) |
+    (state.leaving ? FLAG_LEAVING : 0) |
+    (state.unreachable ? FLAG_UNREACHABLE : 0);
+}
+
+function buildRow(id: string, report: TargetReport): ReportRow {
+  const role = ENGINE_ROLES.indexOf(report.role);
+  const { running, waiting, pendingPrefillTokens } = report;
+  return [id, role, buildFlags(report), running, waiting, pendingPrefillTokens];
+}
+
+function isSameRow(a: ReportRow, b: ReportRow): boolean {
+  return a.every((value, index) => value === b[index]);
+}
--- /dev/null
+++ b/packages/heatherarch-daemon/target_watcher.ts
@@ -0,0 +1,136 @@
+/**
+ * Reads the state of the targets that this VM watches. Each target is watched by a few VMs
+ * of its availability zone, which tell the others.
+ *
+ * @module
+ */
+import { type Clock, ENGINE_ROLES, pickRendezvous } from "heatherarch-core";
+import type { ListedVm } from "heatherarch-log";
+import type { Membership, ReportRow } from "heatherarch-mesh";
+import type { ProcessSettings, Service, Target } from "heatherarch-settings";
+import { buildFlags, type TargetTable } from "./target_table.ts";
+
+/** Options of {@linkcode TargetWatcher}. */
+export interface TargetWatcherOptions {
+  readonly vmId: string;
+  readonly availabilityZone: string;
+  readonly clock: Clock;
+  readonly membership: Membership;
+  readonly table: TargetTable;
+  readonly settings: ProcessSettings["targets"];
+  readonly listServices: () => readonly Service[];
+  /** Configuration offset to put on leaving marks. */
+  readonly readConfigOffset: () => number;
+}
+
+/** Failed reads in a row after which a target counts as unreachable. */
+const FAILURES_TO_UNREACHABLE = 2;
+
+/** Polls targets. */
+export class TargetWatcher {
+  readonly #options: TargetWatcherOptions;
+  readonly #busy = new Set<string>();
+  readonly #failures = new Map<string, number>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: TargetWatcherOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#timer = setInterval(
+      () => this.#tick(),
+      this.#options.settings.reportIntervalMs,
+    );
+    this.#tick();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Whether this VM watches a target now. */
+  isWatching(target: Target): boolean {
+    const { availabilityZone, membership, settings, vmId } = this.#options;
+    if (target.availabilityZone !== availabilityZone) return false;
+    const live = membership.listLive(availabilityZone);
+    return pickRendezvous(target.id, live, settings.watchersPerTarget).includes(
+      vmId,
+    );
+  }
+
+  /** Takes in the platform's list: a hint that a target is leaving. */
+  noteListed(vms: readonly ListedVm[]): void {
+    const { table, readConfigOffset } = this.#options;
+    for (const vm of vms) {
+      if (vm.kind === "target" && vm.state === "leaving") {
+        table.leaving.mark(vm.id, readConfigOffset());
+      }
+    }
+  }
+
+  #tick(): void {
+    for (const target of this.#options.table.listTargets()) {
+      if (this.#busy.has(target.id) || !this.isWatching(target)) continue;
+      this.#busy.add(target.id);
+      void this.#read(target).finally(() => this.#busy.delete(target.id));
+    }
+  }
+
+  async #read(target: Target): Promise<void> {
+    const { table, vmId } = this.#options;
+    try {
+      const row = await this.#readRow(target);
+      this.#failures.delete(target.id);
+      table.noteReport(row, vmId);
+    } catch {
+      const failures = (this.#failures.get(target.id) ?? 0) + 1;
+      this.#failures.set(target.id, failures);
+      if (failures < FAILURES_TO_UNREACHABLE) return;
+      const flags = buildFlags({
+        busyWithOrder: false,
+        leaving: false,
+        unreachable: true,
+      });
+      table.noteReport([
+        target.id,
+        ENGINE_ROLES.indexOf(target.role),
+        flags,
+        0,
+        0,
+        0,
+      ], vmId);
+    }
+  }
+
+  async #readRow(target: Target): Promise<ReportRow> {
+    const { table, settings, listServices } = this.#options;
+    const timeoutMs = settings.reportTimeoutMs;
+    const service = listServices().find((entry) =>
+      entry.name === target.service
+    );
+    if (service?.kind === "plain") {
+      const { running, leaving } = await table.getService(target).readState({
+        timeoutMs,
+      });
+      const flags = buildFlags({
+        busyWithOrder: false,
+        leaving,
+        unreachable: false,
+      });
+      return [target.id, ENGINE_ROLES.indexOf("mixed"), flags, running, 0, 0];
+    }
+    const state = await table.getEngine(target).readState({ timeoutMs });
+    const flags = buildFlags({ ...state, unreachable: false });
+    const { running, waiting } = state;
+    const pending = Math.round(state.pendingPrefillTokens);
+    return [
+      target.id,
+      ENGINE_ROLES.indexOf(state.role),
+      flags,
+      running,
+      waiting,
+      pending,
+    ];
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -0,0 +1,485 @@
+/**
+ * The callers' HTTP server.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { Socket } from "node:net";
+import Koa from "koa";
+import {
+  buildErrorBody,
+  createId,
+  estimateTokens,
+  type Result,
+  ServeError,
+  toServeError,
+} from "heatherarch-core";
+import { parseClaimKey } from "heatherarch-claims";
+import { AccountLimits } from "heatherarch-policy";
+import {
+  type Account,
+  DEFAULT_PROFILE,
+  type Fleet,
+  type ModelService,
+  type PlainService,
+  type Profile,
+} from "heatherarch-settings";
+import type { GatewayHost } from "./gateway_host.ts";
+import { GenerationStore } from "./generation_store.ts";
+import {
+  type GenerationRequest,
+  parseChatRequest,
+  parseTextRequest,
+} from "./openai_format.ts";
+import { callPlainService } from "./plain_call.ts";
+import { parseJsonBody, readRequestBody } from "./request_body.ts";
+import { answerGeneration, answerResume } from "./stream_answer.ts";
+
+/** Certificate of the callers' port, in PEM. */
+export interface GatewayTls {
+  readonly cert: string;
+  readonly key: string;
+}
+
+const ANONYMOUS: Account = {
+  name: "anonymous",
+  requestsPerSecond: 1e6,
+  burst: 1e6,
+  maxConcurrent: 1e6,
+  weight: 1,
+};
+
+const RESUME_PATH = /^\/v1\/streams\/([A-Za-z0-9._-]+)$/;
+const SERVICE_PATH = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
+const REQUEST_ID = /^[A-Za-z0-9._-]{1,128}$/;
+/** Headers that end at this hop. */
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "host",
+  "content-length",
+  "expect",
+  "authorization",
+]);
+
+/** Serves callers. */
+export class Gateway {
+  readonly #host: GatewayHost;
+  readonly #limits: AccountLimits;
+  readonly #store = new GenerationStore();
+  readonly #server: Server;
+  #accountsOf: Fleet | null = null;
+  #accountByToken = new Map<string, Account>();
+  #inFlight = 0;
+  #idleWaiters = new Set<() => void>();
+
+  constructor(host: GatewayHost, options: { tls?: GatewayTls } = {}) {
+    this.#host = host;
+    this.#limits = new AccountLimits({ maxInFlight: host.limits.maxInFlight });
+    const app = new Koa();
+    app.silent = true;
+    app.use((ctx) => this.#handle(ctx));
+    const serverOptions = {
+      maxHeaderSize: host.limits.maxHeaderBytes,
+      headersTimeout: host.limits.headerTimeoutMs,
+      requestTimeout: 0,
+      keepAliveTimeout: 30_000,
+      connectionsCheckingInterval: 1000,
+    };
+    this.#server = options.tls === undefined
+      ? createServer(serverOptions, app.callback())
+      : createTlsServer({ ...serverOptions, ...options.tls }, app.callback());
+    this.#server.on(
+      "clientError",
+      (error, socket) => answerClientError(error, socket as Socket),
+    );
+  }
+
+  /** Answers that callers may resume, for other VMs to read. */
+  get store(): GenerationStore {
+    return this.#store;
+  }
+
+  /** Requests in progress. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Takes no new connection and waits for requests in flight; false where time ran out. */
+  async drain(timeoutMs: number): Promise<boolean> {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    if (this.#inFlight === 0) return true;
+    return await new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(false), timeoutMs);
+      this.#idleWaiters.add(() => {
+        clearTimeout(timer);
+        resolve(true);
+      });
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Forgets idle accounts. */
+  sweep(): void {
+    this.#limits.sweep(this.#host.clock.readMonotonicMs());
+  }
+
+  async #handle(ctx: Koa.Context): Promise<void> {
+    const given = ctx.get("x-request-id");
+    // A stream is found again by its id, so that id is always one of ours.
+    const mayName = REQUEST_ID.test(given) && !isResumable(ctx);
+    const requestId = mayName ? given : createId(this.#host.vmId);
+    ctx.set("x-request-id", requestId);
+    this.#inFlight++;
+    ctx.res.once("close", () => this.#noteRequestOver());
+    try {
+      await this.#route(ctx, requestId);
+    } catch (thrown) {
+      this.#answerError(ctx, toServeError(thrown), requestId);
+    }
+  }
+
+  #noteRequestOver(): void {
+    this.#inFlight--;
+    if (this.#inFlight > 0) return;
+    for (const wake of this.#idleWaiters) wake();
+    this.#idleWaiters.clear();
+  }
+
+  #answerError(ctx: Koa.Context, error: ServeError, requestId: string): void {
+    if (ctx.res.headersSent) return;
+    const { retryAfterMs } = error;
+    if (retryAfterMs > 0) {
+      ctx.set("retry-after", String(Math.ceil(retryAfterMs / 1000)));
+    }
+    // What is left of a refused body is not read.
+    if (!ctx.req.complete) ctx.set("connection", "close");
+    ctx.status = error.status;
+    ctx.body = buildErrorBody(error, requestId);
+  }
+
+  async #route(ctx: Koa.Context, requestId: string): Promise<void> {
+    const refusal = this.#host.readRefusal();
+    if (refusal !== undefined) {
+      ctx.set("connection", "close");
+      throw refusal;
+    }
+    const fleet = this.#host.readFleet();
+    if (fleet === null) {
+      throw new ServeError("notReady", "no fleet configuration is known yet");
+    }
+    const { path } = ctx;
+    if (path === "/v1/models") return this.#listModels(ctx, fleet);
+    if (path === "/v1/chat/completions" || path === "/v1/completions") {
+      requireMethod(ctx, "POST");
+      return await this.#generate(ctx, fleet, requestId);
+    }
+    const resumed = RESUME_PATH.exec(path)?.[1];
+    if (resumed !== undefined) {
+      requireMethod(ctx, "GET");
+      return await answerResume(ctx, this.#host, this.#store, resumed);
+    }
+    const service = SERVICE_PATH.exec(path);
+    if (service !== null) {
+      return await this.#callService(ctx, fleet, requestId, {
+        name: service[1],
+        path: `${service[2] ?? "/"}${ctx.search}`,
+      });
+    }
+    throw new ServeError("notFound", `there is nothing at ${path}`);
+  }
+
+  #listModels(ctx: Koa.Context, fleet: Fleet): void {
+    requireMethod(ctx, "GET");
+    const services = fleet.services.filter((entry): entry is ModelService =>
+      entry.kind === "model"
+    );
+    const data = services.flatMap((service) =>
+      service.models.map((id) => ({
+        id,
+        object: "model",
+        created: 0,
+        owned_by: service.name,
+      }))
+    );
+    ctx.body = { object: "list", data };
+  }
+
+  async #generate(
+    ctx: Koa.Context,
+    fleet: Fleet,
+    requestId: string,
+  ): Promise<void> {
+    const startedAtMs = this.#host.clock.readMonotonicMs();
+    const account = this.#findAccount(ctx, fleet);
+    const body = parseJsonBody(
+      await readRequestBody(ctx.req, this.#host.limits),
+    );
+    const json = unwrap(body);
+    const parse = ctx.path === "/v1/completions"
+      ? parseTextRequest
+      : parseChatRequest;
+    const request = unwrap(parse(json));
+    const profile = this.#findProfile(
+      ctx.get("x-heatherarch-profile") || request.profile,
+    );
+    const service = findModelService(fleet, request.model);
+    const promptTokens = estimateTokens(request.prompt);
+    const maxTokens = checkTokens(request, promptTokens, profile);
+    const deadlineAtMs = startedAtMs + this.#readDeadlineMs(ctx, profile);
+    this.#host.demand.note(promptTokens, maxTokens, startedAtMs);
+    const release = this.#acquire(account, startedAtMs);
+    await answerGeneration(ctx, {
+      host: this.#host,
+      store: this.#store,
+      request,
+      requestId,
+      service: service.name,
+      profile,
+      promptTokens,
+      maxTokens,
+      deadlineAtMs,
+      resumable: isResumable(ctx),
+      release,
+    });
+  }
+
+  async #callService(
+    ctx: Koa.Context,
+    fleet: Fleet,
+    requestId: string,
+    call: { name: string; path: string },
+  ): Promise<void> {
+    const startedAtMs = this.#host.clock.readMonotonicMs();
+    const account = this.#findAccount(ctx, fleet);
+    const service = fleet.services.find((entry): entry is PlainService =>
+      entry.kind === "plain" && entry.name === call.name
+    );
+    if (service === undefined) {
+      throw new ServeError(
+        "notFound",
+        `no plain service is named ${call.name}`,
+      );
+    }
+    const profile = this.#findProfile(
+      ctx.get("x-heatherarch-profile") || undefined,
+    );
+    const deadlineAtMs = startedAtMs + this.#readDeadlineMs(ctx, profile);
+    const body = await readRequestBody(ctx.req, this.#host.limits);
+    const key = this.#readKey(ctx, account, service, { path: call.path, body });
+    const release = this.#acquire(account, startedAtMs);
+    let outcome: "ok" | ServeError = "ok";
+    try {
+      const answer = await callPlainService(this.#host, {
+        service,
+        profile,
+        method: ctx.method,
+        path: call.path,
+        headers: { ...copyRequestHeaders(ctx.req), "x-request-id": requestId },
+        body: body.length > 0 ? body : undefined,
+        deadlineAtMs,
+        key,
+      });
+      for (const [name, value] of Object.entries(answer.headers)) {
+        ctx.set(name, value);
+      }
+      if (answer.replayed) ctx.set("x-heatherarch-replayed", "true");
+      ctx.status = answer.status;
+      ctx.body = answer.body;
+    } catch (thrown) {
+      outcome = toServeError(thrown);
+      throw outcome;
+    } finally {
+      release();
+      const nowMs = this.#host.clock.readMonotonicMs();
+      this.#host.events.noteEnd({
+        service: service.name,
+        profile: profile.name,
+        outcome: outcome === "ok" ? "ok" : outcome.kind,
+        inTime: outcome === "ok" && nowMs <= deadlineAtMs,
+        durationMs: nowMs - startedAtMs,
+      });
+    }
+  }
+
+  #readKey(
+    ctx: Koa.Context,
+    account: Account,
+    service: PlainService,
+    call: { path: string; body: Buffer },
+  ) {
+    const header = ctx.get("idempotency-key");
+    if (header === "" || service.idempotentMethods.includes(ctx.method)) {
+      return undefined;
+    }
+    const key = unwrap(
+      parseClaimKey(header, { account: account.name, service: service.name }),
+    );
+    const fingerprint = createHash("sha256")
+      .update(`${ctx.method} ${call.path}\n`)
+      .update(call.body)
+      .digest("base64url");
+    return { ...key, fingerprint };
+  }
+
+  #acquire(account: Account, nowMs: number): () => void {
+    const acquired = this.#limits.acquire(
+      account,
+      this.#host.countVms(),
+      nowMs,
+    );
+    const release = unwrap(acquired);
+    this.#host.retries.noteRequest();
+    return release;
+  }
+
+  #findAccount(ctx: Koa.Context, fleet: Fleet): Account {
+    if (this.#accountsOf !== fleet) {
+      this.#accountsOf = fleet;
+      const secured = fleet.accounts.filter((account) =>
+        account.tokenSha256 !== undefined
+      );
+      this.#accountByToken = new Map(
+        secured.map((account) => [account.tokenSha256 as string, account]),
+      );
+    }
+    const token = /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1];
+    if (token !== undefined) {
+      const digest = createHash("sha256").update(token).digest("hex");
+      const account = this.#accountByToken.get(digest);
+      if (account !== undefined) return account;
+    }
+    const name = ctx.get("x-heatherarch-account");
+    const open = fleet.accounts.find((account) => account.name === name);
+    if (open !== undefined && open.tokenSha256 === undefined) return open;
+    if (open !== undefined) {
+      throw new ServeError("unauthenticated", `${name} needs its token`);
+    }
+    if (fleet.allowAnonymous) return ANONYMOUS;
+    throw new ServeError(
+      "unauthenticated",
+      "an account's bearer token is needed",
+    );
+  }
+
+  #findProfile(name: string | undefined): Profile {
+    if (name === undefined) {
+      return this.#host.findProfile("default") ?? DEFAULT_PROFILE;
+    }
+    const profile = this.#host.findProfile(name);
+    if (profile === undefined) {
+      throw new ServeError("unknownProfile", `no profile is named ${name}`);
+    }
+    return profile;
+  }
+
+  #readDeadlineMs(ctx: Koa.Context, profile: Profile): number {
+    const header = ctx.get("x-deadline-ms");
+    if (header === "") return profile.deadlineMs;
+    const value = Number(header);
+    const { maxDeadlineMs } = this.#host.limits;
+    if (!Number.isInteger(value) || value < 1 || value > maxDeadlineMs) {
+      const message =
+        `x-deadline-ms must be a whole number from 1 to ${maxDeadlineMs}`;
+      throw new ServeError("badRequest", message);
+    }
+    return value;
+  }
+}
+
+/** The value of a success; throws the error of a failure. */
+function unwrap<T>(result: Result<T, ServeError>): T {
+  if (!result.ok) throw result.val as ServeError;
+  return result.val as T;
+}
+
+function isResumable(ctx: Koa.Context): boolean {
+  return ctx.get("x-heatherarch-resumable") === "true";
+}
+
+function requireMethod(ctx: Koa.Context, method: string): void {
+  if (ctx.method === method) return;
+  ctx.set("allow", method);
+  throw new ServeError("methodNotAllowed", `${ctx.path} takes ${method}`);
+}
+
+function findModelService(fleet: Fleet, model: string): ModelService {
+  for (const service of fleet.services) {
+    if (service.kind === "model" && service.models.includes(model)) {
+      return service;
+    }
+  }
+  throw new ServeError("unknownModel", `no model is named ${model}`);
+}
+
+function checkTokens(
+  request: GenerationRequest,
+  promptTokens: number,
+  profile: Profile,
+): number {
+  if (promptTokens > profile.maxPromptTokens) {
+    const message =
+      `the prompt has about ${promptTokens} tokens; ${profile.maxPromptTokens} are allowed`;
+    throw new ServeError("badRequest", message);
+  }
+  const maxTokens = request.maxTokens ?? Math.min(256, profile.maxOutputTokens);
+  if (maxTokens > profile.maxOutputTokens) {
+    const message =
+      `max_tokens is ${maxTokens}; ${profile.maxOutputTokens} are allowed`;
+    throw new ServeError("badRequest", message);
+  }
+  return maxTokens;
+}
+
+function copyRequestHeaders(req: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (value === undefined || HOP_HEADERS.has(name)) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
+
+/** Answers what never became a request: broken or oversized heads, and slow ones. */
+function answerClientError(
+  error: Error & { code?: string },
+  socket: Socket,
+): void {
+  if (!socket.writable || socket.bytesWritten > 0) {
+    socket.destroy();
+    return;
+  }
+  const kind = error.code === "HPE_HEADER_OVERFLOW"
+    ? "headersTooLarge"
+    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
+    ? "requestTimeout"
+    : "badRequest";
+  const failure = new ServeError(kind, "the request could not be read");
+  const body = JSON.stringify(buildErrorBody(failure, createId("unread")));
+  socket.end(
+    `HTTP/1.1 ${failure.status} Error\r\ncontent-type: application/json\r\n` +
+      `connection: close\r\ncontent-length: ${
+        Buffer.byteLength(body)
+      }\r\n\r\n${body}`,
+  );
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/generation.ts
@@ -0,0 +1,452 @@
+/**
+ * The life of one generation: legs on one or several engines that together make one whole
+ * answer. A leg that fails is continued elsewhere from the tokens already delivered.
+ *
+ * @module
+ */
+import {
+  assertInvariant,
+  createId,
+  Err,
+  Ok,
+  type Result,
+  ServeError,
+} from "heatherarch-core";
+import {
+  AdaptiveRouter,
+  type Candidate,
+  checkAdmission,
+  computePrefixKey,
+  type RoutePlan,
+  type TrackedWork,
+} from "heatherarch-policy";
+import type { Profile } from "heatherarch-settings";
+import type {
+  EngineCall,
+  EngineEnd,
+  EngineFailure,
+  EngineTry,
+  KvHandle,
+} from "heatherarch-targets";
+import type { GatewayHost } from "./gateway_host.ts";
+import type { Usage } from "./openai_format.ts";
+
+/** Receives the answer. Exactly one of `onEnd` and `onError` is called last. */
+export interface GenerationSink {
+  onTokens(texts: readonly string[]): void;
+  onEnd(reason: string, usage: Usage): void;
+  onError(error: ServeError): void;
+}
+
+/** Options of {@linkcode Generation}. */
+export interface GenerationOptions {
+  readonly host: GatewayHost;
+  readonly requestId: string;
+  readonly service: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly profile: Profile;
+  /** Monotonic time by which the answer must be whole. */
+  readonly deadlineAtMs: number;
+  readonly sink: GenerationSink;
+}
+
+interface Leg {
+  readonly target: string;
+  readonly call: EngineCall;
+  readonly work: TrackedWork;
+  readonly startedAtMs: number;
+  readonly predictedFirstTokenMs: number;
+  readonly predictedGapMs: number;
+  readonly role: Candidate["role"];
+  /** The leg only prefills; another engine generates. */
+  readonly handsOver: boolean;
+  attempt: EngineTry | undefined;
+  received: number;
+  firstAtMs: number;
+  lastAtMs: number;
+  resumed: boolean;
+}
+
+/** Engine priorities of the profiles' classes. */
+const PRIORITY_NUMBERS = { lookup: 0, interactive: 1, batch: 2 } as const;
+/** Wait before the next look for a target where a half-delivered answer has none. */
+const NO_TARGET_WAIT_MS = 100;
+/** How long a refused engine is passed over by the same request. */
+const SHORT_GAP_TOKENS = 8;
+
+/** One generation. */
+export class Generation {
+  readonly #options: GenerationOptions;
+  readonly #host: GatewayHost;
+  readonly #prefixKey: string;
+  readonly #startedAtMs: number;
+  readonly #failedTargets = new Set<string>();
+  #delivered: string[] = [];
+  #leg: Leg | undefined;
+  #handover: { target: Candidate; work: TrackedWork } | undefined;
+  #tries = 0;
+  #sentAny = false;
+  #finished = false;
+  #promptTokens = 0;
+  #cachedTokens = 0;
+  #firstTokenAtMs: number | undefined;
+  #lastTokenAtMs = 0;
+  #deadlineTimer: NodeJS.Timeout | undefined;
+  #waitTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: GenerationOptions) {
+    this.#options = options;
+    this.#host = options.host;
+    this.#prefixKey = computePrefixKey(options.prompt);
+    this.#startedAtMs = this.#host.clock.readMonotonicMs();
+  }
+
+  /** Tokens delivered so far. */
+  get delivered(): readonly string[] {
+    return this.#delivered;
+  }
+
+  /** Time from the start to the first token, milliseconds; undefined before it. */
+  get firstTokenMs(): number | undefined {
+    return this.#firstTokenAtMs === undefined
+      ? undefined
+      : this.#firstTokenAtMs - this.#startedAtMs;
+  }
+
+  /** Mean gap between tokens, milliseconds; undefined for fewer than two. */
+  get meanGapMs(): number | undefined {
+    const gaps = this.#delivered.length - 1;
+    if (this.#firstTokenAtMs === undefined || gaps < 1) return undefined;
+    return (this.#lastTokenAtMs - this.#firstTokenAtMs) / gaps;
+  }
+
+  /** Plans and starts the first leg, or says why the request is refused. */
+  start(): Result<void, ServeError> {
+    const planned = this.#planFirst();
+    if (!planned.ok) return Err(planned.val as ServeError);
+    const remainingMs = this.#options.deadlineAtMs - this.#startedAtMs;
+    this.#deadlineTimer = setTimeout(() => this.#expire(), remainingMs);
+    this.#beginPlan(planned.val as RoutePlan);
+    return Ok(undefined);
+  }
+
+  /** The caller is gone: stops all work. */
+  cancel(): void {
+    this.#close();
+  }
+
+  #planFirst(): Result<RoutePlan, ServeError> {
+    const plan = this.#planRoute();
+    if (plan === undefined) {
+      const any =
+        this.#host.targets.listCandidates(this.#options.service).length > 0;
+      return any
+        ? Err(
+          new ServeError("overloaded", "every target is full", { run: "no" }),
+        )
+        : Err(
+          new ServeError("noTarget", "no target is in service", { run: "no" }),
+        );
+    }
+    if (this.#options.profile.routing !== "prefixAffinity") return Ok(plan);
+    return checkAdmission({
+      remainingMs: this.#options.deadlineAtMs - this.#startedAtMs,
+      outputTokens: this.#options.maxTokens,
+    }, plan);
+  }
+
+  #planRoute(): RoutePlan | undefined {
+    const { service, profile, maxTokens, promptTokens } = this.#options;
+    const all = this.#host.targets.listCandidates(service);
+    const fresh = all.filter((candidate) =>
+      !this.#failedTargets.has(candidate.id)
+    );
+    const router = this.#host.getRouter(profile.routing);
+    const lookup = profile.priority === "lookup";
+    return router.planRoute({
+      promptTokens: promptTokens + this.#delivered.length,
+      outputTokens: maxTokens - this.#delivered.length,
+      prefixKey: this.#prefixKey,
+      kvTransferMinTokens: profile.kvTransferMinTokens,
+      reserveShare: lookup ? 0 : this.#host.limits.lookupReserveShare,
+    }, fresh.length > 0 ? fresh : all);
+  }
+
+  #beginPlan(plan: RoutePlan): void {
+    const nowMs = this.#host.clock.readMonotonicMs();
+    const { decode } = plan;
+    if (decode !== undefined) {
+      this.#handover?.work.end(nowMs);
+      const work = this.#host.tracker.begin(decode.id, 0, nowMs);
+      this.#handover = { target: decode, work };
+    }
+    this.#beginLeg(plan.first, {
+      firstTokenMs: plan.firstTokenMs,
+      gapMs: plan.gapMs,
+      handsOver: decode !== undefined,
+    });
+  }
+
+  #beginLeg(
+    candidate: Candidate,
+    options: {
+      firstTokenMs: number;
+      gapMs: number;
+      handsOver: boolean;
+      kvImport?: KvHandle;
+    },
+  ): void {
+    const target = this.#host.targets.findTarget(candidate.id);
+    if (target === undefined) return this.#retry("refused", candidate.id);
+    const nowMs = this.#host.clock.readMonotonicMs();
+    const { promptTokens, maxTokens, model, prompt, profile } = this.#options;
+    const { handsOver, kvImport } = options;
+    const call: EngineCall = {
+      tryId: createId("try"),
+      model,
+      prompt: this.#delivered.length === 0
+        ? prompt
+        : prompt + this.#delivered.join(""),
+      maxTokens: handsOver ? 1 : maxTokens - this.#delivered.length,
+      priority: PRIORITY_NUMBERS[profile.priority],
+      kvExport: handsOver,
+      ...(kvImport === undefined ? {} : { kvImport }),
+    };
+    const pending = kvImport === undefined
+      ? promptTokens + this.#delivered.length
+      : 0;
+    const leg: Leg = {
+      target: target.id,
+      call,
+      work: this.#host.tracker.begin(target.id, pending, nowMs),
+      startedAtMs: nowMs,
+      predictedFirstTokenMs: options.firstTokenMs,
+      predictedGapMs: options.gapMs,
+      role: candidate.role,
+      handsOver,
+      attempt: undefined,
+      received: 0,
+      firstAtMs: 0,
+      lastAtMs: 0,
+      resumed: false,
+    };
+    this.#leg = leg;
+    this.#tries++;
+    leg.attempt = this.#host.targets.getEngine(target).generate(call, {
+      onTokens: (texts) => this.#takeTokens(leg, texts),
+      onEnd: (end) => this.#takeEnd(leg, end),
+      onFailure: (failure) => this.#takeFailure(leg, failure),
+    });
+  }
+
+  #takeTokens(leg: Leg, texts: readonly string[]): void {
+    if (this.#finished || leg !== this.#leg) return;
+    const nowMs = this.#host.clock.readMonotonicMs();
+    if (leg.received === 0) this.#noteFirstOfLeg(leg, nowMs);
+    leg.received += texts.length;
+    leg.lastAtMs = nowMs;
+    assertInvariant(
+      this.#delivered.length + texts.length <= this.#options.maxTokens,
+      "no-surplus-tokens",
+      this.#options.requestId,
+    );
+    this.#firstTokenAtMs ??= nowMs;
+    this.#lastTokenAtMs = nowMs;
+    for (const text of texts) this.#delivered.push(text);
+    this.#options.sink.onTokens(texts);
+  }
+
+  #noteFirstOfLeg(leg: Leg, nowMs: number): void {
+    leg.firstAtMs = nowMs;
+    leg.work.notePrefilled(nowMs);
+    if (leg.call.kvImport !== undefined || leg.resumed) return;
+    const observedMs = nowMs - leg.startedAtMs;
+    this.#host.model.observeFirstToken(
+      leg.role,
+      leg.predictedFirstTokenMs,
+      observedMs,
+    );
+  }
+
+  #takeEnd(leg: Leg, end: EngineEnd): void {
+    if (this.#finished || leg !== this.#leg) return;
+    const nowMs = this.#host.clock.readMonotonicMs();
+    this.#closeLeg(leg, nowMs);
+    this.#host.targets.noteSuccess(leg.target);
+    this.#noteLegEnd(leg, end);
+    const missing = this.#options.maxTokens - this.#delivered.length;
+    if (
+      leg.handsOver && leg.received === 1 && missing > 0 &&
+      end.reason !== "stop"
+    ) {
+      return this.#handOver(leg, end);
+    }
+    if (end.reason === "length" && missing > 0) {
+      return this.#retry("broken", leg.target);
+    }
+    this.#finish(missing === 0 ? "length" : "stop");
+  }
+
+  #noteLegEnd(leg: Leg, end: EngineEnd): void {
+    if (this.#promptTokens === 0) {
+      this.#promptTokens = end.promptTokens;
+      this.#cachedTokens = end.cachedTokens;
+      const router = this.#host.getRouter(this.#options.profile.routing);
+      if (router instanceof AdaptiveRouter && end.promptTokens > 0) {
+        router.observeHit(end.cachedTokens / end.promptTokens);
+      }
+    }
+    if (leg.received < SHORT_GAP_TOKENS) return;
+    const gapMs = (leg.lastAtMs - leg.firstAtMs) / (leg.received - 1);
+    this.#host.model.observeGap(leg.role, leg.predictedGapMs, gapMs);
+  }
+
+  /** The prompt is prefilled: the planned decoder takes the KV cache over. */
+  #handOver(leg: Leg, end: EngineEnd): void {
+    const handover = this.#handover;
+    this.#handover = undefined;
+    const nowMs = this.#host.clock.readMonotonicMs();
+    handover?.work.end(nowMs);
+    const source = this.#host.targets.findTarget(leg.target);
+    const usable = this.#host.targets.listCandidates(this.#options.service)
+      .find((candidate) => candidate.id === handover?.target.id);
+    if (usable === undefined || source === undefined) {
+      return this.#retry("refused", "");
+    }
+    this.#beginLeg(usable, {
+      firstTokenMs: 0,
+      gapMs: this.#host.model.predictGapMs(usable.role, usable.load),
+      handsOver: false,
+      ...(end.kvHandle === undefined
+        ? {}
+        : { kvImport: { address: source.address, handle: end.kvHandle } }),
+    });
+  }
+
+  #takeFailure(leg: Leg, failure: EngineFailure): void {
+    if (this.#finished || leg !== this.#leg) return;
+    if (leg.attempt === undefined) {
+      // The adapter failed before it returned: handle it in a turn of its own.
+      setImmediate(() => this.#takeFailure(leg, failure));
+      return;
+    }
+    if (leg.attempt.isSent) this.#sentAny = true;
+    const nowMs = this.#host.clock.readMonotonicMs();
+    if (
+      (failure === "broken" || failure === "silent") && this.#tryResume(leg)
+    ) return;
+    this.#closeLeg(leg, nowMs);
+    if (failure !== "kvGone") this.#host.targets.noteFailure(leg.target);
+    if (failure === "invalid") {
+      return this.#fail(
+        new ServeError("targetFailed", "the engine refused the request"),
+      );
+    }
+    this.#retry(failure, failure === "kvGone" ? "" : leg.target);
+  }
+
+  /** Asks the same engine for the rest of its answer, once a leg. */
+  #tryResume(leg: Leg): boolean {
+    const target = this.#host.targets.findTarget(leg.target);
+    if (leg.resumed || leg.received === 0 || target === undefined) return false;
+    const engine = this.#host.targets.getEngine(target);
+    if (engine.resume === undefined) return false;
+    leg.resumed = true;
+    this.#host.events.noteContinuation("resume");
+    leg.attempt = engine.resume(leg.call, leg.received, {
+      onTokens: (texts) => this.#takeTokens(leg, texts),
+      onEnd: (end) => this.#takeEnd(leg, end),
+      onFailure: (failure) => {
+        this.#takeFailure(leg, failure === "invalid" ? "broken" : failure);
+      },
+    });
+    return true;
+  }
+
+  /** Goes on elsewhere, within the number of tries, the retry budget and the deadline. */
+  #retry(reason: EngineFailure, target: string): void {
+    if (target !== "") this.#failedTargets.add(target);
+    const fresh = this.#delivered.length === 0;
+    if (this.#tries >= this.#host.limits.maxTries) return this.#giveUp(reason);
+    if (fresh && !this.#host.retries.spendRetry()) return this.#giveUp(reason);
+    if (fresh) this.#host.events.noteRetry(reason);
+    else this.#host.events.noteContinuation(reason);
+    this.#continue(reason);
+  }
+
+  #continue(reason: EngineFailure): void {
+    if (this.#finished) return;
+    const plan = this.#planRoute();
+    if (plan !== undefined) return this.#beginPlan(plan);
+    if (this.#delivered.length === 0) return this.#giveUp(reason);
+    this.#waitTimer = setTimeout(
+      () => this.#continue(reason),
+      NO_TARGET_WAIT_MS,
+    );
+  }
+
+  #giveUp(reason: EngineFailure): void {
+    if (this.#delivered.length > 0) {
+      const message =
+        `the answer broke off after ${this.#delivered.length} tokens (${reason})`;
+      return this.#fail(new ServeError("answerIncomplete", message));
+    }
+    const run = this.#sentAny ? "unknown" : "no";
+    if (reason === "refused" || reason === "notSent") {
+      return this.#fail(
+        new ServeError("noTarget", "no target took the request", { run }),
+      );
+    }
+    this.#fail(
+      new ServeError("targetFailed", `the target failed (${reason})`, { run }),
+    );
+  }
+
+  #expire(): void {
+    const sent = this.#sentAny || (this.#leg?.attempt?.isSent ?? false);
+    const run = sent ? "unknown" : "no";
+    this.#fail(
+      new ServeError("deadlineExceeded", "the deadline has passed", { run }),
+    );
+  }
+
+  #finish(reason: string): void {
+    if (this.#finished) return;
+    const { maxTokens, requestId } = this.#options;
+    const whole = reason === "stop" || this.#delivered.length === maxTokens;
+    assertInvariant(whole, "whole-answer", requestId);
+    this.#close();
+    this.#options.sink.onEnd(reason, {
+      promptTokens: this.#promptTokens,
+      outputTokens: this.#delivered.length,
+      cachedTokens: this.#cachedTokens,
+    });
+  }
+
+  #fail(error: ServeError): void {
+    if (this.#finished) return;
+    this.#close();
+    this.#options.sink.onError(error);
+  }
+
+  #closeLeg(leg: Leg, nowMs: number): void {
+    leg.work.end(nowMs);
+    if (this.#leg === leg) this.#leg = undefined;
+  }
+
+  #close(): void {
+    this.#finished = true;
+    clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#waitTimer);
+    const nowMs = this.#host.clock.readMonotonicMs();
+    this.#handover?.work.end(nowMs);
+    this.#handover = undefined;
+    const leg = this.#leg;
+    if (leg === undefined) return;
+    this.#closeLeg(leg, nowMs);
+    leg.attempt?.abort();
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The callers' HTTP interface and the life of a request.
+ *
+ * @module
+ */
+export * from "./gateway.ts";
+export * from "./gateway_host.ts";
+export * from "./generation.ts";
+export * from "./generation_store.ts";
+export * from "./openai_format.ts";
+export * from "./plain_call.ts";
--- /dev/null
+++ b/packages/heatherarch-gateway/openai_format.ts
@@ -0,0 +1,231 @@
+/**
+ * The OpenAI-compatible request and answer formats.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { Err, Ok, type Result, ServeError } from "heatherarch-core";
+import { buildFaults, formatFaults } from "heatherarch-settings";
+
+const MAX_TOKENS = z.int().min(1).max(1_000_000);
+
+const COMMON = {
+  model: z.string().min(1).max(200),
+  stream: z.boolean().nullish(),
+  max_tokens: MAX_TOKENS.nullish(),
+  stream_options: z.object({ include_usage: z.boolean().nullish() }).nullish(),
+  /** Name of the profile; the `x-heatherarch-profile` header goes first. */
+  profile: z.string().max(63).nullish(),
+};
+
+const CONTENT = z.union([
+  z.string(),
+  z.array(z.object({ type: z.literal("text"), text: z.string() })),
+]);
+
+const CHAT_REQUEST = z.object({
+  ...COMMON,
+  max_completion_tokens: MAX_TOKENS.nullish(),
+  messages: z.array(z.object({
+    role: z.enum(["system", "developer", "user", "assistant", "tool"]),
+    content: CONTENT.nullish(),
+  })).min(1).max(10_000),
+});
+
+const TEXT_REQUEST = z.object({
+  ...COMMON,
+  prompt: z.union([z.string().min(1), z.array(z.string().min(1)).length(1)]),
+});
+
+/** Which of the two generating endpoints was called. */
+export type GenerationKind = "chat" | "text";
+
+/** A request to generate, whichever endpoint it came by. */
+export interface GenerationRequest {
+  readonly kind: GenerationKind;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number | undefined;
+  readonly stream: boolean;
+  readonly includeUsage: boolean;
+  readonly profile: string | undefined;
+}
+
+/** Token counts of an answer. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly cachedTokens: number;
+}
+
+/** Reads the JSON body of `POST /v1/chat/completions`. */
+export function parseChatRequest(
+  body: unknown,
+): Result<GenerationRequest, ServeError> {
+  const parsed = CHAT_REQUEST.safeParse(body);
+  if (!parsed.success) return Err(buildShapeError(parsed.error));
+  const { data } = parsed;
+  return Ok({
+    kind: "chat",
+    model: data.model,
+    prompt: renderMessages(data.messages),
+    maxTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
+    stream: data.stream ?? false,
+    includeUsage: data.stream_options?.include_usage ?? false,
+    profile: data.profile ?? undefined,
+  });
+}
+
+/** Reads the JSON body of `POST /v1/completions`. */
+export function parseTextRequest(
+  body: unknown,
+): Result<GenerationRequest, ServeError> {
+  const parsed = TEXT_REQUEST.safeParse(body);
+  if (!parsed.success) return Err(buildShapeError(parsed.error));
+  const { data } = parsed;
+  return Ok({
+    kind: "text",
+    model: data.model,
+    prompt: typeof data.prompt === "string" ? data.prompt : data.prompt[0],
+    maxTokens: data.max_tokens ?? undefined,
+    stream: data.stream ?? false,
+    includeUsage: data.stream_options?.include_usage ?? false,
+    profile: data.profile ?? undefined,
+  });
+}
+
+interface ChatMessage {
+  readonly role: string;
+  readonly content?: z.infer<typeof CONTENT> | null;
+}
+
+/** Renders chat messages as one prompt. */
+export function renderMessages(messages: readonly ChatMessage[]): string {
+  const lines = messages.map(({ role, content }) => {
+    const text = typeof content === "string"
+      ? content
+      : (content ?? []).map((part) => part.text).join("");
+    return `<|${role}|>\n${text}\n`;
+  });
+  return `${lines.join("")}<|assistant|>\n`;
+}
+
+/** Builds the text of streamed chunks for one answer. */
+export class ChunkWriter {
+  readonly #before: string;
+  readonly #after: string;
+  readonly #request: GenerationRequest;
+  readonly #head: {
+    id: string;
+    object: string;
+    created: number;
+    model: string;
+  };
+
+  constructor(
+    request: GenerationRequest,
+    requestId: string,
+    createdMs: number,
+  ) {
+    this.#request = request;
+    const chat = request.kind === "chat";
+    this.#head = {
+      id: requestId,
+      object: chat ? "chat.completion.chunk" : "text_completion",
+      created: Math.floor(createdMs / 1000),
+      model: request.model,
+    };
+    const head = JSON.stringify(this.#head).slice(0, -1);
+    const content = chat ? `"delta":{"content":` : `"text":`;
+    this.#before = `data: ${head},"choices":[{"index":0,${content}`;
+    this.#after = `${chat ? "}" : ""},"finish_reason":null}]}\n\n`;
+  }
+
+  /** The first chunk of a chat answer; empty for text. */
+  buildStart(): string {
+    if (this.#request.kind !== "chat") return "";
+    const choice = {
+      index: 0,
+      delta: { role: "assistant", content: "" },
+      finish_reason: null,
+    };
+    return buildEvent({ ...this.#head, choices: [choice] });
+  }
+
+  /** Chunks for tokens that arrived together, one a token. */
+  buildTokens(texts: readonly string[]): string {
+    let out = "";
+    for (const text of texts) {
+      out += this.#before + JSON.stringify(text) + this.#after;
+    }
+    return out;
+  }
+
+  /** The last chunks of a whole answer. */
+  buildEnd(reason: string, usage: Usage): string {
+    const choice = this.#request.kind === "chat"
+      ? { index: 0, delta: {}, finish_reason: reason }
+      : { index: 0, text: "", finish_reason: reason };
+    let out = buildEvent({ ...this.#head, choices: [choice] });
+    if (this.#request.includeUsage) {
+      out += buildEvent({
+        ...this.#head,
+        choices: [],
+        usage: buildUsage(usage),
+      });
+    }
+    return `${out}data: [DONE]\n\n`;
+  }
+}
+
+/** One server-sent event. */
+export function buildEvent(value: unknown): string {
+  return `data: ${JSON.stringify(value)}\n\n`;
+}
+
+/** Builds a whole answer. */
+export function buildWholeAnswer(
+  request: GenerationRequest,
+  answer: {
+    requestId: string;
+    createdMs: number;
+    text: string;
+    reason: string;
+    usage: Usage;
+  },
+): unknown {
+  const chat = request.kind === "chat";
+  const choice = chat
+    ? {
+      index: 0,
+      message: { role: "assistant", content: answer.text },
+      finish_reason: answer.reason,
+    }
+    : {
+      index: 0,
+      text: answer.text,
+      logprobs: null,
+      finish_reason: answer.reason,
+    };
+  return {
+    id: answer.requestId,
+    object: chat ? "chat.completion" : "text_completion",
+    created: Math.floor(answer.createdMs / 1000),
+    model: request.model,
+    choices: [choice],
+    usage: buildUsage(answer.usage),
+  };
+}
+
+function buildUsage(usage: Usage): unknown {
+  return {
+    prompt_tokens: usage.promptTokens,
+    completion_tokens: usage.outputTokens,
+    total_tokens: usage.promptTokens + usage.outputTokens,
+    prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+  };
+}
+
+function buildShapeError(error: z.ZodError): ServeError {
+  return new ServeError("badRequest", formatFaults(buildFaults(error)));
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/plain_call.ts
@@ -0,0 +1,298 @@
+/**
+ * The life of a call on a plain service: retried where it is idempotent or proven not run,
+ * claimed where it carries an idempotency key, handed over once otherwise.
+ *
+ * @module
+ */
+import { createId, ServeError, sleep } from "heatherarch-core";
+import type { Candidate } from "heatherarch-policy";
+import type { PlainService, Profile } from "heatherarch-settings";
+import type { WholeAnswer } from "heatherarch-targets";
+import type {
+  ClaimAnswer,
+  GatewayHost,
+  HeldClaim,
+  KeptAnswer,
+} from "./gateway_host.ts";
+
+/** A call as the caller made it. */
+export interface PlainRequest {
+  readonly service: PlainService;
+  readonly profile: Profile;
+  readonly method: string;
+  /** Path and query on the target. */
+  readonly path: string;
+  /** Headers to pass on. */
+  readonly headers: Record<string, string>;
+  readonly body: Buffer | undefined;
+  /** Monotonic time by which the answer must be there. */
+  readonly deadlineAtMs: number;
+  /** Idempotency key with its account and service, where the caller sent one. */
+  readonly key:
+    | { text: string; madeAtMs: number; fingerprint: string }
+    | undefined;
+}
+
+/** An answer to pass to the caller. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly headers: Record<string, string>;
+  readonly body: Buffer;
+  /** The answer was given before, to the first call with the key. */
+  readonly replayed: boolean;
+}
+
+const MAX_KEPT_BYTES = 64 * 1024;
+const DROPPED_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "content-length",
+  "date",
+  "x-try-id",
+]);
+
+/** One answer of one target, judged. */
+type Attempt =
+  | { readonly kind: "answer"; readonly answer: PlainAnswer }
+  /** No byte that could start the work was handed over. */
+  | { readonly kind: "notRun"; readonly withheld: boolean }
+  | { readonly kind: "unknown"; readonly error: ServeError };
+
+/** Makes the call. Throws {@linkcode ServeError}. */
+export async function callPlainService(
+  host: GatewayHost,
+  request: PlainRequest,
+): Promise<PlainAnswer> {
+  const { service, method, key } = request;
+  if (service.idempotentMethods.includes(method)) {
+    return await callIdempotent(host, request);
+  }
+  if (key === undefined) {
+    if (service.keyRequired) {
+      const message =
+        `${method} on ${service.name} needs an Idempotency-Key header`;
+      throw new ServeError("keyRequired", message);
+    }
+    return await callOnce(host, request, undefined);
+  }
+  const claimed = await host.claims.claim({
+    key: key.text,
+    madeAtMs: key.madeAtMs,
+    fingerprint: key.fingerprint,
+  });
+  return await callClaimed(host, request, claimed);
+}
+
+async function callClaimed(
+  host: GatewayHost,
+  request: PlainRequest,
+  claimed: ClaimAnswer,
+): Promise<PlainAnswer> {
+  switch (claimed.kind) {
+    case "granted":
+      return await callOnce(host, request, claimed.claim);
+    case "answered":
+      return restoreAnswer(claimed.answer);
+    case "refused": {
+      const passable = claimed.error.kind === "platformUnavailable" &&
+        request.service.honoursKey;
+      if (passable) return await callOnce(host, request, undefined);
+      throw claimed.error;
+    }
+  }
+}
+
+/** Hands the call over at most once; tries further targets only where nothing was sent. */
+async function callOnce(
+  host: GatewayHost,
+  request: PlainRequest,
+  claim: HeldClaim | undefined,
+): Promise<PlainAnswer> {
+  const failed = new Set<string>();
+  while (true) {
+    const candidate = pickTarget(host, request, failed);
+    if (candidate === undefined) {
+      claim?.release();
+      throw new ServeError("noTarget", "no target took the call", {
+        run: "no",
+      });
+    }
+    const guard = claim && (() => claim.isValid());
+    const attempt = await sendTo(host, request, candidate, guard);
+    if (attempt.kind === "answer") {
+      claim?.conclude(buildKeptAnswer(attempt.answer));
+      return attempt.answer;
+    }
+    if (attempt.kind === "unknown") throw attempt.error;
+    if (attempt.withheld) {
+      claim?.release();
+      const message =
+        "the permission to run the call lapsed before it was handed over";
+      throw new ServeError("platformUnavailable", message, { run: "no" });
+    }
+    failed.add(candidate.id);
+    host.events.noteRetry("notSent");
+  }
+}
+
+/** Retries within the budget, and sends a second try early where the profile says so. */
+async function callIdempotent(
+  host: GatewayHost,
+  request: PlainRequest,
+): Promise<PlainAnswer> {
+  const failed = new Set<string>();
+  let last: ServeError | undefined;
+  for (let tries = 0; tries < host.limits.maxTries; tries++) {
+    const candidate = pickTarget(host, request, failed) ??
+      pickTarget(host, request, new Set());
+    if (candidate === undefined) break;
+    if (tries > 0) {
+      if (!host.retries.spendRetry()) break;
+      host.events.noteRetry(last?.kind ?? "notSent");
+    }
+    const attempt = await sendHedged(host, request, candidate, failed);
+    if (attempt.kind === "answer") return attempt.answer;
+    failed.add(candidate.id);
+    if (attempt.kind === "unknown") last = attempt.error;
+    if (host.clock.readMonotonicMs() >= request.deadlineAtMs) break;
+  }
+  throw last ??
+    new ServeError("noTarget", "no target took the call", { run: "no" });
+}
+
+async function sendHedged(
+  host: GatewayHost,
+  request: PlainRequest,
+  candidate: Candidate,
+  failed: ReadonlySet<string>,
+): Promise<Attempt> {
+  const first = sendTo(host, request, candidate);
+  const { hedgeAfterMs } = request.profile;
+  if (hedgeAfterMs === 0) return await first;
+  const early = await Promise.race([first, sleep(hedgeAfterMs)]);
+  if (early !== undefined) return early;
+  const other = pickTarget(host, request, new Set([...failed, candidate.id]));
+  if (other === undefined || !host.retries.spendRetry()) return await first;
+  host.events.noteHedge();
+  const second = sendTo(host, request, other);
+  const winner = await Promise.race([first, second]);
+  if (winner.kind === "answer") return winner;
+  const results = await Promise.all([first, second]);
+  return results.find((result) => result.kind === "answer") ?? winner;
+}
+
+function pickTarget(
+  host: GatewayHost,
+  request: PlainRequest,
+  failed: ReadonlySet<string>,
+): Candidate | undefined {
+  const open = host.targets.listCandidates(request.service.name)
+    .filter((candidate) => !failed.has(candidate.id));
+  const local = open.filter((candidate) => candidate.sameZone);
+  const pool = local.length > 0 ? local : open;
+  if (pool.length === 0) return undefined;
+  return pool.reduce((best, next) =>
+    next.load.running < best.load.running ? next : best
+  );
+}
+
+async function sendTo(
+  host: GatewayHost,
+  request: PlainRequest,
+  candidate: Candidate,
+  guard?: () => boolean,
+): Promise<Attempt> {
+  const target = host.targets.findTarget(candidate.id);
+  const nowMs = host.clock.readMonotonicMs();
+  const timeoutMs = Math.ceil(request.deadlineAtMs - nowMs);
+  if (target === undefined || timeoutMs <= 0) {
+    return { kind: "notRun", withheld: false };
+  }
+  const tryId = createId("try");
+  const work = host.tracker.begin(target.id, 0, nowMs);
+  const answer = await host.targets.getService(target).send({
+    tryId,
+    method: request.method,
+    path: request.path,
+    headers: request.headers,
+    body: request.body,
+    timeoutMs,
+    guard: () =>
+      host.clock.readMonotonicMs() < request.deadlineAtMs &&
+      (guard?.() ?? true),
+  });
+  work.end(host.clock.readMonotonicMs());
+  if (answer.kind === "answer") host.targets.noteSuccess(target.id);
+  else if (answer.kind !== "withheld") host.targets.noteFailure(target.id);
+  return judgeAnswer(answer, tryId, request.service);
+}
+
+function judgeAnswer(
+  answer: WholeAnswer,
+  tryId: string,
+  service: PlainService,
+): Attempt {
+  switch (answer.kind) {
+    case "notSent":
+      return { kind: "notRun", withheld: false };
+    case "withheld":
+      return { kind: "notRun", withheld: true };
+    case "broken":
+      return {
+        kind: "unknown",
+        error: new ServeError("targetFailed", answer.detail),
+      };
+    case "silent":
+      return {
+        kind: "unknown",
+        error: new ServeError("deadlineExceeded", answer.detail),
+      };
+    case "answer":
+      break;
+  }
+  const echoed = answer.headers["x-try-id"];
+  const crossed = echoed === undefined ? service.echoesTryId : echoed !== tryId;
+  if (crossed) {
+    const message = "the answer belongs to another call";
+    return {
+      kind: "unknown",
+      error: new ServeError("answerIncomplete", message),
+    };
+  }
+  const headers = copyHeaders(answer.headers);
+  const { status, body } = answer;
+  return { kind: "answer", answer: { status, headers, body, replayed: false } };
+}
+
+function copyHeaders(
+  fields: Record<string, string | string[] | undefined>,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(fields)) {
+    if (value === undefined || DROPPED_HEADERS.has(name)) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
+
+function buildKeptAnswer(answer: PlainAnswer): KeptAnswer {
+  const { status, headers, body } = answer;
+  if (body.length > MAX_KEPT_BYTES) return { status, headers };
+  return { status, headers, body: body.toString("base64") };
+}
+
+function restoreAnswer(kept: KeptAnswer): PlainAnswer {
+  if (kept.body === undefined) {
+    const message =
+      "the call ran and was answered; its answer was too large to keep";
+    throw new ServeError("outcomeUnknown", message);
+  }
+  const body = Buffer.from(kept.body, "base64");
+  return {
+    status: kept.status,
+    headers: { ...kept.headers },
+    body,
+    replayed: true,
+  };
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/request_body.ts
@@ -0,0 +1,70 @@
+/**
+ * Reading of request bodies within limits of size and time.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import { Err, Ok, type Result, ServeError } from "heatherarch-core";
+
+/** Limits of a body. */
+export interface BodyLimits {
+  readonly maxBodyBytes: number;
+  readonly bodyTimeoutMs: number;
+}
+
+/** Reads a whole body. Throws {@linkcode ServeError}. */
+export function readRequestBody(
+  req: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Buffer> {
+  const declared = Number(req.headers["content-length"] ?? 0);
+  const tooLarge = () =>
+    new ServeError(
+      "payloadTooLarge",
+      `the body is larger than ${limits.maxBodyBytes} bytes`,
+    );
+  if (declared > limits.maxBodyBytes) return Promise.reject(tooLarge());
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    const finish = (error?: ServeError): void => {
+      clearTimeout(timer);
+      req.removeAllListeners("data");
+      if (error) reject(error);
+      else resolve(Buffer.concat(parts));
+    };
+    const timer = setTimeout(() => {
+      const message =
+        `the body did not arrive within ${limits.bodyTimeoutMs} ms`;
+      finish(new ServeError("requestTimeout", message));
+    }, limits.bodyTimeoutMs);
+    req.on("data", (part: Buffer) => {
+      size += part.length;
+      if (size > limits.maxBodyBytes) finish(tooLarge());
+      else parts.push(part);
+    });
+    req.on("end", () => finish());
+    req.on(
+      "error",
+      () => finish(new ServeError("badRequest", "the body broke off")),
+    );
+    req.on(
+      "aborted",
+      () => finish(new ServeError("badRequest", "the body broke off")),
+    );
+  });
+}
+
+/** Parses a body as JSON. */
+export function parseJsonBody(body: Buffer): Result<unknown, ServeError> {
+  try {
+    return Ok(JSON.parse(body.toString("utf8")));
+  } catch (error) {
+    return Err(
+      new ServeError(
+        "badRequest",
+        `the body is not JSON: ${(error as Error).message}`,
+      ),
+    );
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-gateway/stream_answer.ts
@@ -0,0 +1,280 @@
+/**
+ * Writes a generation to a caller: streamed or whole, fresh or resumed.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type Koa from "koa";
+import { buildErrorBody, ServeError } from "heatherarch-core";
+import type { Profile } from "heatherarch-settings";
+import type { GatewayHost, RemoteSlice } from "./gateway_host.ts";
+import { Generation } from "./generation.ts";
+import type { GenerationStore } from "./generation_store.ts";
+import {
+  buildEvent,
+  buildWholeAnswer,
+  ChunkWriter,
+  type GenerationRequest,
+  type Usage,
+} from "./openai_format.ts";
+
+/** Options of {@linkcode answerGeneration}. */
+export interface AnswerOptions {
+  readonly host: GatewayHost;
+  readonly store: GenerationStore;
+  readonly request: GenerationRequest;
+  readonly requestId: string;
+  readonly service: string;
+  readonly profile: Profile;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly deadlineAtMs: number;
+  /** The answer goes on without its caller, who may come back for the rest. */
+  readonly resumable: boolean;
+  /** Gives the account's place back. */
+  readonly release: () => void;
+}
+
+/** A caller that reads too slowly is cut off at this many unsent bytes. */
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+const RESUME_WAIT_MS = 1000;
+
+/** Where the tokens of an answer go. */
+interface AnswerWriter {
+  writeTokens(texts: readonly string[]): void;
+  writeEnd(reason: string, usage: Usage): void;
+  writeError(error: ServeError): void;
+}
+
+/** Runs a generation and writes its answer. Throws {@linkcode ServeError} before any byte. */
+export function answerGeneration(
+  ctx: Koa.Context,
+  options: AnswerOptions,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const { host, store, request, requestId, resumable } = options;
+    const stored = resumable ? store.open(requestId, request.model) : undefined;
+    const startedAtMs = host.clock.readMonotonicMs();
+    const writer = request.stream
+      ? new StreamWriter(ctx, options, reject)
+      : new WholeWriter(ctx, options, reject);
+    const conclude = (error: ServeError | undefined): void => {
+      options.release();
+      store.conclude(requestId, error, host.limits.resumeWindowMs);
+      noteEnd(options, generation, startedAtMs, error);
+      resolve();
+    };
+    const generation = new Generation({
+      ...options,
+      model: request.model,
+      prompt: request.prompt,
+      sink: {
+        onTokens: (texts) => {
+          if (stored !== undefined) {
+            stored.texts.push(...texts);
+            for (const wake of [...stored.readers]) wake();
+          }
+          writer.writeTokens(texts);
+        },
+        onEnd: (reason, usage) => {
+          writer.writeEnd(reason, usage);
+          conclude(undefined);
+        },
+        onError: (error) => {
+          writer.writeError(error);
+          conclude(error);
+        },
+      },
+    });
+    const started = generation.start();
+    if (!started.ok) {
+      const error = started.val as ServeError;
+      reject(error);
+      return conclude(error);
+    }
+    if (resumable) return;
+    ctx.res.once("close", () => {
+      if (ctx.res.writableFinished) return;
+      generation.cancel();
+      options.release();
+      resolve();
+    });
+  });
+}
+
+function noteEnd(
+  options: AnswerOptions,
+  generation: Generation,
+  startedAtMs: number,
+  error: ServeError | undefined,
+): void {
+  const nowMs = options.host.clock.readMonotonicMs();
+  options.host.events.noteEnd({
+    service: options.service,
+    profile: options.profile.name,
+    outcome: error === undefined ? "ok" : error.kind,
+    inTime: error === undefined && nowMs <= options.deadlineAtMs,
+    durationMs: nowMs - startedAtMs,
+    firstTokenMs: generation.firstTokenMs,
+    gapMs: generation.meanGapMs,
+    outputTokens: generation.delivered.length,
+  });
+}
+
+/** Writes server-sent events as tokens come. */
+class StreamWriter implements AnswerWriter {
+  readonly #ctx: Koa.Context;
+  readonly #chunks: ChunkWriter;
+  readonly #requestId: string;
+  readonly #reject: (error: ServeError) => void;
+  #started = false;
+
+  constructor(
+    ctx: Koa.Context,
+    options: AnswerOptions,
+    reject: (error: ServeError) => void,
+  ) {
+    this.#ctx = ctx;
+    this.#requestId = options.requestId;
+    this.#reject = reject;
+    const createdMs = options.host.clock.readWallMs();
+    this.#chunks = new ChunkWriter(
+      options.request,
+      options.requestId,
+      createdMs,
+    );
+  }
+
+  writeTokens(texts: readonly string[]): void {
+    const start = this.#start();
+    writeToCaller(this.#ctx.res, start + this.#chunks.buildTokens(texts));
+  }
+
+  writeEnd(reason: string, usage: Usage): void {
+    const start = this.#start();
+    this.#ctx.res.end(start + this.#chunks.buildEnd(reason, usage));
+  }
+
+  writeError(error: ServeError): void {
+    if (!this.#started) return this.#reject(error);
+    this.#ctx.res.end(buildEvent(buildErrorBody(error, this.#requestId)));
+  }
+
+  #start(): string {
+    if (this.#started) return "";
+    this.#started = true;
+    beginEventStream(this.#ctx);
+    return this.#chunks.buildStart();
+  }
+}
+
+/** Gathers the tokens and writes one JSON answer. */
+class WholeWriter implements AnswerWriter {
+  readonly #ctx: Koa.Context;
+  readonly #options: AnswerOptions;
+  readonly #reject: (error: ServeError) => void;
+  readonly #texts: string[] = [];
+
+  constructor(
+    ctx: Koa.Context,
+    options: AnswerOptions,
+    reject: (error: ServeError) => void,
+  ) {
+    this.#ctx = ctx;
+    this.#options = options;
+    this.#reject = reject;
+  }
+
+  writeTokens(texts: readonly string[]): void {
+    this.#texts.push(...texts);
+  }
+
+  writeEnd(reason: string, usage: Usage): void {
+    const { request, requestId, host } = this.#options;
+    this.#ctx.body = buildWholeAnswer(request, {
+      requestId,
+      createdMs: host.clock.readWallMs(),
+      text: this.#texts.join(""),
+      reason,
+      usage,
+    });
+  }
+
+  writeError(error: ServeError): void {
+    this.#reject(error);
+  }
+}
+
+/** Answers `GET /v1/streams/ID?from=N`, also for a stream that another VM serves. */
+export async function answerResume(
+  ctx: Koa.Context,
+  host: GatewayHost,
+  store: GenerationStore,
+  requestId: string,
+): Promise<void> {
+  let from = Number(ctx.query.from ?? ctx.get("last-event-id") ?? 0);
+  if (!Number.isInteger(from) || from < 0) {
+    throw new ServeError("badRequest", "from must be a whole number of tokens");
+  }
+  const owner = ctx.get("x-heatherarch-vm") || readOwner(requestId);
+  const read = (at: number): Promise<RemoteSlice> =>
+    owner === host.vmId || owner === undefined
+      ? store.readNext(requestId, at, RESUME_WAIT_MS)
+      : host.readRemoteStream(owner, requestId, at);
+  let slice = await read(from);
+  if (slice.state === "unknown") {
+    throw new ServeError("streamGone", `no stream is kept under ${requestId}`);
+  }
+  beginEventStream(ctx);
+  const request: GenerationRequest = {
+    kind: "chat",
+    model: slice.model,
+    prompt: "",
+    maxTokens: undefined,
+    stream: true,
+    includeUsage: false,
+    profile: undefined,
+  };
+  const chunks = new ChunkWriter(request, requestId, host.clock.readWallMs());
+  while (true) {
+    writeToCaller(ctx.res, chunks.buildTokens(slice.texts));
+    from += slice.texts.length;
+    if (slice.state !== "running" || ctx.res.destroyed) break;
+    slice = await read(from).catch(() => ({
+      ...slice,
+      texts: [],
+      state: "unknown" as const,
+    }));
+  }
+  if (slice.state === "ended") {
+    const usage = { promptTokens: 0, outputTokens: from, cachedTokens: 0 };
+    ctx.res.end(chunks.buildEnd("length", usage));
+    return;
+  }
+  const kind = slice.state === "failed"
+    ? slice.kind ?? "answerIncomplete"
+    : "streamGone";
+  const error = new ServeError(kind, "the stream can't be read to its end");
+  ctx.res.end(buildEvent(buildErrorBody(error, requestId)));
+}
+
+/** The VM that issued a request id of ours. */
+function readOwner(requestId: string): string | undefined {
+  const match = /^(.+)-[A-Za-z0-9_-]{12}$/.exec(requestId);
+  return match?.[1];
+}
+
+function beginEventStream(ctx: Koa.Context): void {
+  ctx.respond = false;
+  ctx.res.writeHead(200, {
+    "content-type": "text/event-stream",
+    "cache-control": "no-store",
+    "x-request-id": ctx.response.get("x-request-id"),
+  });
+}
+
+function writeToCaller(res: ServerResponse, text: string): void {
+  if (text === "" || res.destroyed) return;
+  res.write(text);
+  if (res.writableLength > MAX_UNSENT_BYTES) res.destroy();
+}
--- /dev/null
+++ b/packages/heatherarch-lab/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Embedded start, load tool, benchmarks and proofs under failure.
+ *
+ * @module
+ */
+export * from "./caller.ts";
+export * from "./cluster.ts";
+export * from "./deployment.ts";
+export * from "./mixed_load.ts";
+export * from "./ports.ts";
+export * from "./summary.ts";
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/whole_path_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import {
+  buildDeployment,
+  Caller,
+  Cluster,
+  runMixedLoad,
+  SHAPES,
+  summarizeLoad,
+} from "../../mod.ts";
+
+let cluster: Cluster;
+const caller = new Caller();
+
+before(async () => {
+  cluster = new Cluster({ deployment: await buildDeployment(SHAPES.small) });
+  await cluster.start();
+});
+
+after(async () => {
+  await caller.close();
+  await cluster.stop();
+});
+
+test("a mixed load through four processes is answered whole and once", async () => {
+  const { deployment } = cluster;
+  const records = await runMixedLoad({
+    deployment,
+    requests: 60,
+    concurrency: 8,
+    seed: 7,
+  });
+  const summary = summarizeLoad(records, await cluster.readLedger());
+  assert.equal(summary.wrongAnswers + summary.cutAnswers + summary.failed, 0);
+  assert.equal(summary.keysRunTwice, 0);
+  assert.equal(summary.notRunButRun, 0);
+  const expected = records.length - (summary.errorKinds.keyInProgress ?? 0);
+  assert.equal(summary.wholeAnswers, expected);
+});
+
+test("SIGTERM cuts no stream, and a second one changes nothing", async () => {
+  const [vm] = cluster.deployment.vms;
+  const call = {
+    url: `http://${vm.callers}`,
+    model: "reader-7b",
+    prompt: "a long answer, please",
+    maxTokens: 150,
+  };
+  const streams = Array.from({ length: 8 }, () => caller.generate(call));
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  cluster.signalVm(vm.id, "SIGTERM");
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  cluster.signalVm(vm.id, "SIGTERM");
+  const results = await Promise.all(streams);
+  assert.deepEqual(
+    results.map((result) => result.outcome),
+    Array(8).fill("whole"),
+  );
+  assert.equal(await cluster.waitExit(vm.id), 0);
+});
--- /dev/null
+++ b/packages/heatherarch-lease/control_fold.ts
@@ -0,0 +1,195 @@
+/**
+ * The fold of a control stream: who holds the lease, and which orders are open.
+ *
+ * @module
+ */
+import { assertInvariant, type EngineOrder } from "heatherarch-core";
+import {
+  type ControlRecord,
+  type OrderResult,
+  parseControlRecord,
+} from "./control_records.ts";
+
+/** A record of the log, as far as the fold needs it. */
+export interface OffsetRecord {
+  readonly offset: number;
+  readonly data: unknown;
+}
+
+/** The claim that holds the lease, by the log alone. */
+export interface LeaseClaim {
+  readonly vm: string;
+  readonly incarnation: string;
+  /** Offset of the claim: the fencing number of orders given under it. */
+  readonly claimOffset: number;
+  /** Offset of the claim or of its last renewal. */
+  readonly lastSignOffset: number;
+  /** The holder gave the lease up; the next one need not wait. */
+  readonly released: boolean;
+}
+
+/** An order that has been announced and not yet concluded. */
+export interface OpenIntent {
+  readonly intentId: string;
+  readonly target: string;
+  readonly order: EngineOrder;
+  readonly claimOffset: number;
+  readonly offset: number;
+}
+
+/** A concluded order. */
+export interface ClosedIntent extends OpenIntent {
+  readonly result: OrderResult;
+  readonly detail: string;
+}
+
+/** State of one availability zone's control at one offset. */
+export interface ControlState {
+  readonly offset: number;
+  readonly claim: LeaseClaim | null;
+  /** Open intents by target; at most one each. */
+  readonly open: Readonly<Record<string, OpenIntent>>;
+  readonly recent: readonly ClosedIntent[];
+  readonly roleChanges: number;
+  readonly seen: readonly string[];
+}
+
+/** The state before the first record. */
+export const EMPTY_CONTROL: ControlState = Object.freeze({
+  offset: -1,
+  claim: null,
+  open: {},
+  recent: [],
+  roleChanges: 0,
+  seen: [],
+});
+
+const RECENT_LIMIT = 50;
+const SEEN_LIMIT = 200;
+
+type Draft = { -readonly [Key in keyof ControlState]: ControlState[Key] };
+
+/** Applies the record that follows `state`. */
+export function applyControlRecord(
+  state: ControlState,
+  record: OffsetRecord,
+): ControlState {
+  assertInvariant(
+    record.offset === state.offset + 1,
+    "control-contiguous",
+    `offset ${record.offset} after ${state.offset}`,
+  );
+  const draft: Draft = { ...state, offset: record.offset };
+  const parsed = parseControlRecord(record.data);
+  if (parsed === undefined || parsed.type === "snapshot") return draft;
+  if (state.seen.includes(parsed.id)) return draft;
+  draft.seen = [...state.seen, parsed.id].slice(-SEEN_LIMIT);
+  applyParsed(draft, parsed, record.offset);
+  return draft;
+}
+
+function applyParsed(
+  draft: Draft,
+  record: Exclude<ControlRecord, { type: "snapshot" }>,
+  offset: number,
+): void {
+  const { claim } = draft;
+  if (record.type === "claim") {
+    if (!isClaimValid(claim, record)) return;
+    draft.claim = {
+      vm: record.vm,
+      incarnation: record.incarnation,
+      claimOffset: offset,
+      lastSignOffset: offset,
+      released: false,
+    };
+    return;
+  }
+  if (
+    claim === null || record.claimOffset !== claim.claimOffset || claim.released
+  ) return;
+  switch (record.type) {
+    case "renew":
+      draft.claim = { ...claim, lastSignOffset: offset };
+      break;
+    case "release":
+      draft.claim = { ...claim, lastSignOffset: offset, released: true };
+      break;
+    case "intent":
+      applyIntent(draft, record, offset);
+      break;
+    case "outcome":
+      applyOutcome(draft, record);
+      break;
+  }
+}
+
+function isClaimValid(
+  current: LeaseClaim | null,
+  claim: Extract<ControlRecord, { type: "claim" }>,
+): boolean {
+  if (current === null) return claim.replaces === -1;
+  return claim.replaces === current.claimOffset &&
+    claim.seenRenewal >= current.lastSignOffset;
+}
+
+function applyIntent(
+  draft: Draft,
+  record: Extract<ControlRecord, { type: "intent" }>,
+  offset: number,
+): void {
+  if (record.target in draft.open) return;
+  const { target, order, claimOffset } = record;
+  const intent: OpenIntent = {
+    intentId: record.id,
+    target,
+    order,
+    claimOffset,
+    offset,
+  };
+  draft.open = { ...draft.open, [target]: intent };
+}
+
+function applyOutcome(
+  draft: Draft,
+  record: Extract<ControlRecord, { type: "outcome" }>,
+): void {
+  const intent = Object.values(draft.open).find((open) =>
+    open.intentId === record.intentId
+  );
+  if (intent === undefined) return;
+  const { [intent.target]: _closed, ...open } = draft.open;
+  draft.open = open;
+  const closed: ClosedIntent = {
+    ...intent,
+    result: record.result,
+    detail: record.detail,
+  };
+  draft.recent = [...draft.recent, closed].slice(-RECENT_LIMIT);
+  if (record.result === "done" && intent.order.kind === "setRole") {
+    draft.roleChanges++;
+  }
+}
+
+/** Loads the best snapshot among records that start at the oldest kept offset. */
+export function loadControlSnapshot(
+  records: readonly OffsetRecord[],
+): ControlState | undefined {
+  const first = records[0]?.offset ?? 0;
+  let best: ControlState | undefined;
+  for (const record of records) {
+    const parsed = parseControlRecord(record.data);
+    if (parsed?.type !== "snapshot") continue;
+    if (
+      parsed.coversOffset < first - 1 || parsed.coversOffset >= record.offset
+    ) continue;
+    const state = parsed.state as ControlState | null;
+    if (state?.offset === parsed.coversOffset) best = state;
+  }
+  if (best === undefined) return undefined;
+  let state: ControlState = best;
+  for (const record of records) {
+    if (record.offset > state.offset) state = applyControlRecord(state, record);
+  }
+  return state;
+}
--- /dev/null
+++ b/packages/heatherarch-lease/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The lease of an availability zone and the orders given under it.
+ *
+ * @module
+ */
+export * from "./control_fold.ts";
+export * from "./control_records.ts";
+export * from "./lease_machine.ts";
--- /dev/null
+++ b/packages/heatherarch-log/config_fold.ts
@@ -0,0 +1,261 @@
+/**
+ * The fold of the configuration stream. The same offset gives the same state in every
+ * process, including which of two racing publications won.
+ *
+ * @module
+ */
+import { assertInvariant, type TargetDirective } from "heatherarch-core";
+import {
+  type Fleet,
+  formatFaults,
+  parseFleet,
+  parseProfile,
+  type Profile,
+} from "heatherarch-settings";
+import {
+  type ConfigChange,
+  type ConfigChangeRecord,
+  parseConfigRecord,
+} from "./config_records.ts";
+import type { LogRecord } from "./log_port.ts";
+
+const AUDIT_LIMIT = 1000;
+const SEEN_LIMIT = 5000;
+
+/** Verdict on one publication. */
+export interface AuditEntry {
+  readonly offset: number;
+  readonly id: string;
+  readonly author: string;
+  readonly atMs: number;
+  readonly baseRevision: number;
+  readonly what: string;
+  readonly verdict: "accepted" | "rejected";
+  /** Why it was rejected. */
+  readonly reason?: string;
+}
+
+/** A published profile and the offset that set it. */
+export interface ProfileRevision {
+  readonly revision: number;
+  readonly profile: Profile;
+}
+
+/** What an operator last asked of a target, and the offset that set it. */
+export interface DirectiveRevision {
+  readonly revision: number;
+  readonly directive: TargetDirective;
+}
+
+/** State of the configuration at one offset. */
+export interface ConfigState {
+  /** Last offset applied; -1 before the first. */
+  readonly offset: number;
+  /** Offset that set the fleet; -1 while none is published. */
+  readonly fleetRevision: number;
+  readonly fleet: Fleet | null;
+  readonly profiles: Readonly<Record<string, ProfileRevision>>;
+  readonly directives: Readonly<Record<string, DirectiveRevision>>;
+  readonly audit: readonly AuditEntry[];
+  /** Ids of recent records, so that a repeated append has no second effect. */
+  readonly seen: readonly string[];
+}
+
+/** The state before the first record. */
+export const EMPTY_CONFIG: ConfigState = Object.freeze({
+  offset: -1,
+  fleetRevision: -1,
+  fleet: null,
+  profiles: {},
+  directives: {},
+  audit: [],
+  seen: [],
+});
+
+type Draft = { -readonly [Key in keyof ConfigState]: ConfigState[Key] };
+
+/** Applies the record that follows `state` and returns the next state. */
+export function applyConfigRecord(
+  state: ConfigState,
+  record: LogRecord,
+): ConfigState {
+  assertInvariant(
+    record.offset === state.offset + 1,
+    "config-contiguous",
+    `offset ${record.offset} after ${state.offset}`,
+  );
+  const draft: Draft = { ...state, offset: record.offset };
+  const parsed = parseConfigRecord(record.data);
+  if (parsed === undefined || parsed.type === "snapshot") return draft;
+  if (state.seen.includes(parsed.id)) return draft;
+  draft.seen = [...state.seen, parsed.id].slice(-SEEN_LIMIT);
+  const reason = applyChange(draft, parsed, record.offset);
+  const entry: AuditEntry = {
+    offset: record.offset,
+    id: parsed.id,
+    author: parsed.author,
+    atMs: parsed.atMs,
+    baseRevision: parsed.baseRevision,
+    what: describeChange(parsed.change),
+    verdict: reason === undefined ? "accepted" : "rejected",
+    ...(reason === undefined ? {} : { reason }),
+  };
+  draft.audit = [...state.audit, entry].slice(-AUDIT_LIMIT);
+  return draft;
+}
+
+/** The revision of what `change` would change; what a publisher must name as its base. */
+export function readBaseRevision(
+  state: ConfigState,
+  change: ConfigChange,
+): number {
+  switch (change.kind) {
+    case "publishFleet":
+      return state.fleetRevision;
+    case "putProfile":
+      return state.profiles[readProfileName(change.profile)]?.revision ?? -1;
+    case "deleteProfile":
+      return state.profiles[change.name]?.revision ?? -1;
+    case "directTarget":
+      return state.directives[change.target]?.revision ?? -1;
+  }
+}
+
+/** Describes a change in a few words, for the audit trail. */
+export function describeChange(change: ConfigChange): string {
+  switch (change.kind) {
+    case "publishFleet":
+      return "publish fleet";
+    case "putProfile":
+      return `put profile ${readProfileName(change.profile)}`;
+    case "deleteProfile":
+      return `delete profile ${change.name}`;
+    case "directTarget":
+      return `${change.directive} ${change.target}`;
+  }
+}
+
+/**
+ * Loads the best snapshot among `records`, which start at the oldest kept offset, and applies
+ * what follows it. Returns undefined where no snapshot bridges the trimmed part.
+ */
+export function loadConfigSnapshot(
+  records: readonly LogRecord[],
+): ConfigState | undefined {
+  const first = records[0]?.offset ?? 0;
+  let best: ConfigState | undefined;
+  for (const record of records) {
+    const parsed = parseConfigRecord(record.data);
+    if (parsed?.type !== "snapshot" || parsed.coversOffset < first - 1) {
+      continue;
+    }
+    if (parsed.coversOffset >= record.offset) continue;
+    const state = parseConfigState(parsed.state);
+    if (state?.offset === parsed.coversOffset) best = state;
+  }
+  if (best === undefined) return undefined;
+  let state: ConfigState = best;
+  for (const record of records) {
+    if (record.offset > state.offset) state = applyConfigRecord(state, record);
+  }
+  return state;
+}
+
+/** Checks that `value` has the shape of a state, as one from a peer or a snapshot must. */
+export function parseConfigState(value: unknown): ConfigState | undefined {
+  const state = value as ConfigState | null;
+  if (typeof state !== "object" || state === null) return undefined;
+  if (
+    !Number.isInteger(state.offset) || !Number.isInteger(state.fleetRevision)
+  ) return undefined;
+  if (!Array.isArray(state.audit) || !Array.isArray(state.seen)) {
+    return undefined;
+  }
+  if (
+    typeof state.profiles !== "object" || typeof state.directives !== "object"
+  ) return undefined;
+  if (state.fleet !== null && !parseFleet(state.fleet).ok) return undefined;
+  return state;
+}
+
+function applyChange(
+  draft: Draft,
+  record: ConfigChangeRecord,
+  offset: number,
+): string | undefined {
+  const { change, baseRevision } = record;
+  const current = readBaseRevision(draft, change);
+  if (baseRevision !== current) {
+    const winner = draft.audit.find((entry) => entry.offset === current);
+    const by = winner ? ` by ${winner.author} (${winner.what})` : "";
+    return `base revision ${baseRevision} is stale: revision ${current}${by} came first`;
+  }
+  switch (change.kind) {
+    case "publishFleet": {
+      const fleet = parseFleet(change.fleet);
+      if (!fleet.ok) return formatFaults(fleet.val as never);
+      draft.fleet = fleet.val as Fleet;
+      draft.fleetRevision = offset;
+      return undefined;
+    }
+    case "putProfile": {
+      const profile = parseProfile(change.profile);
+      if (!profile.ok) return formatFaults(profile.val as never);
+      const value = profile.val as Profile;
+      draft.profiles = {
+        ...draft.profiles,
+        [value.name]: { revision: offset, profile: value },
+      };
+      return undefined;
+    }
+    case "deleteProfile": {
+      if (!(change.name in draft.profiles)) {
+        return `no profile is named ${change.name}`;
+      }
+      const { [change.name]: _removed, ...rest } = draft.profiles;
+      draft.profiles = rest;
+      return undefined;
+    }
+    case "directTarget":
+      return applyDirective(draft, change, offset);
+  }
+}
+
+function applyDirective(
+  draft: Draft,
+  change: Extract<ConfigChange, { kind: "directTarget" }>,
+  offset: number,
+): string | undefined {
+  const { fleet } = draft;
+  if (
+    fleet === null ||
+    !fleet.targets.some((target) => target.id === change.target)
+  ) {
+    return `no target is named ${change.target}`;
+  }
+  if (change.directive === "replace") {
+    const targets = [...fleet.targets, change.replacement];
+    const next = parseFleet({ ...fleet, targets });
+    if (!next.ok) return `replacement: ${formatFaults(next.val as never)}`;
+    draft.fleet = next.val as Fleet;
+    draft.fleetRevision = offset;
+  }
+  const directive = DIRECTIVE_STATES[change.directive];
+  draft.directives = {
+    ...draft.directives,
+    [change.target]: { revision: offset, directive },
+  };
+  return undefined;
+}
+
+const DIRECTIVE_STATES = {
+  drain: "draining",
+  replace: "replacing",
+  withdraw: "withdrawn",
+  restore: "active",
+} as const satisfies Record<string, TargetDirective>;
+
+function readProfileName(profile: unknown): string {
+  const name = (profile as { name?: unknown } | null)?.name;
+  return typeof name === "string" ? name : "";
+}
--- /dev/null
+++ b/packages/heatherarch-log/config_records.ts
@@ -0,0 +1,63 @@
+/**
+ * Records of the `config` stream.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+/** Name of the stream that operators publish on. */
+export const CONFIG_STREAM = "config";
+/** Version of the record format that this program writes. */
+export const CONFIG_FORMAT = 1;
+
+/** Directives that an operator may give for a target. */
+export const DIRECTIVES = ["drain", "replace", "withdraw", "restore"] as const;
+/** Name of a directive. */
+export type Directive = typeof DIRECTIVES[number];
+
+const CHANGE = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("publishFleet"), fleet: z.unknown() }),
+  z.object({ kind: z.literal("putProfile"), profile: z.unknown() }),
+  z.object({ kind: z.literal("deleteProfile"), name: z.string() }),
+  z.object({
+    kind: z.literal("directTarget"),
+    target: z.string(),
+    directive: z.enum(DIRECTIVES),
+    replacement: z.unknown().optional(),
+  }),
+]);
+
+/** What a publication changes. */
+export type ConfigChange = z.infer<typeof CHANGE>;
+
+const CONFIG_RECORD = z.discriminatedUnion("type", [
+  z.object({
+    type: z.literal("change"),
+    format: z.literal(CONFIG_FORMAT),
+    id: z.string().min(1),
+    author: z.string(),
+    atMs: z.number(),
+    /** Revision that the author had seen of what it changes; -1 for nothing yet. */
+    baseRevision: z.int(),
+    change: CHANGE,
+  }),
+  z.object({
+    type: z.literal("snapshot"),
+    format: z.literal(CONFIG_FORMAT),
+    id: z.string().min(1),
+    /** Last offset that the state covers. */
+    coversOffset: z.int(),
+    state: z.unknown(),
+  }),
+]);
+
+/** A record of the configuration stream. */
+export type ConfigRecord = z.infer<typeof CONFIG_RECORD>;
+/** A change as it stands on the stream. */
+export type ConfigChangeRecord = Extract<ConfigRecord, { type: "change" }>;
+
+/** Reads a record's content; undefined for garbage or an unknown format. */
+export function parseConfigRecord(data: unknown): ConfigRecord | undefined {
+  const parsed = CONFIG_RECORD.safeParse(data);
+  return parsed.success ? parsed.data : undefined;
+}
