--- /dev/null
+++ b/packages/heatherarch-log/http_log.ts
@@ -0,0 +1,107 @@
+/**
+ * Adapter to the platform's log over HTTP.
+ *
+ * @module
+ */
+import { Agent, request } from "undici";
+import { z } from "zod";
+import {
+  type LogPort,
+  type LogSlice,
+  LogUnavailableError,
+  type ReadOptions,
+} from "./log_port.ts";
+
+const APPEND_ANSWER = z.object({ offset: z.int().min(0) });
+const READ_ANSWER = z.object({
+  records: z.array(
+    z.object({ offset: z.int(), appendedAtMs: z.number(), data: z.unknown() }),
+  ),
+  first: z.int().min(0),
+  next: z.int().min(0),
+});
+
+/** Options of {@linkcode HttpLog}. */
+export interface HttpLogOptions {
+  /** Base URL without a trailing slash. */
+  readonly url: string;
+  /** Longest wait for an answer, besides the wait that a read asks for. */
+  readonly timeoutMs?: number;
+}
+
+/** The platform's log behind `POST /streams/NAME` and `GET /streams/NAME?from=N`. */
+export class HttpLog implements LogPort {
+  readonly #url: string;
+  readonly #timeoutMs: number;
+  readonly #agent = new Agent({ connections: 16, keepAliveTimeout: 4000 });
+
+  constructor(options: HttpLogOptions) {
+    this.#url = options.url.replace(/\/$/, "");
+    this.#timeoutMs = options.timeoutMs ?? 2000;
+  }
+
+  async append(stream: string, data: unknown): Promise<number> {
+    const body = JSON.stringify({ data });
+    const answer = await this.#call(
+      `/streams/${stream}`,
+      "POST",
+      this.#timeoutMs,
+      { body },
+    );
+    const parsed = APPEND_ANSWER.safeParse(answer);
+    if (!parsed.success) {
+      throw new LogUnavailableError("unreadable answer to an append");
+    }
+    return parsed.data.offset;
+  }
+
+  async read(
+    stream: string,
+    from: number,
+    options: ReadOptions = {},
+  ): Promise<LogSlice> {
+    const { maxRecords = 1000, waitMs = 0, signal } = options;
+    const path =
+      `/streams/${stream}?from=${from}&max=${maxRecords}&waitMs=${waitMs}`;
+    const answer = await this.#call(path, "GET", this.#timeoutMs + waitMs, {
+      signal,
+    });
+    const parsed = READ_ANSWER.safeParse(answer);
+    if (!parsed.success) {
+      throw new LogUnavailableError("unreadable answer to a read");
+    }
+    return parsed.data as LogSlice;
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #call(
+    path: string,
+    method: "GET" | "POST",
+    timeoutMs: number,
+    options: { body?: string; signal?: AbortSignal },
+  ): Promise<unknown> {
+    const timeout = AbortSignal.timeout(timeoutMs);
+    const signal = options.signal
+      ? AbortSignal.any([timeout, options.signal])
+      : timeout;
+    try {
+      const answer = await request(this.#url + path, {
+        method,
+        body: options.body,
+        headers: options.body ? { "content-type": "application/json" } : {},
+        dispatcher: this.#agent,
+        signal,
+      });
+      const body = await answer.body.json();
+      if (answer.statusCode === 200) return body;
+      throw new LogUnavailableError(`status ${answer.statusCode}`);
+    } catch (error) {
+      if (error instanceof LogUnavailableError) throw error;
+      throw new LogUnavailableError((error as Error).message, error);
+    }
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-log/stream_cursor.ts
@@ -0,0 +1,30 @@
+/**
+ * A position in a stream that moves without gaps. Feeding it slices tells what may be
+ * applied, and whether records were trimmed before they were read.
+ *
+ * @module
+ */
+import type { LogRecord, LogSlice } from "./log_port.ts";
+
+/** What a slice means to a reader. */
+export type SliceVerdict =
+  | {
+    readonly kind: "apply";
+    readonly records: readonly LogRecord[];
+    readonly current: boolean;
+  }
+  | { readonly kind: "gap"; readonly first: number };
+
+/** Judges `slice` for a reader whose next offset is `wanted`. */
+export function judgeSlice(wanted: number, slice: LogSlice): SliceVerdict {
+  if (wanted < slice.first) return { kind: "gap", first: slice.first };
+  const records: LogRecord[] = [];
+  let expected = wanted;
+  for (const record of slice.records) {
+    if (record.offset < expected) continue;
+    if (record.offset !== expected) break;
+    records.push(record);
+    expected++;
+  }
+  return { kind: "apply", records, current: expected >= slice.next };
+}
--- /dev/null
+++ b/packages/heatherarch-log/vm_list.ts
@@ -0,0 +1,44 @@
+/**
+ * Port and adapter to the platform's list of VMs. The list lags, so it is only a hint.
+ *
+ * @module
+ */
+import { request } from "undici";
+import { z } from "zod";
+
+const VM_LIST = z.object({
+  vms: z.array(z.object({
+    id: z.string(),
+    kind: z.enum(["entry", "target"]),
+    availabilityZone: z.string(),
+    state: z.enum(["live", "leaving"]),
+    /** Mesh address of an entry VM. */
+    address: z.string().optional(),
+  })),
+});
+
+/** One line of the list. */
+export type ListedVm = z.infer<typeof VM_LIST>["vms"][number];
+
+/** The platform's list of live and leaving VMs. */
+export interface VmListPort {
+  readVms(): Promise<readonly ListedVm[]>;
+}
+
+/** The list behind one HTTP URL. */
+export class HttpVmList implements VmListPort {
+  readonly #url: string;
+  readonly #timeoutMs: number;
+
+  constructor(options: { url: string; timeoutMs?: number }) {
+    this.#url = options.url;
+    this.#timeoutMs = options.timeoutMs ?? 2000;
+  }
+
+  async readVms(): Promise<readonly ListedVm[]> {
+    const signal = AbortSignal.timeout(this.#timeoutMs);
+    const answer = await request(this.#url, { signal });
+    const body = await answer.body.json();
+    return VM_LIST.parse(body).vms;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/frame.ts
@@ -0,0 +1,66 @@
+/**
+ * Framing: a 4-byte big-endian length, then one CBOR value.
+ *
+ * @module
+ */
+import { Decoder, Encoder } from "cbor-x";
+
+const HEADER_BYTES = 4;
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+const decoder = new Decoder({ useRecords: false });
+
+/** A frame that can't be read. The connection it came on is closed. */
+export class FrameError extends Error {
+  constructor(detail: string) {
+    super(`mesh frame: ${detail}`);
+    this.name = "FrameError";
+  }
+}
+
+/** Encodes one value as a frame. */
+export function encodeFrame(value: unknown): Buffer {
+  const body = encoder.encode(value);
+  const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, HEADER_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into frames. */
+export class FrameReader {
+  readonly #maxFrameBytes: number;
+  #pending: Buffer = Buffer.alloc(0);
+
+  constructor(maxFrameBytes: number) {
+    this.#maxFrameBytes = maxFrameBytes;
+  }
+
+  /** Adds bytes and returns the values completed by them. Throws {@linkcode FrameError}. */
+  push(bytes: Buffer): unknown[] {
+    const data = this.#pending.length === 0
+      ? bytes
+      : Buffer.concat([this.#pending, bytes]);
+    const values: unknown[] = [];
+    let at = 0;
+    while (data.length - at >= HEADER_BYTES) {
+      const length = data.readUInt32BE(at);
+      if (length > this.#maxFrameBytes) {
+        throw new FrameError(`${length} bytes are too many`);
+      }
+      if (data.length - at - HEADER_BYTES < length) break;
+      const start = at + HEADER_BYTES;
+      values.push(decodeValue(data.subarray(start, start + length)));
+      at = start + length;
+    }
+    this.#pending = data.subarray(at);
+    return values;
+  }
+}
+
+function decodeValue(bytes: Buffer): unknown {
+  try {
+    return decoder.decode(bytes);
+  } catch (error) {
+    throw new FrameError((error as Error).message);
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/link.ts
@@ -0,0 +1,207 @@
+/**
+ * One TCP connection between two entry VMs: handshake with proof of the shared key, pings
+ * both ways, frames.
+ *
+ * @module
+ */
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { Socket } from "node:net";
+import type { Clock } from "heatherarch-core";
+import { encodeFrame, FrameReader } from "./frame.ts";
+import {
+  type Hello,
+  MESH_FORMAT,
+  type MeshMessage,
+  parseMeshMessage,
+} from "./messages.ts";
+
+/** Who a VM says it is. */
+export interface LinkIdentity {
+  readonly id: string;
+  readonly incarnation: string;
+  readonly availabilityZone: string;
+  readonly mesh: string;
+}
+
+/** Reasons for closing a link on our side. */
+export type LinkFault =
+  | "badFrame"
+  | "badMessage"
+  | "badProof"
+  | "otherFormat"
+  | "tooSlow"
+  | "silent"
+  | "closed";
+
+/** Options of {@linkcode Link}. */
+export interface LinkOptions {
+  readonly socket: Socket;
+  readonly self: LinkIdentity;
+  readonly sharedKey: string;
+  readonly maxFrameBytes: number;
+  readonly clock: Clock;
+  readonly onReady: (link: Link) => void;
+  readonly onMessage: (link: Link, message: MeshMessage) => void;
+  readonly onClose: (link: Link, fault: LinkFault) => void;
+}
+
+const NONCE_BYTES = 16;
+/** A peer that does not read lets this much pile up before the link is closed. */
+const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+
+/** A link. It is ready once both ends have proved the shared key. */
+export class Link {
+  readonly #options: LinkOptions;
+  readonly #reader: FrameReader;
+  readonly #nonce = randomBytes(NONCE_BYTES).toString("base64url");
+  #peer: LinkIdentity | undefined;
+  #ready = false;
+  #closed = false;
+  #lastHeardMs: number;
+  #bytesSent = 0;
+  #bytesReceived = 0;
+
+  constructor(options: LinkOptions) {
+    this.#options = options;
+    this.#reader = new FrameReader(options.maxFrameBytes);
+    this.#lastHeardMs = options.clock.readMonotonicMs();
+    const { socket } = options;
+    socket.setNoDelay(true);
+    socket.on("data", (bytes: Buffer) => this.#receive(bytes));
+    socket.on("error", () => this.close("closed"));
+    socket.on("close", () => this.close("closed"));
+    this.#sendHello();
+  }
+
+  /** The other end; undefined before its hello. */
+  get peer(): LinkIdentity | undefined {
+    return this.#peer;
+  }
+
+  get isReady(): boolean {
+    return this.#ready;
+  }
+
+  get isClosed(): boolean {
+    return this.#closed;
+  }
+
+  /** Monotonic time of the last bytes received. */
+  get lastHeardMs(): number {
+    return this.#lastHeardMs;
+  }
+
+  get bytesSent(): number {
+    return this.#bytesSent;
+  }
+
+  get bytesReceived(): number {
+    return this.#bytesReceived;
+  }
+
+  /** Sends one message; drops it where the link is closed. */
+  send(message: MeshMessage): void {
+    if (this.#closed) return;
+    const frame = encodeFrame(message);
+    this.#bytesSent += frame.length;
+    this.#options.socket.write(frame);
+    if (this.#options.socket.writableLength > MAX_BUFFERED_BYTES) {
+      this.close("tooSlow");
+    }
+  }
+
+  /** Closes the connection at once. */
+  close(fault: LinkFault): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#ready = false;
+    this.#options.socket.destroy();
+    this.#options.onClose(this, fault);
+  }
+
+  #sendHello(): void {
+    const { self } = this.#options;
+    this.send({
+      kind: "hello",
+      format: MESH_FORMAT,
+      vmId: self.id,
+      incarnation: self.incarnation,
+      availabilityZone: self.availabilityZone,
+      mesh: self.mesh,
+      nonce: this.#nonce,
+    });
+  }
+
+  #receive(bytes: Buffer): void {
+    if (this.#closed) return;
+    this.#bytesReceived += bytes.length;
+    this.#lastHeardMs = this.#options.clock.readMonotonicMs();
+    let values: unknown[];
+    try {
+      values = this.#reader.push(bytes);
+    } catch {
+      this.close("badFrame");
+      return;
+    }
+    for (const value of values) {
+      const message = parseMeshMessage(value);
+      if (message === undefined) return this.close("badMessage");
+      this.#dispatch(message);
+      if (this.#closed) return;
+    }
+  }
+
+  #dispatch(message: MeshMessage): void {
+    if (this.#ready) {
+      if (message.kind === "ping") {
+        this.send({ kind: "pong", seq: message.seq });
+      }
+      this.#options.onMessage(this, message);
+      return;
+    }
+    if (message.kind === "hello") this.#takeHello(message);
+    else if (message.kind === "prove") this.#takeProof(message.mac);
+    else this.close("badMessage");
+  }
+
+  #takeHello(hello: Hello): void {
+    if (hello.format !== MESH_FORMAT) return this.close("otherFormat");
+    if (this.#peer !== undefined) return this.close("badMessage");
+    this.#peer = {
+      id: hello.vmId,
+      incarnation: hello.incarnation,
+      availabilityZone: hello.availabilityZone,
+      mesh: hello.mesh,
+    };
+    const mac = computeProof(
+      this.#options.sharedKey,
+      hello.nonce,
+      this.#options.self.id,
+    );
+    this.send({ kind: "prove", mac });
+  }
+
+  #takeProof(mac: string): void {
+    if (this.#peer === undefined) return this.close("badMessage");
+    const expected = Buffer.from(
+      computeProof(this.#options.sharedKey, this.#nonce, this.#peer.id),
+    );
+    const given = Buffer.from(mac);
+    if (given.length !== expected.length || !timingSafeEqual(given, expected)) {
+      return this.close("badProof");
+    }
+    this.#ready = true;
+    this.#options.onReady(this);
+  }
+}
+
+/** Proof of the shared key over the other end's nonce, bound to the prover's id. */
+function computeProof(
+  sharedKey: string,
+  nonce: string,
+  proverId: string,
+): string {
+  return createHmac("sha256", `heatherarch-mesh:${sharedKey}`)
+    .update(`${nonce}|${proverId}`)
+    .digest("base64url");
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/membership.ts
@@ -0,0 +1,182 @@
+/**
+ * Who the entry VMs are, judged by what each answers. Pure: time comes in with each update.
+ *
+ * @module
+ */
+import { pickRendezvous } from "heatherarch-core";
+
+/** How a member is judged. */
+export type MemberStatus = "live" | "suspect" | "leaving";
+
+/** One entry VM as seen from here. */
+export interface Member {
+  readonly id: string;
+  readonly incarnation: string;
+  readonly availabilityZone: string;
+  readonly mesh: string;
+  readonly status: MemberStatus;
+  /** Monotonic time of the last answer; -Infinity for a VM that is only listed. */
+  readonly lastHeardMs: number;
+  readonly configOffset: number;
+  readonly controlOffset: number;
+}
+
+/** Options of {@linkcode Membership}. */
+export interface MembershipOptions {
+  readonly self: {
+    id: string;
+    incarnation: string;
+    availabilityZone: string;
+    mesh: string;
+  };
+  /** A member that has not answered for this long is suspect. */
+  readonly silenceMs: number;
+  /** A suspect that no list names is forgotten after this long. */
+  readonly forgetMs?: number;
+  /** Links to each other availability zone. */
+  readonly linksPerZone?: number;
+}
+
+const DEFAULT_FORGET_MS = 60_000;
+const DEFAULT_LINKS_PER_ZONE = 2;
+
+/** The membership view of one entry VM. */
+export class Membership {
+  readonly #options: Required<MembershipOptions>;
+  readonly #members = new Map<string, Member>();
+  #listed = new Set<string>();
+
+  constructor(options: MembershipOptions) {
+    this.#options = {
+      forgetMs: DEFAULT_FORGET_MS,
+      linksPerZone: DEFAULT_LINKS_PER_ZONE,
+      ...options,
+    };
+  }
+
+  /** Takes in the platform's list or configured peers: a hint that adds, never removes the live. */
+  noteListed(
+    vms: readonly { id: string; availabilityZone: string; mesh: string }[],
+  ): void {
+    this.#listed = new Set(vms.map((vm) => vm.id));
+    for (const vm of vms) {
+      if (vm.id === this.#options.self.id) continue;
+      const known = this.#members.get(vm.id);
+      if (known !== undefined) {
+        if (known.status === "suspect" && known.mesh !== vm.mesh) {
+          this.#members.set(vm.id, { ...known, mesh: vm.mesh });
+        }
+        continue;
+      }
+      this.#members.set(vm.id, {
+        ...vm,
+        incarnation: "",
+        status: "suspect",
+        lastHeardMs: -Infinity,
+        configOffset: -1,
+        controlOffset: -1,
+      });
+    }
+  }
+
+  /** Takes in an answer from a peer. */
+  noteHeard(
+    peer: {
+      id: string;
+      incarnation: string;
+      availabilityZone: string;
+      mesh: string;
+    },
+    nowMs: number,
+  ): void {
+    if (peer.id === this.#options.self.id) return;
+    const known = this.#members.get(peer.id);
+    const same = known?.incarnation === peer.incarnation;
+    this.#members.set(peer.id, {
+      ...peer,
+      status: same && known.status === "leaving" ? "leaving" : "live",
+      lastHeardMs: nowMs,
+      configOffset: same ? known.configOffset : -1,
+      controlOffset: same ? known.controlOffset : -1,
+    });
+  }
+
+  /** Takes in what a heartbeat said of its sender. */
+  noteProgress(
+    id: string,
+    progress: { configOffset: number; controlOffset: number; leaving: boolean },
+  ): void {
+    const known = this.#members.get(id);
+    if (known === undefined) return;
+    this.#members.set(id, {
+      ...known,
+      configOffset: Math.max(known.configOffset, progress.configOffset),
+      controlOffset: Math.max(known.controlOffset, progress.controlOffset),
+      status: progress.leaving ? "leaving" : known.status,
+    });
+  }
+
+  /** Judges members by the time of their last answer; forgets those long gone. */
+  expire(nowMs: number): void {
+    for (const [id, member] of this.#members) {
+      const silentMs = nowMs - member.lastHeardMs;
+      if (silentMs <= this.#options.silenceMs) continue;
+      if (silentMs > this.#options.forgetMs && !this.#listed.has(id)) {
+        this.#members.delete(id);
+      } else if (member.status === "live") {
+        this.#members.set(id, { ...member, status: "suspect" });
+      }
+    }
+  }
+
+  /** All known peers. */
+  listMembers(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
+  /** Ids of the live VMs of one availability zone, this one included. */
+  listLive(availabilityZone?: string): string[] {
+    const { self } = this.#options;
+    const ids = this.listMembers()
+      .filter((member) => member.status === "live")
+      .filter((member) =>
+        !availabilityZone || member.availabilityZone === availabilityZone
+      )
+      .map((member) => member.id);
+    if (!availabilityZone || self.availabilityZone === availabilityZone) {
+      ids.push(self.id);
+    }
+    return ids.sort();
+  }
+
+  getMember(id: string): Member | undefined {
+    return this.#members.get(id);
+  }
+
+  /** Peers that this VM keeps a link to: all of its zone, a few of each other zone. */
+  pickLinkPeers(): Member[] {
+    const { self, linksPerZone } = this.#options;
+    const byZone = new Map<string, Member[]>();
+    for (const member of this.#members.values()) {
+      const list = byZone.get(member.availabilityZone) ?? [];
+      list.push(member);
+      byZone.set(member.availabilityZone, list);
+    }
+    const picked: Member[] = [];
+    for (const [zone, members] of byZone) {
+      if (zone === self.availabilityZone) {
+        picked.push(...members);
+        continue;
+      }
+      const usable = members.filter((member) => member.status === "live");
+      const pool = usable.length >= linksPerZone ? usable : members;
+      const ids = pickRendezvous(
+        self.id,
+        pool.map((member) => member.id),
+        linksPerZone,
+      );
+      picked.push(...pool.filter((member) => ids.includes(member.id)));
+    }
+    return picked;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -0,0 +1,424 @@
+/**
+ * The mesh of one entry VM: accepts and dials links, judges silent ones, and carries calls
+ * with an answer.
+ *
+ * @module
+ */
+import { connect, createServer, type Server, type Socket } from "node:net";
+import {
+  connect as connectTls,
+  createServer as createTlsServer,
+} from "node:tls";
+import { type Clock, toServeError } from "heatherarch-core";
+import { Link, type LinkFault, type LinkIdentity } from "./link.ts";
+import type { Member, Membership } from "./membership.ts";
+import type { Heartbeat, MeshMessage } from "./messages.ts";
+
+/** Answers one kind of call from a peer. */
+export type CallHandler = (
+  body: unknown,
+  from: LinkIdentity,
+) => Promise<unknown>;
+/** Receives heartbeats. */
+export type HeartbeatListener = (
+  heartbeat: Heartbeat,
+  from: LinkIdentity,
+) => void;
+
+/** Certificates of the mesh, in PEM. */
+export interface MeshTls {
+  readonly cert: string;
+  readonly key: string;
+  readonly ca: string;
+}
+
+/** Options of {@linkcode MeshNode}. */
+export interface MeshNodeOptions {
+  readonly self: LinkIdentity;
+  /** Address to listen on, `ip:port`. */
+  readonly listen: string;
+  readonly sharedKey: string;
+  readonly maxFrameBytes: number;
+  readonly heartbeatMs: number;
+  readonly silenceMs: number;
+  readonly tls?: MeshTls;
+  readonly clock: Clock;
+  readonly membership: Membership;
+  /** Address of a peer as this VM must dial it. */
+  readonly translate: (address: string) => string;
+  /** Heartbeat for one link; what changed since the last one on that link. */
+  readonly buildHeartbeat: (link: Link, peer: LinkIdentity) => Heartbeat;
+  readonly onFault: (fault: LinkFault) => void;
+}
+
+/** A peer did not answer a call in time, or the link was lost: the call may have been done. */
+export class MeshCallError extends Error {
+  constructor(detail: string) {
+    super(`mesh call: ${detail}`);
+    this.name = "MeshCallError";
+  }
+}
+
+interface PendingCall {
+  readonly peerId: string;
+  readonly resolve: (body: unknown) => void;
+  readonly reject: (error: Error) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+interface DialedPeer {
+  link: Link | undefined;
+  /** A second connection, opened because `link` is silent. */
+  probe: Link | undefined;
+  /** Monotonic time before which no new dial is made. */
+  nextDialMs: number;
+  failures: number;
+}
+
+const MAX_BACKOFF_MS = 5000;
+
+/** Byte counters of all links, for metrics. */
+export interface MeshTraffic {
+  readonly bytesSent: number;
+  readonly bytesReceived: number;
+  readonly links: number;
+}
+
+/** The task that owns all mesh sockets of this process. */
+export class MeshNode {
+  readonly #options: MeshNodeOptions;
+  readonly #handlers = new Map<string, CallHandler>();
+  readonly #heartbeatListeners = new Set<HeartbeatListener>();
+  readonly #dialed = new Map<string, DialedPeer>();
+  readonly #accepted = new Set<Link>();
+  readonly #calls = new Map<number, PendingCall>();
+  #server: Server | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #nextCallId = 1;
+  #closedBytesSent = 0;
+  #closedBytesReceived = 0;
+  #resets = 0;
+  #stopped = false;
+
+  constructor(options: MeshNodeOptions) {
+    this.#options = options;
+  }
+
+  /** Starts listening and dialing. */
+  async start(): Promise<void> {
+    const { host, port } = splitAddress(this.#options.listen);
+    const onSocket = (socket: Socket): void => this.#accept(socket);
+    const { tls } = this.#options;
+    const server: Server = tls === undefined
+      ? createServer(onSocket)
+      : createTlsServer(buildTlsOptions(tls), onSocket);
+    this.#server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, resolve);
+    });
+    this.#timer = setInterval(() => this.#tick(), this.#options.heartbeatMs);
+    this.#tick();
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#timer);
+    this.#server?.close();
+    for (const link of this.#listLinks()) link.close("closed");
+  }
+
+  /** Registers the handler of a method and returns its undo. */
+  registerCall(method: string, handler: CallHandler): () => void {
+    this.#handlers.set(method, handler);
+    return () => {
+      this.#handlers.delete(method);
+    };
+  }
+
+  /** Registers a listener for heartbeats and returns its undo. */
+  registerHeartbeatListener(listener: HeartbeatListener): () => void {
+    this.#heartbeatListeners.add(listener);
+    return () => {
+      this.#heartbeatListeners.delete(listener);
+    };
+  }
+
+  /** Calls a method of a peer. Throws {@linkcode MeshCallError} where the answer is unknown. */
+  call(
+    peerId: string,
+    method: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const link = this.#findLink(peerId);
+    if (link === undefined) {
+      return Promise.reject(new MeshCallError(`no link to ${peerId}`));
+    }
+    const id = this.#nextCallId++;
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.#calls.delete(id);
+        reject(new MeshCallError(`${method} at ${peerId} timed out`));
+      }, timeoutMs);
+      this.#calls.set(id, { peerId, resolve, reject, timer });
+      link.send({ kind: "call", id, method, body });
+    });
+  }
+
+  /** Whether there is a ready link to the peer. */
+  hasLink(peerId: string): boolean {
+    return this.#findLink(peerId) !== undefined;
+  }
+
+  /** Sends a heartbeat on every link now, without waiting for the interval. */
+  sendHeartbeats(): void {
+    for (const link of this.#listReadyLinks()) this.#sendHeartbeat(link);
+  }
+
+  /** Links that were replaced because they had gone silent while a new one worked. */
+  get resets(): number {
+    return this.#resets;
+  }
+
+  readTraffic(): MeshTraffic {
+    let bytesSent = this.#closedBytesSent;
+    let bytesReceived = this.#closedBytesReceived;
+    const links = this.#listLinks();
+    for (const link of links) {
+      bytesSent += link.bytesSent;
+      bytesReceived += link.bytesReceived;
+    }
+    return { bytesSent, bytesReceived, links: links.length };
+  }
+
+  #tick(): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const { membership } = this.#options;
+    membership.expire(nowMs);
+    const wanted = new Map(
+      membership.pickLinkPeers().map((member) => [member.id, member]),
+    );
+    for (const [id, peer] of this.#dialed) {
+      if (wanted.has(id)) continue;
+      peer.link?.close("closed");
+      peer.probe?.close("closed");
+      this.#dialed.delete(id);
+    }
+    for (const member of wanted.values()) this.#tendPeer(member, nowMs);
+    for (const link of this.#accepted) {
+      if (nowMs - link.lastHeardMs > this.#options.silenceMs * 2) {
+        link.close("silent");
+      }
+    }
+    for (const link of this.#listReadyLinks()) this.#sendHeartbeat(link);
+  }
+
+  #tendPeer(member: Member, nowMs: number): void {
+    let peer = this.#dialed.get(member.id);
+    if (peer === undefined) {
+      peer = { link: undefined, probe: undefined, nextDialMs: 0, failures: 0 };
+      this.#dialed.set(member.id, peer);
+    }
+    const { link } = peer;
+    if (link === undefined) {
+      if (nowMs >= peer.nextDialMs) peer.link = this.#dial(member, peer, nowMs);
+      return;
+    }
+    const silentMs = nowMs - link.lastHeardMs;
+    if (silentMs <= this.#options.silenceMs) return;
+    if (!link.isReady) return link.close("silent");
+    if (peer.probe === undefined) {
+      peer.probe = this.#dial(member, peer, nowMs);
+    } else if (nowMs - peer.probe.lastHeardMs > this.#options.silenceMs) {
+      peer.probe.close("silent");
+      link.close("silent");
+    }
+  }
+
+  #dial(member: Member, peer: DialedPeer, nowMs: number): Link {
+    peer.nextDialMs = nowMs +
+      Math.min(MAX_BACKOFF_MS, 100 * 2 ** peer.failures);
+    peer.failures = Math.min(peer.failures + 1, 10);
+    const { host, port } = splitAddress(this.#options.translate(member.mesh));
+    const { tls } = this.#options;
+    const socket = tls === undefined ? connect({ host, port }) : connectTls({
+      host,
+      port,
+      ...buildTlsOptions(tls),
+      checkServerIdentity: () => undefined,
+    });
+    return this.#createLink(socket, {
+      onReady: (link) => this.#adopt(link, member, peer),
+      onClose: (link) => {
+        if (peer.probe === link) peer.probe = undefined;
+        if (peer.link === link) {
+          peer.link = peer.probe;
+          peer.probe = undefined;
+        }
+      },
+    });
+  }
+
+  /** A dialed link has proved itself: it replaces a silent one. */
+  #adopt(link: Link, member: Member, peer: DialedPeer): void {
+    if (link.peer?.id !== member.id) return link.close("badMessage");
+    peer.failures = 0;
+    if (peer.probe === link && peer.link !== undefined) {
+      const silent = peer.link;
+      peer.probe = undefined;
+      peer.link = link;
+      this.#resets++;
+      silent.close("silent");
+    }
+  }
+
+  #accept(socket: Socket): void {
+    const link = this.#createLink(socket, {
+      onReady: () => undefined,
+      onClose: (closed) => this.#accepted.delete(closed),
+    });
+    this.#accepted.add(link);
+  }
+
+  #createLink(
+    socket: Socket,
+    hooks: { onReady: (link: Link) => void; onClose: (link: Link) => void },
+  ): Link {
+    const { self, sharedKey, maxFrameBytes, clock } = this.#options;
+    return new Link({
+      socket,
+      self,
+      sharedKey,
+      maxFrameBytes,
+      clock,
+      onReady: (link) => {
+        this.#noteHeard(link);
+        hooks.onReady(link);
+        if (!link.isClosed) this.#sendHeartbeat(link);
+      },
+      onMessage: (link, message) => this.#receive(link, message),
+      onClose: (link, fault) => {
+        this.#closedBytesSent += link.bytesSent;
+        this.#closedBytesReceived += link.bytesReceived;
+        hooks.onClose(link);
+        if (!this.#stopped) this.#options.onFault(fault);
+      },
+    });
+  }
+
+  #receive(link: Link, message: MeshMessage): void {
+    this.#noteHeard(link);
+    const peer = link.peer as LinkIdentity;
+    switch (message.kind) {
+      case "heartbeat":
+        this.#options.membership.noteProgress(peer.id, message);
+        for (const listener of this.#heartbeatListeners) {
+          listener(message, peer);
+        }
+        break;
+      case "call":
+        void this.#answer(link, peer, message);
+        break;
+      case "reply":
+        this.#settle(message);
+        break;
+      default:
+        break;
+    }
+  }
+
+  async #answer(
+    link: Link,
+    peer: LinkIdentity,
+    call: Extract<MeshMessage, { kind: "call" }>,
+  ): Promise<void> {
+    const { id, method, body } = call;
+    try {
+      const handler = this.#handlers.get(method);
+      if (handler === undefined) {
+        throw new Error(`no method is named ${method}`);
+      }
+      const reply = await handler(body, peer);
+      link.send({ kind: "reply", id, ok: true, body: reply });
+    } catch (error) {
+      link.send({
+        kind: "reply",
+        id,
+        ok: false,
+        body: toServeError(error).message,
+      });
+    }
+  }
+
+  #settle(reply: Extract<MeshMessage, { kind: "reply" }>): void {
+    const pending = this.#calls.get(reply.id);
+    if (pending === undefined) return;
+    this.#calls.delete(reply.id);
+    clearTimeout(pending.timer);
+    if (reply.ok) pending.resolve(reply.body);
+    else pending.reject(new MeshCallError(String(reply.body)));
+  }
+
+  #noteHeard(link: Link): void {
+    if (link.peer === undefined) return;
+    this.#options.membership.noteHeard(
+      link.peer,
+      this.#options.clock.readMonotonicMs(),
+    );
+  }
+
+  #sendHeartbeat(link: Link): void {
+    if (link.peer === undefined) return;
+    link.send({ kind: "ping", seq: 0 });
+    link.send(this.#options.buildHeartbeat(link, link.peer));
+  }
+
+  #findLink(peerId: string): Link | undefined {
+    const dialed = this.#dialed.get(peerId)?.link;
+    if (dialed?.isReady) return dialed;
+    for (const link of this.#accepted) {
+      if (link.isReady && link.peer?.id === peerId) return link;
+    }
+    return undefined;
+  }
+
+  /** One ready link for each peer; a dialed one where there is one. */
+  #listReadyLinks(): Link[] {
+    const byPeer = new Map<string, Link>();
+    for (const link of this.#accepted) {
+      if (link.isReady && link.peer) byPeer.set(link.peer.id, link);
+    }
+    for (const [id, peer] of this.#dialed) {
+      if (peer.link?.isReady) byPeer.set(id, peer.link);
+    }
+    return [...byPeer.values()];
+  }
+
+  #listLinks(): Link[] {
+    const links = [...this.#accepted];
+    for (const { link, probe } of this.#dialed.values()) {
+      if (link) links.push(link);
+      if (probe) links.push(probe);
+    }
+    return links;
+  }
+}
+
+/** Splits `ip:port`, also with a bracketed IPv6 address. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(":");
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(colon + 1)) };
+}
+
+function buildTlsOptions(tls: MeshTls) {
+  return {
+    cert: tls.cert,
+    key: tls.key,
+    ca: tls.ca,
+    requestCert: true,
+    rejectUnauthorized: true,
+  };
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/messages.ts
@@ -0,0 +1,85 @@
+/**
+ * Messages between entry VMs.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+/** Version of the mesh protocol. Peers of another version are refused. */
+export const MESH_FORMAT = 1;
+
+/** Load of one target as a watcher saw it, in a compact row (id, role, flags, running, waiting, pending prefill tokens). */
+const REPORT_ROW = z.tuple([
+  /** Target. */
+  z.string(),
+  /** Index of the role. */
+  z.int(),
+  /** Bits: busy with an order, leaving, unreachable. */
+  z.int(),
+  z.int(),
+  z.int(),
+  z.int(),
+]);
+
+const LEAVING_MARK = z.object({ target: z.string(), sinceOffset: z.int() });
+
+const HEARTBEAT = z.object({
+  kind: z.literal("heartbeat"),
+  configOffset: z.int(),
+  controlOffset: z.int(),
+  /** The sender itself is shutting down. */
+  leaving: z.boolean(),
+  /** Targets known to be leaving, where the set changed since the last heartbeat. */
+  leavingTargets: z.array(LEAVING_MARK).optional(),
+  /** Rows that changed since the last heartbeat on this link. */
+  reports: z.array(REPORT_ROW).optional(),
+  /** Targets of the zone with an open order, as of `controlOffset`. */
+  changing: z.array(z.string()).optional(),
+  /** Lowest configuration offset among the live VMs of the sender's zone, and their number. */
+  zone: z.tuple([z.int(), z.int()]).optional(),
+  /** Tokens a second that this VM was asked for: prefill, decode. */
+  demand: z.tuple([z.number(), z.number()]).optional(),
+});
+
+const MESSAGE = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("hello"),
+    format: z.int(),
+    vmId: z.string().min(1).max(64),
+    incarnation: z.string().min(1).max(64),
+    availabilityZone: z.string().min(1).max(64),
+    mesh: z.string().max(64),
+    nonce: z.string().max(64),
+  }),
+  z.object({ kind: z.literal("prove"), mac: z.string().max(128) }),
+  z.object({ kind: z.literal("ping"), seq: z.int() }),
+  z.object({ kind: z.literal("pong"), seq: z.int() }),
+  HEARTBEAT,
+  z.object({
+    kind: z.literal("call"),
+    id: z.int(),
+    method: z.string(),
+    body: z.unknown(),
+  }),
+  z.object({
+    kind: z.literal("reply"),
+    id: z.int(),
+    ok: z.boolean(),
+    body: z.unknown(),
+  }),
+]);
+
+/** One message between entry VMs. */
+export type MeshMessage = z.infer<typeof MESSAGE>;
+/** What a VM tells its peers at regular intervals. */
+export type Heartbeat = z.infer<typeof HEARTBEAT>;
+/** A target's load in a heartbeat. */
+export type ReportRow = z.infer<typeof REPORT_ROW>;
+/** The first message on a link. */
+export type Hello = Extract<MeshMessage, { kind: "hello" }>;
+
+/** Reads a decoded value as a message; undefined where it is none. */
+export function parseMeshMessage(value: unknown): MeshMessage | undefined {
+  const parsed = MESSAGE.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/packages/heatherarch-mesh/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * TCP links between entry VMs, heartbeats and membership.
+ *
+ * @module
+ */
+export * from "./frame.ts";
+export * from "./leaving_set.ts";
+export * from "./link.ts";
+export * from "./membership.ts";
+export * from "./mesh_node.ts";
+export * from "./messages.ts";
--- /dev/null
+++ b/packages/heatherarch-policy/demand_meter.ts
@@ -0,0 +1,86 @@
+/**
+ * Measures the demand for prefill and decode work over a sliding window.
+ *
+ * @module
+ */
+
+/** Tokens a second that were asked for, whether or not they were served. */
+export interface Demand {
+  readonly prefillTokensPerSecond: number;
+  readonly decodeTokensPerSecond: number;
+}
+
+/** No demand. */
+export const NO_DEMAND: Demand = {
+  prefillTokensPerSecond: 0,
+  decodeTokensPerSecond: 0,
+};
+
+/** Adds demands up. */
+export function sumDemand(demands: Iterable<Demand>): Demand {
+  let prefillTokensPerSecond = 0;
+  let decodeTokensPerSecond = 0;
+  for (const demand of demands) {
+    prefillTokensPerSecond += demand.prefillTokensPerSecond;
+    decodeTokensPerSecond += demand.decodeTokensPerSecond;
+  }
+  return { prefillTokensPerSecond, decodeTokensPerSecond };
+}
+
+interface Bucket {
+  readonly startMs: number;
+  prefill: number;
+  decode: number;
+}
+
+const BUCKETS = 10;
+
+/** A meter over `windowMs`. */
+export class DemandMeter {
+  readonly #windowMs: number;
+  readonly #bucketMs: number;
+  readonly #buckets: Bucket[] = [];
+  #firstMs: number | undefined;
+
+  constructor(windowMs: number) {
+    this.#windowMs = windowMs;
+    this.#bucketMs = windowMs / BUCKETS;
+  }
+
+  /** Notes a request that arrived. */
+  note(prefillTokens: number, decodeTokens: number, nowMs: number): void {
+    this.#firstMs ??= nowMs;
+    let bucket = this.#buckets.at(-1);
+    if (bucket === undefined || nowMs - bucket.startMs >= this.#bucketMs) {
+      bucket = { startMs: nowMs, prefill: 0, decode: 0 };
+      this.#buckets.push(bucket);
+    }
+    bucket.prefill += prefillTokens;
+    bucket.decode += decodeTokens;
+  }
+
+  /** Demand over the window that ends at `nowMs`. */
+  read(nowMs: number): Demand {
+    while (
+      this.#buckets.length > 0 &&
+      nowMs - this.#buckets[0].startMs > this.#windowMs
+    ) {
+      this.#buckets.shift();
+    }
+    if (this.#firstMs === undefined) return NO_DEMAND;
+    const spanMs = Math.min(
+      this.#windowMs,
+      Math.max(this.#bucketMs, nowMs - this.#firstMs),
+    );
+    let prefill = 0;
+    let decode = 0;
+    for (const bucket of this.#buckets) {
+      prefill += bucket.prefill;
+      decode += bucket.decode;
+    }
+    return {
+      prefillTokensPerSecond: prefill * 1000 / spanMs,
+      decodeTokensPerSecond: decode * 1000 / spanMs,
+    };
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-policy/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * Decisions under load: routing, admission, limits, retry budgets, role planning. All of it
+ * is pure; time and measurements come in with each call.
+ *
+ * @module
+ */
+export * from "./account_limits.ts";
+export * from "./admission.ts";
+export * from "./candidate.ts";
+export * from "./demand_meter.ts";
+export * from "./engine_model.ts";
+export * from "./load_tracker.ts";
+export * from "./prefix_key.ts";
+export * from "./retry_budget.ts";
+export * from "./role_planner.ts";
+export * from "./router.ts";
+export * from "./router_adaptive.ts";
+export * from "./router_static.ts";
--- /dev/null
+++ b/packages/heatherarch-policy/retry_budget.ts
@@ -0,0 +1,40 @@
+/**
+ * A budget that keeps retries a share of fresh requests, so that they can't multiply load.
+ *
+ * @module
+ */
+
+/** Options of {@linkcode RetryBudget}. */
+export interface RetryBudgetOptions {
+  /** Retries earned by each fresh request. */
+  readonly share: number;
+  /** Retries that may be saved up. */
+  readonly reserve?: number;
+}
+
+const DEFAULT_RESERVE = 20;
+
+/** Counts what may still be retried. */
+export class RetryBudget {
+  readonly #share: number;
+  readonly #reserve: number;
+  #tokens: number;
+
+  constructor(options: RetryBudgetOptions) {
+    this.#share = options.share;
+    this.#reserve = options.reserve ?? DEFAULT_RESERVE;
+    this.#tokens = this.#reserve;
+  }
+
+  /** A fresh request earns a share of a retry. */
+  noteRequest(): void {
+    this.#tokens = Math.min(this.#reserve, this.#tokens + this.#share);
+  }
+
+  /** Spends one retry; false where none is left. */
+  spendRetry(): boolean {
+    if (this.#tokens < 1) return false;
+    this.#tokens--;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-settings/fleet.ts
@@ -0,0 +1,150 @@
+/**
+ * The fleet configuration: zones, services, targets and accounts, as operators publish it.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { Err, Ok, type Result } from "heatherarch-core";
+import { buildFaults, type Fault } from "./fault.ts";
+
+const NAME = z.string().regex(
+  /^[a-z0-9][a-z0-9._-]{0,62}$/,
+  "must be a short lower-case name",
+);
+const ADDRESS = z.string().regex(
+  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
+  "must be ip:port",
+);
+
+/** Engine dialects that ship with the product. */
+export const ENGINE_DIALECTS = ["sse", "ndjson"] as const;
+/** Name of an engine dialect. */
+export type EngineDialect = typeof ENGINE_DIALECTS[number];
+
+const MODEL_SERVICE = z.strictObject({
+  name: NAME,
+  kind: z.literal("model"),
+  /** Model names that callers may ask for. */
+  models: z.array(z.string().min(1)).min(1),
+  /** Version that the engines should have loaded. */
+  version: z.string().min(1).default("1"),
+});
+
+const PLAIN_SERVICE = z.strictObject({
+  name: NAME,
+  kind: z.literal("plain"),
+  /** Methods that may be sent again after an uncertain failure. */
+  idempotentMethods: z.array(z.string()).default(["GET", "HEAD", "OPTIONS"]),
+  /** Other methods must carry an idempotency key. */
+  keyRequired: z.boolean().default(false),
+  /** The service itself deduplicates keys, so a call may be passed on during an outage. */
+  honoursKey: z.boolean().default(false),
+  /** The service returns the `x-try-id` of a call; an answer without it is then refused. */
+  echoesTryId: z.boolean().default(false),
+});
+
+const TARGET = z.strictObject({
+  id: NAME,
+  service: NAME,
+  availabilityZone: NAME,
+  address: ADDRESS,
+  dialect: z.enum(ENGINE_DIALECTS).default("sse"),
+  /** The engine refuses an order whose fencing number is lower than one it has obeyed. */
+  checksFencing: z.boolean().default(true),
+  role: z.enum(["prefill", "decode", "mixed"]).default("mixed"),
+  /** Requests that it takes at once. */
+  maxConcurrent: z.int().min(1).max(100_000).default(64),
+});
+
+const ACCOUNT = z.strictObject({
+  name: NAME,
+  /** SHA-256 of the bearer token in hex; an account without one is open to all. */
+  tokenSha256: z.string().regex(/^[0-9a-f]{64}$/).optional(),
+  requestsPerSecond: z.number().min(0.01).max(1e6).default(100),
+  burst: z.int().min(1).max(1e6).default(200),
+  maxConcurrent: z.int().min(1).max(1e6).default(1000),
+  weight: z.number().min(0.01).max(1000).default(1),
+});
+
+const PLANNING = z.strictObject({
+  policy: z.enum(["none", "greedy", "horizon"]).default("horizon"),
+  intervalMs: z.int().min(50).max(600_000).default(2000),
+  /** How long a demand is expected to last when a role change is weighed. */
+  horizonMs: z.int().min(100).max(3_600_000).default(60_000),
+  /** Time an engine is away for one change. */
+  changeMs: z.int().min(0).max(600_000).default(5000),
+  /** What a role change costs besides the time away, in multiples of that time. */
+  changeWeight: z.number().min(0).max(100).default(1),
+  minimumPerRole: z.int().min(0).default(1),
+});
+
+const FLEET_SCHEMA = z.strictObject({
+  deployment: NAME,
+  availabilityZones: z.array(NAME).min(1),
+  services: z.array(
+    z.discriminatedUnion("kind", [MODEL_SERVICE, PLAIN_SERVICE]),
+  ).min(1),
+  targets: z.array(TARGET),
+  accounts: z.array(ACCOUNT).default([]),
+  /** Requests without a known account are served under the account `anonymous`. */
+  allowAnonymous: z.boolean().default(true),
+  planning: PLANNING.prefault({}),
+}).superRefine((fleet, context) => {
+  checkUnique(fleet.services.map((s) => s.name), "services", context);
+  checkUnique(fleet.targets.map((t) => t.id), "targets", context);
+  checkUnique(fleet.accounts.map((a) => a.name), "accounts", context);
+  checkUnique(fleet.availabilityZones, "availabilityZones", context);
+  const services = new Map(fleet.services.map((s) => [s.name, s]));
+  fleet.targets.forEach((target, index) => {
+    if (!services.has(target.service)) {
+      const message = `no service is named ${target.service}`;
+      context.addIssue({
+        code: "custom",
+        path: ["targets", index, "service"],
+        message,
+      });
+    }
+    if (!fleet.availabilityZones.includes(target.availabilityZone)) {
+      const message =
+        `no availability zone is named ${target.availabilityZone}`;
+      context.addIssue({
+        code: "custom",
+        path: ["targets", index, "availabilityZone"],
+        message,
+      });
+    }
+  });
+});
+
+function checkUnique(
+  names: readonly string[],
+  list: string,
+  context: z.RefinementCtx,
+): void {
+  names.forEach((name, index) => {
+    if (names.indexOf(name) === index) return;
+    const message = `${name} stands twice`;
+    context.addIssue({ code: "custom", path: [list, index], message });
+  });
+}
+
+/** A checked fleet configuration. */
+export type Fleet = z.infer<typeof FLEET_SCHEMA>;
+/** One service of a fleet. */
+export type Service = Fleet["services"][number];
+/** A service answered by language-model engines. */
+export type ModelService = Extract<Service, { kind: "model" }>;
+/** A service that requests are passed through to. */
+export type PlainService = Extract<Service, { kind: "plain" }>;
+/** One engine or plain back end. */
+export type Target = Fleet["targets"][number];
+/** One client account. */
+export type Account = Fleet["accounts"][number];
+/** How roles are planned. */
+export type Planning = Fleet["planning"];
+
+/** Checks a fleet configuration and fills in defaults. */
+export function parseFleet(input: unknown): Result<Fleet, Fault[]> {
+  const parsed = FLEET_SCHEMA.safeParse(input);
+  return parsed.success ? Ok(parsed.data) : Err(buildFaults(parsed.error));
+}
--- /dev/null
+++ b/packages/heatherarch-settings/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Settings of one process, and the fleet configuration and profiles that operators publish.
+ *
+ * @module
+ */
+export * from "./fault.ts";
+export * from "./fleet.ts";
+export * from "./profile.ts";
+export * from "./process_settings.ts";
+export * from "./toml.ts";
--- /dev/null
+++ b/packages/heatherarch-settings/process_settings.ts
@@ -0,0 +1,169 @@
+/**
+ * Settings of one `heatherarchd` process, from TOML.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { Err, Ok, type Result } from "heatherarch-core";
+import { buildFaults, type Fault } from "./fault.ts";
+import { parseToml } from "./toml.ts";
+
+const ADDRESS = z.string().regex(
+  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-f:]+\]:\d{1,5}$/,
+  "must be ip:port",
+);
+const MS = (low: number, high: number, value: number) =>
+  z.int().min(low).max(high).default(value);
+
+const TLS = z.strictObject({
+  certificateFile: z.string(),
+  privateKeyFile: z.string(),
+  /** Peers must show a certificate that this authority signed. */
+  authorityFile: z.string().optional(),
+});
+
+const OPERATOR = z.strictObject({
+  name: z.string().min(1),
+  tokenSha256: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in hex"),
+});
+
+const PEER = z.strictObject({
+  id: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  mesh: ADDRESS,
+});
+
+const PROCESS_SCHEMA = z.strictObject({
+  vm: z.strictObject({
+    id: z.string().regex(
+      /^[a-z0-9][a-z0-9-]{0,62}$/,
+      "must be a short lower-case name",
+    ),
+    availabilityZone: z.string().min(1),
+  }),
+  listen: z.strictObject({
+    callers: ADDRESS,
+    operators: ADDRESS,
+    mesh: ADDRESS,
+    callersTls: TLS.optional(),
+    operatorsTls: TLS.optional(),
+    meshTls: TLS.optional(),
+  }),
+  platform: z.strictObject({
+    log: z.url(),
+    vmList: z.url(),
+    requestTimeoutMs: MS(10, 60_000, 2000),
+    pollWaitMs: MS(10, 60_000, 2000),
+    vmListIntervalMs: MS(50, 600_000, 2000),
+    /** Records of a stream after which a snapshot is appended. */
+    snapshotEveryRecords: z.int().min(2).max(1_000_000).default(500),
+  }),
+  mesh: z.strictObject({
+    /** Shared key that peers prove to each other; empty only on loopback. */
+    sharedKey: z.string().default(""),
+    heartbeatMs: MS(10, 60_000, 500),
+    silenceMs: MS(50, 600_000, 2500),
+    maxFrameBytes: z.int().min(1024).max(64 * 1024 * 1024).default(
+      4 * 1024 * 1024,
+    ),
+    peers: z.array(PEER).default([]),
+  }).prefault({}),
+  operators: z.array(OPERATOR).default([]),
+  lease: z.strictObject({
+    durationMs: MS(100, 600_000, 4000),
+    driftMs: MS(10, 60_000, 500),
+    renewMs: MS(20, 60_000, 1000),
+    /** How long a new holder leaves engines that ignore fencing numbers alone. */
+    settleMs: MS(0, 600_000, 1500),
+  }).prefault({}),
+  claims: z.strictObject({
+    shards: z.int().min(1).max(4096).default(4),
+    batchMs: MS(0, 1000, 5),
+    maxBatch: z.int().min(1).max(10_000).default(500),
+    permissionMs: MS(50, 60_000, 2000),
+    /** How long a key is remembered after the time that it carries. */
+    keyWindowMs: MS(1000, 30 * 86_400_000, 86_400_000),
+    futureSkewMs: MS(0, 3_600_000, 60_000),
+  }).prefault({}),
+  requests: z.strictObject({
+    maxBodyBytes: z.int().min(1024).max(1 << 30).default(8 * 1024 * 1024),
+    maxHeaderBytes: z.int().min(1024).max(1 << 20).default(32 * 1024),
+    headerTimeoutMs: MS(100, 600_000, 10_000),
+    bodyTimeoutMs: MS(100, 600_000, 30_000),
+    maxDeadlineMs: MS(100, 86_400_000, 3_600_000),
+    connectTimeoutMs: MS(10, 60_000, 1000),
+    /** Longest wait for the first byte of a try before it is judged silent. */
+    firstByteTimeoutMs: MS(50, 600_000, 15_000),
+    /** Longest gap between tokens of a try before it is judged silent. */
+    gapTimeoutMs: MS(50, 600_000, 5000),
+    resumeWindowMs: MS(0, 600_000, 30_000),
+    /** Retries allowed as a share of fresh requests. */
+    retryShare: z.number().min(0).max(1).default(0.2),
+    maxTries: z.int().min(1).max(20).default(5),
+    /** Share of each target's places that only lookups may use. */
+    lookupReserveShare: z.number().min(0).max(0.9).default(0.1),
+    /** Requests that may be in progress at once on this VM. */
+    maxInFlight: z.int().min(1).max(1_000_000).default(20_000),
+  }).prefault({}),
+  targets: z.strictObject({
+    reportIntervalMs: MS(10, 60_000, 250),
+    reportTimeoutMs: MS(10, 60_000, 1000),
+    /** A target without a report for this long is not used. */
+    staleMs: MS(100, 600_000, 5000),
+    watchersPerTarget: z.int().min(1).max(16).default(2),
+  }).prefault({}),
+  shutdown: z.strictObject({
+    /** Longest wait for requests in flight after SIGTERM. */
+    drainTimeoutMs: MS(0, 3_600_000, 120_000),
+    /** How long `/readyz` says no before the callers' port closes. */
+    noticeMs: MS(0, 60_000, 500),
+  }).prefault({}),
+  logs: z.strictObject({
+    level: z.enum(["error", "warn", "info", "debug"]).default("info"),
+  }).prefault({}),
+  network: z.strictObject({
+    /** Addresses as published to addresses as seen from this VM. */
+    translate: z.record(z.string(), z.string()).default({}),
+  }).prefault({}),
+}).superRefine((settings, context) => {
+  if (settings.lease.renewMs * 2 > settings.lease.durationMs) {
+    const message = "must be at most half of lease.durationMs";
+    context.addIssue({ code: "custom", path: ["lease", "renewMs"], message });
+  }
+  if (settings.mesh.sharedKey === "" && !isLoopback(settings.listen.mesh)) {
+    const message = "must be set where listen.mesh is not a loopback address";
+    context.addIssue({ code: "custom", path: ["mesh", "sharedKey"], message });
+  }
+  if (
+    settings.operators.length === 0 && !isLoopback(settings.listen.operators)
+  ) {
+    const message =
+      "must name an operator where listen.operators is not a loopback address";
+    context.addIssue({ code: "custom", path: ["operators"], message });
+  }
+});
+
+function isLoopback(address: string): boolean {
+  return address.startsWith("127.") || address.startsWith("[::1]");
+}
+
+/** Checked settings of one process. */
+export type ProcessSettings = z.infer<typeof PROCESS_SCHEMA>;
+
+/** Checks settings that are already an object. */
+export function parseProcessSettings(
+  input: unknown,
+): Result<ProcessSettings, Fault[]> {
+  const parsed = PROCESS_SCHEMA.safeParse(input);
+  return parsed.success ? Ok(parsed.data) : Err(buildFaults(parsed.error));
+}
+
+/** Checks settings in TOML. */
+export function readProcessSettings(
+  text: string,
+): Result<ProcessSettings, Fault[]> {
+  const parsed = parseToml(text);
+  return parsed.ok
+    ? parseProcessSettings(parsed.val)
+    : Err(parsed.val as Fault[]);
+}
--- /dev/null
+++ b/packages/heatherarch-standins/memory_log.ts
@@ -0,0 +1,180 @@
+/**
+ * The platform's log in memory, with the failures that the users describe.
+ *
+ * @module
+ */
+import { type Clock, Random, RuntimeClock, sleep } from "heatherarch-core";
+import {
+  type LogPort,
+  type LogRecord,
+  type LogSlice,
+  LogUnavailableError,
+  type ReadOptions,
+} from "heatherarch-log";
+
+/** Failures that can be switched on. */
+export interface LogFaults {
+  /** Nothing is answered. */
+  down: boolean;
+  /** Added to each answer, milliseconds. */
+  slowMs: number;
+  /** Share of appends that take effect and whose answer is lost. */
+  loseAnswerShare: number;
+  /** Share of appends that take effect twice. */
+  duplicateShare: number;
+  /** Records kept for each stream. */
+  retainRecords: number;
+}
+
+/** Options of {@linkcode MemoryLog}. */
+export interface MemoryLogOptions {
+  readonly clock?: Clock;
+  readonly seed?: number;
+  /** Most appends a second over all streams; 0 for no limit. */
+  readonly appendsPerSecond?: number;
+  /** Bounds of the time that an append takes, milliseconds. */
+  readonly appendMs?: { readonly low: number; readonly high: number };
+}
+
+interface Stream {
+  records: LogRecord[];
+  next: number;
+  waiters: Set<() => void>;
+}
+
+const NO_FAULTS: LogFaults = {
+  down: false,
+  slowMs: 0,
+  loseAnswerShare: 0,
+  duplicateShare: 0,
+  retainRecords: Infinity,
+};
+
+/** An append-only log with named streams. */
+export class MemoryLog implements LogPort {
+  readonly faults: LogFaults = { ...NO_FAULTS };
+  readonly #options: MemoryLogOptions;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #streams = new Map<string, Stream>();
+  #appends = 0;
+  #nextSlotMs = 0;
+
+  constructor(options: MemoryLogOptions = {}) {
+    this.#options = options;
+    this.#clock = options.clock ?? new RuntimeClock();
+    this.#random = new Random(options.seed ?? 1);
+  }
+
+  /** Appends that took effect. */
+  get appends(): number {
+    return this.#appends;
+  }
+
+  async append(stream: string, data: unknown): Promise<number> {
+    this.#failWhenDown();
+    await this.#spendAppendTime();
+    this.#failWhenDown();
+    const offset = this.appendNow(stream, data);
+    if (this.#random.drawUnit() < this.faults.duplicateShare) {
+      this.appendNow(stream, data);
+    }
+    if (this.#random.drawUnit() < this.faults.loseAnswerShare) {
+      throw new LogUnavailableError("the answer was lost");
+    }
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
+    return offset;
+  }
+
+  async read(
+    stream: string,
+    from: number,
+    options: ReadOptions = {},
+  ): Promise<LogSlice> {
+    this.#failWhenDown();
+    if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
+    const { maxRecords = 1000, waitMs = 0 } = options;
+    const entry = this.#getStream(stream);
+    if (from >= entry.next && waitMs > 0) await waitForRecord(entry, waitMs);
+    this.#failWhenDown();
+    return this.readNow(stream, from, maxRecords);
+  }
+
+  /** Appends at once, without failures. */
+  appendNow(stream: string, data: unknown): number {
+    const entry = this.#getStream(stream);
+    const offset = entry.next++;
+    const copy = JSON.parse(JSON.stringify(data)) as unknown;
+    entry.records.push({
+      offset,
+      appendedAtMs: this.#clock.readWallMs(),
+      data: copy,
+    });
+    this.#appends++;
+    this.#trim(entry);
+    for (const wake of [...entry.waiters]) wake();
+    return offset;
+  }
+
+  /** Reads at once, without failures. */
+  readNow(stream: string, from: number, maxRecords = 1000): LogSlice {
+    const entry = this.#getStream(stream);
+    this.#trim(entry);
+    const first = entry.next - entry.records.length;
+    const start = Math.max(0, from - first);
+    return {
+      records: entry.records.slice(start, start + maxRecords),
+      first,
+      next: entry.next,
+    };
+  }
+
+  /** Names of all streams. */
+  listStreams(): string[] {
+    return [...this.#streams.keys()];
+  }
+
+  #trim(entry: Stream): void {
+    const surplus = entry.records.length - this.faults.retainRecords;
+    if (surplus > 0) entry.records.splice(0, surplus);
+  }
+
+  #getStream(name: string): Stream {
+    let entry = this.#streams.get(name);
+    if (entry === undefined) {
+      entry = { records: [], next: 0, waiters: new Set() };
+      this.#streams.set(name, entry);
+    }
+    return entry;
+  }
+
+  #failWhenDown(): void {
+    if (this.faults.down) throw new LogUnavailableError("down");
+  }
+
+  async #spendAppendTime(): Promise<void> {
+    const { appendsPerSecond = 0, appendMs } = this.#options;
+    let waitMs = appendMs
+      ? this.#random.drawInteger(appendMs.low, appendMs.high)
+      : 0;
+    if (appendsPerSecond > 0) {
+      const nowMs = this.#clock.readMonotonicMs();
+      this.#nextSlotMs = Math.max(nowMs, this.#nextSlotMs) +
+        1000 / appendsPerSecond;
+      waitMs += this.#nextSlotMs - nowMs;
+    }
+    if (waitMs > 0) await sleep(waitMs);
+  }
+}
+
+function waitForRecord(entry: Stream, waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const wake = (): void => {
+      clearTimeout(timer);
+      entry.waiters.delete(wake);
+      resolve();
+    };
+    const timer = setTimeout(wake, waitMs);
+    entry.waiters.add(wake);
+  });
+}
--- /dev/null
+++ b/packages/heatherarch-standins/service_server.ts
@@ -0,0 +1,123 @@
+/**
+ * A booking service stand-in: quick slot lookups, and bookings that must run at most once.
+ * Its ledger keeps every run.
+ *
+ * @module
+ */
+import type Koa from "koa";
+import { sleep } from "heatherarch-core";
+import { readBody, StandinServer } from "./http_server.ts";
+
+/** One booking that ran. */
+export interface BookingRun {
+  readonly key: string;
+  readonly requestId: string;
+  readonly tryId: string;
+  readonly atMs: number;
+}
+
+/** Options of {@linkcode ServiceServer}. */
+export interface ServiceServerOptions {
+  readonly id: string;
+  readonly lookupMs?: number;
+  readonly bookingMs?: number;
+}
+
+/** Failures that can be switched on. */
+export interface ServiceFaults {
+  /** Bookings run and their connection is cut before the answer. */
+  loseAnswers: boolean;
+  /** Answers carry another call's try id. */
+  crossAnswers: boolean;
+}
+
+/** One target of the booking service. */
+export class ServiceServer {
+  readonly options: ServiceServerOptions;
+  readonly runs: BookingRun[] = [];
+  readonly faults: ServiceFaults = { loseAnswers: false, crossAnswers: false };
+  readonly #server = new StandinServer((ctx) => this.#handle(ctx));
+  #running = 0;
+  #down = false;
+  #leaving = false;
+  lastWorkAtMs = 0;
+
+  constructor(options: ServiceServerOptions) {
+    this.options = options;
+  }
+
+  listen(port = 0): Promise<string> {
+    return this.#server.listen(port);
+  }
+
+  close(): Promise<void> {
+    return this.#server.close();
+  }
+
+  /** Cuts all connections and refuses new ones for `downMs`. */
+  crash(downMs: number): void {
+    this.#down = true;
+    this.#server.cutConnections();
+    setTimeout(() => (this.#down = false), downMs);
+  }
+
+  setLeaving(leaving: boolean): void {
+    this.#leaving = leaving;
+  }
+
+  async #handle(ctx: Koa.Context): Promise<void> {
+    if (this.#down) {
+      ctx.req.socket.destroy();
+      ctx.respond = false;
+      return;
+    }
+    if (ctx.path === "/-/load") {
+      ctx.body = { running: this.#running, leaving: this.#leaving };
+      return;
+    }
+    this.#running++;
+    this.lastWorkAtMs = Date.now();
+    try {
+      if (ctx.method === "GET") await this.#lookUp(ctx);
+      else await this.#book(ctx);
+    } finally {
+      this.#running--;
+    }
+  }
+
+  async #lookUp(ctx: Koa.Context): Promise<void> {
+    await sleep(this.options.lookupMs ?? 4);
+    this.#answer(ctx, {
+      path: ctx.path,
+      slots: [ctx.path.length, ctx.path.length + 1],
+    });
+  }
+
+  async #book(ctx: Koa.Context): Promise<void> {
+    const body = await readBody(ctx);
+    this.runs.push({
+      key: ctx.get("idempotency-key"),
+      requestId: ctx.get("x-request-id"),
+      tryId: ctx.get("x-try-id"),
+      atMs: Date.now(),
+    });
+    await sleep(this.options.bookingMs ?? 12);
+    if (this.faults.loseAnswers) {
+      ctx.req.socket.destroy();
+      ctx.respond = false;
+      return;
+    }
+    this.#answer(ctx, {
+      booked: true,
+      run: this.runs.length,
+      at: this.options.id,
+      echo: body,
+    });
+  }
+
+  #answer(ctx: Koa.Context, body: unknown): void {
+    const tryId = ctx.get("x-try-id");
+    ctx.set("x-try-id", this.faults.crossAnswers ? `${tryId}-other` : tryId);
+    ctx.body = body;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-targets/dispatch.ts
@@ -0,0 +1,193 @@
+/**
+ * One HTTP request through undici's lowest interface, with a last check in the synchronous
+ * turn that writes it, and time limits on first byte and gaps.
+ *
+ * @module
+ */
+import { type Dispatcher } from "undici";
+
+/** Reasons for a failed dispatch. */
+export type DispatchFailure = "notSent" | "withheld" | "broken" | "silent";
+
+/** Receives the answer. Exactly one of `onDone` and `onFailure` is called last. */
+export interface DispatchSink {
+  onHead(
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void;
+  onData(bytes: Buffer): void;
+  onDone(): void;
+  onFailure(failure: DispatchFailure, detail: string): void;
+}
+
+/** Options of {@linkcode dispatch}. */
+export interface DispatchOptions {
+  readonly path: string;
+  readonly method: string;
+  readonly headers?: Record<string, string>;
+  /** Whole body; it is written in the same turn as the head. */
+  readonly body?: Buffer | string;
+  readonly firstByteMs: number;
+  readonly gapMs: number;
+  /** Asked just before the first byte is written; `false` withholds the request. */
+  readonly guard?: () => boolean;
+}
+
+/** A request in progress. */
+export interface Dispatched {
+  readonly isSent: boolean;
+  /** Destroys the connection; no callback follows. */
+  abort(): void;
+}
+
+class AbortedError extends Error {}
+
+/** Sends one request. */
+export function dispatch(
+  dispatcher: Dispatcher,
+  options: DispatchOptions,
+  sink: DispatchSink,
+): Dispatched {
+  const handler = new DispatchHandler(options, sink);
+  try {
+    dispatcher.dispatch(
+      {
+        path: options.path,
+        method: options.method as Dispatcher.HttpMethod,
+        headers: options.headers,
+        body: options.body ?? null,
+        headersTimeout: options.firstByteMs,
+        bodyTimeout: options.gapMs,
+      },
+      handler,
+    );
+  } catch (error) {
+    handler.fail("notSent", (error as Error).message);
+  }
+  return handler;
+}
+
+class DispatchHandler implements Dispatcher.DispatchHandler, Dispatched {
+  readonly #options: DispatchOptions;
+  readonly #sink: DispatchSink;
+  #controller: Dispatcher.DispatchController | undefined;
+  #sent = false;
+  #withheld = false;
+  #finished = false;
+
+  constructor(options: DispatchOptions, sink: DispatchSink) {
+    this.#options = options;
+    this.#sink = sink;
+  }
+
+  get isSent(): boolean {
+    return this.#sent;
+  }
+
+  abort(): void {
+    this.#finished = true;
+    this.#controller?.abort(new AbortedError("abandoned"));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#finished) {
+      controller.abort(new AbortedError("abandoned"));
+      return;
+    }
+    if (this.#options.guard !== undefined && !this.#options.guard()) {
+      this.#withheld = true;
+      controller.abort(new AbortedError("withheld"));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (this.#finished || status < 200) return;
+    this.#sink.onHead(status, headers);
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    bytes: Buffer,
+  ): void {
+    if (!this.#finished) this.#sink.onData(bytes);
+  }
+
+  onResponseEnd(): void {
+    if (this.#finished) return;
+    this.#finished = true;
+    this.#sink.onDone();
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (this.#withheld) return this.fail("withheld", "the guard said no");
+    if (!this.#sent) return this.fail("notSent", error.message);
+    const code = (error as { code?: string }).code ?? "";
+    const silent = code === "UND_ERR_HEADERS_TIMEOUT" ||
+      code === "UND_ERR_BODY_TIMEOUT";
+    this.fail(silent ? "silent" : "broken", error.message);
+  }
+
+  fail(failure: DispatchFailure, detail: string): void {
+    if (this.#finished) return;
+    this.#finished = true;
+    this.#sink.onFailure(failure, detail);
+  }
+}
+
+/** A whole answer, as {@linkcode dispatchWhole} returns it. */
+export type WholeAnswer =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly headers: Record<string, string | string[] | undefined>;
+    readonly body: Buffer;
+  }
+  | { readonly kind: DispatchFailure; readonly detail: string };
+
+/** Sends one request and gathers the whole answer. */
+export function dispatchWhole(
+  dispatcher: Dispatcher,
+  options: DispatchOptions & { maxAnswerBytes?: number },
+): Promise<WholeAnswer> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    let status = 0;
+    let headers: Record<string, string | string[] | undefined> = {};
+    const limit = options.maxAnswerBytes ?? Infinity;
+    const sent = dispatch(dispatcher, options, {
+      onHead: (code, fields) => {
+        status = code;
+        headers = fields;
+      },
+      onData: (bytes) => {
+        size += bytes.length;
+        if (size > limit) {
+          sent.abort();
+          resolve({
+            kind: "broken",
+            detail: `the answer is longer than ${limit} bytes`,
+          });
+        } else parts.push(bytes);
+      },
+      onDone: () =>
+        resolve({
+          kind: "answer",
+          status,
+          headers,
+          body: Buffer.concat(parts),
+        }),
+      onFailure: (kind, detail) => resolve({ kind, detail }),
+    });
+  });
+}
--- /dev/null
+++ b/packages/heatherarch-targets/engine_client.ts
@@ -0,0 +1,236 @@
+/**
+ * What the adapters of all dialects share: connections, JSON calls and the reading of a
+ * streamed answer.
+ *
+ * @module
+ */
+import { Client, Pool } from "undici";
+import type { EngineState } from "heatherarch-core";
+import { dispatch, dispatchWhole, type WholeAnswer } from "./dispatch.ts";
+import type {
+  EngineCall,
+  EngineFailure,
+  EngineSink,
+  EngineTry,
+  OrderAnswer,
+  TryTimeouts,
+} from "./engine_port.ts";
+
+const STATUS_CONFLICT = 409;
+const STATUS_FAILED_DEPENDENCY = 424;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_TOO_MANY = 429;
+
+/** Options of an engine adapter. */
+export interface EngineOptions {
+  /** Address as this process must dial it. */
+  readonly address: string;
+  /** Most connections open at once. */
+  readonly maxConnections: number;
+  readonly timeouts: TryTimeouts;
+}
+
+/** Turns the bytes of a streamed answer into tokens for a sink. */
+export interface AnswerParser {
+  /** Takes in bytes. */
+  push(bytes: Buffer): void;
+  /** The connection ended; an answer without its end marker is broken. */
+  finish(): void;
+}
+
+/** Builds the parser for one try. */
+export type ParserFactory = (
+  call: EngineCall,
+  sink: EngineSink,
+) => AnswerParser;
+
+/** Connections to one engine. */
+export class EngineClient {
+  readonly #options: EngineOptions;
+  readonly #pool: Pool;
+
+  constructor(options: EngineOptions) {
+    this.#options = options;
+    this.#pool = new Pool(`http://${options.address}`, {
+      connections: options.maxConnections,
+      pipelining: 1,
+      connect: { timeout: options.timeouts.connectMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Reads JSON from `path`; throws where the answer is not a 200 with JSON. */
+  async readJson(
+    path: string,
+    options: { timeoutMs: number; fresh?: boolean },
+  ): Promise<unknown> {
+    const client = options.fresh ? this.#openFresh() : undefined;
+    try {
+      const answer = await dispatchWhole(client ?? this.#pool, {
+        path,
+        method: "GET",
+        firstByteMs: options.timeoutMs,
+        gapMs: options.timeoutMs,
+      });
+      if (answer.kind !== "answer") {
+        throw new Error(`engine state: ${answer.detail}`);
+      }
+      if (answer.status !== 200) {
+        throw new Error(`engine state: status ${answer.status}`);
+      }
+      return JSON.parse(answer.body.toString("utf8"));
+    } finally {
+      void client?.destroy();
+    }
+  }
+
+  /** Sends an order over a fresh connection that is destroyed after it. */
+  async sendOrder(
+    path: string,
+    body: unknown,
+    options: { guard: () => boolean; timeoutMs: number },
+  ): Promise<OrderAnswer> {
+    const client = this.#openFresh();
+    try {
+      const answer = await dispatchWhole(client, {
+        path,
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        firstByteMs: options.timeoutMs,
+        gapMs: options.timeoutMs,
+        guard: options.guard,
+      });
+      return buildOrderAnswer(answer);
+    } finally {
+      void client.destroy();
+    }
+  }
+
+  /** Starts a streamed try. */
+  startTry(
+    request: { path: string; method: string; body?: string },
+    call: EngineCall,
+    sink: EngineSink,
+    createParser: ParserFactory,
+  ): EngineTry {
+    const { firstByteMs, gapMs } = this.#options.timeouts;
+    let parser: AnswerParser | undefined;
+    let refusal: number | undefined;
+    const guarded = closeAfterEnd(sink, () => sent?.abort());
+    const sent = dispatch(this.#pool, {
+      path: request.path,
+      method: request.method,
+      headers: request.body === undefined
+        ? {}
+        : { "content-type": "application/json" },
+      body: request.body,
+      firstByteMs,
+      gapMs,
+    }, {
+      onHead: (status) => {
+        if (status === 200) parser = createParser(call, guarded);
+        else refusal = status;
+      },
+      onData: (bytes) => parser?.push(bytes),
+      onDone: () => {
+        if (refusal !== undefined) {
+          guarded.onFailure(judgeStatus(refusal), `status ${refusal}`);
+        } else parser?.finish();
+      },
+      onFailure: (failure, detail) => {
+        guarded.onFailure(failure === "withheld" ? "notSent" : failure, detail);
+      },
+    });
+    return {
+      abort: () => {
+        guarded.close();
+        sent.abort();
+      },
+      get isSent() {
+        return sent.isSent;
+      },
+    };
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  #openFresh(): Client {
+    return new Client(`http://${this.#options.address}`, {
+      connect: { timeout: this.#options.timeouts.connectMs },
+    });
+  }
+}
+
+/** A sink that delivers nothing after its end, and destroys the connection on a failure. */
+interface ClosingSink extends EngineSink {
+  close(): void;
+}
+
+function closeAfterEnd(sink: EngineSink, abort: () => void): ClosingSink {
+  let open = true;
+  return {
+    close: () => {
+      open = false;
+    },
+    onTokens: (texts) => {
+      if (open) sink.onTokens(texts);
+    },
+    onEnd: (end) => {
+      if (!open) return;
+      open = false;
+      sink.onEnd(end);
+    },
+    onFailure: (failure, detail) => {
+      if (!open) return;
+      open = false;
+      abort();
+      sink.onFailure(failure, detail);
+    },
+  };
+}
+
+/** What a status other than 200 means for a try. */
+function judgeStatus(status: number): EngineFailure {
+  if (status === STATUS_UNAVAILABLE || status === STATUS_TOO_MANY) {
+    return "refused";
+  }
+  if (status === STATUS_FAILED_DEPENDENCY) return "kvGone";
+  return status >= 500 ? "broken" : "invalid";
+}
+
+function buildOrderAnswer(answer: WholeAnswer): OrderAnswer {
+  switch (answer.kind) {
+    case "answer":
+      if (answer.status === 200) return { kind: "accepted" };
+      if (answer.status === STATUS_CONFLICT) return { kind: "fenced" };
+      return { kind: "refused", detail: `status ${answer.status}` };
+    case "withheld":
+      return { kind: "withheld" };
+    case "notSent":
+      return { kind: "refused", detail: answer.detail };
+    default:
+      return { kind: "unknown", detail: answer.detail };
+  }
+}
+
+/** Checks a state as read; throws where a field is not what it should be. */
+export function checkEngineState(state: EngineState): EngineState {
+  const counts = [
+    state.running,
+    state.waiting,
+    state.pendingPrefillTokens,
+    state.fencing,
+  ];
+  const whole = counts.every((count) => Number.isFinite(count) && count >= 0);
+  const roles = ["prefill", "decode", "mixed"];
+  if (
+    !whole || !roles.includes(state.role) || typeof state.model !== "string"
+  ) {
+    throw new Error("engine state: a field is not what it should be");
+  }
+  return state;
+}
--- /dev/null
+++ b/packages/heatherarch-targets/service_port.ts
@@ -0,0 +1,80 @@
+/**
+ * The interface towards a plain service's target, and its HTTP adapter.
+ *
+ * @module
+ */
+import { Pool } from "undici";
+import { z } from "zod";
+import type { ServiceState } from "heatherarch-core";
+import { dispatchWhole, type WholeAnswer } from "./dispatch.ts";
+import type { EngineOptions } from "./engine_client.ts";
+
+/** One try at a call on a plain service. */
+export interface ServiceCall {
+  readonly tryId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string>;
+  readonly body?: Buffer;
+  readonly timeoutMs: number;
+  /** Asked in the synchronous turn that writes the request. */
+  readonly guard?: () => boolean;
+}
+
+/** One target of a plain service. */
+export interface ServicePort {
+  readState(options: { timeoutMs: number }): Promise<ServiceState>;
+  send(call: ServiceCall): Promise<WholeAnswer>;
+  close(): Promise<void>;
+}
+
+const STATE = z.object({
+  running: z.number().min(0),
+  leaving: z.boolean().default(false),
+});
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Path at which a service reports its load. */
+const LOAD_PATH = "/-/load";
+
+/** A plain service over HTTP. */
+export class HttpService implements ServicePort {
+  readonly #pool: Pool;
+
+  constructor(options: EngineOptions) {
+    this.#pool = new Pool(`http://${options.address}`, {
+      connections: options.maxConnections,
+      pipelining: 1,
+      connect: { timeout: options.timeouts.connectMs },
+    });
+  }
+
+  async readState(options: { timeoutMs: number }): Promise<ServiceState> {
+    const answer = await dispatchWhole(this.#pool, {
+      path: LOAD_PATH,
+      method: "GET",
+      firstByteMs: options.timeoutMs,
+      gapMs: options.timeoutMs,
+    });
+    if (answer.kind !== "answer") {
+      throw new Error(`service load: ${answer.detail}`);
+    }
+    return STATE.parse(JSON.parse(answer.body.toString("utf8")));
+  }
+
+  send(call: ServiceCall): Promise<WholeAnswer> {
+    return dispatchWhole(this.#pool, {
+      path: call.path,
+      method: call.method,
+      headers: { ...call.headers, "x-try-id": call.tryId },
+      body: call.body,
+      firstByteMs: call.timeoutMs,
+      gapMs: call.timeoutMs,
+      guard: call.guard,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-targets/sse_engine.ts
@@ -0,0 +1,186 @@
+/**
+ * Dialect `sse`: OpenAI-style completions as server-sent events; orders carry a fencing
+ * number that the engine checks.
+ *
+ * @module
+ */
+import { createParser, type EventSourceParser } from "eventsource-parser";
+import { z } from "zod";
+import type { EngineOrder, EngineState } from "heatherarch-core";
+import {
+  type AnswerParser,
+  checkEngineState,
+  EngineClient,
+  type EngineOptions,
+} from "./engine_client.ts";
+import type {
+  EngineCall,
+  EnginePort,
+  EngineSink,
+  EngineTry,
+  OrderAnswer,
+} from "./engine_port.ts";
+
+const STATE = z.object({
+  role: z.enum(["prefill", "decode", "mixed"]),
+  model: z.string(),
+  version: z.string(),
+  changing: z.boolean(),
+  draining: z.boolean(),
+  running: z.number(),
+  waiting: z.number(),
+  pending_prefill_tokens: z.number(),
+  kv_used: z.number(),
+  fencing: z.number(),
+});
+
+interface Chunk {
+  id?: string;
+  choices?: { text?: string; finish_reason?: string | null }[];
+  usage?: { prompt_tokens?: number; cached_tokens?: number };
+  kv_handle?: string;
+}
+
+/** An engine that speaks dialect `sse`. */
+export class SseEngine implements EnginePort {
+  readonly #client: EngineClient;
+
+  constructor(options: EngineOptions) {
+    this.#client = new EngineClient(options);
+  }
+
+  async readState(
+    options: { timeoutMs: number; fresh?: boolean },
+  ): Promise<EngineState> {
+    const state = STATE.parse(await this.#client.readJson("/state", options));
+    return checkEngineState({
+      role: state.role,
+      model: state.model,
+      version: state.version,
+      busyWithOrder: state.changing,
+      leaving: state.draining,
+      running: state.running,
+      waiting: state.waiting,
+      pendingPrefillTokens: state.pending_prefill_tokens,
+      fencing: state.fencing,
+      kvUsed: state.kv_used,
+    });
+  }
+
+  generate(call: EngineCall, sink: EngineSink): EngineTry {
+    const body = JSON.stringify({
+      model: call.model,
+      prompt: call.prompt,
+      max_tokens: call.maxTokens,
+      stream: true,
+      try_id: call.tryId,
+      priority: call.priority,
+      kv_export: call.kvExport,
+      kv_import: call.kvImport,
+    });
+    const request = { path: "/v1/completions", method: "POST", body };
+    return this.#client.startTry(request, call, sink, createSseParser);
+  }
+
+  resume(call: EngineCall, from: number, sink: EngineSink): EngineTry {
+    const path = `/v1/streams/${call.tryId}?from=${from}`;
+    return this.#client.startTry(
+      { path, method: "GET" },
+      call,
+      sink,
+      createSseParser,
+    );
+  }
+
+  giveOrder(
+    order: EngineOrder,
+    options: { fencing: number; guard: () => boolean; timeoutMs: number },
+  ): Promise<OrderAnswer> {
+    return this.#client.sendOrder("/orders", {
+      fencing: options.fencing,
+      ...order,
+    }, options);
+  }
+
+  close(): Promise<void> {
+    return this.#client.close();
+  }
+}
+
+function createSseParser(call: EngineCall, sink: EngineSink): AnswerParser {
+  return new SseAnswerParser(call, sink);
+}
+
+/** Reads events, checks that each carries the try's id, and passes on tokens. */
+class SseAnswerParser implements AnswerParser {
+  readonly #call: EngineCall;
+  readonly #sink: EngineSink;
+  readonly #parser: EventSourceParser;
+  readonly #decoder = new TextDecoder();
+  #texts: string[] = [];
+  #last: Chunk | undefined;
+
+  constructor(call: EngineCall, sink: EngineSink) {
+    this.#call = call;
+    this.#sink = sink;
+    this.#parser = createParser({
+      onEvent: (event) => this.#takeEvent(event.data),
+    });
+  }
+
+  push(bytes: Buffer): void {
+    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
+    if (this.#texts.length === 0) return;
+    const texts = this.#texts;
+    this.#texts = [];
+    this.#sink.onTokens(texts);
+  }
+
+  finish(): void {
+    this.#sink.onFailure("broken", "the stream ended without its end marker");
+  }
+
+  #takeEvent(data: string): void {
+    if (data === "[DONE]") return this.#end();
+    const chunk = parseChunk(data);
+    if (chunk === undefined || chunk.id !== this.#call.tryId) {
+      this.#texts = [];
+      return this.#sink.onFailure(
+        "mismatched",
+        "an event does not carry the id of this try",
+      );
+    }
+    const choice = chunk.choices?.[0];
+    if (choice?.text) this.#texts.push(choice.text);
+    if (choice?.finish_reason) this.#last = chunk;
+  }
+
+  #end(): void {
+    const last = this.#last;
+    if (last === undefined) {
+      return this.#sink.onFailure(
+        "broken",
+        "the end marker came without a finish reason",
+      );
+    }
+    if (this.#texts.length > 0) {
+      const texts = this.#texts;
+      this.#texts = [];
+      this.#sink.onTokens(texts);
+    }
+    this.#sink.onEnd({
+      reason: last.choices?.[0]?.finish_reason === "stop" ? "stop" : "length",
+      promptTokens: last.usage?.prompt_tokens ?? 0,
+      cachedTokens: last.usage?.cached_tokens ?? 0,
+      ...(last.kv_handle === undefined ? {} : { kvHandle: last.kv_handle }),
+    });
+  }
+}
+
+function parseChunk(data: string): Chunk | undefined {
+  try {
+    return JSON.parse(data) as Chunk;
+  } catch {
+    return undefined;
+  }
+}
