--- a/packages/heatherarch-daemon/config_reader.ts
+++ b/packages/heatherarch-daemon/config_reader.ts
@@ -4,19 +4,12 @@
  *
  * @module
  */
+import { type Clock, createId, pickRendezvous, sleep } from "heatherarch-core";
 import {
-  assertInvariant,
-  type Clock,
-  createId,
-  pickRendezvous,
-  sleep,
-} from "heatherarch-core";
-import {
-  applyConfigRecord,
   CONFIG_FORMAT,
   CONFIG_STREAM,
   type ConfigState,
-  EMPTY_CONFIG,
+  ConfigView,
   judgeSlice,
   loadConfigSnapshot,
   type LogPort,
@@ -53,7 +46,6 @@
 const FOLLOWER_POLL_MS = 5000;
 const PEER_CALL_MS = 1000;
 const RETRY_MS = 200;
-const KEPT_RECORDS = 1000;
 const READ_PAGE = 500;
 
 const PEER_ANSWER = z.union([
@@ -75,8 +67,7 @@
 export class ConfigReader {
   readonly #options: ConfigReaderOptions;
   readonly #listeners = new Set<ConfigListener>();
-  #state: ConfigState = EMPTY_CONFIG;
-  #recent: LogRecord[] = [];
+  readonly #view = new ConfigView();
   #currentAtMs = -Infinity;
   #snapshotOffset = -1;
   #fetching = false;
@@ -90,14 +81,14 @@
       async (body) => this.#answerPeer(body),
     );
     options.mesh.registerHeartbeatListener((heartbeat, from) => {
-      if (heartbeat.configOffset > this.#state.offset) {
+      if (heartbeat.configOffset > this.state.offset) {
         void this.#fetchFromPeer(from.id);
       }
     });
   }
 
   get state(): ConfigState {
-    return this.#state;
+    return this.#view.state;
   }
 
   /** Monotonic time at which the configuration was last known to be current. */
@@ -112,7 +103,7 @@
 
   /** Whether a configuration has been loaded from anywhere. */
   get isLoaded(): boolean {
-    return this.#state.offset >= 0 || this.#currentAtMs > -Infinity;
+    return this.state.offset >= 0 || this.#currentAtMs > -Infinity;
   }
 
   /** Registers a listener and returns its undo. */
@@ -168,7 +159,7 @@
 
   /** Reads one page; true where the end of the stream was reached. */
   async #readLog(waitMs: number): Promise<boolean> {
-    const from = this.#state.offset + 1;
+    const from = this.state.offset + 1;
     const askedAtMs = this.#options.clock.readMonotonicMs();
     const options = { maxRecords: READ_PAGE, waitMs };
     const slice = await this.#options.log.read(CONFIG_STREAM, from, options);
@@ -177,7 +168,7 @@
       await this.#recoverFromGap();
       return false;
     }
-    for (const record of verdict.records) this.#apply(record);
+    this.#applyRecords(verdict.records);
     if (verdict.current) this.#currentAtMs = askedAtMs;
     return verdict.current;
   }
@@ -195,42 +186,33 @@
       from = last.offset + 1;
     }
     const state = loadConfigSnapshot(records);
-    if (state !== undefined && state.offset > this.#state.offset) {
-      return this.#replace(state);
-    }
+    if (state !== undefined && this.#takeState(state)) return;
     await this.#fetchFromAnyPeer();
     throw new LogUnavailableError(
       "records were trimmed and no snapshot bridges them",
     );
   }
 
-  #apply(record: LogRecord): void {
-    if (record.offset !== this.#state.offset + 1) return;
-    const previous = this.#state;
-    this.#state = applyConfigRecord(previous, record);
-    if (parseConfigRecord(record.data)?.type === "snapshot") {
-      this.#snapshotOffset = record.offset;
+  #applyRecords(records: readonly LogRecord[]): void {
+    const previous = this.#view.state;
+    if (!this.#view.takeRecords(records)) return;
+    for (const record of records) {
+      const isSnapshot = parseConfigRecord(record.data)?.type === "snapshot";
+      if (isSnapshot) this.#snapshotOffset = record.offset;
     }
-    this.#recent.push(record);
-    if (this.#recent.length > KEPT_RECORDS) this.#recent.shift();
     this.#tell(previous);
   }
 
-  #replace(state: ConfigState): void {
-    const previous = this.#state;
-    assertInvariant(
-      state.offset > previous.offset,
-      "config-never-reverts",
-      `${state.offset} after ${previous.offset}`,
-    );
-    this.#state = state;
-    this.#recent = [];
+  #takeState(state: ConfigState): boolean {
+    const previous = this.#view.state;
+    if (!this.#view.takeState(state)) return false;
     this.#snapshotOffset = state.offset;
     this.#tell(previous);
+    return true;
   }
 
   #tell(previous: ConfigState): void {
-    for (const listener of this.#listeners) listener(this.#state, previous);
+    for (const listener of this.#listeners) listener(this.state, previous);
     this.#options.mesh.sendHeartbeats();
   }
 
@@ -240,7 +222,7 @@
     this.#options.logger.info(
       up ? "platform log reachable" : "platform log unreachable",
       {
-        configOffset: this.#state.offset,
+        configOffset: this.state.offset,
       },
     );
   }
@@ -256,7 +238,7 @@
     if (this.#fetching) return;
     this.#fetching = true;
     try {
-      const body = { from: this.#state.offset + 1 };
+      const body = { from: this.state.offset + 1 };
       const reply = await this.#options.mesh.call(
         peerId,
         "config.read",
@@ -265,13 +247,11 @@
       );
       const answer = PEER_ANSWER.parse(reply);
       if (answer.kind === "records") {
-        for (const record of answer.records) this.#apply(record as LogRecord);
+        this.#applyRecords(answer.records as LogRecord[]);
         return;
       }
       const state = parseConfigState(answer.state);
-      if (state !== undefined && state.offset > this.#state.offset) {
-        this.#replace(state);
-      }
+      if (state !== undefined) this.#takeState(state);
     } catch {
       // The peer is gone or talks nonsense; the next heartbeat or poll tries again.
     } finally {
@@ -281,29 +261,25 @@
 
   #answerPeer(body: unknown): unknown {
     const { from } = PEER_REQUEST.parse(body);
-    const first = this.#recent[0]?.offset ?? this.#state.offset + 1;
-    if (from >= first) {
-      return { kind: "records", records: this.#recent.slice(from - first) };
-    }
-    return { kind: "state", state: this.#state };
+    return this.#view.buildUpdate(from);
   }
 
   async #writeSnapshotWhenDue(): Promise<void> {
     const { snapshotEveryRecords, vmId, membership } = this.#options;
-    if (this.#state.offset - this.#snapshotOffset < snapshotEveryRecords) {
+    if (this.state.offset - this.#snapshotOffset < snapshotEveryRecords) {
       return;
     }
     // One writer over all zones where they see each other; several do no harm.
     if (
       pickRendezvous("config-snapshot", membership.listLive(), 1)[0] !== vmId
     ) return;
-    this.#snapshotOffset = this.#state.offset;
+    this.#snapshotOffset = this.state.offset;
     await this.#options.log.append(CONFIG_STREAM, {
       type: "snapshot",
       format: CONFIG_FORMAT,
       id: createId("snap"),
-      coversOffset: this.#state.offset,
-      state: this.#state,
+      coversOffset: this.state.offset,
+      state: this.state,
     });
   }
 }
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -31,6 +31,14 @@
 import type { GatewayHost } from "./gateway_host.ts";
 import type { Usage } from "./openai_format.ts";
 
+/** Guards of a generation; the proofs switch them off one at a time. */
+export const GENERATION_GUARDS = [
+  "ignoreAbandonedLeg",
+  "missingTokens",
+] as const;
+/** Name of a guard. */
+export type GenerationGuard = typeof GENERATION_GUARDS[number];
+
 /** Receives the answer. Exactly one of `onEnd` and `onError` is called last. */
 export interface GenerationSink {
   onTokens(texts: readonly string[]): void;
@@ -51,6 +59,7 @@
   /** Monotonic time by which the answer must be whole. */
   readonly deadlineAtMs: number;
   readonly sink: GenerationSink;
+  readonly disabledGuards?: ReadonlySet<GenerationGuard>;
 }
 
 interface Leg {
@@ -84,6 +93,7 @@
   readonly #prefixKey: string;
   readonly #startedAtMs: number;
   readonly #failedTargets = new Set<string>();
+  readonly #off: ReadonlySet<GenerationGuard>;
   #delivered: string[] = [];
   #leg: Leg | undefined;
   #handover: { target: Candidate; work: TrackedWork } | undefined;
@@ -100,6 +110,7 @@
   constructor(options: GenerationOptions) {
     this.#options = options;
     this.#host = options.host;
+    this.#off = options.disabledGuards ?? new Set();
     this.#prefixKey = computePrefixKey(options.prompt);
     this.#startedAtMs = this.#host.clock.readMonotonicMs();
   }
@@ -243,7 +254,7 @@
   }
 
   #takeTokens(leg: Leg, texts: readonly string[]): void {
-    if (this.#finished || leg !== this.#leg) return;
+    if (this.#isAbandoned(leg)) return;
     const nowMs = this.#host.clock.readMonotonicMs();
     if (leg.received === 0) this.#noteFirstOfLeg(leg, nowMs);
     leg.received += texts.length;
@@ -259,6 +270,11 @@
     this.#options.sink.onTokens(texts);
   }
 
+  #isAbandoned(leg: Leg): boolean {
+    if (this.#finished) return true;
+    return leg !== this.#leg && !this.#off.has("ignoreAbandonedLeg");
+  }
+
   #noteFirstOfLeg(leg: Leg, nowMs: number): void {
     leg.firstAtMs = nowMs;
     leg.work.notePrefilled(nowMs);
@@ -272,7 +288,7 @@
   }
 
   #takeEnd(leg: Leg, end: EngineEnd): void {
-    if (this.#finished || leg !== this.#leg) return;
+    if (this.#isAbandoned(leg)) return;
     const nowMs = this.#host.clock.readMonotonicMs();
     this.#closeLeg(leg, nowMs);
     this.#host.targets.noteSuccess(leg.target);
@@ -284,7 +300,8 @@
     ) {
       return this.#handOver(leg, end);
     }
-    if (end.reason === "length" && missing > 0) {
+    const short = end.reason === "length" && missing > 0;
+    if (short && !this.#off.has("missingTokens")) {
       return this.#retry("broken", leg.target);
     }
     this.#finish(missing === 0 ? "length" : "stop");
@@ -327,7 +344,7 @@
   }
 
   #takeFailure(leg: Leg, failure: EngineFailure): void {
-    if (this.#finished || leg !== this.#leg) return;
+    if (this.#isAbandoned(leg)) return;
     if (leg.attempt === undefined) {
       // The adapter failed before it returned: handle it in a turn of its own.
       setImmediate(() => this.#takeFailure(leg, failure));
@@ -416,7 +433,8 @@
   #finish(reason: string): void {
     if (this.#finished) return;
     const { maxTokens, requestId } = this.#options;
-    const whole = reason === "stop" || this.#delivered.length === maxTokens;
+    const whole = reason === "stop" || this.#delivered.length === maxTokens ||
+      this.#off.has("missingTokens");
     assertInvariant(whole, "whole-answer", requestId);
     this.#close();
     this.#options.sink.onEnd(reason, {
--- /dev/null
+++ b/packages/heatherarch-lab/bin/prove.ts
@@ -0,0 +1,44 @@
+/**
+ * `npm run prove`: proofs under failure.
+ *
+ * @module
+ */
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { runChaos } from "../chaos/chaos_run.ts";
+import { runMutations } from "../mutations.ts";
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName("npm run prove --")
+  .option("mutations", {
+    type: "boolean",
+    default: false,
+    describe: "switch each guard off in turn",
+  })
+  .option("seed", { type: "number", default: 1 })
+  .option("seconds", {
+    type: "number",
+    default: 60,
+    describe: "length of the randomised run",
+  })
+  .option("json", { type: "boolean", default: false })
+  .strict()
+  .parseAsync();
+
+if (args.mutations) {
+  const { results, passed } = await runMutations(
+    args.seed,
+    (line) => console.log(line),
+  );
+  if (args.json) console.log(JSON.stringify(results));
+  process.exit(passed ? 0 : 1);
+}
+
+const report = await runChaos({
+  seed: args.seed,
+  seconds: args.seconds,
+  print: (line) => console.log(line),
+});
+console.log(args.json ? JSON.stringify(report) : report);
+const broken = Object.values(report.violations).some((count) => count > 0);
+process.exit(broken ? 1 : 0);
--- /dev/null
+++ b/packages/heatherarch-lab/chaos/chaos_run.ts
@@ -0,0 +1,424 @@
+/**
+ * The randomised run over real processes: mixed requests flow while scheduled failures come
+ * and go, and every answer and every ledger is checked.
+ *
+ * @module
+ */
+import { Random, sleep } from "heatherarch-core";
+import { request } from "undici";
+import { Caller } from "../caller.ts";
+import { Cluster } from "../cluster.ts";
+import { buildDeployment, type Deployment } from "../deployment.ts";
+import { type LoadRecord, sendOne } from "../mixed_load.ts";
+import { summarizeLoad } from "../summary.ts";
+import { Balancer } from "./balancer.ts";
+import { ConfigWatch, SPREAD_LIMIT_MS } from "./config_watch.ts";
+import { type DrainRecord, FaultDriver } from "./fault_driver.ts";
+import { ChaosNetwork } from "./network.ts";
+import { buildSchedule, isUnplanned, type ScheduledFault } from "./schedule.ts";
+
+/** Options of {@linkcode runChaos}. */
+export interface ChaosOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Requests begun a second. */
+  readonly requestsPerSecond?: number;
+  readonly print?: (line: string) => void;
+}
+
+/** What a run found. */
+export interface ChaosReport {
+  readonly seed: number;
+  readonly requests: number;
+  readonly wholeAnswers: number;
+  readonly refused: number;
+  readonly faults: Record<string, number>;
+  readonly violations: Record<string, number>;
+  readonly notRunButRun: number;
+  readonly keysRunTwice: number;
+  readonly wrongAnswers: number;
+  readonly cutByPlannedChange: number;
+  readonly cutByFailure: number;
+  readonly conflictingOrders: OrderCount;
+  readonly lapsedOrdersObeyed: OrderCount;
+  readonly ordersObeyed: OrderCount;
+  readonly roleChanges: number;
+  readonly newWorkAfterDrainSecondsMax: number;
+  readonly configSpreadSecondsMax: number;
+  readonly configReverts: number;
+  readonly raceWinnersMax: number;
+  readonly errorKinds: Record<string, number>;
+  readonly examples: readonly string[];
+}
+
+/** Orders counted by kind of engine. */
+export interface OrderCount {
+  checksFencing: number;
+  ignoresFencing: number;
+}
+
+interface TimedRecord {
+  readonly record: LoadRecord;
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
+interface FaultWindow {
+  readonly fault: ScheduledFault;
+  readonly startMs: number;
+  endMs: number;
+}
+
+/** After an unplanned fault its effects may last this long. */
+const AFTERMATH_MS = 6000;
+/** New work that a target may get after its drain was accepted. */
+const DRAIN_LIMIT_MS = 5000;
+const MAX_IN_FLIGHT = 150;
+const SETTLE_MS = 5000;
+/** Errors that say truthfully that nothing was run, or ask to come again. */
+const HONEST_REFUSALS = [
+  "keyInProgress",
+  "overloaded",
+  "shuttingDown",
+  "notReady",
+  "noTarget",
+];
+
+const SETTINGS = {
+  lease: { durationMs: 1500, driftMs: 200, renewMs: 400, settleMs: 700 },
+  mesh: { sharedKey: "lab", heartbeatMs: 150, silenceMs: 900 },
+  platform: {
+    snapshotEveryRecords: 20,
+    requestTimeoutMs: 1000,
+    pollWaitMs: 1000,
+  },
+  requests: { firstByteTimeoutMs: 4000, gapTimeoutMs: 1500 },
+  targets: { reportIntervalMs: 100, staleMs: 2500, reportTimeoutMs: 500 },
+  claims: { permissionMs: 1500 },
+};
+
+/** The mix swings, so that roles change while failures come. */
+const MIX_SWING_MS = 5000;
+const LONG_PROMPTS = { maxPromptTokens: 5000, maxOutputTokens: 24 };
+const LONG_OUTPUTS = { maxPromptTokens: 200, maxOutputTokens: 160 };
+
+const PLANNING = { policy: "greedy", intervalMs: 1200, changeMs: 500 } as const;
+
+/** Runs a schedule. */
+export async function runChaos(options: ChaosOptions): Promise<ChaosReport> {
+  const deployment = await buildDeployment({
+    name: "chaos",
+    availabilityZones: ["zone-a", "zone-b", "zone-c"],
+    vmsPerZone: 2,
+    enginesPerZone: 4,
+    servicesPerZone: 1,
+    modelService: "reader",
+    plainService: "bookings",
+    planning: PLANNING,
+  });
+  const network = new ChaosNetwork(deployment);
+  await network.open();
+  const cluster = new Cluster({
+    deployment,
+    standins: {
+      speeds: { changeMs: 500 },
+      reportLagMs: 150,
+      log: { seed: options.seed, appendMs: { low: 2, high: 15 } },
+    },
+    settings: SETTINGS,
+    settingsOf: (vm) =>
+      buildVmSettings(deployment, network, vm.availabilityZone),
+    profiles: [{
+      name: "default",
+      deadlineMs: 30_000,
+      kvTransferMinTokens: 256,
+    }],
+  });
+  try {
+    await cluster.start();
+    return await new ChaosRun(options, cluster, network).run();
+  } finally {
+    await cluster.stop();
+    await network.close();
+  }
+}
+
+function buildVmSettings(
+  deployment: Deployment,
+  network: ChaosNetwork,
+  zone: string,
+) {
+  const platform = network.getPlatformAddress(zone);
+  return {
+    platform: { log: `http://${platform}`, vmList: `http://${platform}/vms` },
+    mesh: {
+      peers: deployment.vms.map(({ id, availabilityZone, mesh }) => ({
+        id,
+        availabilityZone,
+        mesh,
+      })),
+    },
+    network: { translate: network.buildTranslation(zone) },
+  };
+}
+
+class ChaosRun {
+  readonly #options: ChaosOptions;
+  readonly #cluster: Cluster;
+  readonly #network: ChaosNetwork;
+  readonly #records: TimedRecord[] = [];
+  readonly #windows: FaultWindow[] = [];
+  readonly #drains: DrainRecord[] = [];
+  readonly #watch: ConfigWatch;
+  readonly #violationsSeen = new Map<string, number>();
+  #raceWinnersMax = 0;
+
+  constructor(options: ChaosOptions, cluster: Cluster, network: ChaosNetwork) {
+    this.#options = options;
+    this.#cluster = cluster;
+    this.#network = network;
+    this.#watch = new ConfigWatch(cluster);
+  }
+
+  async run(): Promise<ChaosReport> {
+    const { seed, seconds } = this.#options;
+    const totalMs = seconds * 1000;
+    const balancer = new Balancer(this.#cluster.deployment.vms);
+    balancer.start();
+    this.#watch.start();
+    const startMs = performance.now();
+    const load = this.#runLoad(balancer, startMs + totalMs);
+    const faults = this.#runFaults(buildSchedule(seed, totalMs), startMs);
+    const scraping = this.#scrapeViolations(startMs + totalMs);
+    await Promise.all([load, faults, scraping]);
+    await sleep(SETTLE_MS);
+    balancer.stop();
+    this.#watch.stop();
+    return await this.#report();
+  }
+
+  async #runLoad(balancer: Balancer, untilMs: number): Promise<void> {
+    const caller = new Caller();
+    const random = new Random(this.#options.seed + 1);
+    const gapMs = 1000 / (this.#options.requestsPerSecond ?? 30);
+    const inFlight = new Set<Promise<void>>();
+    while (performance.now() < untilMs) {
+      if (inFlight.size < MAX_IN_FLIGHT) {
+        const sent = this.#sendTimed(caller, balancer, random);
+        inFlight.add(sent);
+        void sent.finally(() => inFlight.delete(sent));
+      }
+      await sleep(random.drawExponential(gapMs));
+    }
+    await Promise.all(inFlight);
+    await caller.close();
+  }
+
+  async #sendTimed(
+    caller: Caller,
+    balancer: Balancer,
+    random: Random,
+  ): Promise<void> {
+    const startMs = performance.now();
+    const vms = [balancer.pick(random), balancer.pick(random)];
+    const deployment = { ...this.#cluster.deployment, vms };
+    const mix = Math.floor(startMs / MIX_SWING_MS) % 2 === 0
+      ? LONG_PROMPTS
+      : LONG_OUTPUTS;
+    const records = await sendOne(caller, deployment, random, mix);
+    const endMs = performance.now();
+    for (const record of records) {
+      this.#records.push({ record, startMs, endMs });
+    }
+  }
+
+  async #runFaults(
+    schedule: readonly ScheduledFault[],
+    startMs: number,
+  ): Promise<void> {
+    const driver = new FaultDriver(this.#cluster, this.#network, {
+      onAccepted: (change) => {
+        if (!this.#isDisturbed(performance.now() - 1, performance.now())) {
+          this.#watch.expect(change);
+        }
+      },
+      onDrained: (record) => this.#drains.push(record),
+      onRace: (winners) => {
+        this.#raceWinnersMax = Math.max(this.#raceWinnersMax, winners);
+      },
+    });
+    const running: Promise<void>[] = [];
+    for (const fault of schedule) {
+      await sleep(Math.max(0, startMs + fault.atMs - performance.now()));
+      running.push(this.#runFault(driver, fault));
+    }
+    await Promise.all(running);
+  }
+
+  async #runFault(driver: FaultDriver, fault: ScheduledFault): Promise<void> {
+    const window: FaultWindow = {
+      fault,
+      startMs: performance.now(),
+      endMs: Infinity,
+    };
+    this.#windows.push(window);
+    if (isUnplanned(fault.kind)) this.#watch.forgive();
+    this.#options.print?.(
+      `${Math.round(fault.atMs)} ms: ${fault.kind} for ${fault.durationMs} ms`,
+    );
+    const done = await driver.run(fault).catch((error: Error) => {
+      this.#options.print?.(`${fault.kind}: ${error.message}`);
+      return true;
+    });
+    window.endMs = performance.now();
+    if (!done) this.#windows.splice(this.#windows.indexOf(window), 1);
+  }
+
+  /** Whether an unplanned fault or its aftermath touches the time span. */
+  #isDisturbed(startMs: number, endMs: number): boolean {
+    return this.#windows.some((window) =>
+      isUnplanned(window.fault.kind) &&
+      window.startMs <= endMs && window.endMs + AFTERMATH_MS >= startMs
+    );
+  }
+
+  async #scrapeViolations(untilMs: number): Promise<void> {
+    while (performance.now() < untilMs) {
+      for (const vm of this.#cluster.deployment.vms) {
+        const pid = this.#cluster.readPid(vm.id);
+        const count = await readViolations(vm.operators).catch(() => undefined);
+        if (count !== undefined) {
+          this.#violationsSeen.set(`${vm.id}/${pid}`, count);
+        }
+      }
+      await sleep(500);
+    }
+  }
+
+  async #report(): Promise<ChaosReport> {
+    const ledger = await this.#cluster.readLedger();
+    const records = this.#records.map(({ record }) => record);
+    const summary = summarizeLoad(records, ledger);
+    const orders = (
+      read: (engine: typeof ledger.engines[string]) => number,
+    ): OrderCount => {
+      const count = { checksFencing: 0, ignoresFencing: 0 };
+      for (const engine of Object.values(ledger.engines)) {
+        count[engine.checksFencing ? "checksFencing" : "ignoresFencing"] +=
+          read(engine);
+      }
+      return count;
+    };
+    const bad = this.#records.filter((entry) => this.#isBroken(entry));
+    const planned = bad.filter(({ startMs, endMs }) =>
+      !this.#isDisturbed(startMs, endMs)
+    );
+    const conflictingOrders = orders((engine) => engine.conflictingOrders);
+    const lapsedOrdersObeyed = orders((engine) => engine.lapsedOrdersObeyed);
+    const drainMs = this.#drains.map((drain) =>
+      drain.lastWorkAtMs - drain.atMs
+    );
+    const newWorkMs = Math.max(0, ...drainMs);
+    const invariants = [...this.#violationsSeen.values()].reduce(
+      (sum, count) => sum + count,
+      0,
+    );
+    const offsets = this.#watch.listOffsets();
+    const agreed = offsets.every((offset) => offset === offsets[0]);
+    const violations: Record<string, number> = {
+      conflictingOrders: conflictingOrders.checksFencing +
+        conflictingOrders.ignoresFencing,
+      lapsedOrdersObeyed: lapsedOrdersObeyed.checksFencing +
+        lapsedOrdersObeyed.ignoresFencing,
+      cutByPlannedChange: planned.length,
+      wrongAnswers: summary.wrongAnswers,
+      notRunButRun: summary.notRunButRun,
+      keysRunTwice: summary.keysRunTwice,
+      newWorkAfterDrain: drainMs.filter((ms) => ms > DRAIN_LIMIT_MS).length,
+      configSpread: this.#watch.spreadMsMax > SPREAD_LIMIT_MS ? 1 : 0,
+      configReverts: this.#watch.reverts,
+      configDisagrees: agreed ? 0 : 1,
+      raceHadTwoWinners: this.#raceWinnersMax > 1 ? 1 : 0,
+      invariants,
+    };
+    return {
+      seed: this.#options.seed,
+      requests: summary.requests,
+      wholeAnswers: summary.wholeAnswers,
+      refused: summary.refused,
+      faults: this.#countFaults(),
+      violations,
+      notRunButRun: summary.notRunButRun,
+      keysRunTwice: summary.keysRunTwice,
+      wrongAnswers: summary.wrongAnswers,
+      cutByPlannedChange: planned.length,
+      cutByFailure: bad.length - planned.length,
+      conflictingOrders,
+      lapsedOrdersObeyed,
+      ordersObeyed: orders((engine) => engine.ordersObeyed),
+      roleChanges: await this.#countRoleChanges(),
+      newWorkAfterDrainSecondsMax: newWorkMs / 1000,
+      configSpreadSecondsMax: this.#watch.spreadMsMax / 1000,
+      configReverts: this.#watch.reverts,
+      raceWinnersMax: this.#raceWinnersMax,
+      errorKinds: summary.errorKinds,
+      examples: planned.slice(0, 10).map(describeRecord),
+    };
+  }
+
+  /** Cut, failed, or refused in a way that a planned change must not cause. */
+  #isBroken({ record }: TimedRecord): boolean {
+    const { outcome, kind } = record.result;
+    if (outcome === "whole" || outcome === "wrong") return false;
+    return !(outcome === "refused" && HONEST_REFUSALS.includes(kind));
+  }
+
+  #countFaults(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { fault } of this.#windows) {
+      counts[fault.kind] = (counts[fault.kind] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  async #countRoleChanges(): Promise<number> {
+    let count = 0;
+    for (const zone of this.#cluster.deployment.fleet.availabilityZones) {
+      const inZone = this.#cluster.deployment.vms.filter((vm) =>
+        vm.availabilityZone === zone
+      );
+      const seen = await Promise.all(
+        inZone.map((vm) =>
+          this.#cluster.readStatus(vm).then(
+            (status) => status.lease.roleChanges,
+            () => 0,
+          )
+        ),
+      );
+      count += Math.max(...seen);
+    }
+    return count;
+  }
+}
+
+function describeRecord({ record, startMs, endMs }: TimedRecord): string {
+  const { outcome, kind, run, detail, tokens } = record.result;
+  const lastedMs = Math.round(endMs - startMs);
+  return `${record.what}: ${outcome} ${kind} run=${run} after ${lastedMs} ms, ${tokens} tokens: ${detail}`;
+}
+
+async function readViolations(operators: string): Promise<number> {
+  const answer = await request(`http://${operators}/metrics`, {
+    signal: AbortSignal.timeout(800),
+  });
+  const text = await answer.body.text();
+  let sum = 0;
+  for (
+    const match of text.matchAll(
+      /^heatherarch_invariant_violations_total\{[^}]*\} (\d+)/gm,
+    )
+  ) {
+    sum += Number(match[1]);
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/heatherarch-lab/chaos/schedule.ts
@@ -0,0 +1,96 @@
+/**
+ * The schedule of failures of a run: fixed by the seed, so that a run can be replayed.
+ *
+ * @module
+ */
+import { Random } from "heatherarch-core";
+
+/** Failures nobody planned. */
+export const UNPLANNED_FAULTS = [
+  "killVm",
+  "pauseVm",
+  "pauseHolder",
+  "cutZone",
+  "cutPlatform",
+  "silenceConnections",
+  "platformDown",
+  "platformSlow",
+  "loseAppendAnswers",
+  "repeatAppends",
+  "trimLog",
+  "engineCrash",
+  "engineCrashInOrder",
+  "engineFreeze",
+  "engineTruncate",
+  "engineCrossAnswers",
+  "serviceLoseAnswers",
+  "serviceCrash",
+] as const;
+
+/** Changes that operators make; they must cut nothing. */
+export const PLANNED_CHANGES = [
+  "terminateVm",
+  "drainTarget",
+  "withdrawTarget",
+  "operatorRace",
+  "reviseProfile",
+  "listLag",
+] as const;
+
+/** Name of a failure or change. */
+export type FaultKind =
+  | typeof UNPLANNED_FAULTS[number]
+  | typeof PLANNED_CHANGES[number];
+
+/** One entry of a schedule. */
+export interface ScheduledFault {
+  readonly kind: FaultKind;
+  /** Time from the start of the run, milliseconds. */
+  readonly atMs: number;
+  readonly durationMs: number;
+  /** Which VM, zone, target or link: taken modulo their number. */
+  readonly pick: number;
+}
+
+/** Length of a phase, milliseconds; unplanned and planned phases take turns. */
+const PHASE_MS = 12_000;
+/** Quiet time at the end of a phase, in which all heals. */
+const QUIET_MS = 3500;
+
+/** Whether a fault is one that nobody planned. */
+export function isUnplanned(kind: FaultKind): boolean {
+  return (UNPLANNED_FAULTS as readonly string[]).includes(kind);
+}
+
+/** Builds the schedule of a run. */
+export function buildSchedule(seed: number, totalMs: number): ScheduledFault[] {
+  const random = new Random(seed);
+  const schedule: ScheduledFault[] = [];
+  for (
+    let startMs = 1000, phase = 0;
+    startMs < totalMs;
+    startMs += PHASE_MS, phase++
+  ) {
+    const kinds = phase % 2 === 0 ? PLANNED_CHANGES : UNPLANNED_FAULTS;
+    const endMs = Math.min(startMs + PHASE_MS, totalMs) - QUIET_MS;
+    for (
+      let atMs = startMs;
+      atMs < endMs;
+      atMs += random.drawInteger(600, 2200)
+    ) {
+      const count = random.drawUnit() < 0.3 ? 2 : 1;
+      for (let i = 0; i < count; i++) {
+        schedule.push({
+          kind: random.drawItem<FaultKind>(kinds),
+          atMs,
+          durationMs: Math.min(
+            random.drawInteger(800, 5000),
+            endMs + QUIET_MS / 2 - atMs,
+          ),
+          pick: random.drawInteger(0, 1_000_000),
+        });
+      }
+    }
+  }
+  return schedule;
+}
--- a/packages/heatherarch-lab/mixed_load.ts
+++ b/packages/heatherarch-lab/mixed_load.ts
@@ -42,11 +42,24 @@
   return records;
 }
 
+/** How long readings are. */
+export interface ReadingMix {
+  readonly maxPromptTokens: number;
+  readonly maxOutputTokens: number;
+}
+
+/** Neither long prompts nor long outputs prevail. */
+export const EVEN_MIX: ReadingMix = {
+  maxPromptTokens: 1500,
+  maxOutputTokens: 80,
+};
+
 /** Sends one request, or a booking and its repeat through another VM. */
 export async function sendOne(
   caller: Caller,
   deployment: Deployment,
   random: Random,
+  mix: ReadingMix = EVEN_MIX,
 ): Promise<LoadRecord[]> {
   const url = `http://${random.drawItem(deployment.vms).callers}`;
   const services = deployment.fleet.services;
@@ -84,8 +97,8 @@
   const result = await caller.generate({
     url,
     model: model?.kind === "model" ? model.models[0] : "",
-    prompt: buildPrompt(random, random.drawInteger(20, 1500)),
-    maxTokens: random.drawInteger(4, 80),
+    prompt: buildPrompt(random, random.drawInteger(20, mix.maxPromptTokens)),
+    maxTokens: random.drawInteger(4, mix.maxOutputTokens),
     stream: random.drawUnit() < 0.8,
   });
   return [{ what: "reading", key: "", result }];
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/claims_proof.ts
@@ -0,0 +1,321 @@
+/**
+ * Proof of at-most-once claims: several owners of one shard, late and repeated appends,
+ * restarts, trimming, old keys. The oracle is the list of keys that ran.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import {
+  CLAIM_GUARDS,
+  type ClaimEntry,
+  ClaimFold,
+  type ClaimGuard,
+  type ClaimRecord,
+  CLAIMS_FORMAT,
+  type TimedRecord,
+} from "heatherarch-claims";
+import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
+
+const OWNERS = 3;
+const KEYS = 5;
+const WINDOW_MS = 10_000;
+const START_MS = 1_000_000;
+const KEY_AGES = [0, 5000];
+
+/** Guard of the owner, not of the fold: nothing is granted before the own claim is read. */
+const READ_UP_TO_OWN_CLAIM = "readUpToOwnClaim";
+
+type Operation =
+  | {
+    readonly kind: "claim";
+    readonly owner: number;
+    readonly key: number;
+    readonly ageMs: number;
+    readonly fate: Fate;
+  }
+  | {
+    readonly kind: "end";
+    readonly owner: number;
+    readonly how: "conclude" | "release";
+  }
+  | { readonly kind: "read"; readonly owner: number; readonly limit: number }
+  | { readonly kind: "restart"; readonly owner: number }
+  | { readonly kind: "trim"; readonly owner: number }
+  | { readonly kind: "arrive" }
+  | { readonly kind: "wait"; readonly ms: number };
+
+type Fate = "prompt" | "late" | "twice";
+
+interface Pending {
+  readonly claimId: string;
+  readonly key: string;
+}
+
+interface Owner {
+  fold: ClaimFold;
+  /** Claims that wait for their verdict. */
+  waiting: Map<string, Pending>;
+  /** Granted claims that have neither run out nor been released. */
+  held: Pending[];
+}
+
+/** The stream of one shard and its owners. */
+class ClaimWorld {
+  readonly #off: string | undefined;
+  readonly #log: TimedRecord[] = [];
+  readonly #late: ClaimRecord[] = [];
+  readonly #owners: Owner[] = [];
+  /** Runs by key: the oracle. */
+  readonly #runs = new Map<string, number>();
+  /** Which claim holds each key, by the order of the log: the second oracle. */
+  readonly #holders = new Map<string, string>();
+  readonly #seen = new Set<string>();
+  #first = 0;
+  #nowMs = START_MS;
+  #ids = 0;
+
+  constructor(off: string | undefined) {
+    this.#off = off;
+    for (let i = 0; i < OWNERS; i++) this.#owners.push(this.#createOwner());
+  }
+
+  apply(operation: Operation): void {
+    switch (operation.kind) {
+      case "claim":
+        return this.#claim(operation);
+      case "end":
+        return this.#end(this.#owners[operation.owner], operation.how);
+      case "read":
+        return this.#read(this.#owners[operation.owner], operation.limit);
+      case "restart":
+        this.#owners[operation.owner] = this.#createOwner();
+        return;
+      case "trim":
+        return this.#trim(this.#owners[operation.owner]);
+      case "arrive": {
+        const record = this.#late.shift();
+        if (record !== undefined) this.#append(record);
+        return;
+      }
+      case "wait":
+        this.#nowMs += operation.ms;
+    }
+  }
+
+  #createOwner(): Owner {
+    const fold = new ClaimFold({
+      keyWindowMs: WINDOW_MS,
+      futureSkewMs: 1000,
+      disabledGuards: buildGuardSet<ClaimGuard>(this.#off),
+    });
+    return { fold, waiting: new Map(), held: [] };
+  }
+
+  #claim(operation: Extract<Operation, { kind: "claim" }>): void {
+    const owner = this.#owners[operation.owner];
+    const claimId = `claim${this.#ids++}`;
+    // A key's time is part of it, so the same key always carries the same time.
+    const { text: key, madeAtMs } = buildKey(operation.key, operation.ageMs);
+    const entry: ClaimEntry = {
+      op: "claim",
+      claimId,
+      key,
+      madeAtMs,
+      fingerprint: "f",
+      vm: "vm",
+    };
+    owner.waiting.set(claimId, { claimId, key });
+    this.#send([entry], operation.fate);
+    if (this.#off === READ_UP_TO_OWN_CLAIM) this.#grantUnread(owner, claimId);
+  }
+
+  /** What an owner would do that trusts an acknowledged append. */
+  #grantUnread(owner: Owner, claimId: string): void {
+    const pending = owner.waiting.get(claimId) as Pending;
+    owner.waiting.delete(claimId);
+    if (owner.fold.getKey(pending.key) === undefined) this.#run(owner, pending);
+  }
+
+  #send(entries: ClaimEntry[], fate: Fate): void {
+    const record: ClaimRecord = {
+      type: "batch",
+      format: CLAIMS_FORMAT,
+      id: `batch${this.#ids++}`,
+      entries,
+    };
+    if (fate !== "prompt") this.#late.push(record);
+    if (fate !== "late") this.#append(record);
+  }
+
+  #append(data: ClaimRecord): void {
+    const offset = this.#first + this.#log.length;
+    this.#log.push({ offset, appendedAtMs: this.#nowMs, data });
+    if (data.type !== "batch" || this.#seen.has(data.id)) return;
+    this.#seen.add(data.id);
+    for (const entry of data.entries) this.#noteHolder(entry);
+  }
+
+  #noteHolder(entry: ClaimEntry): void {
+    const holder = this.#holders.get(entry.key);
+    if (entry.op === "release" && holder === entry.claimId) {
+      this.#holders.delete(entry.key);
+    }
+    if (entry.op !== "claim" || holder !== undefined) return;
+    if (this.#isRemembered(entry.madeAtMs)) {
+      this.#holders.set(entry.key, entry.claimId);
+    }
+  }
+
+  #isRemembered(madeAtMs: number): boolean {
+    const ageMs = this.#nowMs - madeAtMs;
+    return ageMs < WINDOW_MS && ageMs >= -1000;
+  }
+
+  /** An owner that has read everything agrees with the log's order. */
+  #checkHolders(owner: Owner): void {
+    if (owner.fold.offset !== this.#first + this.#log.length - 1) return;
+    for (let number = 0; number < KEYS; number++) {
+      for (const ageMs of KEY_AGES) {
+        const key = buildKey(number, ageMs);
+        const known = owner.fold.getKey(key.text)?.claimId;
+        if (!this.#isRemembered(key.madeAtMs) || known === undefined) continue;
+        const holder = this.#holders.get(key.text);
+        requirePromise(
+          known === holder,
+          "the first claim holds",
+          `${known}, not ${holder}`,
+        );
+      }
+    }
+  }
+
+  #end(owner: Owner, how: "conclude" | "release"): void {
+    const held = owner.held.shift();
+    if (held === undefined) return;
+    const { claimId, key } = held;
+    if (how === "release") this.#runs.set(key, (this.#runs.get(key) ?? 1) - 1);
+    this.#send([
+      how === "release" ? { op: "release", claimId, key } : {
+        op: "conclude",
+        claimId,
+        key,
+        outcome: { status: 200, headers: {} },
+      },
+    ], "prompt");
+  }
+
+  #read(owner: Owner, limit: number): void {
+    const from = owner.fold.offset + 1;
+    if (from < this.#first) {
+      // Trimmed: a snapshot must bridge the gap, else the owner grants nothing.
+      owner.waiting.clear();
+      owner.fold.loadSnapshot(this.#log);
+      return;
+    }
+    for (
+      const record of this.#log.slice(
+        from - this.#first,
+        from - this.#first + limit,
+      )
+    ) {
+      for (const [claimId, verdict] of owner.fold.apply(record)) {
+        const pending = owner.waiting.get(claimId);
+        if (pending === undefined) continue;
+        owner.waiting.delete(claimId);
+        if (verdict.kind === "granted") this.#run(owner, pending);
+      }
+    }
+    this.#checkHolders(owner);
+  }
+
+  #run(owner: Owner, pending: Pending): void {
+    const runs = (this.#runs.get(pending.key) ?? 0) + 1;
+    this.#runs.set(pending.key, runs);
+    owner.held.push(pending);
+    requirePromise(runs <= 1, "a key runs at most once", pending.key);
+  }
+
+  /** A snapshot by an owner that has read all, then everything before it goes. */
+  #trim(owner: Owner): void {
+    this.#read(owner, Infinity);
+    if (owner.fold.offset !== this.#first + this.#log.length - 1) return;
+    const parts = owner.fold.buildSnapshot(() => `snap${this.#ids++}`);
+    const keepFrom = this.#log.length;
+    for (const part of parts) this.#append(part);
+    this.#log.splice(0, keepFrom);
+    this.#first += keepFrom;
+  }
+}
+
+/** A key and the time that is part of it. */
+function buildKey(
+  number: number,
+  ageMs: number,
+): { text: string; madeAtMs: number } {
+  const madeAtMs = START_MS + number * 3000 - ageMs;
+  return { text: `${madeAtMs}-${number}`, madeAtMs };
+}
+
+const OWNER = fc.integer({ min: 0, max: OWNERS - 1 });
+
+const OPERATION: fc.Arbitrary<Operation> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("claim" as const),
+      owner: OWNER,
+      key: fc.integer({ min: 0, max: KEYS - 1 }),
+      ageMs: fc.constantFrom(...KEY_AGES),
+      fate: fc.constantFrom<Fate>("prompt", "prompt", "late", "twice"),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("end" as const),
+      owner: OWNER,
+      how: fc.constantFrom("conclude" as const, "release" as const),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("read" as const),
+      owner: OWNER,
+      limit: fc.constantFrom(1, 3, 1000),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("restart" as const),
+      owner: OWNER,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("trim" as const), owner: OWNER }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant("arrive" as const) }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("wait" as const),
+      ms: fc.constantFrom(100, 4000, 11_000),
+    }),
+  },
+);
+
+/** Claims under random schedules. */
+export const CLAIMS_PROOF: Proof = {
+  name: "claims",
+  guards: [...CLAIM_GUARDS, READ_UP_TO_OWN_CLAIM],
+  build: (off) =>
+    fc.property(
+      fc.array(OPERATION, { minLength: 20, maxLength: 120, size: "max" }),
+      (operations) => {
+        const world = new ClaimWorld(off);
+        for (const operation of operations) world.apply(operation);
+      },
+    ),
+};
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/config_proof.ts
@@ -0,0 +1,259 @@
+/**
+ * Proof of the configuration: racing operators, repeated appends, trimming, stale peers.
+ * The oracle is a plain table of revisions.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import {
+  CONFIG_FORMAT,
+  CONFIG_GUARDS,
+  CONFIG_VIEW_GUARDS,
+  type ConfigGuard,
+  type ConfigState,
+  ConfigView,
+  type ConfigViewGuard,
+  loadConfigSnapshot,
+  type LogRecord,
+} from "heatherarch-log";
+import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
+
+const VIEWS = 3;
+const NAMES = ["fast", "slow"];
+
+type Operation =
+  | {
+    readonly kind: "publish";
+    readonly view: number;
+    readonly name: number;
+    readonly value: number;
+    readonly deletes: boolean;
+    readonly twice: boolean;
+  }
+  | { readonly kind: "read"; readonly view: number; readonly limit: number }
+  | { readonly kind: "ask"; readonly view: number; readonly peer: number }
+  | { readonly kind: "restart"; readonly view: number }
+  | { readonly kind: "trim"; readonly view: number }
+  | { readonly kind: "arrive" };
+
+interface Expected {
+  readonly revision: number;
+  readonly value: number;
+}
+
+interface PublishedRecord {
+  readonly type: string;
+  readonly id: string;
+  readonly baseRevision: number;
+  readonly change: {
+    readonly name?: string;
+    readonly profile?: { readonly name: string; readonly deadlineMs: number };
+  };
+}
+
+/** The stream, the processes that follow it, and the oracle. */
+class ConfigWorld {
+  readonly #off: string | undefined;
+  readonly #log: LogRecord[] = [];
+  readonly #late: unknown[] = [];
+  readonly #views: ConfigView[] = [];
+  readonly #applied: number[] = [];
+  readonly #oracle = new Map<string, Expected>();
+  readonly #seen = new Set<string>();
+  /** What the oracle held after each offset. */
+  readonly #expected: ReadonlyMap<string, Expected>[] = [];
+  #first = 0;
+  #ids = 0;
+
+  constructor(off: string | undefined) {
+    this.#off = off;
+    for (let i = 0; i < VIEWS; i++) this.#restart(i);
+  }
+
+  apply(operation: Operation): void {
+    switch (operation.kind) {
+      case "publish":
+        return this.#publish(operation);
+      case "read":
+        return this.#read(operation.view, operation.limit);
+      case "ask":
+        return this.#ask(operation.view, operation.peer);
+      case "restart":
+        return this.#restart(operation.view);
+      case "trim":
+        return this.#trim(operation.view);
+      case "arrive":
+        if (this.#late.length > 0) this.#append(this.#late.shift());
+    }
+  }
+
+  #restart(index: number): void {
+    this.#views[index] = new ConfigView({
+      keptRecords: 4,
+      disabledGuards: buildGuardSet<ConfigGuard>(this.#off),
+      disabledViewGuards: buildGuardSet<ConfigViewGuard>(this.#off),
+    });
+    this.#applied[index] = -1;
+  }
+
+  #publish(operation: Extract<Operation, { kind: "publish" }>): void {
+    const name = NAMES[operation.name];
+    const { state } = this.#views[operation.view];
+    const record = {
+      type: "change",
+      format: CONFIG_FORMAT,
+      id: `id${this.#ids++}`,
+      author: `operator${operation.view}`,
+      atMs: 0,
+      baseRevision: state.profiles[name]?.revision ?? -1,
+      change: operation.deletes ? { kind: "deleteProfile", name } : {
+        kind: "putProfile",
+        profile: { name, deadlineMs: operation.value },
+      },
+    };
+    this.#append(record);
+    if (operation.twice) this.#late.push(record);
+  }
+
+  #append(data: unknown): void {
+    const offset = this.#first + this.#log.length;
+    this.#log.push({ offset, appendedAtMs: 0, data });
+    this.#applyToOracle(offset, data as never);
+    this.#expected[offset] = new Map(this.#oracle);
+  }
+
+  #applyToOracle(offset: number, record: PublishedRecord): void {
+    if (record.type !== "change" || this.#seen.has(record.id)) return;
+    this.#seen.add(record.id);
+    const { change } = record;
+    const name = change.name ?? change.profile?.name ?? "";
+    if ((this.#oracle.get(name)?.revision ?? -1) !== record.baseRevision) {
+      return;
+    }
+    if (change.profile === undefined) this.#oracle.delete(name);
+    else {this.#oracle.set(name, {
+        revision: offset,
+        value: change.profile.deadlineMs,
+      });}
+  }
+
+  #read(index: number, limit: number): void {
+    const view = this.#views[index];
+    const from = view.state.offset + 1;
+    if (from < this.#first) {
+      const state = loadConfigSnapshot(this.#log);
+      if (state !== undefined) view.takeState(state);
+    } else {
+      const start = from - this.#first;
+      view.takeRecords(this.#log.slice(start, start + limit));
+    }
+    this.#check(index);
+  }
+
+  #ask(index: number, peer: number): void {
+    const view = this.#views[index];
+    // A peer may answer late: what it says was asked for long ago.
+    const update = this.#views[peer].buildUpdate(0);
+    if (update.kind === "records") view.takeRecords(update.records);
+    else view.takeState(update.state);
+    this.#check(index);
+  }
+
+  #trim(index: number): void {
+    this.#read(index, Infinity);
+    const { state } = this.#views[index];
+    if (state.offset !== this.#first + this.#log.length - 1) return;
+    const keepFrom = this.#log.length;
+    const id = `snap${this.#ids++}`;
+    this.#append({
+      type: "snapshot",
+      format: CONFIG_FORMAT,
+      id,
+      coversOffset: state.offset,
+      state,
+    });
+    this.#log.splice(0, keepFrom);
+    this.#first += keepFrom;
+  }
+
+  #check(index: number): void {
+    const { state } = this.#views[index];
+    requirePromise(
+      state.offset >= this.#applied[index],
+      "the configuration never reverts",
+      `${state.offset} after ${this.#applied[index]}`,
+    );
+    this.#applied[index] = state.offset;
+    requirePromise(
+      this.#isExpected(state),
+      "the same offset gives the same state",
+      `offset ${state.offset}`,
+    );
+  }
+
+  #isExpected(state: ConfigState): boolean {
+    if (state.offset < 0) return Object.keys(state.profiles).length === 0;
+    const expected = this.#expected[state.offset];
+    return NAMES.every((name) => {
+      const has = state.profiles[name];
+      const wants = expected.get(name);
+      return has?.revision === wants?.revision &&
+        has?.profile.deadlineMs === wants?.value;
+    });
+  }
+}
+
+const VIEW = fc.integer({ min: 0, max: VIEWS - 1 });
+
+const OPERATION: fc.Arbitrary<Operation> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant("publish" as const),
+      view: VIEW,
+      name: fc.integer({ min: 0, max: NAMES.length - 1 }),
+      value: fc.integer({ min: 50, max: 5000 }),
+      deletes: fc.boolean(),
+      twice: fc.boolean(),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("read" as const),
+      view: VIEW,
+      limit: fc.constantFrom(1, 100),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant("ask" as const),
+      view: VIEW,
+      peer: VIEW,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("restart" as const), view: VIEW }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("trim" as const), view: VIEW }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant("arrive" as const) }) },
+);
+
+/** The configuration under random schedules. */
+export const CONFIG_PROOF: Proof = {
+  name: "config",
+  guards: [...CONFIG_GUARDS, ...CONFIG_VIEW_GUARDS],
+  build: (off) =>
+    fc.property(
+      fc.array(OPERATION, { minLength: 10, maxLength: 80, size: "max" }),
+      (operations) => {
+        const world = new ConfigWorld(off);
+        for (const operation of operations) world.apply(operation);
+      },
+    ),
+};
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/fake_host.ts
@@ -0,0 +1,180 @@
+/**
+ * A gateway host over fake engines, whose answers the test delivers by hand.
+ *
+ * @module
+ */
+import { type Clock, RuntimeClock, ServeError } from "heatherarch-core";
+import type { ClaimAnswer, GatewayHost, RequestEnd } from "heatherarch-gateway";
+import {
+  type Candidate,
+  createRouter,
+  DemandMeter,
+  EngineModel,
+  LoadTracker,
+  RetryBudget,
+} from "heatherarch-policy";
+import {
+  parseProcessSettings,
+  type ProcessSettings,
+  type Target,
+} from "heatherarch-settings";
+import type {
+  EngineCall,
+  EnginePort,
+  EngineSink,
+  ServiceCall,
+  WholeAnswer,
+} from "heatherarch-targets";
+
+/** One try that a fake engine was given. */
+export interface FakeTry {
+  readonly target: string;
+  readonly call: EngineCall;
+  readonly sink: EngineSink;
+  aborted: boolean;
+}
+
+/** Options of {@linkcode createFakeHost}. */
+export interface FakeHostOptions {
+  readonly engines: readonly string[];
+  readonly clock?: Clock;
+  /** Answers calls on plain services. */
+  readonly answerService?: (
+    target: string,
+    call: ServiceCall,
+  ) => Promise<WholeAnswer>;
+  readonly answerClaim?: () => Promise<ClaimAnswer>;
+  readonly withResume?: boolean;
+}
+
+/** A host and what it was asked. */
+export interface FakeHost {
+  readonly host: GatewayHost;
+  readonly tries: FakeTry[];
+  readonly ends: RequestEnd[];
+  /** Targets that get no new work. */
+  readonly unusable: Set<string>;
+}
+
+/** Settings of a process with all defaults. */
+export function buildTestSettings(): ProcessSettings {
+  const settings = parseProcessSettings({
+    vm: { id: "vm1", availabilityZone: "zone-a" },
+    listen: {
+      callers: "127.0.0.1:1",
+      operators: "127.0.0.1:2",
+      mesh: "127.0.0.1:3",
+    },
+    platform: { log: "http://127.0.0.1:4", vmList: "http://127.0.0.1:4/vms" },
+  });
+  return settings.unwrap() as ProcessSettings;
+}
+
+/** Creates a host whose engines do nothing by themselves. */
+export function createFakeHost(options: FakeHostOptions): FakeHost {
+  const tries: FakeTry[] = [];
+  const ends: RequestEnd[] = [];
+  const unusable = new Set<string>();
+  const clock = options.clock ?? new RuntimeClock();
+  const model = new EngineModel();
+  const settings = buildTestSettings();
+  const router = createRouter("prefixAffinity", model);
+  const host: GatewayHost = {
+    vmId: "vm1",
+    clock,
+    limits: settings.requests,
+    claimLimits: settings.claims,
+    targets: {
+      listCandidates: () =>
+        options.engines.filter((id) => !unusable.has(id)).map((id) =>
+          buildCandidate(id)
+        ),
+      findTarget: (id) => buildTarget(id),
+      getEngine: (target) =>
+        createFakeEngine(target.id, tries, options.withResume ?? false),
+      getService: (target) => ({
+        readState: () => Promise.resolve({ running: 0, leaving: false }),
+        send: (call) =>
+          options.answerService?.(target.id, call) ??
+            Promise.resolve({ kind: "notSent", detail: "" }),
+        close: () => Promise.resolve(),
+      }),
+      noteFailure: () => undefined,
+      noteSuccess: () => undefined,
+    },
+    tracker: new LoadTracker({ reportLagMs: 0 }),
+    model,
+    demand: new DemandMeter(1000),
+    retries: new RetryBudget({ share: 1, reserve: 100 }),
+    claims: {
+      claim: options.answerClaim ??
+        (() =>
+          Promise.resolve({
+            kind: "refused",
+            error: new ServeError("internal", "no claims"),
+          })),
+    },
+    events: {
+      noteEnd: (end) => ends.push(end),
+      noteRetry: () => undefined,
+      noteContinuation: () => undefined,
+      noteHedge: () => undefined,
+    },
+    readRefusal: () => undefined,
+    readFleet: () => null,
+    findProfile: () => undefined,
+    getRouter: () => router,
+    countVms: () => 1,
+    readRemoteStream: () =>
+      Promise.resolve({ texts: [], state: "unknown", model: "" }),
+  };
+  return { host, tries, ends, unusable };
+}
+
+function buildCandidate(id: string): Candidate {
+  return {
+    id,
+    sameZone: true,
+    role: "mixed",
+    load: { running: 0, waiting: 0, pendingPrefillTokens: 0 },
+    maxConcurrent: 64,
+    distanceMs: 0,
+  };
+}
+
+function buildTarget(id: string): Target {
+  return {
+    id,
+    service: "reader",
+    availabilityZone: "zone-a",
+    address: "127.0.0.1:9",
+    dialect: "sse",
+    checksFencing: true,
+    role: "mixed",
+    maxConcurrent: 64,
+  };
+}
+
+function createFakeEngine(
+  target: string,
+  tries: FakeTry[],
+  withResume: boolean,
+): EnginePort {
+  const start = (call: EngineCall, sink: EngineSink) => {
+    const attempt: FakeTry = { target, call, sink, aborted: false };
+    tries.push(attempt);
+    return {
+      isSent: true,
+      abort: () => {
+        attempt.aborted = true;
+      },
+    };
+  };
+  return {
+    readState: () => Promise.reject(new Error("not used")),
+    generate: start,
+    ...(withResume ? { resume: (call, _from, sink) => start(call, sink) } : {}),
+    giveOrder: () => Promise.resolve({ kind: "accepted" }),
+    close: () => Promise.resolve(),
+  };
+}
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/generation_proof.ts
@@ -0,0 +1,170 @@
+/**
+ * Proof of the life of a generation: engines that break off, end early, refuse, go silent, or
+ * go on sending after their try was abandoned. The oracle is the text that the prompt gives.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import {
+  Generation,
+  GENERATION_GUARDS,
+  type GenerationGuard,
+} from "heatherarch-gateway";
+import { DEFAULT_PROFILE } from "heatherarch-settings";
+import { computeCompletion } from "heatherarch-standins";
+import type { EngineFailure } from "heatherarch-targets";
+import { createFakeHost, type FakeTry } from "./fake_host.ts";
+import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
+
+const PROMPT = "what does the fare rule say";
+const MAX_TOKENS = 6;
+const FAR_DEADLINE_MS = 60_000;
+
+type Operation =
+  | {
+    readonly kind: "tokens";
+    readonly attempt: number;
+    readonly count: number;
+  }
+  | { readonly kind: "end"; readonly attempt: number }
+  | {
+    readonly kind: "fail";
+    readonly attempt: number;
+    readonly failure: EngineFailure;
+  };
+
+/** Picks a try; high numbers mean the newest one. */
+function pickTry(tries: readonly FakeTry[], attempt: number): number {
+  return attempt >= 2 ? tries.length - 1 : Math.min(attempt, tries.length - 1);
+}
+
+function checkOperations(
+  operations: readonly Operation[],
+  off: ReadonlySet<GenerationGuard>,
+): void {
+  const { host, tries } = createFakeHost({ engines: ["e1", "e2", "e3"] });
+  const sent: number[] = [];
+  let text = "";
+  let outcome = "running";
+  const generation = new Generation({
+    host,
+    requestId: "r",
+    service: "reader",
+    model: "m",
+    prompt: PROMPT,
+    promptTokens: 7,
+    maxTokens: MAX_TOKENS,
+    profile: { ...DEFAULT_PROFILE, kvTransferMinTokens: 0 },
+    deadlineAtMs: host.clock.readMonotonicMs() + FAR_DEADLINE_MS,
+    sink: {
+      onTokens: (texts) => {
+        text += texts.join("");
+      },
+      onEnd: () => {
+        requirePromise(outcome === "running", "one final answer", outcome);
+        outcome = "ended";
+      },
+      onError: () => {
+        requirePromise(outcome === "running", "one final answer", outcome);
+        outcome = "failed";
+      },
+    },
+    disabledGuards: off,
+  });
+  try {
+    generation.start();
+    for (const operation of operations) {
+      const at = pickTry(tries, operation.attempt);
+      deliver(tries[at], sent, { at, operation });
+      const expected = computeCompletion(PROMPT, MAX_TOKENS);
+      requirePromise(
+        expected.startsWith(text),
+        "the answer is the request's own",
+        text,
+      );
+      const whole = text === expected;
+      requirePromise(
+        outcome !== "ended" || whole,
+        "an ended answer is whole",
+        text,
+      );
+    }
+  } finally {
+    generation.cancel();
+  }
+}
+
+/** What a try's engine does; it always generates what its own prompt gives. */
+function deliver(
+  attempt: FakeTry,
+  sent: number[],
+  { at, operation }: { at: number; operation: Operation },
+): void {
+  const before = sent[at] ?? 0;
+  switch (operation.kind) {
+    case "tokens": {
+      const count = Math.min(operation.count, attempt.call.maxTokens - before);
+      if (count <= 0) return;
+      sent[at] = before + count;
+      const all = computeCompletion(attempt.call.prompt, before + count);
+      const tokens = all.match(/\S+ /g) ?? [];
+      attempt.sink.onTokens(tokens.slice(before));
+      return;
+    }
+    case "end":
+      attempt.sink.onEnd({
+        reason: "length",
+        promptTokens: 7,
+        cachedTokens: 0,
+      });
+      return;
+    case "fail":
+      attempt.sink.onFailure(operation.failure, "");
+  }
+}
+
+const ATTEMPT = fc.integer({ min: 0, max: 5 });
+
+const OPERATION: fc.Arbitrary<Operation> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant("tokens" as const),
+      attempt: ATTEMPT,
+      count: fc.integer({ min: 1, max: 3 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("end" as const),
+      attempt: ATTEMPT,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("fail" as const),
+      attempt: ATTEMPT,
+      failure: fc.constantFrom<EngineFailure>(
+        "broken",
+        "silent",
+        "refused",
+        "notSent",
+        "mismatched",
+      ),
+    }),
+  },
+);
+
+/** Generations under random engines. */
+export const GENERATION_PROOF: Proof = {
+  name: "generation",
+  guards: GENERATION_GUARDS,
+  build: (off) =>
+    fc.property(
+      fc.array(OPERATION, { minLength: 1, maxLength: 30, size: "max" }),
+      (operations) =>
+        checkOperations(operations, buildGuardSet<GenerationGuard>(off)),
+    ),
+};
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/lease_proof.ts
@@ -0,0 +1,241 @@
+/**
+ * Proof of the lease: several processes with drifting clocks, pauses, lost, late and repeated
+ * appends. An order under a replaced claim must never follow one under its successor.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import {
+  LEASE_GUARDS,
+  type LeaseAction,
+  type LeaseGuard,
+  LeaseMachine,
+} from "heatherarch-lease";
+import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
+
+const PROCESSES = 2;
+const DURATION_MS = 1000;
+const DRIFT_MS = 520;
+const RENEW_MS = 250;
+/** Clock rates that drift apart by less than the bound within one lease. */
+const CLOCK_RATES = [1.2, 0.8];
+
+type Operation =
+  | { readonly kind: "wait"; readonly ms: number }
+  | { readonly kind: "read"; readonly process: number; readonly limit: number }
+  | {
+    readonly kind: "tick";
+    readonly process: number;
+    readonly fate: AppendFate;
+  }
+  | { readonly kind: "order"; readonly process: number }
+  | { readonly kind: "restart"; readonly process: number }
+  | { readonly kind: "arrive" };
+
+type AppendFate = "prompt" | "late" | "lost" | "twice";
+
+interface Process {
+  readonly incarnation: string;
+  machine: LeaseMachine;
+  readSentAtMs: number;
+}
+
+/** The log, the processes and the one engine of a schedule. */
+class LeaseWorld {
+  readonly #off: ReadonlySet<LeaseGuard>;
+  readonly #log: unknown[] = [];
+  readonly #late: unknown[] = [];
+  readonly #processes: Process[] = [];
+  readonly #readWhenClaimed = new Map<string, number>();
+  #realMs = 0;
+  #ids = 0;
+  #incarnations = 0;
+  #highestOrder = -1;
+
+  constructor(off: ReadonlySet<LeaseGuard>) {
+    this.#off = off;
+    for (let i = 0; i < PROCESSES; i++) {
+      this.#processes.push(this.#createProcess(i));
+    }
+  }
+
+  apply(operation: Operation): void {
+    switch (operation.kind) {
+      case "wait":
+        this.#realMs += operation.ms;
+        break;
+      case "read":
+        this.#read(operation.process, operation.limit);
+        break;
+      case "tick":
+        this.#tick(operation.process, operation.fate);
+        break;
+      case "order":
+        this.#order(operation.process);
+        break;
+      case "restart":
+        this.#processes[operation.process] = this.#createProcess(
+          operation.process,
+        );
+        break;
+      case "arrive":
+        if (this.#late.length > 0) this.#log.push(this.#late.shift());
+        break;
+    }
+  }
+
+  #createProcess(index: number): Process {
+    const incarnation = `run${this.#incarnations++}`;
+    const machine = new LeaseMachine({
+      vm: `vm${index}`,
+      incarnation,
+      durationMs: DURATION_MS,
+      driftMs: DRIFT_MS,
+      renewMs: RENEW_MS,
+      createId: () => `id${this.#ids++}`,
+      disabledGuards: this.#off,
+    });
+    return { incarnation, machine, readSentAtMs: -Infinity };
+  }
+
+  #readClock(index: number): number {
+    return 1e6 * index + this.#realMs * CLOCK_RATES[index];
+  }
+
+  #read(index: number, limit: number): void {
+    const process = this.#processes[index];
+    const nowMs = this.#readClock(index);
+    const from = process.machine.state.offset + 1;
+    for (
+      let offset = from;
+      offset < Math.min(this.#log.length, from + limit);
+      offset++
+    ) {
+      const before = process.machine.state.claim;
+      process.machine.applyRecord({ offset, data: this.#log[offset] }, nowMs);
+      this.#checkDisplacement(before, process.machine.state.claim, offset);
+    }
+    if (process.machine.state.offset === this.#log.length - 1) {
+      process.readSentAtMs = nowMs;
+    }
+  }
+
+  /** A claim never displaces a holder whose renewal the claimant had not read. */
+  #checkDisplacement(
+    before: { lastSignOffset: number } | null,
+    after: { claimOffset: number } | null,
+    offset: number,
+  ): void {
+    if (after === null || after.claimOffset !== offset || before === null) {
+      return;
+    }
+    const id = (this.#log[offset] as { id: string }).id;
+    const readUpTo = this.#readWhenClaimed.get(id) ?? Infinity;
+    requirePromise(
+      before.lastSignOffset <= readUpTo,
+      "no live holder is displaced unseen",
+      `sign at ${before.lastSignOffset}, read up to ${readUpTo}`,
+    );
+  }
+
+  #tick(index: number, fate: AppendFate): void {
+    const process = this.#processes[index];
+    const actions = process.machine.tick(
+      this.#readClock(index),
+      process.readSentAtMs,
+    );
+    for (const action of actions) this.#append(process, action, fate);
+  }
+
+  #append(process: Process, { record }: LeaseAction, fate: AppendFate): void {
+    if (record.type === "claim") {
+      this.#readWhenClaimed.set(record.id, process.machine.state.offset);
+    }
+    if (fate === "lost") return;
+    if (fate === "late" || fate === "twice") this.#late.push(record);
+    if (fate !== "late") this.#log.push(record);
+  }
+
+  /** Check and write are one step, as the executor's guard makes them. */
+  #order(index: number): void {
+    const { machine, incarnation } = this.#processes[index];
+    if (!machine.hasAuthority(this.#readClock(index))) return;
+    const claim = this.#log[machine.fencing] as { incarnation?: string };
+    requirePromise(
+      claim.incarnation === incarnation,
+      "only the claimant orders under its claim",
+      `${incarnation} under the claim of ${claim.incarnation}`,
+    );
+    requirePromise(
+      machine.fencing >= this.#highestOrder,
+      "lapsed authority has no effect",
+      `order under ${machine.fencing} after one under ${this.#highestOrder}`,
+    );
+    this.#highestOrder = machine.fencing;
+  }
+}
+
+const PROCESS = fc.integer({ min: 0, max: PROCESSES - 1 });
+const FATE = fc.constantFrom<AppendFate>(
+  "prompt",
+  "prompt",
+  "prompt",
+  "late",
+  "lost",
+  "twice",
+);
+
+const OPERATION: fc.Arbitrary<Operation> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("wait" as const),
+      ms: fc.integer({ min: 20, max: 1100 }),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("read" as const),
+      process: PROCESS,
+      limit: fc.constantFrom(1, 2, 100, 100),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("tick" as const),
+      process: PROCESS,
+      fate: FATE,
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("order" as const),
+      process: PROCESS,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("restart" as const),
+      process: PROCESS,
+    }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant("arrive" as const) }) },
+);
+
+/** The lease under random schedules. */
+export const LEASE_PROOF: Proof = {
+  name: "lease",
+  guards: LEASE_GUARDS,
+  build: (off) =>
+    fc.property(
+      fc.array(OPERATION, { minLength: 40, maxLength: 220, size: "max" }),
+      (operations) => {
+        const world = new LeaseWorld(buildGuardSet<LeaseGuard>(off));
+        for (const operation of operations) world.apply(operation);
+      },
+    ),
+};
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * Proofs of the decision machines.
+ *
+ * @module
+ */
+import { CLAIMS_PROOF } from "./claims_proof.ts";
+import { CONFIG_PROOF } from "./config_proof.ts";
+import { GENERATION_PROOF } from "./generation_proof.ts";
+import { LEASE_PROOF } from "./lease_proof.ts";
+import { LEAVING_PROOF } from "./leaving_proof.ts";
+import { ORDER_WRITE_PROOF } from "./order_write_proof.ts";
+import { PARSER_PROOF } from "./parser_proof.ts";
+import type { Proof } from "./proof.ts";
+
+export * from "./fake_host.ts";
+export * from "./proof.ts";
+
+/** All proofs, with the number of schedules that a test run and a mutation run try. */
+export const PROOFS: readonly {
+  proof: Proof;
+  testRuns: number;
+  mutationRuns: number;
+}[] = [
+  { proof: LEASE_PROOF, testRuns: 400, mutationRuns: 300_000 },
+  { proof: CLAIMS_PROOF, testRuns: 400, mutationRuns: 20_000 },
+  { proof: CONFIG_PROOF, testRuns: 300, mutationRuns: 5000 },
+  { proof: LEAVING_PROOF, testRuns: 500, mutationRuns: 5000 },
+  { proof: PARSER_PROOF, testRuns: 500, mutationRuns: 5000 },
+  { proof: GENERATION_PROOF, testRuns: 300, mutationRuns: 5000 },
+  { proof: ORDER_WRITE_PROOF, testRuns: 20, mutationRuns: 100 },
+];
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/order_write_proof.ts
@@ -0,0 +1,77 @@
+/**
+ * Proof of the last check before a write, over real sockets: the lease lapses between the
+ * decision to give an order and the moment its bytes are written.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import { EngineServer } from "heatherarch-standins";
+import { createEngine } from "heatherarch-targets";
+import { type Proof, requirePromise } from "./proof.ts";
+
+const CHECK_BEFORE_WRITE = "checkBeforeWrite";
+
+interface Schedule {
+  readonly dialect: "sse" | "ndjson";
+  /** Times that the authority is still seen to hold. */
+  readonly checksLeft: number;
+}
+
+async function checkSchedule(
+  schedule: Schedule,
+  off: string | undefined,
+): Promise<void> {
+  const { dialect } = schedule;
+  const server = new EngineServer({
+    id: "e",
+    dialect,
+    checksFencing: dialect === "sse",
+    role: "mixed",
+    model: "m",
+    version: "1",
+  });
+  const address = await server.listen();
+  const timeouts = { connectMs: 1000, firstByteMs: 1000, gapMs: 1000 };
+  const engine = createEngine(dialect, {
+    address,
+    maxConnections: 2,
+    timeouts,
+  });
+  let checksLeft = schedule.checksLeft;
+  const hasAuthority = (): boolean => checksLeft-- > 0;
+  try {
+    if (!hasAuthority()) return;
+    await engine.giveOrder({ kind: "setRole", role: "decode" }, {
+      fencing: 1,
+      guard: off === CHECK_BEFORE_WRITE ? () => true : hasAuthority,
+      timeoutMs: 1000,
+    });
+    const lapsed = schedule.checksLeft < 2;
+    requirePromise(
+      !lapsed || server.ledger.ordersObeyed === 0,
+      "lapsed authority has no effect",
+      `${server.ledger.ordersObeyed} orders obeyed by a ${dialect} engine`,
+    );
+    requirePromise(
+      lapsed || server.ledger.ordersObeyed === 1,
+      "a valid order arrives",
+    );
+  } finally {
+    await engine.close();
+    await server.close();
+  }
+}
+
+/** Orders whose authority lapses on the way. */
+export const ORDER_WRITE_PROOF: Proof = {
+  name: "order-write",
+  guards: [CHECK_BEFORE_WRITE],
+  build: (off) =>
+    fc.asyncProperty(
+      fc.record({
+        dialect: fc.constantFrom("sse" as const, "ndjson" as const),
+        checksLeft: fc.integer({ min: 0, max: 2 }),
+      }),
+      (schedule) => checkSchedule(schedule, off),
+    ),
+};
--- a/packages/heatherarch-log/config_fold.ts
+++ b/packages/heatherarch-log/config_fold.ts
@@ -72,13 +72,25 @@
   seen: [],
 });
 
+/** Guards of the fold; the proofs switch them off one at a time. */
+export const CONFIG_GUARDS = ["dropRepeatedId", "refuseStaleBase"] as const;
+/** Name of a guard. */
+export type ConfigGuard = typeof CONFIG_GUARDS[number];
+
+/** Options of the fold. */
+export interface ConfigFoldOptions {
+  readonly disabledGuards?: ReadonlySet<ConfigGuard>;
+}
+
 type Draft = { -readonly [Key in keyof ConfigState]: ConfigState[Key] };
 
 /** Applies the record that follows `state` and returns the next state. */
 export function applyConfigRecord(
   state: ConfigState,
   record: LogRecord,
+  options: ConfigFoldOptions = {},
 ): ConfigState {
+  const off = options.disabledGuards;
   assertInvariant(
     record.offset === state.offset + 1,
     "config-contiguous",
@@ -87,9 +99,15 @@
   const draft: Draft = { ...state, offset: record.offset };
   const parsed = parseConfigRecord(record.data);
   if (parsed === undefined || parsed.type === "snapshot") return draft;
-  if (state.seen.includes(parsed.id)) return draft;
+  if (state.seen.includes(parsed.id) && !off?.has("dropRepeatedId")) {
+    return draft;
+  }
   draft.seen = [...state.seen, parsed.id].slice(-SEEN_LIMIT);
-  const reason = applyChange(draft, parsed, record.offset);
+  const current = readBaseRevision(state, parsed.change);
+  const stale = parsed.baseRevision !== current && !off?.has("refuseStaleBase");
+  const reason = stale
+    ? describeStale(state, parsed.baseRevision, current)
+    : applyChange(draft, parsed, record.offset);
   const entry: AuditEntry = {
     offset: record.offset,
     id: parsed.id,
@@ -183,13 +201,7 @@
   record: ConfigChangeRecord,
   offset: number,
 ): string | undefined {
-  const { change, baseRevision } = record;
-  const current = readBaseRevision(draft, change);
-  if (baseRevision !== current) {
-    const winner = draft.audit.find((entry) => entry.offset === current);
-    const by = winner ? ` by ${winner.author} (${winner.what})` : "";
-    return `base revision ${baseRevision} is stale: revision ${current}${by} came first`;
-  }
+  const { change } = record;
   switch (change.kind) {
     case "publishFleet": {
       const fleet = parseFleet(change.fleet);
@@ -221,6 +233,16 @@
   }
 }
 
+function describeStale(
+  state: ConfigState,
+  base: number,
+  current: number,
+): string {
+  const winner = state.audit.find((entry) => entry.offset === current);
+  const by = winner ? ` by ${winner.author} (${winner.what})` : "";
+  return `base revision ${base} is stale: revision ${current}${by} came first`;
+}
+
 function applyDirective(
   draft: Draft,
   change: Extract<ConfigChange, { kind: "directTarget" }>,
--- a/packages/heatherarch-log/mod.ts
+++ b/packages/heatherarch-log/mod.ts
@@ -6,6 +6,7 @@
  */
 export * from "./config_fold.ts";
 export * from "./config_records.ts";
+export * from "./config_view.ts";
 export * from "./http_log.ts";
 export * from "./log_port.ts";
 export * from "./log_writer.ts";
--- a/packages/heatherarch-mesh/leaving_set.ts
+++ b/packages/heatherarch-mesh/leaving_set.ts
@@ -12,12 +12,30 @@
   readonly sinceOffset: number;
 }
 
+/** Guards of the set; the proofs switch them off one at a time. */
+export const LEAVING_GUARDS = [
+  "restoreOutranksOlderMarks",
+  "keepHighestMark",
+] as const;
+/** Name of a guard. */
+export type LeavingGuard = typeof LEAVING_GUARDS[number];
+
+/** Options of {@linkcode LeavingSet}. */
+export interface LeavingSetOptions {
+  readonly disabledGuards?: ReadonlySet<LeavingGuard>;
+}
+
 /** A set of marks that merges by taking the higher offset. */
 export class LeavingSet {
   readonly #marks = new Map<string, number>();
   readonly #restores = new Map<string, number>();
+  readonly #off: ReadonlySet<LeavingGuard>;
   #version = 0;
 
+  constructor(options: LeavingSetOptions = {}) {
+    this.#off = options.disabledGuards ?? new Set();
+  }
+
   /** Increases with each change. */
   get version(): number {
     return this.#version;
@@ -26,8 +44,10 @@
   /** Adds a mark; returns whether the set changed. */
   mark(target: string, sinceOffset: number): boolean {
     const known = this.#marks.get(target);
-    if (known !== undefined && known >= sinceOffset) return false;
-    if ((this.#restores.get(target) ?? -1) > sinceOffset) return false;
+    const lower = known !== undefined && known >= sinceOffset;
+    if (lower && !this.#off.has("keepHighestMark")) return false;
+    const restored = (this.#restores.get(target) ?? -1) > sinceOffset;
+    if (restored && !this.#off.has("restoreOutranksOlderMarks")) return false;
     this.#marks.set(target, sinceOffset);
     this.#version++;
     return true;
--- a/packages/heatherarch-targets/engine_client.ts
+++ b/packages/heatherarch-targets/engine_client.ts
@@ -38,6 +38,16 @@
   finish(): void;
 }
 
+/** Guards of the parsers; the proofs switch them off one at a time. */
+export const PARSER_GUARDS = ["tryIdMatch", "endMarker"] as const;
+/** Name of a guard. */
+export type ParserGuard = typeof PARSER_GUARDS[number];
+
+/** Options of a parser. */
+export interface ParserOptions {
+  readonly disabledGuards?: ReadonlySet<ParserGuard>;
+}
+
 /** Builds the parser for one try. */
 export type ParserFactory = (
   call: EngineCall,
--- a/packages/heatherarch-targets/ndjson_engine.ts
+++ b/packages/heatherarch-targets/ndjson_engine.ts
@@ -11,9 +11,12 @@
   checkEngineState,
   EngineClient,
   type EngineOptions,
+  type ParserGuard,
+  type ParserOptions,
 } from "./engine_client.ts";
 import type {
   EngineCall,
+  EngineEnd,
   EnginePort,
   EngineSink,
   EngineTry,
@@ -114,17 +117,35 @@
   }
 }
 
-function createLineParser(call: EngineCall, sink: EngineSink): AnswerParser {
-  return new LineAnswerParser(call, sink);
+/** Creates the parser of one answer. */
+export function createLineParser(
+  call: EngineCall,
+  sink: EngineSink,
+  options: ParserOptions = {},
+): AnswerParser {
+  return new LineAnswerParser(call, sink, options.disabledGuards);
 }
 
+/** What an answer without its end marker would be taken for without the guard. */
+const UNMARKED_END: EngineEnd = {
+  reason: "stop",
+  promptTokens: 0,
+  cachedTokens: 0,
+};
+
 /** Reads lines, checks that each carries the try's id, and passes on tokens. */
 class LineAnswerParser implements AnswerParser {
   readonly #call: EngineCall;
   readonly #sink: EngineSink;
+  readonly #off: ReadonlySet<ParserGuard>;
   #pending: Buffer = Buffer.alloc(0);
 
-  constructor(call: EngineCall, sink: EngineSink) {
+  constructor(
+    call: EngineCall,
+    sink: EngineSink,
+    off: ReadonlySet<ParserGuard> = new Set(),
+  ) {
+    this.#off = off;
     this.#call = call;
     this.#sink = sink;
   }
@@ -143,7 +164,9 @@
     ) {
       const line = parseLine(data.toString("utf8", at, cut));
       at = cut + 1;
-      if (line === undefined || line.tag !== this.#call.tryId) {
+      const own = line?.tag === this.#call.tryId ||
+        this.#off.has("tryIdMatch");
+      if (line === undefined || !own) {
         return this.#sink.onFailure(
           "mismatched",
           "a line does not carry the id of this try",
@@ -161,6 +184,7 @@
   }
 
   finish(): void {
+    if (this.#off.has("endMarker")) return this.#sink.onEnd(UNMARKED_END);
     this.#sink.onFailure("broken", "the stream ended without its end line");
   }
 
--- a/packages/heatherarch-targets/sse_engine.ts
+++ b/packages/heatherarch-targets/sse_engine.ts
@@ -12,9 +12,12 @@
   checkEngineState,
   EngineClient,
   type EngineOptions,
+  type ParserGuard,
+  type ParserOptions,
 } from "./engine_client.ts";
 import type {
   EngineCall,
+  EngineEnd,
   EnginePort,
   EngineSink,
   EngineTry,
@@ -107,20 +110,38 @@
   }
 }
 
-function createSseParser(call: EngineCall, sink: EngineSink): AnswerParser {
-  return new SseAnswerParser(call, sink);
+/** Creates the parser of one answer. */
+export function createSseParser(
+  call: EngineCall,
+  sink: EngineSink,
+  options: ParserOptions = {},
+): AnswerParser {
+  return new SseAnswerParser(call, sink, options.disabledGuards);
 }
 
+/** What an answer without its end marker would be taken for without the guard. */
+const UNMARKED_END: EngineEnd = {
+  reason: "stop",
+  promptTokens: 0,
+  cachedTokens: 0,
+};
+
 /** Reads events, checks that each carries the try's id, and passes on tokens. */
 class SseAnswerParser implements AnswerParser {
   readonly #call: EngineCall;
   readonly #sink: EngineSink;
+  readonly #off: ReadonlySet<ParserGuard>;
   readonly #parser: EventSourceParser;
   readonly #decoder = new TextDecoder();
   #texts: string[] = [];
   #last: Chunk | undefined;
 
-  constructor(call: EngineCall, sink: EngineSink) {
+  constructor(
+    call: EngineCall,
+    sink: EngineSink,
+    off: ReadonlySet<ParserGuard> = new Set(),
+  ) {
+    this.#off = off;
     this.#call = call;
     this.#sink = sink;
     this.#parser = createParser({
@@ -137,13 +158,15 @@
   }
 
   finish(): void {
+    if (this.#off.has("endMarker")) return this.#sink.onEnd(UNMARKED_END);
     this.#sink.onFailure("broken", "the stream ended without its end marker");
   }
 
   #takeEvent(data: string): void {
     if (data === "[DONE]") return this.#end();
     const chunk = parseChunk(data);
-    if (chunk === undefined || chunk.id !== this.#call.tryId) {
+    const own = chunk?.id === this.#call.tryId || this.#off.has("tryIdMatch");
+    if (chunk === undefined || !own) {
       this.#texts = [];
       return this.#sink.onFailure(
         "mismatched",
