Unit tests of settings, frames, membership and policy; mix bench and traces

Cause: policy and membership stood without tests; the mix had no tool.

Change: tests; load tool with seven traces, four policies, a clairvoyant estimate and SVG plots; the adaptive router now weighs an engine's usual prefill backlog when it predicts the gap between tokens, since an idle prefiller looked better than a decoder; the retry budget no longer loses a retry to rounding (found by its test).

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -144,7 +144,10 @@
       metrics,
     } = this.#parts;
     const { logger, gateway, operators } = this.#parts;
-    config.registerListener((state) => table.applyConfig(state));
+    config.registerListener((state) => {
+      table.applyConfig(state);
+      this.#applySpeeds();
+    });
     mesh.registerHeartbeatListener((heartbeat, from) =>
       this.#takeHeartbeat(heartbeat, from)
     );
@@ -443,6 +446,14 @@
     return router;
   }
 
+  /** One model serves all model services: the first one's speeds are its start. */
+  #applySpeeds(): void {
+    const { config, model } = this.#parts;
+    const services = config.state.fleet?.services ?? [];
+    const first = services.find((service) => service.kind === "model");
+    if (first?.kind === "model") model.setSpeeds(first.speeds);
+  }
+
   #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
     const { table, clock, identity } = this.#parts;
     const nowMs = clock.readMonotonicMs();
--- /dev/null
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -0,0 +1,119 @@
+/**
+ * `npm run bench -- NAME`: benchmarks.
+ *
+ * @module
+ */
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { mkdirSync, writeFileSync } from "node:fs";
+import {
+  type ArmName,
+  type MixDeployment,
+  type MixReport,
+  readTokenCosts,
+  runMixBench,
+} from "../bench/mix_bench.ts";
+import { drawMixPlot } from "../bench/plot.ts";
+import {
+  buildTrace,
+  readTraceFile,
+  type Trace,
+  TRACE_NAMES,
+  type TraceName,
+} from "../bench/trace.ts";
+import { SHAPES } from "../deployment.ts";
+import { runPathBench } from "../bench/path_bench.ts";
+
+await yargs(hideBin(process.argv))
+  .scriptName("npm run bench --")
+  .option("json", {
+    type: "boolean",
+    default: false,
+    describe: "one JSON report on the last line",
+  })
+  .command(
+    "path",
+    "what the daemon adds on a request's path",
+    {},
+    async (args) => {
+      printReport(await runPathBench(), args.json);
+    },
+  )
+  .command(
+    "mix",
+    "goodput of policies through a shifting mix",
+    (y) =>
+      y.option("trace", {
+        type: "string",
+        array: true,
+        describe: `file, or ${TRACE_NAMES.join(", ")}`,
+      })
+        .option("seed", { type: "number", default: 1 })
+        .option("seconds", { type: "number", default: 60 })
+        .option("load", {
+          type: "number",
+          default: 10,
+          describe: "engine-seconds of work a second",
+        })
+        .option("deployment", {
+          choices: ["alalay", "bomnal"] as const,
+          default: "alalay" as const,
+        })
+        .option("arms", {
+          type: "string",
+          array: true,
+          describe: "policies to run; default all",
+        }),
+    async (args) => {
+      const reports: MixReport[] = [];
+      for (const name of args.trace ?? TRACE_NAMES) {
+        const trace = loadTrace(name, args);
+        const report = await runMixBench({
+          trace,
+          deployment: args.deployment,
+          seed: args.seed,
+          arms: args.arms as ArmName[] | undefined,
+          print: (line) => console.log(line),
+        });
+        writePlot(report, args.seed);
+        const { timelines: _timelines, ...numbers } = report;
+        reports.push(numbers as MixReport);
+        console.log(JSON.stringify(numbers));
+      }
+      printReport({ reports }, args.json);
+    },
+  )
+  .demandCommand(1)
+  .strict()
+  .parseAsync();
+
+function printReport(report: unknown, json: unknown): void {
+  console.log(json ? JSON.stringify(report) : report);
+}
+
+function loadTrace(
+  name: string,
+  args: {
+    seed: number;
+    seconds: number;
+    load: number;
+    deployment: MixDeployment;
+  },
+): Trace {
+  if (!(TRACE_NAMES as readonly string[]).includes(name)) {
+    return readTraceFile(name);
+  }
+  const { modelService: model, plainService: plain } = SHAPES[args.deployment];
+  const { seed, seconds, load } = args;
+  const options = { seed, seconds, load, services: { model, plain } };
+  return buildTrace(name as TraceName, options, readTokenCosts());
+}
+
+function writePlot(report: MixReport, seed: number): void {
+  mkdirSync("out", { recursive: true });
+  const name = report.trace.replace(/[^a-z0-9-]/gi, "_");
+  writeFileSync(
+    `out/mix-${report.deployment}-${name}-${seed}.svg`,
+    drawMixPlot(report),
+  );
+}
--- a/packages/heatherarch-lab/chaos/fault_driver.ts
+++ b/packages/heatherarch-lab/chaos/fault_driver.ts
@@ -13,7 +13,7 @@
 /** A change of configuration that was accepted during the run. */
 export interface AcceptedChange {
   readonly offset: number;
-  /** Wall-clock time of the acceptance, milliseconds since the Unix epoch. */
+  /** Wall-clock time at which it was handed in, milliseconds since the Unix epoch. */
   readonly atMs: number;
 }
 
@@ -319,16 +319,14 @@
       const vm = this.#pickVm(pick + attempt);
       try {
         const config = await readConfig(vm);
+        const atMs = Date.now();
         const answer = await this.#cluster.publish(
           change,
           readBase(config),
           vm,
         );
         if (answer.status === 200 && answer.body.verdict === "accepted") {
-          const accepted = {
-            offset: answer.body.offset ?? -1,
-            atMs: Date.now(),
-          };
+          const accepted = { offset: answer.body.offset ?? -1, atMs };
           this.#listener.onAccepted(accepted);
           return accepted;
         }
--- a/packages/heatherarch-lab/deployment.ts
+++ b/packages/heatherarch-lab/deployment.ts
@@ -6,6 +6,7 @@
 import type { EngineRole } from "heatherarch-core";
 import {
   type Fleet,
+  type ModelService,
   parseFleet,
   type Planning,
   type Target,
@@ -22,6 +23,8 @@
   readonly modelService: string;
   readonly plainService: string;
   readonly planning?: Partial<Planning>;
+  /** Speeds that the fleet configuration tells of its engines. */
+  readonly speeds?: Partial<ModelService["speeds"]>;
   /** Role of the `index`-th of a zone's `count` engines. */
   readonly pickRole?: (index: number, count: number) => EngineRole;
 }
--- /dev/null
+++ b/packages/heatherarch-mesh/tests/unit/frame_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import {
+  encodeFrame,
+  FrameError,
+  FrameReader,
+  parseMeshMessage,
+} from "../../mod.ts";
+
+const MAX_BYTES = 1 << 20;
+
+test("frames survive any cutting of the stream", () => {
+  fc.assert(fc.property(
+    fc.array(fc.jsonValue(), { minLength: 1, maxLength: 5 }),
+    fc.array(fc.nat(), { maxLength: 8 }),
+    (values, cuts) => {
+      const bytes = Buffer.concat(values.map(encodeFrame));
+      const reader = new FrameReader(MAX_BYTES);
+      const points = [
+        ...cuts.map((cut) => cut % (bytes.length + 1)),
+        bytes.length,
+      ];
+      points.sort((a, b) => a - b);
+      const read: unknown[] = [];
+      let at = 0;
+      for (const point of points) {
+        read.push(...reader.push(bytes.subarray(at, point)));
+        at = point;
+      }
+      // JSON has no negative zero; CBOR keeps it.
+      assert.deepEqual(
+        JSON.parse(JSON.stringify(read)),
+        JSON.parse(JSON.stringify(values)),
+      );
+    },
+  ));
+});
+
+test("an oversized or malformed frame is an error, not a crash", () => {
+  const reader = new FrameReader(1024);
+  const huge = Buffer.alloc(4);
+  huge.writeUInt32BE(1025);
+  assert.throws(() => reader.push(huge), FrameError);
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (noise) => {
+    const frame = Buffer.concat([
+      Buffer.from([0, 0, 0, noise.length]),
+      Buffer.from(noise),
+    ]);
+    try {
+      for (const value of new FrameReader(1024).push(frame)) {
+        parseMeshMessage(value);
+      }
+    } catch (error) {
+      assert.ok(error instanceof FrameError);
+    }
+  }));
+});
+
+test("values that are no message are refused", () => {
+  const wrong = [null, 1, {}, { kind: "ping" }, {
+    kind: "heartbeat",
+    configOffset: "x",
+  }];
+  for (const value of wrong) assert.equal(parseMeshMessage(value), undefined);
+});
--- /dev/null
+++ b/packages/heatherarch-mesh/tests/unit/membership_test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Membership } from "../../mod.ts";
+
+const SELF = {
+  id: "a1",
+  incarnation: "r",
+  availabilityZone: "a",
+  mesh: "127.0.0.1:1",
+};
+const PEER = {
+  id: "a2",
+  incarnation: "r1",
+  availabilityZone: "a",
+  mesh: "127.0.0.1:2",
+};
+
+function createMembership(): Membership {
+  return new Membership({ self: SELF, silenceMs: 1000, forgetMs: 5000 });
+}
+
+test("a listed VM is only a hint until it answers", () => {
+  const membership = createMembership();
+  membership.noteListed([PEER]);
+  assert.deepEqual(membership.listLive(), ["a1"]);
+  membership.noteHeard(PEER, 0);
+  assert.deepEqual(membership.listLive(), ["a1", "a2"]);
+});
+
+test("a silent member is suspect, and comes back with its next answer", () => {
+  const membership = createMembership();
+  membership.noteHeard(PEER, 0);
+  membership.expire(1001);
+  assert.equal(membership.getMember("a2")?.status, "suspect");
+  membership.noteHeard(PEER, 1500);
+  assert.equal(membership.getMember("a2")?.status, "live");
+});
+
+test("the list's lag never removes a member that answers", () => {
+  const membership = createMembership();
+  membership.noteHeard(PEER, 0);
+  membership.noteListed([]);
+  membership.expire(500);
+  assert.deepEqual(membership.listLive("a"), ["a1", "a2"]);
+});
+
+test("a member that nobody lists is forgotten after a time", () => {
+  const membership = createMembership();
+  membership.noteHeard(PEER, 0);
+  membership.expire(2000);
+  membership.expire(5001);
+  assert.equal(membership.getMember("a2"), undefined);
+});
+
+test("progress never goes back within one incarnation, and starts anew with the next", () => {
+  const membership = createMembership();
+  membership.noteHeard(PEER, 0);
+  membership.noteProgress("a2", {
+    configOffset: 5,
+    controlOffset: 1,
+    leaving: false,
+  });
+  membership.noteProgress("a2", {
+    configOffset: 4,
+    controlOffset: 0,
+    leaving: false,
+  });
+  assert.equal(membership.getMember("a2")?.configOffset, 5);
+  membership.noteHeard({ ...PEER, incarnation: "r2" }, 10);
+  assert.equal(membership.getMember("a2")?.configOffset, -1);
+});
+
+test("links go to all of the own zone and to a few of each other one", () => {
+  const membership = createMembership();
+  for (let i = 2; i < 12; i++) {
+    membership.noteHeard({ ...PEER, id: `a${i}` }, 0);
+    membership.noteHeard({ ...PEER, id: `b${i}`, availabilityZone: "b" }, 0);
+  }
+  const zones = membership.pickLinkPeers().map((member) =>
+    member.availabilityZone
+  );
+  assert.equal(zones.filter((zone) => zone === "a").length, 10);
+  assert.equal(zones.filter((zone) => zone === "b").length, 2);
+});
--- a/packages/heatherarch-policy/engine_model.ts
+++ b/packages/heatherarch-policy/engine_model.ts
@@ -41,7 +41,7 @@
 
 /** Predicts the time of work on an engine. */
 export class EngineModel {
-  readonly #speeds: EngineSpeedEstimate;
+  #speeds: EngineSpeedEstimate;
   /** Observed time over predicted time, for first tokens and for gaps, by role. */
   readonly #firstTokenFactor: Record<EngineRole, number> = {
     prefill: 1,
@@ -58,6 +58,11 @@
     this.#speeds = speeds;
   }
 
+  /** Takes over the speeds that operators published. What has been learned stays. */
+  setSpeeds(speeds: EngineSpeedEstimate): void {
+    this.#speeds = speeds;
+  }
+
   get kvMsPerToken(): number {
     return this.#speeds.kvMsPerToken;
   }
--- a/packages/heatherarch-policy/retry_budget.ts
+++ b/packages/heatherarch-policy/retry_budget.ts
@@ -13,6 +13,8 @@
 }
 
 const DEFAULT_RESERVE = 20;
+/** Shares add up with rounding errors. */
+const ROUNDING = 1e-9;
 
 /** Counts what may still be retried. */
 export class RetryBudget {
@@ -33,8 +35,8 @@
 
   /** Spends one retry; false where none is left. */
   spendRetry(): boolean {
-    if (this.#tokens < 1) return false;
-    this.#tokens--;
+    if (this.#tokens < 1 - ROUNDING) return false;
+    this.#tokens = Math.max(0, this.#tokens - 1);
     return true;
   }
 }
--- a/packages/heatherarch-policy/router_adaptive.ts
+++ b/packages/heatherarch-policy/router_adaptive.ts
@@ -16,12 +16,16 @@
 const HIT_LEARNING_RATE = 0.02;
 /** What one token of prefill on an engine that decodes costs the sequences there. */
 const INTERFERENCE_WEIGHT = 0.5;
+/** Weight of the newest look at an engine's pending prefill in its running mean. */
+const BACKLOG_RATE = 0.03;
 /** Output tokens over which a gap is weighed against the first token. */
 const MAX_WEIGHED_OUTPUT = 256;
 
 /** The product's own routing policy. */
 export class AdaptiveRouter implements Router {
   readonly #model: EngineModel;
+  /** Running mean of the prompt tokens that wait on each engine. */
+  readonly #meanBacklog = new Map<string, number>();
   #hitShare = INITIAL_HIT_SHARE;
 
   constructor(model: EngineModel) {
@@ -41,6 +45,7 @@
       hasPlace(candidate, request.reserveShare)
     );
     if (open.length === 0) return undefined;
+    for (const candidate of open) this.#noteBacklog(candidate);
     const warm = this.#pickWarm(request, open);
     const decode = this.#pickDecoder(request, open);
     let best: RoutePlan | undefined;
@@ -57,6 +62,21 @@
     return best;
   }
 
+  #noteBacklog({ id, load }: Candidate): void {
+    const mean = this.#meanBacklog.get(id) ?? 0;
+    this.#meanBacklog.set(
+      id,
+      mean + (load.pendingPrefillTokens - mean) * BACKLOG_RATE,
+    );
+  }
+
+  /** Gap while the engine's usual prefill goes on, also where it is idle just now. */
+  #predictGapMs({ id, role, load }: Candidate): number {
+    const usual = this.#meanBacklog.get(id) ?? 0;
+    const pendingPrefillTokens = Math.max(load.pendingPrefillTokens, usual);
+    return this.#model.predictGapMs(role, { ...load, pendingPrefillTokens });
+  }
+
   #pickWarm(
     request: RouteRequest,
     open: readonly Candidate[],
@@ -93,7 +113,7 @@
       ...load,
       pendingPrefillTokens: 0,
     }, 0);
-    return this.#model.predictGapMs(role, load) * tokens + waitMs + distanceMs;
+    return this.#predictGapMs(candidate) * tokens + waitMs + distanceMs;
   }
 
   #buildPlans(
@@ -107,7 +127,7 @@
     const tokens = Math.ceil(request.promptTokens * (1 - hitShare));
     const firstTokenMs = this.#model.predictFirstTokenMs(role, load, tokens) +
       distanceMs;
-    const gapMs = this.#model.predictGapMs(role, load);
+    const gapMs = this.#predictGapMs(first);
     const plans: RoutePlan[] = [{ first, firstTokenMs, gapMs }];
     const { kvTransferMinTokens, promptTokens, outputTokens } = request;
     const mayMove = kvTransferMinTokens > 0 &&
@@ -116,7 +136,7 @@
       mayMove && outputTokens > 1 && decode !== undefined &&
       decode.id !== first.id
     ) {
-      const decodeGapMs = this.#model.predictGapMs(decode.role, decode.load);
+      const decodeGapMs = this.#predictGapMs(decode);
       plans.push({ first, decode, firstTokenMs, gapMs: decodeGapMs });
     }
     return plans;
--- /dev/null
+++ b/packages/heatherarch-policy/tests/unit/policy_test.ts
@@ -0,0 +1,213 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ServeError } from "heatherarch-core";
+import type { Account, Planning } from "heatherarch-settings";
+import {
+  AccountLimits,
+  AdaptiveRouter,
+  type Candidate,
+  checkAdmission,
+  EngineModel,
+  estimateServed,
+  GreedyPlanner,
+  HorizonPlanner,
+  LoadTracker,
+  RetryBudget,
+  type RouteRequest,
+} from "../../mod.ts";
+
+const PLANNING: Planning = {
+  policy: "horizon",
+  intervalMs: 1000,
+  horizonMs: 60_000,
+  changeMs: 4000,
+  changeWeight: 1,
+  minimumPerRole: 1,
+};
+
+const ACCOUNT: Account = {
+  name: "desk",
+  requestsPerSecond: 10,
+  burst: 2,
+  maxConcurrent: 100,
+  weight: 1,
+};
+
+function buildCandidate(
+  id: string,
+  values: Partial<Candidate> = {},
+): Candidate {
+  return {
+    id,
+    sameZone: true,
+    role: "mixed",
+    load: { running: 0, waiting: 0, pendingPrefillTokens: 0 },
+    maxConcurrent: 64,
+    distanceMs: 0,
+    ...values,
+  };
+}
+
+function buildRequest(values: Partial<RouteRequest> = {}): RouteRequest {
+  return {
+    promptTokens: 100,
+    outputTokens: 100,
+    prefixKey: "k",
+    kvTransferMinTokens: 256,
+    reserveShare: 0,
+    ...values,
+  };
+}
+
+test("the router leaves a loaded engine for a free one", () => {
+  const router = new AdaptiveRouter(new EngineModel());
+  const busy = buildCandidate("busy", {
+    load: { running: 30, waiting: 10, pendingPrefillTokens: 40_000 },
+  });
+  const plan = router.planRoute(buildRequest(), [busy, buildCandidate("free")]);
+  assert.equal(plan?.first.id, "free");
+});
+
+test("requests that share a prefix meet on the same engines while these have room", () => {
+  const router = new AdaptiveRouter(new EngineModel());
+  const engines = Array.from({ length: 8 }, (_, i) => buildCandidate(`e${i}`));
+  const request = buildRequest({ promptTokens: 2000, kvTransferMinTokens: 0 });
+  const first = router.planRoute(request, engines)?.first.id;
+  for (let i = 0; i < 5; i++) {
+    assert.equal(router.planRoute(request, engines)?.first.id, first);
+  }
+});
+
+test("a long prompt is prefilled apart while prefilling would stall its tokens", () => {
+  const router = new AdaptiveRouter(new EngineModel());
+  const prefiller = buildCandidate("p", {
+    role: "prefill",
+    load: { running: 1, waiting: 0, pendingPrefillTokens: 3000 },
+  });
+  const decoder = buildCandidate("d", {
+    role: "decode",
+    load: { running: 40, waiting: 0, pendingPrefillTokens: 0 },
+  });
+  const plan = router.planRoute(buildRequest({ promptTokens: 4000 }), [
+    prefiller,
+    decoder,
+  ]);
+  assert.equal(plan?.first.id, "p");
+  assert.equal(plan?.decode?.id, "d");
+});
+
+test("the lookups' reserve is closed to other requests", () => {
+  const router = new AdaptiveRouter(new EngineModel());
+  const nearlyFull = buildCandidate("e", {
+    load: { running: 60, waiting: 0, pendingPrefillTokens: 0 },
+  });
+  assert.equal(
+    router.planRoute(buildRequest({ reserveShare: 0.1 }), [nearlyFull]),
+    undefined,
+  );
+  assert.ok(router.planRoute(buildRequest({ reserveShare: 0 }), [nearlyFull]));
+});
+
+test("admission refuses at once what can't be in time, and says when to come back", () => {
+  const plan = { first: buildCandidate("e"), firstTokenMs: 900, gapMs: 40 };
+  const refused = checkAdmission(
+    { remainingMs: 2000, outputTokens: 100 },
+    plan,
+  );
+  const error = refused.val as ServeError;
+  assert.equal(error.kind, "overloaded");
+  assert.equal(error.run, "no");
+  assert.ok(error.retryAfterMs >= 200);
+  assert.ok(checkAdmission({ remainingMs: 6000, outputTokens: 100 }, plan).ok);
+});
+
+test("an account is held to its rate, and told when it may come again", () => {
+  const limits = new AccountLimits({ maxInFlight: 100 });
+  assert.ok(limits.acquire(ACCOUNT, 1, 0).ok);
+  assert.ok(limits.acquire(ACCOUNT, 1, 0).ok);
+  const third = limits.acquire(ACCOUNT, 1, 0).val as ServeError;
+  assert.equal(third.kind, "accountLimit");
+  assert.equal(third.retryAfterMs, 100);
+  assert.ok(limits.acquire(ACCOUNT, 1, 100).ok);
+});
+
+test("on a full VM a heavy account can't crowd out a light one", () => {
+  const limits = new AccountLimits({ maxInFlight: 10 });
+  const heavy = {
+    ...ACCOUNT,
+    name: "heavy",
+    requestsPerSecond: 1e6,
+    burst: 1e6,
+  };
+  const light = { ...heavy, name: "light" };
+  assert.ok(limits.acquire(light, 1, 0).ok);
+  let taken = 0;
+  while (limits.acquire(heavy, 1, 0).ok) taken++;
+  assert.ok(taken < 9, `${taken}`);
+  assert.ok(limits.acquire(light, 1, 0).ok);
+});
+
+test("a release counts once", () => {
+  const limits = new AccountLimits({ maxInFlight: 10 });
+  const release = limits.acquire(ACCOUNT, 1, 0).val as () => void;
+  release();
+  release();
+  assert.equal(limits.inFlight, 0);
+});
+
+test("retries are a share of fresh requests", () => {
+  const budget = new RetryBudget({ share: 0.1, reserve: 1 });
+  assert.ok(budget.spendRetry());
+  assert.equal(budget.spendRetry(), false);
+  for (let i = 0; i < 10; i++) budget.noteRequest();
+  assert.ok(budget.spendRetry());
+});
+
+test("own work that a lagging report can't show is added to it", () => {
+  const tracker = new LoadTracker({ reportLagMs: 200 });
+  const report = {
+    running: 3,
+    waiting: 0,
+    pendingPrefillTokens: 100,
+    atMs: 1000,
+  };
+  tracker.begin("e", 50, 500);
+  const work = tracker.begin("e", 70, 900);
+  assert.equal(tracker.estimate("e", report).running, 4);
+  assert.equal(tracker.estimate("e", report).pendingPrefillTokens, 170);
+  work.notePrefilled(950);
+  work.end(990);
+  work.end(995);
+  assert.equal(tracker.estimate("e", report).running, 3);
+  assert.equal(tracker.estimate("e", report).pendingPrefillTokens, 100);
+});
+
+test("a balanced split serves all, a lopsided one does not", () => {
+  const need = { prefill: 3, decode: 3 };
+  assert.equal(estimateServed({ prefill: 4, decode: 4, mixed: 0 }, need), 1);
+  assert.ok(estimateServed({ prefill: 1, decode: 7, mixed: 0 }, need) < 1);
+});
+
+test("the horizon planner needs a lasting gain; the greedy one does not", () => {
+  const model = new EngineModel();
+  const engines = Array.from({ length: 8 }, (_, i) => ({
+    id: `e${i}`,
+    role: i < 4 ? "prefill" as const : "decode" as const,
+    running: i,
+  }));
+  const slight = {
+    engines,
+    demand: { prefillTokensPerSecond: 24_000, decodeTokensPerSecond: 6000 },
+    changing: false,
+    nowMs: 0,
+  };
+  assert.ok(new GreedyPlanner(PLANNING, model).plan(slight));
+  assert.equal(new HorizonPlanner(PLANNING, model).plan(slight), undefined);
+  const heavy = {
+    ...slight,
+    demand: { prefillTokensPerSecond: 2000, decodeTokensPerSecond: 20_000 },
+  };
+  const planner = new HorizonPlanner(PLANNING, model);
+  assert.equal(planner.plan(heavy), undefined, "one round confirms nothing");
+  assert.equal(planner.plan(heavy)?.role, "decode");
+});
--- a/packages/heatherarch-settings/fleet.ts
+++ b/packages/heatherarch-settings/fleet.ts
@@ -21,6 +21,15 @@
 /** Name of an engine dialect. */
 export type EngineDialect = typeof ENGINE_DIALECTS[number];
 
+/** How fast the engines of a service are, as a start for what is learned from answers. */
+const SPEEDS = z.strictObject({
+  /** Time of a step with an empty batch, milliseconds. */
+  stepMs: z.number().min(0.01).max(10_000).default(12),
+  decodeMsPerSequence: z.number().min(0).max(1000).default(0.15),
+  prefillTokensPerSecond: z.number().min(1).max(1e7).default(8000),
+  kvMsPerToken: z.number().min(0).max(100).default(0.004),
+});
+
 const MODEL_SERVICE = z.strictObject({
   name: NAME,
   kind: z.literal("model"),
@@ -28,6 +37,7 @@
   models: z.array(z.string().min(1)).min(1),
   /** Version that the engines should have loaded. */
   version: z.string().min(1).default("1"),
+  speeds: SPEEDS.prefault({}),
 });
 
 const PLAIN_SERVICE = z.strictObject({
