Path bench: enough engines for 1,000 streams, refusals told apart from cuts

Cause: the bench said a stream was cut; it had been refused, since 18 engines less the lookups' reserve have too few places by lagging reports. Ruled out: a cut by the daemon (status 503, kind overloaded).

--- a/packages/heatherarch-lab/bench/path_bench.ts
+++ b/packages/heatherarch-lab/bench/path_bench.ts
@@ -31,7 +31,7 @@
   readonly streams: number;
 }
 
-const ENGINES = 18;
+const ENGINES = 24;
 const STREAMS = 1000;
 const STREAM_TOKENS = 400;
 const LOOKUPS = 400;
@@ -251,6 +251,6 @@
     tail = (bytes as Buffer).subarray(-16).toString("latin1");
   }
   if (!tail.includes("[DONE]")) {
-    throw new Error(`stream ${options.number} was cut`);
+    throw new Error(`stream ${options.number}: status ${answer.statusCode}, ends with ${tail}`);
   }
 }
