Routing by predicted time without flooding prefillers; rarer heartbeats at size

A dump of every engine's batch showed generation piling up on prefillers, whose 4096-token steps then stall it (batch 16, waiting 12) while decoders emptied, and predicted gaps of 56 to 65 ms where 38 were seen.

Ruled out: admission alone (its inputs were wrong, not its rule); reports too old (own zone's reports were below 600 ms).

Change: generation stays on decoders unless they are nearly full; the gap is the one this VM sees, not a modelled one; the delay a prompt causes to its neighbours is charged; own zone first, other zones only when clearly faster; near-equal choices are spread by request id. The planner knows what decoders take in and learns how long a mix lasts. Speeds of engines are part of the fleet configuration. A try is silent by its tokens, not by its head: queued tries were killed after 5 s (targetFailed, silent). Heartbeats grow rarer with links, rows go to a subset of VMs in large zones, renewals no longer trigger heartbeats, engines are brought to the published model version one at a time.

--- a/packages/heatherarch-daemon/control_task.ts
+++ b/packages/heatherarch-daemon/control_task.ts
@@ -41,7 +41,7 @@
 
 /** VMs of a zone that read its control stream and may claim its lease. */
 const CANDIDATES_PER_ZONE = 3;
-const TICK_MS = 50;
+const TICK_MS = 100;
 const RETRY_MS = 150;
 const IDLE_MS = 300;
 const READ_PAGE = 500;
@@ -113,10 +113,10 @@
     clearInterval(this.#timer);
   }
 
-  /** Whether this VM reads the control stream; a holder always does. */
-  isCandidate(): boolean {
-    if (this.machine.isHolder) return true;
-    const { membership, availabilityZone, vmId } = this.#options;
+  /** Whether a VM reads the control stream, by default this one; a holder always does. */
+  isCandidate(vmId = this.#options.vmId): boolean {
+    const { membership, availabilityZone } = this.#options;
+    if (vmId === this.#options.vmId && this.machine.isHolder) return true;
     const live = membership.listLive(availabilityZone);
     return pickRendezvous("lease", live, CANDIDATES_PER_ZONE).includes(vmId);
   }
--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -298,8 +298,13 @@
       snapshotEveryRecords: settings.platform.snapshotEveryRecords,
       logger,
       onState: (state) => {
-        table.applyChanging(Object.keys(state.open), state.offset);
-        this.#parts.mesh.sendHeartbeats();
+        const changing = Object.keys(state.open);
+        const before = [...table.changing];
+        table.applyChanging(changing, state.offset);
+        // Renewals are no news to peers.
+        if (before.join(" ") !== changing.join(" ")) {
+          this.#parts.mesh.sendHeartbeats();
+        }
       },
     });
   }
@@ -338,6 +343,9 @@
       availabilityZone: identity.availabilityZone,
       membership,
       table,
+      subsetSize: parts.settings.targets.subsetSize,
+      isPlanner: (vmId) => control.isCandidate(vmId),
+      readIntervalMs: () => this.#parts.mesh.intervalMs,
       readProgress: () => ({
         configOffset: config.state.offset,
         controlOffset: control.state.offset,
--- a/packages/heatherarch-daemon/heartbeat_builder.ts
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -11,7 +11,9 @@
   Membership,
   ReportRow,
 } from "heatherarch-mesh";
+import { pickRendezvous } from "heatherarch-core";
 import type { Demand } from "heatherarch-policy";
+import type { Target } from "heatherarch-settings";
 import type { TargetTable } from "./target_table.ts";
 
 /** Options of {@linkcode HeartbeatBuilder}. */
@@ -20,6 +22,10 @@
   readonly availabilityZone: string;
   readonly membership: Membership;
   readonly table: TargetTable;
+  readonly subsetSize: number;
+  /** Whether a peer may plan for the zone and so must know all of its targets. */
+  readonly isPlanner: (vmId: string) => boolean;
+  readonly readIntervalMs: () => number;
   readonly readProgress: () => {
     configOffset: number;
     controlOffset: number;
@@ -36,10 +42,17 @@
   changing: string;
 }
 
+/** Targets that one peer is told of, as long as the zone's targets are these. */
+interface Subset {
+  readonly of: readonly Target[];
+  readonly ids: ReadonlySet<string>;
+}
+
 /** Builds heartbeats. */
 export class HeartbeatBuilder {
   readonly #options: HeartbeatBuilderOptions;
   readonly #progress = new WeakMap<Link, LinkProgress>();
+  readonly #subsets = new Map<string, Subset>();
 
   constructor(options: HeartbeatBuilderOptions) {
     this.#options = options;
@@ -58,6 +71,7 @@
       configOffset,
       controlOffset,
       leaving,
+      intervalMs: Math.round(this.#options.readIntervalMs()),
       zone: this.#summarizeZone(configOffset),
       ...this.#buildLeaving(progress),
       ...this.#buildReports(progress, peer),
@@ -79,17 +93,40 @@
   ): Partial<Heartbeat> {
     const { vmId, availabilityZone, table } = this.#options;
     const sameZone = peer.availabilityZone === availabilityZone;
+    const subset = this.#pickSubset(peer.id);
     const { rows, version } = table.listRowsSince(
       progress.rowVersion,
-      (target, report) =>
-        sameZone
+      (target, report) => {
+        if (subset !== undefined && !subset.has(target.id)) return false;
+        return sameZone
           ? report.from === vmId
-          : target.availabilityZone === availabilityZone,
+          : target.availabilityZone === availabilityZone;
+      },
     );
     progress.rowVersion = version;
     return rows.length === 0 ? {} : { reports: rows as ReportRow[] };
   }
 
+  /**
+   * The same for all that tell the peer, so that each target of its subset reaches it. Empty
+   * means all.
+   */
+  #pickSubset(peerId: string): ReadonlySet<string> | undefined {
+    const { table, subsetSize, isPlanner, availabilityZone } = this.#options;
+    const of = table.listZoneTargets(availabilityZone);
+    if (of.length <= subsetSize || isPlanner(peerId)) return undefined;
+    const known = this.#subsets.get(peerId);
+    if (known?.of === of) return known.ids;
+    const picked = pickRendezvous(
+      peerId,
+      of.map((target) => target.id),
+      subsetSize,
+    );
+    const subset = { of, ids: new Set(picked) };
+    this.#subsets.set(peerId, subset);
+    return subset.ids;
+  }
+
   #buildZoneParts(
     progress: LinkProgress,
     peer: LinkIdentity,
--- a/packages/heatherarch-daemon/metrics.ts
+++ b/packages/heatherarch-daemon/metrics.ts
@@ -42,6 +42,9 @@
   1,
 ];
 
+/** Finer looks at the event loop cost more than they tell. */
+const EVENT_LOOP_PRECISION_MS = 200;
+
 /** All metrics. */
 export class Metrics implements GatewayEvents {
   readonly registry = new Registry();
@@ -147,7 +150,11 @@
   );
 
   constructor() {
-    collectDefaultMetrics({ register: this.registry, prefix: "heatherarch_" });
+    collectDefaultMetrics({
+      register: this.registry,
+      prefix: "heatherarch_",
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
     registerViolationListener((error) =>
       this.violations.inc({ invariant: error.invariant })
     );
--- a/packages/heatherarch-daemon/order_executor.ts
+++ b/packages/heatherarch-daemon/order_executor.ts
@@ -57,6 +57,10 @@
 const IDLE_READS = 3;
 const IDLE_READ_GAP_MS = 150;
 const CHANGE_LIMIT_MS = 60_000;
+/** Engines whose version is looked at in one step. */
+const VERIFIED_PER_STEP = 4;
+/** An engine may have been restarted with other weights: all are looked at again. */
+const VERIFY_AGAIN_MS = 30_000;
 
 /** Gives orders to the engines of one availability zone. */
 export class OrderExecutor {
@@ -65,6 +69,10 @@
   #plannerOf: Fleet["planning"] | undefined;
   #nextPlanMs = 0;
   #authorityFromMs: number | undefined;
+  /** Engines seen with the published model and version. */
+  readonly #verified = new Set<string>();
+  #verifiedOf: Fleet | undefined;
+  #verifyAgainMs = 0;
   #stopped = false;
   #busy = false;
 
@@ -88,6 +96,7 @@
       await sleep(LOOP_MS);
       if (!this.#options.control.hasAuthority()) {
         this.#authorityFromMs = undefined;
+        await sleep(LOOP_MS);
         continue;
       }
       this.#authorityFromMs ??= this.#options.clock.readMonotonicMs();
@@ -113,7 +122,7 @@
       await this.#conclude(own, "abandoned", "left open by this holder");
       return;
     }
-    const next = this.#planNext();
+    const next = await this.#findOutdated() ?? this.#planNext();
     if (next !== undefined) await this.#execute(next.target, next.order);
   }
 
@@ -149,6 +158,43 @@
     return sinceMs >= this.#options.settings.settleMs;
   }
 
+  /** An engine whose model or version is not the published one. One is changed at a time. */
+  async #findOutdated(): Promise<
+    { target: Target; order: EngineOrder } | undefined
+  > {
+    const fleet = this.#options.readFleet();
+    if (fleet === null) return undefined;
+    const nowMs = this.#options.clock.readMonotonicMs();
+    if (this.#verifiedOf !== fleet || nowMs >= this.#verifyAgainMs) {
+      this.#verifiedOf = fleet;
+      this.#verifyAgainMs = nowMs + VERIFY_AGAIN_MS;
+      this.#verified.clear();
+    }
+    const unverified = this.#listEngines(fleet).filter(({ id }) =>
+      !this.#verified.has(id)
+    );
+    for (const { id } of unverified.slice(0, VERIFIED_PER_STEP)) {
+      const target = this.#options.table.findTarget(id);
+      const service = fleet.services.find((entry) =>
+        entry.name === target?.service
+      );
+      if (target === undefined || service?.kind !== "model") continue;
+      const state = await this.#readState(target);
+      if (state === undefined || state.busyWithOrder) continue;
+      const wanted = service.models.includes(state.model)
+        ? state.model
+        : service.models[0];
+      const order: EngineOrder = {
+        kind: "loadModel",
+        model: wanted,
+        version: service.version,
+      };
+      if (isAsOrdered(state, order)) this.#verified.add(id);
+      else if (this.#hasSettled(target)) return { target, order };
+    }
+    return undefined;
+  }
+
   #planNext(): { target: Target; order: EngineOrder } | undefined {
     const fleet = this.#options.readFleet();
     const nowMs = this.#options.clock.readMonotonicMs();
--- a/packages/heatherarch-daemon/target_table.ts
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -76,6 +76,7 @@
   readonly #ejections = new Map<string, Ejection>();
   #targets = new Map<string, Target>();
   #byService = new Map<string, Target[]>();
+  readonly #byZone = new Map<string, readonly Target[]>();
   #config: ConfigState | undefined;
   #changing: ReadonlySet<string> = new Set();
   #changingOffset = -1;
@@ -91,6 +92,7 @@
     const targets = state.fleet?.targets ?? [];
     this.#targets = new Map(targets.map((target) => [target.id, target]));
     this.#byService = new Map();
+    this.#byZone.clear();
     for (const target of targets) {
       const list = this.#byService.get(target.service) ?? [];
       list.push(target);
@@ -132,6 +134,18 @@
     return this.#targets.get(id);
   }
 
+  /** Targets of one zone; the same array until the configuration changes. */
+  listZoneTargets(availabilityZone: string): readonly Target[] {
+    let list = this.#byZone.get(availabilityZone);
+    if (list === undefined) {
+      list = this.listTargets().filter((target) =>
+        target.availabilityZone === availabilityZone
+      );
+      this.#byZone.set(availabilityZone, list);
+    }
+    return list;
+  }
+
   listTargets(): readonly Target[] {
     return [...this.#targets.values()];
   }
@@ -270,6 +284,10 @@
       sameZone,
       role: report?.role ?? target.role,
       load: this.#options.tracker.estimate(target.id, report),
+      gapMs: this.#options.tracker.readGapMs(
+        target.id,
+        this.#options.clock.readMonotonicMs(),
+      ),
       maxConcurrent: target.maxConcurrent,
       distanceMs: sameZone ? 0 : OTHER_ZONE_MS,
     };
--- a/packages/heatherarch-daemon/target_watcher.ts
+++ b/packages/heatherarch-daemon/target_watcher.ts
@@ -32,6 +32,7 @@
   readonly #busy = new Set<string>();
   readonly #failures = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
+  #nextRoundMs = 0;
 
   constructor(options: TargetWatcherOptions) {
     this.#options = options;
@@ -70,8 +71,18 @@
   }
 
   #tick(): void {
-    for (const target of this.#options.table.listTargets()) {
-      if (this.#busy.has(target.id) || !this.isWatching(target)) continue;
+    const { table, availabilityZone, settings, clock } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    if (nowMs < this.#nextRoundMs) return;
+    const watched = table.listZoneTargets(availabilityZone)
+      .filter((target) => this.isWatching(target));
+    const intervalMs = Math.max(
+      settings.reportIntervalMs,
+      settings.reportPerTargetMs * watched.length,
+    );
+    this.#nextRoundMs = nowMs + intervalMs - settings.reportIntervalMs / 2;
+    for (const target of watched) {
+      if (this.#busy.has(target.id)) continue;
       this.#busy.add(target.id);
       void this.#read(target).finally(() => this.#busy.delete(target.id));
     }
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -68,13 +68,11 @@
   readonly work: TrackedWork;
   readonly startedAtMs: number;
   readonly predictedFirstTokenMs: number;
-  readonly predictedGapMs: number;
   readonly role: Candidate["role"];
   /** The leg only prefills; another engine generates. */
   readonly handsOver: boolean;
   attempt: EngineTry | undefined;
   received: number;
-  firstAtMs: number;
   lastAtMs: number;
   resumed: boolean;
 }
@@ -83,8 +81,6 @@
 const PRIORITY_NUMBERS = { lookup: 0, interactive: 1, batch: 2 } as const;
 /** Wait before the next look for a target where a half-delivered answer has none. */
 const NO_TARGET_WAIT_MS = 100;
-/** How long a refused engine is passed over by the same request. */
-const SHORT_GAP_TOKENS = 8;
 
 /** One generation. */
 export class Generation {
@@ -182,6 +178,10 @@
       outputTokens: maxTokens - this.#delivered.length,
       prefixKey: this.#prefixKey,
       kvTransferMinTokens: profile.kvTransferMinTokens,
+      remainingMs: this.#options.deadlineAtMs -
+        this.#host.clock.readMonotonicMs(),
+      tokenGapMs: profile.tokenGapMs,
+      spreadKey: this.#options.requestId,
       reserveShare: lookup ? 0 : this.#host.limits.lookupReserveShare,
     }, fresh.length > 0 ? fresh : all);
   }
@@ -196,7 +196,6 @@
     }
     this.#beginLeg(plan.first, {
       firstTokenMs: plan.firstTokenMs,
-      gapMs: plan.gapMs,
       handsOver: decode !== undefined,
     });
   }
@@ -205,7 +204,6 @@
     candidate: Candidate,
     options: {
       firstTokenMs: number;
-      gapMs: number;
       handsOver: boolean;
       kvImport?: KvHandle;
     },
@@ -235,12 +233,10 @@
       work: this.#host.tracker.begin(target.id, pending, nowMs),
       startedAtMs: nowMs,
       predictedFirstTokenMs: options.firstTokenMs,
-      predictedGapMs: options.gapMs,
       role: candidate.role,
       handsOver,
       attempt: undefined,
       received: 0,
-      firstAtMs: 0,
       lastAtMs: 0,
       resumed: false,
     };
@@ -257,6 +253,7 @@
     if (this.#isAbandoned(leg)) return;
     const nowMs = this.#host.clock.readMonotonicMs();
     if (leg.received === 0) this.#noteFirstOfLeg(leg, nowMs);
+    else leg.work.noteGap((nowMs - leg.lastAtMs) / texts.length, nowMs);
     leg.received += texts.length;
     leg.lastAtMs = nowMs;
     assertInvariant(
@@ -276,7 +273,6 @@
   }
 
   #noteFirstOfLeg(leg: Leg, nowMs: number): void {
-    leg.firstAtMs = nowMs;
     leg.work.notePrefilled(nowMs);
     if (leg.call.kvImport !== undefined || leg.resumed) return;
     const observedMs = nowMs - leg.startedAtMs;
@@ -316,9 +312,6 @@
         router.observeHit(end.cachedTokens / end.promptTokens);
       }
     }
-    if (leg.received < SHORT_GAP_TOKENS) return;
-    const gapMs = (leg.lastAtMs - leg.firstAtMs) / (leg.received - 1);
-    this.#host.model.observeGap(leg.role, leg.predictedGapMs, gapMs);
   }
 
   /** The prompt is prefilled: the planned decoder takes the KV cache over. */
@@ -335,7 +328,6 @@
     }
     this.#beginLeg(usable, {
       firstTokenMs: 0,
-      gapMs: this.#host.model.predictGapMs(usable.role, usable.load),
       handsOver: false,
       ...(end.kvHandle === undefined
         ? {}
--- a/packages/heatherarch-lab/bench/path_bench.ts
+++ b/packages/heatherarch-lab/bench/path_bench.ts
@@ -251,6 +251,8 @@
     tail = (bytes as Buffer).subarray(-16).toString("latin1");
   }
   if (!tail.includes("[DONE]")) {
-    throw new Error(`stream ${options.number}: status ${answer.statusCode}, ends with ${tail}`);
+    throw new Error(
+      `stream ${options.number}: status ${answer.statusCode}, ends with ${tail}`,
+    );
   }
 }
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -22,6 +22,8 @@
   type TraceName,
 } from "../bench/trace.ts";
 import { SHAPES } from "../deployment.ts";
+import { runClaimsBench } from "../bench/claims_bench.ts";
+import { runControlBench } from "../bench/control_bench.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
 await yargs(hideBin(process.argv))
@@ -39,6 +41,19 @@
       printReport(await runPathBench(), args.json);
     },
   )
+  .command("control", "slopes of the control work", {}, async (args) => {
+    printReport(await runControlBench((line) => console.log(line)), args.json);
+  })
+  .command(
+    "claims",
+    "claims a second against appends a second",
+    {},
+    async (args) => {
+      const reports = await runClaimsBench();
+      for (const report of reports) console.log(JSON.stringify(report));
+      printReport({ reports }, args.json);
+    },
+  )
   .command(
     "mix",
     "goodput of policies through a shifting mix",
--- a/packages/heatherarch-lab/deployment.ts
+++ b/packages/heatherarch-lab/deployment.ts
@@ -117,6 +117,7 @@
         name: shape.modelService,
         kind: "model",
         models: [`${shape.modelService}-7b`],
+        speeds: shape.speeds ?? {},
       },
       { name: shape.plainService, kind: "plain", echoesTryId: true },
     ],
--- a/packages/heatherarch-mesh/frame.ts
+++ b/packages/heatherarch-mesh/frame.ts
@@ -6,8 +6,21 @@
 import { Decoder, Encoder } from "cbor-x";
 
 const HEADER_BYTES = 4;
-const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
-const decoder = new Decoder({ useRecords: false });
+/** Names that every heartbeat carries, as numbers on the wire. */
+const KEY_NUMBERS = {
+  kind: 1,
+  configOffset: 2,
+  controlOffset: 3,
+  intervalMs: 4,
+  leaving: 5,
+  zone: 6,
+  demand: 7,
+  reports: 8,
+  seq: 9,
+};
+const OPTIONS = { useRecords: false, keyMap: KEY_NUMBERS };
+const encoder = new Encoder({ ...OPTIONS, tagUint8Array: false });
+const decoder = new Decoder(OPTIONS);
 
 /** A frame that can't be read. The connection it came on is closed. */
 export class FrameError extends Error {
--- a/packages/heatherarch-mesh/link.ts
+++ b/packages/heatherarch-mesh/link.ts
@@ -153,8 +153,8 @@
 
   #dispatch(message: MeshMessage): void {
     if (this.#ready) {
-      if (message.kind === "ping") {
-        this.send({ kind: "pong", seq: message.seq });
+      if (message.kind === "ping" || message.kind === "heartbeat") {
+        this.send({ kind: "pong", seq: 0 });
       }
       this.#options.onMessage(this, message);
       return;
--- a/packages/heatherarch-mesh/membership.ts
+++ b/packages/heatherarch-mesh/membership.ts
@@ -19,6 +19,8 @@
   readonly lastHeardMs: number;
   readonly configOffset: number;
   readonly controlOffset: number;
+  /** Time between the member's heartbeats, as it says; 0 while unknown. */
+  readonly intervalMs: number;
 }
 
 /** Options of {@linkcode Membership}. */
@@ -39,6 +41,8 @@
 
 const DEFAULT_FORGET_MS = 60_000;
 const DEFAULT_LINKS_PER_ZONE = 2;
+/** Heartbeats that may be missed before a member is suspect. */
+const SILENT_HEARTBEATS = 3;
 
 /** The membership view of one entry VM. */
 export class Membership {
@@ -75,6 +79,7 @@
         lastHeardMs: -Infinity,
         configOffset: -1,
         controlOffset: -1,
+        intervalMs: 0,
       });
     }
   }
@@ -98,13 +103,19 @@
       lastHeardMs: nowMs,
       configOffset: same ? known.configOffset : -1,
       controlOffset: same ? known.controlOffset : -1,
+      intervalMs: known?.intervalMs ?? 0,
     });
   }
 
   /** Takes in what a heartbeat said of its sender. */
   noteProgress(
     id: string,
-    progress: { configOffset: number; controlOffset: number; leaving: boolean },
+    progress: {
+      configOffset: number;
+      controlOffset: number;
+      leaving: boolean;
+      intervalMs?: number;
+    },
   ): void {
     const known = this.#members.get(id);
     if (known === undefined) return;
@@ -113,6 +124,7 @@
       configOffset: Math.max(known.configOffset, progress.configOffset),
       controlOffset: Math.max(known.controlOffset, progress.controlOffset),
       status: progress.leaving ? "leaving" : known.status,
+      intervalMs: progress.intervalMs ?? known.intervalMs,
     });
   }
 
@@ -120,7 +132,7 @@
   expire(nowMs: number): void {
     for (const [id, member] of this.#members) {
       const silentMs = nowMs - member.lastHeardMs;
-      if (silentMs <= this.#options.silenceMs) continue;
+      if (silentMs <= this.getSilenceMs(member)) continue;
       if (silentMs > this.#options.forgetMs && !this.#listed.has(id)) {
         this.#members.delete(id);
       } else if (member.status === "live") {
@@ -129,6 +141,14 @@
     }
   }
 
+  /** How long a member may be silent: a few of its own heartbeats, or the setting. */
+  getSilenceMs(member: { intervalMs: number }): number {
+    return Math.max(
+      this.#options.silenceMs,
+      member.intervalMs * SILENT_HEARTBEATS,
+    );
+  }
+
   /** All known peers. */
   listMembers(): readonly Member[] {
     return [...this.#members.values()];
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -40,6 +40,8 @@
   readonly sharedKey: string;
   readonly maxFrameBytes: number;
   readonly heartbeatMs: number;
+  /** Heartbeats grow rarer with the number of links: this long for each. */
+  readonly heartbeatPerLinkMs?: number;
   readonly silenceMs: number;
   readonly tls?: MeshTls;
   readonly clock: Clock;
@@ -98,6 +100,7 @@
   #closedBytesSent = 0;
   #closedBytesReceived = 0;
   #resets = 0;
+  #nextRoundMs = 0;
   #stopped = false;
 
   constructor(options: MeshNodeOptions) {
@@ -193,8 +196,16 @@
     return { bytesSent, bytesReceived, links: links.length };
   }
 
+  /** Time between heartbeats on a link at the present number of links, milliseconds. */
+  get intervalMs(): number {
+    const { heartbeatMs, heartbeatPerLinkMs = 0 } = this.#options;
+    return Math.max(heartbeatMs, heartbeatPerLinkMs * this.#dialed.size);
+  }
+
   #tick(): void {
     const nowMs = this.#options.clock.readMonotonicMs();
+    if (nowMs < this.#nextRoundMs) return;
+    this.#nextRoundMs = nowMs + this.intervalMs - this.#options.heartbeatMs / 2;
     const { membership } = this.#options;
     membership.expire(nowMs);
     const wanted = new Map(
@@ -208,9 +219,9 @@
     }
     for (const member of wanted.values()) this.#tendPeer(member, nowMs);
     for (const link of this.#accepted) {
-      if (nowMs - link.lastHeardMs > this.#options.silenceMs * 2) {
-        link.close("silent");
-      }
+      const member = membership.getMember(link.peer?.id ?? "");
+      const limitMs = membership.getSilenceMs(member ?? { intervalMs: 0 }) * 2;
+      if (nowMs - link.lastHeardMs > limitMs) link.close("silent");
     }
     for (const link of this.#listReadyLinks()) this.#sendHeartbeat(link);
   }
@@ -226,12 +237,13 @@
       if (nowMs >= peer.nextDialMs) peer.link = this.#dial(member, peer, nowMs);
       return;
     }
+    const limitMs = this.#options.membership.getSilenceMs(member);
     const silentMs = nowMs - link.lastHeardMs;
-    if (silentMs <= this.#options.silenceMs) return;
+    if (silentMs <= limitMs) return;
     if (!link.isReady) return link.close("silent");
     if (peer.probe === undefined) {
       peer.probe = this.#dial(member, peer, nowMs);
-    } else if (nowMs - peer.probe.lastHeardMs > this.#options.silenceMs) {
+    } else if (nowMs - peer.probe.lastHeardMs > limitMs) {
       peer.probe.close("silent");
       link.close("silent");
     }
@@ -371,7 +383,6 @@
 
   #sendHeartbeat(link: Link): void {
     if (link.peer === undefined) return;
-    link.send({ kind: "ping", seq: 0 });
     link.send(this.#options.buildHeartbeat(link, link.peer));
   }
 
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -27,6 +27,8 @@
   kind: z.literal("heartbeat"),
   configOffset: z.int(),
   controlOffset: z.int(),
+  /** Time until the sender's next heartbeat, milliseconds. */
+  intervalMs: z.int().min(0),
   /** The sender itself is shutting down. */
   leaving: z.boolean(),
   /** Targets known to be leaving, where the set changed since the last heartbeat. */
--- a/packages/heatherarch-policy/candidate.ts
+++ b/packages/heatherarch-policy/candidate.ts
@@ -18,6 +18,8 @@
   readonly sameZone: boolean;
   readonly role: EngineRole;
   readonly load: TargetLoad;
+  /** Gap between tokens that this VM sees there; undefined without a fresh one. */
+  readonly gapMs?: number;
   readonly maxConcurrent: number;
   /** Time to reach it and back, milliseconds, as far as the zone tells. */
   readonly distanceMs: number;
@@ -32,6 +34,12 @@
   readonly prefixKey: string;
   /** Prompts at least this long may be prefilled apart; 0 for never. */
   readonly kvTransferMinTokens: number;
+  /** Time left until the deadline, milliseconds. */
+  readonly remainingMs: number;
+  /** Gap between tokens that the profile allows, milliseconds. */
+  readonly tokenGapMs: number;
+  /** Spreads equally good choices; the id of the request. */
+  readonly spreadKey: string;
   /** Only targets that keep this share of their places free may take it. */
   readonly reserveShare: number;
 }
--- a/packages/heatherarch-policy/engine_model.ts
+++ b/packages/heatherarch-policy/engine_model.ts
@@ -37,22 +37,17 @@
 };
 
 const LEARNING_RATE = 0.05;
-const MAX_CORRECTION = 8;
+const MAX_CORRECTION = 3;
 
 /** Predicts the time of work on an engine. */
 export class EngineModel {
   #speeds: EngineSpeedEstimate;
-  /** Observed time over predicted time, for first tokens and for gaps, by role. */
+  /** Observed time to the first token over the predicted one, by role. */
   readonly #firstTokenFactor: Record<EngineRole, number> = {
     prefill: 1,
     decode: 1,
     mixed: 1,
   };
-  readonly #gapFactor: Record<EngineRole, number> = {
-    prefill: 1,
-    decode: 1,
-    mixed: 1,
-  };
 
   constructor(speeds: EngineSpeedEstimate = INITIAL_SPEEDS) {
     this.#speeds = speeds;
@@ -82,7 +77,12 @@
 
   /** Gap between tokens with one more sequence on the engine. */
   predictGapMs(role: EngineRole, load: TargetLoad): number {
-    return this.#predictStepMs(role, load) * this.#gapFactor[role];
+    return this.#predictStepMs(role, load);
+  }
+
+  /** Steps that a prompt takes on an engine of a role. */
+  countChunks(role: EngineRole, promptTokens: number): number {
+    return Math.ceil(promptTokens / CHUNK_TOKENS[role]);
   }
 
   /** Prompt tokens a second that one engine of a role prefills when it does nothing else. */
@@ -104,26 +104,13 @@
     role: EngineRole,
     predictedMs: number,
     observedMs: number,
-  ): void {
-    this.#learn(this.#firstTokenFactor, role, predictedMs, observedMs);
-  }
-
-  /** Takes in a mean gap against what was predicted. */
-  observeGap(role: EngineRole, predictedMs: number, observedMs: number): void {
-    this.#learn(this.#gapFactor, role, predictedMs, observedMs);
-  }
-
-  #learn(
-    factors: Record<EngineRole, number>,
-    role: EngineRole,
-    predictedMs: number,
-    observedMs: number,
   ): void {
     if (predictedMs <= 0) return;
     const ratio = Math.min(
       MAX_CORRECTION,
       Math.max(1 / MAX_CORRECTION, observedMs / predictedMs),
     );
+    const factors = this.#firstTokenFactor;
     const next = factors[role] * ratio ** LEARNING_RATE;
     factors[role] = Math.min(
       MAX_CORRECTION,
--- a/packages/heatherarch-policy/load_tracker.ts
+++ b/packages/heatherarch-policy/load_tracker.ts
@@ -20,6 +20,9 @@
 
 interface TargetRecord {
   outstanding: number;
+  /** Running mean of the gaps between tokens of this VM's streams, milliseconds. */
+  gapMs: number;
+  gapAtMs: number;
   changes: Change[];
 }
 
@@ -27,6 +30,8 @@
 export interface TrackedWork {
   /** The first token has arrived: the prompt is no longer pending. */
   notePrefilled(nowMs: number): void;
+  /** Tokens arrived `gapMs` after the ones before them. */
+  noteGap(gapMs: number, nowMs: number): void;
   end(nowMs: number): void;
 }
 
@@ -37,6 +42,9 @@
 }
 
 const KEEP_MS = 10_000;
+/** How long an observed gap counts. */
+const GAP_KEPT_MS = 1000;
+const GAP_RATE = 0.02;
 
 /** This VM's own work, by target. */
 export class LoadTracker {
@@ -60,6 +68,7 @@
         this.#add(record, { atMs, sequences: 0, prefillTokens: -pending });
         pending = 0;
       },
+      noteGap: (gapMs, atMs) => noteGap(record, gapMs, atMs),
       end: (atMs) => {
         if (!open) return;
         open = false;
@@ -74,6 +83,15 @@
     return this.#targets.get(target)?.outstanding ?? 0;
   }
 
+  /** Mean gap between tokens that this VM sees at a target; undefined without a fresh one. */
+  readGapMs(target: string, nowMs: number): number | undefined {
+    const record = this.#targets.get(target);
+    if (record === undefined || nowMs - record.gapAtMs > GAP_KEPT_MS) {
+      return undefined;
+    }
+    return record.gapMs;
+  }
+
   /** Best estimate of a target's load now. */
   estimate(target: string, report: LoadReport | undefined): TargetLoad {
     const record = this.#targets.get(target);
@@ -108,9 +126,17 @@
   #getRecord(target: string): TargetRecord {
     let record = this.#targets.get(target);
     if (record === undefined) {
-      record = { outstanding: 0, changes: [] };
+      record = { outstanding: 0, gapMs: 0, gapAtMs: -Infinity, changes: [] };
       this.#targets.set(target, record);
     }
     return record;
   }
 }
+
+function noteGap(record: TargetRecord, gapMs: number, nowMs: number): void {
+  const fresh = nowMs - record.gapAtMs > GAP_KEPT_MS;
+  record.gapMs = fresh
+    ? gapMs
+    : record.gapMs + (gapMs - record.gapMs) * GAP_RATE;
+  record.gapAtMs = nowMs;
+}
--- a/packages/heatherarch-policy/role_planner.ts
+++ b/packages/heatherarch-policy/role_planner.ts
@@ -93,24 +93,35 @@
 
 /** Rounds of planning for which a change must look right before it is proposed. */
 const CONFIRMING_ROUNDS = 2;
-/** Efficiency of an engine at work of the other role. */
-const PREFILL_ON_DECODER = 0.4;
-const DECODE_ON_PREFILLER = 0.2;
+/** Prefill that a decoder takes in beside its own work, in prefillers. */
+const PREFILL_ON_DECODER = 0.38;
+/** Decoders busier than this take in less prefill. */
+const ABSORBING_UTILIZATION = 0.5;
+/** Generation that a prefiller takes in, in decoders. */
+const DECODE_ON_PREFILLER = 0.1;
+/** Weight of the newest regime in the mean length of regimes. */
+const REGIME_RATE = 0.4;
+/** A regime that has outlasted the mean is expected to last this share of it longer. */
+const OUTLASTED_SHARE = 0.5;
 
 /** Changes a role only where the gain over a horizon exceeds the change's cost. */
 export class HorizonPlanner implements RolePlanner {
   readonly #planning: Planning;
   readonly #model: EngineModel;
   #proposal: { role: EngineRole; rounds: number } | undefined;
+  readonly #regimes: RegimeClock;
 
   constructor(planning: Planning, model: EngineModel) {
     this.#planning = planning;
     this.#model = model;
+    this.#regimes = new RegimeClock(planning.horizonMs);
   }
 
   plan(input: PlanInput): RoleChange | undefined {
+    const need = computeNeed(input.demand, this.#model);
+    this.#regimes.note(need, input.nowMs);
     if (input.changing) return undefined;
-    const best = this.#findBest(input);
+    const best = this.#findBest(input, need);
     if (best === undefined) {
       this.#proposal = undefined;
       return undefined;
@@ -124,9 +135,9 @@
     return best;
   }
 
-  #findBest(input: PlanInput): RoleChange | undefined {
-    const { horizonMs, changeMs, changeWeight } = this.#planning;
-    const need = computeNeed(input.demand, this.#model);
+  #findBest(input: PlanInput, need: WorkNeed): RoleChange | undefined {
+    const { changeMs, changeWeight } = this.#planning;
+    const horizonMs = this.#regimes.predictRemainingMs(input.nowMs);
     const counts = countRoles(input.engines);
     const now = estimateServed(counts, need);
     let best: RoleChange | undefined;
@@ -148,14 +159,40 @@
     return best;
   }
 
-  /** Some engine must go on decoding, and as many of each used role as the setting says. */
+  /** As many engines must stay able to do what the leaving one did as the setting says. */
   #keepsMinimum(away: RoleCounts, left: EngineRole): boolean {
-    if (
-      left !== "prefill" &&
-      away.decode + away.mixed < this.#planning.minimumPerRole
-    ) return false;
-    return left !== "prefill" ||
-      away.prefill + away.mixed >= this.#planning.minimumPerRole;
+    if (left === "mixed") return true;
+    return away[left] + away.mixed >= this.#planning.minimumPerRole;
+  }
+}
+
+/** Learns how long the mix stays on one side, and so what a role change can still bring. */
+class RegimeClock {
+  readonly #longestMs: number;
+  #meanMs: number;
+  #prefillPrevails: boolean | undefined;
+  #sinceMs = 0;
+
+  constructor(longestMs: number) {
+    this.#longestMs = longestMs;
+    this.#meanMs = longestMs;
+  }
+
+  note(need: WorkNeed, nowMs: number): void {
+    if (need.prefill + need.decode === 0) return;
+    const prevails = need.prefill > need.decode;
+    if (prevails === this.#prefillPrevails) return;
+    if (this.#prefillPrevails !== undefined) {
+      const lastedMs = Math.min(this.#longestMs, nowMs - this.#sinceMs);
+      this.#meanMs += (lastedMs - this.#meanMs) * REGIME_RATE;
+    }
+    this.#prefillPrevails = prevails;
+    this.#sinceMs = nowMs;
+  }
+
+  predictRemainingMs(nowMs: number): number {
+    const leftMs = this.#meanMs - (nowMs - this.#sinceMs);
+    return Math.max(leftMs, this.#meanMs * OUTLASTED_SHARE);
   }
 }
 
@@ -197,33 +234,30 @@
 }
 
 /**
- * Share of the demand that a split of roles serves, 0 to 1. Work beyond the engines of its
- * role spills over to the spare capacity of the others at their lower efficiency.
+ * Share of the demand that a split of roles serves, 0 to 1. Engines of the other role take in
+ * what is beyond the engines of a role, at their lower efficiency.
  */
 export function estimateServed(counts: RoleCounts, need: WorkNeed): number {
-  if (need.prefill + need.decode === 0) return 1;
-  const mixedShare = need.prefill / (need.prefill + need.decode);
-  const prefillers = counts.prefill +
-    counts.mixed * mixedShare * MIXED_EFFICIENCY;
-  const decoders = counts.decode +
-    counts.mixed * (1 - mixedShare) * MIXED_EFFICIENCY;
-  const prefillLack = Math.max(0, need.prefill - prefillers);
-  const decodeLack = Math.max(0, need.decode - decoders);
-  const spareDecoders = Math.max(0, decoders - need.decode);
-  const sparePrefillers = Math.max(0, prefillers - need.prefill);
-  const prefillShort = Math.max(
-    0,
-    prefillLack - spareDecoders * PREFILL_ON_DECODER,
+  const total = need.prefill + need.decode;
+  if (total === 0) return 1;
+  const mixed = counts.mixed * MIXED_EFFICIENCY;
+  const prefillers = counts.prefill + mixed * need.prefill / total;
+  const decoders = counts.decode + mixed * need.decode / total;
+  const utilization = decoders === 0 ? 1 : need.decode / decoders;
+  const absorbing = Math.min(
+    1,
+    Math.max(0, 1 + ABSORBING_UTILIZATION - utilization),
   );
-  const decodeShort = Math.max(
-    0,
-    decodeLack - sparePrefillers * DECODE_ON_PREFILLER,
+  const prefillCapacity = prefillers +
+    decoders * PREFILL_ON_DECODER * absorbing;
+  const decodeCapacity = decoders + prefillers * DECODE_ON_PREFILLER;
+  const share = (capacity: number, wanted: number) =>
+    wanted === 0 ? 1 : capacity / wanted;
+  return Math.min(
+    1,
+    share(prefillCapacity, need.prefill),
+    share(decodeCapacity, need.decode),
   );
-  const prefillServed = need.prefill === 0
-    ? 1
-    : 1 - prefillShort / need.prefill;
-  const decodeServed = need.decode === 0 ? 1 : 1 - decodeShort / need.decode;
-  return Math.min(prefillServed, decodeServed);
 }
 
 /** Efficiency of a mixed engine at either work. */
--- a/packages/heatherarch-policy/tests/unit/policy_test.ts
+++ b/packages/heatherarch-policy/tests/unit/policy_test.ts
@@ -55,6 +55,9 @@
     prefixKey: "k",
     kvTransferMinTokens: 256,
     reserveShare: 0,
+    remainingMs: 20_000,
+    tokenGapMs: 37,
+    spreadKey: "r",
     ...values,
   };
 }
@@ -185,7 +188,8 @@
 test("a balanced split serves all, a lopsided one does not", () => {
   const need = { prefill: 3, decode: 3 };
   assert.equal(estimateServed({ prefill: 4, decode: 4, mixed: 0 }, need), 1);
-  assert.ok(estimateServed({ prefill: 1, decode: 7, mixed: 0 }, need) < 1);
+  assert.ok(estimateServed({ prefill: 1, decode: 4, mixed: 0 }, need) < 0.9);
+  assert.ok(estimateServed({ prefill: 6, decode: 2, mixed: 0 }, need) < 0.9);
 });
 
 test("the horizon planner needs a lasting gain; the greedy one does not", () => {
--- a/packages/heatherarch-settings/process_settings.ts
+++ b/packages/heatherarch-settings/process_settings.ts
@@ -62,6 +62,8 @@
     /** Shared key that peers prove to each other; empty only on loopback. */
     sharedKey: z.string().default(""),
     heartbeatMs: MS(10, 60_000, 500),
+    /** Heartbeats grow rarer with the number of links: this long for each. */
+    heartbeatPerLinkMs: MS(0, 10_000, 80),
     silenceMs: MS(50, 600_000, 2500),
     maxFrameBytes: z.int().min(1024).max(64 * 1024 * 1024).default(
       4 * 1024 * 1024,
@@ -111,6 +113,10 @@
     /** A target without a report for this long is not used. */
     staleMs: MS(100, 600_000, 5000),
     watchersPerTarget: z.int().min(1).max(16).default(2),
+    /** Reports grow rarer with the number of targets watched: this long for each. */
+    reportPerTargetMs: MS(0, 10_000, 100),
+    /** Targets of its zone that a VM is told of, where the zone has more. */
+    subsetSize: z.int().min(4).max(10_000).default(64),
   }).prefault({}),
   shutdown: z.strictObject({
     /** Longest wait for requests in flight after SIGTERM. */
--- a/packages/heatherarch-targets/engine_client.ts
+++ b/packages/heatherarch-targets/engine_client.ts
@@ -126,9 +126,15 @@
     createParser: ParserFactory,
   ): EngineTry {
     const { firstByteMs, gapMs } = this.#options.timeouts;
+    const silence = new SilenceTimer({ firstByteMs, gapMs }, () => {
+      guarded.onFailure("silent", "no byte came for too long");
+    });
     let parser: AnswerParser | undefined;
     let refusal: number | undefined;
-    const guarded = closeAfterEnd(sink, () => sent?.abort());
+    const guarded = closeAfterEnd(sink, {
+      stopTimer: () => silence.stop(),
+      abort: () => sent?.abort(),
+    });
     const sent = dispatch(this.#pool, {
       path: request.path,
       method: request.method,
@@ -136,14 +142,18 @@
         ? {}
         : { "content-type": "application/json" },
       body: request.body,
-      firstByteMs,
-      gapMs,
+      // The head comes before the work is done; silence is judged by the tokens.
+      firstByteMs: 0,
+      gapMs: 0,
     }, {
       onHead: (status) => {
         if (status === 200) parser = createParser(call, guarded);
         else refusal = status;
       },
-      onData: (bytes) => parser?.push(bytes),
+      onData: (bytes) => {
+        silence.noteBytes();
+        parser?.push(bytes);
+      },
       onDone: () => {
         if (refusal !== undefined) {
           guarded.onFailure(judgeStatus(refusal), `status ${refusal}`);
@@ -180,11 +190,15 @@
   close(): void;
 }
 
-function closeAfterEnd(sink: EngineSink, abort: () => void): ClosingSink {
+function closeAfterEnd(
+  sink: EngineSink,
+  hooks: { stopTimer: () => void; abort: () => void },
+): ClosingSink {
   let open = true;
   return {
     close: () => {
       open = false;
+      hooks.stopTimer();
     },
     onTokens: (texts) => {
       if (open) sink.onTokens(texts);
@@ -192,17 +206,50 @@
     onEnd: (end) => {
       if (!open) return;
       open = false;
+      hooks.stopTimer();
       sink.onEnd(end);
     },
     onFailure: (failure, detail) => {
       if (!open) return;
       open = false;
-      abort();
+      hooks.stopTimer();
+      hooks.abort();
       sink.onFailure(failure, detail);
     },
   };
 }
 
+/** Judges an answer silent: by one limit up to its first byte, by another after it. */
+class SilenceTimer {
+  readonly #gapMs: number;
+  readonly #onSilent: () => void;
+  #timer: NodeJS.Timeout;
+  #heard = false;
+
+  constructor(
+    limits: { firstByteMs: number; gapMs: number },
+    onSilent: () => void,
+  ) {
+    this.#gapMs = limits.gapMs;
+    this.#onSilent = onSilent;
+    this.#timer = setTimeout(onSilent, limits.firstByteMs);
+  }
+
+  noteBytes(): void {
+    if (this.#heard) {
+      this.#timer.refresh();
+      return;
+    }
+    this.#heard = true;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(this.#onSilent, this.#gapMs);
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+}
+
 /** What a status other than 200 means for a try. */
 function judgeStatus(status: number): EngineFailure {
   if (status === STATUS_UNAVAILABLE || status === STATUS_TOO_MANY) {
