Readiness waits for a first sight of targets; recovery measured; failure tests

Cause: a restarted VM said ready and refused its first reading with noTarget: the configuration was there, no report of a target was.

Change: /readyz says no until every service has a usable target, for 5 s at most. A drain during a known outage spreads after 1 s, not 8. Tests: bad input, outage, trimmed log, at most once across VMs, operators' client.

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -72,9 +72,13 @@
 const DEMAND_WINDOW_MS = 6000;
 const REPORT_LAG_MS = 300;
 const PUBLISH_TIMEOUT_MS = 8000;
+/** Where the platform is known to be out, an operator's word spreads soon. */
+const OUTAGE_TIMEOUT_MS = 1000;
 const REMOTE_READ_MS = 3000;
 const METRICS_MS = 1000;
 const FLUSH_MS = 5000;
+/** How long a VM waits for a first sight of targets before it calls itself ready. */
+const TARGETS_GRACE_MS = 5000;
 /** How long a peer's demand counts after its last heartbeat. */
 const DEMAND_KEPT_MS = 3000;
 
@@ -119,6 +123,8 @@
   #leaving = false;
   #closedToCallers = false;
   #stopping: Promise<void> | undefined;
+  /** Monotonic time from which there was a configuration to serve by. */
+  #servingFromMs: number | undefined;
 
   constructor(options: EntryVmOptions) {
     this.#container = createContainer<Parts>({
@@ -415,8 +421,7 @@
         this.#updateMetrics();
         return metrics.registry.metrics();
       },
-      readUnready: () =>
-        this.#leaving ? "shutting down" : this.#readRefusal()?.message,
+      readUnready: () => this.#readUnready(),
       publish: (request) => this.#publish(request),
       markLeaving: (target) => {
         table.leaving.mark(target, config.state.offset);
@@ -445,6 +450,22 @@
     return undefined;
   }
 
+  /** Why the balancer should send nothing here. */
+  #readUnready(): string | undefined {
+    if (this.#leaving) return "shutting down";
+    const refusal = this.#readRefusal();
+    if (refusal !== undefined) return refusal.message;
+    const { table, clock } = this.#parts;
+    const nowMs = clock.readMonotonicMs();
+    this.#servingFromMs ??= nowMs;
+    // With every target out of reach the VM is as good as any other after a while.
+    if (nowMs - this.#servingFromMs > TARGETS_GRACE_MS) return undefined;
+    const unseen = this.#parts.config.state.fleet?.services.find((service) =>
+      table.listCandidates(service.name).length === 0
+    );
+    return unseen && `no target of ${unseen.name} has been seen yet`;
+  }
+
   #getRouter(kind: RoutingKind): Router {
     let router = this.#routers.get(kind);
     if (router === undefined) {
@@ -521,7 +542,7 @@
     try {
       const offset = await appendOnce(log, CONFIG_STREAM, record, {
         searchFrom: config.state.offset + 1,
-        timeoutMs: PUBLISH_TIMEOUT_MS,
+        timeoutMs: config.isPlatformUp ? PUBLISH_TIMEOUT_MS : OUTAGE_TIMEOUT_MS,
         readMonotonicMs: () => clock.readMonotonicMs(),
       });
       while (config.state.offset < offset) await config.catchUp();
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -288,7 +288,7 @@
     const nowMs = this.#host.clock.readMonotonicMs();
     this.#closeLeg(leg, nowMs);
     this.#host.targets.noteSuccess(leg.target);
-    this.#noteLegEnd(leg, end);
+    this.#noteLegEnd(end);
     const missing = this.#options.maxTokens - this.#delivered.length;
     if (
       leg.handsOver && leg.received === 1 && missing > 0 &&
@@ -303,7 +303,7 @@
     this.#finish(missing === 0 ? "length" : "stop");
   }
 
-  #noteLegEnd(leg: Leg, end: EngineEnd): void {
+  #noteLegEnd(end: EngineEnd): void {
     if (this.#promptTokens === 0) {
       this.#promptTokens = end.promptTokens;
       this.#cachedTokens = end.cachedTokens;
--- a/packages/heatherarch-lab/bin/prove.ts
+++ b/packages/heatherarch-lab/bin/prove.ts
@@ -6,6 +6,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { runChaos } from "../chaos/chaos_run.ts";
+import { measureRecovery } from "../chaos/recovery.ts";
 import { runMutations } from "../mutations.ts";
 
 const args = await yargs(hideBin(process.argv))
@@ -21,6 +22,11 @@
     default: 60,
     describe: "length of the randomised run",
   })
+  .option("recovery", {
+    type: "boolean",
+    default: false,
+    describe: "measure times of recovery",
+  })
   .option("json", { type: "boolean", default: false })
   .strict()
   .parseAsync();
@@ -34,6 +40,11 @@
   process.exit(passed ? 0 : 1);
 }
 
+if (args.recovery) {
+  await measureRecovery((line) => console.log(line));
+  process.exit(0);
+}
+
 const report = await runChaos({
   seed: args.seed,
   seconds: args.seconds,
--- /dev/null
+++ b/packages/heatherarch-lab/chaos/recovery.ts
@@ -0,0 +1,280 @@
+/**
+ * Times of recovery, on a small deployment with the default lease and mesh settings.
+ *
+ * @module
+ */
+import { Random, sleep } from "heatherarch-core";
+import { Caller } from "../caller.ts";
+import { Cluster } from "../cluster.ts";
+import { buildDeployment, type DeployedVm, SHAPES } from "../deployment.ts";
+import { type LoadRecord, sendOne } from "../mixed_load.ts";
+import { ChaosNetwork } from "./network.ts";
+
+/** Times in seconds, and the share of requests that a cut zone answered. */
+export interface RecoveryReport {
+  readonly holderKilledToNextOrder: number;
+  readonly holderStoppedToNextOrder: number;
+  readonly platformBackToCaughtUp: number;
+  readonly healedToAgreed: number;
+  readonly startToReadyPlatformUp: number;
+  readonly startToReadyPlatformDown: number;
+  readonly cutZone: {
+    readonly requests: number;
+    readonly readingsAnsweredShare: number;
+    readonly lookupsAnsweredShare: number;
+    readonly bookingsAnsweredShare: number;
+    /** Bookings refused as not run, in so many words. */
+    readonly bookingsRefusedShare: number;
+  };
+}
+
+const POLL_MS = 20;
+const LIMIT_MS = 60_000;
+const CUT_MS = 8000;
+const OUTAGE_MS = 8000;
+
+/** Measures all times once. */
+export async function measureRecovery(
+  print: (line: string) => void,
+): Promise<RecoveryReport> {
+  const deployment = await buildDeployment({
+    ...SHAPES.small,
+    vmsPerZone: 3,
+    planning: { policy: "none" },
+  });
+  const network = new ChaosNetwork(deployment);
+  await network.open();
+  const cluster = new Cluster({
+    deployment,
+    standins: {
+      speeds: { changeMs: 300 },
+      log: { appendMs: { low: 5, high: 50 } },
+    },
+    settingsOf: (vm) => ({
+      platform: {
+        log: `http://${network.getPlatformAddress(vm.availabilityZone)}`,
+        vmList: `http://${network.getPlatformAddress(vm.availabilityZone)}/vms`,
+      },
+      mesh: {
+        peers: deployment.vms.map(({ id, availabilityZone, mesh }) => ({
+          id,
+          availabilityZone,
+          mesh,
+        })),
+      },
+      network: { translate: network.buildTranslation(vm.availabilityZone) },
+    }),
+  });
+  try {
+    await cluster.start();
+    const recovery = new Recovery(cluster, network);
+    await recovery.waitForOrder("2");
+    const report: RecoveryReport = {
+      holderKilledToNextOrder: await recovery.measureHolder("SIGKILL", "3"),
+      holderStoppedToNextOrder: await recovery.measureHolder("SIGTERM", "4"),
+      platformBackToCaughtUp: await recovery.measureOutage(),
+      startToReadyPlatformUp: await recovery.measureStart(false),
+      startToReadyPlatformDown: await recovery.measureStart(true),
+      ...await recovery.measureCut(),
+    };
+    print(JSON.stringify(report));
+    return report;
+  } finally {
+    await cluster.stop();
+    await network.close();
+  }
+}
+
+class Recovery {
+  readonly #cluster: Cluster;
+  readonly #network: ChaosNetwork;
+  readonly #zones: readonly string[];
+  #fleetRevision = -1;
+
+  constructor(cluster: Cluster, network: ChaosNetwork) {
+    this.#cluster = cluster;
+    this.#network = network;
+    this.#zones = cluster.deployment.fleet.availabilityZones;
+  }
+
+  /** Publishes a model version and waits until the first zone's engines were all ordered to it. */
+  async waitForOrder(version: string): Promise<void> {
+    const { vms } = this.#cluster.deployment;
+    const before = await this.#countOrders();
+    await this.#publishVersion(version, vms[vms.length - 1]);
+    await this.#waitUntil(async () => await this.#countOrders() >= before + 3);
+    await sleep(2000);
+  }
+
+  async measureHolder(
+    signal: "SIGKILL" | "SIGTERM",
+    version: string,
+  ): Promise<number> {
+    const { vms } = this.#cluster.deployment;
+    const holder = await this.#findHolder();
+    const before = await this.#countOrders();
+    const startMs = performance.now();
+    this.#cluster.signalVm(holder.id, signal);
+    const publishing = this.#publishVersion(version, vms[vms.length - 1]);
+    await this.#waitUntil(async () => await this.#countOrders() > before);
+    const seconds = secondsSince(startMs);
+    await publishing;
+    await this.#cluster.waitExit(holder.id);
+    this.#cluster.startVm(holder);
+    await this.#cluster.waitReady([holder]);
+    await this.#waitUntil(async () => await this.#countOrders() >= before + 3);
+    await sleep(3000);
+    return seconds;
+  }
+
+  async measureOutage(): Promise<number> {
+    await this.#cluster.command({ kind: "log", faults: { down: true } });
+    await sleep(OUTAGE_MS);
+    await this.#cluster.command({ kind: "log", faults: { down: false } });
+    const startMs = performance.now();
+    await this.#waitUntil(async () => {
+      const stale = await this.#readAll((status) =>
+        status.config.staleMs ?? Infinity
+      );
+      const limit = performance.now() - startMs;
+      // A VM that is no relay is current through its peers; relays must have read.
+      return stale.filter((ms) => ms < limit).length >= this.#zones.length;
+    });
+    return secondsSince(startMs);
+  }
+
+  async measureStart(platformDown: boolean): Promise<number> {
+    const [vm] = this.#cluster.deployment.vms;
+    this.#cluster.signalVm(vm.id, "SIGTERM");
+    await this.#cluster.waitExit(vm.id);
+    if (platformDown) {
+      await this.#cluster.command({ kind: "log", faults: { down: true } });
+    }
+    await sleep(500);
+    const startMs = performance.now();
+    this.#cluster.startVm(vm);
+    await this.#cluster.waitReady([vm]);
+    const seconds = secondsSince(startMs);
+    if (platformDown) {
+      await this.#cluster.command({ kind: "log", faults: { down: false } });
+    }
+    await sleep(3000);
+    return seconds;
+  }
+
+  async measureCut(): Promise<
+    Pick<RecoveryReport, "healedToAgreed" | "cutZone">
+  > {
+    const zone = this.#zones[1];
+    const { vms } = this.#cluster.deployment;
+    const inside = vms.filter((vm) => vm.availabilityZone === zone);
+    const [outside] = vms;
+    this.#network.setZone(zone, "cut");
+    const load = this.#sendTo(inside, CUT_MS);
+    const change = { kind: "putProfile", profile: { name: "during-the-cut" } };
+    const answer = await this.#cluster.publish(change, -1, outside);
+    const offset = answer.body.offset ?? Infinity;
+    const records = await load;
+    this.#network.setZone(zone, "open");
+    const startMs = performance.now();
+    await this.#waitUntil(async () => {
+      const offsets = await this.#readAll((status) => status.config.offset);
+      return offsets.every((applied) => applied >= offset);
+    });
+    return {
+      healedToAgreed: secondsSince(startMs),
+      cutZone: summarizeCut(records),
+    };
+  }
+
+  async #sendTo(vms: readonly DeployedVm[], ms: number): Promise<LoadRecord[]> {
+    const caller = new Caller();
+    const random = new Random(5);
+    const deployment = { ...this.#cluster.deployment, vms };
+    const sent: Promise<LoadRecord[]>[] = [];
+    const untilMs = performance.now() + ms;
+    while (performance.now() < untilMs) {
+      sent.push(sendOne(caller, deployment, random));
+      await sleep(30);
+    }
+    const records = (await Promise.all(sent)).flat();
+    await caller.close();
+    return records;
+  }
+
+  async #publishVersion(version: string, vm: DeployedVm): Promise<void> {
+    const { fleet } = this.#cluster.deployment;
+    const services = fleet.services.map((service) =>
+      service.kind === "model" ? { ...service, version } : service
+    );
+    if (this.#fleetRevision < 0) this.#fleetRevision = 0;
+    const change = { kind: "publishFleet", fleet: { ...fleet, services } };
+    const answer = await this.#cluster.publish(change, this.#fleetRevision, vm);
+    if (answer.body.offset === undefined) {
+      throw new Error(JSON.stringify(answer.body));
+    }
+    this.#fleetRevision = answer.body.offset;
+  }
+
+  /** Orders that engines of the first zone have obeyed. */
+  async #countOrders(): Promise<number> {
+    const { engines } = await this.#cluster.readLedger();
+    return Object.entries(engines)
+      .filter(([id]) => id.startsWith(this.#zones[0]))
+      .reduce((sum, [, engine]) => sum + engine.ordersObeyed, 0);
+  }
+
+  async #findHolder(): Promise<DeployedVm> {
+    let found: DeployedVm | undefined;
+    await this.#waitUntil(async () => {
+      for (const vm of this.#cluster.deployment.vms) {
+        if (vm.availabilityZone !== this.#zones[0]) continue;
+        if ((await this.#cluster.readStatus(vm)).lease.heldHere) found = vm;
+      }
+      return found !== undefined;
+    });
+    return found as DeployedVm;
+  }
+
+  async #readAll(
+    read: (status: Awaited<ReturnType<Cluster["readStatus"]>>) => number,
+  ): Promise<number[]> {
+    const { vms } = this.#cluster.deployment;
+    return await Promise.all(
+      vms.map(async (vm) => read(await this.#cluster.readStatus(vm))),
+    );
+  }
+
+  async #waitUntil(check: () => Promise<boolean>): Promise<void> {
+    const untilMs = performance.now() + LIMIT_MS;
+    while (!(await check().catch(() => false))) {
+      if (performance.now() > untilMs) {
+        throw new Error("recovery took too long");
+      }
+      await sleep(POLL_MS);
+    }
+  }
+}
+
+function summarizeCut(
+  records: readonly LoadRecord[],
+): RecoveryReport["cutZone"] {
+  const share = (what: string, holds: (record: LoadRecord) => boolean) => {
+    const all = records.filter((record) => record.what === what);
+    return all.length === 0
+      ? 0
+      : Math.round(1000 * all.filter(holds).length / all.length) / 1000;
+  };
+  const answered = ({ result }: LoadRecord) => result.outcome === "whole";
+  return {
+    requests: records.length,
+    readingsAnsweredShare: share("reading", answered),
+    lookupsAnsweredShare: share("lookup", answered),
+    bookingsAnsweredShare: share("booking", answered),
+    bookingsRefusedShare: share("booking", ({ result }) => result.run === "no"),
+  };
+}
+
+function secondsSince(startMs: number): number {
+  return Math.round(performance.now() - startMs) / 1000;
+}
--- a/packages/heatherarch-lab/cluster.ts
+++ b/packages/heatherarch-lab/cluster.ts
@@ -239,7 +239,9 @@
     ];
     for (const layer of layers) {
       for (const [section, values] of Object.entries(layer)) {
-        base[section] = { ...base[section], ...values };
+        base[section] = Array.isArray(values)
+          ? values as never
+          : { ...base[section], ...values };
       }
     }
     return base;
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/at_most_once_test.ts
@@ -0,0 +1,102 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { sleep } from "heatherarch-core";
+import {
+  buildDeployment,
+  Caller,
+  Cluster,
+  countKeysRunTwice,
+  SHAPES,
+} from "../../mod.ts";
+
+let cluster: Cluster;
+const caller = new Caller();
+
+before(async () => {
+  cluster = new Cluster({ deployment: await buildDeployment(SHAPES.small) });
+  await cluster.start();
+});
+
+after(async () => {
+  await caller.close();
+  await cluster.stop();
+});
+
+function book(at: number, key: string, passenger = key) {
+  const url = `http://${cluster.deployment.vms[at].callers}`;
+  const body = JSON.stringify({ passenger });
+  return caller.callService({
+    url,
+    service: "bookings",
+    method: "POST",
+    path: "/b",
+    key,
+    body,
+  });
+}
+
+test("a key sent through every VM at once runs once, and repeats get its answer", async () => {
+  const key = `${Date.now()}-everywhere`;
+  const first = await Promise.all([0, 1, 2, 3].map((at) => book(at, key)));
+  assert.equal(
+    first.filter((result) => result.outcome === "whole").length >= 1,
+    true,
+  );
+  for (const result of first) {
+    assert.ok(
+      result.outcome === "whole" || result.kind === "keyInProgress",
+      result.detail,
+    );
+  }
+  await sleep(500);
+  const repeats = await Promise.all([0, 1, 2, 3].map((at) => book(at, key)));
+  assert.deepEqual(
+    repeats.map((result) => result.outcome),
+    Array(4).fill("whole"),
+  );
+  const ledger = await cluster.readLedger();
+  assert.equal(ledger.runs.filter((run) => run.key === key).length, 1);
+});
+
+test("a key used for another call is refused", async () => {
+  const key = `${Date.now()}-reused`;
+  assert.equal((await book(0, key)).outcome, "whole");
+  assert.equal((await book(1, key, "someone else")).kind, "keyReused");
+});
+
+test("a call whose answer was lost is never run again and never called not run", async () => {
+  const services = cluster.deployment.fleet.targets.filter((target) =>
+    target.id.includes("service")
+  );
+  for (const { id } of services) {
+    await cluster.command({ kind: "loseAnswers", target: id, on: true });
+  }
+  const key = `${Date.now()}-lost`;
+  const first = await book(0, key);
+  assert.equal(first.run, "unknown");
+  for (const { id } of services) {
+    await cluster.command({ kind: "loseAnswers", target: id, on: false });
+  }
+  for (let at = 0; at < 4; at++) {
+    const repeat = await book(at, key);
+    assert.equal(repeat.outcome, "refused");
+    assert.equal(repeat.run, "unknown");
+  }
+  const ledger = await cluster.readLedger();
+  assert.equal(ledger.runs.filter((run) => run.key === key).length, 1);
+  assert.equal(countKeysRunTwice(ledger), 0);
+});
+
+test("a crossed answer of a service goes to nobody", async () => {
+  const services = cluster.deployment.fleet.targets.filter((target) =>
+    target.id.includes("service")
+  );
+  for (const { id } of services) {
+    await cluster.command({ kind: "crossAnswers", target: id, on: true });
+  }
+  const result = await book(0, `${Date.now()}-crossed`);
+  assert.equal(result.kind, "answerIncomplete");
+  for (const { id } of services) {
+    await cluster.command({ kind: "crossAnswers", target: id, on: false });
+  }
+});
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/bad_input_test.ts
@@ -0,0 +1,215 @@
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { after, before, test } from "node:test";
+import { request } from "undici";
+import { buildDeployment, Cluster, SHAPES } from "../../mod.ts";
+
+let cluster: Cluster;
+let url: string;
+let address: { host: string; port: number };
+
+before(async () => {
+  const shape = {
+    ...SHAPES.small,
+    availabilityZones: ["zone-a"],
+    vmsPerZone: 1,
+  };
+  cluster = new Cluster({
+    deployment: await buildDeployment(shape),
+    settings: {
+      requests: {
+        maxBodyBytes: 4096,
+        headerTimeoutMs: 1000,
+        bodyTimeoutMs: 800,
+      },
+    },
+  });
+  await cluster.start();
+  const [vm] = cluster.deployment.vms;
+  url = `http://${vm.callers}`;
+  const [host, port] = vm.callers.split(":");
+  address = { host, port: Number(port) };
+});
+
+after(() => cluster.stop());
+
+interface Answer {
+  readonly status: number;
+  readonly kind: string;
+  readonly run: string;
+}
+
+async function post(
+  path: string,
+  body: string,
+  headers: Record<string, string> = {},
+): Promise<Answer> {
+  const answer = await request(url + path, { method: "POST", body, headers });
+  const { error } = await answer.body.json() as {
+    error: { kind: string; run: string };
+  };
+  return { status: answer.statusCode, kind: error.kind, run: error.run };
+}
+
+function buildChat(fields: object): string {
+  return JSON.stringify({
+    model: "reader-7b",
+    messages: [{ role: "user", content: "hello" }],
+    ...fields,
+  });
+}
+
+/** Sends raw bytes and returns all that comes back. */
+function sendRaw(bytes: string, close: boolean): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(address);
+    let text = "";
+    socket.on("data", (data) => (text += data.toString()));
+    socket.on("close", () => resolve(text));
+    socket.on("error", () => resolve(text));
+    socket.write(bytes);
+    if (close) socket.end();
+  });
+}
+
+const CASES: readonly {
+  name: string;
+  send: () => Promise<Answer>;
+  status: number;
+  kind: string;
+}[] = [
+  {
+    name: "broken JSON",
+    send: () => post("/v1/chat/completions", "{"),
+    status: 400,
+    kind: "badRequest",
+  },
+  {
+    name: "no messages",
+    send: () => post("/v1/chat/completions", buildChat({ messages: [] })),
+    status: 400,
+    kind: "badRequest",
+  },
+  {
+    name: "unknown model",
+    send: () => post("/v1/chat/completions", buildChat({ model: "x" })),
+    status: 404,
+    kind: "unknownModel",
+  },
+  {
+    name: "unknown profile",
+    send: () => post("/v1/chat/completions", buildChat({ profile: "x" })),
+    status: 400,
+    kind: "unknownProfile",
+  },
+  {
+    name: "absurd max_tokens",
+    send: () => post("/v1/chat/completions", buildChat({ max_tokens: 1e9 })),
+    status: 400,
+    kind: "badRequest",
+  },
+  {
+    name: "negative max_tokens",
+    send: () => post("/v1/chat/completions", buildChat({ max_tokens: -1 })),
+    status: 400,
+    kind: "badRequest",
+  },
+  {
+    name: "oversized body",
+    send: () =>
+      post("/v1/chat/completions", buildChat({ user: "x".repeat(5000) })),
+    status: 413,
+    kind: "payloadTooLarge",
+  },
+  {
+    name: "bad deadline",
+    send: () =>
+      post("/v1/completions", buildChat({}), { "x-deadline-ms": "soon" }),
+    status: 400,
+    kind: "badRequest",
+  },
+  {
+    name: "undated key",
+    send: () =>
+      post("/services/bookings/b", "{}", { "idempotency-key": "abc" }),
+    status: 400,
+    kind: "badIdempotencyKey",
+  },
+  {
+    name: "key from long ago",
+    send: () =>
+      post("/services/bookings/b", "{}", {
+        "idempotency-key": "1000000000000-abcd",
+      }),
+    status: 410,
+    kind: "keyExpired",
+  },
+  {
+    name: "unknown service",
+    send: () => post("/services/none/x", "{}"),
+    status: 404,
+    kind: "notFound",
+  },
+  {
+    name: "unknown path",
+    send: () => post("/v2/chat", "{}"),
+    status: 404,
+    kind: "notFound",
+  },
+  {
+    name: "a model that is no string",
+    send: () => post("/v1/chat/completions", buildChat({ model: 7 })),
+    status: 400,
+    kind: "badRequest",
+  },
+];
+
+for (const { name, send, status, kind } of CASES) {
+  test(`${name} gets a clear ${status}`, async () => {
+    const answer = await send();
+    assert.deepEqual({ status: answer.status, kind: answer.kind }, {
+      status,
+      kind,
+    });
+    assert.ok(answer.run === "no" || kind === "keyExpired");
+  });
+}
+
+test("a wrong method is told which one is right", async () => {
+  const answer = await request(`${url}/v1/chat/completions`);
+  await answer.body.dump();
+  assert.equal(answer.statusCode, 405);
+  assert.equal(answer.headers.allow, "POST");
+});
+
+test("oversized and malformed heads are answered and closed", async () => {
+  const huge = await sendRaw(
+    `GET / HTTP/1.1\r\nhost: x\r\nbig: ${"a".repeat(60_000)}\r\n\r\n`,
+    false,
+  );
+  assert.match(huge, /^HTTP\/1\.1 431 .*headersTooLarge/s);
+  assert.match(
+    await sendRaw("NONSENSE\r\n\r\n", false),
+    /^HTTP\/1\.1 400 .*badRequest/s,
+  );
+});
+
+test("slow and half-closed callers hold nothing up", async () => {
+  const slowHead = sendRaw(
+    "POST /v1/completions HTTP/1.1\r\nhost: x\r\n",
+    false,
+  );
+  const slowBody = sendRaw(
+    "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{",
+    false,
+  );
+  const half = sendRaw(
+    "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{",
+    true,
+  );
+  const quick = await post("/v1/chat/completions", "{");
+  assert.equal(quick.status, 400);
+  assert.match(await slowBody, /408 .*requestTimeout/s);
+  await half;
+  assert.match(await slowHead, /408/);
+});
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/operators_test.ts
@@ -0,0 +1,166 @@
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { createHash } from "node:crypto";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { stringify } from "smol-toml";
+import { buildDeployment, Cluster, SHAPES } from "../../mod.ts";
+
+const BINARY = fileURLToPath(import.meta.resolve("heatherarch-cli")).replace(
+  /mod\.js$/,
+  "bin/heatherarch.js",
+);
+const TOKEN = "sesame";
+
+let cluster: Cluster;
+
+before(async () => {
+  cluster = new Cluster({ deployment: await buildDeployment(SHAPES.small) });
+  await cluster.start();
+});
+
+after(() => cluster.stop());
+
+interface Run {
+  readonly code: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+function run(...args: string[]): Promise<Run> {
+  const vm = `http://${cluster.deployment.vms[0].operators}`;
+  return new Promise((resolve) => {
+    execFile(process.execPath, [
+      BINARY,
+      "--vm",
+      vm,
+      "--operator",
+      "amihan",
+      ...args,
+    ], (error, out, err) => {
+      resolve({ code: error ? Number(error.code) : 0, out, err });
+    });
+  });
+}
+
+function writeProfile(deadlineMs: number): string {
+  const file = join(cluster.directory, `profile-${deadlineMs}.toml`);
+  writeFileSync(file, stringify({ name: "desk", deadlineMs }));
+  return file;
+}
+
+test("a profile is put, revised against its revision, and in force everywhere", async () => {
+  const put = await run("profile", "put", writeProfile(1000), "--wait");
+  assert.equal(put.code, 0, put.err);
+  assert.match(put.out, /in force everywhere/);
+  const revise = await run(
+    "profile",
+    "revise",
+    "desk",
+    "deadlineMs=2000",
+    "--wait",
+  );
+  assert.equal(revise.code, 0, revise.err);
+  const got = await run("profile", "get", "desk");
+  assert.equal(JSON.parse(got.out).profile.deadlineMs, 2000);
+});
+
+test("of two operators with one base, one wins and the other is told by what", async () => {
+  const stale = await run("profile", "put", writeProfile(3000), "--base", "-1");
+  assert.equal(stale.code, 3);
+  assert.match(stale.err, /stale.*by amihan \(put profile desk\)/);
+});
+
+test("a bad file is refused with every place and reason, and nothing is published", async () => {
+  const file = join(cluster.directory, "bad.toml");
+  writeFileSync(
+    file,
+    stringify({ name: "Bad Name", deadlineMs: 1, extra: true }),
+  );
+  const result = await run("profile", "put", file);
+  assert.equal(result.code, 2);
+  for (const place of [/name: /, /deadlineMs: /, /extra/]) {
+    assert.match(result.err, place);
+  }
+});
+
+test("drain and restore show in the status and in the audit trail", async () => {
+  const target = cluster.deployment.fleet.targets[0].id;
+  assert.equal((await run("drain", target, "--wait")).code, 0);
+  assert.match((await run("status")).out, new RegExp(`${target}.*draining`));
+  assert.equal((await run("restore", target, "--wait")).code, 0);
+  const audit = JSON.parse((await run("audit", "--json")).out) as {
+    author: string;
+    what: string;
+  }[];
+  const what = audit.filter((entry) => entry.author === "amihan").map((entry) =>
+    entry.what
+  );
+  assert.ok(
+    what.includes(`drain ${target}`) && what.includes(`restore ${target}`),
+  );
+});
+
+test("replace adds the new target and drains the old one", async () => {
+  const { fleet } = cluster.deployment;
+  const old = fleet.targets[0];
+  const file = join(cluster.directory, "replacement.json");
+  writeFileSync(file, JSON.stringify({ ...old, id: "replacement" }));
+  const result = await run("replace", old.id, file, "--wait");
+  assert.equal(result.code, 0, result.err);
+  const config = JSON.parse((await run("config", "show")).out);
+  assert.equal(config.directives[old.id].directive, "replacing");
+  assert.ok(
+    config.fleet.targets.some((entry: { id: string }) =>
+      entry.id === "replacement"
+    ),
+  );
+});
+
+test("config diff names what differs", async () => {
+  const file = join(cluster.directory, "fleet.json");
+  const fleet = { ...cluster.deployment.fleet, allowAnonymous: false };
+  writeFileSync(file, JSON.stringify(fleet));
+  assert.equal((await run("config", "check", file)).code, 0);
+  assert.match(
+    (await run("config", "diff", file)).out,
+    /allowAnonymous: true -> false/,
+  );
+});
+
+test("an unknown command and an unreachable VM have exit codes of their own", async () => {
+  assert.equal((await run("fly")).code, 2);
+  const far = await run("--vm", "http://127.0.0.1:1", "status");
+  assert.notEqual(far.code, 0);
+});
+
+test("operators are authenticated where any are configured", async () => {
+  const tokenSha256 = createHash("sha256").update(TOKEN).digest("hex");
+  const secured = new Cluster({
+    deployment: await buildDeployment({
+      ...SHAPES.small,
+      availabilityZones: ["zone-a"],
+      vmsPerZone: 1,
+    }),
+    settings: { shutdown: { noticeMs: 0 } },
+    settingsOf: () => ({
+      operators: [{ name: "ligaya", tokenSha256 }] as never,
+    }),
+  });
+  try {
+    await secured.startStandins();
+    const [vm] = secured.deployment.vms;
+    secured.startVm(vm);
+    await secured.waitHealthy();
+    const send = (token: string) =>
+      fetch(`http://${vm.operators}/v1/status`, {
+        headers: { authorization: `Bearer ${token}` },
+      });
+    assert.equal((await send("wrong")).status, 401);
+    assert.equal((await send(TOKEN)).status, 200);
+  } finally {
+    await secured.stop();
+  }
+});
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/outage_test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { sleep } from "heatherarch-core";
+import {
+  buildDeployment,
+  Caller,
+  Cluster,
+  type DeployedVm,
+  SHAPES,
+} from "../../mod.ts";
+
+const MODEL = "reader-7b";
+let cluster: Cluster;
+let vms: readonly DeployedVm[];
+const caller = new Caller();
+
+before(async () => {
+  cluster = new Cluster({
+    deployment: await buildDeployment(SHAPES.small),
+    settings: {
+      platform: { snapshotEveryRecords: 10, requestTimeoutMs: 500 },
+      lease: { durationMs: 1500, driftMs: 200, renewMs: 400 },
+    },
+  });
+  await cluster.start();
+  vms = cluster.deployment.vms;
+});
+
+after(async () => {
+  await caller.close();
+  await cluster.stop();
+});
+
+async function setLog(faults: Record<string, number | boolean>): Promise<void> {
+  await cluster.command({ kind: "log", faults });
+}
+
+async function until(check: () => Promise<boolean>, ms = 8000): Promise<void> {
+  const limit = performance.now() + ms;
+  while (!(await check().catch(() => false))) {
+    assert.ok(performance.now() < limit, "took too long");
+    await sleep(30);
+  }
+}
+
+function read(vm: DeployedVm, key?: string) {
+  const url = `http://${vm.callers}`;
+  if (key === undefined) {
+    return caller.generate({
+      url,
+      model: MODEL,
+      prompt: "a question",
+      maxTokens: 5,
+    });
+  }
+  const body = JSON.stringify({ passenger: key });
+  return caller.callService({
+    url,
+    service: "bookings",
+    method: "POST",
+    path: "/b",
+    key,
+    body,
+  });
+}
+
+test("during an outage readings go on and keyed bookings are refused as not run", async () => {
+  await setLog({ down: true });
+  await sleep(300);
+  assert.equal((await read(vms[0])).outcome, "whole");
+  const booking = await read(vms[1], `${Date.now()}-outage`);
+  assert.equal(booking.kind, "platformUnavailable");
+  assert.equal(booking.run, "no");
+  const ledger = await cluster.readLedger();
+  assert.equal(ledger.runs.length, 0);
+  await setLog({ down: false });
+});
+
+test("a drain given during an outage reaches every VM by word of peers", async () => {
+  const target = cluster.deployment.fleet.targets[1].id;
+  await setLog({ down: true });
+  const answer = await cluster.publish(
+    { kind: "directTarget", target, directive: "drain" },
+    -1,
+    vms[3],
+  );
+  assert.equal(answer.body.verdict, "spreading");
+  for (const vm of vms) {
+    await until(async () => {
+      const { targets } = await cluster.readStatus(vm);
+      return targets.some((entry) => entry.id === target && !entry.usable);
+    });
+  }
+  await setLog({ down: false });
+  await until(async () =>
+    (await cluster.publish({
+      kind: "directTarget",
+      target,
+      directive: "restore",
+    }, -1)).status === 200
+  );
+  await cluster.waitTargets();
+});
+
+test("a fresh VM starts from its peers while the platform is out", async () => {
+  const [vm] = vms;
+  cluster.signalVm(vm.id, "SIGKILL");
+  await cluster.waitExit(vm.id);
+  await setLog({ down: true });
+  cluster.startVm(vm);
+  await cluster.waitReady([vm]);
+  assert.equal((await read(vm)).outcome, "whole");
+  await setLog({ down: false });
+});
+
+test("a trimmed log is read on from a snapshot, and lost answers publish once", async () => {
+  await setLog({ retainRecords: 25, loseAnswerShare: 0.4 });
+  let base = -1;
+  for (let i = 0; i < 60; i++) {
+    const change = {
+      kind: "putProfile",
+      profile: { name: "busy", deadlineMs: 1000 + i },
+    };
+    const answer = await cluster.publish(change, base, vms[i % vms.length]);
+    if (answer.status !== 200) continue;
+    base = answer.body.offset ?? base;
+  }
+  const [vm] = vms;
+  cluster.signalVm(vm.id, "SIGKILL");
+  await cluster.waitExit(vm.id);
+  cluster.startVm(vm);
+  await cluster.waitReady([vm]);
+  await setLog({ loseAnswerShare: 0 });
+  await until(async () => {
+    const all = await Promise.all(
+      vms.map((entry) => cluster.readStatus(entry)),
+    );
+    return all.every((status) => status.config.offset >= base);
+  });
+  assert.equal((await read(vm)).outcome, "whole");
+});
