--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/mesh_links_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { RuntimeClock, sleep } from "heatherarch-core";
+import { Membership, MeshNode } from "heatherarch-mesh";
+import { CuttableLink } from "heatherarch-standins";
+import { findFreePorts } from "../../mod.ts";
+
+interface Node {
+  readonly mesh: MeshNode;
+  readonly membership: Membership;
+  readonly address: string;
+  readonly faults: string[];
+}
+
+async function startNode(
+  id: string,
+  options: {
+    port: number;
+    sharedKey?: string;
+    translate?: Record<string, string>;
+    peers?: Record<string, string>;
+  },
+): Promise<Node> {
+  const address = `127.0.0.1:${options.port}`;
+  const self = {
+    id,
+    incarnation: `${id}-run`,
+    availabilityZone: "a",
+    mesh: address,
+  };
+  const membership = new Membership({ self, silenceMs: 300 });
+  const faults: string[] = [];
+  const mesh = new MeshNode({
+    self,
+    listen: address,
+    sharedKey: options.sharedKey ?? "key",
+    maxFrameBytes: 64 * 1024,
+    heartbeatMs: 50,
+    silenceMs: 300,
+    clock: new RuntimeClock(),
+    membership,
+    translate: (to) => options.translate?.[to] ?? to,
+    buildHeartbeat: () => ({
+      kind: "heartbeat",
+      configOffset: 0,
+      controlOffset: 0,
+      intervalMs: 50,
+      leaving: false,
+    }),
+    onFault: (fault) => faults.push(fault),
+  });
+  mesh.registerCall("echo", (body) => Promise.resolve(body));
+  const peers = Object.entries(options.peers ?? {});
+  membership.noteListed(
+    peers.map(([peer, mesh]) => ({ id: peer, availabilityZone: "a", mesh })),
+  );
+  await mesh.start();
+  return { mesh, membership, address, faults };
+}
+
+async function until(check: () => boolean, what: string): Promise<void> {
+  const limit = performance.now() + 5000;
+  while (!check()) {
+    assert.ok(performance.now() < limit, what);
+    await sleep(10);
+  }
+}
+
+test("a link that goes silent is replaced by one that works, and calls go on", async () => {
+  const [portA, portB] = await findFreePorts(2);
+  const b = await startNode("b", { port: portB });
+  const link = new CuttableLink(b.address);
+  const via = await link.listen();
+  const a = await startNode("a", {
+    port: portA,
+    peers: { b: b.address },
+    translate: { [b.address]: via },
+  });
+  try {
+    await until(() => a.mesh.hasLink("b"), "linked");
+    for (const direction of ["silentForward", "silentBack"] as const) {
+      const before = a.mesh.resets;
+      assert.ok(link.silenceOpenConnections(direction) > 0);
+      await until(() => a.mesh.resets > before, `${direction} is noticed`);
+      assert.deepEqual(await a.mesh.call("b", "echo", { n: 1 }, 1000), {
+        n: 1,
+      });
+    }
+    assert.deepEqual(a.membership.listLive(), ["a", "b"]);
+  } finally {
+    a.mesh.stop();
+    b.mesh.stop();
+    await link.close();
+  }
+});
+
+test("a peer with another key, garbage and oversized frames are refused and counted", async () => {
+  const [portA, portB] = await findFreePorts(2);
+  const b = await startNode("b", { port: portB });
+  const a = await startNode("a", {
+    port: portA,
+    sharedKey: "other",
+    peers: { b: b.address },
+  });
+  try {
+    await until(
+      () => b.faults.includes("badProof"),
+      "the wrong key is refused",
+    );
+    assert.equal(b.mesh.hasLink("a"), false);
+    for (
+      const bytes of [
+        Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+        Buffer.from([0, 0, 0, 1, 0xff]),
+      ]
+    ) {
+      const before = b.faults.length;
+      const socket = connect(portB, "127.0.0.1");
+      socket.on("error", () => undefined);
+      socket.write(bytes);
+      await until(() => b.faults.length > before, "garbage is refused");
+      socket.destroy();
+    }
+    assert.ok(b.faults.includes("badFrame"));
+  } finally {
+    a.mesh.stop();
+    b.mesh.stop();
+  }
+});
+
+test("a call to a peer that is gone fails, and says that its fate is unknown", async () => {
+  const [portA] = await findFreePorts(1);
+  const a = await startNode("a", { port: portA });
+  try {
+    await assert.rejects(a.mesh.call("b", "echo", 1, 100), /mesh call/);
+  } finally {
+    a.mesh.stop();
+  }
+});
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/streams_test.ts
@@ -0,0 +1,142 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { sleep } from "heatherarch-core";
+import { computeCompletion } from "heatherarch-standins";
+import { buildDeployment, Caller, Cluster, SHAPES } from "../../mod.ts";
+
+const MODEL = "reader-7b";
+const TOKENS = 100;
+let cluster: Cluster;
+let engines: string[];
+const caller = new Caller();
+
+before(async () => {
+  cluster = new Cluster({
+    deployment: await buildDeployment(SHAPES.small),
+    settings: { requests: { gapTimeoutMs: 600 } },
+  });
+  await cluster.start();
+  engines = cluster.deployment.fleet.targets.map((target) => target.id)
+    .filter((id) => id.includes("engine"));
+});
+
+after(async () => {
+  await caller.close();
+  await cluster.stop();
+});
+
+function startStreams(count: number, prompt = "a question") {
+  const url = `http://${cluster.deployment.vms[0].callers}`;
+  return Array.from(
+    { length: count },
+    (_, i) =>
+      caller.generate({
+        url,
+        model: MODEL,
+        prompt: `${prompt} ${i}`,
+        maxTokens: TOKENS,
+      }),
+  );
+}
+
+async function checkWhole(
+  streams: ReturnType<typeof startStreams>,
+): Promise<void> {
+  const results = await Promise.all(streams);
+  const broken = results.filter((result) => result.outcome !== "whole");
+  assert.deepEqual(
+    broken.map((result) => `${result.outcome} ${result.kind} ${result.detail}`),
+    [],
+  );
+}
+
+test("answers are continued on other engines when theirs crash", async () => {
+  const streams = startStreams(12);
+  await sleep(500);
+  for (const target of engines.slice(1, 3)) {
+    await cluster.command({ kind: "crash", target, downMs: 1000 });
+  }
+  await checkWhole(streams);
+});
+
+test("answers are continued when an engine goes silent with its connections open", async () => {
+  const streams = startStreams(12);
+  await sleep(400);
+  await cluster.command({ kind: "freeze", target: engines[1], ms: 4000 });
+  await checkWhole(streams);
+});
+
+test("an engine that ends answers early or crosses them can't make a wrong one", async () => {
+  await cluster.command({ kind: "truncate", target: engines[1], after: 5 });
+  await cluster.command({ kind: "crossAnswers", target: engines[2], on: true });
+  await checkWhole(startStreams(12));
+  await cluster.command({ kind: "truncate", target: engines[1], after: 0 });
+  await cluster.command({
+    kind: "crossAnswers",
+    target: engines[2],
+    on: false,
+  });
+});
+
+test("long prompts whose KV cache moves are answered as whole as short ones", async () => {
+  await checkWhole(startStreams(8, "long ".repeat(1200)));
+});
+
+test("a withdrawn engine finishes what it has and gets nothing new", async () => {
+  const streams = startStreams(12);
+  await sleep(400);
+  const target = engines[1];
+  const answer = await cluster.publish({
+    kind: "directTarget",
+    target,
+    directive: "withdraw",
+  }, -1);
+  assert.equal(answer.status, 200);
+  await sleep(200);
+  const before = (await cluster.readLedger()).engines[target].tries;
+  await checkWhole([...streams, ...startStreams(8)]);
+  assert.equal((await cluster.readLedger()).engines[target].tries, before);
+});
+
+test("a resumable stream is read on through another VM after its connection broke", async () => {
+  const [first, second] = cluster.deployment.vms;
+  const prompt = "tell me all";
+  const abort = new AbortController();
+  const answer = await fetch(`http://${first.callers}/v1/completions`, {
+    method: "POST",
+    headers: {
+      "x-heatherarch-resumable": "true",
+      "x-request-id": "chosen-by-the-caller",
+    },
+    body: JSON.stringify({
+      model: MODEL,
+      prompt,
+      max_tokens: TOKENS,
+      stream: true,
+    }),
+    signal: abort.signal,
+  });
+  const id = answer.headers.get("x-request-id") as string;
+  assert.notEqual(
+    id,
+    "chosen-by-the-caller",
+    "a stream's id is never the caller's choice",
+  );
+  await sleep(300);
+  abort.abort();
+  const url = `http://${second.callers}/v1/streams/${id}?from=0`;
+  const resumed = await (await fetch(url)).text();
+  const events = resumed.split("\n\n").filter((event) =>
+    event.startsWith("data: {")
+  );
+  const text = events.map((event) => {
+    const chunk = JSON.parse(event.slice("data: ".length));
+    return chunk.choices?.[0]?.delta?.content ?? "";
+  }).join("");
+  assert.equal(text, computeCompletion(prompt, TOKENS));
+  assert.match(resumed, /\[DONE\]/);
+  const gone = await fetch(
+    `http://${second.callers}/v1/streams/${first.id}-aaaaaaaaaaaa`,
+  );
+  assert.equal(gone.status, 410);
+});
