Open orders reach other zones; planner learns what a change costs; admission without slack

Ruled out: the lease (authority held throughout) and the planner.

The planner learns the real time away, expects a first regime to last a quarter of the horizon and later ones by what it has seen. Admission refuses what is predicted to miss its deadline at all. The engine stand-in starts an imported KV cache with the next decode step; it had queued it behind other prompts' prefill.

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -69,7 +69,7 @@
   readonly logger: Logger;
 }
 
-const DEMAND_WINDOW_MS = 6000;
+const DEMAND_WINDOW_MS = 3000;
 const REPORT_LAG_MS = 300;
 const PUBLISH_TIMEOUT_MS = 8000;
 /** Where the platform is known to be out, an operator's word spreads soon. */
@@ -304,9 +304,13 @@
       snapshotEveryRecords: settings.platform.snapshotEveryRecords,
       logger,
       onState: (state) => {
+        const { availabilityZone } = identity;
+        const before = table.getChanging(availabilityZone).targets;
         const changing = Object.keys(state.open);
-        const before = [...table.changing];
-        table.applyChanging(changing, state.offset);
+        table.applyChanging(availabilityZone, {
+          controlOffset: state.offset,
+          targets: changing,
+        });
         // Renewals are no news to peers.
         if (before.join(" ") !== changing.join(" ")) {
           this.#parts.mesh.sendHeartbeats();
@@ -354,11 +358,11 @@
       readIntervalMs: () => this.#parts.mesh.intervalMs,
       readProgress: () => ({
         configOffset: config.state.offset,
-        controlOffset: control.state.offset,
+        controlOffset:
+          table.getChanging(identity.availabilityZone).controlOffset,
         leaving: this.#leaving,
       }),
       readDemand: () => demand.read(clock.readMonotonicMs()),
-      listChanging: () => Object.keys(control.state.open),
     });
   }
 
@@ -494,10 +498,11 @@
     if (heartbeat.zone !== undefined) {
       this.#noteZone(from.availabilityZone, heartbeat.zone, nowMs);
     }
-    if (from.availabilityZone !== identity.availabilityZone) return;
     if (heartbeat.changing !== undefined) {
-      table.applyChanging(heartbeat.changing, heartbeat.controlOffset);
+      const [controlOffset, targets] = heartbeat.changing;
+      table.applyChanging(from.availabilityZone, { controlOffset, targets });
     }
+    if (from.availabilityZone !== identity.availabilityZone) return;
     if (heartbeat.demand !== undefined) {
       const [prefillTokensPerSecond, decodeTokensPerSecond] = heartbeat.demand;
       const demand = { prefillTokensPerSecond, decodeTokensPerSecond };
--- a/packages/heatherarch-daemon/heartbeat_builder.ts
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -32,8 +32,6 @@
     leaving: boolean;
   };
   readonly readDemand: () => Demand;
-  /** Targets of the zone with an open order, where this VM reads the control stream. */
-  readonly listChanging: () => readonly string[];
 }
 
 interface LinkProgress {
@@ -75,7 +73,8 @@
       zone: this.#summarizeZone(configOffset),
       ...this.#buildLeaving(progress),
       ...this.#buildReports(progress, peer),
-      ...this.#buildZoneParts(progress, peer),
+      ...this.#buildChanging(progress),
+      ...this.#buildDemand(peer),
     };
   }
 
@@ -127,22 +126,24 @@
     return subset.ids;
   }
 
-  #buildZoneParts(
-    progress: LinkProgress,
-    peer: LinkIdentity,
-  ): Partial<Heartbeat> {
-    if (peer.availabilityZone !== this.#options.availabilityZone) return {};
-    const { prefillTokensPerSecond, decodeTokensPerSecond } = this.#options
-      .readDemand();
-    const demand: [number, number] = [
-      Math.round(prefillTokensPerSecond),
-      Math.round(decodeTokensPerSecond),
-    ];
-    const changing = [...this.#options.listChanging()];
-    const key = changing.join(" ");
-    if (key === progress.changing) return { demand };
+  #buildChanging(progress: LinkProgress): Partial<Heartbeat> {
+    const { table, availabilityZone } = this.#options;
+    const { controlOffset, targets } = table.getChanging(availabilityZone);
+    const key = targets.join(" ");
+    if (key === progress.changing) return {};
     progress.changing = key;
-    return { demand, changing };
+    return { changing: [controlOffset, [...targets]] };
+  }
+
+  #buildDemand(peer: LinkIdentity): Partial<Heartbeat> {
+    if (peer.availabilityZone !== this.#options.availabilityZone) return {};
+    const demand = this.#options.readDemand();
+    return {
+      demand: [
+        Math.round(demand.prefillTokensPerSecond),
+        Math.round(demand.decodeTokensPerSecond),
+      ],
+    };
   }
 
   #summarizeZone(own: number): [number, number] {
--- a/packages/heatherarch-daemon/order_executor.ts
+++ b/packages/heatherarch-daemon/order_executor.ts
@@ -254,6 +254,7 @@
     );
     if (!announced) return;
     const intent = control.state.open[target.id];
+    const announcedAtMs = this.#options.clock.readMonotonicMs();
     logger.info("order announced", {
       target: target.id,
       order: describeOrder(order),
@@ -265,6 +266,10 @@
     const answer = await this.#give(target, intent);
     if (answer !== "") return await this.#conclude(intent, "failed", answer);
     await this.#awaitOutcome(target, intent);
+    if (order.kind !== "setRole") return;
+    this.#planner?.noteChange?.(
+      this.#options.clock.readMonotonicMs() - announcedAtMs,
+    );
   }
 
   /** Waits until no VM sends the engine new work and it has finished what it had. */
--- a/packages/heatherarch-daemon/target_table.ts
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -53,6 +53,14 @@
   readonly reportAgeMs: number | null;
 }
 
+/** Targets of one zone with an open order. */
+export interface ChangingTargets {
+  /** Control offset up to which this holds; -1 while nothing has been heard. */
+  readonly controlOffset: number;
+  readonly targets: readonly string[];
+}
+
+const NOTHING_CHANGING: ChangingTargets = { controlOffset: -1, targets: [] };
 const FLAG_BUSY = 1;
 const FLAG_LEAVING = 2;
 const FLAG_UNREACHABLE = 4;
@@ -78,8 +86,7 @@
   #byService = new Map<string, Target[]>();
   readonly #byZone = new Map<string, readonly Target[]>();
   #config: ConfigState | undefined;
-  #changing: ReadonlySet<string> = new Set();
-  #changingOffset = -1;
+  readonly #changing = new Map<string, ChangingTargets>();
   #versions = 0;
 
   constructor(options: TargetTableOptions) {
@@ -107,15 +114,18 @@
     this.#closeRemoved();
   }
 
-  /** Takes in which targets have an open order, as of a control offset. */
-  applyChanging(targets: readonly string[], controlOffset: number): void {
-    if (controlOffset < this.#changingOffset) return;
-    this.#changingOffset = controlOffset;
-    this.#changing = new Set(targets);
+  /** Takes in which targets of a zone have an open order, as of a control offset. */
+  applyChanging(availabilityZone: string, changing: ChangingTargets): void {
+    const known = this.#changing.get(availabilityZone);
+    if (known !== undefined && changing.controlOffset < known.controlOffset) {
+      return;
+    }
+    this.#changing.set(availabilityZone, changing);
   }
 
-  get changing(): ReadonlySet<string> {
-    return this.#changing;
+  /** Targets of a zone with an open order, as far as this VM has heard. */
+  getChanging(availabilityZone: string): ChangingTargets {
+    return this.#changing.get(availabilityZone) ?? NOTHING_CHANGING;
   }
 
   listCandidates(service: string): Candidate[] {
@@ -264,7 +274,8 @@
       "active";
     if (directive !== "active") return directive;
     if (this.leaving.has(target.id)) return "leaving";
-    if (this.#changing.has(target.id)) return "changing";
+    const changing = this.getChanging(target.availabilityZone);
+    if (changing.targets.includes(target.id)) return "changing";
     const report = this.#reports.get(target.id);
     if (report === undefined) return "not reported yet";
     if (report.leaving) return "leaving by its own report";
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -35,8 +35,8 @@
   leavingTargets: z.array(LEAVING_MARK).optional(),
   /** Rows that changed since the last heartbeat on this link. */
   reports: z.array(REPORT_ROW).optional(),
-  /** Targets of the zone with an open order, as of `controlOffset`. */
-  changing: z.array(z.string()).optional(),
+  /** Targets of the sender's zone with an open order, and the control offset of that. */
+  changing: z.tuple([z.int(), z.array(z.string())]).optional(),
   /** Lowest configuration offset among the live VMs of the sender's zone, and their number. */
   zone: z.tuple([z.int(), z.int()]).optional(),
   /** Tokens a second that this VM was asked for: prefill, decode. */
--- a/packages/heatherarch-policy/admission.ts
+++ b/packages/heatherarch-policy/admission.ts
@@ -21,7 +21,7 @@
 }
 
 /** Predictions err; a request is refused only where it would miss its deadline clearly. */
-export const DEFAULT_ADMISSION: AdmissionOptions = { slack: 1.1 };
+export const DEFAULT_ADMISSION: AdmissionOptions = { slack: 1 };
 
 const LONGEST_RETRY_AFTER_MS = 30_000;
 
--- a/packages/heatherarch-policy/role_planner.ts
+++ b/packages/heatherarch-policy/role_planner.ts
@@ -36,6 +36,8 @@
 /** Proposes role changes. */
 export interface RolePlanner {
   plan(input: PlanInput): RoleChange | undefined;
+  /** Takes in how long an engine was away for a change, milliseconds. */
+  noteChange?(awayMs: number): void;
 }
 
 /** Creates the planner that the fleet configuration names. */
@@ -94,15 +96,20 @@
 /** Rounds of planning for which a change must look right before it is proposed. */
 const CONFIRMING_ROUNDS = 2;
 /** Prefill that a decoder takes in beside its own work, in prefillers. */
-const PREFILL_ON_DECODER = 0.38;
+const PREFILL_ON_DECODER = 0.42;
 /** Decoders busier than this take in less prefill. */
 const ABSORBING_UTILIZATION = 0.5;
 /** Generation that a prefiller takes in, in decoders. */
 const DECODE_ON_PREFILLER = 0.1;
 /** Weight of the newest regime in the mean length of regimes. */
 const REGIME_RATE = 0.4;
-/** A regime that has outlasted the mean is expected to last this share of it longer. */
+/** Share of the horizon that a first regime is expected to last. */
+const FIRST_REGIME_SHARE = 0.25;
+/** A regime that has outlasted the mean is expected to last this share of its age longer. */
 const OUTLASTED_SHARE = 0.5;
+/** Time away for a change over the setting, at first: draining takes its share. */
+const FIRST_AWAY_FACTOR = 1.5;
+const AWAY_RATE = 0.3;
 
 /** Changes a role only where the gain over a horizon exceeds the change's cost. */
 export class HorizonPlanner implements RolePlanner {
@@ -110,11 +117,18 @@
   readonly #model: EngineModel;
   #proposal: { role: EngineRole; rounds: number } | undefined;
   readonly #regimes: RegimeClock;
+  /** Mean time from the announcement of a change to its end. */
+  #awayMs: number;
 
   constructor(planning: Planning, model: EngineModel) {
     this.#planning = planning;
     this.#model = model;
     this.#regimes = new RegimeClock(planning.horizonMs);
+    this.#awayMs = planning.changeMs * FIRST_AWAY_FACTOR;
+  }
+
+  noteChange(awayMs: number): void {
+    this.#awayMs += (awayMs - this.#awayMs) * AWAY_RATE;
   }
 
   plan(input: PlanInput): RoleChange | undefined {
@@ -136,7 +150,8 @@
   }
 
   #findBest(input: PlanInput, need: WorkNeed): RoleChange | undefined {
-    const { changeMs, changeWeight } = this.#planning;
+    const { changeWeight } = this.#planning;
+    const awayMs = this.#awayMs;
     const horizonMs = this.#regimes.predictRemainingMs(input.nowMs);
     const counts = countRoles(input.engines);
     const now = estimateServed(counts, need);
@@ -148,9 +163,9 @@
       if (!this.#keepsMinimum(away, engine.role)) continue;
       const after = { ...away, [role]: away[role] + 1 };
       const gained = (estimateServed(after, need) - now) *
-        (horizonMs - changeMs);
-      const lost = Math.max(0, now - estimateServed(away, need)) * changeMs;
-      const fixed = changeWeight * changeMs / input.engines.length;
+        Math.max(0, horizonMs - awayMs);
+      const lost = Math.max(0, now - estimateServed(away, need)) * awayMs;
+      const fixed = changeWeight * awayMs / input.engines.length;
       const gain = (gained - lost - fixed) / horizonMs;
       if (gain > 0 && gain > (best?.gain ?? 0)) {
         best = { engine: engine.id, role, gain };
@@ -175,7 +190,7 @@
 
   constructor(longestMs: number) {
     this.#longestMs = longestMs;
-    this.#meanMs = longestMs;
+    this.#meanMs = longestMs * FIRST_REGIME_SHARE;
   }
 
   note(need: WorkNeed, nowMs: number): void {
@@ -191,8 +206,9 @@
   }
 
   predictRemainingMs(nowMs: number): number {
-    const leftMs = this.#meanMs - (nowMs - this.#sinceMs);
-    return Math.max(leftMs, this.#meanMs * OUTLASTED_SHARE);
+    const ageMs = nowMs - this.#sinceMs;
+    const leftMs = Math.max(this.#meanMs - ageMs, ageMs * OUTLASTED_SHARE);
+    return Math.min(this.#longestMs, leftMs);
   }
 }
 
--- a/packages/heatherarch-policy/router_adaptive.ts
+++ b/packages/heatherarch-policy/router_adaptive.ts
@@ -16,7 +16,7 @@
 const HIT_LEARNING_RATE = 0.02;
 /** Weight of a delay that a prompt causes to the sequences beside it. */
 const DISTURBANCE_WEIGHT = 0.3;
-/** A prefiller generates only while fewer sequences than this run on it. */
+/** A prefiller of the own zone generates only while fewer sequences than this run on it. */
 const PREFILLER_SEQUENCES = 4;
 /** Sequences on the best decoder from which prefillers may generate. */
 const DECODERS_FULL_FROM = 54;
@@ -101,7 +101,7 @@
     );
     if (decoders.length > 0 && lowest < DECODERS_FULL_FROM) return decoders;
     const idle = pool.filter((candidate) =>
-      candidate.role === "prefill" &&
+      candidate.role === "prefill" && candidate.sameZone &&
       candidate.load.running + candidate.load.waiting < PREFILLER_SEQUENCES
     );
     const usable = [...decoders, ...idle];
--- a/packages/heatherarch-standins/engine_simulation.ts
+++ b/packages/heatherarch-standins/engine_simulation.ts
@@ -151,8 +151,9 @@
   /** Takes a request in. */
   submit(request: SequenceRequest, listener: SequenceListener): void {
     const promptTokens = Math.max(1, estimateTokens(request.prompt));
+    // An imported KV cache needs no prefill: the sequence joins the next decode step.
     const cachedTokens = request.kvImported
-      ? promptTokens - 1
+      ? promptTokens
       : this.#countCached(request.prompt);
     const transferMs = request.kvImported
       ? promptTokens * this.#speeds.kvMsPerToken
@@ -161,7 +162,7 @@
       request,
       promptTokens,
       cachedTokens,
-      remainingPrefill: Math.max(1, promptTokens - cachedTokens),
+      remainingPrefill: promptTokens - cachedTokens,
       readyAtMs: performance.now() + transferMs,
       emitted: 0,
       textState: computeTextState(request.prompt),
