--- a/packages/heatherarch-claims/claim_shard.ts
+++ b/packages/heatherarch-claims/claim_shard.ts
@@ -10,6 +10,7 @@
   judgeSlice,
   type LogPort,
   LogUnavailableError,
+  readWholeStream,
 } from "heatherarch-log";
 import {
   ClaimFold,
@@ -181,17 +182,7 @@
   }
 
   async #recoverFromGap(): Promise<void> {
-    const records = [];
-    let from = 0;
-    while (true) {
-      const slice = await this.#options.log.read(this.#stream, from, {
-        maxRecords: READ_PAGE,
-      });
-      records.push(...slice.records);
-      const last = slice.records.at(-1);
-      if (last === undefined || last.offset + 1 >= slice.next) break;
-      from = last.offset + 1;
-    }
+    const records = await readWholeStream(this.#options.log, this.#stream);
     if (this.#fold.loadSnapshot(records)) return;
     throw new LogUnavailableError(
       "records were trimmed and no snapshot bridges them",
--- a/packages/heatherarch-daemon/config_reader.ts
+++ b/packages/heatherarch-daemon/config_reader.ts
@@ -17,6 +17,7 @@
   LogUnavailableError,
   parseConfigRecord,
   parseConfigState,
+  readWholeStream,
 } from "heatherarch-log";
 import type { Membership, MeshNode } from "heatherarch-mesh";
 import { z } from "zod";
@@ -174,17 +175,7 @@
   }
 
   async #recoverFromGap(): Promise<void> {
-    const records: LogRecord[] = [];
-    let from = 0;
-    while (true) {
-      const page = await this.#options.log.read(CONFIG_STREAM, from, {
-        maxRecords: READ_PAGE,
-      });
-      records.push(...page.records);
-      const last = page.records.at(-1);
-      if (last === undefined || last.offset + 1 >= page.next) break;
-      from = last.offset + 1;
-    }
+    const records = await readWholeStream(this.#options.log, CONFIG_STREAM);
     const state = loadConfigSnapshot(records);
     if (state !== undefined && this.#takeState(state)) return;
     await this.#fetchFromAnyPeer();
--- a/packages/heatherarch-daemon/control_task.ts
+++ b/packages/heatherarch-daemon/control_task.ts
@@ -18,6 +18,7 @@
   type LogPort,
   type LogRecord,
   LogUnavailableError,
+  readWholeStream,
 } from "heatherarch-log";
 import type { Membership } from "heatherarch-mesh";
 import type { ProcessSettings } from "heatherarch-settings";
@@ -168,17 +169,7 @@
   }
 
   async #recoverFromGap(): Promise<void> {
-    const records: LogRecord[] = [];
-    let from = 0;
-    while (true) {
-      const page = await this.#options.log.read(this.#stream, from, {
-        maxRecords: READ_PAGE,
-      });
-      records.push(...page.records);
-      const last = page.records.at(-1);
-      if (last === undefined || last.offset + 1 >= page.next) break;
-      from = last.offset + 1;
-    }
+    const records = await readWholeStream(this.#options.log, this.#stream);
     const state = loadControlSnapshot(records);
     if (state === undefined) {
       throw new LogUnavailableError("no snapshot of the control stream");
--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -12,24 +12,9 @@
   createContainer,
   InjectionMode,
 } from "awilix";
-import {
-  type Clock,
-  createId,
-  RuntimeClock,
-  ServeError,
-  sleep,
-} from "heatherarch-core";
+import { createId, RuntimeClock, ServeError, sleep } from "heatherarch-core";
 import { Gateway, type GatewayHost } from "heatherarch-gateway";
-import {
-  appendOnce,
-  CONFIG_FORMAT,
-  CONFIG_STREAM,
-  HttpLog,
-  HttpVmList,
-  type LogPort,
-  LogUnavailableError,
-  type VmListPort,
-} from "heatherarch-log";
+import { HttpLog, HttpVmList } from "heatherarch-log";
 import {
   type Heartbeat,
   type LinkIdentity,
@@ -39,29 +24,30 @@
 } from "heatherarch-mesh";
 import {
   createRouter,
-  type Demand,
   DemandMeter,
   EngineModel,
   LoadTracker,
   RetryBudget,
   type Router,
-  sumDemand,
 } from "heatherarch-policy";
 import type { ProcessSettings, RoutingKind } from "heatherarch-settings";
-import { ClaimService } from "./claim_service.ts";
-import { ConfigReader } from "./config_reader.ts";
 import { ControlTask } from "./control_task.ts";
 import { HeartbeatBuilder } from "./heartbeat_builder.ts";
 import type { Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
-import {
-  OperatorServer,
-  type PublishAnswer,
-  type PublishRequest,
-} from "./operator_server.ts";
+import { OperatorServer } from "./operator_server.ts";
 import { OrderExecutor } from "./order_executor.ts";
-import { TargetTable } from "./target_table.ts";
-import { TargetWatcher } from "./target_watcher.ts";
+import {
+  buildClaims,
+  buildConfigReader,
+  buildTable,
+  buildWatcher,
+  buildZoneView,
+  type Parts,
+  readCertificate,
+} from "./parts.ts";
+import { publishChange } from "./publisher.ts";
+import { buildStatus } from "./status_report.ts";
 
 /** Options of {@linkcode EntryVm}. */
 export interface EntryVmOptions {
@@ -71,53 +57,15 @@
 
 const DEMAND_WINDOW_MS = 3000;
 const REPORT_LAG_MS = 300;
-const PUBLISH_TIMEOUT_MS = 8000;
-/** Where the platform is known to be out, an operator's word spreads soon. */
-const OUTAGE_TIMEOUT_MS = 1000;
 const REMOTE_READ_MS = 3000;
 const METRICS_MS = 1000;
 const FLUSH_MS = 5000;
 /** How long a VM waits for a first sight of targets before it calls itself ready. */
 const TARGETS_GRACE_MS = 5000;
-/** How long a peer's demand counts after its last heartbeat. */
-const DEMAND_KEPT_MS = 3000;
-
-/** The parts of the process, as the container holds them. */
-interface Parts {
-  readonly settings: ProcessSettings;
-  readonly logger: Logger;
-  readonly clock: Clock;
-  readonly identity: LinkIdentity;
-  readonly log: LogPort;
-  readonly vmList: VmListPort;
-  readonly metrics: Metrics;
-  readonly membership: Membership;
-  readonly tracker: LoadTracker;
-  readonly model: EngineModel;
-  readonly demand: DemandMeter;
-  readonly table: TargetTable;
-  readonly mesh: MeshNode;
-  readonly config: ConfigReader;
-  readonly control: ControlTask;
-  readonly claims: ClaimService;
-  readonly executor: OrderExecutor;
-  readonly watcher: TargetWatcher;
-  readonly heartbeats: HeartbeatBuilder;
-  readonly gateway: Gateway;
-  readonly operators: OperatorServer;
-}
-
-interface ZoneSummary {
-  configOffset: number;
-  vms: number;
-  heardAtMs: number;
-}
 
 /** The process. */
 export class EntryVm {
   readonly #container: AwilixContainer<Parts>;
-  readonly #peerDemand = new Map<string, { demand: Demand; atMs: number }>();
-  readonly #zones = new Map<string, ZoneSummary>();
   readonly #routers = new Map<RoutingKind, Router>();
   readonly #timers: NodeJS.Timeout[] = [];
   #leaving = false;
@@ -248,6 +196,7 @@
       tracker: asValue(new LoadTracker({ reportLagMs: REPORT_LAG_MS })),
       model: asValue(new EngineModel()),
       demand: asValue(new DemandMeter(DEMAND_WINDOW_MS)),
+      zones: asFunction(buildZoneView).singleton(),
       table: asFunction(buildTable).singleton(),
       mesh: asFunction((parts: Parts) => this.#buildMesh(parts)).singleton(),
       config: asFunction(buildConfigReader).singleton(),
@@ -340,7 +289,7 @@
       settings: settings.lease,
       logger,
       readFleet: () => this.#parts.config.state.fleet,
-      readDemand: () => this.#readZoneDemand(),
+      readDemand: () => this.#parts.zones.readDemand(),
       noteOutcome: (result) => parts.metrics.roleChanges.inc({ result }),
     });
   }
@@ -394,7 +343,7 @@
       readFleet: () => this.#parts.config.state.fleet,
       findProfile: (name) => this.#parts.config.state.profiles[name]?.profile,
       getRouter: (kind) => this.#getRouter(kind),
-      countVms: () => this.#countVms(),
+      countVms: () => this.#parts.zones.countVms(),
       readRemoteStream: async (vmId, requestId, from) => {
         const unknown = { texts: [], state: "unknown" as const, model: "" };
         const body = { requestId, from };
@@ -420,13 +369,13 @@
     return new OperatorServer({
       settings,
       readConfig: () => config.state,
-      readStatus: () => this.#readStatus(),
+      readStatus: () => buildStatus(this.#parts, this.#leaving),
       readMetrics: () => {
         this.#updateMetrics();
         return metrics.registry.metrics();
       },
       readUnready: () => this.#readUnready(),
-      publish: (request) => this.#publish(request),
+      publish: (request) => publishChange(this.#parts, request),
       markLeaving: (target) => {
         table.leaving.mark(target, config.state.offset);
         this.#parts.mesh.sendHeartbeats();
@@ -488,83 +437,17 @@
   }
 
   #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
-    const { table, clock, identity } = this.#parts;
-    const nowMs = clock.readMonotonicMs();
+    const { table, zones } = this.#parts;
     for (const mark of heartbeat.leavingTargets ?? []) {
       table.leaving.mark(mark.target, mark.sinceOffset);
     }
     for (const row of heartbeat.reports ?? []) table.noteReport(row, from.id);
     table.refreshReports(from.id);
-    if (heartbeat.zone !== undefined) {
-      this.#noteZone(from.availabilityZone, heartbeat.zone, nowMs);
-    }
+    zones.noteHeartbeat(heartbeat, from);
     if (heartbeat.changing !== undefined) {
       const [controlOffset, targets] = heartbeat.changing;
       table.applyChanging(from.availabilityZone, { controlOffset, targets });
     }
-    if (from.availabilityZone !== identity.availabilityZone) return;
-    if (heartbeat.demand !== undefined) {
-      const [prefillTokensPerSecond, decodeTokensPerSecond] = heartbeat.demand;
-      const demand = { prefillTokensPerSecond, decodeTokensPerSecond };
-      this.#peerDemand.set(from.id, { demand, atMs: nowMs });
-    }
-  }
-
-  #noteZone(zone: string, summary: [number, number], nowMs: number): void {
-    const [configOffset, vms] = summary;
-    this.#zones.set(zone, { configOffset, vms, heardAtMs: nowMs });
-  }
-
-  #readZoneDemand(): Demand {
-    const { demand, clock } = this.#parts;
-    const nowMs = clock.readMonotonicMs();
-    const heard = [...this.#peerDemand.values()]
-      .filter((entry) => nowMs - entry.atMs < DEMAND_KEPT_MS)
-      .map((entry) => entry.demand);
-    return sumDemand([demand.read(nowMs), ...heard]);
-  }
-
-  #countVms(): number {
-    const { membership, identity } = this.#parts;
-    let count = membership.listLive(identity.availabilityZone).length;
-    for (const [zone, summary] of this.#zones) {
-      if (zone !== identity.availabilityZone) count += summary.vms;
-    }
-    return count;
-  }
-
-  async #publish(request: PublishRequest): Promise<PublishAnswer> {
-    const { config, log, clock } = this.#parts;
-    const record = {
-      type: "change" as const,
-      format: CONFIG_FORMAT,
-      id: request.id,
-      author: request.author,
-      atMs: clock.readWallMs(),
-      baseRevision: request.baseRevision,
-      change: request.change,
-    };
-    try {
-      const offset = await appendOnce(log, CONFIG_STREAM, record, {
-        searchFrom: config.state.offset + 1,
-        timeoutMs: config.isPlatformUp ? PUBLISH_TIMEOUT_MS : OUTAGE_TIMEOUT_MS,
-        readMonotonicMs: () => clock.readMonotonicMs(),
-      });
-      while (config.state.offset < offset) await config.catchUp();
-    } catch (error) {
-      if (!(error instanceof LogUnavailableError)) throw error;
-      const message =
-        "the platform's log does not answer; whether the change stands is not known";
-      throw new ServeError("platformUnavailable", message, { run: "unknown" });
-    }
-    const entry = config.state.audit.find((candidate) =>
-      candidate.id === request.id
-    );
-    if (entry === undefined) {
-      throw new ServeError("internal", "no verdict on the change");
-    }
-    const { verdict, offset, reason } = entry;
-    return { verdict, offset, ...(reason === undefined ? {} : { reason }) };
   }
 
   async #pollVmList(): Promise<void> {
@@ -590,55 +473,6 @@
     }
   }
 
-  #readStatus(): unknown {
-    const {
-      identity,
-      config,
-      control,
-      membership,
-      table,
-      claims,
-      clock,
-      gateway,
-      mesh,
-    } = this.#parts;
-    const nowMs = clock.readMonotonicMs();
-    const { claim } = control.state;
-    return {
-      vm: { ...identity, leaving: this.#leaving, inFlight: gateway.inFlight },
-      config: {
-        offset: config.state.offset,
-        fleetRevision: config.state.fleetRevision,
-        relay: config.isRelay(),
-        platformUp: config.isPlatformUp,
-        staleMs: Number.isFinite(config.currentAtMs)
-          ? Math.round(nowMs - config.currentAtMs)
-          : null,
-      },
-      lease: {
-        holder: claim?.vm ?? null,
-        fencing: claim?.claimOffset ?? null,
-        released: claim?.released ?? false,
-        heldHere: control.hasAuthority(),
-        controlOffset: control.state.offset,
-        open: Object.values(control.state.open),
-        recent: control.state.recent.slice(-10),
-        roleChanges: control.state.roleChanges,
-      },
-      members: membership.listMembers().map((member) => ({
-        ...member,
-        lastHeardMs: Number.isFinite(member.lastHeardMs)
-          ? Math.round(nowMs - member.lastHeardMs)
-          : null,
-      })),
-      availabilityZones: Object.fromEntries(this.#zones),
-      targets: table.listStatus(),
-      claims: claims.listCounters(),
-      mesh: { ...mesh.readTraffic(), resets: mesh.resets },
-      demand: this.#readZoneDemand(),
-    };
-  }
-
   #updateMetrics(): void {
     const { metrics, config, control, gateway, membership, mesh, clock } =
       this.#parts;
@@ -668,63 +502,3 @@
     }
   }
 }
-
-function readCertificate(
-  tls: { certificateFile: string; privateKeyFile: string },
-) {
-  return {
-    cert: readFileSync(tls.certificateFile, "utf8"),
-    key: readFileSync(tls.privateKeyFile, "utf8"),
-  };
-}
-
-function buildTable(
-  { identity, clock, tracker, settings }: Parts,
-): TargetTable {
-  const { availabilityZone } = identity;
-  return new TargetTable({ availabilityZone, clock, tracker, settings });
-}
-
-function buildConfigReader(parts: Parts): ConfigReader {
-  const { identity, log, clock, membership, mesh, logger, settings } = parts;
-  return new ConfigReader({
-    vmId: identity.id,
-    availabilityZone: identity.availabilityZone,
-    log,
-    clock,
-    membership,
-    mesh,
-    logger,
-    pollWaitMs: settings.platform.pollWaitMs,
-    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
-  });
-}
-
-function buildClaims(parts: Parts): ClaimService {
-  const { identity, log, clock, membership, mesh, settings } = parts;
-  return new ClaimService({
-    vmId: identity.id,
-    incarnation: identity.incarnation,
-    availabilityZone: identity.availabilityZone,
-    log,
-    clock,
-    membership,
-    mesh,
-    settings: settings.claims,
-    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
-  });
-}
-
-function buildWatcher(parts: Parts): TargetWatcher {
-  const { identity, clock, membership, table, settings, config } = parts;
-  return new TargetWatcher({
-    vmId: identity.id,
-    availabilityZone: identity.availabilityZone,
-    clock,
-    membership,
-    table,
-    settings: settings.targets,
-    listServices: () => config.state.fleet?.services ?? [],
-    readConfigOffset: () => config.state.offset,
-  });
-}
--- /dev/null
+++ b/packages/heatherarch-daemon/parts.ts
@@ -0,0 +1,121 @@
+/**
+ * The parts of the process, and the builders of those that need nothing but other parts.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import type { Clock } from "heatherarch-core";
+import type { Gateway } from "heatherarch-gateway";
+import type { LogPort, VmListPort } from "heatherarch-log";
+import type { LinkIdentity, Membership, MeshNode } from "heatherarch-mesh";
+import type { DemandMeter, EngineModel, LoadTracker } from "heatherarch-policy";
+import type { ProcessSettings } from "heatherarch-settings";
+import { ClaimService } from "./claim_service.ts";
+import { ConfigReader } from "./config_reader.ts";
+import type { ControlTask } from "./control_task.ts";
+import type { HeartbeatBuilder } from "./heartbeat_builder.ts";
+import type { Logger } from "./logger.ts";
+import type { Metrics } from "./metrics.ts";
+import type { OperatorServer } from "./operator_server.ts";
+import type { OrderExecutor } from "./order_executor.ts";
+import { TargetTable } from "./target_table.ts";
+import { TargetWatcher } from "./target_watcher.ts";
+import { ZoneView } from "./zone_view.ts";
+
+/** The parts of the process, as the container holds them. */
+export interface Parts {
+  readonly settings: ProcessSettings;
+  readonly logger: Logger;
+  readonly clock: Clock;
+  readonly identity: LinkIdentity;
+  readonly log: LogPort;
+  readonly vmList: VmListPort;
+  readonly metrics: Metrics;
+  readonly membership: Membership;
+  readonly tracker: LoadTracker;
+  readonly model: EngineModel;
+  readonly demand: DemandMeter;
+  readonly zones: ZoneView;
+  readonly table: TargetTable;
+  readonly mesh: MeshNode;
+  readonly config: ConfigReader;
+  readonly control: ControlTask;
+  readonly claims: ClaimService;
+  readonly executor: OrderExecutor;
+  readonly watcher: TargetWatcher;
+  readonly heartbeats: HeartbeatBuilder;
+  readonly gateway: Gateway;
+  readonly operators: OperatorServer;
+}
+
+/** Reads a certificate and its key, in PEM. */
+export function readCertificate(
+  tls: { certificateFile: string; privateKeyFile: string },
+) {
+  return {
+    cert: readFileSync(tls.certificateFile, "utf8"),
+    key: readFileSync(tls.privateKeyFile, "utf8"),
+  };
+}
+
+/** Builds the table of targets. */
+export function buildTable(
+  { identity, clock, tracker, settings }: Parts,
+): TargetTable {
+  const { availabilityZone } = identity;
+  return new TargetTable({ availabilityZone, clock, tracker, settings });
+}
+
+/** Builds the reader of the configuration stream. */
+export function buildConfigReader(parts: Parts): ConfigReader {
+  const { identity, log, clock, membership, mesh, logger, settings } = parts;
+  return new ConfigReader({
+    vmId: identity.id,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership,
+    mesh,
+    logger,
+    pollWaitMs: settings.platform.pollWaitMs,
+    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+  });
+}
+
+/** Builds the claims of idempotency keys. */
+export function buildClaims(parts: Parts): ClaimService {
+  const { identity, log, clock, membership, mesh, settings } = parts;
+  return new ClaimService({
+    vmId: identity.id,
+    incarnation: identity.incarnation,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership,
+    mesh,
+    settings: settings.claims,
+    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+  });
+}
+
+/** Builds the watcher of targets. */
+export function buildWatcher(parts: Parts): TargetWatcher {
+  const { identity, clock, membership, table, settings, config } = parts;
+  return new TargetWatcher({
+    vmId: identity.id,
+    availabilityZone: identity.availabilityZone,
+    clock,
+    membership,
+    table,
+    settings: settings.targets,
+    listServices: () => config.state.fleet?.services ?? [],
+    readConfigOffset: () => config.state.offset,
+  });
+}
+
+/** Builds the view of the zone's demand and of other zones. */
+export function buildZoneView(parts: Parts): ZoneView {
+  const { identity, clock, membership, demand } = parts;
+  const { availabilityZone } = identity;
+  return new ZoneView({ availabilityZone, clock, membership, demand });
+}
--- a/packages/heatherarch-log/stream_cursor.ts
+++ b/packages/heatherarch-log/stream_cursor.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { LogRecord, LogSlice } from "./log_port.ts";
+import type { LogPort, LogRecord, LogSlice } from "./log_port.ts";
 
 /** What a slice means to a reader. */
 export type SliceVerdict =
@@ -28,3 +28,21 @@
   }
   return { kind: "apply", records, current: expected >= slice.next };
 }
+
+const READ_PAGE = 500;
+
+/** Reads every record that the log still keeps of a stream. */
+export async function readWholeStream(
+  log: LogPort,
+  stream: string,
+): Promise<LogRecord[]> {
+  const records: LogRecord[] = [];
+  let from = 0;
+  while (true) {
+    const page = await log.read(stream, from, { maxRecords: READ_PAGE });
+    records.push(...page.records);
+    const last = page.records.at(-1);
+    if (last === undefined || last.offset + 1 >= page.next) return records;
+    from = last.offset + 1;
+  }
+}
--- a/packages/heatherarch-targets/engine_client.ts
+++ b/packages/heatherarch-targets/engine_client.ts
@@ -6,6 +6,7 @@
  */
 import { Client, Pool } from "undici";
 import type { EngineState } from "heatherarch-core";
+import type { AnswerParser, ParserFactory } from "./answer_parser.ts";
 import { dispatch, dispatchWhole, type WholeAnswer } from "./dispatch.ts";
 import type {
   EngineCall,
@@ -30,30 +31,6 @@
   readonly timeouts: TryTimeouts;
 }
 
-/** Turns the bytes of a streamed answer into tokens for a sink. */
-export interface AnswerParser {
-  /** Takes in bytes. */
-  push(bytes: Buffer): void;
-  /** The connection ended; an answer without its end marker is broken. */
-  finish(): void;
-}
-
-/** Guards of the parsers; the proofs switch them off one at a time. */
-export const PARSER_GUARDS = ["tryIdMatch", "endMarker"] as const;
-/** Name of a guard. */
-export type ParserGuard = typeof PARSER_GUARDS[number];
-
-/** Options of a parser. */
-export interface ParserOptions {
-  readonly disabledGuards?: ReadonlySet<ParserGuard>;
-}
-
-/** Builds the parser for one try. */
-export type ParserFactory = (
-  call: EngineCall,
-  sink: EngineSink,
-) => AnswerParser;
-
 /** Connections to one engine. */
 export class EngineClient {
   readonly #options: EngineOptions;
--- a/packages/heatherarch-targets/mod.ts
+++ b/packages/heatherarch-targets/mod.ts
@@ -4,13 +4,8 @@
  * @module
  */
 export * from "./dispatch.ts";
-export {
-  type AnswerParser,
-  type EngineOptions,
-  PARSER_GUARDS,
-  type ParserGuard,
-  type ParserOptions,
-} from "./engine_client.ts";
+export * from "./answer_parser.ts";
+export type { EngineOptions } from "./engine_client.ts";
 export * from "./engine_port.ts";
 export * from "./engine_registry.ts";
 export * from "./ndjson_engine.ts";
--- a/packages/heatherarch-targets/ndjson_engine.ts
+++ b/packages/heatherarch-targets/ndjson_engine.ts
@@ -6,17 +6,14 @@
  */
 import { z } from "zod";
 import type { EngineOrder, EngineRole, EngineState } from "heatherarch-core";
+import { AnswerParser, type ParserOptions } from "./answer_parser.ts";
 import {
-  type AnswerParser,
   checkEngineState,
   EngineClient,
   type EngineOptions,
-  type ParserGuard,
-  type ParserOptions,
 } from "./engine_client.ts";
 import type {
   EngineCall,
-  EngineEnd,
   EnginePort,
   EngineSink,
   EngineTry,
@@ -123,34 +120,14 @@
   sink: EngineSink,
   options: ParserOptions = {},
 ): AnswerParser {
-  return new LineAnswerParser(call, sink, options.disabledGuards);
+  return new LineAnswerParser(call, sink, options);
 }
 
-/** What an answer without its end marker would be taken for without the guard. */
-const UNMARKED_END: EngineEnd = {
-  reason: "stop",
-  promptTokens: 0,
-  cachedTokens: 0,
-};
-
 /** Reads lines, checks that each carries the try's id, and passes on tokens. */
-class LineAnswerParser implements AnswerParser {
-  readonly #call: EngineCall;
-  readonly #sink: EngineSink;
-  readonly #off: ReadonlySet<ParserGuard>;
+class LineAnswerParser extends AnswerParser {
   #pending: Buffer = Buffer.alloc(0);
 
-  constructor(
-    call: EngineCall,
-    sink: EngineSink,
-    off: ReadonlySet<ParserGuard> = new Set(),
-  ) {
-    this.#off = off;
-    this.#call = call;
-    this.#sink = sink;
-  }
-
-  push(bytes: Buffer): void {
+  override push(bytes: Buffer): void {
     const data = this.#pending.length === 0
       ? bytes
       : Buffer.concat([this.#pending, bytes]);
@@ -164,32 +141,22 @@
     ) {
       const line = parseLine(data.toString("utf8", at, cut));
       at = cut + 1;
-      const own = line?.tag === this.#call.tryId ||
-        this.#off.has("tryIdMatch");
-      if (line === undefined || !own) {
-        return this.#sink.onFailure(
-          "mismatched",
-          "a line does not carry the id of this try",
-        );
+      if (line === undefined || !this.isOwn(line.tag)) {
+        return this.failMismatched();
       }
       if (line.s) texts.push(line.s);
       if (line.end) end = line;
     }
     this.#pending = data.subarray(at);
     if (this.#pending.length > MAX_LINE_BYTES) {
-      return this.#sink.onFailure("broken", "a line is too long");
+      return this.sink.onFailure("broken", "a line is too long");
     }
-    if (texts.length > 0) this.#sink.onTokens(texts);
+    if (texts.length > 0) this.sink.onTokens(texts);
     if (end !== undefined) this.#end(end);
   }
 
-  finish(): void {
-    if (this.#off.has("endMarker")) return this.#sink.onEnd(UNMARKED_END);
-    this.#sink.onFailure("broken", "the stream ended without its end line");
-  }
-
   #end(line: Line): void {
-    this.#sink.onEnd({
+    this.sink.onEnd({
       reason: line.end === "stop" ? "stop" : "length",
       promptTokens: line.in ?? 0,
       cachedTokens: line.hit ?? 0,
--- a/packages/heatherarch-targets/sse_engine.ts
+++ b/packages/heatherarch-targets/sse_engine.ts
@@ -7,17 +7,14 @@
 import { createParser, type EventSourceParser } from "eventsource-parser";
 import { z } from "zod";
 import type { EngineOrder, EngineState } from "heatherarch-core";
+import { AnswerParser, type ParserOptions } from "./answer_parser.ts";
 import {
-  type AnswerParser,
   checkEngineState,
   EngineClient,
   type EngineOptions,
-  type ParserGuard,
-  type ParserOptions,
 } from "./engine_client.ts";
 import type {
   EngineCall,
-  EngineEnd,
   EnginePort,
   EngineSink,
   EngineTry,
@@ -116,62 +113,37 @@
   sink: EngineSink,
   options: ParserOptions = {},
 ): AnswerParser {
-  return new SseAnswerParser(call, sink, options.disabledGuards);
+  return new SseAnswerParser(call, sink, options);
 }
 
-/** What an answer without its end marker would be taken for without the guard. */
-const UNMARKED_END: EngineEnd = {
-  reason: "stop",
-  promptTokens: 0,
-  cachedTokens: 0,
-};
-
 /** Reads events, checks that each carries the try's id, and passes on tokens. */
-class SseAnswerParser implements AnswerParser {
-  readonly #call: EngineCall;
-  readonly #sink: EngineSink;
-  readonly #off: ReadonlySet<ParserGuard>;
+class SseAnswerParser extends AnswerParser {
   readonly #parser: EventSourceParser;
   readonly #decoder = new TextDecoder();
   #texts: string[] = [];
   #last: Chunk | undefined;
 
-  constructor(
-    call: EngineCall,
-    sink: EngineSink,
-    off: ReadonlySet<ParserGuard> = new Set(),
-  ) {
-    this.#off = off;
-    this.#call = call;
-    this.#sink = sink;
+  constructor(call: EngineCall, sink: EngineSink, options: ParserOptions) {
+    super(call, sink, options);
     this.#parser = createParser({
       onEvent: (event) => this.#takeEvent(event.data),
     });
   }
 
-  push(bytes: Buffer): void {
+  override push(bytes: Buffer): void {
     this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
     if (this.#texts.length === 0) return;
     const texts = this.#texts;
     this.#texts = [];
-    this.#sink.onTokens(texts);
-  }
-
-  finish(): void {
-    if (this.#off.has("endMarker")) return this.#sink.onEnd(UNMARKED_END);
-    this.#sink.onFailure("broken", "the stream ended without its end marker");
+    this.sink.onTokens(texts);
   }
 
   #takeEvent(data: string): void {
     if (data === "[DONE]") return this.#end();
     const chunk = parseChunk(data);
-    const own = chunk?.id === this.#call.tryId || this.#off.has("tryIdMatch");
-    if (chunk === undefined || !own) {
+    if (chunk === undefined || !this.isOwn(chunk.id)) {
       this.#texts = [];
-      return this.#sink.onFailure(
-        "mismatched",
-        "an event does not carry the id of this try",
-      );
+      return this.failMismatched();
     }
     const choice = chunk.choices?.[0];
     if (choice?.text) this.#texts.push(choice.text);
@@ -181,7 +153,7 @@
   #end(): void {
     const last = this.#last;
     if (last === undefined) {
-      return this.#sink.onFailure(
+      return this.sink.onFailure(
         "broken",
         "the end marker came without a finish reason",
       );
@@ -189,9 +161,9 @@
     if (this.#texts.length > 0) {
       const texts = this.#texts;
       this.#texts = [];
-      this.#sink.onTokens(texts);
+      this.sink.onTokens(texts);
     }
-    this.#sink.onEnd({
+    this.sink.onEnd({
       reason: last.choices?.[0]?.finish_reason === "stop" ? "stop" : "length",
       promptTokens: last.usage?.prompt_tokens ?? 0,
       cachedTokens: last.usage?.cached_tokens ?? 0,
