--- /dev/null
+++ b/packages/heatherarch-claims/tests/unit/claims_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RuntimeClock } from "heatherarch-core";
+import type { LogPort, LogRecord } from "heatherarch-log";
+import { ClaimShard, computeShard, parseClaimKey } from "../../mod.ts";
+
+const SCOPE = { account: "desk", service: "bookings" };
+
+function createLog(appendMs: number): LogPort & { records: LogRecord[] } {
+  const records: LogRecord[] = [];
+  return {
+    records,
+    append: async (_stream, data) => {
+      await new Promise((resolve) => setTimeout(resolve, appendMs));
+      records.push({ offset: records.length, appendedAtMs: Date.now(), data });
+      return records.length - 1;
+    },
+    read: (_stream, from) =>
+      Promise.resolve({
+        records: records.slice(from),
+        first: 0,
+        next: records.length,
+      }),
+  };
+}
+
+function createShard(log: LogPort): ClaimShard {
+  return new ClaimShard({
+    shard: 0,
+    log,
+    clock: new RuntimeClock(),
+    batchMs: 2,
+    maxBatch: 100,
+    timeoutMs: 1000,
+    snapshotEveryRecords: 1000,
+    keyWindowMs: 60_000,
+    futureSkewMs: 1000,
+  });
+}
+
+function claim(
+  shard: ClaimShard,
+  claimId: string,
+  key = "k",
+  fingerprint = "f",
+) {
+  return shard.claim({
+    op: "claim",
+    claimId,
+    key,
+    madeAtMs: Date.now(),
+    fingerprint,
+    vm: "vm",
+  });
+}
+
+test("a key must carry its time, and is scoped by account and service", () => {
+  const good = parseClaimKey("1764700000000-3f9c2a7e", SCOPE).unwrap();
+  assert.equal(good.madeAtMs, 1_764_700_000_000);
+  const other = parseClaimKey("1764700000000-3f9c2a7e", {
+    ...SCOPE,
+    account: "family",
+  }).unwrap();
+  assert.notEqual(good.text, other.text);
+  for (const bad of ["abc", "1764700000000", "1764700000000-", "17647-abcd"]) {
+    assert.equal(parseClaimKey(bad, SCOPE).ok, false, bad);
+  }
+});
+
+test("keys spread over the shards", () => {
+  const counts = [0, 0, 0, 0];
+  for (let i = 0; i < 4000; i++) counts[computeShard(`desk/b/${i}`, 4)]++;
+  for (const count of counts) {
+    assert.ok(count > 850 && count < 1150, `${counts}`);
+  }
+});
+
+test("two owners of one shard grant a key once", async () => {
+  const log = createLog(3);
+  const owners = [createShard(log), createShard(log)];
+  const verdicts = await Promise.all(
+    owners.map((owner, i) => claim(owner, `c${i}`)),
+  );
+  assert.deepEqual(verdicts.map((verdict) => verdict.kind).sort(), [
+    "granted",
+    "taken",
+  ]);
+});
+
+test("claims that come together share an append", async () => {
+  const log = createLog(10);
+  const shard = createShard(log);
+  const verdicts = await Promise.all(
+    Array.from({ length: 50 }, (_, i) => claim(shard, `c${i}`, `key${i}`)),
+  );
+  assert.ok(verdicts.every((verdict) => verdict.kind === "granted"));
+  assert.ok(log.records.length <= 2, `${log.records.length} appends`);
+});
+
+test("a released key can be claimed again; a concluded one gives its answer", async () => {
+  const shard = createShard(createLog(1));
+  assert.equal((await claim(shard, "c1")).kind, "granted");
+  await shard.conclude({ op: "release", claimId: "c1", key: "k" });
+  assert.equal((await claim(shard, "c2")).kind, "granted");
+  await shard.conclude({
+    op: "conclude",
+    claimId: "c2",
+    key: "k",
+    outcome: { status: 201, headers: {} },
+  });
+  const third = await claim(shard, "c3");
+  assert.equal(third.kind === "taken" && third.holder.outcome?.status, 201);
+  assert.equal((await claim(shard, "c4", "k", "other")).kind, "reused");
+});
--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -27,6 +27,7 @@
   DemandMeter,
   EngineModel,
   LoadTracker,
+  LookupReserve,
   RetryBudget,
   type Router,
 } from "heatherarch-policy";
@@ -337,6 +338,9 @@
       model,
       demand,
       retries: new RetryBudget({ share: settings.requests.retryShare }),
+      lookups: new LookupReserve({
+        share: settings.requests.lookupReserveShare,
+      }),
       claims,
       events: metrics,
       readRefusal: () => this.#readRefusal(),
--- a/packages/heatherarch-gateway/gateway_host.ts
+++ b/packages/heatherarch-gateway/gateway_host.ts
@@ -9,6 +9,7 @@
   DemandMeter,
   EngineModel,
   LoadTracker,
+  LookupReserve,
   RetryBudget,
   Router,
 } from "heatherarch-policy";
@@ -107,6 +108,7 @@
   readonly model: EngineModel;
   readonly demand: DemandMeter;
   readonly retries: RetryBudget;
+  readonly lookups: LookupReserve;
   readonly claims: ClaimClient;
   readonly events: GatewayEvents;
   /** Why no new request is taken; undefined where all is well. */
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -172,17 +172,18 @@
       !this.#failedTargets.has(candidate.id)
     );
     const router = this.#host.getRouter(profile.routing);
+    const nowMs = this.#host.clock.readMonotonicMs();
     const lookup = profile.priority === "lookup";
+    if (lookup) this.#host.lookups.note(service, nowMs);
     return router.planRoute({
       promptTokens: promptTokens + this.#delivered.length,
       outputTokens: maxTokens - this.#delivered.length,
       prefixKey: this.#prefixKey,
       kvTransferMinTokens: profile.kvTransferMinTokens,
-      remainingMs: this.#options.deadlineAtMs -
-        this.#host.clock.readMonotonicMs(),
+      remainingMs: this.#options.deadlineAtMs - nowMs,
       tokenGapMs: profile.tokenGapMs,
       spreadKey: this.#options.requestId,
-      reserveShare: lookup ? 0 : this.#host.limits.lookupReserveShare,
+      reserveShare: lookup ? 0 : this.#host.lookups.readShare(service, nowMs),
     }, fresh.length > 0 ? fresh : all);
   }
 
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -24,6 +24,7 @@
 import { SHAPES } from "../deployment.ts";
 import { runClaimsBench } from "../bench/claims_bench.ts";
 import { runControlBench } from "../bench/control_bench.ts";
+import { measureOrderWindow } from "../bench/order_window.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
 await yargs(hideBin(process.argv))
@@ -44,6 +45,14 @@
   .command("control", "slopes of the control work", {}, async (args) => {
     printReport(await runControlBench((line) => console.log(line)), args.json);
   })
+  .command(
+    "window",
+    "from the last check of a lease to the written order",
+    {},
+    async (args) => {
+      printReport(await measureOrderWindow(), args.json);
+    },
+  )
   .command(
     "claims",
     "claims a second against appends a second",
--- a/packages/heatherarch-lab/proofs/fake_host.ts
+++ b/packages/heatherarch-lab/proofs/fake_host.ts
@@ -11,6 +11,7 @@
   DemandMeter,
   EngineModel,
   LoadTracker,
+  LookupReserve,
   RetryBudget,
 } from "heatherarch-policy";
 import {
@@ -106,6 +107,7 @@
     model,
     demand: new DemandMeter(1000),
     retries: new RetryBudget({ share: 1, reserve: 100 }),
+    lookups: new LookupReserve({ share: settings.requests.lookupReserveShare }),
     claims: {
       claim: options.answerClaim ??
         (() =>
--- /dev/null
+++ b/packages/heatherarch-lab/tests/unit/plain_call_test.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ServeError } from "heatherarch-core";
+import {
+  callPlainService,
+  type HeldClaim,
+  type PlainRequest,
+} from "heatherarch-gateway";
+import { DEFAULT_PROFILE, type PlainService } from "heatherarch-settings";
+import type { WholeAnswer } from "heatherarch-targets";
+import { createFakeHost, type FakeHostOptions } from "../../proofs/mod.ts";
+
+const SERVICE: PlainService = {
+  name: "bookings",
+  kind: "plain",
+  idempotentMethods: ["GET"],
+  keyRequired: false,
+  honoursKey: false,
+  echoesTryId: false,
+};
+const KEY = { text: "k", madeAtMs: 0, fingerprint: "f" };
+const ANSWER: WholeAnswer = {
+  kind: "answer",
+  status: 200,
+  headers: {},
+  body: Buffer.from("{}"),
+};
+
+interface Scene {
+  readonly sent: string[];
+  readonly ended: string[];
+  readonly call: (fields: Partial<PlainRequest>) => Promise<unknown>;
+}
+
+/** A host with two targets that answer as told, and a claim that may be used or not. */
+function createScene(
+  answers: WholeAnswer[],
+  valid = true,
+  host: Partial<FakeHostOptions> = {},
+): Scene {
+  const sent: string[] = [];
+  const ended: string[] = [];
+  const claim: HeldClaim = {
+    isValid: () => valid,
+    conclude: () => ended.push("concluded"),
+    release: () => ended.push("released"),
+  };
+  const fake = createFakeHost({
+    engines: ["s1", "s2"],
+    answerClaim: () => Promise.resolve({ kind: "granted", claim }),
+    answerService: (target, call) => {
+      if (call.guard && !call.guard()) {
+        return Promise.resolve({ kind: "withheld", detail: "" });
+      }
+      sent.push(target);
+      return Promise.resolve(answers.shift() ?? ANSWER);
+    },
+    ...host,
+  });
+  const call = (fields: Partial<PlainRequest>) =>
+    callPlainService(fake.host, {
+      service: SERVICE,
+      profile: DEFAULT_PROFILE,
+      method: "POST",
+      path: "/b",
+      headers: {},
+      body: undefined,
+      deadlineAtMs: fake.host.clock.readMonotonicMs() + 1000,
+      key: undefined,
+      ...fields,
+    });
+  return { sent, ended, call };
+}
+
+function isError(kind: string, run: string) {
+  return (error: unknown) =>
+    error instanceof ServeError && error.kind === kind && error.run === run;
+}
+
+test("a claim whose permission lapsed is dropped before the write, and given back", async () => {
+  const scene = createScene([], false);
+  await assert.rejects(
+    scene.call({ key: KEY }),
+    isError("platformUnavailable", "no"),
+  );
+  assert.deepEqual(scene.sent, []);
+  assert.deepEqual(scene.ended, ["released"]);
+});
+
+test("a call that may have run is never sent again, with a key or without", async () => {
+  for (const key of [KEY, undefined]) {
+    const scene = createScene([{ kind: "broken", detail: "reset" }]);
+    await assert.rejects(
+      scene.call({ key }),
+      isError("targetFailed", "unknown"),
+    );
+    assert.equal(scene.sent.length, 1);
+    assert.deepEqual(scene.ended, []);
+  }
+});
+
+test("a call that was proven not sent goes to another target", async () => {
+  const scene = createScene([{ kind: "notSent", detail: "refused" }]);
+  await scene.call({ key: KEY });
+  assert.deepEqual(scene.sent, ["s1", "s2"]);
+  assert.deepEqual(scene.ended, ["concluded"]);
+});
+
+test("where no target takes the call, it is not run and its key is free again", async () => {
+  const scene = createScene(
+    Array(4).fill({ kind: "notSent", detail: "refused" }),
+  );
+  await assert.rejects(scene.call({ key: KEY }), isError("noTarget", "no"));
+  assert.deepEqual(scene.ended, ["released"]);
+});
+
+test("idempotent calls are retried after a break", async () => {
+  const scene = createScene([{ kind: "broken", detail: "reset" }]);
+  await scene.call({ method: "GET" });
+  assert.deepEqual(scene.sent, ["s1", "s2"]);
+});
+
+test("a service that wants keys refuses calls without one", async () => {
+  const scene = createScene([]);
+  const service = { ...SERVICE, keyRequired: true };
+  await assert.rejects(scene.call({ service }), isError("keyRequired", "no"));
+  assert.deepEqual(scene.sent, []);
+});
+
+test("during an outage only a service that honours keys itself is called", async () => {
+  const error = new ServeError("platformUnavailable", "out");
+  const host = {
+    answerClaim: () => Promise.resolve({ kind: "refused" as const, error }),
+  };
+  const refused = createScene([], true, host);
+  await assert.rejects(
+    refused.call({ key: KEY }),
+    isError("platformUnavailable", "no"),
+  );
+  assert.deepEqual(refused.sent, []);
+  const passed = createScene([], true, host);
+  await passed.call({ key: KEY, service: { ...SERVICE, honoursKey: true } });
+  assert.equal(passed.sent.length, 1);
+});
--- /dev/null
+++ b/packages/heatherarch-log/tests/unit/log_test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  appendOnce,
+  applyConfigRecord,
+  CONFIG_FORMAT,
+  EMPTY_CONFIG,
+  judgeSlice,
+  loadConfigSnapshot,
+  type LogPort,
+  type LogRecord,
+  LogUnavailableError,
+} from "../../mod.ts";
+
+/** A log whose first appends take effect and lose their answer. */
+function createLossyLog(losses: number): LogPort & { records: LogRecord[] } {
+  const records: LogRecord[] = [];
+  let left = losses;
+  return {
+    records,
+    append: (_stream, data) => {
+      records.push({ offset: records.length, appendedAtMs: 0, data });
+      if (left-- > 0) return Promise.reject(new LogUnavailableError("lost"));
+      return Promise.resolve(records.length - 1);
+    },
+    read: (_stream, from) =>
+      Promise.resolve({
+        records: records.slice(from),
+        first: 0,
+        next: records.length,
+      }),
+  };
+}
+
+function buildChange(
+  offset: number,
+  id: string,
+  baseRevision: number,
+): LogRecord {
+  const change = { kind: "putProfile", profile: { name: "p" } };
+  const head = { type: "change", format: CONFIG_FORMAT, author: "a", atMs: 0 };
+  return {
+    offset,
+    appendedAtMs: 0,
+    data: { ...head, id, baseRevision, change },
+  };
+}
+
+test("an append whose answer was lost is found, not repeated", async () => {
+  const log = createLossyLog(1);
+  const offset = await appendOnce(log, "s", { id: "x" }, {
+    searchFrom: 0,
+    timeoutMs: 1000,
+    retryMs: 1,
+    readMonotonicMs: () => performance.now(),
+  });
+  assert.equal(offset, 0);
+  assert.equal(log.records.length, 1);
+});
+
+test("a slice that starts after the wanted offset is a gap, never skipped", () => {
+  const slice = { records: [buildChange(5, "a", -1)], first: 5, next: 6 };
+  assert.deepEqual(judgeSlice(3, slice), { kind: "gap", first: 5 });
+  assert.equal(judgeSlice(5, slice).kind, "apply");
+});
+
+test("garbage and unknown formats move the offset and change nothing", () => {
+  let state = EMPTY_CONFIG;
+  for (
+    const data of [null, 7, { type: "change", format: 99 }, { type: "what" }]
+  ) {
+    state = applyConfigRecord(state, {
+      offset: state.offset + 1,
+      appendedAtMs: 0,
+      data,
+    });
+  }
+  assert.equal(state.offset, 3);
+  assert.deepEqual(state.audit, []);
+});
+
+test("the loser of a race is told by whom and by what", () => {
+  let state = applyConfigRecord(EMPTY_CONFIG, buildChange(0, "first", -1));
+  state = applyConfigRecord(state, buildChange(1, "second", -1));
+  assert.deepEqual(state.audit.map((entry) => entry.verdict), [
+    "accepted",
+    "rejected",
+  ]);
+  assert.match(state.audit[1].reason ?? "", /by a \(put profile p\)/);
+});
+
+test("no state is made up where no snapshot bridges the trimmed part", () => {
+  assert.equal(loadConfigSnapshot([buildChange(7, "x", -1)]), undefined);
+});
--- a/packages/heatherarch-policy/mod.ts
+++ b/packages/heatherarch-policy/mod.ts
@@ -10,6 +10,7 @@
 export * from "./demand_meter.ts";
 export * from "./engine_model.ts";
 export * from "./load_tracker.ts";
+export * from "./lookup_reserve.ts";
 export * from "./prefix_key.ts";
 export * from "./retry_budget.ts";
 export * from "./role_planner.ts";
--- a/packages/heatherarch-policy/tests/unit/policy_test.ts
+++ b/packages/heatherarch-policy/tests/unit/policy_test.ts
@@ -12,6 +12,7 @@
   GreedyPlanner,
   HorizonPlanner,
   LoadTracker,
+  LookupReserve,
   RetryBudget,
   type RouteRequest,
 } from "../../mod.ts";
@@ -111,6 +112,15 @@
   assert.ok(router.planRoute(buildRequest({ reserveShare: 0 }), [nearlyFull]));
 });
 
+test("the reserve is kept for a service as long as lookups come to it", () => {
+  const reserve = new LookupReserve({ share: 0.1 });
+  assert.equal(reserve.readShare("reader", 0), 0);
+  reserve.note("reader", 1000);
+  assert.equal(reserve.readShare("reader", 2000), 0.1);
+  assert.equal(reserve.readShare("other", 2000), 0);
+  assert.equal(reserve.readShare("reader", 62_000), 0);
+});
+
 test("admission refuses at once what can't be in time, and says when to come back", () => {
   const plan = { first: buildCandidate("e"), firstTokenMs: 900, gapMs: 40 };
   const refused = checkAdmission(
--- /dev/null
+++ b/packages/heatherarch-targets/tests/unit/dispatch_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { after, before, test } from "node:test";
+import { Client } from "undici";
+import { dispatchWhole } from "../../mod.ts";
+
+let server: Server;
+let url: string;
+let requests = 0;
+
+before(async () => {
+  server = createServer((req, res) => {
+    requests++;
+    if (req.url === "/never") return;
+    if (req.url === "/break") res.socket?.destroy();
+    else res.end("done");
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+});
+
+after(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+function send(path: string, guard?: () => boolean, to = url) {
+  const client = new Client(to, { connect: { timeout: 500 } });
+  const sent = dispatchWhole(client, {
+    path,
+    method: "POST",
+    body: "x",
+    firstByteMs: 1000,
+    gapMs: 1000,
+    guard,
+  });
+  return sent.finally(() => void client.destroy());
+}
+
+test("a withheld request reaches nobody", async () => {
+  const before = requests;
+  assert.equal((await send("/", () => false)).kind, "withheld");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(requests, before);
+});
+
+test("a refused connection is not sent; a broken answer is not called so", async () => {
+  assert.equal(
+    (await send("/", undefined, "http://127.0.0.1:1")).kind,
+    "notSent",
+  );
+  assert.equal((await send("/break")).kind, "broken");
+});
+
+test("an answer that never comes is silent", async () => {
+  assert.equal((await send("/never")).kind, "silent");
+});
+
+test("a whole answer is gathered", async () => {
+  const answer = await send("/");
+  assert.equal(answer.kind === "answer" && answer.body.toString(), "done");
+});
