A fresh owner of a trimmed shard keeps its first verdicts

Named test: "a fresh owner of a trimmed shard grants its first claim". Orders left open by this holder are settled by the engine's state, as a predecessor's are. The refusal names its reason.

--- a/packages/heatherarch-claims/claim_fold.ts
+++ b/packages/heatherarch-claims/claim_fold.ts
@@ -118,8 +118,9 @@
   }
 
   /**
-   * Loads the newest whole snapshot among `records`, which start at the oldest kept offset,
-   * and applies what follows. Returns whether one bridged the trimmed part.
+   * Loads the newest whole snapshot among `records`, which start at the oldest kept offset.
+   * Returns whether one bridged the trimmed part. What follows it is left to be applied, so
+   * that its verdicts are seen.
    */
   loadSnapshot(records: readonly TimedRecord[]): boolean {
     const best = findSnapshot(records);
@@ -132,9 +133,6 @@
     this.#seen = new Set(best.flatMap((part) => part.seen));
     this.#offset = best[0].coversOffset;
     this.#logTimeMs = best[0].logTimeMs;
-    for (const record of records) {
-      if (record.offset > this.#offset) this.apply(record);
-    }
     return true;
   }
 
--- a/packages/heatherarch-claims/tests/unit/claims_test.ts
+++ b/packages/heatherarch-claims/tests/unit/claims_test.ts
@@ -24,7 +24,22 @@
   };
 }
 
-function createShard(log: LogPort): ClaimShard {
+/** The same log with only its newest records. */
+function trimLog(
+  log: LogPort & { records: LogRecord[] },
+  kept: number,
+): LogPort {
+  const first = log.records.length - kept;
+  return {
+    append: (stream, data) => log.append(stream, data),
+    read: (_stream, from) => {
+      const records = log.records.slice(Math.max(from, first));
+      return Promise.resolve({ records, first, next: log.records.length });
+    },
+  };
+}
+
+function createShard(log: LogPort, snapshotEveryRecords = 1000): ClaimShard {
   return new ClaimShard({
     shard: 0,
     log,
@@ -32,7 +47,7 @@
     batchMs: 2,
     maxBatch: 100,
     timeoutMs: 1000,
-    snapshotEveryRecords: 1000,
+    snapshotEveryRecords,
     keyWindowMs: 60_000,
     futureSkewMs: 1000,
   });
@@ -97,6 +112,15 @@
   assert.ok(log.records.length <= 2, `${log.records.length} appends`);
 });
 
+test("a fresh owner of a trimmed shard grants its first claim", async () => {
+  const log = createLog(1);
+  const old = createShard(log, 5);
+  for (let i = 0; i < 12; i++) await claim(old, `old${i}`, `key${i}`);
+  const fresh = createShard(trimLog(log, 6));
+  assert.equal((await claim(fresh, "new", "another")).kind, "granted");
+  assert.equal((await claim(fresh, "late", "key0")).kind, "taken");
+});
+
 test("a released key can be claimed again; a concluded one gives its answer", async () => {
   const shard = createShard(createLog(1));
   assert.equal((await claim(shard, "c1")).kind, "granted");
--- a/packages/heatherarch-daemon/claim_service.ts
+++ b/packages/heatherarch-daemon/claim_service.ts
@@ -7,7 +7,10 @@
 import {
   type Clock,
   createId,
+  Err,
+  Ok,
   pickRendezvous,
+  type Result,
   ServeError,
   sleep,
 } from "heatherarch-core";
@@ -111,16 +114,16 @@
     const isValid = (): boolean =>
       clock.readMonotonicMs() < validUntilMs &&
       this.#findOwner(request.key) === owner;
-    if (verdict === undefined) {
+    if (!verdict.ok) {
       // Never used: the key is given back as soon as the log answers.
       void this.#concludeLater({ claimId: call.claimId, key: call.key });
       const message =
-        "the platform's log can't confirm the key; the call was not run";
+        `the key can't be confirmed, so the call was not run (${verdict.val})`;
       return buildRefusal(
         new ServeError("platformUnavailable", message, { run: "no" }),
       );
     }
-    return this.#buildAnswer(verdict, call, isValid);
+    return this.#buildAnswer(verdict.val as ClaimVerdict, call, isValid);
   }
 
   /** Waits until outcomes have reached the log. */
@@ -198,26 +201,24 @@
     )[0];
   }
 
-  /** Asks the owner, then the log itself; undefined where no verdict could be had. */
+  /** Asks the owner; the reason where no verdict could be had. */
   async #ask(
     owner: string,
     call: ClaimCall,
-  ): Promise<ClaimVerdict | undefined> {
+  ): Promise<Result<ClaimVerdict, string>> {
     const { vmId, mesh, settings } = this.#options;
-    if (owner !== vmId) {
-      try {
-        const reply = await mesh.call(
-          owner,
-          "claims.claim",
-          call,
-          settings.permissionMs,
-        );
-        return reply as ClaimVerdict;
-      } catch {
-        return undefined;
-      }
+    try {
+      if (owner === vmId) return Ok(await this.#claimHere(call));
+      const reply = await mesh.call(
+        owner,
+        "claims.claim",
+        call,
+        settings.permissionMs,
+      );
+      return Ok(reply as ClaimVerdict);
+    } catch (error) {
+      return Err((error as Error).message);
     }
-    return await this.#claimHere(call).catch(() => undefined);
   }
 
   #claimHere(call: ClaimCall): Promise<ClaimVerdict> {
--- a/packages/heatherarch-daemon/config_reader.ts
+++ b/packages/heatherarch-daemon/config_reader.ts
@@ -47,6 +47,8 @@
 const FOLLOWER_POLL_MS = 5000;
 const PEER_CALL_MS = 1000;
 const RETRY_MS = 200;
+/** Between a follower's looks at whether it has become a relay. */
+const FOLLOWER_IDLE_MS = 1000;
 const READ_PAGE = 500;
 
 const PEER_ANSWER = z.union([
@@ -122,7 +124,7 @@
       const nowMs = this.#options.clock.readMonotonicMs();
       const relay = this.isRelay();
       if (!relay && nowMs < nextPollMs) {
-        await sleep(RETRY_MS);
+        await sleep(FOLLOWER_IDLE_MS);
         continue;
       }
       try {
--- a/packages/heatherarch-daemon/order_executor.ts
+++ b/packages/heatherarch-daemon/order_executor.ts
@@ -49,6 +49,8 @@
 const READ_TIMEOUT_MS = 1000;
 const ORDER_TIMEOUT_MS = 2000;
 const APPEND_TIMEOUT_MS = 3000;
+/** Between looks for something to do. */
+const IDLE_MS = 250;
 const LOOP_MS = 100;
 /** Longest wait for the zone's other VMs to have read an intent. */
 const SPREAD_LIMIT_MS = 2000;
@@ -93,10 +95,9 @@
   /** Works until stopped. */
   async run(): Promise<void> {
     while (!this.#stopped) {
-      await sleep(LOOP_MS);
+      await sleep(IDLE_MS);
       if (!this.#options.control.hasAuthority()) {
         this.#authorityFromMs = undefined;
-        await sleep(LOOP_MS);
         continue;
       }
       this.#authorityFromMs ??= this.#options.clock.readMonotonicMs();
@@ -111,22 +112,13 @@
 
   async #step(): Promise<void> {
     const { control } = this.#options;
-    const inherited = Object.values(control.state.open)
-      .filter((intent) => intent.claimOffset !== control.machine.fencing);
-    if (inherited.length > 0) {
-      await this.#resolve(inherited[0]);
-      return;
-    }
-    const own = Object.values(control.state.open)[0];
-    if (own !== undefined) {
-      await this.#conclude(own, "abandoned", "left open by this holder");
-      return;
-    }
+    const [open] = Object.values(control.state.open);
+    if (open !== undefined) return await this.#resolve(open);
     const next = await this.#findOutdated() ?? this.#planNext();
     if (next !== undefined) await this.#execute(next.target, next.order);
   }
 
-  /** Settles an order that a predecessor announced, by what the engine itself says. */
+  /** Settles an order that was left open, by what the engine itself says. */
   async #resolve(intent: OpenIntent): Promise<void> {
     const target = this.#options.table.findTarget(intent.target);
     if (target === undefined) {
@@ -146,7 +138,7 @@
     await this.#conclude(
       intent,
       done ? "done" : "abandoned",
-      "resolved by a new holder",
+      "resolved by the state of the engine",
     );
   }
 
