Engine stand-in: a cancelled sequence ends alone; small subsets for other zones

A sequence that its listener cancelled at its last token removed another one from the batch and ended its own answer twice. Ruled out: the daemons; the harness, which only met the dead process.

In zones with more targets than the subset, a VM of another zone is told of an eighth of it: 32 cross-zone links would have carried all rows.

--- a/packages/heatherarch-daemon/heartbeat_builder.ts
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -40,6 +40,9 @@
   changing: string;
 }
 
+/** A VM of another zone is told of this many times fewer targets. */
+const OTHER_ZONE_DIVISOR = 8;
+
 /** Targets that one peer is told of, as long as the zone's targets are these. */
 interface Subset {
   readonly of: readonly Target[];
@@ -92,7 +95,7 @@
   ): Partial<Heartbeat> {
     const { vmId, availabilityZone, table } = this.#options;
     const sameZone = peer.availabilityZone === availabilityZone;
-    const subset = this.#pickSubset(peer.id);
+    const subset = this.#pickSubset(peer);
     const { rows, version } = table.listRowsSince(
       progress.rowVersion,
       (target, report) => {
@@ -110,19 +113,19 @@
    * The same for all that tell the peer, so that each target of its subset reaches it. Empty
    * means all.
    */
-  #pickSubset(peerId: string): ReadonlySet<string> | undefined {
+  #pickSubset(peer: LinkIdentity): ReadonlySet<string> | undefined {
     const { table, subsetSize, isPlanner, availabilityZone } = this.#options;
     const of = table.listZoneTargets(availabilityZone);
-    if (of.length <= subsetSize || isPlanner(peerId)) return undefined;
-    const known = this.#subsets.get(peerId);
+    if (of.length <= subsetSize || isPlanner(peer.id)) return undefined;
+    const known = this.#subsets.get(peer.id);
     if (known?.of === of) return known.ids;
-    const picked = pickRendezvous(
-      peerId,
-      of.map((target) => target.id),
-      subsetSize,
-    );
+    const sameZone = peer.availabilityZone === availabilityZone;
+    const size = sameZone
+      ? subsetSize
+      : Math.ceil(subsetSize / OTHER_ZONE_DIVISOR);
+    const picked = pickRendezvous(peer.id, of.map((target) => target.id), size);
     const subset = { of, ids: new Set(picked) };
-    this.#subsets.set(peerId, subset);
+    this.#subsets.set(peer.id, subset);
     return subset.ids;
   }
 
--- a/packages/heatherarch-standins/engine_server.ts
+++ b/packages/heatherarch-standins/engine_server.ts
@@ -326,7 +326,7 @@
     const line = this.options.dialect === "sse"
       ? `data: {"id":"${id}","choices":[{"text":"${text}","finish_reason":null}]}\n\n`
       : `{"tag":"${id}","s":"${text}"}\n`;
-    stream.response?.write(line);
+    if (!stream.response?.writableEnded) stream.response?.write(line);
   }
 
   #finish(stream: OpenStream, end: SequenceEnd): void {
--- a/packages/heatherarch-standins/engine_simulation.ts
+++ b/packages/heatherarch-standins/engine_simulation.ts
@@ -275,6 +275,8 @@
     sequence.tokens.push(token);
     sequence.listener?.onToken(token, sequence.emitted);
     sequence.emitted++;
+    // The listener may have cancelled it.
+    if (!this.#running.includes(sequence)) return;
     if (sequence.emitted < sequence.request.maxTokens) return;
     this.#running.splice(this.#running.indexOf(sequence), 1);
     sequence.listener?.onEnd({
