--- /dev/null
+++ b/packages/heatherarch-gateway/account_directory.ts
@@ -0,0 +1,62 @@
+/**
+ * Finds the account that a request belongs to.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { ServeError } from "heatherarch-core";
+import type { Account, Fleet } from "heatherarch-settings";
+
+/** What a request says of its account. */
+export interface Credentials {
+  /** Bearer token, where one was sent. */
+  readonly token: string | undefined;
+  /** Name of an account without a token; empty where none was sent. */
+  readonly name: string;
+}
+
+const ANONYMOUS: Account = {
+  name: "anonymous",
+  requestsPerSecond: 1e6,
+  burst: 1e6,
+  maxConcurrent: 1e6,
+  weight: 1,
+};
+
+/** The accounts of the fleet configuration. */
+export class AccountDirectory {
+  #accountsOf: Fleet | null = null;
+  #accountByToken = new Map<string, Account>();
+
+  /** Finds the account. Throws {@linkcode ServeError} where none may be used. */
+  find({ token, name }: Credentials, fleet: Fleet): Account {
+    this.#index(fleet);
+    if (token !== undefined) {
+      const digest = createHash("sha256").update(token).digest("hex");
+      const account = this.#accountByToken.get(digest);
+      if (account !== undefined) return account;
+    }
+    const named = fleet.accounts.find((account) => account.name === name);
+    if (named !== undefined && named.tokenSha256 === undefined) return named;
+    if (named !== undefined) {
+      throw new ServeError("unauthenticated", `${name} needs its token`);
+    }
+    if (fleet.allowAnonymous) return ANONYMOUS;
+    throw new ServeError(
+      "unauthenticated",
+      "an account's bearer token is needed",
+    );
+  }
+
+  #index(fleet: Fleet): void {
+    if (this.#accountsOf === fleet) return;
+    this.#accountsOf = fleet;
+    this.#accountByToken = new Map();
+    for (const account of fleet.accounts) {
+      const { tokenSha256 } = account;
+      if (tokenSha256 !== undefined) {
+        this.#accountByToken.set(tokenSha256, account);
+      }
+    }
+  }
+}
--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -26,6 +26,8 @@
   type PlainService,
   type Profile,
 } from "heatherarch-settings";
+import { AccountDirectory, type Credentials } from "./account_directory.ts";
+import { answerClientError } from "./client_error.ts";
 import type { GatewayHost } from "./gateway_host.ts";
 import { GenerationStore } from "./generation_store.ts";
 import {
@@ -43,14 +45,6 @@
   readonly key: string;
 }
 
-const ANONYMOUS: Account = {
-  name: "anonymous",
-  requestsPerSecond: 1e6,
-  burst: 1e6,
-  maxConcurrent: 1e6,
-  weight: 1,
-};
-
 const RESUME_PATH = /^\/v1\/streams\/([A-Za-z0-9._-]+)$/;
 const SERVICE_PATH = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
 const REQUEST_ID = /^[A-Za-z0-9._-]{1,128}$/;
@@ -73,10 +67,9 @@
 export class Gateway {
   readonly #host: GatewayHost;
   readonly #limits: AccountLimits;
+  readonly #accounts = new AccountDirectory();
   readonly #store = new GenerationStore();
   readonly #server: Server;
-  #accountsOf: Fleet | null = null;
-  #accountByToken = new Map<string, Account>();
   #inFlight = 0;
   #idleWaiters = new Set<() => void>();
 
@@ -231,7 +224,7 @@
     requestId: string,
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
-    const account = this.#findAccount(ctx, fleet);
+    const account = this.#accounts.find(readCredentials(ctx), fleet);
     const body = parseJsonBody(
       await readRequestBody(ctx.req, this.#host.limits),
     );
@@ -271,7 +264,7 @@
     call: { name: string; path: string },
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
-    const account = this.#findAccount(ctx, fleet);
+    const account = this.#accounts.find(readCredentials(ctx), fleet);
     const service = fleet.services.find((entry): entry is PlainService =>
       entry.kind === "plain" && entry.name === call.name
     );
@@ -353,35 +346,6 @@
     return release;
   }
 
-  #findAccount(ctx: Koa.Context, fleet: Fleet): Account {
-    if (this.#accountsOf !== fleet) {
-      this.#accountsOf = fleet;
-      const secured = fleet.accounts.filter((account) =>
-        account.tokenSha256 !== undefined
-      );
-      this.#accountByToken = new Map(
-        secured.map((account) => [account.tokenSha256 as string, account]),
-      );
-    }
-    const token = /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1];
-    if (token !== undefined) {
-      const digest = createHash("sha256").update(token).digest("hex");
-      const account = this.#accountByToken.get(digest);
-      if (account !== undefined) return account;
-    }
-    const name = ctx.get("x-heatherarch-account");
-    const open = fleet.accounts.find((account) => account.name === name);
-    if (open !== undefined && open.tokenSha256 === undefined) return open;
-    if (open !== undefined) {
-      throw new ServeError("unauthenticated", `${name} needs its token`);
-    }
-    if (fleet.allowAnonymous) return ANONYMOUS;
-    throw new ServeError(
-      "unauthenticated",
-      "an account's bearer token is needed",
-    );
-  }
-
   #findProfile(name: string | undefined): Profile {
     if (name === undefined) {
       return this.#host.findProfile("default") ?? DEFAULT_PROFILE;
@@ -407,6 +371,13 @@
   }
 }
 
+function readCredentials(ctx: Koa.Context): Credentials {
+  return {
+    token: /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1],
+    name: ctx.get("x-heatherarch-account"),
+  };
+}
+
 /** The value of a success; throws the error of a failure. */
 function unwrap<T>(result: Result<T, ServeError>): T {
   if (!result.ok) throw result.val as ServeError;
@@ -459,27 +430,3 @@
   }
   return headers;
 }
-
-/** Answers what never became a request: broken or oversized heads, and slow ones. */
-function answerClientError(
-  error: Error & { code?: string },
-  socket: Socket,
-): void {
-  if (!socket.writable || socket.bytesWritten > 0) {
-    socket.destroy();
-    return;
-  }
-  const kind = error.code === "HPE_HEADER_OVERFLOW"
-    ? "headersTooLarge"
-    : error.code === "ERR_HTTP_REQUEST_TIMEOUT"
-    ? "requestTimeout"
-    : "badRequest";
-  const failure = new ServeError(kind, "the request could not be read");
-  const body = JSON.stringify(buildErrorBody(failure, createId("unread")));
-  socket.end(
-    `HTTP/1.1 ${failure.status} Error\r\ncontent-type: application/json\r\n` +
-      `connection: close\r\ncontent-length: ${
-        Buffer.byteLength(body)
-      }\r\n\r\n${body}`,
-  );
-}
--- a/packages/heatherarch-gateway/mod.ts
+++ b/packages/heatherarch-gateway/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./account_directory.ts";
 export * from "./gateway.ts";
 export * from "./gateway_host.ts";
 export * from "./generation.ts";
