A claim's permission that lapsed unused is renewed once

Ruled out: a lost claim (it was released).

Change: where nothing was sent, the caller's VM asks again once under the same claim id, which the fold grants again; then it is refused as before. Two tests (renewed and run once; still invalid, released).

--- a/packages/heatherarch-daemon/claim_service.ts
+++ b/packages/heatherarch-daemon/claim_service.ts
@@ -101,29 +101,35 @@
   async claim(
     request: { key: string; madeAtMs: number; fingerprint: string },
   ): Promise<ClaimAnswer> {
-    const { clock, vmId, incarnation, settings } = this.#options;
-    const sentAtMs = clock.readMonotonicMs();
-    const owner = this.#findOwner(request.key);
-    const call = {
+    const { vmId, incarnation } = this.#options;
+    const claimId = createId("claim");
+    return await this.#claimAs({
       ...request,
-      claimId: createId("claim"),
+      claimId,
       vm: `${vmId}/${incarnation}`,
-    };
+    });
+  }
+
+  /** Claims under an id that may have been used before: the fold grants it again. */
+  async #claimAs(call: ClaimCall): Promise<ClaimAnswer> {
+    const { clock, settings } = this.#options;
+    const sentAtMs = clock.readMonotonicMs();
+    const owner = this.#findOwner(call.key);
     const verdict = await this.#ask(owner, call);
     const validUntilMs = sentAtMs + settings.permissionMs;
     const isValid = (): boolean =>
       clock.readMonotonicMs() < validUntilMs &&
-      this.#findOwner(request.key) === owner;
-    if (!verdict.ok) {
-      // Never used: the key is given back as soon as the log answers.
-      void this.#concludeLater({ claimId: call.claimId, key: call.key });
-      const message =
-        `the key can't be confirmed, so the call was not run (${verdict.val})`;
-      return buildRefusal(
-        new ServeError("platformUnavailable", message, { run: "no" }),
-      );
+      this.#findOwner(call.key) === owner;
+    if (verdict.ok) {
+      return this.#buildAnswer(verdict.val as ClaimVerdict, call, isValid);
     }
-    return this.#buildAnswer(verdict.val as ClaimVerdict, call, isValid);
+    // Never used: the key is given back as soon as the log answers.
+    void this.#concludeLater({ claimId: call.claimId, key: call.key });
+    const message =
+      `the key can't be confirmed, so the call was not run (${verdict.val})`;
+    return buildRefusal(
+      new ServeError("platformUnavailable", message, { run: "no" }),
+    );
   }
 
   /** Waits until outcomes have reached the log. */
@@ -177,6 +183,7 @@
       isValid,
       conclude: (answer: KeptAnswer) =>
         void this.#concludeLater({ claimId, key, answer }),
+      renew: () => this.#claimAs(call),
       release: () => void this.#concludeLater({ claimId, key }),
     };
   }
--- a/packages/heatherarch-gateway/gateway_host.ts
+++ b/packages/heatherarch-gateway/gateway_host.ts
@@ -51,6 +51,11 @@
   isValid(): boolean;
   /** Records the answer. Returns at once; the record is retried in the background. */
   conclude(answer: KeptAnswer): void;
+  /**
+   * Asks again for the permission of a claim that lapsed unused, under the same claim id.
+   * To be called only where the call was certainly not handed over.
+   */
+  renew(): Promise<ClaimAnswer>;
   /** Gives the key back: the call was certainly not handed over. */
   release(): void;
 }
--- a/packages/heatherarch-gateway/plain_call.ts
+++ b/packages/heatherarch-gateway/plain_call.ts
@@ -107,9 +107,11 @@
 async function callOnce(
   host: GatewayHost,
   request: PlainRequest,
-  claim: HeldClaim | undefined,
+  granted: HeldClaim | undefined,
 ): Promise<PlainAnswer> {
   const failed = new Set<string>();
+  let claim = granted;
+  let renewed = false;
   while (true) {
     const candidate = pickTarget(host, request, failed);
     if (candidate === undefined) {
@@ -118,13 +120,23 @@
         run: "no",
       });
     }
-    const guard = claim && (() => claim.isValid());
+    const held = claim;
+    const guard = held && (() => held.isValid());
     const attempt = await sendTo(host, request, candidate, guard);
     if (attempt.kind === "answer") {
       claim?.conclude(buildKeptAnswer(attempt.answer));
       return attempt.answer;
     }
     if (attempt.kind === "unknown") throw attempt.error;
+    if (attempt.withheld && claim !== undefined && !renewed) {
+      // The shard has a new owner, or the permission was too old; nothing was sent.
+      renewed = true;
+      const again = await claim.renew();
+      if (again.kind === "refused") throw again.error;
+      if (again.kind === "answered") return restoreAnswer(again.answer);
+      claim = again.claim;
+      continue;
+    }
     if (attempt.withheld) {
       claim?.release();
       const message =
