--- /dev/null
+++ b/packages/heatherarch-lab/proofs/membership_proof.ts
@@ -0,0 +1,178 @@
+/**
+ * Proof of the membership view: answers, restarts, silence, lagging lists. The oracle keeps
+ * only when each peer was last heard, under which incarnation, and how far it had come.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import {
+  Membership,
+  MEMBERSHIP_GUARDS,
+  type MembershipGuard,
+} from "heatherarch-mesh";
+import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
+
+const PEERS = 3;
+const SILENCE_MS = 1000;
+
+type Operation =
+  | { readonly kind: "heard"; readonly peer: number }
+  | { readonly kind: "restart"; readonly peer: number }
+  | {
+    readonly kind: "progress";
+    readonly peer: number;
+    readonly offset: number;
+    readonly leaving: boolean;
+  }
+  | { readonly kind: "list"; readonly peers: readonly number[] }
+  | { readonly kind: "wait"; readonly ms: number };
+
+interface Expected {
+  incarnation: number;
+  heardIncarnation: number;
+  heardAtMs: number;
+  offset: number;
+  leaving: boolean;
+}
+
+/** One view, its peers and the oracle. */
+class MembershipWorld {
+  readonly #membership: Membership;
+  readonly #expected: Expected[] = [];
+  #nowMs = 0;
+
+  constructor(off: ReadonlySet<MembershipGuard>) {
+    const self = {
+      id: "self",
+      incarnation: "r",
+      availabilityZone: "a",
+      mesh: "m",
+    };
+    this.#membership = new Membership({
+      self,
+      silenceMs: SILENCE_MS,
+      disabledGuards: off,
+    });
+    for (let i = 0; i < PEERS; i++) {
+      this.#expected.push({
+        incarnation: 0,
+        heardIncarnation: -1,
+        heardAtMs: -Infinity,
+        offset: -1,
+        leaving: false,
+      });
+    }
+  }
+
+  apply(operation: Operation): void {
+    switch (operation.kind) {
+      case "heard":
+        this.#hear(operation.peer);
+        break;
+      case "restart":
+        this.#expected[operation.peer].incarnation++;
+        break;
+      case "progress":
+        this.#progress(operation);
+        break;
+      case "list":
+        this.#membership.noteListed(
+          operation.peers.map((peer) => this.#buildPeer(peer)),
+        );
+        break;
+      case "wait":
+        this.#nowMs += operation.ms;
+    }
+    this.#membership.expire(this.#nowMs);
+    this.#check();
+  }
+
+  #buildPeer(peer: number) {
+    const incarnation = `run${this.#expected[peer].incarnation}`;
+    return {
+      id: `vm${peer}`,
+      incarnation,
+      availabilityZone: "a",
+      mesh: `m${peer}`,
+    };
+  }
+
+  #hear(peer: number): void {
+    this.#membership.noteHeard(this.#buildPeer(peer), this.#nowMs);
+    const expected = this.#expected[peer];
+    if (expected.heardIncarnation !== expected.incarnation) {
+      expected.heardIncarnation = expected.incarnation;
+      expected.offset = -1;
+      expected.leaving = false;
+    }
+    expected.heardAtMs = this.#nowMs;
+  }
+
+  /** Progress comes with a heartbeat, and so with an answer. */
+  #progress(operation: Extract<Operation, { kind: "progress" }>): void {
+    this.#hear(operation.peer);
+    const { offset, leaving } = operation;
+    this.#membership.noteProgress(`vm${operation.peer}`, {
+      configOffset: offset,
+      controlOffset: offset,
+      leaving,
+    });
+    const expected = this.#expected[operation.peer];
+    expected.offset = Math.max(expected.offset, offset);
+    expected.leaving ||= leaving;
+  }
+
+  #check(): void {
+    const live = this.#membership.listLive();
+    this.#expected.forEach((expected, peer) => {
+      const heard = this.#nowMs - expected.heardAtMs <= SILENCE_MS;
+      const wanted = heard && !expected.leaving;
+      requirePromise(
+        live.includes(`vm${peer}`) === wanted,
+        "a peer is live by what it answers",
+        `vm${peer} expected ${wanted}`,
+      );
+      const member = this.#membership.getMember(`vm${peer}`);
+      requirePromise(
+        !heard || member?.configOffset === expected.offset,
+        "progress is that of the present incarnation and never lower",
+        `${member?.configOffset}, not ${expected.offset}`,
+      );
+    });
+  }
+}
+
+const PEER = fc.integer({ min: 0, max: PEERS - 1 });
+
+const OPERATION: fc.Arbitrary<Operation> = fc.oneof(
+  fc.record({ kind: fc.constant("heard" as const), peer: PEER }),
+  fc.record({ kind: fc.constant("restart" as const), peer: PEER }),
+  fc.record({
+    kind: fc.constant("progress" as const),
+    peer: PEER,
+    offset: fc.integer({ min: 0, max: 20 }),
+    leaving: fc.constantFrom(false, false, false, true),
+  }),
+  fc.record({
+    kind: fc.constant("list" as const),
+    peers: fc.uniqueArray(PEER, { maxLength: PEERS }),
+  }),
+  fc.record({
+    kind: fc.constant("wait" as const),
+    ms: fc.integer({ min: 50, max: 1500 }),
+  }),
+);
+
+/** The membership view under random schedules. */
+export const MEMBERSHIP_PROOF: Proof = {
+  name: "membership",
+  guards: MEMBERSHIP_GUARDS,
+  build: (off) =>
+    fc.property(
+      fc.array(OPERATION, { minLength: 4, maxLength: 60, size: "max" }),
+      (operations) => {
+        const world = new MembershipWorld(buildGuardSet<MembershipGuard>(off));
+        for (const operation of operations) world.apply(operation);
+      },
+    ),
+};
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -8,6 +8,7 @@
 import { GENERATION_PROOF } from "./generation_proof.ts";
 import { LEASE_PROOF } from "./lease_proof.ts";
 import { LEAVING_PROOF } from "./leaving_proof.ts";
+import { MEMBERSHIP_PROOF } from "./membership_proof.ts";
 import { ORDER_WRITE_PROOF } from "./order_write_proof.ts";
 import { PARSER_PROOF } from "./parser_proof.ts";
 import type { Proof } from "./proof.ts";
@@ -25,6 +26,7 @@
   { proof: CLAIMS_PROOF, testRuns: 400, mutationRuns: 20_000 },
   { proof: CONFIG_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: LEAVING_PROOF, testRuns: 500, mutationRuns: 5000 },
+  { proof: MEMBERSHIP_PROOF, testRuns: 500, mutationRuns: 5000 },
   { proof: PARSER_PROOF, testRuns: 500, mutationRuns: 5000 },
   { proof: GENERATION_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: ORDER_WRITE_PROOF, testRuns: 20, mutationRuns: 100 },
--- a/packages/heatherarch-mesh/membership.ts
+++ b/packages/heatherarch-mesh/membership.ts
@@ -23,6 +23,16 @@
   readonly intervalMs: number;
 }
 
+/** Guards of the view; the proofs switch them off one at a time. */
+export const MEMBERSHIP_GUARDS = [
+  "progressNeverLower",
+  "newIncarnationStartsAnew",
+  "silentIsSuspect",
+  "listIsOnlyAHint",
+] as const;
+/** Name of a guard. */
+export type MembershipGuard = typeof MEMBERSHIP_GUARDS[number];
+
 /** Options of {@linkcode Membership}. */
 export interface MembershipOptions {
   readonly self: {
@@ -37,6 +47,7 @@
   readonly forgetMs?: number;
   /** Links to each other availability zone. */
   readonly linksPerZone?: number;
+  readonly disabledGuards?: ReadonlySet<MembershipGuard>;
 }
 
 const DEFAULT_FORGET_MS = 60_000;
@@ -54,6 +65,7 @@
     this.#options = {
       forgetMs: DEFAULT_FORGET_MS,
       linksPerZone: DEFAULT_LINKS_PER_ZONE,
+      disabledGuards: new Set(),
       ...options,
     };
   }
@@ -63,6 +75,11 @@
     vms: readonly { id: string; availabilityZone: string; mesh: string }[],
   ): void {
     this.#listed = new Set(vms.map((vm) => vm.id));
+    if (this.#isOff("listIsOnlyAHint")) {
+      for (const id of this.#members.keys()) {
+        if (!this.#listed.has(id)) this.#members.delete(id);
+      }
+    }
     for (const vm of vms) {
       if (vm.id === this.#options.self.id) continue;
       const known = this.#members.get(vm.id);
@@ -96,7 +113,9 @@
   ): void {
     if (peer.id === this.#options.self.id) return;
     const known = this.#members.get(peer.id);
-    const same = known?.incarnation === peer.incarnation;
+    const anew = known?.incarnation !== peer.incarnation &&
+      !this.#isOff("newIncarnationStartsAnew");
+    const same = known !== undefined && !anew;
     this.#members.set(peer.id, {
       ...peer,
       status: same && known.status === "leaving" ? "leaving" : "live",
@@ -121,7 +140,9 @@
     if (known === undefined) return;
     this.#members.set(id, {
       ...known,
-      configOffset: Math.max(known.configOffset, progress.configOffset),
+      configOffset: this.#isOff("progressNeverLower")
+        ? progress.configOffset
+        : Math.max(known.configOffset, progress.configOffset),
       controlOffset: Math.max(known.controlOffset, progress.controlOffset),
       status: progress.leaving ? "leaving" : known.status,
       intervalMs: progress.intervalMs ?? known.intervalMs,
@@ -135,7 +156,7 @@
       if (silentMs <= this.getSilenceMs(member)) continue;
       if (silentMs > this.#options.forgetMs && !this.#listed.has(id)) {
         this.#members.delete(id);
-      } else if (member.status === "live") {
+      } else if (member.status === "live" && !this.#isOff("silentIsSuspect")) {
         this.#members.set(id, { ...member, status: "suspect" });
       }
     }
@@ -199,4 +220,8 @@
     }
     return picked;
   }
+
+  #isOff(guard: MembershipGuard): boolean {
+    return this.#options.disabledGuards.has(guard);
+  }
 }
