--- /dev/null
+++ b/packages/heatherarch-forward/answer_relay.ts
@@ -0,0 +1,141 @@
+/**
+ * Passing a target's answer on to the caller: whole once it is whole, or event by event.
+ *
+ * @module
+ */
+import { copyEndToEnd } from "./answer_headers.ts";
+import type { CallerPort } from "./caller_port.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import type {
+  AnswerHead,
+  ExchangeError,
+  TargetExchange,
+} from "./target_exchange.ts";
+
+/** Answers up to this size are held until they are whole; larger ones are passed on as they come. */
+const MAX_HELD_BYTES = 1024 * 1024;
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
+
+/** How the body of an answer ended. */
+export type RelayEnd = "whole" | ExchangeError;
+
+/** An answer that is held whole, ready to be passed on. */
+export interface HeldAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+/**
+ * Reads an answer whole, so that one that breaks off can be tried elsewhere. Rejects with an
+ * {@linkcode ExchangeError}.
+ */
+export async function readAnswer(
+  exchange: TargetExchange,
+  head: AnswerHead,
+): Promise<HeldAnswer> {
+  return { head, body: await exchange.readBody(MAX_HELD_BYTES) };
+}
+
+/** Passes a held answer on. */
+export function deliverAnswer(
+  caller: CallerPort,
+  method: string,
+  answer: HeldAnswer,
+): void {
+  const { head, body } = answer;
+  const isBodiless = method === "HEAD" || head.status === 204 ||
+    head.status === 304;
+  if (isBodiless) {
+    caller.writeHead(head.status, copyEndToEnd(head.rawHeaders));
+    caller.end();
+    return;
+  }
+  const headers = copyEndToEnd(head.rawHeaders, LENGTH_HEADERS);
+  headers.push("Content-Length", String(body.length));
+  caller.writeHead(head.status, headers);
+  caller.end(body);
+}
+
+/** Options of {@linkcode StreamRelay}. */
+export interface StreamRelayOptions {
+  readonly caller: CallerPort;
+  /** Events are passed on whole, so that another run can go on after the last one. */
+  readonly isResumable: boolean;
+  /** Called when the first bytes of the answer's body go out. */
+  readonly onFirstByte: () => void;
+}
+
+/** Passes a stream on, from one target or, where it may be resumed, from several in turn. */
+export class StreamRelay {
+  readonly #options: StreamRelayOptions;
+  #lastEventId: string | undefined;
+  #isStarted = false;
+
+  constructor(options: StreamRelayOptions) {
+    this.#options = options;
+  }
+
+  /** Id of the last event that was passed on. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Whether any bytes of the body were passed on. */
+  get isStarted(): boolean {
+    return this.#isStarted;
+  }
+
+  /** Passes the body of one run on; the head of the first run stands for all. */
+  relay(exchange: TargetExchange, head: AnswerHead): Promise<RelayEnd> {
+    const { caller, isResumable } = this.#options;
+    if (!caller.isAnswered) {
+      const drop = isResumable ? LENGTH_HEADERS : undefined;
+      caller.writeHead(head.status, copyEndToEnd(head.rawHeaders, drop));
+    }
+    const splitter = isResumable ? new EventSplitter() : undefined;
+    return new Promise((resolve) => {
+      exchange.listen({
+        onData: (bytes) => {
+          if (splitter === undefined) this.#write(exchange, bytes);
+          else this.#pushEvents(exchange, splitter, bytes);
+        },
+        onEnd: () => {
+          if (splitter !== undefined && splitter.rest.length > 0) {
+            this.#write(exchange, splitter.rest);
+          }
+          resolve("whole");
+        },
+        onFault: resolve,
+      });
+    });
+  }
+
+  #pushEvents(
+    exchange: TargetExchange,
+    splitter: EventSplitter,
+    bytes: Buffer,
+  ): void {
+    for (const event of splitter.push(bytes)) {
+      if (this.#isRepeated(event.id)) continue;
+      if (event.id !== undefined) this.#lastEventId = event.id;
+      this.#write(exchange, event.bytes);
+    }
+  }
+
+  /** Event ids increase; one that does not has been passed on before. */
+  #isRepeated(id: string | undefined): boolean {
+    if (id === undefined || this.#lastEventId === undefined) return false;
+    return Number(id) <= Number(this.#lastEventId);
+  }
+
+  #write(exchange: TargetExchange, bytes: Buffer): void {
+    const { caller, onFirstByte } = this.#options;
+    if (!this.#isStarted) {
+      this.#isStarted = true;
+      onFirstByte();
+    }
+    if (caller.write(bytes)) return;
+    exchange.pause();
+    caller.registerDrain(() => exchange.resume());
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -0,0 +1,385 @@
+/**
+ * One entry VM that forwards calls: builds all parts from its settings, starts them, and shuts
+ * them down gracefully.
+ *
+ * @module
+ */
+import {
+  asValue,
+  type AwilixContainer,
+  createContainer,
+  InjectionMode,
+} from "awilix";
+import { type Clock, createId, RuntimeClock, sleep } from "heatherarch-core";
+import type { LogPort } from "heatherarch-log";
+import { splitAddress } from "heatherarch-mesh";
+import type { ForwardSettings } from "heatherarch-settings";
+import { CallServer } from "./call_server.ts";
+import { ConfigView } from "./config_view.ts";
+import { type EventLog, StdoutEventLog } from "./event_log.ts";
+import { FleetMesh } from "./fleet_mesh.ts";
+import { Ingress } from "./ingress.ts";
+import { ForwardMetrics } from "./metrics.ts";
+import type { RoutingConfig, Target } from "./model.ts";
+import type { CallCodec, DirectoryPorts, KeyedEntry } from "./ports.ts";
+import { PromptIndex } from "./prompt_index.ts";
+import { PromptPlacer } from "./prompt_placement.ts";
+import { ReadModel } from "./read_model.ts";
+import { RetryAllowance } from "./retry_allowance.ts";
+import { RoleKeeper } from "./role_keeper.ts";
+import type { Serving } from "./serving.ts";
+import { StatusServer } from "./status_server.ts";
+import { TargetConnections } from "./target_connections.ts";
+import { TargetDirectory } from "./target_directory.ts";
+import { TargetHealth } from "./target_health.ts";
+import { TopicFollower } from "./topic_follower.ts";
+import { WorkLedger } from "./work_ledger.ts";
+
+/** What an adapter brings. */
+export interface PlatformPorts {
+  readonly codec: CallCodec;
+  readonly directory: DirectoryPorts;
+  readonly log: LogPort;
+  /** Path at which the platform's balancer asks for readiness. */
+  readonly readinessPath: string;
+}
+
+/** Options of {@linkcode ForwardVm}. */
+export interface ForwardVmOptions {
+  readonly settings: ForwardSettings;
+  readonly ports: PlatformPorts;
+  readonly clock?: Clock;
+  readonly log?: EventLog;
+}
+
+interface Parts extends Serving {
+  readonly mesh: FleetMesh;
+  readonly roles: RoleKeeper;
+  readonly ingress: Ingress;
+  readonly status: StatusServer;
+  readonly configFollower: TopicFollower<RoutingConfig>;
+  readonly targetFollower: TopicFollower<Target>;
+}
+
+const METRICS_PATH = "/metrics";
+/** How often lapsed beliefs are swept, milliseconds. */
+const SWEEP_MS = 250;
+/** How often the end of the calls in progress is looked for while stopping, milliseconds. */
+const DRAIN_LOOK_MS = 50;
+/** Time to write the last lines and records before the platform ends the process. */
+const EXIT_MARGIN_MS = 400;
+/** Time for which an engine that another VM ordered to change gets no work; told again each heartbeat. */
+const CHANGING_MS = 1500;
+
+/** The process of one entry VM. */
+export class ForwardVm {
+  readonly #settings: ForwardSettings;
+  readonly #ports: PlatformPorts;
+  readonly #clock: Clock;
+  readonly #log: EventLog;
+  readonly #container: AwilixContainer<Parts>;
+  #sweeper: NodeJS.Timeout | undefined;
+  #stopping = false;
+
+  constructor(options: ForwardVmOptions) {
+    const { settings } = options;
+    this.#settings = settings;
+    this.#ports = options.ports;
+    this.#clock = options.clock ?? new RuntimeClock();
+    this.#log = options.log ??
+      new StdoutEventLog({ vm: settings.vm.id, level: settings.logs.level });
+    this.#container = createContainer<Parts>({
+      injectionMode: InjectionMode.PROXY,
+    });
+    this.#registerBeliefs();
+    this.#registerTasks();
+  }
+
+  /** Whether this VM can serve: it knows a configuration and targets, and is not stopping. */
+  get isReady(): boolean {
+    const { configs, directory } = this.#parts;
+    return !this.#stopping && configs.table !== undefined && directory.size > 0;
+  }
+
+  async start(): Promise<void> {
+    const { ingress, status, mesh, roles } = this.#parts;
+    const { listen } = this.#settings;
+    this.#log.write("info", "starting", {
+      pid: process.pid,
+      node: process.version,
+      listen,
+    });
+    this.#watchConfig();
+    await Promise.all([
+      ingress.start(),
+      this.#listenStatus(status, listen.readiness),
+      this.#listenStatus(status, listen.metrics),
+    ]);
+    await mesh.start();
+    this.#parts.configFollower.start();
+    this.#parts.targetFollower.start();
+    roles.start();
+    this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MS);
+    this.#log.write("info", "started", { address: listen.callers });
+  }
+
+  /** Takes over settings that may change while the process runs. */
+  applySettings(settings: ForwardSettings): void {
+    if (this.#log instanceof StdoutEventLog) {
+      this.#log.setLevel(settings.logs.level);
+    }
+    this.#log.write("info", "settingsReloaded", { level: settings.logs.level });
+  }
+
+  /** Settings were read anew and can't be used: those in force stay. */
+  refuseSettings(faults: string): void {
+    this.#log.write("error", "settingsRefused", { faults });
+  }
+
+  /** Something threw where nothing catches; the process goes on. */
+  noteCrash(error: unknown): void {
+    this.#log.write("error", "uncaught", {
+      error: String((error as Error)?.stack ?? error),
+    });
+  }
+
+  /** Finishes what is in progress, within the time that the platform gives, and ends. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const { ingress, mesh, roles } = this.#parts;
+    const { graceSeconds, noticeMs } = this.#settings.shutdown;
+    const startedAtMs = this.#clock.readMonotonicMs();
+    const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
+    this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
+    ingress.beginDrain();
+    await Promise.all([roles.stop(), mesh.leave(), sleep(noticeMs)]);
+    ingress.closeListener();
+    while (
+      ingress.openCalls > 0 && this.#clock.readMonotonicMs() < untilMs
+    ) await sleep(DRAIN_LOOK_MS);
+    this.#log.write("info", "stopped", {
+      openCalls: ingress.openCalls,
+      tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
+    });
+    await this.#closeAll();
+  }
+
+  get #parts(): Parts {
+    return this.#container.cradle;
+  }
+
+  #registerBeliefs(): void {
+    const { share, fixedPerWindow, windowSeconds } = this.#settings.retries;
+    const windowMs = windowSeconds * 1000;
+    const readModel = new ReadModel();
+    this.#container.register({
+      clock: asValue(this.#clock),
+      log: asValue(this.#log),
+      codec: asValue(this.#ports.codec),
+      metrics: asValue(new ForwardMetrics()),
+      configs: asValue(new ConfigView()),
+      directory: asValue(new TargetDirectory()),
+      health: asValue(new TargetHealth()),
+      ledger: asValue(new WorkLedger()),
+      connections: asValue(new TargetConnections()),
+      allowance: asValue(
+        new RetryAllowance({ share, fixedPerWindow, windowMs }),
+      ),
+      readModel: asValue(readModel),
+      prompts: asValue(new PromptIndex()),
+      placer: asValue(new PromptPlacer({ model: readModel })),
+      drawUnit: asValue(Math.random),
+    });
+  }
+
+  #registerTasks(): void {
+    const parts = this.#parts;
+    const settings = this.#settings;
+    const ports = this.#ports;
+    const incarnation = createId("vm");
+    const callServer = new CallServer(parts);
+    const callers = splitAddress(settings.listen.callers);
+    this.#container.register({
+      ingress: asValue(
+        new Ingress({
+          ...callers,
+          codec: parts.codec,
+          server: callServer,
+          clock: parts.clock,
+          log: parts.log,
+        }),
+      ),
+      status: asValue(
+        new StatusServer({
+          metrics: parts.metrics,
+          readinessPath: ports.readinessPath,
+          metricsPath: METRICS_PATH,
+          isReady: () => this.isReady,
+        }),
+      ),
+      configFollower: asValue(this.#buildConfigFollower()),
+      targetFollower: asValue(this.#buildTargetFollower()),
+      roles: asValue(this.#buildRoleKeeper(incarnation)),
+      mesh: asValue(this.#buildMesh(incarnation)),
+    });
+  }
+
+  #buildMesh(incarnation: string): FleetMesh {
+    const settings = this.#settings;
+    const parts = this.#parts;
+    return new FleetMesh({
+      self: {
+        id: settings.vm.id,
+        incarnation,
+        availabilityZone: settings.vm.availabilityZone,
+        mesh: settings.listen.mesh,
+      },
+      ...settings.mesh,
+      vms: this.#ports.directory.vms,
+      clock: parts.clock,
+      log: parts.log,
+      ledger: parts.ledger,
+      prompts: parts.prompts,
+      configs: parts.configs,
+      onLiveVms: (count) => this.#shareLimits(count),
+      onChanging: (targets) => this.#noteChanging(targets),
+      listChanging: () => this.#parts.roles.listChanging(),
+    });
+  }
+
+  #buildRoleKeeper(incarnation: string): RoleKeeper {
+    const parts = this.#parts;
+    return new RoleKeeper({
+      vmId: this.#settings.vm.id,
+      incarnation,
+      log: this.#ports.log,
+      leaseMs: this.#settings.lease.durationMs,
+      clock: parts.clock,
+      configs: parts.configs,
+      directory: parts.directory,
+      connections: parts.connections,
+      codec: parts.codec,
+      events: parts.log,
+      metrics: parts.metrics,
+      listLiveVms: () => this.#parts.mesh.listLive(),
+      isListCurrent: () => this.#parts.targetFollower.isCurrent,
+    });
+  }
+
+  #buildConfigFollower(): TopicFollower<RoutingConfig> {
+    const { store } = this.#settings;
+    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
+      this.#applyConfigs(entries);
+    return new TopicFollower({
+      name: "configs",
+      port: this.#ports.directory.configs,
+      log: this.#log,
+      pollMs: 0,
+      waitMs: store.configWaitMs,
+      onList: apply,
+      onChanges: apply,
+    });
+  }
+
+  #buildTargetFollower(): TopicFollower<Target> {
+    const { directory } = this.#parts;
+    const { store } = this.#settings;
+    return new TopicFollower({
+      name: "targets",
+      port: this.#ports.directory.targets,
+      log: this.#log,
+      pollMs: store.targetPollMs,
+      waitMs: 0,
+      onList: (entries) => {
+        directory.applyList(entries, this.#clock.readMonotonicMs());
+        this.#noteTargets(entries);
+      },
+      onChanges: (entries) => {
+        directory.applyChanges(entries, this.#clock.readMonotonicMs());
+        this.#noteTargets(entries);
+      },
+      onLost: () => directory.noteOutage(),
+    });
+  }
+
+  #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
+    for (const { value } of entries) {
+      if (value === undefined) continue;
+      const before = this.#parts.configs.version;
+      if (!this.#parts.configs.applyConfig(value)) continue;
+      this.#log.write("info", "configApplied", {
+        version: value.version,
+        before,
+        routes: value.routes.length,
+        source: "store",
+      });
+    }
+  }
+
+  /** A line for each target that came, left, or changed its role. */
+  #noteTargets(entries: readonly KeyedEntry<Target>[]): void {
+    const { directory, metrics, connections, prompts } = this.#parts;
+    for (const { key, value } of entries) {
+      if (value === undefined) prompts.forgetTarget(key);
+      if (value !== undefined && !value.leaving) continue;
+      this.#log.write("info", "targetLeaving", {
+        target: key,
+        address: value?.address,
+        listed: value !== undefined,
+      });
+    }
+    metrics.targets.set(directory.size);
+    connections.keepOnly(
+      new Set(directory.listAll().map((target) => target.id)),
+    );
+  }
+
+  #watchConfig(): void {
+    const { configs, ingress, metrics } = this.#parts;
+    configs.registerListener((table) => {
+      ingress.applyLimits(table.config.limits);
+      metrics.configVersion.set(table.version);
+    });
+  }
+
+  #shareLimits(liveVms: number): void {
+    const { allowance, connections, metrics } = this.#parts;
+    allowance.setLiveVms(liveVms);
+    connections.setLiveVms(liveVms);
+    metrics.liveVms.set(liveVms);
+  }
+
+  #noteChanging(targets: readonly string[]): void {
+    const untilMs = this.#clock.readMonotonicMs() + CHANGING_MS;
+    for (const id of targets) this.#parts.directory.markChanging(id, untilMs);
+  }
+
+  #sweep(): void {
+    const { directory, roles } = this.#parts;
+    const gone = directory.expire(this.#clock.readMonotonicMs());
+    for (const id of gone) {
+      this.#log.write("info", "targetGone", {
+        target: id,
+        reason: "not listed again after an outage of the store",
+      });
+    }
+    this.#noteChanging(roles.listChanging());
+  }
+
+  async #listenStatus(status: StatusServer, address: string): Promise<void> {
+    const { host, port } = splitAddress(address);
+    await status.listen(host, port);
+  }
+
+  async #closeAll(): Promise<void> {
+    const { ingress, status, mesh, connections } = this.#parts;
+    clearInterval(this.#sweeper);
+    this.#parts.configFollower.stop();
+    this.#parts.targetFollower.stop();
+    ingress.closeAll();
+    status.close();
+    mesh.stop();
+    await connections.close();
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -0,0 +1,405 @@
+/**
+ * Life of a generation: an engine reads the prompt, another takes the KV cache over and
+ * streams. A reading may be repeated; a run only where the route's streams may be resumed.
+ *
+ * @module
+ */
+import { type RelayEnd, StreamRelay } from "./answer_relay.ts";
+import type { CallRun } from "./call_run.ts";
+import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
+import type { KvHandle } from "./ports.ts";
+import type { PromptPlacement } from "./prompt_placement.ts";
+import { pickRunner, type RunCandidate } from "./run_placement.ts";
+import { ExchangeError } from "./target_exchange.ts";
+import { awaitHead, isSuccess } from "./try_judge.ts";
+
+/** Tries of either stage for one call. */
+const MAX_ROUNDS = 5;
+/** With less time left than this a first token can't reach the client, milliseconds. */
+const MIN_ROUND_MS = 40;
+/** From the read prompt to the first token at the client: two hops, a transfer, a step. */
+const FIRST_TOKEN_MS = 35;
+/** A reading is given up after this many times its predicted time, and the slack. */
+const READ_PATIENCE = 3;
+const READ_SLACK_MS = 500;
+/** A resumable run that is silent for this long goes on elsewhere, milliseconds. */
+const RUN_SILENCE_MS = 900;
+/** Longest answer to a reading; it holds a handle and two numbers. */
+const MAX_HANDLE_BYTES = 64 * 1024;
+/** Engine priorities: a call on time goes by its route's rank, a late one behind all. */
+const FIRST_PRIORITY = 2;
+const LAST_ON_TIME_PRIORITY = 6;
+const LATE_PRIORITY = 8;
+/** Wait that a refused caller is told at least, milliseconds. */
+const MIN_RETRY_AFTER_MS = 200;
+
+type ReadResult =
+  | { readonly kind: "read"; readonly source: KvHandle; readonly by: Target }
+  /** No engine reads prompts apart; the generating engine reads this one. */
+  | { readonly kind: "apart" }
+  | { readonly kind: "again" | "over" };
+
+type RoundEnd = "ended" | "again";
+
+/** Serves one generation. */
+export class GenerationLife {
+  readonly #run: CallRun;
+  readonly #prompt: GenerationFacts;
+  readonly #traits: EngineTraits;
+  readonly #relay: StreamRelay;
+  readonly #tried = new Set<string>();
+  /** The next send repeats one that reached a target. */
+  #isFurther = false;
+  #reason = "no engine took the call";
+
+  constructor(run: CallRun, prompt: GenerationFacts, traits: EngineTraits) {
+    this.#run = run;
+    this.#prompt = prompt;
+    this.#traits = traits;
+    this.#relay = new StreamRelay({
+      caller: run.caller,
+      isResumable: run.route.kind === "resumableStream",
+      onFirstByte: () => this.#noteFirstByte(),
+    });
+  }
+
+  async serve(): Promise<void> {
+    const run = this.#run;
+    for (let round = 0; round < MAX_ROUNDS && !run.isOver; round++) {
+      if (run.remainingMs < MIN_ROUND_MS || !run.mayRunAgain) break;
+      const read = await this.#readPrompt();
+      if (run.isOver || read.kind === "over") break;
+      if (read.kind === "again") continue;
+      const source = read.kind === "read" ? read.source : undefined;
+      const by = read.kind === "read" ? read.by : undefined;
+      if (await this.#generate(source, by) === "ended") return;
+    }
+    this.#conclude();
+  }
+
+  /** Has the prompt read by the engine that is soonest done with it. */
+  async #readPrompt(): Promise<ReadResult> {
+    const run = this.#run;
+    const { ledger, codec } = run.serving;
+    const readers = this.#listEngines("prefill");
+    if (readers.length === 0) return { kind: "apart" };
+    const placement = this.#placePrompt(readers);
+    if (placement === undefined) return { kind: "apart" };
+    if (!this.#admit(placement)) return { kind: "over" };
+    if (this.#isFurther && !run.spendTry()) return { kind: "over" };
+    const { target } = placement;
+    const startedAtMs = run.nowMs;
+    const endRead = ledger.beginRead(target.id, placement.costMs, startedAtMs);
+    const exchange = run.send(
+      target,
+      codec.encodeTry(run.call, {
+        target,
+        patienceMs: run.remainingMs,
+        stage: "readPrompt",
+        fetchFrom: placement.fetchFrom?.address,
+        enginePriority: this.#rankPlacement(placement),
+        lastEventId: this.#relay.lastEventId,
+      }),
+    );
+    try {
+      const end = await awaitHead({
+        run,
+        target,
+        exchange,
+        stage: "readPrompt",
+        timeoutMs: placement.readyMs * READ_PATIENCE + READ_SLACK_MS,
+        isPatient: true,
+      });
+      if (end.kind === "over") return { kind: "over" };
+      if (end.kind !== "answer") {
+        return this.#missRead(target, end.kind, end.reason);
+      }
+      const body = await exchange.readBody(MAX_HANDLE_BYTES);
+      const handle = isSuccess(end.head.status)
+        ? codec.decodeHandle(body)
+        : undefined;
+      if (handle === undefined) {
+        return this.#missRead(target, "lost", `status ${end.head.status}`);
+      }
+      this.#learnReading(placement, run.nowMs - startedAtMs);
+      const source = { address: target.address, handle };
+      if (run.isOver) {
+        this.#freeHandle(source, target);
+        return { kind: "over" };
+      }
+      return { kind: "read", source, by: target };
+    } catch (error) {
+      if (!(error instanceof ExchangeError)) throw error;
+      return this.#missRead(target, "lost", error.message);
+    } finally {
+      endRead();
+    }
+  }
+
+  #missRead(
+    target: Target,
+    kind: "notSent" | "notRun" | "lost",
+    reason: string,
+  ): ReadResult {
+    this.#tried.add(target.id);
+    this.#reason = `prompt not read: ${reason}`;
+    if (kind !== "notSent") this.#isFurther = true;
+    return { kind: "again" };
+  }
+
+  /** Runs the call at an engine that generates, from a KV cache or from the prompt itself. */
+  async #generate(
+    source: KvHandle | undefined,
+    reader: Target | undefined,
+  ): Promise<RoundEnd> {
+    const run = this.#run;
+    const { codec, ledger } = run.serving;
+    const target = this.#pickRunner(reader?.availabilityZone);
+    if (target === undefined) {
+      this.#reason = "no engine generates";
+      this.#freeHandle(source, reader);
+      this.#isFurther = true;
+      return "again";
+    }
+    if (source === undefined && this.#isFurther && !run.spendTry()) {
+      this.#conclude();
+      return "ended";
+    }
+    const endRun = ledger.beginRun(target.id, this.#prompt.promptTokens);
+    const exchange = run.send(
+      target,
+      codec.encodeTry(run.call, {
+        target,
+        patienceMs: run.remainingMs,
+        stage: source === undefined ? "whole" : "takeOver",
+        kvSource: source,
+        enginePriority: this.#rankRun(),
+        lastEventId: this.#relay.lastEventId,
+      }),
+    );
+    run.noteRun();
+    try {
+      const end = await awaitHead({
+        run,
+        target,
+        exchange,
+        stage: source === undefined ? "whole" : "takeOver",
+        timeoutMs: this.#getSilenceMs(),
+      });
+      if (end.kind === "over") return "ended";
+      if (end.kind === "notSent" || end.kind === "notRun") {
+        run.noteNotRun();
+        return this.#missRun(target, source, reader, end.kind, end.reason);
+      }
+      if (end.kind === "lost") {
+        return this.#missRun(target, source, reader, "lost", end.reason);
+      }
+      const { status } = end.head;
+      if (isSuccess(status) && !end.facts.signed) {
+        exchange.abort("unsigned success");
+        return this.#missRun(
+          target,
+          source,
+          reader,
+          "lost",
+          "success without a signature",
+        );
+      }
+      if (!isSuccess(status) && this.#relay.isStarted) {
+        exchange.abort("no stream to go on with");
+        return this.#missRun(
+          target,
+          source,
+          reader,
+          "lost",
+          `status ${status}`,
+        );
+      }
+      const relayEnd = await this.#relayFrom(exchange, end.head);
+      return this.#takeRelayEnd(target, status, relayEnd);
+    } finally {
+      endRun();
+    }
+  }
+
+  async #relayFrom(
+    exchange: Parameters<StreamRelay["relay"]>[0],
+    head: Parameters<StreamRelay["relay"]>[1],
+  ): Promise<RelayEnd> {
+    return await this.#relay.relay(exchange, head);
+  }
+
+  #takeRelayEnd(target: Target, status: number, end: RelayEnd): RoundEnd {
+    const run = this.#run;
+    if (run.isOver) return "ended";
+    if (end === "whole") {
+      run.caller.end();
+      run.finish("delivered", { status, target: target.id });
+      return "ended";
+    }
+    this.#reason = `stream broke off: ${end.message}`;
+    this.#tried.add(target.id);
+    run.serving.health.noteOutcome(target.id, "failed", run.nowMs);
+    run.serving.log.write("info", "streamBroken", {
+      call: run.call.id,
+      target: target.id,
+      reason: end.message,
+      lastEventId: this.#relay.lastEventId,
+      mayResume: run.mayRunAgain,
+    });
+    this.#isFurther = true;
+    return "again";
+  }
+
+  #missRun(
+    target: Target,
+    source: KvHandle | undefined,
+    reader: Target | undefined,
+    kind: "notSent" | "notRun" | "lost",
+    reason: string,
+  ): RoundEnd {
+    this.#tried.add(target.id);
+    this.#reason = `not generated: ${reason}`;
+    if (kind === "notSent") this.#freeHandle(source, reader);
+    // A new round reads the prompt again: a further try either way.
+    this.#isFurther = true;
+    return "again";
+  }
+
+  #conclude(): void {
+    const run = this.#run;
+    if (run.isOver) return;
+    if (run.mayHaveRun) return run.fail("answerIncomplete", this.#reason);
+    const { drawUnit } = run.serving;
+    run.refuse("noTarget", this.#reason, {
+      retryAfterMs: MIN_RETRY_AFTER_MS * (1 + drawUnit()),
+      detail: { tried: [...this.#tried] },
+    });
+  }
+
+  /** Refuses at once what can't begin in its time. */
+  #admit(placement: PromptPlacement): boolean {
+    const run = this.#run;
+    const neededMs = placement.readyMs + FIRST_TOKEN_MS;
+    if (neededMs <= run.remainingMs) return true;
+    if (run.mayHaveRun) {
+      run.fail("answerIncomplete", "no time is left to go on elsewhere");
+      return false;
+    }
+    const spread = 1 + run.serving.drawUnit() / 2;
+    const excessMs = placement.readyMs - run.route.aimMs;
+    run.refuse("overloaded", "the prompt can't be read in the time left", {
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, excessMs) * spread,
+      detail: {
+        target: placement.target.id,
+        readyMs: Math.round(placement.readyMs),
+        remainingMs: Math.round(run.remainingMs),
+      },
+    });
+    return false;
+  }
+
+  #placePrompt(readers: readonly Target[]): PromptPlacement | undefined {
+    const run = this.#run;
+    const { ledger, placer, directory, prompts } = run.serving;
+    const nowMs = run.nowMs;
+    const candidates = readers.map((target) => ({
+      target,
+      backlogMs: ledger.getWork(target.id, nowMs).readMs,
+    }));
+    const key = placer.findKey(this.#prompt);
+    const holders = new Set(key === undefined ? [] : prompts.listHolders(key));
+    const serving = directory.listServing(run.service.name);
+    return placer.pickReader(this.#prompt, {
+      candidates,
+      readers: serving.filter((target) => target.role === "prefill"),
+      holders: serving.filter((target) => holders.has(target.id)),
+      traits: this.#traits,
+    });
+  }
+
+  /** Engines of a role that may be tried; avoided ones only where there is no other. */
+  #listEngines(role: "prefill" | "decode"): Target[] {
+    const run = this.#run;
+    const { directory, health, connections } = run.serving;
+    const nowMs = run.nowMs;
+    const open = directory.listServing(run.service.name)
+      .filter((target) => (target.role === "prefill") === (role === "prefill"))
+      .filter((target) => !this.#tried.has(target.id))
+      .filter((target) => !directory.isChanging(target.id, nowMs))
+      .filter((target) =>
+        connections.hasRoom(target, run.service.maxConnections)
+      );
+    const sound = open.filter((target) => !health.isAvoided(target.id, nowMs));
+    return sound.length > 0 ? sound : open;
+  }
+
+  #pickRunner(zone: string | undefined): Target | undefined {
+    const { ledger, drawUnit } = this.#run.serving;
+    const nowMs = this.#run.nowMs;
+    const candidates = this.#listEngines("decode")
+      .map((target): RunCandidate => {
+        const { runs, kvTokens } = ledger.getWork(target.id, nowMs);
+        const kvCapacity = this.#traits.kvTokens;
+        return { target, runs, kvTokens, kvCapacity };
+      });
+    return pickRunner(candidates, zone, drawUnit)?.target;
+  }
+
+  #rankPlacement(placement: PromptPlacement): number {
+    const isLate = placement.readyMs + FIRST_TOKEN_MS > this.#run.aimLeftMs;
+    return isLate ? LATE_PRIORITY : this.#rankRun();
+  }
+
+  #rankRun(): number {
+    const rank = FIRST_PRIORITY + this.#run.route.priority;
+    return Math.min(LAST_ON_TIME_PRIORITY, rank);
+  }
+
+  #getSilenceMs(): number | undefined {
+    const { kind, maxTargets } = this.#run.route;
+    return kind === "resumableStream" && maxTargets > 1
+      ? RUN_SILENCE_MS
+      : undefined;
+  }
+
+  /** Notes who holds the beginning now; short prompts show an engine's own speed. */
+  #learnReading(placement: PromptPlacement, tookMs: number): void {
+    const { readModel, placer, prompts } = this.#run.serving;
+    const key = placer.findKey(this.#prompt);
+    if (key !== undefined) prompts.noteRead(key, placement.target.id);
+    else if (placement.readyMs === placement.costMs) {
+      readModel.learn(placement.target.id, placement.costMs, tookMs);
+    }
+  }
+
+  #freeHandle(source: KvHandle | undefined, reader: Target | undefined): void {
+    if (source === undefined || reader === undefined) return;
+    const { connections, codec, directory, log } = this.#run.serving;
+    if (directory.findTarget(reader.id) === undefined) return;
+    connections.open(reader, codec.encodeFree(source.handle))
+      .readBody(MAX_HANDLE_BYTES)
+      .catch((error: Error) =>
+        // It lapses by itself after some seconds.
+        log.write("debug", "handleNotFreed", {
+          call: this.#run.call.id,
+          target: reader.id,
+          reason: error.message,
+        })
+      );
+  }
+
+  #noteFirstByte(): void {
+    const run = this.#run;
+    const tookMs = run.nowMs - run.call.arrivedAtMs;
+    run.serving.metrics.firstByte.observe(
+      { kind: run.route.kind },
+      tookMs / 1000,
+    );
+    run.serving.log.write("debug", "firstByte", {
+      call: run.call.id,
+      tookMs: Math.round(tookMs),
+      aimMs: run.route.aimMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/ingress.ts
@@ -0,0 +1,201 @@
+/**
+ * The callers' HTTP port. `node:http` is used directly: answers of targets pass through with
+ * their own headers and framing, which a framework would rewrite.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { type Clock, ServeError, toServeError } from "heatherarch-core";
+import { CallerPort } from "./caller_port.ts";
+import type { CallServer } from "./call_server.ts";
+import type { EventLog } from "./event_log.ts";
+import type { ClientLimits, ForwardedCall } from "./model.ts";
+import type { CallCodec } from "./ports.ts";
+
+/** Options of {@linkcode Ingress}. */
+export interface IngressOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly codec: CallCodec;
+  readonly server: CallServer;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Limits until a configuration brings its own. */
+const INITIAL_LIMITS: ClientLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+/** Head size that the parser takes at most; the configured limit is checked besides. */
+const PARSER_HEADER_BYTES = 64 * 1024;
+/** How often slow heads are looked for, milliseconds. */
+const SLOW_CHECK_MS = 500;
+/** Connections that may wait to be accepted; a burst of callers must not lose its SYNs. */
+const BACKLOG = 1024;
+
+/** Accepts calls. */
+export class Ingress {
+  readonly #options: IngressOptions;
+  readonly #http: Server;
+  #limits = INITIAL_LIMITS;
+  #draining = false;
+  #open = 0;
+
+  constructor(options: IngressOptions) {
+    this.#options = options;
+    this.#http = createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      connectionsCheckingInterval: SLOW_CHECK_MS,
+      noDelay: true,
+    });
+    this.#http.on("request", (request, response) => {
+      void this.#take(request, response);
+    });
+    this.#http.on("clientError", (error, socket) => {
+      this.#refuseBytes(error as NodeJS.ErrnoException, socket as Socket);
+    });
+    this.applyLimits(INITIAL_LIMITS);
+  }
+
+  /** Calls whose answer is not out yet. */
+  get openCalls(): number {
+    return this.#open;
+  }
+
+  async start(): Promise<void> {
+    const { host, port } = this.#options;
+    await new Promise<void>((resolve, reject) => {
+      this.#http.once("error", reject);
+      this.#http.listen({ host, port, backlog: BACKLOG }, resolve);
+    });
+  }
+
+  /** Takes over the limits of a configuration. */
+  applyLimits(limits: ClientLimits): void {
+    this.#limits = limits;
+    this.#http.headersTimeout = limits.headerTimeoutMs;
+    this.#http.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#http.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
+  }
+
+  /** From now on each answer closes its connection. */
+  beginDrain(): void {
+    this.#draining = true;
+  }
+
+  /** Takes no new connections and closes idle ones; calls in progress go on. */
+  closeListener(): void {
+    this.#http.close();
+    this.#http.closeIdleConnections();
+  }
+
+  /** Closes everything at once. */
+  closeAll(): void {
+    this.#http.closeAllConnections();
+  }
+
+  async #take(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#open++;
+    response.once("close", () => this.#open--);
+    if (this.#draining) response.setHeader("Connection", "close");
+    const arrivedAtMs = this.#options.clock.readMonotonicMs();
+    const caller = new CallerPort(response);
+    try {
+      const head = this.#readHead(request, arrivedAtMs);
+      const body = await readBody(request, this.#limits.maxBodyBytes);
+      if (body === undefined) return;
+      await this.#options.server.serve({ ...head, body }, caller);
+    } catch (error) {
+      this.#rejectHead(request, response, caller, toServeError(error));
+    }
+  }
+
+  #readHead(
+    request: IncomingMessage,
+    arrivedAtMs: number,
+  ): Omit<ForwardedCall, "body"> {
+    const { rawHeaders } = request;
+    const size = rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+    if (size > this.#limits.maxHeaderBytes) {
+      throw new ServeError("headersTooLarge", `head of ${size} bytes`);
+    }
+    return this.#options.codec.decodeCall({
+      method: request.method ?? "GET",
+      url: request.url ?? "/",
+      headers: request.headers,
+      rawHeaders,
+      arrivedAtMs,
+    });
+  }
+
+  #rejectHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+    caller: CallerPort,
+    error: ServeError,
+  ): void {
+    // What is left of the request can't be told from a next one.
+    if (!request.complete) response.setHeader("Connection", "close");
+    caller.fail(error, "");
+    this.#options.log.write("warn", "callRejected", {
+      kind: error.kind,
+      reason: error.message,
+      path: request.url,
+    });
+  }
+
+  /** Answers bytes that are no request, or one that came too slowly. */
+  #refuseBytes(error: NodeJS.ErrnoException, socket: Socket): void {
+    const status = CLIENT_ERROR_STATUS[error.code ?? ""] ?? "400 Bad Request";
+    if (socket.writable && socket.bytesWritten === 0) {
+      socket.end(
+        `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+      );
+    } else socket.destroy();
+    if (error.code === "ECONNRESET") return;
+    this.#options.log.write("info", "clientBytesRefused", {
+      code: error.code,
+      status,
+    });
+  }
+}
+
+const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/** The whole body; undefined where the client broke off. */
+async function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of request) {
+      size += (chunk as Buffer).length;
+      if (size > maxBytes) {
+        throw new ServeError("payloadTooLarge", `body over ${maxBytes} bytes`);
+      }
+      chunks.push(chunk as Buffer);
+    }
+  } catch (error) {
+    if (error instanceof ServeError) throw error;
+    // The client closed its connection: there is nobody to answer.
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/heatherarch-forward/metrics.ts
@@ -0,0 +1,59 @@
+/**
+ * Counters and latency histograms of the forwarding path.
+ *
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** From a lookup's own time to the longest client deadline on the users' sheets, seconds. */
+const LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5];
+
+/** Metrics of one VM. */
+export class ForwardMetrics {
+  readonly registry = new Registry();
+  readonly calls = new Counter({
+    name: "heatherarch_calls_total",
+    help: "Calls ended, by kind and outcome",
+    labelNames: ["kind", "outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly firstByte = new Histogram({
+    name: "heatherarch_first_byte_seconds",
+    help: "Time from the head of a call to the first byte of its answer",
+    labelNames: ["kind"] as const,
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly tries = new Counter({
+    name: "heatherarch_tries_total",
+    help: "Tries at targets, by stage and outcome",
+    labelNames: ["stage", "outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly orders = new Counter({
+    name: "heatherarch_orders_total",
+    help: "Orders to engines, by outcome",
+    labelNames: ["outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly inFlight = new Gauge({
+    name: "heatherarch_calls_in_flight",
+    help: "Calls in progress",
+    registers: [this.registry],
+  });
+  readonly configVersion = new Gauge({
+    name: "heatherarch_config_version",
+    help: "Version of the configuration in force",
+    registers: [this.registry],
+  });
+  readonly targets = new Gauge({
+    name: "heatherarch_targets",
+    help: "Targets known",
+    registers: [this.registry],
+  });
+  readonly liveVms = new Gauge({
+    name: "heatherarch_live_vms",
+    help: "Entry VMs that answer, this one included",
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/packages/heatherarch-forward/plain_life.ts
@@ -0,0 +1,166 @@
+/**
+ * Life of a call to a plain service: one target after another, as far as the kind of the call,
+ * the allowance for further tries and the time left permit.
+ *
+ * @module
+ */
+import { deliverAnswer, type HeldAnswer, readAnswer } from "./answer_relay.ts";
+import type { CallRun } from "./call_run.ts";
+import type { Target } from "./model.ts";
+import { pickRunner, type RunCandidate } from "./run_placement.ts";
+import { ExchangeError } from "./target_exchange.ts";
+import { awaitHead, isSuccess } from "./try_judge.ts";
+
+/** A further try is of no use with less time left than this, milliseconds. */
+const MIN_TRY_MS = 30;
+/** Tries that reach no target are cheap, but not without end. */
+const MAX_TRIES = 6;
+/** A silent target is given up after this many times the aim, where the call may be repeated. */
+const SILENCE_AIMS = 1;
+/** Wait that a refused caller is told, milliseconds; spread over as much again. */
+const RETRY_AFTER_MS = 250;
+
+type TryResult =
+  | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
+  | { readonly kind: "lost"; readonly reason: string }
+  | { readonly kind: "answer"; readonly answer: HeldAnswer };
+
+/** Serves one call of a plain service. */
+export class PlainLife {
+  readonly #run: CallRun;
+  readonly #tried = new Set<string>();
+  /** An answer of failure, passed on when no further try is made. */
+  #failure: HeldAnswer | undefined;
+  #reason = "";
+
+  constructor(run: CallRun) {
+    this.#run = run;
+  }
+
+  async serve(): Promise<void> {
+    const run = this.#run;
+    let isFurther = false;
+    for (let tries = 0; tries < MAX_TRIES && !run.isOver; tries++) {
+      const target = this.#pickTarget();
+      if (target === undefined) break;
+      if (isFurther && !run.spendTry()) break;
+      const result = await this.#try(target);
+      if (run.isOver || result.kind === "delivered") return;
+      if (result.kind !== "notSent") isFurther = true;
+      this.#noteResult(result);
+      if (!run.mayRunAgain || run.remainingMs < MIN_TRY_MS) break;
+    }
+    this.#conclude();
+  }
+
+  #noteResult(result: TryResult): void {
+    if (result.kind === "answer") this.#failure = result.answer;
+    else if (result.kind === "lost") this.#reason = result.reason;
+  }
+
+  async #try(target: Target): Promise<TryResult> {
+    const run = this.#run;
+    const { codec, ledger } = run.serving;
+    this.#tried.add(target.id);
+    const exchange = run.send(
+      target,
+      codec.encodeTry(run.call, {
+        target,
+        patienceMs: run.remainingMs,
+        stage: "whole",
+      }),
+    );
+    run.noteRun();
+    const endRun = ledger.beginRun(target.id, 0);
+    try {
+      const end = await awaitHead({
+        run,
+        target,
+        exchange,
+        stage: "whole",
+        timeoutMs: this.#getSilenceMs(),
+      });
+      if (end.kind === "over") return { kind: "over" };
+      if (end.kind === "notSent" || end.kind === "notRun") {
+        run.noteNotRun();
+        return end;
+      }
+      if (end.kind === "lost") return end;
+      if (isSuccess(end.head.status) && !end.facts.signed) {
+        exchange.abort("unsigned success");
+        return { kind: "lost", reason: "success without a signature" };
+      }
+      const answer = await readAnswer(exchange, end.head);
+      if (run.isOver) return { kind: "over" };
+      if (this.#mayBetter(end.head.status)) return { kind: "answer", answer };
+      this.#deliver(answer, target);
+      return { kind: "delivered" };
+    } catch (error) {
+      if (!(error instanceof ExchangeError)) throw error;
+      return { kind: "lost", reason: error.message };
+    } finally {
+      endRun();
+    }
+  }
+
+  /** Whether a further try may turn a failure of the target into a success. */
+  #mayBetter(status: number): boolean {
+    return status >= 500 && this.#run.mayRunAgain &&
+      this.#run.remainingMs >= MIN_TRY_MS;
+  }
+
+  #deliver(answer: HeldAnswer, target?: Target): void {
+    const run = this.#run;
+    const tookMs = run.nowMs - run.call.arrivedAtMs;
+    run.serving.metrics.firstByte.observe(
+      { kind: run.route.kind },
+      tookMs / 1000,
+    );
+    deliverAnswer(run.caller, run.call.method, answer);
+    run.finish("delivered", {
+      status: answer.head.status,
+      target: target?.id,
+      aimMs: run.route.aimMs,
+    });
+  }
+
+  #conclude(): void {
+    const run = this.#run;
+    if (run.isOver) return;
+    if (this.#failure !== undefined) return this.#deliver(this.#failure);
+    if (run.mayHaveRun) return run.fail("targetFailed", this.#reason);
+    const spread = 1 + run.serving.drawUnit();
+    run.refuse("noTarget", "no target took the call", {
+      retryAfterMs: RETRY_AFTER_MS * spread,
+      detail: {
+        tried: [...this.#tried],
+        listed: run.serving.directory.listServing(run.service.name).length,
+      },
+    });
+  }
+
+  #getSilenceMs(): number | undefined {
+    const { route, mayRunAgain } = this.#run;
+    if (route.kind !== "idempotent" || !mayRunAgain) return undefined;
+    return route.aimMs * SILENCE_AIMS;
+  }
+
+  #pickTarget(): Target | undefined {
+    const { directory, health, connections, ledger, drawUnit } =
+      this.#run.serving;
+    const { name, maxConnections } = this.#run.service;
+    const nowMs = this.#run.nowMs;
+    const open = directory.listServing(name)
+      .filter((target) => !this.#tried.has(target.id))
+      .filter((target) => connections.hasRoom(target, maxConnections));
+    const sound = open.filter((target) => !health.isAvoided(target.id, nowMs));
+    const candidates = (sound.length > 0 ? sound : open)
+      .map((target): RunCandidate => ({
+        target,
+        runs: ledger.getWork(target.id, nowMs).runs,
+        kvTokens: 0,
+        kvCapacity: 0,
+      }));
+    return pickRunner(candidates, undefined, drawUnit)?.target;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/prompt_placement.ts
@@ -0,0 +1,192 @@
+/**
+ * Which engine reads a prompt.
+ *
+ * Pattern of load: many prompts begin with one of a few hundred long shared parts (13,300 of
+ * 17,000 tokens), and reading such a part again takes four times as long as reading the rest.
+ * A shared part goes to the engines that hold it. Where none does, all VMs agree without
+ * talking on its home by rendezvous hashing, so that it is read once. When its holders have a
+ * backlog, another engine fetches it from one of them over the engines' links, which takes
+ * about a twentieth of the time of reading it.
+ *
+ * @module
+ */
+import { pickRendezvous } from "heatherarch-core";
+import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
+import type { ReadModel } from "./read_model.ts";
+
+/** An engine that could read a prompt. */
+export interface ReadCandidate {
+  readonly target: Target;
+  /** Time until it has read what it was given so far, milliseconds. */
+  readonly backlogMs: number;
+}
+
+/** Where a prompt is to be read. */
+export interface PromptPlacement {
+  readonly target: Target;
+  /** Engine that holds the shared parts, where these are to be fetched from it. */
+  readonly fetchFrom?: Target;
+  /** The shared parts are read anew. */
+  readonly isCold: boolean;
+  /** Time of the reading itself, milliseconds. */
+  readonly costMs: number;
+  /** Time until the prompt has been read, the backlog included. */
+  readonly readyMs: number;
+}
+
+/** What is known of the engines when a prompt is placed. */
+export interface PlacementView {
+  /** Engines that may read it. */
+  readonly candidates: readonly ReadCandidate[];
+  /** Engines among which homes are dealt out; may hold more than the candidates. */
+  readonly readers: readonly Target[];
+  /** Engines known to hold the shared parts. */
+  readonly holders: readonly Target[];
+  readonly traits: EngineTraits;
+}
+
+/** Options of {@linkcode PromptPlacer}. */
+export interface PromptPlacerOptions {
+  readonly model: ReadModel;
+  /** Shared parts below this many tokens have no home: reading them takes less than a fetch. */
+  readonly minHomeTokens?: number;
+  /** Wait that a fetch must save before it is worth its price, milliseconds. */
+  readonly fetchMarginMs?: number;
+  /** Wait that reading a part away from its home must save, milliseconds. */
+  readonly awayMarginMs?: number;
+  /** Fixed time of a fetch, milliseconds. */
+  readonly fetchSetupMs?: number;
+}
+
+/** 1,000 tokens are read in 16 ms; a fetch takes 3 ms and more and holds two links. */
+const DEFAULT_MIN_HOME_TOKENS = 1000;
+/** A fetch of 13,300 tokens costs a fortieth of the worth of being on time; see policy.md. */
+const DEFAULT_FETCH_MARGIN_MS = 40;
+/** Another VM may be sending the same part to its home just now: half of a long part's reading. */
+const DEFAULT_AWAY_MARGIN_MS = 120;
+/** Setup of a transfer in the users' sheets. */
+const DEFAULT_FETCH_SETUP_MS = 3;
+/** Transfers between availability zones take twice as long. */
+const CROSS_ZONE_FACTOR = 2;
+
+/** Picks the engine that has read a prompt soonest. */
+export class PromptPlacer {
+  readonly #options: Required<PromptPlacerOptions>;
+
+  constructor(options: PromptPlacerOptions) {
+    this.#options = {
+      minHomeTokens: DEFAULT_MIN_HOME_TOKENS,
+      fetchMarginMs: DEFAULT_FETCH_MARGIN_MS,
+      awayMarginMs: DEFAULT_AWAY_MARGIN_MS,
+      fetchSetupMs: DEFAULT_FETCH_SETUP_MS,
+      ...options,
+    };
+  }
+
+  /** Key of a prompt's shared beginning; undefined where it is too short to have a home. */
+  findKey(prompt: GenerationFacts): string | undefined {
+    if (sumShared(prompt) < this.#options.minHomeTokens) return undefined;
+    return prompt.parts.at(-2)?.id;
+  }
+
+  /** The best of the candidates, or undefined where there is none. */
+  pickReader(
+    prompt: GenerationFacts,
+    view: PlacementView,
+  ): PromptPlacement | undefined {
+    const key = this.findKey(prompt);
+    let best: PromptPlacement | undefined;
+    let bestScore = Infinity;
+    for (const candidate of view.candidates) {
+      const [placement, marginMs] = key === undefined
+        ? [this.#judgeShort(prompt, candidate), 0]
+        : this.#judge(prompt, key, candidate, view);
+      const score = placement.readyMs + marginMs;
+      if (score >= bestScore) continue;
+      best = placement;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  #judgeShort(
+    prompt: GenerationFacts,
+    { target, backlogMs }: ReadCandidate,
+  ): PromptPlacement {
+    const costMs = this.#options.model.predictMs(
+      target.id,
+      prompt.promptTokens,
+      0,
+    );
+    return { target, isCold: false, costMs, readyMs: backlogMs + costMs };
+  }
+
+  /** A placement, and the wait that it must save over others. */
+  #judge(
+    prompt: GenerationFacts,
+    key: string,
+    { target, backlogMs }: ReadCandidate,
+    view: PlacementView,
+  ): [PromptPlacement, number] {
+    const { model, fetchMarginMs, awayMarginMs } = this.#options;
+    const shared = sumShared(prompt);
+    const fresh = Math.max(0, prompt.promptTokens - shared);
+    const readMs = model.predictMs(target.id, fresh, shared);
+    const build = (
+      costMs: number,
+      isCold: boolean,
+      fetchFrom?: Target,
+    ): PromptPlacement => ({
+      target,
+      isCold,
+      costMs,
+      readyMs: backlogMs + costMs,
+      ...(fetchFrom === undefined ? {} : { fetchFrom }),
+    });
+    if (view.holders.some((holder) => holder.id === target.id)) {
+      return [build(readMs, false), 0];
+    }
+    const holder = pickNear(view.holders, target);
+    if (holder !== undefined) {
+      const fetchMs = this.#predictFetchMs(shared, holder, target, view.traits);
+      return [build(readMs + fetchMs, false, holder), fetchMarginMs];
+    }
+    const coldMs = model.predictMs(target.id, prompt.promptTokens, 0);
+    const isHome = findHome(key, view.readers) === target.id;
+    return [build(coldMs, true), isHome ? 0 : awayMarginMs];
+  }
+
+  #predictFetchMs(
+    tokens: number,
+    from: Target,
+    to: Target,
+    traits: EngineTraits,
+  ): number {
+    const bits = tokens * traits.kvBytesPerToken * 8;
+    const plainMs = bits / (traits.linkMbps * 1000);
+    const isCrossZone = from.availabilityZone !== to.availabilityZone;
+    const factor = isCrossZone ? CROSS_ZONE_FACTOR : 1;
+    return this.#options.fetchSetupMs + plainMs * factor;
+  }
+}
+
+/** Tokens of all parts but the last, which is the call's own. */
+export function sumShared(prompt: GenerationFacts): number {
+  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** Id of the engine that reads a beginning which nobody holds. */
+function findHome(key: string, readers: readonly Target[]): string | undefined {
+  return pickRendezvous(key, readers.map((reader) => reader.id), 1).at(0);
+}
+
+/** A holder in the zone of `target`, or any. */
+function pickNear(
+  holders: readonly Target[],
+  target: Target,
+): Target | undefined {
+  const near = holders.find((holder) =>
+    holder.availabilityZone === target.availabilityZone
+  );
+  return near ?? holders.at(0);
+}
--- /dev/null
+++ b/packages/heatherarch-forward/role_plan.ts
@@ -0,0 +1,111 @@
+/**
+ * Which engines should change their role.
+ *
+ * Pattern of load: prompts of thousands of tokens and answers of a hundred. Reading takes nine
+ * tenths of the engines' time, and generation few places, so a few engines generate and the
+ * rest read. Each order takes an engine away for seconds, so there are as few as possible.
+ *
+ * @module
+ */
+import type { Target, TargetRole } from "./model.ts";
+
+/** One wanted change. */
+export interface RoleChange {
+  readonly target: Target;
+  readonly role: TargetRole;
+}
+
+/** Options of {@linkcode planRoles}. */
+export interface RolePlanOptions {
+  /** Share of the engines that should generate. */
+  readonly runnerShare?: number;
+  /** Engines that should generate at least, where there are enough: one may be lost. */
+  readonly minRunners?: number;
+}
+
+/** Measured on the users' standard days; the table of trials is in docs/design/policy.md. */
+const DEFAULT_RUNNER_SHARE = 0.2;
+const DEFAULT_MIN_RUNNERS = 2;
+
+/** Number of engines out of `count` that should generate. */
+export function computeRunnerGoal(
+  count: number,
+  options: RolePlanOptions = {},
+): number {
+  const { runnerShare = DEFAULT_RUNNER_SHARE } = options;
+  const { minRunners = DEFAULT_MIN_RUNNERS } = options;
+  if (count < 2) return count;
+  const wanted = Math.round(count * runnerShare);
+  return Math.min(count - 1, Math.max(minRunners, wanted));
+}
+
+/** The fewest changes that bring `engines` to the goal, spread over zones. */
+export function planRoles(
+  engines: readonly Target[],
+  options: RolePlanOptions = {},
+): RoleChange[] {
+  const usable = engines.filter((engine) => !engine.leaving);
+  const goal = computeRunnerGoal(usable.length, options);
+  const runners = usable.filter((engine) => engine.role === "decode");
+  const surplus = runners.length - goal;
+  if (surplus > 0) {
+    return pickFromCrowded(runners, surplus)
+      .map((target) => ({ target, role: "prefill" }));
+  }
+  const readers = usable.filter((engine) => engine.role === "prefill");
+  const missing = Math.min(-surplus, Math.max(0, readers.length - 1));
+  return pickForEmptiest(readers, runners, missing)
+    .map((target) => ({ target, role: "decode" }));
+}
+
+/** Takes `count` engines out, each from the zone that has most of them left. */
+function pickFromCrowded(engines: readonly Target[], count: number): Target[] {
+  const left = sortById(engines);
+  const picked: Target[] = [];
+  while (picked.length < count) {
+    const zones = countByZone(left);
+    let most = left[0];
+    for (const engine of left) {
+      const here = zones.get(engine.availabilityZone) as number;
+      if (here > (zones.get(most.availabilityZone) as number)) most = engine;
+    }
+    left.splice(left.indexOf(most), 1);
+    picked.push(most);
+  }
+  return picked;
+}
+
+/** Takes `count` readers, each for the zone that has the fewest runners. */
+function pickForEmptiest(
+  readers: readonly Target[],
+  runners: readonly Target[],
+  count: number,
+): Target[] {
+  const left = sortById(readers);
+  const zones = countByZone(runners);
+  const picked: Target[] = [];
+  while (picked.length < count) {
+    let least = left[0];
+    for (const engine of left) {
+      const here = zones.get(engine.availabilityZone) ?? 0;
+      if (here < (zones.get(least.availabilityZone) ?? 0)) least = engine;
+    }
+    left.splice(left.indexOf(least), 1);
+    const zone = least.availabilityZone;
+    zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    picked.push(least);
+  }
+  return picked;
+}
+
+function sortById(engines: readonly Target[]): Target[] {
+  return [...engines].sort((a, b) => a.id < b.id ? -1 : 1);
+}
+
+function countByZone(engines: readonly Target[]): Map<string, number> {
+  const zones = new Map<string, number>();
+  for (const { availabilityZone } of engines) {
+    zones.set(availabilityZone, (zones.get(availabilityZone) ?? 0) + 1);
+  }
+  return zones;
+}
--- /dev/null
+++ b/packages/heatherarch-forward/target_connections.ts
@@ -0,0 +1,114 @@
+/**
+ * Connections to targets, one pool for each incarnation of a target.
+ *
+ * @module
+ */
+import { Pool } from "undici";
+import type { Target } from "./model.ts";
+import type { EncodedTry } from "./ports.ts";
+import { TargetExchange } from "./target_exchange.ts";
+
+/** Options of {@linkcode TargetConnections}. */
+export interface TargetConnectionsOptions {
+  /** Longest wait for a connection, milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** A kept connection without a hint of the target is closed after this long, milliseconds. */
+  readonly idleMs?: number;
+}
+
+/** Some ten round trips between zones and a lost packet's first repeat (200 ms) twice. */
+const DEFAULT_CONNECT_TIMEOUT_MS = 500;
+/** Below the usual idle timeout of servers (5 s), so that a call seldom meets a closing one. */
+const DEFAULT_IDLE_MS = 4000;
+/** A connection is not used in the last second before the target closes it. */
+const IDLE_MARGIN_MS = 1000;
+/** Part of a target's connections that all VMs together use; health checks need some too. */
+const USABLE_PART = 0.8;
+const MIN_CONNECTIONS = 2;
+/** Connections to one target while its service's limit is not known. */
+const UNKNOWN_LIMIT = 32;
+
+interface TargetPool {
+  readonly pool: Pool;
+  open: number;
+}
+
+/** All connections to targets of this VM. */
+export class TargetConnections {
+  readonly #options: Required<TargetConnectionsOptions>;
+  readonly #pools = new Map<string, TargetPool>();
+  #liveVms = 1;
+
+  constructor(options: TargetConnectionsOptions = {}) {
+    this.#options = {
+      connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
+      idleMs: DEFAULT_IDLE_MS,
+      ...options,
+    };
+  }
+
+  /** Sets the number of VMs that share each target's connections. */
+  setLiveVms(count: number): void {
+    this.#liveVms = Math.max(1, count);
+  }
+
+  /** Connections of one target that this VM may have in use. */
+  computeLimit(maxConnections: number | undefined): number {
+    if (maxConnections === undefined) return UNKNOWN_LIMIT;
+    const share = Math.floor(maxConnections * USABLE_PART / this.#liveVms);
+    return Math.max(MIN_CONNECTIONS, share);
+  }
+
+  /** Whether another request may be sent to the target now. */
+  hasRoom(target: Target, maxConnections: number | undefined): boolean {
+    const open = this.#pools.get(target.id)?.open ?? 0;
+    return open < this.computeLimit(maxConnections);
+  }
+
+  /** Sends a request. */
+  open(target: Target, request: EncodedTry): TargetExchange {
+    const pool = this.#openPool(target);
+    pool.open++;
+    return new TargetExchange(
+      pool.pool,
+      `http://${target.address}`,
+      request,
+      () => {
+        pool.open--;
+      },
+    );
+  }
+
+  /** Closes the connections of targets that are no longer listed, once they are free. */
+  keepOnly(ids: ReadonlySet<string>): void {
+    for (const [id, { pool }] of this.#pools) {
+      if (ids.has(id)) continue;
+      this.#pools.delete(id);
+      // Requests in progress end first; what they meet is theirs to handle.
+      pool.close().catch(() => undefined);
+    }
+  }
+
+  async close(): Promise<void> {
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+  }
+
+  #openPool(target: Target): TargetPool {
+    let entry = this.#pools.get(target.id);
+    if (entry === undefined) {
+      const { connectTimeoutMs, idleMs } = this.#options;
+      const pool = new Pool(`http://${target.address}`, {
+        pipelining: 1,
+        connections: null,
+        connect: { timeout: connectTimeoutMs, noDelay: true },
+        keepAliveTimeout: idleMs,
+        keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      });
+      entry = { pool, open: 0 };
+      this.#pools.set(target.id, entry);
+    }
+    return entry;
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -0,0 +1,163 @@
+/**
+ * The targets that the platform's list names, and which of them may get new work. Pure: time
+ * comes in with each update.
+ *
+ * @module
+ */
+import type { Target } from "./model.ts";
+import type { KeyedEntry } from "./ports.ts";
+
+/** Options of {@linkcode TargetDirectory}. */
+export interface TargetDirectoryOptions {
+  /**
+   * How long an entry that went missing during an outage of the store is still used after the
+   * store is back, milliseconds. A live target is listed again within two seconds of it.
+   */
+  readonly returnGraceMs?: number;
+}
+
+const DEFAULT_RETURN_GRACE_MS = 2000;
+
+/** Targets by id. */
+export class TargetDirectory {
+  readonly #returnGraceMs: number;
+  readonly #targets = new Map<string, Target>();
+  /** Missing entries that are still used, with the end of their grace. */
+  readonly #missing = new Map<string, number>();
+  /** Engines that are changing their role, with the end of the time it may take. */
+  readonly #changing = new Map<string, number>();
+  #byService = new Map<string, readonly Target[]>();
+  #outage = false;
+  #backAtMs = -Infinity;
+
+  constructor(options: TargetDirectoryOptions = {}) {
+    this.#returnGraceMs = options.returnGraceMs ?? DEFAULT_RETURN_GRACE_MS;
+  }
+
+  /** The store stopped answering: what lapses from now on may still be alive. */
+  noteOutage(): void {
+    this.#outage = true;
+  }
+
+  /** Replaces the whole list by one just loaded. */
+  applyList(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
+    this.#noteStoreBack(nowMs);
+    const listed = new Set<string>();
+    for (const { key, value } of entries) {
+      if (value === undefined) continue;
+      listed.add(key);
+      this.#set(key, value);
+    }
+    for (const id of this.#targets.keys()) {
+      if (!listed.has(id)) this.#remove(id, nowMs);
+    }
+    this.#index();
+  }
+
+  /** Applies later records in their order. */
+  applyChanges(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
+    this.#noteStoreBack(nowMs);
+    let isChanged = false;
+    for (const { key, value } of entries) {
+      if (value === undefined) {
+        isChanged = this.#remove(key, nowMs) || isChanged;
+      } else isChanged = this.#set(key, value) || isChanged;
+    }
+    if (isChanged) this.#index();
+  }
+
+  /** Drops missing entries whose grace has ended; returns their ids. */
+  expire(nowMs: number): string[] {
+    const gone: string[] = [];
+    for (const [id, untilMs] of this.#missing) {
+      if (nowMs < untilMs) continue;
+      this.#missing.delete(id);
+      this.#targets.delete(id);
+      gone.push(id);
+    }
+    if (gone.length > 0) this.#index();
+    return gone;
+  }
+
+  /** The address of `id` was found to belong to another incarnation. */
+  markReplaced(id: string): void {
+    this.#missing.delete(id);
+    if (this.#targets.delete(id)) this.#index();
+  }
+
+  /** An engine was ordered to change its role: it takes no work for a while. */
+  markChanging(id: string, untilMs: number): void {
+    this.#changing.set(id, untilMs);
+  }
+
+  isChanging(id: string, nowMs: number): boolean {
+    const untilMs = this.#changing.get(id);
+    if (untilMs === undefined) return false;
+    if (nowMs < untilMs) return true;
+    this.#changing.delete(id);
+    return false;
+  }
+
+  findTarget(id: string): Target | undefined {
+    return this.#targets.get(id);
+  }
+
+  /** Targets of a service that may get new work. */
+  listServing(service: string): readonly Target[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  listAll(): Target[] {
+    return [...this.#targets.values()];
+  }
+
+  get size(): number {
+    return this.#targets.size;
+  }
+
+  #noteStoreBack(nowMs: number): void {
+    if (!this.#outage) return;
+    this.#outage = false;
+    this.#backAtMs = nowMs;
+  }
+
+  /** Returns whether anything that matters to a caller changed. */
+  #set(id: string, target: Target): boolean {
+    const before = this.#targets.get(id);
+    this.#missing.delete(id);
+    if (before !== undefined && isSame(before, target)) return false;
+    if (before?.role !== target.role) this.#changing.delete(id);
+    this.#targets.set(id, target);
+    return true;
+  }
+
+  #remove(id: string, nowMs: number): boolean {
+    const target = this.#targets.get(id);
+    if (target === undefined) return false;
+    const graceUntilMs = this.#backAtMs + this.#returnGraceMs;
+    if (!target.leaving && nowMs < graceUntilMs) {
+      if (!this.#missing.has(id)) this.#missing.set(id, graceUntilMs);
+      return false;
+    }
+    this.#targets.delete(id);
+    this.#missing.delete(id);
+    return true;
+  }
+
+  #index(): void {
+    const index = new Map<string, Target[]>();
+    for (const target of this.#targets.values()) {
+      if (target.leaving) continue;
+      const list = index.get(target.service) ?? [];
+      list.push(target);
+      index.set(target.service, list);
+    }
+    this.#byService = index;
+  }
+}
+
+function isSame(a: Target, b: Target): boolean {
+  return a.address === b.address && a.service === b.service &&
+    a.leaving === b.leaving && a.role === b.role && a.slots === b.slots &&
+    a.availabilityZone === b.availabilityZone;
+}
--- /dev/null
+++ b/packages/heatherarch-forward/target_exchange.ts
@@ -0,0 +1,189 @@
+/**
+ * One request to one target and its answer, over a pooled connection. It is sent once at most,
+ * and a connection that is in any doubt is not used again.
+ *
+ * @module
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import type { EncodedTry } from "./ports.ts";
+
+/** Head of a target's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  /** Names and values alternating, as they were received. */
+  readonly rawHeaders: readonly string[];
+}
+
+/** Why an exchange ended without a whole answer. */
+export type ExchangeFault =
+  /** Nothing was written: the target did not run it. */
+  | "notSent"
+  /** The connection ended or spoke no HTTP; the target may have run it. */
+  | "lost"
+  /** This side gave up. */
+  | "aborted";
+
+/** An exchange ended without a whole answer. */
+export class ExchangeError extends Error {
+  readonly fault: ExchangeFault;
+
+  constructor(fault: ExchangeFault, detail: string, cause?: unknown) {
+    super(detail, { cause });
+    this.name = "ExchangeError";
+    this.fault = fault;
+  }
+}
+
+/** Takes the body of an answer as it comes. */
+export interface BodyListener {
+  onData(bytes: Buffer): void;
+  /** The answer ended as its framing says. */
+  onEnd(): void;
+  onFault(error: ExchangeError): void;
+}
+
+type Controller = Dispatcher.DispatchController;
+
+/** An exchange in progress. */
+export class TargetExchange {
+  /** Resolves with the head; rejects with an {@linkcode ExchangeError}. */
+  readonly head: Promise<AnswerHead>;
+  readonly #waiting: Buffer[] = [];
+  #resolveHead!: (head: AnswerHead) => void;
+  #rejectHead!: (error: ExchangeError) => void;
+  #controller: Controller | undefined;
+  #listener: BodyListener | undefined;
+  #end: "open" | "ended" | ExchangeError = "open";
+  #abortedWith: string | undefined;
+  #onDone: () => void;
+
+  /** `onDone` is called once, when the connection is free or gone. */
+  constructor(
+    dispatcher: Dispatcher,
+    origin: string,
+    request: EncodedTry,
+    onDone: () => void,
+  ) {
+    this.#onDone = onDone;
+    this.head = new Promise((resolve, reject) => {
+      this.#resolveHead = resolve;
+      this.#rejectHead = reject;
+    });
+    // A caller that gave up does not look at the head any more.
+    this.head.catch(() => undefined);
+    const { path, method, headers, body } = request;
+    dispatcher.dispatch({
+      origin,
+      path,
+      method: method as Dispatcher.HttpMethod,
+      headers: headers as string[],
+      body,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }, {
+      onRequestStart: (controller) => this.#start(controller),
+      onResponseStart: (controller, status, headers) =>
+        this.#takeHead(controller, status, headers),
+      onResponseData: (_controller, bytes) => this.#takeData(bytes),
+      onResponseEnd: () => this.#finish("ended"),
+      onResponseError: (_controller, error) => this.#fail(error),
+    });
+  }
+
+  /** Whether anything may have been written to the target. */
+  get isSent(): boolean {
+    return this.#controller !== undefined;
+  }
+
+  /** Gives up: the connection is closed, which most targets take as a cancellation. */
+  abort(reason: string): void {
+    if (this.#end !== "open") return;
+    this.#abortedWith ??= reason;
+    if (this.#controller === undefined) {
+      this.#finish(new ExchangeError("notSent", reason));
+      return;
+    }
+    this.#controller.abort(new Error(reason));
+    this.#finish(new ExchangeError("aborted", reason));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  /** Hands the body over: what has come so far at once, the rest as it comes. */
+  listen(listener: BodyListener): void {
+    this.#listener = listener;
+    for (const bytes of this.#waiting.splice(0)) listener.onData(bytes);
+    if (this.#end === "ended") listener.onEnd();
+    else if (this.#end !== "open") listener.onFault(this.#end);
+  }
+
+  /** The whole body, up to `maxBytes`; rejects with an {@linkcode ExchangeError}. */
+  readBody(maxBytes: number): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      this.listen({
+        onData: (bytes) => {
+          size += bytes.length;
+          if (size > maxBytes) this.abort(`answer over ${maxBytes} bytes`);
+          else chunks.push(bytes);
+        },
+        onEnd: () => resolve(Buffer.concat(chunks)),
+        onFault: reject,
+      });
+    });
+  }
+
+  #start(controller: Controller): void {
+    if (this.#controller !== undefined || this.#abortedWith !== undefined) {
+      // The library would write the request a second time, or after it was given up.
+      controller.abort(new Error("request is sent once at most"));
+      return;
+    }
+    this.#controller = controller;
+  }
+
+  #takeHead(
+    controller: Controller,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
+    const rawHeaders = raw.map((part) =>
+      typeof part === "string" ? part : part.toString("latin1")
+    );
+    this.#resolveHead({ status, headers, rawHeaders });
+  }
+
+  #takeData(bytes: Buffer): void {
+    if (this.#end !== "open") return;
+    if (this.#listener === undefined) this.#waiting.push(bytes);
+    else this.#listener.onData(bytes);
+  }
+
+  #fail(error: Error): void {
+    const fault = this.isSent ? "lost" : "notSent";
+    this.#finish(new ExchangeError(fault, error.message, error));
+  }
+
+  #finish(end: "ended" | ExchangeError): void {
+    if (this.#end !== "open") return;
+    this.#end = end;
+    this.#onDone();
+    if (end === "ended") {
+      this.#listener?.onEnd();
+      return;
+    }
+    this.#rejectHead(end);
+    this.#listener?.onFault(end);
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/topic_follower.ts
@@ -0,0 +1,111 @@
+/**
+ * Follows a topic of keyed records: loads it once, then reads what changed, and loads it
+ * again where the changes have expired.
+ *
+ * @module
+ */
+import { sleep } from "heatherarch-core";
+import type { EventLog } from "./event_log.ts";
+import type { KeyedEntry, KeyedTopicPort } from "./ports.ts";
+
+/** Options of {@linkcode TopicFollower}. */
+export interface TopicFollowerOptions<T> {
+  readonly name: string;
+  readonly port: KeyedTopicPort<T>;
+  readonly log: EventLog;
+  /** Pause between reads, milliseconds. */
+  readonly pollMs: number;
+  /** How long the store may hold a read back until there is a record, milliseconds. */
+  readonly waitMs: number;
+  readonly onList: (entries: readonly KeyedEntry<T>[]) => void;
+  readonly onChanges: (entries: readonly KeyedEntry<T>[]) => void;
+  /** The store stopped answering. */
+  readonly onLost?: () => void;
+}
+
+/** Pause after a failed read, milliseconds: several tries within the bound of two seconds. */
+const RETRY_MS = 250;
+
+/** A task that follows one topic. */
+export class TopicFollower<T> {
+  readonly #options: TopicFollowerOptions<T>;
+  #next: number | undefined;
+  #lost = false;
+  #stopped = false;
+
+  constructor(options: TopicFollowerOptions<T>) {
+    this.#options = options;
+  }
+
+  /** Whether the last read succeeded and the topic has been loaded. */
+  get isCurrent(): boolean {
+    return this.#next !== undefined && !this.#lost;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      try {
+        await this.#step();
+        this.#noteBack();
+        if (this.#options.pollMs > 0) await sleep(this.#options.pollMs);
+      } catch (error) {
+        this.#noteLost(error);
+        await sleep(RETRY_MS);
+      }
+    }
+  }
+
+  async #step(): Promise<void> {
+    const { port, waitMs } = this.#options;
+    if (this.#next === undefined) return await this.#load();
+    const slice = await port.readChanges(this.#next, waitMs);
+    if (slice === undefined) return await this.#load();
+    if (this.#stopped) return;
+    this.#next = slice.next;
+    this.#reportUnreadable(slice.unreadable);
+    this.#options.onChanges(slice.entries);
+  }
+
+  async #load(): Promise<void> {
+    const slice = await this.#options.port.load();
+    if (this.#stopped) return;
+    this.#next = slice.next;
+    this.#reportUnreadable(slice.unreadable);
+    this.#options.onList(slice.entries);
+  }
+
+  #reportUnreadable(count: number): void {
+    if (count === 0) return;
+    this.#options.log.write("warn", "topicUnreadable", {
+      topic: this.#options.name,
+      count,
+    });
+  }
+
+  #noteLost(error: unknown): void {
+    if (this.#lost) return;
+    this.#lost = true;
+    this.#options.log.write("warn", "dependencyLost", {
+      dependency: `store topic ${this.#options.name}`,
+      reason: (error as Error).message,
+    });
+    this.#options.onLost?.();
+  }
+
+  #noteBack(): void {
+    if (!this.#lost) return;
+    this.#lost = false;
+    this.#options.log.write("info", "dependencyRegained", {
+      dependency: `store topic ${this.#options.name}`,
+      next: this.#next,
+    });
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/try_judge.ts
@@ -0,0 +1,169 @@
+/**
+ * What the end of a try means: whether the target ran it, and what that says of the target.
+ *
+ * @module
+ */
+import type { CallRun } from "./call_run.ts";
+import type { Target } from "./model.ts";
+import type { AnswerFacts } from "./ports.ts";
+import {
+  type AnswerHead,
+  ExchangeError,
+  type TargetExchange,
+} from "./target_exchange.ts";
+import type { TryOutcome } from "./target_health.ts";
+
+/** How a try ended, up to the head of its answer. */
+export type TryEnd =
+  /** An answer to this call; the body follows. */
+  | {
+    readonly kind: "answer";
+    readonly head: AnswerHead;
+    readonly facts: AnswerFacts;
+  }
+  /** Nothing reached the target. */
+  | { readonly kind: "notSent"; readonly reason: string }
+  /** The target refused and will not run it. */
+  | { readonly kind: "notRun"; readonly reason: string }
+  /** The target may have run it, and there is no answer to pass on. */
+  | { readonly kind: "lost"; readonly reason: string }
+  /** The call ended meanwhile. */
+  | { readonly kind: "over" };
+
+/** Options of {@linkcode awaitHead}. */
+export interface AwaitHeadOptions {
+  readonly run: CallRun;
+  readonly target: Target;
+  readonly exchange: TargetExchange;
+  readonly stage: string;
+  /** Longest wait for the head, milliseconds; undefined waits as long as the call. */
+  readonly timeoutMs?: number;
+  /** Past the time limit, wait on as long as the target answers other calls. */
+  readonly isPatient?: boolean;
+}
+
+/** A target that has answered another call within this time is alive, milliseconds. */
+const ALIVE_MS = 500;
+const SUCCESS = { least: 200, most: 299 };
+
+/** Whether a status says that all went well. */
+export function isSuccess(status: number): boolean {
+  return status >= SUCCESS.least && status <= SUCCESS.most;
+}
+
+/** Waits for the head of an answer, judges it, and notes what it says of the target. */
+export async function awaitHead(options: AwaitHeadOptions): Promise<TryEnd> {
+  const { run, target, exchange, stage } = options;
+  const stopTimer = startTimer(options);
+  let end: TryEnd;
+  try {
+    end = judgeHead(run, exchange, await exchange.head);
+  } catch (error) {
+    if (!(error instanceof ExchangeError)) throw error;
+    const kind = error.fault === "notSent" ? "notSent" : "lost";
+    end = { kind, reason: error.message };
+  } finally {
+    stopTimer();
+  }
+  if (run.isOver) return { kind: "over" };
+  noteEnd(run, target, stage, end);
+  return end;
+}
+
+/** Gives the exchange up when its target stays silent; returns what ends the watch. */
+function startTimer(options: AwaitHeadOptions): () => void {
+  const { run, target, exchange, timeoutMs, isPatient = false } = options;
+  if (timeoutMs === undefined) return () => undefined;
+  const sentAtMs = run.nowMs;
+  let timer: NodeJS.Timeout;
+  const look = (): void => {
+    const heardAtMs = run.serving.health.getHeardAtMs(target.id);
+    if (isPatient && run.nowMs - heardAtMs < ALIVE_MS) {
+      timer = setTimeout(look, ALIVE_MS);
+      return;
+    }
+    exchange.abort(`silent for ${Math.round(run.nowMs - sentAtMs)} ms`);
+  };
+  timer = setTimeout(look, timeoutMs);
+  return () => clearTimeout(timer);
+}
+
+function judgeHead(
+  run: CallRun,
+  exchange: TargetExchange,
+  head: AnswerHead,
+): TryEnd {
+  const facts = run.serving.codec.decodeAnswer(head.status, head.headers);
+  if (facts.callId !== undefined && facts.callId !== run.call.id) {
+    exchange.abort("answer to another call");
+    return { kind: "lost", reason: `answer to call ${facts.callId}` };
+  }
+  if (facts.misdirected) {
+    exchange.abort("another incarnation");
+    return { kind: "notRun", reason: "address has another incarnation" };
+  }
+  if (facts.notRun) {
+    // The body is of no interest; reading it keeps the connection.
+    exchange.listen({ onData: ignore, onEnd: ignore, onFault: ignore });
+    return { kind: "notRun", reason: `refused with ${head.status}` };
+  }
+  if (head.headers["content-encoding"] !== undefined) {
+    exchange.abort("encoded body");
+    return { kind: "lost", reason: "answer in an encoding nobody asked for" };
+  }
+  return { kind: "answer", head, facts };
+}
+
+function ignore(): void {
+  // Nothing is done with the rest of a refusal.
+}
+
+/** Tells the beliefs and the log how a try went. */
+function noteEnd(
+  run: CallRun,
+  target: Target,
+  stage: string,
+  end: TryEnd,
+): void {
+  const { health, directory, log, metrics } = run.serving;
+  const outcome = end.kind === "answer" ? String(end.head.status) : end.kind;
+  metrics.tries.inc({ stage, outcome });
+  const nowMs = run.nowMs;
+  if (end.kind === "notRun" && end.reason.startsWith("address")) {
+    directory.markReplaced(target.id);
+    health.forget(target.id);
+  }
+  const isNowAvoided = health.noteOutcome(target.id, rateEnd(end), nowMs);
+  if (isNowAvoided) {
+    log.write("warn", "targetAvoided", {
+      call: run.call.id,
+      target: target.id,
+      address: target.address,
+      stage,
+      reason: "reason" in end ? end.reason : outcome,
+    });
+  }
+  if (end.kind === "answer") return;
+  log.write("info", "tryEnded", {
+    call: run.call.id,
+    target: target.id,
+    stage,
+    outcome: end.kind,
+    reason: "reason" in end ? end.reason : undefined,
+    atMs: Math.round(nowMs - run.call.arrivedAtMs),
+  });
+}
+
+function rateEnd(end: TryEnd): TryOutcome {
+  switch (end.kind) {
+    case "answer":
+      return end.head.status >= 500 ? "failed" : "answered";
+    case "notSent":
+      return "unreachable";
+    case "notRun":
+    case "lost":
+      return "failed";
+    case "over":
+      return "answered";
+  }
+}
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -23,6 +23,9 @@
 
 const LEAVING_MARK = z.object({ target: z.string(), sinceOffset: z.int() });
 
+/** Work of the sender at one target: id, prompt milliseconds, runs, KV tokens of these. */
+const WORK_ROW = z.tuple([z.string(), z.int(), z.int(), z.int()]);
+
 const HEARTBEAT = z.object({
   kind: z.literal("heartbeat"),
   configOffset: z.int(),
@@ -41,6 +44,10 @@
   zone: z.tuple([z.int(), z.int()]).optional(),
   /** Tokens a second that this VM was asked for: prefill, decode. */
   demand: z.tuple([z.number(), z.number()]).optional(),
+  /** All work that the sender has in progress at targets. */
+  work: z.array(WORK_ROW).optional(),
+  /** Prompt beginnings that an engine has read, by key and engine, since the last heartbeat. */
+  prompts: z.array(z.tuple([z.string(), z.string()])).optional(),
 });
 
 const MESSAGE = z.discriminatedUnion("kind", [
--- a/packages/heatherarch-settings/mod.ts
+++ b/packages/heatherarch-settings/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./fault.ts";
 export * from "./fleet.ts";
+export * from "./forward_settings.ts";
 export * from "./profile.ts";
 export * from "./process_settings.ts";
 export * from "./toml.ts";
