Answers without length pass without length; resets are seen before the HTTP library

Change: such an answer is passed on without length and ends with the connection; a reset in it breaks the answer off.

Conclusion: nothing may claim more of an answer than its target did.

--- a/packages/heatherarch-forward/answer_relay.ts
+++ b/packages/heatherarch-forward/answer_relay.ts
@@ -16,6 +16,16 @@
 const MAX_HELD_BYTES = 1024 * 1024;
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
+/** How an answer's end is told. */
+export type AnswerFraming = "length" | "chunked" | "connection";
+
+/** How a target framed its answer; one that ends with its connection may be cut unseen. */
+export function readFraming(head: AnswerHead): AnswerFraming {
+  if (head.headers["content-length"] !== undefined) return "length";
+  if (head.headers["transfer-encoding"] !== undefined) return "chunked";
+  return "connection";
+}
+
 /** How the body of an answer ended. */
 export type RelayEnd = "whole" | ExchangeError;
 
@@ -51,8 +61,11 @@
     return;
   }
   const headers = copyEndToEnd(head.rawHeaders, LENGTH_HEADERS);
-  headers.push("Content-Length", String(body.length));
-  caller.writeHead(head.status, headers);
+  // Nobody knows whether a body that ended with its connection is whole: a length of ours
+  // would claim that it is.
+  const endsConnection = readFraming(head) === "connection";
+  if (!endsConnection) headers.push("Content-Length", String(body.length));
+  caller.writeHead(head.status, headers, { endsConnection });
   caller.end(body);
 }
 
@@ -90,7 +103,9 @@
     const { caller, isResumable } = this.#options;
     if (!caller.isAnswered) {
       const drop = isResumable ? LENGTH_HEADERS : undefined;
-      caller.writeHead(head.status, copyEndToEnd(head.rawHeaders, drop));
+      const endsConnection = readFraming(head) === "connection";
+      const headers = copyEndToEnd(head.rawHeaders, drop);
+      caller.writeHead(head.status, headers, { endsConnection });
     }
     const splitter = isResumable ? new EventSplitter() : undefined;
     return new Promise((resolve) => {
--- a/packages/heatherarch-forward/caller_port.ts
+++ b/packages/heatherarch-forward/caller_port.ts
@@ -41,8 +41,16 @@
     };
   }
 
-  /** Writes the head of a target's answer as it was received. */
-  writeHead(status: number, headers: readonly string[]): void {
+  /** Writes the head of a target's answer; one without length ends with the connection. */
+  writeHead(
+    status: number,
+    headers: readonly string[],
+    options: { endsConnection?: boolean } = {},
+  ): void {
+    if (options.endsConnection) {
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.setHeader("Connection", "close");
+    }
     this.#response.writeHead(status, headers as string[]);
   }
 
--- a/packages/heatherarch-forward/plain_life.ts
+++ b/packages/heatherarch-forward/plain_life.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import { deliverAnswer, type HeldAnswer, readAnswer } from "./answer_relay.ts";
+import {
+  deliverAnswer,
+  type HeldAnswer,
+  readAnswer,
+  readFraming,
+} from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
 import type { Target } from "./model.ts";
 import { pickRunner, type RunCandidate } from "./run_placement.ts";
@@ -121,6 +126,7 @@
       status: answer.head.status,
       target: target?.id,
       aimMs: run.route.aimMs,
+      framing: readFraming(answer.head),
     });
   }
 
--- a/packages/heatherarch-forward/retry_allowance.ts
+++ b/packages/heatherarch-forward/retry_allowance.ts
@@ -51,7 +51,7 @@
   noteCall(service: string, nowMs: number): void {
     const bucket = this.#fill(service, nowMs);
     const earned = this.#options.share * SHARE_PART;
-    bucket.tokens = Math.min(this.#getBurst(), bucket.tokens + earned);
+    bucket.tokens = Math.min(this.#getMost(), bucket.tokens + earned);
   }
 
   /** Spends one further try; false where none is left. */
@@ -62,24 +62,26 @@
     return true;
   }
 
+  /** Tries that a new VM may send at once; below 1 in a large fleet. */
   #getBurst(): number {
-    return Math.max(1, this.#options.fixedPerWindow * BURST_PART) /
-      this.#liveVms;
+    return this.#options.fixedPerWindow * BURST_PART / this.#liveVms;
+  }
+
+  /** Tries that may be saved up: at least a whole one, which a small burst grows to. */
+  #getMost(): number {
+    return Math.max(1, this.#getBurst());
   }
 
   #fill(service: string, nowMs: number): Bucket {
-    const burst = this.#getBurst();
     let bucket = this.#buckets.get(service);
     if (bucket === undefined) {
-      bucket = { tokens: burst, filledAtMs: nowMs };
+      bucket = { tokens: this.#getBurst(), filledAtMs: nowMs };
       this.#buckets.set(service, bucket);
     }
     const { fixedPerWindow, windowMs } = this.#options;
     const ratePerMs = fixedPerWindow * RATE_PART / windowMs / this.#liveVms;
     const earned = (nowMs - bucket.filledAtMs) * ratePerMs;
-    // A burst below one whole try must still be able to grow to one.
-    const most = Math.max(1, burst);
-    bucket.tokens = Math.min(most, bucket.tokens + earned);
+    bucket.tokens = Math.min(this.#getMost(), bucket.tokens + earned);
     bucket.filledAtMs = nowMs;
     return bucket;
   }
--- a/packages/heatherarch-forward/target_connections.ts
+++ b/packages/heatherarch-forward/target_connections.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import type { Target } from "./model.ts";
 import type { EncodedTry } from "./ports.ts";
 import { TargetExchange } from "./target_exchange.ts";
 
+type Connector = ReturnType<typeof buildConnector>;
+
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
   /** Longest wait for a connection, milliseconds. */
@@ -30,9 +32,40 @@
 
 interface TargetPool {
   readonly pool: Pool;
+  readonly resets: ResetWatch;
   open: number;
 }
 
+/**
+ * Tells an answer that ended with its connection from one that was cut off. undici takes a
+ * reset for the end of a body without length; here the reset is seen before undici sees it.
+ */
+class ResetWatch {
+  #isResetting = false;
+
+  /** True while the error of a connection is being handed out. */
+  get isResetting(): boolean {
+    return this.#isResetting;
+  }
+
+  /** Wraps a connector so that errors of its sockets are seen first. */
+  watch(connector: Connector): Connector {
+    return (options, callback) =>
+      connector(options, (...result) => {
+        const [error, socket] = result;
+        if (error === null) {
+          socket.prependListener("error", () => {
+            this.#isResetting = true;
+            process.nextTick(() => {
+              this.#isResetting = false;
+            });
+          });
+        }
+        callback(...result);
+      });
+  }
+}
+
 /** All connections to targets of this VM. */
 export class TargetConnections {
   readonly #options: Required<TargetConnectionsOptions>;
@@ -73,8 +106,11 @@
       pool.pool,
       `http://${target.address}`,
       request,
-      () => {
-        pool.open--;
+      {
+        onDone: () => {
+          pool.open--;
+        },
+        isCutOff: () => pool.resets.isResetting,
       },
     );
   }
@@ -99,14 +135,16 @@
     let entry = this.#pools.get(target.id);
     if (entry === undefined) {
       const { connectTimeoutMs, idleMs } = this.#options;
+      const resets = new ResetWatch();
+      const connector = buildConnector({ timeout: connectTimeoutMs });
       const pool = new Pool(`http://${target.address}`, {
         pipelining: 1,
         connections: null,
-        connect: { timeout: connectTimeoutMs, noDelay: true },
+        connect: resets.watch(connector),
         keepAliveTimeout: idleMs,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       });
-      entry = { pool, open: 0 };
+      entry = { pool, resets, open: 0 };
       this.#pools.set(target.id, entry);
     }
     return entry;
--- a/packages/heatherarch-forward/target_exchange.ts
+++ b/packages/heatherarch-forward/target_exchange.ts
@@ -46,6 +46,14 @@
 
 type Controller = Dispatcher.DispatchController;
 
+/** What the owner of the connections brings. */
+export interface ExchangeHooks {
+  /** Called once, when the connection is free or gone. */
+  readonly onDone: () => void;
+  /** Whether the answer that ends now ends because its connection was reset. */
+  readonly isCutOff: () => boolean;
+}
+
 /** An exchange in progress. */
 export class TargetExchange {
   /** Resolves with the head; rejects with an {@linkcode ExchangeError}. */
@@ -57,16 +65,15 @@
   #listener: BodyListener | undefined;
   #end: "open" | "ended" | ExchangeError = "open";
   #abortedWith: string | undefined;
-  #onDone: () => void;
+  readonly #hooks: ExchangeHooks;
 
-  /** `onDone` is called once, when the connection is free or gone. */
   constructor(
     dispatcher: Dispatcher,
     origin: string,
     request: EncodedTry,
-    onDone: () => void,
+    hooks: ExchangeHooks,
   ) {
-    this.#onDone = onDone;
+    this.#hooks = hooks;
     this.head = new Promise((resolve, reject) => {
       this.#resolveHead = resolve;
       this.#rejectHead = reject;
@@ -87,7 +94,7 @@
       onResponseStart: (controller, status, headers) =>
         this.#takeHead(controller, status, headers),
       onResponseData: (_controller, bytes) => this.#takeData(bytes),
-      onResponseEnd: () => this.#finish("ended"),
+      onResponseEnd: () => this.#takeEnd(),
       onResponseError: (_controller, error) => this.#fail(error),
     });
   }
@@ -170,6 +177,12 @@
     else this.#listener.onData(bytes);
   }
 
+  #takeEnd(): void {
+    if (this.#hooks.isCutOff()) {
+      this.#finish(new ExchangeError("lost", "reset before the end"));
+    } else this.#finish("ended");
+  }
+
   #fail(error: Error): void {
     const fault = this.isSent ? "lost" : "notSent";
     this.#finish(new ExchangeError(fault, error.message, error));
@@ -178,7 +191,7 @@
   #finish(end: "ended" | ExchangeError): void {
     if (this.#end !== "open") return;
     this.#end = end;
-    this.#onDone();
+    this.#hooks.onDone();
     if (end === "ended") {
       this.#listener?.onEnd();
       return;
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -0,0 +1,93 @@
+/**
+ * Fixtures of the forwarding path.
+ *
+ * @module
+ */
+import type {
+  EngineTraits,
+  GenerationFacts,
+  Route,
+  RoutingConfig,
+  Target,
+} from "../../mod.ts";
+
+/** A target of a plain service, or of what `overrides` say. */
+export function buildTarget(
+  id: string,
+  overrides: Partial<Target> = {},
+): Target {
+  return {
+    id,
+    service: "s",
+    address: "127.0.0.1:1",
+    availabilityZone: "zone-a",
+    slots: 6,
+    leaving: false,
+    ...overrides,
+  };
+}
+
+/** An engine that reads prompts, or of another role. */
+export function buildEngine(
+  id: string,
+  overrides: Partial<Target> = {},
+): Target {
+  return buildTarget(id, { role: "prefill", slots: 64, ...overrides });
+}
+
+/** A route of an idempotent service. */
+export function buildRoute(overrides: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/a/",
+    kind: "idempotent",
+    timeoutMs: 2000,
+    aimMs: 300,
+    priority: 0,
+    maxTargets: 2,
+    services: [{ service: "s", weight: 1 }],
+    ...overrides,
+  };
+}
+
+/** A configuration with one plain service. */
+export function buildConfig(
+  overrides: Partial<RoutingConfig> = {},
+): RoutingConfig {
+  return {
+    version: 1,
+    routes: [buildRoute()],
+    services: [{ name: "s", maxConnections: 100 }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15_000,
+    },
+    ...overrides,
+  };
+}
+
+/** Engines as the users' sheets describe them. */
+export const TRAITS: EngineTraits = {
+  slots: 64,
+  kvTokens: 483_452,
+  kvBytesPerToken: 163_840,
+  linkMbps: 1_900_000,
+  roleChangeMs: 3000,
+};
+
+/** A prompt with a long shared beginning. */
+export function buildPrompt(
+  key: string,
+  shared = 13_300,
+  own = 3720,
+): GenerationFacts {
+  return {
+    model: "m",
+    promptTokens: shared + own,
+    maxOutputTokens: 120,
+    parts: [{ id: key, tokens: shared }, { id: `${key}-own`, tokens: own }],
+  };
+}
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/prompt_placement_test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type PlacementView,
+  PromptIndex,
+  PromptPlacer,
+  ReadModel,
+  type Target,
+} from "../../mod.ts";
+import { buildEngine, buildPrompt, TRAITS } from "./fixtures.ts";
+
+const ENGINES = ["a", "b", "c", "d"].map((id) => buildEngine(id));
+
+function createPlacer(): PromptPlacer {
+  return new PromptPlacer({ model: new ReadModel() });
+}
+
+function buildView(
+  backlogs: Readonly<Record<string, number>>,
+  holders: readonly Target[] = [],
+): PlacementView {
+  return {
+    candidates: ENGINES.map((target) => ({
+      target,
+      backlogMs: backlogs[target.id] ?? 0,
+    })),
+    readers: ENGINES,
+    holders,
+    traits: TRAITS,
+  };
+}
+
+test("a beginning that nobody holds has one home for all VMs", () => {
+  const prompt = buildPrompt("k1");
+  const first = createPlacer().pickReader(prompt, buildView({}));
+  const second = createPlacer().pickReader(prompt, buildView({ x: 5 }));
+  assert.equal(first?.isCold, true);
+  assert.equal(first?.target.id, second?.target.id);
+});
+
+test("homes spread over the engines", () => {
+  const placer = createPlacer();
+  const homes = new Set<string>();
+  for (let i = 0; i < 60; i++) {
+    const placement = placer.pickReader(buildPrompt(`k${i}`), buildView({}));
+    homes.add(placement?.target.id ?? "");
+  }
+  assert.equal(homes.size, ENGINES.length);
+});
+
+test("a holder without much backlog reads the rest only", () => {
+  const view = buildView({ b: 30 }, [ENGINES[1]]);
+  const placement = createPlacer().pickReader(buildPrompt("k"), view);
+  assert.equal(placement?.target.id, "b");
+  assert.equal(placement?.fetchFrom, undefined);
+  assert.ok((placement?.costMs ?? 0) < 120, `${placement?.costMs} ms`);
+});
+
+test("behind a backlog another engine fetches the beginning from the holder", () => {
+  const view = buildView({ b: 400 }, [ENGINES[1]]);
+  const placement = createPlacer().pickReader(buildPrompt("k"), view);
+  assert.notEqual(placement?.target.id, "b");
+  assert.equal(placement?.fetchFrom?.id, "b");
+  assert.ok((placement?.readyMs ?? 0) < 140, `${placement?.readyMs} ms`);
+});
+
+test("a short prompt goes where it is read soonest", () => {
+  const prompt = buildPrompt("k", 350, 1110);
+  const view = buildView({ a: 50, b: 20, c: 90, d: 70 });
+  assert.equal(createPlacer().pickReader(prompt, view)?.target.id, "b");
+});
+
+test("a slow engine is left to others once it is known to be slow", () => {
+  const model = new ReadModel();
+  for (let i = 0; i < 40; i++) model.learn("a", 30, 30 * 4);
+  assert.ok(model.getFactor("a") > 2);
+  const placer = new PromptPlacer({ model });
+  const prompt = buildPrompt("k", 350, 1110);
+  const view = buildView({ b: 30, c: 30, d: 30 });
+  assert.notEqual(placer.pickReader(prompt, view)?.target.id, "a");
+});
+
+test("no engine, no placement", () => {
+  const view = { ...buildView({}), candidates: [] };
+  assert.equal(createPlacer().pickReader(buildPrompt("k"), view), undefined);
+});
+
+test("VMs tell each other once where a beginning was read", () => {
+  const own = new PromptIndex();
+  own.noteRead("k1", "a");
+  own.noteRead("k1", "a");
+  own.notePeer([["k2", "b"]]);
+  const { notes, cursor } = own.listNotes(0);
+  assert.deepEqual(notes, [["k1", "a"]]);
+  own.noteRead("k1", "c");
+  assert.deepEqual(own.listNotes(cursor).notes, [["k1", "c"]]);
+  assert.deepEqual(own.listHolders("k1"), ["a", "c"]);
+  own.forgetTarget("a");
+  assert.deepEqual(own.listHolders("k1"), ["c"]);
+  assert.deepEqual(own.listHolders("k2"), ["b"]);
+});
+
+test("the index stays within its size", () => {
+  const index = new PromptIndex({ maxKeys: 3 });
+  for (let i = 0; i < 10; i++) index.noteRead(`k${i}`, "a");
+  assert.deepEqual(index.listHolders("k0"), []);
+  assert.deepEqual(index.listHolders("k9"), ["a"]);
+  assert.equal(index.listNotes(0).notes.length, 3);
+});
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { computeRunnerGoal, planRoles, type Target } from "../../mod.ts";
+import { buildEngine } from "./fixtures.ts";
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+
+function buildFleet(readers: number, runners: number): Target[] {
+  return Array.from(
+    { length: readers + runners },
+    (_, i) =>
+      buildEngine(`e${String(i).padStart(3, "0")}`, {
+        role: i < runners ? "decode" : "prefill",
+        availabilityZone: ZONES[i % ZONES.length],
+      }),
+  );
+}
+
+function apply(engines: readonly Target[]): Target[] {
+  const roles = new Map(
+    planRoles(engines).map(({ target, role }) => [target.id, role]),
+  );
+  return engines.map((engine) => ({
+    ...engine,
+    role: roles.get(engine.id) ?? engine.role,
+  }));
+}
+
+test("a fleet reaches its goal in one plan and then rests", () => {
+  for (const [readers, runners] of [[5, 8], [13, 0], [0, 13], [40, 58]]) {
+    const planned = apply(buildFleet(readers, runners));
+    const generating = planned.filter((engine) => engine.role === "decode");
+    assert.equal(generating.length, computeRunnerGoal(planned.length));
+    assert.deepEqual(planRoles(planned), []);
+  }
+});
+
+test("the fewest orders are given", () => {
+  const fleet = buildFleet(5, 8);
+  assert.equal(planRoles(fleet).length, 8 - computeRunnerGoal(13));
+});
+
+test("generating engines stay in different zones", () => {
+  const planned = apply(buildFleet(5, 8));
+  const zones = planned.filter((engine) => engine.role === "decode")
+    .map((engine) => engine.availabilityZone);
+  assert.equal(new Set(zones).size, Math.min(zones.length, ZONES.length));
+});
+
+test("a lost generating engine is replaced, never the last reader", () => {
+  const planned = apply(buildFleet(5, 8));
+  const lost = planned.find((engine) => engine.role === "decode");
+  const left = planned.filter((engine) => engine !== lost);
+  assert.equal(planRoles(left).length, computeRunnerGoal(12) - 2);
+  assert.deepEqual(planRoles([buildEngine("only")]), []);
+});
+
+test("leaving engines neither count nor change", () => {
+  const fleet = buildFleet(10, 3).map((engine, i) =>
+    i < 3 ? { ...engine, leaving: true } : engine
+  );
+  const changes = planRoles(fleet);
+  assert.ok(changes.length > 0);
+  assert.ok(changes.every(({ target }) => !target.leaving));
+});
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/run_placement_test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { computeUse, pickRunner, type RunCandidate } from "../../mod.ts";
+import { buildEngine } from "./fixtures.ts";
+
+function buildCandidate(
+  id: string,
+  zone: string,
+  runs: number,
+  kvTokens = 0,
+): RunCandidate {
+  const target = buildEngine(id, { availabilityZone: zone, role: "decode" });
+  return { target, runs, kvTokens, kvCapacity: 480_000 };
+}
+
+const drawNone = (): number => 0;
+
+test("a near engine is taken unless a far one has much more room", () => {
+  const near = buildCandidate("n", "zone-a", 10);
+  const far = buildCandidate("f", "zone-b", 6);
+  assert.equal(pickRunner([far, near], "zone-a", drawNone), near);
+  const full = buildCandidate("n", "zone-a", 30);
+  assert.equal(pickRunner([far, full], "zone-a", drawNone), far);
+});
+
+test("KV memory counts where it is scarcer than places", () => {
+  const long = buildCandidate("l", "zone-a", 4, 400_000);
+  const short = buildCandidate("s", "zone-a", 9, 30_000);
+  assert.ok(computeUse(long) > computeUse(short));
+  assert.equal(pickRunner([long, short], "zone-a", drawNone), short);
+  assert.equal(pickRunner([], "zone-a", drawNone), undefined);
+});
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TargetDirectory } from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
+
+function listIds(directory: TargetDirectory): string[] {
+  return directory.listServing("s").map((target) => target.id).sort();
+}
+
+function createFilled(): TargetDirectory {
+  const directory = new TargetDirectory();
+  directory.applyList([
+    { key: "a", value: buildTarget("a") },
+    { key: "b", value: buildTarget("b") },
+  ], 0);
+  return directory;
+}
+
+test("a leaving or removed target gets no new work", () => {
+  const directory = createFilled();
+  directory.applyChanges(
+    [{ key: "a", value: buildTarget("a", { leaving: true }) }],
+    10,
+  );
+  assert.deepEqual(listIds(directory), ["b"]);
+  assert.equal(directory.findTarget("a")?.leaving, true);
+  directory.applyChanges([{ key: "b" }], 20);
+  assert.deepEqual(listIds(directory), []);
+});
+
+test("what lapsed during an outage is used until two seconds after its end", () => {
+  const directory = createFilled();
+  directory.noteOutage();
+  directory.applyChanges([{ key: "a" }], 10_000);
+  assert.deepEqual(listIds(directory), ["a", "b"]);
+  assert.deepEqual(directory.expire(11_999), []);
+  directory.applyChanges([{ key: "a", value: buildTarget("a") }], 11_999);
+  assert.deepEqual(directory.expire(12_001), []);
+  assert.deepEqual(listIds(directory), ["a", "b"]);
+});
+
+test("an entry still missing two seconds after the outage is gone", () => {
+  const directory = createFilled();
+  directory.noteOutage();
+  directory.applyList([{ key: "b", value: buildTarget("b") }], 5000);
+  assert.deepEqual(listIds(directory), ["a", "b"]);
+  assert.deepEqual(directory.expire(7000), ["a"]);
+  assert.deepEqual(listIds(directory), ["b"]);
+});
+
+test("a target that was leaving before the outage is not kept", () => {
+  const directory = createFilled();
+  directory.applyChanges(
+    [{ key: "a", value: buildTarget("a", { leaving: true }) }],
+    10,
+  );
+  directory.noteOutage();
+  directory.applyChanges([{ key: "a" }], 20);
+  assert.equal(directory.findTarget("a"), undefined);
+});
+
+test("a removal long after an outage takes effect at once", () => {
+  const directory = createFilled();
+  directory.noteOutage();
+  directory.applyChanges([], 1000);
+  directory.applyChanges([{ key: "a" }], 9000);
+  assert.deepEqual(listIds(directory), ["b"]);
+});
+
+test("an engine that changes its role takes no work until the list shows it", () => {
+  const directory = createFilled();
+  directory.markChanging("a", 5000);
+  assert.equal(directory.isChanging("a", 4000), true);
+  directory.applyChanges(
+    [{ key: "a", value: buildTarget("a", { role: "decode" }) }],
+    4100,
+  );
+  assert.equal(directory.isChanging("a", 4200), false);
+});
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/target_health_test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TargetHealth } from "../../mod.ts";
+
+test("an unreachable target is avoided, longer each time, and not for ever", () => {
+  const health = new TargetHealth();
+  assert.equal(health.noteOutcome("t", "unreachable", 0), true);
+  assert.equal(health.isAvoided("t", 499), true);
+  assert.equal(health.isAvoided("t", 500), false);
+  health.noteOutcome("t", "unreachable", 600);
+  assert.equal(health.isAvoided("t", 1500), true);
+  for (let i = 0; i < 20; i++) health.noteOutcome("t", "unreachable", 2000);
+  assert.equal(health.isAvoided("t", 2000 + 5001), false);
+});
+
+test("a target that fails a seventh of its calls is kept", () => {
+  const health = new TargetHealth();
+  for (let i = 0; i < 70; i++) {
+    health.noteOutcome("t", i % 7 === 0 ? "failed" : "answered", i * 100);
+    assert.equal(health.isAvoided("t", i * 100), false, `call ${i}`);
+  }
+});
+
+test("a target that fails nearly half of its calls is avoided", () => {
+  const health = new TargetHealth();
+  let avoided = 0;
+  for (let i = 0; i < 40; i++) {
+    health.noteOutcome("t", i % 2 === 0 ? "failed" : "answered", i * 100);
+    if (health.isAvoided("t", i * 100)) avoided++;
+  }
+  assert.ok(avoided > 15, `${avoided} of 40`);
+});
