Prompts are read in lanes; readings in progress count as held; caches surveyed after a start

The lines of each reading showed predictions near the mark, so the ledger was right: engines had more to read than they could, and first come, first served made all calls late at once. After a kill of all VMs every beginning counted as cold (41 of 138 readings in two seconds).

Ruled out: lost credit at generating engines; a ledger that lags.

Conclusion: under more prompts than can be read, order decides.

--- /dev/null
+++ b/packages/heatherarch-forward/cache_survey.ts
@@ -0,0 +1,71 @@
+/**
+ * Finds out what engines keep when a VM starts before a fleet that has been running: each
+ * engine is asked by one VM, which tells the others.
+ *
+ * Pattern of load: all VMs lose power together, the engines keep their caches. Without the
+ * survey every beginning counts as cold, its reading is overestimated four times, and prompts
+ * are sent away from engines that hold them.
+ *
+ * @module
+ */
+import { pickRendezvous, sleep } from "heatherarch-core";
+import { askEngine, type InquiryMeans } from "./engine_inquiry.ts";
+import type { Target } from "./model.ts";
+import type { CallCodec } from "./ports.ts";
+import type { PromptIndex } from "./prompt_index.ts";
+
+/** Options of {@linkcode CacheSurvey}. */
+export interface CacheSurveyOptions extends InquiryMeans {
+  readonly vmId: string;
+  readonly codec: CallCodec;
+  readonly prompts: PromptIndex;
+  readonly listReaders: () => readonly Target[];
+  /** Ids of the live VMs, this one included. */
+  readonly listLiveVms: () => readonly string[];
+}
+
+/** Time for the first links to peers, which may know already, milliseconds. */
+const SETTLE_MS = 400;
+/** Time for an answer and for telling it to the VMs whose turn comes later, milliseconds. */
+const TURN_MS = 200;
+const MAX_TURNS = 5;
+const HTTP_OK = 200;
+
+/** Asks engines for their caches, once. */
+export class CacheSurvey {
+  readonly #options: CacheSurveyOptions;
+
+  constructor(options: CacheSurveyOptions) {
+    this.#options = options;
+  }
+
+  /** Asks the engines that nobody has told of when this VM's turn comes. */
+  async run(): Promise<void> {
+    await sleep(SETTLE_MS);
+    await Promise.all(
+      this.#options.listReaders().map((engine) => this.#askInTurn(engine)),
+    );
+  }
+
+  async #askInTurn(engine: Target): Promise<void> {
+    const { listLiveVms, vmId, prompts } = this.#options;
+    const order = pickRendezvous(engine.id, listLiveVms(), MAX_TURNS);
+    const turn = order.indexOf(vmId);
+    await sleep((turn < 0 ? MAX_TURNS : turn) * TURN_MS);
+    if (prompts.hasNotesOf(engine.id)) return;
+    await this.#ask(engine);
+  }
+
+  async #ask(engine: Target): Promise<void> {
+    const { codec, prompts, events } = this.#options;
+    const request = codec.encodeCacheList(engine);
+    const answer = await askEngine(this.#options, engine, request);
+    if (answer?.status !== HTTP_OK) return;
+    const ids = codec.decodeCacheList(answer.body);
+    for (const id of ids ?? []) prompts.noteHolder(id, engine.id, "read");
+    events.write("info", "cacheSurveyed", {
+      target: engine.id,
+      parts: ids?.length,
+    });
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/engine_inquiry.ts
@@ -0,0 +1,53 @@
+/**
+ * Requests to engines that belong to no call: reports, orders, lists.
+ *
+ * @module
+ */
+import type { EventLog } from "./event_log.ts";
+import type { Target } from "./model.ts";
+import type { EncodedTry } from "./ports.ts";
+import type { TargetConnections } from "./target_connections.ts";
+import { ExchangeError } from "./target_exchange.ts";
+
+/** What an inquiry needs. */
+export interface InquiryMeans {
+  readonly connections: TargetConnections;
+  readonly events: EventLog;
+}
+
+/** An engine's whole answer. */
+export interface EngineAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** An engine answers such a request without a slot; a second is hundreds of times its usual time. */
+const TIMEOUT_MS = 1000;
+const MAX_BODY_BYTES = 1024 * 1024;
+
+/** Asks an engine; undefined where there was no answer. */
+export async function askEngine(
+  means: InquiryMeans,
+  target: Target,
+  request: EncodedTry,
+): Promise<EngineAnswer | undefined> {
+  const exchange = means.connections.open(target, request);
+  const timer = setTimeout(
+    () => exchange.abort("no answer of the engine"),
+    TIMEOUT_MS,
+  );
+  try {
+    const { status } = await exchange.head;
+    return { status, body: await exchange.readBody(MAX_BODY_BYTES) };
+  } catch (error) {
+    if (!(error instanceof ExchangeError)) throw error;
+    means.events.write("warn", "engineUnanswered", {
+      target: target.id,
+      path: request.path,
+      reason: error.message,
+    });
+    return undefined;
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -166,10 +166,11 @@
       intervalMs: Math.round(this.#node.intervalMs),
       leaving: this.#leaving,
       leavingTargets: [],
-      work: ledger.listOwnRows(clock.readMonotonicMs()).map((row) => [...row]),
-      ...(notes.length === 0
-        ? {}
-        : { prompts: notes.map((note) => [...note]) as [string, string][] }),
+      work: ledger.listOwnRows(clock.readMonotonicMs())
+        .map((row): [string, number, number, ...number[]] => [...row]),
+      ...(notes.length === 0 ? {} : {
+        prompts: notes.map((note): [string, string, number] => [...note]),
+      }),
       ...(changing.length === 0
         ? {}
         : { changing: [0, [...changing]] as [number, string[]] }),
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -14,6 +14,7 @@
 import type { LogPort } from "heatherarch-log";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
+import { CacheSurvey } from "./cache_survey.ts";
 import { CallServer } from "./call_server.ts";
 import { ConfigView } from "./config_view.ts";
 import { type EventLog, StdoutEventLog } from "./event_log.ts";
@@ -110,6 +111,7 @@
       listen,
     });
     this.#watchConfig();
+    this.#surveyOnceListed();
     await Promise.all([
       ingress.start(),
       this.#listenStatus(status, listen.readiness),
@@ -343,6 +345,28 @@
     });
   }
 
+  /** Surveys the engines' caches as soon as they are listed. */
+  #surveyOnceListed(): void {
+    const parts = this.#parts;
+    const listReaders = (): Target[] =>
+      parts.directory.listAll().filter((target) => target.role === "prefill");
+    const timer = setInterval(() => {
+      if (this.#stopping) return clearInterval(timer);
+      if (listReaders().length === 0) return;
+      clearInterval(timer);
+      const survey = new CacheSurvey({
+        vmId: this.#settings.vm.id,
+        codec: parts.codec,
+        prompts: parts.prompts,
+        connections: parts.connections,
+        events: parts.log,
+        listReaders,
+        listLiveVms: () => parts.mesh.listLive(),
+      });
+      void survey.run();
+    }, SWEEP_MS);
+  }
+
   #shareLimits(liveVms: number): void {
     const { allowance, connections, metrics } = this.#parts;
     allowance.setLiveVms(liveVms);
--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -6,6 +6,7 @@
  */
 import { type RelayEnd, StreamRelay } from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
+import { computeEnginePriority, computeLane, LATE_LANE } from "./lanes.ts";
 import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
 import type { KvHandle } from "./ports.ts";
 import type { PromptPlacement } from "./prompt_placement.ts";
@@ -26,10 +27,6 @@
 const RUN_SILENCE_MS = 900;
 /** Longest answer to a reading; it holds a handle and two numbers. */
 const MAX_HANDLE_BYTES = 64 * 1024;
-/** Engine priorities: a call on time goes by its route's rank, a late one behind all. */
-const FIRST_PRIORITY = 2;
-const LAST_ON_TIME_PRIORITY = 6;
-const LATE_PRIORITY = 8;
 /** Wait that a refused caller is told at least, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -83,13 +80,23 @@
     const { ledger, codec } = run.serving;
     const readers = this.#listEngines("prefill");
     if (readers.length === 0) return { kind: "apart" };
-    const placement = this.#placePrompt(readers);
-    if (placement === undefined) return { kind: "apart" };
+    const placed = this.#placeOnTime(readers);
+    if (placed === undefined) return { kind: "apart" };
+    const { placement, lane } = placed;
     if (!this.#admit(placement)) return { kind: "over" };
     if (this.#isFurther && !run.spendTry()) return { kind: "over" };
     const { target } = placement;
     const startedAtMs = run.nowMs;
-    const endRead = ledger.beginRead(target.id, placement.costMs, startedAtMs);
+    const key = run.serving.placer.findKey(this.#prompt);
+    if (key !== undefined) {
+      run.serving.prompts.noteHolder(key, target.id, "reading");
+    }
+    const endRead = ledger.beginRead(
+      target.id,
+      placement.costMs,
+      lane,
+      startedAtMs,
+    );
     const exchange = run.send(
       target,
       codec.encodeTry(run.call, {
@@ -97,7 +104,7 @@
         patienceMs: run.remainingMs,
         stage: "readPrompt",
         fetchFrom: placement.fetchFrom?.address,
-        enginePriority: this.#rankPlacement(placement),
+        enginePriority: computeEnginePriority(lane),
         lastEventId: this.#relay.lastEventId,
       }),
     );
@@ -121,7 +128,7 @@
       if (handle === undefined) {
         return this.#missRead(target, "lost", `status ${end.head.status}`);
       }
-      this.#learnReading(placement, run.nowMs - startedAtMs);
+      this.#noteReading(placement, lane, run.nowMs - startedAtMs);
       const source = { address: target.address, handle };
       if (run.isOver) {
         this.#freeHandle(source, target);
@@ -142,6 +149,9 @@
     reason: string,
   ): ReadResult {
     this.#tried.add(target.id);
+    const { placer, prompts } = this.#run.serving;
+    const key = placer.findKey(this.#prompt);
+    if (key !== undefined) prompts.forgetHolder(key, target.id);
     this.#reason = `prompt not read: ${reason}`;
     if (kind !== "notSent") this.#isFurther = true;
     return { kind: "again" };
@@ -173,7 +183,9 @@
         patienceMs: run.remainingMs,
         stage: source === undefined ? "whole" : "takeOver",
         kvSource: source,
-        enginePriority: this.#rankRun(),
+        enginePriority: computeEnginePriority(
+          computeLane(run.route.priority),
+        ),
         lastEventId: this.#relay.lastEventId,
       }),
     );
@@ -299,21 +311,40 @@
     return false;
   }
 
-  #placePrompt(readers: readonly Target[]): PromptPlacement | undefined {
+  /** The place in the call's own lane, or in the lane of late calls where it can't be on time. */
+  #placeOnTime(
+    readers: readonly Target[],
+  ): { placement: PromptPlacement; lane: number } | undefined {
+    const lane = computeLane(this.#run.route.priority);
+    const placement = this.#placePrompt(readers, lane);
+    if (placement === undefined) return undefined;
+    if (placement.readyMs + FIRST_TOKEN_MS <= this.#run.aimLeftMs) {
+      return { placement, lane };
+    }
+    const late = this.#placePrompt(readers, LATE_LANE) ?? placement;
+    return { placement: late, lane: LATE_LANE };
+  }
+
+  #placePrompt(
+    readers: readonly Target[],
+    lane: number,
+  ): PromptPlacement | undefined {
     const run = this.#run;
     const { ledger, placer, directory, prompts } = run.serving;
     const nowMs = run.nowMs;
     const candidates = readers.map((target) => ({
       target,
-      backlogMs: ledger.getWork(target.id, nowMs).readMs,
+      backlogMs: ledger.getReadMs(target.id, lane, nowMs),
     }));
     const key = placer.findKey(this.#prompt);
-    const holders = new Set(key === undefined ? [] : prompts.listHolders(key));
     const serving = directory.listServing(run.service.name);
+    const holders = key === undefined ? [] : prompts.listHolders(key);
+    const known = new Map(holders.map(({ target, state }) => [target, state]));
     return placer.pickReader(this.#prompt, {
       candidates,
       readers: serving.filter((target) => target.role === "prefill"),
-      holders: serving.filter((target) => holders.has(target.id)),
+      holders: serving.filter((target) => known.has(target.id)),
+      sources: serving.filter((target) => known.get(target.id) === "read"),
       traits: this.#traits,
     });
   }
@@ -339,23 +370,13 @@
     const nowMs = this.#run.nowMs;
     const candidates = this.#listEngines("decode")
       .map((target): RunCandidate => {
-        const { runs, kvTokens } = ledger.getWork(target.id, nowMs);
-        const kvCapacity = this.#traits.kvTokens;
-        return { target, runs, kvTokens, kvCapacity };
+        const { runs, kvTokens } = ledger.getRuns(target.id, nowMs);
+        const kvRoom = this.#traits.kvTokens;
+        return { target, runs, kvTokens, kvRoom };
       });
     return pickRunner(candidates, zone, drawUnit)?.target;
   }
 
-  #rankPlacement(placement: PromptPlacement): number {
-    const isLate = placement.readyMs + FIRST_TOKEN_MS > this.#run.aimLeftMs;
-    return isLate ? LATE_PRIORITY : this.#rankRun();
-  }
-
-  #rankRun(): number {
-    const rank = FIRST_PRIORITY + this.#run.route.priority;
-    return Math.min(LAST_ON_TIME_PRIORITY, rank);
-  }
-
   #getSilenceMs(): number | undefined {
     const { kind, maxTargets } = this.#run.route;
     return kind === "resumableStream" && maxTargets > 1
@@ -364,13 +385,30 @@
   }
 
   /** Notes who holds the beginning now; short prompts show an engine's own speed. */
-  #learnReading(placement: PromptPlacement, tookMs: number): void {
-    const { readModel, placer, prompts } = this.#run.serving;
+  #noteReading(
+    placement: PromptPlacement,
+    lane: number,
+    tookMs: number,
+  ): void {
+    const { readModel, placer, prompts, log } = this.#run.serving;
+    const { target, costMs, readyMs } = placement;
     const key = placer.findKey(this.#prompt);
-    if (key !== undefined) prompts.noteRead(key, placement.target.id);
-    else if (placement.readyMs === placement.costMs) {
-      readModel.learn(placement.target.id, placement.costMs, tookMs);
+    if (key !== undefined) prompts.noteHolder(key, target.id, "read");
+    else if (readyMs === costMs) {
+      // Nothing else was being read there: this is the engine's own speed.
+      readModel.learn(target.id, costMs, tookMs);
     }
+    log.write("info", "promptRead", {
+      call: this.#run.call.id,
+      target: target.id,
+      tokens: this.#prompt.promptTokens,
+      lane,
+      isCold: placement.isCold,
+      fetchFrom: placement.fetchFrom?.id,
+      costMs: Math.round(costMs),
+      readyMs: Math.round(readyMs),
+      tookMs: Math.round(tookMs),
+    });
   }
 
   #freeHandle(source: KvHandle | undefined, reader: Target | undefined): void {
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -5,15 +5,18 @@
  * @module
  */
 export * from "./answer_headers.ts";
+export * from "./cache_survey.ts";
 export * from "./call_run.ts";
 export * from "./call_server.ts";
 export * from "./caller_port.ts";
 export * from "./config_view.ts";
+export * from "./engine_inquiry.ts";
 export * from "./event_log.ts";
 export * from "./event_splitter.ts";
 export * from "./fleet_mesh.ts";
 export * from "./forward_vm.ts";
 export * from "./ingress.ts";
+export * from "./lanes.ts";
 export * from "./metrics.ts";
 export * from "./model.ts";
 export * from "./ports.ts";
--- a/packages/heatherarch-forward/plain_life.ts
+++ b/packages/heatherarch-forward/plain_life.ts
@@ -163,9 +163,9 @@
     const candidates = (sound.length > 0 ? sound : open)
       .map((target): RunCandidate => ({
         target,
-        runs: ledger.getWork(target.id, nowMs).runs,
+        runs: ledger.getRuns(target.id, nowMs).runs,
         kvTokens: 0,
-        kvCapacity: 0,
+        kvRoom: 0,
       }));
     return pickRunner(candidates, undefined, drawUnit)?.target;
   }
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -123,6 +123,10 @@
   encodeReport(target: Target): EncodedTry;
   /** Reads a report; undefined where it is none. */
   decodeReport(body: Buffer): EngineReport | undefined;
+  /** The request that asks an engine which prompt parts it keeps. */
+  encodeCacheList(target: Target): EncodedTry;
+  /** Ids of the parts in such an answer; undefined where it is none. */
+  decodeCacheList(body: Buffer): readonly string[] | undefined;
   /** The request that changes an engine's role. */
   encodeRoleOrder(order: RoleOrder): EncodedTry;
 }
--- a/packages/heatherarch-forward/prompt_index.ts
+++ b/packages/heatherarch-forward/prompt_index.ts
@@ -8,8 +8,17 @@
  * @module
  */
 
-/** A beginning was read by an engine: key of the beginning, id of the engine. */
-export type PromptNote = readonly [string, string];
+/** How an engine holds a beginning: it is being read there, or has been. */
+export type HoldState = "reading" | "read";
+
+/** Key of a beginning, id of an engine, and whether it has been read (1) or is being read (0). */
+export type PromptNote = readonly [string, string, number];
+
+/** An engine that holds a beginning, or will soon. */
+export interface Holder {
+  readonly target: string;
+  readonly state: HoldState;
+}
 
 /** Options of {@linkcode PromptIndex}. */
 export interface PromptIndexOptions {
@@ -20,12 +29,12 @@
 /** Twenty times the beginnings of the users' sheets, at some 100 bytes each. */
 const DEFAULT_MAX_KEYS = 8192;
 /** Engines remembered for one beginning; a copy beyond saves no wait. */
-const MAX_HOLDERS = 4;
+const MAX_HOLDERS = 6;
 
 /** Holders of prompt beginnings. */
 export class PromptIndex {
   readonly #maxKeys: number;
-  readonly #holders = new Map<string, string[]>();
+  readonly #holders = new Map<string, readonly Holder[]>();
   /** Notes in the order in which they became known, for peers. */
   readonly #journal: PromptNote[] = [];
   #journalStart = 0;
@@ -34,10 +43,10 @@
     this.#maxKeys = options.maxKeys ?? DEFAULT_MAX_KEYS;
   }
 
-  /** An engine has read the beginning, on this VM's order. */
-  noteRead(key: string, target: string): void {
-    if (!this.#add(key, target)) return;
-    this.#journal.push([key, target]);
+  /** An engine reads, or has read, the beginning, on this VM's order. */
+  noteHolder(key: string, target: string, state: HoldState): void {
+    if (!this.#add(key, target, state)) return;
+    this.#journal.push([key, target, state === "read" ? 1 : 0]);
     if (this.#journal.length > this.#maxKeys) {
       this.#journal.shift();
       this.#journalStart++;
@@ -46,29 +55,35 @@
 
   /** Takes in what a peer had read. */
   notePeer(notes: readonly PromptNote[]): void {
-    for (const [key, target] of notes) this.#add(key, target);
+    for (const [key, target, isRead] of notes) {
+      this.#add(key, target, isRead === 1 ? "read" : "reading");
+    }
   }
 
-  /** Engines that hold the beginning; those that have gone may be among them. */
-  listHolders(key: string): readonly string[] {
+  /** Whether any beginning is known to be held by an engine. */
+  hasNotesOf(target: string): boolean {
+    for (const holders of this.#holders.values()) {
+      if (holders.some((holder) => holder.target === target)) return true;
+    }
+    return false;
+  }
+
+  /** Holders of the beginning, the latest last; those that have gone may be among them. */
+  listHolders(key: string): readonly Holder[] {
     return this.#holders.get(key) ?? [];
   }
 
   /** An engine has lost its cache, or has gone. */
   forgetTarget(target: string): void {
-    for (const [key, holders] of this.#holders) {
-      const left = holders.filter((id) => id !== target);
-      if (left.length === holders.length) continue;
-      if (left.length === 0) this.#holders.delete(key);
-      else this.#holders.set(key, left);
-    }
+    for (const key of [...this.#holders.keys()]) this.forgetHolder(key, target);
   }
 
   /** An engine turned out not to hold a beginning. */
   forgetHolder(key: string, target: string): void {
-    const holders = this.#holders.get(key);
-    if (holders === undefined) return;
-    this.#holders.set(key, holders.filter((id) => id !== target));
+    const holders = this.listHolders(key);
+    const left = holders.filter((holder) => holder.target !== target);
+    if (left.length === 0) this.#holders.delete(key);
+    else if (left.length < holders.length) this.#holders.set(key, left);
   }
 
   /** Own notes from `cursor` on, and the cursor behind them; 0 is the beginning. */
@@ -80,12 +95,14 @@
     };
   }
 
-  #add(key: string, target: string): boolean {
-    const holders = this.#holders.get(key);
-    if (holders?.includes(target)) return false;
-    const kept = [...holders ?? [], target].slice(-MAX_HOLDERS);
+  /** Returns whether this was news. */
+  #add(key: string, target: string, state: HoldState): boolean {
+    const holders = this.listHolders(key);
+    const known = holders.find((holder) => holder.target === target);
+    if (known?.state === "read" || known?.state === state) return false;
+    const others = holders.filter((holder) => holder.target !== target);
     this.#holders.delete(key);
-    this.#holders.set(key, kept);
+    this.#holders.set(key, [...others, { target, state }].slice(-MAX_HOLDERS));
     if (this.#holders.size > this.#maxKeys) this.#dropOldest();
     return true;
   }
--- a/packages/heatherarch-forward/prompt_placement.ts
+++ b/packages/heatherarch-forward/prompt_placement.ts
@@ -40,8 +40,10 @@
   readonly candidates: readonly ReadCandidate[];
   /** Engines among which homes are dealt out; may hold more than the candidates. */
   readonly readers: readonly Target[];
-  /** Engines known to hold the shared parts. */
+  /** Engines known to hold the shared parts, or that are reading them now. */
   readonly holders: readonly Target[];
+  /** Engines from which the shared parts can be fetched. */
+  readonly sources: readonly Target[];
   readonly traits: EngineTraits;
 }
 
@@ -146,13 +148,14 @@
     if (view.holders.some((holder) => holder.id === target.id)) {
       return [build(readMs, false), 0];
     }
-    const holder = pickNear(view.holders, target);
-    if (holder !== undefined) {
-      const fetchMs = this.#predictFetchMs(shared, holder, target, view.traits);
-      return [build(readMs + fetchMs, false, holder), fetchMarginMs];
+    const source = pickNear(view.sources, target);
+    if (source !== undefined) {
+      const fetchMs = this.#predictFetchMs(shared, source, target, view.traits);
+      return [build(readMs + fetchMs, false, source), fetchMarginMs];
     }
     const coldMs = model.predictMs(target.id, prompt.promptTokens, 0);
-    const isHome = findHome(key, view.readers) === target.id;
+    const isHome = view.holders.length === 0 &&
+      findHome(key, view.readers) === target.id;
     return [build(coldMs, true), isHome ? 0 : awayMarginMs];
   }
 
@@ -180,13 +183,13 @@
   return pickRendezvous(key, readers.map((reader) => reader.id), 1).at(0);
 }
 
-/** A holder in the zone of `target`, or any. */
+/** A source in the zone of `target`, or any. */
 function pickNear(
-  holders: readonly Target[],
+  sources: readonly Target[],
   target: Target,
 ): Target | undefined {
-  const near = holders.find((holder) =>
-    holder.availabilityZone === target.availabilityZone
+  const near = sources.find((source) =>
+    source.availabilityZone === target.availabilityZone
   );
-  return near ?? holders.at(0);
+  return near ?? sources.at(0);
 }
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -20,14 +20,14 @@
 } from "heatherarch-lease";
 import { judgeSlice, type LogPort } from "heatherarch-log";
 import type { ConfigView } from "./config_view.ts";
+import { askEngine } from "./engine_inquiry.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ForwardMetrics } from "./metrics.ts";
 import type { EngineReport, Target, TargetRole } from "./model.ts";
-import type { CallCodec, EncodedTry, RoleOrder } from "./ports.ts";
+import type { CallCodec, RoleOrder } from "./ports.ts";
 import { planRoles, type RoleChange } from "./role_plan.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetDirectory } from "./target_directory.ts";
-import { ExchangeError } from "./target_exchange.ts";
 
 /** Options of {@linkcode RoleKeeper}. */
 export interface RoleKeeperOptions {
@@ -57,15 +57,12 @@
 const TURN_MS = 6000;
 /** A lease without anything to do is given up after this time, milliseconds. */
 const IDLE_MS = 2000;
-/** Longest wait for an answer to an order, milliseconds. */
-const ORDER_TIMEOUT_MS = 1000;
 /** Two reports of a target, so that its new role has been listed. */
 const REPORT_MS = 2600;
 /** Drift of monotonic clocks within a lease, milliseconds. */
 const DRIFT_MS = 200;
 /** Wall and monotonic time that part by more than this hint at a suspended machine. */
 const MAX_CLOCK_PART_MS = 150;
-const MAX_BODY_BYTES = 16 * 1024;
 const HTTP_OK = 200;
 const HTTP_FENCED = 412;
 
@@ -251,7 +248,8 @@
     const traits = configs.table?.findService(target.service)?.engine;
     const untilMs = this.#nowMs + (traits?.roleChangeMs ?? 0) + REPORT_MS;
     this.#pending.set(target.id, { role, untilMs });
-    const answer = await this.#call(target, codec.encodeRoleOrder(order));
+    const request = codec.encodeRoleOrder(order);
+    const answer = await askEngine(this.#options, target, request);
     // Without an answer it may have been accepted: the expected count makes a repetition harmless.
     this.#noteOrder(order, answer?.status ?? "unanswered");
     if (answer?.status !== HTTP_FENCED) return true;
@@ -263,37 +261,15 @@
 
   async #readReport(target: Target): Promise<EngineReport | undefined> {
     const { codec } = this.#options;
-    const answer = await this.#call(target, codec.encodeReport(target));
+    const answer = await askEngine(
+      this.#options,
+      target,
+      codec.encodeReport(target),
+    );
     if (answer?.status !== HTTP_OK) return undefined;
     return codec.decodeReport(answer.body);
   }
 
-  /** Sends a request of the control path; undefined where there was no answer. */
-  async #call(
-    target: Target,
-    request: EncodedTry,
-  ): Promise<{ status: number; body: Buffer } | undefined> {
-    const exchange = this.#options.connections.open(target, request);
-    const timer = setTimeout(
-      () => exchange.abort("no answer of the engine"),
-      ORDER_TIMEOUT_MS,
-    );
-    try {
-      const { status } = await exchange.head;
-      return { status, body: await exchange.readBody(MAX_BODY_BYTES) };
-    } catch (error) {
-      if (!(error instanceof ExchangeError)) throw error;
-      this.#options.events.write("warn", "engineUnanswered", {
-        target: target.id,
-        path: request.path,
-        reason: error.message,
-      });
-      return undefined;
-    } finally {
-      clearTimeout(timer);
-    }
-  }
-
   #noteOrder(order: RoleOrder, outcome: number | string): void {
     this.#options.metrics.orders.inc({ outcome: String(outcome) });
     this.#options.events.write("info", "roleOrdered", {
--- a/packages/heatherarch-forward/run_placement.ts
+++ b/packages/heatherarch-forward/run_placement.ts
@@ -13,7 +13,7 @@
   /** KV tokens in use by those runs; 0 for a plain target. */
   readonly kvTokens: number;
   /** KV tokens that the target has room for; 0 for a plain target. */
-  readonly kvCapacity: number;
+  readonly kvRoom: number;
 }
 
 /**
@@ -47,6 +47,6 @@
 /** Share of a target's places or KV cache in use, whichever is higher. */
 export function computeUse(candidate: RunCandidate): number {
   const places = candidate.runs / Math.max(1, candidate.target.slots);
-  if (candidate.kvCapacity === 0) return places;
-  return Math.max(places, candidate.kvTokens / candidate.kvCapacity);
+  if (candidate.kvRoom === 0) return places;
+  return Math.max(places, candidate.kvTokens / candidate.kvRoom);
 }
--- a/packages/heatherarch-lab/bin/test.ts
+++ b/packages/heatherarch-lab/bin/test.ts
@@ -9,10 +9,14 @@
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
 
+/** Built test files. */
+const TEST_FILE = /dist\/.*_test\.js$/;
+
 const filter = process.argv[2] ?? "";
-const files = globSync("packages", /dist\/.*_test\.js$/).filter((file) =>
-  file.includes(filter)
-);
+const files = [
+  ...globSync("packages", TEST_FILE),
+  ...globSync("platform", TEST_FILE),
+].filter((file) => file.includes(filter));
 const known = existsSync("KNOWN-RED.txt")
   ? readFileSync("KNOWN-RED.txt").split("\n").filter((line) =>
     line && !line.startsWith("#")
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -23,8 +23,8 @@
 
 const LEAVING_MARK = z.object({ target: z.string(), sinceOffset: z.int() });
 
-/** Work of the sender at one target: id, prompt milliseconds, runs, KV tokens of these. */
-const WORK_ROW = z.tuple([z.string(), z.int(), z.int(), z.int()]);
+/** Work of the sender at one target: id, runs, KV tokens of these, prompt milliseconds by lane. */
+const WORK_ROW = z.tuple([z.string(), z.int(), z.int()], z.int());
 
 const HEARTBEAT = z.object({
   kind: z.literal("heartbeat"),
@@ -46,8 +46,8 @@
   demand: z.tuple([z.number(), z.number()]).optional(),
   /** All work that the sender has in progress at targets. */
   work: z.array(WORK_ROW).optional(),
-  /** Prompt beginnings that an engine has read, by key and engine, since the last heartbeat. */
-  prompts: z.array(z.tuple([z.string(), z.string()])).optional(),
+  /** Prompt beginnings by key and engine, read (1) or being read (0), since the last heartbeat. */
+  prompts: z.array(z.tuple([z.string(), z.string(), z.int()])).optional(),
 });
 
 const MESSAGE = z.discriminatedUnion("kind", [
