--- a/packages/heatherarch-forward/cache_survey.ts
+++ b/packages/heatherarch-forward/cache_survey.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import { pickRendezvous, sleep } from "heatherarch-core";
+import { type Clock, pickRendezvous, sleep } from "heatherarch-core";
 import { askEngine, type InquiryMeans } from "./engine_inquiry.ts";
 import type { Target } from "./model.ts";
 import type { CallCodec } from "./ports.ts";
@@ -17,6 +17,7 @@
 /** Options of {@linkcode CacheSurvey}. */
 export interface CacheSurveyOptions extends InquiryMeans {
   readonly vmId: string;
+  readonly clock: Clock;
   readonly codec: CallCodec;
   readonly prompts: PromptIndex;
   readonly listReaders: () => readonly Target[];
@@ -57,12 +58,15 @@
   }
 
   async #ask(engine: Target): Promise<void> {
-    const { codec, prompts, events } = this.#options;
+    const { codec, prompts, events, clock } = this.#options;
     const request = codec.encodeCacheList(engine);
     const answer = await askEngine(this.#options, engine, request);
     if (answer?.status !== HTTP_OK) return;
     const ids = codec.decodeCacheList(answer.body);
-    for (const id of ids ?? []) prompts.noteHolder(id, engine.id, "read");
+    const nowMs = clock.readMonotonicMs();
+    for (const id of ids ?? []) {
+      prompts.noteHolder(id, engine.id, "read", nowMs);
+    }
     events.write("info", "cacheSurveyed", {
       target: engine.id,
       parts: ids?.length,
--- a/packages/heatherarch-forward/call_run.ts
+++ b/packages/heatherarch-forward/call_run.ts
@@ -57,6 +57,7 @@
   #exchange: TargetExchange | undefined;
   #outcome: CallOutcome | undefined;
   #tries = 0;
+  #lastTarget: string | undefined;
   /** Targets on which the call runs, or may have run. */
   #runs = 0;
 
@@ -120,6 +121,7 @@
   send(target: Target, request: EncodedTry): TargetExchange {
     assertInvariant(!this.isOver, "call-open", this.call.id);
     this.#tries++;
+    this.#lastTarget = target.id;
     this.#exchange = this.serving.connections.open(target, request);
     return this.#exchange;
   }
@@ -157,6 +159,7 @@
       kind,
       outcome,
       tries: this.#tries,
+      lastTarget: this.#lastTarget,
       runs: this.#runs,
       tookMs: Math.round(this.nowMs - this.call.arrivedAtMs),
       configVersion: this.#configVersion,
--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -179,9 +179,12 @@
 
   #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
     const { ledger, prompts, clock, onChanging } = this.#options;
-    if (heartbeat.prompts !== undefined) prompts.notePeer(heartbeat.prompts);
+    const nowMs = clock.readMonotonicMs();
+    if (heartbeat.prompts !== undefined) {
+      prompts.notePeer(heartbeat.prompts, nowMs);
+    }
     if (heartbeat.work !== undefined) {
-      ledger.notePeer(from.id, heartbeat.work, clock.readMonotonicMs());
+      ledger.notePeer(from.id, heartbeat.work, nowMs);
     }
     if (heartbeat.changing !== undefined) onChanging(heartbeat.changing[1]);
     this.#countVms();
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -14,6 +14,7 @@
 import type { LogPort } from "heatherarch-log";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
+import { CacheRetention } from "./cache_retention.ts";
 import { CacheSurvey } from "./cache_survey.ts";
 import { CallServer } from "./call_server.ts";
 import { ConfigView } from "./config_view.ts";
@@ -81,6 +82,7 @@
   readonly #container: AwilixContainer<Parts>;
   #sweeper: NodeJS.Timeout | undefined;
   #stopping = false;
+  #liveVms = 1;
 
   constructor(options: ForwardVmOptions) {
     const { settings } = options;
@@ -190,6 +192,8 @@
       ),
       readModel: asValue(readModel),
       prompts: asValue(new PromptIndex()),
+      retention: asValue(new CacheRetention()),
+      countVms: asValue(() => this.#liveVms),
       placer: asValue(new PromptPlacer({ model: readModel })),
       drawUnit: asValue(Math.random),
     });
@@ -260,6 +264,7 @@
       clock: parts.clock,
       configs: parts.configs,
       directory: parts.directory,
+      health: parts.health,
       connections: parts.connections,
       codec: parts.codec,
       events: parts.log,
@@ -356,6 +361,7 @@
       clearInterval(timer);
       const survey = new CacheSurvey({
         vmId: this.#settings.vm.id,
+        clock: parts.clock,
         codec: parts.codec,
         prompts: parts.prompts,
         connections: parts.connections,
@@ -369,6 +375,7 @@
 
   #shareLimits(liveVms: number): void {
     const { allowance, connections, metrics } = this.#parts;
+    this.#liveVms = liveVms;
     allowance.setLiveVms(liveVms);
     connections.setLiveVms(liveVms);
     metrics.liveVms.set(liveVms);
--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -9,7 +9,11 @@
 import { computeEnginePriority, computeLane, LATE_LANE } from "./lanes.ts";
 import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
 import type { KvHandle } from "./ports.ts";
-import type { PromptPlacement } from "./prompt_placement.ts";
+import {
+  type PlacementView,
+  type PromptPlacement,
+  sumShared,
+} from "./prompt_placement.ts";
 import { pickRunner, type RunCandidate } from "./run_placement.ts";
 import { ExchangeError } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
@@ -27,6 +31,8 @@
 const RUN_SILENCE_MS = 900;
 /** Longest answer to a reading; it holds a handle and two numbers. */
 const MAX_HANDLE_BYTES = 64 * 1024;
+/** A beginning is fetched only from engines that used it in this part of the time it is kept. */
+const SOURCE_PART = 0.6;
 /** Wait that a refused caller is told at least, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -89,7 +95,7 @@
     const startedAtMs = run.nowMs;
     const key = run.serving.placer.findKey(this.#prompt);
     if (key !== undefined) {
-      run.serving.prompts.noteHolder(key, target.id, "reading");
+      run.serving.prompts.noteHolder(key, target.id, "reading", startedAtMs);
     }
     const endRead = ledger.beginRead(
       target.id,
@@ -330,25 +336,52 @@
     lane: number,
   ): PromptPlacement | undefined {
     const run = this.#run;
-    const { ledger, placer, directory, prompts } = run.serving;
+    const { ledger, placer, directory } = run.serving;
     const nowMs = run.nowMs;
     const candidates = readers.map((target) => ({
       target,
       backlogMs: ledger.getReadMs(target.id, lane, nowMs),
     }));
-    const key = placer.findKey(this.#prompt);
     const serving = directory.listServing(run.service.name);
-    const holders = key === undefined ? [] : prompts.listHolders(key);
-    const known = new Map(holders.map(({ target, state }) => [target, state]));
+    const listed = serving.filter((target) => target.role === "prefill");
     return placer.pickReader(this.#prompt, {
       candidates,
-      readers: serving.filter((target) => target.role === "prefill"),
-      holders: serving.filter((target) => known.has(target.id)),
-      sources: serving.filter((target) => known.get(target.id) === "read"),
+      readers: listed,
+      ...this.#findHolders(listed),
       traits: this.#traits,
     });
   }
 
+  /** What is known of the engines that hold the prompt's beginning. */
+  #findHolders(
+    readers: readonly Target[],
+  ): Pick<PlacementView, "holders" | "sources" | "lastHolder"> {
+    const { placer, prompts, retention, countVms } = this.#run.serving;
+    const key = placer.findKey(this.#prompt);
+    if (key === undefined) return { holders: [], sources: [] };
+    const nowMs = this.#run.nowMs;
+    const keptMs = retention.estimateMs(
+      this.#traits.kvTokens,
+      readers.length,
+      countVms(),
+      nowMs,
+    );
+    const holders: Target[] = [];
+    const sources: Target[] = [];
+    let lastHolder: Target | undefined;
+    for (const holder of prompts.listHolders(key)) {
+      const target = readers.find(({ id }) => id === holder.target);
+      if (target === undefined) continue;
+      lastHolder = target;
+      const unusedMs = nowMs - holder.usedAtMs;
+      if (unusedMs > keptMs) continue;
+      holders.push(target);
+      if (holder.state === "reading") continue;
+      if (unusedMs <= keptMs * SOURCE_PART) sources.unshift(target);
+    }
+    return { holders, sources, lastHolder };
+  }
+
   /** Engines of a role that may be tried; avoided ones only where there is no other. */
   #listEngines(role: "prefill" | "decode"): Target[] {
     const run = this.#run;
@@ -390,18 +423,23 @@
     lane: number,
     tookMs: number,
   ): void {
-    const { readModel, placer, prompts, log } = this.#run.serving;
+    const { readModel, placer, prompts, retention, log } = this.#run.serving;
     const { target, costMs, readyMs } = placement;
     const key = placer.findKey(this.#prompt);
-    if (key !== undefined) prompts.noteHolder(key, target.id, "read");
-    else if (readyMs === costMs) {
+    if (key !== undefined) {
+      prompts.noteHolder(key, target.id, "read", this.#run.nowMs);
+    } else if (readyMs === costMs) {
       // Nothing else was being read there: this is the engine's own speed.
       readModel.learn(target.id, costMs, tookMs);
     }
+    const { promptTokens } = this.#prompt;
+    const isHeld = !placement.isCold && placement.fetchFrom === undefined;
+    const heldTokens = isHeld ? sumShared(this.#prompt) : 0;
+    retention.noteRead(promptTokens - heldTokens, this.#run.nowMs);
     log.write("info", "promptRead", {
       call: this.#run.call.id,
       target: target.id,
-      tokens: this.#prompt.promptTokens,
+      tokens: promptTokens,
       lane,
       isCold: placement.isCold,
       fetchFrom: placement.fetchFrom?.id,
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./answer_headers.ts";
+export * from "./cache_retention.ts";
 export * from "./cache_survey.ts";
 export * from "./call_run.ts";
 export * from "./call_server.ts";
--- a/packages/heatherarch-forward/prompt_index.ts
+++ b/packages/heatherarch-forward/prompt_index.ts
@@ -18,6 +18,8 @@
 export interface Holder {
   readonly target: string;
   readonly state: HoldState;
+  /** Monotonic time of its last known use. */
+  readonly usedAtMs: number;
 }
 
 /** Options of {@linkcode PromptIndex}. */
@@ -30,6 +32,8 @@
 const DEFAULT_MAX_KEYS = 8192;
 /** Engines remembered for one beginning; a copy beyond saves no wait. */
 const MAX_HOLDERS = 6;
+/** A use is told again after this time: engines keep a beginning for ten times as long. */
+const TELL_AGAIN_MS = 1000;
 
 /** Holders of prompt beginnings. */
 export class PromptIndex {
@@ -44,8 +48,13 @@
   }
 
   /** An engine reads, or has read, the beginning, on this VM's order. */
-  noteHolder(key: string, target: string, state: HoldState): void {
-    if (!this.#add(key, target, state)) return;
+  noteHolder(
+    key: string,
+    target: string,
+    state: HoldState,
+    nowMs: number,
+  ): void {
+    if (!this.#add(key, target, state, nowMs)) return;
     this.#journal.push([key, target, state === "read" ? 1 : 0]);
     if (this.#journal.length > this.#maxKeys) {
       this.#journal.shift();
@@ -54,9 +63,9 @@
   }
 
   /** Takes in what a peer had read. */
-  notePeer(notes: readonly PromptNote[]): void {
+  notePeer(notes: readonly PromptNote[], nowMs: number): void {
     for (const [key, target, isRead] of notes) {
-      this.#add(key, target, isRead === 1 ? "read" : "reading");
+      this.#add(key, target, isRead === 1 ? "read" : "reading", nowMs);
     }
   }
 
@@ -68,7 +77,7 @@
     return false;
   }
 
-  /** Holders of the beginning, the latest last; those that have gone may be among them. */
+  /** Holders of the beginning, the last used one last; those that have gone may be among them. */
   listHolders(key: string): readonly Holder[] {
     return this.#holders.get(key) ?? [];
   }
@@ -95,14 +104,23 @@
     };
   }
 
-  /** Returns whether this was news. */
-  #add(key: string, target: string, state: HoldState): boolean {
+  /** Returns whether this is worth telling to peers. */
+  #add(
+    key: string,
+    target: string,
+    state: HoldState,
+    nowMs: number,
+  ): boolean {
     const holders = this.listHolders(key);
     const known = holders.find((holder) => holder.target === target);
-    if (known?.state === "read" || known?.state === state) return false;
-    const others = holders.filter((holder) => holder.target !== target);
+    const isSame = known !== undefined &&
+      (known.state === "read" || known.state === state);
+    if (isSame && nowMs - known.usedAtMs < TELL_AGAIN_MS) return false;
+    const holder = { target, state: known?.state ?? state, usedAtMs: nowMs };
+    if (state === "read") holder.state = "read";
+    const others = holders.filter((other) => other.target !== target);
     this.#holders.delete(key);
-    this.#holders.set(key, [...others, { target, state }].slice(-MAX_HOLDERS));
+    this.#holders.set(key, [...others, holder].slice(-MAX_HOLDERS));
     if (this.#holders.size > this.#maxKeys) this.#dropOldest();
     return true;
   }
--- a/packages/heatherarch-forward/prompt_placement.ts
+++ b/packages/heatherarch-forward/prompt_placement.ts
@@ -42,8 +42,10 @@
   readonly readers: readonly Target[];
   /** Engines known to hold the shared parts, or that are reading them now. */
   readonly holders: readonly Target[];
-  /** Engines from which the shared parts can be fetched. */
+  /** Engines from which the shared parts can be fetched, the last used one first. */
   readonly sources: readonly Target[];
+  /** The engine that held the shared parts last, where that was too long ago to count on it. */
+  readonly lastHolder?: Target;
   readonly traits: EngineTraits;
 }
 
@@ -154,9 +156,10 @@
       return [build(readMs + fetchMs, false, source), fetchMarginMs];
     }
     const coldMs = model.predictMs(target.id, prompt.promptTokens, 0);
-    const isHome = view.holders.length === 0 &&
-      findHome(key, view.readers) === target.id;
-    return [build(coldMs, true), isHome ? 0 : awayMarginMs];
+    const homeId = view.holders.length > 0
+      ? undefined
+      : view.lastHolder?.id ?? findHome(key, view.readers);
+    return [build(coldMs, true), homeId === target.id ? 0 : awayMarginMs];
   }
 
   #predictFetchMs(
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -28,6 +28,7 @@
 import { planRoles, type RoleChange } from "./role_plan.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetDirectory } from "./target_directory.ts";
+import type { TargetHealth } from "./target_health.ts";
 
 /** Options of {@linkcode RoleKeeper}. */
 export interface RoleKeeperOptions {
@@ -39,6 +40,7 @@
   readonly configs: ConfigView;
   readonly directory: TargetDirectory;
   readonly connections: TargetConnections;
+  readonly health: TargetHealth;
   readonly codec: CallCodec;
   readonly events: EventLog;
   readonly metrics: ForwardMetrics;
@@ -138,7 +140,7 @@
   }
 
   #plan(nowMs: number): RoleChange[] {
-    const { configs, directory, isListCurrent } = this.#options;
+    const { configs, directory, health, isListCurrent } = this.#options;
     const { table } = configs;
     if (table === undefined || !isListCurrent()) return [];
     const changes: RoleChange[] = [];
@@ -149,7 +151,9 @@
         .filter((target) => target.role !== undefined)
         .map((target) => this.#applyPending(target, nowMs));
       count += engines.length;
-      changes.push(...planRoles(engines));
+      changes.push(...planRoles(engines, {
+        isReachable: ({ id }) => health.isReachable(id),
+      }));
     }
     if (count !== this.#engineCount) {
       this.#engineCount = count;
--- a/packages/heatherarch-forward/role_plan.ts
+++ b/packages/heatherarch-forward/role_plan.ts
@@ -17,6 +17,8 @@
 
 /** Options of {@linkcode planRoles}. */
 export interface RolePlanOptions {
+  /** Whether an engine that is still listed answers; all do by default. */
+  readonly isReachable?: (engine: Target) => boolean;
   /** Share of the engines that should generate. */
   readonly runnerShare?: number;
   /** Engines that should generate at least, where there are enough: one may be lost. */
@@ -24,7 +26,8 @@
 }
 
 /** Measured on the users' standard days; the table of trials is in docs/design/policy.md. */
-const DEFAULT_RUNNER_SHARE = 0.2;
+const DEFAULT_RUNNER_SHARE = 0.15;
+/** One may be lost: the other has places and memory for all runs until it is replaced. */
 const DEFAULT_MIN_RUNNERS = 2;
 
 /** Number of engines out of `count` that should generate. */
@@ -39,21 +42,31 @@
   return Math.min(count - 1, Math.max(minRunners, wanted));
 }
 
-/** The fewest changes that bring `engines` to the goal, spread over zones. */
+/**
+ * The fewest changes that bring `engines` to the goal, spread over zones. A generating engine
+ * that does not answer is replaced before the list drops it, where fewer than the least number
+ * are left.
+ */
 export function planRoles(
   engines: readonly Target[],
   options: RolePlanOptions = {},
 ): RoleChange[] {
+  const { isReachable = () => true } = options;
+  const { minRunners = DEFAULT_MIN_RUNNERS } = options;
   const usable = engines.filter((engine) => !engine.leaving);
   const goal = computeRunnerGoal(usable.length, options);
   const runners = usable.filter((engine) => engine.role === "decode");
+  const answering = runners.filter(isReachable).length;
+  const urgent = Math.min(goal, minRunners) - answering;
   const surplus = runners.length - goal;
-  if (surplus > 0) {
+  if (surplus > 0 && urgent <= 0) {
     return pickFromCrowded(runners, surplus)
       .map((target) => ({ target, role: "prefill" }));
   }
-  const readers = usable.filter((engine) => engine.role === "prefill");
-  const missing = Math.min(-surplus, Math.max(0, readers.length - 1));
+  const readers = usable
+    .filter((engine) => engine.role === "prefill" && isReachable(engine));
+  const wanted = Math.max(-surplus, urgent);
+  const missing = Math.min(wanted, Math.max(0, readers.length - 1));
   return pickForEmptiest(readers, runners, missing)
     .map((target) => ({ target, role: "decode" }));
 }
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import type { CacheRetention } from "./cache_retention.ts";
 import type { ConfigView } from "./config_view.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ForwardMetrics } from "./metrics.ts";
@@ -29,6 +30,9 @@
   readonly allowance: RetryAllowance;
   readonly placer: PromptPlacer;
   readonly prompts: PromptIndex;
+  readonly retention: CacheRetention;
+  /** Number of VMs that share the load. */
+  readonly countVms: () => number;
   readonly readModel: ReadModel;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
--- a/packages/heatherarch-forward/target_health.ts
+++ b/packages/heatherarch-forward/target_health.ts
@@ -22,6 +22,8 @@
   heardAtMs: number;
 }
 
+/** Tries in a row that did not reach a target before it counts as down; one may be a lost packet. */
+const UNREACHABLE_STREAK = 2;
 const FIRST_AVOID_MS = 500;
 /** Longer than the time in which the platform's list drops a dead target. */
 const MAX_AVOID_MS = 5000;
@@ -60,6 +62,11 @@
     return belief !== undefined && belief.avoidUntilMs > nowMs;
   }
 
+  /** Whether several tries in a row reached a target. */
+  isReachable(target: string): boolean {
+    return (this.#beliefs.get(target)?.streak ?? 0) < UNREACHABLE_STREAK;
+  }
+
   /** Monotonic time of a target's last answer; -Infinity where there was none. */
   getHeardAtMs(target: string): number {
     return this.#beliefs.get(target)?.heardAtMs ?? -Infinity;
--- a/packages/heatherarch-forward/tests/unit/prompt_placement_test.ts
+++ b/packages/heatherarch-forward/tests/unit/prompt_placement_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  CacheRetention,
   type PlacementView,
   PromptIndex,
   PromptPlacer,
@@ -105,17 +106,45 @@
   assert.equal(placement?.isCold, false);
 });
 
-test("VMs tell each other once where a beginning is read, and once when it has been", () => {
+test("a beginning that was used too long ago is read again where it was", () => {
+  const view = { ...buildView({}), lastHolder: ENGINES[2] };
+  const placement = createPlacer().pickReader(buildPrompt("k"), view);
+  assert.equal(placement?.target.id, "c");
+  assert.equal(placement?.isCold, true);
+});
+
+test("what engines keep shrinks with what is read, and grows again", () => {
+  const retention = new CacheRetention();
+  const estimate = (nowMs: number) =>
+    retention.estimateMs(480_000, 10, 9, nowMs);
+  assert.equal(estimate(0), 30_000);
+  // 9 VMs with 39 new tokens a millisecond each: 35 a millisecond and engine.
+  for (let nowMs = 0; nowMs < 20_000; nowMs += 100) {
+    retention.noteRead(3900, nowMs);
+  }
+  const busyMs = estimate(20_000);
+  assert.ok(busyMs > 9000 && busyMs < 13_000, `${busyMs}`);
+  assert.equal(estimate(60_000), 30_000);
+});
+
+test("VMs tell each other where a beginning is read, when it has been, and of later uses", () => {
   const own = new PromptIndex();
-  own.noteHolder("k1", "a", "reading");
-  own.noteHolder("k1", "a", "reading");
-  own.notePeer([["k2", "b", 1]]);
+  own.noteHolder("k1", "a", "reading", 0);
+  own.noteHolder("k1", "a", "reading", 10);
+  own.notePeer([["k2", "b", 1]], 10);
   const { notes, cursor } = own.listNotes(0);
   assert.deepEqual(notes, [["k1", "a", 0]]);
-  own.noteHolder("k1", "a", "read");
-  own.noteHolder("k1", "a", "reading");
+  own.noteHolder("k1", "a", "read", 300);
+  own.noteHolder("k1", "a", "reading", 400);
   assert.deepEqual(own.listNotes(cursor).notes, [["k1", "a", 1]]);
-  assert.deepEqual(own.listHolders("k1"), [{ target: "a", state: "read" }]);
+  assert.deepEqual(own.listHolders("k1"), [
+    { target: "a", state: "read", usedAtMs: 300 },
+  ]);
+  own.noteHolder("k1", "a", "reading", 1400);
+  assert.equal(own.listNotes(0).notes.length, 3);
+  assert.deepEqual(own.listHolders("k1"), [
+    { target: "a", state: "read", usedAtMs: 1400 },
+  ]);
   own.forgetTarget("a");
   assert.deepEqual(own.listHolders("k1"), []);
   assert.equal(own.hasNotesOf("b"), true);
@@ -124,7 +153,7 @@
 
 test("the index stays within its size", () => {
   const index = new PromptIndex({ maxKeys: 3 });
-  for (let i = 0; i < 10; i++) index.noteHolder(`k${i}`, "a", "read");
+  for (let i = 0; i < 10; i++) index.noteHolder(`k${i}`, "a", "read", i);
   assert.deepEqual(index.listHolders("k0"), []);
   assert.equal(index.listHolders("k9").length, 1);
   assert.equal(index.listNotes(0).notes.length, 3);
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -49,12 +49,24 @@
 
 test("a lost generating engine is replaced, never the last reader", () => {
   const planned = apply(buildFleet(5, 8));
-  const lost = planned.find((engine) => engine.role === "decode");
-  const left = planned.filter((engine) => engine !== lost);
-  assert.equal(planRoles(left).length, computeRunnerGoal(12) - 2);
+  const runners = planned.filter((engine) => engine.role === "decode");
+  const left = planned.filter((engine) => engine !== runners[0]);
+  const missing = computeRunnerGoal(12) - (runners.length - 1);
+  assert.equal(planRoles(left).length, missing);
   assert.deepEqual(planRoles([buildEngine("only")]), []);
 });
 
+test("generating engines that don't answer are replaced before the list drops them", () => {
+  const planned = apply(buildFleet(5, 8));
+  const down = new Set(
+    planned.filter((engine) => engine.role === "decode").map(({ id }) => id),
+  );
+  const isReachable = ({ id }: Target) => !down.has(id);
+  const changes = planRoles(planned, { isReachable });
+  assert.deepEqual(changes.map(({ role }) => role), ["decode", "decode"]);
+  assert.ok(changes.every(({ target }) => isReachable(target)));
+});
+
 test("leaving engines neither count nor change", () => {
   const fleet = buildFleet(10, 3).map((engine, i) =>
     i < 3 ? { ...engine, leaving: true } : engine
