A third generating engine from 12 engines on; only VMs that could order take turns

Ruled out: memory or places of the one that is left (32 runs of 64, 256,000 of 552,000 tokens).

Change: goal 0.15 of the engines, at least 2, one more from 12 engines on; VMs tell whether they read the list without fault, turns count only those, 1.5 s each; engines that another VM has ordered to change count in their new role.

--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -38,6 +38,8 @@
   /** Called with engines that a peer has ordered to change. */
   readonly onChanging: (targets: readonly string[]) => void;
   readonly listChanging: () => readonly string[];
+  /** Whether this VM could give orders now. */
+  readonly mayOrder: () => boolean;
 }
 
 const CONFIG_CALL = "config";
@@ -57,6 +59,8 @@
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
+  /** Peers that could give orders when they were last heard. */
+  readonly #orderers = new Set<string>();
   #listed = 0;
   #liveVms = 0;
   #leaving = false;
@@ -116,6 +120,14 @@
     return this.#membership.listLive();
   }
 
+  /** Ids of the live VMs that could give orders, this one included. */
+  listOrderers(): string[] {
+    const { self } = this.#options;
+    return this.listLive().filter((id) =>
+      id === self.id || this.#orderers.has(id)
+    );
+  }
+
   async #followVms(): Promise<void> {
     const { vms, self } = this.#options;
     let isAnnounced = false;
@@ -155,7 +167,8 @@
   }
 
   #buildHeartbeat(link: Link): Heartbeat {
-    const { ledger, prompts, clock, configs, listChanging } = this.#options;
+    const { ledger, prompts, clock, configs, listChanging, mayOrder } =
+      this.#options;
     const changing = listChanging();
     const { notes, cursor } = prompts.listNotes(this.#told.get(link) ?? 0);
     this.#told.set(link, cursor);
@@ -166,6 +179,7 @@
       intervalMs: Math.round(this.#node.intervalMs),
       leaving: this.#leaving,
       leavingTargets: [],
+      mayOrder: mayOrder(),
       work: ledger.listOwnRows(clock.readMonotonicMs())
         .map((row): [string, number, number, ...number[]] => [...row]),
       ...(notes.length === 0 ? {} : {
@@ -186,6 +200,8 @@
     if (heartbeat.work !== undefined) {
       ledger.notePeer(from.id, heartbeat.work, nowMs);
     }
+    if (heartbeat.mayOrder) this.#orderers.add(from.id);
+    else this.#orderers.delete(from.id);
     if (heartbeat.changing !== undefined) onChanging(heartbeat.changing[1]);
     this.#countVms();
     if (heartbeat.configOffset > this.#options.configs.version) {
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -251,6 +251,7 @@
       onLiveVms: (count) => this.#shareLimits(count),
       onChanging: (targets) => this.#noteChanging(targets),
       listChanging: () => this.#parts.roles.listChanging(),
+      mayOrder: () => this.#parts.targetFollower.isCurrent,
     });
   }
 
@@ -269,7 +270,7 @@
       codec: parts.codec,
       events: parts.log,
       metrics: parts.metrics,
-      listLiveVms: () => this.#parts.mesh.listLive(),
+      listOrderers: () => this.#parts.mesh.listOrderers(),
       isListCurrent: () => this.#parts.targetFollower.isCurrent,
     });
   }
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -44,8 +44,8 @@
   readonly codec: CallCodec;
   readonly events: EventLog;
   readonly metrics: ForwardMetrics;
-  /** Ids of the live VMs, this one included. */
-  readonly listLiveVms: () => readonly string[];
+  /** Ids of the live VMs that could give orders, this one included. */
+  readonly listOrderers: () => readonly string[];
   /** Whether the platform's list is being read without fault. */
   readonly isListCurrent: () => boolean;
 }
@@ -55,8 +55,11 @@
 const LOOK_MS = 300;
 /** The plan must have been the same for this long: lists fill up one entry after another. */
 const SETTLE_MS = 900;
-/** A VM leaves this much time to each VM before it: a claim, a change of role and its report. */
-const TURN_MS = 6000;
+/**
+ * A VM leaves this much time to each VM before it: a look, a claim, the orders, and a heartbeat
+ * that tells of them. Should two act at once, the lease decides.
+ */
+const TURN_MS = 1500;
 /** A lease without anything to do is given up after this time, milliseconds. */
 const IDLE_MS = 2000;
 /** Two reports of a target, so that its new role has been listed. */
@@ -164,7 +167,7 @@
 
   #applyPending(target: Target, nowMs: number): Target {
     const pending = this.#pending.get(target.id);
-    if (pending === undefined) return target;
+    if (pending === undefined) return this.#applyChanging(target, nowMs);
     if (target.role === pending.role || nowMs > pending.untilMs) {
       this.#pending.delete(target.id);
       return target;
@@ -172,11 +175,20 @@
     return { ...target, role: pending.role };
   }
 
+  /** An engine that another VM has ordered to change counts in its new role. */
+  #applyChanging(target: Target, nowMs: number): Target {
+    if (!this.#options.directory.isChanging(target.id, nowMs)) return target;
+    return {
+      ...target,
+      role: target.role === "prefill" ? "decode" : "prefill",
+    };
+  }
+
   /** Time to wait for the VMs whose turn comes first. */
   #computeTurnMs(): number {
-    const { vmId, listLiveVms } = this.#options;
+    const { vmId, listOrderers } = this.#options;
     const ownWeight = computeRendezvousWeight(CONTROL_STREAM, vmId);
-    const before = listLiveVms().filter((id) =>
+    const before = listOrderers().filter((id) =>
       computeRendezvousWeight(CONTROL_STREAM, id) > ownWeight
     );
     return before.length * TURN_MS;
--- a/packages/heatherarch-forward/role_plan.ts
+++ b/packages/heatherarch-forward/role_plan.ts
@@ -27,8 +27,12 @@
 
 /** Measured on the users' standard days; the table of trials is in docs/design/policy.md. */
 const DEFAULT_RUNNER_SHARE = 0.15;
-/** One may be lost: the other has places and memory for all runs until it is replaced. */
 const DEFAULT_MIN_RUNNERS = 2;
+/**
+ * From this many engines on a third one generates: crashes take a quarter of the engines at
+ * once, and with two that generate they took both (bomnal scale-2, worth 0.64 against 0.49).
+ */
+const SPARE_RUNNER_ENGINES = 12;
 
 /** Number of engines out of `count` that should generate. */
 export function computeRunnerGoal(
@@ -38,8 +42,9 @@
   const { runnerShare = DEFAULT_RUNNER_SHARE } = options;
   const { minRunners = DEFAULT_MIN_RUNNERS } = options;
   if (count < 2) return count;
+  const spare = count >= SPARE_RUNNER_ENGINES ? 1 : 0;
   const wanted = Math.round(count * runnerShare);
-  return Math.min(count - 1, Math.max(minRunners, wanted));
+  return Math.min(count - 1, Math.max(minRunners + spare, wanted));
 }
 
 /**
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -35,6 +35,13 @@
   }
 });
 
+test("a small fleet keeps a spare generating engine, a large one a share", () => {
+  assert.deepEqual(
+    [1, 2, 8, 11, 12, 13, 98].map((count) => computeRunnerGoal(count)),
+    [1, 1, 2, 2, 3, 3, 15],
+  );
+});
+
 test("the fewest orders are given", () => {
   const fleet = buildFleet(5, 8);
   assert.equal(planRoles(fleet).length, 8 - computeRunnerGoal(13));
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -46,6 +46,8 @@
   demand: z.tuple([z.number(), z.number()]).optional(),
   /** All work that the sender has in progress at targets. */
   work: z.array(WORK_ROW).optional(),
+  /** Whether the sender reads the list of targets without fault, as giving orders takes. */
+  mayOrder: z.boolean().optional(),
   /** Prompt beginnings by key and engine, read (1) or being read (0), since the last heartbeat. */
   prompts: z.array(z.tuple([z.string(), z.string(), z.int()])).optional(),
 });
