A fresh claim of a VM not heard yet is in progress, not in doubt

Reproduced without processes by claim_service_test, which failed before (outcomeUnknown for keyInProgress). Ruled out: the fold's order and the log's answers, which gave the right verdict (taken).

--- a/packages/heatherarch-daemon/claim_service.ts
+++ b/packages/heatherarch-daemon/claim_service.ts
@@ -69,6 +69,11 @@
 const CONCLUDE_LIMIT_MS = 600_000;
 /** A claim without an outcome is called unknown, not in progress, after this long. */
 const IN_PROGRESS_LIMIT_MS = 60_000;
+/**
+ * A claim younger than this is in progress whatever is known of its VM: one that has just
+ * started may not have been heard yet (links take up to some seconds under load).
+ */
+const FRESH_CLAIM_MS = 5000;
 
 /** Claims for one VM, and the shards that it owns. */
 export class ClaimService implements ClaimClient {
@@ -167,7 +172,8 @@
       return { kind: "answered", answer: holder.outcome };
     }
     const ageMs = this.#options.clock.readWallMs() - holder.claimedAtMs;
-    if (ageMs < IN_PROGRESS_LIMIT_MS && this.#isAlive(holder.vm)) {
+    const isAlive = ageMs < FRESH_CLAIM_MS || this.#isAlive(holder.vm);
+    if (ageMs < IN_PROGRESS_LIMIT_MS && isAlive) {
       const message = "a call with this key is in progress";
       return buildRefusal(new ServeError("keyInProgress", message));
     }
--- /dev/null
+++ b/packages/heatherarch-daemon/tests/unit/claim_service_test.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "heatherarch-core";
+import type { LogPort, LogRecord } from "heatherarch-log";
+import { Membership, type MeshNode } from "heatherarch-mesh";
+import { ClaimService } from "../../claim_service.ts";
+
+const START_MS = 1_700_000_000_000;
+
+/** A log in memory whose time is the clock's. */
+function buildLog(clock: ManualClock): LogPort {
+  const streams = new Map<string, LogRecord[]>();
+  const open = (stream: string): LogRecord[] => {
+    const records = streams.get(stream) ?? [];
+    streams.set(stream, records);
+    return records;
+  };
+  return {
+    append: (stream, data) => {
+      const records = open(stream);
+      const offset = records.length;
+      records.push({ offset, appendedAtMs: clock.readWallMs(), data });
+      return Promise.resolve(offset);
+    },
+    read: (stream, from) => {
+      const records = open(stream);
+      return Promise.resolve({
+        records: records.slice(from),
+        first: 0,
+        next: records.length,
+      });
+    },
+  };
+}
+
+/** Claims of a VM that has heard of no other one yet. */
+function buildService(
+  vmId: string,
+  log: LogPort,
+  clock: ManualClock,
+): ClaimService {
+  const identity = {
+    id: vmId,
+    incarnation: `${vmId}-1`,
+    availabilityZone: "zone-a",
+    mesh: "127.0.0.1:1",
+  };
+  return new ClaimService({
+    vmId,
+    incarnation: identity.incarnation,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership: new Membership({ self: identity, silenceMs: 1000 }),
+    mesh: { registerCall: () => () => undefined } as unknown as MeshNode,
+    settings: {
+      shards: 1,
+      batchMs: 0,
+      maxBatch: 10,
+      permissionMs: 2000,
+      keyWindowMs: 86_400_000,
+      futureSkewMs: 60_000,
+    },
+    snapshotEveryRecords: 1000,
+  });
+}
+
+test("a fresh claim of a VM that was not heard yet is in progress, an old one is in doubt", async () => {
+  const clock = new ManualClock(START_MS);
+  const log = buildLog(clock);
+  const request = { key: "k", madeAtMs: START_MS, fingerprint: "f" };
+  const first = await buildService("vm-a", log, clock).claim(request);
+  assert.equal(first.kind, "granted");
+  const other = buildService("vm-b", log, clock);
+  const soon = await other.claim(request);
+  assert.ok(soon.kind === "refused");
+  assert.equal(soon.error.kind, "keyInProgress");
+  clock.advance(6000);
+  const late = await other.claim(request);
+  assert.ok(late.kind === "refused");
+  assert.equal(late.error.kind, "outcomeUnknown");
+});
