--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -23,6 +23,8 @@
 /** Options of {@linkcode FleetMesh}. */
 export interface FleetMeshOptions {
   readonly self: VmRecord;
+  /** Address to listen on; peers dial the one in `self`. */
+  readonly listen: string;
   readonly sharedKey: string;
   readonly heartbeatMs: number;
   readonly heartbeatPerLinkMs: number;
@@ -106,7 +108,7 @@
     });
     this.#node = new MeshNode({
       self,
-      listen: self.mesh,
+      listen: options.listen,
       sharedKey: options.sharedKey,
       maxFrameBytes: MAX_FRAME_BYTES,
       heartbeatMs: options.heartbeatMs,
--- a/packages/heatherarch-forward/plain_life.ts
+++ b/packages/heatherarch-forward/plain_life.ts
@@ -88,7 +88,7 @@
       if (end.kind === "over") return { kind: "over" };
       if (end.kind === "notSent" || end.kind === "notRun") {
         run.noteNotRun();
-        return end;
+        return { kind: end.kind };
       }
       if (end.kind === "lost") return end;
       if (isSuccess(end.head.status) && !end.facts.signed) {
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -99,8 +99,10 @@
   readonly signed: boolean;
   /** The target says that it did not run the request and never will. */
   readonly notRun: boolean;
-  /** The address belongs to another incarnation. */
+  /** The target does not take such a request: it is another incarnation, or in another role. */
   readonly misdirected: boolean;
+  /** Id of the incarnation that answered, where it says so. */
+  readonly answeredBy?: string;
   /** Requests running and waiting at the target, where it tells. */
   readonly load?: {
     readonly running: number;
--- a/packages/heatherarch-forward/target_health.ts
+++ b/packages/heatherarch-forward/target_health.ts
@@ -57,6 +57,12 @@
     return !wasAvoided && belief.avoidUntilMs > nowMs;
   }
 
+  /** The target is avoided until then, whatever it answered before. */
+  rest(target: string, untilMs: number): void {
+    const belief = this.#open(target);
+    belief.avoidUntilMs = Math.max(belief.avoidUntilMs, untilMs);
+  }
+
   isAvoided(target: string, nowMs: number): boolean {
     const belief = this.#beliefs.get(target);
     return belief !== undefined && belief.avoidUntilMs > nowMs;
--- a/packages/heatherarch-forward/try_judge.ts
+++ b/packages/heatherarch-forward/try_judge.ts
@@ -24,12 +24,19 @@
   /** Nothing reached the target. */
   | { readonly kind: "notSent"; readonly reason: string }
   /** The target refused and will not run it. */
-  | { readonly kind: "notRun"; readonly reason: string }
+  | {
+    readonly kind: "notRun";
+    readonly reason: string;
+    readonly refusal: Refusal;
+  }
   /** The target may have run it, and there is no answer to pass on. */
   | { readonly kind: "lost"; readonly reason: string }
   /** The call ended meanwhile. */
   | { readonly kind: "over" };
 
+/** Why a target did not run a request: it is full, or not the one that was meant, or in another role. */
+export type Refusal = "declined" | "otherIncarnation" | "otherRole";
+
 /** Options of {@linkcode awaitHead}. */
 export interface AwaitHeadOptions {
   readonly run: CallRun;
@@ -44,6 +51,11 @@
 
 /** A target that has answered another call within this time is alive, milliseconds. */
 const ALIVE_MS = 500;
+/**
+ * An engine that refused a request for its role gets no work for this long, milliseconds; by
+ * then its entry in the list has told the role (entries are written every 1.2 s).
+ */
+const OTHER_ROLE_REST_MS = 1500;
 const SUCCESS = { least: 200, most: 299 };
 
 /** Whether a status says that all went well. */
@@ -57,7 +69,7 @@
   const stopTimer = startTimer(options);
   let end: TryEnd;
   try {
-    end = judgeHead(run, exchange, await exchange.head);
+    end = judgeHead(run, target, exchange, await exchange.head);
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error;
     const kind = error.fault === "notSent" ? "notSent" : "lost";
@@ -90,6 +102,7 @@
 
 function judgeHead(
   run: CallRun,
+  target: Target,
   exchange: TargetExchange,
   head: AnswerHead,
 ): TryEnd {
@@ -99,13 +112,23 @@
     return { kind: "lost", reason: `answer to call ${facts.callId}` };
   }
   if (facts.misdirected) {
-    exchange.abort("another incarnation");
-    return { kind: "notRun", reason: "address has another incarnation" };
+    exchange.abort("misdirected");
+    const { answeredBy } = facts;
+    const isOther = answeredBy !== undefined && answeredBy !== target.id;
+    return {
+      kind: "notRun",
+      reason: `misdirected, answered by ${answeredBy ?? "nobody named"}`,
+      refusal: isOther ? "otherIncarnation" : "otherRole",
+    };
   }
   if (facts.notRun) {
     // The body is of no interest; reading it keeps the connection.
     exchange.listen({ onData: ignore, onEnd: ignore, onFault: ignore });
-    return { kind: "notRun", reason: `refused with ${head.status}` };
+    return {
+      kind: "notRun",
+      reason: `refused with ${head.status}`,
+      refusal: "declined",
+    };
   }
   if (head.headers["content-encoding"] !== undefined) {
     exchange.abort("encoded body");
@@ -129,10 +152,13 @@
   const outcome = end.kind === "answer" ? String(end.head.status) : end.kind;
   metrics.tries.inc({ stage, outcome });
   const nowMs = run.nowMs;
-  if (end.kind === "notRun" && end.reason.startsWith("address")) {
+  if (end.kind === "notRun" && end.refusal === "otherIncarnation") {
     directory.markReplaced(target.id);
     health.forget(target.id);
   }
+  if (end.kind === "notRun" && end.refusal === "otherRole") {
+    health.rest(target.id, nowMs + OTHER_ROLE_REST_MS);
+  }
   const isNowAvoided = health.noteOutcome(target.id, rateEnd(end), nowMs);
   if (isNowAvoided) {
     log.write("warn", "targetAvoided", {
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -53,6 +53,8 @@
   })),
   mesh: z.object({
     sharedKey: z.string().min(16, "must have 16 characters or more"),
+    /** Address that peers are told; by default the one that is listened on. */
+    announce: ADDRESS.optional(),
     heartbeatMs: MS(10, 60_000, 60),
     /** Heartbeats grow rarer with the number of links: this long for each. */
     heartbeatPerLinkMs: MS(0, 10_000, 5),
