--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -13,8 +13,8 @@
 } from "heatherarch-mesh";
 import type { ConfigView } from "./config_view.ts";
 import type { EventLog } from "./event_log.ts";
-import type { RoutingConfig, VmRecord } from "./model.ts";
-import type { WritableTopicPort } from "./ports.ts";
+import type { RoutingConfig, Target, VmRecord } from "./model.ts";
+import type { KeyedEntry, WritableTopicPort } from "./ports.ts";
 import { HubExchange } from "./hub_exchange.ts";
 import type { PromptIndex } from "./prompt_index.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -46,6 +46,11 @@
   readonly getListAgeMs: () => number;
   /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
   readonly maxListAgeMs: number;
+  /** Takes in what a hub told of the list of targets; with `isFull` all of it. */
+  readonly applyTargets: (
+    entries: readonly KeyedEntry<Target>[],
+    isFull: boolean,
+  ) => void;
   /** Reads the configuration from the store, once. */
   readonly loadConfig: () => Promise<void>;
   /** Called when the number of VMs that share the fleet's limits has changed. */
@@ -164,7 +169,7 @@
   }
 
   /** Whether this VM has to read the store's topics by itself. */
-  needsOwnReading(): boolean {
+  hasToRead(): boolean {
     if (!this.#membership.hasHubs) return true;
     return !this.#hubs.isFed(this.#options.clock.readMonotonicMs());
   }
@@ -217,7 +222,7 @@
   }
 
   #pickLookMs(look: number): number {
-    if (!this.needsOwnReading()) return FED_LOOK_MS;
+    if (!this.hasToRead()) return FED_LOOK_MS;
     return EARLY_LOOKS_MS[look] ?? LOOK_MS;
   }
 
@@ -325,7 +330,7 @@
     if (this.#asking.size > 0) return;
     this.#asking.add(peer);
     try {
-      if (this.needsOwnReading()) await sleep(ASK_AFTER_MS);
+      if (this.hasToRead()) await sleep(ASK_AFTER_MS);
       if (configs.version >= version) return;
       if (await this.#takeConfig(peer, false)) return;
       await this.#loadConfig();
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -22,8 +22,8 @@
 import { FleetMesh } from "./fleet_mesh.ts";
 import { Ingress } from "./ingress.ts";
 import { ForwardMetrics } from "./metrics.ts";
-import type { RoutingConfig, Target } from "./model.ts";
-import type { CallCodec, DirectoryPorts, KeyedEntry } from "./ports.ts";
+import type { Target } from "./model.ts";
+import type { CallCodec, DirectoryPorts } from "./ports.ts";
 import { PromptIndex } from "./prompt_index.ts";
 import { PromptPlacer } from "./prompt_placement.ts";
 import { ReadModel } from "./read_model.ts";
@@ -31,10 +31,10 @@
 import { RoleKeeper } from "./role_keeper.ts";
 import type { Serving } from "./serving.ts";
 import { StatusServer } from "./status_server.ts";
+import { StoreReading } from "./store_reading.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { TargetDirectory } from "./target_directory.ts";
 import { TargetHealth } from "./target_health.ts";
-import { TopicFollower } from "./topic_follower.ts";
 import { WorkLedger } from "./work_ledger.ts";
 
 /** What an adapter brings. */
@@ -59,8 +59,7 @@
   readonly roles: RoleKeeper;
   readonly ingress: Ingress;
   readonly status: StatusServer;
-  readonly configFollower: TopicFollower<RoutingConfig>;
-  readonly targetFollower: TopicFollower<Target>;
+  readonly reading: StoreReading;
 }
 
 const METRICS_PATH = "/metrics";
@@ -73,8 +72,6 @@
  */
 const LIST_AGE_POLLS = 1.6;
 const LIST_AGE_SLACK_MS = 300;
-/** Pause after a failed read of a VM that usually need not read, milliseconds. */
-const SPARE_RETRY_MS = 1000;
 /** How often the end of the calls in progress is looked for while stopping, milliseconds. */
 const DRAIN_LOOK_MS = 50;
 /** Time to write the last lines and records before the platform ends the process. */
@@ -114,7 +111,7 @@
   }
 
   async start(): Promise<void> {
-    const { ingress, status, mesh, roles } = this.#parts;
+    const { ingress, status, mesh, roles, reading } = this.#parts;
     const { listen } = this.#settings;
     this.#log.write("info", "starting", {
       pid: process.pid,
@@ -129,8 +126,7 @@
       this.#listenStatus(status, listen.metrics),
     ]);
     await mesh.start();
-    this.#parts.configFollower.start();
-    this.#parts.targetFollower.start();
+    reading.start();
     roles.start();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MS);
     this.#log.write("info", "started", { address: listen.callers });
@@ -233,8 +229,7 @@
           isReady: () => this.isReady,
         }),
       ),
-      configFollower: asValue(this.#buildConfigFollower()),
-      targetFollower: asValue(this.#buildTargetFollower()),
+      reading: asValue(this.#buildReading()),
       roles: asValue(this.#buildRoleKeeper(incarnation)),
       mesh: asValue(this.#buildMesh(incarnation)),
     });
@@ -260,19 +255,17 @@
       prompts: parts.prompts,
       configs: parts.configs,
       directory: parts.directory,
-      getListAgeMs: () =>
-        parts.targetFollower.getAgeMs(parts.clock.readMonotonicMs()),
+      getListAgeMs: () => parts.reading.getListAgeMs(),
       maxListAgeMs: settings.store.targetPollMs * LIST_AGE_POLLS +
         LIST_AGE_SLACK_MS,
-      loadConfig: async () => {
-        const { entries } = await this.#ports.directory.configs.load();
-        this.#applyConfigs(entries);
-      },
+      applyTargets: (entries, isFull) =>
+        parts.reading.applyTargets(entries, isFull),
+      loadConfig: () => parts.reading.loadConfig(),
       onLiveVms: (count) => this.#shareLimits(count),
       onChanging: (targets) => this.#noteChanging(targets),
       listChanging: () => this.#parts.roles.listChanging(),
       mayOrder: () =>
-        this.#parts.targetFollower.isCurrent && this.#parts.mesh.hasDuty,
+        this.#parts.reading.isListCurrent && this.#parts.mesh.hasDuty,
     });
   }
 
@@ -292,81 +285,30 @@
       events: parts.log,
       metrics: parts.metrics,
       listOrderers: () => this.#parts.mesh.listOrderers(),
-      isListCurrent: () => this.#parts.targetFollower.isCurrent,
+      isListCurrent: () => this.#parts.reading.isListCurrent,
       hasDuty: () => this.#parts.mesh.hasDuty,
     });
   }
 
-  #buildConfigFollower(): TopicFollower<RoutingConfig> {
-    const { store } = this.#settings;
-    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
-      this.#applyConfigs(entries);
-    return new TopicFollower({
-      name: "configs",
-      clock: this.#clock,
-      port: this.#ports.directory.configs,
-      log: this.#log,
-      pollMs: 0,
-      waitMs: store.configWaitMs,
-      onList: apply,
-      onChanges: apply,
-    });
-  }
-
-  #buildTargetFollower(): TopicFollower<Target> {
-    const { directory } = this.#parts;
+  #buildReading(): StoreReading {
+    const parts = this.#parts;
     const { store } = this.#settings;
-    return new TopicFollower({
-      name: "targets",
-      clock: this.#clock,
-      port: this.#ports.directory.targets,
-      log: this.#log,
-      pollMs: store.targetPollMs,
-      waitMs: 0,
-      onList: (entries) => {
-        directory.applyList(entries, this.#clock.readMonotonicMs());
-        this.#noteTargets(entries);
-      },
-      onChanges: (entries) => {
-        directory.applyChanges(entries, this.#clock.readMonotonicMs());
-        this.#noteTargets(entries);
-      },
-      onLost: () => directory.noteOutage(),
+    const { directory } = this.#ports;
+    return new StoreReading({
+      configTopic: directory.configs,
+      targetTopic: directory.targets,
+      configWaitMs: store.configWaitMs,
+      targetPollMs: store.targetPollMs,
+      clock: parts.clock,
+      log: parts.log,
+      metrics: parts.metrics,
+      configs: parts.configs,
+      directory: parts.directory,
+      connections: parts.connections,
+      prompts: parts.prompts,
     });
   }
 
-  #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
-    for (const { value } of entries) {
-      if (value === undefined) continue;
-      const before = this.#parts.configs.version;
-      if (!this.#parts.configs.applyConfig(value)) continue;
-      this.#log.write("info", "configApplied", {
-        version: value.version,
-        before,
-        routes: value.routes.length,
-        source: "store",
-      });
-    }
-  }
-
-  /** A line for each target that came, left, or changed its role. */
-  #noteTargets(entries: readonly KeyedEntry<Target>[]): void {
-    const { directory, metrics, connections, prompts } = this.#parts;
-    for (const { key, value } of entries) {
-      if (value === undefined) prompts.forgetTarget(key);
-      if (value !== undefined && !value.leaving) continue;
-      this.#log.write("info", "targetLeaving", {
-        target: key,
-        address: value?.address,
-        listed: value !== undefined,
-      });
-    }
-    metrics.targets.set(directory.size);
-    connections.keepOnly(
-      new Set(directory.listAll().map((target) => target.id)),
-    );
-  }
-
   #watchConfig(): void {
     const { configs, ingress, metrics } = this.#parts;
     configs.registerListener((table) => {
@@ -411,23 +353,11 @@
     for (const id of targets) this.#parts.directory.markChanging(id, untilMs);
   }
 
-  /** Reads the store's topics as long as no hub tells what they say. */
-  #shareReading(): void {
-    const { mesh, configFollower, targetFollower } = this.#parts;
-    const isActive = mesh.needsOwnReading();
-    if (isActive !== targetFollower.isActive) {
-      this.#log.write("info", "storeReading", { isActive });
-    }
-    for (const follower of [configFollower, targetFollower]) {
-      if (!mesh.hasDuty) follower.setRetryMs(SPARE_RETRY_MS);
-      follower.setActive(isActive);
-    }
-  }
-
   #sweep(): void {
     const { directory, roles } = this.#parts;
-    this.#shareReading();
-    this.#parts.mesh.countVms();
+    const { mesh, reading } = this.#parts;
+    reading.share(mesh.hasToRead(), mesh.hasDuty);
+    mesh.countVms();
     const gone = directory.expire(this.#clock.readMonotonicMs());
     for (const id of gone) {
       this.#log.write("info", "targetGone", {
@@ -446,8 +376,7 @@
   async #closeAll(): Promise<void> {
     const { ingress, status, mesh, connections } = this.#parts;
     clearInterval(this.#sweeper);
-    this.#parts.configFollower.stop();
-    this.#parts.targetFollower.stop();
+    this.#parts.reading.stop();
     ingress.closeAll();
     status.close();
     mesh.stop();
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -16,6 +16,8 @@
   Membership,
   WorkDigest,
 } from "heatherarch-mesh";
+import type { Target } from "./model.ts";
+import type { KeyedEntry } from "./ports.ts";
 import type { NoteScope, PromptIndex, PromptNote } from "./prompt_index.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import { decodeFeed, encodeFeed, readFeedAge } from "./target_feed.ts";
@@ -33,6 +35,11 @@
   readonly getListAgeMs: () => number;
   /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
   readonly maxListAgeMs: number;
+  /** Takes in what the source told of the list of targets; with `isFull` all of it. */
+  readonly applyTargets: (
+    entries: readonly KeyedEntry<Target>[],
+    isFull: boolean,
+  ) => void;
   /** A VM gets its sums from another hub now. */
   readonly onSource: (source: string | undefined) => void;
 }
@@ -121,7 +128,7 @@
     const { membership } = this.#options;
     this.#dropSilentPeers(nowMs);
     const { isHub } = membership;
-    if (isHub !== this.#wasHub) this.#changeDuty(isHub);
+    if (isHub !== this.#wasHub) this.#noteDuty(isHub);
     if (!isHub) this.#tendSource(nowMs);
     this.#beat++;
     this.#sent.set(this.#beat, this.#options.ledger.listOwnRows(nowMs));
@@ -211,7 +218,7 @@
   }
 
   #takeFromSource(source: Source, heartbeat: Heartbeat, nowMs: number): void {
-    const { ledger, prompts, directory } = this.#options;
+    const { ledger, prompts, directory, applyTargets } = this.#options;
     source.heardAtMs = nowMs;
     if (heartbeat.prompts !== undefined) {
       prompts.notePeer(heartbeat.prompts, nowMs);
@@ -230,7 +237,7 @@
     if (!source.hasList) return;
     this.#listAtMs = nowMs - ageMs;
     if (targets.isFull || targets.rows.length > 0) {
-      directory.applyFeed(decodeFeed(targets), targets.isFull);
+      applyTargets(decodeFeed(targets), targets.isFull);
     }
   }
 
@@ -328,7 +335,7 @@
   }
 
   /** Sums that others keep for this VM are not mixed with those that it keeps itself. */
-  #changeDuty(isHub: boolean): void {
+  #noteDuty(isHub: boolean): void {
     const { ledger } = this.#options;
     this.#wasHub = isHub;
     if (isHub) {
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -31,6 +31,7 @@
 export * from "./route_table.ts";
 export * from "./run_placement.ts";
 export * from "./serving.ts";
+export * from "./store_reading.ts";
 export * from "./target_connections.ts";
 export * from "./target_directory.ts";
 export * from "./target_exchange.ts";
--- /dev/null
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -0,0 +1,162 @@
+/**
+ * What this VM takes from the platform's store: the configuration and the list of targets. It
+ * rests while hubs tell what they say.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { ConfigView } from "./config_view.ts";
+import type { EventLog } from "./event_log.ts";
+import type { ForwardMetrics } from "./metrics.ts";
+import type { RoutingConfig, Target } from "./model.ts";
+import type { KeyedEntry, KeyedTopicPort } from "./ports.ts";
+import type { PromptIndex } from "./prompt_index.ts";
+import type { TargetConnections } from "./target_connections.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+import { TopicFollower } from "./topic_follower.ts";
+
+/** Options of {@linkcode StoreReading}. */
+export interface StoreReadingOptions {
+  readonly configTopic: KeyedTopicPort<RoutingConfig>;
+  readonly targetTopic: KeyedTopicPort<Target>;
+  /** How long a read for a newer configuration may be held back, milliseconds. */
+  readonly configWaitMs: number;
+  /** Pause between reads of the list of targets, milliseconds. */
+  readonly targetPollMs: number;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: ForwardMetrics;
+  readonly configs: ConfigView;
+  readonly directory: TargetDirectory;
+  readonly connections: TargetConnections;
+  readonly prompts: PromptIndex;
+}
+
+/** Pause after a failed read of a VM that usually need not read, milliseconds. */
+const SPARE_RETRY_MS = 1000;
+
+/** Follows the two topics of the store. */
+export class StoreReading {
+  readonly #options: StoreReadingOptions;
+  readonly #configs: TopicFollower<RoutingConfig>;
+  readonly #targets: TopicFollower<Target>;
+
+  constructor(options: StoreReadingOptions) {
+    this.#options = options;
+    this.#configs = this.#buildConfigFollower();
+    this.#targets = this.#buildTargetFollower();
+  }
+
+  start(): void {
+    this.#configs.start();
+    this.#targets.start();
+  }
+
+  stop(): void {
+    this.#configs.stop();
+    this.#targets.stop();
+  }
+
+  /** Whether this VM itself reads the list of targets without fault. */
+  get isListCurrent(): boolean {
+    return this.#targets.isCurrent;
+  }
+
+  /** Age of what this VM itself has read of the list of targets, milliseconds. */
+  getListAgeMs(): number {
+    return this.#targets.getAgeMs(this.#options.clock.readMonotonicMs());
+  }
+
+  /** Reads or rests; a VM without duty is patient after a failed read, as many try at once. */
+  share(isActive: boolean, hasDuty: boolean): void {
+    if (isActive !== this.#targets.isActive) {
+      this.#options.log.write("info", "storeReading", { isActive });
+    }
+    for (const follower of [this.#configs, this.#targets]) {
+      if (!hasDuty) follower.setRetryMs(SPARE_RETRY_MS);
+      follower.setActive(isActive);
+    }
+  }
+
+  /** Reads the configuration once. Throws where the store does not answer. */
+  async loadConfig(): Promise<void> {
+    const { entries } = await this.#options.configTopic.load();
+    this.#applyConfigs(entries);
+  }
+
+  /** Takes in what a hub tells of the list of targets. */
+  applyTargets(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
+    const unlisted = this.#options.directory.applyFeed(entries, isFull);
+    this.#noteTargets([...entries, ...unlisted.map((key) => ({ key }))]);
+  }
+
+  #buildConfigFollower(): TopicFollower<RoutingConfig> {
+    const { configTopic, configWaitMs, clock, log } = this.#options;
+    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
+      this.#applyConfigs(entries);
+    return new TopicFollower({
+      name: "configs",
+      clock,
+      port: configTopic,
+      log,
+      pollMs: 0,
+      waitMs: configWaitMs,
+      onList: apply,
+      onChanges: apply,
+    });
+  }
+
+  #buildTargetFollower(): TopicFollower<Target> {
+    const { targetTopic, targetPollMs, clock, log, directory } = this.#options;
+    return new TopicFollower({
+      name: "targets",
+      clock,
+      port: targetTopic,
+      log,
+      pollMs: targetPollMs,
+      waitMs: 0,
+      onList: (entries) => {
+        directory.applyList(entries, clock.readMonotonicMs());
+        this.#noteTargets(entries);
+      },
+      onChanges: (entries) => {
+        directory.applyChanges(entries, clock.readMonotonicMs());
+        this.#noteTargets(entries);
+      },
+      onLost: () => directory.noteOutage(),
+    });
+  }
+
+  #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
+    const { configs, log } = this.#options;
+    for (const { value } of entries) {
+      if (value === undefined) continue;
+      const before = configs.version;
+      if (!configs.applyConfig(value)) continue;
+      log.write("info", "configApplied", {
+        version: value.version,
+        before,
+        routes: value.routes.length,
+        source: "store",
+      });
+    }
+  }
+
+  /** A line for each target that left; what was kept for it is dropped. */
+  #noteTargets(entries: readonly KeyedEntry<Target>[]): void {
+    const { directory, metrics, connections, prompts, log } = this.#options;
+    for (const { key, value } of entries) {
+      if (value === undefined) prompts.forgetTarget(key);
+      if (value !== undefined && !value.leaving) continue;
+      log.write("info", "targetLeaving", {
+        target: key,
+        address: value?.address,
+        listed: value !== undefined,
+      });
+    }
+    metrics.targets.set(directory.size);
+    connections.keepOnly(
+      new Set(directory.listAll().map((target) => target.id)),
+    );
+  }
+}
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -81,9 +81,12 @@
 
   /**
    * Takes in what a peer knows of the list. The peer has judged what lapsed during an outage;
-   * nothing is kept beyond its word.
+   * nothing is kept beyond its word. Returns the ids of targets that a full list names no more.
    */
-  applyFeed(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
+  applyFeed(
+    entries: readonly KeyedEntry<Target>[],
+    isFull: boolean,
+  ): string[] {
     this.#outage = false;
     this.#missing.clear();
     const listed = new Set<string>();
@@ -92,10 +95,12 @@
       else this.#set(key, value);
       listed.add(key);
     }
-    for (const id of isFull ? [...this.#targets.keys()] : []) {
-      if (!listed.has(id)) this.#drop(id);
-    }
+    const unlisted = isFull
+      ? [...this.#targets.keys()].filter((id) => !listed.has(id))
+      : [];
+    for (const id of unlisted) this.#drop(id);
     this.#index();
+    return unlisted;
   }
 
   /** What changed from `cursor` on; all targets without one, or where that is too long ago. */
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -134,6 +134,8 @@
         clock,
         getListAgeMs: () => vm.listAgeMs,
         maxListAgeMs: 1500,
+        applyTargets: (entries, isFull) =>
+          void parts.directory.applyFeed(entries, isFull),
         onSource: () => undefined,
       }),
     };
