--- a/packages/heatherarch-lab/bench/control_bench.ts
+++ b/packages/heatherarch-lab/bench/control_bench.ts
@@ -21,7 +21,7 @@
   type DeployedVm,
   type Deployment,
 } from "../deployment.ts";
-import { findFreePorts } from "../ports.ts";
+import { findFreePorts } from "heatherarch-standins";
 import { type MachineCost, measureMachines } from "./machine_costs.ts";
 import { readUsage } from "./process_usage.ts";
 import { fitLine, roundTo } from "./statistics.ts";
--- a/packages/heatherarch-lab/deployment.ts
+++ b/packages/heatherarch-lab/deployment.ts
@@ -11,7 +11,7 @@
   type Planning,
   type Target,
 } from "heatherarch-settings";
-import { findFreePorts } from "./ports.ts";
+import { findFreePorts } from "heatherarch-standins";
 
 /** What a deployment looks like. */
 export interface DeploymentShape {
--- a/packages/heatherarch-lab/mod.ts
+++ b/packages/heatherarch-lab/mod.ts
@@ -7,5 +7,4 @@
 export * from "./cluster.ts";
 export * from "./deployment.ts";
 export * from "./mixed_load.ts";
-export * from "./ports.ts";
 export * from "./summary.ts";
--- a/packages/heatherarch-lab/tests/integration/mesh_links_test.ts
+++ b/packages/heatherarch-lab/tests/integration/mesh_links_test.ts
@@ -3,8 +3,7 @@
 import { test } from "node:test";
 import { RuntimeClock, sleep } from "heatherarch-core";
 import { Membership, MeshNode } from "heatherarch-mesh";
-import { CuttableLink } from "heatherarch-standins";
-import { findFreePorts } from "../../mod.ts";
+import { CuttableLink, findFreePorts } from "heatherarch-standins";
 
 interface Node {
   readonly mesh: MeshNode;
--- a/packages/heatherarch-standins/mod.ts
+++ b/packages/heatherarch-standins/mod.ts
@@ -8,6 +8,7 @@
 export * from "./cuttable_link.ts";
 export * from "./engine_server.ts";
 export * from "./engine_simulation.ts";
+export * from "./free_ports.ts";
 export * from "./http_server.ts";
 export * from "./memory_log.ts";
 export * from "./platform_server.ts";
