--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
@@ -0,0 +1,153 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import { afterEach, test } from "node:test";
+import type { Clock } from "heatherarch-core";
+import type { LogPort, LogRecord } from "heatherarch-log";
+import {
+  type CallCodec,
+  ConfigView,
+  type EncodedTry,
+  ForwardMetrics,
+  MemoryEventLog,
+  RoleKeeper,
+  TargetConnections,
+  TargetDirectory,
+  TargetHealth,
+} from "../../mod.ts";
+import { buildConfig, buildEngine, TRAITS } from "./fixtures.ts";
+
+let server: Server | undefined;
+let connections: TargetConnections | undefined;
+let keeper: RoleKeeper | undefined;
+
+afterEach(async () => {
+  await keeper?.stop();
+  await connections?.close();
+  server?.close();
+  server?.closeAllConnections();
+});
+
+/** A machine whose monotonic clock stands still while it is suspended. */
+class SuspendableClock implements Clock {
+  #suspendedMs = 0;
+
+  readWallMs(): number {
+    return Date.now();
+  }
+
+  readMonotonicMs(): number {
+    return performance.now() - this.#suspendedMs;
+  }
+
+  /** As if the machine had been suspended for `ms` until now. */
+  suspend(ms: number): void {
+    this.#suspendedMs += ms;
+  }
+}
+
+/** An engine's calls; orders are kept. */
+async function startEngine(onReport: () => void): Promise<{
+  address: string;
+  orders: { fencing: number }[];
+}> {
+  const orders: { fencing: number }[] = [];
+  server = createServer((request, response) => {
+    if (request.url === "/report") {
+      onReport();
+      response.end("{}");
+      return;
+    }
+    orders.push({ fencing: Number(request.url?.split("/").at(-1)) });
+    response.writeHead(202).end();
+  });
+  await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  return { address: `127.0.0.1:${port}`, orders };
+}
+
+function buildRequest(path: string): EncodedTry {
+  return { path, method: "GET", headers: [], body: null };
+}
+
+function buildCodec(): CallCodec {
+  return {
+    encodeReport: () => buildRequest("/report"),
+    decodeReport: () => ({
+      role: "prefill",
+      isChanging: false,
+      ordersTaken: 0,
+    }),
+    encodeRoleOrder: (order: { fencing: number }) =>
+      buildRequest(`/order/${order.fencing}`),
+  } as unknown as CallCodec;
+}
+
+function buildLog(): LogPort {
+  const records: LogRecord[] = [];
+  return {
+    append: (_stream, data) => {
+      const offset = records.length;
+      records.push({ offset, appendedAtMs: 0, data });
+      return Promise.resolve(offset);
+    },
+    read: (_stream, from) =>
+      Promise.resolve({
+        records: records.slice(from),
+        first: 0,
+        next: records.length,
+      }),
+  };
+}
+
+test("a holder whose machine was suspended orders nothing under the lease it had", async () => {
+  const clock = new SuspendableClock();
+  let reports = 0;
+  const engine = await startEngine(() => {
+    reports++;
+    // The machine stands still between the last check of the lease and the order.
+    if (reports === 1) clock.suspend(5000);
+  });
+  const directory = new TargetDirectory();
+  directory.applyList(
+    ["e1", "e2", "e3", "e4"].map((id) => ({
+      key: id,
+      value: buildEngine(id, { address: engine.address }),
+    })),
+    clock.readMonotonicMs(),
+  );
+  const configs = new ConfigView();
+  configs.applyConfig(
+    buildConfig({
+      services: [{ name: "s", maxConnections: 100, engine: TRAITS }],
+    }),
+  );
+  connections = new TargetConnections();
+  const events = new MemoryEventLog();
+  keeper = new RoleKeeper({
+    vmId: "vm-a",
+    incarnation: "vm-a-1",
+    log: buildLog(),
+    leaseMs: 600,
+    clock,
+    configs,
+    directory,
+    connections,
+    health: new TargetHealth(),
+    codec: buildCodec(),
+    events,
+    metrics: new ForwardMetrics(),
+    listOrderers: () => ["vm-a"],
+    isListCurrent: () => true,
+  });
+  keeper.start();
+  const untilMs = performance.now() + 15_000;
+  while (engine.orders.length === 0 && performance.now() < untilMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  const names = events.lines.map(({ event }) => event);
+  const dropped = names.indexOf("leaseDropped");
+  assert.ok(dropped >= 0, "the lease was dropped");
+  assert.ok(names.indexOf("roleOrdered") > dropped, "no order before");
+  const [first] = engine.orders;
+  assert.ok(first.fencing > 0, "under a claim of its own");
+});
