A second request to stop no longer ends the process with calls in flight

Cause: a second SIGTERM (the schedule stops the same VM twice) found the stop begun, settled at once, and the program exited with calls in flight; no 'stopped' line. Ruled out: the runner's leaving and the close of idle connections, which only met calls that ran nowhere. path_test 'second request to stop' failed before.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -88,6 +88,7 @@
   readonly #container: AwilixContainer<Parts>;
   #sweeper: NodeJS.Timeout | undefined;
   #stopping = false;
+  #stopped: Promise<void> | undefined;
   #liveVms = 1;
 
   constructor(options: ForwardVmOptions) {
@@ -152,26 +153,13 @@
     });
   }
 
-  /** Finishes what is in progress, within the time that the platform gives, and ends. */
-  async stop(): Promise<void> {
-    if (this.#stopping) return;
-    this.#stopping = true;
-    const { ingress, mesh, roles } = this.#parts;
-    const { graceSeconds, noticeMs } = this.#settings.shutdown;
-    const startedAtMs = this.#clock.readMonotonicMs();
-    const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
-    this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
-    ingress.beginDrain();
-    await Promise.all([roles.stop(), mesh.leave(), sleep(noticeMs)]);
-    ingress.closeListener();
-    while (
-      ingress.openCalls > 0 && this.#clock.readMonotonicMs() < untilMs
-    ) await sleep(DRAIN_LOOK_MS);
-    this.#log.write("info", "stopped", {
-      openCalls: ingress.openCalls,
-      tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
-    });
-    await this.#closeAll();
+  /**
+   * Finishes what is in progress, within the time that the platform gives, and ends. Asked again
+   * meanwhile, it settles when the first request does.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#shutDown();
+    return this.#stopped;
   }
 
   get #parts(): Parts {
@@ -373,6 +361,26 @@
     await status.listen(host, port);
   }
 
+  async #shutDown(): Promise<void> {
+    this.#stopping = true;
+    const { ingress, mesh, roles } = this.#parts;
+    const { graceSeconds, noticeMs } = this.#settings.shutdown;
+    const startedAtMs = this.#clock.readMonotonicMs();
+    const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
+    this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
+    ingress.beginDrain();
+    await Promise.all([roles.stop(), mesh.leave(), sleep(noticeMs)]);
+    ingress.closeListener();
+    while (
+      ingress.openCalls > 0 && this.#clock.readMonotonicMs() < untilMs
+    ) await sleep(DRAIN_LOOK_MS);
+    this.#log.write("info", "stopped", {
+      openCalls: ingress.openCalls,
+      tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
+    });
+    await this.#closeAll();
+  }
+
   async #closeAll(): Promise<void> {
     const { ingress, status, mesh, connections } = this.#parts;
     clearInterval(this.#sweeper);
