Calls wait for an engine that takes the generating role only while their caller would; others are refused before their prompt is read

Ruled out: unreachable engines, orders refused (8 of 8 taken). Now: losses of engines are replaced without waiting for the list to settle (0.9 s), a call waits where an engine comes within its caller's patience and is told when to come back otherwise.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -337,8 +337,10 @@
   }
 
   #noteChanging(targets: readonly string[]): void {
-    const untilMs = this.#clock.readMonotonicMs() + CHANGING_MS;
-    for (const id of targets) this.#parts.directory.markChanging(id, untilMs);
+    const nowMs = this.#clock.readMonotonicMs();
+    for (const id of targets) {
+      this.#parts.directory.markChanging(id, nowMs + CHANGING_MS, nowMs);
+    }
   }
 
   #sweep(): void {
--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { sleep } from "heatherarch-core";
 import { type RelayEnd, StreamRelay } from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
 import { listEngines } from "./engine_choice.ts";
@@ -12,6 +13,7 @@
 import type { PromptPlacement } from "./prompt_placement.ts";
 import { PromptReading, type ReadPrompt } from "./prompt_reading.ts";
 import { pickRunner, type RunCandidate } from "./run_placement.ts";
+import { isWorthWaiting, predictRunnerMs } from "./runner_return.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 import { awaitHead, isSuccess, type TryEnd } from "./try_judge.ts";
 
@@ -21,6 +23,8 @@
 const MIN_ROUND_MS = 40;
 /** A resumable run that is silent for this long goes on elsewhere, milliseconds. */
 const RUN_SILENCE_MS = 900;
+/** Pause between looks for an engine that generates, milliseconds. */
+const RUNNER_LOOK_MS = 40;
 /** Wait that a refused caller is told at least, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -50,6 +54,9 @@
 
   async serve(): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && this.#mayGoOn(); round++) {
+      if (this.#pickRunner(undefined) === undefined && !this.#mayWait()) {
+        return this.#refuseIdle(undefined);
+      }
       const read = await this.#reading.read(this.#relay.lastEventId);
       if (this.#run.isOver) return;
       switch (read.kind) {
@@ -79,8 +86,8 @@
   /** Runs the call at an engine that generates, from a KV cache or from the prompt itself. */
   async #generate(read: ReadPrompt | undefined): Promise<void> {
     const run = this.#run;
-    const target = this.#pickRunner(read?.by.availabilityZone);
-    if (target === undefined) return this.#miss("no engine generates", read);
+    const target = await this.#awaitRunner(read?.by.availabilityZone);
+    if (target === undefined) return this.#refuseIdle(read);
     const isUnpaid = read === undefined && this.#reading.isFurther;
     if (isUnpaid && !run.spendTry()) return this.#conclude();
     const { ledger } = run.serving;
@@ -197,6 +204,22 @@
     });
   }
 
+  /** Ends a call for which no engine generates and none is about to. */
+  #refuseIdle(read: ReadPrompt | undefined): void {
+    const run = this.#run;
+    if (read !== undefined) this.#reading.free(read);
+    if (run.isOver) return;
+    const reason = "no engine generates";
+    if (run.mayHaveRun) return run.fail("answerIncomplete", reason);
+    const comesInMs = this.#predictRunnerMs();
+    const waitMs = comesInMs ?? this.#traits.roleChangeMs;
+    const spread = 1 + run.serving.drawUnit() / 4;
+    run.refuse("noTarget", reason, {
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs) * spread,
+      detail: { tried: [...this.#tried], comesInMs },
+    });
+  }
+
   /** Ends a call at once that can't begin in its time. */
   #refuseLate({ target, readyMs }: PromptPlacement): void {
     const run = this.#run;
@@ -215,6 +238,38 @@
     });
   }
 
+  /** An engine that generates; where there is none, one that comes while the caller waits. */
+  async #awaitRunner(zone: string | undefined): Promise<Target | undefined> {
+    while (!this.#run.isOver) {
+      const target = this.#pickRunner(zone);
+      if (target !== undefined) return target;
+      if (!this.#mayWait()) return undefined;
+      await sleep(RUNNER_LOOK_MS);
+    }
+    return undefined;
+  }
+
+  #mayWait(): boolean {
+    const { nowMs, call, route, remainingMs } = this.#run;
+    if (remainingMs < MIN_ROUND_MS) return false;
+    return isWorthWaiting(
+      this.#predictRunnerMs(),
+      nowMs - call.arrivedAtMs,
+      route.aimMs,
+    );
+  }
+
+  /** Time until an engine has taken the role; undefined where none is about to. */
+  #predictRunnerMs(): number | undefined {
+    const { serving, service, nowMs } = this.#run;
+    const { directory } = serving;
+    const since = directory.listServing(service.name)
+      .filter((engine) => engine.role === "prefill")
+      .map((engine) => directory.findChangingSince(engine.id, nowMs))
+      .filter((sinceMs) => sinceMs !== undefined);
+    return predictRunnerMs(since, this.#traits.roleChangeMs, nowMs);
+  }
+
   #pickRunner(zone: string | undefined): Target | undefined {
     const { ledger, drawUnit } = this.#run.serving;
     const nowMs = this.#run.nowMs;
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -30,6 +30,7 @@
 export * from "./role_plan.ts";
 export * from "./route_table.ts";
 export * from "./run_placement.ts";
+export * from "./runner_return.ts";
 export * from "./serving.ts";
 export * from "./store_reading.ts";
 export * from "./target_connections.ts";
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -55,7 +55,7 @@
 const CONTROL_STREAM = "control.roles";
 /** Pause between looks at the plan, milliseconds. */
 const LOOK_MS = 300;
-/** The plan must have been the same for this long: lists fill up one entry after another. */
+/** No engine has come for this long before orders are given: lists fill up one after another. */
 const SETTLE_MS = 900;
 /**
  * A VM leaves this much time to each VM before it: a look, a claim, the orders, and a heartbeat
@@ -162,10 +162,9 @@
         isReachable: ({ id }) => health.isReachable(id),
       }));
     }
-    if (count !== this.#engineCount) {
-      this.#engineCount = count;
-      this.#countSinceMs = nowMs;
-    }
+    // Engines that go are replaced at once; those that come may be followed by more.
+    if (count > this.#engineCount) this.#countSinceMs = nowMs;
+    this.#engineCount = count;
     return nowMs - this.#countSinceMs < SETTLE_MS ? [] : changes;
   }
 
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -36,7 +36,7 @@
   /** Missing entries that are still used, with the end of their grace. */
   readonly #missing = new Map<string, number>();
   /** Engines that are changing their role, with the end of the time it may take. */
-  readonly #changing = new Map<string, number>();
+  readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
   readonly #changes: KeyedEntry<Target>[] = [];
   #changesStart = 0;
   #byService = new Map<string, readonly Target[]>();
@@ -132,8 +132,16 @@
   }
 
   /** An engine was ordered to change its role: it takes no work for a while. */
-  markChanging(id: string, untilMs: number): void {
-    this.#changing.set(id, untilMs);
+  markChanging(id: string, untilMs: number, nowMs: number): void {
+    const sinceMs = this.findChangingSince(id, nowMs) ?? nowMs;
+    this.#changing.set(id, { sinceMs, untilMs });
+  }
+
+  /** Monotonic time at which an engine that is changing its role was first known to do so. */
+  findChangingSince(id: string, nowMs: number): number | undefined {
+    return this.isChanging(id, nowMs)
+      ? this.#changing.get(id)?.sinceMs
+      : undefined;
   }
 
   /** Engines that are changing their role. */
@@ -143,9 +151,9 @@
   }
 
   isChanging(id: string, nowMs: number): boolean {
-    const untilMs = this.#changing.get(id);
-    if (untilMs === undefined) return false;
-    if (nowMs < untilMs) return true;
+    const change = this.#changing.get(id);
+    if (change === undefined) return false;
+    if (nowMs < change.untilMs) return true;
     this.#changing.delete(id);
     return false;
   }
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -69,7 +69,9 @@
 
 test("an engine that changes its role takes no work until the list shows it", () => {
   const directory = createFilled();
-  directory.markChanging("a", 5000);
+  directory.markChanging("a", 5000, 0);
+  directory.markChanging("a", 5000, 1000);
+  assert.equal(directory.findChangingSince("a", 2000), 0);
   assert.equal(directory.isChanging("a", 4000), true);
   directory.applyChanges(
     [{ key: "a", value: buildTarget("a", { role: "decode" }) }],
