--- a/packages/heatherarch-gateway/plain_call.ts
+++ b/packages/heatherarch-gateway/plain_call.ts
@@ -42,6 +42,12 @@
   readonly replayed: boolean;
 }
 
+/**
+ * Pauses between claims of a key whose first call is in progress, milliseconds: a booking takes
+ * some 60 ms, and each claim is an entry in the log.
+ */
+const FIRST_CLAIM_PAUSE_MS = 100;
+const MAX_CLAIM_PAUSE_MS = 800;
 const MAX_KEPT_BYTES = 64 * 1024;
 const DROPPED_HEADERS = new Set([
   "connection",
@@ -76,14 +82,32 @@
     }
     return await callOnce(host, request, undefined);
   }
-  const claimed = await host.claims.claim({
-    key: key.text,
-    madeAtMs: key.madeAtMs,
-    fingerprint: key.fingerprint,
-  });
+  const claimed = await claimInTime(host, request, key);
   return await callClaimed(host, request, claimed);
 }
 
+/** Claims the key; while another call with it is in progress, waits for that one's answer. */
+async function claimInTime(
+  host: GatewayHost,
+  request: PlainRequest,
+  key: NonNullable<PlainRequest["key"]>,
+): Promise<ClaimAnswer> {
+  let pauseMs = FIRST_CLAIM_PAUSE_MS;
+  while (true) {
+    const claimed = await host.claims.claim({
+      key: key.text,
+      madeAtMs: key.madeAtMs,
+      fingerprint: key.fingerprint,
+    });
+    const isInProgress = claimed.kind === "refused" &&
+      claimed.error.kind === "keyInProgress";
+    const leftMs = request.deadlineAtMs - host.clock.readMonotonicMs();
+    if (!isInProgress || leftMs <= pauseMs) return claimed;
+    await sleep(pauseMs);
+    pauseMs = Math.min(MAX_CLAIM_PAUSE_MS, pauseMs * 2);
+  }
+}
+
 async function callClaimed(
   host: GatewayHost,
   request: PlainRequest,
--- a/packages/heatherarch-lab/tests/integration/at_most_once_test.ts
+++ b/packages/heatherarch-lab/tests/integration/at_most_once_test.ts
@@ -38,16 +38,11 @@
 test("a key sent through every VM at once runs once, and repeats get its answer", async () => {
   const key = `${Date.now()}-everywhere`;
   const first = await Promise.all([0, 1, 2, 3].map((at) => book(at, key)));
-  assert.equal(
-    first.filter((result) => result.outcome === "whole").length >= 1,
-    true,
+  assert.deepEqual(
+    first.map((result) => result.outcome),
+    Array(4).fill("whole"),
+    first.map((result) => result.detail).join("; "),
   );
-  for (const result of first) {
-    assert.ok(
-      result.outcome === "whole" || result.kind === "keyInProgress",
-      result.detail,
-    );
-  }
   await sleep(500);
   const repeats = await Promise.all([0, 1, 2, 3].map((at) => book(at, key)));
   assert.deepEqual(
