--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -13,15 +13,18 @@
 } from "heatherarch-mesh";
 import type { ConfigView } from "./config_view.ts";
 import type { EventLog } from "./event_log.ts";
-import type { RoutingConfig, Target, VmRecord } from "./model.ts";
-import type { KeyedEntry, WritableTopicPort } from "./ports.ts";
-import { HubExchange } from "./hub_exchange.ts";
+import type { RoutingConfig, VmRecord } from "./model.ts";
+import type { WritableTopicPort } from "./ports.ts";
+import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import type { PromptIndex } from "./prompt_index.ts";
-import type { TargetDirectory } from "./target_directory.ts";
 import type { WorkLedger } from "./work_ledger.ts";
 
 /** Options of {@linkcode FleetMesh}. */
-export interface FleetMeshOptions {
+export interface FleetMeshOptions extends
+  Pick<
+    HubExchangeOptions,
+    "directory" | "getListAgeMs" | "maxListAgeMs" | "applyTargets"
+  > {
   readonly self: VmRecord;
   /** Address to listen on; peers dial the one in `self`. */
   readonly listen: string;
@@ -41,16 +44,6 @@
   readonly ledger: WorkLedger;
   readonly prompts: PromptIndex;
   readonly configs: ConfigView;
-  readonly directory: TargetDirectory;
-  /** Age of what this VM itself has read of the list of targets, milliseconds. */
-  readonly getListAgeMs: () => number;
-  /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
-  readonly maxListAgeMs: number;
-  /** Takes in what a hub told of the list of targets; with `isFull` all of it. */
-  readonly applyTargets: (
-    entries: readonly KeyedEntry<Target>[],
-    isFull: boolean,
-  ) => void;
   /** Reads the configuration from the store, once. */
   readonly loadConfig: () => Promise<void>;
   /** Called when the number of VMs that share the fleet's limits has changed. */
