Marks of changing engines and mesh calls at their own depth, each with its test

Change: HubExchange fills the marks; hub_exchange_test 'an order's mark' keeps it. With the fault put back 12 of 12 VMs kept the mark (test fails), now 0. Conclusion: behaviour meant to be the same; hub_exchange_test 8 of 8, hubs_test 3 of 3, mesh_links_test 3 of 3.

--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -23,7 +23,11 @@
 export interface FleetMeshOptions extends
   Pick<
     HubExchangeOptions,
-    "directory" | "getListAgeMs" | "maxListAgeMs" | "applyTargets"
+    | "directory"
+    | "getListAgeMs"
+    | "maxListAgeMs"
+    | "applyTargets"
+    | "listChanging"
   > {
   readonly self: VmRecord;
   /** Address to listen on; peers dial the one in `self`. */
@@ -50,7 +54,6 @@
   readonly onLiveVms: (count: number) => void;
   /** Called with engines that a peer has ordered to change. */
   readonly onChanging: (targets: readonly string[]) => void;
-  readonly listChanging: () => readonly string[];
   /** Whether this VM could give orders now. */
   readonly mayOrder: () => boolean;
 }
@@ -247,15 +250,11 @@
   }
 
   #buildHeartbeat(link: Link, peer: LinkIdentity): Heartbeat | undefined {
-    const { configs, directory, clock, listChanging, mayOrder } = this.#options;
+    const { configs, mayOrder } = this.#options;
     const parts = this.#membership.hasHubs
       ? this.#hubs.build(link, peer)
       : this.#buildMeshParts(link);
     if (parts === undefined && !this.#leaving) return undefined;
-    // Two hubs that passed on to each other what they hear would never forget it.
-    const changing = parts?.digest?.scope === "fleet"
-      ? directory.listChanging(clock.readMonotonicMs())
-      : listChanging();
     return {
       kind: "heartbeat",
       configOffset: configs.version,
@@ -265,15 +264,13 @@
       leavingTargets: [],
       mayOrder: mayOrder(),
       ...parts,
-      ...(changing.length === 0
-        ? {}
-        : { changing: [0, [...changing]] as [number, string[]] }),
     };
   }
 
   /** What is told on a link of two VMs without hubs: own work, and notes since the last time. */
   #buildMeshParts(link: Link): Partial<Heartbeat> {
-    const { ledger, prompts, clock } = this.#options;
+    const { ledger, prompts, clock, listChanging } = this.#options;
+    const changing = listChanging();
     const { notes, cursor } = prompts.listNotes(this.#told.get(link) ?? 0);
     this.#told.set(link, cursor);
     return {
@@ -282,6 +279,7 @@
       ...(notes.length === 0 ? {} : {
         prompts: notes.map((note): [string, string, number] => [...note]),
       }),
+      ...(changing.length === 0 ? {} : { changing: [0, [...changing]] }),
     };
   }
 
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -31,6 +31,8 @@
   readonly prompts: PromptIndex;
   readonly directory: TargetDirectory;
   readonly clock: Clock;
+  /** Engines that change their role by an order of this VM. */
+  readonly listChanging: () => readonly string[];
   /** Age of what this VM itself has read of the list of targets, milliseconds. */
   readonly getListAgeMs: () => number;
   /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
@@ -47,7 +49,7 @@
 /** The parts of a heartbeat that this module fills. */
 export type HubParts = Pick<
   Heartbeat,
-  "work" | "prompts" | "beat" | "wants" | "digest" | "targets"
+  "work" | "prompts" | "beat" | "wants" | "digest" | "targets" | "changing"
 >;
 
 interface LinkState {
@@ -137,6 +139,19 @@
 
   /** What a heartbeat tells one peer; undefined where it tells nothing. */
   build(link: Link, peer: LinkIdentity): HubParts | undefined {
+    const parts = this.#buildParts(link, peer);
+    if (parts === undefined) return undefined;
+    const { directory, listChanging } = this.#options;
+    // Two hubs that passed on to each other what they hear would never forget it.
+    const changing = parts.digest?.scope === "fleet"
+      ? directory.listChanging(this.#nowMs)
+      : listChanging();
+    return changing.length === 0
+      ? parts
+      : { ...parts, changing: [0, [...changing]] };
+  }
+
+  #buildParts(link: Link, peer: LinkIdentity): HubParts | undefined {
     const { self, membership } = this.#options;
     const isNear = peer.availabilityZone === self.availabilityZone;
     if (!membership.isHub) {
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -20,6 +20,9 @@
 /** Whoever was taken for a hub before the real ones were heard has lapsed by then. */
 const WARM_UP_ROUNDS = 30;
 
+/** Time for which a VM heeds the mark of a changing engine after it last heard of it. */
+const CHANGING_MS = 1500;
+
 /** One VM with its beliefs, without any socket. */
 interface TestVm {
   readonly identity: LinkIdentity;
@@ -28,7 +31,11 @@
   readonly prompts: PromptIndex;
   readonly directory: TargetDirectory;
   readonly exchange: HubExchange;
+  /** Marks engines that are changing, as a VM does on hearing of them. */
+  readonly mark: (engines: readonly string[]) => void;
   listAgeMs: number;
+  /** Engines that this VM has ordered to change. */
+  ordered: string[];
 }
 
 /** VMs of several zones that exchange heartbeats as a mesh would carry them. */
@@ -87,6 +94,7 @@
       deliveries.push(() => {
         peer.membership.noteProgress(vm.identity.id, heartbeat);
         peer.exchange.take(heartbeat, vm.identity);
+        peer.mark(heartbeat.changing?.[1] ?? []);
       });
     }
     return deliveries;
@@ -126,12 +134,20 @@
       identity,
       membership,
       ...parts,
+      mark: (engines) => {
+        for (const id of engines) {
+          const untilMs = this.nowMs + CHANGING_MS;
+          parts.directory.markChanging(id, untilMs, this.nowMs);
+        }
+      },
       listAgeMs: 0,
+      ordered: [],
       exchange: new HubExchange({
         self: identity,
         membership,
         ...parts,
         clock,
+        listChanging: () => vm.ordered,
         getListAgeMs: () => vm.listAgeMs,
         maxListAgeMs: 1500,
         applyTargets: (entries, isFull) =>
@@ -259,3 +275,21 @@
     assert.equal(isHub || exchange.isFed(fleet.nowMs), true, identity.id);
   }
 });
+
+test("an order's mark reaches every VM, and is forgotten everywhere once it is carried out", () => {
+  const fleet = new TestFleet(["a", "b"], 6);
+  fleet.run(WARM_UP_ROUNDS);
+  const hub = fleet.get("a-0");
+  const countMarked = (): number =>
+    [...fleet.vms.values()].filter((vm) =>
+      vm.directory.isChanging("e1", fleet.nowMs)
+    ).length;
+  hub.ordered = ["e1"];
+  hub.mark(hub.ordered);
+  fleet.run(4);
+  assert.equal(countMarked(), 12);
+  hub.ordered = [];
+  // A VM hears last of it from a hub whose own mark has just lapsed.
+  fleet.run(40);
+  assert.equal(countMarked(), 0);
+});
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -13,6 +13,7 @@
 import { Link, type LinkFault, type LinkIdentity } from "./link.ts";
 import type { Member, Membership } from "./membership.ts";
 import type { Heartbeat, MeshMessage } from "./messages.ts";
+import { MeshCallError, PendingCalls } from "./pending_calls.ts";
 
 /** Answers one kind of call from a peer. */
 export type CallHandler = (
@@ -63,21 +64,6 @@
   readonly onRound?: () => void;
 }
 
-/** A peer did not answer a call in time, or the link was lost: the call may have been done. */
-export class MeshCallError extends Error {
-  constructor(detail: string) {
-    super(`mesh call: ${detail}`);
-    this.name = "MeshCallError";
-  }
-}
-
-interface PendingCall {
-  readonly peerId: string;
-  readonly resolve: (body: unknown) => void;
-  readonly reject: (error: Error) => void;
-  readonly timer: NodeJS.Timeout;
-}
-
 interface DialedPeer {
   link: Link | undefined;
   /** A second connection, opened because `link` is silent. */
@@ -105,10 +91,9 @@
   readonly #heartbeatListeners = new Set<HeartbeatListener>();
   readonly #dialed = new Map<string, DialedPeer>();
   readonly #accepted = new Set<Link>();
-  readonly #calls = new Map<number, PendingCall>();
+  readonly #calls = new PendingCalls();
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
-  #nextCallId = 1;
   #closedBytesSent = 0;
   #closedBytesReceived = 0;
   #resets = 0;
@@ -171,15 +156,7 @@
     if (link === undefined) {
       return Promise.reject(new MeshCallError(`no link to ${peerId}`));
     }
-    const id = this.#nextCallId++;
-    return new Promise((resolve, reject) => {
-      const timer = setTimeout(() => {
-        this.#calls.delete(id);
-        reject(new MeshCallError(`${method} at ${peerId} timed out`));
-      }, timeoutMs);
-      this.#calls.set(id, { peerId, resolve, reject, timer });
-      link.send({ kind: "call", id, method, body });
-    });
+    return this.#calls.send(link, method, body, timeoutMs);
   }
 
   /** Whether there is a ready link to the peer. */
@@ -349,7 +326,7 @@
         void this.#answer(link, peer, message);
         break;
       case "reply":
-        this.#settle(message);
+        this.#calls.settle(message);
         break;
       default:
         break;
@@ -379,15 +356,6 @@
     }
   }
 
-  #settle(reply: Extract<MeshMessage, { kind: "reply" }>): void {
-    const pending = this.#calls.get(reply.id);
-    if (pending === undefined) return;
-    this.#calls.delete(reply.id);
-    clearTimeout(pending.timer);
-    if (reply.ok) pending.resolve(reply.body);
-    else pending.reject(new MeshCallError(String(reply.body)));
-  }
-
   #noteHeard(link: Link): void {
     if (link.peer === undefined) return;
     this.#options.membership.noteHeard(
--- a/packages/heatherarch-mesh/mod.ts
+++ b/packages/heatherarch-mesh/mod.ts
@@ -10,3 +10,4 @@
 export * from "./membership.ts";
 export * from "./mesh_node.ts";
 export * from "./messages.ts";
+export * from "./pending_calls.ts";
--- /dev/null
+++ b/packages/heatherarch-mesh/pending_calls.ts
@@ -0,0 +1,56 @@
+/**
+ * Calls to peers that wait for their replies.
+ *
+ * @module
+ */
+import type { Link } from "./link.ts";
+import type { MeshMessage } from "./messages.ts";
+
+/** A peer did not answer a call in time, or the link was lost: the call may have been done. */
+export class MeshCallError extends Error {
+  constructor(detail: string) {
+    super(`mesh call: ${detail}`);
+    this.name = "MeshCallError";
+  }
+}
+
+interface PendingCall {
+  readonly resolve: (body: unknown) => void;
+  readonly reject: (error: Error) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** The calls of one VM that have no reply yet. */
+export class PendingCalls {
+  readonly #calls = new Map<number, PendingCall>();
+  #nextId = 1;
+
+  /** Sends a call. Rejects with {@linkcode MeshCallError} where the reply is unknown. */
+  send(
+    link: Link,
+    method: string,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    const id = this.#nextId++;
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        this.#calls.delete(id);
+        const peer = link.peer?.id ?? "a peer";
+        reject(new MeshCallError(`${method} at ${peer} timed out`));
+      }, timeoutMs);
+      this.#calls.set(id, { resolve, reject, timer });
+      link.send({ kind: "call", id, method, body });
+    });
+  }
+
+  /** Takes in a reply; one that comes after its time is of no use. */
+  settle(reply: Extract<MeshMessage, { kind: "reply" }>): void {
+    const pending = this.#calls.get(reply.id);
+    if (pending === undefined) return;
+    this.#calls.delete(reply.id);
+    clearTimeout(pending.timer);
+    if (reply.ok) pending.resolve(reply.body);
+    else pending.reject(new MeshCallError(String(reply.body)));
+  }
+}
