--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -12,6 +12,7 @@
 import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
 import type { PromptPlacement } from "./prompt_placement.ts";
 import { PromptReading, type ReadPrompt } from "./prompt_reading.ts";
+import { computeReturnMs } from "./return_time.ts";
 import { pickRunner, type RunCandidate } from "./run_placement.ts";
 import { isWorthWaiting, predictRunnerMs } from "./runner_return.ts";
 import type { TargetExchange } from "./target_exchange.ts";
@@ -226,10 +227,11 @@
     if (run.mayHaveRun) {
       return run.fail("answerIncomplete", "no time to go on elsewhere");
     }
-    const spread = 1 + run.serving.drawUnit() / 2;
+    const waitedMs = run.nowMs - run.call.arrivedAtMs;
     const excessMs = readyMs - run.route.aimMs;
+    const { drawUnit } = run.serving;
     run.refuse("overloaded", "the prompt can't be read in the time left", {
-      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, excessMs) * spread,
+      retryAfterMs: computeReturnMs(waitedMs, excessMs, drawUnit),
       detail: {
         target: target.id,
         readyMs: Math.round(readyMs),
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -28,6 +28,7 @@
 export * from "./read_model.ts";
 export * from "./read_queue.ts";
 export * from "./retry_allowance.ts";
+export * from "./return_time.ts";
 export * from "./role_keeper.ts";
 export * from "./role_plan.ts";
 export * from "./route_table.ts";
