--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -349,7 +349,8 @@
 
   #sweep(): void {
     const { directory, roles } = this.#parts;
-    const { mesh, reading } = this.#parts;
+    const { mesh, reading, metrics, readQueue } = this.#parts;
+    metrics.promptsWaiting.set(readQueue.size);
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.countVms();
     const gone = directory.expire(this.#clock.readMonotonicMs());
--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/generation_life.ts
@@ -234,6 +234,7 @@
       retryAfterMs: computeReturnMs(waitedMs, excessMs, drawUnit),
       detail: {
         target: target.id,
+        waitedMs: Math.round(waitedMs),
         readyMs: Math.round(readyMs),
         remainingMs: Math.round(run.remainingMs),
       },
--- a/packages/heatherarch-forward/lanes.ts
+++ b/packages/heatherarch-forward/lanes.ts
@@ -2,9 +2,10 @@
  * In which lane a prompt is read.
  *
  * Pattern of load: when engines have more to read than they can, first come, first served makes
- * every call late at once, the short ones behind the long. Engines read by priority, so calls
- * that can still be on time go first, by the rank of their route, and calls that are late
- * anyway take what is left.
+ * every call late at once, the short ones behind the long. So calls that can still be on time
+ * go first, by the rank of their route, and calls that are late anyway take what is left. The
+ * order is kept at the VMs, see `read_queue.ts`: an engine admits by priority, which counts only
+ * when its places have run out, and reads what it has admitted in the order of arrival.
  *
  * @module
  */
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -24,6 +24,19 @@
     buckets: LATENCY_BUCKETS,
     registers: [this.registry],
   });
+  readonly readWait = new Histogram({
+    name: "heatherarch_read_wait_seconds",
+    help:
+      "Time from the head of a call to the choice of the engine that reads its prompt",
+    labelNames: ["lane"] as const,
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly promptsWaiting = new Gauge({
+    name: "heatherarch_prompts_waiting",
+    help: "Prompts that wait at this VM for an engine to read them",
+    registers: [this.registry],
+  });
   readonly tries = new Counter({
     name: "heatherarch_tries_total",
     help: "Tries at targets, by stage and outcome",
--- a/packages/heatherarch-forward/prompt_reading.ts
+++ b/packages/heatherarch-forward/prompt_reading.ts
@@ -223,8 +223,10 @@
 
   #begin(placed: LanePlacement): ReadTurn {
     const { placement: { target, costMs }, lane } = placed;
-    const { ledger, readModel } = this.#run.serving;
+    const { ledger, readModel, metrics } = this.#run.serving;
     const startedAtMs = this.#run.nowMs;
+    const waitedMs = startedAtMs - this.#run.call.arrivedAtMs;
+    metrics.readWait.observe({ lane }, waitedMs / 1000);
     this.#noteHolder(target, "reading");
     const latencyMs = readModel.latencyMs + ANSWER_SLACK_MS;
     const read = { costMs, lane, latencyMs };
