A stream that broke off waits anew for an engine instead of as a late call

Cause, found in reading the change: the wait in the queue counted from the call's arrival, so a stream that broke off more than 1.8 s after it was refused an engine at once ("no time to go on elsewhere") although its caller waits from the last event on. The callers' patience has a module of its own.

--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -9,6 +9,7 @@
 export * from "./cache_survey.ts";
 export * from "./call_run.ts";
 export * from "./call_server.ts";
+export * from "./caller_patience.ts";
 export * from "./caller_port.ts";
 export * from "./config_view.ts";
 export * from "./engine_inquiry.ts";
--- a/packages/heatherarch-forward/prompt_reading.ts
+++ b/packages/heatherarch-forward/prompt_reading.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CallRun } from "./call_run.ts";
+import { computeWaitLimits } from "./caller_patience.ts";
 import { listEngines } from "./engine_choice.ts";
 import { computeEnginePriority, computeLane } from "./lanes.ts";
 import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
@@ -12,7 +13,6 @@
 import { findHolders } from "./prompt_holders.ts";
 import { type PromptPlacement, sumShared } from "./prompt_placement.ts";
 import type { LanePlacement } from "./read_queue.ts";
-import { computeCallerPatienceMs } from "./runner_return.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
 
@@ -96,7 +96,7 @@
 
   /** Has the prompt read by the engine that is soonest done with it. */
   async read(lastEventId: string | undefined): Promise<ReadEnd> {
-    const turn = await this.#awaitTurn();
+    const turn = await this.#awaitTurn(lastEventId !== undefined);
     if (turn.kind !== "turn") return turn;
     const { placed, startedAtMs, endRead } = turn;
     const { placement } = placed;
@@ -194,18 +194,22 @@
   }
 
   /** Waits until an engine is about to be free, and books the reading there. */
-  #awaitTurn(): Promise<ReadTurn | ReadEnd> {
+  #awaitTurn(isResumed: boolean): Promise<ReadTurn | ReadEnd> {
     const run = this.#run;
     const { readQueue, readModel } = run.serving;
-    const { arrivedAtMs } = run.call;
     const { aimMs, priority } = run.route;
-    const patienceMs = computeCallerPatienceMs(aimMs);
+    const { sinceMs, leavesAtMs } = computeWaitLimits({
+      arrivedAtMs: run.call.arrivedAtMs,
+      endAtMs: run.endAtMs,
+      aimMs,
+      ...(isResumed ? { brokeAtMs: run.nowMs } : {}),
+    });
     return new Promise((resolve) => {
       const undo = readQueue.enqueue({
         lane: computeLane(priority),
-        arrivedAtMs,
+        sinceMs,
         aimMs,
-        leavesAtMs: Math.min(run.endAtMs, arrivedAtMs + patienceMs),
+        leavesAtMs,
         tailMs: FIRST_TOKEN_MS + readModel.latencyMs,
         place: () => this.#place(),
         mayReadLate: () => this.#mayReadLate(),
--- a/packages/heatherarch-forward/read_queue.ts
+++ b/packages/heatherarch-forward/read_queue.ts
@@ -36,8 +36,9 @@
 export interface ReadRequest {
   /** Lane by the rank of its route. */
   readonly lane: number;
-  readonly arrivedAtMs: number;
-  /** Time from its arrival within which the first token earns full worth. */
+  /** When its caller began to wait: the arrival, or the last event of a stream that broke off. */
+  readonly sinceMs: number;
+  /** Time from then within which the first token earns full worth. */
   readonly aimMs: number;
   /** Its caller has left by then. */
   readonly leavesAtMs: number;
@@ -158,13 +159,13 @@
 
   /** Whether a call that may be on time has to wait on; otherwise it is placed, or turns late. */
   #mayKeep(request: ReadRequest, nowMs: number): boolean {
-    const { arrivedAtMs, aimMs, tailMs, lane } = request;
+    const { sinceMs, aimMs, tailMs, lane } = request;
     const placement = request.place();
     if (placement === undefined) {
       request.onVerdict({ kind: "noReader" });
       return false;
     }
-    const readByMs = arrivedAtMs + aimMs - tailMs;
+    const readByMs = sinceMs + aimMs - tailMs;
     if (nowMs + placement.readyMs > readByMs) {
       this.#late.push(request);
       return false;
@@ -226,9 +227,9 @@
 
 /** Time up to which a late call is worth keeping. */
 function findEnd(request: ReadRequest, placement: PromptPlacement): number {
-  const { arrivedAtMs, leavesAtMs } = request;
+  const { sinceMs, leavesAtMs } = request;
   if (isLarge({ request, placement })) return leavesAtMs;
-  return arrivedAtMs + (leavesAtMs - arrivedAtMs) * LATE_PART;
+  return sinceMs + (leavesAtMs - sinceMs) * LATE_PART;
 }
 
 function isBefore(a: ReadRequest, b: ReadRequest): boolean {
@@ -236,6 +237,6 @@
 }
 
 /** Time by which a waiting call is put in order: its aim, later by its rank. */
-function computeTurn({ arrivedAtMs, aimMs, lane }: ReadRequest): number {
-  return arrivedAtMs + aimMs + lane * RANK_MS;
+function computeTurn({ sinceMs, aimMs, lane }: ReadRequest): number {
+  return sinceMs + aimMs + lane * RANK_MS;
 }
--- a/packages/heatherarch-forward/runner_return.ts
+++ b/packages/heatherarch-forward/runner_return.ts
@@ -12,14 +12,10 @@
  *
  * @module
  */
+import { computeCallerPatienceMs } from "./caller_patience.ts";
 
 /** From the end of a change until the list tells it: an entry, a reading of it, milliseconds. */
 const LIST_LAG_MS = 500;
-/**
- * Callers leave a stream that has not begun after the longer of 2 s and four times its aim (the
- * users' page of requests); less the way there and the first token.
- */
-const CALLER_PATIENCE = { leastMs: 2000, aims: 4, marginMs: 250 };
 
 /**
  * Time until the first of the engines generates, milliseconds; `changingSince` are the times at
@@ -44,9 +40,3 @@
   if (comesInMs === undefined) return false;
   return waitedMs + comesInMs <= computeCallerPatienceMs(aimMs);
 }
-
-/** Time for which a caller waits for the first event of a stream, milliseconds. */
-export function computeCallerPatienceMs(aimMs: number): number {
-  const { leastMs, aims, marginMs } = CALLER_PATIENCE;
-  return Math.max(leastMs, aims * aimMs) - marginMs;
-}
--- a/packages/heatherarch-forward/tests/unit/read_queue_test.ts
+++ b/packages/heatherarch-forward/tests/unit/read_queue_test.ts
@@ -38,7 +38,7 @@
   ) =>
     queue.enqueue({
       lane: 0,
-      arrivedAtMs: clock.readMonotonicMs(),
+      sinceMs: clock.readMonotonicMs(),
       aimMs: 600,
       leavesAtMs: clock.readMonotonicMs() + 2150,
       tailMs: 50,
@@ -187,7 +187,7 @@
       const job = jobs[next++];
       queue.enqueue({
         lane: 0,
-        arrivedAtMs: job.arriveMs,
+        sinceMs: job.arriveMs,
         aimMs: windowMs === Infinity ? Infinity : 600,
         leavesAtMs: windowMs === Infinity ? Infinity : job.arriveMs + 2150,
         tailMs: 50,
