--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -276,8 +276,6 @@
       metrics: parts.metrics,
       listOrderers: () => this.#parts.mesh.listOrderers(),
       isListCurrent: () => this.#parts.reading.isListCurrent,
-      countRuns: (target) =>
-        parts.ledger.getRuns(target, this.#clock.readMonotonicMs()).runs,
       hasDuty: () => this.#parts.mesh.hasDuty,
     });
   }
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -33,7 +33,6 @@
 export * from "./role_keeper.ts";
 export * from "./role_plan.ts";
 export * from "./route_table.ts";
-export * from "./run_demand.ts";
 export * from "./run_placement.ts";
 export * from "./runner_return.ts";
 export * from "./serving.ts";
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -26,7 +26,6 @@
 import type { EngineReport, Target, TargetRole } from "./model.ts";
 import type { CallCodec, RoleOrder } from "./ports.ts";
 import { planRoles, type RoleChange } from "./role_plan.ts";
-import { RunDemand } from "./run_demand.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { TargetHealth } from "./target_health.ts";
@@ -49,8 +48,6 @@
   readonly listOrderers: () => readonly string[];
   /** Whether the platform's list is being read without fault. */
   readonly isListCurrent: () => boolean;
-  /** Runs in progress or waiting at an engine, over all VMs. */
-  readonly countRuns?: (target: string) => number;
   /** Whether this VM is one of those that usually give orders. */
   readonly hasDuty?: () => boolean;
 }
@@ -92,7 +89,6 @@
   readonly #options: RoleKeeperOptions;
   /** Engines whose change has been ordered, with the role and the end of the wait for it. */
   readonly #pending = new Map<string, { role: TargetRole; untilMs: number }>();
-  readonly #demands = new Map<string, RunDemand>();
   #state = EMPTY_CONTROL;
   #campaign: Campaign | undefined;
   #wantedSinceMs = Infinity;
@@ -168,7 +164,6 @@
       changes.push(...planRoles(engines, {
         isReachable: ({ id }) => health.isReachable(id),
         slots: service.engine.slots,
-        busyRuns: this.#noteDemand(service.name, engines, nowMs),
       }));
     }
     // Engines that go are replaced at once; those that come may be followed by more.
@@ -177,22 +172,6 @@
     return nowMs - this.#countSinceMs < SETTLE_MS ? [] : changes;
   }
 
-  /** Runs that the service needs places for. */
-  #noteDemand(
-    service: string,
-    engines: readonly Target[],
-    nowMs: number,
-  ): number {
-    const { countRuns = () => 0 } = this.#options;
-    const demand = this.#demands.get(service) ?? new RunDemand();
-    this.#demands.set(service, demand);
-    demand.noteRuns(
-      engines.reduce((runs, { id }) => runs + countRuns(id), 0),
-      nowMs,
-    );
-    return demand.runs;
-  }
-
   #applyPending(target: Target, nowMs: number): Target {
     const pending = this.#pending.get(target.id);
     if (pending === undefined) return this.#applyChanging(target, nowMs);
--- a/packages/heatherarch-forward/role_plan.ts
+++ b/packages/heatherarch-forward/role_plan.ts
@@ -3,9 +3,10 @@
  *
  * Pattern of load: prompts of thousands of tokens and answers of a hundred. Reading takes nine
  * tenths of the engines' time, and generation few places, so a few engines generate and the
- * rest read. Where engines have few places, or answers are long, places run out first: then the
- * runs in progress decide. Each order takes an engine away for seconds, so there are as few as
- * possible.
+ * rest read. Where engines have few places these run out first, so that more of them generate.
+ * Each order takes an engine away for seconds, and its cache, so there are as few as possible:
+ * a goal that followed the runs in progress sent 12 of 29 readers to generate in bursts of ten
+ * seconds and back after them.
  *
  * @module
  */
@@ -27,8 +28,6 @@
   readonly minRunners?: number;
   /** Places of one engine; unknown by default. */
   readonly slots?: number;
-  /** Runs in progress or waiting at the engines, averaged over some seconds. */
-  readonly busyRuns?: number;
 }
 
 /** Measured on the users' standard days; the table of trials is in docs/design/policy.md. */
@@ -47,23 +46,17 @@
  * of places (worth 0.05 against 0.49).
  */
 const RUNS_PER_READER = 7;
-/** Part of the generating engines' places that is in use on average when they suffice. */
-const FULL_USE = 0.85;
-
 /** Number of engines out of `count` that should generate. */
 export function computeRunnerGoal(
   count: number,
   options: RolePlanOptions = {},
 ): number {
-  const { minRunners = DEFAULT_MIN_RUNNERS, slots, busyRuns = 0 } = options;
+  const { minRunners = DEFAULT_MIN_RUNNERS, slots } = options;
   const { runnerShare = computeShare(slots) } = options;
   if (count < 2) return count;
   const spare = count >= SPARE_RUNNER_ENGINES ? 1 : 0;
   const byShare = Math.round(count * runnerShare);
-  const byPlaces = slots === undefined
-    ? 0
-    : Math.ceil(busyRuns / (slots * FULL_USE));
-  const wanted = Math.max(minRunners + spare, byShare, byPlaces);
+  const wanted = Math.max(minRunners + spare, byShare);
   return Math.min(count - 1, wanted);
 }
 
