--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -1,11 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  computeRunnerGoal,
-  planRoles,
-  RunDemand,
-  type Target,
-} from "../../mod.ts";
+import { computeRunnerGoal, planRoles, type Target } from "../../mod.ts";
 import { buildEngine } from "./fixtures.ts";
 
 const ZONES = ["zone-a", "zone-b", "zone-c"];
