Sight: why a target that is listed no more is still used, and how old the list is

Cause: the incident's logs write targetLeaving both for a target that is dropped and for one that is kept in case it lapsed with the store, say nowhere that an outage is believed and on whose word, and nothing tells the age of the list.

Change: targetKept and listOutage lines (source, age), a gauge of the list's age and a counter of kept targets; a whole list that is loaded logs what it names no more. No logic changes: the exchange reports a lost hub to the reading of the store, which notes the outage as the exchange did.

--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -27,6 +27,7 @@
     | "getListAgeMs"
     | "maxListAgeMs"
     | "applyTargets"
+    | "onListLost"
     | "listChanging"
   > {
   readonly self: VmRecord;
@@ -170,6 +171,11 @@
     return !this.#hubs.isFed(this.#options.clock.readMonotonicMs());
   }
 
+  /** Monotonic time for which a hub's word on the list of targets held. */
+  get listAtMs(): number {
+    return this.#hubs.listAtMs;
+  }
+
   /** Whether this VM is one of those that do what one VM has to do for the fleet. */
   get hasDuty(): boolean {
     return !this.#membership.hasHubs || this.#membership.isHub;
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -250,6 +250,7 @@
         LIST_AGE_SLACK_MS,
       applyTargets: (entries, isFull) =>
         parts.reading.applyTargets(entries, isFull),
+      onListLost: (source) => parts.reading.noteHubLost(source),
       loadConfig: () => parts.reading.loadConfig(),
       onLiveVms: (count) => this.#shareLimits(count),
       onChanging: (targets) => this.#noteChanging(targets),
@@ -289,6 +290,7 @@
       targetTopic: directory.targets,
       configWaitMs: store.configWaitMs,
       targetPollMs: store.targetPollMs,
+      getToldAtMs: () => this.#parts.mesh.listAtMs,
       clock: parts.clock,
       log: parts.log,
       metrics: parts.metrics,
@@ -351,6 +353,7 @@
     metrics.promptsWaiting.set(readQueue.size);
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.countVms();
+    metrics.listAge.set(reading.getKnownAgeMs() / 1000);
     const gone = directory.expire(this.#clock.readMonotonicMs());
     for (const id of gone) {
       this.#log.write("info", "targetGone", {
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -42,6 +42,8 @@
     entries: readonly KeyedEntry<Target>[],
     isFull: boolean,
   ) => void;
+  /** The source says that it can't read the list of targets. */
+  readonly onListLost: (source: string) => void;
   /** A VM gets its sums from another hub now. */
   readonly onSource: (source: string | undefined) => void;
 }
@@ -124,6 +126,11 @@
     return nowMs - this.#listAtMs <= maxListAgeMs;
   }
 
+  /** Monotonic time for which a hub's word on the list of targets held. */
+  get listAtMs(): number {
+    return this.#listAtMs;
+  }
+
   /** To be called once before each round of heartbeats. */
   beginRound(): void {
     const nowMs = this.#nowMs;
@@ -233,7 +240,7 @@
   }
 
   #takeFromSource(source: Source, heartbeat: Heartbeat, nowMs: number): void {
-    const { ledger, prompts, directory, applyTargets } = this.#options;
+    const { ledger, prompts, applyTargets, onListLost } = this.#options;
     source.heardAtMs = nowMs;
     if (heartbeat.prompts !== undefined) {
       prompts.notePeer(heartbeat.prompts, nowMs);
@@ -247,7 +254,7 @@
     }
     if (targets === undefined) return;
     const ageMs = readFeedAge(targets);
-    if (ageMs === Infinity) return directory.noteOutage();
+    if (ageMs === Infinity) return onListLost(source.id);
     if (targets.isFull) source.hasList = true;
     if (!source.hasList) return;
     this.#listAtMs = nowMs - ageMs;
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -64,6 +64,16 @@
     help: "Targets known",
     registers: [this.registry],
   });
+  readonly listAge = new Gauge({
+    name: "heatherarch_target_list_age_seconds",
+    help: "Time since the list of targets was last taken in, read or told",
+    registers: [this.registry],
+  });
+  readonly targetsKept = new Counter({
+    name: "heatherarch_targets_kept_total",
+    help: "Targets used for a while although the list names them no more",
+    registers: [this.registry],
+  });
   readonly liveVms = new Gauge({
     name: "heatherarch_live_vms",
     help: "Entry VMs that answer, this one included",
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -23,6 +23,8 @@
   readonly configWaitMs: number;
   /** Pause between reads of the list of targets, milliseconds. */
   readonly targetPollMs: number;
+  /** Monotonic time for which a hub's word on the list held; -Infinity without one. */
+  readonly getToldAtMs: () => number;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
@@ -62,6 +64,13 @@
     return this.#targets.isCurrent;
   }
 
+  /** Age of what this VM knows of the list, by its own reading or a hub's, milliseconds. */
+  getKnownAgeMs(): number {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const readAtMs = this.#targets.readAtMs;
+    return nowMs - Math.max(readAtMs, this.#options.getToldAtMs());
+  }
+
   /** Age of what this VM itself has read of the list of targets, milliseconds. */
   getListAgeMs(): number {
     return this.#targets.getAgeMs(this.#options.clock.readMonotonicMs());
@@ -87,7 +96,38 @@
   /** Takes in what a hub tells of the list of targets. */
   applyTargets(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
     const unlisted = this.#options.directory.applyFeed(entries, isFull);
-    this.#noteTargets([...entries, ...unlisted.map((key) => ({ key }))]);
+    this.#noteTargets([...entries, ...unlisted.map((key) => ({ key }))], "hub");
+  }
+
+  /** A hub that this VM relied on can't read the store. */
+  noteHubLost(hub: string): void {
+    this.#noteOutage(`hub ${hub}`);
+  }
+
+  #applyList(entries: readonly KeyedEntry<Target>[]): void {
+    const { directory, clock } = this.#options;
+    const before = directory.listAll().map(({ id }) => id);
+    directory.applyList(entries, clock.readMonotonicMs());
+    const listed = new Set(entries.map(({ key }) => key));
+    this.#noteTargets(entries, "store");
+    for (const id of before) {
+      if (!listed.has(id)) this.#logLeaving(id, "store");
+    }
+  }
+
+  #applyChanges(entries: readonly KeyedEntry<Target>[]): void {
+    const { directory, clock } = this.#options;
+    directory.applyChanges(entries, clock.readMonotonicMs());
+    this.#noteTargets(entries, "store");
+  }
+
+  #noteOutage(source: string): void {
+    const { directory, log } = this.#options;
+    if (!directory.noteOutage()) return;
+    log.write("warn", "listOutage", {
+      source,
+      ageMs: Math.round(this.getKnownAgeMs()),
+    });
   }
 
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
@@ -107,7 +147,7 @@
   }
 
   #buildTargetFollower(): TopicFollower<Target> {
-    const { targetTopic, targetPollMs, clock, log, directory } = this.#options;
+    const { targetTopic, targetPollMs, clock, log } = this.#options;
     return new TopicFollower({
       name: "targets",
       clock,
@@ -115,15 +155,9 @@
       log,
       pollMs: targetPollMs,
       waitMs: 0,
-      onList: (entries) => {
-        directory.applyList(entries, clock.readMonotonicMs());
-        this.#noteTargets(entries);
-      },
-      onChanges: (entries) => {
-        directory.applyChanges(entries, clock.readMonotonicMs());
-        this.#noteTargets(entries);
-      },
-      onLost: () => directory.noteOutage(),
+      onList: (entries) => this.#applyList(entries),
+      onChanges: (entries) => this.#applyChanges(entries),
+      onLost: () => this.#noteOutage("own reading"),
     });
   }
 
@@ -143,20 +177,39 @@
   }
 
   /** A line for each target that left; what was kept for it is dropped. */
-  #noteTargets(entries: readonly KeyedEntry<Target>[]): void {
-    const { directory, metrics, connections, prompts, log } = this.#options;
+  #noteTargets(
+    entries: readonly KeyedEntry<Target>[],
+    source: "store" | "hub",
+  ): void {
+    const { directory, metrics, connections, prompts } = this.#options;
     for (const { key, value } of entries) {
       if (value === undefined) prompts.forgetTarget(key);
-      if (value !== undefined && !value.leaving) continue;
-      log.write("info", "targetLeaving", {
-        target: key,
-        address: value?.address,
-        listed: value !== undefined,
-      });
+      if (value === undefined || value.leaving) {
+        this.#logLeaving(key, source, value?.address);
+      }
     }
     metrics.targets.set(directory.size);
     connections.keepOnly(
       new Set(directory.listAll().map((target) => target.id)),
     );
   }
+
+  /** One that is listed no more but may have lapsed with the store is told apart. */
+  #logLeaving(
+    target: string,
+    source: "store" | "hub",
+    address?: string,
+  ): void {
+    const { directory, metrics, log } = this.#options;
+    const isKept = directory.isMissing(target);
+    if (isKept) metrics.targetsKept.inc();
+    log.write("info", isKept ? "targetKept" : "targetLeaving", {
+      target,
+      address,
+      listed: address !== undefined,
+      source,
+      // Of what was known before this word.
+      ageMs: Math.round(this.getKnownAgeMs()),
+    });
+  }
 }
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -47,9 +47,14 @@
     this.#returnGraceMs = options.returnGraceMs ?? DEFAULT_RETURN_GRACE_MS;
   }
 
-  /** The store stopped answering: what lapses from now on may still be alive. */
-  noteOutage(): void {
+  /**
+   * The store stopped answering: what lapses from now on may still be alive. Returns whether
+   * that is news.
+   */
+  noteOutage(): boolean {
+    const isNews = !this.#outage;
     this.#outage = true;
+    return isNews;
   }
 
   /** Replaces the whole list by one just loaded. */
@@ -158,6 +163,11 @@
     return false;
   }
 
+  /** Whether a target is used although the list names it no more. */
+  isMissing(id: string): boolean {
+    return this.#missing.has(id);
+  }
+
   findTarget(id: string): Target | undefined {
     return this.#targets.get(id);
   }
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -152,6 +152,7 @@
         maxListAgeMs: 1500,
         applyTargets: (entries, isFull) =>
           void parts.directory.applyFeed(entries, isFull),
+        onListLost: () => void parts.directory.noteOutage(),
         onSource: () => undefined,
       }),
     };
--- a/packages/heatherarch-forward/topic_follower.ts
+++ b/packages/heatherarch-forward/topic_follower.ts
@@ -53,6 +53,11 @@
     return this.#isActive;
   }
 
+  /** Monotonic time of the last read without fault; -Infinity before the first. */
+  get readAtMs(): number {
+    return this.#readAtMs;
+  }
+
   /** Time since the last read without fault; Infinity where the store does not answer. */
   getAgeMs(nowMs: number): number {
     return this.#lost ? Infinity : nowMs - this.#readAtMs;
