--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -79,3 +79,16 @@
   );
   assert.equal(directory.isChanging("a", 4200), false);
 });
+
+// Seen: targets were used for more than three seconds after they had left, by VMs that read the
+// list each second without fault while others, which the store turned away, told of their loss.
+test("a target that goes between two good readings is not kept, whatever others have lost", () => {
+  const directory = createFilled();
+  for (let nowMs = 1000; nowMs <= 3000; nowMs += 1000) {
+    directory.noteOutage();
+    directory.applyChanges([], nowMs);
+  }
+  directory.noteOutage();
+  directory.applyChanges([{ key: "a" }], 4000);
+  assert.deepEqual(listIds(directory), ["b"]);
+});
