A VM or hub that the store turns away is no outage of the store

Cause: a removed entry is used for two more seconds after an outage, as a live target that lapsed is listed again by then. Each heartbeat of a hub that the store turned away was noted as an outage, also by VMs that read the list without fault, so each of their readings began the two seconds anew; and a single failed reading of a VM's own counted as an outage too.

Change: StoreWatch believes an outage only where the VM's own reading failed and nobody has read for two heartbeats of a target, the shortest outage in which an entry of a live target lapses; heartbeats tell each new reading of the list; the two seconds count from the first reading that anybody made. Setting store.targetHeartbeatMs, filled in by the platform.

Ruled out: shortening the two seconds (the users' bound for returning entries); keeping leavings that were read apart from lapses (a removal looks the same).

--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -55,6 +55,10 @@
   readonly onLiveVms: (count: number) => void;
   /** Called with engines that a peer has ordered to change. */
   readonly onChanging: (targets: readonly string[]) => void;
+  /** Monotonic time at which this VM itself last read the list of targets without fault. */
+  readonly getListReadAtMs: () => number;
+  /** A peer has read the list of targets at this monotonic time. */
+  readonly onListRead: (atMs: number) => void;
   /** Whether this VM could give orders now. */
   readonly mayOrder: () => boolean;
 }
@@ -82,6 +86,8 @@
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
+  /** Time of the reading of the list that was last told on each link. */
+  readonly #toldReadAtMs = new WeakMap<Link, number>();
   /** Peers that could give orders when they were last heard. */
   readonly #orderers = new Set<string>();
   #listed = 0;
@@ -269,10 +275,20 @@
       leaving: this.#leaving,
       leavingTargets: [],
       mayOrder: mayOrder(),
+      ...this.#buildListAge(link),
       ...parts,
     };
   }
 
+  /** Peers learn from each new reading that the store is there. */
+  #buildListAge(link: Link): Pick<Heartbeat, "listAgeMs"> {
+    const { clock, getListReadAtMs } = this.#options;
+    const readAtMs = getListReadAtMs();
+    if (readAtMs <= (this.#toldReadAtMs.get(link) ?? -Infinity)) return {};
+    this.#toldReadAtMs.set(link, readAtMs);
+    return { listAgeMs: Math.round(clock.readMonotonicMs() - readAtMs) };
+  }
+
   /** What is told on a link of two VMs without hubs: own work, and notes since the last time. */
   #buildMeshParts(link: Link): Partial<Heartbeat> {
     const { ledger, prompts, clock, listChanging } = this.#options;
@@ -294,6 +310,10 @@
     else this.#takeMeshParts(heartbeat, from);
     if (heartbeat.mayOrder) this.#orderers.add(from.id);
     else this.#orderers.delete(from.id);
+    if (heartbeat.listAgeMs !== undefined) {
+      const { clock, onListRead } = this.#options;
+      onListRead(clock.readMonotonicMs() - heartbeat.listAgeMs);
+    }
     if (heartbeat.changing !== undefined) {
       this.#options.onChanging(heartbeat.changing[1]);
     }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -177,7 +177,11 @@
       codec: asValue(this.#ports.codec),
       metrics: asValue(new ForwardMetrics()),
       configs: asValue(new ConfigView()),
-      directory: asValue(new TargetDirectory()),
+      directory: asValue(
+        new TargetDirectory({
+          targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
+        }),
+      ),
       health: asValue(new TargetHealth()),
       ledger: asValue(new WorkLedger()),
       connections: asValue(new TargetConnections()),
@@ -251,6 +255,8 @@
       applyTargets: (entries, isFull) =>
         parts.reading.applyTargets(entries, isFull),
       onListLost: (source) => parts.reading.noteHubLost(source),
+      getListReadAtMs: () => parts.reading.listReadAtMs,
+      onListRead: (atMs) => parts.directory.notePeerRead(atMs),
       loadConfig: () => parts.reading.loadConfig(),
       onLiveVms: (count) => this.#shareLimits(count),
       onChanging: (targets) => this.#noteChanging(targets),
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -75,6 +75,8 @@
   heardAtMs: number;
   /** The whole list of targets has come from it. */
   hasList: boolean;
+  /** It said last that it can't read the list. */
+  isListLost: boolean;
 }
 
 interface ZoneSource {
@@ -254,7 +256,12 @@
     }
     if (targets === undefined) return;
     const ageMs = readFeedAge(targets);
-    if (ageMs === Infinity) return onListLost(source.id);
+    const wasLost = source.isListLost;
+    source.isListLost = ageMs === Infinity;
+    if (source.isListLost) {
+      if (!wasLost) onListLost(source.id);
+      return;
+    }
     if (targets.isFull) source.hasList = true;
     if (!source.hasList) return;
     this.#listAtMs = nowMs - ageMs;
@@ -353,6 +360,7 @@
       sinceMs: nowMs,
       heardAtMs: -Infinity,
       hasList: false,
+      isListLost: false,
     };
   }
 
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -37,6 +37,7 @@
 export * from "./runner_return.ts";
 export * from "./serving.ts";
 export * from "./store_reading.ts";
+export * from "./store_watch.ts";
 export * from "./target_connections.ts";
 export * from "./target_directory.ts";
 export * from "./target_exchange.ts";
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -64,11 +64,15 @@
     return this.#targets.isCurrent;
   }
 
+  /** Monotonic time at which this VM itself last read the list without fault. */
+  get listReadAtMs(): number {
+    return this.#targets.readAtMs;
+  }
+
   /** Age of what this VM knows of the list, by its own reading or a hub's, milliseconds. */
   getKnownAgeMs(): number {
     const nowMs = this.#options.clock.readMonotonicMs();
-    const readAtMs = this.#targets.readAtMs;
-    return nowMs - Math.max(readAtMs, this.#options.getToldAtMs());
+    return nowMs - Math.max(this.listReadAtMs, this.#options.getToldAtMs());
   }
 
   /** Age of what this VM itself has read of the list of targets, milliseconds. */
@@ -95,13 +99,17 @@
 
   /** Takes in what a hub tells of the list of targets. */
   applyTargets(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
-    const unlisted = this.#options.directory.applyFeed(entries, isFull);
+    const { directory, getToldAtMs } = this.#options;
+    const unlisted = directory.applyFeed(entries, isFull, getToldAtMs());
     this.#noteTargets([...entries, ...unlisted.map((key) => ({ key }))], "hub");
   }
 
-  /** A hub that this VM relied on can't read the store. */
+  /** A hub that this VM relied on can't read the store, which says nothing of the store. */
   noteHubLost(hub: string): void {
-    this.#noteOutage(`hub ${hub}`);
+    this.#options.log.write("info", "hubListLost", {
+      hub,
+      ageMs: Math.round(this.getKnownAgeMs()),
+    });
   }
 
   #applyList(entries: readonly KeyedEntry<Target>[]): void {
@@ -121,11 +129,10 @@
     this.#noteTargets(entries, "store");
   }
 
-  #noteOutage(source: string): void {
+  #noteFailure(): void {
     const { directory, log } = this.#options;
     if (!directory.noteOutage()) return;
-    log.write("warn", "listOutage", {
-      source,
+    log.write("warn", "listNotRead", {
       ageMs: Math.round(this.getKnownAgeMs()),
     });
   }
@@ -157,7 +164,7 @@
       waitMs: 0,
       onList: (entries) => this.#applyList(entries),
       onChanges: (entries) => this.#applyChanges(entries),
-      onLost: () => this.#noteOutage("own reading"),
+      onFailed: () => this.#noteFailure(),
     });
   }
 
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -6,15 +6,10 @@
  */
 import type { Target } from "./model.ts";
 import type { KeyedEntry } from "./ports.ts";
+import { StoreWatch, type StoreWatchOptions } from "./store_watch.ts";
 
 /** Options of {@linkcode TargetDirectory}. */
-export interface TargetDirectoryOptions {
-  /**
-   * How long an entry that went missing during an outage of the store is still used after the
-   * store is back, milliseconds. A live target is listed again within two seconds of it.
-   */
-  readonly returnGraceMs?: number;
-}
+export type TargetDirectoryOptions = StoreWatchOptions;
 
 /** What changed in a directory since some point. */
 export interface DirectoryChanges {
@@ -25,13 +20,12 @@
   readonly cursor: number;
 }
 
-const DEFAULT_RETURN_GRACE_MS = 2000;
 /** Changes that are remembered for peers; one that is further behind is given the whole list. */
 const MAX_CHANGES = 512;
 
 /** Targets by id. */
 export class TargetDirectory {
-  readonly #returnGraceMs: number;
+  readonly #storeWatch: StoreWatch;
   readonly #targets = new Map<string, Target>();
   /** Missing entries that are still used, with the end of their grace. */
   readonly #missing = new Map<string, number>();
@@ -40,26 +34,24 @@
   readonly #changes: KeyedEntry<Target>[] = [];
   #changesStart = 0;
   #byService = new Map<string, readonly Target[]>();
-  #outage = false;
-  #backAtMs = -Infinity;
 
   constructor(options: TargetDirectoryOptions = {}) {
-    this.#returnGraceMs = options.returnGraceMs ?? DEFAULT_RETURN_GRACE_MS;
+    this.#storeWatch = new StoreWatch(options);
   }
 
-  /**
-   * The store stopped answering: what lapses from now on may still be alive. Returns whether
-   * that is news.
-   */
+  /** This VM's own reading failed: the store may be away. Returns whether that is news. */
   noteOutage(): boolean {
-    const isNews = !this.#outage;
-    this.#outage = true;
-    return isNews;
+    return this.#storeWatch.noteFailure();
+  }
+
+  /** A peer has read the list from the store at `atMs` of this VM's clock. */
+  notePeerRead(atMs: number): void {
+    this.#storeWatch.noteRead(atMs);
   }
 
   /** Replaces the whole list by one just loaded. */
   applyList(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
-    this.#noteStoreBack(nowMs);
+    this.#storeWatch.noteOwnRead(nowMs);
     const listed = new Set<string>();
     for (const { key, value } of entries) {
       if (value === undefined) continue;
@@ -74,7 +66,7 @@
 
   /** Applies later records in their order. */
   applyChanges(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
-    this.#noteStoreBack(nowMs);
+    this.#storeWatch.noteOwnRead(nowMs);
     let isChanged = false;
     for (const { key, value } of entries) {
       if (value === undefined) {
@@ -85,14 +77,15 @@
   }
 
   /**
-   * Takes in what a peer knows of the list. The peer has judged what lapsed during an outage;
+   * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged what lapsed during an outage;
    * nothing is kept beyond its word. Returns the ids of targets that a full list names no more.
    */
   applyFeed(
     entries: readonly KeyedEntry<Target>[],
     isFull: boolean,
+    atMs: number,
   ): string[] {
-    this.#outage = false;
+    this.#storeWatch.noteOwnRead(atMs);
     this.#missing.clear();
     const listed = new Set<string>();
     for (const { key, value } of entries) {
@@ -185,12 +178,6 @@
     return this.#targets.size;
   }
 
-  #noteStoreBack(nowMs: number): void {
-    if (!this.#outage) return;
-    this.#outage = false;
-    this.#backAtMs = nowMs;
-  }
-
   /** Returns whether anything that matters to a caller changed. */
   #set(id: string, target: Target): boolean {
     const before = this.#targets.get(id);
@@ -205,7 +192,7 @@
   #remove(id: string, nowMs: number): boolean {
     const target = this.#targets.get(id);
     if (target === undefined) return false;
-    const graceUntilMs = this.#backAtMs + this.#returnGraceMs;
+    const graceUntilMs = this.#storeWatch.findGraceEnd(nowMs);
     if (!target.leaving && nowMs < graceUntilMs) {
       if (!this.#missing.has(id)) this.#missing.set(id, graceUntilMs);
       return false;
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -151,8 +151,8 @@
         getListAgeMs: () => vm.listAgeMs,
         maxListAgeMs: 1500,
         applyTargets: (entries, isFull) =>
-          void parts.directory.applyFeed(entries, isFull),
-        onListLost: () => void parts.directory.noteOutage(),
+          void parts.directory.applyFeed(entries, isFull, this.nowMs),
+        onListLost: () => undefined,
         onSource: () => undefined,
       }),
     };
--- a/packages/heatherarch-forward/topic_follower.ts
+++ b/packages/heatherarch-forward/topic_follower.ts
@@ -19,8 +19,8 @@
   readonly waitMs: number;
   readonly onList: (entries: readonly KeyedEntry<T>[]) => void;
   readonly onChanges: (entries: readonly KeyedEntry<T>[]) => void;
-  /** The store stopped answering. */
-  readonly onLost?: () => void;
+  /** Called for each read that failed. */
+  readonly onFailed?: () => void;
   readonly clock: Clock;
 }
 
@@ -129,13 +129,13 @@
   }
 
   #noteLost(error: unknown): void {
+    this.#options.onFailed?.();
     if (this.#lost) return;
     this.#lost = true;
     this.#options.log.write("warn", "dependencyLost", {
       dependency: `store topic ${this.#options.name}`,
       reason: (error as Error).message,
     });
-    this.#options.onLost?.();
   }
 
   #noteBack(): void {
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -79,6 +79,11 @@
   work: z.array(WORK_ROW).optional(),
   /** Whether the sender reads the list of targets without fault, as giving orders takes. */
   mayOrder: z.boolean().optional(),
+  /**
+   * Time since the sender itself read the list of targets from the store, milliseconds; told once
+   * for each reading on each link.
+   */
+  listAgeMs: z.int().min(0).optional(),
   /** Prompt beginnings by key and engine, read (1) or being read (0), since the last heartbeat. */
   prompts: z.array(z.tuple([z.string(), z.string(), z.int()])).optional(),
   /** Number of this heartbeat, by which a digest says what is counted in. */
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -44,6 +44,8 @@
     configWaitMs: MS(0, 30_000, 2000),
     /** Time for which a leaving target may still get work. */
     leavingBoundMs: MS(100, 600_000, 2000),
+    /** Time between the writes with which a live target keeps its entry of the list. */
+    targetHeartbeatMs: MS(10, 600_000, 1200),
     /** Pause between reads of the list of targets; by default a part of `leavingBoundMs`. */
     targetPollMs: z.int().min(10).max(60_000).optional(),
   }).transform((store) => ({
