A hub that the store turns away is told the list by another hub

Change: ListRelief picks another hub, of the own zone first; heartbeats between hubs carry what is wanted and the list, which is told on with its age, so that a lost store still makes it grow old. FeedSource holds what a VM knows of a hub that tells it the list, for members and for hubs.

Ruled out: members that change to the other hub (each would ask for all prompt notes anew, and the hub itself would stay blind).

--- /dev/null
+++ b/packages/heatherarch-forward/feed_source.ts
@@ -0,0 +1,78 @@
+/**
+ * A hub that tells this VM the list of targets, and what has come from it.
+ *
+ * @module
+ */
+import type { TargetFeed } from "heatherarch-mesh";
+import type { Target } from "./model.ts";
+import type { KeyedEntry } from "./ports.ts";
+import { decodeFeed, readFeedAge } from "./target_feed.ts";
+
+/** Options of {@linkcode FeedSource}. */
+export interface FeedSourceOptions {
+  /** The hub. */
+  readonly id: string;
+  /** Monotonic time from which on it is asked, milliseconds. */
+  readonly sinceMs: number;
+}
+
+/** What one heartbeat told of the list. */
+export interface FeedNews {
+  /** Monotonic time for which the word holds. */
+  readonly atMs: number;
+  readonly isFull: boolean;
+  readonly entries: readonly KeyedEntry<Target>[];
+}
+
+/** A hub that has told nothing for this long is replaced: four of its heartbeats. */
+const SILENCE_MS = 500;
+
+/** One hub as the source of the list. */
+export class FeedSource {
+  readonly id: string;
+  #heardAtMs: number;
+  #hasList = false;
+  #isListLost = false;
+
+  constructor(options: FeedSourceOptions) {
+    this.id = options.id;
+    this.#heardAtMs = options.sinceMs;
+  }
+
+  /** The whole list has come from it. */
+  get hasList(): boolean {
+    return this.#hasList;
+  }
+
+  /** It said last that it can't read the list. */
+  get isListLost(): boolean {
+    return this.#isListLost;
+  }
+
+  /** What this VM wants of the hub. */
+  get wants(): "changes" | "all" {
+    return this.#hasList ? "changes" : "all";
+  }
+
+  noteHeard(nowMs: number): void {
+    this.#heardAtMs = nowMs;
+  }
+
+  isSilent(nowMs: number): boolean {
+    return nowMs - this.#heardAtMs > SILENCE_MS;
+  }
+
+  /** Takes in a feed; undefined where it can't be relied on. */
+  take(feed: TargetFeed, nowMs: number): FeedNews | undefined {
+    const ageMs = readFeedAge(feed);
+    this.#isListLost = ageMs === Infinity;
+    if (this.#isListLost) return undefined;
+    if (feed.isFull) this.#hasList = true;
+    if (!this.#hasList) return undefined;
+    return {
+      atMs: nowMs - ageMs,
+      isFull: feed.isFull,
+      entries: decodeFeed(feed),
+    };
+  }
+}
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -14,13 +14,16 @@
   Link,
   LinkIdentity,
   Membership,
+  TargetFeed,
   WorkDigest,
 } from "heatherarch-mesh";
 import type { Target } from "./model.ts";
 import type { KeyedEntry } from "./ports.ts";
+import { ListRelief } from "./list_relief.ts";
 import type { NoteScope, PromptIndex, PromptNote } from "./prompt_index.ts";
 import type { TargetDirectory } from "./target_directory.ts";
-import { decodeFeed, encodeFeed, readFeedAge } from "./target_feed.ts";
+import { FeedSource } from "./feed_source.ts";
+import { encodeFeed } from "./target_feed.ts";
 import { subtractRows, type WorkLedger, type WorkRow } from "./work_ledger.ts";
 
 /** Options of {@linkcode HubExchange}. */
@@ -51,7 +54,14 @@
 /** The parts of a heartbeat that this module fills. */
 export type HubParts = Pick<
   Heartbeat,
-  "work" | "prompts" | "beat" | "wants" | "digest" | "targets" | "changing"
+  | "work"
+  | "prompts"
+  | "beat"
+  | "wants"
+  | "listWanted"
+  | "digest"
+  | "targets"
+  | "changing"
 >;
 
 interface LinkState {
@@ -63,30 +73,22 @@
 /** What a peer has asked for, and which of its heartbeats is counted in. */
 interface PeerState {
   wants: "nothing" | "changes" | "all";
+  /** What a hub that can't read the store wants of the list. */
+  listWanted: "changes" | "all" | undefined;
   counted: number;
   heardAtMs: number;
   /** The peer is of this VM's zone. */
   readonly isNear: boolean;
 }
 
-interface Source {
-  readonly id: string;
-  readonly sinceMs: number;
-  heardAtMs: number;
-  /** The whole list of targets has come from it. */
-  hasList: boolean;
-  /** It said last that it can't read the list. */
-  isListLost: boolean;
-}
-
 interface ZoneSource {
   readonly peer: string;
   readonly vms: number;
   readonly atMs: number;
 }
 
-/** A hub that has told nothing for this long is replaced as source: four of its heartbeats. */
-const SOURCE_SILENCE_MS = 500;
+/** The sum of a zone from a hub that has told none for this long may come from another one. */
+const ZONE_SILENCE_MS = 500;
 /** A peer that has asked for nothing for this long is served no more, milliseconds. */
 const PEER_SILENCE_MS = 2000;
 /** Own heartbeats that are remembered until a sum counts them in: some three seconds. */
@@ -100,16 +102,18 @@
   readonly #links = new WeakMap<Link, LinkState>();
   readonly #peers = new Map<string, PeerState>();
   readonly #zones = new Map<string, ZoneSource>();
+  readonly #relief: ListRelief;
   readonly #sent = new Map<number, readonly WorkRow[]>();
   #beat = 0;
   #wasHub = false;
-  #source: Source | undefined;
+  #source: FeedSource | undefined;
   #fleetVms = 1;
-  /** Monotonic time for which the source's word on the list of targets held. */
+  /** Monotonic time for which a hub's word on the list of targets held. */
   #listAtMs = -Infinity;
 
   constructor(options: HubExchangeOptions) {
     this.#options = options;
+    this.#relief = new ListRelief(options);
   }
 
   /** Live VMs of the fleet as far as this VM can tell. */
@@ -140,7 +144,8 @@
     this.#dropSilentPeers(nowMs);
     const { isHub } = membership;
     if (isHub !== this.#wasHub) this.#noteDuty(isHub);
-    if (!isHub) this.#tendSource(nowMs);
+    if (isHub) this.#relief.tend(nowMs);
+    else this.#tendSource(nowMs);
     this.#beat++;
     this.#sent.set(this.#beat, this.#options.ledger.listOwnRows(nowMs));
     this.#sent.delete(this.#beat - MAX_SENT);
@@ -164,14 +169,39 @@
     const { self, membership } = this.#options;
     const isNear = peer.availabilityZone === self.availabilityZone;
     if (!membership.isHub) {
-      const wants = this.#source?.id === peer.id ? this.#wantsOf() : "nothing";
+      const wants = this.#source?.id === peer.id
+        ? this.#source.wants
+        : "nothing";
       return { ...this.#buildOwn(link), wants };
     }
     const state = this.#peers.get(peer.incarnation);
     const isServed = state !== undefined && state.wants !== "nothing";
     if (isNear && isServed) return this.#buildFleet(link, state);
-    if (isNear) return this.#isHubPeer(peer) ? this.#buildOwn(link) : undefined;
-    return { ...this.#buildZone(link, isServed), wants: "changes" };
+    if (isNear && !this.#isHubPeer(peer)) return undefined;
+    const parts = isNear
+      ? this.#buildOwn(link)
+      : { ...this.#buildZone(link, isServed), wants: "changes" as const };
+    return { ...parts, ...this.#buildRelief(link, peer, state) };
+  }
+
+  /** What a hub asks of another one for itself, and tells one that asks. */
+  #buildRelief(
+    link: Link,
+    peer: LinkIdentity,
+    state: PeerState | undefined,
+  ): HubParts {
+    const asked = this.#relief.findSource(peer.id);
+    const wanted = state?.listWanted;
+    return {
+      ...(asked === undefined ? {} : { listWanted: asked.wants }),
+      ...(wanted === undefined ? {} : {
+        targets: this.#buildFeed(
+          link,
+          this.#options.getListAgeMs(),
+          wanted === "all",
+        ),
+      }),
+    };
   }
 
   /** Takes in what a peer told. */
@@ -186,6 +216,19 @@
     }
   }
 
+  /** The list as `source` tells it. */
+  #takeFeed(source: FeedSource, feed: TargetFeed, nowMs: number): void {
+    const { applyTargets, onListLost } = this.#options;
+    const wasLost = source.isListLost;
+    const news = source.take(feed, nowMs);
+    if (source.isListLost && !wasLost) onListLost(source.id);
+    if (news === undefined) return;
+    this.#listAtMs = news.atMs;
+    if (news.isFull || news.entries.length > 0) {
+      applyTargets(news.entries, news.isFull);
+    }
+  }
+
   #notePeer(
     heartbeat: Heartbeat,
     from: LinkIdentity,
@@ -195,6 +238,7 @@
     const known = this.#peers.get(from.incarnation);
     this.#peers.set(from.incarnation, {
       wants: heartbeat.wants ?? "nothing",
+      listWanted: heartbeat.listWanted,
       counted: known?.counted ?? NOTHING_COUNTED,
       heardAtMs: nowMs,
       isNear,
@@ -208,6 +252,11 @@
     nowMs: number,
   ): void {
     const { ledger, prompts } = this.#options;
+    const relief = this.#relief.findSource(from.id);
+    if (relief !== undefined && heartbeat.targets !== undefined) {
+      relief.noteHeard(nowMs);
+      this.#takeFeed(relief, heartbeat.targets, nowMs);
+    }
     if (heartbeat.prompts !== undefined) {
       prompts.notePeer(heartbeat.prompts, nowMs, isNear ? "zone" : "fleet");
     }
@@ -228,7 +277,7 @@
     const zone = from.availabilityZone;
     const known = this.#zones.get(zone);
     const isStale = known === undefined ||
-      nowMs - known.atMs > SOURCE_SILENCE_MS;
+      nowMs - known.atMs > ZONE_SILENCE_MS;
     const isBetter = isStale || known.peer === from.id ||
       digest.vms > known.vms;
     if (!isBetter) return;
@@ -241,9 +290,13 @@
     );
   }
 
-  #takeFromSource(source: Source, heartbeat: Heartbeat, nowMs: number): void {
-    const { ledger, prompts, applyTargets, onListLost } = this.#options;
-    source.heardAtMs = nowMs;
+  #takeFromSource(
+    source: FeedSource,
+    heartbeat: Heartbeat,
+    nowMs: number,
+  ): void {
+    const { ledger, prompts } = this.#options;
+    source.noteHeard(nowMs);
     if (heartbeat.prompts !== undefined) {
       prompts.notePeer(heartbeat.prompts, nowMs);
     }
@@ -254,24 +307,7 @@
       const rows = subtractRows(digest.work, own);
       ledger.notePeer(FLEET, rows, nowMs, "gathered");
     }
-    if (targets === undefined) return;
-    const ageMs = readFeedAge(targets);
-    const wasLost = source.isListLost;
-    source.isListLost = ageMs === Infinity;
-    if (source.isListLost) {
-      if (!wasLost) onListLost(source.id);
-      return;
-    }
-    if (targets.isFull) source.hasList = true;
-    if (!source.hasList) return;
-    this.#listAtMs = nowMs - ageMs;
-    if (targets.isFull || targets.rows.length > 0) {
-      applyTargets(decodeFeed(targets), targets.isFull);
-    }
-  }
-
-  #wantsOf(): "changes" | "all" {
-    return this.#source?.hasList === true ? "changes" : "all";
+    if (targets !== undefined) this.#takeFeed(source, targets, nowMs);
   }
 
   /** This VM's own work and notes, as every VM tells them. */
@@ -297,29 +333,36 @@
 
   /** The sum over the fleet and the list of targets, for a VM of this zone. */
   #buildFleet(link: Link, peer: PeerState): HubParts {
-    const { ledger, directory, getListAgeMs, maxListAgeMs } = this.#options;
-    const ageMs = getListAgeMs();
-    const state = this.#openLink(link);
-    if (peer.wants === "all") {
-      peer.wants = "changes";
-      state.targetCursor = undefined;
-    }
-    const changes = ageMs <= maxListAgeMs
-      ? directory.listChanges(state.targetCursor)
-      : undefined;
-    if (changes !== undefined) state.targetCursor = changes.cursor;
+    const isWhole = peer.wants === "all";
+    if (isWhole) peer.wants = "changes";
     return {
       digest: {
         scope: "fleet",
         counted: peer.counted,
         vms: this.liveVms,
-        work: copyRows(ledger.sumRows(this.#nowMs, true)),
+        work: copyRows(this.#options.ledger.sumRows(this.#nowMs, true)),
       },
-      targets: encodeFeed(changes === undefined ? Infinity : ageMs, changes),
+      targets: this.#buildFeed(link, this.#getOwnListAgeMs(), isWhole),
       ...this.#buildNotes(link, "fleet"),
     };
   }
 
+  /** Age of this hub's list, read by itself or told by another hub, milliseconds. */
+  #getOwnListAgeMs(): number {
+    return Math.min(this.#options.getListAgeMs(), this.#nowMs - this.#listAtMs);
+  }
+
+  /** The list, all of it or what changed since the last time; nothing of one that is too old. */
+  #buildFeed(link: Link, ageMs: number, isWhole: boolean): TargetFeed {
+    const { directory, maxListAgeMs } = this.#options;
+    const state = this.#openLink(link);
+    if (isWhole) state.targetCursor = undefined;
+    if (ageMs > maxListAgeMs) return encodeFeed(Infinity, undefined);
+    const changes = directory.listChanges(state.targetCursor);
+    state.targetCursor = changes.cursor;
+    return encodeFeed(ageMs, changes);
+  }
+
   #buildNotes(link: Link, scope: NoteScope): Pick<HubParts, "prompts"> {
     const state = this.#openLink(link);
     const { notes, cursor } = this.#options.prompts
@@ -345,9 +388,9 @@
       .map((member) => member.id)
       .filter((id) => live.has(id));
     const source = this.#source;
-    const isSilent = source !== undefined &&
-      nowMs - Math.max(source.heardAtMs, source.sinceMs) > SOURCE_SILENCE_MS;
-    if (source !== undefined && !isSilent && hubs.includes(source.id)) return;
+    const isKept = source !== undefined && !source.isSilent(nowMs) &&
+      hubs.includes(source.id);
+    if (isKept) return;
     const others = hubs.filter((id) => id !== source?.id);
     const [next] = pickRendezvous(self.id, others, 1);
     const id = next ??
@@ -355,13 +398,9 @@
         ? source.id
         : undefined);
     if (id !== source?.id) this.#options.onSource(id);
-    this.#source = id === undefined ? undefined : {
-      id,
-      sinceMs: nowMs,
-      heardAtMs: -Infinity,
-      hasList: false,
-      isListLost: false,
-    };
+    this.#source = id === undefined
+      ? undefined
+      : new FeedSource({ id, sinceMs: nowMs });
   }
 
   /** Sums that others keep for this VM are not mixed with those that it keeps itself. */
@@ -375,6 +414,7 @@
     }
     ledger.forgetAllPeers();
     this.#zones.clear();
+    this.#relief.end();
   }
 
   #dropSilentPeers(nowMs: number): void {
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -259,6 +259,75 @@
   assert.equal(member.exchange.isFed(fleet.nowMs), true);
 });
 
+/** Two zones, all hubs of which list the same two targets. */
+function createListed(): TestFleet {
+  const fleet = new TestFleet(["a", "b"], 6);
+  for (const id of ["a-0", "a-1", "b-0", "b-1"]) {
+    fleet.get(id).directory.applyList([
+      { key: "t1", value: buildTarget("t1") },
+      { key: "t2", value: buildTarget("t2") },
+    ], 0);
+  }
+  fleet.run(WARM_UP_ROUNDS);
+  return fleet;
+}
+
+/** Hubs that read the store take in that a target is listed no more. */
+function remove(fleet: TestFleet, target: string): void {
+  for (const { directory, listAgeMs, membership } of fleet.vms.values()) {
+    if (!membership.isHub || listAgeMs === Infinity) continue;
+    directory.applyChanges([{ key: target }], fleet.nowMs);
+  }
+}
+
+function listTargets(fleet: TestFleet, vm: string): string[] {
+  return fleet.get(vm).directory.listServing("s").map(({ id }) => id);
+}
+
+// Seen: hubs that the store turned away went on calling targets that had left for up to seven
+// seconds, and every VM that they told of the list began to read the store itself.
+test("hubs that the store turns away are told the list by others, and tell it on", () => {
+  for (const lost of [["a-0"], ["a-0", "a-1"]]) {
+    const fleet = createListed();
+    for (const id of lost) fleet.get(id).listAgeMs = Infinity;
+    fleet.run(15);
+    remove(fleet, "t1");
+    for (let i = 0; i < 30; i++) {
+      fleet.run(1);
+      for (const { exchange, membership, identity } of fleet.vms.values()) {
+        const isTold = membership.isHub || exchange.isFed(fleet.nowMs);
+        assert.equal(isTold, true, `${identity.id} after ${lost}`);
+      }
+    }
+    for (const id of fleet.vms.keys()) {
+      assert.deepEqual(listTargets(fleet, id), ["t2"], `${id} after ${lost}`);
+    }
+  }
+});
+
+test("a hub that reads again tells what it has read", () => {
+  const fleet = createListed();
+  fleet.get("a-0").listAgeMs = Infinity;
+  fleet.run(15);
+  fleet.get("a-0").listAgeMs = 50;
+  fleet.run(2);
+  fleet.get("a-0").directory.applyChanges([{ key: "t2" }], fleet.nowMs);
+  fleet.get("a-1").directory.applyChanges([{ key: "t2" }], fleet.nowMs);
+  fleet.run(2);
+  assert.deepEqual(listTargets(fleet, "a-5"), ["t1"]);
+});
+
+test("what hubs tell each other of a lost store grows old, and nobody relies on it", () => {
+  const fleet = createListed();
+  for (const id of ["a-0", "a-1", "b-0", "b-1"]) {
+    fleet.get(id).listAgeMs = Infinity;
+  }
+  fleet.run(30);
+  for (const { exchange } of fleet.vms.values()) {
+    assert.equal(exchange.isFed(fleet.nowMs), false);
+  }
+});
+
 test("when hubs die the other ones take over, and the sums are whole again", () => {
   const fleet = new TestFleet(["a", "b"], 8);
   fleet.run(WARM_UP_ROUNDS);
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -90,6 +90,8 @@
   beat: z.int().optional(),
   /** What the sender wants of the receiver, a hub: sums, and changes of the list or all of it. */
   wants: z.enum(["nothing", "changes", "all"]).optional(),
+  /** The list of targets that a hub that can't read the store wants of another hub. */
+  listWanted: z.enum(["changes", "all"]).optional(),
   digest: DIGEST.optional(),
   targets: TARGET_FEED.optional(),
 });
