An entry that nobody can read names no target, from then on

Cause: an entry of the store's list that turned unreadable changed nothing, so the target of the last readable one stayed in use; an unknown state counted as leaving, an unknown role as none, and missing fields that nothing depends on were not looked at. Every read of such an entry wrote a line.

--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -74,6 +74,11 @@
     help: "Targets used for a while although the list names them no more",
     registers: [this.registry],
   });
+  readonly entriesUnreadable = new Counter({
+    name: "heatherarch_entries_unreadable_total",
+    help: "Entries of the store that could not be understood from some time on",
+    registers: [this.registry],
+  });
   readonly liveVms = new Gauge({
     name: "heatherarch_live_vms",
     help: "Entry VMs that answer, this one included",
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -18,14 +18,14 @@
 export interface KeyedEntry<T> {
   readonly key: string;
   readonly value?: T;
+  /** The newest record can't be understood: it names nothing, also where an earlier one did. */
+  readonly isUnreadable?: true;
 }
 
 /** Entries together with the offset from which later changes are read. */
 export interface TopicSlice<T> {
   readonly entries: readonly KeyedEntry<T>[];
   readonly next: number;
-  /** Records that could not be decoded; they change nothing. */
-  readonly unreadable: number;
 }
 
 /** The platform's store did not answer, or refused. A write may have taken effect. */
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -116,8 +116,10 @@
     const { directory, clock } = this.#options;
     const before = directory.listAll().map(({ id }) => id);
     directory.applyList(entries, clock.readMonotonicMs());
-    const listed = new Set(entries.map(({ key }) => key));
-    this.#noteTargets(entries, "store");
+    const listed = new Set(
+      entries.filter((entry) => !entry.isUnreadable).map(({ key }) => key),
+    );
+    this.#noteTargets(entries.filter((entry) => !entry.isUnreadable), "store");
     for (const id of before) {
       if (!listed.has(id)) this.#logLeaving(id, "store");
     }
@@ -138,7 +140,7 @@
   }
 
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
-    const { configTopic, configWaitMs, clock, log } = this.#options;
+    const { configTopic, configWaitMs, clock, log, metrics } = this.#options;
     const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
       this.#applyConfigs(entries);
     return new TopicFollower({
@@ -150,11 +152,12 @@
       waitMs: configWaitMs,
       onList: apply,
       onChanges: apply,
+      onUnreadable: () => metrics.entriesUnreadable.inc(),
     });
   }
 
   #buildTargetFollower(): TopicFollower<Target> {
-    const { targetTopic, targetPollMs, clock, log } = this.#options;
+    const { targetTopic, targetPollMs, clock, log, metrics } = this.#options;
     return new TopicFollower({
       name: "targets",
       clock,
@@ -164,6 +167,7 @@
       waitMs: 0,
       onList: (entries) => this.#applyList(entries),
       onChanges: (entries) => this.#applyChanges(entries),
+      onUnreadable: () => metrics.entriesUnreadable.inc(),
       onFailed: () => this.#noteFailure(),
     });
   }
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -53,7 +53,8 @@
   applyList(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
     this.#storeWatch.noteOwnRead(nowMs);
     const listed = new Set<string>();
-    for (const { key, value } of entries) {
+    for (const { key, value, isUnreadable } of entries) {
+      if (isUnreadable) this.#drop(key);
       if (value === undefined) continue;
       listed.add(key);
       this.#set(key, value);
@@ -68,9 +69,12 @@
   applyChanges(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
     this.#storeWatch.noteOwnRead(nowMs);
     let isChanged = false;
-    for (const { key, value } of entries) {
+    for (const { key, value, isUnreadable } of entries) {
       if (value === undefined) {
-        isChanged = this.#remove(key, nowMs) || isChanged;
+        const isGone = isUnreadable
+          ? this.#drop(key)
+          : this.#remove(key, nowMs);
+        isChanged = isGone || isChanged;
       } else isChanged = this.#set(key, value) || isChanged;
     }
     if (isChanged) this.#index();
--- a/packages/heatherarch-forward/topic_follower.ts
+++ b/packages/heatherarch-forward/topic_follower.ts
@@ -19,6 +19,8 @@
   readonly waitMs: number;
   readonly onList: (entries: readonly KeyedEntry<T>[]) => void;
   readonly onChanges: (entries: readonly KeyedEntry<T>[]) => void;
+  /** Called for each entry that can't be understood from now on. */
+  readonly onUnreadable?: () => void;
   /** Called for each read that failed. */
   readonly onFailed?: () => void;
   readonly clock: Clock;
@@ -26,6 +28,8 @@
 
 /** Pause after a failed read, milliseconds: several tries within the bound of two seconds. */
 const RETRY_MS = 250;
+/** Keys come from other writers: longer ones are cut in the log. */
+const MAX_LOGGED_KEY = 80;
 /** Pause between looks whether a follower that rests is needed again, milliseconds. */
 const REST_MS = 100;
 
@@ -38,6 +42,8 @@
   #isActive = true;
   #retryMs = RETRY_MS;
   #readAtMs = -Infinity;
+  /** Keys whose newest record can't be understood. */
+  #unreadable = new Set<string>();
 
   constructor(options: TopicFollowerOptions<T>) {
     this.#options = options;
@@ -108,7 +114,7 @@
     if (slice === undefined) return await this.#load();
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
-    this.#reportUnreadable(slice.unreadable);
+    this.#noteUnreadable(slice.entries);
     this.#options.onChanges(slice.entries);
   }
 
@@ -116,16 +122,33 @@
     const slice = await this.#options.port.load();
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
-    this.#reportUnreadable(slice.unreadable);
+    this.#dropUnlisted(slice.entries);
+    this.#noteUnreadable(slice.entries);
     this.#options.onList(slice.entries);
   }
 
-  #reportUnreadable(count: number): void {
-    if (count === 0) return;
-    this.#options.log.write("warn", "topicUnreadable", {
-      topic: this.#options.name,
-      count,
-    });
+  /** A line where an entry begins or ends to be unreadable, however often it is read. */
+  #noteUnreadable(entries: readonly KeyedEntry<T>[]): void {
+    for (const { key, isUnreadable = false } of entries) {
+      if (isUnreadable === this.#unreadable.has(key)) continue;
+      if (isUnreadable) {
+        this.#unreadable.add(key);
+        this.#options.onUnreadable?.();
+      } else this.#unreadable.delete(key);
+      this.#options.log.write(
+        isUnreadable ? "warn" : "info",
+        isUnreadable ? "entryUnreadable" : "entryReadable",
+        { topic: this.#options.name, key: key.slice(0, MAX_LOGGED_KEY) },
+      );
+    }
+  }
+
+  /** What a whole list does not name is not unreadable any more. */
+  #dropUnlisted(entries: readonly KeyedEntry<T>[]): void {
+    const listed = new Set(entries.map(({ key }) => key));
+    for (const key of this.#unreadable) {
+      if (!listed.has(key)) this.#noteUnreadable([{ key }]);
+    }
   }
 
   #noteLost(error: unknown): void {
