--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -20,6 +20,12 @@
   readonly cursor: number;
 }
 
+/**
+ * Time after the list has shown an engine's new role in which marks of that change may still be
+ * heard, milliseconds: a reading of the list by the VM that gave the order, and the 1.5 s for which
+ * its peers keep a mark. Such a mark kept an engine without work for up to 2.2 s after its change.
+ */
+const LATE_MARK_MS = 2500;
 /** Changes that are remembered for peers; one that is further behind is given the whole list. */
 const MAX_CHANGES = 512;
 
@@ -31,6 +37,8 @@
   readonly #missing = new Map<string, number>();
   /** Engines that are changing their role, with the end of the time it may take. */
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
+  /** When the list showed an engine in another role than before. */
+  readonly #roleShownAtMs = new Map<string, number>();
   readonly #changes: KeyedEntry<Target>[] = [];
   #changesStart = 0;
   #byService = new Map<string, readonly Target[]>();
@@ -57,7 +65,7 @@
       if (isUnreadable) this.#drop(key);
       if (value === undefined) continue;
       listed.add(key);
-      this.#set(key, value);
+      this.#set(key, value, nowMs);
     }
     for (const id of this.#targets.keys()) {
       if (!listed.has(id)) this.#remove(id, nowMs);
@@ -75,7 +83,7 @@
           ? this.#drop(key)
           : this.#remove(key, nowMs);
         isChanged = isGone || isChanged;
-      } else isChanged = this.#set(key, value) || isChanged;
+      } else isChanged = this.#set(key, value, nowMs) || isChanged;
     }
     if (isChanged) this.#index();
   }
@@ -94,7 +102,7 @@
     const listed = new Set<string>();
     for (const { key, value } of entries) {
       if (value === undefined) this.#drop(key);
-      else this.#set(key, value);
+      else this.#set(key, value, atMs);
       listed.add(key);
     }
     const unlisted = isFull
@@ -133,8 +141,13 @@
     if (this.#drop(id)) this.#index();
   }
 
-  /** An engine was ordered to change its role: it takes no work for a while. */
+  /**
+   * An engine was ordered to change its role: it takes no work for a while. A mark of a change
+   * that the list has just shown comes late and changes nothing.
+   */
   markChanging(id: string, untilMs: number, nowMs: number): void {
+    const shownAtMs = this.#roleShownAtMs.get(id) ?? -Infinity;
+    if (nowMs - shownAtMs < LATE_MARK_MS) return;
     const sinceMs = this.findChangingSince(id, nowMs) ?? nowMs;
     this.#changing.set(id, { sinceMs, untilMs });
   }
@@ -183,11 +196,14 @@
   }
 
   /** Returns whether anything that matters to a caller changed. */
-  #set(id: string, target: Target): boolean {
+  #set(id: string, target: Target, nowMs: number): boolean {
     const before = this.#targets.get(id);
     this.#missing.delete(id);
     if (before !== undefined && isSame(before, target)) return false;
-    if (before?.role !== target.role) this.#changing.delete(id);
+    if (before?.role !== target.role) {
+      this.#changing.delete(id);
+      if (before !== undefined) this.#roleShownAtMs.set(id, nowMs);
+    }
     this.#targets.set(id, target);
     this.#record({ key: id, value: target });
     return true;
@@ -207,6 +223,7 @@
   /** Returns whether there was such a target. */
   #drop(id: string): boolean {
     this.#missing.delete(id);
+    this.#roleShownAtMs.delete(id);
     if (!this.#targets.delete(id)) return false;
     this.#record({ key: id });
     return true;
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -92,3 +92,17 @@
   directory.applyChanges([{ key: "a" }], 4000);
   assert.deepEqual(listIds(directory), ["b"]);
 });
+
+// Seen: the test of a call that waits for an engine's new role was refused beside load, as "no
+// engine generates". The engine was listed in its role, and a mark of its change, told again by
+// the VM that had ordered it and had not read the list yet, kept it from work.
+test("a mark that is heard after the list has shown the new role holds nothing up", () => {
+  const directory = createFilled();
+  directory.markChanging("a", 5000, 0);
+  const shown = [{ key: "a", value: buildTarget("a", { role: "decode" }) }];
+  directory.applyChanges(shown, 4000);
+  directory.markChanging("a", 5600, 4100);
+  assert.equal(directory.isChanging("a", 4200), false);
+  directory.markChanging("a", 9000, 7000);
+  assert.equal(directory.isChanging("a", 7100), true);
+});
