A target that starts again under its id is another target

Cause: an id was one life.

Change: the adapter names a life by id and start; the product's tables are keyed by it, tries are addressed to the id that lives share. Of two lives the later holds, in the list and in what peers tell, also after it has gone. What was learned of a target (holders of prompts, health, speed, connections) is forgotten when the directory drops it, also health and speed, which were kept for good. An engine whose report is of another life than the list's is given no order.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -304,6 +304,8 @@
       directory: parts.directory,
       connections: parts.connections,
       prompts: parts.prompts,
+      health: parts.health,
+      readModel: parts.readModel,
     });
   }
 
@@ -360,7 +362,10 @@
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.countVms();
     metrics.listAge.set(reading.getKnownAgeMs() / 1000);
+    reading.forgetDropped("otherIncarnation");
     const gone = directory.expire(this.#clock.readMonotonicMs());
+    metrics.targets.set(directory.size);
+    reading.forgetDropped("grace");
     for (const id of gone) {
       this.#log.write("info", "targetGone", {
         target: id,
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -74,9 +74,17 @@
 /** What an engine does now; undefined for a plain target. */
 export type TargetRole = "prefill" | "decode";
 
-/** One incarnation of a target. */
+/**
+ * One life of a target. Beliefs and promises are keyed by `id`, so that nothing that was learned of
+ * a target holds for the one that starts again under its name.
+ */
 export interface Target {
+  /** Another life has another id. */
   readonly id: string;
+  /** The id that the list and the target itself use, which its lives share; `id` by default. */
+  readonly instance?: string;
+  /** Start of this life, Unix milliseconds by the target's clock; of two lives the later holds. */
+  readonly startedAtMs?: number;
   readonly service: string;
   readonly address: Address;
   readonly availabilityZone: string;
@@ -93,6 +101,8 @@
   readonly isChanging: boolean;
   /** Orders that this incarnation has accepted. */
   readonly ordersTaken: number;
+  /** Start of the life that answers, Unix milliseconds. */
+  readonly startedAtMs?: number;
 }
 
 /** An entry VM as it announces itself to its peers. */
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/role_keeper.ts
@@ -263,6 +263,8 @@
     const { codec, vmId, configs } = this.#options;
     const report = await this.#readReport(target);
     if (report === undefined || report.isChanging) return true;
+    // The list is older than the engine's start: its count of orders is not this life's.
+    if (isOtherLife(report, target)) return true;
     if (report.role === role) return true;
     if (!this.#hasAuthority(campaign)) return false;
     const { fencing } = campaign.machine;
@@ -353,3 +355,10 @@
     });
   }
 }
+
+/** Whether an engine's report is of another life than the list's; unknown starts tell nothing. */
+function isOtherLife(report: EngineReport, target: Target): boolean {
+  const isKnown = report.startedAtMs !== undefined &&
+    target.startedAtMs !== undefined;
+  return isKnown && report.startedAtMs !== target.startedAtMs;
+}
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -11,8 +11,10 @@
 import type { RoutingConfig, Target } from "./model.ts";
 import type { KeyedEntry, KeyedTopicPort } from "./ports.ts";
 import type { PromptIndex } from "./prompt_index.ts";
+import type { ReadModel } from "./read_model.ts";
 import type { TargetConnections } from "./target_connections.ts";
 import type { TargetDirectory } from "./target_directory.ts";
+import type { TargetHealth } from "./target_health.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
 /** Options of {@linkcode StoreReading}. */
@@ -32,8 +34,13 @@
   readonly directory: TargetDirectory;
   readonly connections: TargetConnections;
   readonly prompts: PromptIndex;
+  readonly health: TargetHealth;
+  readonly readModel: ReadModel;
 }
 
+/** Who said, or what showed, that a target leaves. */
+export type LeavingSource = "store" | "hub" | "otherIncarnation" | "grace";
+
 /** Pause after a failed read of a VM that usually need not read, milliseconds. */
 const SPARE_RETRY_MS = 1000;
 
@@ -100,8 +107,8 @@
   /** Takes in what a hub tells of the list of targets. */
   applyTargets(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
     const { directory, getToldAtMs } = this.#options;
-    const unlisted = directory.applyFeed(entries, isFull, getToldAtMs());
-    this.#noteTargets([...entries, ...unlisted.map((key) => ({ key }))], "hub");
+    directory.applyFeed(entries, isFull, getToldAtMs());
+    this.#noteTargets(entries, "hub");
   }
 
   /** A hub that this VM relied on can't read the store, which says nothing of the store. */
@@ -114,15 +121,13 @@
 
   #applyList(entries: readonly KeyedEntry<Target>[]): void {
     const { directory, clock } = this.#options;
-    const before = directory.listAll().map(({ id }) => id);
+    const before = new Set(directory.listMissing());
     directory.applyList(entries, clock.readMonotonicMs());
-    const listed = new Set(
-      entries.filter((entry) => !entry.isUnreadable).map(({ key }) => key),
+    const kept = directory.listMissing().filter((id) => !before.has(id));
+    this.#noteTargets(
+      [...entries, ...kept.map((key) => ({ key }))],
+      "store",
     );
-    this.#noteTargets(entries.filter((entry) => !entry.isUnreadable), "store");
-    for (const id of before) {
-      if (!listed.has(id)) this.#logLeaving(id, "store");
-    }
   }
 
   #applyChanges(entries: readonly KeyedEntry<Target>[]): void {
@@ -187,37 +192,51 @@
     }
   }
 
-  /** A line for each target that left; what was kept for it is dropped. */
+  /** Drops what was learned of targets that are gone, with a line for each. */
+  forgetDropped(source: LeavingSource): void {
+    const { directory, connections } = this.#options;
+    const dropped = directory.takeDropped();
+    if (dropped.length === 0) return;
+    for (const id of dropped) {
+      this.#forget(id);
+      this.#logLeaving("targetLeaving", id, source);
+    }
+    connections.keepOnly(
+      new Set(directory.listAll().map((target) => target.id)),
+    );
+  }
+
+  #forget(target: string): void {
+    const { prompts, health, readModel } = this.#options;
+    prompts.forgetTarget(target);
+    health.forget(target);
+    readModel.forget(target);
+  }
+
+  /** A line for each target that leaves, or that is used although it is listed no more. */
   #noteTargets(
     entries: readonly KeyedEntry<Target>[],
-    source: "store" | "hub",
+    source: LeavingSource,
   ): void {
-    const { directory, metrics, connections, prompts } = this.#options;
+    const { directory, metrics } = this.#options;
     for (const { key, value } of entries) {
-      if (value === undefined) prompts.forgetTarget(key);
-      if (value === undefined || value.leaving) {
-        this.#logLeaving(key, source, value?.address);
+      if (value?.leaving) this.#logLeaving("targetLeaving", value.id, source);
+      if (value === undefined && directory.isMissing(key)) {
+        metrics.targetsKept.inc();
+        this.#logLeaving("targetKept", key, source);
       }
     }
     metrics.targets.set(directory.size);
-    connections.keepOnly(
-      new Set(directory.listAll().map((target) => target.id)),
-    );
+    this.forgetDropped(source);
   }
 
-  /** One that is listed no more but may have lapsed with the store is told apart. */
   #logLeaving(
+    event: "targetLeaving" | "targetKept",
     target: string,
-    source: "store" | "hub",
-    address?: string,
+    source: LeavingSource,
   ): void {
-    const { directory, metrics, log } = this.#options;
-    const isKept = directory.isMissing(target);
-    if (isKept) metrics.targetsKept.inc();
-    log.write("info", isKept ? "targetKept" : "targetLeaving", {
+    this.#options.log.write("info", event, {
       target,
-      address,
-      listed: address !== undefined,
       source,
       // Of what was known before this word.
       ageMs: Math.round(this.getKnownAgeMs()),
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -26,10 +26,18 @@
  * its peers keep a mark. Such a mark kept an engine without work for up to 2.2 s after its change.
  */
 const LATE_MARK_MS = 2500;
+/** Instances whose latest life is remembered, so that late word of an earlier one is none. */
+const MAX_LIVES = 10_000;
 /** Changes that are remembered for peers; one that is further behind is given the whole list. */
 const MAX_CHANGES = 512;
 
-/** Targets by id. */
+/** The latest known life of an instance. */
+interface Life {
+  readonly id: string;
+  readonly startedAtMs: number;
+}
+
+/** Targets by the id of their life. */
 export class TargetDirectory {
   readonly #storeWatch: StoreWatch;
   readonly #targets = new Map<string, Target>();
@@ -39,6 +47,9 @@
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
   /** When the list showed an engine in another role than before. */
   readonly #roleShownAtMs = new Map<string, number>();
+  readonly #lives = new Map<string, Life>();
+  /** Ids of targets that were dropped and not yet taken by {@linkcode takeDropped}. */
+  #dropped: string[] = [];
   readonly #changes: KeyedEntry<Target>[] = [];
   #changesStart = 0;
   #byService = new Map<string, readonly Target[]>();
@@ -62,10 +73,10 @@
     this.#storeWatch.noteOwnRead(nowMs);
     const listed = new Set<string>();
     for (const { key, value, isUnreadable } of entries) {
-      if (isUnreadable) this.#drop(key);
+      if (isUnreadable) this.#drop(this.#findLife(key));
       if (value === undefined) continue;
-      listed.add(key);
-      this.#set(key, value, nowMs);
+      listed.add(value.id);
+      this.#set(value, nowMs);
     }
     for (const id of this.#targets.keys()) {
       if (!listed.has(id)) this.#remove(id, nowMs);
@@ -79,38 +90,42 @@
     let isChanged = false;
     for (const { key, value, isUnreadable } of entries) {
       if (value === undefined) {
-        const isGone = isUnreadable
-          ? this.#drop(key)
-          : this.#remove(key, nowMs);
+        const id = this.#findLife(key);
+        const isGone = isUnreadable ? this.#drop(id) : this.#remove(id, nowMs);
         isChanged = isGone || isChanged;
-      } else isChanged = this.#set(key, value, nowMs) || isChanged;
+      } else isChanged = this.#set(value, nowMs) || isChanged;
     }
     if (isChanged) this.#index();
   }
 
   /**
    * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged what lapsed during an outage;
-   * nothing is kept beyond its word. Returns the ids of targets that a full list names no more.
+   * nothing is kept beyond its word.
    */
   applyFeed(
     entries: readonly KeyedEntry<Target>[],
     isFull: boolean,
     atMs: number,
-  ): string[] {
+  ): void {
     this.#storeWatch.noteOwnRead(atMs);
     this.#missing.clear();
     const listed = new Set<string>();
     for (const { key, value } of entries) {
-      if (value === undefined) this.#drop(key);
-      else this.#set(key, value, atMs);
-      listed.add(key);
+      if (value === undefined) this.#drop(this.#findLife(key));
+      else this.#set(value, atMs);
+      listed.add(value?.id ?? key);
+    }
+    for (const id of isFull ? [...this.#targets.keys()] : []) {
+      if (!listed.has(id)) this.#drop(id);
     }
-    const unlisted = isFull
-      ? [...this.#targets.keys()].filter((id) => !listed.has(id))
-      : [];
-    for (const id of unlisted) this.#drop(id);
     this.#index();
-    return unlisted;
+  }
+
+  /** Ids of targets that were dropped since the last time: nothing learned of them holds. */
+  takeDropped(): string[] {
+    const dropped = this.#dropped;
+    this.#dropped = [];
+    return dropped;
   }
 
   /** What changed from `cursor` on; all targets without one, or where that is too long ago. */
@@ -173,9 +188,14 @@
     return false;
   }
 
-  /** Whether a target is used although the list names it no more. */
-  isMissing(id: string): boolean {
-    return this.#missing.has(id);
+  /** Whether a target is used although the list names it no more; by the key of its entry. */
+  isMissing(key: string): boolean {
+    return this.#missing.has(this.#findLife(key));
+  }
+
+  /** Targets that are used although the list names them no more. */
+  listMissing(): string[] {
+    return [...this.#missing.keys()];
   }
 
   findTarget(id: string): Target | undefined {
@@ -196,7 +216,9 @@
   }
 
   /** Returns whether anything that matters to a caller changed. */
-  #set(id: string, target: Target, nowMs: number): boolean {
+  #set(target: Target, nowMs: number): boolean {
+    const { id } = target;
+    if (!this.#beginLife(target)) return false;
     const before = this.#targets.get(id);
     this.#missing.delete(id);
     if (before !== undefined && isSame(before, target)) return false;
@@ -209,6 +231,24 @@
     return true;
   }
 
+  /** Ends an earlier life of the target's instance; false where the target is the earlier one. */
+  #beginLife({ id, instance = id, startedAtMs = -Infinity }: Target): boolean {
+    const known = this.#lives.get(instance);
+    if (known?.id === id) return true;
+    if (known !== undefined && startedAtMs < known.startedAtMs) return false;
+    if (known !== undefined) this.#drop(known.id);
+    this.#lives.delete(instance);
+    this.#lives.set(instance, { id, startedAtMs });
+    const [oldest] = this.#lives.keys();
+    if (this.#lives.size > MAX_LIVES) this.#lives.delete(oldest);
+    return true;
+  }
+
+  /** The life that an entry's key names: its instance's latest, or the life itself. */
+  #findLife(key: string): string {
+    return this.#targets.has(key) ? key : this.#lives.get(key)?.id ?? key;
+  }
+
   #remove(id: string, nowMs: number): boolean {
     const target = this.#targets.get(id);
     if (target === undefined) return false;
@@ -225,6 +265,8 @@
     this.#missing.delete(id);
     this.#roleShownAtMs.delete(id);
     if (!this.#targets.delete(id)) return false;
+    this.#changing.delete(id);
+    this.#dropped.push(id);
     this.#record({ key: id });
     return true;
   }
--- a/packages/heatherarch-forward/target_feed.ts
+++ b/packages/heatherarch-forward/target_feed.ts
@@ -40,6 +40,7 @@
 
 function decodeRow(row: TargetRow): KeyedEntry<Target> {
   const { id, service, address, availabilityZone, slots, leaving, role } = row;
+  const { instance, startedAtMs } = row;
   if (address === undefined) return { key: id };
   const value: Target = {
     id,
@@ -49,6 +50,8 @@
     slots: slots ?? 1,
     leaving: leaving ?? false,
     ...(role === undefined ? {} : { role }),
+    ...(instance === undefined ? {} : { instance }),
+    ...(startedAtMs === undefined ? {} : { startedAtMs }),
   };
   return { key: id, value };
 }
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -151,7 +151,7 @@
         getListAgeMs: () => vm.listAgeMs,
         maxListAgeMs: 1500,
         applyTargets: (entries, isFull) =>
-          void parts.directory.applyFeed(entries, isFull, this.nowMs),
+          parts.directory.applyFeed(entries, isFull, this.nowMs),
         onListLost: () => undefined,
         onSource: () => undefined,
       }),
--- a/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
@@ -65,6 +65,9 @@
   return { address: `127.0.0.1:${port}`, orders };
 }
 
+/** Start of the engines' life by the list, Unix milliseconds. */
+const LISTED_START_MS = 1_767_225_600_000;
+
 function buildRequest(path: string): EncodedTry {
   return { path, method: "GET", headers: [], body: null };
 }
@@ -99,19 +102,19 @@
   };
 }
 
-test("a holder whose machine was suspended orders nothing under the lease it had", async () => {
-  const clock = new SuspendableClock();
-  let reports = 0;
-  const engine = await startEngine(() => {
-    reports++;
-    // The machine stands still between the last check of the lease and the order.
-    if (reports === 1) clock.suspend(5000);
-  });
+/** A keeper of one VM for four engines that all answer at one address. */
+function createKeeper(
+  { address, clock, codec }: {
+    address: string;
+    clock: SuspendableClock;
+    codec: CallCodec;
+  },
+): { keeper: RoleKeeper; events: MemoryEventLog } {
   const directory = new TargetDirectory();
   directory.applyList(
     ["e1", "e2", "e3", "e4"].map((id) => ({
       key: id,
-      value: buildEngine(id, { address: engine.address }),
+      value: buildEngine(id, { address, startedAtMs: LISTED_START_MS }),
     })),
     clock.readMonotonicMs(),
   );
@@ -123,7 +126,7 @@
   );
   connections = new TargetConnections();
   const events = new MemoryEventLog();
-  keeper = new RoleKeeper({
+  const created = new RoleKeeper({
     vmId: "vm-a",
     incarnation: "vm-a-1",
     log: buildLog(),
@@ -133,12 +136,27 @@
     directory,
     connections,
     health: new TargetHealth(),
-    codec: buildCodec(),
+    codec,
     events,
     metrics: new ForwardMetrics(),
     listOrderers: () => ["vm-a"],
     isListCurrent: () => true,
   });
+  return { keeper: created, events };
+}
+
+test("a holder whose machine was suspended orders nothing under the lease it had", async () => {
+  const clock = new SuspendableClock();
+  let reports = 0;
+  const engine = await startEngine(() => {
+    reports++;
+    // The machine stands still between the last check of the lease and the order.
+    if (reports === 1) clock.suspend(5000);
+  });
+  const { address } = engine;
+  const created = createKeeper({ address, clock, codec: buildCodec() });
+  const { events } = created;
+  keeper = created.keeper;
   keeper.start();
   const untilMs = performance.now() + 15_000;
   while (engine.orders.length === 0 && performance.now() < untilMs) {
@@ -151,3 +169,31 @@
   const [first] = engine.orders;
   assert.ok(first.fencing > 0, "under a claim of its own");
 });
+
+test("an engine that has started again since it was listed is given no order", async () => {
+  let reports = 0;
+  const engine = await startEngine(() => {
+    reports++;
+  });
+  const created = createKeeper({
+    address: engine.address,
+    clock: new SuspendableClock(),
+    codec: {
+      ...buildCodec(),
+      decodeReport: () => ({
+        role: "prefill",
+        isChanging: false,
+        ordersTaken: 0,
+        startedAtMs: LISTED_START_MS + 1,
+      }),
+    },
+  });
+  keeper = created.keeper;
+  keeper.start();
+  const untilMs = performance.now() + 10_000;
+  while (reports < 4 && performance.now() < untilMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  assert.ok(reports >= 4, "engines were asked");
+  assert.deepEqual(engine.orders, []);
+});
--- a/packages/heatherarch-forward/try_judge.ts
+++ b/packages/heatherarch-forward/try_judge.ts
@@ -114,7 +114,8 @@
   if (facts.misdirected) {
     exchange.abort("misdirected");
     const { answeredBy } = facts;
-    const isOther = answeredBy !== undefined && answeredBy !== target.id;
+    const isOther = answeredBy !== undefined &&
+      answeredBy !== (target.instance ?? target.id);
     return {
       kind: "notRun",
       reason: `misdirected, answered by ${answeredBy ?? "nobody named"}`,
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -46,6 +46,9 @@
   slots: z.number().optional(),
   leaving: z.boolean().optional(),
   role: z.enum(["prefill", "decode"]).optional(),
+  /** Id that the target's lives share, and the start of this one, Unix milliseconds. */
+  instance: z.string().optional(),
+  startedAtMs: z.int().optional(),
 });
 
 /** What a hub read of the platform's list of targets. */
