--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -19,6 +19,12 @@
 } from "heatherarch-mesh";
 import type { Target } from "./model.ts";
 import type { KeyedEntry } from "./ports.ts";
+import {
+  HubPeers,
+  NOTHING_COUNTED,
+  PEER_SILENCE_MS,
+  type PeerState,
+} from "./hub_peers.ts";
 import { ListRelief } from "./list_relief.ts";
 import type { NoteScope, PromptIndex, PromptNote } from "./prompt_index.ts";
 import type { TargetDirectory } from "./target_directory.ts";
@@ -70,17 +76,6 @@
   targetCursor: number | undefined;
 }
 
-/** What a peer has asked for, and which of its heartbeats is counted in. */
-interface PeerState {
-  wants: "nothing" | "changes" | "all";
-  /** What a hub that can't read the store wants of the list. */
-  listWanted: "changes" | "all" | undefined;
-  counted: number;
-  heardAtMs: number;
-  /** The peer is of this VM's zone. */
-  readonly isNear: boolean;
-}
-
 interface ZoneSource {
   readonly peer: string;
   readonly vms: number;
@@ -89,18 +84,15 @@
 
 /** The sum of a zone from a hub that has told none for this long may come from another one. */
 const ZONE_SILENCE_MS = 500;
-/** A peer that has asked for nothing for this long is served no more, milliseconds. */
-const PEER_SILENCE_MS = 2000;
 /** Own heartbeats that are remembered until a sum counts them in: some three seconds. */
 const MAX_SENT = 32;
 const FLEET = "hub sum of the fleet";
-const NOTHING_COUNTED = -1;
 
 /** The exchange of one VM with the hubs, or as a hub. */
 export class HubExchange {
   readonly #options: HubExchangeOptions;
   readonly #links = new WeakMap<Link, LinkState>();
-  readonly #peers = new Map<string, PeerState>();
+  readonly #peers = new HubPeers();
   readonly #zones = new Map<string, ZoneSource>();
   readonly #relief: ListRelief;
   readonly #sent = new Map<number, readonly WorkRow[]>();
@@ -174,7 +166,7 @@
         : "nothing";
       return { ...this.#buildOwn(link), wants };
     }
-    const state = this.#peers.get(peer.incarnation);
+    const state = this.#peers.find(peer.incarnation);
     const isServed = state !== undefined && state.wants !== "nothing";
     if (isNear && isServed) return this.#buildFleet(link, state);
     if (isNear && !this.#isHubPeer(peer)) return undefined;
@@ -209,7 +201,7 @@
     const nowMs = this.#nowMs;
     const { self, membership } = this.#options;
     const isNear = from.availabilityZone === self.availabilityZone;
-    this.#notePeer(heartbeat, from, isNear, nowMs);
+    this.#peers.noteHeard(heartbeat, from, isNear, nowMs);
     if (membership.isHub) this.#takeAsHub(heartbeat, from, isNear, nowMs);
     else if (this.#source?.id === from.id) {
       this.#takeFromSource(this.#source, heartbeat, nowMs);
@@ -221,7 +213,9 @@
     const { applyTargets, onListLost } = this.#options;
     const wasLost = source.isListLost;
     const news = source.take(feed, nowMs);
-    if (source.isListLost && !wasLost) onListLost(source.id);
+    const isNews = source.isListLost && !wasLost;
+    // A hub that asks others in turn would tell of each of them again and again.
+    if (isNews && source === this.#source) onListLost(source.id);
     if (news === undefined) return;
     this.#listAtMs = news.atMs;
     if (news.isFull || news.entries.length > 0) {
@@ -229,22 +223,6 @@
     }
   }
 
-  #notePeer(
-    heartbeat: Heartbeat,
-    from: LinkIdentity,
-    isNear: boolean,
-    nowMs: number,
-  ): void {
-    const known = this.#peers.get(from.incarnation);
-    this.#peers.set(from.incarnation, {
-      wants: heartbeat.wants ?? "nothing",
-      listWanted: heartbeat.listWanted,
-      counted: known?.counted ?? NOTHING_COUNTED,
-      heardAtMs: nowMs,
-      isNear,
-    });
-  }
-
   #takeAsHub(
     heartbeat: Heartbeat,
     from: LinkIdentity,
@@ -268,8 +246,7 @@
     }
     if (heartbeat.work === undefined) return;
     ledger.notePeer(from.id, heartbeat.work, nowMs);
-    const state = this.#peers.get(from.incarnation);
-    if (state !== undefined) state.counted = heartbeat.beat ?? NOTHING_COUNTED;
+    this.#peers.noteCounted(from.incarnation, heartbeat.beat);
   }
 
   /** The sum of another zone; of its hubs the one that covers more VMs is heard. */
@@ -419,13 +396,7 @@
 
   #dropSilentPeers(nowMs: number): void {
     const { membership } = this.#options;
-    let isServing = false;
-    for (const [incarnation, peer] of this.#peers) {
-      if (nowMs - peer.heardAtMs > PEER_SILENCE_MS) {
-        this.#peers.delete(incarnation);
-      } else if (peer.isNear && peer.wants !== "nothing") isServing = true;
-    }
-    membership.noteServing(isServing);
+    membership.noteServing(this.#peers.dropSilent(nowMs));
     for (const [zone, { atMs }] of this.#zones) {
       if (nowMs - atMs > PEER_SILENCE_MS) this.#zones.delete(zone);
     }
--- /dev/null
+++ b/packages/heatherarch-forward/hub_peers.ts
@@ -0,0 +1,64 @@
+/**
+ * What the peers of a VM, as a hub, have asked for.
+ *
+ * @module
+ */
+import type { Heartbeat, LinkIdentity } from "heatherarch-mesh";
+
+/** What a peer has asked for, and which of its heartbeats is counted in. */
+export interface PeerState {
+  wants: "nothing" | "changes" | "all";
+  /** What a hub that can't read the store wants of the list. */
+  readonly listWanted: "changes" | "all" | undefined;
+  counted: number;
+  readonly heardAtMs: number;
+  /** The peer is of this VM's zone. */
+  readonly isNear: boolean;
+}
+
+/** A peer that has asked for nothing for this long is served no more, milliseconds. */
+export const PEER_SILENCE_MS = 2000;
+/** No heartbeat of a peer is counted in. */
+export const NOTHING_COUNTED = -1;
+
+/** Peers by incarnation. */
+export class HubPeers {
+  readonly #peers = new Map<string, PeerState>();
+
+  find(incarnation: string): PeerState | undefined {
+    return this.#peers.get(incarnation);
+  }
+
+  /** Takes in what a heartbeat asks for. */
+  noteHeard(
+    heartbeat: Heartbeat,
+    from: LinkIdentity,
+    isNear: boolean,
+    nowMs: number,
+  ): void {
+    this.#peers.set(from.incarnation, {
+      wants: heartbeat.wants ?? "nothing",
+      listWanted: heartbeat.listWanted,
+      counted: this.find(from.incarnation)?.counted ?? NOTHING_COUNTED,
+      heardAtMs: nowMs,
+      isNear,
+    });
+  }
+
+  /** The work that a peer told with its heartbeat `beat` is counted in. */
+  noteCounted(incarnation: string, beat: number | undefined): void {
+    const state = this.find(incarnation);
+    if (state !== undefined) state.counted = beat ?? NOTHING_COUNTED;
+  }
+
+  /** Drops peers that are silent; returns whether one of this zone takes this VM for its hub. */
+  dropSilent(nowMs: number): boolean {
+    let isServing = false;
+    for (const [incarnation, peer] of this.#peers) {
+      if (nowMs - peer.heardAtMs > PEER_SILENCE_MS) {
+        this.#peers.delete(incarnation);
+      } else if (peer.isNear && peer.wants !== "nothing") isServing = true;
+    }
+    return isServing;
+  }
+}
--- a/packages/heatherarch-forward/store_watch.ts
+++ b/packages/heatherarch-forward/store_watch.ts
@@ -54,7 +54,8 @@
  *
  * That one VM can't read says nothing of the store. An outage is believed only where this VM's
  * own reading failed and nobody, as far as this VM hears, has read for so long that entries may
- * have lapsed. Without both, VMs kept targets that had left 3.3 s ago where 3 s are allowed.
+ * have lapsed. Without both, VMs called targets up to 3.3 s after these had left, where 3 s are
+ * allowed (80 VMs, a release of engines while the store refused two hubs).
  */
 export class StoreWatch {
   readonly #heartbeatMs: number;
@@ -127,7 +128,7 @@
     return awayMs >= this.#heartbeatMs * AWAY_HEARTBEATS;
   }
 
-  /** Whether an entry that is missing now may belong to a live target. */
+  /** Whether an entry that is missing at `nowMs` may belong to a live target. */
   isGrace(nowMs: number): boolean {
     if (nowMs < this.#graceUntilMs) return true;
     // This VM has not seen since whether they are back: it changes nothing until it reads.
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/target_directory.ts
@@ -104,8 +104,8 @@
   }
 
   /**
-   * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged what lapsed during an outage;
-   * nothing is kept beyond its word.
+   * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged
+   * what lapsed during an outage; nothing is kept beyond its word.
    */
   applyFeed(
     entries: readonly KeyedEntry<Target>[],
