A reset that comes with the last bytes of an answer is told from its end

Servers skip an empty line before a request.

Ruled out: refusing all answers without length (they are allowed), and reading the socket's error from the system (the runtime has no way to it).

--- a/packages/heatherarch-forward/target_connections.ts
+++ b/packages/heatherarch-forward/target_connections.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
 import type { Target } from "./model.ts";
 import type { EncodedTry } from "./ports.ts";
@@ -36,13 +37,25 @@
   open: number;
 }
 
+/** What the end of a stream is tested with: servers skip an empty line before a request. */
+const END_PROBE = "\r\n";
+
 /**
  * Tells an answer that ended with its connection from one that was cut off. undici takes a
  * reset for the end of a body without length; here the reset is seen before undici sees it.
+ *
+ * The runtime itself reports a reset that it finds behind bytes not read yet as the end of the
+ * stream. A write tells the two apart: after a reset it fails at once. Without it each answer
+ * without length that was cut right behind its last bytes passed as whole.
  */
 class ResetWatch {
+  readonly #isInUse: () => boolean;
   #isResetting = false;
 
+  constructor(isInUse: () => boolean) {
+    this.#isInUse = isInUse;
+  }
+
   /** True while the error of a connection is being handed out. */
   get isResetting(): boolean {
     return this.#isResetting;
@@ -54,16 +67,26 @@
       connector(options, (...result) => {
         const [error, socket] = result;
         if (error === null) {
-          socket.prependListener("error", () => {
-            this.#isResetting = true;
-            process.nextTick(() => {
-              this.#isResetting = false;
-            });
-          });
+          socket.prependListener("error", () => this.#noteReset());
+          socket.prependListener("end", () => this.#testEnd(socket));
         }
         callback(...result);
       });
   }
+
+  /** Idle connections end without an answer that could be cut. */
+  #testEnd(socket: Socket): void {
+    if (!this.#isInUse()) return;
+    socket.write(END_PROBE);
+    if (socket.errored !== null) this.#noteReset();
+  }
+
+  #noteReset(): void {
+    this.#isResetting = true;
+    process.nextTick(() => {
+      this.#isResetting = false;
+    });
+  }
 }
 
 /** All connections to targets of this VM. */
@@ -135,7 +158,7 @@
     let entry = this.#pools.get(target.id);
     if (entry === undefined) {
       const { connectTimeoutMs, idleMs } = this.#options;
-      const resets = new ResetWatch();
+      const resets = new ResetWatch(() => created.open > 0);
       const connector = buildConnector({ timeout: connectTimeoutMs });
       const pool = new Pool(`http://${target.address}`, {
         pipelining: 1,
@@ -144,8 +167,9 @@
         keepAliveTimeout: idleMs,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       });
-      entry = { pool, resets, open: 0 };
-      this.#pools.set(target.id, entry);
+      const created: TargetPool = { pool, resets, open: 0 };
+      entry = created;
+      this.#pools.set(target.id, created);
     }
     return entry;
   }
