--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -18,6 +18,7 @@
 import { CacheSurvey } from "./cache_survey.ts";
 import { CallServer } from "./call_server.ts";
 import { ConfigView } from "./config_view.ts";
+import { EngineSpread } from "./engine_spread.ts";
 import { type EventLog, StdoutEventLog } from "./event_log.ts";
 import { FleetMesh } from "./fleet_mesh.ts";
 import { Ingress } from "./ingress.ts";
@@ -196,6 +197,12 @@
       retention: asValue(new CacheRetention()),
       countVms: asValue(() => this.#liveVms),
       placer: asValue(new PromptPlacer({ model: readModel })),
+      spread: asValue(
+        new EngineSpread({
+          vmId: this.#settings.vm.id,
+          drawUnit: Math.random,
+        }),
+      ),
       drawUnit: asValue(Math.random),
     });
   }
@@ -308,6 +315,7 @@
       prompts: parts.prompts,
       health: parts.health,
       readModel: parts.readModel,
+      spread: parts.spread,
     });
   }
 
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -13,6 +13,7 @@
 export * from "./caller_port.ts";
 export * from "./config_view.ts";
 export * from "./engine_inquiry.ts";
+export * from "./engine_spread.ts";
 export * from "./event_log.ts";
 export * from "./event_splitter.ts";
 export * from "./feed_source.ts";
--- a/packages/heatherarch-forward/prompt_placement.ts
+++ b/packages/heatherarch-forward/prompt_placement.ts
@@ -49,6 +49,8 @@
   /** The engine that held the shared parts last, where that was too long ago to count on it. */
   readonly lastHolder?: Target;
   readonly traits: EngineTraits;
+  /** Wait that is added to an engine in the choice alone, milliseconds; none by default. */
+  readonly drawSpreadMs?: (target: string) => number;
 }
 
 /** Options of {@linkcode PromptPlacer}. */
@@ -101,13 +103,17 @@
     view: PlacementView,
   ): PromptPlacement | undefined {
     const key = this.findKey(prompt);
+    const { drawSpreadMs = () => 0 } = view;
     let best: PromptPlacement | undefined;
     let bestScore = Infinity;
     for (const candidate of view.candidates) {
       const [placement, marginMs] = key === undefined
         ? [this.#judgeShort(prompt, candidate), 0]
         : this.#judge(prompt, key, candidate, view);
-      const score = placement.readyMs + marginMs;
+      // Keys spread prompts with a home by themselves.
+      const isByKey = key !== undefined && marginMs === 0;
+      const spreadMs = isByKey ? 0 : drawSpreadMs(candidate.target.id);
+      const score = placement.readyMs + marginMs + spreadMs;
       if (score >= bestScore) continue;
       best = placement;
       bestScore = score;
--- a/packages/heatherarch-forward/prompt_reading.ts
+++ b/packages/heatherarch-forward/prompt_reading.ts
@@ -250,7 +250,7 @@
   /** The engine that would read the prompt soonest now. */
   #place(): PromptPlacement | undefined {
     const run = this.#run;
-    const { readerBoard, placer } = run.serving;
+    const { readerBoard, placer, spread } = run.serving;
     const nowMs = run.nowMs;
     const candidates = readerBoard.listCandidates(run, this.#tried);
     const readers = readerBoard.listReaders(run);
@@ -262,6 +262,7 @@
       readers,
       ...holders,
       traits: this.#traits,
+      drawSpreadMs: (target) => spread.drawMs(target),
     });
   }
 
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "heatherarch-core";
 import type { CacheRetention } from "./cache_retention.ts";
 import type { ConfigView } from "./config_view.ts";
+import type { EngineSpread } from "./engine_spread.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ForwardMetrics } from "./metrics.ts";
 import type { CallCodec } from "./ports.ts";
@@ -31,6 +32,7 @@
   readonly connections: TargetConnections;
   readonly allowance: RetryAllowance;
   readonly placer: PromptPlacer;
+  readonly spread: EngineSpread;
   readonly prompts: PromptIndex;
   readonly retention: CacheRetention;
   /** Number of VMs that share the load. */
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/store_reading.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from "heatherarch-core";
 import type { ConfigView } from "./config_view.ts";
+import type { EngineSpread } from "./engine_spread.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ForwardMetrics } from "./metrics.ts";
 import type { RoutingConfig, Target } from "./model.ts";
@@ -36,6 +37,7 @@
   readonly prompts: PromptIndex;
   readonly health: TargetHealth;
   readonly readModel: ReadModel;
+  readonly spread: EngineSpread;
 }
 
 /** Who said, or what showed, that a target leaves. */
@@ -207,10 +209,11 @@
   }
 
   #forget(target: string): void {
-    const { prompts, health, readModel } = this.#options;
+    const { prompts, health, readModel, spread } = this.#options;
     prompts.forgetTarget(target);
     health.forget(target);
     readModel.forget(target);
+    spread.forget(target);
   }
 
   /** A line for each target that leaves, or that is used although it is listed no more. */
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -24,6 +24,7 @@
 import { SHAPES } from "../deployment.ts";
 import { runClaimsBench } from "../bench/claims_bench.ts";
 import { runControlBench } from "../bench/control_bench.ts";
+import { runDecideBench } from "../bench/decide_bench.ts";
 import { measureOrderWindow } from "../bench/order_window.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
@@ -63,6 +64,24 @@
       printReport({ reports }, args.json);
     },
   )
+  .command(
+    "decide",
+    "ways to place prompts, in fleets of 6 to 870 VMs",
+    (y) =>
+      y.option("seed", { type: "number", default: 1 })
+        .option("seeds", { type: "number", default: 3 })
+        .option("seconds", { type: "number", default: 9 })
+        .option("burst", {
+          type: "number",
+          default: 1.5,
+          describe: "load in the middle third of the time, as a multiple",
+        }),
+    (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = runDecideBench({ ...args, print });
+      if (args.json) printReport({ rows }, true);
+    },
+  )
   .command(
     "mix",
     "goodput of policies through a shifting mix",
