Word that waited while a VM stood still is as much older as the VM stood

Cause, found by reading and shown by a test that failed first (a-5 relied on a word of 2.5 s ago as on one of 50 ms): a hub's word on the list of targets was aged by when it was taken in. A VM that is frozen, starved or suspended takes what waited in its socket for fresh, and where its hub is lost meanwhile nothing newer follows, so it may give work to a target that has left for as long again. The monotonic clock does not count the time of a suspended machine either.

Changed: the mesh notices a loop that did not run (by its own rounds, on the monotonic and on the wall clock) and passes on for how long what it reads may have waited; ages of the list grow by it. One line (loopLate) and a histogram.

Ruled out: measuring the delay of the event loop by a timer of its own, which would wake each VM twenty times a second for it.

--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet_mesh.ts
@@ -10,6 +10,7 @@
   type LinkIdentity,
   Membership,
   MeshNode,
+  type Standstill,
 } from "heatherarch-mesh";
 import type { ConfigView } from "./config_view.ts";
 import type { EventLog } from "./event_log.ts";
@@ -60,6 +61,8 @@
   readonly getListReadAtMs: () => number;
   /** A peer has read the list of targets at this monotonic time. */
   readonly onListRead: (atMs: number) => void;
+  /** This process stood still for so many milliseconds. */
+  readonly onLate: (lateMs: number) => void;
   /** Whether this VM could give orders now. */
   readonly mayOrder: () => boolean;
 }
@@ -134,14 +137,15 @@
       translate: (address) => address,
       onRound: () => this.#hubs.beginRound(),
       buildHeartbeat: (link, peer) => this.#buildHeartbeat(link, peer),
+      onLate: (standstill) => this.#noteStandstill(standstill),
       onFault: (fault) =>
         options.log.write("debug", "meshLinkEnded", { fault }),
     });
   }
 
   async start(): Promise<void> {
-    this.#node.registerHeartbeatListener((heartbeat, from) =>
-      this.#takeHeartbeat(heartbeat, from)
+    this.#node.registerHeartbeatListener((heartbeat, from, waitedMs) =>
+      this.#takeHeartbeat(heartbeat, from, waitedMs)
     );
     this.#node.registerCall(
       CONFIG_CALL,
@@ -326,14 +330,18 @@
     };
   }
 
-  #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
-    if (this.#membership.hasHubs) this.#hubs.take(heartbeat, from);
+  #takeHeartbeat(
+    heartbeat: Heartbeat,
+    from: LinkIdentity,
+    waitedMs: number,
+  ): void {
+    if (this.#membership.hasHubs) this.#hubs.take(heartbeat, from, waitedMs);
     else this.#takeMeshParts(heartbeat, from);
     if (heartbeat.mayOrder) this.#orderers.add(from.id);
     else this.#orderers.delete(from.id);
     if (heartbeat.listAgeMs !== undefined) {
       const { clock, onListRead } = this.#options;
-      onListRead(clock.readMonotonicMs() - heartbeat.listAgeMs);
+      onListRead(clock.readMonotonicMs() - heartbeat.listAgeMs - waitedMs);
     }
     if (heartbeat.changing !== undefined) {
       this.#options.onChanging(heartbeat.changing[1]);
@@ -413,6 +421,16 @@
     }
   }
 
+  /** What was known before a standstill is older by the time that the clock did not count. */
+  #noteStandstill({ lateMs, uncountedMs }: Standstill): void {
+    this.#hubs.noteUncounted(uncountedMs);
+    this.#options.onLate(lateMs);
+    this.#options.log.write("warn", "loopLate", {
+      lateMs: Math.round(lateMs),
+      uncountedMs: Math.round(uncountedMs),
+    });
+  }
+
   #noteListFault(error: unknown): void {
     this.#options.log.write("warn", "vmListFault", {
       reason: (error as Error).message,
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -270,6 +270,7 @@
       onLiveVms: (count) => this.#shareLimits(count),
       onChanging: (targets) => this.#noteChanging(targets),
       listChanging: () => this.#parts.roles.listChanging(),
+      onLate: (lateMs) => parts.metrics.loopLate.observe(lateMs / 1000),
       mayOrder: () =>
         this.#parts.reading.isListCurrent && this.#parts.mesh.hasDuty,
     });
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/hub_exchange.ts
@@ -111,6 +111,8 @@
   #wasHub = false;
   #source: FeedSource | undefined;
   #fleetVms = 1;
+  /** Time for which the heartbeat that is being taken in may have waited, milliseconds. */
+  #waitedMs = 0;
   /** Sums of the round in progress; anything that is heard makes them old. */
   #sums: HubSums = {};
   /** Monotonic time for which a hub's word on the list of targets held. */
@@ -146,6 +148,11 @@
     return this.#listAtMs;
   }
 
+  /** The monotonic clock did not count so many milliseconds: a hub's word is as much older. */
+  noteUncounted(uncountedMs: number): void {
+    this.#listAtMs -= uncountedMs;
+  }
+
   /** To be called once before each round of heartbeats. */
   beginRound(): void {
     const nowMs = this.#nowMs;
@@ -214,9 +221,10 @@
     };
   }
 
-  /** Takes in what a peer told. */
-  take(heartbeat: Heartbeat, from: LinkIdentity): void {
+  /** Takes in what a peer told, which may have waited here for so many milliseconds. */
+  take(heartbeat: Heartbeat, from: LinkIdentity, waitedMs = 0): void {
     const nowMs = this.#nowMs;
+    this.#waitedMs = waitedMs;
     const { self, membership } = this.#options;
     const isNear = from.availabilityZone === self.availabilityZone;
     this.#sums = {};
@@ -231,7 +239,7 @@
   #takeFeed(source: FeedSource, feed: TargetFeed, nowMs: number): void {
     const { applyTargets, onListLost } = this.#options;
     const wasLost = source.isListLost;
-    const news = source.take(feed, nowMs);
+    const news = source.take(feed, nowMs - this.#waitedMs);
     const isNews = source.isListLost && !wasLost;
     // A hub that asks others in turn would tell of each of them again and again.
     if (isNews && source === this.#source) onListLost(source.id);
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -49,6 +49,12 @@
     labelNames: ["outcome"] as const,
     registers: [this.registry],
   });
+  readonly loopLate = new Histogram({
+    name: "heatherarch_loop_late_seconds",
+    help: "Times for which the process stood still, seconds",
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
   readonly inFlight = new Gauge({
     name: "heatherarch_calls_in_flight",
     help: "Calls in progress",
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -363,3 +363,33 @@
   fleet.run(40);
   assert.equal(countMarked(), 0);
 });
+
+/** The last word of a hub of zone a on the list, sent now by a store that it reads. */
+function buildWord(ageMs: number): Heartbeat {
+  return buildHeartbeat({
+    digest: { scope: "fleet", counted: -1, vms: 6, work: [] },
+    targets: { ageMs, isFull: false, rows: [] },
+  });
+}
+
+// A VM stands still, its hubs are lost meanwhile, and what the hub sent before waits in the socket.
+test("a word that waited while the VM stood still is not taken for fresh", () => {
+  for (const waitedMs of [0, 2500]) {
+    const fleet = createListed();
+    const { exchange } = fleet.get("a-5");
+    for (const id of ["a-0", "a-1"]) fleet.kill(id);
+    fleet.nowMs += 2500;
+    for (const id of ["a-0", "a-1"]) {
+      exchange.take(buildWord(50), fleet.get(id).identity, waitedMs);
+    }
+    assert.equal(exchange.isFed(fleet.nowMs), waitedMs === 0);
+  }
+});
+
+test("time that the clock did not count makes a hub's word older", () => {
+  const fleet = createListed();
+  const { exchange } = fleet.get("a-5");
+  assert.equal(exchange.isFed(fleet.nowMs), true);
+  exchange.noteUncounted(2500);
+  assert.equal(exchange.isFed(fleet.nowMs), false);
+});
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -11,6 +11,7 @@
 } from "node:tls";
 import { type Clock, toServeError } from "heatherarch-core";
 import { Link, type LinkFault, type LinkIdentity } from "./link.ts";
+import { LoopWatch, type Standstill } from "./loop_watch.ts";
 import type { Member, Membership } from "./membership.ts";
 import type { Heartbeat, MeshMessage } from "./messages.ts";
 import { MeshCallError, PendingCalls } from "./pending_calls.ts";
@@ -20,10 +21,14 @@
   body: unknown,
   from: LinkIdentity,
 ) => Promise<unknown>;
-/** Receives heartbeats. */
+/**
+ * Receives heartbeats. One may have waited in its socket for up to `waitedMs` while this process
+ * stood still, and is as much older than it says.
+ */
 export type HeartbeatListener = (
   heartbeat: Heartbeat,
   from: LinkIdentity,
+  waitedMs: number,
 ) => void;
 
 /** Certificates of the mesh, in PEM. */
@@ -65,6 +70,8 @@
     peer: LinkIdentity,
   ) => Heartbeat | undefined;
   readonly onFault: (fault: LinkFault) => void;
+  /** Called when the process runs on after it stood still. */
+  readonly onLate?: (standstill: Standstill) => void;
   /** Called before the heartbeats of a round are built. */
   readonly onRound?: () => void;
 }
@@ -79,6 +86,8 @@
 }
 
 const MAX_BACKOFF_MS = 5000;
+/** Time in which sockets that waited for a process that stood still are read, milliseconds. */
+const CATCH_UP_MS = 50;
 /**
  * Least time between two rounds of heartbeats that news bring about, milliseconds, and what each
  * link adds to it. In the model of readings (`npm run bench -- decide`) VMs that hear of each
@@ -105,6 +114,7 @@
   readonly #dialed = new Map<string, DialedPeer>();
   readonly #accepted = new Set<Link>();
   readonly #calls = new PendingCalls();
+  readonly #loop: LoopWatch;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #closedBytesSent = 0;
@@ -116,6 +126,10 @@
 
   constructor(options: MeshNodeOptions) {
     this.#options = options;
+    this.#loop = new LoopWatch({
+      usualMs: () => this.intervalMs,
+      onLate: options.onLate,
+    });
   }
 
   /** Starts listening and dialing. */
@@ -235,6 +249,7 @@
   #tick(): void {
     if (this.#stopped) return;
     const nowMs = this.#options.clock.readMonotonicMs();
+    this.#noteTurn();
     this.#lastRoundMs = nowMs;
     this.#hasNews = false;
     this.#schedule(this.intervalMs);
@@ -259,6 +274,16 @@
     for (const link of this.#listReadyLinks()) this.#sendHeartbeat(link);
   }
 
+  /** Returns the time for which what is read now may have waited, milliseconds. */
+  #noteTurn(): number {
+    const { clock } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    const waitedMs = this.#loop.noteTurn(nowMs, clock.readWallMs());
+    // Sockets that waited are read in the loop's next two polls.
+    if (waitedMs > 0) setTimeout(() => this.#loop.noteCaughtUp(), CATCH_UP_MS);
+    return waitedMs;
+  }
+
   #tendPeer(member: Member, nowMs: number): void {
     let peer = this.#dialed.get(member.id);
     if (peer === undefined) {
@@ -356,12 +381,13 @@
 
   #receive(link: Link, message: MeshMessage): void {
     this.#noteHeard(link);
+    const waitedMs = this.#noteTurn();
     const peer = link.peer as LinkIdentity;
     switch (message.kind) {
       case "heartbeat":
         this.#options.membership.noteProgress(peer.id, message);
         for (const listener of this.#heartbeatListeners) {
-          listener(message, peer);
+          listener(message, peer, waitedMs);
         }
         break;
       case "call":
--- a/packages/heatherarch-mesh/mod.ts
+++ b/packages/heatherarch-mesh/mod.ts
@@ -7,6 +7,7 @@
 export * from "./hub_choice.ts";
 export * from "./leaving_set.ts";
 export * from "./link.ts";
+export * from "./loop_watch.ts";
 export * from "./membership.ts";
 export * from "./mesh_node.ts";
 export * from "./messages.ts";
