heatherarch-forward: rooms for beliefs, decisions, lives, the fleet and tasks

46 files stood in one folder. They are moved as they were, imports follow; no line of code is changed. Five rooms of 6 to 12 files, and 7 files that put them together.

--- a/packages/heatherarch-forward/config_view.ts
+++ b/packages/heatherarch-forward/beliefs/config_view.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { RoutingConfig } from "./model.ts";
+import type { RoutingConfig } from "../model.ts";
 import { RouteTable } from "./route_table.ts";
 
 /** Called with each table that comes into force. */
--- a/packages/heatherarch-forward/prompt_holders.ts
+++ b/packages/heatherarch-forward/beliefs/prompt_holders.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { EngineTraits, Target } from "./model.ts";
-import type { PlacementView } from "./prompt_placement.ts";
-import type { Serving } from "./serving.ts";
+import type { EngineTraits, Target } from "../model.ts";
+import type { PlacementView } from "../decisions/prompt_placement.ts";
+import type { Serving } from "../serving.ts";
 
 /** A beginning is fetched only from engines that used it in this part of the time it is kept. */
 const SOURCE_PART = 0.6;
--- a/packages/heatherarch-forward/route_table.ts
+++ b/packages/heatherarch-forward/beliefs/route_table.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { hashText, mixHash } from "heatherarch-core";
-import type { Route, RoutingConfig, ServiceSpec } from "./model.ts";
+import type { Route, RoutingConfig, ServiceSpec } from "../model.ts";
 
 /** An immutable view of one configuration. */
 export class RouteTable {
--- a/packages/heatherarch-forward/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type { Target } from "./model.ts";
-import type { KeyedEntry } from "./ports.ts";
+import type { Target } from "../model.ts";
+import type { KeyedEntry } from "../ports.ts";
 import { StoreWatch, type StoreWatchOptions } from "./store_watch.ts";
 
 /** Options of {@linkcode TargetDirectory}. */
--- a/packages/heatherarch-forward/engine_choice.ts
+++ b/packages/heatherarch-forward/decisions/engine_choice.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import type { CallRun } from "./call_run.ts";
-import type { Target } from "./model.ts";
+import type { CallRun } from "../life/call_run.ts";
+import type { Target } from "../model.ts";
 
 /** What an engine is needed for. */
 export type EngineUse = "reading" | "generating";
--- a/packages/heatherarch-forward/lanes.ts
+++ b/packages/heatherarch-forward/decisions/lanes.ts
@@ -9,7 +9,7 @@
  *
  * @module
  */
-import { LANES } from "./work_ledger.ts";
+import { LANES } from "../beliefs/work_ledger.ts";
 
 /** Lane of calls that miss their aim in any case. */
 export const LATE_LANE = LANES - 1;
--- a/packages/heatherarch-forward/prompt_placement.ts
+++ b/packages/heatherarch-forward/decisions/prompt_placement.ts
@@ -11,8 +11,8 @@
  * @module
  */
 import { pickRendezvous } from "heatherarch-core";
-import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
-import type { ReadModel } from "./read_model.ts";
+import type { EngineTraits, GenerationFacts, Target } from "../model.ts";
+import type { ReadModel } from "../beliefs/read_model.ts";
 
 /** An engine that could read a prompt. */
 export interface ReadCandidate {
--- a/packages/heatherarch-forward/reader_board.ts
+++ b/packages/heatherarch-forward/decisions/reader_board.ts
@@ -8,9 +8,9 @@
  *
  * @module
  */
-import type { CallRun } from "./call_run.ts";
+import type { CallRun } from "../life/call_run.ts";
 import { listEngines } from "./engine_choice.ts";
-import type { Target } from "./model.ts";
+import type { Target } from "../model.ts";
 import type { ReadCandidate } from "./prompt_placement.ts";
 
 /** A board as it was seen at some time. */
--- a/packages/heatherarch-forward/role_plan.ts
+++ b/packages/heatherarch-forward/decisions/role_plan.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import type { Target, TargetRole } from "./model.ts";
+import type { Target, TargetRole } from "../model.ts";
 
 /** One wanted change. */
 export interface RoleChange {
--- a/packages/heatherarch-forward/run_placement.ts
+++ b/packages/heatherarch-forward/decisions/run_placement.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Target } from "./model.ts";
+import type { Target } from "../model.ts";
 
 /** A target that could run a call. */
 export interface RunCandidate {
--- a/packages/heatherarch-forward/feed_source.ts
+++ b/packages/heatherarch-forward/fleet/feed_source.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { TargetFeed } from "heatherarch-mesh";
-import type { Target } from "./model.ts";
-import type { KeyedEntry } from "./ports.ts";
+import type { Target } from "../model.ts";
+import type { KeyedEntry } from "../ports.ts";
 import { decodeFeed, readFeedAge } from "./target_feed.ts";
 
 /** Options of {@linkcode FeedSource}. */
--- a/packages/heatherarch-forward/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -12,13 +12,13 @@
   MeshNode,
   type Standstill,
 } from "heatherarch-mesh";
-import type { ConfigView } from "./config_view.ts";
-import type { EventLog } from "./event_log.ts";
-import type { RoutingConfig, VmRecord } from "./model.ts";
-import type { WritableTopicPort } from "./ports.ts";
+import type { ConfigView } from "../beliefs/config_view.ts";
+import type { EventLog } from "../event_log.ts";
+import type { RoutingConfig, VmRecord } from "../model.ts";
+import type { WritableTopicPort } from "../ports.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
-import type { PromptIndex } from "./prompt_index.ts";
-import type { WorkLedger } from "./work_ledger.ts";
+import type { PromptIndex } from "../beliefs/prompt_index.ts";
+import type { WorkLedger } from "../beliefs/work_ledger.ts";
 
 /** Options of {@linkcode FleetMesh}. */
 export interface FleetMeshOptions extends
--- a/packages/heatherarch-forward/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -17,8 +17,8 @@
   TargetFeed,
   WorkDigest,
 } from "heatherarch-mesh";
-import type { Target } from "./model.ts";
-import type { KeyedEntry } from "./ports.ts";
+import type { Target } from "../model.ts";
+import type { KeyedEntry } from "../ports.ts";
 import {
   HubPeers,
   NOTHING_COUNTED,
@@ -26,11 +26,19 @@
   type PeerState,
 } from "./hub_peers.ts";
 import { ListRelief } from "./list_relief.ts";
-import type { NoteScope, PromptIndex, PromptNote } from "./prompt_index.ts";
-import type { TargetDirectory } from "./target_directory.ts";
+import type {
+  NoteScope,
+  PromptIndex,
+  PromptNote,
+} from "../beliefs/prompt_index.ts";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import { FeedSource } from "./feed_source.ts";
 import { encodeFeed } from "./target_feed.ts";
-import { subtractRows, type WorkLedger, type WorkRow } from "./work_ledger.ts";
+import {
+  subtractRows,
+  type WorkLedger,
+  type WorkRow,
+} from "../beliefs/work_ledger.ts";
 
 /** Options of {@linkcode HubExchange}. */
 export interface HubExchangeOptions {
--- a/packages/heatherarch-forward/target_feed.ts
+++ b/packages/heatherarch-forward/fleet/target_feed.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import type { TargetFeed, TargetRow } from "heatherarch-mesh";
-import type { Target } from "./model.ts";
-import type { KeyedEntry } from "./ports.ts";
-import type { DirectoryChanges } from "./target_directory.ts";
+import type { Target } from "../model.ts";
+import type { KeyedEntry } from "../ports.ts";
+import type { DirectoryChanges } from "../beliefs/target_directory.ts";
 
 /** Age of a feed whose source can't read the store. */
 const LOST_AGE = -1;
--- a/packages/heatherarch-forward/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -10,11 +10,11 @@
   type ServeErrorOptions,
 } from "heatherarch-core";
 import type { CallerPort } from "./caller_port.ts";
-import type { LogLevel } from "./event_log.ts";
-import type { ForwardedCall, Route, ServiceSpec } from "./model.ts";
-import type { EncodedTry } from "./ports.ts";
-import type { Serving } from "./serving.ts";
-import type { Target } from "./model.ts";
+import type { LogLevel } from "../event_log.ts";
+import type { ForwardedCall, Route, ServiceSpec } from "../model.ts";
+import type { EncodedTry } from "../ports.ts";
+import type { Serving } from "../serving.ts";
+import type { Target } from "../model.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 
 /** How a call ended, for logs and metrics. */
--- a/packages/heatherarch-forward/call_server.ts
+++ b/packages/heatherarch-forward/life/call_server.ts
@@ -13,10 +13,10 @@
   GenerationFacts,
   Route,
   ServiceSpec,
-} from "./model.ts";
+} from "../model.ts";
 import { PlainLife } from "./plain_life.ts";
-import type { RouteTable } from "./route_table.ts";
-import type { Serving } from "./serving.ts";
+import type { RouteTable } from "../beliefs/route_table.ts";
+import type { Serving } from "../serving.ts";
 
 /** A call that says nothing of its prompt. */
 const UNKNOWN_PROMPT: GenerationFacts = {
--- a/packages/heatherarch-forward/generation_life.ts
+++ b/packages/heatherarch-forward/life/generation_life.ts
@@ -7,14 +7,14 @@
 import { sleep } from "heatherarch-core";
 import { type RelayEnd, StreamRelay } from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
-import { listEngines } from "./engine_choice.ts";
-import { computeEnginePriority, computeLane } from "./lanes.ts";
-import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
-import type { PromptPlacement } from "./prompt_placement.ts";
+import { listEngines } from "../decisions/engine_choice.ts";
+import { computeEnginePriority, computeLane } from "../decisions/lanes.ts";
+import type { EngineTraits, GenerationFacts, Target } from "../model.ts";
+import type { PromptPlacement } from "../decisions/prompt_placement.ts";
 import { PromptReading, type ReadPrompt } from "./prompt_reading.ts";
-import { computeReturnMs } from "./return_time.ts";
-import { pickRunner, type RunCandidate } from "./run_placement.ts";
-import { isWorthWaiting, predictRunnerMs } from "./runner_return.ts";
+import { computeReturnMs } from "../decisions/return_time.ts";
+import { pickRunner, type RunCandidate } from "../decisions/run_placement.ts";
+import { isWorthWaiting, predictRunnerMs } from "../decisions/runner_return.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 import { awaitHead, isSuccess, type TryEnd } from "./try_judge.ts";
 
--- a/packages/heatherarch-forward/plain_life.ts
+++ b/packages/heatherarch-forward/life/plain_life.ts
@@ -11,8 +11,8 @@
   readFraming,
 } from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
-import type { Target } from "./model.ts";
-import { pickRunner, type RunCandidate } from "./run_placement.ts";
+import type { Target } from "../model.ts";
+import { pickRunner, type RunCandidate } from "../decisions/run_placement.ts";
 import { ExchangeError } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
 
--- a/packages/heatherarch-forward/prompt_reading.ts
+++ b/packages/heatherarch-forward/life/prompt_reading.ts
@@ -5,14 +5,17 @@
  * @module
  */
 import type { CallRun } from "./call_run.ts";
-import { computeWaitLimits } from "./caller_patience.ts";
-import { listEngines } from "./engine_choice.ts";
-import { computeEnginePriority, computeLane } from "./lanes.ts";
-import type { EngineTraits, GenerationFacts, Target } from "./model.ts";
-import type { KvHandle } from "./ports.ts";
-import { findHolders } from "./prompt_holders.ts";
-import { type PromptPlacement, sumShared } from "./prompt_placement.ts";
-import type { LanePlacement } from "./read_queue.ts";
+import { computeWaitLimits } from "../decisions/caller_patience.ts";
+import { listEngines } from "../decisions/engine_choice.ts";
+import { computeEnginePriority, computeLane } from "../decisions/lanes.ts";
+import type { EngineTraits, GenerationFacts, Target } from "../model.ts";
+import type { KvHandle } from "../ports.ts";
+import { findHolders } from "../beliefs/prompt_holders.ts";
+import {
+  type PromptPlacement,
+  sumShared,
+} from "../decisions/prompt_placement.ts";
+import type { LanePlacement } from "../decisions/read_queue.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
 
--- a/packages/heatherarch-forward/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -5,8 +5,8 @@
  */
 import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
-import type { Target } from "./model.ts";
-import type { EncodedTry } from "./ports.ts";
+import type { Target } from "../model.ts";
+import type { EncodedTry } from "../ports.ts";
 import { TargetExchange } from "./target_exchange.ts";
 
 type Connector = ReturnType<typeof buildConnector>;
--- a/packages/heatherarch-forward/target_exchange.ts
+++ b/packages/heatherarch-forward/life/target_exchange.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
-import type { EncodedTry } from "./ports.ts";
+import type { EncodedTry } from "../ports.ts";
 
 /** Head of a target's answer. */
 export interface AnswerHead {
--- a/packages/heatherarch-forward/try_judge.ts
+++ b/packages/heatherarch-forward/life/try_judge.ts
@@ -4,14 +4,14 @@
  * @module
  */
 import type { CallRun } from "./call_run.ts";
-import type { Target } from "./model.ts";
-import type { AnswerFacts } from "./ports.ts";
+import type { Target } from "../model.ts";
+import type { AnswerFacts } from "../ports.ts";
 import {
   type AnswerHead,
   ExchangeError,
   type TargetExchange,
 } from "./target_exchange.ts";
-import type { TryOutcome } from "./target_health.ts";
+import type { TryOutcome } from "../beliefs/target_health.ts";
 
 /** How a try ended, up to the head of its answer. */
 export type TryEnd =
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -4,22 +4,22 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
-import type { CacheRetention } from "./cache_retention.ts";
-import type { ConfigView } from "./config_view.ts";
-import type { EngineSpread } from "./engine_spread.ts";
+import type { CacheRetention } from "./beliefs/cache_retention.ts";
+import type { ConfigView } from "./beliefs/config_view.ts";
+import type { EngineSpread } from "./decisions/engine_spread.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ForwardMetrics } from "./metrics.ts";
 import type { CallCodec } from "./ports.ts";
-import type { PromptIndex } from "./prompt_index.ts";
-import type { PromptPlacer } from "./prompt_placement.ts";
-import type { ReadModel } from "./read_model.ts";
-import type { ReadQueue } from "./read_queue.ts";
-import type { ReaderBoard } from "./reader_board.ts";
-import type { RetryAllowance } from "./retry_allowance.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import type { TargetDirectory } from "./target_directory.ts";
-import type { TargetHealth } from "./target_health.ts";
-import type { WorkLedger } from "./work_ledger.ts";
+import type { PromptIndex } from "./beliefs/prompt_index.ts";
+import type { PromptPlacer } from "./decisions/prompt_placement.ts";
+import type { ReadModel } from "./beliefs/read_model.ts";
+import type { ReadQueue } from "./decisions/read_queue.ts";
+import type { ReaderBoard } from "./decisions/reader_board.ts";
+import type { RetryAllowance } from "./beliefs/retry_allowance.ts";
+import type { TargetConnections } from "./life/target_connections.ts";
+import type { TargetDirectory } from "./beliefs/target_directory.ts";
+import type { TargetHealth } from "./beliefs/target_health.ts";
+import type { WorkLedger } from "./beliefs/work_ledger.ts";
 
 /** Parts of one VM that serve calls. */
 export interface Serving {
--- a/packages/heatherarch-forward/cache_survey.ts
+++ b/packages/heatherarch-forward/tasks/cache_survey.ts
@@ -10,9 +10,9 @@
  */
 import { type Clock, pickRendezvous, sleep } from "heatherarch-core";
 import { askEngine, type InquiryMeans } from "./engine_inquiry.ts";
-import type { Target } from "./model.ts";
-import type { CallCodec } from "./ports.ts";
-import type { PromptIndex } from "./prompt_index.ts";
+import type { Target } from "../model.ts";
+import type { CallCodec } from "../ports.ts";
+import type { PromptIndex } from "../beliefs/prompt_index.ts";
 
 /** Options of {@linkcode CacheSurvey}. */
 export interface CacheSurveyOptions extends InquiryMeans {
--- a/packages/heatherarch-forward/engine_inquiry.ts
+++ b/packages/heatherarch-forward/tasks/engine_inquiry.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
-import type { EventLog } from "./event_log.ts";
-import type { Target } from "./model.ts";
-import type { EncodedTry } from "./ports.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import { ExchangeError } from "./target_exchange.ts";
+import type { EventLog } from "../event_log.ts";
+import type { Target } from "../model.ts";
+import type { EncodedTry } from "../ports.ts";
+import type { TargetConnections } from "../life/target_connections.ts";
+import { ExchangeError } from "../life/target_exchange.ts";
 
 /** What an inquiry needs. */
 export interface InquiryMeans {
--- a/packages/heatherarch-forward/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -12,11 +12,11 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { type Clock, ServeError, toServeError } from "heatherarch-core";
-import { CallerPort } from "./caller_port.ts";
-import type { CallServer } from "./call_server.ts";
-import type { EventLog } from "./event_log.ts";
-import type { ClientLimits, ForwardedCall } from "./model.ts";
-import type { CallCodec } from "./ports.ts";
+import { CallerPort } from "../life/caller_port.ts";
+import type { CallServer } from "../life/call_server.ts";
+import type { EventLog } from "../event_log.ts";
+import type { ClientLimits, ForwardedCall } from "../model.ts";
+import type { CallCodec } from "../ports.ts";
 
 /** Options of {@linkcode Ingress}. */
 export interface IngressOptions {
--- a/packages/heatherarch-forward/role_keeper.ts
+++ b/packages/heatherarch-forward/tasks/role_keeper.ts
@@ -19,16 +19,16 @@
   LeaseMachine,
 } from "heatherarch-lease";
 import { judgeSlice, type LogPort } from "heatherarch-log";
-import type { ConfigView } from "./config_view.ts";
+import type { ConfigView } from "../beliefs/config_view.ts";
 import { askEngine } from "./engine_inquiry.ts";
-import type { EventLog } from "./event_log.ts";
-import type { ForwardMetrics } from "./metrics.ts";
-import type { EngineReport, Target, TargetRole } from "./model.ts";
-import type { CallCodec, RoleOrder } from "./ports.ts";
-import { planRoles, type RoleChange } from "./role_plan.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import type { TargetDirectory } from "./target_directory.ts";
-import type { TargetHealth } from "./target_health.ts";
+import type { EventLog } from "../event_log.ts";
+import type { ForwardMetrics } from "../metrics.ts";
+import type { EngineReport, Target, TargetRole } from "../model.ts";
+import type { CallCodec, RoleOrder } from "../ports.ts";
+import { planRoles, type RoleChange } from "../decisions/role_plan.ts";
+import type { TargetConnections } from "../life/target_connections.ts";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
+import type { TargetHealth } from "../beliefs/target_health.ts";
 
 /** Options of {@linkcode RoleKeeper}. */
 export interface RoleKeeperOptions {
--- a/packages/heatherarch-forward/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -5,7 +5,7 @@
  */
 import type { Server } from "node:http";
 import Koa from "koa";
-import type { ForwardMetrics } from "./metrics.ts";
+import type { ForwardMetrics } from "../metrics.ts";
 
 /** Options of {@linkcode StatusServer}. */
 export interface StatusServerOptions {
--- a/packages/heatherarch-forward/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -5,17 +5,17 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
-import type { ConfigView } from "./config_view.ts";
-import type { EngineSpread } from "./engine_spread.ts";
-import type { EventLog } from "./event_log.ts";
-import type { ForwardMetrics } from "./metrics.ts";
-import type { RoutingConfig, Target } from "./model.ts";
-import type { KeyedEntry, KeyedTopicPort } from "./ports.ts";
-import type { PromptIndex } from "./prompt_index.ts";
-import type { ReadModel } from "./read_model.ts";
-import type { TargetConnections } from "./target_connections.ts";
-import type { TargetDirectory } from "./target_directory.ts";
-import type { TargetHealth } from "./target_health.ts";
+import type { ConfigView } from "../beliefs/config_view.ts";
+import type { EngineSpread } from "../decisions/engine_spread.ts";
+import type { EventLog } from "../event_log.ts";
+import type { ForwardMetrics } from "../metrics.ts";
+import type { RoutingConfig, Target } from "../model.ts";
+import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
+import type { PromptIndex } from "../beliefs/prompt_index.ts";
+import type { ReadModel } from "../beliefs/read_model.ts";
+import type { TargetConnections } from "../life/target_connections.ts";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
+import type { TargetHealth } from "../beliefs/target_health.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
 /** Options of {@linkcode StoreReading}. */
--- a/packages/heatherarch-forward/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { type Clock, sleep } from "heatherarch-core";
-import type { EventLog } from "./event_log.ts";
-import type { KeyedEntry, KeyedTopicPort } from "./ports.ts";
+import type { EventLog } from "../event_log.ts";
+import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
 
 /** Options of {@linkcode TopicFollower}. */
 export interface TopicFollowerOptions<T> {
