--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -17,6 +17,7 @@
 import type { RoutingConfig, VmRecord } from "../model.ts";
 import type { WritableTopicPort } from "../ports.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
+import { VmListFollower } from "./vm_list_follower.ts";
 import type { PromptIndex } from "../beliefs/prompt_index.ts";
 import type { WorkLedger } from "../beliefs/work_ledger.ts";
 
@@ -71,11 +72,6 @@
 const CALL_TIMEOUT_MS = 1000;
 /** The store brings a configuration sooner as a rule; a peer is asked after this time. */
 const ASK_AFTER_MS = 700;
-/** All VMs start together: the list is looked at again soon, then rarely. */
-const EARLY_LOOKS_MS = [1000, 2500, 4000];
-const LOOK_MS = 12_000;
-/** A VM that its hubs tell of the fleet looks at the list rarely. */
-const FED_LOOK_MS = 60_000;
 /** Larger configurations come from the store: a hub's link would be busy with them too long. */
 const MAX_MESH_ROUTES = 100;
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -86,6 +82,7 @@
   readonly #membership: Membership;
   readonly #node: MeshNode;
   readonly #hubs: HubExchange;
+  readonly #list: VmListFollower;
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
@@ -97,12 +94,7 @@
   #hasList = false;
   #liveVms = 0;
   #leaving = false;
-  #stopped = false;
   #undoListener: (() => void) | undefined;
-  /** Ends the rest before the next look at the list of VMs. */
-  #endRest: (() => void) | undefined;
-  #look = 0;
-  #lookedAtMs = 0;
 
   constructor(options: FleetMeshOptions) {
     this.#options = options;
@@ -122,6 +114,14 @@
           live: this.#membership.listLive(self.availabilityZone).length,
         }),
     });
+    this.#list = new VmListFollower({
+      self,
+      vms: options.vms,
+      clock: options.clock,
+      isFed: () => !this.hasToRead(),
+      onList: (listed) => this.#applyList(listed),
+      onFault: (error) => this.#noteListFault(error),
+    });
     this.#node = new MeshNode({
       self,
       listen: options.listen,
@@ -156,24 +156,19 @@
       // A hub tells sums of many VMs, which change all the time.
       if (!this.#membership.isHub) this.#node.noteNews();
     });
-    void this.#followVms();
+    this.#list.start();
   }
 
   /** Tells peers that this VM is leaving. */
   async leave(): Promise<void> {
     this.#leaving = true;
     this.#node.sendHeartbeats();
-    try {
-      await this.#options.vms.put(this.#options.self.id, undefined);
-    } catch (error) {
-      this.#noteListFault(error);
-    }
+    await this.#list.leave();
   }
 
   stop(): void {
-    this.#stopped = true;
     this.#undoListener?.();
-    this.#endRest?.();
+    this.#list.stop();
     this.#node.stop();
   }
 
@@ -220,50 +215,13 @@
     );
   }
 
-  async #followVms(): Promise<void> {
-    const { vms, self } = this.#options;
-    let isAnnounced = false;
-    while (!this.#stopped) {
-      try {
-        if (!isAnnounced) await vms.put(self.id, self);
-        isAnnounced = true;
-        this.#applyList((await vms.load()).entries);
-      } catch (error) {
-        this.#noteListFault(error);
-      }
-      await this.#restBeforeLook();
-    }
-  }
-
-  /** Rests until {@linkcode tend} finds that the list is to be looked at. */
-  async #restBeforeLook(): Promise<void> {
-    if (this.#stopped) return;
-    this.#lookedAtMs = this.#options.clock.readMonotonicMs();
-    await new Promise<void>((resolve) => {
-      this.#endRest = resolve;
-    });
-    this.#endRest = undefined;
-    this.#look++;
-  }
-
   /** To be called some times a second: counts VMs, and looks at their list when it is time. */
   tend(): void {
     this.countVms();
-    const restedMs = this.#options.clock.readMonotonicMs() - this.#lookedAtMs;
-    // A VM that hubs tell no more looks soon, although it had put that off.
-    if (restedMs >= this.#pickLookMs(this.#look)) this.#endRest?.();
+    this.#list.tend();
   }
 
-  #pickLookMs(look: number): number {
-    if (!this.hasToRead()) return FED_LOOK_MS;
-    return EARLY_LOOKS_MS[look] ?? LOOK_MS;
-  }
-
-  #applyList(entries: readonly { key: string; value?: VmRecord }[]): void {
-    const listed: VmRecord[] = [];
-    for (const { value } of entries) {
-      if (value !== undefined) listed.push(value);
-    }
+  #applyList(listed: readonly VmRecord[]): void {
     this.#listed = listed.length;
     this.#membership.noteListed(listed);
     this.#hasList = true;
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -25,6 +25,7 @@
   PEER_SILENCE_MS,
   type PeerState,
 } from "./hub_peers.ts";
+import { copyRows, HubSums } from "./hub_sums.ts";
 import { ListRelief } from "./list_relief.ts";
 import type {
   NoteScope,
@@ -84,17 +85,6 @@
   targetCursor: number | undefined;
 }
 
-/** A row as a message carries it. */
-type ToldRow = [string, number, number, ...number[]];
-
-/** What a hub tells many peers in one round, summed once. */
-interface HubSums {
-  fleet?: ToldRow[];
-  zone?: ToldRow[];
-  liveVms?: number;
-  zoneVms?: number;
-}
-
 interface ZoneSource {
   readonly peer: string;
   readonly vms: number;
@@ -121,14 +111,18 @@
   #fleetVms = 1;
   /** Time for which the heartbeat that is being taken in may have waited, milliseconds. */
   #waitedMs = 0;
-  /** Sums of the round in progress; anything that is heard makes them old. */
-  #sums: HubSums = {};
+  readonly #sums: HubSums;
   /** Monotonic time for which a hub's word on the list of targets held. */
   #listAtMs = -Infinity;
 
   constructor(options: HubExchangeOptions) {
     this.#options = options;
     this.#relief = new ListRelief(options);
+    this.#sums = new HubSums({
+      ledger: options.ledger,
+      countZoneVms: () => this.#countZoneVms(),
+      countFleetVms: () => this.liveVms,
+    });
   }
 
   /** Live VMs of the fleet as far as this VM can tell. */
@@ -165,7 +159,7 @@
   beginRound(): void {
     const nowMs = this.#nowMs;
     const { membership } = this.#options;
-    this.#sums = {};
+    this.#sums.forget();
     this.#dropSilentPeers(nowMs);
     const { isHub } = membership;
     if (isHub !== this.#wasHub) this.#noteDuty(isHub);
@@ -235,7 +229,7 @@
     this.#waitedMs = waitedMs;
     const { self, membership } = this.#options;
     const isNear = from.availabilityZone === self.availabilityZone;
-    this.#sums = {};
+    this.#sums.forget();
     this.#peers.noteHeard(heartbeat, from, isNear, nowMs);
     if (membership.isHub) this.#takeAsHub(heartbeat, from, isNear, nowMs);
     else if (this.#source?.id === from.id) {
@@ -334,16 +328,11 @@
   /** The sum of this hub's zone, for a hub of another zone. */
   #buildZone(link: Link, isServed: boolean): HubParts {
     if (!isServed) return {};
-    const { ledger } = this.#options;
-    const sums = this.#sums;
-    sums.zone ??= copyRows(ledger.sumRows(this.#nowMs, false));
-    sums.zoneVms ??= this.#countZoneVms();
     return {
       digest: {
         scope: "zone",
         counted: NOTHING_COUNTED,
-        vms: sums.zoneVms,
-        work: sums.zone,
+        ...this.#sums.sumZone(this.#nowMs),
       },
       ...this.#buildNotes(link, "zone"),
     };
@@ -353,15 +342,11 @@
   #buildFleet(link: Link, peer: PeerState): HubParts {
     const isWhole = peer.wants === "all";
     if (isWhole) peer.wants = "changes";
-    const sums = this.#sums;
-    sums.fleet ??= copyRows(this.#options.ledger.sumRows(this.#nowMs, true));
-    sums.liveVms ??= this.liveVms;
     return {
       digest: {
         scope: "fleet",
         counted: peer.counted,
-        vms: sums.liveVms,
-        work: sums.fleet,
+        ...this.#sums.sumFleet(this.#nowMs),
       },
       targets: this.#buildFeed(link, this.#getOwnListAgeMs(), isWhole),
       ...this.#buildNotes(link, "fleet"),
@@ -460,10 +445,6 @@
   return `hub sum of zone ${zone}`;
 }
 
-function copyRows(rows: readonly WorkRow[]): ToldRow[] {
-  return rows.map((row): ToldRow => [...row]);
-}
-
 function copyNote(note: PromptNote): [string, string, number] {
   return [...note];
 }
--- a/packages/heatherarch-mesh/membership.ts
+++ b/packages/heatherarch-mesh/membership.ts
@@ -78,7 +78,8 @@
 
 /**
  * What follows from the members' status, place and strength. Ranking the VMs of a zone anew for
- * each message took a hub of 20 VMs 5 ms of the processor a second, and grows with their square.
+ * each message, this module took 5 ms of a hub's processor a second with 20 VMs (`npm run
+ * profile`), and that grows with their square.
  */
 interface HubView {
   isChosen?: boolean;
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -92,7 +92,7 @@
  * Least time between two rounds of heartbeats that news bring about, milliseconds, and what each
  * link adds to it. In the model of readings (`npm run bench -- decide`) VMs that hear of each
  * other's work after 5 to 25 ms instead of 10 to 70 earn 0.88 instead of 0.83 of what is asked for
- * with 6 VMs, and 0.92 instead of 0.88 with 9 (load 1.5 times its mean); 10 ms add nothing more.
+ * with 6 VMs, and 0.92 instead of 0.88 with 9 (load 1.5 times its mean); 10 ms add little more.
  */
 const MIN_ROUND_GAP_MS = 20;
 const GAP_PER_LINK_MS = 2.5;
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -27,8 +27,8 @@
 type WorkRowMessage = [string, number, number, ...number[]];
 
 /**
- * Rows are checked by hand: a sum has one for each engine, ten times a second, and the schema's
- * tuples took a sixth of the processor time of a VM before 82 engines.
+ * Rows are checked by hand: a sum has one for each engine, ten times a second, and the checks
+ * of a schema took a tenth of the processor time of a VM before 82 engines (`npm run profile`).
  */
 const WORK_ROWS = z.custom<WorkRowMessage[]>(isWorkRows);
 const MIN_ROW_LENGTH = 3;
