--- a/packages/heatherarch-lab/bench/decide_bench.ts
+++ b/packages/heatherarch-lab/bench/decide_bench.ts
@@ -135,17 +135,17 @@
   const onTime = Object.fromEntries(
     KINDS.map(({ name }) => [
       name,
-      average(results.map((result) => result.onTime[name] ?? 0)),
+      computeMean(results.map((result) => result.onTime[name] ?? 0)),
     ]),
   );
   return {
     vms,
     way,
-    worth: average(worths),
+    worth: computeMean(worths),
     spread: roundTo((Math.max(...worths) - Math.min(...worths)) / 2, 3),
     onTime,
-    refused: average(results.map(({ refused }) => refused)),
-    busiest: average(results.map(({ busiest }) => busiest)),
+    refused: computeMean(results.map(({ refused }) => refused)),
+    busiest: computeMean(results.map(({ busiest }) => busiest)),
   };
 }
 
@@ -155,6 +155,6 @@
   return `| ${vms} | ${way} | ${worth} ± ${spread} | ${kinds} | ${refused} | ${busiest} |`;
 }
 
-function average(values: readonly number[]): number {
+function computeMean(values: readonly number[]): number {
   return roundTo(values.reduce((a, b) => a + b, 0) / values.length, 3);
 }
--- a/packages/heatherarch-lab/bench/decide_world.ts
+++ b/packages/heatherarch-lab/bench/decide_world.ts
@@ -156,7 +156,7 @@
       this.#clock.advance(STEP_MS);
       this.#endReadings();
       this.#tellSums();
-      if (this.#nowMs < endMs) this.#arrive();
+      if (this.#nowMs < endMs) this.#drawArrivals();
       for (const queue of this.#queues) if (queue.size > 0) queue.look();
     }
     return this.#report();
@@ -189,7 +189,7 @@
     }
   }
 
-  #arrive(): void {
+  #drawArrivals(): void {
     const { kinds, engines, seconds, burst, vms } = this.#options;
     const third = this.#nowMs / (seconds * 1000);
     const factor = third > 1 / 3 && third < 2 / 3 ? burst : 1;
@@ -244,7 +244,7 @@
   #place({ vm, prompt }: Job): PromptPlacement | undefined {
     const candidates = this.#engines.map((target, i): ReadCandidate => ({
       target,
-      backlogMs: this.#believeBacklog(vm, i),
+      backlogMs: this.#estimateBacklog(vm, i),
     }));
     const key = this.#placer.findKey(prompt) ?? "";
     const held = this.#held.get(key) ?? new Map<string, number>();
@@ -262,7 +262,7 @@
   }
 
   /** Own readings are known at once, those of others from the last sum. */
-  #believeBacklog(vm: number, engine: number): number {
+  #estimateBacklog(vm: number, engine: number): number {
     const now = this.#readings[engine];
     if (this.#options.isOracle) return sumLeft(now, this.#nowMs);
     const others = this.#snapshotOf[vm][engine].filter((r) => r.vm !== vm);
