A VM that gives orders looks at roles as often as before

Found when the change was read again: since the rests were lengthened, a VM that had not read the list yet looked at roles each second and not each 0.3 s, also in fleets without hubs and right after a start, where the list comes a moment later. Now only VMs without that duty look rarely; they wait six seconds for the others anyway.

--- a/packages/heatherarch-forward/tasks/role_keeper.ts
+++ b/packages/heatherarch-forward/tasks/role_keeper.ts
@@ -55,7 +55,7 @@
 const CONTROL_STREAM = "control.roles";
 /** Pause between looks at the plan, milliseconds. */
 const LOOK_MS = 300;
-/** The same for a VM that reads no list of targets: it has nothing to plan by. */
+/** The same for a VM that usually gives no orders: it waits some seconds for those that do. */
 const IDLE_LOOK_MS = 1000;
 /**
  * No engine has come for this long before orders are given: each one reports every 1.2 s, so the
@@ -127,7 +127,8 @@
       } catch (error) {
         this.#noteFault(error);
       }
-      await sleep(this.#options.isListCurrent() ? LOOK_MS : IDLE_LOOK_MS);
+      const { hasDuty = () => true } = this.#options;
+      await sleep(hasDuty() ? LOOK_MS : IDLE_LOOK_MS);
     }
   }
 
