--- a/packages/heatherarch-forward/decisions/read_queue.ts
+++ b/packages/heatherarch-forward/decisions/read_queue.ts
@@ -30,7 +30,12 @@
   /** No engine reads prompts apart now. */
   | { readonly kind: "noReader" }
   /** No engine can be done with it in the time for which it is worth waiting. */
-  | { readonly kind: "tooLate"; readonly placement: PromptPlacement };
+  | {
+    readonly kind: "tooLate";
+    readonly placement: PromptPlacement;
+    /** Time by which the reading had to be over, monotonic milliseconds. */
+    readonly readByMs: number;
+  };
 
 /** A prompt that is to be read. Times are monotonic milliseconds. */
 export interface ReadRequest {
@@ -218,9 +223,9 @@
       request.onVerdict({ kind: "noReader" });
       return false;
     }
-    const endsAtMs = findEnd(request, placement) - request.tailMs;
-    if (nowMs + placement.readyMs > endsAtMs) {
-      request.onVerdict({ kind: "tooLate", placement });
+    const readByMs = findEnd(request, placement) - request.tailMs;
+    if (nowMs + placement.readyMs > readByMs) {
+      request.onVerdict({ kind: "tooLate", placement, readByMs });
       return false;
     }
     if (placement.backlogMs > this.#lateWindowMs) {
--- a/packages/heatherarch-forward/life/generation_life.ts
+++ b/packages/heatherarch-forward/life/generation_life.ts
@@ -10,8 +10,12 @@
 import { listEngines } from "../decisions/engine_choice.ts";
 import { computeEnginePriority, computeLane } from "../decisions/lanes.ts";
 import type { EngineTraits, GenerationFacts, Target } from "../model.ts";
-import type { PromptPlacement } from "../decisions/prompt_placement.ts";
-import { PromptReading, type ReadPrompt } from "./prompt_reading.ts";
+import { sumShared } from "../decisions/prompt_placement.ts";
+import {
+  PromptReading,
+  type ReadEnd,
+  type ReadPrompt,
+} from "./prompt_reading.ts";
 import { computeReturnMs } from "../decisions/return_time.ts";
 import { pickRunner, type RunCandidate } from "../decisions/run_placement.ts";
 import { isWorthWaiting, predictRunnerMs } from "../decisions/runner_return.ts";
@@ -30,6 +34,7 @@
 const MIN_RETRY_AFTER_MS = 200;
 
 type Answer = Extract<TryEnd, { kind: "answer" }>;
+type TooLate = Extract<ReadEnd, { kind: "tooLate" }>;
 
 /** Serves one generation. */
 export class GenerationLife {
@@ -71,7 +76,7 @@
           this.#reason = read.reason;
           break;
         case "tooLate":
-          return this.#refuseLate(read.placement);
+          return this.#refuseLate(read);
         default:
           return this.#conclude();
       }
@@ -222,8 +227,9 @@
   }
 
   /** Ends a call at once that can't begin in its time. */
-  #refuseLate({ target, readyMs }: PromptPlacement): void {
+  #refuseLate({ placement, readByMs }: TooLate): void {
     const run = this.#run;
+    const { target, readyMs, costMs, backlogMs, isCold } = placement;
     if (run.mayHaveRun) {
       return run.fail("answerIncomplete", "no time to go on elsewhere");
     }
@@ -234,8 +240,15 @@
       retryAfterMs: computeReturnMs(waitedMs, excessMs, drawUnit),
       detail: {
         target: target.id,
+        tokens: this.#prompt.promptTokens,
+        sharedTokens: sumShared(this.#prompt),
+        isCold,
+        factor: Number(run.serving.readModel.getFactor(target.id).toFixed(2)),
         waitedMs: Math.round(waitedMs),
+        costMs: Math.round(costMs),
+        backlogMs: Math.round(backlogMs),
         readyMs: Math.round(readyMs),
+        readInMs: Math.round(readByMs - run.nowMs),
         remainingMs: Math.round(run.remainingMs),
       },
     });
--- a/packages/heatherarch-forward/life/prompt_reading.ts
+++ b/packages/heatherarch-forward/life/prompt_reading.ts
@@ -15,7 +15,7 @@
   type PromptPlacement,
   sumShared,
 } from "../decisions/prompt_placement.ts";
-import type { LanePlacement } from "../decisions/read_queue.ts";
+import type { LanePlacement, ReadVerdict } from "../decisions/read_queue.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
 
@@ -46,7 +46,7 @@
   /** No engine reads prompts apart now. */
   | { readonly kind: "noReader" }
   /** No engine can be done with it in the time that the call has left. */
-  | { readonly kind: "tooLate"; readonly placement: PromptPlacement }
+  | Extract<ReadVerdict, { kind: "tooLate" }>
   /** The fleet's allowance for further tries is spent. */
   | { readonly kind: "noAllowance" }
   | { readonly kind: "failed"; readonly reason: string }
@@ -293,7 +293,9 @@
     log.write("info", "promptRead", {
       call: this.#run.call.id,
       target: target.id,
+      route: this.#run.route.name,
       tokens: promptTokens,
+      sharedTokens: sumShared(this.#prompt),
       lane,
       isCold,
       fetchFrom: fetchFrom?.id,
