A fleet under an overload of long and short prompts, without network; its test fails

What callers saw: of the largest tenth of long prompts a third as many were served as of all. overload_world plays the product's queue, placement, read model and ledger before engines that read in steps, with sizes as they are asked for. The bound is the stated one: half as often as the whole kind.

--- /dev/null
+++ b/packages/heatherarch-lab/tests/unit/overload_world_test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type KindResult,
+  type OverloadKind,
+  type OverloadPhase,
+  playOverload,
+} from "../../bench/overload_world.ts";
+
+// What was seen: on days of long and short prompts in turn, at up to three times the mean of the
+// long ones, their largest tenth was served a third as often as all of them. Callers with a large
+// manual were told to come back, however long they waited.
+
+const LONG: OverloadKind = {
+  name: "long",
+  rate: 9.2,
+  sharedTokens: 13_300,
+  sharedSpread: 0.7,
+  beginnings: 89,
+  ownTokens: 3720,
+  ownSpread: 1.1,
+  aimMs: 600,
+  lane: 1,
+};
+const SHORT: OverloadKind = {
+  name: "short",
+  rate: 136,
+  sharedTokens: 92,
+  sharedSpread: 0.3,
+  beginnings: 880,
+  ownTokens: 291,
+  ownSpread: 1.4,
+  aimMs: 600,
+  lane: 0,
+};
+const TURN_S = 2.8;
+
+/** Fourteen seconds of long prompts above their mean and as many of short ones, in turns. */
+function buildTurns(): OverloadPhase[] {
+  const phases: OverloadPhase[] = [{ seconds: 3, load: { long: 1, short: 1 } }];
+  for (const [long, short] of [[1.7, 0.47], [0.37, 1.8]]) {
+    for (let turn = 0; turn < 5; turn++) {
+      const isLong = turn % 2 === 0;
+      phases.push({
+        seconds: TURN_S,
+        load: {
+          long: long * (isLong ? 1.65 : 0.62),
+          short: short * (isLong ? 0.62 : 1.6),
+        },
+      });
+    }
+  }
+  return phases;
+}
+
+/** Two kinds of engine; on heavy days one of four is lost. */
+const FLEETS: Readonly<Record<string, readonly number[]>> = {
+  "four engines": [1, 1, 1.3, 1.3],
+  "three engines": [1, 1, 1.3],
+};
+/** Least share of the large prompts of a kind that is served, as a part of that of all of it. */
+const LEAST_PART = 0.5;
+
+function assertEven({ served, largestTenth, fifthBelow }: KindResult): void {
+  for (const [name, band] of Object.entries({ largestTenth, fifthBelow })) {
+    assert.ok(
+      band.served >= served * LEAST_PART,
+      `${name}: ${band.served.toFixed(2)} served, of all ${served.toFixed(2)}`,
+    );
+  }
+}
+
+for (const [name, engines] of Object.entries(FLEETS)) {
+  test(`${name} under an overload: the largest prompts are served at least half as often as all`, () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const { kinds } = playOverload({
+        seed,
+        vms: 6,
+        engines,
+        kinds: [LONG, SHORT],
+        phases: buildTurns(),
+      });
+      assertEven(kinds.long);
+      assertEven(kinds.short);
+    }
+  });
+}
