--- a/packages/heatherarch-forward/decisions/engine_spread.ts
+++ b/packages/heatherarch-forward/decisions/engine_spread.ts
@@ -9,10 +9,6 @@
  * taken by different VMs. Half of it is drawn anew for each prompt; the other half stays, so that
  * a VM goes back to engines to which it has connections.
  *
- * Bought in a model of the readings alone (`npm run bench -- decide`, share of the worth asked
- * for, load 1.5 times its mean for a third of the time): 0.82 to 0.90 with 9 VMs before 10 engines
- * that read, 0.73 to 0.94 with 195 before 70, of 0.97 and 1.00 if all knew all at once.
- *
  * @module
  */
 import { computeRendezvousWeight } from "heatherarch-core";
@@ -26,10 +22,7 @@
   readonly mostMs?: number;
 }
 
-/**
- * About a short prompt. In the model 20 to 80 ms differ by less than seeds do from 9 VMs on; with 6
- * VMs before 4 engines 40 ms earn less (0.83 against 0.85).
- */
+/** About a short prompt: where engines are few, more leaves the idle ones to others. */
 const DEFAULT_MOST_MS = 20;
 const MAX_WEIGHT = 2 ** 32;
 /** Part of the added wait that stays. */
--- a/packages/heatherarch-forward/decisions/read_queue.ts
+++ b/packages/heatherarch-forward/decisions/read_queue.ts
@@ -10,9 +10,6 @@
  * their callers are about to leave. Before all of these go large prompts of which too few have been
  * read (`size_shares.ts`).
  *
- * Bought on a day of long and short prompts in turn, where four engines read: long prompts on
- * time 138 to 213 of 347, short ones 4,760 to 5,409 of 5,526 (docs/design/late_binding.md).
- *
  * @module
  */
 import type { Clock } from "heatherarch-core";
@@ -90,24 +87,20 @@
  */
 const MAX_LOOK_MS = 30;
 /**
- * Waiting prompts of one lane that are placed anew in one look. Where the first ones find all
- * engines full the next ones do too; each placement among 30 engines takes some 50 µs.
+ * Waiting prompts of one lane that are placed anew in one look: where the first ones find all
+ * engines full the next ones do too.
  */
 const MAX_LOOKED = 8;
 /** Pause between looks at the late calls, which may be many and are in no hurry. */
 const LATE_LOOK_MS = 40;
 /**
  * A rank further behind counts like this much less waiting, milliseconds. With strict ranks an
- * overload of the first rank leaves nothing to the others; on such a day long calls of the
- * second rank earned 0.43 of their worth instead of 0.36 (worth of the day 0.30 to 0.36), and
- * with 0 and 150 ms the worth was 0.31.
+ * overload of the first rank leaves nothing to the others.
  */
 const RANK_MS = 300;
 /**
  * A late call waits for this part of the time for which its caller does: the rest is too short
- * for it to be read and begun. Bursts of the users' days last some three seconds; with two
- * thirds of this wait more callers came back to be refused again (worth 0.29 instead of 0.32
- * over five days with trouble).
+ * for it to be read and begun. One that is refused sooner comes back into the same burst.
  */
 const LATE_PART = 0.85;
 /**
--- a/packages/heatherarch-forward/decisions/reader_board.ts
+++ b/packages/heatherarch-forward/decisions/reader_board.ts
@@ -3,8 +3,7 @@
  * prompts that are placed one after another.
  *
  * Pattern of load: in a burst a VM has ten and more prompts waiting and looks for engines some
- * tens of times a second. Filtering 82 engines and adding up their work takes 12 us a prompt, and
- * 0.6 us where the prompts of one look share it (a loop over both on one machine).
+ * tens of times a second. The prompts of one look share what is worked out for all of 82 engines.
  *
  * @module
  */
--- a/packages/heatherarch-forward/decisions/return_time.ts
+++ b/packages/heatherarch-forward/decisions/return_time.ts
@@ -4,8 +4,7 @@
  * Pattern of load: an overload lasts for seconds. A caller that has waited for two seconds in vain
  * and comes back after 0.2 s meets the same overload, is refused again, and takes the turn of
  * others. Half of the time that it waited is what the overload is known to last for, shortened
- * since it may end at any time: on a day of overloads and cuts 267 short calls were refused
- * instead of 745, and 41 in 1,000 of all instead of 86.
+ * since it may end at any time.
  *
  * @module
  */
--- a/packages/heatherarch-forward/decisions/role_plan.ts
+++ b/packages/heatherarch-forward/decisions/role_plan.ts
@@ -30,19 +30,17 @@
   readonly slots?: number;
 }
 
-/** Measured on the users' standard days; the table of trials is in docs/design/policy.md. */
 const DEFAULT_RUNNER_SHARE = 0.15;
 const DEFAULT_MIN_RUNNERS = 2;
 /**
  * From this many engines on a third one generates: crashes take a quarter of the engines at
- * once, and with two that generate they took both (bomnal scale-2, worth 0.64 against 0.49).
+ * once, and with two that generate they may take both.
  */
 const SPARE_RUNNER_ENGINES = 12;
 
 /**
- * Runs in progress for each engine that reads: half as many again as the 140 behind 29 engines on
- * the users' sheets with short answers. With 16 places an engine it makes 0.3 of the engines
- * generate; with 0.15 of them 1,161 runs were put back for want of places on a calm day.
+ * Runs in progress for each engine that reads: half as many again as on the users' sheets with
+ * short answers. Where engines have few places, more of them have to generate.
  */
 const RUNS_PER_READER = 7;
 /** Number of engines out of `count` that should generate. */
--- a/packages/heatherarch-forward/decisions/runner_return.ts
+++ b/packages/heatherarch-forward/decisions/runner_return.ts
@@ -4,9 +4,7 @@
  * Pattern of load: the engines that generate are drained or crash together, and others need some
  * seconds to take their role. Callers of streams leave when they have heard nothing for about two
  * seconds, so a call waits only where the engine comes within that time; any other is told at
- * once when to come back, before its prompt is read for nothing (on such a day, two drains of
- * two engines three seconds apart, prompts were read three times each and then refused: worth
- * 0.372).
+ * once when to come back, before its prompt is read for nothing.
  *
  * Pure: time comes in with each call.
  *
--- a/packages/heatherarch-forward/life/prompt_reading.ts
+++ b/packages/heatherarch-forward/life/prompt_reading.ts
@@ -27,9 +27,8 @@
 /** An answer is overdue when it comes this much later than latency and reading say. */
 const ANSWER_SLACK_MS = 10;
 /**
- * Share of the reading engines that read for late calls at a time, one at least. A long prompt
- * that is late anyway holds an engine for up to a second: without a bound on them 151 of 347
- * long calls were on time on a day of both lengths in turn, with it 199.
+ * Share of the reading engines that read for late calls at a time, one at least: a long prompt
+ * that is late anyway holds an engine for up to a second.
  */
 const LATE_SHARE = 0.25;
 /** Longest answer to a reading; it holds a handle and two numbers. */
