--- a/packages/heatherarch-forward/beliefs/read_model.ts
+++ b/packages/heatherarch-forward/beliefs/read_model.ts
@@ -110,8 +110,8 @@
 
   /** Time for which an engine that has nothing else to do reads. */
   predictAloneMs(target: string, fresh: number, cached: number): number {
-    const speed = Math.min(this.getOwnFactor(target), this.getFactor(target));
-    return this.#computePlainMs(fresh, cached) * speed;
+    const factor = Math.min(this.getOwnFactor(target), this.getFactor(target));
+    return this.#computePlainMs(fresh, cached) * factor;
   }
 
   /** Time from the end of a reading to its answer, milliseconds. */
--- a/packages/heatherarch-forward/decisions/size_shares.ts
+++ b/packages/heatherarch-forward/decisions/size_shares.ts
@@ -44,6 +44,8 @@
 const MIN_SIZES = 10;
 /** When so many prompts of a kind have been counted, all counts are halved. */
 const MAX_COUNTED = 512;
+/** Kinds come and go with configurations; that of the oldest first prompt is forgotten. */
+const MAX_KINDS = 256;
 const SIZE_CLASSES: readonly SizeClass[] = ["largest", "large", "usual"];
 
 /** The shares at one VM. */
@@ -93,9 +95,16 @@
       };
       kind = { sizes: [], next: 0, counts };
       this.#kinds.set(name, kind);
+      this.#dropOldest();
     }
     return kind;
   }
+
+  #dropOldest(): void {
+    if (this.#kinds.size <= MAX_KINDS) return;
+    const oldest = this.#kinds.keys().next().value as string;
+    this.#kinds.delete(oldest);
+  }
 }
 
 function buildCount(): Count {
--- a/packages/heatherarch-forward/tests/unit/size_shares_test.ts
+++ b/packages/heatherarch-forward/tests/unit/size_shares_test.ts
@@ -43,3 +43,9 @@
   serve(4000, true);
   assert.equal(shares.isBehind("known", "largest"), false);
 });
+
+test("kinds that configurations no longer name are forgotten", () => {
+  const shares = createShares();
+  for (let i = 0; i < 256; i++) shares.noteAsked(`kind ${i}`, 1000);
+  assert.equal(shares.noteAsked("known", 90_000), "usual");
+});
