--- a/packages/heatherarch-lab/tests/unit/overload_world_test.ts
+++ b/packages/heatherarch-lab/tests/unit/overload_world_test.ts
@@ -1,8 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { KindResult, OverloadKind } from "../../bench/overload_result.ts";
 import {
-  type KindResult,
-  type OverloadKind,
   type OverloadPhase,
   playOverload,
 } from "../../bench/overload_world.ts";
