Requests under which targets end are quarantined

Cause: nothing remembered what a call was. Each attempt has an id of its own, and a lost answer counted against the target only. The class: a retry limit that is kept by attempt where the fault travels with the content.

Change: VMs keep pairs of a request's digest and a life of a target that ended under it, and tell each other at once, on all links. An end is told from a lost answer by a connection right after it, or by the list. Three lives and no run that went well in between: the request is refused as not run, with the time that is left. Copies that wait or have their prompt read are ended, and each send asks once more. With two lives one copy goes at a time and the system repeats nothing itself. A run that goes well clears a request everywhere, so that popular ones beside a crash are served on.

Ruled out: counting lost answers (resets and cuts meet popular requests), the list alone (three heartbeats, later than the bound), a plain hash (a client account could have another one's request held back).

--- a/packages/heatherarch-core/errors.ts
+++ b/packages/heatherarch-core/errors.ts
@@ -59,6 +59,7 @@
   },
   overloaded: { status: 503, run: "no", retry: true, retryAfterMs: 1000 },
   noTarget: { status: 503, run: "no", retry: true, retryAfterMs: 2000 },
+  quarantined: { status: 503, run: "no", retry: true, retryAfterMs: 600_000 },
   notReady: { status: 503, run: "no", retry: true, retryAfterMs: 2000 },
   platformUnavailable: {
     status: 503,
--- /dev/null
+++ b/packages/heatherarch-forward/beliefs/request_quarantine.ts
@@ -0,0 +1,296 @@
+/**
+ * Requests under which targets have ended, and those of them that are held back.
+ *
+ * A request that ends the process of each target that runs it (a poison request, or query of
+ * death) is not told by a single loss: whatever ran beside it is lost as well, and targets end for
+ * other reasons. What tells it is that several lives of targets ended under it and that no run of
+ * it went well in between. So a run that goes well clears a request of all ends known by then.
+ *
+ * Facts are kept as pairs of a request and a life; a pair that was cleared stays cleared. So VMs
+ * may hear of them in any order and more than once. Pure: time comes in with each update.
+ *
+ * @module
+ */
+
+/**
+ * A fact for peers: digest of the request, its client account, the life that ended, 1 where that
+ * counts against the request or 0 where it was cleared, and the age of the fact, milliseconds.
+ */
+export type CrashNote = readonly [string, string, string, 0 | 1, number];
+
+/** A request that is held back. */
+export interface QuarantinedRequest {
+  readonly request: string;
+  readonly account: string;
+  /** Lives of targets that ended under it. */
+  readonly lives: readonly string[];
+  /** Monotonic times of the latest end, and of the end of the quarantine. */
+  readonly sinceMs: number;
+  readonly untilMs: number;
+}
+
+/** Whether a request may be sent. */
+export type Admission =
+  | { readonly kind: "free" }
+  /** It may be sent, and no copy of it until `end` is called. */
+  | { readonly kind: "trial"; readonly end: () => void }
+  /** A copy of it is on trial. */
+  | { readonly kind: "onTrial" }
+  | { readonly kind: "quarantined"; readonly held: QuarantinedRequest };
+
+/** Facts since some point. */
+export interface CrashNotes {
+  readonly notes: readonly CrashNote[];
+  /** Where the next ones begin. */
+  readonly cursor: number;
+}
+
+/** Options of {@linkcode RequestQuarantine}. */
+export interface RequestQuarantineOptions {
+  /** Lives that end under a request before it is held back. */
+  readonly maxCrashes?: number;
+  /** Time for which it is held back at first, milliseconds. */
+  readonly holdMs?: number;
+  /** Requests that are remembered; of all, and of one client account. */
+  readonly maxRequests?: number;
+  readonly maxPerAccount?: number;
+}
+
+interface Fact {
+  readonly isCleared: boolean;
+  readonly atMs: number;
+}
+
+interface Suspect {
+  readonly account: string;
+  readonly facts: Map<string, Fact>;
+}
+
+/** As many as may end under one request at all. */
+const DEFAULT_MAX_CRASHES = 3;
+const DEFAULT_HOLD_MS = 600_000;
+const DEFAULT_MAX_REQUESTS = 4096;
+const DEFAULT_MAX_PER_ACCOUNT = 256;
+/** Each further end doubles the time, up to so many times. */
+const MAX_DOUBLINGS = 6;
+/** Facts that are remembered for peers; one that is further behind is given all. */
+const MAX_CHANGES = 512;
+
+/** Requests that are suspected of ending targets. */
+export class RequestQuarantine {
+  readonly #options: Required<RequestQuarantineOptions>;
+  /** In the order of their latest facts. */
+  readonly #suspects = new Map<string, Suspect>();
+  readonly #onTrial = new Set<string>();
+  readonly #newsListeners = new Set<() => void>();
+  readonly #heldListeners = new Set<(request: string) => void>();
+  readonly #changes: [string, string][] = [];
+  #changesStart = 0;
+
+  constructor(options: RequestQuarantineOptions = {}) {
+    this.#options = {
+      maxCrashes: DEFAULT_MAX_CRASHES,
+      holdMs: DEFAULT_HOLD_MS,
+      maxRequests: DEFAULT_MAX_REQUESTS,
+      maxPerAccount: DEFAULT_MAX_PER_ACCOUNT,
+      ...options,
+    };
+  }
+
+  /** No request is suspected: nobody's digest matters. */
+  get isEmpty(): boolean {
+    return this.#suspects.size === 0;
+  }
+
+  /** A life of a target ended while it had the request. */
+  noteCrash(
+    request: string,
+    account: string,
+    life: string,
+    nowMs: number,
+  ): void {
+    if (this.#add(request, account, life, { isCleared: false, atMs: nowMs })) {
+      this.#notifyNews();
+    }
+  }
+
+  /** A run of the request went well, or an operator lifts the quarantine. */
+  clear(request: string, nowMs: number): boolean {
+    const suspect = this.#suspects.get(request);
+    if (suspect === undefined) return false;
+    let isNews = false;
+    for (const life of listCrashes(suspect)) {
+      const fact = { isCleared: true, atMs: nowMs };
+      isNews = this.#add(request, suspect.account, life, fact) || isNews;
+    }
+    if (isNews) this.#notifyNews();
+    return isNews;
+  }
+
+  /** Takes in what a peer knows. */
+  notePeer(notes: readonly CrashNote[], nowMs: number): void {
+    let isNews = false;
+    for (const [request, account, life, isCrash, ageMs] of notes) {
+      const fact = { isCleared: isCrash === 0, atMs: nowMs - ageMs };
+      isNews = this.#add(request, account, life, fact) || isNews;
+    }
+    if (isNews) this.#notifyNews();
+  }
+
+  /** Lives that ended under a request, as far as it is not cleared of them. */
+  countCrashes(request: string): number {
+    const suspect = this.#suspects.get(request);
+    return suspect === undefined ? 0 : listCrashes(suspect).length;
+  }
+
+  /** The quarantine of a request; undefined where it is not held back. */
+  findHeld(request: string, nowMs: number): QuarantinedRequest | undefined {
+    const suspect = this.#suspects.get(request);
+    if (suspect === undefined) return undefined;
+    const lives = listCrashes(suspect);
+    if (lives.length < this.#options.maxCrashes) return undefined;
+    const sinceMs = findLatest(suspect);
+    const untilMs = sinceMs + this.#computeHoldMs(lives.length);
+    if (nowMs >= untilMs) return undefined;
+    return { request, account: suspect.account, lives, sinceMs, untilMs };
+  }
+
+  /**
+   * Whether a request may be sent. With one more end it would be held back: then its copies go
+   * one at a time, so that several do not end as many targets at once.
+   */
+  admit(request: string, nowMs: number): Admission {
+    const held = this.findHeld(request, nowMs);
+    if (held !== undefined) return { kind: "quarantined", held };
+    if (!this.isLastTrial(request)) return { kind: "free" };
+    if (this.#onTrial.has(request)) return { kind: "onTrial" };
+    this.#onTrial.add(request);
+    return { kind: "trial", end: () => this.#onTrial.delete(request) };
+  }
+
+  /** Whether one more end under the request would have it held back. */
+  isLastTrial(request: string): boolean {
+    return this.countCrashes(request) >= this.#options.maxCrashes - 1;
+  }
+
+  /** All requests that are held back. */
+  listHeld(nowMs: number): QuarantinedRequest[] {
+    return [...this.#suspects.keys()]
+      .map((request) => this.findHeld(request, nowMs))
+      .filter((held) => held !== undefined);
+  }
+
+  /** Facts from `cursor` on, all of them without one; with their ages. */
+  listNotes(cursor: number | undefined, nowMs: number): CrashNotes {
+    const end = this.#changesStart + this.#changes.length;
+    const isKnown = cursor !== undefined && cursor >= this.#changesStart;
+    const changes = isKnown
+      ? this.#changes.slice(cursor - this.#changesStart)
+      : this.#listAll();
+    const notes = changes
+      .map(([request, life]) => this.#buildNote(request, life, nowMs))
+      .filter((note) => note !== undefined);
+    return { notes, cursor: end };
+  }
+
+  /** Forgets requests of which nothing was heard for as long again as they were held back. */
+  expire(nowMs: number): void {
+    for (const [request, suspect] of this.#suspects) {
+      const crashes = listCrashes(suspect).length;
+      const keptMs = this.#computeHoldMs(crashes) + this.#options.holdMs;
+      if (nowMs - findLatest(suspect) > keptMs) this.#suspects.delete(request);
+    }
+  }
+
+  /** Registers a listener for facts that are new to this VM and returns its undo. */
+  registerNewsListener(listener: () => void): () => void {
+    this.#newsListeners.add(listener);
+    return () => {
+      this.#newsListeners.delete(listener);
+    };
+  }
+
+  /** Registers a listener for requests that are held back from now on and returns its undo. */
+  registerHeldListener(listener: (request: string) => void): () => void {
+    this.#heldListeners.add(listener);
+    return () => {
+      this.#heldListeners.delete(listener);
+    };
+  }
+
+  /** Returns whether the fact is new. */
+  #add(request: string, account: string, life: string, fact: Fact): boolean {
+    const suspect = this.#suspects.get(request) ??
+      { account, facts: new Map<string, Fact>() };
+    const known = suspect.facts.get(life);
+    if (known?.isCleared) return false;
+    if (known !== undefined && !fact.isCleared) return false;
+    suspect.facts.set(life, fact);
+    this.#suspects.delete(request);
+    this.#suspects.set(request, suspect);
+    this.#record(request, life);
+    this.#dropExcess(account);
+    const crashes = listCrashes(suspect).length;
+    if (!fact.isCleared && crashes >= this.#options.maxCrashes) {
+      for (const listener of [...this.#heldListeners]) listener(request);
+    }
+    return true;
+  }
+
+  #computeHoldMs(crashes: number): number {
+    const { holdMs, maxCrashes } = this.#options;
+    const doublings = Math.max(0, crashes - maxCrashes);
+    return holdMs * 2 ** Math.min(doublings, MAX_DOUBLINGS);
+  }
+
+  /** The requests heard of longest ago go first; an account can't push out those of others. */
+  #dropExcess(account: string): void {
+    const own = [...this.#suspects]
+      .filter(([, suspect]) => suspect.account === account);
+    if (own.length > this.#options.maxPerAccount) {
+      this.#suspects.delete(own[0][0]);
+    }
+    const [oldest] = this.#suspects.keys();
+    if (this.#suspects.size > this.#options.maxRequests) {
+      this.#suspects.delete(oldest);
+    }
+  }
+
+  #record(request: string, life: string): void {
+    this.#changes.push([request, life]);
+    if (this.#changes.length <= MAX_CHANGES) return;
+    this.#changes.shift();
+    this.#changesStart++;
+  }
+
+  #listAll(): [string, string][] {
+    return [...this.#suspects].flatMap(([request, { facts }]) =>
+      [...facts.keys()].map((life): [string, string] => [request, life])
+    );
+  }
+
+  #buildNote(
+    request: string,
+    life: string,
+    nowMs: number,
+  ): CrashNote | undefined {
+    const suspect = this.#suspects.get(request);
+    const fact = suspect?.facts.get(life);
+    if (suspect === undefined || fact === undefined) return undefined;
+    const ageMs = Math.max(0, Math.round(nowMs - fact.atMs));
+    return [request, suspect.account, life, fact.isCleared ? 0 : 1, ageMs];
+  }
+
+  #notifyNews(): void {
+    for (const listener of [...this.#newsListeners]) listener();
+  }
+}
+
+function listCrashes({ facts }: Suspect): string[] {
+  return [...facts].filter(([, fact]) => !fact.isCleared).map(([life]) => life);
+}
+
+/** Monotonic time of the latest fact. */
+function findLatest({ facts }: Suspect): number {
+  return Math.max(...[...facts.values()].map(({ atMs }) => atMs));
+}
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -19,6 +19,7 @@
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PromptIndex } from "../beliefs/prompt_index.ts";
+import type { RequestQuarantine } from "../beliefs/request_quarantine.ts";
 import type { WorkLedger } from "../beliefs/work_ledger.ts";
 
 /** Options of {@linkcode FleetMesh}. */
@@ -51,6 +52,7 @@
   readonly log: EventLog;
   readonly ledger: WorkLedger;
   readonly prompts: PromptIndex;
+  readonly quarantine: RequestQuarantine;
   readonly configs: ConfigView;
   /** Reads the configuration from the store, once. */
   readonly loadConfig: () => Promise<void>;
@@ -68,6 +70,8 @@
   readonly mayOrder: () => boolean;
 }
 
+type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
+
 const CONFIG_CALL = "config";
 const CALL_TIMEOUT_MS = 1000;
 /** The store brings a configuration sooner as a rule; a peer is asked after this time. */
@@ -86,6 +90,8 @@
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
+  /** Facts on requests that end targets, told on each link so far. */
+  readonly #toldCrashes = new WeakMap<Link, number>();
   /** Time of the reading of the list that was last told on each link. */
   readonly #toldReadAtMs = new WeakMap<Link, number>();
   /** Peers that could give orders when they were last heard. */
@@ -94,7 +100,7 @@
   #hasList = false;
   #liveVms = 0;
   #leaving = false;
-  #undoListener: (() => void) | undefined;
+  readonly #undoListeners: (() => void)[] = [];
 
   constructor(options: FleetMeshOptions) {
     this.#options = options;
@@ -152,10 +158,14 @@
       (body) => Promise.resolve(this.#answerConfig(body)),
     );
     await this.#node.start();
-    this.#undoListener = this.#options.ledger.registerOwnListener(() => {
-      // A hub tells sums of many VMs, which change all the time.
-      if (!this.#membership.isHub) this.#node.noteNews();
-    });
+    const { ledger, quarantine } = this.#options;
+    this.#undoListeners.push(
+      ledger.registerOwnListener(() => {
+        // A hub tells sums of many VMs, which change all the time.
+        if (!this.#membership.isHub) this.#node.noteNews();
+      }),
+      quarantine.registerNewsListener(() => this.#node.noteNews()),
+    );
     this.#list.start();
   }
 
@@ -167,7 +177,7 @@
   }
 
   stop(): void {
-    this.#undoListener?.();
+    for (const undo of this.#undoListeners) undo();
     this.#list.stop();
     this.#node.stop();
   }
@@ -249,7 +259,9 @@
     const parts = this.#membership.hasHubs
       ? this.#hubs.build(link, peer)
       : this.#buildMeshParts(link);
-    if (parts === undefined && !this.#leaving) return undefined;
+    const crashes = this.#buildCrashes(link);
+    const isEmpty = parts === undefined && crashes.crashes === undefined;
+    if (isEmpty && !this.#leaving) return undefined;
     return {
       kind: "heartbeat",
       configOffset: configs.version,
@@ -259,10 +271,24 @@
       leavingTargets: [],
       mayOrder: mayOrder(),
       ...this.#buildListAge(link),
+      ...crashes,
       ...parts,
     };
   }
 
+  /** Each VM passes on what is new to it, so that it reaches all over any links. */
+  #buildCrashes(link: Link): Pick<Heartbeat, "crashes"> {
+    const { quarantine, clock } = this.#options;
+    if (quarantine.isEmpty) return {};
+    const { notes, cursor } = quarantine.listNotes(
+      this.#toldCrashes.get(link),
+      clock.readMonotonicMs(),
+    );
+    this.#toldCrashes.set(link, cursor);
+    if (notes.length === 0) return {};
+    return { crashes: notes.map((note): CrashMessage => [...note]) };
+  }
+
   /** Peers learn from each new reading that the store is there. */
   #buildListAge(link: Link): Pick<Heartbeat, "listAgeMs"> {
     const { clock, getListReadAtMs } = this.#options;
@@ -295,6 +321,11 @@
   ): void {
     if (this.#membership.hasHubs) this.#hubs.take(heartbeat, from, waitedMs);
     else this.#takeMeshParts(heartbeat, from);
+    if (heartbeat.crashes !== undefined) {
+      const { quarantine, clock } = this.#options;
+      const atMs = clock.readMonotonicMs() - waitedMs;
+      quarantine.notePeer(heartbeat.crashes, atMs);
+    }
     if (heartbeat.mayOrder) this.#orderers.add(from.id);
     else this.#orderers.delete(from.id);
     if (heartbeat.listAgeMs !== undefined) {
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -32,6 +32,7 @@
 import { ReadQueue } from "./decisions/read_queue.ts";
 import { ReaderBoard } from "./decisions/reader_board.ts";
 import { RetryAllowance } from "./beliefs/retry_allowance.ts";
+import { RequestQuarantine } from "./beliefs/request_quarantine.ts";
 import { RoleKeeper } from "./tasks/role_keeper.ts";
 import type { Serving } from "./serving.ts";
 import { StatusServer } from "./tasks/status_server.ts";
@@ -131,6 +132,7 @@
       listen,
     });
     this.#watchConfig();
+    this.#watchQuarantine();
     this.#surveyOnceListed();
     await Promise.all([
       ingress.start(),
@@ -181,23 +183,36 @@
     const { share, fixedPerWindow, windowSeconds } = this.#settings.retries;
     const windowMs = windowSeconds * 1000;
     const readModel = new ReadModel();
+    const metrics = new ForwardMetrics();
+    const directory = new TargetDirectory({
+      targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
+    });
+    const { maxCrashes, holdSeconds } = this.#settings.quarantine;
+    const quarantine = new RequestQuarantine({
+      maxCrashes,
+      holdMs: holdSeconds * 1000,
+    });
     this.#container.register({
       clock: asValue(this.#clock),
       log: asValue(this.#log),
       codec: asValue(this.#ports.codec),
-      metrics: asValue(new ForwardMetrics()),
+      metrics: asValue(metrics),
       configs: asValue(new ConfigView()),
-      directory: asValue(
-        new TargetDirectory({
-          targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
+      directory: asValue(directory),
+      quarantine: asValue(quarantine),
+      losses: asValue(
+        new LossInquiry({
+          targetProbe: new TargetProbe(),
+          quarantine,
+          directory,
+          clock: this.#clock,
+          log: this.#log,
+          metrics,
         }),
       ),
       health: asValue(new TargetHealth()),
       ledger: asValue(new WorkLedger()),
       connections: asValue(new TargetConnections()),
-      losses: asValue(
-        new LossInquiry({ targetProbe: new TargetProbe(), log: this.#log }),
-      ),
       allowance: asValue(
         new RetryAllowance({ share, fixedPerWindow, windowMs }),
       ),
@@ -267,6 +282,7 @@
       log: parts.log,
       ledger: parts.ledger,
       prompts: parts.prompts,
+      quarantine: parts.quarantine,
       configs: parts.configs,
       directory: parts.directory,
       getListAgeMs: () => parts.reading.getListAgeMs(),
@@ -324,6 +340,7 @@
       configs: parts.configs,
       directory: parts.directory,
       connections: parts.connections,
+      losses: parts.losses,
       prompts: parts.prompts,
       health: parts.health,
       readModel: parts.readModel,
@@ -339,6 +356,20 @@
     });
   }
 
+  #watchQuarantine(): void {
+    const { quarantine, clock } = this.#parts;
+    quarantine.registerHeldListener((request) => {
+      const held = quarantine.findHeld(request, clock.readMonotonicMs());
+      if (held === undefined) return;
+      this.#log.write("warn", "requestQuarantined", {
+        request,
+        account: held.account,
+        endedTargets: held.lives,
+        holdMs: Math.round(held.untilMs - held.sinceMs),
+      });
+    });
+  }
+
   /** Surveys the engines' caches as soon as they are listed. */
   #surveyOnceListed(): void {
     const parts = this.#parts;
@@ -384,6 +415,7 @@
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.tend();
     metrics.listAge.set(reading.getKnownAgeMs() / 1000);
+    this.#sweepQuarantine();
     reading.forgetDropped("otherIncarnation");
     const gone = directory.expire(this.#clock.readMonotonicMs());
     metrics.targets.set(directory.size);
@@ -397,6 +429,14 @@
     this.#noteChanging(roles.listChanging());
   }
 
+  #sweepQuarantine(): void {
+    const { quarantine, metrics } = this.#parts;
+    if (quarantine.isEmpty) return;
+    const nowMs = this.#clock.readMonotonicMs();
+    quarantine.expire(nowMs);
+    metrics.requestsQuarantined.set(quarantine.listHeld(nowMs).length);
+  }
+
   async #listenStatus(status: StatusServer, address: string): Promise<void> {
     const { host, port } = splitAddress(address);
     await status.listen(host, port);
--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -9,14 +9,15 @@
   ServeError,
   type ServeErrorOptions,
 } from "heatherarch-core";
+import type { QuarantinedRequest } from "../beliefs/request_quarantine.ts";
 import type { CallerPort } from "./caller_port.ts";
 import type { LogLevel } from "../event_log.ts";
 import type { ForwardedCall, Route, ServiceSpec } from "../model.ts";
 import type { EncodedTry } from "../ports.ts";
 import type { Serving } from "../serving.ts";
 import type { Target } from "../model.ts";
-import { hashRequest } from "./request_digest.ts";
-import type { ExchangeError, TargetExchange } from "./target_exchange.ts";
+import { RequestGuard } from "./request_guard.ts";
+import { buildUnsentExchange, type TargetExchange } from "./target_exchange.ts";
 
 /** How a call ended, for logs and metrics. */
 export type CallOutcome =
@@ -38,6 +39,9 @@
   readonly caller: CallerPort;
 }
 
+/** A trial takes as long as a run of the request, and the word of its end. */
+const TRIAL_RETRY_AFTER_MS = 1000;
+const HELD_REASON = "the request is quarantined: targets end when they run it";
 /** Pauses between tries that found no target at once, milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -51,12 +55,12 @@
   /** Monotonic time at which neither client nor route waits any longer. */
   readonly endAtMs: number;
   readonly #configVersion: number;
+  readonly #guard: RequestGuard;
   readonly #timer: NodeJS.Timeout;
   readonly #undoGone: () => void;
   readonly #ended: Promise<void>;
   #resolveEnded!: () => void;
   #exchange: TargetExchange | undefined;
-  #request: string | undefined;
   #outcome: CallOutcome | undefined;
   #tries = 0;
   #lastTarget: string | undefined;
@@ -79,6 +83,11 @@
       () => this.#expire(),
       Math.max(0, this.remainingMs),
     );
+    this.#guard = new RequestGuard({
+      serving: options.serving,
+      call: options.call,
+      onHeld: (held) => this.#holdBack(held),
+    });
     this.#undoGone = this.caller.registerGone(() => this.#leave());
     this.serving.allowance.noteCall(this.service.name, this.nowMs);
   }
@@ -101,11 +110,6 @@
     return this.#outcome !== undefined;
   }
 
-  /** Digest of the request, which its repeats share. */
-  get request(): string {
-    return this.#request ??= hashRequest(this.call);
-  }
-
   /** Settles when the call has ended. */
   get ended(): Promise<void> {
     return this.#ended;
@@ -124,16 +128,43 @@
     return this.#runs < maxTargets;
   }
 
+  /** Ends the call where its request may not be sent; returns whether it goes on. */
+  admit(): boolean {
+    const admission = this.#guard.admit();
+    if (admission.kind === "quarantined") this.#refuseHeld(admission.held);
+    if (admission.kind === "onTrial") {
+      this.refuse("overloaded", "another copy of the request is on trial", {
+        retryAfterMs: TRIAL_RETRY_AFTER_MS,
+        detail: { request: this.#guard.request },
+      });
+    }
+    return !this.isOver;
+  }
+
+  /**
+   * Whether a further try may be made after what was lost. Waits for word of targets that may have
+   * ended, and ends the call where its request is held back.
+   */
+  async mayRepeat(): Promise<boolean> {
+    const mayRepeat = await this.#guard.mayRepeat();
+    if (this.isOver) return false;
+    const held = this.#guard.findHeld();
+    if (held === undefined) return mayRepeat;
+    if (this.mayHaveRun) this.fail("targetFailed", HELD_REASON);
+    else this.#refuseHeld(held);
+    return false;
+  }
+
   /** Sends a try and makes it the one that an early end of the call cancels. */
   send(target: Target, request: EncodedTry): TargetExchange {
     assertInvariant(!this.isOver, "call-open", this.call.id);
     this.#tries++;
     this.#lastTarget = target.id;
-    const exchange = this.serving.connections.open(target, request);
+    const exchange = this.#guard.findHeld() === undefined
+      ? this.serving.connections.open(target, request)
+      : buildUnsentExchange("the request is quarantined");
     this.#exchange = exchange;
-    void exchange.ended.then((end) => {
-      if (end !== "ended" && end.fault === "lost") this.#inquire(target, end);
-    });
+    this.#guard.follow(target, exchange);
     return exchange;
   }
 
@@ -159,6 +190,7 @@
     this.#outcome = outcome;
     clearTimeout(this.#timer);
     this.#undoGone();
+    this.#guard.end(outcome === "delivered");
     const { log, metrics } = this.serving;
     const { kind } = this.route;
     metrics.calls.inc({ kind, outcome });
@@ -181,7 +213,7 @@
 
   /** Refuses the call, which has not run. */
   refuse(
-    kind: "noTarget" | "overloaded",
+    kind: "noTarget" | "overloaded" | "quarantined",
     reason: string,
     options: ServeErrorOptions & { detail?: Record<string, unknown> } = {},
   ): void {
@@ -208,12 +240,19 @@
     this.finish("failed", { reason });
   }
 
-  #inquire(target: Target, error: ExchangeError): void {
-    void this.serving.losses.take({
-      call: this.call.id,
-      request: this.request,
-      target,
-      reason: error.message,
+  /** A call that waits or has its prompt read ends; a run may still show that it goes well. */
+  #holdBack(held: QuarantinedRequest): void {
+    if (this.isOver || this.mayHaveRun) return;
+    const exchange = this.#exchange;
+    this.#refuseHeld(held);
+    exchange?.abort(HELD_REASON);
+  }
+
+  #refuseHeld({ request, lives, untilMs }: QuarantinedRequest): void {
+    this.serving.metrics.callsQuarantined.inc();
+    this.refuse("quarantined", HELD_REASON, {
+      retryAfterMs: untilMs - this.nowMs,
+      detail: { request, endedTargets: lives },
     });
   }
 
--- a/packages/heatherarch-forward/life/call_server.ts
+++ b/packages/heatherarch-forward/life/call_server.ts
@@ -86,6 +86,7 @@
   }
 
   async #serveRun(run: CallRun): Promise<void> {
+    if (!run.admit()) return;
     const isStream = run.route.kind === "stream" ||
       run.route.kind === "resumableStream";
     if (!isStream) return await new PlainLife(run).serve();
--- a/packages/heatherarch-forward/life/generation_life.ts
+++ b/packages/heatherarch-forward/life/generation_life.ts
@@ -60,6 +60,7 @@
 
   async serve(): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && this.#mayGoOn(); round++) {
+      if (round > 0 && !await this.#run.mayRepeat()) break;
       if (this.#pickRunner(undefined) === undefined && !this.#mayWait()) {
         return this.#refuseIdle(undefined);
       }
--- a/packages/heatherarch-forward/life/plain_life.ts
+++ b/packages/heatherarch-forward/life/plain_life.ts
@@ -54,6 +54,7 @@
       if (result.kind !== "notSent") isFurther = true;
       this.#noteResult(result);
       if (!run.mayRunAgain || run.remainingMs < MIN_TRY_MS) break;
+      if (!await run.mayRepeat()) break;
     }
     this.#conclude();
   }
--- /dev/null
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -0,0 +1,124 @@
+/**
+ * Keeps a call from being sent where its request ends the targets that run it.
+ *
+ * @module
+ */
+import { sleep } from "heatherarch-core";
+import type {
+  Admission,
+  QuarantinedRequest,
+} from "../beliefs/request_quarantine.ts";
+import type { ForwardedCall, Target } from "../model.ts";
+import type { Serving } from "../serving.ts";
+import { hashRequest } from "./request_digest.ts";
+import type { TargetExchange } from "./target_exchange.ts";
+
+/** A refused connection tells within a round trip; a silent target is not waited for longer. */
+const MAX_INQUIRY_MS = 100;
+
+/** Options of {@linkcode RequestGuard}. */
+export interface RequestGuardOptions {
+  readonly serving: Serving;
+  readonly call: ForwardedCall;
+  /** Called when the request is held back while the call is in progress. */
+  readonly onHeld: (held: QuarantinedRequest) => void;
+}
+
+/** The guard of one call. */
+export class RequestGuard {
+  readonly #options: RequestGuardOptions;
+  readonly #undoListener: () => void;
+  #request: string | undefined;
+  #inquiries: Promise<unknown>[] = [];
+  #hasLost = false;
+  #endTrial: (() => void) | undefined;
+
+  constructor(options: RequestGuardOptions) {
+    this.#options = options;
+    this.#undoListener = options.serving.quarantine.registerHeldListener(
+      (request) => {
+        if (request !== this.request) return;
+        const held = this.findHeld();
+        if (held !== undefined) options.onHeld(held);
+      },
+    );
+  }
+
+  /** Digest of the request, which its repeats share. */
+  get request(): string {
+    return this.#request ??= hashRequest(this.#options.call);
+  }
+
+  /** Whether the call may be sent for the first time. */
+  admit(): Admission {
+    const { quarantine, clock } = this.#options.serving;
+    if (quarantine.isEmpty) return { kind: "free" };
+    const admission = quarantine.admit(
+      this.request,
+      clock.readMonotonicMs(),
+    );
+    if (admission.kind === "trial") this.#endTrial = admission.end;
+    return admission;
+  }
+
+  /** The quarantine of the request; undefined where it is not held back. */
+  findHeld(): QuarantinedRequest | undefined {
+    const { quarantine, clock } = this.#options.serving;
+    if (quarantine.isEmpty) return undefined;
+    return quarantine.findHeld(this.request, clock.readMonotonicMs());
+  }
+
+  /**
+   * Whether the call may be sent again. One whose next loss would have the request held back is
+   * left to its client to repeat: until then the VMs hear of the last one.
+   */
+  async mayRepeat(): Promise<boolean> {
+    const inquiries = this.#inquiries;
+    this.#inquiries = [];
+    if (inquiries.length > 0) {
+      await Promise.race([Promise.all(inquiries), sleep(MAX_INQUIRY_MS)]);
+    }
+    if (!this.#hasLost) return true;
+    return !this.#options.serving.quarantine.isLastTrial(this.request);
+  }
+
+  /** Follows an exchange to its end. */
+  follow(target: Target, exchange: TargetExchange): void {
+    const { losses } = this.#options.serving;
+    const { id, host } = this.#options.call;
+    void exchange.ended.then((end) => {
+      if (end === "ended") return;
+      if (end.isConnectionRefused) {
+        losses.noteEnded(target.id, "refusedConnection");
+      }
+      if (end.fault !== "lost") return;
+      this.#hasLost = true;
+      this.#inquiries.push(losses.take({
+        call: id,
+        request: this.request,
+        account: host,
+        target,
+        reason: end.message,
+      }));
+    });
+  }
+
+  /** The call has ended; with `isDelivered` by an answer of a target. */
+  end(isDelivered: boolean): void {
+    this.#undoListener();
+    this.#endTrial?.();
+    if (isDelivered) this.#clear();
+  }
+
+  #clear(): void {
+    const { quarantine, clock, log } = this.#options.serving;
+    if (quarantine.isEmpty) return;
+    const crashes = quarantine.countCrashes(this.request);
+    if (!quarantine.clear(this.request, clock.readMonotonicMs())) return;
+    log.write("info", "requestCleared", {
+      call: this.#options.call.id,
+      request: this.request,
+      crashes,
+    });
+  }
+}
--- a/packages/heatherarch-forward/life/target_exchange.ts
+++ b/packages/heatherarch-forward/life/target_exchange.ts
@@ -34,6 +34,11 @@
     this.name = "ExchangeError";
     this.fault = fault;
   }
+
+  /** No process listens at the target's address. */
+  get isConnectionRefused(): boolean {
+    return (this.cause as NodeJS.ErrnoException)?.code === "ECONNREFUSED";
+  }
 }
 
 /** Takes the body of an answer as it comes. */
@@ -54,6 +59,9 @@
   readonly isCutOff: () => boolean;
 }
 
+/** Stands for the controller that an exchange without a connection has not. */
+const NO_CONTROLLER = undefined as unknown as Controller;
+
 /** An exchange in progress. */
 export class TargetExchange {
   /** Resolves with the head; rejects with an {@linkcode ExchangeError}. */
@@ -71,7 +79,7 @@
   readonly #hooks: ExchangeHooks;
 
   constructor(
-    dispatcher: Dispatcher,
+    dispatcher: Pick<Dispatcher, "dispatch">,
     origin: string,
     request: EncodedTry,
     hooks: ExchangeHooks,
@@ -207,3 +215,23 @@
     this.#listener?.onFault(end);
   }
 }
+
+/** An exchange that ends at once, with nothing sent. */
+export function buildUnsentExchange(reason: string): TargetExchange {
+  const dispatcher = {
+    dispatch: (
+      _options: Dispatcher.DispatchOptions,
+      handler: Dispatcher.DispatchHandler,
+    ): boolean => {
+      queueMicrotask(() =>
+        handler.onResponseError?.(NO_CONTROLLER, new Error(reason))
+      );
+      return true;
+    },
+  };
+  const request = { path: "/", method: "GET", headers: [], body: null };
+  return new TargetExchange(dispatcher, "", request, {
+    onDone: () => undefined,
+    isCutOff: () => false,
+  });
+}
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -85,6 +85,21 @@
     help: "Entries of the store that could not be understood from some time on",
     registers: [this.registry],
   });
+  readonly targetsEnded = new Counter({
+    name: "heatherarch_targets_ended_total",
+    help: "Lives of targets that ended while they had calls of this VM",
+    registers: [this.registry],
+  });
+  readonly callsQuarantined = new Counter({
+    name: "heatherarch_calls_quarantined_total",
+    help: "Calls refused because targets end when they run their request",
+    registers: [this.registry],
+  });
+  readonly requestsQuarantined = new Gauge({
+    name: "heatherarch_requests_quarantined",
+    help: "Requests that are held back",
+    registers: [this.registry],
+  });
   readonly liveVms = new Gauge({
     name: "heatherarch_live_vms",
     help: "Entry VMs that answer, this one included",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -25,6 +25,8 @@
 export * from "./tasks/ingress.ts";
 export * from "./decisions/lanes.ts";
 export * from "./life/request_digest.ts";
+export * from "./life/request_guard.ts";
+export * from "./beliefs/request_quarantine.ts";
 export * from "./life/target_probe.ts";
 export * from "./tasks/loss_inquiry.ts";
 export * from "./fleet/list_relief.ts";
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -15,6 +15,7 @@
 import type { PromptPlacer } from "./decisions/prompt_placement.ts";
 import type { ReadModel } from "./beliefs/read_model.ts";
 import type { ReadQueue } from "./decisions/read_queue.ts";
+import type { RequestQuarantine } from "./beliefs/request_quarantine.ts";
 import type { ReaderBoard } from "./decisions/reader_board.ts";
 import type { RetryAllowance } from "./beliefs/retry_allowance.ts";
 import type { TargetConnections } from "./life/target_connections.ts";
@@ -32,6 +33,7 @@
   readonly ledger: WorkLedger;
   readonly connections: TargetConnections;
   readonly losses: LossInquiry;
+  readonly quarantine: RequestQuarantine;
   readonly allowance: RetryAllowance;
   readonly placer: PromptPlacer;
   readonly spread: EngineSpread;
--- a/packages/heatherarch-forward/tasks/loss_inquiry.ts
+++ b/packages/heatherarch-forward/tasks/loss_inquiry.ts
@@ -1,31 +1,57 @@
 /**
- * Looks into exchanges that ended without an answer: a target that has ended refuses
- * connections, one that lost an answer or a connection does not.
+ * Looks into exchanges that ended without an answer: whether the target's process ended, which
+ * counts against all requests that it had, or only an answer or a connection was lost.
  *
  * @module
  */
+import type { Clock } from "heatherarch-core";
+import type { RequestQuarantine } from "../beliefs/request_quarantine.ts";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import type { EventLog } from "../event_log.ts";
-import type { Target } from "../model.ts";
 import type { ProbeResult, TargetProbe } from "../life/target_probe.ts";
+import type { ForwardMetrics } from "../metrics.ts";
+import type { Target } from "../model.ts";
 
 /** An exchange that was sent and ended without a whole answer. */
 export interface Loss {
   readonly call: string;
-  /** Digest of the request. */
+  /** Digest of the request, and the client account that sent it. */
   readonly request: string;
+  readonly account: string;
   readonly target: Target;
   readonly reason: string;
 }
 
+/** What showed that a life of a target has ended. */
+export type EndEvidence = "refusedConnection" | "unlisted";
+
 /** Options of {@linkcode LossInquiry}. */
 export interface LossInquiryOptions {
   readonly targetProbe: Pick<TargetProbe, "probe">;
+  readonly quarantine: RequestQuarantine;
+  readonly directory: TargetDirectory;
+  readonly clock: Clock;
   readonly log: EventLog;
+  readonly metrics: ForwardMetrics;
 }
 
+interface OpenLoss {
+  readonly request: string;
+  readonly account: string;
+  readonly atMs: number;
+}
+
+/** The list drops a target that ended after three of its heartbeats and a reading, milliseconds. */
+const OPEN_MS = 6000;
+/** Losses that wait for word of their target. */
+const MAX_OPEN = 1024;
+
 /** Inquires into lost exchanges. */
 export class LossInquiry {
   readonly #options: LossInquiryOptions;
+  /** By life of the target. */
+  readonly #open = new Map<string, OpenLoss[]>();
+  #openCount = 0;
 
   constructor(options: LossInquiryOptions) {
     this.#options = options;
@@ -35,6 +61,7 @@
   async take(loss: Loss): Promise<ProbeResult> {
     const { call, request, target, reason } = loss;
     const { targetProbe, log } = this.#options;
+    this.#addOpen(loss);
     const probe = await targetProbe.probe(target);
     log.write("info", "exchangeLost", {
       call,
@@ -44,6 +71,44 @@
       reason,
       probe,
     });
+    if (probe === "refused") this.noteEnded(target.id, "refusedConnection");
     return probe;
   }
+
+  /** A life of a target has ended: it counts against all requests that were lost there. */
+  noteEnded(life: string, evidence: EndEvidence): void {
+    const { quarantine, clock, log, metrics } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    const losses = (this.#open.get(life) ?? [])
+      .filter(({ atMs }) => nowMs - atMs <= OPEN_MS);
+    this.#dropOpen(life);
+    if (losses.length === 0) return;
+    metrics.targetsEnded.inc();
+    log.write("warn", "targetEnded", {
+      target: life,
+      evidence,
+      requests: [...new Set(losses.map(({ request }) => request))],
+    });
+    for (const { request, account, atMs } of losses) {
+      quarantine.noteCrash(request, account, life, atMs);
+    }
+  }
+
+  /** A target that has announced its end, or is listed no more, ends by itself. */
+  #addOpen({ request, account, target }: Loss): void {
+    const { directory, clock } = this.#options;
+    if (directory.findTarget(target.id)?.leaving !== false) return;
+    const losses = this.#open.get(target.id) ?? [];
+    losses.push({ request, account, atMs: clock.readMonotonicMs() });
+    this.#openCount++;
+    this.#open.delete(target.id);
+    this.#open.set(target.id, losses);
+    const [oldest] = this.#open.keys();
+    if (this.#openCount > MAX_OPEN) this.#dropOpen(oldest);
+  }
+
+  #dropOpen(life: string): void {
+    this.#openCount -= this.#open.get(life)?.length ?? 0;
+    this.#open.delete(life);
+  }
 }
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -16,6 +16,7 @@
 import type { TargetConnections } from "../life/target_connections.ts";
 import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import type { TargetHealth } from "../beliefs/target_health.ts";
+import type { LossInquiry } from "./loss_inquiry.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
 /** Options of {@linkcode StoreReading}. */
@@ -34,6 +35,7 @@
   readonly configs: ConfigView;
   readonly directory: TargetDirectory;
   readonly connections: TargetConnections;
+  readonly losses: LossInquiry;
   readonly prompts: PromptIndex;
   readonly health: TargetHealth;
   readonly readModel: ReadModel;
@@ -209,7 +211,8 @@
   }
 
   #forget(target: string): void {
-    const { prompts, health, readModel, spread } = this.#options;
+    const { losses, prompts, health, readModel, spread } = this.#options;
+    losses.noteEnded(target, "unlisted");
     prompts.forgetTarget(target);
     health.forget(target);
     readModel.forget(target);
--- a/packages/heatherarch-forward/tests/unit/lives_world.ts
+++ b/packages/heatherarch-forward/tests/unit/lives_world.ts
@@ -24,6 +24,7 @@
   ReaderBoard,
   ReadModel,
   ReadQueue,
+  RequestQuarantine,
   RetryAllowance,
   type Serving,
   type Target,
@@ -161,6 +162,8 @@
     const connections = new TargetConnections();
     connections.open = (target, request) => this.#open(target, request);
     const log = new MemoryEventLog();
+    const metrics = new ForwardMetrics();
+    const quarantine = new RequestQuarantine();
     return {
       clock,
       codec: buildCodec(),
@@ -168,9 +171,14 @@
       health: new TargetHealth(),
       ledger: new WorkLedger(),
       connections,
+      quarantine,
       losses: new LossInquiry({
         targetProbe: { probe: () => Promise.resolve("accepted") },
+        quarantine,
+        directory: this.#directory,
+        clock,
         log,
+        metrics,
       }),
       allowance: new RetryAllowance({
         fixedPerWindow: 1000,
@@ -186,7 +194,7 @@
       readQueue: new ReadQueue({ clock }),
       readerBoard: new ReaderBoard(),
       log,
-      metrics: new ForwardMetrics(),
+      metrics,
       drawUnit: () => 0,
     } as unknown as Serving;
   }
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/loss_inquiry_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Clock } from "heatherarch-core";
+import {
+  ForwardMetrics,
+  LossInquiry,
+  MemoryEventLog,
+  type ProbeResult,
+  RequestQuarantine,
+  type Target,
+  TargetDirectory,
+} from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
+
+const TARGET = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
+
+/** An inquiry whose probes all meet `result`, about one listed target. */
+function build(result: ProbeResult, target: Target = TARGET) {
+  let nowMs = 0;
+  const directory = new TargetDirectory();
+  directory.applyList([{ key: "t", value: target }], 0);
+  const quarantine = new RequestQuarantine();
+  const inquiry = new LossInquiry({
+    targetProbe: { probe: () => Promise.resolve(result) },
+    quarantine,
+    directory,
+    clock: { readMonotonicMs: () => nowMs } as unknown as Clock,
+    log: new MemoryEventLog(),
+    metrics: new ForwardMetrics(),
+  });
+  const lose = (request: string) =>
+    inquiry.take({
+      call: "c",
+      request,
+      account: "a",
+      target,
+      reason: "other side closed",
+    });
+  const wait = (ms: number): void => {
+    nowMs += ms;
+  };
+  return { inquiry, quarantine, lose, wait };
+}
+
+test("a target that refuses connections after a loss has ended under all its requests", async () => {
+  const { quarantine, lose } = build("refused");
+  await Promise.all([lose("r"), lose("s")]);
+  assert.equal(quarantine.countCrashes("r"), 1);
+  assert.equal(quarantine.countCrashes("s"), 1);
+});
+
+test("a lost answer or connection of a target that is there counts against nobody", async () => {
+  const { quarantine, lose } = build("accepted");
+  await lose("r");
+  assert.equal(quarantine.isEmpty, true);
+});
+
+test("a target that was silent has ended when the list drops it soon after", async () => {
+  const { inquiry, quarantine, lose, wait } = build("silent");
+  await lose("r");
+  assert.equal(quarantine.isEmpty, true);
+  wait(4000);
+  inquiry.noteEnded(TARGET.id, "unlisted");
+  assert.equal(quarantine.countCrashes("r"), 1);
+});
+
+test("a loss of long ago has nothing to do with a target's end", async () => {
+  const { inquiry, quarantine, lose, wait } = build("accepted");
+  await lose("r");
+  wait(10_000);
+  inquiry.noteEnded(TARGET.id, "unlisted");
+  assert.equal(quarantine.isEmpty, true);
+});
+
+test("a target that leaves ends by itself", async () => {
+  const { quarantine, lose } = build("refused", { ...TARGET, leaving: true });
+  await lose("r");
+  assert.equal(quarantine.isEmpty, true);
+});
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -120,6 +120,19 @@
   listAgeMs: z.int().min(0).optional(),
   /** Prompt beginnings by key and engine, read (1) or being read (0), since the last heartbeat. */
   prompts: PROMPT_NOTES.optional(),
+  /**
+   * Digest of a request, its client account, a life of a target that ended under it, 1 where that
+   * counts or 0 where the request was cleared of it, and the age of the fact, milliseconds.
+   */
+  crashes: z.array(
+    z.tuple([
+      z.string().max(64),
+      z.string().max(256),
+      z.string().max(256),
+      z.union([z.literal(0), z.literal(1)]),
+      z.int().min(0),
+    ]),
+  ).optional(),
   /** Number of this heartbeat, by which a digest says what is counted in. */
   beat: z.int().optional(),
   /** What the sender wants of the receiver, a hub: sums, and changes of the list or all of it. */
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -77,6 +77,12 @@
     fixedPerWindow: z.number().min(0).default(20),
     windowSeconds: z.number().min(0.1).max(600).default(10),
   }).prefault({}),
+  quarantine: z.object({
+    /** Lives of targets that end under a request before it is held back. */
+    maxCrashes: z.int().min(1).max(100).default(3),
+    /** Time for which it is held back at first; each further end doubles it. */
+    holdSeconds: z.number().min(1).max(86_400).default(600),
+  }).prefault({}),
   lease: z.object({ durationMs: z.number().min(100).default(3000) }).prefault(
     {},
   ),
