Answers that speak of leaving or rest are decoded and logged

The adapter decodes the header of leaving and a 503's Retry-After; each answer's head is looked at where connections are kept, so that readings, orders, reports and refusals are seen like runs. leavingSaid and restAsked tell the target. No decision uses either yet. An answer of another incarnation at the address is passed over.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -14,6 +14,7 @@
 import type { LogPort } from "heatherarch-log";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
+import { AnswerNotices } from "./life/answer_notices.ts";
 import { CacheRetention } from "./beliefs/cache_retention.ts";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
 import { CallServer } from "./life/call_server.ts";
@@ -187,6 +188,10 @@
     const directory = new TargetDirectory({
       targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
     });
+    const notices = new AnswerNotices({
+      codec: this.#ports.codec,
+      log: this.#log,
+    });
     const { maxCrashes, holdSeconds } = this.#settings.quarantine;
     const quarantine = new RequestQuarantine({
       maxCrashes,
@@ -212,7 +217,11 @@
       ),
       health: asValue(new TargetHealth()),
       ledger: asValue(new WorkLedger()),
-      connections: asValue(new TargetConnections()),
+      connections: asValue(
+        new TargetConnections({
+          onHead: (target, head) => notices.take(target, head),
+        }),
+      ),
       allowance: asValue(
         new RetryAllowance({ share, fixedPerWindow, windowMs }),
       ),
--- a/packages/heatherarch-forward/life/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -7,12 +7,14 @@
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
 import type { EncodedTry } from "../ports.ts";
-import { TargetExchange } from "./target_exchange.ts";
+import { type AnswerHead, TargetExchange } from "./target_exchange.ts";
 
 type Connector = ReturnType<typeof buildConnector>;
 
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
+  /** Called with the head of each answer, before whoever sent the request sees it. */
+  readonly onHead?: (target: Target, head: AnswerHead) => void;
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs?: number;
   /** A kept connection without a hint of the target is closed after this long, milliseconds. */
@@ -97,6 +99,7 @@
 
   constructor(options: TargetConnectionsOptions = {}) {
     this.#options = {
+      onHead: () => undefined,
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleMs: DEFAULT_IDLE_MS,
       ...options,
@@ -125,7 +128,7 @@
   open(target: Target, request: EncodedTry): TargetExchange {
     const pool = this.#openPool(target);
     pool.open++;
-    return new TargetExchange(
+    const exchange = new TargetExchange(
       pool.pool,
       `http://${target.address}`,
       request,
@@ -136,6 +139,12 @@
         isCutOff: () => pool.resets.isResetting,
       },
     );
+    exchange.head.then(
+      (head) => this.#options.onHead(target, head),
+      // Whoever sent the request handles its failure.
+      () => undefined,
+    );
+    return exchange;
   }
 
   /** Closes the connections of targets that are no longer listed, once they are free. */
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./life/answer_headers.ts";
+export * from "./life/answer_notices.ts";
 export * from "./beliefs/cache_retention.ts";
 export * from "./tasks/cache_survey.ts";
 export * from "./life/call_run.ts";
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -101,6 +101,10 @@
   readonly notRun: boolean;
   /** The target does not take such a request: it is another incarnation, or in another role. */
   readonly misdirected: boolean;
+  /** The target says that it will stop. */
+  readonly isLeaving: boolean;
+  /** Time for which the target wants no requests of this VM, milliseconds. */
+  readonly restMs?: number;
   /** Id of the incarnation that answered, where it says so. */
   readonly answeredBy?: string;
   /** Requests running and waiting at the target, where it tells. */
