A target that says in an answer that it leaves gets no more work

Cause: leaving was known from the list alone. The class: one source is believed where several speak, and the nearest one is not heard.

Change: any answer's head that says so marks the life of its target; the list can't take that back. VMs tell each other, hubs pass it on with the list as well. The choice of targets leaves such lives out, and where a connection is written to it is asked once more, for prompts, runs, resumed streams, orders and reports alike: what is not sent counts as such and goes elsewhere. What only releases something at a target is still sent.

Ruled out: taking a closed connection for a leaving (targets close some without one); marks by id (a target may start again under it).

--- a/packages/heatherarch-forward/beliefs/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -31,6 +31,8 @@
 const LATE_MARK_MS = 2500;
 /** Instances whose latest life is remembered, so that late word of an earlier one is none. */
 const MAX_LIVES = 10_000;
+/** Lives that are remembered to have said that they leave. */
+const MAX_SAID_LEAVING = 1000;
 /** Changes that are remembered for peers; one that is further behind is given the whole list. */
 const MAX_CHANGES = 512;
 
@@ -49,6 +51,10 @@
   readonly #missing = new Set<string>();
   /** Engines that are changing their role, with the end of the time it may take. */
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
+  /** Lives that said themselves, or to a peer, that they leave: the list can't take that back. */
+  readonly #saidLeaving = new Set<string>();
+  #leavingVersion = 0;
+  readonly #leavingListeners = new Set<() => void>();
   /** When the list showed an engine in another role than before. */
   readonly #roleShownAtMs = new Map<string, number>();
   readonly #lives = new Map<string, Life>();
@@ -158,6 +164,45 @@
     if (this.#drop(id)) this.#index();
   }
 
+  /**
+   * A life of a target has said in an answer, to this VM or a peer, that it leaves. Whatever the
+   * list says, it gets no more work. Returns whether that is news.
+   */
+  markLeaving(id: string): boolean {
+    if (this.#saidLeaving.has(id)) return false;
+    this.#saidLeaving.add(id);
+    const [oldest] = this.#saidLeaving;
+    if (this.#saidLeaving.size > MAX_SAID_LEAVING) {
+      this.#saidLeaving.delete(oldest);
+    }
+    this.#leavingVersion++;
+    const target = this.#targets.get(id);
+    if (target !== undefined) {
+      this.#put({ ...target, leaving: true });
+      this.#index();
+    }
+    for (const listener of [...this.#leavingListeners]) listener();
+    return true;
+  }
+
+  /** Lives that have said that they leave, and a number that rises with each. */
+  listSaidLeaving(): { readonly lives: string[]; readonly version: number } {
+    return { lives: [...this.#saidLeaving], version: this.#leavingVersion };
+  }
+
+  /** Whether a target leaves, by its own word or the list's. */
+  isLeaving(id: string): boolean {
+    return this.#saidLeaving.has(id) || this.#targets.get(id)?.leaving === true;
+  }
+
+  /** Registers a listener for lives that say that they leave and returns its undo. */
+  registerLeavingListener(listener: () => void): () => void {
+    this.#leavingListeners.add(listener);
+    return () => {
+      this.#leavingListeners.delete(listener);
+    };
+  }
+
   /**
    * An engine was ordered to change its role: it takes no work for a while. A mark of a change
    * that the list has just shown comes late and changes nothing.
@@ -218,9 +263,12 @@
   }
 
   /** Returns whether anything that matters to a caller changed. */
-  #set(target: Target, nowMs: number): boolean {
-    const { id } = target;
-    if (!this.#beginLife(target)) return false;
+  #set(listed: Target, nowMs: number): boolean {
+    const { id } = listed;
+    if (!this.#beginLife(listed)) return false;
+    const target = this.#saidLeaving.has(id)
+      ? { ...listed, leaving: true }
+      : listed;
     const before = this.#targets.get(id);
     this.#missing.delete(id);
     if (before !== undefined && isSame(before, target)) return false;
@@ -228,11 +276,15 @@
       this.#changing.delete(id);
       if (before !== undefined) this.#roleShownAtMs.set(id, nowMs);
     }
-    this.#targets.set(id, target);
-    this.#record({ key: id, value: target });
+    this.#put(target);
     return true;
   }
 
+  #put(target: Target): void {
+    this.#targets.set(target.id, target);
+    this.#record({ key: target.id, value: target });
+  }
+
   /** Ends an earlier life of the target's instance; false where the target is the earlier one. */
   #beginLife({ id, instance = id, startedAtMs = -Infinity }: Target): boolean {
     const known = this.#lives.get(instance);
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -72,6 +72,8 @@
 
 type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
 
+/** Marks of leaving come from targets themselves, and no record of a log takes them back. */
+const NO_LOG = -1;
 const CONFIG_CALL = "config";
 const CALL_TIMEOUT_MS = 1000;
 /** The store brings a configuration sooner as a rule; a peer is asked after this time. */
@@ -90,6 +92,8 @@
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
+  /** Version of the targets that said that they leave, as told on each link. */
+  readonly #toldLeaving = new WeakMap<Link, number>();
   /** Facts on requests that end targets, told on each link so far. */
   readonly #toldCrashes = new WeakMap<Link, number>();
   /** Time of the reading of the list that was last told on each link. */
@@ -158,13 +162,14 @@
       (body) => Promise.resolve(this.#answerConfig(body)),
     );
     await this.#node.start();
-    const { ledger, quarantine } = this.#options;
+    const { ledger, quarantine, directory } = this.#options;
     this.#undoListeners.push(
       ledger.registerOwnListener(() => {
         // A hub tells sums of many VMs, which change all the time.
         if (!this.#membership.isHub) this.#node.noteNews();
       }),
       quarantine.registerNewsListener(() => this.#node.noteNews()),
+      directory.registerLeavingListener(() => this.#node.noteNews()),
     );
     this.#list.start();
   }
@@ -259,8 +264,8 @@
     const parts = this.#membership.hasHubs
       ? this.#hubs.build(link, peer)
       : this.#buildMeshParts(link);
-    const crashes = this.#buildCrashes(link);
-    const isEmpty = parts === undefined && crashes.crashes === undefined;
+    const news = { ...this.#buildCrashes(link), ...this.#buildLeaving(link) };
+    const isEmpty = parts === undefined && Object.keys(news).length === 0;
     if (isEmpty && !this.#leaving) return undefined;
     return {
       kind: "heartbeat",
@@ -268,10 +273,9 @@
       controlOffset: -1,
       intervalMs: Math.round(this.#node.intervalMs),
       leaving: this.#leaving,
-      leavingTargets: [],
       mayOrder: mayOrder(),
       ...this.#buildListAge(link),
-      ...crashes,
+      ...news,
       ...parts,
     };
   }
@@ -289,6 +293,24 @@
     return { crashes: notes.map((note): CrashMessage => [...note]) };
   }
 
+  /** Targets that said that they leave, all of them where one came since the last time. */
+  #buildLeaving(link: Link): Pick<Heartbeat, "leavingTargets"> {
+    const { lives, version } = this.#options.directory.listSaidLeaving();
+    if (version <= (this.#toldLeaving.get(link) ?? 0)) return {};
+    this.#toldLeaving.set(link, version);
+    return {
+      leavingTargets: lives.map((target) => ({ target, sinceOffset: NO_LOG })),
+    };
+  }
+
+  #takeLeaving(marks: NonNullable<Heartbeat["leavingTargets"]>): void {
+    const { directory, log } = this.#options;
+    for (const { target } of marks) {
+      if (!directory.markLeaving(target)) continue;
+      log.write("info", "targetLeaving", { target, source: "peer" });
+    }
+  }
+
   /** Peers learn from each new reading that the store is there. */
   #buildListAge(link: Link): Pick<Heartbeat, "listAgeMs"> {
     const { clock, getListReadAtMs } = this.#options;
@@ -321,6 +343,7 @@
   ): void {
     if (this.#membership.hasHubs) this.#hubs.take(heartbeat, from, waitedMs);
     else this.#takeMeshParts(heartbeat, from);
+    this.#takeLeaving(heartbeat.leavingTargets ?? []);
     if (heartbeat.crashes !== undefined) {
       const { quarantine, clock } = this.#options;
       const atMs = clock.readMonotonicMs() - waitedMs;
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -190,6 +190,7 @@
     });
     const notices = new AnswerNotices({
       codec: this.#ports.codec,
+      directory,
       log: this.#log,
     });
     const { maxCrashes, holdSeconds } = this.#settings.quarantine;
@@ -220,6 +221,8 @@
       connections: asValue(
         new TargetConnections({
           onHead: (target, head) => notices.take(target, head),
+          findBan: (target) =>
+            directory.isLeaving(target.id) ? "the target leaves" : undefined,
         }),
       ),
       allowance: asValue(
--- a/packages/heatherarch-forward/life/answer_notices.ts
+++ b/packages/heatherarch-forward/life/answer_notices.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import type { EventLog } from "../event_log.ts";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
@@ -12,6 +13,7 @@
 /** Options of {@linkcode AnswerNotices}. */
 export interface AnswerNoticesOptions {
   readonly codec: Pick<CallCodec, "decodeAnswer">;
+  readonly directory: Pick<TargetDirectory, "markLeaving">;
   readonly log: EventLog;
 }
 
@@ -25,14 +27,19 @@
 
   /** Takes in the head of an answer from the connections of `target`. */
   take(target: Target, { status, headers }: AnswerHead): void {
-    const { codec, log } = this.#options;
+    const { codec, directory, log } = this.#options;
     const { answeredBy, isLeaving, restMs } = codec.decodeAnswer(
       status,
       headers,
     );
     const instance = target.instance ?? target.id;
     if (answeredBy !== undefined && answeredBy !== instance) return;
-    if (isLeaving) log.write("info", "leavingSaid", { target: target.id });
+    if (isLeaving && directory.markLeaving(target.id)) {
+      log.write("info", "targetLeaving", {
+        target: target.id,
+        source: "answer",
+      });
+    }
     if (restMs !== undefined) {
       log.write("info", "restAsked", { target: target.id, restMs });
     }
--- a/packages/heatherarch-forward/life/prompt_reading.ts
+++ b/packages/heatherarch-forward/life/prompt_reading.ts
@@ -119,7 +119,7 @@
   free({ by, source }: ReadPrompt): void {
     const { connections, codec, directory, log } = this.#run.serving;
     if (directory.findTarget(by.id) === undefined) return;
-    connections.open(by, codec.encodeFree(source.handle))
+    connections.open(by, codec.encodeFree(source.handle), "release")
       .readBody(MAX_HANDLE_BYTES)
       .catch((error: Error) =>
         // It lapses by itself after some seconds.
--- a/packages/heatherarch-forward/life/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -7,14 +7,23 @@
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
 import type { EncodedTry } from "../ports.ts";
-import { type AnswerHead, TargetExchange } from "./target_exchange.ts";
+import {
+  type AnswerHead,
+  buildUnsentExchange,
+  TargetExchange,
+} from "./target_exchange.ts";
 
 type Connector = ReturnType<typeof buildConnector>;
 
+/** What a request is for: work, or the release of what an earlier one left at the target. */
+export type SendPurpose = "work" | "release";
+
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
   /** Called with the head of each answer, before whoever sent the request sees it. */
   readonly onHead?: (target: Target, head: AnswerHead) => void;
+  /** Why a target may not be sent work, as far as is known at that moment; undefined if it may. */
+  readonly findBan?: (target: Target) => string | undefined;
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs?: number;
   /** A kept connection without a hint of the target is closed after this long, milliseconds. */
@@ -100,6 +109,7 @@
   constructor(options: TargetConnectionsOptions = {}) {
     this.#options = {
       onHead: () => undefined,
+      findBan: () => undefined,
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleMs: DEFAULT_IDLE_MS,
       ...options,
@@ -124,8 +134,17 @@
     return open < this.computeLimit(maxConnections);
   }
 
-  /** Sends a request. */
-  open(target: Target, request: EncodedTry): TargetExchange {
+  /**
+   * Sends a request. Every way to a target leads here, so this is where it is last asked whether
+   * the target may get work; what only releases something there is sent all the same.
+   */
+  open(
+    target: Target,
+    request: EncodedTry,
+    purpose: SendPurpose = "work",
+  ): TargetExchange {
+    const ban = purpose === "work" ? this.#options.findBan(target) : undefined;
+    if (ban !== undefined) return buildUnsentExchange(ban);
     const pool = this.#openPool(target);
     pool.open++;
     const exchange = new TargetExchange(
--- a/packages/heatherarch-forward/tasks/loss_inquiry.ts
+++ b/packages/heatherarch-forward/tasks/loss_inquiry.ts
@@ -97,7 +97,8 @@
   /** A target that has announced its end, or is listed no more, ends by itself. */
   #addOpen({ request, account, target }: Loss): void {
     const { directory, clock } = this.#options;
-    if (directory.findTarget(target.id)?.leaving !== false) return;
+    if (directory.findTarget(target.id) === undefined) return;
+    if (directory.isLeaving(target.id)) return;
     const losses = this.#open.get(target.id) ?? [];
     losses.push({ request, account, atMs: clock.readMonotonicMs() });
     this.#openCount++;
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, test } from "node:test";
+import { ExchangeError, TargetConnections } from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
+
+const REQUEST = { path: "/", method: "GET", headers: [], body: null };
+
+let server: Server | undefined;
+let connections: TargetConnections | undefined;
+
+afterEach(async () => {
+  await connections?.close();
+  server?.close();
+});
+
+/** A target that counts requests, and whether it may be sent work. */
+async function build(ban: () => string | undefined) {
+  let requests = 0;
+  server = createServer((_request, response) => {
+    requests++;
+    response.end("ok");
+  });
+  await new Promise<void>((resolve) =>
+    server?.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  const target = buildTarget("t", { address: `127.0.0.1:${port}` });
+  connections = new TargetConnections({ findBan: ban });
+  return { target, connections, count: () => requests };
+}
+
+test("work for a target that may get none is not sent, and says that it was not", async () => {
+  let ban: string | undefined = "the target leaves";
+  const { target, connections, count } = await build(() => ban);
+  await assert.rejects(
+    connections.open(target, REQUEST).head,
+    (error: ExchangeError) =>
+      error.fault === "notSent" && error.message === "the target leaves",
+  );
+  assert.equal(connections.hasRoom(target, 1), true);
+  assert.equal(count(), 0);
+  ban = undefined;
+  assert.equal((await connections.open(target, REQUEST).head).status, 200);
+});
+
+test("what an earlier request left at such a target is released all the same", async () => {
+  const { target, connections, count } = await build(() => "the target leaves");
+  const exchange = connections.open(target, REQUEST, "release");
+  assert.equal((await exchange.head).status, 200);
+  assert.equal(count(), 1);
+});
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -106,3 +106,35 @@
   directory.markChanging("a", 9000, 7000);
   assert.equal(directory.isChanging("a", 7100), true);
 });
+
+test("a target that says that it leaves gets no work, whatever the list and its feed say", () => {
+  const directory = new TargetDirectory();
+  const target = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
+  directory.applyList([{ key: "t", value: target }], 0);
+  assert.equal(directory.markLeaving("t@1"), true);
+  assert.equal(directory.markLeaving("t@1"), false);
+  assert.deepEqual(directory.listServing("s"), []);
+  directory.applyChanges([{ key: "t", value: target }], 1);
+  directory.applyFeed([{ key: "t@1", value: target }], true, 2);
+  assert.deepEqual(directory.listServing("s"), []);
+  assert.equal(directory.isLeaving("t@1"), true);
+  const { entries } = directory.listChanges(undefined);
+  assert.deepEqual(entries.map(({ value }) => value?.leaving), [true]);
+});
+
+test("the next life of a target that said that it leaves gets work", () => {
+  const directory = new TargetDirectory();
+  const target = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
+  directory.applyList([{ key: "t", value: target }], 0);
+  directory.markLeaving("t@1");
+  const next = { ...target, id: "t@2", startedAtMs: 2 };
+  directory.applyChanges([{ key: "t", value: next }], 1);
+  assert.deepEqual(directory.listServing("s"), [next]);
+});
+
+test("a target that a peer was told is leaving is not used once it is listed", () => {
+  const directory = new TargetDirectory();
+  directory.markLeaving("t");
+  directory.applyList([{ key: "t", value: buildTarget("t") }], 0);
+  assert.deepEqual(directory.listServing("s"), []);
+});
