Targets that ask for rest get none of this VM's requests until it is over

The class: a hint and a ban were one thing. Avoidance, which comes after several failures, is given up where every target is avoided; a rest that was asked for must not be.

Change: rests are kept by a target's life. One function (target_choice) says which targets are open, for plain calls and engines, in place of the same lines twice; connections ask once more, also for what only releases something. Where all targets that could serve a call rest, it is refused at once with the time until the first one has rested, spread over a quarter of it. Peers are not told: a rest is asked of one VM.

Ruled out: reading prompts at generating engines while all others rest (a read stops their streams, as measured before for short prompts).

--- a/packages/heatherarch-forward/decisions/engine_choice.ts
+++ b/packages/heatherarch-forward/decisions/engine_choice.ts
@@ -5,6 +5,7 @@
  */
 import type { CallRun } from "../life/call_run.ts";
 import type { Target } from "../model.ts";
+import { findRestMs, listOpenTargets } from "./target_choice.ts";
 
 /** What an engine is needed for. */
 export type EngineUse = "reading" | "generating";
@@ -15,14 +16,24 @@
   use: EngineUse,
   tried: ReadonlySet<string>,
 ): Target[] {
-  const { directory, health, connections } = run.serving;
-  const { name, maxConnections } = run.service;
-  const nowMs = run.nowMs;
-  const open = directory.listServing(name)
-    .filter((target) => (target.role === "prefill") === (use === "reading"))
-    .filter((target) => !tried.has(target.id))
-    .filter((target) => !directory.isChanging(target.id, nowMs))
-    .filter((target) => connections.hasRoom(target, maxConnections));
-  const sound = open.filter((target) => !health.isAvoided(target.id, nowMs));
-  return sound.length > 0 ? sound : open;
+  return listOpenTargets({
+    run,
+    tried,
+    accepts: (target) => isOf(target, use),
+  });
+}
+
+/**
+ * Time until an engine for the use has rested, milliseconds, where all of them rest; undefined
+ * where one does not, or there is none.
+ */
+export function findEngineRestMs(
+  run: CallRun,
+  use: EngineUse,
+): number | undefined {
+  return findRestMs(run, (target) => isOf(target, use));
+}
+
+function isOf({ role }: Target, use: EngineUse): boolean {
+  return (role === "prefill") === (use === "reading");
 }
--- /dev/null
+++ b/packages/heatherarch-forward/decisions/target_choice.ts
@@ -0,0 +1,57 @@
+/**
+ * Which targets of a service may be tried for a call now, and when one may be where none is.
+ *
+ * @module
+ */
+import type { CallRun } from "../life/call_run.ts";
+import type { Target } from "../model.ts";
+
+/** Options of {@linkcode listOpenTargets}. */
+export interface TargetChoice {
+  readonly run: CallRun;
+  /** Targets that the call has met already. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether a target can do what is asked for. */
+  readonly accepts?: (target: Target) => boolean;
+}
+
+/** Targets that may be tried now; avoided ones only where there is no other. */
+export function listOpenTargets(
+  { run, tried, accepts = acceptAny }: TargetChoice,
+): Target[] {
+  const { directory, health, rests, connections } = run.serving;
+  const { name, maxConnections } = run.service;
+  const nowMs = run.nowMs;
+  const open = directory.listServing(name)
+    .filter(accepts)
+    .filter(({ id }) => !tried.has(id))
+    .filter(({ id }) => !rests.isResting(id, nowMs))
+    .filter(({ id }) => !directory.isChanging(id, nowMs))
+    .filter((target) => connections.hasRoom(target, maxConnections));
+  const sound = open.filter(({ id }) => !health.isAvoided(id, nowMs));
+  return sound.length > 0 ? sound : open;
+}
+
+/**
+ * Time until the first target has rested, milliseconds, where all that could serve a call rest;
+ * undefined where one does not, or there is none.
+ */
+export function findRestMs(
+  run: CallRun,
+  accepts: (target: Target) => boolean = acceptAny,
+): number | undefined {
+  const { directory, rests } = run.serving;
+  const nowMs = run.nowMs;
+  const targets = directory.listServing(run.service.name)
+    .filter(accepts)
+    .filter(({ id }) => !directory.isChanging(id, nowMs));
+  if (targets.length === 0) return undefined;
+  const restMs = Math.min(
+    ...targets.map(({ id }) => rests.getEndMs(id) - nowMs),
+  );
+  return restMs > 0 ? restMs : undefined;
+}
+
+function acceptAny(): boolean {
+  return true;
+}
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -41,6 +41,7 @@
 import { TargetConnections } from "./life/target_connections.ts";
 import { TargetDirectory } from "./beliefs/target_directory.ts";
 import { TargetHealth } from "./beliefs/target_health.ts";
+import { TargetRests } from "./beliefs/target_rests.ts";
 import { TargetProbe } from "./life/target_probe.ts";
 import { WorkLedger } from "./beliefs/work_ledger.ts";
 
@@ -188,9 +189,12 @@
     const directory = new TargetDirectory({
       targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
     });
+    const rests = new TargetRests();
     const notices = new AnswerNotices({
       codec: this.#ports.codec,
       directory,
+      rests,
+      clock: this.#clock,
       log: this.#log,
     });
     const { maxCrashes, holdSeconds } = this.#settings.quarantine;
@@ -217,12 +221,17 @@
         }),
       ),
       health: asValue(new TargetHealth()),
+      rests: asValue(rests),
       ledger: asValue(new WorkLedger()),
       connections: asValue(
         new TargetConnections({
           onHead: (target, head) => notices.take(target, head),
-          findBan: (target) =>
-            directory.isLeaving(target.id) ? "the target leaves" : undefined,
+          findBan: ({ id }, purpose) => {
+            const nowMs = this.#clock.readMonotonicMs();
+            if (rests.isResting(id, nowMs)) return "the target rests";
+            if (purpose === "release") return undefined;
+            return directory.isLeaving(id) ? "the target leaves" : undefined;
+          },
         }),
       ),
       allowance: asValue(
@@ -355,6 +364,7 @@
       losses: parts.losses,
       prompts: parts.prompts,
       health: parts.health,
+      rests: parts.rests,
       readModel: parts.readModel,
       spread: parts.spread,
     });
--- a/packages/heatherarch-forward/life/answer_notices.ts
+++ b/packages/heatherarch-forward/life/answer_notices.ts
@@ -4,7 +4,9 @@
  *
  * @module
  */
+import type { Clock } from "heatherarch-core";
 import type { TargetDirectory } from "../beliefs/target_directory.ts";
+import type { TargetRests } from "../beliefs/target_rests.ts";
 import type { EventLog } from "../event_log.ts";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
@@ -14,6 +16,8 @@
 export interface AnswerNoticesOptions {
   readonly codec: Pick<CallCodec, "decodeAnswer">;
   readonly directory: Pick<TargetDirectory, "markLeaving">;
+  readonly rests: TargetRests;
+  readonly clock: Clock;
   readonly log: EventLog;
 }
 
@@ -40,8 +44,13 @@
         source: "answer",
       });
     }
-    if (restMs !== undefined) {
-      log.write("info", "restAsked", { target: target.id, restMs });
-    }
+    if (restMs !== undefined) this.#noteRest(target.id, restMs);
+  }
+
+  #noteRest(target: string, restMs: number): void {
+    const { rests, clock, log } = this.#options;
+    // One line for each rest: calls on their way meet it as well.
+    if (!rests.note(target, restMs, clock.readMonotonicMs())) return;
+    log.write("info", "targetResting", { target, restMs });
   }
 }
--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -41,6 +41,8 @@
 
 /** A trial takes as long as a run of the request, and the word of its end. */
 const TRIAL_RETRY_AFTER_MS = 1000;
+/** Callers that were refused for a rest come back spread over this part of it. */
+const REST_SPREAD = 0.25;
 const HELD_REASON = "the request is quarantined: targets end when they run it";
 /** Pauses between tries that found no target at once, milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
@@ -228,6 +230,15 @@
     });
   }
 
+  /** Refuses the call, since all targets that could serve it rest for at least `restMs`. */
+  refuseResting(restMs: number): void {
+    const spread = 1 + this.serving.drawUnit() * REST_SPREAD;
+    this.refuse("overloaded", "all targets have asked for rest", {
+      retryAfterMs: restMs * spread,
+      detail: { restMs: Math.round(restMs) },
+    });
+  }
+
   /** Ends the call without a whole answer; what was written is seen to be incomplete. */
   fail(kind: "targetFailed" | "answerIncomplete", reason: string): void {
     if (this.isOver) return;
--- a/packages/heatherarch-forward/life/generation_life.ts
+++ b/packages/heatherarch-forward/life/generation_life.ts
@@ -7,7 +7,11 @@
 import { sleep } from "heatherarch-core";
 import { type RelayEnd, StreamRelay } from "./answer_relay.ts";
 import type { CallRun } from "./call_run.ts";
-import { listEngines } from "../decisions/engine_choice.ts";
+import {
+  type EngineUse,
+  findEngineRestMs,
+  listEngines,
+} from "../decisions/engine_choice.ts";
 import { computeEnginePriority, computeLane } from "../decisions/lanes.ts";
 import type { EngineTraits, GenerationFacts, Target } from "../model.ts";
 import { sumShared } from "../decisions/prompt_placement.ts";
@@ -64,6 +68,7 @@
       if (this.#pickRunner(undefined) === undefined && !this.#mayWait()) {
         return this.#refuseIdle(undefined);
       }
+      if (this.#endIfResting("reading")) return;
       const read = await this.#reading.read(this.#relay.lastEventId);
       if (this.#run.isOver) return;
       switch (read.kind) {
@@ -71,6 +76,7 @@
           await this.#generate(read.prompt);
           break;
         case "noReader":
+          if (this.#endIfResting("reading")) return;
           await this.#generate(undefined);
           break;
         case "failed":
@@ -205,17 +211,31 @@
     const run = this.#run;
     if (run.isOver) return;
     if (run.mayHaveRun) return run.fail("answerIncomplete", this.#reason);
+    if (this.#endIfResting("generating") || this.#endIfResting("reading")) {
+      return;
+    }
     run.refuse("noTarget", this.#reason, {
       retryAfterMs: MIN_RETRY_AFTER_MS * (1 + run.serving.drawUnit()),
       detail: { tried: [...this.#tried] },
     });
   }
 
+  /** Ends the call where all engines for a use rest; returns whether it did. */
+  #endIfResting(use: EngineUse): boolean {
+    const run = this.#run;
+    const restMs = findEngineRestMs(run, use);
+    if (restMs === undefined) return false;
+    if (run.mayHaveRun) run.fail("answerIncomplete", "all engines rest");
+    else run.refuseResting(restMs);
+    return true;
+  }
+
   /** Ends a call for which no engine generates and none is about to. */
   #refuseIdle(read: ReadPrompt | undefined): void {
     const run = this.#run;
     if (read !== undefined) this.#reading.free(read);
     if (run.isOver) return;
+    if (this.#endIfResting("generating")) return;
     const reason = "no engine generates";
     if (run.mayHaveRun) return run.fail("answerIncomplete", reason);
     const comesInMs = this.#predictRunnerMs();
--- a/packages/heatherarch-forward/life/plain_life.ts
+++ b/packages/heatherarch-forward/life/plain_life.ts
@@ -13,6 +13,7 @@
 import type { CallRun } from "./call_run.ts";
 import type { Target } from "../model.ts";
 import { pickRunner, type RunCandidate } from "../decisions/run_placement.ts";
+import { findRestMs, listOpenTargets } from "../decisions/target_choice.ts";
 import { ExchangeError } from "./target_exchange.ts";
 import { awaitHead, isSuccess } from "./try_judge.ts";
 
@@ -136,6 +137,8 @@
     if (run.isOver) return;
     if (this.#failure !== undefined) return this.#deliver(this.#failure);
     if (run.mayHaveRun) return run.fail("targetFailed", this.#reason);
+    const restMs = findRestMs(run);
+    if (restMs !== undefined) return run.refuseResting(restMs);
     const spread = 1 + run.serving.drawUnit();
     run.refuse("noTarget", "no target took the call", {
       retryAfterMs: RETRY_AFTER_MS * spread,
@@ -153,15 +156,9 @@
   }
 
   #pickTarget(): Target | undefined {
-    const { directory, health, connections, ledger, drawUnit } =
-      this.#run.serving;
-    const { name, maxConnections } = this.#run.service;
+    const { ledger, drawUnit } = this.#run.serving;
     const nowMs = this.#run.nowMs;
-    const open = directory.listServing(name)
-      .filter((target) => !this.#tried.has(target.id))
-      .filter((target) => connections.hasRoom(target, maxConnections));
-    const sound = open.filter((target) => !health.isAvoided(target.id, nowMs));
-    const candidates = (sound.length > 0 ? sound : open)
+    const candidates = listOpenTargets({ run: this.#run, tried: this.#tried })
       .map((target): RunCandidate => ({
         target,
         runs: ledger.getRuns(target.id, nowMs).runs,
--- a/packages/heatherarch-forward/life/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -22,8 +22,11 @@
 export interface TargetConnectionsOptions {
   /** Called with the head of each answer, before whoever sent the request sees it. */
   readonly onHead?: (target: Target, head: AnswerHead) => void;
-  /** Why a target may not be sent work, as far as is known at that moment; undefined if it may. */
-  readonly findBan?: (target: Target) => string | undefined;
+  /** Why a target may not be sent something, as is known at that moment; undefined if it may. */
+  readonly findBan?: (
+    target: Target,
+    purpose: SendPurpose,
+  ) => string | undefined;
   /** Longest wait for a connection, milliseconds. */
   readonly connectTimeoutMs?: number;
   /** A kept connection without a hint of the target is closed after this long, milliseconds. */
@@ -136,14 +139,14 @@
 
   /**
    * Sends a request. Every way to a target leads here, so this is where it is last asked whether
-   * the target may get work; what only releases something there is sent all the same.
+   * the target may get it. What may not be sent ends like what found no connection.
    */
   open(
     target: Target,
     request: EncodedTry,
     purpose: SendPurpose = "work",
   ): TargetExchange {
-    const ban = purpose === "work" ? this.#options.findBan(target) : undefined;
+    const ban = this.#options.findBan(target, purpose);
     if (ban !== undefined) return buildUnsentExchange(ban);
     const pool = this.#openPool(target);
     pool.open++;
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -56,5 +56,6 @@
 export * from "./life/target_exchange.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./beliefs/target_health.ts";
+export * from "./beliefs/target_rests.ts";
 export * from "./tasks/topic_follower.ts";
 export * from "./beliefs/work_ledger.ts";
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -21,6 +21,7 @@
 import type { TargetConnections } from "./life/target_connections.ts";
 import type { TargetDirectory } from "./beliefs/target_directory.ts";
 import type { TargetHealth } from "./beliefs/target_health.ts";
+import type { TargetRests } from "./beliefs/target_rests.ts";
 import type { WorkLedger } from "./beliefs/work_ledger.ts";
 
 /** Parts of one VM that serve calls. */
@@ -30,6 +31,7 @@
   readonly configs: ConfigView;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
+  readonly rests: TargetRests;
   readonly ledger: WorkLedger;
   readonly connections: TargetConnections;
   readonly losses: LossInquiry;
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -16,6 +16,7 @@
 import type { TargetConnections } from "../life/target_connections.ts";
 import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import type { TargetHealth } from "../beliefs/target_health.ts";
+import type { TargetRests } from "../beliefs/target_rests.ts";
 import type { LossInquiry } from "./loss_inquiry.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
@@ -38,6 +39,7 @@
   readonly losses: LossInquiry;
   readonly prompts: PromptIndex;
   readonly health: TargetHealth;
+  readonly rests: TargetRests;
   readonly readModel: ReadModel;
   readonly spread: EngineSpread;
 }
@@ -211,7 +213,8 @@
   }
 
   #forget(target: string): void {
-    const { losses, prompts, health, readModel, spread } = this.#options;
+    const { losses, prompts, health, rests, readModel, spread } = this.#options;
+    rests.forget(target);
     losses.noteEnded(target, "unlisted");
     prompts.forgetTarget(target);
     health.forget(target);
--- a/packages/heatherarch-forward/tests/unit/lives_world.ts
+++ b/packages/heatherarch-forward/tests/unit/lives_world.ts
@@ -32,6 +32,7 @@
   TargetDirectory,
   TargetExchange,
   TargetHealth,
+  TargetRests,
   type TryOptions,
   WorkLedger,
 } from "../../mod.ts";
@@ -169,6 +170,7 @@
       codec: buildCodec(),
       directory: this.#directory,
       health: new TargetHealth(),
+      rests: new TargetRests(),
       ledger: new WorkLedger(),
       connections,
       quarantine,
--- a/packages/heatherarch-forward/tests/unit/reader_board_test.ts
+++ b/packages/heatherarch-forward/tests/unit/reader_board_test.ts
@@ -30,6 +30,7 @@
       directory,
       ledger,
       health: { isAvoided: () => false },
+      rests: { isResting: () => false },
       connections: {
         hasRoom: ({ id }: Target) => {
           rooms.push(id);
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -2,7 +2,11 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, test } from "node:test";
-import { ExchangeError, TargetConnections } from "../../mod.ts";
+import {
+  ExchangeError,
+  type SendPurpose,
+  TargetConnections,
+} from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
 
 const REQUEST = { path: "/", method: "GET", headers: [], body: null };
@@ -16,7 +20,7 @@
 });
 
 /** A target that counts requests, and whether it may be sent work. */
-async function build(ban: () => string | undefined) {
+async function build(ban: (purpose: SendPurpose) => string | undefined) {
   let requests = 0;
   server = createServer((_request, response) => {
     requests++;
@@ -27,7 +31,9 @@
   );
   const { port } = server.address() as AddressInfo;
   const target = buildTarget("t", { address: `127.0.0.1:${port}` });
-  connections = new TargetConnections({ findBan: ban });
+  connections = new TargetConnections({
+    findBan: (_target, purpose) => ban(purpose),
+  });
   return { target, connections, count: () => requests };
 }
 
@@ -45,8 +51,10 @@
   assert.equal((await connections.open(target, REQUEST).head).status, 200);
 });
 
-test("what an earlier request left at such a target is released all the same", async () => {
-  const { target, connections, count } = await build(() => "the target leaves");
+test("what an earlier request left at a target may be released where work may not be sent", async () => {
+  const { target, connections, count } = await build((purpose) =>
+    purpose === "work" ? "the target leaves" : undefined
+  );
   const exchange = connections.open(target, REQUEST, "release");
   assert.equal((await exchange.head).status, 200);
   assert.equal(count(), 1);
