Quarantines outlive all VMs, and operators see and lift them

Change: the VM that sees the last end writes the request to a keyed topic; each VM reads the topic once, at its start. The metrics port lists quarantines and lifts them everywhere; the balancer's port does neither. What becomes of a request is one kind of event now, by own observation or a peer's word, so that one VM writes.

--- a/packages/heatherarch-forward/beliefs/request_quarantine.ts
+++ b/packages/heatherarch-forward/beliefs/request_quarantine.ts
@@ -38,6 +38,13 @@
   | { readonly kind: "onTrial" }
   | { readonly kind: "quarantined"; readonly held: QuarantinedRequest };
 
+/** What became of a request on this VM, by its own observation or a peer's word. */
+export interface QuarantineChange {
+  readonly kind: "held" | "cleared";
+  readonly request: string;
+  readonly isOwn: boolean;
+}
+
 /** Facts since some point. */
 export interface CrashNotes {
   readonly notes: readonly CrashNote[];
@@ -83,7 +90,7 @@
   readonly #suspects = new Map<string, Suspect>();
   readonly #onTrial = new Set<string>();
   readonly #newsListeners = new Set<() => void>();
-  readonly #heldListeners = new Set<(request: string) => void>();
+  readonly #changeListeners = new Set<(change: QuarantineChange) => void>();
   readonly #changes: [string, string][] = [];
   #changesStart = 0;
 
@@ -109,9 +116,12 @@
     life: string,
     nowMs: number,
   ): void {
-    if (this.#add(request, account, life, { isCleared: false, atMs: nowMs })) {
-      this.#notifyNews();
+    const fact = { isCleared: false, atMs: nowMs };
+    if (!this.#add(request, account, life, fact)) return;
+    if (this.countCrashes(request) >= this.#options.maxCrashes) {
+      this.#notify({ kind: "held", request, isOwn: true });
     }
+    this.#notifyNews();
   }
 
   /** A run of the request went well, or an operator lifts the quarantine. */
@@ -123,18 +133,25 @@
       const fact = { isCleared: true, atMs: nowMs };
       isNews = this.#add(request, suspect.account, life, fact) || isNews;
     }
-    if (isNews) this.#notifyNews();
-    return isNews;
+    if (!isNews) return false;
+    this.#notify({ kind: "cleared", request, isOwn: true });
+    this.#notifyNews();
+    return true;
   }
 
   /** Takes in what a peer knows. */
   notePeer(notes: readonly CrashNote[], nowMs: number): void {
-    let isNews = false;
+    const before = new Map<string, number>();
     for (const [request, account, life, isCrash, ageMs] of notes) {
+      const crashes = this.countCrashes(request);
       const fact = { isCleared: isCrash === 0, atMs: nowMs - ageMs };
-      isNews = this.#add(request, account, life, fact) || isNews;
+      if (!this.#add(request, account, life, fact)) continue;
+      if (!before.has(request)) before.set(request, crashes);
+    }
+    for (const [request, crashes] of before) {
+      this.#notifyPeer(request, crashes);
     }
-    if (isNews) this.#notifyNews();
+    if (before.size > 0) this.#notifyNews();
   }
 
   /** Lives that ended under a request, as far as it is not cleared of them. */
@@ -210,11 +227,13 @@
     };
   }
 
-  /** Registers a listener for requests that are held back from now on and returns its undo. */
-  registerHeldListener(listener: (request: string) => void): () => void {
-    this.#heldListeners.add(listener);
+  /** Registers a listener for requests that are held back or cleared and returns its undo. */
+  registerChangeListener(
+    listener: (change: QuarantineChange) => void,
+  ): () => void {
+    this.#changeListeners.add(listener);
     return () => {
-      this.#heldListeners.delete(listener);
+      this.#changeListeners.delete(listener);
     };
   }
 
@@ -230,10 +249,6 @@
     this.#suspects.set(request, suspect);
     this.#record(request, life);
     this.#dropExcess(account);
-    const crashes = listCrashes(suspect).length;
-    if (!fact.isCleared && crashes >= this.#options.maxCrashes) {
-      for (const listener of [...this.#heldListeners]) listener(request);
-    }
     return true;
   }
 
@@ -281,6 +296,20 @@
     return [request, suspect.account, life, fact.isCleared ? 0 : 1, ageMs];
   }
 
+  #notifyPeer(request: string, crashesBefore: number): void {
+    const { maxCrashes } = this.#options;
+    const crashes = this.countCrashes(request);
+    if (crashes >= maxCrashes && crashes > crashesBefore) {
+      this.#notify({ kind: "held", request, isOwn: false });
+    } else if (crashes < maxCrashes && crashesBefore >= maxCrashes) {
+      this.#notify({ kind: "cleared", request, isOwn: false });
+    }
+  }
+
+  #notify(change: QuarantineChange): void {
+    for (const listener of [...this.#changeListeners]) listener(change);
+  }
+
   #notifyNews(): void {
     for (const listener of [...this.#newsListeners]) listener();
   }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -29,6 +29,7 @@
 import type { CallCodec, DirectoryPorts } from "./ports.ts";
 import { PromptIndex } from "./beliefs/prompt_index.ts";
 import { PromptPlacer } from "./decisions/prompt_placement.ts";
+import { QuarantineKeeper } from "./tasks/quarantine_keeper.ts";
 import { ReadModel } from "./beliefs/read_model.ts";
 import { ReadQueue } from "./decisions/read_queue.ts";
 import { ReaderBoard } from "./decisions/reader_board.ts";
@@ -68,6 +69,7 @@
   readonly ingress: Ingress;
   readonly status: StatusServer;
   readonly reading: StoreReading;
+  readonly quarantineKeeper: QuarantineKeeper;
 }
 
 const METRICS_PATH = "/metrics";
@@ -126,7 +128,8 @@
   }
 
   async start(): Promise<void> {
-    const { ingress, status, mesh, roles, reading } = this.#parts;
+    const { ingress, status, mesh, roles, reading, quarantineKeeper } =
+      this.#parts;
     const { listen } = this.#settings;
     this.#log.write("info", "starting", {
       pid: process.pid,
@@ -139,10 +142,11 @@
     await Promise.all([
       ingress.start(),
       this.#listenStatus(status, listen.readiness),
-      this.#listenStatus(status, listen.metrics),
+      this.#listenStatus(status, listen.metrics, true),
     ]);
     await mesh.start();
     reading.start();
+    quarantineKeeper.start();
     roles.start();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MS);
     this.#log.write("info", "started", { address: listen.callers });
@@ -276,10 +280,20 @@
           metrics: parts.metrics,
           readinessPath: ports.readinessPath,
           metricsPath: METRICS_PATH,
+          quarantine: parts.quarantine,
+          clock: parts.clock,
           isReady: () => this.isReady,
         }),
       ),
       reading: asValue(this.#buildReading()),
+      quarantineKeeper: asValue(
+        new QuarantineKeeper({
+          topic: ports.directory.quarantine,
+          quarantine: parts.quarantine,
+          clock: parts.clock,
+          log: parts.log,
+        }),
+      ),
       roles: asValue(this.#buildRoleKeeper(incarnation)),
       mesh: asValue(this.#buildMesh(incarnation)),
     });
@@ -380,15 +394,20 @@
 
   #watchQuarantine(): void {
     const { quarantine, clock } = this.#parts;
-    quarantine.registerHeldListener((request) => {
+    quarantine.registerChangeListener(({ kind, request, isOwn }) => {
+      const source = isOwn ? "own" : "peer";
       const held = quarantine.findHeld(request, clock.readMonotonicMs());
-      if (held === undefined) return;
-      this.#log.write("warn", "requestQuarantined", {
-        request,
-        account: held.account,
-        endedTargets: held.lives,
-        holdMs: Math.round(held.untilMs - held.sinceMs),
-      });
+      if (kind === "cleared") {
+        this.#log.write("info", "quarantineLifted", { request, source });
+      } else if (held !== undefined) {
+        this.#log.write("warn", "requestQuarantined", {
+          request,
+          source,
+          account: held.account,
+          endedTargets: held.lives,
+          holdMs: Math.round(held.untilMs - held.sinceMs),
+        });
+      }
     });
   }
 
@@ -459,9 +478,13 @@
     metrics.requestsQuarantined.set(quarantine.listHeld(nowMs).length);
   }
 
-  async #listenStatus(status: StatusServer, address: string): Promise<void> {
+  async #listenStatus(
+    status: StatusServer,
+    address: string,
+    isForOperators = false,
+  ): Promise<void> {
     const { host, port } = splitAddress(address);
-    await status.listen(host, port);
+    await status.listen(host, port, isForOperators);
   }
 
   async #shutDown(): Promise<void> {
@@ -488,6 +511,7 @@
     const { ingress, status, mesh, connections } = this.#parts;
     clearInterval(this.#sweeper);
     this.#parts.reading.stop();
+    this.#parts.quarantineKeeper.stop();
     ingress.closeAll();
     status.close();
     mesh.stop();
--- a/packages/heatherarch-forward/life/request_guard.ts
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -35,9 +35,9 @@
 
   constructor(options: RequestGuardOptions) {
     this.#options = options;
-    this.#undoListener = options.serving.quarantine.registerHeldListener(
-      (request) => {
-        if (request !== this.request) return;
+    this.#undoListener = options.serving.quarantine.registerChangeListener(
+      ({ kind, request }) => {
+        if (kind !== "held" || request !== this.request) return;
         const held = this.findHeld();
         if (held !== undefined) options.onHeld(held);
       },
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -42,6 +42,7 @@
 export * from "./decisions/reader_board.ts";
 export * from "./beliefs/retry_allowance.ts";
 export * from "./decisions/return_time.ts";
+export * from "./tasks/quarantine_keeper.ts";
 export * from "./tasks/role_keeper.ts";
 export * from "./decisions/role_plan.ts";
 export * from "./beliefs/route_table.ts";
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -53,11 +53,21 @@
   put(key: string, value: T | undefined): Promise<void>;
 }
 
+/** A request that is held back, as it is kept for VMs that start; its key is the digest. */
+export interface QuarantineRecord {
+  readonly account: string;
+  /** Lives of targets that ended under it. */
+  readonly lives: readonly string[];
+  /** Time of the latest end, Unix milliseconds. */
+  readonly atUnixMs: number;
+}
+
 /** All that the forwarding path keeps in, or learns from, the platform's store. */
 export interface DirectoryPorts {
   readonly configs: KeyedTopicPort<RoutingConfig>;
   readonly targets: KeyedTopicPort<Target>;
   readonly vms: WritableTopicPort<VmRecord>;
+  readonly quarantine: WritableTopicPort<QuarantineRecord>;
 }
 
 /** How one try of a call is sent. */
--- /dev/null
+++ b/packages/heatherarch-forward/tasks/quarantine_keeper.ts
@@ -0,0 +1,109 @@
+/**
+ * Keeps requests that are held back in the platform's store, so that VMs that all start anew know
+ * them. Between VMs that live the mesh carries the news.
+ *
+ * @module
+ */
+import { type Clock, sleep } from "heatherarch-core";
+import type {
+  CrashNote,
+  QuarantineChange,
+  RequestQuarantine,
+} from "../beliefs/request_quarantine.ts";
+import type { EventLog } from "../event_log.ts";
+import type { QuarantineRecord, WritableTopicPort } from "../ports.ts";
+
+/** Options of {@linkcode QuarantineKeeper}. */
+export interface QuarantineKeeperOptions {
+  readonly topic: WritableTopicPort<QuarantineRecord>;
+  readonly quarantine: RequestQuarantine;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** Pause before a call of the store is made again, milliseconds; each one doubles it. */
+const RETRY_MS = 500;
+const MAX_RETRY_MS = 8000;
+/** A write is given up after so many tries: the VMs that live know. */
+const MAX_WRITES = 5;
+
+/** The task that reads and writes the requests that are held back. */
+export class QuarantineKeeper {
+  readonly #options: QuarantineKeeperOptions;
+  #undoListener: (() => void) | undefined;
+  #isStopped = false;
+
+  constructor(options: QuarantineKeeperOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#undoListener = this.#options.quarantine.registerChangeListener(
+      (change) => {
+        // Of all VMs that hear, the one that saw it writes.
+        if (change.isOwn) void this.#write(change);
+      },
+    );
+    void this.#load();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#undoListener?.();
+  }
+
+  async #load(): Promise<void> {
+    const { topic, quarantine, clock } = this.#options;
+    await this.#retry("load", Infinity, async () => {
+      const { entries } = await topic.load();
+      const notes = entries.flatMap(({ key, value }) =>
+        value === undefined ? [] : this.#buildNotes(key, value)
+      );
+      quarantine.notePeer(notes, clock.readMonotonicMs());
+    });
+  }
+
+  #buildNotes(
+    request: string,
+    { account, lives, atUnixMs }: QuarantineRecord,
+  ): CrashNote[] {
+    const ageMs = Math.max(0, this.#options.clock.readWallMs() - atUnixMs);
+    return lives.map((life): CrashNote => [request, account, life, 1, ageMs]);
+  }
+
+  async #write({ kind, request }: QuarantineChange): Promise<void> {
+    const { topic, quarantine, clock } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    const held = quarantine.findHeld(request, nowMs);
+    // What was cleared meanwhile has been, or will be, removed.
+    if (kind === "held" && held === undefined) return;
+    const record = held === undefined ? undefined : {
+      account: held.account,
+      lives: held.lives,
+      atUnixMs: clock.readWallMs() - (nowMs - held.sinceMs),
+    };
+    await this.#retry("write", MAX_WRITES, () => topic.put(request, record));
+  }
+
+  async #retry(
+    action: "load" | "write",
+    maxTries: number,
+    run: () => Promise<void>,
+  ): Promise<void> {
+    for (let tries = 1; !this.#isStopped; tries++) {
+      try {
+        await run();
+        return;
+      } catch (error) {
+        const isLast = tries >= maxTries;
+        this.#options.log.write(isLast ? "warn" : "info", "quarantineNotKept", {
+          action,
+          tries,
+          reason: (error as Error).message,
+        });
+        if (isLast) return;
+        await sleep(Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (tries - 1)));
+      }
+    }
+  }
+}
