Test of a suspended holder waits for the logged order, not for the engine's side of it

Traced: with an engine that answers orders after 30 ms the old test fails each time, with the same message. It now waits for the logged order, and the engine keeps that delay. What it asserts is unchanged: the lease was dropped, no order is logged before that, the order bears a claim of its own.

--- a/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
@@ -45,6 +45,9 @@
   }
 }
 
+/** Time for which an engine keeps an order before it answers, milliseconds. */
+const ORDER_MS = 30;
+
 /** An engine's calls; orders are kept. */
 async function startEngine(onReport: () => void): Promise<{
   address: string;
@@ -58,7 +61,7 @@
       return;
     }
     orders.push({ fencing: Number(request.url?.split("/").at(-1)) });
-    response.writeHead(202).end();
+    setTimeout(() => response.writeHead(202).end(), ORDER_MS);
   });
   await new Promise<void>((resolve) => server?.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as { port: number };
@@ -159,7 +162,10 @@
   keeper = created.keeper;
   keeper.start();
   const untilMs = performance.now() + 15_000;
-  while (engine.orders.length === 0 && performance.now() < untilMs) {
+  const isOrdered = (): boolean =>
+    events.lines.some(({ event }) => event === "roleOrdered");
+  // An order is logged once it is answered, later than the engine has it.
+  while (!isOrdered() && performance.now() < untilMs) {
     await new Promise((resolve) => setTimeout(resolve, 20));
   }
   const names = events.lines.map(({ event }) => event);
