Beliefs of a VM are built in a module of their own; prove plays the quarantine

The quarantine has three guards that a proof switches off: a cleared pair stays cleared, a life counts once, copies of a last trial go one at a time.

--- a/packages/heatherarch-forward/beliefs/request_quarantine.ts
+++ b/packages/heatherarch-forward/beliefs/request_quarantine.ts
@@ -52,6 +52,15 @@
   readonly cursor: number;
 }
 
+/** Guards of the quarantine; the proofs switch them off one at a time. */
+export const QUARANTINE_GUARDS = [
+  "clearedStaysCleared",
+  "livesCountOnce",
+  "copiesOneAtATime",
+] as const;
+/** Name of a guard. */
+export type QuarantineGuard = typeof QUARANTINE_GUARDS[number];
+
 /** Options of {@linkcode RequestQuarantine}. */
 export interface RequestQuarantineOptions {
   /** Lives that end under a request before it is held back. */
@@ -61,6 +70,7 @@
   /** Requests that are remembered; of all, and of one client account. */
   readonly maxRequests?: number;
   readonly maxPerAccount?: number;
+  readonly disabledGuards?: ReadonlySet<QuarantineGuard>;
 }
 
 interface Fact {
@@ -100,6 +110,7 @@
       holdMs: DEFAULT_HOLD_MS,
       maxRequests: DEFAULT_MAX_REQUESTS,
       maxPerAccount: DEFAULT_MAX_PER_ACCOUNT,
+      disabledGuards: new Set(),
       ...options,
     };
   }
@@ -117,7 +128,10 @@
     nowMs: number,
   ): void {
     const fact = { isCleared: false, atMs: nowMs };
-    if (!this.#add(request, account, life, fact)) return;
+    const name = this.#isOff("livesCountOnce")
+      ? `${life} (${this.#changesStart + this.#changes.length})`
+      : life;
+    if (!this.#add(request, account, name, fact)) return;
     if (this.countCrashes(request) >= this.#options.maxCrashes) {
       this.#notify({ kind: "held", request, isOwn: true });
     }
@@ -180,7 +194,9 @@
     const held = this.findHeld(request, nowMs);
     if (held !== undefined) return { kind: "quarantined", held };
     if (!this.isLastTrial(request)) return { kind: "free" };
-    if (this.#onTrial.has(request)) return { kind: "onTrial" };
+    if (this.#onTrial.has(request) && !this.#isOff("copiesOneAtATime")) {
+      return { kind: "onTrial" };
+    }
     this.#onTrial.add(request);
     return { kind: "trial", end: () => this.#onTrial.delete(request) };
   }
@@ -242,8 +258,8 @@
     const suspect = this.#suspects.get(request) ??
       { account, facts: new Map<string, Fact>() };
     const known = suspect.facts.get(life);
-    if (known?.isCleared) return false;
-    if (known !== undefined && !fact.isCleared) return false;
+    if (known?.isCleared && !this.#isOff("clearedStaysCleared")) return false;
+    if (known !== undefined && known.isCleared === fact.isCleared) return false;
     suspect.facts.set(life, fact);
     this.#suspects.delete(request);
     this.#suspects.set(request, suspect);
@@ -252,6 +268,10 @@
     return true;
   }
 
+  #isOff(guard: QuarantineGuard): boolean {
+    return this.#options.disabledGuards.has(guard);
+  }
+
   #computeHoldMs(crashes: number): number {
     const { holdMs, maxCrashes } = this.#options;
     const doublings = Math.max(0, crashes - maxCrashes);
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -14,37 +14,19 @@
 import type { LogPort } from "heatherarch-log";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
-import { AnswerNotices } from "./life/answer_notices.ts";
-import { CacheRetention } from "./beliefs/cache_retention.ts";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
 import { CallServer } from "./life/call_server.ts";
-import { ConfigView } from "./beliefs/config_view.ts";
-import { EngineSpread } from "./decisions/engine_spread.ts";
 import { type EventLog, StdoutEventLog } from "./event_log.ts";
 import { FleetMesh } from "./fleet/fleet_mesh.ts";
 import { Ingress } from "./tasks/ingress.ts";
-import { LossInquiry } from "./tasks/loss_inquiry.ts";
-import { ForwardMetrics } from "./metrics.ts";
 import type { Target } from "./model.ts";
 import type { CallCodec, DirectoryPorts } from "./ports.ts";
-import { PromptIndex } from "./beliefs/prompt_index.ts";
-import { PromptPlacer } from "./decisions/prompt_placement.ts";
 import { QuarantineKeeper } from "./tasks/quarantine_keeper.ts";
-import { ReadModel } from "./beliefs/read_model.ts";
-import { ReadQueue } from "./decisions/read_queue.ts";
-import { ReaderBoard } from "./decisions/reader_board.ts";
-import { RetryAllowance } from "./beliefs/retry_allowance.ts";
-import { RequestQuarantine } from "./beliefs/request_quarantine.ts";
 import { RoleKeeper } from "./tasks/role_keeper.ts";
 import type { Serving } from "./serving.ts";
+import { buildServing } from "./vm_beliefs.ts";
 import { StatusServer } from "./tasks/status_server.ts";
 import { StoreReading } from "./tasks/store_reading.ts";
-import { TargetConnections } from "./life/target_connections.ts";
-import { TargetDirectory } from "./beliefs/target_directory.ts";
-import { TargetHealth } from "./beliefs/target_health.ts";
-import { TargetRests } from "./beliefs/target_rests.ts";
-import { TargetProbe } from "./life/target_probe.ts";
-import { WorkLedger } from "./beliefs/work_ledger.ts";
 
 /** What an adapter brings. */
 export interface PlatformPorts {
@@ -186,76 +168,16 @@
   }
 
   #registerBeliefs(): void {
-    const { share, fixedPerWindow, windowSeconds } = this.#settings.retries;
-    const windowMs = windowSeconds * 1000;
-    const readModel = new ReadModel();
-    const metrics = new ForwardMetrics();
-    const directory = new TargetDirectory({
-      targetHeartbeatMs: this.#settings.store.targetHeartbeatMs,
-    });
-    const rests = new TargetRests();
-    const notices = new AnswerNotices({
+    const serving = buildServing({
+      settings: this.#settings,
       codec: this.#ports.codec,
-      directory,
-      rests,
       clock: this.#clock,
       log: this.#log,
+      countVms: () => this.#liveVms,
     });
-    const { maxCrashes, holdSeconds } = this.#settings.quarantine;
-    const quarantine = new RequestQuarantine({
-      maxCrashes,
-      holdMs: holdSeconds * 1000,
-    });
-    this.#container.register({
-      clock: asValue(this.#clock),
-      log: asValue(this.#log),
-      codec: asValue(this.#ports.codec),
-      metrics: asValue(metrics),
-      configs: asValue(new ConfigView()),
-      directory: asValue(directory),
-      quarantine: asValue(quarantine),
-      losses: asValue(
-        new LossInquiry({
-          targetProbe: new TargetProbe(),
-          quarantine,
-          directory,
-          clock: this.#clock,
-          log: this.#log,
-          metrics,
-        }),
-      ),
-      health: asValue(new TargetHealth()),
-      rests: asValue(rests),
-      ledger: asValue(new WorkLedger()),
-      connections: asValue(
-        new TargetConnections({
-          onHead: (target, head) => notices.take(target, head),
-          findBan: ({ id }, purpose) => {
-            const nowMs = this.#clock.readMonotonicMs();
-            if (rests.isResting(id, nowMs)) return "the target rests";
-            if (purpose === "release") return undefined;
-            return directory.isLeaving(id) ? "the target leaves" : undefined;
-          },
-        }),
-      ),
-      allowance: asValue(
-        new RetryAllowance({ share, fixedPerWindow, windowMs }),
-      ),
-      readModel: asValue(readModel),
-      readQueue: asValue(new ReadQueue({ clock: this.#clock })),
-      readerBoard: asValue(new ReaderBoard()),
-      prompts: asValue(new PromptIndex()),
-      retention: asValue(new CacheRetention()),
-      countVms: asValue(() => this.#liveVms),
-      placer: asValue(new PromptPlacer({ model: readModel })),
-      spread: asValue(
-        new EngineSpread({
-          vmId: this.#settings.vm.id,
-          drawUnit: Math.random,
-        }),
-      ),
-      drawUnit: asValue(Math.random),
-    });
+    for (const [name, part] of Object.entries(serving)) {
+      this.#container.register(name, asValue(part));
+    }
   }
 
   #registerTasks(): void {
--- /dev/null
+++ b/packages/heatherarch-forward/vm_beliefs.ts
@@ -0,0 +1,126 @@
+/**
+ * Builds what the calls of one VM share: its beliefs, and the means to act on them.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { ForwardSettings } from "heatherarch-settings";
+import { CacheRetention } from "./beliefs/cache_retention.ts";
+import { ConfigView } from "./beliefs/config_view.ts";
+import { PromptIndex } from "./beliefs/prompt_index.ts";
+import { ReadModel } from "./beliefs/read_model.ts";
+import { RequestQuarantine } from "./beliefs/request_quarantine.ts";
+import { RetryAllowance } from "./beliefs/retry_allowance.ts";
+import { TargetDirectory } from "./beliefs/target_directory.ts";
+import { TargetHealth } from "./beliefs/target_health.ts";
+import { TargetRests } from "./beliefs/target_rests.ts";
+import { WorkLedger } from "./beliefs/work_ledger.ts";
+import { EngineSpread } from "./decisions/engine_spread.ts";
+import { PromptPlacer } from "./decisions/prompt_placement.ts";
+import { ReaderBoard } from "./decisions/reader_board.ts";
+import { ReadQueue } from "./decisions/read_queue.ts";
+import type { EventLog } from "./event_log.ts";
+import { AnswerNotices } from "./life/answer_notices.ts";
+import {
+  type SendPurpose,
+  TargetConnections,
+} from "./life/target_connections.ts";
+import { TargetProbe } from "./life/target_probe.ts";
+import { ForwardMetrics } from "./metrics.ts";
+import type { CallCodec } from "./ports.ts";
+import type { Serving } from "./serving.ts";
+import { LossInquiry } from "./tasks/loss_inquiry.ts";
+
+/** Options of {@linkcode buildServing}. */
+export interface BuildServingOptions {
+  readonly settings: ForwardSettings;
+  readonly codec: CallCodec;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Number of VMs that share the load. */
+  readonly countVms: () => number;
+}
+
+const MS_PER_SECOND = 1000;
+
+/** Builds what calls share, from a VM's settings. */
+export function buildServing(options: BuildServingOptions): Serving {
+  const { settings, codec, clock, log, countVms } = options;
+  const metrics = new ForwardMetrics();
+  const readModel = new ReadModel();
+  const directory = new TargetDirectory({
+    targetHeartbeatMs: settings.store.targetHeartbeatMs,
+  });
+  const rests = new TargetRests();
+  const notices = new AnswerNotices({ codec, directory, rests, clock, log });
+  const quarantine = buildQuarantine(settings);
+  const targetProbe = new TargetProbe();
+  return {
+    clock,
+    log,
+    codec,
+    metrics,
+    directory,
+    rests,
+    quarantine,
+    readModel,
+    countVms,
+    configs: new ConfigView(),
+    health: new TargetHealth(),
+    ledger: new WorkLedger(),
+    losses: new LossInquiry({
+      targetProbe,
+      quarantine,
+      directory,
+      clock,
+      log,
+      metrics,
+    }),
+    connections: new TargetConnections({
+      onHead: (target, head) => notices.take(target, head),
+      findBan: ({ id }, purpose) =>
+        findBan({ directory, rests, clock }, id, purpose),
+    }),
+    allowance: buildAllowance(settings),
+    readQueue: new ReadQueue({ clock }),
+    readerBoard: new ReaderBoard(),
+    prompts: new PromptIndex(),
+    retention: new CacheRetention(),
+    placer: new PromptPlacer({ model: readModel }),
+    spread: new EngineSpread({
+      vmId: settings.vm.id,
+      drawUnit: Math.random,
+    }),
+    drawUnit: Math.random,
+  };
+}
+
+/** Why a target may not be sent something now; undefined if it may. */
+function findBan(
+  { directory, rests, clock }: Pick<Serving, "directory" | "rests" | "clock">,
+  target: string,
+  purpose: SendPurpose,
+): string | undefined {
+  if (rests.isResting(target, clock.readMonotonicMs())) {
+    return "the target rests";
+  }
+  if (purpose === "release") return undefined;
+  return directory.isLeaving(target) ? "the target leaves" : undefined;
+}
+
+function buildQuarantine({ quarantine }: ForwardSettings): RequestQuarantine {
+  const { maxCrashes, holdSeconds } = quarantine;
+  return new RequestQuarantine({
+    maxCrashes,
+    holdMs: holdSeconds * MS_PER_SECOND,
+  });
+}
+
+function buildAllowance({ retries }: ForwardSettings): RetryAllowance {
+  const { share, fixedPerWindow, windowSeconds } = retries;
+  return new RetryAllowance({
+    share,
+    fixedPerWindow,
+    windowMs: windowSeconds * MS_PER_SECOND,
+  });
+}
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -12,6 +12,7 @@
 import { ORDER_WRITE_PROOF } from "./order_write_proof.ts";
 import { PARSER_PROOF } from "./parser_proof.ts";
 import type { Proof } from "./proof.ts";
+import { QUARANTINE_PROOF } from "./quarantine_proof.ts";
 import { TARGET_LIST_PROOF } from "./target_list_proof.ts";
 
 export * from "./fake_host.ts";
@@ -32,4 +33,5 @@
   { proof: GENERATION_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: ORDER_WRITE_PROOF, testRuns: 20, mutationRuns: 100 },
   { proof: TARGET_LIST_PROOF, testRuns: 300, mutationRuns: 5000 },
+  { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
