An end of a target is told by who is at its address, not by an entry that goes

A request that is repeated into a cut three times would be held back wrongly.

Cause: a weak sign was taken for an end. Now another life that is listed or answers at the address is one, besides the refused connection. quarantineLifted is written, and the store told, only where a request was held back.

--- a/packages/heatherarch-forward/beliefs/request_quarantine.ts
+++ b/packages/heatherarch-forward/beliefs/request_quarantine.ts
@@ -38,7 +38,7 @@
   | { readonly kind: "onTrial" }
   | { readonly kind: "quarantined"; readonly held: QuarantinedRequest };
 
-/** What became of a request on this VM, by its own observation or a peer's word. */
+/** A request is held back on this VM, or no more, by its own observation or a peer's word. */
 export interface QuarantineChange {
   readonly kind: "held" | "cleared";
   readonly request: string;
@@ -142,13 +142,14 @@
   clear(request: string, nowMs: number): boolean {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) return false;
+    const isHeld = this.countCrashes(request) >= this.#options.maxCrashes;
     let isNews = false;
     for (const life of listCrashes(suspect)) {
       const fact = { isCleared: true, atMs: nowMs };
       isNews = this.#add(request, suspect.account, life, fact) || isNews;
     }
     if (!isNews) return false;
-    this.#notify({ kind: "cleared", request, isOwn: true });
+    if (isHeld) this.#notify({ kind: "cleared", request, isOwn: true });
     this.#notifyNews();
     return true;
   }
--- a/packages/heatherarch-forward/life/try_judge.ts
+++ b/packages/heatherarch-forward/life/try_judge.ts
@@ -149,13 +149,14 @@
   stage: string,
   end: TryEnd,
 ): void {
-  const { health, directory, log, metrics } = run.serving;
+  const { health, directory, losses, log, metrics } = run.serving;
   const outcome = end.kind === "answer" ? String(end.head.status) : end.kind;
   metrics.tries.inc({ stage, outcome });
   const nowMs = run.nowMs;
   if (end.kind === "notRun" && end.refusal === "otherIncarnation") {
     directory.markReplaced(target.id);
     health.forget(target.id);
+    losses.noteEnded(target.id, "replaced");
   }
   if (end.kind === "notRun" && end.refusal === "otherRole") {
     health.rest(target.id, nowMs + OTHER_ROLE_REST_MS);
--- a/packages/heatherarch-forward/tasks/loss_inquiry.ts
+++ b/packages/heatherarch-forward/tasks/loss_inquiry.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import type { Address, Clock } from "heatherarch-core";
 import type { RequestQuarantine } from "../beliefs/request_quarantine.ts";
 import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import type { EventLog } from "../event_log.ts";
@@ -23,7 +23,10 @@
 }
 
 /** What showed that a life of a target has ended. */
-export type EndEvidence = "refusedConnection" | "unlisted";
+export type EndEvidence =
+  | "refusedConnection"
+  /** Another life answers, or is listed, at its address. */
+  | "replaced";
 
 /** Options of {@linkcode LossInquiry}. */
 export interface LossInquiryOptions {
@@ -36,13 +39,14 @@
 }
 
 interface OpenLoss {
+  readonly address: Address;
   readonly request: string;
   readonly account: string;
   readonly atMs: number;
 }
 
-/** The list drops a target that ended after three of its heartbeats and a reading, milliseconds. */
-const OPEN_MS = 6000;
+/** A process that ended is back, and listed, within this time as a rule, milliseconds. */
+const OPEN_MS = 10_000;
 /** Losses that wait for word of their target. */
 const MAX_OPEN = 1024;
 
@@ -94,13 +98,26 @@
     }
   }
 
+  /**
+   * The list names a target: whatever was lost at its address before has ended. That an entry goes
+   * tells nothing, since those of targets that are only cut off lapse as well.
+   */
+  noteListed({ id, address }: Target): void {
+    for (const [life, [loss]] of this.#open) {
+      if (life === id || loss.address !== address) continue;
+      this.noteEnded(life, "replaced");
+    }
+  }
+
   /** A target that has announced its end, or is listed no more, ends by itself. */
   #addOpen({ request, account, target }: Loss): void {
+    const { address } = target;
     const { directory, clock } = this.#options;
     if (directory.findTarget(target.id) === undefined) return;
     if (directory.isLeaving(target.id)) return;
     const losses = this.#open.get(target.id) ?? [];
-    losses.push({ request, account, atMs: clock.readMonotonicMs() });
+    const atMs = clock.readMonotonicMs();
+    losses.push({ address, request, account, atMs });
     this.#openCount++;
     this.#open.delete(target.id);
     this.#open.set(target.id, losses);
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -213,9 +213,8 @@
   }
 
   #forget(target: string): void {
-    const { losses, prompts, health, rests, readModel, spread } = this.#options;
+    const { prompts, health, rests, readModel, spread } = this.#options;
     rests.forget(target);
-    losses.noteEnded(target, "unlisted");
     prompts.forgetTarget(target);
     health.forget(target);
     readModel.forget(target);
@@ -227,8 +226,9 @@
     entries: readonly KeyedEntry<Target>[],
     source: LeavingSource,
   ): void {
-    const { directory, metrics } = this.#options;
+    const { directory, losses, metrics } = this.#options;
     for (const { key, value } of entries) {
+      if (value !== undefined) losses.noteListed(value);
       if (value?.leaving) this.#logLeaving("targetLeaving", value.id, source);
       if (value === undefined && directory.isMissing(key)) {
         metrics.targetsKept.inc();
--- a/packages/heatherarch-forward/tests/unit/loss_inquiry_test.ts
+++ b/packages/heatherarch-forward/tests/unit/loss_inquiry_test.ts
@@ -39,7 +39,7 @@
   const wait = (ms: number): void => {
     nowMs += ms;
   };
-  return { inquiry, quarantine, lose, wait };
+  return { inquiry, directory, quarantine, lose, wait };
 }
 
 test("a target that refuses connections after a loss has ended under all its requests", async () => {
@@ -55,20 +55,32 @@
   assert.equal(quarantine.isEmpty, true);
 });
 
-test("a target that was silent has ended when the list drops it soon after", async () => {
+test("a target that was silent has ended when another life is listed at its address", async () => {
   const { inquiry, quarantine, lose, wait } = build("silent");
   await lose("r");
-  assert.equal(quarantine.isEmpty, true);
   wait(4000);
-  inquiry.noteEnded(TARGET.id, "unlisted");
+  inquiry.noteListed(TARGET);
+  inquiry.noteListed(buildTarget("u", { address: "127.0.0.1:2" }));
+  assert.equal(quarantine.isEmpty, true);
+  inquiry.noteListed({ ...TARGET, id: "t@2" });
   assert.equal(quarantine.countCrashes("r"), 1);
 });
 
+// Seen: requests that were lost to a cut zone counted as crashes, since entries behind it lapse.
+test("a target whose entry lapses behind a cut, and that is back with it, has not ended", async () => {
+  const { inquiry, directory, quarantine, lose, wait } = build("silent");
+  await lose("r");
+  directory.applyList([], 3000);
+  wait(5000);
+  inquiry.noteListed(TARGET);
+  assert.equal(quarantine.isEmpty, true);
+});
+
 test("a loss of long ago has nothing to do with a target's end", async () => {
   const { inquiry, quarantine, lose, wait } = build("accepted");
   await lose("r");
-  wait(10_000);
-  inquiry.noteEnded(TARGET.id, "unlisted");
+  wait(10_001);
+  inquiry.noteListed({ ...TARGET, id: "t@2" });
   assert.equal(quarantine.isEmpty, true);
 });
 
