The quarantine is a package of its own

It stood in the forwarding path, though the interface of our own needs it as well. heatherarch-quarantine holds the requests, the digest, the probe and the inquiry, which asks its owner whether a target is in service instead of knowing the directory. No logic is changed.

--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -19,7 +19,7 @@
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PromptIndex } from "../beliefs/prompt_index.ts";
-import type { RequestQuarantine } from "../beliefs/request_quarantine.ts";
+import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { WorkLedger } from "../beliefs/work_ledger.ts";
 
 /** Options of {@linkcode FleetMesh}. */
--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -9,7 +9,7 @@
   ServeError,
   type ServeErrorOptions,
 } from "heatherarch-core";
-import type { QuarantinedRequest } from "../beliefs/request_quarantine.ts";
+import type { QuarantinedRequest } from "heatherarch-quarantine";
 import type { CallerPort } from "./caller_port.ts";
 import type { LogLevel } from "../event_log.ts";
 import type { ForwardedCall, Route, ServiceSpec } from "../model.ts";
--- a/packages/heatherarch-forward/life/request_guard.ts
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -4,13 +4,10 @@
  * @module
  */
 import { sleep } from "heatherarch-core";
-import type {
-  Admission,
-  QuarantinedRequest,
-} from "../beliefs/request_quarantine.ts";
+import type { Admission, QuarantinedRequest } from "heatherarch-quarantine";
 import type { ForwardedCall, Target } from "../model.ts";
 import type { Serving } from "../serving.ts";
-import { hashRequest } from "./request_digest.ts";
+import { hashRequest } from "heatherarch-quarantine";
 import type { TargetExchange } from "./target_exchange.ts";
 
 /** A refused connection tells within a round trip; a silent target is not waited for longer. */
@@ -97,7 +94,8 @@
         call: id,
         request: this.request,
         account: host,
-        target,
+        target: target.id,
+        address: target.address,
         reason: end.message,
       }));
     });
--- a/packages/heatherarch-forward/tasks/quarantine_keeper.ts
+++ b/packages/heatherarch-forward/tasks/quarantine_keeper.ts
@@ -9,7 +9,7 @@
   CrashNote,
   QuarantineChange,
   RequestQuarantine,
-} from "../beliefs/request_quarantine.ts";
+} from "heatherarch-quarantine";
 import type { EventLog } from "../event_log.ts";
 import type { QuarantineRecord, WritableTopicPort } from "../ports.ts";
 
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -9,7 +9,7 @@
 import type {
   QuarantinedRequest,
   RequestQuarantine,
-} from "../beliefs/request_quarantine.ts";
+} from "heatherarch-quarantine";
 import type { ForwardMetrics } from "../metrics.ts";
 
 /** Options of {@linkcode StatusServer}. */
--- a/packages/heatherarch-forward/tests/unit/lives_world.ts
+++ b/packages/heatherarch-forward/tests/unit/lives_world.ts
@@ -5,8 +5,10 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
+  buildInquiry,
   CacheRetention,
   type CallCodec,
   type CallerPort,
@@ -16,7 +18,6 @@
   EngineSpread,
   ForwardMetrics,
   GenerationLife,
-  LossInquiry,
   MemoryEventLog,
   PlainLife,
   PromptIndex,
@@ -24,7 +25,6 @@
   ReaderBoard,
   ReadModel,
   ReadQueue,
-  RequestQuarantine,
   RetryAllowance,
   type Serving,
   type Target,
@@ -174,14 +174,10 @@
       ledger: new WorkLedger(),
       connections,
       quarantine,
-      losses: new LossInquiry({
-        targetProbe: { probe: () => Promise.resolve("accepted") },
-        quarantine,
-        directory: this.#directory,
-        clock,
-        log,
-        metrics,
-      }),
+      losses: buildInquiry(
+        { quarantine, directory: this.#directory, clock, log, metrics },
+        { probe: () => Promise.resolve("accepted") },
+      ),
       allowance: new RetryAllowance({
         fixedPerWindow: 1000,
         share: 1,
--- a/packages/heatherarch-forward/vm_beliefs.ts
+++ b/packages/heatherarch-forward/vm_beliefs.ts
@@ -9,7 +9,7 @@
 import { ConfigView } from "./beliefs/config_view.ts";
 import { PromptIndex } from "./beliefs/prompt_index.ts";
 import { ReadModel } from "./beliefs/read_model.ts";
-import { RequestQuarantine } from "./beliefs/request_quarantine.ts";
+import { RequestQuarantine } from "heatherarch-quarantine";
 import { RetryAllowance } from "./beliefs/retry_allowance.ts";
 import { TargetDirectory } from "./beliefs/target_directory.ts";
 import { TargetHealth } from "./beliefs/target_health.ts";
@@ -25,11 +25,11 @@
   type SendPurpose,
   TargetConnections,
 } from "./life/target_connections.ts";
-import { TargetProbe } from "./life/target_probe.ts";
+import { TargetProbe } from "heatherarch-quarantine";
 import { ForwardMetrics } from "./metrics.ts";
 import type { CallCodec } from "./ports.ts";
 import type { Serving } from "./serving.ts";
-import { LossInquiry } from "./tasks/loss_inquiry.ts";
+import { LossInquiry } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildServing}. */
 export interface BuildServingOptions {
@@ -54,7 +54,6 @@
   const rests = new TargetRests();
   const notices = new AnswerNotices({ codec, directory, rests, clock, log });
   const quarantine = buildQuarantine(settings);
-  const targetProbe = new TargetProbe();
   return {
     clock,
     log,
@@ -68,14 +67,7 @@
     configs: new ConfigView(),
     health: new TargetHealth(),
     ledger: new WorkLedger(),
-    losses: new LossInquiry({
-      targetProbe,
-      quarantine,
-      directory,
-      clock,
-      log,
-      metrics,
-    }),
+    losses: buildInquiry({ quarantine, directory, clock, log, metrics }),
     connections: new TargetConnections({
       onHead: (target, head) => notices.take(target, head),
       findBan: ({ id }, purpose) =>
@@ -95,6 +87,37 @@
   };
 }
 
+/** Looks into losses, with a line in the log for each and for each end of a target. */
+export function buildInquiry(
+  { quarantine, directory, clock, log, metrics }: Pick<
+    Serving,
+    "quarantine" | "directory" | "clock" | "log" | "metrics"
+  >,
+  targetProbe: Pick<TargetProbe, "probe"> = new TargetProbe(),
+): LossInquiry {
+  return new LossInquiry({
+    targetProbe,
+    quarantine,
+    clock,
+    isInService: (target) =>
+      directory.findTarget(target) !== undefined &&
+      !directory.isLeaving(target),
+    onLoss: ({ call, request, target, address, reason }, probe) =>
+      log.write("info", "exchangeLost", {
+        call,
+        request,
+        target,
+        address,
+        reason,
+        probe,
+      }),
+    onEnded: (target, evidence, requests) => {
+      metrics.targetsEnded.inc();
+      log.write("warn", "targetEnded", { target, evidence, requests });
+    },
+  });
+}
+
 /** Why a target may not be sent something now; undefined if it may. */
 function findBan(
   { directory, rests, clock }: Pick<Serving, "directory" | "rests" | "clock">,
--- a/packages/heatherarch-lab/proofs/quarantine_proof.ts
+++ b/packages/heatherarch-lab/proofs/quarantine_proof.ts
@@ -10,7 +10,7 @@
   QUARANTINE_GUARDS,
   type QuarantineGuard,
   RequestQuarantine,
-} from "heatherarch-forward";
+} from "heatherarch-quarantine";
 import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
 
 const VMS = 3;
--- a/packages/heatherarch-forward/life/request_digest.ts
+++ b/packages/heatherarch-quarantine/request_digest.ts
@@ -4,7 +4,15 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { ForwardedCall } from "../model.ts";
+
+/** The parts of a call that its client repeats when it sends the request again. */
+export interface RequestContent {
+  readonly method: string;
+  /** Whom or what the request is addressed to: a host, or a client account and a service. */
+  readonly host: string;
+  readonly path: string;
+  readonly body: Buffer;
+}
 
 const DIGEST_HEX_LENGTH = 32;
 
@@ -13,12 +21,8 @@
  * attempts and are left out. It is cryptographic, so that no client account can build a request
  * that is taken for another one's.
  */
-export function hashRequest(
-  { method, host, path, body }: Pick<
-    ForwardedCall,
-    "method" | "host" | "path" | "body"
-  >,
-): string {
+export function hashRequest(content: RequestContent): string {
+  const { method, host, path, body } = content;
   return createHash("sha256")
     .update(JSON.stringify([method, host, path]))
     .update(body)
--- a/packages/heatherarch-forward/life/target_probe.ts
+++ b/packages/heatherarch-quarantine/target_probe.ts
@@ -5,7 +5,7 @@
  */
 import { connect } from "node:net";
 import { splitAddress } from "heatherarch-mesh";
-import type { Target } from "../model.ts";
+import type { Address } from "heatherarch-core";
 
 /** What a connection met: a listening process, an address without one, or nothing in time. */
 export type ProbeResult = "accepted" | "refused" | "silent";
@@ -28,17 +28,17 @@
     this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   }
 
-  probe(target: Target): Promise<ProbeResult> {
-    let pending = this.#pending.get(target.id);
+  probe(address: Address): Promise<ProbeResult> {
+    let pending = this.#pending.get(address);
     if (pending === undefined) {
-      pending = this.#connect(target.address)
-        .finally(() => this.#pending.delete(target.id));
-      this.#pending.set(target.id, pending);
+      pending = this.#connect(address)
+        .finally(() => this.#pending.delete(address));
+      this.#pending.set(address, pending);
     }
     return pending;
   }
 
-  #connect(address: string): Promise<ProbeResult> {
+  #connect(address: Address): Promise<ProbeResult> {
     return new Promise((resolve) => {
       const socket = connect({ ...splitAddress(address) });
       const end = (result: ProbeResult): void => {
--- a/packages/heatherarch-forward/tests/unit/loss_inquiry_test.ts
+++ b/packages/heatherarch-quarantine/tests/unit/loss_inquiry_test.ts
@@ -1,45 +1,36 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Clock } from "heatherarch-core";
-import {
-  ForwardMetrics,
-  LossInquiry,
-  MemoryEventLog,
-  type ProbeResult,
-  RequestQuarantine,
-  type Target,
-  TargetDirectory,
-} from "../../mod.ts";
-import { buildTarget } from "./fixtures.ts";
+import { LossInquiry, type ProbeResult, RequestQuarantine } from "../../mod.ts";
 
-const TARGET = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
+const TARGET = "t@1";
+const ADDRESS = "127.0.0.1:1";
 
-/** An inquiry whose probes all meet `result`, about one listed target. */
-function build(result: ProbeResult, target: Target = TARGET) {
+/** An inquiry whose probes all meet `result`, about one target. */
+function build(result: ProbeResult, isInService = true) {
   let nowMs = 0;
-  const directory = new TargetDirectory();
-  directory.applyList([{ key: "t", value: target }], 0);
   const quarantine = new RequestQuarantine();
   const inquiry = new LossInquiry({
     targetProbe: { probe: () => Promise.resolve(result) },
     quarantine,
-    directory,
     clock: { readMonotonicMs: () => nowMs } as unknown as Clock,
-    log: new MemoryEventLog(),
-    metrics: new ForwardMetrics(),
+    isInService: () => isInService,
+    onLoss: () => undefined,
+    onEnded: () => undefined,
   });
   const lose = (request: string) =>
     inquiry.take({
       call: "c",
       request,
       account: "a",
-      target,
+      target: TARGET,
+      address: ADDRESS,
       reason: "other side closed",
     });
   const wait = (ms: number): void => {
     nowMs += ms;
   };
-  return { inquiry, directory, quarantine, lose, wait };
+  return { inquiry, quarantine, lose, wait };
 }
 
 test("a target that refuses connections after a loss has ended under all its requests", async () => {
@@ -59,20 +50,19 @@
   const { inquiry, quarantine, lose, wait } = build("silent");
   await lose("r");
   wait(4000);
-  inquiry.noteListed(TARGET);
-  inquiry.noteListed(buildTarget("u", { address: "127.0.0.1:2" }));
+  inquiry.noteListed(TARGET, ADDRESS);
+  inquiry.noteListed("u", "127.0.0.1:2");
   assert.equal(quarantine.isEmpty, true);
-  inquiry.noteListed({ ...TARGET, id: "t@2" });
+  inquiry.noteListed("t@2", ADDRESS);
   assert.equal(quarantine.countCrashes("r"), 1);
 });
 
 // Seen: requests that were lost to a cut zone counted as crashes, since entries behind it lapse.
 test("a target whose entry lapses behind a cut, and that is back with it, has not ended", async () => {
-  const { inquiry, directory, quarantine, lose, wait } = build("silent");
+  const { inquiry, quarantine, lose, wait } = build("silent");
   await lose("r");
-  directory.applyList([], 3000);
   wait(5000);
-  inquiry.noteListed(TARGET);
+  inquiry.noteListed(TARGET, ADDRESS);
   assert.equal(quarantine.isEmpty, true);
 });
 
@@ -80,12 +70,12 @@
   const { inquiry, quarantine, lose, wait } = build("accepted");
   await lose("r");
   wait(10_001);
-  inquiry.noteListed({ ...TARGET, id: "t@2" });
+  inquiry.noteListed("t@2", ADDRESS);
   assert.equal(quarantine.isEmpty, true);
 });
 
 test("a target that leaves ends by itself", async () => {
-  const { quarantine, lose } = build("refused", { ...TARGET, leaving: true });
+  const { quarantine, lose } = build("refused", false);
   await lose("r");
   assert.equal(quarantine.isEmpty, true);
 });
