The interface of our own holds back requests that end its targets

Reproduced on the lab's cluster with stand-ins whose process ends under a certain text and is back after 0.6 s: after three crashes all four repeats were handed over, as bookings and as prompts.

Change: gateway and daemon use the quarantine of the forwarding path. Requests are admitted before a claim or a plan is made; lost tries are looked into; with two ends the system repeats nothing itself; heartbeats carry the facts. Lives are named by the VM that saw them, since targets there do not tell their start.

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -41,6 +41,8 @@
 import {
   buildClaims,
   buildConfigReader,
+  buildQuarantine,
+  buildRequestWatch,
   buildTable,
   buildWatcher,
   buildZoneView,
@@ -204,6 +206,8 @@
       control: asFunction((parts: Parts) => this.#buildControl(parts))
         .singleton(),
       claims: asFunction(buildClaims).singleton(),
+      quarantine: asFunction(buildQuarantine).singleton(),
+      requests: asFunction(buildRequestWatch).singleton(),
       executor: asFunction((parts: Parts) => this.#buildExecutor(parts))
         .singleton(),
       watcher: asFunction(buildWatcher).singleton(),
@@ -313,6 +317,8 @@
         leaving: this.#leaving,
       }),
       readDemand: () => demand.read(clock.readMonotonicMs()),
+      listCrashes: (cursor) =>
+        parts.quarantine.listNotes(cursor, clock.readMonotonicMs()),
     });
   }
 
@@ -342,6 +348,7 @@
         share: settings.requests.lookupReserveShare,
       }),
       claims,
+      requests: parts.requests,
       events: metrics,
       readRefusal: () => this.#readRefusal(),
       readFleet: () => this.#parts.config.state.fleet,
@@ -441,12 +448,15 @@
   }
 
   #takeHeartbeat(heartbeat: Heartbeat, from: LinkIdentity): void {
-    const { table, zones } = this.#parts;
+    const { table, zones, quarantine, clock } = this.#parts;
     for (const mark of heartbeat.leavingTargets ?? []) {
       table.leaving.mark(mark.target, mark.sinceOffset);
     }
     for (const row of heartbeat.reports ?? []) table.noteReport(row, from.id);
     table.refreshReports(from.id);
+    if (heartbeat.crashes !== undefined) {
+      quarantine.notePeer(heartbeat.crashes, clock.readMonotonicMs());
+    }
     zones.noteHeartbeat(heartbeat, from);
     if (heartbeat.changing !== undefined) {
       const [controlOffset, targets] = heartbeat.changing;
--- a/packages/heatherarch-daemon/heartbeat_builder.ts
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -12,6 +12,7 @@
   ReportRow,
 } from "heatherarch-mesh";
 import { pickRendezvous } from "heatherarch-core";
+import type { CrashNotes } from "heatherarch-quarantine";
 import type { Demand } from "heatherarch-policy";
 import type { Target } from "heatherarch-settings";
 import type { TargetTable } from "./target_table.ts";
@@ -32,14 +33,19 @@
     leaving: boolean;
   };
   readonly readDemand: () => Demand;
+  /** What is known of requests that end targets, from a cursor on. */
+  readonly listCrashes: (cursor: number | undefined) => CrashNotes;
 }
 
 interface LinkProgress {
+  crashCursor: number | undefined;
   leavingVersion: number;
   rowVersion: number;
   changing: string;
 }
 
+type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
+
 /** A VM of another zone is told of this many times fewer targets. */
 const OTHER_ZONE_DIVISOR = 8;
 
@@ -62,7 +68,12 @@
   build(link: Link, peer: LinkIdentity): Heartbeat {
     let progress = this.#progress.get(link);
     if (progress === undefined) {
-      progress = { leavingVersion: 0, rowVersion: 0, changing: "" };
+      progress = {
+        crashCursor: undefined,
+        leavingVersion: 0,
+        rowVersion: 0,
+        changing: "",
+      };
       this.#progress.set(link, progress);
     }
     const { configOffset, controlOffset, leaving } = this.#options
@@ -75,6 +86,7 @@
       intervalMs: Math.round(this.#options.readIntervalMs()),
       zone: this.#summarizeZone(configOffset),
       ...this.#buildLeaving(progress),
+      ...this.#buildCrashes(progress),
       ...this.#buildReports(progress, peer),
       ...this.#buildChanging(progress),
       ...this.#buildDemand(peer),
@@ -88,6 +100,14 @@
     return { leavingTargets: leaving.listMarks() };
   }
 
+  /** Each VM passes on what is new to it, so that it reaches all over any links. */
+  #buildCrashes(progress: LinkProgress): Partial<Heartbeat> {
+    const { notes, cursor } = this.#options.listCrashes(progress.crashCursor);
+    progress.crashCursor = cursor;
+    if (notes.length === 0) return {};
+    return { crashes: notes.map((note): CrashMessage => [...note]) };
+  }
+
   /** Own zone: what this VM watches itself. Other zones: all that is known of this zone. */
   #buildReports(
     progress: LinkProgress,
--- a/packages/heatherarch-daemon/parts.ts
+++ b/packages/heatherarch-daemon/parts.ts
@@ -5,9 +5,18 @@
  */
 import { readFileSync } from "node:fs";
 import type { Clock } from "heatherarch-core";
-import type { Gateway } from "heatherarch-gateway";
+import {
+  type Gateway,
+  getTargetId,
+  QuarantineWatch,
+} from "heatherarch-gateway";
 import type { LogPort, VmListPort } from "heatherarch-log";
 import type { LinkIdentity, Membership, MeshNode } from "heatherarch-mesh";
+import {
+  LossInquiry,
+  RequestQuarantine,
+  TargetProbe,
+} from "heatherarch-quarantine";
 import type { DemandMeter, EngineModel, LoadTracker } from "heatherarch-policy";
 import type { ProcessSettings } from "heatherarch-settings";
 import { ClaimService } from "./claim_service.ts";
@@ -41,6 +50,8 @@
   readonly config: ConfigReader;
   readonly control: ControlTask;
   readonly claims: ClaimService;
+  readonly quarantine: RequestQuarantine;
+  readonly requests: QuarantineWatch;
   readonly executor: OrderExecutor;
   readonly watcher: TargetWatcher;
   readonly heartbeats: HeartbeatBuilder;
@@ -119,3 +130,35 @@
   const { availabilityZone } = identity;
   return new ZoneView({ availabilityZone, clock, membership, demand });
 }
+
+/** Builds what is known of requests that end targets. */
+export function buildQuarantine({ settings }: Parts): RequestQuarantine {
+  const { maxCrashes, holdSeconds } = settings.quarantine;
+  return new RequestQuarantine({ maxCrashes, holdMs: holdSeconds * 1000 });
+}
+
+/** Builds the watch over requests, with a line in the log for each end of a target. */
+export function buildRequestWatch(parts: Parts): QuarantineWatch {
+  const { quarantine, clock, table, logger } = parts;
+  const losses = new LossInquiry({
+    targetProbe: new TargetProbe(),
+    quarantine,
+    clock,
+    isInService: (life) => table.isInService(getTargetId(life)),
+    onLoss: (loss, probe) => logger.info("exchange lost", { ...loss, probe }),
+    onEnded: (life, evidence, requests) => {
+      watch.noteEnded(life);
+      logger.warn("target ended", { target: life, evidence, requests });
+    },
+  });
+  const watch = new QuarantineWatch({ quarantine, losses, clock });
+  quarantine.registerChangeListener(({ kind, request, isOwn }) =>
+    logger.warn(`request ${kind === "held" ? "quarantined" : "cleared"}`, {
+      request,
+      source: isOwn ? "own" : "peer",
+      endedTargets: quarantine.findHeld(request, clock.readMonotonicMs())
+        ?.lives,
+    })
+  );
+  return watch;
+}
--- a/packages/heatherarch-daemon/target_table.ts
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -144,6 +144,13 @@
     return this.#targets.get(id);
   }
 
+  /** Whether a target is to go on: one that leaves, or that the fleet no longer names, ends by itself. */
+  isInService(id: string): boolean {
+    if (!this.#targets.has(id) || this.leaving.has(id)) return false;
+    const directive = this.#config?.directives[id]?.directive ?? "active";
+    return directive === "active" && this.#reports.get(id)?.leaving !== true;
+  }
+
   /** Targets of one zone; the same array until the configuration changes. */
   listZoneTargets(availabilityZone: string): readonly Target[] {
     let list = this.#byZone.get(availabilityZone);
--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -37,6 +37,7 @@
 } from "./openai_format.ts";
 import { callPlainService } from "./plain_call.ts";
 import { parseJsonBody, readRequestBody } from "./request_body.ts";
+import type { WatchedRequest } from "./request_watch.ts";
 import { answerGeneration, answerResume } from "./stream_answer.ts";
 
 /** Certificate of the callers' port, in PEM. */
@@ -225,10 +226,8 @@
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
     const account = this.#accounts.find(readCredentials(ctx), fleet);
-    const body = parseJsonBody(
-      await readRequestBody(ctx.req, this.#host.limits),
-    );
-    const json = unwrap(body);
+    const bytes = await readRequestBody(ctx.req, this.#host.limits);
+    const json = unwrap(parseJsonBody(bytes));
     const parse = ctx.path === "/v1/completions"
       ? parseTextRequest
       : parseChatRequest;
@@ -242,6 +241,7 @@
     const deadlineAtMs = startedAtMs + this.#readDeadlineMs(ctx, profile);
     this.#host.demand.note(promptTokens, maxTokens, startedAtMs);
     const release = this.#acquire(account, startedAtMs);
+    const watched = this.#admit(ctx, account, bytes, requestId, release);
     await answerGeneration(ctx, {
       host: this.#host,
       store: this.#store,
@@ -253,6 +253,7 @@
       maxTokens,
       deadlineAtMs,
       resumable: isResumable(ctx),
+      watched,
       release,
     });
   }
@@ -281,6 +282,7 @@
     const body = await readRequestBody(ctx.req, this.#host.limits);
     const key = this.#readKey(ctx, account, service, { path: call.path, body });
     const release = this.#acquire(account, startedAtMs);
+    const watched = this.#admit(ctx, account, body, requestId, release);
     let outcome: "ok" | ServeError = "ok";
     try {
       const answer = await callPlainService(this.#host, {
@@ -292,6 +294,7 @@
         body: body.length > 0 ? body : undefined,
         deadlineAtMs,
         key,
+        watched,
       });
       for (const [name, value] of Object.entries(answer.headers)) {
         ctx.set(name, value);
@@ -303,6 +306,7 @@
       outcome = toServeError(thrown);
       throw outcome;
     } finally {
+      watched.end(outcome === "ok");
       release();
       const nowMs = this.#host.clock.readMonotonicMs();
       this.#host.events.noteEnd({
@@ -315,6 +319,24 @@
     }
   }
 
+  /** Gives the account's place back where the request may not be handed over. */
+  #admit(
+    ctx: Koa.Context,
+    account: Account,
+    body: Buffer,
+    requestId: string,
+    release: () => void,
+  ): WatchedRequest {
+    const { method, url } = ctx;
+    const content = { method, host: account.name, path: url, body };
+    try {
+      return this.#host.requests.admit(content, requestId);
+    } catch (thrown) {
+      release();
+      throw thrown;
+    }
+  }
+
   #readKey(
     ctx: Koa.Context,
     account: Account,
--- a/packages/heatherarch-gateway/gateway_host.ts
+++ b/packages/heatherarch-gateway/gateway_host.ts
@@ -21,6 +21,7 @@
   Target,
 } from "heatherarch-settings";
 import type { EnginePort, ServicePort } from "heatherarch-targets";
+import type { RequestWatch } from "./request_watch.ts";
 
 /** Limits of requests, from the process settings. */
 export type RequestLimits = ProcessSettings["requests"];
@@ -115,6 +116,7 @@
   readonly retries: RetryBudget;
   readonly lookups: LookupReserve;
   readonly claims: ClaimClient;
+  readonly requests: RequestWatch;
   readonly events: GatewayEvents;
   /** Why no new request is taken; undefined where all is well. */
   readRefusal(): ServeError | undefined;
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -28,6 +28,7 @@
   EngineTry,
   KvHandle,
 } from "heatherarch-targets";
+import type { WatchedRequest } from "./request_watch.ts";
 import type { GatewayHost } from "./gateway_host.ts";
 import type { Usage } from "./openai_format.ts";
 
@@ -59,6 +60,7 @@
   /** Monotonic time by which the answer must be whole. */
   readonly deadlineAtMs: number;
   readonly sink: GenerationSink;
+  readonly watched: WatchedRequest;
   readonly disabledGuards?: ReadonlySet<GenerationGuard>;
 }
 
@@ -345,6 +347,7 @@
     }
     if (leg.attempt.isSent) this.#sentAny = true;
     const nowMs = this.#host.clock.readMonotonicMs();
+    if (failure === "broken") this.#noteLost(leg);
     if (
       (failure === "broken" || failure === "silent") && this.#tryResume(leg)
     ) return;
@@ -358,6 +361,12 @@
     this.#retry(failure, failure === "kvGone" ? "" : leg.target);
   }
 
+  #noteLost({ target: id, attempt }: Leg): void {
+    const target = this.#host.targets.findTarget(id);
+    if (target === undefined || attempt?.isSent !== true) return;
+    this.#options.watched.noteLost(target, "the answer broke off");
+  }
+
   /** Asks the same engine for the rest of its answer, once a leg. */
   #tryResume(leg: Leg): boolean {
     const target = this.#host.targets.findTarget(leg.target);
@@ -380,6 +389,7 @@
   #retry(reason: EngineFailure, target: string): void {
     if (target !== "") this.#failedTargets.add(target);
     const fresh = this.#delivered.length === 0;
+    if (!this.#options.watched.mayRepeat()) return this.#giveUp(reason);
     if (this.#tries >= this.#host.limits.maxTries) return this.#giveUp(reason);
     if (fresh && !this.#host.retries.spendRetry()) return this.#giveUp(reason);
     if (fresh) this.#host.events.noteRetry(reason);
--- a/packages/heatherarch-gateway/mod.ts
+++ b/packages/heatherarch-gateway/mod.ts
@@ -10,3 +10,4 @@
 export * from "./generation_store.ts";
 export * from "./openai_format.ts";
 export * from "./plain_call.ts";
+export * from "./request_watch.ts";
--- a/packages/heatherarch-gateway/plain_call.ts
+++ b/packages/heatherarch-gateway/plain_call.ts
@@ -14,6 +14,7 @@
   HeldClaim,
   KeptAnswer,
 } from "./gateway_host.ts";
+import type { WatchedRequest } from "./request_watch.ts";
 
 /** A call as the caller made it. */
 export interface PlainRequest {
@@ -27,6 +28,7 @@
   readonly body: Buffer | undefined;
   /** Monotonic time by which the answer must be there. */
   readonly deadlineAtMs: number;
+  readonly watched: WatchedRequest;
   /** Idempotency key with its account and service, where the caller sent one. */
   readonly key:
     | { text: string; madeAtMs: number; fingerprint: string }
@@ -191,6 +193,7 @@
     if (attempt.kind === "answer") return attempt.answer;
     failed.add(candidate.id);
     if (attempt.kind === "unknown") last = attempt.error;
+    if (!request.watched.mayRepeat()) break;
     if (host.clock.readMonotonicMs() >= request.deadlineAtMs) break;
   }
   throw last ??
@@ -261,6 +264,9 @@
   work.end(host.clock.readMonotonicMs());
   if (answer.kind === "answer") host.targets.noteSuccess(target.id);
   else if (answer.kind !== "withheld") host.targets.noteFailure(target.id);
+  if (answer.kind === "broken") {
+    request.watched.noteLost(target, answer.detail);
+  }
   return judgeAnswer(answer, tryId, request.service);
 }
 
--- a/packages/heatherarch-gateway/stream_answer.ts
+++ b/packages/heatherarch-gateway/stream_answer.ts
@@ -10,6 +10,7 @@
 import type { GatewayHost, RemoteSlice } from "./gateway_host.ts";
 import { Generation } from "./generation.ts";
 import type { GenerationStore } from "./generation_store.ts";
+import type { WatchedRequest } from "./request_watch.ts";
 import {
   buildEvent,
   buildWholeAnswer,
@@ -31,6 +32,7 @@
   readonly deadlineAtMs: number;
   /** The answer goes on without its caller, who may come back for the rest. */
   readonly resumable: boolean;
+  readonly watched: WatchedRequest;
   /** Gives the account's place back. */
   readonly release: () => void;
 }
@@ -59,6 +61,7 @@
       ? new StreamWriter(ctx, options, reject)
       : new WholeWriter(ctx, options, reject);
     const conclude = (error: ServeError | undefined): void => {
+      options.watched.end(error === undefined);
       options.release();
       store.conclude(requestId, error, host.limits.resumeWindowMs);
       noteEnd(options, generation, startedAtMs, error);
@@ -96,6 +99,7 @@
     ctx.res.once("close", () => {
       if (ctx.res.writableFinished) return;
       generation.cancel();
+      options.watched.end(false);
       options.release();
       resolve();
     });
--- a/packages/heatherarch-lab/proofs/fake_host.ts
+++ b/packages/heatherarch-lab/proofs/fake_host.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { type Clock, RuntimeClock, ServeError } from "heatherarch-core";
-import type { ClaimAnswer, GatewayHost, RequestEnd } from "heatherarch-gateway";
+import type {
+  ClaimAnswer,
+  GatewayHost,
+  RequestEnd,
+  WatchedRequest,
+} from "heatherarch-gateway";
 import {
   type Candidate,
   createRouter,
@@ -57,6 +62,13 @@
   readonly unusable: Set<string>;
 }
 
+/** A request that nothing is known of. */
+export const UNWATCHED: WatchedRequest = {
+  noteLost: () => undefined,
+  mayRepeat: () => true,
+  end: () => undefined,
+};
+
 /** Settings of a process with all defaults. */
 export function buildTestSettings(): ProcessSettings {
   const settings = parseProcessSettings({
@@ -116,6 +128,7 @@
             error: new ServeError("internal", "no claims"),
           })),
     },
+    requests: { admit: () => UNWATCHED },
     events: {
       noteEnd: (end) => ends.push(end),
       noteRetry: () => undefined,
--- a/packages/heatherarch-lab/proofs/generation_proof.ts
+++ b/packages/heatherarch-lab/proofs/generation_proof.ts
@@ -13,7 +13,7 @@
 import { DEFAULT_PROFILE } from "heatherarch-settings";
 import { computeCompletion } from "heatherarch-standins";
 import type { EngineFailure } from "heatherarch-targets";
-import { createFakeHost, type FakeTry } from "./fake_host.ts";
+import { createFakeHost, type FakeTry, UNWATCHED } from "./fake_host.ts";
 import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
 
 const PROMPT = "what does the fare rule say";
@@ -48,6 +48,7 @@
   let outcome = "running";
   const generation = new Generation({
     host,
+    watched: UNWATCHED,
     requestId: "r",
     service: "reader",
     model: "m",
--- /dev/null
+++ b/packages/heatherarch-lab/tests/integration/poison_request_test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { sleep } from "heatherarch-core";
+import {
+  buildDeployment,
+  Caller,
+  type CallResult,
+  Cluster,
+  SHAPES,
+} from "../../mod.ts";
+
+const POISON = "ends whoever runs it";
+/** Crashes after which a request is held back, and the time until all VMs know, milliseconds. */
+const MAX_CRASHES = 3;
+const KNOWN_AFTER_MS = 3000;
+/** Time after which a target that crashed is back and seen, milliseconds. */
+const BACK_MS = 1500;
+
+let cluster: Cluster;
+const caller = new Caller();
+
+before(async () => {
+  cluster = new Cluster({ deployment: await buildDeployment(SHAPES.small) });
+  await cluster.start();
+  for (const { id } of cluster.deployment.fleet.targets) {
+    await cluster.command({ kind: "crashesOn", target: id, text: POISON });
+  }
+});
+
+after(async () => {
+  await caller.close();
+  await cluster.stop();
+});
+
+function pickUrl(i: number): string {
+  const { vms } = cluster.deployment;
+  return `http://${vms[i % vms.length].callers}`;
+}
+
+/** Sends a request again and again, at one VM after the other. */
+async function repeat(
+  count: number,
+  send: (url: string, i: number) => Promise<CallResult>,
+): Promise<CallResult[]> {
+  const results: CallResult[] = [];
+  for (let i = 0; i < count; i++) {
+    results.push(await send(pickUrl(i), i));
+    await sleep(BACK_MS);
+  }
+  return results;
+}
+
+function book(url: string, body: string): Promise<CallResult> {
+  return caller.callService({
+    url,
+    service: "bookings",
+    method: "POST",
+    path: "/b",
+    key: `${Date.now()}-${body.length}-${Math.random()}`,
+    body,
+  });
+}
+
+// Guards against a call that crashes each target being handed to one after the other for ever.
+test("a call that crashes plain targets is held back on all VMs", async () => {
+  const body = JSON.stringify({ passenger: POISON });
+  const crashed = await repeat(MAX_CRASHES, (url) => book(url, body));
+  assert.ok(crashed.every(({ outcome }) => outcome !== "whole"));
+  await sleep(KNOWN_AFTER_MS);
+  const before = (await cluster.readLedger()).runs.length;
+  const held = await repeat(4, (url) => book(url, body));
+  assert.deepEqual(held.map(({ kind }) => kind), Array(4).fill("quarantined"));
+  assert.deepEqual(held.map(({ run }) => run), Array(4).fill("no"));
+  assert.equal((await cluster.readLedger()).runs.length, before);
+  const other = await book(pickUrl(0), JSON.stringify({ passenger: "own" }));
+  assert.equal(other.outcome, "whole", other.detail);
+});
+
+// The same for generations, which the system would go on with at other engines by itself.
+test("a prompt that crashes engines is held back on all VMs", async () => {
+  const { fleet } = cluster.deployment;
+  const model =
+    fleet.services.flatMap((service) =>
+      service.kind === "model" ? service.models : []
+    )[0];
+  const generate = (url: string, prompt: string) =>
+    caller.generate({ url, model, prompt, maxTokens: 4 });
+  await repeat(MAX_CRASHES, (url) => generate(url, POISON));
+  await sleep(KNOWN_AFTER_MS);
+  const held = await repeat(4, (url) => generate(url, POISON));
+  assert.deepEqual(held.map(({ kind }) => kind), Array(4).fill("quarantined"));
+  const other = await generate(pickUrl(0), "a prompt of its own");
+  assert.equal(other.outcome, "whole", other.detail);
+});
--- a/packages/heatherarch-lab/tests/unit/plain_call_test.ts
+++ b/packages/heatherarch-lab/tests/unit/plain_call_test.ts
@@ -9,7 +9,11 @@
 } from "heatherarch-gateway";
 import { DEFAULT_PROFILE, type PlainService } from "heatherarch-settings";
 import type { WholeAnswer } from "heatherarch-targets";
-import { createFakeHost, type FakeHostOptions } from "../../proofs/mod.ts";
+import {
+  createFakeHost,
+  type FakeHostOptions,
+  UNWATCHED,
+} from "../../proofs/mod.ts";
 
 const SERVICE: PlainService = {
   name: "bookings",
@@ -73,6 +77,7 @@
       body: undefined,
       deadlineAtMs: fake.host.clock.readMonotonicMs() + 1000,
       key: undefined,
+      watched: UNWATCHED,
       ...fields,
     });
   return { sent, ended, call };
--- a/packages/heatherarch-settings/process_settings.ts
+++ b/packages/heatherarch-settings/process_settings.ts
@@ -107,6 +107,12 @@
     /** Requests that may be in progress at once on this VM. */
     maxInFlight: z.int().min(1).max(1_000_000).default(20_000),
   }).prefault({}),
+  quarantine: z.strictObject({
+    /** Lives of targets that end under a request before it is held back. */
+    maxCrashes: z.int().min(1).max(100).default(3),
+    /** Time for which it is held back at first; each further end doubles it. */
+    holdSeconds: z.number().min(1).max(86_400).default(600),
+  }).prefault({}),
   targets: z.strictObject({
     reportIntervalMs: MS(10, 60_000, 250),
     reportTimeoutMs: MS(10, 60_000, 1000),
--- a/packages/heatherarch-standins/engine_server.ts
+++ b/packages/heatherarch-standins/engine_server.ts
@@ -64,9 +64,13 @@
   truncateAfter: number;
   /** The engine crashes this long after taking an order; 0 for never. */
   crashInOrderMs: number;
+  /** Generating for a prompt with this text ends the process for a while; empty for none. */
+  crashesOn: string;
 }
 
 const RESUME_GRACE_MS = 400;
+/** Time for which a process that a prompt ended is away, milliseconds. */
+const CRASH_MS = 600;
 const KEEP_ENDED_MS = 5000;
 
 /** One engine stand-in. */
@@ -86,6 +90,7 @@
     crossAnswers: false,
     truncateAfter: 0,
     crashInOrderMs: 0,
+    crashesOn: "",
   };
   readonly #simulation: EngineSimulation;
   readonly #server = new StandinServer((ctx) => this.#handle(ctx));
@@ -251,11 +256,19 @@
       end: undefined,
       from: 0,
     };
+    const { crashesOn } = this.faults;
+    const prompt = String(body.prompt ?? body.input);
+    if (crashesOn !== "" && prompt.includes(crashesOn)) {
+      ctx.respond = false;
+      this.crash(CRASH_MS);
+      this.#server.endFor(CRASH_MS);
+      return;
+    }
     this.#streams.set(tryId, stream);
     this.#attach(ctx, stream);
     this.#simulation.submit({
       tryId,
-      prompt: String(body.prompt ?? body.input),
+      prompt,
       maxTokens: Number(body.max_tokens ?? body.max_new_tokens),
       priority: Number(body.priority ?? body.prio ?? 1),
       kvExport: Boolean(body.kv_export ?? body.export),
--- a/packages/heatherarch-standins/http_server.ts
+++ b/packages/heatherarch-standins/http_server.ts
@@ -15,6 +15,7 @@
 export class StandinServer {
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  #restart: NodeJS.Timeout | undefined;
 
   constructor(handler: StandinHandler) {
     const app = new Koa();
@@ -43,7 +44,16 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  /** As if the process ended: connections are cut and new ones refused for `downMs`. */
+  endFor(downMs: number): void {
+    const { port } = this.#server.address() as AddressInfo;
+    this.#server.close();
+    this.cutConnections();
+    this.#restart = setTimeout(() => void this.listen(port), downMs);
+  }
+
   async close(): Promise<void> {
+    clearTimeout(this.#restart);
     this.cutConnections();
     await new Promise((resolve) => this.#server.close(resolve));
   }
--- a/packages/heatherarch-standins/service_server.ts
+++ b/packages/heatherarch-standins/service_server.ts
@@ -29,13 +29,22 @@
   loseAnswers: boolean;
   /** Answers carry another call's try id. */
   crossAnswers: boolean;
+  /** Running a call whose body has this text ends the process for a while; empty for none. */
+  crashesOn: string;
 }
 
+/** Time for which a process that a call ended is away, milliseconds. */
+const CRASH_MS = 600;
+
 /** One target of the booking service. */
 export class ServiceServer {
   readonly options: ServiceServerOptions;
   readonly runs: BookingRun[] = [];
-  readonly faults: ServiceFaults = { loseAnswers: false, crossAnswers: false };
+  readonly faults: ServiceFaults = {
+    loseAnswers: false,
+    crossAnswers: false,
+    crashesOn: "",
+  };
   readonly #server = new StandinServer((ctx) => this.#handle(ctx));
   #running = 0;
   #down = false;
@@ -102,6 +111,12 @@
       atMs: Date.now(),
     });
     await sleep(this.options.bookingMs ?? 12);
+    const { crashesOn } = this.faults;
+    if (crashesOn !== "" && body.includes(crashesOn)) {
+      ctx.respond = false;
+      this.#server.endFor(CRASH_MS);
+      return;
+    }
     if (this.faults.loseAnswers) {
       ctx.req.socket.destroy();
       ctx.respond = false;
--- a/packages/heatherarch-standins/standin_set.ts
+++ b/packages/heatherarch-standins/standin_set.ts
@@ -46,6 +46,11 @@
     readonly target: string;
     readonly on: boolean;
   }
+  | {
+    readonly kind: "crashesOn";
+    readonly target: string;
+    readonly text: string;
+  }
   | {
     readonly kind: "truncate";
     readonly target: string;
@@ -117,6 +122,9 @@
       case "crossAnswers":
         this.#getTarget(command.target).faults.crossAnswers = command.on;
         break;
+      case "crashesOn":
+        this.#getTarget(command.target).faults.crashesOn = command.text;
+        break;
       case "truncate": {
         const engine = this.engines.get(command.target);
         if (engine) engine.faults.truncateAfter = command.after;
