Gateway and entry VM of our own interface: what is read of a request, and parts, stand apart

Moves only. whole_path, outage, poison, operators and streams tests of the lab: 22 passed, 0 failed.

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import { readFileSync } from "node:fs";
 import {
   asFunction,
   asValue,
@@ -19,7 +18,6 @@
   type Heartbeat,
   type LinkIdentity,
   Membership,
-  MeshNode,
   splitAddress,
 } from "heatherarch-mesh";
 import {
@@ -32,15 +30,16 @@
   type Router,
 } from "heatherarch-policy";
 import type { ProcessSettings, RoutingKind } from "heatherarch-settings";
-import { ControlTask } from "./control_task.ts";
 import { HeartbeatBuilder } from "./heartbeat_builder.ts";
 import type { Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
 import { OperatorServer } from "./operator_server.ts";
-import { OrderExecutor } from "./order_executor.ts";
 import {
   buildClaims,
   buildConfigReader,
+  buildControl,
+  buildExecutor,
+  buildMesh,
   buildQuarantine,
   buildRequestWatch,
   buildTable,
@@ -201,15 +200,13 @@
       demand: asValue(new DemandMeter(DEMAND_WINDOW_MS)),
       zones: asFunction(buildZoneView).singleton(),
       table: asFunction(buildTable).singleton(),
-      mesh: asFunction((parts: Parts) => this.#buildMesh(parts)).singleton(),
+      mesh: asFunction(buildMesh).singleton(),
       config: asFunction(buildConfigReader).singleton(),
-      control: asFunction((parts: Parts) => this.#buildControl(parts))
-        .singleton(),
+      control: asFunction(buildControl).singleton(),
       claims: asFunction(buildClaims).singleton(),
       quarantine: asFunction(buildQuarantine).singleton(),
       requests: asFunction(buildRequestWatch).singleton(),
-      executor: asFunction((parts: Parts) => this.#buildExecutor(parts))
-        .singleton(),
+      executor: asFunction(buildExecutor).singleton(),
       watcher: asFunction(buildWatcher).singleton(),
       heartbeats: asFunction((parts: Parts) => this.#buildHeartbeats(parts))
         .singleton(),
@@ -220,85 +217,6 @@
     });
   }
 
-  #buildMesh(parts: Parts): MeshNode {
-    const { settings, identity, clock, membership, metrics } = parts;
-    const { mesh, listen, network } = settings;
-    const tls = listen.meshTls;
-    return new MeshNode({
-      self: identity,
-      listen: listen.mesh,
-      ...mesh,
-      clock,
-      membership,
-      translate: (address) => network.translate[address] ?? address,
-      // The builder is looked up late: it needs parts that need the mesh.
-      buildHeartbeat: (link, peer) => this.#parts.heartbeats.build(link, peer),
-      onFault: (fault) => metrics.faults.inc({ kind: `mesh:${fault}` }),
-      ...(tls === undefined ? {} : {
-        tls: {
-          cert: readFileSync(tls.certificateFile, "utf8"),
-          key: readFileSync(tls.privateKeyFile, "utf8"),
-          ca: readFileSync(tls.authorityFile ?? tls.certificateFile, "utf8"),
-        },
-      }),
-    });
-  }
-
-  #buildControl(parts: Parts): ControlTask {
-    const { settings, identity, log, clock, membership, logger, table } = parts;
-    return new ControlTask({
-      vmId: identity.id,
-      incarnation: identity.incarnation,
-      availabilityZone: identity.availabilityZone,
-      log,
-      clock,
-      membership,
-      settings: settings.lease,
-      pollWaitMs: settings.platform.pollWaitMs,
-      snapshotEveryRecords: settings.platform.snapshotEveryRecords,
-      logger,
-      onState: (state) => {
-        const { availabilityZone } = identity;
-        const before = table.getChanging(availabilityZone).targets;
-        const changing = Object.keys(state.open);
-        table.applyChanging(availabilityZone, {
-          controlOffset: state.offset,
-          targets: changing,
-        });
-        // Renewals are no news to peers.
-        if (before.join(" ") !== changing.join(" ")) {
-          this.#parts.mesh.sendHeartbeats();
-        }
-      },
-    });
-  }
-
-  #buildExecutor(parts: Parts): OrderExecutor {
-    const {
-      settings,
-      identity,
-      clock,
-      control,
-      table,
-      membership,
-      model,
-      logger,
-    } = parts;
-    return new OrderExecutor({
-      availabilityZone: identity.availabilityZone,
-      clock,
-      control,
-      table,
-      membership,
-      model,
-      settings: settings.lease,
-      logger,
-      readFleet: () => this.#parts.config.state.fleet,
-      readDemand: () => this.#parts.zones.readDemand(),
-      noteOutcome: (result) => parts.metrics.roleChanges.inc({ result }),
-    });
-  }
-
   #buildHeartbeats(parts: Parts): HeartbeatBuilder {
     const { identity, membership, table, config, control, demand, clock } =
       parts;
--- a/packages/heatherarch-daemon/parts.ts
+++ b/packages/heatherarch-daemon/parts.ts
@@ -11,7 +11,7 @@
   QuarantineWatch,
 } from "heatherarch-gateway";
 import type { LogPort, VmListPort } from "heatherarch-log";
-import type { LinkIdentity, Membership, MeshNode } from "heatherarch-mesh";
+import { type LinkIdentity, type Membership, MeshNode } from "heatherarch-mesh";
 import {
   LossInquiry,
   RequestQuarantine,
@@ -21,12 +21,12 @@
 import type { ProcessSettings } from "heatherarch-settings";
 import { ClaimService } from "./claim_service.ts";
 import { ConfigReader } from "./config_reader.ts";
-import type { ControlTask } from "./control_task.ts";
+import { ControlTask } from "./control_task.ts";
 import type { HeartbeatBuilder } from "./heartbeat_builder.ts";
 import type { Logger } from "./logger.ts";
 import type { Metrics } from "./metrics.ts";
 import type { OperatorServer } from "./operator_server.ts";
-import type { OrderExecutor } from "./order_executor.ts";
+import { OrderExecutor } from "./order_executor.ts";
 import { TargetTable } from "./target_table.ts";
 import { TargetWatcher } from "./target_watcher.ts";
 import { ZoneView } from "./zone_view.ts";
@@ -162,3 +162,85 @@
   );
   return watch;
 }
+
+/** Builds the mesh of this VM. */
+export function buildMesh(parts: Parts): MeshNode {
+  const { settings, identity, clock, membership, metrics } = parts;
+  const { mesh, listen, network } = settings;
+  const tls = listen.meshTls;
+  return new MeshNode({
+    self: identity,
+    listen: listen.mesh,
+    ...mesh,
+    clock,
+    membership,
+    translate: (address) => network.translate[address] ?? address,
+    // The builder is looked up late: it needs parts that need the mesh.
+    buildHeartbeat: (link, peer) => parts.heartbeats.build(link, peer),
+    onFault: (fault) => metrics.faults.inc({ kind: `mesh:${fault}` }),
+    ...(tls === undefined ? {} : {
+      tls: {
+        cert: readFileSync(tls.certificateFile, "utf8"),
+        key: readFileSync(tls.privateKeyFile, "utf8"),
+        ca: readFileSync(tls.authorityFile ?? tls.certificateFile, "utf8"),
+      },
+    }),
+  });
+}
+
+/** Builds the task that holds, or follows, the zone's lease. */
+export function buildControl(parts: Parts): ControlTask {
+  const { settings, identity, log, clock, membership, logger, table } = parts;
+  return new ControlTask({
+    vmId: identity.id,
+    incarnation: identity.incarnation,
+    availabilityZone: identity.availabilityZone,
+    log,
+    clock,
+    membership,
+    settings: settings.lease,
+    pollWaitMs: settings.platform.pollWaitMs,
+    snapshotEveryRecords: settings.platform.snapshotEveryRecords,
+    logger,
+    onState: (state) => {
+      const { availabilityZone } = identity;
+      const before = table.getChanging(availabilityZone).targets;
+      const changing = Object.keys(state.open);
+      table.applyChanging(availabilityZone, {
+        controlOffset: state.offset,
+        targets: changing,
+      });
+      // Renewals are no news to peers.
+      if (before.join(" ") !== changing.join(" ")) {
+        parts.mesh.sendHeartbeats();
+      }
+    },
+  });
+}
+
+/** Builds what gives orders to engines under the lease. */
+export function buildExecutor(parts: Parts): OrderExecutor {
+  const {
+    settings,
+    identity,
+    clock,
+    control,
+    table,
+    membership,
+    model,
+    logger,
+  } = parts;
+  return new OrderExecutor({
+    availabilityZone: identity.availabilityZone,
+    clock,
+    control,
+    table,
+    membership,
+    model,
+    settings: settings.lease,
+    logger,
+    readFleet: () => parts.config.state.fleet,
+    readDemand: () => parts.zones.readDemand(),
+    noteOutcome: (result) => parts.metrics.roleChanges.inc({ result }),
+  });
+}
--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import Koa from "koa";
@@ -12,7 +12,6 @@
   buildErrorBody,
   createId,
   estimateTokens,
-  type Result,
   ServeError,
   toServeError,
 } from "heatherarch-core";
@@ -26,17 +25,22 @@
   type PlainService,
   type Profile,
 } from "heatherarch-settings";
-import { AccountDirectory, type Credentials } from "./account_directory.ts";
+import { AccountDirectory } from "./account_directory.ts";
 import { answerClientError } from "./client_error.ts";
 import type { GatewayHost } from "./gateway_host.ts";
 import { GenerationStore } from "./generation_store.ts";
-import {
-  type GenerationRequest,
-  parseChatRequest,
-  parseTextRequest,
-} from "./openai_format.ts";
+import { parseChatRequest, parseTextRequest } from "./openai_format.ts";
 import { callPlainService } from "./plain_call.ts";
 import { parseJsonBody, readRequestBody } from "./request_body.ts";
+import {
+  checkTokens,
+  copyRequestHeaders,
+  findModelService,
+  isResumable,
+  readCredentials,
+  requireMethod,
+  unwrap,
+} from "./request_facts.ts";
 import type { WatchedRequest } from "./request_watch.ts";
 import { answerGeneration, answerResume } from "./stream_answer.ts";
 
@@ -49,21 +53,6 @@
 const RESUME_PATH = /^\/v1\/streams\/([A-Za-z0-9._-]+)$/;
 const SERVICE_PATH = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
 const REQUEST_ID = /^[A-Za-z0-9._-]{1,128}$/;
-/** Headers that end at this hop. */
-const HOP_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "host",
-  "content-length",
-  "expect",
-  "authorization",
-]);
-
 /** Serves callers. */
 export class Gateway {
   readonly #host: GatewayHost;
@@ -392,63 +381,3 @@
     return value;
   }
 }
-
-function readCredentials(ctx: Koa.Context): Credentials {
-  return {
-    token: /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1],
-    name: ctx.get("x-heatherarch-account"),
-  };
-}
-
-/** The value of a success; throws the error of a failure. */
-function unwrap<T>(result: Result<T, ServeError>): T {
-  if (!result.ok) throw result.val as ServeError;
-  return result.val as T;
-}
-
-function isResumable(ctx: Koa.Context): boolean {
-  return ctx.get("x-heatherarch-resumable") === "true";
-}
-
-function requireMethod(ctx: Koa.Context, method: string): void {
-  if (ctx.method === method) return;
-  ctx.set("allow", method);
-  throw new ServeError("methodNotAllowed", `${ctx.path} takes ${method}`);
-}
-
-function findModelService(fleet: Fleet, model: string): ModelService {
-  for (const service of fleet.services) {
-    if (service.kind === "model" && service.models.includes(model)) {
-      return service;
-    }
-  }
-  throw new ServeError("unknownModel", `no model is named ${model}`);
-}
-
-function checkTokens(
-  request: GenerationRequest,
-  promptTokens: number,
-  profile: Profile,
-): number {
-  if (promptTokens > profile.maxPromptTokens) {
-    const message =
-      `the prompt has about ${promptTokens} tokens; ${profile.maxPromptTokens} are allowed`;
-    throw new ServeError("badRequest", message);
-  }
-  const maxTokens = request.maxTokens ?? Math.min(256, profile.maxOutputTokens);
-  if (maxTokens > profile.maxOutputTokens) {
-    const message =
-      `max_tokens is ${maxTokens}; ${profile.maxOutputTokens} are allowed`;
-    throw new ServeError("badRequest", message);
-  }
-  return maxTokens;
-}
-
-function copyRequestHeaders(req: IncomingMessage): Record<string, string> {
-  const headers: Record<string, string> = {};
-  for (const [name, value] of Object.entries(req.headers)) {
-    if (value === undefined || HOP_HEADERS.has(name)) continue;
-    headers[name] = Array.isArray(value) ? value.join(", ") : value;
-  }
-  return headers;
-}
