What VMs pass on to each other is a module; marks of leaving are told once

FleetNews tells, on each link, what is new of requests that end targets and of targets that said that they leave. The marks were told all anew with each new one: at 1,000 remembered lives 40 KB on every link for one leaving. They are told from a cursor on now, as the other facts are; a new link is told all.

--- a/packages/heatherarch-forward/beliefs/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -53,7 +53,8 @@
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
   /** Lives that said themselves, or to a peer, that they leave: the list can't take that back. */
   readonly #saidLeaving = new Set<string>();
-  #leavingVersion = 0;
+  /** Lives that were forgotten from that set's beginning. */
+  #saidForgotten = 0;
   readonly #leavingListeners = new Set<() => void>();
   /** When the list showed an engine in another role than before. */
   readonly #roleShownAtMs = new Map<string, number>();
@@ -174,8 +175,8 @@
     const [oldest] = this.#saidLeaving;
     if (this.#saidLeaving.size > MAX_SAID_LEAVING) {
       this.#saidLeaving.delete(oldest);
+      this.#saidForgotten++;
     }
-    this.#leavingVersion++;
     const target = this.#targets.get(id);
     if (target !== undefined) {
       this.#put({ ...target, leaving: true });
@@ -185,9 +186,14 @@
     return true;
   }
 
-  /** Lives that have said that they leave, and a number that rises with each. */
-  listSaidLeaving(): { readonly lives: string[]; readonly version: number } {
-    return { lives: [...this.#saidLeaving], version: this.#leavingVersion };
+  /** Lives that have said that they leave, from `cursor` on, and the cursor behind them. */
+  listSaidLeaving(
+    cursor = 0,
+  ): { readonly lives: string[]; readonly cursor: number } {
+    const end = this.#saidForgotten + this.#saidLeaving.size;
+    if (cursor >= end) return { lives: [], cursor: end };
+    const from = Math.max(0, cursor - this.#saidForgotten);
+    return { lives: [...this.#saidLeaving].slice(from), cursor: end };
   }
 
   /** Whether a target leaves, by its own word or the list's. */
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -16,6 +16,7 @@
 import type { EventLog } from "../event_log.ts";
 import type { RoutingConfig, VmRecord } from "../model.ts";
 import type { WritableTopicPort } from "../ports.ts";
+import { FleetNews } from "./fleet_news.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PromptIndex } from "../beliefs/prompt_index.ts";
@@ -70,10 +71,6 @@
   readonly mayOrder: () => boolean;
 }
 
-type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
-
-/** Marks of leaving come from targets themselves, and no record of a log takes them back. */
-const NO_LOG = -1;
 const CONFIG_CALL = "config";
 const CALL_TIMEOUT_MS = 1000;
 /** The store brings a configuration sooner as a rule; a peer is asked after this time. */
@@ -88,14 +85,11 @@
   readonly #membership: Membership;
   readonly #node: MeshNode;
   readonly #hubs: HubExchange;
+  readonly #news: FleetNews;
   readonly #list: VmListFollower;
   readonly #asking = new Set<string>();
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
-  /** Version of the targets that said that they leave, as told on each link. */
-  readonly #toldLeaving = new WeakMap<Link, number>();
-  /** Facts on requests that end targets, told on each link so far. */
-  readonly #toldCrashes = new WeakMap<Link, number>();
   /** Time of the reading of the list that was last told on each link. */
   readonly #toldReadAtMs = new WeakMap<Link, number>();
   /** Peers that could give orders when they were last heard. */
@@ -124,6 +118,7 @@
           live: this.#membership.listLive(self.availabilityZone).length,
         }),
     });
+    this.#news = new FleetNews(options);
     this.#list = new VmListFollower({
       self,
       vms: options.vms,
@@ -162,14 +157,13 @@
       (body) => Promise.resolve(this.#answerConfig(body)),
     );
     await this.#node.start();
-    const { ledger, quarantine, directory } = this.#options;
+    const { ledger } = this.#options;
     this.#undoListeners.push(
       ledger.registerOwnListener(() => {
         // A hub tells sums of many VMs, which change all the time.
         if (!this.#membership.isHub) this.#node.noteNews();
       }),
-      quarantine.registerNewsListener(() => this.#node.noteNews()),
-      directory.registerLeavingListener(() => this.#node.noteNews()),
+      this.#news.registerListener(() => this.#node.noteNews()),
     );
     this.#list.start();
   }
@@ -264,7 +258,7 @@
     const parts = this.#membership.hasHubs
       ? this.#hubs.build(link, peer)
       : this.#buildMeshParts(link);
-    const news = { ...this.#buildCrashes(link), ...this.#buildLeaving(link) };
+    const news = this.#news.build(link);
     const isEmpty = parts === undefined && Object.keys(news).length === 0;
     if (isEmpty && !this.#leaving) return undefined;
     return {
@@ -280,37 +274,6 @@
     };
   }
 
-  /** Each VM passes on what is new to it, so that it reaches all over any links. */
-  #buildCrashes(link: Link): Pick<Heartbeat, "crashes"> {
-    const { quarantine, clock } = this.#options;
-    if (quarantine.isEmpty) return {};
-    const { notes, cursor } = quarantine.listNotes(
-      this.#toldCrashes.get(link),
-      clock.readMonotonicMs(),
-    );
-    this.#toldCrashes.set(link, cursor);
-    if (notes.length === 0) return {};
-    return { crashes: notes.map((note): CrashMessage => [...note]) };
-  }
-
-  /** Targets that said that they leave, all of them where one came since the last time. */
-  #buildLeaving(link: Link): Pick<Heartbeat, "leavingTargets"> {
-    const { lives, version } = this.#options.directory.listSaidLeaving();
-    if (version <= (this.#toldLeaving.get(link) ?? 0)) return {};
-    this.#toldLeaving.set(link, version);
-    return {
-      leavingTargets: lives.map((target) => ({ target, sinceOffset: NO_LOG })),
-    };
-  }
-
-  #takeLeaving(marks: NonNullable<Heartbeat["leavingTargets"]>): void {
-    const { directory, log } = this.#options;
-    for (const { target } of marks) {
-      if (!directory.markLeaving(target)) continue;
-      log.write("info", "targetLeaving", { target, source: "peer" });
-    }
-  }
-
   /** Peers learn from each new reading that the store is there. */
   #buildListAge(link: Link): Pick<Heartbeat, "listAgeMs"> {
     const { clock, getListReadAtMs } = this.#options;
@@ -343,12 +306,7 @@
   ): void {
     if (this.#membership.hasHubs) this.#hubs.take(heartbeat, from, waitedMs);
     else this.#takeMeshParts(heartbeat, from);
-    this.#takeLeaving(heartbeat.leavingTargets ?? []);
-    if (heartbeat.crashes !== undefined) {
-      const { quarantine, clock } = this.#options;
-      const atMs = clock.readMonotonicMs() - waitedMs;
-      quarantine.notePeer(heartbeat.crashes, atMs);
-    }
+    this.#news.take(heartbeat, waitedMs);
     if (heartbeat.mayOrder) this.#orderers.add(from.id);
     else this.#orderers.delete(from.id);
     if (heartbeat.listAgeMs !== undefined) {
--- /dev/null
+++ b/packages/heatherarch-forward/fleet/fleet_news.ts
@@ -0,0 +1,100 @@
+/**
+ * Facts that each VM passes on when they are new to it, on all its links: requests that end
+ * targets, and targets that said that they leave. They reach every VM over a full mesh as well as
+ * over hubs; a new link is told all.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { Heartbeat, Link } from "heatherarch-mesh";
+import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
+import type { EventLog } from "../event_log.ts";
+
+/** Options of {@linkcode FleetNews}. */
+export interface FleetNewsOptions {
+  readonly quarantine: RequestQuarantine;
+  readonly directory: TargetDirectory;
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
+
+/** The parts of a heartbeat that this module fills. */
+export type NewsParts = Pick<Heartbeat, "crashes" | "leavingTargets">;
+
+type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
+
+/** How far each link has been told. */
+interface LinkCursors {
+  crashes: number | undefined;
+  leaving: number;
+}
+
+/** Marks of leaving come from targets themselves, and no record of a log takes them back. */
+const NO_LOG = -1;
+
+/** The news of one VM. */
+export class FleetNews {
+  readonly #options: FleetNewsOptions;
+  readonly #links = new WeakMap<Link, LinkCursors>();
+
+  constructor(options: FleetNewsOptions) {
+    this.#options = options;
+  }
+
+  /** Registers a listener for facts that are new to this VM and returns its undo. */
+  registerListener(listener: () => void): () => void {
+    const { quarantine, directory } = this.#options;
+    const undos = [
+      quarantine.registerNewsListener(listener),
+      directory.registerLeavingListener(listener),
+    ];
+    return () => {
+      for (const undo of undos) undo();
+    };
+  }
+
+  /** What is new since the last heartbeat on a link; nothing where nothing is. */
+  build(link: Link): NewsParts {
+    let cursors = this.#links.get(link);
+    if (cursors === undefined) {
+      cursors = { crashes: undefined, leaving: 0 };
+      this.#links.set(link, cursors);
+    }
+    return { ...this.#buildCrashes(cursors), ...this.#buildLeaving(cursors) };
+  }
+
+  /** Takes in what a peer told, which may have waited here for so many milliseconds. */
+  take({ crashes, leavingTargets }: Heartbeat, waitedMs: number): void {
+    const { quarantine, directory, clock, log } = this.#options;
+    if (crashes !== undefined) {
+      quarantine.notePeer(crashes, clock.readMonotonicMs() - waitedMs);
+    }
+    for (const { target } of leavingTargets ?? []) {
+      if (!directory.markLeaving(target)) continue;
+      log.write("info", "targetLeaving", { target, source: "peer" });
+    }
+  }
+
+  #buildCrashes(cursors: LinkCursors): NewsParts {
+    const { quarantine, clock } = this.#options;
+    if (quarantine.isEmpty) return {};
+    const { notes, cursor } = quarantine.listNotes(
+      cursors.crashes,
+      clock.readMonotonicMs(),
+    );
+    cursors.crashes = cursor;
+    if (notes.length === 0) return {};
+    return { crashes: notes.map((note): CrashMessage => [...note]) };
+  }
+
+  #buildLeaving(cursors: LinkCursors): NewsParts {
+    const { lives, cursor } = this.#options.directory
+      .listSaidLeaving(cursors.leaving);
+    cursors.leaving = cursor;
+    if (lives.length === 0) return {};
+    return {
+      leavingTargets: lives.map((target) => ({ target, sinceOffset: NO_LOG })),
+    };
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -138,3 +138,18 @@
   directory.applyList([{ key: "t", value: buildTarget("t") }], 0);
   assert.deepEqual(directory.listServing("s"), []);
 });
+
+test("peers are told of lives that say that they leave once, and of all on a new link", () => {
+  const directory = new TargetDirectory();
+  directory.markLeaving("a");
+  const first = directory.listSaidLeaving();
+  assert.deepEqual(first.lives, ["a"]);
+  assert.deepEqual(directory.listSaidLeaving(first.cursor).lives, []);
+  directory.markLeaving("b");
+  assert.deepEqual(directory.listSaidLeaving(first.cursor).lives, ["b"]);
+  for (let i = 0; i < 2000; i++) directory.markLeaving(`t${i}`);
+  const all = directory.listSaidLeaving();
+  assert.equal(all.lives.length, 1000);
+  assert.deepEqual(directory.listSaidLeaving(first.cursor).lives, all.lives);
+  assert.deepEqual(directory.listSaidLeaving(all.cursor).lives, []);
+});
