What is withheld is not held against its target

Found in reading: a try that was not sent since its request is held back, or its target rests, counted as one that found the target unreachable, so a held request could have a sound target avoided for half a second.

--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -17,7 +17,10 @@
 import type { Serving } from "../serving.ts";
 import type { Target } from "../model.ts";
 import { RequestGuard } from "./request_guard.ts";
-import { buildUnsentExchange, type TargetExchange } from "./target_exchange.ts";
+import {
+  buildWithheldExchange,
+  type TargetExchange,
+} from "./target_exchange.ts";
 
 /** How a call ended, for logs and metrics. */
 export type CallOutcome =
@@ -164,7 +167,7 @@
     this.#lastTarget = target.id;
     const exchange = this.#guard.findHeld() === undefined
       ? this.serving.connections.open(target, request)
-      : buildUnsentExchange("the request is quarantined");
+      : buildWithheldExchange("the request is quarantined");
     this.#exchange = exchange;
     this.#guard.follow(target, exchange);
     return exchange;
--- a/packages/heatherarch-forward/life/request_guard.ts
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -4,10 +4,13 @@
  * @module
  */
 import { sleep } from "heatherarch-core";
-import type { Admission, QuarantinedRequest } from "heatherarch-quarantine";
+import {
+  type Admission,
+  hashRequest,
+  type QuarantinedRequest,
+} from "heatherarch-quarantine";
 import type { ForwardedCall, Target } from "../model.ts";
 import type { Serving } from "../serving.ts";
-import { hashRequest } from "heatherarch-quarantine";
 import type { TargetExchange } from "./target_exchange.ts";
 
 /** A refused connection tells within a round trip; a silent target is not waited for longer. */
--- a/packages/heatherarch-forward/life/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -9,7 +9,7 @@
 import type { EncodedTry } from "../ports.ts";
 import {
   type AnswerHead,
-  buildUnsentExchange,
+  buildWithheldExchange,
   TargetExchange,
 } from "./target_exchange.ts";
 
@@ -147,7 +147,7 @@
     purpose: SendPurpose = "work",
   ): TargetExchange {
     const ban = this.#options.findBan(target, purpose);
-    if (ban !== undefined) return buildUnsentExchange(ban);
+    if (ban !== undefined) return buildWithheldExchange(ban);
     const pool = this.#openPool(target);
     pool.open++;
     const exchange = new TargetExchange(
--- a/packages/heatherarch-forward/life/target_exchange.ts
+++ b/packages/heatherarch-forward/life/target_exchange.ts
@@ -20,6 +20,8 @@
 export type ExchangeFault =
   /** Nothing was written: the target did not run it. */
   | "notSent"
+  /** Nothing was written, since the request or its target may not be sent anything. */
+  | "withheld"
   /** The connection ended or spoke no HTTP; the target may have run it. */
   | "lost"
   /** This side gave up. */
@@ -198,6 +200,7 @@
   }
 
   #fail(error: Error): void {
+    if (error instanceof ExchangeError) return this.#finish(error);
     const fault = this.isSent ? "lost" : "notSent";
     this.#finish(new ExchangeError(fault, error.message, error));
   }
@@ -217,14 +220,17 @@
 }
 
 /** An exchange that ends at once, with nothing sent. */
-export function buildUnsentExchange(reason: string): TargetExchange {
+export function buildWithheldExchange(reason: string): TargetExchange {
   const dispatcher = {
     dispatch: (
       _options: Dispatcher.DispatchOptions,
       handler: Dispatcher.DispatchHandler,
     ): boolean => {
       queueMicrotask(() =>
-        handler.onResponseError?.(NO_CONTROLLER, new Error(reason))
+        handler.onResponseError?.(
+          NO_CONTROLLER,
+          new ExchangeError("withheld", reason),
+        )
       );
       return true;
     },
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -51,6 +51,7 @@
 export * from "./life/target_connections.ts";
 export * from "./beliefs/target_directory.ts";
 export * from "./life/target_exchange.ts";
+export * from "./life/try_judge.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./beliefs/target_health.ts";
 export * from "./beliefs/target_rests.ts";
