Facts on requests that end targets are told a part at a time

Each end of a target makes suspects of all requests that it had. With a zone of 218 runners of 64 places that ends at once they are some 14,000; a peer that was more than 512 facts behind was given all that is remembered, 4,096 requests and 450 KB by count, with each heartbeat on each link while more came. Facts are numbered now and told from a number on, 256 at most, oldest first; the list of changes beside the facts is gone.

--- a/packages/heatherarch-quarantine/request_quarantine.ts
+++ b/packages/heatherarch-quarantine/request_quarantine.ts
@@ -76,6 +76,8 @@
 interface Fact {
   readonly isCleared: boolean;
   readonly atMs: number;
+  /** Rises with each fact that is new to this VM. */
+  readonly number: number;
 }
 
 interface Suspect {
@@ -90,8 +92,11 @@
 const DEFAULT_MAX_PER_ACCOUNT = 256;
 /** Each further end doubles the time, up to so many times. */
 const MAX_DOUBLINGS = 6;
-/** Facts that are remembered for peers; one that is further behind is given all. */
-const MAX_CHANGES = 512;
+/**
+ * Facts told at once: some 30 KB. When many targets end together each of their requests is a
+ * suspect, and what is left follows with the next heartbeats.
+ */
+const MAX_TOLD = 256;
 
 /** Requests that are suspected of ending targets. */
 export class RequestQuarantine {
@@ -101,8 +106,7 @@
   readonly #onTrial = new Set<string>();
   readonly #newsListeners = new Set<() => void>();
   readonly #changeListeners = new Set<(change: QuarantineChange) => void>();
-  readonly #changes: [string, string][] = [];
-  #changesStart = 0;
+  #factCount = 0;
 
   constructor(options: RequestQuarantineOptions = {}) {
     this.#options = {
@@ -127,11 +131,10 @@
     life: string,
     nowMs: number,
   ): void {
-    const fact = { isCleared: false, atMs: nowMs };
     const name = this.#isOff("livesCountOnce")
-      ? `${life} (${this.#changesStart + this.#changes.length})`
+      ? `${life} (${this.#factCount})`
       : life;
-    if (!this.#add(request, account, name, fact)) return;
+    if (!this.#add([request, account, name, 1, 0], nowMs)) return;
     if (this.countCrashes(request) >= this.#options.maxCrashes) {
       this.#notify({ kind: "held", request, isOwn: true });
     }
@@ -145,8 +148,8 @@
     const isHeld = this.countCrashes(request) >= this.#options.maxCrashes;
     let isNews = false;
     for (const life of listCrashes(suspect)) {
-      const fact = { isCleared: true, atMs: nowMs };
-      isNews = this.#add(request, suspect.account, life, fact) || isNews;
+      const note: CrashNote = [request, suspect.account, life, 0, 0];
+      isNews = this.#add(note, nowMs) || isNews;
     }
     if (!isNews) return false;
     if (isHeld) this.#notify({ kind: "cleared", request, isOwn: true });
@@ -157,10 +160,10 @@
   /** Takes in what a peer knows. */
   notePeer(notes: readonly CrashNote[], nowMs: number): void {
     const before = new Map<string, number>();
-    for (const [request, account, life, isCrash, ageMs] of notes) {
+    for (const note of notes) {
+      const [request] = note;
       const crashes = this.countCrashes(request);
-      const fact = { isCleared: isCrash === 0, atMs: nowMs - ageMs };
-      if (!this.#add(request, account, life, fact)) continue;
+      if (!this.#add(note, nowMs)) continue;
       if (!before.has(request)) before.set(request, crashes);
     }
     for (const [request, crashes] of before) {
@@ -214,17 +217,24 @@
       .filter((held) => held !== undefined);
   }
 
-  /** Facts from `cursor` on, all of them without one; with their ages. */
+  /** The next facts from `cursor` on, the oldest ones without one; with their ages. */
   listNotes(cursor: number | undefined, nowMs: number): CrashNotes {
-    const end = this.#changesStart + this.#changes.length;
-    const isKnown = cursor !== undefined && cursor >= this.#changesStart;
-    const changes = isKnown
-      ? this.#changes.slice(cursor - this.#changesStart)
-      : this.#listAll();
-    const notes = changes
-      .map(([request, life]) => this.#buildNote(request, life, nowMs))
-      .filter((note) => note !== undefined);
-    return { notes, cursor: end };
+    const from = cursor ?? 0;
+    if (from >= this.#factCount) return { notes: [], cursor: from };
+    const facts = [...this.#suspects].flatMap(([request, suspect]) =>
+      [...suspect.facts]
+        .filter(([, fact]) => fact.number > from)
+        .map(([life, fact]) => ({ request, suspect, life, fact }))
+    );
+    facts.sort((a, b) => a.fact.number - b.fact.number);
+    const told = facts.slice(0, MAX_TOLD);
+    const isAll = told.length === facts.length;
+    const last = isAll ? this.#factCount : told[told.length - 1].fact.number;
+    const notes = told.map(({ request, suspect, life, fact }): CrashNote => {
+      const ageMs = Math.max(0, Math.round(nowMs - fact.atMs));
+      return [request, suspect.account, life, fact.isCleared ? 0 : 1, ageMs];
+    });
+    return { notes, cursor: last };
   }
 
   /** Forgets requests of which nothing was heard for as long again as they were held back. */
@@ -255,16 +265,20 @@
   }
 
   /** Returns whether the fact is new. */
-  #add(request: string, account: string, life: string, fact: Fact): boolean {
+  #add(
+    [request, account, life, isCrash, ageMs]: CrashNote,
+    nowMs: number,
+  ): boolean {
     const suspect = this.#suspects.get(request) ??
       { account, facts: new Map<string, Fact>() };
     const known = suspect.facts.get(life);
+    const isCleared = isCrash === 0;
     if (known?.isCleared && !this.#isOff("clearedStaysCleared")) return false;
-    if (known !== undefined && known.isCleared === fact.isCleared) return false;
-    suspect.facts.set(life, fact);
+    if (known !== undefined && known.isCleared === isCleared) return false;
+    const atMs = nowMs - ageMs;
+    suspect.facts.set(life, { isCleared, atMs, number: ++this.#factCount });
     this.#suspects.delete(request);
     this.#suspects.set(request, suspect);
-    this.#record(request, life);
     this.#dropExcess(account);
     return true;
   }
@@ -292,31 +306,6 @@
     }
   }
 
-  #record(request: string, life: string): void {
-    this.#changes.push([request, life]);
-    if (this.#changes.length <= MAX_CHANGES) return;
-    this.#changes.shift();
-    this.#changesStart++;
-  }
-
-  #listAll(): [string, string][] {
-    return [...this.#suspects].flatMap(([request, { facts }]) =>
-      [...facts.keys()].map((life): [string, string] => [request, life])
-    );
-  }
-
-  #buildNote(
-    request: string,
-    life: string,
-    nowMs: number,
-  ): CrashNote | undefined {
-    const suspect = this.#suspects.get(request);
-    const fact = suspect?.facts.get(life);
-    if (suspect === undefined || fact === undefined) return undefined;
-    const ageMs = Math.max(0, Math.round(nowMs - fact.atMs));
-    return [request, suspect.account, life, fact.isCleared ? 0 : 1, ageMs];
-  }
-
   #notifyPeer(request: string, crashesBefore: number): void {
     const { maxCrashes } = this.#options;
     const crashes = this.countCrashes(request);
--- a/packages/heatherarch-quarantine/tests/unit/request_quarantine_test.ts
+++ b/packages/heatherarch-quarantine/tests/unit/request_quarantine_test.ts
@@ -160,12 +160,34 @@
     cursor = notes.cursor;
     told.notePeer(notes.notes, i);
   }
-  told.notePeer(source.listNotes(cursor, 900).notes, 900);
+  for (let left = 1; left > 0;) {
+    const notes = source.listNotes(cursor, 900);
+    cursor = notes.cursor;
+    told.notePeer(notes.notes, 900);
+    left = notes.notes.length;
+  }
   for (let i = 0; i < 40; i++) {
     assert.equal(told.countCrashes(`r${i}`), source.countCrashes(`r${i}`));
   }
 });
 
+// When a zone's targets end together, thousands of requests are suspects at once.
+test("many facts are told a part at a time, the oldest first, each once", () => {
+  const source = build();
+  for (let i = 0; i < 2000; i++) {
+    source.noteCrash(`r${i}`, `a${i % 50}`, "l", i);
+  }
+  const seen: string[] = [];
+  let cursor: number | undefined;
+  for (let i = 0; i < 20; i++) {
+    const { notes, cursor: next } = source.listNotes(cursor, 2000);
+    assert.ok(notes.length <= 256);
+    seen.push(...notes.map(([request]) => request));
+    cursor = next;
+  }
+  assert.deepEqual(seen, Array.from({ length: 2000 }, (_, i) => `r${i}`));
+});
+
 test("the same method, host, path and body are one request; anything else is another", () => {
   const call = {
     method: "POST",
