Comments of the quarantine, of rests and of notices in the usual terms

Crash, incarnation, crash report, gossip, retry, backoff in place of words of our own. Comments only, but for the text of the refusal, which now says that the request crashed the targets that ran it.

--- a/packages/heatherarch-forward/beliefs/target_rests.ts
+++ b/packages/heatherarch-forward/beliefs/target_rests.ts
@@ -1,18 +1,18 @@
 /**
- * Targets that have asked this VM for rest. Unlike avoidance, which is a hint, a rest holds also
- * where every target rests. Pure: time comes in with each update.
+ * Targets that answered with `Retry-After`. Unlike avoidance, which is a hint, a rest is binding
+ * even when no other target is left. Pure: time is passed in.
  *
  * @module
  */
 
-/** A target could shut itself out for good by a mistake in its answer, milliseconds. */
+/** Upper bound, so that a faulty answer does not take a target out for good, milliseconds. */
 const MAX_REST_MS = 300_000;
 
-/** Rests by the id of a target's life. */
+/** Rests by target. */
 export class TargetRests {
   readonly #untilMs = new Map<string, number>();
 
-  /** A target has asked for rest; returns whether it was not resting. */
+  /** A target asked for rest; returns whether it was not resting yet. */
   note(target: string, restMs: number, nowMs: number): boolean {
     const wasResting = this.isResting(target, nowMs);
     const untilMs = nowMs + Math.min(restMs, MAX_REST_MS);
--- a/packages/heatherarch-forward/decisions/engine_choice.ts
+++ b/packages/heatherarch-forward/decisions/engine_choice.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Time until an engine for the use has rested, milliseconds, where all of them rest; undefined
- * where one does not, or there is none.
+ * Time until the first rest ends, milliseconds, if all engines for the use rest; undefined
+ * otherwise.
  */
 export function findEngineRestMs(
   run: CallRun,
--- a/packages/heatherarch-forward/decisions/target_choice.ts
+++ b/packages/heatherarch-forward/decisions/target_choice.ts
@@ -1,5 +1,5 @@
 /**
- * Which targets of a service may be tried for a call now, and when one may be where none is.
+ * Which targets of a service a call may try now, and how long all of them rest if none is left.
  *
  * @module
  */
@@ -9,13 +9,13 @@
 /** Options of {@linkcode listOpenTargets}. */
 export interface TargetChoice {
   readonly run: CallRun;
-  /** Targets that the call has met already. */
+  /** Targets that the call has tried already. */
   readonly tried: ReadonlySet<string>;
   /** Whether a target can do what is asked for. */
   readonly accepts?: (target: Target) => boolean;
 }
 
-/** Targets that may be tried now; avoided ones only where there is no other. */
+/** Targets that may be tried now; avoided ones only if there is no other. */
 export function listOpenTargets(
   { run, tried, accepts = acceptAny }: TargetChoice,
 ): Target[] {
@@ -33,8 +33,8 @@
 }
 
 /**
- * Time until the first target has rested, milliseconds, where all that could serve a call rest;
- * undefined where one does not, or there is none.
+ * Time until the first rest ends, milliseconds, if all targets that could serve the call rest;
+ * undefined otherwise.
  */
 export function findRestMs(
   run: CallRun,
--- a/packages/heatherarch-forward/fleet/fleet_news.ts
+++ b/packages/heatherarch-forward/fleet/fleet_news.ts
@@ -1,7 +1,7 @@
 /**
- * Facts that each VM passes on when they are new to it, on all its links: requests that end
- * targets, and targets that said that they leave. They reach every VM over a full mesh as well as
- * over hubs; a new link is told all.
+ * Gossip of crash reports and of targets that announced that they are leaving. Each VM forwards
+ * what is new to it on all its links, so it reaches every VM over a full mesh as well as over hubs;
+ * a new link gets everything.
  *
  * @module
  */
@@ -24,16 +24,16 @@
 
 type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
 
-/** How far each link has been told. */
+/** How far each link is up to date. */
 interface LinkCursors {
   crashes: number | undefined;
   leaving: number;
 }
 
-/** Marks of leaving come from targets themselves, and no record of a log takes them back. */
+/** No log record takes back a mark that came from the target itself. */
 const NO_LOG = -1;
 
-/** The news of one VM. */
+/** The gossip of one VM. */
 export class FleetNews {
   readonly #options: FleetNewsOptions;
   readonly #links = new WeakMap<Link, LinkCursors>();
@@ -42,7 +42,7 @@
     this.#options = options;
   }
 
-  /** Registers a listener for facts that are new to this VM and returns its undo. */
+  /** Registers a listener for what is new to this VM and returns its undo. */
   registerListener(listener: () => void): () => void {
     const { quarantine, directory } = this.#options;
     const undos = [
@@ -54,7 +54,7 @@
     };
   }
 
-  /** What is new since the last heartbeat on a link; nothing where nothing is. */
+  /** What is new since the last heartbeat on a link. */
   build(link: Link): NewsParts {
     let cursors = this.#links.get(link);
     if (cursors === undefined) {
@@ -64,7 +64,7 @@
     return { ...this.#buildCrashes(cursors), ...this.#buildLeaving(cursors) };
   }
 
-  /** Takes in what a peer told, which may have waited here for so many milliseconds. */
+  /** Merges a peer's heartbeat, which may have waited here for `waitedMs`. */
   take({ crashes, leavingTargets }: Heartbeat, waitedMs: number): void {
     const { quarantine, directory, clock, log } = this.#options;
     if (crashes !== undefined) {
--- a/packages/heatherarch-forward/life/answer_notices.ts
+++ b/packages/heatherarch-forward/life/answer_notices.ts
@@ -1,6 +1,6 @@
 /**
- * What targets say of themselves in their answers: that they leave, or that they want no requests
- * for a while. Every answer may say so, whatever it was asked for.
+ * Notices in answers of targets: that they are leaving, or want no requests for a while. Any answer
+ * may carry one, whatever the request was for.
  *
  * @module
  */
@@ -21,7 +21,7 @@
   readonly log: EventLog;
 }
 
-/** Takes notice of answers' heads. */
+/** Applies the notices in the heads of answers. */
 export class AnswerNotices {
   readonly #options: AnswerNoticesOptions;
 
@@ -49,7 +49,7 @@
 
   #noteRest(target: string, restMs: number): void {
     const { rests, clock, log } = this.#options;
-    // One line for each rest: calls on their way meet it as well.
+    // Requests in flight get the same answer; the first one is logged.
     if (!rests.note(target, restMs, clock.readMonotonicMs())) return;
     log.write("info", "targetResting", { target, restMs });
   }
--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -42,11 +42,12 @@
   readonly caller: CallerPort;
 }
 
-/** A trial takes as long as a run of the request, and the word of its end. */
+/** A trial takes as long as a run of the request, and the report of its end to all VMs. */
 const TRIAL_RETRY_AFTER_MS = 1000;
-/** Callers that were refused for a rest come back spread over this part of it. */
+/** Share of a rest by which `Retry-After` is jittered. */
 const REST_SPREAD = 0.25;
-const HELD_REASON = "the request is quarantined: targets end when they run it";
+const HELD_REASON =
+  "the request is quarantined: it crashed the targets that ran it";
 /** Pauses between tries that found no target at once, milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -133,7 +134,7 @@
     return this.#runs < maxTargets;
   }
 
-  /** Ends the call where its request may not be sent; returns whether it goes on. */
+  /** Refuses the call if its request may not be sent; returns whether it goes on. */
   admit(): boolean {
     const admission = this.#guard.admit();
     if (admission.kind === "quarantined") this.#refuseHeld(admission.held);
@@ -147,8 +148,8 @@
   }
 
   /**
-   * Whether a further try may be made after what was lost. Waits for word of targets that may have
-   * ended, and ends the call where its request is held back.
+   * Whether the call may be retried. Waits for the probes of targets that may have crashed, and ends
+   * the call if its request is quarantined.
    */
   async mayRepeat(): Promise<boolean> {
     const mayRepeat = await this.#guard.mayRepeat();
@@ -233,7 +234,7 @@
     });
   }
 
-  /** Refuses the call, since all targets that could serve it rest for at least `restMs`. */
+  /** Refuses the call: all targets that could serve it rest, the first one for `restMs`. */
   refuseResting(restMs: number): void {
     const spread = 1 + this.serving.drawUnit() * REST_SPREAD;
     this.refuse("overloaded", "all targets have asked for rest", {
@@ -254,7 +255,7 @@
     this.finish("failed", { reason });
   }
 
-  /** A call that waits or has its prompt read ends; a run may still show that it goes well. */
+  /** Ends a call that has not run yet; one that runs may still succeed and clear the request. */
   #holdBack(held: QuarantinedRequest): void {
     if (this.isOver || this.mayHaveRun) return;
     const exchange = this.#exchange;
--- a/packages/heatherarch-forward/life/request_guard.ts
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps a call from being sent where its request ends the targets that run it.
+ * Keeps a call from being sent when its request is quarantined, and reports its lost exchanges.
  *
  * @module
  */
@@ -13,14 +13,14 @@
 import type { Serving } from "../serving.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 
-/** A refused connection tells within a round trip; a silent target is not waited for longer. */
+/** Longest wait for the probe of a target before a retry; a refused connection takes a round trip. */
 const MAX_INQUIRY_MS = 100;
 
 /** Options of {@linkcode RequestGuard}. */
 export interface RequestGuardOptions {
   readonly serving: Serving;
   readonly call: ForwardedCall;
-  /** Called when the request is held back while the call is in progress. */
+  /** Called when the request is quarantined while the call is in progress. */
   readonly onHeld: (held: QuarantinedRequest) => void;
 }
 
@@ -61,7 +61,7 @@
     return admission;
   }
 
-  /** The quarantine of the request; undefined where it is not held back. */
+  /** The quarantine of the request; undefined where there is none. */
   findHeld(): QuarantinedRequest | undefined {
     const { quarantine, clock } = this.#options.serving;
     if (quarantine.isEmpty) return undefined;
@@ -69,8 +69,8 @@
   }
 
   /**
-   * Whether the call may be sent again. One whose next loss would have the request held back is
-   * left to its client to repeat: until then the VMs hear of the last one.
+   * Whether the call may be retried. One crash before quarantine the retry is left to the client,
+   * which gives the other VMs time to learn of the crashes.
    */
   async mayRepeat(): Promise<boolean> {
     const inquiries = this.#inquiries;
@@ -82,7 +82,7 @@
     return !this.#options.serving.quarantine.isLastTrial(this.request);
   }
 
-  /** Follows an exchange to its end. */
+  /** Reports how an exchange ends. */
   follow(target: Target, exchange: TargetExchange): void {
     const { losses } = this.#options.serving;
     const { id, host } = this.#options.call;
--- a/packages/heatherarch-forward/life/target_connections.ts
+++ b/packages/heatherarch-forward/life/target_connections.ts
@@ -15,14 +15,14 @@
 
 type Connector = ReturnType<typeof buildConnector>;
 
-/** What a request is for: work, or the release of what an earlier one left at the target. */
+/** What a request is for: work, or the release of resources that an earlier one holds. */
 export type SendPurpose = "work" | "release";
 
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
-  /** Called with the head of each answer, before whoever sent the request sees it. */
+  /** Called with the head of each answer, before the sender sees it. */
   readonly onHead?: (target: Target, head: AnswerHead) => void;
-  /** Why a target may not be sent something, as is known at that moment; undefined if it may. */
+  /** Why nothing may be sent to a target now; undefined if it may. */
   readonly findBan?: (
     target: Target,
     purpose: SendPurpose,
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Sends a request. Every way to a target leads here, so this is where it is last asked whether
-   * the target may get it. What may not be sent ends like what found no connection.
+   * Sends a request. All requests to targets pass here, so this is the last check whether the
+   * target may get one. A withheld request ends like one without a connection.
    */
   open(
     target: Target,
@@ -163,7 +163,7 @@
     );
     exchange.head.then(
       (head) => this.#options.onHead(target, head),
-      // Whoever sent the request handles its failure.
+      // The sender handles the failure.
       () => undefined,
     );
     return exchange;
--- a/packages/heatherarch-forward/life/target_exchange.ts
+++ b/packages/heatherarch-forward/life/target_exchange.ts
@@ -20,7 +20,7 @@
 export type ExchangeFault =
   /** Nothing was written: the target did not run it. */
   | "notSent"
-  /** Nothing was written, since the request or its target may not be sent anything. */
+  /** Nothing was written: the request is quarantined, or its target leaves or rests. */
   | "withheld"
   /** The connection ended or spoke no HTTP; the target may have run it. */
   | "lost"
@@ -61,7 +61,7 @@
   readonly isCutOff: () => boolean;
 }
 
-/** Stands for the controller that an exchange without a connection has not. */
+/** A withheld exchange has no connection to control. */
 const NO_CONTROLLER = undefined as unknown as Controller;
 
 /** An exchange in progress. */
--- a/packages/heatherarch-forward/tasks/quarantine_keeper.ts
+++ b/packages/heatherarch-forward/tasks/quarantine_keeper.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps requests that are held back in the platform's store, so that VMs that all start anew know
- * them. Between VMs that live the mesh carries the news.
+ * Persists quarantined requests in the platform's store, so that they survive a restart of all
+ * VMs. While any VM runs, gossip carries them.
  *
  * @module
  */
@@ -21,13 +21,13 @@
   readonly log: EventLog;
 }
 
-/** Pause before a call of the store is made again, milliseconds; each one doubles it. */
+/** First delay of the exponential backoff, milliseconds. */
 const RETRY_MS = 500;
 const MAX_RETRY_MS = 8000;
-/** A write is given up after so many tries: the VMs that live know. */
+/** Tries of a write; running VMs know the request without it. */
 const MAX_WRITES = 5;
 
-/** The task that reads and writes the requests that are held back. */
+/** The task that loads and stores quarantined requests. */
 export class QuarantineKeeper {
   readonly #options: QuarantineKeeperOptions;
   #undoListener: (() => void) | undefined;
@@ -40,7 +40,7 @@
   start(): void {
     this.#undoListener = this.#options.quarantine.registerChangeListener(
       (change) => {
-        // Of all VMs that hear, the one that saw it writes.
+        // One VM writes: the one that observed the change.
         if (change.isOwn) void this.#write(change);
       },
     );
@@ -75,7 +75,7 @@
     const { topic, quarantine, clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
     const held = quarantine.findHeld(request, nowMs);
-    // What was cleared meanwhile has been, or will be, removed.
+    // Cleared in the meantime; that change removes the record.
     if (kind === "held" && held === undefined) return;
     const record = held === undefined ? undefined : {
       account: held.account,
--- a/packages/heatherarch-forward/vm_beliefs.ts
+++ b/packages/heatherarch-forward/vm_beliefs.ts
@@ -87,7 +87,7 @@
   };
 }
 
-/** Looks into losses, with a line in the log for each and for each end of a target. */
+/** Builds the inquiry into lost exchanges, which logs each loss and each crash. */
 export function buildInquiry(
   { quarantine, directory, clock, log, metrics }: Pick<
     Serving,
@@ -118,7 +118,7 @@
   });
 }
 
-/** Why a target may not be sent something now; undefined if it may. */
+/** Why nothing may be sent to a target now; undefined if it may. */
 function findBan(
   { directory, rests, clock }: Pick<Serving, "directory" | "rests" | "clock">,
   target: string,
--- a/packages/heatherarch-gateway/request_watch.ts
+++ b/packages/heatherarch-gateway/request_watch.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps a request from being handed over where it ends the targets that run it.
+ * Keeps quarantined requests from being sent, and reports lost tries.
  *
  * @module
  */
@@ -14,17 +14,17 @@
 
 /** A request in progress. */
 export interface WatchedRequest {
-  /** A try that was handed over was lost. */
+  /** A try that was sent got no answer. */
   noteLost(target: Target, reason: string): void;
-  /** Whether the system may hand the request over again. */
+  /** Whether the system may retry the request. */
   mayRepeat(): boolean;
-  /** The request has ended; with `isWhole` by a whole answer. To be called once. */
+  /** The request has ended; `isWhole` after a whole answer. To be called once. */
   end(isWhole: boolean): void;
 }
 
 /** Admits requests. */
 export interface RequestWatch {
-  /** Throws a {@linkcode ServeError} where the request may not be handed over. */
+  /** Throws a {@linkcode ServeError} if the request may not be sent. */
   admit(content: RequestContent, requestId: string): WatchedRequest;
 }
 
@@ -40,7 +40,7 @@
 /** Watches requests by the quarantine. */
 export class QuarantineWatch implements RequestWatch {
   readonly #options: QuarantineWatchOptions;
-  /** Name of each target's present life, as far as this VM tells one from the next. */
+  /** Current incarnation of each target, as named by this VM. */
   readonly #lives = new Map<string, string>();
 
   constructor(options: QuarantineWatchOptions) {
@@ -54,7 +54,7 @@
     const admission = quarantine.admit(request, nowMs);
     if (admission.kind === "quarantined") {
       const message =
-        "the request is quarantined: targets end when they run it";
+        "the request is quarantined: it crashed the targets that ran it";
       const retryAfterMs = admission.held.untilMs - nowMs;
       throw new ServeError("quarantined", message, { retryAfterMs });
     }
@@ -86,7 +86,7 @@
     };
   }
 
-  /** A life of a target has ended; what is lost there from now on is another one's. */
+  /** A target crashed; later losses there belong to its next incarnation. */
   noteEnded(life: string): void {
     this.#lives.delete(getTargetId(life));
   }
@@ -94,7 +94,7 @@
   #nameLife(id: string): string {
     let life = this.#lives.get(id);
     if (life === undefined) {
-      // Targets tell nothing of their start, so two VMs may name one life differently.
+      // Targets do not report their incarnation, so VMs may name one differently.
       life = createId(`${id}${LIFE_MARK}`);
       this.#lives.set(id, life);
     }
@@ -104,7 +104,7 @@
 
 const LIFE_MARK = "#";
 
-/** Id of the target that a life belongs to. */
+/** Id of the target of an incarnation. */
 export function getTargetId(life: string): string {
   return life.slice(0, life.lastIndexOf(LIFE_MARK));
 }
--- a/packages/heatherarch-quarantine/loss_inquiry.ts
+++ b/packages/heatherarch-quarantine/loss_inquiry.ts
@@ -1,6 +1,6 @@
 /**
- * Looks into exchanges that ended without an answer: whether the target's process ended, which
- * counts against all requests that it had, or only an answer or a connection was lost.
+ * Tells a crash of a target from a lost answer or connection, after an exchange that ended without
+ * an answer. A crash is reported for every request that was in flight at the target.
  *
  * @module
  */
@@ -14,16 +14,16 @@
   /** Digest of the request, and the client account that sent it. */
   readonly request: string;
   readonly account: string;
-  /** The life of the target, and its address. */
+  /** Incarnation of the target, and its address. */
   readonly target: string;
   readonly address: Address;
   readonly reason: string;
 }
 
-/** What showed that a life of a target has ended. */
+/** What showed that a target crashed. */
 export type EndEvidence =
   | "refusedConnection"
-  /** Another life answers, or is listed, at its address. */
+  /** Another incarnation answers, or is listed, at its address. */
   | "replaced";
 
 /** Options of {@linkcode LossInquiry}. */
@@ -31,10 +31,10 @@
   readonly targetProbe: Pick<TargetProbe, "probe">;
   readonly quarantine: RequestQuarantine;
   readonly clock: Clock;
-  /** Whether a target is in service: one that has announced its end, or is gone, ends by itself. */
+  /** Whether a target is in service; one that is leaving or gone may stop without having crashed. */
   readonly isInService: (target: string) => boolean;
   readonly onLoss: (loss: Loss, probe: ProbeResult) => void;
-  /** A life of a target ended while it had these requests. */
+  /** A target crashed while it had these requests. */
   readonly onEnded: (
     target: string,
     evidence: EndEvidence,
@@ -46,15 +46,15 @@
   readonly atMs: number;
 }
 
-/** A process that ended is back, and listed, within this time as a rule, milliseconds. */
+/** A crashed process is usually restarted and listed again within this time, milliseconds. */
 const OPEN_MS = 10_000;
-/** Losses that wait for word of their target. */
+/** Losses that wait for evidence. */
 const MAX_OPEN = 1024;
 
-/** Inquires into lost exchanges. */
+/** Investigates lost exchanges. */
 export class LossInquiry {
   readonly #options: LossInquiryOptions;
-  /** By life of the target. */
+  /** By incarnation of the target. */
   readonly #open = new Map<string, OpenLoss[]>();
   #openCount = 0;
 
@@ -62,7 +62,7 @@
     this.#options = options;
   }
 
-  /** Settles when it is known whether the target's process is there. Never rejects. */
+  /** Probes the target; settles with the result. Never rejects. */
   async take(loss: Loss): Promise<ProbeResult> {
     const { targetProbe, onLoss } = this.#options;
     this.#addOpen(loss);
@@ -72,7 +72,7 @@
     return probe;
   }
 
-  /** A life of a target has ended: it counts against all requests that were lost there. */
+  /** A target crashed: reports it for all requests that were lost there. */
   noteEnded(target: string, evidence: EndEvidence): void {
     const { quarantine, clock, onEnded } = this.#options;
     const nowMs = clock.readMonotonicMs();
@@ -88,8 +88,8 @@
   }
 
   /**
-   * A target is listed: whatever was lost at its address before has ended. That an entry goes
-   * tells nothing, since those of targets that are only cut off lapse as well.
+   * A target is listed: another incarnation at its address has crashed. A removed entry is no
+   * evidence, since the entries of partitioned targets expire as well.
    */
   noteListed(target: string, address: Address): void {
     for (const [life, [loss]] of this.#open) {
--- a/packages/heatherarch-quarantine/mod.ts
+++ b/packages/heatherarch-quarantine/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Requests that end the targets that run them, and how they are held back.
+ * Detection and quarantine of requests that crash the targets that run them.
  *
  * @module
  */
--- a/packages/heatherarch-quarantine/request_digest.ts
+++ b/packages/heatherarch-quarantine/request_digest.ts
@@ -17,9 +17,9 @@
 const DIGEST_HEX_LENGTH = 32;
 
 /**
- * Digest of a request's content. Ids, deadlines and other headers differ between a client's
- * attempts and are left out. It is cryptographic, so that no client account can build a request
- * that is taken for another one's.
+ * Digest of a request's content. Headers are left out, since ids and deadlines differ between a
+ * client's attempts. A cryptographic hash keeps a client from crafting a collision with a request
+ * of another client account.
  */
 export function hashRequest(content: RequestContent): string {
   const { method, host, path, body } = content;
--- a/packages/heatherarch-quarantine/request_quarantine.ts
+++ b/packages/heatherarch-quarantine/request_quarantine.ts
@@ -1,30 +1,29 @@
 /**
- * Requests under which targets have ended, and those of them that are held back.
+ * Quarantine of poison requests (queries of death): requests that crash each target that runs them.
  *
- * A request that ends the process of each target that runs it (a poison request, or query of
- * death) is not told by a single loss: whatever ran beside it is lost as well, and targets end for
- * other reasons. What tells it is that several lives of targets ended under it and that no run of
- * it went well in between. So a run that goes well clears a request of all ends known by then.
+ * A single crash does not identify one, since all requests in flight at the target are lost with
+ * it. A request is quarantined when several incarnations of targets crashed while running it and
+ * none of its runs succeeded in between; a successful run clears it of all crashes known so far.
  *
- * Facts are kept as pairs of a request and a life; a pair that was cleared stays cleared. So VMs
- * may hear of them in any order and more than once. Pure: time comes in with each update.
+ * State is a set of (request, incarnation) pairs in which "cleared" wins over "crashed", so
+ * replicas converge whatever the order and number of messages. Pure: time is passed in.
  *
  * @module
  */
 
 /**
- * A fact for peers: digest of the request, its client account, the life that ended, 1 where that
- * counts against the request or 0 where it was cleared, and the age of the fact, milliseconds.
+ * A crash report for peers: digest of the request, its client account, the target's incarnation,
+ * 1 if the crash counts or 0 if the request was cleared of it, and the report's age, milliseconds.
  */
 export type CrashNote = readonly [string, string, string, 0 | 1, number];
 
-/** A request that is held back. */
+/** A quarantined request. */
 export interface QuarantinedRequest {
   readonly request: string;
   readonly account: string;
-  /** Lives of targets that ended under it. */
+  /** Incarnations of targets that crashed while running it. */
   readonly lives: readonly string[];
-  /** Monotonic times of the latest end, and of the end of the quarantine. */
+  /** Monotonic times of the latest crash, and of the end of the quarantine. */
   readonly sinceMs: number;
   readonly untilMs: number;
 }
@@ -32,20 +31,20 @@
 /** Whether a request may be sent. */
 export type Admission =
   | { readonly kind: "free" }
-  /** It may be sent, and no copy of it until `end` is called. */
+  /** It may be sent, and no other copy of it until `end` is called. */
   | { readonly kind: "trial"; readonly end: () => void }
   /** A copy of it is on trial. */
   | { readonly kind: "onTrial" }
   | { readonly kind: "quarantined"; readonly held: QuarantinedRequest };
 
-/** A request is held back on this VM, or no more, by its own observation or a peer's word. */
+/** A request entered or left quarantine on this VM, by its own observation or a peer's report. */
 export interface QuarantineChange {
   readonly kind: "held" | "cleared";
   readonly request: string;
   readonly isOwn: boolean;
 }
 
-/** Facts since some point. */
+/** Crash reports from some cursor on. */
 export interface CrashNotes {
   readonly notes: readonly CrashNote[];
   /** Where the next ones begin. */
@@ -63,11 +62,11 @@
 
 /** Options of {@linkcode RequestQuarantine}. */
 export interface RequestQuarantineOptions {
-  /** Lives that end under a request before it is held back. */
+  /** Crashes after which a request is quarantined. */
   readonly maxCrashes?: number;
-  /** Time for which it is held back at first, milliseconds. */
+  /** Length of a first quarantine, milliseconds. */
   readonly holdMs?: number;
-  /** Requests that are remembered; of all, and of one client account. */
+  /** Suspected requests that are remembered: of all client accounts, and of one. */
   readonly maxRequests?: number;
   readonly maxPerAccount?: number;
   readonly disabledGuards?: ReadonlySet<QuarantineGuard>;
@@ -76,7 +75,7 @@
 interface Fact {
   readonly isCleared: boolean;
   readonly atMs: number;
-  /** Rises with each fact that is new to this VM. */
+  /** Sequence number, in the order in which this VM learned of it. */
   readonly number: number;
 }
 
@@ -85,23 +84,22 @@
   readonly facts: Map<string, Fact>;
 }
 
-/** As many as may end under one request at all. */
 const DEFAULT_MAX_CRASHES = 3;
 const DEFAULT_HOLD_MS = 600_000;
 const DEFAULT_MAX_REQUESTS = 4096;
 const DEFAULT_MAX_PER_ACCOUNT = 256;
-/** Each further end doubles the time, up to so many times. */
+/** Each further crash doubles the quarantine, up to so many times. */
 const MAX_DOUBLINGS = 6;
 /**
- * Facts told at once: some 30 KB. When many targets end together each of their requests is a
- * suspect, and what is left follows with the next heartbeats.
+ * Crash reports in one message, some 30 KB. When many targets crash together all of their requests
+ * become suspects; the rest of the reports follow in the next messages.
  */
 const MAX_TOLD = 256;
 
-/** Requests that are suspected of ending targets. */
+/** Requests that are suspected of crashing targets. */
 export class RequestQuarantine {
   readonly #options: Required<RequestQuarantineOptions>;
-  /** In the order of their latest facts. */
+  /** Least recently reported first. */
   readonly #suspects = new Map<string, Suspect>();
   readonly #onTrial = new Set<string>();
   readonly #newsListeners = new Set<() => void>();
@@ -119,12 +117,12 @@
     };
   }
 
-  /** No request is suspected: nobody's digest matters. */
+  /** Whether no request is suspected, so that digests need not be computed. */
   get isEmpty(): boolean {
     return this.#suspects.size === 0;
   }
 
-  /** A life of a target ended while it had the request. */
+  /** A target crashed while it had the request. */
   noteCrash(
     request: string,
     account: string,
@@ -141,7 +139,7 @@
     this.#notifyNews();
   }
 
-  /** A run of the request went well, or an operator lifts the quarantine. */
+  /** A run of the request succeeded, or an operator lifts the quarantine. */
   clear(request: string, nowMs: number): boolean {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) return false;
@@ -157,7 +155,7 @@
     return true;
   }
 
-  /** Takes in what a peer knows. */
+  /** Merges a peer's crash reports. */
   notePeer(notes: readonly CrashNote[], nowMs: number): void {
     const before = new Map<string, number>();
     for (const note of notes) {
@@ -172,13 +170,13 @@
     if (before.size > 0) this.#notifyNews();
   }
 
-  /** Lives that ended under a request, as far as it is not cleared of them. */
+  /** Crashes that count against a request. */
   countCrashes(request: string): number {
     const suspect = this.#suspects.get(request);
     return suspect === undefined ? 0 : listCrashes(suspect).length;
   }
 
-  /** The quarantine of a request; undefined where it is not held back. */
+  /** The quarantine of a request; undefined where there is none. */
   findHeld(request: string, nowMs: number): QuarantinedRequest | undefined {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) return undefined;
@@ -191,8 +189,8 @@
   }
 
   /**
-   * Whether a request may be sent. With one more end it would be held back: then its copies go
-   * one at a time, so that several do not end as many targets at once.
+   * Whether a request may be sent. One crash before quarantine its copies run one at a time, so
+   * that concurrent copies do not crash several targets.
    */
   admit(request: string, nowMs: number): Admission {
     const held = this.findHeld(request, nowMs);
@@ -205,19 +203,19 @@
     return { kind: "trial", end: () => this.#onTrial.delete(request) };
   }
 
-  /** Whether one more end under the request would have it held back. */
+  /** Whether one more crash would quarantine the request. */
   isLastTrial(request: string): boolean {
     return this.countCrashes(request) >= this.#options.maxCrashes - 1;
   }
 
-  /** All requests that are held back. */
+  /** All quarantined requests. */
   listHeld(nowMs: number): QuarantinedRequest[] {
     return [...this.#suspects.keys()]
       .map((request) => this.findHeld(request, nowMs))
       .filter((held) => held !== undefined);
   }
 
-  /** The next facts from `cursor` on, the oldest ones without one; with their ages. */
+  /** The next crash reports after `cursor`, oldest first. */
   listNotes(cursor: number | undefined, nowMs: number): CrashNotes {
     const from = cursor ?? 0;
     if (from >= this.#factCount) return { notes: [], cursor: from };
@@ -237,7 +235,7 @@
     return { notes, cursor: last };
   }
 
-  /** Forgets requests of which nothing was heard for as long again as they were held back. */
+  /** Forgets requests without reports for the length of their quarantine and a first one more. */
   expire(nowMs: number): void {
     for (const [request, suspect] of this.#suspects) {
       const crashes = listCrashes(suspect).length;
@@ -246,7 +244,7 @@
     }
   }
 
-  /** Registers a listener for facts that are new to this VM and returns its undo. */
+  /** Registers a listener for crash reports that are new to this VM and returns its undo. */
   registerNewsListener(listener: () => void): () => void {
     this.#newsListeners.add(listener);
     return () => {
@@ -254,7 +252,7 @@
     };
   }
 
-  /** Registers a listener for requests that are held back or cleared and returns its undo. */
+  /** Registers a listener for requests that enter or leave quarantine and returns its undo. */
   registerChangeListener(
     listener: (change: QuarantineChange) => void,
   ): () => void {
@@ -264,7 +262,7 @@
     };
   }
 
-  /** Returns whether the fact is new. */
+  /** Returns whether the report is new. */
   #add(
     [request, account, life, isCrash, ageMs]: CrashNote,
     nowMs: number,
@@ -293,7 +291,7 @@
     return holdMs * 2 ** Math.min(doublings, MAX_DOUBLINGS);
   }
 
-  /** The requests heard of longest ago go first; an account can't push out those of others. */
+  /** Evicts the least recently reported requests; an account can't evict those of others. */
   #dropExcess(account: string): void {
     const own = [...this.#suspects]
       .filter(([, suspect]) => suspect.account === account);
@@ -329,7 +327,7 @@
   return [...facts].filter(([, fact]) => !fact.isCleared).map(([life]) => life);
 }
 
-/** Monotonic time of the latest fact. */
+/** Monotonic time of the latest report. */
 function findLatest({ facts }: Suspect): number {
   return Math.max(...[...facts.values()].map(({ atMs }) => atMs));
 }
--- a/packages/heatherarch-quarantine/target_probe.ts
+++ b/packages/heatherarch-quarantine/target_probe.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a target's process is there: a connection is opened and closed at once.
+ * Checks whether a process listens at an address: opens a connection and closes it at once.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import { splitAddress } from "heatherarch-mesh";
 import type { Address } from "heatherarch-core";
 
-/** What a connection met: a listening process, an address without one, or nothing in time. */
+/** A listening process, an address without one, or no response in time. */
 export type ProbeResult = "accepted" | "refused" | "silent";
 
 /** Some ten round trips between zones. */
@@ -19,7 +19,7 @@
   readonly timeoutMs?: number;
 }
 
-/** Probes targets; callers that ask for one target at the same time share a connection. */
+/** Probes addresses; concurrent probes of one address share a connection. */
 export class TargetProbe {
   readonly #timeoutMs: number;
   readonly #pending = new Map<string, Promise<ProbeResult>>();
