A successful run vouches for its request for a minute

Cause, in reading: a success cleared only crashes known by then. When several targets crash at once, their reports meet at a VM before a run after them could end, and three make a quarantine, which the next success lifts. Each VM now remembers the successes of its latest requests; a crash reported within a minute of one is cleared as it comes, and so for all VMs. A request that crashes what runs it never has one.

--- a/packages/heatherarch-forward/life/request_guard.ts
+++ b/packages/heatherarch-forward/life/request_guard.ts
@@ -113,9 +113,8 @@
 
   #clear(): void {
     const { quarantine, clock, log } = this.#options.serving;
-    if (quarantine.isEmpty) return;
     const crashes = quarantine.countCrashes(this.request);
-    if (!quarantine.clear(this.request, clock.readMonotonicMs())) return;
+    if (!quarantine.noteSuccess(this.request, clock.readMonotonicMs())) return;
     log.write("info", "requestCleared", {
       call: this.#options.call.id,
       request: this.request,
--- a/packages/heatherarch-gateway/request_watch.ts
+++ b/packages/heatherarch-gateway/request_watch.ts
@@ -81,7 +81,7 @@
       mayRepeat: () => !hasLost || !quarantine.isLastTrial(request),
       end: (isWhole) => {
         if (admission.kind === "trial") admission.end();
-        if (isWhole) quarantine.clear(request, clock.readMonotonicMs());
+        if (isWhole) quarantine.noteSuccess(request, clock.readMonotonicMs());
       },
     };
   }
--- a/packages/heatherarch-lab/proofs/quarantine_proof.ts
+++ b/packages/heatherarch-lab/proofs/quarantine_proof.ts
@@ -78,6 +78,8 @@
   #step = 0;
   #lateArrivals = 0;
   #delays = 0;
+  /** VMs at which a run of the popular request went well. */
+  readonly #succeeded = new Set<number>();
   #isHealed = false;
   /** A run of the popular request went well after its latest loss. */
   #isPopularSound = true;
@@ -165,6 +167,11 @@
       endTrial();
       this.#vms[vm].noteCrash(request, ACCOUNT, life, this.#nowMs);
       if (request === POPULAR) this.#isPopularSound = false;
+      requirePromise(
+        request === POISON || !this.#succeeded.has(vm) ||
+          this.#vms[vm].countCrashes(POPULAR) === 0,
+        "crashes do not add up against a request that succeeds",
+      );
     }
     const lives = new Set(this.#crashSteps).size;
     for (const quarantine of this.#vms) {
@@ -182,7 +189,12 @@
   #succeed(run: Run): void {
     this.#runs = this.#runs.filter((other) => other !== run);
     run.endTrial();
-    this.#vms[run.vm].clear(run.request, this.#nowMs);
+    this.#vms[run.vm].noteSuccess(run.request, this.#nowMs);
+    requirePromise(
+      this.#vms[run.vm].countCrashes(run.request) === 0,
+      "a success clears",
+    );
+    this.#succeeded.add(run.vm);
     this.#isPopularSound = true;
   }
 
--- a/packages/heatherarch-quarantine/request_quarantine.ts
+++ b/packages/heatherarch-quarantine/request_quarantine.ts
@@ -3,7 +3,7 @@
  *
  * A single crash does not identify one, since all requests in flight at the target are lost with
  * it. A request is quarantined when several incarnations of targets crashed while running it and
- * none of its runs succeeded in between; a successful run clears it of all crashes known so far.
+ * none of its runs succeeded; a successful run clears it of crashes known so far and for a while.
  *
  * State is a set of (request, incarnation) pairs in which "cleared" wins over "crashed", so
  * replicas converge whatever the order and number of messages. Pure: time is passed in.
@@ -56,6 +56,7 @@
   "clearedStaysCleared",
   "livesCountOnce",
   "copiesOneAtATime",
+  "successesAreRemembered",
 ] as const;
 /** Name of a guard. */
 export type QuarantineGuard = typeof QUARANTINE_GUARDS[number];
@@ -88,6 +89,8 @@
 const DEFAULT_HOLD_MS = 600_000;
 const DEFAULT_MAX_REQUESTS = 4096;
 const DEFAULT_MAX_PER_ACCOUNT = 256;
+/** Time for which a successful run vouches for a request, milliseconds. */
+const SOUND_MS = 60_000;
 /** Each further crash doubles the quarantine, up to so many times. */
 const MAX_DOUBLINGS = 6;
 /**
@@ -101,6 +104,8 @@
   readonly #options: Required<RequestQuarantineOptions>;
   /** Least recently reported first. */
   readonly #suspects = new Map<string, Suspect>();
+  /** Monotonic times of the latest successful runs, least recent first. */
+  readonly #succeededAtMs = new Map<string, number>();
   readonly #onTrial = new Set<string>();
   readonly #newsListeners = new Set<() => void>();
   readonly #changeListeners = new Set<(change: QuarantineChange) => void>();
@@ -139,7 +144,18 @@
     this.#notifyNews();
   }
 
-  /** A run of the request succeeded, or an operator lifts the quarantine. */
+  /** A run of the request succeeded: it is cleared, also of crashes reported soon after. */
+  noteSuccess(request: string, nowMs: number): boolean {
+    this.#succeededAtMs.delete(request);
+    this.#succeededAtMs.set(request, nowMs);
+    const [oldest] = this.#succeededAtMs.keys();
+    if (this.#succeededAtMs.size > this.#options.maxRequests) {
+      this.#succeededAtMs.delete(oldest);
+    }
+    return this.clear(request, nowMs);
+  }
+
+  /** Clears a request of all crashes known so far, as an operator does. */
   clear(request: string, nowMs: number): boolean {
     const suspect = this.#suspects.get(request);
     if (suspect === undefined) return false;
@@ -270,7 +286,7 @@
     const suspect = this.#suspects.get(request) ??
       { account, facts: new Map<string, Fact>() };
     const known = suspect.facts.get(life);
-    const isCleared = isCrash === 0;
+    const isCleared = isCrash === 0 || this.#isSound(request, nowMs);
     if (known?.isCleared && !this.#isOff("clearedStaysCleared")) return false;
     if (known !== undefined && known.isCleared === isCleared) return false;
     const atMs = nowMs - ageMs;
@@ -281,6 +297,13 @@
     return true;
   }
 
+  /** Popular requests succeed all the time, so crashes of others can't add up against them. */
+  #isSound(request: string, nowMs: number): boolean {
+    if (this.#isOff("successesAreRemembered")) return false;
+    const atMs = this.#succeededAtMs.get(request);
+    return atMs !== undefined && nowMs - atMs <= SOUND_MS;
+  }
+
   #isOff(guard: QuarantineGuard): boolean {
     return this.#options.disabledGuards.has(guard);
   }
--- a/packages/heatherarch-quarantine/tests/unit/request_quarantine_test.ts
+++ b/packages/heatherarch-quarantine/tests/unit/request_quarantine_test.ts
@@ -53,6 +53,29 @@
   assert.equal(quarantine.countCrashes("r"), 1);
 });
 
+// Seen once beside load: three crashes at once, told before any run that went well after them.
+test("a request that just succeeded is not held back for crashes that come at once", () => {
+  const quarantine = build();
+  quarantine.noteSuccess("r", 500);
+  crash(quarantine, 3);
+  assert.equal(quarantine.findHeld("r", 3000), undefined);
+  const peer = build();
+  peer.noteSuccess("r", 500);
+  const other = build();
+  crash(other, 3);
+  peer.notePeer(other.listNotes(undefined, 3000).notes, 3000);
+  assert.equal(peer.findHeld("r", 3000), undefined);
+  other.notePeer(peer.listNotes(undefined, 3000).notes, 3000);
+  assert.equal(other.findHeld("r", 3000), undefined);
+});
+
+test("a success of long ago vouches for nothing", () => {
+  const quarantine = build();
+  quarantine.noteSuccess("r", -60_000);
+  crash(quarantine, 3);
+  assert.ok(quarantine.findHeld("r", 3000));
+});
+
 test("with one more end to go, copies of a request are sent one at a time", () => {
   const quarantine = build();
   crash(quarantine, 1);
