An ordered change of role ends in its time, also without the list

What callers saw: fewer prompts read in time while an engine stood idle. All VMs keep work from an engine that changes its role for as long as the VM that ordered it says so. That VM dropped finished changes only when it planned, and it does not plan while it can't read the list: an engine whose order was followed by an outage of that VM's store got no work until the store was back, in a longer outage for all of it.

Cause: RoleKeeper.listChanging told pending changes whatever their age. It now tells those whose time (the change and two reports) is not over.

Ruled out: avoidance (no VM avoided the engine), a second order, leaving. The test fails without the change.

--- a/packages/heatherarch-forward/tasks/role_keeper.ts
+++ b/packages/heatherarch-forward/tasks/role_keeper.ts
@@ -115,9 +115,15 @@
     await this.#resign("stopping").catch((error) => this.#noteFault(error));
   }
 
-  /** Engines that are changing their role by an order of this VM. */
+  /**
+   * Engines that are changing their role by an order of this VM. A change ends in its time also
+   * while the list can't be read: until it ends no VM gives them work.
+   */
   listChanging(): string[] {
-    return [...this.#pending.keys()];
+    const nowMs = this.#nowMs;
+    return [...this.#pending]
+      .filter(([, { untilMs }]) => nowMs <= untilMs)
+      .map(([id]) => id);
   }
 
   async #run(): Promise<void> {
--- a/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
@@ -39,12 +39,19 @@
     return performance.now() - this.#suspendedMs;
   }
 
+  /** As if `ms` had passed. */
+  skip(ms: number): void {
+    this.#suspendedMs -= ms;
+  }
+
   /** As if the machine had been suspended for `ms` until now. */
   suspend(ms: number): void {
     this.#suspendedMs += ms;
   }
 }
 
+/** Time from a change of role to its entry in the list, milliseconds. */
+const MAX_LISTED_AFTER_MS = 3000;
 /** Time for which an engine keeps an order before it answers, milliseconds. */
 const ORDER_MS = 30;
 
@@ -107,10 +114,11 @@
 
 /** A keeper of one VM for four engines that all answer at one address. */
 function createKeeper(
-  { address, clock, codec }: {
+  { address, clock, codec, isListCurrent = () => true }: {
     address: string;
     clock: SuspendableClock;
     codec: CallCodec;
+    isListCurrent?: () => boolean;
   },
 ): { keeper: RoleKeeper; events: MemoryEventLog } {
   const directory = new TargetDirectory();
@@ -143,7 +151,7 @@
     events,
     metrics: new ForwardMetrics(),
     listOrderers: () => ["vm-a"],
-    isListCurrent: () => true,
+    isListCurrent,
   });
   return { keeper: created, events };
 }
@@ -203,3 +211,26 @@
   assert.ok(reports >= 4, "engines were asked");
   assert.deepEqual(engine.orders, []);
 });
+
+// All VMs keep work from an engine that changes its role, for as long as the one that ordered it says so.
+test("an ordered change ends in its time although the list can't be read meanwhile", async () => {
+  const clock = new SuspendableClock();
+  const engine = await startEngine(() => undefined);
+  let isReadable = true;
+  const created = createKeeper({
+    address: engine.address,
+    clock,
+    codec: buildCodec(),
+    isListCurrent: () => isReadable,
+  });
+  keeper = created.keeper;
+  keeper.start();
+  const untilMs = performance.now() + 10_000;
+  while (engine.orders.length < 2 && performance.now() < untilMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  isReadable = false;
+  assert.equal(keeper.listChanging().length, 2);
+  clock.skip(TRAITS.roleChangeMs + MAX_LISTED_AFTER_MS);
+  assert.deepEqual(keeper.listChanging(), []);
+});
