A read of the list is as old as its request

Fault, found in reading for VMs that can't keep up: TopicFollower dated the list by when its answer was taken in. A process that stood still reads an answer that waited in its socket; the list counted as fresh although the store had sent it seconds before, here and, for a hub, at all VMs that rely on its word (the age of the list is what the leaving bound is judged by).

Change: the age counts from the request, and a read that took longer than the usual pause is followed by a short one (a quarter), so a VM that stood still asks again within 0.2 s instead of 0.7 s. A slow store is asked at most once in its own answer time and that pause.

Ruled out: the word of hubs, whose lateness LoopWatch adds already. Measured: the test gives an age of 0 for 3,000 ms before the change, and a pause of 700 ms.

--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -28,6 +28,11 @@
 
 /** Pause after a failed read, milliseconds: several tries within the bound of two seconds. */
 const RETRY_MS = 250;
+/**
+ * Part of the usual pause after a read that took longer than it: short for a process that stood
+ * still, long enough for a store that is slow.
+ */
+const LATE_PAUSE_PART = 0.25;
 /** Keys come from other writers: longer ones are cut in the log. */
 const MAX_LOGGED_KEY = 80;
 
@@ -59,7 +64,10 @@
     return this.#isActive;
   }
 
-  /** Monotonic time of the last read without fault; -Infinity before the first. */
+  /**
+   * Monotonic time at which the last read without fault was asked for; -Infinity before the first.
+   * Its answer may have waited in the socket while the process stood still.
+   */
   get readAtMs(): number {
     return this.#readAtMs;
   }
@@ -105,10 +113,11 @@
         continue;
       }
       try {
+        const askedAtMs = this.#nowMs;
         await this.#step();
-        this.#readAtMs = this.#options.clock.readMonotonicMs();
+        this.#readAtMs = askedAtMs;
         this.#noteBack();
-        if (this.#options.pollMs > 0) await sleep(this.#options.pollMs);
+        if (this.#options.pollMs > 0) await sleep(this.#computePauseMs());
       } catch (error) {
         this.#noteLost(error);
         await sleep(this.#retryMs);
@@ -116,6 +125,17 @@
     }
   }
 
+  /** What took longer to read than the usual pause is old already. */
+  #computePauseMs(): number {
+    const { pollMs } = this.#options;
+    const isOld = this.#nowMs - this.#readAtMs > pollMs;
+    return isOld ? pollMs * LATE_PAUSE_PART : pollMs;
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.readMonotonicMs();
+  }
+
   async #step(): Promise<void> {
     const { port, waitMs } = this.#options;
     if (this.#next === undefined) return await this.#load();
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -1,8 +1,11 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
-import { RuntimeClock } from "heatherarch-core";
+import { ManualClock, RuntimeClock } from "heatherarch-core";
 import { type KeyedEntry, TopicFollower, type TopicSlice } from "../../mod.ts";
 
+const POLL_MS = 700;
+const STANDSTILL_MS = 3000;
+
 /** A topic that gives one slice a read, and what its follower logged. */
 async function followSlices(
   slices: readonly (readonly KeyedEntry<number>[])[],
@@ -93,3 +96,42 @@
     timers.mock.restore();
   }
 });
+
+// A process that stood still reads an answer that waited in its socket meanwhile.
+test("a read that took long is as old as its request, and is soon repeated", async () => {
+  const clock = new ManualClock();
+  const reads: ((slice: TopicSlice<number>) => void)[] = [];
+  const read = (): Promise<TopicSlice<number>> =>
+    new Promise((resolve) => reads.push(resolve));
+  const follower = new TopicFollower<number>({
+    name: "numbers",
+    clock,
+    port: { load: read, readChanges: read },
+    log: { write: () => undefined },
+    pollMs: POLL_MS,
+    waitMs: 0,
+    onList: () => undefined,
+    onChanges: () => undefined,
+  });
+  const pauses: number[] = [];
+  const timers = mock.method(
+    globalThis,
+    "setTimeout",
+    (_: unknown, ms: number) => {
+      pauses.push(ms);
+    },
+  );
+  const settle = (): Promise<void> =>
+    new Promise((resolve) => setImmediate(resolve));
+  try {
+    follower.start();
+    clock.advance(STANDSTILL_MS);
+    reads[0]({ entries: [], next: 1 });
+    await settle();
+    assert.equal(follower.getAgeMs(clock.readMonotonicMs()), STANDSTILL_MS);
+    assert.ok(pauses[0] <= POLL_MS / 4, `read again after ${pauses[0]} ms`);
+  } finally {
+    timers.mock.restore();
+    follower.stop();
+  }
+});
