Word of a hub that is older than one's own reading takes nothing back

What callers saw: calls reached a target that had left, up to 2.2 s after it, from a VM that nothing had happened to.

Cause: TargetDirectory.applyFeed took in any word, whatever was known already. Change: the directory keeps the time for which all that it knows holds, a reading's being that of its request, and word from before it is no news. What a hub tells later comes with a later time, so nothing is lost.

Ruled out: an outage taken for a lapse (no VM's reading failed), an entry listed anew by the target, an earlier life.

The proof's former late word claimed no time at all; it is now one that is dated wrongly, so that the guard on earlier lives is still needed.

--- a/packages/heatherarch-forward/beliefs/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -12,6 +12,8 @@
 export interface TargetDirectoryOptions extends StoreWatchOptions {
   /** Whether word of an earlier life counts; only for proofs, which must notice it. */
   readonly takesEarlierLives?: boolean;
+  /** Whether word counts that is older than what is known; only for proofs as well. */
+  readonly takesOlderWord?: boolean;
 }
 
 /** What changed in a directory since some point. */
@@ -46,9 +48,12 @@
 export class TargetDirectory {
   readonly #storeWatch: StoreWatch;
   readonly #takesEarlierLives: boolean;
+  readonly #takesOlderWord: boolean;
   readonly #targets = new Map<string, Target>();
   /** Missing entries that are still used while the grace lasts. */
   readonly #missing = new Set<string>();
+  /** Latest monotonic time for which all that is known here holds. */
+  #holdsAtMs = -Infinity;
   /** Engines that are changing their role, with the end of the time it may take. */
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
   /** Lives that said themselves, or to a peer, that they leave: the list can't take that back. */
@@ -68,6 +73,7 @@
   constructor(options: TargetDirectoryOptions = {}) {
     this.#storeWatch = new StoreWatch(options);
     this.#takesEarlierLives = options.takesEarlierLives ?? false;
+    this.#takesOlderWord = options.takesOlderWord ?? false;
   }
 
   /** This VM's own reading failed: the store may be away. Returns whether that is news. */
@@ -80,9 +86,13 @@
     this.#storeWatch.notePeerRead(atMs);
   }
 
-  /** Replaces the whole list by one just loaded. */
-  applyList(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
-    this.#storeWatch.noteOwnRead(nowMs);
+  /** Replaces the whole list by one just loaded, which was asked for at `askedAtMs`. */
+  applyList(
+    entries: readonly KeyedEntry<Target>[],
+    nowMs: number,
+    askedAtMs = nowMs,
+  ): void {
+    this.#noteOwnRead(nowMs, askedAtMs);
     const listed = new Set<string>();
     for (const { key, value, isUnreadable } of entries) {
       if (isUnreadable) this.#drop(this.#findLife(key));
@@ -96,9 +106,13 @@
     this.#index();
   }
 
-  /** Applies later records in their order. */
-  applyChanges(entries: readonly KeyedEntry<Target>[], nowMs: number): void {
-    this.#storeWatch.noteOwnRead(nowMs);
+  /** Applies later records in their order, which were asked for at `askedAtMs`. */
+  applyChanges(
+    entries: readonly KeyedEntry<Target>[],
+    nowMs: number,
+    askedAtMs = nowMs,
+  ): void {
+    this.#noteOwnRead(nowMs, askedAtMs);
     let isChanged = false;
     for (const { key, value, isUnreadable } of entries) {
       if (value === undefined) {
@@ -112,14 +126,16 @@
 
   /**
    * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged
-   * what lapsed during an outage; nothing is kept beyond its word.
+   * what lapsed during an outage; nothing is kept beyond its word. Word that is older than what is
+   * known here says nothing new, and taken in it would undo what a target has said since.
    */
   applyFeed(
     entries: readonly KeyedEntry<Target>[],
     isFull: boolean,
     atMs: number,
   ): void {
-    this.#storeWatch.noteOwnRead(atMs);
+    if (atMs < this.#holdsAtMs && !this.#takesOlderWord) return;
+    if (atMs > this.#holdsAtMs) this.#noteOwnRead(atMs, atMs);
     this.#missing.clear();
     const listed = new Set<string>();
     for (const { key, value } of entries) {
@@ -268,6 +284,11 @@
     return this.#targets.size;
   }
 
+  #noteOwnRead(nowMs: number, askedAtMs: number): void {
+    this.#storeWatch.noteOwnRead(nowMs);
+    this.#holdsAtMs = Math.max(this.#holdsAtMs, askedAtMs);
+  }
+
   /** Returns whether anything that matters to a caller changed. */
   #set(listed: Target, nowMs: number): boolean {
     const { id } = listed;
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -104,6 +104,11 @@
     }
   }
 
+  /** Reads the list of targets now, where this VM reads it. */
+  refreshList(): void {
+    this.#targets.refresh();
+  }
+
   /** Reads the configuration once. Throws where the store does not answer. */
   async loadConfig(): Promise<void> {
     const { entries } = await this.#options.configTopic.load();
@@ -125,10 +130,10 @@
     });
   }
 
-  #applyList(entries: readonly KeyedEntry<Target>[]): void {
+  #applyList(entries: readonly KeyedEntry<Target>[], askedAtMs: number): void {
     const { directory, clock } = this.#options;
     const before = new Set(directory.listMissing());
-    directory.applyList(entries, clock.readMonotonicMs());
+    directory.applyList(entries, clock.readMonotonicMs(), askedAtMs);
     const kept = directory.listMissing().filter((id) => !before.has(id));
     this.#noteTargets(
       [...entries, ...kept.map((key) => ({ key }))],
@@ -136,9 +141,12 @@
     );
   }
 
-  #applyChanges(entries: readonly KeyedEntry<Target>[]): void {
+  #applyChanges(
+    entries: readonly KeyedEntry<Target>[],
+    askedAtMs: number,
+  ): void {
     const { directory, clock } = this.#options;
-    directory.applyChanges(entries, clock.readMonotonicMs());
+    directory.applyChanges(entries, clock.readMonotonicMs(), askedAtMs);
     this.#noteTargets(entries, "store");
   }
 
@@ -176,8 +184,8 @@
       log,
       pollMs: targetPollMs,
       waitMs: 0,
-      onList: (entries) => this.#applyList(entries),
-      onChanges: (entries) => this.#applyChanges(entries),
+      onList: (entries, askedAtMs) => this.#applyList(entries, askedAtMs),
+      onChanges: (entries, askedAtMs) => this.#applyChanges(entries, askedAtMs),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
       onFailed: () => this.#noteFailure(),
     });
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -17,8 +17,15 @@
   readonly pollMs: number;
   /** How long the store may hold a read back until there is a record, milliseconds. */
   readonly waitMs: number;
-  readonly onList: (entries: readonly KeyedEntry<T>[]) => void;
-  readonly onChanges: (entries: readonly KeyedEntry<T>[]) => void;
+  /** Called with what a read told, and the monotonic time at which it was asked for. */
+  readonly onList: (
+    entries: readonly KeyedEntry<T>[],
+    askedAtMs: number,
+  ) => void;
+  readonly onChanges: (
+    entries: readonly KeyedEntry<T>[],
+    askedAtMs: number,
+  ) => void;
   /** Called for each entry that can't be understood from now on. */
   readonly onUnreadable?: () => void;
   /** Called for each read that failed. */
@@ -45,6 +52,8 @@
   #isActive = true;
   /** Ends the rest of a follower that is not needed. */
   #endRest: (() => void) | undefined;
+  /** Ends the pause between two reads. */
+  #endPause: (() => void) | undefined;
   #retryMs = RETRY_MS;
   #readAtMs = -Infinity;
   /** Keys whose newest record can't be understood. */
@@ -114,10 +123,10 @@
       }
       try {
         const askedAtMs = this.#nowMs;
-        await this.#step();
+        await this.#step(askedAtMs);
         this.#readAtMs = askedAtMs;
         this.#noteBack();
-        if (this.#options.pollMs > 0) await sleep(this.#computePauseMs());
+        if (this.#options.pollMs > 0) await this.#pause();
       } catch (error) {
         this.#noteLost(error);
         await sleep(this.#retryMs);
@@ -125,6 +134,21 @@
     }
   }
 
+  /** Reads the topic now instead of after the pause. */
+  refresh(): void {
+    this.#endPause?.();
+  }
+
+  #pause(): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, this.#computePauseMs());
+      this.#endPause = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   /** What took longer to read than the usual pause is old already. */
   #computePauseMs(): number {
     const { pollMs } = this.#options;
@@ -136,24 +160,24 @@
     return this.#options.clock.readMonotonicMs();
   }
 
-  async #step(): Promise<void> {
+  async #step(askedAtMs: number): Promise<void> {
     const { port, waitMs } = this.#options;
-    if (this.#next === undefined) return await this.#load();
+    if (this.#next === undefined) return await this.#load(askedAtMs);
     const slice = await port.readChanges(this.#next, waitMs);
-    if (slice === undefined) return await this.#load();
+    if (slice === undefined) return await this.#load(askedAtMs);
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
     this.#noteUnreadable(slice.entries);
-    this.#options.onChanges(slice.entries);
+    this.#options.onChanges(slice.entries, askedAtMs);
   }
 
-  async #load(): Promise<void> {
+  async #load(askedAtMs: number): Promise<void> {
     const slice = await this.#options.port.load();
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
     this.#dropUnlisted(slice.entries);
     this.#noteUnreadable(slice.entries);
-    this.#options.onList(slice.entries);
+    this.#options.onList(slice.entries, askedAtMs);
   }
 
   /** A line where an entry begins or ends to be unreadable, however often it is read. */
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -153,3 +153,34 @@
   assert.deepEqual(directory.listSaidLeaving(first.cursor).lives, all.lives);
   assert.deepEqual(directory.listSaidLeaving(all.cursor).lives, []);
 });
+
+// A hub that was late to learn undid what its VM had read itself: calls went to targets that had left.
+test("word of a peer that is older than one's own reading takes nothing back", () => {
+  const directory = createFilled();
+  directory.applyChanges([
+    { key: "a", value: buildTarget("a", { leaving: true }) },
+    { key: "b" },
+    { key: "c", value: buildTarget("c") },
+  ], 1000);
+  const before = [
+    { key: "a", value: buildTarget("a") },
+    { key: "b", value: buildTarget("b") },
+  ];
+  directory.applyFeed(before, true, 600);
+  assert.deepEqual(listIds(directory), ["c"]);
+  directory.applyFeed([{ key: "c" }], false, 600);
+  assert.deepEqual(listIds(directory), ["c"]);
+  directory.applyFeed(before, true, 1300);
+  assert.deepEqual(listIds(directory), ["a", "b"]);
+});
+
+test("a reading counts as old as its request", () => {
+  const directory = createFilled();
+  directory.applyList(
+    [{ key: "b", value: buildTarget("b") }],
+    4000,
+    1000,
+  );
+  directory.applyFeed([{ key: "b" }], false, 3900);
+  assert.deepEqual(listIds(directory), []);
+});
--- a/packages/heatherarch-lab/proofs/target_list_proof.ts
+++ b/packages/heatherarch-lab/proofs/target_list_proof.ts
@@ -28,6 +28,7 @@
 const LIVING = "living";
 const LEAVER = "leaver";
 const EARLIER_LIVES = "laterLifeHolds";
+const OLDER_WORD = "newerReadingHolds";
 
 /** What goes wrong from some step on, for some steps. */
 interface Fault {
@@ -77,6 +78,7 @@
         targetHeartbeatMs: HEARTBEAT_MS,
         disabledGuards: buildGuardSet<StoreWatchGuard>(off),
         takesEarlierLives: off === EARLIER_LIVES,
+        takesOlderWord: off === OLDER_WORD,
       }),
       nextReadMs: i * STEP_MS,
       readAtMs: -Infinity,
@@ -176,12 +178,32 @@
       target.instance === LIVING
     );
     if (!isTold || known === undefined) return;
+    this.#hearMisdatedWord(vm, known);
+    this.#hearDatedWord(vm, known);
+  }
+
+  /** A hub that takes its word for younger than it is. */
+  #hearMisdatedWord({ directory, readAtMs }: ModelVm, known: Target): void {
     const first = { ...known, id: `${LIVING}@1`, startedAtMs: 1 };
-    vm.directory.applyFeed([{ key: first.id, value: first }], false, -Infinity);
-    const after = vm.directory.findTarget(known.id);
+    directory.applyFeed([{ key: first.id, value: first }], false, readAtMs);
+    const after = directory.findTarget(known.id);
     requirePromise(after !== undefined, "the later life holds", known.id);
   }
 
+  /** A hub that has read nothing since the start, and says so. */
+  #hearDatedWord({ directory }: ModelVm, known: Target): void {
+    const before = [...listInstances(directory)].sort().join();
+    const leaver = {
+      ...known,
+      id: `${LEAVER}@1`,
+      instance: LEAVER,
+      startedAtMs: 1,
+    };
+    directory.applyFeed([{ key: leaver.id, value: leaver }], true, 0);
+    const after = [...listInstances(directory)].sort().join();
+    requirePromise(after === before, "a newer reading holds", after);
+  }
+
   #read(vm: ModelVm): void {
     const wasPaused = vm.wasPaused;
     const entries = [...this.#entries].map((
@@ -253,7 +275,7 @@
 /** The list of targets under random schedules. */
 export const TARGET_LIST_PROOF: Proof = {
   name: "target list",
-  guards: [...STORE_WATCH_GUARDS, EARLIER_LIVES],
+  guards: [...STORE_WATCH_GUARDS, EARLIER_LIVES, OLDER_WORD],
   build: (off) =>
     fc.property(SCHEDULE, (schedule) => {
       new TargetListWorld(schedule, off).run();
