A VM that stood still learns what has left before it sends calls

Fault: a VM that was frozen, suspended or starved reads the calls that waited in its sockets at once when it runs again, and sent them by the list from before. Calls reached targets 2.1 to 2.8 s after these had left, where 2 s are allowed.

Cause: ages were known (list, hub's word, standstill) and not asked before a call was sent. Change: ListGuard. Where a standstill of more than 0.4 s has left a list older than it may be relied on, calls wait for a newer one, for 0.3 s of the process's running time at most, and the list is read at once. An outage of the store ages the list as well and holds nothing back.

Ruled out: a hold by the list's age alone (an outage would hold all calls back); bookings made before the hold (they filled the ledger: streams were refused in the test until calls waited before they were queued).

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -24,7 +24,7 @@
 import { QuarantineKeeper } from "./tasks/quarantine_keeper.ts";
 import { RoleKeeper } from "./tasks/role_keeper.ts";
 import type { Serving } from "./serving.ts";
-import { buildServing } from "./vm_beliefs.ts";
+import { buildServing, computeMaxListAgeMs, SWEEP_MS } from "./vm_beliefs.ts";
 import { StatusServer } from "./tasks/status_server.ts";
 import { StoreReading } from "./tasks/store_reading.ts";
 
@@ -55,15 +55,6 @@
 }
 
 const METRICS_PATH = "/metrics";
-/** How often lapsed beliefs are swept, milliseconds. */
-const SWEEP_MS = 250;
-/**
- * A hub's word on the list of targets is relied on up to this many of its readings and this
- * time. With readings at a third of the time in which a leaving target may still get work, a VM
- * whose hub has lost the store reads by itself before two thirds of it are over.
- */
-const LIST_AGE_POLLS = 1.6;
-const LIST_AGE_SLACK_MS = 300;
 /** How often the end of the calls in progress is looked for while stopping, milliseconds. */
 const DRAIN_LOOK_MS = 50;
 /** Time to write the last lines and records before the platform ends the process. */
@@ -112,6 +103,7 @@
   async start(): Promise<void> {
     const { ingress, status, mesh, roles, reading, quarantineKeeper } =
       this.#parts;
+    const { listGuard } = this.#parts;
     const { listen } = this.#settings;
     this.#log.write("info", "starting", {
       pid: process.pid,
@@ -130,6 +122,7 @@
     reading.start();
     quarantineKeeper.start();
     roles.start();
+    listGuard.noteTurn();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_MS);
     this.#log.write("info", "started", { address: listen.callers });
   }
@@ -174,6 +167,8 @@
       clock: this.#clock,
       log: this.#log,
       countVms: () => this.#liveVms,
+      getListAgeMs: () => this.#parts.reading.getKnownAgeMs(),
+      refreshList: () => this.#parts.reading.refreshList(),
     });
     for (const [name, part] of Object.entries(serving)) {
       this.#container.register(name, asValue(part));
@@ -243,8 +238,7 @@
       configs: parts.configs,
       directory: parts.directory,
       getListAgeMs: () => parts.reading.getListAgeMs(),
-      maxListAgeMs: settings.store.targetPollMs * LIST_AGE_POLLS +
-        LIST_AGE_SLACK_MS,
+      maxListAgeMs: computeMaxListAgeMs(settings.store),
       applyTargets: (entries, isFull) =>
         parts.reading.applyTargets(entries, isFull),
       onListLost: (source) => parts.reading.noteHubLost(source),
@@ -372,8 +366,9 @@
   }
 
   #sweep(): void {
-    const { directory, roles } = this.#parts;
+    const { directory, roles, listGuard } = this.#parts;
     const { mesh, reading, metrics, readQueue } = this.#parts;
+    listGuard.noteTurn();
     metrics.promptsWaiting.set(readQueue.size);
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.tend();
--- a/packages/heatherarch-forward/life/call_run.ts
+++ b/packages/heatherarch-forward/life/call_run.ts
@@ -161,6 +161,13 @@
     return false;
   }
 
+  /** Settles when the list of targets may be acted on, or the call has ended. */
+  async awaitList(): Promise<void> {
+    const { listGuard } = this.serving;
+    if (!listGuard.isHolding()) return;
+    await Promise.race([listGuard.awaitFresh(), this.#ended]);
+  }
+
   /** Sends a try and makes it the one that an early end of the call cancels. */
   send(target: Target, request: EncodedTry): TargetExchange {
     assertInvariant(!this.isOver, "call-open", this.call.id);
--- a/packages/heatherarch-forward/life/generation_life.ts
+++ b/packages/heatherarch-forward/life/generation_life.ts
@@ -65,6 +65,8 @@
   async serve(): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && this.#mayGoOn(); round++) {
       if (round > 0 && !await this.#run.mayRepeat()) break;
+      await this.#run.awaitList();
+      if (this.#run.isOver) return;
       if (this.#pickRunner(undefined) === undefined && !this.#mayWait()) {
         return this.#refuseIdle(undefined);
       }
@@ -278,6 +280,7 @@
 
   /** An engine that generates; where there is none, one that comes while the caller waits. */
   async #awaitRunner(zone: string | undefined): Promise<Target | undefined> {
+    await this.#run.awaitList();
     while (!this.#run.isOver) {
       const target = this.#pickRunner(zone);
       if (target !== undefined) return target;
--- a/packages/heatherarch-forward/life/plain_life.ts
+++ b/packages/heatherarch-forward/life/plain_life.ts
@@ -47,6 +47,8 @@
     const run = this.#run;
     let isFurther = false;
     for (let tries = 0; tries < MAX_TRIES && !run.isOver; tries++) {
+      await run.awaitList();
+      if (run.isOver) return;
       const target = this.#pickTarget();
       if (target === undefined) break;
       if (isFurther && !run.spendTry()) break;
--- a/packages/heatherarch-forward/life/prompt_reading.ts
+++ b/packages/heatherarch-forward/life/prompt_reading.ts
@@ -104,6 +104,9 @@
     const { placement } = placed;
     const run = this.#run;
     try {
+      // The prompt may have been placed right after a standstill, before the list was known.
+      await run.awaitList();
+      if (run.isOver) return { kind: "over" };
       if (this.#isFurther && !run.spendTry()) return { kind: "noAllowance" };
       const exchange = this.#send(placed, lastEventId);
       const source = await this.#awaitHandle(placement, exchange);
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -55,6 +55,12 @@
     buckets: LATENCY_BUCKETS,
     registers: [this.registry],
   });
+  readonly listHolds = new Counter({
+    name: "heatherarch_list_holds_total",
+    help:
+      "Times that calls were held back for the list of targets after a standstill",
+    registers: [this.registry],
+  });
   readonly inFlight = new Gauge({
     name: "heatherarch_calls_in_flight",
     help: "Calls in progress",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -13,6 +13,7 @@
 export * from "./decisions/caller_patience.ts";
 export * from "./life/caller_port.ts";
 export * from "./life/generation_life.ts";
+export * from "./life/list_guard.ts";
 export * from "./life/plain_life.ts";
 export * from "./beliefs/config_view.ts";
 export * from "./tasks/engine_inquiry.ts";
--- a/packages/heatherarch-forward/serving.ts
+++ b/packages/heatherarch-forward/serving.ts
@@ -18,6 +18,7 @@
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { ReaderBoard } from "./decisions/reader_board.ts";
 import type { RetryAllowance } from "./beliefs/retry_allowance.ts";
+import type { ListGuard } from "./life/list_guard.ts";
 import type { TargetConnections } from "./life/target_connections.ts";
 import type { TargetDirectory } from "./beliefs/target_directory.ts";
 import type { TargetHealth } from "./beliefs/target_health.ts";
@@ -34,6 +35,7 @@
   readonly rests: TargetRests;
   readonly ledger: WorkLedger;
   readonly connections: TargetConnections;
+  readonly listGuard: ListGuard;
   readonly losses: LossInquiry;
   readonly quarantine: RequestQuarantine;
   readonly allowance: RetryAllowance;
--- a/packages/heatherarch-forward/tests/unit/lives_world.ts
+++ b/packages/heatherarch-forward/tests/unit/lives_world.ts
@@ -18,6 +18,7 @@
   EngineSpread,
   ForwardMetrics,
   GenerationLife,
+  ListGuard,
   MemoryEventLog,
   PlainLife,
   PromptIndex,
@@ -173,6 +174,7 @@
       rests: new TargetRests(),
       ledger: new WorkLedger(),
       connections,
+      listGuard: buildIdleGuard(clock),
       quarantine,
       losses: buildInquiry(
         { quarantine, directory: this.#directory, clock, log, metrics },
@@ -314,3 +316,13 @@
     }),
   } as unknown as CallCodec;
 }
+
+/** A guard whose list is always known. */
+function buildIdleGuard(clock: RuntimeClock): ListGuard {
+  return new ListGuard({
+    clock,
+    usualTurnMs: Infinity,
+    maxListAgeMs: Infinity,
+    getListAgeMs: () => 0,
+  });
+}
--- a/packages/heatherarch-forward/vm_beliefs.ts
+++ b/packages/heatherarch-forward/vm_beliefs.ts
@@ -21,6 +21,7 @@
 import { ReadQueue } from "./decisions/read_queue.ts";
 import type { EventLog } from "./event_log.ts";
 import { AnswerNotices } from "./life/answer_notices.ts";
+import { ListGuard } from "./life/list_guard.ts";
 import {
   type SendPurpose,
   TargetConnections,
@@ -39,9 +40,29 @@
   readonly log: EventLog;
   /** Number of VMs that share the load. */
   readonly countVms: () => number;
+  /** Age of what this VM knows of the list of targets, milliseconds. */
+  readonly getListAgeMs: () => number;
+  /** Has the list read soon. */
+  readonly refreshList: () => void;
 }
 
 const MS_PER_SECOND = 1000;
+/** How often beliefs that have lapsed are swept, milliseconds. */
+export const SWEEP_MS = 250;
+/**
+ * A list of targets is relied on up to this many of its readings and this time. With readings at
+ * a third of the time in which a leaving target may still get work, a VM whose hub has lost the
+ * store reads by itself before two thirds of it are over.
+ */
+const LIST_AGE_POLLS = 1.6;
+const LIST_AGE_SLACK_MS = 300;
+
+/** Age up to which a list of targets is relied on, milliseconds. */
+export function computeMaxListAgeMs(
+  { targetPollMs }: ForwardSettings["store"],
+): number {
+  return targetPollMs * LIST_AGE_POLLS + LIST_AGE_SLACK_MS;
+}
 
 /** Builds what calls share, from a VM's settings. */
 export function buildServing(options: BuildServingOptions): Serving {
@@ -73,6 +94,7 @@
       findBan: ({ id }, purpose) =>
         findBan({ directory, rests, clock }, id, purpose),
     }),
+    listGuard: buildListGuard(options, metrics),
     allowance: buildAllowance(settings),
     readQueue: new ReadQueue({ clock }),
     readerBoard: new ReaderBoard(),
@@ -87,6 +109,26 @@
   };
 }
 
+function buildListGuard(
+  { settings, clock, log, getListAgeMs, refreshList }: BuildServingOptions,
+  metrics: ForwardMetrics,
+): ListGuard {
+  return new ListGuard({
+    clock,
+    getListAgeMs,
+    usualTurnMs: SWEEP_MS,
+    maxListAgeMs: computeMaxListAgeMs(settings.store),
+    onChange: ({ kind, ...change }) => {
+      const isHeld = kind === "held";
+      if (isHeld) {
+        metrics.listHolds.inc();
+        refreshList();
+      }
+      log.write("warn", isHeld ? "callsHeldBack" : "callsFreed", change);
+    },
+  });
+}
+
 /** Builds the inquiry into lost exchanges, which logs each loss and each crash. */
 export function buildInquiry(
   { quarantine, directory, clock, log, metrics }: Pick<
