--- /dev/null
+++ b/packages/heatherarch-lab/chaos/chaos_report.ts
@@ -0,0 +1,179 @@
+/**
+ * The report of a randomised run: what was broken, by what callers got, what the stand-ins' ledgers
+ * hold, and what was watched meanwhile.
+ *
+ * @module
+ */
+import type { StandinLedger } from "heatherarch-standins";
+import type { LoadRecord } from "../mixed_load.ts";
+import { type LoadSummary, summarizeLoad } from "../summary.ts";
+import { SPREAD_LIMIT_MS } from "./config_watch.ts";
+import type { DrainRecord } from "./fault_driver.ts";
+
+/** What a run found. */
+export interface ChaosReport {
+  readonly seed: number;
+  readonly requests: number;
+  readonly wholeAnswers: number;
+  readonly refused: number;
+  readonly faults: Record<string, number>;
+  readonly violations: Record<string, number>;
+  readonly notRunButRun: number;
+  readonly keysRunTwice: number;
+  readonly wrongAnswers: number;
+  readonly cutByPlannedChange: number;
+  readonly cutByFailure: number;
+  readonly conflictingOrders: OrderCount;
+  readonly lapsedOrdersObeyed: OrderCount;
+  readonly ordersObeyed: OrderCount;
+  readonly roleChanges: number;
+  readonly newWorkAfterDrainSecondsMax: number;
+  readonly configSpreadSecondsMax: number;
+  readonly configReverts: number;
+  readonly raceWinnersMax: number;
+  readonly errorKinds: Record<string, number>;
+  readonly examples: readonly string[];
+}
+
+/** Orders counted by kind of engine. */
+export interface OrderCount {
+  checksFencing: number;
+  ignoresFencing: number;
+}
+
+/** A request and its time. */
+export interface TimedRecord {
+  readonly record: LoadRecord;
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
+type EngineLedger = StandinLedger["engines"][string];
+
+/** What a run has gathered. */
+export interface ChaosFindings {
+  readonly seed: number;
+  readonly ledger: StandinLedger;
+  readonly records: readonly TimedRecord[];
+  /** Broken requests that no unplanned fault touched. */
+  readonly cutByPlannedChange: readonly TimedRecord[];
+  readonly cutByFailure: number;
+  readonly drains: readonly DrainRecord[];
+  readonly faults: Record<string, number>;
+  readonly roleChanges: number;
+  /** Violated invariants that the VMs count. */
+  readonly invariants: number;
+  readonly raceWinnersMax: number;
+  /** Longest time in which a change of the configuration reached all VMs. */
+  readonly spreadMsMax: number;
+  readonly reverts: number;
+  /** Offsets of the configuration at the VMs at the end. */
+  readonly offsets: readonly (number | undefined)[];
+}
+
+/** New work that a target may get after its drain was accepted. */
+const DRAIN_LIMIT_MS = 5000;
+/** Errors that say truthfully that nothing was run, or ask to come again. */
+const HONEST_REFUSALS = [
+  "keyInProgress",
+  "overloaded",
+  "shuttingDown",
+  "notReady",
+  "noTarget",
+];
+
+const MAX_EXAMPLES = 10;
+
+/** Cut, failed, or refused in a way that a planned change must not cause. */
+export function isBroken({ record }: TimedRecord): boolean {
+  const { outcome, kind } = record.result;
+  if (outcome === "whole" || outcome === "wrong") return false;
+  return !(outcome === "refused" && HONEST_REFUSALS.includes(kind));
+}
+
+/** Judges what a run has gathered. */
+export function buildChaosReport(findings: ChaosFindings): ChaosReport {
+  const { ledger, records, cutByPlannedChange } = findings;
+  const summary = summarizeLoad(records.map(({ record }) => record), ledger);
+  return {
+    seed: findings.seed,
+    requests: summary.requests,
+    wholeAnswers: summary.wholeAnswers,
+    refused: summary.refused,
+    faults: findings.faults,
+    violations: countViolations(findings, summary),
+    notRunButRun: summary.notRunButRun,
+    keysRunTwice: summary.keysRunTwice,
+    wrongAnswers: summary.wrongAnswers,
+    cutByPlannedChange: cutByPlannedChange.length,
+    cutByFailure: findings.cutByFailure,
+    conflictingOrders: countOrders(ledger, readConflicting),
+    lapsedOrdersObeyed: countOrders(ledger, readLapsed),
+    ordersObeyed: countOrders(ledger, (engine) => engine.ordersObeyed),
+    roleChanges: findings.roleChanges,
+    newWorkAfterDrainSecondsMax: Math.max(0, ...listNewWorkMs(findings)) / 1000,
+    configSpreadSecondsMax: findings.spreadMsMax / 1000,
+    configReverts: findings.reverts,
+    raceWinnersMax: findings.raceWinnersMax,
+    errorKinds: summary.errorKinds,
+    examples: cutByPlannedChange.slice(0, MAX_EXAMPLES).map(describeRecord),
+  };
+}
+
+function countViolations(
+  findings: ChaosFindings,
+  summary: LoadSummary,
+): Record<string, number> {
+  const { ledger, offsets } = findings;
+  const newWorkMs = listNewWorkMs(findings);
+  const isAgreed = offsets.every((offset) => offset === offsets[0]);
+  return {
+    conflictingOrders: sumOrders(countOrders(ledger, readConflicting)),
+    lapsedOrdersObeyed: sumOrders(countOrders(ledger, readLapsed)),
+    cutByPlannedChange: findings.cutByPlannedChange.length,
+    wrongAnswers: summary.wrongAnswers,
+    notRunButRun: summary.notRunButRun,
+    keysRunTwice: summary.keysRunTwice,
+    newWorkAfterDrain: newWorkMs.filter((ms) => ms > DRAIN_LIMIT_MS).length,
+    configSpread: findings.spreadMsMax > SPREAD_LIMIT_MS ? 1 : 0,
+    configReverts: findings.reverts,
+    configDisagrees: isAgreed ? 0 : 1,
+    raceHadTwoWinners: findings.raceWinnersMax > 1 ? 1 : 0,
+    invariants: findings.invariants,
+  };
+}
+
+/** Times after a drain at which its target still began work, milliseconds. */
+function listNewWorkMs({ drains }: ChaosFindings): number[] {
+  return drains.map(({ lastWorkAtMs, atMs }) => lastWorkAtMs - atMs);
+}
+
+function countOrders(
+  { engines }: StandinLedger,
+  read: (engine: EngineLedger) => number,
+): OrderCount {
+  const count = { checksFencing: 0, ignoresFencing: 0 };
+  for (const engine of Object.values(engines)) {
+    const kind = engine.checksFencing ? "checksFencing" : "ignoresFencing";
+    count[kind] += read(engine);
+  }
+  return count;
+}
+
+function sumOrders({ checksFencing, ignoresFencing }: OrderCount): number {
+  return checksFencing + ignoresFencing;
+}
+
+function readConflicting({ conflictingOrders }: EngineLedger): number {
+  return conflictingOrders;
+}
+
+function readLapsed({ lapsedOrdersObeyed }: EngineLedger): number {
+  return lapsedOrdersObeyed;
+}
+
+function describeRecord({ record, startMs, endMs }: TimedRecord): string {
+  const { outcome, kind, run, detail, tokens } = record.result;
+  const lastedMs = Math.round(endMs - startMs);
+  return `${record.what}: ${outcome} ${kind} run=${run} after ${lastedMs} ms, ${tokens} tokens: ${detail}`;
+}
--- a/packages/heatherarch-lab/chaos/chaos_run.ts
+++ b/packages/heatherarch-lab/chaos/chaos_run.ts
@@ -9,10 +9,15 @@
 import { Caller } from "../caller.ts";
 import { Cluster } from "../cluster.ts";
 import { buildDeployment, type Deployment } from "../deployment.ts";
-import { type LoadRecord, sendOne } from "../mixed_load.ts";
-import { summarizeLoad } from "../summary.ts";
+import { sendOne } from "../mixed_load.ts";
 import { Balancer } from "./balancer.ts";
-import { ConfigWatch, SPREAD_LIMIT_MS } from "./config_watch.ts";
+import {
+  buildChaosReport,
+  type ChaosReport,
+  isBroken,
+  type TimedRecord,
+} from "./chaos_report.ts";
+import { ConfigWatch } from "./config_watch.ts";
 import { type DrainRecord, FaultDriver } from "./fault_driver.ts";
 import { ChaosNetwork } from "./network.ts";
 import { buildSchedule, isUnplanned, type ScheduledFault } from "./schedule.ts";
@@ -26,43 +31,6 @@
   readonly print?: (line: string) => void;
 }
 
-/** What a run found. */
-export interface ChaosReport {
-  readonly seed: number;
-  readonly requests: number;
-  readonly wholeAnswers: number;
-  readonly refused: number;
-  readonly faults: Record<string, number>;
-  readonly violations: Record<string, number>;
-  readonly notRunButRun: number;
-  readonly keysRunTwice: number;
-  readonly wrongAnswers: number;
-  readonly cutByPlannedChange: number;
-  readonly cutByFailure: number;
-  readonly conflictingOrders: OrderCount;
-  readonly lapsedOrdersObeyed: OrderCount;
-  readonly ordersObeyed: OrderCount;
-  readonly roleChanges: number;
-  readonly newWorkAfterDrainSecondsMax: number;
-  readonly configSpreadSecondsMax: number;
-  readonly configReverts: number;
-  readonly raceWinnersMax: number;
-  readonly errorKinds: Record<string, number>;
-  readonly examples: readonly string[];
-}
-
-/** Orders counted by kind of engine. */
-export interface OrderCount {
-  checksFencing: number;
-  ignoresFencing: number;
-}
-
-interface TimedRecord {
-  readonly record: LoadRecord;
-  readonly startMs: number;
-  readonly endMs: number;
-}
-
 interface FaultWindow {
   readonly fault: ScheduledFault;
   readonly startMs: number;
@@ -71,19 +39,8 @@
 
 /** After an unplanned fault its effects may last this long. */
 const AFTERMATH_MS = 6000;
-/** New work that a target may get after its drain was accepted. */
-const DRAIN_LIMIT_MS = 5000;
 const MAX_IN_FLIGHT = 150;
 const SETTLE_MS = 5000;
-/** Errors that say truthfully that nothing was run, or ask to come again. */
-const HONEST_REFUSALS = [
-  "keyInProgress",
-  "overloaded",
-  "shuttingDown",
-  "notReady",
-  "noTarget",
-];
-
 const SETTINGS = {
   lease: { durationMs: 1500, driftMs: 200, renewMs: 400, settleMs: 700 },
   mesh: { sharedKey: "lab", heartbeatMs: 150, silenceMs: 900 },
@@ -296,81 +253,25 @@
   }
 
   async #report(): Promise<ChaosReport> {
-    const ledger = await this.#cluster.readLedger();
-    const records = this.#records.map(({ record }) => record);
-    const summary = summarizeLoad(records, ledger);
-    const orders = (
-      read: (engine: typeof ledger.engines[string]) => number,
-    ): OrderCount => {
-      const count = { checksFencing: 0, ignoresFencing: 0 };
-      for (const engine of Object.values(ledger.engines)) {
-        count[engine.checksFencing ? "checksFencing" : "ignoresFencing"] +=
-          read(engine);
-      }
-      return count;
-    };
-    const bad = this.#records.filter((entry) => this.#isBroken(entry));
-    const planned = bad.filter(({ startMs, endMs }) =>
+    const broken = this.#records.filter(isBroken);
+    const planned = broken.filter(({ startMs, endMs }) =>
       !this.#isDisturbed(startMs, endMs)
     );
-    const conflictingOrders = orders((engine) => engine.conflictingOrders);
-    const lapsedOrdersObeyed = orders((engine) => engine.lapsedOrdersObeyed);
-    const drainMs = this.#drains.map((drain) =>
-      drain.lastWorkAtMs - drain.atMs
-    );
-    const newWorkMs = Math.max(0, ...drainMs);
-    const invariants = [...this.#violationsSeen.values()].reduce(
-      (sum, count) => sum + count,
-      0,
-    );
-    const offsets = this.#watch.listOffsets();
-    const agreed = offsets.every((offset) => offset === offsets[0]);
-    const violations: Record<string, number> = {
-      conflictingOrders: conflictingOrders.checksFencing +
-        conflictingOrders.ignoresFencing,
-      lapsedOrdersObeyed: lapsedOrdersObeyed.checksFencing +
-        lapsedOrdersObeyed.ignoresFencing,
-      cutByPlannedChange: planned.length,
-      wrongAnswers: summary.wrongAnswers,
-      notRunButRun: summary.notRunButRun,
-      keysRunTwice: summary.keysRunTwice,
-      newWorkAfterDrain: drainMs.filter((ms) => ms > DRAIN_LIMIT_MS).length,
-      configSpread: this.#watch.spreadMsMax > SPREAD_LIMIT_MS ? 1 : 0,
-      configReverts: this.#watch.reverts,
-      configDisagrees: agreed ? 0 : 1,
-      raceHadTwoWinners: this.#raceWinnersMax > 1 ? 1 : 0,
-      invariants,
-    };
-    return {
+    return buildChaosReport({
       seed: this.#options.seed,
-      requests: summary.requests,
-      wholeAnswers: summary.wholeAnswers,
-      refused: summary.refused,
+      ledger: await this.#cluster.readLedger(),
+      records: this.#records,
+      cutByPlannedChange: planned,
+      cutByFailure: broken.length - planned.length,
+      drains: this.#drains,
       faults: this.#countFaults(),
-      violations,
-      notRunButRun: summary.notRunButRun,
-      keysRunTwice: summary.keysRunTwice,
-      wrongAnswers: summary.wrongAnswers,
-      cutByPlannedChange: planned.length,
-      cutByFailure: bad.length - planned.length,
-      conflictingOrders,
-      lapsedOrdersObeyed,
-      ordersObeyed: orders((engine) => engine.ordersObeyed),
       roleChanges: await this.#countRoleChanges(),
-      newWorkAfterDrainSecondsMax: newWorkMs / 1000,
-      configSpreadSecondsMax: this.#watch.spreadMsMax / 1000,
-      configReverts: this.#watch.reverts,
+      invariants: sum([...this.#violationsSeen.values()]),
       raceWinnersMax: this.#raceWinnersMax,
-      errorKinds: summary.errorKinds,
-      examples: planned.slice(0, 10).map(describeRecord),
-    };
-  }
-
-  /** Cut, failed, or refused in a way that a planned change must not cause. */
-  #isBroken({ record }: TimedRecord): boolean {
-    const { outcome, kind } = record.result;
-    if (outcome === "whole" || outcome === "wrong") return false;
-    return !(outcome === "refused" && HONEST_REFUSALS.includes(kind));
+      spreadMsMax: this.#watch.spreadMsMax,
+      reverts: this.#watch.reverts,
+      offsets: this.#watch.listOffsets(),
+    });
   }
 
   #countFaults(): Record<string, number> {
@@ -401,10 +302,8 @@
   }
 }
 
-function describeRecord({ record, startMs, endMs }: TimedRecord): string {
-  const { outcome, kind, run, detail, tokens } = record.result;
-  const lastedMs = Math.round(endMs - startMs);
-  return `${record.what}: ${outcome} ${kind} run=${run} after ${lastedMs} ms, ${tokens} tokens: ${detail}`;
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
 }
 
 async function readViolations(operators: string): Promise<number> {
