A refresh of the list follows a read in progress at once

A read of the list that was on its way when the process stood still ends by its timeout; its follower paused 250 ms as after any failure, and calls that are held back for 300 ms of running time were sent by the old list.

Change: TopicFollower.refresh ends whichever pause it is in, and with a read in progress makes the next one follow at once.

Ruled out: a longer hold, which callers would pay for.

--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { type Clock, sleep } from "heatherarch-core";
+import type { Clock } from "heatherarch-core";
 import type { EventLog } from "../event_log.ts";
 import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
 
@@ -51,6 +51,8 @@
   #endRest: (() => void) | undefined;
   /** Ends the pause between two reads. */
   #endPause: (() => void) | undefined;
+  /** The read in progress is to be followed by another one at once. */
+  #isRefreshDue = false;
   #retryMs = RETRY_MS;
   #readAtMs = -Infinity;
   /** Keys whose newest record can't be understood. */
@@ -123,27 +125,32 @@
         await this.#step(askedAtMs);
         this.#readAtMs = askedAtMs;
         this.#noteBack();
-        if (this.#options.pollMs > 0) await this.#pause();
+        if (this.#options.pollMs > 0) await this.#pause(this.#computePauseMs());
       } catch (error) {
         this.#noteLost(error);
-        await sleep(this.#retryMs);
+        await this.#pause(this.#retryMs);
       }
     }
   }
 
-  /** Reads the topic now instead of after the pause. */
+  /** Reads the topic now; where a read is in progress, once more right after it. */
   refresh(): void {
-    this.#endPause?.();
+    if (this.#endPause === undefined) this.#isRefreshDue = true;
+    else this.#endPause();
   }
 
-  #pause(): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, this.#computePauseMs());
+  async #pause(ms: number): Promise<void> {
+    const isRefreshDue = this.#isRefreshDue;
+    this.#isRefreshDue = false;
+    if (isRefreshDue) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, ms);
       this.#endPause = () => {
         clearTimeout(timer);
         resolve();
       };
     });
+    this.#endPause = undefined;
   }
 
   /** Counts from the request, so that a slow store does not make what is known older by as much. */
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -136,7 +136,7 @@
     timers.mock.restore();
     follower.stop();
   }
-});
+}
 
 // A process that stood still reads an answer that waited in its socket meanwhile.
 test("a read that took long is as old as its request, and is soon repeated", async () => {
@@ -149,3 +149,36 @@
 test("a slow store is asked at the usual pace", async () => {
   assert.deepEqual(await readLate(240), { ageMs: 240, pauseMs: POLL_MS - 240 });
 });
+
+// A read that was on its way when the process stood still ends by its timeout, and says nothing.
+test("a follower that is to refresh reads at once, also after a read in progress has failed", async () => {
+  const reads: { resolve: () => void; reject: (error: Error) => void }[] = [];
+  const read = (): Promise<TopicSlice<number>> =>
+    new Promise((resolve, reject) => {
+      reads.push({ resolve: () => resolve({ entries: [], next: 1 }), reject });
+    });
+  const follower = new TopicFollower<number>({
+    name: "numbers",
+    clock: new ManualClock(),
+    port: { load: read, readChanges: read },
+    log: { write: () => undefined },
+    pollMs: POLL_MS,
+    waitMs: 0,
+    onList: () => undefined,
+    onChanges: () => undefined,
+  });
+  const settle = (): Promise<void> =>
+    new Promise((resolve) => setImmediate(resolve));
+  follower.start();
+  follower.refresh();
+  reads[0].reject(new Error("timeout"));
+  await settle();
+  assert.equal(reads.length, 2, "in place of the pause after a failure");
+  reads[1].resolve();
+  await settle();
+  assert.equal(reads.length, 2, "the usual pause");
+  follower.refresh();
+  await settle();
+  assert.equal(reads.length, 3);
+  follower.stop();
+});
