What a hub tells under an older date is asked for again, not passed over

A reading is dated by its request; a starved hub's request of 10.9 s was answered at 11.36, with the leaving of 11.33. The VM had read the store itself at 11.14, so the hub's word counted as older and was dropped; hubs tell each change once, so it never came again.

Change: FeedSource refuses a feed with news that is dated before the time for which the VM's own list holds, and asks for the whole list; until that has come nothing of this hub counts, its date included. A feed without news is relied on as before. Besides: a difference of 1 ms between the clocks counted as a suspension and held calls back (ListGuard); it has to be 50 ms.

Ruled out: taking in what such a feed removes (a whole list that is older may lack what is there by now, and what it adds would be lost all the same).

--- a/packages/heatherarch-forward/beliefs/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -52,7 +52,6 @@
   readonly #targets = new Map<string, Target>();
   /** Missing entries that are still used while the grace lasts. */
   readonly #missing = new Set<string>();
-  /** Latest monotonic time for which all that is known here holds. */
   #holdsAtMs = -Infinity;
   /** Engines that are changing their role, with the end of the time it may take. */
   readonly #changing = new Map<string, { sinceMs: number; untilMs: number }>();
@@ -76,6 +75,11 @@
     this.#takesOlderWord = options.takesOlderWord ?? false;
   }
 
+  /** Latest monotonic time for which all that is known holds; -Infinity before the first list. */
+  get holdsAtMs(): number {
+    return this.#holdsAtMs;
+  }
+
   /** This VM's own reading failed: the store may be away. Returns whether that is news. */
   noteOutage(): boolean {
     return this.#storeWatch.noteFailure();
--- a/packages/heatherarch-forward/fleet/feed_source.ts
+++ b/packages/heatherarch-forward/fleet/feed_source.ts
@@ -62,17 +62,24 @@
     return nowMs - this.#heardAtMs > SILENCE_MS;
   }
 
-  /** Takes in a feed; undefined where it can't be relied on. */
-  take(feed: TargetFeed, nowMs: number): FeedNews | undefined {
+  /**
+   * Takes in a feed; undefined where it can't be relied on. What it tells may be newer than its
+   * date, which is that of a request. So a feed with news that is dated before the time for which
+   * this VM's own list holds can be neither applied nor passed over: the whole list is asked for.
+   */
+  take(
+    feed: TargetFeed,
+    nowMs: number,
+    holdsAtMs = -Infinity,
+  ): FeedNews | undefined {
     const ageMs = readFeedAge(feed);
     this.#isListLost = ageMs === Infinity;
     if (this.#isListLost) return undefined;
-    if (feed.isFull) this.#hasList = true;
+    const atMs = nowMs - ageMs;
+    const hasNews = feed.isFull || feed.rows.length > 0;
+    const isOlder = hasNews && atMs < holdsAtMs;
+    if (feed.isFull || isOlder) this.#hasList = !isOlder;
     if (!this.#hasList) return undefined;
-    return {
-      atMs: nowMs - ageMs,
-      isFull: feed.isFull,
-      entries: decodeFeed(feed),
-    };
+    return { atMs, isFull: feed.isFull, entries: decodeFeed(feed) };
   }
 }
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -239,9 +239,10 @@
 
   /** The list as `source` tells it. */
   #takeFeed(source: FeedSource, feed: TargetFeed, nowMs: number): void {
-    const { applyTargets, onListLost } = this.#options;
+    const { applyTargets, onListLost, directory } = this.#options;
     const wasLost = source.isListLost;
-    const news = source.take(feed, nowMs - this.#waitedMs);
+    const toldAtMs = nowMs - this.#waitedMs;
+    const news = source.take(feed, toldAtMs, directory.holdsAtMs);
     const isNews = source.isListLost && !wasLost;
     // A hub that asks others in turn would tell of each of them again and again.
     if (isNews && source === this.#source) onListLost(source.id);
--- a/packages/heatherarch-forward/life/list_guard.ts
+++ b/packages/heatherarch-forward/life/list_guard.ts
@@ -38,6 +38,8 @@
  * well within it, and a VM that can't reach the store goes on with what it has.
  */
 const MAX_HOLD_MS = 300;
+/** Clocks that part by less are read at different moments, milliseconds. */
+const MIN_UNCOUNTED_MS = 50;
 /** Pause between looks at the list's age, milliseconds. */
 const LOOK_MS = 5;
 
@@ -85,7 +87,7 @@
   }
 
   #noteStandstill({ lateMs, uncountedMs }: Standstill): void {
-    if (uncountedMs > 0) this.#validFromMs = this.#nowMs;
+    if (uncountedMs >= MIN_UNCOUNTED_MS) this.#validFromMs = this.#nowMs;
     if (this.#heldSinceMs !== undefined) {
       this.#heldSinceMs += lateMs - uncountedMs;
       return;
