A reading that timed out in a standstill says nothing of the store

Its reading of the list had been under way, timed out while nothing ran, and was taken for an outage of the store, in which entries of living targets lapse: the missing entry was kept for two seconds (targetKept).

Change: a failed reading counts as an outage only where the process did not stand still since it was asked for. A VM that is frozen all through a real outage drops what has lapsed by its first reading, until targets have written again (one heartbeat); the others serve meanwhile.

Ruled out: waiting for peers' words on the store before the first reading, which holds calls back for longer than 0.3 s.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -285,6 +285,7 @@
       configWaitMs: store.configWaitMs,
       targetPollMs: store.targetPollMs,
       getToldAtMs: () => this.#parts.mesh.listAtMs,
+      hasStoodStillSince: (atMs) => parts.listGuard.hasStoodStillSince(atMs),
       clock: parts.clock,
       log: parts.log,
       metrics: parts.metrics,
--- a/packages/heatherarch-forward/life/list_guard.ts
+++ b/packages/heatherarch-forward/life/list_guard.ts
@@ -52,6 +52,8 @@
    * while they go on.
    */
   #heldSinceMs: number | undefined;
+  /** Monotonic time at which the process last ran again. */
+  #resumedAtMs = -Infinity;
   /** Earlier words on the list say nothing: the monotonic clock missed a suspension after them. */
   #validFromMs = -Infinity;
 
@@ -81,12 +83,19 @@
     return false;
   }
 
+  /** Whether the process has stood still since then. */
+  hasStoodStillSince(atMs: number): boolean {
+    this.noteTurn();
+    return this.#resumedAtMs > atMs;
+  }
+
   /** Settles when calls may be sent. */
   async awaitFresh(): Promise<void> {
     while (this.isHolding()) await sleep(LOOK_MS);
   }
 
   #noteStandstill({ lateMs, uncountedMs }: Standstill): void {
+    this.#resumedAtMs = this.#nowMs;
     if (uncountedMs >= MIN_UNCOUNTED_MS) this.#validFromMs = this.#nowMs;
     if (this.#heldSinceMs !== undefined) {
       this.#heldSinceMs += lateMs - uncountedMs;
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -30,6 +30,8 @@
   readonly targetPollMs: number;
   /** Monotonic time for which a hub's word on the list held; -Infinity without one. */
   readonly getToldAtMs: () => number;
+  /** Whether the process has stood still since a monotonic time. */
+  readonly hasStoodStillSince: (atMs: number) => boolean;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
@@ -150,9 +152,10 @@
     this.#noteTargets(entries, "store");
   }
 
-  #noteFailure(): void {
-    const { directory, log } = this.#options;
-    if (!directory.noteOutage()) return;
+  /** A reading that timed out while the process stood still says nothing of the store. */
+  #noteFailure(askedAtMs: number): void {
+    const { directory, log, hasStoodStillSince } = this.#options;
+    if (hasStoodStillSince(askedAtMs) || !directory.noteOutage()) return;
     log.write("warn", "listNotRead", {
       ageMs: Math.round(this.getKnownAgeMs()),
     });
@@ -187,7 +190,7 @@
       onList: (entries, askedAtMs) => this.#applyList(entries, askedAtMs),
       onChanges: (entries, askedAtMs) => this.#applyChanges(entries, askedAtMs),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
-      onFailed: () => this.#noteFailure(),
+      onFailed: (askedAtMs) => this.#noteFailure(askedAtMs),
     });
   }
 
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -28,8 +28,8 @@
   ) => void;
   /** Called for each entry that can't be understood from now on. */
   readonly onUnreadable?: () => void;
-  /** Called for each read that failed. */
-  readonly onFailed?: () => void;
+  /** Called for each read that failed, with the monotonic time at which it was asked for. */
+  readonly onFailed?: (askedAtMs: number) => void;
   readonly clock: Clock;
 }
 
@@ -120,14 +120,14 @@
         await this.#rest();
         continue;
       }
+      const askedAtMs = this.#nowMs;
       try {
-        const askedAtMs = this.#nowMs;
         await this.#step(askedAtMs);
         this.#readAtMs = askedAtMs;
         this.#noteBack();
         if (this.#options.pollMs > 0) await this.#pause(this.#computePauseMs());
       } catch (error) {
-        this.#noteLost(error);
+        this.#noteLost(error, askedAtMs);
         await this.#pause(this.#retryMs);
       }
     }
@@ -208,8 +208,8 @@
     }
   }
 
-  #noteLost(error: unknown): void {
-    this.#options.onFailed?.();
+  #noteLost(error: unknown, askedAtMs: number): void {
+    this.#options.onFailed?.(askedAtMs);
     if (this.#lost) return;
     this.#lost = true;
     this.#options.log.write("warn", "dependencyLost", {
--- a/packages/heatherarch-forward/tests/unit/list_guard_test.ts
+++ b/packages/heatherarch-forward/tests/unit/list_guard_test.ts
@@ -110,3 +110,13 @@
   readList(5);
   assert.equal(guard.isHolding(), false);
 });
+
+test("what was under way at a standstill is told from what began after it", () => {
+  const { guard, standStill, run } = createGuardedList();
+  assert.equal(guard.hasStoodStillSince(0), false);
+  standStill(1000);
+  assert.equal(guard.hasStoodStillSince(0), true);
+  run(500);
+  assert.equal(guard.hasStoodStillSince(900), true);
+  assert.equal(guard.hasStoodStillSince(1000), false);
+});
