Readings of the list are jittered

Both read at the same pace, so a hub that asks right before its VM stays right before it, and the VM goes on reading the store itself while the hub tells the whole list with each heartbeat. It cost store calls and bytes, no promise.

Change: pauses between readings are jittered by a quarter, either way, so the VM takes the list over within some readings; the oldest reading is 0.88 s old, of 1.42 s up to which it is relied on. The mean pace stays.

Ruled out: taking an older list in (it undoes a newer reading), load alone.

--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -31,12 +31,19 @@
   /** Called for each read that failed, with the monotonic time at which it was asked for. */
   readonly onFailed?: (askedAtMs: number) => void;
   readonly clock: Clock;
+  /** Uniform in [0, 1). */
+  readonly drawUnit?: () => number;
 }
 
 /** Pause after a failed read, milliseconds: several tries within the bound of two seconds. */
 const RETRY_MS = 250;
 /** Least part of the usual pause: short after a standstill, long enough for a store that is slow. */
 const LEAST_PAUSE_PART = 0.25;
+/**
+ * Pauses are jittered by this part of them, either way. Readers in step would stay so: a hub whose
+ * readings always come right before a VM's own never tells it anything newer.
+ */
+const JITTER_PART = 0.25;
 /** Keys come from other writers: longer ones are cut in the log. */
 const MAX_LOGGED_KEY = 80;
 
@@ -155,8 +162,9 @@
 
   /** Counts from the request, so that a slow store does not make what is known older by as much. */
   #computePauseMs(): number {
-    const { pollMs } = this.#options;
-    const leftMs = pollMs - (this.#nowMs - this.#readAtMs);
+    const { pollMs, drawUnit = Math.random } = this.#options;
+    const jitter = 1 + JITTER_PART * (2 * drawUnit() - 1);
+    const leftMs = pollMs * jitter - (this.#nowMs - this.#readAtMs);
     return Math.max(leftMs, pollMs * LEAST_PAUSE_PART);
   }
 
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -100,6 +100,7 @@
 /** Plays one read whose answer comes after so long; returns its age, and the pause after it. */
 async function readLate(
   tookMs: number,
+  unit = 0.5,
 ): Promise<{ ageMs: number; pauseMs: number }> {
   const clock = new ManualClock();
   const reads: ((slice: TopicSlice<number>) => void)[] = [];
@@ -114,6 +115,7 @@
     waitMs: 0,
     onList: () => undefined,
     onChanges: () => undefined,
+    drawUnit: () => unit,
   });
   const pauses: number[] = [];
   const timers = mock.method(
@@ -182,3 +184,9 @@
   assert.equal(reads.length, 3);
   follower.stop();
 });
+
+test("pauses are jittered, so that readers don't stay in step", async () => {
+  const { pauseMs: least } = await readLate(0, 0);
+  const { pauseMs: most } = await readLate(0, 1);
+  assert.deepEqual([least, most], [POLL_MS * 0.75, POLL_MS * 1.25]);
+});
