Hubs' list and the exchange of configurations in modules of their own

hub_exchange.ts (451 lines) had two jobs, sums of work and the list of targets; the list is hub_list.ts now. fleet_mesh.ts (409) fetched configurations besides; that is config_exchange.ts.

Said again where it was wrong: claims that nothing is lost by refusing an older word.

--- a/packages/heatherarch-forward/beliefs/target_directory.ts
+++ b/packages/heatherarch-forward/beliefs/target_directory.ts
@@ -130,8 +130,9 @@
 
   /**
    * Takes in what a peer knows of the list, read at `atMs` of this VM's clock. The peer has judged
-   * what lapsed during an outage; nothing is kept beyond its word. Word that is older than what is
-   * known here says nothing new, and taken in it would undo what a target has said since.
+   * what lapsed during an outage; nothing is kept beyond its word. Word that is dated before what
+   * is known here would undo what a target has said since, so it is refused. It may hold news all
+   * the same, since its date is that of a request: whoever took it asks for the whole list.
    */
   applyFeed(
     entries: readonly KeyedEntry<Target>[],
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Clock, sleep } from "heatherarch-core";
+import type { Clock } from "heatherarch-core";
 import {
   type Heartbeat,
   type Link,
@@ -14,8 +14,9 @@
 } from "heatherarch-mesh";
 import type { ConfigView } from "../beliefs/config_view.ts";
 import type { EventLog } from "../event_log.ts";
-import type { RoutingConfig, VmRecord } from "../model.ts";
+import type { VmRecord } from "../model.ts";
 import type { WritableTopicPort } from "../ports.ts";
+import { ConfigExchange } from "./config_exchange.ts";
 import { FleetNews } from "./fleet_news.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
@@ -71,12 +72,6 @@
   readonly mayOrder: () => boolean;
 }
 
-const CONFIG_CALL = "config";
-const CALL_TIMEOUT_MS = 1000;
-/** The store brings a configuration sooner as a rule; a peer is asked after this time. */
-const ASK_AFTER_MS = 700;
-/** Larger configurations come from the store: a hub's link would be busy with them too long. */
-const MAX_MESH_ROUTES = 100;
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 /** The mesh of one VM, with what it carries. */
@@ -87,7 +82,7 @@
   readonly #hubs: HubExchange;
   readonly #news: FleetNews;
   readonly #list: VmListFollower;
-  readonly #asking = new Set<string>();
+  readonly #configs: ConfigExchange;
   /** Prompt notes told on each link so far. */
   readonly #told = new WeakMap<Link, number>();
   /** Time of the reading of the list that was last told on each link. */
@@ -146,16 +141,18 @@
       onFault: (fault) =>
         options.log.write("debug", "meshLinkEnded", { fault }),
     });
+    this.#configs = new ConfigExchange({
+      ...options,
+      node: this.#node,
+      hasToRead: () => this.hasToRead(),
+    });
   }
 
   async start(): Promise<void> {
     this.#node.registerHeartbeatListener((heartbeat, from, waitedMs) =>
       this.#takeHeartbeat(heartbeat, from, waitedMs)
     );
-    this.#node.registerCall(
-      CONFIG_CALL,
-      (body) => Promise.resolve(this.#answerConfig(body)),
-    );
+    this.#configs.start();
     await this.#node.start();
     const { ledger } = this.#options;
     this.#undoListeners.push(
@@ -316,9 +313,7 @@
     if (heartbeat.changing !== undefined) {
       this.#options.onChanging(heartbeat.changing[1]);
     }
-    if (heartbeat.configOffset > this.#options.configs.version) {
-      void this.#askConfig(from.id, heartbeat.configOffset);
-    }
+    this.#configs.noteVersion(from.id, heartbeat.configOffset);
   }
 
   #takeMeshParts(heartbeat: Heartbeat, from: LinkIdentity): void {
@@ -332,65 +327,6 @@
     }
   }
 
-  /** The configuration; null for a large one, unless the peer has no other way to it. */
-  #answerConfig(isOnlyWay: unknown): RoutingConfig | null {
-    const config = this.#options.configs.table?.config;
-    if (config === undefined) return null;
-    const isLarge = config.routes.length > MAX_MESH_ROUTES;
-    return isLarge && isOnlyWay !== true ? null : config;
-  }
-
-  /** Fetches a configuration that a peer has and that the store has not brought in time. */
-  async #askConfig(peer: string, version: number): Promise<void> {
-    const { configs, log } = this.#options;
-    if (this.#asking.size > 0) return;
-    this.#asking.add(peer);
-    try {
-      if (this.hasToRead()) await sleep(ASK_AFTER_MS);
-      if (configs.version >= version) return;
-      if (await this.#takeConfig(peer, false)) return;
-      await this.#loadConfig();
-      if (configs.version < version) await this.#takeConfig(peer, true);
-    } catch (error) {
-      log.write("warn", "configNotFetched", {
-        peer,
-        version,
-        reason: (error as Error).message,
-      });
-    } finally {
-      this.#asking.delete(peer);
-    }
-  }
-
-  /** Whether the peer gave its configuration. */
-  async #takeConfig(peer: string, isOnlyWay: boolean): Promise<boolean> {
-    const { configs, log } = this.#options;
-    const config = await this.#node.call(
-      peer,
-      CONFIG_CALL,
-      isOnlyWay,
-      CALL_TIMEOUT_MS,
-    );
-    if (config === null) return false;
-    if (configs.applyConfig(config as RoutingConfig)) {
-      log.write("info", "configApplied", {
-        version: configs.version,
-        source: `peer ${peer}`,
-      });
-    }
-    return true;
-  }
-
-  async #loadConfig(): Promise<void> {
-    try {
-      await this.#options.loadConfig();
-    } catch (error) {
-      this.#options.log.write("info", "configNotLoaded", {
-        reason: (error as Error).message,
-      });
-    }
-  }
-
   /** What was known before a standstill is older by the time that the clock did not count. */
   #noteStandstill({ lateMs, uncountedMs }: Standstill): void {
     this.#hubs.noteUncounted(uncountedMs);
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -8,23 +8,21 @@
  *
  * @module
  */
-import { type Clock, pickRendezvous } from "heatherarch-core";
+import { pickRendezvous } from "heatherarch-core";
 import type {
   Heartbeat,
   Link,
   LinkIdentity,
   Membership,
-  TargetFeed,
   WorkDigest,
 } from "heatherarch-mesh";
-import type { Target } from "../model.ts";
-import type { KeyedEntry } from "../ports.ts";
 import {
   HubPeers,
   NOTHING_COUNTED,
   PEER_SILENCE_MS,
   type PeerState,
 } from "./hub_peers.ts";
+import { HubList, type HubListOptions } from "./hub_list.ts";
 import { copyRows, HubSums } from "./hub_sums.ts";
 import { ListRelief } from "./list_relief.ts";
 import type {
@@ -32,9 +30,7 @@
   PromptIndex,
   PromptNote,
 } from "../beliefs/prompt_index.ts";
-import type { TargetDirectory } from "../beliefs/target_directory.ts";
 import { FeedSource } from "./feed_source.ts";
-import { encodeFeed } from "./target_feed.ts";
 import {
   subtractRows,
   type WorkLedger,
@@ -42,24 +38,13 @@
 } from "../beliefs/work_ledger.ts";
 
 /** Options of {@linkcode HubExchange}. */
-export interface HubExchangeOptions {
+export interface HubExchangeOptions extends HubListOptions {
   readonly self: LinkIdentity;
   readonly membership: Membership;
   readonly ledger: WorkLedger;
   readonly prompts: PromptIndex;
-  readonly directory: TargetDirectory;
-  readonly clock: Clock;
   /** Engines that change their role by an order of this VM. */
   readonly listChanging: () => readonly string[];
-  /** Age of what this VM itself has read of the list of targets, milliseconds. */
-  readonly getListAgeMs: () => number;
-  /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
-  readonly maxListAgeMs: number;
-  /** Takes in what the source told of the list of targets; with `isFull` all of it. */
-  readonly applyTargets: (
-    entries: readonly KeyedEntry<Target>[],
-    isFull: boolean,
-  ) => void;
   /** The source says that it can't read the list of targets. */
   readonly onListLost: (source: string) => void;
   /** A VM gets its sums from another hub now. */
@@ -79,12 +64,6 @@
   | "changing"
 >;
 
-interface LinkState {
-  promptCursor: number;
-  /** Undefined until the peer has been given the whole list. */
-  targetCursor: number | undefined;
-}
-
 interface ZoneSource {
   readonly peer: string;
   readonly vms: number;
@@ -100,10 +79,12 @@
 /** The exchange of one VM with the hubs, or as a hub. */
 export class HubExchange {
   readonly #options: HubExchangeOptions;
-  readonly #links = new WeakMap<Link, LinkState>();
+  /** Notes on prompts told on each link so far. */
+  readonly #told = new WeakMap<Link, number>();
   readonly #peers = new HubPeers();
   readonly #zones = new Map<string, ZoneSource>();
   readonly #relief: ListRelief;
+  readonly #list: HubList;
   readonly #sent = new Map<number, readonly WorkRow[]>();
   #beat = 0;
   #wasHub = false;
@@ -112,12 +93,11 @@
   /** Time for which the heartbeat that is being taken in may have waited, milliseconds. */
   #waitedMs = 0;
   readonly #sums: HubSums;
-  /** Monotonic time for which a hub's word on the list of targets held. */
-  #listAtMs = -Infinity;
 
   constructor(options: HubExchangeOptions) {
     this.#options = options;
     this.#relief = new ListRelief(options);
+    this.#list = new HubList(options);
     this.#sums = new HubSums({
       ledger: options.ledger,
       countZoneVms: () => this.#countZoneVms(),
@@ -140,19 +120,19 @@
 
   /** Whether a hub tells this VM the list of targets, lately enough to rely on it. */
   isFed(nowMs: number): boolean {
-    const { membership, maxListAgeMs } = this.#options;
+    const { membership } = this.#options;
     if (membership.isHub || this.#source?.hasList !== true) return false;
-    return nowMs - this.#listAtMs <= maxListAgeMs;
+    return this.#list.isCurrent(nowMs);
   }
 
   /** Monotonic time for which a hub's word on the list of targets held. */
   get listAtMs(): number {
-    return this.#listAtMs;
+    return this.#list.atMs;
   }
 
   /** The monotonic clock did not count so many milliseconds: a hub's word is as much older. */
   noteUncounted(uncountedMs: number): void {
-    this.#listAtMs -= uncountedMs;
+    this.#list.noteUncounted(uncountedMs);
   }
 
   /** To be called once before each round of heartbeats. */
@@ -214,7 +194,7 @@
     return {
       ...(asked === undefined ? {} : { listWanted: asked.wants }),
       ...(wanted === undefined ? {} : {
-        targets: this.#buildFeed(
+        targets: this.#list.buildFeed(
           link,
           this.#options.getListAgeMs(),
           wanted === "all",
@@ -237,22 +217,6 @@
     }
   }
 
-  /** The list as `source` tells it. */
-  #takeFeed(source: FeedSource, feed: TargetFeed, nowMs: number): void {
-    const { applyTargets, onListLost, directory } = this.#options;
-    const wasLost = source.isListLost;
-    const toldAtMs = nowMs - this.#waitedMs;
-    const news = source.take(feed, toldAtMs, directory.holdsAtMs);
-    const isNews = source.isListLost && !wasLost;
-    // A hub that asks others in turn would tell of each of them again and again.
-    if (isNews && source === this.#source) onListLost(source.id);
-    if (news === undefined) return;
-    this.#listAtMs = news.atMs;
-    if (news.isFull || news.entries.length > 0) {
-      applyTargets(news.entries, news.isFull);
-    }
-  }
-
   #takeAsHub(
     heartbeat: Heartbeat,
     from: LinkIdentity,
@@ -263,7 +227,8 @@
     const relief = this.#relief.findSource(from.id);
     if (relief !== undefined && heartbeat.targets !== undefined) {
       relief.noteHeard(nowMs);
-      this.#takeFeed(relief, heartbeat.targets, nowMs);
+      // One that asks the hubs in turn would tell of each loss again and again.
+      this.#list.takeFeed(relief, heartbeat.targets, nowMs - this.#waitedMs);
     }
     if (heartbeat.prompts !== undefined) {
       prompts.notePeer(heartbeat.prompts, nowMs, isNear ? "zone" : "fleet");
@@ -314,7 +279,10 @@
       const rows = subtractRows(digest.work, own);
       ledger.notePeer(FLEET, rows, nowMs, "gathered");
     }
-    if (targets !== undefined) this.#takeFeed(source, targets, nowMs);
+    if (targets === undefined) return;
+    const wasLost = source.isListLost;
+    this.#list.takeFeed(source, targets, nowMs - this.#waitedMs);
+    if (source.isListLost && !wasLost) this.#options.onListLost(source.id);
   }
 
   /** This VM's own work and notes, as every VM tells them. */
@@ -349,44 +317,18 @@
         counted: peer.counted,
         ...this.#sums.sumFleet(this.#nowMs),
       },
-      targets: this.#buildFeed(link, this.#getOwnListAgeMs(), isWhole),
+      targets: this.#list.buildFeed(link, this.#list.getAgeMs(), isWhole),
       ...this.#buildNotes(link, "fleet"),
     };
   }
 
-  /** Age of this hub's list, read by itself or told by another hub, milliseconds. */
-  #getOwnListAgeMs(): number {
-    return Math.min(this.#options.getListAgeMs(), this.#nowMs - this.#listAtMs);
-  }
-
-  /** The list, all of it or what changed since the last time; nothing of one that is too old. */
-  #buildFeed(link: Link, ageMs: number, isWhole: boolean): TargetFeed {
-    const { directory, maxListAgeMs } = this.#options;
-    const state = this.#openLink(link);
-    if (isWhole) state.targetCursor = undefined;
-    if (ageMs > maxListAgeMs) return encodeFeed(Infinity, undefined);
-    const changes = directory.listChanges(state.targetCursor);
-    state.targetCursor = changes.cursor;
-    return encodeFeed(ageMs, changes);
-  }
-
   #buildNotes(link: Link, scope: NoteScope): Pick<HubParts, "prompts"> {
-    const state = this.#openLink(link);
     const { notes, cursor } = this.#options.prompts
-      .listNotes(state.promptCursor, scope);
-    state.promptCursor = cursor;
+      .listNotes(this.#told.get(link) ?? 0, scope);
+    this.#told.set(link, cursor);
     return notes.length === 0 ? {} : { prompts: notes.map(copyNote) };
   }
 
-  #openLink(link: Link): LinkState {
-    let state = this.#links.get(link);
-    if (state === undefined) {
-      state = { promptCursor: 0, targetCursor: undefined };
-      this.#links.set(link, state);
-    }
-    return state;
-  }
-
   /** Keeps the source while it tells, and takes the next hub when it does not. */
   #tendSource(nowMs: number): void {
     const { membership, self } = this.#options;
--- /dev/null
+++ b/packages/heatherarch-forward/fleet/hub_list.ts
@@ -0,0 +1,82 @@
+/**
+ * The list of targets as it passes from hub to VM, and from hub to hub: what a heartbeat tells of
+ * it, and how old what was told is.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { Link, TargetFeed } from "heatherarch-mesh";
+import type { TargetDirectory } from "../beliefs/target_directory.ts";
+import type { Target } from "../model.ts";
+import type { KeyedEntry } from "../ports.ts";
+import type { FeedSource } from "./feed_source.ts";
+import { encodeFeed } from "./target_feed.ts";
+
+/** Options of {@linkcode HubList}. */
+export interface HubListOptions {
+  readonly directory: TargetDirectory;
+  readonly clock: Clock;
+  /** Age of what this VM itself has read of the list of targets, milliseconds. */
+  readonly getListAgeMs: () => number;
+  /** Age up to which a hub's word on the list of targets is relied on, milliseconds. */
+  readonly maxListAgeMs: number;
+  /** Takes in what the source told of the list of targets; with `isFull` all of it. */
+  readonly applyTargets: (
+    entries: readonly KeyedEntry<Target>[],
+    isFull: boolean,
+  ) => void;
+}
+
+/** The list at one VM. */
+export class HubList {
+  readonly #options: HubListOptions;
+  /** Cursors behind what was told on each link; none until it was given the whole list. */
+  readonly #cursors = new WeakMap<Link, number>();
+  #atMs = -Infinity;
+
+  constructor(options: HubListOptions) {
+    this.#options = options;
+  }
+
+  /** Monotonic time for which a hub's word on the list held. */
+  get atMs(): number {
+    return this.#atMs;
+  }
+
+  /** Whether a hub's word is young enough to rely on. */
+  isCurrent(nowMs: number): boolean {
+    return nowMs - this.#atMs <= this.#options.maxListAgeMs;
+  }
+
+  /** The monotonic clock did not count so many milliseconds: a hub's word is as much older. */
+  noteUncounted(uncountedMs: number): void {
+    this.#atMs -= uncountedMs;
+  }
+
+  /** Age of the list, read by this VM itself or told by a hub, milliseconds. */
+  getAgeMs(): number {
+    const { clock, getListAgeMs } = this.#options;
+    return Math.min(getListAgeMs(), clock.readMonotonicMs() - this.#atMs);
+  }
+
+  /** Takes in the list as `source` told it at `toldAtMs`. */
+  takeFeed(source: FeedSource, feed: TargetFeed, toldAtMs: number): void {
+    const { directory, applyTargets } = this.#options;
+    const news = source.take(feed, toldAtMs, directory.holdsAtMs);
+    if (news === undefined) return;
+    this.#atMs = news.atMs;
+    if (news.isFull || news.entries.length > 0) {
+      applyTargets(news.entries, news.isFull);
+    }
+  }
+
+  /** The list, all of it or what changed since the last time; nothing of one that is too old. */
+  buildFeed(link: Link, ageMs: number, isWhole: boolean): TargetFeed {
+    const { directory, maxListAgeMs } = this.#options;
+    if (isWhole) this.#cursors.delete(link);
+    if (ageMs > maxListAgeMs) return encodeFeed(Infinity, undefined);
+    const changes = directory.listChanges(this.#cursors.get(link));
+    this.#cursors.set(link, changes.cursor);
+    return encodeFeed(ageMs, changes);
+  }
+}
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -101,9 +101,8 @@
   }
 
   async start(): Promise<void> {
-    const { ingress, status, mesh, roles, reading, quarantineKeeper } =
-      this.#parts;
-    const { listGuard } = this.#parts;
+    const { ingress, status, mesh, roles, reading } = this.#parts;
+    const { quarantineKeeper, listGuard } = this.#parts;
     const { listen } = this.#settings;
     this.#log.write("info", "starting", {
       pid: process.pid,
