Tasks' wiring, mesh sockets and calls, and drawn prompts in modules of their own

No behaviour changes, but for a mesh that is stopped while it begins to listen: it closes the port once it has it, where it closed it before.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -11,31 +11,24 @@
   InjectionMode,
 } from "awilix";
 import { type Clock, createId, RuntimeClock, sleep } from "heatherarch-core";
-import type { LogPort } from "heatherarch-log";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
 import { CallServer } from "./life/call_server.ts";
 import { type EventLog, StdoutEventLog } from "./event_log.ts";
-import { FleetMesh } from "./fleet/fleet_mesh.ts";
 import { Ingress } from "./tasks/ingress.ts";
 import type { Target } from "./model.ts";
-import type { CallCodec, DirectoryPorts } from "./ports.ts";
 import { QuarantineKeeper } from "./tasks/quarantine_keeper.ts";
-import { RoleKeeper } from "./tasks/role_keeper.ts";
-import type { Serving } from "./serving.ts";
-import { buildServing, computeMaxListAgeMs, SWEEP_MS } from "./vm_beliefs.ts";
+import { buildServing, SWEEP_MS } from "./vm_beliefs.ts";
+import {
+  buildMesh,
+  buildReading,
+  buildRoleKeeper,
+  type PlatformPorts,
+  type VmParts,
+  type VmWiring,
+} from "./vm_tasks.ts";
 import { StatusServer } from "./tasks/status_server.ts";
-import { StoreReading } from "./tasks/store_reading.ts";
-
-/** What an adapter brings. */
-export interface PlatformPorts {
-  readonly codec: CallCodec;
-  readonly directory: DirectoryPorts;
-  readonly log: LogPort;
-  /** Path at which the platform's balancer asks for readiness. */
-  readonly readinessPath: string;
-}
 
 /** Options of {@linkcode ForwardVm}. */
 export interface ForwardVmOptions {
@@ -45,15 +38,6 @@
   readonly log?: EventLog;
 }
 
-interface Parts extends Serving {
-  readonly mesh: FleetMesh;
-  readonly roles: RoleKeeper;
-  readonly ingress: Ingress;
-  readonly status: StatusServer;
-  readonly reading: StoreReading;
-  readonly quarantineKeeper: QuarantineKeeper;
-}
-
 const METRICS_PATH = "/metrics";
 /** How often the end of the calls in progress is looked for while stopping, milliseconds. */
 const DRAIN_LOOK_MS = 50;
@@ -68,12 +52,12 @@
   readonly #ports: PlatformPorts;
   readonly #clock: Clock;
   readonly #log: EventLog;
-  readonly #container: AwilixContainer<Parts>;
+  readonly #container: AwilixContainer<VmParts>;
   /**
    * All parts once they are registered: the container looks a part up anew each time that it is
    * asked for, which calls and heartbeats do hundreds of times a second.
    */
-  #resolved: Parts | undefined;
+  #resolved: VmParts | undefined;
   #sweeper: NodeJS.Timeout | undefined;
   #stopping = false;
   #stopped: Promise<void> | undefined;
@@ -86,7 +70,7 @@
     this.#clock = options.clock ?? new RuntimeClock();
     this.#log = options.log ??
       new StdoutEventLog({ vm: settings.vm.id, level: settings.logs.level });
-    this.#container = createContainer<Parts>({
+    this.#container = createContainer<VmParts>({
       injectionMode: InjectionMode.PROXY,
     });
     this.#registerBeliefs();
@@ -155,7 +139,7 @@
     return this.#stopped;
   }
 
-  get #parts(): Parts {
+  get #parts(): VmParts {
     return this.#resolved ?? this.#container.cradle;
   }
 
@@ -178,7 +162,14 @@
     const parts = this.#parts;
     const settings = this.#settings;
     const ports = this.#ports;
-    const incarnation = createId("vm");
+    const wiring: VmWiring = {
+      settings,
+      ports,
+      incarnation: createId("vm"),
+      getParts: () => this.#parts,
+      onLiveVms: (count) => this.#shareLimits(count),
+      onChanging: (targets) => this.#noteChanging(targets),
+    };
     const callServer = new CallServer({ ...parts });
     const callers = splitAddress(settings.listen.callers);
     this.#container.register({
@@ -201,7 +192,7 @@
           isReady: () => this.isReady,
         }),
       ),
-      reading: asValue(this.#buildReading()),
+      reading: asValue(buildReading(wiring)),
       quarantineKeeper: asValue(
         new QuarantineKeeper({
           topic: ports.directory.quarantine,
@@ -210,93 +201,8 @@
           log: parts.log,
         }),
       ),
-      roles: asValue(this.#buildRoleKeeper(incarnation)),
-      mesh: asValue(this.#buildMesh(incarnation)),
-    });
-  }
-
-  #buildMesh(incarnation: string): FleetMesh {
-    const settings = this.#settings;
-    const parts = this.#parts;
-    return new FleetMesh({
-      self: {
-        id: settings.vm.id,
-        incarnation,
-        availabilityZone: settings.vm.availabilityZone,
-        mesh: settings.mesh.announce ?? settings.listen.mesh,
-        capacity: settings.vm.capacity,
-      },
-      ...settings.mesh,
-      listen: settings.listen.mesh,
-      vms: this.#ports.directory.vms,
-      clock: parts.clock,
-      log: parts.log,
-      ledger: parts.ledger,
-      prompts: parts.prompts,
-      quarantine: parts.quarantine,
-      configs: parts.configs,
-      directory: parts.directory,
-      getListAgeMs: () => parts.reading.getListAgeMs(),
-      maxListAgeMs: computeMaxListAgeMs(settings.store),
-      applyTargets: (entries, isFull) =>
-        parts.reading.applyTargets(entries, isFull),
-      onListLost: (source) => parts.reading.noteHubLost(source),
-      getListReadAtMs: () => parts.reading.listReadAtMs,
-      onListRead: (atMs) => parts.directory.notePeerRead(atMs),
-      loadConfig: () => parts.reading.loadConfig(),
-      onLiveVms: (count) => this.#shareLimits(count),
-      onChanging: (targets) => this.#noteChanging(targets),
-      listChanging: () => this.#parts.roles.listChanging(),
-      onLate: (lateMs) => parts.metrics.loopLate.observe(lateMs / 1000),
-      mayOrder: () =>
-        this.#parts.reading.isListCurrent && this.#parts.mesh.hasDuty,
-    });
-  }
-
-  #buildRoleKeeper(incarnation: string): RoleKeeper {
-    const parts = this.#parts;
-    return new RoleKeeper({
-      vmId: this.#settings.vm.id,
-      incarnation,
-      log: this.#ports.log,
-      leaseMs: this.#settings.lease.durationMs,
-      clock: parts.clock,
-      configs: parts.configs,
-      directory: parts.directory,
-      health: parts.health,
-      connections: parts.connections,
-      codec: parts.codec,
-      events: parts.log,
-      metrics: parts.metrics,
-      listOrderers: () => this.#parts.mesh.listOrderers(),
-      isListCurrent: () => this.#parts.reading.isListCurrent,
-      hasDuty: () => this.#parts.mesh.hasDuty,
-    });
-  }
-
-  #buildReading(): StoreReading {
-    const parts = this.#parts;
-    const { store } = this.#settings;
-    const { directory } = this.#ports;
-    return new StoreReading({
-      configTopic: directory.configs,
-      targetTopic: directory.targets,
-      configWaitMs: store.configWaitMs,
-      targetPollMs: store.targetPollMs,
-      getToldAtMs: () => this.#parts.mesh.listAtMs,
-      hasStoodStillSince: (atMs) => parts.listGuard.hasStoodStillSince(atMs),
-      clock: parts.clock,
-      log: parts.log,
-      metrics: parts.metrics,
-      configs: parts.configs,
-      directory: parts.directory,
-      connections: parts.connections,
-      losses: parts.losses,
-      prompts: parts.prompts,
-      health: parts.health,
-      rests: parts.rests,
-      readModel: parts.readModel,
-      spread: parts.spread,
+      roles: asValue(buildRoleKeeper(wiring)),
+      mesh: asValue(buildMesh(wiring)),
     });
   }
 
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -58,4 +58,5 @@
 export * from "./beliefs/target_rests.ts";
 export * from "./tasks/topic_follower.ts";
 export * from "./vm_beliefs.ts";
+export * from "./vm_tasks.ts";
 export * from "./beliefs/work_ledger.ts";
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -1,7 +1,12 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import { ManualClock, RuntimeClock } from "heatherarch-core";
-import { type KeyedEntry, TopicFollower, type TopicSlice } from "../../mod.ts";
+import {
+  type KeyedEntry,
+  TopicFollower,
+  type TopicFollowerOptions,
+  type TopicSlice,
+} from "../../mod.ts";
 
 const POLL_MS = 700;
 const STANDSTILL_MS = 3000;
@@ -79,7 +84,6 @@
       onList: () => undefined,
       onChanges: () => undefined,
     });
-    const settle = () => new Promise((resolve) => setImmediate(resolve));
     follower.start();
     resolveRead({ entries: [], next: 1 });
     await settle();
@@ -97,6 +101,28 @@
   }
 });
 
+/** A follower that reads every {@linkcode POLL_MS}. */
+function createPolling(
+  read: () => Promise<TopicSlice<number>>,
+  overrides: Partial<TopicFollowerOptions<number>> = {},
+): TopicFollower<number> {
+  return new TopicFollower<number>({
+    name: "numbers",
+    clock: new ManualClock(),
+    port: { load: read, readChanges: read },
+    log: { write: () => undefined },
+    pollMs: POLL_MS,
+    waitMs: 0,
+    onList: () => undefined,
+    onChanges: () => undefined,
+    ...overrides,
+  });
+}
+
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 /** Plays one read whose answer comes after so long; returns its age, and the pause after it. */
 async function readLate(
   tookMs: number,
@@ -106,17 +132,7 @@
   const reads: ((slice: TopicSlice<number>) => void)[] = [];
   const read = (): Promise<TopicSlice<number>> =>
     new Promise((resolve) => reads.push(resolve));
-  const follower = new TopicFollower<number>({
-    name: "numbers",
-    clock,
-    port: { load: read, readChanges: read },
-    log: { write: () => undefined },
-    pollMs: POLL_MS,
-    waitMs: 0,
-    onList: () => undefined,
-    onChanges: () => undefined,
-    drawUnit: () => unit,
-  });
+  const follower = createPolling(read, { clock, drawUnit: () => unit });
   const pauses: number[] = [];
   const timers = mock.method(
     globalThis,
@@ -125,8 +141,6 @@
       pauses.push(ms);
     },
   );
-  const settle = (): Promise<void> =>
-    new Promise((resolve) => setImmediate(resolve));
   try {
     follower.start();
     clock.advance(tookMs);
@@ -159,18 +173,7 @@
     new Promise((resolve, reject) => {
       reads.push({ resolve: () => resolve({ entries: [], next: 1 }), reject });
     });
-  const follower = new TopicFollower<number>({
-    name: "numbers",
-    clock: new ManualClock(),
-    port: { load: read, readChanges: read },
-    log: { write: () => undefined },
-    pollMs: POLL_MS,
-    waitMs: 0,
-    onList: () => undefined,
-    onChanges: () => undefined,
-  });
-  const settle = (): Promise<void> =>
-    new Promise((resolve) => setImmediate(resolve));
+  const follower = createPolling(read);
   follower.start();
   follower.refresh();
   reads[0].reject(new Error("timeout"));
--- a/packages/heatherarch-lab/bench/overload_world.ts
+++ b/packages/heatherarch-lab/bench/overload_world.ts
@@ -16,7 +16,6 @@
   computeReturnMs,
   EngineSpread,
   type EngineTraits,
-  type GenerationFacts,
   type LanePlacement,
   type PromptPlacement,
   PromptPlacer,
@@ -33,6 +32,7 @@
   rateShares,
   type Wish,
 } from "./overload_result.ts";
+import { PromptDraw } from "./prompt_draw.ts";
 import { StepEngine } from "./step_engine.ts";
 
 /** A stretch of time with its own load. */
@@ -103,6 +103,7 @@
 const MOST_RETURN_PART = 1 / 3;
 /** Part of the KV cache that keeps beginnings. */
 const KEPT_PART = 0.8;
+
 /** Plays one run. */
 export function playOverload(options: OverloadOptions): OverloadResult {
   return new OverloadWorld(options).play();
@@ -111,12 +112,12 @@
 class OverloadWorld {
   readonly #options: OverloadOptions;
   readonly #random: Random;
+  readonly #prompts: PromptDraw;
   readonly #clock = new ManualClock();
   readonly #engines: readonly StepEngine[];
   readonly #targets: readonly Target[];
   readonly #vms: readonly Vm[];
   readonly #wishes: Wish[] = [];
-  readonly #sharedSizes = new Map<string, number>();
   /** Fresh tokens that each engine has taken in, and the count at each beginning's last use. */
   readonly #taken: number[];
   readonly #held = new Map<string, Map<string, number>>();
@@ -126,6 +127,7 @@
   constructor(options: OverloadOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.#prompts = new PromptDraw(this.#random);
     this.#engines = options.engines.map((slowness) =>
       new StepEngine({ slowness })
     );
@@ -211,37 +213,10 @@
     }
   }
 
-  #drawPrompt(kind: OverloadKind): GenerationFacts {
-    const id = `${kind.name}-${
-      this.#random.drawInteger(0, kind.beginnings - 1)
-    }`;
-    let shared = this.#sharedSizes.get(id);
-    if (shared === undefined) {
-      shared = this.#drawSize(kind.sharedTokens, kind.sharedSpread);
-      this.#sharedSizes.set(id, shared);
-    }
-    const own = this.#drawSize(kind.ownTokens, kind.ownSpread);
-    return {
-      model: "m",
-      promptTokens: shared + own,
-      maxOutputTokens: 20,
-      parts: [{ id, tokens: shared }, { id: "own", tokens: own }],
-    };
-  }
-
-  /** Lognormal by its mean and its standard deviation as a part of the mean. */
-  #drawSize(mean: number, spread: number): number {
-    const variance = Math.log(1 + spread * spread);
-    const a = Math.sqrt(-2 * Math.log(1 - this.#random.drawUnit()));
-    const normal = a * Math.cos(2 * Math.PI * this.#random.drawUnit());
-    const size = mean * Math.exp(normal * Math.sqrt(variance) - variance / 2);
-    return Math.max(1, Math.round(size));
-  }
-
   #ask(kind: OverloadKind): void {
     const wish: Wish = {
       kind,
-      prompt: this.#drawPrompt(kind),
+      prompt: this.#prompts.draw(kind),
       atMs: this.#nowMs,
       firstTokenAtMs: undefined,
     };
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -4,24 +4,17 @@
  *
  * @module
  */
-import { connect, createServer, type Server, type Socket } from "node:net";
-import {
-  connect as connectTls,
-  createServer as createTlsServer,
-} from "node:tls";
-import { type Clock, toServeError } from "heatherarch-core";
+import type { Server, Socket } from "node:net";
+import type { Clock } from "heatherarch-core";
 import { Link, type LinkFault, type LinkIdentity } from "./link.ts";
 import { LoopWatch, type Standstill } from "./loop_watch.ts";
 import type { Member, Membership } from "./membership.ts";
 import type { Heartbeat, MeshMessage } from "./messages.ts";
-import { MeshCallError, PendingCalls } from "./pending_calls.ts";
+import { type CallHandler, MeshCalls } from "./mesh_calls.ts";
+import { dialSocket, listenSockets, type MeshTls } from "./mesh_sockets.ts";
+import { MeshCallError } from "./pending_calls.ts";
 import { computeRoundGapMs } from "./round_gap.ts";
 
-/** Answers one kind of call from a peer. */
-export type CallHandler = (
-  body: unknown,
-  from: LinkIdentity,
-) => Promise<unknown>;
 /**
  * Receives heartbeats. One may have waited in its socket for up to `waitedMs` while this process
  * stood still, and is as much older than it says.
@@ -32,13 +25,6 @@
   waitedMs: number,
 ) => void;
 
-/** Certificates of the mesh, in PEM. */
-export interface MeshTls {
-  readonly cert: string;
-  readonly key: string;
-  readonly ca: string;
-}
-
 /** Options of {@linkcode MeshNode}. */
 export interface MeshNodeOptions {
   readonly self: LinkIdentity;
@@ -102,11 +88,10 @@
 /** The task that owns all mesh sockets of this process. */
 export class MeshNode {
   readonly #options: MeshNodeOptions;
-  readonly #handlers = new Map<string, CallHandler>();
   readonly #heartbeatListeners = new Set<HeartbeatListener>();
   readonly #dialed = new Map<string, DialedPeer>();
   readonly #accepted = new Set<Link>();
-  readonly #calls = new PendingCalls();
+  readonly #calls = new MeshCalls();
   readonly #loop: LoopWatch;
   #server: Server | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -127,17 +112,13 @@
 
   /** Starts listening and dialing. */
   async start(): Promise<void> {
-    const { host, port } = splitAddress(this.#options.listen);
-    const onSocket = (socket: Socket): void => this.#accept(socket);
-    const { tls } = this.#options;
-    const server: Server = tls === undefined
-      ? createServer(onSocket)
-      : createTlsServer(buildTlsOptions(tls), onSocket);
-    this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, resolve);
-    });
+    const { listen, tls } = this.#options;
+    this.#server = await listenSockets(
+      listen,
+      tls,
+      (socket) => this.#accept(socket),
+    );
+    if (this.#stopped) this.#server.close();
     this.#tick();
   }
 
@@ -151,10 +132,7 @@
 
   /** Registers the handler of a method and returns its undo. */
   registerCall(method: string, handler: CallHandler): () => void {
-    this.#handlers.set(method, handler);
-    return () => {
-      this.#handlers.delete(method);
-    };
+    return this.#calls.register(method, handler);
   }
 
   /** Registers a listener for heartbeats and returns its undo. */
@@ -301,14 +279,8 @@
     peer.nextDialMs = nowMs +
       Math.min(MAX_BACKOFF_MS, 100 * 2 ** peer.failures);
     peer.failures = Math.min(peer.failures + 1, 10);
-    const { host, port } = splitAddress(this.#options.translate(member.mesh));
-    const { tls } = this.#options;
-    const socket = tls === undefined ? connect({ host, port }) : connectTls({
-      host,
-      port,
-      ...buildTlsOptions(tls),
-      checkServerIdentity: () => undefined,
-    });
+    const { translate, tls } = this.#options;
+    const socket = dialSocket(translate(member.mesh), tls);
     return this.#createLink(socket, {
       onReady: (link) => this.#adopt(link, member, peer),
       onClose: (link) => {
@@ -381,7 +353,7 @@
         }
         break;
       case "call":
-        void this.#answer(link, peer, message);
+        void this.#calls.answer(link, peer, message);
         break;
       case "reply":
         this.#calls.settle(message);
@@ -391,29 +363,6 @@
     }
   }
 
-  async #answer(
-    link: Link,
-    peer: LinkIdentity,
-    call: Extract<MeshMessage, { kind: "call" }>,
-  ): Promise<void> {
-    const { id, method, body } = call;
-    try {
-      const handler = this.#handlers.get(method);
-      if (handler === undefined) {
-        throw new Error(`no method is named ${method}`);
-      }
-      const reply = await handler(body, peer);
-      link.send({ kind: "reply", id, ok: true, body: reply });
-    } catch (error) {
-      link.send({
-        kind: "reply",
-        id,
-        ok: false,
-        body: toServeError(error).message,
-      });
-    }
-  }
-
   #noteHeard(link: Link): void {
     if (link.peer === undefined) return;
     this.#options.membership.noteHeard(
@@ -458,20 +407,3 @@
     return links;
   }
 }
-
-/** Splits `ip:port`, also with a bracketed IPv6 address. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(":");
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
-function buildTlsOptions(tls: MeshTls) {
-  return {
-    cert: tls.cert,
-    key: tls.key,
-    ca: tls.ca,
-    requestCert: true,
-    rejectUnauthorized: true,
-  };
-}
--- /dev/null
+++ b/packages/heatherarch-mesh/mesh_sockets.ts
@@ -0,0 +1,63 @@
+/**
+ * Sockets of the mesh, plain or with mutual TLS.
+ *
+ * @module
+ */
+import { connect, createServer, type Server, type Socket } from "node:net";
+import {
+  connect as connectTls,
+  createServer as createTlsServer,
+} from "node:tls";
+
+/** Certificates of the mesh, in PEM. */
+export interface MeshTls {
+  readonly cert: string;
+  readonly key: string;
+  readonly ca: string;
+}
+
+/** Listens on `ip:port`. */
+export async function listenSockets(
+  address: string,
+  tls: MeshTls | undefined,
+  onSocket: (socket: Socket) => void,
+): Promise<Server> {
+  const { host, port } = splitAddress(address);
+  const server: Server = tls === undefined
+    ? createServer(onSocket)
+    : createTlsServer(buildTlsOptions(tls), onSocket);
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  return server;
+}
+
+/** Connects to `ip:port`. Peers are known by the mesh's own handshake, not by name. */
+export function dialSocket(address: string, tls: MeshTls | undefined): Socket {
+  const { host, port } = splitAddress(address);
+  if (tls === undefined) return connect({ host, port });
+  return connectTls({
+    host,
+    port,
+    ...buildTlsOptions(tls),
+    checkServerIdentity: () => undefined,
+  });
+}
+
+/** Splits `ip:port`, also with a bracketed IPv6 address. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(":");
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(colon + 1)) };
+}
+
+function buildTlsOptions(tls: MeshTls) {
+  return {
+    cert: tls.cert,
+    key: tls.key,
+    ca: tls.ca,
+    requestCert: true,
+    rejectUnauthorized: true,
+  };
+}
