Logs tell how old a VM's configuration is, and how long a read of the store hung

Change: callRejected has configAgeMs; configApplied is written in one place, for store and peers alike, with before, source and ageMs; configHeard is a peer's word of a newer version; dependencyLost and dependencyRegained say how long the read was on its way and the topic was lost; gauge heatherarch_config_age_seconds. No decision changes.

--- a/packages/heatherarch-forward/beliefs/config_view.ts
+++ b/packages/heatherarch-forward/beliefs/config_view.ts
@@ -6,13 +6,23 @@
 import type { RoutingConfig } from "../model.ts";
 import { RouteTable } from "./route_table.ts";
 
-/** Called with each table that comes into force. */
-export type TableListener = (table: RouteTable) => void;
+/** A configuration that comes into force. */
+export interface ConfigChange {
+  readonly table: RouteTable;
+  /** Version in force before; -1 without one. */
+  readonly before: number;
+  /** Who told it: `store`, or `peer` and its id. */
+  readonly source: string;
+}
+
+/** Called with each change. */
+export type ConfigListener = (change: ConfigChange) => void;
 
 /** Holds the newest configuration seen, from whichever source. */
 export class ConfigView {
   #table: RouteTable | undefined;
-  readonly #listeners = new Set<TableListener>();
+  #checkedAtMs = -Infinity;
+  readonly #listeners = new Set<ConfigListener>();
 
   /** The table in force; undefined before the first configuration. */
   get table(): RouteTable | undefined {
@@ -24,15 +34,27 @@
   }
 
   /** Takes a configuration in; false where it is not newer than the one in force. */
-  applyConfig(config: RoutingConfig): boolean {
-    if (config.version <= this.version) return false;
-    this.#table = new RouteTable(config);
-    for (const listener of this.#listeners) listener(this.#table);
+  applyConfig(config: RoutingConfig, source: string): boolean {
+    const before = this.version;
+    if (config.version <= before) return false;
+    const table = new RouteTable(config);
+    this.#table = table;
+    for (const listener of this.#listeners) listener({ table, before, source });
     return true;
   }
 
+  /** This VM has read the store without fault, with a read that was sent at `atMs`. */
+  noteChecked(atMs: number): void {
+    this.#checkedAtMs = Math.max(this.#checkedAtMs, atMs);
+  }
+
+  /** Time since this VM last asked the store and was answered; Infinity before the first answer. */
+  getAgeMs(nowMs: number): number {
+    return nowMs - this.#checkedAtMs;
+  }
+
   /** Registers a listener and returns its undo. */
-  registerListener(listener: TableListener): () => void {
+  registerListener(listener: ConfigListener): () => void {
     this.#listeners.add(listener);
     return () => {
       this.#listeners.delete(listener);
--- a/packages/heatherarch-forward/event_log.ts
+++ b/packages/heatherarch-forward/event_log.ts
@@ -34,6 +34,11 @@
 const MAX_WAITING_BYTES = 256 * 1024;
 const MESSAGE = Symbol.for("message");
 
+/** An age as it is logged, in whole milliseconds; null for what was never known. */
+export function formatAge(ageMs: number): number | null {
+  return Number.isFinite(ageMs) ? Math.round(ageMs) : null;
+}
+
 /** Lines in JSON on standard output. */
 export class StdoutEventLog implements EventLog {
   readonly #logger: winston.Logger;
--- a/packages/heatherarch-forward/fleet/config_exchange.ts
+++ b/packages/heatherarch-forward/fleet/config_exchange.ts
@@ -62,6 +62,12 @@
     const { configs, log, hasToRead } = this.#options;
     if (this.#isAsking) return;
     this.#isAsking = true;
+    log.write("info", "configHeard", {
+      peer,
+      version,
+      before: configs.version,
+      reads: hasToRead(),
+    });
     try {
       if (hasToRead()) await sleep(ASK_AFTER_MS);
       if (configs.version >= version) return;
@@ -81,7 +87,7 @@
 
   /** Whether the peer gave its configuration. */
   async #take(peer: string, isOnlyWay: boolean): Promise<boolean> {
-    const { configs, log, node } = this.#options;
+    const { configs, node } = this.#options;
     const config = await node.call(
       peer,
       CONFIG_CALL,
@@ -89,12 +95,7 @@
       CALL_TIMEOUT_MS,
     );
     if (config === null) return false;
-    if (configs.applyConfig(config as RoutingConfig)) {
-      log.write("info", "configApplied", {
-        version: configs.version,
-        source: `peer ${peer}`,
-      });
-    }
+    configs.applyConfig(config as RoutingConfig, `peer ${peer}`);
     return true;
   }
 
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -15,7 +15,7 @@
 import type { ForwardSettings } from "heatherarch-settings";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
 import { CallServer } from "./life/call_server.ts";
-import { type EventLog, StdoutEventLog } from "./event_log.ts";
+import { type EventLog, formatAge, StdoutEventLog } from "./event_log.ts";
 import { Ingress } from "./tasks/ingress.ts";
 import type { Target } from "./model.ts";
 import { QuarantineKeeper } from "./tasks/quarantine_keeper.ts";
@@ -207,10 +207,18 @@
   }
 
   #watchConfig(): void {
-    const { configs, ingress, metrics } = this.#parts;
-    configs.registerListener((table) => {
+    const { configs, ingress, metrics, clock } = this.#parts;
+    configs.registerListener(({ table, before, source }) => {
       ingress.applyLimits(table.config.limits);
       metrics.configVersion.set(table.version);
+      this.#log.write("info", "configApplied", {
+        version: table.version,
+        before,
+        routes: table.config.routes.length,
+        source,
+        // Of what was known of the store before this word.
+        ageMs: formatAge(configs.getAgeMs(clock.readMonotonicMs())),
+      });
     });
   }
 
@@ -273,12 +281,13 @@
 
   #sweep(): void {
     const { directory, roles, listGuard } = this.#parts;
-    const { mesh, reading, metrics, readQueue } = this.#parts;
+    const { mesh, reading, metrics, readQueue, configs, clock } = this.#parts;
     listGuard.noteTurn();
     metrics.promptsWaiting.set(readQueue.size);
     reading.share(mesh.hasToRead(), mesh.hasDuty);
     mesh.tend();
     metrics.listAge.set(reading.getKnownAgeMs() / 1000);
+    metrics.configAge.set(configs.getAgeMs(clock.readMonotonicMs()) / 1000);
     this.#sweepQuarantine();
     reading.forgetDropped("otherIncarnation");
     const gone = directory.expire(this.#clock.readMonotonicMs());
--- a/packages/heatherarch-forward/life/call_server.ts
+++ b/packages/heatherarch-forward/life/call_server.ts
@@ -6,6 +6,7 @@
 import { ServeError } from "heatherarch-core";
 import type { CallerPort } from "./caller_port.ts";
 import { CallRun } from "./call_run.ts";
+import { formatAge } from "../event_log.ts";
 import { GenerationLife } from "./generation_life.ts";
 import type {
   EngineTraits,
@@ -114,7 +115,7 @@
     kind: "notReady" | "notFound" | "noTarget",
     reason: string,
   ): void {
-    const { configs, log } = this.#serving;
+    const { configs, log, clock } = this.#serving;
     caller.fail(new ServeError(kind, reason), call.id);
     log.write("warn", "callRejected", {
       call: call.id,
@@ -123,6 +124,7 @@
       host: call.host,
       path: call.path,
       configVersion: configs.version,
+      configAgeMs: formatAge(configs.getAgeMs(clock.readMonotonicMs())),
     });
   }
 }
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -71,6 +71,12 @@
     help: "Version of the configuration in force",
     registers: [this.registry],
   });
+  readonly configAge = new Gauge({
+    name: "heatherarch_config_age_seconds",
+    help:
+      "Time since this VM last asked the store for the configuration and was answered",
+    registers: [this.registry],
+  });
   readonly targets = new Gauge({
     name: "heatherarch_targets",
     help: "Targets known",
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -113,8 +113,10 @@
 
   /** Reads the configuration once. Throws where the store does not answer. */
   async loadConfig(): Promise<void> {
-    const { entries } = await this.#options.configTopic.load();
-    this.#applyConfigs(entries);
+    const { configTopic, clock } = this.#options;
+    const askedAtMs = clock.readMonotonicMs();
+    const { entries } = await configTopic.load();
+    this.#applyConfigs(entries, askedAtMs);
   }
 
   /** Takes in what a hub tells of the list of targets. */
@@ -163,8 +165,10 @@
 
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
     const { configTopic, configWaitMs, clock, log, metrics } = this.#options;
-    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
-      this.#applyConfigs(entries);
+    const apply = (
+      entries: readonly KeyedEntry<RoutingConfig>[],
+      askedAtMs: number,
+    ): void => this.#applyConfigs(entries, askedAtMs);
     return new TopicFollower({
       name: "configs",
       clock,
@@ -194,19 +198,15 @@
     });
   }
 
-  #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
-    const { configs, log } = this.#options;
+  #applyConfigs(
+    entries: readonly KeyedEntry<RoutingConfig>[],
+    askedAtMs: number,
+  ): void {
+    const { configs } = this.#options;
     for (const { value } of entries) {
-      if (value === undefined) continue;
-      const before = configs.version;
-      if (!configs.applyConfig(value)) continue;
-      log.write("info", "configApplied", {
-        version: value.version,
-        before,
-        routes: value.routes.length,
-        source: "store",
-      });
+      if (value !== undefined) configs.applyConfig(value, "store");
     }
+    configs.noteChecked(askedAtMs);
   }
 
   /** Drops what was learned of targets that are gone, with a line for each. */
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
-import type { EventLog } from "../event_log.ts";
+import { type EventLog, formatAge } from "../event_log.ts";
 import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
 
 /** Options of {@linkcode TopicFollower}. */
@@ -51,7 +51,8 @@
 export class TopicFollower<T> {
   readonly #options: TopicFollowerOptions<T>;
   #next: number | undefined;
-  #lost = false;
+  /** Monotonic time of the first of the reads that have failed since the last good one. */
+  #lostAtMs: number | undefined;
   #stopped = false;
   #isActive = true;
   /** Ends the rest of a follower that is not needed. */
@@ -71,7 +72,8 @@
 
   /** Whether the last read succeeded and the topic has been loaded. */
   get isCurrent(): boolean {
-    return this.#isActive && this.#next !== undefined && !this.#lost;
+    return this.#isActive && this.#next !== undefined &&
+      this.#lostAtMs === undefined;
   }
 
   /** Whether the topic is being read. */
@@ -89,7 +91,7 @@
 
   /** Time since the last read without fault; Infinity where the store does not answer. */
   getAgeMs(nowMs: number): number {
-    return this.#lost ? Infinity : nowMs - this.#readAtMs;
+    return this.#lostAtMs === undefined ? nowMs - this.#readAtMs : Infinity;
   }
 
   /** Rests while others read the topic, and goes on from a whole list. */
@@ -218,20 +220,25 @@
 
   #noteLost(error: unknown, askedAtMs: number): void {
     this.#options.onFailed?.(askedAtMs);
-    if (this.#lost) return;
-    this.#lost = true;
-    this.#options.log.write("warn", "dependencyLost", {
-      dependency: `store topic ${this.#options.name}`,
+    if (this.#lostAtMs !== undefined) return;
+    this.#lostAtMs = askedAtMs;
+    const { name, log } = this.#options;
+    log.write("warn", "dependencyLost", {
+      dependency: `store topic ${name}`,
       reason: (error as Error).message,
+      tookMs: Math.round(this.#nowMs - askedAtMs),
+      ageMs: formatAge(this.#nowMs - this.#readAtMs),
     });
   }
 
   #noteBack(): void {
-    if (!this.#lost) return;
-    this.#lost = false;
-    this.#options.log.write("info", "dependencyRegained", {
-      dependency: `store topic ${this.#options.name}`,
+    if (this.#lostAtMs === undefined) return;
+    const { name, log } = this.#options;
+    log.write("info", "dependencyRegained", {
+      dependency: `store topic ${name}`,
       next: this.#next,
+      lostForMs: Math.round(this.#nowMs - this.#lostAtMs),
     });
+    this.#lostAtMs = undefined;
   }
 }
--- a/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_keeper_test.ts
@@ -134,6 +134,7 @@
     buildConfig({
       services: [{ name: "s", maxConnections: 100, engine: TRAITS }],
     }),
+    "store",
   );
   connections = new TargetConnections();
   const events = new MemoryEventLog();
--- a/packages/heatherarch-forward/tests/unit/routes_test.ts
+++ b/packages/heatherarch-forward/tests/unit/routes_test.ts
@@ -40,15 +40,23 @@
   assert.deepEqual(table.listServices(route, "k"), ["x"]);
 });
 
+test("the age of a configuration counts from the newest read that was answered", () => {
+  const view = new ConfigView();
+  assert.equal(view.getAgeMs(1000), Infinity);
+  view.noteChecked(900);
+  view.noteChecked(500);
+  assert.equal(view.getAgeMs(1000), 100);
+});
+
 test("the version in force never goes down", () => {
   const view = new ConfigView();
   const seen: number[] = [];
-  const undo = view.registerListener((table) => seen.push(table.version));
-  assert.equal(view.applyConfig(buildConfig({ version: 7 })), true);
-  assert.equal(view.applyConfig(buildConfig({ version: 5 })), false);
-  assert.equal(view.applyConfig(buildConfig({ version: 7 })), false);
+  const undo = view.registerListener(({ table }) => seen.push(table.version));
+  assert.equal(view.applyConfig(buildConfig({ version: 7 }), "store"), true);
+  assert.equal(view.applyConfig(buildConfig({ version: 5 }), "store"), false);
+  assert.equal(view.applyConfig(buildConfig({ version: 7 }), "store"), false);
   undo();
-  assert.equal(view.applyConfig(buildConfig({ version: 9 })), true);
+  assert.equal(view.applyConfig(buildConfig({ version: 9 }), "store"), true);
   assert.equal(view.version, 9);
   assert.deepEqual(seen, [7]);
 });
