Reads for a newer configuration take their times from the bound of a change

Cause: a read that the store holds until there is a change waited 3.5 s for an answer that could not come any more, and 0.25 s passed before the next one. None of these figures followed from the bound within which a change is in force, and silence looked like calm. Evidence: the logs of all VMs (dependencyLost at 6.16 s after tookMs 3501, ageMs 5508; 404 with configAgeMs 8884 at 9.54 s, change acknowledged at 6.58 s, applied at 10.17 to 10.19 s), and the test that failed first.

Change: hold, limits and pauses are parts of the bound (half, a quarter, 0.6, an eighth), so that whichever read is lost, the change is read within three quarters of it; the rest is for hubs to tell it on. A held read that fails is read again at once, not held; holds are jittered, as one change answers all of them. store.configBoundMs comes from the platform; a hold that can't keep it is refused at start.

Ruled out: peers that bring it sooner (all VMs were in step, none had it); a second read beside the held one (it would double the calls for the same bound).

The test of silent connections stays red: another fault.

--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -16,6 +16,7 @@
 export * from "./life/list_guard.ts";
 export * from "./life/plain_life.ts";
 export * from "./beliefs/config_view.ts";
+export * from "./decisions/config_reads.ts";
 export * from "./tasks/engine_inquiry.ts";
 export * from "./decisions/engine_spread.ts";
 export * from "./event_log.ts";
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -38,12 +38,16 @@
 
 /** A topic of keyed records. Every call may throw {@linkcode StoreUnavailableError}. */
 export interface KeyedTopicPort<T> {
-  /** The newest record of each key. */
-  load(): Promise<TopicSlice<T>>;
-  /** Records from `from` on; undefined where these have expired. Waits up to `waitMs` for one. */
+  /** The newest record of each key. An answer may take `timeoutMs`. */
+  load(timeoutMs?: number): Promise<TopicSlice<T>>;
+  /**
+   * Records from `from` on; undefined where these have expired. The store waits up to `waitMs` for
+   * one, and its answer may take `timeoutMs` more.
+   */
   readChanges(
     from: number,
     waitMs: number,
+    timeoutMs?: number,
   ): Promise<TopicSlice<T> | undefined>;
 }
 
--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import type { ConfigReads } from "../decisions/config_reads.ts";
 import type { ConfigView } from "../beliefs/config_view.ts";
 import type { EngineSpread } from "../decisions/engine_spread.ts";
 import type { EventLog } from "../event_log.ts";
@@ -24,8 +25,7 @@
 export interface StoreReadingOptions {
   readonly configTopic: KeyedTopicPort<RoutingConfig>;
   readonly targetTopic: KeyedTopicPort<Target>;
-  /** How long a read for a newer configuration may be held back, milliseconds. */
-  readonly configWaitMs: number;
+  readonly configReads: ConfigReads;
   /** Pause between reads of the list of targets, milliseconds. */
   readonly targetPollMs: number;
   /** Monotonic time for which a hub's word on the list held; -Infinity without one. */
@@ -164,7 +164,7 @@
   }
 
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
-    const { configTopic, configWaitMs, clock, log, metrics } = this.#options;
+    const { configTopic, configReads, clock, log, metrics } = this.#options;
     const apply = (
       entries: readonly KeyedEntry<RoutingConfig>[],
       askedAtMs: number,
@@ -175,7 +175,7 @@
       port: configTopic,
       log,
       pollMs: 0,
-      waitMs: configWaitMs,
+      ...configReads,
       onList: apply,
       onChanges: apply,
       onUnreadable: () => metrics.entriesUnreadable.inc(),
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "heatherarch-core";
 import { type EventLog, formatAge } from "../event_log.ts";
-import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
+import type { KeyedEntry, KeyedTopicPort, TopicSlice } from "../ports.ts";
 
 /** Options of {@linkcode TopicFollower}. */
 export interface TopicFollowerOptions<T> {
@@ -17,6 +17,10 @@
   readonly pollMs: number;
   /** How long the store may hold a read back until there is a record, milliseconds. */
   readonly waitMs: number;
+  /** Longest wait for the answer to a held read beyond `waitMs`; by default that of the port. */
+  readonly answerMs?: number;
+  /** Longest wait for the answer to any other read, milliseconds; by default that of the port. */
+  readonly timeoutMs?: number;
   /** Called with what a read told, and the monotonic time at which it was asked for. */
   readonly onList: (
     entries: readonly KeyedEntry<T>[],
@@ -30,6 +34,8 @@
   readonly onUnreadable?: () => void;
   /** Called for each read that failed, with the monotonic time at which it was asked for. */
   readonly onFailed?: (askedAtMs: number) => void;
+  /** Pause after a failed read, milliseconds. */
+  readonly retryMs?: number;
   readonly clock: Clock;
   /** Uniform in [0, 1). */
   readonly drawUnit?: () => number;
@@ -47,6 +53,14 @@
 /** Keys come from other writers: longer ones are cut in the log. */
 const MAX_LOGGED_KEY = 80;
 
+/** A read that the store was to hold back has failed. */
+class HeldReadLostError extends Error {
+  constructor(message: string, cause: unknown) {
+    super(message, { cause });
+    this.name = "HeldReadLostError";
+  }
+}
+
 /** A task that follows one topic. */
 export class TopicFollower<T> {
   readonly #options: TopicFollowerOptions<T>;
@@ -61,13 +75,16 @@
   #endPause: (() => void) | undefined;
   /** The read in progress is to be followed by another one at once. */
   #isRefreshDue = false;
-  #retryMs = RETRY_MS;
+  #retryMs: number;
+  /** A held read was lost: the next one is answered at once, whether there is a change or not. */
+  #isHeldLost = false;
   #readAtMs = -Infinity;
   /** Keys whose newest record can't be understood. */
   #unreadable = new Set<string>();
 
   constructor(options: TopicFollowerOptions<T>) {
     this.#options = options;
+    this.#retryMs = options.retryMs ?? RETRY_MS;
   }
 
   /** Whether the last read succeeded and the topic has been loaded. */
@@ -133,9 +150,14 @@
       try {
         await this.#step(askedAtMs);
         this.#readAtMs = askedAtMs;
+        this.#isHeldLost = false;
         this.#noteBack();
         if (this.#options.pollMs > 0) await this.#pause(this.#computePauseMs());
       } catch (error) {
+        if (error instanceof HeldReadLostError) {
+          this.#noteHeldLost(error, askedAtMs);
+          continue;
+        }
         this.#noteLost(error, askedAtMs);
         await this.#pause(this.#retryMs);
       }
@@ -175,9 +197,8 @@
   }
 
   async #step(askedAtMs: number): Promise<void> {
-    const { port, waitMs } = this.#options;
     if (this.#next === undefined) return await this.#load(askedAtMs);
-    const slice = await port.readChanges(this.#next, waitMs);
+    const slice = await this.#readChanges(this.#next);
     if (slice === undefined) return await this.#load(askedAtMs);
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
@@ -185,8 +206,27 @@
     this.#options.onChanges(slice.entries, askedAtMs);
   }
 
+  /** Throws {@linkcode HeldReadLostError} where a held read fails, which says little of the store. */
+  async #readChanges(from: number): Promise<TopicSlice<T> | undefined> {
+    const { port, timeoutMs, answerMs = timeoutMs } = this.#options;
+    const waitMs = this.#isHeldLost ? 0 : this.#drawWaitMs();
+    if (waitMs === 0) return await port.readChanges(from, 0, timeoutMs);
+    try {
+      return await port.readChanges(from, waitMs, answerMs);
+    } catch (error) {
+      throw new HeldReadLostError((error as Error).message, error);
+    }
+  }
+
+  /** A change answers all held reads at once, so readers would stay in step without jitter. */
+  #drawWaitMs(): number {
+    const { waitMs, drawUnit = Math.random } = this.#options;
+    return Math.round(waitMs * (1 - JITTER_PART * drawUnit()));
+  }
+
   async #load(askedAtMs: number): Promise<void> {
-    const slice = await this.#options.port.load();
+    const { port, timeoutMs } = this.#options;
+    const slice = await port.load(timeoutMs);
     if (this.#stopped || !this.#isActive) return;
     this.#next = slice.next;
     this.#dropUnlisted(slice.entries);
@@ -218,6 +258,18 @@
     }
   }
 
+  /** The topic is read again at once: the store may be back, or only the connection lost. */
+  #noteHeldLost(error: Error, askedAtMs: number): void {
+    this.#isHeldLost = true;
+    const { name, log } = this.#options;
+    log.write("info", "heldReadLost", {
+      dependency: `store topic ${name}`,
+      reason: error.message,
+      tookMs: Math.round(this.#nowMs - askedAtMs),
+      ageMs: formatAge(this.#nowMs - this.#readAtMs),
+    });
+  }
+
   #noteLost(error: unknown, askedAtMs: number): void {
     this.#options.onFailed?.(askedAtMs);
     if (this.#lostAtMs !== undefined) return;
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -193,3 +193,32 @@
   const { pauseMs: most } = await readLate(0, 1);
   assert.deepEqual([least, most], [POLL_MS * 0.75, POLL_MS * 1.25]);
 });
+
+// A store may be slower than the answer to a held read may be, or refuse every read at once.
+test("a held read that fails is followed by one that is not held, and then by a pause", async () => {
+  const asked: number[] = [];
+  const events: string[] = [];
+  const read = (_: number, waitMs: number): Promise<TopicSlice<number>> => {
+    asked.push(waitMs);
+    return Promise.reject(new Error("status 503"));
+  };
+  const follower = createPolling(
+    () => Promise.resolve({ entries: [], next: 1 }),
+    {
+      port: {
+        load: () => Promise.resolve({ entries: [], next: 1 }),
+        readChanges: read,
+      },
+      log: { write: (_, event) => void events.push(event) },
+      pollMs: 0,
+      waitMs: POLL_MS,
+      drawUnit: () => 0,
+    },
+  );
+  follower.start();
+  await settle();
+  follower.stop();
+  assert.deepEqual(asked, [POLL_MS, 0]);
+  assert.deepEqual(events, ["heldReadLost", "dependencyLost"]);
+  follower.refresh();
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -13,6 +13,7 @@
 import { RoleKeeper } from "./tasks/role_keeper.ts";
 import type { StatusServer } from "./tasks/status_server.ts";
 import { StoreReading } from "./tasks/store_reading.ts";
+import { planConfigReads } from "./decisions/config_reads.ts";
 import { computeMaxListAgeMs } from "./vm_beliefs.ts";
 
 /** What an adapter brings. */
@@ -115,7 +116,7 @@
   return new StoreReading({
     configTopic: directory.configs,
     targetTopic: directory.targets,
-    configWaitMs: store.configWaitMs,
+    configReads: planConfigReads(store),
     targetPollMs: store.targetPollMs,
     getToldAtMs: () => getParts().mesh.listAtMs,
     hasStoodStillSince: (atMs) => parts.listGuard.hasStoodStillSince(atMs),
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -21,6 +21,18 @@
  */
 const POLL_PART = 0.35;
 
+/**
+ * Part of the bound of the configuration for which a read may be held: a change may wait for a read
+ * that was lost, and for the one after it.
+ */
+const CONFIG_WAIT_PART = 0.5;
+/** Longest time for which the store holds a read. */
+const MAX_CONFIG_WAIT_MS = 30_000;
+
+function computeMaxConfigWaitMs(store: { configBoundMs: number }): number {
+  return Math.round(store.configBoundMs * CONFIG_WAIT_PART);
+}
+
 const FORWARD_SCHEMA = z.object({
   vm: z.object({
     id: z.string().min(1).max(64),
@@ -40,8 +52,10 @@
     requestTimeoutMs: MS(50, 60_000, 1500),
     /** Largest record that the store takes. */
     maxRecordBytes: z.int().min(1024).default(256 * 1024),
-    /** How long a read for a newer configuration may be held back. */
-    configWaitMs: MS(0, 30_000, 2000),
+    /** Time within which a change of the configuration is in force. */
+    configBoundMs: MS(200, 600_000, 2000),
+    /** How long a read for a newer configuration may be held back; by default half the bound. */
+    configWaitMs: z.int().min(0).max(30_000).optional(),
     /** Time for which a leaving target may still get work. */
     leavingBoundMs: MS(100, 600_000, 2000),
     /** Time between the writes with which a live target keeps its entry of the list. */
@@ -52,7 +66,12 @@
     ...store,
     targetPollMs: store.targetPollMs ??
       Math.round(store.leavingBoundMs * POLL_PART),
-  })),
+    configWaitMs: store.configWaitMs ??
+      Math.min(MAX_CONFIG_WAIT_MS, computeMaxConfigWaitMs(store)),
+  })).refine((store) => store.configWaitMs <= computeMaxConfigWaitMs(store), {
+    path: ["configWaitMs"],
+    message: "must be at most half of configBoundMs: a held read may be lost",
+  }),
   mesh: z.object({
     sharedKey: z.string().min(16, "must have 16 characters or more"),
     /** Address that peers are told; by default the one that is listened on. */
--- a/packages/heatherarch-settings/tests/unit/settings_test.ts
+++ b/packages/heatherarch-settings/tests/unit/settings_test.ts
@@ -4,6 +4,7 @@
   type Fault,
   parseFleet,
   parseProfile,
+  readForwardSettings,
   readProcessSettings,
 } from "../../mod.ts";
 
@@ -86,3 +87,32 @@
   const faults = parseProfile({ name: "fast", dedlineMs: 10 }).val as Fault[];
   assert.match(faults[0].reason, /dedlineMs/);
 });
+
+const FORWARDING = `
+[vm]
+id = "pasay-a-1"
+availabilityZone = "pasay-a"
+[listen]
+callers = "127.0.0.1:8080"
+readiness = "127.0.0.1:8081"
+metrics = "127.0.0.1:9080"
+mesh = "127.0.0.1:7080"
+[mesh]
+sharedKey = "heatherarch-tests"
+[store]
+address = "127.0.0.1:7000"
+configBoundMs = 3000
+`;
+
+test("a read for a newer configuration is held for half of the bound by default", () => {
+  const { store } = readForwardSettings(FORWARDING).unwrap();
+  assert.equal(store.configWaitMs, 1500);
+});
+
+test("a hold that can't keep the bound of the configuration is refused", () => {
+  const parsed = readForwardSettings(`${FORWARDING}configWaitMs = 1501\n`);
+  assert.deepEqual(
+    (parsed.val as Fault[]).map(({ place }) => place),
+    ["store.configWaitMs"],
+  );
+});
