A VM that gets a duty reads the store as often as the others from then on

Cause: the pause after a failed read was set to that of a VM without duty (1 s) and never set back, so a VM that became a hub, or one of a fleet that shrank below hubs, brought a change up to 0.75 s later to all that it tells.

Change: the follower knows both pauses and picks by its duty; that of configurations without duty is a part of the bound as well.

--- a/packages/heatherarch-forward/tasks/store_reading.ts
+++ b/packages/heatherarch-forward/tasks/store_reading.ts
@@ -49,9 +49,6 @@
 /** Who said, or what showed, that a target leaves. */
 export type LeavingSource = "store" | "hub" | "otherIncarnation" | "grace";
 
-/** Pause after a failed read of a VM that usually need not read, milliseconds. */
-const SPARE_RETRY_MS = 1000;
-
 /** Follows the two topics of the store. */
 export class StoreReading {
   readonly #options: StoreReadingOptions;
@@ -95,13 +92,13 @@
     return this.#targets.getAgeMs(this.#options.clock.readMonotonicMs());
   }
 
-  /** Reads or rests; a VM without duty is patient after a failed read, as many try at once. */
+  /** Reads or rests; {@linkcode TopicFollower.setDuty} says what a VM without duty does. */
   share(isActive: boolean, hasDuty: boolean): void {
     if (isActive !== this.#targets.isActive) {
       this.#options.log.write("info", "storeReading", { isActive });
     }
     for (const follower of [this.#configs, this.#targets]) {
-      if (!hasDuty) follower.setRetryMs(SPARE_RETRY_MS);
+      follower.setDuty(hasDuty);
       follower.setActive(isActive);
     }
   }
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -36,6 +36,8 @@
   readonly onFailed?: (askedAtMs: number) => void;
   /** Pause after a failed read, milliseconds. */
   readonly retryMs?: number;
+  /** The same on a VM without duty. */
+  readonly spareRetryMs?: number;
   readonly clock: Clock;
   /** Uniform in [0, 1). */
   readonly drawUnit?: () => number;
@@ -43,6 +45,8 @@
 
 /** Pause after a failed read, milliseconds: several tries within the bound of two seconds. */
 const RETRY_MS = 250;
+/** The same on a VM without duty: many of them try at once. */
+const SPARE_RETRY_MS = 1000;
 /** Least part of the usual pause: short after a standstill, long enough for a store that is slow. */
 const LEAST_PAUSE_PART = 0.25;
 /**
@@ -75,7 +79,7 @@
   #endPause: (() => void) | undefined;
   /** The read in progress is to be followed by another one at once. */
   #isRefreshDue = false;
-  #retryMs: number;
+  #hasDuty = true;
   /** A held read was lost: the next one is answered at once, whether there is a change or not. */
   #isHeldLost = false;
   #readAtMs = -Infinity;
@@ -84,7 +88,6 @@
 
   constructor(options: TopicFollowerOptions<T>) {
     this.#options = options;
-    this.#retryMs = options.retryMs ?? RETRY_MS;
   }
 
   /** Whether the last read succeeded and the topic has been loaded. */
@@ -119,9 +122,9 @@
     if (isActive) this.#endRest?.();
   }
 
-  /** Sets the pause after a failed read: where many VMs try at once it is longer. */
-  setRetryMs(retryMs: number): void {
-    this.#retryMs = retryMs;
+  /** A VM without duty is patient after a failed read, as many of them try at once. */
+  setDuty(hasDuty: boolean): void {
+    this.#hasDuty = hasDuty;
   }
 
   start(): void {
@@ -159,7 +162,7 @@
           continue;
         }
         this.#noteLost(error, askedAtMs);
-        await this.#pause(this.#retryMs);
+        await this.#pause(this.#pickRetryMs());
       }
     }
   }
@@ -184,6 +187,11 @@
     this.#endPause = undefined;
   }
 
+  #pickRetryMs(): number {
+    const { retryMs = RETRY_MS, spareRetryMs = SPARE_RETRY_MS } = this.#options;
+    return this.#hasDuty ? retryMs : spareRetryMs;
+  }
+
   /** Counts from the request, so that a slow store does not make what is known older by as much. */
   #computePauseMs(): number {
     const { pollMs, drawUnit = Math.random } = this.#options;
