A change comes from another peer where the one that told of it is silent

Cause: a VM that heard of a newer version asked the peer that had told it, and passed over the word of all others meanwhile; a peer that had fallen silent cost 1 s, and 0.7 s more before the next one was asked. Where hubs tell the change, that alone exceeds what the bound leaves them.

Change: peers with a newer version are remembered and asked one after another, newest first, three at most before the store. When a VM that reads by itself asks, and how long it waits for a peer, are parts of the bound (config_reads.ts), as the rest of the way is.

--- a/packages/heatherarch-forward/decisions/config_reads.ts
+++ b/packages/heatherarch-forward/decisions/config_reads.ts
@@ -30,6 +30,10 @@
   readonly retryMs: number;
   /** The same on a VM without duty: many of them try at once. */
   readonly spareRetryMs: number;
+  /** A VM that reads the store asks a peer that has a change only after this time. */
+  readonly askPeerAfterMs: number;
+  /** Longest wait for a peer's answer. */
+  readonly peerTimeoutMs: number;
 }
 
 /** Parts of the bound. What is left is for the answer itself, and for hubs to tell it on. */
@@ -37,6 +41,8 @@
 const TIMEOUT_PART = 0.6;
 const RETRY_PART = 0.125;
 const SPARE_RETRY_PART = 0.25;
+const ASK_PEER_PART = 0.35;
+const PEER_TIMEOUT_PART = 0.2;
 
 /** Plans the reads of one VM. */
 export function planConfigReads(options: ConfigReadsOptions): ConfigReads {
@@ -49,6 +55,8 @@
     timeoutMs: Math.min(requestTimeoutMs, computePart(TIMEOUT_PART)),
     retryMs: computePart(RETRY_PART),
     spareRetryMs: computePart(SPARE_RETRY_PART),
+    askPeerAfterMs: computePart(ASK_PEER_PART),
+    peerTimeoutMs: Math.min(requestTimeoutMs, computePart(PEER_TIMEOUT_PART)),
   };
 }
 
--- a/packages/heatherarch-forward/fleet/config_exchange.ts
+++ b/packages/heatherarch-forward/fleet/config_exchange.ts
@@ -6,6 +6,7 @@
 import { sleep } from "heatherarch-core";
 import type { MeshNode } from "heatherarch-mesh";
 import type { ConfigView } from "../beliefs/config_view.ts";
+import type { ConfigReads } from "../decisions/config_reads.ts";
 import type { EventLog } from "../event_log.ts";
 import type { RoutingConfig } from "../model.ts";
 
@@ -14,6 +15,7 @@
   readonly node: Pick<MeshNode, "call" | "registerCall">;
   readonly configs: ConfigView;
   readonly log: EventLog;
+  readonly configReads: Pick<ConfigReads, "askPeerAfterMs" | "peerTimeoutMs">;
   /** Whether this VM reads the store's topics by itself. */
   readonly hasToRead: () => boolean;
   /** Reads the configuration from the store, once. */
@@ -21,15 +23,16 @@
 }
 
 const CONFIG_CALL = "config";
-const CALL_TIMEOUT_MS = 1000;
-/** The store brings a configuration sooner as a rule; a peer is asked after this time. */
-const ASK_AFTER_MS = 700;
 /** Larger configurations come from the store: a hub's link would be busy with them too long. */
 const MAX_MESH_ROUTES = 100;
+/** Peers that are asked before the store. */
+const MAX_PEERS_ASKED = 3;
 
 /** The exchange of one VM. */
 export class ConfigExchange {
   readonly #options: ConfigExchangeOptions;
+  /** Peers that have a newer version than this VM, and which. */
+  readonly #holders = new Map<string, number>();
   #isAsking = false;
 
   constructor(options: ConfigExchangeOptions) {
@@ -46,7 +49,17 @@
 
   /** A peer has this version: it is fetched if it is newer. */
   noteVersion(peer: string, version: number): void {
-    if (version > this.#options.configs.version) void this.#ask(peer, version);
+    const { configs, log, hasToRead } = this.#options;
+    if (version <= configs.version) return;
+    this.#holders.set(peer, version);
+    if (this.#isAsking) return;
+    log.write("info", "configHeard", {
+      peer,
+      version,
+      before: configs.version,
+      reads: hasToRead(),
+    });
+    void this.#ask();
   }
 
   /** The configuration; null for a large one, unless the peer has no other way to it. */
@@ -57,48 +70,69 @@
     return isLarge && isOnlyWay !== true ? null : config;
   }
 
-  /** Fetches a configuration that a peer has and that the store has not brought in time. */
-  async #ask(peer: string, version: number): Promise<void> {
-    const { configs, log, hasToRead } = this.#options;
-    if (this.#isAsking) return;
+  /** Fetches a configuration that peers have and that the store has not brought in time. */
+  async #ask(): Promise<void> {
+    const { configReads, hasToRead } = this.#options;
     this.#isAsking = true;
-    log.write("info", "configHeard", {
-      peer,
-      version,
-      before: configs.version,
-      reads: hasToRead(),
-    });
-    try {
-      if (hasToRead()) await sleep(ASK_AFTER_MS);
-      if (configs.version >= version) return;
-      if (await this.#take(peer, false)) return;
+    if (hasToRead()) await sleep(configReads.askPeerAfterMs);
+    if (!await this.#takeFromPeers(false)) {
       await this.#load();
-      if (configs.version < version) await this.#take(peer, true);
+      await this.#takeFromPeers(true);
+    }
+    this.#holders.clear();
+    this.#isAsking = false;
+  }
+
+  /** Asks peers one by one; returns whether this VM has as new a version as any of them. */
+  async #takeFromPeers(isOnlyWay: boolean): Promise<boolean> {
+    for (let asked = 0; asked < MAX_PEERS_ASKED; asked++) {
+      const peer = this.#pickHolder();
+      if (peer === undefined) break;
+      const hasGiven = await this.#take(peer, isOnlyWay);
+      // Any peer would withhold a large configuration; others are asked where this one failed.
+      if (hasGiven === false) return false;
+      if (hasGiven === undefined) this.#holders.delete(peer);
+    }
+    return this.#pickHolder() === undefined;
+  }
+
+  /** The peer with the newest version; undefined where none is newer than this VM's. */
+  #pickHolder(): string | undefined {
+    let newest = this.#options.configs.version;
+    let holder: string | undefined;
+    for (const [peer, version] of this.#holders) {
+      if (version <= newest) continue;
+      newest = version;
+      holder = peer;
+    }
+    return holder;
+  }
+
+  /** Whether the peer gave its configuration; undefined where it did not answer. */
+  async #take(peer: string, isOnlyWay: boolean): Promise<boolean | undefined> {
+    const { configs, configReads, log, node } = this.#options;
+    try {
+      const config = await node.call(
+        peer,
+        CONFIG_CALL,
+        isOnlyWay,
+        configReads.peerTimeoutMs,
+      );
+      if (config === null) return false;
+      const { version } = config as RoutingConfig;
+      configs.applyConfig(config as RoutingConfig, `peer ${peer}`);
+      this.#holders.set(peer, version);
+      return true;
     } catch (error) {
       log.write("warn", "configNotFetched", {
         peer,
-        version,
+        version: this.#holders.get(peer),
         reason: (error as Error).message,
       });
-    } finally {
-      this.#isAsking = false;
+      return undefined;
     }
   }
 
-  /** Whether the peer gave its configuration. */
-  async #take(peer: string, isOnlyWay: boolean): Promise<boolean> {
-    const { configs, node } = this.#options;
-    const config = await node.call(
-      peer,
-      CONFIG_CALL,
-      isOnlyWay,
-      CALL_TIMEOUT_MS,
-    );
-    if (config === null) return false;
-    configs.applyConfig(config as RoutingConfig, `peer ${peer}`);
-    return true;
-  }
-
   async #load(): Promise<void> {
     try {
       await this.#options.loadConfig();
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -21,6 +21,7 @@
 export * from "./decisions/engine_spread.ts";
 export * from "./event_log.ts";
 export * from "./life/event_splitter.ts";
+export * from "./fleet/config_exchange.ts";
 export * from "./fleet/feed_source.ts";
 export * from "./fleet/fleet_mesh.ts";
 export * from "./forward_vm.ts";
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -77,6 +77,7 @@
     onListLost: (source) => parts.reading.noteHubLost(source),
     getListReadAtMs: () => parts.reading.listReadAtMs,
     onListRead: (atMs) => parts.directory.notePeerRead(atMs),
+    configReads: planConfigReads(settings.store),
     loadConfig: () => parts.reading.loadConfig(),
     onLiveVms: wiring.onLiveVms,
     onChanging: wiring.onChanging,
