--- a/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
@@ -9,7 +9,7 @@
 import { buildConfig, buildRoute } from "./fixtures.ts";
 
 /** What a peer does when it is asked: the version that it gives, or nothing at all. */
-type PeerAnswer = number | "silent" | "large";
+type PeerAnswer = number | "silent" | "large" | "unreadable";
 
 interface Asked {
   readonly peer: string;
@@ -43,6 +43,7 @@
       await sleepMs(timeoutMs);
       throw new Error("timed out");
     }
+    if (answer === "unreadable") return { revision: 9 };
     if (answer !== "large") return buildConfig({ version: answer });
     return isOnlyWay === true
       ? buildConfig({ version: 2, routes: LARGE })
@@ -96,3 +97,12 @@
   await sleepMs(BOUND_MS);
   assert.equal(configs.version, 5);
 });
+
+// A peer of another release may answer in a form that this one does not know.
+test("what is no configuration is not taken from a peer", async () => {
+  const { exchange, configs } = createExchange({ a: "unreadable", b: 2 });
+  exchange.noteVersion("a", 2);
+  exchange.noteVersion("b", 2);
+  await sleepMs(BOUND_MS);
+  assert.equal(configs.version, 2);
+});
