A VM that started in an outage of the store is listed soon after it

Cause: the looks at the list of VMs grow rarer (1, 2.5, 4, then 12 s) also where the VM could not announce itself, so one that started in a longer outage was unknown to its peers for up to 12 s after the store was back, and not counted among the VMs that share limits.

Change: a VM that is not listed looks every second.

Test: vm_list_follower_test, an outage of 9 s at the start: not listed 1.5 s after it before, listed after.

--- a/packages/heatherarch-forward/fleet/vm_list_follower.ts
+++ b/packages/heatherarch-forward/fleet/vm_list_follower.ts
@@ -23,6 +23,8 @@
 const EARLY_LOOKS_MS = [1000, 2500, 4000];
 const LOOK_MS = 12_000;
 const FED_LOOK_MS = 60_000;
+/** Peers don't know a VM that is not listed: it tries again soon. */
+const UNLISTED_LOOK_MS = 1000;
 
 /** The task that follows the list of VMs. */
 export class VmListFollower {
@@ -94,6 +96,7 @@
   }
 
   #pickRestMs(): number {
+    if (!this.#isAnnounced) return UNLISTED_LOOK_MS;
     if (this.#options.isFed()) return FED_LOOK_MS;
     return EARLY_LOOKS_MS[this.#looks] ?? LOOK_MS;
   }
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -56,6 +56,7 @@
 export * from "./life/target_exchange.ts";
 export * from "./life/try_judge.ts";
 export * from "./fleet/target_feed.ts";
+export * from "./fleet/vm_list_follower.ts";
 export * from "./beliefs/target_health.ts";
 export * from "./beliefs/target_rests.ts";
 export * from "./tasks/topic_follower.ts";
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/vm_list_follower_test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "heatherarch-core";
+import { VmListFollower, type VmRecord } from "../../mod.ts";
+
+const SELF: VmRecord = {
+  id: "vm-0",
+  incarnation: "vm-0-1",
+  availabilityZone: "zone-a",
+  mesh: "127.0.0.1:1",
+};
+const OUTAGE_MS = 9000;
+const TICK_MS = 250;
+/** Time within which a VM is listed once the store is back, milliseconds. */
+const LISTED_MS = 1500;
+
+// A VM that started in an outage of the store was not listed for up to 12 s after it.
+test("a VM that starts in an outage is listed soon after the store is back", async () => {
+  const clock = new ManualClock();
+  const startMs = clock.readMonotonicMs();
+  let listedAtMs: number | undefined;
+  const follower = new VmListFollower({
+    self: SELF,
+    clock,
+    isFed: () => false,
+    vms: {
+      put: () => {
+        const nowMs = clock.readMonotonicMs();
+        if (nowMs - startMs < OUTAGE_MS) {
+          return Promise.reject(new Error("status 503"));
+        }
+        listedAtMs ??= nowMs;
+        return Promise.resolve();
+      },
+      load: () => Promise.resolve({ entries: [], next: 0 }),
+      readChanges: () => Promise.resolve({ entries: [], next: 0 }),
+    },
+    onList: () => undefined,
+    onFault: () => undefined,
+  });
+  follower.start();
+  while (clock.readMonotonicMs() - startMs < OUTAGE_MS + LISTED_MS) {
+    await new Promise((resolve) => setImmediate(resolve));
+    clock.advance(TICK_MS);
+    follower.tend();
+  }
+  await new Promise((resolve) => setImmediate(resolve));
+  follower.stop();
+  assert.notEqual(listedAtMs, undefined);
+});
