What is quarantined is loaded within a second of the store's return

Cause: a load that fails was retried with the backoff of writes, up to 8 s. Where all VMs start again in an outage nobody else tells what is held back, so requests that crash targets would have been run for that long.

Change: the backoff of a load ends at 1 s; that of writes stays.

Test: quarantine_keeper_test, pauses 500, 1000, 2000, 4000, 8000 and so on before, at most 1000 ms after.

--- a/packages/heatherarch-forward/tasks/quarantine_keeper.ts
+++ b/packages/heatherarch-forward/tasks/quarantine_keeper.ts
@@ -23,7 +23,9 @@
 
 /** First delay of the exponential backoff, milliseconds. */
 const RETRY_MS = 500;
-const MAX_RETRY_MS = 8000;
+const MAX_WRITE_RETRY_MS = 8000;
+/** After a restart of all VMs nobody else tells what is held back. */
+const MAX_LOAD_RETRY_MS = 1000;
 /** Tries of a write; running VMs know the request without it. */
 const MAX_WRITES = 5;
 
@@ -102,7 +104,10 @@
           reason: (error as Error).message,
         });
         if (isLast) return;
-        await sleep(Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (tries - 1)));
+        const maxRetryMs = action === "load"
+          ? MAX_LOAD_RETRY_MS
+          : MAX_WRITE_RETRY_MS;
+        await sleep(Math.min(maxRetryMs, RETRY_MS * 2 ** (tries - 1)));
       }
     }
   }
