Proof of the reads that bring a newer configuration

Stores that go silent up to three times, with a change as they return; a change has to be read within three quarters of the bound.

--- /dev/null
+++ b/packages/heatherarch-lab/proofs/config_reads_proof.ts
@@ -0,0 +1,90 @@
+/**
+ * Proof of the reads that bring a newer configuration: a store goes silent several times, and a
+ * change comes as it returns.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import { type ConfigReads, planConfigReads } from "heatherarch-forward";
+import {
+  measureDelays,
+  REQUEST_TIMEOUT_MS,
+  type Silence,
+  TICK_MS,
+} from "./config_reads_world.ts";
+import { type Proof, requirePromise } from "./proof.ts";
+
+const GUARDS = ["holdFromBound", "limitFromBound", "pauseFromBound"] as const;
+
+const BOUND_MS = 2000;
+/** Part of the bound in which a reader has the change; the rest is for hubs. */
+const READ_PART = 0.75;
+/** Times as they are where they don't follow from the bound, milliseconds. */
+const UNBOUND: Readonly<Record<typeof GUARDS[number], Partial<ConfigReads>>> = {
+  holdFromBound: { waitMs: 2000 },
+  limitFromBound: { timeoutMs: REQUEST_TIMEOUT_MS },
+  pauseFromBound: { retryMs: 1000 },
+};
+
+interface Schedule {
+  /** Pauses and silences in turn, milliseconds. */
+  readonly turns: readonly {
+    readonly afterMs: number;
+    readonly forMs: number;
+  }[];
+  readonly unit: number;
+}
+
+function buildSilences({ turns }: Schedule): Silence[] {
+  let nowMs = 0;
+  return turns.map(({ afterMs, forMs }) => {
+    const fromMs = nowMs + afterMs;
+    nowMs = fromMs + forMs;
+    return { fromMs, untilMs: nowMs };
+  });
+}
+
+async function checkSchedule(
+  schedule: Schedule,
+  off: string | undefined,
+): Promise<void> {
+  const planned = planConfigReads({
+    configBoundMs: BOUND_MS,
+    configWaitMs: BOUND_MS / 2,
+    requestTimeoutMs: REQUEST_TIMEOUT_MS,
+  });
+  const without = GUARDS.find((guard) => guard === off);
+  const [delayMs] = await measureDelays({
+    reads: without === undefined
+      ? planned
+      : { ...planned, ...UNBOUND[without] },
+    stores: [buildSilences(schedule)],
+    afterMs: 2 * BOUND_MS,
+    drawUnit: () => schedule.unit,
+  });
+  requirePromise(
+    delayMs <= BOUND_MS * READ_PART + 5 * TICK_MS,
+    "a change is read in time",
+    `${delayMs} ms after the store's return`,
+  );
+}
+
+/** Stores that go silent. */
+export const CONFIG_READS_PROOF: Proof = {
+  name: "config-reads",
+  guards: GUARDS,
+  build: (off) =>
+    fc.asyncProperty(
+      fc.record({
+        turns: fc.array(
+          fc.record({
+            afterMs: fc.integer({ min: TICK_MS, max: 2000 }),
+            forMs: fc.integer({ min: TICK_MS, max: 4000 }),
+          }),
+          { minLength: 1, maxLength: 3 },
+        ),
+        unit: fc.constantFrom(0, 0.25, 0.5, 0.99),
+      }),
+      (schedule) => checkSchedule(schedule, off),
+    ),
+};
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -5,6 +5,7 @@
  */
 import { CLAIMS_PROOF } from "./claims_proof.ts";
 import { CONFIG_PROOF } from "./config_proof.ts";
+import { CONFIG_READS_PROOF } from "./config_reads_proof.ts";
 import { GENERATION_PROOF } from "./generation_proof.ts";
 import { LEASE_PROOF } from "./lease_proof.ts";
 import { LEAVING_PROOF } from "./leaving_proof.ts";
@@ -33,5 +34,6 @@
   { proof: GENERATION_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: ORDER_WRITE_PROOF, testRuns: 20, mutationRuns: 100 },
   { proof: TARGET_LIST_PROOF, testRuns: 300, mutationRuns: 5000 },
+  { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
--- /dev/null
+++ b/packages/heatherarch-lab/tests/unit/config_reads_test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { computeConfigDelayMs, planConfigReads } from "heatherarch-forward";
+import {
+  measureDelays,
+  REQUEST_TIMEOUT_MS,
+  type Silence,
+  TICK_MS,
+} from "../../proofs/config_reads_world.ts";
+
+/** Part of the bound that is left for hubs to tell a change on. */
+const HUB_PART = 0.25;
+
+/** Silences of several lengths that begin and end at every phase of a reader's period. */
+function listSilences(configBoundMs: number): Silence[] {
+  const stepMs = configBoundMs / 40;
+  const silences: Silence[] = [];
+  for (const part of [0.02, 0.3, 0.8, 1.75]) {
+    for (let fromMs = stepMs; fromMs < 1.6 * configBoundMs; fromMs += stepMs) {
+      silences.push({ fromMs, untilMs: fromMs + part * configBoundMs });
+    }
+  }
+  return silences;
+}
+
+// A change had to wait for a read that the store would never answer, longer than its bound.
+for (const configBoundMs of [2000, 3000, 4000, 14_000]) {
+  test(`a change after a silence of any phase is read within a bound of ${configBoundMs} ms`, async () => {
+    const reads = planConfigReads({
+      configBoundMs,
+      configWaitMs: configBoundMs / 2,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+    });
+    for (const unit of [0, 0.5]) {
+      const delaysMs = await measureDelays({
+        reads,
+        stores: listSilences(configBoundMs).map((silence) => [silence]),
+        afterMs: 3 * configBoundMs,
+        drawUnit: () => unit,
+      });
+      const longestMs = Math.max(...delaysMs);
+      assert.ok(
+        longestMs <= configBoundMs * (1 - HUB_PART) + 5 * TICK_MS,
+        `${longestMs} ms`,
+      );
+    }
+  });
+}
+
+test("the planned times leave hubs a quarter of the bound", () => {
+  for (const configBoundMs of [200, 2000, 4000, 14_000, 600_000]) {
+    const reads = planConfigReads({
+      configBoundMs,
+      configWaitMs: configBoundMs / 2,
+      requestTimeoutMs: REQUEST_TIMEOUT_MS,
+    });
+    assert.ok(
+      computeConfigDelayMs(reads) <= configBoundMs * (1 - HUB_PART),
+      `${configBoundMs} ms`,
+    );
+  }
+});
