The report of prove names each violated invariant

Change: a VM logs each violation with its name, detail and stack; the report lists them with VM, time since the start and the VM's last 20 lines. The count is the larger of what metrics and logs tell, as a killed process takes its metrics along (stricter).

Not reproduced yet.

--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -11,7 +11,13 @@
   createContainer,
   InjectionMode,
 } from "awilix";
-import { createId, RuntimeClock, ServeError, sleep } from "heatherarch-core";
+import {
+  createId,
+  registerViolationListener,
+  RuntimeClock,
+  ServeError,
+  sleep,
+} from "heatherarch-core";
 import { Gateway, type GatewayHost } from "heatherarch-gateway";
 import { HttpLog, HttpVmList } from "heatherarch-log";
 import {
@@ -31,7 +37,7 @@
 } from "heatherarch-policy";
 import type { ProcessSettings, RoutingKind } from "heatherarch-settings";
 import { HeartbeatBuilder } from "./heartbeat_builder.ts";
-import type { Logger } from "./logger.ts";
+import { INVARIANT_VIOLATED, type Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
 import { OperatorServer } from "./operator_server.ts";
 import {
@@ -70,6 +76,7 @@
   readonly #container: AwilixContainer<Parts>;
   readonly #routers = new Map<RoutingKind, Router>();
   readonly #timers: NodeJS.Timeout[] = [];
+  #undoViolations: (() => void) | undefined;
   #leaving = false;
   #closedToCallers = false;
   #stopping: Promise<void> | undefined;
@@ -100,6 +107,13 @@
       metrics,
     } = this.#parts;
     const { logger, gateway, operators } = this.#parts;
+    this.#undoViolations = registerViolationListener((error) =>
+      logger.error(INVARIANT_VIOLATED, {
+        invariant: error.invariant,
+        detail: error.message,
+        stack: error.stack,
+      })
+    );
     config.registerListener((state) => {
       table.applyConfig(state);
       this.#applySpeeds();
@@ -167,6 +181,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     this.#parts.watcher.stop();
     config.stop();
+    this.#undoViolations?.();
     gateway.close();
     this.#parts.operators.close();
     mesh.stop();
--- a/packages/heatherarch-daemon/logger.ts
+++ b/packages/heatherarch-daemon/logger.ts
@@ -8,6 +8,9 @@
 /** Writes log lines. */
 export type Logger = Pick<winston.Logger, "info" | "warn" | "error" | "debug">;
 
+/** Message of the line that a violated invariant leaves. */
+export const INVARIANT_VIOLATED = "invariant violated";
+
 /** Creates the process's logger, which writes JSON lines to standard error. */
 export function createLogger(options: { level: string; vm: string }): Logger {
   return winston.createLogger({
--- a/packages/heatherarch-lab/chaos/chaos_report.ts
+++ b/packages/heatherarch-lab/chaos/chaos_report.ts
@@ -8,6 +8,7 @@
 import type { LoadRecord } from "../mixed_load.ts";
 import { type LoadSummary, summarizeLoad } from "../summary.ts";
 import { SPREAD_LIMIT_MS } from "./config_watch.ts";
+import type { ViolationEntry } from "./violation_list.ts";
 import type { DrainRecord } from "./fault_driver.ts";
 
 /** What a run found. */
@@ -33,6 +34,8 @@
   readonly raceWinnersMax: number;
   readonly errorKinds: Record<string, number>;
   readonly examples: readonly string[];
+  /** Violated invariants as the VMs logged them. */
+  readonly violationList: readonly ViolationEntry[];
 }
 
 /** Orders counted by kind of engine. */
@@ -63,6 +66,7 @@
   readonly roleChanges: number;
   /** Violated invariants that the VMs count. */
   readonly invariants: number;
+  readonly violationList: readonly ViolationEntry[];
   readonly raceWinnersMax: number;
   /** Longest time in which a change of the configuration reached all VMs. */
   readonly spreadMsMax: number;
@@ -117,6 +121,7 @@
     raceWinnersMax: findings.raceWinnersMax,
     errorKinds: summary.errorKinds,
     examples: cutByPlannedChange.slice(0, MAX_EXAMPLES).map(describeRecord),
+    violationList: findings.violationList,
   };
 }
 
@@ -139,7 +144,8 @@
     configReverts: findings.reverts,
     configDisagrees: isAgreed ? 0 : 1,
     raceHadTwoWinners: findings.raceWinnersMax > 1 ? 1 : 0,
-    invariants: findings.invariants,
+    // A VM that was killed took its count along, and one that lagged was not asked in time.
+    invariants: Math.max(findings.invariants, findings.violationList.length),
   };
 }
 
--- a/packages/heatherarch-lab/chaos/chaos_run.ts
+++ b/packages/heatherarch-lab/chaos/chaos_run.ts
@@ -20,6 +20,7 @@
 import { ConfigWatch } from "./config_watch.ts";
 import { type DrainRecord, FaultDriver } from "./fault_driver.ts";
 import { ChaosNetwork } from "./network.ts";
+import { listViolations } from "./violation_list.ts";
 import { buildSchedule, isUnplanned, type ScheduledFault } from "./schedule.ts";
 
 /** Options of {@linkcode runChaos}. */
@@ -129,6 +130,7 @@
   readonly #watch: ConfigWatch;
   readonly #violationsSeen = new Map<string, number>();
   #raceWinnersMax = 0;
+  #startedAtUnixMs = 0;
 
   constructor(options: ChaosOptions, cluster: Cluster, network: ChaosNetwork) {
     this.#options = options;
@@ -144,6 +146,7 @@
     balancer.start();
     this.#watch.start();
     const startMs = performance.now();
+    this.#startedAtUnixMs = Date.now();
     const load = this.#runLoad(balancer, startMs + totalMs);
     const faults = this.#runFaults(buildSchedule(seed, totalMs), startMs);
     const scraping = this.#scrapeViolations(startMs + totalMs);
@@ -267,6 +270,11 @@
       faults: this.#countFaults(),
       roleChanges: await this.#countRoleChanges(),
       invariants: sum([...this.#violationsSeen.values()]),
+      violationList: listViolations({
+        folder: this.#cluster.directory,
+        vms: this.#cluster.deployment.vms.map(({ id }) => id),
+        startedAtUnixMs: this.#startedAtUnixMs,
+      }),
       raceWinnersMax: this.#raceWinnersMax,
       spreadMsMax: this.#watch.spreadMsMax,
       reverts: this.#watch.reverts,
