--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -10,7 +10,13 @@
   createContainer,
   InjectionMode,
 } from "awilix";
-import { type Clock, createId, RuntimeClock, sleep } from "heatherarch-core";
+import {
+  type Clock,
+  createId,
+  registerViolationListener,
+  RuntimeClock,
+  sleep,
+} from "heatherarch-core";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
@@ -59,6 +65,7 @@
    */
   #resolved: VmParts | undefined;
   #sweeper: NodeJS.Timeout | undefined;
+  #undoViolations: (() => void) | undefined;
   #stopping = false;
   #stopped: Promise<void> | undefined;
   #liveVms = 1;
@@ -93,6 +100,12 @@
       node: process.version,
       listen,
     });
+    this.#undoViolations = registerViolationListener((error) =>
+      this.#log.write("error", "invariantViolated", {
+        invariant: error.invariant,
+        detail: error.message,
+      })
+    );
     this.#watchConfig();
     this.#watchQuarantine();
     this.#surveyOnceListed();
@@ -342,6 +355,7 @@
   async #closeAll(): Promise<void> {
     const { ingress, status, mesh, connections } = this.#parts;
     clearInterval(this.#sweeper);
+    this.#undoViolations?.();
     this.#parts.reading.stop();
     this.#parts.quarantineKeeper.stop();
     ingress.closeAll();
