An answer with all its tokens ends where the engine breaks off before its end

What callers saw: a request whose last token had come went on at one engine after another until its tries or its deadline were over, and ended as broken.

Cause: an engine that breaks off between the last token and its end was taken for one with tokens missing, so the next engine was asked for max_tokens 0, sent a token all the same, and violated the invariant no-surplus-tokens.

It depends on where tokens are cut into chunks, hence on load. The three violations of unknown kind in the issue are not shown to be the same.

The invariant stays as it is.

--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -353,6 +353,10 @@
     ) return;
     this.#closeLeg(leg, nowMs);
     if (failure !== "kvGone") this.#host.targets.noteFailure(leg.target);
+    // Only the engine's own end is missing.
+    if (this.#delivered.length === this.#options.maxTokens) {
+      return this.#finish("length");
+    }
     if (failure === "invalid") {
       return this.#fail(
         new ServeError("targetFailed", "the engine refused the request"),
@@ -441,7 +445,7 @@
     assertInvariant(whole, "whole-answer", requestId);
     this.#close();
     this.#options.sink.onEnd(reason, {
-      promptTokens: this.#promptTokens,
+      promptTokens: this.#promptTokens || this.#options.promptTokens,
       outputTokens: this.#delivered.length,
       cachedTokens: this.#cachedTokens,
     });
--- a/packages/heatherarch-lab/proofs/generation_proof.ts
+++ b/packages/heatherarch-lab/proofs/generation_proof.ts
@@ -83,6 +83,10 @@
         "the answer is the request's own",
         text,
       );
+      requirePromise(
+        tries.every(({ call }) => call.maxTokens > 0),
+        "no engine is asked for nothing",
+      );
       const whole = text === expected;
       requirePromise(
         outcome !== "ended" || whole,
