--- a/packages/heatherarch-daemon/order_executor.ts
+++ b/packages/heatherarch-daemon/order_executor.ts
@@ -30,6 +30,11 @@
 import type { ControlTask } from "./control_task.ts";
 import type { Logger } from "./logger.ts";
 import type { TargetTable } from "./target_table.ts";
+import {
+  isAsOrdered,
+  type PlannedOrder,
+  VersionWatch,
+} from "./version_watch.ts";
 
 /** What an order is given under. */
 export type OrderAuthority =
@@ -69,10 +74,6 @@
 const CHANGE_LIMIT_MS = 60_000;
 /** Why an order that was announced is not given. */
 const LEASE_LAPSED = "authority lapsed before the order was written";
-/** Engines whose version is looked at in one step. */
-const VERIFIED_PER_STEP = 4;
-/** An engine may have been restarted with other weights: all are looked at again. */
-const VERIFY_AGAIN_MS = 30_000;
 
 /** Gives orders to the engines of one availability zone. */
 export class OrderExecutor {
@@ -81,15 +82,18 @@
   #plannerOf: Fleet["planning"] | undefined;
   #nextPlanMs = 0;
   #authorityFromMs: number | undefined;
-  /** Engines seen with the published model and version. */
-  readonly #verified = new Set<string>();
-  #verifiedOf: Fleet | undefined;
-  #verifyAgainMs = 0;
+  readonly #versions: VersionWatch;
   #stopped = false;
   #busy = false;
 
   constructor(options: OrderExecutorOptions) {
     this.#options = options;
+    this.#versions = new VersionWatch({
+      clock: options.clock,
+      table: options.table,
+      readState: (target) => this.#readState(target),
+      mayOrder: (target) => this.#hasSettled(target),
+    });
   }
 
   /** Whether an order is in progress. */
@@ -160,44 +164,14 @@
     return sinceMs >= this.#options.settings.settleMs;
   }
 
-  /** An engine whose model or version is not the published one. One is changed at a time. */
-  async #findOutdated(): Promise<
-    { target: Target; order: EngineOrder } | undefined
-  > {
+  async #findOutdated(): Promise<PlannedOrder | undefined> {
     const fleet = this.#options.readFleet();
     if (fleet === null) return undefined;
-    const nowMs = this.#options.clock.readMonotonicMs();
-    if (this.#verifiedOf !== fleet || nowMs >= this.#verifyAgainMs) {
-      this.#verifiedOf = fleet;
-      this.#verifyAgainMs = nowMs + VERIFY_AGAIN_MS;
-      this.#verified.clear();
-    }
-    const unverified = this.#listEngines(fleet).filter(({ id }) =>
-      !this.#verified.has(id)
-    );
-    for (const { id } of unverified.slice(0, VERIFIED_PER_STEP)) {
-      const target = this.#options.table.findTarget(id);
-      const service = fleet.services.find((entry) =>
-        entry.name === target?.service
-      );
-      if (target === undefined || service?.kind !== "model") continue;
-      const state = await this.#readState(target);
-      if (state === undefined || state.busyWithOrder) continue;
-      const wanted = service.models.includes(state.model)
-        ? state.model
-        : service.models[0];
-      const order: EngineOrder = {
-        kind: "loadModel",
-        model: wanted,
-        version: service.version,
-      };
-      if (isAsOrdered(state, order)) this.#verified.add(id);
-      else if (this.#hasSettled(target)) return { target, order };
-    }
-    return undefined;
+    const engines = this.#listEngines(fleet).map(({ id }) => id);
+    return await this.#versions.findOutdated(fleet, engines);
   }
 
-  #planNext(): { target: Target; order: EngineOrder } | undefined {
+  #planNext(): PlannedOrder | undefined {
     const fleet = this.#options.readFleet();
     const nowMs = this.#options.clock.readMonotonicMs();
     if (fleet === null || nowMs < this.#nextPlanMs) return undefined;
@@ -411,9 +385,3 @@
     return status ?? { directive: "withdrawn", outstandingHere: 0 };
   }
 }
-
-function isAsOrdered(state: EngineState, order: EngineOrder): boolean {
-  return order.kind === "setRole"
-    ? state.role === order.role
-    : state.model === order.model && state.version === order.version;
-}
--- /dev/null
+++ b/packages/heatherarch-daemon/version_watch.ts
@@ -0,0 +1,88 @@
+/**
+ * Finds engines whose model or version is not the published one.
+ *
+ * @module
+ */
+import type { Clock, EngineOrder, EngineState } from "heatherarch-core";
+import type { Fleet, Target } from "heatherarch-settings";
+import type { TargetTable } from "./target_table.ts";
+
+/** An order and the engine that it is for. */
+export interface PlannedOrder {
+  readonly target: Target;
+  readonly order: EngineOrder;
+}
+
+/** Options of {@linkcode VersionWatch}. */
+export interface VersionWatchOptions {
+  readonly clock: Clock;
+  readonly table: Pick<TargetTable, "findTarget">;
+  /** Reads an engine's state; undefined where it does not answer. */
+  readonly readState: (target: Target) => Promise<EngineState | undefined>;
+  /** Whether an engine may be given an order now. */
+  readonly mayOrder: (target: Target) => boolean;
+}
+
+/** Engines whose version is looked at in one step. */
+const VERIFIED_PER_STEP = 4;
+/** An engine may have been restarted with other weights: all are looked at again. */
+const VERIFY_AGAIN_MS = 30_000;
+
+/** Looks at the engines of one availability zone, a few at a time. */
+export class VersionWatch {
+  readonly #options: VersionWatchOptions;
+  /** Engines seen with the published model and version. */
+  readonly #verified = new Set<string>();
+  #verifiedOf: Fleet | undefined;
+  #verifyAgainMs = 0;
+
+  constructor(options: VersionWatchOptions) {
+    this.#options = options;
+  }
+
+  /** An engine that is to load another model or version. One is changed at a time. */
+  async findOutdated(
+    fleet: Fleet,
+    engines: readonly string[],
+  ): Promise<PlannedOrder | undefined> {
+    this.#forgetOld(fleet);
+    const unverified = engines.filter((id) => !this.#verified.has(id));
+    for (const id of unverified.slice(0, VERIFIED_PER_STEP)) {
+      const planned = await this.#check(fleet, id);
+      if (planned !== undefined) return planned;
+    }
+    return undefined;
+  }
+
+  #forgetOld(fleet: Fleet): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    if (this.#verifiedOf === fleet && nowMs < this.#verifyAgainMs) return;
+    this.#verifiedOf = fleet;
+    this.#verifyAgainMs = nowMs + VERIFY_AGAIN_MS;
+    this.#verified.clear();
+  }
+
+  async #check(fleet: Fleet, id: string): Promise<PlannedOrder | undefined> {
+    const { table, readState, mayOrder } = this.#options;
+    const target = table.findTarget(id);
+    const service = fleet.services.find(({ name }) => name === target?.service);
+    if (target === undefined || service?.kind !== "model") return undefined;
+    const state = await readState(target);
+    if (state === undefined || state.busyWithOrder) return undefined;
+    const { models, version } = service;
+    const model = models.includes(state.model) ? state.model : models[0];
+    const order: EngineOrder = { kind: "loadModel", model, version };
+    if (!isAsOrdered(state, order)) {
+      return mayOrder(target) ? { target, order } : undefined;
+    }
+    this.#verified.add(id);
+    return undefined;
+  }
+}
+
+/** Whether an engine is as an order wants it. */
+export function isAsOrdered(state: EngineState, order: EngineOrder): boolean {
+  return order.kind === "setRole"
+    ? state.role === order.role
+    : state.model === order.model && state.version === order.version;
+}
