--- a/packages/heatherarch-claims/claim_fold.ts
+++ b/packages/heatherarch-claims/claim_fold.ts
@@ -8,6 +8,7 @@
 import {
   type ClaimEntry,
   type ClaimRecord,
+  type ClaimRequest,
   CLAIMS_FORMAT,
   type KeyState,
   parseClaimRecord,
@@ -95,6 +96,12 @@
     return verdicts;
   }
 
+  /** Verdict on a claim that was applied before the snapshot that was loaded; undefined for none. */
+  findVerdict(entry: ClaimRequest): ClaimVerdict | undefined {
+    const known = this.#keys.get(entry.key);
+    return known === undefined ? undefined : judgeKnown(known, entry);
+  }
+
   /** Builds the records of a snapshot of the present state. */
   buildSnapshot(createId: () => string): ClaimRecord[] {
     const keys = [...this.#keys.values()];
@@ -150,16 +157,14 @@
     }
   }
 
-  #applyClaim(entry: Extract<ClaimEntry, { op: "claim" }>): ClaimVerdict {
+  #applyClaim(entry: ClaimRequest): ClaimVerdict {
     const ageMs = this.#logTimeMs - entry.madeAtMs;
     const { keyWindowMs, futureSkewMs } = this.#options;
     const outside = ageMs >= keyWindowMs || ageMs < -futureSkewMs;
     if (outside && !this.#off.has("refuseExpired")) return { kind: "expired" };
     const known = this.#keys.get(entry.key);
     if (known !== undefined && !this.#off.has("firstClaimWins")) {
-      if (known.claimId === entry.claimId) return { kind: "granted" };
-      if (known.fingerprint !== entry.fingerprint) return { kind: "reused" };
-      return { kind: "taken", holder: known };
+      return judgeKnown(known, entry);
     }
     const { claimId, key, madeAtMs, fingerprint, vm } = entry;
     const claimedAtMs = this.#logTimeMs;
@@ -198,6 +203,13 @@
   }
 }
 
+/** Verdict on a claim of a key that is claimed. */
+function judgeKnown(known: KeyState, entry: ClaimRequest): ClaimVerdict {
+  if (known.claimId === entry.claimId) return { kind: "granted" };
+  if (known.fingerprint !== entry.fingerprint) return { kind: "reused" };
+  return { kind: "taken", holder: known };
+}
+
 type SnapshotRecord = Extract<ClaimRecord, { type: "snapshot" }>;
 
 function findSnapshot(
--- a/packages/heatherarch-claims/claim_records.ts
+++ b/packages/heatherarch-claims/claim_records.ts
@@ -71,6 +71,8 @@
 export type ClaimRecord = z.infer<typeof CLAIM_RECORD>;
 /** One claim, outcome or release. */
 export type ClaimEntry = z.infer<typeof ENTRY>;
+/** A claim of a key. */
+export type ClaimRequest = Extract<ClaimEntry, { op: "claim" }>;
 /** The answer of a call, kept for repeats. */
 export type ClaimOutcome = z.infer<typeof OUTCOME>;
 /** What is known of a key. */
--- a/packages/heatherarch-claims/claim_shard.ts
+++ b/packages/heatherarch-claims/claim_shard.ts
@@ -20,6 +20,7 @@
 import { buildClaimStream } from "./claim_key.ts";
 import {
   type ClaimEntry,
+  type ClaimRequest,
   CLAIMS_FORMAT,
   type KeyState,
 } from "./claim_records.ts";
@@ -86,10 +87,10 @@
    * Claims a key. Rejects with {@linkcode LogUnavailableError} where the verdict is not
    * known; the claim may then stand in the log, but it was not granted.
    */
-  async claim(
-    entry: Extract<ClaimEntry, { op: "claim" }>,
-  ): Promise<ClaimVerdict> {
-    const verdict = await this.#enqueue(entry);
+  async claim(entry: ClaimRequest): Promise<ClaimVerdict> {
+    // Another VM's snapshot may cover the record before this VM has read it.
+    const verdict = await this.#enqueue(entry) ??
+      this.#fold.findVerdict(entry);
     if (verdict === undefined) {
       throw new LogUnavailableError("no verdict on the claim");
     }
--- a/packages/heatherarch-claims/tests/unit/claims_test.ts
+++ b/packages/heatherarch-claims/tests/unit/claims_test.ts
@@ -136,3 +136,36 @@
   assert.equal(third.kind === "taken" && third.holder.outcome?.status, 201);
   assert.equal((await claim(shard, "c4", "k", "other")).kind, "reused");
 });
+
+/** Time in which a shard has written its snapshot, milliseconds. */
+const SNAPSHOT_MS = 20;
+
+/** A shard whose claims are read by another VM, and covered by its snapshot, before its own VM reads them. */
+function createOutrun(): ClaimShard {
+  const log = createLog(1);
+  const other = createShard(log, 1);
+  return createShard({
+    append: async (stream, data) => {
+      const offset = await log.append(stream, data);
+      await claim(other, `other${offset}`, `other-key${offset}`);
+      // The snapshot follows the verdict.
+      await new Promise((resolve) => setTimeout(resolve, SNAPSHOT_MS));
+      return offset;
+    },
+    // All that the snapshot covers has been trimmed.
+    read: (stream, from) => {
+      const first = log.records.findLastIndex(({ data }) =>
+        (data as { type: string }).type === "snapshot"
+      );
+      return trimLog(log, log.records.length - first).read(stream, from);
+    },
+  });
+}
+
+// The verdict on a claim was lost, and the key stayed claimed, where a snapshot covered its record.
+test("a claim whose record a snapshot covers gets its verdict from the snapshot", async () => {
+  const shard = createOutrun();
+  assert.equal((await claim(shard, "c1")).kind, "granted");
+  assert.equal((await claim(shard, "c2")).kind, "taken");
+  assert.equal((await claim(shard, "c3", "k", "other")).kind, "reused");
+});
