--- a/packages/heatherarch-lab/proofs/fake_host.ts
+++ b/packages/heatherarch-lab/proofs/fake_host.ts
@@ -7,6 +7,7 @@
 import type {
   ClaimAnswer,
   GatewayHost,
+  GenerationOptions,
   RequestEnd,
   WatchedRequest,
 } from "heatherarch-gateway";
@@ -20,6 +21,7 @@
   RetryBudget,
 } from "heatherarch-policy";
 import {
+  DEFAULT_PROFILE,
   parseProcessSettings,
   type ProcessSettings,
   type Target,
@@ -69,6 +71,27 @@
   end: () => undefined,
 };
 
+const READING_PROMPT_TOKENS = 7;
+const FAR_DEADLINE_MS = 60_000;
+
+/** A generation that a fake host is asked for; its engines answer what the prompt gives. */
+export function buildReading(
+  { clock }: GatewayHost,
+  maxTokens: number,
+): Omit<GenerationOptions, "host" | "sink"> {
+  return {
+    watched: UNWATCHED,
+    requestId: "r",
+    service: "reader",
+    model: "m",
+    prompt: "what does the fare rule say",
+    promptTokens: READING_PROMPT_TOKENS,
+    maxTokens,
+    profile: { ...DEFAULT_PROFILE, kvTransferMinTokens: 0 },
+    deadlineAtMs: clock.readMonotonicMs() + FAR_DEADLINE_MS,
+  };
+}
+
 /** Settings of a process with all defaults. */
 export function buildTestSettings(): ProcessSettings {
   const settings = parseProcessSettings({
--- a/packages/heatherarch-lab/proofs/generation_proof.ts
+++ b/packages/heatherarch-lab/proofs/generation_proof.ts
@@ -10,15 +10,12 @@
   GENERATION_GUARDS,
   type GenerationGuard,
 } from "heatherarch-gateway";
-import { DEFAULT_PROFILE } from "heatherarch-settings";
 import { computeCompletion } from "heatherarch-standins";
 import type { EngineFailure } from "heatherarch-targets";
-import { createFakeHost, type FakeTry, UNWATCHED } from "./fake_host.ts";
+import { buildReading, createFakeHost, type FakeTry } from "./fake_host.ts";
 import { buildGuardSet, type Proof, requirePromise } from "./proof.ts";
 
-const PROMPT = "what does the fare rule say";
 const MAX_TOKENS = 6;
-const FAR_DEADLINE_MS = 60_000;
 
 type Operation =
   | {
@@ -43,20 +40,13 @@
   off: ReadonlySet<GenerationGuard>,
 ): void {
   const { host, tries } = createFakeHost({ engines: ["e1", "e2", "e3"] });
+  const reading = buildReading(host, MAX_TOKENS);
   const sent: number[] = [];
   let text = "";
   let outcome = "running";
   const generation = new Generation({
+    ...reading,
     host,
-    watched: UNWATCHED,
-    requestId: "r",
-    service: "reader",
-    model: "m",
-    prompt: PROMPT,
-    promptTokens: 7,
-    maxTokens: MAX_TOKENS,
-    profile: { ...DEFAULT_PROFILE, kvTransferMinTokens: 0 },
-    deadlineAtMs: host.clock.readMonotonicMs() + FAR_DEADLINE_MS,
     sink: {
       onTokens: (texts) => {
         text += texts.join("");
@@ -77,7 +67,7 @@
     for (const operation of operations) {
       const at = pickTry(tries, operation.attempt);
       deliver(tries[at], sent, { at, operation });
-      const expected = computeCompletion(PROMPT, MAX_TOKENS);
+      const expected = computeCompletion(reading.prompt, MAX_TOKENS);
       requirePromise(
         expected.startsWith(text),
         "the answer is the request's own",
--- a/packages/heatherarch-lab/tests/unit/lost_end_test.ts
+++ b/packages/heatherarch-lab/tests/unit/lost_end_test.ts
@@ -1,12 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Generation } from "heatherarch-gateway";
-import { DEFAULT_PROFILE } from "heatherarch-settings";
 import { computeCompletion } from "heatherarch-standins";
-import { createFakeHost, UNWATCHED } from "../../proofs/mod.ts";
+import { buildReading, createFakeHost } from "../../proofs/mod.ts";
 
-const PROMPT = "what does the fare rule say";
-const PROMPT_TOKENS = 7;
 const MAX_TOKENS = 3;
 
 /** A generation whose engine sends all tokens and then breaks off; `ends` is what callers get. */
@@ -14,16 +11,8 @@
   const { host, tries } = createFakeHost({ engines: ["e1", "e2"], withResume });
   const ends: unknown[] = [];
   const generation = new Generation({
+    ...buildReading(host, MAX_TOKENS),
     host,
-    watched: UNWATCHED,
-    requestId: "r",
-    service: "reader",
-    model: "m",
-    prompt: PROMPT,
-    promptTokens: PROMPT_TOKENS,
-    maxTokens: MAX_TOKENS,
-    profile: { ...DEFAULT_PROFILE, kvTransferMinTokens: 0 },
-    deadlineAtMs: host.clock.readMonotonicMs() + 60_000,
     sink: {
       onTokens: () => undefined,
       onEnd: (reason, usage) => ends.push({ reason, ...usage }),
@@ -31,7 +20,8 @@
     },
   });
   generation.start();
-  const tokens = computeCompletion(PROMPT, MAX_TOKENS).match(/\S+ /g) ?? [];
+  const { prompt } = tries[0].call;
+  const tokens = computeCompletion(prompt, MAX_TOKENS).match(/\S+ /g) ?? [];
   tries[0].sink.onTokens(tokens);
   tries[0].sink.onFailure("broken", "");
   return { generation, tries, ends };
@@ -39,7 +29,7 @@
 
 const WHOLE = {
   reason: "length",
-  promptTokens: PROMPT_TOKENS,
+  promptTokens: 7,
   outputTokens: MAX_TOKENS,
   cachedTokens: 0,
 };
