Our own log's client opens new connections after a timeout

Cause: the fault of the platform's store client, in the client of the log that our own daemon reads: after a timeout the next call was handed another idle connection that had gone silent with the first.

Change: a timeout replaces the agent; calls in progress end by themselves.

Test: http_log_test, three idle connections gone silent: the second read timed out as well before, is answered after. outage_test and operators_test pass.

--- a/packages/heatherarch-log/http_log.ts
+++ b/packages/heatherarch-log/http_log.ts
@@ -33,7 +33,7 @@
 export class HttpLog implements LogPort {
   readonly #url: string;
   readonly #timeoutMs: number;
-  readonly #agent = new Agent({ connections: 16, keepAliveTimeout: 4000 });
+  #agent = createAgent();
 
   constructor(options: HttpLogOptions) {
     this.#url = options.url.replace(/\/$/, "");
@@ -88,12 +88,13 @@
     const signal = options.signal
       ? AbortSignal.any([timeout, options.signal])
       : timeout;
+    const agent = this.#agent;
     try {
       const answer = await request(this.#url + path, {
         method,
         body: options.body,
         headers: options.body ? { "content-type": "application/json" } : {},
-        dispatcher: this.#agent,
+        dispatcher: agent,
         signal,
       });
       const body = await answer.body.json();
@@ -101,7 +102,19 @@
       throw new LogUnavailableError(`status ${answer.statusCode}`);
     } catch (error) {
       if (error instanceof LogUnavailableError) throw error;
+      if (timeout.aborted) this.#replaceAgent(agent);
       throw new LogUnavailableError((error as Error).message, error);
     }
   }
+
+  /** Idle connections may have gone silent with the one on which a call timed out. */
+  #replaceAgent(agent: Agent): void {
+    if (agent !== this.#agent) return;
+    this.#agent = createAgent();
+    void agent.close();
+  }
+}
+
+function createAgent(): Agent {
+  return new Agent({ connections: 16, keepAliveTimeout: 4000 });
 }
--- /dev/null
+++ b/packages/heatherarch-log/tests/unit/http_log_test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { afterEach, test } from "node:test";
+import { HttpLog, LogUnavailableError } from "../../mod.ts";
+
+const TIMEOUT_MS = 100;
+const CONNECTIONS = 3;
+
+const undo: (() => unknown)[] = [];
+afterEach(async () => {
+  for (const step of undo.splice(0)) await step();
+});
+
+/** A log whose open connections can go silent for good. */
+async function startLog(): Promise<{ log: HttpLog; silence: () => void }> {
+  const open = new Set<Socket>();
+  const silent = new WeakSet<Socket>();
+  const server = createServer((request, response) => {
+    if (silent.has(request.socket)) return;
+    response.end(JSON.stringify({ records: [], first: 0, next: 0 }));
+  });
+  server.on("connection", (socket) => open.add(socket));
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const log = new HttpLog({
+    url: `http://127.0.0.1:${port}`,
+    timeoutMs: TIMEOUT_MS,
+  });
+  undo.push(
+    () => log.close(),
+    () => server.closeAllConnections(),
+    () => server.close(),
+  );
+  return {
+    log,
+    silence: () => {
+      for (const socket of open) silent.add(socket);
+    },
+  };
+}
+
+// Idle connections that had gone silent together were tried one timeout after another.
+test("a read after a timeout takes a new connection", async () => {
+  const { log, silence } = await startLog();
+  const reads = Array.from({ length: CONNECTIONS }, () => log.read("s", 0));
+  await Promise.all(reads);
+  silence();
+  await assert.rejects(log.read("s", 0), LogUnavailableError);
+  assert.equal((await log.read("s", 0)).next, 0);
+});
