--- a/packages/heatherarch-forward/decisions/config_reads.ts
+++ b/packages/heatherarch-forward/decisions/config_reads.ts
@@ -22,11 +22,11 @@
 export interface ConfigReads {
   /** How long the store may hold a read until there is a newer configuration. */
   readonly waitMs: number;
-  /** Longest wait for the answer to a held read, beyond the hold. */
+  /** Longest wait for the answer to a long poll, beyond the time for which it is held. */
   readonly answerMs: number;
-  /** Longest wait for the answer to a read that is not held. */
+  /** Longest wait for the answer to a plain read. */
   readonly timeoutMs: number;
-  /** Pause after a failed read that was not held. */
+  /** Pause after a failed plain read. */
   readonly retryMs: number;
   /** The same on a VM without duty: many of them try at once. */
   readonly spareRetryMs: number;
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -17,7 +17,7 @@
   readonly pollMs: number;
   /** How long the store may hold a read back until there is a record, milliseconds. */
   readonly waitMs: number;
-  /** Longest wait for the answer to a held read beyond `waitMs`; by default that of the port. */
+  /** Longest wait for the answer to a long poll beyond `waitMs`; by default that of the port. */
   readonly answerMs?: number;
   /** Longest wait for the answer to any other read, milliseconds; by default that of the port. */
   readonly timeoutMs?: number;
@@ -57,11 +57,11 @@
 /** Keys come from other writers: longer ones are cut in the log. */
 const MAX_LOGGED_KEY = 80;
 
-/** A read that the store was to hold back has failed. */
-class HeldReadLostError extends Error {
+/** A long poll has failed. */
+class LongPollError extends Error {
   constructor(message: string, cause: unknown) {
     super(message, { cause });
-    this.name = "HeldReadLostError";
+    this.name = "LongPollError";
   }
 }
 
@@ -80,8 +80,8 @@
   /** The read in progress is to be followed by another one at once. */
   #isRefreshDue = false;
   #hasDuty = true;
-  /** A held read was lost: the next one is answered at once, whether there is a change or not. */
-  #isHeldLost = false;
+  /** A long poll got no answer: the next read is answered at once, whether there is a change or not. */
+  #isLongPollLost = false;
   #readAtMs = -Infinity;
   /** Keys whose newest record can't be understood. */
   #unreadable = new Set<string>();
@@ -153,12 +153,12 @@
       try {
         await this.#step(askedAtMs);
         this.#readAtMs = askedAtMs;
-        this.#isHeldLost = false;
+        this.#isLongPollLost = false;
         this.#noteBack();
         if (this.#options.pollMs > 0) await this.#pause(this.#computePauseMs());
       } catch (error) {
-        if (error instanceof HeldReadLostError) {
-          this.#noteHeldLost(error, askedAtMs);
+        if (error instanceof LongPollError) {
+          this.#noteLongPollFailed(error, askedAtMs);
           continue;
         }
         this.#noteLost(error, askedAtMs);
@@ -214,19 +214,19 @@
     this.#options.onChanges(slice.entries, askedAtMs);
   }
 
-  /** Throws {@linkcode HeldReadLostError} where a held read fails, which says little of the store. */
+  /** Throws {@linkcode LongPollError} where a long poll fails, which says little of the store. */
   async #readChanges(from: number): Promise<TopicSlice<T> | undefined> {
     const { port, timeoutMs, answerMs = timeoutMs } = this.#options;
-    const waitMs = this.#isHeldLost ? 0 : this.#drawWaitMs();
+    const waitMs = this.#isLongPollLost ? 0 : this.#drawWaitMs();
     if (waitMs === 0) return await port.readChanges(from, 0, timeoutMs);
     try {
       return await port.readChanges(from, waitMs, answerMs);
     } catch (error) {
-      throw new HeldReadLostError((error as Error).message, error);
+      throw new LongPollError((error as Error).message, error);
     }
   }
 
-  /** A change answers all held reads at once, so readers would stay in step without jitter. */
+  /** A change answers all long polls at once, so readers would stay in step without jitter. */
   #drawWaitMs(): number {
     const { waitMs, drawUnit = Math.random } = this.#options;
     return Math.round(waitMs * (1 - JITTER_PART * drawUnit()));
@@ -267,10 +267,10 @@
   }
 
   /** The topic is read again at once: the store may be back, or only the connection lost. */
-  #noteHeldLost(error: Error, askedAtMs: number): void {
-    this.#isHeldLost = true;
+  #noteLongPollFailed(error: Error, askedAtMs: number): void {
+    this.#isLongPollLost = true;
     const { name, log } = this.#options;
-    log.write("info", "heldReadLost", {
+    log.write("info", "longPollFailed", {
       dependency: `store topic ${name}`,
       reason: error.message,
       tookMs: Math.round(this.#nowMs - askedAtMs),
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -194,8 +194,8 @@
   assert.deepEqual([least, most], [POLL_MS * 0.75, POLL_MS * 1.25]);
 });
 
-// A store may be slower than the answer to a held read may be, or refuse every read at once.
-test("a held read that fails is followed by one that is not held, and then by a pause", async () => {
+// A store may be slower than the answer to a long poll may be, or refuse every read at once.
+test("a long poll that fails is followed by a plain read, and then by a pause", async () => {
   const asked: number[] = [];
   const events: string[] = [];
   const read = (_: number, waitMs: number): Promise<TopicSlice<number>> => {
@@ -219,6 +219,6 @@
   await settle();
   follower.stop();
   assert.deepEqual(asked, [POLL_MS, 0]);
-  assert.deepEqual(events, ["heldReadLost", "dependencyLost"]);
+  assert.deepEqual(events, ["longPollFailed", "dependencyLost"]);
   follower.refresh();
 });
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -72,7 +72,7 @@
       Math.min(MAX_CONFIG_WAIT_MS, computeMaxConfigWaitMs(store)),
   })).refine((store) => store.configWaitMs <= computeMaxConfigWaitMs(store), {
     path: ["configWaitMs"],
-    message: "must be at most half of configBoundMs: a held read may be lost",
+    message: "must be at most half of configBoundMs: a long poll may be lost",
   }),
   mesh: z.object({
     sharedKey: z.string().min(16, "must have 16 characters or more"),
