--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -18,7 +18,6 @@
   ServeError,
   sleep,
 } from "heatherarch-core";
-import { Gateway, type GatewayHost } from "heatherarch-gateway";
 import { HttpLog, HttpVmList } from "heatherarch-log";
 import {
   type Heartbeat,
@@ -26,16 +25,9 @@
   Membership,
   splitAddress,
 } from "heatherarch-mesh";
-import {
-  createRouter,
-  DemandMeter,
-  EngineModel,
-  LoadTracker,
-  LookupReserve,
-  RetryBudget,
-  type Router,
-} from "heatherarch-policy";
-import type { ProcessSettings, RoutingKind } from "heatherarch-settings";
+import { DemandMeter, EngineModel, LoadTracker } from "heatherarch-policy";
+import type { ProcessSettings } from "heatherarch-settings";
+import { buildGateway, REMOTE_READ_MS } from "./gateway_parts.ts";
 import { HeartbeatBuilder } from "./heartbeat_builder.ts";
 import { INVARIANT_VIOLATED, type Logger } from "./logger.ts";
 import { Metrics } from "./metrics.ts";
@@ -65,7 +57,6 @@
 
 const DEMAND_WINDOW_MS = 3000;
 const REPORT_LAG_MS = 300;
-const REMOTE_READ_MS = 3000;
 const METRICS_MS = 1000;
 const FLUSH_MS = 5000;
 /** How long a VM waits for a first sight of targets before it calls itself ready. */
@@ -74,7 +65,6 @@
 /** The process. */
 export class EntryVm {
   readonly #container: AwilixContainer<Parts>;
-  readonly #routers = new Map<RoutingKind, Router>();
   readonly #timers: NodeJS.Timeout[] = [];
   #undoViolations: (() => void) | undefined;
   #leaving = false;
@@ -225,8 +215,9 @@
       watcher: asFunction(buildWatcher).singleton(),
       heartbeats: asFunction((parts: Parts) => this.#buildHeartbeats(parts))
         .singleton(),
-      gateway: asFunction((parts: Parts) => this.#buildGateway(parts))
-        .singleton(),
+      gateway: asFunction((parts: Parts) =>
+        buildGateway(parts, () => this.#readRefusal())
+      ).singleton(),
       operators: asFunction((parts: Parts) => this.#buildOperators(parts))
         .singleton(),
     });
@@ -255,58 +246,6 @@
     });
   }
 
-  #buildGateway(parts: Parts): Gateway {
-    const {
-      settings,
-      identity,
-      clock,
-      table,
-      tracker,
-      model,
-      demand,
-      claims,
-      metrics,
-    } = parts;
-    const host: GatewayHost = {
-      vmId: identity.id,
-      clock,
-      limits: settings.requests,
-      claimLimits: settings.claims,
-      targets: table,
-      tracker,
-      model,
-      demand,
-      retries: new RetryBudget({ share: settings.requests.retryShare }),
-      lookups: new LookupReserve({
-        share: settings.requests.lookupReserveShare,
-      }),
-      claims,
-      requests: parts.requests,
-      events: metrics,
-      readRefusal: () => this.#readRefusal(),
-      readFleet: () => this.#parts.config.state.fleet,
-      findProfile: (name) => this.#parts.config.state.profiles[name]?.profile,
-      getRouter: (kind) => this.#getRouter(kind),
-      countVms: () => this.#parts.zones.countVms(),
-      readRemoteStream: async (vmId, requestId, from) => {
-        const unknown = { texts: [], state: "unknown" as const, model: "" };
-        const body = { requestId, from };
-        const call = this.#parts.mesh.call(
-          vmId,
-          "stream.read",
-          body,
-          REMOTE_READ_MS,
-        );
-        return await (call as Promise<typeof unknown>).catch(() => unknown);
-      },
-    };
-    const tls = settings.listen.callersTls;
-    return new Gateway(
-      host,
-      tls === undefined ? {} : { tls: readCertificate(tls) },
-    );
-  }
-
   #buildOperators(parts: Parts): OperatorServer {
     const { settings, config, table, metrics } = parts;
     const tls = settings.listen.operatorsTls;
@@ -363,15 +302,6 @@
     return unseen && `no target of ${unseen.name} has been seen yet`;
   }
 
-  #getRouter(kind: RoutingKind): Router {
-    let router = this.#routers.get(kind);
-    if (router === undefined) {
-      router = createRouter(kind, this.#parts.model);
-      this.#routers.set(kind, router);
-    }
-    return router;
-  }
-
   /** One model serves all model services: the first one's speeds are its start. */
   #applySpeeds(): void {
     const { config, model } = this.#parts;
