Keys of client accounts: account by key, no key passed on, revocation within its bound

Change: heatherarch-accounts holds digests of keys and finds the account of a key; both client interfaces use it. AccountAdmission admits a call on ingress: it takes the key away from the call, so that no attempt, retry or resumption can pass it on, and sets the account. ActiveConfig knows the moment as of which the configuration was the newest one, by the monotonic and the boot clock. A hub's word counts from the heartbeat that it answers, so that delays on the way don't make it fresher. Beyond the bound on revocations calls with keys get 503. A configuration in which accounts are ambiguous is rejected with a reason, and the last good one stays.

--- /dev/null
+++ b/packages/heatherarch-accounts/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Client accounts and the API keys by which they are found.
+ *
+ * @module
+ */
+export * from "./api_key_index.ts";
--- a/packages/heatherarch-core/clock.ts
+++ b/packages/heatherarch-core/clock.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { uptime } from "node:os";
 
 /** Clock. All values are in milliseconds. */
 export interface Clock {
@@ -11,8 +12,15 @@
   readWallMs(): number;
   /** Reads the monotonic clock, milliseconds from an arbitrary origin. It never goes back. */
   readMonotonicMs(): number;
+  /**
+   * Reads the time since the machine was booted, milliseconds. Unlike the monotonic clock, it counts
+   * the time for which the machine is suspended.
+   */
+  readBootMs(): number;
 }
 
+const MS_PER_SECOND = 1000;
+
 /** Clock of the JavaScript runtime. */
 export class RuntimeClock implements Clock {
   readWallMs(): number {
@@ -22,11 +30,16 @@
   readMonotonicMs(): number {
     return performance.now();
   }
+
+  readBootMs(): number {
+    return uptime() * MS_PER_SECOND;
+  }
 }
 
 /** Clock for tests. It only advances on request, and its wall clock can jump separately. */
 export class ManualClock implements Clock {
   #monotonicMs = 0;
+  #suspendedMs = 0;
   #wallOffsetMs: number;
 
   constructor(wallStartMs = 1_700_000_000_000) {
@@ -41,7 +54,17 @@
     return this.#monotonicMs;
   }
 
-  /** Advances both clocks by `ms`. */
+  readBootMs(): number {
+    return this.#monotonicMs + this.#suspendedMs;
+  }
+
+  /** Suspends the machine for `ms`, which the monotonic clock does not count. */
+  suspend(ms: number): void {
+    this.#suspendedMs += ms;
+    this.#wallOffsetMs += ms;
+  }
+
+  /** Advances all clocks by `ms`. */
   advance(ms: number): void {
     this.#monotonicMs += ms;
   }
--- a/packages/heatherarch-core/mod.ts
+++ b/packages/heatherarch-core/mod.ts
@@ -8,6 +8,7 @@
 export * from "./hash.ts";
 export * from "./ids.ts";
 export * from "./invariant.ts";
+export * from "./moment.ts";
 export * from "./random.ts";
 export * from "./result.ts";
 export * from "./task.ts";
--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
 import type { EngineJitter } from "./scheduling/engine_jitter.ts";
@@ -30,6 +31,7 @@
   readonly clock: Clock;
   readonly codec: CallCodec;
   readonly activeConfig: ActiveConfig;
+  readonly accountAdmission: AccountAdmission;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -12,7 +12,12 @@
 import type { QuarantinedRequest } from "heatherarch-quarantine";
 import type { ClientResponse } from "./client_response.ts";
 import type { LogLevel } from "../event_log.ts";
-import type { ForwardedCall, Route, ServiceSpec } from "../model.ts";
+import type {
+  ClientAccount,
+  ForwardedCall,
+  Route,
+  ServiceSpec,
+} from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
 import type { Target } from "../model.ts";
@@ -35,6 +40,8 @@
 export interface CallContextOptions {
   readonly dependencies: CallDependencies;
   readonly call: ForwardedCall;
+  /** Client account of the call, if it has one. */
+  readonly account?: ClientAccount;
   readonly route: Route;
   /** Service that the call is sent to. */
   readonly service: ServiceSpec;
@@ -58,6 +65,8 @@
   readonly route: Route;
   readonly service: ServiceSpec;
   readonly clientResponse: ClientResponse;
+  /** Priority of the call; 0 is served first. That of its account precedes that of its route. */
+  readonly priority: number;
   /**
    * Monotonic time at which the timeout of the client or of the route expires, whichever is first.
    */
@@ -79,6 +88,7 @@
     this.dependencies = options.dependencies;
     this.call = options.call;
     this.route = options.route;
+    this.priority = options.account?.priority ?? options.route.priority;
     this.service = options.service;
     this.clientResponse = options.clientResponse;
     this.#configVersion = options.configVersion;
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { ServeError } from "heatherarch-core";
+import { type ErrorKind, ServeError, toServeError } from "heatherarch-core";
+import type { AdmittedCall } from "./account_admission.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { CallContext } from "./call_context.ts";
 import { formatAge } from "../event_log.ts";
@@ -90,9 +91,11 @@
         "the route has no service",
       );
     }
+    const admitted = this.#admit(call, route, response);
+    if (admitted === undefined) return;
     const context = new CallContext({
       dependencies: this.#dependencies,
-      call,
+      ...admitted,
       route,
       service,
       configVersion: table.version,
@@ -101,6 +104,21 @@
     await this.#handleCall(context);
   }
 
+  /** Finds the call's account; undefined if the call has been rejected. */
+  #admit(
+    call: ForwardedCall,
+    route: Route,
+    response: ClientResponse,
+  ): AdmittedCall | undefined {
+    try {
+      return this.#dependencies.accountAdmission.admit(call, route);
+    } catch (error) {
+      const { kind, message, retryAfterMs } = toServeError(error);
+      this.#reject(call, response, kind, message, retryAfterMs);
+      return undefined;
+    }
+  }
+
   async #handleCall(context: CallContext): Promise<void> {
     if (!context.admit()) return;
     const isStream = context.route.kind === "stream" ||
@@ -127,11 +145,13 @@
   #reject(
     call: ForwardedCall,
     response: ClientResponse,
-    kind: "notReady" | "notFound" | "noTarget",
+    kind: ErrorKind,
     reason: string,
+    retryAfterMs?: number,
   ): void {
-    const { activeConfig, log, clock } = this.#dependencies;
-    response.fail(new ServeError(kind, reason), call.id);
+    const { activeConfig, log, metrics } = this.#dependencies;
+    response.fail(new ServeError(kind, reason, { retryAfterMs }), call.id);
+    metrics.callsRejected.inc({ kind });
     log.write("warn", "callRejected", {
       call: call.id,
       kind,
@@ -139,7 +159,7 @@
       host: call.host,
       path: call.path,
       configVersion: activeConfig.version,
-      configAgeMs: formatAge(activeConfig.getAgeMs(clock.readMonotonicMs())),
+      configAgeMs: formatAge(activeConfig.getAgeMs()),
     });
   }
 }
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -154,7 +154,7 @@
       stage: prefilled === undefined ? "whole" : "takeOver",
       kvSource: prefilled?.kvSource,
       enginePriority: computeEnginePriority(
-        computeLane(context.route.priority),
+        computeLane(context.priority),
       ),
       lastEventId: this.#relay.lastEventId,
     });
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -226,7 +226,7 @@
   #awaitBooking(isResumed: boolean): Promise<BookedPrefill | PrefillResult> {
     const context = this.#context;
     const { prefillQueue, prefillTimeModel } = context.dependencies;
-    const { aimMs, priority } = context.route;
+    const { priority, route: { aimMs } } = context;
     const { waitStartedAtMs, timeoutAtMs } = computeWaitLimits({
       arrivedAtMs: context.call.arrivedAtMs,
       deadlineAtMs: context.deadlineAtMs,
--- a/packages/heatherarch-forward/fleet/config_exchange.ts
+++ b/packages/heatherarch-forward/fleet/config_exchange.ts
@@ -28,6 +28,8 @@
 const CONFIG_CALL = "config";
 /** Larger configurations are read from the store, since sending them would block a hub's link. */
 const MAX_ROUTES_OVER_MESH = 100;
+/** The same for a configuration with more client accounts than this. */
+const MAX_ACCOUNTS_OVER_MESH = 500;
 /** Number of requests to peers before the store is read. */
 const MAX_PEER_REQUESTS = 3;
 
@@ -69,7 +71,8 @@
   #handleRequest(isLastResort: unknown): RoutingConfig | null {
     const config = this.#options.activeConfig.table?.config;
     if (config === undefined) return null;
-    const isLarge = config.routes.length > MAX_ROUTES_OVER_MESH;
+    const isLarge = config.routes.length > MAX_ROUTES_OVER_MESH ||
+      (config.accounts?.length ?? 0) > MAX_ACCOUNTS_OVER_MESH;
     return isLarge && isLastResort !== true ? null : config;
   }
 
@@ -125,7 +128,11 @@
         configReadTiming.peerTimeoutMs,
       );
       if (config === null) return false;
-      const { version } = config as RoutingConfig;
+      const { version, accounts } = config as Partial<RoutingConfig>;
+      // A peer that runs an earlier build leaves the accounts out.
+      if (version === undefined || accounts === undefined) {
+        throw new Error("the peer's configuration is incomplete");
+      }
       activeConfig.applyConfig(config as RoutingConfig, `peer ${peer}`);
       this.#peerVersions.set(peer, version);
       return true;
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -196,6 +196,14 @@
     return !this.#hubs.hasFreshFeed(this.#options.clock.readMonotonicMs());
   }
 
+  /**
+   * Time since a hub has confirmed the configuration, milliseconds; 0 on a VM without hubs above it,
+   * which reads the configuration itself.
+   */
+  getConfigConfirmationAgeMs(): number {
+    return this.isCoordinator ? 0 : this.#hubs.getConfigConfirmationAgeMs();
+  }
+
   /** Monotonic time as of which a hub's feed of the target list is valid. */
   get feedValidAtMs(): number {
     return this.#hubs.feedValidAtMs;
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -8,7 +8,14 @@
  *
  * @module
  */
-import { pickRendezvous } from "heatherarch-core";
+import {
+  computeElapsedMs,
+  DISTANT_PAST,
+  type Moment,
+  pickRendezvous,
+  readMoment,
+  subtractFromMoment,
+} from "heatherarch-core";
 import type {
   Heartbeat,
   Link,
@@ -33,6 +40,7 @@
   PrefixUpdate,
   UpdateScope,
 } from "../state/prefix_index.ts";
+import type { ActiveConfig } from "../state/active_config.ts";
 import { FeedSource } from "./feed_source.ts";
 import {
   subtractRows,
@@ -52,6 +60,7 @@
   readonly onListStale: (source: string) => void;
   /** Called when this VM has selected another hub as its source, or has none. */
   readonly onSourceChange: (source: string | undefined) => void;
+  readonly activeConfig: Pick<ActiveConfig, "recordNewest" | "getAgeMs">;
 }
 
 /** The heartbeat fields that this module fills. */
@@ -65,8 +74,15 @@
   | "digest"
   | "targets"
   | "changing"
+  | "configAgeMs"
 >;
 
+/** A heartbeat that this VM has sent. */
+interface SentHeartbeat {
+  readonly work: readonly WorkRow[];
+  readonly sentAt: Moment;
+}
+
 interface ZoneSource {
   readonly peer: string;
   readonly vms: number;
@@ -88,7 +104,9 @@
   readonly #zoneSources = new Map<string, ZoneSource>();
   readonly #fallback: ListFallback;
   readonly #listRelay: TargetListRelay;
-  readonly #sentWork = new Map<number, readonly WorkRow[]>();
+  readonly #sentHeartbeats = new Map<number, SentHeartbeat>();
+  /** Moment as of which a hub has confirmed the configuration. */
+  #configConfirmedAsOf = DISTANT_PAST;
   #beat = 0;
   #wasHub = false;
   #source: FeedSource | undefined;
@@ -149,11 +167,11 @@
     if (isHub) this.#fallback.tick(nowMs);
     else this.#updateSource(nowMs);
     this.#beat++;
-    this.#sentWork.set(
-      this.#beat,
-      this.#options.workTracker.listOwnRows(nowMs),
-    );
-    this.#sentWork.delete(this.#beat - MAX_SENT_HEARTBEATS);
+    this.#sentHeartbeats.set(this.#beat, {
+      work: this.#options.workTracker.listOwnRows(nowMs),
+      sentAt: readMoment(this.#options.clock),
+    });
+    this.#sentHeartbeats.delete(this.#beat - MAX_SENT_HEARTBEATS);
   }
 
   /** Builds the fields of a heartbeat to one peer; undefined if there is nothing to send. */
@@ -297,8 +315,9 @@
     const { digest, targets } = heartbeat;
     if (digest !== undefined) {
       this.#fleetVmCount = digest.vms;
-      const own = this.#sentWork.get(digest.counted) ?? [];
-      const rows = subtractRows(digest.work, own);
+      const counted = this.#sentHeartbeats.get(digest.counted);
+      if (counted !== undefined) this.#confirmConfig(heartbeat, counted.sentAt);
+      const rows = subtractRows(digest.work, counted?.work ?? []);
       workTracker.setPeerWork(FLEET_WORK_KEY, rows, nowMs, "gathered");
     }
     if (targets === undefined) return;
@@ -307,11 +326,31 @@
     if (source.isStale && !wasStale) this.#options.onListStale(source.id);
   }
 
+  /**
+   * Records that the hub's configuration was the newest one. The hub sent its message after it had
+   * received this VM's heartbeat, so its stated age counts from when that heartbeat was sent, however
+   * long the message was on its way.
+   */
+  #confirmConfig(
+    { configOffset, configAgeMs }: Heartbeat,
+    heardAfter: Moment,
+  ): void {
+    if (configAgeMs === undefined) return;
+    const asOf = subtractFromMoment(heardAfter, configAgeMs);
+    this.#configConfirmedAsOf = asOf;
+    this.#options.activeConfig.recordNewest(configOffset, asOf);
+  }
+
+  /** Time since a hub has confirmed the configuration, milliseconds. */
+  getConfigConfirmationAgeMs(): number {
+    return computeElapsedMs(this.#options.clock, this.#configConfirmedAsOf);
+  }
+
   /** Builds this VM's own work and prefix updates, which every VM sends. */
   #buildOwnFields(link: Link): HubFields {
     return {
       beat: this.#beat,
-      work: copyRows(this.#sentWork.get(this.#beat) ?? []),
+      work: copyRows(this.#sentHeartbeats.get(this.#beat)?.work ?? []),
       ...this.#buildPrefixUpdates(link, "own"),
     };
   }
@@ -333,7 +372,11 @@
   #buildFleetFields(link: Link, state: PeerSubscription): HubFields {
     const isFull = state.wants === "all";
     if (isFull) state.wants = "changes";
+    const configAgeMs = this.#options.activeConfig.getAgeMs();
     return {
+      ...(configAgeMs === Infinity
+        ? {}
+        : { configAgeMs: Math.ceil(configAgeMs) }),
       digest: {
         scope: "fleet",
         counted: state.counted,
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -52,6 +52,9 @@
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
 
+/** Share of the bound on revocations after which a VM confirms the configuration by itself. */
+const MAX_CONFIRMATION_AGE_SHARE = 0.4;
+
 /** The process of one entry VM. */
 export class ForwardVm {
   readonly #settings: ForwardSettings;
@@ -231,7 +234,7 @@
   }
 
   #watchConfig(): void {
-    const { activeConfig, ingress, metrics, clock } = this.#components;
+    const { activeConfig, ingress, metrics } = this.#components;
     activeConfig.registerListener(({ table, before, source }) => {
       ingress.applyLimits(table.config.limits);
       metrics.configVersion.set(table.version);
@@ -240,8 +243,8 @@
         before,
         routes: table.config.routes.length,
         source,
-        // Age of the last successful read of the store before this update.
-        ageMs: formatAge(activeConfig.getAgeMs(clock.readMonotonicMs())),
+        // Age of the configuration before this update.
+        ageMs: formatAge(activeConfig.getAgeMs()),
       });
     });
   }
@@ -320,15 +323,18 @@
       metrics,
       prefillQueue,
       activeConfig,
-      clock,
     } = this.#components;
     targetListGuard.recordTick();
     metrics.promptsWaiting.set(prefillQueue.size);
-    storeReader.setActive(mesh.mustReadStore(), mesh.isCoordinator);
+    storeReader.setActive({
+      isActive: mesh.mustReadStore(),
+      isConfigUnconfirmed: this.#isConfigUnconfirmed(),
+      isCoordinator: mesh.isCoordinator,
+    });
     mesh.tick();
     metrics.listAge.set(storeReader.getEffectiveListAgeMs() / 1000);
     metrics.configAge.set(
-      activeConfig.getAgeMs(clock.readMonotonicMs()) / 1000,
+      activeConfig.getAgeMs() / 1000,
     );
     this.#sweepQuarantine();
     storeReader.purgeDroppedTargets("otherIncarnation");
@@ -344,6 +350,15 @@
     this.#markChangingRole(roleController.listChangingRole());
   }
 
+  /** Whether API keys are about to become unusable, as no hub has confirmed the configuration. */
+  #isConfigUnconfirmed(): boolean {
+    const { mesh } = this.#components;
+    const { revokeBoundMs } = this.#settings.accounts;
+    if (revokeBoundMs === undefined) return false;
+    return mesh.getConfigConfirmationAgeMs() >
+      revokeBoundMs * MAX_CONFIRMATION_AGE_SHARE;
+  }
+
   #sweepQuarantine(): void {
     const { quarantine, metrics } = this.#components;
     if (quarantine.isEmpty) return;
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -74,7 +74,7 @@
   readonly configAge = new Gauge({
     name: "heatherarch_config_age_seconds",
     help:
-      "Time since this VM last asked the store for the configuration and was answered",
+      "Time since the configuration in force was last known to be the newest one",
     registers: [this.registry],
   });
   readonly targets = new Gauge({
@@ -102,6 +102,12 @@
     help: "Lives of targets that ended while they had calls of this VM",
     registers: [this.registry],
   });
+  readonly callsRejected = new Counter({
+    name: "heatherarch_calls_rejected_total",
+    help: "Calls rejected before a target was chosen, by error kind",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
   readonly callsQuarantined = new Counter({
     name: "heatherarch_calls_quarantined_total",
     help: "Calls refused because targets end when they run their request",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -8,6 +8,7 @@
 export * from "./calls/response_notices.ts";
 export * from "./state/cache_retention.ts";
 export * from "./tasks/cache_survey.ts";
+export * from "./calls/account_admission.ts";
 export * from "./calls/call_context.ts";
 export * from "./calls/call_server.ts";
 export * from "./scheduling/client_timeout.ts";
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -36,9 +36,20 @@
   readonly priority: number;
   /** Number of targets on which one call may run. */
   readonly maxTargets: number;
+  /** Whether calls need no API key even if the configuration has client accounts. */
+  readonly isKeyExempt: boolean;
   readonly services: readonly WeightedService[];
 }
 
+/** A client account. */
+export interface ClientAccount {
+  readonly name: string;
+  /** Digests of the account's API keys. */
+  readonly keyDigests: readonly string[];
+  /** Priority of the account's calls; by default that of their route. */
+  readonly priority?: number;
+}
+
 /** Capabilities of the engines of a service. */
 export interface EngineTraits {
   readonly slots: number;
@@ -72,6 +83,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSpec[];
   readonly limits: ClientLimits;
+  /** Client accounts; null if calls need no API key. */
+  readonly accounts: readonly ClientAccount[] | null;
 }
 
 /** Role of an engine; a plain target has none. */
@@ -155,6 +168,10 @@
   /** Timeout of the client, milliseconds from `arrivedAtMs`; undefined if the client gives none. */
   readonly clientTimeoutMs?: number;
   readonly generation?: GenerationParams;
+  /** API key that the client sent. It is removed when the call is admitted. */
+  readonly apiKey?: string;
+  /** Name of the client account of an admitted call. */
+  readonly account?: string;
   /** Id of the last event that the client received from an earlier stream. */
   readonly lastEventId?: string;
 }
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -20,6 +20,8 @@
   readonly value?: T;
   /** The newest record can't be decoded. It has no value, even if an earlier record had one. */
   readonly isUnreadable?: true;
+  /** Why the record can't be decoded, if that is known. */
+  readonly reason?: string;
 }
 
 /** Entries, and the offset from which later changes are read. */
--- a/packages/heatherarch-forward/scheduling/config_reads.ts
+++ b/packages/heatherarch-forward/scheduling/config_reads.ts
@@ -15,6 +15,11 @@
   readonly configWaitMs: number;
   /** Timeout of requests to the store, in milliseconds. */
   readonly requestTimeoutMs: number;
+  /**
+   * Time within which a configuration must be confirmed as the newest one for its API keys to be
+   * used, in milliseconds; by default, it need not be.
+   */
+  readonly revokeBoundMs?: number;
 }
 
 /** Timing of the configuration reads of one VM, in milliseconds. */
@@ -43,18 +48,38 @@
 const ASK_PEER_FRACTION = 0.35;
 const PEER_TIMEOUT_FRACTION = 0.2;
 
+/**
+ * Fractions of the time within which a configuration must be confirmed. A read confirms it as of
+ * the time at which the read was sent, so reads that are held for long confirm little.
+ */
+const CONFIRM_WAIT_FRACTION = 0.1;
+const CONFIRM_RESPONSE_FRACTION = 0.1;
+const CONFIRM_TIMEOUT_FRACTION = 0.2;
+const CONFIRM_RETRY_FRACTION = 0.05;
+
 /** Computes the timing of the configuration reads of one VM. */
 export function planConfigReads(
   options: ConfigReadTimingOptions,
 ): ConfigReadTiming {
   const { configBoundMs, configWaitMs, requestTimeoutMs } = options;
+  const { revokeBoundMs = Infinity } = options;
   const computeFractionMs = (fraction: number): number =>
     Math.round(configBoundMs * fraction);
+  const limitMs = (ms: number, confirmFraction: number): number =>
+    Math.min(ms, Math.round(revokeBoundMs * confirmFraction));
+  const answerMs = Math.min(
+    requestTimeoutMs,
+    computeFractionMs(RESPONSE_FRACTION),
+  );
+  const timeoutMs = Math.min(
+    requestTimeoutMs,
+    computeFractionMs(TIMEOUT_FRACTION),
+  );
   return {
-    waitMs: configWaitMs,
-    answerMs: Math.min(requestTimeoutMs, computeFractionMs(RESPONSE_FRACTION)),
-    timeoutMs: Math.min(requestTimeoutMs, computeFractionMs(TIMEOUT_FRACTION)),
-    retryMs: computeFractionMs(RETRY_FRACTION),
+    waitMs: limitMs(configWaitMs, CONFIRM_WAIT_FRACTION),
+    answerMs: limitMs(answerMs, CONFIRM_RESPONSE_FRACTION),
+    timeoutMs: limitMs(timeoutMs, CONFIRM_TIMEOUT_FRACTION),
+    retryMs: limitMs(computeFractionMs(RETRY_FRACTION), CONFIRM_RETRY_FRACTION),
     spareRetryMs: computeFractionMs(SPARE_RETRY_FRACTION),
     askPeerAfterMs: computeFractionMs(ASK_PEER_FRACTION),
     peerTimeoutMs: Math.min(
--- a/packages/heatherarch-forward/state/active_config.ts
+++ b/packages/heatherarch-forward/state/active_config.ts
@@ -4,6 +4,12 @@
  *
  * @module
  */
+import {
+  type Clock,
+  computeElapsedMs,
+  DISTANT_PAST,
+  type Moment,
+} from "heatherarch-core";
 import type { RoutingConfig } from "../model.ts";
 import { RouteTable } from "./route_table.ts";
 
@@ -19,12 +25,31 @@
 /** Receives each change of the configuration. */
 export type ConfigListener = (change: ConfigChange) => void;
 
+/** Options of {@linkcode ActiveConfig}. */
+export interface ActiveConfigOptions {
+  readonly clock: Clock;
+}
+
+/** Knowledge that a version was the newest one at `asOf` or later. */
+interface NewestVersion {
+  readonly version: number;
+  readonly asOf: Moment;
+}
+
 /** Holds the newest configuration received from any source. */
 export class ActiveConfig {
+  readonly #clock: Clock;
   #table: RouteTable | undefined;
-  #storeReadAtMs = -Infinity;
+  /** Moment as of which the configuration in force was the newest one. */
+  #newestAsOf = DISTANT_PAST;
+  /** A newer version that a hub has confirmed before this VM received it. */
+  #awaited: NewestVersion | undefined;
   readonly #listeners = new Set<ConfigListener>();
 
+  constructor(options: ActiveConfigOptions) {
+    this.#clock = options.clock;
+  }
+
   /** The route table in force, or undefined before the first configuration. */
   get table(): RouteTable | undefined {
     return this.#table;
@@ -41,21 +66,35 @@
     if (config.version <= before) return false;
     const table = new RouteTable(config);
     this.#table = table;
+    const awaited = this.#awaited;
+    if (awaited !== undefined) this.recordNewest(awaited.version, awaited.asOf);
     for (const listener of this.#listeners) listener({ table, before, source });
     return true;
   }
 
-  /** Records a successful read of the store whose request was sent at `sentAtMs`. */
-  recordStoreRead(sentAtMs: number): void {
-    this.#storeReadAtMs = Math.max(this.#storeReadAtMs, sentAtMs);
+  /**
+   * Records that `version` was the newest one at the moment `asOf` or later: a read that was sent
+   * then has shown so, here or at a hub.
+   */
+  recordNewest(version: number, asOf: Moment): void {
+    if (version > this.version) {
+      this.#awaited = { version, asOf };
+      return;
+    }
+    this.#awaited = undefined;
+    // Each clock stands for an age of its own, of which the greater one counts.
+    this.#newestAsOf = {
+      monotonicMs: Math.max(this.#newestAsOf.monotonicMs, asOf.monotonicMs),
+      bootMs: Math.max(this.#newestAsOf.bootMs, asOf.bootMs),
+    };
   }
 
   /**
-   * Time since this VM sent its latest successful read to the store; Infinity before the first
-   * one.
+   * Time since the configuration in force was last known to be the newest one, milliseconds;
+   * Infinity before that.
    */
-  getAgeMs(nowMs: number): number {
-    return nowMs - this.#storeReadAtMs;
+  getAgeMs(): number {
+    return computeElapsedMs(this.#clock, this.#newestAsOf);
   }
 
   /** Registers a listener and returns a function that removes it. */
--- a/packages/heatherarch-forward/state/route_table.ts
+++ b/packages/heatherarch-forward/state/route_table.ts
@@ -3,17 +3,31 @@
  *
  * @module
  */
+import { ApiKeyIndex } from "heatherarch-accounts";
 import { hashText, mixHash } from "heatherarch-core";
-import type { Route, RoutingConfig, ServiceSpec } from "../model.ts";
+import type {
+  ClientAccount,
+  Route,
+  RoutingConfig,
+  ServiceSpec,
+} from "../model.ts";
 
 /** An immutable index of one configuration. */
 export class RouteTable {
   readonly config: RoutingConfig;
+  /** Accounts by API key; undefined if calls need no key. */
+  readonly accounts: ApiKeyIndex<ClientAccount> | undefined;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #servicesByName = new Map<string, ServiceSpec>();
 
   constructor(config: RoutingConfig) {
     this.config = config;
+    this.accounts = config.accounts === null ? undefined : new ApiKeyIndex(
+      config.accounts.map((account) => ({
+        account,
+        keyDigests: account.keyDigests,
+      })),
+    );
     for (const route of config.routes) {
       const routes = this.#routesByHost.get(route.host) ?? [];
       routes.push(route);
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import { type Clock, type Moment, readMoment } from "heatherarch-core";
 import type { ConfigReadTiming } from "../scheduling/config_reads.ts";
 import type { ActiveConfig } from "../state/active_config.ts";
 import type { EngineJitter } from "../scheduling/engine_jitter.ts";
@@ -46,6 +46,16 @@
   readonly engineJitter: EngineJitter;
 }
 
+/** What this VM reads itself; see {@linkcode StoreReader.setActive}. */
+export interface ReadingState {
+  /** Whether this VM reads the store's topics itself. */
+  readonly isActive: boolean;
+  /** Whether no hub has confirmed the configuration lately. */
+  readonly isConfigUnconfirmed: boolean;
+  /** Whether this VM is a coordinator, which retries sooner than the many other VMs. */
+  readonly isCoordinator: boolean;
+}
+
 /** How this VM learned that a target is leaving. */
 export type LeavingSource = "store" | "hub" | "otherIncarnation" | "grace";
 
@@ -93,15 +103,19 @@
     return this.#targetFollower.getAgeMs(this.#options.clock.readMonotonicMs());
   }
 
-  /** Starts or pauses reading, and sets how often reads are retried after a failure. */
-  setActive(isActive: boolean, isCoordinator: boolean): void {
+  /**
+   * Starts or pauses reading, and sets how often reads are retried after a failure. The
+   * configuration is also read while a hub can't confirm it.
+   */
+  setActive({ isActive, isConfigUnconfirmed, isCoordinator }: ReadingState) {
     if (isActive !== this.#targetFollower.isActive) {
       this.#options.log.write("info", "storeReading", { isActive });
     }
     for (const follower of [this.#configFollower, this.#targetFollower]) {
       follower.setCoordinator(isCoordinator);
-      follower.setActive(isActive);
     }
+    this.#configFollower.setActive(isActive || isConfigUnconfirmed);
+    this.#targetFollower.setActive(isActive);
   }
 
   /** Reads the target list now if this VM reads it at all. */
@@ -112,9 +126,10 @@
   /** Reads the configuration once. Throws if the store does not respond. */
   async loadConfig(): Promise<void> {
     const { configTopic, clock } = this.#options;
-    const sentAtMs = clock.readMonotonicMs();
+    const sentAt = readMoment(clock);
     const { entries } = await configTopic.load();
-    this.#applyConfigs(entries, sentAtMs);
+    this.#applyConfigs(entries);
+    this.#recordConfigRead(sentAt);
   }
 
   /** Applies a hub's updates of the target list. */
@@ -167,10 +182,8 @@
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
     const { configTopic, configReadTiming, clock, log, metrics } =
       this.#options;
-    const apply = (
-      entries: readonly KeyedEntry<RoutingConfig>[],
-      sentAtMs: number,
-    ): void => this.#applyConfigs(entries, sentAtMs);
+    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
+      this.#applyConfigs(entries);
     return new TopicFollower({
       name: "configs",
       clock,
@@ -180,6 +193,7 @@
       ...configReadTiming,
       onList: apply,
       onChanges: apply,
+      onRead: (sentAt) => this.#recordConfigRead(sentAt),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
     });
   }
@@ -200,15 +214,16 @@
     });
   }
 
-  #applyConfigs(
-    entries: readonly KeyedEntry<RoutingConfig>[],
-    sentAtMs: number,
-  ): void {
+  #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
     const { activeConfig } = this.#options;
     for (const { value } of entries) {
       if (value !== undefined) activeConfig.applyConfig(value, "store");
     }
-    activeConfig.recordStoreRead(sentAtMs);
+  }
+
+  #recordConfigRead(sentAt: Moment): void {
+    const { activeConfig } = this.#options;
+    activeConfig.recordNewest(activeConfig.version, sentAt);
   }
 
   /** Drops the state of targets that are gone, and logs each. */
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import { type Clock, type Moment, readMoment } from "heatherarch-core";
 import { type EventLog, formatAge } from "../event_log.ts";
 import type { KeyedEntry, KeyedTopicPort, TopicSlice } from "../ports.ts";
 
@@ -31,6 +31,8 @@
     entries: readonly KeyedEntry<T>[],
     sentAtMs: number,
   ) => void;
+  /** Called after each successful read with the moment at which it was sent. */
+  readonly onRead?: (sentAt: Moment) => void;
   /** Called for each entry that becomes unreadable. */
   readonly onUnreadable?: () => void;
   /** Called for each failed read with the monotonic time at which it was sent. */
@@ -152,10 +154,12 @@
         await this.#waitUntilActive();
         continue;
       }
-      const sentAtMs = this.#nowMs;
+      const sentAt = readMoment(this.#options.clock);
+      const { monotonicMs: sentAtMs } = sentAt;
       try {
         await this.#readOnce(sentAtMs);
         this.#readAtMs = sentAtMs;
+        if (this.#isActive) this.#options.onRead?.(sentAt);
         this.#isLongPollFailed = false;
         this.#handleRecovery();
         if (this.#options.pollMs > 0) await this.#pause(this.#computePauseMs());
@@ -247,7 +251,7 @@
 
   /** Logs when an entry becomes unreadable or readable, however often it is read. */
   #updateUnreadable(entries: readonly KeyedEntry<T>[]): void {
-    for (const { key, isUnreadable = false } of entries) {
+    for (const { key, isUnreadable = false, reason } of entries) {
       if (isUnreadable === this.#unreadable.has(key)) continue;
       if (isUnreadable) {
         this.#unreadable.add(key);
@@ -256,7 +260,11 @@
       this.#options.log.write(
         isUnreadable ? "warn" : "info",
         isUnreadable ? "entryUnreadable" : "entryReadable",
-        { topic: this.#options.name, key: key.slice(0, MAX_LOGGED_KEY_CHARS) },
+        {
+          topic: this.#options.name,
+          key: key.slice(0, MAX_LOGGED_KEY_CHARS),
+          reason,
+        },
       );
     }
   }
--- a/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { ManualClock } from "heatherarch-core";
 import { test } from "node:test";
 import {
   ActiveConfig,
@@ -33,7 +34,7 @@
   activeConfig: ActiveConfig;
   requests: PeerRequest[];
 } {
-  const activeConfig = new ActiveConfig();
+  const activeConfig = new ActiveConfig({ clock: new ManualClock() });
   const requests: PeerRequest[] = [];
   const call = async (
     peer: string,
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -46,6 +46,7 @@
     aimMs: 300,
     priority: 0,
     maxTargets: 2,
+    isKeyExempt: false,
     services: [{ service: "s", weight: 1 }],
     ...overrides,
   };
@@ -65,6 +66,7 @@
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
     },
+    accounts: null,
     ...overrides,
   };
 }
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -9,13 +9,14 @@
   parseMeshMessage,
 } from "heatherarch-mesh";
 import {
+  ActiveConfig,
   HubExchange,
   type HubFields,
   PrefixIndex,
   TargetDirectory,
   WorkTracker,
 } from "../../mod.ts";
-import { buildEngine, buildTarget } from "./fixtures.ts";
+import { buildConfig, buildEngine, buildTarget } from "./fixtures.ts";
 
 /** Rounds after which VMs no longer use hubs that they chose before they heard of the real ones. */
 const WARM_UP_ROUNDS = 30;
@@ -30,6 +31,7 @@
   readonly workTracker: WorkTracker;
   readonly prefixIndex: PrefixIndex;
   readonly directory: TargetDirectory;
+  readonly activeConfig: ActiveConfig;
   readonly exchange: HubExchange;
   /** Marks engines as changing their role, as a VM does on a heartbeat that lists them. */
   readonly markChangingRole: (engines: readonly string[]) => void;
@@ -121,7 +123,13 @@
   }
 
   #build(identity: LinkIdentity, all: readonly LinkIdentity[]): TestVm {
-    const clock = { readMonotonicMs: () => this.nowMs } as Clock;
+    const readMs = (): number => this.nowMs;
+    const clock = {
+      readMonotonicMs: readMs,
+      readBootMs: readMs,
+    } as Clock;
+    const activeConfig = new ActiveConfig({ clock });
+    activeConfig.applyConfig(buildConfig({ version: 1 }), "store");
     const membership = new Membership({
       self: identity,
       silenceMs: 1200,
@@ -132,6 +140,7 @@
       workTracker: new WorkTracker(),
       prefixIndex: new PrefixIndex(),
       directory: new TargetDirectory(),
+      activeConfig,
     };
     const vm: TestVm = {
       identity,
@@ -407,3 +416,44 @@
   exchange.addUncountedMs(2500);
   assert.equal(exchange.hasFreshFeed(fleet.nowMs), false);
 });
+
+test("a hub confirms the configuration to the VMs of its zone", () => {
+  const fleet = new TestFleet(["a", "b", "c"], 4);
+  fleet.run(WARM_UP_ROUNDS);
+  const vm = fleet.get("a-3");
+  assert.equal(vm.activeConfig.getAgeMs(), Infinity);
+  for (const { activeConfig, membership } of fleet.vms.values()) {
+    const now = { monotonicMs: fleet.nowMs, bootMs: fleet.nowMs };
+    if (membership.isHub) activeConfig.recordNewest(1, now);
+  }
+  fleet.run(2);
+  // The hub's confirmation, and one heartbeat in either direction.
+  assert.ok(vm.activeConfig.getAgeMs() <= 400, `${vm.activeConfig.getAgeMs()}`);
+  fleet.run(20);
+  assert.ok(vm.activeConfig.getAgeMs() >= 2000);
+  assert.ok(vm.exchange.getConfigConfirmationAgeMs() >= 2000);
+});
+
+// A cut connection delivers what it held back when it heals. The age that a hub stated back then
+// must not count from the arrival.
+test("a confirmation that is held back on its way is no newer than the heartbeat it answers", () => {
+  const fleet = new TestFleet(["a", "b", "c"], 4);
+  fleet.run(WARM_UP_ROUNDS);
+  const vm = fleet.get("a-3");
+  const sentAtMs = fleet.nowMs;
+  const hubs = [...fleet.vms.values()].filter(({ identity, membership }) =>
+    membership.isHub && identity.availabilityZone === "a"
+  );
+  const held = hubs.map((hub) => ({
+    hub,
+    heartbeat: buildHeartbeat({
+      digest: { scope: "fleet", vms: 12, work: [], counted: WARM_UP_ROUNDS },
+      configAgeMs: 10,
+    }),
+  }));
+  fleet.nowMs += 6000;
+  for (const { hub, heartbeat } of held) {
+    vm.exchange.handle(heartbeat, hub.identity);
+  }
+  assert.equal(vm.activeConfig.getAgeMs(), fleet.nowMs - sentAtMs + 10);
+});
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -39,6 +39,10 @@
     return performance.now() - this.#suspendedMs;
   }
 
+  readBootMs(): number {
+    return performance.now();
+  }
+
   /** Advances monotonic time by `ms`. */
   skip(ms: number): void {
     this.#suspendedMs -= ms;
@@ -129,7 +133,7 @@
     })),
     clock.readMonotonicMs(),
   );
-  const activeConfig = new ActiveConfig();
+  const activeConfig = new ActiveConfig({ clock });
   activeConfig.applyConfig(
     buildConfig({
       services: [{ name: "s", maxConnections: 100, engine: TRAITS }],
--- a/packages/heatherarch-forward/tests/unit/route_table_test.ts
+++ b/packages/heatherarch-forward/tests/unit/route_table_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { ManualClock } from "heatherarch-core";
 import { test } from "node:test";
 import { ActiveConfig, RouteTable } from "../../mod.ts";
 import { buildConfig, buildRoute } from "./fixtures.ts";
@@ -40,16 +41,8 @@
   assert.deepEqual(table.listServices(route, "k"), ["x"]);
 });
 
-test("the age of a configuration counts from the newest successful read", () => {
-  const activeConfig = new ActiveConfig();
-  assert.equal(activeConfig.getAgeMs(1000), Infinity);
-  activeConfig.recordStoreRead(900);
-  activeConfig.recordStoreRead(500);
-  assert.equal(activeConfig.getAgeMs(1000), 100);
-});
-
 test("the version in force never decreases", () => {
-  const activeConfig = new ActiveConfig();
+  const activeConfig = new ActiveConfig({ clock: new ManualClock() });
   const seen: number[] = [];
   const removeListener = activeConfig.registerListener(({ table }) =>
     seen.push(table.version)
--- a/packages/heatherarch-forward/tests/unit/store_reader_test.ts
+++ b/packages/heatherarch-forward/tests/unit/store_reader_test.ts
@@ -34,7 +34,7 @@
     clock: new ManualClock(),
     log: { write: () => undefined },
     metrics: new ForwardMetrics(),
-    activeConfig: new ActiveConfig(),
+    activeConfig: new ActiveConfig({ clock: new ManualClock() }),
     directory: new TargetDirectory(),
   };
   return new StoreReader(options as StoreReaderOptions);
@@ -50,8 +50,9 @@
   );
   try {
     const reader = createReaderOfRefusingStore();
-    reader.setActive(true, false);
-    reader.setActive(true, true);
+    const state = { isActive: true, isConfigUnconfirmed: false };
+    reader.setActive({ ...state, isCoordinator: false });
+    reader.setActive({ ...state, isCoordinator: true });
     reader.start();
     await new Promise((resolve) => setImmediate(resolve));
     assert.deepEqual(pauses, [TIMING.retryMs, TIMING.retryMs]);
--- a/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { ManualClock } from "heatherarch-core";
 import { test } from "node:test";
 import {
   MemoryEventLog,
@@ -45,7 +46,7 @@
     codec: { decodeResponse: () => metadata } as unknown as CallCodec,
     directory,
     backoffs,
-    clock: { readMonotonicMs: () => 0, readWallMs: () => 0 },
+    clock: new ManualClock(),
     log: new MemoryEventLog(),
   });
   const head = { status: 503, headers: {}, rawHeaders: [] };
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
+import { AccountAdmission } from "./calls/account_admission.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
 import { ActiveConfig } from "./state/active_config.ts";
 import { PrefixIndex } from "./state/prefix_index.ts";
@@ -83,6 +84,7 @@
     log,
   });
   const quarantine = buildQuarantine(settings);
+  const activeConfig = new ActiveConfig({ clock });
   return {
     clock,
     log,
@@ -93,7 +95,12 @@
     quarantine,
     prefillTimeModel,
     countVms,
-    activeConfig: new ActiveConfig(),
+    activeConfig,
+    accountAdmission: new AccountAdmission({
+      activeConfig,
+      revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
+      drawUnit: Math.random,
+    }),
     health: new TargetHealth(),
     workTracker: new WorkTracker(),
     crashDetector: buildCrashDetector({
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -77,7 +77,10 @@
     onListStale: (source) => components.storeReader.logStaleHub(source),
     getListReadAtMs: () => components.storeReader.listReadAtMs,
     onPeerListRead: (atMs) => components.directory.recordPeerRead(atMs),
-    configReadTiming: planConfigReads(settings.store),
+    configReadTiming: planConfigReads({
+      ...settings.store,
+      revokeBoundMs: settings.accounts.revokeBoundMs,
+    }),
     loadConfig: () => components.storeReader.loadConfig(),
     onLiveVms: options.onLiveVms,
     onChangingRole: options.onChangingRole,
@@ -114,12 +117,13 @@
 
 /** Builds the task that reads the platform's store. */
 export function buildStoreReader(options: VmTaskOptions): StoreReader {
-  const { settings: { store }, ports: { directory }, getComponents } = options;
+  const { settings, ports: { directory }, getComponents } = options;
+  const { store, accounts: { revokeBoundMs } } = settings;
   const components = getComponents();
   return new StoreReader({
     configTopic: directory.configs,
     targetTopic: directory.targets,
-    configReadTiming: planConfigReads(store),
+    configReadTiming: planConfigReads({ ...store, revokeBoundMs }),
     targetPollMs: store.targetPollMs,
     getFeedValidAtMs: () => getComponents().mesh.feedValidAtMs,
     hasStalledSince: (atMs) => components.targetListGuard.hasStalledSince(atMs),
--- a/packages/heatherarch-gateway/account_directory.ts
+++ b/packages/heatherarch-gateway/account_directory.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
+import { ApiKeyIndex } from "heatherarch-accounts";
 import { ServeError } from "heatherarch-core";
 import type { Account, Fleet } from "heatherarch-settings";
 
-/** Credentials that a request carries. */
-export interface Credentials {
+/** Identity that a request states. */
+export interface RequestIdentity {
   /** Bearer token, if one was sent. */
   readonly token: string | undefined;
   /** Name of a client account that has no token; empty if none was sent. */
@@ -26,14 +26,13 @@
 /** Client accounts of the fleet configuration. */
 export class AccountDirectory {
   #indexedFleet: Fleet | null = null;
-  #accountByToken = new Map<string, Account>();
+  #accountByToken = new ApiKeyIndex<Account>([]);
 
   /** Finds the client account. Throws {@linkcode ServeError} if the request may use none. */
-  find({ token, name }: Credentials, fleet: Fleet): Account {
+  find({ token, name }: RequestIdentity, fleet: Fleet): Account {
     this.#indexAccounts(fleet);
     if (token !== undefined) {
-      const digest = createHash("sha256").update(token).digest("hex");
-      const account = this.#accountByToken.get(digest);
+      const account = this.#accountByToken.findAccount(token);
       if (account !== undefined) return account;
     }
     const named = fleet.accounts.find((account) => account.name === name);
@@ -54,12 +53,13 @@
   #indexAccounts(fleet: Fleet): void {
     if (this.#indexedFleet === fleet) return;
     this.#indexedFleet = fleet;
-    this.#accountByToken = new Map();
-    for (const account of fleet.accounts) {
-      const { tokenSha256 } = account;
-      if (tokenSha256 !== undefined) {
-        this.#accountByToken.set(tokenSha256, account);
-      }
-    }
+    this.#accountByToken = new ApiKeyIndex(
+      fleet.accounts.map((account) => ({
+        account,
+        keyDigests: account.tokenSha256 === undefined
+          ? []
+          : [account.tokenSha256],
+      })),
+    );
   }
 }
--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -37,7 +37,7 @@
   copyRequestHeaders,
   findModelService,
   isResumable,
-  readCredentials,
+  readRequestIdentity,
   requireMethod,
   unwrap,
 } from "./request_params.ts";
@@ -220,7 +220,7 @@
     requestId: string,
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
-    const account = this.#accounts.find(readCredentials(ctx), fleet);
+    const account = this.#accounts.find(readRequestIdentity(ctx), fleet);
     const body = await readRequestBody(ctx.req, this.#host.limits);
     const json = unwrap(parseJsonBody(body));
     const parse = ctx.path === "/v1/completions"
@@ -260,7 +260,7 @@
     call: { name: string; path: string },
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
-    const account = this.#accounts.find(readCredentials(ctx), fleet);
+    const account = this.#accounts.find(readRequestIdentity(ctx), fleet);
     const service = fleet.services.find((entry): entry is PlainService =>
       entry.kind === "plain" && entry.name === call.name
     );
--- a/packages/heatherarch-gateway/request_params.ts
+++ b/packages/heatherarch-gateway/request_params.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the parameters of a client's request: credentials, model, token limits and headers.
+ * Reads the parameters of a client's request: identity, model, token limits and headers.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import type Koa from "koa";
 import { type Result, ServeError } from "heatherarch-core";
 import type { Fleet, ModelService, Profile } from "heatherarch-settings";
-import type { Credentials } from "./account_directory.ts";
+import type { RequestIdentity } from "./account_directory.ts";
 import type { GenerationRequest } from "./openai_format.ts";
 
 /** Headers that are not forwarded to a target. */
@@ -25,8 +25,8 @@
   "authorization",
 ]);
 
-/** Reads the credentials of a request. */
-export function readCredentials(ctx: Koa.Context): Credentials {
+/** Reads the identity that a request states. */
+export function readRequestIdentity(ctx: Koa.Context): RequestIdentity {
   return {
     token: /^Bearer (.+)$/i.exec(ctx.get("authorization"))?.[1],
     name: ctx.get("x-heatherarch-account"),
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -99,6 +99,11 @@
 const HEARTBEAT = z.object({
   kind: z.literal("heartbeat"),
   configOffset: z.int(),
+  /**
+   * Time since the configuration at `configOffset` was known to be the newest one, milliseconds. A
+   * hub sends it with each digest of the fleet.
+   */
+  configAgeMs: z.int().min(0).optional(),
   controlOffset: z.int(),
   /** Interval until the sender's next heartbeat, milliseconds. */
   intervalMs: z.int().min(0),
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -93,6 +93,14 @@
     /** Interval between heartbeats of a VM that sends to hubs, while nothing changes. */
     idleHeartbeatMs: buildMsSchema(10, 60_000, 250),
   }),
+  accounts: z.object({
+    /**
+     * Time after which no call with a revoked API key may run. Calls are rejected while a VM can't
+     * show that its configuration was the newest one within that time. Without it, a revocation
+     * takes effect like any other change of the configuration.
+     */
+    revokeBoundMs: z.int().min(500).max(600_000).optional(),
+  }).prefault({}),
   retries: z.object({
     /** Retries that are allowed, as a share of the calls. */
     share: z.number().min(0).max(1).default(0.2),
