Duties of the fleet: usage reports and orders of targets under one lease

Change: LeaseHolder is the lease session that the role controller had, as a class of its own, for roles and duties. Usage is counted by window and account, told to the hubs with heartbeats, and written to the log before it is reported: the first record of a window is the valid one.

--- a/packages/heatherarch-core/clock.ts
+++ b/packages/heatherarch-core/clock.ts
@@ -4,8 +4,6 @@
  *
  * @module
  */
-import { uptime } from "node:os";
-
 /** Clock. All values are in milliseconds. */
 export interface Clock {
   /** Reads the wall clock, milliseconds since the Unix epoch. It may jump. */
@@ -13,16 +11,21 @@
   /** Reads the monotonic clock, milliseconds from an arbitrary origin. It never goes back. */
   readMonotonicMs(): number;
   /**
-   * Reads the time since the machine was booted, milliseconds. Unlike the monotonic clock, it counts
-   * the time for which the machine is suspended.
+   * Reads a clock that, unlike the monotonic one, also counts the time for which the machine is
+   * suspended, milliseconds from an arbitrary origin. It never goes back.
    */
   readBootMs(): number;
 }
 
-const MS_PER_SECOND = 1000;
+/** Smallest difference between the wall clock and the monotonic one that counts as a suspension. */
+const MIN_SUSPENSION_MS = 50;
 
 /** Clock of the JavaScript runtime. */
 export class RuntimeClock implements Clock {
+  #bootMs = 0;
+  #readAtMonotonicMs = performance.now();
+  #readAtWallMs = Date.now();
+
   readWallMs(): number {
     return Date.now();
   }
@@ -31,8 +34,20 @@
     return performance.now();
   }
 
+  /**
+   * The runtime has no access to the system's boot clock. A suspension shows as a wall clock that
+   * moved ahead of the monotonic one since the last read, as does a wall clock that is set forward.
+   */
   readBootMs(): number {
-    return uptime() * MS_PER_SECOND;
+    const monotonicMs = this.readMonotonicMs();
+    const wallMs = this.readWallMs();
+    const elapsedMs = monotonicMs - this.#readAtMonotonicMs;
+    const elapsedWallMs = wallMs - this.#readAtWallMs;
+    const isSuspended = elapsedWallMs - elapsedMs >= MIN_SUSPENSION_MS;
+    this.#bootMs += isSuspended ? elapsedWallMs : elapsedMs;
+    this.#readAtMonotonicMs = monotonicMs;
+    this.#readAtWallMs = wallMs;
+    return this.#bootMs;
   }
 }
 
--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -24,6 +24,7 @@
 import type { TargetDirectory } from "./state/target_directory.ts";
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
+import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
 /** Components of one VM that serve calls. */
@@ -32,6 +33,7 @@
   readonly codec: CallCodec;
   readonly activeConfig: ActiveConfig;
   readonly accountAdmission: AccountAdmission;
+  readonly usage: UsageRecorder;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -72,6 +72,7 @@
    */
   readonly deadlineAtMs: number;
   readonly #configVersion: number;
+  readonly #account: ClientAccount | undefined;
   readonly #quarantineGuard: QuarantineGuard;
   readonly #timer: NodeJS.Timeout;
   readonly #removeDisconnectListener: () => void;
@@ -81,6 +82,8 @@
   #outcome: CallOutcome | undefined;
   #attempts = 0;
   #lastTarget: string | undefined;
+  /** Takes the recorded usage of this call back; undefined before it is recorded. */
+  #undoUsage: (() => void) | undefined;
   /** Number of targets on which the call runs or may have run. */
   #runs = 0;
 
@@ -88,6 +91,7 @@
     this.dependencies = options.dependencies;
     this.call = options.call;
     this.route = options.route;
+    this.#account = options.account;
     this.priority = options.account?.priority ?? options.route.priority;
     this.service = options.service;
     this.clientResponse = options.clientResponse;
@@ -201,11 +205,24 @@
   recordRun(): void {
     assertInvariant(this.mayRunAgain, "runs-within-kind", this.call.id);
     this.#runs++;
+    if (!this.#isStream) this.recordUsage();
+  }
+
+  /**
+   * Records once that the call has begun to run, for the usage of its account. A stream begins with
+   * its first token, any other call when it is sent.
+   */
+  recordUsage(): void {
+    if (this.#account === undefined) return;
+    this.#undoUsage ??= this.dependencies.usage.recordRun(this.#account.name);
   }
 
   /** Takes back a run: the target reported that it did not run the attempt, or nothing was sent. */
   undoRun(): void {
     this.#runs--;
+    if (this.#runs > 0 || this.#isStream) return;
+    this.#undoUsage?.();
+    this.#undoUsage = undefined;
   }
 
   /** Takes one retry from the fleet's retry budget; returns false if none is left. */
@@ -306,6 +323,11 @@
     });
   }
 
+  get #isStream(): boolean {
+    const { kind } = this.route;
+    return kind === "stream" || kind === "resumableStream";
+  }
+
   #expire(): void {
     if (this.hasEnded) return;
     const reason = "timeout of the call or of its route";
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -391,6 +391,7 @@
 
   #recordFirstByte(): void {
     const context = this.#context;
+    context.recordUsage();
     const tookMs = context.nowMs - context.call.arrivedAtMs;
     context.dependencies.metrics.firstByte.observe(
       { kind: context.route.kind },
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -20,10 +20,12 @@
 import { ConfigExchange } from "./config_exchange.ts";
 import { FleetGossip } from "./fleet_gossip.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
+import { type CollectedUsage, UsageExchange } from "./usage_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { WorkTracker } from "../state/work_tracker.ts";
+import type { UsageMeter } from "heatherarch-usage";
 
 /** Options of {@linkcode FleetMesh}. */
 export interface FleetMeshOptions extends
@@ -72,6 +74,7 @@
   readonly onLoopStall: (lateMs: number) => void;
   /** Whether this VM could send orders to engines now. */
   readonly mayOrder: () => boolean;
+  readonly usageMeter: UsageMeter;
 }
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -85,6 +88,7 @@
   readonly #gossip: FleetGossip;
   readonly #vmList: VmListFollower;
   readonly #configExchange: ConfigExchange;
+  readonly #usage: UsageExchange;
   /** Position in the prefix updates up to which each link has been sent them. */
   readonly #prefixCursors = new WeakMap<Link, number>();
   /** Time of the target list read that was last announced on each link. */
@@ -148,6 +152,12 @@
       node: this.#node,
       mustReadStore: () => this.mustReadStore(),
     });
+    this.#usage = new UsageExchange({
+      ...options,
+      node: this.#node,
+      membership: this.#membership,
+      meter: options.usageMeter,
+    });
   }
 
   async start(): Promise<void> {
@@ -155,6 +165,7 @@
       this.#handleHeartbeat(heartbeat, from, waitedMs)
     );
     this.#configExchange.start();
+    this.#usage.start();
     await this.#node.start();
     const { workTracker } = this.#options;
     this.#undoListeners.push(
@@ -231,6 +242,11 @@
     );
   }
 
+  /** Collects the usage of a window that ended at `endMs` from the VMs of the fleet. */
+  collectUsage(window: number, endMs: number): Promise<CollectedUsage> {
+    return this.#usage.collect(window, endMs, this.listCoordinators());
+  }
+
   /** Updates the VM count and polls the VM list when due. To be called several times a second. */
   tick(): void {
     this.updateVmCount();
@@ -265,7 +281,10 @@
     const fields = this.#membership.hasHubs
       ? this.#hubs.buildFields(link, peer)
       : this.#buildMeshFields(link);
-    const gossipFields = this.#gossip.buildFields(link);
+    const gossipFields = {
+      ...this.#gossip.buildFields(link),
+      ...this.#usage.buildFields(link, peer),
+    };
     const isEmpty = fields === undefined &&
       Object.keys(gossipFields).length === 0;
     if (isEmpty && !this.#isLeaving) return undefined;
@@ -317,6 +336,7 @@
     if (this.#membership.hasHubs) this.#hubs.handle(heartbeat, from, waitedMs);
     else this.#handleMeshFields(heartbeat, from);
     this.#gossip.handle(heartbeat, waitedMs);
+    this.#usage.handle(heartbeat, from);
     if (heartbeat.mayOrder) this.#orderCandidates.add(from.id);
     else this.#orderCandidates.delete(from.id);
     if (heartbeat.listAgeMs !== undefined) {
--- a/packages/heatherarch-forward/fleet/target_feed.ts
+++ b/packages/heatherarch-forward/fleet/target_feed.ts
@@ -40,7 +40,7 @@
 
 function decodeRow(row: TargetRow): KeyedEntry<Target> {
   const { id, service, address, availabilityZone, slots, leaving, role } = row;
-  const { instance, startedAtMs } = row;
+  const { instance, startedAtMs, isSpot } = row;
   if (address === undefined) return { key: id };
   const value: Target = {
     id,
@@ -50,6 +50,7 @@
     slots: slots ?? 1,
     leaving: leaving ?? false,
     ...(role === undefined ? {} : { role }),
+    ...(isSpot === undefined ? {} : { isSpot }),
     ...(instance === undefined ? {} : { instance }),
     ...(startedAtMs === undefined ? {} : { startedAtMs }),
   };
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -19,6 +19,7 @@
 } from "heatherarch-core";
 import { splitAddress } from "heatherarch-mesh";
 import type { ForwardSettings } from "heatherarch-settings";
+import { UsageMeter } from "heatherarch-usage";
 import { CacheSurvey } from "./tasks/cache_survey.ts";
 import { CallServer } from "./calls/call_server.ts";
 import { type EventLog, formatAge, StdoutEventLog } from "./event_log.ts";
@@ -27,6 +28,7 @@
 import { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
 import { buildCallDependencies, SWEEP_INTERVAL_MS } from "./vm_dependencies.ts";
 import {
+  buildFleetDuties,
   buildMesh,
   buildRoleController,
   buildStoreReader,
@@ -53,7 +55,7 @@
 const ROLE_CHANGE_HOLD_MS = 1500;
 
 /** Share of the bound on revocations after which a VM confirms the configuration by itself. */
-const MAX_CONFIRMATION_AGE_SHARE = 0.4;
+const MAX_CONFIRMATION_AGE_SHARE = 0.6;
 
 /** The process of one entry VM. */
 export class ForwardVm {
@@ -61,6 +63,7 @@
   readonly #ports: PlatformPorts;
   readonly #clock: Clock;
   readonly #log: EventLog;
+  readonly #usageMeter = new UsageMeter();
   readonly #container: AwilixContainer<VmComponents>;
   /**
    * All components, once they are registered. The container resolves a component again on each
@@ -132,6 +135,7 @@
     storeReader.start();
     quarantinePersistence.start();
     roleController.start();
+    this.#components.duties?.start();
     targetListGuard.recordTick();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
     this.#log.write("info", "started", { address: listen.callers });
@@ -176,6 +180,7 @@
       codec: this.#ports.codec,
       clock: this.#clock,
       log: this.#log,
+      usageMeter: this.#usageMeter,
       countVms: () => this.#liveVms,
       getListAgeMs: () => this.#components.storeReader.getEffectiveListAgeMs(),
       refreshTargetList: () => this.#components.storeReader.refreshList(),
@@ -193,6 +198,7 @@
       settings,
       ports,
       incarnation: createId("vm"),
+      usageMeter: this.#usageMeter,
       getComponents: () => this.#components,
       onLiveVms: (count) => this.#applyVmCount(count),
       onChangingRole: (targets) => this.#markChangingRole(targets),
@@ -229,6 +235,7 @@
         }),
       ),
       roleController: asValue(buildRoleController(options)),
+      duties: asValue(buildFleetDuties(options)),
       mesh: asValue(buildMesh(options)),
     });
   }
@@ -378,13 +385,18 @@
 
   async #shutDown(): Promise<void> {
     this.#stopping = true;
-    const { ingress, mesh, roleController } = this.#components;
+    const { ingress, mesh, roleController, duties } = this.#components;
     const { graceSeconds, noticeMs } = this.#settings.shutdown;
     const startedAtMs = this.#clock.readMonotonicMs();
     const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
     this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
     ingress.beginDrain();
-    await Promise.all([roleController.stop(), mesh.leave(), sleep(noticeMs)]);
+    await Promise.all([
+      roleController.stop(),
+      duties?.stop(),
+      mesh.leave(),
+      sleep(noticeMs),
+    ]);
     ingress.closeListener();
     while (
       ingress.openCalls > 0 && this.#clock.readMonotonicMs() < untilMs
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -118,6 +118,11 @@
     help: "Requests that are held back",
     registers: [this.registry],
   });
+  readonly holdsDuties = new Gauge({
+    name: "heatherarch_holds_duties",
+    help: "Whether this VM performs the duties of the fleet: 1 or 0",
+    registers: [this.registry],
+  });
   readonly liveVms = new Gauge({
     name: "heatherarch_live_vms",
     help: "Entry VMs that answer, this one included",
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -67,6 +67,21 @@
   /** Connections that one target accepts from all VMs together. */
   readonly maxConnections: number;
   readonly engine?: EngineTraits;
+  /** How many targets may be ordered; undefined if their number is fixed. */
+  readonly scaling?: ServiceScaling;
+}
+
+/** Bounds and prices of a service whose targets are ordered. */
+export interface ServiceScaling {
+  /** Targets of both kinds that an availability zone must have at least, and may have at most. */
+  readonly min: number;
+  readonly max: number;
+  /** Time from an order until a new target serves, milliseconds. */
+  readonly bootMs: number;
+  /** Price of a spot target as a fraction of a standard one's; undefined if there are none. */
+  readonly spotPriceFactor?: number;
+  /** Price of a standard target by availability zone. */
+  readonly pricesByZone: Readonly<Record<string, number>>;
 }
 
 /** Limits on what a client may send. */
@@ -114,6 +129,8 @@
   /** The target has announced that it will stop. */
   readonly leaving: boolean;
   readonly role?: TargetRole;
+  /** The platform may reclaim the target. */
+  readonly isSpot?: boolean;
 }
 
 /** What an engine reports about itself on request. */
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -131,6 +131,50 @@
   };
 }
 
+/** Thrown when the platform's API did not respond or refused. A request may have been carried out. */
+export class PlatformApiError extends Error {
+  constructor(detail: string, cause?: unknown) {
+    super(`platform API: ${detail}`, { cause });
+    this.name = "PlatformApiError";
+  }
+}
+
+/** The VM that performs a duty of the fleet, and its fencing token. */
+export interface DutyClaim {
+  readonly holder: string;
+  readonly fencing: number;
+}
+
+/** Result of performing a duty; `fenced` if a higher fencing token was seen before. */
+export type DutyOutcome = "done" | "fenced";
+
+/** Result of an order of targets. */
+export type OrderResponse = "accepted" | "unavailable" | "fenced";
+
+/** Calls that began to run in one window, by client account. */
+export interface UsageReport {
+  readonly window: number;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** An order of a number of targets. */
+export interface CapacityRequest {
+  readonly service: string;
+  readonly availabilityZone: string;
+  readonly kind: "standard" | "spot";
+  readonly count: number;
+}
+
+/** The platform's API for duties of the fleet. All methods may throw {@linkcode PlatformApiError}. */
+export interface PlatformApiPort {
+  reportUsage(claim: DutyClaim, report: UsageReport): Promise<DutyOutcome>;
+  /** A response does not tell a lower fencing token and a lack of targets apart. */
+  orderCapacity(
+    claim: DutyClaim,
+    order: CapacityRequest,
+  ): Promise<"accepted" | "refused">;
+}
+
 /** Translates calls and responses between the wire format and the model. */
 export interface CallCodec {
   /** Decodes the head of a client's request. Throws a `ServeError` if it is malformed. */
--- a/packages/heatherarch-forward/scheduling/config_reads.ts
+++ b/packages/heatherarch-forward/scheduling/config_reads.ts
@@ -52,7 +52,7 @@
  * Fractions of the time within which a configuration must be confirmed. A read confirms it as of
  * the time at which the read was sent, so reads that are held for long confirm little.
  */
-const CONFIRM_WAIT_FRACTION = 0.1;
+const CONFIRM_WAIT_FRACTION = 0.2;
 const CONFIRM_RESPONSE_FRACTION = 0.1;
 const CONFIRM_TIMEOUT_FRACTION = 0.2;
 const CONFIRM_RETRY_FRACTION = 0.05;
--- a/packages/heatherarch-forward/state/active_config.ts
+++ b/packages/heatherarch-forward/state/active_config.ts
@@ -77,6 +77,7 @@
    * then has shown so, here or at a hub.
    */
   recordNewest(version: number, asOf: Moment): void {
+    if (version < 0) return;
     if (version > this.version) {
       this.#awaited = { version, asOf };
       return;
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -13,12 +13,8 @@
   createId,
   sleep,
 } from "heatherarch-core";
-import {
-  type ControlRecord,
-  EMPTY_CONTROL_STATE,
-  LeaseStateMachine,
-} from "heatherarch-lease";
-import { classifySlice, type LogPort } from "heatherarch-log";
+import { LeaseHolder } from "heatherarch-duties";
+import type { LogPort } from "heatherarch-log";
 import type { ActiveConfig } from "../state/active_config.ts";
 import { sendEngineRequest } from "./engine_request.ts";
 import type { EventLog } from "../event_log.ts";
@@ -29,6 +25,7 @@
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
+import { logLeaseChange } from "./lease_log.ts";
 
 /** Options of {@linkcode RoleController}. */
 export interface RoleControllerOptions {
@@ -73,36 +70,31 @@
 const MAX_IDLE_LEASE_MS = 2000;
 /** Time of two reports of a target, after which its new role is listed, milliseconds. */
 const REPORT_WAIT_MS = 2600;
-/** Bound on the drift between monotonic clocks within one lease, milliseconds. */
-const DRIFT_MS = 200;
-/** Wall and monotonic clocks that diverge by more than this suggest a suspended machine. */
-const MAX_CLOCK_DIVERGENCE_MS = 150;
 const HTTP_OK = 200;
 const HTTP_FENCED = 412;
 
-interface LeaseSession {
-  readonly machine: LeaseStateMachine;
-  readAtMs: number;
-  idleSinceMs: number;
-}
-
 /** The task that sends role orders to engines. */
 export class RoleController {
   readonly #options: RoleControllerOptions;
   /** Ordered changes by engine, with the new role and the time until which it is awaited. */
   readonly #pending = new Map<string, { role: TargetRole; untilMs: number }>();
-  #state = EMPTY_CONTROL_STATE;
-  #session: LeaseSession | undefined;
+  readonly #lease: LeaseHolder;
+  /** Monotonic time at which there was last a change to make. */
+  #changesDueAtMs = -Infinity;
   #changesDueSinceMs = Infinity;
   #engineCount = -1;
   #countGrewAtMs = 0;
   #stopped = false;
-  #sessionCount = 0;
-  /** Wall minus monotonic time at the start of the session, milliseconds. */
-  #clockOffsetMs = 0;
 
   constructor(options: RoleControllerOptions) {
     this.#options = options;
+    this.#lease = new LeaseHolder({
+      ...options,
+      stream: CONTROL_STREAM,
+      createId: () => createId("order"),
+      onChange: (change) =>
+        logLeaseChange(options.events, CONTROL_STREAM, change),
+    });
   }
 
   start(): void {
@@ -112,7 +104,9 @@
   /** Ends the task and releases the lease. */
   async stop(): Promise<void> {
     this.#stopped = true;
-    await this.#resign("stopping").catch((error) => this.#logError(error));
+    await this.#lease.resign("stopping").catch((error) =>
+      this.#logError(error)
+    );
   }
 
   /**
@@ -148,13 +142,11 @@
     }
     this.#changesDueSinceMs = Math.min(this.#changesDueSinceMs, nowMs);
     if (nowMs - this.#changesDueSinceMs < this.#computeTurnDelayMs()) return;
-    const session = this.#session ?? this.#beginSession();
-    session.idleSinceMs = nowMs;
-    await this.#readControlStream(session);
-    await this.#appendLeaseRecords(session);
-    await this.#readControlStream(session);
+    this.#changesDueAtMs = nowMs;
+    this.#lease.seek();
+    await this.#lease.step();
     for (const change of changes) {
-      if (!(await this.#sendOrder(session, change))) return;
+      if (!(await this.#sendOrder(change))) return;
     }
   }
 
@@ -212,68 +204,8 @@
       (isCoordinator() ? 0 : SPARE_TURN_MS);
   }
 
-  #beginSession(): LeaseSession {
-    const { vmId, incarnation, leaseMs } = this.#options;
-    this.#clockOffsetMs = this.#computeClockOffsetMs();
-    const machine = new LeaseStateMachine({
-      vm: vmId,
-      // A claim of an earlier session counts as another VM's claim, whose lease must expire.
-      incarnation: `${incarnation}.${this.#sessionCount++}`,
-      durationMs: leaseMs,
-      driftMs: DRIFT_MS,
-      renewMs: leaseMs / 3,
-      createId: () => createId("order"),
-    });
-    machine.loadState(this.#state, this.#nowMs);
-    const session = { machine, readAtMs: -Infinity, idleSinceMs: this.#nowMs };
-    this.#session = session;
-    this.#options.events.write("info", "leaseSought", {
-      stream: CONTROL_STREAM,
-      offset: this.#state.offset,
-    });
-    return session;
-  }
-
-  async #readControlStream(session: LeaseSession): Promise<void> {
-    const { machine } = session;
-    while (true) {
-      const sentAtMs = this.#nowMs;
-      const from = machine.state.offset + 1;
-      const slice = await this.#options.log.read(CONTROL_STREAM, from);
-      const result = classifySlice(from, slice);
-      if (result.kind === "gap") {
-        // Expired records are older than any lease, and later claims contain the current state.
-        machine.loadState(
-          { ...EMPTY_CONTROL_STATE, offset: result.first - 1 },
-          this.#nowMs,
-        );
-        continue;
-      }
-      for (const record of result.records) {
-        machine.applyRecord(record, this.#nowMs);
-      }
-      this.#state = machine.state;
-      if (!result.isCurrent) continue;
-      session.readAtMs = sentAtMs;
-      return;
-    }
-  }
-
-  async #appendLeaseRecords(session: LeaseSession): Promise<void> {
-    const actions = session.machine.tick(this.#nowMs, session.readAtMs);
-    for (const { record } of actions) await this.#append(record);
-  }
-
-  async #append(record: ControlRecord): Promise<void> {
-    await this.#options.log.append(CONTROL_STREAM, record);
-  }
-
   /** Sends one order; returns false if no further one may be sent now. */
-  async #sendOrder(
-    session: LeaseSession,
-    change: RoleChange,
-  ): Promise<boolean> {
-    const { target, role } = change;
+  async #sendOrder({ target, role }: RoleChange): Promise<boolean> {
     const { codec, vmId, activeConfig } = this.#options;
     const report = await this.#readReport(target);
     if (report === undefined || report.isChangingRole) return true;
@@ -281,8 +213,8 @@
     // are those of different incarnations.
     if (isOtherIncarnation(report, target)) return true;
     if (report.role === role) return true;
-    if (!this.#hasAuthority(session)) return false;
-    const { fencing } = session.machine;
+    if (!this.#lease.hasAuthority()) return false;
+    const { fencing } = this.#lease;
     const { ordersTaken } = report;
     const order = { target, role, holder: vmId, fencing, ordersTaken };
     const traits = activeConfig.table?.findService(target.service)?.engine;
@@ -295,7 +227,7 @@
     if (response?.status !== HTTP_FENCED) return true;
     // Another VM holds the lease now, so this fencing token is never used again.
     this.#pending.delete(target.id);
-    await this.#resign("fenced");
+    await this.#lease.resign("fenced");
     return false;
   }
 
@@ -321,45 +253,9 @@
     });
   }
 
-  /** Checks the lease, which could outlive its duration if a suspension stopped the clock. */
-  #hasAuthority(session: LeaseSession): boolean {
-    const divergenceMs = Math.abs(
-      this.#computeClockOffsetMs() - this.#clockOffsetMs,
-    );
-    if (divergenceMs > MAX_CLOCK_DIVERGENCE_MS) {
-      this.#session = undefined;
-      this.#options.events.write("warn", "leaseDropped", {
-        reason: "wall and monotonic clocks diverged",
-        partedMs: Math.round(divergenceMs),
-      });
-      return false;
-    }
-    return session.machine.hasAuthority(this.#nowMs);
-  }
-
   async #resignIfIdle(nowMs: number): Promise<void> {
-    const session = this.#session;
-    if (session === undefined) return;
-    if (nowMs - session.idleSinceMs < MAX_IDLE_LEASE_MS) return;
-    await this.#resign("nothing to change");
-  }
-
-  async #resign(reason: string): Promise<void> {
-    const session = this.#session;
-    if (session === undefined) return;
-    this.#session = undefined;
-    this.#options.events.write("info", "leaseGivenUp", {
-      reason,
-      fencing: session.machine.fencing,
-    });
-    for (const { record } of session.machine.resign()) {
-      await this.#append(record);
-    }
-  }
-
-  #computeClockOffsetMs(): number {
-    const { clock } = this.#options;
-    return clock.readWallMs() - clock.readMonotonicMs();
+    if (nowMs - this.#changesDueAtMs < MAX_IDLE_LEASE_MS) return;
+    await this.#lease.resign("nothing to change");
   }
 
   get #nowMs(): number {
--- a/packages/heatherarch-forward/tests/unit/active_config_test.ts
+++ b/packages/heatherarch-forward/tests/unit/active_config_test.ts
@@ -22,6 +22,14 @@
   assert.equal(activeConfig.getAgeMs(), 100);
 });
 
+test("that there was no configuration confirms none that comes later", () => {
+  const clock = new ManualClock();
+  const activeConfig = new ActiveConfig({ clock });
+  activeConfig.recordNewest(-1, readMoment(clock));
+  activeConfig.applyConfig(buildConfig({ version: 1 }), "peer a");
+  assert.equal(activeConfig.getAgeMs(), Infinity);
+});
+
 test("a suspension of the machine ages the configuration", () => {
   const { clock, activeConfig } = createConfig(1);
   activeConfig.recordNewest(1, readMoment(clock));
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -15,6 +15,8 @@
 import { TargetDirectory } from "./state/target_directory.ts";
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
+import type { UsageMeter } from "heatherarch-usage";
+import { UsageRecorder } from "./state/usage_recorder.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
@@ -35,6 +37,7 @@
 
 /** Options of {@linkcode buildCallDependencies}. */
 export interface CallDependenciesOptions {
+  readonly usageMeter: UsageMeter;
   readonly settings: ForwardSettings;
   readonly codec: CallCodec;
   readonly clock: Clock;
@@ -48,6 +51,7 @@
 }
 
 const MS_PER_SECOND = 1000;
+const DEFAULT_USAGE_WINDOW_SECONDS = 60;
 /** Interval at which expired state is removed, milliseconds. */
 export const SWEEP_INTERVAL_MS = 250;
 /**
@@ -58,6 +62,12 @@
 const MAX_LIST_AGE_POLLS = 1.6;
 const LIST_AGE_SLACK_MS = 300;
 
+/** Length of a window of usage, milliseconds. Counts that nobody reports have windows as well. */
+export function computeUsageWindowMs({ usage }: ForwardSettings): number {
+  return (usage?.windowSeconds ?? DEFAULT_USAGE_WINDOW_SECONDS) *
+    MS_PER_SECOND;
+}
+
 /** Computes the age up to which a target list is used, milliseconds. */
 export function computeMaxListAgeMs(
   { targetPollMs }: ForwardSettings["store"],
@@ -69,7 +79,7 @@
 export function buildCallDependencies(
   options: CallDependenciesOptions,
 ): CallDependencies {
-  const { settings, codec, clock, log, countVms } = options;
+  const { settings, codec, clock, log, countVms, usageMeter } = options;
   const metrics = new ForwardMetrics();
   const prefillTimeModel = new PrefillTimeModel();
   const directory = new TargetDirectory({
@@ -116,6 +126,11 @@
         findBlockReason({ directory, backoffs, clock }, id, purpose),
     }),
     targetListGuard: buildTargetListGuard(options, metrics),
+    usage: new UsageRecorder({
+      meter: usageMeter,
+      clock,
+      windowMs: computeUsageWindowMs(settings),
+    }),
     retryBudget: buildRetryBudget(settings),
     prefillQueue: new PrefillQueue({ clock }),
     prefillCandidateCache: new PrefillCandidateCache(),
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import type { LogPort } from "heatherarch-log";
+import type { UsageMeter } from "heatherarch-usage";
 import type { ForwardSettings } from "heatherarch-settings";
 import { FleetMesh } from "./fleet/fleet_mesh.ts";
-import type { CallCodec, DirectoryPorts } from "./ports.ts";
+import type { CallCodec, DirectoryPorts, PlatformApiPort } from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
+import { FleetDuties } from "./tasks/fleet_duties.ts";
 import type { Ingress } from "./tasks/ingress.ts";
 import type { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
 import { RoleController } from "./tasks/role_controller.ts";
@@ -21,6 +23,8 @@
   readonly codec: CallCodec;
   readonly directory: DirectoryPorts;
   readonly log: LogPort;
+  /** The platform's API for duties of the fleet; undefined if there are no duties. */
+  readonly platformApi?: PlatformApiPort;
   /** Path of the readiness check of the platform's load balancer. */
   readonly readinessPath: string;
 }
@@ -33,6 +37,8 @@
   readonly statusServer: StatusServer;
   readonly storeReader: StoreReader;
   readonly quarantinePersistence: QuarantinePersistence;
+  /** Undefined if the fleet has no duties. */
+  readonly duties: FleetDuties | undefined;
 }
 
 /** Options of the functions that build tasks. */
@@ -42,6 +48,7 @@
   readonly incarnation: string;
   /** Returns the components; some may not be built yet. */
   readonly getComponents: () => VmComponents;
+  readonly usageMeter: UsageMeter;
   /** Called when the number of VMs that share the fleet's limits changes. */
   readonly onLiveVms: (count: number) => void;
   /** Called with the engines that a peer has ordered to change their role. */
@@ -82,6 +89,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs,
     }),
     loadConfig: () => components.storeReader.loadConfig(),
+    usageMeter: options.usageMeter,
     onLiveVms: options.onLiveVms,
     onChangingRole: options.onChangingRole,
     listChangingRole: () => getComponents().roleController.listChangingRole(),
@@ -115,6 +123,37 @@
   });
 }
 
+/** Builds the task that performs the duties of the fleet, if the platform has any. */
+export function buildFleetDuties(
+  options: VmTaskOptions,
+): FleetDuties | undefined {
+  const { settings, ports, incarnation, getComponents } = options;
+  if (ports.platformApi === undefined) return undefined;
+  const { clock, log, metrics, activeConfig, directory } = getComponents();
+  return new FleetDuties({
+    vmId: settings.vm.id,
+    incarnation,
+    log: ports.log,
+    platformApi: ports.platformApi,
+    leaseMs: settings.lease.durationMs,
+    isFencingEnforced: settings.lease.isFencingEnforced,
+    usage: settings.usage,
+    clock,
+    events: log,
+    metrics,
+    activeConfig,
+    directory,
+    listCandidates: () => getComponents().mesh.listOrderCandidates(),
+    isCandidate: () => {
+      const { mesh, storeReader } = getComponents();
+      return mesh.hasVmList && mesh.isCoordinator && storeReader.isListCurrent;
+    },
+    isListCurrent: () => getComponents().storeReader.isListCurrent,
+    collectUsage: (window, endMs) =>
+      getComponents().mesh.collectUsage(window, endMs),
+  });
+}
+
 /** Builds the task that reads the platform's store. */
 export function buildStoreReader(options: VmTaskOptions): StoreReader {
   const { settings, ports: { directory }, getComponents } = options;
--- a/packages/heatherarch-lease/control_fold.ts
+++ b/packages/heatherarch-lease/control_fold.ts
@@ -47,6 +47,11 @@
 export interface ControlState {
   readonly offset: number;
   readonly claim: LeaseClaim | null;
+  /**
+   * Offset of the last sign of a holder whose claim expired before this reader began: a renewal, or
+   * any unread record. Undefined if the reader has read the stream from its start, or a claim.
+   */
+  readonly unknownSignOffset?: number;
   /** Open intents by target, at most one for each target. */
   readonly open: Readonly<Record<string, OpenIntent>>;
   readonly recent: readonly ClosedIntent[];
@@ -72,6 +77,11 @@
   -readonly [Key in keyof ControlState]: ControlState[Key];
 };
 
+/** Builds the state of a reader that begins after `offset`, as earlier records have expired. */
+export function buildTruncatedState(offset: number): ControlState {
+  return { ...EMPTY_CONTROL_STATE, offset, unknownSignOffset: offset };
+}
+
 /** Applies the record that follows `state`, and returns the new state. */
 export function applyControlRecord(
   state: ControlState,
@@ -98,7 +108,8 @@
 ): void {
   const { claim } = draft;
   if (record.type === "claim") {
-    if (!isClaimValid(claim, record)) return;
+    if (!isClaimValid(draft, record)) return;
+    draft.unknownSignOffset = undefined;
     draft.claim = {
       vm: record.vm,
       incarnation: record.incarnation,
@@ -108,6 +119,9 @@
     };
     return;
   }
+  if (claim === null && draft.unknownSignOffset !== undefined) {
+    draft.unknownSignOffset = offset;
+  }
   if (
     claim === null || record.claimOffset !== claim.claimOffset || claim.released
   ) return;
@@ -127,13 +141,22 @@
   }
 }
 
+/**
+ * Whether a claim takes the lease: its claimant has read every sign of the current holder. A claimant
+ * that began after the holder's claim had expired names no predecessor.
+ */
 function isClaimValid(
-  current: LeaseClaim | null,
+  { claim: current, unknownSignOffset }: ControlState,
   claim: Extract<ControlRecord, { type: "claim" }>,
 ): boolean {
-  if (current === null) return claim.replaces === -1;
-  return claim.replaces === current.claimOffset &&
-    claim.seenRenewal >= current.lastSignOffset;
+  if (current === null) {
+    return unknownSignOffset === undefined
+      ? claim.replaces === -1
+      : claim.seenRenewal >= unknownSignOffset;
+  }
+  const namesHolder = claim.replaces === current.claimOffset ||
+    claim.replaces === -1;
+  return namesHolder && claim.seenRenewal >= current.lastSignOffset;
 }
 
 function applyIntent(
--- a/packages/heatherarch-lease/control_records.ts
+++ b/packages/heatherarch-lease/control_records.ts
@@ -36,7 +36,7 @@
     incarnation: z.string(),
     /** Offset of the claim that this one replaces; -1 for none. */
     replaces: z.int(),
-    /** Offset of the last record of that claim (claim, renewal or release) that the claimant read. */
+    /** Offset up to which the claimant has read the stream. */
     seenRenewal: z.int(),
   }),
   z.object({ ...BASE, type: z.literal("renew"), claimOffset: z.int() }),
--- a/packages/heatherarch-lease/lease_state_machine.ts
+++ b/packages/heatherarch-lease/lease_state_machine.ts
@@ -23,6 +23,11 @@
   readonly driftMs: number;
   /** Interval between renewals. */
   readonly renewMs: number;
+  /**
+   * Whether a new holder waits until the lease of its predecessor has expired by any clock; by
+   * default it does. Where all requests with a lower fencing token are refused, it need not.
+   */
+  readonly waitsForPredecessor?: boolean;
   /** Creates record ids. */
   readonly createId: () => string;
   /** Guards that the proofs disable to show that each is needed. Empty in production. */
@@ -93,6 +98,12 @@
       claim.incarnation === this.#options.incarnation;
   }
 
+  /** Whether the log shows that nobody holds the lease. */
+  get isVacant(): boolean {
+    const { claim, unknownSignOffset } = this.#state;
+    return claim === null ? unknownSignOffset === undefined : claim.released;
+  }
+
   /** Monotonic time until which the lease is guaranteed to be held. */
   get authorityUntilMs(): number {
     return this.#authorityUntilMs;
@@ -126,12 +137,17 @@
 
   /** Applies the next record of the stream, which was read at `nowMs`. */
   applyRecord(record: OffsetRecord, nowMs: number): void {
-    const before = this.#state.claim;
+    const { claim: before, unknownSignOffset } = this.#state;
     this.#state = applyControlRecord(this.#state, record);
     const { claim } = this.#state;
+    if (this.#state.unknownSignOffset !== unknownSignOffset) {
+      this.#holderSeenAtMs = nowMs;
+    }
     if (claim === null || claim === before) return;
     this.#holderSeenAtMs = nowMs;
-    const wasVacant = before === null || before.released;
+    const wasVacant = before === null
+      ? unknownSignOffset === undefined
+      : before.released;
     if (claim.claimOffset !== before?.claimOffset) {
       this.#handleNewClaim(record, nowMs, wasVacant);
     } else if (this.isHolder) this.#extendAuthority(record);
@@ -182,7 +198,7 @@
   #buildClaim(nowMs: number, logReadAtMs: number): LeaseAction[] {
     const { claim } = this.#state;
     const { durationMs, vm, incarnation, createId } = this.#options;
-    const isVacant = claim === null || claim.released;
+    const isVacant = this.isVacant;
     // The absence of renewals must have been observed, so the last read of the log must be recent.
     if (nowMs - logReadAtMs > durationMs / 2) return [];
     if (!isVacant && logReadAtMs - this.#holderSeenAtMs < durationMs) return [];
@@ -199,7 +215,7 @@
       replaces: claim?.claimOffset ?? -1,
       seenRenewal: this.#disabledGuards.has("claimNamesPredecessor")
         ? Number.MAX_SAFE_INTEGER
-        : claim?.lastSignOffset ?? -1,
+        : this.#state.offset,
     })];
   }
 
@@ -214,8 +230,9 @@
     wasVacant: boolean,
   ): void {
     if (!this.isHolder) return this.#revokeAuthority();
-    const { durationMs, driftMs } = this.#options;
-    this.#authorityFromMs = wasVacant ? nowMs : nowMs + durationMs + driftMs;
+    const { durationMs, driftMs, waitsForPredecessor = true } = this.#options;
+    const mayActAtOnce = wasVacant || !waitsForPredecessor;
+    this.#authorityFromMs = mayActAtOnce ? nowMs : nowMs + durationMs + driftMs;
     this.#extendAuthority(record);
   }
 
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -62,6 +62,9 @@
   return true;
 }
 
+/** Number of a window, client account, and its calls that began to run in the window. */
+const USAGE_ROW = z.tuple([z.int(), z.string(), z.int()]);
+
 /** Digest of the work in progress that a hub knows, summed by target. */
 const DIGEST = z.object({
   /** `zone`: the hub's zone, for hubs of other zones. `fleet`: all zones, for VMs of its zone. */
@@ -82,6 +85,8 @@
   slots: z.number().optional(),
   leaving: z.boolean().optional(),
   role: z.enum(["prefill", "decode"]).optional(),
+  /** Whether the platform may reclaim the target. */
+  isSpot: z.boolean().optional(),
   /** Id that the target's incarnations share, and the start of this one, Unix milliseconds. */
   instance: z.string().optional(),
   startedAtMs: z.int().optional(),
@@ -144,6 +149,8 @@
       z.int().min(0),
     ]),
   ).optional(),
+  /** Usage counts of the sender that have changed since its last heartbeat on this link. */
+  usage: z.array(USAGE_ROW).optional(),
   /** Number of this heartbeat. A digest names the last number that it includes. */
   beat: z.int().optional(),
   /** What the sender requests from a hub: digests, and changes of the target list or all of it. */
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -114,9 +114,23 @@
     /** Initial quarantine time. Each further crash doubles it. */
     holdSeconds: z.number().min(1).max(86_400).default(600),
   }).prefault({}),
-  lease: z.object({ durationMs: z.number().min(100).default(3000) }).prefault(
-    {},
-  ),
+  lease: z.object({
+    durationMs: z.number().min(100).default(3000),
+    /** Whether targets and the platform refuse what has a lower fencing token than before. */
+    isFencingEnforced: z.boolean().default(true),
+  }).prefault({}),
+  /** The platform's API for what one VM at a time does for the fleet. */
+  platformApi: z.object({
+    address: ADDRESS,
+    requestTimeoutMs: buildMsSchema(50, 60_000, 1500),
+  }).optional(),
+  /** Reports of the usage of client accounts; none without it. */
+  usage: z.object({
+    /** Length of a window. Windows are counted from the start of 1970. */
+    windowSeconds: z.number().min(0.5).max(86_400),
+    /** Time after the end of a window at which its report is due. */
+    lateSeconds: z.number().min(0.5).max(86_400),
+  }).optional(),
   shutdown: z.object({
     /** Time between the stop request and the kill of the process. */
     graceSeconds: z.number().min(0.5).max(3600).default(8),
--- /dev/null
+++ b/packages/heatherarch-usage/usage_ledger.ts
@@ -0,0 +1,129 @@
+/**
+ * The windows whose counts are final, folded from a stream of the log. Counts are written there before
+ * they are reported for the first time, and the first record of a window is the valid one. Whoever
+ * reports a window, however often, therefore reports the same counts.
+ *
+ * @module
+ */
+import { assertInvariant } from "heatherarch-core";
+import type { UsageCounts } from "./usage_collection.ts";
+
+/** A record of the stream: the final counts of a window. */
+export interface UsageRecord {
+  readonly type: "usage";
+  readonly window: number;
+  readonly counts: UsageCounts;
+}
+
+/** A window that may be reported. */
+export interface FinalUsage {
+  readonly window: number;
+  readonly counts: UsageCounts;
+}
+
+/** Options of {@linkcode UsageLedger}. */
+export interface UsageLedgerOptions {
+  readonly windowMs: number;
+  /** Time after the end of a window at which its counts are usually complete, milliseconds. */
+  readonly settleMs: number;
+  /** Time after the end of a window at which its report is due, milliseconds. */
+  readonly lateMs: number;
+}
+
+/** Windows that are kept to be reported again. */
+const MAX_WINDOWS = 16;
+
+/** Windows of one stream, and which of them are due. */
+export class UsageLedger {
+  readonly #options: UsageLedgerOptions;
+  readonly #final = new Map<number, UsageCounts>();
+  readonly #reported = new Set<number>();
+  #firstWindow: number | undefined;
+  #lastFinal = -Infinity;
+
+  constructor(options: UsageLedgerOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the window that contains a time, in milliseconds since the Unix epoch. */
+  findWindow(unixMs: number): number {
+    return Math.floor(unixMs / this.#options.windowMs);
+  }
+
+  /** Time at which a window ends, milliseconds since the Unix epoch. */
+  getEndMs(window: number): number {
+    return (window + 1) * this.#options.windowMs;
+  }
+
+  /** Applies a record of the stream. Records of other kinds are ignored. */
+  applyRecord(data: unknown): void {
+    if (!isUsageRecord(data)) return;
+    const { window, counts } = data;
+    // Windows become final in their order, so this one is a repetition.
+    if (window <= this.#lastFinal) return;
+    this.#lastFinal = window;
+    this.#final.set(window, counts);
+    if (this.#final.size > MAX_WINDOWS) {
+      this.#final.delete(Math.min(...this.#final.keys()));
+    }
+  }
+
+  /**
+   * Begins to report with the window that contains `unixMs`. If the stream was not read from its
+   * start and has no record left, an earlier window may be final with counts that are unknown here.
+   */
+  beginAt(unixMs: number): void {
+    this.#firstWindow ??= this.findWindow(unixMs);
+  }
+
+  /** Returns the next window whose counts should become final; undefined if none is over. */
+  findNextWindow(unixMs: number): number | undefined {
+    const { windowMs, settleMs, lateMs } = this.#options;
+    const ended = this.findWindow(unixMs - settleMs) - 1;
+    const first = Math.max(
+      this.#lastFinal === -Infinity
+        ? this.#firstWindow ?? Infinity
+        : this.#lastFinal + 1,
+      // The counts of a window that ended long ago are no longer known.
+      ended - Math.ceil(2 * lateMs / windowMs),
+    );
+    return first <= ended ? first : undefined;
+  }
+
+  /** Whether the counts of a window must become final even if some are missing. */
+  isUrgent(window: number, unixMs: number): boolean {
+    const { lateMs } = this.#options;
+    return unixMs - this.getEndMs(window) >= lateMs * URGENT_SHARE;
+  }
+
+  /** Lists the final windows that this VM has not reported, in their order. */
+  listUnreported(): FinalUsage[] {
+    return [...this.#final]
+      .filter(([window]) => !this.#reported.has(window))
+      .map(([window, counts]) => ({ window, counts }));
+  }
+
+  /** Records that the platform has accepted the report of a window. */
+  recordReport(window: number): void {
+    assertInvariant(
+      this.#final.has(window),
+      "usage-final-before-report",
+      `window ${window}`,
+    );
+    this.#reported.add(window);
+  }
+
+  /** Number of the last final window; undefined if none is known. */
+  get lastFinal(): number | undefined {
+    return this.#lastFinal === -Infinity ? undefined : this.#lastFinal;
+  }
+}
+
+/** Share of the time until a report is due after which missing counts are not awaited. */
+const URGENT_SHARE = 0.6;
+
+function isUsageRecord(data: unknown): data is UsageRecord {
+  const record = data as Partial<UsageRecord> | null;
+  return record?.type === "usage" && Number.isSafeInteger(record.window) &&
+    typeof record.counts === "object" && record.counts !== null;
+}
