--- a/packages/heatherarch-daemon/mod.ts
+++ b/packages/heatherarch-daemon/mod.ts
@@ -12,3 +12,4 @@
 export * from "./order_executor.ts";
 export * from "./target_table.ts";
 export * from "./target_watcher.ts";
+export * from "./zone_view.ts";
--- a/packages/heatherarch-daemon/zone_view.ts
+++ b/packages/heatherarch-daemon/zone_view.ts
@@ -27,6 +27,11 @@
 
 /** A peer's demand is dropped this long after the heartbeat that carried it. */
 const DEMAND_MAX_AGE_MS = 15_000;
+/**
+ * A zone is dropped this long after its last summary. A zone that was withdrawn would otherwise count
+ * among the VMs that share limits, and changes would wait for it.
+ */
+const ZONE_MAX_AGE_MS = 60_000;
 
 /** Aggregates the demand and zone summaries of heartbeats. */
 export class ZoneView {
@@ -73,6 +78,7 @@
   /** Counts the live VMs of all zones, this one included. */
   countVms(): number {
     const { membership, availabilityZone } = this.#options;
+    this.#dropSilentZones();
     let count = membership.listLive(availabilityZone).length;
     for (const [zone, summary] of this.#zones) {
       if (zone !== availabilityZone) count += summary.vms;
@@ -82,6 +88,14 @@
 
   /** Returns the zone summaries by zone. */
   listZones(): Readonly<Record<string, ZoneSummary>> {
+    this.#dropSilentZones();
     return Object.fromEntries(this.#zones);
   }
+
+  #dropSilentZones(): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    for (const [zone, { heardAtMs }] of this.#zones) {
+      if (nowMs - heardAtMs > ZONE_MAX_AGE_MS) this.#zones.delete(zone);
+    }
+  }
 }
