--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -71,6 +71,33 @@
   }[];
 }
 
+/** Body of `GET /fleet` on the metrics port of a VM that forwards calls. */
+export interface FleetStatusResponse {
+  readonly vm: string;
+  readonly config: { version: number; ageMs: number | null };
+  readonly accounts: readonly { name: string; keys: number }[] | null;
+  readonly duties: {
+    holder?: string;
+    fencing: number;
+    lastFinalWindow?: number;
+    lastReportedWindow?: number;
+    wanted: readonly {
+      service: string;
+      availabilityZone: string;
+      standard: number;
+      spot: number;
+    }[];
+    orders: readonly {
+      service: string;
+      availabilityZone: string;
+      kind: string;
+      count: number;
+      outcome: string;
+      reason: string;
+    }[];
+  } | null;
+}
+
 /** Body of `POST /v1/changes`: the verdict on a published change. */
 export interface ChangeResponse {
   readonly verdict: "accepted" | "spreading";
@@ -97,6 +124,10 @@
     return await this.sendRequest("GET", "/v1/status") as StatusResponse;
   }
 
+  async readFleetStatus(): Promise<FleetStatusResponse> {
+    return await this.sendRequest("GET", "/fleet") as FleetStatusResponse;
+  }
+
   /** Publishes a change. Throws {@linkcode CommandError} if it is rejected. */
   async publish(
     change: unknown,
@@ -125,7 +156,9 @@
 
   /**
    * Sends a request to the first VM that responds and returns the body. Throws
-   * {@linkcode CommandError} if no VM responds or the status isn't 200.
+   * {@linkcode CommandError} if no VM responds or the status isn't 200. A change that may have
+   * reached a VM is not sent to another one: it could be in force already, and would then be rejected
+   * as if another operator had made it.
    */
   async sendRequest(
     method: "GET" | "POST",
@@ -137,6 +170,12 @@
       const response = await this.#send(url + path, method, body).catch(
         (error: Error) => {
           lastFailure = `${url}: ${error.message}`;
+          if (method === "POST" && !isConnectFailure(error)) {
+            throw new CommandError(
+              "failed",
+              `no response (${lastFailure}); the change may be in force`,
+            );
+          }
           return undefined;
         },
       );
@@ -168,6 +207,19 @@
   }
 }
 
+/** Codes of errors after which nothing was sent. */
+const CONNECT_FAILURE_CODES: ReadonlySet<unknown> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function isConnectFailure(error: Error): boolean {
+  return CONNECT_FAILURE_CODES.has((error as NodeJS.ErrnoException).code);
+}
+
 function listLagging(status: StatusResponse, offset: number): string[] {
   const lagging = status.members
     .filter((member) =>
