Generations: a disconnect after the end ends nothing twice, one before it is counted, resumes keep the format

Cause: the close listener ended the admitted request and released the account's slot once more when a client went away between the end of its generation and that of its response; a disconnect before the end left no metric; a resumed completion was written as chat chunks. Test: generation_response_test, three cases that failed before.

--- a/packages/heatherarch-gateway/gateway_host.ts
+++ b/packages/heatherarch-gateway/gateway_host.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { GenerationRequest } from "./openai_format.ts";
 import type { Clock, ErrorKind, ServeError } from "heatherarch-core";
 import type {
   Candidate,
@@ -80,13 +81,16 @@
   readonly state: "running" | "ended" | "failed" | "unknown";
   readonly kind?: ErrorKind;
   readonly model: string;
+  /** Interface whose format the stream has; undefined from a VM that runs an earlier build. */
+  readonly requestKind?: GenerationRequest["kind"];
 }
 
 /** Result of a request, for metrics. */
 export interface RequestResult {
   readonly service: string;
   readonly profile: string;
-  readonly outcome: "ok" | ErrorKind;
+  /** `clientGone`: the client disconnected before the end of the response. */
+  readonly outcome: "ok" | "clientGone" | ErrorKind;
   /** Whether the response was complete within its deadline. */
   readonly isWithinDeadline: boolean;
   readonly durationMs: number;
--- a/packages/heatherarch-gateway/generation_response.ts
+++ b/packages/heatherarch-gateway/generation_response.ts
@@ -7,7 +7,11 @@
 import type Koa from "koa";
 import { buildErrorBody, ServeError } from "heatherarch-core";
 import type { Profile } from "heatherarch-settings";
-import type { GatewayHost, StreamSlice } from "./gateway_host.ts";
+import type {
+  GatewayHost,
+  RequestResult,
+  StreamSlice,
+} from "./gateway_host.ts";
 import { Generation } from "./generation.ts";
 import type { GenerationStore } from "./generation_store.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
@@ -55,16 +59,19 @@
 ): Promise<void> {
   return new Promise((resolve, reject) => {
     const { host, store, request, requestId, resumable } = options;
-    const stored = resumable ? store.open(requestId, request.model) : undefined;
+    const stored = resumable ? store.open(requestId, request) : undefined;
     const startedAtMs = host.clock.readMonotonicMs();
     const writer = request.stream
       ? new StreamResponseWriter(ctx, options, reject)
       : new BufferedResponseWriter(ctx, options, reject);
+    let isFinished = false;
     const finish = (error: ServeError | undefined): void => {
+      if (isFinished) return;
+      isFinished = true;
       options.admitted.end(error === undefined);
       options.release();
       store.complete(requestId, error, host.limits.resumeWindowMs);
-      recordResult(options, generation, startedAtMs, error);
+      recordResult(options, generation, startedAtMs, error?.kind ?? "ok");
       resolve();
     };
     const generation = new Generation({
@@ -97,10 +104,13 @@
     }
     if (resumable) return;
     ctx.res.once("close", () => {
-      if (ctx.res.writableFinished) return;
+      // A client may disconnect between the end of the generation and that of its response.
+      if (isFinished) return;
+      isFinished = true;
       generation.cancel();
       options.admitted.end(false);
       options.release();
+      recordResult(options, generation, startedAtMs, "clientGone");
       resolve();
     });
   });
@@ -110,14 +120,14 @@
   options: GenerationResponseOptions,
   generation: Generation,
   startedAtMs: number,
-  error: ServeError | undefined,
+  outcome: RequestResult["outcome"],
 ): void {
   const nowMs = options.host.clock.readMonotonicMs();
   options.host.events.recordResult({
     service: options.service,
     profile: options.profile.name,
-    outcome: error === undefined ? "ok" : error.kind,
-    isWithinDeadline: error === undefined && nowMs <= options.deadlineAtMs,
+    outcome,
+    isWithinDeadline: outcome === "ok" && nowMs <= options.deadlineAtMs,
     durationMs: nowMs - startedAtMs,
     firstTokenMs: generation.firstTokenMs,
     gapMs: generation.meanGapMs,
@@ -234,7 +244,7 @@
   }
   startEventStream(ctx);
   const request: GenerationRequest = {
-    kind: "chat",
+    kind: slice.requestKind ?? "chat",
     model: slice.model,
     prompt: "",
     maxTokens: undefined,
--- a/packages/heatherarch-gateway/generation_store.ts
+++ b/packages/heatherarch-gateway/generation_store.ts
@@ -5,10 +5,12 @@
  */
 import type { ServeError } from "heatherarch-core";
 import type { StreamSlice } from "./gateway_host.ts";
+import type { GenerationRequest } from "./openai_format.ts";
 
 /** One resumable generation. */
 export interface StoredGeneration {
   readonly model: string;
+  readonly requestKind: GenerationRequest["kind"];
   readonly texts: string[];
   state: "running" | "ended" | "failed";
   error: ServeError | undefined;
@@ -21,9 +23,13 @@
   readonly #entries = new Map<string, StoredGeneration>();
 
   /** Adds a generation. */
-  open(requestId: string, model: string): StoredGeneration {
+  open(
+    requestId: string,
+    { model, kind }: Pick<GenerationRequest, "model" | "kind">,
+  ): StoredGeneration {
     const entry: StoredGeneration = {
       model,
+      requestKind: kind,
       texts: [],
       state: "running",
       error: undefined,
@@ -55,6 +61,7 @@
       texts: entry.texts.slice(from),
       state: entry.state,
       model: entry.model,
+      requestKind: entry.requestKind,
       ...(entry.error === undefined ? {} : { kind: entry.error.kind }),
     };
   }
--- a/packages/heatherarch-gateway/mod.ts
+++ b/packages/heatherarch-gateway/mod.ts
@@ -7,6 +7,7 @@
 export * from "./gateway.ts";
 export * from "./gateway_host.ts";
 export * from "./generation.ts";
+export * from "./generation_response.ts";
 export * from "./generation_store.ts";
 export * from "./openai_format.ts";
 export * from "./plain_call.ts";
