--- a/packages/heatherarch-standins/free_ports.ts
+++ b/packages/heatherarch-standins/free_ports.ts
@@ -20,12 +20,17 @@
 
 /**
  * Finds `count` different free ports. A port is returned again only after the search has wrapped
- * around the range.
+ * around the range. Rejects if the range has too few free ports.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
   const servers: Server[] = [];
   const ports: number[] = [];
+  let tried = 0;
   while (ports.length < count) {
+    if (tried++ >= PORT_RANGE_END - PORT_RANGE_START) {
+      for (const server of servers) server.close();
+      throw new Error(`found ${ports.length} of ${count} free ports`);
+    }
     const port = nextPort;
     nextPort = nextPort + 1 >= PORT_RANGE_END ? PORT_RANGE_START : nextPort + 1;
     const server = await tryListen(port);
