Plain calls: a response over 1 MiB is relayed instead of lost

Cause: the exchange of a larger response was aborted and the call ended as failed, although the target had run it: an answer that was there was not delivered. Its start is buffered now, and the rest is relayed as it arrives; a truncated one doesn't look complete.

--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -7,7 +7,9 @@
 import {
   type BufferedResponse,
   getResponseFraming,
+  type PartialResponse,
   readResponse,
+  relayPartialResponse,
   writeResponse,
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
@@ -20,7 +22,7 @@
   findBackoffMs,
   listAvailableTargets,
 } from "../scheduling/target_selection.ts";
-import { ExchangeError } from "./target_exchange.ts";
+import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
 
 /** A retry is useless with less time left than this, milliseconds. */
@@ -113,8 +115,12 @@
           reason: "successful response without a signature",
         };
       }
-      const answer = await readResponse(exchange, result.head);
+      const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
+      if (read.kind === "partial") {
+        return await this.#relayPartial(exchange, read.response, target);
+      }
+      const answer = read.response;
       if (this.#mayRetry(result.head.status)) return { kind: "answer", answer };
       this.#deliver(answer, target);
       return { kind: "delivered" };
@@ -132,6 +138,34 @@
       this.#context.remainingMs >= MIN_ATTEMPT_MS;
   }
 
+  /** Relays a large response. It is not retried, whatever its status. */
+  async #relayPartial(
+    exchange: TargetExchange,
+    response: PartialResponse,
+    target: Target,
+  ): Promise<PlainResult> {
+    const context = this.#context;
+    const { clientResponse } = context;
+    const result = await relayPartialResponse(
+      clientResponse,
+      exchange,
+      response,
+    );
+    if (context.hasEnded) return { kind: "over" };
+    if (result !== "whole") {
+      context.fail("answerIncomplete", result.message);
+      return { kind: "over" };
+    }
+    clientResponse.end();
+    context.finish("delivered", {
+      status: response.head.status,
+      target: target.id,
+      aimMs: context.route.aimMs,
+      framing: getResponseFraming(response.head),
+    });
+    return { kind: "delivered" };
+  }
+
   #deliver(response: BufferedResponse, target?: Target): void {
     const context = this.#context;
     const tookMs = context.nowMs - context.call.arrivedAtMs;
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -12,7 +12,7 @@
   TargetExchange,
 } from "./target_exchange.ts";
 
-/** Largest response that is buffered. The exchange of a larger one is aborted. */
+/** Largest response that is buffered as a whole before it is sent. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
@@ -38,15 +38,67 @@
   readonly body: Buffer;
 }
 
+/** The start of a response that is too large to be buffered as a whole. */
+export interface PartialResponse {
+  readonly head: ResponseHead;
+  /** Parts that have arrived; more may be added until the response is relayed. */
+  readonly parts: Buffer[];
+}
+
+/** A response as far as it is buffered. */
+export type ReadResult =
+  | { readonly kind: "whole"; readonly response: BufferedResponse }
+  | { readonly kind: "partial"; readonly response: PartialResponse };
+
 /**
  * Reads a complete response, so that the call can be retried at another target if the response is
- * truncated. Rejects with an {@linkcode ExchangeError}.
+ * truncated. Of a large response, only the start is read. Rejects with an {@linkcode ExchangeError}.
  */
-export async function readResponse(
+export function readResponse(
   exchange: TargetExchange,
   head: ResponseHead,
-): Promise<BufferedResponse> {
-  return { head, body: await exchange.readBody(MAX_BUFFERED_BYTES) };
+): Promise<ReadResult> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    exchange.setBodyListener({
+      onData: (bytes) => {
+        parts.push(bytes);
+        size += bytes.length;
+        if (size <= MAX_BUFFERED_BYTES) return;
+        exchange.pause();
+        resolve({ kind: "partial", response: { head, parts } });
+      },
+      onEnd: () => {
+        const body = Buffer.concat(parts);
+        resolve({ kind: "whole", response: { head, body } });
+      },
+      onFault: reject,
+    });
+  });
+}
+
+/**
+ * Sends the start of a large response to the client, and relays the rest as it arrives. A response
+ * that is truncated after its start can't be retried.
+ */
+export function relayPartialResponse(
+  clientResponse: ClientResponse,
+  exchange: TargetExchange,
+  { head, parts }: PartialResponse,
+): Promise<RelayResult> {
+  const endsConnection = getResponseFraming(head) === "connection";
+  const headers = copyEndToEndHeaders(head.rawHeaders);
+  clientResponse.writeHead(head.status, headers, { endsConnection });
+  for (const part of parts) clientResponse.write(part);
+  const relay = new StreamRelay({
+    clientResponse,
+    isResumable: false,
+    onFirstByte: () => undefined,
+  });
+  const result = relay.relay(exchange, head);
+  exchange.resume();
+  return result;
 }
 
 /** Sends a buffered response to the client. */
