--- a/packages/heatherarch-capacity/capacity_orders.ts
+++ b/packages/heatherarch-capacity/capacity_orders.ts
@@ -12,8 +12,15 @@
   readonly availabilityZone: string;
   readonly kind: CapacityKind;
   readonly count: number;
+  readonly reason: OrderReason;
 }
 
+/**
+ * Why an order is due: the plan wants another number, more targets were lost than ordered, or the
+ * platform could not carry out the last order.
+ */
+export type OrderReason = "planned" | "lost" | "repeated";
+
 /** Result of an order. */
 export type OrderOutcome =
   | "accepted"
@@ -72,8 +79,9 @@
         const count = zone[kind];
         const current = listedByZone.get(availabilityZone)?.[kind] ?? 0;
         if (count < current && !mayShrink) continue;
-        const order = { availabilityZone, kind, count };
-        if (this.#isDue(order, current, nowMs)) orders.push(order);
+        const subject = { availabilityZone, kind, count };
+        const reason = this.#findReason(subject, current, nowMs);
+        if (reason !== undefined) orders.push({ ...subject, reason });
       }
     }
     return orders;
@@ -99,19 +107,29 @@
     return { ...wanted, spot: Math.min(wanted.spot, room) };
   }
 
-  #isDue(order: CapacityOrder, current: number, nowMs: number): boolean {
+  /** Returns why an order is due now; undefined if it is not. */
+  #findReason(
+    order: Omit<CapacityOrder, "reason">,
+    current: number,
+    nowMs: number,
+  ): OrderReason | undefined {
+    const { count } = order;
     const sent = this.#sent.get(buildSubject(order));
-    if (sent === undefined) return order.count !== current;
+    if (sent === undefined) return count === current ? undefined : "planned";
     const elapsedMs = nowMs - sent.atMs;
-    if (sent.outcome !== "accepted" && elapsedMs < RETRY_MS) return false;
-    if (sent.outcome === "accepted" && sent.count !== order.count) return true;
-    if (current === order.count) return false;
-    return sent.outcome !== "accepted" ||
-      elapsedMs >= this.#options.bootMs + LISTING_MS;
+    if (sent.outcome !== "accepted") {
+      if (elapsedMs < RETRY_MS || count === current) return undefined;
+      return "repeated";
+    }
+    if (sent.count !== count) return "planned";
+    const isListingDue = elapsedMs >= this.#options.bootMs + LISTING_MS;
+    return count !== current && isListingDue ? "lost" : undefined;
   }
 }
 
-function buildSubject({ availabilityZone, kind }: CapacityOrder): string {
+function buildSubject(
+  { availabilityZone, kind }: Pick<CapacityOrder, "availabilityZone" | "kind">,
+): string {
   return `${kind} ${availabilityZone}`;
 }
 
--- a/packages/heatherarch-capacity/tests/unit/capacity_test.ts
+++ b/packages/heatherarch-capacity/tests/unit/capacity_test.ts
@@ -104,12 +104,17 @@
   const reclaimed = [...full.slice(0, 2), { ...full[2], spot: 0 }];
   assert.deepEqual(orders.listDue(wanted, full, 0), []);
   const [order] = orders.listDue(wanted, reclaimed, 0);
-  assert.deepEqual(order, { availabilityZone: "c", kind: "spot", count: 16 });
+  const subject = { availabilityZone: "c", kind: "spot", count: 16 };
+  assert.deepEqual(order, { ...subject, reason: "planned" });
   orders.recordOutcome(order, "unavailable", 0);
   assert.deepEqual(orders.listDue(wanted, reclaimed, 1000), []);
-  assert.deepEqual(orders.listDue(wanted, reclaimed, 2000), [order]);
+  assert.deepEqual(orders.listDue(wanted, reclaimed, 2000), [
+    { ...subject, reason: "repeated" },
+  ]);
   orders.recordOutcome(order, "accepted", 2000);
   assert.deepEqual(orders.listDue(wanted, reclaimed, 9000), []);
   assert.deepEqual(orders.listDue(wanted, full, 9000), []);
-  assert.deepEqual(orders.listDue(wanted, reclaimed, 10_001), [order]);
+  assert.deepEqual(orders.listDue(wanted, reclaimed, 10_001), [
+    { ...subject, reason: "lost" },
+  ]);
 });
--- a/packages/heatherarch-cli/bin/heatherarch.ts
+++ b/packages/heatherarch-cli/bin/heatherarch.ts
@@ -19,6 +19,7 @@
   reviseProfile,
   showAudit,
   showConfig,
+  showFleet,
   showStatus,
 } from "../commands.ts";
 import { CommandError, EXIT_CODES } from "../exit_codes.ts";
@@ -179,6 +180,12 @@
     {},
     (args) => showStatus(buildContext(args)),
   )
+  .command(
+    "fleet",
+    "show client accounts and duties; --vm is the metrics port of a VM that forwards calls",
+    {},
+    (args) => showFleet(buildContext(args)),
+  )
   .command(
     "audit",
     "list changes with author, time and verdict",
--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -15,6 +15,7 @@
 import { CommandError } from "./exit_codes.ts";
 import type {
   ChangeResponse,
+  FleetStatusResponse,
   OperatorClient,
   StatusResponse,
 } from "./operator_client.ts";
@@ -305,6 +306,45 @@
   return lines;
 }
 
+/** Prints the client accounts and the duties of a fleet that forwards calls. */
+export async function showFleet(context: CommandContext): Promise<void> {
+  const status = await context.client.readFleetStatus();
+  if (context.json) return context.print(JSON.stringify(status));
+  for (const line of formatFleetStatus(status)) context.print(line);
+}
+
+/** Formats the status of a fleet, a line each. */
+export function formatFleetStatus(status: FleetStatusResponse): string[] {
+  const { vm, config, accounts, duties } = status;
+  const age = config.ageMs === null ? "never" : `${config.ageMs} ms ago`;
+  const lines = [
+    `${vm}: configuration ${config.version}, known to be the newest ${age}`,
+    accounts === null
+      ? "client accounts: none, calls need no API key"
+      : `client accounts: ${accounts.length}`,
+    ...(accounts ?? []).map(({ name, keys }) => `  ${name}\t${keys} keys`),
+  ];
+  if (duties === null) return [...lines, "duties: none"];
+  lines.push(
+    `duties: held by ${duties.holder ?? "nobody"}, fencing ${duties.fencing}`,
+    `usage: window ${duties.lastFinalWindow ?? "-"} final, window ${
+      duties.lastReportedWindow ?? "-"
+    } reported`,
+  );
+  for (const { service, availabilityZone, standard, spot } of duties.wanted) {
+    lines.push(
+      `  wanted\t${service}\t${availabilityZone}\t${standard} standard\t${spot} spot`,
+    );
+  }
+  for (const order of duties.orders) {
+    const { service, availabilityZone, kind, count, outcome, reason } = order;
+    lines.push(
+      `  ordered\t${service}\t${availabilityZone}\t${count} ${kind}\t${outcome}\t${reason}`,
+    );
+  }
+  return lines;
+}
+
 /** Lists the paths at which two documents differ, with both values, one line per path. */
 export function listDifferences(
   before: unknown,
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -36,7 +36,7 @@
   type VmComponents,
   type VmTaskOptions,
 } from "./vm_tasks.ts";
-import { StatusServer } from "./tasks/status_server.ts";
+import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
 /** Options of {@linkcode ForwardVm}. */
 export interface ForwardVmOptions {
@@ -223,6 +223,7 @@
           quarantine: components.quarantine,
           clock: components.clock,
           isReady: () => this.isReady,
+          getFleetStatus: () => this.#getFleetStatus(),
         }),
       ),
       storeReader: asValue(buildStoreReader(options)),
@@ -366,6 +367,23 @@
       revokeBoundMs * MAX_CONFIRMATION_AGE_SHARE;
   }
 
+  #getFleetStatus(): FleetStatus {
+    const { activeConfig, duties } = this.#components;
+    const accounts = activeConfig.table?.config.accounts ?? null;
+    return {
+      vm: this.#settings.vm.id,
+      config: {
+        version: activeConfig.version,
+        ageMs: formatAge(activeConfig.getAgeMs()),
+      },
+      accounts: accounts?.map(({ name, keyDigests }) => ({
+        name,
+        keys: keyDigests.length,
+      })) ?? null,
+      duties: duties?.getStatus() ?? null,
+    };
+  }
+
   #sweepQuarantine(): void {
     const { quarantine, metrics } = this.#components;
     if (quarantine.isEmpty) return;
--- a/packages/heatherarch-forward/tasks/capacity_controller.ts
+++ b/packages/heatherarch-forward/tasks/capacity_controller.ts
@@ -9,6 +9,7 @@
   type CapacityOrder,
   CapacityOrders,
   type CapacityStrategy,
+  type OrderOutcome,
   type ZoneCounts,
 } from "heatherarch-capacity";
 import type { Clock } from "heatherarch-core";
@@ -34,6 +35,12 @@
   ) => Promise<OrderResponse>;
 }
 
+/** An order that was sent, and its result. */
+export interface SentCapacityOrder extends CapacityOrder {
+  readonly service: string;
+  readonly outcome: OrderOutcome;
+}
+
 /** A record of the stream of duties: the targets that carry the load of a service. */
 interface CapacityRecord {
   readonly type: "capacity";
@@ -52,6 +59,8 @@
 
 /** Time without a change of the list before it counts as complete, milliseconds. */
 const LIST_SETTLE_MS = 1500;
+/** Orders that are kept for operators. */
+const MAX_LISTED_ORDERS = 20;
 /** Interval at which the need is recorded anew, as the log keeps records for a limited time. */
 const RECORD_INTERVAL_MS = 8000;
 
@@ -62,6 +71,8 @@
   readonly #services = new Map<string, ServiceState>();
   readonly #needed = new Map<string, number>();
   #wanted: readonly (ZoneCounts & { service: string })[] = [];
+  /** The latest orders, the newest last. */
+  #sent: readonly SentCapacityOrder[] = [];
 
   constructor(options: CapacityControllerOptions) {
     this.#options = options;
@@ -72,6 +83,11 @@
     return this.#wanted;
   }
 
+  /** Lists the latest orders of this VM, the newest last. */
+  listOrders(): readonly SentCapacityOrder[] {
+    return this.#sent;
+  }
+
   handleRecord(data: unknown): void {
     if (isCapacityRecord(data)) this.#needed.set(data.service, data.needed);
   }
@@ -123,8 +139,10 @@
     order: CapacityOrder,
   ): Promise<DutyOutcome> {
     const { send, clock, log } = this.#options;
-    const record = (outcome: "accepted" | "unavailable" | "failed"): void => {
+    const record = (outcome: OrderOutcome): void => {
       state.orders.recordOutcome(order, outcome, clock.readMonotonicMs());
+      this.#sent = [...this.#sent, { service, ...order, outcome }]
+        .slice(-MAX_LISTED_ORDERS);
       log.write("info", "capacityOrdered", {
         service,
         ...order,
--- a/packages/heatherarch-forward/tasks/fleet_duties.ts
+++ b/packages/heatherarch-forward/tasks/fleet_duties.ts
@@ -51,6 +51,10 @@
   readonly fencing: number;
   /** The last window whose counts are final. */
   readonly lastFinalWindow: number | undefined;
+  /** The last window that this VM has reported. */
+  readonly lastReportedWindow: number | undefined;
+  /** Latest orders of this VM, the newest last, with why they were due. */
+  readonly orders: ReturnType<CapacityController["listOrders"]>;
   /** Wanted numbers of targets, on the VM that holds the duties. */
   readonly wanted: ReturnType<CapacityController["listWanted"]>;
 }
@@ -99,7 +103,9 @@
       holder,
       fencing,
       lastFinalWindow: this.#ledger?.lastFinal,
+      lastReportedWindow: this.#ledger?.lastReported,
       wanted: this.#capacity.listWanted(),
+      orders: this.#capacity.listOrders(),
     };
   }
 
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -11,6 +11,7 @@
   RequestQuarantine,
 } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "../metrics.ts";
+import type { DutyStatus } from "./fleet_duties.ts";
 
 /** Options of {@linkcode StatusServer}. */
 export interface StatusServerOptions {
@@ -20,9 +21,26 @@
   readonly quarantine: RequestQuarantine;
   readonly clock: Clock;
   readonly isReady: () => boolean;
+  /** Returns what this VM knows of the duties of the fleet and the client accounts. */
+  readonly getFleetStatus: () => FleetStatus;
+}
+
+/** What operators see of the fleet at one VM. It contains no API key, nor a digest of one. */
+export interface FleetStatus {
+  readonly vm: string;
+  readonly config: {
+    readonly version: number;
+    /** Time since the configuration was last known to be the newest one; null if never. */
+    readonly ageMs: number | null;
+  };
+  /** Client accounts and the number of their API keys; null if calls need no key. */
+  readonly accounts: readonly { name: string; keys: number }[] | null;
+  /** Null if the fleet has no duties. */
+  readonly duties: DutyStatus | null;
 }
 
 const QUARANTINE_PATH = "/quarantine";
+const FLEET_PATH = "/fleet";
 
 /** HTTP server for monitoring and operating this VM. */
 export class StatusServer {
@@ -71,6 +89,8 @@
       context.body = await metrics.registry.metrics();
     } else if (isForOperators && context.path.startsWith(QUARANTINE_PATH)) {
       this.#handleQuarantine(context);
+    } else if (isForOperators && context.path === FLEET_PATH) {
+      context.body = this.#options.getFleetStatus();
     }
   }
 
--- a/packages/heatherarch-usage/usage_ledger.ts
+++ b/packages/heatherarch-usage/usage_ledger.ts
@@ -111,6 +111,14 @@
       `window ${window}`,
     );
     this.#reported.add(window);
+    for (const old of this.#reported) {
+      if (!this.#final.has(old)) this.#reported.delete(old);
+    }
+  }
+
+  /** Number of the last window that this VM has reported; undefined if it has reported none. */
+  get lastReported(): number | undefined {
+    return [...this.#reported].at(-1);
   }
 
   /** Number of the last final window; undefined if none is known. */
