--- a/packages/heatherarch-lab/tests/integration/operators_test.ts
+++ b/packages/heatherarch-lab/tests/integration/operators_test.ts
@@ -83,6 +83,25 @@
   );
   assert.equal(stale.code, 3);
   assert.match(stale.err, /stale.*by amihan \(put profile desk\)/);
+  const { revision } = JSON.parse(
+    (await runCli("profile", "get", "desk")).out,
+  );
+  const racing = await Promise.all([4000, 5000].map((deadlineMs) =>
+    runCli(
+      "profile",
+      "put",
+      writeProfile(deadlineMs),
+      "--base",
+      String(revision),
+    )
+  ));
+  assert.deepEqual(racing.map(({ code }) => code).sort(), [0, 3]);
+  const loser = racing.find(({ code }) => code === 3);
+  assert.match(loser?.err ?? "", /stale.*by amihan \(put profile desk\)/);
+  const { profile } = JSON.parse(
+    (await runCli("profile", "get", "desk")).out,
+  );
+  assert.equal(profile.deadlineMs, racing[0].code === 0 ? 4000 : 5000);
 });
 
 test("an invalid file is refused with the location and reason of every error, and not published", async () => {
--- a/packages/heatherarch-lab/tests/integration/outage_test.ts
+++ b/packages/heatherarch-lab/tests/integration/outage_test.ts
@@ -118,9 +118,22 @@
   await setLogFaults({ down: false });
 });
 
+interface AuditEntry {
+  readonly offset: number;
+  readonly verdict: string;
+  readonly what: string;
+}
+
+async function readAudit(vm: DeployedVm): Promise<AuditEntry[]> {
+  const response = await fetch(`http://${vm.operators}/v1/audit`);
+  const { entries } = await response.json() as { entries: AuditEntry[] };
+  return entries;
+}
+
 test("a trimmed log is read from a snapshot, and a change with a lost response is published once", async () => {
   await setLogFaults({ retainRecords: 25, loseAnswerShare: 0.4 });
   let base = -1;
+  const published: number[] = [];
   for (let i = 0; i < 60; i++) {
     const change = {
       kind: "putProfile",
@@ -129,7 +142,9 @@
     const response = await cluster.publish(change, base, vms[i % vms.length]);
     if (response.status !== 200) continue;
     base = response.body.offset ?? base;
+    published.push(base);
   }
+  assert.ok(published.length > 30, `${published.length} of 60 were published`);
   const [vm] = vms;
   cluster.signalVm(vm.id, "SIGKILL");
   await cluster.waitExit(vm.id);
@@ -142,5 +157,15 @@
     );
     return all.every((status) => status.config.offset >= base);
   });
+  for (const entry of vms) {
+    const accepted = (await readAudit(entry))
+      .filter(({ verdict, what }) =>
+        verdict === "accepted" && what === "put profile busy"
+      )
+      .map(({ offset }) => offset);
+    // Each change that was made has one record, which the publisher was told of.
+    assert.deepEqual(accepted, published.slice(-accepted.length));
+    assert.ok(accepted.length > 20, `${accepted.length}`);
+  }
   assert.equal((await sendRequest(vm)).outcome, "whole");
 });
