--- a/packages/heatherarch-capacity/capacity_orders.ts
+++ b/packages/heatherarch-capacity/capacity_orders.ts
@@ -69,7 +69,7 @@
       listed.map((zone) => [zone.availabilityZone, zone]),
     );
     const possible = wanted.map((zone) =>
-      this.#limitSpot(zone, listedByZone.get(zone.availabilityZone))
+      this.#clampSpot(zone, listedByZone.get(zone.availabilityZone))
     );
     const mayShrink = hasWantedSpot(possible, listed);
     const orders: CapacityOrder[] = [];
@@ -101,7 +101,7 @@
   }
 
   /** Leaves room for the zone's standard targets until these have been given up. */
-  #limitSpot(wanted: ZoneCounts, listed: ZoneCounts | undefined): ZoneCounts {
+  #clampSpot(wanted: ZoneCounts, listed: ZoneCounts | undefined): ZoneCounts {
     const standard = Math.max(wanted.standard, listed?.standard ?? 0);
     const room = Math.max(0, this.#options.max - standard);
     return { ...wanted, spot: Math.min(wanted.spot, room) };
--- a/packages/heatherarch-forward/calls/account_admission.ts
+++ b/packages/heatherarch-forward/calls/account_admission.ts
@@ -44,7 +44,7 @@
   admit({ apiKey, ...call }: ForwardedCall, route: Route): AdmittedCall {
     const accounts = this.#options.activeConfig.table?.accounts;
     if (accounts === undefined) return { call, account: undefined };
-    const isProven = this.#areKeysProven();
+    const isProven = this.#hasProvenKeys();
     if (!isProven && !route.isKeyExempt) throw this.#buildUnprovenError();
     const account = apiKey === undefined || !isProven
       ? undefined
@@ -62,7 +62,7 @@
   }
 
   /** Whether no key in force can have been revoked for as long as the bound. */
-  #areKeysProven(): boolean {
+  #hasProvenKeys(): boolean {
     const { activeConfig, revokeBoundMs } = this.#options;
     return revokeBoundMs === Infinity ||
       activeConfig.getAgeMs() < revokeBoundMs - CLOCK_MARGIN_MS;
