Prefixes are fetched from engines that are leaving

Change: a leaving engine that holds a prefix is a source for others and never a reader. Test: prefix_holders_test.

--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -308,6 +308,7 @@
         key: this.#prefixKey,
         prefillEngines,
         decodeEngines: prefillCandidateCache.listDecodeEngines(context),
+        leavingEngines: prefillCandidateCache.listLeavingEngines(context),
         traits: this.#traits,
         nowMs,
       });
--- a/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
+++ b/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
@@ -22,6 +22,7 @@
   readonly candidates: readonly PrefillCandidate[];
   readonly prefillEngines: readonly Target[];
   readonly decodeEngines: readonly Target[];
+  readonly leavingEngines: readonly Target[];
 }
 
 /** A snapshot is reused for this long while no work changes: the duration of one dispatch. */
@@ -54,6 +55,11 @@
     return this.#getSnapshot(context).decodeEngines;
   }
 
+  /** Lists the engines of the service that are leaving. */
+  listLeavingEngines(context: CallContext): readonly Target[] {
+    return this.#getSnapshot(context).leavingEngines;
+  }
+
   #getSnapshot(context: CallContext): Snapshot {
     const { directory, workTracker } = context.dependencies;
     const { name } = context.service;
@@ -72,6 +78,7 @@
       candidates: buildCandidates(context, NO_TARGETS),
       prefillEngines: serving.filter((target) => target.role === "prefill"),
       decodeEngines: serving.filter((target) => target.role === "decode"),
+      leavingEngines: directory.listLeaving(name),
     };
     return this.#snapshot;
   }
--- a/packages/heatherarch-forward/state/prefix_holders.ts
+++ b/packages/heatherarch-forward/state/prefix_holders.ts
@@ -25,6 +25,8 @@
   readonly prefillEngines: readonly Target[];
   /** Engines that take prompts over to decode, from which a prefix may be fetched as well. */
   readonly decodeEngines: readonly Target[];
+  /** Engines that get no prompts any more, from which a prefix may still be fetched. */
+  readonly leavingEngines: readonly Target[];
   readonly traits: EngineTraits;
   readonly nowMs: number;
 }
@@ -37,31 +39,39 @@
   >,
   options: FindHoldersOptions,
 ): KnownHolders {
-  const { key, prefillEngines, decodeEngines, traits, nowMs } = options;
+  const { key, prefillEngines, decodeEngines, leavingEngines } = options;
+  const { traits, nowMs } = options;
   const { prefixIndex, retention, countVms } = dependencies;
   const estimateRetentionMs = (engines: readonly Target[]): number =>
     retention.estimateMs(traits.kvTokens, engines.length, countVms(), nowMs);
   const retentionMs = estimateRetentionMs(prefillEngines);
   const prefixHolders: Target[] = [];
   const prefixSources: Target[] = [];
-  let copySource: Target | undefined;
+  /** Sources that are used only if no prefill engine is one. */
+  const lateSources: Target[] = [];
   let lastPrefixHolder: Target | undefined;
   for (const holder of prefixIndex.listHolders(key)) {
     const idleMs = nowMs - holder.usedAtMs;
     if (holder.state === "copied") {
       const maxIdleMs = estimateRetentionMs(decodeEngines) * SOURCE_AGE_SHARE;
       if (idleMs > maxIdleMs) continue;
-      copySource = decodeEngines.find(({ id }) => id === holder.target);
+      const copy = decodeEngines.find(({ id }) => id === holder.target);
+      if (copy !== undefined) lateSources.push(copy);
       continue;
     }
     const target = prefillEngines.find(({ id }) => id === holder.target);
-    if (target === undefined) continue;
+    if (target === undefined) {
+      const leaving = leavingEngines.find(({ id }) => id === holder.target);
+      const isHeld = holder.state === "read" && idleMs <= retentionMs;
+      if (leaving !== undefined && isHeld) lateSources.push(leaving);
+      continue;
+    }
     lastPrefixHolder = target;
     if (idleMs > retentionMs) continue;
     prefixHolders.push(target);
     if (holder.state === "reading") continue;
     if (idleMs <= retentionMs * SOURCE_AGE_SHARE) prefixSources.unshift(target);
   }
-  if (copySource !== undefined) prefixSources.push(copySource);
+  prefixSources.push(...lateSources);
   return { prefixHolders, prefixSources, lastPrefixHolder };
 }
--- a/packages/heatherarch-forward/state/target_directory.ts
+++ b/packages/heatherarch-forward/state/target_directory.ts
@@ -82,6 +82,7 @@
   readonly #changeLog: KeyedEntry<Target>[] = [];
   #changeLogStart = 0;
   #byService = new Map<string, readonly Target[]>();
+  #leavingByService = new Map<string, readonly Target[]>();
 
   constructor(options: TargetDirectoryOptions = {}) {
     this.#outages = new StoreOutageDetector(options);
@@ -306,6 +307,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Lists the targets of a service that are leaving and have not left yet. */
+  listLeaving(service: string): readonly Target[] {
+    return this.#leavingByService.get(service) ?? [];
+  }
+
   /** Lists all known targets, including those that leave or are missing from the list. */
   listAll(): Target[] {
     return [...this.#targets.values()];
@@ -394,15 +400,22 @@
   }
 
   #rebuildIndex(): void {
-    const index = new Map<string, Target[]>();
-    for (const target of this.#targets.values()) {
-      if (target.leaving) continue;
-      const list = index.get(target.service) ?? [];
-      list.push(target);
-      index.set(target.service, list);
-    }
-    this.#byService = index;
+    const targets = [...this.#targets.values()];
+    this.#byService = groupByService(targets.filter(({ leaving }) => !leaving));
+    this.#leavingByService = groupByService(
+      targets.filter(({ leaving }) => leaving),
+    );
+  }
+}
+
+function groupByService(targets: readonly Target[]): Map<string, Target[]> {
+  const groups = new Map<string, Target[]>();
+  for (const target of targets) {
+    const group = groups.get(target.service) ?? [];
+    group.push(target);
+    groups.set(target.service, group);
   }
+  return groups;
 }
 
 function hasSameListing(a: Target, b: Target): boolean {
--- a/packages/heatherarch-forward/tests/unit/prefix_holders_test.ts
+++ b/packages/heatherarch-forward/tests/unit/prefix_holders_test.ts
@@ -5,6 +5,7 @@
   findHolders,
   type HolderState,
   PrefixIndex,
+  type Target,
 } from "../../mod.ts";
 import { buildEngine, TRAITS } from "./fixtures.ts";
 
@@ -13,13 +14,18 @@
   buildEngine(id, { role: "decode" })
 );
 
-function find(index: PrefixIndex, nowMs: number) {
+function find(
+  index: PrefixIndex,
+  nowMs: number,
+  leavingEngines: readonly Target[] = [],
+) {
   const { prefixHolders, prefixSources } = findHolders(
     { prefixIndex: index, retention: new CacheRetention(), countVms: () => 1 },
     {
       key: "k",
       prefillEngines: PREFILL_ENGINES,
       decodeEngines: DECODE_ENGINES,
+      leavingEngines,
       traits: TRAITS,
       nowMs,
     },
@@ -77,3 +83,14 @@
   const index = buildIndex([["p1", "read", 0], ["d1", "copied", 100]]);
   assert.deepEqual(find(index, 20_000).sources, []);
 });
+
+// A zone loses its spot engines in a burst: they get no prompts, and have the prefixes for seconds.
+test("a prefix can be fetched from an engine that is leaving, which takes no prompt", () => {
+  const index = buildIndex([["x1", "read", 0], ["x2", "reading", 0]]);
+  const leaving = ["x1", "x2"].map((id) => buildEngine(id, { leaving: true }));
+  assert.deepEqual(find(index, 100, leaving), {
+    holders: [],
+    sources: ["x1"],
+  });
+  assert.deepEqual(find(index, 100).sources, []);
+});
