--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -18,7 +18,7 @@
 import type { PrefillQueue } from "./scheduling/prefill_queue.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
-import type { RetryBudget } from "./state/retry_budget.ts";
+import type { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import type { TargetListGuard } from "./calls/target_list_guard.ts";
 import type { TargetConnections } from "./calls/target_connections.ts";
 import type { TargetDirectory } from "./state/target_directory.ts";
@@ -42,7 +42,7 @@
   readonly targetListGuard: TargetListGuard;
   readonly crashDetector: CrashDetector;
   readonly quarantine: RequestQuarantine;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
   readonly engineJitter: EngineJitter;
   readonly prefixIndex: PrefixIndex;
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -40,7 +40,7 @@
 export * from "./state/prefill_time_model.ts";
 export * from "./scheduling/prefill_queue.ts";
 export * from "./scheduling/prefill_candidate_cache.ts";
-export * from "./state/retry_budget.ts";
+export * from "./state/fleet_retry_budget.ts";
 export * from "./scheduling/retry_after.ts";
 export * from "./tasks/quarantine_persistence.ts";
 export * from "./tasks/capacity_controller.ts";
--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -14,7 +14,7 @@
 import type { Target, TargetRole } from "../model.ts";
 
 /** A planned role change. */
-export interface RoleChange {
+export interface PlannedRoleChange {
   readonly target: Target;
   readonly role: TargetRole;
 }
@@ -74,7 +74,7 @@
 export function planRoles(
   engines: readonly Target[],
   options: RolePlanOptions = {},
-): RoleChange[] {
+): PlannedRoleChange[] {
   const { isReachable = () => true } = options;
   const { minDecodeEngines = DEFAULT_MIN_DECODE_ENGINES } = options;
   const usable = engines.filter((engine) => !engine.leaving);
--- a/packages/heatherarch-forward/state/retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -10,8 +10,8 @@
  * @module
  */
 
-/** Options of {@linkcode RetryBudget}. */
-export interface RetryBudgetOptions {
+/** Options of {@linkcode FleetRetryBudget}. */
+export interface FleetRetryBudgetOptions {
   /** Retries allowed per window for the whole fleet. */
   readonly fixedPerWindow: number;
   /** Additional retries allowed per call. */
@@ -34,12 +34,12 @@
 const CALL_SHARE_FACTOR = 0.7;
 
 /** The part of the fleet's retry budget that one VM may spend. */
-export class RetryBudget {
-  readonly #options: RetryBudgetOptions;
+export class FleetRetryBudget {
+  readonly #options: FleetRetryBudgetOptions;
   readonly #buckets = new Map<string, Bucket>();
   #liveVms = 1;
 
-  constructor(options: RetryBudgetOptions) {
+  constructor(options: FleetRetryBudgetOptions) {
     this.#options = options;
   }
 
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -21,7 +21,7 @@
 import type { ForwardMetrics } from "../metrics.ts";
 import type { EngineReport, Target, TargetRole } from "../model.ts";
 import type { CallCodec, RoleOrder } from "../ports.ts";
-import { planRoles, type RoleChange } from "../scheduling/role_plan.ts";
+import { type PlannedRoleChange, planRoles } from "../scheduling/role_plan.ts";
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
@@ -150,11 +150,11 @@
     }
   }
 
-  #plan(nowMs: number): RoleChange[] {
+  #plan(nowMs: number): PlannedRoleChange[] {
     const { activeConfig, directory, health, isListCurrent } = this.#options;
     const { table } = activeConfig;
     if (table === undefined || !isListCurrent()) return [];
-    const changes: RoleChange[] = [];
+    const changes: PlannedRoleChange[] = [];
     let count = 0;
     for (const service of table.config.services) {
       if (service.engine === undefined) continue;
@@ -205,7 +205,7 @@
   }
 
   /** Sends one order; returns false if no further one may be sent now. */
-  async #sendOrder({ target, role }: RoleChange): Promise<boolean> {
+  async #sendOrder({ target, role }: PlannedRoleChange): Promise<boolean> {
     const { codec, vmId, activeConfig } = this.#options;
     const report = await this.#readReport(target);
     if (report === undefined || report.isChangingRole) return true;
--- a/packages/heatherarch-forward/tests/unit/retry_budget_test.ts
+++ b/packages/heatherarch-forward/tests/unit/fleet_retry_budget_test.ts
@@ -1,14 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { Random } from "heatherarch-core";
-import { RetryBudget } from "../../mod.ts";
+import { FleetRetryBudget } from "../../mod.ts";
 
 const FLEET = { fixedPerWindow: 58, share: 0.2, windowMs: 10_000 };
 
 /** Counts the retries that VMs send in one window if they always have one to send. */
 function countRetries(vms: number, callsPerSecond: number): number {
   const retryBudgets = Array.from({ length: vms }, () => {
-    const retryBudget = new RetryBudget(FLEET);
+    const retryBudget = new FleetRetryBudget(FLEET);
     retryBudget.setLiveVms(vms);
     return retryBudget;
   });
@@ -39,7 +39,7 @@
 test("a large fleet does not exceed the retry budget with its bursts when it starts", () => {
   let spent = 0;
   for (let vm = 0; vm < 80; vm++) {
-    const retryBudget = new RetryBudget(FLEET);
+    const retryBudget = new FleetRetryBudget(FLEET);
     retryBudget.setLiveVms(80);
     while (retryBudget.spendRetry("s", 0)) spent++;
   }
@@ -47,7 +47,7 @@
 });
 
 test("an idle service can still send a few retries", () => {
-  const retryBudget = new RetryBudget(FLEET);
+  const retryBudget = new FleetRetryBudget(FLEET);
   retryBudget.setLiveVms(9);
   assert.equal(retryBudget.spendRetry("s", 0), true);
   while (retryBudget.spendRetry("s", 0));
@@ -55,7 +55,7 @@
 });
 
 test("each service has its own retry budget", () => {
-  const retryBudget = new RetryBudget(FLEET);
+  const retryBudget = new FleetRetryBudget(FLEET);
   while (retryBudget.spendRetry("s", 0));
   assert.equal(retryBudget.spendRetry("t", 0), true);
 });
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -19,6 +19,7 @@
   type ClientResponse,
   type EncodedRequest,
   EngineJitter,
+  FleetRetryBudget,
   ForwardMetrics,
   GenerationHandler,
   MemoryEventLog,
@@ -28,7 +29,6 @@
   PrefillTimeModel,
   PrefixIndex,
   PromptPlacer,
-  RetryBudget,
   type Target,
   TargetBackoffs,
   TargetConnections,
@@ -181,7 +181,7 @@
         { quarantine, directory: this.#directory, clock, log, metrics },
         { probe: () => Promise.resolve("accepted") },
       ),
-      retryBudget: new RetryBudget({
+      retryBudget: new FleetRetryBudget({
         fixedPerWindow: 1000,
         share: 1,
         windowMs: 10_000,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -11,7 +11,7 @@
 import { PrefixIndex } from "./state/prefix_index.ts";
 import { PrefillTimeModel } from "./state/prefill_time_model.ts";
 import { RequestQuarantine } from "heatherarch-quarantine";
-import { RetryBudget } from "./state/retry_budget.ts";
+import { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import { TargetDirectory } from "./state/target_directory.ts";
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
@@ -221,9 +221,9 @@
   });
 }
 
-function buildRetryBudget({ retries }: ForwardSettings): RetryBudget {
+function buildRetryBudget({ retries }: ForwardSettings): FleetRetryBudget {
   const { share, fixedPerWindow, windowSeconds } = retries;
-  return new RetryBudget({
+  return new FleetRetryBudget({
     share,
     fixedPerWindow,
     windowMs: windowSeconds * MS_PER_SECOND,
