--- a/packages/heatherarch-duties/tests/unit/duties_test.ts
+++ b/packages/heatherarch-duties/tests/unit/duties_test.ts
@@ -9,7 +9,7 @@
 /** A log in memory whose oldest records may have expired. */
 class TestLog implements LogPort {
   readonly #records: LogRecord[] = [];
-  firstOffset = 0;
+  oldestOffset = 0;
 
   append(_stream: string, data: unknown): Promise<number> {
     const offset = this.#records.length;
@@ -19,15 +19,15 @@
 
   read(_stream: string, from: number) {
     return Promise.resolve({
-      records: this.#records.slice(Math.max(from, this.firstOffset)),
-      first: this.firstOffset,
+      records: this.#records.slice(Math.max(from, this.oldestOffset)),
+      first: this.oldestOffset,
       next: this.#records.length,
     });
   }
 
   /** Drops all records. */
   forget(): void {
-    this.firstOffset = this.#records.length;
+    this.oldestOffset = this.#records.length;
   }
 }
 
