Roles: standard engines decode before spot engines do

Change: a spot engine becomes a decode engine only where no standard one is left, and is the first to be given another role. Test: role_plan_test.

--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -95,7 +95,10 @@
     .map((target) => ({ target, role: "decode" }));
 }
 
-/** Picks `count` engines, each from the zone that has the most engines left. */
+/**
+ * Picks `count` engines, each from the zone that has the most engines left. Spot engines are picked
+ * first, so that a reclaim takes few decode engines.
+ */
 function pickFromLargestZones(
   engines: readonly Target[],
   count: number,
@@ -104,8 +107,9 @@
   const picked: Target[] = [];
   while (picked.length < count) {
     const zones = countByZone(remaining);
-    let best = remaining[0];
-    for (const engine of remaining) {
+    const candidates = preferEngines(remaining, isSpot);
+    let best = candidates[0];
+    for (const engine of candidates) {
       const inZone = zones.get(engine.availabilityZone) as number;
       if (inZone > (zones.get(best.availabilityZone) as number)) best = engine;
     }
@@ -115,7 +119,10 @@
   return picked;
 }
 
-/** Picks `count` prefill engines, each from the zone that has the fewest decode engines. */
+/**
+ * Picks `count` prefill engines, each from the zone that has the fewest decode engines. Spot engines
+ * are picked last: all of a zone's may be reclaimed at once, and there are few decode engines.
+ */
 function pickForSmallestZones(
   prefillEngines: readonly Target[],
   decodeEngines: readonly Target[],
@@ -125,8 +132,9 @@
   const zones = countByZone(decodeEngines);
   const picked: Target[] = [];
   while (picked.length < count) {
-    let best = remaining[0];
-    for (const engine of remaining) {
+    const candidates = preferEngines(remaining, (engine) => !isSpot(engine));
+    let best = candidates[0];
+    for (const engine of candidates) {
       const inZone = zones.get(engine.availabilityZone) ?? 0;
       if (inZone < (zones.get(best.availabilityZone) ?? 0)) best = engine;
     }
@@ -138,6 +146,19 @@
   return picked;
 }
 
+function isSpot(engine: Target): boolean {
+  return engine.isSpot ?? false;
+}
+
+/** Returns the engines that are preferred, or all if none is. */
+function preferEngines(
+  engines: readonly Target[],
+  isPreferred: (engine: Target) => boolean,
+): readonly Target[] {
+  const preferred = engines.filter(isPreferred);
+  return preferred.length > 0 ? preferred : engines;
+}
+
 function sortById(engines: readonly Target[]): Target[] {
   return [...engines].sort((a, b) => a.id < b.id ? -1 : 1);
 }
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -91,3 +91,28 @@
   assert.ok(changes.length > 0);
   assert.ok(changes.every(({ target }) => !target.leaving));
 });
+
+// Calls were refused for seconds after a zone's spot engines, decode engines among them, were
+// reclaimed.
+test("standard engines decode before spot engines do", () => {
+  const engines = ["a", "b", "c"].flatMap((availabilityZone) => [
+    ...[1, 2].map((i) =>
+      buildEngine(`${availabilityZone}-standard-${i}`, { availabilityZone })
+    ),
+    ...[1, 2, 3, 4, 5].map((i) =>
+      buildEngine(`${availabilityZone}-spot-${i}`, {
+        availabilityZone,
+        isSpot: true,
+      })
+    ),
+  ]);
+  const changes = planRoles(engines);
+  assert.equal(changes.length, computeDecodeEngineCount(engines.length));
+  assert.ok(changes.every(({ target }) => target.isSpot === undefined));
+  const surplus = engines.map((engine) => ({
+    ...engine,
+    role: "decode" as const,
+  }));
+  const returned = planRoles(surplus).map(({ target }) => target);
+  assert.equal(returned.filter(({ isSpot }) => isSpot).length, 15);
+});
