Reports of targets: a new watcher and a new subset send rows that are unchanged

Cause: heartbeats carry rows that changed. A peer had an idle target's row from its former watcher, whose heartbeats no longer refreshed it, and the new watcher never sent the unchanged row: the target counted as stale at that peer until its load changed. Rows of targets that came into a peer's subset were not sent either. Change: the first report after a VM begins to watch a target counts as a change, and a new subset starts over. Test: heartbeat_builder_test, both cases failed before.

--- a/packages/heatherarch-daemon/heartbeat_builder.ts
+++ b/packages/heatherarch-daemon/heartbeat_builder.ts
@@ -42,6 +42,8 @@
   crashCursor: number | undefined;
   leavingVersion: number;
   rowVersion: number;
+  /** Targets of the last rows; undefined for all. */
+  subset: ReadonlySet<string> | undefined;
   changingKey: string;
 }
 
@@ -73,6 +75,7 @@
         crashCursor: undefined,
         leavingVersion: 0,
         rowVersion: 0,
+        subset: undefined,
         changingKey: "",
       };
       this.#progress.set(link, progress);
@@ -123,6 +126,9 @@
     const { vmId, availabilityZone, table } = this.#options;
     const sameZone = peer.availabilityZone === availabilityZone;
     const subset = this.#pickSubset(peer);
+    // Rows of targets that have come into the subset may be older than the last heartbeat.
+    if (subset !== progress.subset) progress.rowVersion = 0;
+    progress.subset = subset;
     const { rows, version } = table.listRowsSince(
       progress.rowVersion,
       (target, report) => {
--- a/packages/heatherarch-daemon/mod.ts
+++ b/packages/heatherarch-daemon/mod.ts
@@ -7,6 +7,7 @@
 export * from "./config_reader.ts";
 export * from "./control_task.ts";
 export * from "./entry_vm.ts";
+export * from "./heartbeat_builder.ts";
 export * from "./logger.ts";
 export * from "./metrics.ts";
 export * from "./order_executor.ts";
--- a/packages/heatherarch-daemon/target_table.ts
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -211,11 +211,15 @@
     this.#ejections.delete(id);
   }
 
-  /** Records a report of a target that this VM or a peer watches. */
-  recordReport(row: ReportRow, watcher: string): void {
+  /**
+   * Records a report of a target that this VM or a peer watches. With `isFirst` it counts as changed:
+   * peers know the same row from another watcher, whose heartbeats may no longer refresh it.
+   */
+  recordReport(row: ReportRow, watcher: string, isFirst = false): void {
     const [id, role, flags, running, waiting, pendingPrefillTokens] = row;
     const known = this.#reports.get(id);
-    const isSame = known !== undefined && isSameRow(buildRow(id, known), row);
+    const isSame = known !== undefined && !isFirst &&
+      isSameRow(buildRow(id, known), row);
     this.#reports.set(id, {
       role: ENGINE_ROLES[role] ?? "mixed",
       busyWithOrder: (flags & FLAG_BUSY) !== 0,
--- a/packages/heatherarch-daemon/target_watcher.ts
+++ b/packages/heatherarch-daemon/target_watcher.ts
@@ -30,6 +30,8 @@
 export class TargetWatcher {
   readonly #options: TargetWatcherOptions;
   readonly #readsInProgress = new Set<string>();
+  /** Targets that this VM has reported on since it began to watch them. */
+  readonly #reported = new Set<string>();
   readonly #failures = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
   #nextPollMs = 0;
@@ -81,6 +83,10 @@
       settings.reportPerTargetMs * watched.length,
     );
     this.#nextPollMs = nowMs + intervalMs - settings.reportIntervalMs / 2;
+    const watchedIds = new Set(watched.map(({ id }) => id));
+    for (const id of this.#reported) {
+      if (!watchedIds.has(id)) this.#reported.delete(id);
+    }
     for (const target of watched) {
       if (this.#readsInProgress.has(target.id)) continue;
       this.#readsInProgress.add(target.id);
@@ -91,11 +97,10 @@
   }
 
   async #readTarget(target: Target): Promise<void> {
-    const { table, vmId } = this.#options;
     try {
       const row = await this.#readRow(target);
       this.#failures.delete(target.id);
-      table.recordReport(row, vmId);
+      this.#recordReport(row);
     } catch {
       const failures = (this.#failures.get(target.id) ?? 0) + 1;
       this.#failures.set(target.id, failures);
@@ -105,17 +110,18 @@
         leaving: false,
         unreachable: true,
       });
-      table.recordReport([
-        target.id,
-        ENGINE_ROLES.indexOf(target.role),
-        flags,
-        0,
-        0,
-        0,
-      ], vmId);
+      const role = ENGINE_ROLES.indexOf(target.role);
+      this.#recordReport([target.id, role, flags, 0, 0, 0]);
     }
   }
 
+  #recordReport(row: ReportRow): void {
+    const { table, vmId } = this.#options;
+    const [id] = row;
+    table.recordReport(row, vmId, !this.#reported.has(id));
+    this.#reported.add(id);
+  }
+
   async #readRow(target: Target): Promise<ReportRow> {
     const { table, settings, listServices } = this.#options;
     const timeoutMs = settings.reportTimeoutMs;
