Capacity: lost targets are ordered again and none given up; spot surplus is a setting

So the number that the fleet began with is kept, by zone, and what is lost is ordered again. Where reclaims are rare, capacity.strategy = "spotSurplus" orders spot engines in excess.

--- a/packages/heatherarch-capacity/capacity_strategy.ts
+++ b/packages/heatherarch-capacity/capacity_strategy.ts
@@ -22,8 +22,8 @@
   /** Targets of both kinds that a zone must have at least, and may have at most. */
   readonly min: number;
   readonly max: number;
-  /** Targets that carry the load. */
-  readonly needed: number;
+  /** Targets of both kinds that carry the load, by zone. */
+  readonly neededByZone: Readonly<Record<string, number>>;
   /** Price of a standard target by zone, in any unit. */
   readonly pricesByZone: Readonly<Record<string, number>>;
   /** Price of a spot target as a fraction of a standard one's; undefined if there are none. */
@@ -36,10 +36,21 @@
   plan(demand: CapacityDemand): ZoneCounts[];
 }
 
-/** Leaves the number of targets as it is. */
-export class FixedCapacity implements CapacityStrategy {
-  plan({ zones }: CapacityDemand): ZoneCounts[] {
-    return [...zones];
+/**
+ * Keeps the standard targets that the fleet began with: what crashed for good or was taken away is
+ * ordered again, and nothing is given up. Caches stay, so no prompt is read again for a cheaper fleet.
+ */
+export class SteadyCapacity implements CapacityStrategy {
+  plan({ zones, neededByZone, max }: CapacityDemand): ZoneCounts[] {
+    return zones.map((zone) => {
+      const needed = neededByZone[zone.availabilityZone] ?? 0;
+      const missing = Math.max(0, needed - zone.standard - zone.spot);
+      const room = Math.max(0, max - zone.standard - zone.spot);
+      return {
+        ...zone,
+        standard: zone.standard + Math.min(missing, room),
+      };
+    });
   }
 }
 
@@ -79,7 +90,8 @@
     if (demand.spotPriceFactor === undefined || demand.spotPriceFactor >= 1) {
       return [...demand.zones];
     }
-    const { zones, needed, min, max } = demand;
+    const { zones, min, max } = demand;
+    const needed = sumNeeded(demand);
     const standard = Math.min(max, this.#standardPerZone);
     const perZone = this.#computeSpotPerZone(zones.length, needed);
     const spot = Math.min(max - standard, Math.max(min - standard, perZone));
@@ -107,7 +119,8 @@
    * others are placed in the cheapest zones.
    */
   #placeReplacements(demand: CapacityDemand): Map<string, number> {
-    const { zones, needed, pricesByZone, max } = demand;
+    const { zones, pricesByZone, max } = demand;
+    const needed = sumNeeded(demand);
     const base = this.#standardPerZone;
     const spot = zones.reduce((sum, zone) => sum + zone.spot, 0);
     let missing = Math.ceil(needed * this.#replacementShare) - spot -
@@ -133,3 +146,19 @@
     return placed;
   }
 }
+
+function sumNeeded({ neededByZone }: CapacityDemand): number {
+  return Object.values(neededByZone).reduce((sum, count) => sum + count, 0);
+}
+
+/** Names of the strategies that operators can choose. */
+export const CAPACITY_STRATEGIES = ["steady", "spotSurplus"] as const;
+/** Name of a strategy. */
+export type CapacityStrategyName = typeof CAPACITY_STRATEGIES[number];
+
+/** Creates the strategy of this name. */
+export function createCapacityStrategy(
+  name: CapacityStrategyName,
+): CapacityStrategy {
+  return name === "steady" ? new SteadyCapacity() : new SpotSurplus();
+}
--- a/packages/heatherarch-capacity/tests/unit/capacity_test.ts
+++ b/packages/heatherarch-capacity/tests/unit/capacity_test.ts
@@ -3,8 +3,8 @@
 import {
   type CapacityDemand,
   CapacityOrders,
-  FixedCapacity,
   SpotSurplus,
+  SteadyCapacity,
   type ZoneCounts,
 } from "../../mod.ts";
 
@@ -24,7 +24,7 @@
     zones: buildZones(14, 0),
     min: 1,
     max: 28,
-    needed: 42,
+    neededByZone: { a: 14, b: 14, c: 14 },
     pricesByZone: { a: 0.85, b: 1.2, c: 1 },
     spotPriceFactor: 0.2,
     ...overrides,
@@ -35,9 +35,17 @@
   return zones.reduce((total, zone) => total + zone.standard + zone.spot, 0);
 }
 
-test("a fixed capacity is ordered as it is", () => {
-  const demand = buildDemand();
-  assert.deepEqual(new FixedCapacity().plan(demand), demand.zones);
+// Targets crash for good or are taken away in the middle of a burst.
+test("a steady capacity orders what was lost again, and gives nothing up", () => {
+  const plan = (standard: number, spot = 0, max = 28) =>
+    new SteadyCapacity()
+      .plan(buildDemand({ zones: buildZones(standard, spot), max }))
+      .map((zone) => [zone.standard, zone.spot]);
+  assert.deepEqual(plan(14)[0], [14, 0]);
+  assert.deepEqual(plan(11)[0], [14, 0]);
+  assert.deepEqual(plan(9, 3)[0], [11, 3]);
+  assert.deepEqual(plan(17)[0], [17, 0]);
+  assert.deepEqual(plan(9, 0, 12)[0], [12, 0]);
 });
 
 // A zone loses all its spot targets in a burst.
--- a/packages/heatherarch-forward/tasks/capacity_controller.ts
+++ b/packages/heatherarch-forward/tasks/capacity_controller.ts
@@ -41,11 +41,11 @@
   readonly outcome: OrderOutcome;
 }
 
-/** A record of the stream of duties: the targets that carry the load of a service. */
+/** A record of the stream of duties: the targets that carry the load of a service, by zone. */
 interface CapacityRecord {
   readonly type: "capacity";
   readonly service: string;
-  readonly needed: number;
+  readonly neededByZone: Readonly<Record<string, number>>;
 }
 
 /** State of one service whose targets are ordered. */
@@ -69,7 +69,7 @@
   readonly name = "capacity";
   readonly #options: CapacityControllerOptions;
   readonly #services = new Map<string, ServiceState>();
-  readonly #needed = new Map<string, number>();
+  readonly #needed = new Map<string, CapacityRecord["neededByZone"]>();
   #wanted: readonly (ZoneCounts & { service: string })[] = [];
   /** The latest orders, the newest last. */
   #sent: readonly SentCapacityOrder[] = [];
@@ -89,7 +89,9 @@
   }
 
   handleRecord(data: unknown): void {
-    if (isCapacityRecord(data)) this.#needed.set(data.service, data.needed);
+    if (isCapacityRecord(data)) {
+      this.#needed.set(data.service, data.neededByZone);
+    }
   }
 
   async perform(session: DutySession): Promise<DutyOutcome> {
@@ -112,14 +114,16 @@
     const targets = this.#listTargets(service);
     const state = this.#updateState(service, scaling, targets.length);
     const nowMs = clock.readMonotonicMs();
-    const isFirst = !this.#needed.has(service);
-    if (isFirst && nowMs - state.changedAtMs < LIST_SETTLE_MS) return "done";
-    const needed = this.#needed.get(service) ?? targets.length;
-    await this.#recordNeed(session, state, service, needed);
+    const zones = countZones(Object.keys(scaling.pricesByZone), targets);
+    const known = this.#needed.get(service);
+    const isSettled = nowMs - state.changedAtMs >= LIST_SETTLE_MS;
+    if (known === undefined && !isSettled) return "done";
+    const neededByZone = known ?? sumByZone(zones);
+    await this.#recordNeed(session, state, { service, neededByZone });
     const demand: CapacityDemand = {
       ...scaling,
-      zones: countZones(Object.keys(scaling.pricesByZone), targets),
-      needed,
+      zones,
+      neededByZone,
       spotPriceFactor: scaling.spotPriceFactor,
     };
     const wanted = strategy.plan(demand);
@@ -164,14 +168,14 @@
   async #recordNeed(
     session: DutySession,
     state: ServiceState,
-    service: string,
-    needed: number,
+    need: Omit<CapacityRecord, "type">,
   ): Promise<void> {
     const nowMs = this.#options.clock.readMonotonicMs();
     if (nowMs - state.recordedAtMs < RECORD_INTERVAL_MS) return;
     state.recordedAtMs = nowMs;
-    const record: CapacityRecord = { type: "capacity", service, needed };
-    await session.append(record);
+    await session.append(
+      { type: "capacity", ...need } satisfies CapacityRecord,
+    );
   }
 
   #updateState(
@@ -225,5 +229,19 @@
 function isCapacityRecord(data: unknown): data is CapacityRecord {
   const record = data as Partial<CapacityRecord> | null;
   return record?.type === "capacity" && typeof record.service === "string" &&
-    Number.isSafeInteger(record.needed);
+    isCounts(record.neededByZone);
+}
+
+function isCounts(value: unknown): boolean {
+  return typeof value === "object" && value !== null &&
+    Object.values(value).every((count) => Number.isSafeInteger(count));
+}
+
+function sumByZone(zones: readonly ZoneCounts[]): Record<string, number> {
+  return Object.fromEntries(
+    zones.map(({ availabilityZone, standard, spot }) => [
+      availabilityZone,
+      standard + spot,
+    ]),
+  );
 }
--- a/packages/heatherarch-forward/tasks/fleet_duties.ts
+++ b/packages/heatherarch-forward/tasks/fleet_duties.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import { SpotSurplus } from "heatherarch-capacity";
+import {
+  type CapacityStrategyName,
+  createCapacityStrategy,
+} from "heatherarch-capacity";
 import type { ForwardSettings } from "heatherarch-settings";
 import { UsageLedger } from "heatherarch-usage";
 import type { CollectedUsage } from "../fleet/usage_exchange.ts";
@@ -34,6 +37,7 @@
       "activeConfig" | "directory" | "isListCurrent"
     > {
   readonly platformApi: PlatformApiPort;
+  readonly capacityStrategy: CapacityStrategyName;
   /** Windows of usage to report; undefined if usage is not reported. */
   readonly usage: ForwardSettings["usage"];
   readonly metrics: ForwardMetrics;
@@ -77,7 +81,7 @@
     this.#capacity = new CapacityController({
       ...options,
       log,
-      strategy: new SpotSurplus(),
+      strategy: createCapacityStrategy(options.capacityStrategy),
       send: (session, order) => this.#sendOrder(session, order),
     });
     this.#controller = new DutyController({
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -138,6 +138,7 @@
     leaseMs: settings.lease.durationMs,
     isFencingEnforced: settings.lease.isFencingEnforced,
     usage: settings.usage,
+    capacityStrategy: settings.capacity.strategy,
     clock,
     events: log,
     metrics,
--- a/packages/heatherarch-lab/tests/integration/streams_test.ts
+++ b/packages/heatherarch-lab/tests/integration/streams_test.ts
@@ -137,7 +137,7 @@
   );
   const text = events.map((event) => {
     const chunk = JSON.parse(event.slice("data: ".length));
-    return chunk.choices?.[0]?.delta?.content ?? "";
+    return chunk.choices?.[0]?.text ?? "";
   }).join("");
   assert.equal(text, computeCompletion(prompt, TOKENS));
   assert.match(resumed, /\[DONE\]/);
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -124,6 +124,13 @@
     address: ADDRESS,
     requestTimeoutMs: buildMsSchema(50, 60_000, 1500),
   }).optional(),
+  capacity: z.object({
+    /**
+     * How targets are ordered. `steady` keeps the number that the fleet began with. `spotSurplus`
+     * replaces most standard targets by spot targets, which pays where these are rarely reclaimed.
+     */
+    strategy: z.enum(["steady", "spotSurplus"]).default("steady"),
+  }).prefault({}),
   /** Reports of the usage of client accounts; none without it. */
   usage: z.object({
     /** Length of a window. Windows are counted from the start of 1970. */
