--- a/packages/heatherarch-capacity/capacity_strategy.ts
+++ b/packages/heatherarch-capacity/capacity_strategy.ts
@@ -30,6 +30,11 @@
   readonly spotPriceFactor: number | undefined;
 }
 
+/** Names of the strategies that operators can choose. */
+export const CAPACITY_STRATEGIES = ["steady", "spotSurplus"] as const;
+/** Name of a strategy. */
+export type CapacityStrategyName = typeof CAPACITY_STRATEGIES[number];
+
 /** A way to plan capacity. */
 export interface CapacityStrategy {
   /** Returns the wanted counts of each zone of the demand. */
@@ -151,11 +156,6 @@
   return Object.values(neededByZone).reduce((sum, count) => sum + count, 0);
 }
 
-/** Names of the strategies that operators can choose. */
-export const CAPACITY_STRATEGIES = ["steady", "spotSurplus"] as const;
-/** Name of a strategy. */
-export type CapacityStrategyName = typeof CAPACITY_STRATEGIES[number];
-
 /** Creates the strategy of this name. */
 export function createCapacityStrategy(
   name: CapacityStrategyName,
--- a/packages/heatherarch-duties/duty_candidacy.ts
+++ b/packages/heatherarch-duties/duty_candidacy.ts
@@ -31,6 +31,8 @@
 
 /** Time that a VM leaves to each preferred candidate, milliseconds. */
 const TURN_MS = 1000;
+/** Turns between the reads of a VM that is no candidate. */
+const MAX_POLL_TURNS = 9;
 /** Leases for which a VM stays away from a duty that it has given up. */
 const COOLDOWN_LEASES = 2;
 
@@ -72,6 +74,3 @@
     return TURN_MS * (1 + (rank ?? MAX_POLL_TURNS));
   }
 }
-
-/** Turns between the reads of a VM that is no candidate. */
-const MAX_POLL_TURNS = 9;
--- a/packages/heatherarch-usage/usage_ledger.ts
+++ b/packages/heatherarch-usage/usage_ledger.ts
@@ -30,6 +30,8 @@
   readonly lateMs: number;
 }
 
+/** Share of the time until a report is due after which missing counts are not awaited. */
+const URGENT_SHARE = 0.6;
 /** Windows that are kept to be reported again. */
 const MAX_WINDOWS = 16;
 
@@ -127,9 +129,6 @@
   }
 }
 
-/** Share of the time until a report is due after which missing counts are not awaited. */
-const URGENT_SHARE = 0.6;
-
 function isUsageRecord(data: unknown): data is UsageRecord {
   const record = data as Partial<UsageRecord> | null;
   return record?.type === "usage" && Number.isSafeInteger(record.window) &&
