--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -51,14 +51,13 @@
   });
   readonly loopLate = new Histogram({
     name: "heatherarch_loop_late_seconds",
-    help: "Times for which the process stood still, seconds",
+    help: "Durations of process stalls, seconds",
     buckets: LATENCY_BUCKETS,
     registers: [this.registry],
   });
   readonly listHolds = new Counter({
     name: "heatherarch_list_holds_total",
-    help:
-      "Times that calls were held back for the list of targets after a standstill",
+    help: "Times that calls waited for the target list after a process stall",
     registers: [this.registry],
   });
   readonly inFlight = new Gauge({
@@ -84,22 +83,22 @@
   });
   readonly listAge = new Gauge({
     name: "heatherarch_target_list_age_seconds",
-    help: "Time since the list of targets was last taken in, read or told",
+    help: "Time since the target list was last updated, by a read or a hub",
     registers: [this.registry],
   });
   readonly targetsKept = new Counter({
     name: "heatherarch_targets_kept_total",
-    help: "Targets used for a while although the list names them no more",
+    help: "Targets that stay in use although they are no longer listed",
     registers: [this.registry],
   });
   readonly entriesUnreadable = new Counter({
     name: "heatherarch_entries_unreadable_total",
-    help: "Entries of the store that could not be understood from some time on",
+    help: "Entries of the store that became unreadable",
     registers: [this.registry],
   });
   readonly targetsEnded = new Counter({
     name: "heatherarch_targets_ended_total",
-    help: "Lives of targets that ended while they had calls of this VM",
+    help: "Incarnations of targets that crashed with calls of this VM",
     registers: [this.registry],
   });
   readonly callsRejected = new Counter({
@@ -110,12 +109,12 @@
   });
   readonly callsQuarantined = new Counter({
     name: "heatherarch_calls_quarantined_total",
-    help: "Calls refused because targets end when they run their request",
+    help: "Calls refused because their request is quarantined",
     registers: [this.registry],
   });
   readonly requestsQuarantined = new Gauge({
     name: "heatherarch_requests_quarantined",
-    help: "Requests that are held back",
+    help: "Quarantined requests",
     registers: [this.registry],
   });
   readonly holdsDuties = new Gauge({
@@ -125,7 +124,7 @@
   });
   readonly liveVms = new Gauge({
     name: "heatherarch_live_vms",
-    help: "Entry VMs that answer, this one included",
+    help: "Live entry VMs, this one included",
     registers: [this.registry],
   });
 }
