Reading the change as a newcomer: limits and tests that new state lacked

Change: an order is not due while its count is what is listed (targets that others had added were ordered once more after a loss). The lease of the duties is renewed between two duties if it is due, and platformApi.requestTimeoutMs above half of lease.durationMs is rejected. `fleet` says "not known to be the newest" for "known to be the newest never".

--- a/packages/heatherarch-capacity/capacity_orders.ts
+++ b/packages/heatherarch-capacity/capacity_orders.ts
@@ -114,16 +114,16 @@
     nowMs: number,
   ): OrderReason | undefined {
     const { count } = order;
+    if (count === current) return undefined;
     const sent = this.#sent.get(buildSubject(order));
-    if (sent === undefined) return count === current ? undefined : "planned";
+    if (sent === undefined) return "planned";
     const elapsedMs = nowMs - sent.atMs;
     if (sent.outcome !== "accepted") {
-      if (elapsedMs < RETRY_MS || count === current) return undefined;
-      return "repeated";
+      return elapsedMs < RETRY_MS ? undefined : "repeated";
     }
     if (sent.count !== count) return "planned";
     const isListingDue = elapsedMs >= this.#options.bootMs + LISTING_MS;
-    return count !== current && isListingDue ? "lost" : undefined;
+    return isListingDue ? "lost" : undefined;
   }
 }
 
--- a/packages/heatherarch-capacity/tests/unit/capacity_test.ts
+++ b/packages/heatherarch-capacity/tests/unit/capacity_test.ts
@@ -126,3 +126,14 @@
     { ...subject, reason: "lost" },
   ]);
 });
+
+// Operators add targets in the middle of the day, after some were lost and ordered again.
+test("targets that others have added are not ordered, and not given up", () => {
+  const orders = new CapacityOrders({ bootMs: BOOT_MS, max: 28 });
+  const plan = (standard: number): ZoneCounts[] =>
+    new SteadyCapacity().plan(buildDemand({ zones: buildZones(standard, 0) }));
+  const lost = orders.listDue(plan(11), buildZones(11, 0), 0);
+  assert.deepEqual(lost.map(({ count }) => count), [14, 14, 14]);
+  for (const order of lost) orders.recordOutcome(order, "accepted", 0);
+  assert.deepEqual(orders.listDue(plan(17), buildZones(17, 0), 20_000), []);
+});
--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -316,9 +316,11 @@
 /** Formats the status of a fleet, a line each. */
 export function formatFleetStatus(status: FleetStatusResponse): string[] {
   const { vm, config, accounts, duties } = status;
-  const age = config.ageMs === null ? "never" : `${config.ageMs} ms ago`;
+  const freshness = config.ageMs === null
+    ? "not known to be the newest"
+    : `known to be the newest ${config.ageMs} ms ago`;
   const lines = [
-    `${vm}: configuration ${config.version}, known to be the newest ${age}`,
+    `${vm}: configuration ${config.version}, ${freshness}`,
     accounts === null
       ? "client accounts: none, calls need no API key"
       : `client accounts: ${accounts.length}`,
--- a/packages/heatherarch-duties/tests/unit/duties_test.ts
+++ b/packages/heatherarch-duties/tests/unit/duties_test.ts
@@ -2,7 +2,12 @@
 import { test } from "node:test";
 import { ManualClock } from "heatherarch-core";
 import type { LogPort, LogRecord } from "heatherarch-log";
-import { DutyCandidacy, type LeaseChange, LeaseHolder } from "../../mod.ts";
+import {
+  DutyCandidacy,
+  type LeaseChange,
+  LeaseHolder,
+  type LeaseHolderOptions,
+} from "../../mod.ts";
 
 const LEASE_MS = 3000;
 
@@ -31,7 +36,12 @@
   }
 }
 
-function createHolder(vmId: string, log: LogPort, clock: ManualClock) {
+function createHolder(
+  vmId: string,
+  log: LogPort,
+  clock: ManualClock,
+  options: Pick<LeaseHolderOptions, "waitsForPredecessor"> = {},
+) {
   const changes: LeaseChange["kind"][] = [];
   let ids = 0;
   const holder = new LeaseHolder({
@@ -43,6 +53,7 @@
     clock,
     createId: () => `${vmId}-${ids++}`,
     onChange: ({ kind }) => changes.push(kind),
+    ...options,
   });
   return { holder, changes };
 }
@@ -110,6 +121,26 @@
   assert.equal(a.holder, "b");
 });
 
+// Where requests with a lower fencing token are refused, the last holder can do no harm.
+test("a holder waits for its predecessor's lease only where fencing tokens are not checked", async () => {
+  for (const waitsForPredecessor of [true, false]) {
+    const log = new TestLog();
+    const clock = new ManualClock();
+    const a = createHolder("a", log, clock).holder;
+    const options = { waitsForPredecessor };
+    const b = createHolder("b", log, clock, options).holder;
+    a.seek();
+    await a.step();
+    b.seek();
+    await b.step();
+    clock.advance(2 * LEASE_MS);
+    await b.step();
+    assert.ok(b.isHolder);
+    assert.equal(b.hasAuthority(), !waitsForPredecessor);
+    assert.ok(!a.hasAuthority());
+  }
+});
+
 test("a suspension ends the authority, however little the monotonic clock counted", async () => {
   const clock = new ManualClock();
   const { holder, changes } = createHolder("a", new TestLog(), clock);
--- a/packages/heatherarch-forward/tasks/duty_controller.ts
+++ b/packages/heatherarch-forward/tasks/duty_controller.ts
@@ -157,10 +157,7 @@
     if (!this.#options.isCandidate() && !this.#lease.isHolder) {
       return await this.#resign("no candidate any more");
     }
-    if (this.#nowMs >= this.#nextReadMs) {
-      this.#nextReadMs = this.#nowMs + this.#options.leaseMs * STEP_SHARE;
-      await this.#lease.step();
-    }
+    await this.#renewIfDue();
     const hasAuthority = this.#lease.hasAuthority();
     if (!hasAuthority && this.#heldSinceMs !== undefined) {
       return await this.#resign("lease lost");
@@ -174,6 +171,12 @@
     if (this.#isSettled()) await this.#performDuties();
   }
 
+  async #renewIfDue(): Promise<void> {
+    if (this.#nowMs < this.#nextReadMs) return;
+    this.#nextReadMs = this.#nowMs + this.#options.leaseMs * STEP_SHARE;
+    await this.#lease.step();
+  }
+
   #beginHolding(): void {
     this.#heldSinceMs = this.#nowMs;
     this.#failingSinceMs.clear();
@@ -188,6 +191,8 @@
 
   async #performDuties(): Promise<void> {
     for (const duty of this.#options.duties) {
+      // The duty before may have waited for the platform.
+      await this.#renewIfDue();
       if (!this.#lease.hasAuthority()) return;
       if (!await this.#perform(duty)) return;
     }
--- a/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/config_exchange_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { ManualClock } from "heatherarch-core";
 import { test } from "node:test";
+import type { CallHandler, LinkIdentity } from "heatherarch-mesh";
 import {
   ActiveConfig,
   ConfigExchange,
@@ -10,7 +11,7 @@
 import { buildConfig, buildRoute } from "./fixtures.ts";
 
 /** How a peer responds to a request: the version that it sends, or a failure. */
-type PeerBehavior = number | "silent" | "large" | "unreadable";
+type PeerBehavior = number | "silent" | "large" | "unreadable" | "noAccounts";
 
 interface PeerRequest {
   readonly peer: string;
@@ -23,6 +24,12 @@
   configWaitMs: CONFIG_BOUND_MS / 2,
   requestTimeoutMs: 1500,
 });
+const PEER: LinkIdentity = {
+  id: "a",
+  incarnation: "a/1",
+  availabilityZone: "zone-a",
+  mesh: "127.0.0.1:1",
+};
 const LARGE = Array.from({ length: 101 }, () => buildRoute());
 
 /** Creates an exchange with scripted peers, and records the requests to them. */
@@ -33,9 +40,11 @@
   exchange: ConfigExchange;
   activeConfig: ActiveConfig;
   requests: PeerRequest[];
+  log: MemoryEventLog;
 } {
   const activeConfig = new ActiveConfig({ clock: new ManualClock() });
   const requests: PeerRequest[] = [];
+  const log = new MemoryEventLog();
   const call = async (
     peer: string,
     _: string,
@@ -49,6 +58,9 @@
       throw new Error("timed out");
     }
     if (behavior === "unreadable") return { revision: 9 };
+    if (behavior === "noAccounts") {
+      return { ...buildConfig({ version: 9 }), accounts: undefined };
+    }
     if (behavior !== "large") return buildConfig({ version: behavior });
     return isLastResort === true
       ? buildConfig({ version: 2, routes: LARGE })
@@ -57,12 +69,12 @@
   const exchange = new ConfigExchange({
     node: { call, registerCall: () => () => undefined },
     activeConfig,
-    log: new MemoryEventLog(),
+    log,
     mustReadStore: () => mustReadStore,
     loadConfig: () => Promise.reject(new Error("status 503")),
     configReadTiming: TIMING,
   });
-  return { exchange, activeConfig, requests };
+  return { exchange, activeConfig, requests, log };
 }
 
 function sleepMs(ms: number): Promise<void> {
@@ -117,3 +129,51 @@
   await sleepMs(CONFIG_BOUND_MS);
   assert.equal(activeConfig.version, 2);
 });
+
+// During an update of the software, a peer may not know of client accounts yet.
+test("a configuration without the client accounts is not applied", async () => {
+  const { exchange, activeConfig, log } = createExchange({
+    a: "noAccounts",
+    b: 2,
+  });
+  exchange.handlePeerVersion("a", 9);
+  exchange.handlePeerVersion("b", 2);
+  await sleepMs(CONFIG_BOUND_MS);
+  assert.equal(activeConfig.version, 2);
+  const failure = log.lines.find(({ event }) => event === "configNotFetched");
+  assert.equal(
+    failure?.fields.reason,
+    "the peer's configuration is incomplete",
+  );
+});
+
+test("a configuration with many client accounts is sent only to a peer without another source", async () => {
+  const activeConfig = new ActiveConfig({ clock: new ManualClock() });
+  let respond: CallHandler | undefined;
+  const exchange = new ConfigExchange({
+    node: {
+      call: () => Promise.reject(new Error("timed out")),
+      registerCall: (_: string, handler: typeof respond) => {
+        respond = handler;
+        return () => undefined;
+      },
+    },
+    activeConfig,
+    log: new MemoryEventLog(),
+    mustReadStore: () => false,
+    loadConfig: () => Promise.resolve(),
+    configReadTiming: TIMING,
+  });
+  exchange.start();
+  assert.ok(respond);
+  for (const [version, count] of [[1, 500], [2, 501]]) {
+    const accounts = Array.from({ length: count }, (_, i) => ({
+      name: `account-${i}`,
+      keyDigests: [],
+    }));
+    activeConfig.applyConfig(buildConfig({ version, accounts }), "store");
+    const reply: unknown = await respond(false, PEER);
+    assert.equal(reply === null, count > 500);
+    assert.notEqual(await respond(true, PEER), null);
+  }
+});
--- a/packages/heatherarch-forward/tests/unit/store_reader_test.ts
+++ b/packages/heatherarch-forward/tests/unit/store_reader_test.ts
@@ -17,16 +17,21 @@
   requestTimeoutMs: 1500,
 });
 
-function createRefusingTopic(): KeyedTopicPort<never> {
-  const refuse = (): Promise<never> => Promise.reject(new Error("status 503"));
+function createRefusingTopic(onRead?: () => void): KeyedTopicPort<never> {
+  const refuse = (): Promise<never> => {
+    onRead?.();
+    return Promise.reject(new Error("status 503"));
+  };
   return { load: refuse, readChanges: refuse };
 }
 
 /** Creates a reader whose reads all fail at once, with only the dependencies that it then uses. */
-function createReaderOfRefusingStore(): StoreReader {
+function createReaderOfRefusingStore(
+  reads: ("configs" | "targets")[] = [],
+): StoreReader {
   const options: Partial<StoreReaderOptions> = {
-    configTopic: createRefusingTopic(),
-    targetTopic: createRefusingTopic(),
+    configTopic: createRefusingTopic(() => reads.push("configs")),
+    targetTopic: createRefusingTopic(() => reads.push("targets")),
     configReadTiming: TIMING,
     targetPollMs: 700,
     getFeedValidAtMs: () => -Infinity,
@@ -60,3 +65,21 @@
     timers.mock.restore();
   }
 });
+
+// Hubs whose own reads fail can't show that the configuration is the newest one.
+test("a VM reads the configuration itself while no hub confirms it, and not the target list", async () => {
+  for (const isConfigUnconfirmed of [true, false]) {
+    const reads: ("configs" | "targets")[] = [];
+    const timers = mock.method(globalThis, "setTimeout", () => undefined);
+    try {
+      const reader = createReaderOfRefusingStore(reads);
+      const state = { isActive: false, isCoordinator: false };
+      reader.setActive({ ...state, isConfigUnconfirmed });
+      reader.start();
+      await new Promise((resolve) => setImmediate(resolve));
+    } finally {
+      timers.mock.restore();
+    }
+    assert.deepEqual(reads, isConfigUnconfirmed ? ["configs"] : []);
+  }
+});
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -147,7 +147,16 @@
   logs: z.object({
     level: z.enum(["error", "warn", "info", "debug"]).default("info"),
   }).prefault({}),
-});
+}).refine(
+  ({ platformApi, lease }) =>
+    platformApi === undefined ||
+    platformApi.requestTimeoutMs <= lease.durationMs / 2,
+  {
+    path: ["platformApi", "requestTimeoutMs"],
+    message:
+      "must be at most half of lease.durationMs: the lease is renewed between requests",
+  },
+);
 
 /** Validated settings of one forwarding process. */
 export type ForwardSettings = z.infer<typeof FORWARD_SCHEMA>;
--- a/packages/heatherarch-settings/tests/unit/settings_test.ts
+++ b/packages/heatherarch-settings/tests/unit/settings_test.ts
@@ -121,3 +121,20 @@
     );
   }
 });
+
+test("a request to the platform may not outlast half of the lease under which it is sent", () => {
+  const read = (timeoutMs: number) =>
+    readForwardSettings(
+      `${FORWARDING}[lease]
+durationMs = 2000
+[platformApi]
+address = "127.0.0.1:7001"
+requestTimeoutMs = ${timeoutMs}
+`,
+    );
+  assert.equal(read(1000).unwrap().platformApi?.requestTimeoutMs, 1000);
+  assert.deepEqual(
+    (read(1001).val as InputIssue[]).map(({ location }) => location),
+    ["platformApi.requestTimeoutMs"],
+  );
+});
