Rate limits of targets are read, logged and counted

Change: the codec decodes the limit of any response; TargetRateLimits keeps it by incarnation, and a response to a request from before the limit was named doesn't end it. A log line for each limit that begins, changes by over a tenth or ends, and a counter of requests to targets that have one. No decision uses it yet.

--- a/packages/heatherarch-forward/calls/response_notices.ts
+++ b/packages/heatherarch-forward/calls/response_notices.ts
@@ -1,12 +1,13 @@
 /**
- * Notices in the response heads of targets: a target is leaving, or requests a backoff. Any
- * response may carry a notice, whatever the request was for.
+ * Notices in the response heads of targets: a target is leaving, requests a backoff, or has a rate
+ * limit. Any response may carry a notice, whatever the request was for.
  *
  * @module
  */
 import type { Clock } from "heatherarch-core";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { EventLog } from "../event_log.ts";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
@@ -17,6 +18,7 @@
   readonly codec: Pick<CallCodec, "decodeResponse">;
   readonly directory: Pick<TargetDirectory, "markLeaving">;
   readonly backoffs: TargetBackoffs;
+  readonly rateLimits: TargetRateLimits;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -29,13 +31,18 @@
     this.#options = options;
   }
 
-  /** Applies the head of a response that arrived on a connection to `target`. */
-  apply(target: Target, { status, headers }: ResponseHead): void {
+  /**
+   * Applies the head of a response that arrived on a connection to `target`; its request was sent at
+   * the monotonic time `sentAtMs`.
+   */
+  apply(
+    target: Target,
+    { status, headers }: ResponseHead,
+    sentAtMs: number,
+  ): void {
     const { codec, directory, log } = this.#options;
-    const { answeredBy, isLeaving, backoffMs } = codec.decodeResponse(
-      status,
-      headers,
-    );
+    const { answeredBy, isLeaving, backoffMs, maxRequestsPerSecond } = codec
+      .decodeResponse(status, headers);
     const instance = target.instance ?? target.id;
     if (answeredBy !== undefined && answeredBy !== instance) return;
     if (isLeaving && directory.markLeaving(target.id)) {
@@ -45,6 +52,27 @@
       });
     }
     if (backoffMs !== undefined) this.#recordBackoff(target.id, backoffMs);
+    this.#recordRateLimit(target.id, maxRequestsPerSecond, sentAtMs);
+  }
+
+  #recordRateLimit(
+    id: string,
+    maxPerSecond: number | undefined,
+    sentAtMs: number,
+  ): void {
+    const { rateLimits, clock, log } = this.#options;
+    const change = rateLimits.recordObservation(id, {
+      maxPerSecond,
+      sentAtMs,
+      atMs: clock.readMonotonicMs(),
+    });
+    if (change === undefined) return;
+    log.write("info", "targetRateLimit", {
+      target: id,
+      change,
+      maxPerSecond,
+      source: "answer",
+    });
   }
 
   #recordBackoff(id: string, backoffMs: number): void {
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { type Clock, RuntimeClock } from "heatherarch-core";
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
@@ -20,8 +21,18 @@
 
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
-  /** Called with the head of each response, before the sender sees it. */
-  readonly onResponseHead?: (target: Target, head: ResponseHead) => void;
+  /**
+   * Called with the head of each response, before the sender sees it, and the monotonic time at
+   * which the request was sent.
+   */
+  readonly onResponseHead?: (
+    target: Target,
+    head: ResponseHead,
+    sentAtMs: number,
+  ) => void;
+  /** Called before a request is sent. */
+  readonly onSend?: (target: Target) => void;
+  readonly clock?: Pick<Clock, "readMonotonicMs">;
   /** Returns why nothing may be sent to a target now, or undefined if a request may be sent. */
   readonly findBlockReason?: (
     target: Target,
@@ -115,6 +126,8 @@
     this.#options = {
       onResponseHead: () => undefined,
       findBlockReason: () => undefined,
+      onSend: () => undefined,
+      clock: new RuntimeClock(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       ...options,
@@ -150,6 +163,8 @@
   ): TargetExchange {
     const blockReason = this.#options.findBlockReason(target, purpose);
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
+    this.#options.onSend(target);
+    const sentAtMs = this.#options.clock.readMonotonicMs();
     const pool = this.#getPool(target);
     pool.inFlight++;
     const exchange = new TargetExchange(
@@ -164,7 +179,7 @@
       },
     );
     exchange.head.then(
-      (head) => this.#options.onResponseHead(target, head),
+      (head) => this.#options.onResponseHead(target, head, sentAtMs),
       // The sender handles the error.
       () => undefined,
     );
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -43,6 +43,11 @@
     labelNames: ["stage", "outcome"] as const,
     registers: [this.registry],
   });
+  readonly requestsAtLimit = new Counter({
+    name: "heatherarch_rate_limited_requests_total",
+    help: "Requests sent to targets that have a rate limit",
+    registers: [this.registry],
+  });
   readonly orders = new Counter({
     name: "heatherarch_orders_total",
     help: "Orders to engines, by outcome",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -67,6 +67,7 @@
 export * from "./fleet/vm_list_follower.ts";
 export * from "./state/target_health.ts";
 export * from "./state/target_backoffs.ts";
+export * from "./state/target_rate_limits.ts";
 export * from "./tasks/topic_follower.ts";
 export * from "./vm_dependencies.ts";
 export * from "./vm_tasks.ts";
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -121,6 +121,11 @@
   readonly isLeaving: boolean;
   /** Time for which the target asks for no requests from this VM, milliseconds. */
   readonly backoffMs?: number;
+  /**
+   * Rate limit of the target: requests per second that it takes from all VMs together. Undefined if
+   * it has none.
+   */
+  readonly maxRequestsPerSecond?: number;
   /** Id of the incarnation that responded, if it is given. */
   readonly answeredBy?: string;
   /** Requests that run and wait at the target, if it reports them. */
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -18,6 +18,7 @@
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import { TopicFollower } from "./topic_follower.ts";
 
@@ -42,6 +43,7 @@
   readonly prefixIndex: PrefixIndex;
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
+  readonly rateLimits: TargetRateLimits;
   readonly prefillTimeModel: PrefillTimeModel;
   readonly engineJitter: EngineJitter;
 }
@@ -245,9 +247,16 @@
   }
 
   #forgetTarget(target: string): void {
-    const { prefixIndex, health, backoffs, prefillTimeModel, engineJitter } =
-      this.#options;
+    const {
+      prefixIndex,
+      health,
+      backoffs,
+      rateLimits,
+      prefillTimeModel,
+      engineJitter,
+    } = this.#options;
     backoffs.forget(target);
+    rateLimits.forget(target);
     prefixIndex.forgetTarget(target);
     health.forget(target);
     prefillTimeModel.forget(target);
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -36,6 +36,7 @@
   TargetExchange,
   TargetHealth,
   TargetListGuard,
+  TargetRateLimits,
   WorkTracker,
 } from "../../mod.ts";
 import { buildPrompt, buildRoute, buildTarget, TRAITS } from "./fixtures.ts";
@@ -173,6 +174,7 @@
       directory: this.#directory,
       health: new TargetHealth(),
       backoffs: new TargetBackoffs(),
+      rateLimits: new TargetRateLimits(),
       workTracker: new WorkTracker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
--- a/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
@@ -6,6 +6,7 @@
   ResponseNotices,
   TargetBackoffs,
   TargetDirectory,
+  TargetRateLimits,
 } from "../../mod.ts";
 import type { CallCodec, ResponseMetadata } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
@@ -46,16 +47,17 @@
     codec: { decodeResponse: () => metadata } as unknown as CallCodec,
     directory,
     backoffs,
+    rateLimits: new TargetRateLimits(),
     clock: new ManualClock(),
     log: new MemoryEventLog(),
   });
   const head = { status: 503, headers: {}, rawHeaders: [] };
   metadata = { ...metadata, answeredBy: "u" };
-  notices.apply(target, head);
+  notices.apply(target, head, 0);
   assert.equal(directory.isLeaving("t@1"), false);
   assert.equal(backoffs.isInBackoff("t@1", 0), false);
   metadata = { ...metadata, answeredBy: "t" };
-  notices.apply(target, head);
+  notices.apply(target, head, 0);
   assert.equal(directory.isLeaving("t@1"), true);
   assert.equal(backoffs.isInBackoff("t@1", 0), true);
 });
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -15,6 +15,7 @@
 import { TargetDirectory } from "./state/target_directory.ts";
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
+import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -86,10 +87,12 @@
     targetHeartbeatMs: settings.store.targetHeartbeatMs,
   });
   const backoffs = new TargetBackoffs();
+  const rateLimits = new TargetRateLimits();
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
+    rateLimits,
     clock,
     log,
   });
@@ -102,6 +105,7 @@
     metrics,
     directory,
     backoffs,
+    rateLimits,
     quarantine,
     prefillTimeModel,
     countVms,
@@ -121,7 +125,13 @@
       metrics,
     }),
     connections: new TargetConnections({
-      onResponseHead: (target, head) => notices.apply(target, head),
+      clock,
+      onResponseHead: (target, head, sentAtMs) =>
+        notices.apply(target, head, sentAtMs),
+      onSend: ({ id }) => {
+        if (rateLimits.getMaxPerSecond(id) === undefined) return;
+        metrics.requestsAtLimit.inc();
+      },
       findBlockReason: ({ id }, purpose) =>
         findBlockReason({ directory, backoffs, clock }, id, purpose),
     }),
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -177,6 +177,7 @@
     prefixIndex: components.prefixIndex,
     health: components.health,
     backoffs: components.backoffs,
+    rateLimits: components.rateLimits,
     prefillTimeModel: components.prefillTimeModel,
     engineJitter: components.engineJitter,
   });
