VMs share the rate limits that targets name

What callers and targets saw: a target that named 5.7 requests a second got 67 in 4 s. Cause: no VM read the limit, and a limit on all callers together was nobody's matter. Change: a VM takes its share of each limit, by the calls that it receives among those of the fleet. Peers report their calls in heartbeats and hubs sum them, only while a target has a limit. A VM that hears of no peer counts the listed VMs. Limits that begin, change or end pass from VM to VM. Whole tokens expire after a second, or idle VMs would send one each at once. The last check before a send holds work back; releases and orders are owed. A full limit counts as backlog for prefill, and calls that would wait past their time go elsewhere or are refused at once. Why it works: the shares add up to 1, whoever receives the calls.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -24,6 +24,7 @@
 import type { TargetDirectory } from "./state/target_directory.ts";
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
+import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
@@ -38,6 +39,7 @@
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
+  readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -114,6 +114,7 @@
     this.#removeDisconnectListener = this.clientResponse
       .registerDisconnectListener(() => this.#handleDisconnect());
     this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
+    this.dependencies.fleetDemand.recordCall(this.nowMs);
   }
 
   /** Current monotonic time, milliseconds. */
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -9,9 +9,11 @@
 import { type RelayResult, StreamRelay } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import {
+  beginEngineWait,
   findEngineBackoffMs,
   type InferencePhase,
   listAvailableEngines,
+  predictEngineRateLimitDelayMs,
 } from "../scheduling/engine_selection.ts";
 import {
   computeEnginePriority,
@@ -63,6 +65,8 @@
   readonly #relay: StreamRelay;
   readonly #tried = new Set<string>();
   #reason = "no engine accepted the call";
+  /** Ends the wait for a decode engine; undefined if the call does not wait for one. */
+  #endDecodeWait: (() => void) | undefined;
 
   constructor(
     context: CallContext,
@@ -82,12 +86,21 @@
 
   /** Serves the call to its end. */
   async serve(): Promise<void> {
+    try {
+      await this.#serve();
+    } finally {
+      this.#endDecodeWait?.();
+    }
+  }
+
+  async #serve(): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && this.#mayContinue(); round++) {
       if (round > 0 && !await this.#context.mayRetry()) break;
       await this.#context.awaitTargetList();
       if (this.#context.hasEnded) return;
-      if (this.#pickDecodeEngine(undefined) === undefined && !this.#mayWait()) {
-        return this.#refuseNoDecodeEngine(undefined);
+      if (this.#pickDecodeEngine(undefined) === undefined) {
+        this.#beginDecodeWait();
+        if (!this.#mayWait()) return this.#refuseNoDecodeEngine(undefined);
       }
       if (this.#endIfInBackoff("reading")) return;
       const prefilled = await this.#prefill.prefill(this.#relay.lastEventId);
@@ -325,7 +338,8 @@
   }
 
   /**
-   * Returns a decode engine. If there is none, waits for an engine that is about to take the role.
+   * Returns a decode engine. If there is none, waits for an engine that is about to take the role,
+   * or for room in the rate limits of the engines that have it.
    */
   async #awaitDecodeEngine(
     zone: string | undefined,
@@ -333,13 +347,22 @@
     await this.#context.awaitTargetList();
     while (!this.#context.hasEnded) {
       const target = this.#pickDecodeEngine(zone);
-      if (target !== undefined) return target;
+      if (target !== undefined) {
+        this.#endDecodeWait?.();
+        return target;
+      }
+      this.#beginDecodeWait();
       if (!this.#mayWait()) return undefined;
       await sleep(DECODE_ENGINE_POLL_MS);
     }
     return undefined;
   }
 
+  #beginDecodeWait(): void {
+    this.#endDecodeWait?.();
+    this.#endDecodeWait = beginEngineWait(this.#context, "generating");
+  }
+
   #mayWait(): boolean {
     const { nowMs, call, route, remainingMs } = this.#context;
     if (remainingMs < MIN_ROUND_MS) return false;
@@ -351,9 +374,18 @@
   }
 
   /**
-   * Predicts the time until an engine has become a decode engine; undefined if none is changing.
+   * Predicts the time until a decode engine takes the call; undefined if no engine is changing to
+   * that role or is kept by its rate limit.
    */
   #predictDecodeReadyMs(): number | undefined {
+    const delaysMs = [
+      this.#predictRoleChangeMs(),
+      predictEngineRateLimitDelayMs(this.#context, "generating", this.#tried),
+    ].filter((delayMs) => delayMs !== undefined);
+    return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
+  }
+
+  #predictRoleChangeMs(): number | undefined {
     const { dependencies, service, nowMs } = this.#context;
     const { directory } = dependencies;
     const roleChangeStartsMs = directory.listServing(service.name)
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -21,7 +21,9 @@
 import {
   findBackoffMs,
   listAvailableTargets,
+  predictRateLimitDelayMs,
 } from "../scheduling/target_selection.ts";
+import { sleep } from "heatherarch-core";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
 
@@ -33,6 +35,10 @@
 const SILENCE_TIMEOUT_AIMS = 1;
 /** `Retry-After` of a refusal, milliseconds. Jitter adds up to the same again. */
 const RETRY_AFTER_MS = 250;
+/** Longest `Retry-After` of a refusal for rate limits, before jitter, milliseconds. */
+const MAX_RATE_LIMIT_RETRY_MS = 2000;
+/** Interval at which a waiting call checks for room in a rate limit, milliseconds. */
+const RATE_LIMIT_POLL_MS = 40;
 
 type PlainResult =
   | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
@@ -62,7 +68,8 @@
     ) {
       await context.awaitTargetList();
       if (context.hasEnded) return;
-      const target = this.#pickTarget();
+      const target = await this.#awaitTarget();
+      if (context.hasEnded) return;
       if (target === undefined) break;
       if (isRetry && !context.takeRetry()) break;
       const result = await this.#attempt(target);
@@ -190,8 +197,10 @@
     const backoffMs = findBackoffMs(context);
     if (backoffMs !== undefined) return context.refuseForBackoff(backoffMs);
     const jitter = 1 + context.dependencies.drawUnit();
+    const rateLimitDelayMs = this.#predictRateLimitDelayMs() ?? 0;
+    const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_RETRY_MS);
     context.refuse("noTarget", "no target accepted the call", {
-      retryAfterMs: RETRY_AFTER_MS * jitter,
+      retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
       detail: {
         tried: [...this.#tried],
         listed: context.dependencies.directory.listServing(context.service.name)
@@ -206,6 +215,41 @@
     return route.aimMs * SILENCE_TIMEOUT_AIMS;
   }
 
+  /**
+   * Returns a target. Waits while rate limits keep all targets from taking the call but will not do
+   * so until its latency objective is missed.
+   */
+  async #awaitTarget(): Promise<Target | undefined> {
+    const target = this.#pickTarget();
+    if (target !== undefined) return target;
+    const context = this.#context;
+    const endWait = context.dependencies.rateLimits.beginWait(
+      context.service.name,
+    );
+    try {
+      while (!context.hasEnded && this.#mayWait()) {
+        await sleep(RATE_LIMIT_POLL_MS);
+        const picked = this.#pickTarget();
+        if (picked !== undefined) return picked;
+      }
+      return undefined;
+    } finally {
+      endWait();
+    }
+  }
+
+  #mayWait(): boolean {
+    const delayMs = this.#predictRateLimitDelayMs();
+    return delayMs !== undefined && delayMs <= this.#context.timeToAimMs;
+  }
+
+  #predictRateLimitDelayMs(): number | undefined {
+    return predictRateLimitDelayMs(
+      { context: this.#context, tried: this.#tried },
+      this.#context.service.name,
+    );
+  }
+
   #pickTarget(): Target | undefined {
     const { workTracker, drawUnit } = this.#context.dependencies;
     const nowMs = this.#context.nowMs;
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -6,7 +6,7 @@
  */
 import type { CallContext } from "./call_context.ts";
 import { computeWaitLimits } from "../scheduling/client_timeout.ts";
-import { listAvailableEngines } from "../scheduling/engine_selection.ts";
+import { listUsableEngines } from "../scheduling/engine_selection.ts";
 import {
   computeEnginePriority,
   computeLane,
@@ -279,7 +279,7 @@
   #mayPrefillLate(): boolean {
     const { workTracker } = this.#context.dependencies;
     const nowMs = this.#context.nowMs;
-    const prefillEngines = listAvailableEngines(
+    const prefillEngines = listUsableEngines(
       this.#context,
       "reading",
       this.#tried,
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -16,8 +16,11 @@
 
 type Connector = ReturnType<typeof buildConnector>;
 
-/** Purpose of a request: work, or the release of resources that an earlier request holds. */
-export type SendPurpose = "work" | "release";
+/**
+ * Purpose of a request: work, the release of resources that an earlier request holds, or control of
+ * an engine.
+ */
+export type SendPurpose = "work" | "release" | "control";
 
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
--- a/packages/heatherarch-forward/fleet/digest_cache.ts
+++ b/packages/heatherarch-forward/fleet/digest_cache.ts
@@ -5,18 +5,22 @@
  * @module
  */
 import type { WorkDigest } from "heatherarch-mesh";
+import type { FleetDemand } from "../state/fleet_demand.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkRow, WorkTracker } from "../state/work_tracker.ts";
 
 /** Options of {@linkcode DigestCache}. */
 export interface DigestCacheOptions {
   readonly workTracker: WorkTracker;
+  readonly fleetDemand: FleetDemand;
+  readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
   /** Counts the live VMs of the hub's zone, itself included. */
   readonly countZoneVms: () => number;
   /** Counts the live VMs of the fleet. */
   readonly countFleetVms: () => number;
 }
 
-type DigestBody = Pick<WorkDigest, "vms" | "work">;
+type DigestBody = Pick<WorkDigest, "vms" | "work" | "callsPerMinute">;
 
 /** The digests of the current round. */
 export class DigestCache {
@@ -40,6 +44,7 @@
     this.#zoneDigest ??= {
       vms: countZoneVms(),
       work: copyRows(workTracker.sumRows(nowMs, false)),
+      ...this.#buildCallRate(nowMs, false),
     };
     return this.#zoneDigest;
   }
@@ -50,9 +55,20 @@
     this.#fleetDigest ??= {
       vms: countFleetVms(),
       work: copyRows(workTracker.sumRows(nowMs, true)),
+      ...this.#buildCallRate(nowMs, true),
     };
     return this.#fleetDigest;
   }
+
+  #buildCallRate(
+    nowMs: number,
+    includeGathered: boolean,
+  ): Pick<DigestBody, "callsPerMinute"> {
+    const { fleetDemand, rateLimits } = this.#options;
+    if (!rateLimits.hasLimits) return {};
+    const { callsPerMinute } = fleetDemand.sumRates(nowMs, includeGathered);
+    return { callsPerMinute };
+  }
 }
 
 /** Copies rows into the mutable form that a message has. */
--- a/packages/heatherarch-forward/fleet/fleet_gossip.ts
+++ b/packages/heatherarch-forward/fleet/fleet_gossip.ts
@@ -1,13 +1,14 @@
 /**
- * Gossip of crash reports and of targets that announced that they are leaving. Each VM forwards
- * what is new to it on all its links, so it reaches every VM over a full mesh as well as over hubs;
- * a new link gets everything.
+ * Gossip of crash reports, of targets that announced that they are leaving, and of targets' rate
+ * limits. Each VM forwards what is new to it on all its links, so it reaches every VM over a full
+ * mesh as well as over hubs; a new link gets everything.
  *
  * @module
  */
 import type { Clock } from "heatherarch-core";
 import type { Heartbeat, Link } from "heatherarch-mesh";
 import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { EventLog } from "../event_log.ts";
 
@@ -15,23 +16,33 @@
 export interface FleetGossipOptions {
   readonly quarantine: RequestQuarantine;
   readonly directory: TargetDirectory;
+  readonly rateLimits: TargetRateLimits;
   readonly clock: Clock;
   readonly log: EventLog;
 }
 
 /** The heartbeat fields that this module fills. */
-export type GossipFields = Pick<Heartbeat, "crashes" | "leavingTargets">;
+export type GossipFields = Pick<
+  Heartbeat,
+  "crashes" | "leavingTargets" | "rateLimits"
+>;
 
 type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
+type RateLimitMessage = NonNullable<Heartbeat["rateLimits"]>[number];
 
 /** Positions up to which one link has been sent everything. */
 interface LinkCursors {
   crashes: number | undefined;
   leaving: number;
+  rateLimits: number;
 }
 
 /** Offset of a mark that came from the target itself, which no log record removes. */
 const NO_LOG_OFFSET = -1;
+/** Encoded rate limit that has ended. */
+const NO_RATE_LIMIT = -1;
+/** Rate limits are encoded as requests per this many seconds. */
+const RATE_SCALE = 1000;
 
 /** The gossip of one VM. */
 export class FleetGossip {
@@ -42,12 +53,13 @@
     this.#options = options;
   }
 
-  /** Registers a listener for reports and leaving targets that are new; returns its removal. */
+  /** Registers a listener for whatever is new; returns its removal. */
   registerListener(listener: () => void): () => void {
-    const { quarantine, directory } = this.#options;
+    const { quarantine, directory, rateLimits } = this.#options;
     const undos = [
       quarantine.registerReportListener(listener),
       directory.registerLeavingListener(listener),
+      rateLimits.registerListener(listener),
     ];
     return () => {
       for (const undo of undos) undo();
@@ -58,14 +70,21 @@
   buildFields(link: Link): GossipFields {
     let cursors = this.#links.get(link);
     if (cursors === undefined) {
-      cursors = { crashes: undefined, leaving: 0 };
+      cursors = { crashes: undefined, leaving: 0, rateLimits: 0 };
       this.#links.set(link, cursors);
     }
-    return { ...this.#buildCrashes(cursors), ...this.#buildLeaving(cursors) };
+    return {
+      ...this.#buildCrashes(cursors),
+      ...this.#buildLeaving(cursors),
+      ...this.#buildRateLimits(cursors),
+    };
   }
 
   /** Merges a peer's heartbeat, which may have waited here for `waitedMs` milliseconds. */
-  handle({ crashes, leavingTargets }: Heartbeat, waitedMs: number): void {
+  handle(
+    { crashes, leavingTargets, rateLimits = [] }: Heartbeat,
+    waitedMs: number,
+  ): void {
     const { quarantine, directory, clock, log } = this.#options;
     if (crashes !== undefined) {
       quarantine.mergePeerReports(crashes, clock.readMonotonicMs() - waitedMs);
@@ -74,6 +93,28 @@
       if (!directory.markLeaving(target)) continue;
       log.write("info", "targetLeaving", { target, source: "peer" });
     }
+    for (const message of rateLimits) this.#mergeRateLimit(message, waitedMs);
+  }
+
+  #mergeRateLimit(
+    [target, encoded, ageMs]: RateLimitMessage,
+    waitedMs: number,
+  ): void {
+    const { rateLimits, directory, clock, log } = this.#options;
+    // The limit of a target that is gone would be kept for good.
+    if (directory.findTarget(target) === undefined) return;
+    const maxPerSecond = encoded === NO_RATE_LIMIT
+      ? undefined
+      : encoded / RATE_SCALE;
+    const atMs = clock.readMonotonicMs() - waitedMs - ageMs;
+    const change = rateLimits.mergePeerNews({ target, maxPerSecond, atMs });
+    if (change === undefined) return;
+    log.write("info", "targetRateLimit", {
+      target,
+      change,
+      maxPerSecond,
+      source: "peer",
+    });
   }
 
   #buildCrashes(cursors: LinkCursors): GossipFields {
@@ -100,4 +141,23 @@
       })),
     };
   }
+
+  #buildRateLimits(cursors: LinkCursors): GossipFields {
+    const { rateLimits, clock } = this.#options;
+    const { news, position } = rateLimits.listNews(cursors.rateLimits);
+    cursors.rateLimits = position;
+    if (news.length === 0) return {};
+    const nowMs = clock.readMonotonicMs();
+    return {
+      rateLimits: news.map((
+        { target, maxPerSecond, atMs },
+      ): RateLimitMessage => [
+        target,
+        maxPerSecond === undefined
+          ? NO_RATE_LIMIT
+          : Math.round(maxPerSecond * RATE_SCALE),
+        Math.max(0, Math.ceil(nowMs - atMs)),
+      ]),
+    };
+  }
 }
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -24,6 +24,8 @@
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { FleetDemand } from "../state/fleet_demand.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
 
@@ -56,6 +58,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly workTracker: WorkTracker;
+  readonly fleetDemand: FleetDemand;
+  readonly rateLimits: TargetRateLimits;
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
   readonly activeConfig: ActiveConfig;
@@ -312,14 +316,21 @@
 
   /** Builds the fields for a link without hubs: own work, and the prefix updates not yet sent. */
   #buildMeshFields(link: Link): Partial<Heartbeat> {
-    const { workTracker, prefixIndex, clock, listChangingRole } = this.#options;
+    const { workTracker, prefixIndex, rateLimits, clock, listChangingRole } =
+      this.#options;
+    const nowMs = clock.readMonotonicMs();
     const changing = listChangingRole();
     const { updates, cursor } = prefixIndex.listUpdates(
       this.#prefixCursors.get(link) ?? 0,
     );
     this.#prefixCursors.set(link, cursor);
     return {
-      work: workTracker.listOwnRows(clock.readMonotonicMs())
+      ...(rateLimits.hasLimits
+        ? {
+          callsPerMinute: this.#options.fleetDemand.getOwnCallsPerMinute(nowMs),
+        }
+        : {}),
+      work: workTracker.listOwnRows(nowMs)
         .map((row): [string, number, number, ...number[]] => [...row]),
       ...(updates.length === 0 ? {} : {
         prompts: updates.map((update): [string, string, number] => [...update]),
@@ -350,8 +361,12 @@
   }
 
   #handleMeshFields(heartbeat: Heartbeat, from: LinkIdentity): void {
-    const { workTracker, prefixIndex, clock } = this.#options;
+    const { workTracker, prefixIndex, fleetDemand, clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
+    const { callsPerMinute } = heartbeat;
+    if (callsPerMinute !== undefined) {
+      fleetDemand.setPeerRate(from.id, { callsPerMinute, vms: 1 }, nowMs);
+    }
     if (heartbeat.prompts !== undefined) {
       prefixIndex.applyPeerUpdates(heartbeat.prompts, nowMs);
     }
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -41,6 +41,8 @@
   UpdateScope,
 } from "../state/prefix_index.ts";
 import type { ActiveConfig } from "../state/active_config.ts";
+import type { FleetDemand } from "../state/fleet_demand.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import { FeedSource } from "./feed_source.ts";
 import {
   subtractRows,
@@ -53,6 +55,8 @@
   readonly self: LinkIdentity;
   readonly membership: Membership;
   readonly workTracker: WorkTracker;
+  readonly fleetDemand: FleetDemand;
+  readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
   readonly prefixIndex: PrefixIndex;
   /** Lists the engines that are changing their role on an order of this VM. */
   readonly listChangingRole: () => readonly string[];
@@ -67,6 +71,7 @@
 export type HubFields = Pick<
   Heartbeat,
   | "work"
+  | "callsPerMinute"
   | "prompts"
   | "beat"
   | "wants"
@@ -80,6 +85,7 @@
 /** A heartbeat that this VM has sent. */
 interface SentHeartbeat {
   readonly work: readonly WorkRow[];
+  readonly callsPerMinute: number;
   readonly sentAt: Moment;
 }
 
@@ -121,6 +127,8 @@
     this.#listRelay = new TargetListRelay(options);
     this.#digests = new DigestCache({
       workTracker: options.workTracker,
+      fleetDemand: options.fleetDemand,
+      rateLimits: options.rateLimits,
       countZoneVms: () => this.#countZoneVms(),
       countFleetVms: () => this.liveVms,
     });
@@ -167,8 +175,10 @@
     if (isHub) this.#fallback.tick(nowMs);
     else this.#updateSource(nowMs);
     this.#beat++;
+    const { workTracker, fleetDemand } = this.#options;
     this.#sentHeartbeats.set(this.#beat, {
-      work: this.#options.workTracker.listOwnRows(nowMs),
+      work: workTracker.listOwnRows(nowMs),
+      callsPerMinute: fleetDemand.getOwnCallsPerMinute(nowMs),
       sentAt: readMoment(this.#options.clock),
     });
     this.#sentHeartbeats.delete(this.#beat - MAX_SENT_HEARTBEATS);
@@ -247,7 +257,7 @@
     isSameZone: boolean,
     nowMs: number,
   ): void {
-    const { workTracker, prefixIndex } = this.#options;
+    const { workTracker, fleetDemand, prefixIndex } = this.#options;
     const fallback = this.#fallback.findSource(from.id);
     if (fallback !== undefined && heartbeat.targets !== undefined) {
       fallback.recordHeartbeat(nowMs);
@@ -273,6 +283,10 @@
     }
     if (heartbeat.work === undefined) return;
     workTracker.setPeerWork(from.id, heartbeat.work, nowMs);
+    const { callsPerMinute } = heartbeat;
+    if (callsPerMinute !== undefined) {
+      fleetDemand.setPeerRate(from.id, { callsPerMinute, vms: 1 }, nowMs);
+    }
     this.#subscriptions.setCounted(from.incarnation, heartbeat.beat);
   }
 
@@ -294,12 +308,12 @@
       vms: digest.vms,
       atMs: nowMs,
     });
-    this.#options.workTracker.setPeerWork(
-      buildZoneWorkKey(zone),
-      digest.work,
-      nowMs,
-      "gathered",
-    );
+    const { workTracker, fleetDemand } = this.#options;
+    const key = buildZoneWorkKey(zone);
+    workTracker.setPeerWork(key, digest.work, nowMs, "gathered");
+    const { vms, callsPerMinute } = digest;
+    if (callsPerMinute === undefined) return;
+    fleetDemand.setPeerRate(key, { vms, callsPerMinute }, nowMs, "gathered");
   }
 
   #handleFromSource(
@@ -319,6 +333,7 @@
       if (counted !== undefined) this.#confirmConfig(heartbeat, counted.sentAt);
       const rows = subtractRows(digest.work, counted?.work ?? []);
       workTracker.setPeerWork(FLEET_WORK_KEY, rows, nowMs, "gathered");
+      this.#recordFleetDemand(digest, counted, nowMs);
     }
     if (targets === undefined) return;
     const wasStale = source.isStale;
@@ -326,6 +341,22 @@
     if (source.isStale && !wasStale) this.#options.onListStale(source.id);
   }
 
+  /** Records the calls that the other VMs of the fleet receive. */
+  #recordFleetDemand(
+    { vms, callsPerMinute }: WorkDigest,
+    counted: SentHeartbeat | undefined,
+    nowMs: number,
+  ): void {
+    if (callsPerMinute === undefined) return;
+    const others = callsPerMinute - (counted?.callsPerMinute ?? 0);
+    this.#options.fleetDemand.setPeerRate(
+      FLEET_WORK_KEY,
+      { vms: Math.max(0, vms - 1), callsPerMinute: Math.max(0, others) },
+      nowMs,
+      "gathered",
+    );
+  }
+
   /**
    * Records that the hub's configuration was the newest one. The hub sent its message after it had
    * received this VM's heartbeat, so its stated age counts from when that heartbeat was sent, however
@@ -351,10 +382,18 @@
     return {
       beat: this.#beat,
       work: copyRows(this.#sentHeartbeats.get(this.#beat)?.work ?? []),
+      ...this.#buildCallRate(),
       ...this.#buildPrefixUpdates(link, "own"),
     };
   }
 
+  /** Builds the rate of this VM's calls, which peers need only while targets have rate limits. */
+  #buildCallRate(): Pick<HubFields, "callsPerMinute"> {
+    const callsPerMinute = this.#sentHeartbeats.get(this.#beat)?.callsPerMinute;
+    const isNeeded = this.#options.rateLimits.hasLimits;
+    return isNeeded && callsPerMinute !== undefined ? { callsPerMinute } : {};
+  }
+
   /** Builds the digest of this hub's zone for a hub of another zone. */
   #buildZoneFields(link: Link, isServed: boolean): HubFields {
     if (!isServed) return {};
@@ -426,14 +465,16 @@
 
   /** Drops the work received in the previous role, so that none of it is counted twice. */
   #handleHubChange(isHub: boolean): void {
-    const { workTracker } = this.#options;
+    const { workTracker, fleetDemand } = this.#options;
     this.#wasHub = isHub;
     if (isHub) {
       workTracker.forgetPeer(FLEET_WORK_KEY);
+      fleetDemand.forgetPeer(FLEET_WORK_KEY);
       this.#source = undefined;
       return;
     }
     workTracker.forgetAllPeers();
+    fleetDemand.forgetAllPeers();
     this.#zoneSources.clear();
     this.#fallback.clear();
   }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -305,10 +305,11 @@
   }
 
   #applyVmCount(liveVms: number): void {
-    const { retryBudget, connections, metrics } = this.#components;
+    const { retryBudget, connections, fleetDemand, metrics } = this.#components;
     this.#liveVms = liveVms;
     retryBudget.setLiveVms(liveVms);
     connections.setLiveVms(liveVms);
+    fleetDemand.setVmCount(liveVms);
     metrics.liveVms.set(liveVms);
   }
 
--- a/packages/heatherarch-forward/scheduling/engine_selection.ts
+++ b/packages/heatherarch-forward/scheduling/engine_selection.ts
@@ -5,7 +5,12 @@
  */
 import type { CallContext } from "../calls/call_context.ts";
 import type { Target } from "../model.ts";
-import { findBackoffMs, listAvailableTargets } from "./target_selection.ts";
+import {
+  findBackoffMs,
+  listAvailableTargets,
+  listUsableTargets,
+  predictRateLimitDelayMs,
+} from "./target_selection.ts";
 
 /** Inference phase for which an engine is needed: prefill ("reading") or decode ("generating"). */
 export type InferencePhase = "reading" | "generating";
@@ -23,6 +28,52 @@
   });
 }
 
+/** Lists also the engines whose rate limits have no room now. */
+export function listUsableEngines(
+  context: CallContext,
+  phase: InferencePhase,
+  tried: ReadonlySet<string>,
+): Target[] {
+  return listUsableTargets({
+    context,
+    tried,
+    accepts: (target) => servesPhase(target, phase),
+  });
+}
+
+/**
+ * Time until the engines' rate limits have room for the calls that wait here, in milliseconds;
+ * undefined if they are not what keeps a call waiting.
+ */
+export function predictEngineRateLimitDelayMs(
+  context: CallContext,
+  phase: InferencePhase,
+  tried: ReadonlySet<string>,
+): number | undefined {
+  const accepts = (target: Target): boolean => servesPhase(target, phase);
+  return predictRateLimitDelayMs(
+    { context, tried, accepts },
+    buildWaitGroup(context, phase),
+  );
+}
+
+/** Counts a call that waits for an engine. Returns a function that ends the wait. */
+export function beginEngineWait(
+  context: CallContext,
+  phase: InferencePhase,
+): () => void {
+  return context.dependencies.rateLimits.beginWait(
+    buildWaitGroup(context, phase),
+  );
+}
+
+function buildWaitGroup(
+  { service }: CallContext,
+  phase: InferencePhase,
+): string {
+  return `${service.name} ${phase}`;
+}
+
 /**
  * Time until the first backoff ends, in milliseconds, if all engines of the phase are in backoff;
  * undefined otherwise.
--- a/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
+++ b/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { CallContext } from "../calls/call_context.ts";
-import { listAvailableEngines } from "./engine_selection.ts";
+import { listUsableEngines } from "./engine_selection.ts";
 import type { Target } from "../model.ts";
 import type { PrefillCandidate } from "./prompt_placement.ts";
 
@@ -88,10 +88,13 @@
   context: CallContext,
   tried: ReadonlySet<string>,
 ): PrefillCandidate[] {
-  const { workTracker } = context.dependencies;
+  const { workTracker, rateLimits } = context.dependencies;
   const nowMs = context.nowMs;
-  return listAvailableEngines(context, "reading", tried).map((target) => ({
+  return listUsableEngines(context, "reading", tried).map((target) => ({
     target,
-    backlogMs: workTracker.getPrefillBacklogMs(target.id, nowMs),
+    backlogMs: Math.max(
+      workTracker.getPrefillBacklogMs(target.id, nowMs),
+      rateLimits.getDelayMs(target.id, nowMs),
+    ),
   }));
 }
--- a/packages/heatherarch-forward/scheduling/prompt_placement.ts
+++ b/packages/heatherarch-forward/scheduling/prompt_placement.ts
@@ -17,7 +17,10 @@
 /** An engine that can prefill a prompt. */
 export interface PrefillCandidate {
   readonly target: Target;
-  /** Time until the engine has finished its prefill backlog, in milliseconds. */
+  /**
+   * Time until the engine has finished its prefill backlog and its rate limit has room, in
+   * milliseconds.
+   */
   readonly backlogMs: number;
 }
 
--- a/packages/heatherarch-forward/scheduling/target_selection.ts
+++ b/packages/heatherarch-forward/scheduling/target_selection.ts
@@ -1,6 +1,6 @@
 /**
  * Selects the targets of a service that a call may try now. If none is left because all of them are
- * in backoff, tells when the first backoff ends.
+ * in backoff or have no room in their rate limits, tells when that ends.
  *
  * @module
  */
@@ -18,19 +18,58 @@
 
 /** Lists the targets that may be tried now. Avoided targets are listed only if no other is left. */
 export function listAvailableTargets(
+  options: TargetSelectionOptions,
+): Target[] {
+  const { context } = options;
+  const { rateLimits } = context.dependencies;
+  const available = findUsableTargets(options)
+    .filter(({ id }) => rateLimits.getDelayMs(id, context.nowMs) === 0);
+  return preferHealthy(context, available);
+}
+
+/** Lists also the targets whose rate limits have no room now. */
+export function listUsableTargets(options: TargetSelectionOptions): Target[] {
+  return preferHealthy(options.context, findUsableTargets(options));
+}
+
+/**
+ * Time until the rate limits of the targets have room for the calls that wait here, in milliseconds;
+ * undefined if there are no targets or one of them has no limit. `group` names the targets.
+ */
+export function predictRateLimitDelayMs(
+  options: TargetSelectionOptions,
+  group: string,
+): number | undefined {
+  const { context } = options;
+  const { rateLimits } = context.dependencies;
+  const ids = findUsableTargets(options).map(({ id }) => id);
+  const isLimited = ids.length > 0 &&
+    ids.every((id) => rateLimits.getMaxPerSecond(id) !== undefined);
+  if (!isLimited) return undefined;
+  const requests = Math.max(1, rateLimits.countWaiting(group));
+  return rateLimits.predictDelayMs(ids, requests, context.nowMs);
+}
+
+function findUsableTargets(
   { context, tried, accepts = acceptAny }: TargetSelectionOptions,
 ): Target[] {
-  const { directory, health, backoffs, connections } = context.dependencies;
+  const { directory, backoffs, connections } = context.dependencies;
   const { name, maxConnections } = context.service;
   const nowMs = context.nowMs;
-  const available = directory.listServing(name)
+  return directory.listServing(name)
     .filter(accepts)
     .filter(({ id }) => !tried.has(id))
     .filter(({ id }) => !backoffs.isInBackoff(id, nowMs))
     .filter(({ id }) => !directory.hasRoleChange(id, nowMs))
     .filter((target) => connections.hasCapacity(target, maxConnections));
-  const healthy = available.filter(({ id }) => !health.isAvoided(id, nowMs));
-  return healthy.length > 0 ? healthy : available;
+}
+
+function preferHealthy(
+  { dependencies: { health }, nowMs }: CallContext,
+  targets: Target[],
+): Target[] {
+  const healthy = targets.filter(({ id }) => !health.isAvoided(id, nowMs));
+  return healthy.length > 0 ? healthy : targets;
 }
 
 /**
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import type {
-  EngineTraits,
-  GenerationParams,
-  Route,
-  RoutingConfig,
-  Target,
+import {
+  type EngineTraits,
+  FleetDemand,
+  type GenerationParams,
+  type Route,
+  type RoutingConfig,
+  type Target,
+  TargetRateLimits,
 } from "../../mod.ts";
 
 /** Builds a target; by default of a plain service. */
@@ -35,6 +37,19 @@
   return buildTarget(id, { role: "prefill", slots: 64, ...overrides });
 }
 
+/** Builds the rate limits of a VM without peers. */
+export function buildRateLimits(): {
+  readonly fleetDemand: FleetDemand;
+  readonly rateLimits: TargetRateLimits;
+} {
+  const fleetDemand = new FleetDemand();
+  const rateLimits = new TargetRateLimits({
+    share: fleetDemand,
+    drawUnit: () => 0,
+  });
+  return { fleetDemand, rateLimits };
+}
+
 /** Builds a route; by default of idempotent calls. */
 export function buildRoute(overrides: Partial<Route> = {}): Route {
   return {
--- a/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/hub_exchange_test.ts
@@ -10,6 +10,7 @@
 } from "heatherarch-mesh";
 import {
   ActiveConfig,
+  FleetDemand,
   HubExchange,
   type HubFields,
   PrefixIndex,
@@ -29,6 +30,7 @@
   readonly identity: LinkIdentity;
   readonly membership: Membership;
   readonly workTracker: WorkTracker;
+  readonly fleetDemand: FleetDemand;
   readonly prefixIndex: PrefixIndex;
   readonly directory: TargetDirectory;
   readonly activeConfig: ActiveConfig;
@@ -138,6 +140,8 @@
     membership.recordListing(all);
     const components = {
       workTracker: new WorkTracker(),
+      fleetDemand: new FleetDemand(),
+      rateLimits: { hasLimits: true },
       prefixIndex: new PrefixIndex(),
       directory: new TargetDirectory(),
       activeConfig,
@@ -185,6 +189,28 @@
   return heartbeat;
 }
 
+test("the VMs' shares of a rate limit follow their calls and add up to 1", () => {
+  const fleet = new TestFleet(["a", "b", "c"], 6);
+  fleet.run(WARM_UP_ROUNDS);
+  const vms = [...fleet.vms.values()];
+  for (let round = 0; round < 30; round++) {
+    for (const { fleetDemand } of vms) fleetDemand.recordCall(fleet.nowMs);
+    for (let i = 0; i < 18; i++) {
+      fleet.get("c-5").fleetDemand.recordCall(fleet.nowMs);
+    }
+    fleet.run(1);
+  }
+  for (const { fleetDemand } of vms) fleetDemand.setVmCount(vms.length);
+  const shares = vms.map(({ identity, fleetDemand }) => ({
+    id: identity.id,
+    share: fleetDemand.computeShare(fleet.nowMs),
+  }));
+  const sum = shares.reduce((total, { share }) => total + share, 0);
+  assert.ok(sum > 0.9 && sum < 1.1, `${sum}`);
+  const busiest = shares.find(({ id }) => id === "c-5")?.share ?? 0;
+  assert.ok(busiest > 0.45 && busiest < 0.6, `${busiest}`);
+});
+
 test("every VM counts the work of all others, and its own once", () => {
   const fleet = new TestFleet(["a", "b", "c"], 6);
   fleet.run(WARM_UP_ROUNDS);
--- a/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
+++ b/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
@@ -23,6 +23,7 @@
   ]);
   const workTracker = new WorkTracker();
   const checked: string[] = [];
+  const delaysMs = new Map<string, number>();
   const context = {
     nowMs: 0,
     service: { name: "s", maxConnections: 10 },
@@ -31,6 +32,7 @@
       workTracker,
       health: { isAvoided: () => false },
       backoffs: { isInBackoff: () => false },
+      rateLimits: { getDelayMs: (id: string) => delaysMs.get(id) ?? 0 },
       connections: {
         hasCapacity: ({ id }: Target) => {
           checked.push(id);
@@ -43,7 +45,15 @@
   const listBacklogs = (tried: string[] = []) =>
     cache.listCandidates(context as unknown as CallContext, new Set(tried))
       .map(({ target, backlogMs }) => `${target.id} ${backlogMs}`);
-  return { cache, workTracker, applyList, context, checked, listBacklogs };
+  return {
+    cache,
+    workTracker,
+    applyList,
+    context,
+    checked,
+    delaysMs,
+    listBacklogs,
+  };
 }
 
 test("prompts that are placed together share one snapshot", () => {
@@ -54,6 +64,12 @@
   assert.equal(checked.length, before);
 });
 
+test("the time until a rate limit has room counts like a backlog", () => {
+  const { listBacklogs, delaysMs } = createCache();
+  delaysMs.set("b", 700);
+  assert.deepEqual(listBacklogs(), ["a 0", "b 700", "c 0"]);
+});
+
 test("own work, work of peers and a new target list take effect at once", () => {
   const { listBacklogs, workTracker, applyList, context, cache } =
     createCache();
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -36,10 +36,15 @@
   TargetExchange,
   TargetHealth,
   TargetListGuard,
-  TargetRateLimits,
   WorkTracker,
 } from "../../mod.ts";
-import { buildPrompt, buildRoute, buildTarget, TRAITS } from "./fixtures.ts";
+import {
+  buildPrompt,
+  buildRateLimits,
+  buildRoute,
+  buildTarget,
+  TRAITS,
+} from "./fixtures.ts";
 
 /** How an attempt ends, at the target and at the sender. */
 export type ScriptedResult =
@@ -174,7 +179,7 @@
       directory: this.#directory,
       health: new TargetHealth(),
       backoffs: new TargetBackoffs(),
-      rateLimits: new TargetRateLimits(),
+      ...buildRateLimits(),
       workTracker: new WorkTracker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
--- a/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
@@ -6,10 +6,9 @@
   ResponseNotices,
   TargetBackoffs,
   TargetDirectory,
-  TargetRateLimits,
 } from "../../mod.ts";
 import type { CallCodec, ResponseMetadata } from "../../mod.ts";
-import { buildTarget } from "./fixtures.ts";
+import { buildRateLimits, buildTarget } from "./fixtures.ts";
 
 test("a target is in backoff for the requested time, counted from its latest response", () => {
   const backoffs = new TargetBackoffs();
@@ -47,7 +46,7 @@
     codec: { decodeResponse: () => metadata } as unknown as CallCodec,
     directory,
     backoffs,
-    rateLimits: new TargetRateLimits(),
+    ...buildRateLimits(),
     clock: new ManualClock(),
     log: new MemoryEventLog(),
   });
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -15,6 +15,7 @@
 import { TargetDirectory } from "./state/target_directory.ts";
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
+import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { UsageRecorder } from "./state/usage_recorder.ts";
@@ -87,7 +88,11 @@
     targetHeartbeatMs: settings.store.targetHeartbeatMs,
   });
   const backoffs = new TargetBackoffs();
-  const rateLimits = new TargetRateLimits();
+  const fleetDemand = new FleetDemand();
+  const rateLimits = new TargetRateLimits({
+    share: fleetDemand,
+    drawUnit: Math.random,
+  });
   const notices = new ResponseNotices({
     codec,
     directory,
@@ -105,6 +110,7 @@
     metrics,
     directory,
     backoffs,
+    fleetDemand,
     rateLimits,
     quarantine,
     prefillTimeModel,
@@ -130,10 +136,15 @@
         notices.apply(target, head, sentAtMs),
       onSend: ({ id }) => {
         if (rateLimits.getMaxPerSecond(id) === undefined) return;
+        rateLimits.recordRequest(id, clock.readMonotonicMs());
         metrics.requestsAtLimit.inc();
       },
       findBlockReason: ({ id }, purpose) =>
-        findBlockReason({ directory, backoffs, clock }, id, purpose),
+        findBlockReason(
+          { directory, backoffs, rateLimits, clock },
+          id,
+          purpose,
+        ),
     }),
     targetListGuard: buildTargetListGuard(options, metrics),
     usage: new UsageRecorder({
@@ -209,15 +220,18 @@
 
 /** Returns why nothing may be sent to a target now, or undefined if a request may be sent. */
 function findBlockReason(
-  { directory, backoffs, clock }: Pick<
+  { directory, backoffs, rateLimits, clock }: Pick<
     CallDependencies,
-    "directory" | "backoffs" | "clock"
+    "directory" | "backoffs" | "rateLimits" | "clock"
   >,
   target: string,
   purpose: SendPurpose,
 ): string | undefined {
-  if (backoffs.isInBackoff(target, clock.readMonotonicMs())) {
-    return "the target is in backoff";
+  const nowMs = clock.readMonotonicMs();
+  if (backoffs.isInBackoff(target, nowMs)) return "the target is in backoff";
+  // Releases and orders don't wait for a token; they are owed.
+  if (purpose === "work" && rateLimits.getDelayMs(target, nowMs) > 0) {
+    return "the target's rate limit has no room";
   }
   if (purpose === "release") return undefined;
   return directory.isLeaving(target) ? "the target is leaving" : undefined;
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -73,6 +73,8 @@
     clock: components.clock,
     log: components.log,
     workTracker: components.workTracker,
+    fleetDemand: components.fleetDemand,
+    rateLimits: components.rateLimits,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
     activeConfig: components.activeConfig,
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -26,6 +26,10 @@
 import { runControlBench } from "../bench/control_bench.ts";
 import { runPlacementBench } from "../bench/placement_bench.ts";
 import { measureOrderWindow } from "../bench/order_window.ts";
+import {
+  measureCheckCosts,
+  runRateLimitBench,
+} from "../bench/rate_limit_bench.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
 await yargs(hideBin(process.argv))
@@ -90,6 +94,19 @@
       if (args.json) printReport({ rows }, true);
     },
   )
+  .command(
+    "limits",
+    "ways to share the rate limits of targets, in fleets of 9 to 870 VMs",
+    (y) =>
+      y.option("seed", { type: "number", default: 1 })
+        .option("seeds", { type: "number", default: 3 }),
+    (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = runRateLimitBench({ ...args, print });
+      const costs = measureCheckCosts(print);
+      if (args.json) printReport({ rows, costs }, true);
+    },
+  )
   .command(
     "mix",
     "goodput of policies while the request mix shifts",
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -74,6 +74,8 @@
   /** Number of VMs whose work the digest includes. */
   vms: z.int(),
   work: WORK_ROWS,
+  /** Calls that those VMs receive per minute. */
+  callsPerMinute: z.int().min(0).optional(),
 });
 
 /** A target in the target list. A row without `address` states that the target is gone. */
@@ -126,6 +128,16 @@
   demand: z.tuple([z.number(), z.number()]).optional(),
   /** All work of the sender in progress at targets. */
   work: WORK_ROWS.optional(),
+  /** Calls that the sender receives per minute. */
+  callsPerMinute: z.int().min(0).optional(),
+  /**
+   * Rate limits of targets that have begun, changed or ended since the last heartbeat on this link:
+   * incarnation of the target, its requests per 1,000 seconds from all VMs together or -1 if the
+   * limit has ended, and the age of that knowledge, milliseconds.
+   */
+  rateLimits: z.array(
+    z.tuple([z.string().max(256), z.int().min(-1), z.int().min(0)]),
+  ).optional(),
   /** Whether the sender reads the target list without errors, which is required to give orders. */
   mayOrder: z.boolean().optional(),
   /**
