A VM owes what it sent a target in the second before its rate limit

Cause: the record counts windows that reach back to before the limit was named (61 to 69 requests at 3.02 s, more than arrived after it), so a VM that keeps to its share at once still exceeds it. Change: a VM that learns of a limit sends nothing until its share covers what it sent in the second before, two seconds at most.

--- a/packages/heatherarch-forward/state/expiring_token_bucket.ts
+++ b/packages/heatherarch-forward/state/expiring_token_bucket.ts
@@ -12,7 +12,7 @@
 
 /** Options of {@linkcode ExpiringTokenBucket}. */
 export interface ExpiringTokenBucketOptions {
-  /** Random in [0, 1), so that buckets which begin together don't fill together. */
+  /** Tokens at the start, negative if requests are owed; below 1. */
   readonly initialTokens: number;
   readonly nowMs: number;
 }
@@ -42,6 +42,6 @@
 
   /** Takes one token. A request that could not wait for it is owed. */
   take(): void {
-    this.#tokens = Math.max(-MAX_DEBT, this.#tokens - 1);
+    if (this.#tokens > -MAX_DEBT) this.#tokens -= 1;
   }
 }
--- a/packages/heatherarch-forward/state/target_rate_limits.ts
+++ b/packages/heatherarch-forward/state/target_rate_limits.ts
@@ -57,11 +57,20 @@
 /** Requests per second below which no limit is followed, since only responses show its end. */
 const MIN_PER_SECOND = 0.2;
 const MS_PER_SECOND = 1000;
+/**
+ * A target counts what it got before it named its limit, so a VM owes what it sent in this time
+ * beyond its share, milliseconds.
+ */
+const OWED_MS = 1000;
+/** Longest time for which a VM sends nothing because of what it owes, milliseconds. */
+const MAX_REPAYMENT_MS = 2000;
 
 /** The rate limits that targets have named, by target, and this VM's share of them. */
 export class TargetRateLimits {
   readonly #options: TargetRateLimitsOptions;
   readonly #limits = new Map<string, RateLimit>();
+  /** Monotonic times of the requests of the last second, by target. */
+  readonly #recentRequests = new Map<string, number[]>();
   readonly #waiting = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   #position = 0;
@@ -153,6 +162,7 @@
 
   /** Records a request that is sent to a target. */
   recordRequest(target: string, nowMs: number): void {
+    this.#trackRecentRequest(target, nowMs);
     const limit = this.#limits.get(target);
     if (limit?.maxPerSecond === undefined) return;
     this.#refill(limit, limit.maxPerSecond, nowMs);
@@ -179,6 +189,7 @@
   forget(target: string): void {
     if (this.getMaxPerSecond(target) !== undefined) this.#activeCount--;
     this.#limits.delete(target);
+    this.#recentRequests.delete(target);
   }
 
   #setLimit(
@@ -188,8 +199,7 @@
   ): RateLimitChange | undefined {
     const known = this.#limits.get(target);
     if (known?.maxPerSecond === undefined) {
-      const initialTokens = this.#options.drawUnit();
-      const bucket = new ExpiringTokenBucket({ initialTokens, nowMs: atMs });
+      const bucket = this.#createBucket(target, maxPerSecond, atMs);
       const position = ++this.#position;
       this.#limits.set(target, { maxPerSecond, atMs, position, bucket });
       this.#activeCount++;
@@ -221,16 +231,46 @@
     return "ended";
   }
 
+  /** Creates a bucket; the random part keeps the buckets of all VMs from filling together. */
+  #createBucket(
+    target: string,
+    maxPerSecond: number,
+    nowMs: number,
+  ): ExpiringTokenBucket {
+    const tokensPerMs = this.#computeTokensPerMs(maxPerSecond, nowMs);
+    const sent = (this.#recentRequests.get(target) ?? [])
+      .filter((atMs) => nowMs - atMs < OWED_MS).length;
+    const owed = Math.min(
+      Math.max(0, sent - OWED_MS * tokensPerMs),
+      MAX_REPAYMENT_MS * tokensPerMs,
+    );
+    const initialTokens = this.#options.drawUnit() - owed;
+    return new ExpiringTokenBucket({ initialTokens, nowMs });
+  }
+
+  #trackRecentRequest(target: string, nowMs: number): void {
+    let times = this.#recentRequests.get(target);
+    if (times === undefined) {
+      times = [];
+      this.#recentRequests.set(target, times);
+    }
+    times.push(nowMs);
+    while (nowMs - times[0] >= OWED_MS) times.shift();
+  }
+
   #notifyChange(): void {
     for (const listener of [...this.#listeners]) listener();
   }
 
   /** Refills this VM's bucket and returns the rate at which it fills, tokens per millisecond. */
   #refill({ bucket }: RateLimit, maxPerSecond: number, nowMs: number): number {
-    const perSecond = Math.max(MIN_PER_SECOND, maxPerSecond * USED_SHARE);
-    const share = this.#options.share.computeShare(nowMs);
-    const tokensPerMs = perSecond * share / MS_PER_SECOND;
+    const tokensPerMs = this.#computeTokensPerMs(maxPerSecond, nowMs);
     bucket.refill(tokensPerMs, nowMs);
     return tokensPerMs;
   }
+
+  #computeTokensPerMs(maxPerSecond: number, nowMs: number): number {
+    const perSecond = Math.max(MIN_PER_SECOND, maxPerSecond * USED_SHARE);
+    return perSecond * this.#options.share.computeShare(nowMs) / MS_PER_SECOND;
+  }
 }
--- a/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
@@ -57,6 +57,23 @@
   assert.ok(rateLimits.getDelayMs("t", 11_000) > delayMs + 90);
 });
 
+// Guards against a limit that is exceeded by what was sent right before it was named.
+test("a VM owes what it sent in the second before a limit", () => {
+  const { rateLimits } = buildRateLimits();
+  for (let nowMs = 0; nowMs <= 1000; nowMs += 100) {
+    rateLimits.recordRequest("busy", nowMs);
+  }
+  rateLimits.recordRequest("idle", 1000);
+  for (const target of ["busy", "idle"]) {
+    const observation = { maxPerSecond: 5, sentAtMs: 1000, atMs: 1000 };
+    rateLimits.recordObservation(target, observation);
+  }
+  const busyMs = rateLimits.getDelayMs("busy", 1000);
+  const idleMs = rateLimits.getDelayMs("idle", 1000);
+  assert.ok(busyMs > idleMs + 1000, `${busyMs} ${idleMs}`);
+  assert.ok(busyMs <= 2250, `${busyMs}`);
+});
+
 test("a limit of 0 leaves room for the rare request that shows its end", () => {
   const { rateLimits } = buildRateLimits();
   rateLimits.recordObservation("t", { maxPerSecond: 0, sentAtMs: 0, atMs: 0 });
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -135,8 +135,8 @@
       onResponseHead: (target, head, sentAtMs) =>
         notices.apply(target, head, sentAtMs),
       onSend: ({ id }) => {
-        if (rateLimits.getMaxPerSecond(id) === undefined) return;
         rateLimits.recordRequest(id, clock.readMonotonicMs());
+        if (rateLimits.getMaxPerSecond(id) === undefined) return;
         metrics.requestsAtLimit.inc();
       },
       findBlockReason: ({ id }, purpose) =>
