--- a/packages/heatherarch-forward/state/target_rate_limits.ts
+++ b/packages/heatherarch-forward/state/target_rate_limits.ts
@@ -240,10 +240,9 @@
     const tokensPerMs = this.#computeTokensPerMs(maxPerSecond, nowMs);
     const sent = (this.#recentRequests.get(target) ?? [])
       .filter((atMs) => nowMs - atMs < OWED_MS).length;
-    const owed = Math.min(
-      Math.max(0, sent - OWED_MS * tokensPerMs),
-      MAX_REPAYMENT_MS * tokensPerMs,
-    );
+    // With a small share, one request is more than a VM earns in the longest time.
+    const maxOwed = Math.max(1, MAX_REPAYMENT_MS * tokensPerMs);
+    const owed = Math.min(maxOwed, Math.max(0, sent - OWED_MS * tokensPerMs));
     const initialTokens = this.#options.drawUnit() - owed;
     return new ExpiringTokenBucket({ initialTokens, nowMs });
   }
