One more engine decodes while rate limits bind all decode engines

Cause: roles counted engines, not what they take; with limits at all decode engines the streams of the whole service waited for them. Change: the plan counts limited decode engines, and adds one unlimited engine if none is left. A limited engine doesn't replace one. Capacity orders stay as they are: a limit is no lost target.

--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -23,6 +23,8 @@
 export interface RolePlanOptions {
   /** Whether an engine that is still listed responds; by default all do. */
   readonly isReachable?: (engine: Target) => boolean;
+  /** Whether an engine takes less work than usual because of a rate limit; by default none does. */
+  readonly isRateLimited?: (engine: Target) => boolean;
   /** Share of the engines that should decode. */
   readonly decodeShare?: number;
   /** Smallest number of decode engines if there are enough engines: one may fail. */
@@ -69,17 +71,22 @@
 /**
  * Plans the fewest changes that lead to the desired number of decode engines, spread over
  * availability zones. A decode engine that does not respond is replaced before the target list drops
- * it, if fewer than the smallest number of decode engines respond.
+ * it, if fewer than the smallest number of decode engines respond. If rate limits keep all decode
+ * engines from their usual work, one more engine decodes.
  */
 export function planRoles(
   engines: readonly Target[],
   options: RolePlanOptions = {},
 ): PlannedRoleChange[] {
-  const { isReachable = () => true } = options;
+  const { isReachable = () => true, isRateLimited = () => false } = options;
   const { minDecodeEngines = DEFAULT_MIN_DECODE_ENGINES } = options;
   const usable = engines.filter((engine) => !engine.leaving);
-  const desired = computeDecodeEngineCount(usable.length, options);
   const decodeEngines = usable.filter((engine) => engine.role === "decode");
+  const usual = computeDecodeEngineCount(usable.length, options);
+  const isShort = decodeEngines.filter(isRateLimited).length >= usual;
+  const desired = isShort
+    ? Math.max(usual, Math.min(usable.length - 1, usual + 1))
+    : usual;
   const responding = decodeEngines.filter(isReachable).length;
   const urgent = Math.min(desired, minDecodeEngines) - responding;
   const surplus = decodeEngines.length - desired;
@@ -88,7 +95,8 @@
       .map((target) => ({ target, role: "prefill" }));
   }
   const prefillEngines = usable
-    .filter((engine) => engine.role === "prefill" && isReachable(engine));
+    .filter((engine) => engine.role === "prefill" && isReachable(engine))
+    .filter((engine) => !isShort || !isRateLimited(engine));
   const wanted = Math.max(-surplus, urgent);
   const missing = Math.min(wanted, Math.max(0, prefillEngines.length - 1));
   return pickForSmallestZones(prefillEngines, decodeEngines, missing)
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -25,6 +25,7 @@
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import { logLeaseChange } from "./lease_log.ts";
 
 /** Options of {@linkcode RoleController}. */
@@ -38,6 +39,7 @@
   readonly directory: TargetDirectory;
   readonly connections: TargetConnections;
   readonly health: TargetHealth;
+  readonly rateLimits: Pick<TargetRateLimits, "getMaxPerSecond">;
   readonly codec: CallCodec;
   readonly events: EventLog;
   readonly metrics: ForwardMetrics;
@@ -151,7 +153,8 @@
   }
 
   #plan(nowMs: number): PlannedRoleChange[] {
-    const { activeConfig, directory, health, isListCurrent } = this.#options;
+    const { activeConfig, directory, health, rateLimits, isListCurrent } =
+      this.#options;
     const { table } = activeConfig;
     if (table === undefined || !isListCurrent()) return [];
     const changes: PlannedRoleChange[] = [];
@@ -164,6 +167,7 @@
       count += engines.length;
       changes.push(...planRoles(engines, {
         isReachable: ({ id }) => health.isReachable(id),
+        isRateLimited: ({ id }) => rateLimits.getMaxPerSecond(id) !== undefined,
         slots: service.engine.slots,
       }));
     }
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -14,7 +14,12 @@
   TargetDirectory,
   TargetHealth,
 } from "../../mod.ts";
-import { buildConfig, buildEngine, TRAITS } from "./fixtures.ts";
+import {
+  buildConfig,
+  buildEngine,
+  buildRateLimits,
+  TRAITS,
+} from "./fixtures.ts";
 
 let server: Server | undefined;
 let connections: TargetConnections | undefined;
@@ -152,6 +157,7 @@
     directory,
     connections,
     health: new TargetHealth(),
+    ...buildRateLimits(),
     codec,
     events,
     metrics: new ForwardMetrics(),
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -116,3 +116,27 @@
   const returned = planRoles(surplus).map(({ target }) => target);
   assert.equal(returned.filter(({ isSpot }) => isSpot).length, 15);
 });
+
+// Guards against a service whose streams all wait for decode engines with rate limits.
+test("one more engine decodes while rate limits bind all decode engines", () => {
+  const engines = buildFleet(10, 3);
+  const limited = new Set(["e000", "e001", "e002"]);
+  const isRateLimited = ({ id }: Target): boolean => limited.has(id);
+  const [change, ...others] = planRoles(engines, { isRateLimited });
+  assert.equal(change.role, "decode");
+  assert.deepEqual(others, []);
+  const changed = engines.map((engine) =>
+    engine.id === change.target.id ? { ...engine, role: change.role } : engine
+  );
+  assert.deepEqual(planRoles(changed, { isRateLimited }), []);
+  limited.delete("e000");
+  const back = planRoles(changed, { isRateLimited });
+  assert.deepEqual(back.map(({ role }) => role), ["prefill"]);
+});
+
+test("an engine with a rate limit does not replace decode engines with one", () => {
+  const engines = buildFleet(3, 3);
+  const isRateLimited = (): boolean => true;
+  assert.deepEqual(planRoles(engines, { isRateLimited }), []);
+  assert.deepEqual(planRoles(buildFleet(0, 1), { isRateLimited }), []);
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -115,6 +115,7 @@
     activeConfig: components.activeConfig,
     directory: components.directory,
     health: components.health,
+    rateLimits: components.rateLimits,
     connections: components.connections,
     codec: components.codec,
     events: components.log,
