The store's epoch is read, logged and counted

Change: the client of the store passes the epoch of each response on; StoreEpoch keeps the latest one, with a log line and a gauge when it rises. No decision uses it yet.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -36,6 +36,7 @@
   type VmComponents,
   type VmTaskOptions,
 } from "./vm_tasks.ts";
+import { StoreEpoch } from "./state/store_epoch.ts";
 import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
 /** Options of {@linkcode ForwardVm}. */
@@ -205,6 +206,9 @@
     };
     const callServer = new CallServer({ ...components });
     const listenAddress = splitAddress(settings.listen.callers);
+    this.#container.register({
+      storeEpoch: asValue(this.#buildStoreEpoch()),
+    });
     this.#container.register({
       ingress: asValue(
         new Ingress({
@@ -241,6 +245,18 @@
     });
   }
 
+  #buildStoreEpoch(): StoreEpoch {
+    const storeEpoch = new StoreEpoch();
+    this.#ports.storeEpoch.registerEpochListener((epoch) =>
+      storeEpoch.record(epoch, "store")
+    );
+    storeEpoch.registerListener(({ epoch, before, source }) => {
+      this.#components.metrics.storeEpoch.set(epoch);
+      this.#log.write("warn", "storeRestored", { epoch, before, source });
+    });
+    return storeEpoch;
+  }
+
   #watchConfig(): void {
     const { activeConfig, ingress, metrics } = this.#components;
     activeConfig.registerListener(({ table, before, source }) => {
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -81,6 +81,11 @@
       "Time since the configuration in force was last known to be the newest one",
     registers: [this.registry],
   });
+  readonly storeEpoch = new Gauge({
+    name: "heatherarch_store_epoch",
+    help: "Epoch of the store, which rises when it comes back from a copy",
+    registers: [this.registry],
+  });
   readonly targets = new Gauge({
     name: "heatherarch_targets",
     help: "Targets known",
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -68,6 +68,12 @@
   readonly atUnixMs: number;
 }
 
+/** Tells which epoch of the platform's store responds; see `StoreEpoch`. */
+export interface StoreEpochPort {
+  /** Registers a listener for the epoch of each response; returns a function that removes it. */
+  registerEpochListener(listener: (epoch: number) => void): () => void;
+}
+
 /** Topics of the platform's store that the forwarding path reads or writes. */
 export interface DirectoryPorts {
   readonly configs: KeyedTopicPort<RoutingConfig>;
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -7,13 +7,19 @@
 import type { UsageMeter } from "heatherarch-usage";
 import type { ForwardSettings } from "heatherarch-settings";
 import { FleetMesh } from "./fleet/fleet_mesh.ts";
-import type { CallCodec, DirectoryPorts, PlatformApiPort } from "./ports.ts";
+import type {
+  CallCodec,
+  DirectoryPorts,
+  PlatformApiPort,
+  StoreEpochPort,
+} from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
 import { FleetDuties } from "./tasks/fleet_duties.ts";
 import type { Ingress } from "./tasks/ingress.ts";
 import type { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
 import { RoleController } from "./tasks/role_controller.ts";
 import type { StatusServer } from "./tasks/status_server.ts";
+import type { StoreEpoch } from "./state/store_epoch.ts";
 import { StoreReader } from "./tasks/store_reader.ts";
 import { planConfigReads } from "./scheduling/config_reads.ts";
 import { computeMaxListAgeMs } from "./vm_dependencies.ts";
@@ -23,6 +29,7 @@
   readonly codec: CallCodec;
   readonly directory: DirectoryPorts;
   readonly log: LogPort;
+  readonly storeEpoch: StoreEpochPort;
   /** The platform's API for duties of the fleet; undefined if there are no duties. */
   readonly platformApi?: PlatformApiPort;
   /** Path of the readiness check of the platform's load balancer. */
@@ -31,6 +38,7 @@
 
 /** All components of a VM: the dependencies of calls, and the tasks. */
 export interface VmComponents extends CallDependencies {
+  readonly storeEpoch: StoreEpoch;
   readonly mesh: FleetMesh;
   readonly roleController: RoleController;
   readonly ingress: Ingress;
