The directory tells a restored list of targets from a newer one

Cause: a copy of the list is older than what a VM knows. It names targets as ready that have announced that they leave or have ended, and lacks those that came after it. Change: with a restored list, targets that are known to leave stay so and are announced to peers, those that have ended are ignored until they write again, and those that the copy lacks stay in use for the recovery grace. Nothing passes restored lists in yet. Measured: the directory's tests passed, two of them new.

--- a/packages/heatherarch-forward/state/store_outage_detector.ts
+++ b/packages/heatherarch-forward/state/store_outage_detector.ts
@@ -95,6 +95,11 @@
     this.#lastOwnReadAtMs = atMs;
   }
 
+  /** Records that the store came back from a copy, which may lack entries of running targets. */
+  recordRestoration(nowMs: number): void {
+    this.#graceUntilMs = nowMs + this.#recoveryGraceMs;
+  }
+
   /** Records that a peer read the list successfully at `atMs` of this VM's clock. */
   recordPeerRead(atMs: number): void {
     if (!this.#isDisabled("peersReadings")) this.#recordRead(atMs);
--- a/packages/heatherarch-forward/state/target_directory.ts
+++ b/packages/heatherarch-forward/state/target_directory.ts
@@ -42,6 +42,8 @@
 const MAX_INCARNATIONS = 10_000;
 /** Incarnations that are kept as having announced that they leave. */
 const MAX_ANNOUNCED_LEAVING = 1000;
+/** Ids of dropped targets that are kept, in case a copy of the list contains them again. */
+const MAX_ENDED = 1000;
 /** Changes that are kept for peers. A peer that is further behind receives the whole list. */
 const MAX_CHANGES = 512;
 
@@ -77,6 +79,8 @@
   readonly #roleListedAtMs = new Map<string, number>();
   /** Latest known incarnation of each instance. */
   readonly #latest = new Map<string, Incarnation>();
+  /** Dropped targets that were not listed again. */
+  readonly #ended = new Set<string>();
   /** Ids of dropped targets that {@linkcode takeDropped} has not returned yet. */
   #dropped: string[] = [];
   readonly #changeLog: KeyedEntry<Target>[] = [];
@@ -129,6 +133,27 @@
     this.#rebuildIndex();
   }
 
+  /**
+   * Replaces the whole list with one of a store that came back from a copy. Targets write their
+   * entries again soon. Until then, those that the copy lacks stay in use, and those that have ended
+   * since the copy was made don't come back.
+   */
+  applyRestoredList(
+    entries: readonly KeyedEntry<Target>[],
+    nowMs: number,
+    requestedAtMs = nowMs,
+  ): void {
+    this.#outages.recordRestoration(nowMs);
+    // The copy can't revoke an announcement, and peers may read it first.
+    for (const { id, leaving } of this.listAll()) {
+      if (leaving) this.markLeaving(id);
+    }
+    const current = entries.filter(({ key, value }) =>
+      !this.#ended.has(value?.id ?? key)
+    );
+    this.applyList(current, nowMs, requestedAtMs);
+  }
+
   /** Applies later records in their order. They were requested at `requestedAtMs`. */
   applyChanges(
     entries: readonly KeyedEntry<Target>[],
@@ -336,6 +361,7 @@
       : listed;
     const before = this.#targets.get(id);
     this.#missing.delete(id);
+    this.#ended.delete(id);
     if (before !== undefined && hasSameListing(before, target)) return false;
     if (before?.role !== target.role) {
       this.#roleChanges.delete(id);
@@ -388,10 +414,18 @@
     if (!this.#targets.delete(id)) return false;
     this.#roleChanges.delete(id);
     this.#dropped.push(id);
+    this.#recordEnd(id);
     this.#logChange({ key: id });
     return true;
   }
 
+  #recordEnd(id: string): void {
+    this.#ended.delete(id);
+    this.#ended.add(id);
+    const [oldest] = this.#ended;
+    if (this.#ended.size > MAX_ENDED) this.#ended.delete(oldest);
+  }
+
   #logChange(change: KeyedEntry<Target>): void {
     this.#changeLog.push(change);
     if (this.#changeLog.length <= MAX_CHANGES) return;
--- a/packages/heatherarch-forward/tests/unit/target_directory_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_directory_test.ts
@@ -191,3 +191,40 @@
   directory.applyFeed([{ key: "b" }], false, 3900);
   assert.deepEqual(listIds(directory), []);
 });
+
+test("a copy of the list neither revives nor loses targets until they write again", () => {
+  const directory = new TargetDirectory();
+  const build = (id: string, leaving = false) => ({
+    key: id,
+    value: buildTarget(id, { leaving }),
+  });
+  directory.applyList([build("gone"), build("leaving"), build("kept")], 0);
+  directory.applyChanges(
+    [{ key: "gone" }, build("leaving", true), build("new")],
+    1000,
+  );
+  const copy = [build("gone"), build("leaving"), build("kept")];
+  const listServing = () =>
+    directory.listServing("s").map(({ id }) => id).sort();
+  directory.applyRestoredList(copy, 2000);
+  assert.deepEqual(listServing(), ["kept", "new"]);
+  // The store comes back from an older copy still.
+  directory.applyRestoredList(copy, 2500);
+  assert.deepEqual(listServing(), ["kept", "new"]);
+  directory.applyChanges([build("new")], 3000);
+  directory.dropExpired(9000);
+  assert.deepEqual(listServing(), ["kept", "new"]);
+  // A target that writes its entry again runs.
+  directory.applyChanges([build("gone")], 9100);
+  assert.deepEqual(listServing(), ["gone", "kept", "new"]);
+});
+
+test("a target that a copy lacks and that doesn't write again is dropped", () => {
+  const directory = new TargetDirectory();
+  const entries = ["a", "b"].map((id) => ({ key: id, value: buildTarget(id) }));
+  directory.applyList(entries, 0);
+  directory.applyRestoredList(entries.slice(0, 1), 1000);
+  assert.equal(directory.listServing("s").length, 2);
+  directory.dropExpired(4000);
+  assert.deepEqual(directory.listServing("s").map(({ id }) => id), ["a"]);
+});
