Followers of a topic load it again when the store came back from a copy

Cause: a follower kept its offset across a restore. A refused offset beyond the end was taken for an empty answer, and read again at once; records up to that offset were skipped. Change: slices carry the store's epoch, and an offset of another epoch or beyond the end makes the follower load the topic, with a line. If the offset is gone right after a load, a pause comes first. Why it works: only within one epoch does an offset name one record.

--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -28,6 +28,8 @@
 export interface TopicSlice<T> {
   readonly entries: readonly KeyedEntry<T>[];
   readonly next: number;
+  /** Epoch of the store to which the offsets belong; undefined if the store names none. */
+  readonly epoch?: number;
 }
 
 /** Thrown when the platform's store did not respond or refused. A write may have taken effect. */
@@ -43,8 +45,9 @@
   /** Loads the newest record of each key. The response may take up to `timeoutMs`. */
   load(timeoutMs?: number): Promise<TopicSlice<T>>;
   /**
-   * Reads the records from offset `from` on; undefined if they have expired. The store waits up to
-   * `waitMs` for a record, and its response may take another `timeoutMs`.
+   * Reads the records from offset `from` on; undefined if they have expired or the topic ends before
+   * that offset. The store waits up to `waitMs` for a record, and its response may take another
+   * `timeoutMs`.
    */
   readChanges(
     from: number,
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -152,10 +152,13 @@
   #applyList(
     entries: readonly KeyedEntry<Target>[],
     sentAtMs: number,
+    isRestored: boolean,
   ): void {
     const { directory, clock } = this.#options;
     const before = new Set(directory.listMissing());
-    directory.applyList(entries, clock.readMonotonicMs(), sentAtMs);
+    const nowMs = clock.readMonotonicMs();
+    if (isRestored) directory.applyRestoredList(entries, nowMs, sentAtMs);
+    else directory.applyList(entries, nowMs, sentAtMs);
     const kept = directory.listMissing().filter((id) => !before.has(id));
     this.#recordTargets(
       [...entries, ...kept.map((key) => ({ key }))],
@@ -213,7 +216,8 @@
       log,
       pollMs: targetPollMs,
       waitMs: 0,
-      onList: (entries, sentAtMs) => this.#applyList(entries, sentAtMs),
+      onList: (entries, sentAtMs, isRestored) =>
+        this.#applyList(entries, sentAtMs, isRestored),
       onChanges: (entries, sentAtMs) => this.#applyChanges(entries, sentAtMs),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
       onFailed: (sentAtMs) => this.#handleReadFailure(sentAtMs),
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -1,6 +1,6 @@
 /**
  * Follows a topic of keyed records: loads it once, then reads changes, and reloads it when the
- * changes have expired.
+ * changes have expired or the store has come back from a copy.
  *
  * @module
  */
@@ -21,10 +21,14 @@
   readonly answerMs?: number;
   /** Timeout of any other read, milliseconds; by default that of the port. */
   readonly timeoutMs?: number;
-  /** Called with the entries of a load and the monotonic time at which its request was sent. */
+  /**
+   * Called with the entries of a load and the monotonic time at which its request was sent. With
+   * `isRestored` they may be older than what was read before.
+   */
   readonly onList: (
     entries: readonly KeyedEntry<T>[],
     sentAtMs: number,
+    isRestored: boolean,
   ) => void;
   /** Called with the changed entries of a read and the monotonic time at which it was sent. */
   readonly onChanges: (
@@ -72,6 +76,10 @@
 export class TopicFollower<T> {
   readonly #options: TopicFollowerOptions<T>;
   #nextOffset: number | undefined;
+  /** Epoch of the store to which `#nextOffset` belongs. */
+  #epoch: number | undefined;
+  /** Whether the last read loaded the topic. */
+  #hasJustLoaded = false;
   /** Monotonic time of the first failed read since the last successful one. */
   #failingSinceMs: number | undefined;
   #stopped = false;
@@ -214,13 +222,36 @@
   async #readOnce(sentAtMs: number): Promise<void> {
     if (this.#nextOffset === undefined) return await this.#load(sentAtMs);
     const slice = await this.#readChanges(this.#nextOffset);
-    if (slice === undefined) return await this.#load(sentAtMs);
+    if (slice === undefined || slice.epoch !== this.#epoch) {
+      return await this.#reload(sentAtMs, slice);
+    }
     if (this.#stopped || !this.#isActive) return;
+    this.#hasJustLoaded = false;
     this.#nextOffset = slice.next;
     this.#updateUnreadable(slice.entries);
     this.#options.onChanges(slice.entries, sentAtMs);
   }
 
+  /** Loads the topic again, as the position of this follower is gone or belongs to another epoch. */
+  async #reload(
+    sentAtMs: number,
+    slice: TopicSlice<T> | undefined,
+  ): Promise<void> {
+    // Without a pause, this would repeat as fast as the store responds.
+    if (this.#hasJustLoaded) {
+      this.#nextOffset = undefined;
+      throw new Error("the offset after a load is not stored");
+    }
+    const { name, log } = this.#options;
+    log.write("info", "topicReloaded", {
+      topic: name,
+      offset: this.#nextOffset,
+      epoch: this.#epoch,
+      newEpoch: slice?.epoch,
+    });
+    await this.#load(sentAtMs);
+  }
+
   /** Throws {@linkcode LongPollError} if a long poll fails, which says little about the store. */
   async #readChanges(from: number): Promise<TopicSlice<T> | undefined> {
     const { port, timeoutMs, answerMs = timeoutMs } = this.#options;
@@ -243,10 +274,13 @@
     const { port, timeoutMs } = this.#options;
     const slice = await port.load(timeoutMs);
     if (this.#stopped || !this.#isActive) return;
+    const isRestored = this.#epoch !== undefined && slice.epoch !== this.#epoch;
     this.#nextOffset = slice.next;
+    this.#epoch = slice.epoch;
+    this.#hasJustLoaded = true;
     this.#dropUnlisted(slice.entries);
     this.#updateUnreadable(slice.entries);
-    this.#options.onList(slice.entries, sentAtMs);
+    this.#options.onList(slice.entries, sentAtMs, isRestored);
   }
 
   /** Logs when an entry becomes unreadable or readable, however often it is read. */
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -226,3 +226,78 @@
   assert.deepEqual(events, ["longPollFailed", "dependencyLost"]);
   follower.refresh();
 });
+
+/** Follows a topic of which each read returns the next result; undefined if its offset is gone. */
+async function followReads(
+  results: readonly (TopicSlice<number> | undefined)[],
+): Promise<{ calls: string[]; lists: boolean[]; changes: number }> {
+  const calls: string[] = [];
+  const lists: boolean[] = [];
+  let changes = 0;
+  let index = 0;
+  await new Promise<void>((resolve) => {
+    const read = (call: string): Promise<TopicSlice<number> | undefined> => {
+      if (index === results.length) {
+        resolve();
+        return new Promise(() => undefined);
+      }
+      calls.push(call);
+      return Promise.resolve(results[index++]);
+    };
+    const follower = new TopicFollower<number>({
+      name: "numbers",
+      clock: new RuntimeClock(),
+      port: {
+        load: () => read("load") as Promise<TopicSlice<number>>,
+        readChanges: (from) => read(`from ${from}`),
+      },
+      log: { write: () => undefined },
+      pollMs: 0,
+      waitMs: 0,
+      retryMs: 1,
+      onList: (_entries, _sentAtMs, isRestored) => void lists.push(isRestored),
+      onChanges: (entries) => changes += entries.length,
+    });
+    follower.start();
+  });
+  return { calls, lists, changes };
+}
+
+const slice = (next: number, epoch: number): TopicSlice<number> => ({
+  entries: [{ key: "a", value: next }],
+  next,
+  epoch,
+});
+
+// Guards against records of another epoch that are taken for the ones after those read before.
+test("records of another epoch of the store are not applied; the topic is loaded", async () => {
+  const { calls, lists, changes } = await followReads([
+    slice(7, 1),
+    slice(9, 2),
+    slice(3, 2),
+    slice(4, 2),
+  ]);
+  assert.deepEqual(calls, ["load", "from 7", "load", "from 3"]);
+  assert.deepEqual(lists, [false, true]);
+  assert.equal(changes, 1);
+});
+
+// Guards against loads as fast as the store responds.
+test("a topic whose offset is gone right after a load is loaded again after a pause", async () => {
+  const { calls } = await followReads([
+    slice(7, 1),
+    undefined,
+    slice(3, 1),
+    slice(4, 1),
+    undefined,
+    slice(2, 1),
+  ]);
+  assert.deepEqual(calls, [
+    "load",
+    "from 7",
+    "load",
+    "from 3",
+    "from 4",
+    "load",
+  ]);
+});
--- a/packages/heatherarch-log/log_port.ts
+++ b/packages/heatherarch-log/log_port.ts
@@ -21,6 +21,8 @@
   readonly first: number;
   /** Offset that the next append will get. */
   readonly next: number;
+  /** Epoch of the log, which rises when it comes back from a copy; undefined if it names none. */
+  readonly epoch?: number;
 }
 
 /** Options of a read. */
