A VM that the restored store doesn't list announces itself again

Cause: a VM wrote its entry once. When a copy lacked it, the VM was missing from the list until it restarted, and other VMs counted too few for limits and lists. Change: each poll checks the own entry, and a new epoch, which VMs also hear from peers, brings the polls of the start. A VM that leaves doesn't come back.

--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -25,6 +25,7 @@
 import type { PrefixIndex } from "../state/prefix_index.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { FleetDemand } from "../state/fleet_demand.ts";
+import type { StoreEpoch } from "../state/store_epoch.ts";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -63,6 +64,7 @@
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
   readonly activeConfig: ActiveConfig;
+  readonly storeEpoch: StoreEpoch;
   readonly configReadTiming: ConfigReadTiming;
   /** Reads the configuration from the store once. */
   readonly loadConfig: () => Promise<void>;
@@ -97,6 +99,8 @@
   readonly #prefixCursors = new WeakMap<Link, number>();
   /** Time of the target list read that was last announced on each link. */
   readonly #sentReadAtMs = new WeakMap<Link, number>();
+  /** Epoch of the store that was last announced on each link. */
+  readonly #sentEpochs = new WeakMap<Link, number>();
   /** Peers that could send orders to engines according to their last heartbeat. */
   readonly #orderCandidates = new Set<string>();
   #listedCount = 0;
@@ -182,6 +186,12 @@
     this.#vmList.start();
   }
 
+  /** Handles that the store came back from a copy, which may lack what this VM wrote. */
+  handleRestoration(): void {
+    this.#vmList.handleRestoration();
+    this.#node.requestRound();
+  }
+
   /** Announces to peers that this VM is leaving and removes it from the VM list. */
   async leave(): Promise<void> {
     this.#isLeaving = true;
@@ -300,11 +310,22 @@
       leaving: this.#isLeaving,
       mayOrder: mayOrder(),
       ...this.#buildListAge(link),
+      ...this.#buildStoreEpoch(link),
       ...gossipFields,
       ...fields,
     };
   }
 
+  /** Announces each epoch of the store once. */
+  #buildStoreEpoch(link: Link): Pick<Heartbeat, "storeEpoch"> {
+    const { current } = this.#options.storeEpoch;
+    if (current === undefined || current === this.#sentEpochs.get(link)) {
+      return {};
+    }
+    this.#sentEpochs.set(link, current);
+    return { storeEpoch: current };
+  }
+
   /** Announces each new read of the target list once, so that peers know the store is reachable. */
   #buildListAge(link: Link): Pick<Heartbeat, "listAgeMs"> {
     const { clock, getListReadAtMs } = this.#options;
@@ -354,6 +375,9 @@
       const { clock, onPeerListRead } = this.#options;
       onPeerListRead(clock.readMonotonicMs() - heartbeat.listAgeMs - waitedMs);
     }
+    if (heartbeat.storeEpoch !== undefined) {
+      this.#options.storeEpoch.record(heartbeat.storeEpoch, "peer");
+    }
     if (heartbeat.changing !== undefined) {
       this.#options.onChangingRole(heartbeat.changing[1]);
     }
--- a/packages/heatherarch-forward/fleet/vm_list_follower.ts
+++ b/packages/heatherarch-forward/fleet/vm_list_follower.ts
@@ -1,6 +1,6 @@
 /**
  * Announces this VM in the platform's VM list and polls that list: often after the start, when all
- * VMs join, and rarely later.
+ * VMs join, and rarely later. A store that came back from a copy may lack the entry.
  *
  * @module
  */
@@ -32,6 +32,7 @@
 export class VmListFollower {
   readonly #options: VmListFollowerOptions;
   #stopped = false;
+  #hasLeft = false;
   #isAnnounced = false;
   #pollCount = 0;
   #polledAtMs = 0;
@@ -58,9 +59,16 @@
     if (pausedMs >= this.#pickPauseMs()) this.#endPause?.();
   }
 
+  /** Polls the list as often as after the start, as the store came back from a copy. */
+  handleRestoration(): void {
+    this.#pollCount = 0;
+    this.#endPause?.();
+  }
+
   /** Removes this VM from the list. */
   async leave(): Promise<void> {
     const { vms, self, onError } = this.#options;
+    this.#hasLeft = true;
     try {
       await vms.put(self.id, undefined);
     } catch (error) {
@@ -81,9 +89,13 @@
 
   async #poll(): Promise<void> {
     const { vms, self, onList } = this.#options;
+    if (this.#hasLeft) return;
     if (!this.#isAnnounced) await vms.put(self.id, self);
     this.#isAnnounced = true;
     const { entries } = await vms.load();
+    this.#isAnnounced = entries.some(({ key, value }) =>
+      key === self.id && value?.incarnation === self.incarnation
+    );
     onList(entries.map(({ value }) => value).filter((vm) => vm !== undefined));
   }
 
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -82,6 +82,7 @@
     log: components.log,
     workTracker: components.workTracker,
     fleetDemand: components.fleetDemand,
+    storeEpoch: components.storeEpoch,
     rateLimits: components.rateLimits,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -145,6 +145,8 @@
    * for each read on each link.
    */
   listAgeMs: z.int().min(0).optional(),
+  /** Epoch of the platform's store, as the sender knows it; once on each link. */
+  storeEpoch: z.int().min(0).optional(),
   /** Prompt prefixes that were prefilled or started to be prefilled since the last heartbeat. */
   prompts: PREFIX_UPDATES.optional(),
   /**
