Leases and fencing tokens hold across a restore of the store

Cause: a lease's token is the offset of its claim. After a restore offsets are given out again, so a new holder used the token of an old one, below those that engines had seen; a claim could be missing from the copy while its holder acted on. Change: tokens count epochs before offsets. A reader of another epoch, or of a log that ends before its position, forgets the claim and claims nothing until the lease of a lost holder has expired. A VM that has just begun to read can't know of a restore and waits as well; the role controller reads early for that. Why it works: every holder's last renewal was sent before the restore.

--- a/packages/heatherarch-duties/lease_holder.ts
+++ b/packages/heatherarch-duties/lease_holder.ts
@@ -9,7 +9,7 @@
   type ControlRecord,
   LeaseStateMachine,
 } from "heatherarch-lease";
-import { classifySlice, type LogPort } from "heatherarch-log";
+import { classifySlice, type LogPort, type LogSlice } from "heatherarch-log";
 
 /** What happened to a lease; see {@linkcode LeaseHolderOptions.onChange}. */
 export type LeaseChange =
@@ -17,6 +17,8 @@
   | { readonly kind: "taken"; readonly fencing: number }
   /** The clocks diverged: the machine was suspended, so the lease may have expired unnoticed. */
   | { readonly kind: "dropped"; readonly divergenceMs: number }
+  /** The log came back from a copy, which may lack claims and renewals. */
+  | { readonly kind: "restored"; readonly epoch: number | undefined }
   | {
     readonly kind: "released";
     readonly reason: string;
@@ -39,12 +41,24 @@
   readonly onChange: (change: LeaseChange) => void;
   /** Called with each record of the stream, those of the lease included. */
   readonly onRecord?: (data: unknown) => void;
+  /** Guards that the proofs disable to show that each is needed. Empty in production. */
+  readonly disabledGuards?: ReadonlySet<RestorationGuard>;
 }
 
+/** Safety rules for a log that comes back from a copy. */
+export const RESTORATION_GUARDS = [
+  "waitAfterRestoration",
+  "epochInToken",
+] as const;
+/** Name of a guard. */
+export type RestorationGuard = typeof RESTORATION_GUARDS[number];
+
 /** Bound on the drift between monotonic clocks within one lease, milliseconds. */
 const DRIFT_MS = 200;
 /** Monotonic and boot clocks that diverge by more than this show a suspended machine. */
 const MAX_CLOCK_DIVERGENCE_MS = 150;
+/** Offsets are given out again in another epoch, so fencing tokens count epochs in steps of this. */
+const TOKENS_PER_EPOCH = 2 ** 32;
 /** Renewals within the duration of a lease. */
 const RENEWALS_PER_LEASE = 3;
 
@@ -53,6 +67,11 @@
   readonly #options: LeaseHolderOptions;
   #machine: LeaseStateMachine;
   #readAtMs = -Infinity;
+  /** Epoch of the log to which the state belongs; undefined before the first read. */
+  #epoch: number | undefined;
+  #hasRead = false;
+  /** Monotonic time before which a holder that the restored log doesn't name may have authority. */
+  #claimableFromMs = -Infinity;
   #isSeeking = false;
   #hadAuthority = false;
   #sessions = 0;
@@ -96,9 +115,11 @@
     return this.#machine.state.offset >= 0;
   }
 
-  /** Fencing token of what is done under the lease. */
+  /** Fencing token of what is done under the lease; higher in each later epoch of the log. */
   get fencing(): number {
-    return this.#machine.fencing;
+    const { fencing } = this.#machine;
+    if (fencing < 0 || this.#isDisabled("epochInToken")) return fencing;
+    return (this.#epoch ?? 0) * TOKENS_PER_EPOCH + fencing;
   }
 
   /** Monotonic time at which the stream was last read to its end; -Infinity before that. */
@@ -121,7 +142,7 @@
   async step(): Promise<void> {
     // A holder learns from the read of its renewal whether another VM has claimed the lease.
     if (!this.isHolder) await this.read();
-    if (!this.#isSeeking) return;
+    if (!this.#isSeeking || this.#nowMs < this.#claimableFromMs) return;
     const actions = this.#machine.tick(this.#nowMs, this.#readAtMs);
     for (const { record } of actions) await this.#append(record);
     if (actions.length > 0 || this.isHolder) await this.read();
@@ -139,8 +160,13 @@
       const machine = this.#machine;
       const sentAtMs = this.#nowMs;
       const from = machine.state.offset + 1;
-      const result = classifySlice(from, await log.read(stream, from));
+      const slice = await log.read(stream, from);
       if (machine !== this.#machine) return;
+      if (this.#isRestored(slice, from)) {
+        this.#handleRestoration(slice);
+        continue;
+      }
+      const result = classifySlice(from, slice);
       if (result.kind === "gap") {
         machine.loadState(buildTruncatedState(result.first - 1), this.#nowMs);
         continue;
@@ -183,6 +209,41 @@
     for (const { record } of actions) await this.#append(record);
   }
 
+  /** Whether a slice is of a log that came back from a copy since the last read. */
+  #isRestored({ epoch, next }: LogSlice, from: number): boolean {
+    if (!this.#hasRead) this.#handleFirstRead(epoch);
+    return epoch !== this.#epoch || from > next;
+  }
+
+  /** The log may have come back from a copy right before this VM began to read it. */
+  #handleFirstRead(epoch: number | undefined): void {
+    this.#hasRead = true;
+    this.#epoch = epoch;
+    if (epoch !== undefined && epoch > 0) this.#delayClaims();
+  }
+
+  #delayClaims(): void {
+    if (this.#isDisabled("waitAfterRestoration")) return;
+    this.#claimableFromMs = this.#nowMs + this.#options.leaseMs + DRIFT_MS;
+  }
+
+  /**
+   * Begins to read the restored log. The copy may lack the claim or the renewals of a holder, which
+   * has authority until its lease has expired or it reads the log itself.
+   */
+  #handleRestoration({ epoch }: LogSlice): void {
+    this.#epoch = epoch;
+    this.#delayClaims();
+    this.#isSeeking = false;
+    this.#hadAuthority = false;
+    this.#machine = this.#createMachine();
+    this.#options.onChange({ kind: "restored", epoch });
+  }
+
+  #isDisabled(guard: RestorationGuard): boolean {
+    return this.#options.disabledGuards?.has(guard) === true;
+  }
+
   /** Begins a new claimant. To it, an earlier claim of this VM is that of another holder. */
   #endSession(): void {
     this.#isSeeking = false;
--- a/packages/heatherarch-forward/tasks/duty_controller.ts
+++ b/packages/heatherarch-forward/tasks/duty_controller.ts
@@ -135,8 +135,10 @@
 
   async #runRound(): Promise<void> {
     if (this.#nowMs - this.#startedAtMs < STARTUP_MS) return;
-    if (this.#lease.isSeeking) await this.#hold();
-    else await this.#watch();
+    if (this.#lease.isSeeking) return await this.#hold();
+    // A read showed that the store came back from a copy, or a suspension of the machine.
+    if (this.#heldSinceMs !== undefined) await this.#resign("lease lost");
+    await this.#watch();
   }
 
   /** Follows the lease of another VM, and seeks it when it is this VM's turn. */
--- a/packages/heatherarch-forward/tasks/lease_log.ts
+++ b/packages/heatherarch-forward/tasks/lease_log.ts
@@ -29,6 +29,12 @@
         reason: "boot and monotonic clocks diverged",
         partedMs: Math.round(change.divergenceMs),
       });
+    case "restored":
+      return events.write("warn", "leaseDropped", {
+        stream,
+        reason: "the store came back from a copy",
+        epoch: change.epoch,
+      });
     case "released":
       return events.write("info", "leaseGivenUp", {
         stream,
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -123,6 +123,8 @@
   }
 
   async #run(): Promise<void> {
+    // The first read delays claims, so it comes before there are changes to make.
+    await this.#lease.read().catch((error) => this.#logError(error));
     while (!this.#stopped) {
       try {
         await this.#step();
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -15,6 +15,7 @@
 import type { Proof } from "./proof.ts";
 import { QUARANTINE_PROOF } from "./quarantine_proof.ts";
 import { RATE_LIMIT_PROOF } from "./rate_limit_proof.ts";
+import { RESTORED_LOG_PROOF } from "./restored_log_proof.ts";
 import { TARGET_LIST_PROOF } from "./target_list_proof.ts";
 
 export * from "./fake_host.ts";
@@ -35,6 +36,7 @@
   { proof: GENERATION_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: ORDER_WRITE_PROOF, testRuns: 20, mutationRuns: 100 },
   { proof: TARGET_LIST_PROOF, testRuns: 300, mutationRuns: 5000 },
+  { proof: RESTORED_LOG_PROOF, testRuns: 200, mutationRuns: 5000 },
   { proof: RATE_LIMIT_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
