A restored store confirms no configuration until the operator has written again

Cause: any read that succeeded confirmed the configuration in force as the newest one. A restored store can lack the version that revoked an API key, and every VM would go on confirming the one before (in the record, `ageMs` 1.5 s for a version three behind). Change: a read confirms only a version that the store has shown in its present epoch, and not in the two seconds in which the operator writes again. A VM that loads its first configuration from a store that was ever restored waits as well.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -253,6 +253,7 @@
     storeEpoch.registerListener(({ epoch, before, source }) => {
       this.#components.metrics.storeEpoch.set(epoch);
       this.#log.write("warn", "storeRestored", { epoch, before, source });
+      this.#components.storeReader.handleRestoration();
       this.#components.mesh.handleRestoration();
     });
     return storeEpoch;
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -69,6 +69,7 @@
 export * from "./state/target_health.ts";
 export * from "./state/target_backoffs.ts";
 export * from "./state/expiring_token_bucket.ts";
+export * from "./state/config_confirmation.ts";
 export * from "./state/store_epoch.ts";
 export * from "./state/fleet_demand.ts";
 export * from "./state/target_rate_limits.ts";
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -7,6 +7,7 @@
 import { type Clock, type Moment, readMoment } from "heatherarch-core";
 import type { ConfigReadTiming } from "../scheduling/config_reads.ts";
 import type { ActiveConfig } from "../state/active_config.ts";
+import { ConfigConfirmation } from "../state/config_confirmation.ts";
 import type { EngineJitter } from "../scheduling/engine_jitter.ts";
 import type { EventLog } from "../event_log.ts";
 import type { ForwardMetrics } from "../metrics.ts";
@@ -66,6 +67,8 @@
   readonly #options: StoreReaderOptions;
   readonly #configFollower: TopicFollower<RoutingConfig>;
   readonly #targetFollower: TopicFollower<Target>;
+  readonly #confirmation = new ConfigConfirmation();
+  #hasLoadedConfig = false;
 
   constructor(options: StoreReaderOptions) {
     this.#options = options;
@@ -129,11 +132,16 @@
   async loadConfig(): Promise<void> {
     const { configTopic, clock } = this.#options;
     const sentAt = readMoment(clock);
-    const { entries } = await configTopic.load();
-    this.#applyConfigs(entries);
+    const { entries, epoch = 0 } = await configTopic.load();
+    this.#applyConfigList(entries, epoch);
     this.#recordConfigRead(sentAt);
   }
 
+  /** Handles that the store came back from a copy. */
+  handleRestoration(): void {
+    this.#confirmation.recordRestoration(this.#options.clock.readMonotonicMs());
+  }
+
   /** Applies a hub's updates of the target list. */
   applyTargets(entries: readonly KeyedEntry<Target>[], isFull: boolean): void {
     const { directory, getFeedValidAtMs } = this.#options;
@@ -187,8 +195,6 @@
   #buildConfigFollower(): TopicFollower<RoutingConfig> {
     const { configTopic, configReadTiming, clock, log, metrics } =
       this.#options;
-    const apply = (entries: readonly KeyedEntry<RoutingConfig>[]): void =>
-      this.#applyConfigs(entries);
     return new TopicFollower({
       name: "configs",
       clock,
@@ -200,8 +206,9 @@
       timeoutMs: configReadTiming.timeoutMs,
       retryMs: configReadTiming.retryMs,
       spareRetryMs: configReadTiming.spareRetryMs,
-      onList: apply,
-      onChanges: apply,
+      onList: (entries, _sentAtMs, { epoch = 0 }) =>
+        this.#applyConfigList(entries, epoch),
+      onChanges: (entries) => this.#applyConfigs(entries),
       onRead: (sentAt) => this.#recordConfigRead(sentAt),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
     });
@@ -216,7 +223,7 @@
       log,
       pollMs: targetPollMs,
       waitMs: 0,
-      onList: (entries, sentAtMs, isRestored) =>
+      onList: (entries, sentAtMs, { isRestored }) =>
         this.#applyList(entries, sentAtMs, isRestored),
       onChanges: (entries, sentAtMs) => this.#applyChanges(entries, sentAtMs),
       onUnreadable: () => metrics.entriesUnreadable.inc(),
@@ -224,16 +231,30 @@
     });
   }
 
+  #applyConfigList(
+    entries: readonly KeyedEntry<RoutingConfig>[],
+    epoch: number,
+  ): void {
+    // The store may have come back from a copy right before this VM began to read it.
+    if (!this.#hasLoadedConfig && epoch > 0) this.handleRestoration();
+    this.#hasLoadedConfig = true;
+    this.#applyConfigs(entries);
+  }
+
   #applyConfigs(entries: readonly KeyedEntry<RoutingConfig>[]): void {
     const { activeConfig } = this.#options;
     for (const { value } of entries) {
-      if (value !== undefined) activeConfig.applyConfig(value, "store");
+      if (value === undefined) continue;
+      this.#confirmation.recordVersion(value.version);
+      activeConfig.applyConfig(value, "store");
     }
   }
 
   #recordConfigRead(sentAt: Moment): void {
     const { activeConfig } = this.#options;
-    activeConfig.recordNewest(activeConfig.version, sentAt);
+    const { version } = activeConfig;
+    if (!this.#confirmation.isConfirmed(version, sentAt.monotonicMs)) return;
+    activeConfig.recordNewest(version, sentAt);
   }
 
   /** Drops the state of targets that are gone, and logs each. */
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -8,6 +8,14 @@
 import { type EventLog, formatAge } from "../event_log.ts";
 import type { KeyedEntry, KeyedTopicPort, TopicSlice } from "../ports.ts";
 
+/** Which store a load comes from. */
+export interface LoadOrigin {
+  /** Epoch of the store; undefined if it names none. */
+  readonly epoch: number | undefined;
+  /** Whether the entries may be older than what was read before, as the epoch has risen. */
+  readonly isRestored: boolean;
+}
+
 /** Options of {@linkcode TopicFollower}. */
 export interface TopicFollowerOptions<T> {
   readonly name: string;
@@ -21,14 +29,11 @@
   readonly answerMs?: number;
   /** Timeout of any other read, milliseconds; by default that of the port. */
   readonly timeoutMs?: number;
-  /**
-   * Called with the entries of a load and the monotonic time at which its request was sent. With
-   * `isRestored` they may be older than what was read before.
-   */
+  /** Called with the entries of a load and the monotonic time at which its request was sent. */
   readonly onList: (
     entries: readonly KeyedEntry<T>[],
     sentAtMs: number,
-    isRestored: boolean,
+    origin: LoadOrigin,
   ) => void;
   /** Called with the changed entries of a read and the monotonic time at which it was sent. */
   readonly onChanges: (
@@ -280,7 +285,8 @@
     this.#hasJustLoaded = true;
     this.#dropUnlisted(slice.entries);
     this.#updateUnreadable(slice.entries);
-    this.#options.onList(slice.entries, sentAtMs, isRestored);
+    const { epoch } = slice;
+    this.#options.onList(slice.entries, sentAtMs, { epoch, isRestored });
   }
 
   /** Logs when an entry becomes unreadable or readable, however often it is read. */
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -255,7 +255,8 @@
       pollMs: 0,
       waitMs: 0,
       retryMs: 1,
-      onList: (_entries, _sentAtMs, isRestored) => void lists.push(isRestored),
+      onList: (_entries, _sentAtMs, { isRestored }) =>
+        void lists.push(isRestored),
       onChanges: (entries) => changes += entries.length,
     });
     follower.start();
