Quarantined requests are written again to a restored store

Cause: a VM wrote the record of a request once. When the copy lacked it, a restart of all VMs ended the quarantine, and a record that had been removed came back. Change: each VM writes the latest change of every request that it wrote again.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -254,6 +254,7 @@
       this.#components.metrics.storeEpoch.set(epoch);
       this.#log.write("warn", "storeRestored", { epoch, before, source });
       this.#components.storeReader.handleRestoration();
+      this.#components.quarantinePersistence.handleRestoration();
       this.#components.mesh.handleRestoration();
     });
     return storeEpoch;
--- a/packages/heatherarch-forward/tasks/quarantine_persistence.ts
+++ b/packages/heatherarch-forward/tasks/quarantine_persistence.ts
@@ -1,6 +1,6 @@
 /**
  * Persists quarantined requests in the platform's store, so that they survive a restart of all
- * VMs. While any VM runs, gossip keeps them.
+ * VMs. While any VM runs, gossip keeps them. What a restored store has lost is written again.
  *
  * @module
  */
@@ -28,12 +28,16 @@
 const MAX_LOAD_RETRY_MS = 1000;
 /** Few attempts suffice, since running VMs know the request without the record. */
 const MAX_WRITE_ATTEMPTS = 5;
+/** Requests that this VM can write again; the older ones may be lost. */
+const MAX_WRITTEN = 1000;
 
 /** The task that loads and stores quarantined requests. */
 export class QuarantinePersistence {
   readonly #options: QuarantinePersistenceOptions;
   #undoListener: (() => void) | undefined;
   #isStopped = false;
+  /** Latest change of each request that this VM wrote. */
+  readonly #written = new Map<string, QuarantineChange>();
 
   constructor(options: QuarantinePersistenceOptions) {
     this.#options = options;
@@ -54,6 +58,11 @@
     this.#undoListener?.();
   }
 
+  /** Writes again what this VM wrote, as the store came back from a copy. */
+  handleRestoration(): void {
+    for (const change of [...this.#written.values()]) void this.#write(change);
+  }
+
   async #load(): Promise<void> {
     const { topic, quarantine, clock } = this.#options;
     await this.#runWithRetry("load", Infinity, async () => {
@@ -75,8 +84,10 @@
     ): CrashReport => [request, account, incarnation, 1, ageMs]);
   }
 
-  async #write({ kind, request }: QuarantineChange): Promise<void> {
+  async #write(change: QuarantineChange): Promise<void> {
     const { topic, quarantine, clock } = this.#options;
+    const { kind, request } = change;
+    this.#recordWritten(change);
     const nowMs = clock.readMonotonicMs();
     const entry = quarantine.findQuarantined(request, nowMs);
     // The request was cleared in the meantime, and that change removes the record.
@@ -93,6 +104,13 @@
     );
   }
 
+  #recordWritten(change: QuarantineChange): void {
+    this.#written.delete(change.request);
+    this.#written.set(change.request, change);
+    const [oldest] = this.#written.keys();
+    if (this.#written.size > MAX_WRITTEN) this.#written.delete(oldest);
+  }
+
   async #runWithRetry(
     action: "load" | "write",
     maxAttempts: number,
--- a/packages/heatherarch-forward/tests/unit/quarantine_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/quarantine_persistence_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import { ManualClock } from "heatherarch-core";
-import { RequestQuarantine } from "heatherarch-quarantine";
+import {
+  type QuarantineChange,
+  type QuarantinedRequest,
+  RequestQuarantine,
+} from "heatherarch-quarantine";
 import { QuarantinePersistence } from "../../mod.ts";
 
 /** Number of reads that fail before the store recovers. */
@@ -45,3 +49,51 @@
   assert.equal(pauses.length, FAILED_READS);
   assert.ok(Math.max(...pauses) <= MAX_LOAD_DELAY_MS, pauses.join(", "));
 });
+
+// Guards against a quarantine that a restart of all VMs ends, as the store lost its record.
+test("a restored store gets the latest change of each request again", async () => {
+  let notify: (change: QuarantineChange) => void = () => undefined;
+  const quarantined = new Set(["a", "b"]);
+  const puts: string[] = [];
+  const quarantine = {
+    registerChangeListener: (listener: typeof notify) => {
+      notify = listener;
+      return () => undefined;
+    },
+    findQuarantined: (request: string) =>
+      quarantined.has(request)
+        ? {
+          account: "acme",
+          incarnations: [],
+          sinceMs: 0,
+        } as unknown as QuarantinedRequest
+        : undefined,
+    mergePeerReports: () => undefined,
+  };
+  const persistence = new QuarantinePersistence({
+    topic: {
+      load: () => Promise.resolve({ entries: [], next: 0 }),
+      readChanges: () => Promise.resolve({ entries: [], next: 0 }),
+      put: (key, value) => {
+        puts.push(`${key} ${value === undefined ? "cleared" : "held"}`);
+        return Promise.resolve();
+      },
+    },
+    quarantine: quarantine as unknown as RequestQuarantine,
+    clock: new ManualClock(),
+    log: { write: () => undefined },
+  });
+  persistence.start();
+  for (const request of ["a", "b"]) {
+    notify({ kind: "held", request, isOwn: true });
+  }
+  quarantined.delete("b");
+  notify({ kind: "cleared", request: "b", isOwn: true });
+  notify({ kind: "held", request: "c", isOwn: false });
+  await new Promise((resolve) => setImmediate(resolve));
+  puts.length = 0;
+  persistence.handleRestoration();
+  await new Promise((resolve) => setImmediate(resolve));
+  persistence.stop();
+  assert.deepEqual(puts.sort(), ["a held", "b cleared"]);
+});
