Windows that a restored log may have lost are not reported with other counts

Cause: the first record of a window is final. A restored log may lack records of windows that were reported, so a successor would make them final with counts of its own. Change: records carry the epoch of the log. Measured: a unit test with a lost window: 100 and 102 are reported, 101 is not.

--- a/packages/heatherarch-duties/lease_holder.ts
+++ b/packages/heatherarch-duties/lease_holder.ts
@@ -115,11 +115,16 @@
     return this.#machine.state.offset >= 0;
   }
 
+  /** Epoch of the log as of the last read; 0 if it names none. */
+  get epoch(): number {
+    return this.#epoch ?? 0;
+  }
+
   /** Fencing token of what is done under the lease; higher in each later epoch of the log. */
   get fencing(): number {
     const { fencing } = this.#machine;
     if (fencing < 0 || this.#isDisabled("epochInToken")) return fencing;
-    return (this.#epoch ?? 0) * TOKENS_PER_EPOCH + fencing;
+    return this.epoch * TOKENS_PER_EPOCH + fencing;
   }
 
   /** Monotonic time at which the stream was last read to its end; -Infinity before that. */
--- a/packages/heatherarch-forward/tasks/duty_controller.ts
+++ b/packages/heatherarch-forward/tasks/duty_controller.ts
@@ -20,6 +20,8 @@
 export interface DutySession {
   /** Fencing token of what is done. */
   readonly fencing: number;
+  /** Epoch of the log, which rises when it comes back from a copy. */
+  readonly epoch: number;
   /** Whether this VM may act now. To be checked in the event loop turn that sends a request. */
   hasAuthority(): boolean;
   /** Reads the lease and returns whether this VM still has it. */
@@ -234,6 +236,7 @@
   #buildSession(): DutySession {
     return {
       fencing: this.#lease.fencing,
+      epoch: this.#lease.epoch,
       hasAuthority: () => this.#lease.hasAuthority(),
       confirmAuthority: async () => {
         await this.#lease.read();
--- a/packages/heatherarch-forward/tasks/usage_reporter.ts
+++ b/packages/heatherarch-forward/tasks/usage_reporter.ts
@@ -40,6 +40,7 @@
   async perform(session: DutySession): Promise<DutyOutcome> {
     const { ledger, clock } = this.#options;
     ledger.beginAt(clock.readWallMs());
+    await this.#skipLostWindows(session);
     await this.#finalizeNext(session);
     for (const usage of ledger.listUnreported()) {
       if (!session.hasAuthority()) return "done";
@@ -66,7 +67,17 @@
       log.write("warn", "usageIncomplete", { window });
     }
     if (!session.hasAuthority()) return;
-    await session.append({ type: "usage", window, counts });
+    const { epoch } = session;
+    await session.append({ type: "usage", window, counts, epoch });
+  }
+
+  /** Writes which windows may have been reported with counts that a restored log has lost. */
+  async #skipLostWindows(session: DutySession): Promise<void> {
+    const { ledger, clock, log } = this.#options;
+    const gap = ledger.buildGapRecord(session.epoch, clock.readWallMs());
+    if (gap === undefined || !session.hasAuthority()) return;
+    log.write("warn", "usageSkipped", { window: gap.window, epoch: gap.epoch });
+    await session.append(gap);
   }
 
   #logReport(window: number, counts: UsageCounts, fencing: number): void {
--- a/packages/heatherarch-forward/tests/unit/capacity_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/capacity_controller_test.ts
@@ -43,6 +43,7 @@
     },
   });
   const session: DutySession = {
+    epoch: 0,
     fencing: 1,
     hasAuthority: () => true,
     confirmAuthority: () => Promise.resolve(true),
--- a/packages/heatherarch-forward/tests/unit/usage_reporter_test.ts
+++ b/packages/heatherarch-forward/tests/unit/usage_reporter_test.ts
@@ -25,6 +25,7 @@
   const records: unknown[] = [];
   const state = {
     hasAuthority: true,
+    epoch: 0,
     collected: { ...COMPLETE, ...collected },
   };
   const reporter: UsageReporter = new UsageReporter({
@@ -43,6 +44,9 @@
   });
   const session: DutySession = {
     fencing: 1,
+    get epoch() {
+      return state.epoch;
+    },
     hasAuthority: () => state.hasAuthority,
     confirmAuthority: () => Promise.resolve(state.hasAuthority),
     append: (data) => {
@@ -97,3 +101,23 @@
   await perform();
   assert.equal(reports.length, 1);
 });
+
+// Guards against two reports of one window with different counts.
+test("after a restore of the log, windows that may have been reported are left out", async () => {
+  const { clock, reports, records, state, perform } = createReporter();
+  await perform();
+  clock.advance(WINDOW_MS + 1000);
+  await perform();
+  // Another holder made the next window final, and the log has lost that.
+  clock.advance(WINDOW_MS);
+  state.epoch = 1;
+  await perform();
+  assert.deepEqual(records.at(-1), { type: "usageGap", window: 101, epoch: 1 });
+  clock.advance(WINDOW_MS);
+  await perform();
+  assert.deepEqual(
+    reports.map((report) => (report as { window: number }).window),
+    [100, 102],
+  );
+  assert.equal(records.length, 3);
+});
--- a/packages/heatherarch-usage/usage_ledger.ts
+++ b/packages/heatherarch-usage/usage_ledger.ts
@@ -3,6 +3,9 @@
  * they are reported for the first time, and the first record of a window is the valid one. Whoever
  * reports a window, however often, therefore reports the same counts.
  *
+ * A log that comes back from a copy may have lost records of windows that were reported. Whoever goes
+ * on writes first which windows nobody makes final any more.
+ *
  * @module
  */
 import { assertInvariant } from "heatherarch-core";
@@ -13,6 +16,16 @@
   readonly type: "usage";
   readonly window: number;
   readonly counts: UsageCounts;
+  /** Epoch of the log in which it was written; 0 by default. */
+  readonly epoch?: number;
+}
+
+/** A record of the stream: windows up to this one may have been reported with counts that are lost. */
+export interface UsageGapRecord {
+  readonly type: "usageGap";
+  readonly window: number;
+  /** Epoch of the log in which it was written. */
+  readonly epoch: number;
 }
 
 /** A window that may be reported. */
@@ -42,6 +55,8 @@
   readonly #reported = new Set<number>();
   #firstWindow: number | undefined;
   #lastFinal = -Infinity;
+  /** Epoch in which the last record was written; undefined if none was read. */
+  #lastEpoch: number | undefined;
 
   constructor(options: UsageLedgerOptions) {
     this.#options = options;
@@ -59,8 +74,14 @@
 
   /** Applies a record of the stream. Records of other kinds are ignored. */
   applyRecord(data: unknown): void {
+    if (isUsageGapRecord(data)) {
+      this.#lastEpoch = data.epoch;
+      this.#lastFinal = Math.max(this.#lastFinal, data.window);
+      return;
+    }
     if (!isUsageRecord(data)) return;
-    const { window, counts } = data;
+    const { window, counts, epoch = 0 } = data;
+    this.#lastEpoch = epoch;
     // Windows become final in their order, so this one is a repetition.
     if (window <= this.#lastFinal) return;
     this.#lastFinal = window;
@@ -78,6 +99,18 @@
     this.#firstWindow ??= this.findWindow(unixMs);
   }
 
+  /**
+   * Returns the record that has to be written before further windows become final in this epoch of
+   * the log; undefined if none has to be.
+   */
+  buildGapRecord(epoch: number, unixMs: number): UsageGapRecord | undefined {
+    const isContinued = this.#lastEpoch === undefined ||
+      this.#lastEpoch === epoch;
+    if (isContinued) return undefined;
+    const window = Math.max(this.#lastFinal, this.findWindow(unixMs) - 1);
+    return { type: "usageGap", window, epoch };
+  }
+
   /** Returns the next window whose counts should become final; undefined if none is over. */
   findNextWindow(unixMs: number): number | undefined {
     const { windowMs, settleMs, lateMs } = this.#options;
@@ -134,3 +167,9 @@
   return record?.type === "usage" && Number.isSafeInteger(record.window) &&
     typeof record.counts === "object" && record.counts !== null;
 }
+
+function isUsageGapRecord(data: unknown): data is UsageGapRecord {
+  const record = data as Partial<UsageGapRecord> | null;
+  return record?.type === "usageGap" && Number.isSafeInteger(record.window) &&
+    Number.isSafeInteger(record.epoch);
+}
