The usual check of rate limits costs no more than a comparison

Cause: the check built a list for each target, several times a call, also without limits. Change: nothing is looked up while no target has a limit.

--- a/packages/heatherarch-forward/state/target_rate_limits.ts
+++ b/packages/heatherarch-forward/state/target_rate_limits.ts
@@ -137,6 +137,8 @@
 
   /** Time until this VM may send the target a request, milliseconds; 0 without a limit. */
   getDelayMs(target: string, nowMs: number): number {
+    // Targets are checked several times for each call, and seldom have a limit.
+    if (!this.hasLimits) return 0;
     return this.predictDelayMs([target], 1, nowMs);
   }
 
