A full rate limit sends callers away for two seconds at most

Cause: with a small share of a limit, a VM's next token is tens of seconds away, and that went into Retry-After, while a client that comes back reaches another VM. Change: a full limit counts as two seconds at most, as backlog for prefill and in Retry-After.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -26,7 +26,10 @@
   type PrefillResult,
   PromptPrefill,
 } from "./prompt_prefill.ts";
-import { computeRetryAfterMs } from "../scheduling/retry_after.ts";
+import {
+  computeRetryAfterMs,
+  MAX_RATE_LIMIT_DELAY_MS,
+} from "../scheduling/retry_after.ts";
 import {
   pickLeastLoaded,
   type TargetCandidate,
@@ -289,7 +292,10 @@
     const reason = "no decode engine";
     if (context.mayHaveRun) return context.fail("answerIncomplete", reason);
     const decodeReadyMs = this.#predictDecodeReadyMs();
-    const waitMs = decodeReadyMs ?? this.#traits.roleChangeMs;
+    const waitMs = decodeReadyMs === undefined
+      ? this.#traits.roleChangeMs
+      : this.#predictRoleChangeMs() ??
+        Math.min(decodeReadyMs, MAX_RATE_LIMIT_DELAY_MS);
     const jitter = 1 + context.dependencies.drawUnit() / 4;
     context.refuse("noTarget", reason, {
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter,
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -24,6 +24,7 @@
   predictRateLimitDelayMs,
 } from "../scheduling/target_selection.ts";
 import { sleep } from "heatherarch-core";
+import { MAX_RATE_LIMIT_DELAY_MS } from "../scheduling/retry_after.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
 
@@ -35,8 +36,6 @@
 const SILENCE_TIMEOUT_AIMS = 1;
 /** `Retry-After` of a refusal, milliseconds. Jitter adds up to the same again. */
 const RETRY_AFTER_MS = 250;
-/** Longest `Retry-After` of a refusal for rate limits, before jitter, milliseconds. */
-const MAX_RATE_LIMIT_RETRY_MS = 2000;
 /** Interval at which a waiting call checks for room in a rate limit, milliseconds. */
 const RATE_LIMIT_POLL_MS = 40;
 
@@ -198,7 +197,7 @@
     if (backoffMs !== undefined) return context.refuseForBackoff(backoffMs);
     const jitter = 1 + context.dependencies.drawUnit();
     const rateLimitDelayMs = this.#predictRateLimitDelayMs() ?? 0;
-    const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_RETRY_MS);
+    const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_DELAY_MS);
     context.refuse("noTarget", "no target accepted the call", {
       retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
       detail: {
--- a/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
+++ b/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
@@ -10,6 +10,7 @@
 import type { CallContext } from "../calls/call_context.ts";
 import { listUsableEngines } from "./engine_selection.ts";
 import type { Target } from "../model.ts";
+import { MAX_RATE_LIMIT_DELAY_MS } from "./retry_after.ts";
 import type { PrefillCandidate } from "./prompt_placement.ts";
 
 /** Engines and backlogs at one point in time. */
@@ -94,7 +95,10 @@
     target,
     backlogMs: Math.max(
       workTracker.getPrefillBacklogMs(target.id, nowMs),
-      rateLimits.getDelayMs(target.id, nowMs),
+      Math.min(
+        rateLimits.getDelayMs(target.id, nowMs),
+        MAX_RATE_LIMIT_DELAY_MS,
+      ),
     ),
   }));
 }
--- a/packages/heatherarch-forward/scheduling/retry_after.ts
+++ b/packages/heatherarch-forward/scheduling/retry_after.ts
@@ -16,6 +16,12 @@
 /** Clients that are refused together spread their retries over this fraction of the delay. */
 const JITTER_FRACTION = 0.5;
 
+/**
+ * Longest time for which a rate limit counts as full, in milliseconds. With a small share of a limit a
+ * VM may have to wait for much longer, but a client that retries reaches another VM.
+ */
+export const MAX_RATE_LIMIT_DELAY_MS = 2000;
+
 /** Time after which a client should retry, in milliseconds. */
 export function computeRetryAfterMs(
   /** Time that the call waited before it was refused. */
