--- a/packages/heatherarch-forward/scheduling/target_selection.ts
+++ b/packages/heatherarch-forward/scheduling/target_selection.ts
@@ -24,12 +24,12 @@
   const { rateLimits } = context.dependencies;
   const available = findUsableTargets(options)
     .filter(({ id }) => rateLimits.getDelayMs(id, context.nowMs) === 0);
-  return preferHealthy(context, available);
+  return pickHealthy(context, available);
 }
 
 /** Lists also the targets whose rate limits have no room now. */
 export function listUsableTargets(options: TargetSelectionOptions): Target[] {
-  return preferHealthy(options.context, findUsableTargets(options));
+  return pickHealthy(options.context, findUsableTargets(options));
 }
 
 /**
@@ -64,7 +64,7 @@
     .filter((target) => connections.hasCapacity(target, maxConnections));
 }
 
-function preferHealthy(
+function pickHealthy(
   { dependencies: { health }, nowMs }: CallContext,
   targets: Target[],
 ): Target[] {
