A late response of a target that is gone leaves no rate limit

Cause: what is kept of a target is dropped once, when it leaves the directory. A response that came later set its limit anew; nothing ended it, so the VM told its calls to peers until it stopped. The times of late sends stayed as well. Change: limits and send times are recorded of known targets only; a group without waiting calls has no entry. Tests of the debt's bound and of waits, which had none.

--- a/packages/heatherarch-forward/calls/response_notices.ts
+++ b/packages/heatherarch-forward/calls/response_notices.ts
@@ -16,7 +16,7 @@
 /** Options of {@linkcode ResponseNotices}. */
 export interface ResponseNoticesOptions {
   readonly codec: Pick<CallCodec, "decodeResponse">;
-  readonly directory: Pick<TargetDirectory, "markLeaving">;
+  readonly directory: Pick<TargetDirectory, "markLeaving" | "findTarget">;
   readonly backoffs: TargetBackoffs;
   readonly rateLimits: TargetRateLimits;
   readonly clock: Clock;
@@ -60,7 +60,9 @@
     maxPerSecond: number | undefined,
     sentAtMs: number,
   ): void {
-    const { rateLimits, clock, log } = this.#options;
+    const { directory, rateLimits, clock, log } = this.#options;
+    // A late response of a target that is gone would leave a limit that nothing ends.
+    if (directory.findTarget(id) === undefined) return;
     const change = rateLimits.recordObservation(id, {
       maxPerSecond,
       sentAtMs,
--- a/packages/heatherarch-forward/state/target_rate_limits.ts
+++ b/packages/heatherarch-forward/state/target_rate_limits.ts
@@ -62,7 +62,10 @@
  * beyond its share, milliseconds.
  */
 const OWED_MS = 1000;
-/** Longest time for which a VM sends nothing because of what it owes, milliseconds. */
+/**
+ * Longest time for which a VM sends nothing because of what it owes, milliseconds. A VM that earns
+ * less than one request in this time may owe one.
+ */
 const MAX_REPAYMENT_MS = 2000;
 
 /** The rate limits that targets have named, by target, and this VM's share of them. */
@@ -71,6 +74,7 @@
   readonly #limits = new Map<string, RateLimit>();
   /** Monotonic times of the requests of the last second, by target. */
   readonly #recentRequests = new Map<string, number[]>();
+  /** Number of waiting calls by group; groups without one have no entry. */
   readonly #waiting = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   #position = 0;
@@ -178,7 +182,9 @@
     return () => {
       if (!isOpen) return;
       isOpen = false;
-      this.#waiting.set(group, this.countWaiting(group) - 1);
+      const count = this.countWaiting(group) - 1;
+      if (count > 0) this.#waiting.set(group, count);
+      else this.#waiting.delete(group);
     };
   }
 
@@ -242,7 +248,6 @@
     const tokensPerMs = this.#computeTokensPerMs(maxPerSecond, nowMs);
     const sent = (this.#recentRequests.get(target) ?? [])
       .filter((atMs) => nowMs - atMs < OWED_MS).length;
-    // With a small share, one request is more than a VM earns in the longest time.
     const maxOwed = Math.max(1, MAX_REPAYMENT_MS * tokensPerMs);
     const owed = Math.min(maxOwed, Math.max(0, sent - OWED_MS * tokensPerMs));
     const initialTokens = this.#options.drawUnit() - owed;
--- a/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
@@ -3,10 +3,13 @@
 import { ManualClock } from "heatherarch-core";
 import type { Heartbeat, Link } from "heatherarch-mesh";
 import {
+  type CallCodec,
   ExpiringTokenBucket,
   FleetDemand,
   FleetGossip,
   MemoryEventLog,
+  ResponseNotices,
+  TargetBackoffs,
   TargetDirectory,
   TargetRateLimits,
 } from "../../mod.ts";
@@ -158,3 +161,42 @@
   assert.equal(passOn(), 2);
   assert.equal(vms[2].rateLimits.getMaxPerSecond("t"), undefined);
 });
+
+// Guards against limits that are kept, and told to peers, long after their targets are gone.
+test("a late response of a target that is gone leaves no rate limit", () => {
+  const directory = new TargetDirectory();
+  const target = buildTarget("t");
+  directory.applyList([{ key: "t", value: target }], 0);
+  const { rateLimits } = buildRateLimits();
+  const notices = new ResponseNotices({
+    codec: {
+      decodeResponse: () => ({ maxRequestsPerSecond: 5 }),
+    } as unknown as CallCodec,
+    directory,
+    backoffs: new TargetBackoffs(),
+    rateLimits,
+    clock: new ManualClock(),
+    log: new MemoryEventLog(),
+  });
+  const head = { status: 200, headers: {}, rawHeaders: [] };
+  notices.apply(target, head, 0);
+  assert.equal(rateLimits.hasLimits, true);
+  directory.applyChanges([{ key: "t" }], 100);
+  rateLimits.forget("t");
+  notices.apply(target, head, 0);
+  assert.equal(rateLimits.hasLimits, false);
+});
+
+test("no more than a few requests are owed by a bucket", () => {
+  const bucket = new ExpiringTokenBucket({ initialTokens: 0, nowMs: 0 });
+  for (let i = 0; i < 10; i++) bucket.take();
+  assert.equal(bucket.tokens, -2);
+});
+
+test("calls that wait are counted until their waits end, each once", () => {
+  const { rateLimits } = buildRateLimits();
+  const ends = [rateLimits.beginWait("s"), rateLimits.beginWait("s")];
+  assert.equal(rateLimits.countWaiting("s"), 2);
+  for (const end of [...ends, ...ends]) end();
+  assert.equal(rateLimits.countWaiting("s"), 0);
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -135,6 +135,8 @@
       onResponseHead: (target, head, sentAtMs) =>
         notices.apply(target, head, sentAtMs),
       onSend: ({ id }) => {
+        // What is kept of a target is dropped once, when the target is gone.
+        if (directory.findTarget(id) === undefined) return;
         rateLimits.recordRequest(id, clock.readMonotonicMs());
         if (rateLimits.getMaxPerSecond(id) === undefined) return;
         metrics.requestsAtLimit.inc();
