The share that only models use lives with them

Cause: EqualShare stood in the package of the forwarding path, which never uses it. Change: it is part of the lab, with its number of VMs as an option.

--- a/packages/heatherarch-forward/state/fleet_demand.ts
+++ b/packages/heatherarch-forward/state/fleet_demand.ts
@@ -109,17 +109,3 @@
     return this.#callsPerMs * Math.exp(-elapsedMs / AVERAGING_MS);
   }
 }
-
-/** Gives each VM the same share, whatever it receives. */
-export class EqualShare implements FleetShare {
-  #vmCount = 1;
-
-  /** Sets the number of VMs that share the fleet's limits. */
-  setVmCount(count: number): void {
-    this.#vmCount = Math.max(1, count);
-  }
-
-  computeShare(): number {
-    return 1 / this.#vmCount;
-  }
-}
--- a/packages/heatherarch-lab/bench/rate_limit_simulation.ts
+++ b/packages/heatherarch-lab/bench/rate_limit_simulation.ts
@@ -5,11 +5,11 @@
  */
 import { pickRendezvous, Random } from "heatherarch-core";
 import {
-  EqualShare,
   FleetDemand,
   type FleetShare,
   TargetRateLimits,
 } from "heatherarch-forward";
+import { EqualShare } from "./equal_share.ts";
 
 /** How VMs share a rate limit. */
 export const SHARING_WAYS = [
@@ -154,12 +154,9 @@
 ): FleetShare {
   switch (way) {
     case "each":
-      return new EqualShare();
-    case "equal": {
-      const share = new EqualShare();
-      share.setVmCount(vms.length);
-      return share;
-    }
+      return new EqualShare({ vms: 1 });
+    case "equal":
+      return new EqualShare({ vms: vms.length });
     case "few": {
       const count = Math.min(vms.length, Math.floor(limitPerSecond));
       const chosen = pickRendezvous(target, vms, count);
--- a/packages/heatherarch-lab/proofs/rate_limit_proof.ts
+++ b/packages/heatherarch-lab/proofs/rate_limit_proof.ts
@@ -7,11 +7,11 @@
 import fc from "fast-check";
 import { Random } from "heatherarch-core";
 import {
-  EqualShare,
   FleetDemand,
   type FleetShare,
   TargetRateLimits,
 } from "heatherarch-forward";
+import { EqualShare } from "../bench/equal_share.ts";
 import { assertProperty, type Proof } from "./proof.ts";
 
 const GUARDS = [
@@ -65,7 +65,7 @@
     const demand = new FleetDemand();
     if (disabledGuard !== "countsListedVms") demand.setVmCount(vms);
     const share: FleetShare = disabledGuard === "sharesLimit"
-      ? new EqualShare()
+      ? new EqualShare({ vms: 1 })
       : demand;
     return {
       weight: i === 0 ? firstWeight : 1,
