--- a/packages/heatherarch-forward/tests/unit/vm_list_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/vm_list_follower_test.ts
@@ -49,3 +49,62 @@
   follower.stop();
   assert.notEqual(listedAtMs, undefined);
 });
+
+/** Follows a list that the store holds under this VM's id; polls run on request. */
+function followOwnEntry() {
+  const stored: { entry?: VmRecord; puts: number } = { puts: 0 };
+  const follower = new VmListFollower({
+    self: SELF,
+    clock: new ManualClock(),
+    hasFreshFeed: () => false,
+    vms: {
+      put: (_id, entry) => {
+        stored.entry = entry;
+        stored.puts++;
+        return Promise.resolve();
+      },
+      load: () => {
+        const { entry } = stored;
+        const entries = entry === undefined
+          ? []
+          : [{ key: SELF.id, value: entry }];
+        return Promise.resolve({ entries, next: 0 });
+      },
+      readChanges: () => Promise.resolve({ entries: [], next: 0 }),
+    },
+    onList: () => undefined,
+    onError: () => undefined,
+  });
+  const flush = () => new Promise((resolve) => setImmediate(resolve));
+  const poll = async (): Promise<void> => {
+    follower.handleRestoration();
+    await flush();
+  };
+  return { follower, stored, flush, poll };
+}
+
+// Guards against a VM that a restored store doesn't list until it restarts.
+test("a VM that the list lacks is announced again, and only then", async () => {
+  const { follower, stored, flush, poll } = followOwnEntry();
+  follower.start();
+  await flush();
+  await poll();
+  assert.equal(stored.puts, 1);
+  stored.entry = undefined;
+  await poll();
+  await poll();
+  assert.deepEqual(stored.entry, SELF);
+  assert.equal(stored.puts, 2);
+  follower.stop();
+});
+
+test("a VM that leaves is not announced again", async () => {
+  const { follower, stored, flush, poll } = followOwnEntry();
+  follower.start();
+  await flush();
+  await follower.leave();
+  await poll();
+  await poll();
+  assert.equal(stored.entry, undefined);
+  follower.stop();
+});
--- a/packages/heatherarch-lab/bench/rate_limit_bench.ts
+++ b/packages/heatherarch-lab/bench/rate_limit_bench.ts
@@ -29,7 +29,7 @@
 
 const FLEET_SIZES = [9, 88, 300, 870];
 const COST_FLEET_SIZES = [88, 300];
-/** Peers of a hub: its zone's VMs share two hubs, and there are hubs of other zones. */
+/** Availability zones. A hub has the VMs of its zone as peers, and one digest of each zone. */
 const ZONES = 3;
 /** Targets that have a rate limit in the measurement of costs. */
 const LIMITED_TARGETS = 10;
