--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -350,10 +350,14 @@
       storeReader,
       metrics,
       prefillQueue,
+      workTracker,
       activeConfig,
     } = this.#components;
     targetListGuard.recordTick();
     metrics.promptsWaiting.set(prefillQueue.size);
+    metrics.prefillOverdue.set(
+      workTracker.sumOwnOverdueMs(this.#clock.readMonotonicMs()) / 1000,
+    );
     storeReader.setActive({
       isActive: mesh.mustReadStore(),
       isConfigUnconfirmed: this.#isConfigUnconfirmed(),
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -37,6 +37,17 @@
     help: "Prompts that wait at this VM for an engine to read them",
     registers: [this.registry],
   });
+  readonly prefillOverdue = new Gauge({
+    name: "heatherarch_prefill_overdue_seconds",
+    help:
+      "What this VM's overdue prefills add to the engines' backlogs, for all VMs",
+    registers: [this.registry],
+  });
+  readonly lastResponse = new Gauge({
+    name: "heatherarch_target_response_timestamp_seconds",
+    help: "Unix time of the last response of any target",
+    registers: [this.registry],
+  });
   readonly tries = new Counter({
     name: "heatherarch_tries_total",
     help: "Tries at targets, by stage and outcome",
--- a/packages/heatherarch-forward/state/work_tracker.ts
+++ b/packages/heatherarch-forward/state/work_tracker.ts
@@ -168,6 +168,19 @@
     return remainingMs;
   }
 
+  /** Sums what this VM's overdue prefills add to the backlogs of their targets, milliseconds. */
+  sumOwnOverdueMs(nowMs: number): number {
+    let overdueMs = 0;
+    for (const { prefills } of this.#ownWork.values()) {
+      for (const entry of prefills) {
+        if (nowMs > entry.finishAtMs) {
+          overdueMs += computeRemainingMs(entry, nowMs);
+        }
+      }
+    }
+    return overdueMs;
+  }
+
   /** Whether a target has the prompt of a late call in prefill. */
   hasLatePrefill(target: string, nowMs: number): boolean {
     const own = this.#ownWork.get(target)?.prefills ?? [];
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -132,8 +132,10 @@
     }),
     connections: new TargetConnections({
       clock,
-      onResponseHead: (target, head, sentAtMs) =>
-        notices.apply(target, head, sentAtMs),
+      onResponseHead: (target, head, sentAtMs) => {
+        metrics.lastResponse.setToCurrentTime();
+        notices.apply(target, head, sentAtMs);
+      },
       onSend: ({ id }) => {
         // What is kept of a target is dropped once, when the target is gone.
         if (directory.findTarget(id) === undefined) return;
