--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -16,6 +16,8 @@
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import type { PrefillTimeModel } from "./state/prefill_time_model.ts";
 import type { PrefillQueue } from "./scheduling/prefill_queue.ts";
+import type { HandoverClient } from "heatherarch-handover";
+import type { PathMonitor } from "./tasks/path_monitor.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import type { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
@@ -45,6 +47,8 @@
   readonly connections: TargetConnections;
   readonly targetListGuard: TargetListGuard;
   readonly crashDetector: CrashDetector;
+  readonly pathMonitor: PathMonitor;
+  readonly handoverClient: Pick<HandoverClient, "offerCall">;
   readonly quarantine: RequestQuarantine;
   readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -52,8 +52,19 @@
   readonly timeoutMs?: number;
   /** After the timeout, keep waiting while the target responds to other calls. */
   readonly extendsWhileAlive?: boolean;
+  /**
+   * Time after which the absence of any response raises the question whether this VM still reaches
+   * targets, milliseconds; by default a part of the latency objective.
+   */
+  readonly expectedMs?: number;
 }
 
+/** Share of the latency objective after which an attempt without a response is suspicious. */
+const SUSPICION_AIM_SHARE = 0.5;
+/** Bounds of the time after which an attempt without a response is suspicious, milliseconds. */
+const MIN_SUSPICION_MS = 75;
+const MAX_SUSPICION_MS = 200;
+
 /** A target that responded to any call within this time is considered alive, milliseconds. */
 const ALIVE_WINDOW_MS = 500;
 /**
@@ -74,6 +85,7 @@
 ): Promise<AttemptResult> {
   const { context, target, exchange, stage } = options;
   const stopTimer = startSilenceTimer(options);
+  const stopPathWatch = watchPath(options);
   let result: AttemptResult;
   try {
     result = classifyHead(context, target, exchange, await exchange.head);
@@ -82,6 +94,7 @@
     result = classifyError(error);
   } finally {
     stopTimer();
+    stopPathWatch();
   }
   if (context.hasEnded) return { kind: "over" };
   recordResult(context, target, stage, result);
@@ -118,6 +131,25 @@
   return () => clearTimeout(timer);
 }
 
+/** Has the path to targets checked while there is no response. Returns a function that stops this. */
+function watchPath(options: AwaitAttemptOptions): () => void {
+  const { context, target } = options;
+  const { expectedMs = computeSuspicionMs(context.route.aimMs) } = options;
+  const { pathMonitor } = context.dependencies;
+  const timer = setInterval(() => {
+    const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
+    if (silentMs >= expectedMs) pathMonitor.recordTrouble(target);
+  }, expectedMs);
+  return () => {
+    clearInterval(timer);
+  };
+}
+
+function computeSuspicionMs(aimMs: number): number {
+  const byAimMs = aimMs * SUSPICION_AIM_SHARE;
+  return Math.min(MAX_SUSPICION_MS, Math.max(MIN_SUSPICION_MS, byAimMs));
+}
+
 function classifyError(
   { fault, message: reason }: ExchangeError,
 ): AttemptResult {
@@ -187,7 +219,7 @@
   stage: string,
   result: AttemptResult,
 ): void {
-  const { health, directory, crashDetector, log, metrics } =
+  const { health, directory, crashDetector, pathMonitor, log, metrics } =
     context.dependencies;
   const outcome = result.kind === "answer"
     ? String(result.head.status)
@@ -203,6 +235,10 @@
     health.avoidUntil(target.id, nowMs + OTHER_ROLE_AVOID_MS);
   }
   const isWithheld = result.kind === "notSent" && result.isWithheld;
+  if (result.kind === "notSent" && !isWithheld) context.recordUnreachable();
+  if (result.kind === "lost" || (result.kind === "notSent" && !isWithheld)) {
+    pathMonitor.recordTrouble(target);
+  }
   const isNowAvoided = !isWithheld &&
     health.recordOutcome(target.id, rateResult(result), nowMs);
   if (isNowAvoided) {
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -15,6 +15,7 @@
 import type {
   ClientAccount,
   ForwardedCall,
+  HandoverState,
   Route,
   ServiceSpec,
 } from "../model.ts";
@@ -40,6 +41,8 @@
 export interface CallContextOptions {
   readonly dependencies: CallDependencies;
   readonly call: ForwardedCall;
+  /** The call as it was received, with its API key; by default `call`. */
+  readonly receivedCall?: ForwardedCall;
   /** Client account of the call, if it has one. */
   readonly account?: ClientAccount;
   readonly route: Route;
@@ -53,6 +56,8 @@
 const TRIAL_RETRY_AFTER_MS = 1000;
 /** Share of a backoff by which `Retry-After` is jittered. */
 const BACKOFF_JITTER_SHARE = 0.25;
+/** A call that this many targets could not be reached for is handed over to a peer. */
+const MAX_UNREACHABLE = 2;
 const QUARANTINED_REASON =
   "the request is quarantined: it crashed the targets that ran it";
 /** `Retry-After` that is logged for a refused call without one, milliseconds. */
@@ -62,6 +67,8 @@
 export class CallContext {
   readonly dependencies: CallDependencies;
   readonly call: ForwardedCall;
+  /** The call as it was received, with its API key. */
+  readonly receivedCall: ForwardedCall;
   readonly route: Route;
   readonly service: ServiceSpec;
   readonly clientResponse: ClientResponse;
@@ -85,11 +92,20 @@
   /** Takes the recorded usage of this call back; undefined before it is recorded. */
   #undoUsage: (() => void) | undefined;
   /** Number of targets on which the call runs or may have run. */
-  #runs = 0;
+  #runs: number;
+  /** Number of attempts that reached no target. */
+  #unreachable = 0;
+  /** Whether a peer serves the call, or has done so. */
+  #isHandedOver = false;
 
   constructor(options: CallContextOptions) {
     this.dependencies = options.dependencies;
     this.call = options.call;
+    this.receivedCall = options.receivedCall ?? options.call;
+    this.#runs = options.call.handover?.runs ?? 0;
+    if (options.call.handover?.isUsageRecorded) {
+      this.#undoUsage = () => undefined;
+    }
     this.route = options.route;
     this.#account = options.account;
     this.priority = options.account?.priority ?? options.route.priority;
@@ -142,6 +158,35 @@
     return this.#ended;
   }
 
+  /** Whether another VM should serve the call, because this one does not reach the targets. */
+  get mustHandOver(): boolean {
+    return this.mayHandOver &&
+      (!this.hasPath || this.#unreachable >= MAX_UNREACHABLE);
+  }
+
+  /** Whether the call may be offered to peers before it is refused. */
+  get mayHandOver(): boolean {
+    const isTried = this.#unreachable > 0 || !this.hasPath;
+    return isTried && this.call.handover === undefined && !this.hasEnded &&
+      this.mayRunAgain;
+  }
+
+  /** Whether this VM may reach the targets of the service. */
+  get hasPath(): boolean {
+    return this.dependencies.pathMonitor.hasPath(this.service.name);
+  }
+
+  /** What a peer has to know of the call so far. */
+  get handoverState(): HandoverState {
+    const isUsageRecorded = this.#undoUsage !== undefined;
+    return { runs: this.#runs, isUsageRecorded };
+  }
+
+  /** Version of the configuration by which the call is routed. */
+  get configVersion(): number {
+    return this.#configVersion;
+  }
+
   /** Whether the call runs, or may have run, on a target. */
   get mayHaveRun(): boolean {
     return this.#runs > 0;
@@ -189,6 +234,45 @@
     await Promise.race([targetListGuard.awaitFreshList(), this.#ended]);
   }
 
+  /** Records that an attempt could not reach its target. */
+  recordUnreachable(): void {
+    this.#unreachable++;
+  }
+
+  /** Forgets which targets could not be reached: no peer takes the call. */
+  forgetUnreachable(): void {
+    this.#unreachable = -Infinity;
+  }
+
+  /**
+   * Records that the call is sent to a peer, which counts the call and its usage. It may run there as
+   * often as it may run at all. Returns a function that takes that back if it has not run there.
+   */
+  beginHandover(exchange: TargetExchange): () => void {
+    const { retryBudget, fleetDemand } = this.dependencies;
+    const runs = this.#runs;
+    this.#exchange = exchange;
+    this.#attempts++;
+    this.#runs = Math.max(runs + 1, this.route.maxTargets);
+    if (!this.#isHandedOver) {
+      retryBudget.forgetCall(this.service.name, this.nowMs);
+      fleetDemand.forgetCall(this.nowMs);
+    }
+    this.#isHandedOver = true;
+    return () => {
+      this.#runs = runs;
+    };
+  }
+
+  /** Ends the call with the error of the peer that it was handed over to. */
+  endWithPeerFailure(error: ServeError): void {
+    if (this.hasEnded) return;
+    const isRefused = error.run === "no" && !this.mayHaveRun;
+    if (this.clientResponse.isHeadSent) this.clientResponse.destroy();
+    else this.clientResponse.fail(error, this.call.id);
+    this.finish(isRefused ? "refused" : "failed", { reason: error.message });
+  }
+
   /** Sends an attempt. An early end of the call aborts the latest attempt. */
   send(target: Target, request: EncodedRequest): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
@@ -214,7 +298,7 @@
    * its first token, any other call when it is sent.
    */
   recordUsage(): void {
-    if (this.#account === undefined) return;
+    if (this.#account === undefined || this.#isHandedOver) return;
     this.#undoUsage ??= this.dependencies.usage.recordRun(this.#account.name);
   }
 
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -96,6 +96,7 @@
     const context = new CallContext({
       dependencies: this.#dependencies,
       ...admitted,
+      receivedCall: call,
       route,
       service,
       configVersion: table.version,
--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -8,8 +8,39 @@
 
 const MS_PER_SECOND = 1000;
 
-/** Writes one response to a client. */
-export class ClientResponse {
+/** Where the response of one call is written, once. */
+export interface ClientResponse {
+  /** Whether the client closed its connection before the response was complete. */
+  readonly isDisconnected: boolean;
+  /** Whether the head of a response has been sent. */
+  readonly isHeadSent: boolean;
+  /** Registers a listener for the client's disconnect. Returns a function that removes it. */
+  registerDisconnectListener(listener: () => void): () => void;
+  /**
+   * Sends the head of a target's response. With `endsConnection` the body ends with the connection.
+   */
+  writeHead(
+    status: number,
+    headers: readonly string[],
+    options?: { endsConnection?: boolean },
+  ): void;
+  /**
+   * Writes bytes. Returns false if the next write should wait for
+   * {@linkcode registerDrainListener}.
+   */
+  write(bytes: Buffer): boolean;
+  /** Calls `listener` once the write buffer has drained. */
+  registerDrainListener(listener: () => void): void;
+  /** Writes the last bytes, if any, and completes the response. */
+  end(bytes?: Buffer): void;
+  /** Closes the connection, which shows the client that the response is incomplete. */
+  destroy(): void;
+  /** Responds with an error of this VM. */
+  fail(error: ServeError, callId: string): void;
+}
+
+/** Writes one response to a client that is connected to this VM. */
+export class HttpClientResponse implements ClientResponse {
   readonly #response: ServerResponse;
   readonly #disconnectListeners = new Set<() => void>();
   #disconnected = false;
@@ -23,17 +54,14 @@
     });
   }
 
-  /** Whether the client closed its connection before the response was complete. */
   get isDisconnected(): boolean {
     return this.#disconnected;
   }
 
-  /** Whether the head of a response has been sent. */
   get isHeadSent(): boolean {
     return this.#response.headersSent;
   }
 
-  /** Registers a listener for the client's disconnect. Returns a function that removes it. */
   registerDisconnectListener(listener: () => void): () => void {
     this.#disconnectListeners.add(listener);
     return () => {
@@ -41,9 +69,6 @@
     };
   }
 
-  /**
-   * Sends the head of a target's response. With `endsConnection` the body ends with the connection.
-   */
   writeHead(
     status: number,
     headers: readonly string[],
@@ -56,31 +81,23 @@
     this.#response.writeHead(status, headers as string[]);
   }
 
-  /**
-   * Writes bytes. Returns false if the next write should wait for
-   * {@linkcode registerDrainListener}.
-   */
   write(bytes: Buffer): boolean {
     return this.#response.write(bytes);
   }
 
-  /** Calls `listener` once the write buffer has drained. */
   registerDrainListener(listener: () => void): void {
     this.#response.once("drain", listener);
   }
 
-  /** Writes the last bytes, if any, and completes the response. */
   end(bytes?: Buffer): void {
     if (bytes === undefined) this.#response.end();
     else this.#response.end(bytes);
   }
 
-  /** Closes the connection, which shows the client that the response is incomplete. */
   destroy(): void {
     this.#response.destroy();
   }
 
-  /** Responds with an error of this VM. */
   fail(error: ServeError, callId: string): void {
     if (this.#disconnected || this.#response.headersSent) return;
     const body = Buffer.from(JSON.stringify(buildErrorBody(error, callId)));
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -38,6 +38,7 @@
   isWorthWaiting,
   predictDecodeReadyMs,
 } from "../scheduling/decode_wait.ts";
+import { CallHandover } from "./call_handover.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 import {
   type AttemptResult,
@@ -99,35 +100,63 @@
   async #serve(): Promise<void> {
     for (let round = 0; round < MAX_ROUNDS && this.#mayContinue(); round++) {
       if (round > 0 && !await this.#context.mayRetry()) break;
-      await this.#context.awaitTargetList();
-      if (this.#context.hasEnded) return;
-      if (this.#pickDecodeEngine(undefined) === undefined) {
-        this.#beginDecodeWait();
-        if (!this.#mayWait()) return this.#refuseNoDecodeEngine(undefined);
-      }
-      if (this.#endIfInBackoff("reading")) return;
-      const prefilled = await this.#prefill.prefill(this.#relay.lastEventId);
-      if (this.#context.hasEnded) return;
-      switch (prefilled.kind) {
-        case "read":
-          await this.#decode(prefilled.prompt);
-          break;
-        case "noReader":
-          if (this.#endIfInBackoff("reading")) return;
-          await this.#decode(undefined);
-          break;
-        case "failed":
-          this.#reason = prefilled.reason;
-          break;
-        case "tooLate":
-          return this.#refuseLate(prefilled);
-        default:
-          return this.#conclude();
-      }
+      if (this.#context.mustHandOver && await this.#handOver()) return;
+      if (!await this.#runRound()) return;
     }
+    if (await this.#handOver()) return;
     this.#conclude();
   }
 
+  /** Prefills the prompt and decodes from it. Returns whether another round may follow. */
+  async #runRound(): Promise<boolean> {
+    await this.#context.awaitTargetList();
+    if (this.#context.hasEnded) return false;
+    if (this.#pickDecodeEngine(undefined) === undefined) {
+      this.#beginDecodeWait();
+      if (!this.#mayWait()) {
+        this.#refuseNoDecodeEngine(undefined);
+        return false;
+      }
+    }
+    if (this.#endIfInBackoff("reading")) return false;
+    const prefilled = await this.#prefill.prefill(this.#relay.lastEventId);
+    if (this.#context.hasEnded) return false;
+    switch (prefilled.kind) {
+      case "read":
+        await this.#decode(prefilled.prompt);
+        return true;
+      case "noReader":
+        if (this.#endIfInBackoff("reading")) return false;
+        await this.#decode(undefined);
+        return true;
+      case "failed":
+        this.#reason = prefilled.reason;
+        return true;
+      case "tooLate":
+        this.#refuseLate(prefilled);
+        return false;
+      default:
+        this.#conclude();
+        return false;
+    }
+  }
+
+  /** Hands the call over to a peer if it could not be sent. Returns whether the call has ended. */
+  async #handOver(): Promise<boolean> {
+    const context = this.#context;
+    if (!context.mayHandOver) return context.hasEnded;
+    if (context.mayHaveRun && !context.takeRetry()) return false;
+    const result = await new CallHandover({ context, relay: this.#relay })
+      .serve();
+    if (result === "ended") return true;
+    if (context.hasPath) context.forgetUnreachable();
+    else {
+      this.#reason = "neither this VM nor a peer reaches an engine";
+      this.#conclude();
+    }
+    return context.hasEnded;
+  }
+
   #mayContinue(): boolean {
     const { hasEnded, remainingMs, mayRunAgain } = this.#context;
     return !hasEnded && mayRunAgain && remainingMs >= MIN_ROUND_MS;
@@ -139,6 +168,9 @@
     const target = await this.#awaitDecodeEngine(
       prefilled?.engine.availabilityZone,
     );
+    if (target === undefined && !context.hasPath) {
+      return this.#recordFailure("path lost", prefilled);
+    }
     if (target === undefined) return this.#refuseNoDecodeEngine(prefilled);
     const isUnbudgetedRetry = prefilled === undefined && this.#prefill.isRetry;
     if (isUnbudgetedRetry && !context.takeRetry()) return this.#conclude();
@@ -351,7 +383,7 @@
     zone: string | undefined,
   ): Promise<Target | undefined> {
     await this.#context.awaitTargetList();
-    while (!this.#context.hasEnded) {
+    while (!this.#context.hasEnded && this.#context.hasPath) {
       const target = this.#pickDecodeEngine(zone);
       if (target !== undefined) {
         this.#endDecodeWait?.();
--- /dev/null
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -0,0 +1,112 @@
+/**
+ * Encodes what a VM and a peer exchange about a call that is handed over: the call, the head of the
+ * response, and a failure in its place.
+ *
+ * @module
+ */
+import {
+  ERROR_KINDS,
+  type ErrorKind,
+  type RunState,
+  ServeError,
+} from "heatherarch-core";
+import { z } from "zod";
+import type { ForwardedCall, HandoverState } from "../model.ts";
+
+/** Head of a response as a peer sends it. */
+export interface HandoverResponseHead {
+  readonly status: number;
+  /** Alternating names and values. */
+  readonly headers: readonly string[];
+  /** The body of the target's response ended with its connection. */
+  readonly endsConnection: boolean;
+}
+
+const CALL = z.object({
+  id: z.string(),
+  method: z.string(),
+  path: z.string(),
+  host: z.string(),
+  headers: z.array(z.string()),
+  /** Time since the head of the call was received, milliseconds. */
+  elapsedMs: z.number().min(0),
+  clientTimeoutMs: z.number().optional(),
+  generation: z.object({
+    model: z.string(),
+    promptTokens: z.number(),
+    maxOutputTokens: z.number(),
+    parts: z.array(z.object({ id: z.string(), tokens: z.number() })),
+  }).optional(),
+  apiKey: z.string().optional(),
+  lastEventId: z.string().optional(),
+  runs: z.int().min(0),
+  isUsageRecorded: z.boolean(),
+});
+
+const RESPONSE_HEAD = z.object({
+  status: z.int().min(200).max(599),
+  headers: z.array(z.string()),
+  endsConnection: z.boolean(),
+});
+
+const FAILURE = z.object({
+  kind: z.enum(ERROR_KINDS as [ErrorKind, ...ErrorKind[]]).catch("internal"),
+  message: z.string(),
+  run: z.enum(["no", "unknown"]).catch("unknown"),
+  retryAfterMs: z.number().min(0).catch(0),
+});
+
+/** Encodes a call without its body. */
+export function encodeHandoverCall(
+  { body: _body, arrivedAtMs, account: _account, ...call }: ForwardedCall,
+  { runs, isUsageRecorded }: HandoverState,
+  nowMs: number,
+): unknown {
+  const elapsedMs = Math.max(0, nowMs - arrivedAtMs);
+  return { ...call, elapsedMs, runs, isUsageRecorded };
+}
+
+/** Decodes a call from a peer; undefined if it is malformed. */
+export function decodeHandoverCall(
+  head: unknown,
+  body: Buffer,
+  nowMs: number,
+): ForwardedCall | undefined {
+  const parsed = CALL.safeParse(head).data;
+  if (parsed === undefined) return undefined;
+  const { elapsedMs, runs, isUsageRecorded, ...call } = parsed;
+  return {
+    ...call,
+    body,
+    arrivedAtMs: nowMs - elapsedMs,
+    handover: { runs, isUsageRecorded },
+  };
+}
+
+/** Decodes the head of a response; undefined if it is malformed. */
+export function decodeHandoverResponse(
+  head: unknown,
+): HandoverResponseHead | undefined {
+  return RESPONSE_HEAD.safeParse(head).data;
+}
+
+/** Encodes an error with which a peer ends a call. */
+export function encodeHandoverFailure(
+  { kind, message, run, retryAfterMs }: ServeError,
+): unknown {
+  return { kind, message, run, retryAfterMs };
+}
+
+/** Decodes the error with which a peer ended a call. What can't be decoded may have run. */
+export function decodeHandoverFailure(failure: unknown): ServeError {
+  const { kind, message, run, retryAfterMs } =
+    FAILURE.safeParse(failure).data ?? UNREADABLE_FAILURE;
+  return new ServeError(kind, message, { run, retryAfterMs });
+}
+
+const UNREADABLE_FAILURE: z.infer<typeof FAILURE> = {
+  kind: "internal",
+  message: "a peer failed without a readable reason",
+  run: "unknown" satisfies RunState,
+  retryAfterMs: 0,
+};
--- /dev/null
+++ b/packages/heatherarch-forward/calls/handover_response.ts
@@ -0,0 +1,63 @@
+/**
+ * The response of one call that a peer handed over. It goes back to the peer, which relays it to the
+ * client.
+ *
+ * @module
+ */
+import type { ServeError } from "heatherarch-core";
+import type { HandoverResponder } from "heatherarch-handover";
+import type { ClientResponse } from "./client_response.ts";
+import { encodeHandoverFailure } from "./handover_codec.ts";
+
+/** Writes one response to the peer that handed the call over. */
+export class HandoverResponse implements ClientResponse {
+  readonly #responder: HandoverResponder;
+  #isHeadSent = false;
+
+  constructor(responder: HandoverResponder) {
+    this.#responder = responder;
+  }
+
+  get isDisconnected(): boolean {
+    return this.#responder.isDisconnected;
+  }
+
+  get isHeadSent(): boolean {
+    return this.#isHeadSent;
+  }
+
+  registerDisconnectListener(listener: () => void): () => void {
+    return this.#responder.registerDisconnectListener(listener);
+  }
+
+  writeHead(
+    status: number,
+    headers: readonly string[],
+    { endsConnection = false }: { endsConnection?: boolean } = {},
+  ): void {
+    this.#isHeadSent = true;
+    this.#responder.sendHead({ status, headers, endsConnection });
+  }
+
+  write(bytes: Buffer): boolean {
+    return this.#responder.sendBytes(bytes);
+  }
+
+  registerDrainListener(listener: () => void): void {
+    this.#responder.registerDrainListener(listener);
+  }
+
+  end(bytes?: Buffer): void {
+    if (bytes !== undefined) this.#responder.sendBytes(bytes);
+    this.#responder.end();
+  }
+
+  destroy(): void {
+    this.#responder.destroy();
+  }
+
+  fail(error: ServeError): void {
+    if (this.isDisconnected || this.#isHeadSent) return;
+    this.#responder.fail(encodeHandoverFailure(error));
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-forward/calls/peer_exchange.ts
@@ -0,0 +1,144 @@
+/**
+ * One call that is handed over to a peer, and the response that the peer relays.
+ *
+ * @module
+ */
+import type { ServeError } from "heatherarch-core";
+import type { IncomingHttpHeaders } from "node:http";
+import type { HandoverConnection } from "heatherarch-handover";
+import type { Dispatcher } from "undici";
+import {
+  decodeHandoverFailure,
+  decodeHandoverResponse,
+  type HandoverResponseHead,
+} from "./handover_codec.ts";
+import { TargetExchange } from "./target_exchange.ts";
+
+/** Cause of an exchange's end if the peer ended the call without a response of a target. */
+export class PeerFailureError extends Error {
+  /** The error with which the peer ended the call. */
+  readonly failure: ServeError;
+
+  constructor(failure: ServeError) {
+    super(failure.message);
+    this.name = "PeerFailureError";
+    this.failure = failure;
+  }
+}
+
+/** The exchange takes its request from the head and the body of the call. */
+const NO_REQUEST = { path: "/", method: "GET", headers: [], body: null };
+
+/** Sends an accepted call. Its exchange is used like one with a target. */
+export function sendToPeer(
+  connection: HandoverConnection,
+  head: unknown,
+  body: Buffer,
+): TargetExchange {
+  const dispatch = (
+    _options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean => {
+    const controller = new PeerController(connection);
+    handler.onRequestStart?.(controller, undefined);
+    connection.send(head, body, {
+      onResponse: (response) =>
+        startResponse(handler, controller, decodeHandoverResponse(response)),
+      onBytes: (bytes) => handler.onResponseData?.(controller, bytes),
+      onEnd: () => handler.onResponseEnd?.(controller, {}),
+      onFailure: (failure) =>
+        handler.onResponseError?.(
+          controller,
+          new PeerFailureError(decodeHandoverFailure(failure)),
+        ),
+      onLost: (reason) =>
+        handler.onResponseError?.(controller, new Error(reason)),
+    });
+    return true;
+  };
+  return new TargetExchange({ dispatch }, "", NO_REQUEST, {
+    onRelease: () => undefined,
+    isReset: () => false,
+  });
+}
+
+function startResponse(
+  handler: Dispatcher.DispatchHandler,
+  controller: PeerController,
+  head: HandoverResponseHead | undefined,
+): void {
+  if (head === undefined) {
+    controller.abort(new Error("the peer sent a malformed response head"));
+    return;
+  }
+  controller.setRawHeaders(head.headers);
+  handler.onResponseStart?.(
+    controller,
+    head.status,
+    buildHeaders(head),
+    "",
+  );
+}
+
+/** Builds the headers, from which the framing of the response follows. */
+function buildHeaders(
+  { headers, endsConnection }: HandoverResponseHead,
+): IncomingHttpHeaders {
+  const byName: Record<string, string> = {};
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    byName[headers[i].toLowerCase()] = headers[i + 1];
+  }
+  if (!endsConnection && byName["content-length"] === undefined) {
+    byName["transfer-encoding"] = "chunked";
+  }
+  return byName;
+}
+
+/** Controls a handed-over call as undici's controller controls a request. */
+class PeerController implements Dispatcher.DispatchController {
+  readonly #connection: HandoverConnection;
+  #rawHeaders: Buffer[] = [];
+  #isPaused = false;
+  #isAborted = false;
+  #reason: Error | null = null;
+
+  constructor(connection: HandoverConnection) {
+    this.#connection = connection;
+  }
+
+  get aborted(): boolean {
+    return this.#isAborted;
+  }
+
+  get paused(): boolean {
+    return this.#isPaused;
+  }
+
+  get reason(): Error | null {
+    return this.#reason;
+  }
+
+  get rawHeaders(): Buffer[] {
+    return this.#rawHeaders;
+  }
+
+  setRawHeaders(headers: readonly string[]): void {
+    this.#rawHeaders = headers.map((text) => Buffer.from(text, "latin1"));
+  }
+
+  abort(reason: Error): void {
+    this.#isAborted = true;
+    this.#reason = reason;
+    this.#connection.close();
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+    this.#connection.pause();
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    this.#connection.resume();
+  }
+}
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -10,6 +10,7 @@
   type PartialResponse,
   readResponse,
   relayPartialResponse,
+  StreamRelay,
   writeResponse,
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
@@ -27,6 +28,7 @@
 import { MAX_RATE_LIMIT_DELAY_MS } from "../scheduling/retry_after.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
+import { CallHandover, type HandoverResult } from "./call_handover.ts";
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
@@ -51,6 +53,9 @@
   /** Failure response of a target, sent to the client if there is no further attempt. */
   #failure: BufferedResponse | undefined;
   #reason = "";
+  #attempts = 0;
+  /** Whether the next attempt is a retry. */
+  #isRetry = false;
 
   constructor(context: CallContext) {
     this.#context = context;
@@ -59,26 +64,49 @@
   /** Serves the call to its end. */
   async serve(): Promise<void> {
     const context = this.#context;
-    let isRetry = false;
-    for (
-      let attempts = 0;
-      attempts < MAX_ATTEMPTS && !context.hasEnded;
-      attempts++
+    await this.#attemptTargets();
+    const isDeclined = await this.#handOver() === "declined";
+    // A VM that reaches some of the targets goes on with those that it has not tried.
+    if (isDeclined && context.hasPath) {
+      context.forgetUnreachable();
+      await this.#attemptTargets();
+    }
+    this.#conclude();
+  }
+
+  /** Tries targets until the call has ended, may not be retried, or should be handed over. */
+  async #attemptTargets(): Promise<void> {
+    const context = this.#context;
+    while (
+      this.#attempts < MAX_ATTEMPTS && !context.hasEnded &&
+      !context.mustHandOver
     ) {
+      this.#attempts++;
       await context.awaitTargetList();
       if (context.hasEnded) return;
       const target = await this.#awaitTarget();
-      if (context.hasEnded) return;
-      if (target === undefined) break;
-      if (isRetry && !context.takeRetry()) break;
+      if (context.hasEnded || target === undefined) return;
+      if (this.#isRetry && !context.takeRetry()) return;
       const result = await this.#attempt(target);
       if (context.hasEnded || result.kind === "delivered") return;
-      if (result.kind !== "notSent") isRetry = true;
+      if (result.kind !== "notSent") this.#isRetry = true;
       this.#recordResult(result);
-      if (!context.mayRunAgain || context.remainingMs < MIN_ATTEMPT_MS) break;
-      if (!await context.mayRetry()) break;
+      if (!context.mayRunAgain || context.remainingMs < MIN_ATTEMPT_MS) return;
+      if (!await context.mayRetry()) return;
     }
-    this.#conclude();
+  }
+
+  /** Hands the call over to a peer if it could not be sent. */
+  async #handOver(): Promise<HandoverResult | "kept"> {
+    const context = this.#context;
+    if (!context.mayHandOver || this.#failure !== undefined) return "kept";
+    if (context.mayHaveRun && !context.takeRetry()) return "kept";
+    const relay = new StreamRelay({
+      clientResponse: context.clientResponse,
+      isResumable: false,
+      onFirstByte: () => this.#recordFirstByte(),
+    });
+    return await new CallHandover({ context, relay }).serve();
   }
 
   #recordResult(result: PlainResult): void {
@@ -174,11 +202,7 @@
 
   #deliver(response: BufferedResponse, target?: Target): void {
     const context = this.#context;
-    const tookMs = context.nowMs - context.call.arrivedAtMs;
-    context.dependencies.metrics.firstByte.observe(
-      { kind: context.route.kind },
-      tookMs / 1000,
-    );
+    this.#recordFirstByte();
     writeResponse(context.clientResponse, context.call.method, response);
     context.finish("delivered", {
       status: response.head.status,
@@ -188,6 +212,14 @@
     });
   }
 
+  #recordFirstByte(): void {
+    const { call, route, nowMs, dependencies } = this.#context;
+    dependencies.metrics.firstByte.observe(
+      { kind: route.kind },
+      (nowMs - call.arrivedAtMs) / 1000,
+    );
+  }
+
   #conclude(): void {
     const context = this.#context;
     if (context.hasEnded) return;
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -31,6 +31,8 @@
 /** A prefill times out after this many times its predicted time, plus the slack. */
 const PREFILL_TIMEOUT_FACTOR = 3;
 const PREFILL_TIMEOUT_SLACK_MS = 500;
+/** Slack after which a prefill without a response makes this VM check its path, milliseconds. */
+const EXPECTED_SLACK_MS = 150;
 /** A response is overdue when it is this much later than latency and prefill time predict. */
 const RESPONSE_SLACK_MS = 10;
 /**
@@ -176,6 +178,7 @@
       exchange,
       stage: "readPrompt",
       timeoutMs: readyMs * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_MS,
+      expectedMs: readyMs + EXPECTED_SLACK_MS,
       extendsWhileAlive: true,
     });
     if (result.kind === "over") return { kind: "over" };
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -191,11 +191,17 @@
 
   /** Closes the connections of all other targets, once they are free. */
   closeAllExcept(ids: ReadonlySet<string>): void {
-    for (const [id, { pool }] of this.#pools) {
-      if (ids.has(id)) continue;
+    const others = [...this.#pools.keys()].filter((id) => !ids.has(id));
+    this.renew(others);
+  }
+
+  /** Closes the connections of these targets once they are free. Further requests use new ones. */
+  renew(ids: readonly string[]): void {
+    for (const id of ids) {
+      const entry = this.#pools.get(id);
       this.#pools.delete(id);
       // Requests in progress complete first and handle their own errors.
-      pool.close().catch(() => undefined);
+      entry?.pool.close().catch(() => undefined);
     }
   }
 
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -8,7 +8,9 @@
   type Heartbeat,
   type Link,
   type LinkIdentity,
+  type LinkListener,
   type LoopStall,
+  type Member,
   Membership,
   MeshNode,
 } from "heatherarch-mesh";
@@ -81,6 +83,8 @@
   /** Whether this VM could send orders to engines now. */
   readonly mayOrder: () => boolean;
   readonly usageMeter: UsageMeter;
+  /** Accepts a connection over which a peer hands calls over. */
+  readonly acceptHandover: (link: Link) => LinkListener;
 }
 
 const MAX_FRAME_BYTES = 4 * 1024 * 1024;
@@ -152,6 +156,7 @@
       onRound: () => this.#hubs.beginRound(),
       buildHeartbeat: (link, peer) => this.#buildHeartbeat(link, peer),
       onLoopStall: (stall) => this.#handleStall(stall),
+      acceptHandover: options.acceptHandover,
       onLinkClosed: (reason) =>
         options.log.write("debug", "meshLinkEnded", { fault: reason }),
     });
@@ -205,6 +210,13 @@
     this.#node.stop();
   }
 
+  /** Lists the known VMs that are not leaving, without this one; they may not be live. */
+  listPeers(): readonly Member[] {
+    return this.#membership.listMembers().filter(({ status }) =>
+      status !== "leaving"
+    );
+  }
+
   /** Lists the ids of the live VMs, this one included. */
   listLive(): string[] {
     return this.#membership.listLive();
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -29,6 +29,8 @@
 import { buildCallDependencies, SWEEP_INTERVAL_MS } from "./vm_dependencies.ts";
 import {
   buildFleetDuties,
+  buildHandoverServer,
+  buildIdentity,
   buildMesh,
   buildRoleController,
   buildStoreReader,
@@ -65,6 +67,7 @@
   readonly #clock: Clock;
   readonly #log: EventLog;
   readonly #usageMeter = new UsageMeter();
+  readonly #incarnation = createId("vm");
   readonly #container: AwilixContainer<VmComponents>;
   /**
    * All components, once they are registered. The container resolves a component again on each
@@ -185,6 +188,8 @@
       countVms: () => this.#liveVms,
       getListAgeMs: () => this.#components.storeReader.getEffectiveListAgeMs(),
       refreshTargetList: () => this.#components.storeReader.refreshList(),
+      self: buildIdentity(this.#settings, this.#incarnation),
+      listPeers: () => this.#components.mesh.listPeers(),
     });
     for (const [name, component] of Object.entries(dependencies)) {
       this.#container.register(name, asValue(component));
@@ -198,7 +203,7 @@
     const options: VmTaskOptions = {
       settings,
       ports,
-      incarnation: createId("vm"),
+      incarnation: this.#incarnation,
       usageMeter: this.#usageMeter,
       getComponents: () => this.#components,
       onLiveVms: (count) => this.#applyVmCount(count),
@@ -219,6 +224,7 @@
           log: components.log,
         }),
       ),
+      handoverServer: asValue(buildHandoverServer(options, callServer)),
       statusServer: asValue(
         new StatusServer({
           metrics: components.metrics,
@@ -427,12 +433,14 @@
 
   async #shutDown(): Promise<void> {
     this.#stopping = true;
-    const { ingress, mesh, roleController, duties } = this.#components;
+    const { ingress, mesh, roleController, duties, handoverServer } =
+      this.#components;
     const { graceSeconds, noticeMs } = this.#settings.shutdown;
     const startedAtMs = this.#clock.readMonotonicMs();
     const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
     this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
     ingress.beginDrain();
+    handoverServer.beginDrain();
     await Promise.all([
       roleController.stop(),
       duties?.stop(),
@@ -440,9 +448,11 @@
       sleep(noticeMs),
     ]);
     ingress.closeListener();
-    while (
-      ingress.openCalls > 0 && this.#clock.readMonotonicMs() < untilMs
-    ) await sleep(DRAIN_POLL_MS);
+    const hasOpenCalls = (): boolean =>
+      ingress.openCalls + handoverServer.openCalls > 0;
+    while (hasOpenCalls() && this.#clock.readMonotonicMs() < untilMs) {
+      await sleep(DRAIN_POLL_MS);
+    }
     this.#log.write("info", "stopped", {
       openCalls: ingress.openCalls,
       tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
@@ -457,6 +467,8 @@
     this.#components.storeReader.stop();
     this.#components.quarantinePersistence.stop();
     ingress.closeAll();
+    this.#components.pathMonitor.stop();
+    this.#components.handoverClient.close();
     statusServer.close();
     mesh.stop();
     await connections.close();
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -48,6 +48,23 @@
     help: "Unix time of the last response of any target",
     registers: [this.registry],
   });
+  readonly pathsLost = new Gauge({
+    name: "heatherarch_paths_lost",
+    help:
+      "Services, by role of their engines, of which this VM reaches no target",
+    registers: [this.registry],
+  });
+  readonly handovers = new Counter({
+    name: "heatherarch_handovers_total",
+    help: "Offers of calls to peers, by the peer's reply",
+    labelNames: ["reply"] as const,
+    registers: [this.registry],
+  });
+  readonly handoversServed = new Counter({
+    name: "heatherarch_handovers_served_total",
+    help: "Calls of peers that this VM served",
+    registers: [this.registry],
+  });
   readonly tries = new Counter({
     name: "heatherarch_tries_total",
     help: "Tries at targets, by stage and outcome",
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -169,6 +169,14 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** What a peer tells about a call that it hands over. */
+export interface HandoverState {
+  /** Targets on which the call runs or may have run. */
+  readonly runs: number;
+  /** The usage of the call's account is recorded already. */
+  readonly isUsageRecorded: boolean;
+}
+
 /** One attempt of a client, completely received. */
 export interface ForwardedCall {
   /** Id that the client gave to this attempt. */
@@ -191,4 +199,6 @@
   readonly account?: string;
   /** Id of the last event that the client received from an earlier stream. */
   readonly lastEventId?: string;
+  /** Set if a peer handed the call over. Such a call is not handed over again. */
+  readonly handover?: HandoverState;
 }
--- a/packages/heatherarch-forward/state/fleet_demand.ts
+++ b/packages/heatherarch-forward/state/fleet_demand.ts
@@ -52,6 +52,13 @@
     this.#updatedAtMs = nowMs;
   }
 
+  /** Takes back a call that another VM counts. */
+  forgetCall(nowMs: number): void {
+    const callsPerMs = this.#computeCallsPerMs(nowMs) - 1 / AVERAGING_MS;
+    this.#callsPerMs = Math.max(0, callsPerMs);
+    this.#updatedAtMs = nowMs;
+  }
+
   /** Calls that this VM receives, per minute. */
   getOwnCallsPerMinute(nowMs: number): number {
     return Math.round(this.#computeCallsPerMs(nowMs) * MS_PER_MINUTE);
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -55,6 +55,13 @@
     bucket.tokens = Math.min(this.#getCapacity(), bucket.tokens + earned);
   }
 
+  /** Takes the credit of a call back that another VM counts. */
+  forgetCall(service: string, nowMs: number): void {
+    const bucket = this.#refill(service, nowMs);
+    const earned = this.#options.share * CALL_SHARE_FACTOR;
+    bucket.tokens = Math.max(0, bucket.tokens - earned);
+  }
+
   /** Spends one retry. Returns false if none is left. */
   spendRetry(service: string, nowMs: number): boolean {
     const bucket = this.#refill(service, nowMs);
--- a/packages/heatherarch-forward/state/target_health.ts
+++ b/packages/heatherarch-forward/state/target_health.ts
@@ -92,6 +92,17 @@
     return this.#states.get(target)?.lastResponseAtMs ?? -Infinity;
   }
 
+  /** Ends the avoidance of targets and forgets that they could not be reached. */
+  clearAvoidance(targets: readonly string[]): void {
+    for (const target of targets) {
+      const state = this.#states.get(target);
+      if (state === undefined) continue;
+      state.avoidUntilMs = -Infinity;
+      state.unreachableStreak = 0;
+      state.failShare = 0;
+    }
+  }
+
   /** Drops what was learned about an incarnation that has ended. */
   forget(target: string): void {
     this.#states.delete(target);
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -12,7 +12,10 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { type Clock, ServeError, toServeError } from "heatherarch-core";
-import { ClientResponse } from "../calls/client_response.ts";
+import {
+  type ClientResponse,
+  HttpClientResponse,
+} from "../calls/client_response.ts";
 import type { CallServer } from "../calls/call_server.ts";
 import type { EventLog } from "../event_log.ts";
 import type { ClientLimits, ForwardedCall } from "../model.ts";
@@ -111,7 +114,7 @@
     response.once("close", () => this.#openCalls--);
     if (this.#draining) response.setHeader("Connection", "close");
     const arrivedAtMs = this.#options.clock.readMonotonicMs();
-    const clientResponse = new ClientResponse(response);
+    const clientResponse = new HttpClientResponse(response);
     try {
       const head = this.#readHead(request, arrivedAtMs);
       const body = await readBody(request, this.#limits.maxBodyBytes);
--- /dev/null
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -0,0 +1,281 @@
+/**
+ * Tells whether this VM reaches the targets of a service. A VM that can't reach any of them, while
+ * other VMs may, has lost its path.
+ *
+ * An attempt that fails or stays without a response makes this VM probe a few targets at once, so a
+ * lost path is known within fractions of a second, and a single silent target is not mistaken for
+ * one. While the path is lost, probes show when it is back, without any call of a client.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { EventLog } from "../event_log.ts";
+import type { ForwardMetrics } from "../metrics.ts";
+import type { Target } from "../model.ts";
+import type { TargetConnections } from "../calls/target_connections.ts";
+import type { TargetBackoffs } from "../state/target_backoffs.ts";
+import type { TargetDirectory } from "../state/target_directory.ts";
+import type { TargetHealth } from "../state/target_health.ts";
+
+/** Options of {@linkcode PathMonitor}. */
+export interface PathMonitorOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Pick<ForwardMetrics, "pathsLost">;
+  readonly directory: Pick<TargetDirectory, "listServing">;
+  readonly backoffs: Pick<TargetBackoffs, "isInBackoff">;
+  readonly health: Pick<TargetHealth, "getLastResponseAtMs" | "clearAvoidance">;
+  readonly connections: Pick<TargetConnections, "renew">;
+  /** Resolves with whether the target responds to a request that it does not run. Never rejects. */
+  readonly probe: (target: Target) => Promise<boolean>;
+  /** Draws a uniformly distributed number in [0, 1). */
+  readonly drawUnit: () => number;
+}
+
+/** Number of targets that are probed at once. */
+const PROBED_TARGETS = 3;
+/** Minimum interval between rounds of probes that attempts start, milliseconds. */
+const MIN_ROUND_INTERVAL_MS = 200;
+/** Interval between rounds of probes while a path is lost, milliseconds. */
+const LOST_ROUND_INTERVAL_MS = 250;
+/**
+ * A single target that is silent may go on after a second, so a path to it counts as lost only after
+ * this time, milliseconds.
+ */
+const SINGLE_TARGET_SILENCE_MS = 1200;
+/** A response within this time shows that a path works, milliseconds. */
+const RECENT_CONTACT_MS = 100;
+
+/** Targets of a service that can replace each other: all, or the engines of one role. */
+interface TargetGroup {
+  readonly service: string;
+  readonly role: Target["role"];
+  /** Monotonic time of the last response of any of the targets. */
+  lastContactAtMs: number;
+  /** Monotonic time since which all rounds of probes have failed. */
+  failingSinceMs: number;
+  lastRoundAtMs: number;
+  isLost: boolean;
+  round: Promise<boolean> | undefined;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** Paths of this VM to the targets of all services. */
+export class PathMonitor {
+  readonly #options: PathMonitorOptions;
+  readonly #groups = new Map<string, TargetGroup>();
+  readonly #lossListeners = new Map<string, Set<() => void>>();
+  #isStopped = false;
+
+  constructor(options: PathMonitorOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this VM may reach the targets of a service: of each role, if they are engines. */
+  hasPath(service: string): boolean {
+    for (const group of this.#groups.values()) {
+      if (group.service === service && group.isLost) return false;
+    }
+    return true;
+  }
+
+  /** Whether no path of this VM is lost. */
+  get hasAllPaths(): boolean {
+    return [...this.#groups.values()].every(({ isLost }) => !isLost);
+  }
+
+  /** Records a response of a target. */
+  recordContact(target: Target): void {
+    const group = this.#getGroup(target);
+    group.lastContactAtMs = this.#nowMs;
+    group.failingSinceMs = Infinity;
+    if (group.isLost) this.#restorePath(group);
+  }
+
+  /** Monotonic time of the last response of a target, or of one that could replace it. */
+  getLastContactAtMs(target: Target): number {
+    return this.#getGroup(target).lastContactAtMs;
+  }
+
+  /** Records that an attempt at a target got no response. Probes targets that could replace it. */
+  recordTrouble(target: Target): void {
+    const group = this.#getGroup(target);
+    if (group.isLost || group.round !== undefined) return;
+    if (this.#nowMs - group.lastRoundAtMs < MIN_ROUND_INTERVAL_MS) return;
+    void this.#probeGroup(group);
+  }
+
+  /** Resolves with whether this VM reaches the targets of a service now. */
+  async confirmPath(service: string): Promise<boolean> {
+    if (!this.hasPath(service)) return false;
+    const confirmations = this.#listServiceGroups(service).map((group) => {
+      const silentMs = this.#nowMs - group.lastContactAtMs;
+      if (silentMs < RECENT_CONTACT_MS) return true;
+      return group.round ?? this.#probeGroup(group);
+    });
+    return (await Promise.all(confirmations)).every((isOpen) => isOpen);
+  }
+
+  /**
+   * Resolves with whether a target that refuses connections does so by itself: another target, of the
+   * same service if there is one, responds to this VM.
+   */
+  async confirmRefusal({ id, service }: Target): Promise<boolean> {
+    const siblings = this.#listProbed(
+      this.#options.directory.listServing(service).filter((other) =>
+        other.id !== id
+      ),
+    );
+    if (siblings.length === 0) return this.hasAllPaths;
+    return await this.#probeAny(siblings);
+  }
+
+  /** Registers a listener for the loss of a path to a service. Returns its removal. */
+  registerLossListener(service: string, listener: () => void): () => void {
+    let listeners = this.#lossListeners.get(service);
+    if (listeners === undefined) {
+      listeners = new Set();
+      this.#lossListeners.set(service, listeners);
+    }
+    listeners.add(listener);
+    return () => {
+      listeners.delete(listener);
+    };
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    for (const { timer } of this.#groups.values()) clearTimeout(timer);
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.readMonotonicMs();
+  }
+
+  #getGroup({ service, role }: Pick<Target, "service" | "role">): TargetGroup {
+    const key = `${service} ${role ?? ""}`;
+    let group = this.#groups.get(key);
+    if (group === undefined) {
+      group = {
+        service,
+        role,
+        lastContactAtMs: -Infinity,
+        failingSinceMs: Infinity,
+        lastRoundAtMs: -Infinity,
+        isLost: false,
+        round: undefined,
+        timer: undefined,
+      };
+      this.#groups.set(key, group);
+    }
+    return group;
+  }
+
+  #listServiceGroups(service: string): TargetGroup[] {
+    const targets = this.#options.directory.listServing(service);
+    return [...new Set(targets.map((target) => this.#getGroup(target)))];
+  }
+
+  #probeGroup(group: TargetGroup): Promise<boolean> {
+    group.round ??= this.#runRound(group).finally(() => {
+      group.round = undefined;
+    });
+    return group.round;
+  }
+
+  /** Probes targets of a group and returns whether this VM reaches any of them. */
+  async #runRound(group: TargetGroup): Promise<boolean> {
+    const { directory } = this.#options;
+    const startedAtMs = this.#nowMs;
+    group.lastRoundAtMs = startedAtMs;
+    const targets = directory.listServing(group.service)
+      .filter(({ role }) => role === group.role);
+    const probed = this.#listProbed(targets);
+    if (probed.length === 0) {
+      this.#restorePath(group);
+      return true;
+    }
+    const hasResponse = await this.#probeAny(probed) ||
+      group.lastContactAtMs >= startedAtMs;
+    if (this.#isStopped || hasResponse) return true;
+    group.failingSinceMs = Math.min(group.failingSinceMs, startedAtMs);
+    const failingMs = this.#nowMs - group.failingSinceMs;
+    const isSilentForLong = targets.length > 1 ||
+      failingMs >= SINGLE_TARGET_SILENCE_MS;
+    if (isSilentForLong) this.#recordLoss(group, targets, probed);
+    group.timer = setTimeout(
+      () => void this.#probeGroup(group),
+      LOST_ROUND_INTERVAL_MS,
+    );
+    return !group.isLost;
+  }
+
+  /** Lists a few targets: the one that responded last, and others, in other zones first. */
+  #listProbed(targets: readonly Target[]): Target[] {
+    const { backoffs, health, drawUnit } = this.#options;
+    const nowMs = this.#nowMs;
+    const [latest, ...others] = targets
+      .filter(({ id }) => !backoffs.isInBackoff(id, nowMs))
+      .sort((a, b) =>
+        health.getLastResponseAtMs(b.id) - health.getLastResponseAtMs(a.id) || 0
+      );
+    if (latest === undefined) return [];
+    const ranked = others.map((target) => {
+      const isNear = target.availabilityZone === latest.availabilityZone;
+      return { target, rank: (isNear ? 1 : 0) + drawUnit() };
+    });
+    ranked.sort((a, b) => a.rank - b.rank);
+    const picked = ranked.slice(0, PROBED_TARGETS - 1);
+    return [latest, ...picked.map(({ target }) => target)];
+  }
+
+  /** Resolves with true at the first response, or with false if there is none. */
+  async #probeAny(targets: readonly Target[]): Promise<boolean> {
+    const probes = targets.map(async (target) => {
+      if (!await this.#options.probe(target)) throw new Error("no response");
+    });
+    return await Promise.any(probes).then(() => true, () => false);
+  }
+
+  #recordLoss(
+    group: TargetGroup,
+    targets: readonly Target[],
+    probed: readonly Target[],
+  ): void {
+    if (group.isLost) return;
+    group.isLost = true;
+    const { log, connections } = this.#options;
+    this.#countLost();
+    log.write("warn", "pathLost", {
+      service: group.service,
+      role: group.role,
+      probed: probed.map(({ id }) => id),
+      silentMs: Math.round(this.#nowMs - group.lastContactAtMs),
+    });
+    // Idle connections may stay silent after the path is back.
+    connections.renew(targets.map(({ id }) => id));
+    const listeners = [...this.#lossListeners.get(group.service) ?? []];
+    for (const listener of listeners) listener();
+  }
+
+  #restorePath(group: TargetGroup): void {
+    clearTimeout(group.timer);
+    if (!group.isLost) return;
+    group.isLost = false;
+    const { directory, health, log } = this.#options;
+    this.#countLost();
+    const targets = directory.listServing(group.service)
+      .filter(({ role }) => role === group.role);
+    // What the attempts without a path told is no fault of the targets.
+    health.clearAvoidance(targets.map(({ id }) => id));
+    log.write("warn", "pathRegained", {
+      service: group.service,
+      role: group.role,
+    });
+  }
+
+  #countLost(): void {
+    const lost = [...this.#groups.values()].filter(({ isLost }) => isLost);
+    this.#options.metrics.pathsLost.set(lost.length);
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -8,7 +8,7 @@
   MemoryEventLog,
   TargetHealth,
 } from "../../mod.ts";
-import { buildTarget } from "./fixtures.ts";
+import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
 
 // A withheld request is never sent, so its result tells nothing about the target. Counted as a
 // failure it would make the VM avoid a healthy target.
@@ -18,8 +18,10 @@
     nowMs: 0,
     hasEnded: false,
     call: { id: "c", arrivedAtMs: 0 },
+    route: buildRoute(),
     dependencies: {
       health,
+      pathMonitor: buildIdlePathMonitor(),
       log: new MemoryEventLog(),
       metrics: new ForwardMetrics(),
     },
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -7,6 +7,7 @@
   type EngineTraits,
   FleetDemand,
   type GenerationParams,
+  type PathMonitor,
   type Route,
   type RoutingConfig,
   type Target,
@@ -50,6 +51,23 @@
   return { fleetDemand, rateLimits };
 }
 
+/** Builds the monitor of a VM that reaches all targets. */
+export function buildIdlePathMonitor(): PathMonitor {
+  const monitor: Pick<
+    PathMonitor,
+    | "hasPath"
+    | "recordTrouble"
+    | "getLastContactAtMs"
+    | "registerLossListener"
+  > = {
+    hasPath: () => true,
+    recordTrouble: () => undefined,
+    getLastContactAtMs: () => Infinity,
+    registerLossListener: () => () => undefined,
+  };
+  return monitor as PathMonitor;
+}
+
 /** Builds a route; by default of idempotent calls. */
 export function buildRoute(overrides: Partial<Route> = {}): Route {
   return {
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -39,6 +39,7 @@
   WorkTracker,
 } from "../../mod.ts";
 import {
+  buildIdlePathMonitor,
   buildPrompt,
   buildRateLimits,
   buildRoute,
@@ -203,6 +204,8 @@
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
       metrics,
+      pathMonitor: buildIdlePathMonitor(),
+      handoverClient: { offerCall: () => Promise.resolve(undefined) },
       drawUnit: () => 0,
     } as unknown as CallDependencies;
   }
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -11,6 +11,8 @@
 import { PrefixIndex } from "./state/prefix_index.ts";
 import { PrefillTimeModel } from "./state/prefill_time_model.ts";
 import { RequestQuarantine } from "heatherarch-quarantine";
+import { HandoverClient, type HandoverPeer } from "heatherarch-handover";
+import type { LinkIdentity } from "heatherarch-mesh";
 import { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import { TargetDirectory } from "./state/target_directory.ts";
 import { TargetHealth } from "./state/target_health.ts";
@@ -26,6 +28,8 @@
 import { PrefillQueue } from "./scheduling/prefill_queue.ts";
 import type { EventLog } from "./event_log.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
+import { probeResponse } from "./calls/response_probe.ts";
+import { PathMonitor } from "./tasks/path_monitor.ts";
 import { TargetListGuard } from "./calls/target_list_guard.ts";
 import {
   type SendPurpose,
@@ -50,6 +54,10 @@
   readonly getListAgeMs: () => number;
   /** Requests an early read of the target list. */
   readonly refreshTargetList: () => void;
+  /** Identity of this VM towards its peers. */
+  readonly self: LinkIdentity;
+  /** Lists the VMs that calls may be handed over to. */
+  readonly listPeers: () => readonly HandoverPeer[];
 }
 
 const MS_PER_SECOND = 1000;
@@ -102,6 +110,39 @@
     log,
   });
   const quarantine = buildQuarantine(settings);
+  const health = new TargetHealth();
+  const connections = new TargetConnections({
+    clock,
+    onResponseHead: (target, head, sentAtMs) => {
+      metrics.lastResponse.setToCurrentTime();
+      pathMonitor.recordContact(target);
+      notices.apply(target, head, sentAtMs);
+    },
+    onSend: ({ id }) => {
+      // What is kept of a target is dropped once, when the target is gone.
+      if (directory.findTarget(id) === undefined) return;
+      rateLimits.recordRequest(id, clock.readMonotonicMs());
+      if (rateLimits.getMaxPerSecond(id) === undefined) return;
+      metrics.requestsAtLimit.inc();
+    },
+    findBlockReason: ({ id }, purpose) =>
+      findBlockReason(
+        { directory, backoffs, rateLimits, clock },
+        id,
+        purpose,
+      ),
+  });
+  const pathMonitor = new PathMonitor({
+    clock,
+    log,
+    metrics,
+    directory,
+    backoffs,
+    health,
+    connections,
+    probe: (target) => probeResponse({ connections, codec }, target),
+    drawUnit: Math.random,
+  });
   const activeConfig = new ActiveConfig({ clock });
   return {
     clock,
@@ -121,7 +162,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
-    health: new TargetHealth(),
+    health,
     workTracker: new WorkTracker(),
     crashDetector: buildCrashDetector({
       quarantine,
@@ -130,26 +171,9 @@
       log,
       metrics,
     }),
-    connections: new TargetConnections({
-      clock,
-      onResponseHead: (target, head, sentAtMs) => {
-        metrics.lastResponse.setToCurrentTime();
-        notices.apply(target, head, sentAtMs);
-      },
-      onSend: ({ id }) => {
-        // What is kept of a target is dropped once, when the target is gone.
-        if (directory.findTarget(id) === undefined) return;
-        rateLimits.recordRequest(id, clock.readMonotonicMs());
-        if (rateLimits.getMaxPerSecond(id) === undefined) return;
-        metrics.requestsAtLimit.inc();
-      },
-      findBlockReason: ({ id }, purpose) =>
-        findBlockReason(
-          { directory, backoffs, rateLimits, clock },
-          id,
-          purpose,
-        ),
-    }),
+    connections,
+    pathMonitor,
+    handoverClient: buildHandoverClient(options, metrics),
     targetListGuard: buildTargetListGuard(options, metrics),
     usage: new UsageRecorder({
       meter: usageMeter,
@@ -170,6 +194,25 @@
   };
 }
 
+function buildHandoverClient(
+  { settings, clock, log, self, listPeers }: CallDependenciesOptions,
+  metrics: ForwardMetrics,
+): HandoverClient {
+  return new HandoverClient({
+    self,
+    sharedKey: settings.mesh.sharedKey,
+    clock,
+    listPeers,
+    drawUnit: Math.random,
+    onOffer: ({ id }, reply) => {
+      metrics.handovers.inc({ reply });
+      if (reply !== "accepted") {
+        log.write("debug", "handoverDeclined", { peer: id, reply });
+      }
+    },
+  });
+}
+
 function buildTargetListGuard(
   { settings, clock, log, getListAgeMs, refreshTargetList }:
     CallDependenciesOptions,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { type HandoverClient, HandoverServer } from "heatherarch-handover";
+import type { LinkIdentity } from "heatherarch-mesh";
 import type { LogPort } from "heatherarch-log";
 import type { UsageMeter } from "heatherarch-usage";
 import type { ForwardSettings } from "heatherarch-settings";
@@ -14,6 +16,10 @@
   StoreEpochPort,
 } from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
+import type { VmRecord } from "./model.ts";
+import type { CallServer } from "./calls/call_server.ts";
+import { decodeHandoverCall } from "./calls/handover_codec.ts";
+import { HandoverResponse } from "./calls/handover_response.ts";
 import { FleetDuties } from "./tasks/fleet_duties.ts";
 import type { Ingress } from "./tasks/ingress.ts";
 import type { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
@@ -39,6 +45,8 @@
 /** All components of a VM: the dependencies of calls, and the tasks. */
 export interface VmComponents extends CallDependencies {
   readonly storeEpoch: StoreEpoch;
+  readonly handoverClient: HandoverClient;
+  readonly handoverServer: HandoverServer;
   readonly mesh: FleetMesh;
   readonly roleController: RoleController;
   readonly ingress: Ingress;
@@ -63,18 +71,26 @@
   readonly onChangingRole: (targets: readonly string[]) => void;
 }
 
+/** Builds the identity by which peers know this VM. */
+export function buildIdentity(
+  { vm, mesh, listen }: ForwardSettings,
+  incarnation: string,
+): VmRecord & LinkIdentity {
+  return {
+    id: vm.id,
+    incarnation,
+    availabilityZone: vm.availabilityZone,
+    mesh: mesh.announce ?? listen.mesh,
+    capacity: vm.capacity,
+  };
+}
+
 /** Builds the mesh of this VM with its peers. */
 export function buildMesh(options: VmTaskOptions): FleetMesh {
   const { settings, ports, incarnation, getComponents } = options;
   const components = getComponents();
   return new FleetMesh({
-    self: {
-      id: settings.vm.id,
-      incarnation,
-      availabilityZone: settings.vm.availabilityZone,
-      mesh: settings.mesh.announce ?? settings.listen.mesh,
-      capacity: settings.vm.capacity,
-    },
+    self: buildIdentity(settings, incarnation),
     ...settings.mesh,
     listen: settings.listen.mesh,
     vms: ports.directory.vms,
@@ -104,6 +120,7 @@
     onLiveVms: options.onLiveVms,
     onChangingRole: options.onChangingRole,
     listChangingRole: () => getComponents().roleController.listChangingRole(),
+    acceptHandover: (link) => components.handoverServer.accept(link),
     onLoopStall: (lateMs) => components.metrics.loopLate.observe(lateMs / 1000),
     mayOrder: () =>
       getComponents().storeReader.isListCurrent &&
@@ -111,6 +128,31 @@
   });
 }
 
+/** Builds the task that serves the calls that peers hand over. */
+export function buildHandoverServer(
+  { getComponents }: VmTaskOptions,
+  callServer: CallServer,
+): HandoverServer {
+  const { activeConfig, pathMonitor, clock, log, metrics } = getComponents();
+  return new HandoverServer({
+    getMaxBodyBytes: () => activeConfig.table?.config.limits.maxBodyBytes ?? 0,
+    decideOffer: async ({ service, configVersion }) => {
+      if (activeConfig.version < configVersion) return "olderConfig";
+      return await pathMonitor.confirmPath(service) ? undefined : "noPath";
+    },
+    serve: async (head, body, responder) => {
+      const call = decodeHandoverCall(head, body, clock.readMonotonicMs());
+      if (call === undefined) return responder.destroy();
+      metrics.handoversServed.inc();
+      log.write("info", "callTakenOver", {
+        call: call.id,
+        peer: responder.peer,
+      });
+      await callServer.serve(call, new HandoverResponse(responder));
+    },
+  });
+}
+
 /** Builds the task that orders engines to change their role. */
 export function buildRoleController(options: VmTaskOptions): RoleController {
   const { settings, ports, incarnation, getComponents } = options;
--- /dev/null
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -0,0 +1,226 @@
+/**
+ * Accepts connections over which peers hand calls over, and serves the calls.
+ *
+ * @module
+ */
+import type {
+  DeclineReason,
+  Link,
+  LinkListener,
+  MeshMessage,
+} from "heatherarch-mesh";
+import type { HandoverOffer } from "./handover_connection.ts";
+import { MAX_PART_BYTES } from "./handover_connection.ts";
+
+/** Sends the response to one call back to the peer that handed it over. */
+export interface HandoverResponder {
+  /** Id of the peer that handed the call over. */
+  readonly peer: string;
+  /** Whether the peer has closed the connection, as it does when its client disconnects. */
+  readonly isDisconnected: boolean;
+  registerDisconnectListener(listener: () => void): () => void;
+  sendHead(head: unknown): void;
+  /** Sends bytes of the body. Returns false if the next ones should wait for a drain. */
+  sendBytes(bytes: Buffer): boolean;
+  registerDrainListener(listener: () => void): void;
+  end(): void;
+  /** Ends the call without a response of a target. */
+  fail(failure: unknown): void;
+  /** Closes the connection, which shows the peer that the response is incomplete. */
+  destroy(): void;
+}
+
+/** Options of {@linkcode HandoverServer}. */
+export interface HandoverServerOptions {
+  /** Returns why an offered call is declined; undefined if it is accepted. */
+  readonly decideOffer: (
+    offer: HandoverOffer,
+  ) => Promise<DeclineReason | undefined>;
+  /** Serves an accepted call to its end. */
+  readonly serve: (
+    head: unknown,
+    body: Buffer,
+    responder: HandoverResponder,
+  ) => Promise<void>;
+  /** Largest body of a request. */
+  readonly getMaxBodyBytes: () => number;
+  /** Calls that are served for peers at the same time. */
+  readonly maxCalls?: number;
+}
+
+const DEFAULT_MAX_CALLS = 64;
+/** Time within which an accepted call arrives, milliseconds. */
+const REQUEST_TIMEOUT_MS = 2000;
+
+/** The receiver's end of all handovers of one VM. */
+export class HandoverServer {
+  readonly #options: HandoverServerOptions;
+  readonly #sessions = new Set<Session>();
+  #isStopping = false;
+
+  constructor(options: HandoverServerOptions) {
+    this.#options = options;
+  }
+
+  /** Calls that are accepted and not ended. */
+  get openCalls(): number {
+    return [...this.#sessions].filter(({ isBusy }) => isBusy).length;
+  }
+
+  /** Declines all further calls. */
+  beginDrain(): void {
+    this.#isStopping = true;
+  }
+
+  /** Accepts a connection of a peer. */
+  accept(link: Link): LinkListener {
+    const session = new Session(link, {
+      ...this.#options,
+      decideOffer: (offer) => this.#decideOffer(offer),
+      onClose: () => this.#sessions.delete(session),
+    });
+    this.#sessions.add(session);
+    return session;
+  }
+
+  async #decideOffer(
+    offer: HandoverOffer,
+  ): Promise<DeclineReason | undefined> {
+    const { decideOffer, maxCalls = DEFAULT_MAX_CALLS } = this.#options;
+    if (this.#isStopping) return "stopping";
+    if (this.openCalls >= maxCalls) return "busy";
+    return await decideOffer(offer);
+  }
+}
+
+interface SessionOptions extends HandoverServerOptions {
+  readonly onClose: () => void;
+}
+
+/** `idle`, then `offered` until the reply, `accepted` until the request is complete, `serving`. */
+type SessionState = "idle" | "offered" | "accepted" | "serving" | "closed";
+
+/** One connection of a peer. */
+class Session implements LinkListener, HandoverResponder {
+  readonly #link: Link;
+  readonly #options: SessionOptions;
+  readonly #disconnectListeners = new Set<() => void>();
+  #state: SessionState = "idle";
+  #head: unknown;
+  #parts: Buffer[] = [];
+  #size = 0;
+  #requestTimer: NodeJS.Timeout | undefined;
+
+  constructor(link: Link, options: SessionOptions) {
+    this.#link = link;
+    this.#options = options;
+  }
+
+  get peer(): string {
+    return this.#link.peer?.id ?? "";
+  }
+
+  /** Whether a call is accepted and not ended. */
+  get isBusy(): boolean {
+    return this.#state === "accepted" || this.#state === "serving";
+  }
+
+  get isDisconnected(): boolean {
+    return this.#state === "closed";
+  }
+
+  onMessage(message: MeshMessage): void {
+    const state = this.#state;
+    if (message.kind === "offer" && state === "idle") {
+      void this.#replyToOffer(message);
+    } else if (message.kind === "request" && state === "accepted") {
+      this.#head = message.head;
+    } else if (message.kind === "bytes" && state === "accepted") {
+      this.#addPart(Buffer.from(message.bytes));
+    } else if (message.kind === "end" && state === "accepted") {
+      void this.#serve();
+    } else {
+      this.destroy();
+    }
+  }
+
+  onClose(): void {
+    if (this.#state === "closed") return;
+    this.#state = "closed";
+    clearTimeout(this.#requestTimer);
+    this.#options.onClose();
+    for (const listener of this.#disconnectListeners) listener();
+  }
+
+  registerDisconnectListener(listener: () => void): () => void {
+    this.#disconnectListeners.add(listener);
+    return () => {
+      this.#disconnectListeners.delete(listener);
+    };
+  }
+
+  sendHead(head: unknown): void {
+    this.#link.send({ kind: "response", head });
+  }
+
+  sendBytes(bytes: Buffer): boolean {
+    let mayContinue = true;
+    for (let start = 0; start < bytes.length; start += MAX_PART_BYTES) {
+      const part = bytes.subarray(start, start + MAX_PART_BYTES);
+      mayContinue = this.#link.send({ kind: "bytes", bytes: part });
+    }
+    return mayContinue;
+  }
+
+  registerDrainListener(listener: () => void): void {
+    this.#link.registerDrainListener(listener);
+  }
+
+  end(): void {
+    this.#becomeIdle();
+    this.#link.send({ kind: "end" });
+  }
+
+  fail(failure: unknown): void {
+    this.#becomeIdle();
+    this.#link.send({ kind: "failure", failure });
+  }
+
+  destroy(): void {
+    this.#link.close("closed");
+  }
+
+  async #replyToOffer(offer: HandoverOffer): Promise<void> {
+    this.#state = "offered";
+    const declined = await this.#options.decideOffer(offer);
+    if (this.isDisconnected) return;
+    this.#state = declined === undefined ? "accepted" : "idle";
+    if (declined === undefined) {
+      this.#requestTimer = setTimeout(
+        () => this.destroy(),
+        REQUEST_TIMEOUT_MS,
+      );
+    }
+    this.#link.send({ kind: "offerReply", declined });
+  }
+
+  #addPart(bytes: Buffer): void {
+    this.#size += bytes.length;
+    this.#parts.push(bytes);
+    if (this.#size > this.#options.getMaxBodyBytes()) this.destroy();
+  }
+
+  async #serve(): Promise<void> {
+    clearTimeout(this.#requestTimer);
+    this.#state = "serving";
+    const body = Buffer.concat(this.#parts);
+    this.#parts = [];
+    this.#size = 0;
+    await this.#options.serve(this.#head, body, this);
+  }
+
+  #becomeIdle(): void {
+    if (this.#state !== "closed") this.#state = "idle";
+    this.#disconnectListeners.clear();
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-handover/peer_selection.ts
@@ -0,0 +1,100 @@
+/**
+ * Picks the peer that a call is offered to next, from what the peers have replied to earlier offers.
+ * The module has no clock: each update carries the time.
+ *
+ * @module
+ */
+import type { DeclineReason } from "heatherarch-mesh";
+
+/** A VM that a call may be offered to. */
+export interface HandoverPeer {
+  readonly id: string;
+  readonly availabilityZone: string;
+  /** Address of its mesh port. */
+  readonly mesh: string;
+}
+
+/** Why a peer did not take a call. */
+export type OfferFailure = DeclineReason | "unreachable";
+
+/** Options of {@linkcode PeerSelection}. */
+export interface PeerSelectionOptions {
+  /** Peers of this zone are asked first. */
+  readonly availabilityZone: string;
+  /** Draws a uniformly distributed number in [0, 1). */
+  readonly drawUnit: () => number;
+}
+
+/** Time for which a peer is not asked again, milliseconds. */
+const AVOIDANCE_MS: Readonly<Record<OfferFailure, number>> = {
+  noPath: 1000,
+  busy: 150,
+  olderConfig: 300,
+  stopping: 5000,
+  unreachable: 2000,
+};
+/** Time for which a peer that has accepted a call is preferred, milliseconds. */
+const PREFERENCE_MS = 2000;
+
+interface PeerState {
+  preferUntilMs: number;
+  avoidUntilMs: number;
+}
+
+/** What one VM knows of its peers' readiness to take calls. */
+export class PeerSelection {
+  readonly #options: PeerSelectionOptions;
+  readonly #states = new Map<string, PeerState>();
+
+  constructor(options: PeerSelectionOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Picks a peer that was not asked for this call: those that accepted one lately first, and those
+   * of the same zone before others.
+   */
+  pickPeer(
+    peers: readonly HandoverPeer[],
+    asked: ReadonlySet<string>,
+    nowMs: number,
+  ): HandoverPeer | undefined {
+    let best: HandoverPeer | undefined;
+    let bestScore = Infinity;
+    for (const peer of peers) {
+      if (asked.has(peer.id) || this.#isAvoided(peer.id, nowMs)) continue;
+      const score = this.#computeRank(peer, nowMs) + this.#options.drawUnit();
+      if (score >= bestScore) continue;
+      best = peer;
+      bestScore = score;
+    }
+    return best;
+  }
+
+  /** Records that a peer accepted a call. */
+  recordAccepted(id: string, nowMs: number): void {
+    this.#states.set(id, {
+      preferUntilMs: nowMs + PREFERENCE_MS,
+      avoidUntilMs: -Infinity,
+    });
+  }
+
+  /** Records that a peer did not take a call. */
+  recordFailure(id: string, failure: OfferFailure, nowMs: number): void {
+    this.#states.set(id, {
+      preferUntilMs: -Infinity,
+      avoidUntilMs: nowMs + AVOIDANCE_MS[failure],
+    });
+  }
+
+  #isAvoided(id: string, nowMs: number): boolean {
+    return (this.#states.get(id)?.avoidUntilMs ?? -Infinity) > nowMs;
+  }
+
+  #computeRank({ id, availabilityZone }: HandoverPeer, nowMs: number): number {
+    const isPreferred = (this.#states.get(id)?.preferUntilMs ?? -Infinity) >
+      nowMs;
+    const isNear = availabilityZone === this.#options.availabilityZone;
+    return (isPreferred ? 0 : 2) + (isNear ? 0 : 1);
+  }
+}
--- a/packages/heatherarch-mesh/link.ts
+++ b/packages/heatherarch-mesh/link.ts
@@ -23,6 +23,8 @@
   readonly mesh: string;
   /** Capacity of the VM as a hub. A higher value is preferred. */
   readonly capacity?: number;
+  /** Purpose of the connection; without one it is a link of the mesh. */
+  readonly purpose?: "handover";
 }
 
 /** Reason for which this end closes a link. */
@@ -107,16 +109,35 @@
     return this.#bytesReceived;
   }
 
-  /** Sends a message. A message to a closed link is dropped. */
-  send(message: MeshMessage): void {
-    if (this.#closed) return;
+  /**
+   * Sends a message. A message to a closed link is dropped. Returns false if the next one should
+   * wait for {@linkcode registerDrainListener}.
+   */
+  send(message: MeshMessage): boolean {
+    if (this.#closed) return true;
     const frame = encodeFrame(message);
     this.#bytesSent += frame.length;
     this.#lastSentMs = this.#options.clock.readMonotonicMs();
-    this.#options.socket.write(frame);
+    const mayContinue = this.#options.socket.write(frame);
     if (this.#options.socket.writableLength > MAX_BUFFERED_BYTES) {
       this.close("tooSlow");
     }
+    return mayContinue;
+  }
+
+  /** Calls `listener` once the write buffer has drained. */
+  registerDrainListener(listener: () => void): void {
+    this.#options.socket.once("drain", listener);
+  }
+
+  /** Stops reading until {@linkcode resume}, so that the peer can't send much more. */
+  pause(): void {
+    this.#options.socket.pause();
+  }
+
+  /** Continues to read. */
+  resume(): void {
+    this.#options.socket.resume();
   }
 
   /** Closes the connection at once. */
@@ -138,6 +159,7 @@
       availabilityZone: self.availabilityZone,
       mesh: self.mesh,
       capacity: self.capacity,
+      purpose: self.purpose,
       nonce: this.#nonce,
     });
   }
@@ -192,6 +214,7 @@
       availabilityZone: hello.availabilityZone,
       mesh: hello.mesh,
       ...(hello.capacity === undefined ? {} : { capacity: hello.capacity }),
+      ...(hello.purpose === undefined ? {} : { purpose: hello.purpose }),
     };
     const mac = computeProof(
       this.#options.sharedKey,
--- a/packages/heatherarch-mesh/mesh_node.ts
+++ b/packages/heatherarch-mesh/mesh_node.ts
@@ -25,6 +25,12 @@
   waitedMs: number,
 ) => void;
 
+/** What happens on a connection that a peer opened for a purpose other than the mesh. */
+export interface LinkListener {
+  onMessage(message: MeshMessage): void;
+  onClose(): void;
+}
+
 /** Options of {@linkcode MeshNode}. */
 export interface MeshNodeOptions {
   readonly self: LinkIdentity;
@@ -60,6 +66,8 @@
   readonly onLinkClosed: (reason: LinkCloseReason) => void;
   /** Called when the process runs again after a stall. */
   readonly onLoopStall?: (stall: LoopStall) => void;
+  /** Accepts a connection over which a peer hands calls over. By default it is closed. */
+  readonly acceptHandover?: (link: Link) => LinkListener;
   /** Called before the heartbeats of a round are built. */
   readonly onRound?: () => void;
 }
@@ -93,6 +101,8 @@
   readonly #heartbeatListeners = new Set<HeartbeatListener>();
   readonly #dialed = new Map<string, DialState>();
   readonly #accepted = new Set<Link>();
+  /** Connections over which peers hand calls over. */
+  readonly #handovers = new Map<Link, LinkListener>();
   readonly #calls = new MeshCalls();
   readonly #loopStalls: LoopStallDetector;
   #server: Server | undefined;
@@ -313,12 +323,24 @@
 
   #accept(socket: Socket): void {
     const link = this.#createLink(socket, {
-      onReady: () => undefined,
-      onClose: (closed) => this.#accepted.delete(closed),
+      onReady: (ready) => this.#handleAcceptedReady(ready),
+      onClose: (closed) => {
+        this.#accepted.delete(closed);
+        this.#handovers.get(closed)?.onClose();
+        this.#handovers.delete(closed);
+      },
     });
     this.#accepted.add(link);
   }
 
+  #handleAcceptedReady(link: Link): void {
+    if (link.peer?.purpose !== "handover") return;
+    const { acceptHandover } = this.#options;
+    if (acceptHandover === undefined) return link.close("closed");
+    this.#accepted.delete(link);
+    this.#handovers.set(link, acceptHandover(link));
+  }
+
   #createLink(
     socket: Socket,
     hooks: { onReady: (link: Link) => void; onClose: (link: Link) => void },
@@ -334,7 +356,9 @@
       onReady: (link) => {
         this.#recordContact(link);
         hooks.onReady(link);
-        if (!link.isClosed) this.#sendHeartbeat(link);
+        if (!link.isClosed && !this.#handovers.has(link)) {
+          this.#sendHeartbeat(link);
+        }
       },
       onMessage: (link, message) => this.#receive(link, message),
       onClose: (link, reason) => {
@@ -348,6 +372,8 @@
 
   #receive(link: Link, message: MeshMessage): void {
     this.#recordContact(link);
+    const handover = this.#handovers.get(link);
+    if (handover !== undefined) return handover.onMessage(message);
     const waitedMs = this.#recordTick();
     const peer = link.peer as LinkIdentity;
     switch (message.kind) {
@@ -368,8 +394,9 @@
     }
   }
 
+  /** Connections of another purpose say nothing about the links of the mesh. */
   #recordContact(link: Link): void {
-    if (link.peer === undefined) return;
+    if (link.peer === undefined || link.peer.purpose !== undefined) return;
     this.#options.membership.recordContact(
       link.peer,
       this.#options.clock.readMonotonicMs(),
@@ -404,7 +431,7 @@
   }
 
   #listLinks(): Link[] {
-    const links = [...this.#accepted];
+    const links = [...this.#accepted, ...this.#handovers.keys()];
     for (const { link, probe } of this.#dialed.values()) {
       if (link) links.push(link);
       if (probe) links.push(probe);
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { z } from "zod";
+import { HANDOVER_MESSAGES } from "./handover_messages.ts";
 
 /** Version of the mesh protocol. Links to peers of another version are closed. */
 export const MESH_FORMAT = 1;
@@ -184,6 +185,8 @@
     availabilityZone: z.string().min(1).max(64),
     mesh: z.string().max(64),
     capacity: z.number().optional(),
+    /** Purpose of the connection; without one it is a link of the mesh. */
+    purpose: z.enum(["handover"]).optional(),
     nonce: z.string().max(64),
   }),
   z.object({ kind: z.literal("prove"), mac: z.string().max(128) }),
@@ -202,6 +205,7 @@
     ok: z.boolean(),
     body: z.unknown(),
   }),
+  ...HANDOVER_MESSAGES,
 ]);
 
 /** One message between entry VMs. */
--- a/packages/heatherarch-mesh/mod.ts
+++ b/packages/heatherarch-mesh/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./frame.ts";
+export * from "./handover_messages.ts";
 export * from "./hub_selection.ts";
 export * from "./leaving_set.ts";
 export * from "./link.ts";
