Work in flight ends at once when a VM loses its path, and moves to a peer

Cause: prefills that hang at cut VMs count as work of the engines for all VMs, each with its time and up to 400 ms more, until their timeout; waiting calls see busy engines. Change: when a path is lost, attempts that are not sent or may be repeated are aborted, and waiting prompts leave the queue; both are handed over.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -131,17 +131,28 @@
   return () => clearTimeout(timer);
 }
 
-/** Has the path to targets checked while there is no response. Returns a function that stops this. */
+/**
+ * Has the path to targets checked while there is no response. If the path is lost, aborts an attempt
+ * that is not sent or may be repeated. Returns a function that stops this.
+ */
 function watchPath(options: AwaitAttemptOptions): () => void {
-  const { context, target } = options;
+  const { context, target, exchange, timeoutMs } = options;
   const { expectedMs = computeSuspicionMs(context.route.aimMs) } = options;
   const { pathMonitor } = context.dependencies;
+  const removeListener = pathMonitor.registerLossListener(
+    target.service,
+    () => {
+      const isRepeatable = timeoutMs !== undefined;
+      if (isRepeatable || !exchange.isSent) exchange.abort("path lost");
+    },
+  );
   const timer = setInterval(() => {
     const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
     if (silentMs >= expectedMs) pathMonitor.recordTrouble(target);
   }, expectedMs);
   return () => {
     clearInterval(timer);
+    removeListener();
   };
 }
 
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -229,7 +229,8 @@
   /** Waits until an engine is about to be free, and books the prefill there. */
   #awaitBooking(isResumed: boolean): Promise<BookedPrefill | PrefillResult> {
     const context = this.#context;
-    const { prefillQueue, prefillTimeModel } = context.dependencies;
+    const { prefillQueue, prefillTimeModel, pathMonitor } =
+      context.dependencies;
     const { priority, route: { aimMs } } = context;
     const { waitStartedAtMs, timeoutAtMs } = computeWaitLimits({
       arrivedAtMs: context.call.arrivedAtMs,
@@ -238,6 +239,11 @@
       ...(isResumed ? { interruptedAtMs: context.nowMs } : {}),
     });
     return new Promise((resolve) => {
+      let removeListener = (): void => undefined;
+      const settle = (result: BookedPrefill | PrefillResult): void => {
+        removeListener();
+        resolve(result);
+      };
       const cancel = prefillQueue.enqueue({
         lane: computeLane(priority),
         kind: context.route.name,
@@ -249,15 +255,22 @@
         findPlacement: () => this.#findPlacement(),
         mayPrefillLate: () => this.#mayPrefillLate(),
         onOutcome: (outcome) =>
-          resolve(
+          settle(
             outcome.kind === "placed"
               ? this.#beginPrefill(outcome.placed)
               : outcome,
           ),
       });
+      removeListener = pathMonitor.registerLossListener(
+        context.service.name,
+        () => {
+          cancel();
+          settle({ kind: "failed", reason: "path lost" });
+        },
+      );
       void context.ended.then(() => {
         cancel();
-        resolve({ kind: "over" });
+        settle({ kind: "over" });
       });
     });
   }
