A refused connection proves a crash only if this VM reaches another target

What callers saw (own test): a harmless request was refused by all VMs for 1,199 s after the path of one VM refused connections. One VM's refused connection proved a crash for all VMs, and on a VM whose own path refuses, every request in flight is accused at three targets at once. Change: the detector asks whether the refusal is credible: another target of the service, or any if there is none, responds to this VM. Otherwise the loss stays pending, and a new incarnation at the address still proves the crash. The daemon of our own interface asks the same by probes.

--- a/packages/heatherarch-daemon/components.ts
+++ b/packages/heatherarch-daemon/components.ts
@@ -138,11 +138,23 @@
   return new RequestQuarantine({ maxCrashes, holdMs: holdSeconds * 1000 });
 }
 
+/** Other targets that are probed to tell a crash from a lost path of this VM. */
+const MAX_PROBED_TARGETS = 3;
+
 /** Builds the quarantine watch, which logs lost attempts, crashes and quarantine changes. */
 export function buildQuarantineWatch(components: Components): QuarantineWatch {
   const { quarantine, clock, table, logger } = components;
+  const targetProbe = new TargetProbe();
   const crashDetector = new CrashDetector({
-    targetProbe: new TargetProbe(),
+    targetProbe,
+    isRefusalCredible: async (incarnation) => {
+      const id = getTargetId(incarnation);
+      const others = table.listTargets().filter((target) => target.id !== id);
+      if (others.length === 0) return true;
+      const probes = others.slice(0, MAX_PROBED_TARGETS)
+        .map(({ address }) => targetProbe.probe(address));
+      return (await Promise.all(probes)).includes("accepted");
+    },
     quarantine,
     clock,
     isInService: (incarnation) => table.isInService(getTargetId(incarnation)),
--- a/packages/heatherarch-forward/calls/quarantine_guard.ts
+++ b/packages/heatherarch-forward/calls/quarantine_guard.ts
@@ -99,9 +99,7 @@
     const { id, host } = this.#options.call;
     void exchange.ended.then((end) => {
       if (end === "ended") return;
-      if (end.isConnectionRefused) {
-        crashDetector.recordCrash(target.id, "refusedConnection");
-      }
+      if (end.isConnectionRefused) void crashDetector.recordRefusal(target.id);
       if (end.fault !== "lost") return;
       this.#hasLostExchange = true;
       this.#investigations.push(crashDetector.investigateLoss({
--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -22,7 +22,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Pick<ForwardMetrics, "pathsLost">;
-  readonly directory: Pick<TargetDirectory, "listServing">;
+  readonly directory: Pick<TargetDirectory, "listServing" | "listAll">;
   readonly backoffs: Pick<TargetBackoffs, "isInBackoff">;
   readonly health: Pick<TargetHealth, "getLastResponseAtMs" | "clearAvoidance">;
   readonly connections: Pick<TargetConnections, "renew">;
@@ -65,6 +65,8 @@
   readonly #options: PathMonitorOptions;
   readonly #groups = new Map<string, TargetGroup>();
   readonly #lossListeners = new Map<string, Set<() => void>>();
+  /** Checks of refused connections in progress, by target. */
+  readonly #refusalChecks = new Map<string, Promise<boolean>>();
   #isStopped = false;
 
   constructor(options: PathMonitorOptions) {
@@ -121,13 +123,20 @@
    * same service if there is one, responds to this VM.
    */
   async confirmRefusal({ id, service }: Target): Promise<boolean> {
-    const siblings = this.#listProbed(
-      this.#options.directory.listServing(service).filter((other) =>
-        other.id !== id
-      ),
-    );
-    if (siblings.length === 0) return this.hasAllPaths;
-    return await this.#probeAny(siblings);
+    const { directory } = this.#options;
+    const isOther = (target: Target): boolean => target.id !== id;
+    const siblings = directory.listServing(service).filter(isOther);
+    const others = siblings.length > 0
+      ? siblings
+      : directory.listAll().filter(isOther);
+    if (others.length === 0) return true;
+    let check = this.#refusalChecks.get(id);
+    if (check === undefined) {
+      check = this.#probeAny(this.#listProbed(others))
+        .finally(() => this.#refusalChecks.delete(id));
+      this.#refusalChecks.set(id, check);
+    }
+    return await check;
   }
 
   /** Registers a listener for the loss of a path to a service. Returns its removal. */
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -59,8 +59,10 @@
     | "recordTrouble"
     | "getLastContactAtMs"
     | "registerLossListener"
+    | "confirmRefusal"
   > = {
     hasPath: () => true,
+    confirmRefusal: () => Promise.resolve(true),
     recordTrouble: () => undefined,
     getLastContactAtMs: () => Infinity,
     registerLossListener: () => () => undefined,
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -174,6 +174,7 @@
     const log = new MemoryEventLog();
     const metrics = new ForwardMetrics();
     const quarantine = new RequestQuarantine();
+    const pathMonitor = buildIdlePathMonitor();
     return {
       clock,
       codec: buildCodec(),
@@ -186,7 +187,14 @@
       targetListGuard: buildIdleGuard(clock),
       quarantine,
       crashDetector: buildCrashDetector(
-        { quarantine, directory: this.#directory, clock, log, metrics },
+        {
+          quarantine,
+          directory: this.#directory,
+          pathMonitor,
+          clock,
+          log,
+          metrics,
+        },
         { probe: () => Promise.resolve("accepted") },
       ),
       retryBudget: new FleetRetryBudget({
@@ -204,7 +212,7 @@
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
       metrics,
-      pathMonitor: buildIdlePathMonitor(),
+      pathMonitor,
       handoverClient: { offerCall: () => Promise.resolve(undefined) },
       drawUnit: () => 0,
     } as unknown as CallDependencies;
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -167,6 +167,7 @@
     crashDetector: buildCrashDetector({
       quarantine,
       directory,
+      pathMonitor,
       clock,
       log,
       metrics,
@@ -236,9 +237,9 @@
 
 /** Builds the detector of crashed targets, which logs each lost exchange and each crash. */
 export function buildCrashDetector(
-  { quarantine, directory, clock, log, metrics }: Pick<
+  { quarantine, directory, pathMonitor, clock, log, metrics }: Pick<
     CallDependencies,
-    "quarantine" | "directory" | "clock" | "log" | "metrics"
+    "quarantine" | "directory" | "pathMonitor" | "clock" | "log" | "metrics"
   >,
   targetProbe: Pick<TargetProbe, "probe"> = new TargetProbe(),
 ): CrashDetector {
@@ -249,6 +250,10 @@
     isInService: (target) =>
       directory.findTarget(target) !== undefined &&
       !directory.isLeaving(target),
+    isRefusalCredible: async (id) => {
+      const target = directory.findTarget(id);
+      return target !== undefined && await pathMonitor.confirmRefusal(target);
+    },
     onLoss: ({ call, request, target, address, reason }, probe) =>
       log.write("info", "exchangeLost", {
         call,
--- a/packages/heatherarch-quarantine/crash_detector.ts
+++ b/packages/heatherarch-quarantine/crash_detector.ts
@@ -34,6 +34,11 @@
   readonly clock: Clock;
   /** Whether a target is in service. A target that is leaving or gone may stop without a crash. */
   readonly isInService: (target: string) => boolean;
+  /**
+   * Resolves with whether a refused connection tells of the target. If this VM reaches no other target
+   * either, its own path may be at fault.
+   */
+  readonly isRefusalCredible: (target: string) => Promise<boolean>;
   /** Called after the target of a lost exchange was probed. */
   readonly onLoss: (loss: Loss, probe: ProbeResult) => void;
   /** Called when a target crashed while these requests were in flight there. */
@@ -70,10 +75,17 @@
     this.#addPending(loss);
     const probe = await targetProbe.probe(loss.address);
     onLoss(loss, probe);
-    if (probe === "refused") this.recordCrash(loss.target, "refusedConnection");
+    if (probe === "refused") await this.recordRefusal(loss.target);
     return probe;
   }
 
+  /** Records that a target refused a connection, which proves a crash if it is credible. */
+  async recordRefusal(target: string): Promise<void> {
+    if (!this.#pending.has(target)) return;
+    if (!await this.#options.isRefusalCredible(target)) return;
+    this.recordCrash(target, "refusedConnection");
+  }
+
   /** Records that a target crashed, and reports the crash for all requests that were lost there. */
   recordCrash(target: string, evidence: CrashEvidence): void {
     const { quarantine, clock, onCrash } = this.#options;
--- a/packages/heatherarch-quarantine/tests/unit/crash_detector_test.ts
+++ b/packages/heatherarch-quarantine/tests/unit/crash_detector_test.ts
@@ -11,7 +11,11 @@
 const ADDRESS = "127.0.0.1:1";
 
 /** Builds a detector whose probes all return `result`, and helpers for one target. */
-function build(result: ProbeResult, isInService = true) {
+function build(
+  result: ProbeResult,
+  isInService = true,
+  isRefusalCredible = true,
+) {
   let nowMs = 0;
   const quarantine = new RequestQuarantine();
   const detector = new CrashDetector({
@@ -19,6 +23,7 @@
     quarantine,
     clock: { readMonotonicMs: () => nowMs } as unknown as Clock,
     isInService: () => isInService,
+    isRefusalCredible: () => Promise.resolve(isRefusalCredible),
     onLoss: () => undefined,
     onCrash: () => undefined,
   });
@@ -44,6 +49,15 @@
   assert.equal(quarantine.countCrashes("s"), 1);
 });
 
+// Guards against accusations by a VM whose own path to all targets refuses connections.
+test("a refused connection is no crash if this VM reaches no other target", async () => {
+  const { detector, quarantine, lose } = build("refused", true, false);
+  await lose("r");
+  assert.equal(quarantine.isEmpty, true);
+  detector.recordCrash(TARGET, "replaced");
+  assert.equal(quarantine.countCrashes("r"), 1);
+});
+
 test("a lost response or connection of a target that still listens is no crash", async () => {
   const { quarantine, lose } = build("accepted");
   await lose("r");
