A VM without a path to engines neither seeks nor keeps the lease on their roles

A VM that reaches no decode engine plans changes, takes the lease and keeps it as long as they are due, although it can send no order; VMs that reach the engines wait. Change: the plan leaves out services whose path is lost, the lease is released, and the VM no longer announces that it may give orders. Measured: the new test fails without the check of the path (the lease is kept) and passes with it.

--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -47,6 +47,8 @@
   readonly listOrderCandidates: () => readonly string[];
   /** Whether this VM reads the platform's target list itself and its last read succeeded. */
   readonly isListCurrent: () => boolean;
+  /** Whether this VM reaches the engines of a service. Without that, other VMs order them. */
+  readonly hasPath: (service: string) => boolean;
   /** Whether this VM is one of those that usually send orders. */
   readonly isCoordinator?: () => boolean;
 }
@@ -141,7 +143,8 @@
     const changes = this.#plan(nowMs);
     if (changes.length === 0) {
       this.#changesDueSinceMs = Infinity;
-      await this.#resignIfIdle(nowMs);
+      if (this.#hasAllPaths) await this.#resignIfIdle(nowMs);
+      else await this.#lease.resign("path to engines lost");
       return;
     }
     this.#changesDueSinceMs = Math.min(this.#changesDueSinceMs, nowMs);
@@ -163,6 +166,7 @@
     let count = 0;
     for (const service of table.config.services) {
       if (service.engine === undefined) continue;
+      if (!this.#options.hasPath(service.name)) continue;
       const engines = directory.listServing(service.name)
         .filter((target) => target.role !== undefined)
         .map((target) => this.#applyPending(target, nowMs));
@@ -179,6 +183,14 @@
     return nowMs - this.#countGrewAtMs < LIST_SETTLE_MS ? [] : changes;
   }
 
+  get #hasAllPaths(): boolean {
+    const { activeConfig, hasPath } = this.#options;
+    const services = activeConfig.table?.config.services ?? [];
+    return services.every(({ name, engine }) =>
+      engine === undefined || hasPath(name)
+    );
+  }
+
   #applyPending(target: Target, nowMs: number): Target {
     const pending = this.#pending.get(target.id);
     if (pending === undefined) return this.#applyPeerOrder(target, nowMs);
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -123,11 +123,18 @@
 
 /** Creates the controller of one VM for four engines that share one address. */
 function createController(
-  { address, clock, codec, isListCurrent = () => true }: {
+  {
+    address,
+    clock,
+    codec,
+    isListCurrent = () => true,
+    hasPath = () => true,
+  }: {
     address: string;
     clock: SuspendableClock;
     codec: CallCodec;
     isListCurrent?: () => boolean;
+    hasPath?: () => boolean;
   },
 ): { controller: RoleController; events: MemoryEventLog } {
   const directory = new TargetDirectory();
@@ -163,6 +170,7 @@
     metrics: new ForwardMetrics(),
     listOrderCandidates: () => ["vm-a"],
     isListCurrent,
+    hasPath,
   });
   return { controller: created, events };
 }
@@ -223,6 +231,29 @@
   assert.deepEqual(engine.orders, []);
 });
 
+// Guards against a VM that holds the lease for orders that it can't send, while VMs that reach the
+// engines wait for it.
+test("a VM that loses its path to engines releases the lease and seeks it no more", async () => {
+  const listNames = (): string[] =>
+    created.events.lines.map(({ event }) => event);
+  const created = createController({
+    address: "127.0.0.1:1",
+    clock: new SuspendableClock(),
+    codec: buildCodec(),
+    // The path is found to be lost once the first order could not be sent.
+    hasPath: () => !listNames().includes("engineUnanswered"),
+  });
+  controller = created.controller;
+  controller.start();
+  const untilMs = performance.now() + 5000;
+  while (!listNames().includes("leaseGivenUp") && performance.now() < untilMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  await new Promise((resolve) => setTimeout(resolve, 1000));
+  const leaseEvents = listNames().filter((name) => name.startsWith("lease"));
+  assert.deepEqual(leaseEvents, ["leaseSought", "leaseTaken", "leaseGivenUp"]);
+});
+
 // All VMs withhold work from an engine for as long as the VM that ordered its role change lists it as
 // changing. A change that did not expire would leave the engine without work.
 test("an ordered change expires in time although the list can't be read meanwhile", async () => {
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -124,7 +124,8 @@
     onLoopStall: (lateMs) => components.metrics.loopLate.observe(lateMs / 1000),
     mayOrder: () =>
       getComponents().storeReader.isListCurrent &&
-      getComponents().mesh.isCoordinator,
+      getComponents().mesh.isCoordinator &&
+      getComponents().pathMonitor.hasAllPaths,
   });
 }
 
@@ -173,6 +174,7 @@
     metrics: components.metrics,
     listOrderCandidates: () => getComponents().mesh.listOrderCandidates(),
     isListCurrent: () => getComponents().storeReader.isListCurrent,
+    hasPath: (service) => getComponents().pathMonitor.hasPath(service),
     isCoordinator: () => getComponents().mesh.isCoordinator,
   });
 }
