--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -16,6 +16,7 @@
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
+import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 
 /** Options of {@linkcode PathMonitor}. */
 export interface PathMonitorOptions {
@@ -24,6 +25,7 @@
   readonly metrics: Pick<ForwardMetrics, "pathsLost">;
   readonly directory: Pick<TargetDirectory, "listServing" | "listAll">;
   readonly backoffs: Pick<TargetBackoffs, "isInBackoff">;
+  readonly rateLimits: Pick<TargetRateLimits, "getMaxPerSecond">;
   readonly health: Pick<TargetHealth, "getLastResponseAtMs" | "clearAvoidance">;
   readonly connections: Pick<TargetConnections, "renew">;
   /** Resolves with whether the target responds to a request that it does not run. Never rejects. */
@@ -212,6 +214,7 @@
     const isSilentForLong = targets.length > 1 ||
       failingMs >= SINGLE_TARGET_SILENCE_MS;
     if (isSilentForLong) this.#recordLoss(group, targets, probed);
+    clearTimeout(group.timer);
     group.timer = setTimeout(
       () => void this.#probeGroup(group),
       LOST_ROUND_INTERVAL_MS,
@@ -221,13 +224,10 @@
 
   /** Lists a few targets: the one that responded last, and others, in other zones first. */
   #listProbed(targets: readonly Target[]): Target[] {
-    const { backoffs, health, drawUnit } = this.#options;
-    const nowMs = this.#nowMs;
-    const [latest, ...others] = targets
-      .filter(({ id }) => !backoffs.isInBackoff(id, nowMs))
-      .sort((a, b) =>
-        health.getLastResponseAtMs(b.id) - health.getLastResponseAtMs(a.id) || 0
-      );
+    const { health, drawUnit } = this.#options;
+    const [latest, ...others] = this.#listAvailable(targets).sort((a, b) =>
+      health.getLastResponseAtMs(b.id) - health.getLastResponseAtMs(a.id) || 0
+    );
     if (latest === undefined) return [];
     const ranked = others.map((target) => {
       const isNear = target.availabilityZone === latest.availabilityZone;
@@ -238,6 +238,19 @@
     return [latest, ...picked.map(({ target }) => target)];
   }
 
+  /** Lists targets that are not in backoff; those without a rate limit if there are any. */
+  #listAvailable(targets: readonly Target[]): Target[] {
+    const { backoffs, rateLimits } = this.#options;
+    const nowMs = this.#nowMs;
+    const available = targets.filter(({ id }) =>
+      !backoffs.isInBackoff(id, nowMs)
+    );
+    const unlimited = available.filter(({ id }) =>
+      rateLimits.getMaxPerSecond(id) === undefined
+    );
+    return unlimited.length > 0 ? unlimited : available;
+  }
+
   /** Resolves with true at the first response, or with false if there is none. */
   async #probeAny(targets: readonly Target[]): Promise<boolean> {
     const probes = targets.map(async (target) => {
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -138,6 +138,7 @@
     metrics,
     directory,
     backoffs,
+    rateLimits,
     health,
     connections,
     probe: (target) => probeResponse({ connections, codec }, target),
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -51,6 +51,8 @@
 const DEFAULT_MAX_CALLS = 64;
 /** Time within which an accepted call arrives, milliseconds. */
 const REQUEST_TIMEOUT_MS = 2000;
+/** Time after which an unused connection is closed; the sender closes it earlier, milliseconds. */
+const IDLE_TIMEOUT_MS = 10_000;
 
 /** The receiver's end of all handovers of one VM. */
 export class HandoverServer {
@@ -109,11 +111,13 @@
   #head: unknown;
   #parts: Buffer[] = [];
   #size = 0;
-  #requestTimer: NodeJS.Timeout | undefined;
+  /** Closes a connection on which nothing follows; there is none while a call is served. */
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(link: Link, options: SessionOptions) {
     this.#link = link;
     this.#options = options;
+    this.#startTimer(IDLE_TIMEOUT_MS);
   }
 
   get peer(): string {
@@ -147,7 +151,7 @@
   onClose(): void {
     if (this.#state === "closed") return;
     this.#state = "closed";
-    clearTimeout(this.#requestTimer);
+    clearTimeout(this.#timer);
     this.#options.onClose();
     for (const listener of this.#disconnectListeners) listener();
   }
@@ -194,13 +198,9 @@
     this.#state = "offered";
     const declined = await this.#options.decideOffer(offer);
     if (this.isDisconnected) return;
-    this.#state = declined === undefined ? "accepted" : "idle";
-    if (declined === undefined) {
-      this.#requestTimer = setTimeout(
-        () => this.destroy(),
-        REQUEST_TIMEOUT_MS,
-      );
-    }
+    const isAccepted = declined === undefined;
+    this.#state = isAccepted ? "accepted" : "idle";
+    this.#startTimer(isAccepted ? REQUEST_TIMEOUT_MS : IDLE_TIMEOUT_MS);
     this.#link.send({ kind: "offerReply", declined });
   }
 
@@ -211,7 +211,7 @@
   }
 
   async #serve(): Promise<void> {
-    clearTimeout(this.#requestTimer);
+    clearTimeout(this.#timer);
     this.#state = "serving";
     const body = Buffer.concat(this.#parts);
     this.#parts = [];
@@ -220,7 +220,14 @@
   }
 
   #becomeIdle(): void {
-    if (this.#state !== "closed") this.#state = "idle";
     this.#disconnectListeners.clear();
+    if (this.#state === "closed") return;
+    this.#state = "idle";
+    this.#startTimer(IDLE_TIMEOUT_MS);
+  }
+
+  #startTimer(timeoutMs: number): void {
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.destroy(), timeoutMs);
   }
 }
