Proof of calls that are handed over, with a mutation for each of its guards

Cause: RECOVER; at most once and a true "not run" have to hold over both hops. Change: the real handlers of both VMs under random ends of attempts, offers and connections.

--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -7,6 +7,7 @@
 import { CONFIG_PROOF } from "./config_proof.ts";
 import { CONFIG_READS_PROOF } from "./config_reads_proof.ts";
 import { GENERATION_PROOF } from "./generation_proof.ts";
+import { HANDOVER_PROOF } from "./handover_proof.ts";
 import { LEASE_PROOF } from "./lease_proof.ts";
 import { LEAVING_PROOF } from "./leaving_proof.ts";
 import { MEMBERSHIP_PROOF } from "./membership_proof.ts";
@@ -39,5 +40,6 @@
   { proof: RESTORED_LOG_PROOF, testRuns: 200, mutationRuns: 5000 },
   { proof: RATE_LIMIT_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
+  { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 2000 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
