Peers of other zones are asked after two of the own zone; a model of the ways compared

What clients would see: with a whole zone cut off in a fleet of 300 VMs, no call was handed over. Cause: peers of the own zone came first, and the six offers of a call went to VMs that were cut off as well. Change: after two peers of the own zone, others are asked. `npm run bench -- handover` compares the ways and measures a handed-over call.

--- a/packages/heatherarch-handover/peer_selection.ts
+++ b/packages/heatherarch-handover/peer_selection.ts
@@ -33,6 +33,11 @@
   stopping: 5000,
   unreachable: 2000,
 };
+/**
+ * Peers of the own zone that are asked for one call before those of other zones. A whole zone may be
+ * cut off.
+ */
+const MAX_NEAR_OFFERS = 2;
 /** Time for which a peer that has accepted a call is preferred, milliseconds. */
 const PREFERENCE_MS = 2000;
 
@@ -52,18 +57,23 @@
 
   /**
    * Picks a peer that was not asked for this call: those that accepted one lately first, and those
-   * of the same zone before others.
+   * of the same zone before others, unless some of them have been asked in vain.
    */
   pickPeer(
     peers: readonly HandoverPeer[],
     asked: ReadonlySet<string>,
     nowMs: number,
   ): HandoverPeer | undefined {
+    const nearAsked = peers.filter((peer) =>
+      asked.has(peer.id) && this.#isNear(peer)
+    );
+    const prefersNear = nearAsked.length < MAX_NEAR_OFFERS;
     let best: HandoverPeer | undefined;
     let bestScore = Infinity;
     for (const peer of peers) {
       if (asked.has(peer.id) || this.#isAvoided(peer.id, nowMs)) continue;
-      const score = this.#computeRank(peer, nowMs) + this.#options.drawUnit();
+      const rank = this.#computeRank(peer, prefersNear, nowMs);
+      const score = rank + this.#options.drawUnit();
       if (score >= bestScore) continue;
       best = peer;
       bestScore = score;
@@ -91,10 +101,17 @@
     return (this.#states.get(id)?.avoidUntilMs ?? -Infinity) > nowMs;
   }
 
-  #computeRank({ id, availabilityZone }: HandoverPeer, nowMs: number): number {
-    const isPreferred = (this.#states.get(id)?.preferUntilMs ?? -Infinity) >
-      nowMs;
-    const isNear = availabilityZone === this.#options.availabilityZone;
-    return (isPreferred ? 0 : 2) + (isNear ? 0 : 1);
+  #isNear({ availabilityZone }: HandoverPeer): boolean {
+    return availabilityZone === this.#options.availabilityZone;
+  }
+
+  #computeRank(
+    peer: HandoverPeer,
+    prefersNear: boolean,
+    nowMs: number,
+  ): number {
+    const { preferUntilMs = -Infinity } = this.#states.get(peer.id) ?? {};
+    const isPreferred = preferUntilMs > nowMs;
+    return (isPreferred ? 0 : 2) + (this.#isNear(peer) === prefersNear ? 0 : 1);
   }
 }
--- a/packages/heatherarch-handover/tests/unit/peer_selection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/peer_selection_test.ts
@@ -36,3 +36,18 @@
   assert.equal(selection.pickPeer([NEAR, FAR], new Set(), 500), undefined);
   assert.equal(selection.pickPeer([NEAR, FAR], new Set(), 1500), NEAR);
 });
+
+// Guards against a VM that asks only peers of its own zone while the whole zone is cut off.
+test("peers of other zones are asked after two of the own zone", () => {
+  const selection = buildSelection();
+  const peers = ["n1", "n2", "n3", "n4"].map((id) => buildPeer(id));
+  const asked = new Set<string>();
+  const order: string[] = [];
+  for (let i = 0; i < 3; i++) {
+    const peer = selection.pickPeer([...peers, FAR], asked, 0);
+    assert.ok(peer !== undefined);
+    asked.add(peer.id);
+    order.push(peer.id);
+  }
+  assert.deepEqual(order, ["n1", "n2", "far"]);
+});
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -30,6 +30,10 @@
   measureCheckCosts,
   runRateLimitBench,
 } from "../bench/rate_limit_bench.ts";
+import {
+  measureHandoverCost,
+  runHandoverBench,
+} from "../bench/handover_bench.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
 await yargs(hideBin(process.argv))
@@ -107,6 +111,18 @@
       if (args.json) printReport({ rows, costs }, true);
     },
   )
+  .command(
+    "handover",
+    "ways to serve calls at VMs without paths to targets, in fleets of 9 to 870 VMs",
+    (y) => y.option("seed", { type: "number", default: 1 }),
+    async (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = runHandoverBench({ ...args, print });
+      const cost = await measureHandoverCost(print);
+      if (args.json) printReport({ rows, cost }, true);
+      process.exit(0);
+    },
+  )
   .command(
     "mix",
     "goodput of policies while the request mix shifts",
