--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -22,8 +22,8 @@
 /** Whether a peer served the call to its end. If all declined, nothing was sent. */
 export type HandoverResult = "ended" | "declined";
 
-/** Options of {@linkcode handOverCall}. */
-export interface HandOverOptions {
+/** Options of {@linkcode CallHandover}. */
+export interface CallHandoverOptions {
   readonly context: CallContext;
   /** Relays the response to the client. */
   readonly relay: StreamRelay;
@@ -51,7 +51,7 @@
   readonly #relay: StreamRelay;
   readonly #asked = new Set<string>();
 
-  constructor({ context, relay }: HandOverOptions) {
+  constructor({ context, relay }: CallHandoverOptions) {
     this.#context = context;
     this.#relay = relay;
   }
