A slow reply of a peer avoids it for 200 ms, and stalls of the own process don't count

What callers saw (all tests beside 28 waiting processes on eight cores): cut VMs refused all calls for up to two seconds after each of their few peers had replied too late once. Cause: an offer without a reply within 300 ms avoided the peer for two seconds, also when the VM that offered had stalled itself.

--- a/packages/heatherarch-core/mod.ts
+++ b/packages/heatherarch-core/mod.ts
@@ -11,6 +11,7 @@
 export * from "./moment.ts";
 export * from "./random.ts";
 export * from "./result.ts";
+export * from "./stall_aware_timer.ts";
 export * from "./task.ts";
 export * from "./tokens.ts";
 export * from "./types.ts";
--- a/packages/heatherarch-handover/handover_connection.ts
+++ b/packages/heatherarch-handover/handover_connection.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import { type Clock, startStallAwareTimer } from "heatherarch-core";
 import {
   type DeclineReason,
   dialSocket,
@@ -87,7 +87,7 @@
 
   /** Offers a call. The connection is closed if there is no reply within `timeoutMs`. */
   async offer(offer: HandoverOffer, timeoutMs: number): Promise<OfferReply> {
-    const timer = setTimeout(() => this.close(), timeoutMs);
+    const stopTimer = startStallAwareTimer(() => this.close(), timeoutMs);
     try {
       if (!await this.#ready || this.isClosed) {
         this.close();
@@ -101,7 +101,7 @@
       if (result !== "accepted" && !this.isClosed) this.#options.onIdle(this);
       return result;
     } finally {
-      clearTimeout(timer);
+      stopTimer();
     }
   }
 
--- a/packages/heatherarch-handover/peer_selection.ts
+++ b/packages/heatherarch-handover/peer_selection.ts
@@ -31,8 +31,10 @@
   busy: 150,
   olderConfig: 300,
   stopping: 5000,
-  unreachable: 2000,
+  unreachable: 200,
 };
+/** Each further offer that a peer did not reply to doubles its avoidance, up to this factor. */
+const MAX_BACKOFF_FACTOR = 16;
 /**
  * Peers of the own zone that are asked for one call before those of other zones. A whole zone may be
  * cut off.
@@ -44,6 +46,8 @@
 interface PeerState {
   preferUntilMs: number;
   avoidUntilMs: number;
+  /** Consecutive offers that the peer did not reply to. */
+  readonly unanswered: number;
 }
 
 /** What one VM knows of its peers' readiness to take calls. */
@@ -86,14 +90,20 @@
     this.#states.set(id, {
       preferUntilMs: nowMs + PREFERENCE_MS,
       avoidUntilMs: -Infinity,
+      unanswered: 0,
     });
   }
 
   /** Records that a peer did not take a call. */
   recordFailure(id: string, failure: OfferFailure, nowMs: number): void {
+    const before = this.#states.get(id)?.unanswered ?? 0;
+    const factor = Math.min(2 ** before, MAX_BACKOFF_FACTOR);
+    const isUnanswered = failure === "unreachable";
+    const avoidMs = AVOIDANCE_MS[failure] * (isUnanswered ? factor : 1);
     this.#states.set(id, {
       preferUntilMs: -Infinity,
-      avoidUntilMs: nowMs + AVOIDANCE_MS[failure],
+      avoidUntilMs: nowMs + avoidMs,
+      unanswered: isUnanswered ? before + 1 : 0,
     });
   }
 
