A path is judged by six targets, and duties don't depend on paths to targets

Cause: three probes can all hit crashed targets; and a VM without a path no longer announced that it may give orders, from which the candidates for duties are taken too. Change: up to six targets are probed, all of a small service; the announcement is as before, and a VM without a path still neither seeks nor keeps the lease on roles.

--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -34,8 +34,11 @@
   readonly drawUnit: () => number;
 }
 
-/** Number of targets that are probed at once. */
-const PROBED_TARGETS = 3;
+/**
+ * Number of targets that are probed at once: all of a small service, most of whose targets may be
+ * gone while their entries are still listed.
+ */
+const PROBED_TARGETS = 6;
 /** Minimum interval between rounds of probes that attempts start, milliseconds. */
 const MIN_ROUND_INTERVAL_MS = 200;
 /** Interval between rounds of probes while a path is lost, milliseconds. */
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -124,8 +124,7 @@
     onLoopStall: (lateMs) => components.metrics.loopLate.observe(lateMs / 1000),
     mayOrder: () =>
       getComponents().storeReader.isListCurrent &&
-      getComponents().mesh.isCoordinator &&
-      getComponents().pathMonitor.hasAllPaths,
+      getComponents().mesh.isCoordinator,
   });
 }
 
