Calls that may have run before their handover, streams that go on at a peer, bounded timers

What clients would see, found by reading the change: a call that may have run at the VM that handed it over could be told "not run" by the peer's refusal, and a quarantined one broke an invariant there; a resumed stream started anew at the peer; a large body over a slow link was given up after two seconds in all. Change: a peer's promise counts only if nothing ran before; a handed-over stream goes on after the last event, also when the path is lost midway; the time for a request restarts with each part. What is remembered of peers is bounded.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -203,8 +203,12 @@
   /** Refuses the call if its request may not be sent. Returns whether the call continues. */
   admit(): boolean {
     const result = this.#quarantineGuard.admit();
-    if (result.kind === "quarantined") this.#refuseQuarantined(result.entry);
-    if (result.kind === "onTrial") {
+    if (result.kind !== "quarantined" && result.kind !== "onTrial") return true;
+    // A call that a peer handed over may have run there.
+    if (this.mayHaveRun) this.fail("targetFailed", QUARANTINED_REASON);
+    else if (result.kind === "quarantined") {
+      this.#refuseQuarantined(result.entry);
+    } else {
       this.refuse("overloaded", "another copy of the request is on trial", {
         retryAfterMs: TRIAL_RETRY_AFTER_MS,
         detail: { request: this.#quarantineGuard.digest },
@@ -267,10 +271,13 @@
   /** Ends the call with the error of the peer that it was handed over to. */
   endWithPeerFailure(error: ServeError): void {
     if (this.hasEnded) return;
-    const isRefused = error.run === "no" && !this.mayHaveRun;
-    if (this.clientResponse.isHeadSent) this.clientResponse.destroy();
-    else this.clientResponse.fail(error, this.call.id);
-    this.finish(isRefused ? "refused" : "failed", { reason: error.message });
+    const hasPromise = error.run === "no";
+    // The peer promises for itself only; the call may have run before.
+    if (this.clientResponse.isHeadSent || (hasPromise && this.mayHaveRun)) {
+      return this.fail("targetFailed", error.message);
+    }
+    this.clientResponse.fail(error, this.call.id);
+    this.finish(hasPromise ? "refused" : "failed", { reason: error.message });
   }
 
   /** Sends an attempt. An early end of the call aborts the latest attempt. */
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -84,6 +84,10 @@
     this.#relay = new StreamRelay({
       clientResponse: context.clientResponse,
       isResumable: context.route.kind === "resumableStream",
+      // A peer may have sent the beginning of the stream to the client.
+      lastEventId: context.call.handover === undefined
+        ? undefined
+        : context.call.lastEventId,
       onFirstByte: () => this.#recordFirstByte(),
     });
   }
@@ -253,10 +257,22 @@
       this.#tried.add(target.id);
       return this.#recordFailure(fault);
     }
+    const removeListener = this.#abortIfPathLost(exchange);
     const result = await this.#relay.relay(exchange, head);
+    removeListener();
     this.#handleRelayResult(target, head.status, result);
   }
 
+  /** Aborts a stream that a peer can resume if the path is lost. Returns a function that stops this. */
+  #abortIfPathLost(exchange: TargetExchange): () => void {
+    const { dependencies, service, route } = this.#context;
+    if (route.kind !== "resumableStream") return () => undefined;
+    return dependencies.pathMonitor.registerLossListener(
+      service.name,
+      () => exchange.abort("path lost"),
+    );
+  }
+
   #handleRelayResult(
     target: Target,
     status: number,
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -129,6 +129,8 @@
   readonly clientResponse: ClientResponse;
   /** Only complete events are sent, so that another target can resume after the last one. */
   readonly isResumable: boolean;
+  /** Id of the last event that the client has received already; undefined if it has none. */
+  readonly lastEventId?: string;
   /** Called when the first bytes of the body are sent. */
   readonly onFirstByte: () => void;
 }
@@ -141,6 +143,7 @@
 
   constructor(options: StreamRelayOptions) {
     this.#options = options;
+    this.#lastEventId = options.lastEventId;
   }
 
   /** Id of the last event that was sent. */
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RuntimeClock, ServeError } from "heatherarch-core";
+import { hashRequest, RequestQuarantine } from "heatherarch-quarantine";
+import {
+  CallContext,
+  type CallDependencies,
+  type ClientResponse,
+  FleetDemand,
+  FleetRetryBudget,
+  type ForwardedCall,
+  ForwardMetrics,
+  MemoryEventLog,
+  type TargetExchange,
+} from "../../mod.ts";
+import { buildIdlePathMonitor, buildRoute } from "./fixtures.ts";
+
+const RETRY_SHARE = 0.5;
+
+/** Builds the context of a call that may have run `runs` times at the VM that handed it over. */
+function buildContext(options: { runs?: number; isQuarantined?: boolean }) {
+  const { runs, isQuarantined = false } = options;
+  const clock = new RuntimeClock();
+  const quarantine = new RequestQuarantine({ maxCrashes: 1 });
+  const call: ForwardedCall = {
+    id: "call",
+    method: "POST",
+    path: "/a/x",
+    host: "a.example",
+    headers: [],
+    body: Buffer.from("body"),
+    arrivedAtMs: clock.readMonotonicMs(),
+    clientTimeoutMs: 2000,
+    ...(runs === undefined
+      ? {}
+      : { handover: { runs, isUsageRecorded: false } }),
+  };
+  if (isQuarantined) {
+    const nowMs = clock.readMonotonicMs();
+    quarantine.recordCrash(hashRequest(call), "a.example", "t", nowMs);
+  }
+  const failures: ServeError[] = [];
+  const retryBudget = new FleetRetryBudget({
+    fixedPerWindow: 0,
+    share: RETRY_SHARE,
+    windowMs: 10_000,
+  });
+  const fleetDemand = new FleetDemand();
+  const context = new CallContext({
+    dependencies: {
+      clock,
+      quarantine,
+      pathMonitor: buildIdlePathMonitor(),
+      retryBudget,
+      fleetDemand,
+      metrics: new ForwardMetrics(),
+      log: new MemoryEventLog(),
+      drawUnit: () => 0,
+    } as unknown as CallDependencies,
+    call,
+    route: buildRoute({ kind: "idempotent" }),
+    service: { name: "s", maxConnections: 10 },
+    configVersion: 1,
+    clientResponse: {
+      isHeadSent: false,
+      registerDisconnectListener: () => () => undefined,
+      fail: (error: ServeError) => void failures.push(error),
+    } as unknown as ClientResponse,
+  });
+  return { context, failures, fleetDemand, clock };
+}
+
+// Guards against "not run" for a call that may have run at the VM that handed it over.
+test("a quarantined call that may have run before its handover is not refused as not run", () => {
+  const { context, failures } = buildContext({ runs: 1, isQuarantined: true });
+  assert.equal(context.admit(), false);
+  assert.deepEqual(failures.map(({ kind }) => kind), ["targetFailed"]);
+});
+
+test("a quarantined call that has not run is refused", () => {
+  const { context, failures } = buildContext({ runs: 0, isQuarantined: true });
+  assert.equal(context.admit(), false);
+  assert.deepEqual(failures.map(({ kind }) => kind), ["quarantined"]);
+});
+
+// Guards against a peer's promise for a call that may have run before the peer got it.
+test("a peer's refusal is no promise for a call that may have run before", () => {
+  for (const runs of [0, 1]) {
+    const { context, failures } = buildContext({ runs });
+    context.endWithPeerFailure(new ServeError("overloaded", "no room"));
+    const kind = runs === 0 ? "overloaded" : "targetFailed";
+    assert.deepEqual(failures.map((error) => error.kind), [kind]);
+  }
+});
+
+// Guards against calls that two VMs count, which would widen shares and budgets.
+test("a call that is handed over is counted by the peer alone", () => {
+  const { context, fleetDemand, clock } = buildContext({});
+  const countCalls = (): number =>
+    fleetDemand.getOwnCallsPerMinute(clock.readMonotonicMs());
+  assert.ok(countCalls() > 0);
+  const undo = context.beginHandover(
+    { abort: () => undefined } as unknown as TargetExchange,
+  );
+  assert.equal(countCalls(), 0);
+  assert.equal(context.mayRunAgain, false);
+  undo();
+  assert.equal(context.mayRunAgain, true);
+  context.finish("delivered");
+});
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -46,13 +46,15 @@
   readonly getMaxBodyBytes: () => number;
   /** Calls that are served for peers at the same time. */
   readonly maxCalls?: number;
+  /** Time after which an unused connection is closed; the sender closes it earlier, milliseconds. */
+  readonly idleTimeoutMs?: number;
+  /** Time within which the next part of an accepted call arrives, milliseconds. */
+  readonly requestTimeoutMs?: number;
 }
 
 const DEFAULT_MAX_CALLS = 64;
-/** Time within which an accepted call arrives, milliseconds. */
-const REQUEST_TIMEOUT_MS = 2000;
-/** Time after which an unused connection is closed; the sender closes it earlier, milliseconds. */
-const IDLE_TIMEOUT_MS = 10_000;
+const DEFAULT_REQUEST_TIMEOUT_MS = 2000;
+const DEFAULT_IDLE_TIMEOUT_MS = 10_000;
 
 /** The receiver's end of all handovers of one VM. */
 export class HandoverServer {
@@ -117,7 +119,7 @@
   constructor(link: Link, options: SessionOptions) {
     this.#link = link;
     this.#options = options;
-    this.#startTimer(IDLE_TIMEOUT_MS);
+    this.#startIdleTimer();
   }
 
   get peer(): string {
@@ -200,11 +202,13 @@
     if (this.isDisconnected) return;
     const isAccepted = declined === undefined;
     this.#state = isAccepted ? "accepted" : "idle";
-    this.#startTimer(isAccepted ? REQUEST_TIMEOUT_MS : IDLE_TIMEOUT_MS);
+    if (isAccepted) this.#startRequestTimer();
+    else this.#startIdleTimer();
     this.#link.send({ kind: "offerReply", declined });
   }
 
   #addPart(bytes: Buffer): void {
+    this.#startRequestTimer();
     this.#size += bytes.length;
     this.#parts.push(bytes);
     if (this.#size > this.#options.getMaxBodyBytes()) this.destroy();
@@ -223,7 +227,17 @@
     this.#disconnectListeners.clear();
     if (this.#state === "closed") return;
     this.#state = "idle";
-    this.#startTimer(IDLE_TIMEOUT_MS);
+    this.#startIdleTimer();
+  }
+
+  #startIdleTimer(): void {
+    const { idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS } = this.#options;
+    this.#startTimer(idleTimeoutMs);
+  }
+
+  #startRequestTimer(): void {
+    const { requestTimeoutMs = DEFAULT_REQUEST_TIMEOUT_MS } = this.#options;
+    this.#startTimer(requestTimeoutMs);
   }
 
   #startTimer(timeoutMs: number): void {
--- a/packages/heatherarch-handover/peer_selection.ts
+++ b/packages/heatherarch-handover/peer_selection.ts
@@ -43,6 +43,9 @@
 /** Time for which a peer that has accepted a call is preferred, milliseconds. */
 const PREFERENCE_MS = 2000;
 
+/** Peers whose replies are remembered; the one that replied longest ago is forgotten first. */
+const MAX_REMEMBERED_PEERS = 2048;
+
 interface PeerState {
   preferUntilMs: number;
   avoidUntilMs: number;
@@ -87,7 +90,7 @@
 
   /** Records that a peer accepted a call. */
   recordAccepted(id: string, nowMs: number): void {
-    this.#states.set(id, {
+    this.#remember(id, {
       preferUntilMs: nowMs + PREFERENCE_MS,
       avoidUntilMs: -Infinity,
       unanswered: 0,
@@ -100,13 +103,20 @@
     const factor = Math.min(2 ** before, MAX_BACKOFF_FACTOR);
     const isUnanswered = failure === "unreachable";
     const avoidMs = AVOIDANCE_MS[failure] * (isUnanswered ? factor : 1);
-    this.#states.set(id, {
+    this.#remember(id, {
       preferUntilMs: -Infinity,
       avoidUntilMs: nowMs + avoidMs,
       unanswered: isUnanswered ? before + 1 : 0,
     });
   }
 
+  #remember(id: string, state: PeerState): void {
+    this.#states.delete(id);
+    this.#states.set(id, state);
+    const [oldest] = this.#states.keys();
+    if (this.#states.size > MAX_REMEMBERED_PEERS) this.#states.delete(oldest);
+  }
+
   #isAvoided(id: string, nowMs: number): boolean {
     return (this.#states.get(id)?.avoidUntilMs ?? -Infinity) > nowMs;
   }
--- a/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
-import { RuntimeClock } from "heatherarch-core";
+import { RuntimeClock, sleep } from "heatherarch-core";
 import {
   type DeclineReason,
   type LinkIdentity,
@@ -245,3 +245,18 @@
   const { end } = await sendCall(connection, Buffer.alloc(2000));
   assert.equal(end, "lost");
 });
+
+// Guards against connections that stay open for peers that have fallen silent.
+test("a peer closes a connection on which nothing follows", async () => {
+  const { mesh } = await startPeer({
+    idleTimeoutMs: 50,
+    requestTimeoutMs: 50,
+  });
+  const accepted = await offerCall(startClient(mesh));
+  await sleep(200);
+  assert.equal(accepted.isClosed, true, "no request after the offer");
+  const unused = await offerCall(startClient(mesh));
+  await sendCall(unused, Buffer.alloc(10));
+  await sleep(200);
+  assert.equal(unused.isClosed, true, "no offer after the call");
+});
--- a/packages/heatherarch-handover/tests/unit/peer_selection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/peer_selection_test.ts
@@ -65,3 +65,11 @@
   selection.recordFailure("near", "unreachable", 4000);
   assert.equal(selection.pickPeer([NEAR], new Set(), 4250), NEAR);
 });
+
+test("the replies of a bounded number of peers are remembered", () => {
+  const selection = buildSelection();
+  selection.recordFailure("near", "noPath", 0);
+  for (let i = 0; i < 2048; i++) selection.recordFailure(`p${i}`, "noPath", 0);
+  assert.equal(selection.pickPeer([NEAR], new Set(), 0), NEAR);
+  assert.equal(selection.pickPeer([buildPeer("p9")], new Set(), 0), undefined);
+});
