Logs name the software version of engines and the attempt that began a stream

The version of an entry and the id of the attempt that began a stream are decoded, and streamResumed and streamBroken name them. Nothing is decided by them yet.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -182,6 +182,7 @@
     const endRun = workTracker.beginRun(target.id, this.#prompt.promptTokens);
     try {
       const exchange = this.#send(target, prefilled);
+      this.#logResumption(target);
       const result = await awaitAttempt({
         context,
         target,
@@ -215,6 +216,20 @@
     return exchange;
   }
 
+  /** Logs which software version continues a stream, and which attempt began it. */
+  #logResumption({ id, softwareVersion }: Target): void {
+    const { call, dependencies } = this.#context;
+    const lastEventId = this.#relay.lastEventId ?? call.lastEventId;
+    if (lastEventId === undefined) return;
+    dependencies.log.write("info", "streamResumed", {
+      call: call.id,
+      begunBy: call.resumedAttemptId ?? call.id,
+      lastEventId,
+      target: id,
+      softwareVersion,
+    });
+  }
+
   async #handleResult(
     target: Target,
     prefilled: PrefilledPrompt | undefined,
@@ -294,6 +309,7 @@
     context.dependencies.log.write("info", "streamBroken", {
       call: context.call.id,
       target: target.id,
+      softwareVersion: target.softwareVersion,
       reason: result.message,
       lastEventId: this.#relay.lastEventId,
       mayResume: context.mayRunAgain,
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -39,6 +39,7 @@
   }).optional(),
   apiKey: z.string().optional(),
   lastEventId: z.string().optional(),
+  resumedAttemptId: z.string().optional(),
   runs: z.int().min(0),
   isUsageRecorded: z.boolean(),
 });
--- a/packages/heatherarch-forward/fleet/target_feed.ts
+++ b/packages/heatherarch-forward/fleet/target_feed.ts
@@ -40,7 +40,7 @@
 
 function decodeRow(row: TargetRow): KeyedEntry<Target> {
   const { id, service, address, availabilityZone, slots, leaving, role } = row;
-  const { instance, startedAtMs, isSpot } = row;
+  const { instance, startedAtMs, isSpot, softwareVersion } = row;
   if (address === undefined) return { key: id };
   const value: Target = {
     id,
@@ -51,6 +51,7 @@
     leaving: leaving ?? false,
     ...(role === undefined ? {} : { role }),
     ...(isSpot === undefined ? {} : { isSpot }),
+    ...(softwareVersion === undefined ? {} : { softwareVersion }),
     ...(instance === undefined ? {} : { instance }),
     ...(startedAtMs === undefined ? {} : { startedAtMs }),
   };
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -131,6 +131,8 @@
   readonly role?: TargetRole;
   /** The platform may reclaim the target. */
   readonly isSpot?: boolean;
+  /** Version of the target's software, not of the weights. */
+  readonly softwareVersion?: string;
 }
 
 /** What an engine reports about itself on request. */
@@ -199,6 +201,8 @@
   readonly account?: string;
   /** Id of the last event that the client received from an earlier stream. */
   readonly lastEventId?: string;
+  /** Id of the client's attempt that brought the first event of that stream. */
+  readonly resumedAttemptId?: string;
   /** Set if a peer handed the call over. Such a call is not handed over again. */
   readonly handover?: HandoverState;
 }
--- a/packages/heatherarch-forward/state/target_directory.ts
+++ b/packages/heatherarch-forward/state/target_directory.ts
@@ -455,5 +455,6 @@
 function hasSameListing(a: Target, b: Target): boolean {
   return a.address === b.address && a.service === b.service &&
     a.leaving === b.leaving && a.role === b.role && a.slots === b.slots &&
-    a.availabilityZone === b.availabilityZone;
+    a.availabilityZone === b.availabilityZone &&
+    a.softwareVersion === b.softwareVersion;
 }
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -90,6 +90,7 @@
   role: z.enum(["prefill", "decode"]).optional(),
   /** Whether the platform may reclaim the target. */
   isSpot: z.boolean().optional(),
+  softwareVersion: z.string().optional(),
   /** Id that the target's incarnations share, and the start of this one, Unix milliseconds. */
   instance: z.string().optional(),
   startedAtMs: z.int().optional(),
