Decode engines have one software version, as far as that costs no order

A stream goes on only at the version that began it. Surplus engines of other versions prefill first, a lost decode engine is replaced by one of the main version, the last one of a version stays while it has runs, and if each has a version of its own one more joins the main one. Four unit tests.

--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -6,7 +6,8 @@
  * Engines with few slots run out of them first, so more of these engines decode.
  *
  * A role change takes an engine out of service for seconds and loses its cache, so there are as few
- * changes as possible. A desired number of decode engines that followed the runs in progress moved
+ * changes as possible. A stream goes on only at the software version that began it, so the decode
+ * engines should have one version, as far as that takes no further changes. A desired number of decode engines that followed the runs in progress moved
  * 12 of 29 prefill engines to decode in bursts of ten seconds, and back afterwards.
  *
  * @module
@@ -25,6 +26,8 @@
   readonly isReachable?: (engine: Target) => boolean;
   /** Whether an engine takes less work than usual because of a rate limit; by default none does. */
   readonly isRateLimited?: (engine: Target) => boolean;
+  /** Whether an engine has runs in progress; by default none has. */
+  readonly hasRuns?: (engine: Target) => boolean;
   /** Share of the engines that should decode. */
   readonly decodeShare?: number;
   /** Smallest number of decode engines if there are enough engines: one may fail. */
@@ -72,7 +75,8 @@
  * Plans the fewest changes that lead to the desired number of decode engines, spread over
  * availability zones. A decode engine that does not respond is replaced before the target list drops
  * it, if fewer than the smallest number of decode engines respond. If rate limits keep all decode
- * engines from their usual work, one more engine decodes.
+ * engines from their usual work, one more engine decodes, and so if each of them has a software
+ * version of its own.
  */
 export function planRoles(
   engines: readonly Target[],
@@ -91,31 +95,52 @@
   const urgent = Math.min(desired, minDecodeEngines) - responding;
   const surplus = decodeEngines.length - desired;
   if (surplus > 0 && urgent <= 0) {
-    return pickFromLargestZones(decodeEngines, surplus)
+    return pickSurplus(decodeEngines, surplus, options)
       .map((target) => ({ target, role: "prefill" }));
   }
   const prefillEngines = usable
     .filter((engine) => engine.role === "prefill" && isReachable(engine))
     .filter((engine) => !isShort || !isRateLimited(engine));
-  const wanted = Math.max(-surplus, urgent);
+  const isScattered = hasOnlySingleVersions(decodeEngines, prefillEngines);
+  const wanted = Math.max(-surplus, urgent, isScattered ? 1 : 0);
   const missing = Math.min(wanted, Math.max(0, prefillEngines.length - 1));
   return pickForSmallestZones(prefillEngines, decodeEngines, missing)
     .map((target) => ({ target, role: "decode" }));
 }
 
 /**
- * Picks `count` engines, each from the zone that has the most engines left. Spot engines are picked
- * first, so that a reclaim takes few decode engines.
+ * Picks decode engines that should prefill. The last one of a software version stays while it has
+ * runs, as their streams can't go on elsewhere.
+ */
+function pickSurplus(
+  decodeEngines: readonly Target[],
+  count: number,
+  { hasRuns = () => false }: RolePlanOptions,
+): Target[] {
+  const kept = findMainVersion(decodeEngines);
+  const versions = countByVersion(decodeEngines);
+  return pickFromLargestZones(decodeEngines, count, kept).filter((engine) =>
+    versions.get(engine.softwareVersion) !== 1 || !hasRuns(engine)
+  );
+}
+
+/**
+ * Picks `count` engines, first those without the software version `kept`, then spot engines, so that
+ * a reclaim takes few decode engines; each from the zone that has the most engines left.
  */
 function pickFromLargestZones(
   engines: readonly Target[],
   count: number,
+  kept: string | undefined,
 ): Target[] {
   const remaining = sortById(engines);
   const picked: Target[] = [];
   while (picked.length < count) {
     const zones = countByZone(remaining);
-    const candidates = preferEngines(remaining, isSpot);
+    const candidates = preferEngines(
+      preferEngines(remaining, (engine) => engine.softwareVersion !== kept),
+      isSpot,
+    );
     let best = candidates[0];
     for (const engine of candidates) {
       const inZone = zones.get(engine.availabilityZone) as number;
@@ -128,8 +153,9 @@
 }
 
 /**
- * Picks `count` prefill engines, each from the zone that has the fewest decode engines. Spot engines
- * are picked last: all of a zone's may be reclaimed at once, and there are few decode engines.
+ * Picks `count` prefill engines, first those with the software version of most decode engines, then
+ * from the zone that has the fewest decode engines. Spot engines are picked last: all of a zone's may
+ * be reclaimed at once, and there are few decode engines.
  */
 function pickForSmallestZones(
   prefillEngines: readonly Target[],
@@ -140,7 +166,15 @@
   const zones = countByZone(decodeEngines);
   const picked: Target[] = [];
   while (picked.length < count) {
-    const candidates = preferEngines(remaining, (engine) => !isSpot(engine));
+    const version = findMainVersion([...decodeEngines, ...picked], remaining) ??
+      findMainVersion(remaining);
+    const candidates = preferEngines(
+      preferEngines(
+        remaining,
+        (engine) => engine.softwareVersion === version,
+      ),
+      (engine) => !isSpot(engine),
+    );
     let best = candidates[0];
     for (const engine of candidates) {
       const inZone = zones.get(engine.availabilityZone) ?? 0;
@@ -154,6 +188,51 @@
   return picked;
 }
 
+/**
+ * Whether no two decode engines have the same software version, so that no stream can go on when its
+ * engine fails, although a prefill engine could join one of them.
+ */
+function hasOnlySingleVersions(
+  decodeEngines: readonly Target[],
+  prefillEngines: readonly Target[],
+): boolean {
+  const versions = countByVersion(decodeEngines);
+  return versions.size > 1 && versions.size === decodeEngines.length &&
+    prefillEngines.some(({ softwareVersion }) => versions.has(softwareVersion));
+}
+
+/**
+ * Returns the software version that most of the engines have, and of several such versions the one
+ * that most of the `others` have; undefined if there are no engines.
+ */
+function findMainVersion(
+  engines: readonly Target[],
+  others: readonly Target[] = [],
+): string | undefined {
+  const versions = countByVersion(sortById(engines));
+  const otherVersions = countByVersion(others);
+  let main: string | undefined;
+  let mainRank = -1;
+  for (const [version, count] of versions) {
+    const rank = count + (otherVersions.get(version) ?? 0) /
+        (others.length + 1);
+    if (rank <= mainRank) continue;
+    main = version;
+    mainRank = rank;
+  }
+  return main;
+}
+
+function countByVersion(
+  engines: readonly Target[],
+): Map<string | undefined, number> {
+  const versions = new Map<string | undefined, number>();
+  for (const { softwareVersion } of engines) {
+    versions.set(softwareVersion, (versions.get(softwareVersion) ?? 0) + 1);
+  }
+  return versions;
+}
+
 function isSpot(engine: Target): boolean {
   return engine.isSpot ?? false;
 }
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -43,6 +43,8 @@
   readonly codec: CallCodec;
   readonly events: EventLog;
   readonly metrics: ForwardMetrics;
+  /** Whether an engine has runs in progress. */
+  readonly hasRuns: (engine: string) => boolean;
   /** Lists the ids of the live VMs that could send orders, this one included. */
   readonly listOrderCandidates: () => readonly string[];
   /** Whether this VM reads the platform's target list itself and its last read succeeded. */
@@ -174,6 +176,7 @@
       changes.push(...planRoles(engines, {
         isReachable: ({ id }) => health.isReachable(id),
         isRateLimited: ({ id }) => rateLimits.getMaxPerSecond(id) !== undefined,
+        hasRuns: ({ id }) => this.#options.hasRuns(id),
         slots: service.engine.slots,
       }));
     }
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -155,6 +155,7 @@
   connections = new TargetConnections();
   const events = new MemoryEventLog();
   const created = new RoleController({
+    hasRuns: () => false,
     vmId: "vm-a",
     incarnation: "vm-a-1",
     log: buildLog(),
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -140,3 +140,68 @@
   assert.deepEqual(planRoles(engines, { isRateLimited }), []);
   assert.deepEqual(planRoles(buildFleet(0, 1), { isRateLimited }), []);
 });
+
+test("decode engines that become prefill engines leave one software version, if possible", () => {
+  const engines = ["v1", "v2", "v1", "v2", "v2"].map((softwareVersion, i) =>
+    buildEngine(`d${i}`, {
+      role: "decode",
+      softwareVersion,
+      availabilityZone: `zone-${i % 3}`,
+    })
+  );
+  const prefillEngines = ["r1", "r2"].map((id) => buildEngine(id));
+  const changes = planRoles([...engines, ...prefillEngines]);
+  assert.deepEqual(
+    changes.map(({ target, role }) => [target.softwareVersion, role]),
+    [["v1", "prefill"], ["v1", "prefill"], ["v2", "prefill"]],
+  );
+});
+
+test("the last decode engine of a software version stays while it has runs", () => {
+  const engines = ["v1", "v2", "v2"].map((softwareVersion, i) =>
+    buildEngine(`d${i}`, { role: "decode", softwareVersion })
+  );
+  const all = [...engines, buildEngine("r1"), buildEngine("r2")];
+  assert.deepEqual(planRoles(all, { hasRuns: () => true }), []);
+  assert.deepEqual(
+    planRoles(all).map(({ target }) => target.softwareVersion),
+    ["v1"],
+  );
+});
+
+test("a lost decode engine is replaced by one of the software version of the others", () => {
+  const engines = [
+    buildEngine("d1", { role: "decode", softwareVersion: "v2" }),
+    ...["v1", "v1", "v2", "v1"].map((softwareVersion, i) =>
+      buildEngine(`r${i}`, { softwareVersion })
+    ),
+  ];
+  assert.deepEqual(
+    planRoles(engines).map(({ target, role }) => [target.id, role]),
+    [["r2", "decode"]],
+  );
+});
+
+test("decode engines of which each has its own software version get one more of the same", () => {
+  const engines = [
+    buildEngine("d1", { role: "decode", softwareVersion: "v1" }),
+    buildEngine("d2", { role: "decode", softwareVersion: "v2" }),
+    buildEngine("r1", { softwareVersion: "v2" }),
+    buildEngine("r2", { softwareVersion: "v2" }),
+    buildEngine("r3", { softwareVersion: "v1" }),
+  ];
+  const changes = planRoles(engines);
+  assert.deepEqual(
+    changes.map(({ target, role }) => [target.softwareVersion, role]),
+    [["v2", "decode"]],
+  );
+  const changed = engines.map((engine) =>
+    engine.id === changes[0].target.id
+      ? { ...engine, role: "decode" as const }
+      : engine
+  );
+  assert.deepEqual(
+    planRoles(changed).map(({ target, role }) => [target.id, role]),
+    [["d1", "prefill"]],
+  );
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -171,6 +171,10 @@
     codec: components.codec,
     events: components.log,
     metrics: components.metrics,
+    hasRuns: (engine) => {
+      const nowMs = components.clock.readMonotonicMs();
+      return components.workTracker.getRunLoad(engine, nowMs).runs > 0;
+    },
     listOrderCandidates: () => getComponents().mesh.listOrderCandidates(),
     isListCurrent: () => getComponents().storeReader.isListCurrent,
     hasPath: (service) => getComponents().pathMonitor.hasPath(service),
