A stream goes on only at the software version that began it

Callers got streams with events of two software versions (ORDER): whoever was free continued a stream, within one response and when a client took it up again at any VM. Cause: the version of an entry was dropped by its decoder, and Resumes was decoded nowhere.

- Within a response, only engines of the version that wrote the first event are picked or waited for.
The head is sent with the first event, so a stream that breaks before that may begin anew at any version.
- Over a client's attempts: the VM that begins a stream tells its peers (with hubs: those of its zone, which tell the next zone's) the version under the hash of attempt, host, client account and service.
A VM that takes a stream up looks it up, and asks its peers if need be.
Unknown or without engines: refused at once, not run.
- A call that is handed over says at which version it goes on.
- New streams begin at versions that two decode engines have.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -28,6 +28,7 @@
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
+import type { StreamVersions } from "./state/stream_versions.ts";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
@@ -50,6 +51,12 @@
   readonly pathMonitor: PathMonitor;
   readonly handoverClient: Pick<HandoverClient, "offerCall">;
   readonly quarantine: RequestQuarantine;
+  readonly streamVersions: StreamVersions;
+  /**
+   * Resolves with the software version that began the stream with this key; undefined if neither this
+   * VM nor a peer that responds knows it.
+   */
+  readonly findStreamVersion: (key: string) => Promise<string | undefined>;
   readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
   readonly engineJitter: EngineJitter;
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -27,6 +27,8 @@
   readonly context: CallContext;
   /** Relays the response to the client. */
   readonly relay: StreamRelay;
+  /** Software version at which the stream has to go on, if it has begun. */
+  readonly softwareVersion?: string;
 }
 
 /** Peers that are asked for one call. */
@@ -49,11 +51,13 @@
 export class CallHandover {
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
+  readonly #softwareVersion: string | undefined;
   readonly #asked = new Set<string>();
 
-  constructor({ context, relay }: CallHandoverOptions) {
+  constructor({ context, relay, softwareVersion }: CallHandoverOptions) {
     this.#context = context;
     this.#relay = relay;
+    this.#softwareVersion = softwareVersion;
   }
 
   /** Serves the call, as far as peers take it. */
@@ -96,9 +100,11 @@
     const { receivedCall, handoverState, nowMs } = context;
     const lastEventId = this.#relay.lastEventId ?? receivedCall.lastEventId;
     const call = { ...receivedCall, lastEventId };
+    const softwareVersion = this.#softwareVersion;
+    const state = { ...handoverState, softwareVersion };
     const exchange = sendToPeer(
       connection,
-      encodeHandoverCall(call, handoverState, nowMs),
+      encodeHandoverCall(call, state, nowMs),
       call.body,
     );
     const undo = context.beginHandover(exchange);
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -136,7 +136,8 @@
     route: Route,
     call: ForwardedCall,
   ): ServiceSpec | undefined {
-    const names = table.listServices(route, call.id);
+    // A stream that is taken up goes on at the service that began it.
+    const names = table.listServices(route, call.resumedAttemptId ?? call.id);
     const { directory } = this.#dependencies;
     const served = names.find((name) => directory.listServing(name).length > 0);
     const name = served ?? names[0];
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -5,16 +5,11 @@
  *
  * @module
  */
-import { sleep } from "heatherarch-core";
 import { type RelayResult, StreamRelay } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
-import {
-  beginEngineWait,
-  findEngineBackoffMs,
-  type InferencePhase,
-  listAvailableEngines,
-  predictEngineRateLimitDelayMs,
-} from "../scheduling/engine_selection.ts";
+import { DecodeEnginePicker } from "./decode_engine_picker.ts";
+import { findEngineBackoffMs } from "../scheduling/engine_selection.ts";
+import { findStreamVersion, recordStreamVersion } from "./stream_version.ts";
 import {
   computeEnginePriority,
   computeLane,
@@ -30,14 +25,6 @@
   computeRetryAfterMs,
   MAX_RATE_LIMIT_DELAY_MS,
 } from "../scheduling/retry_after.ts";
-import {
-  pickLeastLoaded,
-  type TargetCandidate,
-} from "../scheduling/least_loaded_target.ts";
-import {
-  isWorthWaiting,
-  predictDecodeReadyMs,
-} from "../scheduling/decode_wait.ts";
 import { CallHandover } from "./call_handover.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 import {
@@ -52,8 +39,8 @@
 const MIN_ROUND_MS = 40;
 /** A resumable run without a response head for this long is retried elsewhere, milliseconds. */
 const RUN_SILENCE_TIMEOUT_MS = 900;
-/** Interval at which a waiting call checks for a decode engine, milliseconds. */
-const DECODE_ENGINE_POLL_MS = 40;
+/** No engine is listed with it, so a stream that an unknown version began does not go on. */
+const UNKNOWN_SOFTWARE_VERSION = "";
 /** Shortest `Retry-After` of a refusal, before jitter, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
@@ -67,10 +54,10 @@
   readonly #traits: EngineTraits;
   readonly #prefill: PromptPrefill;
   readonly #relay: StreamRelay;
-  readonly #tried = new Set<string>();
+  readonly #decodeEngines: DecodeEnginePicker;
   #reason = "no engine accepted the call";
-  /** Ends the wait for a decode engine; undefined if the call does not wait for one. */
-  #endDecodeWait: (() => void) | undefined;
+  /** Engine whose response is being relayed. */
+  #respondingEngine: Target | undefined;
 
   constructor(
     context: CallContext,
@@ -81,6 +68,11 @@
     this.#prompt = prompt;
     this.#traits = traits;
     this.#prefill = new PromptPrefill({ context, prompt, traits });
+    this.#decodeEngines = new DecodeEnginePicker({
+      context,
+      traits,
+      minRemainingMs: MIN_ROUND_MS,
+    });
     this.#relay = new StreamRelay({
       clientResponse: context.clientResponse,
       isResumable: context.route.kind === "resumableStream",
@@ -97,11 +89,12 @@
     try {
       await this.#serve();
     } finally {
-      this.#endDecodeWait?.();
+      this.#decodeEngines.endWait();
     }
   }
 
   async #serve(): Promise<void> {
+    if (!await this.#findSoftwareVersion()) return;
     for (let round = 0; round < MAX_ROUNDS && this.#mayContinue(); round++) {
       if (round > 0 && !await this.#context.mayRetry()) break;
       if (this.#context.mustHandOver && await this.#handOver()) return;
@@ -115,14 +108,14 @@
   async #runRound(): Promise<boolean> {
     await this.#context.awaitTargetList();
     if (this.#context.hasEnded) return false;
-    if (this.#pickDecodeEngine(undefined) === undefined) {
-      this.#beginDecodeWait();
-      if (!this.#mayWait()) {
+    if (this.#decodeEngines.pick(undefined) === undefined) {
+      this.#decodeEngines.beginWait();
+      if (!this.#decodeEngines.mayWait()) {
         this.#refuseNoDecodeEngine(undefined);
         return false;
       }
     }
-    if (this.#endIfInBackoff("reading")) return false;
+    if (this.#endIfPrefillInBackoff()) return false;
     const prefilled = await this.#prefill.prefill(this.#relay.lastEventId);
     if (this.#context.hasEnded) return false;
     switch (prefilled.kind) {
@@ -130,7 +123,7 @@
         await this.#decode(prefilled.prompt);
         return true;
       case "noReader":
-        if (this.#endIfInBackoff("reading")) return false;
+        if (this.#endIfPrefillInBackoff()) return false;
         await this.#decode(undefined);
         return true;
       case "failed":
@@ -150,8 +143,11 @@
     const context = this.#context;
     if (!context.mayHandOver) return context.hasEnded;
     if (context.mayHaveRun && !context.takeRetry()) return false;
-    const result = await new CallHandover({ context, relay: this.#relay })
-      .serve();
+    const result = await new CallHandover({
+      context,
+      relay: this.#relay,
+      softwareVersion: this.#decodeEngines.softwareVersion,
+    }).serve();
     if (result === "ended") return true;
     if (context.hasPath) context.forgetUnreachable();
     else {
@@ -169,7 +165,7 @@
   /** Runs the call on a decode engine, from a KV cache or, without one, from the prompt itself. */
   async #decode(prefilled: PrefilledPrompt | undefined): Promise<void> {
     const context = this.#context;
-    const target = await this.#awaitDecodeEngine(
+    const target = await this.#decodeEngines.awaitEngine(
       prefilled?.engine.availabilityZone,
     );
     if (target === undefined && !context.hasPath) {
@@ -243,12 +239,12 @@
         if (prefilled !== undefined) this.#prefill.recordCopy(target);
         return await this.#handleResponse(target, exchange, result);
       case "lost":
-        this.#tried.add(target.id);
+        this.#decodeEngines.addTried(target.id);
         return this.#recordFailure(result.reason);
       case "notRun":
       case "notSent":
         this.#context.undoRun();
-        this.#tried.add(target.id);
+        this.#decodeEngines.addTried(target.id);
         return this.#recordFailure(
           result.reason,
           result.kind === "notSent" ? prefilled : undefined,
@@ -269,9 +265,10 @@
       : undefined;
     if (fault !== undefined) {
       exchange.abort(fault);
-      this.#tried.add(target.id);
+      this.#decodeEngines.addTried(target.id);
       return this.#recordFailure(fault);
     }
+    this.#respondingEngine = target;
     const removeListener = this.#abortIfPathLost(exchange);
     const result = await this.#relay.relay(exchange, head);
     removeListener();
@@ -300,7 +297,7 @@
       context.finish("delivered", { status, target: target.id });
       return;
     }
-    this.#tried.add(target.id);
+    this.#decodeEngines.addTried(target.id);
     context.dependencies.health.recordOutcome(
       target.id,
       "failed",
@@ -328,19 +325,26 @@
     const call = this.#context;
     if (call.hasEnded) return;
     if (call.mayHaveRun) return call.fail("answerIncomplete", this.#reason);
-    if (this.#endIfInBackoff("generating") || this.#endIfInBackoff("reading")) {
-      return;
-    }
+    if (this.#endIfDecodeInBackoff() || this.#endIfPrefillInBackoff()) return;
     call.refuse("noTarget", this.#reason, {
       retryAfterMs: MIN_RETRY_AFTER_MS * (1 + call.dependencies.drawUnit()),
-      detail: { tried: [...this.#tried] },
+      detail: { tried: this.#decodeEngines.listTried() },
     });
   }
 
-  /** Ends the call if all engines for a phase are in backoff. Returns whether they are. */
-  #endIfInBackoff(phase: InferencePhase): boolean {
+  #endIfDecodeInBackoff(): boolean {
+    return this.#endIfInBackoff(this.#decodeEngines.findBackoffMs());
+  }
+
+  #endIfPrefillInBackoff(): boolean {
+    return this.#endIfInBackoff(
+      findEngineBackoffMs(this.#context, { phase: "reading" }),
+    );
+  }
+
+  /** Ends the call if all engines are in backoff, of which the first one ends in `backoffMs`. */
+  #endIfInBackoff(backoffMs: number | undefined): boolean {
     const call = this.#context;
-    const backoffMs = findEngineBackoffMs(call, phase);
     if (backoffMs === undefined) return false;
     if (call.mayHaveRun) call.fail("answerIncomplete", "all engines back off");
     else call.refuseForBackoff(backoffMs);
@@ -352,18 +356,24 @@
     const context = this.#context;
     if (prefilled !== undefined) this.#prefill.releaseCache(prefilled);
     if (context.hasEnded) return;
-    if (this.#endIfInBackoff("generating")) return;
-    const reason = "no decode engine";
+    if (this.#endIfDecodeInBackoff()) return;
+    const { softwareVersion } = this.#decodeEngines;
+    const reason = softwareVersion === undefined
+      ? "no decode engine"
+      : `no decode engine of ${softwareVersion}, which began the stream`;
     if (context.mayHaveRun) return context.fail("answerIncomplete", reason);
-    const decodeReadyMs = this.#predictDecodeReadyMs();
+    const decodeReadyMs = this.#decodeEngines.predictReadyMs();
     const waitMs = decodeReadyMs === undefined
       ? this.#traits.roleChangeMs
-      : this.#predictRoleChangeMs() ??
+      : this.#decodeEngines.predictRoleChangeMs() ??
         Math.min(decodeReadyMs, MAX_RATE_LIMIT_DELAY_MS);
     const jitter = 1 + context.dependencies.drawUnit() / 4;
     context.refuse("noTarget", reason, {
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter,
-      detail: { tried: [...this.#tried], comesInMs: decodeReadyMs },
+      detail: {
+        tried: this.#decodeEngines.listTried(),
+        comesInMs: decodeReadyMs,
+      },
     });
   }
 
@@ -407,93 +417,48 @@
     );
   }
 
-  /**
-   * Returns a decode engine. If there is none, waits for an engine that is about to take the role,
-   * or for room in the rate limits of the engines that have it.
-   */
-  async #awaitDecodeEngine(
-    zone: string | undefined,
-  ): Promise<Target | undefined> {
-    await this.#context.awaitTargetList();
-    while (!this.#context.hasEnded && this.#context.hasPath) {
-      const target = this.#pickDecodeEngine(zone);
-      if (target !== undefined) {
-        this.#endDecodeWait?.();
-        return target;
-      }
-      this.#beginDecodeWait();
-      if (!this.#mayWait()) return undefined;
-      await sleep(DECODE_ENGINE_POLL_MS);
-    }
-    return undefined;
-  }
-
-  #beginDecodeWait(): void {
-    this.#endDecodeWait?.();
-    this.#endDecodeWait = beginEngineWait(this.#context, "generating");
-  }
-
-  #mayWait(): boolean {
-    const { nowMs, call, route, remainingMs } = this.#context;
-    if (remainingMs < MIN_ROUND_MS) return false;
-    return isWorthWaiting(
-      this.#predictDecodeReadyMs(),
-      nowMs - call.arrivedAtMs,
-      route.aimMs,
-    );
+  #getSilenceTimeoutMs(): number | undefined {
+    const { kind, maxTargets } = this.#context.route;
+    return kind === "resumableStream" && maxTargets > 1
+      ? RUN_SILENCE_TIMEOUT_MS
+      : undefined;
   }
 
   /**
-   * Predicts the time until a decode engine takes the call; undefined if no engine is changing to
-   * that role or is kept by its rate limit.
+   * Finds out at which software version a stream has to go on that the client, or the peer that
+   * handed the call over, has begun to receive. Returns false if the call has ended, as it can't go on.
    */
-  #predictDecodeReadyMs(): number | undefined {
-    const delaysMs = [
-      this.#predictRoleChangeMs(),
-      predictEngineRateLimitDelayMs(this.#context, "generating", this.#tried),
-    ].filter((delayMs) => delayMs !== undefined);
-    return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
+  async #findSoftwareVersion(): Promise<boolean> {
+    const context = this.#context;
+    const result = await findStreamVersion(context);
+    if (context.hasEnded) return false;
+    if (result.kind === "required") {
+      this.#decodeEngines.setSoftwareVersion(result.softwareVersion);
+    }
+    if (result.kind !== "unknown") return true;
+    const reason = "it is not known which software version began the stream";
+    if (context.mayHaveRun) context.fail("answerIncomplete", reason);
+    else {
+      const jitter = 1 + context.dependencies.drawUnit();
+      const retryAfterMs = MIN_RETRY_AFTER_MS * jitter;
+      context.refuse("noTarget", reason, { retryAfterMs });
+    }
+    return false;
   }
 
-  #predictRoleChangeMs(): number | undefined {
-    const { dependencies, service, nowMs } = this.#context;
-    const { directory } = dependencies;
-    const roleChangeStartsMs = directory.listServing(service.name)
-      .filter((engine) => engine.role === "prefill")
-      .map((engine) => directory.findRoleChangeStartMs(engine.id, nowMs))
-      .filter((startedAtMs) => startedAtMs !== undefined);
-    return predictDecodeReadyMs(
-      roleChangeStartsMs,
-      this.#traits.roleChangeMs,
-      nowMs,
+  /** Makes the stream go on only at engines of the software version that begins it. */
+  #recordSoftwareVersion(): void {
+    const engine = this.#respondingEngine;
+    if (engine === undefined || this.#decodeEngines.softwareVersion) return;
+    recordStreamVersion(this.#context, engine);
+    this.#decodeEngines.setSoftwareVersion(
+      engine.softwareVersion ?? UNKNOWN_SOFTWARE_VERSION,
     );
   }
 
-  #pickDecodeEngine(zone: string | undefined): Target | undefined {
-    const { workTracker, drawUnit } = this.#context.dependencies;
-    const nowMs = this.#context.nowMs;
-    const maxKvTokens = this.#traits.kvTokens;
-    const candidates = listAvailableEngines(
-      this.#context,
-      "generating",
-      this.#tried,
-    )
-      .map((target): TargetCandidate => {
-        const { runs, kvTokens } = workTracker.getRunLoad(target.id, nowMs);
-        return { target, runs, kvTokens, maxKvTokens };
-      });
-    return pickLeastLoaded(candidates, zone, drawUnit)?.target;
-  }
-
-  #getSilenceTimeoutMs(): number | undefined {
-    const { kind, maxTargets } = this.#context.route;
-    return kind === "resumableStream" && maxTargets > 1
-      ? RUN_SILENCE_TIMEOUT_MS
-      : undefined;
-  }
-
   #recordFirstByte(): void {
     const context = this.#context;
+    this.#recordSoftwareVersion();
     context.recordUsage();
     const tookMs = context.nowMs - context.call.arrivedAtMs;
     context.dependencies.metrics.firstByte.observe(
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -42,6 +42,7 @@
   resumedAttemptId: z.string().optional(),
   runs: z.int().min(0),
   isUsageRecorded: z.boolean(),
+  softwareVersion: z.string().optional(),
 });
 
 const RESPONSE_HEAD = z.object({
@@ -60,11 +61,11 @@
 /** Encodes a call without its body. */
 export function encodeHandoverCall(
   { body: _body, arrivedAtMs, account: _account, ...call }: ForwardedCall,
-  { runs, isUsageRecorded }: HandoverState,
+  { runs, isUsageRecorded, softwareVersion }: HandoverState,
   nowMs: number,
 ): unknown {
   const elapsedMs = Math.max(0, nowMs - arrivedAtMs);
-  return { ...call, elapsedMs, runs, isUsageRecorded };
+  return { ...call, elapsedMs, runs, isUsageRecorded, softwareVersion };
 }
 
 /** Decodes a call from a peer; undefined if it is malformed. */
@@ -75,12 +76,12 @@
 ): ForwardedCall | undefined {
   const parsed = CALL.safeParse(head).data;
   if (parsed === undefined) return undefined;
-  const { elapsedMs, runs, isUsageRecorded, ...call } = parsed;
+  const { elapsedMs, runs, isUsageRecorded, softwareVersion, ...call } = parsed;
   return {
     ...call,
     body,
     arrivedAtMs: nowMs - elapsedMs,
-    handover: { runs, isUsageRecorded },
+    handover: { runs, isUsageRecorded, softwareVersion },
   };
 }
 
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -295,11 +295,10 @@
   #mayPrefillLate(): boolean {
     const { workTracker } = this.#context.dependencies;
     const nowMs = this.#context.nowMs;
-    const prefillEngines = listUsableEngines(
-      this.#context,
-      "reading",
-      this.#tried,
-    );
+    const prefillEngines = listUsableEngines(this.#context, {
+      phase: "reading",
+      tried: this.#tried,
+    });
     const busy = prefillEngines.filter(({ id }) =>
       workTracker.hasLatePrefill(id, nowMs)
     );
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -140,6 +140,8 @@
   readonly #options: StreamRelayOptions;
   #lastEventId: string | undefined;
   #isStarted = false;
+  /** Head of the response that is being relayed. */
+  #head: ResponseHead | undefined;
 
   constructor(options: StreamRelayOptions) {
     this.#options = options;
@@ -156,15 +158,14 @@
     return this.#isStarted;
   }
 
-  /** Relays the body of one target's response. Only the head of the first response is sent. */
+  /**
+   * Relays the body of one target's response. The head of a resumable stream is sent with its first
+   * event, so that a stream that breaks off before that can begin anew elsewhere.
+   */
   relay(exchange: TargetExchange, head: ResponseHead): Promise<RelayResult> {
-    const { clientResponse, isResumable } = this.#options;
-    if (!clientResponse.isHeadSent) {
-      const excluded = isResumable ? LENGTH_HEADERS : undefined;
-      const endsConnection = getResponseFraming(head) === "connection";
-      const headers = copyEndToEndHeaders(head.rawHeaders, excluded);
-      clientResponse.writeHead(head.status, headers, { endsConnection });
-    }
+    const { isResumable } = this.#options;
+    this.#head = head;
+    if (!isResumable) this.#writeHead();
     const splitter = isResumable ? new SseSplitter() : undefined;
     return new Promise((resolve) => {
       exchange.setBodyListener({
@@ -176,6 +177,7 @@
           if (splitter !== undefined && splitter.remainder.length > 0) {
             this.#write(exchange, splitter.remainder);
           }
+          this.#writeHead();
           resolve("whole");
         },
         onFault: resolve,
@@ -183,6 +185,17 @@
     });
   }
 
+  /** Sends the head unless that of an earlier response was sent. */
+  #writeHead(): void {
+    const { clientResponse, isResumable } = this.#options;
+    const head = this.#head;
+    if (head === undefined || clientResponse.isHeadSent) return;
+    const excluded = isResumable ? LENGTH_HEADERS : undefined;
+    const endsConnection = getResponseFraming(head) === "connection";
+    const headers = copyEndToEndHeaders(head.rawHeaders, excluded);
+    clientResponse.writeHead(head.status, headers, { endsConnection });
+  }
+
   #writeEvents(
     exchange: TargetExchange,
     splitter: SseSplitter,
@@ -206,6 +219,7 @@
     if (!this.#isStarted) {
       this.#isStarted = true;
       onFirstByte();
+      this.#writeHead();
     }
     if (clientResponse.write(bytes)) return;
     exchange.pause();
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -23,11 +23,13 @@
 import { FleetGossip } from "./fleet_gossip.ts";
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { type CollectedUsage, UsageExchange } from "./usage_exchange.ts";
+import { StreamVersionExchange } from "./stream_version_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
 import type { RequestQuarantine } from "heatherarch-quarantine";
 import type { FleetDemand } from "../state/fleet_demand.ts";
 import type { StoreEpoch } from "../state/store_epoch.ts";
+import type { StreamVersions } from "../state/stream_versions.ts";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -65,6 +67,7 @@
   readonly rateLimits: TargetRateLimits;
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
+  readonly streamVersions: StreamVersions;
   readonly activeConfig: ActiveConfig;
   readonly storeEpoch: StoreEpoch;
   readonly configReadTiming: ConfigReadTiming;
@@ -99,6 +102,7 @@
   readonly #vmList: VmListFollower;
   readonly #configExchange: ConfigExchange;
   readonly #usage: UsageExchange;
+  readonly #streams: StreamVersionExchange;
   /** Position in the prefix updates up to which each link has been sent them. */
   readonly #prefixCursors = new WeakMap<Link, number>();
   /** Time of the target list read that was last announced on each link. */
@@ -165,6 +169,11 @@
       node: this.#node,
       mustReadStore: () => this.mustReadStore(),
     });
+    this.#streams = new StreamVersionExchange({
+      ...options,
+      node: this.#node,
+      membership: this.#membership,
+    });
     this.#usage = new UsageExchange({
       ...options,
       node: this.#node,
@@ -179,14 +188,16 @@
     );
     this.#configExchange.start();
     this.#usage.start();
+    this.#streams.start();
     await this.#node.start();
-    const { workTracker } = this.#options;
+    const { workTracker, streamVersions } = this.#options;
     this.#undoListeners.push(
       workTracker.registerOwnWorkListener(() => {
         // A hub's digests cover many VMs and change all the time.
         if (!this.#membership.isHub) this.#node.requestRound();
       }),
       this.#gossip.registerListener(() => this.#node.requestRound()),
+      streamVersions.registerListener(() => this.#node.requestRound()),
     );
     this.#vmList.start();
   }
@@ -268,6 +279,14 @@
     );
   }
 
+  /**
+   * Resolves with the software version that began the stream with this key; undefined if no VM that
+   * responds knows it.
+   */
+  findStreamVersion(key: string): Promise<string | undefined> {
+    return this.#streams.findVersion(key);
+  }
+
   /** Collects the usage of a window that ended at `endMs` from the VMs of the fleet. */
   collectUsage(window: number, endMs: number): Promise<CollectedUsage> {
     return this.#usage.collect(window, endMs, this.listCoordinators());
@@ -310,6 +329,7 @@
     const gossipFields = {
       ...this.#gossip.buildFields(link),
       ...this.#usage.buildFields(link, peer),
+      ...this.#streams.buildFields(link, peer),
     };
     const isEmpty = fields === undefined &&
       Object.keys(gossipFields).length === 0;
@@ -381,6 +401,7 @@
     else this.#handleMeshFields(heartbeat, from);
     this.#gossip.handle(heartbeat, waitedMs);
     this.#usage.handle(heartbeat, from);
+    this.#streams.handle(heartbeat, from);
     if (heartbeat.mayOrder) this.#orderCandidates.add(from.id);
     else this.#orderCandidates.delete(from.id);
     if (heartbeat.listAgeMs !== undefined) {
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -57,6 +57,8 @@
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
 
+/** Time for which a stream is known beyond the longest timeout of a route, milliseconds. */
+const STREAM_RECORD_SLACK_MS = 30_000;
 /** Share of the bound on revocations after which a VM confirms the configuration by itself. */
 const MAX_CONFIRMATION_AGE_SHARE = 0.6;
 
@@ -189,6 +191,7 @@
       getListAgeMs: () => this.#components.storeReader.getEffectiveListAgeMs(),
       refreshTargetList: () => this.#components.storeReader.refreshList(),
       self: buildIdentity(this.#settings, this.#incarnation),
+      findStreamVersion: (key) => this.#components.mesh.findStreamVersion(key),
       listPeers: () => this.#components.mesh.listPeers(),
     });
     for (const [name, component] of Object.entries(dependencies)) {
@@ -375,6 +378,7 @@
       activeConfig.getAgeMs() / 1000,
     );
     this.#sweepQuarantine();
+    this.#sweepStreamVersions();
     storeReader.purgeDroppedTargets("otherIncarnation");
     const gone = directory.dropExpired(this.#clock.readMonotonicMs());
     metrics.targets.set(directory.size);
@@ -414,6 +418,15 @@
     };
   }
 
+  #sweepStreamVersions(): void {
+    const { streamVersions, activeConfig } = this.#components;
+    const routes = activeConfig.table?.config.routes ?? [];
+    const timeoutsMs = routes.filter(({ kind }) => kind === "resumableStream")
+      .map(({ timeoutMs }) => timeoutMs);
+    const streamLifeMs = Math.max(0, ...timeoutsMs) + STREAM_RECORD_SLACK_MS;
+    streamVersions.expire(this.#clock.readMonotonicMs(), streamLifeMs);
+  }
+
   #sweepQuarantine(): void {
     const { quarantine, metrics } = this.#components;
     if (quarantine.isEmpty) return;
--- a/packages/heatherarch-forward/scheduling/engine_selection.ts
+++ b/packages/heatherarch-forward/scheduling/engine_selection.ts
@@ -15,30 +15,33 @@
 /** Inference phase for which an engine is needed: prefill ("reading") or decode ("generating"). */
 export type InferencePhase = "reading" | "generating";
 
+/** Which engines a call may use. */
+export interface EngineSelection {
+  readonly phase: InferencePhase;
+  /** Engines that the call has tried already. */
+  readonly tried: ReadonlySet<string>;
+  /** Software version of the engines; undefined for any. */
+  readonly softwareVersion?: string;
+}
+
 /** Lists the engines that may be tried now. Avoided engines are listed only if no other is left. */
 export function listAvailableEngines(
   context: CallContext,
-  phase: InferencePhase,
-  tried: ReadonlySet<string>,
+  selection: EngineSelection,
 ): Target[] {
-  return listAvailableTargets({
-    context,
-    tried,
-    accepts: (target) => servesPhase(target, phase),
-  });
+  const { tried } = selection;
+  const accepts = (target: Target): boolean => isSelected(target, selection);
+  return listAvailableTargets({ context, tried, accepts });
 }
 
 /** Lists also the engines whose rate limits have no room now. */
 export function listUsableEngines(
   context: CallContext,
-  phase: InferencePhase,
-  tried: ReadonlySet<string>,
+  selection: EngineSelection,
 ): Target[] {
-  return listUsableTargets({
-    context,
-    tried,
-    accepts: (target) => servesPhase(target, phase),
-  });
+  const { tried } = selection;
+  const accepts = (target: Target): boolean => isSelected(target, selection);
+  return listUsableTargets({ context, tried, accepts });
 }
 
 /**
@@ -47,10 +50,10 @@
  */
 export function predictEngineRateLimitDelayMs(
   context: CallContext,
-  phase: InferencePhase,
-  tried: ReadonlySet<string>,
+  selection: EngineSelection,
 ): number | undefined {
-  const accepts = (target: Target): boolean => servesPhase(target, phase);
+  const { tried, phase } = selection;
+  const accepts = (target: Target): boolean => isSelected(target, selection);
   return predictRateLimitDelayMs(
     { context, tried, accepts },
     buildWaitGroup(context, phase),
@@ -80,11 +83,20 @@
  */
 export function findEngineBackoffMs(
   context: CallContext,
-  phase: InferencePhase,
+  selection: Pick<EngineSelection, "phase" | "softwareVersion">,
 ): number | undefined {
-  return findBackoffMs(context, (target) => servesPhase(target, phase));
+  return findBackoffMs(context, (target) => isSelected(target, selection));
 }
 
-function servesPhase({ role }: Target, phase: InferencePhase): boolean {
-  return (role === "prefill") === (phase === "reading");
+function isSelected(
+  target: Target,
+  { phase, softwareVersion }: Pick<
+    EngineSelection,
+    "phase" | "softwareVersion"
+  >,
+): boolean {
+  const servesPhase = (target.role === "prefill") === (phase === "reading");
+  const hasVersion = softwareVersion === undefined ||
+    target.softwareVersion === softwareVersion;
+  return servesPhase && hasVersion;
 }
--- a/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
+++ b/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
@@ -91,7 +91,9 @@
 ): PrefillCandidate[] {
   const { workTracker, rateLimits } = context.dependencies;
   const nowMs = context.nowMs;
-  return listUsableEngines(context, "reading", tried).map((target) => ({
+  return listUsableEngines(context, { phase: "reading", tried }).map((
+    target,
+  ) => ({
     target,
     backlogMs: Math.max(
       workTracker.getPrefillBacklogMs(target.id, nowMs),
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -26,6 +26,7 @@
     availabilityZone: "zone-a",
     slots: 6,
     leaving: false,
+    softwareVersion: "v1",
     ...overrides,
   };
 }
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -29,6 +29,7 @@
   PrefillTimeModel,
   PrefixIndex,
   PromptPlacer,
+  StreamVersions,
   type Target,
   TargetBackoffs,
   TargetConnections,
@@ -197,6 +198,8 @@
         },
         { probe: () => Promise.resolve("accepted") },
       ),
+      streamVersions: new StreamVersions(),
+      findStreamVersion: () => Promise.resolve(undefined),
       retryBudget: new FleetRetryBudget({
         fixedPerWindow: 1000,
         share: 1,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -21,6 +21,7 @@
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { UsageRecorder } from "./state/usage_recorder.ts";
+import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
@@ -56,6 +57,8 @@
   readonly refreshTargetList: () => void;
   /** Identity of this VM towards its peers. */
   readonly self: LinkIdentity;
+  /** Asks peers which software version began the stream with this key. */
+  readonly findStreamVersion: (key: string) => Promise<string | undefined>;
   /** Lists the VMs that calls may be handed over to. */
   readonly listPeers: () => readonly HandoverPeer[];
 }
@@ -155,6 +158,8 @@
     fleetDemand,
     rateLimits,
     quarantine,
+    streamVersions: new StreamVersions(),
+    findStreamVersion: options.findStreamVersion,
     prefillTimeModel,
     countVms,
     activeConfig,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -102,6 +102,7 @@
     rateLimits: components.rateLimits,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
+    streamVersions: components.streamVersions,
     activeConfig: components.activeConfig,
     directory: components.directory,
     getListAgeMs: () => components.storeReader.getListAgeMs(),
--- /dev/null
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -0,0 +1,148 @@
+/**
+ * What the handlers of calls need, built for one simulated VM: the real components where they decide,
+ * fakes for the network.
+ *
+ * @module
+ */
+import type { Clock, ServeError } from "heatherarch-core";
+import {
+  buildCrashDetector,
+  CacheRetention,
+  type CallCodec,
+  type CallDependencies,
+  type ClientResponse,
+  EngineJitter,
+  FleetDemand,
+  FleetRetryBudget,
+  ForwardMetrics,
+  MemoryEventLog,
+  PrefillCandidateCache,
+  PrefillQueue,
+  PrefillTimeModel,
+  PrefixIndex,
+  PromptPlacer,
+  StreamVersions,
+  TargetBackoffs,
+  type TargetConnections,
+  type TargetDirectory,
+  TargetHealth,
+  TargetRateLimits,
+  WorkTracker,
+} from "heatherarch-forward";
+import { RequestQuarantine } from "heatherarch-quarantine";
+
+/** Options of {@linkcode buildFakeDependencies}. */
+export interface FakeDependenciesOptions {
+  readonly clock: Clock;
+  readonly codec: Partial<CallCodec>;
+  readonly directory: TargetDirectory;
+  readonly connections: TargetConnections;
+  /** Whether the VM reaches its targets; by default it does. */
+  readonly hasPath?: () => boolean;
+  /** Offers a call to a peer; by default there is none. */
+  readonly offerCall?: () => Promise<unknown>;
+  readonly streamVersions?: StreamVersions;
+  /** Asks peers for the version of a stream; by default none knows it. */
+  readonly findStreamVersion?: (key: string) => Promise<string | undefined>;
+}
+
+/** Builds the dependencies of the calls of one VM. */
+export function buildFakeDependencies(
+  options: FakeDependenciesOptions,
+): CallDependencies {
+  const { clock, codec, directory, connections } = options;
+  const {
+    hasPath = () => true,
+    offerCall = () => Promise.resolve(undefined),
+    streamVersions = new StreamVersions(),
+    findStreamVersion = () => Promise.resolve(undefined),
+  } = options;
+  const fleetDemand = new FleetDemand();
+  const log = new MemoryEventLog();
+  const metrics = new ForwardMetrics();
+  const quarantine = new RequestQuarantine();
+  const prefillTimeModel = new PrefillTimeModel();
+  const pathMonitor = {
+    hasPath,
+    recordTrouble: () => undefined,
+    getLastContactAtMs: () => Infinity,
+    registerLossListener: () => () => undefined,
+    confirmRefusal: () => Promise.resolve(true),
+  } as unknown as CallDependencies["pathMonitor"];
+  return {
+    clock,
+    codec,
+    directory,
+    health: new TargetHealth(),
+    backoffs: new TargetBackoffs(),
+    fleetDemand,
+    rateLimits: new TargetRateLimits({
+      share: fleetDemand,
+      drawUnit: () => 0,
+    }),
+    workTracker: new WorkTracker(),
+    connections,
+    targetListGuard: { isHoldingCalls: () => false },
+    quarantine,
+    pathMonitor,
+    crashDetector: buildCrashDetector(
+      { quarantine, directory, pathMonitor, clock, log, metrics },
+      { probe: () => Promise.resolve("accepted") },
+    ),
+    retryBudget: new FleetRetryBudget({
+      fixedPerWindow: 1000,
+      share: 1,
+      windowMs: 10_000,
+    }),
+    handoverClient: { offerCall },
+    streamVersions,
+    findStreamVersion,
+    placer: new PromptPlacer({ model: prefillTimeModel }),
+    engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
+    prefixIndex: new PrefixIndex(),
+    retention: new CacheRetention(),
+    countVms: () => 1,
+    prefillTimeModel,
+    prefillQueue: new PrefillQueue({ clock }),
+    prefillCandidateCache: new PrefillCandidateCache(),
+    log,
+    metrics,
+    drawUnit: () => 0,
+  } as unknown as CallDependencies;
+}
+
+/** What happens with the parts of a response. */
+export interface ResponseHooks {
+  readonly onHead?: (status: number, headers: readonly string[]) => void;
+  readonly onBytes?: (bytes: Buffer) => void;
+  readonly onEnd?: () => void;
+  readonly onFailure?: (error: ServeError) => void;
+  readonly onDestroy?: () => void;
+}
+
+/** Builds a response that calls hooks instead of writing to a client. */
+export function buildFakeResponse(
+  { onHead, onBytes, onEnd, onFailure, onDestroy }: ResponseHooks,
+): ClientResponse {
+  const response = {
+    isDisconnected: false,
+    isHeadSent: false,
+    registerDisconnectListener: () => () => undefined,
+    registerDrainListener: () => undefined,
+    writeHead: (status: number, headers: readonly string[]) => {
+      response.isHeadSent = true;
+      onHead?.(status, headers);
+    },
+    write: (bytes: Buffer) => {
+      onBytes?.(bytes);
+      return true;
+    },
+    end: (bytes?: Buffer) => {
+      if (bytes !== undefined) onBytes?.(bytes);
+      onEnd?.();
+    },
+    destroy: () => onDestroy?.(),
+    fail: (error: ServeError) => onFailure?.(error),
+  };
+  return response;
+}
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -4,34 +4,25 @@
  *
  * @module
  */
-import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { RuntimeClock } from "heatherarch-core";
 import {
-  buildCrashDetector,
   CallContext,
   type CallDependencies,
   type ClientResponse,
   decodeHandoverCall,
   type EncodedRequest,
   encodeHandoverFailure,
-  FleetDemand,
-  FleetRetryBudget,
   type ForwardedCall,
-  ForwardMetrics,
-  MemoryEventLog,
   PlainCallHandler,
   type Route,
   type Target,
-  TargetBackoffs,
   TargetConnections,
   TargetDirectory,
   TargetExchange,
-  TargetHealth,
-  TargetRateLimits,
-  WorkTracker,
 } from "heatherarch-forward";
 import type { HandoverListener } from "heatherarch-handover";
-import { RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
+import { buildFakeDependencies, buildFakeResponse } from "./call_fakes.ts";
 
 /** What keeps a call from running more often than allowed, or from being refused after a run. */
 export const HANDOVER_GUARDS = [
@@ -115,7 +106,7 @@
   async run(): Promise<HandoverOutcome> {
     const received = { status: undefined as number | undefined, body: "" };
     let isWhole = false;
-    const clientResponse = buildResponse({
+    const clientResponse = buildFakeResponse({
       onHead: (status) => received.status = status,
       onBytes: (bytes) => received.body += String(bytes),
       onEnd: () => isWhole = true,
@@ -212,8 +203,10 @@
     listener: HandoverListener,
     end: PeerEnd,
   ): ClientResponse {
-    if (end === "lostAfterSend" || end === "silent") return buildResponse({});
-    return buildResponse({
+    if (end === "lostAfterSend" || end === "silent") {
+      return buildFakeResponse({});
+    }
+    return buildFakeResponse({
       onHead: (status, headers) =>
         listener.onResponse({ status, headers, endsConnection: false }),
       onBytes: (bytes) => {
@@ -278,47 +271,14 @@
     const connections = new TargetConnections();
     connections.send = (target, request) =>
       this.#send(target, request, attempts.shift() ?? "ok");
-    const fleetDemand = new FleetDemand();
-    const log = new MemoryEventLog();
-    const metrics = new ForwardMetrics();
-    const quarantine = new RequestQuarantine();
-    const pathMonitor = {
-      hasPath: () => hasPath,
-      recordTrouble: () => undefined,
-      getLastContactAtMs: () => Infinity,
-      registerLossListener: () => () => undefined,
-      confirmRefusal: () => Promise.resolve(true),
-    } as unknown as CallDependencies["pathMonitor"];
-    return {
+    return buildFakeDependencies({
       clock,
       codec: CODEC,
       directory,
-      health: new TargetHealth(),
-      backoffs: new TargetBackoffs(),
-      fleetDemand,
-      rateLimits: new TargetRateLimits({
-        share: fleetDemand,
-        drawUnit: () => 0,
-      }),
-      workTracker: new WorkTracker(),
       connections,
-      targetListGuard: { isHoldingCalls: () => false },
-      quarantine,
-      pathMonitor,
-      crashDetector: buildCrashDetector(
-        { quarantine, directory, pathMonitor, clock, log, metrics },
-        { probe: () => Promise.resolve("accepted") },
-      ),
-      retryBudget: new FleetRetryBudget({
-        fixedPerWindow: 1000,
-        share: 1,
-        windowMs: 10_000,
-      }),
-      handoverClient: { offerCall },
-      log,
-      metrics,
-      drawUnit: () => 0,
-    } as unknown as CallDependencies;
+      hasPath: () => hasPath,
+      offerCall,
+    });
   }
 
   #send(
@@ -362,39 +322,6 @@
   }
 }
 
-interface ResponseHooks {
-  readonly onHead?: (status: number, headers: readonly string[]) => void;
-  readonly onBytes?: (bytes: Buffer) => void;
-  readonly onEnd?: () => void;
-  readonly onFailure?: (error: ServeError) => void;
-}
-
-function buildResponse(
-  { onHead, onBytes, onEnd, onFailure }: ResponseHooks,
-): ClientResponse {
-  const response = {
-    isDisconnected: false,
-    isHeadSent: false,
-    registerDisconnectListener: () => () => undefined,
-    registerDrainListener: () => undefined,
-    writeHead: (status: number, headers: readonly string[]) => {
-      response.isHeadSent = true;
-      onHead?.(status, headers);
-    },
-    write: (bytes: Buffer) => {
-      onBytes?.(bytes);
-      return true;
-    },
-    end: (bytes?: Buffer) => {
-      if (bytes !== undefined) onBytes?.(bytes);
-      onEnd?.();
-    },
-    destroy: () => undefined,
-    fail: (error: ServeError) => onFailure?.(error),
-  };
-  return response;
-}
-
 /** Lets a call that was sent to a peer count as one that has not run. */
 function forgetHandoverRuns(context: CallContext): void {
   const beginHandover = context.beginHandover.bind(context);
@@ -447,7 +374,12 @@
     headers: [],
     body: null,
   }),
-  decodeResponse: () => ({ signed: true, notRun: false, misdirected: false }),
+  decodeResponse: () => ({
+    signed: true,
+    notRun: false,
+    misdirected: false,
+    isLeaving: false,
+  }),
 };
 
 /** Body of a complete response. */
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -17,6 +17,7 @@
 import { QUARANTINE_PROOF } from "./quarantine_proof.ts";
 import { RATE_LIMIT_PROOF } from "./rate_limit_proof.ts";
 import { RESTORED_LOG_PROOF } from "./restored_log_proof.ts";
+import { STREAM_PROOF } from "./stream_proof.ts";
 import { TARGET_LIST_PROOF } from "./target_list_proof.ts";
 
 export * from "./fake_host.ts";
@@ -41,5 +42,6 @@
   { proof: RATE_LIMIT_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 2000 },
+  { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
--- a/packages/heatherarch-mesh/membership.ts
+++ b/packages/heatherarch-mesh/membership.ts
@@ -228,6 +228,12 @@
     return this.#members.get(id);
   }
 
+  /** Lists the availability zones of all known VMs, this one's included, in alphabetical order. */
+  listZones(): string[] {
+    const zones = [...this.#members.values()].map((vm) => vm.availabilityZone);
+    return [...new Set([this.#options.self.availabilityZone, ...zones])].sort();
+  }
+
   /** Whether links run over hubs. */
   get hasHubs(): boolean {
     return this.#members.size + 1 >= this.#options.hubs.minVms;
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -165,6 +165,13 @@
       z.int().min(0),
     ]),
   ).optional(),
+  /**
+   * Streams that have begun since the last heartbeat on this link: a software version, and the keys
+   * of the streams that its engines began, 8 bytes each.
+   */
+  streams: z.array(
+    z.tuple([z.string().max(256), z.instanceof(Uint8Array)]),
+  ).optional(),
   /** Usage counts of the sender that have changed since its last heartbeat on this link. */
   usage: z.array(USAGE_ROW).optional(),
   /** Number of this heartbeat. A digest names the last number that it includes. */
