A part of prompts that crashes engines is found after few crashes

Callers of all engine routes were refused for seconds, as one engine after the other ended (BUDGET). Cause: evidence was kept by the digest of whole requests, and requests with the part are no two alike.

A crash now accuses the shared parts of all runs in progress at the engine; a complete response, or one that goes on for a second, clears its parts. VMs exchange that as they do for requests. After one crash a part is tried by one run at a time, VMs taking turns; after two it is quarantined for 20 s, after three for quarantine.holdSeconds, doubling. A crash that a part with more crashes explains doesn't count. Calls are refused before their prompt is read, while they wait, and right before the run. Keys are of an account, service and model. Stored like quarantined requests; listed and lifted at /quarantine.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -18,7 +18,7 @@
 import type { PrefillQueue } from "./scheduling/prefill_queue.ts";
 import type { HandoverClient } from "heatherarch-handover";
 import type { PathMonitor } from "./tasks/path_monitor.ts";
-import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import type { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import type { TargetListGuard } from "./calls/target_list_guard.ts";
@@ -51,6 +51,7 @@
   readonly pathMonitor: PathMonitor;
   readonly handoverClient: Pick<HandoverClient, "offerCall">;
   readonly quarantine: RequestQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly streamVersions: StreamVersions;
   /**
    * Resolves with the software version that began the stream with this key; undefined if neither this
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -9,7 +9,6 @@
   ServeError,
   type ServeErrorOptions,
 } from "heatherarch-core";
-import type { QuarantinedRequest } from "heatherarch-quarantine";
 import type { ClientResponse } from "./client_response.ts";
 import type { LogLevel } from "../event_log.ts";
 import type {
@@ -22,7 +21,11 @@
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
 import type { Target } from "../model.ts";
-import { QuarantineGuard } from "./quarantine_guard.ts";
+import {
+  type CallAdmission,
+  type Quarantined,
+  QuarantineGuard,
+} from "./quarantine_guard.ts";
 import {
   buildWithheldExchange,
   type TargetExchange,
@@ -59,7 +62,7 @@
 /** A call that this many targets could not be reached for is handed over to a peer. */
 const MAX_UNREACHABLE = 2;
 const QUARANTINED_REASON =
-  "the request is quarantined: it crashed the targets that ran it";
+  "the request or a part of its prompt is quarantined: it crashed the targets that ran it";
 /** `Retry-After` that is logged for a refused call without one, milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
 
@@ -125,6 +128,7 @@
     this.#quarantineGuard = new QuarantineGuard({
       dependencies: options.dependencies,
       call: options.call,
+      service: options.service.name,
       onQuarantined: (quarantined) => this.#handleQuarantine(quarantined),
     });
     this.#removeDisconnectListener = this.clientResponse
@@ -202,14 +206,30 @@
 
   /** Refuses the call if its request may not be sent. Returns whether the call continues. */
   admit(): boolean {
-    const result = this.#quarantineGuard.admit();
-    if (result.kind !== "quarantined" && result.kind !== "onTrial") return true;
+    return this.#applyAdmission(this.#quarantineGuard.admit());
+  }
+
+  /**
+   * Refuses the call if no engine may begin to write a response on its prompt now. Returns whether the
+   * call continues.
+   */
+  admitRun(): boolean {
+    return this.#applyAdmission(this.#quarantineGuard.admitRun());
+  }
+
+  /** Records that an engine wrote a response on the prompt. */
+  recordGenerated(): void {
+    this.#quarantineGuard.recordPartSuccess();
+  }
+
+  #applyAdmission(result: CallAdmission): boolean {
+    if (result.kind === "free") return true;
     // A call that a peer handed over may have run there.
     if (this.mayHaveRun) this.fail("targetFailed", QUARANTINED_REASON);
     else if (result.kind === "quarantined") {
       this.#refuseQuarantined(result.entry);
     } else {
-      this.refuse("overloaded", "another copy of the request is on trial", {
+      this.refuse("overloaded", "the request or a part is on trial elsewhere", {
         retryAfterMs: TRIAL_RETRY_AFTER_MS,
         detail: { request: this.#quarantineGuard.digest },
       });
@@ -280,8 +300,15 @@
     this.finish(hasPromise ? "refused" : "failed", { reason: error.message });
   }
 
-  /** Sends an attempt. An early end of the call aborts the latest attempt. */
-  send(target: Target, request: EncodedRequest): TargetExchange {
+  /**
+   * Sends an attempt. An early end of the call aborts the latest attempt. Without `isRun` the target
+   * only reads the prompt.
+   */
+  send(
+    target: Target,
+    request: EncodedRequest,
+    { isRun = true }: { isRun?: boolean } = {},
+  ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
     this.#attempts++;
     this.#lastTarget = target.id;
@@ -289,7 +316,7 @@
       ? this.dependencies.connections.send(target, request)
       : buildWithheldExchange("the request is quarantined");
     this.#exchange = exchange;
-    this.#quarantineGuard.trackExchange(target, exchange);
+    this.#quarantineGuard.trackExchange(target, exchange, isRun);
     return exchange;
   }
 
@@ -398,20 +425,24 @@
   /**
    * Refuses a call that has not run yet. A call that runs may still succeed and clear the request.
    */
-  #handleQuarantine(quarantined: QuarantinedRequest): void {
+  #handleQuarantine(quarantined: Quarantined): void {
     if (this.hasEnded || this.mayHaveRun) return;
     const exchange = this.#exchange;
     this.#refuseQuarantined(quarantined);
     exchange?.abort(QUARANTINED_REASON);
   }
 
-  #refuseQuarantined(
-    { request, incarnations, untilMs }: QuarantinedRequest,
-  ): void {
+  #refuseQuarantined(quarantined: Quarantined): void {
+    const { incarnations, untilMs } = quarantined;
     this.dependencies.metrics.callsQuarantined.inc();
     this.refuse("quarantined", QUARANTINED_REASON, {
       retryAfterMs: untilMs - this.nowMs,
-      detail: { request, endedTargets: incarnations },
+      detail: {
+        ..."part" in quarantined
+          ? { part: quarantined.part }
+          : { request: quarantined.request },
+        endedTargets: incarnations,
+      },
     });
   }
 
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -39,6 +39,8 @@
 const MIN_ROUND_MS = 40;
 /** A resumable run without a response head for this long is retried elsewhere, milliseconds. */
 const RUN_SILENCE_TIMEOUT_MS = 900;
+/** A run that goes on for this long after its first event does not crash its engine, milliseconds. */
+const SOUND_RUN_MS = 1000;
 /** No engine is listed with it, so a stream that an unknown version began does not go on. */
 const UNKNOWN_SOFTWARE_VERSION = "";
 /** Shortest `Retry-After` of a refusal, before jitter, milliseconds. */
@@ -58,6 +60,7 @@
   #reason = "no engine accepted the call";
   /** Engine whose response is being relayed. */
   #respondingEngine: Target | undefined;
+  #isResponseSuccessful = false;
 
   constructor(
     context: CallContext,
@@ -172,6 +175,10 @@
       return this.#recordFailure("path lost", prefilled);
     }
     if (target === undefined) return this.#refuseNoDecodeEngine(prefilled);
+    if (!context.admitRun()) {
+      if (prefilled !== undefined) this.#prefill.releaseCache(prefilled);
+      return;
+    }
     const isUnbudgetedRetry = prefilled === undefined && this.#prefill.isRetry;
     if (isUnbudgetedRetry && !context.takeRetry()) return this.#conclude();
     const { workTracker } = context.dependencies;
@@ -269,6 +276,7 @@
       return this.#recordFailure(fault);
     }
     this.#respondingEngine = target;
+    this.#isResponseSuccessful = isSuccess;
     const removeListener = this.#abortIfPathLost(exchange);
     const result = await this.#relay.relay(exchange, head);
     removeListener();
@@ -293,6 +301,9 @@
     const context = this.#context;
     if (context.hasEnded) return;
     if (result === "whole") {
+      if (isSuccessStatus(status) && this.#relay.isStarted) {
+        context.recordGenerated();
+      }
       context.clientResponse.end();
       context.finish("delivered", { status, target: target.id });
       return;
@@ -456,9 +467,18 @@
     );
   }
 
+  /** An engine that still writes some time after the first event does not crash on the prompt. */
+  #recordGeneratedSoon(): void {
+    if (!this.#isResponseSuccessful) return;
+    setTimeout(() => {
+      if (!this.#context.hasEnded) this.#context.recordGenerated();
+    }, SOUND_RUN_MS).unref();
+  }
+
   #recordFirstByte(): void {
     const context = this.#context;
     this.#recordSoftwareVersion();
+    this.#recordGeneratedSoon();
     context.recordUsage();
     const tookMs = context.nowMs - context.call.arrivedAtMs;
     context.dependencies.metrics.firstByte.observe(
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -164,7 +164,7 @@
       enginePriority: computeEnginePriority(lane),
       lastEventId,
     });
-    return context.send(target, request);
+    return context.send(target, request, { isRun: false });
   }
 
   /** Returns the handle of the KV cache, or why there is none. */
--- a/packages/heatherarch-forward/fleet/fleet_gossip.ts
+++ b/packages/heatherarch-forward/fleet/fleet_gossip.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "heatherarch-core";
 import type { Heartbeat, Link } from "heatherarch-mesh";
-import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { EventLog } from "../event_log.ts";
@@ -15,6 +15,7 @@
 /** Options of {@linkcode FleetGossip}. */
 export interface FleetGossipOptions {
   readonly quarantine: RequestQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly directory: TargetDirectory;
   readonly rateLimits: TargetRateLimits;
   readonly clock: Clock;
@@ -24,7 +25,7 @@
 /** The heartbeat fields that this module fills. */
 export type GossipFields = Pick<
   Heartbeat,
-  "crashes" | "leavingTargets" | "rateLimits"
+  "crashes" | "partCrashes" | "leavingTargets" | "rateLimits"
 >;
 
 type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
@@ -33,6 +34,7 @@
 /** Positions up to which one link has been sent everything. */
 interface LinkCursors {
   crashes: number | undefined;
+  partCrashes: number | undefined;
   leaving: number;
   rateLimits: number;
 }
@@ -55,9 +57,10 @@
 
   /** Registers a listener for whatever is new; returns its removal. */
   registerListener(listener: () => void): () => void {
-    const { quarantine, directory, rateLimits } = this.#options;
+    const { quarantine, partQuarantine, directory, rateLimits } = this.#options;
     const undos = [
       quarantine.registerReportListener(listener),
+      partQuarantine.registerListener(listener),
       directory.registerLeavingListener(listener),
       rateLimits.registerListener(listener),
     ];
@@ -70,11 +73,17 @@
   buildFields(link: Link): GossipFields {
     let cursors = this.#links.get(link);
     if (cursors === undefined) {
-      cursors = { crashes: undefined, leaving: 0, rateLimits: 0 };
+      cursors = {
+        crashes: undefined,
+        partCrashes: undefined,
+        leaving: 0,
+        rateLimits: 0,
+      };
       this.#links.set(link, cursors);
     }
     return {
       ...this.#buildCrashes(cursors),
+      ...this.#buildPartCrashes(cursors),
       ...this.#buildLeaving(cursors),
       ...this.#buildRateLimits(cursors),
     };
@@ -82,10 +91,16 @@
 
   /** Merges a peer's heartbeat, which may have waited here for `waitedMs` milliseconds. */
   handle(
-    { crashes, leavingTargets, rateLimits = [] }: Heartbeat,
+    { crashes, partCrashes, leavingTargets, rateLimits = [] }: Heartbeat,
     waitedMs: number,
   ): void {
-    const { quarantine, directory, clock, log } = this.#options;
+    const { quarantine, partQuarantine, directory, clock, log } = this.#options;
+    if (partCrashes !== undefined) {
+      partQuarantine.evidence.mergePeerReports(
+        partCrashes,
+        clock.readMonotonicMs() - waitedMs,
+      );
+    }
     if (crashes !== undefined) {
       quarantine.mergePeerReports(crashes, clock.readMonotonicMs() - waitedMs);
     }
@@ -118,15 +133,34 @@
   }
 
   #buildCrashes(cursors: LinkCursors): GossipFields {
-    const { quarantine, clock } = this.#options;
-    if (quarantine.isEmpty) return {};
+    const { quarantine } = this.#options;
+    const { crashes, cursor } = this.#listCrashes(quarantine, cursors.crashes);
+    cursors.crashes = cursor;
+    return crashes === undefined ? {} : { crashes };
+  }
+
+  #buildPartCrashes(cursors: LinkCursors): GossipFields {
+    const { evidence } = this.#options.partQuarantine;
+    const { crashes, cursor } = this.#listCrashes(
+      evidence,
+      cursors.partCrashes,
+    );
+    cursors.partCrashes = cursor;
+    return crashes === undefined ? {} : { partCrashes: crashes };
+  }
+
+  #listCrashes(
+    quarantine: RequestQuarantine,
+    from: number | undefined,
+  ): { crashes?: CrashMessage[]; cursor: number | undefined } {
+    if (quarantine.isEmpty) return { cursor: from };
     const { reports, cursor } = quarantine.listReports(
-      cursors.crashes,
-      clock.readMonotonicMs(),
+      from,
+      this.#options.clock.readMonotonicMs(),
     );
-    cursors.crashes = cursor;
-    if (reports.length === 0) return {};
-    return { crashes: reports.map((report): CrashMessage => [...report]) };
+    if (reports.length === 0) return { cursor };
+    const crashes = reports.map((report): CrashMessage => [...report]);
+    return { crashes, cursor };
   }
 
   #buildLeaving(cursors: LinkCursors): GossipFields {
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -26,7 +26,7 @@
 import { StreamVersionExchange } from "./stream_version_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
-import type { RequestQuarantine } from "heatherarch-quarantine";
+import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { FleetDemand } from "../state/fleet_demand.ts";
 import type { StoreEpoch } from "../state/store_epoch.ts";
 import type { StreamVersions } from "../state/stream_versions.ts";
@@ -67,6 +67,7 @@
   readonly rateLimits: TargetRateLimits;
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly streamVersions: StreamVersions;
   readonly activeConfig: ActiveConfig;
   readonly storeEpoch: StoreEpoch;
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -115,6 +115,7 @@
     } = this.#components;
     const {
       quarantinePersistence,
+      partQuarantinePersistence,
       targetListGuard,
     } = this.#components;
     const { listen } = this.#settings;
@@ -140,6 +141,7 @@
     await mesh.start();
     storeReader.start();
     quarantinePersistence.start();
+    partQuarantinePersistence.start();
     roleController.start();
     this.#components.duties?.start();
     targetListGuard.recordTick();
@@ -234,6 +236,7 @@
           readinessPath: ports.readinessPath,
           metricsPath: METRICS_PATH,
           quarantine: components.quarantine,
+          partQuarantine: components.partQuarantine,
           clock: components.clock,
           isReady: () => this.isReady,
           getFleetStatus: () => this.#getFleetStatus(),
@@ -248,6 +251,15 @@
           log: components.log,
         }),
       ),
+      partQuarantinePersistence: asValue(
+        new QuarantinePersistence({
+          topic: ports.directory.quarantine,
+          quarantine: components.partQuarantine.evidence,
+          isOfParts: true,
+          clock: components.clock,
+          log: components.log,
+        }),
+      ),
       roleController: asValue(buildRoleController(options)),
       duties: asValue(buildFleetDuties(options)),
       mesh: asValue(buildMesh(options)),
@@ -264,6 +276,7 @@
       this.#log.write("warn", "storeRestored", { epoch, before, source });
       this.#components.storeReader.handleRestoration();
       this.#components.quarantinePersistence.handleRestoration();
+      this.#components.partQuarantinePersistence.handleRestoration();
       this.#components.mesh.handleRestoration();
     });
     return storeEpoch;
@@ -286,7 +299,28 @@
   }
 
   #watchQuarantine(): void {
-    const { quarantine, clock } = this.#components;
+    const { quarantine, partQuarantine, clock } = this.#components;
+    partQuarantine.evidence.registerChangeListener(
+      ({ kind, request: part, isOwn }) => {
+        const source = isOwn ? "own" : "peer";
+        const quarantined = partQuarantine.findQuarantined(
+          [part],
+          clock.readMonotonicMs(),
+        );
+        if (kind === "cleared") {
+          this.#log.write("info", "partCleared", { part, source });
+        } else if (quarantined !== undefined) {
+          const { account, incarnations, sinceMs, untilMs } = quarantined;
+          this.#log.write("warn", "partQuarantined", {
+            part,
+            source,
+            account,
+            endedTargets: incarnations,
+            holdMs: Math.round(untilMs - sinceMs),
+          });
+        }
+      },
+    );
     quarantine.registerChangeListener(({ kind, request, isOwn }) => {
       const source = isOwn ? "own" : "peer";
       const quarantined = quarantine.findQuarantined(
@@ -428,11 +462,15 @@
   }
 
   #sweepQuarantine(): void {
-    const { quarantine, metrics } = this.#components;
-    if (quarantine.isEmpty) return;
+    const { quarantine, partQuarantine, metrics } = this.#components;
     const nowMs = this.#clock.readMonotonicMs();
-    quarantine.expire(nowMs);
-    metrics.requestsQuarantined.set(quarantine.listQuarantined(nowMs).length);
+    if (!quarantine.isEmpty) {
+      quarantine.expire(nowMs);
+      metrics.requestsQuarantined.set(quarantine.listQuarantined(nowMs).length);
+    }
+    if (partQuarantine.isEmpty) return;
+    partQuarantine.expire(nowMs);
+    metrics.partsQuarantined.set(partQuarantine.listQuarantined(nowMs).length);
   }
 
   async #listenStatus(
@@ -479,6 +517,7 @@
     this.#removeViolationListener?.();
     this.#components.storeReader.stop();
     this.#components.quarantinePersistence.stop();
+    this.#components.partQuarantinePersistence.stop();
     ingress.closeAll();
     this.#components.pathMonitor.stop();
     this.#components.handoverClient.close();
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -150,6 +150,11 @@
     help: "Calls refused because their request is quarantined",
     registers: [this.registry],
   });
+  readonly partsQuarantined = new Gauge({
+    name: "heatherarch_prompt_parts_quarantined",
+    help: "Quarantined parts of prompts",
+    registers: [this.registry],
+  });
   readonly requestsQuarantined = new Gauge({
     name: "heatherarch_requests_quarantined",
     help: "Quarantined requests",
--- a/packages/heatherarch-forward/tasks/quarantine_persistence.ts
+++ b/packages/heatherarch-forward/tasks/quarantine_persistence.ts
@@ -1,6 +1,6 @@
 /**
- * Persists quarantined requests in the platform's store, so that they survive a restart of all
- * VMs. While any VM runs, gossip keeps them. What a restored store has lost is written again.
+ * Persists quarantined requests and parts of prompts in the platform's store, so that they survive a
+ * restart of all VMs. While any VM runs, gossip keeps them. What a restored store has lost is written again.
  *
  * @module
  */
@@ -17,10 +17,13 @@
 export interface QuarantinePersistenceOptions {
   readonly topic: WritableTopicPort<QuarantineRecord>;
   readonly quarantine: RequestQuarantine;
+  /** Whether the requests of `quarantine` are parts of prompts. Their keys have a prefix. */
+  readonly isOfParts?: boolean;
   readonly clock: Clock;
   readonly log: EventLog;
 }
 
+const PART_KEY_PREFIX = "part:";
 /** First delay of the exponential backoff, milliseconds. */
 const INITIAL_RETRY_MS = 500;
 const MAX_WRITE_RETRY_MS = 8000;
@@ -75,9 +78,12 @@
   }
 
   #buildReports(
-    request: string,
+    key: string,
     { account, lives, atUnixMs }: QuarantineRecord,
   ): CrashReport[] {
+    const { isOfParts = false } = this.#options;
+    if (key.startsWith(PART_KEY_PREFIX) !== isOfParts) return [];
+    const request = isOfParts ? key.slice(PART_KEY_PREFIX.length) : key;
     const ageMs = Math.max(0, this.#options.clock.readWallMs() - atUnixMs);
     return lives.map((
       incarnation,
@@ -85,7 +91,7 @@
   }
 
   async #write(change: QuarantineChange): Promise<void> {
-    const { topic, quarantine, clock } = this.#options;
+    const { topic, quarantine, clock, isOfParts = false } = this.#options;
     const { kind, request } = change;
     this.#recordWritten(change);
     const nowMs = clock.readMonotonicMs();
@@ -100,7 +106,7 @@
     await this.#runWithRetry(
       "write",
       MAX_WRITE_ATTEMPTS,
-      () => topic.put(request, record),
+      () => topic.put(isOfParts ? PART_KEY_PREFIX + request : request, record),
     );
   }
 
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -7,6 +7,8 @@
 import type { Clock } from "heatherarch-core";
 import Koa, { type Context } from "koa";
 import type {
+  PartQuarantine,
+  QuarantinedPart,
   QuarantinedRequest,
   RequestQuarantine,
 } from "heatherarch-quarantine";
@@ -19,6 +21,7 @@
   readonly readinessPath: string;
   readonly metricsPath: string;
   readonly quarantine: RequestQuarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly clock: Clock;
   readonly isReady: () => boolean;
   /** Returns what this VM knows of the duties of the fleet and the client accounts. */
@@ -95,30 +98,38 @@
   }
 
   #handleQuarantine(context: Context): void {
-    const { quarantine, clock } = this.#options;
+    const { quarantine, partQuarantine, clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
-    const request = context.path.slice(QUARANTINE_PATH.length + 1);
-    if (context.method === "GET" && request === "") {
+    const digest = context.path.slice(QUARANTINE_PATH.length + 1);
+    if (context.method === "GET" && digest === "") {
       const unixOffsetMs = clock.readWallMs() - nowMs;
       const entries = quarantine.listQuarantined(nowMs);
       context.body = {
         quarantined: entries.map((entry) =>
           formatQuarantined(entry, unixOffsetMs)
         ),
+        parts: partQuarantine.listQuarantined(nowMs).map((entry) =>
+          formatQuarantined(entry, unixOffsetMs)
+        ),
       };
-    } else if (context.method === "DELETE" && request !== "") {
-      context.status = quarantine.clear(request, nowMs) ? 204 : 404;
+    } else if (context.method === "DELETE" && digest !== "") {
+      const isCleared = quarantine.clear(digest, nowMs) ||
+        partQuarantine.evidence.clear(digest, nowMs);
+      context.status = isCleared ? 204 : 404;
     }
   }
 }
 
 /** Formats a quarantine with its monotonic times converted to wall-clock times. */
 function formatQuarantined(
-  { request, account, incarnations, sinceMs, untilMs }: QuarantinedRequest,
+  quarantined: QuarantinedRequest | QuarantinedPart,
   unixOffsetMs: number,
 ) {
+  const { account, incarnations, sinceMs, untilMs } = quarantined;
   return {
-    request,
+    ..."part" in quarantined
+      ? { part: quarantined.part }
+      : { request: quarantined.request },
     account,
     endedTargets: incarnations,
     since: new Date(unixOffsetMs + sinceMs).toISOString(),
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RuntimeClock, ServeError } from "heatherarch-core";
-import { hashRequest, RequestQuarantine } from "heatherarch-quarantine";
+import {
+  hashRequest,
+  PartQuarantine,
+  RequestQuarantine,
+} from "heatherarch-quarantine";
 import {
   CallContext,
   type CallDependencies,
@@ -50,6 +54,7 @@
     dependencies: {
       clock,
       quarantine,
+      partQuarantine: new PartQuarantine(),
       pathMonitor: buildIdlePathMonitor(),
       retryBudget,
       fleetDemand,
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
-import { RequestQuarantine } from "heatherarch-quarantine";
+import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
   type AttemptOptions,
@@ -187,6 +187,7 @@
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
+      partQuarantine: new PartQuarantine(),
       crashDetector: buildCrashDetector(
         {
           quarantine,
--- a/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
@@ -13,7 +13,7 @@
   TargetDirectory,
   TargetRateLimits,
 } from "../../mod.ts";
-import { RequestQuarantine } from "heatherarch-quarantine";
+import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import { buildRateLimits, buildTarget } from "./fixtures.ts";
 
 test("a rate limit begins, changes and ends as responses say", () => {
@@ -122,6 +122,7 @@
   const { rateLimits } = buildRateLimits();
   const gossip = new FleetGossip({
     quarantine: new RequestQuarantine(),
+    partQuarantine: new PartQuarantine(),
     directory,
     rateLimits,
     clock,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -3,14 +3,14 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import { type Clock, computeRendezvousWeight } from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
 import { ActiveConfig } from "./state/active_config.ts";
 import { PrefixIndex } from "./state/prefix_index.ts";
 import { PrefillTimeModel } from "./state/prefill_time_model.ts";
-import { RequestQuarantine } from "heatherarch-quarantine";
+import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import { HandoverClient, type HandoverPeer } from "heatherarch-handover";
 import type { LinkIdentity } from "heatherarch-mesh";
 import { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
@@ -113,6 +113,7 @@
     log,
   });
   const quarantine = buildQuarantine(settings);
+  const partQuarantine = buildPartQuarantine(options);
   const health = new TargetHealth();
   const connections = new TargetConnections({
     clock,
@@ -158,6 +159,7 @@
     fleetDemand,
     rateLimits,
     quarantine,
+    partQuarantine,
     streamVersions: new StreamVersions(),
     findStreamVersion: options.findStreamVersion,
     prefillTimeModel,
@@ -172,6 +174,7 @@
     workTracker: new WorkTracker(),
     crashDetector: buildCrashDetector({
       quarantine,
+      partQuarantine,
       directory,
       pathMonitor,
       clock,
@@ -243,15 +246,18 @@
 
 /** Builds the detector of crashed targets, which logs each lost exchange and each crash. */
 export function buildCrashDetector(
-  { quarantine, directory, pathMonitor, clock, log, metrics }: Pick<
-    CallDependencies,
-    "quarantine" | "directory" | "pathMonitor" | "clock" | "log" | "metrics"
-  >,
+  { quarantine, partQuarantine, directory, pathMonitor, clock, log, metrics }:
+    & Pick<
+      CallDependencies,
+      "quarantine" | "directory" | "pathMonitor" | "clock" | "log" | "metrics"
+    >
+    & Partial<Pick<CallDependencies, "partQuarantine">>,
   targetProbe: Pick<TargetProbe, "probe"> = new TargetProbe(),
 ): CrashDetector {
   return new CrashDetector({
     targetProbe,
     quarantine,
+    partQuarantine,
     clock,
     isInService: (target) =>
       directory.findTarget(target) !== undefined &&
@@ -303,6 +309,20 @@
   });
 }
 
+function buildPartQuarantine(
+  { settings, self, listPeers }: CallDependenciesOptions,
+): PartQuarantine {
+  return new PartQuarantine({
+    holdMs: settings.quarantine.holdSeconds * MS_PER_SECOND,
+    rankSelf: (part) => {
+      const ownWeight = computeRendezvousWeight(part, self.id);
+      return listPeers().filter(({ id }) =>
+        computeRendezvousWeight(part, id) > ownWeight
+      ).length;
+    },
+  });
+}
+
 function buildRetryBudget({ retries }: ForwardSettings): FleetRetryBudget {
   const { share, fixedPerWindow, windowSeconds } = retries;
   return new FleetRetryBudget({
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -53,6 +53,7 @@
   readonly statusServer: StatusServer;
   readonly storeReader: StoreReader;
   readonly quarantinePersistence: QuarantinePersistence;
+  readonly partQuarantinePersistence: QuarantinePersistence;
   /** Undefined if the fleet has no duties. */
   readonly duties: FleetDuties | undefined;
 }
@@ -102,6 +103,7 @@
     rateLimits: components.rateLimits,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
+    partQuarantine: components.partQuarantine,
     streamVersions: components.streamVersions,
     activeConfig: components.activeConfig,
     directory: components.directory,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -29,7 +29,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
-import { RequestQuarantine } from "heatherarch-quarantine";
+import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
 export interface FakeDependenciesOptions {
@@ -84,6 +84,7 @@
     connections,
     targetListGuard: { isHoldingCalls: () => false },
     quarantine,
+    partQuarantine: new PartQuarantine(),
     pathMonitor,
     crashDetector: buildCrashDetector(
       { quarantine, directory, pathMonitor, clock, log, metrics },
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -13,6 +13,7 @@
 import { MEMBERSHIP_PROOF } from "./membership_proof.ts";
 import { ORDER_WRITE_PROOF } from "./order_write_proof.ts";
 import { PARSER_PROOF } from "./parser_proof.ts";
+import { PART_QUARANTINE_PROOF } from "./part_quarantine_proof.ts";
 import type { Proof } from "./proof.ts";
 import { QUARANTINE_PROOF } from "./quarantine_proof.ts";
 import { RATE_LIMIT_PROOF } from "./rate_limit_proof.ts";
@@ -43,5 +44,6 @@
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 2000 },
   { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
+  { proof: PART_QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -105,6 +105,20 @@
   rows: z.array(TARGET_ROW),
 });
 
+/**
+ * Digest of a request, its client account, the incarnation of a target that crashed while it ran the
+ * request, 1 if the crash counts or 0 if the request was cleared of it, and the age of the report.
+ */
+const CRASH_REPORTS = z.array(
+  z.tuple([
+    z.string().max(64),
+    z.string().max(256),
+    z.string().max(256),
+    z.union([z.literal(0), z.literal(1)]),
+    z.int().min(0),
+  ]),
+);
+
 const HEARTBEAT = z.object({
   kind: z.literal("heartbeat"),
   configOffset: z.int(),
@@ -151,20 +165,9 @@
   storeEpoch: z.int().min(0).optional(),
   /** Prompt prefixes that were prefilled or started to be prefilled since the last heartbeat. */
   prompts: PREFIX_UPDATES.optional(),
-  /**
-   * Crash reports: digest of a request, its client account, the incarnation of a target that
-   * crashed while it ran the request, 1 if the crash counts or 0 if the request was cleared of it,
-   * and the age of the report, milliseconds.
-   */
-  crashes: z.array(
-    z.tuple([
-      z.string().max(64),
-      z.string().max(256),
-      z.string().max(256),
-      z.union([z.literal(0), z.literal(1)]),
-      z.int().min(0),
-    ]),
-  ).optional(),
+  crashes: CRASH_REPORTS.optional(),
+  /** Crash reports of parts of prompts, with the digest of a part in place of that of a request. */
+  partCrashes: CRASH_REPORTS.optional(),
   /**
    * Streams that have begun since the last heartbeat on this link: a software version, and the keys
    * of the streams that its engines began, 8 bytes each.
--- a/packages/heatherarch-quarantine/crash_detector.ts
+++ b/packages/heatherarch-quarantine/crash_detector.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Address, Clock } from "heatherarch-core";
+import type { PartQuarantine } from "./part_quarantine.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { ProbeResult, TargetProbe } from "./target_probe.ts";
 
@@ -15,6 +16,8 @@
   readonly request: string;
   /** Client account that sent the request. */
   readonly account: string;
+  /** Digests of the shared parts of the prompt, if the target began to write a response on it. */
+  readonly parts?: readonly string[];
   /** Incarnation of the target. */
   readonly target: string;
   readonly address: Address;
@@ -31,6 +34,7 @@
 export interface CrashDetectorOptions {
   readonly targetProbe: Pick<TargetProbe, "probe">;
   readonly quarantine: RequestQuarantine;
+  readonly partQuarantine?: PartQuarantine;
   readonly clock: Clock;
   /** Whether a target is in service. A target that is leaving or gone may stop without a crash. */
   readonly isInService: (target: string) => boolean;
@@ -88,7 +92,7 @@
 
   /** Records that a target crashed, and reports the crash for all requests that were lost there. */
   recordCrash(target: string, evidence: CrashEvidence): void {
-    const { quarantine, clock, onCrash } = this.#options;
+    const { quarantine, partQuarantine, clock, onCrash } = this.#options;
     const nowMs = clock.readMonotonicMs();
     const losses = (this.#pending.get(target) ?? [])
       .filter(({ atMs }) => nowMs - atMs <= EVIDENCE_WINDOW_MS);
@@ -96,8 +100,9 @@
     if (losses.length === 0) return;
     const requests = new Set(losses.map(({ request }) => request));
     onCrash(target, evidence, [...requests]);
-    for (const { request, account, atMs } of losses) {
+    for (const { request, account, parts = [], atMs } of losses) {
       quarantine.recordCrash(request, account, target, atMs);
+      partQuarantine?.recordCrash(parts, account, target, atMs);
     }
   }
 
--- a/packages/heatherarch-quarantine/mod.ts
+++ b/packages/heatherarch-quarantine/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./crash_detector.ts";
+export * from "./part_quarantine.ts";
 export * from "./request_digest.ts";
 export * from "./request_quarantine.ts";
 export * from "./target_probe.ts";
--- a/packages/heatherarch-quarantine/request_quarantine.ts
+++ b/packages/heatherarch-quarantine/request_quarantine.ts
@@ -79,6 +79,16 @@
   readonly disabledGuards?: ReadonlySet<QuarantineGuard>;
 }
 
+/** A request against which crashes count. */
+export interface SuspectedRequest {
+  readonly request: string;
+  readonly account: string;
+  /** Incarnations of targets whose crashes count. */
+  readonly incarnations: readonly string[];
+  /** Monotonic time of the latest crash report. */
+  readonly latestMs: number;
+}
+
 interface CrashEntry {
   readonly isCleared: boolean;
   readonly atMs: number;
@@ -205,6 +215,16 @@
     return suspect === undefined ? 0 : listCrashes(suspect).length;
   }
 
+  /** Lists the requests against which crashes count. */
+  listSuspects(): SuspectedRequest[] {
+    return [...this.#suspects].map(([request, suspect]) => ({
+      request,
+      account: suspect.account,
+      incarnations: listCrashes(suspect),
+      latestMs: findLatest(suspect),
+    })).filter(({ incarnations }) => incarnations.length > 0);
+  }
+
   /** Returns the quarantine of a request, or undefined if it is not quarantined. */
   findQuarantined(
     request: string,
