Engines that have all crashed are not taken for a lost path

When all decode engines had ended, all VMs logged a lost path and handed calls over to each other, 55 times in nine seconds of the record of BUDGET; peers had prompts read for nothing. Engines that refuse connections while other targets respond are down: the path is kept, and a call that only they could serve is not handed over. Unit test failed before (hasPath was false).

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -27,6 +27,8 @@
     readonly kind: "notSent";
     readonly reason: string;
     readonly isWithheld: boolean;
+    /** No process listens at the target's address. */
+    readonly isRefused?: boolean;
   }
   /** The target refused the request and will not run it. */
   | {
@@ -161,12 +163,11 @@
   return Math.min(MAX_SUSPICION_MS, Math.max(MIN_SUSPICION_MS, byAimMs));
 }
 
-function classifyError(
-  { fault, message: reason }: ExchangeError,
-): AttemptResult {
+function classifyError(error: ExchangeError): AttemptResult {
+  const { fault, message: reason, isConnectionRefused: isRefused } = error;
   const isWithheld = fault === "withheld";
   if (fault === "notSent" || isWithheld) {
-    return { kind: "notSent", reason, isWithheld };
+    return { kind: "notSent", reason, isWithheld, isRefused };
   }
   return { kind: "lost", reason };
 }
@@ -246,7 +247,9 @@
     health.avoidUntil(target.id, nowMs + OTHER_ROLE_AVOID_MS);
   }
   const isWithheld = result.kind === "notSent" && result.isWithheld;
-  if (result.kind === "notSent" && !isWithheld) context.recordUnreachable();
+  if (result.kind === "notSent" && !isWithheld) {
+    context.recordUnreachable(result.isRefused);
+  }
   if (result.kind === "lost" || (result.kind === "notSent" && !isWithheld)) {
     pathMonitor.recordTrouble(target);
   }
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -98,6 +98,7 @@
   #runs: number;
   /** Number of attempts that reached no target. */
   #unreachable = 0;
+  #hasRefusedConnection = false;
   /** Whether a peer serves the call, or has done so. */
   #isHandedOver = false;
 
@@ -258,9 +259,22 @@
     await Promise.race([targetListGuard.awaitFreshList(), this.#ended]);
   }
 
-  /** Records that an attempt could not reach its target. */
-  recordUnreachable(): void {
+  /** Records that an attempt could not reach its target, which may have refused the connection. */
+  recordUnreachable(isRefused = false): void {
     this.#unreachable++;
+    this.#hasRefusedConnection ||= isRefused;
+  }
+
+  /**
+   * Resolves with whether peers may be able to serve the call. They are not if the targets refuse
+   * connections because they have crashed.
+   */
+  async mayPeersServe(): Promise<boolean> {
+    if (!this.mayHandOver) return false;
+    if (!this.#hasRefusedConnection || !this.hasPath) return true;
+    const { pathMonitor } = this.dependencies;
+    const isOpen = await pathMonitor.confirmPath(this.service.name);
+    return this.mayHandOver && (isOpen || !this.hasPath);
   }
 
   /** Forgets which targets could not be reached: no peer takes the call. */
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -144,7 +144,7 @@
   /** Hands the call over to a peer if it could not be sent. Returns whether the call has ended. */
   async #handOver(): Promise<boolean> {
     const context = this.#context;
-    if (!context.mayHandOver) return context.hasEnded;
+    if (!await context.mayPeersServe()) return context.hasEnded;
     if (context.mayHaveRun && !context.takeRetry()) return false;
     const result = await new CallHandover({
       context,
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -99,7 +99,8 @@
   /** Hands the call over to a peer if it could not be sent. */
   async #handOver(): Promise<HandoverResult | "kept"> {
     const context = this.#context;
-    if (!context.mayHandOver || this.#failure !== undefined) return "kept";
+    if (this.#failure !== undefined) return "kept";
+    if (!await context.mayPeersServe()) return "kept";
     if (context.mayHaveRun && !context.takeRetry()) return "kept";
     const relay = new StreamRelay({
       clientResponse: context.clientResponse,
--- a/packages/heatherarch-forward/calls/response_probe.ts
+++ b/packages/heatherarch-forward/calls/response_probe.ts
@@ -7,6 +7,7 @@
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import { ExchangeError } from "./target_exchange.ts";
 
 /** What a probe requires. */
 export interface ResponseProbeContext {
@@ -14,14 +15,20 @@
   readonly codec: Pick<CallCodec, "encodeReportRequest">;
 }
 
+/**
+ * Result of a probe: a response, whatever it is; no process listens at the address; or neither in
+ * time.
+ */
+export type ProbeOutcome = "response" | "refused" | "silent";
+
 /** Time for a response, milliseconds: several round trips between zones, without any work. */
 const PROBE_TIMEOUT_MS = 150;
 
-/** Resolves with whether the target responds in time, whatever it responds. Never rejects. */
+/** Resolves with whether the target responds in time. Never rejects. */
 export async function probeResponse(
   { connections, codec }: ResponseProbeContext,
   target: Target,
-): Promise<boolean> {
+): Promise<ProbeOutcome> {
   const exchange = connections.send(
     target,
     codec.encodeReportRequest(target),
@@ -39,10 +46,11 @@
       onEnd: ignore,
       onFault: ignore,
     });
-    return true;
-  } catch {
-    // Any end without a response is the result of the probe.
-    return false;
+    return "response";
+  } catch (error) {
+    const isRefused = error instanceof ExchangeError &&
+      error.isConnectionRefused;
+    return isRefused ? "refused" : "silent";
   } finally {
     stopTimer();
   }
--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -4,7 +4,8 @@
  *
  * An attempt that fails or stays without a response makes this VM probe a few targets at once, so a
  * lost path is known within fractions of a second, and a single silent target is not mistaken for
- * one. While the path is lost, probes show when it is back, without any call of a client.
+ * one; nor are targets that have all crashed, as they refuse connections while others respond. While
+ * the path is lost, probes show when it is back, without any call of a client.
  *
  * @module
  */
@@ -12,6 +13,7 @@
 import type { EventLog } from "../event_log.ts";
 import type { ForwardMetrics } from "../metrics.ts";
 import type { Target } from "../model.ts";
+import type { ProbeOutcome } from "../calls/response_probe.ts";
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
@@ -28,8 +30,8 @@
   readonly rateLimits: Pick<TargetRateLimits, "getMaxPerSecond">;
   readonly health: Pick<TargetHealth, "getLastResponseAtMs" | "clearAvoidance">;
   readonly connections: Pick<TargetConnections, "renew">;
-  /** Resolves with whether the target responds to a request that it does not run. Never rejects. */
-  readonly probe: (target: Target) => Promise<boolean>;
+  /** Sends the target a request that it does not run, and resolves with the result. Never rejects. */
+  readonly probe: (target: Target) => Promise<ProbeOutcome>;
   /** Draws a uniformly distributed number in [0, 1). */
   readonly drawUnit: () => number;
 }
@@ -138,6 +140,7 @@
     let check = this.#refusalChecks.get(id);
     if (check === undefined) {
       check = this.#probeAny(this.#listProbed(others))
+        .then((outcome) => outcome === "response")
         .finally(() => this.#refusalChecks.delete(id));
       this.#refusalChecks.set(id, check);
     }
@@ -209,9 +212,13 @@
       this.#restorePath(group);
       return true;
     }
-    const hasResponse = await this.#probeAny(probed) ||
+    const outcome = await this.#probeAny(probed);
+    const hasResponse = outcome === "response" ||
       group.lastContactAtMs >= startedAtMs;
     if (this.#isStopped || hasResponse) return true;
+    if (outcome === "refused" && await this.#reachesOthers(targets)) {
+      return false;
+    }
     group.failingSinceMs = Math.min(group.failingSinceMs, startedAtMs);
     const failingMs = this.#nowMs - group.failingSinceMs;
     const isSilentForLong = targets.length > 1 ||
@@ -254,12 +261,29 @@
     return unlimited.length > 0 ? unlimited : available;
   }
 
-  /** Resolves with true at the first response, or with false if there is none. */
-  async #probeAny(targets: readonly Target[]): Promise<boolean> {
+  /** Resolves at the first response, or with why there is none: all targets refuse, or not. */
+  async #probeAny(targets: readonly Target[]): Promise<ProbeOutcome> {
+    const outcomes: ProbeOutcome[] = [];
     const probes = targets.map(async (target) => {
-      if (!await this.#options.probe(target)) throw new Error("no response");
+      const outcome = await this.#options.probe(target);
+      outcomes.push(outcome);
+      if (outcome !== "response") throw new Error("no response");
     });
-    return await Promise.any(probes).then(() => true, () => false);
+    try {
+      await Promise.any(probes);
+      return "response";
+    } catch {
+      const areDown = outcomes.every((outcome) => outcome === "refused");
+      return areDown ? "refused" : "silent";
+    }
+  }
+
+  /** Resolves with whether a target responds that is not one of these. */
+  async #reachesOthers(targets: readonly Target[]): Promise<boolean> {
+    const ids = new Set(targets.map(({ id }) => id));
+    const others = this.#options.directory.listAll()
+      .filter(({ id }) => !ids.has(id));
+    return await this.#probeAny(this.#listProbed(others)) === "response";
   }
 
   #recordLoss(
--- a/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
@@ -24,6 +24,7 @@
     clock.readMonotonicMs(),
   );
   const reachable = new Set(targets.map(({ id }) => id));
+  const refusing = new Set<string>();
   const probed: string[] = [];
   const renewed: string[] = [];
   const health = new TargetHealth();
@@ -39,7 +40,8 @@
     connections: { renew: (ids) => void renewed.push(...ids) },
     probe: (target) => {
       probed.push(target.id);
-      return Promise.resolve(reachable.has(target.id));
+      if (reachable.has(target.id)) return Promise.resolve("response");
+      return Promise.resolve(refusing.has(target.id) ? "refused" : "silent");
     },
     drawUnit: () => 0.5,
   });
@@ -47,6 +49,7 @@
     monitor,
     health,
     reachable,
+    refusing,
     probed,
     renewed,
     events: () => log.lines.map(({ event }) => event),
@@ -148,3 +151,31 @@
   assert.equal(await monitor.confirmRefusal(PLAIN[0]), false);
   monitor.stop();
 });
+
+// Guards against all VMs that took the crash of all decode engines for a lost path of their own, and
+// handed calls over to each other.
+test("targets that all refuse connections while others respond have crashed; the path is not lost", async () => {
+  const decodeEngines = ["d1", "d2"].map((id) =>
+    buildEngine(id, { role: "decode" })
+  );
+  const { monitor, reachable, refusing, events } = buildMonitor([
+    ...decodeEngines,
+    buildEngine("r1"),
+  ]);
+  for (const { id } of decodeEngines) {
+    reachable.delete(id);
+    refusing.add(id);
+  }
+  monitor.recordTrouble(decodeEngines[0]);
+  await sleep(5);
+  assert.equal(monitor.hasPath("s"), true);
+  assert.equal(await monitor.confirmPath("s"), false);
+  assert.deepEqual(events(), []);
+  reachable.clear();
+  refusing.add("r1");
+  await sleep(210);
+  monitor.recordTrouble(decodeEngines[0]);
+  await sleep(5);
+  assert.equal(monitor.hasPath("s"), false);
+  monitor.stop();
+});
