--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -29,6 +29,8 @@
   readonly relay: StreamRelay;
   /** Software version at which the stream has to go on, if it has begun. */
   readonly softwareVersion?: string;
+  /** An engine has read the prompt already. */
+  readonly isPromptRead?: boolean;
 }
 
 /** Peers that are asked for one call. */
@@ -52,12 +54,14 @@
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
   readonly #softwareVersion: string | undefined;
+  #isPromptRead: boolean;
   readonly #asked = new Set<string>();
 
-  constructor({ context, relay, softwareVersion }: CallHandoverOptions) {
-    this.#context = context;
-    this.#relay = relay;
-    this.#softwareVersion = softwareVersion;
+  constructor(options: CallHandoverOptions) {
+    this.#context = options.context;
+    this.#relay = options.relay;
+    this.#softwareVersion = options.softwareVersion;
+    this.#isPromptRead = options.isPromptRead ?? false;
   }
 
   /** Serves the call, as far as peers take it. */
@@ -101,7 +105,10 @@
     const lastEventId = this.#relay.lastEventId ?? receivedCall.lastEventId;
     const call = { ...receivedCall, lastEventId };
     const softwareVersion = this.#softwareVersion;
-    const state = { ...handoverState, softwareVersion };
+    const isPromptRead = this.#isPromptRead;
+    const state = { ...handoverState, softwareVersion, isPromptRead };
+    // The peer may have the prompt read, whatever its reply is.
+    this.#isPromptRead = true;
     const exchange = sendToPeer(
       connection,
       encodeHandoverCall(call, state, nowMs),
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -150,6 +150,7 @@
       context,
       relay: this.#relay,
       softwareVersion: this.#decodeEngines.softwareVersion,
+      isPromptRead: this.#prefill.isRetry,
     }).serve();
     if (result === "ended") return true;
     if (context.hasPath) context.forgetUnreachable();
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -42,6 +42,7 @@
   resumedAttemptId: z.string().optional(),
   runs: z.int().min(0),
   isUsageRecorded: z.boolean(),
+  isPromptRead: z.boolean().optional(),
   softwareVersion: z.string().optional(),
 });
 
@@ -61,11 +62,11 @@
 /** Encodes a call without its body. */
 export function encodeHandoverCall(
   { body: _body, arrivedAtMs, account: _account, ...call }: ForwardedCall,
-  { runs, isUsageRecorded, softwareVersion }: HandoverState,
+  state: HandoverState,
   nowMs: number,
 ): unknown {
   const elapsedMs = Math.max(0, nowMs - arrivedAtMs);
-  return { ...call, elapsedMs, runs, isUsageRecorded, softwareVersion };
+  return { ...call, elapsedMs, ...state };
 }
 
 /** Decodes a call from a peer; undefined if it is malformed. */
@@ -76,12 +77,19 @@
 ): ForwardedCall | undefined {
   const parsed = CALL.safeParse(head).data;
   if (parsed === undefined) return undefined;
-  const { elapsedMs, runs, isUsageRecorded, softwareVersion, ...call } = parsed;
+  const {
+    elapsedMs,
+    runs,
+    isUsageRecorded,
+    isPromptRead,
+    softwareVersion,
+    ...call
+  } = parsed;
   return {
     ...call,
     body,
     arrivedAtMs: nowMs - elapsedMs,
-    handover: { runs, isUsageRecorded, softwareVersion },
+    handover: { runs, isUsageRecorded, isPromptRead, softwareVersion },
   };
 }
 
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -87,9 +87,10 @@
   readonly #prefixKey: string | undefined;
   readonly #tried = new Set<string>();
   /** An earlier prefill reached an engine, so the next one is a retry. */
-  #isRetry = false;
+  #isRetry: boolean;
 
   constructor(options: PromptPrefillOptions) {
+    this.#isRetry = options.context.call.handover?.isPromptRead ?? false;
     this.#context = options.context;
     this.#prompt = options.prompt;
     this.#traits = options.traits;
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -177,6 +177,8 @@
   readonly runs: number;
   /** The usage of the call's account is recorded already. */
   readonly isUsageRecorded: boolean;
+  /** The prompt of the call was read before, or may have been, so to read it again is a retry. */
+  readonly isPromptRead?: boolean;
   /** Software version that began the stream, if events of it were sent to the client. */
   readonly softwareVersion?: string;
 }
