A stream that ends inside an event has been broken off

A response without length or chunks ends with its connection, so a stream that was cut inside an event was relayed as whole, half event included, and never resumed. Where the end of the connection is the end of the body, the client's connection is reset, as a close would look complete.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -74,12 +74,6 @@
  * then its entry in the target list shows the role (entries are written every 1.2 s).
  */
 const OTHER_ROLE_AVOID_MS = 1500;
-const SUCCESS_STATUS = { min: 200, max: 299 };
-
-/** Whether an HTTP status means success. */
-export function isSuccessStatus(status: number): boolean {
-  return status >= SUCCESS_STATUS.min && status <= SUCCESS_STATUS.max;
-}
 
 /** Waits for the head of a response, classifies it, and records what it tells about the target. */
 export async function awaitAttempt(
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -12,7 +12,7 @@
 import { encodeHandoverCall } from "./handover_codec.ts";
 import { PeerFailureError, sendToPeer } from "./peer_exchange.ts";
 import type { RelayResult, StreamRelay } from "./response_relay.ts";
-import { isSuccessStatus } from "./attempt_result.ts";
+import { isSuccessStatus } from "./http_status.ts";
 import {
   ExchangeError,
   type ResponseHead,
--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -44,6 +44,8 @@
   readonly #response: ServerResponse;
   readonly #disconnectListeners = new Set<() => void>();
   #disconnected = false;
+  /** The end of the connection marks the end of the body. */
+  #endsConnection = false;
 
   constructor(response: ServerResponse) {
     this.#response = response;
@@ -75,6 +77,7 @@
     options: { endsConnection?: boolean } = {},
   ): void {
     if (options.endsConnection) {
+      this.#endsConnection = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.setHeader("Connection", "close");
     }
@@ -95,7 +98,9 @@
   }
 
   destroy(): void {
-    this.#response.destroy();
+    // Where the end of the connection is the end of the body, only a reset shows that it is cut off.
+    if (this.#endsConnection) this.#response.socket?.resetAndDestroy();
+    else this.#response.destroy();
   }
 
   fail(error: ServeError, callId: string): void {
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -27,11 +27,8 @@
 } from "../scheduling/retry_after.ts";
 import { CallHandover } from "./call_handover.ts";
 import type { TargetExchange } from "./target_exchange.ts";
-import {
-  type AttemptResult,
-  awaitAttempt,
-  isSuccessStatus,
-} from "./attempt_result.ts";
+import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
+import { isSuccessStatus } from "./http_status.ts";
 
 /** Attempts of each stage for one call. */
 const MAX_ROUNDS = 5;
@@ -79,6 +76,7 @@
     this.#relay = new StreamRelay({
       clientResponse: context.clientResponse,
       isResumable: context.route.kind === "resumableStream",
+      isEventStream: true,
       // A peer may have sent the beginning of the stream to the client.
       lastEventId: context.call.handover === undefined
         ? undefined
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -27,7 +27,8 @@
 import { sleep } from "heatherarch-core";
 import { MAX_RATE_LIMIT_DELAY_MS } from "../scheduling/retry_after.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
-import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
+import { awaitAttempt } from "./attempt_result.ts";
+import { isSuccessStatus } from "./http_status.ts";
 import { CallHandover, type HandoverResult } from "./call_handover.ts";
 
 /** A retry is useless with less time left than this, milliseconds. */
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -24,7 +24,8 @@
   PrefillOutcome,
 } from "../scheduling/prefill_queue.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
-import { awaitAttempt, isSuccessStatus } from "./attempt_result.ts";
+import { awaitAttempt } from "./attempt_result.ts";
+import { isSuccessStatus } from "./http_status.ts";
 
 /** Time from prefill to the first token at the client: two hops, a KV transfer, a decode step. */
 const FIRST_TOKEN_MS = 35;
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -5,17 +5,21 @@
  */
 import { copyEndToEndHeaders } from "./end_to_end_headers.ts";
 import type { ClientResponse } from "./client_response.ts";
+import { isSuccessStatus } from "./http_status.ts";
 import { SseSplitter } from "./sse_splitter.ts";
-import type {
+import {
   ExchangeError,
-  ResponseHead,
-  TargetExchange,
+  type ResponseHead,
+  type TargetExchange,
 } from "./target_exchange.ts";
 
 /** Largest response that is buffered as a whole before it is sent. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
+/** End of an event: a blank line. */
+const EVENT_END = /\n\r?\n$/;
+
 /** How the end of a response body is marked. */
 export type ResponseFraming = "length" | "chunked" | "connection";
 
@@ -129,6 +133,8 @@
   readonly clientResponse: ClientResponse;
   /** Only complete events are sent, so that another target can resume after the last one. */
   readonly isResumable: boolean;
+  /** Successful responses are streams of events, which are not complete if they end inside one. */
+  readonly isEventStream?: boolean;
   /** Id of the last event that the client has received already; undefined if it has none. */
   readonly lastEventId?: string;
   /** Called when the first bytes of the body are sent. */
@@ -167,13 +173,21 @@
     this.#head = head;
     if (!isResumable) this.#writeHead();
     const splitter = isResumable ? new SseSplitter() : undefined;
+    let tail = "";
     return new Promise((resolve) => {
       exchange.setBodyListener({
         onData: (bytes) => {
+          tail =
+            (tail + bytes.toString("latin1", Math.max(0, bytes.length - 3)))
+              .slice(-3);
           if (splitter === undefined) this.#write(exchange, bytes);
           else this.#writeEvents(exchange, splitter, bytes);
         },
         onEnd: () => {
+          if (this.#endsInsideEvent(head, tail)) {
+            resolve(new ExchangeError("lost", "ended inside an event"));
+            return;
+          }
           if (splitter !== undefined && splitter.remainder.length > 0) {
             this.#write(exchange, splitter.remainder);
           }
@@ -185,6 +199,13 @@
     });
   }
 
+  /** Whether a body with these last characters is a stream that ended before a blank line. */
+  #endsInsideEvent({ status }: ResponseHead, tail: string): boolean {
+    const { isEventStream = false } = this.#options;
+    return isEventStream && isSuccessStatus(status) && tail !== "" &&
+      !EVENT_END.test(tail);
+  }
+
   /** Sends the head unless that of an earlier response was sent. */
   #writeHead(): void {
     const { clientResponse, isResumable } = this.#options;
