A VM that gets most calls may use most connections of a target

For some seconds a load balancer may hand most new connections to one VM. It refused calls that it had read, as each VM had an even share of a target's connections, also those that got none. Half of the usable connections are now shared by the runs that VMs have at the target, which they tell each other; the shares still add up to what is usable. Prefill engines are shared evenly, as VMs tell the time of prefills and not their number.

--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -33,6 +33,11 @@
     head: ResponseHead,
     sentAtMs: number,
   ) => void;
+  /**
+   * Returns the number of runs in progress at a target from all VMs; undefined if VMs don't tell each
+   * other that number.
+   */
+  readonly countRuns?: (target: Target) => number | undefined;
   /** Called before a request is sent. */
   readonly onSend?: (target: Target) => void;
   readonly clock?: Pick<Clock, "readMonotonicMs">;
@@ -57,6 +62,11 @@
 const KEEP_ALIVE_MARGIN_MS = 1000;
 /** Share of a target's connections that all VMs together use; health checks need some as well. */
 const USABLE_SHARE = 0.8;
+/**
+ * Part of the usable connections that VMs share by their runs at the target, so that a VM which gets
+ * most calls may use most of them. The rest is shared evenly, for VMs whose load begins.
+ */
+const SHARED_BY_RUNS = 0.5;
 const MIN_CONNECTIONS = 2;
 /** Connections to one target if the limit of its service is not known. */
 const DEFAULT_CONNECTION_LIMIT = 32;
@@ -129,6 +139,7 @@
     this.#options = {
       onResponseHead: () => undefined,
       findBlockReason: () => undefined,
+      countRuns: () => undefined,
       onSend: () => undefined,
       clock: new RuntimeClock(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
@@ -143,16 +154,33 @@
   }
 
   /** Number of connections to one target that this VM may use at the same time. */
-  computeConnectionLimit(maxConnections: number | undefined): number {
+  computeConnectionLimit(
+    target: Target,
+    maxConnections: number | undefined,
+  ): number {
     if (maxConnections === undefined) return DEFAULT_CONNECTION_LIMIT;
-    const share = Math.floor(maxConnections * USABLE_SHARE / this.#liveVms);
-    return Math.max(MIN_CONNECTIONS, share);
+    const usable = maxConnections * USABLE_SHARE;
+    const limit = Math.floor(usable * this.#computeShare(target));
+    return Math.max(MIN_CONNECTIONS, limit);
+  }
+
+  #computeShare(target: Target): number {
+    const evenShare = 1 / this.#liveVms;
+    const runs = this.#options.countRuns(target);
+    if (runs === undefined) return evenShare;
+    const own = this.#countInFlight(target);
+    const shareByRuns = (own + 1) / (Math.max(own, runs) + this.#liveVms);
+    return SHARED_BY_RUNS * shareByRuns + (1 - SHARED_BY_RUNS) * evenShare;
   }
 
   /** Whether another request may be sent to the target now. */
   hasCapacity(target: Target, maxConnections: number | undefined): boolean {
-    const inFlight = this.#pools.get(target.id)?.inFlight ?? 0;
-    return inFlight < this.computeConnectionLimit(maxConnections);
+    return this.#countInFlight(target) <
+      this.computeConnectionLimit(target, maxConnections);
+  }
+
+  #countInFlight(target: Target): number {
+    return this.#pools.get(target.id)?.inFlight ?? 0;
   }
 
   /**
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -61,3 +61,35 @@
   assert.equal((await exchange.head).status, 200);
   assert.equal(count(), 1);
 });
+
+test("VMs share a target's connections evenly, or by the runs that they have there", () => {
+  const target = buildTarget("t");
+  const build = (runs: number | undefined): TargetConnections => {
+    const created = new TargetConnections({ countRuns: () => runs });
+    created.setLiveVms(10);
+    return created;
+  };
+  assert.equal(build(undefined).computeConnectionLimit(target, 100), 8);
+  assert.equal(build(0).computeConnectionLimit(target, 100), 8);
+  // All other VMs together have 90 runs, so this one keeps the even half of its share.
+  assert.equal(build(90).computeConnectionLimit(target, 100), 4);
+  assert.equal(build(90).computeConnectionLimit(target, undefined), 32);
+});
+
+test("the shares of all VMs add up to the usable connections of a target", () => {
+  const runsByVm = [60, 5, 5, 0, 0, 0, 0, 0, 0, 0];
+  const all = runsByVm.reduce((sum, runs) => sum + runs, 0);
+  const limits = runsByVm.map((runs) => {
+    const created = new TargetConnections({ countRuns: () => all });
+    created.setLiveVms(runsByVm.length);
+    const never = { path: "/", method: "GET", headers: [], body: null };
+    const target = buildTarget("t", { address: "127.0.0.1:9" });
+    for (let i = 0; i < runs; i++) {
+      void created.send(target, never).ended.catch(() => undefined);
+    }
+    return created.computeConnectionLimit(target, 1000);
+  });
+  const sum = limits.reduce((total, limit) => total + limit, 0);
+  assert.ok(sum <= 800 && sum > 780, `${limits}`);
+  assert.ok(limits[0] > 300, `${limits}`);
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -115,8 +115,14 @@
   const quarantine = buildQuarantine(settings);
   const partQuarantine = buildPartQuarantine(options);
   const health = new TargetHealth();
+  const workTracker = new WorkTracker();
   const connections = new TargetConnections({
     clock,
+    // VMs tell each other the time of prefills in progress, not their number.
+    countRuns: ({ id, role }) =>
+      role === "prefill"
+        ? undefined
+        : workTracker.getRunLoad(id, clock.readMonotonicMs()).runs,
     onResponseHead: (target, head, sentAtMs) => {
       metrics.lastResponse.setToCurrentTime();
       pathMonitor.recordContact(target);
@@ -171,7 +177,7 @@
       drawUnit: Math.random,
     }),
     health,
-    workTracker: new WorkTracker(),
+    workTracker,
     crashDetector: buildCrashDetector({
       quarantine,
       partQuarantine,
