An entry from before a restart doesn't vouch for an engine's software

Where incarnations share an id, an engine may start again with other software under it, and the entry that is still listed names the version before. Streams would begin or go on at it under the wrong version. After a new connection one report of the engine shows whether it is the listed incarnation; until then no event of a resumable stream is relayed.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -22,6 +22,7 @@
 import type { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import type { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import type { TargetListGuard } from "./calls/target_list_guard.ts";
+import type { IncarnationCheck } from "./calls/incarnation_check.ts";
 import type { TargetConnections } from "./calls/target_connections.ts";
 import type { TargetDirectory } from "./state/target_directory.ts";
 import type { TargetHealth } from "./state/target_health.ts";
@@ -46,6 +47,7 @@
   readonly rateLimits: TargetRateLimits;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
+  readonly incarnationCheck: Pick<IncarnationCheck, "confirm">;
   readonly targetListGuard: TargetListGuard;
   readonly crashDetector: CrashDetector;
   readonly pathMonitor: PathMonitor;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -264,11 +264,8 @@
     { head, metadata }: AttemptResponse,
   ): Promise<void> {
     const isSuccess = isSuccessStatus(head.status);
-    const fault = isSuccess && !metadata.signed
-      ? "successful response without a signature"
-      : !isSuccess && this.#relay.isStarted
-      ? `the stream could not be resumed: status ${head.status}`
-      : undefined;
+    const fault = await this.#findFault(target, head, metadata);
+    if (this.#context.hasEnded) return;
     if (fault !== undefined) {
       exchange.abort(fault);
       this.#decodeEngines.addTried(target.id);
@@ -282,6 +279,24 @@
     this.#handleRelayResult(target, head.status, result);
   }
 
+  /** Returns why a response may not be relayed; undefined if it may. */
+  async #findFault(
+    target: Target,
+    { status }: AttemptResponse["head"],
+    { signed }: AttemptResponse["metadata"],
+  ): Promise<string | undefined> {
+    if (!isSuccessStatus(status)) {
+      return this.#relay.isStarted
+        ? `the stream could not be resumed: status ${status}`
+        : undefined;
+    }
+    if (!signed) return "successful response without a signature";
+    const { route, dependencies } = this.#context;
+    if (route.kind !== "resumableStream") return undefined;
+    const isListed = await dependencies.incarnationCheck.confirm(target);
+    return isListed ? undefined : "the engine may be another incarnation";
+  }
+
   /** Aborts a stream that a peer can resume if the path is lost. Returns a function that stops this. */
   #abortIfPathLost(exchange: TargetExchange): () => void {
     const { dependencies, service, route } = this.#context;
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -75,6 +75,8 @@
   readonly pool: Pool;
   readonly resetDetector: ResetDetector;
   inFlight: number;
+  /** Number of connections that were opened. */
+  opened: number;
 }
 
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
@@ -179,6 +181,11 @@
       this.computeConnectionLimit(target, maxConnections);
   }
 
+  /** Number of connections to the target that were opened so far. */
+  countOpened(target: Target): number {
+    return this.#pools.get(target.id)?.opened ?? 0;
+  }
+
   #countInFlight(target: Target): number {
     return this.#pools.get(target.id)?.inFlight ?? 0;
   }
@@ -257,7 +264,9 @@
         pool,
         resetDetector,
         inFlight: 0,
+        opened: 0,
       };
+      pool.on("connect", () => created.opened++);
       entry = created;
       this.#pools.set(target.id, created);
     }
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -188,6 +188,7 @@
       targetListGuard: buildIdleGuard(clock),
       quarantine,
       partQuarantine: new PartQuarantine(),
+      incarnationCheck: { confirm: () => Promise.resolve(true) },
       crashDetector: buildCrashDetector(
         {
           quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -28,6 +28,7 @@
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import { PrefillQueue } from "./scheduling/prefill_queue.ts";
 import type { EventLog } from "./event_log.ts";
+import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
 import { probeResponse } from "./calls/response_probe.ts";
 import { PathMonitor } from "./tasks/path_monitor.ts";
@@ -188,6 +189,7 @@
       metrics,
     }),
     connections,
+    incarnationCheck: new IncarnationCheck({ connections, codec }),
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
     targetListGuard: buildTargetListGuard(options, metrics),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -82,6 +82,7 @@
     }),
     workTracker: new WorkTracker(),
     connections,
+    incarnationCheck: { confirm: () => Promise.resolve(true) },
     targetListGuard: { isHoldingCalls: () => false },
     quarantine,
     partQuarantine: new PartQuarantine(),
