--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -3,6 +3,10 @@
  *
  * @module
  */
+import {
+  measureRecordCost,
+  runStreamBench,
+} from "../bench/stream_simulation.ts";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { mkdirSync, writeFileSync } from "node:fs";
@@ -123,6 +127,17 @@
       process.exit(0);
     },
   )
+  .command(
+    "streams",
+    "ways to know which software version began a stream, in fleets of 9 to 870 VMs",
+    (y) => y.option("seed", { type: "number", default: 1 }),
+    (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = runStreamBench({ ...args, print });
+      const cost = measureRecordCost(print);
+      if (args.json) printReport({ rows, cost }, true);
+    },
+  )
   .command(
     "mix",
     "goodput of policies while the request mix shifts",
