--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -184,7 +184,7 @@
           else this.#writeEvents(exchange, splitter, bytes);
         },
         onEnd: () => {
-          if (this.#endsInsideEvent(head, tail)) {
+          if (this.#isCutInsideEvent(head, tail)) {
             resolve(new ExchangeError("lost", "ended inside an event"));
             return;
           }
@@ -200,7 +200,7 @@
   }
 
   /** Whether a body with these last characters is a stream that ended before a blank line. */
-  #endsInsideEvent({ status }: ResponseHead, tail: string): boolean {
+  #isCutInsideEvent({ status }: ResponseHead, tail: string): boolean {
     const { isEventStream = false } = this.#options;
     return isEventStream && isSuccessStatus(status) && tail !== "" &&
       !EVENT_END.test(tail);
