--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -9,7 +9,7 @@
 import type { CallContext } from "./call_context.ts";
 import { DecodeEnginePicker } from "./decode_engine_picker.ts";
 import { findEngineBackoffMs } from "../scheduling/engine_selection.ts";
-import { findStreamVersion, recordStreamVersion } from "./stream_version.ts";
+import { findStreamVersion, recordStreamVersion } from "./resumable_stream.ts";
 import {
   computeEnginePriority,
   computeLane,
