A resumable stream whose engine crashes at its end goes on elsewhere

A stream without length ends with its connection, and an engine that crashes closes its connections as well: between two events nothing tells the two apart. A VM now asks the engine for its report at such an end, and resumes the stream elsewhere if there is no response and it may.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -5,7 +5,11 @@
  *
  * @module
  */
-import { type RelayResult, StreamRelay } from "./response_relay.ts";
+import {
+  getResponseFraming,
+  type RelayResult,
+  StreamRelay,
+} from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import { DecodeEnginePicker } from "./decode_engine_picker.ts";
 import { findEngineBackoffMs } from "../scheduling/engine_selection.ts";
@@ -26,7 +30,11 @@
   MAX_RATE_LIMIT_DELAY_MS,
 } from "../scheduling/retry_after.ts";
 import { CallHandover } from "./call_handover.ts";
-import type { TargetExchange } from "./target_exchange.ts";
+import {
+  ExchangeError,
+  type ResponseHead,
+  type TargetExchange,
+} from "./target_exchange.ts";
 import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
@@ -274,8 +282,11 @@
     this.#respondingEngine = target;
     this.#isResponseSuccessful = isSuccess;
     const removeListener = this.#abortIfPathLost(exchange);
-    const result = await this.#relay.relay(exchange, head);
+    const relayed = await this.#relay.relay(exchange, head);
     removeListener();
+    const result = relayed === "whole"
+      ? await this.#confirmEnd(target, head)
+      : relayed;
     this.#handleRelayResult(target, head.status, result);
   }
 
@@ -297,6 +308,22 @@
     return isListed ? undefined : "the engine may be another incarnation";
   }
 
+  /**
+   * Confirms that a resumable stream is complete whose end is that of its connection: an engine that
+   * has just crashed closes its connections as well. What may be missing is resumed elsewhere.
+   */
+  async #confirmEnd(target: Target, head: ResponseHead): Promise<RelayResult> {
+    const { route, dependencies, mayRunAgain } = this.#context;
+    const isSure = route.kind !== "resumableStream" || !mayRunAgain ||
+      !isSuccessStatus(head.status) ||
+      getResponseFraming(head) !== "connection";
+    if (isSure) return "whole";
+    const outcome = await dependencies.probeTarget(target);
+    return outcome === "response"
+      ? "whole"
+      : new ExchangeError("lost", "the engine ended with its response");
+  }
+
   /** Aborts a stream that a peer can resume if the path is lost. Returns a function that stops this. */
   #abortIfPathLost(exchange: TargetExchange): () => void {
     const { dependencies, service, route } = this.#context;
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -189,6 +189,7 @@
       quarantine,
       partQuarantine: new PartQuarantine(),
       incarnationCheck: { confirm: () => Promise.resolve(true) },
+      probeTarget: () => Promise.resolve("response"),
       crashDetector: buildCrashDetector(
         {
           quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -30,7 +30,7 @@
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
-import { probeResponse } from "./calls/response_probe.ts";
+import { type ProbeOutcome, probeResponse } from "./calls/response_probe.ts";
 import { PathMonitor } from "./tasks/path_monitor.ts";
 import { TargetListGuard } from "./calls/target_list_guard.ts";
 import {
@@ -39,6 +39,7 @@
 } from "./calls/target_connections.ts";
 import { TargetProbe } from "heatherarch-quarantine";
 import { ForwardMetrics } from "./metrics.ts";
+import type { Target } from "./model.ts";
 import type { CallCodec } from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
 import { CrashDetector } from "heatherarch-quarantine";
@@ -143,6 +144,8 @@
         purpose,
       ),
   });
+  const probeTarget = (target: Target): Promise<ProbeOutcome> =>
+    probeResponse({ connections, codec }, target);
   const pathMonitor = new PathMonitor({
     clock,
     log,
@@ -152,7 +155,7 @@
     rateLimits,
     health,
     connections,
-    probe: (target) => probeResponse({ connections, codec }, target),
+    probe: probeTarget,
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
@@ -189,6 +192,7 @@
       metrics,
     }),
     connections,
+    probeTarget,
     incarnationCheck: new IncarnationCheck({ connections, codec }),
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -83,6 +83,7 @@
     workTracker: new WorkTracker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
+    probeTarget: () => Promise.resolve("response"),
     targetListGuard: { isHoldingCalls: () => false },
     quarantine,
     partQuarantine: new PartQuarantine(),
