--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -6,10 +6,12 @@
  * Engines with few slots run out of them first, so more of these engines decode.
  *
  * A role change takes an engine out of service for seconds and loses its cache, so there are as few
- * changes as possible. A stream goes on only at the software version that began it, so the decode
- * engines should have one version, as far as that takes no further changes. A desired number of decode engines that followed the runs in progress moved
+ * changes as possible. A desired number of decode engines that followed the runs in progress moved
  * 12 of 29 prefill engines to decode in bursts of ten seconds, and back afterwards.
  *
+ * A stream goes on only at the software version that began it, so the decode engines should have one
+ * version, as far as that takes no further changes.
+ *
  * @module
  */
 import type { Target, TargetRole } from "../model.ts";
