A silent engine's report is waited for a bounded time

A resumable stream waited for the report that shows its engine's incarnation without a limit, so a silent engine would have held it until its deadline. The report now has 300 ms of the process's own time; without it the engine counts as not confirmed, and the stream goes on elsewhere. Found by reading the change.

--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { startStallAwareTimer } from "heatherarch-core";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
 import type { TargetConnections } from "./target_connections.ts";
@@ -17,6 +18,8 @@
 }
 
 const MAX_REPORT_BYTES = 64 * 1024;
+/** Time for a report, which needs no slot of the target, milliseconds. */
+const REPORT_TIMEOUT_MS = 300;
 /** Targets whose last check is remembered. */
 const MAX_CHECKED = 10_000;
 
@@ -42,6 +45,10 @@
     }
     const request = codec.encodeReportRequest(target);
     const exchange = connections.send(target, request, "control");
+    const stopTimer = startStallAwareTimer(
+      () => exchange.abort("no report in time"),
+      REPORT_TIMEOUT_MS,
+    );
     try {
       const body = await exchange.readBody(MAX_REPORT_BYTES);
       const report = codec.decodeReport(body);
@@ -49,6 +56,8 @@
     } catch {
       // Without a report it is not known which incarnation responded.
       return false;
+    } finally {
+      stopTimer();
     }
     this.#record(target.id, connections.countOpened(target));
     return true;
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -73,6 +73,7 @@
 export * from "./state/store_epoch.ts";
 export * from "./state/stream_versions.ts";
 export * from "./scheduling/version_preference.ts";
+export * from "./calls/incarnation_check.ts";
 export * from "./fleet/stream_version_exchange.ts";
 export * from "./state/fleet_demand.ts";
 export * from "./state/target_rate_limits.ts";
