Software versions that peers would reject are not recorded

A heartbeat allows versions of up to 256 characters, and a peer rejects one with more as a whole, so a target that lists a longer version would have closed links of the mesh. Streams of such a target are not recorded and so not resumed. Found by reading the change; the test failed before.

--- a/packages/heatherarch-forward/state/stream_versions.ts
+++ b/packages/heatherarch-forward/state/stream_versions.ts
@@ -49,6 +49,8 @@
 const MAX_NEW = 8192;
 /** Records in one message, about 4 KB. The remaining ones follow in the next messages. */
 const MAX_PER_PAGE = 512;
+/** Peers reject messages with a longer version. Its streams are not resumed. */
+const MAX_VERSION_LENGTH = 256;
 /** Bytes of a key. Hashes of that size don't collide by chance among the records of a VM. */
 export const STREAM_KEY_BYTES = 8;
 
@@ -85,6 +87,7 @@
   /** Records that an engine of `softwareVersion` began a stream. The first record is final. */
   recordStream(record: StreamRecord, origin: StreamOrigin = "own"): void {
     const { key, softwareVersion } = record;
+    if (softwareVersion.length > MAX_VERSION_LENGTH) return;
     if (this.findVersion(key) !== undefined) return;
     if (this.#current.size >= this.#maxRecords) this.#rotate();
     this.#current.set(key, softwareVersion);
--- a/packages/heatherarch-forward/tests/unit/stream_versions_test.ts
+++ b/packages/heatherarch-forward/tests/unit/stream_versions_test.ts
@@ -59,6 +59,15 @@
   assert.equal(streams.findVersion(buildKey("a")), undefined);
 });
 
+// Guards against heartbeats that peers reject because a target names a version beyond all bounds.
+test("a software version that peers would reject is not recorded", () => {
+  const streams = new StreamVersions();
+  const softwareVersion = "v".repeat(257);
+  streams.recordStream({ key: buildKey("a"), softwareVersion });
+  assert.equal(streams.size, 0);
+  assert.deepEqual(streams.listNew(0, "own").records, []);
+});
+
 test("the number of records is bounded; the oldest are dropped", () => {
   const streams = new StreamVersions({ maxRecords: 10 });
   for (let i = 0; i < 100; i++) {
