--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -60,12 +60,12 @@
     this.#softwareVersion = softwareVersion;
   }
 
-  /** Excludes an engine, as the call was tried there. */
+  /** Excludes an engine that an attempt of the call was sent to. */
   addTried(id: string): void {
     this.#tried.add(id);
   }
 
-  /** Lists the engines that were tried. */
+  /** Lists the excluded engines. */
   listTried(): string[] {
     return [...this.#tried];
   }
--- a/packages/heatherarch-forward/tests/unit/quarantine_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/quarantine_persistence_test.ts
@@ -50,6 +50,48 @@
   assert.ok(Math.max(...pauses) <= MAX_LOAD_DELAY_MS, pauses.join(", "));
 });
 
+test("requests and parts of prompts share a topic and are told apart", async () => {
+  const entries = ["request", "part:bad"].map((key) => ({
+    key,
+    value: { account: "acme", lives: ["e1", "e2", "e3"], atUnixMs: 0 },
+  }));
+  for (
+    const { isOfParts, key, stored } of [
+      { isOfParts: false, key: "request", stored: "own" },
+      { isOfParts: true, key: "bad", stored: "part:own" },
+    ]
+  ) {
+    const quarantine = new RequestQuarantine({ maxCrashes: 3 });
+    const puts: string[] = [];
+    const persistence = new QuarantinePersistence({
+      topic: {
+        load: () => Promise.resolve({ entries, next: 0 }),
+        readChanges: () => Promise.resolve({ entries: [], next: 0 }),
+        put: (putKey) => {
+          puts.push(putKey);
+          return Promise.resolve();
+        },
+      },
+      quarantine,
+      isOfParts,
+      clock: new ManualClock(),
+      log: { write: () => undefined },
+    });
+    persistence.start();
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.deepEqual(
+      quarantine.listSuspects().map(({ request }) => request),
+      [key],
+    );
+    for (const incarnation of ["e1", "e2", "e3"]) {
+      quarantine.recordCrash("own", "acme", incarnation, 0);
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+    persistence.stop();
+    assert.deepEqual(puts, [stored]);
+  }
+});
+
 // Guards against a quarantine that a restart of all VMs ends, as the store lost its record.
 test("a restored store gets the latest change of each request again", async () => {
   let notify: (change: QuarantineChange) => void = () => undefined;
