Keep a KV cache when a decode engine is not reached; keep earned retries longer

Cause: in a crash of a quarter of 42 engines, calls were prefilled again for each decode engine that refused the connection.

Change: a request that was not sent goes to the next decode engine with the same cache and spends no retry. A VM keeps the retries that its calls earned in a quarter of the window.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -27,6 +27,7 @@
 import type { IncarnationCheck } from "./calls/incarnation_check.ts";
 import type { TargetConnections } from "./calls/target_connections.ts";
 import type { TargetDirectory } from "./state/target_directory.ts";
+import type { TargetFailures } from "./state/target_failures.ts";
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
@@ -44,6 +45,7 @@
   readonly usage: UsageRecorder;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
+  readonly targetFailures: TargetFailures;
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -40,6 +40,8 @@
 
 /** Attempts of each stage for one call. */
 const MAX_ROUNDS = 5;
+/** Decode engines that are tried in turn for one KV cache while none is reached. */
+const MAX_DECODE_ENGINES = 4;
 /** With less time left, a first token can't reach the client before the deadline, milliseconds. */
 const MIN_ROUND_MS = 40;
 /** A resumable run without a response head for this long is retried elsewhere, milliseconds. */
@@ -51,6 +53,8 @@
 /** Shortest `Retry-After` of a refusal, before jitter, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
+/** Whether the next decode engine takes over the same KV cache. */
+type DecodeResult = "done" | "useCacheAgain";
 type AttemptResponse = Extract<AttemptResult, { kind: "answer" }>;
 type TooLate = Extract<PrefillResult, { kind: "tooLate" }>;
 
@@ -174,20 +178,37 @@
 
   /** Runs the call on a decode engine, from a KV cache or, without one, from the prompt itself. */
   async #decode(prefilled: PrefilledPrompt | undefined): Promise<void> {
+    for (let engines = 0; engines < MAX_DECODE_ENGINES; engines++) {
+      const next = await this.#decodeOnce(prefilled);
+      if (next !== "useCacheAgain") return;
+    }
+    this.#recordFailure("no engine could be reached", prefilled);
+  }
+
+  async #decodeOnce(
+    prefilled: PrefilledPrompt | undefined,
+  ): Promise<DecodeResult> {
     const context = this.#context;
     const target = await this.#decodeEngines.awaitEngine(
       prefilled?.engine.availabilityZone,
     );
     if (target === undefined && !context.hasPath) {
-      return this.#recordFailure("path lost", prefilled);
+      this.#recordFailure("path lost", prefilled);
+      return "done";
+    }
+    if (target === undefined) {
+      this.#refuseNoDecodeEngine(prefilled);
+      return "done";
     }
-    if (target === undefined) return this.#refuseNoDecodeEngine(prefilled);
     if (!context.admitRun()) {
       if (prefilled !== undefined) this.#prefill.releaseCache(prefilled);
-      return;
+      return "done";
     }
     const isUnbudgetedRetry = prefilled === undefined && this.#prefill.isRetry;
-    if (isUnbudgetedRetry && !context.takeRetry()) return this.#conclude();
+    if (isUnbudgetedRetry && !context.takeRetry()) {
+      this.#conclude();
+      return "done";
+    }
     const { workTracker } = context.dependencies;
     const endRun = workTracker.beginRun(target.id, this.#prompt.promptTokens);
     try {
@@ -200,7 +221,7 @@
         stage: prefilled === undefined ? "whole" : "takeOver",
         timeoutMs: this.#getSilenceTimeoutMs(),
       });
-      await this.#handleResult(target, prefilled, exchange, result);
+      return await this.#handleResult(target, prefilled, exchange, result);
     } finally {
       endRun();
     }
@@ -245,25 +266,51 @@
     prefilled: PrefilledPrompt | undefined,
     exchange: TargetExchange,
     result: AttemptResult,
-  ): Promise<void> {
+  ): Promise<DecodeResult> {
     switch (result.kind) {
       case "over":
-        return;
+        break;
       case "answer":
         if (prefilled !== undefined) this.#prefill.recordCopy(target);
-        return await this.#handleResponse(target, exchange, result);
+        await this.#handleResponse(target, exchange, result);
+        break;
       case "lost":
         this.#decodeEngines.addTried(target.id);
-        return this.#recordFailure(result.reason);
+        this.#recordFailure(result.reason);
+        break;
       case "notRun":
+        this.#context.undoRun();
+        this.#decodeEngines.addTried(target.id);
+        if (result.refusal === "declined") this.#recordLostCache(prefilled);
+        this.#recordFailure(result.reason);
+        break;
       case "notSent":
         this.#context.undoRun();
         this.#decodeEngines.addTried(target.id);
-        return this.#recordFailure(
-          result.reason,
-          result.kind === "notSent" ? prefilled : undefined,
-        );
+        this.#reason = `decode failed: ${result.reason}`;
+        if (prefilled !== undefined && this.#mayUseCacheAgain()) {
+          return "useCacheAgain";
+        }
+        this.#recordFailure(result.reason, prefilled);
+        break;
     }
+    return "done";
+  }
+
+  /** Whether the prompt need not be prefilled again: nothing has reached an engine. */
+  #mayUseCacheAgain(): boolean {
+    return this.#mayContinue() && !this.#context.mustHandOver;
+  }
+
+  /**
+   * Records that a KV cache could not be taken over. The engine that holds it may have dropped it, so
+   * the failure counts against that engine as well.
+   */
+  #recordLostCache(prefilled: PrefilledPrompt | undefined): void {
+    if (prefilled === undefined) return;
+    const { dependencies, nowMs } = this.#context;
+    const { id } = prefilled.engine;
+    dependencies.health.recordOutcome(id, "failed", nowMs);
   }
 
   async #handleResponse(
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -411,6 +411,7 @@
     metrics.configAge.set(
       activeConfig.getAgeMs() / 1000,
     );
+    this.#components.targetFailures.sweep(this.#clock.readMonotonicMs());
     this.#sweepQuarantine();
     this.#sweepStreamVersions();
     storeReader.purgeDroppedTargets("otherIncarnation");
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -66,6 +66,7 @@
 export * from "./fleet/target_feed.ts";
 export * from "./fleet/fleet_gossip.ts";
 export * from "./fleet/vm_list_follower.ts";
+export * from "./state/target_failures.ts";
 export * from "./state/target_health.ts";
 export * from "./state/target_backoffs.ts";
 export * from "./state/expiring_token_bucket.ts";
--- a/packages/heatherarch-forward/scheduling/target_selection.ts
+++ b/packages/heatherarch-forward/scheduling/target_selection.ts
@@ -69,7 +69,11 @@
   targets: Target[],
 ): Target[] {
   const healthy = targets.filter(({ id }) => !health.isAvoided(id, nowMs));
-  return healthy.length > 0 ? healthy : targets;
+  const candidates = healthy.length > 0 ? healthy : targets;
+  const failing = health.findFailing(candidates.map(({ id }) => id), nowMs);
+  return failing.size === 0
+    ? candidates
+    : candidates.filter(({ id }) => !failing.has(id));
 }
 
 /**
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -21,6 +21,8 @@
 
 interface Bucket {
   tokens: number;
+  /** Decaying sum of what calls have earned. */
+  earnedByCalls: number;
   refilledAtMs: number;
 }
 
@@ -32,6 +34,11 @@
 const RATE_SHARE = 0.5;
 /** Used part of the per-call share, as calls and retries are counted in different windows. */
 const CALL_SHARE_FACTOR = 0.7;
+/**
+ * A VM keeps what its calls earned in this share of the window. Targets fail in bursts, and the other
+ * part of the per-call share covers a burst of that size.
+ */
+const KEPT_WINDOW_SHARE = 0.25;
 
 /** The part of the fleet's retry budget that one VM may spend. */
 export class FleetRetryBudget {
@@ -52,13 +59,18 @@
   recordCall(service: string, nowMs: number): void {
     const bucket = this.#refill(service, nowMs);
     const earned = this.#options.share * CALL_SHARE_FACTOR;
-    bucket.tokens = Math.min(this.#getCapacity(), bucket.tokens + earned);
+    bucket.earnedByCalls += earned;
+    bucket.tokens = Math.min(
+      this.#getCapacity(bucket),
+      bucket.tokens + earned,
+    );
   }
 
   /** Takes the credit of a call back that another VM counts. */
   forgetCall(service: string, nowMs: number): void {
     const bucket = this.#refill(service, nowMs);
     const earned = this.#options.share * CALL_SHARE_FACTOR;
+    bucket.earnedByCalls = Math.max(0, bucket.earnedByCalls - earned);
     bucket.tokens = Math.max(0, bucket.tokens - earned);
   }
 
@@ -76,20 +88,30 @@
   }
 
   /** Bucket capacity: at least one retry, so that a burst size below 1 can accumulate to one. */
-  #getCapacity(): number {
-    return Math.max(1, this.#getBurstSize());
+  #getCapacity({ earnedByCalls }: Bucket): number {
+    return Math.max(1, this.#getBurstSize()) + earnedByCalls;
   }
 
   #refill(service: string, nowMs: number): Bucket {
     let bucket = this.#buckets.get(service);
     if (bucket === undefined) {
-      bucket = { tokens: this.#getBurstSize(), refilledAtMs: nowMs };
+      bucket = {
+        tokens: this.#getBurstSize(),
+        earnedByCalls: 0,
+        refilledAtMs: nowMs,
+      };
       this.#buckets.set(service, bucket);
     }
     const { fixedPerWindow, windowMs } = this.#options;
     const ratePerMs = fixedPerWindow * RATE_SHARE / windowMs / this.#liveVms;
-    const earned = (nowMs - bucket.refilledAtMs) * ratePerMs;
-    bucket.tokens = Math.min(this.#getCapacity(), bucket.tokens + earned);
+    const elapsedMs = nowMs - bucket.refilledAtMs;
+    bucket.earnedByCalls *= Math.exp(
+      -elapsedMs / (windowMs * KEPT_WINDOW_SHARE),
+    );
+    bucket.tokens = Math.min(
+      this.#getCapacity(bucket),
+      bucket.tokens + elapsedMs * ratePerMs,
+    );
     bucket.refilledAtMs = nowMs;
     return bucket;
   }
--- a/packages/heatherarch-forward/state/target_health.ts
+++ b/packages/heatherarch-forward/state/target_health.ts
@@ -8,9 +8,17 @@
  * @module
  */
 
+import { TargetFailures } from "./target_failures.ts";
+
 /** Outcome of an attempt, as far as it concerns the target's health. */
 export type AttemptOutcome = "answered" | "failed" | "unreachable";
 
+/** Options of {@linkcode TargetHealth}. */
+export interface TargetHealthOptions {
+  /** Failures that the whole fleet observes. */
+  readonly failures?: TargetFailures;
+}
+
 interface HealthState {
   /** Number of consecutive attempts that found the target unreachable. */
   unreachableStreak: number;
@@ -45,6 +53,11 @@
 /** Health of targets, as this VM observes it. */
 export class TargetHealth {
   readonly #states = new Map<string, HealthState>();
+  readonly #failures: TargetFailures;
+
+  constructor(options: TargetHealthOptions = {}) {
+    this.#failures = options.failures ?? new TargetFailures();
+  }
 
   /** Records the outcome of an attempt. Returns whether the target is avoided from now on. */
   recordOutcome(
@@ -52,6 +65,7 @@
     outcome: AttemptOutcome,
     nowMs: number,
   ): boolean {
+    this.#failures.recordAttempt(target, outcome !== "answered", nowMs);
     const state = this.#getOrCreate(target);
     const wasAvoided = state.avoidUntilMs > nowMs;
     state.samples++;
@@ -81,6 +95,14 @@
     return state !== undefined && state.avoidUntilMs > nowMs;
   }
 
+  /** Lists those of the targets that fail according to the attempts of the whole fleet. */
+  findFailing(
+    targets: readonly string[],
+    nowMs: number,
+  ): ReadonlySet<string> {
+    return this.#failures.findFailing(targets, nowMs);
+  }
+
   /** Whether fewer consecutive attempts than the threshold found the target unreachable. */
   isReachable(target: string): boolean {
     return (this.#states.get(target)?.unreachableStreak ?? 0) <
@@ -105,6 +127,7 @@
 
   /** Drops what was learned about an incarnation that has ended. */
   forget(target: string): void {
+    this.#failures.forget(target);
     this.#states.delete(target);
   }
 
--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -88,3 +88,14 @@
   assert.deepEqual(await run("idempotent", "lostAfter"), [200, 2]);
   assert.deepEqual(await run("resumableStream", "cut"), [200, 2]);
 });
+
+// Guards against prefills, and retries of the fleet's budget, for each decode engine that is down.
+test("a decode engine that is not reached costs no second prefill", async () => {
+  const notSent: ScriptedAttempt = { end: "notSent", restarts: false };
+  for (const kind of ["stream", "resumableStream"] as const) {
+    const outcome = await runScript(kind, [notSent]);
+    assert.equal(outcome.status, 200, kind);
+    assert.equal(outcome.prefills, 1, kind);
+    assert.equal(outcome.runs.length, 1, kind);
+  }
+});
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -81,6 +81,8 @@
   readonly body: string;
   /** Number of steps of the script that were used. */
   readonly used: number;
+  /** Number of times that an engine was asked to prefill the prompt. */
+  readonly prefills: number;
 }
 
 const EVENTS = 3;
@@ -104,6 +106,7 @@
   #status: number | undefined;
   #isWhole = false;
   #body = "";
+  #prefills = 0;
 
   constructor(kind: CallKind, script: readonly ScriptedAttempt[]) {
     this.#kind = kind;
@@ -128,6 +131,7 @@
       isWhole: this.#isWhole,
       body: this.#body,
       used: this.#length - this.#script.length,
+      prefills: this.#prefills,
     };
   }
 
@@ -255,6 +259,7 @@
 
   #send(target: Target, request: EncodedRequest): TargetExchange {
     const isPrefill = request.path === "readPrompt";
+    if (isPrefill) this.#prefills++;
     const step = isPrefill || request.path === "free"
       ? undefined
       : this.#script.shift();
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -15,6 +15,7 @@
 import type { LinkIdentity } from "heatherarch-mesh";
 import { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import { TargetDirectory } from "./state/target_directory.ts";
+import { TargetFailures } from "./state/target_failures.ts";
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
@@ -116,7 +117,8 @@
   });
   const quarantine = buildQuarantine(settings);
   const partQuarantine = buildPartQuarantine(options);
-  const health = new TargetHealth();
+  const targetFailures = new TargetFailures();
+  const health = new TargetHealth({ failures: targetFailures });
   const workTracker = new WorkTracker();
   const connections = new TargetConnections({
     clock,
@@ -181,6 +183,7 @@
       drawUnit: Math.random,
     }),
     health,
+    targetFailures,
     workTracker,
     crashDetector: buildCrashDetector({
       quarantine,
