Rename PrefillQueue to CallQueue, generic over the placement

The queue is to hold plain calls as well as prompts. Its request type is QueuedCall, its outcome QueueOutcome, and the outcome without an engine noTarget. Decisions are unchanged: the tests of the queue pass as they were.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -16,7 +16,7 @@
 import type { PrefixIndex } from "./state/prefix_index.ts";
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import type { PrefillTimeModel } from "./state/prefill_time_model.ts";
-import type { PrefillQueue } from "./scheduling/prefill_queue.ts";
+import type { CallQueue } from "./scheduling/call_queue.ts";
 import type { HandoverClient } from "heatherarch-handover";
 import type { PathMonitor } from "./tasks/path_monitor.ts";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
@@ -72,7 +72,7 @@
   /** Number of VMs that share the load. */
   readonly countVms: () => number;
   readonly prefillTimeModel: PrefillTimeModel;
-  readonly prefillQueue: PrefillQueue;
+  readonly prefillQueue: CallQueue;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -131,7 +131,7 @@
       case "read":
         await this.#decode(prefilled.prompt);
         return true;
-      case "noReader":
+      case "noTarget":
         if (this.#endIfPrefillInBackoff()) return false;
         await this.#decode(undefined);
         return true;
@@ -430,7 +430,7 @@
   }
 
   /** Ends a call immediately if its prompt can't be prefilled before its deadline. */
-  #refuseLate({ placement, prefillDeadlineMs }: TooLate): void {
+  #refuseLate({ placement, readyDeadlineMs }: TooLate): void {
     const context = this.#context;
     const { target, readyMs, costMs, unloadedMs, backlogMs, isCold } =
       placement;
@@ -462,7 +462,7 @@
           aloneMs: Math.round(unloadedMs),
           backlogMs: Math.round(backlogMs),
           readyMs: Math.round(readyMs),
-          readInMs: Math.round(prefillDeadlineMs - context.nowMs),
+          readInMs: Math.round(readyDeadlineMs - context.nowMs),
           remainingMs: Math.round(context.remainingMs),
         },
       },
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -19,10 +19,7 @@
   type PromptPlacement,
   sumPrefixTokens,
 } from "../scheduling/prompt_placement.ts";
-import type {
-  LanePlacement,
-  PrefillOutcome,
-} from "../scheduling/prefill_queue.ts";
+import type { LanePlacement, QueueOutcome } from "../scheduling/call_queue.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
@@ -54,9 +51,9 @@
 export type PrefillResult =
   | { readonly kind: "read"; readonly prompt: PrefilledPrompt }
   /** There is no prefill engine now. */
-  | { readonly kind: "noReader" }
+  | { readonly kind: "noTarget" }
   /** No engine can finish before the deadline of the call. */
-  | Extract<PrefillOutcome, { kind: "tooLate" }>
+  | Extract<QueueOutcome, { kind: "tooLate" }>
   /** The fleet's retry budget is exhausted. */
   | { readonly kind: "noAllowance" }
   | { readonly kind: "failed"; readonly reason: string }
@@ -253,9 +250,9 @@
         waitStartedAtMs,
         aimMs,
         timeoutAtMs,
-        firstTokenDelayMs: FIRST_TOKEN_MS + prefillTimeModel.latencyMs,
+        responseDelayMs: FIRST_TOKEN_MS + prefillTimeModel.latencyMs,
         findPlacement: () => this.#findPlacement(),
-        mayPrefillLate: () => this.#mayPrefillLate(),
+        mayPlaceLate: () => this.#mayPrefillLate(),
         onOutcome: (outcome) =>
           settle(
             outcome.kind === "placed"
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -38,7 +38,7 @@
 export * from "./state/prefix_index.ts";
 export * from "./scheduling/prompt_placement.ts";
 export * from "./state/prefill_time_model.ts";
-export * from "./scheduling/prefill_queue.ts";
+export * from "./scheduling/call_queue.ts";
 export * from "./scheduling/prefill_candidate_cache.ts";
 export * from "./state/fleet_retry_budget.ts";
 export * from "./scheduling/retry_after.ts";
--- a/packages/heatherarch-forward/scheduling/prefill_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -18,27 +18,39 @@
 import type { PromptPlacement } from "./prompt_placement.ts";
 import { type SizeClass, SizeFairness } from "./size_fairness.ts";
 
+/** Times of a call at the target that it is placed on. */
+export interface CallPlacement {
+  /** Time that is booked for the target, in milliseconds. */
+  readonly costMs: number;
+  /** Time on a target without other load, in milliseconds. */
+  readonly unloadedMs: number;
+  /** Time until the target has capacity for the call, in milliseconds. */
+  readonly backlogMs: number;
+  /** Time until the call is complete at the target, including the backlog, in milliseconds. */
+  readonly readyMs: number;
+}
+
 /** A placement, with the lane of its call. */
-export interface LanePlacement {
-  readonly placement: PromptPlacement;
+export interface LanePlacement<P extends CallPlacement = PromptPlacement> {
+  readonly placement: P;
   readonly lane: number;
 }
 
-/** Outcome of the wait of a prompt. */
-export type PrefillOutcome =
-  | { readonly kind: "placed"; readonly placed: LanePlacement }
-  /** No prefill engine is available now. */
-  | { readonly kind: "noReader" }
-  /** No engine can complete the prefill before the call has to end its wait. */
+/** Outcome of the wait of a call. */
+export type QueueOutcome<P extends CallPlacement = PromptPlacement> =
+  | { readonly kind: "placed"; readonly placed: LanePlacement<P> }
+  /** No target is available now. */
+  | { readonly kind: "noTarget" }
+  /** No target can complete the call before it has to end its wait. */
   | {
     readonly kind: "tooLate";
-    readonly placement: PromptPlacement;
-    /** Time by which the prefill had to be complete, monotonic milliseconds. */
-    readonly prefillDeadlineMs: number;
+    readonly placement: P;
+    /** Time by which the placement had to be complete, monotonic milliseconds. */
+    readonly readyDeadlineMs: number;
   };
 
-/** A prompt that needs prefill. Times are monotonic milliseconds. */
-export interface PrefillRequest {
+/** A call that needs a target. Times are monotonic milliseconds. */
+export interface QueuedCall<P extends CallPlacement = PromptPlacement> {
   /** Lane by the priority of the route. */
   readonly lane: number;
   /** Kind of request, within which large prompts get a minimum share. */
@@ -50,21 +62,21 @@
   readonly aimMs: number;
   /** Time at which the client times out. */
   readonly timeoutAtMs: number;
-  /** Time from the end of the prefill to the first token at the client. */
-  readonly firstTokenDelayMs: number;
-  /** Finds the engine that would complete the prefill first; undefined if there is none. */
-  findPlacement(): PromptPlacement | undefined;
+  /** Time from the completion at the target to the response, or its first event, at the client. */
+  readonly responseDelayMs: number;
+  /** Finds the target that would complete the call first; undefined if there is none. */
+  findPlacement(): P | undefined;
   /** Whether the fleet has a spare engine for the prompt of a late call. */
-  mayPrefillLate(): boolean;
+  mayPlaceLate(): boolean;
   /**
-   * Called once, unless the wait is cancelled. The work of a placed prompt has to be booked before
-   * this returns.
+   * Called once, unless the wait is cancelled. The work of a placed call has to be booked before this
+   * returns.
    */
-  onOutcome(outcome: PrefillOutcome): void;
+  onOutcome(outcome: QueueOutcome<P>): void;
 }
 
-/** Options of {@linkcode PrefillQueue}. */
-export interface PrefillQueueOptions {
+/** Options of {@linkcode CallQueue}. */
+export interface CallQueueOptions {
   readonly clock: Clock;
   /** An engine gets another prompt while its prefill backlog is not above this, in milliseconds. */
   readonly maxBacklogMs?: number;
@@ -72,7 +84,7 @@
   readonly maxLateBacklogMs?: number;
   /**
    * Whether a timer dispatches while prompts wait. Simulations turn it off and call
-   * {@linkcode PrefillQueue.dispatch}.
+   * {@linkcode CallQueue.dispatch}.
    */
   readonly isTimerEnabled?: boolean;
 }
@@ -117,23 +129,23 @@
  */
 const LARGE_COST_FRACTION = 0.5;
 
-/** Queue of the prompts that wait at one VM. */
-export class PrefillQueue {
+/** Queue of the calls that wait at one VM. */
+export class CallQueue<P extends CallPlacement = PromptPlacement> {
   readonly #clock: Clock;
   readonly #maxBacklogMs: number;
   readonly #maxLateBacklogMs: number;
   readonly #isTimerEnabled: boolean;
   readonly #fairness = new SizeFairness();
   /** Calls that can be on time, in the order in which they are placed. */
-  #waiting: WaitingRequest[] = [];
+  #waiting: WaitingCall<P>[] = [];
   /** Late calls, in the order in which they became late. */
-  #late: WaitingRequest[] = [];
+  #late: WaitingCall<P>[] = [];
   #lateDispatchedAtMs = -Infinity;
   /** Time until an engine is expected to have capacity for a waiting call, in milliseconds. */
   #capacityInMs = 0;
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(options: PrefillQueueOptions) {
+  constructor(options: CallQueueOptions) {
     this.#clock = options.clock;
     this.#maxBacklogMs = options.maxBacklogMs ?? DEFAULT_MAX_BACKLOG_MS;
     this.#maxLateBacklogMs = options.maxLateBacklogMs ??
@@ -147,8 +159,8 @@
   }
 
   /** Adds a prompt; returns a function that cancels its wait. */
-  enqueue(request: PrefillRequest): () => void {
-    const waiting = this.#buildWaitingRequest(request);
+  enqueue(request: QueuedCall<P>): () => void {
+    const waiting = this.#buildWaitingCall(request);
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
     if (index < 0) this.#waiting.push(waiting);
     else this.#waiting.splice(index, 0, waiting);
@@ -160,7 +172,7 @@
   }
 
   /** Counts a prompt in its size class, and its outcome once there is one. */
-  #buildWaitingRequest(request: PrefillRequest): WaitingRequest {
+  #buildWaitingCall(request: QueuedCall<P>): WaitingCall<P> {
     const { kind, tokens, onOutcome } = request;
     const size = this.#fairness.recordArrival(kind, tokens);
     return {
@@ -200,33 +212,33 @@
       .filter((request) => this.#isUnderserved(request))
       .slice(0, MAX_PLACEMENTS_PER_DISPATCH)
       .map((request) => ({ request, placement: request.findPlacement() }))
-      .filter((entry): entry is PlacedRequest => entry.placement !== undefined)
+      .filter((entry): entry is PlacedCall<P> => entry.placement !== undefined)
       .sort((a, b) => a.placement.costMs - b.placement.costMs);
     for (const entry of requests) {
       if (this.#isUnderserved(entry.request)) this.#placeFirst(entry, nowMs);
     }
   }
 
-  #isUnderserved({ kind, size }: WaitingRequest): boolean {
+  #isUnderserved({ kind, size }: WaitingCall<P>): boolean {
     return this.#fairness.isUnderserved(kind, size);
   }
 
-  #placeFirst({ request, placement }: PlacedRequest, nowMs: number): void {
-    const { waitStartedAtMs, aimMs, timeoutAtMs, firstTokenDelayMs } = request;
-    if (nowMs + findMinMs(placement) > timeoutAtMs - firstTokenDelayMs) return;
+  #placeFirst({ request, placement }: PlacedCall<P>, nowMs: number): void {
+    const { waitStartedAtMs, aimMs, timeoutAtMs, responseDelayMs } = request;
+    if (nowMs + findMinMs(placement) > timeoutAtMs - responseDelayMs) return;
     if (placement.backlogMs > this.#maxBacklogMs) {
       this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
       return;
     }
     const isLate = nowMs + placement.readyMs >
-      waitStartedAtMs + aimMs - firstTokenDelayMs;
+      waitStartedAtMs + aimMs - responseDelayMs;
     this.#remove(request);
     const lane = isLate ? LATE_LANE : request.lane;
     request.onOutcome({ kind: "placed", placed: { placement, lane } });
   }
 
   #placeWaiting(nowMs: number): void {
-    const kept: WaitingRequest[] = [];
+    const kept: WaitingCall<P>[] = [];
     const keptInLane = new Map<number, number>();
     for (const request of this.#waiting.splice(0)) {
       const { lane } = request;
@@ -242,15 +254,15 @@
   }
 
   /** Whether a call that may be on time has to keep waiting. If not, it was placed or became late. */
-  #shouldKeepWaiting(request: WaitingRequest, nowMs: number): boolean {
-    const { waitStartedAtMs, aimMs, firstTokenDelayMs, lane } = request;
+  #shouldKeepWaiting(request: WaitingCall<P>, nowMs: number): boolean {
+    const { waitStartedAtMs, aimMs, responseDelayMs, lane } = request;
     const placement = request.findPlacement();
     if (placement === undefined) {
-      request.onOutcome({ kind: "noReader" });
+      request.onOutcome({ kind: "noTarget" });
       return false;
     }
-    const prefillDeadlineMs = waitStartedAtMs + aimMs - firstTokenDelayMs;
-    if (nowMs + placement.readyMs > prefillDeadlineMs) {
+    const readyDeadlineMs = waitStartedAtMs + aimMs - responseDelayMs;
+    if (nowMs + placement.readyMs > readyDeadlineMs) {
       this.#late.push(request);
       return false;
     }
@@ -277,7 +289,7 @@
       ...considered.filter(isLarge),
       ...considered.filter((entry) => !isLarge(entry)),
     ];
-    const kept = new Set<WaitingRequest>();
+    const kept = new Set<WaitingCall<P>>();
     for (const entry of ordered) {
       if (this.#shouldKeepLateWaiting(entry, nowMs)) kept.add(entry.request);
     }
@@ -288,23 +300,23 @@
 
   /** Whether a late call has to keep waiting. If not, it was placed or refused. */
   #shouldKeepLateWaiting(
-    { request, placement }: ConsideredRequest,
+    { request, placement }: ConsideredCall<P>,
     nowMs: number,
   ): boolean {
     if (placement === undefined) {
-      request.onOutcome({ kind: "noReader" });
+      request.onOutcome({ kind: "noTarget" });
       return false;
     }
-    const prefillDeadlineMs = computeLateTimeoutAtMs(request, placement) -
-      request.firstTokenDelayMs;
+    const readyDeadlineMs = computeLateTimeoutAtMs(request, placement) -
+      request.responseDelayMs;
     const readyMs = this.#isUnderserved(request)
       ? findMinMs(placement)
       : placement.readyMs;
-    if (nowMs + readyMs > prefillDeadlineMs) {
+    if (nowMs + readyMs > readyDeadlineMs) {
       request.onOutcome({
         kind: "tooLate",
         placement,
-        prefillDeadlineMs,
+        readyDeadlineMs,
       });
       return false;
     }
@@ -312,14 +324,14 @@
       this.#noteCapacityInMs(placement.backlogMs - this.#maxLateBacklogMs);
       return true;
     }
-    if (!request.mayPrefillLate()) return true;
+    if (!request.mayPlaceLate()) return true;
     const placed = { placement, lane: LATE_LANE };
     request.onOutcome({ kind: "placed", placed });
     return false;
   }
 
   /** Removes a request; returns whether it was waiting. */
-  #remove(request: WaitingRequest): boolean {
+  #remove(request: WaitingCall<P>): boolean {
     const sizeBefore = this.size;
     this.#waiting = this.#waiting.filter((other) => other !== request);
     this.#late = this.#late.filter((other) => other !== request);
@@ -327,21 +339,25 @@
   }
 }
 
-interface WaitingRequest extends PrefillRequest {
+interface WaitingCall<P extends CallPlacement> extends QueuedCall<P> {
   readonly size: SizeClass;
 }
 
-interface PlacedRequest {
-  readonly request: WaitingRequest;
-  readonly placement: PromptPlacement;
+type OrderedCall = Pick<QueuedCall, "waitStartedAtMs" | "aimMs" | "lane">;
+
+interface PlacedCall<P extends CallPlacement> {
+  readonly request: WaitingCall<P>;
+  readonly placement: P;
 }
 
-interface ConsideredRequest {
-  readonly request: WaitingRequest;
-  readonly placement: PromptPlacement | undefined;
+interface ConsideredCall<P extends CallPlacement> {
+  readonly request: WaitingCall<P>;
+  readonly placement: P | undefined;
 }
 
-function isLarge({ request, placement }: ConsideredRequest): boolean {
+function isLarge<P extends CallPlacement>(
+  { request, placement }: ConsideredCall<P>,
+): boolean {
   if (placement === undefined) return false;
   return placement.costMs > request.aimMs * LARGE_COST_FRACTION;
 }
@@ -352,15 +368,15 @@
  * prefilled in time would be refused on arrival.
  */
 function findMinMs(
-  { backlogMs, unloadedMs }: PromptPlacement,
+  { backlogMs, unloadedMs }: CallPlacement,
 ): number {
   return backlogMs + unloadedMs;
 }
 
 /** Time until which a late call waits. */
-function computeLateTimeoutAtMs(
-  request: WaitingRequest,
-  placement: PromptPlacement,
+function computeLateTimeoutAtMs<P extends CallPlacement>(
+  request: WaitingCall<P>,
+  placement: P,
 ): number {
   const { waitStartedAtMs, timeoutAtMs } = request;
   if (isLarge({ request, placement })) return timeoutAtMs;
@@ -368,13 +384,13 @@
     (timeoutAtMs - waitStartedAtMs) * LATE_WAIT_FRACTION;
 }
 
-function isBefore(a: PrefillRequest, b: PrefillRequest): boolean {
+function isBefore(a: OrderedCall, b: OrderedCall): boolean {
   return computeOrderMs(a) < computeOrderMs(b);
 }
 
 /** Sort key of a waiting call: the time of its latency objective, plus a penalty for its lane. */
 function computeOrderMs(
-  { waitStartedAtMs, aimMs, lane }: PrefillRequest,
+  { waitStartedAtMs, aimMs, lane }: OrderedCall,
 ): number {
   return waitStartedAtMs + aimMs + lane * LANE_PENALTY_MS;
 }
--- a/packages/heatherarch-forward/scheduling/priority_lanes.ts
+++ b/packages/heatherarch-forward/scheduling/priority_lanes.ts
@@ -6,7 +6,7 @@
  * therefore go first, ordered by the priority of their route. Calls that will miss it use the
  * capacity that is left.
  *
- * The VMs keep this order (see `prefill_queue.ts`), because engines do not. An engine admits
+ * The VMs keep this order (see `call_queue.ts`), because engines do not. An engine admits
  * requests by priority only when it has run out of slots, and prefills admitted requests in the
  * order of arrival.
  *
--- a/packages/heatherarch-forward/tests/unit/prefill_queue_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_test.ts
@@ -2,12 +2,12 @@
 import { afterEach, beforeEach, mock, test } from "node:test";
 import { ManualClock, Random } from "heatherarch-core";
 import {
+  CallQueue,
   type LanePlacement,
   LATE_LANE,
-  type PrefillOutcome,
-  PrefillQueue,
-  type PrefillRequest,
   type PromptPlacement,
+  type QueuedCall,
+  type QueueOutcome,
   WorkTracker,
 } from "../../mod.ts";
 import { buildEngine } from "./fixtures.ts";
@@ -35,14 +35,14 @@
 /** A queue for one engine whose backlog is set by the test, with the outcome of each call. */
 function createQueue() {
   const clock = new ManualClock();
-  const queue = new PrefillQueue({ clock });
+  const queue = new CallQueue({ clock });
   const engine = { backlogMs: 0, hasLate: false };
-  const outcomes = new Map<string, PrefillOutcome>();
+  const outcomes = new Map<string, QueueOutcome>();
   const order: string[] = [];
   const enqueue = (
     name: string,
     costMs: number,
-    overrides: Partial<PrefillRequest> = {},
+    overrides: Partial<QueuedCall> = {},
   ) =>
     queue.enqueue({
       lane: 0,
@@ -51,9 +51,9 @@
       waitStartedAtMs: clock.readMonotonicMs(),
       aimMs: 600,
       timeoutAtMs: clock.readMonotonicMs() + 2150,
-      firstTokenDelayMs: 50,
+      responseDelayMs: 50,
       findPlacement: () => buildPlacement(costMs, engine.backlogMs),
-      mayPrefillLate: () => !engine.hasLate,
+      mayPlaceLate: () => !engine.hasLate,
       onOutcome: (outcome) => {
         outcomes.set(name, outcome);
         order.push(name);
@@ -155,7 +155,7 @@
 test("without a prefill engine, a call gets its outcome at once", () => {
   const { outcomes, enqueue } = createQueue();
   enqueue("a", 10, { findPlacement: () => undefined });
-  assert.equal(outcomes.get("a")?.kind, "noReader");
+  assert.equal(outcomes.get("a")?.kind, "noTarget");
 });
 
 // Guards against large prompts that are refused each time. A large prompt is late on arrival, and
@@ -207,7 +207,7 @@
 /** Counts the on-time calls of one engine with first come, first served and a backlog limit. */
 function countOnTime(jobs: readonly Job[], maxBacklogMs: number): number {
   const clock = new ManualClock();
-  const queue = new PrefillQueue({ clock, maxBacklogMs });
+  const queue = new CallQueue({ clock, maxBacklogMs });
   const workTracker = new WorkTracker();
   let onTime = 0;
   let next = 0;
@@ -235,13 +235,13 @@
         waitStartedAtMs: job.arriveMs,
         aimMs: maxBacklogMs === Infinity ? Infinity : 600,
         timeoutAtMs: maxBacklogMs === Infinity ? Infinity : job.arriveMs + 2150,
-        firstTokenDelayMs: 50,
+        responseDelayMs: 50,
         findPlacement: () =>
           buildPlacement(
             job.costMs,
             workTracker.getPrefillBacklogMs("e", clock.readMonotonicMs()),
           ),
-        mayPrefillLate: () =>
+        mayPlaceLate: () =>
           !workTracker.hasLatePrefill("e", clock.readMonotonicMs()),
         onOutcome: (outcome) => {
           if (outcome.kind === "placed") begin(job, outcome.placed);
@@ -271,7 +271,7 @@
 test("the queue dispatches when an engine is known to have capacity, not before or long after", () => {
   const { queue, engine, order, enqueue } = createQueue();
   let searches = 0;
-  const build = (backlogMs: () => number): Partial<PrefillRequest> => ({
+  const build = (backlogMs: () => number): Partial<QueuedCall> => ({
     findPlacement: () => {
       searches++;
       return buildPlacement(10, backlogMs());
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -26,7 +26,7 @@
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
-import { PrefillQueue } from "./scheduling/prefill_queue.ts";
+import { CallQueue } from "./scheduling/call_queue.ts";
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
@@ -203,7 +203,7 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new PrefillQueue({ clock }),
+    prefillQueue: new CallQueue({ clock }),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
--- a/packages/heatherarch-lab/bench/overload_simulation.ts
+++ b/packages/heatherarch-lab/bench/overload_simulation.ts
@@ -15,12 +15,12 @@
  */
 import { ManualClock, Random } from "heatherarch-core";
 import {
+  CallQueue,
   computeClientTimeoutMs,
   computeRetryAfterMs,
   EngineJitter,
   type EngineTraits,
   type LanePlacement,
-  PrefillQueue,
   PrefillTimeModel,
   type PromptPlacement,
   PromptPlacer,
@@ -73,7 +73,7 @@
 }
 
 interface Vm {
-  readonly queue: PrefillQueue;
+  readonly queue: CallQueue;
   readonly model: PrefillTimeModel;
   readonly placer: PromptPlacer;
   readonly workTracker: WorkTracker;
@@ -154,7 +154,7 @@
     const model = new PrefillTimeModel();
     const workTracker = new WorkTracker();
     const built: Vm = {
-      queue: new PrefillQueue({ clock: this.#clock, isTimerEnabled: false }),
+      queue: new CallQueue({ clock: this.#clock, isTimerEnabled: false }),
       model,
       placer: new PromptPlacer({ model }),
       workTracker,
@@ -240,9 +240,9 @@
       waitStartedAtMs: attempt.startedAtMs,
       aimMs: kind.aimMs,
       timeoutAtMs: computeTimeout(attempt),
-      firstTokenDelayMs: FIRST_TOKEN_DELAY_MS + model.latencyMs,
+      responseDelayMs: FIRST_TOKEN_DELAY_MS + model.latencyMs,
       findPlacement: () => this.#findPlacement(attempt),
-      mayPrefillLate: () => this.#mayPrefillLate(vm),
+      mayPlaceLate: () => this.#mayPrefillLate(vm),
       onOutcome: (outcome) => {
         if (outcome.kind === "placed") this.#prefill(attempt, outcome.placed);
         else if (outcome.kind === "tooLate") {
--- a/packages/heatherarch-lab/bench/placement_simulation.ts
+++ b/packages/heatherarch-lab/bench/placement_simulation.ts
@@ -11,10 +11,10 @@
  */
 import { ManualClock, Random } from "heatherarch-core";
 import {
+  CallQueue,
   EngineJitter,
   type GenerationParams,
   type PrefillCandidate,
-  PrefillQueue,
   PrefillTimeModel,
   type PromptPlacement,
   PromptPlacer,
@@ -113,7 +113,7 @@
   #history: { atMs: number; prefills: RunningPrefill[][] }[] = [];
   /** For each VM, the prefills of all VMs as it knows them from its last digest. */
   readonly #snapshots: RunningPrefill[][][];
-  readonly #queues: PrefillQueue[];
+  readonly #queues: CallQueue[];
   readonly #jitters: EngineJitter[];
   /** For each prefix, the time of its last use on each engine that holds it. */
   readonly #prefixUses = new Map<string, Map<string, number>>();
@@ -145,7 +145,7 @@
     this.#snapshots = Array.from({ length: vms }, () => this.#prefills);
     this.#queues = Array.from(
       { length: vms },
-      () => new PrefillQueue({ clock: this.#clock, isTimerEnabled: false }),
+      () => new CallQueue({ clock: this.#clock, isTimerEnabled: false }),
     );
     this.#jitters = Array.from({ length: vms }, (_, i) =>
       new EngineJitter({
@@ -245,9 +245,9 @@
       waitStartedAtMs: arrivedAtMs,
       aimMs: kind.aimMs,
       timeoutAtMs: arrivedAtMs + CLIENT_TIMEOUT_MS,
-      firstTokenDelayMs: FIRST_TOKEN_DELAY_MS,
+      responseDelayMs: FIRST_TOKEN_DELAY_MS,
       findPlacement: () => this.#findPlacement(request),
-      mayPrefillLate: () => true,
+      mayPlaceLate: () => true,
       onOutcome: (outcome) => {
         if (outcome.kind === "placed") {
           this.#startPrefill(request, outcome.placed.placement);
