--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -28,6 +28,8 @@
 export interface TopicSlice<T> {
   readonly entries: readonly KeyedEntry<T>[];
   readonly next: number;
+  /** Whether more records were stored than one response holds. */
+  readonly hasMore?: boolean;
   /** Epoch of the store to which the offsets belong; undefined if the store names none. */
   readonly epoch?: number;
 }
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -232,7 +232,8 @@
     }
     if (this.#stopped || !this.#isActive) return;
     this.#hasJustLoaded = false;
-    this.#nextOffset = slice.next;
+    // A load brings the newest record of each key. The records in between may be many and large.
+    this.#nextOffset = slice.hasMore ? undefined : slice.next;
     this.#updateUnreadable(slice.entries);
     this.#options.onChanges(slice.entries, sentAtMs);
   }
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
-import { ManualClock, RuntimeClock } from "heatherarch-core";
+import { ManualClock, RuntimeClock, sleep } from "heatherarch-core";
 import {
   type KeyedEntry,
   TopicFollower,
@@ -302,3 +302,30 @@
     "load",
   ]);
 });
+
+// Guards against a VM that reads every version of a topic that changes faster than it can be read.
+test("a follower that is behind by more than one response loads the newest records", async () => {
+  const reads: string[] = [];
+  const read = async (name: string, hasMore: boolean) => {
+    reads.push(name);
+    await sleep(1);
+    return { entries: [], next: 5, hasMore };
+  };
+  const follower = new TopicFollower<number>({
+    name: "numbers",
+    clock: new RuntimeClock(),
+    port: {
+      load: () => read("load", false),
+      readChanges: (from) => read(`changes from ${from}`, true),
+    },
+    log: { write: () => undefined },
+    pollMs: 0,
+    waitMs: 0,
+    onList: () => undefined,
+    onChanges: () => undefined,
+  });
+  follower.start();
+  while (reads.length < 3) await sleep(1);
+  follower.stop();
+  assert.deepEqual(reads.slice(0, 3), ["load", "changes from 5", "load"]);
+});
