Ranks, dispatch rate and early rejection in the queue for calls

All are options of CallQueue; without them, prompts are placed and rejected as before. A CallRanker's rank is the first sort key, evaluated at each dispatch. The rate counts dispatches while calls wait. With rejectsEarly, a call is rejected once the calls ahead leave it too little time. A late call's forecast assumes that an overload lasts as long as it has lasted. Adds the queues of plain services and the model of plain work, which nothing uses yet.

call_queue_test passes unchanged; call_queue_overload_test: at three times the room, the room is used and the rest is rejected.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -430,10 +430,9 @@
   }
 
   /** Ends a call immediately if its prompt can't be prefilled before its deadline. */
-  #refuseLate({ placement, readyDeadlineMs }: TooLate): void {
+  #refuseLate(tooLate: TooLate): void {
+    const { placement, forecast, readyMs, readyDeadlineMs } = tooLate;
     const context = this.#context;
-    const { target, readyMs, costMs, unloadedMs, backlogMs, isCold } =
-      placement;
     if (context.mayHaveRun) {
       return context.fail(
         "answerIncomplete",
@@ -449,18 +448,12 @@
       {
         retryAfterMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
         detail: {
-          target: target.id,
+          ...this.#describePlacement(placement),
           tokens: this.#prompt.promptTokens,
           sharedTokens: sumPrefixTokens(this.#prompt),
-          isCold,
-          factor: Number(
-            context.dependencies.prefillTimeModel.getSlowdown(target.id)
-              .toFixed(2),
-          ),
+          rank: forecast.rank,
+          callsAhead: forecast.callsAhead,
           waitedMs: Math.round(waitedMs),
-          costMs: Math.round(costMs),
-          aloneMs: Math.round(unloadedMs),
-          backlogMs: Math.round(backlogMs),
           readyMs: Math.round(readyMs),
           readInMs: Math.round(readyDeadlineMs - context.nowMs),
           remainingMs: Math.round(context.remainingMs),
@@ -469,6 +462,20 @@
     );
   }
 
+  #describePlacement(placement: TooLate["placement"]): Record<string, unknown> {
+    if (placement === undefined) return {};
+    const { target, isCold, costMs, unloadedMs, backlogMs } = placement;
+    const { prefillTimeModel } = this.#context.dependencies;
+    return {
+      target: target.id,
+      isCold,
+      factor: Number(prefillTimeModel.getSlowdown(target.id).toFixed(2)),
+      costMs: Math.round(costMs),
+      aloneMs: Math.round(unloadedMs),
+      backlogMs: Math.round(backlogMs),
+    };
+  }
+
   #getSilenceTimeoutMs(): number | undefined {
     const { kind, maxTargets } = this.#context.route;
     return kind === "resumableStream" && maxTargets > 1
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -1,5 +1,6 @@
 /**
- * Queues prompts at this VM until an engine is about to have capacity for them.
+ * Queues calls at this VM until a target is about to have capacity for them: prompts for an engine
+ * that prefills them, and calls of a plain service.
  *
  * Bursts bring two to five times as many prompts as the engines can prefill, for seconds. An engine
  * prefills in the order of arrival. Prompts that were sent to it can't be reordered, moved or
@@ -11,11 +12,18 @@
  * their clients are about to time out. Large prompts of an underserved size class go before all
  * others (see `size_fairness.ts`).
  *
+ * Plain calls have no sizes, and an engine's long late prompts have no counterpart among them. A late
+ * plain call waits behind those that can be on time, until it can't be served before its client times
+ * out. If the queue rejects early, a call does not wait for that: it is rejected as soon as the calls
+ * ahead of it, at the rate at which the queue dispatches, leave it too little time.
+ *
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import { type DispatchRate, DispatchRateMeter } from "./dispatch_rate.ts";
 import { LATE_LANE } from "./priority_lanes.ts";
 import type { PromptPlacement } from "./prompt_placement.ts";
+import { type Overload, predictWaitMs } from "./wait_forecast.ts";
 import { type SizeClass, SizeFairness } from "./size_fairness.ts";
 
 /** Times of a call at the target that it is placed on. */
@@ -34,6 +42,35 @@
 export interface LanePlacement<P extends CallPlacement = PromptPlacement> {
   readonly placement: P;
   readonly lane: number;
+  /** Rank of the call when it was placed; 0 without a {@linkcode CallRanker}. */
+  readonly rank: number;
+}
+
+/** What a queue knows about the wait of a call. */
+export interface QueueForecast {
+  readonly rank: number;
+  /** Queued calls that are ordered before the call. */
+  readonly callsAhead: number;
+  /** Rate at which the queue dispatches; undefined while it is unknown. */
+  readonly rate: DispatchRate | undefined;
+  /** Time until the call is dispatched; undefined while the rate is unknown. */
+  readonly predictedWaitMs: number | undefined;
+}
+
+/** Decides which waiting calls go first, before the order by time. */
+export interface CallRanker {
+  /** 0 goes first. Calls of equal rank remain ordered by time. */
+  computeRank(call: RankedCall, nowMs: number): number;
+  /** Called when a call is placed, with the time for which it occupies one slot of its target. */
+  recordDispatch?(call: RankedCall, workMs: number, nowMs: number): void;
+}
+
+/** What the rank of a call depends on. */
+export interface RankedCall {
+  /** Client account, if the call has one. */
+  readonly account?: string;
+  /** The call is a client's retry after a rejection, at the time that the rejection stated. */
+  readonly isReturn: boolean;
 }
 
 /** Outcome of the wait of a call. */
@@ -44,7 +81,11 @@
   /** No target can complete the call before it has to end its wait. */
   | {
     readonly kind: "tooLate";
-    readonly placement: P;
+    /** Best placement, unless the call was rejected because of the calls ahead. */
+    readonly placement?: P;
+    readonly forecast: QueueForecast;
+    /** Predicted time until the call would be complete at a target, in milliseconds. */
+    readonly readyMs: number;
     /** Time by which the placement had to be complete, monotonic milliseconds. */
     readonly readyDeadlineMs: number;
   };
@@ -55,7 +96,12 @@
   readonly lane: number;
   /** Kind of request, within which large prompts get a minimum share. */
   readonly kind: string;
-  readonly tokens: number;
+  /** Size of the prompt; a call without one takes no part in the shares by size. */
+  readonly tokens?: number;
+  /** Client account, if the call has one. */
+  readonly account?: string;
+  /** The call is a client's retry after a rejection; false by default. */
+  readonly isReturn?: boolean;
   /** Start of the client's wait: the arrival, or the time at which a stream was interrupted. */
   readonly waitStartedAtMs: number;
   /** Latency objective: time from then within which the first token earns full worth. */
@@ -66,8 +112,13 @@
   readonly responseDelayMs: number;
   /** Finds the target that would complete the call first; undefined if there is none. */
   findPlacement(): P | undefined;
-  /** Whether the fleet has a spare engine for the prompt of a late call. */
-  mayPlaceLate(): boolean;
+  /**
+   * Predicts the time of the call at a target with capacity. Without it, the queue uses the last
+   * placement that it found for the call.
+   */
+  predictMs?(): number;
+  /** Whether the fleet has a spare engine for the prompt of a late call; by default it has. */
+  mayPlaceLate?(): boolean;
   /**
    * Called once, unless the wait is cancelled. The work of a placed call has to be booked before this
    * returns.
@@ -75,6 +126,13 @@
   onOutcome(outcome: QueueOutcome<P>): void;
 }
 
+/**
+ * How late calls are placed. With `spare` they use targets that are almost idle, and leave time for
+ * the response before their clients time out. With `behind` they use any target with capacity, after
+ * the calls that can be on time, until they can't be complete in time.
+ */
+export type LatePolicy = "spare" | "behind";
+
 /** Options of {@linkcode CallQueue}. */
 export interface CallQueueOptions {
   readonly clock: Clock;
@@ -82,6 +140,12 @@
   readonly maxBacklogMs?: number;
   /** Largest backlog at which an engine gets the prompt of a late call, in milliseconds. */
   readonly maxLateBacklogMs?: number;
+  /** `spare` by default. */
+  readonly latePolicy?: LatePolicy;
+  /** Rejects calls as soon as the calls ahead of them leave too little time; false by default. */
+  readonly rejectsEarly?: boolean;
+  /** Orders calls before the order by time; by default all calls have rank 0. */
+  readonly ranker?: CallRanker;
   /**
    * Whether a timer dispatches while prompts wait. Simulations turn it off and call
    * {@linkcode CallQueue.dispatch}.
@@ -135,12 +199,20 @@
   readonly #maxBacklogMs: number;
   readonly #maxLateBacklogMs: number;
   readonly #isTimerEnabled: boolean;
+  readonly #latePolicy: LatePolicy;
+  readonly #rejectsEarly: boolean;
+  readonly #ranker: CallRanker | undefined;
+  readonly #rate = new DispatchRateMeter();
   readonly #fairness = new SizeFairness();
   /** Calls that can be on time, in the order in which they are placed. */
   #waiting: WaitingCall<P>[] = [];
   /** Late calls, in the order in which they became late. */
   #late: WaitingCall<P>[] = [];
   #lateDispatchedAtMs = -Infinity;
+  /** Time of the first late call since no call waited; undefined without one. */
+  #overloadSinceMs: number | undefined;
+  /** Late calls placed since then. */
+  #latePlaced = 0;
   /** Time until an engine is expected to have capacity for a waiting call, in milliseconds. */
   #capacityInMs = 0;
   #timer: NodeJS.Timeout | undefined;
@@ -151,14 +223,22 @@
     this.#maxLateBacklogMs = options.maxLateBacklogMs ??
       DEFAULT_MAX_LATE_BACKLOG_MS;
     this.#isTimerEnabled = options.isTimerEnabled ?? true;
+    this.#latePolicy = options.latePolicy ?? "spare";
+    this.#rejectsEarly = options.rejectsEarly ?? false;
+    this.#ranker = options.ranker;
   }
 
-  /** Number of waiting prompts. */
+  /** Number of waiting calls. */
   get size(): number {
     return this.#waiting.length + this.#late.length;
   }
 
-  /** Adds a prompt; returns a function that cancels its wait. */
+  /** Rate at which calls are dispatched while calls wait; undefined while it is unknown. */
+  measureRate(): DispatchRate | undefined {
+    return this.#rate.measure(this.#clock.readMonotonicMs());
+  }
+
+  /** Adds a call; returns a function that cancels its wait. */
   enqueue(request: QueuedCall<P>): () => void {
     const waiting = this.#buildWaitingCall(request);
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
@@ -167,6 +247,8 @@
     this.dispatch();
     return () => {
       if (!this.#remove(waiting)) return;
+      this.#recordSize(this.#clock.readMonotonicMs());
+      if (request.tokens === undefined) return;
       this.#fairness.recordEnd(request.kind, waiting.size, false);
     };
   }
@@ -174,9 +256,11 @@
   /** Counts a prompt in its size class, and its outcome once there is one. */
   #buildWaitingCall(request: QueuedCall<P>): WaitingCall<P> {
     const { kind, tokens, onOutcome } = request;
+    const base = { ...request, rank: 0, expectedMs: undefined };
+    if (tokens === undefined) return { ...base, size: "usual" };
     const size = this.#fairness.recordArrival(kind, tokens);
     return {
-      ...request,
+      ...base,
       size,
       onOutcome: (outcome) => {
         this.#fairness.recordEnd(kind, size, outcome.kind === "placed");
@@ -185,16 +269,21 @@
     };
   }
 
-  /** Places the prompts that can be placed now. */
+  /** Places the calls that can be placed now, and rejects those that are known to be too late. */
   dispatch(): void {
     const nowMs = this.#clock.readMonotonicMs();
     this.#capacityInMs = MAX_DISPATCH_INTERVAL_MS;
-    this.#placeUnderserved(nowMs);
-    this.#placeWaiting(nowMs);
-    if (nowMs - this.#lateDispatchedAtMs >= LATE_DISPATCH_INTERVAL_MS) {
-      this.#lateDispatchedAtMs = nowMs;
-      this.#placeLate(nowMs);
+    const isLateDue = this.#latePolicy === "behind" ||
+      nowMs - this.#lateDispatchedAtMs >= LATE_DISPATCH_INTERVAL_MS;
+    if (isLateDue) this.#lateDispatchedAtMs = nowMs;
+    const keptInLane = new Map<number, number>();
+    for (const rank of this.#updateRanks(nowMs)) {
+      this.#placeUnderserved(rank, nowMs);
+      this.#placeWaiting(rank, keptInLane, nowMs);
+      if (isLateDue) this.#placeLate(rank, nowMs);
     }
+    if (this.#rejectsEarly) this.#rejectTooLate(nowMs);
+    this.#recordSize(nowMs);
     if (this.size === 0 || !this.#isTimerEnabled) return;
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
@@ -202,16 +291,106 @@
     }, Math.max(MIN_DISPATCH_INTERVAL_MS, this.#capacityInMs));
   }
 
+  /** Ranks the waiting calls anew; returns the ranks that occur, the first one first. */
+  #updateRanks(nowMs: number): number[] {
+    const ranker = this.#ranker;
+    if (ranker === undefined) return [0];
+    const ranks = new Set<number>();
+    for (const call of [...this.#waiting, ...this.#late]) {
+      call.rank = ranker.computeRank(buildRankedCall(call), nowMs);
+      ranks.add(call.rank);
+    }
+    return [...ranks].sort((a, b) => a - b);
+  }
+
+  /** Searches the best placement of a call, and keeps its expected time for forecasts. */
+  #findPlacement(call: WaitingCall<P>): P | undefined {
+    const placement = call.findPlacement();
+    call.expectedMs = placement?.unloadedMs;
+    return placement;
+  }
+
+  #place(
+    call: WaitingCall<P>,
+    placement: P,
+    lane: number,
+    nowMs: number,
+  ): void {
+    const { rank } = call;
+    this.#rate.record(placement.costMs, nowMs);
+    if (lane === LATE_LANE) this.#latePlaced++;
+    this.#ranker?.recordDispatch?.(
+      buildRankedCall(call),
+      placement.costMs,
+      nowMs,
+    );
+    call.onOutcome({ kind: "placed", placed: { placement, lane, rank } });
+  }
+
+  /** Records whether calls wait, after the queue has changed. */
+  #recordSize(nowMs: number): void {
+    this.#rate.setBusy(this.size > 0, nowMs);
+    if (this.#late.length > 0) this.#overloadSinceMs ??= nowMs;
+    if (this.size > 0) return;
+    this.#overloadSinceMs = undefined;
+    this.#latePlaced = 0;
+  }
+
+  #describeOverload(nowMs: number): Overload {
+    const lastedMs = nowMs - (this.#overloadSinceMs ?? nowMs);
+    const lateCallsPerMs = this.#latePlaced / Math.max(1, lastedMs);
+    return { lastedMs, lateCallsPerMs };
+  }
+
+  /** Lists the waiting calls in the order in which they are placed. */
+  #listInOrder(): WaitingCall<P>[] {
+    const calls = [...this.#waiting, ...this.#late];
+    if (this.#ranker === undefined) return calls;
+    return calls.sort((a, b) => a.rank - b.rank);
+  }
+
+  /** Rejects the calls which the calls ahead of them leave too little time. */
+  #rejectTooLate(nowMs: number): void {
+    const rate = this.#rate.measure(nowMs);
+    if (rate === undefined) return;
+    const overload = this.#describeOverload(nowMs);
+    const late = new Set(this.#late);
+    const rejected = new Map<WaitingCall<P>, TooLateOutcome<P>>();
+    for (const [index, call] of this.#listInOrder().entries()) {
+      const callsAhead = index - rejected.size;
+      const predictedWaitMs = predictWaitMs({
+        callsAhead,
+        callsPerMs: rate.callsPerMs,
+        ...(late.has(call) ? { overload } : {}),
+      });
+      const readyMs = predictedWaitMs + predictCallMs(call);
+      const readyDeadlineMs = computeReadyDeadlineMs(call);
+      if (nowMs + readyMs <= readyDeadlineMs) continue;
+      const forecast = { rank: call.rank, callsAhead, rate, predictedWaitMs };
+      rejected.set(call, {
+        kind: "tooLate",
+        forecast,
+        readyMs,
+        readyDeadlineMs,
+      });
+    }
+    if (rejected.size === 0) return;
+    this.#waiting = this.#waiting.filter((call) => !rejected.has(call));
+    this.#late = this.#late.filter((call) => !rejected.has(call));
+    for (const [call, outcome] of rejected) call.onOutcome(outcome);
+  }
+
   /**
    * Places large prompts of an underserved size class before all others, including those that can no
    * longer be on time: in an overload, no other rule of this queue places a large prompt. The cheapest
    * goes first, because its size class may no longer be underserved once it is placed.
    */
-  #placeUnderserved(nowMs: number): void {
+  #placeUnderserved(rank: number, nowMs: number): void {
     const requests = [...this.#waiting, ...this.#late]
+      .filter((request) => request.rank === rank)
       .filter((request) => this.#isUnderserved(request))
       .slice(0, MAX_PLACEMENTS_PER_DISPATCH)
-      .map((request) => ({ request, placement: request.findPlacement() }))
+      .map((request) => ({ request, placement: this.#findPlacement(request) }))
       .filter((entry): entry is PlacedCall<P> => entry.placement !== undefined)
       .sort((a, b) => a.placement.costMs - b.placement.costMs);
     for (const entry of requests) {
@@ -234,13 +413,20 @@
       waitStartedAtMs + aimMs - responseDelayMs;
     this.#remove(request);
     const lane = isLate ? LATE_LANE : request.lane;
-    request.onOutcome({ kind: "placed", placed: { placement, lane } });
+    this.#place(request, placement, lane, nowMs);
   }
 
-  #placeWaiting(nowMs: number): void {
+  #placeWaiting(
+    rank: number,
+    keptInLane: Map<number, number>,
+    nowMs: number,
+  ): void {
     const kept: WaitingCall<P>[] = [];
-    const keptInLane = new Map<number, number>();
     for (const request of this.#waiting.splice(0)) {
+      if (request.rank !== rank) {
+        kept.push(request);
+        continue;
+      }
       const { lane } = request;
       const before = keptInLane.get(lane) ?? 0;
       if (
@@ -256,7 +442,7 @@
   /** Whether a call that may be on time has to keep waiting. If not, it was placed or became late. */
   #shouldKeepWaiting(request: WaitingCall<P>, nowMs: number): boolean {
     const { waitStartedAtMs, aimMs, responseDelayMs, lane } = request;
-    const placement = request.findPlacement();
+    const placement = this.#findPlacement(request);
     if (placement === undefined) {
       request.onOutcome({ kind: "noTarget" });
       return false;
@@ -270,7 +456,7 @@
       this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
       return true;
     }
-    request.onOutcome({ kind: "placed", placed: { placement, lane } });
+    this.#place(request, placement, lane, nowMs);
     return false;
   }
 
@@ -278,13 +464,42 @@
     this.#capacityInMs = Math.min(this.#capacityInMs, inMs);
   }
 
+  #placeLate(rank: number, nowMs: number): void {
+    if (this.#latePolicy === "behind") this.#placeLateBehind(rank, nowMs);
+    else this.#placeLateOnSpare(rank, nowMs);
+  }
+
+  /** Places late calls in the order in which their clients time out. */
+  #placeLateBehind(rank: number, nowMs: number): void {
+    const ordered = this.#late.splice(0)
+      .sort((a, b) => a.timeoutAtMs - b.timeoutAtMs);
+    const kept: WaitingCall<P>[] = [];
+    let searched = 0;
+    for (const request of ordered) {
+      const isConsidered = request.rank === rank &&
+        searched < MAX_PLACEMENTS_PER_DISPATCH;
+      if (!isConsidered) {
+        kept.push(request);
+        continue;
+      }
+      const placement = this.#findPlacement(request);
+      if (!this.#shouldKeepLateWaiting({ request, placement }, nowMs)) continue;
+      kept.push(request);
+      searched++;
+    }
+    this.#late = kept;
+  }
+
   /**
-   * Places late calls. Large prompts go first, then the calls that became late most recently, because
-   * their clients stay longest.
+   * Places late calls on targets that are almost idle. Large prompts go first, then the calls that
+   * became late most recently, because their clients stay longest.
    */
-  #placeLate(nowMs: number): void {
-    const considered = this.#late.splice(0).reverse()
-      .map((request) => ({ request, placement: request.findPlacement() }));
+  #placeLateOnSpare(rank: number, nowMs: number): void {
+    const late = this.#late.splice(0);
+    const others = late.filter((request) => request.rank !== rank);
+    const considered = late.filter((request) => request.rank === rank)
+      .reverse()
+      .map((request) => ({ request, placement: this.#findPlacement(request) }));
     const ordered = [
       ...considered.filter(isLarge),
       ...considered.filter((entry) => !isLarge(entry)),
@@ -295,7 +510,7 @@
     }
     const remaining = considered.map(({ request }) => request)
       .filter((request) => kept.has(request));
-    this.#late = remaining.reverse();
+    this.#late = [...others, ...remaining.reverse()];
   }
 
   /** Whether a late call has to keep waiting. If not, it was placed or refused. */
@@ -307,8 +522,10 @@
       request.onOutcome({ kind: "noTarget" });
       return false;
     }
-    const readyDeadlineMs = computeLateTimeoutAtMs(request, placement) -
-      request.responseDelayMs;
+    const timeoutAtMs = this.#latePolicy === "behind"
+      ? request.timeoutAtMs
+      : computeLateTimeoutAtMs(request, placement);
+    const readyDeadlineMs = timeoutAtMs - request.responseDelayMs;
     const readyMs = this.#isUnderserved(request)
       ? findMinMs(placement)
       : placement.readyMs;
@@ -316,6 +533,8 @@
       request.onOutcome({
         kind: "tooLate",
         placement,
+        forecast: this.#buildForecast(request, placement, nowMs),
+        readyMs: placement.readyMs,
         readyDeadlineMs,
       });
       return false;
@@ -324,12 +543,25 @@
       this.#noteCapacityInMs(placement.backlogMs - this.#maxLateBacklogMs);
       return true;
     }
-    if (!request.mayPlaceLate()) return true;
-    const placed = { placement, lane: LATE_LANE };
-    request.onOutcome({ kind: "placed", placed });
+    if (request.mayPlaceLate?.() === false) return true;
+    this.#place(request, placement, LATE_LANE, nowMs);
     return false;
   }
 
+  /** Describes the wait of a call that is considered now, so that only its target's work is ahead. */
+  #buildForecast(
+    { rank }: WaitingCall<P>,
+    { backlogMs }: P,
+    nowMs: number,
+  ): QueueForecast {
+    return {
+      rank,
+      callsAhead: 0,
+      rate: this.#rate.measure(nowMs),
+      predictedWaitMs: backlogMs,
+    };
+  }
+
   /** Removes a request; returns whether it was waiting. */
   #remove(request: WaitingCall<P>): boolean {
     const sizeBefore = this.size;
@@ -339,8 +571,16 @@
   }
 }
 
+type TooLateOutcome<P extends CallPlacement> = Extract<
+  QueueOutcome<P>,
+  { kind: "tooLate" }
+>;
+
 interface WaitingCall<P extends CallPlacement> extends QueuedCall<P> {
   readonly size: SizeClass;
+  rank: number;
+  /** Time at a target with capacity, by the last placement that was found. */
+  expectedMs: number | undefined;
 }
 
 type OrderedCall = Pick<QueuedCall, "waitStartedAtMs" | "aimMs" | "lane">;
@@ -373,6 +613,27 @@
   return backlogMs + unloadedMs;
 }
 
+function buildRankedCall(
+  { account, isReturn = false }: Pick<QueuedCall, "account" | "isReturn">,
+): RankedCall {
+  return account === undefined ? { isReturn } : { account, isReturn };
+}
+
+/** Time of a call at a target with capacity; 0 if nothing is known. */
+function predictCallMs<P extends CallPlacement>(call: WaitingCall<P>): number {
+  return call.predictMs?.() ?? call.expectedMs ?? 0;
+}
+
+/** Time by which a call has to be complete at its target, to reach its client in time. */
+function computeReadyDeadlineMs(
+  { timeoutAtMs, responseDelayMs }: Pick<
+    QueuedCall,
+    "timeoutAtMs" | "responseDelayMs"
+  >,
+): number {
+  return timeoutAtMs - responseDelayMs;
+}
+
 /** Time until which a late call waits. */
 function computeLateTimeoutAtMs<P extends CallPlacement>(
   request: WaitingCall<P>,
--- /dev/null
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -0,0 +1,152 @@
+/**
+ * Queues of plain calls, one for each service, and when a target has capacity for one of them.
+ *
+ * A target has free capacity while the calls in flight to it from all VMs, as far as known, are below
+ * its slots. What a VM knows of the others is 30 to 250 ms old, which may be several times the time
+ * of a call. If VMs relied on it alone, a slot that another VM's call has left would stay unused for
+ * that time. Each VM therefore also sends at the rate of its share of the service's slots, unless a
+ * target has twice as many calls as slots. A target queues the few calls that this is too many.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { Target } from "../model.ts";
+import {
+  type CallPlacement,
+  CallQueue,
+  type CallRanker,
+} from "./call_queue.ts";
+
+/** Target that is to run a plain call, with the predicted times. */
+export interface PlainPlacement extends CallPlacement {
+  readonly target: Target;
+}
+
+/** What is known about a target of a plain service. */
+export interface PlainTargetLoad {
+  /** Calls in flight from all VMs, as far as known. */
+  readonly runs: number;
+  /** Requests that the target has reported more recently than what is known of the VMs. */
+  readonly reportedRequests?: number;
+  readonly slots: number;
+  /** Predicted time of a call at the target, milliseconds; 0 if it is unknown. */
+  readonly workMs: number;
+}
+
+/** What a VM's turn to send depends on. */
+export interface TurnOptions {
+  readonly service: string;
+  /** Predicted time of a call, milliseconds. */
+  readonly workMs: number;
+  /** Slots of all targets of the service. */
+  readonly slots: number;
+  /** This VM's share of the service's calls, above 0 and at most 1. */
+  readonly share: number;
+}
+
+/** Options of {@linkcode PlainCallQueues}. */
+export interface PlainCallQueuesOptions {
+  readonly clock: Clock;
+  /** Builds the ranker of a service's calls; by default all calls have rank 0. */
+  readonly buildRanker?: (service: string) => CallRanker | undefined;
+}
+
+/**
+ * By its share of the rate, a VM sends to a target that has this many times its slots in flight. With
+ * more, calls would wait at the target for longer than for one call, where they can't be reordered.
+ */
+const MAX_OVERLOAD_FACTOR = 2;
+/** Services change with the configuration. Above this number, idle queues are dropped. */
+const MAX_SERVICES = 256;
+
+interface ServiceQueue {
+  readonly queue: CallQueue<PlainPlacement>;
+  lastSentAtMs: number;
+}
+
+/** Time until a target has a free slot, milliseconds; 0 if it has one or nothing is known. */
+export function computePlainBacklogMs(
+  { runs, reportedRequests = 0, slots, workMs }: PlainTargetLoad,
+): number {
+  const requests = Math.max(runs, reportedRequests);
+  const ahead = requests - slots + 1;
+  return ahead <= 0 ? 0 : ahead * workMs / Math.max(1, slots);
+}
+
+/** Whether a VM may send to a busy target at the rate of its share. */
+export function mayExceedSlots(
+  { runs, reportedRequests = 0, slots }: PlainTargetLoad,
+): boolean {
+  return Math.max(runs, reportedRequests) < slots * MAX_OVERLOAD_FACTOR;
+}
+
+/** The queues of one VM's plain calls. */
+export class PlainCallQueues {
+  readonly #options: PlainCallQueuesOptions;
+  readonly #byService = new Map<string, ServiceQueue>();
+
+  constructor(options: PlainCallQueuesOptions) {
+    this.#options = options;
+  }
+
+  /** Returns the queue of a service. */
+  getQueue(service: string): CallQueue<PlainPlacement> {
+    return this.#getOrCreate(service).queue;
+  }
+
+  /** Records a call that is sent to a target of a service. */
+  recordSend(service: string, nowMs: number): void {
+    this.#getOrCreate(service).lastSentAtMs = nowMs;
+  }
+
+  /** Time until this VM may send at the rate of its share of the slots, milliseconds. */
+  computeTurnInMs(
+    { service, workMs, slots, share }: TurnOptions,
+    nowMs: number,
+  ): number {
+    const intervalMs = workMs / Math.max(1, slots) / share;
+    const { lastSentAtMs } = this.#getOrCreate(service);
+    return Math.max(0, lastSentAtMs + intervalMs - nowMs);
+  }
+
+  /** Dispatches the calls that wait for a service, because a slot was freed. */
+  dispatch(service: string): void {
+    const entry = this.#byService.get(service);
+    if (entry !== undefined && entry.queue.size > 0) entry.queue.dispatch();
+  }
+
+  /** Lists the services that have had calls, with their queues. */
+  listQueues(): { service: string; queue: CallQueue<PlainPlacement> }[] {
+    return [...this.#byService]
+      .map(([service, { queue }]) => ({ service, queue }));
+  }
+
+  #getOrCreate(service: string): ServiceQueue {
+    let entry = this.#byService.get(service);
+    if (entry === undefined) {
+      entry = { queue: this.#createQueue(service), lastSentAtMs: -Infinity };
+      this.#dropIdle();
+      this.#byService.set(service, entry);
+    }
+    return entry;
+  }
+
+  #createQueue(service: string): CallQueue<PlainPlacement> {
+    const { clock, buildRanker } = this.#options;
+    return new CallQueue<PlainPlacement>({
+      clock,
+      maxBacklogMs: 0,
+      maxLateBacklogMs: 0,
+      latePolicy: "behind",
+      rejectsEarly: true,
+      ranker: buildRanker?.(service),
+    });
+  }
+
+  #dropIdle(): void {
+    if (this.#byService.size < MAX_SERVICES) return;
+    for (const [service, { queue }] of this.#byService) {
+      if (queue.size === 0) this.#byService.delete(service);
+    }
+  }
+}
--- a/packages/heatherarch-lab/bench/overload_simulation.ts
+++ b/packages/heatherarch-lab/bench/overload_simulation.ts
@@ -246,7 +246,7 @@
       onOutcome: (outcome) => {
         if (outcome.kind === "placed") this.#prefill(attempt, outcome.placed);
         else if (outcome.kind === "tooLate") {
-          this.#handleRejection(attempt, outcome.placement);
+          this.#handleRejection(attempt, outcome);
         }
       },
     });
@@ -254,7 +254,7 @@
 
   #handleRejection(
     { request, startedAtMs, isRetry }: Attempt,
-    { readyMs }: PromptPlacement,
+    { readyMs }: { readonly readyMs: number },
   ): void {
     if (isRetry) return;
     const { aimMs, deadlineMs } = request.kind;
