Plain calls wait at their VM until a target has a free slot

Plain calls were sent at once, and given up when a busy target did not respond within the latency objective, which ran them again elsewhere. They now wait in the queue of their service while all targets have as many calls in flight as slots. A VM also sends at the rate of its share of the slots, because it learns of freed slots late. The silence timeout counts from the time at which the target is expected to have finished. A call that all targets declined waits and is tried again. Adds the metrics and the log line for waits.

Integration tests of forwarding, rate limits, handover, path loss, leaving, poison requests and accounts pass unchanged.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -17,6 +17,8 @@
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import type { PrefillTimeModel } from "./state/prefill_time_model.ts";
 import type { CallQueue } from "./scheduling/call_queue.ts";
+import type { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import type { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { HandoverClient } from "heatherarch-handover";
 import type { PathMonitor } from "./tasks/path_monitor.ts";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
@@ -73,6 +75,8 @@
   readonly countVms: () => number;
   readonly prefillTimeModel: PrefillTimeModel;
   readonly prefillQueue: CallQueue;
+  readonly plainCallQueues: PlainCallQueues;
+  readonly plainWorkModel: PlainWorkModel;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -187,6 +187,11 @@
     return { runs: this.#runs, isUsageRecorded };
   }
 
+  /** Name of the call's client account, if it has one. */
+  get accountName(): string | undefined {
+    return this.#account?.name;
+  }
+
   /** Version of the configuration by which the call is routed. */
   get configVersion(): number {
     return this.#configVersion;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -25,7 +25,17 @@
   predictRateLimitDelayMs,
 } from "../scheduling/target_selection.ts";
 import { sleep } from "heatherarch-core";
-import { MAX_RATE_LIMIT_DELAY_MS } from "../scheduling/retry_after.ts";
+import {
+  computeRetryAfterMs,
+  MAX_RATE_LIMIT_DELAY_MS,
+} from "../scheduling/retry_after.ts";
+import {
+  computePlainBacklogMs,
+  mayExceedSlots,
+  type PlainPlacement,
+} from "../scheduling/plain_call_queues.ts";
+import type { QueueOutcome } from "../scheduling/call_queue.ts";
+import { computeLane } from "../scheduling/priority_lanes.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
@@ -35,13 +45,39 @@
 const MIN_ATTEMPT_MS = 30;
 /** Bounds the attempts that reach no target, which cost no retry budget. */
 const MAX_ATTEMPTS = 6;
-/** If the call may be repeated, a silent target is given up after this many times `aimMs`. */
+/**
+ * If the call may be repeated, a silent target is given up this many times `aimMs` after the time at
+ * which it is expected to have finished the call.
+ */
 const SILENCE_TIMEOUT_AIMS = 1;
 /** `Retry-After` of a refusal, milliseconds. Jitter adds up to the same again. */
 const RETRY_AFTER_MS = 250;
 /** Interval at which a waiting call checks for room in a rate limit, milliseconds. */
 const RATE_LIMIT_POLL_MS = 40;
 
+/** Shortest wait before a target that declined a call is tried again, milliseconds. */
+const MIN_DECLINED_WAIT_MS = 20;
+
+/** A target whose slot is booked for the call. */
+interface BookedTarget {
+  readonly placement: PlainPlacement;
+  /** Whether the target had a free slot, as far as this VM knew. */
+  readonly hadFreeSlot: boolean;
+  /** Ends the booking. */
+  readonly endRun: () => void;
+}
+
+type PlainOutcome = QueueOutcome<PlainPlacement>;
+type TooLate = Extract<PlainOutcome, { kind: "tooLate" }>;
+
+/** Result of the wait for a target. */
+type PlainWait =
+  | { readonly kind: "booked"; readonly booked: BookedTarget }
+  | { readonly kind: "noTarget" }
+  | TooLate
+  /** The call ended, or this VM no longer reaches the targets. */
+  | { readonly kind: "over" };
+
 type PlainResult =
   | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
   | { readonly kind: "lost"; readonly reason: string }
@@ -51,6 +87,8 @@
 export class PlainCallHandler {
   readonly #context: CallContext;
   readonly #tried = new Set<string>();
+  /** Targets that did not run the call, and may be tried again. */
+  readonly #declined = new Set<string>();
   /** Failure response of a target, sent to the client if there is no further attempt. */
   #failure: BufferedResponse | undefined;
   #reason = "";
@@ -85,10 +123,10 @@
       this.#attempts++;
       await context.awaitTargetList();
       if (context.hasEnded) return;
-      const target = await this.#awaitTarget();
-      if (context.hasEnded || target === undefined) return;
-      if (this.#isRetry && !context.takeRetry()) return;
-      const result = await this.#attempt(target);
+      const booked = await this.#awaitTarget();
+      if (booked === undefined) return;
+      const result = await this.#attemptBooked(booked);
+      if (result === undefined) return;
       if (context.hasEnded || result.kind === "delivered") return;
       if (result.kind !== "notSent") this.#isRetry = true;
       this.#recordResult(result);
@@ -116,9 +154,31 @@
     else if (result.kind === "lost") this.#reason = result.reason;
   }
 
-  async #attempt(target: Target): Promise<PlainResult> {
+  /** Makes an attempt at a booked target; undefined if the call ended or no retry is left. */
+  async #attemptBooked(
+    booked: BookedTarget,
+  ): Promise<PlainResult | undefined> {
+    const context = this.#context;
+    const { target } = booked.placement;
+    try {
+      // The call may have been placed right after a stall, before the target list was refreshed.
+      await context.awaitTargetList();
+      if (context.hasEnded) return undefined;
+      if (this.#isRetry && !context.takeRetry()) return undefined;
+      const result = await this.#attempt(booked);
+      if (result.kind === "notRun") this.#declined.add(target.id);
+      return result;
+    } finally {
+      booked.endRun();
+      context.dependencies.plainCallQueues.dispatch(context.service.name);
+    }
+  }
+
+  async #attempt(booked: BookedTarget): Promise<PlainResult> {
     const context = this.#context;
-    const { codec, workTracker } = context.dependencies;
+    const { codec } = context.dependencies;
+    const { target } = booked.placement;
+    const sentAtMs = context.nowMs;
     this.#tried.add(target.id);
     const exchange = context.send(
       target,
@@ -129,14 +189,13 @@
       }),
     );
     context.recordRun();
-    const endRun = workTracker.beginRun(target.id, 0);
     try {
       const result = await awaitAttempt({
         context,
         target,
         exchange,
         stage: "whole",
-        timeoutMs: this.#getSilenceTimeoutMs(),
+        timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -153,6 +212,7 @@
       }
       const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
+      if (booked.hadFreeSlot) this.#learnWork(target, sentAtMs);
       if (read.kind === "partial") {
         return await this.#relayPartial(exchange, read.response, target);
       }
@@ -163,11 +223,18 @@
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
       return { kind: "lost", reason: error.message };
-    } finally {
-      endRun();
     }
   }
 
+  #learnWork(target: Target, sentAtMs: number): void {
+    const { route, nowMs, dependencies } = this.#context;
+    dependencies.plainWorkModel.learn({
+      route: route.name,
+      target: target.id,
+      tookMs: nowMs - sentAtMs,
+    }, nowMs);
+  }
+
   /** Whether a retry may turn a target's failure into a success. */
   #mayRetry(status: number): boolean {
     return status >= 500 && this.#context.mayRunAgain &&
@@ -242,19 +309,194 @@
     });
   }
 
-  #getSilenceTimeoutMs(): number | undefined {
-    const { route, mayRunAgain } = this.#context;
+  /**
+   * Time after which a silent target is given up: the latency objective, counted from when the target
+   * is expected to have finished. A busy target is late, not silent.
+   */
+  #computeSilenceTimeoutMs({ readyMs }: PlainPlacement): number | undefined {
+    const { route, mayRunAgain, remainingMs } = this.#context;
     if (route.kind !== "idempotent" || !mayRunAgain) return undefined;
-    return route.aimMs * SILENCE_TIMEOUT_AIMS;
+    const timeoutMs = readyMs + route.aimMs * SILENCE_TIMEOUT_AIMS;
+    // Another attempt would have too little time, so this is the last one. It ends with the call.
+    if (remainingMs - timeoutMs < MIN_ATTEMPT_MS) return remainingMs;
+    return timeoutMs;
+  }
+
+  /** Books a target; undefined if there is none, or the call ended or was rejected. */
+  async #awaitTarget(): Promise<BookedTarget | undefined> {
+    for (;;) {
+      const wait = await this.#awaitSlot();
+      if (wait.kind === "booked") return wait.booked;
+      if (wait.kind === "tooLate") this.#rejectTooLate(wait);
+      if (wait.kind !== "noTarget" || this.#context.hasEnded) return undefined;
+      if (!await this.#awaitRateLimit() && !await this.#awaitDeclined()) {
+        return undefined;
+      }
+    }
+  }
+
+  /** Waits in the queue of the service until a target has a free slot, and books it. */
+  #awaitSlot(): Promise<PlainWait> {
+    const context = this.#context;
+    const { plainCallQueues, pathMonitor } = context.dependencies;
+    const enqueuedAtMs = context.nowMs;
+    return new Promise((resolve) => {
+      let removeListener = (): void => undefined;
+      let isQueued = false;
+      const settle = (wait: PlainWait): void => {
+        removeListener();
+        resolve(wait);
+      };
+      const queue = plainCallQueues.getQueue(context.service.name);
+      const cancel = queue.enqueue({
+        lane: computeLane(context.priority),
+        kind: context.route.name,
+        account: context.accountName,
+        waitStartedAtMs: context.call.arrivedAtMs,
+        aimMs: context.route.aimMs,
+        timeoutAtMs: context.deadlineAtMs,
+        responseDelayMs: 0,
+        predictMs: () => this.#predictWorkMs(),
+        findPlacement: () => this.#findPlacement(),
+        onOutcome: (outcome) => {
+          if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
+          settle(this.#book(outcome, enqueuedAtMs));
+        },
+      });
+      isQueued = true;
+      removeListener = pathMonitor.registerLossListener(
+        context.service.name,
+        () => {
+          cancel();
+          settle({ kind: "over" });
+        },
+      );
+      void context.ended.then(() => {
+        cancel();
+        settle({ kind: "over" });
+      });
+    });
+  }
+
+  /** Books the slot of a placed call, so that the next call sees it as taken. */
+  #book(outcome: PlainOutcome, enqueuedAtMs: number): PlainWait {
+    if (outcome.kind !== "placed") return outcome;
+    const { service, nowMs, dependencies } = this.#context;
+    const { workTracker, plainCallQueues, metrics } = dependencies;
+    const { placement } = outcome.placed;
+    metrics.callWait.observe(
+      { service: service.name },
+      (nowMs - enqueuedAtMs) / 1000,
+    );
+    plainCallQueues.recordSend(service.name, nowMs);
+    const hadFreeSlot = placement.readyMs === placement.costMs;
+    const endRun = workTracker.beginRun(placement.target.id, 0);
+    return { kind: "booked", booked: { placement, hadFreeSlot, endRun } };
+  }
+
+  #logWait(outcome: PlainOutcome, waitedMs: number): void {
+    const { call, service, dependencies } = this.#context;
+    const queue = dependencies.plainCallQueues.getQueue(service.name);
+    const { placed } = outcome.kind === "placed" ? outcome : {};
+    dependencies.log.write("info", "callWaited", {
+      call: call.id,
+      service: service.name,
+      outcome: outcome.kind,
+      target: placed?.placement.target.id,
+      rank: placed?.rank,
+      lane: placed?.lane,
+      waitedMs: Math.round(waitedMs),
+      waiting: queue.size,
+      ratePerS: formatPerSecond(queue.measureRate()?.callsPerMs),
+    });
+  }
+
+  /** Rejects a call that no target can complete in time. It has not run, or its failure is sent. */
+  #rejectTooLate({ forecast, readyMs }: TooLate): void {
+    const context = this.#context;
+    if (context.hasEnded || context.mayHaveRun) return;
+    if (this.#failure !== undefined) return;
+    const { drawUnit, metrics } = context.dependencies;
+    const { rank, callsAhead, rate, predictedWaitMs } = forecast;
+    const waitedMs = context.nowMs - context.call.arrivedAtMs;
+    const excessMs = readyMs - context.remainingMs;
+    metrics.callsRejectedEarly.inc({ service: context.service.name });
+    context.refuse("overloaded", "the call can't be complete in time", {
+      retryAfterMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+      detail: {
+        rank,
+        callsAhead,
+        ratePerS: formatPerSecond(rate?.callsPerMs),
+        predictedWaitMs: Math.round(predictedWaitMs ?? 0),
+        readyMs: Math.round(readyMs),
+        waitedMs: Math.round(waitedMs),
+        remainingMs: Math.round(context.remainingMs),
+      },
+    });
+  }
+
+  #predictWorkMs(): number {
+    const { route, nowMs, dependencies } = this.#context;
+    return dependencies.plainWorkModel.predictRouteMs(route.name, nowMs);
+  }
+
+  /** Finds the target that would be tried now, and when it has capacity. */
+  #findPlacement(): PlainPlacement | undefined {
+    const target = this.#pickTarget();
+    if (target === undefined) return undefined;
+    const { route, nowMs, dependencies } = this.#context;
+    const { plainWorkModel, workTracker } = dependencies;
+    const workMs = plainWorkModel.predictMs(route.name, target.id, nowMs);
+    const { runs } = workTracker.getRunLoad(target.id, nowMs);
+    const load = { runs, slots: target.slots, workMs };
+    const slotInMs = computePlainBacklogMs(load);
+    const turnInMs = slotInMs > 0 && mayExceedSlots(load)
+      ? this.#computeTurnInMs(workMs)
+      : Infinity;
+    return {
+      target,
+      costMs: workMs,
+      unloadedMs: workMs,
+      backlogMs: Math.min(slotInMs, turnInMs),
+      readyMs: slotInMs + workMs,
+    };
+  }
+
+  /** Time until this VM may send at the rate of its share of the service's slots. */
+  #computeTurnInMs(workMs: number): number {
+    const { service: { name: service }, nowMs, dependencies } = this.#context;
+    const { directory, fleetDemand, plainCallQueues } = dependencies;
+    const slots = directory.listServing(service)
+      .reduce((sum, target) => sum + target.slots, 0);
+    const share = fleetDemand.computeShare(nowMs);
+    return plainCallQueues.computeTurnInMs(
+      { service, workMs, slots, share },
+      nowMs,
+    );
   }
 
   /**
-   * Returns a target. Waits while rate limits keep all targets from taking the call but will not do
-   * so until its latency objective is missed.
+   * Waits until a target that declined the call may have a free slot, and lets it be tried again.
+   * Returns whether there is such a target and time is left.
    */
-  async #awaitTarget(): Promise<Target | undefined> {
-    const target = this.#pickTarget();
-    if (target !== undefined) return target;
+  async #awaitDeclined(): Promise<boolean> {
+    const context = this.#context;
+    if (this.#declined.size === 0) return false;
+    if (findBackoffMs(context) !== undefined) return false;
+    const workMs = this.#predictWorkMs();
+    const waitMs = Math.max(MIN_DECLINED_WAIT_MS, workMs);
+    if (context.remainingMs < waitMs + workMs + MIN_ATTEMPT_MS) return false;
+    await Promise.race([sleep(waitMs), context.ended]);
+    for (const target of this.#declined) this.#tried.delete(target);
+    this.#declined.clear();
+    return !context.hasEnded;
+  }
+
+  /**
+   * Waits while rate limits keep all targets from taking the call but will not do so until its latency
+   * objective is missed. Returns whether a target has room then.
+   */
+  async #awaitRateLimit(): Promise<boolean> {
     const context = this.#context;
     const endWait = context.dependencies.rateLimits.beginWait(
       context.service.name,
@@ -262,10 +504,9 @@
     try {
       while (!context.hasEnded && this.#mayWait()) {
         await sleep(RATE_LIMIT_POLL_MS);
-        const picked = this.#pickTarget();
-        if (picked !== undefined) return picked;
+        if (this.#pickTarget() !== undefined) return true;
       }
-      return undefined;
+      return false;
     } finally {
       endWait();
     }
@@ -299,3 +540,7 @@
     return pickLeastLoaded(candidates, undefined, drawUnit)?.target;
   }
 }
+
+function formatPerSecond(perMs: number | undefined): number | undefined {
+  return perMs === undefined ? undefined : Math.round(perMs * 10_000) / 10;
+}
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -246,6 +246,7 @@
       const cancel = prefillQueue.enqueue({
         lane: computeLane(priority),
         kind: context.route.name,
+        account: context.accountName,
         tokens: this.#prompt.promptTokens,
         waitStartedAtMs,
         aimMs,
@@ -281,6 +282,8 @@
     const startedAtMs = this.#context.nowMs;
     const waitedMs = startedAtMs - this.#context.call.arrivedAtMs;
     metrics.readWait.observe({ lane }, waitedMs / 1000);
+    const service = this.#context.service.name;
+    metrics.callWait.observe({ service }, waitedMs / 1000);
     this.#recordHolder(target, "reading");
     const latencyMs = prefillTimeModel.latencyMs + RESPONSE_SLACK_MS;
     const work = { costMs, lane, latencyMs };
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -393,11 +393,15 @@
       storeReader,
       metrics,
       prefillQueue,
+      plainCallQueues,
       workTracker,
       activeConfig,
     } = this.#components;
     targetListGuard.recordTick();
     metrics.promptsWaiting.set(prefillQueue.size);
+    for (const { service, queue } of plainCallQueues.listQueues()) {
+      metrics.callsWaiting.set({ service }, queue.size);
+    }
     metrics.prefillOverdue.set(
       workTracker.sumOwnOverdueMs(this.#clock.readMonotonicMs()) / 1000,
     );
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -37,6 +37,25 @@
     help: "Prompts that wait at this VM for an engine to read them",
     registers: [this.registry],
   });
+  readonly callsWaiting = new Gauge({
+    name: "heatherarch_calls_waiting",
+    help: "Plain calls that wait at this VM for a target",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+  readonly callWait = new Histogram({
+    name: "heatherarch_call_wait_seconds",
+    help: "Time for which a call waited at this VM for a target",
+    labelNames: ["service"] as const,
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly callsRejectedEarly = new Counter({
+    name: "heatherarch_calls_rejected_early_total",
+    help: "Calls rejected because no target could complete them in time",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
   readonly prefillOverdue = new Gauge({
     name: "heatherarch_prefill_overdue_seconds",
     help:
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -27,6 +27,8 @@
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import { CallQueue } from "./scheduling/call_queue.ts";
+import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
@@ -204,6 +206,8 @@
     }),
     retryBudget: buildRetryBudget(settings),
     prefillQueue: new CallQueue({ clock }),
+    plainCallQueues: new PlainCallQueues({ clock }),
+    plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
