--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -32,6 +32,7 @@
 import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
@@ -47,6 +48,7 @@
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
--- a/packages/heatherarch-forward/calls/response_notices.ts
+++ b/packages/heatherarch-forward/calls/response_notices.ts
@@ -1,10 +1,11 @@
 /**
- * Notices in the response heads of targets: a target is leaving, requests a backoff, or has a rate
- * limit. Any response may carry a notice, whatever the request was for.
+ * Notices in the response heads of targets: a target is leaving, requests a backoff, has a rate
+ * limit, or reports its load. Any response may carry a notice, whatever the request was for.
  *
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import type { LoadReport, TargetLoads } from "heatherarch-load";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
@@ -19,6 +20,9 @@
   readonly directory: Pick<TargetDirectory, "markLeaving" | "findTarget">;
   readonly backoffs: TargetBackoffs;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: Pick<TargetLoads, "record">;
+  /** Called for each report that names a slowdown. */
+  readonly onSlowdownReport?: () => void;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -41,8 +45,8 @@
     sentAtMs: number,
   ): void {
     const { codec, directory, log } = this.#options;
-    const { answeredBy, isLeaving, backoffMs, maxRequestsPerSecond } = codec
-      .decodeResponse(status, headers);
+    const { answeredBy, isLeaving, backoffMs, maxRequestsPerSecond, load } =
+      codec.decodeResponse(status, headers);
     const instance = target.instance ?? target.id;
     if (answeredBy !== undefined && answeredBy !== instance) return;
     if (isLeaving && directory.markLeaving(target.id)) {
@@ -53,6 +57,15 @@
     }
     if (backoffMs !== undefined) this.#recordBackoff(target.id, backoffMs);
     this.#recordRateLimit(target.id, maxRequestsPerSecond, sentAtMs);
+    if (load !== undefined) this.#recordLoad(target.id, load);
+  }
+
+  #recordLoad(id: string, load: LoadReport): void {
+    const { directory, targetLoads, clock, onSlowdownReport } = this.#options;
+    // A late response of a target that is gone would leave a report that nothing removes.
+    if (directory.findTarget(id) === undefined) return;
+    targetLoads.record({ ...load, target: id, atMs: clock.readMonotonicMs() });
+    if (load.slowdown !== undefined) onSlowdownReport?.();
   }
 
   #recordRateLimit(
--- a/packages/heatherarch-forward/fleet/fleet_gossip.ts
+++ b/packages/heatherarch-forward/fleet/fleet_gossip.ts
@@ -1,11 +1,13 @@
 /**
- * Gossip of crash reports, of targets that announced that they are leaving, and of targets' rate
- * limits. Each VM forwards what is new to it on all its links, so it reaches every VM over a full
- * mesh as well as over hubs; a new link gets everything.
+ * Gossip of crash reports, of targets that announced that they are leaving, of targets' rate limits,
+ * and of targets' loads. Each VM forwards what is new to it on all its links, so it reaches every VM over a full
+ * mesh as well as over hubs; a new link gets everything. Only hubs forward the loads that peers have
+ * observed, as they change too often to be sent twice.
  *
  * @module
  */
 import type { Clock } from "heatherarch-core";
+import { SLOWDOWN_PERIOD_MS, type TargetLoads } from "heatherarch-load";
 import type { Heartbeat, Link } from "heatherarch-mesh";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
@@ -18,6 +20,9 @@
   readonly partQuarantine: PartQuarantine;
   readonly directory: TargetDirectory;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
+  /** Whether this VM forwards the loads that its peers have observed; by default it does not. */
+  readonly relaysLoads?: () => boolean;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -25,18 +30,21 @@
 /** The heartbeat fields that this module fills. */
 export type GossipFields = Pick<
   Heartbeat,
-  "crashes" | "partCrashes" | "leavingTargets" | "rateLimits"
+  "crashes" | "partCrashes" | "leavingTargets" | "rateLimits" | "loads"
 >;
 
 type CrashMessage = NonNullable<Heartbeat["crashes"]>[number];
 type RateLimitMessage = NonNullable<Heartbeat["rateLimits"]>[number];
 
+type LoadMessage = NonNullable<Heartbeat["loads"]>[number];
+
 /** Positions up to which one link has been sent everything. */
 interface LinkCursors {
   crashes: number | undefined;
   partCrashes: number | undefined;
   leaving: number;
   rateLimits: number;
+  loads: number;
 }
 
 /** Offset of a mark that came from the target itself, which no log record removes. */
@@ -45,6 +53,10 @@
 const NO_RATE_LIMIT = -1;
 /** Rate limits are encoded as requests per this many seconds. */
 const RATE_SCALE = 1000;
+/** Most rows of loads in a heartbeat: about 500 bytes. */
+const MAX_LOAD_ROWS = 24;
+/** Slowdowns are encoded in percent. */
+const PERCENT = 100;
 
 /** The gossip of one VM. */
 export class FleetGossip {
@@ -57,12 +69,14 @@
 
   /** Registers a listener for whatever is new; returns its removal. */
   registerListener(listener: () => void): () => void {
-    const { quarantine, partQuarantine, directory, rateLimits } = this.#options;
+    const { quarantine, partQuarantine, directory, rateLimits, targetLoads } =
+      this.#options;
     const undos = [
       quarantine.registerReportListener(listener),
       partQuarantine.registerListener(listener),
       directory.registerLeavingListener(listener),
       rateLimits.registerListener(listener),
+      targetLoads.registerListener(listener),
     ];
     return () => {
       for (const undo of undos) undo();
@@ -78,6 +92,7 @@
         partCrashes: undefined,
         leaving: 0,
         rateLimits: 0,
+        loads: 0,
       };
       this.#links.set(link, cursors);
     }
@@ -86,12 +101,14 @@
       ...this.#buildPartCrashes(cursors),
       ...this.#buildLeaving(cursors),
       ...this.#buildRateLimits(cursors),
+      ...this.#buildLoads(cursors),
     };
   }
 
   /** Merges a peer's heartbeat, which may have waited here for `waitedMs` milliseconds. */
   handle(
-    { crashes, partCrashes, leavingTargets, rateLimits = [] }: Heartbeat,
+    { crashes, partCrashes, leavingTargets, rateLimits = [], loads = [] }:
+      Heartbeat,
     waitedMs: number,
   ): void {
     const { quarantine, partQuarantine, directory, clock, log } = this.#options;
@@ -109,6 +126,24 @@
       log.write("info", "targetLeaving", { target, source: "peer" });
     }
     for (const message of rateLimits) this.#mergeRateLimit(message, waitedMs);
+    for (const message of loads) this.#mergeLoad(message, waitedMs);
+  }
+
+  #mergeLoad(
+    [target, percent, ageMs, running, waiting, slots]: LoadMessage,
+    waitedMs: number,
+  ): void {
+    const { targetLoads, directory, clock } = this.#options;
+    // The load of a target that is gone would be kept for good.
+    if (directory.findTarget(target) === undefined) return;
+    targetLoads.mergePeerSample({
+      target,
+      slowdown: percent / PERCENT,
+      running,
+      waiting,
+      slots,
+      atMs: clock.readMonotonicMs() - waitedMs - ageMs,
+    });
   }
 
   #mergeRateLimit(
@@ -194,4 +229,27 @@
       ]),
     };
   }
+
+  #buildLoads(cursors: LinkCursors): GossipFields {
+    const { targetLoads, relaysLoads, clock } = this.#options;
+    const scope = relaysLoads?.() ? "all" : "own";
+    const { news, position } = targetLoads.listNews(
+      cursors.loads,
+      MAX_LOAD_ROWS,
+      scope,
+    );
+    cursors.loads = position;
+    const nowMs = clock.readMonotonicMs();
+    const loads = news
+      .filter(({ atMs }) => nowMs - atMs < SLOWDOWN_PERIOD_MS)
+      .map((sample): LoadMessage => [
+        sample.target,
+        Math.round((sample.slowdown ?? 1) * PERCENT),
+        Math.max(0, Math.ceil(nowMs - sample.atMs)),
+        sample.running,
+        sample.waiting,
+        sample.slots,
+      ]);
+    return loads.length === 0 ? {} : { loads };
+  }
 }
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -30,6 +30,7 @@
 import type { FleetDemand } from "../state/fleet_demand.ts";
 import type { StoreEpoch } from "../state/store_epoch.ts";
 import type { StreamVersions } from "../state/stream_versions.ts";
+import type { TargetLoads } from "heatherarch-load";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -65,6 +66,7 @@
   readonly workTracker: WorkTracker;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
   readonly partQuarantine: PartQuarantine;
@@ -136,7 +138,10 @@
           live: this.#membership.listLive(self.availabilityZone).length,
         }),
     });
-    this.#gossip = new FleetGossip(options);
+    this.#gossip = new FleetGossip({
+      ...options,
+      relaysLoads: () => this.#membership.isHub,
+    });
     this.#vmList = new VmListFollower({
       self,
       vms: options.vms,
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -76,6 +76,11 @@
     help: "Requests sent to targets that have a rate limit",
     registers: [this.registry],
   });
+  readonly slowdownReports = new Counter({
+    name: "heatherarch_target_slowdown_reports_total",
+    help: "Responses in which a target reported its momentary slowdown",
+    registers: [this.registry],
+  });
   readonly orders = new Counter({
     name: "heatherarch_orders_total",
     help: "Orders to engines, by outcome",
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Address } from "heatherarch-core";
+import type { LoadReport } from "heatherarch-load";
 import type {
   EngineReport,
   ForwardedCall,
@@ -137,12 +138,8 @@
   readonly maxRequestsPerSecond?: number;
   /** Id of the incarnation that responded, if it is given. */
   readonly answeredBy?: string;
-  /** Requests that run and wait at the target, if it reports them. */
-  readonly load?: {
-    readonly running: number;
-    readonly waiting: number;
-    readonly slots: number;
-  };
+  /** Load of the target, if it reports it. */
+  readonly load?: LoadReport;
 }
 
 /** Thrown when the platform's API did not respond or refused. A request may have been carried out. */
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -19,6 +19,7 @@
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
+import type { TargetLoads } from "heatherarch-load";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import { TopicFollower } from "./topic_follower.ts";
@@ -45,6 +46,7 @@
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
   readonly prefillTimeModel: PrefillTimeModel;
   readonly engineJitter: EngineJitter;
 }
@@ -277,11 +279,13 @@
       health,
       backoffs,
       rateLimits,
+      targetLoads,
       prefillTimeModel,
       engineJitter,
     } = this.#options;
     backoffs.forget(target);
     rateLimits.forget(target);
+    targetLoads.forget(target);
     prefixIndex.forgetTarget(target);
     health.forget(target);
     prefillTimeModel.forget(target);
--- a/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { TargetLoads } from "heatherarch-load";
 import { ManualClock } from "heatherarch-core";
 import { test } from "node:test";
 import {
@@ -47,6 +48,7 @@
     directory,
     backoffs,
     ...buildRateLimits(),
+    targetLoads: new TargetLoads(),
     clock: new ManualClock(),
     log: new MemoryEventLog(),
   });
--- a/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock } from "heatherarch-core";
+import { TargetLoads } from "heatherarch-load";
 import type { Heartbeat, Link } from "heatherarch-mesh";
 import {
   type CallCodec,
@@ -125,6 +126,7 @@
     partQuarantine: new PartQuarantine(),
     directory,
     rateLimits,
+    targetLoads: new TargetLoads(),
     clock,
     log: new MemoryEventLog(),
   });
@@ -176,6 +178,7 @@
     directory,
     backoffs: new TargetBackoffs(),
     rateLimits,
+    targetLoads: new TargetLoads(),
     clock: new ManualClock(),
     log: new MemoryEventLog(),
   });
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -20,6 +20,7 @@
 import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
+import { TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -106,11 +107,14 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const targetLoads = new TargetLoads();
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
     rateLimits,
+    targetLoads,
+    onSlowdownReport: () => metrics.slowdownReports.inc(),
     clock,
     log,
   });
@@ -168,6 +172,7 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    targetLoads,
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -101,6 +101,7 @@
     fleetDemand: components.fleetDemand,
     storeEpoch: components.storeEpoch,
     rateLimits: components.rateLimits,
+    targetLoads: components.targetLoads,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
     partQuarantine: components.partQuarantine,
@@ -240,6 +241,7 @@
     health: components.health,
     backoffs: components.backoffs,
     rateLimits: components.rateLimits,
+    targetLoads: components.targetLoads,
     prefillTimeModel: components.prefillTimeModel,
     engineJitter: components.engineJitter,
   });
--- a/packages/heatherarch-load/target_loads.ts
+++ b/packages/heatherarch-load/target_loads.ts
@@ -44,6 +44,8 @@
   count: number;
   /** Sample that was last listed as news. */
   listed: LoadSample | undefined;
+  /** Whether this VM has observed that sample. */
+  isOwn: boolean;
   /** Position of that sample among the news of all targets. */
   position: number;
 }
@@ -76,12 +78,12 @@
 
   /** Records what this VM has observed. */
   record(sample: LoadSample): void {
-    this.#merge(sample);
+    this.#merge(sample, true);
   }
 
   /** Merges what a peer has observed. The newer sample wins. */
   mergePeerSample(sample: LoadSample): void {
-    this.#merge(sample);
+    this.#merge(sample, false);
   }
 
   /** Returns the last report of a target with its age, or undefined if there is none. */
@@ -119,16 +121,19 @@
 
   /**
    * Lists samples that have become news after a position, newest first, and the position after all of
-   * them. What exceeds the limit is skipped, as it is outdated by the next listing.
+   * them. What exceeds the limit is skipped, as it is outdated by the next listing. With the scope
+   * `own`, samples of peers are not listed.
    */
   listNews(
     position: number,
     limit: number,
+    scope: "all" | "own" = "all",
   ): { news: LoadSample[]; position: number } {
     if (position >= this.#position) return { news: [], position };
     const news: { listed: LoadSample; position: number }[] = [];
-    for (const { listed, position: listedAt } of this.#loads.values()) {
+    for (const { listed, position: listedAt, isOwn } of this.#loads.values()) {
       if (listed === undefined || listedAt <= position) continue;
+      if (scope === "own" && !isOwn) continue;
       news.push({ listed, position: listedAt });
     }
     news.sort((a, b) => b.position - a.position);
@@ -138,7 +143,7 @@
     };
   }
 
-  /** Registers a listener for news and returns a function that removes it. */
+  /** Registers a listener for news that this VM has observed and returns a function that removes it. */
   registerListener(listener: () => void): () => void {
     this.#listeners.add(listener);
     return () => {
@@ -153,7 +158,7 @@
     this.#trust.forget(target);
   }
 
-  #merge(received: LoadSample): void {
+  #merge(received: LoadSample, isOwn: boolean): void {
     const sample = boundSlowdown(received);
     const known = this.#loads.get(sample.target);
     if (known !== undefined && sample.atMs <= known.sample.atMs) return;
@@ -166,7 +171,9 @@
     learnMean(load, sample.slowdown, sample.atMs);
     if (!isNews(load, sample.slowdown)) return;
     load.listed = sample;
+    load.isOwn = isOwn;
     load.position = ++this.#position;
+    if (!isOwn) return;
     for (const listener of [...this.#listeners]) listener();
   }
 }
@@ -180,6 +187,7 @@
     sum: 0,
     count: 0,
     listed: undefined,
+    isOwn: false,
     position: 0,
   };
 }
--- a/packages/heatherarch-load/tests/unit/target_loads_test.ts
+++ b/packages/heatherarch-load/tests/unit/target_loads_test.ts
@@ -86,6 +86,23 @@
   assert.deepEqual(loads.listNews(position, 24).news, []);
 });
 
+// Guards against VMs that send each other back what they have received.
+test("samples of peers are listed only for VMs that relay them", () => {
+  const loads = new TargetLoads();
+  let notices = 0;
+  const undo = loads.registerListener(() => notices++);
+  loads.mergePeerSample(buildSample(0, 3, "peer"));
+  loads.record(buildSample(0, 3, "own"));
+  assert.equal(notices, 1);
+  const list = (scope?: "own") =>
+    loads.listNews(0, 24, scope).news.map(({ target }) => target);
+  assert.deepEqual(list(), ["own", "peer"]);
+  assert.deepEqual(list("own"), ["own"]);
+  undo();
+  loads.record(buildSample(1, 1, "own"));
+  assert.equal(notices, 1);
+});
+
 // Guards against state of targets that are gone, and against reports of an earlier incarnation.
 test("a forgotten target has no report", () => {
   const loads = new TargetLoads();
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -63,6 +63,27 @@
   return true;
 }
 
+/**
+ * Load of a target: incarnation, slowdown in percent, age of the report in milliseconds, running and
+ * waiting requests, slots. Validated by hand, as it arrives with up to 24 rows in each heartbeat.
+ */
+type LoadRowMessage = [string, number, number, number, number, number];
+
+const LOAD_ROWS = z.custom<LoadRowMessage[]>((value) =>
+  Array.isArray(value) && value.every(isLoadRow)
+);
+const LOAD_ROW_LENGTH = 6;
+const MAX_TARGET_ID_LENGTH = 256;
+
+function isLoadRow(row: unknown): boolean {
+  if (!Array.isArray(row) || row.length !== LOAD_ROW_LENGTH) return false;
+  const [target, ...figures] = row as unknown[];
+  return typeof target === "string" && target.length <= MAX_TARGET_ID_LENGTH &&
+    figures.every((figure) =>
+      Number.isSafeInteger(figure) && (figure as number) >= 0
+    );
+}
+
 /** Number of a window, client account, and its calls that began to run in the window. */
 const USAGE_ROW = z.tuple([z.int(), z.string(), z.int()]);
 
@@ -154,6 +175,8 @@
   rateLimits: z.array(
     z.tuple([z.string().max(256), z.int().min(-1), z.int().min(0)]),
   ).optional(),
+  /** Loads of targets whose slowdown has changed since the last heartbeat on this link. */
+  loads: LOAD_ROWS.optional(),
   /** Whether the sender reads the target list without errors, which is required to give orders. */
   mayOrder: z.boolean().optional(),
   /**
