Targets are chosen by their own speed and momentary slowdown

Calls went to targets that were slow at the moment. If targets report their slowdown, a plain target is drawn, weighted by its predicted time and its free slots, so that VMs with the same knowledge spread their calls. A decode engine counts as more utilized by its slowdown, and prefill times include the current one, which learning removes. Reports that calls contradict are ignored. Without reports, choices and predictions are the same as before (unit tests).

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -32,7 +32,8 @@
 import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
-import type { TargetLoads } from "heatherarch-load";
+import type { PlainTimeModel } from "./state/plain_time_model.ts";
+import type { ReportTrust, TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
@@ -49,6 +50,8 @@
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
   readonly targetLoads: TargetLoads;
+  /** Decides which reports in `targetLoads` are believed. */
+  readonly reportTrust: ReportTrust;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
@@ -74,6 +77,7 @@
   /** Number of VMs that share the load. */
   readonly countVms: () => number;
   readonly prefillTimeModel: PrefillTimeModel;
+  readonly plainTimeModel: PlainTimeModel;
   readonly prefillQueue: PrefillQueue;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -72,13 +72,14 @@
 
   /** Returns the least loaded engine, preferably in `zone`; undefined if there is none. */
   pick(zone: string | undefined): Target | undefined {
-    const { workTracker, drawUnit } = this.#context.dependencies;
+    const { workTracker, targetLoads, drawUnit } = this.#context.dependencies;
     const nowMs = this.#context.nowMs;
     const maxKvTokens = this.#traits.kvTokens;
     const candidates = listAvailableEngines(this.#context, this.#selection)
       .map((target): TargetCandidate => {
         const { runs, kvTokens } = workTracker.getRunLoad(target.id, nowMs);
-        return { target, runs, kvTokens, maxKvTokens };
+        const timeFactor = targetLoads.estimateSlowdown(target.id, nowMs);
+        return { target, runs, kvTokens, maxKvTokens, timeFactor };
       });
     const isBeginning = this.#softwareVersion === undefined &&
       this.#context.route.kind === "resumableStream";
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -15,10 +15,7 @@
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import {
-  pickLeastLoaded,
-  type TargetCandidate,
-} from "../scheduling/least_loaded_target.ts";
+import { pickPlainTarget } from "../scheduling/plain_target_choice.ts";
 import {
   findBackoffMs,
   listAvailableTargets,
@@ -118,7 +115,7 @@
 
   async #attempt(target: Target): Promise<PlainResult> {
     const context = this.#context;
-    const { codec, workTracker } = context.dependencies;
+    const { codec, workTracker, plainTimeModel } = context.dependencies;
     this.#tried.add(target.id);
     const exchange = context.send(
       target,
@@ -129,6 +126,12 @@
       }),
     );
     context.recordRun();
+    const recordDuration = plainTimeModel.beginWork({
+      target: target.id,
+      route: context.route.name,
+      runs: workTracker.getRunLoad(target.id, context.nowMs).runs,
+      slots: target.slots,
+    }, context.nowMs);
     const endRun = workTracker.beginRun(target.id, 0);
     try {
       const result = await awaitAttempt({
@@ -151,6 +154,7 @@
           reason: "successful response without a signature",
         };
       }
+      if (isSuccessStatus(result.head.status)) recordDuration(context.nowMs);
       const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
       if (read.kind === "partial") {
@@ -284,18 +288,8 @@
   }
 
   #pickTarget(): Target | undefined {
-    const { workTracker, drawUnit } = this.#context.dependencies;
-    const nowMs = this.#context.nowMs;
-    const candidates = listAvailableTargets({
-      context: this.#context,
-      tried: this.#tried,
-    })
-      .map((target): TargetCandidate => ({
-        target,
-        runs: workTracker.getRunLoad(target.id, nowMs).runs,
-        kvTokens: 0,
-        maxKvTokens: 0,
-      }));
-    return pickLeastLoaded(candidates, undefined, drawUnit)?.target;
+    const context = this.#context;
+    const targets = listAvailableTargets({ context, tried: this.#tried });
+    return pickPlainTarget(context.dependencies, targets, context.nowMs);
   }
 }
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -359,7 +359,8 @@
     { placement, lane }: LanePlacement,
     startedAtMs: number,
   ): void {
-    const { prefillTimeModel, retention, log } = this.#context.dependencies;
+    const { prefillTimeModel, retention, targetLoads, log } =
+      this.#context.dependencies;
     const {
       target,
       costMs,
@@ -367,18 +368,29 @@
       backlogMs,
       isCold,
       fetchFrom,
+      slowdown = 1,
     } = placement;
     const nowMs = this.#context.nowMs;
     const tookMs = nowMs - startedAtMs;
     this.#recordHolder(target, "read");
+    // The response has just told the slowdown at the end of the prefill.
+    const endSlowdown = targetLoads.estimateSlowdown(target.id, nowMs);
+    const slowdownChange = (slowdown + endSlowdown) / 2 / slowdown;
     // For a prompt with a prefix key it is not known how much of the prefix the engine had cached.
     if (this.#prefixKey === undefined) {
-      prefillTimeModel.learn(target.id, { costMs, backlogMs, tookMs });
+      this.#checkReports(placement, { tookMs, slowdownChange });
+      prefillTimeModel.learn(target.id, {
+        costMs,
+        backlogMs,
+        tookMs,
+        slowdownChange,
+      });
     } else {
       prefillTimeModel.learnUnloaded(target.id, {
         unloadedMs,
         backlogMs,
         tookMs,
+        slowdownChange,
       });
     }
     const { promptTokens } = this.#prompt;
@@ -399,8 +411,24 @@
       costMs: Math.round(costMs),
       aloneMs: Math.round(unloadedMs),
       tookMs: Math.round(tookMs),
+      slowdown: Number(slowdown.toFixed(2)),
       factor: Number(prefillTimeModel.getSlowdown(target.id).toFixed(2)),
       latencyMs: Math.round(prefillTimeModel.latencyMs),
     });
   }
+
+  /** Checks whether the engine's prefills contradict the slowdowns that it reports. */
+  #checkReports(
+    { target, readyMs }: PromptPlacement,
+    { tookMs, slowdownChange }: { tookMs: number; slowdownChange: number },
+  ): void {
+    const { targetLoads, reportTrust, prefillTimeModel, log } =
+      this.#context.dependencies;
+    if (!targetLoads.reportsSlowdown(target.id)) return;
+    const indicatedMs = readyMs * slowdownChange + prefillTimeModel.latencyMs;
+    const work = { tookMs, indicatedMs };
+    if (reportTrust.recordWork(target.id, work, this.#context.nowMs)) {
+      log.write("warn", "targetLoadIgnored", { target: target.id });
+    }
+  }
 }
--- a/packages/heatherarch-forward/scheduling/least_loaded_target.ts
+++ b/packages/heatherarch-forward/scheduling/least_loaded_target.ts
@@ -1,5 +1,6 @@
 /**
- * Picks the least loaded target for a call: a decode engine, or a target of a plain service.
+ * Picks the least loaded target for a call: a decode engine, or a target of a plain service. If targets
+ * report their momentary slowdowns, picks by the predicted time.
  *
  * @module
  */
@@ -14,6 +15,8 @@
   readonly kvTokens: number;
   /** Capacity of the KV cache in tokens; 0 for a plain target. */
   readonly maxKvTokens: number;
+  /** Predicted time of work at the target relative to the usual time; 1 by default. */
+  readonly timeFactor?: number;
 }
 
 /**
@@ -21,9 +24,24 @@
  * this. A KV cache transfer between zones takes twice as long and costs up to three times as much.
  */
 const CROSS_ZONE_PENALTY = 0.12;
+/**
+ * Higher utilization that is accepted to avoid a target at which work takes twice the usual time. Such
+ * a target delays the first token as much as a transfer between zones, which also takes twice as long.
+ */
+const DOUBLE_TIME_PENALTY = CROSS_ZONE_PENALTY;
 /** Utilizations closer than this are ordered at random, so that VMs don't all pick one target. */
 const TIE_BREAK_RANGE = 0.02;
 
+/**
+ * Predicted times relative to the usual that differ by this much are drawn at a ratio of 1 to e. VMs
+ * that know the same reports choose within the time until they hear of each other's calls; a strict
+ * choice would send all of these calls to one target. A target that is not known to be slow is still
+ * drawn now and then, which is how the end of its slowdown is noticed.
+ */
+const DRAW_RANGE = 0.15;
+/** Weight of a full target, in slots. It is drawn only if no target with a free slot is as fast. */
+const FULL_TARGET_SLOTS = 0.1;
+
 /**
  * Picks the target with the lowest utilization, preferring those in `zone`. Returns undefined if
  * there are no candidates. `drawUnit` returns a random number in [0, 1).
@@ -39,7 +57,8 @@
     const isOtherZone = zone !== undefined &&
       candidate.target.availabilityZone !== zone;
     const penalty = isOtherZone ? CROSS_ZONE_PENALTY : 0;
-    const score = computeUtilization(candidate) + penalty +
+    const slowPenalty = ((candidate.timeFactor ?? 1) - 1) * DOUBLE_TIME_PENALTY;
+    const score = computeUtilization(candidate) + penalty + slowPenalty +
       drawUnit() * TIE_BREAK_RANGE;
     if (score >= bestScore) continue;
     best = candidate;
@@ -48,6 +67,39 @@
   return best;
 }
 
+/**
+ * Draws a target, weighted by its predicted time and its free slots. Returns undefined if there are no
+ * candidates. `drawUnit` returns a random number in [0, 1).
+ */
+export function drawFastest(
+  candidates: readonly TargetCandidate[],
+  drawUnit: () => number,
+): TargetCandidate | undefined {
+  const times = candidates.map(predictRelativeTime);
+  const shortest = Math.min(...times);
+  const weights = candidates.map((candidate, i) =>
+    Math.exp((shortest - times[i]) / DRAW_RANGE) * countFreeSlots(candidate)
+  );
+  let left = drawUnit() * weights.reduce((sum, weight) => sum + weight, 0);
+  for (let i = 0; i < candidates.length; i++) {
+    left -= weights[i];
+    if (left < 0) return candidates[i];
+  }
+  return candidates.at(-1);
+}
+
+/** Time of a call relative to the usual, with the time until a slot is free. */
+function predictRelativeTime(
+  { runs, target: { slots }, timeFactor = 1 }: TargetCandidate,
+): number {
+  const callsAhead = Math.max(0, runs + 1 - slots);
+  return timeFactor * (1 + callsAhead / Math.max(1, slots));
+}
+
+function countFreeSlots({ runs, target: { slots } }: TargetCandidate): number {
+  return Math.max(FULL_TARGET_SLOTS, slots - runs);
+}
+
 /** Utilization of a target's slots or of its KV cache, whichever is higher. */
 export function computeUtilization(candidate: TargetCandidate): number {
   const slotUtilization = candidate.runs / Math.max(1, candidate.target.slots);
--- a/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
+++ b/packages/heatherarch-forward/scheduling/prefill_candidate_cache.ts
@@ -89,18 +89,23 @@
   context: CallContext,
   tried: ReadonlySet<string>,
 ): PrefillCandidate[] {
-  const { workTracker, rateLimits } = context.dependencies;
+  const { workTracker, rateLimits, targetLoads } = context.dependencies;
   const nowMs = context.nowMs;
-  return listUsableEngines(context, { phase: "reading", tried }).map((
-    target,
-  ) => ({
-    target,
-    backlogMs: Math.max(
-      workTracker.getPrefillBacklogMs(target.id, nowMs),
-      Math.min(
-        rateLimits.getDelayMs(target.id, nowMs),
-        MAX_RATE_LIMIT_DELAY_MS,
-      ),
-    ),
-  }));
+  return listUsableEngines(context, { phase: "reading", tried }).map(
+    (target) => {
+      const backlogMs = Math.max(
+        workTracker.getPrefillBacklogMs(target.id, nowMs),
+        Math.min(
+          rateLimits.getDelayMs(target.id, nowMs),
+          MAX_RATE_LIMIT_DELAY_MS,
+        ),
+      );
+      // The prefill begins when the backlog is done.
+      const slowdown = targetLoads.estimateSlowdown(
+        target.id,
+        nowMs + backlogMs,
+      );
+      return { target, backlogMs, slowdown };
+    },
+  );
 }
--- a/packages/heatherarch-forward/scheduling/prompt_placement.ts
+++ b/packages/heatherarch-forward/scheduling/prompt_placement.ts
@@ -22,6 +22,8 @@
    * milliseconds.
    */
   readonly backlogMs: number;
+  /** Slowdown that the engine is expected to have when the prefill begins; 1 by default. */
+  readonly slowdown?: number;
 }
 
 /** Engine that is to prefill a prompt, with the predicted times. */
@@ -39,6 +41,8 @@
   readonly backlogMs: number;
   /** Time until the prefill is complete, including the backlog, in milliseconds. */
   readonly readyMs: number;
+  /** Momentary slowdown of the engine that the times include; 1 by default. */
+  readonly slowdown?: number;
 }
 
 /** What is known about the engines when a prompt is placed. */
@@ -131,11 +135,16 @@
 
   #estimateWithoutPrefix(
     { promptTokens }: GenerationParams,
-    { target, backlogMs }: PrefillCandidate,
+    { target, backlogMs, slowdown = 1 }: PrefillCandidate,
   ): PromptPlacement {
     const { model } = this.#options;
-    const costMs = model.predictMs(target.id, promptTokens, 0);
-    const unloadedMs = model.predictUnloadedMs(target.id, promptTokens, 0);
+    const costMs = model.predictMs(target.id, promptTokens, 0, slowdown);
+    const unloadedMs = model.predictUnloadedMs(
+      target.id,
+      promptTokens,
+      0,
+      slowdown,
+    );
     const readyMs = backlogMs + costMs;
     return {
       target,
@@ -144,6 +153,7 @@
       unloadedMs,
       backlogMs,
       readyMs,
+      slowdown,
     };
   }
 
@@ -151,7 +161,7 @@
   #estimatePlacement(
     prompt: GenerationParams,
     key: string,
-    { target, backlogMs }: PrefillCandidate,
+    { target, backlogMs, slowdown = 1 }: PrefillCandidate,
     context: PlacementContext,
   ): [PromptPlacement, number] {
     const { model, fetchMarginMs, nonOwnerMarginMs } = this.#options;
@@ -162,12 +172,11 @@
       fetchMs = 0,
       fetchFrom?: Target,
     ): PromptPlacement => {
-      const tokenCounts: [number, number] = isCold
-        ? [prompt.promptTokens, 0]
-        : [ownTokens, prefixTokens];
-      const costMs = fetchMs + model.predictMs(target.id, ...tokenCounts);
-      const unloadedMs = fetchMs +
-        model.predictUnloadedMs(target.id, ...tokenCounts);
+      const work: [number, number, number] = isCold
+        ? [prompt.promptTokens, 0, slowdown]
+        : [ownTokens, prefixTokens, slowdown];
+      const costMs = fetchMs + model.predictMs(target.id, ...work);
+      const unloadedMs = fetchMs + model.predictUnloadedMs(target.id, ...work);
       const readyMs = backlogMs + costMs;
       const placement = {
         target,
@@ -176,6 +185,7 @@
         unloadedMs,
         backlogMs,
         readyMs,
+        slowdown,
       };
       return fetchFrom === undefined ? placement : { ...placement, fetchFrom };
     };
--- a/packages/heatherarch-forward/state/prefill_time_model.ts
+++ b/packages/heatherarch-forward/state/prefill_time_model.ts
@@ -27,6 +27,11 @@
   readonly backlogMs: number;
   /** Measured time from the request to its response. */
   readonly tookMs: number;
+  /**
+   * Ratio of the engine's momentary slowdown during the prefill to the one in the predictions; 1 by
+   * default.
+   */
+  readonly slowdownChange?: number;
 }
 
 /** Predicted and measured times of a long prefill, milliseconds. */
@@ -35,6 +40,8 @@
   readonly unloadedMs: number;
   readonly backlogMs: number;
   readonly tookMs: number;
+  /** See {@linkcode PrefillSample}. */
+  readonly slowdownChange?: number;
 }
 
 /**
@@ -95,7 +102,8 @@
  *
  * Two slowdown factors are learned per engine. The first, from short prompts, includes waits behind
  * work that this VM does not know of. Booked times use it, so that engines are not overloaded. The
- * second, from long prompts, reflects the engine's own speed.
+ * second, from long prompts, reflects the engine's own speed. The momentary slowdown that an engine
+ * reports is applied to predictions in addition, and is removed from what is learned.
  */
 export class PrefillTimeModel {
   readonly #options: Required<PrefillTimeModelOptions>;
@@ -113,11 +121,16 @@
   /**
    * Predicts the time to book for the prefill of `newTokens` that follow `cachedTokens`. It
    * includes waits that this VM cannot foresee, so that an engine does not receive more than it
-   * can process.
+   * can process. `momentarySlowdown` is the one that the engine reports.
    */
-  predictMs(target: string, newTokens: number, cachedTokens: number): number {
+  predictMs(
+    target: string,
+    newTokens: number,
+    cachedTokens: number,
+    momentarySlowdown = 1,
+  ): number {
     return this.#computeNominalMs(newTokens, cachedTokens) *
-      this.getSlowdown(target);
+      this.getSlowdown(target) * momentarySlowdown;
   }
 
   /** Predicts the prefill time on an engine without other work. */
@@ -125,12 +138,14 @@
     target: string,
     newTokens: number,
     cachedTokens: number,
+    momentarySlowdown = 1,
   ): number {
     const factor = Math.min(
       this.getUnloadedSlowdown(target),
       this.getSlowdown(target),
     );
-    return this.#computeNominalMs(newTokens, cachedTokens) * factor;
+    return this.#computeNominalMs(newTokens, cachedTokens) * factor *
+      momentarySlowdown;
   }
 
   /** Time from the end of a prefill to its response, milliseconds. */
@@ -153,7 +168,9 @@
    * of the prompt the engine had cached is an estimate.
    */
   learnUnloaded(target: string, sample: UnloadedSample): void {
-    const { unloadedMs, backlogMs, tookMs } = sample;
+    const { tookMs, slowdownChange = 1 } = sample;
+    const unloadedMs = sample.unloadedMs * slowdownChange;
+    const backlogMs = sample.backlogMs * slowdownChange;
     if (backlogMs > unloadedMs) return;
     const prefillMs = Math.max(1, tookMs - this.#latencyMs - backlogMs);
     if (prefillMs < unloadedMs * MIN_PREFILL_TIME_SHARE) return;
@@ -172,8 +189,8 @@
 
   /** Learns from a completed prefill. */
   learn(target: string, sample: PrefillSample): void {
-    const { costMs, backlogMs, tookMs } = sample;
-    const predictedMs = backlogMs + costMs;
+    const { costMs, backlogMs, tookMs, slowdownChange = 1 } = sample;
+    const predictedMs = (backlogMs + costMs) * slowdownChange;
     if (backlogMs <= MAX_LATENCY_BACKLOG_MS) {
       this.#learnLatency(tookMs - predictedMs);
     }
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -14,6 +14,7 @@
 import type { RoutingConfig, Target } from "../model.ts";
 import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
+import type { PlainTimeModel } from "../state/plain_time_model.ts";
 import type { PrefillTimeModel } from "../state/prefill_time_model.ts";
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
@@ -48,6 +49,7 @@
   readonly rateLimits: TargetRateLimits;
   readonly targetLoads: TargetLoads;
   readonly prefillTimeModel: PrefillTimeModel;
+  readonly plainTimeModel: PlainTimeModel;
   readonly engineJitter: EngineJitter;
 }
 
@@ -281,6 +283,7 @@
       rateLimits,
       targetLoads,
       prefillTimeModel,
+      plainTimeModel,
       engineJitter,
     } = this.#options;
     backoffs.forget(target);
@@ -289,6 +292,7 @@
     prefixIndex.forgetTarget(target);
     health.forget(target);
     prefillTimeModel.forget(target);
+    plainTimeModel.forget(target);
     engineJitter.forget(target);
   }
 
--- a/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
+++ b/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
@@ -7,6 +7,7 @@
   TargetDirectory,
   WorkTracker,
 } from "../../mod.ts";
+import { TargetLoads } from "heatherarch-load";
 import { buildEngine } from "./fixtures.ts";
 
 /** A cache for one service with three prefill engines and one decode engine. */
@@ -30,6 +31,7 @@
     dependencies: {
       directory,
       workTracker,
+      targetLoads: new TargetLoads(),
       health: { isAvoided: () => false },
       backoffs: { isInBackoff: () => false },
       rateLimits: { getDelayMs: (id: string) => delaysMs.get(id) ?? 0 },
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
@@ -24,6 +25,7 @@
   GenerationHandler,
   MemoryEventLog,
   PlainCallHandler,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillQueue,
   PrefillTimeModel,
@@ -214,6 +216,9 @@
       retention: new CacheRetention(),
       countVms: () => 1,
       prefillTimeModel,
+      targetLoads: new TargetLoads(),
+      reportTrust: new ReportTrust(),
+      plainTimeModel: new PlainTimeModel(),
       prefillQueue: new PrefillQueue({ clock }),
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -20,7 +20,8 @@
 import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
-import { TargetLoads } from "heatherarch-load";
+import { PlainTimeModel } from "./state/plain_time_model.ts";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -107,7 +108,8 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
-  const targetLoads = new TargetLoads();
+  const reportTrust = new ReportTrust();
+  const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
     codec,
     directory,
@@ -173,6 +175,13 @@
     fleetDemand,
     rateLimits,
     targetLoads,
+    reportTrust,
+    plainTimeModel: new PlainTimeModel({
+      targetLoads,
+      reportTrust,
+      onReportsIgnored: (target) =>
+        log.write("warn", "targetLoadIgnored", { target }),
+    }),
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -243,6 +243,7 @@
     rateLimits: components.rateLimits,
     targetLoads: components.targetLoads,
     prefillTimeModel: components.prefillTimeModel,
+    plainTimeModel: components.plainTimeModel,
     engineJitter: components.engineJitter,
   });
 }
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -16,6 +16,7 @@
   FleetRetryBudget,
   ForwardMetrics,
   MemoryEventLog,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillQueue,
   PrefillTimeModel,
@@ -29,6 +30,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
@@ -106,6 +108,9 @@
     retention: new CacheRetention(),
     countVms: () => 1,
     prefillTimeModel,
+    targetLoads: new TargetLoads(),
+    reportTrust: new ReportTrust(),
+    plainTimeModel: new PlainTimeModel(),
     prefillQueue: new PrefillQueue({ clock }),
     prefillCandidateCache: new PrefillCandidateCache(),
     log,
