--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -35,6 +35,8 @@
 import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { PlainTimeModel } from "./state/plain_time_model.ts";
+import type { ReportTrust, TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
@@ -51,6 +53,9 @@
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
+  /** Decides which reports in `targetLoads` are believed. */
+  readonly reportTrust: ReportTrust;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
@@ -79,6 +84,7 @@
   readonly prefillQueue: CallQueue;
   readonly plainCallQueues: PlainCallQueues;
   readonly plainWorkModel: PlainWorkModel;
+  readonly plainTimeModel: PlainTimeModel;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -15,10 +15,7 @@
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import {
-  pickLeastLoaded,
-  type TargetCandidate,
-} from "../scheduling/least_loaded_target.ts";
+import { pickPlainTarget } from "../scheduling/plain_target_choice.ts";
 import {
   findBackoffMs,
   listAvailableTargets,
@@ -176,7 +173,7 @@
 
   async #attempt(booked: BookedTarget): Promise<PlainResult> {
     const context = this.#context;
-    const { codec } = context.dependencies;
+    const { codec, workTracker, plainTimeModel } = context.dependencies;
     const { target } = booked.placement;
     const sentAtMs = context.nowMs;
     this.#tried.add(target.id);
@@ -189,6 +186,14 @@
       }),
     );
     context.recordRun();
+    // The booking counts as one of the runs.
+    const { runs } = workTracker.getRunLoad(target.id, sentAtMs);
+    const recordDuration = plainTimeModel.beginWork({
+      target: target.id,
+      route: context.route.name,
+      runs: runs - 1,
+      slots: target.slots,
+    }, sentAtMs);
     try {
       const result = await awaitAttempt({
         context,
@@ -210,6 +215,7 @@
           reason: "successful response without a signature",
         };
       }
+      if (isSuccessStatus(result.head.status)) recordDuration(context.nowMs);
       const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
       if (booked.hadFreeSlot) this.#learnWork(target, sentAtMs);
@@ -525,19 +531,9 @@
   }
 
   #pickTarget(): Target | undefined {
-    const { workTracker, drawUnit } = this.#context.dependencies;
-    const nowMs = this.#context.nowMs;
-    const candidates = listAvailableTargets({
-      context: this.#context,
-      tried: this.#tried,
-    })
-      .map((target): TargetCandidate => ({
-        target,
-        runs: workTracker.getRunLoad(target.id, nowMs).runs,
-        kvTokens: 0,
-        maxKvTokens: 0,
-      }));
-    return pickLeastLoaded(candidates, undefined, drawUnit)?.target;
+    const context = this.#context;
+    const targets = listAvailableTargets({ context, tried: this.#tried });
+    return pickPlainTarget(context.dependencies, targets, context.nowMs);
   }
 }
 
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
@@ -27,6 +28,7 @@
   PlainCallHandler,
   PlainCallQueues,
   PlainWorkModel,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -223,6 +225,9 @@
       prefillQueue: new CallQueue({ clock }),
       plainCallQueues: new PlainCallQueues({ clock }),
       plainWorkModel: new PlainWorkModel(),
+      targetLoads: new TargetLoads(),
+      reportTrust: new ReportTrust(),
+      plainTimeModel: new PlainTimeModel(),
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
       metrics,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -21,6 +21,8 @@
 import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
+import { PlainTimeModel } from "./state/plain_time_model.ts";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -109,11 +111,15 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const reportTrust = new ReportTrust();
+  const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
     rateLimits,
+    targetLoads,
+    onSlowdownReport: () => metrics.slowdownReports.inc(),
     clock,
     log,
   });
@@ -172,6 +178,14 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    targetLoads,
+    reportTrust,
+    plainTimeModel: new PlainTimeModel({
+      targetLoads,
+      reportTrust,
+      onReportsIgnored: (target) =>
+        log.write("warn", "targetLoadIgnored", { target }),
+    }),
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -19,6 +19,7 @@
   MemoryEventLog,
   PlainCallQueues,
   PlainWorkModel,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -31,6 +32,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
@@ -111,6 +113,9 @@
     prefillQueue: new CallQueue({ clock }),
     plainCallQueues: new PlainCallQueues({ clock }),
     plainWorkModel: new PlainWorkModel(),
+    targetLoads: new TargetLoads(),
+    reportTrust: new ReportTrust(),
+    plainTimeModel: new PlainTimeModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     log,
     metrics,
