Shares of client accounts: FairShares

When capacity is short, nothing told an account that sends ten times its share from one that sends little. FairShares keeps the recent use of each account by service, of this VM and as reported by its peers, and ranks accounts by use and weighted share. Sums follow each report, as a hub receives hundreds a second.

--- /dev/null
+++ b/packages/heatherarch-shares/fair_shares.ts
@@ -0,0 +1,301 @@
+/**
+ * The weighted shares of client accounts in the time of targets, per service and over all VMs. The
+ * module has no clock: each update carries the time.
+ *
+ * It addresses load in which one account sends many times what its share would be, or sends it over
+ * many VMs: the calls of accounts within their shares go first. Shares only order the calls that wait,
+ * so whatever one account does not use goes to the others.
+ *
+ * @module
+ */
+import { ServiceUse } from "./service_use.ts";
+import {
+  listUseRows,
+  MAX_NAMED_ACCOUNTS,
+  OTHER_ACCOUNTS,
+  type UseRow,
+  type UseSum,
+} from "./use_rows.ts";
+
+/** Whose use a peer reports: its own, or the sum of VMs to which this VM has no link. */
+export type UseScope = "own" | "gathered";
+
+/** Options of {@linkcode FairShares}. */
+export interface FairSharesOptions {
+  /** Returns the weight of an account; 1 by default. */
+  readonly getWeight?: (account: string) => number;
+  /**
+   * Number of configured accounts; unlimited by default. VMs that each count the accounts which they
+   * don't name may count the same ones.
+   */
+  readonly countAccounts?: () => number;
+}
+
+/** Use and share of one account of a service, for operators. */
+export interface AccountShare {
+  readonly group: string;
+  readonly account: string;
+  readonly weight: number;
+  /** Work that was dispatched recently, milliseconds of one slot. */
+  readonly workMs: number;
+  /** Work that would be its share, milliseconds of one slot. */
+  readonly shareMs: number;
+  readonly rank: number;
+}
+
+/** What a peer has reported, in units of the landmark. */
+interface PeerUse {
+  readonly atMs: number;
+  readonly scope: UseScope;
+  readonly rows: readonly UseRow[];
+  /** Factor from the milliseconds of the rows to units of the landmark. */
+  readonly factor: number;
+}
+
+/**
+ * Time constant of the decay of use, milliseconds. A burst of 2 s has to count, and an account that
+ * was large ten seconds ago is treated like any other.
+ */
+const DECAY_MS = 3000;
+/** A peer without a report for this long is assumed to have no use. */
+const PEER_TIMEOUT_MS = 1500;
+/** An account with less use than this is not in use, milliseconds. */
+const MIN_USE_MS = 1;
+/** Ranks rise when the use exceeds the share by these factors. */
+const RANK_FACTORS = [1, 2, 4];
+/** An account with exactly its share is within it, whatever the rounding of sums. */
+const ROUNDING = 1e-9;
+/** Units grow by the decay until they are converted to a new landmark; e^20 leaves full precision. */
+const MAX_LANDMARK_AGE_MS = 20 * DECAY_MS;
+/** Interval at which accounts that are no longer in use are removed, milliseconds. */
+const SWEEP_INTERVAL_MS = 1000;
+
+/** The shares that one VM knows of. */
+export class FairShares {
+  readonly #getWeight: (account: string) => number;
+  readonly #countAccounts: () => number;
+  readonly #services = new Map<string, ServiceUse>();
+  readonly #peers = new Map<string, PeerUse>();
+  /**
+   * Use is stored as it would have been at this time, so that its decay needs no updates: it is
+   * multiplied by a factor that grows with time.
+   */
+  #landmarkMs: number | undefined;
+  /** Time after which the report of a peer is too old. */
+  #nextExpiryMs = Infinity;
+  #sweptAtMs = -Infinity;
+
+  constructor(options: FairSharesOptions = {}) {
+    this.#getWeight = options.getWeight ?? (() => 1);
+    this.#countAccounts = options.countAccounts ?? (() => Infinity);
+  }
+
+  /** Records work that was dispatched to a target for an account, milliseconds of one slot. */
+  recordWork(
+    group: string,
+    account: string,
+    workMs: number,
+    nowMs: number,
+  ): void {
+    if (!(workMs > 0) || account === OTHER_ACCOUNTS) return;
+    const work = workMs * this.#computeFactor(nowMs);
+    this.#getOrCreate(group).addOwn(account, work);
+  }
+
+  /** Returns 0 within the share, then 1, 2, 3 for more than 1, 2 and 4 times the share. */
+  computeRank(group: string, account: string, nowMs: number): number {
+    this.#dropExpired(nowMs);
+    const service = this.#services.get(group);
+    const use = service?.findUse(account);
+    if (service === undefined || use === undefined) return 0;
+    return rateUse(use, this.#computeShare(service, account));
+  }
+
+  /** Lists the heaviest accounts of this VM, and the sum and number of the others. */
+  listOwnUse(nowMs: number): UseRow[] {
+    this.#dropExpired(nowMs);
+    const factor = this.#computeFactor(nowMs);
+    return [...this.#services].flatMap(([group, service]) => {
+      const named = convertToMs(service.listOwn(), factor);
+      return this.#listRows(group, { named, othersMs: 0, others: 0 });
+    });
+  }
+
+  /** Replaces all use that a peer reports, its own or a sum. */
+  setPeerUse(
+    peer: string,
+    rows: readonly UseRow[],
+    nowMs: number,
+    scope: UseScope = "own",
+  ): void {
+    this.forgetPeer(peer);
+    const factor = this.#computeFactor(nowMs);
+    for (const [group, account, workMs, accounts] of rows) {
+      this.#getOrCreate(group).addRow(account, workMs * factor, accounts);
+    }
+    this.#peers.set(peer, { atMs: nowMs, scope, rows, factor });
+    const expiryMs = nowMs + PEER_TIMEOUT_MS;
+    this.#nextExpiryMs = Math.min(this.#nextExpiryMs, expiryMs);
+  }
+
+  /** Sums the use of this VM and its peers, with or without the sums that peers report. */
+  sumUse(nowMs: number, includeGathered: boolean): UseRow[] {
+    this.#dropExpired(nowMs);
+    const factor = this.#computeFactor(nowMs);
+    return [...this.#services].flatMap(([group, service]) => {
+      const sum = this.#sumService(group, service, includeGathered);
+      const named = convertToMs(sum.named, factor);
+      return this.#listRows(group, {
+        named,
+        othersMs: sum.othersMs / factor,
+        others: sum.others,
+      });
+    });
+  }
+
+  /** Removes what a peer has reported. */
+  forgetPeer(peer: string): void {
+    const known = this.#peers.get(peer);
+    if (known === undefined) return;
+    this.#peers.delete(peer);
+    for (const [group, account, workMs, accounts] of known.rows) {
+      const work = workMs * known.factor;
+      this.#services.get(group)?.removeRow(account, work, accounts);
+    }
+  }
+
+  /** Removes what all peers have reported, because their reports change their form. */
+  forgetAllPeers(): void {
+    for (const peer of [...this.#peers.keys()]) this.forgetPeer(peer);
+  }
+
+  /** Applies changed weights. */
+  refreshWeights(): void {
+    for (const service of this.#services.values()) service.refreshWeights();
+  }
+
+  /** Lists the heaviest accounts of each service. */
+  listShares(nowMs: number): AccountShare[] {
+    this.#dropExpired(nowMs);
+    const factor = this.#computeFactor(nowMs);
+    return [...this.#services].flatMap(([group, service]) =>
+      [...service.listAll()]
+        .sort(([, a], [, b]) => b - a)
+        .slice(0, MAX_NAMED_ACCOUNTS)
+        .map(([account, use]): AccountShare => {
+          const share = this.#computeShare(service, account);
+          return {
+            group,
+            account,
+            weight: service.getWeight(account),
+            workMs: Math.round(use / factor),
+            shareMs: Math.round(share / factor),
+            rank: rateUse(use, share),
+          };
+        })
+    );
+  }
+
+  #computeShare(service: ServiceUse, account: string): number {
+    return service.total * service.getWeight(account) /
+      this.#sumWeights(service);
+  }
+
+  /** Sums the weights of the accounts in use. Those that are not named weigh 1 each. */
+  #sumWeights({ weightSum, others, size }: ServiceUse): number {
+    return weightSum + this.#limitOthers(others, size);
+  }
+
+  /** VMs may count the same accounts among those that they don't name. */
+  #limitOthers(others: number, named: number): number {
+    return Math.min(others, Math.max(0, this.#countAccounts() - named));
+  }
+
+  #listRows(group: string, sum: UseSum): UseRow[] {
+    const service = this.#getOrCreate(group);
+    return listUseRows(group, sum, {
+      getWeight: (account) => service.getWeight(account),
+      weightSum: this.#sumWeights(service),
+      limitOthers: (others, named) => this.#limitOthers(others, named),
+    });
+  }
+
+  #sumService(
+    group: string,
+    service: ServiceUse,
+    includeGathered: boolean,
+  ): UseSum {
+    const named = new Map(service.listOwn());
+    let othersMs = 0;
+    let others = 0;
+    for (const { scope, rows, factor } of this.#peers.values()) {
+      if (scope === "gathered" && !includeGathered) continue;
+      for (const [rowGroup, account, workMs, accounts] of rows) {
+        if (rowGroup !== group) continue;
+        const work = workMs * factor;
+        if (account === OTHER_ACCOUNTS) {
+          othersMs += work;
+          others += accounts;
+        } else named.set(account, (named.get(account) ?? 0) + work);
+      }
+    }
+    return { named, othersMs, others };
+  }
+
+  #getOrCreate(group: string): ServiceUse {
+    let service = this.#services.get(group);
+    if (service === undefined) {
+      service = new ServiceUse(this.#getWeight);
+      this.#services.set(group, service);
+    }
+    return service;
+  }
+
+  /** Drops peers that have not reported, and accounts that are no longer in use. */
+  #dropExpired(nowMs: number): void {
+    if (nowMs > this.#nextExpiryMs) this.#dropExpiredPeers(nowMs);
+    if (nowMs - this.#sweptAtMs < SWEEP_INTERVAL_MS) return;
+    this.#sweptAtMs = nowMs;
+    const minUse = MIN_USE_MS * this.#computeFactor(nowMs);
+    for (const [group, service] of this.#services) {
+      service.expireOwn(minUse);
+      if (service.isEmpty) this.#services.delete(group);
+    }
+  }
+
+  #dropExpiredPeers(nowMs: number): void {
+    this.#nextExpiryMs = Infinity;
+    for (const [peer, { atMs }] of this.#peers) {
+      const expiryMs = atMs + PEER_TIMEOUT_MS;
+      if (nowMs > expiryMs) this.forgetPeer(peer);
+      else this.#nextExpiryMs = Math.min(this.#nextExpiryMs, expiryMs);
+    }
+  }
+
+  /** Returns the factor from milliseconds of work now to units of the landmark. */
+  #computeFactor(nowMs: number): number {
+    const landmarkMs = this.#landmarkMs ?? nowMs;
+    this.#landmarkMs = landmarkMs;
+    const factor = Math.exp((nowMs - landmarkMs) / DECAY_MS);
+    if (nowMs - landmarkMs <= MAX_LANDMARK_AGE_MS) return factor;
+    this.#landmarkMs = nowMs;
+    for (const service of this.#services.values()) service.convert(factor);
+    for (const [name, peer] of this.#peers) {
+      this.#peers.set(name, { ...peer, factor: peer.factor / factor });
+    }
+    return 1;
+  }
+}
+
+/** Returns the rank of an account by its use and its share. */
+function rateUse(use: number, share: number): number {
+  const base = share * (1 + ROUNDING);
+  return RANK_FACTORS.filter((factor) => use > base * factor).length;
+}
+
+function convertToMs(
+  uses: Iterable<readonly [string, number]>,
+  factor: number,
+): (readonly [string, number])[] {
+  return [...uses].map(([account, use]) => [account, use / factor]);
+}
