Use of client accounts and due returns pass between VMs; weights of accounts

A VM knew only its own use of an account, so an account that connects to all VMs got its share at each of them. Heartbeats and digests now carry the sums of accountUse (at most every 500 ms) and dueReturns (250 ms), over the full mesh and over hubs, by one exchange for any such sum. A digest's sum has the receiver's own part subtracted as the counted heartbeat sent it. Reports of peers don't decay until the next one: with decay over three hops, a VM saw a third less use of the others than of its own. The first digest for a VM has the sums at once.

The setting accounts.weights (0.01 to 1000, default 1) is applied on SIGHUP. Prompts record their booked time by service and account. AccountRanker ranks calls; without an account every rank is 0.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -6,6 +6,10 @@
 import type { Clock } from "heatherarch-core";
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
+import type { FairShares } from "heatherarch-shares";
+import type { ReturnBook } from "heatherarch-returns";
+import type { AccountRanker } from "./scheduling/account_ranker.ts";
+import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
 import type { EngineJitter } from "./scheduling/engine_jitter.ts";
 import type { EventLog } from "./event_log.ts";
@@ -43,6 +47,10 @@
   readonly activeConfig: ActiveConfig;
   readonly accountAdmission: AccountAdmission;
   readonly usage: UsageRecorder;
+  readonly accountWeights: AccountWeights;
+  readonly accountShares: FairShares;
+  readonly accountRanker: AccountRanker;
+  readonly returnBook: ReturnBook;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly targetFailures: TargetFailures;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -138,6 +138,11 @@
     this.dependencies.fleetDemand.recordCall(this.nowMs);
   }
 
+  /** The service and the client account among whose shares the call is. */
+  get shareKey(): { service: string; account?: string } {
+    return { service: this.service.name, account: this.#account?.name };
+  }
+
   /** Current monotonic time, milliseconds. */
   get nowMs(): number {
     return this.dependencies.clock.readMonotonicMs();
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -276,9 +276,10 @@
 
   #beginPrefill(placed: LanePlacement): BookedPrefill {
     const { placement: { target, costMs }, lane } = placed;
-    const { workTracker, prefillTimeModel, metrics } =
+    const { workTracker, prefillTimeModel, metrics, accountRanker } =
       this.#context.dependencies;
     const startedAtMs = this.#context.nowMs;
+    accountRanker.recordWork(this.#context.shareKey, costMs, startedAtMs);
     const waitedMs = startedAtMs - this.#context.call.arrivedAtMs;
     metrics.readWait.observe({ lane }, waitedMs / 1000);
     this.#recordHolder(target, "reading");
--- a/packages/heatherarch-forward/fleet/digest_cache.ts
+++ b/packages/heatherarch-forward/fleet/digest_cache.ts
@@ -6,6 +6,7 @@
  */
 import type { WorkDigest } from "heatherarch-mesh";
 import type { FleetDemand } from "../state/fleet_demand.ts";
+import type { SumExchange } from "./sum_exchange.ts";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkRow, WorkTracker } from "../state/work_tracker.ts";
 
@@ -14,13 +15,14 @@
   readonly workTracker: WorkTracker;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
+  readonly sums: Pick<SumExchange, "buildDigestFields">;
   /** Counts the live VMs of the hub's zone, itself included. */
   readonly countZoneVms: () => number;
   /** Counts the live VMs of the fleet. */
   readonly countFleetVms: () => number;
 }
 
-type DigestBody = Pick<WorkDigest, "vms" | "work" | "callsPerMinute">;
+type DigestBody = Omit<WorkDigest, "scope" | "counted">;
 
 /** The digests of the current round. */
 export class DigestCache {
@@ -40,22 +42,24 @@
 
   /** Returns the work in progress of the hub's zone. */
   getZoneDigest(nowMs: number): DigestBody {
-    const { workTracker, countZoneVms } = this.#options;
+    const { workTracker, countZoneVms, sums } = this.#options;
     this.#zoneDigest ??= {
       vms: countZoneVms(),
       work: copyRows(workTracker.sumRows(nowMs, false)),
       ...this.#buildCallRate(nowMs, false),
+      ...sums.buildDigestFields(nowMs, false),
     };
     return this.#zoneDigest;
   }
 
   /** Returns the work in progress of the fleet. */
   getFleetDigest(nowMs: number): DigestBody {
-    const { workTracker, countFleetVms } = this.#options;
+    const { workTracker, countFleetVms, sums } = this.#options;
     this.#fleetDigest ??= {
       vms: countFleetVms(),
       work: copyRows(workTracker.sumRows(nowMs, true)),
       ...this.#buildCallRate(nowMs, true),
+      ...sums.buildDigestFields(nowMs, true),
     };
     return this.#fleetDigest;
   }
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -24,6 +24,8 @@
 import { HubExchange, type HubExchangeOptions } from "./hub_exchange.ts";
 import { type CollectedUsage, UsageExchange } from "./usage_exchange.ts";
 import { StreamVersionExchange } from "./stream_version_exchange.ts";
+import type { FleetSums } from "./fleet_sum.ts";
+import { SumExchange } from "./sum_exchange.ts";
 import { VmListFollower } from "./vm_list_follower.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
@@ -64,6 +66,7 @@
   readonly log: EventLog;
   readonly workTracker: WorkTracker;
   readonly fleetDemand: FleetDemand;
+  readonly sums: FleetSums;
   readonly rateLimits: TargetRateLimits;
   readonly prefixIndex: PrefixIndex;
   readonly quarantine: RequestQuarantine;
@@ -99,6 +102,7 @@
   readonly #membership: Membership;
   readonly #node: MeshNode;
   readonly #hubs: HubExchange;
+  readonly #sums: SumExchange;
   readonly #gossip: FleetGossip;
   readonly #vmList: VmListFollower;
   readonly #configExchange: ConfigExchange;
@@ -127,8 +131,10 @@
       linksPerZone,
       hubs: { minVms: options.hubsFromVms, perZone: options.hubsPerZone },
     });
+    this.#sums = new SumExchange(options.sums);
     this.#hubs = new HubExchange({
       ...options,
+      sums: this.#sums,
       membership: this.#membership,
       onSourceChange: (source) =>
         options.log.write("info", "hubChosen", {
@@ -384,6 +390,7 @@
           callsPerMinute: this.#options.fleetDemand.getOwnCallsPerMinute(nowMs),
         }
         : {}),
+      ...this.#sums.buildOwnFields(link),
       work: workTracker.listOwnRows(nowMs)
         .map((row): [string, number, number, ...number[]] => [...row]),
       ...(updates.length === 0 ? {} : {
@@ -425,6 +432,7 @@
     if (callsPerMinute !== undefined) {
       fleetDemand.setPeerRate(from.id, { callsPerMinute, vms: 1 }, nowMs);
     }
+    this.#sums.handleFields(from.id, heartbeat, nowMs);
     if (heartbeat.prompts !== undefined) {
       prefixIndex.applyPeerUpdates(heartbeat.prompts, nowMs);
     }
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -34,6 +34,7 @@
   type TargetListRelayOptions,
 } from "./target_list_relay.ts";
 import { copyRows, DigestCache } from "./digest_cache.ts";
+import type { SentSums, SumExchange } from "./sum_exchange.ts";
 import { ListFallback } from "./list_fallback.ts";
 import type {
   PrefixIndex,
@@ -56,6 +57,8 @@
   readonly membership: Membership;
   readonly workTracker: WorkTracker;
   readonly fleetDemand: FleetDemand;
+  /** Shared with the exchange without hubs. */
+  readonly sums: SumExchange;
   readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
   readonly prefixIndex: PrefixIndex;
   /** Lists the engines that are changing their role on an order of this VM. */
@@ -72,6 +75,8 @@
   Heartbeat,
   | "work"
   | "callsPerMinute"
+  | "accountUse"
+  | "dueReturns"
   | "prompts"
   | "beat"
   | "wants"
@@ -86,6 +91,7 @@
 interface SentHeartbeat {
   readonly work: readonly WorkRow[];
   readonly callsPerMinute: number;
+  readonly sums: SentSums;
   readonly sentAt: Moment;
 }
 
@@ -128,6 +134,7 @@
     this.#digests = new DigestCache({
       workTracker: options.workTracker,
       fleetDemand: options.fleetDemand,
+      sums: options.sums,
       rateLimits: options.rateLimits,
       countZoneVms: () => this.#countZoneVms(),
       countFleetVms: () => this.liveVms,
@@ -175,10 +182,12 @@
     if (isHub) this.#fallback.tick(nowMs);
     else this.#updateSource(nowMs);
     this.#beat++;
-    const { workTracker, fleetDemand } = this.#options;
+    const { workTracker, fleetDemand, sums } = this.#options;
+    sums.beginRound(nowMs);
     this.#sentHeartbeats.set(this.#beat, {
       work: workTracker.listOwnRows(nowMs),
       callsPerMinute: fleetDemand.getOwnCallsPerMinute(nowMs),
+      sums: sums.getSent(),
       sentAt: readMoment(this.#options.clock),
     });
     this.#sentHeartbeats.delete(this.#beat - MAX_SENT_HEARTBEATS);
@@ -257,7 +266,7 @@
     isSameZone: boolean,
     nowMs: number,
   ): void {
-    const { workTracker, fleetDemand, prefixIndex } = this.#options;
+    const { workTracker, fleetDemand, prefixIndex, sums } = this.#options;
     const fallback = this.#fallback.findSource(from.id);
     if (fallback !== undefined && heartbeat.targets !== undefined) {
       fallback.recordHeartbeat(nowMs);
@@ -287,6 +296,7 @@
     if (callsPerMinute !== undefined) {
       fleetDemand.setPeerRate(from.id, { callsPerMinute, vms: 1 }, nowMs);
     }
+    sums.handleFields(from.id, heartbeat, nowMs);
     this.#subscriptions.setCounted(from.incarnation, heartbeat.beat);
   }
 
@@ -308,9 +318,10 @@
       vms: digest.vms,
       atMs: nowMs,
     });
-    const { workTracker, fleetDemand } = this.#options;
+    const { workTracker, fleetDemand, sums } = this.#options;
     const key = buildZoneWorkKey(zone);
     workTracker.setPeerWork(key, digest.work, nowMs, "gathered");
+    sums.handleFields(key, digest, nowMs, "gathered");
     const { vms, callsPerMinute } = digest;
     if (callsPerMinute === undefined) return;
     fleetDemand.setPeerRate(key, { vms, callsPerMinute }, nowMs, "gathered");
@@ -321,7 +332,7 @@
     heartbeat: Heartbeat,
     nowMs: number,
   ): void {
-    const { workTracker, prefixIndex } = this.#options;
+    const { workTracker, prefixIndex, sums } = this.#options;
     source.recordHeartbeat(nowMs);
     if (heartbeat.prompts !== undefined) {
       prefixIndex.applyPeerUpdates(heartbeat.prompts, nowMs);
@@ -334,6 +345,7 @@
       const rows = subtractRows(digest.work, counted?.work ?? []);
       workTracker.setPeerWork(FLEET_WORK_KEY, rows, nowMs, "gathered");
       this.#recordFleetDemand(digest, counted, nowMs);
+      sums.handleFleetFields(FLEET_WORK_KEY, digest, counted?.sums, nowMs);
     }
     if (targets === undefined) return;
     const wasStale = source.isStale;
@@ -383,6 +395,7 @@
       beat: this.#beat,
       work: copyRows(this.#sentHeartbeats.get(this.#beat)?.work ?? []),
       ...this.#buildCallRate(),
+      ...this.#options.sums.buildOwnFields(link),
       ...this.#buildPrefixUpdates(link, "own"),
     };
   }
@@ -420,6 +433,9 @@
         scope: "fleet",
         counted: state.counted,
         ...this.#digests.getFleetDigest(this.#nowMs),
+        ...(isFull
+          ? this.#options.sums.buildFirstDigestFields(this.#nowMs)
+          : {}),
       },
       targets: this.#listRelay.buildFeed(
         link,
@@ -465,16 +481,18 @@
 
   /** Drops the work received in the previous role, so that none of it is counted twice. */
   #handleHubChange(isHub: boolean): void {
-    const { workTracker, fleetDemand } = this.#options;
+    const { workTracker, fleetDemand, sums } = this.#options;
     this.#wasHub = isHub;
     if (isHub) {
       workTracker.forgetPeer(FLEET_WORK_KEY);
       fleetDemand.forgetPeer(FLEET_WORK_KEY);
+      sums.forgetPeer(FLEET_WORK_KEY);
       this.#source = undefined;
       return;
     }
     workTracker.forgetAllPeers();
     fleetDemand.forgetAllPeers();
+    sums.forgetAllPeers();
     this.#zoneSources.clear();
     this.#fallback.clear();
   }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -154,7 +154,12 @@
     if (this.#log instanceof StdoutEventLog) {
       this.#log.setLevel(settings.logs.level);
     }
-    this.#log.write("info", "settingsReloaded", { level: settings.logs.level });
+    const { weights = {} } = settings.accounts;
+    this.#components.accountWeights.apply(weights);
+    this.#log.write("info", "settingsReloaded", {
+      level: settings.logs.level,
+      accountWeights: Object.keys(weights).length,
+    });
   }
 
   /** Logs that reloaded settings are invalid; the current settings stay in effect. */
--- /dev/null
+++ b/packages/heatherarch-forward/scheduling/account_ranker.ts
@@ -0,0 +1,53 @@
+/**
+ * Ranks waiting calls by the share of their client account, so that under an overload by one account
+ * the calls of the others are served. A client that returns at the time it was told goes before new
+ * calls of its class.
+ *
+ * @module
+ */
+import { FairShares } from "heatherarch-shares";
+
+/** What the rank of a waiting call depends on. */
+export interface RankedCall {
+  readonly service: string;
+  /** Undefined if the call needs no account and has none. */
+  readonly account?: string;
+  /** Whether the call takes the place of a return that is due. */
+  readonly isReturn: boolean;
+}
+
+/** Options of {@linkcode AccountRanker}. */
+export interface AccountRankerOptions {
+  /** Shares that other components also use; by default of the ranker only. */
+  readonly shares?: Pick<FairShares, "computeRank" | "recordWork">;
+}
+
+/** Ranks the calls of one VM, and records what they have used. */
+export class AccountRanker {
+  readonly #shares: Pick<FairShares, "computeRank" | "recordWork">;
+
+  constructor({ shares = new FairShares() }: AccountRankerOptions = {}) {
+    this.#shares = shares;
+  }
+
+  /** Returns the rank of a call; the lowest goes first. */
+  computeRank(
+    { service, account, isReturn }: RankedCall,
+    nowMs: number,
+  ): number {
+    const rank = account === undefined
+      ? 0
+      : this.#shares.computeRank(service, account, nowMs);
+    return isReturn ? rank - 1 : rank;
+  }
+
+  /** Records work that was dispatched for a call, milliseconds of one slot. */
+  recordWork(
+    { service, account }: Pick<RankedCall, "service" | "account">,
+    workMs: number,
+    nowMs: number,
+  ): void {
+    if (account === undefined) return;
+    this.#shares.recordWork(service, account, workMs, nowMs);
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -9,6 +9,7 @@
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
+  AccountRanker,
   type AttemptOptions,
   buildCrashDetector,
   CacheRetention,
@@ -188,6 +189,7 @@
       backoffs: new TargetBackoffs(),
       ...buildRateLimits(),
       workTracker: new WorkTracker(),
+      accountRanker: new AccountRanker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -6,6 +6,10 @@
 import { type Clock, computeRendezvousWeight } from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
+import { FairShares } from "heatherarch-shares";
+import { ReturnBook } from "heatherarch-returns";
+import { AccountRanker } from "./scheduling/account_ranker.ts";
+import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
 import { ActiveConfig } from "./state/active_config.ts";
 import { PrefixIndex } from "./state/prefix_index.ts";
@@ -161,6 +165,7 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
+  const accountShares = buildAccountShares(settings, activeConfig);
   return {
     clock,
     log,
@@ -182,6 +187,11 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
+    ...accountShares,
+    returnBook: new ReturnBook({
+      computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
+      drawUnit: Math.random,
+    }),
     health,
     targetFailures,
     workTracker,
@@ -219,6 +229,24 @@
   };
 }
 
+function buildAccountShares(
+  { accounts }: ForwardSettings,
+  activeConfig: ActiveConfig,
+): Pick<
+  CallDependencies,
+  "accountWeights" | "accountShares" | "accountRanker"
+> {
+  const accountWeights = new AccountWeights(accounts.weights);
+  const accountShares = new FairShares({
+    getWeight: (account) => accountWeights.getWeight(account),
+    countAccounts: () =>
+      activeConfig.table?.config.accounts?.length ?? Infinity,
+  });
+  accountWeights.registerListener(() => accountShares.refreshWeights());
+  const accountRanker = new AccountRanker({ shares: accountShares });
+  return { accountWeights, accountShares, accountRanker };
+}
+
 function buildHandoverClient(
   { settings, clock, log, self, listPeers }: CallDependenciesOptions,
   metrics: ForwardMetrics,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -8,6 +8,7 @@
 import type { LogPort } from "heatherarch-log";
 import type { UsageMeter } from "heatherarch-usage";
 import type { ForwardSettings } from "heatherarch-settings";
+import { buildFleetSums } from "./fleet/fleet_sum.ts";
 import { FleetMesh } from "./fleet/fleet_mesh.ts";
 import type {
   CallCodec,
@@ -99,6 +100,7 @@
     log: components.log,
     workTracker: components.workTracker,
     fleetDemand: components.fleetDemand,
+    sums: buildFleetSums(components.accountShares, components.returnBook),
     storeEpoch: components.storeEpoch,
     rateLimits: components.rateLimits,
     prefixIndex: components.prefixIndex,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock, ServeError } from "heatherarch-core";
 import {
+  AccountRanker,
   buildCrashDetector,
   CacheRetention,
   type CallCodec,
@@ -81,6 +82,7 @@
       drawUnit: () => 0,
     }),
     workTracker: new WorkTracker(),
+    accountRanker: new AccountRanker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
     probeTarget: () => Promise.resolve("response"),
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -38,6 +38,8 @@
  */
 const WORK_ROWS = z.custom<WorkRowMessage[]>(isWorkRows);
 const MIN_ROW_LENGTH = 3;
+/** Longest name of a service or a client account in a row. */
+const MAX_NAME_LENGTH = 1024;
 
 /** Key of a prompt prefix, engine, and whether it was prefilled (1) or is being prefilled (0). */
 const PREFIX_UPDATES = z.custom<[string, string, number][]>((value) =>
@@ -63,6 +65,37 @@
   return true;
 }
 
+/**
+ * Use of a client account: service, account or an empty name for those that have no row, milliseconds
+ * of one slot, and number of accounts. A hub receives thousands of rows a second.
+ */
+const USE_ROWS = z.custom<[string, string, number, number][]>((value) =>
+  Array.isArray(value) && value.every(isUseRow)
+);
+
+/** Returns that are due: service, and their number. */
+const DUE_ROWS = z.custom<[string, number][]>((value) =>
+  Array.isArray(value) && value.every(isDueRow)
+);
+
+function isUseRow(row: unknown): boolean {
+  return Array.isArray(row) && row.length === 4 && isName(row[0]) &&
+    isName(row[1]) && isCount(row[2]) && isCount(row[3]);
+}
+
+function isDueRow(row: unknown): boolean {
+  return Array.isArray(row) && row.length === 2 && isName(row[0]) &&
+    isCount(row[1]);
+}
+
+function isName(value: unknown): boolean {
+  return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
+}
+
+function isCount(value: unknown): boolean {
+  return Number.isSafeInteger(value) && value as number >= 0;
+}
+
 /** Number of a window, client account, and its calls that began to run in the window. */
 const USAGE_ROW = z.tuple([z.int(), z.string(), z.int()]);
 
@@ -77,6 +110,10 @@
   work: WORK_ROWS,
   /** Calls that those VMs receive per minute. */
   callsPerMinute: z.int().min(0).optional(),
+  /** Use of client accounts over those VMs, at most every 500 ms. */
+  accountUse: USE_ROWS.optional(),
+  /** Returns that are due over those VMs. */
+  dueReturns: DUE_ROWS.optional(),
 });
 
 /** A target in the target list. A row without `address` states that the target is gone. */
@@ -146,6 +183,10 @@
   work: WORK_ROWS.optional(),
   /** Calls that the sender receives per minute. */
   callsPerMinute: z.int().min(0).optional(),
+  /** The sender's use by client accounts, at most every 500 ms. */
+  accountUse: USE_ROWS.optional(),
+  /** Returns that are due by the sender's bookings. */
+  dueReturns: DUE_ROWS.optional(),
   /**
    * Rate limits of targets that have begun, changed or ended since the last heartbeat on this link:
    * incarnation of the target, its requests per 1,000 seconds from all VMs together or -1 if the
--- a/packages/heatherarch-settings/forward_settings.ts
+++ b/packages/heatherarch-settings/forward_settings.ts
@@ -34,6 +34,9 @@
   return Math.round(store.configBoundMs * CONFIG_WAIT_SHARE);
 }
 
+/** Client accounts for which state is kept. */
+const MAX_ACCOUNTS = 12_000;
+
 const FORWARD_SCHEMA = z.object({
   vm: z.object({
     id: z.string().min(1).max(64),
@@ -100,6 +103,15 @@
      * takes effect like any other change of the configuration.
      */
     revokeBoundMs: z.int().min(500).max(600_000).optional(),
+    /**
+     * Weights of client accounts by name, 1 by default. When capacity is short, the share of an
+     * account is proportional to its weight. Names that the configuration doesn't have are kept, as
+     * an account may be added later.
+     */
+    weights: z.record(z.string().min(1), z.number().min(0.01).max(1000))
+      .refine((weights) => Object.keys(weights).length <= MAX_ACCOUNTS, {
+        message: `must have at most ${MAX_ACCOUNTS} accounts`,
+      }).optional(),
   }).prefault({}),
   retries: z.object({
     /** Retries that are allowed, as a share of the calls. */
--- a/packages/heatherarch-settings/tests/unit/settings_test.ts
+++ b/packages/heatherarch-settings/tests/unit/settings_test.ts
@@ -138,3 +138,24 @@
     ["platformApi.requestTimeoutMs"],
   );
 });
+
+test("weights of client accounts are numbers between 0.01 and 1000", () => {
+  const read = (weights: string) =>
+    readForwardSettings(`${FORWARDING}[accounts.weights]\n${weights}\n`);
+  assert.equal(
+    readForwardSettings(FORWARDING).unwrap().accounts.weights,
+    undefined,
+  );
+  assert.deepEqual(
+    read('acme = 4\n"not known yet" = 0.01').unwrap().accounts.weights,
+    { acme: 4, "not known yet": 0.01 },
+  );
+  for (const weight of ["0", "-1", "1000.5", "nan", '"4"']) {
+    assert.deepEqual(
+      (read(`acme = ${weight}`).val as InputIssue[])
+        .map(({ location }) => location),
+      ["accounts.weights.acme"],
+      weight,
+    );
+  }
+});
--- a/packages/heatherarch-shares/fair_shares.ts
+++ b/packages/heatherarch-shares/fair_shares.ts
@@ -43,13 +43,11 @@
   readonly rank: number;
 }
 
-/** What a peer has reported, in units of the landmark. */
+/** What a peer has reported. */
 interface PeerUse {
   readonly atMs: number;
   readonly scope: UseScope;
   readonly rows: readonly UseRow[];
-  /** Factor from the milliseconds of the rows to units of the landmark. */
-  readonly factor: number;
 }
 
 /**
@@ -59,6 +57,8 @@
 const DECAY_MS = 3000;
 /** A peer without a report for this long is assumed to have no use. */
 const PEER_TIMEOUT_MS = 1500;
+/** Rows that are kept of one peer, which bounds the state whatever peers send. */
+const MAX_PEER_ROWS = 4096;
 /** An account with less use than this is not in use, milliseconds. */
 const MIN_USE_MS = 1;
 /** Ranks rise when the use exceeds the share by these factors. */
@@ -77,7 +77,7 @@
   readonly #services = new Map<string, ServiceUse>();
   readonly #peers = new Map<string, PeerUse>();
   /**
-   * Use is stored as it would have been at this time, so that its decay needs no updates: it is
+   * Own use is stored as it would have been at this time, so that its decay needs no updates: work is
    * multiplied by a factor that grows with time.
    */
   #landmarkMs: number | undefined;
@@ -102,13 +102,18 @@
     this.#getOrCreate(group).addOwn(account, work);
   }
 
-  /** Returns 0 within the share, then 1, 2, 3 for more than 1, 2 and 4 times the share. */
+  /**
+   * Returns the rank of an account that has a call: 0 within the share, then 1, 2, 3 for more than 1, 2
+   * and 4 times the share. The account counts as in use, so that one that has used all capacity alone
+   * exceeds its share as soon as a call of another one waits.
+   */
   computeRank(group: string, account: string, nowMs: number): number {
     this.#dropExpired(nowMs);
-    const service = this.#services.get(group);
-    const use = service?.findUse(account);
-    if (service === undefined || use === undefined) return 0;
-    return rateUse(use, this.#computeShare(service, account));
+    const service = this.#getOrCreate(group);
+    const factor = this.#computeFactor(nowMs);
+    service.addOwn(account, 0);
+    const useMs = service.getUseMs(account, factor);
+    return rateUse(useMs, this.#computeShareMs(service, account, factor));
   }
 
   /** Lists the heaviest accounts of this VM, and the sum and number of the others. */
@@ -116,7 +121,7 @@
     this.#dropExpired(nowMs);
     const factor = this.#computeFactor(nowMs);
     return [...this.#services].flatMap(([group, service]) => {
-      const named = convertToMs(service.listOwn(), factor);
+      const named = service.listOwn(factor);
       return this.#listRows(group, { named, othersMs: 0, others: 0 });
     });
   }
@@ -124,16 +129,16 @@
   /** Replaces all use that a peer reports, its own or a sum. */
   setPeerUse(
     peer: string,
-    rows: readonly UseRow[],
+    allRows: readonly UseRow[],
     nowMs: number,
     scope: UseScope = "own",
   ): void {
     this.forgetPeer(peer);
-    const factor = this.#computeFactor(nowMs);
+    const rows = allRows.slice(0, MAX_PEER_ROWS);
     for (const [group, account, workMs, accounts] of rows) {
-      this.#getOrCreate(group).addRow(account, workMs * factor, accounts);
+      this.#getOrCreate(group).addRow(account, workMs, accounts);
     }
-    this.#peers.set(peer, { atMs: nowMs, scope, rows, factor });
+    this.#peers.set(peer, { atMs: nowMs, scope, rows });
     const expiryMs = nowMs + PEER_TIMEOUT_MS;
     this.#nextExpiryMs = Math.min(this.#nextExpiryMs, expiryMs);
   }
@@ -143,13 +148,9 @@
     this.#dropExpired(nowMs);
     const factor = this.#computeFactor(nowMs);
     return [...this.#services].flatMap(([group, service]) => {
-      const sum = this.#sumService(group, service, includeGathered);
-      const named = convertToMs(sum.named, factor);
-      return this.#listRows(group, {
-        named,
-        othersMs: sum.othersMs / factor,
-        others: sum.others,
-      });
+      const named = new Map(service.listOwn(factor));
+      const sum = this.#addPeers(group, named, includeGathered);
+      return this.#listRows(group, sum);
     });
   }
 
@@ -159,8 +160,7 @@
     if (known === undefined) return;
     this.#peers.delete(peer);
     for (const [group, account, workMs, accounts] of known.rows) {
-      const work = workMs * known.factor;
-      this.#services.get(group)?.removeRow(account, work, accounts);
+      this.#services.get(group)?.removeRow(account, workMs, accounts);
     }
   }
 
@@ -179,25 +179,29 @@
     this.#dropExpired(nowMs);
     const factor = this.#computeFactor(nowMs);
     return [...this.#services].flatMap(([group, service]) =>
-      [...service.listAll()]
+      service.listAll(factor)
         .sort(([, a], [, b]) => b - a)
         .slice(0, MAX_NAMED_ACCOUNTS)
-        .map(([account, use]): AccountShare => {
-          const share = this.#computeShare(service, account);
+        .map(([account, workMs]): AccountShare => {
+          const shareMs = this.#computeShareMs(service, account, factor);
           return {
             group,
             account,
             weight: service.getWeight(account),
-            workMs: Math.round(use / factor),
-            shareMs: Math.round(share / factor),
-            rank: rateUse(use, share),
+            workMs: Math.round(workMs),
+            shareMs: Math.round(shareMs),
+            rank: rateUse(workMs, shareMs),
           };
         })
     );
   }
 
-  #computeShare(service: ServiceUse, account: string): number {
-    return service.total * service.getWeight(account) /
+  #computeShareMs(
+    service: ServiceUse,
+    account: string,
+    factor: number,
+  ): number {
+    return service.getTotalMs(factor) * service.getWeight(account) /
       this.#sumWeights(service);
   }
 
@@ -220,23 +224,22 @@
     });
   }
 
-  #sumService(
+  /** Adds the use that peers report to the named accounts of this VM. */
+  #addPeers(
     group: string,
-    service: ServiceUse,
+    named: Map<string, number>,
     includeGathered: boolean,
   ): UseSum {
-    const named = new Map(service.listOwn());
     let othersMs = 0;
     let others = 0;
-    for (const { scope, rows, factor } of this.#peers.values()) {
+    for (const { scope, rows } of this.#peers.values()) {
       if (scope === "gathered" && !includeGathered) continue;
       for (const [rowGroup, account, workMs, accounts] of rows) {
         if (rowGroup !== group) continue;
-        const work = workMs * factor;
         if (account === OTHER_ACCOUNTS) {
-          othersMs += work;
+          othersMs += workMs;
           others += accounts;
-        } else named.set(account, (named.get(account) ?? 0) + work);
+        } else named.set(account, (named.get(account) ?? 0) + workMs);
       }
     }
     return { named, othersMs, others };
@@ -279,23 +282,13 @@
     const factor = Math.exp((nowMs - landmarkMs) / DECAY_MS);
     if (nowMs - landmarkMs <= MAX_LANDMARK_AGE_MS) return factor;
     this.#landmarkMs = nowMs;
-    for (const service of this.#services.values()) service.convert(factor);
-    for (const [name, peer] of this.#peers) {
-      this.#peers.set(name, { ...peer, factor: peer.factor / factor });
-    }
+    for (const service of this.#services.values()) service.convertOwn(factor);
     return 1;
   }
 }
 
 /** Returns the rank of an account by its use and its share. */
-function rateUse(use: number, share: number): number {
-  const base = share * (1 + ROUNDING);
-  return RANK_FACTORS.filter((factor) => use > base * factor).length;
-}
-
-function convertToMs(
-  uses: Iterable<readonly [string, number]>,
-  factor: number,
-): (readonly [string, number])[] {
-  return [...uses].map(([account, use]) => [account, use / factor]);
+function rateUse(useMs: number, shareMs: number): number {
+  const baseMs = shareMs * (1 + ROUNDING);
+  return RANK_FACTORS.filter((factor) => useMs > baseMs * factor).length;
 }
--- a/packages/heatherarch-shares/service_use.ts
+++ b/packages/heatherarch-shares/service_use.ts
@@ -2,7 +2,9 @@
  * Use of one service by client account: this VM's own, and what its peers report. Sums are kept
  * up to date with each change, because a hub receives hundreds of reports a second.
  *
- * All use is in units of a common landmark (see `fair_shares.ts`).
+ * Own use is in units of a landmark, which `fair_shares.ts` converts to milliseconds by a factor. The
+ * use that peers report is in milliseconds and stays as it is until their next report: under a steady
+ * load, that is the best estimate.
  *
  * @module
  */
@@ -11,7 +13,7 @@
 /** Use of one account. */
 interface AccountUse {
   own: number;
-  peers: number;
+  peersMs: number;
   /** Number of peers that name the account. */
   reports: number;
   weight: number;
@@ -21,7 +23,8 @@
 export class ServiceUse {
   readonly #getWeight: (account: string) => number;
   readonly #accounts = new Map<string, AccountUse>();
-  #total = 0;
+  #own = 0;
+  #peersMs = 0;
   #weightSum = 0;
   #others = 0;
 
@@ -29,9 +32,9 @@
     this.#getWeight = getWeight;
   }
 
-  /** Use of all accounts. */
-  get total(): number {
-    return this.#total;
+  /** Sums the use of all accounts, milliseconds. */
+  getTotalMs(factor: number): number {
+    return this.#own / factor + this.#peersMs;
   }
 
   /** Sum of the weights of the accounts that are named or in use here. */
@@ -54,41 +57,41 @@
     return this.#accounts.size === 0 && this.#others === 0;
   }
 
-  /** Adds work of this VM. */
+  /** Adds work of this VM, in units of the landmark. */
   addOwn(account: string, work: number): void {
     this.#getOrCreate(account).own += work;
-    this.#total += work;
+    this.#own += work;
   }
 
   /** Adds a row of a peer. */
-  addRow(account: string, work: number, accounts: number): void {
-    this.#total += work;
+  addRow(account: string, workMs: number, accounts: number): void {
+    this.#peersMs += workMs;
     if (account === OTHER_ACCOUNTS) {
       this.#others += accounts;
       return;
     }
     const use = this.#getOrCreate(account);
-    use.peers += work;
+    use.peersMs += workMs;
     use.reports++;
   }
 
   /** Removes a row that was added. */
-  removeRow(account: string, work: number, accounts: number): void {
-    this.#total -= work;
+  removeRow(account: string, workMs: number, accounts: number): void {
+    this.#peersMs -= workMs;
     if (account === OTHER_ACCOUNTS) {
       this.#others -= accounts;
       return;
     }
     const use = this.#getOrCreate(account);
-    use.peers -= work;
+    use.peersMs -= workMs;
     use.reports--;
     this.#removeIfUnused(account, use);
   }
 
-  /** Returns the use of an account over all VMs, or undefined if it has none. */
-  findUse(account: string): number | undefined {
+  /** Returns the use of an account over all VMs, milliseconds. */
+  getUseMs(account: string, factor: number): number {
     const use = this.#accounts.get(account);
-    return use === undefined ? undefined : use.own + use.peers;
+    return use === undefined ? 0 : use.own / factor + use.peersMs;
   }
 
   /** Returns the weight of an account as its sum includes it. */
@@ -96,42 +99,37 @@
     return this.#accounts.get(account)?.weight ?? this.#getWeight(account);
   }
 
-  /** Lists the accounts with their use over all VMs. */
-  *listAll(): Iterable<[account: string, use: number]> {
-    for (const [account, { own, peers }] of this.#accounts) {
-      yield [account, own + peers];
-    }
+  /** Lists the accounts with their use over all VMs, milliseconds. */
+  listAll(factor: number): [account: string, workMs: number][] {
+    return Array.from(
+      this.#accounts,
+      ([account, { own, peersMs }]) => [account, own / factor + peersMs],
+    );
   }
 
-  /** Lists the accounts with their use at this VM. */
-  *listOwn(): Iterable<[account: string, use: number]> {
+  /** Lists the accounts with their use at this VM, milliseconds. */
+  listOwn(factor: number): [account: string, workMs: number][] {
+    const uses: [string, number][] = [];
     for (const [account, { own }] of this.#accounts) {
-      if (own > 0) yield [account, own];
+      if (own > 0) uses.push([account, own / factor]);
     }
+    return uses;
   }
 
-  /** Removes own use below `minUse`. */
+  /** Removes own use below `minUse`, and sums the rest anew, without errors of rounding. */
   expireOwn(minUse: number): void {
+    this.#own = 0;
     for (const [account, use] of this.#accounts) {
-      if (use.own === 0 || use.own >= minUse) continue;
-      this.#total -= use.own;
-      use.own = 0;
+      if (use.own < minUse) use.own = 0;
+      this.#own += use.own;
       this.#removeIfUnused(account, use);
     }
-    if (this.isEmpty) this.#total = 0;
-  }
-
-  /** Converts all use to units that are `factor` times as large, and sums it anew. */
-  convert(factor: number): void {
-    let othersUse = this.#total;
-    let total = 0;
-    for (const use of this.#accounts.values()) {
-      othersUse -= use.own + use.peers;
-      use.own /= factor;
-      use.peers /= factor;
-      total += use.own + use.peers;
-    }
-    this.#total = total + Math.max(0, othersUse / factor);
+  }
+
+  /** Converts own use to units that are `factor` times as large. */
+  convertOwn(factor: number): void {
+    for (const use of this.#accounts.values()) use.own /= factor;
+    this.#own /= factor;
   }
 
   /** Reads the weights of all accounts again. */
@@ -147,7 +145,7 @@
     let use = this.#accounts.get(account);
     if (use === undefined) {
       const weight = this.#getWeight(account);
-      use = { own: 0, peers: 0, reports: 0, weight };
+      use = { own: 0, peersMs: 0, reports: 0, weight };
       this.#accounts.set(account, use);
       this.#weightSum += weight;
     }
@@ -155,11 +153,7 @@
   }
 
   #removeIfUnused(account: string, use: AccountUse): void {
-    if (use.reports > 0) return;
-    // What is left of removed rows are errors of rounding.
-    this.#total -= use.peers;
-    use.peers = 0;
-    if (use.own > 0) return;
+    if (use.reports > 0 || use.own > 0) return;
     this.#accounts.delete(account);
     this.#weightSum -= use.weight;
   }
