--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -315,7 +315,7 @@
 
 /** Formats the status of a fleet, a line each. */
 export function formatFleetStatus(status: FleetStatusResponse): string[] {
-  const { vm, config, accounts, duties } = status;
+  const { vm, config, accounts, shares = [], duties } = status;
   const freshness = config.ageMs === null
     ? "not known to be the newest"
     : `known to be the newest ${config.ageMs} ms ago`;
@@ -325,6 +325,11 @@
       ? "client accounts: none, calls need no API key"
       : `client accounts: ${accounts.length}`,
     ...(accounts ?? []).map(({ name, keys }) => `  ${name}\t${keys} keys`),
+    ...shares.map(({ service, account, weight, use, share, rank }) =>
+      `  share\t${service}\t${account}\tuses ${formatPercent(use)} of ${
+        formatPercent(share)
+      }\tweight ${weight}\trank ${rank}`
+    ),
   ];
   if (duties === null) return [...lines, "duties: none"];
   lines.push(
@@ -347,6 +352,10 @@
   return lines;
 }
 
+function formatPercent(part: number): string {
+  return `${(part * 100).toFixed(1)}%`;
+}
+
 /** Lists the paths at which two documents differ, with both values, one line per path. */
 export function listDifferences(
   before: unknown,
--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -76,6 +76,15 @@
   readonly vm: string;
   readonly config: { version: number; ageMs: number | null };
   readonly accounts: readonly { name: string; keys: number }[] | null;
+  /** Missing at VMs of an older version. */
+  readonly shares?: readonly {
+    service: string;
+    account: string;
+    weight: number;
+    use: number;
+    share: number;
+    rank: number;
+  }[];
   readonly duties: {
     holder?: string;
     fencing: number;
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -39,6 +39,7 @@
   type VmTaskOptions,
 } from "./vm_tasks.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
+import { listShareStatus } from "./tasks/share_status.ts";
 import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
 /** Options of {@linkcode ForwardVm}. */
@@ -454,6 +455,10 @@
         name,
         keys: keyDigests.length,
       })) ?? null,
+      shares: listShareStatus(
+        this.#components.accountShares,
+        this.#clock.readMonotonicMs(),
+      ),
       duties: duties?.getStatus() ?? null,
     };
   }
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -60,6 +60,7 @@
 export * from "./scheduling/decode_wait.ts";
 export * from "./call_dependencies.ts";
 export * from "./scheduling/size_fairness.ts";
+export * from "./tasks/share_status.ts";
 export * from "./tasks/status_server.ts";
 export * from "./tasks/store_reader.ts";
 export * from "./state/store_outage_detector.ts";
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -38,10 +38,25 @@
   };
   /** Client accounts and the number of their API keys; null if calls need no key. */
   readonly accounts: readonly { name: string; keys: number }[] | null;
+  /** Shares of the client accounts that have used most recently, by service; the heaviest first. */
+  readonly shares: readonly AccountShareStatus[];
   /** Null if the fleet has no duties. */
   readonly duties: DutyStatus | null;
 }
 
+/** Recent use of one client account over all VMs, and its share. */
+export interface AccountShareStatus {
+  readonly service: string;
+  readonly account: string;
+  readonly weight: number;
+  /** Part of the recent use of the service that is of the account, 0 to 1. */
+  readonly use: number;
+  /** Part that is its share when capacity is short, 0 to 1. */
+  readonly share: number;
+  /** 0 within the share; higher ranks wait longer. */
+  readonly rank: number;
+}
+
 const QUARANTINE_PATH = "/quarantine";
 const FLEET_PATH = "/fleet";
 
--- a/packages/heatherarch-shares/fair_shares.ts
+++ b/packages/heatherarch-shares/fair_shares.ts
@@ -40,6 +40,8 @@
   readonly workMs: number;
   /** Work that would be its share, milliseconds of one slot. */
   readonly shareMs: number;
+  /** Work of all accounts, milliseconds of one slot. */
+  readonly totalMs: number;
   readonly rank: number;
 }
 
@@ -190,6 +192,7 @@
             weight: service.getWeight(account),
             workMs: Math.round(workMs),
             shareMs: Math.round(shareMs),
+            totalMs: Math.round(service.getTotalMs(factor)),
             rank: rateUse(workMs, shareMs),
           };
         })
