--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -32,6 +32,12 @@
     buckets: LATENCY_BUCKETS,
     registers: [this.registry],
   });
+  readonly accountRank = new Counter({
+    name: "heatherarch_account_rank_total",
+    help: "Calls dispatched for a client account, by the rank of their account",
+    labelNames: ["rank"] as const,
+    registers: [this.registry],
+  });
   readonly promptsWaiting = new Gauge({
     name: "heatherarch_prompts_waiting",
     help: "Prompts that wait at this VM for an engine to read them",
--- a/packages/heatherarch-forward/scheduling/account_ranker.ts
+++ b/packages/heatherarch-forward/scheduling/account_ranker.ts
@@ -20,14 +20,19 @@
 export interface AccountRankerOptions {
   /** Shares that other components also use; by default of the ranker only. */
   readonly shares?: Pick<FairShares, "computeRank" | "recordWork">;
+  /** Called with the rank of an account for which work is dispatched. */
+  readonly onDispatch?: (rank: number) => void;
 }
 
 /** Ranks the calls of one VM, and records what they have used. */
 export class AccountRanker {
   readonly #shares: Pick<FairShares, "computeRank" | "recordWork">;
 
-  constructor({ shares = new FairShares() }: AccountRankerOptions = {}) {
-    this.#shares = shares;
+  readonly #onDispatch: (rank: number) => void;
+
+  constructor(options: AccountRankerOptions = {}) {
+    this.#shares = options.shares ?? new FairShares();
+    this.#onDispatch = options.onDispatch ?? (() => undefined);
   }
 
   /** Returns the rank of a call; the lowest goes first. */
@@ -48,6 +53,7 @@
     nowMs: number,
   ): void {
     if (account === undefined) return;
+    this.#onDispatch(this.#shares.computeRank(service, account, nowMs));
     this.#shares.recordWork(service, account, workMs, nowMs);
   }
 }
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -165,7 +165,6 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
-  const accountShares = buildAccountShares(settings, activeConfig);
   return {
     clock,
     log,
@@ -187,7 +186,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
-    ...accountShares,
+    ...buildAccountShares(settings, activeConfig, metrics),
     returnBook: new ReturnBook({
       computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
       drawUnit: Math.random,
@@ -232,6 +231,7 @@
 function buildAccountShares(
   { accounts }: ForwardSettings,
   activeConfig: ActiveConfig,
+  metrics: ForwardMetrics,
 ): Pick<
   CallDependencies,
   "accountWeights" | "accountShares" | "accountRanker"
@@ -243,7 +243,10 @@
       activeConfig.table?.config.accounts?.length ?? Infinity,
   });
   accountWeights.registerListener(() => accountShares.refreshWeights());
-  const accountRanker = new AccountRanker({ shares: accountShares });
+  const accountRanker = new AccountRanker({
+    shares: accountShares,
+    onDispatch: (rank) => metrics.accountRank.inc({ rank }),
+  });
   return { accountWeights, accountShares, accountRanker };
 }
 
