Rejections state a booked return time, and returns are recognised on arrival

The delay of a rejection followed from the time that the call had waited. Where the rate of dispatch is known, ReturnTimes now books the return; without it the delay is as before. No rate is connected yet, so behaviour is unchanged.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -30,6 +30,7 @@
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
+import type { ReturnTimes } from "./scheduling/return_times.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
@@ -47,6 +48,7 @@
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly returnTimes: ReturnTimes;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -20,6 +20,11 @@
 } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
+import {
+  type ArrivalClass,
+  NEW_ARRIVAL,
+  type ReturnKind,
+} from "../scheduling/return_times.ts";
 import type { Target } from "../model.ts";
 import {
   type CallAdmission,
@@ -81,6 +86,7 @@
    * Monotonic time at which the timeout of the client or of the route expires, whichever is first.
    */
   readonly deadlineAtMs: number;
+  readonly #arrival: ArrivalClass;
   readonly #configVersion: number;
   readonly #account: ClientAccount | undefined;
   readonly #quarantineGuard: QuarantineGuard;
@@ -136,6 +142,7 @@
       .registerDisconnectListener(() => this.#handleDisconnect());
     this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
     this.dependencies.fleetDemand.recordCall(this.nowMs);
+    this.#arrival = this.#classifyArrival();
   }
 
   /** Current monotonic time, milliseconds. */
@@ -153,6 +160,24 @@
     return this.call.arrivedAtMs + this.route.aimMs - this.nowMs;
   }
 
+  /** Whether the call takes the place of a return that is due, and so goes before new calls. */
+  get isReturn(): boolean {
+    return this.returnKind === "claimed";
+  }
+
+  /** Whether the call counts as the retry of a rejected call. */
+  get returnKind(): ReturnKind {
+    return this.#arrival.kind;
+  }
+
+  /**
+   * Monotonic time at which the client first sent the call, as far as known. Returns that are ordered
+   * by it are served before their clients time out.
+   */
+  get firstSentAtMs(): number {
+    return this.call.arrivedAtMs - this.#arrival.elapsedMs;
+  }
+
   /** Whether the call has ended; no further attempt is sent then. */
   get hasEnded(): boolean {
     return this.#outcome !== undefined;
@@ -223,6 +248,17 @@
     this.#quarantineGuard.recordPartSuccess();
   }
 
+  /** The timeout of a call that a peer handed over is that of the peer, so it shows no return. */
+  #classifyArrival(): ArrivalClass {
+    if (this.call.handover !== undefined) return NEW_ARRIVAL;
+    return this.dependencies.returnTimes.classifyArrival({
+      service: this.service.name,
+      route: this.route.name,
+      account: this.#account?.name,
+      clientTimeoutMs: this.call.clientTimeoutMs,
+    }, this.nowMs);
+  }
+
   #applyAdmission(result: CallAdmission): boolean {
     if (result.kind === "free") return true;
     // A call that a peer handed over may have run there.
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -442,13 +442,21 @@
     }
     const waitedMs = context.nowMs - context.call.arrivedAtMs;
     const excessMs = readyMs - context.route.aimMs;
-    const { drawUnit } = context.dependencies;
+    const { drawUnit, returnTimes } = context.dependencies;
+    const { delayMs, detail } = returnTimes.computeDelay({
+      service: context.service.name,
+      kind: context.returnKind,
+      workMs: costMs,
+      remainingMs: context.remainingMs,
+      unbookedMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+    }, context.nowMs);
     context.refuse(
       "overloaded",
       "the prompt can't be prefilled in the time left",
       {
-        retryAfterMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+        retryAfterMs: delayMs,
         detail: {
+          ...detail,
           target: target.id,
           tokens: this.#prompt.promptTokens,
           sharedTokens: sumPrefixTokens(this.#prompt),
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -232,9 +232,17 @@
     const jitter = 1 + context.dependencies.drawUnit();
     const rateLimitDelayMs = this.#predictRateLimitDelayMs() ?? 0;
     const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_DELAY_MS);
+    const { delayMs, detail } = context.dependencies.returnTimes.computeDelay({
+      service: context.service.name,
+      kind: context.returnKind,
+      remainingMs: context.remainingMs,
+      blockedMs: waitMs,
+      unbookedMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+    }, context.nowMs);
     context.refuse("noTarget", "no target accepted the call", {
-      retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+      retryAfterMs: delayMs,
       detail: {
+        ...detail,
         tried: [...this.#tried],
         listed: context.dependencies.directory.listServing(context.service.name)
           .length,
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -145,6 +145,16 @@
     labelNames: ["kind"],
     registers: [this.registry],
   });
+  readonly returnsBooked = new Counter({
+    name: "heatherarch_returns_booked_total",
+    help: "Rejected calls for whose retry capacity was booked",
+    registers: [this.registry],
+  });
+  readonly returnsClaimed = new Counter({
+    name: "heatherarch_returns_claimed_total",
+    help: "Calls that took the place of a booked retry",
+    registers: [this.registry],
+  });
   readonly callsQuarantined = new Counter({
     name: "heatherarch_calls_quarantined_total",
     help: "Calls refused because their request is quarantined",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -42,6 +42,7 @@
 export * from "./scheduling/prefill_candidate_cache.ts";
 export * from "./state/fleet_retry_budget.ts";
 export * from "./scheduling/retry_after.ts";
+export * from "./scheduling/return_times.ts";
 export * from "./tasks/quarantine_persistence.ts";
 export * from "./tasks/capacity_controller.ts";
 export * from "./tasks/duty_controller.ts";
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -15,6 +15,7 @@
   type ForwardedCall,
   ForwardMetrics,
   MemoryEventLog,
+  ReturnTimes,
   type TargetExchange,
 } from "../../mod.ts";
 import { buildIdlePathMonitor, buildRoute } from "./fixtures.ts";
@@ -58,6 +59,7 @@
       pathMonitor: buildIdlePathMonitor(),
       retryBudget,
       fleetDemand,
+      returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
       metrics: new ForwardMetrics(),
       log: new MemoryEventLog(),
       drawUnit: () => 0,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -18,6 +18,7 @@
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
+import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { UsageRecorder } from "./state/usage_recorder.ts";
@@ -106,6 +107,12 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const returnTimes = new ReturnTimes({
+    share: fleetDemand,
+    drawUnit: Math.random,
+    onBooking: () => metrics.returnsBooked.inc(),
+    onClaim: () => metrics.returnsClaimed.inc(),
+  });
   const notices = new ResponseNotices({
     codec,
     directory,
@@ -168,6 +175,7 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    returnTimes,
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -21,6 +21,7 @@
   PrefillTimeModel,
   PrefixIndex,
   PromptPlacer,
+  ReturnTimes,
   StreamVersions,
   TargetBackoffs,
   type TargetConnections,
@@ -76,6 +77,7 @@
     health: new TargetHealth(),
     backoffs: new TargetBackoffs(),
     fleetDemand,
+    returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
     rateLimits: new TargetRateLimits({
       share: fleetDemand,
       drawUnit: () => 0,
--- a/packages/heatherarch-returns/return_book.ts
+++ b/packages/heatherarch-returns/return_book.ts
@@ -135,14 +135,14 @@
   /**
    * Whether a call that looks like a return takes the place of one that is due. The claims of this VM
    * are limited to a multiple of its share of the returns that are due in the fleet, plus one, as a
-   * share may be far below one return. A call that falsely looks like a return gains at most the
-   * place of a return that was booked.
+   * share may be far below one return. If all clients return as told, calls that falsely look like
+   * returns gain as many places as were booked, and one.
    */
   claim(group: string, account: string | undefined, nowMs: number): boolean {
     const due = this.#countFleetDue(group, nowMs);
     if (due <= 0) return false;
     const share = this.#options.computeShare(nowMs);
-    const limit = Math.min(due, CLAIM_FACTOR * share * due + 1);
+    const limit = CLAIM_FACTOR * share * due + 1;
     const claims = this.#findGroup(group, nowMs)?.claims;
     return claims?.claim(account, limit, nowMs) ?? false;
   }
--- a/packages/heatherarch-returns/return_detector.ts
+++ b/packages/heatherarch-returns/return_detector.ts
@@ -29,10 +29,23 @@
     clientTimeoutMs: number | undefined,
     nowMs: number,
   ): boolean {
-    if (clientTimeoutMs === undefined) return false;
+    const shortenedMs = this.measureShortening(route, clientTimeoutMs, nowMs);
+    return shortenedMs >= MIN_SHORTENING_MS;
+  }
+
+  /**
+   * Records the client timeout of a call; returns by how much it is shorter than the usual one,
+   * milliseconds. For a return this is the time since the client sent its first call.
+   */
+  measureShortening(
+    route: string,
+    clientTimeoutMs: number | undefined,
+    nowMs: number,
+  ): number {
+    if (clientTimeoutMs === undefined) return 0;
     const periods = this.#recordTimeout(route, clientTimeoutMs, nowMs);
     const usualMs = Math.max(...periods.map(({ timeoutMs }) => timeoutMs));
-    return clientTimeoutMs <= usualMs - MIN_SHORTENING_MS;
+    return usualMs - clientTimeoutMs;
   }
 
   #recordTimeout(route: string, timeoutMs: number, nowMs: number): Longest[] {
