--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -325,6 +325,9 @@
       ? "client accounts: none, calls need no API key"
       : `client accounts: ${accounts.length}`,
     ...(accounts ?? []).map(({ name, keys }) => `  ${name}\t${keys} keys`),
+    ...(status.returns ?? []).map(({ service, booked, due }) =>
+      `returns\t${service}\t${booked} booked here\t${due} due in the fleet`
+    ),
   ];
   if (duties === null) return [...lines, "duties: none"];
   lines.push(
--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -76,6 +76,12 @@
   readonly vm: string;
   readonly config: { version: number; ageMs: number | null };
   readonly accounts: readonly { name: string; keys: number }[] | null;
+  /** Absent in the response of an older VM. */
+  readonly returns?: readonly {
+    service: string;
+    booked: number;
+    due: number;
+  }[];
   readonly duties: {
     holder?: string;
     fencing: number;
--- a/packages/heatherarch-cli/tests/unit/commands_test.ts
+++ b/packages/heatherarch-cli/tests/unit/commands_test.ts
@@ -7,6 +7,7 @@
   vm: "vm-1",
   config: { version: 7, ageMs: 40 },
   accounts: [{ name: "acme", keys: 2 }],
+  returns: [{ service: "s", booked: 3, due: 9 }],
   duties: {
     holder: "vm-2",
     fencing: 12,
@@ -23,6 +24,7 @@
     "vm-1: configuration 7, known to be the newest 40 ms ago",
     "client accounts: 1",
     "  acme\t2 keys",
+    "returns\ts\t3 booked here\t9 due in the fleet",
     "duties: held by vm-2, fencing 12",
     "usage: window 101 final, window - reported",
     "  wanted\ts\tzone-a\t3 standard\t1 spot",
@@ -33,7 +35,13 @@
 test("a fleet without client accounts and duties is shown as such", () => {
   const config = { version: 7, ageMs: null };
   assert.deepEqual(
-    formatFleetStatus({ ...STATUS, config, accounts: null, duties: null }),
+    formatFleetStatus({
+      ...STATUS,
+      config,
+      accounts: null,
+      returns: undefined,
+      duties: null,
+    }),
     [
       "vm-1: configuration 7, not known to be the newest",
       "client accounts: none, calls need no API key",
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -437,7 +437,8 @@
   }
 
   #getFleetStatus(): FleetStatus {
-    const { activeConfig, duties } = this.#components;
+    const { activeConfig, duties, returnTimes } = this.#components;
+    const services = activeConfig.table?.config.services ?? [];
     const accounts = activeConfig.table?.config.accounts ?? null;
     return {
       vm: this.#settings.vm.id,
@@ -449,6 +450,10 @@
         name,
         keys: keyDigests.length,
       })) ?? null,
+      returns: returnTimes.listStatus(
+        services.map(({ name }) => name),
+        this.#clock.readMonotonicMs(),
+      ),
       duties: duties?.getStatus() ?? null,
     };
   }
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -14,6 +14,7 @@
 } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "../metrics.ts";
 import type { DutyStatus } from "./fleet_duties.ts";
+import type { ReturnStatus } from "../scheduling/return_times.ts";
 
 /** Options of {@linkcode StatusServer}. */
 export interface StatusServerOptions {
@@ -38,6 +39,8 @@
   };
   /** Client accounts and the number of their API keys; null if calls need no key. */
   readonly accounts: readonly { name: string; keys: number }[] | null;
+  /** Services for which retries of rejected calls are booked here, or due in the fleet. */
+  readonly returns: readonly ReturnStatus[];
   /** Null if the fleet has no duties. */
   readonly duties: DutyStatus | null;
 }
