Merge the queue for calls; connect return times to it

The queue describes its dispatch rate and the returns that wait in it, rejections of prompts and plain calls book from that, and ReturnRanker lowers the rank of claimed returns by one. The queue places late calls in the order in which their clients time out, so the time of the first call is no longer exposed.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -20,11 +20,7 @@
 } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
-import {
-  type ArrivalClass,
-  NEW_ARRIVAL,
-  type ReturnKind,
-} from "../scheduling/return_times.ts";
+import type { ReturnKind } from "../scheduling/return_times.ts";
 import type { Target } from "../model.ts";
 import {
   type CallAdmission,
@@ -86,7 +82,8 @@
    * Monotonic time at which the timeout of the client or of the route expires, whichever is first.
    */
   readonly deadlineAtMs: number;
-  readonly #arrival: ArrivalClass;
+  /** Whether the call counts as the retry of a rejected call. */
+  readonly returnKind: ReturnKind;
   readonly #configVersion: number;
   readonly #account: ClientAccount | undefined;
   readonly #quarantineGuard: QuarantineGuard;
@@ -142,7 +139,7 @@
       .registerDisconnectListener(() => this.#handleDisconnect());
     this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
     this.dependencies.fleetDemand.recordCall(this.nowMs);
-    this.#arrival = this.#classifyArrival();
+    this.returnKind = this.#classifyArrival();
   }
 
   /** Current monotonic time, milliseconds. */
@@ -165,19 +162,6 @@
     return this.returnKind === "claimed";
   }
 
-  /** Whether the call counts as the retry of a rejected call. */
-  get returnKind(): ReturnKind {
-    return this.#arrival.kind;
-  }
-
-  /**
-   * Monotonic time at which the client first sent the call, as far as known. Returns that are ordered
-   * by it are served before their clients time out.
-   */
-  get firstSentAtMs(): number {
-    return this.call.arrivedAtMs - this.#arrival.elapsedMs;
-  }
-
   /** Whether the call has ended; no further attempt is sent then. */
   get hasEnded(): boolean {
     return this.#outcome !== undefined;
@@ -212,6 +196,11 @@
     return { runs: this.#runs, isUsageRecorded };
   }
 
+  /** Name of the call's client account, if it has one. */
+  get accountName(): string | undefined {
+    return this.#account?.name;
+  }
+
   /** Version of the configuration by which the call is routed. */
   get configVersion(): number {
     return this.#configVersion;
@@ -249,8 +238,8 @@
   }
 
   /** The timeout of a call that a peer handed over is that of the peer, so it shows no return. */
-  #classifyArrival(): ArrivalClass {
-    if (this.call.handover !== undefined) return NEW_ARRIVAL;
+  #classifyArrival(): ReturnKind {
+    if (this.call.handover !== undefined) return "new";
     return this.dependencies.returnTimes.classifyArrival({
       service: this.service.name,
       route: this.route.name,
--- a/packages/heatherarch-forward/scheduling/return_times.ts
+++ b/packages/heatherarch-forward/scheduling/return_times.ts
@@ -11,15 +11,10 @@
  *
  * @module
  */
-import {
-  type DueRow,
-  MIN_SHORTENING_MS,
-  ReturnBook,
-  ReturnDetector,
-} from "heatherarch-returns";
+import { type DueRow, ReturnBook, ReturnDetector } from "heatherarch-returns";
 import type { FleetShare } from "../state/fleet_demand.ts";
 
-/** What a VM knows of its queue for a service. */
+/** What a VM knows of a queue whose rate of dispatch is known. */
 export interface QueueReading {
   /** Calls and work that the VM dispatches for each millisecond while calls wait. */
   readonly callsPerMs: number;
@@ -28,12 +23,6 @@
   readonly aheadWorkMs: number;
 }
 
-/** Reads the queue for a service; undefined while the rate of dispatch is unknown. */
-export type ReadQueue = (
-  service: string,
-  nowMs: number,
-) => QueueReading | undefined;
-
 /**
  * How a call counts. An "unclaimed" call looks like a return, but no return that is due was left for
  * it.
@@ -49,17 +38,12 @@
   readonly clientTimeoutMs?: number;
 }
 
-/** What is known of a call on its arrival. */
-export interface ArrivalClass {
-  readonly kind: ReturnKind;
-  /** Time since the client first sent the call, milliseconds; 0 unless the kind is "claimed". */
-  readonly elapsedMs: number;
-}
-
 /** A call that is rejected for load. Durations are milliseconds. */
 export interface RejectedCall {
   readonly service: string;
   readonly kind: ReturnKind;
+  /** The queue that the call would wait in; undefined if nothing can be booked. */
+  readonly queue?: QueueReading;
   /** Work of the call; by default that of the average call of the queue. */
   readonly workMs?: number;
   /** Time until the client times out. */
@@ -103,8 +87,6 @@
   readonly share: FleetShare;
   /** Draws a uniformly distributed number in [0, 1). */
   readonly drawUnit: () => number;
-  /** By default no rate is known, and nothing is booked. */
-  readonly readQueue?: ReadQueue;
   readonly onBooking?: () => void;
   readonly onClaim?: () => void;
 }
@@ -117,9 +99,6 @@
  */
 const MIN_RETURN_MS = 150;
 
-/** What is known of a call that doesn't look like a return. */
-export const NEW_ARRIVAL: ArrivalClass = { kind: "new", elapsedMs: 0 };
-
 /** Return times of one VM. */
 export class ReturnTimes {
   /** Bookings of this VM and due returns of its peers. */
@@ -136,19 +115,12 @@
   }
 
   /** Classifies a call on its arrival; claims the place of a due return if it looks like one. */
-  classifyArrival(call: ArrivedCall, nowMs: number): ArrivalClass {
+  classifyArrival(call: ArrivedCall, nowMs: number): ReturnKind {
     const { service, route, account, clientTimeoutMs } = call;
-    const elapsedMs = this.#detector.measureShortening(
-      route,
-      clientTimeoutMs,
-      nowMs,
-    );
-    if (elapsedMs < MIN_SHORTENING_MS) return NEW_ARRIVAL;
-    if (!this.book.claim(service, account, nowMs)) {
-      return { kind: "unclaimed", elapsedMs: 0 };
-    }
+    if (!this.#detector.isReturn(route, clientTimeoutMs, nowMs)) return "new";
+    if (!this.book.claim(service, account, nowMs)) return "unclaimed";
     this.#options.onClaim?.();
-    return { kind: "claimed", elapsedMs };
+    return "claimed";
   }
 
   /**
@@ -158,7 +130,7 @@
   computeDelay(call: RejectedCall, nowMs: number): ReturnDelay {
     // Clients retry once, so a booking for a second return would keep capacity from others.
     if (call.kind !== "new") return buildUnbooked(call, "client returns once");
-    const queue = this.#options.readQueue?.(call.service, nowMs);
+    const { queue } = call;
     if (queue === undefined) return buildUnbooked(call, "rate unknown");
     const latestMs = call.remainingMs * MAX_WAIT_SHARE;
     if (latestMs < MIN_RETURN_MS) {
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -19,6 +19,7 @@
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
+import { ReturnRanker } from "./scheduling/return_ranker.ts";
 import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -29,6 +30,8 @@
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import { CallQueue } from "./scheduling/call_queue.ts";
+import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
@@ -214,7 +217,12 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock }),
+    prefillQueue: new CallQueue({ clock, ranker: new ReturnRanker() }),
+    plainCallQueues: new PlainCallQueues({
+      clock,
+      buildRanker: () => new ReturnRanker(),
+    }),
+    plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
--- a/packages/heatherarch-returns/return_detector.ts
+++ b/packages/heatherarch-returns/return_detector.ts
@@ -29,23 +29,10 @@
     clientTimeoutMs: number | undefined,
     nowMs: number,
   ): boolean {
-    const shortenedMs = this.measureShortening(route, clientTimeoutMs, nowMs);
-    return shortenedMs >= MIN_SHORTENING_MS;
-  }
-
-  /**
-   * Records the client timeout of a call; returns by how much it is shorter than the usual one,
-   * milliseconds. For a return this is the time since the client sent its first call.
-   */
-  measureShortening(
-    route: string,
-    clientTimeoutMs: number | undefined,
-    nowMs: number,
-  ): number {
-    if (clientTimeoutMs === undefined) return 0;
+    if (clientTimeoutMs === undefined) return false;
     const periods = this.#recordTimeout(route, clientTimeoutMs, nowMs);
     const usualMs = Math.max(...periods.map(({ timeoutMs }) => timeoutMs));
-    return usualMs - clientTimeoutMs;
+    return clientTimeoutMs <= usualMs - MIN_SHORTENING_MS;
   }
 
   #recordTimeout(route: string, timeoutMs: number, nowMs: number): Longest[] {
