--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -23,6 +23,8 @@
 import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
+import { PlainTimeModel } from "./state/plain_time_model.ts";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -117,11 +119,15 @@
     onBooking: () => metrics.returnsBooked.inc(),
     onClaim: () => metrics.returnsClaimed.inc(),
   });
+  const reportTrust = new ReportTrust();
+  const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
     rateLimits,
+    targetLoads,
+    onSlowdownReport: () => metrics.slowdownReports.inc(),
     clock,
     log,
   });
@@ -181,6 +187,14 @@
     fleetDemand,
     rateLimits,
     returnTimes,
+    targetLoads,
+    reportTrust,
+    plainTimeModel: new PlainTimeModel({
+      targetLoads,
+      reportTrust,
+      onReportsIgnored: (target) =>
+        log.write("warn", "targetLoadIgnored", { target }),
+    }),
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -19,6 +19,7 @@
   MemoryEventLog,
   PlainCallQueues,
   PlainWorkModel,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -32,6 +33,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
@@ -113,6 +115,9 @@
     prefillQueue: new CallQueue({ clock }),
     plainCallQueues: new PlainCallQueues({ clock }),
     plainWorkModel: new PlainWorkModel(),
+    targetLoads: new TargetLoads(),
+    reportTrust: new ReportTrust(),
+    plainTimeModel: new PlainTimeModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     log,
     metrics,
