--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -37,6 +37,7 @@
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
+import type { ReturnTimes } from "./scheduling/return_times.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
 import type { PlainTimeModel } from "./state/plain_time_model.ts";
@@ -61,6 +62,7 @@
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly returnTimes: ReturnTimes;
   readonly targetLoads: TargetLoads;
   /** Decides which reports in `targetLoads` are believed. */
   readonly reportTrust: ReportTrust;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -26,6 +26,7 @@
   computeRetryAfterMs,
   MAX_RATE_LIMIT_DELAY_MS,
 } from "../scheduling/retry_after.ts";
+import type { RejectedCall, ReturnDelay } from "../scheduling/return_times.ts";
 import {
   computePlainBacklogMs,
   mayExceedSlots,
@@ -307,9 +308,14 @@
     const jitter = 1 + context.dependencies.drawUnit();
     const rateLimitDelayMs = this.#predictRateLimitDelayMs() ?? 0;
     const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_DELAY_MS);
+    const { delayMs, detail } = this.#computeReturn({
+      blockedMs: waitMs,
+      unbookedMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+    });
     context.refuse("noTarget", "no target accepted the call", {
-      retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+      retryAfterMs: delayMs,
       detail: {
+        ...detail,
         tried: [...this.#tried],
         listed: context.dependencies.directory.listServing(context.service.name)
           .length,
@@ -360,6 +366,7 @@
         lane: computeLane(context.priority),
         kind: context.route.name,
         ...context.shareKey,
+        isReturn: context.isReturn,
         waitStartedAtMs: context.call.arrivedAtMs,
         aimMs: context.route.aimMs,
         timeoutAtMs: context.deadlineAtMs,
@@ -432,9 +439,13 @@
     const waitedMs = context.nowMs - context.call.arrivedAtMs;
     const excessMs = readyMs - context.remainingMs;
     metrics.callsRejectedEarly.inc({ service: context.service.name });
+    const { delayMs, detail } = this.#computeReturn({
+      unbookedMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+    });
     context.refuse("overloaded", "the call can't be complete in time", {
-      retryAfterMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+      retryAfterMs: delayMs,
       detail: {
+        ...detail,
         rank,
         callsAhead,
         ratePerS: formatPerSecond(rate?.callsPerMs),
@@ -446,6 +457,21 @@
     });
   }
 
+  #computeReturn(
+    delays: Pick<RejectedCall, "blockedMs" | "unbookedMs">,
+  ): ReturnDelay {
+    const { service, returnKind, remainingMs, nowMs, dependencies } =
+      this.#context;
+    const { returnTimes, plainCallQueues } = dependencies;
+    return returnTimes.computeDelay({
+      ...delays,
+      service: service.name,
+      kind: returnKind,
+      queue: plainCallQueues.getQueue(service.name).readForReturn(),
+      remainingMs,
+    }, nowMs);
+  }
+
   #predictWorkMs(): number {
     const { route, nowMs, dependencies } = this.#context;
     return dependencies.plainWorkModel.predictRouteMs(route.name, nowMs);
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -247,6 +247,7 @@
         lane: computeLane(priority),
         kind: context.route.name,
         ...context.shareKey,
+        isReturn: context.isReturn,
         tokens: this.#prompt.promptTokens,
         waitStartedAtMs,
         aimMs,
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -447,7 +447,8 @@
   }
 
   #getFleetStatus(): FleetStatus {
-    const { activeConfig, duties } = this.#components;
+    const { activeConfig, duties, returnTimes } = this.#components;
+    const services = activeConfig.table?.config.services ?? [];
     const accounts = activeConfig.table?.config.accounts ?? null;
     return {
       vm: this.#settings.vm.id,
@@ -463,6 +464,10 @@
         this.#components.accountShares,
         this.#clock.readMonotonicMs(),
       ),
+      returns: returnTimes.listStatus(
+        services.map(({ name }) => name),
+        this.#clock.readMonotonicMs(),
+      ),
       duties: duties?.getStatus() ?? null,
     };
   }
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -23,6 +23,7 @@
 import { type DispatchRate, DispatchRateMeter } from "./dispatch_rate.ts";
 import { LATE_LANE } from "./priority_lanes.ts";
 import type { PromptPlacement } from "./prompt_placement.ts";
+import type { QueueReading } from "./return_times.ts";
 import { type Overload, predictWaitMs } from "./wait_forecast.ts";
 import { type SizeClass, SizeFairness } from "./size_fairness.ts";
 
@@ -242,6 +243,15 @@
     return this.#rate.measure(this.#clock.readMonotonicMs());
   }
 
+  /** Describes the queue to the return of a rejected call; undefined while the rate is unknown. */
+  readForReturn(): QueueReading | undefined {
+    const rate = this.measureRate();
+    if (rate === undefined) return undefined;
+    const ahead = [...this.#waiting, ...this.#late]
+      .filter(({ isReturn }) => isReturn).length;
+    return { ...rate, aheadWorkMs: ahead * rate.workPerMs / rate.callsPerMs };
+  }
+
   /** Adds a call; returns a function that cancels its wait. */
   enqueue(request: QueuedCall<P>): () => void {
     const waiting = this.#buildWaitingCall(request);
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -14,6 +14,7 @@
 } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "../metrics.ts";
 import type { DutyStatus } from "./fleet_duties.ts";
+import type { ReturnStatus } from "../scheduling/return_times.ts";
 
 /** Options of {@linkcode StatusServer}. */
 export interface StatusServerOptions {
@@ -40,6 +41,8 @@
   readonly accounts: readonly { name: string; keys: number }[] | null;
   /** Shares of the client accounts that have used most recently, by service; the heaviest first. */
   readonly shares: readonly AccountShareStatus[];
+  /** Services for which retries of rejected calls are booked here, or due in the fleet. */
+  readonly returns: readonly ReturnStatus[];
   /** Null if the fleet has no duties. */
   readonly duties: DutyStatus | null;
 }
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -23,6 +23,7 @@
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
+import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { PlainTimeModel } from "./state/plain_time_model.ts";
@@ -115,6 +116,12 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const returnTimes = new ReturnTimes({
+    share: fleetDemand,
+    drawUnit: Math.random,
+    onBooking: () => metrics.returnsBooked.inc(),
+    onClaim: () => metrics.returnsClaimed.inc(),
+  });
   const reportTrust = new ReportTrust();
   const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
@@ -184,6 +191,7 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    returnTimes,
     targetLoads,
     reportTrust,
     plainTimeModel: new PlainTimeModel({
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -25,6 +25,7 @@
   PrefillTimeModel,
   PrefixIndex,
   PromptPlacer,
+  ReturnTimes,
   StreamVersions,
   TargetBackoffs,
   type TargetConnections,
@@ -81,6 +82,7 @@
     health: new TargetHealth(),
     backoffs: new TargetBackoffs(),
     fleetDemand,
+    returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
     rateLimits: new TargetRateLimits({
       share: fleetDemand,
       drawUnit: () => 0,
