--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -21,6 +21,8 @@
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import type { PrefillTimeModel } from "./state/prefill_time_model.ts";
 import type { CallQueue } from "./scheduling/call_queue.ts";
+import type { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import type { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { HandoverClient } from "heatherarch-handover";
 import type { PathMonitor } from "./tasks/path_monitor.ts";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
@@ -37,6 +39,8 @@
 import type { FleetDemand } from "./state/fleet_demand.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { PlainTimeModel } from "./state/plain_time_model.ts";
+import type { ReportTrust, TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
 import type { WorkTracker } from "./state/work_tracker.ts";
 
@@ -57,6 +61,9 @@
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
+  /** Decides which reports in `targetLoads` are believed. */
+  readonly reportTrust: ReportTrust;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
@@ -83,6 +90,9 @@
   readonly countVms: () => number;
   readonly prefillTimeModel: PrefillTimeModel;
   readonly prefillQueue: CallQueue;
+  readonly plainCallQueues: PlainCallQueues;
+  readonly plainWorkModel: PlainWorkModel;
+  readonly plainTimeModel: PlainTimeModel;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -138,11 +138,6 @@
     this.dependencies.fleetDemand.recordCall(this.nowMs);
   }
 
-  /** The service and the client account among whose shares the call is. */
-  get shareKey(): { service: string; account?: string } {
-    return { service: this.service.name, account: this.#account?.name };
-  }
-
   /** Current monotonic time, milliseconds. */
   get nowMs(): number {
     return this.dependencies.clock.readMonotonicMs();
@@ -192,6 +187,11 @@
     return { runs: this.#runs, isUsageRecorded };
   }
 
+  /** Name of the call's client account, if it has one. */
+  get accountName(): string | undefined {
+    return this.#account?.name;
+  }
+
   /** Version of the configuration by which the call is routed. */
   get configVersion(): number {
     return this.#configVersion;
--- a/packages/heatherarch-forward/scheduling/account_ranker.ts
+++ b/packages/heatherarch-forward/scheduling/account_ranker.ts
@@ -6,15 +6,7 @@
  * @module
  */
 import { FairShares } from "heatherarch-shares";
-
-/** What the rank of a waiting call depends on. */
-export interface RankedCall {
-  readonly service: string;
-  /** Undefined if the call needs no account and has none. */
-  readonly account?: string;
-  /** Whether the call takes the place of a return that is due. */
-  readonly isReturn: boolean;
-}
+import type { CallRanker, RankedCall } from "./call_queue.ts";
 
 /** Options of {@linkcode AccountRanker}. */
 export interface AccountRankerOptions {
@@ -25,9 +17,8 @@
 }
 
 /** Ranks the calls of one VM, and records what they have used. */
-export class AccountRanker {
+export class AccountRanker implements CallRanker {
   readonly #shares: Pick<FairShares, "computeRank" | "recordWork">;
-
   readonly #onDispatch: (rank: number) => void;
 
   constructor(options: AccountRankerOptions = {}) {
@@ -36,24 +27,21 @@
   }
 
   /** Returns the rank of a call; the lowest goes first. */
-  computeRank(
-    { service, account, isReturn }: RankedCall,
-    nowMs: number,
-  ): number {
-    const rank = account === undefined
-      ? 0
-      : this.#shares.computeRank(service, account, nowMs);
-    return isReturn ? rank - 1 : rank;
+  computeRank(call: RankedCall, nowMs: number): number {
+    const rank = this.#computeAccountRank(call, nowMs);
+    return call.isReturn ? rank - 1 : rank;
   }
 
   /** Records work that was dispatched for a call, milliseconds of one slot. */
-  recordWork(
-    { service, account }: Pick<RankedCall, "service" | "account">,
-    workMs: number,
-    nowMs: number,
-  ): void {
-    if (account === undefined) return;
-    this.#onDispatch(this.#shares.computeRank(service, account, nowMs));
+  recordDispatch(call: RankedCall, workMs: number, nowMs: number): void {
+    const { service, account } = call;
+    if (service === undefined || account === undefined) return;
+    this.#onDispatch(this.#computeAccountRank(call, nowMs));
     this.#shares.recordWork(service, account, workMs, nowMs);
   }
+
+  #computeAccountRank({ service, account }: RankedCall, nowMs: number): number {
+    if (service === undefined || account === undefined) return 0;
+    return this.#shares.computeRank(service, account, nowMs);
+  }
 }
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -14,11 +14,13 @@
 import type { RoutingConfig, Target } from "../model.ts";
 import type { KeyedEntry, KeyedTopicPort } from "../ports.ts";
 import type { PrefixIndex } from "../state/prefix_index.ts";
+import type { PlainTimeModel } from "../state/plain_time_model.ts";
 import type { PrefillTimeModel } from "../state/prefill_time_model.ts";
 import type { TargetConnections } from "../calls/target_connections.ts";
 import type { TargetDirectory } from "../state/target_directory.ts";
 import type { TargetHealth } from "../state/target_health.ts";
 import type { TargetBackoffs } from "../state/target_backoffs.ts";
+import type { TargetLoads } from "heatherarch-load";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import { TopicFollower } from "./topic_follower.ts";
@@ -45,7 +47,9 @@
   readonly health: TargetHealth;
   readonly backoffs: TargetBackoffs;
   readonly rateLimits: TargetRateLimits;
+  readonly targetLoads: TargetLoads;
   readonly prefillTimeModel: PrefillTimeModel;
+  readonly plainTimeModel: PlainTimeModel;
   readonly engineJitter: EngineJitter;
 }
 
@@ -277,14 +281,18 @@
       health,
       backoffs,
       rateLimits,
+      targetLoads,
       prefillTimeModel,
+      plainTimeModel,
       engineJitter,
     } = this.#options;
     backoffs.forget(target);
     rateLimits.forget(target);
+    targetLoads.forget(target);
     prefixIndex.forgetTarget(target);
     health.forget(target);
     prefillTimeModel.forget(target);
+    plainTimeModel.forget(target);
     engineJitter.forget(target);
   }
 
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -6,10 +6,10 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
-  AccountRanker,
   type AttemptOptions,
   buildCrashDetector,
   CacheRetention,
@@ -26,6 +26,9 @@
   GenerationHandler,
   MemoryEventLog,
   PlainCallHandler,
+  PlainCallQueues,
+  PlainTimeModel,
+  PlainWorkModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -189,7 +192,6 @@
       backoffs: new TargetBackoffs(),
       ...buildRateLimits(),
       workTracker: new WorkTracker(),
-      accountRanker: new AccountRanker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
@@ -221,6 +223,11 @@
       countVms: () => 1,
       prefillTimeModel,
       prefillQueue: new CallQueue({ clock }),
+      plainCallQueues: new PlainCallQueues({ clock }),
+      plainWorkModel: new PlainWorkModel(),
+      targetLoads: new TargetLoads(),
+      reportTrust: new ReportTrust(),
+      plainTimeModel: new PlainTimeModel(),
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
       metrics,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -25,6 +25,8 @@
 import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
+import { PlainTimeModel } from "./state/plain_time_model.ts";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -32,6 +34,8 @@
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import { CallQueue } from "./scheduling/call_queue.ts";
+import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
@@ -111,11 +115,15 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const reportTrust = new ReportTrust();
+  const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
     rateLimits,
+    targetLoads,
+    onSlowdownReport: () => metrics.slowdownReports.inc(),
     clock,
     log,
   });
@@ -165,6 +173,8 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
+  const accountShares = buildAccountShares(settings, activeConfig, metrics);
+  const ranker = accountShares.accountRanker;
   return {
     clock,
     log,
@@ -174,6 +184,14 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    targetLoads,
+    reportTrust,
+    plainTimeModel: new PlainTimeModel({
+      targetLoads,
+      reportTrust,
+      onReportsIgnored: (target) =>
+        log.write("warn", "targetLoadIgnored", { target }),
+    }),
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
@@ -186,7 +204,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
-    ...buildAccountShares(settings, activeConfig, metrics),
+    ...accountShares,
     returnBook: new ReturnBook({
       computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
       drawUnit: Math.random,
@@ -215,7 +233,12 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock }),
+    prefillQueue: new CallQueue({ clock, ranker }),
+    plainCallQueues: new PlainCallQueues({
+      clock,
+      buildRanker: () => ranker,
+    }),
+    plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -103,6 +103,7 @@
     sums: buildFleetSums(components.accountShares, components.returnBook),
     storeEpoch: components.storeEpoch,
     rateLimits: components.rateLimits,
+    targetLoads: components.targetLoads,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
     partQuarantine: components.partQuarantine,
@@ -242,7 +243,9 @@
     health: components.health,
     backoffs: components.backoffs,
     rateLimits: components.rateLimits,
+    targetLoads: components.targetLoads,
     prefillTimeModel: components.prefillTimeModel,
+    plainTimeModel: components.plainTimeModel,
     engineJitter: components.engineJitter,
   });
 }
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -6,7 +6,6 @@
  */
 import type { Clock, ServeError } from "heatherarch-core";
 import {
-  AccountRanker,
   buildCrashDetector,
   CacheRetention,
   type CallCodec,
@@ -18,6 +17,9 @@
   FleetRetryBudget,
   ForwardMetrics,
   MemoryEventLog,
+  PlainCallQueues,
+  PlainTimeModel,
+  PlainWorkModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -30,6 +32,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
@@ -82,7 +85,6 @@
       drawUnit: () => 0,
     }),
     workTracker: new WorkTracker(),
-    accountRanker: new AccountRanker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
     probeTarget: () => Promise.resolve("response"),
@@ -109,6 +111,11 @@
     countVms: () => 1,
     prefillTimeModel,
     prefillQueue: new CallQueue({ clock }),
+    plainCallQueues: new PlainCallQueues({ clock }),
+    plainWorkModel: new PlainWorkModel(),
+    targetLoads: new TargetLoads(),
+    reportTrust: new ReportTrust(),
+    plainTimeModel: new PlainTimeModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     log,
     metrics,
