--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -41,8 +41,6 @@
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
-/** Work that counts for a share while the time of a call is not known yet, milliseconds. */
-const MIN_WORK_MS = 1;
 /** Bounds the attempts that reach no target, which cost no retry budget. */
 const MAX_ATTEMPTS = 6;
 /**
@@ -365,14 +363,15 @@
       const cancel = queue.enqueue({
         lane: computeLane(context.priority),
         kind: context.route.name,
-        ...context.shareKey,
+        service: context.service.name,
+        account: context.accountName,
         isReturn: context.isReturn,
         waitStartedAtMs: context.call.arrivedAtMs,
         aimMs: context.route.aimMs,
         timeoutAtMs: context.deadlineAtMs,
         responseDelayMs: 0,
         predictMs: () => this.#predictWorkMs(),
-        findPlacement: () => this.#findPlacement(),
+        findPlacement: (rank) => this.#findPlacement(rank),
         onOutcome: (outcome) => {
           if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
           settle(this.#book(outcome, enqueuedAtMs));
@@ -397,11 +396,8 @@
   #book(outcome: PlainOutcome, enqueuedAtMs: number): PlainWait {
     if (outcome.kind !== "placed") return outcome;
     const { service, nowMs, dependencies } = this.#context;
-    const { workTracker, plainCallQueues, metrics, accountRanker } =
-      dependencies;
+    const { workTracker, plainCallQueues, metrics } = dependencies;
     const { placement } = outcome.placed;
-    const workMs = Math.max(MIN_WORK_MS, placement.costMs);
-    accountRanker.recordWork(this.#context.shareKey, workMs, nowMs);
     metrics.callWait.observe(
       { service: service.name },
       (nowMs - enqueuedAtMs) / 1000,
@@ -478,7 +474,7 @@
   }
 
   /** Finds the target that would be tried now, and when it has capacity. */
-  #findPlacement(): PlainPlacement | undefined {
+  #findPlacement(rank: number): PlainPlacement | undefined {
     const target = this.#pickTarget();
     if (target === undefined) return undefined;
     const { route, nowMs, dependencies } = this.#context;
@@ -487,8 +483,9 @@
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const load = { runs, slots: target.slots, workMs };
     const slotInMs = computePlainBacklogMs(load);
-    const turnInMs = slotInMs > 0 && mayExceedSlots(load)
-      ? this.#computeTurnInMs(workMs)
+    const hasAccount = this.#context.accountName !== undefined;
+    const turnInMs = slotInMs > 0 && mayExceedSlots(load, hasAccount ? rank : 0)
+      ? hasAccount && rank <= 0 ? 0 : this.#computeTurnInMs(workMs)
       : Infinity;
     return {
       target,
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -246,7 +246,8 @@
       const cancel = prefillQueue.enqueue({
         lane: computeLane(priority),
         kind: context.route.name,
-        ...context.shareKey,
+        service: context.service.name,
+        account: context.accountName,
         isReturn: context.isReturn,
         tokens: this.#prompt.promptTokens,
         waitStartedAtMs,
@@ -278,10 +279,9 @@
 
   #beginPrefill(placed: LanePlacement): BookedPrefill {
     const { placement: { target, costMs }, lane } = placed;
-    const { workTracker, prefillTimeModel, metrics, accountRanker } =
+    const { workTracker, prefillTimeModel, metrics } =
       this.#context.dependencies;
     const startedAtMs = this.#context.nowMs;
-    accountRanker.recordWork(this.#context.shareKey, costMs, startedAtMs);
     const waitedMs = startedAtMs - this.#context.call.arrivedAtMs;
     metrics.readWait.observe({ lane }, waitedMs / 1000);
     const service = this.#context.service.name;
--- a/packages/heatherarch-forward/scheduling/account_ranker.ts
+++ b/packages/heatherarch-forward/scheduling/account_ranker.ts
@@ -27,24 +27,21 @@
   }
 
   /** Returns the rank of a call; the lowest goes first. */
-  computeRank(
-    { service = "", account, isReturn }: RankedCall,
-    nowMs: number,
-  ): number {
-    const rank = account === undefined
-      ? 0
-      : this.#shares.computeRank(service, account, nowMs);
-    return isReturn ? rank - 1 : rank;
+  computeRank(call: RankedCall, nowMs: number): number {
+    const rank = this.#computeAccountRank(call, nowMs);
+    return call.isReturn ? rank - 1 : rank;
   }
 
   /** Records work that was dispatched for a call, milliseconds of one slot. */
-  recordWork(
-    { service = "", account }: Pick<RankedCall, "service" | "account">,
-    workMs: number,
-    nowMs: number,
-  ): void {
-    if (account === undefined) return;
-    this.#onDispatch(this.#shares.computeRank(service, account, nowMs));
+  recordDispatch(call: RankedCall, workMs: number, nowMs: number): void {
+    const { service, account } = call;
+    if (service === undefined || account === undefined) return;
+    this.#onDispatch(this.#computeAccountRank(call, nowMs));
     this.#shares.recordWork(service, account, workMs, nowMs);
   }
+
+  #computeAccountRank({ service, account }: RankedCall, nowMs: number): number {
+    if (service === undefined || account === undefined) return 0;
+    return this.#shares.computeRank(service, account, nowMs);
+  }
 }
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -68,7 +68,7 @@
 
 /** What the rank of a call depends on. */
 export interface RankedCall {
-  /** Service of the call; shares are of one service. */
+  /** Service that the call is sent to. */
   readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
@@ -101,7 +101,7 @@
   readonly kind: string;
   /** Size of the prompt; a call without one takes no part in the shares by size. */
   readonly tokens?: number;
-  /** Service of the call; shares are of one service. */
+  /** Service that the call is sent to; a queue may have the calls of several. */
   readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
@@ -115,8 +115,11 @@
   readonly timeoutAtMs: number;
   /** Time from the completion at the target to the response, or its first event, at the client. */
   readonly responseDelayMs: number;
-  /** Finds the target that would complete the call first; undefined if there is none. */
-  findPlacement(): P | undefined;
+  /**
+   * Finds the target that would complete the call first; undefined if there is none. The rank of the
+   * call may decide how busy that target may be.
+   */
+  findPlacement(rank: number): P | undefined;
   /**
    * Predicts the time of the call at a target with capacity. Without it, the queue uses the last
    * placement that it found for the call.
@@ -319,7 +322,7 @@
 
   /** Searches the best placement of a call, and keeps its expected time for forecasts. */
   #findPlacement(call: WaitingCall<P>): P | undefined {
-    const placement = call.findPlacement();
+    const placement = call.findPlacement(call.rank);
     call.expectedMs = placement?.unloadedMs;
     return placement;
   }
@@ -419,8 +422,9 @@
   #placeFirst({ request, placement }: PlacedCall<P>, nowMs: number): void {
     const { waitStartedAtMs, aimMs, timeoutAtMs, responseDelayMs } = request;
     if (nowMs + findMinMs(placement) > timeoutAtMs - responseDelayMs) return;
-    if (placement.backlogMs > this.#maxBacklogMs) {
-      this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
+    const maxBacklogMs = this.#getMaxBacklogMs(request.rank);
+    if (placement.backlogMs > maxBacklogMs) {
+      this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return;
     }
     const isLate = nowMs + placement.readyMs >
@@ -466,14 +470,23 @@
       this.#late.push(request);
       return false;
     }
-    if (placement.backlogMs > this.#maxBacklogMs) {
-      this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
+    const maxBacklogMs = this.#getMaxBacklogMs(request.rank);
+    if (placement.backlogMs > maxBacklogMs) {
+      this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return true;
     }
     this.#place(request, placement, lane, nowMs);
     return false;
   }
 
+  /**
+   * Calls of higher rank leave room at the targets for calls of rank 0 at other VMs, which are not in
+   * this queue. With the same limit for all, the VM with most calls takes all targets.
+   */
+  #getMaxBacklogMs(rank: number): number {
+    return rank > 0 ? this.#maxLateBacklogMs : this.#maxBacklogMs;
+  }
+
   #noteCapacityInMs(inMs: number): void {
     this.#capacityInMs = Math.min(this.#capacityInMs, inMs);
   }
@@ -633,7 +646,7 @@
     "service" | "account" | "isReturn"
   >,
 ): RankedCall {
-  return { service, account, isReturn };
+  return account === undefined ? { isReturn } : { service, account, isReturn };
 }
 
 /** Time of a call at a target with capacity; 0 if nothing is known. */
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -56,6 +56,11 @@
  * more, calls would wait at the target for longer than for one call, where they can't be reordered.
  */
 const MAX_OVERLOAD_FACTOR = 2;
+/**
+ * The same for calls of accounts beyond their shares, so that a target's queue has room for calls of
+ * rank 0 of all VMs.
+ */
+const MAX_RANKED_OVERLOAD_FACTOR = 1.25;
 /** Services change with the configuration. Above this number, idle queues are dropped. */
 const MAX_SERVICES = 256;
 
@@ -73,11 +78,13 @@
   return ahead <= 0 ? 0 : ahead * workMs / Math.max(1, slots);
 }
 
-/** Whether a VM may send to a busy target at the rate of its share. */
+/** Whether a VM may send a call of this rank to a busy target at the rate of its share. */
 export function mayExceedSlots(
   { runs, reportedRequests = 0, slots }: PlainTargetLoad,
+  rank = 0,
 ): boolean {
-  return Math.max(runs, reportedRequests) < slots * MAX_OVERLOAD_FACTOR;
+  const factor = rank > 0 ? MAX_RANKED_OVERLOAD_FACTOR : MAX_OVERLOAD_FACTOR;
+  return Math.max(runs, reportedRequests) < slots * factor;
 }
 
 /** The queues of one VM's plain calls. */
--- a/packages/heatherarch-forward/tests/unit/account_ranker_test.ts
+++ b/packages/heatherarch-forward/tests/unit/account_ranker_test.ts
@@ -15,7 +15,7 @@
   while (waiting.length > 0) {
     const ranks = waiting.map((call) => ranker.computeRank(call, 0));
     const [call] = waiting.splice(ranks.indexOf(Math.min(...ranks)), 1);
-    ranker.recordWork(call, 40, 0);
+    ranker.recordDispatch(call, 40, 0);
     served.push(call);
   }
   return served;
@@ -47,8 +47,8 @@
 test("a return goes before the new calls of its class", () => {
   const ranker = new AccountRanker({ shares: new FairShares() });
   assert.equal(ranker.computeRank(buildCall(undefined, true), 0), -1);
-  ranker.recordWork(buildCall("a"), 100, 0);
-  ranker.recordWork(buildCall("b"), 900, 0);
+  ranker.recordDispatch(buildCall("a"), 100, 0);
+  ranker.recordDispatch(buildCall("b"), 900, 0);
   assert.equal(ranker.computeRank(buildCall("b"), 0), 1);
   assert.equal(ranker.computeRank(buildCall("b", true), 0), 0);
 });
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -10,7 +10,6 @@
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
-  AccountRanker,
   type AttemptOptions,
   buildCrashDetector,
   CacheRetention,
@@ -193,7 +192,6 @@
       backoffs: new TargetBackoffs(),
       ...buildRateLimits(),
       workTracker: new WorkTracker(),
-      accountRanker: new AccountRanker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -180,8 +180,8 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
-  const shares = buildAccountShares(settings, activeConfig, metrics);
-  const { accountRanker } = shares;
+  const accountShares = buildAccountShares(settings, activeConfig, metrics);
+  const ranker = accountShares.accountRanker;
   return {
     clock,
     log,
@@ -212,7 +212,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
-    ...shares,
+    ...accountShares,
     returnBook: new ReturnBook({
       computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
       drawUnit: Math.random,
@@ -241,10 +241,10 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock, ranker: accountRanker }),
+    prefillQueue: new CallQueue({ clock, ranker }),
     plainCallQueues: new PlainCallQueues({
       clock,
-      buildRanker: () => accountRanker,
+      buildRanker: () => ranker,
     }),
     plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -6,7 +6,6 @@
  */
 import type { Clock, ServeError } from "heatherarch-core";
 import {
-  AccountRanker,
   buildCrashDetector,
   CacheRetention,
   type CallCodec,
@@ -88,7 +87,6 @@
       drawUnit: () => 0,
     }),
     workTracker: new WorkTracker(),
-    accountRanker: new AccountRanker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
     probeTarget: () => Promise.resolve("response"),
