Simulation of loads, queues and shares: first steps

Targets that differ in speed and are slow for short spans, VMs whose knowledge is as old as the mesh makes it, and accounts that share plain targets. Local designs stand in until the product's classes are there.

--- /dev/null
+++ b/packages/heatherarch-lab/bench/hard_load/fleet_size.ts
@@ -0,0 +1,73 @@
+/**
+ * Sizes of simulated fleets, and the age of what their VMs know of each other.
+ *
+ * @module
+ */
+
+/** A fleet. */
+export interface FleetSize {
+  readonly vms: number;
+  /** Youngest and oldest that a VM's information about the others is, in milliseconds. */
+  readonly minAgeMs: number;
+  readonly maxAgeMs: number;
+  readonly plainTargets: number;
+  readonly prefillEngines: number;
+  /** Calls that the plain targets serve per second in the simulations of queues. */
+  readonly callsPerSecond: number;
+}
+
+/** From this number of VMs on, hubs pass the information on. */
+const MIN_VMS_WITH_HUBS = 20;
+
+/**
+ * A small fleet with full mesh; the first deployment of the design page; and the largest fleet of
+ * the design, whose VMs receive 2.7 calls a second each.
+ */
+export const FLEET_SIZES: readonly FleetSize[] = [
+  {
+    vms: 9,
+    minAgeMs: 30,
+    maxAgeMs: 60,
+    plainTargets: 4,
+    prefillEngines: 10,
+    callsPerSecond: 200,
+  },
+  {
+    vms: 88,
+    minAgeMs: 100,
+    maxAgeMs: 250,
+    plainTargets: 4,
+    prefillEngines: 98,
+    callsPerSecond: 400,
+  },
+  {
+    vms: 870,
+    minAgeMs: 100,
+    maxAgeMs: 250,
+    plainTargets: 24,
+    prefillEngines: 310,
+    callsPerSecond: 2400,
+  },
+];
+
+/** Whether hubs pass the information on. */
+export function hasHubs({ vms }: { readonly vms: number }): boolean {
+  return vms >= MIN_VMS_WITH_HUBS;
+}
+
+/**
+ * Age of what a VM knows at a time. It grows from one digest to the next; VMs get their digests at
+ * different times.
+ */
+export function computeAgeMs(
+  { minAgeMs, maxAgeMs }: { minAgeMs: number; maxAgeMs: number },
+  vm: number,
+  nowMs: number,
+): number {
+  const intervalMs = maxAgeMs - minAgeMs;
+  if (intervalMs === 0) return minAgeMs;
+  return minAgeMs + (nowMs + vm * PHASE_MS) % intervalMs;
+}
+
+/** Difference between the times at which successive VMs get their digests; any odd number does. */
+const PHASE_MS = 37;
--- /dev/null
+++ b/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
@@ -0,0 +1,489 @@
+/**
+ * Simulates VMs that send plain calls and prompts to targets which differ in speed and are slow for
+ * short spans of time, to compare what VMs know of the targets and how they choose.
+ *
+ * Every call is sent at once; targets serve calls in order of arrival. Queues at the VMs, caches,
+ * decoding, faults and false reports are not simulated.
+ *
+ * @module
+ */
+import { Random } from "heatherarch-core";
+import { EngineJitter } from "heatherarch-forward";
+import { EventQueue } from "./event_queue.ts";
+import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
+import { LaggedWork } from "./lagged_work.ts";
+import { LoadNews } from "./load_news.ts";
+import { LocalTargetLoads, LocalTargetSpeeds } from "./local_loads.ts";
+import { SimulatedTarget } from "./simulated_target.ts";
+
+/** What a VM knows of targets. */
+export const LOAD_KNOWLEDGE = [
+  /** Today: learned speeds of prefill engines only. */
+  "ignored",
+  /** Learned speeds of all targets, no reports. */
+  "speeds",
+  /** Also reports that the VM itself received. */
+  "own",
+  /** Also reports that peers received. */
+  "shared",
+  /** Current slowdowns, speeds and work of all VMs. */
+  "oracle",
+] as const;
+
+/** Name of what a VM knows. */
+export type LoadKnowledge = typeof LOAD_KNOWLEDGE[number];
+
+/** How a VM chooses by the predicted times of targets. */
+export const LOAD_CHOICES = [
+  /** The shortest predicted time plus jitter. */
+  "best",
+  /** A draw, weighted by predicted time. */
+  "draw",
+  /** The shortest predicted time of a few targets that are drawn with equal weights. */
+  "few",
+] as const;
+
+/** Name of a way to choose. */
+export type LoadChoice = typeof LOAD_CHOICES[number];
+
+/** Options of {@linkcode simulateLoad}. */
+export interface LoadSimulationOptions {
+  readonly seed: number;
+  readonly size: FleetSize;
+  readonly knows: LoadKnowledge;
+  readonly choice: LoadChoice;
+  readonly seconds?: number;
+  /** Mean utilization of the targets. */
+  readonly load?: number;
+}
+
+/** Result of {@linkcode simulateLoad}; shares are 0 to 1. */
+export interface LoadResult {
+  readonly inTime: number;
+  readonly inTimeByKind: Readonly<Record<string, number>>;
+  readonly worstKind: number;
+  /** Share of the work that was done for calls whose clients had given up. */
+  readonly vain: number;
+  /** Bytes per second that an ordinary VM sends and receives for reports. */
+  readonly bytesPerSecond: number;
+  readonly droppedNews: number;
+  /** Processor time of a decision, microseconds. */
+  readonly decisionMicros: number;
+}
+
+interface Kind {
+  readonly name: string;
+  readonly pool: "plain" | "prefill";
+  readonly meanWorkMs: number;
+  /** Share of the work of its pool. */
+  readonly workShare: number;
+  readonly aimMs: number;
+  readonly timeoutMs: number;
+}
+
+interface Pool {
+  /** Index of its first target. */
+  readonly first: number;
+  readonly targets: readonly SimulatedTarget[];
+  readonly meanWorkMs: number;
+  readonly jitters: readonly EngineJitter[];
+}
+
+interface Vm {
+  readonly index: number;
+  readonly loads: LocalTargetLoads;
+  readonly speeds: LocalTargetSpeeds;
+}
+
+/** Objectives and client timeouts of the first deployment; the work of prompts is the model's. */
+const KINDS: readonly Kind[] = [
+  {
+    name: "long",
+    pool: "prefill",
+    meanWorkMs: 210,
+    workShare: 0.5,
+    aimMs: 627,
+    timeoutMs: 5226,
+  },
+  {
+    name: "middle",
+    pool: "prefill",
+    meanWorkMs: 150,
+    workShare: 0.3,
+    aimMs: 519,
+    timeoutMs: 3115,
+  },
+  {
+    name: "short",
+    pool: "prefill",
+    meanWorkMs: 60,
+    workShare: 0.2,
+    aimMs: 311,
+    timeoutMs: 5187,
+  },
+  {
+    name: "plain",
+    pool: "plain",
+    meanWorkMs: 21.4,
+    workShare: 1,
+    aimMs: 152,
+    timeoutMs: 1611,
+  },
+];
+const SPEEDS = [0.6, 1, 1.6];
+const SLOW = { share: 0.15, spanMs: 600, slowdown: 2.5 };
+const PLAIN_SLOTS = 6;
+/** Factor of the load in the middle third of the time. */
+const BURST = 1.4;
+/** Spread of the work of a call around its mean. */
+const WORK_SPREAD = 0.5;
+/** Responses of a target that a VM has learned from before the simulation begins. */
+const LEARNED_RESPONSES = 60;
+/** Relative measurement noise of a reported slowdown. */
+const REPORT_NOISE = 0.05;
+/** A slowdown is news if it differs by this share from what the VM expected. */
+const NEWS_SHARE = 0.25;
+/** Weight of a target in a draw: its predicted time to this negative power. */
+const DRAW_POWER = 2;
+/** Targets that are drawn for a choice among a few. */
+const FEW_TARGETS = 3;
+/** Utilizations of plain targets closer than this are ordered at random today. */
+const TIE_BREAK_RANGE = 0.02;
+/** Longest jitter as a share of the mean work at a target, 20 ms for prompts. */
+const JITTER_SHARE = 0.15;
+/** Encoded size of a row: target id of 12 characters, three counts, slowdown and age. */
+export const LOAD_ROW_BYTES = 24;
+/** A VM tells its own news to the hubs of its zone. */
+const HUBS_PER_ZONE = 2;
+const DEFAULTS = { seconds: 9, load: 0.6 };
+
+/** Runs one simulation. */
+export function simulateLoad(options: LoadSimulationOptions): LoadResult {
+  return new LoadSimulation(options).run();
+}
+
+class LoadSimulation {
+  readonly #options: Required<LoadSimulationOptions>;
+  readonly #random: Random;
+  readonly #events = new EventQueue();
+  readonly #targets: SimulatedTarget[];
+  readonly #ids: string[];
+  readonly #pools: Record<Kind["pool"], Pool>;
+  readonly #work: LaggedWork;
+  readonly #news: LoadNews;
+  readonly #vms: Vm[];
+  /** Sums of the VMs' weights, to draw one. */
+  readonly #weightSums: number[] = [];
+  readonly #counts = new Map<string, { asked: number; inTime: number }>();
+  #workMs = 0;
+  #vainMs = 0;
+  #decisions = 0;
+  #decisionMs = 0;
+
+  constructor(options: LoadSimulationOptions) {
+    this.#options = { ...DEFAULTS, ...options };
+    const { seed, size } = options;
+    this.#random = new Random(seed);
+    const plain = this.#buildTargets(size.plainTargets, PLAIN_SLOTS);
+    const engines = this.#buildTargets(size.prefillEngines, 1);
+    this.#targets = [...plain, ...engines];
+    this.#ids = this.#targets.map((_, i) => `target-${i}`);
+    this.#pools = {
+      plain: this.#buildPool("plain", 0, plain),
+      prefill: this.#buildPool("prefill", plain.length, engines),
+    };
+    this.#work = new LaggedWork({
+      events: this.#events,
+      vms: size.vms,
+      targets: this.#targets.length,
+      maxAgeMs: size.maxAgeMs,
+    });
+    this.#news = new LoadNews(size.vms);
+    this.#vms = Array.from({ length: size.vms }, (_, i) => this.#buildVm(i));
+  }
+
+  run(): LoadResult {
+    const { seconds } = this.#options;
+    for (const kind of KINDS) this.#scheduleArrival(kind);
+    const longestMs = Math.max(...KINDS.map(({ timeoutMs }) => timeoutMs));
+    this.#events.runUntil(seconds * 1000 + longestMs);
+    return this.#buildResult();
+  }
+
+  #buildTargets(count: number, slots: number): SimulatedTarget[] {
+    return Array.from({ length: count }, (_, i) =>
+      new SimulatedTarget({
+        events: this.#events,
+        random: this.#random,
+        slots,
+        speed: SPEEDS[i % SPEEDS.length],
+        slow: SLOW,
+      }));
+  }
+
+  #buildPool(
+    name: Kind["pool"],
+    first: number,
+    targets: readonly SimulatedTarget[],
+  ): Pool {
+    const kinds = KINDS.filter(({ pool }) => pool === name);
+    const calls = kinds.reduce(
+      (sum, { workShare, meanWorkMs }) => sum + workShare / meanWorkMs,
+      0,
+    );
+    const meanWorkMs = 1 / calls;
+    const maxMs = meanWorkMs * JITTER_SHARE;
+    const drawUnit = () => this.#random.drawUnit();
+    const jitters = Array.from(
+      { length: this.#options.size.vms },
+      (_, i) => new EngineJitter({ vmId: `vm-${i}`, drawUnit, maxMs }),
+    );
+    return { first, targets, meanWorkMs, jitters };
+  }
+
+  #buildVm(index: number): Vm {
+    const vm = {
+      index,
+      loads: new LocalTargetLoads(),
+      speeds: new LocalTargetSpeeds(),
+    };
+    const weight = 0.2 + 1.6 * this.#random.drawUnit();
+    this.#weightSums.push((this.#weightSums.at(-1) ?? 0) + weight);
+    const { knows } = this.#options;
+    this.#targets.forEach((target, i) => {
+      const isLearned = knows !== "ignored" || target.slots === 1;
+      for (let n = 0; isLearned && n < LEARNED_RESPONSES; n++) {
+        const isSlow = this.#random.drawUnit() < SLOW.share;
+        const slowdown = isSlow ? SLOW.slowdown : 1;
+        const tookMs = target.speed * slowdown;
+        this.#learnSpeed(vm, i, { tookMs, expectedMs: 1, slowdown });
+      }
+    });
+    return vm;
+  }
+
+  #learnSpeed(
+    vm: Vm,
+    target: number,
+    sample: { tookMs: number; expectedMs: number; slowdown: number },
+  ): void {
+    const { knows } = this.#options;
+    const hasReports = knows === "own" || knows === "shared";
+    const slowdown = hasReports ? sample.slowdown : 1;
+    vm.speeds.learn(this.#ids[target], { ...sample, slowdown });
+  }
+
+  #scheduleArrival(kind: Kind): void {
+    const { seconds } = this.#options;
+    const endMs = seconds * 1000;
+    const burstRate = this.#computeRate(kind) * BURST;
+    this.#events.delay(this.#random.drawExponential(1 / burstRate), () => {
+      const { nowMs } = this.#events;
+      if (nowMs >= endMs) return;
+      const isBurst = nowMs > endMs / 3 && nowMs < endMs * 2 / 3;
+      const isDrawn = isBurst || this.#random.drawUnit() < 1 / BURST;
+      if (isDrawn) this.#sendCall(kind);
+      this.#scheduleArrival(kind);
+    });
+  }
+
+  /** Calls per millisecond at the mean load. */
+  #computeRate(kind: Kind): number {
+    const slowdown = 1 + SLOW.share * (SLOW.slowdown - 1);
+    const capacity = this.#pools[kind.pool].targets.reduce(
+      (sum, { slots, speed }) => sum + slots / speed / slowdown,
+      0,
+    );
+    return this.#options.load * capacity * kind.workShare / kind.meanWorkMs;
+  }
+
+  #sendCall(kind: Kind): void {
+    const vm = this.#drawVm();
+    const workMs = kind.meanWorkMs *
+      (1 + WORK_SPREAD * (2 * this.#random.drawUnit() - 1));
+    const startedAt = performance.now();
+    const index = this.#pickTarget(vm, this.#pools[kind.pool], workMs);
+    this.#decisionMs += performance.now() - startedAt;
+    this.#decisions++;
+    const target = this.#targets[index];
+    const atMs = this.#events.nowMs;
+    this.#work.add(vm.index, index, workMs);
+    target.accept(workMs, (tookMs) => {
+      this.#work.add(vm.index, index, -workMs);
+      this.#recordResponse(kind, this.#events.nowMs - atMs, workMs);
+      this.#recordReport(vm, index, target);
+      const slowdown = tookMs / (workMs * target.speed);
+      this.#learnSpeed(vm, index, { tookMs, expectedMs: workMs, slowdown });
+    });
+  }
+
+  #drawVm(): Vm {
+    const total = this.#weightSums[this.#weightSums.length - 1];
+    const drawn = this.#random.drawUnit() * total;
+    let low = 0;
+    let high = this.#weightSums.length - 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.#weightSums[middle] <= drawn) low = middle + 1;
+      else high = middle;
+    }
+    return this.#vms[low];
+  }
+
+  #pickTarget(vm: Vm, pool: Pool, workMs: number): number {
+    const { size, knows, choice } = this.#options;
+    const { nowMs } = this.#events;
+    const ageMs = computeAgeMs(size, vm.index, nowMs);
+    if (knows === "shared") {
+      for (const sample of this.#news.take(vm.index, nowMs - ageMs)) {
+        vm.loads.mergePeerSample(sample);
+      }
+    }
+    const work = knows === "oracle"
+      ? this.#work.current
+      : this.#work.copyKnown(vm.index, ageMs);
+    const times = pool.targets.map((target, i) =>
+      this.#predictMs(vm, target, {
+        pool,
+        index: pool.first + i,
+        knownMs: work[pool.first + i],
+        workMs,
+      })
+    );
+    switch (choice) {
+      case "best":
+        return pool.first + this.#findBest(vm, pool, times);
+      case "draw":
+        return pool.first + this.#drawIndex(times);
+      case "few":
+        return pool.first + this.#findBestOfFew(times);
+    }
+  }
+
+  /** Predicts when a target would have finished a call. */
+  #predictMs(
+    vm: Vm,
+    target: SimulatedTarget,
+    { pool, index, knownMs, workMs }: {
+      pool: Pool;
+      index: number;
+      knownMs: number;
+      workMs: number;
+    },
+  ): number {
+    const { knows } = this.#options;
+    const { slots } = target;
+    const factor = this.#getFactor(vm, index, target);
+    if (knows === "ignored" && slots > 1) {
+      return Math.max(0, knownMs) / slots * factor;
+    }
+    const waitMs = Math.max(0, knownMs - (slots - 1) * pool.meanWorkMs) / slots;
+    return (waitMs + workMs) * factor;
+  }
+
+  #getFactor(vm: Vm, index: number, target: SimulatedTarget): number {
+    const id = this.#ids[index];
+    switch (this.#options.knows) {
+      case "oracle":
+        return target.speed * target.slowdown;
+      case "own":
+      case "shared":
+        return vm.speeds.getFactor(id) *
+          vm.loads.estimateSlowdown(id, this.#events.nowMs);
+      default:
+        return vm.speeds.getFactor(id);
+    }
+  }
+
+  #findBest(vm: Vm, pool: Pool, times: readonly number[]): number {
+    let best = 0;
+    let bestMs = Infinity;
+    times.forEach((timeMs, i) => {
+      const jitterMs = this.#drawJitterMs(vm, pool, i);
+      if (timeMs + jitterMs >= bestMs) return;
+      best = i;
+      bestMs = timeMs + jitterMs;
+    });
+    return best;
+  }
+
+  #drawJitterMs(vm: Vm, pool: Pool, index: number): number {
+    const { knows } = this.#options;
+    if (knows === "oracle") return 0;
+    if (knows === "ignored" && pool.targets[index].slots > 1) {
+      return TIE_BREAK_RANGE * pool.meanWorkMs * this.#random.drawUnit();
+    }
+    return pool.jitters[vm.index].drawMs(this.#ids[pool.first + index]);
+  }
+
+  #findBestOfFew(times: readonly number[]): number {
+    let best = this.#random.drawInteger(0, times.length - 1);
+    for (let i = 1; i < FEW_TARGETS; i++) {
+      const other = this.#random.drawInteger(0, times.length - 1);
+      if (times[other] < times[best]) best = other;
+    }
+    return best;
+  }
+
+  #drawIndex(times: readonly number[]): number {
+    const weights = times.map((timeMs) => (timeMs + 1) ** -DRAW_POWER);
+    let drawn = this.#random.drawUnit() *
+      weights.reduce((sum, weight) => sum + weight, 0);
+    const picked = weights.findIndex((weight) => (drawn -= weight) < 0);
+    return Math.max(0, picked);
+  }
+
+  #recordReport(vm: Vm, index: number, target: SimulatedTarget): void {
+    const { knows } = this.#options;
+    if (knows !== "own" && knows !== "shared") return;
+    const noise = 1 + REPORT_NOISE * (2 * this.#random.drawUnit() - 1);
+    const { nowMs } = this.#events;
+    const id = this.#ids[index];
+    const expected = vm.loads.estimateSlowdown(id, nowMs);
+    const slowdown = target.slowdown * noise;
+    const sample = { target: id, slowdown, atMs: nowMs };
+    vm.loads.record(sample);
+    if (knows !== "shared") return;
+    if (Math.abs(slowdown - expected) < expected * NEWS_SHARE) return;
+    this.#news.add({ vm: vm.index, sample });
+  }
+
+  #recordResponse(kind: Kind, tookMs: number, workMs: number): void {
+    const count = this.#counts.get(kind.name) ?? { asked: 0, inTime: 0 };
+    this.#counts.set(kind.name, count);
+    count.asked++;
+    if (tookMs <= kind.aimMs) count.inTime++;
+    this.#workMs += workMs;
+    if (tookMs > kind.timeoutMs) this.#vainMs += workMs;
+  }
+
+  #computeBytesPerSecond(): number {
+    const { size, seconds } = this.#options;
+    const ownRows = this.#news.rowCount / size.vms;
+    const rows = hasHubs(size)
+      ? HUBS_PER_ZONE * ownRows + this.#news.relayedCount
+      : 2 * (size.vms - 1) * ownRows;
+    return rows * LOAD_ROW_BYTES / seconds;
+  }
+
+  #buildResult(): LoadResult {
+    const counts = [...this.#counts.values()];
+    const asked = counts.reduce((sum, count) => sum + count.asked, 0);
+    const inTime = counts.reduce((sum, count) => sum + count.inTime, 0);
+    const inTimeByKind = Object.fromEntries(
+      [...this.#counts].map(([name, count]) => [
+        name,
+        count.inTime / count.asked,
+      ]),
+    );
+    return {
+      inTime: inTime / asked,
+      inTimeByKind,
+      worstKind: Math.min(...Object.values(inTimeByKind)),
+      vain: this.#vainMs / this.#workMs,
+      bytesPerSecond: this.#computeBytesPerSecond(),
+      droppedNews: this.#news.droppedShare,
+      decisionMicros: this.#decisionMs * 1000 / this.#decisions,
+    };
+  }
+}
--- /dev/null
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -0,0 +1,305 @@
+/**
+ * Simulates ten small accounts beside one large one whose clients ask for several times the room, to
+ * compare ways to share the targets among accounts.
+ *
+ * @module
+ */
+import { Random } from "heatherarch-core";
+import { EventQueue } from "./event_queue.ts";
+import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
+import { LocalFairShares, type LocalUseRow } from "./local_shares.ts";
+import { type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
+
+/** Ways to share targets. */
+export const SHARE_WAYS = [
+  /** Today: calls of all accounts in order of arrival. */
+  "none",
+  /** Ranks by what this VM dispatched. */
+  "own use",
+  /** Ranks by what the fleet dispatched. */
+  "fleet's use",
+  /** Also, calls of rank 0 may queue at a busy target, by one call per slot. */
+  "fleet's use, depth 1",
+  /** One queue that knows everything. */
+  "oracle",
+] as const;
+
+/** Name of a way to share targets. */
+export type ShareWay = typeof SHARE_WAYS[number];
+
+/** VMs to which the clients of the large account connect. */
+export type LargeSpread = "all VMs" | "one VM";
+
+/** Options of {@linkcode simulateShares}. */
+export interface SharesSimulationOptions {
+  readonly seed: number;
+  readonly size: FleetSize;
+  readonly way: ShareWay;
+  readonly spread: LargeSpread;
+  readonly seconds?: number;
+}
+
+/** Result of {@linkcode simulateShares}; shares are 0 to 1. */
+export interface SharesResult {
+  /** Calls of small accounts that were served at all, and within the latency objective. */
+  readonly smallServed: number;
+  readonly smallInTime: number;
+  /** Share served of the small account that is served least. */
+  readonly worstAccount: number;
+  /** Share of the room that the large account got. */
+  readonly largeShare: number;
+  /** Share of the room that was used. */
+  readonly used: number;
+  readonly vain: number;
+  /** Bytes per second that an ordinary VM sends and receives for use. */
+  readonly bytesPerSecond: number;
+  /** Processor time of a rank, microseconds. */
+  readonly decisionMicros: number;
+}
+
+interface AccountCount {
+  asked: number;
+  served: number;
+  inTime: number;
+}
+
+const SMALL_ACCOUNTS = 10;
+const LARGE = "large";
+/** Demand of a small account and of the large one, as a share of the room. */
+const SMALL_DEMAND = 0.03;
+const LARGE_DEMAND = 3;
+/** VMs to which the clients of a small account connect. */
+const SMALL_ACCOUNT_VMS = 4;
+const WORK_MS = 40;
+const SLOTS_PER_TARGET = 4;
+/** Objective and client timeout of plain calls in the second deployment. */
+const AIM_MS = 396;
+const TIMEOUT_MS = 4109;
+/** Interval at which VMs tell their use, milliseconds. */
+const USE_INTERVAL_MS = 500;
+/** Encoded size of a row: service and account of 12 characters, work and number of accounts. */
+export const USE_ROW_BYTES = 32;
+const HUBS_PER_ZONE = 2;
+/** Time before calls are counted, in which the first use becomes known. */
+const WARM_UP_MS = 2000;
+const GROUP = "plain";
+const DEFAULTS = { seconds: 8 };
+
+/** Runs one simulation. */
+export function simulateShares(options: SharesSimulationOptions): SharesResult {
+  return new SharesSimulation(options).run();
+}
+
+class SharesSimulation {
+  readonly #options: Required<SharesSimulationOptions>;
+  readonly #size: FleetSize;
+  readonly #random: Random;
+  readonly #events = new EventQueue();
+  readonly #queues: QueueSimulation;
+  readonly #shares: readonly LocalFairShares[];
+  /** Use that each VM told, newest last, as it is still on its way to others. */
+  readonly #told: { atMs: number; rows: LocalUseRow[] }[][];
+  readonly #accountVms = new Map<string, readonly number[]>();
+  readonly #counts = new Map<string, AccountCount>();
+  readonly #vmShares: readonly number[];
+  readonly #targets: number;
+  #largeMs = 0;
+  #servedMs = 0;
+  #vainMs = 0;
+  #toldRows = 0;
+  #receivedRows = 0;
+  #ranks = 0;
+  #rankMs = 0;
+
+  constructor(options: SharesSimulationOptions) {
+    this.#options = { ...DEFAULTS, ...options };
+    const { size, way, seed } = options;
+    const isExact = way === "oracle";
+    this.#size = isExact ? { ...size, vms: 1 } : size;
+    this.#random = new Random(seed);
+    this.#targets = Math.round(
+      size.callsPerSecond * WORK_MS / 1000 / SLOTS_PER_TARGET,
+    );
+    this.#shares = Array.from(
+      { length: this.#size.vms },
+      () => new LocalFairShares(),
+    );
+    this.#told = this.#shares.map(() => []);
+    this.#pickAccountVms();
+    this.#vmShares = this.#computeVmShares();
+    this.#queues = new QueueSimulation({
+      events: this.#events,
+      random: this.#random,
+      size: this.#size,
+      targets: this.#targets,
+      slotsPerTarget: SLOTS_PER_TARGET,
+      handler: {
+        computeRank: (call) => this.#computeRank(call),
+        handleDispatch: (call) => this.#recordDispatch(call),
+        handleResponse: (call, isTooLate) =>
+          this.#recordResponse(call, isTooLate),
+        handleRejection: () => {},
+      },
+      computeVmShare: (vm) => this.#vmShares[vm],
+      isExact,
+      firstRankDepth: way === "fleet's use, depth 1" ? 1 : 0,
+    });
+  }
+
+  run(): SharesResult {
+    const endMs = this.#options.seconds * 1000;
+    for (const account of this.#accountVms.keys()) {
+      this.#counts.set(account, { asked: 0, served: 0, inTime: 0 });
+      this.#scheduleArrival(account, endMs);
+    }
+    if (this.#options.way.startsWith("fleet")) this.#scheduleExchanges();
+    this.#events.runUntil(endMs + TIMEOUT_MS);
+    return this.#buildResult();
+  }
+
+  #pickAccountVms(): void {
+    const all = Array.from({ length: this.#size.vms }, (_, i) => i);
+    const isOne = this.#options.spread === "one VM";
+    this.#accountVms.set(LARGE, isOne ? [0] : all);
+    for (let i = 0; i < SMALL_ACCOUNTS; i++) {
+      this.#accountVms.set(
+        `small-${i}`,
+        Array.from({ length: SMALL_ACCOUNT_VMS }, () =>
+          this.#random.drawItem(all)),
+      );
+    }
+  }
+
+  #computeVmShares(): number[] {
+    const demands = this.#shares.map(() => 0);
+    for (const [account, vms] of this.#accountVms) {
+      for (const vm of vms) demands[vm] += getDemand(account) / vms.length;
+    }
+    const total = demands.reduce((sum, demand) => sum + demand, 0);
+    const least = 1 / (10 * demands.length);
+    return demands.map((demand) => Math.max(least, demand / total));
+  }
+
+  #scheduleArrival(account: string, endMs: number): void {
+    const perMs = getDemand(account) * this.#targets * SLOTS_PER_TARGET /
+      WORK_MS;
+    this.#events.delay(this.#random.drawExponential(1 / perMs), () => {
+      const { nowMs } = this.#events;
+      if (nowMs >= endMs) return;
+      if (nowMs >= WARM_UP_MS) this.#getCount(account).asked++;
+      this.#queues.submit({
+        vm: this.#random.drawItem(this.#accountVms.get(account) ?? [0]),
+        account,
+        kind: GROUP,
+        workMs: WORK_MS,
+        arrivedAtMs: nowMs,
+        timeoutAtMs: nowMs + TIMEOUT_MS,
+        isClaimed: false,
+      });
+      this.#scheduleArrival(account, endMs);
+    });
+  }
+
+  #getCount(account: string): AccountCount {
+    return this.#counts.get(account) as AccountCount;
+  }
+
+  #computeRank({ vm, account }: QueuedCall): number {
+    if (this.#options.way === "none") return 0;
+    const startedAt = performance.now();
+    const shares = this.#shares[vm];
+    const rank = shares.computeRank(GROUP, account, this.#events.nowMs);
+    this.#rankMs += performance.now() - startedAt;
+    this.#ranks++;
+    return rank;
+  }
+
+  #recordDispatch({ vm, account, workMs }: QueuedCall): void {
+    const { nowMs } = this.#events;
+    this.#shares[vm].recordWork(GROUP, account, workMs, nowMs);
+  }
+
+  #recordResponse(call: QueuedCall, isTooLate: boolean): void {
+    const { nowMs } = this.#events;
+    const { account, arrivedAtMs, workMs } = call;
+    const endMs = this.#options.seconds * 1000;
+    if (nowMs >= WARM_UP_MS && nowMs < endMs) {
+      this.#servedMs += workMs;
+      if (isTooLate) this.#vainMs += workMs;
+      if (account === LARGE) this.#largeMs += workMs;
+    }
+    if (arrivedAtMs < WARM_UP_MS || isTooLate) return;
+    const count = this.#getCount(account);
+    count.served++;
+    if (nowMs - arrivedAtMs <= AIM_MS) count.inTime++;
+  }
+
+  /** Lets each VM tell its use at its own times, and learn that of the others. */
+  #scheduleExchanges(): void {
+    this.#shares.forEach((_, vm) => {
+      const phaseMs = USE_INTERVAL_MS * this.#random.drawUnit();
+      this.#events.delay(phaseMs, () => this.#exchangeUse(vm));
+    });
+  }
+
+  #exchangeUse(vm: number): void {
+    const { nowMs } = this.#events;
+    const rows = this.#shares[vm].listOwnUse(nowMs);
+    this.#toldRows += rows.length;
+    this.#told[vm].push({ atMs: nowMs, rows });
+    const ageMs = computeAgeMs(this.#size, vm, nowMs);
+    const others = this.#sumTold(vm, nowMs - ageMs);
+    this.#receivedRows += others.length;
+    this.#shares[vm].setPeerUse("others", others, nowMs, "gathered");
+    this.#events.delay(USE_INTERVAL_MS, () => this.#exchangeUse(vm));
+  }
+
+  /** Sums what the other VMs had told by a time. */
+  #sumTold(vm: number, atMs: number): LocalUseRow[] {
+    const sums = new Map<string, number>();
+    this.#told.forEach((told, other) => {
+      while (told.length > 1 && told[1].atMs <= atMs) told.shift();
+      if (other === vm || told.length === 0 || told[0].atMs > atMs) return;
+      for (const [, account, workMs] of told[0].rows) {
+        sums.set(account, (sums.get(account) ?? 0) + workMs);
+      }
+    });
+    return [...sums].map(([account, workMs]) => [GROUP, account, workMs, 1]);
+  }
+
+  #computeBytesPerSecond(): number {
+    const { vms } = this.#size;
+    const own = this.#toldRows / vms;
+    const rows = hasHubs(this.#size)
+      ? HUBS_PER_ZONE * own + this.#receivedRows / vms
+      : 2 * (vms - 1) * own;
+    return rows * USE_ROW_BYTES /
+      (this.#options.seconds + TIMEOUT_MS / 1000);
+  }
+
+  #buildResult(): SharesResult {
+    const small = [...this.#counts]
+      .filter(([account]) => account !== LARGE)
+      .map(([, count]) => count);
+    const sum = (pick: (count: AccountCount) => number): number =>
+      small.reduce((total, count) => total + pick(count), 0);
+    const countedMs = this.#options.seconds * 1000 - WARM_UP_MS;
+    const roomMs = this.#targets * SLOTS_PER_TARGET * countedMs;
+    return {
+      smallServed: sum(({ served }) => served) / sum(({ asked }) => asked),
+      smallInTime: sum(({ inTime }) => inTime) / sum(({ asked }) => asked),
+      worstAccount: Math.min(
+        ...small.map(({ served, asked }) => served / asked),
+      ),
+      largeShare: this.#largeMs / roomMs,
+      used: this.#servedMs / roomMs,
+      vain: this.#vainMs / Math.max(1, this.#servedMs),
+      bytesPerSecond: this.#computeBytesPerSecond(),
+      decisionMicros: this.#rankMs * 1000 / Math.max(1, this.#ranks),
+    };
+  }
+}
+
+function getDemand(account: string): number {
+  return account === LARGE ? LARGE_DEMAND : SMALL_DEMAND;
+}
