--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -16,7 +16,7 @@
 import type { PrefixIndex } from "./state/prefix_index.ts";
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import type { PrefillTimeModel } from "./state/prefill_time_model.ts";
-import type { PrefillQueue } from "./scheduling/prefill_queue.ts";
+import type { CallQueue } from "./scheduling/call_queue.ts";
 import type { HandoverClient } from "heatherarch-handover";
 import type { PathMonitor } from "./tasks/path_monitor.ts";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
@@ -27,6 +27,7 @@
 import type { IncarnationCheck } from "./calls/incarnation_check.ts";
 import type { TargetConnections } from "./calls/target_connections.ts";
 import type { TargetDirectory } from "./state/target_directory.ts";
+import type { TargetFailures } from "./state/target_failures.ts";
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
@@ -44,6 +45,7 @@
   readonly usage: UsageRecorder;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
+  readonly targetFailures: TargetFailures;
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
@@ -72,7 +74,7 @@
   /** Number of VMs that share the load. */
   readonly countVms: () => number;
   readonly prefillTimeModel: PrefillTimeModel;
-  readonly prefillQueue: PrefillQueue;
+  readonly prefillQueue: CallQueue;
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
