--- a/packages/heatherarch-lab/bench/hard_load/load_news.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_news.ts
@@ -4,12 +4,12 @@
  *
  * @module
  */
-import type { LocalLoadSample } from "./local_loads.ts";
+import type { LoadSample } from "heatherarch-load";
 
 /** A sample and the VM that observed it. */
 export interface NewsRow {
   readonly vm: number;
-  readonly sample: LocalLoadSample;
+  readonly sample: LoadSample;
 }
 
 /** Rows that a heartbeat carries at most. */
@@ -65,8 +65,8 @@
   }
 
   /** Takes the rows of other VMs that have reached a VM by now. */
-  take(vm: number, sentBeforeMs: number): LocalLoadSample[] {
-    const taken: LocalLoadSample[] = [];
+  take(vm: number, sentBeforeMs: number): LoadSample[] {
+    const taken: LoadSample[] = [];
     let position = this.#positions[vm];
     while (position < this.#rows.length) {
       const row = this.#rows[position];
--- a/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
@@ -9,11 +9,11 @@
  */
 import { Random } from "heatherarch-core";
 import { EngineJitter } from "heatherarch-forward";
+import { TargetLoads, TargetSpeeds } from "heatherarch-load";
 import { EventQueue } from "./event_queue.ts";
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
 import { LaggedWork } from "./lagged_work.ts";
 import { LoadNews } from "./load_news.ts";
-import { LocalTargetLoads, LocalTargetSpeeds } from "./local_loads.ts";
 import { SimulatedTarget } from "./simulated_target.ts";
 
 /** What a VM knows of targets. */
@@ -91,8 +91,10 @@
 
 interface Vm {
   readonly index: number;
-  readonly loads: LocalTargetLoads;
-  readonly speeds: LocalTargetSpeeds;
+  readonly loads: TargetLoads;
+  readonly speeds: TargetSpeeds;
+  /** Whether the sample that is recorded is news to peers. */
+  hasNews: boolean;
 }
 
 /** Objectives and client timeouts of the first deployment; the work of prompts is the model's. */
@@ -141,8 +143,6 @@
 const LEARNED_RESPONSES = 60;
 /** Relative measurement noise of a reported slowdown. */
 const REPORT_NOISE = 0.05;
-/** A slowdown is news if it differs by this share from what the VM expected. */
-const NEWS_SHARE = 0.25;
 /** Weight of a target in a draw: its predicted time to this negative power. */
 const DRAW_POWER = 2;
 /** Targets that are drawn for a choice among a few. */
@@ -244,9 +244,11 @@
   #buildVm(index: number): Vm {
     const vm = {
       index,
-      loads: new LocalTargetLoads(),
-      speeds: new LocalTargetSpeeds(),
+      loads: new TargetLoads(),
+      speeds: new TargetSpeeds(),
+      hasNews: false,
     };
+    vm.loads.registerListener(() => vm.hasNews = true);
     const weight = 0.2 + 1.6 * this.#random.drawUnit();
     this.#weightSums.push((this.#weightSums.at(-1) ?? 0) + weight);
     const { knows } = this.#options;
@@ -437,15 +439,19 @@
     const { knows } = this.#options;
     if (knows !== "own" && knows !== "shared") return;
     const noise = 1 + REPORT_NOISE * (2 * this.#random.drawUnit() - 1);
-    const { nowMs } = this.#events;
-    const id = this.#ids[index];
-    const expected = vm.loads.estimateSlowdown(id, nowMs);
-    const slowdown = target.slowdown * noise;
-    const sample = { target: id, slowdown, atMs: nowMs };
+    const sample = {
+      target: this.#ids[index],
+      running: target.running,
+      waiting: target.waiting,
+      slots: target.slots,
+      slowdown: target.slowdown * noise,
+      atMs: this.#events.nowMs,
+    };
+    vm.hasNews = false;
     vm.loads.record(sample);
-    if (knows !== "shared") return;
-    if (Math.abs(slowdown - expected) < expected * NEWS_SHARE) return;
-    this.#news.add({ vm: vm.index, sample });
+    if (knows === "shared" && vm.hasNews) {
+      this.#news.add({ vm: vm.index, sample });
+    }
   }
 
   #recordResponse(kind: Kind, tookMs: number, workMs: number): void {
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -4,8 +4,7 @@
  * to the simulations that use this one.
  *
  * VMs know each other's calls late, so several may fill the same slot; a target serves calls in order
- * of arrival. Each VM counts what it did since its last digest as done by the other VMs too, in
- * proportion to their calls. Faults and lost messages are not simulated.
+ * of arrival. Faults and lost messages are not simulated.
  *
  * @module
  */
@@ -15,6 +14,23 @@
 import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
 import { LaggedWork } from "./lagged_work.ts";
 import { SimulatedTarget } from "./simulated_target.ts";
+import { VmDemand } from "./vm_demand.ts";
+
+/** When a VM sends a call of its queue to a target. */
+export const GATES = [
+  /** While the calls that are known at the target are below its slots. */
+  "known",
+  /** Also at the rate of the VM's share of all slots, up to twice the slots of a target. */
+  "turns",
+  /**
+   * While the fleet asks for more than the room, at the rate of the VM's share, which follows the known
+   * backlog; otherwise as with `known`.
+   */
+  "paced",
+] as const;
+
+/** Name of a rule for sending. */
+export type Gate = typeof GATES[number];
 
 /** A call at a VM. */
 export interface QueuedCall {
@@ -47,8 +63,9 @@
   readonly slotsPerTarget: number;
   readonly targets: number;
   readonly handler: QueueHandler;
-  /** Share of the fleet's calls that a VM receives. */
-  readonly computeVmShare: (vm: number) => number;
+  /** Usual duration of a call, milliseconds. */
+  readonly workMs: number;
+  readonly gate?: Gate;
   /** Whether a VM knows the current work of all VMs. */
   readonly isExact?: boolean;
   /** Calls that a call of rank 0 may have before it at a busy target, per slot. */
@@ -65,8 +82,19 @@
   readonly rate: DispatchRate;
   size: number;
   isPolling: boolean;
+  lastSentAtMs: number;
+  /** Calls that the VM may send by its pace. */
+  tokens: number;
+  tokensAtMs: number;
 }
 
+/** Up to this many times its slots, a VM sends to a target at the rate of its share. */
+const MAX_OVERLOAD_FACTOR = 2;
+/** The fleet asks for more than the room from this part of it on. */
+const CONTENTION_LOAD = 0.8;
+/** Below this backlog, relative to the slots, paces are raised, so that no target idles. */
+const LOW_BACKLOG = 1.25;
+const RAISED_PACE = 1.25;
 /** Interval at which a VM with waiting calls looks for room, milliseconds. */
 const POLL_MS = 10;
 
@@ -76,6 +104,7 @@
   readonly #targets: readonly SimulatedTarget[];
   readonly #work: LaggedWork;
   readonly #vms: readonly Vm[];
+  readonly #demand: VmDemand;
 
   constructor(options: QueueSimulationOptions) {
     this.#options = options;
@@ -95,12 +124,17 @@
       rate: new DispatchRate(),
       size: 0,
       isPolling: false,
+      lastSentAtMs: -Infinity,
+      tokens: random.drawUnit(),
+      tokensAtMs: 0,
     }));
+    this.#demand = new VmDemand(size.vms);
   }
 
   /** Adds a call to the queue of its VM. */
   submit(call: QueuedCall): void {
     const vm = this.#vms[call.vm];
+    this.#demand.recordCall(call.vm, this.#options.events.nowMs);
     const key = `${call.account} ${call.kind} ${call.isClaimed}`;
     let lane = vm.lanes.get(key);
     if (lane === undefined) {
@@ -141,20 +175,27 @@
     const vm = this.#vms[index];
     const { events, handler } = this.#options;
     const known = this.#copyKnown(index);
+    this.#updateTokens(index, known);
     let isWaiting = false;
     while (vm.size > 0) {
       const lane = this.#findFirstLane(vm);
       if (lane === undefined) break;
       const call = lane.calls[lane.first];
-      const target = this.#findTarget(known, handler.computeRank(call));
+      const target = this.#findTarget(index, known, handler.computeRank(call));
       if (target === undefined) {
         isWaiting = true;
         break;
       }
       takeFirst(lane);
+      if (this.#endsTooLate(call, known[target])) {
+        this.#reject(vm, call);
+        continue;
+      }
       vm.size--;
       if (call.arrivedAtMs < events.nowMs) vm.rate.record(events.nowMs, 1);
-      known[target] += this.#computeOwnFactor(index);
+      known[target]++;
+      vm.lastSentAtMs = events.nowMs;
+      vm.tokens = Math.max(-1, vm.tokens - 1);
       this.#send(call, target);
     }
     if (isWaiting) vm.rate.record(events.nowMs, 0);
@@ -163,14 +204,43 @@
   #copyKnown(vm: number): Float64Array {
     if (this.#options.isExact === true) return this.#work.current.slice();
     const { size, events } = this.#options;
-    const ageMs = computeAgeMs(size, vm, events.nowMs);
-    return this.#work.copyKnown(vm, ageMs, this.#computeOwnFactor(vm));
+    return this.#work.copyKnown(vm, computeAgeMs(size, vm, events.nowMs));
+  }
+
+  /** Adds what a VM may send by its pace since the last time. */
+  #updateTokens(index: number, known: Float64Array): void {
+    if (this.#options.gate !== "paced") return;
+    const vm = this.#vms[index];
+    const { events: { nowMs }, workMs } = this.#options;
+    const elapsedMs = nowMs - vm.tokensAtMs;
+    vm.tokensAtMs = nowMs;
+    const slots = this.#slots;
+    const backlog = known.reduce((sum, calls) => sum + calls, 0);
+    const factor = backlog < LOW_BACKLOG * slots ? RAISED_PACE : 1;
+    const share = this.#demand.computeShare(index, nowMs);
+    const perMs = share * slots / workMs * factor;
+    vm.tokens = Math.min(
+      Math.max(1, share * slots),
+      vm.tokens + perMs * elapsedMs,
+    );
   }
 
-  /** Number of calls of the fleet that one call of this VM stands for. */
-  #computeOwnFactor(vm: number): number {
-    if (this.#options.isExact === true) return 1;
-    return 1 / this.#options.computeVmShare(vm);
+  get #slots(): number {
+    return this.#targets.length * this.#options.slotsPerTarget;
+  }
+
+  get #isContended(): boolean {
+    const { events, workMs } = this.#options;
+    const rate = this.#demand.computeFleetRate(events.nowMs);
+    return rate * workMs > CONTENTION_LOAD * this.#slots;
+  }
+
+  /** Whether it is the VM's turn to send by its share of the slots. */
+  #isTurn(index: number): boolean {
+    const { events, workMs } = this.#options;
+    const share = this.#demand.computeShare(index, events.nowMs);
+    const intervalMs = workMs / this.#slots / share;
+    return events.nowMs >= this.#vms[index].lastSentAtMs + intervalMs;
   }
 
   #findFirstLane(vm: Vm): Lane | undefined {
@@ -195,18 +265,42 @@
     return call.isClaimed ? rank - 1 : rank;
   }
 
-  /** Target with the least calls, if it is known to have room for a call of this rank. */
-  #findTarget(known: Float64Array, rank: number): number | undefined {
-    const { random, slotsPerTarget, firstRankDepth = 0 } = this.#options;
-    const depth = rank <= 0 ? firstRankDepth : 0;
-    const limit = slotsPerTarget * (1 + depth);
-    const first = random.drawInteger(0, known.length - 1);
+  /** Target with the least calls, if a call of this rank may be sent to it now. */
+  #findTarget(
+    index: number,
+    known: Float64Array,
+    rank: number,
+  ): number | undefined {
+    const first = this.#options.random.drawInteger(0, known.length - 1);
     let best = first;
     for (let i = 1; i < known.length; i++) {
       const target = (first + i) % known.length;
       if (known[target] < known[best]) best = target;
     }
-    return known[best] < limit ? best : undefined;
+    return this.#maySend(index, known[best], rank) ? best : undefined;
+  }
+
+  #maySend(index: number, known: number, rank: number): boolean {
+    const { slotsPerTarget: slots, gate, isExact, firstRankDepth = 0 } =
+      this.#options;
+    if (isExact === true) return known < slots;
+    const isFirst = firstRankDepth > 0 && rank <= 0;
+    if (gate === "paced" && this.#isContended) {
+      const limit = MAX_OVERLOAD_FACTOR + (isFirst ? firstRankDepth : 0);
+      const mayExceedPace = isFirst || this.#vms[index].tokens >= 1;
+      return mayExceedPace && known < slots * limit;
+    }
+    if (isFirst && known < slots * (1 + firstRankDepth)) return true;
+    if (known < slots) return true;
+    return gate === "turns" && known < slots * MAX_OVERLOAD_FACTOR &&
+      this.#isTurn(index);
+  }
+
+  /** Whether a call would be served too late by a target with this many calls. */
+  #endsTooLate(call: QueuedCall, known: number): boolean {
+    const { slotsPerTarget: slots, workMs, events } = this.#options;
+    const waitMs = Math.max(0, known - slots + 1) * workMs / slots;
+    return events.nowMs + waitMs + call.workMs > call.timeoutAtMs;
   }
 
   #send(call: QueuedCall, target: number): void {
--- /dev/null
+++ b/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
@@ -0,0 +1,394 @@
+/**
+ * Simulates bursts of calls, and clients that return once after a rejection, to compare the delays
+ * that rejections state.
+ *
+ * @module
+ */
+import { Random } from "heatherarch-core";
+import { computeRetryAfterMs } from "heatherarch-forward";
+import { type DueRow, ReturnBook, ReturnDetector } from "heatherarch-returns";
+import { EventQueue } from "./event_queue.ts";
+import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
+import { type Gate, type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
+import { VmDemand } from "./vm_demand.ts";
+
+/** Ways to compute the delay of a rejection. */
+export const RETURN_WAYS = [
+  /** Today: by the time that the call waited. */
+  "waited",
+  /** A time that is drawn from all for which the client waits. */
+  "spread",
+  /** The first time at which the VM has room that is not booked. */
+  "booked",
+  /** One book for the fleet, which knows its room, and returns that are known as such. */
+  "oracle",
+] as const;
+
+/** Name of a way to compute the delay. */
+export type ReturnWay = typeof RETURN_WAYS[number];
+
+/** Options of {@linkcode simulateReturns}. */
+export interface ReturnsSimulationOptions {
+  readonly seed: number;
+  readonly size: FleetSize;
+  readonly way: ReturnWay;
+  readonly gate?: Gate;
+  readonly seconds?: number;
+  /** Share of the clients that return at once, again and again. */
+  readonly impatientShare?: number;
+}
+
+/** Result of {@linkcode simulateReturns}; shares are 0 to 1. */
+export interface ReturnsResult {
+  /** Clients that were served before they gave up, and within the latency objective. */
+  readonly served: number;
+  readonly inTime: number;
+  /** The same by kind of client, for the kind that is served least. */
+  readonly worstKind: number;
+  /** Share of the clients that wait as told, and of the others, that were served. */
+  readonly patientServed: number;
+  readonly impatientServed: number;
+  /** Share of the clients that were rejected twice or more often. */
+  readonly rejectedTwice: number;
+  /** Share of the room that was used. */
+  readonly used: number;
+  readonly vain: number;
+  readonly bytesPerSecond: number;
+  /** Processor time of a booking, microseconds. */
+  readonly decisionMicros: number;
+}
+
+interface Client {
+  readonly kind: ClientKind;
+  readonly arrivedAtMs: number;
+  readonly isImpatient: boolean;
+  rejections: number;
+  isServed: boolean;
+  isInTime: boolean;
+}
+
+interface ClientKind {
+  readonly name: string;
+  readonly aimMs: number;
+  readonly timeoutMs: number;
+}
+
+interface Return extends QueuedCall {
+  readonly client: Client;
+}
+
+/** Objectives and client timeouts of plain calls in the two deployments. */
+const KINDS: readonly ClientKind[] = [
+  { name: "hasty", aimMs: 152, timeoutMs: 1611 },
+  { name: "patient", aimMs: 396, timeoutMs: 4109 },
+];
+const WORK_MS = 40;
+const SLOTS_PER_TARGET = 4;
+/** Demand between and in bursts, as a share of the room. */
+const USUAL_DEMAND = 0.55;
+const BURST_DEMAND = 3;
+const BURST_MS = 1500;
+const BURST_INTERVAL_MS = 8000;
+const FIRST_BURST_MS = 1000;
+/** Clients wait for at most this share of their remaining time. */
+const WAIT_SHARE = 1 / 3;
+/** Clients that don't wait return after this time, and this often at most. */
+const IMPATIENT_DELAY_MS = 20;
+const MAX_IMPATIENT_RETURNS = 5;
+/** Interval at which VMs tell the returns that are due, milliseconds. */
+const DUE_INTERVAL_MS = 250;
+/** Encoded size of a row: service of 12 characters and a number. */
+export const DUE_ROW_BYTES = 17;
+const HUBS_PER_ZONE = 2;
+const GROUP = "plain";
+const DEFAULTS = {
+  seconds: 16,
+  impatientShare: 0.2,
+  gate: "turns" as Gate,
+};
+
+/** Runs one simulation. */
+export function simulateReturns(
+  options: ReturnsSimulationOptions,
+): ReturnsResult {
+  return new ReturnsSimulation(options).run();
+}
+
+class ReturnsSimulation {
+  readonly #options: Required<ReturnsSimulationOptions>;
+  readonly #random: Random;
+  readonly #events = new EventQueue();
+  readonly #queues: QueueSimulation;
+  readonly #demand: VmDemand;
+  readonly #books: readonly ReturnBook[];
+  readonly #detector: readonly ReturnDetector[];
+  /** Returns that each VM told as due, oldest first. */
+  readonly #told: { atMs: number; returns: number }[][];
+  readonly #clients: Client[] = [];
+  readonly #targets: number;
+  #servedMs = 0;
+  #vainMs = 0;
+  #toldRows = 0;
+  #receivedRows = 0;
+  #bookings = 0;
+  #bookingMs = 0;
+
+  constructor(options: ReturnsSimulationOptions) {
+    this.#options = { ...DEFAULTS, ...options };
+    const { seed, size, way, gate } = this.#options;
+    this.#random = new Random(seed);
+    this.#demand = new VmDemand(size.vms);
+    this.#targets = Math.round(
+      size.callsPerSecond * WORK_MS / 1000 / SLOTS_PER_TARGET,
+    );
+    const books = way === "oracle" ? 1 : size.vms;
+    this.#books = Array.from({ length: books }, (_, vm) =>
+      new ReturnBook({
+        computeShare: (nowMs) =>
+          way === "oracle" ? 1 : this.#demand.computeShare(vm, nowMs),
+        drawUnit: () => this.#random.drawUnit(),
+      }));
+    this.#detector = this.#books.map(() => new ReturnDetector());
+    this.#told = this.#books.map(() => []);
+    this.#queues = new QueueSimulation({
+      events: this.#events,
+      random: this.#random,
+      size,
+      targets: this.#targets,
+      slotsPerTarget: SLOTS_PER_TARGET,
+      workMs: WORK_MS,
+      gate,
+      handler: {
+        // New calls have rank 1, as in the product's queue a return goes before its class.
+        computeRank: () => 1,
+        handleDispatch: () => {},
+        handleResponse: (call, isTooLate) =>
+          this.#recordResponse(call as Return, isTooLate),
+        handleRejection: (call, ratePerMs) =>
+          this.#handleRejection(call as Return, ratePerMs),
+      },
+    });
+  }
+
+  run(): ReturnsResult {
+    for (const kind of KINDS) this.#scheduleArrival(kind);
+    if (this.#options.way === "booked") this.#scheduleExchanges();
+    this.#events.runUntil(this.#endMs + KINDS[1].timeoutMs);
+    return this.#buildResult();
+  }
+
+  get #endMs(): number {
+    return this.#options.seconds * 1000;
+  }
+
+  /** Room of all targets, calls per millisecond. */
+  get #roomPerMs(): number {
+    return this.#targets * SLOTS_PER_TARGET / WORK_MS;
+  }
+
+  #scheduleArrival(kind: ClientKind): void {
+    const perMs = BURST_DEMAND * this.#roomPerMs / KINDS.length;
+    this.#events.delay(this.#random.drawExponential(1 / perMs), () => {
+      const { nowMs } = this.#events;
+      if (nowMs >= this.#endMs) return;
+      const isDrawn = isBurst(nowMs) ||
+        this.#random.drawUnit() < USUAL_DEMAND / BURST_DEMAND;
+      if (isDrawn) this.#startClient(kind);
+      this.#scheduleArrival(kind);
+    });
+  }
+
+  #startClient(kind: ClientKind): void {
+    const client = {
+      kind,
+      arrivedAtMs: this.#events.nowMs,
+      isImpatient: this.#random.drawUnit() < this.#options.impatientShare,
+      rejections: 0,
+      isServed: false,
+      isInTime: false,
+    };
+    this.#clients.push(client);
+    this.#submit(client);
+  }
+
+  /** Submits a call of a client to a VM; the load balancer picks it by hash. */
+  #submit(client: Client): void {
+    const { nowMs } = this.#events;
+    const { kind, arrivedAtMs } = client;
+    const vm = this.#random.drawInteger(0, this.#options.size.vms - 1);
+    const timeoutAtMs = arrivedAtMs + kind.timeoutMs;
+    this.#demand.recordCall(vm, nowMs);
+    const call: Return = {
+      vm,
+      account: "",
+      kind: kind.name,
+      workMs: WORK_MS,
+      arrivedAtMs: nowMs,
+      timeoutAtMs,
+      isClaimed: this.#isClaimed(vm, client, timeoutAtMs - nowMs),
+      client,
+    };
+    this.#queues.submit(call);
+  }
+
+  #isClaimed(vm: number, client: Client, remainingMs: number): boolean {
+    const { way } = this.#options;
+    if (way === "oracle") return client.rejections > 0 && !client.isImpatient;
+    if (way !== "booked") return false;
+    const { nowMs } = this.#events;
+    const route = client.kind.name;
+    return this.#detector[vm].isReturn(route, remainingMs, nowMs) &&
+      this.#books[vm].claim(GROUP, undefined, nowMs);
+  }
+
+  #handleRejection(call: Return, ratePerMs: number | undefined): void {
+    const { client, timeoutAtMs } = call;
+    client.rejections++;
+    const remainingMs = timeoutAtMs - this.#events.nowMs;
+    if (client.isImpatient) {
+      const mayReturn = client.rejections <= MAX_IMPATIENT_RETURNS &&
+        remainingMs > IMPATIENT_DELAY_MS + WORK_MS;
+      if (!mayReturn) return;
+      this.#events.delay(IMPATIENT_DELAY_MS, () => this.#submit(client));
+      return;
+    }
+    if (client.rejections > 1) return;
+    const longestMs = remainingMs * WAIT_SHARE;
+    const delayMs = this.#computeDelayMs(call, longestMs, ratePerMs);
+    this.#events.delay(
+      Math.min(delayMs, longestMs),
+      () => this.#submit(client),
+    );
+  }
+
+  #computeDelayMs(
+    call: Return,
+    longestMs: number,
+    ratePerMs: number | undefined,
+  ): number {
+    const { nowMs } = this.#events;
+    const drawUnit = () => this.#random.drawUnit();
+    switch (this.#options.way) {
+      case "waited":
+        return computeRetryAfterMs(nowMs - call.arrivedAtMs, 0, drawUnit);
+      case "spread":
+        return longestMs * drawUnit();
+      case "booked":
+        return this.#book(this.#books[call.vm], longestMs, {
+          // Without a rate, the VM's share of all slots stands for it.
+          roomPerMs: (ratePerMs ??
+            this.#demand.computeShare(call.vm, nowMs) * this.#roomPerMs) *
+            WORK_MS,
+        });
+      case "oracle":
+        return this.#book(this.#books[0], longestMs, {
+          roomPerMs: this.#roomPerMs * WORK_MS,
+          bookableShare: isBurst(nowMs) ? 0.5 : 1 - USUAL_DEMAND,
+        });
+    }
+  }
+
+  #book(
+    book: ReturnBook,
+    latestMs: number,
+    room: { roomPerMs: number; bookableShare?: number },
+  ): number {
+    const startedAt = performance.now();
+    const delayMs = book.book(
+      GROUP,
+      { workMs: WORK_MS, earliestMs: 0, latestMs, ...room },
+      this.#events.nowMs,
+    );
+    this.#bookingMs += performance.now() - startedAt;
+    this.#bookings++;
+    return delayMs;
+  }
+
+  #recordResponse({ client, workMs }: Return, isTooLate: boolean): void {
+    this.#servedMs += workMs;
+    if (isTooLate) {
+      this.#vainMs += workMs;
+      return;
+    }
+    const tookMs = this.#events.nowMs - client.arrivedAtMs;
+    client.isServed = true;
+    client.isInTime = tookMs <= client.kind.aimMs;
+  }
+
+  #scheduleExchanges(): void {
+    this.#books.forEach((_, vm) => {
+      const phaseMs = DUE_INTERVAL_MS * this.#random.drawUnit();
+      this.#events.delay(phaseMs, () => this.#exchangeDue(vm));
+    });
+  }
+
+  #exchangeDue(vm: number): void {
+    const { nowMs } = this.#events;
+    const { size } = this.#options;
+    const due = this.#books[vm].listDue(nowMs);
+    this.#toldRows += due.length;
+    this.#told[vm].push({ atMs: nowMs, returns: due[0]?.[1] ?? 0 });
+    const returns = this.#sumTold(vm, nowMs - computeAgeMs(size, vm, nowMs));
+    const rows: DueRow[] = returns > 0 ? [[GROUP, returns]] : [];
+    this.#receivedRows += rows.length;
+    this.#books[vm].setPeerDue("others", rows, nowMs, "gathered");
+    this.#events.delay(DUE_INTERVAL_MS, () => this.#exchangeDue(vm));
+  }
+
+  /** Sums what the other VMs had told by a time. */
+  #sumTold(vm: number, atMs: number): number {
+    let sum = 0;
+    this.#told.forEach((told, other) => {
+      while (told.length > 1 && told[1].atMs <= atMs) told.shift();
+      if (other === vm || told.length === 0 || told[0].atMs > atMs) return;
+      sum += told[0].returns;
+    });
+    return sum;
+  }
+
+  #computeBytesPerSecond(): number {
+    const { size, seconds } = this.#options;
+    const own = this.#toldRows / size.vms;
+    const rows = hasHubs(size)
+      ? HUBS_PER_ZONE * own + this.#receivedRows / size.vms
+      : 2 * (size.vms - 1) * own;
+    return rows * DUE_ROW_BYTES / (seconds + KINDS[1].timeoutMs / 1000);
+  }
+
+  #buildResult(): ReturnsResult {
+    const rate = (
+      clients: readonly Client[],
+      pick: (client: Client) => boolean,
+    ): number => clients.filter(pick).length / Math.max(1, clients.length);
+    const isServed = (client: Client): boolean => client.isServed;
+    const clients = this.#clients;
+    const roomMs = this.#roomPerMs * WORK_MS * this.#endMs;
+    return {
+      served: rate(clients, isServed),
+      inTime: rate(clients, ({ isInTime }) => isInTime),
+      worstKind: Math.min(
+        ...KINDS.map((kind) =>
+          rate(clients.filter((client) => client.kind === kind), isServed)
+        ),
+      ),
+      patientServed: rate(
+        clients.filter(({ isImpatient }) => !isImpatient),
+        isServed,
+      ),
+      impatientServed: rate(
+        clients.filter(({ isImpatient }) => isImpatient),
+        isServed,
+      ),
+      rejectedTwice: rate(clients, ({ rejections }) => rejections > 1),
+      used: this.#servedMs / roomMs,
+      vain: this.#vainMs / Math.max(1, this.#servedMs),
+      bytesPerSecond: this.#computeBytesPerSecond(),
+      decisionMicros: this.#bookingMs * 1000 / Math.max(1, this.#bookings),
+    };
+  }
+}
+
+function isBurst(nowMs: number): boolean {
+  return nowMs >= FIRST_BURST_MS &&
+    (nowMs - FIRST_BURST_MS) % BURST_INTERVAL_MS < BURST_MS;
+}
--- a/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -8,7 +8,7 @@
 import { EventQueue } from "./event_queue.ts";
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
 import { LocalFairShares, type LocalUseRow } from "./local_shares.ts";
-import { type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
+import { type Gate, type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
 
 /** Ways to share targets. */
 export const SHARE_WAYS = [
@@ -36,6 +36,8 @@
   readonly size: FleetSize;
   readonly way: ShareWay;
   readonly spread: LargeSpread;
+  /** When VMs send to targets; `turns` by default. */
+  readonly gate?: Gate;
   readonly seconds?: number;
 }
 
@@ -83,7 +85,7 @@
 /** Time before calls are counted, in which the first use becomes known. */
 const WARM_UP_MS = 2000;
 const GROUP = "plain";
-const DEFAULTS = { seconds: 8 };
+const DEFAULTS = { seconds: 8, gate: "turns" as Gate };
 
 /** Runs one simulation. */
 export function simulateShares(options: SharesSimulationOptions): SharesResult {
@@ -101,7 +103,6 @@
   readonly #told: { atMs: number; rows: LocalUseRow[] }[][];
   readonly #accountVms = new Map<string, readonly number[]>();
   readonly #counts = new Map<string, AccountCount>();
-  readonly #vmShares: readonly number[];
   readonly #targets: number;
   #largeMs = 0;
   #servedMs = 0;
@@ -126,7 +127,6 @@
     );
     this.#told = this.#shares.map(() => []);
     this.#pickAccountVms();
-    this.#vmShares = this.#computeVmShares();
     this.#queues = new QueueSimulation({
       events: this.#events,
       random: this.#random,
@@ -140,7 +140,8 @@
           this.#recordResponse(call, isTooLate),
         handleRejection: () => {},
       },
-      computeVmShare: (vm) => this.#vmShares[vm],
+      workMs: WORK_MS,
+      gate: this.#options.gate,
       isExact,
       firstRankDepth: way === "fleet's use, depth 1" ? 1 : 0,
     });
@@ -170,16 +171,6 @@
     }
   }
 
-  #computeVmShares(): number[] {
-    const demands = this.#shares.map(() => 0);
-    for (const [account, vms] of this.#accountVms) {
-      for (const vm of vms) demands[vm] += getDemand(account) / vms.length;
-    }
-    const total = demands.reduce((sum, demand) => sum + demand, 0);
-    const least = 1 / (10 * demands.length);
-    return demands.map((demand) => Math.max(least, demand / total));
-  }
-
   #scheduleArrival(account: string, endMs: number): void {
     const perMs = getDemand(account) * this.#targets * SLOTS_PER_TARGET /
       WORK_MS;
