--- a/packages/heatherarch-lab/bench/hard_load/fleet_size.ts
+++ b/packages/heatherarch-lab/bench/hard_load/fleet_size.ts
@@ -11,6 +11,8 @@
   readonly minAgeMs: number;
   readonly maxAgeMs: number;
   readonly plainTargets: number;
+  /** Plain targets at which a call is late if the target is slow. */
+  readonly unevenTargets: number;
   readonly prefillEngines: number;
   /** Calls that the plain targets serve per second in the simulations of queues. */
   readonly callsPerSecond: number;
@@ -29,6 +31,7 @@
     minAgeMs: 30,
     maxAgeMs: 60,
     plainTargets: 4,
+    unevenTargets: 6,
     prefillEngines: 10,
     callsPerSecond: 200,
   },
@@ -37,6 +40,7 @@
     minAgeMs: 100,
     maxAgeMs: 250,
     plainTargets: 4,
+    unevenTargets: 6,
     prefillEngines: 98,
     callsPerSecond: 400,
   },
@@ -45,6 +49,7 @@
     minAgeMs: 100,
     maxAgeMs: 250,
     plainTargets: 24,
+    unevenTargets: 36,
     prefillEngines: 310,
     callsPerSecond: 2400,
   },
--- a/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
@@ -14,7 +14,7 @@
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
 import { LaggedWork } from "./lagged_work.ts";
 import { LoadNews } from "./load_news.ts";
-import { SimulatedTarget } from "./simulated_target.ts";
+import { SimulatedTarget, type SlowSpanOptions } from "./simulated_target.ts";
 
 /** What a VM knows of targets. */
 export const LOAD_KNOWLEDGE = [
@@ -71,14 +71,26 @@
   readonly decisionMicros: number;
 }
 
-interface Kind {
+/** A group of similar targets. */
+export type PoolName = "plain" | "uneven" | "prefill";
+
+/** A kind of call. */
+export interface LoadKind {
   readonly name: string;
-  readonly pool: "plain" | "prefill";
+  readonly pool: PoolName;
   readonly meanWorkMs: number;
   /** Share of the work of its pool. */
   readonly workShare: number;
   readonly aimMs: number;
   readonly timeoutMs: number;
+  /** Largest deviation of the work of a call from its mean, as a share of it. */
+  readonly workSpread: number;
+}
+
+interface PoolTraits {
+  readonly slots: number;
+  readonly speeds: readonly number[];
+  readonly slow: SlowSpanOptions;
 }
 
 interface Pool {
@@ -98,7 +110,7 @@
 }
 
 /** Objectives and client timeouts of the first deployment; the work of prompts is the model's. */
-const KINDS: readonly Kind[] = [
+export const LOAD_KINDS: readonly LoadKind[] = [
   {
     name: "long",
     pool: "prefill",
@@ -106,6 +118,7 @@
     workShare: 0.5,
     aimMs: 627,
     timeoutMs: 5226,
+    workSpread: 0.5,
   },
   {
     name: "middle",
@@ -114,6 +127,7 @@
     workShare: 0.3,
     aimMs: 519,
     timeoutMs: 3115,
+    workSpread: 0.5,
   },
   {
     name: "short",
@@ -122,6 +136,7 @@
     workShare: 0.2,
     aimMs: 311,
     timeoutMs: 5187,
+    workSpread: 0.5,
   },
   {
     name: "plain",
@@ -130,15 +145,31 @@
     workShare: 1,
     aimMs: 152,
     timeoutMs: 1611,
+    workSpread: 0.5,
+  },
+  {
+    name: "uneven",
+    pool: "uneven",
+    meanWorkMs: 80,
+    workShare: 1,
+    aimMs: 150,
+    timeoutMs: 1611,
+    workSpread: 0,
   },
 ];
 const SPEEDS = [0.6, 1, 1.6];
 const SLOW = { share: 0.15, spanMs: 600, slowdown: 2.5 };
-const PLAIN_SLOTS = 6;
+/**
+ * Plain targets of the first deployment, prefill engines, and the uneven plain targets of the page's
+ * bound, at which a call is late if the target is slow.
+ */
+const POOLS: Readonly<Record<PoolName, PoolTraits>> = {
+  plain: { slots: 6, speeds: SPEEDS, slow: SLOW },
+  prefill: { slots: 1, speeds: SPEEDS, slow: SLOW },
+  uneven: { slots: 3, speeds: [1], slow: { ...SLOW, share: 0.3 } },
+};
 /** Factor of the load in the middle third of the time. */
 const BURST = 1.4;
-/** Spread of the work of a call around its mean. */
-const WORK_SPREAD = 0.5;
 /** Responses of a target that a VM has learned from before the simulation begins. */
 const LEARNED_RESPONSES = 60;
 /** Relative measurement noise of a reported slowdown. */
@@ -168,7 +199,7 @@
   readonly #events = new EventQueue();
   readonly #targets: SimulatedTarget[];
   readonly #ids: string[];
-  readonly #pools: Record<Kind["pool"], Pool>;
+  readonly #pools: Record<PoolName, Pool>;
   readonly #work: LaggedWork;
   readonly #news: LoadNews;
   readonly #vms: Vm[];
@@ -181,16 +212,22 @@
   #decisionMs = 0;
 
   constructor(options: LoadSimulationOptions) {
-    this.#options = { ...DEFAULTS, ...options };
+    this.#options = {
+      ...options,
+      seconds: options.seconds ?? DEFAULTS.seconds,
+      load: options.load ?? DEFAULTS.load,
+    };
     const { seed, size } = options;
     this.#random = new Random(seed);
-    const plain = this.#buildTargets(size.plainTargets, PLAIN_SLOTS);
-    const engines = this.#buildTargets(size.prefillEngines, 1);
-    this.#targets = [...plain, ...engines];
+    const plain = this.#buildTargets("plain", size.plainTargets);
+    const engines = this.#buildTargets("prefill", size.prefillEngines);
+    const uneven = this.#buildTargets("uneven", size.unevenTargets);
+    this.#targets = [...plain, ...engines, ...uneven];
     this.#ids = this.#targets.map((_, i) => `target-${i}`);
     this.#pools = {
       plain: this.#buildPool("plain", 0, plain),
       prefill: this.#buildPool("prefill", plain.length, engines),
+      uneven: this.#buildPool("uneven", plain.length + engines.length, uneven),
     };
     this.#work = new LaggedWork({
       events: this.#events,
@@ -204,29 +241,30 @@
 
   run(): LoadResult {
     const { seconds } = this.#options;
-    for (const kind of KINDS) this.#scheduleArrival(kind);
-    const longestMs = Math.max(...KINDS.map(({ timeoutMs }) => timeoutMs));
+    for (const kind of LOAD_KINDS) this.#scheduleArrival(kind);
+    const longestMs = Math.max(...LOAD_KINDS.map(({ timeoutMs }) => timeoutMs));
     this.#events.runUntil(seconds * 1000 + longestMs);
     return this.#buildResult();
   }
 
-  #buildTargets(count: number, slots: number): SimulatedTarget[] {
+  #buildTargets(pool: PoolName, count: number): SimulatedTarget[] {
+    const { slots, speeds, slow } = POOLS[pool];
     return Array.from({ length: count }, (_, i) =>
       new SimulatedTarget({
         events: this.#events,
         random: this.#random,
         slots,
-        speed: SPEEDS[i % SPEEDS.length],
-        slow: SLOW,
+        speed: speeds[i % speeds.length],
+        slow,
       }));
   }
 
   #buildPool(
-    name: Kind["pool"],
+    name: PoolName,
     first: number,
     targets: readonly SimulatedTarget[],
   ): Pool {
-    const kinds = KINDS.filter(({ pool }) => pool === name);
+    const kinds = LOAD_KINDS.filter(({ pool }) => pool === name);
     const calls = kinds.reduce(
       (sum, { workShare, meanWorkMs }) => sum + workShare / meanWorkMs,
       0,
@@ -275,7 +313,7 @@
     vm.speeds.learn(this.#ids[target], { ...sample, slowdown });
   }
 
-  #scheduleArrival(kind: Kind): void {
+  #scheduleArrival(kind: LoadKind): void {
     const { seconds } = this.#options;
     const endMs = seconds * 1000;
     const burstRate = this.#computeRate(kind) * BURST;
@@ -290,8 +328,9 @@
   }
 
   /** Calls per millisecond at the mean load. */
-  #computeRate(kind: Kind): number {
-    const slowdown = 1 + SLOW.share * (SLOW.slowdown - 1);
+  #computeRate(kind: LoadKind): number {
+    const { slow } = POOLS[kind.pool];
+    const slowdown = 1 + slow.share * (slow.slowdown - 1);
     const capacity = this.#pools[kind.pool].targets.reduce(
       (sum, { slots, speed }) => sum + slots / speed / slowdown,
       0,
@@ -299,10 +338,10 @@
     return this.#options.load * capacity * kind.workShare / kind.meanWorkMs;
   }
 
-  #sendCall(kind: Kind): void {
+  #sendCall(kind: LoadKind): void {
     const vm = this.#drawVm();
     const workMs = kind.meanWorkMs *
-      (1 + WORK_SPREAD * (2 * this.#random.drawUnit() - 1));
+      (1 + kind.workSpread * (2 * this.#random.drawUnit() - 1));
     const startedAt = performance.now();
     const index = this.#pickTarget(vm, this.#pools[kind.pool], workMs);
     this.#decisionMs += performance.now() - startedAt;
@@ -454,7 +493,7 @@
     }
   }
 
-  #recordResponse(kind: Kind, tookMs: number, workMs: number): void {
+  #recordResponse(kind: LoadKind, tookMs: number, workMs: number): void {
     const count = this.#counts.get(kind.name) ?? { asked: 0, inTime: 0 };
     this.#counts.set(kind.name, count);
     count.asked++;
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -72,9 +72,12 @@
   readonly firstRankDepth?: number;
 }
 
+/** Calls of a VM that have the same rank, in order of arrival. */
 interface Lane {
   readonly calls: QueuedCall[];
   first: number;
+  rank: number;
+  rankedAtMs: number;
 }
 
 interface Vm {
@@ -138,7 +141,7 @@
     const key = `${call.account} ${call.kind} ${call.isClaimed}`;
     let lane = vm.lanes.get(key);
     if (lane === undefined) {
-      lane = { calls: [], first: 0 };
+      lane = { calls: [], first: 0, rank: 0, rankedAtMs: -Infinity };
       vm.lanes.set(key, lane);
     }
     if (vm.size === 0) vm.rate.start(this.#options.events.nowMs);
@@ -173,7 +176,7 @@
 
   #dispatch(index: number): void {
     const vm = this.#vms[index];
-    const { events, handler } = this.#options;
+    const { events } = this.#options;
     const known = this.#copyKnown(index);
     this.#updateTokens(index, known);
     let isWaiting = false;
@@ -181,7 +184,7 @@
       const lane = this.#findFirstLane(vm);
       if (lane === undefined) break;
       const call = lane.calls[lane.first];
-      const target = this.#findTarget(index, known, handler.computeRank(call));
+      const target = this.#findTarget(index, known, lane.rank);
       if (target === undefined) {
         isWaiting = true;
         break;
@@ -249,7 +252,7 @@
     for (const lane of vm.lanes.values()) {
       const call = lane.calls[lane.first];
       if (call === undefined) continue;
-      const rank = this.#computeOrder(call);
+      const rank = this.#computeOrder(lane);
       const isBefore = rank < bestRank ||
         (rank === bestRank && best !== undefined &&
           call.arrivedAtMs < best.calls[best.first].arrivedAtMs);
@@ -260,9 +263,15 @@
     return best;
   }
 
-  #computeOrder(call: QueuedCall): number {
-    const rank = this.#options.handler.computeRank(call);
-    return call.isClaimed ? rank - 1 : rank;
+  /** Rank of the first call of a lane, lower by one for a claimed return. */
+  #computeOrder(lane: Lane): number {
+    const { events, handler } = this.#options;
+    const call = lane.calls[lane.first];
+    if (events.nowMs - lane.rankedAtMs >= POLL_MS) {
+      lane.rank = handler.computeRank(call);
+      lane.rankedAtMs = events.nowMs;
+    }
+    return call.isClaimed ? lane.rank - 1 : lane.rank;
   }
 
   /** Target with the least calls, if a call of this rank may be sent to it now. */
@@ -318,7 +327,7 @@
   #rejectLate(vm: Vm): void {
     for (const [key, lane] of vm.lanes) {
       let call = lane.calls[lane.first];
-      while (call !== undefined && this.#isTooLate(vm, call, undefined)) {
+      while (call !== undefined && this.#isTooLate(vm, call, lane, true)) {
         takeFirst(lane);
         this.#reject(vm, call);
         call = lane.calls[lane.first];
@@ -327,24 +336,20 @@
     }
   }
 
-  /** Whether a call can't be served in time; `lane` if the call is the last of it. */
-  #isTooLate(vm: Vm, call: QueuedCall, lane: Lane | undefined): boolean {
+  /** Whether the first or the last call of a lane can't be served in time. */
+  #isTooLate(vm: Vm, call: QueuedCall, lane: Lane, isFirst = false): boolean {
     const { nowMs } = this.#options.events;
     const remainingMs = call.timeoutAtMs - nowMs - call.workMs;
     if (remainingMs < 0) return true;
     const ratePerMs = vm.rate.find();
     if (ratePerMs === undefined) return false;
-    const order = this.#computeOrder(call);
-    let ahead = 0;
+    const order = this.#computeOrder(lane);
+    let ahead = isFirst ? 0 : countCalls(lane) - 1;
     for (const other of vm.lanes.values()) {
-      const first = other.calls[other.first];
-      if (first === undefined) continue;
-      const size = other.calls.length - other.first;
-      if (other === lane) ahead += size - 1;
-      else if (this.#computeOrder(first) < order) ahead += size;
-      else if (lane !== undefined && this.#computeOrder(first) === order) {
-        ahead += size;
-      }
+      if (other === lane || countCalls(other) === 0) continue;
+      const otherOrder = this.#computeOrder(other);
+      const isAhead = otherOrder < order || (otherOrder === order && !isFirst);
+      if (isAhead) ahead += countCalls(other);
     }
     return ahead / ratePerMs > remainingMs;
   }
@@ -355,6 +360,10 @@
   }
 }
 
+function countCalls({ calls, first }: Lane): number {
+  return calls.length - first;
+}
+
 function takeFirst(lane: Lane): void {
   lane.first++;
   if (lane.first * 2 < lane.calls.length) return;
--- a/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -28,7 +28,10 @@
 export type ShareWay = typeof SHARE_WAYS[number];
 
 /** VMs to which the clients of the large account connect. */
-export type LargeSpread = "all VMs" | "one VM";
+export const LARGE_SPREADS = ["all VMs", "one VM"] as const;
+
+/** Name of such a choice of VMs. */
+export type LargeSpread = typeof LARGE_SPREADS[number];
 
 /** Options of {@linkcode simulateShares}. */
 export interface SharesSimulationOptions {
@@ -113,7 +116,11 @@
   #rankMs = 0;
 
   constructor(options: SharesSimulationOptions) {
-    this.#options = { ...DEFAULTS, ...options };
+    this.#options = {
+      ...options,
+      seconds: options.seconds ?? DEFAULTS.seconds,
+      gate: options.gate ?? DEFAULTS.gate,
+    };
     const { size, way, seed } = options;
     const isExact = way === "oracle";
     this.#size = isExact ? { ...size, vms: 1 } : size;
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -28,6 +28,11 @@
 import { SHAPES } from "../deployment.ts";
 import { runClaimsBench } from "../bench/claims_bench.ts";
 import { runControlBench } from "../bench/control_bench.ts";
+import {
+  HARD_LOAD_DECISIONS,
+  type HardLoadDecision,
+  runHardLoadBench,
+} from "../bench/hard_load/hard_load_bench.ts";
 import { runPlacementBench } from "../bench/placement_bench.ts";
 import { measureOrderWindow } from "../bench/order_window.ts";
 import {
@@ -86,7 +91,7 @@
   )
   .command(
     "decide",
-    "strategies for placing prompts, in fleets of 6 to 870 VMs",
+    "strategies for placing prompts, and designs for hard load, in fleets of 6 to 870 VMs",
     (y) =>
       y.option("seed", { type: "number", default: 1 })
         .option("seeds", { type: "number", default: 3 })
@@ -95,10 +100,24 @@
           type: "number",
           default: 1.5,
           describe: "load factor in the middle third of the time",
+        })
+        .option("what", {
+          choices: ["prompts", ...HARD_LOAD_DECISIONS] as const,
+          default: "prompts" as const,
+          describe: "decision whose designs are compared",
+        })
+        .option("vms", {
+          type: "number",
+          array: true,
+          default: [9, 88],
+          describe: "fleet sizes of load, shares and returns: 9, 88, 870",
         }),
     (args) => {
       const print = args.json ? () => {} : console.log;
-      const rows = runPlacementBench({ ...args, print });
+      const what = args.what as "prompts" | HardLoadDecision;
+      const rows = what === "prompts"
+        ? runPlacementBench({ ...args, print })
+        : runHardLoadBench({ ...args, what, print });
       if (args.json) printReport({ rows }, true);
     },
   )
