--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -8,8 +8,8 @@
 import { FLEET_SIZES, type FleetSize } from "./fleet_size.ts";
 import {
   LOAD_CHOICES,
-  LOAD_KNOWLEDGE,
   LOAD_KINDS,
+  LOAD_KNOWLEDGE,
   simulateLoad,
 } from "./load_simulation.ts";
 import { type Gate, GATES } from "./queue_simulation.ts";
--- a/packages/heatherarch-lab/bench/hard_load/lagged_work.ts
+++ b/packages/heatherarch-lab/bench/hard_load/lagged_work.ts
@@ -72,7 +72,8 @@
   #findRecord(atMs: number): { atMs: number; work: Float64Array } {
     const oldest = this.#records[0];
     const index = Math.floor((atMs - oldest.atMs) / RECORD_INTERVAL_MS);
-    return this.#records[Math.max(0, Math.min(index, this.#records.length - 1))];
+    return this
+      .#records[Math.max(0, Math.min(index, this.#records.length - 1))];
   }
 
   #record(): void {
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -23,8 +23,8 @@
   /** Also at the rate of the VM's share of all slots, up to twice the slots of a target. */
   "turns",
   /**
-   * While the fleet asks for more than the room, at the rate of the VM's share, which follows the known
-   * backlog; otherwise as with `known`.
+   * While the fleet asks for more than the room, at the rate of the VM's share and to a target that is
+   * drawn, unless it is far above its slots, calls of rank 0 also without a turn; otherwise as with `known`.
    */
   "paced",
 ] as const;
@@ -97,7 +97,9 @@
 const CONTENTION_LOAD = 0.8;
 /** Below this backlog, relative to the slots, paces are raised, so that no target idles. */
 const LOW_BACKLOG = 1.25;
-const RAISED_PACE = 1.25;
+const RAISED_PACE = 1.1;
+/** At a target with more calls than this many times its slots, paced VMs let their turns lapse. */
+const MAX_PACED_FACTOR = 3;
 /** Interval at which a VM with waiting calls looks for room, milliseconds. */
 const POLL_MS = 10;
 
@@ -187,6 +189,8 @@
       const target = this.#findTarget(index, known, lane.rank);
       if (target === undefined) {
         isWaiting = true;
+        // A turn that can't be used lapses. VMs that kept it would all send at the same time later.
+        if (vm.tokens >= 1) vm.tokens -= 1;
         break;
       }
       takeFirst(lane);
@@ -274,35 +278,27 @@
     return call.isClaimed ? lane.rank - 1 : lane.rank;
   }
 
-  /** Target with the least calls, if a call of this rank may be sent to it now. */
+  /** Target to which a call of this rank may be sent now. */
   #findTarget(
     index: number,
     known: Float64Array,
     rank: number,
   ): number | undefined {
-    const first = this.#options.random.drawInteger(0, known.length - 1);
-    let best = first;
-    for (let i = 1; i < known.length; i++) {
-      const target = (first + i) % known.length;
-      if (known[target] < known[best]) best = target;
-    }
-    return this.#maySend(index, known[best], rank) ? best : undefined;
-  }
-
-  #maySend(index: number, known: number, rank: number): boolean {
-    const { slotsPerTarget: slots, gate, isExact, firstRankDepth = 0 } =
+    const { random, slotsPerTarget: slots, gate, isExact, firstRankDepth } =
       this.#options;
-    if (isExact === true) return known < slots;
-    const isFirst = firstRankDepth > 0 && rank <= 0;
-    if (gate === "paced" && this.#isContended) {
-      const limit = MAX_OVERLOAD_FACTOR + (isFirst ? firstRankDepth : 0);
-      const mayExceedPace = isFirst || this.#vms[index].tokens >= 1;
-      return mayExceedPace && known < slots * limit;
+    const depth = rank <= 0 ? firstRankDepth ?? 0 : 0;
+    const first = random.drawInteger(0, known.length - 1);
+    if (isExact !== true && gate === "paced" && this.#isContended) {
+      const isTurn = depth > 0 || this.#vms[index].tokens >= 1;
+      const limit = slots * (MAX_PACED_FACTOR + depth);
+      // Turning to another target would send what all VMs hold back to the one that looks idle.
+      return isTurn && known[first] < limit ? first : undefined;
     }
-    if (isFirst && known < slots * (1 + firstRankDepth)) return true;
-    if (known < slots) return true;
-    return gate === "turns" && known < slots * MAX_OVERLOAD_FACTOR &&
-      this.#isTurn(index);
+    const best = findLeast(known, first);
+    if (known[best] < slots * (1 + (isExact === true ? 0 : depth))) return best;
+    const mayExceed = isExact !== true && gate === "turns" &&
+      known[best] < slots * MAX_OVERLOAD_FACTOR && this.#isTurn(index);
+    return mayExceed ? best : undefined;
   }
 
   /** Whether a call would be served too late by a target with this many calls. */
@@ -360,6 +356,16 @@
   }
 }
 
+/** Target with the least calls; the first one from an index on if several have as many. */
+function findLeast(known: Float64Array, first: number): number {
+  let best = first;
+  for (let i = 1; i < known.length; i++) {
+    const target = (first + i) % known.length;
+    if (known[target] < known[best]) best = target;
+  }
+  return best;
+}
+
 function countCalls({ calls, first }: Lane): number {
   return calls.length - first;
 }
--- a/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
@@ -9,7 +9,11 @@
 import { type DueRow, ReturnBook, ReturnDetector } from "heatherarch-returns";
 import { EventQueue } from "./event_queue.ts";
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
-import { type Gate, type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
+import {
+  type Gate,
+  type QueuedCall,
+  QueueSimulation,
+} from "./queue_simulation.ts";
 import { VmDemand } from "./vm_demand.ts";
 
 /** Ways to compute the delay of a rejection. */
--- a/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -8,7 +8,11 @@
 import { EventQueue } from "./event_queue.ts";
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
 import { LocalFairShares, type LocalUseRow } from "./local_shares.ts";
-import { type Gate, type QueuedCall, QueueSimulation } from "./queue_simulation.ts";
+import {
+  type Gate,
+  type QueuedCall,
+  QueueSimulation,
+} from "./queue_simulation.ts";
 
 /** Ways to share targets. */
 export const SHARE_WAYS = [
@@ -172,8 +176,10 @@
     for (let i = 0; i < SMALL_ACCOUNTS; i++) {
       this.#accountVms.set(
         `small-${i}`,
-        Array.from({ length: SMALL_ACCOUNT_VMS }, () =>
-          this.#random.drawItem(all)),
+        Array.from(
+          { length: SMALL_ACCOUNT_VMS },
+          () => this.#random.drawItem(all),
+        ),
       );
     }
   }
