--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
@@ -25,6 +26,9 @@
   GenerationHandler,
   MemoryEventLog,
   PlainCallHandler,
+  PlainCallQueues,
+  PlainWorkModel,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -219,6 +223,11 @@
       countVms: () => 1,
       prefillTimeModel,
       prefillQueue: new CallQueue({ clock }),
+      plainCallQueues: new PlainCallQueues({ clock }),
+      plainWorkModel: new PlainWorkModel(),
+      targetLoads: new TargetLoads(),
+      reportTrust: new ReportTrust(),
+      plainTimeModel: new PlainTimeModel(),
       prefillCandidateCache: new PrefillCandidateCache(),
       log,
       metrics,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -21,6 +21,8 @@
 import { FleetDemand } from "./state/fleet_demand.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
+import { PlainTimeModel } from "./state/plain_time_model.ts";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
@@ -28,6 +30,8 @@
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import { CallQueue } from "./scheduling/call_queue.ts";
+import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
+import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
@@ -107,11 +111,15 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const reportTrust = new ReportTrust();
+  const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
     codec,
     directory,
     backoffs,
     rateLimits,
+    targetLoads,
+    onSlowdownReport: () => metrics.slowdownReports.inc(),
     clock,
     log,
   });
@@ -170,6 +178,14 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    targetLoads,
+    reportTrust,
+    plainTimeModel: new PlainTimeModel({
+      targetLoads,
+      reportTrust,
+      onReportsIgnored: (target) =>
+        log.write("warn", "targetLoadIgnored", { target }),
+    }),
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
@@ -207,6 +223,8 @@
     }),
     retryBudget: buildRetryBudget(settings),
     prefillQueue: new CallQueue({ clock }),
+    plainCallQueues: new PlainCallQueues({ clock }),
+    plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -17,6 +17,9 @@
   FleetRetryBudget,
   ForwardMetrics,
   MemoryEventLog,
+  PlainCallQueues,
+  PlainWorkModel,
+  PlainTimeModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -29,6 +32,7 @@
   TargetRateLimits,
   WorkTracker,
 } from "heatherarch-forward";
+import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 
 /** Options of {@linkcode buildFakeDependencies}. */
@@ -107,6 +111,11 @@
     countVms: () => 1,
     prefillTimeModel,
     prefillQueue: new CallQueue({ clock }),
+    plainCallQueues: new PlainCallQueues({ clock }),
+    plainWorkModel: new PlainWorkModel(),
+    targetLoads: new TargetLoads(),
+    reportTrust: new ReportTrust(),
+    plainTimeModel: new PlainTimeModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     log,
     metrics,
