--- a/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
@@ -11,8 +11,9 @@
 import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
 import {
   type Gate,
-  type QueuedCall,
   QueueSimulation,
+  type Rejection,
+  type SimulatedCall,
 } from "./queue_simulation.ts";
 import { VmDemand } from "./vm_demand.ts";
 
@@ -77,7 +78,7 @@
   readonly timeoutMs: number;
 }
 
-interface Return extends QueuedCall {
+interface Return extends SimulatedCall {
   readonly client: Client;
 }
 
@@ -122,7 +123,7 @@
   readonly #options: Required<ReturnsSimulationOptions>;
   readonly #random: Random;
   readonly #events = new EventQueue();
-  readonly #queues: QueueSimulation;
+  readonly #queues: QueueSimulation<Return>;
   readonly #demand: VmDemand;
   readonly #books: readonly ReturnBook[];
   readonly #detector: readonly ReturnDetector[];
@@ -163,13 +164,12 @@
       workMs: WORK_MS,
       gate,
       handler: {
-        // New calls have rank 1, as in the product's queue a return goes before its class.
-        computeRank: () => 1,
+        computeRank: () => 0,
         handleDispatch: () => {},
         handleResponse: (call, isTooLate) =>
-          this.#recordResponse(call as Return, isTooLate),
-        handleRejection: (call, ratePerMs) =>
-          this.#handleRejection(call as Return, ratePerMs),
+          this.#recordResponse(call, isTooLate),
+        handleRejection: (call, rejection) =>
+          this.#handleRejection(call, rejection),
       },
     });
   }
@@ -225,14 +225,13 @@
     const call: Return = {
       vm,
       account: "",
-      kind: kind.name,
-      workMs: WORK_MS,
       arrivedAtMs: nowMs,
+      aimMs: kind.aimMs,
       timeoutAtMs,
-      isClaimed: this.#isClaimed(vm, client, timeoutAtMs - nowMs),
       client,
     };
-    this.#queues.submit(call);
+    const remainingMs = timeoutAtMs - nowMs;
+    this.#queues.submit(call, this.#isClaimed(vm, client, remainingMs));
   }
 
   #isClaimed(vm: number, client: Client, remainingMs: number): boolean {
@@ -245,7 +244,7 @@
       this.#books[vm].claim(GROUP, undefined, nowMs);
   }
 
-  #handleRejection(call: Return, ratePerMs: number | undefined): void {
+  #handleRejection(call: Return, rejection: Rejection): void {
     const { client, timeoutAtMs } = call;
     client.rejections++;
     const remainingMs = timeoutAtMs - this.#events.nowMs;
@@ -258,7 +257,7 @@
     }
     if (client.rejections > 1) return;
     const longestMs = remainingMs * WAIT_SHARE;
-    const delayMs = this.#computeDelayMs(call, longestMs, ratePerMs);
+    const delayMs = this.#computeDelayMs(call, longestMs, rejection);
     this.#events.delay(
       Math.min(delayMs, longestMs),
       () => this.#submit(client),
@@ -268,19 +267,23 @@
   #computeDelayMs(
     call: Return,
     longestMs: number,
-    ratePerMs: number | undefined,
+    { callsPerMs, excessMs }: Rejection,
   ): number {
     const { nowMs } = this.#events;
     const drawUnit = () => this.#random.drawUnit();
     switch (this.#options.way) {
       case "waited":
-        return computeRetryAfterMs(nowMs - call.arrivedAtMs, 0, drawUnit);
+        return computeRetryAfterMs(
+          nowMs - call.arrivedAtMs,
+          excessMs,
+          drawUnit,
+        );
       case "spread":
         return longestMs * drawUnit();
       case "booked":
         return this.#book(this.#books[call.vm], longestMs, {
           // Without a rate, the VM's share of all slots stands for it.
-          roomPerMs: (ratePerMs ??
+          roomPerMs: (callsPerMs ??
             this.#demand.computeShare(call.vm, nowMs) * this.#roomPerMs) *
             WORK_MS,
         });
@@ -308,10 +311,10 @@
     return delayMs;
   }
 
-  #recordResponse({ client, workMs }: Return, isTooLate: boolean): void {
-    this.#servedMs += workMs;
+  #recordResponse({ client }: Return, isTooLate: boolean): void {
+    this.#servedMs += WORK_MS;
     if (isTooLate) {
-      this.#vainMs += workMs;
+      this.#vainMs += WORK_MS;
       return;
     }
     const tookMs = this.#events.nowMs - client.arrivedAtMs;
--- a/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -10,8 +10,8 @@
 import { LocalFairShares, type LocalUseRow } from "./local_shares.ts";
 import {
   type Gate,
-  type QueuedCall,
   QueueSimulation,
+  type SimulatedCall,
 } from "./queue_simulation.ts";
 
 /** Ways to share targets. */
@@ -104,7 +104,7 @@
   readonly #size: FleetSize;
   readonly #random: Random;
   readonly #events = new EventQueue();
-  readonly #queues: QueueSimulation;
+  readonly #queues: QueueSimulation<SimulatedCall>;
   readonly #shares: readonly LocalFairShares[];
   /** Use that each VM told, newest last, as it is still on its way to others. */
   readonly #told: { atMs: number; rows: LocalUseRow[] }[][];
@@ -145,7 +145,7 @@
       targets: this.#targets,
       slotsPerTarget: SLOTS_PER_TARGET,
       handler: {
-        computeRank: (call) => this.#computeRank(call),
+        computeRank: (vm, account) => this.#computeRank(vm, account),
         handleDispatch: (call) => this.#recordDispatch(call),
         handleResponse: (call, isTooLate) =>
           this.#recordResponse(call, isTooLate),
@@ -194,11 +194,9 @@
       this.#queues.submit({
         vm: this.#random.drawItem(this.#accountVms.get(account) ?? [0]),
         account,
-        kind: GROUP,
-        workMs: WORK_MS,
         arrivedAtMs: nowMs,
+        aimMs: AIM_MS,
         timeoutAtMs: nowMs + TIMEOUT_MS,
-        isClaimed: false,
       });
       this.#scheduleArrival(account, endMs);
     });
@@ -208,7 +206,7 @@
     return this.#counts.get(account) as AccountCount;
   }
 
-  #computeRank({ vm, account }: QueuedCall): number {
+  #computeRank(vm: number, account: string): number {
     if (this.#options.way === "none") return 0;
     const startedAt = performance.now();
     const shares = this.#shares[vm];
@@ -218,19 +216,19 @@
     return rank;
   }
 
-  #recordDispatch({ vm, account, workMs }: QueuedCall): void {
+  #recordDispatch({ vm, account }: SimulatedCall): void {
     const { nowMs } = this.#events;
-    this.#shares[vm].recordWork(GROUP, account, workMs, nowMs);
+    this.#shares[vm].recordWork(GROUP, account, WORK_MS, nowMs);
   }
 
-  #recordResponse(call: QueuedCall, isTooLate: boolean): void {
+  #recordResponse(call: SimulatedCall, isTooLate: boolean): void {
     const { nowMs } = this.#events;
-    const { account, arrivedAtMs, workMs } = call;
+    const { account, arrivedAtMs } = call;
     const endMs = this.#options.seconds * 1000;
     if (nowMs >= WARM_UP_MS && nowMs < endMs) {
-      this.#servedMs += workMs;
-      if (isTooLate) this.#vainMs += workMs;
-      if (account === LARGE) this.#largeMs += workMs;
+      this.#servedMs += WORK_MS;
+      if (isTooLate) this.#vainMs += WORK_MS;
+      if (account === LARGE) this.#largeMs += WORK_MS;
     }
     if (arrivedAtMs < WARM_UP_MS || isTooLate) return;
     const count = this.#getCount(account);
