--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -40,6 +40,8 @@
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
+/** Work that counts for a share while the time of a call is not known yet, milliseconds. */
+const MIN_WORK_MS = 1;
 /** Bounds the attempts that reach no target, which cost no retry budget. */
 const MAX_ATTEMPTS = 6;
 /**
@@ -357,7 +359,7 @@
       const cancel = queue.enqueue({
         lane: computeLane(context.priority),
         kind: context.route.name,
-        account: context.accountName,
+        ...context.shareKey,
         waitStartedAtMs: context.call.arrivedAtMs,
         aimMs: context.route.aimMs,
         timeoutAtMs: context.deadlineAtMs,
@@ -388,8 +390,11 @@
   #book(outcome: PlainOutcome, enqueuedAtMs: number): PlainWait {
     if (outcome.kind !== "placed") return outcome;
     const { service, nowMs, dependencies } = this.#context;
-    const { workTracker, plainCallQueues, metrics } = dependencies;
+    const { workTracker, plainCallQueues, metrics, accountRanker } =
+      dependencies;
     const { placement } = outcome.placed;
+    const workMs = Math.max(MIN_WORK_MS, placement.costMs);
+    accountRanker.recordWork(this.#context.shareKey, workMs, nowMs);
     metrics.callWait.observe(
       { service: service.name },
       (nowMs - enqueuedAtMs) / 1000,
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -246,7 +246,7 @@
       const cancel = prefillQueue.enqueue({
         lane: computeLane(priority),
         kind: context.route.name,
-        account: context.accountName,
+        ...context.shareKey,
         tokens: this.#prompt.promptTokens,
         waitStartedAtMs,
         aimMs,
@@ -277,9 +277,10 @@
 
   #beginPrefill(placed: LanePlacement): BookedPrefill {
     const { placement: { target, costMs }, lane } = placed;
-    const { workTracker, prefillTimeModel, metrics } =
+    const { workTracker, prefillTimeModel, metrics, accountRanker } =
       this.#context.dependencies;
     const startedAtMs = this.#context.nowMs;
+    accountRanker.recordWork(this.#context.shareKey, costMs, startedAtMs);
     const waitedMs = startedAtMs - this.#context.call.arrivedAtMs;
     metrics.readWait.observe({ lane }, waitedMs / 1000);
     const service = this.#context.service.name;
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -67,6 +67,8 @@
 
 /** What the rank of a call depends on. */
 export interface RankedCall {
+  /** Service of the call; shares are of one service. */
+  readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
   /** The call is a client's retry after a rejection, at the time that the rejection stated. */
@@ -98,6 +100,8 @@
   readonly kind: string;
   /** Size of the prompt; a call without one takes no part in the shares by size. */
   readonly tokens?: number;
+  /** Service of the call; shares are of one service. */
+  readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
   /** The call is a client's retry after a rejection; false by default. */
@@ -614,9 +618,12 @@
 }
 
 function buildRankedCall(
-  { account, isReturn = false }: Pick<QueuedCall, "account" | "isReturn">,
+  { service, account, isReturn = false }: Pick<
+    QueuedCall,
+    "service" | "account" | "isReturn"
+  >,
 ): RankedCall {
-  return account === undefined ? { isReturn } : { account, isReturn };
+  return { service, account, isReturn };
 }
 
 /** Time of a call at a target with capacity; 0 if nothing is known. */
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -10,6 +10,7 @@
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
 import {
+  AccountRanker,
   type AttemptOptions,
   buildCrashDetector,
   CacheRetention,
@@ -27,8 +28,8 @@
   MemoryEventLog,
   PlainCallHandler,
   PlainCallQueues,
-  PlainWorkModel,
   PlainTimeModel,
+  PlainWorkModel,
   PrefillCandidateCache,
   PrefillTimeModel,
   PrefixIndex,
@@ -192,6 +193,7 @@
       backoffs: new TargetBackoffs(),
       ...buildRateLimits(),
       workTracker: new WorkTracker(),
+      accountRanker: new AccountRanker(),
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -6,6 +6,10 @@
 import { type Clock, computeRendezvousWeight } from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
+import { FairShares } from "heatherarch-shares";
+import { ReturnBook } from "heatherarch-returns";
+import { AccountRanker } from "./scheduling/account_ranker.ts";
+import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
 import { ActiveConfig } from "./state/active_config.ts";
 import { PrefixIndex } from "./state/prefix_index.ts";
@@ -169,6 +173,8 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
+  const shares = buildAccountShares(settings, activeConfig, metrics);
+  const { accountRanker } = shares;
   return {
     clock,
     log,
@@ -198,6 +204,11 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
+    ...shares,
+    returnBook: new ReturnBook({
+      computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
+      drawUnit: Math.random,
+    }),
     health,
     targetFailures,
     workTracker,
@@ -222,8 +233,11 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock }),
-    plainCallQueues: new PlainCallQueues({ clock }),
+    prefillQueue: new CallQueue({ clock, ranker: accountRanker }),
+    plainCallQueues: new PlainCallQueues({
+      clock,
+      buildRanker: () => accountRanker,
+    }),
     plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
@@ -237,6 +251,28 @@
   };
 }
 
+function buildAccountShares(
+  { accounts }: ForwardSettings,
+  activeConfig: ActiveConfig,
+  metrics: ForwardMetrics,
+): Pick<
+  CallDependencies,
+  "accountWeights" | "accountShares" | "accountRanker"
+> {
+  const accountWeights = new AccountWeights(accounts.weights);
+  const accountShares = new FairShares({
+    getWeight: (account) => accountWeights.getWeight(account),
+    countAccounts: () =>
+      activeConfig.table?.config.accounts?.length ?? Infinity,
+  });
+  accountWeights.registerListener(() => accountShares.refreshWeights());
+  const accountRanker = new AccountRanker({
+    shares: accountShares,
+    onDispatch: (rank) => metrics.accountRank.inc({ rank }),
+  });
+  return { accountWeights, accountShares, accountRanker };
+}
+
 function buildHandoverClient(
   { settings, clock, log, self, listPeers }: CallDependenciesOptions,
   metrics: ForwardMetrics,
