--- a/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
+++ b/packages/heatherarch-forward/tests/unit/prefill_candidate_cache_test.ts
@@ -32,7 +32,7 @@
       directory,
       workTracker,
       targetLoads: new TargetLoads(),
-      health: { isAvoided: () => false },
+      health: { isAvoided: () => false, findFailing: () => new Set() },
       backoffs: { isInBackoff: () => false },
       rateLimits: { getDelayMs: (id: string) => delaysMs.get(id) ?? 0 },
       connections: {
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -74,12 +74,13 @@
 const LOAD_ROWS = z.custom<LoadRowMessage[]>((value) =>
   Array.isArray(value) && value.every(isLoadRow)
 );
+const MAX_TARGET_ID_LENGTH = 256;
 const LOAD_ROW_LENGTH = 6;
 
 function isLoadRow(row: unknown): boolean {
   if (!Array.isArray(row) || row.length !== LOAD_ROW_LENGTH) return false;
   const [target, ...figures] = row as unknown[];
-  return isName(target) &&
+  return isTargetId(target) &&
     figures.every((figure) =>
       Number.isSafeInteger(figure) && (figure as number) >= 0
     );
@@ -104,7 +105,7 @@
 );
 
 function isFailureRow(row: unknown): boolean {
-  return Array.isArray(row) && row.length === 3 && isName(row[0]) &&
+  return Array.isArray(row) && row.length === 3 && isTargetId(row[0]) &&
     isCount(row[1]) && isCount(row[2]);
 }
 
@@ -118,6 +119,10 @@
     isCount(row[1]);
 }
 
+function isTargetId(value: unknown): boolean {
+  return typeof value === "string" && value.length <= MAX_TARGET_ID_LENGTH;
+}
+
 function isName(value: unknown): boolean {
   return typeof value === "string" && value.length <= MAX_NAME_LENGTH;
 }
