--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -52,8 +52,11 @@
   readonly stage: string;
   /** Longest wait for the head, milliseconds; if undefined, until the call ends. */
   readonly timeoutMs?: number;
-  /** After the timeout, keep waiting while the target responds to other calls. */
-  readonly extendsWhileAlive?: boolean;
+  /**
+   * Whether to keep waiting after the timeout while the target responds to other calls; asked again
+   * each time.
+   */
+  readonly extendsWhileAlive?: () => boolean;
   /**
    * Time after which the absence of any response raises the question whether this VM still reaches
    * targets, milliseconds; by default a part of the latency objective.
@@ -104,7 +107,7 @@
     target,
     exchange,
     timeoutMs,
-    extendsWhileAlive = false,
+    extendsWhileAlive = () => false,
   } = options;
   if (timeoutMs === undefined) return () => undefined;
   const sentAtMs = context.nowMs;
@@ -114,7 +117,8 @@
       target.id,
     );
     if (
-      extendsWhileAlive && context.nowMs - lastResponseAtMs < ALIVE_WINDOW_MS
+      extendsWhileAlive() &&
+      context.nowMs - lastResponseAtMs < ALIVE_WINDOW_MS
     ) {
       timer = setTimeout(checkSilence, ALIVE_WINDOW_MS);
       return;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -33,6 +33,8 @@
   computePlainBacklogMs,
   mayExceedSlots,
   type PlainPlacement,
+  type PlainTargetLoad,
+  type TurnOptions,
 } from "../scheduling/plain_call_queues.ts";
 import type { QueueOutcome } from "../scheduling/call_queue.ts";
 import { computeLane } from "../scheduling/priority_lanes.ts";
@@ -58,6 +60,12 @@
 /** Shortest wait before a target that declined a call is tried again, milliseconds. */
 const MIN_DECLINED_WAIT_MS = 20;
 
+/**
+ * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
+ * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
+ */
+const CONTENDED_RATE_FACTOR = 2;
+
 /** A target whose slot is booked for the call. */
 interface BookedTarget {
   readonly placement: PlainPlacement;
@@ -196,6 +204,7 @@
         exchange,
         stage: "whole",
         timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
+        extendsWhileAlive: () => this.#isBusy(target),
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -212,7 +221,7 @@
       }
       const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
-      if (booked.hadFreeSlot) this.#learnWork(target, sentAtMs);
+      this.#learnWork(booked, sentAtMs);
       if (read.kind === "partial") {
         return await this.#relayPartial(exchange, read.response, target);
       }
@@ -226,8 +235,11 @@
     }
   }
 
-  #learnWork(target: Target, sentAtMs: number): void {
+  /** Learns the time of the work. A call that had to wait at its target shows only a shorter time. */
+  #learnWork({ placement, hadFreeSlot }: BookedTarget, sentAtMs: number): void {
     const { route, nowMs, dependencies } = this.#context;
+    const { target, costMs } = placement;
+    if (!hadFreeSlot && nowMs - sentAtMs > costMs) return;
     dependencies.plainWorkModel.learn({
       route: route.name,
       target: target.id,
@@ -322,6 +334,17 @@
     return timeoutMs;
   }
 
+  /**
+   * Whether calls probably wait at a target: it has as many in flight as slots, or calls wait here
+   * because all targets have.
+   */
+  #isBusy({ id, slots }: Target): boolean {
+    const { service, nowMs, dependencies } = this.#context;
+    const { workTracker, plainCallQueues } = dependencies;
+    if (plainCallQueues.getQueue(service.name).isBusy) return true;
+    return workTracker.getRunLoad(id, nowMs).runs >= slots;
+  }
+
   /** Books a target; undefined if there is none, or the call ended or was rejected. */
   async #awaitTarget(): Promise<BookedTarget | undefined> {
     for (;;) {
@@ -388,7 +411,7 @@
       { service: service.name },
       (nowMs - enqueuedAtMs) / 1000,
     );
-    plainCallQueues.recordSend(service.name, nowMs);
+    plainCallQueues.recordSend(this.#describeTurn(placement.costMs), nowMs);
     const hadFreeSlot = placement.readyMs === placement.costMs;
     const endRun = workTracker.beginRun(placement.target.id, 0);
     return { kind: "booked", booked: { placement, hadFreeSlot, endRun } };
@@ -450,29 +473,41 @@
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const load = { runs, slots: target.slots, workMs };
     const slotInMs = computePlainBacklogMs(load);
-    const turnInMs = slotInMs > 0 && mayExceedSlots(load)
-      ? this.#computeTurnInMs(workMs)
-      : Infinity;
     return {
       target,
       costMs: workMs,
       unloadedMs: workMs,
-      backlogMs: Math.min(slotInMs, turnInMs),
+      backlogMs: this.#predictCapacityInMs(load, slotInMs),
       readyMs: slotInMs + workMs,
     };
   }
 
-  /** Time until this VM may send at the rate of its share of the service's slots. */
-  #computeTurnInMs(workMs: number): number {
+  /** Time until this VM may send a call to a target, milliseconds. */
+  #predictCapacityInMs(load: PlainTargetLoad, slotInMs: number): number {
+    const { service: { name }, dependencies } = this.#context;
+    if (slotInMs === 0) {
+      const { isBusy } = dependencies.plainCallQueues.getQueue(name);
+      return isBusy ? this.#computeTurnInMs(load, CONTENDED_RATE_FACTOR) : 0;
+    }
+    if (!mayExceedSlots(load)) return slotInMs;
+    return Math.min(slotInMs, this.#computeTurnInMs(load, 1));
+  }
+
+  /** Time until this VM may send at a multiple of the rate of its share of the service's slots. */
+  #computeTurnInMs({ workMs }: PlainTargetLoad, rateFactor: number): number {
+    const { nowMs, dependencies } = this.#context;
+    return dependencies.plainCallQueues.computeTurnInMs(
+      { ...this.#describeTurn(workMs), rateFactor },
+      nowMs,
+    );
+  }
+
+  #describeTurn(workMs: number): TurnOptions {
     const { service: { name: service }, nowMs, dependencies } = this.#context;
-    const { directory, fleetDemand, plainCallQueues } = dependencies;
+    const { directory, fleetDemand } = dependencies;
     const slots = directory.listServing(service)
       .reduce((sum, target) => sum + target.slots, 0);
-    const share = fleetDemand.computeShare(nowMs);
-    return plainCallQueues.computeTurnInMs(
-      { service, workMs, slots, share },
-      nowMs,
-    );
+    return { service, workMs, slots, share: fleetDemand.computeShare(nowMs) };
   }
 
   /**
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -178,7 +178,7 @@
       stage: "readPrompt",
       timeoutMs: readyMs * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_MS,
       expectedMs: readyMs + EXPECTED_SLACK_MS,
-      extendsWhileAlive: true,
+      extendsWhileAlive: () => true,
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -174,6 +174,11 @@
  * engines full, the next ones do too.
  */
 const MAX_PLACEMENTS_PER_DISPATCH = 8;
+/**
+ * The same for calls without affinity to a target, as the calls of a plain service. They differ only in
+ * the targets that they have tried.
+ */
+const MAX_UNIFORM_SEARCHES = 3;
 /** Time between dispatches of late calls, which may be many and are not urgent. */
 const LATE_DISPATCH_INTERVAL_MS = 40;
 /**
@@ -200,6 +205,7 @@
   readonly #maxLateBacklogMs: number;
   readonly #isTimerEnabled: boolean;
   readonly #latePolicy: LatePolicy;
+  readonly #maxSearches: number;
   readonly #rejectsEarly: boolean;
   readonly #ranker: CallRanker | undefined;
   readonly #rate = new DispatchRateMeter();
@@ -215,6 +221,8 @@
   #latePlaced = 0;
   /** Time until an engine is expected to have capacity for a waiting call, in milliseconds. */
   #capacityInMs = 0;
+  #isBusy = false;
+  #nextDispatchAtMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: CallQueueOptions) {
@@ -224,6 +232,9 @@
       DEFAULT_MAX_LATE_BACKLOG_MS;
     this.#isTimerEnabled = options.isTimerEnabled ?? true;
     this.#latePolicy = options.latePolicy ?? "spare";
+    this.#maxSearches = this.#latePolicy === "behind"
+      ? MAX_UNIFORM_SEARCHES
+      : MAX_PLACEMENTS_PER_DISPATCH;
     this.#rejectsEarly = options.rejectsEarly ?? false;
     this.#ranker = options.ranker;
   }
@@ -233,6 +244,11 @@
     return this.#waiting.length + this.#late.length;
   }
 
+  /** Whether calls kept waiting in the last dispatch. */
+  get isBusy(): boolean {
+    return this.#isBusy;
+  }
+
   /** Rate at which calls are dispatched while calls wait; undefined while it is unknown. */
   measureRate(): DispatchRate | undefined {
     return this.#rate.measure(this.#clock.readMonotonicMs());
@@ -244,7 +260,7 @@
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
     if (index < 0) this.#waiting.push(waiting);
     else this.#waiting.splice(index, 0, waiting);
-    this.dispatch();
+    if (!this.#mustAwaitCapacity()) this.dispatch();
     return () => {
       if (!this.#remove(waiting)) return;
       this.#recordSize(this.#clock.readMonotonicMs());
@@ -253,6 +269,16 @@
     };
   }
 
+  /**
+   * Whether the calls that waited already found no capacity, so that the dispatch that is scheduled is
+   * soon enough for one more. In an overload, a dispatch for each arrival would take a third of the
+   * processor time of a VM.
+   */
+  #mustAwaitCapacity(): boolean {
+    return this.#latePolicy === "behind" && this.size > 1 &&
+      this.#clock.readMonotonicMs() < this.#nextDispatchAtMs;
+  }
+
   /** Counts a prompt in its size class, and its outcome once there is one. */
   #buildWaitingCall(request: QueuedCall<P>): WaitingCall<P> {
     const { kind, tokens, onOutcome } = request;
@@ -283,12 +309,14 @@
       if (isLateDue) this.#placeLate(rank, nowMs);
     }
     if (this.#rejectsEarly) this.#rejectTooLate(nowMs);
+    const dispatchInMs = Math.max(MIN_DISPATCH_INTERVAL_MS, this.#capacityInMs);
+    this.#nextDispatchAtMs = nowMs + dispatchInMs;
     this.#recordSize(nowMs);
     if (this.size === 0 || !this.#isTimerEnabled) return;
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
       this.dispatch();
-    }, Math.max(MIN_DISPATCH_INTERVAL_MS, this.#capacityInMs));
+    }, dispatchInMs);
   }
 
   /** Ranks the waiting calls anew; returns the ranks that occur, the first one first. */
@@ -329,7 +357,8 @@
 
   /** Records whether calls wait, after the queue has changed. */
   #recordSize(nowMs: number): void {
-    this.#rate.setBusy(this.size > 0, nowMs);
+    this.#isBusy = this.size > 0;
+    this.#rate.setBusy(this.#isBusy, nowMs);
     if (this.#late.length > 0) this.#overloadSinceMs ??= nowMs;
     if (this.size > 0) return;
     this.#overloadSinceMs = undefined;
@@ -430,7 +459,7 @@
       const { lane } = request;
       const before = keptInLane.get(lane) ?? 0;
       if (
-        before < MAX_PLACEMENTS_PER_DISPATCH &&
+        before < this.#maxSearches &&
         !this.#shouldKeepWaiting(request, nowMs)
       ) continue;
       kept.push(request);
@@ -477,7 +506,7 @@
     let searched = 0;
     for (const request of ordered) {
       const isConsidered = request.rank === rank &&
-        searched < MAX_PLACEMENTS_PER_DISPATCH;
+        searched < this.#maxSearches;
       if (!isConsidered) {
         kept.push(request);
         continue;
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -42,6 +42,8 @@
   readonly slots: number;
   /** This VM's share of the service's calls, above 0 and at most 1. */
   readonly share: number;
+  /** Multiple of the rate of the share at which this VM may send; 1 by default. */
+  readonly rateFactor?: number;
 }
 
 /** Options of {@linkcode PlainCallQueues}. */
@@ -61,7 +63,8 @@
 
 interface ServiceQueue {
   readonly queue: CallQueue<PlainPlacement>;
-  lastSentAtMs: number;
+  /** Time of this VM's next turn to send at the rate of its share. */
+  turnAtMs: number;
 }
 
 /** Time until a target has a free slot, milliseconds; 0 if it has one or nothing is known. */
@@ -73,6 +76,11 @@
   return ahead <= 0 ? 0 : ahead * workMs / Math.max(1, slots);
 }
 
+/** Time between two calls of a VM at the rate of its share, milliseconds. */
+function computeIntervalMs({ workMs, slots, share }: TurnOptions): number {
+  return workMs / Math.max(1, slots) / share;
+}
+
 /** Whether a VM may send to a busy target at the rate of its share. */
 export function mayExceedSlots(
   { runs, reportedRequests = 0, slots }: PlainTargetLoad,
@@ -94,19 +102,23 @@
     return this.#getOrCreate(service).queue;
   }
 
-  /** Records a call that is sent to a target of a service. */
-  recordSend(service: string, nowMs: number): void {
-    this.#getOrCreate(service).lastSentAtMs = nowMs;
+  /**
+   * Records a call that is sent to a target of a service. A turn that was used late, as timers are on a
+   * busy machine, does not delay the next one.
+   */
+  recordSend(options: TurnOptions, nowMs: number): void {
+    const intervalMs = computeIntervalMs(options);
+    const entry = this.#getOrCreate(options.service);
+    const earliestMs = Math.max(entry.turnAtMs, nowMs - intervalMs);
+    entry.turnAtMs = Math.min(earliestMs, nowMs) + intervalMs;
   }
 
   /** Time until this VM may send at the rate of its share of the slots, milliseconds. */
-  computeTurnInMs(
-    { service, workMs, slots, share }: TurnOptions,
-    nowMs: number,
-  ): number {
-    const intervalMs = workMs / Math.max(1, slots) / share;
-    const { lastSentAtMs } = this.#getOrCreate(service);
-    return Math.max(0, lastSentAtMs + intervalMs - nowMs);
+  computeTurnInMs(options: TurnOptions, nowMs: number): number {
+    const { service, rateFactor = 1 } = options;
+    const { turnAtMs } = this.#getOrCreate(service);
+    const earlierMs = computeIntervalMs(options) * (1 - 1 / rateFactor);
+    return Math.max(0, turnAtMs - earlierMs - nowMs);
   }
 
   /** Dispatches the calls that wait for a service, because a slot was freed. */
@@ -124,7 +136,7 @@
   #getOrCreate(service: string): ServiceQueue {
     let entry = this.#byService.get(service);
     if (entry === undefined) {
-      entry = { queue: this.#createQueue(service), lastSentAtMs: -Infinity };
+      entry = { queue: this.#createQueue(service), turnAtMs: -Infinity };
       this.#dropIdle();
       this.#byService.set(service, entry);
     }
--- a/packages/heatherarch-forward/scheduling/plain_work_model.ts
+++ b/packages/heatherarch-forward/scheduling/plain_work_model.ts
@@ -18,11 +18,12 @@
 }
 
 /**
- * Weights of a sample below and above the estimate. Requests of other VMs that this VM does not know
- * of yet make a call longer, and nothing makes it shorter.
+ * Weights of a sample below and above the estimate, which follows the shortest times. Requests of other
+ * VMs that this VM does not know of yet make a call longer, and nothing makes it shorter. If such waits
+ * counted as work, VMs would send less than the targets can take, which leaves more calls waiting.
  */
-const FASTER_WEIGHT = 0.2;
-const SLOWER_WEIGHT = 0.08;
+const FASTER_WEIGHT = 0.3;
+const SLOWER_WEIGHT = 0.02;
 /**
  * An estimate without a sample for this long is forgotten. Otherwise one that is too long would keep
  * all calls from being sent, and would never be corrected.
