--- a/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
@@ -8,6 +8,7 @@
   computePlainBacklogMs,
   DispatchRateMeter,
   LATE_LANE,
+  PlainCallQueues,
   PlainWorkModel,
   predictWaitMs,
   type QueueOutcome,
@@ -236,6 +237,32 @@
   );
 });
 
+// Guards against late timers that add up, so that targets are idle while calls wait.
+test("a VM sends at the rate of its share, also if its turns are used late", () => {
+  const clock = new ManualClock();
+  const queues = new PlainCallQueues({ clock });
+  // 8 slots and 40 ms make 200 calls per second; a quarter of that is one each 20 ms.
+  const turn = { service: "s", workMs: 40, slots: 8, share: 0.25 };
+  const computeTurn = (rateFactor = 1): number =>
+    queues.computeTurnInMs(
+      { ...turn, rateFactor },
+      clock.readMonotonicMs(),
+    );
+  assert.equal(computeTurn(), 0);
+  queues.recordSend(turn, clock.readMonotonicMs());
+  assert.equal(computeTurn(), 0, "one turn may have been used late");
+  queues.recordSend(turn, clock.readMonotonicMs());
+  assert.equal(computeTurn(), 20);
+  assert.equal(computeTurn(2), 10);
+  clock.advance(27);
+  queues.recordSend(turn, clock.readMonotonicMs());
+  assert.equal(computeTurn(), 13);
+  clock.advance(1000);
+  queues.recordSend(turn, clock.readMonotonicMs());
+  queues.recordSend(turn, clock.readMonotonicMs());
+  assert.equal(computeTurn(), 20);
+});
+
 // Guards against an estimate that is too long, so that no call is sent and none corrects it.
 test("an estimate of plain work is forgotten without samples", () => {
   const model = new PlainWorkModel();
