--- a/packages/heatherarch-forward/tests/unit/account_ranker_test.ts
+++ b/packages/heatherarch-forward/tests/unit/account_ranker_test.ts
@@ -1,7 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ManualClock, Random } from "heatherarch-core";
 import { FairShares } from "heatherarch-shares";
-import { AccountRanker, AccountWeights, type RankedCall } from "../../mod.ts";
+import {
+  AccountRanker,
+  AccountWeights,
+  CallQueue,
+  type CallRanker,
+  computePlainBacklogMs,
+  mayExceedSlots,
+  type RankedCall,
+} from "../../mod.ts";
+import { buildEngine } from "./fixtures.ts";
 
 const SERVICE = "s";
 
@@ -44,6 +54,97 @@
   assert.deepEqual(shares.listOwnUse(0), []);
 });
 
+const ENGINE = buildEngine("e");
+const COST_MS = 20;
+
+/** A queue for one engine that works off its backlog as time passes. */
+function createQueue(ranker?: CallRanker) {
+  const clock = new ManualClock();
+  const queue = new CallQueue({ clock, ranker, isTimerEnabled: false });
+  const engine = { backlogMs: 0 };
+  const outcomes: string[] = [];
+  const enqueue = (name: string, account?: string, aimMs = 600): void => {
+    const nowMs = clock.readMonotonicMs();
+    queue.enqueue({
+      service: SERVICE,
+      account,
+      lane: 0,
+      kind: "k",
+      waitStartedAtMs: nowMs,
+      aimMs,
+      timeoutAtMs: nowMs + 2000,
+      responseDelayMs: 50,
+      findPlacement: () => ({
+        target: ENGINE,
+        isCold: false,
+        costMs: COST_MS,
+        unloadedMs: COST_MS,
+        backlogMs: engine.backlogMs,
+        readyMs: engine.backlogMs + COST_MS,
+      }),
+      onOutcome: ({ kind }) => {
+        outcomes.push(`${name} ${kind} at ${clock.readMonotonicMs()}`);
+        if (kind === "placed") engine.backlogMs += COST_MS;
+      },
+    });
+  };
+  const advance = (ms: number): void => {
+    clock.advance(ms);
+    engine.backlogMs = Math.max(0, engine.backlogMs - ms);
+    queue.dispatch();
+  };
+  return { queue, outcomes, enqueue, advance };
+}
+
+test("a queue serves accounts within their share before one beyond it", () => {
+  const { outcomes, enqueue, advance } = createQueue(new AccountRanker());
+  for (let i = 0; i < 20; i++) enqueue(`large ${i}`, "large", 500);
+  for (const name of ["a", "b", "c"]) enqueue(name, name);
+  for (let i = 0; i < 6; i++) advance(COST_MS);
+  const last = outcomes.findIndex((outcome) => outcome.startsWith("c"));
+  const before = outcomes.slice(0, last)
+    .filter((outcome) => outcome.startsWith("large"));
+  // The first four are placed before another account has a call.
+  assert.equal(before.length, 4, outcomes.join());
+});
+
+// The VM of a large account filled all engines before other VMs heard of free ones.
+test("calls of an account beyond its share leave room at the targets", () => {
+  const rank = (call: RankedCall): number => call.account === "large" ? 1 : 0;
+  const { outcomes, enqueue } = createQueue({ computeRank: rank });
+  for (let i = 0; i < 9; i++) enqueue("large", "large");
+  assert.equal(outcomes.length, 2);
+  for (let i = 0; i < 9; i++) enqueue("small", "small");
+  assert.equal(outcomes.length, 4);
+  const load = { slots: 4, workMs: 40 };
+  assert.ok(computePlainBacklogMs({ ...load, runs: 4 }) > 0);
+  const ranks = [-1, 0, 1, 3];
+  const listMay = (runs: number): boolean[] =>
+    ranks.map((each) => mayExceedSlots({ ...load, runs }, each));
+  assert.deepEqual(listMay(4), [true, true, true, true]);
+  assert.deepEqual(listMay(5), [true, true, false, false]);
+  assert.deepEqual(listMay(8), [false, false, false, false]);
+});
+
+// Requirement 1: no decision changes unless client accounts are configured.
+test("without accounts, a queue decides the same with and without a ranker", () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const [ranked, plain] = [new AccountRanker(), undefined].map((ranker) => {
+      const random = new Random(seed);
+      const { outcomes, enqueue, advance } = createQueue(ranker);
+      for (let i = 0; i < 300; i++) {
+        if (random.drawUnit() < 0.7) {
+          enqueue(`c${i}`, undefined, 100 + random.drawUnit() * 800);
+        }
+        advance(random.drawUnit() * 24);
+      }
+      return outcomes;
+    });
+    assert.ok(plain.length > 50);
+    assert.deepEqual(ranked, plain);
+  }
+});
+
 test("a return goes before the new calls of its class", () => {
   const ranker = new AccountRanker({ shares: new FairShares() });
   assert.equal(ranker.computeRank(buildCall(undefined, true), 0), -1);
