--- a/packages/heatherarch-forward/fleet/fleet_gossip.ts
+++ b/packages/heatherarch-forward/fleet/fleet_gossip.ts
@@ -7,7 +7,11 @@
  * @module
  */
 import type { Clock } from "heatherarch-core";
-import { SLOWDOWN_PERIOD_MS, type TargetLoads } from "heatherarch-load";
+import {
+  type LoadScope,
+  SLOWDOWN_PERIOD_MS,
+  type TargetLoads,
+} from "heatherarch-load";
 import type { Heartbeat, Link } from "heatherarch-mesh";
 import type { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
@@ -21,8 +25,6 @@
   readonly directory: TargetDirectory;
   readonly rateLimits: TargetRateLimits;
   readonly targetLoads: TargetLoads;
-  /** Whether this VM forwards the loads that its peers have observed; by default it does not. */
-  readonly relaysLoads?: () => boolean;
   readonly clock: Clock;
   readonly log: EventLog;
 }
@@ -83,8 +85,14 @@
     };
   }
 
-  /** Builds what is new since the last heartbeat on a link. */
-  buildFields(link: Link): GossipFields {
+  /**
+   * Builds what is new since the last heartbeat on a link. `loadScope` tells whose loads the peer gets
+   * from this VM.
+   */
+  buildFields(
+    link: Link,
+    loadScope: LoadScope | "none" = "own",
+  ): GossipFields {
     let cursors = this.#links.get(link);
     if (cursors === undefined) {
       cursors = {
@@ -101,15 +109,19 @@
       ...this.#buildPartCrashes(cursors),
       ...this.#buildLeaving(cursors),
       ...this.#buildRateLimits(cursors),
-      ...this.#buildLoads(cursors),
+      ...this.#buildLoads(cursors, loadScope),
     };
   }
 
-  /** Merges a peer's heartbeat, which may have waited here for `waitedMs` milliseconds. */
+  /**
+   * Merges a peer's heartbeat, which may have waited here for `waitedMs` milliseconds. `loadScope`
+   * tells whose loads the peer sends.
+   */
   handle(
     { crashes, partCrashes, leavingTargets, rateLimits = [], loads = [] }:
       Heartbeat,
     waitedMs: number,
+    loadScope: LoadScope = "zone",
   ): void {
     const { quarantine, partQuarantine, directory, clock, log } = this.#options;
     if (partCrashes !== undefined) {
@@ -126,12 +138,15 @@
       log.write("info", "targetLeaving", { target, source: "peer" });
     }
     for (const message of rateLimits) this.#mergeRateLimit(message, waitedMs);
-    for (const message of loads) this.#mergeLoad(message, waitedMs);
+    for (const message of loads) {
+      this.#mergeLoad(message, waitedMs, loadScope);
+    }
   }
 
   #mergeLoad(
     [target, percent, ageMs, running, waiting, slots]: LoadMessage,
     waitedMs: number,
+    scope: LoadScope,
   ): void {
     const { targetLoads, directory, clock } = this.#options;
     // The load of a target that is gone would be kept for good.
@@ -143,7 +158,7 @@
       waiting,
       slots,
       atMs: clock.readMonotonicMs() - waitedMs - ageMs,
-    });
+    }, scope);
   }
 
   #mergeRateLimit(
@@ -230,9 +245,12 @@
     };
   }
 
-  #buildLoads(cursors: LinkCursors): GossipFields {
-    const { targetLoads, relaysLoads, clock } = this.#options;
-    const scope = relaysLoads?.() ? "all" : "own";
+  #buildLoads(
+    cursors: LinkCursors,
+    scope: LoadScope | "none",
+  ): GossipFields {
+    if (scope === "none") return {};
+    const { targetLoads, clock } = this.#options;
     const { news, position } = targetLoads.listNews(
       cursors.loads,
       MAX_LOAD_ROWS,
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -30,7 +30,7 @@
 import type { FleetDemand } from "../state/fleet_demand.ts";
 import type { StoreEpoch } from "../state/store_epoch.ts";
 import type { StreamVersions } from "../state/stream_versions.ts";
-import type { TargetLoads } from "heatherarch-load";
+import type { LoadScope, TargetLoads } from "heatherarch-load";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -138,10 +138,7 @@
           live: this.#membership.listLive(self.availabilityZone).length,
         }),
     });
-    this.#gossip = new FleetGossip({
-      ...options,
-      relaysLoads: () => this.#membership.isHub,
-    });
+    this.#gossip = new FleetGossip(options);
     this.#vmList = new VmListFollower({
       self,
       vms: options.vms,
@@ -333,7 +330,7 @@
       ? this.#hubs.buildFields(link, peer)
       : this.#buildMeshFields(link);
     const gossipFields = {
-      ...this.#gossip.buildFields(link),
+      ...this.#gossip.buildFields(link, this.#getLoadScope(fields)),
       ...this.#usage.buildFields(link, peer),
       ...this.#streams.buildFields(link, peer),
     };
@@ -354,6 +351,17 @@
     };
   }
 
+  /**
+   * Returns whose loads a peer gets. A hub sends them as far as its digests: those of the fleet to VMs
+   * that use it, and those of its zone to hubs of other zones.
+   */
+  #getLoadScope(
+    fields: Partial<Heartbeat> | undefined,
+  ): LoadScope | "none" {
+    if (!this.#membership.isHub) return "own";
+    return fields === undefined ? "none" : fields.digest?.scope ?? "own";
+  }
+
   /** Announces each epoch of the store once. */
   #buildStoreEpoch(link: Link): Pick<Heartbeat, "storeEpoch"> {
     const { current } = this.#options.storeEpoch;
@@ -405,7 +413,9 @@
   ): void {
     if (this.#membership.hasHubs) this.#hubs.handle(heartbeat, from, waitedMs);
     else this.#handleMeshFields(heartbeat, from);
-    this.#gossip.handle(heartbeat, waitedMs);
+    const isSameZone =
+      from.availabilityZone === this.#options.self.availabilityZone;
+    this.#gossip.handle(heartbeat, waitedMs, isSameZone ? "zone" : "fleet");
     this.#usage.handle(heartbeat, from);
     this.#streams.handle(heartbeat, from);
     if (heartbeat.mayOrder) this.#orderCandidates.add(from.id);
--- a/packages/heatherarch-forward/tests/unit/load_gossip_test.ts
+++ b/packages/heatherarch-forward/tests/unit/load_gossip_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock } from "heatherarch-core";
-import { TargetLoads } from "heatherarch-load";
+import { type LoadScope, TargetLoads } from "heatherarch-load";
 import {
   encodeFrame,
   type Heartbeat,
@@ -26,7 +26,7 @@
   readonly targetLoads: TargetLoads;
 }
 
-function buildVm(clock: ManualClock, relaysLoads = false): Vm {
+function buildVm(clock: ManualClock): Vm {
   const directory = new TargetDirectory();
   directory.applyList(
     Array.from({ length: TARGETS }, (_, i) => ({
@@ -42,7 +42,6 @@
     directory,
     ...buildRateLimits(),
     targetLoads,
-    relaysLoads: () => relaysLoads,
     clock,
     log: new MemoryEventLog(),
   });
@@ -61,14 +60,17 @@
 }
 
 // Guards against slowdowns that reach only the VMs that are linked to the one that observed them, and
-// against VMs that send everything twice.
-test("a slowdown reaches the VMs behind a hub with its age, and only hubs forward it", () => {
+// against rows that hubs send to those who have them already.
+test("a slowdown reaches the VMs of another zone over two hubs with its age", () => {
   const clock = new ManualClock();
-  const vms = [false, true, false].map((isHub) => buildVm(clock, isHub));
-  const links = [{} as Link, {} as Link];
-  const passOn = (from: number, to: number): number => {
-    const fields = vms[from].gossip.buildFields(links[Math.min(from, to)]);
-    vms[to].gossip.handle(fields as Heartbeat, 0);
+  const vms = Array.from({ length: 4 }, () => buildVm(clock));
+  const links = [{} as Link, {} as Link, {} as Link];
+  const passOn = (from: number, to: number, scope?: LoadScope): number => {
+    const link = links[Math.min(from, to)];
+    const fields = vms[from].gossip.buildFields(link, scope);
+    // Only the two hubs in the middle are in different zones.
+    const received = from + to === 3 ? "fleet" : "zone";
+    vms[to].gossip.handle(fields as Heartbeat, 0, received);
     return fields.loads?.length ?? 0;
   };
   clock.advance(1000);
@@ -76,13 +78,19 @@
   clock.advance(100);
   assert.equal(passOn(0, 1), 1);
   clock.advance(100);
-  assert.equal(passOn(1, 2), 1);
-  assert.equal(passOn(2, 1), 0);
-  const found = vms[2].targetLoads.find("engine-7", clock.readMonotonicMs());
-  assert.equal(found?.ageMs, 200);
+  assert.equal(passOn(1, 2, "zone"), 1);
+  assert.equal(passOn(2, 1, "zone"), 0);
+  clock.advance(100);
+  assert.equal(passOn(2, 3, "fleet"), 1);
+  assert.equal(passOn(3, 2), 0);
+  const found = vms[3].targetLoads.find("engine-7", clock.readMonotonicMs());
+  assert.equal(found?.ageMs, 300);
   assert.equal(found?.report.slowdown, 2.5);
   assert.equal(found?.report.running, 60);
-  assert.equal(passOn(0, 1) + passOn(1, 2), 0);
+  assert.equal(passOn(0, 1) + passOn(1, 2, "zone") + passOn(2, 3, "fleet"), 0);
+  // A VM that uses another hub gets none.
+  observe(vms[1], clock, "engine-8", 2.5);
+  assert.deepEqual(vms[1].gossip.buildFields({} as Link, "none"), {});
 });
 
 // Guards against heartbeats that exceed the VM's share of the network when all targets change.
--- a/packages/heatherarch-load/target_loads.ts
+++ b/packages/heatherarch-load/target_loads.ts
@@ -26,6 +26,9 @@
   readonly atMs: number;
 }
 
+/** Who has observed a sample: this VM, a VM of its availability zone, or any VM of the fleet. */
+export type LoadScope = "own" | "zone" | "fleet";
+
 /** Options of {@linkcode TargetLoads}. */
 export interface TargetLoadsOptions {
   /** Decides whose reports are believed. */
@@ -44,8 +47,8 @@
   count: number;
   /** Sample that was last listed as news. */
   listed: LoadSample | undefined;
-  /** Whether this VM has observed that sample. */
-  isOwn: boolean;
+  /** Who has observed that sample. */
+  scope: LoadScope;
   /** Position of that sample among the news of all targets. */
   position: number;
 }
@@ -61,6 +64,8 @@
 const SLOWDOWN_BOUNDS = { min: 0.1, max: 20 };
 /** Number of periods after which the mean forgets: 20 s, so that it follows a changed target. */
 const MAX_MEAN_PERIODS = 32;
+/** Each scope includes those before it. */
+const SCOPES: readonly LoadScope[] = ["own", "zone", "fleet"];
 /** Slowdown of a target that reports none. */
 const USUAL_SLOWDOWN = 1;
 
@@ -78,12 +83,12 @@
 
   /** Records what this VM has observed. */
   record(sample: LoadSample): void {
-    this.#merge(sample, true);
+    this.#merge(sample, "own");
   }
 
   /** Merges what a peer has observed. The newer sample wins. */
-  mergePeerSample(sample: LoadSample): void {
-    this.#merge(sample, false);
+  mergePeerSample(sample: LoadSample, scope: LoadScope = "zone"): void {
+    this.#merge(sample, scope);
   }
 
   /** Returns the last report of a target with its age, or undefined if there is none. */
@@ -121,20 +126,22 @@
 
   /**
    * Lists samples that have become news after a position, newest first, and the position after all of
-   * them. What exceeds the limit is skipped, as it is outdated by the next listing. With the scope
-   * `own`, samples of peers are not listed.
+   * them. What exceeds the limit is skipped, as it is outdated by the next listing. Samples that
+   * were observed beyond the scope are not listed.
    */
   listNews(
     position: number,
     limit: number,
-    scope: "all" | "own" = "all",
+    scope: LoadScope = "fleet",
   ): { news: LoadSample[]; position: number } {
     if (position >= this.#position) return { news: [], position };
     const news: { listed: LoadSample; position: number }[] = [];
-    for (const { listed, position: listedAt, isOwn } of this.#loads.values()) {
-      if (listed === undefined || listedAt <= position) continue;
-      if (scope === "own" && !isOwn) continue;
-      news.push({ listed, position: listedAt });
+    const maxScope = SCOPES.indexOf(scope);
+    for (const load of this.#loads.values()) {
+      const { listed } = load;
+      if (listed === undefined || load.position <= position) continue;
+      if (SCOPES.indexOf(load.scope) > maxScope) continue;
+      news.push({ listed, position: load.position });
     }
     news.sort((a, b) => b.position - a.position);
     return {
@@ -158,7 +165,7 @@
     this.#trust.forget(target);
   }
 
-  #merge(received: LoadSample, isOwn: boolean): void {
+  #merge(received: LoadSample, scope: LoadScope): void {
     const sample = boundSlowdown(received);
     const known = this.#loads.get(sample.target);
     if (known !== undefined && sample.atMs <= known.sample.atMs) return;
@@ -171,9 +178,9 @@
     learnMean(load, sample.slowdown, sample.atMs);
     if (!isNews(load, sample.slowdown)) return;
     load.listed = sample;
-    load.isOwn = isOwn;
+    load.scope = scope;
     load.position = ++this.#position;
-    if (!isOwn) return;
+    if (scope !== "own") return;
     for (const listener of [...this.#listeners]) listener();
   }
 }
@@ -187,7 +194,7 @@
     sum: 0,
     count: 0,
     listed: undefined,
-    isOwn: false,
+    scope: "own",
     position: 0,
   };
 }
--- a/packages/heatherarch-load/tests/unit/target_loads_test.ts
+++ b/packages/heatherarch-load/tests/unit/target_loads_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import {
   type LoadSample,
+  type LoadScope,
   ReportTrust,
   SLOWDOWN_PERIOD_MS,
   TargetLoads,
@@ -87,16 +88,18 @@
 });
 
 // Guards against VMs that send each other back what they have received.
-test("samples of peers are listed only for VMs that relay them", () => {
+test("samples of peers are listed only for those who don't get them otherwise", () => {
   const loads = new TargetLoads();
   let notices = 0;
   const undo = loads.registerListener(() => notices++);
   loads.mergePeerSample(buildSample(0, 3, "peer"));
   loads.record(buildSample(0, 3, "own"));
   assert.equal(notices, 1);
-  const list = (scope?: "own") =>
+  loads.mergePeerSample(buildSample(0, 3, "far"), "fleet");
+  const list = (scope?: LoadScope) =>
     loads.listNews(0, 24, scope).news.map(({ target }) => target);
-  assert.deepEqual(list(), ["own", "peer"]);
+  assert.deepEqual(list(), ["far", "own", "peer"]);
+  assert.deepEqual(list("zone"), ["own", "peer"]);
   assert.deepEqual(list("own"), ["own"]);
   undo();
   loads.record(buildSample(1, 1, "own"));
