--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -139,7 +139,7 @@
   );
   return {
     "small served, all VMs": all.smallServed,
-    "one VM": one.smallServed,
+    "small served, one VM": one.smallServed,
     "in time, all VMs": all.smallInTime,
     "in time, one VM": one.smallInTime,
     "worst account, all VMs": all.worstAccount,
