--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -6,6 +6,10 @@
 import type { Clock } from "heatherarch-core";
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
+import type { FairShares } from "heatherarch-shares";
+import type { ReturnBook } from "heatherarch-returns";
+import type { AccountRanker } from "./scheduling/account_ranker.ts";
+import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
 import type { EngineJitter } from "./scheduling/engine_jitter.ts";
 import type { EventLog } from "./event_log.ts";
@@ -36,6 +40,7 @@
 import type { ReturnTimes } from "./scheduling/return_times.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { LoadProber } from "./tasks/load_prober.ts";
 import type { PlainTimeModel } from "./state/plain_time_model.ts";
 import type { ReportTrust, TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
@@ -48,6 +53,10 @@
   readonly activeConfig: ActiveConfig;
   readonly accountAdmission: AccountAdmission;
   readonly usage: UsageRecorder;
+  readonly accountWeights: AccountWeights;
+  readonly accountShares: FairShares;
+  readonly accountRanker: AccountRanker;
+  readonly returnBook: ReturnBook;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly targetFailures: TargetFailures;
@@ -58,6 +67,8 @@
   readonly targetLoads: TargetLoads;
   /** Decides which reports in `targetLoads` are believed. */
   readonly reportTrust: ReportTrust;
+  /** Renews reports of slow targets that get no calls. */
+  readonly loadProber: LoadProber;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -363,6 +363,7 @@
       const cancel = queue.enqueue({
         lane: computeLane(context.priority),
         kind: context.route.name,
+        service: context.service.name,
         account: context.accountName,
         isReturn: context.isReturn,
         waitStartedAtMs: context.call.arrivedAtMs,
@@ -370,7 +371,7 @@
         timeoutAtMs: context.deadlineAtMs,
         responseDelayMs: 0,
         predictMs: () => this.#predictWorkMs(),
-        findPlacement: () => this.#findPlacement(),
+        findPlacement: (rank) => this.#findPlacement(rank),
         onOutcome: (outcome) => {
           if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
           settle(this.#book(outcome, enqueuedAtMs));
@@ -473,7 +474,7 @@
   }
 
   /** Finds the target that would be tried now, and when it has capacity. */
-  #findPlacement(): PlainPlacement | undefined {
+  #findPlacement(rank: number): PlainPlacement | undefined {
     const target = this.#pickTarget();
     if (target === undefined) return undefined;
     const { route, nowMs, dependencies } = this.#context;
@@ -482,8 +483,9 @@
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const load = { runs, slots: target.slots, workMs };
     const slotInMs = computePlainBacklogMs(load);
-    const turnInMs = slotInMs > 0 && mayExceedSlots(load)
-      ? this.#computeTurnInMs(workMs)
+    const hasAccount = this.#context.accountName !== undefined;
+    const turnInMs = slotInMs > 0 && mayExceedSlots(load, hasAccount ? rank : 0)
+      ? hasAccount && rank <= 0 ? 0 : this.#computeTurnInMs(workMs)
       : Infinity;
     return {
       target,
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -39,6 +39,7 @@
   type VmTaskOptions,
 } from "./vm_tasks.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
+import { listShareStatus } from "./tasks/share_status.ts";
 import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
 /** Options of {@linkcode ForwardVm}. */
@@ -154,7 +155,12 @@
     if (this.#log instanceof StdoutEventLog) {
       this.#log.setLevel(settings.logs.level);
     }
-    this.#log.write("info", "settingsReloaded", { level: settings.logs.level });
+    const { weights = {} } = settings.accounts;
+    this.#components.accountWeights.apply(weights);
+    this.#log.write("info", "settingsReloaded", {
+      level: settings.logs.level,
+      accountWeights: Object.keys(weights).length,
+    });
   }
 
   /** Logs that reloaded settings are invalid; the current settings stay in effect. */
@@ -454,6 +460,10 @@
         name,
         keys: keyDigests.length,
       })) ?? null,
+      shares: listShareStatus(
+        this.#components.accountShares,
+        this.#clock.readMonotonicMs(),
+      ),
       returns: returnTimes.listStatus(
         services.map(({ name }) => name),
         this.#clock.readMonotonicMs(),
@@ -530,6 +540,7 @@
     this.#components.partQuarantinePersistence.stop();
     ingress.closeAll();
     this.#components.pathMonitor.stop();
+    this.#components.loadProber.stop();
     this.#components.handoverClient.close();
     statusServer.close();
     mesh.stop();
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -6,6 +6,10 @@
 import { type Clock, computeRendezvousWeight } from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
+import { FairShares } from "heatherarch-shares";
+import { ReturnBook } from "heatherarch-returns";
+import { AccountRanker } from "./scheduling/account_ranker.ts";
+import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
 import { ActiveConfig } from "./state/active_config.ts";
 import { PrefixIndex } from "./state/prefix_index.ts";
@@ -19,7 +23,6 @@
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
-import { ReturnRanker } from "./scheduling/return_ranker.ts";
 import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
@@ -38,6 +41,7 @@
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
 import { type ProbeOutcome, probeResponse } from "./calls/response_probe.ts";
+import { LoadProber } from "./tasks/load_prober.ts";
 import { PathMonitor } from "./tasks/path_monitor.ts";
 import { TargetListGuard } from "./calls/target_list_guard.ts";
 import {
@@ -127,7 +131,10 @@
     backoffs,
     rateLimits,
     targetLoads,
-    onSlowdownReport: () => metrics.slowdownReports.inc(),
+    onSlowdownReport: (target, slowdown) => {
+      metrics.slowdownReports.inc();
+      loadProber.handleReport(target, slowdown);
+    },
     clock,
     log,
   });
@@ -164,6 +171,14 @@
   });
   const probeTarget = (target: Target): Promise<ProbeOutcome> =>
     probeResponse({ connections, codec }, target);
+  const loadProber = new LoadProber({
+    clock,
+    targetLoads,
+    workTracker,
+    rateLimits,
+    directory,
+    probe: probeTarget,
+  });
   const pathMonitor = new PathMonitor({
     clock,
     log,
@@ -177,6 +192,8 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
+  const accountShares = buildAccountShares(settings, activeConfig, metrics);
+  const ranker = accountShares.accountRanker;
   return {
     clock,
     log,
@@ -189,6 +206,7 @@
     returnTimes,
     targetLoads,
     reportTrust,
+    loadProber,
     plainTimeModel: new PlainTimeModel({
       targetLoads,
       reportTrust,
@@ -207,6 +225,11 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
+    ...accountShares,
+    returnBook: new ReturnBook({
+      computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
+      drawUnit: Math.random,
+    }),
     health,
     targetFailures,
     workTracker,
@@ -231,10 +254,10 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock, ranker: new ReturnRanker() }),
+    prefillQueue: new CallQueue({ clock, ranker }),
     plainCallQueues: new PlainCallQueues({
       clock,
-      buildRanker: () => new ReturnRanker(),
+      buildRanker: () => ranker,
     }),
     plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
@@ -249,6 +272,28 @@
   };
 }
 
+function buildAccountShares(
+  { accounts }: ForwardSettings,
+  activeConfig: ActiveConfig,
+  metrics: ForwardMetrics,
+): Pick<
+  CallDependencies,
+  "accountWeights" | "accountShares" | "accountRanker"
+> {
+  const accountWeights = new AccountWeights(accounts.weights);
+  const accountShares = new FairShares({
+    getWeight: (account) => accountWeights.getWeight(account),
+    countAccounts: () =>
+      activeConfig.table?.config.accounts?.length ?? Infinity,
+  });
+  accountWeights.registerListener(() => accountShares.refreshWeights());
+  const accountRanker = new AccountRanker({
+    shares: accountShares,
+    onDispatch: (rank) => metrics.accountRank.inc({ rank }),
+  });
+  return { accountWeights, accountShares, accountRanker };
+}
+
 function buildHandoverClient(
   { settings, clock, log, self, listPeers }: CallDependenciesOptions,
   metrics: ForwardMetrics,
