VMs exchange the due returns of the book that rejections use

The exchange over the mesh had a book of its own, which nothing was booked in, so VMs never knew of each other's due returns. It uses the book of ReturnTimes now.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -7,7 +7,6 @@
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
 import type { FairShares } from "heatherarch-shares";
-import type { ReturnBook } from "heatherarch-returns";
 import type { AccountRanker } from "./scheduling/account_ranker.ts";
 import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
@@ -56,7 +55,6 @@
   readonly accountWeights: AccountWeights;
   readonly accountShares: FairShares;
   readonly accountRanker: AccountRanker;
-  readonly returnBook: ReturnBook;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly targetFailures: TargetFailures;
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -7,7 +7,6 @@
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
 import { FairShares } from "heatherarch-shares";
-import { ReturnBook } from "heatherarch-returns";
 import { AccountRanker } from "./scheduling/account_ranker.ts";
 import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
@@ -226,10 +225,6 @@
       drawUnit: Math.random,
     }),
     ...accountShares,
-    returnBook: new ReturnBook({
-      computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
-      drawUnit: Math.random,
-    }),
     health,
     targetFailures,
     workTracker,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -102,7 +102,7 @@
     fleetDemand: components.fleetDemand,
     sums: buildFleetSums({
       shares: components.accountShares,
-      returns: components.returnBook,
+      returns: components.returnTimes.book,
       targetFailures: components.targetFailures,
       hasAllPaths: () => components.pathMonitor.hasAllPaths,
     }),
