--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -421,7 +421,7 @@
     metrics.configAge.set(
       activeConfig.getAgeMs() / 1000,
     );
-    this.#components.targetFailures.sweep(this.#clock.readMonotonicMs());
+    this.#sweepTargetFailures();
     this.#sweepQuarantine();
     this.#sweepStreamVersions();
     storeReader.purgeDroppedTargets("otherIncarnation");
@@ -472,6 +472,19 @@
     };
   }
 
+  #sweepTargetFailures(): void {
+    const { targetFailures, directory, activeConfig, metrics } =
+      this.#components;
+    const nowMs = this.#clock.readMonotonicMs();
+    targetFailures.sweep(nowMs);
+    const services = activeConfig.table?.config.services ?? [];
+    const failing = services.map(({ name }) => {
+      const ids = directory.listServing(name).map(({ id }) => id);
+      return targetFailures.findFailing(ids, nowMs).size;
+    });
+    metrics.failingTargets.set(failing.reduce((sum, count) => sum + count, 0));
+  }
+
   #sweepStreamVersions(): void {
     const { streamVersions, activeConfig } = this.#components;
     const routes = activeConfig.table?.config.routes ?? [];
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -68,6 +68,11 @@
       "What this VM's overdue prefills add to the engines' backlogs, for all VMs",
     registers: [this.registry],
   });
+  readonly failingTargets = new Gauge({
+    name: "heatherarch_failing_targets",
+    help: "Targets that are avoided for failed attempts of all VMs",
+    registers: [this.registry],
+  });
   readonly lastResponse = new Gauge({
     name: "heatherarch_target_response_timestamp_seconds",
     help: "Unix time of the last response of any target",
