Listing the news of loads takes time by their number, not by that of the targets

A hub with 3,700 targets lists them for each of some hundred links in each round. The last news are kept in order and searched from the newest.

--- a/packages/heatherarch-load/target_loads.ts
+++ b/packages/heatherarch-load/target_loads.ts
@@ -64,6 +64,11 @@
 const SLOWDOWN_BOUNDS = { min: 0.1, max: 20 };
 /** Number of periods after which the mean forgets: 20 s, so that it follows a changed target. */
 const MAX_MEAN_PERIODS = 32;
+/**
+ * News that are kept: several times what a hub with 3,700 targets records between two heartbeats (185
+ * each 100 ms). They are searched from the newest, as a hub lists them for each of 200 links.
+ */
+const MAX_RECENT = 1024;
 /** Each scope includes those before it. */
 const SCOPES: readonly LoadScope[] = ["own", "zone", "fleet"];
 /** Slowdown of a target that reports none. */
@@ -74,8 +79,10 @@
   readonly #trust: ReportTrust;
   readonly #loads = new Map<string, TargetLoad>();
   readonly #listeners = new Set<() => void>();
+  /** The last news, in order. An entry is superseded if its load has another position. */
+  readonly #recent: { readonly load: TargetLoad; readonly position: number }[] =
+    [];
   #position = 0;
-  #reportingCount = 0;
 
   constructor({ trust = new ReportTrust() }: TargetLoadsOptions = {}) {
     this.#trust = trust;
@@ -119,11 +126,6 @@
     return this.#loads.get(target)?.sample.slowdown !== undefined;
   }
 
-  /** Whether any target reports its slowdown. */
-  get hasSlowdowns(): boolean {
-    return this.#reportingCount > 0;
-  }
-
   /**
    * Lists samples that have become news after a position, newest first, and the position after all of
    * them. What exceeds the limit is skipped, as it is outdated by the next listing. Samples that
@@ -135,19 +137,18 @@
     scope: LoadScope = "fleet",
   ): { news: LoadSample[]; position: number } {
     if (position >= this.#position) return { news: [], position };
-    const news: { listed: LoadSample; position: number }[] = [];
     const maxScope = SCOPES.indexOf(scope);
-    for (const load of this.#loads.values()) {
-      const { listed } = load;
-      if (listed === undefined || load.position <= position) continue;
-      if (SCOPES.indexOf(load.scope) > maxScope) continue;
-      news.push({ listed, position: load.position });
+    const news: LoadSample[] = [];
+    for (let i = this.#recent.length - 1; i >= 0; i--) {
+      const { load, position: recentPosition } = this.#recent[i];
+      if (recentPosition <= position || news.length >= limit) break;
+      if (load.position !== recentPosition || load.listed === undefined) {
+        continue;
+      }
+      if (this.#loads.get(load.listed.target) !== load) continue;
+      if (SCOPES.indexOf(load.scope) <= maxScope) news.push(load.listed);
     }
-    news.sort((a, b) => b.position - a.position);
-    return {
-      news: news.slice(0, limit).map(({ listed }) => listed),
-      position: this.#position,
-    };
+    return { news, position: this.#position };
   }
 
   /** Registers a listener for news that this VM has observed and returns a function that removes it. */
@@ -160,7 +161,6 @@
 
   /** Drops what is known of an incarnation that has ended. */
   forget(target: string): void {
-    if (this.reportsSlowdown(target)) this.#reportingCount--;
     this.#loads.delete(target);
     this.#trust.forget(target);
   }
@@ -169,8 +169,6 @@
     const sample = boundSlowdown(received);
     const known = this.#loads.get(sample.target);
     if (known !== undefined && sample.atMs <= known.sample.atMs) return;
-    if (this.reportsSlowdown(sample.target)) this.#reportingCount--;
-    if (sample.slowdown !== undefined) this.#reportingCount++;
     const load = known ?? createLoad(sample);
     load.sample = sample;
     this.#loads.set(sample.target, load);
@@ -180,6 +178,10 @@
     load.listed = sample;
     load.scope = scope;
     load.position = ++this.#position;
+    this.#recent.push({ load, position: load.position });
+    if (this.#recent.length > MAX_RECENT) {
+      this.#recent.splice(0, MAX_RECENT / 2);
+    }
     if (scope !== "own") return;
     for (const listener of [...this.#listeners]) listener();
   }
