Rankers see the service; no rejection by unknown predictions

A ranker needs the service of a call, as prompts of all services share a queue. A plain call is not rejected as too late while few calls have been dispatched: a first, slow sample would otherwise keep short calls from being sent, and nothing would correct it. call_queue tests pass.

--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -374,6 +374,7 @@
       const cancel = queue.enqueue({
         lane: computeLane(context.priority),
         kind: context.route.name,
+        service: context.service.name,
         account: context.accountName,
         waitStartedAtMs: context.call.arrivedAtMs,
         aimMs: context.route.aimMs,
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -246,6 +246,7 @@
       const cancel = prefillQueue.enqueue({
         lane: computeLane(priority),
         kind: context.route.name,
+        service: context.service.name,
         account: context.accountName,
         tokens: this.#prompt.promptTokens,
         waitStartedAtMs,
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -67,6 +67,8 @@
 
 /** What the rank of a call depends on. */
 export interface RankedCall {
+  /** Service that the call is sent to. */
+  readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
   /** The call is a client's retry after a rejection, at the time that the rejection stated. */
@@ -98,6 +100,8 @@
   readonly kind: string;
   /** Size of the prompt; a call without one takes no part in the shares by size. */
   readonly tokens?: number;
+  /** Service that the call is sent to. */
+  readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
   /** The call is a client's retry after a rejection; false by default. */
@@ -558,7 +562,8 @@
     const readyMs = this.#isUnderserved(request)
       ? findMinMs(placement)
       : placement.readyMs;
-    if (nowMs + readyMs > readyDeadlineMs) {
+    const isTooLate = nowMs + readyMs > readyDeadlineMs;
+    if (isTooLate && this.#mayReject(nowMs)) {
       request.onOutcome({
         kind: "tooLate",
         placement,
@@ -577,6 +582,15 @@
     return false;
   }
 
+  /**
+   * Whether predictions are good enough to reject a call. Those for plain calls are learned from the
+   * calls that are sent, so they are not while few have been dispatched.
+   */
+  #mayReject(nowMs: number): boolean {
+    return this.#latePolicy === "spare" ||
+      this.#rate.measure(nowMs) !== undefined;
+  }
+
   /** Describes the wait of a call that is considered now, so that only its target's work is ahead. */
   #buildForecast(
     { rank }: WaitingCall<P>,
@@ -643,9 +657,12 @@
 }
 
 function buildRankedCall(
-  { account, isReturn = false }: Pick<QueuedCall, "account" | "isReturn">,
+  { service, account, isReturn = false }: Pick<
+    QueuedCall,
+    "service" | "account" | "isReturn"
+  >,
 ): RankedCall {
-  return account === undefined ? { isReturn } : { account, isReturn };
+  return { service, account, isReturn };
 }
 
 /** Time of a call at a target with capacity; 0 if nothing is known. */
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -49,8 +49,8 @@
 /** Options of {@linkcode PlainCallQueues}. */
 export interface PlainCallQueuesOptions {
   readonly clock: Clock;
-  /** Builds the ranker of a service's calls; by default all calls have rank 0. */
-  readonly buildRanker?: (service: string) => CallRanker | undefined;
+  /** Ranks the calls of all services; by default all calls have rank 0. */
+  readonly ranker?: CallRanker;
 }
 
 /**
@@ -136,22 +136,22 @@
   #getOrCreate(service: string): ServiceQueue {
     let entry = this.#byService.get(service);
     if (entry === undefined) {
-      entry = { queue: this.#createQueue(service), turnAtMs: -Infinity };
+      entry = { queue: this.#createQueue(), turnAtMs: -Infinity };
       this.#dropIdle();
       this.#byService.set(service, entry);
     }
     return entry;
   }
 
-  #createQueue(service: string): CallQueue<PlainPlacement> {
-    const { clock, buildRanker } = this.#options;
+  #createQueue(): CallQueue<PlainPlacement> {
+    const { clock, ranker } = this.#options;
     return new CallQueue<PlainPlacement>({
       clock,
       maxBacklogMs: 0,
       maxLateBacklogMs: 0,
       latePolicy: "behind",
       rejectsEarly: true,
-      ranker: buildRanker?.(service),
+      ranker,
     });
   }
 
