Slots are respected before the time of work is known

A first burst was sent at once, as nothing was known of the work: 12 calls on 2 slots were run up to 24 times on a loaded machine. Until a time is learned, half of the latency objective is assumed. A lost run counts as in flight until its target has probably ended it.

--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -57,6 +57,11 @@
 /** Interval at which a waiting call checks for room in a rate limit, milliseconds. */
 const RATE_LIMIT_POLL_MS = 40;
 
+/**
+ * While nothing is known of the work, a call is assumed to occupy a slot for this share of its latency
+ * objective. Otherwise the first burst would be sent at once.
+ */
+const UNKNOWN_WORK_AIM_SHARE = 0.5;
 /** Shortest wait before a target that declined a call is tried again, milliseconds. */
 const MIN_DECLINED_WAIT_MS = 20;
 
@@ -175,6 +180,7 @@
       if (this.#isRetry && !context.takeRetry()) return undefined;
       const result = await this.#attempt(booked);
       if (result.kind === "notRun") this.#declined.add(target.id);
+      if (result.kind === "lost") this.#holdSlot(booked.placement);
       return result;
     } finally {
       booked.endRun();
@@ -182,6 +188,15 @@
     }
   }
 
+  /**
+   * Counts a lost run as in flight until its target has probably ended it. A target that was given up
+   * still runs or queues the call, and would otherwise look idle.
+   */
+  #holdSlot({ target, occupiedMs }: PlainPlacement): void {
+    const { workTracker } = this.#context.dependencies;
+    setTimeout(workTracker.beginRun(target.id, 0), occupiedMs).unref();
+  }
+
   async #attempt(booked: BookedTarget): Promise<PlainResult> {
     const context = this.#context;
     const { codec } = context.dependencies;
@@ -239,7 +254,8 @@
   #learnWork({ placement, hadFreeSlot }: BookedTarget, sentAtMs: number): void {
     const { route, nowMs, dependencies } = this.#context;
     const { target, costMs } = placement;
-    if (!hadFreeSlot && nowMs - sentAtMs > costMs) return;
+    const isLonger = costMs > 0 && nowMs - sentAtMs > costMs;
+    if (!hadFreeSlot && isLonger) return;
     dependencies.plainWorkModel.learn({
       route: route.name,
       target: target.id,
@@ -412,8 +428,9 @@
       { service: service.name },
       (nowMs - enqueuedAtMs) / 1000,
     );
-    plainCallQueues.recordSend(this.#describeTurn(placement.costMs), nowMs);
-    const hadFreeSlot = placement.readyMs === placement.costMs;
+    const { readyMs, costMs, occupiedMs } = placement;
+    plainCallQueues.recordSend(this.#describeTurn(occupiedMs), nowMs);
+    const hadFreeSlot = readyMs === costMs;
     const endRun = workTracker.beginRun(placement.target.id, 0);
     return { kind: "booked", booked: { placement, hadFreeSlot, endRun } };
   }
@@ -472,10 +489,12 @@
     const { plainWorkModel, workTracker } = dependencies;
     const workMs = plainWorkModel.predictMs(route.name, target.id, nowMs);
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
-    const load = { runs, slots: target.slots, workMs };
+    const occupiedMs = workMs || route.aimMs * UNKNOWN_WORK_AIM_SHARE;
+    const load = { runs, slots: target.slots, workMs: occupiedMs };
     const slotInMs = computePlainBacklogMs(load);
     return {
       target,
+      occupiedMs,
       costMs: workMs,
       unloadedMs: workMs,
       backlogMs: this.#predictCapacityInMs(load, slotInMs),
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -20,6 +20,8 @@
 /** Target that is to run a plain call, with the predicted times. */
 export interface PlainPlacement extends CallPlacement {
   readonly target: Target;
+  /** Time for which the call occupies a slot, milliseconds; an assumption until it is learned. */
+  readonly occupiedMs: number;
 }
 
 /** What is known about a target of a plain service. */
