--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -585,7 +585,8 @@
     const readyMs = this.#isUnderserved(request)
       ? findMinMs(placement)
       : placement.readyMs;
-    if (nowMs + readyMs > readyDeadlineMs) {
+    const isTooLate = nowMs + readyMs > readyDeadlineMs;
+    if (isTooLate && this.#mayReject(nowMs)) {
       request.onOutcome({
         kind: "tooLate",
         placement,
@@ -604,6 +605,15 @@
     return false;
   }
 
+  /**
+   * Whether predictions are good enough to reject a call. Those for plain calls are learned from the
+   * calls that are sent, so they are not while few have been dispatched.
+   */
+  #mayReject(nowMs: number): boolean {
+    return this.#latePolicy === "spare" ||
+      this.#rate.measure(nowMs) !== undefined;
+  }
+
   /** Describes the wait of a call that is considered now, so that only its target's work is ahead. */
   #buildForecast(
     { rank }: WaitingCall<P>,
