--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -28,8 +28,8 @@
 } from "../scheduling/retry_after.ts";
 import type { RejectedCall, ReturnDelay } from "../scheduling/return_times.ts";
 import {
+  computeCapacityInMs,
   computePlainBacklogMs,
-  mayExceedSlots,
   type PlainPlacement,
 } from "../scheduling/plain_call_queues.ts";
 import type { QueueOutcome } from "../scheduling/call_queue.ts";
@@ -482,17 +482,17 @@
     const workMs = plainWorkModel.predictMs(route.name, target.id, nowMs);
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const load = { runs, slots: target.slots, workMs };
-    const slotInMs = computePlainBacklogMs(load);
-    const hasAccount = this.#context.accountName !== undefined;
-    const turnInMs = slotInMs > 0 && mayExceedSlots(load, hasAccount ? rank : 0)
-      ? hasAccount && rank <= 0 ? 0 : this.#computeTurnInMs(workMs)
-      : Infinity;
+    const capacityInMs = computeCapacityInMs(load, {
+      rank,
+      hasAccount: this.#context.accountName !== undefined,
+      computeTurnInMs: () => this.#computeTurnInMs(workMs),
+    });
     return {
       target,
       costMs: workMs,
       unloadedMs: workMs,
-      backlogMs: Math.min(slotInMs, turnInMs),
-      readyMs: slotInMs + workMs,
+      backlogMs: capacityInMs,
+      readyMs: computePlainBacklogMs(load) + workMs,
     };
   }
 
--- a/packages/heatherarch-forward/fleet/digest_cache.ts
+++ b/packages/heatherarch-forward/fleet/digest_cache.ts
@@ -7,14 +7,14 @@
 import type { WorkDigest } from "heatherarch-mesh";
 import type { FleetDemand } from "../state/fleet_demand.ts";
 import type { SumExchange } from "./sum_exchange.ts";
-import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { WorkRow, WorkTracker } from "../state/work_tracker.ts";
 
 /** Options of {@linkcode DigestCache}. */
 export interface DigestCacheOptions {
   readonly workTracker: WorkTracker;
   readonly fleetDemand: FleetDemand;
-  readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
+  /** Whether peers need to know how many calls each VM receives. */
+  readonly needsCallRates: () => boolean;
   readonly sums: Pick<SumExchange, "buildDigestFields">;
   /** Counts the live VMs of the hub's zone, itself included. */
   readonly countZoneVms: () => number;
@@ -68,8 +68,8 @@
     nowMs: number,
     includeGathered: boolean,
   ): Pick<DigestBody, "callsPerMinute"> {
-    const { fleetDemand, rateLimits } = this.#options;
-    if (!rateLimits.hasLimits) return {};
+    const { fleetDemand, needsCallRates } = this.#options;
+    if (!needsCallRates()) return {};
     const { callsPerMinute } = fleetDemand.sumRates(nowMs, includeGathered);
     return { callsPerMinute };
   }
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -47,6 +47,7 @@
     | "applyTargets"
     | "onListStale"
     | "listChangingRole"
+    | "needsCallRates"
   > {
   readonly self: VmRecord;
   /** Address to listen on; peers dial the one in `self`. */
@@ -381,8 +382,7 @@
 
   /** Builds the fields for a link without hubs: own work, and the prefix updates not yet sent. */
   #buildMeshFields(link: Link): Partial<Heartbeat> {
-    const { workTracker, prefixIndex, rateLimits, clock, listChangingRole } =
-      this.#options;
+    const { workTracker, prefixIndex, clock, listChangingRole } = this.#options;
     const nowMs = clock.readMonotonicMs();
     const changing = listChangingRole();
     const { updates, cursor } = prefixIndex.listUpdates(
@@ -390,7 +390,7 @@
     );
     this.#prefixCursors.set(link, cursor);
     return {
-      ...(rateLimits.hasLimits
+      ...(this.#options.needsCallRates()
         ? {
           callsPerMinute: this.#options.fleetDemand.getOwnCallsPerMinute(nowMs),
         }
--- a/packages/heatherarch-forward/fleet/hub_exchange.ts
+++ b/packages/heatherarch-forward/fleet/hub_exchange.ts
@@ -43,7 +43,6 @@
 } from "../state/prefix_index.ts";
 import type { ActiveConfig } from "../state/active_config.ts";
 import type { FleetDemand } from "../state/fleet_demand.ts";
-import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import { FeedSource } from "./feed_source.ts";
 import {
   subtractRows,
@@ -59,7 +58,8 @@
   readonly fleetDemand: FleetDemand;
   /** Shared with the exchange without hubs. */
   readonly sums: SumExchange;
-  readonly rateLimits: Pick<TargetRateLimits, "hasLimits">;
+  /** Whether peers need to know how many calls each VM receives. */
+  readonly needsCallRates: () => boolean;
   readonly prefixIndex: PrefixIndex;
   /** Lists the engines that are changing their role on an order of this VM. */
   readonly listChangingRole: () => readonly string[];
@@ -136,7 +136,7 @@
       workTracker: options.workTracker,
       fleetDemand: options.fleetDemand,
       sums: options.sums,
-      rateLimits: options.rateLimits,
+      needsCallRates: options.needsCallRates,
       countZoneVms: () => this.#countZoneVms(),
       countFleetVms: () => this.liveVms,
     });
@@ -401,10 +401,10 @@
     };
   }
 
-  /** Builds the rate of this VM's calls, which peers need only while targets have rate limits. */
+  /** Builds the rate of this VM's calls, which peers need only while limits or slots are shared by it. */
   #buildCallRate(): Pick<HubFields, "callsPerMinute"> {
     const callsPerMinute = this.#sentHeartbeats.get(this.#beat)?.callsPerMinute;
-    const isNeeded = this.#options.rateLimits.hasLimits;
+    const isNeeded = this.#options.needsCallRates();
     return isNeeded && callsPerMinute !== undefined ? { callsPerMinute } : {};
   }
 
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -58,9 +58,10 @@
 const MAX_OVERLOAD_FACTOR = 2;
 /**
  * The same for calls of accounts beyond their shares, so that a target's queue has room for calls of
- * rank 0 of all VMs.
+ * rank 0 of all VMs. With 1.25, two targets of 4 slots served 192 of 200 calls/s, with 1.5 198
+ * (`share_simulation_test`).
  */
-const MAX_RANKED_OVERLOAD_FACTOR = 1.25;
+const MAX_OVERLOAD_FACTOR_BEYOND_SHARE = 1.5;
 /** Services change with the configuration. Above this number, idle queues are dropped. */
 const MAX_SERVICES = 256;
 
@@ -78,12 +79,39 @@
   return ahead <= 0 ? 0 : ahead * workMs / Math.max(1, slots);
 }
 
-/** Whether a VM may send a call of this rank to a busy target at the rate of its share. */
+/** What decides when a call may be sent to a busy target. */
+export interface PlainTurn {
+  /** Rank of the call; 0 without an account. */
+  readonly rank: number;
+  /** Whether ranks mean shares of accounts. */
+  readonly hasAccount: boolean;
+  /** Time until this VM may send at the rate of its share of the slots, milliseconds. */
+  readonly computeTurnInMs: () => number;
+}
+
+/**
+ * Time until a target has capacity for a call, milliseconds. A call within the share of its account
+ * does not wait for its VM's turn, so that it is served although other VMs have all slots.
+ */
+export function computeCapacityInMs(
+  load: PlainTargetLoad,
+  { rank, hasAccount, computeTurnInMs }: PlainTurn,
+): number {
+  const slotInMs = computePlainBacklogMs(load);
+  const isBeyondShare = hasAccount && rank > 0;
+  if (slotInMs === 0 || !mayExceedSlots(load, isBeyondShare)) return slotInMs;
+  if (hasAccount && !isBeyondShare) return 0;
+  return Math.min(slotInMs, computeTurnInMs());
+}
+
+/** Whether a VM may send to a busy target at the rate of its share. */
 export function mayExceedSlots(
   { runs, reportedRequests = 0, slots }: PlainTargetLoad,
-  rank = 0,
+  isBeyondShare = false,
 ): boolean {
-  const factor = rank > 0 ? MAX_RANKED_OVERLOAD_FACTOR : MAX_OVERLOAD_FACTOR;
+  const factor = isBeyondShare
+    ? MAX_OVERLOAD_FACTOR_BEYOND_SHARE
+    : MAX_OVERLOAD_FACTOR;
   return Math.max(runs, reportedRequests) < slots * factor;
 }
 
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -108,6 +108,9 @@
     }),
     storeEpoch: components.storeEpoch,
     rateLimits: components.rateLimits,
+    // VMs share rate limits by their calls, and the slots of targets between calls of accounts.
+    needsCallRates: () =>
+      components.rateLimits.hasLimits || components.accountShares.isInUse,
     targetLoads: components.targetLoads,
     prefixIndex: components.prefixIndex,
     quarantine: components.quarantine,
--- a/packages/heatherarch-shares/fair_shares.ts
+++ b/packages/heatherarch-shares/fair_shares.ts
@@ -92,6 +92,11 @@
     this.#countAccounts = options.countAccounts ?? (() => Infinity);
   }
 
+  /** Whether any account is in use, here or at a peer. */
+  get isInUse(): boolean {
+    return this.#services.size > 0;
+  }
+
   /** Records work that was dispatched to a target for an account, milliseconds of one slot. */
   recordWork(
     group: string,
