A late prompt within its account's share goes before calls beyond their shares

The limit is there for calls that can be on time. Without accounts no call has a rank above 0.

Tests: share_simulation 5, account_ranker 7, call_queue, call_queue_overload and call_handlers pass.

--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -217,6 +217,8 @@
   /** Late calls, in the order in which they became late. */
   #late: WaitingCall<P>[] = [];
   #lateDispatchedAtMs = -Infinity;
+  /** Highest rank of the calls that wait at the current dispatch. */
+  #maxRank = 0;
   /** Time of the first late call since no call waited; undefined without one. */
   #overloadSinceMs: number | undefined;
   /** Late calls placed since then. */
@@ -294,7 +296,9 @@
       nowMs - this.#lateDispatchedAtMs >= LATE_DISPATCH_INTERVAL_MS;
     if (isLateDue) this.#lateDispatchedAtMs = nowMs;
     const keptInLane = new Map<number, number>();
-    for (const rank of this.#updateRanks(nowMs)) {
+    const ranks = this.#updateRanks(nowMs);
+    this.#maxRank = ranks[ranks.length - 1] ?? 0;
+    for (const rank of ranks) {
       this.#placeUnderserved(rank, nowMs);
       this.#placeWaiting(rank, keptInLane, nowMs);
       if (isLateDue) this.#placeLate(rank, nowMs);
@@ -566,11 +570,17 @@
       });
       return false;
     }
-    if (placement.backlogMs > this.#maxLateBacklogMs) {
-      this.#noteCapacityInMs(placement.backlogMs - this.#maxLateBacklogMs);
+    // Late calls are limited because they delay calls that can be on time. If the only ones that wait
+    // are of accounts beyond their share, a late call of another account goes before them.
+    const isPreferred = request.rank <= 0 && this.#maxRank > 0;
+    const maxBacklogMs = isPreferred
+      ? this.#maxBacklogMs
+      : this.#maxLateBacklogMs;
+    if (placement.backlogMs > maxBacklogMs) {
+      this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return true;
     }
-    if (request.mayPlaceLate?.() === false) return true;
+    if (!isPreferred && request.mayPlaceLate?.() === false) return true;
     this.#place(request, placement, LATE_LANE, nowMs);
     return false;
   }
--- a/packages/heatherarch-forward/tests/unit/share_simulation.ts
+++ b/packages/heatherarch-forward/tests/unit/share_simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Simulates four VMs with real queues and shares in front of plain targets, with one large account
- * beside small ones. Unlike a test on sockets, its result doesn't depend on the machine.
+ * Simulates four VMs with real queues and shares in front of plain targets or prefill engines, with
+ * one large account beside small ones. Unlike a test on sockets, its result doesn't depend on the machine.
  *
  * @module
  */
@@ -8,8 +8,10 @@
 import { FairShares } from "heatherarch-shares";
 import {
   AccountRanker,
+  CallQueue,
   computeCapacityInMs,
   computePlainBacklogMs,
+  type LanePlacement,
   PlainCallQueues,
   type PlainPlacement,
   type Target,
@@ -19,6 +21,8 @@
 
 /** Load of a simulated fleet. */
 export interface ShareLoad {
+  /** Plain targets with 4 slots and 40 ms of work, or engines that take 60 ms for each prompt. */
+  readonly targets: "plain" | "engines";
   readonly smallAccounts: number;
   readonly smallCallsPerSecond: number;
   readonly largeCallsPerSecond: number;
@@ -45,14 +49,22 @@
 
 interface SimulatedVm {
   readonly queues: PlainCallQueues;
+  readonly prompts: CallQueue<PlainPlacement>;
   readonly work: WorkTracker;
   readonly shares: FairShares;
 }
 
 const SERVICE = "s";
 const VMS = 4;
-const SLOTS = 4;
-const WORK_MS = 40;
+/** Targets, the calls that each runs at the same time, and the time of a call. */
+const SHAPES = {
+  plain: { count: 2, slots: 4, workMs: 40 },
+  engines: { count: 6, slots: 1, workMs: 60 },
+};
+/** Largest difference by which VMs vary the predicted times of engines, milliseconds. */
+const ENGINE_JITTER_MS = 20;
+/** Time from the end of a prefill to the first token at the client, milliseconds. */
+const FIRST_TOKEN_MS = 50;
 const AIM_MS = 300;
 const TIMEOUT_MS = 2000;
 const RUN_MS = 12_000;
@@ -68,11 +80,8 @@
   readonly #load: ShareLoad;
   readonly #random: Random;
   readonly #clock = new ManualClock();
-  readonly #targets = ["p1", "p2"].map((id): SimulatedTarget => ({
-    target: buildTarget(id, { slots: SLOTS }),
-    running: 0,
-    waiting: [],
-  }));
+  readonly #shape: { count: number; slots: number; workMs: number };
+  readonly #targets: readonly SimulatedTarget[];
   readonly #vms: readonly SimulatedVm[];
   /** What happens at a time, milliseconds. */
   readonly #events = new Map<number, (() => void)[]>();
@@ -82,6 +91,15 @@
   constructor(load: ShareLoad, seed: number) {
     this.#load = load;
     this.#random = new Random(seed);
+    this.#shape = SHAPES[load.targets];
+    this.#targets = Array.from(
+      { length: this.#shape.count },
+      (_, i): SimulatedTarget => ({
+        target: buildTarget(`t${i}`, { slots: this.#shape.slots }),
+        running: 0,
+        waiting: [],
+      }),
+    );
     this.#vms = Array.from({ length: VMS }, () => this.#buildVm());
   }
 
@@ -92,7 +110,7 @@
       if (nowMs % HEARTBEAT_MS === 0) this.#exchangeWork(nowMs);
       if (nowMs % USE_INTERVAL_MS === 0) this.#exchangeUse(nowMs);
       if (nowMs % DISPATCH_MS === 0) {
-        for (const { queues } of this.#vms) queues.dispatch(SERVICE);
+        for (const vm of this.#vms) this.#dispatch(vm);
       }
       for (const event of this.#events.get(nowMs) ?? []) event();
       this.#events.delete(nowMs);
@@ -109,11 +127,23 @@
   #buildVm(): SimulatedVm {
     const shares = new FairShares();
     const ranker = new AccountRanker({ shares });
+    const clock = this.#clock;
+    const usedRanker = this.#load.isRanked === false ? undefined : ranker;
     const queues = new PlainCallQueues({
-      clock: this.#clock,
-      buildRanker: () => this.#load.isRanked === false ? undefined : ranker,
+      clock,
+      buildRanker: () => usedRanker,
+    });
+    const prompts = new CallQueue<PlainPlacement>({
+      clock,
+      ranker: usedRanker,
+      isTimerEnabled: false,
     });
-    return { queues, work: new WorkTracker(), shares };
+    return { queues, prompts, work: new WorkTracker(), shares };
+  }
+
+  #dispatch({ queues, prompts }: SimulatedVm): void {
+    queues.dispatch(SERVICE);
+    if (prompts.size > 0) prompts.dispatch();
   }
 
   #sendCalls(): void {
@@ -138,7 +168,9 @@
     const counts = nowMs < WARM_UP_MS ? { sent: 0, served: 0 } : total;
     counts.sent++;
     const vm = this.#vms[this.#random.drawInteger(0, vms - 1)];
-    vm.queues.getQueue(SERVICE).enqueue({
+    const isPlain = this.#load.targets === "plain";
+    const queue = isPlain ? vm.queues.getQueue(SERVICE) : vm.prompts;
+    queue.enqueue({
       service: SERVICE,
       account,
       lane: 0,
@@ -146,12 +178,18 @@
       waitStartedAtMs: nowMs,
       aimMs: AIM_MS,
       timeoutAtMs: nowMs + TIMEOUT_MS,
-      responseDelayMs: 0,
-      predictMs: () => WORK_MS,
-      findPlacement: (rank) => this.#findPlacement(vm, rank),
+      responseDelayMs: isPlain ? 0 : FIRST_TOKEN_MS,
+      predictMs: () => this.#shape.workMs,
+      findPlacement: (rank) =>
+        isPlain ? this.#findPlacement(vm, rank) : this.#findEngine(vm),
+      // One late prompt at a time, a fourth of the engines.
+      mayPlaceLate: () =>
+        !this.#targets.some(({ target }) =>
+          vm.work.hasLatePrefill(target.id, this.#clock.readMonotonicMs())
+        ),
       onOutcome: (outcome) => {
         if (outcome.kind !== "placed") return;
-        this.#start(vm, outcome.placed.placement.target, () => {
+        this.#start(vm, outcome.placed, () => {
           const tookMs = this.#clock.readMonotonicMs() - nowMs;
           if (tookMs <= TIMEOUT_MS) counts.served++;
         });
@@ -159,6 +197,21 @@
     });
   }
 
+  /** Finds the engine that would finish first, as VMs vary it. */
+  #findEngine({ work }: SimulatedVm): PlainPlacement {
+    const nowMs = this.#clock.readMonotonicMs();
+    const { workMs } = this.#shape;
+    const [{ target, backlogMs }] = this.#targets
+      .map(({ target }) => {
+        const backlogMs = work.getPrefillBacklogMs(target.id, nowMs);
+        const jitterMs = this.#random.drawUnit() * ENGINE_JITTER_MS;
+        return { target, backlogMs, order: backlogMs + jitterMs };
+      })
+      .sort((a, b) => a.order - b.order);
+    const readyMs = backlogMs + workMs;
+    return { target, costMs: workMs, unloadedMs: workMs, backlogMs, readyMs };
+  }
+
   #findPlacement(
     { queues, work }: SimulatedVm,
     rank: number,
@@ -167,24 +220,25 @@
     const [{ target, runs }] = this.#targets
       .map(({ target }) => ({ target, ...work.getRunLoad(target.id, nowMs) }))
       .sort((a, b) => a.runs - b.runs || this.#random.drawUnit() - 0.5);
-    const load = { runs, slots: SLOTS, workMs: WORK_MS };
+    const { slots, workMs } = this.#shape;
+    const load = { runs, slots, workMs };
     const backlogMs = computeCapacityInMs(load, {
       rank,
       hasAccount: this.#load.isRanked !== false,
       computeTurnInMs: () =>
         queues.computeTurnInMs({
           service: SERVICE,
-          workMs: WORK_MS,
-          slots: SLOTS * this.#targets.length,
+          workMs,
+          slots: slots * this.#targets.length,
           share: this.#computeShare(queues),
         }, nowMs),
     });
     return {
       target,
-      costMs: WORK_MS,
-      unloadedMs: WORK_MS,
+      costMs: workMs,
+      unloadedMs: workMs,
       backlogMs,
-      readyMs: computePlainBacklogMs(load) + WORK_MS,
+      readyMs: computePlainBacklogMs(load) + workMs,
     };
   }
 
@@ -200,24 +254,33 @@
       (smallPerVm * VMS + largeCallsPerSecond);
   }
 
-  #start(vm: SimulatedVm, { id }: Target, onServed: () => void): void {
-    vm.queues.recordSend(SERVICE, this.#clock.readMonotonicMs());
-    const endRun = vm.work.beginRun(id, 0);
+  #start(
+    vm: SimulatedVm,
+    { placement: { target: { id }, costMs }, lane }: LanePlacement<
+      PlainPlacement
+    >,
+    onServed: () => void,
+  ): void {
+    const nowMs = this.#clock.readMonotonicMs();
+    vm.queues.recordSend(SERVICE, nowMs);
+    const endRun = this.#load.targets === "plain"
+      ? vm.work.beginRun(id, 0)
+      : vm.work.beginPrefill(id, { costMs, lane, latencyMs: HOP_MS }, nowMs);
     const target = this.#targets.find((each) => each.target.id === id)!;
     const work = (): void => {
-      this.#schedule(WORK_MS, () => {
+      this.#schedule(this.#shape.workMs, () => {
         const next = target.waiting.shift();
         if (next === undefined) target.running--;
         else next();
         this.#schedule(HOP_MS, () => {
           endRun();
           onServed();
-          vm.queues.dispatch(SERVICE);
+          this.#dispatch(vm);
         });
       });
     };
     this.#schedule(HOP_MS, () => {
-      if (target.running >= SLOTS) return target.waiting.push(work);
+      if (target.running >= this.#shape.slots) return target.waiting.push(work);
       target.running++;
       work();
     });
