--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -28,8 +28,8 @@
 } from "../scheduling/retry_after.ts";
 import type { RejectedCall, ReturnDelay } from "../scheduling/return_times.ts";
 import {
+  computeCapacityInMs,
   computePlainBacklogMs,
-  mayExceedSlots,
   type PlainPlacement,
   type PlainTargetLoad,
   type TurnOptions,
@@ -63,12 +63,6 @@
 /** Shortest wait before a target that declined a call is tried again, milliseconds. */
 const MIN_DECLINED_WAIT_MS = 20;
 
-/**
- * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
- * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
- */
-const CONTENDED_RATE_FACTOR = 2;
-
 /** A target whose slot is booked for the call. */
 interface BookedTarget {
   readonly placement: PlainPlacement;
@@ -523,41 +517,30 @@
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const occupiedMs = workMs || route.aimMs * UNKNOWN_WORK_AIM_SHARE;
     const load = { runs, slots: target.slots, workMs: occupiedMs };
-    const slotInMs = computePlainBacklogMs(load);
     return {
       target,
       occupiedMs,
       costMs: workMs,
       unloadedMs: workMs,
-      backlogMs: this.#predictCapacityInMs(load, slotInMs, rank),
-      readyMs: slotInMs + workMs,
+      backlogMs: this.#computeCapacityInMs(load, rank),
+      readyMs: computePlainBacklogMs(load) + workMs,
     };
   }
 
   /** Time until this VM may send a call to a target, milliseconds. */
-  #predictCapacityInMs(
-    load: PlainTargetLoad,
-    slotInMs: number,
-    rank: number,
-  ): number {
-    const { service: { name }, dependencies } = this.#context;
-    if (slotInMs === 0) {
-      const { isBusy } = dependencies.plainCallQueues.getQueue(name);
-      return isBusy ? this.#computeTurnInMs(load, CONTENDED_RATE_FACTOR) : 0;
-    }
-    const hasAccount = this.#context.accountName !== undefined;
-    if (!mayExceedSlots(load, hasAccount ? rank : 0)) return slotInMs;
-    if (hasAccount && rank <= 0) return 0;
-    return Math.min(slotInMs, this.#computeTurnInMs(load, 1));
-  }
-
-  /** Time until this VM may send at a multiple of the rate of its share of the service's slots. */
-  #computeTurnInMs({ workMs }: PlainTargetLoad, rateFactor: number): number {
-    const { nowMs, dependencies } = this.#context;
-    return dependencies.plainCallQueues.computeTurnInMs(
-      { ...this.#describeTurn(workMs), rateFactor },
-      nowMs,
-    );
+  #computeCapacityInMs(load: PlainTargetLoad, rank: number): number {
+    const { service, accountName, nowMs, dependencies } = this.#context;
+    const { plainCallQueues } = dependencies;
+    return computeCapacityInMs(load, {
+      rank,
+      hasAccount: accountName !== undefined,
+      isContended: plainCallQueues.getQueue(service.name).isBusy,
+      computeTurnInMs: (rateFactor) =>
+        plainCallQueues.computeTurnInMs(
+          { ...this.#describeTurn(load.workMs), rateFactor },
+          nowMs,
+        ),
+    });
   }
 
   #describeTurn(workMs: number): TurnOptions {
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -250,10 +250,7 @@
     }),
     retryBudget: buildRetryBudget(settings),
     prefillQueue: new CallQueue({ clock, ranker }),
-    plainCallQueues: new PlainCallQueues({
-      clock,
-      buildRanker: () => ranker,
-    }),
+    plainCallQueues: new PlainCallQueues({ clock, ranker }),
     plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
     prefixIndex: new PrefixIndex(),
