--- a/packages/heatherarch-forward/tests/unit/share_simulation.ts
+++ b/packages/heatherarch-forward/tests/unit/share_simulation.ts
@@ -15,6 +15,7 @@
   PlainCallQueues,
   type PlainPlacement,
   type Target,
+  type TurnOptions,
   WorkTracker,
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
@@ -212,10 +213,8 @@
     return { target, costMs: workMs, unloadedMs: workMs, backlogMs, readyMs };
   }
 
-  #findPlacement(
-    { queues, work }: SimulatedVm,
-    rank: number,
-  ): PlainPlacement {
+  #findPlacement(vm: SimulatedVm, rank: number): PlainPlacement {
+    const { work } = vm;
     const nowMs = this.#clock.readMonotonicMs();
     const [{ target, runs }] = this.#targets
       .map(({ target }) => ({ target, ...work.getRunLoad(target.id, nowMs) }))
@@ -225,13 +224,12 @@
     const backlogMs = computeCapacityInMs(load, {
       rank,
       hasAccount: this.#load.isRanked !== false,
-      computeTurnInMs: () =>
-        queues.computeTurnInMs({
-          service: SERVICE,
-          workMs,
-          slots: slots * this.#targets.length,
-          share: this.#computeShare(queues),
-        }, nowMs),
+      isContended: vm.queues.getQueue(SERVICE).isBusy,
+      computeTurnInMs: (rateFactor) =>
+        vm.queues.computeTurnInMs(
+          { ...this.#describeTurn(vm), rateFactor },
+          nowMs,
+        ),
     });
     return {
       target,
@@ -242,14 +240,19 @@
     };
   }
 
+  #describeTurn(vm: SimulatedVm): TurnOptions {
+    const { slots, workMs, count } = this.#shape;
+    const share = this.#computeShare(vm);
+    return { service: SERVICE, workMs, slots: slots * count, share };
+  }
+
   /** Share of the calls that a VM receives. */
-  #computeShare(queues: PlainCallQueues): number {
+  #computeShare(vm: SimulatedVm): number {
     const { smallAccounts, smallCallsPerSecond, largeCallsPerSecond } =
       this.#load;
     const { largeVms } = this.#load;
     const smallPerVm = smallAccounts * smallCallsPerSecond / VMS;
-    const isLarge = this.#vms.findIndex((vm) => vm.queues === queues) <
-      largeVms;
+    const isLarge = this.#vms.indexOf(vm) < largeVms;
     return (smallPerVm + (isLarge ? largeCallsPerSecond / largeVms : 0)) /
       (smallPerVm * VMS + largeCallsPerSecond);
   }
@@ -262,7 +265,7 @@
     onServed: () => void,
   ): void {
     const nowMs = this.#clock.readMonotonicMs();
-    vm.queues.recordSend(SERVICE, nowMs);
+    vm.queues.recordSend(this.#describeTurn(vm), nowMs);
     const endRun = this.#load.targets === "plain"
       ? vm.work.beginRun(id, 0)
       : vm.work.beginPrefill(id, { costMs, lane, latencyMs: HOP_MS }, nowMs);
--- a/packages/heatherarch-load/target_loads.ts
+++ b/packages/heatherarch-load/target_loads.ts
@@ -26,6 +26,9 @@
   readonly atMs: number;
 }
 
+/** Who has observed a sample: this VM, a VM of its availability zone, or any VM of the fleet. */
+export type LoadScope = "own" | "zone" | "fleet";
+
 /** Options of {@linkcode TargetLoads}. */
 export interface TargetLoadsOptions {
   /** Decides whose reports are believed. */
@@ -44,8 +47,8 @@
   count: number;
   /** Sample that was last listed as news. */
   listed: LoadSample | undefined;
-  /** Whether this VM has observed that sample. */
-  isOwn: boolean;
+  /** Who has observed that sample. */
+  scope: LoadScope;
   /** Position of that sample among the news of all targets. */
   position: number;
 }
@@ -61,6 +64,13 @@
 const SLOWDOWN_BOUNDS = { min: 0.1, max: 20 };
 /** Number of periods after which the mean forgets: 20 s, so that it follows a changed target. */
 const MAX_MEAN_PERIODS = 32;
+/**
+ * News that are kept: several times what a hub with 3,700 targets records between two heartbeats (185
+ * each 100 ms). They are searched from the newest, as a hub lists them for each of 200 links.
+ */
+const MAX_RECENT = 1024;
+/** Each scope includes those before it. */
+const SCOPES: readonly LoadScope[] = ["own", "zone", "fleet"];
 /** Slowdown of a target that reports none. */
 const USUAL_SLOWDOWN = 1;
 
@@ -69,8 +79,10 @@
   readonly #trust: ReportTrust;
   readonly #loads = new Map<string, TargetLoad>();
   readonly #listeners = new Set<() => void>();
+  /** The last news, in order. An entry is superseded if its load has another position. */
+  readonly #recent: { readonly load: TargetLoad; readonly position: number }[] =
+    [];
   #position = 0;
-  #reportingCount = 0;
 
   constructor({ trust = new ReportTrust() }: TargetLoadsOptions = {}) {
     this.#trust = trust;
@@ -78,12 +90,12 @@
 
   /** Records what this VM has observed. */
   record(sample: LoadSample): void {
-    this.#merge(sample, true);
+    this.#merge(sample, "own");
   }
 
   /** Merges what a peer has observed. The newer sample wins. */
-  mergePeerSample(sample: LoadSample): void {
-    this.#merge(sample, false);
+  mergePeerSample(sample: LoadSample, scope: LoadScope = "zone"): void {
+    this.#merge(sample, scope);
   }
 
   /** Returns the last report of a target with its age, or undefined if there is none. */
@@ -114,33 +126,29 @@
     return this.#loads.get(target)?.sample.slowdown !== undefined;
   }
 
-  /** Whether any target reports its slowdown. */
-  get hasSlowdowns(): boolean {
-    return this.#reportingCount > 0;
-  }
-
   /**
    * Lists samples that have become news after a position, newest first, and the position after all of
-   * them. What exceeds the limit is skipped, as it is outdated by the next listing. With the scope
-   * `own`, samples of peers are not listed.
+   * them. What exceeds the limit is skipped, as it is outdated by the next listing. Samples that
+   * were observed beyond the scope are not listed.
    */
   listNews(
     position: number,
     limit: number,
-    scope: "all" | "own" = "all",
+    scope: LoadScope = "fleet",
   ): { news: LoadSample[]; position: number } {
     if (position >= this.#position) return { news: [], position };
-    const news: { listed: LoadSample; position: number }[] = [];
-    for (const { listed, position: listedAt, isOwn } of this.#loads.values()) {
-      if (listed === undefined || listedAt <= position) continue;
-      if (scope === "own" && !isOwn) continue;
-      news.push({ listed, position: listedAt });
+    const maxScope = SCOPES.indexOf(scope);
+    const news: LoadSample[] = [];
+    for (let i = this.#recent.length - 1; i >= 0; i--) {
+      const { load, position: recentPosition } = this.#recent[i];
+      if (recentPosition <= position || news.length >= limit) break;
+      if (load.position !== recentPosition || load.listed === undefined) {
+        continue;
+      }
+      if (this.#loads.get(load.listed.target) !== load) continue;
+      if (SCOPES.indexOf(load.scope) <= maxScope) news.push(load.listed);
     }
-    news.sort((a, b) => b.position - a.position);
-    return {
-      news: news.slice(0, limit).map(({ listed }) => listed),
-      position: this.#position,
-    };
+    return { news, position: this.#position };
   }
 
   /** Registers a listener for news that this VM has observed and returns a function that removes it. */
@@ -153,17 +161,14 @@
 
   /** Drops what is known of an incarnation that has ended. */
   forget(target: string): void {
-    if (this.reportsSlowdown(target)) this.#reportingCount--;
     this.#loads.delete(target);
     this.#trust.forget(target);
   }
 
-  #merge(received: LoadSample, isOwn: boolean): void {
+  #merge(received: LoadSample, scope: LoadScope): void {
     const sample = boundSlowdown(received);
     const known = this.#loads.get(sample.target);
     if (known !== undefined && sample.atMs <= known.sample.atMs) return;
-    if (this.reportsSlowdown(sample.target)) this.#reportingCount--;
-    if (sample.slowdown !== undefined) this.#reportingCount++;
     const load = known ?? createLoad(sample);
     load.sample = sample;
     this.#loads.set(sample.target, load);
@@ -171,9 +176,13 @@
     learnMean(load, sample.slowdown, sample.atMs);
     if (!isNews(load, sample.slowdown)) return;
     load.listed = sample;
-    load.isOwn = isOwn;
+    load.scope = scope;
     load.position = ++this.#position;
-    if (!isOwn) return;
+    this.#recent.push({ load, position: load.position });
+    if (this.#recent.length > MAX_RECENT) {
+      this.#recent.splice(0, MAX_RECENT / 2);
+    }
+    if (scope !== "own") return;
     for (const listener of [...this.#listeners]) listener();
   }
 }
@@ -187,7 +196,7 @@
     sum: 0,
     count: 0,
     listed: undefined,
-    isOwn: false,
+    scope: "own",
     position: 0,
   };
 }
