--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -32,6 +32,8 @@
   readonly what: HardLoadDecision;
   /** Numbers of VMs; those of {@linkcode FLEET_SIZES}. */
   readonly vms: readonly number[];
+  /** Simulates only designs whose names contain this. */
+  readonly design?: string;
   readonly seed: number;
   readonly seeds: number;
   readonly print: (line: string) => void;
@@ -58,7 +60,9 @@
   const sizes = FLEET_SIZES.filter(({ vms }) => options.vms.includes(vms));
   const rows: HardLoadRow[] = [];
   for (const size of sizes) {
-    for (const { design, simulate } of listDesigns(options.what, size)) {
+    const designs = listDesigns(options.what, size)
+      .filter(({ design }) => design.includes(options.design ?? ""));
+    for (const { design, simulate } of designs) {
       const figures = averageFigures(
         Array.from(
           { length: options.seeds },
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -111,6 +111,11 @@
           array: true,
           default: [9, 88],
           describe: "fleet sizes of load, shares and returns: 9, 88, 870",
+        })
+        .option("design", {
+          type: "string",
+          describe:
+            "only designs of load, shares or returns with this in their names",
         }),
     (args) => {
       const print = args.json ? () => {} : console.log;
