Proof of shares: VMs take free slots one each, with an objective of 400 ms

One VM took all slots that came free at the same time, which left VMs with few calls without any for a second by chance. All calls were therefore given an objective as long as their timeouts, which is taken back.

--- a/packages/heatherarch-lab/proofs/shares_simulation.ts
+++ b/packages/heatherarch-lab/proofs/shares_simulation.ts
@@ -66,11 +66,7 @@
 const WORK_MS = 40;
 const SLOTS = 4;
 const TIMEOUT_MS = 1600;
-/**
- * No call is late before its client gives up. The queue's forecast for late calls counts the overload
- * of all ranks, and would reject calls of rank 0 because calls of other ranks wait.
- */
-const AIM_MS = TIMEOUT_MS;
+const AIM_MS = 400;
 /** Demand of all small accounts as a share of the room, and of the large one relative to one of them. */
 const SMALL_DEMAND = 0.3;
 const LARGE_FACTOR = 40;
@@ -107,6 +103,8 @@
   #ends: number[] = [];
   #nowMs = 0;
   #idleCount = 0;
+  /** Slots that may be in use after the call that is considered now. */
+  #usableSlots = 0;
 
   constructor(schedule: SharesSchedule, disabledGuard?: SharesGuard) {
     this.#schedule = schedule;
@@ -121,7 +119,7 @@
       if (this.#nowMs % USE_INTERVAL_MS === 0) this.#sendUse();
       this.#deliverUse();
       this.#drawArrivals();
-      for (const { queue } of this.#listInRandomOrder()) queue.dispatch();
+      this.#dispatch();
       const isWaiting = this.#vms.some(({ queue }) => queue.size > 0);
       if (isWaiting && this.#ends.length < SLOTS) this.#idleCount++;
     }
@@ -130,6 +128,19 @@
     return { leastServed: Math.min(...served), idleCount: this.#idleCount };
   }
 
+  /** Lets the VMs take free slots, one each in a random order, until there is none left. */
+  #dispatch(): void {
+    let before: number;
+    do {
+      before = this.#ends.length;
+      for (const { queue } of this.#listInRandomOrder()) {
+        this.#usableSlots = Math.min(SLOTS, this.#ends.length + 1);
+        queue.dispatch();
+      }
+    } while (this.#ends.length > before && this.#ends.length < SLOTS);
+    this.#usableSlots = 0;
+  }
+
   #buildVm(): Vm {
     const clock: Clock = {
       readMonotonicMs: () => this.#nowMs,
@@ -229,7 +240,7 @@
   #findPlacement(shares: FairShares, account: string): CallPlacement {
     const isHeld = this.#disabledGuard === "servesAnyRank" &&
       shares.computeRank(SERVICE, account, this.#nowMs) > 0;
-    const hasSlot = this.#ends.length < SLOTS && !isHeld;
+    const hasSlot = this.#ends.length < this.#usableSlots && !isHeld;
     const backlogMs = hasSlot ? 0 : STEP_MS;
     return {
       costMs: WORK_MS,
