--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -330,6 +330,9 @@
         formatPercent(share)
       }\tweight ${weight}\trank ${rank}`
     ),
+    ...(status.returns ?? []).map(({ service, booked, due }) =>
+      `returns\t${service}\t${booked} booked here\t${due} due in the fleet`
+    ),
   ];
   if (duties === null) return [...lines, "duties: none"];
   lines.push(
--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -85,6 +85,12 @@
     share: number;
     rank: number;
   }[];
+  /** Absent in the response of an older VM. */
+  readonly returns?: readonly {
+    service: string;
+    booked: number;
+    due: number;
+  }[];
   readonly duties: {
     holder?: string;
     fencing: number;
--- a/packages/heatherarch-cli/tests/unit/commands_test.ts
+++ b/packages/heatherarch-cli/tests/unit/commands_test.ts
@@ -15,6 +15,7 @@
     share: 0.25,
     rank: 2,
   }],
+  returns: [{ service: "s", booked: 3, due: 9 }],
   duties: {
     holder: "vm-2",
     fencing: 12,
@@ -32,6 +33,7 @@
     "client accounts: 1",
     "  acme\t2 keys",
     "  share\ts\tacme\tuses 70.5% of 25.0%\tweight 4\trank 2",
+    "returns\ts\t3 booked here\t9 due in the fleet",
     "duties: held by vm-2, fencing 12",
     "usage: window 101 final, window - reported",
     "  wanted\ts\tzone-a\t3 standard\t1 spot",
@@ -47,6 +49,7 @@
       config,
       accounts: null,
       shares: undefined,
+      returns: undefined,
       duties: null,
     }),
     [
--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -7,7 +7,6 @@
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
 import type { FairShares } from "heatherarch-shares";
-import type { ReturnBook } from "heatherarch-returns";
 import type { AccountRanker } from "./scheduling/account_ranker.ts";
 import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
@@ -37,8 +36,10 @@
 import type { TargetHealth } from "./state/target_health.ts";
 import type { TargetBackoffs } from "./state/target_backoffs.ts";
 import type { FleetDemand } from "./state/fleet_demand.ts";
+import type { ReturnTimes } from "./scheduling/return_times.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { LoadProber } from "./tasks/load_prober.ts";
 import type { PlainTimeModel } from "./state/plain_time_model.ts";
 import type { ReportTrust, TargetLoads } from "heatherarch-load";
 import type { UsageRecorder } from "./state/usage_recorder.ts";
@@ -54,16 +55,18 @@
   readonly accountWeights: AccountWeights;
   readonly accountShares: FairShares;
   readonly accountRanker: AccountRanker;
-  readonly returnBook: ReturnBook;
   readonly directory: TargetDirectory;
   readonly health: TargetHealth;
   readonly targetFailures: TargetFailures;
   readonly backoffs: TargetBackoffs;
   readonly fleetDemand: FleetDemand;
   readonly rateLimits: TargetRateLimits;
+  readonly returnTimes: ReturnTimes;
   readonly targetLoads: TargetLoads;
   /** Decides which reports in `targetLoads` are believed. */
   readonly reportTrust: ReportTrust;
+  /** Renews reports of slow targets that get no calls. */
+  readonly loadProber: LoadProber;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -20,6 +20,7 @@
 } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
+import type { ReturnKind } from "../scheduling/return_times.ts";
 import type { Target } from "../model.ts";
 import {
   type CallAdmission,
@@ -81,6 +82,8 @@
    * Monotonic time at which the timeout of the client or of the route expires, whichever is first.
    */
   readonly deadlineAtMs: number;
+  /** Whether the call counts as the retry of a rejected call. */
+  readonly returnKind: ReturnKind;
   readonly #configVersion: number;
   readonly #account: ClientAccount | undefined;
   readonly #quarantineGuard: QuarantineGuard;
@@ -136,11 +139,7 @@
       .registerDisconnectListener(() => this.#handleDisconnect());
     this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
     this.dependencies.fleetDemand.recordCall(this.nowMs);
-  }
-
-  /** The service and the client account among whose shares the call is. */
-  get shareKey(): { service: string; account?: string } {
-    return { service: this.service.name, account: this.#account?.name };
+    this.returnKind = this.#classifyArrival();
   }
 
   /** Current monotonic time, milliseconds. */
@@ -158,6 +157,11 @@
     return this.call.arrivedAtMs + this.route.aimMs - this.nowMs;
   }
 
+  /** Whether the call takes the place of a return that is due, and so goes before new calls. */
+  get isReturn(): boolean {
+    return this.returnKind === "claimed";
+  }
+
   /** Whether the call has ended; no further attempt is sent then. */
   get hasEnded(): boolean {
     return this.#outcome !== undefined;
@@ -192,6 +196,11 @@
     return { runs: this.#runs, isUsageRecorded };
   }
 
+  /** Name of the call's client account, if it has one. */
+  get accountName(): string | undefined {
+    return this.#account?.name;
+  }
+
   /** Version of the configuration by which the call is routed. */
   get configVersion(): number {
     return this.#configVersion;
@@ -228,6 +237,17 @@
     this.#quarantineGuard.recordPartSuccess();
   }
 
+  /** The timeout of a call that a peer handed over is that of the peer, so it shows no return. */
+  #classifyArrival(): ReturnKind {
+    if (this.call.handover !== undefined) return "new";
+    return this.dependencies.returnTimes.classifyArrival({
+      service: this.service.name,
+      route: this.route.name,
+      account: this.#account?.name,
+      clientTimeoutMs: this.call.clientTimeoutMs,
+    }, this.nowMs);
+  }
+
   #applyAdmission(result: CallAdmission): boolean {
     if (result.kind === "free") return true;
     // A call that a peer handed over may have run there.
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -26,10 +26,13 @@
   computeRetryAfterMs,
   MAX_RATE_LIMIT_DELAY_MS,
 } from "../scheduling/retry_after.ts";
+import type { RejectedCall, ReturnDelay } from "../scheduling/return_times.ts";
 import {
   computePlainBacklogMs,
   mayExceedSlots,
   type PlainPlacement,
+  type PlainTargetLoad,
+  type TurnOptions,
 } from "../scheduling/plain_call_queues.ts";
 import type { QueueOutcome } from "../scheduling/call_queue.ts";
 import { computeLane } from "../scheduling/priority_lanes.ts";
@@ -40,8 +43,6 @@
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
-/** Work that counts for a share while the time of a call is not known yet, milliseconds. */
-const MIN_WORK_MS = 1;
 /** Bounds the attempts that reach no target, which cost no retry budget. */
 const MAX_ATTEMPTS = 6;
 /**
@@ -57,6 +58,12 @@
 /** Shortest wait before a target that declined a call is tried again, milliseconds. */
 const MIN_DECLINED_WAIT_MS = 20;
 
+/**
+ * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
+ * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
+ */
+const CONTENDED_RATE_FACTOR = 2;
+
 /** A target whose slot is booked for the call. */
 interface BookedTarget {
   readonly placement: PlainPlacement;
@@ -203,6 +210,7 @@
         exchange,
         stage: "whole",
         timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
+        extendsWhileAlive: () => this.#isBusy(target),
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -220,7 +228,7 @@
       if (isSuccessStatus(result.head.status)) recordDuration(context.nowMs);
       const read = await readResponse(exchange, result.head);
       if (context.hasEnded) return { kind: "over" };
-      if (booked.hadFreeSlot) this.#learnWork(target, sentAtMs);
+      this.#learnWork(booked, sentAtMs);
       if (read.kind === "partial") {
         return await this.#relayPartial(exchange, read.response, target);
       }
@@ -234,8 +242,11 @@
     }
   }
 
-  #learnWork(target: Target, sentAtMs: number): void {
+  /** Learns the time of the work. A call that had to wait at its target shows only a shorter time. */
+  #learnWork({ placement, hadFreeSlot }: BookedTarget, sentAtMs: number): void {
     const { route, nowMs, dependencies } = this.#context;
+    const { target, costMs } = placement;
+    if (!hadFreeSlot && nowMs - sentAtMs > costMs) return;
     dependencies.plainWorkModel.learn({
       route: route.name,
       target: target.id,
@@ -307,9 +318,14 @@
     const jitter = 1 + context.dependencies.drawUnit();
     const rateLimitDelayMs = this.#predictRateLimitDelayMs() ?? 0;
     const waitMs = Math.min(rateLimitDelayMs, MAX_RATE_LIMIT_DELAY_MS);
+    const { delayMs, detail } = this.#computeReturn({
+      blockedMs: waitMs,
+      unbookedMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+    });
     context.refuse("noTarget", "no target accepted the call", {
-      retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) * jitter,
+      retryAfterMs: delayMs,
       detail: {
+        ...detail,
         tried: [...this.#tried],
         listed: context.dependencies.directory.listServing(context.service.name)
           .length,
@@ -330,6 +346,17 @@
     return timeoutMs;
   }
 
+  /**
+   * Whether calls probably wait at a target: it has as many in flight as slots, or calls wait here
+   * because all targets have.
+   */
+  #isBusy({ id, slots }: Target): boolean {
+    const { service, nowMs, dependencies } = this.#context;
+    const { workTracker, plainCallQueues } = dependencies;
+    if (plainCallQueues.getQueue(service.name).isBusy) return true;
+    return workTracker.getRunLoad(id, nowMs).runs >= slots;
+  }
+
   /** Books a target; undefined if there is none, or the call ended or was rejected. */
   async #awaitTarget(): Promise<BookedTarget | undefined> {
     for (;;) {
@@ -359,13 +386,15 @@
       const cancel = queue.enqueue({
         lane: computeLane(context.priority),
         kind: context.route.name,
-        ...context.shareKey,
+        service: context.service.name,
+        account: context.accountName,
+        isReturn: context.isReturn,
         waitStartedAtMs: context.call.arrivedAtMs,
         aimMs: context.route.aimMs,
         timeoutAtMs: context.deadlineAtMs,
         responseDelayMs: 0,
         predictMs: () => this.#predictWorkMs(),
-        findPlacement: () => this.#findPlacement(),
+        findPlacement: (rank) => this.#findPlacement(rank),
         onOutcome: (outcome) => {
           if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
           settle(this.#book(outcome, enqueuedAtMs));
@@ -390,16 +419,13 @@
   #book(outcome: PlainOutcome, enqueuedAtMs: number): PlainWait {
     if (outcome.kind !== "placed") return outcome;
     const { service, nowMs, dependencies } = this.#context;
-    const { workTracker, plainCallQueues, metrics, accountRanker } =
-      dependencies;
+    const { workTracker, plainCallQueues, metrics } = dependencies;
     const { placement } = outcome.placed;
-    const workMs = Math.max(MIN_WORK_MS, placement.costMs);
-    accountRanker.recordWork(this.#context.shareKey, workMs, nowMs);
     metrics.callWait.observe(
       { service: service.name },
       (nowMs - enqueuedAtMs) / 1000,
     );
-    plainCallQueues.recordSend(service.name, nowMs);
+    plainCallQueues.recordSend(this.#describeTurn(placement.costMs), nowMs);
     const hadFreeSlot = placement.readyMs === placement.costMs;
     const endRun = workTracker.beginRun(placement.target.id, 0);
     return { kind: "booked", booked: { placement, hadFreeSlot, endRun } };
@@ -432,9 +458,13 @@
     const waitedMs = context.nowMs - context.call.arrivedAtMs;
     const excessMs = readyMs - context.remainingMs;
     metrics.callsRejectedEarly.inc({ service: context.service.name });
+    const { delayMs, detail } = this.#computeReturn({
+      unbookedMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+    });
     context.refuse("overloaded", "the call can't be complete in time", {
-      retryAfterMs: computeRetryAfterMs(waitedMs, excessMs, drawUnit),
+      retryAfterMs: delayMs,
       detail: {
+        ...detail,
         rank,
         callsAhead,
         ratePerS: formatPerSecond(rate?.callsPerMs),
@@ -446,13 +476,28 @@
     });
   }
 
+  #computeReturn(
+    delays: Pick<RejectedCall, "blockedMs" | "unbookedMs">,
+  ): ReturnDelay {
+    const { service, returnKind, remainingMs, nowMs, dependencies } =
+      this.#context;
+    const { returnTimes, plainCallQueues } = dependencies;
+    return returnTimes.computeDelay({
+      ...delays,
+      service: service.name,
+      kind: returnKind,
+      queue: plainCallQueues.getQueue(service.name).readForReturn(),
+      remainingMs,
+    }, nowMs);
+  }
+
   #predictWorkMs(): number {
     const { route, nowMs, dependencies } = this.#context;
     return dependencies.plainWorkModel.predictRouteMs(route.name, nowMs);
   }
 
   /** Finds the target that would be tried now, and when it has capacity. */
-  #findPlacement(): PlainPlacement | undefined {
+  #findPlacement(rank: number): PlainPlacement | undefined {
     const target = this.#pickTarget();
     if (target === undefined) return undefined;
     const { route, nowMs, dependencies } = this.#context;
@@ -461,29 +506,47 @@
     const { runs } = workTracker.getRunLoad(target.id, nowMs);
     const load = { runs, slots: target.slots, workMs };
     const slotInMs = computePlainBacklogMs(load);
-    const turnInMs = slotInMs > 0 && mayExceedSlots(load)
-      ? this.#computeTurnInMs(workMs)
-      : Infinity;
     return {
       target,
       costMs: workMs,
       unloadedMs: workMs,
-      backlogMs: Math.min(slotInMs, turnInMs),
+      backlogMs: this.#predictCapacityInMs(load, slotInMs, rank),
       readyMs: slotInMs + workMs,
     };
   }
 
-  /** Time until this VM may send at the rate of its share of the service's slots. */
-  #computeTurnInMs(workMs: number): number {
+  /** Time until this VM may send a call to a target, milliseconds. */
+  #predictCapacityInMs(
+    load: PlainTargetLoad,
+    slotInMs: number,
+    rank: number,
+  ): number {
+    const { service: { name }, dependencies } = this.#context;
+    if (slotInMs === 0) {
+      const { isBusy } = dependencies.plainCallQueues.getQueue(name);
+      return isBusy ? this.#computeTurnInMs(load, CONTENDED_RATE_FACTOR) : 0;
+    }
+    const hasAccount = this.#context.accountName !== undefined;
+    if (!mayExceedSlots(load, hasAccount ? rank : 0)) return slotInMs;
+    if (hasAccount && rank <= 0) return 0;
+    return Math.min(slotInMs, this.#computeTurnInMs(load, 1));
+  }
+
+  /** Time until this VM may send at a multiple of the rate of its share of the service's slots. */
+  #computeTurnInMs({ workMs }: PlainTargetLoad, rateFactor: number): number {
+    const { nowMs, dependencies } = this.#context;
+    return dependencies.plainCallQueues.computeTurnInMs(
+      { ...this.#describeTurn(workMs), rateFactor },
+      nowMs,
+    );
+  }
+
+  #describeTurn(workMs: number): TurnOptions {
     const { service: { name: service }, nowMs, dependencies } = this.#context;
-    const { directory, fleetDemand, plainCallQueues } = dependencies;
+    const { directory, fleetDemand } = dependencies;
     const slots = directory.listServing(service)
       .reduce((sum, target) => sum + target.slots, 0);
-    const share = fleetDemand.computeShare(nowMs);
-    return plainCallQueues.computeTurnInMs(
-      { service, workMs, slots, share },
-      nowMs,
-    );
+    return { service, workMs, slots, share: fleetDemand.computeShare(nowMs) };
   }
 
   /**
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -421,7 +421,7 @@
     metrics.configAge.set(
       activeConfig.getAgeMs() / 1000,
     );
-    this.#components.targetFailures.sweep(this.#clock.readMonotonicMs());
+    this.#sweepTargetFailures();
     this.#sweepQuarantine();
     this.#sweepStreamVersions();
     storeReader.purgeDroppedTargets("otherIncarnation");
@@ -447,7 +447,8 @@
   }
 
   #getFleetStatus(): FleetStatus {
-    const { activeConfig, duties } = this.#components;
+    const { activeConfig, duties, returnTimes } = this.#components;
+    const services = activeConfig.table?.config.services ?? [];
     const accounts = activeConfig.table?.config.accounts ?? null;
     return {
       vm: this.#settings.vm.id,
@@ -463,10 +464,27 @@
         this.#components.accountShares,
         this.#clock.readMonotonicMs(),
       ),
+      returns: returnTimes.listStatus(
+        services.map(({ name }) => name),
+        this.#clock.readMonotonicMs(),
+      ),
       duties: duties?.getStatus() ?? null,
     };
   }
 
+  #sweepTargetFailures(): void {
+    const { targetFailures, directory, activeConfig, metrics } =
+      this.#components;
+    const nowMs = this.#clock.readMonotonicMs();
+    targetFailures.sweep(nowMs);
+    const services = activeConfig.table?.config.services ?? [];
+    const failing = services.map(({ name }) => {
+      const ids = directory.listServing(name).map(({ id }) => id);
+      return targetFailures.findFailing(ids, nowMs).size;
+    });
+    metrics.failingTargets.set(failing.reduce((sum, count) => sum + count, 0));
+  }
+
   #sweepStreamVersions(): void {
     const { streamVersions, activeConfig } = this.#components;
     const routes = activeConfig.table?.config.routes ?? [];
@@ -535,6 +553,7 @@
     this.#components.partQuarantinePersistence.stop();
     ingress.closeAll();
     this.#components.pathMonitor.stop();
+    this.#components.loadProber.stop();
     this.#components.handoverClient.close();
     statusServer.close();
     mesh.stop();
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -68,6 +68,11 @@
       "What this VM's overdue prefills add to the engines' backlogs, for all VMs",
     registers: [this.registry],
   });
+  readonly failingTargets = new Gauge({
+    name: "heatherarch_failing_targets",
+    help: "Targets that are avoided for failed attempts of all VMs",
+    registers: [this.registry],
+  });
   readonly lastResponse = new Gauge({
     name: "heatherarch_target_response_timestamp_seconds",
     help: "Unix time of the last response of any target",
@@ -175,6 +180,16 @@
     labelNames: ["kind"],
     registers: [this.registry],
   });
+  readonly returnsBooked = new Counter({
+    name: "heatherarch_returns_booked_total",
+    help: "Rejected calls for whose retry capacity was booked",
+    registers: [this.registry],
+  });
+  readonly returnsClaimed = new Counter({
+    name: "heatherarch_returns_claimed_total",
+    help: "Calls that took the place of a booked retry",
+    registers: [this.registry],
+  });
   readonly callsQuarantined = new Counter({
     name: "heatherarch_calls_quarantined_total",
     help: "Calls refused because their request is quarantined",
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -23,6 +23,7 @@
 import { type DispatchRate, DispatchRateMeter } from "./dispatch_rate.ts";
 import { LATE_LANE } from "./priority_lanes.ts";
 import type { PromptPlacement } from "./prompt_placement.ts";
+import type { QueueReading } from "./return_times.ts";
 import { type Overload, predictWaitMs } from "./wait_forecast.ts";
 import { type SizeClass, SizeFairness } from "./size_fairness.ts";
 
@@ -67,7 +68,7 @@
 
 /** What the rank of a call depends on. */
 export interface RankedCall {
-  /** Service of the call; shares are of one service. */
+  /** Service that the call is sent to. */
   readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
@@ -100,7 +101,7 @@
   readonly kind: string;
   /** Size of the prompt; a call without one takes no part in the shares by size. */
   readonly tokens?: number;
-  /** Service of the call; shares are of one service. */
+  /** Service that the call is sent to; a queue may have the calls of several. */
   readonly service?: string;
   /** Client account, if the call has one. */
   readonly account?: string;
@@ -114,8 +115,11 @@
   readonly timeoutAtMs: number;
   /** Time from the completion at the target to the response, or its first event, at the client. */
   readonly responseDelayMs: number;
-  /** Finds the target that would complete the call first; undefined if there is none. */
-  findPlacement(): P | undefined;
+  /**
+   * Finds the target that would complete the call first; undefined if there is none. The rank of the
+   * call may decide how busy that target may be.
+   */
+  findPlacement(rank: number): P | undefined;
   /**
    * Predicts the time of the call at a target with capacity. Without it, the queue uses the last
    * placement that it found for the call.
@@ -178,6 +182,11 @@
  * engines full, the next ones do too.
  */
 const MAX_PLACEMENTS_PER_DISPATCH = 8;
+/**
+ * The same for calls without affinity to a target, as the calls of a plain service. They differ only in
+ * the targets that they have tried.
+ */
+const MAX_UNIFORM_SEARCHES = 3;
 /** Time between dispatches of late calls, which may be many and are not urgent. */
 const LATE_DISPATCH_INTERVAL_MS = 40;
 /**
@@ -204,6 +213,7 @@
   readonly #maxLateBacklogMs: number;
   readonly #isTimerEnabled: boolean;
   readonly #latePolicy: LatePolicy;
+  readonly #maxSearches: number;
   readonly #rejectsEarly: boolean;
   readonly #ranker: CallRanker | undefined;
   readonly #rate = new DispatchRateMeter();
@@ -219,6 +229,8 @@
   #latePlaced = 0;
   /** Time until an engine is expected to have capacity for a waiting call, in milliseconds. */
   #capacityInMs = 0;
+  #isBusy = false;
+  #nextDispatchAtMs = -Infinity;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: CallQueueOptions) {
@@ -228,6 +240,9 @@
       DEFAULT_MAX_LATE_BACKLOG_MS;
     this.#isTimerEnabled = options.isTimerEnabled ?? true;
     this.#latePolicy = options.latePolicy ?? "spare";
+    this.#maxSearches = this.#latePolicy === "behind"
+      ? MAX_UNIFORM_SEARCHES
+      : MAX_PLACEMENTS_PER_DISPATCH;
     this.#rejectsEarly = options.rejectsEarly ?? false;
     this.#ranker = options.ranker;
   }
@@ -237,18 +252,32 @@
     return this.#waiting.length + this.#late.length;
   }
 
+  /** Whether calls kept waiting in the last dispatch. */
+  get isBusy(): boolean {
+    return this.#isBusy;
+  }
+
   /** Rate at which calls are dispatched while calls wait; undefined while it is unknown. */
   measureRate(): DispatchRate | undefined {
     return this.#rate.measure(this.#clock.readMonotonicMs());
   }
 
+  /** Describes the queue to the return of a rejected call; undefined while the rate is unknown. */
+  readForReturn(): QueueReading | undefined {
+    const rate = this.measureRate();
+    if (rate === undefined) return undefined;
+    const ahead = [...this.#waiting, ...this.#late]
+      .filter(({ isReturn }) => isReturn).length;
+    return { ...rate, aheadWorkMs: ahead * rate.workPerMs / rate.callsPerMs };
+  }
+
   /** Adds a call; returns a function that cancels its wait. */
   enqueue(request: QueuedCall<P>): () => void {
     const waiting = this.#buildWaitingCall(request);
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
     if (index < 0) this.#waiting.push(waiting);
     else this.#waiting.splice(index, 0, waiting);
-    this.dispatch();
+    if (!this.#mustAwaitCapacity()) this.dispatch();
     return () => {
       if (!this.#remove(waiting)) return;
       this.#recordSize(this.#clock.readMonotonicMs());
@@ -257,6 +286,16 @@
     };
   }
 
+  /**
+   * Whether the calls that waited already found no capacity, so that the dispatch that is scheduled is
+   * soon enough for one more. In an overload, a dispatch for each arrival would take a third of the
+   * processor time of a VM.
+   */
+  #mustAwaitCapacity(): boolean {
+    return this.#latePolicy === "behind" && this.size > 1 &&
+      this.#clock.readMonotonicMs() < this.#nextDispatchAtMs;
+  }
+
   /** Counts a prompt in its size class, and its outcome once there is one. */
   #buildWaitingCall(request: QueuedCall<P>): WaitingCall<P> {
     const { kind, tokens, onOutcome } = request;
@@ -287,12 +326,14 @@
       if (isLateDue) this.#placeLate(rank, nowMs);
     }
     if (this.#rejectsEarly) this.#rejectTooLate(nowMs);
+    const dispatchInMs = Math.max(MIN_DISPATCH_INTERVAL_MS, this.#capacityInMs);
+    this.#nextDispatchAtMs = nowMs + dispatchInMs;
     this.#recordSize(nowMs);
     if (this.size === 0 || !this.#isTimerEnabled) return;
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
       this.dispatch();
-    }, Math.max(MIN_DISPATCH_INTERVAL_MS, this.#capacityInMs));
+    }, dispatchInMs);
   }
 
   /** Ranks the waiting calls anew; returns the ranks that occur, the first one first. */
@@ -309,7 +350,7 @@
 
   /** Searches the best placement of a call, and keeps its expected time for forecasts. */
   #findPlacement(call: WaitingCall<P>): P | undefined {
-    const placement = call.findPlacement();
+    const placement = call.findPlacement(call.rank);
     call.expectedMs = placement?.unloadedMs;
     return placement;
   }
@@ -333,7 +374,8 @@
 
   /** Records whether calls wait, after the queue has changed. */
   #recordSize(nowMs: number): void {
-    this.#rate.setBusy(this.size > 0, nowMs);
+    this.#isBusy = this.size > 0;
+    this.#rate.setBusy(this.#isBusy, nowMs);
     if (this.#late.length > 0) this.#overloadSinceMs ??= nowMs;
     if (this.size > 0) return;
     this.#overloadSinceMs = undefined;
@@ -409,8 +451,9 @@
   #placeFirst({ request, placement }: PlacedCall<P>, nowMs: number): void {
     const { waitStartedAtMs, aimMs, timeoutAtMs, responseDelayMs } = request;
     if (nowMs + findMinMs(placement) > timeoutAtMs - responseDelayMs) return;
-    if (placement.backlogMs > this.#maxBacklogMs) {
-      this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
+    const maxBacklogMs = this.#getMaxBacklogMs(request.rank);
+    if (placement.backlogMs > maxBacklogMs) {
+      this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return;
     }
     const isLate = nowMs + placement.readyMs >
@@ -434,7 +477,7 @@
       const { lane } = request;
       const before = keptInLane.get(lane) ?? 0;
       if (
-        before < MAX_PLACEMENTS_PER_DISPATCH &&
+        before < this.#maxSearches &&
         !this.#shouldKeepWaiting(request, nowMs)
       ) continue;
       kept.push(request);
@@ -456,14 +499,23 @@
       this.#late.push(request);
       return false;
     }
-    if (placement.backlogMs > this.#maxBacklogMs) {
-      this.#noteCapacityInMs(placement.backlogMs - this.#maxBacklogMs);
+    const maxBacklogMs = this.#getMaxBacklogMs(request.rank);
+    if (placement.backlogMs > maxBacklogMs) {
+      this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return true;
     }
     this.#place(request, placement, lane, nowMs);
     return false;
   }
 
+  /**
+   * Calls of higher rank leave room at the targets for calls of rank 0 at other VMs, which are not in
+   * this queue. With the same limit for all, the VM with most calls takes all targets.
+   */
+  #getMaxBacklogMs(rank: number): number {
+    return rank > 0 ? this.#maxLateBacklogMs : this.#maxBacklogMs;
+  }
+
   #noteCapacityInMs(inMs: number): void {
     this.#capacityInMs = Math.min(this.#capacityInMs, inMs);
   }
@@ -481,7 +533,7 @@
     let searched = 0;
     for (const request of ordered) {
       const isConsidered = request.rank === rank &&
-        searched < MAX_PLACEMENTS_PER_DISPATCH;
+        searched < this.#maxSearches;
       if (!isConsidered) {
         kept.push(request);
         continue;
@@ -623,7 +675,7 @@
     "service" | "account" | "isReturn"
   >,
 ): RankedCall {
-  return { service, account, isReturn };
+  return account === undefined ? { isReturn } : { service, account, isReturn };
 }
 
 /** Time of a call at a target with capacity; 0 if nothing is known. */
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -7,7 +7,6 @@
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
 import { FairShares } from "heatherarch-shares";
-import { ReturnBook } from "heatherarch-returns";
 import { AccountRanker } from "./scheduling/account_ranker.ts";
 import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
@@ -23,6 +22,7 @@
 import { TargetHealth } from "./state/target_health.ts";
 import { TargetBackoffs } from "./state/target_backoffs.ts";
 import { FleetDemand } from "./state/fleet_demand.ts";
+import { ReturnTimes } from "./scheduling/return_times.ts";
 import { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { UsageMeter } from "heatherarch-usage";
 import { PlainTimeModel } from "./state/plain_time_model.ts";
@@ -40,6 +40,7 @@
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
 import { type ProbeOutcome, probeResponse } from "./calls/response_probe.ts";
+import { LoadProber } from "./tasks/load_prober.ts";
 import { PathMonitor } from "./tasks/path_monitor.ts";
 import { TargetListGuard } from "./calls/target_list_guard.ts";
 import {
@@ -115,6 +116,12 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const returnTimes = new ReturnTimes({
+    share: fleetDemand,
+    drawUnit: Math.random,
+    onBooking: () => metrics.returnsBooked.inc(),
+    onClaim: () => metrics.returnsClaimed.inc(),
+  });
   const reportTrust = new ReportTrust();
   const targetLoads = new TargetLoads({ trust: reportTrust });
   const notices = new ResponseNotices({
@@ -123,7 +130,10 @@
     backoffs,
     rateLimits,
     targetLoads,
-    onSlowdownReport: () => metrics.slowdownReports.inc(),
+    onSlowdownReport: (target, slowdown) => {
+      metrics.slowdownReports.inc();
+      loadProber.handleReport(target, slowdown);
+    },
     clock,
     log,
   });
@@ -160,6 +170,14 @@
   });
   const probeTarget = (target: Target): Promise<ProbeOutcome> =>
     probeResponse({ connections, codec }, target);
+  const loadProber = new LoadProber({
+    clock,
+    targetLoads,
+    workTracker,
+    rateLimits,
+    directory,
+    probe: probeTarget,
+  });
   const pathMonitor = new PathMonitor({
     clock,
     log,
@@ -173,8 +191,8 @@
     drawUnit: Math.random,
   });
   const activeConfig = new ActiveConfig({ clock });
-  const shares = buildAccountShares(settings, activeConfig, metrics);
-  const { accountRanker } = shares;
+  const accountShares = buildAccountShares(settings, activeConfig, metrics);
+  const ranker = accountShares.accountRanker;
   return {
     clock,
     log,
@@ -184,8 +202,10 @@
     backoffs,
     fleetDemand,
     rateLimits,
+    returnTimes,
     targetLoads,
     reportTrust,
+    loadProber,
     plainTimeModel: new PlainTimeModel({
       targetLoads,
       reportTrust,
@@ -204,11 +224,7 @@
       revokeBoundMs: settings.accounts.revokeBoundMs ?? Infinity,
       drawUnit: Math.random,
     }),
-    ...shares,
-    returnBook: new ReturnBook({
-      computeShare: (nowMs) => fleetDemand.computeShare(nowMs),
-      drawUnit: Math.random,
-    }),
+    ...accountShares,
     health,
     targetFailures,
     workTracker,
@@ -233,10 +249,10 @@
       windowMs: computeUsageWindowMs(settings),
     }),
     retryBudget: buildRetryBudget(settings),
-    prefillQueue: new CallQueue({ clock, ranker: accountRanker }),
+    prefillQueue: new CallQueue({ clock, ranker }),
     plainCallQueues: new PlainCallQueues({
       clock,
-      buildRanker: () => accountRanker,
+      buildRanker: () => ranker,
     }),
     plainWorkModel: new PlainWorkModel(),
     prefillCandidateCache: new PrefillCandidateCache(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -6,7 +6,6 @@
  */
 import type { Clock, ServeError } from "heatherarch-core";
 import {
-  AccountRanker,
   buildCrashDetector,
   CacheRetention,
   type CallCodec,
@@ -25,6 +24,7 @@
   PrefillTimeModel,
   PrefixIndex,
   PromptPlacer,
+  ReturnTimes,
   StreamVersions,
   TargetBackoffs,
   type TargetConnections,
@@ -81,12 +81,12 @@
     health: new TargetHealth(),
     backoffs: new TargetBackoffs(),
     fleetDemand,
+    returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
     rateLimits: new TargetRateLimits({
       share: fleetDemand,
       drawUnit: () => 0,
     }),
     workTracker: new WorkTracker(),
-    accountRanker: new AccountRanker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
     probeTarget: () => Promise.resolve("response"),
