--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -12,7 +12,7 @@
   LOAD_KNOWLEDGE,
   simulateLoad,
 } from "./load_simulation.ts";
-import { type Gate, GATES } from "./queue_simulation.ts";
+import type { Gate } from "./queue_simulation.ts";
 import { RETURN_WAYS, simulateReturns } from "./returns_simulation.ts";
 import {
   LARGE_SPREADS,
@@ -118,14 +118,18 @@
   );
 }
 
-/** All ways with the product's gate, and the last one before the oracle with the other gates. */
+/** All ways with the gate `turns`, and some of them with the other gates. */
 function listSharesDesigns(size: FleetSize): Design[] {
   const ways = SHARE_WAYS.map((way) => ({ way, gate: "turns" as Gate }));
-  const others = GATES.filter((gate) => gate !== "turns").map((gate) => ({
+  const others = (["known", "paced"] as const).map((gate) => ({
     way: "fleet's use, depth 1" as ShareWay,
-    gate,
+    gate: gate as Gate,
   }));
-  return [...ways, ...others].map(({ way, gate }): Design => ({
+  const products = (["none", "own use", "fleet's use"] as const).map((way) => ({
+    way: way as ShareWay,
+    gate: "product" as Gate,
+  }));
+  return [...ways, ...others, ...products].map(({ way, gate }): Design => ({
     design: `${way}, ${way === "oracle" ? "exact" : gate}`,
     simulate: (seed) => simulateBothSpreads(seed, size, way, gate),
   }));
@@ -158,7 +162,7 @@
 }
 
 function listReturnsDesigns(size: FleetSize): Design[] {
-  return (["turns", "paced"] as const).flatMap((gate) =>
+  return (["turns", "product", "paced"] as const).flatMap((gate) =>
     RETURN_WAYS.map((way): Design => ({
       design: `${way}, ${gate}`,
       simulate: (seed) => {
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -14,6 +14,9 @@
   CallQueue,
   computePlainBacklogMs,
   mayExceedSlots,
+  PlainCallQueues,
+  type PlainTargetLoad,
+  type TurnOptions,
 } from "heatherarch-forward";
 import type { EventQueue } from "./event_queue.ts";
 import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
@@ -26,8 +29,13 @@
 export const GATES = [
   /** While the calls that are known at the target are below its slots. */
   "known",
-  /** The product's: also at the rate of the VM's share of all slots, up to twice the slots. */
+  /** Also at the rate of the VM's share of all slots, up to twice the slots. */
   "turns",
+  /**
+   * The product's: as `turns`, but at twice that rate at most while calls wait, and with less calls of
+   * accounts beyond their shares at busy targets than of others, which need no turn.
+   */
+  "product",
   /**
    * While the fleet asks for more than the room, at the rate of the VM's share and to a target that is
    * drawn, unless it is far above its slots; otherwise as with `known`.
@@ -92,6 +100,8 @@
 interface Vm {
   readonly queue: CallQueue<Placement>;
   readonly pace: Pace;
+  /** Turns of the product's gate. */
+  readonly turns: PlainCallQueues;
   readonly ranks: Map<string, { rank: number; atMs: number }>;
   isPolling: boolean;
   lastSentAtMs: number;
@@ -100,6 +110,9 @@
   knownAtMs: number;
 }
 
+/** Rate at which the product sends at most while calls wait, as a multiple of that of its share. */
+const CONTENDED_RATE_FACTOR = 2;
+const SERVICE = "plain";
 /** Interval at which a VM with waiting calls looks for room, milliseconds. */
 const POLL_MS = 15;
 /** The fleet asks for more than the room from this part of it on. */
@@ -185,6 +198,7 @@
         },
       }),
       pace: new Pace(random.drawUnit()),
+      turns: new PlainCallQueues({ clock }),
       ranks: new Map(),
       isPolling: false,
       lastSentAtMs: -Infinity,
@@ -223,8 +237,19 @@
   }
 
   #findPlacement({ vm, account }: C): Placement {
-    const { slotsPerTarget: slots, workMs } = this.#options;
+    const { slotsPerTarget: slots, workMs, gate, isExact, random } =
+      this.#options;
     const known = this.#readKnown(vm);
+    if (gate === "product" && isExact !== true) {
+      const target = findLeast(
+        known,
+        random.drawInteger(0, known.length - 1),
+      );
+      return this.#placeAsProduct(vm, target, {
+        load: { runs: known[target], slots, workMs },
+        account,
+      });
+    }
     const { target, maySend } = this.#chooseTarget(vm, known, account);
     // A target that is drawn for one attempt says nothing about when the call can be ready.
     const runs = maySend ? known[target] : Math.min(...known);
@@ -238,6 +263,51 @@
     };
   }
 
+  #placeAsProduct(
+    index: number,
+    target: number,
+    { load, account }: { load: PlainTargetLoad; account: string },
+  ): Placement {
+    const { workMs } = load;
+    const slotInMs = computePlainBacklogMs(load);
+    return {
+      target,
+      costMs: workMs,
+      unloadedMs: workMs,
+      backlogMs: this.#predictCapacityInMs(index, load, { slotInMs, account }),
+      readyMs: slotInMs + workMs,
+    };
+  }
+
+  /** Time until the product's gate lets a VM send to a target, milliseconds. */
+  #predictCapacityInMs(
+    index: number,
+    load: PlainTargetLoad,
+    { slotInMs, account }: { slotInMs: number; account: string },
+  ): number {
+    const { nowMs } = this.#options.events;
+    const { queue, turns } = this.#vms[index];
+    const options = this.#describeTurn(index);
+    if (slotInMs === 0) {
+      return queue.isBusy
+        ? turns.computeTurnInMs(
+          { ...options, rateFactor: CONTENDED_RATE_FACTOR },
+          nowMs,
+        )
+        : 0;
+    }
+    const rank = account === "" ? 0 : this.#computeRank(index, account);
+    if (!mayExceedSlots(load, rank)) return slotInMs;
+    if (account !== "" && rank <= 0) return 0;
+    return Math.min(slotInMs, turns.computeTurnInMs(options, nowMs));
+  }
+
+  #describeTurn(index: number): TurnOptions {
+    const { events: { nowMs }, workMs } = this.#options;
+    const share = this.#demand.computeShare(index, nowMs);
+    return { service: SERVICE, workMs, slots: this.#slots, share };
+  }
+
   /** Chooses a target, and tells whether a call of the account may be sent to it now. */
   #chooseTarget(
     index: number,
@@ -311,6 +381,7 @@
     const { events, handler, workMs } = this.#options;
     const vm = this.#vms[call.vm];
     vm.lastSentAtMs = events.nowMs;
+    vm.turns.recordSend(this.#describeTurn(call.vm), events.nowMs);
     vm.pace.take();
     if (vm.knownAtMs === events.nowMs) vm.known[target]++;
     this.#work.add(call.vm, target, 1);
--- a/packages/heatherarch-lab/proofs/shares_simulation.ts
+++ b/packages/heatherarch-lab/proofs/shares_simulation.ts
@@ -169,7 +169,7 @@
             ? 0
             : ranker.computeRank(call, nowMs),
         recordDispatch: (call, workMs, nowMs) =>
-          ranker.recordWork(call, workMs, nowMs),
+          ranker.recordDispatch(call, workMs, nowMs),
       },
     });
     return { queue, shares };
