--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -12,6 +12,7 @@
 import {
   type CallPlacement,
   CallQueue,
+  computeCapacityInMs,
   computePlainBacklogMs,
   mayExceedSlots,
   PlainCallQueues,
@@ -110,8 +111,6 @@
   knownAtMs: number;
 }
 
-/** Rate at which the product sends at most while calls wait, as a multiple of that of its share. */
-const CONTENDED_RATE_FACTOR = 2;
 const SERVICE = "plain";
 /** Interval at which a VM with waiting calls looks for room, milliseconds. */
 const POLL_MS = 15;
@@ -274,7 +273,7 @@
       target,
       costMs: workMs,
       unloadedMs: workMs,
-      backlogMs: this.#predictCapacityInMs(index, load, { slotInMs, account }),
+      backlogMs: this.#predictCapacityInMs(index, load, account),
       readyMs: slotInMs + workMs,
     };
   }
@@ -283,23 +282,19 @@
   #predictCapacityInMs(
     index: number,
     load: PlainTargetLoad,
-    { slotInMs, account }: { slotInMs: number; account: string },
+    account: string,
   ): number {
     const { nowMs } = this.#options.events;
     const { queue, turns } = this.#vms[index];
     const options = this.#describeTurn(index);
-    if (slotInMs === 0) {
-      return queue.isBusy
-        ? turns.computeTurnInMs(
-          { ...options, rateFactor: CONTENDED_RATE_FACTOR },
-          nowMs,
-        )
-        : 0;
-    }
     const rank = account === "" ? 0 : this.#computeRank(index, account);
-    if (!mayExceedSlots(load, rank)) return slotInMs;
-    if (account !== "" && rank <= 0) return 0;
-    return Math.min(slotInMs, turns.computeTurnInMs(options, nowMs));
+    return computeCapacityInMs(load, {
+      rank,
+      hasAccount: account !== "",
+      isContended: queue.isBusy,
+      computeTurnInMs: (rateFactor) =>
+        turns.computeTurnInMs({ ...options, rateFactor }, nowMs),
+    });
   }
 
   #describeTurn(index: number): TurnOptions {
