--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -69,7 +69,13 @@
  * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
  * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
  */
-const CONTENDED_RATE_FACTOR = 2;
+const CONTENDED_RATE_FACTOR = 3;
+/**
+ * The same while all slots are taken as far as known. The time of a call includes the network and this
+ * VM's own delays, in which its slot is free. At the rate that the slots have by this time, the targets
+ * would be idle for that part.
+ */
+const BUSY_RATE_FACTOR = 1.5;
 
 /** A target whose slot is booked for the call. */
 interface BookedTarget {
@@ -510,7 +516,7 @@
       return isBusy ? this.#computeTurnInMs(load, CONTENDED_RATE_FACTOR) : 0;
     }
     if (!mayExceedSlots(load)) return slotInMs;
-    return Math.min(slotInMs, this.#computeTurnInMs(load, 1));
+    return Math.min(slotInMs, this.#computeTurnInMs(load, BUSY_RATE_FACTOR));
   }
 
   /** Time until this VM may send at a multiple of the rate of its share of the service's slots. */
