--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -278,7 +278,7 @@
     };
   }
 
-  /** Time until the product's gate lets a VM send to a target, milliseconds. */
+  /** Time until the product lets a VM send to a target, milliseconds. */
   #predictCapacityInMs(
     index: number,
     load: PlainTargetLoad,
@@ -286,14 +286,16 @@
   ): number {
     const { nowMs } = this.#options.events;
     const { queue, turns } = this.#vms[index];
-    const options = this.#describeTurn(index);
-    const rank = account === "" ? 0 : this.#computeRank(index, account);
+    const hasAccount = account !== "";
     return computeCapacityInMs(load, {
-      rank,
-      hasAccount: account !== "",
+      rank: hasAccount ? this.#computeRank(index, account) : 0,
+      hasAccount,
       isContended: queue.isBusy,
       computeTurnInMs: (rateFactor) =>
-        turns.computeTurnInMs({ ...options, rateFactor }, nowMs),
+        turns.computeTurnInMs(
+          { ...this.#describeTurn(index), rateFactor },
+          nowMs,
+        ),
     });
   }
 
