--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -70,7 +70,13 @@
  * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
  * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
  */
-const CONTENDED_RATE_FACTOR = 2;
+const CONTENDED_RATE_FACTOR = 3;
+/**
+ * The same while all slots are taken as far as known. The time of a call includes the network and this
+ * VM's own delays, in which its slot is free. At the rate that the slots have by this time, the targets
+ * would be idle for that part.
+ */
+const BUSY_RATE_FACTOR = 1.5;
 /** Services change with the configuration. Above this number, idle queues are dropped. */
 const MAX_SERVICES = 256;
 
@@ -122,7 +128,9 @@
     return mustPace ? computeTurnInMs(CONTENDED_RATE_FACTOR) : 0;
   }
   if (!mayExceedSlots(load, isBeyondShare)) return slotInMs;
-  return isWithinShare ? 0 : Math.min(slotInMs, computeTurnInMs(1));
+  return isWithinShare
+    ? 0
+    : Math.min(slotInMs, computeTurnInMs(BUSY_RATE_FACTOR));
 }
 
 /** Whether a VM may send to a busy target at the rate of its share. */
