--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -15,10 +15,8 @@
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import { pickPlainTarget } from "../scheduling/plain_target_choice.ts";
 import {
   findBackoffMs,
-  listAvailableTargets,
   predictRateLimitDelayMs,
 } from "../scheduling/target_selection.ts";
 import { sleep } from "heatherarch-core";
@@ -27,15 +25,13 @@
   MAX_RATE_LIMIT_DELAY_MS,
 } from "../scheduling/retry_after.ts";
 import type { RejectedCall, ReturnDelay } from "../scheduling/return_times.ts";
+import type { PlainPlacement } from "../scheduling/plain_call_queues.ts";
 import {
-  computeCapacityInMs,
-  computePlainBacklogMs,
-  type PlainPlacement,
-  type PlainTargetLoad,
-  type TurnOptions,
-} from "../scheduling/plain_call_queues.ts";
-import type { QueueOutcome } from "../scheduling/call_queue.ts";
-import { computeLane } from "../scheduling/priority_lanes.ts";
+  type BookedTarget,
+  formatPerSecond,
+  PlainSlotWait,
+  type TooLate,
+} from "./plain_slot_wait.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
@@ -55,34 +51,9 @@
 /** Interval at which a waiting call checks for room in a rate limit, milliseconds. */
 const RATE_LIMIT_POLL_MS = 40;
 
-/**
- * While nothing is known of the work, a call is assumed to occupy a slot for this share of its latency
- * objective. Otherwise the first burst would be sent at once.
- */
-const UNKNOWN_WORK_AIM_SHARE = 0.5;
 /** Shortest wait before a target that declined a call is tried again, milliseconds. */
 const MIN_DECLINED_WAIT_MS = 20;
 
-/** A target whose slot is booked for the call. */
-interface BookedTarget {
-  readonly placement: PlainPlacement;
-  /** Whether the target had a free slot, as far as this VM knew. */
-  readonly hadFreeSlot: boolean;
-  /** Ends the booking. */
-  readonly endRun: () => void;
-}
-
-type PlainOutcome = QueueOutcome<PlainPlacement>;
-type TooLate = Extract<PlainOutcome, { kind: "tooLate" }>;
-
-/** Result of the wait for a target. */
-type PlainWait =
-  | { readonly kind: "booked"; readonly booked: BookedTarget }
-  | { readonly kind: "noTarget" }
-  | TooLate
-  /** The call ended, or this VM no longer reaches the targets. */
-  | { readonly kind: "over" };
-
 type PlainResult =
   | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
   | { readonly kind: "lost"; readonly reason: string }
@@ -91,6 +62,7 @@
 /** Serves one call of a plain service. */
 export class PlainCallHandler {
   readonly #context: CallContext;
+  readonly #slotWait: PlainSlotWait;
   readonly #tried = new Set<string>();
   /** Targets that did not run the call, and may be tried again. */
   readonly #declined = new Set<string>();
@@ -103,6 +75,7 @@
 
   constructor(context: CallContext) {
     this.#context = context;
+    this.#slotWait = new PlainSlotWait({ context, tried: this.#tried });
   }
 
   /** Serves the call to its end. */
@@ -219,7 +192,7 @@
         exchange,
         stage: "whole",
         timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
-        extendsWhileAlive: () => this.#isBusy(target),
+        extendsWhileAlive: () => this.#slotWait.isBusy(target),
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -356,21 +329,10 @@
     return timeoutMs;
   }
 
-  /**
-   * Whether calls probably wait at a target: it has as many in flight as slots, or calls wait here
-   * because all targets have.
-   */
-  #isBusy({ id, slots }: Target): boolean {
-    const { service, nowMs, dependencies } = this.#context;
-    const { workTracker, plainCallQueues } = dependencies;
-    if (plainCallQueues.getQueue(service.name).isBusy) return true;
-    return workTracker.getRunLoad(id, nowMs).runs >= slots;
-  }
-
   /** Books a target; undefined if there is none, or the call ended or was rejected. */
   async #awaitTarget(): Promise<BookedTarget | undefined> {
     for (;;) {
-      const wait = await this.#awaitSlot();
+      const wait = await this.#slotWait.await();
       if (wait.kind === "booked") return wait.booked;
       if (wait.kind === "tooLate") this.#rejectTooLate(wait);
       if (wait.kind !== "noTarget" || this.#context.hasEnded) return undefined;
@@ -380,85 +342,6 @@
     }
   }
 
-  /** Waits in the queue of the service until a target has a free slot, and books it. */
-  #awaitSlot(): Promise<PlainWait> {
-    const context = this.#context;
-    const { plainCallQueues, pathMonitor } = context.dependencies;
-    const enqueuedAtMs = context.nowMs;
-    return new Promise((resolve) => {
-      let removeListener = (): void => undefined;
-      let isQueued = false;
-      const settle = (wait: PlainWait): void => {
-        removeListener();
-        resolve(wait);
-      };
-      const queue = plainCallQueues.getQueue(context.service.name);
-      const cancel = queue.enqueue({
-        lane: computeLane(context.priority),
-        kind: context.route.name,
-        service: context.service.name,
-        account: context.accountName,
-        isReturn: context.isReturn,
-        waitStartedAtMs: context.call.arrivedAtMs,
-        aimMs: context.route.aimMs,
-        timeoutAtMs: context.deadlineAtMs,
-        responseDelayMs: 0,
-        predictMs: () => this.#predictWorkMs(),
-        findPlacement: (rank) => this.#findPlacement(rank),
-        onOutcome: (outcome) => {
-          if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
-          settle(this.#book(outcome, enqueuedAtMs));
-        },
-      });
-      isQueued = true;
-      removeListener = pathMonitor.registerLossListener(
-        context.service.name,
-        () => {
-          cancel();
-          settle({ kind: "over" });
-        },
-      );
-      void context.ended.then(() => {
-        cancel();
-        settle({ kind: "over" });
-      });
-    });
-  }
-
-  /** Books the slot of a placed call, so that the next call sees it as taken. */
-  #book(outcome: PlainOutcome, enqueuedAtMs: number): PlainWait {
-    if (outcome.kind !== "placed") return outcome;
-    const { service, nowMs, dependencies } = this.#context;
-    const { workTracker, plainCallQueues, metrics } = dependencies;
-    const { placement } = outcome.placed;
-    metrics.callWait.observe(
-      { service: service.name },
-      (nowMs - enqueuedAtMs) / 1000,
-    );
-    const { readyMs, costMs, occupiedMs } = placement;
-    plainCallQueues.recordSend(this.#describeTurn(occupiedMs), nowMs);
-    const hadFreeSlot = readyMs === costMs;
-    const endRun = workTracker.beginRun(placement.target.id, 0);
-    return { kind: "booked", booked: { placement, hadFreeSlot, endRun } };
-  }
-
-  #logWait(outcome: PlainOutcome, waitedMs: number): void {
-    const { call, service, dependencies } = this.#context;
-    const queue = dependencies.plainCallQueues.getQueue(service.name);
-    const { placed } = outcome.kind === "placed" ? outcome : {};
-    dependencies.log.write("info", "callWaited", {
-      call: call.id,
-      service: service.name,
-      outcome: outcome.kind,
-      target: placed?.placement.target.id,
-      rank: placed?.rank,
-      lane: placed?.lane,
-      waitedMs: Math.round(waitedMs),
-      waiting: queue.size,
-      ratePerS: formatPerSecond(queue.measureRate()?.callsPerMs),
-    });
-  }
-
   /** Rejects a call that no target can complete in time. It has not run, or its failure is sent. */
   #rejectTooLate({ forecast, readyMs }: TooLate): void {
     const context = this.#context;
@@ -502,55 +385,6 @@
     }, nowMs);
   }
 
-  #predictWorkMs(): number {
-    const { route, nowMs, dependencies } = this.#context;
-    return dependencies.plainWorkModel.predictRouteMs(route.name, nowMs);
-  }
-
-  /** Finds the target that would be tried now, and when it has capacity. */
-  #findPlacement(rank: number): PlainPlacement | undefined {
-    const target = this.#pickTarget();
-    if (target === undefined) return undefined;
-    const { route, nowMs, dependencies } = this.#context;
-    const { plainWorkModel, workTracker } = dependencies;
-    const workMs = plainWorkModel.predictMs(route.name, target.id, nowMs);
-    const { runs } = workTracker.getRunLoad(target.id, nowMs);
-    const occupiedMs = workMs || route.aimMs * UNKNOWN_WORK_AIM_SHARE;
-    const load = { runs, slots: target.slots, workMs: occupiedMs };
-    return {
-      target,
-      occupiedMs,
-      costMs: workMs,
-      unloadedMs: workMs,
-      backlogMs: this.#computeCapacityInMs(load, rank),
-      readyMs: computePlainBacklogMs(load) + workMs,
-    };
-  }
-
-  /** Time until this VM may send a call to a target, milliseconds. */
-  #computeCapacityInMs(load: PlainTargetLoad, rank: number): number {
-    const { service, accountName, nowMs, dependencies } = this.#context;
-    const { plainCallQueues } = dependencies;
-    return computeCapacityInMs(load, {
-      rank,
-      hasAccount: accountName !== undefined,
-      isContended: plainCallQueues.getQueue(service.name).isBusy,
-      computeTurnInMs: (rateFactor) =>
-        plainCallQueues.computeTurnInMs(
-          { ...this.#describeTurn(load.workMs), rateFactor },
-          nowMs,
-        ),
-    });
-  }
-
-  #describeTurn(workMs: number): TurnOptions {
-    const { service: { name: service }, nowMs, dependencies } = this.#context;
-    const { directory, fleetDemand } = dependencies;
-    const slots = directory.listServing(service)
-      .reduce((sum, target) => sum + target.slots, 0);
-    return { service, workMs, slots, share: fleetDemand.computeShare(nowMs) };
-  }
-
   /**
    * Waits until a target that declined the call may have a free slot, and lets it be tried again.
    * Returns whether there is such a target and time is left.
@@ -559,7 +393,7 @@
     const context = this.#context;
     if (this.#declined.size === 0) return false;
     if (findBackoffMs(context) !== undefined) return false;
-    const workMs = this.#predictWorkMs();
+    const workMs = this.#slotWait.predictWorkMs();
     const waitMs = Math.max(MIN_DECLINED_WAIT_MS, workMs);
     if (context.remainingMs < waitMs + workMs + MIN_ATTEMPT_MS) return false;
     await Promise.race([sleep(waitMs), context.ended]);
@@ -580,7 +414,7 @@
     try {
       while (!context.hasEnded && this.#mayWait()) {
         await sleep(RATE_LIMIT_POLL_MS);
-        if (this.#pickTarget() !== undefined) return true;
+        if (this.#slotWait.pickTarget() !== undefined) return true;
       }
       return false;
     } finally {
@@ -599,14 +433,4 @@
       this.#context.service.name,
     );
   }
-
-  #pickTarget(): Target | undefined {
-    const context = this.#context;
-    const targets = listAvailableTargets({ context, tried: this.#tried });
-    return pickPlainTarget(context.dependencies, targets, context.nowMs);
-  }
-}
-
-function formatPerSecond(perMs: number | undefined): number | undefined {
-  return perMs === undefined ? undefined : Math.round(perMs * 10_000) / 10;
 }
