--- a/packages/heatherarch-forward/scheduling/least_loaded_target.ts
+++ b/packages/heatherarch-forward/scheduling/least_loaded_target.ts
@@ -36,8 +36,7 @@
  * Predicted times relative to the usual that differ by the draw range are drawn at a ratio of 1 to e.
  * VMs that know the same reports choose within the time until they hear of each other's calls, so a
  * strict choice sends all of these calls to one target. That time, and so the range, grows with the
- * number of VMs. In a model with 4 VMs that hear of each other after 7 ms, 0.1 was better than 0.15
- * and 0.3; with 40 VMs and 150 ms, 0.3 was better than 0.2 and 0.1.
+ * number of VMs: from some 10 ms with 4 VMs to 150 ms with 40, whose heartbeats pass through hubs.
  */
 const DRAW_RANGE_PER_ROOT_OF_VMS = 0.05;
 const MAX_DRAW_RANGE = 0.3;
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -62,8 +62,7 @@
 const MAX_OVERLOAD_FACTOR = 2;
 /**
  * The same for calls of accounts beyond their shares, so that a target's queue has room for calls of
- * rank 0 of all VMs. With 1.25, two targets of 4 slots served 192 of 200 calls/s, with 1.5 198
- * (`share_simulation_test`).
+ * rank 0 of all VMs. With little more than the slots, targets would be idle between two calls.
  */
 const MAX_OVERLOAD_FACTOR_BEYOND_SHARE = 1.5;
 /**
--- a/packages/heatherarch-forward/tests/unit/return_times_test.ts
+++ b/packages/heatherarch-forward/tests/unit/return_times_test.ts
@@ -8,7 +8,7 @@
   type SimulatedClient,
 } from "./return_simulation.ts";
 
-/** Bound of requirement 9 for a burst whose calls can all be served in time. */
+/** Bound for a burst whose calls can all be served in time. */
 const MIN_SERVED_SHARE = 0.95;
 const FLEET_SIZES = [1, 9];
 
--- a/packages/heatherarch-load/target_speeds.ts
+++ b/packages/heatherarch-load/target_speeds.ts
@@ -15,7 +15,7 @@
   readonly slowdown: number;
 }
 
-/** Bounds of a target's own factor. Engines differ by factors of 0.6 to 1.6 (deployment 1). */
+/** Bounds of a target's own factor. Engines of one fleet differ by factors of 0.6 to 1.6. */
 const FACTOR_BOUNDS = { min: 0.25, max: 4 };
 /** Weight of a sample: some 20 calls show a target's speed, and one outlier does not. */
 const SAMPLE_WEIGHT = 0.05;
