Returns of prompts are booked only where accounts or reported slowdowns call for it

Change: without accounts and reported slowdowns, prompts are refused and ordered as before. Plain calls keep booked returns.

--- a/packages/heatherarch-forward/scheduling/return_times.ts
+++ b/packages/heatherarch-forward/scheduling/return_times.ts
@@ -70,6 +70,7 @@
 export type ReturnReason =
   | "booked"
   | "rate unknown"
+  | "not booked for the service"
   | "no time to return"
   | "client returns once";
 
@@ -85,6 +86,8 @@
 /** Options of {@linkcode ReturnTimes}. */
 export interface ReturnTimesOptions {
   readonly share: FleetShare;
+  /** Whether returns of a service are booked and go first; by default those of all are. */
+  readonly isBooked?: (service: string) => boolean;
   /** Draws a uniformly distributed number in [0, 1). */
   readonly drawUnit: () => number;
   readonly onBooking?: () => void;
@@ -117,6 +120,7 @@
   /** Classifies a call on its arrival; claims the place of a due return if it looks like one. */
   classifyArrival(call: ArrivedCall, nowMs: number): ReturnKind {
     const { service, route, account, clientTimeoutMs } = call;
+    if (!this.#isBooked(service)) return "new";
     if (!this.#detector.isReturn(route, clientTimeoutMs, nowMs)) return "new";
     if (!this.book.claim(service, account, nowMs)) return "unclaimed";
     this.#options.onClaim?.();
@@ -131,6 +135,9 @@
     // Clients retry once, so a booking for a second return would keep capacity from others.
     if (call.kind !== "new") return buildUnbooked(call, "client returns once");
     const { queue } = call;
+    if (!this.#isBooked(call.service)) {
+      return buildUnbooked(call, "not booked for the service");
+    }
     if (queue === undefined) return buildUnbooked(call, "rate unknown");
     const latestMs = call.remainingMs * MAX_WAIT_SHARE;
     if (latestMs < MIN_RETURN_MS) {
@@ -160,6 +167,11 @@
     };
   }
 
+  #isBooked(service: string): boolean {
+    const { isBooked = () => true } = this.#options;
+    return isBooked(service);
+  }
+
   /** Lists the services with returns that are booked or due, for operators. */
   listStatus(services: readonly string[], nowMs: number): ReturnStatus[] {
     const due = new Map<string, DueRow[1]>(this.book.sumDue(nowMs, true));
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -116,7 +116,10 @@
     share: fleetDemand,
     drawUnit: Math.random,
   });
+  const activeConfig = new ActiveConfig({ clock });
   const returnTimes = new ReturnTimes({
+    isBooked: (service) =>
+      needsBookedReturns({ activeConfig, directory, targetLoads }, service),
     share: fleetDemand,
     drawUnit: Math.random,
     onBooking: () => metrics.returnsBooked.inc(),
@@ -190,7 +193,6 @@
     probe: probeTarget,
     drawUnit: Math.random,
   });
-  const activeConfig = new ActiveConfig({ clock });
   const accountShares = buildAccountShares(settings, activeConfig, metrics);
   const ranker = accountShares.accountRanker;
   return {
@@ -264,6 +266,27 @@
   };
 }
 
+/**
+ * Whether the returns of rejected calls are booked: those of plain calls, and those of prompts where
+ * client accounts share the engines or the engines report slowdowns. Elsewhere a burst of prompts is
+ * served in the order that the fleet was built for.
+ */
+function needsBookedReturns(
+  { activeConfig, directory, targetLoads }: Pick<
+    CallDependencies,
+    "activeConfig" | "directory" | "targetLoads"
+  >,
+  service: string,
+): boolean {
+  const config = activeConfig.table?.config;
+  if (config === undefined) return false;
+  if (config.accounts !== null) return true;
+  const spec = config.services.find(({ name }) => name === service);
+  if (spec?.engine === undefined) return true;
+  return directory.listServing(service)
+    .some(({ id }) => targetLoads.reportsSlowdown(id));
+}
+
 function buildAccountShares(
   { accounts }: ForwardSettings,
   activeConfig: ActiveConfig,
