A target that declines requests is not failing for other VMs

Cause: under overload a full engine declines requests as not run. Counted as a failure of the fleet, that would make all VMs avoid it and overload the next one. The holder of a KV cache was blamed even if the decode engine was full. Change: declined requests count for a VM's own avoidance only, as before; the holder of a cache is blamed only if the decode engine has free slots.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -280,6 +280,7 @@
     case "notSent":
       return "unreachable";
     case "notRun":
+      return result.refusal === "declined" ? "declined" : "failed";
     case "lost":
       return "failed";
     case "over":
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -281,7 +281,9 @@
       case "notRun":
         this.#context.undoRun();
         this.#decodeEngines.addTried(target.id);
-        if (result.refusal === "declined") this.#recordLostCache(prefilled);
+        if (result.refusal === "declined" && this.#hasFreeSlot(target)) {
+          this.#recordLostCache(prefilled);
+        }
         this.#recordFailure(result.reason);
         break;
       case "notSent":
@@ -302,9 +304,14 @@
     return this.#mayContinue() && !this.#context.mustHandOver;
   }
 
+  #hasFreeSlot({ id, slots }: Target): boolean {
+    const { dependencies, nowMs } = this.#context;
+    return dependencies.workTracker.getRunLoad(id, nowMs).runs < slots;
+  }
+
   /**
-   * Records that a KV cache could not be taken over. The engine that holds it may have dropped it, so
-   * the failure counts against that engine as well.
+   * Records that a decode engine with free slots could not take a KV cache over. The engine that holds
+   * it has probably dropped it, so the failure counts against that engine.
    */
   #recordLostCache(prefilled: PrefilledPrompt | undefined): void {
     if (prefilled === undefined) return;
--- a/packages/heatherarch-forward/state/target_health.ts
+++ b/packages/heatherarch-forward/state/target_health.ts
@@ -10,8 +10,11 @@
 
 import { TargetFailures } from "./target_failures.ts";
 
-/** Outcome of an attempt, as far as it concerns the target's health. */
-export type AttemptOutcome = "answered" | "failed" | "unreachable";
+/**
+ * Outcome of an attempt, as far as it concerns the target's health. A target that declines a request is
+ * busy or leaving; other VMs must not avoid it for that, or its load moves to the next one.
+ */
+export type AttemptOutcome = "answered" | "failed" | "declined" | "unreachable";
 
 /** Options of {@linkcode TargetHealth}. */
 export interface TargetHealthOptions {
@@ -65,7 +68,9 @@
     outcome: AttemptOutcome,
     nowMs: number,
   ): boolean {
-    this.#failures.recordAttempt(target, outcome !== "answered", nowMs);
+    if (outcome !== "declined") {
+      this.#failures.recordAttempt(target, outcome !== "answered", nowMs);
+    }
     const state = this.#getOrCreate(target);
     const wasAvoided = state.avoidUntilMs > nowMs;
     state.samples++;
--- a/packages/heatherarch-forward/tests/unit/target_health_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_health_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { TargetHealth } from "../../mod.ts";
+import { TargetFailures, TargetHealth } from "../../mod.ts";
 
 test("an unreachable target is avoided for increasing but bounded times", () => {
   const health = new TargetHealth();
@@ -30,3 +30,14 @@
   }
   assert.ok(avoided > 15, `${avoided} of 40`);
 });
+
+// Guards against an overload that moves from one engine to the next as all VMs avoid the busy one.
+test("a target that declines requests is not failing for other VMs", () => {
+  const failures = new TargetFailures();
+  const health = new TargetHealth({ failures });
+  for (let i = 0; i < 10; i++) health.recordOutcome("t", "declined", i);
+  assert.equal(health.findFailing(["t", "u", "v"], 10).size, 0);
+  assert.deepEqual(failures.listOwnRows(10), []);
+  for (let i = 0; i < 3; i++) health.recordOutcome("t", "failed", 20 + i);
+  assert.deepEqual([...health.findFailing(["t", "u", "v"], 30)], ["t"]);
+});
