--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -320,10 +320,14 @@
    * Time after which a silent target is given up: the latency objective, counted from when the target
    * is expected to have finished. A busy target is late, not silent.
    */
-  #computeSilenceTimeoutMs({ readyMs }: PlainPlacement): number | undefined {
+  #computeSilenceTimeoutMs(
+    { readyMs, occupiedMs }: PlainPlacement,
+  ): number | undefined {
     const { route, mayRunAgain, remainingMs } = this.#context;
     if (route.kind !== "idempotent" || !mayRunAgain) return undefined;
-    const timeoutMs = readyMs + route.aimMs * SILENCE_TIMEOUT_AIMS;
+    // Until the time of the work is known, only the assumed time counts.
+    const finishMs = Math.max(readyMs, occupiedMs);
+    const timeoutMs = finishMs + route.aimMs * SILENCE_TIMEOUT_AIMS;
     // Another attempt would have too little time, so this is the last one. It ends with the call.
     if (remainingMs - timeoutMs < MIN_ATTEMPT_MS) return remainingMs;
     return timeoutMs;
