Reports of failing targets name at most 32 targets

Cause: rows of failing targets had no limit.

Change: what a VM lists, sums and accepts is limited to the 32 targets with most failures. All engines of an availability zone of the deployments fit.

Measured: unit test with 200 failing targets here and 200 reported by a peer: 32 rows listed, the worst first, and 32 rows in the sum. Worked out: at most 13 KB/s, while that many targets fail.

--- a/packages/heatherarch-forward/state/target_failures.ts
+++ b/packages/heatherarch-forward/state/target_failures.ts
@@ -56,6 +56,12 @@
 const SOUND_SHARE = 0.3;
 /** Upper bound of what one VM reports of a target, so that one VM alone does not outvote others. */
 const MAX_OWN_FAILURES = 4;
+/**
+ * Targets that one report names, those with most failures first. All engines of one availability zone
+ * fit. With 20 bytes for each row, ten heartbeats a second and two hubs, 32 rows take 13 KB/s for the
+ * seconds in which that many targets fail. A target that is not named counts by each VM's own attempts.
+ */
+const MAX_ROWS = 32;
 /** Counts below this are dropped. */
 const MIN_COUNT = 0.05;
 
@@ -108,16 +114,17 @@
       const row = encodeRow(id, counts);
       if (row[1] > 0) rows.push(row);
     }
-    return rows;
+    return limitRows(rows);
   }
 
   /** Replaces what a peer reports, of itself or of several VMs. */
   setPeerRows(
     peer: string,
-    rows: readonly FailureRow[],
+    allRows: readonly FailureRow[],
     nowMs: number,
     scope: WorkScope = "own",
   ): void {
+    const rows = limitRows(allRows);
     this.#peers.set(peer, { rows, atMs: nowMs, scope });
     for (const [id, , failures] of rows) {
       if (failures > 0) this.#suspected.add(id);
@@ -127,9 +134,10 @@
   /** Sums the reports of this VM and its peers, with or without those that peers gathered. */
   sumRows(nowMs: number, includeGathered: boolean): FailureRow[] {
     const sums = this.#sumCounts(nowMs, includeGathered);
-    return [...sums]
+    const rows = [...sums]
       .map(([id, counts]) => encodeRow(id, counts))
       .filter(([, attempts]) => attempts > 0);
+    return limitRows(rows);
   }
 
   /** Removes what a peer has reported. */
@@ -223,6 +231,12 @@
   });
 }
 
+/** Keeps the rows with most failures. */
+function limitRows(rows: readonly FailureRow[]): FailureRow[] {
+  if (rows.length <= MAX_ROWS) return [...rows];
+  return [...rows].sort(([, , a], [, , b]) => b - a).slice(0, MAX_ROWS);
+}
+
 function encodeRow(
   id: string,
   { attempts, failures }: AttemptCounts,
--- a/packages/heatherarch-forward/tests/unit/target_failures_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_failures_test.ts
@@ -104,6 +104,28 @@
   ]);
 });
 
+// Guards against reports that grow with the fleet while hundreds of targets fail.
+test("a report names the 32 targets with most failures, whoever reports", () => {
+  const [hub] = buildFleet(1);
+  const reported: FailureRow[] = [];
+  for (let i = 0; i < 200; i++) {
+    hub.recordAttempt(`own${i}`, true, 0);
+    reported.push([`t${i}`, 40, i < 40 ? 30 : 20]);
+  }
+  hub.recordAttempt("worst", true, 0);
+  hub.recordAttempt("worst", true, 0);
+  const own = hub.listOwnRows(0);
+  assert.equal(own.length, 32);
+  assert.deepEqual(own[0], ["worst", 20, 20]);
+  hub.setPeerRows("vm", reported, 0);
+  const sum = hub.sumRows(0, true);
+  assert.equal(sum.length, 32);
+  const isOfPeer = sum.every(([id, , failures]) =>
+    id.startsWith("t") && failures === 30
+  );
+  assert.equal(isOfPeer, true);
+});
+
 test("a hub sums its zone with or without the sums of other zones", () => {
   const [hub] = buildFleet(1);
   hub.recordAttempt("t0", true, 0);
