Types of queued calls in a module of their own; why there are two times of plain calls

A reader had to guess why the queue of plain calls and the choice of their target use two estimates of the same work, and one comment on slowdowns needed a second reading.

Change: queued_call.ts has the interfaces; the two models name each other and their difference. No change of behaviour.

Measured: type check, and the unit tests of the queue, 39 of 39.

--- a/packages/heatherarch-forward/calls/plain_slot_wait.ts
+++ b/packages/heatherarch-forward/calls/plain_slot_wait.ts
@@ -5,7 +5,7 @@
  */
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import type { QueueOutcome } from "../scheduling/call_queue.ts";
+import type { QueueOutcome } from "../scheduling/queued_call.ts";
 import {
   computeCapacityInMs,
   computePlainBacklogMs,
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -19,7 +19,7 @@
   type PromptPlacement,
   sumPrefixTokens,
 } from "../scheduling/prompt_placement.ts";
-import type { LanePlacement, QueueOutcome } from "../scheduling/call_queue.ts";
+import type { LanePlacement, QueueOutcome } from "../scheduling/queued_call.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -44,6 +44,7 @@
 export * from "./state/plain_time_model.ts";
 export * from "./state/prefill_time_model.ts";
 export * from "./scheduling/call_queue.ts";
+export * from "./scheduling/queued_call.ts";
 export * from "./scheduling/dispatch_rate.ts";
 export * from "./scheduling/wait_forecast.ts";
 export * from "./scheduling/plain_work_model.ts";
--- a/packages/heatherarch-forward/scheduling/account_ranker.ts
+++ b/packages/heatherarch-forward/scheduling/account_ranker.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { FairShares } from "heatherarch-shares";
-import type { CallRanker, RankedCall } from "./call_queue.ts";
+import type { CallRanker, RankedCall } from "./queued_call.ts";
 
 /** Options of {@linkcode AccountRanker}. */
 export interface AccountRankerOptions {
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -11,11 +11,8 @@
  */
 import type { Clock } from "heatherarch-core";
 import type { Target } from "../model.ts";
-import {
-  type CallPlacement,
-  CallQueue,
-  type CallRanker,
-} from "./call_queue.ts";
+import { CallQueue } from "./call_queue.ts";
+import type { CallPlacement, CallRanker } from "./queued_call.ts";
 
 /** Target that is to run a plain call, with the predicted times. */
 export interface PlainPlacement extends CallPlacement {
--- a/packages/heatherarch-forward/scheduling/plain_work_model.ts
+++ b/packages/heatherarch-forward/scheduling/plain_work_model.ts
@@ -1,5 +1,7 @@
 /**
  * Predicts how long a target of a plain service works on a call, from earlier calls of the same route.
+ * The queue of the service paces its calls by this time, so it is the shortest usual one and holds no
+ * waits at the target. The time by which targets are compared is a mean (`plain_time_model.ts`).
  *
  * @module
  */
--- a/packages/heatherarch-forward/state/plain_time_model.ts
+++ b/packages/heatherarch-forward/state/plain_time_model.ts
@@ -1,6 +1,8 @@
 /**
  * Predicts how long a plain call takes at a target: its route's usual time x the target's own speed x
- * the target's momentary slowdown. The module has no clock: each call carries the time.
+ * the target's momentary slowdown. Targets are compared by this time. The queue paces its calls by the
+ * shortest usual time instead (`plain_work_model.ts`). The module has no clock: each call carries the
+ * time.
  *
  * @module
  */
--- a/packages/heatherarch-load/target_loads.ts
+++ b/packages/heatherarch-load/target_loads.ts
@@ -54,8 +54,8 @@
 }
 
 /**
- * Time after which a report says nothing about the present, milliseconds: targets that share their
- * machines stay slow for about that long. Within it, the share of targets whose state has changed grows linearly.
+ * Time after which a report says nothing about the present, milliseconds: a target on a shared machine
+ * stays slow for about that long. Until then, the estimate moves linearly from the report to the mean.
  */
 export const SLOWDOWN_PERIOD_MS = 600;
 /** A slowdown is news if it differs by this share from what peers expect. */
