Test that a lost run of a plain call counts as in flight for a limited time

Cause: the timer that counts a lost run until its target has probably ended it had no test.

Change: scripted calls report the runs in flight; the test pauses the clock at 149 and 150 ms, half of the latency objective.

--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -99,3 +99,17 @@
     assert.equal(outcome.runs.length, 1, kind);
   }
 });
+
+// Guards against a target that looks idle, and gets the next call, because its lost run was forgotten.
+test("a lost run counts as in flight until its target has probably ended it", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const lost: ScriptedAttempt = { end: "lostAfter", restarts: false };
+  const outcome = await runScript("once", [lost]);
+  // While nothing is known of the work, it is assumed to take half of the objective of 300 ms.
+  t.mock.timers.tick(149);
+  assert.equal(outcome.countInFlight(), 1);
+  t.mock.timers.tick(1);
+  assert.equal(outcome.countInFlight(), 0);
+  const { countInFlight } = await runScript("once", [{ ...lost, end: "ok" }]);
+  assert.equal(countInFlight(), 0);
+});
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -87,6 +87,8 @@
   readonly used: number;
   /** Number of times that an engine was asked to prefill the prompt. */
   readonly prefills: number;
+  /** Counts the runs that the VM believes to be in progress at the targets now. */
+  readonly countInFlight: () => number;
 }
 
 const EVENTS = 3;
@@ -105,6 +107,7 @@
   readonly #script: ScriptedAttempt[];
   readonly #length: number;
   readonly #directory = new TargetDirectory();
+  readonly #workTracker = new WorkTracker();
   readonly #executions: string[] = [];
   readonly #starts = new Map([["a", 1], ["b", 1]]);
   #status: number | undefined;
@@ -136,9 +139,17 @@
       body: this.#body,
       used: this.#length - this.#script.length,
       prefills: this.#prefills,
+      countInFlight: () => this.#countInFlight(),
     };
   }
 
+  #countInFlight(): number {
+    return [...this.#starts].reduce((sum, [instance, start]) => {
+      const id = `${instance}@${start}`;
+      return sum + this.#workTracker.getRunLoad(id, performance.now()).runs;
+    }, 0);
+  }
+
   #listTargets(): void {
     const targets = [...this.#starts].map(([instance, start]): Target =>
       buildTarget(`${instance}@${start}`, {
@@ -191,7 +202,7 @@
       health: new TargetHealth(),
       backoffs: new TargetBackoffs(),
       ...buildRateLimits(),
-      workTracker: new WorkTracker(),
+      workTracker: this.#workTracker,
       connections,
       targetListGuard: buildIdleGuard(clock),
       quarantine,
