--- a/packages/heatherarch-forward/fleet/fleet_gossip.ts
+++ b/packages/heatherarch-forward/fleet/fleet_gossip.ts
@@ -1,8 +1,8 @@
 /**
  * Gossip of crash reports, of targets that announced that they are leaving, of targets' rate limits,
- * and of targets' loads. Each VM forwards what is new to it on all its links, so it reaches every VM over a full
- * mesh as well as over hubs; a new link gets everything. Only hubs forward the loads that peers have
- * observed, as they change too often to be sent twice.
+ * and of targets' loads. Each VM forwards what is new to it on all its links, so it reaches every VM
+ * over a full mesh as well as over hubs; a new link gets everything. Only hubs forward the loads that
+ * peers have observed, as they change too often to be sent twice.
  *
  * @module
  */
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -191,8 +191,8 @@
 
   /**
    * Whether the calls that waited already found no capacity, so that the dispatch that is scheduled is
-   * soon enough for one more. In an overload, a dispatch for each arrival would take a third of the
-   * processor time of a VM.
+   * soon enough for one more. Otherwise each arrival in an overload would cost searches for calls that
+   * have just been found to have no capacity.
    */
   #mustAwaitCapacity(): boolean {
     return this.#latePolicy === "behind" && this.size > 1 &&
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -63,14 +63,14 @@
  */
 const MAX_OVERLOAD_FACTOR_BEYOND_SHARE = 1.5;
 /**
- * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. Each VM
- * then sends at most at this multiple of the rate of its share, so that they don't all fill them.
+ * While calls wait here, calls probably wait at other VMs too, and all see the same free slots. So that
+ * they don't all send to these slots, each VM then sends at most at this multiple of its share's rate.
  */
 const CONTENDED_RATE_FACTOR = 3;
 /**
- * The same while all slots are taken as far as known. The time of a call includes the network and this
- * VM's own delays, in which its slot is free. At the rate that the slots have by this time, the targets
- * would be idle for that part.
+ * The same while all slots are taken as far as known. The time of a call, as a VM measures it, includes
+ * the network and delays of the VM, in which the slot is free. The rate of the share is computed from
+ * that time, so it is lower than what the targets can take.
  */
 const BUSY_RATE_FACTOR = 1.5;
 /** Services change with the configuration. Above this number, idle queues are dropped. */
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -35,8 +35,8 @@
 /** Used part of the per-call share, as calls and retries are counted in different windows. */
 const CALL_SHARE_FACTOR = 0.7;
 /**
- * A VM keeps what its calls earned in this share of the window. Targets fail in bursts, and the other
- * part of the per-call share covers a burst of that size.
+ * A VM keeps what its calls earned in this share of the window, because targets fail in bursts. In any
+ * window it may then spend 0.7 of the per-call share, and 0.7 x 0.25 that was earned before.
  */
 const KEPT_WINDOW_SHARE = 0.25;
 
--- a/packages/heatherarch-forward/state/target_failures.ts
+++ b/packages/heatherarch-forward/state/target_failures.ts
@@ -58,7 +58,7 @@
 const MAX_OWN_FAILURES = 4;
 /**
  * Targets that one report names, those with most failures first. All engines of one availability zone
- * fit. With 20 bytes for each row, ten heartbeats a second and two hubs, 32 rows take 13 KB/s for the
+ * fit. With 40 bytes for each row and ten heartbeats a second, 32 rows take 13 KB/s on a link for the
  * seconds in which that many targets fail. A target that is not named counts by each VM's own attempts.
  */
 const MAX_ROWS = 32;
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -268,8 +268,8 @@
 
 /**
  * Whether the returns of rejected calls are booked: those of plain calls, and those of prompts where
- * client accounts share the engines or the engines report slowdowns. Elsewhere a burst of prompts is
- * served in the order that the fleet was built for.
+ * client accounts share the engines or the engines report slowdowns. For other prompts, the delay of a
+ * rejection depends on the time that the call has waited.
  */
 function needsBookedReturns(
   { activeConfig, directory, targetLoads }: Pick<
