--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -107,6 +107,12 @@
  */
 const LARGE_COST_FRACTION = 0.5;
 
+/**
+ * Time over which the rate of late calls is averaged. When an overload ends, calls are rejected by the
+ * rate in it for as long as this, although they could be in time.
+ */
+const LATE_RATE_WINDOW_MS = 300;
+
 /** Queue of the calls that wait at one VM. */
 export class CallQueue<P extends CallPlacement = PromptPlacement> {
   readonly #clock: Clock;
@@ -118,6 +124,8 @@
   readonly #rejectsEarly: boolean;
   readonly #ranker: CallRanker | undefined;
   readonly #rate = new DispatchRateMeter();
+  /** Dispatches of late calls, while such calls wait. */
+  readonly #lateRate = new DispatchRateMeter({ windowMs: LATE_RATE_WINDOW_MS });
   readonly #fairness = new SizeFairness();
   /** Calls that can be on time, in the order in which they are placed. */
   #waiting: WaitingCall<P>[] = [];
@@ -268,7 +276,10 @@
   ): void {
     const { rank } = call;
     this.#rate.record(placement.costMs, nowMs);
-    if (lane === LATE_LANE) this.#latePlaced++;
+    if (lane === LATE_LANE) {
+      this.#latePlaced++;
+      this.#lateRate.record(placement.costMs, nowMs);
+    }
     this.#ranker?.recordDispatch?.(
       buildRankedCall(call),
       placement.costMs,
@@ -281,6 +292,7 @@
   #recordSize(nowMs: number): void {
     this.#isBusy = this.size > 0;
     this.#rate.setBusy(this.#isBusy, nowMs);
+    this.#lateRate.setBusy(this.#late.length > 0, nowMs);
     if (this.#late.length > 0) this.#overloadSinceMs ??= nowMs;
     if (this.size > 0) return;
     this.#overloadSinceMs = undefined;
@@ -290,7 +302,12 @@
   #describeOverload(nowMs: number): Overload {
     const lastedMs = nowMs - (this.#overloadSinceMs ?? nowMs);
     const lateCallsPerMs = this.#latePlaced / Math.max(1, lastedMs);
-    return { lastedMs, lateCallsPerMs };
+    const recent = this.#lateRate.measure(nowMs)?.callsPerMs;
+    return {
+      lastedMs,
+      lateCallsPerMs,
+      ...(recent === undefined ? {} : { recentLateCallsPerMs: recent }),
+    };
   }
 
   /** Lists the waiting calls in the order in which they are placed. */
--- a/packages/heatherarch-forward/scheduling/dispatch_rate.ts
+++ b/packages/heatherarch-forward/scheduling/dispatch_rate.ts
@@ -20,8 +20,13 @@
   readonly workMs: number;
 }
 
-/** Time over which the rate is averaged, as far as there are enough dispatches in it. */
-const WINDOW_MS = 1000;
+/** Options of {@linkcode DispatchRateMeter}. */
+export interface DispatchRateMeterOptions {
+  /** Time over which the rate is averaged, as far as there are enough dispatches in it. */
+  readonly windowMs?: number;
+}
+
+const DEFAULT_WINDOW_MS = 1000;
 /**
  * With fewer dispatches the rate is unknown. A VM with a few calls per second averages over as many
  * dispatches instead of the window.
@@ -37,12 +42,17 @@
 
 /** Counts dispatches on a clock that advances only while calls wait. */
 export class DispatchRateMeter {
+  readonly #windowMs: number;
   #dispatches: Dispatch[] = [];
   /** Total time in which calls waited, until the last update. */
   #busyMs = 0;
   #isBusy = false;
   #updatedAtMs = -Infinity;
 
+  constructor({ windowMs = DEFAULT_WINDOW_MS }: DispatchRateMeterOptions = {}) {
+    this.#windowMs = windowMs;
+  }
+
   /** Records whether calls wait from now on. */
   setBusy(isBusy: boolean, nowMs: number): void {
     this.#advance(nowMs);
@@ -57,7 +67,7 @@
     if (this.#dispatches.length > MAX_DISPATCHES) this.#dispatches.shift();
   }
 
-  /** Average rate of the last second of waiting; undefined if it is unknown. */
+  /** Average rate of the last `windowMs` of waiting; undefined if it is unknown. */
   measure(nowMs: number): DispatchRate | undefined {
     this.#advance(nowMs);
     const [oldest, ...later] = this.#dispatches;
@@ -79,7 +89,7 @@
   }
 
   #dropOldest(): void {
-    const oldestMs = this.#busyMs - WINDOW_MS;
+    const oldestMs = this.#busyMs - this.#windowMs;
     let dropped = 0;
     while (
       this.#dispatches.length - dropped > MIN_DISPATCHES + 1 &&
--- a/packages/heatherarch-forward/scheduling/wait_forecast.ts
+++ b/packages/heatherarch-forward/scheduling/wait_forecast.ts
@@ -8,6 +8,10 @@
  * calls with some seconds left therefore keep waiting, and in a lasting overload they are rejected at
  * once.
  *
+ * Several bursts in a row are one overload while late calls are left. Its length then says little about
+ * the time at which it ends, but the rate of the last late calls rises when it does. The shorter of the
+ * two predictions holds.
+ *
  * @module
  */
 
@@ -26,6 +30,8 @@
   readonly lastedMs: number;
   /** Rate at which late calls were dispatched in this time, per millisecond. */
   readonly lateCallsPerMs: number;
+  /** The same rate over the last moments; undefined while it is unknown. */
+  readonly recentLateCallsPerMs?: number;
 }
 
 /** Time until the calls ahead have been dispatched, milliseconds. */
@@ -34,7 +40,20 @@
 ): number {
   if (callsAhead === 0) return 0;
   if (overload === undefined) return callsAhead / callsPerMs;
-  const { lastedMs, lateCallsPerMs } = overload;
+  const { recentLateCallsPerMs = 0 } = overload;
+  return Math.min(
+    predictByDuration(callsAhead, callsPerMs, overload),
+    // A rate of 0 gives no bound.
+    callsAhead / recentLateCallsPerMs,
+  );
+}
+
+/** Predicts the wait for an overload that lasts as long as it has lasted already. */
+function predictByDuration(
+  callsAhead: number,
+  callsPerMs: number,
+  { lastedMs, lateCallsPerMs }: Overload,
+): number {
   const duringOverload = lateCallsPerMs * lastedMs;
   if (callsAhead <= duringOverload) return callsAhead / lateCallsPerMs;
   return lastedMs + (callsAhead - duringOverload) / callsPerMs;
--- a/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
@@ -227,6 +227,19 @@
   assert.equal(predict(4000, 0.05), 2000);
 });
 
+// Guards against rejections after the last of several bursts, whose late calls are one long overload.
+test("a late call's wait is shorter once the rate of late calls rises", () => {
+  const predict = (recentLateCallsPerMs: number): number =>
+    predictWaitMs({
+      callsAhead: 40,
+      callsPerMs: 0.2,
+      overload: { lastedMs: 8000, lateCallsPerMs: 0.004, recentLateCallsPerMs },
+    });
+  assert.equal(predict(0), 8040);
+  assert.equal(predict(0.004), 8040);
+  assert.equal(predict(0.1), 400);
+});
+
 test("a plain target has a backlog once its slots are taken, by the VMs or by its own report", () => {
   const load = { slots: 4, workMs: 40 };
   assert.equal(computePlainBacklogMs({ ...load, runs: 3 }), 0);
