Simulations of hard load: an unused parameter, an unnamed duration, a constant used before its definition

Cause: copyKnown had a factor that no caller passes; the duration of the returns at 870 VMs was a bare number; PHASE_MS stood after its use, with the wrong reason that any odd number would do (75 gives two phases of an interval of 150 ms).

Change: the parameter is removed, the duration named, the constant moved and its reason corrected. A comment named 2.7 calls a second of a VM where the fleet's targets serve 2400 / 870 = 2.8.

--- a/packages/heatherarch-lab/bench/hard_load/fleet_size.ts
+++ b/packages/heatherarch-lab/bench/hard_load/fleet_size.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** A fleet. */
+/** Size of a fleet, and the age of what its VMs know of each other. */
 export interface FleetSize {
   readonly vms: number;
   /** Youngest and oldest that a VM's information about the others is, in milliseconds. */
@@ -20,10 +20,15 @@
 
 /** From this number of VMs on, hubs pass the information on. */
 const MIN_VMS_WITH_HUBS = 20;
+/**
+ * Difference between the times at which successive VMs get their digests, milliseconds. It has no
+ * common factor with the interval between digests, so that these times are spread evenly.
+ */
+const PHASE_MS = 37;
 
 /**
  * A small fleet with full mesh; the first deployment of the design page; and the largest fleet of
- * the design, whose VMs receive 2.7 calls a second each.
+ * the design, whose plain targets serve 2.8 calls a second for each VM.
  */
 export const FLEET_SIZES: readonly FleetSize[] = [
   {
@@ -65,7 +70,7 @@
  * different times.
  */
 export function computeAgeMs(
-  { minAgeMs, maxAgeMs }: { minAgeMs: number; maxAgeMs: number },
+  { minAgeMs, maxAgeMs }: Pick<FleetSize, "minAgeMs" | "maxAgeMs">,
   vm: number,
   nowMs: number,
 ): number {
@@ -73,6 +78,3 @@
   if (intervalMs === 0) return minAgeMs;
   return minAgeMs + (nowMs + vm * PHASE_MS) % intervalMs;
 }
-
-/** Difference between the times at which successive VMs get their digests; any odd number does. */
-const PHASE_MS = 37;
--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -30,7 +30,7 @@
 /** Options of {@linkcode runHardLoadBench}. */
 export interface HardLoadBenchOptions {
   readonly what: HardLoadDecision;
-  /** Numbers of VMs; those of {@linkcode FLEET_SIZES}. */
+  /** Numbers of VMs; others than those of {@linkcode FLEET_SIZES} are ignored. */
   readonly vms: readonly number[];
   /** Simulates only designs whose names contain this. */
   readonly design?: string;
@@ -51,6 +51,8 @@
 /** Large fleets are simulated for a shorter time. */
 const LARGE_FLEET_VMS = 300;
 const LARGE_FLEET_SECONDS = 5;
+/** A burst, and the time in which its clients return. */
+const LARGE_FLEET_RETURNS_SECONDS = 8;
 /** Digits of shares of calls, and of bytes and processor times. */
 const SHARE_DIGITS = 3;
 const COST_DIGITS = 1;
@@ -118,7 +120,7 @@
   );
 }
 
-/** All ways with the gate `turns`, and some of them with the other gates. */
+/** All ways with the gate `turns`, and some of them with other gates. */
 function listSharesDesigns(size: FleetSize): Design[] {
   const ways = SHARE_WAYS.map((way) => ({ way, gate: "turns" as Gate }));
   const others = (["known", "paced"] as const).map((gate) => ({
@@ -171,7 +173,9 @@
           size,
           way,
           gate,
-          ...(size.vms >= LARGE_FLEET_VMS ? { seconds: 8 } : {}),
+          ...(size.vms >= LARGE_FLEET_VMS
+            ? { seconds: LARGE_FLEET_RETURNS_SECONDS }
+            : {}),
         });
         return {
           served: result.served,
--- a/packages/heatherarch-lab/bench/hard_load/lagged_work.ts
+++ b/packages/heatherarch-lab/bench/hard_load/lagged_work.ts
@@ -54,17 +54,14 @@
     return this.#current;
   }
 
-  /**
-   * Work as a VM knows it: the state `ageMs` ago and the VM's own changes since. Each own change
-   * counts `ownFactor` times, to allow for what similar VMs do meanwhile.
-   */
-  copyKnown(vm: number, ageMs: number, ownFactor = 1): Float64Array {
+  /** Work as a VM knows it: the state `ageMs` ago and the VM's own changes since. */
+  copyKnown(vm: number, ageMs: number): Float64Array {
     const atMs = this.#options.events.nowMs - ageMs;
     const record = this.#findRecord(atMs);
     const known = record.work.slice();
     for (const change of this.#ownChanges[vm]) {
       if (change.atMs <= record.atMs) continue;
-      known[change.target] += change.amount * ownFactor;
+      known[change.target] += change.amount;
     }
     return known;
   }
