Comments of simulations and proofs say what the code does

Cause: a review. The gate product named a factor that has changed since; the design "ignored" was said to be today's, although the simulation learns the speeds of plain targets in it; the proof of shares was said to hold wherever clients connect, although its accounts connect to VMs that the large one uses too.

Change: comments only.

--- a/packages/heatherarch-lab/bench/hard_load/load_news.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_news.ts
@@ -14,7 +14,7 @@
 
 /** Rows that a heartbeat carries at most. */
 export const MAX_ROWS_PER_HEARTBEAT = 24;
-/** Interval between heartbeats with hubs, milliseconds. */
+/** Interval between heartbeats with hubs, milliseconds. Fleets without hubs are given the same. */
 const HEARTBEAT_MS = 100;
 
 /** News of the whole fleet. */
@@ -48,7 +48,10 @@
     return all === 0 ? 0 : this.#droppedCount / all;
   }
 
-  /** Adds news, unless the heartbeat is full. */
+  /**
+   * Adds news, unless the heartbeat is full. The product drops the oldest rows of a heartbeat that is
+   * full, the simulation the newest.
+   */
   add(row: NewsRow): void {
     const { sample } = row;
     const heartbeat = Math.floor(sample.atMs / HEARTBEAT_MS);
--- a/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
@@ -18,7 +18,10 @@
 
 /** What a VM knows of targets. */
 export const LOAD_KNOWLEDGE = [
-  /** Today: learned speeds of prefill engines only. */
+  /**
+   * No reports. Prefill engines have learned speeds from the start. Plain targets are chosen by the
+   * work that is known, and a speed that is learned during the simulation.
+   */
   "ignored",
   /** Learned speeds of all targets, no reports. */
   "speeds",
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -33,8 +33,8 @@
   /** Also at the rate of the VM's share of all slots, up to twice the slots. */
   "turns",
   /**
-   * The product's: as `turns`, but at twice that rate at most while calls wait, and with less calls of
-   * accounts beyond their shares at busy targets than of others, which need no turn.
+   * The product's: as `turns`, but at a limited multiple of that rate while calls wait. Calls of
+   * accounts within their shares need no turn; busy targets get fewer calls of the other accounts.
    */
   "product",
   /**
@@ -89,7 +89,7 @@
   readonly isExact?: boolean;
   /**
    * A call of rank 0 may be sent to a target with this many times its slots more than other calls, and
-   * without a turn.
+   * without a turn; 0 by default. The gate `product` has its own rule and ignores it.
    */
   readonly firstRankDepth?: number;
 }
@@ -121,6 +121,7 @@
 const RAISED_PACE = 1.1;
 /** At a target with more calls than this many times its slots, paced VMs let their turns lapse. */
 const MAX_PACED_FACTOR = 3;
+
 /** Queues of all VMs, and the targets. */
 export class QueueSimulation<C extends SimulatedCall> {
   readonly #options: QueueSimulationOptions<C>;
--- a/packages/heatherarch-lab/proofs/returns_proof.ts
+++ b/packages/heatherarch-lab/proofs/returns_proof.ts
@@ -50,10 +50,13 @@
 const BOOKABLE_SHARE = 0.5;
 /** Time over which claims are compared with the returns that are due. */
 const WINDOW_MS = 1500;
-/** Returns count as due for 1 s after their time, and at a peer until its last report expires. */
+/**
+ * Longest time between a claim and a booked return that permits it: returns count as due for 1 s after
+ * their time, and at a peer until its last report expires.
+ */
 const MARGIN_MS = 2 * WINDOW_MS + 1000 + EXCHANGE_MS;
 
-/** A book whose guard may be disabled. */
+/** A book, one guard of which may be disabled. */
 class TestedBook extends ReturnBook {
   readonly #guard: Guard | undefined;
   #lastReports = new Map<string, Parameters<ReturnBook["setPeerDue"]>[1]>();
@@ -145,7 +148,10 @@
   });
 }
 
-/** Work that returns to one VM up to any time is bounded, unless more was rejected than has room. */
+/**
+ * Checks that the work that one VM has booked up to any time leaves room for new calls, unless more was
+ * rejected than can be booked.
+ */
 function checkRoom({ bookings }: Events, schedule: Schedule): void {
   const { vms, waitMs, workMs, roomPerMs } = schedule;
   const bookablePerMs = roomPerMs * BOOKABLE_SHARE;
--- a/packages/heatherarch-lab/proofs/shares_proof.ts
+++ b/packages/heatherarch-lab/proofs/shares_proof.ts
@@ -1,7 +1,8 @@
 /**
  * Proof of the shares of client accounts. Accounts within their shares are served while another asks
- * for forty times as much, wherever its clients connect, and no call waits while there is room,
- * although sums of use lag, are lost or arrive twice.
+ * for forty times as much, at one VM or at several, and no call waits while there is room, although
+ * sums of use lag, are lost or arrive twice. Each of these accounts connects to a VM that the large
+ * one uses too.
  *
  * @module
  */
@@ -14,7 +15,7 @@
   simulateSharesSchedule,
 } from "./shares_simulation.ts";
 
-/** Share of its calls that an account within its share has served. */
+/** Least share of its calls that an account within its share has served. */
 const MIN_SERVED = 0.9;
 
 function checkSchedule(
--- a/packages/heatherarch-lab/proofs/shares_simulation.ts
+++ b/packages/heatherarch-lab/proofs/shares_simulation.ts
@@ -20,10 +20,10 @@
   "servesAnyRank",
 ] as const;
 
-/** Name of such a part. */
+/** Name of a guard. */
 export type SharesGuard = typeof SHARES_GUARDS[number];
 
-/** What happens in a simulation. */
+/** Fleet, accounts and faults of a simulation. */
 export interface SharesSchedule {
   readonly vms: number;
   /** Number of VMs that the clients of the large account connect to. */
@@ -42,7 +42,7 @@
   readonly seed: number;
 }
 
-/** What came of it. */
+/** Result of a simulation. */
 export interface SharesOutcome {
   /** Share of the calls of the small account that was served least. */
   readonly leastServed: number;
@@ -99,7 +99,7 @@
   readonly #vms: readonly Vm[];
   readonly #counts = new Map<string, { asked: number; served: number }>();
   #deliveries: Delivery[] = [];
-  /** Times at which the calls in progress end. */
+  /** Times at which the calls in progress end, milliseconds. */
   #ends: number[] = [];
   #nowMs = 0;
   #idleCount = 0;
--- a/packages/heatherarch-lab/tests/unit/hard_load_simulation_test.ts
+++ b/packages/heatherarch-lab/tests/unit/hard_load_simulation_test.ts
@@ -154,6 +154,8 @@
   );
 });
 
+// Guards against simulations that read a real clock or share random state, whose results can't be
+// repeated.
 test("results depend only on the seed", () => {
   assert.deepEqual(runLoad("shared", "draw"), runLoad("shared", "draw"));
   assert.deepEqual(
