Simulations of hard load in smaller modules, shared parts once

Change: calls and targets (load_model), choices (load_choice), counts (load_tally), calls and gates of queues (queue_model), clients that return (returning_clients), traffic of rows (row_traffic) and told reports (told_reports) are modules; the constructors create books, pools and queues by methods.

--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -6,13 +6,10 @@
  */
 import { roundTo } from "../statistics.ts";
 import { FLEET_SIZES, type FleetSize } from "./fleet_size.ts";
-import {
-  LOAD_CHOICES,
-  LOAD_KINDS,
-  LOAD_KNOWLEDGE,
-  simulateLoad,
-} from "./load_simulation.ts";
-import type { Gate } from "./queue_simulation.ts";
+import { LOAD_CHOICES } from "./load_choice.ts";
+import { LOAD_KINDS } from "./load_model.ts";
+import { LOAD_KNOWLEDGE, simulateLoad } from "./load_simulation.ts";
+import type { Gate } from "./queue_model.ts";
 import { RETURN_WAYS, simulateReturns } from "./returns_simulation.ts";
 import {
   LARGE_SPREADS,
--- a/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/load_simulation.ts
@@ -11,10 +11,20 @@
 import { EngineJitter } from "heatherarch-forward";
 import { TargetLoads, TargetSpeeds } from "heatherarch-load";
 import { EventQueue } from "./event_queue.ts";
-import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
+import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
 import { LaggedWork } from "./lagged_work.ts";
+import { drawIndex, type LoadChoice, pickBestOfFew } from "./load_choice.ts";
+import {
+  LOAD_KINDS,
+  type LoadKind,
+  type PoolName,
+  POOLS,
+  SLOW_SPANS,
+} from "./load_model.ts";
 import { LoadNews } from "./load_news.ts";
-import { SimulatedTarget, type SlowSpanOptions } from "./simulated_target.ts";
+import { type LoadSummary, LoadTally } from "./load_tally.ts";
+import { computeRowTraffic } from "./row_traffic.ts";
+import { SimulatedTarget } from "./simulated_target.ts";
 
 /** What a VM knows of targets. */
 export const LOAD_KNOWLEDGE = [
@@ -36,19 +46,6 @@
 /** Name of what a VM knows. */
 export type LoadKnowledge = typeof LOAD_KNOWLEDGE[number];
 
-/** How a VM chooses by the predicted times of targets. */
-export const LOAD_CHOICES = [
-  /** The shortest predicted time plus jitter. */
-  "best",
-  /** A draw, weighted by predicted time. */
-  "draw",
-  /** The shortest predicted time of a few targets that are drawn with equal weights. */
-  "few",
-] as const;
-
-/** Name of a way to choose. */
-export type LoadChoice = typeof LOAD_CHOICES[number];
-
 /** Options of {@linkcode simulateLoad}. */
 export interface LoadSimulationOptions {
   readonly seed: number;
@@ -61,12 +58,7 @@
 }
 
 /** Result of {@linkcode simulateLoad}; shares are 0 to 1. */
-export interface LoadResult {
-  readonly inTime: number;
-  readonly inTimeByKind: Readonly<Record<string, number>>;
-  readonly worstKind: number;
-  /** Share of the work that was done for calls whose clients had given up. */
-  readonly vain: number;
+export interface LoadResult extends LoadSummary {
   /** Bytes per second that an ordinary VM sends and receives for reports. */
   readonly bytesPerSecond: number;
   readonly droppedNews: number;
@@ -74,28 +66,6 @@
   readonly decisionMicros: number;
 }
 
-/** A group of similar targets. */
-export type PoolName = "plain" | "uneven" | "prefill";
-
-/** A kind of call. */
-export interface LoadKind {
-  readonly name: string;
-  readonly pool: PoolName;
-  readonly meanWorkMs: number;
-  /** Share of the work of its pool. */
-  readonly workShare: number;
-  readonly aimMs: number;
-  readonly timeoutMs: number;
-  /** Largest deviation of the work of a call from its mean, as a share of it. */
-  readonly workSpread: number;
-}
-
-interface PoolTraits {
-  readonly slots: number;
-  readonly speeds: readonly number[];
-  readonly slow: SlowSpanOptions;
-}
-
 interface Pool {
   /** Index of its first target. */
   readonly first: number;
@@ -112,83 +82,18 @@
   hasNews: boolean;
 }
 
-/** Objectives and client timeouts of the first deployment; the work of prompts is the model's. */
-export const LOAD_KINDS: readonly LoadKind[] = [
-  {
-    name: "long",
-    pool: "prefill",
-    meanWorkMs: 210,
-    workShare: 0.5,
-    aimMs: 627,
-    timeoutMs: 5226,
-    workSpread: 0.5,
-  },
-  {
-    name: "middle",
-    pool: "prefill",
-    meanWorkMs: 150,
-    workShare: 0.3,
-    aimMs: 519,
-    timeoutMs: 3115,
-    workSpread: 0.5,
-  },
-  {
-    name: "short",
-    pool: "prefill",
-    meanWorkMs: 60,
-    workShare: 0.2,
-    aimMs: 311,
-    timeoutMs: 5187,
-    workSpread: 0.5,
-  },
-  {
-    name: "plain",
-    pool: "plain",
-    meanWorkMs: 21.4,
-    workShare: 1,
-    aimMs: 152,
-    timeoutMs: 1611,
-    workSpread: 0.5,
-  },
-  {
-    name: "uneven",
-    pool: "uneven",
-    meanWorkMs: 80,
-    workShare: 1,
-    aimMs: 150,
-    timeoutMs: 1611,
-    workSpread: 0,
-  },
-];
-const SPEEDS = [0.6, 1, 1.6];
-const SLOW = { share: 0.15, spanMs: 600, slowdown: 2.5 };
-/**
- * Plain targets of the first deployment, prefill engines, and the uneven plain targets of the page's
- * bound, at which a call is late if the target is slow.
- */
-const POOLS: Readonly<Record<PoolName, PoolTraits>> = {
-  plain: { slots: 6, speeds: SPEEDS, slow: SLOW },
-  prefill: { slots: 1, speeds: SPEEDS, slow: SLOW },
-  uneven: { slots: 3, speeds: [1], slow: { ...SLOW, share: 0.3 } },
-};
 /** Factor of the load in the middle third of the time. */
 const BURST = 1.4;
 /** Responses of a target that a VM has learned from before the simulation begins. */
 const LEARNED_RESPONSES = 60;
 /** Relative measurement noise of a reported slowdown. */
 const REPORT_NOISE = 0.05;
-/** Weight of a target in a draw: its predicted time to this negative power. */
-const DRAW_POWER = 2;
-/** Targets that are drawn for a choice among a few. */
-const FEW_TARGETS = 3;
 /** Utilizations of plain targets closer than this are ordered at random today. */
 const TIE_BREAK_RANGE = 0.02;
 /** Longest jitter as a share of the mean work at a target, 20 ms for prompts. */
 const JITTER_SHARE = 0.15;
 /** Encoded size of a row: target id of 12 characters, three counts, slowdown and age. */
-export const LOAD_ROW_BYTES = 24;
-/** A VM tells its own news to the hubs of its zone. */
-const HUBS_PER_ZONE = 2;
+const ROW_BYTES = 24;
 const DEFAULTS = { seconds: 9, load: 0.6 };
 
 /** Runs one simulation. */
@@ -208,9 +113,7 @@
   readonly #vms: Vm[];
   /** Sums of the VMs' weights, to draw one. */
   readonly #weightSums: number[] = [];
-  readonly #counts = new Map<string, { asked: number; inTime: number }>();
-  #workMs = 0;
-  #vainMs = 0;
+  readonly #tally = new LoadTally();
   #decisions = 0;
   #decisionMs = 0;
 
@@ -222,16 +125,10 @@
     };
     const { seed, size } = options;
     this.#random = new Random(seed);
-    const plain = this.#buildTargets("plain", size.plainTargets);
-    const engines = this.#buildTargets("prefill", size.prefillEngines);
-    const uneven = this.#buildTargets("uneven", size.unevenTargets);
-    this.#targets = [...plain, ...engines, ...uneven];
+    this.#pools = this.#buildPools(size);
+    const { plain, prefill, uneven } = this.#pools;
+    this.#targets = [plain, prefill, uneven].flatMap(({ targets }) => targets);
     this.#ids = this.#targets.map((_, i) => `target-${i}`);
-    this.#pools = {
-      plain: this.#buildPool("plain", 0, plain),
-      prefill: this.#buildPool("prefill", plain.length, engines),
-      uneven: this.#buildPool("uneven", plain.length + engines.length, uneven),
-    };
     this.#work = new LaggedWork({
       events: this.#events,
       vms: size.vms,
@@ -250,6 +147,18 @@
     return this.#buildResult();
   }
 
+  #buildPools(size: FleetSize): Record<PoolName, Pool> {
+    const plain = this.#buildTargets("plain", size.plainTargets);
+    const engines = this.#buildTargets("prefill", size.prefillEngines);
+    const uneven = this.#buildTargets("uneven", size.unevenTargets);
+    const firstUneven = plain.length + engines.length;
+    return {
+      plain: this.#buildPool("plain", 0, plain),
+      prefill: this.#buildPool("prefill", plain.length, engines),
+      uneven: this.#buildPool("uneven", firstUneven, uneven),
+    };
+  }
+
   #buildTargets(pool: PoolName, count: number): SimulatedTarget[] {
     const { slots, speeds, slow } = POOLS[pool];
     return Array.from({ length: count }, (_, i) =>
@@ -296,8 +205,8 @@
     this.#targets.forEach((target, i) => {
       const isLearned = knows !== "ignored" || target.slots === 1;
       for (let n = 0; isLearned && n < LEARNED_RESPONSES; n++) {
-        const isSlow = this.#random.drawUnit() < SLOW.share;
-        const slowdown = isSlow ? SLOW.slowdown : 1;
+        const isSlow = this.#random.drawUnit() < SLOW_SPANS.share;
+        const slowdown = isSlow ? SLOW_SPANS.slowdown : 1;
         const tookMs = target.speed * slowdown;
         this.#learnSpeed(vm, i, { tookMs, expectedMs: 1, slowdown });
       }
@@ -354,7 +263,7 @@
     this.#work.add(vm.index, index, workMs);
     target.accept(workMs, (tookMs) => {
       this.#work.add(vm.index, index, -workMs);
-      this.#recordResponse(kind, this.#events.nowMs - atMs, workMs);
+      this.#tally.record(kind, this.#events.nowMs - atMs, workMs);
       this.#recordReport(vm, index, target);
       const slowdown = tookMs / (workMs * target.speed);
       this.#learnSpeed(vm, index, { tookMs, expectedMs: workMs, slowdown });
@@ -398,9 +307,9 @@
       case "best":
         return pool.first + this.#findBest(vm, pool, times);
       case "draw":
-        return pool.first + this.#drawIndex(times);
+        return pool.first + drawIndex(times, this.#random);
       case "few":
-        return pool.first + this.#findBestOfFew(times);
+        return pool.first + pickBestOfFew(times, this.#random);
     }
   }
 
@@ -460,23 +369,6 @@
     return pool.jitters[vm.index].drawMs(this.#ids[pool.first + index]);
   }
 
-  #findBestOfFew(times: readonly number[]): number {
-    let best = this.#random.drawInteger(0, times.length - 1);
-    for (let i = 1; i < FEW_TARGETS; i++) {
-      const other = this.#random.drawInteger(0, times.length - 1);
-      if (times[other] < times[best]) best = other;
-    }
-    return best;
-  }
-
-  #drawIndex(times: readonly number[]): number {
-    const weights = times.map((timeMs) => (timeMs + 1) ** -DRAW_POWER);
-    let drawn = this.#random.drawUnit() *
-      weights.reduce((sum, weight) => sum + weight, 0);
-    const picked = weights.findIndex((weight) => (drawn -= weight) < 0);
-    return Math.max(0, picked);
-  }
-
   #recordReport(vm: Vm, index: number, target: SimulatedTarget): void {
     const { knows } = this.#options;
     if (knows !== "own" && knows !== "shared") return;
@@ -496,39 +388,18 @@
     }
   }
 
-  #recordResponse(kind: LoadKind, tookMs: number, workMs: number): void {
-    const count = this.#counts.get(kind.name) ?? { asked: 0, inTime: 0 };
-    this.#counts.set(kind.name, count);
-    count.asked++;
-    if (tookMs <= kind.aimMs) count.inTime++;
-    this.#workMs += workMs;
-    if (tookMs > kind.timeoutMs) this.#vainMs += workMs;
-  }
-
   #computeBytesPerSecond(): number {
     const { size, seconds } = this.#options;
-    const ownRows = this.#news.rowCount / size.vms;
-    const rows = hasHubs(size)
-      ? HUBS_PER_ZONE * ownRows + this.#news.relayedCount
-      : 2 * (size.vms - 1) * ownRows;
-    return rows * LOAD_ROW_BYTES / seconds;
+    const rows = computeRowTraffic(size, {
+      ownRows: this.#news.rowCount / size.vms,
+      hubRows: this.#news.relayedCount,
+    });
+    return rows * ROW_BYTES / seconds;
   }
 
   #buildResult(): LoadResult {
-    const counts = [...this.#counts.values()];
-    const asked = counts.reduce((sum, count) => sum + count.asked, 0);
-    const inTime = counts.reduce((sum, count) => sum + count.inTime, 0);
-    const inTimeByKind = Object.fromEntries(
-      [...this.#counts].map(([name, count]) => [
-        name,
-        count.inTime / count.asked,
-      ]),
-    );
     return {
-      inTime: inTime / asked,
-      inTimeByKind,
-      worstKind: Math.min(...Object.values(inTimeByKind)),
-      vain: this.#vainMs / this.#workMs,
+      ...this.#tally.summarize(),
       bytesPerSecond: this.#computeBytesPerSecond(),
       droppedNews: this.#news.droppedShare,
       decisionMicros: this.#decisionMs * 1000 / this.#decisions,
--- a/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/returns_simulation.ts
@@ -8,13 +8,19 @@
 import { computeRetryAfterMs } from "heatherarch-forward";
 import { type DueRow, ReturnBook, ReturnDetector } from "heatherarch-returns";
 import { EventQueue } from "./event_queue.ts";
-import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
+import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
+import type { Gate, Rejection, SimulatedCall } from "./queue_model.ts";
+import { QueueSimulation } from "./queue_simulation.ts";
 import {
-  type Gate,
-  QueueSimulation,
-  type Rejection,
-  type SimulatedCall,
-} from "./queue_simulation.ts";
+  type Client,
+  CLIENT_KINDS,
+  type ClientKind,
+  type ClientSummary,
+  LONGEST_TIMEOUT_MS,
+  summarizeClients,
+} from "./returning_clients.ts";
+import { computeRowTraffic } from "./row_traffic.ts";
+import { ToldReports } from "./told_reports.ts";
 import { VmDemand } from "./vm_demand.ts";
 
 /** Ways to compute the delay of a rejection. */
@@ -44,17 +50,7 @@
 }
 
 /** Result of {@linkcode simulateReturns}; shares are 0 to 1. */
-export interface ReturnsResult {
-  /** Clients that were served before they gave up, and within the latency objective. */
-  readonly served: number;
-  readonly inTime: number;
-  /** The same by kind of client, for the kind that is served least. */
-  readonly worstKind: number;
-  /** Share of the clients that wait as told, and of the others, that were served. */
-  readonly patientServed: number;
-  readonly impatientServed: number;
-  /** Share of the clients that were rejected twice or more often. */
-  readonly rejectedTwice: number;
+export interface ReturnsResult extends ClientSummary {
   /** Share of the room that was used. */
   readonly used: number;
   readonly vain: number;
@@ -63,30 +59,10 @@
   readonly decisionMicros: number;
 }
 
-interface Client {
-  readonly kind: ClientKind;
-  readonly arrivedAtMs: number;
-  readonly isImpatient: boolean;
-  rejections: number;
-  isServed: boolean;
-  isInTime: boolean;
-}
-
-interface ClientKind {
-  readonly name: string;
-  readonly aimMs: number;
-  readonly timeoutMs: number;
-}
-
 interface Return extends SimulatedCall {
   readonly client: Client;
 }
 
-/** Objectives and client timeouts of plain calls in the two deployments. */
-const KINDS: readonly ClientKind[] = [
-  { name: "hasty", aimMs: 152, timeoutMs: 1611 },
-  { name: "patient", aimMs: 396, timeoutMs: 4109 },
-];
 const WORK_MS = 40;
 const SLOTS_PER_TARGET = 4;
 /** Demand between and in bursts, as a share of the room. */
@@ -103,8 +79,7 @@
 /** Interval at which VMs tell the returns that are due, milliseconds. */
 const DUE_INTERVAL_MS = 250;
 /** Encoded size of a row: service of 12 characters and a number. */
-export const DUE_ROW_BYTES = 17;
-const HUBS_PER_ZONE = 2;
+const ROW_BYTES = 17;
 const GROUP = "plain";
 const DEFAULTS = {
   seconds: 16,
@@ -126,9 +101,9 @@
   readonly #queues: QueueSimulation<Return>;
   readonly #demand: VmDemand;
   readonly #books: readonly ReturnBook[];
-  readonly #detector: readonly ReturnDetector[];
-  /** Returns that each VM told as due, oldest first. */
-  readonly #told: { atMs: number; returns: number }[][];
+  readonly #detectors: readonly ReturnDetector[];
+  /** Numbers of returns that VMs told as due. */
+  readonly #told: ToldReports<number>;
   readonly #clients: Client[] = [];
   readonly #targets: number;
   #servedMs = 0;
@@ -140,22 +115,35 @@
 
   constructor(options: ReturnsSimulationOptions) {
     this.#options = { ...DEFAULTS, ...options };
-    const { seed, size, way, gate } = this.#options;
+    const { seed, size } = this.#options;
     this.#random = new Random(seed);
     this.#demand = new VmDemand(size.vms);
     this.#targets = Math.round(
       size.callsPerSecond * WORK_MS / 1000 / SLOTS_PER_TARGET,
     );
-    const books = way === "oracle" ? 1 : size.vms;
-    this.#books = Array.from({ length: books }, (_, vm) =>
-      new ReturnBook({
-        computeShare: (nowMs) =>
-          way === "oracle" ? 1 : this.#demand.computeShare(vm, nowMs),
-        drawUnit: () => this.#random.drawUnit(),
-      }));
-    this.#detector = this.#books.map(() => new ReturnDetector());
-    this.#told = this.#books.map(() => []);
-    this.#queues = new QueueSimulation({
+    this.#books = this.#createBooks();
+    this.#detectors = this.#books.map(() => new ReturnDetector());
+    this.#told = new ToldReports(this.#books.length);
+    this.#queues = this.#createQueues();
+  }
+
+  #createBooks(): ReturnBook[] {
+    const { size, way } = this.#options;
+    const isOracle = way === "oracle";
+    return Array.from(
+      { length: isOracle ? 1 : size.vms },
+      (_, vm) =>
+        new ReturnBook({
+          computeShare: (nowMs) =>
+            isOracle ? 1 : this.#demand.computeShare(vm, nowMs),
+          drawUnit: () => this.#random.drawUnit(),
+        }),
+    );
+  }
+
+  #createQueues(): QueueSimulation<Return> {
+    const { size, gate } = this.#options;
+    return new QueueSimulation({
       events: this.#events,
       random: this.#random,
       size,
@@ -175,9 +163,9 @@
   }
 
   run(): ReturnsResult {
-    for (const kind of KINDS) this.#scheduleArrival(kind);
+    for (const kind of CLIENT_KINDS) this.#scheduleArrival(kind);
     if (this.#options.way === "booked") this.#scheduleExchanges();
-    this.#events.runUntil(this.#endMs + KINDS[1].timeoutMs);
+    this.#events.runUntil(this.#endMs + LONGEST_TIMEOUT_MS);
     return this.#buildResult();
   }
 
@@ -191,7 +179,7 @@
   }
 
   #scheduleArrival(kind: ClientKind): void {
-    const perMs = BURST_DEMAND * this.#roomPerMs / KINDS.length;
+    const perMs = BURST_DEMAND * this.#roomPerMs / CLIENT_KINDS.length;
     this.#events.delay(this.#random.drawExponential(1 / perMs), () => {
       const { nowMs } = this.#events;
       if (nowMs >= this.#endMs) return;
@@ -240,7 +228,7 @@
     if (way !== "booked") return false;
     const { nowMs } = this.#events;
     const route = client.kind.name;
-    return this.#detector[vm].isReturn(route, remainingMs, nowMs) &&
+    return this.#detectors[vm].isReturn(route, remainingMs, nowMs) &&
       this.#books[vm].claim(GROUP, undefined, nowMs);
   }
 
@@ -334,7 +322,7 @@
     const { size } = this.#options;
     const due = this.#books[vm].listDue(nowMs);
     this.#toldRows += due.length;
-    this.#told[vm].push({ atMs: nowMs, returns: due[0]?.[1] ?? 0 });
+    this.#told.record(vm, nowMs, due[0]?.[1] ?? 0);
     const returns = this.#sumTold(vm, nowMs - computeAgeMs(size, vm, nowMs));
     const rows: DueRow[] = returns > 0 ? [[GROUP, returns]] : [];
     this.#receivedRows += rows.length;
@@ -344,49 +332,23 @@
 
   /** Sums what the other VMs had told by a time. */
   #sumTold(vm: number, atMs: number): number {
-    let sum = 0;
-    this.#told.forEach((told, other) => {
-      while (told.length > 1 && told[1].atMs <= atMs) told.shift();
-      if (other === vm || told.length === 0 || told[0].atMs > atMs) return;
-      sum += told[0].returns;
-    });
-    return sum;
+    return this.#told.takeOthers(vm, atMs)
+      .reduce((sum, returns) => sum + returns, 0);
   }
 
   #computeBytesPerSecond(): number {
     const { size, seconds } = this.#options;
-    const own = this.#toldRows / size.vms;
-    const rows = hasHubs(size)
-      ? HUBS_PER_ZONE * own + this.#receivedRows / size.vms
-      : 2 * (size.vms - 1) * own;
-    return rows * DUE_ROW_BYTES / (seconds + KINDS[1].timeoutMs / 1000);
+    const rows = computeRowTraffic(size, {
+      ownRows: this.#toldRows / size.vms,
+      hubRows: this.#receivedRows / size.vms,
+    });
+    return rows * ROW_BYTES / (seconds + LONGEST_TIMEOUT_MS / 1000);
   }
 
   #buildResult(): ReturnsResult {
-    const rate = (
-      clients: readonly Client[],
-      pick: (client: Client) => boolean,
-    ): number => clients.filter(pick).length / Math.max(1, clients.length);
-    const isServed = (client: Client): boolean => client.isServed;
-    const clients = this.#clients;
     const roomMs = this.#roomPerMs * WORK_MS * this.#endMs;
     return {
-      served: rate(clients, isServed),
-      inTime: rate(clients, ({ isInTime }) => isInTime),
-      worstKind: Math.min(
-        ...KINDS.map((kind) =>
-          rate(clients.filter((client) => client.kind === kind), isServed)
-        ),
-      ),
-      patientServed: rate(
-        clients.filter(({ isImpatient }) => !isImpatient),
-        isServed,
-      ),
-      impatientServed: rate(
-        clients.filter(({ isImpatient }) => isImpatient),
-        isServed,
-      ),
-      rejectedTwice: rate(clients, ({ rejections }) => rejections > 1),
+      ...summarizeClients(this.#clients),
       used: this.#servedMs / roomMs,
       vain: this.#vainMs / Math.max(1, this.#servedMs),
       bytesPerSecond: this.#computeBytesPerSecond(),
--- a/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/shares_simulation.ts
@@ -7,12 +7,11 @@
 import { Random } from "heatherarch-core";
 import { FairShares, OTHER_ACCOUNTS, type UseRow } from "heatherarch-shares";
 import { EventQueue } from "./event_queue.ts";
-import { computeAgeMs, type FleetSize, hasHubs } from "./fleet_size.ts";
-import {
-  type Gate,
-  QueueSimulation,
-  type SimulatedCall,
-} from "./queue_simulation.ts";
+import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
+import type { Gate, SimulatedCall } from "./queue_model.ts";
+import { QueueSimulation } from "./queue_simulation.ts";
+import { computeRowTraffic } from "./row_traffic.ts";
+import { ToldReports } from "./told_reports.ts";
 
 /** Ways to share targets. */
 export const SHARE_WAYS = [
@@ -87,8 +86,7 @@
 /** Interval at which VMs tell their use, milliseconds. */
 const USE_INTERVAL_MS = 500;
 /** Encoded size of a row: service and account of 12 characters, work and number of accounts. */
-export const USE_ROW_BYTES = 32;
-const HUBS_PER_ZONE = 2;
+const ROW_BYTES = 32;
 /** Time before calls are counted, in which the first use becomes known. */
 const WARM_UP_MS = 2000;
 const GROUP = "plain";
@@ -106,8 +104,8 @@
   readonly #events = new EventQueue();
   readonly #queues: QueueSimulation<SimulatedCall>;
   readonly #shares: readonly FairShares[];
-  /** Use that each VM told, oldest first, until others know of newer use. */
-  readonly #told: { atMs: number; rows: UseRow[] }[][];
+  /** Use that VMs told. */
+  readonly #told: ToldReports<UseRow[]>;
   readonly #accountVms = new Map<string, readonly number[]>();
   readonly #counts = new Map<string, AccountCount>();
   readonly #targets: number;
@@ -126,8 +124,7 @@
       gate: options.gate ?? DEFAULTS.gate,
     };
     const { size, way, seed } = options;
-    const isExact = way === "oracle";
-    this.#size = isExact ? { ...size, vms: 1 } : size;
+    this.#size = way === "oracle" ? { ...size, vms: 1 } : size;
     this.#random = new Random(seed);
     this.#targets = Math.round(
       size.callsPerSecond * WORK_MS / 1000 / SLOTS_PER_TARGET,
@@ -136,9 +133,14 @@
       { length: this.#size.vms },
       () => new FairShares({ countAccounts: () => SMALL_ACCOUNTS + 1 }),
     );
-    this.#told = this.#shares.map(() => []);
+    this.#told = new ToldReports(this.#shares.length);
     this.#pickAccountVms();
-    this.#queues = new QueueSimulation({
+    this.#queues = this.#createQueues();
+  }
+
+  #createQueues(): QueueSimulation<SimulatedCall> {
+    const { way, gate } = this.#options;
+    return new QueueSimulation({
       events: this.#events,
       random: this.#random,
       size: this.#size,
@@ -152,8 +154,8 @@
         handleRejection: () => {},
       },
       workMs: WORK_MS,
-      gate: this.#options.gate,
-      isExact,
+      gate,
+      isExact: way === "oracle",
       firstRankDepth: way === "fleet's use, depth 1" ? 1 : 0,
     });
   }
@@ -248,7 +250,7 @@
     const { nowMs } = this.#events;
     const rows = this.#shares[vm].listOwnUse(nowMs);
     this.#toldRows += rows.length;
-    this.#told[vm].push({ atMs: nowMs, rows });
+    this.#told.record(vm, nowMs, rows);
     const ageMs = computeAgeMs(this.#size, vm, nowMs);
     const others = this.#sumTold(vm, nowMs - ageMs);
     this.#receivedRows += others.length;
@@ -259,17 +261,15 @@
   /** Sums what the other VMs had told by a time. */
   #sumTold(vm: number, atMs: number): UseRow[] {
     const sums = new Map<string, { workMs: number; accounts: number }>();
-    this.#told.forEach((told, other) => {
-      while (told.length > 1 && told[1].atMs <= atMs) told.shift();
-      if (other === vm || told.length === 0 || told[0].atMs > atMs) return;
-      for (const [, account, workMs, accounts] of told[0].rows) {
+    for (const rows of this.#told.takeOthers(vm, atMs)) {
+      for (const [, account, workMs, accounts] of rows) {
         const sum = sums.get(account) ?? { workMs: 0, accounts: 0 };
         sums.set(account, {
           workMs: sum.workMs + workMs,
           accounts: account === OTHER_ACCOUNTS ? sum.accounts + accounts : 1,
         });
       }
-    });
+    }
     return [...sums].map((
       [account, { workMs, accounts }],
     ): UseRow => [GROUP, account, workMs, accounts]);
@@ -277,12 +277,11 @@
 
   #computeBytesPerSecond(): number {
     const { vms } = this.#size;
-    const own = this.#toldRows / vms;
-    const rows = hasHubs(this.#size)
-      ? HUBS_PER_ZONE * own + this.#receivedRows / vms
-      : 2 * (vms - 1) * own;
-    return rows * USE_ROW_BYTES /
-      (this.#options.seconds + TIMEOUT_MS / 1000);
+    const rows = computeRowTraffic(this.#size, {
+      ownRows: this.#toldRows / vms,
+      hubRows: this.#receivedRows / vms,
+    });
+    return rows * ROW_BYTES / (this.#options.seconds + TIMEOUT_MS / 1000);
   }
 
   #buildResult(): SharesResult {
--- a/packages/heatherarch-lab/tests/unit/hard_load_simulation_test.ts
+++ b/packages/heatherarch-lab/tests/unit/hard_load_simulation_test.ts
@@ -3,12 +3,12 @@
 import { EventQueue } from "../../bench/hard_load/event_queue.ts";
 import { FLEET_SIZES } from "../../bench/hard_load/fleet_size.ts";
 import { LaggedWork } from "../../bench/hard_load/lagged_work.ts";
+import type { LoadChoice } from "../../bench/hard_load/load_choice.ts";
 import {
-  type LoadChoice,
   type LoadKnowledge,
   simulateLoad,
 } from "../../bench/hard_load/load_simulation.ts";
-import type { Gate } from "../../bench/hard_load/queue_simulation.ts";
+import type { Gate } from "../../bench/hard_load/queue_model.ts";
 import {
   type ReturnWay,
   simulateReturns,
