--- a/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
+++ b/packages/heatherarch-lab/bench/hard_load/hard_load_bench.ts
@@ -6,13 +6,10 @@
  */
 import { roundTo } from "../statistics.ts";
 import { FLEET_SIZES, type FleetSize } from "./fleet_size.ts";
-import {
-  LOAD_CHOICES,
-  LOAD_KINDS,
-  LOAD_KNOWLEDGE,
-  simulateLoad,
-} from "./load_simulation.ts";
-import type { Gate } from "./queue_simulation.ts";
+import { LOAD_CHOICES } from "./load_choice.ts";
+import { LOAD_KINDS } from "./load_model.ts";
+import { LOAD_KNOWLEDGE, simulateLoad } from "./load_simulation.ts";
+import type { Gate } from "./queue_model.ts";
 import { RETURN_WAYS, simulateReturns } from "./returns_simulation.ts";
 import {
   LARGE_SPREADS,
@@ -30,7 +27,7 @@
 /** Options of {@linkcode runHardLoadBench}. */
 export interface HardLoadBenchOptions {
   readonly what: HardLoadDecision;
-  /** Numbers of VMs; those of {@linkcode FLEET_SIZES}. */
+  /** Numbers of VMs; others than those of {@linkcode FLEET_SIZES} are ignored. */
   readonly vms: readonly number[];
   /** Simulates only designs whose names contain this. */
   readonly design?: string;
@@ -51,6 +48,8 @@
 /** Large fleets are simulated for a shorter time. */
 const LARGE_FLEET_VMS = 300;
 const LARGE_FLEET_SECONDS = 5;
+/** A burst, and the time in which its clients return. */
+const LARGE_FLEET_RETURNS_SECONDS = 8;
 /** Digits of shares of calls, and of bytes and processor times. */
 const SHARE_DIGITS = 3;
 const COST_DIGITS = 1;
@@ -118,7 +117,7 @@
   );
 }
 
-/** All ways with the gate `turns`, and some of them with the other gates. */
+/** All ways with the gate `turns`, and some of them with other gates. */
 function listSharesDesigns(size: FleetSize): Design[] {
   const ways = SHARE_WAYS.map((way) => ({ way, gate: "turns" as Gate }));
   const others = (["known", "paced"] as const).map((gate) => ({
@@ -171,7 +170,9 @@
           size,
           way,
           gate,
-          ...(size.vms >= LARGE_FLEET_VMS ? { seconds: 8 } : {}),
+          ...(size.vms >= LARGE_FLEET_VMS
+            ? { seconds: LARGE_FLEET_RETURNS_SECONDS }
+            : {}),
         });
         return {
           served: result.served,
--- a/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
+++ b/packages/heatherarch-lab/bench/hard_load/queue_simulation.ts
@@ -23,57 +23,10 @@
 import { computeAgeMs, type FleetSize } from "./fleet_size.ts";
 import { LaggedWork } from "./lagged_work.ts";
 import { Pace } from "./pace.ts";
+import type { Gate, QueueHandler, SimulatedCall } from "./queue_model.ts";
 import { SimulatedTarget } from "./simulated_target.ts";
 import { VmDemand } from "./vm_demand.ts";
 
-/** When a VM sends a call of its queue to a target. */
-export const GATES = [
-  /** While the calls that are known at the target are below its slots. */
-  "known",
-  /** Also at the rate of the VM's share of all slots, up to twice the slots. */
-  "turns",
-  /**
-   * The product's: as `turns`, but at twice that rate at most while calls wait, and with less calls of
-   * accounts beyond their shares at busy targets than of others, which need no turn.
-   */
-  "product",
-  /**
-   * While the fleet asks for more than the room, at the rate of the VM's share and to a target that is
-   * drawn, unless it is far above its slots; otherwise as with `known`.
-   */
-  "paced",
-] as const;
-
-/** Name of a rule for sending. */
-export type Gate = typeof GATES[number];
-
-/** A call at a VM. */
-export interface SimulatedCall {
-  readonly vm: number;
-  readonly account: string;
-  readonly arrivedAtMs: number;
-  readonly aimMs: number;
-  /** Time at which the client gives up. */
-  readonly timeoutAtMs: number;
-}
-
-/** Decisions and outcomes of a simulation of queues. */
-export interface QueueHandler<C extends SimulatedCall> {
-  /** Calls of a lower rank go first at a VM. */
-  computeRank(vm: number, account: string): number;
-  handleDispatch(call: C): void;
-  handleResponse(call: C, isTooLate: boolean): void;
-  handleRejection(call: C, rejection: Rejection): void;
-}
-
-/** What a VM knows when it rejects a call. */
-export interface Rejection {
-  /** Rate at which the VM dispatches while calls wait, in calls per millisecond. */
-  readonly callsPerMs: number | undefined;
-  /** Time by which the call would be too late, milliseconds. */
-  readonly excessMs: number;
-}
-
 /** Options of {@linkcode QueueSimulation}. */
 export interface QueueSimulationOptions<C extends SimulatedCall> {
   readonly events: EventQueue;
@@ -89,7 +42,7 @@
   readonly isExact?: boolean;
   /**
    * A call of rank 0 may be sent to a target with this many times its slots more than other calls, and
-   * without a turn.
+   * without a turn; 0 by default. The gate `product` has its own rule and ignores it.
    */
   readonly firstRankDepth?: number;
 }
@@ -121,6 +74,7 @@
 const RAISED_PACE = 1.1;
 /** At a target with more calls than this many times its slots, paced VMs let their turns lapse. */
 const MAX_PACED_FACTOR = 3;
+
 /** Queues of all VMs, and the targets. */
 export class QueueSimulation<C extends SimulatedCall> {
   readonly #options: QueueSimulationOptions<C>;
