GET /fleet shows waiting calls, dispatch rates and reported loads

Cause: operators saw shares and returns, but not how many calls wait for a service, how fast its queue dispatches, or what load the targets have reported. The gauge heatherarch_calls_waiting covered plain calls only.

Change: GET /fleet has `queues` (service, kind, waiting, ratePerS) and `loads` (the 32 most loaded targets of a service with their slowdowns and ages, and the number of the others); `heatherarch fleet` prints both. They are read on request. The dispatch rate is read from a copy of its meter, as measuring it postpones the time at which it is forgotten.

--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -333,6 +333,8 @@
     ...(status.returns ?? []).map(({ service, booked, due }) =>
       `returns\t${service}\t${booked} booked here\t${due} due in the fleet`
     ),
+    ...formatQueues(status.queues ?? []),
+    ...(status.loads ?? []).flatMap(formatLoads),
   ];
   if (duties === null) return [...lines, "duties: none"];
   lines.push(
@@ -355,6 +357,32 @@
   return lines;
 }
 
+function formatQueues(
+  queues: NonNullable<FleetStatusResponse["queues"]>,
+): string[] {
+  return queues.map(({ service, kind, waiting, ratePerS }) =>
+    `waiting\t${service}\t${waiting} ${kind} calls here\t${
+      ratePerS === null ? "dispatch rate unknown" : `${ratePerS} dispatched/s`
+    }`
+  );
+}
+
+function formatLoads(
+  { service, targets, others, withoutReport }: NonNullable<
+    FleetStatusResponse["loads"]
+  >[number],
+): string[] {
+  return [
+    `loads\t${service}\t${targets.length} targets listed\t${others} others\t${withoutReport} without a report`,
+    ...targets.map((load) => {
+      const { target, running, waiting, slots, slowdown, ageMs } = load;
+      return `  load\t${service}\t${target}\t${running} running\t${waiting} waiting\t${slots} slots\tslowdown ${
+        slowdown ?? "not reported"
+      }\texpected ${load.expectedSlowdown}\t${ageMs} ms ago`;
+    }),
+  ];
+}
+
 function formatPercent(part: number): string {
   return `${(part * 100).toFixed(1)}%`;
 }
--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -91,6 +91,29 @@
     booked: number;
     due: number;
   }[];
+  /** Absent in the response of an older VM, as are the loads. */
+  readonly queues?: readonly {
+    service: string;
+    kind: string;
+    waiting: number;
+    /** Calls per second; null if unknown. */
+    ratePerS: number | null;
+  }[];
+  readonly loads?: readonly {
+    service: string;
+    targets: readonly {
+      target: string;
+      running: number;
+      waiting: number;
+      slots: number;
+      /** Null if the target doesn't report it. */
+      slowdown: number | null;
+      expectedSlowdown: number;
+      ageMs: number;
+    }[];
+    others: number;
+    withoutReport: number;
+  }[];
   readonly duties: {
     holder?: string;
     fencing: number;
--- a/packages/heatherarch-cli/tests/unit/commands_test.ts
+++ b/packages/heatherarch-cli/tests/unit/commands_test.ts
@@ -16,6 +16,35 @@
     rank: 2,
   }],
   returns: [{ service: "s", booked: 3, due: 9 }],
+  queues: [
+    { service: "s", kind: "prompt", waiting: 12, ratePerS: 40.2 },
+    { service: "t", kind: "plain", waiting: 1, ratePerS: null },
+  ],
+  loads: [{
+    service: "t",
+    targets: [
+      {
+        target: "p1",
+        running: 4,
+        waiting: 2,
+        slots: 4,
+        slowdown: 2.5,
+        expectedSlowdown: 1.75,
+        ageMs: 300,
+      },
+      {
+        target: "p2",
+        running: 1,
+        waiting: 0,
+        slots: 4,
+        slowdown: null,
+        expectedSlowdown: 1,
+        ageMs: 90,
+      },
+    ],
+    others: 5,
+    withoutReport: 3,
+  }],
   duties: {
     holder: "vm-2",
     fencing: 12,
@@ -27,13 +56,19 @@
   },
 };
 
-test("the status of a fleet shows its client accounts, its duties and the latest orders", () => {
+// Guards against a part of the status that operators don't see without --json.
+test("the status of a fleet shows accounts, returns, queues, loads, duties and the latest orders", () => {
   assert.deepEqual(formatFleetStatus(STATUS), [
     "vm-1: configuration 7, known to be the newest 40 ms ago",
     "client accounts: 1",
     "  acme\t2 keys",
     "  share\ts\tacme\tuses 70.5% of 25.0%\tweight 4\trank 2",
     "returns\ts\t3 booked here\t9 due in the fleet",
+    "waiting\ts\t12 prompt calls here\t40.2 dispatched/s",
+    "waiting\tt\t1 plain calls here\tdispatch rate unknown",
+    "loads\tt\t2 targets listed\t5 others\t3 without a report",
+    "  load\tt\tp1\t4 running\t2 waiting\t4 slots\tslowdown 2.5\texpected 1.75\t300 ms ago",
+    "  load\tt\tp2\t1 running\t0 waiting\t4 slots\tslowdown not reported\texpected 1\t90 ms ago",
     "duties: held by vm-2, fencing 12",
     "usage: window 101 final, window - reported",
     "  wanted\ts\tzone-a\t3 standard\t1 spot",
@@ -41,6 +76,7 @@
   ]);
 });
 
+// Guards against a command that fails at a VM of an older version, which sends fewer fields.
 test("a fleet without client accounts and duties is shown as such", () => {
   const config = { version: 7, ageMs: null };
   assert.deepEqual(
@@ -50,6 +86,8 @@
       accounts: null,
       shares: undefined,
       returns: undefined,
+      queues: undefined,
+      loads: undefined,
       duties: null,
     }),
     [
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -39,6 +39,8 @@
   type VmTaskOptions,
 } from "./vm_tasks.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
+import { listLoadStatus } from "./tasks/load_status.ts";
+import { countWaitingCalls, listQueueStatus } from "./tasks/queue_status.ts";
 import { listShareStatus } from "./tasks/share_status.ts";
 import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
@@ -405,8 +407,16 @@
     } = this.#components;
     targetListGuard.recordTick();
     metrics.promptsWaiting.set(prefillQueue.size);
-    for (const { service, queue } of plainCallQueues.listQueues()) {
-      metrics.callsWaiting.set({ service }, queue.size);
+    const services = activeConfig.table?.config.services ?? [];
+    const waiting = countWaitingCalls({
+      prefillQueue,
+      plainCallQueues,
+      services,
+    });
+    // A service that is no longer configured would keep its last value.
+    metrics.callsWaiting.reset();
+    for (const [service, count] of waiting) {
+      metrics.callsWaiting.set({ service }, count);
     }
     metrics.prefillOverdue.set(
       workTracker.sumOwnOverdueMs(this.#clock.readMonotonicMs()) / 1000,
@@ -447,8 +457,17 @@
   }
 
   #getFleetStatus(): FleetStatus {
-    const { activeConfig, duties, returnTimes } = this.#components;
+    const {
+      activeConfig,
+      duties,
+      returnTimes,
+      accountShares,
+      prefillQueue,
+      plainCallQueues,
+    } = this.#components;
     const services = activeConfig.table?.config.services ?? [];
+    const serviceNames = services.map(({ name }) => name);
+    const nowMs = this.#clock.readMonotonicMs();
     const accounts = activeConfig.table?.config.accounts ?? null;
     return {
       vm: this.#settings.vm.id,
@@ -460,14 +479,10 @@
         name,
         keys: keyDigests.length,
       })) ?? null,
-      shares: listShareStatus(
-        this.#components.accountShares,
-        this.#clock.readMonotonicMs(),
-      ),
-      returns: returnTimes.listStatus(
-        services.map(({ name }) => name),
-        this.#clock.readMonotonicMs(),
-      ),
+      shares: listShareStatus(accountShares, nowMs),
+      returns: returnTimes.listStatus(serviceNames, nowMs),
+      queues: listQueueStatus({ prefillQueue, plainCallQueues, services }),
+      loads: listLoadStatus(this.#components, serviceNames, nowMs),
       duties: duties?.getStatus() ?? null,
     };
   }
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -45,7 +45,7 @@
   });
   readonly callsWaiting = new Gauge({
     name: "heatherarch_calls_waiting",
-    help: "Plain calls that wait at this VM for a target",
+    help: "Plain calls and prompts that wait at this VM for a target",
     labelNames: ["service"] as const,
     registers: [this.registry],
   });
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -68,6 +68,8 @@
 export * from "./scheduling/decode_wait.ts";
 export * from "./call_dependencies.ts";
 export * from "./scheduling/size_fairness.ts";
+export * from "./tasks/load_status.ts";
+export * from "./tasks/queue_status.ts";
 export * from "./tasks/share_status.ts";
 export * from "./tasks/status_server.ts";
 export * from "./tasks/store_reader.ts";
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -173,6 +173,21 @@
     return this.#rate.measure(this.#clock.readMonotonicMs());
   }
 
+  /** Reads the rate as {@linkcode measureRate} measures it, without changing what is measured later. */
+  readRate(): DispatchRate | undefined {
+    return this.#rate.copy().measure(this.#clock.readMonotonicMs());
+  }
+
+  /** Counts the waiting calls by service; calls without one are left out. */
+  countByService(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { service } of [...this.#waiting, ...this.#late]) {
+      if (service === undefined) continue;
+      counts.set(service, (counts.get(service) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Describes the queue to the return of a rejected call; undefined while the rate is unknown. */
   readForReturn(): QueueReading | undefined {
     const rate = this.measureRate();
--- a/packages/heatherarch-forward/scheduling/dispatch_rate.ts
+++ b/packages/heatherarch-forward/scheduling/dispatch_rate.ts
@@ -80,6 +80,19 @@
     };
   }
 
+  /**
+   * Copies the meter. A rate is forgotten by the time since the last update, and {@linkcode measure} is
+   * an update, so reads that must not change decisions are made on a copy.
+   */
+  copy(): DispatchRateMeter {
+    const meter = new DispatchRateMeter({ windowMs: this.#windowMs });
+    meter.#dispatches = [...this.#dispatches];
+    meter.#busyMs = this.#busyMs;
+    meter.#isBusy = this.#isBusy;
+    meter.#updatedAtMs = this.#updatedAtMs;
+    return meter;
+  }
+
   #advance(nowMs: number): void {
     const elapsedMs = nowMs - this.#updatedAtMs;
     this.#updatedAtMs = nowMs;
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -14,6 +14,8 @@
 } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "../metrics.ts";
 import type { DutyStatus } from "./fleet_duties.ts";
+import type { LoadStatus } from "./load_status.ts";
+import type { QueueStatus } from "./queue_status.ts";
 import type { ReturnStatus } from "../scheduling/return_times.ts";
 
 /** Options of {@linkcode StatusServer}. */
@@ -43,6 +45,10 @@
   readonly shares: readonly AccountShareStatus[];
   /** Services for which retries of rejected calls are booked here, or due in the fleet. */
   readonly returns: readonly ReturnStatus[];
+  /** Services with calls that wait at this VM, or with a known dispatch rate. */
+  readonly queues: readonly QueueStatus[];
+  /** Services of which targets have reported their load, with the most loaded targets. */
+  readonly loads: readonly LoadStatus[];
   /** Null if the fleet has no duties. */
   readonly duties: DutyStatus | null;
 }
--- a/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
@@ -204,6 +204,20 @@
   assert.equal(meter.measure(9000), undefined);
 });
 
+// Guards against operators whose reads keep the rate of an earlier overload from being forgotten.
+test("reading the dispatch rate of a copy does not change when it is forgotten", () => {
+  const meter = new DispatchRateMeter();
+  meter.setBusy(true, 0);
+  for (let i = 1; i <= 9; i++) meter.record(40, i * 20);
+  meter.setBusy(false, 180);
+  const rate = { callsPerMs: 1 / 20, workPerMs: 2 };
+  for (let nowMs = 1000; nowMs <= 5000; nowMs += 1000) {
+    assert.deepEqual(meter.copy().measure(nowMs), rate);
+  }
+  assert.equal(meter.copy().measure(6000), undefined);
+  assert.equal(meter.measure(6000), undefined);
+});
+
 test("a dispatch rate follows a change within a second", () => {
   const meter = new DispatchRateMeter();
   meter.setBusy(true, 0);
