A target at which all attempts fail is avoided however many fail

Cause: the failures that one VM counts at a target were bounded by 4, its attempts were not.

Change: the attempts shrink by the same factor as the failures.

Measured: new unit test, 12 of 12 and 100 of 100 failed attempts; fails before.

--- a/packages/heatherarch-forward/state/target_failures.ts
+++ b/packages/heatherarch-forward/state/target_failures.ts
@@ -79,7 +79,8 @@
     decayCounts(counts, nowMs);
     counts.attempts++;
     if (hasFailed) {
-      counts.failures = Math.min(MAX_OWN_FAILURES, counts.failures + 1);
+      counts.failures++;
+      limitFailures(counts);
       this.#suspected.add(target);
     }
     this.#own.set(target, counts);
@@ -244,6 +245,16 @@
   return [id, Math.round(attempts * SCALE), Math.round(failures * SCALE)];
 }
 
+/**
+ * Bounds the failures that count. The attempts shrink by the same factor, as the share of failures of a
+ * target at which all attempts fail would fall with each further one.
+ */
+function limitFailures(counts: AttemptCounts): void {
+  const factor = Math.min(1, MAX_OWN_FAILURES / counts.failures);
+  counts.attempts *= factor;
+  counts.failures *= factor;
+}
+
 function decayCounts(counts: AttemptCounts, nowMs: number): void {
   const factor = Math.exp(-Math.max(0, nowMs - counts.atMs) / DECAY_MS);
   counts.attempts *= factor;
--- a/packages/heatherarch-forward/tests/unit/target_failures_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_failures_test.ts
@@ -33,6 +33,16 @@
   }
 });
 
+// Guards against a target that stops counting as failing when more calls fail there, as in a crash with
+// many calls in flight.
+test("a target at which all attempts of a VM fail is avoided, however many they are", () => {
+  for (const attempts of [2, 12, 100]) {
+    const [vm] = buildFleet(1);
+    for (let i = 0; i < attempts; i++) vm.recordAttempt("t3", true, 0);
+    assert.deepEqual([...vm.findFailing(TARGETS, 10)], ["t3"], `${attempts}`);
+  }
+});
+
 // Guards against the loss of a target that returns errors by design.
 test("a target that fails one seventh of the fleet's attempts is not avoided", () => {
   const fleet = buildFleet(20);
