Dispatch rates are forgotten, waits are logged with the calls that wait, late calls by the last second

Cause, each found by a review or a unit test: - A rate was forgotten 5 s after the last update instead of 5 s after calls last waited, so one call a second kept the rate of an old overload for minutes. - callWaited told the size of the queue without the calls of the dispatch in progress: 0 while 8 waited. - bounded the predicted wait of late calls by their rate over 300 ms.

Change: the meter keeps the time at which calls last waited; the queue counts its calls; the rate of late calls is over a second, as the other one. GET /fleet reads the rate without a copy, since reads change nothing any more.

--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -107,12 +107,6 @@
  */
 const LARGE_COST_FRACTION = 0.5;
 
-/**
- * Time over which the rate of late calls is averaged. When an overload ends, calls are rejected by the
- * rate in it for as long as this, although they could be in time.
- */
-const LATE_RATE_WINDOW_MS = 300;
-
 /** Queue of the calls that wait at one VM. */
 export class CallQueue<P extends CallPlacement = PromptPlacement> {
   readonly #clock: Clock;
@@ -125,12 +119,14 @@
   readonly #ranker: CallRanker | undefined;
   readonly #rate = new DispatchRateMeter();
   /** Dispatches of late calls, while such calls wait. */
-  readonly #lateRate = new DispatchRateMeter({ windowMs: LATE_RATE_WINDOW_MS });
+  readonly #lateRate = new DispatchRateMeter();
   readonly #fairness = new SizeFairness();
   /** Calls that can be on time, in the order in which they are placed. */
   #waiting: WaitingCall<P>[] = [];
   /** Late calls, in the order in which they became late. */
   #late: WaitingCall<P>[] = [];
+  /** Calls in both lists, and those that a dispatch in progress has taken out to consider them. */
+  #size = 0;
   #lateDispatchedAtMs = -Infinity;
   /** Highest rank of the calls that wait at the current dispatch. */
   #maxRank = 0;
@@ -160,7 +156,7 @@
 
   /** Number of waiting calls. */
   get size(): number {
-    return this.#waiting.length + this.#late.length;
+    return this.#size;
   }
 
   /** Whether calls kept waiting in the last dispatch. */
@@ -173,11 +169,6 @@
     return this.#rate.measure(this.#clock.readMonotonicMs());
   }
 
-  /** Reads the rate as {@linkcode measureRate} measures it, without changing what is measured later. */
-  readRate(): DispatchRate | undefined {
-    return this.#rate.copy().measure(this.#clock.readMonotonicMs());
-  }
-
   /** Counts the waiting calls by service; calls without one are left out. */
   countByService(): Map<string, number> {
     const counts = new Map<string, number>();
@@ -200,12 +191,14 @@
   /** Adds a call; returns a function that cancels its wait. */
   enqueue(request: QueuedCall<P>): () => void {
     const waiting = this.#buildWaitingCall(request);
+    this.#size++;
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
     if (index < 0) this.#waiting.push(waiting);
     else this.#waiting.splice(index, 0, waiting);
     if (!this.#mustAwaitCapacity()) this.dispatch();
     return () => {
       if (!this.#remove(waiting)) return;
+      this.#size--;
       this.#recordSize(this.#clock.readMonotonicMs());
       if (request.tokens === undefined) return;
       this.#fairness.recordEnd(request.kind, waiting.size, false);
@@ -224,16 +217,21 @@
 
   /** Counts a prompt in its size class, and its outcome once there is one. */
   #buildWaitingCall(request: QueuedCall<P>): WaitingCall<P> {
-    const { kind, tokens, onOutcome } = request;
-    const base = { ...request, rank: 0, expectedMs: undefined };
-    if (tokens === undefined) return { ...base, size: "usual" };
-    const size = this.#fairness.recordArrival(kind, tokens);
+    const { kind, tokens } = request;
+    const size = tokens === undefined
+      ? "usual"
+      : this.#fairness.recordArrival(kind, tokens);
     return {
-      ...base,
+      ...request,
+      rank: 0,
+      expectedMs: undefined,
       size,
       onOutcome: (outcome) => {
-        this.#fairness.recordEnd(kind, size, outcome.kind === "placed");
-        onOutcome(outcome);
+        this.#size--;
+        if (tokens !== undefined) {
+          this.#fairness.recordEnd(kind, size, outcome.kind === "placed");
+        }
+        request.onOutcome(outcome);
       },
     };
   }
@@ -575,10 +573,13 @@
 
   /** Removes a request; returns whether it was waiting. */
   #remove(request: WaitingCall<P>): boolean {
-    const sizeBefore = this.size;
-    this.#waiting = this.#waiting.filter((other) => other !== request);
-    this.#late = this.#late.filter((other) => other !== request);
-    return this.size < sizeBefore;
+    for (const calls of [this.#waiting, this.#late]) {
+      const index = calls.indexOf(request);
+      if (index < 0) continue;
+      calls.splice(index, 1);
+      return true;
+    }
+    return false;
   }
 }
 
--- a/packages/heatherarch-forward/scheduling/dispatch_rate.ts
+++ b/packages/heatherarch-forward/scheduling/dispatch_rate.ts
@@ -20,13 +20,8 @@
   readonly workMs: number;
 }
 
-/** Options of {@linkcode DispatchRateMeter}. */
-export interface DispatchRateMeterOptions {
-  /** Time over which the rate is averaged, as far as there are enough dispatches in it. */
-  readonly windowMs?: number;
-}
-
-const DEFAULT_WINDOW_MS = 1000;
+/** Time over which the rate is averaged, as far as there are enough dispatches in it. */
+const WINDOW_MS = 1000;
 /**
  * With fewer dispatches the rate is unknown. A VM with a few calls per second averages over as many
  * dispatches instead of the window.
@@ -42,16 +37,13 @@
 
 /** Counts dispatches on a clock that advances only while calls wait. */
 export class DispatchRateMeter {
-  readonly #windowMs: number;
   #dispatches: Dispatch[] = [];
   /** Total time in which calls waited, until the last update. */
   #busyMs = 0;
   #isBusy = false;
   #updatedAtMs = -Infinity;
-
-  constructor({ windowMs = DEFAULT_WINDOW_MS }: DispatchRateMeterOptions = {}) {
-    this.#windowMs = windowMs;
-  }
+  /** Last time at which calls were known to wait. */
+  #busyAtMs = -Infinity;
 
   /** Records whether calls wait from now on. */
   setBusy(isBusy: boolean, nowMs: number): void {
@@ -67,7 +59,7 @@
     if (this.#dispatches.length > MAX_DISPATCHES) this.#dispatches.shift();
   }
 
-  /** Average rate of the last `windowMs` of waiting; undefined if it is unknown. */
+  /** Average rate of the last second of waiting; undefined if it is unknown. */
   measure(nowMs: number): DispatchRate | undefined {
     this.#advance(nowMs);
     const [oldest, ...later] = this.#dispatches;
@@ -80,29 +72,20 @@
     };
   }
 
-  /**
-   * Copies the meter. A rate is forgotten by the time since the last update, and {@linkcode measure} is
-   * an update, so reads that must not change decisions are made on a copy.
-   */
-  copy(): DispatchRateMeter {
-    const meter = new DispatchRateMeter({ windowMs: this.#windowMs });
-    meter.#dispatches = [...this.#dispatches];
-    meter.#busyMs = this.#busyMs;
-    meter.#isBusy = this.#isBusy;
-    meter.#updatedAtMs = this.#updatedAtMs;
-    return meter;
-  }
-
   #advance(nowMs: number): void {
     const elapsedMs = nowMs - this.#updatedAtMs;
     this.#updatedAtMs = nowMs;
-    if (this.#isBusy) this.#busyMs += elapsedMs;
-    else if (elapsedMs > RETENTION_MS) this.#dispatches = [];
+    if (this.#isBusy) {
+      this.#busyMs += elapsedMs;
+      this.#busyAtMs = nowMs;
+    } else if (nowMs - this.#busyAtMs > RETENTION_MS) {
+      this.#dispatches = [];
+    }
     this.#dropOldest();
   }
 
   #dropOldest(): void {
-    const oldestMs = this.#busyMs - this.#windowMs;
+    const oldestMs = this.#busyMs - WINDOW_MS;
     let dropped = 0;
     while (
       this.#dispatches.length - dropped > MIN_DISPATCHES + 1 &&
--- a/packages/heatherarch-forward/scheduling/wait_forecast.ts
+++ b/packages/heatherarch-forward/scheduling/wait_forecast.ts
@@ -30,7 +30,7 @@
   readonly lastedMs: number;
   /** Rate at which late calls were dispatched in this time, per millisecond. */
   readonly lateCallsPerMs: number;
-  /** The same rate over the last moments; undefined while it is unknown. */
+  /** The same rate over the last second; undefined while it is unknown. */
   readonly recentLateCallsPerMs?: number;
 }
 
--- a/packages/heatherarch-forward/tasks/queue_status.ts
+++ b/packages/heatherarch-forward/tasks/queue_status.ts
@@ -24,14 +24,14 @@
 
 /** Queues of one VM, and the services of its configuration. */
 export interface WaitingCallsOptions {
-  readonly prefillQueue: Pick<CallQueue, "countByService" | "readRate">;
+  readonly prefillQueue: Pick<CallQueue, "countByService" | "measureRate">;
   readonly plainCallQueues: Pick<PlainCallQueues, "listQueues">;
   readonly services: readonly ServiceSpec[];
 }
 
 /** Lists the services with waiting calls or a known dispatch rate. */
 export function listQueueStatus(options: WaitingCallsOptions): QueueStatus[] {
-  const promptRatePerS = formatRate(options.prefillQueue.readRate());
+  const promptRatePerS = formatRate(options.prefillQueue.measureRate());
   const prompts = [...countWaitingPrompts(options)]
     .map(([service, waiting]): QueueStatus => ({
       service,
@@ -44,7 +44,7 @@
       service,
       kind: "plain",
       waiting: queue.size,
-      ratePerS: formatRate(queue.readRate()),
+      ratePerS: formatRate(queue.measureRate()),
     }));
   return [...prompts, ...plainCalls]
     .filter(({ waiting, ratePerS }) => waiting > 0 || ratePerS !== null);
--- a/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
@@ -190,6 +190,41 @@
   assert.ok(onTime.length > fresh.length * 0.95);
 });
 
+// Guards against a log of waits that leaves out the calls of the dispatch in progress.
+test("while a dispatch places calls, the others still count as waiting", () => {
+  const clock = new ManualClock();
+  const queue = new CallQueue<CallPlacement>({ clock, isTimerEnabled: false });
+  let backlogMs = 1000;
+  const sizes: number[] = [];
+  const enqueue = (): () => void =>
+    queue.enqueue({
+      lane: 0,
+      kind: "k",
+      waitStartedAtMs: 0,
+      aimMs: 10_000,
+      timeoutAtMs: 20_000,
+      responseDelayMs: 0,
+      findPlacement: () => ({
+        costMs: WORK_MS,
+        unloadedMs: WORK_MS,
+        backlogMs,
+        readyMs: backlogMs + WORK_MS,
+      }),
+      onOutcome: () => {
+        backlogMs = 1000;
+        sizes.push(queue.size);
+      },
+    });
+  const cancels = [enqueue(), enqueue(), enqueue(), enqueue()];
+  cancels[3]();
+  assert.equal(queue.size, 3);
+  backlogMs = 0;
+  queue.dispatch();
+  assert.deepEqual(sizes, [2]);
+  for (const cancel of cancels) cancel();
+  assert.equal(queue.size, 0);
+});
+
 test("the dispatch rate counts only while calls wait, and is unknown at first", () => {
   const meter = new DispatchRateMeter();
   meter.record(40, 0);
@@ -204,17 +239,18 @@
   assert.equal(meter.measure(9000), undefined);
 });
 
-// Guards against operators whose reads keep the rate of an earlier overload from being forgotten.
-test("reading the dispatch rate of a copy does not change when it is forgotten", () => {
+// Guards against single calls, or reads by operators, that keep the rate of an earlier overload.
+test("a dispatch rate is forgotten although it is read and calls arrive", () => {
   const meter = new DispatchRateMeter();
   meter.setBusy(true, 0);
   for (let i = 1; i <= 9; i++) meter.record(40, i * 20);
   meter.setBusy(false, 180);
   const rate = { callsPerMs: 1 / 20, workPerMs: 2 };
   for (let nowMs = 1000; nowMs <= 5000; nowMs += 1000) {
-    assert.deepEqual(meter.copy().measure(nowMs), rate);
+    meter.record(40, nowMs);
+    meter.setBusy(false, nowMs);
+    assert.deepEqual(meter.measure(nowMs), rate);
   }
-  assert.equal(meter.copy().measure(6000), undefined);
   assert.equal(meter.measure(6000), undefined);
 });
 
