--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -10,6 +10,7 @@
 import type { AccountRanker } from "./scheduling/account_ranker.ts";
 import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
+import type { ConnectionPreference } from "./scheduling/connection_preference.ts";
 import type { EngineJitter } from "./scheduling/engine_jitter.ts";
 import type { EventLog } from "./event_log.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
@@ -87,6 +88,7 @@
   readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
   readonly engineJitter: EngineJitter;
+  readonly connectionPreference: ConnectionPreference;
   readonly prefixIndex: PrefixIndex;
   readonly retention: CacheRetention;
   /** Number of VMs that share the load. */
--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -72,15 +72,22 @@
 
   /** Returns the least loaded engine, preferably in `zone`; undefined if there is none. */
   pick(zone: string | undefined): Target | undefined {
-    const { workTracker, targetLoads, drawUnit } = this.#context.dependencies;
+    const { workTracker, targetLoads, connectionPreference, drawUnit } =
+      this.#context.dependencies;
     const nowMs = this.#context.nowMs;
     const maxKvTokens = this.#traits.kvTokens;
-    const candidates = listAvailableEngines(this.#context, this.#selection)
-      .map((target): TargetCandidate => {
-        const { runs, kvTokens } = workTracker.getRunLoad(target.id, nowMs);
-        const timeFactor = targetLoads.estimateSlowdown(target.id, nowMs);
-        return { target, runs, kvTokens, maxKvTokens, timeFactor };
-      });
+    const engines = listAvailableEngines(this.#context, this.#selection);
+    const needsConnection = connectionPreference.buildCheck(
+      engines.length,
+      nowMs,
+    );
+    const candidates = engines.map((target): TargetCandidate => ({
+      target,
+      ...workTracker.getRunLoad(target.id, nowMs),
+      maxKvTokens,
+      timeFactor: targetLoads.estimateSlowdown(target.id, nowMs),
+      needsConnection: needsConnection(target),
+    }));
     const isBeginning = this.#softwareVersion === undefined &&
       this.#context.route.kind === "resumableStream";
     const preferred = isBeginning ? preferContinuable(candidates) : candidates;
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -313,8 +313,12 @@
   /** Returns the engine that would finish the prefill first if it were sent now. */
   #findPlacement(): PromptPlacement | undefined {
     const context = this.#context;
-    const { prefillCandidateCache, placer, engineJitter } =
-      context.dependencies;
+    const {
+      prefillCandidateCache,
+      placer,
+      engineJitter,
+      connectionPreference,
+    } = context.dependencies;
     const nowMs = context.nowMs;
     const candidates = prefillCandidateCache.listCandidates(
       context,
@@ -337,6 +341,10 @@
       ...holders,
       traits: this.#traits,
       drawJitterMs: (target) => engineJitter.drawMs(target),
+      needsConnection: connectionPreference.buildCheck(
+        prefillEngines.length,
+        nowMs,
+      ),
     });
   }
 
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -77,6 +77,8 @@
   inFlight: number;
   /** Number of connections that were opened. */
   opened: number;
+  /** Number of connections that are open. */
+  open: number;
 }
 
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
@@ -181,6 +183,17 @@
       this.computeConnectionLimit(target, maxConnections);
   }
 
+  /** Time after which an idle connection is closed if its target gives no keep-alive hint. */
+  get idleTimeoutMs(): number {
+    return this.#options.idleTimeoutMs;
+  }
+
+  /** Whether a connection to the target is open and not in use. */
+  hasIdle(target: Target): boolean {
+    const entry = this.#pools.get(target.id);
+    return entry !== undefined && entry.open > entry.inFlight;
+  }
+
   /** Number of connections to the target that were opened so far. */
   countOpened(target: Target): number {
     return this.#pools.get(target.id)?.opened ?? 0;
@@ -265,8 +278,13 @@
         resetDetector,
         inFlight: 0,
         opened: 0,
+        open: 0,
       };
-      pool.on("connect", () => created.opened++);
+      pool.on("connect", () => {
+        created.opened++;
+        created.open++;
+      });
+      pool.on("disconnect", () => created.open--);
       entry = created;
       this.#pools.set(target.id, created);
     }
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -23,6 +23,7 @@
 export * from "./state/active_config.ts";
 export * from "./scheduling/config_reads.ts";
 export * from "./tasks/engine_request.ts";
+export * from "./scheduling/connection_preference.ts";
 export * from "./scheduling/engine_jitter.ts";
 export * from "./event_log.ts";
 export * from "./calls/sse_splitter.ts";
--- a/packages/heatherarch-forward/scheduling/least_loaded_target.ts
+++ b/packages/heatherarch-forward/scheduling/least_loaded_target.ts
@@ -17,6 +17,8 @@
   readonly maxKvTokens: number;
   /** Predicted time of work at the target relative to the usual time; 1 by default. */
   readonly timeFactor?: number;
+  /** Whether a request opens a connection that should be avoided; false by default. */
+  readonly needsConnection?: boolean;
 }
 
 /**
@@ -31,6 +33,8 @@
 const DOUBLE_TIME_PENALTY = CROSS_ZONE_PENALTY;
 /** Utilizations closer than this are ordered at random, so that VMs don't all pick one target. */
 const TIE_BREAK_RANGE = 0.02;
+/** Higher utilization that is accepted to avoid a new connection: targets this close are equal. */
+const NEW_CONNECTION_PENALTY = TIE_BREAK_RANGE;
 
 /**
  * Predicted times relative to the usual that differ by the draw range are drawn at a ratio of 1 to e.
@@ -59,8 +63,11 @@
       candidate.target.availabilityZone !== zone;
     const penalty = isOtherZone ? CROSS_ZONE_PENALTY : 0;
     const slowPenalty = ((candidate.timeFactor ?? 1) - 1) * DOUBLE_TIME_PENALTY;
+    const connectionPenalty = candidate.needsConnection === true
+      ? NEW_CONNECTION_PENALTY
+      : 0;
     const score = computeUtilization(candidate) + penalty + slowPenalty +
-      drawUnit() * TIE_BREAK_RANGE;
+      connectionPenalty + drawUnit() * TIE_BREAK_RANGE;
     if (score >= bestScore) continue;
     best = candidate;
     bestScore = score;
--- a/packages/heatherarch-forward/scheduling/prompt_placement.ts
+++ b/packages/heatherarch-forward/scheduling/prompt_placement.ts
@@ -13,6 +13,7 @@
 import { pickRendezvous } from "heatherarch-core";
 import type { EngineTraits, GenerationParams, Target } from "../model.ts";
 import type { PrefillTimeModel } from "../state/prefill_time_model.ts";
+import { NEW_CONNECTION_MS } from "./connection_preference.ts";
 
 /** An engine that can prefill a prompt. */
 export interface PrefillCandidate {
@@ -60,6 +61,8 @@
   readonly traits: EngineTraits;
   /** Draws a delay in milliseconds that is added to an engine's score only; 0 by default. */
   readonly drawJitterMs?: (target: string) => number;
+  /** Whether a request to the engine opens a connection that should be avoided; false by default. */
+  readonly needsConnection?: (target: Target) => boolean;
 }
 
 /** Options of {@linkcode PromptPlacer}. */
@@ -115,7 +118,7 @@
     context: PlacementContext,
   ): PromptPlacement | undefined {
     const key = this.findPrefixKey(prompt);
-    const { drawJitterMs = () => 0 } = context;
+    const { drawJitterMs = () => 0, needsConnection = () => false } = context;
     let best: PromptPlacement | undefined;
     let bestScore = Infinity;
     for (const candidate of context.candidates) {
@@ -125,7 +128,10 @@
       // Owners and holders differ by prefix, so prompts that go to them need no jitter.
       const hasAffinity = key !== undefined && marginMs === 0;
       const jitterMs = hasAffinity ? 0 : drawJitterMs(candidate.target.id);
-      const score = placement.readyMs + marginMs + jitterMs;
+      const connectMs = needsConnection(candidate.target)
+        ? NEW_CONNECTION_MS
+        : 0;
+      const score = placement.readyMs + marginMs + jitterMs + connectMs;
       if (score >= bestScore) continue;
       best = placement;
       bestScore = score;
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -19,6 +19,7 @@
   type CallKind,
   CallQueue,
   type ClientResponse,
+  ConnectionPreference,
   type EncodedRequest,
   EngineJitter,
   FleetRetryBudget,
@@ -229,6 +230,10 @@
       }),
       placer: new PromptPlacer({ model: prefillTimeModel }),
       engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
+      connectionPreference: new ConnectionPreference({
+        connections: { hasIdle: () => true, idleTimeoutMs: 4000 },
+        getCallsPerMinute: () => 0,
+      }),
       prefixIndex: new PrefixIndex(),
       retention: new CacheRetention(),
       countVms: () => 1,
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -62,6 +62,19 @@
   assert.equal(count(), 1);
 });
 
+// Guards against connections that count as open after the target has closed them.
+test("a connection is idle between requests, until it is closed", async () => {
+  const { target, connections } = await build(() => undefined);
+  assert.equal(connections.hasIdle(target), false);
+  const exchange = connections.send(target, REQUEST);
+  await exchange.head;
+  await exchange.ended;
+  assert.equal(connections.hasIdle(target), true);
+  server?.closeAllConnections();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(connections.hasIdle(target), false);
+});
+
 test("VMs share a target's connections evenly, or by the runs that they have there", () => {
   const target = buildTarget("t");
   const build = (runs: number | undefined): TargetConnections => {
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -30,6 +30,7 @@
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
+import { ConnectionPreference } from "./scheduling/connection_preference.ts";
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
 import { PromptPlacer } from "./scheduling/prompt_placement.ts";
 import { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
@@ -262,6 +263,10 @@
       vmId: settings.vm.id,
       drawUnit: Math.random,
     }),
+    connectionPreference: new ConnectionPreference({
+      connections,
+      getCallsPerMinute: (nowMs) => fleetDemand.getOwnCallsPerMinute(nowMs),
+    }),
     drawUnit: Math.random,
   };
 }
