--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -40,6 +40,8 @@
   readonly countRuns?: (target: Target) => number | undefined;
   /** Called before a request is sent. */
   readonly onSend?: (target: Target) => void;
+  /** Called when a connection has been opened. */
+  readonly onConnect?: () => void;
   readonly clock?: Pick<Clock, "readMonotonicMs">;
   /** Returns why nothing may be sent to a target now, or undefined if a request may be sent. */
   readonly findBlockReason?: (
@@ -145,6 +147,7 @@
       findBlockReason: () => undefined,
       countRuns: () => undefined,
       onSend: () => undefined,
+      onConnect: () => undefined,
       clock: new RuntimeClock(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
@@ -263,7 +266,7 @@
   #getPool(target: Target): TargetPool {
     let entry = this.#pools.get(target.id);
     if (entry === undefined) {
-      const { connectTimeoutMs, idleTimeoutMs } = this.#options;
+      const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
       const resetDetector = new ResetDetector(() => created.inFlight > 0);
       const connector = buildConnector({ timeout: connectTimeoutMs });
       const pool = new Pool(`http://${target.address}`, {
@@ -283,6 +286,7 @@
       pool.on("connect", () => {
         created.opened++;
         created.open++;
+        onConnect();
       });
       pool.on("disconnect", () => created.open--);
       entry = created;
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -101,6 +101,11 @@
     labelNames: ["stage", "outcome"] as const,
     registers: [this.registry],
   });
+  readonly connectionsOpened = new Counter({
+    name: "heatherarch_target_connections_opened_total",
+    help: "Connections to targets that were opened",
+    registers: [this.registry],
+  });
   readonly requestsAtLimit = new Counter({
     name: "heatherarch_rate_limited_requests_total",
     help: "Requests sent to targets that have a rate limit",
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -158,6 +158,7 @@
       pathMonitor.recordContact(target);
       notices.apply(target, head, sentAtMs);
     },
+    onConnect: () => metrics.connectionsOpened.inc(),
     onSend: ({ id }) => {
       // What is kept of a target is dropped once, when the target is gone.
       if (directory.findTarget(id) === undefined) return;
