--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -40,6 +40,8 @@
   readonly countRuns?: (target: Target) => number | undefined;
   /** Called before a request is sent. */
   readonly onSend?: (target: Target) => void;
+  /** Called when a connection has been opened. */
+  readonly onConnect?: () => void;
   readonly clock?: Pick<Clock, "readMonotonicMs">;
   /** Returns why nothing may be sent to a target now, or undefined if a request may be sent. */
   readonly findBlockReason?: (
@@ -77,6 +79,8 @@
   inFlight: number;
   /** Number of connections that were opened. */
   opened: number;
+  /** Number of connections that are open. */
+  open: number;
 }
 
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
@@ -143,6 +147,7 @@
       findBlockReason: () => undefined,
       countRuns: () => undefined,
       onSend: () => undefined,
+      onConnect: () => undefined,
       clock: new RuntimeClock(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
@@ -181,6 +186,17 @@
       this.computeConnectionLimit(target, maxConnections);
   }
 
+  /** Time after which an idle connection is closed if its target gives no keep-alive hint. */
+  get idleTimeoutMs(): number {
+    return this.#options.idleTimeoutMs;
+  }
+
+  /** Whether a connection to the target is open and not in use. */
+  hasIdle(target: Target): boolean {
+    const entry = this.#pools.get(target.id);
+    return entry !== undefined && entry.open > entry.inFlight;
+  }
+
   /** Number of connections to the target that were opened so far. */
   countOpened(target: Target): number {
     return this.#pools.get(target.id)?.opened ?? 0;
@@ -250,7 +266,7 @@
   #getPool(target: Target): TargetPool {
     let entry = this.#pools.get(target.id);
     if (entry === undefined) {
-      const { connectTimeoutMs, idleTimeoutMs } = this.#options;
+      const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
       const resetDetector = new ResetDetector(() => created.inFlight > 0);
       const connector = buildConnector({ timeout: connectTimeoutMs });
       const pool = new Pool(`http://${target.address}`, {
@@ -265,8 +281,14 @@
         resetDetector,
         inFlight: 0,
         opened: 0,
+        open: 0,
       };
-      pool.on("connect", () => created.opened++);
+      pool.on("connect", () => {
+        created.opened++;
+        created.open++;
+        onConnect();
+      });
+      pool.on("disconnect", () => created.open--);
       entry = created;
       this.#pools.set(target.id, created);
     }
