Fakes of calls in the proofs have the preference for connections

Cause: the proof of streams picks decode engines, and its fakes lacked the new dependency.

Change: a preference that is never active, as its connections are all idle.

Measured: unit tests of heatherarch-lab pass; the proof of streams failed before.

--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -12,6 +12,7 @@
   type CallDependencies,
   CallQueue,
   type ClientResponse,
+  ConnectionPreference,
   EngineJitter,
   FleetDemand,
   FleetRetryBudget,
@@ -108,6 +109,10 @@
     findStreamVersion,
     placer: new PromptPlacer({ model: prefillTimeModel }),
     engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
+    connectionPreference: new ConnectionPreference({
+      connections: { hasIdle: () => true, idleTimeoutMs: 4000 },
+      getCallsPerMinute: () => 0,
+    }),
     prefixIndex: new PrefixIndex(),
     retention: new CacheRetention(),
     countVms: () => 1,
