--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -6,7 +6,9 @@
 import type { ServerResponse } from "node:http";
 import { buildErrorBody, type ServeError } from "heatherarch-core";
 
-const MS_PER_SECOND = 1000;
+/** `Retry-After` is given in hundredths of a second. */
+const RETRY_AFTER_STEP_MS = 10;
+const STEPS_PER_SECOND = 100;
 
 /** Where the response of one call is written, once. */
 export interface ClientResponse {
@@ -110,9 +112,20 @@
     this.#response.setHeader("content-type", "application/json");
     this.#response.setHeader("content-length", body.length);
     if (error.retryAfterMs > 0) {
-      const seconds = (error.retryAfterMs / MS_PER_SECOND).toFixed(2);
-      this.#response.setHeader("retry-after", seconds);
+      this.#response.setHeader(
+        "retry-after",
+        formatRetryAfter(error.retryAfterMs),
+      );
     }
     this.#response.end(body);
   }
 }
+
+/**
+ * Formats a delay in seconds, rounded up to hundredths: with 0, a client would return at once to a VM
+ * that asks it to wait for some milliseconds.
+ */
+export function formatRetryAfter(delayMs: number): string {
+  return (Math.ceil(delayMs / RETRY_AFTER_STEP_MS) / STEPS_PER_SECOND)
+    .toFixed(2);
+}
