Each limit on the state of the new parts has a test; own speeds are kept for 8,192 targets

Cause: a reading of all new maps and lists. A call that ends after its target has left added the target's own speed again, and nothing removed it.

Change: TargetSpeeds drops the least recently learned target above 8,192. A test for each of the nine limits.

--- a/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_queue_overload_test.ts
@@ -13,6 +13,7 @@
   predictWaitMs,
   type QueueOutcome,
 } from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
 
 const STEP_MS = 2;
 const SLOTS = 8;
@@ -337,3 +338,49 @@
   model.learn({ route: "r", target: "t", tookMs: 40 }, 6000);
   assert.equal(model.predictMs("r", "t", 6000), 40);
 });
+
+// Guards against estimates of routes of earlier configurations that are kept for good.
+test("plain work is learned for 256 routes at most, the first one goes", () => {
+  const model = new PlainWorkModel();
+  for (let i = 0; i <= 256; i++) {
+    model.learn({ route: `r${i}`, target: "t", tookMs: 100 }, 0);
+  }
+  assert.equal(model.predictRouteMs("r0", 0), 0);
+  assert.equal(model.predictRouteMs("r1", 0), 100);
+});
+
+// Guards against queues of services of earlier configurations that are kept for good.
+test("idle queues are dropped above 256 services, and queues with calls are not", (context) => {
+  const queues = new PlainCallQueues({ clock: new ManualClock() });
+  const placement = { costMs: 1, unloadedMs: 1, backlogMs: 999, readyMs: 1000 };
+  const cancel = queues.getQueue("busy").enqueue({
+    lane: 0,
+    kind: "k",
+    waitStartedAtMs: 0,
+    aimMs: 10_000,
+    timeoutAtMs: 20_000,
+    responseDelayMs: 0,
+    findPlacement: () => ({
+      ...placement,
+      target: buildTarget("t"),
+      occupiedMs: 1,
+    }),
+    onOutcome: () => undefined,
+  });
+  context.after(cancel);
+  for (let i = 0; i < 1000; i++) {
+    queues.getQueue(`s${i}`);
+    assert.ok(queues.listQueues().length <= 256);
+  }
+  assert.equal(queues.getQueue("busy").size, 1);
+});
+
+// Guards against a meter that keeps all dispatches of a queue with thousands a second.
+test("a rate is measured by the last 512 dispatches at most", () => {
+  const meter = new DispatchRateMeter();
+  meter.setBusy(true, 0);
+  for (let i = 0; i < 3000; i++) meter.record(1, 100 + i / 100);
+  for (let i = 1; i <= 512; i++) meter.record(1, 130 + i);
+  const { callsPerMs = 0 } = meter.measure(130 + 512) ?? {};
+  assert.ok(Math.abs(callsPerMs - 1) < 0.01, `${callsPerMs}`);
+});
--- a/packages/heatherarch-load/target_speeds.ts
+++ b/packages/heatherarch-load/target_speeds.ts
@@ -19,6 +19,11 @@
 const FACTOR_BOUNDS = { min: 0.25, max: 4 };
 /** Weight of a sample: some 20 calls show a target's speed, and one outlier does not. */
 const SAMPLE_WEIGHT = 0.05;
+/**
+ * Targets that are kept, more than a fleet has (3,700). A call that ends after its target has left
+ * adds the target again, and nothing removes it then. The least recently learned one goes.
+ */
+const MAX_TARGETS = 8192;
 
 /** Own speeds of targets, as factors of the usual time. */
 export class TargetSpeeds {
@@ -32,7 +37,12 @@
     if (!(factor > 0) || !Number.isFinite(factor)) return;
     const before = this.#factors.get(target) ?? 0;
     const step = Math.log(clamp(factor)) - before;
+    // Insertion order is the order of the last learning.
+    this.#factors.delete(target);
     this.#factors.set(target, before + step * SAMPLE_WEIGHT);
+    if (this.#factors.size <= MAX_TARGETS) return;
+    const [oldest] = this.#factors.keys();
+    this.#factors.delete(oldest);
   }
 
   /** Returns the factor by which work takes longer than usual; 1 until it is learned. */
--- a/packages/heatherarch-load/tests/unit/target_loads_test.ts
+++ b/packages/heatherarch-load/tests/unit/target_loads_test.ts
@@ -177,3 +177,22 @@
   assert.equal(times.find("old"), undefined);
   assert.equal(times.find("kind 5"), 80);
 });
+
+// Guards against speeds of targets that have left, which calls that end later would add for good.
+test("own speeds are learned for a bounded number of targets", () => {
+  const speeds = new TargetSpeeds();
+  const slow = { tookMs: 160, expectedMs: 80, slowdown: 1 };
+  speeds.learn("old", slow);
+  for (let i = 0; i < 8192; i++) speeds.learn(`target ${i}`, slow);
+  assert.equal(speeds.getFactor("old"), 1);
+  assert.ok(speeds.getFactor("target 0") > 1);
+});
+
+// Guards against news that are kept for links that never ask for them.
+test("the last 1,024 news are kept at most, the newest among them", () => {
+  const loads = new TargetLoads();
+  for (let i = 0; i < 5000; i++) loads.record(buildSample(i, 2.5, `t${i}`));
+  const { news } = loads.listNews(0, Infinity);
+  assert.ok(news.length >= 512 && news.length <= 1024, `${news.length}`);
+  assert.equal(news[0].target, "t4999");
+});
--- a/packages/heatherarch-returns/tests/unit/returns_test.ts
+++ b/packages/heatherarch-returns/tests/unit/returns_test.ts
@@ -1,6 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ReturnBook, ReturnDetector, SLOT_MS } from "../../mod.ts";
+import {
+  BookedSlots,
+  ClaimWindow,
+  ReturnBook,
+  ReturnDetector,
+  SLOT_MS,
+} from "../../mod.ts";
 
 function createBook(share = 1, drawUnit = () => 0): ReturnBook {
   return new ReturnBook({ computeShare: () => share, drawUnit });
@@ -121,3 +127,36 @@
   // The longest timeout of the last minute is the usual one.
   assert.equal(detector.isReturn("r", 4000, 120_000), false);
 });
+
+// Guards against claims that are kept without bound when very many returns are due.
+test("a window keeps 4,096 claims at most, and has room again when they have left it", () => {
+  const window = new ClaimWindow(1500);
+  const claimMany = (nowMs: number): number =>
+    Array.from(
+      { length: 5000 },
+      () => window.claim(undefined, Infinity, nowMs),
+    ).filter((isClaimed) => isClaimed).length;
+  assert.equal(claimMany(0), 4096);
+  assert.equal(claimMany(1500), 4096);
+});
+
+// Guards against a call with much work that books slots far beyond the longest delay.
+test("the work of one booking is spread over the slots of 30 s at most", () => {
+  const slots = new BookedSlots();
+  const choice = { first: 0, last: 10, capacityMs: 1 };
+  assert.equal(slots.book(100_000, choice), 0);
+  assert.equal(slots.size, 600);
+  assert.equal(slots.getWorkMs(0), 100_000 - 599);
+});
+
+// Guards against routes of earlier configurations that are kept for good.
+test("timeouts are learned for 4,096 routes at most, the least recently used one goes", () => {
+  const detector = new ReturnDetector();
+  for (const route of ["kept", "old"]) detector.isReturn(route, 4000, 0);
+  for (let i = 0; i < 4095; i++) {
+    detector.isReturn(`r${i}`, 4000, 0);
+    detector.isReturn("kept", 4000, 0);
+  }
+  assert.equal(detector.isReturn("kept", 2000, 0), true);
+  assert.equal(detector.isReturn("old", 2000, 0), false);
+});
--- a/packages/heatherarch-shares/tests/unit/fair_shares_test.ts
+++ b/packages/heatherarch-shares/tests/unit/fair_shares_test.ts
@@ -163,3 +163,17 @@
   assert.ok(tookMs < 150, `${tookMs} ms for a second with 1000 calls`);
   assert.deepEqual(shares.listOwnUse(60_000), []);
 });
+
+// Guards against a peer that sends rows without bound.
+test("of one peer, 4,096 rows are kept at most", () => {
+  const shares = new FairShares();
+  const rows = Array.from(
+    { length: 5000 },
+    (_, i) => [GROUP, `account ${i}`, 10, 1] as const,
+  );
+  shares.setPeerUse("peer", rows, 0);
+  assert.equal(shares.computeRank(GROUP, "account 4095", 0), 0);
+  const sum = shares.sumUse(0, true);
+  const workMs = sum.reduce((total, [, , work]) => total + work, 0);
+  assert.equal(Math.round(workMs), 4096 * 10);
+});
