Times and order of a waiting call in a module of their own

Change: waiting_call.ts has them, with their constants; a doc comment for the length of ids in rows. Behaviour is the same.

--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -28,12 +28,23 @@
   CallRanker,
   QueuedCall,
   QueueForecast,
-  QueueOutcome,
-  RankedCall,
 } from "./queued_call.ts";
 import type { QueueReading } from "./return_times.ts";
 import { type Overload, predictWaitMs } from "./wait_forecast.ts";
-import { type SizeClass, SizeFairness } from "./size_fairness.ts";
+import { SizeFairness } from "./size_fairness.ts";
+import {
+  buildRankedCall,
+  computeLateTimeoutAtMs,
+  computeReadyDeadlineMs,
+  type ConsideredCall,
+  findMinMs,
+  isBefore,
+  isLarge,
+  type PlacedCall,
+  predictCallMs,
+  type TooLateOutcome,
+  type WaitingCall,
+} from "./waiting_call.ts";
 
 /**
  * How late calls are placed. With `spare` they use targets that are almost idle, and leave time for
@@ -90,22 +101,6 @@
 const MAX_UNIFORM_SEARCHES = 3;
 /** Time between dispatches of late calls, which may be many and are not urgent. */
 const LATE_DISPATCH_INTERVAL_MS = 40;
-/**
- * Each lane of lower priority counts as this much less waiting time. With strict priorities, an
- * overload of the first lane would starve the others.
- */
-const LANE_PENALTY_MS = 300;
-/**
- * A late call waits for this fraction of its client's timeout. The rest is too short for the prefill
- * and the first token. A call that is refused earlier is retried within the same burst.
- */
-const LATE_WAIT_FRACTION = 0.85;
-/**
- * A prompt whose prefill takes more than this fraction of its latency objective is seldom on time. It
- * waits until its client times out, because prompts of its size would otherwise not be served at all
- * under load.
- */
-const LARGE_COST_FRACTION = 0.5;
 
 /** Queue of the calls that wait at one VM. */
 export class CallQueue<P extends CallPlacement = PromptPlacement> {
@@ -582,91 +577,3 @@
     return false;
   }
 }
-
-type TooLateOutcome<P extends CallPlacement> = Extract<
-  QueueOutcome<P>,
-  { kind: "tooLate" }
->;
-
-interface WaitingCall<P extends CallPlacement> extends QueuedCall<P> {
-  readonly size: SizeClass;
-  rank: number;
-  /** Time at a target with capacity, by the last placement that was found. */
-  expectedMs: number | undefined;
-}
-
-type OrderedCall = Pick<QueuedCall, "waitStartedAtMs" | "aimMs" | "lane">;
-
-interface PlacedCall<P extends CallPlacement> {
-  readonly request: WaitingCall<P>;
-  readonly placement: P;
-}
-
-interface ConsideredCall<P extends CallPlacement> {
-  readonly request: WaitingCall<P>;
-  readonly placement: P | undefined;
-}
-
-function isLarge<P extends CallPlacement>(
-  { request, placement }: ConsideredCall<P>,
-): boolean {
-  if (placement === undefined) return false;
-  return placement.costMs > request.aimMs * LARGE_COST_FRACTION;
-}
-
-/**
- * Shortest time in which a prompt can be prefilled. The booked time also includes waits for other
- * prompts, which are seconds for a large prompt. By the booked time, a large prompt that could be
- * prefilled in time would be refused on arrival.
- */
-function findMinMs(
-  { backlogMs, unloadedMs }: CallPlacement,
-): number {
-  return backlogMs + unloadedMs;
-}
-
-function buildRankedCall(
-  { service, account, isReturn = false }: Pick<
-    QueuedCall,
-    "service" | "account" | "isReturn"
-  >,
-): RankedCall {
-  return account === undefined ? { isReturn } : { service, account, isReturn };
-}
-
-/** Time of a call at a target with capacity; 0 if nothing is known. */
-function predictCallMs<P extends CallPlacement>(call: WaitingCall<P>): number {
-  return call.predictMs?.() ?? call.expectedMs ?? 0;
-}
-
-/** Time by which a call has to be complete at its target, to reach its client in time. */
-function computeReadyDeadlineMs(
-  { timeoutAtMs, responseDelayMs }: Pick<
-    QueuedCall,
-    "timeoutAtMs" | "responseDelayMs"
-  >,
-): number {
-  return timeoutAtMs - responseDelayMs;
-}
-
-/** Time until which a late call waits. */
-function computeLateTimeoutAtMs<P extends CallPlacement>(
-  request: WaitingCall<P>,
-  placement: P,
-): number {
-  const { waitStartedAtMs, timeoutAtMs } = request;
-  if (isLarge({ request, placement })) return timeoutAtMs;
-  return waitStartedAtMs +
-    (timeoutAtMs - waitStartedAtMs) * LATE_WAIT_FRACTION;
-}
-
-function isBefore(a: OrderedCall, b: OrderedCall): boolean {
-  return computeOrderMs(a) < computeOrderMs(b);
-}
-
-/** Sort key of a waiting call: the time of its latency objective, plus a penalty for its lane. */
-function computeOrderMs(
-  { waitStartedAtMs, aimMs, lane }: OrderedCall,
-): number {
-  return waitStartedAtMs + aimMs + lane * LANE_PENALTY_MS;
-}
--- a/packages/heatherarch-mesh/messages.ts
+++ b/packages/heatherarch-mesh/messages.ts
@@ -74,6 +74,7 @@
 const LOAD_ROWS = z.custom<LoadRowMessage[]>((value) =>
   Array.isArray(value) && value.every(isLoadRow)
 );
+/** Longest id of an incarnation in a row. */
 const MAX_TARGET_ID_LENGTH = 256;
 const LOAD_ROW_LENGTH = 6;
 
