--- a/packages/heatherarch-claims/claim_records.ts
+++ b/packages/heatherarch-claims/claim_records.ts
@@ -73,8 +73,6 @@
 export type ClaimEntry = z.infer<typeof ENTRY>;
 /** A claim of a key. */
 export type ClaimRequest = Extract<ClaimEntry, { op: "claim" }>;
-/** The response to a call, stored for repeated calls with the same key. */
-export type ClaimOutcome = z.infer<typeof OUTCOME>;
 /** State of a claimed key. */
 export type KeyState = z.infer<typeof KEY_STATE>;
 
--- a/packages/heatherarch-core/task.ts
+++ b/packages/heatherarch-core/task.ts
@@ -13,30 +13,18 @@
   readonly #queue: Message[] = [];
   readonly #onError: TaskErrorListener;
   #running = false;
-  #stopped = false;
 
   constructor(taskName: string, onError: TaskErrorListener) {
     this.taskName = taskName;
     this.#onError = onError;
   }
 
-  /** Adds a message to the queue. A message to a stopped task is dropped. */
+  /** Adds a message to the queue. */
   post(message: Message): void {
-    if (this.#stopped) return;
     this.#queue.push(message);
     if (!this.#running) void this.#drain();
   }
 
-  /** Drops the queued messages and accepts no further ones. */
-  stopTask(): void {
-    this.#stopped = true;
-    this.#queue.length = 0;
-  }
-
-  get isStopped(): boolean {
-    return this.#stopped;
-  }
-
   /** Handles one message. The next one waits until the returned promise settles. */
   protected abstract handle(message: Message): void | Promise<void>;
 
--- a/packages/heatherarch-daemon/target_table.ts
+++ b/packages/heatherarch-daemon/target_table.ts
@@ -171,10 +171,6 @@
     return [...this.#targets.values()];
   }
 
-  getReport(id: string): TargetReport | undefined {
-    return this.#reports.get(id);
-  }
-
   getEngine(target: Target): EnginePort {
     let engine = this.#engines.get(target.id);
     if (engine === undefined) {
--- a/packages/heatherarch-forward/scheduling/plain_call_queues.ts
+++ b/packages/heatherarch-forward/scheduling/plain_call_queues.ts
@@ -25,8 +25,6 @@
 export interface PlainTargetLoad {
   /** Calls in flight from all VMs, as far as known. */
   readonly runs: number;
-  /** Requests that the target has reported more recently than what is known of the VMs. */
-  readonly reportedRequests?: number;
   readonly slots: number;
   /** Predicted time of a call at the target, milliseconds; 0 if it is unknown. */
   readonly workMs: number;
@@ -84,10 +82,9 @@
 
 /** Time until a target has a free slot, milliseconds; 0 if it has one or nothing is known. */
 export function computePlainBacklogMs(
-  { runs, reportedRequests = 0, slots, workMs }: PlainTargetLoad,
+  { runs, slots, workMs }: PlainTargetLoad,
 ): number {
-  const requests = Math.max(runs, reportedRequests);
-  const ahead = requests - slots + 1;
+  const ahead = runs - slots + 1;
   return ahead <= 0 ? 0 : ahead * workMs / Math.max(1, slots);
 }
 
@@ -131,13 +128,13 @@
 
 /** Whether a VM may send to a busy target at the rate of its share. */
 export function mayExceedSlots(
-  { runs, reportedRequests = 0, slots }: PlainTargetLoad,
+  { runs, slots }: PlainTargetLoad,
   isBeyondShare = false,
 ): boolean {
   const factor = isBeyondShare
     ? MAX_OVERLOAD_FACTOR_BEYOND_SHARE
     : MAX_OVERLOAD_FACTOR;
-  return Math.max(runs, reportedRequests) < slots * factor;
+  return runs < slots * factor;
 }
 
 /** The queues of one VM's plain calls. */
--- a/packages/heatherarch-log/config_records.ts
+++ b/packages/heatherarch-log/config_records.ts
@@ -12,8 +12,6 @@
 
 /** Directives that an operator can give for a target. */
 export const DIRECTIVES = ["drain", "replace", "withdraw", "restore"] as const;
-/** Name of a directive. */
-export type Directive = typeof DIRECTIVES[number];
 
 const CHANGE = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("publishFleet"), fleet: z.unknown() }),
