An account may claim its share of the booked returns

Cause: a VM granted one account at most half of the claims while others claimed as well. After a burst of one account, most due returns are its own, and its last returns counted as new calls and were rejected again (traced on a scratch copy that logged each claim: 52 claims of the account among 69, limit 100).

Change: the book keeps the accounts of its bookings (BookedAccounts, 4,096), and an account's limit is its share of the bookings that are due, or half if that is more. Without bookings of an account the limit is as before.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -498,6 +498,7 @@
     const { drawUnit, returnTimes, prefillQueue } = context.dependencies;
     const { delayMs, detail } = returnTimes.computeDelay({
       service: context.service.name,
+      account: context.accountName,
       kind: context.returnKind,
       queue: prefillQueue.readForReturn(),
       workMs: placement?.costMs,
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -377,12 +377,19 @@
   #computeReturn(
     delays: Pick<RejectedCall, "blockedMs" | "unbookedMs">,
   ): ReturnDelay {
-    const { service, returnKind, remainingMs, nowMs, dependencies } =
-      this.#context;
+    const {
+      service,
+      accountName,
+      returnKind,
+      remainingMs,
+      nowMs,
+      dependencies,
+    } = this.#context;
     const { returnTimes, plainCallQueues } = dependencies;
     return returnTimes.computeDelay({
       ...delays,
       service: service.name,
+      account: accountName,
       kind: returnKind,
       queue: plainCallQueues.getQueue(service.name).readForReturn(),
       remainingMs,
--- a/packages/heatherarch-forward/scheduling/return_times.ts
+++ b/packages/heatherarch-forward/scheduling/return_times.ts
@@ -41,6 +41,7 @@
 /** A call that is rejected for load. Durations are milliseconds. */
 export interface RejectedCall {
   readonly service: string;
+  readonly account?: string;
   readonly kind: ReturnKind;
   /** The queue that the call would wait in; undefined if nothing can be booked. */
   readonly queue?: QueueReading;
@@ -154,6 +155,7 @@
       earliestMs,
       latestMs,
       roomPerMs: workPerMs,
+      account: call.account,
     }, nowMs);
     this.#options.onBooking?.();
     return {
--- a/packages/heatherarch-returns/claim_window.ts
+++ b/packages/heatherarch-returns/claim_window.ts
@@ -8,10 +8,18 @@
 /** Claims that are kept; further ones are refused until the first ones have left the window. */
 const MAX_CLAIMS = 4096;
 /**
- * Share of the claims that one client account may use while other accounts claim as well. An account
+ * Share of the claims that any client account may use while other accounts claim as well. An account
  * whose clients retry often would otherwise take the claims of all others.
  */
-const MAX_ACCOUNT_SHARE = 0.5;
+const MIN_ACCOUNT_SHARE = 0.5;
+
+/** Limits of the claims in a window. */
+export interface ClaimLimits {
+  /** Claims of all accounts. */
+  readonly limit: number;
+  /** Share of them that is due to the account; 0 by default. */
+  readonly accountShare?: number;
+}
 
 interface Claim {
   readonly account: string | undefined;
@@ -33,21 +41,26 @@
     return this.#claims.length === 0;
   }
 
-  /** Records a claim if the limit permits it; returns whether it does. */
-  claim(account: string | undefined, limit: number, nowMs: number): boolean {
+  /** Records a claim if the limits permit it; returns whether they do. */
+  claim(
+    account: string | undefined,
+    { limit, accountShare = 0 }: ClaimLimits,
+    nowMs: number,
+  ): boolean {
     this.#expire(nowMs);
     if (this.#claims.length + 1 > Math.min(limit, MAX_CLAIMS)) return false;
-    if (account !== undefined && this.#isAboveShare(account, limit)) {
+    const accountLimit = limit * Math.max(MIN_ACCOUNT_SHARE, accountShare);
+    if (account !== undefined && this.#isAbove(account, accountLimit)) {
       return false;
     }
     this.#claims.push({ account, atMs: nowMs });
     return true;
   }
 
-  #isAboveShare(account: string, limit: number): boolean {
+  #isAbove(account: string, limit: number): boolean {
     const own = this.#claims.filter((claim) => claim.account === account);
     const isAlone = own.length === this.#claims.length;
-    return !isAlone && own.length + 1 > Math.max(1, limit * MAX_ACCOUNT_SHARE);
+    return !isAlone && own.length + 1 > Math.max(1, limit);
   }
 
   #expire(nowMs: number): void {
--- a/packages/heatherarch-returns/mod.ts
+++ b/packages/heatherarch-returns/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./booked_accounts.ts";
 export * from "./booked_slots.ts";
 export * from "./claim_window.ts";
 export * from "./return_book.ts";
--- a/packages/heatherarch-returns/return_book.ts
+++ b/packages/heatherarch-returns/return_book.ts
@@ -18,6 +18,7 @@
   MAX_DELAY_MS,
   SLOT_MS,
 } from "./booked_slots.ts";
+import { BookedAccounts } from "./booked_accounts.ts";
 import { ClaimWindow } from "./claim_window.ts";
 
 /** A number of returns of a group. */
@@ -37,6 +38,8 @@
   readonly roomPerMs: number;
   /** Share of the room that may be booked; the rest is for new calls. */
   readonly bookableShare?: number;
+  /** Client account of the call. */
+  readonly account?: string;
 }
 
 /** Options of {@linkcode ReturnBook}. */
@@ -49,6 +52,7 @@
 
 interface Group {
   readonly slots: BookedSlots;
+  readonly accounts: BookedAccounts;
   readonly claims: ClaimWindow;
 }
 
@@ -91,16 +95,18 @@
     const { bookableShare = DEFAULT_BOOKABLE_SHARE } = request;
     const latestMs = clampDelay(request.latestMs, MAX_DELAY_MS);
     const earliestMs = clampDelay(request.earliestMs, latestMs);
-    const slots = this.#findGroup(group, nowMs)?.slots;
-    if (slots === undefined) return earliestMs;
-    const slot = slots.book(workMs, {
+    const booked = this.#findGroup(group, nowMs);
+    if (booked === undefined) return earliestMs;
+    const slot = booked.slots.book(workMs, {
       first: computeSlot(nowMs + earliestMs),
       last: computeSlot(nowMs + latestMs),
       capacityMs: roomPerMs * SLOT_MS * bookableShare,
     });
     // Without jitter, the returns that VMs book for the same slot would come at the same moment.
     const atMs = (slot + this.#options.drawUnit()) * SLOT_MS;
-    return Math.max(earliestMs, clampDelay(atMs - nowMs, latestMs));
+    const delayMs = Math.max(earliestMs, clampDelay(atMs - nowMs, latestMs));
+    booked.accounts.record(request.account, nowMs + delayMs);
+    return delayMs;
   }
 
   /** Lists the returns that are due by the bookings of this VM. */
@@ -136,15 +142,20 @@
    * Whether a call that looks like a return takes the place of one that is due. The claims of this VM
    * are limited to a multiple of its share of the returns that are due in the fleet, plus one, as a
    * share may be far below one return. If all clients return as told, calls that falsely look like
-   * returns gain as many places as were booked, and one.
+   * returns gain as many places as were booked, and one. While other accounts claim as well, an account
+   * gets at most its share of the returns that this VM has booked, or half if that is more.
    */
   claim(group: string, account: string | undefined, nowMs: number): boolean {
     const due = this.#countFleetDue(group, nowMs);
     if (due <= 0) return false;
     const share = this.#options.computeShare(nowMs);
     const limit = CLAIM_FACTOR * share * due + 1;
-    const claims = this.#findGroup(group, nowMs)?.claims;
-    return claims?.claim(account, limit, nowMs) ?? false;
+    const found = this.#findGroup(group, nowMs);
+    if (found === undefined) return false;
+    const accountShare = account === undefined
+      ? 0
+      : found.accounts.computeShare(account, getDueSpan(nowMs));
+    return found.claims.claim(account, { limit, accountShare }, nowMs);
   }
 
   /** Removes what a peer has reported. */
@@ -166,8 +177,8 @@
   #countOwnDue(group: string, nowMs: number): number {
     const slots = this.#groups.get(group)?.slots;
     if (slots === undefined) return 0;
-    const first = computeSlot(nowMs - DUE_LAG_MS);
-    return slots.countReturns(first, computeSlot(nowMs + DUE_LEAD_MS));
+    const { fromMs, untilMs } = getDueSpan(nowMs);
+    return slots.countReturns(computeSlot(fromMs), computeSlot(untilMs));
   }
 
   #countFleetDue(group: string, nowMs: number): number {
@@ -194,11 +205,14 @@
       if (this.#groups.size >= MAX_GROUPS) return undefined;
       group = {
         slots: new BookedSlots(),
+        accounts: new BookedAccounts(),
         claims: new ClaimWindow(DUE_WINDOW_MS),
       };
       this.#groups.set(name, group);
     }
-    group.slots.removeBefore(computeSlot(nowMs - DUE_LAG_MS));
+    const { fromMs } = getDueSpan(nowMs);
+    group.slots.removeBefore(computeSlot(fromMs));
+    group.accounts.removeBefore(fromMs);
     return group;
   }
 
@@ -211,6 +225,11 @@
   }
 }
 
+/** Booked times of the returns that are due. */
+function getDueSpan(nowMs: number): { fromMs: number; untilMs: number } {
+  return { fromMs: nowMs - DUE_LAG_MS, untilMs: nowMs + DUE_LEAD_MS };
+}
+
 function clampDelay(delayMs: number, maxMs: number): number {
   return Math.max(0, Math.min(delayMs, maxMs));
 }
--- a/packages/heatherarch-returns/tests/unit/returns_test.ts
+++ b/packages/heatherarch-returns/tests/unit/returns_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  BookedAccounts,
   BookedSlots,
   ClaimWindow,
   ReturnBook,
@@ -96,6 +97,36 @@
   assert.ok(book.claim("s", "small", 0));
 });
 
+// With half of the claims, the last returns of an account that all were booked for were rejected again.
+test("an account with most of the booked returns gets as much of the claims", () => {
+  const book = createBook();
+  for (let i = 0; i < 12; i++) {
+    const account = i < 9 ? "large" : "small";
+    book.book("s", buildRequest({ account }), 0);
+  }
+  assert.ok(book.claim("s", "small", 0));
+  const claims = Array.from({ length: 30 }, () => book.claim("s", "large", 0));
+  // Three quarters of twice the 12 returns that are due, and one.
+  assert.equal(claims.filter(Boolean).length, 18);
+  assert.ok(book.claim("s", "small", 0));
+});
+
+// Guards against accounts that are kept without bound, or longer than their returns are due.
+test("accounts of 4,096 bookings are kept, until these are no longer due", () => {
+  const accounts = new BookedAccounts();
+  const span = { fromMs: 0, untilMs: 100 };
+  accounts.record("first", 10);
+  for (let i = 0; i < 4095; i++) accounts.record("b", 50);
+  for (let i = 0; i < 4096; i++) accounts.record("c", 50);
+  assert.equal(accounts.computeShare("first", span), 1 / 4096);
+  assert.equal(accounts.computeShare("c", span), 0);
+  accounts.removeBefore(50);
+  assert.equal(accounts.computeShare("b", span), 1);
+  accounts.removeBefore(51);
+  accounts.record("c", 60);
+  assert.equal(accounts.computeShare("c", span), 1);
+});
+
 // A VM that has died, or whose link is down, must not keep its returns due for good.
 test("due returns of a peer expire, and are removed with it", () => {
   const book = createBook();
@@ -134,7 +165,7 @@
   const claimMany = (nowMs: number): number =>
     Array.from(
       { length: 5000 },
-      () => window.claim(undefined, Infinity, nowMs),
+      () => window.claim(undefined, { limit: Infinity }, nowMs),
     ).filter((isClaimed) => isClaimed).length;
   assert.equal(claimMany(0), 4096);
   assert.equal(claimMany(1500), 4096);
