--- a/packages/heatherarch-returns/tests/unit/returns_test.ts
+++ b/packages/heatherarch-returns/tests/unit/returns_test.ts
@@ -97,7 +97,7 @@
   assert.ok(book.claim("s", "small", 0));
 });
 
-// With half of the claims, the last returns of an account that all were booked for were rejected again.
+// With at most half of the claims, the last returns of an account with most bookings were rejected again.
 test("an account with most of the booked returns gets as much of the claims", () => {
   const book = createBook();
   for (let i = 0; i < 12; i++) {
