--- a/packages/heatherarch-returns/claim_window.ts
+++ b/packages/heatherarch-returns/claim_window.ts
@@ -8,8 +8,8 @@
 /** Claims that are kept; further ones are refused until the first ones have left the window. */
 const MAX_CLAIMS = 4096;
 /**
- * Share of the claims that any client account may use while other accounts claim as well. An account
- * whose clients retry often would otherwise take the claims of all others.
+ * Lowest limit of a client account while other accounts claim as well, as a share of all claims. Without
+ * a limit, an account whose clients retry often would take the claims of all others.
  */
 const MIN_ACCOUNT_SHARE = 0.5;
 
@@ -17,7 +17,7 @@
 export interface ClaimLimits {
   /** Claims of all accounts. */
   readonly limit: number;
-  /** Share of them that is due to the account; 0 by default. */
+  /** Share of the booked returns that are the account's; 0 by default. */
   readonly accountShare?: number;
 }
 
