Retries: log lines and metrics of what is taken, denied and sent

Adds AttemptLedger, which counts the requests of a call as the rule does, `retryTaken` and `retryDenied`, `beyondFirst` and `retriesTaken` in `callEnded`, and three metrics.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -9,6 +9,7 @@
   ServeError,
   type ServeErrorOptions,
 } from "heatherarch-core";
+import { AttemptLedger } from "./attempt_ledger.ts";
 import type { ClientResponse } from "./client_response.ts";
 import type { LogLevel } from "../event_log.ts";
 import type {
@@ -41,6 +42,9 @@
   | "clientGone"
   | "broken";
 
+/** What a retry is taken for: a prefill, a run, or the offer of a call to a peer. */
+export type RetryPurpose = "prefill" | "run" | "handover";
+
 /** Options of {@linkcode CallContext}. */
 export interface CallContextOptions {
   readonly dependencies: CallDependencies;
@@ -93,6 +97,9 @@
   #resolveEnded!: () => void;
   #exchange: TargetExchange | undefined;
   #outcome: CallOutcome | undefined;
+  readonly #ledger = new AttemptLedger();
+  /** Retries that this VM took from the retry budget for the call. */
+  #retriesTaken = 0;
   #attempts = 0;
   #lastTarget: string | undefined;
   /** Takes the recorded usage of this call back; undefined before it is recorded. */
@@ -356,9 +363,23 @@
       : buildWithheldExchange("the request is quarantined");
     this.#exchange = exchange;
     this.#quarantineGuard.trackExchange(target, exchange, isRun);
+    this.#trackAttempt(exchange);
     return exchange;
   }
 
+  /** Records that an engine has prefilled the prompt. */
+  recordPrefilled(): void {
+    this.#ledger.recordPrefilled();
+  }
+
+  #trackAttempt(exchange: TargetExchange): void {
+    const undo = this.#ledger.recordSent();
+    void exchange.ended.then((end) => {
+      if (end === "ended") return;
+      if (end.fault === "notSent" || end.fault === "withheld") undo();
+    });
+  }
+
   /** Counts the attempt in progress as a run, until the target reports that it did not run it. */
   recordRun(): void {
     assertInvariant(this.mayRunAgain, "runs-within-kind", this.call.id);
@@ -384,11 +405,22 @@
   }
 
   /** Takes one retry from the fleet's retry budget; returns false if none is left. */
-  takeRetry(): boolean {
-    return this.dependencies.retryBudget.spendRetry(
-      this.service.name,
-      this.nowMs,
-    );
+  takeRetry(purpose: RetryPurpose): boolean {
+    const { retryBudget, log, metrics } = this.dependencies;
+    const service = this.service.name;
+    const isTaken = retryBudget.spendRetry(service, this.nowMs);
+    if (isTaken) this.#retriesTaken++;
+    const outcome = isTaken ? "taken" : "denied";
+    metrics.retries.inc({ service, purpose, outcome });
+    const left = retryBudget.getAvailable(service, this.nowMs);
+    metrics.retriesLeft.set({ service }, left);
+    log.write("info", isTaken ? "retryTaken" : "retryDenied", {
+      call: this.call.id,
+      service,
+      purpose,
+      left: Number(left.toFixed(2)),
+    });
+    return isTaken;
   }
 
   /** Ends the call, after its handler has delivered a response or given up. */
@@ -401,6 +433,8 @@
     const { log, metrics } = this.dependencies;
     const { kind } = this.route;
     metrics.calls.inc({ kind, outcome });
+    const { retries } = this.#ledger;
+    metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
     this.#exchange = undefined;
     const level: LogLevel = outcome === "delivered" ? "info" : "warn";
     log.write(level, "callEnded", {
@@ -411,6 +445,8 @@
       tries: this.#attempts,
       lastTarget: this.#lastTarget,
       runs: this.#runs,
+      beyondFirst: retries,
+      retriesTaken: this.#retriesTaken,
       tookMs: Math.round(this.nowMs - this.call.arrivedAtMs),
       configVersion: this.#configVersion,
       ...detail,
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -155,7 +155,7 @@
   async #handOver(): Promise<boolean> {
     const context = this.#context;
     if (!await context.mayPeersServe()) return context.hasEnded;
-    if (context.mayHaveRun && !context.takeRetry()) return false;
+    if (context.mayHaveRun && !context.takeRetry("handover")) return false;
     const result = await new CallHandover({
       context,
       relay: this.#relay,
@@ -205,7 +205,7 @@
       return "done";
     }
     const isUnbudgetedRetry = prefilled === undefined && this.#prefill.isRetry;
-    if (isUnbudgetedRetry && !context.takeRetry()) {
+    if (isUnbudgetedRetry && !context.takeRetry("run")) {
       this.#conclude();
       return "done";
     }
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -118,7 +118,7 @@
     const context = this.#context;
     if (this.#failure !== undefined) return "kept";
     if (!await context.mayPeersServe()) return "kept";
-    if (context.mayHaveRun && !context.takeRetry()) return "kept";
+    if (context.mayHaveRun && !context.takeRetry("handover")) return "kept";
     const relay = new StreamRelay({
       clientResponse: context.clientResponse,
       isResumable: false,
@@ -142,7 +142,7 @@
       // The call may have been placed right after a stall, before the target list was refreshed.
       await context.awaitTargetList();
       if (context.hasEnded) return undefined;
-      if (this.#isRetry && !context.takeRetry()) return undefined;
+      if (this.#isRetry && !context.takeRetry("run")) return undefined;
       const result = await this.#attempt(booked);
       if (result.kind === "notRun") this.#declined.add(target.id);
       if (result.kind === "lost") this.#holdSlot(booked.placement);
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -118,7 +118,9 @@
       // The prompt may have been placed right after a stall, before the target list was refreshed.
       await context.awaitTargetList();
       if (context.hasEnded) return { kind: "over" };
-      if (this.#isRetry && !context.takeRetry()) return { kind: "noAllowance" };
+      if (this.#isRetry && !context.takeRetry("prefill")) {
+        return { kind: "noAllowance" };
+      }
       const exchange = this.#send(placed, lastEventId);
       const kvSource = await this.#awaitHandle(placement, exchange);
       if ("kind" in kvSource) return kvSource;
@@ -194,7 +196,10 @@
       const handle = isSuccessStatus(status)
         ? this.#context.dependencies.codec.decodeKvHandle(body)
         : undefined;
-      if (handle !== undefined) return { address: target.address, handle };
+      if (handle !== undefined) {
+        this.#context.recordPrefilled();
+        return { address: target.address, handle };
+      }
       return this.#recordFailure(target, `status ${status}`, true);
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -101,6 +101,25 @@
     labelNames: ["stage", "outcome"] as const,
     registers: [this.registry],
   });
+  readonly retries = new Counter({
+    name: "heatherarch_retries_total",
+    help: "Retries asked of the fleet's retry budget, by purpose and outcome",
+    labelNames: ["service", "purpose", "outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly retriesLeft = new Gauge({
+    name: "heatherarch_retries_left",
+    help: "Retries that this VM may send now, as of its last request for one",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
+  readonly attemptsBeyondFirst = new Counter({
+    name: "heatherarch_attempts_beyond_first_total",
+    help:
+      "Requests of ended calls that reached targets beyond the first of each call",
+    labelNames: ["service"] as const,
+    registers: [this.registry],
+  });
   readonly connectionsOpened = new Counter({
     name: "heatherarch_target_connections_opened_total",
     help: "Connections to targets that were opened",
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -82,6 +82,11 @@
     return true;
   }
 
+  /** Number of retries that may be sent to the service now; a part of one can't be spent. */
+  getAvailable(service: string, nowMs: number): number {
+    return this.#refill(service, nowMs).tokens;
+  }
+
   /** Number of retries that a new VM may send at once; below 1 in a large fleet. */
   #getBurstSize(): number {
     return this.#options.fixedPerWindow * BURST_SHARE / this.#liveVms;
