Failing tests: requests of a generation call exceed the retry budget

For single calls, all sequences of three results show the same: a stream takes one retry for a round after the first, and sends a prefill and a run.

--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -73,6 +73,18 @@
   });
 }
 
+// Guards against requests that exceed the fleet's retry budget because no retry is taken for them.
+for (
+  const kind of ["once", "idempotent", "stream", "resumableStream"] as const
+) {
+  test(`${kind}: each request beyond the first is taken from the retry budget`, async () => {
+    await runAll(kind, (outcome, script) => {
+      const { retries, retriesTaken } = outcome;
+      assert.ok(retries <= retriesTaken, describe(outcome, script));
+    });
+  });
+}
+
 test("a call is retried if it has not run, and only a repeatable one if it may have run", async () => {
   const run = async (kind: CallKind, end: ScriptedResult) => {
     const { status, runs } = await runScript(kind, [{ end, restarts: true }]);
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -88,6 +88,10 @@
   readonly used: number;
   /** Number of times that an engine was asked to prefill the prompt. */
   readonly prefills: number;
+  /** Requests that reached a target beyond the first one and the first successful prefill. */
+  readonly retries: number;
+  /** Retries that the call took from the retry budget. */
+  readonly retriesTaken: number;
   /** Counts the runs that the VM believes to be in progress at the targets now. */
   readonly countInFlight: () => number;
 }
@@ -115,6 +119,9 @@
   #isWhole = false;
   #body = "";
   #prefills = 0;
+  /** Requests that reached a target, without the first successful prefill. */
+  #counted = 0;
+  readonly #log = new MemoryEventLog();
 
   constructor(kind: CallKind, script: readonly ScriptedAttempt[]) {
     this.#kind = kind;
@@ -140,6 +147,9 @@
       body: this.#body,
       used: this.#length - this.#script.length,
       prefills: this.#prefills,
+      retries: Math.max(0, this.#counted - 1),
+      retriesTaken: this.#log.lines
+        .filter(({ event }) => event === "retryTaken").length,
       countInFlight: () => this.#countInFlight(),
     };
   }
@@ -192,7 +202,7 @@
     const prefillTimeModel = new PrefillTimeModel();
     const connections = new TargetConnections();
     connections.send = (target, request) => this.#send(target, request);
-    const log = new MemoryEventLog();
+    const log = this.#log;
     const metrics = new ForwardMetrics();
     const quarantine = new RequestQuarantine();
     const pathMonitor = buildIdlePathMonitor();
@@ -330,6 +340,8 @@
     const fail = () => handler.onResponseError?.(controller, new Error(end));
     if (end === "notSent") return void fail();
     handler.onRequestStart?.(controller, {});
+    const isFirstPrefill = isPrefill && this.#prefills === 1;
+    if (!isFirstPrefill && request.path !== "free") this.#counted++;
     if (end === "lostBefore") return void fail();
     const isRun = end !== "refused" && !isPrefill && request.path !== "free";
     if (isRun) this.#executions.push(target.id);
