VMs' parts of the retry budget add up to it: large fleets, restarts, short lists

The parts of all VMs could exceed the retry budget although each request is taken from it: every VM kept a whole retry however small its part (870 VMs that take what they get after a calm time: 870 retries in 10 s, 604 allowed), a VM that restarted began with a full bucket, and a short list of VMs raised all parts at once.

A VM now spends its part of the fixed number in any window, rather than from a bucket that refills slowly. It has none until it has read the list of VMs, nor for a window after it joins a running fleet (VM records tell when a VM started). A lower number of VMs applies a window later. Where a part never adds up to what a call needs, it is staked with the matching probability. A credit that was spent before its call was handed over is taken back.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -408,7 +408,8 @@
   takeRetry(purpose: RetryPurpose): boolean {
     const { retryBudget, log, metrics } = this.dependencies;
     const service = this.service.name;
-    const isTaken = retryBudget.spendRetry(service, this.nowMs);
+    const isTaken =
+      retryBudget.takeRetries(service, 1, this.nowMs) !== undefined;
     if (isTaken) this.#retriesTaken++;
     const outcome = isTaken ? "taken" : "denied";
     metrics.retries.inc({ service, purpose, outcome });
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -80,6 +80,8 @@
   readonly configReadTiming: ConfigReadTiming;
   /** Reads the configuration from the store once. */
   readonly loadConfig: () => Promise<void>;
+  /** Called with the VMs of the first list that was read. */
+  readonly onFirstVmList: (listed: readonly VmRecord[]) => void;
   /** Called when the number of VMs that share the fleet's limits has changed. */
   readonly onLiveVms: (count: number) => void;
   /** Called with engines that a peer has ordered to change their role. */
@@ -311,6 +313,7 @@
   #applyVmList(listed: readonly VmRecord[]): void {
     this.#listedCount = listed.length;
     this.#membership.recordListing(listed);
+    if (!this.#hasVmList) this.#options.onFirstVmList(listed);
     this.#hasVmList = true;
     this.updateVmCount();
   }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -24,7 +24,8 @@
 import { CallServer } from "./calls/call_server.ts";
 import { type EventLog, formatAge, StdoutEventLog } from "./event_log.ts";
 import { Ingress } from "./tasks/ingress.ts";
-import type { Target } from "./model.ts";
+import type { Target, VmRecord } from "./model.ts";
+import { isFleetRunning } from "./fleet/running_fleet.ts";
 import { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
 import { buildCallDependencies, SWEEP_INTERVAL_MS } from "./vm_dependencies.ts";
 import {
@@ -36,6 +37,7 @@
   buildStoreReader,
   type PlatformPorts,
   type VmComponents,
+  type VmStart,
   type VmTaskOptions,
 } from "./vm_tasks.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
@@ -60,6 +62,7 @@
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
 
+const MS_PER_SECOND = 1000;
 /** Time for which a stream is known beyond the longest timeout of a route, milliseconds. */
 const STREAM_RECORD_SLACK_MS = 30_000;
 /** Share of the bound on revocations after which a VM confirms the configuration by itself. */
@@ -72,7 +75,7 @@
   readonly #clock: Clock;
   readonly #log: EventLog;
   readonly #usageMeter = new UsageMeter();
-  readonly #incarnation = createId("vm");
+  readonly #vmStart: VmStart;
   readonly #container: AwilixContainer<VmComponents>;
   /**
    * All components, once they are registered. The container resolves a component again on each
@@ -90,6 +93,10 @@
     this.#settings = settings;
     this.#ports = options.ports;
     this.#clock = options.clock ?? new RuntimeClock();
+    this.#vmStart = {
+      incarnation: createId("vm"),
+      startedAtMs: this.#clock.readWallMs(),
+    };
     this.#log = options.log ??
       new StdoutEventLog({ vm: settings.vm.id, level: settings.logs.level });
     this.#container = createContainer<VmComponents>({
@@ -200,7 +207,7 @@
       countVms: () => this.#liveVms,
       getListAgeMs: () => this.#components.storeReader.getEffectiveListAgeMs(),
       refreshTargetList: () => this.#components.storeReader.refreshList(),
-      self: buildIdentity(this.#settings, this.#incarnation),
+      self: buildIdentity(this.#settings, this.#vmStart),
       findStreamVersion: (key) => this.#components.mesh.findStreamVersion(key),
       listPeers: () => this.#components.mesh.listPeers(),
     });
@@ -216,9 +223,10 @@
     const options: VmTaskOptions = {
       settings,
       ports,
-      incarnation: this.#incarnation,
+      ...this.#vmStart,
       usageMeter: this.#usageMeter,
       getComponents: () => this.#components,
+      onFirstVmList: (listed) => this.#handleFirstVmList(listed),
       onLiveVms: (count) => this.#applyVmCount(count),
       onChangingRole: (targets) => this.#markChangingRole(targets),
     };
@@ -374,10 +382,25 @@
     }, SWEEP_INTERVAL_MS);
   }
 
+  /** A VM that joins a fleet may be the restart of one that has just spent its retries. */
+  #handleFirstVmList(listed: readonly VmRecord[]): void {
+    const { retryBudget } = this.#components;
+    const nowMs = this.#clock.readMonotonicMs();
+    retryBudget.setLiveVms(listed.length, nowMs);
+    const windowMs = this.#settings.retries.windowSeconds * MS_PER_SECOND;
+    const runsBeforeMs = this.#vmStart.startedAtMs - windowMs;
+    if (!isFleetRunning(listed, this.#settings.vm.id, runsBeforeMs)) return;
+    retryBudget.withholdFixedPart(nowMs);
+    this.#log.write("info", "retriesWithheld", { forMs: windowMs });
+  }
+
   #applyVmCount(liveVms: number): void {
     const { retryBudget, connections, fleetDemand, metrics } = this.#components;
     this.#liveVms = liveVms;
-    retryBudget.setLiveVms(liveVms);
+    // Without the list, peers that are not connected yet would be missing.
+    if (this.#components.mesh.hasVmList) {
+      retryBudget.setLiveVms(liveVms, this.#clock.readMonotonicMs());
+    }
     connections.setLiveVms(liveVms);
     fleetDemand.setVmCount(liveVms);
     metrics.liveVms.set(liveVms);
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -81,6 +81,7 @@
 export * from "./calls/attempt_result.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./fleet/fleet_gossip.ts";
+export * from "./fleet/running_fleet.ts";
 export * from "./fleet/vm_list_follower.ts";
 export * from "./state/target_failures.ts";
 export * from "./state/target_health.ts";
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -154,6 +154,8 @@
   readonly mesh: Address;
   /** Capacity of the VM as a hub of its zone; more is better. */
   readonly capacity?: number;
+  /** Start of the incarnation by the VM's clock, Unix milliseconds. */
+  readonly startedAtMs?: number;
 }
 
 /** A part of a prompt: shared with other prompts, or specific to the call or its session. */
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -3,9 +3,8 @@
  * module has no clock: each update carries the time.
  *
  * In any window the fleet may send a fixed number of retries, plus a share of the number of
- * calls. Each VM spends its part of the fixed number through a token bucket with a small burst.
- * The sum over all VMs therefore stays within the budget in any window, however often a VM
- * restarts during it.
+ * calls. Each VM has a part of the fixed number, which it may spend in any window, and earns a part of
+ * a retry with each call. The sum over all VMs therefore stays within the budget in any window.
  *
  * @module
  */
@@ -17,21 +16,38 @@
   /** Additional retries allowed per call. */
   readonly share: number;
   readonly windowMs: number;
+  /** The VM has no part of the fixed number until the number of VMs is set. */
+  readonly startsUnlisted?: boolean;
+  /** Draws a uniformly distributed number in [0, 1). */
+  readonly drawUnit?: () => number;
 }
 
-interface Bucket {
-  tokens: number;
-  /** Decaying sum of what calls have earned. */
+/** A retry that was taken from the budget. */
+export interface TakenRetry {
+  /** Records that the retry is sent now, which may be later than it was taken. */
+  markSent(nowMs: number): void;
+  /** Gives the retry back. To be called once, if it was not sent. */
+  refund(): void;
+}
+
+/** What was taken of the fixed part, and when it was sent. */
+interface FixedUse {
+  atMs: number;
+  readonly amount: number;
+}
+
+interface ServiceBudget {
+  /** What calls have earned and no retry has spent; negative if a spent part was taken back. */
+  earned: number;
+  /** Decaying sum of what calls have earned, which limits `earned`. */
   earnedByCalls: number;
-  refilledAtMs: number;
+  updatedAtMs: number;
+  /** Uses of the fixed part within the last window. */
+  fixedUses: FixedUse[];
 }
 
-/**
- * Shares of the fleet's fixed number that are used for the burst and for the refill rate. The
- * remaining tenth covers retries of VMs that assume another fleet size.
- */
-const BURST_SHARE = 0.4;
-const RATE_SHARE = 0.5;
+/** The remaining tenth covers requests that arrive later than they were sent. */
+const USED_FIXED_SHARE = 0.9;
 /** Used part of the per-call share, as calls and retries are counted in different windows. */
 const CALL_SHARE_FACTOR = 0.7;
 /**
@@ -39,85 +55,174 @@
  * window it may then spend 0.7 of the per-call share, and 0.7 x 0.25 that was earned before.
  */
 const KEPT_WINDOW_SHARE = 0.25;
+/** A round of a generation call sends up to two requests: a prefill and a run. */
+const MAX_PER_ROUND = 2;
+/**
+ * If a VM's part is smaller than a round, most retries are drawn. The expected number then stays below
+ * the fixed number by this many standard deviations.
+ */
+const DRAW_MARGIN_DEVIATIONS = 3;
+/** Differences of floating-point numbers below this count as none. */
+const TOLERANCE = 1e-9;
 
 /** The part of the fleet's retry budget that one VM may spend. */
 export class FleetRetryBudget {
-  readonly #options: FleetRetryBudgetOptions;
-  readonly #buckets = new Map<string, Bucket>();
-  #liveVms = 1;
+  readonly #options: Required<FleetRetryBudgetOptions>;
+  readonly #services = new Map<string, ServiceBudget>();
+  /** VMs that share the budget; undefined if that is not known. */
+  #liveVms: number | undefined;
+  /** A lower number of VMs, and the time at which it was set. It applies a window later. */
+  #lowerCount: { readonly vms: number; readonly atMs: number } | undefined;
+  /** Until then, this VM has no part of the fixed number. */
+  #fixedFromMs = -Infinity;
 
   constructor(options: FleetRetryBudgetOptions) {
-    this.#options = options;
+    this.#options = {
+      startsUnlisted: false,
+      drawUnit: Math.random,
+      ...options,
+    };
+    this.#liveVms = options.startsUnlisted ? undefined : 1;
   }
 
-  /** Sets the number of VMs that share the budget. */
-  setLiveVms(count: number): void {
-    this.#liveVms = Math.max(1, count);
+  /**
+   * Sets the number of VMs that share the budget. A lower number applies one window later: the list may
+   * be short for a moment, and VMs that left have spent their part.
+   */
+  setLiveVms(count: number, nowMs = 0): void {
+    const vms = Math.max(1, count);
+    this.#applyLowerCount(nowMs);
+    if (this.#liveVms === undefined || vms >= this.#liveVms) {
+      this.#liveVms = vms;
+      this.#lowerCount = undefined;
+    } else {
+      const atMs = this.#lowerCount?.atMs ?? nowMs;
+      this.#lowerCount = {
+        vms: Math.max(vms, this.#lowerCount?.vms ?? 0),
+        atMs,
+      };
+    }
+  }
+
+  /**
+   * Withholds the fixed part for one window: another process has spent it, or may have, within the last
+   * one.
+   */
+  withholdFixedPart(nowMs: number): void {
+    this.#fixedFromMs = nowMs + this.#options.windowMs;
   }
 
   /** Credits the service with the fraction of a retry that a call earns. */
   recordCall(service: string, nowMs: number): void {
-    const bucket = this.#refill(service, nowMs);
+    const budget = this.#update(service, nowMs);
     const earned = this.#options.share * CALL_SHARE_FACTOR;
-    bucket.earnedByCalls += earned;
-    bucket.tokens = Math.min(
-      this.#getCapacity(bucket),
-      bucket.tokens + earned,
-    );
+    budget.earnedByCalls += earned;
+    budget.earned = Math.min(budget.earnedByCalls, budget.earned + earned);
   }
 
-  /** Takes the credit of a call back that another VM counts. */
+  /** Takes the credit of a call back that another VM counts, also if it has been spent. */
   forgetCall(service: string, nowMs: number): void {
-    const bucket = this.#refill(service, nowMs);
+    const budget = this.#update(service, nowMs);
     const earned = this.#options.share * CALL_SHARE_FACTOR;
-    bucket.earnedByCalls = Math.max(0, bucket.earnedByCalls - earned);
-    bucket.tokens = Math.max(0, bucket.tokens - earned);
+    budget.earnedByCalls = Math.max(0, budget.earnedByCalls - earned);
+    budget.earned -= earned;
   }
 
-  /** Spends one retry. Returns false if none is left. */
-  spendRetry(service: string, nowMs: number): boolean {
-    const bucket = this.#refill(service, nowMs);
-    if (bucket.tokens < 1) return false;
-    bucket.tokens -= 1;
-    return true;
+  /**
+   * Takes `count` retries, or returns undefined. In a large fleet, the part of a VM never adds up to
+   * that many. Then what is left is staked: all are taken with the probability at which the expected
+   * number is what was left, and that is spent in any case.
+   */
+  takeRetries(
+    service: string,
+    count: number,
+    nowMs: number,
+  ): TakenRetry[] | undefined {
+    const budget = this.#update(service, nowMs);
+    const left = Math.max(0, this.getAvailable(service, nowMs));
+    const cost = Math.min(1, left / count);
+    const isCovered = cost > 1 - TOLERANCE;
+    const most = this.#computeFixedPart(nowMs) + budget.earnedByCalls;
+    if (!isCovered && most >= count) return undefined;
+    const retries = Array.from(
+      { length: count },
+      () => takeRetry(budget, cost, nowMs),
+    );
+    return isCovered || this.#options.drawUnit() < cost ? retries : undefined;
   }
 
-  /** Number of retries that may be sent to the service now; a part of one can't be spent. */
+  /** Number of retries that may be sent to the service now; a part of one is staked. */
   getAvailable(service: string, nowMs: number): number {
-    return this.#refill(service, nowMs).tokens;
+    const { earned, fixedUses } = this.#update(service, nowMs);
+    const used = fixedUses.reduce((sum, { amount }) => sum + amount, 0);
+    return earned + Math.max(0, this.#computeFixedPart(nowMs) - used);
   }
 
-  /** Number of retries that a new VM may send at once; below 1 in a large fleet. */
-  #getBurstSize(): number {
-    return this.#options.fixedPerWindow * BURST_SHARE / this.#liveVms;
+  /** This VM's part of the fixed number. */
+  #computeFixedPart(nowMs: number): number {
+    this.#applyLowerCount(nowMs);
+    if (this.#liveVms === undefined || nowMs < this.#fixedFromMs) return 0;
+    const { fixedPerWindow } = this.#options;
+    const evenPart = fixedPerWindow * USED_FIXED_SHARE / this.#liveVms;
+    // The rest of a part would be staked by all VMs, and exceed a small fixed number by chance.
+    if (evenPart >= MAX_PER_ROUND) return Math.floor(evenPart);
+    const deviation = Math.sqrt(MAX_PER_ROUND * fixedPerWindow);
+    const expected = fixedPerWindow - DRAW_MARGIN_DEVIATIONS * deviation;
+    return Math.min(evenPart, Math.max(0, expected) / this.#liveVms);
   }
 
-  /** Bucket capacity: at least one retry, so that a burst size below 1 can accumulate to one. */
-  #getCapacity({ earnedByCalls }: Bucket): number {
-    return Math.max(1, this.#getBurstSize()) + earnedByCalls;
+  #applyLowerCount(nowMs: number): void {
+    const lower = this.#lowerCount;
+    if (lower === undefined) return;
+    if (nowMs - lower.atMs < this.#options.windowMs) return;
+    this.#liveVms = lower.vms;
+    this.#lowerCount = undefined;
   }
 
-  #refill(service: string, nowMs: number): Bucket {
-    let bucket = this.#buckets.get(service);
-    if (bucket === undefined) {
-      bucket = {
-        tokens: this.#getBurstSize(),
+  #update(service: string, nowMs: number): ServiceBudget {
+    let budget = this.#services.get(service);
+    if (budget === undefined) {
+      budget = {
+        earned: 0,
         earnedByCalls: 0,
-        refilledAtMs: nowMs,
+        updatedAtMs: nowMs,
+        fixedUses: [],
       };
-      this.#buckets.set(service, bucket);
+      this.#services.set(service, budget);
     }
-    const { fixedPerWindow, windowMs } = this.#options;
-    const ratePerMs = fixedPerWindow * RATE_SHARE / windowMs / this.#liveVms;
-    const elapsedMs = nowMs - bucket.refilledAtMs;
-    bucket.earnedByCalls *= Math.exp(
+    const { windowMs } = this.#options;
+    const elapsedMs = nowMs - budget.updatedAtMs;
+    budget.earnedByCalls *= Math.exp(
       -elapsedMs / (windowMs * KEPT_WINDOW_SHARE),
     );
-    bucket.tokens = Math.min(
-      this.#getCapacity(bucket),
-      bucket.tokens + elapsedMs * ratePerMs,
+    budget.earned = budget.earned < 0
+      ? budget.earned * Math.exp(-elapsedMs / windowMs)
+      : Math.min(budget.earnedByCalls, budget.earned);
+    budget.fixedUses = budget.fixedUses.filter(({ atMs }) =>
+      atMs > nowMs - windowMs
     );
-    bucket.refilledAtMs = nowMs;
-    return bucket;
+    budget.updatedAtMs = nowMs;
+    return budget;
   }
 }
+
+/** Takes one retry at `cost`: what calls have earned first, as it decays. */
+function takeRetry(
+  budget: ServiceBudget,
+  cost: number,
+  nowMs: number,
+): TakenRetry {
+  const fromEarned = Math.min(cost, Math.max(0, budget.earned));
+  budget.earned -= fromEarned;
+  const use: FixedUse = { atMs: nowMs, amount: cost - fromEarned };
+  if (use.amount > TOLERANCE) budget.fixedUses.push(use);
+  return {
+    markSent: (sentAtMs) => {
+      use.atMs = sentAtMs;
+    },
+    refund: () => {
+      budget.earned += fromEarned;
+      budget.fixedUses = budget.fixedUses.filter((other) => other !== use);
+    },
+  };
+}
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -440,5 +440,6 @@
     share,
     fixedPerWindow,
     windowMs: windowSeconds * MS_PER_SECOND,
+    startsUnlisted: true,
   });
 }
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -59,14 +59,22 @@
   readonly duties: FleetDuties | undefined;
 }
 
+/** One start of this VM's process. */
+export interface VmStart {
+  readonly incarnation: string;
+  /** Unix milliseconds. */
+  readonly startedAtMs: number;
+}
+
 /** Options of the functions that build tasks. */
-export interface VmTaskOptions {
+export interface VmTaskOptions extends VmStart {
   readonly settings: ForwardSettings;
   readonly ports: PlatformPorts;
-  readonly incarnation: string;
   /** Returns the components; some may not be built yet. */
   readonly getComponents: () => VmComponents;
   readonly usageMeter: UsageMeter;
+  /** Called with the VMs of the first list that was read. */
+  readonly onFirstVmList: (listed: readonly VmRecord[]) => void;
   /** Called when the number of VMs that share the fleet's limits changes. */
   readonly onLiveVms: (count: number) => void;
   /** Called with the engines that a peer has ordered to change their role. */
@@ -76,7 +84,7 @@
 /** Builds the identity by which peers know this VM. */
 export function buildIdentity(
   { vm, mesh, listen }: ForwardSettings,
-  incarnation: string,
+  { incarnation, startedAtMs }: VmStart,
 ): VmRecord & LinkIdentity {
   return {
     id: vm.id,
@@ -84,15 +92,16 @@
     availabilityZone: vm.availabilityZone,
     mesh: mesh.announce ?? listen.mesh,
     capacity: vm.capacity,
+    startedAtMs,
   };
 }
 
 /** Builds the mesh of this VM with its peers. */
 export function buildMesh(options: VmTaskOptions): FleetMesh {
-  const { settings, ports, incarnation, getComponents } = options;
+  const { settings, ports, getComponents } = options;
   const components = getComponents();
   return new FleetMesh({
-    self: buildIdentity(settings, incarnation),
+    self: buildIdentity(settings, options),
     ...settings.mesh,
     listen: settings.listen.mesh,
     vms: ports.directory.vms,
@@ -131,6 +140,7 @@
     }),
     loadConfig: () => components.storeReader.loadConfig(),
     usageMeter: options.usageMeter,
+    onFirstVmList: options.onFirstVmList,
     onLiveVms: options.onLiveVms,
     onChangingRole: options.onChangingRole,
     listChangingRole: () => getComponents().roleController.listChangingRole(),
--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -18,6 +18,7 @@
 import { QUARANTINE_PROOF } from "./quarantine_proof.ts";
 import { RATE_LIMIT_PROOF } from "./rate_limit_proof.ts";
 import { RESTORED_LOG_PROOF } from "./restored_log_proof.ts";
+import { RETRY_BUDGET_PROOF } from "./retry_budget_proof.ts";
 import { RETURNS_PROOF } from "./returns_proof.ts";
 import { SHARES_PROOF } from "./shares_proof.ts";
 import { STREAM_PROOF } from "./stream_proof.ts";
@@ -43,6 +44,7 @@
   { proof: TARGET_LIST_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: RESTORED_LOG_PROOF, testRuns: 200, mutationRuns: 5000 },
   { proof: RATE_LIMIT_PROOF, testRuns: 40, mutationRuns: 500 },
+  { proof: RETRY_BUDGET_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: RETURNS_PROOF, testRuns: 60, mutationRuns: 1000 },
   { proof: SHARES_PROOF, testRuns: 5, mutationRuns: 200 },
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
