Each request of a call beyond the first is taken from the retry budget

Cause: the budget was asked by three handlers that each remembered when a retry was due, not where a request leaves. The run after a repeated prefill was sent without one, so two requests beyond the first cost one retry; a call that was rejected and then handed over cost its peer none.

The requests of a call now pass through AttemptLedger, which takes what they cost before CallContext sends them; a request that is not covered is withheld. The counts travel with a call that is handed over, and come back with a peer's refusal. A prefill and the run after it are taken together. Retries that were not sent go back to the budget. VMs of earlier software do not tell the counts; each further request is a retry then.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -9,10 +9,11 @@
   ServeError,
   type ServeErrorOptions,
 } from "heatherarch-core";
-import { AttemptLedger } from "./attempt_ledger.ts";
+import { AttemptLedger, type PlannedRequests } from "./attempt_ledger.ts";
 import type { ClientResponse } from "./client_response.ts";
 import type { LogLevel } from "../event_log.ts";
 import type {
+  AttemptCounts,
   ClientAccount,
   ForwardedCall,
   HandoverState,
@@ -42,8 +43,13 @@
   | "clientGone"
   | "broken";
 
-/** What a retry is taken for: a prefill, a run, or the offer of a call to a peer. */
-export type RetryPurpose = "prefill" | "run" | "handover";
+/** What a retry is taken for: a prefill and the run that follows it, or a run. */
+export type RetryPurpose = "prefill" | "run";
+
+/** Requests that a call is about to send, and what the first of them is for. */
+interface RequestPlan extends PlannedRequests {
+  readonly purpose: RetryPurpose;
+}
 
 /** Options of {@linkcode CallContext}. */
 export interface CallContextOptions {
@@ -97,9 +103,7 @@
   #resolveEnded!: () => void;
   #exchange: TargetExchange | undefined;
   #outcome: CallOutcome | undefined;
-  readonly #ledger = new AttemptLedger();
-  /** Retries that this VM took from the retry budget for the call. */
-  #retriesTaken = 0;
+  readonly #ledger: AttemptLedger;
   #attempts = 0;
   #lastTarget: string | undefined;
   /** Takes the recorded usage of this call back; undefined before it is recorded. */
@@ -117,6 +121,16 @@
     this.call = options.call;
     this.receivedCall = options.receivedCall ?? options.call;
     this.#runs = options.call.handover?.runs ?? 0;
+    this.#ledger = new AttemptLedger({
+      counts: options.call.handover?.attempts,
+      takeRetries: (count) =>
+        this.dependencies.retryBudget.takeRetries(
+          this.service.name,
+          count,
+          this.nowMs,
+        ),
+      readMonotonicMs: () => this.nowMs,
+    });
     if (options.call.handover?.isUsageRecorded) {
       this.#undoUsage = () => undefined;
     }
@@ -200,7 +214,11 @@
   /** What a peer has to know of the call so far. */
   get handoverState(): HandoverState {
     const isUsageRecorded = this.#undoUsage !== undefined;
-    return { runs: this.#runs, isUsageRecorded };
+    return {
+      runs: this.#runs,
+      isUsageRecorded,
+      attempts: this.#ledger.counts,
+    };
   }
 
   /** Name of the call's client account, if it has one. */
@@ -316,9 +334,10 @@
 
   /**
    * Records that the call is sent to a peer, which counts the call and its usage. It may run there as
-   * often as it may run at all. Returns a function that takes that back if it has not run there.
+   * often as it may run at all. Returns a function that takes that back if it has not run there, and
+   * records the requests that the peer has counted.
    */
-  beginHandover(exchange: TargetExchange): () => void {
+  beginHandover(exchange: TargetExchange): (counts: AttemptCounts) => void {
     const { retryBudget, fleetDemand } = this.dependencies;
     const runs = this.#runs;
     this.#exchange = exchange;
@@ -329,8 +348,9 @@
       fleetDemand.forgetCall(this.nowMs);
     }
     this.#isHandedOver = true;
-    return () => {
+    return (counts) => {
       this.#runs = runs;
+      this.#ledger.recordPeerCounts(counts);
     };
   }
 
@@ -342,13 +362,13 @@
     if (this.clientResponse.isHeadSent || (hasPromise && this.mayHaveRun)) {
       return this.fail("targetFailed", error.message);
     }
-    this.clientResponse.fail(error, this.call.id);
+    this.#respondWithError(error);
     this.finish(hasPromise ? "refused" : "failed", { reason: error.message });
   }
 
   /**
    * Sends an attempt. An early end of the call aborts the latest attempt. Without `isRun` the target
-   * only reads the prompt.
+   * only reads the prompt. An attempt that the retry budget does not cover is withheld.
    */
   send(
     target: Target,
@@ -358,9 +378,12 @@
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
     this.#attempts++;
     this.#lastTarget = target.id;
-    const exchange = this.#quarantineGuard.findQuarantined() === undefined
+    const purpose = isRun ? "run" : "prefill";
+    const exchange = this.#quarantineGuard.findQuarantined() !== undefined
+      ? buildWithheldExchange("the request is quarantined")
+      : this.reserve({ purpose, requests: 1 })
       ? this.dependencies.connections.send(target, request)
-      : buildWithheldExchange("the request is quarantined");
+      : buildWithheldExchange("the retry budget is spent");
     this.#exchange = exchange;
     this.#quarantineGuard.trackExchange(target, exchange, isRun);
     this.#trackAttempt(exchange);
@@ -404,24 +427,32 @@
     this.#undoUsage = undefined;
   }
 
-  /** Takes one retry from the fleet's retry budget; returns false if none is left. */
-  takeRetry(purpose: RetryPurpose): boolean {
+  /**
+   * Takes the retries that the next requests cost from the fleet's retry budget, as far as they have not
+   * been taken. Returns whether the requests may be sent.
+   */
+  reserve({ purpose, ...planned }: RequestPlan): boolean {
+    const due = this.#ledger.computeDue(planned);
+    if (due === 0) return true;
+    const isReserved = this.#ledger.reserve(planned);
+    this.#recordRetries(purpose, due, isReserved);
+    return isReserved;
+  }
+
+  #recordRetries(purpose: RetryPurpose, count: number, isTaken: boolean): void {
     const { retryBudget, log, metrics } = this.dependencies;
     const service = this.service.name;
-    const isTaken =
-      retryBudget.takeRetries(service, 1, this.nowMs) !== undefined;
-    if (isTaken) this.#retriesTaken++;
     const outcome = isTaken ? "taken" : "denied";
-    metrics.retries.inc({ service, purpose, outcome });
+    metrics.retries.inc({ service, purpose, outcome }, count);
     const left = retryBudget.getAvailable(service, this.nowMs);
     metrics.retriesLeft.set({ service }, left);
     log.write("info", isTaken ? "retryTaken" : "retryDenied", {
       call: this.call.id,
       service,
       purpose,
+      count,
       left: Number(left.toFixed(2)),
     });
-    return isTaken;
   }
 
   /** Ends the call, after its handler has delivered a response or given up. */
@@ -434,7 +465,8 @@
     const { log, metrics } = this.dependencies;
     const { kind } = this.route;
     metrics.calls.inc({ kind, outcome });
-    const { retries } = this.#ledger;
+    this.#ledger.end();
+    const { retries, retriesTaken } = this.#ledger;
     metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
     this.#exchange = undefined;
     const level: LogLevel = outcome === "delivered" ? "info" : "warn";
@@ -447,7 +479,7 @@
       lastTarget: this.#lastTarget,
       runs: this.#runs,
       beyondFirst: retries,
-      retriesTaken: this.#retriesTaken,
+      retriesTaken,
       tookMs: Math.round(this.nowMs - this.call.arrivedAtMs),
       configVersion: this.#configVersion,
       ...detail,
@@ -463,10 +495,7 @@
   ): void {
     assertInvariant(!this.mayHaveRun, "refused-not-run", this.call.id);
     if (this.hasEnded) return;
-    this.clientResponse.fail(
-      new ServeError(kind, reason, options),
-      this.call.id,
-    );
+    this.#respondWithError(new ServeError(kind, reason, options));
     const retryAfterMs = options.retryAfterMs ?? MIN_RETRY_AFTER_MS;
     this.finish("refused", {
       reason,
@@ -494,7 +523,7 @@
       this.finish("broken", { reason });
       return;
     }
-    this.clientResponse.fail(new ServeError(kind, reason), this.call.id);
+    this.#respondWithError(new ServeError(kind, reason));
     this.finish("failed", { reason });
   }
 
@@ -522,6 +551,10 @@
     });
   }
 
+  #respondWithError(error: ServeError): void {
+    this.clientResponse.fail(error, this.call.id, this.#ledger.counts);
+  }
+
   get #isStream(): boolean {
     const { kind } = this.route;
     return kind === "stream" || kind === "resumableStream";
@@ -534,7 +567,7 @@
     if (this.clientResponse.isHeadSent) this.clientResponse.destroy();
     else {
       const kind = this.mayHaveRun ? "deadlineExceeded" : "overloaded";
-      this.clientResponse.fail(new ServeError(kind, reason), this.call.id);
+      this.#respondWithError(new ServeError(kind, reason));
     }
     this.finish("expired", { reason });
     exchange?.abort(reason);
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -29,8 +29,6 @@
   readonly relay: StreamRelay;
   /** Software version at which the stream has to go on, if it has begun. */
   readonly softwareVersion?: string;
-  /** An engine has read the prompt already. */
-  readonly isPromptRead?: boolean;
 }
 
 /** Peers that are asked for one call. */
@@ -54,14 +52,12 @@
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
   readonly #softwareVersion: string | undefined;
-  #isPromptRead: boolean;
   readonly #asked = new Set<string>();
 
   constructor(options: CallHandoverOptions) {
     this.#context = options.context;
     this.#relay = options.relay;
     this.#softwareVersion = options.softwareVersion;
-    this.#isPromptRead = options.isPromptRead ?? false;
   }
 
   /** Serves the call, as far as peers take it. */
@@ -105,10 +101,7 @@
     const lastEventId = this.#relay.lastEventId ?? receivedCall.lastEventId;
     const call = { ...receivedCall, lastEventId };
     const softwareVersion = this.#softwareVersion;
-    const isPromptRead = this.#isPromptRead;
-    const state = { ...handoverState, softwareVersion, isPromptRead };
-    // The peer may have the prompt read, whatever its reply is.
-    this.#isPromptRead = true;
+    const state = { ...handoverState, softwareVersion };
     const exchange = sendToPeer(
       connection,
       encodeHandoverCall(call, state, nowMs),
@@ -129,13 +122,15 @@
       );
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
-      const failure = findPeerFailure(error);
-      if (failure === undefined) return this.#endWithLoss(error.message);
-      if (failure.run === "no") {
-        undo();
-        return { kind: "refused", error: failure };
+      const { cause } = error;
+      if (!(cause instanceof PeerFailureError)) {
+        return this.#endWithLoss(error.message);
       }
-      context.endWithPeerFailure(failure);
+      if (cause.failure.run === "no") {
+        undo(cause.attempts);
+        return { kind: "refused", error: cause.failure };
+      }
+      context.endWithPeerFailure(cause.failure);
       return { kind: "ended" };
     }
   }
@@ -166,7 +161,3 @@
     return { kind: "ended" };
   }
 }
-
-function findPeerFailure({ cause }: ExchangeError): ServeError | undefined {
-  return cause instanceof PeerFailureError ? cause.failure : undefined;
-}
--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import { buildErrorBody, type ServeError } from "heatherarch-core";
+import type { AttemptCounts } from "../model.ts";
 
 /** `Retry-After` is given in hundredths of a second. */
 const RETRY_AFTER_STEP_MS = 10;
@@ -37,8 +38,8 @@
   end(bytes?: Buffer): void;
   /** Closes the connection, which shows the client that the response is incomplete. */
   destroy(): void;
-  /** Responds with an error of this VM. */
-  fail(error: ServeError, callId: string): void;
+  /** Responds with an error of this VM; `attempts` tells a peer which requests were counted. */
+  fail(error: ServeError, callId: string, attempts?: AttemptCounts): void;
 }
 
 /** Writes one response to a client that is connected to this VM. */
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -155,12 +155,10 @@
   async #handOver(): Promise<boolean> {
     const context = this.#context;
     if (!await context.mayPeersServe()) return context.hasEnded;
-    if (context.mayHaveRun && !context.takeRetry("handover")) return false;
     const result = await new CallHandover({
       context,
       relay: this.#relay,
       softwareVersion: this.#decodeEngines.softwareVersion,
-      isPromptRead: this.#prefill.isRetry,
     }).serve();
     if (result === "ended") return true;
     if (context.hasPath) context.forgetUnreachable();
@@ -204,8 +202,8 @@
       if (prefilled !== undefined) this.#prefill.releaseCache(prefilled);
       return "done";
     }
-    const isUnbudgetedRetry = prefilled === undefined && this.#prefill.isRetry;
-    if (isUnbudgetedRetry && !context.takeRetry("run")) {
+    if (!context.reserve({ purpose: "run", requests: 1 })) {
+      if (prefilled !== undefined) this.#prefill.releaseCache(prefilled);
       this.#conclude();
       return "done";
     }
@@ -420,10 +418,9 @@
     this.#recordFailure(`stream interrupted: ${result.message}`);
   }
 
-  /** Records a round without a response. The next round prefills the prompt again, as a retry. */
+  /** Records a round without a response. The next round prefills the prompt again. */
   #recordFailure(reason: string, unused?: PrefilledPrompt): void {
     this.#reason = `decode failed: ${reason}`;
-    this.#prefill.markAsRetry();
     if (unused !== undefined) this.#prefill.releaseCache(unused);
   }
 
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -11,7 +11,8 @@
   ServeError,
 } from "heatherarch-core";
 import { z } from "zod";
-import type { ForwardedCall, HandoverState } from "../model.ts";
+import type { AttemptCounts, ForwardedCall, HandoverState } from "../model.ts";
+import { UNKNOWN_ATTEMPTS } from "./attempt_ledger.ts";
 
 /** Head of a response as a peer sends it. */
 export interface HandoverResponseHead {
@@ -42,7 +43,6 @@
   resumedAttemptId: z.string().optional(),
   runs: z.int().min(0),
   isUsageRecorded: z.boolean(),
-  isPromptRead: z.boolean().optional(),
   softwareVersion: z.string().optional(),
 });
 
@@ -59,14 +59,26 @@
   retryAfterMs: z.number().min(0).catch(0),
 });
 
+const ATTEMPTS = z.object({
+  sent: z.int().min(0),
+  isPrefilled: z.boolean(),
+});
+
 /** Encodes a call without its body. */
 export function encodeHandoverCall(
   { body: _body, arrivedAtMs, account: _account, ...call }: ForwardedCall,
-  state: HandoverState,
+  { attempts, ...state }: HandoverState,
   nowMs: number,
 ): unknown {
   const elapsedMs = Math.max(0, nowMs - arrivedAtMs);
-  return { ...call, elapsedMs, ...state };
+  // Peers of earlier software know only whether the next prefill is a retry.
+  const isPromptRead = attempts.sent > 0;
+  return { ...call, elapsedMs, ...state, ...attempts, isPromptRead };
+}
+
+/** Decodes the requests that a call or a failure tells; a VM of earlier software does not tell them. */
+export function decodeAttemptCounts(head: unknown): AttemptCounts {
+  return ATTEMPTS.safeParse(head).data ?? UNKNOWN_ATTEMPTS;
 }
 
 /** Decodes a call from a peer; undefined if it is malformed. */
@@ -81,15 +93,15 @@
     elapsedMs,
     runs,
     isUsageRecorded,
-    isPromptRead,
     softwareVersion,
     ...call
   } = parsed;
+  const attempts = decodeAttemptCounts(head);
   return {
     ...call,
     body,
     arrivedAtMs: nowMs - elapsedMs,
-    handover: { runs, isUsageRecorded, isPromptRead, softwareVersion },
+    handover: { runs, isUsageRecorded, attempts, softwareVersion },
   };
 }
 
@@ -100,11 +112,12 @@
   return RESPONSE_HEAD.safeParse(head).data;
 }
 
-/** Encodes an error with which a peer ends a call. */
+/** Encodes an error with which a peer ends a call, and the requests counted until then. */
 export function encodeHandoverFailure(
   { kind, message, run, retryAfterMs }: ServeError,
+  attempts: AttemptCounts,
 ): unknown {
-  return { kind, message, run, retryAfterMs };
+  return { kind, message, run, retryAfterMs, ...attempts };
 }
 
 /** Decodes the error with which a peer ended a call. What can't be decoded may have run. */
--- a/packages/heatherarch-forward/calls/handover_response.ts
+++ b/packages/heatherarch-forward/calls/handover_response.ts
@@ -6,16 +6,20 @@
  */
 import type { ServeError } from "heatherarch-core";
 import type { HandoverResponder } from "heatherarch-handover";
+import type { AttemptCounts } from "../model.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { encodeHandoverFailure } from "./handover_codec.ts";
 
 /** Writes one response to the peer that handed the call over. */
 export class HandoverResponse implements ClientResponse {
   readonly #responder: HandoverResponder;
+  /** Requests that were counted before the call came here. */
+  readonly #earlierAttempts: AttemptCounts;
   #isHeadSent = false;
 
-  constructor(responder: HandoverResponder) {
+  constructor(responder: HandoverResponder, earlierAttempts: AttemptCounts) {
     this.#responder = responder;
+    this.#earlierAttempts = earlierAttempts;
   }
 
   get isDisconnected(): boolean {
@@ -56,8 +60,12 @@
     this.#responder.destroy();
   }
 
-  fail(error: ServeError): void {
+  fail(
+    error: ServeError,
+    _callId: string,
+    attempts = this.#earlierAttempts,
+  ): void {
     if (this.isDisconnected || this.#isHeadSent) return;
-    this.#responder.fail(encodeHandoverFailure(error));
+    this.#responder.fail(encodeHandoverFailure(error, attempts));
   }
 }
--- a/packages/heatherarch-forward/calls/peer_exchange.ts
+++ b/packages/heatherarch-forward/calls/peer_exchange.ts
@@ -7,7 +7,9 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { HandoverConnection } from "heatherarch-handover";
 import type { Dispatcher } from "undici";
+import type { AttemptCounts } from "../model.ts";
 import {
+  decodeAttemptCounts,
   decodeHandoverFailure,
   decodeHandoverResponse,
   type HandoverResponseHead,
@@ -18,11 +20,14 @@
 export class PeerFailureError extends Error {
   /** The error with which the peer ended the call. */
   readonly failure: ServeError;
+  /** Requests of the call that the peer and the VMs before it have counted. */
+  readonly attempts: AttemptCounts;
 
-  constructor(failure: ServeError) {
+  constructor(failure: ServeError, attempts: AttemptCounts) {
     super(failure.message);
     this.name = "PeerFailureError";
     this.failure = failure;
+    this.attempts = attempts;
   }
 }
 
@@ -49,7 +54,10 @@
       onFailure: (failure) =>
         handler.onResponseError?.(
           controller,
-          new PeerFailureError(decodeHandoverFailure(failure)),
+          new PeerFailureError(
+            decodeHandoverFailure(failure),
+            decodeAttemptCounts(failure),
+          ),
         ),
       onLost: (reason) =>
         handler.onResponseError?.(controller, new Error(reason)),
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -70,8 +70,6 @@
   #failure: BufferedResponse | undefined;
   #reason = "";
   #attempts = 0;
-  /** Whether the next attempt is a retry. */
-  #isRetry = false;
 
   constructor(context: CallContext) {
     this.#context = context;
@@ -106,7 +104,6 @@
       const result = await this.#attemptBooked(booked);
       if (result === undefined) return;
       if (context.hasEnded || result.kind === "delivered") return;
-      if (result.kind !== "notSent") this.#isRetry = true;
       this.#recordResult(result);
       if (!context.mayRunAgain || context.remainingMs < MIN_ATTEMPT_MS) return;
       if (!await context.mayRetry()) return;
@@ -118,7 +115,6 @@
     const context = this.#context;
     if (this.#failure !== undefined) return "kept";
     if (!await context.mayPeersServe()) return "kept";
-    if (context.mayHaveRun && !context.takeRetry("handover")) return "kept";
     const relay = new StreamRelay({
       clientResponse: context.clientResponse,
       isResumable: false,
@@ -142,7 +138,7 @@
       // The call may have been placed right after a stall, before the target list was refreshed.
       await context.awaitTargetList();
       if (context.hasEnded) return undefined;
-      if (this.#isRetry && !context.takeRetry("run")) return undefined;
+      if (!context.reserve({ purpose: "run", requests: 1 })) return undefined;
       const result = await this.#attempt(booked);
       if (result.kind === "notRun") this.#declined.add(target.id);
       if (result.kind === "lost") this.#holdSlot(booked.placement);
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -84,11 +84,8 @@
   /** Key of the prompt's shared prefix; undefined if the prefix is short. */
   readonly #prefixKey: string | undefined;
   readonly #tried = new Set<string>();
-  /** An earlier prefill reached an engine, so the next one is a retry. */
-  #isRetry: boolean;
 
   constructor(options: PromptPrefillOptions) {
-    this.#isRetry = options.context.call.handover?.isPromptRead ?? false;
     this.#context = options.context;
     this.#prompt = options.prompt;
     this.#traits = options.traits;
@@ -97,16 +94,6 @@
     );
   }
 
-  /** Whether the next request to an engine is a retry. */
-  get isRetry(): boolean {
-    return this.#isRetry;
-  }
-
-  /** Marks the next request as a retry: a decode engine has been tried before. */
-  markAsRetry(): void {
-    this.#isRetry = true;
-  }
-
   /** Prefills the prompt on the engine that is expected to finish it first. */
   async prefill(lastEventId: string | undefined): Promise<PrefillResult> {
     const booking = await this.#awaitBooking(lastEventId !== undefined);
@@ -118,7 +105,9 @@
       // The prompt may have been placed right after a stall, before the target list was refreshed.
       await context.awaitTargetList();
       if (context.hasEnded) return { kind: "over" };
-      if (this.#isRetry && !context.takeRetry("prefill")) {
+      // A prefill without the run that follows it would be in vain, so both are taken together.
+      const round = { requests: 2, beginsWithPrefill: true } as const;
+      if (!context.reserve({ purpose: "prefill", ...round })) {
         return { kind: "noAllowance" };
       }
       const exchange = this.#send(placed, lastEventId);
@@ -184,11 +173,7 @@
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
-      return this.#recordFailure(
-        target,
-        result.reason,
-        result.kind !== "notSent",
-      );
+      return this.#recordFailure(target, result.reason);
     }
     try {
       const body = await exchange.readBody(MAX_RESPONSE_BYTES);
@@ -200,10 +185,10 @@
         this.#context.recordPrefilled();
         return { address: target.address, handle };
       }
-      return this.#recordFailure(target, `status ${status}`, true);
+      return this.#recordFailure(target, `status ${status}`);
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
-      return this.#recordFailure(target, error.message, true);
+      return this.#recordFailure(target, error.message);
     }
   }
 
@@ -214,13 +199,8 @@
     return { kind: "over" };
   }
 
-  #recordFailure(
-    target: Target,
-    reason: string,
-    isSent: boolean,
-  ): PrefillResult {
+  #recordFailure(target: Target, reason: string): PrefillResult {
     this.#tried.add(target.id);
-    if (isSent) this.#isRetry = true;
     if (this.#prefixKey !== undefined) {
       this.#context.dependencies.prefixIndex.forgetHolder(
         this.#prefixKey,
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -78,6 +78,7 @@
 export * from "./calls/target_connections.ts";
 export * from "./state/target_directory.ts";
 export * from "./calls/target_exchange.ts";
+export * from "./calls/attempt_ledger.ts";
 export * from "./calls/attempt_result.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./fleet/fleet_gossip.ts";
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -173,14 +173,22 @@
   readonly parts: readonly PromptPart[];
 }
 
+/** Requests of a call that count towards the retry budget, also at the VMs that served it before. */
+export interface AttemptCounts {
+  /** Requests that reached a target, or may have; rejected ones and prefills included. */
+  readonly sent: number;
+  /** An engine has prefilled the prompt. The first such prefill is not counted. */
+  readonly isPrefilled: boolean;
+}
+
 /** What a peer tells about a call that it hands over. */
 export interface HandoverState {
   /** Targets on which the call runs or may have run. */
   readonly runs: number;
   /** The usage of the call's account is recorded already. */
   readonly isUsageRecorded: boolean;
-  /** The prompt of the call was read before, or may have been, so to read it again is a retry. */
-  readonly isPromptRead?: boolean;
+  /** Requests of the call that count towards the retry budget. */
+  readonly attempts: AttemptCounts;
   /** Software version that began the stream, if events of it were sent to the client. */
   readonly softwareVersion?: string;
 }
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -15,6 +15,7 @@
   type ForwardedCall,
   ForwardMetrics,
   MemoryEventLog,
+  NO_ATTEMPTS,
   ReturnTimes,
   type TargetExchange,
 } from "../../mod.ts";
@@ -36,9 +37,9 @@
     body: Buffer.from("body"),
     arrivedAtMs: clock.readMonotonicMs(),
     clientTimeoutMs: 2000,
-    ...(runs === undefined
-      ? {}
-      : { handover: { runs, isUsageRecorded: false } }),
+    ...(runs === undefined ? {} : {
+      handover: { runs, isUsageRecorded: false, attempts: NO_ATTEMPTS },
+    }),
   };
   if (isQuarantined) {
     const nowMs = clock.readMonotonicMs();
@@ -111,7 +112,7 @@
   );
   assert.equal(countCalls(), 0);
   assert.equal(context.mayRunAgain, false);
-  undo();
+  undo(NO_ATTEMPTS);
   assert.equal(context.mayRunAgain, true);
   context.finish("delivered");
 });
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -90,7 +90,7 @@
   readonly prefills: number;
   /** Requests that reached a target beyond the first one and the first successful prefill. */
   readonly retries: number;
-  /** Retries that the call took from the retry budget. */
+  /** Retries that the call took from the retry budget and did not give back. */
   readonly retriesTaken: number;
   /** Counts the runs that the VM believes to be in progress at the targets now. */
   readonly countInFlight: () => number;
@@ -149,7 +149,8 @@
       prefills: this.#prefills,
       retries: Math.max(0, this.#counted - 1),
       retriesTaken: this.#log.lines
-        .filter(({ event }) => event === "retryTaken").length,
+        .filter(({ event }) => event === "callEnded")
+        .reduce((sum, { fields }) => sum + Number(fields.retriesTaken), 0),
       countInFlight: () => this.#countInFlight(),
     };
   }
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -19,7 +19,10 @@
 import type { CallDependencies } from "./call_dependencies.ts";
 import type { VmRecord } from "./model.ts";
 import type { CallServer } from "./calls/call_server.ts";
-import { decodeHandoverCall } from "./calls/handover_codec.ts";
+import {
+  decodeAttemptCounts,
+  decodeHandoverCall,
+} from "./calls/handover_codec.ts";
 import { HandoverResponse } from "./calls/handover_response.ts";
 import { FleetDuties } from "./tasks/fleet_duties.ts";
 import type { Ingress } from "./tasks/ingress.ts";
@@ -172,7 +175,8 @@
         call: call.id,
         peer: responder.peer,
       });
-      await callServer.serve(call, new HandoverResponse(responder));
+      const attempts = decodeAttemptCounts(head);
+      await callServer.serve(call, new HandoverResponse(responder, attempts));
     },
   });
 }
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock, ServeError } from "heatherarch-core";
 import {
+  type AttemptCounts,
   buildCrashDetector,
   CacheRetention,
   type CallCodec,
@@ -47,6 +48,7 @@
   readonly hasPath?: () => boolean;
   /** Offers a call to a peer; by default there is none. */
   readonly offerCall?: () => Promise<unknown>;
+  readonly log?: MemoryEventLog;
   readonly streamVersions?: StreamVersions;
   /** Asks peers for the version of a stream; by default none knows it. */
   readonly findStreamVersion?: (key: string) => Promise<string | undefined>;
@@ -62,9 +64,9 @@
     offerCall = () => Promise.resolve(undefined),
     streamVersions = new StreamVersions(),
     findStreamVersion = () => Promise.resolve(undefined),
+    log = new MemoryEventLog(),
   } = options;
   const fleetDemand = new FleetDemand();
-  const log = new MemoryEventLog();
   const metrics = new ForwardMetrics();
   const quarantine = new RequestQuarantine();
   const prefillTimeModel = new PrefillTimeModel();
@@ -135,7 +137,7 @@
   readonly onHead?: (status: number, headers: readonly string[]) => void;
   readonly onBytes?: (bytes: Buffer) => void;
   readonly onEnd?: () => void;
-  readonly onFailure?: (error: ServeError) => void;
+  readonly onFailure?: (error: ServeError, attempts?: AttemptCounts) => void;
   readonly onDestroy?: () => void;
 }
 
@@ -161,7 +163,8 @@
       onEnd?.();
     },
     destroy: () => onDestroy?.(),
-    fail: (error: ServeError) => onFailure?.(error),
+    fail: (error: ServeError, _callId: string, attempts?: AttemptCounts) =>
+      onFailure?.(error, attempts),
   };
   return response;
 }
--- a/packages/heatherarch-lab/proofs/handover_proof.ts
+++ b/packages/heatherarch-lab/proofs/handover_proof.ts
@@ -22,10 +22,12 @@
   schedule: HandoverSchedule,
   disabledGuard: string | undefined,
 ): Promise<void> {
-  const { runs, status, isWhole, body, secondHops } = await simulateHandover(
+  const outcome = await simulateHandover(
     schedule,
     disabledGuard as HandoverGuard | undefined,
   );
+  const { runs, status, isWhole, body, secondHops } = outcome;
+  const { retries, retriesTaken } = outcome;
   const allowed = schedule.kind === "once" ? 1 : 2;
   const detail = JSON.stringify({ schedule, runs, status });
   assertProperty(runs <= allowed, "a call runs as often as it may", detail);
@@ -40,6 +42,11 @@
     detail,
   );
   assertProperty(secondHops === 0, "a call is handed over once", detail);
+  assertProperty(
+    retries <= retriesTaken,
+    "each request beyond the first is taken from the retry budget",
+    `${retries} sent, ${retriesTaken} taken: ${detail}`,
+  );
 }
 
 /** Calls are handed over after two attempts that reached no target, so those come often. */
@@ -49,6 +56,7 @@
   "notSent" as const,
   "lostBefore" as const,
   "lostAfter" as const,
+  "refused" as const,
   "ok" as const,
 );
 const PEER_END = fc.constantFrom(
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -6,6 +6,7 @@
  */
 import { RuntimeClock } from "heatherarch-core";
 import {
+  type AttemptCounts,
   CallContext,
   type CallDependencies,
   type ClientResponse,
@@ -13,6 +14,8 @@
   type EncodedRequest,
   encodeHandoverFailure,
   type ForwardedCall,
+  MemoryEventLog,
+  NO_ATTEMPTS,
   PlainCallHandler,
   type Route,
   type Target,
@@ -31,12 +34,20 @@
   "tellsRuns",
   "oneHop",
   "keepsFailure",
+  "tellsAttempts",
+  "tellsPeerAttempts",
 ] as const;
 /** Name of a guard. */
 export type HandoverGuard = typeof HANDOVER_GUARDS[number];
 
 /** How an attempt at a target ends. */
-export type TargetEnd = "notSent" | "lostBefore" | "lostAfter" | "ok";
+export type TargetEnd =
+  | "notSent"
+  | "lostBefore"
+  | "lostAfter"
+  /** The target reports that it did not run the request. */
+  | "refused"
+  | "ok";
 
 /** How an offer ends, and the connection after the peer has accepted the call. */
 export type PeerEnd =
@@ -66,12 +77,17 @@
   readonly body: string;
   /** Calls that a peer offered to others although they had been handed over to it. */
   readonly secondHops: number;
+  /** Requests that reached a target beyond the first one. */
+  readonly retries: number;
+  /** Retries that all VMs took from their parts of the retry budget and did not give back. */
+  readonly retriesTaken: number;
 }
 
 const TIMEOUT_MS = 5000;
 /** Timeout of a call whose peer falls silent, milliseconds. */
 const SHORT_TIMEOUT_MS = 60;
 const BODY = "the whole response";
+const REFUSED_STATUS = 503;
 const SERVICE = { name: "s", maxConnections: 100 };
 
 /** Runs one schedule, with one guard disabled if one is named. */
@@ -90,7 +106,9 @@
   readonly #peerAttempts: TargetEnd[];
   /** Calls at peers that have not ended. */
   readonly #peerCalls: Promise<void>[] = [];
+  readonly #logs: MemoryEventLog[] = [];
   #runs = 0;
+  #requests = 0;
   #secondHops = 0;
 
   constructor(
@@ -133,6 +151,10 @@
       ...received,
       isWhole,
       secondHops: this.#secondHops,
+      retries: Math.max(0, this.#requests - 1),
+      retriesTaken: this.#logs.flatMap(({ lines }) => lines)
+        .filter(({ event }) => event === "callEnded")
+        .reduce((sum, { fields }) => sum + Number(fields.retriesTaken), 0),
     };
   }
 
@@ -170,9 +192,7 @@
     listener: HandoverListener,
     end: PeerEnd,
   ): Promise<void> {
-    const sentHead = this.#disabledGuard === "tellsRuns"
-      ? { ...head as object, runs: 0 }
-      : head;
+    const sentHead = this.#mutateHead(head as object);
     const decoded = decodeHandoverCall(
       sentHead,
       Buffer.alloc(0),
@@ -192,16 +212,32 @@
     const context = this.#buildContext(
       dependencies,
       isMarked ? { ...call, handover } : call,
-      this.#buildPeerResponse(listener, end),
+      this.#buildPeerResponse(
+        listener,
+        end,
+        handover?.attempts ?? NO_ATTEMPTS,
+      ),
     );
     await new PlainCallHandler(context).serve();
     if (end === "lostAfterSend") listener.onLost("connection lost");
   }
 
+  #mutateHead(head: object): object {
+    switch (this.#disabledGuard) {
+      case "tellsRuns":
+        return { ...head, runs: 0 };
+      case "tellsAttempts":
+        return { ...head, ...NO_ATTEMPTS };
+      default:
+        return head;
+    }
+  }
+
   /** Builds the response that a peer sends back, as far as the connection lasts. */
   #buildPeerResponse(
     listener: HandoverListener,
     end: PeerEnd,
+    earlierAttempts: AttemptCounts,
   ): ClientResponse {
     if (end === "lostAfterSend" || end === "silent") {
       return buildFakeResponse({});
@@ -216,8 +252,12 @@
         if (end === "ok") listener.onEnd();
         else listener.onLost("connection lost");
       },
-      onFailure: (error) => {
-        const failure = encodeHandoverFailure(error) as object;
+      onFailure: (error, attempts = earlierAttempts) => {
+        const isTold = this.#disabledGuard !== "tellsPeerAttempts";
+        const failure = encodeHandoverFailure(
+          error,
+          isTold ? attempts : NO_ATTEMPTS,
+        ) as object;
         const isMutated = this.#disabledGuard === "keepsFailure";
         const refusal = { ...failure, kind: "noTarget", run: "no" };
         listener.onFailure(isMutated ? refusal : failure);
@@ -271,7 +311,10 @@
     const connections = new TargetConnections();
     connections.send = (target, request) =>
       this.#send(target, request, attempts.shift() ?? "ok");
+    const log = new MemoryEventLog();
+    this.#logs.push(log);
     return buildFakeDependencies({
+      log,
       clock,
       codec: CODEC,
       directory,
@@ -312,7 +355,12 @@
       handler.onResponseError?.(controller, new Error(end));
     if (end === "notSent") return fail();
     handler.onRequestStart?.(controller, undefined);
+    this.#requests++;
     if (end === "lostBefore") return fail();
+    if (end === "refused") {
+      handler.onResponseStart?.(controller, REFUSED_STATUS, {}, "");
+      return handler.onResponseEnd?.(controller, {});
+    }
     this.#runs++;
     if (end === "lostAfter") return fail();
     const headers = { "content-length": String(BODY.length) };
@@ -327,7 +375,7 @@
   const beginHandover = context.beginHandover.bind(context);
   context.beginHandover = (exchange) => {
     const undo = beginHandover(exchange);
-    undo();
+    undo(context.handoverState.attempts);
     return undo;
   };
 }
@@ -374,9 +422,9 @@
     headers: [],
     body: null,
   }),
-  decodeResponse: () => ({
+  decodeResponse: (status: number) => ({
     signed: true,
-    notRun: false,
+    notRun: status === REFUSED_STATUS,
     misdirected: false,
     isLeaving: false,
   }),
