A KV cache that no engine took over is used at another one

Since each request beyond the first is taken from the retry budget, a round after a rejected run costs two retries: a prefill and a run. An engine that is another incarnation, or that has no free slot, rejects the run without touching the KV cache, and the cache was left to expire. The run now goes to another engine with the same cache, which costs one retry and no prefill. A rejection by an engine with free slots still counts as a lost cache.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -40,7 +40,7 @@
 
 /** Attempts of each stage for one call. */
 const MAX_ROUNDS = 5;
-/** Decode engines that are tried in turn for one KV cache while none is reached. */
+/** Decode engines that are tried in turn for one KV cache while none takes it over. */
 const MAX_DECODE_ENGINES = 4;
 /** With less time left, a first token can't reach the client before the deadline, milliseconds. */
 const MIN_ROUND_MS = 40;
@@ -180,7 +180,7 @@
       const next = await this.#decodeOnce(prefilled);
       if (next !== "useCacheAgain") return;
     }
-    this.#recordFailure("no engine could be reached", prefilled);
+    this.#recordFailure("no engine took the KV cache over", prefilled);
   }
 
   async #decodeOnce(
@@ -279,10 +279,13 @@
       case "notRun":
         this.#context.undoRun();
         this.#decodeEngines.addTried(target.id);
+        this.#reason = `decode failed: ${result.reason}`;
         if (result.refusal === "declined" && this.#hasFreeSlot(target)) {
           this.#recordLostCache(prefilled);
+        } else if (prefilled !== undefined && this.#mayUseCacheAgain()) {
+          return "useCacheAgain";
         }
-        this.#recordFailure(result.reason);
+        this.#recordFailure(result.reason, prefilled);
         break;
       case "notSent":
         this.#context.undoRun();
@@ -297,7 +300,7 @@
     return "done";
   }
 
-  /** Whether the prompt need not be prefilled again: nothing has reached an engine. */
+  /** Whether the prompt need not be prefilled again: no engine has taken the KV cache over. */
   #mayUseCacheAgain(): boolean {
     return this.#mayContinue() && !this.#context.mustHandOver;
   }
--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -13,6 +13,7 @@
   "lostBefore",
   "lostAfter",
   "refused",
+  "misdirected",
   "failed",
   "cut",
   "ok",
@@ -112,6 +113,18 @@
   }
 });
 
+// Guards against a second prefill, and two retries instead of one, for a KV cache that is still held.
+test("a cache that a replaced engine did not take over is used at another engine", async () => {
+  const misdirected: ScriptedAttempt = { end: "misdirected", restarts: false };
+  for (const kind of ["stream", "resumableStream"] as const) {
+    const outcome = await runScript(kind, [misdirected]);
+    assert.equal(outcome.status, 200, kind);
+    assert.equal(outcome.prefills, 1, kind);
+    assert.equal(outcome.runs.length, 1, kind);
+    assert.equal(outcome.retriesTaken, 1, kind);
+  }
+});
+
 // Guards against a target that looks idle, and gets the next call, because its lost run was forgotten.
 test("a lost run counts as in flight until its target has probably ended it", async (t) => {
   t.mock.timers.enable({ apis: ["setTimeout"] });
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -63,6 +63,8 @@
   | "lostAfter"
   /** The target reports that it did not run the request. */
   | "refused"
+  /** Another incarnation responds, which does not run the request. */
+  | "misdirected"
   /** Run, with an error response. */
   | "failed"
   /** Run, but the response is truncated. */
@@ -344,11 +346,15 @@
     const isFirstPrefill = isPrefill && this.#prefills === 1;
     if (!isFirstPrefill && request.path !== "free") this.#counted++;
     if (end === "lostBefore") return void fail();
-    const isRun = end !== "refused" && !isPrefill && request.path !== "free";
+    const isRun = end !== "refused" && end !== "misdirected" && !isPrefill &&
+      request.path !== "free";
     if (isRun) this.#executions.push(target.id);
     if (end === "lostAfter") return void fail();
     const status = end === "refused" ? 503 : end === "failed" ? 500 : 200;
-    const headers = { "x-not-run": String(end === "refused") };
+    const headers = {
+      "x-not-run": String(end === "refused"),
+      "x-misdirected": String(end === "misdirected"),
+    };
     handler.onResponseStart?.(controller, status, headers, "");
     const first = Number(request.headers[1]) + 1;
     for (let id = first; id <= EVENTS; id++) {
@@ -376,7 +382,7 @@
       callId: "call",
       signed: true,
       notRun: headers["x-not-run"] === "true",
-      misdirected: false,
+      misdirected: headers["x-misdirected"] === "true",
     }),
     decodeKvHandle: () => "handle",
     encodeHandleRelease: () => ({
