--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -376,6 +376,7 @@
     { isRun = true }: { isRun?: boolean } = {},
   ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
+    if (isRun) this.#recordRun();
     this.#attempts++;
     this.#lastTarget = target.id;
     const purpose = isRun ? "run" : "prefill";
@@ -404,7 +405,7 @@
   }
 
   /** Counts the attempt in progress as a run, until the target reports that it did not run it. */
-  recordRun(): void {
+  #recordRun(): void {
     assertInvariant(this.mayRunAgain, "runs-within-kind", this.call.id);
     this.#runs++;
     if (!this.#isStream) this.recordUsage();
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -240,9 +240,7 @@
       ),
       lastEventId: this.#relay.lastEventId,
     });
-    const exchange = context.send(target, request);
-    context.recordRun();
-    return exchange;
+    return context.send(target, request);
   }
 
   /** Logs which software version continues a stream, and which attempt began it. */
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -172,7 +172,6 @@
         stage: "whole",
       }),
     );
-    context.recordRun();
     // The booking counts as one of the runs.
     const { runs } = workTracker.getRunLoad(target.id, sentAtMs);
     const recordDuration = plainTimeModel.beginWork({
