--- a/packages/heatherarch-forward/scheduling/return_times.ts
+++ b/packages/heatherarch-forward/scheduling/return_times.ts
@@ -139,7 +139,10 @@
     if (!this.#isBooked(call.service)) {
       return buildUnbooked(call, "not booked for the service");
     }
-    if (queue === undefined) return buildUnbooked(call, "rate unknown");
+    // The rate is not known either while only calls of unknown work were dispatched.
+    if (queue === undefined || queue.workPerMs === 0) {
+      return buildUnbooked(call, "rate unknown");
+    }
     const latestMs = call.remainingMs * MAX_WAIT_SHARE;
     if (latestMs < MIN_RETURN_MS) {
       return buildUnbooked(call, "no time to return");
--- a/packages/heatherarch-forward/tests/unit/return_times_test.ts
+++ b/packages/heatherarch-forward/tests/unit/return_times_test.ts
@@ -59,6 +59,16 @@
   }
 });
 
+// Guards against a rejection without Retry-After: no work per millisecond made the delay not a number.
+test("calls whose work is not known yet book no return", () => {
+  const { delayMs, detail } = createReturnTimes().computeDelay(
+    buildRejected({ queue: { callsPerMs: 0.1, workPerMs: 0, aheadWorkMs: 0 } }),
+    0,
+  );
+  assert.equal(delayMs, 270);
+  assert.equal(detail.returnReason, "rate unknown");
+});
+
 test("a booked return comes after the calls ahead of it, and while its client waits", () => {
   const times = createReturnTimes();
   const compute = (overrides: Partial<RejectedCall>) =>
