Retry budget: reasons of two constants in plain words

The comment on the used part of the per-call share lacked its second reason, credits of calls that are handed over while VMs restart, and the margin of staked retries had a name of its own.

--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -48,7 +48,10 @@
 
 /** The remaining tenth covers requests that arrive later than they were sent. */
 const USED_FIXED_SHARE = 0.9;
-/** Used part of the per-call share, as calls and retries are counted in different windows. */
+/**
+ * Used part of the per-call share: calls and retries are counted in different windows, and two VMs may
+ * spend the credit of a call that is handed over if the first one restarts.
+ */
 const CALL_SHARE_FACTOR = 0.65;
 /**
  * A VM keeps what its calls earned in this share of the window, because targets fail in bursts. In any
@@ -58,10 +61,10 @@
 /** A round of a generation call sends up to two requests: a prefill and a run. */
 const MAX_PER_ROUND = 2;
 /**
- * If a VM's part is smaller than a round, most retries are drawn. The expected number then stays below
+ * If a VM's part is smaller than a round, most retries are staked. The expected number then stays below
  * the fixed number by this many standard deviations.
  */
-const DRAW_MARGIN_DEVIATIONS = 3;
+const STAKE_MARGIN_DEVIATIONS = 3;
 /** Differences of floating-point numbers below this count as none. */
 const TOLERANCE = 1e-9;
 
@@ -171,7 +174,7 @@
     // The rest of a part would be staked by all VMs, and exceed a small fixed number by chance.
     if (evenPart >= MAX_PER_ROUND) return Math.floor(evenPart);
     const deviation = Math.sqrt(MAX_PER_ROUND * fixedPerWindow);
-    const expected = fixedPerWindow - DRAW_MARGIN_DEVIATIONS * deviation;
+    const expected = fixedPerWindow - STAKE_MARGIN_DEVIATIONS * deviation;
     return Math.min(evenPart, Math.max(0, expected) / this.#liveVms);
   }
 
