Read barrier: measures how late a VM reads, and counts clients that left

Change: ReadBarrier resolves once everything that had arrived in the process's sockets has been read (two check phases of the event loop). Each call begins a pass; its duration is heatherarch_read_pass_seconds. Disconnects are counted by stage; sentLate if the disconnect was read within a pass of the send. No call waits for it yet.

--- a/packages/heatherarch-core/mod.ts
+++ b/packages/heatherarch-core/mod.ts
@@ -10,6 +10,7 @@
 export * from "./invariant.ts";
 export * from "./moment.ts";
 export * from "./random.ts";
+export * from "./read_barrier.ts";
 export * from "./result.ts";
 export * from "./stall_aware_timer.ts";
 export * from "./task.ts";
--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import type { Clock, ReadBarrier } from "heatherarch-core";
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
 import type { FairShares } from "heatherarch-shares";
@@ -74,6 +74,7 @@
   readonly probeTarget: (target: Target) => Promise<ProbeOutcome>;
   readonly incarnationCheck: Pick<IncarnationCheck, "confirm">;
   readonly targetListGuard: TargetListGuard;
+  readonly readBarrier: ReadBarrier;
   readonly crashDetector: CrashDetector;
   readonly pathMonitor: PathMonitor;
   readonly handoverClient: Pick<HandoverClient, "offerCall">;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -106,6 +106,8 @@
   readonly #ledger: AttemptLedger;
   #attempts = 0;
   #lastTarget: string | undefined;
+  /** Monotonic time of the last attempt; undefined before the first one. */
+  #sentAtMs: number | undefined;
   /** Takes the recorded usage of this call back; undefined before it is recorded. */
   #undoUsage: (() => void) | undefined;
   /** Number of targets on which the call runs or may have run. */
@@ -379,6 +381,7 @@
     if (isRun) this.#recordRun();
     this.#attempts++;
     this.#lastTarget = target.id;
+    this.#sentAtMs = this.nowMs;
     const purpose = isRun ? "run" : "prefill";
     const exchange = this.#quarantineGuard.findQuarantined() !== undefined
       ? buildWithheldExchange("the request is quarantined")
@@ -574,11 +577,37 @@
     exchange?.abort(reason);
   }
 
+  #recordDisconnect(): void {
+    const { metrics, readBarrier: { lastPassMs } } = this.dependencies;
+    const sentMs = this.#sentAtMs === undefined
+      ? undefined
+      : this.nowMs - this.#sentAtMs;
+    const stage = classifyDisconnect(sentMs, lastPassMs);
+    metrics.disconnects.inc({ stage });
+    this.finish("clientGone", {
+      stage,
+      sentAgoMs: sentMs === undefined ? undefined : Math.round(sentMs),
+      readPassMs: Math.round(lastPassMs),
+    });
+  }
+
   #handleDisconnect(): void {
     if (this.hasEnded) return;
     const exchange = this.#exchange;
-    this.finish("clientGone");
+    this.#recordDisconnect();
     // A call that must not be repeated is completed rather than aborted halfway.
     if (this.route.kind !== "once") exchange?.abort("client disconnected");
   }
 }
+
+/** How far a call was when its client's disconnect was read. */
+type DisconnectStage = "waiting" | "sent" | "sentLate";
+
+/** A disconnect may have waited for as long as a pass over all sockets takes. */
+function classifyDisconnect(
+  sentAgoMs: number | undefined,
+  readPassMs: number,
+): DisconnectStage {
+  if (sentAgoMs === undefined) return "waiting";
+  return sentAgoMs <= readPassMs ? "sentLate" : "sent";
+}
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -46,8 +46,9 @@
 
   /** Serves one call to its end. Never rejects. */
   async serve(call: ForwardedCall, response: ClientResponse): Promise<void> {
-    const { metrics, log } = this.#dependencies;
+    const { metrics, log, readBarrier } = this.#dependencies;
     metrics.inFlight.inc();
+    void readBarrier.awaitRead();
     try {
       await this.#route(call, response);
     } catch (error) {
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -8,6 +8,9 @@
 /** From the duration of a lookup to the longest client deadline that users specify, seconds. */
 const LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 5];
 
+/** From a pass of an idle process to the bound on calls that are sent after a disconnect, seconds. */
+const READ_PASS_BUCKETS = [0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8];
+
 /** Metrics of one VM. */
 export class ForwardMetrics {
   readonly registry = new Registry();
@@ -147,6 +150,20 @@
     buckets: LATENCY_BUCKETS,
     registers: [this.registry],
   });
+  readonly readPass = new Histogram({
+    name: "heatherarch_read_pass_seconds",
+    help:
+      "Time in which the process read everything that had arrived in its sockets, seconds",
+    buckets: READ_PASS_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly disconnects = new Counter({
+    name: "heatherarch_client_disconnects_total",
+    help:
+      "Calls whose client disconnected, by how far they were: unread, waiting, sent, or sentLate if the disconnect may have arrived before the call was sent",
+    labelNames: ["stage"] as const,
+    registers: [this.registry],
+  });
   readonly listHolds = new Counter({
     name: "heatherarch_list_holds_total",
     help: "Times that calls waited for the target list after a process stall",
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { RuntimeClock, type ServeError } from "heatherarch-core";
+import { ReadBarrier, RuntimeClock, type ServeError } from "heatherarch-core";
 import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
 import type { Dispatcher } from "undici";
@@ -219,6 +219,7 @@
       workTracker: this.#workTracker,
       connections,
       targetListGuard: buildIdleGuard(clock),
+      readBarrier: new ReadBarrier(),
       quarantine,
       partQuarantine: new PartQuarantine(),
       incarnationCheck: { confirm: () => Promise.resolve(true) },
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { type Clock, computeRendezvousWeight } from "heatherarch-core";
+import {
+  type Clock,
+  computeRendezvousWeight,
+  ReadBarrier,
+} from "heatherarch-core";
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
 import { FairShares } from "heatherarch-shares";
@@ -247,6 +251,10 @@
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
     targetListGuard: buildTargetListGuard(options, metrics),
+    readBarrier: new ReadBarrier({
+      clock,
+      onPass: (tookMs) => metrics.readPass.observe(tookMs / MS_PER_SECOND),
+    }),
     usage: new UsageRecorder({
       meter: usageMeter,
       clock,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock, ServeError } from "heatherarch-core";
+import { type Clock, ReadBarrier, type ServeError } from "heatherarch-core";
 import {
   type AttemptCounts,
   buildCrashDetector,
@@ -94,6 +94,7 @@
     incarnationCheck: { confirm: () => Promise.resolve(true) },
     probeTarget: () => Promise.resolve("response"),
     targetListGuard: { isHoldingCalls: () => false },
+    readBarrier: new ReadBarrier(),
     quarantine,
     partQuarantine: new PartQuarantine(),
     pathMonitor,
