All calls on a connection hear of its end

What callers saw: work went on for pipelined calls whose client had left. Cause: Node.js emits close on the response that is being written only; responses behind it are told nothing, so their calls were sent on in turn. Change: ClientConnection listens to the end and the close of the socket, once, and tells each call on it. The end of the client's sending side is heard one turn of the event loop before the close; Node.js ends the connection then.

--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { buildErrorBody, type ServeError } from "heatherarch-core";
 import type { AttemptCounts } from "../model.ts";
+import type { ClientConnection } from "./client_connection.ts";
 
 /** `Retry-After` is given in hundredths of a second. */
 const RETRY_AFTER_STEP_MS = 10;
@@ -45,22 +46,17 @@
 /** Writes one response to a client that is connected to this VM. */
 export class HttpClientResponse implements ClientResponse {
   readonly #response: ServerResponse;
-  readonly #disconnectListeners = new Set<() => void>();
-  #disconnected = false;
+  readonly #connection: ClientConnection;
   /** The end of the connection marks the end of the body. */
   #endsConnection = false;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, connection: ClientConnection) {
     this.#response = response;
-    response.on("close", () => {
-      if (response.writableFinished || this.#disconnected) return;
-      this.#disconnected = true;
-      for (const listener of this.#disconnectListeners) listener();
-    });
+    this.#connection = connection;
   }
 
   get isDisconnected(): boolean {
-    return this.#disconnected;
+    return this.#connection.isEnded;
   }
 
   get isHeadSent(): boolean {
@@ -68,10 +64,7 @@
   }
 
   registerDisconnectListener(listener: () => void): () => void {
-    this.#disconnectListeners.add(listener);
-    return () => {
-      this.#disconnectListeners.delete(listener);
-    };
+    return this.#connection.registerEndListener(listener);
   }
 
   writeHead(
@@ -107,7 +100,7 @@
   }
 
   fail(error: ServeError, callId: string): void {
-    if (this.#disconnected || this.#response.headersSent) return;
+    if (this.isDisconnected || this.#response.headersSent) return;
     const body = Buffer.from(JSON.stringify(buildErrorBody(error, callId)));
     this.#response.statusCode = error.status;
     this.#response.setHeader("content-type", "application/json");
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -12,6 +12,7 @@
 export * from "./calls/call_context.ts";
 export * from "./calls/call_server.ts";
 export * from "./scheduling/client_timeout.ts";
+export * from "./calls/client_connection.ts";
 export * from "./calls/client_response.ts";
 export * from "./calls/generation_handler.ts";
 export * from "./calls/target_list_guard.ts";
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { type Clock, ServeError, toServeError } from "heatherarch-core";
+import { ClientConnection } from "../calls/client_connection.ts";
 import {
   type ClientResponse,
   HttpClientResponse,
@@ -49,6 +50,7 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #http: Server;
+  readonly #connections = new WeakMap<Socket, ClientConnection>();
   #limits = INITIAL_LIMITS;
   #draining = false;
   #openCalls = 0;
@@ -114,7 +116,10 @@
     response.once("close", () => this.#openCalls--);
     if (this.#draining) response.setHeader("Connection", "close");
     const arrivedAtMs = this.#options.clock.readMonotonicMs();
-    const clientResponse = new HttpClientResponse(response);
+    const clientResponse = new HttpClientResponse(
+      response,
+      this.#findConnection(request.socket),
+    );
     try {
       const head = this.#readHead(request, arrivedAtMs);
       const body = await readBody(request, this.#limits.maxBodyBytes);
@@ -130,6 +135,15 @@
     }
   }
 
+  #findConnection(socket: Socket): ClientConnection {
+    let connection = this.#connections.get(socket);
+    if (connection === undefined) {
+      connection = new ClientConnection(socket);
+      this.#connections.set(socket, connection);
+    }
+    return connection;
+  }
+
   #readHead(
     request: IncomingMessage,
     arrivedAtMs: number,
