A call is sent once what has arrived before it is sent has been read

What callers saw (GONE): requests reached targets up to a second after their clients had left, from VMs that read late. Cause: a late VM reads a request in one turn of its event loop and the end of the connection, which has arrived as well, in the next one. The call was sent in the turn in which it was read, and a call that waited in a queue by what was known when its timer or its target's response came. Only the guard of the target list stood between, where it held calls. Change: calls wait for the read barrier before they are routed, and again before each send unless a pass over the sockets ended within 50 ms. Work that waits is started in its order while the pass is current, and the rest after another one. A call whose client has left by then is dropped (callDropped, stage unread).

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -2,9 +2,9 @@
  * Tells when everything that has arrived in the sockets of this process has been read.
  *
  * A process that is late reads a request some time before the end of the connection behind it, although
- * both have arrived: the event loop delivers one event of a socket at a time, and runs timers before it
- * looks at sockets. Whoever acts on an event waits for the barrier first, so that later events which are
- * there already are known.
+ * both have arrived: the event loop delivers one event of a socket at a time, accepts one connection per
+ * turn, and runs timers before it looks at sockets. Whoever acts on an event waits for the barrier first,
+ * so that later events which are there already are known.
  *
  * @module
  */
@@ -19,6 +19,12 @@
 
 type Waiter = () => void;
 
+/**
+ * Time for which the result of a pass is used, milliseconds: what arrives meanwhile is not known. It is a
+ * tenth of the time within which the disconnect of a client should end its call.
+ */
+const MAX_READ_AGE_MS = 50;
+
 /** The barrier of one process. */
 export class ReadBarrier {
   readonly #options: Required<ReadBarrierOptions>;
@@ -26,7 +32,10 @@
   #beginning: Waiter[] = [];
   /** Waiters whose pass began with the last check phase, and ends with the next one. */
   #passing: Waiter[] = [];
+  /** Work that waits for its turn, in its order. */
+  readonly #work: Waiter[] = [];
   #passBeganAtMs = 0;
+  #passEndedAtMs = -Infinity;
   #lastPassMs = 0;
   #isScheduled = false;
 
@@ -43,6 +52,11 @@
     return this.#lastPassMs;
   }
 
+  /** Whether a pass has just ended, so that what it read may be acted on without another one. */
+  get isCurrent(): boolean {
+    return this.#nowMs - this.#passEndedAtMs <= MAX_READ_AGE_MS;
+  }
+
   /** Resolves when what has arrived by now has been read. */
   awaitRead(): Promise<void> {
     return new Promise((resolve) => {
@@ -51,6 +65,22 @@
     });
   }
 
+  /**
+   * Resolves when what has arrived by now has been read and it is the caller's turn: work is started
+   * after a pass only as long as the pass is current, and the rest waits for another one.
+   */
+  async awaitTurn(): Promise<void> {
+    await this.awaitRead();
+    await new Promise<void>((resolve) => {
+      this.#work.push(resolve);
+      if (this.#work.length === 1) this.#startWork();
+    });
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.readMonotonicMs();
+  }
+
   #schedule(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
@@ -60,18 +90,40 @@
 
   #check(): void {
     this.#isScheduled = false;
-    const nowMs = this.#options.clock.readMonotonicMs();
     const passed = this.#passing;
-    if (passed.length > 0) this.#recordPass(nowMs - this.#passBeganAtMs);
+    const isPass = passed.length > 0;
+    if (isPass) this.#recordPass();
     this.#passing = this.#beginning;
     this.#beginning = [];
-    this.#passBeganAtMs = nowMs;
+    this.#passBeganAtMs = this.#nowMs;
     if (this.#passing.length > 0) this.#schedule();
     for (const resolve of passed) resolve();
   }
 
-  #recordPass(tookMs: number): void {
-    this.#lastPassMs = tookMs;
-    this.#options.onPass(tookMs);
+  #recordPass(): void {
+    this.#passEndedAtMs = this.#nowMs;
+    this.#lastPassMs = this.#passEndedAtMs - this.#passBeganAtMs;
+    this.#options.onPass(this.#lastPassMs);
+  }
+
+  /** Starts the first work, or has it wait for another pass. */
+  #startWork(): void {
+    if (!this.isCurrent) {
+      void this.awaitRead().then(() => this.#startNext());
+      return;
+    }
+    this.#startNext();
+  }
+
+  #startNext(): void {
+    const [resolve] = this.#work;
+    resolve();
+    // The tick follows the microtasks in which the work that was started runs.
+    queueMicrotask(() =>
+      process.nextTick(() => {
+        this.#work.shift();
+        if (this.#work.length > 0) this.#startWork();
+      })
+    );
   }
 }
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -304,11 +304,19 @@
     return false;
   }
 
-  /** Resolves when the list of targets is fresh enough to be used, or the call has ended. */
-  async awaitTargetList(): Promise<void> {
-    const { targetListGuard } = this.dependencies;
-    if (!targetListGuard.isHoldingCalls()) return;
-    await Promise.race([targetListGuard.awaitFreshList(), this.#ended]);
+  /**
+   * Resolves when this VM knows what it has to know before it sends the call: the list of targets is
+   * fresh enough, and a disconnect of the client that has arrived would have been read. Resolves early
+   * if the call ends.
+   */
+  async awaitSendable(): Promise<void> {
+    const { targetListGuard, readBarrier } = this.dependencies;
+    while (!this.hasEnded) {
+      if (targetListGuard.isHoldingCalls()) {
+        await Promise.race([targetListGuard.awaitFreshList(), this.#ended]);
+      } else if (!readBarrier.isCurrent) await readBarrier.awaitRead();
+      else return;
+    }
   }
 
   /** Records that an attempt could not reach its target, which may have refused the connection. */
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -65,6 +65,7 @@
     const context = this.#context;
     for (;;) {
       const connection = await this.#findPeer();
+      await context.awaitSendable();
       if (context.hasEnded) {
         connection?.close();
         return "ended";
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -48,9 +48,10 @@
   async serve(call: ForwardedCall, response: ClientResponse): Promise<void> {
     const { metrics, log, readBarrier } = this.#dependencies;
     metrics.inFlight.inc();
-    void readBarrier.awaitRead();
     try {
-      await this.#route(call, response);
+      await readBarrier.awaitTurn();
+      if (response.isDisconnected) this.#dropCall(call);
+      else await this.#route(call, response);
     } catch (error) {
       log.write("error", "callCrashed", {
         call: call.id,
@@ -64,6 +65,18 @@
     }
   }
 
+  /** Drops a call whose client has disconnected before the call was read. */
+  #dropCall(call: ForwardedCall): void {
+    const { log, metrics, readBarrier } = this.#dependencies;
+    metrics.disconnects.inc({ stage: "unread" });
+    log.write("info", "callDropped", {
+      call: call.id,
+      host: call.host,
+      path: call.path,
+      readPassMs: Math.round(readBarrier.lastPassMs),
+    });
+  }
+
   async #route(call: ForwardedCall, response: ClientResponse): Promise<void> {
     const { table } = this.#dependencies.activeConfig;
     if (table === undefined) {
--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -99,8 +99,9 @@
    * room in the rate limits of the engines that have it.
    */
   async awaitEngine(zone: string | undefined): Promise<Target | undefined> {
-    await this.#context.awaitTargetList();
-    while (!this.#context.hasEnded && this.#context.hasPath) {
+    for (;;) {
+      await this.#context.awaitSendable();
+      if (this.#context.hasEnded || !this.#context.hasPath) return undefined;
       const target = this.pick(zone);
       if (target !== undefined) {
         this.endWait();
@@ -110,7 +111,6 @@
       if (!this.mayWait()) return undefined;
       await sleep(POLL_INTERVAL_MS);
     }
-    return undefined;
   }
 
   /** Counts the call among those that wait for an engine. */
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -97,7 +97,7 @@
       !context.mustHandOver
     ) {
       this.#attempts++;
-      await context.awaitTargetList();
+      await context.awaitSendable();
       if (context.hasEnded) return;
       const booked = await this.#awaitTarget();
       if (booked === undefined) return;
@@ -135,8 +135,9 @@
     const context = this.#context;
     const { target } = booked.placement;
     try {
-      // The call may have been placed right after a stall, before the target list was refreshed.
-      await context.awaitTargetList();
+      // The call may have been placed right after a stall, before the target list was refreshed and the
+      // client's disconnect was read.
+      await context.awaitSendable();
       if (context.hasEnded) return undefined;
       if (!context.reserve({ purpose: "run", requests: 1 })) return undefined;
       const result = await this.#attempt(booked);
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -102,8 +102,9 @@
     const { placement } = placed;
     const context = this.#context;
     try {
-      // The prompt may have been placed right after a stall, before the target list was refreshed.
-      await context.awaitTargetList();
+      // The prompt may have been placed right after a stall, before the target list was refreshed and the
+      // client's disconnect was read.
+      await context.awaitSendable();
       if (context.hasEnded) return { kind: "over" };
       // A prefill without the run that follows it would be in vain, so both are taken together.
       const round = { requests: 2, beginsWithPrefill: true } as const;
