Requests that are not written yet end with their client, whatever their kind

What callers saw: bookings and other calls that may run once were written to their target after the client had left, if the connection was still being opened. A connection that opened in the same turn as the disconnect was read in got its request first. Cause: the disconnect aborted no exchange of such a call, sent or not; a call that found its client gone already waited for an event that had happened; undici writes in the callback of the connect event. Change: an exchange that is not sent, or that is with a peer, is aborted for any kind; the connector calls back after the sockets of its turn are read.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -163,6 +163,7 @@
     this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
     this.dependencies.fleetDemand.recordCall(this.nowMs);
     this.returnKind = this.#classifyArrival();
+    if (this.clientResponse.isDisconnected) this.#handleDisconnect();
   }
 
   /** Current monotonic time, milliseconds. */
@@ -585,6 +586,15 @@
     exchange?.abort(reason);
   }
 
+  /**
+   * A call that must not be repeated is completed rather than aborted halfway at its target. A peer is
+   * told at any time, and decides the same for its own exchange.
+   */
+  #mayAbort(exchange: TargetExchange): boolean {
+    return this.route.kind !== "once" || this.#isHandedOver ||
+      !exchange.isSent;
+  }
+
   #recordDisconnect(): void {
     const { metrics, readBarrier: { lastPassMs } } = this.dependencies;
     const sentMs = this.#sentAtMs === undefined
@@ -603,8 +613,9 @@
     if (this.hasEnded) return;
     const exchange = this.#exchange;
     this.#recordDisconnect();
-    // A call that must not be repeated is completed rather than aborted halfway.
-    if (this.route.kind !== "once") exchange?.abort("client disconnected");
+    if (exchange !== undefined && this.#mayAbort(exchange)) {
+      exchange.abort("client disconnected");
+    }
   }
 }
 
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -115,8 +115,8 @@
         if (error === null) {
           socket.prependListener("error", () => this.#recordReset());
           socket.prependListener("end", () => this.#checkEnd(socket));
-        }
-        callback(...result);
+          onceSocketsAreRead(() => callback(...result));
+        } else callback(...result);
       });
   }
 
@@ -135,6 +135,14 @@
   }
 }
 
+/**
+ * Calls `run` once the other events of this turn of the event loop are read. The requests that wait for
+ * a connection are written then; those whose clients have disconnected meanwhile are aborted before.
+ */
+function onceSocketsAreRead(run: () => void): void {
+  setImmediate(run);
+}
+
 /** All connections of this VM to targets. */
 export class TargetConnections {
   readonly #options: Required<TargetConnectionsOptions>;
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RuntimeClock, ServeError } from "heatherarch-core";
+import { ReadBarrier, RuntimeClock, ServeError } from "heatherarch-core";
 import {
   hashRequest,
   PartQuarantine,
@@ -58,6 +58,7 @@
       quarantine,
       partQuarantine: new PartQuarantine(),
       pathMonitor: buildIdlePathMonitor(),
+      readBarrier: new ReadBarrier(),
       retryBudget,
       fleetDemand,
       returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  connect,
+  createServer as createTcpServer,
+  type Socket,
+} from "node:net";
 import { afterEach, test } from "node:test";
 import {
   ExchangeError,
@@ -106,3 +111,43 @@
   assert.ok(sum <= 800 && sum > 780, `${limits}`);
   assert.ok(limits[0] > 300, `${limits}`);
 });
+
+/** Opens a connection, and returns both of its ends. The accepted one is paused. */
+async function openConnection(): Promise<[Socket, Socket]> {
+  const listener = createTcpServer({ pauseOnConnect: true });
+  await new Promise<void>((resolve) =>
+    listener.listen(0, "127.0.0.1", resolve)
+  );
+  const accepted = new Promise<Socket>((resolve) =>
+    listener.once("connection", resolve)
+  );
+  const { port } = listener.address() as AddressInfo;
+  const client = connect(port, "127.0.0.1");
+  const ends: [Socket, Socket] = [client, await accepted];
+  listener.close();
+  return ends;
+}
+
+function blockEventLoop(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
+// Guards against a request that is written to a connection which opens while the disconnect of the
+// client, which has arrived as well, is not read yet.
+test("a request whose client left before its connection opened is not written", async () => {
+  const { target, count } = await build(() => undefined);
+  const [client, accepted] = await openConnection();
+  const exchange = connections!.send(target, REQUEST);
+  accepted.once("end", () => exchange.abort("client disconnected"));
+  // By then undici has begun to open the connection, and the event loop has not read that it is open.
+  setImmediate(() => {
+    accepted.resume();
+    client.destroy();
+    blockEventLoop(20);
+  });
+  const end = await exchange.ended;
+  assert.ok(end !== "ended" && end.fault === "notSent");
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(count(), 0);
+});
