Timeouts run after the responses that arrived before them are read

What callers saw: 504 or 502 after a stall of a VM although the response had arrived, and for calls that may be repeated a second run. Cause: after a stall the event loop runs timers before it reads sockets, so the timeout of a call and the silence timeout of an attempt acted first. Change: both wait for the read barrier, and act if there is no response then. Evidence: late_vm_test, "a response that arrives during a stall is delivered": 504 (booking) and 502 (lookup) with either change taken back, 200 with both.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -111,8 +111,13 @@
   } = options;
   if (timeoutMs === undefined) return () => undefined;
   const sentAtMs = context.nowMs;
+  const { readBarrier } = context.dependencies;
   let timer: NodeJS.Timeout;
-  const checkSilence = (): void => {
+  let isStopped = false;
+  const checkSilence = async (): Promise<void> => {
+    // A response that has arrived is no silence, although the timer runs before it is read.
+    await readBarrier.awaitRead();
+    if (isStopped) return;
     const lastResponseAtMs = context.dependencies.health.getLastResponseAtMs(
       target.id,
     );
@@ -120,15 +125,21 @@
       extendsWhileAlive() &&
       context.nowMs - lastResponseAtMs < ALIVE_WINDOW_MS
     ) {
-      timer = setTimeout(checkSilence, ALIVE_WINDOW_MS);
+      startTimer(ALIVE_WINDOW_MS);
       return;
     }
     exchange.abort(
       `no response for ${Math.round(context.nowMs - sentAtMs)} ms`,
     );
   };
-  timer = setTimeout(checkSilence, timeoutMs);
-  return () => clearTimeout(timer);
+  const startTimer = (ms: number): void => {
+    timer = setTimeout(() => void checkSilence(), ms);
+  };
+  startTimer(timeoutMs);
+  return () => {
+    isStopped = true;
+    clearTimeout(timer);
+  };
 }
 
 /**
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -149,7 +149,7 @@
       this.#resolveEnded = resolve;
     });
     this.#timer = setTimeout(
-      () => this.#expire(),
+      () => void this.#expireOnceRead(),
       Math.max(0, this.remainingMs),
     );
     this.#quarantineGuard = new QuarantineGuard({
@@ -573,6 +573,12 @@
     return kind === "stream" || kind === "resumableStream";
   }
 
+  /** A response that has arrived is delivered, although the timer runs before it is read. */
+  async #expireOnceRead(): Promise<void> {
+    await this.dependencies.readBarrier.awaitRead();
+    this.#expire();
+  }
+
   #expire(): void {
     if (this.hasEnded) return;
     const reason = "timeout of the call or of its route";
