--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -210,12 +210,7 @@
     };
   }
   if (metadata.notRun) {
-    // The body is discarded, but reading it keeps the connection reusable.
-    exchange.setBodyListener({
-      onData: ignore,
-      onEnd: ignore,
-      onFault: ignore,
-    });
+    exchange.discardBody();
     return {
       kind: "notRun",
       reason: `refused with ${head.status}`,
@@ -229,10 +224,6 @@
   return { kind: "answer", head, metadata };
 }
 
-function ignore(): void {
-  // The body of a refusal is discarded.
-}
-
 /** Records the result of an attempt in this VM's state, the metrics and the log. */
 function recordResult(
   context: CallContext,
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -7,8 +7,10 @@
  */
 import {
   getResponseFraming,
+  readFailure,
   type RelayResult,
   StreamRelay,
+  writeResponse,
 } from "./response_relay.ts";
 import type { CallContext } from "./call_context.ts";
 import { DecodeEnginePicker } from "./decode_engine_picker.ts";
@@ -334,6 +336,7 @@
     }
     this.#respondingEngine = target;
     this.#isResponseSuccessful = isSuccess;
+    if (!isSuccess) return await this.#deliverFailure(target, exchange, head);
     const removeListener = this.#abortIfPathLost(exchange);
     const relayed = await this.#relay.relay(exchange, head);
     removeListener();
@@ -343,6 +346,25 @@
     this.#handleRelayResult(target, head.status, result);
   }
 
+  /** Delivers an engine's failure, or records why it is not passed on. */
+  async #deliverFailure(
+    target: Target,
+    exchange: TargetExchange,
+    head: ResponseHead,
+  ): Promise<void> {
+    const context = this.#context;
+    try {
+      const response = await readFailure(exchange, head);
+      if (context.hasEnded) return;
+      this.#recordFirstByte();
+      writeResponse(context.clientResponse, context.call.method, response);
+      context.finish("delivered", { status: head.status, target: target.id });
+    } catch (error) {
+      if (!(error instanceof ExchangeError)) throw error;
+      this.#handleRelayResult(target, head.status, error);
+    }
+  }
+
   /** Returns why a response may not be relayed; undefined if it may. */
   async #findFault(
     target: Target,
--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -17,9 +17,9 @@
   readonly codec: Pick<CallCodec, "encodeReportRequest" | "decodeReport">;
 }
 
-const MAX_REPORT_BYTES = 64 * 1024;
 /** Time for a report, which needs no slot of the target, milliseconds. */
 const REPORT_TIMEOUT_MS = 300;
+const REPORT_LIMITS = { maxBytes: 64 * 1024, timeoutMs: REPORT_TIMEOUT_MS };
 /** Targets whose last check is remembered. */
 const MAX_CHECKED = 10_000;
 
@@ -50,7 +50,7 @@
       REPORT_TIMEOUT_MS,
     );
     try {
-      const body = await exchange.readBody(MAX_REPORT_BYTES);
+      const body = await exchange.readBody(REPORT_LIMITS);
       const report = codec.decodeReport(body);
       if (report?.startedAtMs !== target.startedAtMs) return false;
     } catch {
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -8,6 +8,7 @@
   type BufferedResponse,
   getResponseFraming,
   type PartialResponse,
+  readFailure,
   readResponse,
   relayPartialResponse,
   StreamRelay,
@@ -204,7 +205,12 @@
         };
       }
       if (isSuccessStatus(result.head.status)) recordDuration(context.nowMs);
-      const read = await readResponse(exchange, result.head);
+      const read = isSuccessStatus(result.head.status)
+        ? await readResponse(exchange, result.head)
+        : {
+          kind: "whole" as const,
+          response: await readFailure(exchange, result.head),
+        };
       if (context.hasEnded) return { kind: "over" };
       this.#learnWork(booked, sentAtMs);
       if (read.kind === "partial") {
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -39,7 +39,8 @@
  */
 const LATE_PREFILL_SHARE = 0.25;
 /** Largest response to a prefill, which contains a handle and two numbers. */
-const MAX_RESPONSE_BYTES = 64 * 1024;
+/** Bounds of the handle of a KV cache, which an engine sends in one piece. */
+const HANDLE_LIMITS = { maxBytes: 64 * 1024, timeoutMs: 500 };
 
 /** A prompt that an engine has prefilled, and the handle of its KV cache. */
 export interface PrefilledPrompt {
@@ -130,7 +131,7 @@
       codec.encodeHandleRelease(kvSource.handle),
       "release",
     )
-      .readBody(MAX_RESPONSE_BYTES)
+      .readBody(HANDLE_LIMITS)
       .catch((error: Error) =>
         // The engine drops the cache by itself after some seconds.
         log.write("debug", "handleNotFreed", {
@@ -177,7 +178,7 @@
       return this.#recordFailure(target, result.reason);
     }
     try {
-      const body = await exchange.readBody(MAX_RESPONSE_BYTES);
+      const body = await exchange.readBody(HANDLE_LIMITS);
       const { status } = result.head;
       const handle = isSuccessStatus(status)
         ? this.#context.dependencies.codec.decodeKvHandle(body)
--- a/packages/heatherarch-forward/calls/response_probe.ts
+++ b/packages/heatherarch-forward/calls/response_probe.ts
@@ -40,12 +40,7 @@
   );
   try {
     await exchange.head;
-    // The body is discarded, but reading it keeps the connection reusable.
-    exchange.setBodyListener({
-      onData: ignore,
-      onEnd: ignore,
-      onFault: ignore,
-    });
+    exchange.discardBody();
     return "response";
   } catch (error) {
     const isRefused = error instanceof ExchangeError &&
@@ -55,7 +50,3 @@
     stopTimer();
   }
 }
-
-function ignore(): void {
-  // The body of the response tells nothing that the probe needs.
-}
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -20,6 +20,12 @@
 /** End of an event: a blank line. */
 const EVENT_END = /\n\r?\n$/;
 
+/**
+ * Bounds of a failure response that is passed on. A longer one is probably no response, and may never
+ * end; an attempt that can be repeated waits for it.
+ */
+const FAILURE_LIMITS = { maxBytes: 256 * 1024, timeoutMs: 1000 };
+
 /** How the end of a response body is marked. */
 export type ResponseFraming = "length" | "chunked" | "connection";
 
@@ -82,6 +88,16 @@
   });
 }
 
+/**
+ * Reads a complete failure response within limits. Rejects with an {@linkcode ExchangeError} beyond them.
+ */
+export async function readFailure(
+  exchange: TargetExchange,
+  head: ResponseHead,
+): Promise<BufferedResponse> {
+  return { head, body: await exchange.readBody(FAILURE_LIMITS) };
+}
+
 /**
  * Sends the start of a large response to the client, and relays the rest as it arrives. A response
  * that is truncated after its start can't be retried.
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { startStallAwareTimer } from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 
@@ -61,6 +62,18 @@
   readonly isReset: () => boolean;
 }
 
+/** Interim responses that a target may send before its response; beyond them they may never end. */
+const MAX_INTERIM_RESPONSES = 32;
+/** Bounds of a body that tells nothing, milliseconds: a target that is alive sends it at once. */
+const DISCARDED_BODY = { maxBytes: 64 * 1024, timeoutMs: 500 };
+
+/** Bounds of a body that is read as a whole. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  /** Longest time until the body is complete, milliseconds. */
+  readonly timeoutMs: number;
+}
+
 /** A withheld exchange has no connection, so its handlers never use the controller. */
 const NO_CONTROLLER = undefined as unknown as Controller;
 
@@ -80,6 +93,7 @@
   #listener: BodyListener | undefined;
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
+  #interimResponses = 0;
   readonly #hooks: ExchangeHooks;
 
   constructor(
@@ -155,8 +169,31 @@
     else if (this.#end !== "open") listener.onFault(this.#end);
   }
 
-  /** Reads a body of up to `maxBytes`. Rejects with an {@linkcode ExchangeError}. */
-  readBody(maxBytes: number): Promise<Buffer> {
+  /**
+   * Reads a body within limits, beyond which the exchange is aborted. Rejects with an
+   * {@linkcode ExchangeError}.
+   */
+  async readBody({ maxBytes, timeoutMs }: BodyLimits): Promise<Buffer> {
+    const stopTimer = startStallAwareTimer(
+      () => this.abort(`response not complete within ${timeoutMs} ms`),
+      timeoutMs,
+    );
+    try {
+      return await this.#collectBody(maxBytes);
+    } finally {
+      stopTimer();
+    }
+  }
+
+  /**
+   * Discards a body, which keeps the connection reusable. The connection of one that does not end is
+   * closed.
+   */
+  discardBody(): void {
+    this.readBody(DISCARDED_BODY).catch(() => undefined);
+  }
+
+  #collectBody(maxBytes: number): Promise<Buffer> {
     return new Promise((resolve, reject) => {
       const chunks: Buffer[] = [];
       let size = 0;
@@ -186,7 +223,7 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (status < 200) return;
+    if (status < 200) return this.#handleInterimHead();
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((part) =>
       typeof part === "string" ? part : part.toString("latin1")
@@ -194,6 +231,13 @@
     this.#resolveHead({ status, headers, rawHeaders });
   }
 
+  #handleInterimHead(): void {
+    this.#interimResponses++;
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+      this.abort(`more than ${MAX_INTERIM_RESPONSES} interim responses`);
+    }
+  }
+
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
     if (this.#listener === undefined) this.#bufferedChunks.push(bytes);
--- a/packages/heatherarch-forward/tasks/engine_request.ts
+++ b/packages/heatherarch-forward/tasks/engine_request.ts
@@ -23,7 +23,7 @@
 
 /** A control request needs no slot, and usually takes hundreds of times less than this timeout. */
 const REQUEST_TIMEOUT_MS = 1000;
-const MAX_BODY_BYTES = 1024 * 1024;
+const BODY_LIMITS = { maxBytes: 1024 * 1024, timeoutMs: REQUEST_TIMEOUT_MS };
 
 /** Sends a control request to an engine; returns undefined if there was no response. */
 export async function sendEngineRequest(
@@ -38,7 +38,7 @@
   );
   try {
     const { status } = await exchange.head;
-    return { status, body: await exchange.readBody(MAX_BODY_BYTES) };
+    return { status, body: await exchange.readBody(BODY_LIMITS) };
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error;
     context.events.write("warn", "engineUnanswered", {
