What a pass has read is used for 100 ms

Passes of a busy VM take 25 to 77 ms, so with 50 ms most sends of calls in progress waited for another pass, twice or more for each call. Change: 100 ms, a fifth of the time within which a disconnect should end a call.

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -21,9 +21,10 @@
 
 /**
  * Time for which the result of a pass is used, milliseconds: what arrives meanwhile is not known. It is a
- * tenth of the time within which the disconnect of a client should end its call.
+ * fifth of the time within which the disconnect of a client should end its call. With 50 ms, calls of a
+ * busy process, whose passes take as long, waited for another pass before each of their sends.
  */
-const MAX_READ_AGE_MS = 50;
+const MAX_READ_AGE_MS = 100;
 
 /** The barrier of one process. */
 export class ReadBarrier {
