Proof: disconnects that are read late

Cause: no proof played an event loop that reads a disconnect after the request before it, so a call that is sent too early was seen by chance only.

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -10,11 +10,24 @@
  */
 import { type Clock, RuntimeClock } from "./clock.ts";
 
+/**
+ * What keeps unread events from being missed: a waiter waits for a whole pass that begins after it, and
+ * work is started only as long as the pass is current.
+ */
+export const READ_BARRIER_GUARDS = ["wholePass", "boundedWork"] as const;
+
+/** Name of a guard of {@linkcode ReadBarrier}. */
+export type ReadBarrierGuard = typeof READ_BARRIER_GUARDS[number];
+
 /** Options of {@linkcode ReadBarrier}. */
 export interface ReadBarrierOptions {
   readonly clock?: Pick<Clock, "readMonotonicMs">;
   /** Called with the time that a pass over all sockets took, milliseconds. */
   readonly onPass?: (tookMs: number) => void;
+  /** Runs a function in the next check phase of the event loop, right after sockets are read. */
+  readonly scheduleCheck?: (run: () => void) => void;
+  /** Guards that a proof disables. */
+  readonly disabledGuards?: ReadonlySet<ReadBarrierGuard>;
 }
 
 type Waiter = () => void;
@@ -44,6 +57,8 @@
     this.#options = {
       clock: new RuntimeClock(),
       onPass: () => undefined,
+      scheduleCheck: (run) => void setImmediate(run),
+      disabledGuards: new Set(),
       ...options,
     };
   }
@@ -61,7 +76,8 @@
   /** Resolves when what has arrived by now has been read. */
   awaitRead(): Promise<void> {
     return new Promise((resolve) => {
-      this.#beginning.push(resolve);
+      const isWhole = !this.#options.disabledGuards.has("wholePass");
+      (isWhole ? this.#beginning : this.#passing).push(resolve);
       this.#schedule();
     });
   }
@@ -85,8 +101,7 @@
   #schedule(): void {
     if (this.#isScheduled) return;
     this.#isScheduled = true;
-    // Immediates run in the check phase, right after the phase in which sockets are read.
-    setImmediate(() => this.#check());
+    this.#options.scheduleCheck(() => this.#check());
   }
 
   #check(): void {
@@ -109,7 +124,8 @@
 
   /** Starts the first work, or has it wait for another pass. */
   #startWork(): void {
-    if (!this.isCurrent) {
+    const isBounded = !this.#options.disabledGuards.has("boundedWork");
+    if (isBounded && !this.isCurrent) {
       void this.awaitRead().then(() => this.#startNext());
       return;
     }
