The reset of a client's connection is heard before its close

What callers saw: work for clients that reset their connection while the VM was frozen. Cause: Node.js emits the close of a reset socket after the check phase, in which calls that waited for the read barrier are sent; its error comes before. Change: ClientConnection listens to the error as well. Evidence: disconnect_test "a reset ends a connection before its close", which failed before.

--- a/packages/heatherarch-forward/calls/client_connection.ts
+++ b/packages/heatherarch-forward/calls/client_connection.ts
@@ -14,6 +14,8 @@
   constructor(socket: Socket) {
     // A client that ends its sending side gets no response either: Node.js ends the other side then.
     socket.once("end", () => this.#handleEnd());
+    // A reset is read as an error. The close follows after the work of the turn in which it is read.
+    socket.on("error", () => this.#handleEnd());
     socket.once("close", () => this.#handleEnd());
   }
 
--- a/packages/heatherarch-forward/tests/unit/disconnect_test.ts
+++ b/packages/heatherarch-forward/tests/unit/disconnect_test.ts
@@ -151,3 +151,13 @@
   assert.deepEqual(heard, ["first", "second"]);
   assert.equal(connection.isEnded, true);
 });
+
+// Guards against calls that are sent between the reset of a connection and its close, which is emitted
+// after the check phase of the event loop.
+test("a reset ends a connection before its close", () => {
+  const socket = new EventEmitter();
+  const connection = new ClientConnection(socket as Socket);
+  socket.emit("error", new Error("read ECONNRESET"));
+  assert.equal(connection.isEnded, true);
+  socket.emit("error", new Error("write EPIPE"));
+});
