A VM that was frozen reads before it acts on what it knew

What callers saw: requests reached targets up to 0.8 s after their clients had left, from VMs that were frozen for less than a second. Cause: three ways to act after a freeze on what was read before it. A pass that began before the freeze ended after it without reading again; a connection that opened in the turn of the freeze got its request after one check phase; undici writes to a kept connection a turn of the event loop after the send. Change: a pass that took over 200 ms is repeated, three times at most; what is read counts from the begin of a pass. A request that is to be written over 200 ms after its send, or after a connection opened, is withheld: it counts as not sent, and the call is tried again.

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -11,10 +11,14 @@
 import { type Clock, RuntimeClock } from "./clock.ts";
 
 /**
- * What keeps unread events from being missed: a waiter waits for a whole pass that begins after it, and
- * work is started only as long as the pass is current.
+ * What keeps unread events from being missed: a waiter waits for a whole pass that begins after it, a
+ * pass that took too long is repeated, and work is started only as long as the pass is current.
  */
-export const READ_BARRIER_GUARDS = ["wholePass", "boundedWork"] as const;
+export const READ_BARRIER_GUARDS = [
+  "wholePass",
+  "freshPass",
+  "boundedWork",
+] as const;
 
 /** Name of a guard of {@linkcode ReadBarrier}. */
 export type ReadBarrierGuard = typeof READ_BARRIER_GUARDS[number];
@@ -33,11 +37,17 @@
 type Waiter = () => void;
 
 /**
- * Time for which the result of a pass is used, milliseconds: what arrives meanwhile is not known. It is a
- * fifth of the time within which the disconnect of a client should end its call. With 50 ms, calls of a
- * busy process, whose passes take as long, waited for another pass before each of their sends.
+ * Time from the begin of a pass for which its result is used, milliseconds: what arrives meanwhile is not
+ * known. It is less than half of the time within which the disconnect of a client should end its call,
+ * and a few times as long as a pass of a busy process. With 50 ms from the end of a pass, most sends of
+ * such a process waited for another pass.
  */
-const MAX_READ_AGE_MS = 100;
+const MAX_READ_AGE_MS = 200;
+/**
+ * A pass that took longer is repeated: the process may have stood still after it had read. Without a
+ * limit, a process that gets very little processor time would not do any work.
+ */
+const MAX_REPEATED_PASSES = 3;
 
 /** The barrier of one process. */
 export class ReadBarrier {
@@ -46,11 +56,15 @@
   #beginning: Waiter[] = [];
   /** Waiters whose pass began with the last check phase, and ends with the next one. */
   #passing: Waiter[] = [];
-  /** Work that waits for its turn, in its order. */
-  readonly #work: Waiter[] = [];
+  /** Work that waits for its turn, in its order: that in progress goes before new work. */
+  readonly #workInProgress: Waiter[] = [];
+  readonly #newWork: Waiter[] = [];
+  #isWorking = false;
   #passBeganAtMs = 0;
-  #passEndedAtMs = -Infinity;
+  /** Everything that had arrived by then has been read. */
+  #readUpToMs = -Infinity;
   #lastPassMs = 0;
+  #repeatedPasses = 0;
   #isScheduled = false;
 
   constructor(options: ReadBarrierOptions = {}) {
@@ -68,9 +82,9 @@
     return this.#lastPassMs;
   }
 
-  /** Whether a pass has just ended, so that what it read may be acted on without another one. */
+  /** Whether what the last pass has read may be acted on without another one. */
   get isCurrent(): boolean {
-    return this.#nowMs - this.#passEndedAtMs <= MAX_READ_AGE_MS;
+    return this.#nowMs - this.#readUpToMs <= MAX_READ_AGE_MS;
   }
 
   /** Resolves when what has arrived by now has been read. */
@@ -86,11 +100,13 @@
    * Resolves when what has arrived by now has been read and it is the caller's turn: work is started
    * after a pass only as long as the pass is current, and the rest waits for another one.
    */
-  async awaitTurn(): Promise<void> {
+  async awaitTurn(
+    { isInProgress = false }: { isInProgress?: boolean } = {},
+  ): Promise<void> {
     await this.awaitRead();
     await new Promise<void>((resolve) => {
-      this.#work.push(resolve);
-      if (this.#work.length === 1) this.#startWork();
+      (isInProgress ? this.#workInProgress : this.#newWork).push(resolve);
+      if (!this.#isWorking) this.#startWork();
     });
   }
 
@@ -107,23 +123,35 @@
   #check(): void {
     this.#isScheduled = false;
     const passed = this.#passing;
-    const isPass = passed.length > 0;
-    if (isPass) this.#recordPass();
-    this.#passing = this.#beginning;
+    if (passed.length > 0) this.#recordPass();
+    const isRepeated = passed.length > 0 && this.#mustRepeatPass();
+    this.#passing = isRepeated
+      ? [...passed, ...this.#beginning]
+      : this.#beginning;
     this.#beginning = [];
     this.#passBeganAtMs = this.#nowMs;
     if (this.#passing.length > 0) this.#schedule();
+    if (isRepeated) return;
     for (const resolve of passed) resolve();
   }
 
   #recordPass(): void {
-    this.#passEndedAtMs = this.#nowMs;
-    this.#lastPassMs = this.#passEndedAtMs - this.#passBeganAtMs;
+    this.#readUpToMs = this.#passBeganAtMs;
+    this.#lastPassMs = this.#nowMs - this.#passBeganAtMs;
     this.#options.onPass(this.#lastPassMs);
   }
 
-  /** Starts the first work, or has it wait for another pass. */
+  #mustRepeatPass(): boolean {
+    const mustRepeat = !this.isCurrent &&
+      this.#repeatedPasses < MAX_REPEATED_PASSES &&
+      !this.#options.disabledGuards.has("freshPass");
+    this.#repeatedPasses = mustRepeat ? this.#repeatedPasses + 1 : 0;
+    return mustRepeat;
+  }
+
+  /** Starts the work that is next, or has it wait for another pass. */
   #startWork(): void {
+    this.#isWorking = true;
     const isBounded = !this.#options.disabledGuards.has("boundedWork");
     if (isBounded && !this.isCurrent) {
       void this.awaitRead().then(() => this.#startNext());
@@ -133,14 +161,15 @@
   }
 
   #startNext(): void {
-    const [resolve] = this.#work;
-    resolve();
+    const resolve = this.#workInProgress.shift() ?? this.#newWork.shift();
+    resolve?.();
     // The tick follows the microtasks in which the work that was started runs.
-    queueMicrotask(() =>
-      process.nextTick(() => {
-        this.#work.shift();
-        if (this.#work.length > 0) this.#startWork();
-      })
-    );
+    queueMicrotask(() => process.nextTick(() => this.#continueWork()));
+  }
+
+  #continueWork(): void {
+    const waiting = this.#workInProgress.length + this.#newWork.length;
+    if (waiting > 0) this.#startWork();
+    else this.#isWorking = false;
   }
 }
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -315,8 +315,8 @@
     while (!this.hasEnded) {
       if (targetListGuard.isHoldingCalls()) {
         await Promise.race([targetListGuard.awaitFreshList(), this.#ended]);
-      } else if (!readBarrier.isCurrent) await readBarrier.awaitRead();
-      else return;
+      } else if (readBarrier.isCurrent) return;
+      else await readBarrier.awaitTurn({ isInProgress: true });
     }
   }
 
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
-import { type Clock, RuntimeClock } from "heatherarch-core";
+import { type Clock, ReadBarrier, RuntimeClock } from "heatherarch-core";
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
@@ -43,6 +43,7 @@
   /** Called when a connection has been opened. */
   readonly onConnect?: () => void;
   readonly clock?: Pick<Clock, "readMonotonicMs">;
+  readonly readBarrier?: Pick<ReadBarrier, "awaitTurn">;
   /** Returns why nothing may be sent to a target now, or undefined if a request may be sent. */
   readonly findBlockReason?: (
     target: Target,
@@ -73,6 +74,13 @@
 /** Connections to one target if the limit of its service is not known. */
 const DEFAULT_CONNECTION_LIMIT = 32;
 
+/**
+ * Longest time from sending a request, or from a connection that is ready for it, to writing it,
+ * milliseconds. undici writes to a kept connection a turn of the event loop later; a process that was
+ * frozen meanwhile has not read what has arrived since, disconnects among them.
+ */
+const MAX_WRITE_DELAY_MS = 200;
+
 interface TargetPool {
   readonly pool: Pool;
   readonly resetDetector: ResetDetector;
@@ -81,6 +89,8 @@
   opened: number;
   /** Number of connections that are open. */
   open: number;
+  /** Monotonic time at which a connection was last opened. */
+  connectedAtMs: number;
 }
 
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
@@ -96,10 +106,15 @@
  */
 class ResetDetector {
   readonly #isInUse: () => boolean;
+  readonly #readBarrier: Pick<ReadBarrier, "awaitTurn">;
   #isResetting = false;
 
-  constructor(isInUse: () => boolean) {
+  constructor(
+    isInUse: () => boolean,
+    readBarrier: Pick<ReadBarrier, "awaitTurn">,
+  ) {
     this.#isInUse = isInUse;
+    this.#readBarrier = readBarrier;
   }
 
   /** Whether the error of a connection is being emitted. */
@@ -107,7 +122,10 @@
     return this.#isResetting;
   }
 
-  /** Wraps a connector so that this class sees the errors of its sockets first. */
+  /**
+   * Wraps a connector so that this class sees the errors of its sockets first, and a connection is used
+   * once what has arrived with it is read.
+   */
   wrapConnector(connector: Connector): Connector {
     return (options, callback) =>
       connector(options, (...result) => {
@@ -115,7 +133,9 @@
         if (error === null) {
           socket.prependListener("error", () => this.#recordReset());
           socket.prependListener("end", () => this.#checkEnd(socket));
-          onceSocketsAreRead(() => callback(...result));
+          // The requests that wait are written then. Those whose clients have left are aborted before.
+          void this.#readBarrier.awaitTurn({ isInProgress: true })
+            .then(() => callback(...result));
         } else callback(...result);
       });
   }
@@ -135,14 +155,6 @@
   }
 }
 
-/**
- * Calls `run` once the other events of this turn of the event loop are read. The requests that wait for
- * a connection are written then; those whose clients have disconnected meanwhile are aborted before.
- */
-function onceSocketsAreRead(run: () => void): void {
-  setImmediate(run);
-}
-
 /** All connections of this VM to targets. */
 export class TargetConnections {
   readonly #options: Required<TargetConnectionsOptions>;
@@ -157,6 +169,7 @@
       onSend: () => undefined,
       onConnect: () => undefined,
       clock: new RuntimeClock(),
+      readBarrier: new ReadBarrier(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       ...options,
@@ -238,6 +251,11 @@
           pool.inFlight--;
         },
         isReset: () => pool.resetDetector.isResetting,
+        mayWrite: () => {
+          const readyAtMs = Math.max(sentAtMs, pool.connectedAtMs);
+          const nowMs = this.#options.clock.readMonotonicMs();
+          return nowMs - readyAtMs <= MAX_WRITE_DELAY_MS;
+        },
       },
     );
     exchange.head.then(
@@ -275,7 +293,10 @@
     let entry = this.#pools.get(target.id);
     if (entry === undefined) {
       const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
-      const resetDetector = new ResetDetector(() => created.inFlight > 0);
+      const resetDetector = new ResetDetector(
+        () => created.inFlight > 0,
+        this.#options.readBarrier,
+      );
       const connector = buildConnector({ timeout: connectTimeoutMs });
       const pool = new Pool(`http://${target.address}`, {
         pipelining: 1,
@@ -290,8 +311,10 @@
         inFlight: 0,
         opened: 0,
         open: 0,
+        connectedAtMs: -Infinity,
       };
       pool.on("connect", () => {
+        created.connectedAtMs = this.#options.clock.readMonotonicMs();
         created.opened++;
         created.open++;
         onConnect();
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -60,6 +60,8 @@
   readonly onRelease: () => void;
   /** Whether the response that is ending ends because its connection was reset. */
   readonly isReset: () => boolean;
+  /** Asked right before the request is written: whether that may still be done. By default it may. */
+  readonly mayWrite?: () => boolean;
 }
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
@@ -215,6 +217,12 @@
       controller.abort(new Error("a request is sent at most once"));
       return;
     }
+    if (this.#hooks.mayWrite?.() === false) {
+      const reason = "the process stood still before the request was written";
+      this.#finish(new ExchangeError("withheld", reason));
+      controller.abort(new Error(reason));
+      return;
+    }
     this.#controller = controller;
   }
 
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -151,3 +151,18 @@
   await new Promise((resolve) => setTimeout(resolve, 50));
   assert.equal(count(), 0);
 });
+
+// Guards against a request that undici writes to a kept connection after the process stood still, before
+// what has arrived meanwhile is read.
+test("a request is withheld if the process stands still before it is written", async () => {
+  const { target, count } = await build(() => undefined);
+  const first = connections!.send(target, REQUEST);
+  await first.readBody({ maxBytes: 100, timeoutMs: 1000 });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const second = connections!.send(target, REQUEST);
+  blockEventLoop(300);
+  const end = await second.ended;
+  assert.ok(end !== "ended" && end.fault === "withheld");
+  assert.equal(count(), 1);
+  assert.equal((await connections!.send(target, REQUEST).head).status, 200);
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -150,8 +150,13 @@
   const targetFailures = new TargetFailures();
   const health = new TargetHealth({ failures: targetFailures });
   const workTracker = new WorkTracker();
+  const readBarrier = new ReadBarrier({
+    clock,
+    onPass: (tookMs) => metrics.readPass.observe(tookMs / MS_PER_SECOND),
+  });
   const connections = new TargetConnections({
     clock,
+    readBarrier,
     // VMs tell each other the time of prefills in progress, not their number.
     countRuns: ({ id, role }) =>
       role === "prefill"
@@ -251,10 +256,7 @@
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
     targetListGuard: buildTargetListGuard(options, metrics),
-    readBarrier: new ReadBarrier({
-      clock,
-      onPass: (tookMs) => metrics.readPass.observe(tookMs / MS_PER_SECOND),
-    }),
+    readBarrier,
     usage: new UsageRecorder({
       meter: usageMeter,
       clock,
--- a/packages/heatherarch-lab/proofs/disconnect_proof.ts
+++ b/packages/heatherarch-lab/proofs/disconnect_proof.ts
@@ -33,6 +33,8 @@
   "waitsOnceRead",
   /** A call that waited in a queue waits for the barrier before it is sent. */
   "waitsBeforeSend",
+  /** A call waits for the barrier once the connection to its target is open. */
+  "waitsOnceOpen",
 ] as const;
 type Guard = typeof GUARDS[number];
 
@@ -44,12 +46,16 @@
   readonly staysMs: number;
   /** Time for which the call waits for a target; 0 if it is sent at once. */
   readonly queuedMs: number;
+  /** A connection to the target has to be opened. */
+  readonly opensConnection: boolean;
 }
 
 interface Schedule {
   readonly clients: readonly SimulatedClient[];
   /** Durations of the turns of the event loop without the work of calls. */
   readonly turnsMs: readonly number[];
+  /** Times for which the process stands still between reading and the work of a turn. */
+  readonly freezesMs: readonly number[];
   /** Time that it takes to send one call. */
   readonly workMs: number;
 }
@@ -91,6 +97,10 @@
     return this.#client.queuedMs;
   }
 
+  get opensConnection(): boolean {
+    return this.#client.opensConnection;
+  }
+
   get isDone(): boolean {
     return this.connection.isEnded;
   }
@@ -126,6 +136,8 @@
   /** The first violation. */
   #error: unknown;
   #checks: (() => void)[] = [];
+  /** Connections to targets that are open by the next turn. */
+  readonly #opening: (() => void)[] = [];
   #timers: { readonly atMs: number; readonly run: () => void }[] = [];
 
   constructor(schedule: Schedule, disabledGuard: Guard | undefined) {
@@ -155,10 +167,10 @@
   }
 
   async run(): Promise<void> {
-    const { turnsMs } = this.#schedule;
+    const { turnsMs, freezesMs } = this.#schedule;
     for (let turn = 0; turn < MAX_TURNS && !this.#isDone; turn++) {
       this.#clock.advance(turnsMs[turn % turnsMs.length]);
-      await this.#runTurn();
+      await this.#runTurn(freezesMs[turn % freezesMs.length]);
     }
     for (const context of this.#contexts) context.finish("failed");
     if (this.#error !== undefined) throw this.#error;
@@ -168,17 +180,21 @@
     return this.#connections.every(({ isDone }) => isDone);
   }
 
-  async #runTurn(): Promise<void> {
+  async #runTurn(freezeMs: number): Promise<void> {
     const nowMs = this.#clock.readMonotonicMs();
     const due = this.#timers.filter(({ atMs }) => atMs <= nowMs);
     this.#timers = this.#timers.filter(({ atMs }) => atMs > nowMs);
     for (const { run } of due) run();
     await runMicrotasks();
+    // Sockets are read in any order; those of targets come first here.
+    for (const open of this.#opening.splice(0)) open();
+    await runMicrotasks();
     for (const connection of this.#connections) {
       if (connection.deliver(nowMs)) this.#startCall(connection);
     }
     await runMicrotasks();
     this.#connections.find((connection) => connection.accept(nowMs));
+    this.#clock.advance(freezeMs);
     for (const run of this.#checks.splice(0)) run();
     await runMicrotasks();
   }
@@ -200,6 +216,11 @@
       await context.awaitSendable();
     }
     if (context.hasEnded) return;
+    if (simulated.opensConnection) {
+      this.#clock.advance(this.#schedule.workMs);
+      await this.#openConnection();
+    }
+    if (context.hasEnded) return;
     const lateMs = this.#clock.readMonotonicMs() - simulated.endsAtMs;
     assertProperty(
       lateMs <= MAX_LATE_MS,
@@ -207,7 +228,10 @@
       `${lateMs} ms`,
     );
     context.send(TARGET, REQUEST);
-    this.#clock.advance(this.#schedule.workMs);
+    // What remains once the connection is open is a write.
+    if (!simulated.opensConnection) {
+      this.#clock.advance(this.#schedule.workMs);
+    }
   }
 
   #createContext(connection: ClientConnection): CallContext {
@@ -234,6 +258,14 @@
     return context;
   }
 
+  /** Resolves as the connector of `TargetConnections` calls back. */
+  async #openConnection(): Promise<void> {
+    await new Promise<void>((resolve) => this.#opening.push(resolve));
+    if (this.#disabledGuard !== "waitsOnceOpen") {
+      await this.#barrier.awaitTurn({ isInProgress: true });
+    }
+  }
+
   #sleep(ms: number): Promise<void> {
     const atMs = this.#clock.readMonotonicMs() + ms;
     return new Promise((resolve) => this.#timers.push({ atMs, run: resolve }));
@@ -261,6 +293,7 @@
             sentAtMs: fc.integer({ min: 0, max: 1200 }),
             staysMs: fc.integer({ min: 1, max: 2500 }),
             queuedMs: fc.constantFrom(0, 0, 200, 900),
+            opensConnection: fc.boolean(),
           }),
           { minLength: 20, maxLength: 160, size: "max" },
         ),
@@ -268,6 +301,10 @@
           minLength: 1,
           maxLength: 12,
         }),
+        freezesMs: fc.array(fc.constantFrom(0, 0, 0, 0, 0, 0, 0, 900), {
+          minLength: 1,
+          maxLength: 12,
+        }),
         workMs: fc.constantFrom(1, 10, 50),
       }),
       async (schedule) => {
