The response to a call without a client is read within limits

What callers saw: nothing; the VM kept all bytes of a response without end to a booking whose client had left, and its connection stayed open. Cause: such an exchange is not aborted, since the call must not be repeated, and nobody reads its body once the call has ended. Change: the body is discarded, up to 1 MiB within 5 s, then the connection is closed.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -8,6 +8,7 @@
 import type { Target } from "../model.ts";
 import type { ResponseMetadata } from "../ports.ts";
 import {
+  type BodyLimits,
   ExchangeError,
   type ResponseHead,
   type TargetExchange,
@@ -78,6 +79,15 @@
  */
 const OTHER_ROLE_AVOID_MS = 1500;
 
+/**
+ * Bounds of the response to a call that has ended, which is completed since the call must not be repeated
+ * elsewhere.
+ */
+export const ABANDONED_BODY: BodyLimits = {
+  maxBytes: 1024 * 1024,
+  timeoutMs: 5000,
+};
+
 /** Waits for the head of a response, classifies it, and records what it tells about the target. */
 export async function awaitAttempt(
   options: AwaitAttemptOptions,
@@ -95,7 +105,10 @@
     stopTimer();
     stopPathWatch();
   }
-  if (context.hasEnded) return { kind: "over" };
+  if (context.hasEnded) {
+    exchange.discardBody(ABANDONED_BODY);
+    return { kind: "over" };
+  }
   recordResult(context, target, stage, result);
   return result;
 }
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -34,7 +34,7 @@
   type TooLate,
 } from "./plain_slot_wait.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
-import { awaitAttempt } from "./attempt_result.ts";
+import { ABANDONED_BODY, awaitAttempt } from "./attempt_result.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import { CallHandover, type HandoverResult } from "./call_handover.ts";
 
@@ -211,7 +211,10 @@
           kind: "whole" as const,
           response: await readFailure(exchange, result.head),
         };
-      if (context.hasEnded) return { kind: "over" };
+      if (context.hasEnded) {
+        exchange.discardBody(ABANDONED_BODY);
+        return { kind: "over" };
+      }
       this.#learnWork(booked, sentAtMs);
       if (read.kind === "partial") {
         return await this.#relayPartial(exchange, read.response, target);
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -191,8 +191,9 @@
    * Discards a body, which keeps the connection reusable. The connection of one that does not end is
    * closed.
    */
-  discardBody(): void {
-    this.readBody(DISCARDED_BODY).catch(() => undefined);
+  discardBody(limits: BodyLimits = DISCARDED_BODY): void {
+    this.readBody(limits).catch(() => undefined);
+    this.resume();
   }
 
   #collectBody(maxBytes: number): Promise<Buffer> {
