Gateway: a request is served once what arrived with it has been read

Cause: a late gateway served a request in the turn in which it read it, and read the disconnect behind it in the next one. Change: a request waits for the read barrier, and ends there if its client has left. Later sends of a request in progress do not wait yet.

--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -12,6 +12,7 @@
   buildErrorBody,
   createId,
   estimateTokens,
+  ReadBarrier,
   ServeError,
   toServeError,
 } from "heatherarch-core";
@@ -60,6 +61,7 @@
   readonly #limits: AccountLimits;
   readonly #accounts = new AccountDirectory();
   readonly #store = new GenerationStore();
+  readonly #readBarrier = new ReadBarrier();
   readonly #server: Server;
   #inFlight = 0;
   #drainCallbacks = new Set<() => void>();
@@ -139,6 +141,9 @@
     this.#inFlight++;
     ctx.res.once("close", () => this.#recordRequestEnd());
     try {
+      // The disconnect of a client may have arrived together with its request.
+      await this.#readBarrier.awaitTurn();
+      if (hasClientLeft(ctx)) return;
       await this.#route(ctx, requestId);
     } catch (thrown) {
       this.#sendError(ctx, toServeError(thrown), requestId);
@@ -390,3 +395,8 @@
     return value;
   }
 }
+
+/** Whether the client has ended or reset its connection. */
+function hasClientLeft({ req: { socket } }: Koa.Context): boolean {
+  return socket.readableEnded || socket.destroyed;
+}
