Wording: a stall is called a stall

Cause: a message and three comments spoke of a process that stands still, which is no term of the glossary, and one comment named a unit for two figures. Change: their words only.

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -44,7 +44,7 @@
  */
 const MAX_READ_AGE_MS = 200;
 /**
- * A pass that took longer is repeated: the process may have stood still after it had read. Without a
+ * A pass that took longer is repeated: the process may have been frozen after it had read. Without a
  * limit, a process that gets very little processor time would not do any work.
  */
 const MAX_REPEATED_PASSES = 3;
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -66,7 +66,7 @@
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
 const MAX_INTERIM_RESPONSES = 32;
-/** Bounds of a body that tells nothing, milliseconds: a target that is alive sends it at once. */
+/** Bounds of a body that tells nothing. A target that works sends it at once. */
 const DISCARDED_BODY = { maxBytes: 64 * 1024, timeoutMs: 500 };
 
 /** Bounds of a body that is read as a whole. */
@@ -219,7 +219,7 @@
       return;
     }
     if (this.#hooks.mayWrite?.() === false) {
-      const reason = "the process stood still before the request was written";
+      const reason = "the process stalled before the request was written";
       this.#finish(new ExchangeError("withheld", reason));
       controller.abort(new Error(reason));
       return;
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -152,9 +152,9 @@
   assert.equal(count(), 0);
 });
 
-// Guards against a request that undici writes to a kept connection after the process stood still, before
-// what has arrived meanwhile is read.
-test("a request is withheld if the process stands still before it is written", async () => {
+// Guards against a request that undici writes to a kept connection after a stall, before what has arrived
+// meanwhile is read.
+test("a request is withheld if the process stalls before it is written", async () => {
   const { target, count } = await build(() => undefined);
   const first = connections!.send(target, REQUEST);
   await first.readBody({ maxBytes: 100, timeoutMs: 1000 });
