--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -15,6 +15,8 @@
   #server;
   #sequence = 0;
   #busyUntil = 0;
+  /** When this runner may send the next bytes of its answers without end. */
+  #nextChunkAt = 0;
   #sockets = new Set();
 
   constructor(options) {
@@ -120,20 +122,26 @@
     response.end();
   }
 
-  /** Sends bytes until the caller closes, as fast as it reads, within this runner's rate. */
+  /** Sends bytes until the caller closes, within `bytesPerS` for all such answers together. */
   async #streamEndless(id, response) {
     const entry = { id, from: Date.now(), bytes: 0 };
     this.endless.push(entry);
     while (!response.destroyed) {
       if (!response.write(CHUNK)) {
         await new Promise((resolve) => {
-          response.once("drain", resolve);
-          response.once("close", resolve);
+          const done = () => {
+            response.off("drain", done);
+            response.off("close", done);
+            resolve();
+          };
+          response.on("drain", done);
+          response.on("close", done);
         });
       }
       entry.bytes += CHUNK.length;
-      const dueMs = entry.from + entry.bytes / this.bytesPerS * 1000;
-      if (dueMs > Date.now()) await sleep(dueMs - Date.now());
+      const chunkMs = CHUNK.length / this.bytesPerS * 1000;
+      this.#nextChunkAt = Math.max(this.#nextChunkAt, Date.now()) + chunkMs;
+      await sleep(Math.max(1, this.#nextChunkAt - Date.now()));
     }
     entry.until = Date.now();
   }
