--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -12,6 +12,9 @@
   endless = [];
   /** Streams without end that may be begun; none by default. */
   mayBeginEndless = () => false;
+  /** Whether the next stream has neither a length nor chunks and ends with its connection. */
+  isNextUnframed = () => false;
+  onRun = () => undefined;
   #server;
   #sequence = 0;
   #busyUntil = 0;
@@ -84,6 +87,7 @@
         kvHandle: randomBytes(6).toString("hex"), tokens: 1460, version: 1,
       });
     }
+    if (this.isNextUnframed()) return await this.#streamUnframed(id, request.socket);
     await this.#stream(id, headers, response);
   }
 
@@ -105,8 +109,28 @@
     sendJson(response, 202, {});
   }
 
+  #recordRun(id, isUnframed) {
+    const run = { id, at: Date.now(), runner: this.id, isUnframed };
+    this.runs.push(run);
+    this.onRun(run);
+  }
+
+  async #streamUnframed(id, socket) {
+    this.#recordRun(id, true);
+    socket.write(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" +
+        `Weight-Versions: 1\r\nAttempt-Id: ${id}\r\nResponse-Seal: seal.${this.id}.${id}\r\n\r\n`,
+    );
+    for (let event = 1; event <= this.events; event++) {
+      await sleep(this.eventMs);
+      if (socket.destroyed) return;
+      socket.write(formatEvent(event, id));
+    }
+    socket.end();
+  }
+
   async #stream(id, headers, response) {
-    this.runs.push({ id, at: Date.now(), runner: this.id });
+    this.#recordRun(id, false);
     response.writeHead(200, {
       "Content-Type": "text/event-stream", "Weight-Versions": "1",
       "Response-Seal": `seal.${this.id}.${id}`,
@@ -117,7 +141,7 @@
     for (let event = from; event <= this.events; event++) {
       await sleep(this.eventMs);
       if (response.destroyed) return;
-      response.write(`id: ${event}\ndata: piece ${event} of ${id}\n\n`);
+      response.write(formatEvent(event, id));
     }
     response.end();
   }
@@ -147,6 +171,10 @@
   }
 }
 
+function formatEvent(event, id) {
+  return `id: ${event}\ndata: piece ${event} of ${id}\n\n`;
+}
+
 function sendJson(response, status, value) {
   const body = JSON.stringify(value);
   response.writeHead(status, {
