--- a/review/lib/vms.mjs
+++ b/review/lib/vms.mjs
@@ -57,6 +57,15 @@
   return `127.${draw()}.${draw()}`;
 }
 
+/** Processes that run now. None outlives the script, however it ends. */
+const running = new Set();
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+  process.once(signal, () => process.exit(2));
+}
+
 export class Vm {
   lines = [];
   #child;
@@ -73,6 +82,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
+    running.add(child);
     let rest = "";
     const read = (bytes) => {
       const parts = (rest + bytes).split("\n");
@@ -83,6 +93,7 @@
     child.stderr.on("data", read);
     this.#ended = new Promise((resolve) =>
       child.once("exit", (code, signal) => {
+        running.delete(child);
         this.end = { code, signal };
         resolve();
       })
