Calls that wait for their turn to be served end with their timeout

Cause: a request that has been read waits at the read barrier until what has arrived with it is read too and its turn comes. Only after that the state of the call is created, with the timer of its deadline. Before, nothing bounded the wait.

Change: the wait ends with the timeout of the client or of the route, whichever is shorter. The call has not run then, and is rejected as such.

--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -46,12 +46,13 @@
 
   /** Serves one call to its end. Never rejects. */
   async serve(call: ForwardedCall, response: ClientResponse): Promise<void> {
-    const { metrics, log, readBarrier } = this.#dependencies;
+    const { metrics, log } = this.#dependencies;
     metrics.inFlight.inc();
     try {
-      await readBarrier.awaitTurn();
+      const isInTime = await this.#awaitTurn(call);
       if (response.isDisconnected) this.#dropCall(call);
-      else await this.#route(call, response);
+      else if (isInTime) await this.#route(call, response);
+      else this.#rejectUnserved(call, response);
     } catch (error) {
       log.write("error", "callCrashed", {
         call: call.id,
@@ -65,6 +66,46 @@
     }
   }
 
+  /**
+   * Resolves with true when what has arrived with the call is read and it is the call's turn, or with
+   * false if the timeout of its client or its route expires before that.
+   */
+  async #awaitTurn(call: ForwardedCall): Promise<boolean> {
+    const { clock, readBarrier } = this.#dependencies;
+    const turn = readBarrier.awaitTurn().then(() => true);
+    const timeoutMs = this.#findTimeoutMs(call);
+    if (timeoutMs === undefined) return await turn;
+    const remainingMs = call.arrivedAtMs + timeoutMs - clock.readMonotonicMs();
+    let timer: NodeJS.Timeout | undefined;
+    const expiry = new Promise<boolean>((resolve) => {
+      timer = setTimeout(() => resolve(false), Math.max(0, remainingMs));
+    });
+    try {
+      return await Promise.race([turn, expiry]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Finds the shorter one of the timeouts of a call's client and its route; undefined if it has none. */
+  #findTimeoutMs({ host, path, clientTimeoutMs = Infinity }: ForwardedCall):
+    | number
+    | undefined {
+    const route = this.#dependencies.activeConfig.table?.findRoute(host, path);
+    const timeoutMs = Math.min(clientTimeoutMs, route?.timeoutMs ?? Infinity);
+    return timeoutMs === Infinity ? undefined : timeoutMs;
+  }
+
+  /** Rejects a call for which this VM had no processor time within the call's timeout. */
+  #rejectUnserved(call: ForwardedCall, response: ClientResponse): void {
+    this.#reject(
+      call,
+      response,
+      "overloaded",
+      "the timeout of the call or of its route expired before it was served",
+    );
+  }
+
   /** Drops a call whose client has disconnected before the call was read. */
   #dropCall(call: ForwardedCall): void {
     const { log, metrics, readBarrier } = this.#dependencies;
