Forwarding: a counter by cause of calls that end without an answer

Operators could not tell which of the suspected causes ended a call without a response or refusal: a lost path, a silence, a broken connection, a lost peer or the call's own timeout.

heatherarch_calls_lost_total counts such calls by kind and cause; callEnded has the cause, and beside the configuration version that the call began with, the one in force at its end.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -100,6 +100,7 @@
     result = classifyHead(context, target, exchange, await exchange.head);
   } catch (error) {
     if (!(error instanceof ExchangeError)) throw error;
+    if (error.fault === "lost") context.recordLoss("connection");
     result = classifyError(error);
   } finally {
     stopTimer();
@@ -141,6 +142,7 @@
       startTimer(ALIVE_WINDOW_MS);
       return;
     }
+    context.recordLoss("silence");
     exchange.abort(
       `no response for ${Math.round(context.nowMs - sentAtMs)} ms`,
     );
@@ -167,7 +169,9 @@
     target.service,
     () => {
       const isRepeatable = timeoutMs !== undefined;
-      if (isRepeatable || !exchange.isSent) exchange.abort("path lost");
+      if (!isRepeatable && exchange.isSent) return;
+      context.recordLoss("pathLost");
+      exchange.abort("path lost");
     },
   );
   const timer = setInterval(() => {
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -43,6 +43,18 @@
   | "clientGone"
   | "broken";
 
+/**
+ * What ended the last attempt of a call without a response: this VM lost its path or gave up a silent
+ * target, the connection broke, the peer that served the call was lost, or the call's time was over.
+ */
+export type LossCause =
+  | "pathLost"
+  | "silence"
+  | "connection"
+  | "peer"
+  | "timeout"
+  | "other";
+
 /** What a retry is taken for: a prefill and the run that follows it, or a run. */
 export type RetryPurpose = "prefill" | "run";
 
@@ -117,6 +129,7 @@
   #hasRefusedConnection = false;
   /** Whether a peer serves the call, or has done so. */
   #isHandedOver = false;
+  #lossCause: LossCause = "other";
 
   constructor(options: CallContextOptions) {
     this.dependencies = options.dependencies;
@@ -468,6 +481,11 @@
     });
   }
 
+  /** Records what ended the latest attempt without a response. */
+  recordLoss(cause: LossCause): void {
+    this.#lossCause = cause;
+  }
+
   /** Ends the call, after its handler has delivered a response or given up. */
   finish(outcome: CallOutcome, detail: Record<string, unknown> = {}): void {
     if (this.#outcome !== undefined) return;
@@ -478,6 +496,10 @@
     const { log, metrics } = this.dependencies;
     const { kind } = this.route;
     metrics.calls.inc({ kind, outcome });
+    const lossCause = this.#findLossCause(outcome);
+    if (lossCause !== undefined) {
+      metrics.callsLost.inc({ kind, cause: lossCause });
+    }
     this.#ledger.end();
     const { retries, retriesTaken } = this.#ledger;
     metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
@@ -495,11 +517,21 @@
       retriesTaken,
       tookMs: Math.round(this.nowMs - this.call.arrivedAtMs),
       configVersion: this.#configVersion,
+      configInForce: this.dependencies.activeConfig.version,
+      lossCause,
       ...detail,
     });
     this.#resolveEnded();
   }
 
+  /** Returns what ended a call without a response or refusal; undefined if it got one. */
+  #findLossCause(outcome: CallOutcome): LossCause | undefined {
+    if (outcome === "broken" || outcome === "failed") return this.#lossCause;
+    const isLost = outcome === "expired" &&
+      (this.mayHaveRun || this.clientResponse.isHeadSent);
+    return isLost ? "timeout" : undefined;
+  }
+
   /** Refuses a call that has not run. */
   refuse(
     kind: "noTarget" | "overloaded" | "quarantined",
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -158,6 +158,7 @@
 
   /** Ends the call: it may have run at the peer as often as it may run. */
   #endWithLoss(reason: string): PeerResult {
+    this.#context.recordLoss("peer");
     this.#context.fail("answerIncomplete", reason);
     return { kind: "ended" };
   }
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -405,7 +405,10 @@
     if (route.kind !== "resumableStream") return () => undefined;
     return dependencies.pathMonitor.registerLossListener(
       service.name,
-      () => exchange.abort("path lost"),
+      () => {
+        this.#context.recordLoss("pathLost");
+        exchange.abort("path lost");
+      },
     );
   }
 
@@ -424,6 +427,7 @@
       context.finish("delivered", { status, target: target.id });
       return;
     }
+    if (result.fault === "lost") context.recordLoss("connection");
     this.#decodeEngines.addTried(target.id);
     context.dependencies.health.recordOutcome(
       target.id,
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -157,6 +157,13 @@
     buckets: READ_PASS_BUCKETS,
     registers: [this.registry],
   });
+  readonly callsLost = new Counter({
+    name: "heatherarch_calls_lost_total",
+    help:
+      "Calls that ended without a complete response and without a refusal, by what ended their last attempt",
+    labelNames: ["kind", "cause"] as const,
+    registers: [this.registry],
+  });
   readonly disconnects = new Counter({
     name: "heatherarch_client_disconnects_total",
     help:
--- a/packages/heatherarch-forward/tests/unit/disconnect_test.ts
+++ b/packages/heatherarch-forward/tests/unit/disconnect_test.ts
@@ -58,6 +58,7 @@
     new CallContext({
       dependencies: {
         clock,
+        activeConfig: { version: 1 },
         quarantine: new RequestQuarantine(),
         partQuarantine: new PartQuarantine(),
         pathMonitor: buildIdlePathMonitor(),
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -57,6 +57,7 @@
       clock,
       quarantine,
       partQuarantine: new PartQuarantine(),
+      activeConfig: { version: 1 },
       pathMonitor: buildIdlePathMonitor(),
       readBarrier: new ReadBarrier(),
       retryBudget,
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -212,6 +212,7 @@
     return {
       clock,
       codec: buildCodec(),
+      activeConfig: { version: 1 },
       directory: this.#directory,
       health: new TargetHealth(),
       backoffs: new TargetBackoffs(),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -80,6 +80,7 @@
   return {
     clock,
     codec,
+    activeConfig: { version: 1 },
     directory,
     health: new TargetHealth(),
     backoffs: new TargetBackoffs(),
