Streams: the only version of a service is known from its past, not from the list of now

What callers saw: after all VMs were lost, streams whose clients name no attempt went on at another software version than the one that began them.

Cause: findOnlyVersion took the versions that are listed now for those that may have begun a stream. One that has left, or isn't listed yet, was forgotten. The class: what a VM believes of the past has to be known from the past.

Change: VersionHistory keeps which versions the list has shown, and since when it is known without a gap (a start, a lapse of the list, a restored store). A version is the only one if it alone was listed for as long as a stream may be taken up, the longest timeout of a resumable route and 30 s. Until then such a stream is refused as not run, with a short Retry-After.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -40,6 +40,7 @@
 import type { ReturnTimes } from "./scheduling/return_times.ts";
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
+import type { VersionHistory } from "./state/version_history.ts";
 import type { LoadProber } from "./tasks/load_prober.ts";
 import type { PlainTimeModel } from "./state/plain_time_model.ts";
 import type { ReportTrust, TargetLoads } from "heatherarch-load";
@@ -81,6 +82,7 @@
   readonly quarantine: RequestQuarantine;
   readonly partQuarantine: PartQuarantine;
   readonly streamVersions: StreamVersions;
+  readonly versionHistory: VersionHistory;
   /**
    * Resolves with the software version that began the stream with this key; undefined if neither this
    * VM nor a peer that responds knows it.
--- a/packages/heatherarch-forward/calls/resumable_stream.ts
+++ b/packages/heatherarch-forward/calls/resumable_stream.ts
@@ -6,7 +6,10 @@
  */
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import { computeStreamKey } from "../state/stream_versions.ts";
+import {
+  computeStreamKey,
+  computeStreamLifeMs,
+} from "../state/stream_versions.ts";
 
 /** The software version at which a call's stream has to go on. */
 export type StreamVersionResult =
@@ -48,19 +51,23 @@
   dependencies.streamVersions.recordStream({ key, softwareVersion });
 }
 
-/** A client that does not name its first attempt is served if there is only one version. */
+/**
+ * A client that does not name its first attempt is served if there has been only one version for as
+ * long as a stream may be taken up.
+ */
 function findOnlyVersion(
-  { service, dependencies: { directory } }: CallContext,
+  { service, nowMs, dependencies }: CallContext,
 ): StreamVersionResult {
-  const engines = [
-    ...directory.listServing(service.name),
-    ...directory.listLeaving(service.name),
-  ];
-  const versions = new Set(engines.map((engine) => engine.softwareVersion));
-  const [softwareVersion] = versions;
-  return versions.size === 1 && softwareVersion !== undefined
-    ? { kind: "required", softwareVersion }
-    : { kind: "unknown" };
+  const { activeConfig, versionHistory } = dependencies;
+  const streamLifeMs = computeStreamLifeMs(activeConfig.table?.config);
+  const softwareVersion = versionHistory.findOnlyVersion(
+    service.name,
+    nowMs,
+    streamLifeMs,
+  );
+  return softwareVersion === undefined
+    ? { kind: "unknown" }
+    : { kind: "required", softwareVersion };
 }
 
 function buildStreamKey(
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -41,6 +41,7 @@
   type VmTaskOptions,
 } from "./vm_tasks.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
+import { computeStreamLifeMs } from "./state/stream_versions.ts";
 import { listLoadStatus } from "./tasks/load_status.ts";
 import { countWaitingCalls, listQueueStatus } from "./tasks/queue_status.ts";
 import { listShareStatus } from "./tasks/share_status.ts";
@@ -63,8 +64,6 @@
 const ROLE_CHANGE_HOLD_MS = 1500;
 
 const MS_PER_SECOND = 1000;
-/** Time for which a stream is known beyond the longest timeout of a route, milliseconds. */
-const STREAM_RECORD_SLACK_MS = 30_000;
 /** Share of the bound on revocations after which a VM confirms the configuration by itself. */
 const MAX_CONFIRMATION_AGE_SHARE = 0.6;
 
@@ -291,6 +290,9 @@
       this.#components.metrics.storeEpoch.set(epoch);
       this.#log.write("warn", "storeRestored", { epoch, before, source });
       this.#components.storeReader.handleRestoration();
+      this.#components.versionHistory.handleRestoration(
+        this.#clock.readMonotonicMs(),
+      );
       this.#components.quarantinePersistence.handleRestoration();
       this.#components.partQuarantinePersistence.handleRestoration();
       this.#components.mesh.handleRestoration();
@@ -524,12 +526,12 @@
   }
 
   #sweepStreamVersions(): void {
-    const { streamVersions, activeConfig } = this.#components;
-    const routes = activeConfig.table?.config.routes ?? [];
-    const timeoutsMs = routes.filter(({ kind }) => kind === "resumableStream")
-      .map(({ timeoutMs }) => timeoutMs);
-    const streamLifeMs = Math.max(0, ...timeoutsMs) + STREAM_RECORD_SLACK_MS;
-    streamVersions.expire(this.#clock.readMonotonicMs(), streamLifeMs);
+    const { streamVersions, versionHistory, activeConfig } = this.#components;
+    const nowMs = this.#clock.readMonotonicMs();
+    const streamLifeMs = computeStreamLifeMs(activeConfig.table?.config);
+    streamVersions.expire(nowMs, streamLifeMs);
+    versionHistory.observe(nowMs);
+    versionHistory.expire(nowMs, streamLifeMs);
   }
 
   #sweepQuarantine(): void {
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -92,6 +92,7 @@
 export * from "./state/config_confirmation.ts";
 export * from "./state/store_epoch.ts";
 export * from "./state/stream_versions.ts";
+export * from "./state/version_history.ts";
 export * from "./scheduling/version_preference.ts";
 export * from "./calls/incarnation_check.ts";
 export * from "./fleet/stream_version_exchange.ts";
--- a/packages/heatherarch-forward/state/stream_versions.ts
+++ b/packages/heatherarch-forward/state/stream_versions.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
+import type { RoutingConfig } from "../model.ts";
 
 /** What identifies a stream. A client can name only streams of its own account. */
 export interface StreamIdentity {
@@ -51,9 +52,21 @@
 const MAX_PER_PAGE = 512;
 /** Peers reject messages with a longer version. Its streams are not resumed. */
 const MAX_VERSION_LENGTH = 256;
+/** Time for which a stream is known beyond the longest timeout of a route, milliseconds. */
+const STREAM_LIFE_SLACK_MS = 30_000;
 /** Bytes of a key. Hashes of that size don't collide by chance among the records of a VM. */
 export const STREAM_KEY_BYTES = 8;
 
+/** Computes how long after its begin a stream may be taken up, milliseconds. */
+export function computeStreamLifeMs(
+  config: Pick<RoutingConfig, "routes"> | undefined,
+): number {
+  const routes = config?.routes ?? [];
+  const timeoutsMs = routes.filter(({ kind }) => kind === "resumableStream")
+    .map(({ timeoutMs }) => timeoutMs);
+  return Math.max(0, ...timeoutsMs) + STREAM_LIFE_SLACK_MS;
+}
+
 /** Computes the key of a stream. */
 export function computeStreamKey(
   { attemptId, host, account = "", service }: StreamIdentity,
--- /dev/null
+++ b/packages/heatherarch-forward/state/version_history.ts
@@ -0,0 +1,100 @@
+/**
+ * Knows which software versions the targets of a service have had of late. A stream that is taken up
+ * may have begun at a version that is no longer listed, so the list of now does not tell.
+ *
+ * The module has no clock: each observation carries the time.
+ *
+ * @module
+ */
+import type { KeyedEntry } from "../ports.ts";
+import type { Target } from "../model.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+/** Options of {@linkcode VersionHistory}. */
+export interface VersionHistoryOptions {
+  readonly directory: Pick<
+    TargetDirectory,
+    "listAll" | "listChanges" | "validAtMs"
+  >;
+  /** Age up to which the target list is current, milliseconds. */
+  readonly maxListAgeMs: number;
+}
+
+/** Undefined for targets that name no version. */
+type SoftwareVersion = string | undefined;
+
+/** The software versions that this VM has seen in its target list. */
+export class VersionHistory {
+  readonly #options: VersionHistoryOptions;
+  /** Time at which each version was last listed, by service. */
+  #lastListedAtMs = new Map<string, Map<SoftwareVersion, number>>();
+  /** Targets at the last observation. */
+  #listed: readonly Target[] = [];
+  #changeCursor: number | undefined;
+  #validAtMs = -Infinity;
+  /** Time from which on the list has been known without a gap. */
+  #knownSinceMs = Infinity;
+
+  constructor(options: VersionHistoryOptions) {
+    this.#options = options;
+  }
+
+  /** Observes the target list. To be called several times a second. */
+  observe(nowMs: number): void {
+    const { directory, maxListAgeMs } = this.#options;
+    const { validAtMs } = directory;
+    if (validAtMs - this.#validAtMs > maxListAgeMs) this.#knownSinceMs = nowMs;
+    this.#validAtMs = validAtMs;
+    const changes = directory.listChanges(this.#changeCursor);
+    this.#changeCursor = changes.cursor;
+    // A target that left since the last observation may have served until now.
+    this.#recordListed(this.#listed, nowMs);
+    this.#recordListed(listValues(changes.entries), nowMs);
+    this.#listed = directory.listAll();
+    this.#recordListed(this.#listed, nowMs);
+  }
+
+  /** Forgets since when the list has been known, as the store came back from a copy. */
+  handleRestoration(nowMs: number): void {
+    this.#knownSinceMs = nowMs;
+  }
+
+  /**
+   * Finds the only version that the targets of a service have had in the last `periodMs`; undefined
+   * if there were several, or if this VM doesn't know the whole period.
+   */
+  findOnlyVersion(
+    service: string,
+    nowMs: number,
+    periodMs: number,
+  ): string | undefined {
+    this.observe(nowMs);
+    const sinceMs = nowMs - periodMs;
+    if (this.#knownSinceMs > sinceMs) return undefined;
+    if (nowMs - this.#validAtMs > this.#options.maxListAgeMs) return undefined;
+    const versions = [...this.#lastListedAtMs.get(service) ?? []]
+      .filter(([, atMs]) => atMs >= sinceMs);
+    return versions.length === 1 ? versions[0][0] : undefined;
+  }
+
+  /** Drops what was last listed more than `periodMs` ago. */
+  expire(nowMs: number, periodMs: number): void {
+    for (const [service, versions] of this.#lastListedAtMs) {
+      for (const [version, atMs] of versions) {
+        if (nowMs - atMs > periodMs) versions.delete(version);
+      }
+      if (versions.size === 0) this.#lastListedAtMs.delete(service);
+    }
+  }
+
+  #recordListed(targets: readonly Target[], nowMs: number): void {
+    for (const { service, softwareVersion } of targets) {
+      const versions = this.#lastListedAtMs.get(service) ?? new Map();
+      this.#lastListedAtMs.set(service, versions.set(softwareVersion, nowMs));
+    }
+  }
+}
+
+function listValues(entries: readonly KeyedEntry<Target>[]): Target[] {
+  return entries.flatMap(({ value }) => value === undefined ? [] : [value]);
+}
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -237,6 +237,7 @@
         { probe: () => Promise.resolve("accepted") },
       ),
       streamVersions: new StreamVersions(),
+      versionHistory: { findOnlyVersion: () => undefined },
       findStreamVersion: () => Promise.resolve(undefined),
       retryBudget: new FleetRetryBudget({
         fixedPerWindow: 1000,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -33,6 +33,7 @@
 import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
+import { VersionHistory } from "./state/version_history.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
 import { ConnectionPreference } from "./scheduling/connection_preference.ts";
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
@@ -228,6 +229,10 @@
     quarantine,
     partQuarantine,
     streamVersions: new StreamVersions(),
+    versionHistory: new VersionHistory({
+      directory,
+      maxListAgeMs: computeMaxListAgeMs(settings.store),
+    }),
     findStreamVersion: options.findStreamVersion,
     prefillTimeModel,
     countVms,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -52,6 +52,7 @@
   readonly streamVersions?: StreamVersions;
   /** Asks peers for the version of a stream; by default none knows it. */
   readonly findStreamVersion?: (key: string) => Promise<string | undefined>;
+  readonly versionHistory?: CallDependencies["versionHistory"];
 }
 
 /** Builds the dependencies of the calls of one VM. */
@@ -64,6 +65,7 @@
     offerCall = () => Promise.resolve(undefined),
     streamVersions = new StreamVersions(),
     findStreamVersion = () => Promise.resolve(undefined),
+    versionHistory = { findOnlyVersion: () => undefined },
     log = new MemoryEventLog(),
   } = options;
   const fleetDemand = new FleetDemand();
@@ -111,6 +113,7 @@
     handoverClient: { offerCall },
     streamVersions,
     findStreamVersion,
+    versionHistory,
     placer: new PromptPlacer({ model: prefillTimeModel }),
     engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
     connectionPreference: new ConnectionPreference({
