Streams: the versions of targets are recorded in the store and outlive all VMs

What callers saw: after the loss of all VMs no stream that they named went on, although the engines of its version served and all new streams began.

Cause: what a VM knows of streams and versions lives in VMs only.

Change: VersionPersistence keeps one record per service and software version in a keyed topic of its own, from when it is listed until a VM has seen for 3 s that it isn't, and a record of the epoch of the store and the time since when this is done. A stream without a record of its own, named or not, goes on if the records, read after the call arrived or 500 ms before at most, and this VM's own list name one version for as long as a stream may be taken up, plus 10 s as wall clocks differ. Streams begin at versions that are recorded for 600 ms, where others are listed too, so whoever concludes has read of them. Without the store nothing is concluded.

Why this works: a version with streams that may be taken up is listed, recorded without an end, or has one that is younger than these streams. Coverage names the epoch, so a store that lost records vouches for nothing.

Cost: one write per version, coordinator and change, and a read where a stream without a record is taken up, two a second per VM at most.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -41,6 +41,7 @@
 import type { TargetRateLimits } from "./state/target_rate_limits.ts";
 import type { StreamVersions } from "./state/stream_versions.ts";
 import type { VersionHistory } from "./state/version_history.ts";
+import type { VersionLives } from "./state/version_lives.ts";
 import type { LoadProber } from "./tasks/load_prober.ts";
 import type { PlainTimeModel } from "./state/plain_time_model.ts";
 import type { ReportTrust, TargetLoads } from "heatherarch-load";
@@ -83,11 +84,17 @@
   readonly partQuarantine: PartQuarantine;
   readonly streamVersions: StreamVersions;
   readonly versionHistory: VersionHistory;
+  readonly versionLives: VersionLives;
   /**
    * Resolves with the software version that began the stream with this key; undefined if neither this
    * VM nor a peer that responds knows it.
    */
   readonly findStreamVersion: (key: string) => Promise<string | undefined>;
+  /**
+   * Resolves with the only software version that may have begun a stream of a service; undefined if
+   * there are several, or if that is not known.
+   */
+  readonly findOnlyVersion: (service: string) => Promise<string | undefined>;
   readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
   readonly engineJitter: EngineJitter;
--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -21,7 +21,10 @@
   pickLeastLoaded,
   type TargetCandidate,
 } from "../scheduling/least_loaded_target.ts";
-import { preferContinuable } from "../scheduling/version_preference.ts";
+import {
+  preferContinuable,
+  preferRecorded,
+} from "../scheduling/version_preference.ts";
 
 /** Options of {@linkcode DecodeEnginePicker}. */
 export interface DecodeEnginePickerOptions {
@@ -90,10 +93,22 @@
     }));
     const isBeginning = this.#softwareVersion === undefined &&
       this.#context.route.kind === "resumableStream";
-    const preferred = isBeginning ? preferContinuable(candidates) : candidates;
+    const preferred = isBeginning
+      ? preferContinuable(this.#preferRecorded(candidates))
+      : candidates;
     return pickLeastLoaded(preferred, zone, drawUnit)?.target;
   }
 
+  #preferRecorded(
+    candidates: readonly TargetCandidate[],
+  ): readonly TargetCandidate[] {
+    const { dependencies: { versionLives }, service, nowMs } = this.#context;
+    return preferRecorded(
+      candidates,
+      (version) => versionLives.isRecorded(service.name, version, nowMs),
+    );
+  }
+
   /**
    * Returns an engine. If there is none, waits for an engine that is about to take the role, or for
    * room in the rate limits of the engines that have it.
--- a/packages/heatherarch-forward/calls/resumable_stream.ts
+++ b/packages/heatherarch-forward/calls/resumable_stream.ts
@@ -6,10 +6,7 @@
  */
 import type { CallContext } from "./call_context.ts";
 import type { Target } from "../model.ts";
-import {
-  computeStreamKey,
-  computeStreamLifeMs,
-} from "../state/stream_versions.ts";
+import { computeStreamKey } from "../state/stream_versions.ts";
 
 /** The software version at which a call's stream has to go on. */
 export type StreamVersionResult =
@@ -35,7 +32,7 @@
   const key = buildStreamKey(context, call.resumedAttemptId);
   const softwareVersion = await dependencies.findStreamVersion(key);
   return softwareVersion === undefined
-    ? { kind: "unknown" }
+    ? findOnlyVersion(context)
     : { kind: "required", softwareVersion };
 }
 
@@ -51,20 +48,11 @@
   dependencies.streamVersions.recordStream({ key, softwareVersion });
 }
 
-/**
- * A client that does not name its first attempt is served if there has been only one version for as
- * long as a stream may be taken up.
- */
-function findOnlyVersion(
-  { service, nowMs, dependencies }: CallContext,
-): StreamVersionResult {
-  const { activeConfig, versionHistory } = dependencies;
-  const streamLifeMs = computeStreamLifeMs(activeConfig.table?.config);
-  const softwareVersion = versionHistory.findOnlyVersion(
-    service.name,
-    nowMs,
-    streamLifeMs,
-  );
+/** Without a record of the stream, it goes on only if one version alone may have begun it. */
+async function findOnlyVersion(
+  { service, dependencies }: CallContext,
+): Promise<StreamVersionResult> {
+  const softwareVersion = await dependencies.findOnlyVersion(service.name);
   return softwareVersion === undefined
     ? { kind: "unknown" }
     : { kind: "required", softwareVersion };
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -35,6 +35,7 @@
   buildMesh,
   buildRoleController,
   buildStoreReader,
+  buildVersionPersistence,
   type PlatformPorts,
   type VmComponents,
   type VmStart,
@@ -208,6 +209,8 @@
       refreshTargetList: () => this.#components.storeReader.refreshList(),
       self: buildIdentity(this.#settings, this.#vmStart),
       findStreamVersion: (key) => this.#components.mesh.findStreamVersion(key),
+      findOnlyVersion: (service) =>
+        this.#components.versionPersistence.findOnlyVersion(service),
       listPeers: () => this.#components.mesh.listPeers(),
     });
     for (const [name, component] of Object.entries(dependencies)) {
@@ -258,6 +261,7 @@
         }),
       ),
       storeReader: asValue(buildStoreReader(options)),
+      versionPersistence: asValue(buildVersionPersistence(options)),
       quarantinePersistence: asValue(
         new QuarantinePersistence({
           topic: ports.directory.quarantine,
@@ -293,6 +297,7 @@
       this.#components.versionHistory.handleRestoration(
         this.#clock.readMonotonicMs(),
       );
+      this.#components.versionPersistence.handleRestoration(epoch);
       this.#components.quarantinePersistence.handleRestoration();
       this.#components.partQuarantinePersistence.handleRestoration();
       this.#components.mesh.handleRestoration();
@@ -526,12 +531,14 @@
   }
 
   #sweepStreamVersions(): void {
-    const { streamVersions, versionHistory, activeConfig } = this.#components;
+    const { streamVersions, versionHistory, versionPersistence, activeConfig } =
+      this.#components;
     const nowMs = this.#clock.readMonotonicMs();
     const streamLifeMs = computeStreamLifeMs(activeConfig.table?.config);
     streamVersions.expire(nowMs, streamLifeMs);
     versionHistory.observe(nowMs);
     versionHistory.expire(nowMs, streamLifeMs);
+    versionPersistence.tick();
   }
 
   #sweepQuarantine(): void {
@@ -589,6 +596,7 @@
     clearInterval(this.#sweeper);
     this.#removeViolationListener?.();
     this.#components.storeReader.stop();
+    this.#components.versionPersistence.stop();
     this.#components.quarantinePersistence.stop();
     this.#components.partQuarantinePersistence.stop();
     ingress.closeAll();
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -74,6 +74,23 @@
   readonly atUnixMs: number;
 }
 
+/** Since when the versions of targets are recorded in an epoch of the store. */
+export interface VersionCoverage {
+  readonly kind: "coverage";
+  readonly epoch: number;
+  /** Unix milliseconds; 0 if no VM ran before. */
+  readonly sinceUnixMs: number;
+}
+
+/** A software version of targets, stored for VMs that start later. */
+export type VersionRecord = VersionCoverage | {
+  readonly kind: "life";
+  readonly service: string;
+  readonly softwareVersion: string;
+  /** Time at which a VM saw that no target has the version, Unix milliseconds. */
+  readonly endedAtUnixMs?: number;
+};
+
 /** Tells which epoch of the platform's store responds; see `StoreEpoch`. */
 export interface StoreEpochPort {
   /** Registers a listener for the epoch of each response; returns a function that removes it. */
@@ -86,6 +103,7 @@
   readonly targets: KeyedTopicPort<Target>;
   readonly vms: WritableTopicPort<VmRecord>;
   readonly quarantine: WritableTopicPort<QuarantineRecord>;
+  readonly versions: WritableTopicPort<VersionRecord>;
 }
 
 /** How one attempt of a call is sent. */
--- a/packages/heatherarch-forward/scheduling/version_preference.ts
+++ b/packages/heatherarch-forward/scheduling/version_preference.ts
@@ -29,3 +29,17 @@
   });
   return preferred.length > 0 ? preferred : candidates;
 }
+
+/**
+ * Returns the candidates whose version is recorded, so that VMs that start later know that a stream
+ * may have begun there; all, if none is.
+ */
+export function preferRecorded(
+  candidates: readonly TargetCandidate[],
+  isRecorded: (softwareVersion: string | undefined) => boolean,
+): readonly TargetCandidate[] {
+  const recorded = candidates.filter(({ target }) =>
+    isRecorded(target.softwareVersion)
+  );
+  return recorded.length > 0 ? recorded : candidates;
+}
--- a/packages/heatherarch-forward/state/version_history.ts
+++ b/packages/heatherarch-forward/state/version_history.ts
@@ -23,6 +23,12 @@
 /** Undefined for targets that name no version. */
 type SoftwareVersion = string | undefined;
 
+/** A version, and when it was last listed. */
+export interface ObservedVersion {
+  readonly softwareVersion: SoftwareVersion;
+  readonly atMs: number;
+}
+
 /** The software versions that this VM has seen in its target list. */
 export class VersionHistory {
   readonly #options: VersionHistoryOptions;
@@ -59,22 +65,25 @@
     this.#knownSinceMs = nowMs;
   }
 
-  /**
-   * Finds the only version that the targets of a service have had in the last `periodMs`; undefined
-   * if there were several, or if this VM doesn't know the whole period.
-   */
-  findOnlyVersion(
+  /** Whether this VM's list is current. */
+  isCurrent(nowMs: number): boolean {
+    return nowMs - this.#validAtMs <= this.#options.maxListAgeMs;
+  }
+
+  /** Whether this VM's list has been known without a gap for the last `periodMs`. */
+  covers(periodMs: number, nowMs: number): boolean {
+    return nowMs - this.#knownSinceMs >= periodMs;
+  }
+
+  /** Lists the versions that targets of a service were seen with in the last `periodMs`. */
+  listVersions(
     service: string,
-    nowMs: number,
     periodMs: number,
-  ): string | undefined {
-    this.observe(nowMs);
-    const sinceMs = nowMs - periodMs;
-    if (this.#knownSinceMs > sinceMs) return undefined;
-    if (nowMs - this.#validAtMs > this.#options.maxListAgeMs) return undefined;
-    const versions = [...this.#lastListedAtMs.get(service) ?? []]
-      .filter(([, atMs]) => atMs >= sinceMs);
-    return versions.length === 1 ? versions[0][0] : undefined;
+    nowMs: number,
+  ): ObservedVersion[] {
+    return [...this.#lastListedAtMs.get(service) ?? []]
+      .map(([softwareVersion, atMs]) => ({ softwareVersion, atMs }))
+      .filter(({ atMs }) => nowMs - atMs <= periodMs);
   }
 
   /** Drops what was last listed more than `periodMs` ago. */
--- /dev/null
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -0,0 +1,251 @@
+/**
+ * Records in the platform's store which software versions targets have, so that VMs know after the
+ * loss of all VMs which versions may have begun a stream.
+ *
+ * @module
+ */
+import type { Clock } from "heatherarch-core";
+import type { EventLog } from "../event_log.ts";
+import type { VersionRecord, WritableTopicPort } from "../ports.ts";
+import type { ActiveConfig } from "../state/active_config.ts";
+import { computeStreamLifeMs } from "../state/stream_versions.ts";
+import type { VersionHistory } from "../state/version_history.ts";
+import {
+  buildLifeKey,
+  COVERAGE_KEY,
+  hasEndedBefore,
+  MAX_RECORDS_AGE_MS,
+  type VersionLives,
+} from "../state/version_lives.ts";
+
+/** Options of {@linkcode VersionPersistence}. */
+export interface VersionPersistenceOptions {
+  readonly topic: WritableTopicPort<VersionRecord>;
+  readonly history: VersionHistory;
+  readonly lives: VersionLives;
+  readonly activeConfig: Pick<ActiveConfig, "table">;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  /** Whether this VM takes part in tasks that few VMs perform. */
+  readonly isCoordinator: () => boolean;
+  /** Whether other VMs ran already when this VM started. */
+  readonly isFleetRunning: () => Promise<boolean>;
+}
+
+/** A record that is due to be written; undefined removes the key. */
+type DueRecord = readonly [key: string, record: VersionRecord | undefined];
+
+/** Time without a target of a version after which its end is recorded, milliseconds. */
+const END_DELAY_MS = 3000;
+const RETRY_MS = 500;
+
+/** The task that records versions. */
+export class VersionPersistence {
+  readonly #options: VersionPersistenceOptions;
+  /** The read in progress or the latest one, and when it was sent. */
+  #read:
+    | { readonly sentAtMs: number; readonly done: Promise<boolean> }
+    | undefined;
+  #isMaintaining = false;
+  #nextMaintenanceAtMs = -Infinity;
+  #isStopped = false;
+
+  constructor(options: VersionPersistenceOptions) {
+    this.#options = options;
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Handles that the store came back from a copy, which may lack what this VM has read. */
+  handleRestoration(epoch: number): void {
+    this.#options.lives.handleRestoration(epoch);
+    this.#read = undefined;
+  }
+
+  /** Reads and writes records if that is due. To be called several times a second. */
+  tick(): void {
+    if (this.#isMaintaining || this.#isStopped) return;
+    if (this.#nowMs < this.#nextMaintenanceAtMs) return;
+    if (this.#listServices().length === 0) return;
+    this.#isMaintaining = true;
+    void this.#maintain().finally(() => this.#isMaintaining = false);
+  }
+
+  /**
+   * Resolves with the only version that targets of a service have had for as long as a stream may be
+   * taken up; undefined if there were several, or if that is not known. Never rejects.
+   */
+  async findOnlyVersion(service: string): Promise<string | undefined> {
+    const { history, lives, clock } = this.#options;
+    // A version that has just come is recorded before streams begin at it.
+    if (!await this.#refresh()) return undefined;
+    const nowMs = this.#nowMs;
+    const nowUnixMs = clock.readWallMs();
+    history.observe(nowMs);
+    if (!history.isCurrent(nowMs)) return undefined;
+    const isKnown = history.covers(this.#streamLifeMs, nowMs) ||
+      lives.covers(this.#streamLifeMs, nowUnixMs);
+    if (!isKnown) return undefined;
+    const versions = this.listVersions(service);
+    return versions.length === 1 ? versions[0] : undefined;
+  }
+
+  /** Lists the versions that may have begun a stream that is taken up now. */
+  listVersions(service: string): (string | undefined)[] {
+    const { history, lives, clock } = this.#options;
+    const observed = history.listVersions(
+      service,
+      this.#streamLifeMs,
+      this.#nowMs,
+    );
+    const recorded = lives.listVersions(
+      service,
+      this.#streamLifeMs,
+      clock.readWallMs(),
+    );
+    const seen = observed.map(({ softwareVersion }) => softwareVersion);
+    return [...new Set([...seen, ...recorded])];
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.readMonotonicMs();
+  }
+
+  get #streamLifeMs(): number {
+    return computeStreamLifeMs(this.#options.activeConfig.table?.config);
+  }
+
+  /** Services whose streams may be taken up. */
+  #listServices(): string[] {
+    const routes = this.#options.activeConfig.table?.config.routes ?? [];
+    const services = routes.filter(({ kind }) => kind === "resumableStream")
+      .flatMap((route) => route.services.map(({ service }) => service));
+    return [...new Set(services)];
+  }
+
+  async #maintain(): Promise<void> {
+    const { isCoordinator, lives } = this.#options;
+    if (lives.isLoaded && !this.#hasDueRecords()) return;
+    const isRead = await this.#refresh(0);
+    const isDone = isRead && isCoordinator() && await this.#writeDue();
+    if (!isDone) this.#nextMaintenanceAtMs = this.#nowMs + RETRY_MS;
+  }
+
+  #hasDueRecords(): boolean {
+    return this.#options.lives.coverage === undefined ||
+      this.#listDueLives().length > 0;
+  }
+
+  /** Writes what is due, one record after another, and reads it back. */
+  async #writeDue(): Promise<boolean> {
+    const { topic, log } = this.#options;
+    try {
+      // The coverage comes last, as it vouches for the records before it.
+      const coverage = await this.#listDueCoverage();
+      for (const [key, record] of [...this.#listDueLives(), ...coverage]) {
+        await topic.put(key, record);
+        log.write("info", "versionRecorded", { key, ...record });
+      }
+    } catch (error) {
+      this.#logFailure("write", error);
+      return false;
+    }
+    return await this.#refresh(0);
+  }
+
+  #listDueLives(): DueRecord[] {
+    const due = this.#listServices().flatMap((service) =>
+      this.#listDueOfService(service)
+    );
+    return [...due, ...this.#listEnded()];
+  }
+
+  /** Versions that this VM has seen and the store lacks. */
+  #listDueOfService(service: string): DueRecord[] {
+    const { history, lives, clock } = this.#options;
+    const nowMs = this.#nowMs;
+    return history.listVersions(service, this.#streamLifeMs, nowMs).flatMap(
+      ({ softwareVersion, atMs }): DueRecord[] => {
+        if (softwareVersion === undefined) return [];
+        const isListed = nowMs - atMs < END_DELAY_MS;
+        const life = lives.findLife(service, softwareVersion);
+        const isDue = life === undefined ||
+          (isListed && life.endedAtUnixMs !== undefined);
+        if (!isDue) return [];
+        const endedAtUnixMs = isListed
+          ? undefined
+          : clock.readWallMs() - (nowMs - atMs);
+        const key = buildLifeKey(service, softwareVersion);
+        return [[key, {
+          kind: "life",
+          service,
+          softwareVersion,
+          endedAtUnixMs,
+        }]];
+      },
+    );
+  }
+
+  /** Versions that no target has any more, and those that ended too long ago to matter. */
+  #listEnded(): DueRecord[] {
+    const { history, lives, clock } = this.#options;
+    const nowMs = this.#nowMs;
+    const nowUnixMs = clock.readWallMs();
+    if (!history.isCurrent(nowMs) || !history.covers(END_DELAY_MS, nowMs)) {
+      return [];
+    }
+    return lives.list().flatMap((life): DueRecord[] => {
+      const key = buildLifeKey(life.service, life.softwareVersion);
+      if (hasEndedBefore(life, 2 * this.#streamLifeMs, nowUnixMs)) {
+        return [[key, undefined]];
+      }
+      const isListed = history.listVersions(life.service, END_DELAY_MS, nowMs)
+        .some(({ softwareVersion }) =>
+          softwareVersion === life.softwareVersion
+        );
+      return isListed || life.endedAtUnixMs !== undefined
+        ? []
+        : [[key, { ...life, endedAtUnixMs: nowUnixMs }]];
+    });
+  }
+
+  async #listDueCoverage(): Promise<DueRecord[]> {
+    const { lives, clock, isFleetRunning } = this.#options;
+    if (lives.coverage !== undefined) return [];
+    const { epoch } = lives;
+    const isFirst = epoch === 0 && !await isFleetRunning();
+    const sinceUnixMs = isFirst ? 0 : clock.readWallMs();
+    return [[COVERAGE_KEY, { kind: "coverage", epoch, sinceUnixMs }]];
+  }
+
+  /** Reads the records unless they were read at most `maxAgeMs` ago. Returns whether it succeeded. */
+  async #refresh(maxAgeMs = MAX_RECORDS_AGE_MS): Promise<boolean> {
+    const nowMs = this.#nowMs;
+    const { lives } = this.#options;
+    const isRecent = this.#read !== undefined &&
+      nowMs - this.#read.sentAtMs < maxAgeMs;
+    if (!isRecent) this.#read = { sentAtMs: nowMs, done: this.#load() };
+    return await this.#read?.done === true && lives.isLoaded;
+  }
+
+  async #load(): Promise<boolean> {
+    const { topic, lives } = this.#options;
+    try {
+      const { entries, epoch = 0 } = await topic.load();
+      lives.applyList(entries, epoch, this.#nowMs);
+      return true;
+    } catch (error) {
+      this.#logFailure("load", error);
+      return false;
+    }
+  }
+
+  #logFailure(action: "load" | "write", error: unknown): void {
+    this.#options.log.write("info", "versionsNotKept", {
+      action,
+      reason: (error as Error).message,
+    });
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -42,6 +42,7 @@
   TargetExchange,
   TargetHealth,
   TargetListGuard,
+  VersionLives,
   WorkTracker,
 } from "../../mod.ts";
 import {
@@ -237,8 +238,9 @@
         { probe: () => Promise.resolve("accepted") },
       ),
       streamVersions: new StreamVersions(),
-      versionHistory: { findOnlyVersion: () => undefined },
+      versionLives: new VersionLives(),
       findStreamVersion: () => Promise.resolve(undefined),
+      findOnlyVersion: () => Promise.resolve(undefined),
       retryBudget: new FleetRetryBudget({
         fixedPerWindow: 1000,
         share: 1,
--- a/packages/heatherarch-forward/tests/unit/version_history_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_history_test.ts
@@ -49,7 +49,13 @@
   }
 
   find(): string | undefined {
-    return this.history.findOnlyVersion("s", this.nowMs, LIFE_MS);
+    const { history, nowMs } = this;
+    history.observe(nowMs);
+    if (!history.isCurrent(nowMs) || !history.covers(LIFE_MS, nowMs)) {
+      return undefined;
+    }
+    const versions = history.listVersions("s", LIFE_MS, nowMs);
+    return versions.length === 1 ? versions[0].softwareVersion : undefined;
   }
 }
 
@@ -60,9 +66,9 @@
   assert.equal(scene.find(), undefined);
   scene.read(STEP_MS);
   assert.equal(scene.find(), "v1");
-  assert.equal(
-    scene.history.findOnlyVersion("t", scene.nowMs, LIFE_MS),
-    undefined,
+  assert.deepEqual(
+    scene.history.listVersions("t", LIFE_MS, scene.nowMs),
+    [],
   );
 });
 
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -0,0 +1,191 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "heatherarch-core";
+import {
+  computeStreamLifeMs,
+  TargetDirectory,
+  VersionHistory,
+  VersionLives,
+  VersionPersistence,
+  type VersionRecord,
+  type WritableTopicPort,
+} from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
+
+const CONFIG = {
+  routes: [{
+    kind: "resumableStream",
+    timeoutMs: 2000,
+    services: [{ service: "s", weight: 1 }],
+  }],
+};
+const LIFE_MS = computeStreamLifeMs(CONFIG as never);
+/** Longest difference of clocks that is tolerated, and some ticks, milliseconds. */
+const MARGIN_MS = 11_000;
+const TICK_MS = 250;
+
+/** A store of version records that VMs share and that may come back from a copy. */
+class World implements WritableTopicPort<VersionRecord> {
+  readonly clock = new ManualClock();
+  records = new Map<string, VersionRecord>();
+  epoch = 0;
+  isDown = false;
+  isFleetRunning = false;
+  listed: string[] = ["v1"];
+
+  load(): ReturnType<WritableTopicPort<VersionRecord>["load"]> {
+    if (this.isDown) return Promise.reject(new Error("down"));
+    const entries = [...this.records].map(([key, value]) => ({ key, value }));
+    return Promise.resolve({ entries, next: 0, epoch: this.epoch });
+  }
+
+  readChanges(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  put(key: string, value: VersionRecord | undefined): Promise<void> {
+    if (this.isDown) return Promise.reject(new Error("down"));
+    if (value === undefined) this.records.delete(key);
+    else this.records.set(key, value);
+    return Promise.resolve();
+  }
+
+  startVm(): Vm {
+    return new Vm(this);
+  }
+}
+
+class Vm {
+  readonly #world: World;
+  readonly #directory = new TargetDirectory();
+  readonly history = new VersionHistory({
+    directory: this.#directory,
+    maxListAgeMs: 400,
+  });
+  readonly lives = new VersionLives();
+  readonly persistence: VersionPersistence;
+
+  constructor(world: World) {
+    this.#world = world;
+    this.persistence = new VersionPersistence({
+      topic: world,
+      history: this.history,
+      lives: this.lives,
+      activeConfig: { table: { config: CONFIG } } as never,
+      clock: world.clock,
+      log: { write: () => undefined },
+      isCoordinator: () => true,
+      isFleetRunning: () => Promise.resolve(world.isFleetRunning),
+    });
+  }
+
+  /** Reads the list of targets and the records for some time. */
+  async run(forMs: number): Promise<void> {
+    const { clock, listed } = this.#world;
+    for (let ranMs = 0; ranMs < forMs; ranMs += TICK_MS) {
+      clock.advance(TICK_MS);
+      const nowMs = clock.readMonotonicMs();
+      const entries = listed.map((softwareVersion) => ({
+        key: softwareVersion,
+        value: buildTarget(softwareVersion, { softwareVersion }),
+      }));
+      this.#directory.applyList(entries, nowMs);
+      this.history.observe(nowMs);
+      this.persistence.tick();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  find(): Promise<string | undefined> {
+    return this.persistence.findOnlyVersion("s");
+  }
+}
+
+// Guards against streams that nobody continues after the loss of all VMs although their engines serve.
+test("a VM that starts after the loss of all VMs knows the only version from the store", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  assert.equal(await next.find(), "v1");
+  assert.ok(next.lives.isLoaded);
+});
+
+// Guards against streams that are joined after a version left while no VM ran.
+test("a version that left while no VM ran counts for the life of a stream after its end is seen", async () => {
+  const world = new World();
+  world.listed = ["v1", "v2"];
+  await world.startVm().run(1000);
+  world.listed = ["v2"];
+  const next = world.startVm();
+  await next.run(LIFE_MS);
+  assert.equal(await next.find(), undefined);
+  world.clock.jumpWall(5000);
+  await next.run(MARGIN_MS - 5000 - 3000);
+  const third = world.startVm();
+  await third.run(TICK_MS);
+  assert.equal(await third.find(), undefined);
+  await next.run(MARGIN_MS + 3000);
+  assert.equal(await next.find(), "v2");
+});
+
+// Guards against records that a restored store has lost.
+test("a store that came back from a copy doesn't tell of the time before", async () => {
+  const world = new World();
+  const first = world.startVm();
+  await first.run(1000);
+  const copy = new Map(world.records);
+  world.listed = ["v1", "v2"];
+  await first.run(1000);
+  world.records = copy;
+  world.epoch++;
+  world.listed = ["v1"];
+  const next = world.startVm();
+  await next.run(LIFE_MS);
+  assert.equal(await next.find(), undefined);
+  await next.run(MARGIN_MS);
+  assert.equal(await next.find(), "v1");
+});
+
+// Guards against VMs of earlier software that began streams at versions that nobody recorded.
+test("where other VMs ran before there were records, they tell of the time since then only", async () => {
+  const world = new World();
+  world.isFleetRunning = true;
+  const vm = world.startVm();
+  await vm.run(LIFE_MS - 1000);
+  assert.equal(await vm.find(), undefined);
+  await vm.run(MARGIN_MS);
+  assert.equal(await vm.find(), "v1");
+});
+
+// Guards against a VM that concludes from its own list alone, which may be behind that of its peers.
+test("without the store no version is known as the only one, and new records are read first", async () => {
+  const world = new World();
+  const vm = world.startVm();
+  await vm.run(LIFE_MS + MARGIN_MS);
+  const life = { kind: "life", service: "s", softwareVersion: "v2" } as const;
+  world.records.set("of a peer", life);
+  world.clock.advance(500);
+  await vm.run(TICK_MS);
+  assert.equal(await vm.find(), undefined);
+  world.records.delete("of a peer");
+  await vm.run(1000);
+  assert.equal(await vm.find(), "v1");
+  world.isDown = true;
+  await vm.run(1000);
+  assert.equal(await vm.find(), undefined);
+});
+
+// Guards against streams that begin at a version that VMs that start later don't know.
+test("a version counts as recorded once no VM concludes from records without it", async () => {
+  const world = new World();
+  const vm = world.startVm();
+  await vm.run(TICK_MS);
+  const isRecorded = (): boolean =>
+    vm.lives.isRecorded("s", "v1", world.clock.readMonotonicMs());
+  assert.equal(isRecorded(), false);
+  await vm.run(1000);
+  assert.equal(isRecorded(), true);
+  vm.persistence.handleRestoration(1);
+  assert.equal(isRecorded(), false);
+});
--- a/packages/heatherarch-forward/tests/unit/version_preference_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_preference_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { preferContinuable, type TargetCandidate } from "../../mod.ts";
+import {
+  preferContinuable,
+  preferRecorded,
+  type TargetCandidate,
+} from "../../mod.ts";
 import { buildEngine } from "./fixtures.ts";
 
 function buildCandidate(
@@ -39,3 +43,11 @@
   ];
   assert.deepEqual(listIds(preferContinuable(busy)), ["a", "b", "c"]);
 });
+
+test("a stream begins at a software version that is recorded, if one is", () => {
+  const candidates = [buildCandidate("a", "v1"), buildCandidate("b", "v2")];
+  const prefer = (recorded: string): string[] =>
+    listIds(preferRecorded(candidates, (version) => version === recorded));
+  assert.deepEqual(prefer("v2"), ["b"]);
+  assert.deepEqual(prefer("v3"), ["a", "b"]);
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -34,6 +34,7 @@
 import { UsageRecorder } from "./state/usage_recorder.ts";
 import { StreamVersions } from "./state/stream_versions.ts";
 import { VersionHistory } from "./state/version_history.ts";
+import { VersionLives } from "./state/version_lives.ts";
 import { WorkTracker } from "./state/work_tracker.ts";
 import { ConnectionPreference } from "./scheduling/connection_preference.ts";
 import { EngineJitter } from "./scheduling/engine_jitter.ts";
@@ -77,6 +78,8 @@
   readonly self: LinkIdentity;
   /** Asks peers which software version began the stream with this key. */
   readonly findStreamVersion: (key: string) => Promise<string | undefined>;
+  /** Finds the only software version that may have begun a stream of a service. */
+  readonly findOnlyVersion: (service: string) => Promise<string | undefined>;
   /** Lists the VMs that calls may be handed over to. */
   readonly listPeers: () => readonly HandoverPeer[];
 }
@@ -233,7 +236,9 @@
       directory,
       maxListAgeMs: computeMaxListAgeMs(settings.store),
     }),
+    versionLives: new VersionLives(),
     findStreamVersion: options.findStreamVersion,
+    findOnlyVersion: options.findOnlyVersion,
     prefillTimeModel,
     countVms,
     activeConfig,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -29,8 +29,11 @@
 import type { QuarantinePersistence } from "./tasks/quarantine_persistence.ts";
 import { RoleController } from "./tasks/role_controller.ts";
 import type { StatusServer } from "./tasks/status_server.ts";
+import { CLOCK_MARGIN_MS } from "./state/version_lives.ts";
 import type { StoreEpoch } from "./state/store_epoch.ts";
 import { StoreReader } from "./tasks/store_reader.ts";
+import { VersionPersistence } from "./tasks/version_persistence.ts";
+import { isFleetRunning } from "./fleet/running_fleet.ts";
 import { planConfigReads } from "./scheduling/config_reads.ts";
 import { computeMaxListAgeMs } from "./vm_dependencies.ts";
 
@@ -56,6 +59,7 @@
   readonly ingress: Ingress;
   readonly statusServer: StatusServer;
   readonly storeReader: StoreReader;
+  readonly versionPersistence: VersionPersistence;
   readonly quarantinePersistence: QuarantinePersistence;
   readonly partQuarantinePersistence: QuarantinePersistence;
   /** Undefined if the fleet has no duties. */
@@ -242,6 +246,31 @@
   });
 }
 
+/** Builds the task that records the software versions of targets. */
+export function buildVersionPersistence(
+  options: VmTaskOptions,
+): VersionPersistence {
+  const { settings, ports: { directory }, startedAtMs } = options;
+  const { getComponents } = options;
+  const { versionHistory, versionLives, activeConfig, clock, log } =
+    getComponents();
+  return new VersionPersistence({
+    topic: directory.versions,
+    history: versionHistory,
+    lives: versionLives,
+    activeConfig,
+    clock,
+    log,
+    isCoordinator: () => getComponents().mesh.isCoordinator,
+    isFleetRunning: async () => {
+      const { entries } = await directory.vms.load();
+      const listed = entries.flatMap(({ value }) => value ?? []);
+      const beforeMs = startedAtMs - CLOCK_MARGIN_MS;
+      return isFleetRunning(listed, settings.vm.id, beforeMs);
+    },
+  });
+}
+
 /** Builds the task that reads the platform's store. */
 export function buildStoreReader(options: VmTaskOptions): StoreReader {
   const { settings, ports: { directory }, getComponents } = options;
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -33,6 +33,7 @@
   type TargetDirectory,
   TargetHealth,
   TargetRateLimits,
+  VersionLives,
   WorkTracker,
 } from "heatherarch-forward";
 import { ReportTrust, TargetLoads } from "heatherarch-load";
@@ -52,7 +53,8 @@
   readonly streamVersions?: StreamVersions;
   /** Asks peers for the version of a stream; by default none knows it. */
   readonly findStreamVersion?: (key: string) => Promise<string | undefined>;
-  readonly versionHistory?: CallDependencies["versionHistory"];
+  readonly findOnlyVersion?: CallDependencies["findOnlyVersion"];
+  readonly versionLives?: VersionLives;
 }
 
 /** Builds the dependencies of the calls of one VM. */
@@ -65,7 +67,8 @@
     offerCall = () => Promise.resolve(undefined),
     streamVersions = new StreamVersions(),
     findStreamVersion = () => Promise.resolve(undefined),
-    versionHistory = { findOnlyVersion: () => undefined },
+    findOnlyVersion = () => Promise.resolve(undefined),
+    versionLives = new VersionLives(),
     log = new MemoryEventLog(),
   } = options;
   const fleetDemand = new FleetDemand();
@@ -113,7 +116,8 @@
     handoverClient: { offerCall },
     streamVersions,
     findStreamVersion,
-    versionHistory,
+    findOnlyVersion,
+    versionLives,
     placer: new PromptPlacer({ model: prefillTimeModel }),
     engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
     connectionPreference: new ConnectionPreference({
