Forwarding: exchanges in progress are given up only for a better one

What callers saw: while all targets of a service, or all of one kind, were silent for 1.3 s and then went on, streams were cut and lookups answered with 502.

Cause: a VM takes such a silence for a lost path after some 0.4 s and aborted every exchange that may be repeated before it looked for a peer; the peers see the same silence, so nothing was left. Timeouts of silent targets had the same effect where no other target responded or the retry budget was spent.

Change: on a lost path a sent exchange goes on until a peer has accepted the call and no byte has arrived meanwhile. A target that stays silent is given up only when another one responds now, has not been tried, and the retry is taken. A call that may have run and whose exchange broke without a path is offered to peers until the path is back or its time is over. Calls that were not sent are refused at once, as before.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -13,6 +13,7 @@
   type ResponseHead,
   type TargetExchange,
 } from "./target_exchange.ts";
+import { watchPathLoss } from "./path_loss_watch.ts";
 import type { AttemptOutcome } from "../state/target_health.ts";
 
 /** Result of an attempt, up to the head of its response. */
@@ -58,6 +59,11 @@
    * each time.
    */
   readonly extendsWhileAlive?: () => boolean;
+  /**
+   * Resolves with whether the call has another target to go to, so that one that stays silent may be
+   * given up; by default it may.
+   */
+  readonly mayGiveUp?: () => Promise<boolean>;
   /**
    * Time after which the absence of any response raises the question whether this VM still reaches
    * targets, milliseconds; by default a part of the latency objective.
@@ -73,6 +79,8 @@
 
 /** A target that responded to any call within this time is considered alive, milliseconds. */
 const ALIVE_WINDOW_MS = 500;
+/** Interval at which a silent target that can't be replaced is checked again, milliseconds. */
+const RECHECK_INTERVAL_MS = 200;
 /**
  * An engine that refused a request because of its role gets no work for this long, milliseconds. By
  * then its entry in the target list shows the role (entries are written every 1.2 s).
@@ -122,6 +130,7 @@
     exchange,
     timeoutMs,
     extendsWhileAlive = () => false,
+    mayGiveUp = () => Promise.resolve(true),
   } = options;
   if (timeoutMs === undefined) return () => undefined;
   const sentAtMs = context.nowMs;
@@ -142,6 +151,12 @@
       startTimer(ALIVE_WINDOW_MS);
       return;
     }
+    const isReplaceable = await mayGiveUp();
+    if (isStopped) return;
+    if (!isReplaceable) {
+      startTimer(RECHECK_INTERVAL_MS);
+      return;
+    }
     context.recordLoss("silence");
     exchange.abort(
       `no response for ${Math.round(context.nowMs - sentAtMs)} ms`,
@@ -159,7 +174,7 @@
 
 /**
  * Has the path to targets checked while there is no response. If the path is lost, aborts an attempt
- * that is not sent or may be repeated. Returns a function that stops this.
+ * that is not sent, or may be repeated and goes on at a peer. Returns a function that stops this.
  */
 function watchPath(options: AwaitAttemptOptions): () => void {
   const { context, target, exchange, timeoutMs } = options;
@@ -168,12 +183,13 @@
   const removeListener = pathMonitor.registerLossListener(
     target.service,
     () => {
-      const isRepeatable = timeoutMs !== undefined;
-      if (!isRepeatable && exchange.isSent) return;
-      context.recordLoss("pathLost");
-      exchange.abort("path lost");
+      if (!exchange.isSent) exchange.abort("path lost");
     },
   );
+  const isRepeatable = timeoutMs !== undefined;
+  const stopWatch = isRepeatable
+    ? watchPathLoss(context, exchange)
+    : () => undefined;
   const timer = setInterval(() => {
     const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
     if (silentMs >= expectedMs) pathMonitor.recordTrouble(target);
@@ -181,6 +197,7 @@
   return () => {
     clearInterval(timer);
     removeListener();
+    stopWatch();
   };
 }
 
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -22,6 +22,7 @@
 } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
+import { PeerOffer } from "./peer_offer.ts";
 import type { ReturnKind } from "../scheduling/return_times.ts";
 import type { Target } from "../model.ts";
 import {
@@ -82,6 +83,8 @@
 const TRIAL_RETRY_AFTER_MS = 1000;
 /** Share of a backoff by which `Retry-After` is jittered. */
 const BACKOFF_JITTER_SHARE = 0.25;
+/** With less time left, no response can reach the client before the deadline, milliseconds. */
+const MIN_HANDOVER_MS = 30;
 /** A call that this many targets could not be reached for is handed over to a peer. */
 const MAX_UNREACHABLE = 2;
 const QUARANTINED_REASON =
@@ -106,6 +109,8 @@
   readonly deadlineAtMs: number;
   /** Whether the call counts as the retry of a rejected call. */
   readonly returnKind: ReturnKind;
+  /** Offers the call to peers. */
+  readonly peerOffer: PeerOffer;
   readonly #configVersion: number;
   readonly #account: ClientAccount | undefined;
   readonly #quarantineGuard: QuarantineGuard;
@@ -161,6 +166,15 @@
     this.#ended = new Promise((resolve) => {
       this.#resolveEnded = resolve;
     });
+    this.peerOffer = new PeerOffer({
+      offerCall: (offer, asked) =>
+        this.dependencies.handoverClient.offerCall(offer, asked),
+      offer: {
+        service: options.service.name,
+        configVersion: options.configVersion,
+      },
+      mayOffer: () => !this.hasEnded && this.remainingMs >= MIN_HANDOVER_MS,
+    });
     this.#timer = setTimeout(
       () => void this.#expireOnceRead(),
       Math.max(0, this.remainingMs),
@@ -504,6 +518,7 @@
     const { retries, retriesTaken } = this.#ledger;
     metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
     this.#exchange = undefined;
+    this.peerOffer.release();
     const level: LogLevel = outcome === "delivered" ? "info" : "warn";
     log.write(level, "callEnded", {
       call: this.call.id,
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import type { ServeError } from "heatherarch-core";
+import { type ServeError, sleep } from "heatherarch-core";
 import type { HandoverConnection } from "heatherarch-handover";
 import type { CallContext } from "./call_context.ts";
 import { encodeHandoverCall } from "./handover_codec.ts";
@@ -31,10 +31,10 @@
   readonly softwareVersion?: string;
 }
 
-/** Peers that are asked for one call. */
-const MAX_OFFERS = 6;
-/** With less time left, no response can reach the client before the deadline, milliseconds. */
-const MIN_HANDOVER_MS = 30;
+/** Interval between rounds of offers of a call that can't be refused, milliseconds. */
+const OFFER_INTERVAL_MS = 250;
+/** Interval at which a call that waits for the next round checks the path, milliseconds. */
+const PATH_POLL_MS = 25;
 /** Errors of a peer after which another peer may serve the call. */
 const ELSEWHERE: ReadonlySet<string> = new Set([
   "noTarget",
@@ -52,7 +52,6 @@
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
   readonly #softwareVersion: string | undefined;
-  readonly #asked = new Set<string>();
 
   constructor(options: CallHandoverOptions) {
     this.#context = options.context;
@@ -60,11 +59,38 @@
     this.#softwareVersion = options.softwareVersion;
   }
 
-  /** Serves the call, as far as peers take it. */
+  /**
+   * Serves the call, as far as peers take it. One that may have run, and so can't be refused, is
+   * offered again until this VM has its path back.
+   */
   async serve(): Promise<HandoverResult> {
+    for (;;) {
+      const result = await this.#serveOnce();
+      if (result === "ended" || !this.#mayOfferAgain) return result;
+      await this.#awaitPath();
+    }
+  }
+
+  get #mayOfferAgain(): boolean {
+    const { mayHaveRun, mayHandOver, hasPath, peerOffer } = this.#context;
+    return mayHaveRun && mayHandOver && !hasPath && peerOffer.mayOffer;
+  }
+
+  /** Waits for the path, until the next round of offers is due. */
+  async #awaitPath(): Promise<void> {
+    const context = this.#context;
+    const untilMs = context.nowMs + OFFER_INTERVAL_MS;
+    while (context.nowMs < untilMs && !context.hasPath && !context.hasEnded) {
+      await sleep(PATH_POLL_MS);
+    }
+  }
+
+  /** Offers the call to peers in turn until one serves it or all have declined. */
+  async #serveOnce(): Promise<HandoverResult> {
     const context = this.#context;
+    const asked = new Set<string>();
     for (;;) {
-      const connection = await this.#findPeer();
+      const connection = await context.peerOffer.find(asked);
       await context.awaitSendable();
       if (context.hasEnded) {
         connection?.close();
@@ -79,23 +105,6 @@
     }
   }
 
-  /** Offers the call to one peer after another until one accepts. */
-  async #findPeer(): Promise<HandoverConnection | undefined> {
-    const { dependencies, service, configVersion } = this.#context;
-    const offer = { service: service.name, configVersion };
-    while (
-      this.#asked.size < MAX_OFFERS && !this.#context.hasEnded &&
-      this.#context.remainingMs >= MIN_HANDOVER_MS
-    ) {
-      const reply = await dependencies.handoverClient.offerCall(
-        offer,
-        this.#asked,
-      );
-      if (reply !== "declined") return reply;
-    }
-    return undefined;
-  }
-
   async #serveAt(connection: HandoverConnection): Promise<PeerResult> {
     const context = this.#context;
     const { receivedCall, handoverState, nowMs } = context;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -38,6 +38,7 @@
   type TargetExchange,
 } from "./target_exchange.ts";
 import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
+import { watchPathLoss } from "./path_loss_watch.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
 /** Attempts of each stage for one call. */
@@ -220,6 +221,7 @@
         exchange,
         stage: prefilled === undefined ? "whole" : "takeOver",
         timeoutMs: this.#getSilenceTimeoutMs(),
+        mayGiveUp: () => this.#mayGiveUp(target),
       });
       return await this.#handleResult(target, prefilled, exchange, result);
     } finally {
@@ -337,9 +339,9 @@
     this.#respondingEngine = target;
     this.#isResponseSuccessful = isSuccess;
     if (!isSuccess) return await this.#deliverFailure(target, exchange, head);
-    const removeListener = this.#abortIfPathLost(exchange);
+    const stopWatch = this.#resumeIfPathLost(exchange);
     const relayed = await this.#relay.relay(exchange, head);
-    removeListener();
+    stopWatch();
     const result = relayed === "whole"
       ? await this.#confirmEnd(target, head)
       : relayed;
@@ -399,17 +401,23 @@
       : new ExchangeError("lost", "the engine ended with its response");
   }
 
-  /** Aborts a stream that a peer can resume if the path is lost. Returns a function that stops this. */
-  #abortIfPathLost(exchange: TargetExchange): () => void {
-    const { dependencies, service, route } = this.#context;
+  /** Has a peer resume a stream if the path is lost. Returns a function that stops this. */
+  #resumeIfPathLost(exchange: TargetExchange): () => void {
+    const { route } = this.#context;
     if (route.kind !== "resumableStream") return () => undefined;
-    return dependencies.pathMonitor.registerLossListener(
-      service.name,
-      () => {
-        this.#context.recordLoss("pathLost");
-        exchange.abort("path lost");
-      },
-    );
+    return watchPathLoss(this.#context, exchange);
+  }
+
+  /** Whether a silent engine may be given up: another one can run the call, and it may be retried. */
+  async #mayGiveUp(target: Target): Promise<boolean> {
+    const context = this.#context;
+    if (!this.#mayContinue()) return false;
+    const { pathMonitor } = context.dependencies;
+    if (!await pathMonitor.confirmPath(context.service.name)) return false;
+    this.#decodeEngines.addTried(target.id);
+    if (this.#decodeEngines.pick(undefined) === undefined) return false;
+    const round = { requests: 2, beginsWithPrefill: true } as const;
+    return context.reserve({ purpose: "prefill", ...round });
   }
 
   #handleRelayResult(
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -190,6 +190,7 @@
         stage: "whole",
         timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
         extendsWhileAlive: () => this.#slotWait.isBusy(target),
+        mayGiveUp: () => this.#mayGiveUp(),
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -242,6 +243,18 @@
     }, nowMs);
   }
 
+  /** Whether a silent target may be given up: another one can run the call, and it may be retried. */
+  async #mayGiveUp(): Promise<boolean> {
+    const context = this.#context;
+    if (!context.mayRunAgain || context.remainingMs < MIN_ATTEMPT_MS) {
+      return false;
+    }
+    const { pathMonitor } = context.dependencies;
+    if (!await pathMonitor.confirmPath(context.service.name)) return false;
+    return this.#slotWait.pickTarget() !== undefined &&
+      context.reserve({ purpose: "run", requests: 1 });
+  }
+
   /** Whether a retry may turn a target's failure into a success. */
   #mayRetry(status: number): boolean {
     return status >= 500 && this.#context.mayRunAgain &&
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -172,6 +172,7 @@
       timeoutMs: readyMs * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_MS,
       expectedMs: readyMs + EXPECTED_SLACK_MS,
       extendsWhileAlive: () => true,
+      mayGiveUp: () => this.#mayGiveUp(),
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
@@ -194,6 +195,15 @@
     }
   }
 
+  /** Whether a silent engine may be given up: others respond, and the prefill may be retried. */
+  async #mayGiveUp(): Promise<boolean> {
+    const context = this.#context;
+    const { pathMonitor } = context.dependencies;
+    if (!await pathMonitor.confirmPath(context.service.name)) return false;
+    const round = { requests: 2, beginsWithPrefill: true } as const;
+    return context.reserve({ purpose: "prefill", ...round });
+  }
+
   /** Returns a prefilled prompt, or releases its cache if the call has ended. */
   #deliver(prompt: PrefilledPrompt): PrefillResult {
     if (!this.#context.hasEnded) return { kind: "read", prompt };
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -96,6 +96,7 @@
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
+  #receivedBytes = 0;
   readonly #hooks: ExchangeHooks;
 
   constructor(
@@ -138,6 +139,11 @@
     return this.#controller !== undefined;
   }
 
+  /** Number of bytes of the response body that have arrived. */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
   /** Aborts the exchange by closing its connection, which most targets treat as a cancellation. */
   abort(reason: string): void {
     if (this.#end !== "open") return;
@@ -249,6 +255,7 @@
 
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
+    this.#receivedBytes += bytes.length;
     if (this.#listener === undefined) this.#bufferedChunks.push(bytes);
     else this.#listener.onData(bytes);
   }
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -67,9 +67,11 @@
     | "getLastContactAtMs"
     | "registerLossListener"
     | "confirmRefusal"
+    | "confirmPath"
   > = {
     hasPath: () => true,
     confirmRefusal: () => Promise.resolve(true),
+    confirmPath: () => Promise.resolve(true),
     recordTrouble: () => undefined,
     getLastContactAtMs: () => Infinity,
     registerLossListener: () => () => undefined,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -81,6 +81,7 @@
     getLastContactAtMs: () => Infinity,
     registerLossListener: () => () => undefined,
     confirmRefusal: () => Promise.resolve(true),
+    confirmPath: () => Promise.resolve(true),
   } as unknown as CallDependencies["pathMonitor"];
   return {
     clock,
