Streams: a response that is as long as announced is whole, events or not

Callers saw a closed connection, or 502 on resumable routes, for each call of a streaming route whose service answered without events: its complete response, Content-Length included, counted as a stream that ended inside an event.

The framing tells first whether a body is whole: a body of the announced length is, and a chunked one whose media type is not text/event-stream. A stream of events that ends with its connection inside an event, or with chunks and no media type, stays broken off.

The test failed before with 'other side closed'; generation_test passes (22 of 22), its cases of streams that end inside an event included.

--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -39,6 +39,12 @@
   return "connection";
 }
 
+/** Whether a response is a stream of events according to its media type, or has none. */
+function hasEvents({ headers }: ResponseHead): boolean {
+  const mediaType = headers["content-type"];
+  return mediaType === undefined || mediaType.startsWith("text/event-stream");
+}
+
 /** How the body of a response ended. */
 export type RelayResult = "whole" | ExchangeError;
 
@@ -215,11 +221,17 @@
     });
   }
 
-  /** Whether a body with these last characters is a stream that ended before a blank line. */
-  #isCutInsideEvent({ status }: ResponseHead, tail: string): boolean {
+  /**
+   * Whether a body with these last characters is a stream that ended before a blank line. A body that
+   * is as long as announced is whole, whatever it contains; so is a chunked one without events.
+   */
+  #isCutInsideEvent(head: ResponseHead, tail: string): boolean {
     const { isEventStream = false } = this.#options;
-    return isEventStream && isSuccessStatus(status) && tail !== "" &&
-      !EVENT_END.test(tail);
+    if (!isEventStream || !isSuccessStatus(head.status)) return false;
+    const framing = getResponseFraming(head);
+    const isWhole = framing === "length" ||
+      (framing === "chunked" && !hasEvents(head));
+    return !isWhole && tail !== "" && !EVENT_END.test(tail);
   }
 
   /** Sends the head unless that of an earlier response was sent. */
