Retry budget: a repeated prefill is a retry also if no run follows it

Cause: a call counted its requests in one number, of which the first request and the first successful prefill are free.

The counts tell prefills apart now. Once an engine has prefilled the prompt, a retry is each prefill and each run beyond the first of its kind; before, each request beyond the first. A peer of earlier software doesn't tell prefills; its counts are read so that no request goes uncounted.

The rule of the tests had the ledger's reading and is stricter now, as is that of the scripted calls: 'stream: each request beyond the first is taken from the retry budget' and the one for resumable streams failed before, after three runs that reached no engine (two prefills, one retry, none taken), and pass now.

--- a/packages/heatherarch-forward/calls/attempt_ledger.ts
+++ b/packages/heatherarch-forward/calls/attempt_ledger.ts
@@ -8,9 +8,17 @@
 import type { TakenRetry } from "../state/fleet_retry_budget.ts";
 
 /** Counts of a call that no target has got. */
-export const NO_ATTEMPTS: AttemptCounts = { sent: 0, isPrefilled: false };
+export const NO_ATTEMPTS: AttemptCounts = {
+  sent: 0,
+  prefills: 0,
+  isPrefilled: false,
+};
 /** Counts of a call of which another VM does not tell them: each further request is a retry. */
-export const UNKNOWN_ATTEMPTS: AttemptCounts = { sent: 2, isPrefilled: true };
+export const UNKNOWN_ATTEMPTS: AttemptCounts = {
+  sent: 2,
+  prefills: 1,
+  isPrefilled: true,
+};
 
 /** Requests that are about to be sent, one after the other. */
 export interface PlannedRequests {
@@ -29,9 +37,16 @@
   readonly readMonotonicMs: () => number;
 }
 
-/** Computes how many requests of a call are retries: all but the first, and the first prefill. */
-export function countRetries({ sent, isPrefilled }: AttemptCounts): number {
-  return Math.max(0, sent - 1 - (isPrefilled ? 1 : 0));
+/**
+ * Computes how many requests of a call are retries. Once an engine has prefilled the prompt, these are
+ * the prefills and the runs beyond the first of each; before, all requests but the first. A prefill
+ * that is repeated is a retry also if no run follows it.
+ */
+export function countRetries(
+  { sent, prefills, isPrefilled }: AttemptCounts,
+): number {
+  if (!isPrefilled) return Math.max(0, sent - 1);
+  return Math.max(0, prefills - 1) + Math.max(0, sent - prefills - 1);
 }
 
 /** The requests of one call. */
@@ -67,9 +82,10 @@
 
   /** Computes how many more retries have to be taken before the requests may be sent. */
   computeDue({ requests, beginsWithPrefill = false }: PlannedRequests): number {
-    const { sent, isPrefilled } = this.#counts;
+    const { sent, prefills, isPrefilled } = this.#counts;
     const retries = countRetries({
       sent: sent + requests,
+      prefills: prefills + (beginsWithPrefill ? 1 : 0),
       isPrefilled: isPrefilled || beginsWithPrefill,
     });
     return Math.max(
@@ -89,14 +105,14 @@
   }
 
   /** Counts a request. Returns a function that takes it back if it did not reach its target. */
-  recordSent(): () => void {
+  recordSent({ isPrefill = false }: { isPrefill?: boolean } = {}): () => void {
     const retriesBefore = this.retries;
-    this.#addSent(1);
+    this.#addSent(1, isPrefill);
     if (this.retries > retriesBefore) {
       this.#taken[retriesBefore]?.markSent(this.#options.readMonotonicMs());
     }
     return () => {
-      this.#addSent(-1);
+      this.#addSent(-1, isPrefill);
       if (this.#hasEnded) this.#refundUnused();
     };
   }
@@ -119,8 +135,13 @@
     this.#refundUnused();
   }
 
-  #addSent(count: number): void {
-    this.#counts = { ...this.#counts, sent: this.#counts.sent + count };
+  #addSent(count: number, isPrefill: boolean): void {
+    const { sent, prefills, isPrefilled } = this.#counts;
+    this.#counts = {
+      sent: sent + count,
+      prefills: prefills + (isPrefill ? count : 0),
+      isPrefilled,
+    };
   }
 
   #refundUnused(): void {
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -426,7 +426,7 @@
       : buildWithheldExchange("the retry budget is spent");
     this.#exchange = exchange;
     this.#quarantineGuard.trackExchange(target, exchange, isRun);
-    this.#trackAttempt(exchange);
+    this.#trackAttempt(exchange, isRun);
     return exchange;
   }
 
@@ -435,8 +435,8 @@
     this.#ledger.recordPrefilled();
   }
 
-  #trackAttempt(exchange: TargetExchange): void {
-    const undo = this.#ledger.recordSent();
+  #trackAttempt(exchange: TargetExchange, isRun: boolean): void {
+    const undo = this.#ledger.recordSent({ isPrefill: !isRun });
     void exchange.ended.then((end) => {
       if (end === "ended") return;
       if (end.fault === "notSent" || end.fault === "withheld") undo();
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -59,10 +59,15 @@
   retryAfterMs: z.number().min(0).catch(0),
 });
 
+/** A VM of earlier software does not tell the prefills. Fewer of them leave no request uncounted. */
 const ATTEMPTS = z.object({
   sent: z.int().min(0),
+  prefills: z.int().min(0).optional(),
   isPrefilled: z.boolean(),
-});
+}).transform(({ prefills, ...counts }) => ({
+  ...counts,
+  prefills: prefills ?? (counts.isPrefilled ? 1 : 0),
+}));
 
 /** Encodes a call without its body. */
 export function encodeHandoverCall(
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -177,6 +177,8 @@
 export interface AttemptCounts {
   /** Requests that reached a target, or may have; rejected ones and prefills included. */
   readonly sent: number;
+  /** How many of them are prefills. */
+  readonly prefills: number;
   /** An engine has prefilled the prompt. The first such prefill is not counted. */
   readonly isPrefilled: boolean;
 }
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -91,7 +91,7 @@
   readonly used: number;
   /** Number of times that an engine was asked to prefill the prompt. */
   readonly prefills: number;
-  /** Requests that reached a target beyond the first one and the first successful prefill. */
+  /** Prefills and runs that reached a target, beyond the first of each. Prefills always succeed. */
   readonly retries: number;
   /** Retries that the call took from the retry budget and did not give back. */
   readonly retriesTaken: number;
@@ -122,8 +122,8 @@
   #isWhole = false;
   #body = "";
   #prefills = 0;
-  /** Requests that reached a target, without the first successful prefill. */
-  #counted = 0;
+  /** Runs and rejected runs that reached a target. */
+  #runRequests = 0;
   readonly #log = new MemoryEventLog();
 
   constructor(kind: CallKind, script: readonly ScriptedAttempt[]) {
@@ -150,7 +150,8 @@
       body: this.#body,
       used: this.#length - this.#script.length,
       prefills: this.#prefills,
-      retries: Math.max(0, this.#counted - 1),
+      retries: Math.max(0, this.#prefills - 1) +
+        Math.max(0, this.#runRequests - 1),
       retriesTaken: this.#log.lines
         .filter(({ event }) => event === "callEnded")
         .reduce((sum, { fields }) => sum + Number(fields.retriesTaken), 0),
@@ -348,8 +349,7 @@
     const fail = () => handler.onResponseError?.(controller, new Error(end));
     if (end === "notSent") return void fail();
     handler.onRequestStart?.(controller, {});
-    const isFirstPrefill = isPrefill && this.#prefills === 1;
-    if (!isFirstPrefill && request.path !== "free") this.#counted++;
+    if (!isPrefill && request.path !== "free") this.#runRequests++;
     if (end === "lostBefore") return void fail();
     const isRun = end !== "refused" && end !== "misdirected" && !isPrefill &&
       request.path !== "free";
