Retry budget: what a call has earned is at one VM at a time

On four stand-in VMs whose decode engines had crashed, 176 retries were taken in seven seconds, and 129 sent in a window of five seconds where 77 were allowed, with each request taken from the budget.

Cause: a call that a VM can't serve is offered to peers in turn, here 1,010 handovers of 466 calls. The first VM took back what the call had earned once, and each peer credited itself with it and kept it when it gave the call back.

A peer that ends a call with the promise that it didn't run forgets it now, and the VM that gets it back counts it again. The demand of the fleet, which is counted at the same places, had the same fault.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -187,8 +187,7 @@
     });
     this.#removeDisconnectListener = this.clientResponse
       .registerDisconnectListener(() => this.#handleDisconnect());
-    this.dependencies.retryBudget.recordCall(this.service.name, this.nowMs);
-    this.dependencies.fleetDemand.recordCall(this.nowMs);
+    this.#recordCall();
     this.returnKind = this.#classifyArrival();
     if (this.clientResponse.isDisconnected) this.#handleDisconnect();
   }
@@ -376,22 +375,32 @@
    * records the requests that the peer has counted.
    */
   beginHandover(exchange: TargetExchange): (counts: AttemptCounts) => void {
-    const { retryBudget, fleetDemand } = this.dependencies;
     const runs = this.#runs;
     this.#exchange = exchange;
     this.#attempts++;
     this.#runs = Math.max(runs + 1, this.route.maxTargets);
-    if (!this.#isHandedOver) {
-      retryBudget.forgetCall(this.service.name, this.nowMs);
-      fleetDemand.forgetCall(this.nowMs);
-    }
     this.#isHandedOver = true;
+    this.#forgetCall();
     return (counts) => {
+      this.#recordCall();
       this.#runs = runs;
       this.#ledger.recordPeerCounts(counts);
     };
   }
 
+  /** Counts the call at this VM, which has it now. Only one VM counts a call at a time. */
+  #recordCall(): void {
+    const { retryBudget, fleetDemand } = this.dependencies;
+    retryBudget.recordCall(this.service.name, this.nowMs);
+    fleetDemand.recordCall(this.nowMs);
+  }
+
+  #forgetCall(): void {
+    const { retryBudget, fleetDemand } = this.dependencies;
+    retryBudget.forgetCall(this.service.name, this.nowMs);
+    fleetDemand.forgetCall(this.nowMs);
+  }
+
   /** Ends the call with the error of the peer that it was handed over to. */
   endWithPeerFailure(error: ServeError): void {
     if (this.hasEnded) return;
@@ -612,6 +621,8 @@
   }
 
   #respondWithError(error: ServeError): void {
+    const isGivenBack = this.call.handover !== undefined && error.run === "no";
+    if (isGivenBack) this.#forgetCall();
     this.clientResponse.fail(error, this.call.id, this.#ledger.counts);
   }
 
--- a/packages/heatherarch-lab/proofs/retry_budget_proof.ts
+++ b/packages/heatherarch-lab/proofs/retry_budget_proof.ts
@@ -14,6 +14,7 @@
   "withholdsAfterStart",
   "keepsCount",
   "countsCallsOnce",
+  "takesCreditBack",
 ] as const;
 type Guard = typeof GUARDS[number];
 
@@ -31,6 +32,8 @@
   readonly shortListMs: number;
   /** Share of the calls that are handed over to a peer after their credit may have been spent. */
   readonly handoverShare: number;
+  /** Peers that such a call is handed over to in turn. All but the last give it back. */
+  readonly peersPerCall: number;
   readonly seed: number;
 }
 
@@ -138,11 +141,30 @@
     budget.recordCall(SERVICE, nowMs);
     if (random.drawUnit() >= schedule.handoverShare) continue;
     if (nowMs >= TROUBLE_AT_MS) takeRetries(fleet, budget, random, nowMs);
+    for (let peers = 1; peers < schedule.peersPerCall; peers++) {
+      offerInVain(fleet, budget, random, nowMs, disabledGuard);
+    }
     if (disabledGuard !== "countsCallsOnce") budget.forgetCall(SERVICE, nowMs);
     random.drawItem(budgets).recordCall(SERVICE, nowMs);
   }
 }
 
+/** Hands a call over to a peer that may spend its credit, and gives it back. */
+function offerInVain(
+  fleet: SimulatedFleet,
+  budget: FleetRetryBudget,
+  random: Random,
+  nowMs: number,
+  disabledGuard: Guard | undefined,
+): void {
+  const peer = random.drawItem(fleet.budgets);
+  budget.forgetCall(SERVICE, nowMs);
+  peer.recordCall(SERVICE, nowMs);
+  if (nowMs >= TROUBLE_AT_MS) takeRetries(fleet, peer, random, nowMs);
+  if (disabledGuard !== "takesCreditBack") peer.forgetCall(SERVICE, nowMs);
+  budget.recordCall(SERVICE, nowMs);
+}
+
 function simulate(
   schedule: Schedule,
   disabledGuard: Guard | undefined,
@@ -220,6 +242,7 @@
         shortListAtMs: fc.integer({ min: 0, max: END_MS }),
         shortListMs: fc.integer({ min: 0, max: 8000 }),
         handoverShare: fc.constantFrom(0, 0.3, 1),
+        peersPerCall: fc.integer({ min: 1, max: 4 }),
         seed: fc.integer({ min: 0, max: 1_000_000 }),
       }),
       (schedule) => checkSchedule(schedule, disabledGuard as Guard | undefined),
