Streams: while two versions may have begun them, their records are kept in the store

What callers saw: after the loss of all VMs while two software versions served, no stream that clients named went on, though the engines of its version served.

Cause: the records of streams live in VMs only.

A VM that stops writes what is left. Nothing is written or read while one version alone may have begun a stream; when a second one comes, the earlier streams are written as well.

Why this works: a record is final and names its stream by a hash, so an old or repeated one does no harm; a lost one is refused as before. Streams that began less than a pause before a kill are lost.

--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -274,6 +274,11 @@
     return !this.#membership.hasHubs || this.#membership.isHub;
   }
 
+  /** Whether links run over hubs. */
+  get hasHubs(): boolean {
+    return this.#membership.hasHubs;
+  }
+
   /** Lists the ids of the live VMs that share fleet-wide tasks, this one included. */
   listCoordinators(): string[] {
     const live = this.listLive();
--- a/packages/heatherarch-forward/fleet/stream_version_exchange.ts
+++ b/packages/heatherarch-forward/fleet/stream_version_exchange.ts
@@ -15,11 +15,10 @@
   MeshNode,
 } from "heatherarch-mesh";
 import {
-  type RecordScope,
-  STREAM_KEY_BYTES,
-  type StreamRecord,
-  type StreamVersions,
-} from "../state/stream_versions.ts";
+  decodeStreamRecords,
+  encodeStreamRecords,
+} from "../state/stream_record_codec.ts";
+import type { RecordScope, StreamVersions } from "../state/stream_versions.ts";
 
 /** Options of {@linkcode StreamVersionExchange}. */
 export interface StreamVersionExchangeOptions {
@@ -69,7 +68,9 @@
       scope,
     );
     this.#cursors.set(link, cursor);
-    return records.length === 0 ? {} : { streams: encodeRecords(records) };
+    return records.length === 0
+      ? {}
+      : { streams: encodeStreamRecords(records) };
   }
 
   /** Records what a peer tells. */
@@ -78,7 +79,7 @@
     if (streams === undefined) return;
     const isSameZone = from.availabilityZone === self.availabilityZone;
     const origin = isSameZone ? "zone" : "elsewhere";
-    for (const record of decodeRecords(streams)) {
+    for (const record of decodeStreamRecords(streams)) {
       streamVersions.recordStream(record, origin);
     }
   }
@@ -171,32 +172,3 @@
   readonly id: string;
   readonly availabilityZone: string;
 }
-
-/** Encodes records grouped by version, with the keys of a version in one string of bytes. */
-function encodeRecords(
-  records: readonly StreamRecord[],
-): NonNullable<Heartbeat["streams"]> {
-  const keys = new Map<string, string>();
-  for (const { key, softwareVersion } of records) {
-    keys.set(softwareVersion, (keys.get(softwareVersion) ?? "") + key);
-  }
-  return [...keys].map(([version, joined]) => [
-    version,
-    Buffer.from(joined, "latin1"),
-  ]);
-}
-
-function decodeRecords(
-  streams: NonNullable<Heartbeat["streams"]>,
-): StreamRecord[] {
-  return streams.flatMap(([softwareVersion, bytes]) => {
-    const keys = Buffer.from(bytes).toString("latin1");
-    return Array.from(
-      { length: Math.floor(keys.length / STREAM_KEY_BYTES) },
-      (_, i): StreamRecord => ({
-        key: keys.slice(i * STREAM_KEY_BYTES, (i + 1) * STREAM_KEY_BYTES),
-        softwareVersion,
-      }),
-    );
-  });
-}
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -35,6 +35,7 @@
   buildMesh,
   buildRoleController,
   buildStoreReader,
+  buildStreamRecordLog,
   buildVersionPersistence,
   type PlatformPorts,
   type VmComponents,
@@ -61,6 +62,8 @@
 const DRAIN_POLL_MS = 50;
 /** Time reserved for the last log lines and records before the platform kills the process. */
 const EXIT_MARGIN_MS = 400;
+/** Time for the last records of streams, milliseconds. */
+const MAX_FLUSH_MS = 200;
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
 
@@ -152,6 +155,7 @@
     storeReader.start();
     quarantinePersistence.start();
     partQuarantinePersistence.start();
+    this.#components.streamRecordLog.start();
     roleController.start();
     this.#components.duties?.start();
     targetListGuard.recordTick();
@@ -208,7 +212,9 @@
       getListAgeMs: () => this.#components.storeReader.getEffectiveListAgeMs(),
       refreshTargetList: () => this.#components.storeReader.refreshList(),
       self: buildIdentity(this.#settings, this.#vmStart),
-      findStreamVersion: (key) => this.#components.mesh.findStreamVersion(key),
+      findStreamVersion: async (key) =>
+        await this.#components.mesh.findStreamVersion(key) ??
+          await this.#components.streamRecordLog.findVersion(key),
       findOnlyVersion: (service) =>
         this.#components.versionPersistence.findOnlyVersion(service),
       listPeers: () => this.#components.mesh.listPeers(),
@@ -262,6 +268,7 @@
       ),
       storeReader: asValue(buildStoreReader(options)),
       versionPersistence: asValue(buildVersionPersistence(options)),
+      streamRecordLog: asValue(buildStreamRecordLog(options)),
       quarantinePersistence: asValue(
         new QuarantinePersistence({
           topic: ports.directory.quarantine,
@@ -298,6 +305,7 @@
         this.#clock.readMonotonicMs(),
       );
       this.#components.versionPersistence.handleRestoration(epoch);
+      this.#components.streamRecordLog.handleRestoration();
       this.#components.quarantinePersistence.handleRestoration();
       this.#components.partQuarantinePersistence.handleRestoration();
       this.#components.mesh.handleRestoration();
@@ -584,6 +592,7 @@
     while (hasOpenCalls() && this.#clock.readMonotonicMs() < untilMs) {
       await sleep(DRAIN_POLL_MS);
     }
+    await this.#components.streamRecordLog.flush(MAX_FLUSH_MS);
     this.#log.write("info", "stopped", {
       openCalls: ingress.openCalls,
       tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
@@ -597,6 +606,7 @@
     this.#removeViolationListener?.();
     this.#components.storeReader.stop();
     this.#components.versionPersistence.stop();
+    this.#components.streamRecordLog.stop();
     this.#components.quarantinePersistence.stop();
     this.#components.partQuarantinePersistence.stop();
     ingress.closeAll();
--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -109,6 +109,12 @@
     return [...new Set([...seen, ...recorded])];
   }
 
+  /** Whether streams that are taken up now may have begun at several versions. */
+  hasSeveralVersions(): boolean {
+    return this.#listServices()
+      .some((service) => this.listVersions(service).length > 1);
+  }
+
   get #nowMs(): number {
     return this.#options.clock.readMonotonicMs();
   }
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -32,6 +32,7 @@
 import { CLOCK_MARGIN_MS } from "./state/version_lives.ts";
 import type { StoreEpoch } from "./state/store_epoch.ts";
 import { StoreReader } from "./tasks/store_reader.ts";
+import { StreamRecordLog } from "./tasks/stream_record_log.ts";
 import { VersionPersistence } from "./tasks/version_persistence.ts";
 import { isFleetRunning } from "./fleet/running_fleet.ts";
 import { planConfigReads } from "./scheduling/config_reads.ts";
@@ -60,6 +61,7 @@
   readonly statusServer: StatusServer;
   readonly storeReader: StoreReader;
   readonly versionPersistence: VersionPersistence;
+  readonly streamRecordLog: StreamRecordLog;
   readonly quarantinePersistence: QuarantinePersistence;
   readonly partQuarantinePersistence: QuarantinePersistence;
   /** Undefined if the fleet has no duties. */
@@ -271,6 +273,24 @@
   });
 }
 
+/** Builds the task that keeps the records of streams in the platform's store. */
+export function buildStreamRecordLog(
+  { ports, getComponents }: VmTaskOptions,
+): StreamRecordLog {
+  const { streamVersions, versionLives, log } = getComponents();
+  return new StreamRecordLog({
+    store: ports.log,
+    streamVersions,
+    log,
+    hasVersions: () => versionLives.isLoaded,
+    hasSeveralVersions: () =>
+      getComponents().versionPersistence.hasSeveralVersions(),
+    isCoordinator: () => getComponents().mesh.isCoordinator,
+    countWriters: () => getComponents().mesh.listCoordinators().length,
+    getScope: () => getComponents().mesh.hasHubs ? "zone" : "own",
+  });
+}
+
 /** Builds the task that reads the platform's store. */
 export function buildStoreReader(options: VmTaskOptions): StoreReader {
   const { settings, ports: { directory }, getComponents } = options;
