--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -24,6 +24,7 @@
 import { SHARES_PROOF } from "./shares_proof.ts";
 import { STREAM_PROOF } from "./stream_proof.ts";
 import { TARGET_LIST_PROOF } from "./target_list_proof.ts";
+import { VERSION_PROOF } from "./version_proof.ts";
 
 export * from "./fake_host.ts";
 export * from "./proof.ts";
@@ -52,6 +53,7 @@
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 10_000 },
   { proof: DISCONNECT_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
+  { proof: VERSION_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: PART_QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
   { proof: QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
 ];
