Handover: a KV cache is kept until a peer accepts the call

Cause: with two engines not reached, a call is to be handed over, so its KV cache was released before peers were asked. Where the path is sound no peer is asked, or all decline, and the next round began with a prefill.

The call is offered while its cache is held. The cache is released when a peer accepts the call, or the call ends, and is used at the next engine otherwise.

New test: two engines not reached and no peer: two prefills before, one now.

--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -29,6 +29,8 @@
   readonly relay: StreamRelay;
   /** Software version at which the stream has to go on, if it has begun. */
   readonly softwareVersion?: string;
+  /** Called when a peer has accepted the call, before it is sent there. */
+  readonly onAccepted?: () => void;
 }
 
 /** Interval between rounds of offers of a call that can't be refused, milliseconds. */
@@ -52,11 +54,13 @@
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
   readonly #softwareVersion: string | undefined;
+  readonly #onAccepted: () => void;
 
   constructor(options: CallHandoverOptions) {
     this.#context = options.context;
     this.#relay = options.relay;
     this.#softwareVersion = options.softwareVersion;
+    this.#onAccepted = options.onAccepted ?? (() => undefined);
   }
 
   /**
@@ -97,6 +101,7 @@
         return "ended";
       }
       if (connection === undefined) return "declined";
+      this.#onAccepted();
       const result = await this.#serveAt(connection);
       if (result.kind === "ended" || context.hasEnded) return "ended";
       if (ELSEWHERE.has(result.error.kind)) continue;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -154,14 +154,18 @@
     }
   }
 
-  /** Hands the call over to a peer if it could not be sent. Returns whether the call has ended. */
-  async #handOver(): Promise<boolean> {
+  /**
+   * Hands the call over to a peer if it could not be sent. `onAccepted` is called when a peer has
+   * accepted it. Returns whether the call has ended.
+   */
+  async #handOver(onAccepted?: () => void): Promise<boolean> {
     const context = this.#context;
     if (!await context.mayPeersServe()) return context.hasEnded;
     const result = await new CallHandover({
       context,
       relay: this.#relay,
       softwareVersion: this.#decodeEngines.softwareVersion,
+      onAccepted,
     }).serve();
     if (result === "ended") return true;
     if (context.hasPath) context.forgetUnreachable();
@@ -182,10 +186,27 @@
     for (let engines = 0; engines < MAX_DECODE_ENGINES; engines++) {
       const next = await this.#decodeOnce(prefilled);
       if (next !== "useCacheAgain") return;
+      if (prefilled !== undefined && !await this.#keepCache(prefilled)) return;
     }
     this.#recordFailure("no engine took the KV cache over", prefilled);
   }
 
+  /**
+   * Offers the call to peers if it should be handed over. Returns whether it goes on here with its KV
+   * cache, which is released only when a peer, which prefills the prompt itself, accepts the call.
+   */
+  async #keepCache(prefilled: PrefilledPrompt): Promise<boolean> {
+    if (!this.#context.mustHandOver) return true;
+    let isKept = true;
+    const release = (): void => {
+      if (isKept) this.#prefill.releaseCache(prefilled);
+      isKept = false;
+    };
+    const hasEnded = await this.#handOver(release);
+    if (hasEnded) release();
+    return isKept;
+  }
+
   async #decodeOnce(
     prefilled: PrefilledPrompt | undefined,
   ): Promise<DecodeResult> {
@@ -284,7 +305,7 @@
         this.#reason = `decode failed: ${result.reason}`;
         if (result.refusal === "declined" && this.#hasFreeSlot(target)) {
           this.#recordLostCache(prefilled);
-        } else if (prefilled !== undefined && this.#mayUseCacheAgain()) {
+        } else if (prefilled !== undefined && this.#mayContinue()) {
           return "useCacheAgain";
         }
         this.#recordFailure(result.reason, prefilled);
@@ -293,7 +314,7 @@
         this.#context.undoRun();
         this.#decodeEngines.addTried(target.id);
         this.#reason = `decode failed: ${result.reason}`;
-        if (prefilled !== undefined && this.#mayUseCacheAgain()) {
+        if (prefilled !== undefined && this.#mayContinue()) {
           return "useCacheAgain";
         }
         this.#recordFailure(result.reason, prefilled);
@@ -302,11 +323,6 @@
     return "done";
   }
 
-  /** Whether the prompt need not be prefilled again: no engine has taken the KV cache over. */
-  #mayUseCacheAgain(): boolean {
-    return this.#mayContinue() && !this.#context.mustHandOver;
-  }
-
   #hasFreeSlot({ id, slots }: Target): boolean {
     const { dependencies, nowMs } = this.#context;
     return dependencies.workTracker.getRunLoad(id, nowMs).runs < slots;
--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -113,6 +113,17 @@
   }
 });
 
+// Guards against a second prefill after a handover that no peer has accepted.
+test("a cache is kept while peers decline a call whose decode engines are not reached", async () => {
+  const restarted: ScriptedAttempt = { end: "notSent", restarts: true };
+  for (const kind of ["stream", "resumableStream"] as const) {
+    const outcome = await runScript(kind, [restarted, restarted]);
+    assert.equal(outcome.status, 200, kind);
+    assert.equal(outcome.prefills, 1, kind);
+    assert.equal(outcome.retriesTaken, 0, kind);
+  }
+});
+
 // Guards against a second prefill, and two retries instead of one, for a KV cache that is still held.
 test("a cache that a replaced engine did not take over is used at another engine", async () => {
   const misdirected: ScriptedAttempt = { end: "misdirected", restarts: false };
