Forwarding: a response that ends with its connection is confirmed before it counts

Callers got plain successes and streams in part that looked whole: a runner that is killed in the middle of a response without length or chunks ends its connection in order, by its kernel, and the end of the connection counted as the end of the body.

One rule in one place now holds for plain calls, streams of all kinds, failures and responses relayed while they arrive: EndConfirmation probes the target and lets the end count once the same incarnation is known to live on. A report has to name the listed start; another response has to come over a connection that was open before a process could have started again. One probe confirms all ends before it, one is in flight for each target, 20 ms apart at least. The probe waits for a target that is silent for a second; calls that may run again go on elsewhere within half of their time, others fail or are cut off visibly. The request of such a response is reported to the crash detector.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -15,7 +15,6 @@
 import type { EventLog } from "./event_log.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "./metrics.ts";
-import type { Target } from "./model.ts";
 import type { CallCodec } from "./ports.ts";
 import type { PrefixIndex } from "./state/prefix_index.ts";
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
@@ -29,7 +28,7 @@
 import type { PrefillCandidateCache } from "./scheduling/prefill_candidate_cache.ts";
 import type { FleetRetryBudget } from "./state/fleet_retry_budget.ts";
 import type { TargetListGuard } from "./calls/target_list_guard.ts";
-import type { ProbeOutcome } from "./calls/response_probe.ts";
+import type { EndConfirmation } from "./calls/end_confirmation.ts";
 import type { IncarnationCheck } from "./calls/incarnation_check.ts";
 import type { TargetConnections } from "./calls/target_connections.ts";
 import type { TargetDirectory } from "./state/target_directory.ts";
@@ -72,8 +71,7 @@
   readonly loadProber: LoadProber;
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
-  /** Sends a target a request that it does not run, and resolves with the result. Never rejects. */
-  readonly probeTarget: (target: Target) => Promise<ProbeOutcome>;
+  readonly endConfirmation: Pick<EndConfirmation, "confirm">;
   readonly incarnationCheck: Pick<IncarnationCheck, "confirm">;
   readonly targetListGuard: TargetListGuard;
   readonly readBarrier: ReadBarrier;
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -439,6 +439,14 @@
     return exchange;
   }
 
+  /**
+   * Records that a response has ended whose end is not confirmed. The request may have crashed the target;
+   * its parts are not accused, as the response may have been whole.
+   */
+  recordUnconfirmedEnd(target: Target, reason: string): void {
+    if (!this.hasEnded) this.#quarantineGuard.recordLoss(target, reason, false);
+  }
+
   /** Records that an engine has prefilled the prompt. */
   recordPrefilled(): void {
     this.#ledger.recordPrefilled();
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -6,7 +6,6 @@
  * @module
  */
 import {
-  getResponseFraming,
   readFailure,
   type RelayResult,
   StreamRelay,
@@ -38,6 +37,7 @@
   type TargetExchange,
 } from "./target_exchange.ts";
 import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
+import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
@@ -358,10 +358,13 @@
     const stopWatch = this.#resumeIfPathLost(exchange);
     const relayed = await this.#relay.relay(exchange, head);
     stopWatch();
-    const result = relayed === "whole"
-      ? await this.#confirmEnd(target, head)
-      : relayed;
-    this.#handleRelayResult(target, head.status, result);
+    const isComplete = relayed !== "whole" ||
+      await confirmResponseEnd(this.#context, target, head);
+    this.#handleRelayResult(
+      target,
+      head.status,
+      isComplete ? relayed : new ExchangeError("lost", UNCONFIRMED_END),
+    );
   }
 
   /** Delivers an engine's failure, or records why it is not passed on. */
@@ -373,6 +376,9 @@
     const context = this.#context;
     try {
       const response = await readFailure(exchange, head);
+      if (!await confirmResponseEnd(context, target, head)) {
+        throw new ExchangeError("lost", UNCONFIRMED_END);
+      }
       if (context.hasEnded) return;
       this.#recordFirstByte();
       writeResponse(context.clientResponse, context.call.method, response);
@@ -401,22 +407,6 @@
     return isListed ? undefined : "the engine may be another incarnation";
   }
 
-  /**
-   * Confirms that a resumable stream is complete whose end is that of its connection: an engine that
-   * has just crashed closes its connections as well. What may be missing is resumed elsewhere.
-   */
-  async #confirmEnd(target: Target, head: ResponseHead): Promise<RelayResult> {
-    const { route, dependencies, mayRunAgain } = this.#context;
-    const isSure = route.kind !== "resumableStream" || !mayRunAgain ||
-      !isSuccessStatus(head.status) ||
-      getResponseFraming(head) !== "connection";
-    if (isSure) return "whole";
-    const outcome = await dependencies.probeTarget(target);
-    return outcome === "response"
-      ? "whole"
-      : new ExchangeError("lost", "the engine ended with its response");
-  }
-
   /** Has a peer resume a stream if the path is lost. Returns a function that stops this. */
   #resumeIfPathLost(exchange: TargetExchange): () => void {
     const { route } = this.#context;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -35,6 +35,7 @@
 } from "./plain_slot_wait.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { ABANDONED_BODY, awaitAttempt } from "./attempt_result.ts";
+import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import { CallHandover, type HandoverResult } from "./call_handover.ts";
 
@@ -220,6 +221,12 @@
       if (read.kind === "partial") {
         return await this.#relayPartial(exchange, read.response, target);
       }
+      if (!await confirmResponseEnd(context, target, result.head)) {
+        return context.hasEnded
+          ? { kind: "over" }
+          : { kind: "lost", reason: UNCONFIRMED_END };
+      }
+      if (context.hasEnded) return { kind: "over" };
       const answer = read.response;
       if (this.#mayRetry(result.head.status)) return { kind: "answer", answer };
       this.#deliver(answer, target);
@@ -274,9 +281,12 @@
       exchange,
       response,
     );
+    const isComplete = result === "whole" &&
+      await confirmResponseEnd(context, target, response.head);
     if (context.hasEnded) return { kind: "over" };
-    if (result !== "whole") {
-      context.fail("answerIncomplete", result.message);
+    if (!isComplete) {
+      const reason = result === "whole" ? UNCONFIRMED_END : result.message;
+      context.fail("answerIncomplete", reason);
       return { kind: "over" };
     }
     clientResponse.end();
--- a/packages/heatherarch-forward/calls/quarantine_guard.ts
+++ b/packages/heatherarch-forward/calls/quarantine_guard.ts
@@ -139,24 +139,29 @@
     isRun: boolean,
   ): void {
     const { crashDetector } = this.#options.dependencies;
-    const { id, host } = this.#options.call;
     void exchange.ended.then((end) => {
       if (end === "ended") return;
       if (end.isConnectionRefused) void crashDetector.recordRefusal(target.id);
-      if (end.fault !== "lost") return;
-      this.#hasLostExchange = true;
-      this.#investigations.push(crashDetector.investigateLoss({
-        call: id,
-        request: this.digest,
-        account: host,
-        parts: isRun ? this.parts : [],
-        target: target.id,
-        address: target.address,
-        reason: end.message,
-      }));
+      if (end.fault === "lost") this.recordLoss(target, end.message, isRun);
     });
   }
 
+  /** Reports a lost response to the crash detector, with `isRun` as for {@linkcode trackExchange}. */
+  recordLoss(target: Target, reason: string, isRun: boolean): void {
+    const { crashDetector } = this.#options.dependencies;
+    const { id, host } = this.#options.call;
+    this.#hasLostExchange = true;
+    this.#investigations.push(crashDetector.investigateLoss({
+      call: id,
+      request: this.digest,
+      account: host,
+      parts: isRun ? this.parts : [],
+      target: target.id,
+      address: target.address,
+      reason,
+    }));
+  }
+
   /** Records that an engine wrote a response on the prompt, which clears its parts. */
   recordPartSuccess(): void {
     const { partQuarantine } = this.#options.dependencies;
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -29,10 +29,7 @@
 /** How the end of a response body is marked. */
 export type ResponseFraming = "length" | "chunked" | "connection";
 
-/**
- * Returns how a target framed its response. The truncation of a response that ends with its
- * connection may go unnoticed.
- */
+/** Returns how a target framed its response. */
 export function getResponseFraming(head: ResponseHead): ResponseFraming {
   if (head.headers["content-length"] !== undefined) return "length";
   if (head.headers["transfer-encoding"] !== undefined) return "chunked";
@@ -45,6 +42,19 @@
   return mediaType === undefined || mediaType.startsWith("text/event-stream");
 }
 
+/** Whether only the end of the connection marks the end of a response. */
+export function isEndedByConnection(
+  method: string,
+  head: ResponseHead,
+): boolean {
+  return !isBodiless(method, head) &&
+    getResponseFraming(head) === "connection";
+}
+
+function isBodiless(method: string, { status }: ResponseHead): boolean {
+  return method === "HEAD" || status === 204 || status === 304;
+}
+
 /** How the body of a response ended. */
 export type RelayResult = "whole" | ExchangeError;
 
@@ -134,9 +144,7 @@
   response: BufferedResponse,
 ): void {
   const { head, body } = response;
-  const isBodiless = method === "HEAD" || head.status === 204 ||
-    head.status === 304;
-  if (isBodiless) {
+  if (isBodiless(method, head)) {
     clientResponse.writeHead(head.status, copyEndToEndHeaders(head.rawHeaders));
     clientResponse.end();
     return;
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -87,6 +87,17 @@
       "Services, by role of their engines, of which this VM reaches no target",
     registers: [this.registry],
   });
+  readonly endProbes = new Counter({
+    name: "heatherarch_end_probes_total",
+    help: "Probes of targets whose responses ended with their connections",
+    registers: [this.registry],
+  });
+  readonly endsUnconfirmed = new Counter({
+    name: "heatherarch_ends_unconfirmed_total",
+    help:
+      "Responses that ended with their connections and count as cut, as their target was not known to live on",
+    registers: [this.registry],
+  });
   readonly handovers = new Counter({
     name: "heatherarch_handovers_total",
     help: "Offers of calls to peers, by the peer's reply",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -112,3 +112,4 @@
 export * from "./calls/handover_codec.ts";
 export * from "./calls/call_handover.ts";
 export * from "./calls/response_probe.ts";
+export * from "./calls/end_confirmation.ts";
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -0,0 +1,190 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RuntimeClock, sleep } from "heatherarch-core";
+import {
+  EndConfirmation,
+  type EngineReport,
+  ExchangeError,
+  type Target,
+  type TargetExchange,
+} from "../../mod.ts";
+import { buildTarget } from "./fixtures.ts";
+
+/** How a target responds to a probe: with a report of a start, as a plain target, or not at all. */
+type ProbeReply = "plain" | "misdirected" | "lost" | ExchangeError | number;
+
+const REQUEST = { path: "/", method: "GET", headers: [], body: null };
+const RESTARTABLE = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
+const PLAIN = buildTarget("p");
+const NEVER = new Promise<void>(() => undefined);
+const REFUSED = new ExchangeError("notSent", "refused", {
+  code: "ECONNREFUSED",
+});
+
+interface ConfirmationOptions {
+  /** Replies to the probes in turn; the last one also to those that follow. */
+  readonly replies: readonly ProbeReply[];
+  readonly replyDelayMs?: number;
+  readonly isLimited?: boolean;
+  readonly connectResult?: "accepted" | "refused";
+  /** Whether the connections of probes are open at once. */
+  readonly isSent?: boolean;
+}
+
+function buildConfirmation(options: ConfirmationOptions) {
+  const { replies, replyDelayMs = 5, isSent = true } = options;
+  const state = { probes: 0, inFlight: 0, maxInFlight: 0 };
+  const send = (): TargetExchange => {
+    const reply = replies[Math.min(state.probes, replies.length - 1)];
+    state.probes++;
+    state.inFlight++;
+    state.maxInFlight = Math.max(state.maxInFlight, state.inFlight);
+    let abort!: (reason: string) => void;
+    const head = new Promise((resolve, reject) => {
+      abort = (reason) => reject(new ExchangeError("aborted", reason));
+      setTimeout(() => {
+        if (reply instanceof ExchangeError) reject(reply);
+        else if (reply === "lost") reject(new ExchangeError("lost", "lost"));
+        else resolve({ status: 200, headers: { reply } });
+      }, replyDelayMs);
+    });
+    head.catch(() => undefined).finally(() => state.inFlight--);
+    const body = Buffer.from(typeof reply === "number" ? String(reply) : "");
+    return {
+      head,
+      isSent,
+      abort,
+      discardBody: () => undefined,
+      readBody: () => Promise.resolve(body),
+    } as unknown as TargetExchange;
+  };
+  const confirmation = new EndConfirmation({
+    clock: new RuntimeClock(),
+    connections: { send },
+    codec: {
+      encodeReportRequest: () => REQUEST,
+      decodeReport: (body) =>
+        body.length === 0
+          ? undefined
+          : { startedAtMs: Number(body) } as EngineReport,
+      decodeResponse: (_status, headers) => ({
+        misdirected: headers.reply === "misdirected",
+        notRun: false,
+        signed: false,
+        isLeaving: false,
+      }),
+    },
+    isLimited: () => options.isLimited ?? false,
+    connect: () => Promise.resolve(options.connectResult ?? "refused"),
+  });
+  const confirm = (target: Target, maxWaitMs?: number): Promise<boolean> =>
+    confirmation.confirm(target, { abandoned: NEVER, maxWaitMs });
+  return { confirmation, confirm, state };
+}
+
+test("a target that responds confirms the end", async () => {
+  const { confirm } = buildConfirmation({ replies: [1] });
+  assert.equal(await confirm(RESTARTABLE), true);
+  const plain = buildConfirmation({ replies: ["plain"] });
+  assert.equal(await plain.confirm(PLAIN), true);
+});
+
+// Guards against a probe for each of many responses without length, which would double the requests.
+test("one probe confirms all ends before it, and none after it", async () => {
+  const { confirm, state } = buildConfirmation({ replies: ["plain", REFUSED] });
+  const first = confirm(PLAIN);
+  const later = Array.from({ length: 50 }, () => confirm(PLAIN));
+  assert.equal(await first, true);
+  assert.deepEqual(new Set(await Promise.all(later)), new Set([false]));
+  assert.equal(state.probes, 2);
+  assert.equal(state.maxInFlight, 1);
+});
+
+test("many ends in a row cost few probes, and none waits for long", async () => {
+  const { confirm, state } = buildConfirmation({ replies: ["plain"] });
+  const waits: Promise<number>[] = [];
+  for (let i = 0; i < 100; i++) {
+    const endedAtMs = performance.now();
+    waits.push(confirm(PLAIN).then(() => performance.now() - endedAtMs));
+    await sleep(2);
+  }
+  const longestMs = Math.max(...await Promise.all(waits));
+  assert.ok(state.probes <= 40, `${state.probes} probes`);
+  assert.ok(longestMs < 200, `${longestMs} ms`);
+});
+
+// Guards against a whole response that counts as cut as its target is silent for a second.
+test("a target that is silent for a second confirms the end", async () => {
+  const { confirm, state } = buildConfirmation({
+    replies: ["plain"],
+    replyDelayMs: 1000,
+  });
+  assert.equal(await confirm(PLAIN), true);
+  assert.equal(state.probes, 1);
+});
+
+test("a target that stays silent doesn't, and is waited for no longer than allowed", async () => {
+  const { confirm } = buildConfirmation({
+    replies: ["plain"],
+    replyDelayMs: 1500,
+  });
+  const startedAtMs = performance.now();
+  assert.equal(await confirm(PLAIN, 150), false);
+  assert.ok(performance.now() - startedAtMs < 900);
+});
+
+test("an end whose call has ended is not waited for", async () => {
+  const { confirmation } = buildConfirmation({
+    replies: ["plain"],
+    replyDelayMs: 1500,
+  });
+  const abandoned = sleep(10);
+  assert.equal(await confirmation.confirm(PLAIN, { abandoned }), false);
+});
+
+// Guards against a target that crashed, started again under its id or address, and confirms the end of
+// the response that its crash cut off.
+test("another incarnation doesn't confirm the end", async () => {
+  const restarted = buildConfirmation({ replies: ["lost", 2] });
+  assert.equal(await restarted.confirm(RESTARTABLE), false);
+  const other = buildConfirmation({ replies: ["misdirected"] });
+  assert.equal(await other.confirm(PLAIN), false);
+});
+
+test("a plain target whose connection is opened late doesn't confirm the end", async () => {
+  const { confirm } = buildConfirmation({
+    replies: ["plain"],
+    replyDelayMs: 900,
+    isSent: false,
+  });
+  assert.equal(await confirm(PLAIN), false);
+});
+
+test("a target that refuses connections doesn't confirm the end", async () => {
+  const { confirm, state } = buildConfirmation({ replies: [REFUSED] });
+  assert.equal(await confirm(RESTARTABLE), false);
+  assert.equal(state.probes, 1);
+});
+
+// Guards against a whole response that counts as cut as the target closed the connection of the probe.
+test("a probe that is lost is sent again", async () => {
+  const { confirm, state } = buildConfirmation({ replies: ["lost", "plain"] });
+  assert.equal(await confirm(PLAIN), true);
+  assert.equal(state.probes, 2);
+});
+
+test("a target that gets no requests now is confirmed by its port", async () => {
+  const withheld = new ExchangeError("withheld", "in backoff");
+  for (const connectResult of ["accepted", "refused"] as const) {
+    const isAccepted = connectResult === "accepted";
+    const leaving = buildConfirmation({ replies: [withheld], connectResult });
+    assert.equal(await leaving.confirm(PLAIN), isAccepted);
+    const limited = buildConfirmation({
+      replies: [REFUSED],
+      isLimited: true,
+      connectResult,
+    });
+    assert.equal(await limited.confirm(PLAIN), isAccepted);
+    assert.equal(limited.state.probes, 0);
+  }
+});
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -226,7 +226,7 @@
       quarantine,
       partQuarantine: new PartQuarantine(),
       incarnationCheck: { confirm: () => Promise.resolve(true) },
-      probeTarget: () => Promise.resolve("response"),
+      endConfirmation: { confirm: () => Promise.resolve(true) },
       crashDetector: buildCrashDetector(
         {
           quarantine,
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -44,6 +44,7 @@
 import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
 import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
+import { EndConfirmation } from "./calls/end_confirmation.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
 import { type ProbeOutcome, probeResponse } from "./calls/response_probe.ts";
@@ -85,6 +86,8 @@
 }
 
 const MS_PER_SECOND = 1000;
+/** A proxy that accepts a connection for a target that is gone closes it within this time. */
+const PROBE_HOLD_MS = 30;
 const DEFAULT_USAGE_WINDOW_SECONDS = 60;
 /** Interval at which expired state is removed, milliseconds. */
 export const SWEEP_INTERVAL_MS = 250;
@@ -208,6 +211,19 @@
     probe: probeTarget,
     drawUnit: Math.random,
   });
+  const targetProbe = new TargetProbe({ holdMs: PROBE_HOLD_MS });
+  const endConfirmation = new EndConfirmation({
+    clock,
+    connections,
+    codec,
+    isLimited: ({ id }) => rateLimits.getMaxPerSecond(id) !== undefined,
+    connect: ({ address }) => targetProbe.probe(address),
+    onProbe: () => metrics.endProbes.inc(),
+    onUnconfirmed: (target) => {
+      metrics.endsUnconfirmed.inc();
+      log.write("info", "endUnconfirmed", { target: target.id });
+    },
+  });
   const accountShares = buildAccountShares(settings, activeConfig, metrics);
   const ranker = accountShares.accountRanker;
   return {
@@ -261,7 +277,7 @@
       metrics,
     }),
     connections,
-    probeTarget,
+    endConfirmation,
     incarnationCheck: new IncarnationCheck({ connections, codec }),
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -99,7 +99,7 @@
     workTracker: new WorkTracker(),
     connections,
     incarnationCheck: { confirm: () => Promise.resolve(true) },
-    probeTarget: () => Promise.resolve("response"),
+    endConfirmation: { confirm: () => Promise.resolve(true) },
     targetListGuard: { isHoldingCalls: () => false },
     readBarrier: new ReadBarrier(),
     quarantine,
