Forwarding: clients of HTTP/1.1 can tell a response's end from a killed VM

A response without length was relayed without length or chunks.

A VM now marks the end of each body itself: Content-Length where it holds the whole body, chunks where it relays it, the last of them once the target's end is confirmed. Status, body and end-to-end headers stay as the target sent them. Clients of HTTP/1.0 get the old way, with a reset where the VM knows of a cut. Calls that are handed over: the peer confirms the end before its end mark; peers of earlier software still get the field that they require.

--- a/packages/heatherarch-forward/calls/client_response.ts
+++ b/packages/heatherarch-forward/calls/client_response.ts
@@ -21,13 +21,10 @@
   /** Registers a listener for the client's disconnect. Returns a function that removes it. */
   registerDisconnectListener(listener: () => void): () => void;
   /**
-   * Sends the head of a target's response. With `endsConnection` the body ends with the connection.
+   * Sends the head of a target's response. A body without a length is sent in chunks, if the client
+   * speaks HTTP/1.1, so that the client can tell its end from that of the connection.
    */
-  writeHead(
-    status: number,
-    headers: readonly string[],
-    options?: { endsConnection?: boolean },
-  ): void;
+  writeHead(status: number, headers: readonly string[]): void;
   /**
    * Writes bytes. Returns false if the next write should wait for
    * {@linkcode registerDrainListener}.
@@ -47,8 +44,6 @@
 export class HttpClientResponse implements ClientResponse {
   readonly #response: ServerResponse;
   readonly #connection: ClientConnection;
-  /** The end of the connection marks the end of the body. */
-  #endsConnection = false;
 
   constructor(response: ServerResponse, connection: ClientConnection) {
     this.#response = response;
@@ -67,16 +62,7 @@
     return this.#connection.registerEndListener(listener);
   }
 
-  writeHead(
-    status: number,
-    headers: readonly string[],
-    options: { endsConnection?: boolean } = {},
-  ): void {
-    if (options.endsConnection) {
-      this.#endsConnection = true;
-      this.#response.useChunkedEncodingByDefault = false;
-      this.#response.setHeader("Connection", "close");
-    }
+  writeHead(status: number, headers: readonly string[]): void {
     this.#response.writeHead(status, headers as string[]);
   }
 
@@ -94,9 +80,11 @@
   }
 
   destroy(): void {
-    // Where the end of the connection is the end of the body, only a reset shows that it is cut off.
-    if (this.#endsConnection) this.#response.socket?.resetAndDestroy();
-    else this.#response.destroy();
+    // A client of HTTP/1.0 takes the end of the connection for that of the body. Only a reset shows that
+    // it is cut off.
+    const { useChunkedEncodingByDefault, socket } = this.#response;
+    if (useChunkedEncodingByDefault) this.#response.destroy();
+    else socket?.resetAndDestroy();
   }
 
   fail(error: ServeError, callId: string): void {
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -19,8 +19,6 @@
   readonly status: number;
   /** Alternating names and values. */
   readonly headers: readonly string[];
-  /** The body of the target's response ended with its connection. */
-  readonly endsConnection: boolean;
 }
 
 const CALL = z.object({
@@ -49,7 +47,6 @@
 const RESPONSE_HEAD = z.object({
   status: z.int().min(200).max(599),
   headers: z.array(z.string()),
-  endsConnection: z.boolean(),
 });
 
 const FAILURE = z.object({
@@ -110,6 +107,12 @@
   };
 }
 
+/** Encodes the head of a response, whose end the peer sends once it is confirmed. */
+export function encodeHandoverResponse(head: HandoverResponseHead): unknown {
+  // Peers of earlier software require the field; with it they would let the connection end the body.
+  return { ...head, endsConnection: false };
+}
+
 /** Decodes the head of a response; undefined if it is malformed. */
 export function decodeHandoverResponse(
   head: unknown,
--- a/packages/heatherarch-forward/calls/handover_response.ts
+++ b/packages/heatherarch-forward/calls/handover_response.ts
@@ -8,7 +8,10 @@
 import type { HandoverResponder } from "heatherarch-handover";
 import type { AttemptCounts } from "../model.ts";
 import type { ClientResponse } from "./client_response.ts";
-import { encodeHandoverFailure } from "./handover_codec.ts";
+import {
+  encodeHandoverFailure,
+  encodeHandoverResponse,
+} from "./handover_codec.ts";
 
 /** Writes one response to the peer that handed the call over. */
 export class HandoverResponse implements ClientResponse {
@@ -34,13 +37,9 @@
     return this.#responder.registerDisconnectListener(listener);
   }
 
-  writeHead(
-    status: number,
-    headers: readonly string[],
-    { endsConnection = false }: { endsConnection?: boolean } = {},
-  ): void {
+  writeHead(status: number, headers: readonly string[]): void {
     this.#isHeadSent = true;
-    this.#responder.sendHead({ status, headers, endsConnection });
+    this.#responder.sendHead(encodeHandoverResponse({ status, headers }));
   }
 
   write(bytes: Buffer): boolean {
--- a/packages/heatherarch-forward/calls/peer_exchange.ts
+++ b/packages/heatherarch-forward/calls/peer_exchange.ts
@@ -88,15 +88,16 @@
   );
 }
 
-/** Builds the headers, from which the framing of the response follows. */
-function buildHeaders(
-  { headers, endsConnection }: HandoverResponseHead,
-): IncomingHttpHeaders {
+/**
+ * Builds the headers, from which the framing of the response follows. The peer marks the end of a body,
+ * so one without a length is like one in chunks.
+ */
+function buildHeaders({ headers }: HandoverResponseHead): IncomingHttpHeaders {
   const byName: Record<string, string> = {};
   for (let i = 0; i + 1 < headers.length; i += 2) {
     byName[headers[i].toLowerCase()] = headers[i + 1];
   }
-  if (!endsConnection && byName["content-length"] === undefined) {
+  if (byName["content-length"] === undefined) {
     byName["transfer-encoding"] = "chunked";
   }
   return byName;
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -123,9 +123,8 @@
   exchange: TargetExchange,
   { head, parts }: PartialResponse,
 ): Promise<RelayResult> {
-  const endsConnection = getResponseFraming(head) === "connection";
   const headers = copyEndToEndHeaders(head.rawHeaders);
-  clientResponse.writeHead(head.status, headers, { endsConnection });
+  clientResponse.writeHead(head.status, headers);
   for (const part of parts) clientResponse.write(part);
   const relay = new StreamRelay({
     clientResponse,
@@ -137,7 +136,7 @@
   return result;
 }
 
-/** Sends a buffered response to the client. */
+/** Sends a buffered response to the client. Its end is confirmed, so its length is known. */
 export function writeResponse(
   clientResponse: ClientResponse,
   method: string,
@@ -150,11 +149,8 @@
     return;
   }
   const headers = copyEndToEndHeaders(head.rawHeaders, LENGTH_HEADERS);
-  // A body that ended with its connection may be truncated. A Content-Length header would claim
-  // that it is complete.
-  const endsConnection = getResponseFraming(head) === "connection";
-  if (!endsConnection) headers.push("Content-Length", String(body.length));
-  clientResponse.writeHead(head.status, headers, { endsConnection });
+  headers.push("Content-Length", String(body.length));
+  clientResponse.writeHead(head.status, headers);
   clientResponse.end(body);
 }
 
@@ -248,9 +244,8 @@
     const head = this.#head;
     if (head === undefined || clientResponse.isHeadSent) return;
     const excluded = isResumable ? LENGTH_HEADERS : undefined;
-    const endsConnection = getResponseFraming(head) === "connection";
     const headers = copyEndToEndHeaders(head.rawHeaders, excluded);
-    clientResponse.writeHead(head.status, headers, { endsConnection });
+    clientResponse.writeHead(head.status, headers);
   }
 
   #writeEvents(
--- a/packages/heatherarch-lab/bench/handover_bench.ts
+++ b/packages/heatherarch-lab/bench/handover_bench.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Random, RuntimeClock } from "heatherarch-core";
+import { encodeHandoverResponse } from "heatherarch-forward";
 import {
   HandoverClient,
   type HandoverPeer,
@@ -206,7 +207,7 @@
     decideOffer: () => Promise.resolve(undefined),
     getMaxBodyBytes: () => REQUEST_BYTES,
     serve: (_head, _body, responder) => {
-      responder.sendHead({ status: 200, headers: [], endsConnection: false });
+      responder.sendHead(encodeHandoverResponse({ status: 200, headers: [] }));
       responder.sendBytes(response);
       responder.end();
       return Promise.resolve();
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -44,6 +44,7 @@
   runHandoverBench,
 } from "../bench/handover_bench.ts";
 import { runRetryBudgetBench } from "../bench/retry_budget_bench.ts";
+import { runEndBench } from "../bench/end_bench.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
 await yargs(hideBin(process.argv))
@@ -173,6 +174,16 @@
       if (args.json) printReport({ rows, cost }, true);
     },
   )
+  .command(
+    "ends",
+    "cost of confirming responses that end with their connections",
+    (y) => y.option("seed", { type: "number", default: 1 }),
+    async (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = await runEndBench({ ...args, print });
+      if (args.json) printReport({ rows }, true);
+    },
+  )
   .command(
     "mix",
     "goodput of policies while the request mix shifts",
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -13,6 +13,7 @@
   decodeHandoverCall,
   type EncodedRequest,
   encodeHandoverFailure,
+  encodeHandoverResponse,
   type ForwardedCall,
   MemoryEventLog,
   NO_ATTEMPTS,
@@ -244,7 +245,7 @@
     }
     return buildFakeResponse({
       onHead: (status, headers) =>
-        listener.onResponse({ status, headers, endsConnection: false }),
+        listener.onResponse(encodeHandoverResponse({ status, headers })),
       onBytes: (bytes) => {
         if (end === "ok") listener.onBytes(bytes);
       },
