Proof of handovers: exchanges are kept until a peer has accepted the call

Schedules now hold targets that are silent, so that VMs take their paths for lost, and respond a moment later. An exchange with such a target must not be given up while no peer has accepted the call.

--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -47,6 +47,11 @@
   readonly connections: TargetConnections;
   /** Whether the VM reaches its targets; by default it does. */
   readonly hasPath?: () => boolean;
+  /** Registers a listener for the loss of the VM's path; by default it is never lost. */
+  readonly registerLossListener?: (
+    service: string,
+    listener: () => void,
+  ) => () => void;
   /** Offers a call to a peer; by default there is none. */
   readonly offerCall?: () => Promise<unknown>;
   readonly log?: MemoryEventLog;
@@ -64,6 +69,7 @@
   const { clock, codec, directory, connections } = options;
   const {
     hasPath = () => true,
+    registerLossListener = () => () => undefined,
     offerCall = () => Promise.resolve(undefined),
     streamVersions = new StreamVersions(),
     findStreamVersion = () => Promise.resolve(undefined),
@@ -79,7 +85,7 @@
     hasPath,
     recordTrouble: () => undefined,
     getLastContactAtMs: () => Infinity,
-    registerLossListener: () => () => undefined,
+    registerLossListener,
     confirmRefusal: () => Promise.resolve(true),
     confirmPath: () => Promise.resolve(true),
   } as unknown as CallDependencies["pathMonitor"];
--- a/packages/heatherarch-lab/proofs/handover_proof.ts
+++ b/packages/heatherarch-lab/proofs/handover_proof.ts
@@ -41,6 +41,11 @@
     "a complete response is whole",
     detail,
   );
+  assertProperty(
+    outcome.givenUp === 0,
+    "an exchange is given up only for a peer that has accepted the call",
+    detail,
+  );
   assertProperty(secondHops === 0, "a call is handed over once", detail);
   assertProperty(
     retries <= retriesTaken,
@@ -57,6 +62,7 @@
   "lostBefore" as const,
   "lostAfter" as const,
   "refused" as const,
+  "late" as const,
   "ok" as const,
 );
 const PEER_END = fc.constantFrom(
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -28,7 +28,10 @@
 import type { Dispatcher } from "undici";
 import { buildFakeDependencies, buildFakeResponse } from "./call_fakes.ts";
 
-/** What keeps a call from running more often than allowed, or from being refused after a run. */
+/**
+ * What keeps a call from running more often than allowed, from being refused after a run, and from
+ * being given up while its target may respond.
+ */
 export const HANDOVER_GUARDS = [
   "acceptsFirst",
   "countsAsRun",
@@ -37,6 +40,7 @@
   "keepsFailure",
   "tellsAttempts",
   "tellsPeerAttempts",
+  "keepsExchange",
 ] as const;
 /** Name of a guard. */
 export type HandoverGuard = typeof HANDOVER_GUARDS[number];
@@ -48,6 +52,8 @@
   | "lostAfter"
   /** The target reports that it did not run the request. */
   | "refused"
+  /** The target is silent, so that the VM takes its path for lost, and responds a moment later. */
+  | "late"
   | "ok";
 
 /** How an offer ends, and the connection after the peer has accepted the call. */
@@ -82,8 +88,12 @@
   readonly retries: number;
   /** Retries that all VMs took from their parts of the retry budget and did not give back. */
   readonly retriesTaken: number;
+  /** Exchanges with sound targets that were given up although no peer had accepted the call. */
+  readonly givenUp: number;
 }
 
+/** Time for which a target is silent before it responds, milliseconds. */
+const SILENCE_MS = 8;
 const TIMEOUT_MS = 5000;
 /** Timeout of a call whose peer falls silent, milliseconds. */
 const SHORT_TIMEOUT_MS = 60;
@@ -111,6 +121,10 @@
   #runs = 0;
   #requests = 0;
   #secondHops = 0;
+  #givenUp = 0;
+  #acceptedOffers = 0;
+  #isSilent = false;
+  readonly #lossListeners = new Set<() => void>();
 
   constructor(
     schedule: HandoverSchedule,
@@ -145,6 +159,9 @@
       clientResponse,
     );
     if (this.#disabledGuard === "countsAsRun") forgetHandoverRuns(context);
+    if (this.#disabledGuard === "keepsExchange") {
+      context.peerOffer.reserve = () => Promise.resolve(true);
+    }
     await new PlainCallHandler(context).serve();
     await Promise.all(this.#peerCalls);
     return {
@@ -152,6 +169,7 @@
       ...received,
       isWhole,
       secondHops: this.#secondHops,
+      givenUp: this.#givenUp,
       retries: Math.max(0, this.#requests - 1),
       retriesTaken: this.#logs.flatMap(({ lines }) => lines)
         .filter(({ event }) => event === "callEnded")
@@ -170,6 +188,7 @@
       }
       return Promise.resolve("declined");
     }
+    this.#acceptedOffers++;
     return Promise.resolve({
       peer: { id: "peer" },
       send: (head: unknown, _body: Buffer, listener: HandoverListener) =>
@@ -320,7 +339,11 @@
       codec: CODEC,
       directory,
       connections,
-      hasPath: () => hasPath,
+      hasPath: () => hasPath && !this.#isSilent,
+      registerLossListener: (_service, listener) => {
+        this.#lossListeners.add(listener);
+        return () => this.#lossListeners.delete(listener);
+      },
       offerCall,
     });
   }
@@ -347,7 +370,7 @@
 
   #respond(handler: Dispatcher.DispatchHandler, end: TargetEnd): void {
     const controller = {
-      abort: () => undefined,
+      abort: (reason: Error) => this.#recordAbort(reason),
       pause: () => undefined,
       resume: () => undefined,
       rawHeaders: ["content-length", String(BODY.length)],
@@ -364,10 +387,28 @@
     }
     this.#runs++;
     if (end === "lostAfter") return fail();
-    const headers = { "content-length": String(BODY.length) };
-    handler.onResponseStart?.(controller, 200, headers, "");
-    handler.onResponseData?.(controller, Buffer.from(BODY));
-    handler.onResponseEnd?.(controller, {});
+    const complete = (): void => {
+      const headers = { "content-length": String(BODY.length) };
+      handler.onResponseStart?.(controller, 200, headers, "");
+      handler.onResponseData?.(controller, Buffer.from(BODY));
+      handler.onResponseEnd?.(controller, {});
+    };
+    if (end === "late") this.#loseFor(SILENCE_MS, complete);
+    else complete();
+  }
+
+  /** Lets the VMs take their paths for lost for some time. */
+  #loseFor(ms: number, onRegained: () => void): void {
+    this.#isSilent = true;
+    for (const listener of [...this.#lossListeners]) listener();
+    setTimeout(() => {
+      this.#isSilent = false;
+      onRegained();
+    }, ms);
+  }
+
+  #recordAbort({ message }: Error): void {
+    if (message === "path lost" && this.#acceptedOffers === 0) this.#givenUp++;
   }
 }
 
