Responses: only one that names the call is taken for its response

A faulty target sends a late copy of a response where the next one on the connection is expected. The refusal of a probe has no attempt id, and such a response was taken for that of the call in progress; its "not run" let the call go to a second target.

Change: a response that names another call, none or more than one ends the connection and leaves the attempt lost ("may have run"). Requests of ours that belong to no call (probes, reports, orders, releases, lists) have connections of their own, two for each target at most, opened on demand, counted against the same limit and closed with the others. Otherwise a copy of their responses still costs the call that meets it.

Why this works: a promise counts only with the id of the attempt, and an attempt without such a response counts as one that may have run.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -225,12 +225,13 @@
     head.status,
     head.headers,
   );
-  if (metadata.callId !== undefined && metadata.callId !== context.call.id) {
-    exchange.abort("response belongs to another call");
-    return {
-      kind: "lost",
-      reason: `response belongs to call ${metadata.callId}`,
-    };
+  // Other bytes belong to no request or to an earlier one, and what they promise is not about this attempt.
+  if (metadata.callId !== context.call.id) {
+    const owner = metadata.callId === undefined
+      ? "names no call"
+      : `belongs to call ${metadata.callId}`;
+    exchange.abort(`response ${owner}`);
+    return { kind: "lost", reason: `response ${owner}` };
   }
   if (metadata.misdirected) {
     exchange.abort("misdirected");
--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -178,7 +178,7 @@
     const { connections, codec, isLimited } = this.#options;
     if (isLimited(target)) return await this.#probeConnection(target, sinceMs);
     const request = codec.encodeReportRequest(target);
-    const exchange = connections.send(target, request, "control");
+    const exchange = connections.send(target, request, { purpose: "control" });
     const abort = (): void => exchange.abort("no response to a probe");
     const stopTimer = startStallAwareTimer(abort, PROBE_TIMEOUT_MS);
     signal.addEventListener("abort", abort, { once: true });
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -129,7 +129,7 @@
     connections.send(
       engine,
       codec.encodeHandleRelease(kvSource.handle),
-      "release",
+      { purpose: "release" },
     )
       .readBody(HANDLE_LIMITS)
       .catch((error: Error) =>
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -81,6 +81,28 @@
  */
 const MAX_WRITE_DELAY_MS = 200;
 
+/** Connections to one target that only control requests use, at most. */
+const MAX_CONTROL_CONNECTIONS = 2;
+
+/**
+ * Kinds of connections to one target. A response that arrives late, where the next one is expected, can
+ * be told from the expected one only by the id of its call:
+ * - `calls`: kept, for attempts of calls.
+ * - `control`: kept, for requests whose responses name no call.
+ */
+type ConnectionKind = "calls" | "control";
+
+/** Options of the pool of each kind, where they differ from those of calls. */
+const POOL_OPTIONS: Readonly<Record<ConnectionKind, Partial<Pool.Options>>> = {
+  calls: {},
+  control: { connections: MAX_CONTROL_CONNECTIONS },
+};
+
+/** Options of {@linkcode TargetConnections.send}. */
+export interface SendOptions {
+  readonly purpose?: SendPurpose;
+}
+
 interface TargetPool {
   readonly pool: Pool;
   readonly resetDetector: ResetDetector;
@@ -93,6 +115,13 @@
   connectedAtMs: number;
 }
 
+/** All connections to one target. */
+interface TargetPools {
+  /** Requests in progress on connections of all kinds. */
+  inFlight: number;
+  readonly pools: Partial<Record<ConnectionKind, TargetPool>>;
+}
+
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
 const RESET_PROBE = "\r\n";
 
@@ -158,7 +187,7 @@
 /** All connections of this VM to targets. */
 export class TargetConnections {
   readonly #options: Required<TargetConnectionsOptions>;
-  readonly #pools = new Map<string, TargetPool>();
+  readonly #targets = new Map<string, TargetPools>();
   #liveVms = 1;
 
   constructor(options: TargetConnectionsOptions = {}) {
@@ -212,19 +241,19 @@
     return this.#options.idleTimeoutMs;
   }
 
-  /** Whether a connection to the target is open and not in use. */
+  /** Whether a connection for calls to the target is open and not in use. */
   hasIdle(target: Target): boolean {
-    const entry = this.#pools.get(target.id);
+    const entry = this.#targets.get(target.id)?.pools.calls;
     return entry !== undefined && entry.open > entry.inFlight;
   }
 
-  /** Number of connections to the target that were opened so far. */
+  /** Number of connections to the target that were opened for calls so far. */
   countOpened(target: Target): number {
-    return this.#pools.get(target.id)?.opened ?? 0;
+    return this.#targets.get(target.id)?.pools.calls?.opened ?? 0;
   }
 
   #countInFlight(target: Target): number {
-    return this.#pools.get(target.id)?.inFlight ?? 0;
+    return this.#targets.get(target.id)?.inFlight ?? 0;
   }
 
   /**
@@ -234,13 +263,16 @@
   send(
     target: Target,
     request: EncodedRequest,
-    purpose: SendPurpose = "work",
+    { purpose = "work" }: SendOptions = {},
   ): TargetExchange {
     const blockReason = this.#options.findBlockReason(target, purpose);
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
     this.#options.onSend(target);
     const sentAtMs = this.#options.clock.readMonotonicMs();
-    const pool = this.#getPool(target);
+    const kind = purpose === "work" ? "calls" : "control";
+    const entry = this.#getEntry(target);
+    const pool = entry.pools[kind] ??= this.#createPool(target, kind);
+    entry.inFlight++;
     pool.inFlight++;
     const exchange = new TargetExchange(
       pool.pool,
@@ -248,6 +280,7 @@
       request,
       {
         onRelease: () => {
+          entry.inFlight--;
           pool.inFlight--;
         },
         isReset: () => pool.resetDetector.isResetting,
@@ -268,61 +301,68 @@
 
   /** Closes the connections of all other targets, once they are free. */
   closeAllExcept(ids: ReadonlySet<string>): void {
-    const others = [...this.#pools.keys()].filter((id) => !ids.has(id));
+    const others = [...this.#targets.keys()].filter((id) => !ids.has(id));
     this.renew(others);
   }
 
   /** Closes the connections of these targets once they are free. Further requests use new ones. */
   renew(ids: readonly string[]): void {
     for (const id of ids) {
-      const entry = this.#pools.get(id);
-      this.#pools.delete(id);
+      const pools = Object.values(this.#targets.get(id)?.pools ?? {});
+      this.#targets.delete(id);
       // Requests in progress complete first and handle their own errors.
-      entry?.pool.close().catch(() => undefined);
+      for (const { pool } of pools) pool.close().catch(() => undefined);
     }
   }
 
   /** Closes all connections immediately; requests in progress fail. */
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
-    this.#pools.clear();
+    const pools = [...this.#targets.values()].flatMap((entry) =>
+      Object.values(entry.pools)
+    );
+    this.#targets.clear();
     await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
-  #getPool(target: Target): TargetPool {
-    let entry = this.#pools.get(target.id);
+  #getEntry(target: Target): TargetPools {
+    let entry = this.#targets.get(target.id);
     if (entry === undefined) {
-      const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
-      const resetDetector = new ResetDetector(
-        () => created.inFlight > 0,
-        this.#options.readBarrier,
-      );
-      const connector = buildConnector({ timeout: connectTimeoutMs });
-      const pool = new Pool(`http://${target.address}`, {
-        pipelining: 1,
-        connections: null,
-        connect: resetDetector.wrapConnector(connector),
-        keepAliveTimeout: idleTimeoutMs,
-        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      });
-      const created: TargetPool = {
-        pool,
-        resetDetector,
-        inFlight: 0,
-        opened: 0,
-        open: 0,
-        connectedAtMs: -Infinity,
-      };
-      pool.on("connect", () => {
-        created.connectedAtMs = this.#options.clock.readMonotonicMs();
-        created.opened++;
-        created.open++;
-        onConnect();
-      });
-      pool.on("disconnect", () => created.open--);
-      entry = created;
-      this.#pools.set(target.id, created);
+      entry = { inFlight: 0, pools: {} };
+      this.#targets.set(target.id, entry);
     }
     return entry;
   }
+
+  #createPool(target: Target, kind: ConnectionKind): TargetPool {
+    const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
+    const resetDetector = new ResetDetector(
+      () => created.inFlight > 0,
+      this.#options.readBarrier,
+    );
+    const connector = buildConnector({ timeout: connectTimeoutMs });
+    const pool = new Pool(`http://${target.address}`, {
+      pipelining: 1,
+      connections: null,
+      connect: resetDetector.wrapConnector(connector),
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      ...POOL_OPTIONS[kind],
+    });
+    const created: TargetPool = {
+      pool,
+      resetDetector,
+      inFlight: 0,
+      opened: 0,
+      open: 0,
+      connectedAtMs: -Infinity,
+    };
+    pool.on("connect", () => {
+      created.connectedAtMs = this.#options.clock.readMonotonicMs();
+      created.opened++;
+      created.open++;
+      onConnect();
+    });
+    pool.on("disconnect", () => created.open--);
+    return created;
+  }
 }
--- a/packages/heatherarch-forward/ports.ts
+++ b/packages/heatherarch-forward/ports.ts
@@ -139,7 +139,7 @@
 
 /** What the head of a target's response contains, besides its status. */
 export interface ResponseMetadata {
-  /** Id of the call that the response belongs to, according to the target. */
+  /** Id of the call that the response belongs to, according to the target; undefined without exactly one. */
   readonly callId?: string;
   /** The response has the target's signature. */
   readonly signed: boolean;
--- a/packages/heatherarch-forward/tasks/engine_request.ts
+++ b/packages/heatherarch-forward/tasks/engine_request.ts
@@ -31,7 +31,9 @@
   target: Target,
   request: EncodedRequest,
 ): Promise<EngineResponse | undefined> {
-  const exchange = context.connections.send(target, request, "control");
+  const exchange = context.connections.send(target, request, {
+    purpose: "control",
+  });
   const timer = setTimeout(
     () => exchange.abort("no response from the engine"),
     REQUEST_TIMEOUT_MS,
--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { Dispatcher } from "undici";
 import {
   awaitAttempt,
   buildWithheldExchange,
   type CallContext,
   ForwardMetrics,
   MemoryEventLog,
+  type ResponseMetadata,
+  TargetExchange,
   TargetHealth,
 } from "../../mod.ts";
 import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
@@ -38,3 +41,66 @@
   assert.equal(health.isAvoided("t", 0), false);
   assert.equal(health.isReachable("t"), true);
 });
+
+const REFUSALS: readonly Partial<ResponseMetadata>[] = [
+  { notRun: true },
+  { misdirected: true },
+  { misdirected: true, answeredBy: "t" },
+  {},
+];
+
+/** Plays an attempt of call "c" whose response has this metadata. */
+async function receive(metadata: Partial<ResponseMetadata>) {
+  const aborted: string[] = [];
+  const dispatch: Dispatcher["dispatch"] = (_options, handler) => {
+    setImmediate(() => {
+      const controller = {
+        abort: (error: Error) => aborted.push(error.message),
+        resume: () => undefined,
+      } as unknown as Dispatcher.DispatchController;
+      handler.onRequestStart?.(controller, undefined);
+      handler.onResponseStart?.(controller, 503, {}, "");
+    });
+    return true;
+  };
+  const context = {
+    nowMs: 0,
+    hasEnded: false,
+    call: { id: "c", arrivedAtMs: 0 },
+    route: buildRoute(),
+    dependencies: {
+      health: new TargetHealth(),
+      pathMonitor: buildIdlePathMonitor(),
+      log: new MemoryEventLog(),
+      metrics: new ForwardMetrics(),
+      codec: { decodeResponse: () => metadata },
+      directory: { markReplaced: () => undefined },
+      crashDetector: { recordCrash: () => undefined },
+    },
+  } as unknown as CallContext;
+  const result = await awaitAttempt({
+    context,
+    target: buildTarget("t"),
+    exchange: new TargetExchange(
+      { dispatch },
+      "http://10.0.0.1:80",
+      { path: "/", method: "POST", headers: [], body: null },
+      { onRelease: () => undefined, isReset: () => false },
+    ),
+    stage: "whole",
+  });
+  return { result, aborted };
+}
+
+// Guards against the refusal of another request that is taken for a promise that this one did not run.
+test("a response that names another call or none tells nothing about the attempt", async () => {
+  for (const refusal of REFUSALS) {
+    for (const callId of [undefined, "other", ""]) {
+      const { result, aborted } = await receive({ ...refusal, callId });
+      assert.equal(result.kind, "lost");
+      assert.equal(aborted.length, 1);
+    }
+    const { result } = await receive({ ...refusal, callId: "c" });
+    assert.notEqual(result.kind, "lost");
+  }
+});
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -11,6 +11,7 @@
   ExchangeError,
   type SendPurpose,
   TargetConnections,
+  type TargetExchange,
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
 
@@ -62,7 +63,7 @@
   const { target, connections, count } = await build((purpose) =>
     purpose === "work" ? "the target is leaving" : undefined
   );
-  const exchange = connections.send(target, REQUEST, "release");
+  const exchange = connections.send(target, REQUEST, { purpose: "release" });
   assert.equal((await exchange.head).status, 200);
   assert.equal(count(), 1);
 });
@@ -166,3 +167,33 @@
   assert.equal(count(), 1);
   assert.equal((await connections!.send(target, REQUEST).head).status, 200);
 });
+
+// Guards against a late copy of a response without an id that a call takes for its own.
+test("control requests have a few connections of their own, which are closed with the others", async () => {
+  const { target, count } = await build(() => undefined);
+  const sockets = new Set<Socket>();
+  server?.on("request", ({ socket }) => sockets.add(socket));
+  const send = (purpose: SendPurpose): TargetExchange =>
+    connections!.send(target, REQUEST, { purpose });
+  const receive = async (exchange: TargetExchange): Promise<void> => {
+    await exchange.readBody({ maxBytes: 100, timeoutMs: 1000 });
+  };
+  await receive(send("work"));
+  assert.equal(sockets.size, 1);
+  const control = Array.from(
+    { length: 6 },
+    (_, i) => send(i % 2 === 0 ? "control" : "release"),
+  );
+  assert.equal(connections!.hasCapacity(target, 7), false);
+  await Promise.all(control.map(receive));
+  assert.equal(count(), 7);
+  assert.equal(sockets.size, 3);
+  assert.equal(connections!.countOpened(target), 1);
+  connections!.renew([target.id]);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.deepEqual([...sockets].map(({ destroyed }) => destroyed), [
+    true,
+    true,
+    true,
+  ]);
+});
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -465,6 +465,7 @@
     body: null,
   }),
   decodeResponse: (status: number) => ({
+    callId: "call",
     signed: true,
     notRun: status === REFUSED_STATUS,
     misdirected: false,
--- a/packages/heatherarch-lab/proofs/stream_simulation.ts
+++ b/packages/heatherarch-lab/proofs/stream_simulation.ts
@@ -281,7 +281,8 @@
     handler.onRequestStart?.(controller, undefined);
     const isRun = request.path !== PREFILL_PATH;
     if (isRun) this.#runs++;
-    handler.onResponseStart?.(controller, 200, {}, "");
+    const headers = { "call-id": request.headers[3] };
+    handler.onResponseStart?.(controller, 200, headers, "");
     const first = Number(request.headers[1]) + 1;
     const last = isRun ? Math.min(EVENTS, first + events - 1) : 0;
     for (let id = first; id <= last; id++) {
@@ -325,13 +326,19 @@
 }
 
 const CODEC: Partial<CallDependencies["codec"]> = {
-  encodeAttempt: (_call, { stage, lastEventId }): EncodedRequest => ({
+  encodeAttempt: (call, { stage, lastEventId }): EncodedRequest => ({
     path: stage,
     method: "POST",
-    headers: ["last-event", lastEventId ?? _call.lastEventId ?? "0"],
+    headers: [
+      "last-event",
+      lastEventId ?? call.lastEventId ?? "0",
+      "call-id",
+      call.id,
+    ],
     body: null,
   }),
-  decodeResponse: () => ({
+  decodeResponse: (_status, headers) => ({
+    callId: headers["call-id"] as string,
     signed: true,
     notRun: false,
     misdirected: false,
