--- a/packages/heatherarch-forward/state/version_history.ts
+++ b/packages/heatherarch-forward/state/version_history.ts
@@ -71,7 +71,7 @@
   }
 
   /** Whether this VM's list has been known without a gap for the last `periodMs`. */
-  covers(periodMs: number, nowMs: number): boolean {
+  hasHistory(periodMs: number, nowMs: number): boolean {
     return nowMs - this.#knownSinceMs >= periodMs;
   }
 
--- a/packages/heatherarch-forward/state/version_lives.ts
+++ b/packages/heatherarch-forward/state/version_lives.ts
@@ -104,7 +104,7 @@
   }
 
   /** Whether all versions are recorded that targets had in the last `periodMs`. */
-  covers(periodMs: number, nowUnixMs: number): boolean {
+  hasCoverage(periodMs: number, nowUnixMs: number): boolean {
     if (!this.#isLoaded || this.coverage === undefined) return false;
     const sinceMs = nowUnixMs - periodMs - CLOCK_MARGIN_MS;
     return this.coverage.sinceUnixMs <= sinceMs;
--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -85,8 +85,8 @@
     const nowUnixMs = clock.readWallMs();
     history.observe(nowMs);
     if (!history.isCurrent(nowMs)) return undefined;
-    const isKnown = history.covers(this.#streamLifeMs, nowMs) ||
-      lives.covers(this.#streamLifeMs, nowUnixMs);
+    const isKnown = history.hasHistory(this.#streamLifeMs, nowMs) ||
+      lives.hasCoverage(this.#streamLifeMs, nowUnixMs);
     if (!isKnown) return undefined;
     const versions = this.listVersions(service);
     return versions.length === 1 ? versions[0] : undefined;
@@ -199,7 +199,7 @@
     const { history, lives, clock } = this.#options;
     const nowMs = this.#nowMs;
     const nowUnixMs = clock.readWallMs();
-    if (!history.isCurrent(nowMs) || !history.covers(END_DELAY_MS, nowMs)) {
+    if (!history.isCurrent(nowMs) || !history.hasHistory(END_DELAY_MS, nowMs)) {
       return [];
     }
     return lives.list().flatMap((life): DueRecord[] => {
--- a/packages/heatherarch-forward/tests/unit/version_history_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_history_test.ts
@@ -51,7 +51,7 @@
   find(): string | undefined {
     const { history, nowMs } = this;
     history.observe(nowMs);
-    if (!history.isCurrent(nowMs) || !history.covers(LIFE_MS, nowMs)) {
+    if (!history.isCurrent(nowMs) || !history.hasHistory(LIFE_MS, nowMs)) {
       return undefined;
     }
     const versions = history.listVersions("s", LIFE_MS, nowMs);
--- a/packages/heatherarch-lab/proofs/version_simulation.ts
+++ b/packages/heatherarch-lab/proofs/version_simulation.ts
@@ -209,7 +209,7 @@
     this.#index = index;
     const { disabledGuard, clock } = simulation;
     if (disabledGuard === "countsRecorded") this.#lives.listVersions = () => [];
-    if (disabledGuard === "needsCoverage") this.#lives.covers = () => true;
+    if (disabledGuard === "needsCoverage") this.#lives.hasCoverage = () => true;
     this.persistence = new VersionPersistence({
       topic: this.#buildTopic(),
       history: this.#history,
