Streams: an event that never ends is bounded, and each byte is searched once

The splitter searched and copied all that it held for each part that arrived, and nothing bounded an event.

Change: SseSplitter keeps the state of its search, gathers an unfinished event in a buffer that doubles, and gives a stream up beyond 1 MiB, the size up to which a plain response is buffered as a whole. Such a stream counts as lost and goes on elsewhere if it may. Complete events that arrive together are written at once.

Why this works: the work for a byte no longer depends on what is held, and what is held has a bound for each stream and for all of them.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from "./event_log.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import type { ForwardMetrics } from "./metrics.ts";
+import type { EventBuffers } from "./calls/event_buffers.ts";
 import type { CallCodec } from "./ports.ts";
 import type { PrefixIndex } from "./state/prefix_index.ts";
 import type { PromptPlacer } from "./scheduling/prompt_placement.ts";
@@ -74,6 +75,7 @@
   readonly endConfirmation: Pick<EndConfirmation, "confirm">;
   readonly incarnationCheck: Pick<IncarnationCheck, "confirm">;
   readonly targetListGuard: TargetListGuard;
+  readonly eventBuffers: EventBuffers;
   readonly readBarrier: ReadBarrier;
   readonly crashDetector: CrashDetector;
   readonly pathMonitor: PathMonitor;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -92,6 +92,7 @@
       clientResponse: context.clientResponse,
       isResumable: context.route.kind === "resumableStream",
       isEventStream: true,
+      eventBuffers: context.dependencies.eventBuffers,
       // A peer may have sent the beginning of the stream to the client.
       lastEventId: context.call.handover === undefined
         ? undefined
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -5,6 +5,7 @@
  */
 import { copyEndToEndHeaders } from "./end_to_end_headers.ts";
 import type { ClientResponse } from "./client_response.ts";
+import { EventBuffers } from "./event_buffers.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import { SseSplitter } from "./sse_splitter.ts";
 import {
@@ -159,6 +160,8 @@
   readonly clientResponse: ClientResponse;
   /** Only complete events are sent, so that another target can resume after the last one. */
   readonly isResumable: boolean;
+  /** The unfinished events of all streams; by default those of this relay alone. */
+  readonly eventBuffers?: EventBuffers;
   /** Successful responses are streams of events, which are not complete if they end inside one. */
   readonly isEventStream?: boolean;
   /** Id of the last event that the client has received already; undefined if it has none. */
@@ -198,7 +201,7 @@
     const { isResumable } = this.#options;
     this.#head = head;
     if (!isResumable) this.#writeHead();
-    const splitter = isResumable ? new SseSplitter() : undefined;
+    const splitter = isResumable ? this.#buildSplitter(exchange) : undefined;
     let tail = "";
     return new Promise((resolve) => {
       exchange.setBodyListener({
@@ -210,21 +213,34 @@
           else this.#writeEvents(exchange, splitter, bytes);
         },
         onEnd: () => {
+          const remainder = splitter?.remainder;
+          splitter?.close();
           if (this.#isCutInsideEvent(head, tail)) {
             resolve(new ExchangeError("lost", "ended inside an event"));
             return;
           }
-          if (splitter !== undefined && splitter.remainder.length > 0) {
-            this.#write(exchange, splitter.remainder);
+          if (remainder !== undefined && remainder.length > 0) {
+            this.#write(exchange, remainder);
           }
           this.#writeHead();
           resolve("whole");
         },
-        onFault: resolve,
+        onFault: (error) => {
+          splitter?.close();
+          resolve(error);
+        },
       });
     });
   }
 
+  #buildSplitter(exchange: TargetExchange): SseSplitter {
+    const { eventBuffers = new EventBuffers() } = this.#options;
+    return new SseSplitter({
+      buffers: eventBuffers,
+      onOverflow: (reason) => exchange.abort(reason),
+    });
+  }
+
   /**
    * Whether a body with these last characters is a stream that ended before a blank line. A body that
    * is as long as announced is whole, whatever it contains; so is a chunked one without events.
@@ -253,11 +269,15 @@
     splitter: SseSplitter,
     bytes: Buffer,
   ): void {
+    const fresh: Buffer[] = [];
     for (const event of splitter.push(bytes)) {
       if (this.#isRepeated(event.id)) continue;
       if (event.id !== undefined) this.#lastEventId = event.id;
-      this.#write(exchange, event.bytes);
+      fresh.push(event.bytes);
     }
+    // One write, as a write for each of many small events would cost more than the events.
+    if (fresh.length === 1) this.#write(exchange, fresh[0]);
+    else if (fresh.length > 1) this.#write(exchange, Buffer.concat(fresh));
   }
 
   /** Event ids increase, so an event whose id does not has been sent before. */
--- a/packages/heatherarch-forward/calls/sse_splitter.ts
+++ b/packages/heatherarch-forward/calls/sse_splitter.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { EventBuffers, type EventHolder } from "./event_buffers.ts";
 
 /** A complete event. */
 export interface SseEvent {
@@ -13,50 +14,139 @@
   readonly id?: string;
 }
 
+/** Options of {@linkcode SseSplitter}. */
+export interface SseSplitterOptions {
+  /** The unfinished events of all streams. */
+  readonly buffers?: EventBuffers;
+  /** Called when the stream can't be split any more, because it holds too much of an unfinished event. */
+  readonly onOverflow?: (reason: string) => void;
+  /** Largest size of an event that does not arrive as a whole, bytes. */
+  readonly maxEventBytes?: number;
+}
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(.*?)\r?$/m;
+const NO_BYTES = Buffer.alloc(0);
 
-/** Buffers bytes until they form complete events. */
-export class SseSplitter {
-  #remainder: Buffer = Buffer.alloc(0);
+/**
+ * As much as a plain response may have that is buffered as a whole. An event holds some tokens, and a
+ * whole response of 10,000 tokens in one event has 100 bytes for each.
+ */
+const MAX_EVENT_BYTES = 1024 * 1024;
+const MIN_BUFFER_BYTES = 1024;
+/** A buffer up to this size is kept for the next event. It is not counted, as each stream has one. */
+const KEPT_BUFFER_BYTES = 4 * 1024;
+
+/** What the last bytes may be the beginning of. */
+type LineState = "inLine" | "afterLineFeed" | "afterCarriageReturn";
+
+/** Buffers bytes until they form complete events. Each byte is searched once. */
+export class SseSplitter implements EventHolder {
+  readonly #options: Required<SseSplitterOptions>;
+  /** Buffer of the unfinished event; its size doubles, so that each byte is copied few times. */
+  #buffer: Buffer = NO_BYTES;
+  #length = 0;
+  #lineState: LineState = "inLine";
+  #isDiscarded = false;
+
+  constructor(options: SseSplitterOptions = {}) {
+    this.#options = {
+      buffers: new EventBuffers(),
+      onOverflow: () => undefined,
+      maxEventBytes: MAX_EVENT_BYTES,
+      ...options,
+    };
+  }
 
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): SseEvent[] {
-    this.#remainder = this.#remainder.length === 0
-      ? bytes
-      : Buffer.concat([this.#remainder, bytes]);
     const events: SseEvent[] = [];
+    if (this.#isDiscarded) return events;
     let start = 0;
-    while (true) {
-      const end = findEventEnd(this.#remainder, start);
-      if (end < 0) break;
-      events.push(buildEvent(this.#remainder.subarray(start, end)));
+    let end = this.#findEventEnd(bytes, start);
+    while (end >= 0) {
+      events.push(buildEvent(this.#complete(bytes.subarray(start, end))));
       start = end;
+      end = this.#findEventEnd(bytes, start);
     }
-    this.#remainder = this.#remainder.subarray(start);
+    if (start < bytes.length) this.#hold(bytes.subarray(start));
     return events;
   }
 
   /** Bytes after the last complete event. */
   get remainder(): Buffer {
-    return this.#remainder;
+    return this.#buffer.subarray(0, this.#length);
   }
-}
 
-/**
- * Returns the index after the blank line that ends the event at `start`, or -1 if it is incomplete.
- */
-function findEventEnd(bytes: Buffer, start: number): number {
-  let at = bytes.indexOf(LINE_FEED, start);
-  while (at >= 0) {
-    let next = at + 1;
-    if (bytes[next] === CARRIAGE_RETURN) next++;
-    if (next >= bytes.length) return -1;
-    if (bytes[next] === LINE_FEED) return next + 1;
-    at = bytes.indexOf(LINE_FEED, at + 1);
+  /** Releases what is held, at the end of the stream. */
+  close(): void {
+    this.#release();
+    this.#isDiscarded = true;
+  }
+
+  discard(reason: string): void {
+    this.close();
+    this.#options.onOverflow(reason);
+  }
+
+  /** Returns the index after the blank line that ends the event, or -1 if `bytes` don't contain it. */
+  #findEventEnd(bytes: Buffer, start: number): number {
+    let at = start;
+    while (at < bytes.length) {
+      if (this.#lineState === "inLine") {
+        const lineFeed = bytes.indexOf(LINE_FEED, at);
+        if (lineFeed < 0) return -1;
+        this.#lineState = "afterLineFeed";
+        at = lineFeed + 1;
+        continue;
+      }
+      const byte = bytes[at];
+      const isCarriageReturn = byte === CARRIAGE_RETURN &&
+        this.#lineState === "afterLineFeed";
+      this.#lineState = isCarriageReturn ? "afterCarriageReturn" : "inLine";
+      if (byte === LINE_FEED) return at + 1;
+      if (isCarriageReturn) at++;
+    }
+    return -1;
+  }
+
+  /** Returns the bytes of an event that ends with `last`. */
+  #complete(last: Buffer): Buffer {
+    if (this.#length === 0) return last;
+    const event = Buffer.concat([this.remainder, last]);
+    this.#length = 0;
+    if (this.#buffer.length > KEPT_BUFFER_BYTES) this.#release();
+    return event;
+  }
+
+  #hold(bytes: Buffer): void {
+    const { maxEventBytes } = this.#options;
+    const length = this.#length + bytes.length;
+    if (length > maxEventBytes) {
+      this.discard(`event exceeds ${maxEventBytes} bytes`);
+      return;
+    }
+    if (length > this.#buffer.length) this.#grow(length);
+    // A copy, since a view would keep all that arrived with these bytes.
+    bytes.copy(this.#buffer, this.#length);
+    this.#length = length;
+  }
+
+  #grow(length: number): void {
+    const doubled = Math.max(2 * this.#buffer.length, MIN_BUFFER_BYTES);
+    const buffer = Buffer.allocUnsafeSlow(Math.max(doubled, length));
+    this.remainder.copy(buffer);
+    this.#buffer = buffer;
+    if (buffer.length <= KEPT_BUFFER_BYTES) return;
+    this.#options.buffers.record(this, buffer.length);
+  }
+
+  #release(): void {
+    this.#buffer = NO_BYTES;
+    this.#length = 0;
+    this.#options.buffers.record(this, 0);
   }
-  return -1;
 }
 
 function buildEvent(bytes: Buffer): SseEvent {
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -27,6 +27,8 @@
 export * from "./scheduling/connection_preference.ts";
 export * from "./scheduling/engine_jitter.ts";
 export * from "./event_log.ts";
+export * from "./calls/event_buffers.ts";
+export * from "./calls/response_relay.ts";
 export * from "./calls/sse_splitter.ts";
 export * from "./fleet/config_exchange.ts";
 export * from "./fleet/feed_source.ts";
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -45,6 +45,7 @@
 import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
 import { EndConfirmation } from "./calls/end_confirmation.ts";
+import { EventBuffers } from "./calls/event_buffers.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
 import { ResponseNotices } from "./calls/response_notices.ts";
 import { type ProbeOutcome, probeResponse } from "./calls/response_probe.ts";
@@ -282,6 +283,7 @@
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
     targetListGuard: buildTargetListGuard(options, metrics),
+    eventBuffers: new EventBuffers(),
     readBarrier,
     usage: new UsageRecorder({
       meter: usageMeter,
--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -27,6 +27,7 @@
 } from "../bench/trace.ts";
 import { SHAPES } from "../deployment.ts";
 import { runClaimsBench } from "../bench/claims_bench.ts";
+import { runEventBench } from "../bench/event_bench.ts";
 import { runControlBench } from "../bench/control_bench.ts";
 import {
   HARD_LOAD_DECISIONS,
@@ -91,6 +92,16 @@
       printReport({ reports }, args.json);
     },
   )
+  .command(
+    "events",
+    "bytes per second through the relay of streams that can be resumed",
+    {},
+    async (args) => {
+      const reports = await runEventBench();
+      for (const report of reports) console.log(JSON.stringify(report));
+      printReport({ reports }, args.json);
+    },
+  )
   .command(
     "decide",
     "strategies for placing prompts, and designs for hard load, in fleets of 6 to 870 VMs",
