Repeated attempts: one to the same target has a connection of its own

Callers saw an order run twice when its only target refused the first attempt, got the second one on the same connection, and sent a late copy of the refusal where the second response was expected. The copy bears the right attempt id, so the check of ids doesn't see it; the attempt that ran counted as refused, and the call went to the target a third time.

Change: the second attempt of a call at a target uses a connection that is opened for it and closed after its response. Orders of roles have one each too: a late refusal of an earlier order (fenced) would end the lease, a late acceptance would pass for this order's. This costs a connection for each repeat at a target and for each order, and nothing else.

Why this works: nothing but the response to its only request is expected on such a connection.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -122,6 +122,8 @@
   #outcome: CallOutcome | undefined;
   readonly #ledger: AttemptLedger;
   #attempts = 0;
+  /** Targets that have been sent an attempt. */
+  readonly #sentTo = new Set<string>();
   #lastTarget: string | undefined;
   /** Monotonic time of the last attempt; undefined before the first one. */
   #sentAtMs: number | undefined;
@@ -431,7 +433,7 @@
     const exchange = this.#quarantineGuard.findQuarantined() !== undefined
       ? buildWithheldExchange("the request is quarantined")
       : this.reserve({ purpose, requests: 1 })
-      ? this.dependencies.connections.send(target, request)
+      ? this.#sendTo(target, request)
       : buildWithheldExchange("the retry budget is spent");
     this.#exchange = exchange;
     this.#quarantineGuard.trackExchange(target, exchange, isRun);
@@ -447,6 +449,17 @@
     if (!this.hasEnded) this.#quarantineGuard.recordLoss(target, reason, false);
   }
 
+  /**
+   * Sends a request. A target that has had one of this call gets it on a connection of its own: a late
+   * copy of the earlier response bears the id of this call as well.
+   */
+  #sendTo(target: Target, request: EncodedRequest): TargetExchange {
+    const needsOwnConnection = this.#sentTo.has(target.id);
+    this.#sentTo.add(target.id);
+    const { connections } = this.dependencies;
+    return connections.send(target, request, { needsOwnConnection });
+  }
+
   /** Records that an engine has prefilled the prompt. */
   recordPrefilled(): void {
     this.#ledger.recordPrefilled();
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -89,18 +89,23 @@
  * be told from the expected one only by the id of its call:
  * - `calls`: kept, for attempts of calls.
  * - `control`: kept, for requests whose responses name no call.
+ * - `single`: for one request each, whose response could not be told from an earlier one.
  */
-type ConnectionKind = "calls" | "control";
+type ConnectionKind = "calls" | "control" | "single";
 
 /** Options of the pool of each kind, where they differ from those of calls. */
 const POOL_OPTIONS: Readonly<Record<ConnectionKind, Partial<Pool.Options>>> = {
   calls: {},
   control: { connections: MAX_CONTROL_CONNECTIONS },
+  // Without pipelining undici closes a connection after its response.
+  single: { pipelining: 0 },
 };
 
 /** Options of {@linkcode TargetConnections.send}. */
 export interface SendOptions {
   readonly purpose?: SendPurpose;
+  /** Uses a connection that is opened for this request and closed after its response. */
+  readonly needsOwnConnection?: boolean;
 }
 
 interface TargetPool {
@@ -249,7 +254,8 @@
 
   /** Number of connections to the target that were opened for calls so far. */
   countOpened(target: Target): number {
-    return this.#targets.get(target.id)?.pools.calls?.opened ?? 0;
+    const { calls, single } = this.#targets.get(target.id)?.pools ?? {};
+    return (calls?.opened ?? 0) + (single?.opened ?? 0);
   }
 
   #countInFlight(target: Target): number {
@@ -263,13 +269,17 @@
   send(
     target: Target,
     request: EncodedRequest,
-    { purpose = "work" }: SendOptions = {},
+    { purpose = "work", needsOwnConnection = false }: SendOptions = {},
   ): TargetExchange {
     const blockReason = this.#options.findBlockReason(target, purpose);
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
     this.#options.onSend(target);
     const sentAtMs = this.#options.clock.readMonotonicMs();
-    const kind = purpose === "work" ? "calls" : "control";
+    const kind = needsOwnConnection
+      ? "single"
+      : purpose === "work"
+      ? "calls"
+      : "control";
     const entry = this.#getEntry(target);
     const pool = entry.pools[kind] ??= this.#createPool(target, kind);
     entry.inFlight++;
--- a/packages/heatherarch-forward/tasks/engine_request.ts
+++ b/packages/heatherarch-forward/tasks/engine_request.ts
@@ -25,14 +25,25 @@
 const REQUEST_TIMEOUT_MS = 1000;
 const BODY_LIMITS = { maxBytes: 1024 * 1024, timeoutMs: REQUEST_TIMEOUT_MS };
 
+/** Options of {@linkcode sendEngineRequest}. */
+export interface EngineRequestOptions {
+  /**
+   * What follows depends on whether the engine has accepted this request, so its response must not be
+   * mistaken for a late one to an earlier request.
+   */
+  readonly changesTarget?: boolean;
+}
+
 /** Sends a control request to an engine; returns undefined if there was no response. */
 export async function sendEngineRequest(
   context: EngineRequestContext,
   target: Target,
   request: EncodedRequest,
+  { changesTarget = false }: EngineRequestOptions = {},
 ): Promise<EngineResponse | undefined> {
   const exchange = context.connections.send(target, request, {
     purpose: "control",
+    needsOwnConnection: changesTarget,
   });
   const timer = setTimeout(
     () => exchange.abort("no response from the engine"),
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -242,7 +242,9 @@
     const untilMs = this.#nowMs + (traits?.roleChangeMs ?? 0) + REPORT_WAIT_MS;
     this.#pending.set(target.id, { role, untilMs });
     const request = codec.encodeRoleOrder(order);
-    const response = await sendEngineRequest(this.#options, target, request);
+    const response = await sendEngineRequest(this.#options, target, request, {
+      changesTarget: true,
+    });
     // Without a response the order may have been accepted. `ordersTaken` makes a repeat harmless.
     this.#logOrder(order, response?.status ?? "unanswered");
     if (response?.status !== HTTP_FENCED) return true;
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -197,3 +197,20 @@
     true,
   ]);
 });
+
+// Guards against a late copy of an earlier response to the same call.
+test("a connection that a request needs for itself is used once", async () => {
+  const { target } = await build(() => undefined);
+  const sockets = new Set<Socket>();
+  server?.on("request", ({ socket }) => sockets.add(socket));
+  for (const needsOwnConnection of [false, true, true, false]) {
+    const exchange = connections!.send(target, REQUEST, { needsOwnConnection });
+    await exchange.readBody({ maxBytes: 100, timeoutMs: 1000 });
+  }
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.deepEqual([...sockets].map(({ destroyed }) => destroyed), [
+    false,
+    true,
+    true,
+  ]);
+});
