Streams: the log says why no version is known as the only one

A take-up that is refused could be due to records that were not read, a list that is not current, versions recorded for too short a time, or several versions. The log told none of them apart, so a test that was red once at a load of 40 could not be traced.

--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -78,18 +78,29 @@
    * taken up; undefined if there were several, or if that is not known. Never rejects.
    */
   async findOnlyVersion(service: string): Promise<string | undefined> {
-    const { history, lives, clock } = this.#options;
     // A version that has just come is recorded before streams begin at it.
-    if (!await this.#refresh()) return undefined;
+    const isRead = await this.#refresh();
+    this.#options.history.observe(this.#nowMs);
+    const versions = this.listVersions(service);
+    const reason = this.#findDoubt(isRead, versions);
+    if (reason === undefined) return versions[0];
+    this.#options.log.write("info", "onlyVersionUnknown", { service, reason });
+    return undefined;
+  }
+
+  /** Finds why no version is known as the only one; undefined if one is. */
+  #findDoubt(
+    isRead: boolean,
+    versions: readonly (string | undefined)[],
+  ): string | undefined {
+    const { history, lives, clock } = this.#options;
+    if (!isRead) return "the records of versions are not read";
     const nowMs = this.#nowMs;
-    const nowUnixMs = clock.readWallMs();
-    history.observe(nowMs);
-    if (!history.isCurrent(nowMs)) return undefined;
+    if (!history.isCurrent(nowMs)) return "the target list is not current";
     const isKnown = history.hasHistory(this.#streamLifeMs, nowMs) ||
-      lives.hasCoverage(this.#streamLifeMs, nowUnixMs);
-    if (!isKnown) return undefined;
-    const versions = this.listVersions(service);
-    return versions.length === 1 ? versions[0] : undefined;
+      lives.hasCoverage(this.#streamLifeMs, clock.readWallMs());
+    if (!isKnown) return "versions are not recorded for long enough";
+    return versions.length === 1 ? undefined : "there were several versions";
   }
 
   /** Lists the versions that may have begun a stream that is taken up now. */
