Streams: VMs that only read the records of versions don't load the store

Cause (found by a fresh reader): while a record was due, each VM read all records every half a second, at once with the others, and one that doesn't write never was done. At 870 VMs that is some 1,740 of the 2,000 reads a second that the store takes, for each change of a version, and for as long as the store is away. A fleet whose targets name no version wrote a record too.

Change: VMs that don't write wait before their first read, and pause in proportion to the number of VMs, with jitter: 200 reads a second of the fleet at most. Records are written only where targets name versions.

Result: a tenth of a fleet of 1,000 VMs made 200 reads a second before, 25 at most now (version_persistence_test, two tests that failed before).

--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -30,6 +30,10 @@
   readonly isCoordinator: () => boolean;
   /** Whether other VMs ran already when this VM started. */
   readonly isFleetRunning: () => Promise<boolean>;
+  /** Number of VMs, of which all but the coordinators only read. */
+  readonly countVms: () => number;
+  /** Draws a uniformly distributed number in [0, 1). */
+  readonly drawUnit: () => number;
 }
 
 /** A record that is due to be written; undefined removes the key. */
@@ -38,6 +42,8 @@
 /** Time without a target of a version after which its end is recorded, milliseconds. */
 const END_DELAY_MS = 3000;
 const RETRY_MS = 500;
+/** With that pause for each VM, the VMs that only read make 200 reads a second at most. */
+const READ_PAUSE_PER_VM_MS = 5;
 
 /** The task that records versions. */
 export class VersionPersistence {
@@ -47,6 +53,8 @@
     | { readonly sentAtMs: number; readonly done: Promise<boolean> }
     | undefined;
   #isMaintaining = false;
+  /** Whether records were due at the last tick. */
+  #wasDue = false;
   #nextMaintenanceAtMs = -Infinity;
   #isStopped = false;
 
@@ -144,15 +152,39 @@
 
   async #maintain(): Promise<void> {
     const { isCoordinator, lives } = this.#options;
-    if (lives.isLoaded && !this.#hasDueRecords()) return;
-    const isRead = await this.#refresh(0);
-    const isDone = isRead && isCoordinator() && await this.#writeDue();
-    if (!isDone) this.#nextMaintenanceAtMs = this.#nowMs + RETRY_MS;
+    const isDue = !lives.isLoaded || this.#hasDueRecords();
+    const isNewlyDue = isDue && !this.#wasDue;
+    this.#wasDue = isDue;
+    if (!isDue) return;
+    const isWriter = isCoordinator();
+    // A VM that only reads leaves the coordinators time to write.
+    const mayWait = isNewlyDue && lives.isLoaded && !isWriter;
+    const isDone = !mayWait && await this.#refresh(0) && isWriter &&
+      await this.#writeDue();
+    if (isDone) return;
+    this.#nextMaintenanceAtMs = this.#nowMs + this.#computePauseMs(isWriter);
+  }
+
+  /** The reads of a large fleet are spread, as the store serves all VMs together. */
+  #computePauseMs(isWriter: boolean): number {
+    if (isWriter) return RETRY_MS;
+    const { countVms, drawUnit } = this.#options;
+    const pauseMs = Math.max(RETRY_MS, countVms() * READ_PAUSE_PER_VM_MS);
+    return pauseMs * (0.5 + drawUnit());
   }
 
   #hasDueRecords(): boolean {
-    return this.#options.lives.coverage === undefined ||
-      this.#listDueLives().length > 0;
+    return this.#isCoverageDue() || this.#listDueLives().length > 0;
+  }
+
+  /** Whether it is not recorded since when versions are recorded, and targets name any. */
+  #isCoverageDue(): boolean {
+    const { history, lives } = this.#options;
+    if (lives.coverage !== undefined) return false;
+    return this.#listServices().some((service) =>
+      history.listVersions(service, END_DELAY_MS, this.#nowMs)
+        .some(({ softwareVersion }) => softwareVersion !== undefined)
+    );
   }
 
   /** Writes what is due, one record after another, and reads it back. */
@@ -161,7 +193,9 @@
     try {
       // The coverage comes last, as it vouches for the records before it.
       const coverage = await this.#listDueCoverage();
-      for (const [key, record] of [...this.#listDueLives(), ...coverage]) {
+      const due = [...this.#listDueLives(), ...coverage];
+      if (due.length === 0) return true;
+      for (const [key, record] of due) {
         await topic.put(key, record);
         log.write("info", "versionRecorded", { key, ...record });
       }
@@ -230,7 +264,7 @@
 
   async #listDueCoverage(): Promise<DueRecord[]> {
     const { lives, clock, isFleetRunning } = this.#options;
-    if (lives.coverage !== undefined) return [];
+    if (!this.#isCoverageDue()) return [];
     const { epoch } = lives;
     const isFirst = epoch === 0 && !await isFleetRunning();
     const sinceUnixMs = isFirst ? 0 : clock.readWallMs();
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ManualClock } from "heatherarch-core";
+import { ManualClock, Random } from "heatherarch-core";
 import {
   computeStreamLifeMs,
   TargetDirectory,
@@ -31,9 +31,12 @@
   epoch = 0;
   isDown = false;
   isFleetRunning = false;
-  listed: string[] = ["v1"];
+  listed: (string | undefined)[] = ["v1"];
+  /** Times of the reads of all VMs. */
+  readonly readsAtMs: number[] = [];
 
   load(): ReturnType<WritableTopicPort<VersionRecord>["load"]> {
+    this.readsAtMs.push(this.clock.readMonotonicMs());
     if (this.isDown) return Promise.reject(new Error("down"));
     const entries = [...this.records].map(([key, value]) => ({ key, value }));
     return Promise.resolve({ entries, next: 0, epoch: this.epoch });
@@ -50,11 +53,17 @@
     return Promise.resolve();
   }
 
-  startVm(): Vm {
-    return new Vm(this);
+  startVm(options: VmOptions = {}): Vm {
+    return new Vm(this, options);
   }
 }
 
+interface VmOptions {
+  readonly isCoordinator?: boolean;
+  readonly vms?: number;
+  readonly drawUnit?: () => number;
+}
+
 class Vm {
   readonly #world: World;
   readonly #directory = new TargetDirectory();
@@ -65,7 +74,10 @@
   readonly lives = new VersionLives();
   readonly persistence: VersionPersistence;
 
-  constructor(world: World) {
+  constructor(
+    world: World,
+    { isCoordinator = true, vms = 1, drawUnit = () => 0 }: VmOptions,
+  ) {
     this.#world = world;
     this.persistence = new VersionPersistence({
       topic: world,
@@ -74,28 +86,35 @@
       activeConfig: { table: { config: CONFIG } } as never,
       clock: world.clock,
       log: { write: () => undefined },
-      isCoordinator: () => true,
+      isCoordinator: () => isCoordinator,
+      countVms: () => vms,
+      drawUnit,
       isFleetRunning: () => Promise.resolve(world.isFleetRunning),
     });
   }
 
   /** Reads the list of targets and the records for some time. */
   async run(forMs: number): Promise<void> {
-    const { clock, listed } = this.#world;
     for (let ranMs = 0; ranMs < forMs; ranMs += TICK_MS) {
-      clock.advance(TICK_MS);
-      const nowMs = clock.readMonotonicMs();
-      const entries = listed.map((softwareVersion) => ({
-        key: softwareVersion,
-        value: buildTarget(softwareVersion, { softwareVersion }),
-      }));
-      this.#directory.applyList(entries, nowMs);
-      this.history.observe(nowMs);
-      this.persistence.tick();
-      await new Promise((resolve) => setImmediate(resolve));
+      this.#world.clock.advance(TICK_MS);
+      await this.tick();
     }
   }
 
+  /** Reads the list of targets, and the records if that is due. */
+  async tick(): Promise<void> {
+    const { clock, listed } = this.#world;
+    const nowMs = clock.readMonotonicMs();
+    const entries = listed.map((softwareVersion) => ({
+      key: `target ${softwareVersion}`,
+      value: buildTarget(`target ${softwareVersion}`, { softwareVersion }),
+    }));
+    this.#directory.applyList(entries, nowMs);
+    this.history.observe(nowMs);
+    this.persistence.tick();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
   find(): Promise<string | undefined> {
     return this.persistence.findOnlyVersion("s");
   }
@@ -189,3 +208,42 @@
   vm.persistence.handleRestoration(1);
   assert.equal(isRecorded(), false);
 });
+
+// Guards against VMs that all read the records several times a second, for as long as one is due.
+test("VMs that only read do so less often the more of them there are", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const random = new Random(1);
+  const vms = Array.from({ length: 100 }, () =>
+    world.startVm({
+      isCoordinator: false,
+      vms: 1000,
+      drawUnit: () => random.drawUnit(),
+    }));
+  await Promise.all(vms.map((vm) => vm.run(TICK_MS)));
+  world.listed = ["v1", "v2"];
+  world.readsAtMs.length = 0;
+  const startedAtMs = world.clock.readMonotonicMs();
+  for (let ranMs = 0; ranMs < 10_000; ranMs += TICK_MS) {
+    world.clock.advance(TICK_MS);
+    await Promise.all(vms.map((vm) => vm.tick()));
+  }
+  const perSecond = world.readsAtMs.length / 10;
+  // A tenth of the fleet is played.
+  assert.ok(perSecond > 5 && perSecond <= 25, `${perSecond} reads/s`);
+  const early = world.readsAtMs.filter((atMs) => atMs - startedAtMs < 1000);
+  assert.ok(early.length <= 10, `${early.length} reads in the first second`);
+});
+
+// Guards against records for targets that name no version, which no stream needs.
+test("nothing is written while targets name no version", async () => {
+  const world = new World();
+  world.listed = [undefined];
+  const vm = world.startVm();
+  await vm.run(2000);
+  assert.equal(world.records.size, 0);
+  assert.equal(world.readsAtMs.length, 1);
+  world.listed = ["v1"];
+  await vm.run(1000);
+  assert.equal(world.records.size, 2);
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -264,6 +264,8 @@
     clock,
     log,
     isCoordinator: () => getComponents().mesh.isCoordinator,
+    countVms: () => getComponents().countVms(),
+    drawUnit: Math.random,
     isFleetRunning: async () => {
       const { entries } = await directory.vms.load();
       const listed = entries.flatMap(({ value }) => value ?? []);
--- a/packages/heatherarch-lab/proofs/version_simulation.ts
+++ b/packages/heatherarch-lab/proofs/version_simulation.ts
@@ -221,6 +221,8 @@
       log: { write: () => undefined },
       isCoordinator: () => true,
       isFleetRunning: () => Promise.resolve(false),
+      countVms: () => 1,
+      drawUnit: () => 0,
     });
   }
 
