--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -36,6 +36,9 @@
   roleChangeMs: 0,
 };
 
+/** Longest delay of a timer of the runtime, milliseconds. It fires at once with a longer one. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Serves calls by the active configuration. */
 export class CallServer {
   readonly #dependencies: CallDependencies;
@@ -78,7 +81,8 @@
     const remainingMs = call.arrivedAtMs + timeoutMs - clock.readMonotonicMs();
     let timer: NodeJS.Timeout | undefined;
     const expiry = new Promise<boolean>((resolve) => {
-      timer = setTimeout(() => resolve(false), Math.max(0, remainingMs));
+      const delayMs = Math.min(Math.max(0, remainingMs), MAX_TIMER_MS);
+      timer = setTimeout(() => resolve(false), delayMs);
     });
     try {
       return await Promise.race([turn, expiry]);
