Lost paths: only a silent exchange of the lost group goes to a peer

Callers of flowing streams lost their exchange when the VM lost the path to the engines of the other role: any loss of the service counted, and a peer accepts within 10 ms, in which a stream with an event each 50 ms often sends nothing. Other streams hung to their deadline: one byte after the loss ended the offers for good, and a path that was lost before the watch began reached no listener.

An exchange that is not sent is aborted only if its own group is lost.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -183,12 +183,14 @@
   const removeListener = pathMonitor.registerLossListener(
     target.service,
     () => {
-      if (!exchange.isSent) exchange.abort("path lost");
+      if (!exchange.isSent && !pathMonitor.hasPathTo(target)) {
+        exchange.abort("path lost");
+      }
     },
   );
   const isRepeatable = timeoutMs !== undefined;
   const stopWatch = isRepeatable
-    ? watchPathLoss(context, exchange)
+    ? watchPathLoss(context, target, exchange)
     : () => undefined;
   const timer = setInterval(() => {
     const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -356,7 +356,7 @@
     this.#respondingEngine = target;
     this.#isResponseSuccessful = isSuccess;
     if (!isSuccess) return await this.#deliverFailure(target, exchange, head);
-    const stopWatch = this.#resumeIfPathLost(exchange);
+    const stopWatch = this.#resumeIfPathLost(target, exchange);
     const relayed = await this.#relay.relay(exchange, head);
     stopWatch();
     const isComplete = relayed !== "whole" ||
@@ -409,10 +409,10 @@
   }
 
   /** Has a peer resume a stream if the path is lost. Returns a function that stops this. */
-  #resumeIfPathLost(exchange: TargetExchange): () => void {
+  #resumeIfPathLost(target: Target, exchange: TargetExchange): () => void {
     const { route } = this.#context;
     if (route.kind !== "resumableStream") return () => undefined;
-    return watchPathLoss(this.#context, exchange);
+    return watchPathLoss(this.#context, target, exchange);
   }
 
   /** Whether a silent engine may be given up: another one can run the call, and it may be retried. */
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -294,6 +294,7 @@
           pool.inFlight--;
         },
         isReset: () => pool.resetDetector.isResetting,
+        readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
         mayWrite: () => {
           const readyAtMs = Math.max(sentAtMs, pool.connectedAtMs);
           const nowMs = this.#options.clock.readMonotonicMs();
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { startStallAwareTimer } from "heatherarch-core";
+import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 
@@ -62,6 +62,8 @@
   readonly isReset: () => boolean;
   /** Asked right before the request is written: whether that may still be done. By default it may. */
   readonly mayWrite?: () => boolean;
+  /** Returns the current monotonic time, milliseconds. */
+  readonly readMonotonicMs?: () => number;
 }
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
@@ -76,6 +78,8 @@
   readonly timeoutMs: number;
 }
 
+const RUNTIME_CLOCK = new RuntimeClock();
+
 /** A withheld exchange has no connection, so its handlers never use the controller. */
 const NO_CONTROLLER = undefined as unknown as Controller;
 
@@ -96,7 +100,9 @@
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
-  #receivedBytes = 0;
+  /** Monotonic time from which the silence of the target counts. */
+  #silentSinceMs = -Infinity;
+  #isPaused = false;
   readonly #hooks: ExchangeHooks;
 
   constructor(
@@ -139,9 +145,12 @@
     return this.#controller !== undefined;
   }
 
-  /** Number of bytes of the response body that have arrived. */
-  get receivedBytes(): number {
-    return this.#receivedBytes;
+  /**
+   * Time without anything from the target, milliseconds: infinite before its response begins, 0 while
+   * the body is not read.
+   */
+  getSilentMs(nowMs: number): number {
+    return this.#isPaused ? 0 : nowMs - this.#silentSinceMs;
   }
 
   /** Aborts the exchange by closing its connection, which most targets treat as a cancellation. */
@@ -158,11 +167,14 @@
 
   /** Stops reading the body, for a client that reads more slowly than the target sends. */
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   /** Continues to read the body after {@linkcode pause}. */
   resume(): void {
+    if (this.#isPaused) this.#recordReceipt();
+    this.#isPaused = false;
     this.#controller?.resume();
   }
 
@@ -238,6 +250,7 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
+    this.#recordReceipt();
     if (status < 200) return this.#handleInterimHead();
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((part) =>
@@ -255,11 +268,17 @@
 
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
-    this.#receivedBytes += bytes.length;
+    this.#recordReceipt();
     if (this.#listener === undefined) this.#bufferedChunks.push(bytes);
     else this.#listener.onData(bytes);
   }
 
+  #recordReceipt(): void {
+    const { readMonotonicMs = () => RUNTIME_CLOCK.readMonotonicMs() } =
+      this.#hooks;
+    this.#silentSinceMs = readMonotonicMs();
+  }
+
   #handleEnd(): void {
     if (this.#hooks.isReset()) {
       this.#finish(
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -85,6 +85,7 @@
 export * from "./calls/target_exchange.ts";
 export * from "./calls/attempt_ledger.ts";
 export * from "./calls/attempt_result.ts";
+export * from "./calls/path_loss_watch.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./fleet/fleet_gossip.ts";
 export * from "./fleet/running_fleet.ts";
--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -88,6 +88,11 @@
     return true;
   }
 
+  /** Whether this VM may reach a target, or one that could replace it. */
+  hasPathTo(target: Target): boolean {
+    return !this.#getGroup(target).isLost;
+  }
+
   /** Whether no path of this VM is lost. */
   get hasAllPaths(): boolean {
     return [...this.#groups.values()].every(({ isLost }) => !isLost);
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -63,6 +63,7 @@
   const monitor: Pick<
     PathMonitor,
     | "hasPath"
+    | "hasPathTo"
     | "recordTrouble"
     | "getLastContactAtMs"
     | "registerLossListener"
@@ -70,6 +71,7 @@
     | "confirmPath"
   > = {
     hasPath: () => true,
+    hasPathTo: () => true,
     confirmRefusal: () => Promise.resolve(true),
     confirmPath: () => Promise.resolve(true),
     recordTrouble: () => undefined,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -83,6 +83,7 @@
   const prefillTimeModel = new PrefillTimeModel();
   const pathMonitor = {
     hasPath,
+    hasPathTo: hasPath,
     recordTrouble: () => undefined,
     getLastContactAtMs: () => Infinity,
     registerLossListener,
