Retries: taken only with the abort of a silent target, and never after a call's end

Retries stayed taken for good where a call ended, or its response arrived, while it was asked whether its silent target may be given up: the question took the retries after awaiting the path's confirmation.

Change: mayGiveUp only asks. The retries of the replacement are taken right before the abort, with nothing awaited between, once it is known that the wait goes on; what is available is asked first, which logs nothing. CallContext.reserve takes nothing for a call that has ended. Asking for another decode engine no longer excludes the silent one from the call's later picks.

Tests: attempt_result_test and handover_context_test, one case each.

Why this works: between the check that the wait goes on and the abort nothing else runs, and an ended call has no way to take a retry.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { CallContext } from "./call_context.ts";
+import type { CallContext, RequestPlan } from "./call_context.ts";
 import type { Target } from "../model.ts";
 import type { ResponseMetadata } from "../ports.ts";
 import {
@@ -61,9 +61,11 @@
   readonly extendsWhileAlive?: () => boolean;
   /**
    * Resolves with whether the call has another target to go to, so that one that stays silent may be
-   * given up; by default it may.
+   * given up; by default it may. Takes nothing, as the response may arrive meanwhile.
    */
   readonly mayGiveUp?: () => Promise<boolean>;
+  /** Requests that replace this one, whose retries are taken when a silent target is given up. */
+  readonly replacement?: RequestPlan;
   /**
    * Time after which the absence of any response raises the question whether this VM still reaches
    * targets, milliseconds; by default a part of the latency objective.
@@ -131,6 +133,7 @@
     timeoutMs,
     extendsWhileAlive = () => false,
     mayGiveUp = () => Promise.resolve(true),
+    replacement,
   } = options;
   if (timeoutMs === undefined) return () => undefined;
   const sentAtMs = context.nowMs;
@@ -153,7 +156,7 @@
     }
     const isReplaceable = await mayGiveUp();
     if (isStopped) return;
-    if (!isReplaceable) {
+    if (!isReplaceable || !takeReplacement(context, replacement)) {
       startTimer(RECHECK_INTERVAL_MS);
       return;
     }
@@ -172,6 +175,15 @@
   };
 }
 
+/** Takes the retries of a replacement. Asks first, since a denial is logged and this is repeated. */
+function takeReplacement(
+  context: CallContext,
+  replacement: RequestPlan | undefined,
+): boolean {
+  if (replacement === undefined) return true;
+  return context.mayReserve(replacement) && context.reserve(replacement);
+}
+
 /**
  * Has the path to targets checked while there is no response. If the path is lost, aborts an attempt
  * that is not sent, or may be repeated and goes on at a peer. Returns a function that stops this.
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -60,7 +60,7 @@
 export type RetryPurpose = "prefill" | "run";
 
 /** Requests that a call is about to send, and what the first of them is for. */
-interface RequestPlan extends PlannedRequests {
+export interface RequestPlan extends PlannedRequests {
   readonly purpose: RetryPurpose;
 }
 
@@ -497,11 +497,22 @@
     this.#undoUsage = undefined;
   }
 
+  /** Whether {@linkcode reserve} may take the retries that the next requests cost. Takes none. */
+  mayReserve(planned: PlannedRequests): boolean {
+    if (this.hasEnded) return false;
+    const due = this.#ledger.computeDue(planned);
+    const { retryBudget } = this.dependencies;
+    return due === 0 ||
+      retryBudget.mayTakeRetries(this.service.name, due, this.nowMs);
+  }
+
   /**
    * Takes the retries that the next requests cost from the fleet's retry budget, as far as they have not
-   * been taken. Returns whether the requests may be sent.
+   * been taken. Returns whether the requests may be sent. A call that has ended takes none, as nothing
+   * would give them back.
    */
   reserve({ purpose, ...planned }: RequestPlan): boolean {
+    if (this.hasEnded) return false;
     const due = this.#ledger.computeDue(planned);
     if (due === 0) return true;
     const isReserved = this.#ledger.reserve(planned);
--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -73,13 +73,26 @@
     return [...this.#tried];
   }
 
+  /** Whether an engine besides this one can be picked. */
+  hasOther(id: string): boolean {
+    const tried = new Set([...this.#tried, id]);
+    return this.#pick(undefined, { ...this.#selection, tried }) !== undefined;
+  }
+
   /** Returns the least loaded engine, preferably in `zone`; undefined if there is none. */
   pick(zone: string | undefined): Target | undefined {
+    return this.#pick(zone, this.#selection);
+  }
+
+  #pick(
+    zone: string | undefined,
+    selection: EngineSelection,
+  ): Target | undefined {
     const { workTracker, targetLoads, connectionPreference, drawUnit } =
       this.#context.dependencies;
     const nowMs = this.#context.nowMs;
     const maxKvTokens = this.#traits.kvTokens;
-    const engines = listAvailableEngines(this.#context, this.#selection);
+    const engines = listAvailableEngines(this.#context, selection);
     const needsConnection = connectionPreference.buildCheck(
       engines.length,
       nowMs,
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -244,6 +244,11 @@
         stage: prefilled === undefined ? "whole" : "takeOver",
         timeoutMs: this.#getSilenceTimeoutMs(),
         mayGiveUp: () => this.#mayGiveUp(target),
+        replacement: {
+          purpose: "prefill",
+          requests: 2,
+          beginsWithPrefill: true,
+        },
       });
       return await this.#handleResult(target, prefilled, exchange, result);
     } finally {
@@ -415,16 +420,13 @@
     return watchPathLoss(this.#context, target, exchange);
   }
 
-  /** Whether a silent engine may be given up: another one can run the call, and it may be retried. */
+  /** Whether a silent engine may be given up: another one can run the call. */
   async #mayGiveUp(target: Target): Promise<boolean> {
     const context = this.#context;
     if (!this.#mayContinue()) return false;
     const { pathMonitor } = context.dependencies;
     if (!await pathMonitor.confirmPath(context.service.name)) return false;
-    this.#decodeEngines.addTried(target.id);
-    if (this.#decodeEngines.pick(undefined) === undefined) return false;
-    const round = { requests: 2, beginsWithPrefill: true } as const;
-    return context.reserve({ purpose: "prefill", ...round });
+    return this.#decodeEngines.hasOther(target.id);
   }
 
   #handleRelayResult(
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -192,6 +192,7 @@
         timeoutMs: this.#computeSilenceTimeoutMs(booked.placement),
         extendsWhileAlive: () => this.#slotWait.isBusy(target),
         mayGiveUp: () => this.#mayGiveUp(),
+        replacement: { purpose: "run", requests: 1 },
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
@@ -250,7 +251,7 @@
     }, nowMs);
   }
 
-  /** Whether a silent target may be given up: another one can run the call, and it may be retried. */
+  /** Whether a silent target may be given up: another one can run the call. */
   async #mayGiveUp(): Promise<boolean> {
     const context = this.#context;
     if (!context.mayRunAgain || context.remainingMs < MIN_ATTEMPT_MS) {
@@ -258,8 +259,7 @@
     }
     const { pathMonitor } = context.dependencies;
     if (!await pathMonitor.confirmPath(context.service.name)) return false;
-    return this.#slotWait.pickTarget() !== undefined &&
-      context.reserve({ purpose: "run", requests: 1 });
+    return this.#slotWait.pickTarget() !== undefined;
   }
 
   /** Whether a retry may turn a target's failure into a success. */
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -173,6 +173,11 @@
       expectedMs: readyMs + EXPECTED_SLACK_MS,
       extendsWhileAlive: () => true,
       mayGiveUp: () => this.#mayGiveUp(),
+      replacement: {
+        purpose: "prefill",
+        requests: 2,
+        beginsWithPrefill: true,
+      },
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
@@ -195,13 +200,11 @@
     }
   }
 
-  /** Whether a silent engine may be given up: others respond, and the prefill may be retried. */
+  /** Whether a silent engine may be given up: others respond. */
   async #mayGiveUp(): Promise<boolean> {
     const context = this.#context;
     const { pathMonitor } = context.dependencies;
-    if (!await pathMonitor.confirmPath(context.service.name)) return false;
-    const round = { requests: 2, beginsWithPrefill: true } as const;
-    return context.reserve({ purpose: "prefill", ...round });
+    return await pathMonitor.confirmPath(context.service.name);
   }
 
   /** Returns a prefilled prompt, or releases its cache if the call has ended. */
--- a/packages/heatherarch-forward/state/fleet_retry_budget.ts
+++ b/packages/heatherarch-forward/state/fleet_retry_budget.ts
@@ -154,6 +154,15 @@
     return isCovered || this.#options.drawUnit() < cost ? retries : undefined;
   }
 
+  /** Whether {@linkcode takeRetries} would take `count` retries, or stake what is left. */
+  mayTakeRetries(service: string, count: number, nowMs: number): boolean {
+    const budget = this.#update(service, nowMs);
+    const left = this.getAvailable(service, nowMs);
+    if (left >= count - TOLERANCE) return true;
+    const most = this.#computeFixedLeft(budget, nowMs) + budget.earnedByCalls;
+    return most < 1 && left > TOLERANCE;
+  }
+
   /** Number of retries that may be sent to the service now; a part of one is staked. */
   getAvailable(service: string, nowMs: number): number {
     const budget = this.#update(service, nowMs);
--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Dispatcher } from "undici";
+import { ReadBarrier, sleep } from "heatherarch-core";
 import {
   awaitAttempt,
   buildWithheldExchange,
@@ -104,3 +105,69 @@
     assert.notEqual(result.kind, "lost");
   }
 });
+
+/** Awaits a response for 120 ms, with a timeout of 10 ms. Confirming an alternative takes 30 ms. */
+async function awaitSilent({ mayReserve = true, headAfterMs = 120 }) {
+  const events: string[] = [];
+  const dispatch: Dispatcher["dispatch"] = (_options, handler) => {
+    const controller = {
+      abort: () => events.push("abort"),
+      resume: () => undefined,
+    } as unknown as Dispatcher.DispatchController;
+    handler.onRequestStart?.(controller, undefined);
+    setTimeout(
+      () => handler.onResponseStart?.(controller, 200, {}, ""),
+      headAfterMs,
+    );
+    return true;
+  };
+  const context = {
+    nowMs: 0,
+    hasEnded: false,
+    call: { id: "c", arrivedAtMs: 0 },
+    route: buildRoute(),
+    recordLoss: () => undefined,
+    mayReserve: () => mayReserve,
+    reserve: () => {
+      events.push("reserve");
+      return mayReserve;
+    },
+    dependencies: {
+      health: new TargetHealth(),
+      pathMonitor: buildIdlePathMonitor(),
+      readBarrier: new ReadBarrier(),
+      log: new MemoryEventLog(),
+      metrics: new ForwardMetrics(),
+      codec: { decodeResponse: () => ({ callId: "c", signed: true }) },
+      directory: { markReplaced: () => undefined },
+      crashDetector: { recordCrash: () => undefined },
+    },
+  } as unknown as CallContext;
+  await awaitAttempt({
+    context,
+    target: buildTarget("t"),
+    exchange: new TargetExchange(
+      { dispatch },
+      "http://10.0.0.1:80",
+      { path: "/", method: "POST", headers: [], body: null },
+      { onRelease: () => undefined, isReset: () => false },
+    ),
+    stage: "whole",
+    timeoutMs: 10,
+    mayGiveUp: async () => {
+      await sleep(30);
+      return true;
+    },
+    replacement: { purpose: "run", requests: 1 },
+  });
+  await sleep(60);
+  return events;
+}
+
+// Guards against a retry that is taken for a target whose response arrives while it is asked whether
+// another can replace it, and against a denial that is logged at each check.
+test("a retry is taken only together with the abort of a silent exchange", async () => {
+  assert.deepEqual(await awaitSilent({}), ["reserve", "abort"]);
+  assert.deepEqual(await awaitSilent({ headAfterMs: 20 }), []);
+  assert.deepEqual(await awaitSilent({ mayReserve: false }), []);
+});
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -77,7 +77,7 @@
       fail: (error: ServeError) => void failures.push(error),
     } as unknown as ClientResponse,
   });
-  return { context, failures, fleetDemand, clock };
+  return { context, failures, fleetDemand, retryBudget, clock };
 }
 
 // Guards against "not run" for a call that may have run at the VM that handed it over.
@@ -118,3 +118,18 @@
   assert.equal(context.mayRunAgain, true);
   context.finish("delivered");
 });
+
+// Guards against retries that are taken after the call's end, when nothing gives them back.
+test("a call that has ended takes no retry", () => {
+  const { context, retryBudget, clock } = buildContext({});
+  const readLeft = (): number =>
+    retryBudget.getAvailable("s", clock.readMonotonicMs());
+  for (let calls = 0; calls < 10; calls++) {
+    retryBudget.recordCall("s", clock.readMonotonicMs());
+  }
+  assert.ok(context.mayReserve({ requests: 2 }));
+  context.finish("clientGone");
+  assert.equal(context.mayReserve({ requests: 2 }), false);
+  assert.equal(context.reserve({ purpose: "run", requests: 2 }), false);
+  assert.ok(readLeft() > 3, `${readLeft()} left`);
+});
