Prefills: a silent engine is given up only for another one that may take the call

The only prefill engine of a service was aborted when it was silent beyond the timeout of a prefill, and the next round had no prefill engine left: the path to a single target counts as open until it was silent for 1,200 ms, and the prefill asked for nothing but an open path.

Change: PromptPrefill also asks for another engine that was not tried and may take the prefill now, as plain calls and runs do.

Test: silent_prefill_test of heatherarch-lab. It failed without the question: the only engine was aborted with "no response for 511 ms", although it responds after 1,000 ms. It passes with it, and with two engines the first is given up.

Why this works: without another engine nothing is better than to wait on.

--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -6,7 +6,10 @@
  */
 import type { CallContext } from "./call_context.ts";
 import { computeWaitLimits } from "../scheduling/client_timeout.ts";
-import { listUsableEngines } from "../scheduling/engine_selection.ts";
+import {
+  listAvailableEngines,
+  listUsableEngines,
+} from "../scheduling/engine_selection.ts";
 import {
   computeEnginePriority,
   computeLane,
@@ -172,7 +175,7 @@
       timeoutMs: readyMs * PREFILL_TIMEOUT_FACTOR + PREFILL_TIMEOUT_SLACK_MS,
       expectedMs: readyMs + EXPECTED_SLACK_MS,
       extendsWhileAlive: () => true,
-      mayGiveUp: () => this.#mayGiveUp(),
+      mayGiveUp: () => this.#mayGiveUp(target),
       replacement: {
         purpose: "prefill",
         requests: 2,
@@ -200,11 +203,17 @@
     }
   }
 
-  /** Whether a silent engine may be given up: others respond. */
-  async #mayGiveUp(): Promise<boolean> {
+  /**
+   * Whether a silent engine may be given up: others respond, and one that was not tried may take the
+   * prefill. The path to an only engine counts as open for a while although it is silent.
+   */
+  async #mayGiveUp({ id }: Target): Promise<boolean> {
     const context = this.#context;
     const { pathMonitor } = context.dependencies;
-    return await pathMonitor.confirmPath(context.service.name);
+    if (!await pathMonitor.confirmPath(context.service.name)) return false;
+    const tried = new Set([...this.#tried, id]);
+    const selection = { phase: "reading", tried } as const;
+    return listAvailableEngines(context, selection).length > 0;
   }
 
   /** Returns a prefilled prompt, or releases its cache if the call has ended. */
