Ends of responses: probes don't wait behind orders and releases

Callers saw: a whole response without a length became a 502 or a cut although its target lived on.

Cause: probes of ends shared two connections for each target with orders, releases and regular reports. Behind two of them at a target that was silent for 300 ms, a probe was written more than 200 ms after it was sent, so it was withheld as after a stall. The port was then looked at later than 150 ms after the end, which counted as the end of the target.

Change: reports that tell whether a target lives on (probes of ends, checks of incarnations, response probes) have connections of their own, four for each target at most, and are not withheld after a stall, as they start nothing and have no client. Releases aren't either. Orders and the regular reports of tasks still are. Where 150 ms have passed, a connection to the target that was opened before the end and is still open confirms the end: the process that ended would have closed it. Without one, the end of a target without a start stays unconfirmed, as no later probe can tell either.

--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -21,7 +21,7 @@
 /** Options of {@linkcode EndConfirmation}. */
 export interface EndConfirmationOptions {
   readonly clock: Pick<Clock, "readMonotonicMs">;
-  readonly connections: Pick<TargetConnections, "send">;
+  readonly connections: Pick<TargetConnections, "send" | "checkOpenSince">;
   readonly codec: Pick<
     CallCodec,
     "encodeReportRequest" | "decodeReport" | "decodeResponse"
@@ -178,13 +178,16 @@
     const { connections, codec, isLimited } = this.#options;
     if (isLimited(target)) return await this.#probeConnection(target, sinceMs);
     const request = codec.encodeReportRequest(target);
-    const exchange = connections.send(target, request, { purpose: "control" });
+    const exchange = connections.send(target, request, { purpose: "report" });
     const abort = (): void => exchange.abort("no response to a probe");
     const stopTimer = startStallAwareTimer(abort, PROBE_TIMEOUT_MS);
     signal.addEventListener("abort", abort, { once: true });
     const sending = this.#watchSending(exchange, sinceMs);
     try {
-      return await this.#classifyResponse(target, exchange, sending.isInTime);
+      return await this.#classifyResponse(target, exchange, {
+        isSentInTime: sending.isInTime,
+        sinceMs,
+      });
     } catch (error) {
       if (!(error instanceof ExchangeError)) throw error;
       if (error.isConnectionRefused) return "ended";
@@ -201,9 +204,9 @@
   async #classifyResponse(
     target: Target,
     exchange: TargetExchange,
-    isSentInTime: () => boolean,
+    { isSentInTime, sinceMs }: { isSentInTime: () => boolean; sinceMs: number },
   ): Promise<ProbeAnswer> {
-    const { codec } = this.#options;
+    const { codec, connections } = this.#options;
     const head = await exchange.head;
     const isInTime = isSentInTime();
     if (codec.decodeResponse(head.status, head.headers).misdirected) {
@@ -211,7 +214,8 @@
       return "ended";
     }
     const report = codec.decodeReport(await exchange.readBody(REPORT_LIMITS));
-    const isSame = isSameIncarnation(target, report) ?? isInTime;
+    const isSame = isSameIncarnation(target, report) ??
+      (isInTime || await connections.checkOpenSince(target, sinceMs));
     return isSame ? "alive" : "ended";
   }
 
@@ -238,7 +242,11 @@
   ): Promise<ProbeAnswer> {
     const isInTime = this.#nowMs - sinceMs < MIN_RESTART_MS;
     const result = await this.#options.connect(target);
-    if (result === "refused" || !isInTime) return "ended";
+    if (result === "refused") return "ended";
+    // The process that ended would have closed all its connections.
+    const isSame = isInTime ||
+      await this.#options.connections.checkOpenSince(target, sinceMs);
+    if (!isSame) return "ended";
     return result === "accepted" ? "alive" : "unknown";
   }
 }
--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -44,7 +44,7 @@
       return true;
     }
     const request = codec.encodeReportRequest(target);
-    const exchange = connections.send(target, request, { purpose: "control" });
+    const exchange = connections.send(target, request, { purpose: "report" });
     const stopTimer = startStallAwareTimer(
       () => exchange.abort("no report in time"),
       REPORT_TIMEOUT_MS,
--- a/packages/heatherarch-forward/calls/response_probe.ts
+++ b/packages/heatherarch-forward/calls/response_probe.ts
@@ -32,7 +32,7 @@
   const exchange = connections.send(
     target,
     codec.encodeReportRequest(target),
-    { purpose: "control" },
+    { purpose: "report" },
   );
   const stopTimer = startStallAwareTimer(
     () => exchange.abort("no response to a probe"),
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -17,10 +17,10 @@
 type Connector = ReturnType<typeof buildConnector>;
 
 /**
- * Purpose of a request: work, the release of resources that an earlier request holds, or control of
- * an engine.
+ * Purpose of a request: work, the release of resources that an earlier request holds, control of an
+ * engine, or a report that tells whether a target lives on and as which incarnation.
  */
-export type SendPurpose = "work" | "release" | "control";
+export type SendPurpose = "work" | "release" | "control" | "report";
 
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
@@ -81,22 +81,40 @@
  */
 const MAX_WRITE_DELAY_MS = 200;
 
+/** Purposes whose requests are withheld if they are written late. A report starts nothing. */
+const WITHHELD_IF_LATE: ReadonlySet<SendPurpose> = new Set(["work", "control"]);
+
 /** Connections to one target that only control requests use, at most. */
 const MAX_CONTROL_CONNECTIONS = 2;
+/**
+ * Connections to one target that only reports of whether it lives on use, at most. Each kind of check
+ * has one report in progress at a target, so that none waits for another one.
+ */
+const MAX_REPORT_CONNECTIONS = 4;
 
 /**
  * Kinds of connections to one target. A response that arrives late, where the next one is expected, can
  * be told from the expected one only by the id of its call:
  * - `calls`: kept, for attempts of calls.
  * - `control`: kept, for requests whose responses name no call.
+ * - `reports`: kept, for reports, which would tell nothing any more after waiting for other requests.
  * - `single`: for one request each, whose response could not be told from an earlier one.
  */
-type ConnectionKind = "calls" | "control" | "single";
+type ConnectionKind = "calls" | "control" | "reports" | "single";
+
+/** Kind of connection of a request that doesn't need one of its own. */
+const KIND_OF_PURPOSE: Readonly<Record<SendPurpose, ConnectionKind>> = {
+  work: "calls",
+  release: "control",
+  control: "control",
+  report: "reports",
+};
 
 /** Options of the pool of each kind, where they differ from those of calls. */
 const POOL_OPTIONS: Readonly<Record<ConnectionKind, Partial<Pool.Options>>> = {
   calls: {},
   control: { connections: MAX_CONTROL_CONNECTIONS },
+  reports: { connections: MAX_REPORT_CONNECTIONS },
   // Without pipelining undici closes a connection after its response.
   single: { pipelining: 0 },
 };
@@ -114,8 +132,8 @@
   inFlight: number;
   /** Number of connections that were opened. */
   opened: number;
-  /** Number of connections that are open. */
-  open: number;
+  /** Monotonic time at which each open connection was opened, by its client. */
+  readonly open: Map<unknown, number>;
   /** Monotonic time at which a connection was last opened. */
   connectedAtMs: number;
 }
@@ -249,7 +267,7 @@
   /** Whether a connection for calls to the target is open and not in use. */
   hasIdle(target: Target): boolean {
     const entry = this.#targets.get(target.id)?.pools.calls;
-    return entry !== undefined && entry.open > entry.inFlight;
+    return entry !== undefined && entry.open.size > entry.inFlight;
   }
 
   /** Number of connections to the target that were opened for calls so far. */
@@ -258,6 +276,18 @@
     return (calls?.opened ?? 0) + (single?.opened ?? 0);
   }
 
+  /**
+   * Resolves with whether a connection of any kind to the target is still open that was opened before
+   * a monotonic time, once all ends of connections that have arrived are read.
+   */
+  async checkOpenSince(target: Target, monotonicMs: number): Promise<boolean> {
+    await this.#options.readBarrier.awaitTurn({ isInProgress: true });
+    const pools = Object.values(this.#targets.get(target.id)?.pools ?? {});
+    return pools.some(({ open }) =>
+      [...open.values()].some((openedAtMs) => openedAtMs < monotonicMs)
+    );
+  }
+
   #countInFlight(target: Target): number {
     return this.#targets.get(target.id)?.inFlight ?? 0;
   }
@@ -275,11 +305,7 @@
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
     this.#options.onSend(target);
     const sentAtMs = this.#options.clock.readMonotonicMs();
-    const kind = needsOwnConnection
-      ? "single"
-      : purpose === "work"
-      ? "calls"
-      : "control";
+    const kind = needsOwnConnection ? "single" : KIND_OF_PURPOSE[purpose];
     const entry = this.#getEntry(target);
     const pool = entry.pools[kind] ??= this.#createPool(target, kind);
     entry.inFlight++;
@@ -296,6 +322,7 @@
         isReset: () => pool.resetDetector.isResetting,
         readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
         mayWrite: () => {
+          if (!WITHHELD_IF_LATE.has(purpose)) return true;
           const readyAtMs = Math.max(sentAtMs, pool.connectedAtMs);
           const nowMs = this.#options.clock.readMonotonicMs();
           return nowMs - readyAtMs <= MAX_WRITE_DELAY_MS;
@@ -364,16 +391,18 @@
       resetDetector,
       inFlight: 0,
       opened: 0,
-      open: 0,
+      open: new Map(),
       connectedAtMs: -Infinity,
     };
-    pool.on("connect", () => {
+    pool.on("connect", (_origin, clients) => {
       created.connectedAtMs = this.#options.clock.readMonotonicMs();
       created.opened++;
-      created.open++;
+      created.open.set(clients.at(-1), created.connectedAtMs);
       onConnect();
     });
-    pool.on("disconnect", () => created.open--);
+    pool.on("disconnect", (_origin, clients) => {
+      created.open.delete(clients.at(-1));
+    });
     return created;
   }
 }
--- a/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -1,11 +1,14 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
 import { RuntimeClock, sleep } from "heatherarch-core";
 import {
   EndConfirmation,
   type EngineReport,
   ExchangeError,
   type Target,
+  TargetConnections,
   type TargetExchange,
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
@@ -29,6 +32,8 @@
   readonly connectResult?: "accepted" | "refused";
   /** Whether the connections of probes are open at once. */
   readonly isSent?: boolean;
+  /** Whether a connection from before the end is still open. */
+  readonly isOpenSince?: boolean;
 }
 
 function buildConfirmation(options: ConfirmationOptions) {
@@ -60,7 +65,10 @@
   };
   const confirmation = new EndConfirmation({
     clock: new RuntimeClock(),
-    connections: { send },
+    connections: {
+      send,
+      checkOpenSince: () => Promise.resolve(options.isOpenSince ?? false),
+    },
     codec: {
       encodeReportRequest: () => REQUEST,
       decodeReport: (body) =>
@@ -188,3 +196,82 @@
     assert.equal(limited.state.probes, 0);
   }
 });
+
+// Guards against a live target that counts as ended as its probe was connected late.
+test("an older connection that is still open confirms the end at a late probe", async () => {
+  const { confirm } = buildConfirmation({
+    replies: ["plain"],
+    replyDelayMs: 900,
+    isSent: false,
+    isOpenSince: true,
+  });
+  assert.equal(await confirm(PLAIN), true);
+});
+
+/** Builds confirmations at a server whose responses take this long, by connections of their own kind. */
+async function buildAtServer(context: TestContext, responseMs: number) {
+  const server = createServer((_request, response) =>
+    void setTimeout(() => response.end("1"), responseMs)
+  );
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const connections = new TargetConnections();
+  context.after(async () => {
+    await connections.close();
+    server.close();
+  });
+  const confirmation = new EndConfirmation({
+    clock: new RuntimeClock(),
+    connections,
+    codec: {
+      encodeReportRequest: () => REQUEST,
+      decodeReport: (body) => ({ startedAtMs: Number(body) }) as EngineReport,
+      decodeResponse: () => ({
+        misdirected: false,
+        notRun: false,
+        signed: false,
+        isLeaving: false,
+      }),
+    },
+    isLimited: () => false,
+    connect: () => Promise.resolve("accepted"),
+  });
+  const { port } = server.address() as AddressInfo;
+  return { confirmation, connections, address: `127.0.0.1:${port}` };
+}
+
+// Guards against a live target that counts as ended, as its probe waits behind orders and releases and is
+// withheld then.
+for (const startedAtMs of [1, undefined]) {
+  const kind = startedAtMs === undefined ? "without" : "with";
+  test(`a target ${kind} a start whose control requests are in progress confirms the end`, async (context) => {
+    const { confirmation, connections, address } = await buildAtServer(
+      context,
+      300,
+    );
+    const target = buildTarget("t@1", { address, instance: "t", startedAtMs });
+    for (const purpose of ["control", "release"] as const) {
+      const exchange = connections.send(target, REQUEST, { purpose });
+      exchange.discardBody({ maxBytes: 100, timeoutMs: 2000 });
+    }
+    await sleep(20);
+    const abandoned = sleep(2000);
+    assert.equal(await confirmation.confirm(target, { abandoned }), true);
+  });
+}
+
+// Guards against a live target without a start that counts as ended as its port is looked at late.
+test("an older connection confirms the end of a blocked target whose port is checked late", async () => {
+  const blocked = (isOpenSince: boolean) =>
+    buildConfirmation({
+      replies: [
+        ...Array.from({ length: 8 }, () => "lost" as const),
+        new ExchangeError("withheld", "in backoff"),
+      ],
+      connectResult: "accepted",
+      isOpenSince,
+    });
+  assert.equal(await blocked(true).confirm(PLAIN), true);
+  assert.equal(await blocked(false).confirm(PLAIN), false);
+});
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -168,6 +168,31 @@
   assert.equal((await connections!.send(target, REQUEST).head).status, 200);
 });
 
+// Guards against a report that counts as missing as the process stalled, though it starts nothing.
+test("a report is sent although the process stalls before it is written", async () => {
+  const { target } = await build(() => undefined);
+  const send = (): TargetExchange =>
+    connections!.send(target, REQUEST, { purpose: "report" });
+  await send().readBody({ maxBytes: 100, timeoutMs: 1000 });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const second = send();
+  blockEventLoop(300);
+  assert.equal((await second.head).status, 200);
+});
+
+test("it is known whether a connection from before a time is still open", async () => {
+  const { target } = await build(() => undefined);
+  const beforeMs = performance.now();
+  await connections!.send(target, REQUEST, { purpose: "report" }).ended;
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const nowMs = performance.now();
+  assert.equal(await connections!.checkOpenSince(target, beforeMs), false);
+  assert.equal(await connections!.checkOpenSince(target, nowMs), true);
+  server?.closeAllConnections();
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(await connections!.checkOpenSince(target, nowMs), false);
+});
+
 // Guards against a late copy of a response without an id that a call takes for its own.
 test("control requests have a few connections of their own, which are closed with the others", async () => {
   const { target, count } = await build(() => undefined);
--- a/packages/heatherarch-lab/bench/end_bench.ts
+++ b/packages/heatherarch-lab/bench/end_bench.ts
@@ -84,6 +84,7 @@
   return new EndConfirmation({
     clock: new RuntimeClock(),
     connections: {
+      checkOpenSince: () => Promise.resolve(false),
       send: () =>
         ({
           head: sleep(roundTripMs).then(() => ({ status: 200, headers: {} })),
