Streams: one report confirms the incarnation for all heads that wait

Callers saw: streams that began at a busy engine at once were given up and run again although the engine was the listed one.

Cause: each head asked for a report of its own, and each report had 300 ms from when it was sent, the wait for a connection included. A missing report counted as that of another incarnation.

Change: one report is in progress at a target at a time and answers all heads that waited before it was sent. The answer is "same", "other" (another start, or 421) or "unknown". While it is unknown, the events are held back and the VM asks again: until the call or the exchange has ended, or, if the call may run elsewhere, for as long as it waits for the end of a response (half of its remaining time, 1.5 s at most), so that a silent engine doesn't hold a stream until its deadline. A check is remembered for the connections that were open when its report was sent, no longer for those that opened on the way.

The tests of the check now state the value of three that they expect instead of a boolean; the new ones can't be built against the code before, which has no such values.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -73,7 +73,7 @@
   readonly workTracker: WorkTracker;
   readonly connections: TargetConnections;
   readonly endConfirmation: Pick<EndConfirmation, "confirm">;
-  readonly incarnationCheck: Pick<IncarnationCheck, "confirm">;
+  readonly incarnationCheck: Pick<IncarnationCheck, "check">;
   readonly targetListGuard: TargetListGuard;
   readonly eventBuffers: EventBuffers;
   readonly readBarrier: ReadBarrier;
--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -263,6 +263,17 @@
   return report.startedAtMs === startedAtMs;
 }
 
+/** Longest time for which a call waits for a confirmation; undefined if it waits until it ends. */
+export function computeMaxWaitMs(
+  { mayRunAgain, remainingMs }: Pick<
+    CallContext,
+    "mayRunAgain" | "remainingMs"
+  >,
+): number | undefined {
+  if (!mayRunAgain) return undefined;
+  return Math.min(PROBE_TIMEOUT_MS, remainingMs * WAIT_SHARE);
+}
+
 /**
  * Resolves with whether a response that has ended is complete: at once if its framing shows that, else
  * once its end is confirmed. A call that may run elsewhere keeps time for that.
@@ -272,14 +283,11 @@
   target: Target,
   head: ResponseHead,
 ): Promise<boolean> {
-  const { call, dependencies, mayRunAgain, remainingMs, ended } = context;
+  const { call, dependencies, ended } = context;
   if (!isEndedByConnection(call.method, head)) return true;
-  const maxWaitMs = mayRunAgain
-    ? Math.min(PROBE_TIMEOUT_MS, remainingMs * WAIT_SHARE)
-    : undefined;
   const isConfirmed = await dependencies.endConfirmation.confirm(target, {
     abandoned: ended,
-    maxWaitMs,
+    maxWaitMs: computeMaxWaitMs(context),
   });
   if (!isConfirmed) context.recordUnconfirmedEnd(target, UNCONFIRMED_END);
   return isConfirmed;
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -38,6 +38,7 @@
 } from "./target_exchange.ts";
 import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
 import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
+import { confirmIncarnation } from "./incarnation_check.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
@@ -351,7 +352,7 @@
     { head, metadata }: AttemptResponse,
   ): Promise<void> {
     const isSuccess = isSuccessStatus(head.status);
-    const fault = await this.#findFault(target, head, metadata);
+    const fault = await this.#findFault(target, exchange, head, metadata);
     if (this.#context.hasEnded) return;
     if (fault !== undefined) {
       exchange.abort(fault);
@@ -398,6 +399,7 @@
   /** Returns why a response may not be relayed; undefined if it may. */
   async #findFault(
     target: Target,
+    exchange: TargetExchange,
     { status }: AttemptResponse["head"],
     { signed }: AttemptResponse["metadata"],
   ): Promise<string | undefined> {
@@ -407,9 +409,8 @@
         : undefined;
     }
     if (!signed) return "successful response without a signature";
-    const { route, dependencies } = this.#context;
-    if (route.kind !== "resumableStream") return undefined;
-    const isListed = await dependencies.incarnationCheck.confirm(target);
+    if (this.#context.route.kind !== "resumableStream") return undefined;
+    const isListed = await confirmIncarnation(this.#context, target, exchange);
     return isListed ? undefined : "the engine may be another incarnation";
   }
 
--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -6,15 +6,21 @@
  *
  * @module
  */
-import { startStallAwareTimer } from "heatherarch-core";
+import { sleep, startStallAwareTimer } from "heatherarch-core";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
+import type { CallContext } from "./call_context.ts";
+import { computeMaxWaitMs } from "./end_confirmation.ts";
 import type { TargetConnections } from "./target_connections.ts";
+import type { TargetExchange } from "./target_exchange.ts";
 
 /** Options of {@linkcode IncarnationCheck}. */
 export interface IncarnationCheckOptions {
   readonly connections: Pick<TargetConnections, "send" | "countOpened">;
-  readonly codec: Pick<CallCodec, "encodeReportRequest" | "decodeReport">;
+  readonly codec: Pick<
+    CallCodec,
+    "encodeReportRequest" | "decodeReport" | "decodeResponse"
+  >;
 }
 
 /** Time for a report, which needs no slot of the target, milliseconds. */
@@ -23,11 +29,21 @@
 /** Targets whose last check is remembered. */
 const MAX_CHECKED = 10_000;
 
+/** Pause after a check that told nothing, milliseconds. */
+const RETRY_PAUSE_MS = 30;
+
+/** Which incarnation of a target a report is of: the listed one, another one, or it is not known. */
+export type IncarnationAnswer = "same" | "other" | "unknown";
+
+type Waiter = (answer: IncarnationAnswer) => void;
+
 /** The checks of one VM. */
 export class IncarnationCheck {
   readonly #options: IncarnationCheckOptions;
   /** Number of opened connections up to which a target was the listed incarnation. */
   readonly #checked = new Map<string, number>();
+  /** Waiters that came after the check in progress of a target was sent. */
+  readonly #waiting = new Map<string, Waiter[]>();
 
   constructor(options: IncarnationCheckOptions) {
     this.#options = options;
@@ -35,14 +51,42 @@
 
   /**
    * Resolves with whether the target was the listed incarnation until now, so that what it has sent
-   * is from that one. Never rejects.
+   * is from that one. A check answers all that waited before it was sent; there is one at a time for
+   * each target. Never rejects.
    */
-  async confirm(target: Target): Promise<boolean> {
-    if (target.startedAtMs === undefined) return true;
-    const { connections, codec } = this.#options;
-    if (this.#checked.get(target.id) === connections.countOpened(target)) {
-      return true;
+  async check(target: Target): Promise<IncarnationAnswer> {
+    if (target.startedAtMs === undefined) return "same";
+    if (this.#isChecked(target)) return "same";
+    return await new Promise((resolve) => this.#addWaiter(target, resolve));
+  }
+
+  #addWaiter(target: Target, waiter: Waiter): void {
+    const waiting = this.#waiting.get(target.id);
+    if (waiting !== undefined) {
+      waiting.push(waiter);
+      return;
     }
+    this.#waiting.set(target.id, [waiter]);
+    void this.#checkWhileWaiting(target);
+  }
+
+  async #checkWhileWaiting(target: Target): Promise<void> {
+    let batch = this.#waiting.get(target.id) ?? [];
+    while (batch.length > 0) {
+      this.#waiting.set(target.id, []);
+      const answer = this.#isChecked(target)
+        ? "same"
+        : await this.#requestReport(target);
+      for (const settle of batch) settle(answer);
+      batch = this.#waiting.get(target.id) ?? [];
+    }
+    this.#waiting.delete(target.id);
+  }
+
+  async #requestReport(target: Target): Promise<IncarnationAnswer> {
+    const { connections, codec } = this.#options;
+    // A connection that opens from now on may be to another incarnation.
+    const opened = connections.countOpened(target);
     const request = codec.encodeReportRequest(target);
     const exchange = connections.send(target, request, { purpose: "report" });
     const stopTimer = startStallAwareTimer(
@@ -50,17 +94,35 @@
       REPORT_TIMEOUT_MS,
     );
     try {
-      const body = await exchange.readBody(REPORT_LIMITS);
-      const report = codec.decodeReport(body);
-      if (report?.startedAtMs !== target.startedAtMs) return false;
+      const answer = await this.#classifyReport(target, exchange);
+      if (answer === "same") this.#record(target.id, opened);
+      return answer;
     } catch {
       // Without a report it is not known which incarnation responded.
-      return false;
+      return "unknown";
     } finally {
       stopTimer();
     }
-    this.#record(target.id, connections.countOpened(target));
-    return true;
+  }
+
+  async #classifyReport(
+    target: Target,
+    exchange: TargetExchange,
+  ): Promise<IncarnationAnswer> {
+    const { codec } = this.#options;
+    const { status, headers } = await exchange.head;
+    if (codec.decodeResponse(status, headers).misdirected) {
+      exchange.discardBody();
+      return "other";
+    }
+    const report = codec.decodeReport(await exchange.readBody(REPORT_LIMITS));
+    if (report?.startedAtMs === undefined) return "unknown";
+    return report.startedAtMs === target.startedAtMs ? "same" : "other";
+  }
+
+  #isChecked(target: Target): boolean {
+    const opened = this.#options.connections.countOpened(target);
+    return this.#checked.get(target.id) === opened;
   }
 
   #record(id: string, opened: number): void {
@@ -70,3 +132,38 @@
     if (this.#checked.size > MAX_CHECKED) this.#checked.delete(oldest);
   }
 }
+
+/**
+ * Resolves with whether what has arrived of a response is from the listed incarnation of its target.
+ * While that is not known, it asks again: until the call or the exchange has failed, or until a call
+ * that may run elsewhere has to go on.
+ */
+export async function confirmIncarnation(
+  context: CallContext,
+  target: Target,
+  exchange: TargetExchange,
+): Promise<boolean> {
+  const { incarnationCheck } = context.dependencies;
+  const maxWaitMs = computeMaxWaitMs(context);
+  let giveUp!: () => void;
+  const givenUp = new Promise<"givenUp">((resolve) => {
+    giveUp = () => resolve("givenUp");
+  });
+  const stopTimer = maxWaitMs === undefined
+    ? () => undefined
+    : startStallAwareTimer(giveUp, maxWaitMs);
+  void context.ended.then(giveUp);
+  void exchange.ended.then((end) => end !== "ended" && giveUp());
+  try {
+    while (true) {
+      const answer = await Promise.race([
+        incarnationCheck.check(target),
+        givenUp,
+      ]);
+      if (answer !== "unknown") return answer === "same";
+      await Promise.race([sleep(RETRY_PAUSE_MS), givenUp]);
+    }
+  } finally {
+    stopTimer();
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
+++ b/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  type CallContext,
+  confirmIncarnation,
   ExchangeError,
   IncarnationCheck,
   type TargetExchange,
@@ -10,27 +12,46 @@
 const REQUEST = { path: "/", method: "GET", headers: [], body: null };
 const TARGET = buildTarget("t@1", { instance: "t", startedAtMs: 1 });
 
-/** Builds a check of targets that report this start, or nothing at all. */
-function buildCheck(startedAtMs: number | undefined) {
-  const state = { startedAtMs, opened: 1, reports: 0 };
+/** Builds a check of targets that report this start, or nothing at all, after a delay. */
+function buildCheck(startedAtMs: number | undefined, reportMs = 0) {
+  const state = {
+    startedAtMs,
+    opened: 1,
+    reports: 0,
+    inFlight: 0,
+    maxInFlight: 0,
+    isMisdirected: false,
+  };
   const check = new IncarnationCheck({
     connections: {
       countOpened: () => state.opened,
       send: () => {
         state.reports++;
+        state.inFlight++;
+        state.maxInFlight = Math.max(state.maxInFlight, state.inFlight);
         let abort = (): void => undefined;
         const body = new Promise<Buffer>((resolve, reject) => {
           abort = () => reject(new ExchangeError("aborted", "aborted"));
-          if (state.startedAtMs !== undefined) resolve(Buffer.alloc(0));
+          if (state.startedAtMs === undefined) return;
+          setTimeout(() => resolve(Buffer.alloc(0)), reportMs);
         });
+        body.catch(() => undefined).finally(() => state.inFlight--);
         return {
+          head: body.then(() => ({ status: 200, headers: {} })),
           readBody: () => body,
+          discardBody: () => undefined,
           abort: () => abort(),
         } as unknown as TargetExchange;
       },
     },
     codec: {
       encodeReportRequest: () => REQUEST,
+      decodeResponse: () => ({
+        misdirected: state.isMisdirected,
+        notRun: false,
+        signed: false,
+        isLeaving: false,
+      }),
       decodeReport: () => ({
         role: "decode",
         isChangingRole: false,
@@ -44,30 +65,101 @@
 
 test("a target whose incarnations have ids of their own is not asked", async () => {
   const { check, state } = buildCheck(1);
-  assert.equal(await check.confirm(buildTarget("t")), true);
+  assert.equal(await check.check(buildTarget("t")), "same");
   assert.equal(state.reports, 0);
 });
 
 test("a target is asked once for each new connection", async () => {
   const { check, state } = buildCheck(1);
-  for (let i = 0; i < 3; i++) assert.equal(await check.confirm(TARGET), true);
+  for (let i = 0; i < 3; i++) assert.equal(await check.check(TARGET), "same");
   assert.equal(state.reports, 1);
   state.opened++;
-  assert.equal(await check.confirm(TARGET), true);
+  assert.equal(await check.check(TARGET), "same");
   assert.equal(state.reports, 2);
 });
 
 test("another incarnation is not confirmed, and is asked again", async () => {
   const { check, state } = buildCheck(2);
-  assert.equal(await check.confirm(TARGET), false);
-  assert.equal(await check.confirm(TARGET), false);
+  assert.equal(await check.check(TARGET), "other");
+  assert.equal(await check.check(TARGET), "other");
   assert.equal(state.reports, 2);
+  state.isMisdirected = true;
+  assert.equal(await check.check(TARGET), "other");
 });
 
 // Guards against a stream that waits until its deadline for the report of a silent engine.
 test("a target that sends no report is not confirmed, and is not waited for", async () => {
   const { check } = buildCheck(undefined);
   const startedAtMs = performance.now();
-  assert.equal(await check.confirm(TARGET), false);
+  assert.equal(await check.check(TARGET), "unknown");
   assert.ok(performance.now() - startedAtMs < 1000);
 });
+
+// Guards against streams that are given up as a report for each of many heads takes too long.
+test("one report confirms all heads before it", async () => {
+  const { check, state } = buildCheck(1, 30);
+  const heads = Array.from({ length: 24 }, () => {
+    state.opened++;
+    return check.check(TARGET);
+  });
+  assert.deepEqual(new Set(await Promise.all(heads)), new Set(["same"]));
+  assert.equal(state.maxInFlight, 1);
+  assert.equal(state.reports, 2);
+});
+
+// Guards against a connection to another incarnation that opens while a report is on its way.
+test("a report doesn't confirm heads of connections that open after it was sent", async () => {
+  const { check, state } = buildCheck(1, 30);
+  const first = check.check(TARGET);
+  state.opened++;
+  assert.equal(await first, "same");
+  state.startedAtMs = 2;
+  assert.equal(await check.check(TARGET), "other");
+});
+
+/** Builds a call with a stream whose head has arrived. */
+function buildStream(
+  check: IncarnationCheck,
+  { mayRunAgain = true, remainingMs = 5000 } = {},
+) {
+  let end!: () => void;
+  let fail!: (error: ExchangeError) => void;
+  const context = {
+    dependencies: { incarnationCheck: check },
+    mayRunAgain,
+    remainingMs,
+    ended: new Promise<void>((resolve) => {
+      end = resolve;
+    }),
+  } as unknown as CallContext;
+  const exchange = {
+    ended: new Promise<ExchangeError>((resolve) => {
+      fail = resolve;
+    }),
+  } as unknown as TargetExchange;
+  const confirmed = confirmIncarnation(context, TARGET, exchange);
+  return { confirmed, end, fail };
+}
+
+// Guards against a stream that is given up as its engine was silent for a moment.
+test("a head is confirmed once its silent engine reports again", async () => {
+  const { check, state } = buildCheck(undefined);
+  const { confirmed } = buildStream(check);
+  setTimeout(() => state.startedAtMs = 1, 400);
+  assert.equal(await confirmed, true);
+  assert.ok(state.reports > 1);
+});
+
+// Guards against a stream that waits until its deadline for the report of a silent engine.
+test("a stream goes on elsewhere in time, or once it or its call has ended", async () => {
+  const { check } = buildCheck(undefined);
+  const startedAtMs = performance.now();
+  assert.equal(await buildStream(check, { remainingMs: 800 }).confirmed, false);
+  assert.ok(performance.now() - startedAtMs < 700);
+  const ended = buildStream(check, { mayRunAgain: false });
+  ended.end();
+  assert.equal(await ended.confirmed, false);
+  const failed = buildStream(check, { mayRunAgain: false });
+  failed.fail(new ExchangeError("lost", "lost"));
+  assert.equal(await failed.confirmed, false);
+});
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -225,7 +225,7 @@
       readBarrier: new ReadBarrier(),
       quarantine,
       partQuarantine: new PartQuarantine(),
-      incarnationCheck: { confirm: () => Promise.resolve(true) },
+      incarnationCheck: { check: () => Promise.resolve("same") },
       endConfirmation: { confirm: () => Promise.resolve(true) },
       crashDetector: buildCrashDetector(
         {
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -105,7 +105,7 @@
     }),
     workTracker: new WorkTracker(),
     connections,
-    incarnationCheck: { confirm: () => Promise.resolve(true) },
+    incarnationCheck: { check: () => Promise.resolve("same") },
     endConfirmation: { confirm: () => Promise.resolve(true) },
     targetListGuard: { isHoldingCalls: () => false },
     readBarrier: new ReadBarrier(),
