Streams: a check of an incarnation doesn't outlast a renewal of connections

Callers saw: events of an engine that had started again under its id could be relayed as those of the listed incarnation.

Cause: a check holds until a new connection is opened, which it told from the number of connections opened since the last renewal. The path monitor renews connections after each loss, so the first connection after it had the number that was remembered.

Change: one counter of the VM numbers all connections and only rises. The check remembers the number of the latest connection for calls; without one it is not remembered.

--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -16,7 +16,7 @@
 
 /** Options of {@linkcode IncarnationCheck}. */
 export interface IncarnationCheckOptions {
-  readonly connections: Pick<TargetConnections, "send" | "countOpened">;
+  readonly connections: Pick<TargetConnections, "send" | "findLatestOpened">;
   readonly codec: Pick<
     CallCodec,
     "encodeReportRequest" | "decodeReport" | "decodeResponse"
@@ -40,7 +40,7 @@
 /** The checks of one VM. */
 export class IncarnationCheck {
   readonly #options: IncarnationCheckOptions;
-  /** Number of opened connections up to which a target was the listed incarnation. */
+  /** Number of the latest connection up to which a target was the listed incarnation. */
   readonly #checked = new Map<string, number>();
   /** Waiters that came after the check in progress of a target was sent. */
   readonly #waiting = new Map<string, Waiter[]>();
@@ -86,7 +86,7 @@
   async #requestReport(target: Target): Promise<IncarnationAnswer> {
     const { connections, codec } = this.#options;
     // A connection that opens from now on may be to another incarnation.
-    const opened = connections.countOpened(target);
+    const opened = connections.findLatestOpened(target);
     const request = codec.encodeReportRequest(target);
     const exchange = connections.send(target, request, { purpose: "report" });
     const stopTimer = startStallAwareTimer(
@@ -95,7 +95,9 @@
     );
     try {
       const answer = await this.#classifyReport(target, exchange);
-      if (answer === "same") this.#record(target.id, opened);
+      if (answer === "same" && opened !== undefined) {
+        this.#record(target.id, opened);
+      }
       return answer;
     } catch {
       // Without a report it is not known which incarnation responded.
@@ -121,8 +123,8 @@
   }
 
   #isChecked(target: Target): boolean {
-    const opened = this.#options.connections.countOpened(target);
-    return this.#checked.get(target.id) === opened;
+    const opened = this.#options.connections.findLatestOpened(target);
+    return opened !== undefined && this.#checked.get(target.id) === opened;
   }
 
   #record(id: string, opened: number): void {
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -130,8 +130,8 @@
   readonly pool: Pool;
   readonly resetDetector: ResetDetector;
   inFlight: number;
-  /** Number of connections that were opened. */
-  opened: number;
+  /** Number of the connection that was opened last, from 1; 0 if none was. */
+  latestOpened: number;
   /** Monotonic time at which each open connection was opened, by its client. */
   readonly open: Map<unknown, number>;
   /** Monotonic time at which a connection was last opened. */
@@ -212,6 +212,8 @@
   readonly #options: Required<TargetConnectionsOptions>;
   readonly #targets = new Map<string, TargetPools>();
   #liveVms = 1;
+  /** Number of connections to all targets that were opened so far. */
+  #opened = 0;
 
   constructor(options: TargetConnectionsOptions = {}) {
     this.#options = {
@@ -270,10 +272,17 @@
     return entry !== undefined && entry.open.size > entry.inFlight;
   }
 
-  /** Number of connections to the target that were opened for calls so far. */
-  countOpened(target: Target): number {
+  /**
+   * Number of the connection to the target that was opened last for calls; undefined if none was opened
+   * since its connections were renewed. It rises over all targets and renewals.
+   */
+  findLatestOpened(target: Target): number | undefined {
     const { calls, single } = this.#targets.get(target.id)?.pools ?? {};
-    return (calls?.opened ?? 0) + (single?.opened ?? 0);
+    const latest = Math.max(
+      calls?.latestOpened ?? 0,
+      single?.latestOpened ?? 0,
+    );
+    return latest === 0 ? undefined : latest;
   }
 
   /**
@@ -390,13 +399,13 @@
       pool,
       resetDetector,
       inFlight: 0,
-      opened: 0,
+      latestOpened: 0,
       open: new Map(),
       connectedAtMs: -Infinity,
     };
     pool.on("connect", (_origin, clients) => {
       created.connectedAtMs = this.#options.clock.readMonotonicMs();
-      created.opened++;
+      created.latestOpened = ++this.#opened;
       created.open.set(clients.at(-1), created.connectedAtMs);
       onConnect();
     });
--- a/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
+++ b/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import {
   type CallContext,
   confirmIncarnation,
+  type EngineReport,
   ExchangeError,
   IncarnationCheck,
+  TargetConnections,
   type TargetExchange,
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
@@ -16,7 +20,7 @@
 function buildCheck(startedAtMs: number | undefined, reportMs = 0) {
   const state = {
     startedAtMs,
-    opened: 1,
+    opened: 1 as number | undefined,
     reports: 0,
     inFlight: 0,
     maxInFlight: 0,
@@ -24,7 +28,7 @@
   };
   const check = new IncarnationCheck({
     connections: {
-      countOpened: () => state.opened,
+      findLatestOpened: () => state.opened,
       send: () => {
         state.reports++;
         state.inFlight++;
@@ -73,7 +77,7 @@
   const { check, state } = buildCheck(1);
   for (let i = 0; i < 3; i++) assert.equal(await check.check(TARGET), "same");
   assert.equal(state.reports, 1);
-  state.opened++;
+  state.opened = 2;
   assert.equal(await check.check(TARGET), "same");
   assert.equal(state.reports, 2);
 });
@@ -98,8 +102,8 @@
 // Guards against streams that are given up as a report for each of many heads takes too long.
 test("one report confirms all heads before it", async () => {
   const { check, state } = buildCheck(1, 30);
-  const heads = Array.from({ length: 24 }, () => {
-    state.opened++;
+  const heads = Array.from({ length: 24 }, (_, i) => {
+    state.opened = 1 + i;
     return check.check(TARGET);
   });
   assert.deepEqual(new Set(await Promise.all(heads)), new Set(["same"]));
@@ -111,12 +115,58 @@
 test("a report doesn't confirm heads of connections that open after it was sent", async () => {
   const { check, state } = buildCheck(1, 30);
   const first = check.check(TARGET);
-  state.opened++;
+  state.opened = 2;
   assert.equal(await first, "same");
   state.startedAtMs = 2;
   assert.equal(await check.check(TARGET), "other");
 });
 
+// Guards against a check that holds for the time after a renewal, in which the target has started again.
+test("a target without open connections is asked each time", async () => {
+  const { check, state } = buildCheck(1);
+  state.opened = undefined;
+  assert.equal(await check.check(TARGET), "same");
+  state.startedAtMs = 2;
+  assert.equal(await check.check(TARGET), "other");
+});
+
+test("a target that has started again after its connections were renewed is not confirmed", async () => {
+  let startedAtMs = 1;
+  const server = createServer((_request, response) =>
+    response.end(String(startedAtMs))
+  );
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  const target = { ...TARGET, address: `127.0.0.1:${port}` };
+  const connections = new TargetConnections();
+  const check = new IncarnationCheck({
+    connections,
+    codec: {
+      encodeReportRequest: () => REQUEST,
+      decodeReport: (body) => ({ startedAtMs: Number(body) }) as EngineReport,
+      decodeResponse: () => ({
+        misdirected: false,
+        notRun: false,
+        signed: false,
+        isLeaving: false,
+      }),
+    },
+  });
+  try {
+    await connections.send(target, REQUEST).ended;
+    assert.equal(await check.check(target), "same");
+    connections.renew([target.id]);
+    startedAtMs = 2;
+    await connections.send(target, REQUEST).ended;
+    assert.equal(await check.check(target), "other");
+  } finally {
+    await connections.close();
+    server.close();
+  }
+});
+
 /** Builds a call with a stream whose head has arrived. */
 function buildStream(
   check: IncarnationCheck,
--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -213,7 +213,7 @@
   await Promise.all(control.map(receive));
   assert.equal(count(), 7);
   assert.equal(sockets.size, 3);
-  assert.equal(connections!.countOpened(target), 1);
+  assert.equal(connections!.findLatestOpened(target), 1);
   connections!.renew([target.id]);
   await new Promise((resolve) => setTimeout(resolve, 50));
   assert.deepEqual([...sockets].map(({ destroyed }) => destroyed), [
@@ -239,3 +239,18 @@
     true,
   ]);
 });
+
+// Guards against a check of an incarnation that holds for the connections after a renewal, as their
+// count is the same.
+test("the number of the latest connection rises over all renewals", async () => {
+  const { target } = await build(() => undefined);
+  assert.equal(connections!.findLatestOpened(target), undefined);
+  const open = async (): Promise<number> => {
+    await connections!.send(target, REQUEST).ended;
+    return connections!.findLatestOpened(target) ?? NaN;
+  };
+  const first = await open();
+  connections!.renew([target.id]);
+  assert.equal(connections!.findLatestOpened(target), undefined);
+  assert.ok(await open() > first);
+});
