Runs: a prefilled prompt is decoded while only the prefill engines' path is lost

A call whose prompt was prefilled released its KV cache before any peer was asked, when the VM lost the path to the prefill engines only: the wait for a decode engine ended at the loss of any path of the service.

Change: DecodeEnginePicker asks for the path to the decode engines, which is all that the call needs from there on.

Test: silent_prefill_test, second case. It failed with the question for all paths of the service: "release" was sent in place of "takeOver".

Why this works: the engines of the lost role have no part in the run.

--- a/packages/heatherarch-forward/calls/decode_engine_picker.ts
+++ b/packages/heatherarch-forward/calls/decode_engine_picker.ts
@@ -129,7 +129,7 @@
   async awaitEngine(zone: string | undefined): Promise<Target | undefined> {
     for (;;) {
       await this.#context.awaitSendable();
-      if (this.#context.hasEnded || !this.#context.hasPath) return undefined;
+      if (this.#context.hasEnded || !this.#hasPath) return undefined;
       const target = this.pick(zone);
       if (target !== undefined) {
         this.endWait();
@@ -141,6 +141,15 @@
     }
   }
 
+  /** Whether this VM may reach the decode engines; the call needs no other role from here on. */
+  get #hasPath(): boolean {
+    const { service, dependencies } = this.#context;
+    return dependencies.pathMonitor.hasPathTo({
+      service: service.name,
+      role: "decode",
+    });
+  }
+
   /** Counts the call among those that wait for an engine. */
   beginWait(): void {
     this.endWait();
--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -89,7 +89,7 @@
   }
 
   /** Whether this VM may reach a target, or one that could replace it. */
-  hasPathTo(target: Target): boolean {
+  hasPathTo(target: Pick<Target, "service" | "role">): boolean {
     return !this.#getGroup(target).isLost;
   }
 
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -47,6 +47,8 @@
   readonly connections: TargetConnections;
   /** Whether the VM reaches its targets; by default it does. */
   readonly hasPath?: () => boolean;
+  /** Whether the VM reaches a target or one that could replace it; by default as `hasPath`. */
+  readonly hasPathTo?: CallDependencies["pathMonitor"]["hasPathTo"];
   /** Registers a listener for the loss of the VM's path; by default it is never lost. */
   readonly registerLossListener?: (
     service: string,
@@ -69,6 +71,7 @@
   const { clock, codec, directory, connections } = options;
   const {
     hasPath = () => true,
+    hasPathTo = hasPath,
     registerLossListener = () => () => undefined,
     offerCall = () => Promise.resolve(undefined),
     streamVersions = new StreamVersions(),
@@ -83,7 +86,7 @@
   const prefillTimeModel = new PrefillTimeModel();
   const pathMonitor = {
     hasPath,
-    hasPathTo: hasPath,
+    hasPathTo,
     recordTrouble: () => undefined,
     getLastContactAtMs: () => Infinity,
     registerLossListener,
--- a/packages/heatherarch-lab/tests/unit/silent_prefill_test.ts
+++ b/packages/heatherarch-lab/tests/unit/silent_prefill_test.ts
@@ -65,7 +65,12 @@
 }
 
 /** Serves a call whose first prefill gets no response for a second. Returns what was aborted. */
-async function serve(prefillEngines: readonly string[]) {
+async function serve(
+  prefillEngines: readonly string[],
+  { losesPrefillPath = false }: { losesPrefillPath?: boolean } = {},
+) {
+  let hasPrefillPath = true;
+  const sent: string[] = [];
   const clock = new RuntimeClock();
   const directory = new TargetDirectory();
   const engines = prefillEngines.map((id) => buildEngine(id, "prefill"));
@@ -80,6 +85,7 @@
   connections.send = (_target, request) => {
     const isPrefill = request.path === "readPrompt";
     if (isPrefill) prefills++;
+    sent.push(request.path);
     const delayMs = isPrefill && prefills === 1 ? SILENCE_MS : 1;
     const dispatch: Dispatcher["dispatch"] = (_options, handler) => {
       const controller = {
@@ -90,6 +96,7 @@
       } as unknown as Dispatcher.DispatchController;
       handler.onRequestStart?.(controller, undefined);
       setTimeout(() => {
+        if (isPrefill && losesPrefillPath) hasPrefillPath = false;
         handler.onResponseStart?.(controller, 200, {}, "");
         const bytes = Buffer.from("id: 1\ndata: x\n\n");
         handler.onResponseData?.(controller, bytes);
@@ -109,6 +116,8 @@
       codec: CODEC,
       directory,
       connections,
+      hasPath: () => hasPrefillPath,
+      hasPathTo: ({ role }) => role !== "prefill" || hasPrefillPath,
     }),
     call: {
       id: "c",
@@ -139,7 +148,7 @@
     }),
   });
   await new GenerationHandler(context, PROMPT, TRAITS).serve();
-  return { aborted, prefills, body };
+  return { aborted, prefills, sent, body };
 }
 
 // Guards against the only prefill engine being given up: the next round has no engine to go to.
@@ -153,3 +162,11 @@
   assert.equal(replaced.prefills, 2);
   assert.match(replaced.body, /data: x/);
 });
+
+// Guards against a KV cache that is released before any peer is asked, although a decode engine
+// would take it.
+test("a prompt is decoded here while only the path to the prefill engines is lost", async () => {
+  const { sent, body } = await serve(["p1"], { losesPrefillPath: true });
+  assert.deepEqual(sent, ["readPrompt", "takeOver"]);
+  assert.match(body, /data: x/);
+});
