Lost paths: a silent stream asks for its own path when another role's is lost

Since the watch acts only on the loss of an exchange's own group, a resumable stream whose VM was cut off hung to its deadline if only the path to the prefill engines was found to be lost: nothing asks for the path of a response that has begun. Seen as handover_test, "a resumable stream goes on at a peer where its VM's path was lost (silent)", which failed on (no events arrived).

Change: while any path of the service is lost, a silent exchange has the path to its own target probed, and goes to a peer once that is lost.

A new assertion of path_loss_watch_test (the path is asked for while silent, and not while bytes arrive) failed without the change.

Why this works: the loss of a neighbouring path is a reason to ask, and only the answer is a reason to act.

--- a/packages/heatherarch-forward/calls/path_loss_watch.ts
+++ b/packages/heatherarch-forward/calls/path_loss_watch.ts
@@ -46,8 +46,10 @@
   const offerWhileLost = async (): Promise<void> => {
     if (isOffering) return;
     isOffering = true;
-    while (isLost() && context.mayHandOver) {
-      if (isSilent() && await offer()) return;
+    while (!isStopped && !context.hasPath && context.mayHandOver) {
+      // Only the path of another role may be known as lost; nothing else asks for that of a stream.
+      if (isSilent() && !isLost()) pathMonitor.recordTrouble(target);
+      else if (isSilent() && await offer()) return;
       // A response that goes on may fall silent later, as long as the path is lost.
       const silentMs = exchange.getSilentMs(context.nowMs);
       const untilSilentMs = SILENCE_MS - Math.min(silentMs, SILENCE_MS);
--- a/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
@@ -35,6 +35,7 @@
     { onRelease: () => undefined, isReset: () => false },
   );
   let offers = 0;
+  let troubles = 0;
   const context = {
     get nowMs() {
       return performance.now();
@@ -57,6 +58,7 @@
     dependencies: {
       pathMonitor: {
         hasPathTo: ({ role }: Target) => !lostRoles.has(role),
+        recordTrouble: () => troubles++,
         registerLossListener: (_service: string, listener: () => void) => {
           listeners.add(listener);
           return () => listeners.delete(listener);
@@ -72,6 +74,7 @@
     stop,
     sendByte: () => sendByte(),
     countOffers: () => offers,
+    countTroubles: () => troubles,
   };
 }
 
@@ -89,8 +92,12 @@
 // path to the prefill engines is lost.
 test("the loss of another role's path leaves an exchange alone", async () => {
   const watched = startWatched(new Set(["prefill"]));
+  await sendBytes(watched, 8);
+  assert.equal(watched.countTroubles(), 0);
   await sleep(400);
   watched.stop();
+  // Guards against a silent stream for whose own path nobody asks.
+  assert.ok(watched.countTroubles() > 0);
   assert.deepEqual(watched.aborts, []);
   assert.equal(watched.countOffers(), 0);
 });
