Lost paths: the watch of a stream wakes at the loss of its path

A stream whose own path was found to be lost waited up to 250 ms more before it was offered to peers. handover_test, "a resumable stream goes on at a peer where its VM's path was lost (silent)", passed one of four runs on; its call has little time left at the peer.

Change: each loss of a path of the service ends the wait between two checks.

--- a/packages/heatherarch-forward/calls/path_loss_watch.ts
+++ b/packages/heatherarch-forward/calls/path_loss_watch.ts
@@ -29,6 +29,7 @@
   const { pathMonitor } = context.dependencies;
   let isStopped = false;
   let isOffering = false;
+  let wake = (): void => undefined;
   const isLost = (): boolean => !isStopped && !pathMonitor.hasPathTo(target);
   const isSilent = (): boolean =>
     exchange.isSent && exchange.getSilentMs(context.nowMs) >= SILENCE_MS;
@@ -54,13 +55,17 @@
       const silentMs = exchange.getSilentMs(context.nowMs);
       const untilSilentMs = SILENCE_MS - Math.min(silentMs, SILENCE_MS);
       const waitMs = untilSilentMs > 0 ? untilSilentMs : OFFER_INTERVAL_MS;
-      await Promise.race([sleep(Math.ceil(waitMs)), context.ended]);
+      const loss = new Promise<void>((resolve) => wake = resolve);
+      await Promise.race([sleep(Math.ceil(waitMs)), loss, context.ended]);
     }
     isOffering = false;
   };
   const removeListener = pathMonitor.registerLossListener(
     target.service,
-    () => void offerWhileLost(),
+    () => {
+      wake();
+      void offerWhileLost();
+    },
   );
   // The path may have been lost before.
   void offerWhileLost();
