Calls that wait for their turn: rejected clients return spread over time

Cause, found by a fresh reader: all calls that a late VM rejects got the same Retry-After of 1 s and would come back together.

Change: 500 ms to 1 s, by chance. call_server_test checks the delay.

--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -36,6 +36,8 @@
   roleChangeMs: 0,
 };
 
+/** Shortest `Retry-After` of a call that was not served in time, before jitter, milliseconds. */
+const MIN_RETRY_AFTER_MS = 500;
 /** Longest delay of a timer of the runtime, milliseconds. It fires at once with a longer one. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
@@ -107,6 +109,7 @@
       response,
       "overloaded",
       "the timeout of the call or of its route expired before it was served",
+      MIN_RETRY_AFTER_MS * (1 + this.#dependencies.drawUnit()),
     );
   }
 
--- a/packages/heatherarch-forward/tests/unit/call_server_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_server_test.ts
@@ -24,6 +24,7 @@
     readBarrier: { awaitTurn: () => new Promise(() => undefined) },
     metrics: new ForwardMetrics(),
     log: new MemoryEventLog(),
+    drawUnit: () => 0.5,
   } as unknown as CallDependencies);
   const response = {
     isDisconnected: false,
@@ -63,9 +64,12 @@
       assert.equal(errors.length, 0);
       mock.timers.tick(1);
       await ended;
-      assert.deepEqual(errors.map(({ kind, run }) => [kind, run]), [
-        ["overloaded", "no"],
+      const rejections = errors.map(({ kind, run, retryAfterMs }) => [
+        kind,
+        run,
+        retryAfterMs,
       ]);
+      assert.deepEqual(rejections, [["overloaded", "no", 750]]);
     } finally {
       mock.timers.reset();
     }
