--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -41,8 +41,7 @@
  * prompt that is late anyway occupies an engine for up to a second.
  */
 const LATE_PREFILL_SHARE = 0.25;
-/** Largest response to a prefill, which contains a handle and two numbers. */
-/** Bounds of the handle of a KV cache, which an engine sends in one piece. */
+/** Bounds of the response to a prefill, which an engine sends in one piece. */
 const HANDLE_LIMITS = { maxBytes: 64 * 1024, timeoutMs: 500 };
 
 /** A prompt that an engine has prefilled, and the handle of its KV cache. */
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -39,7 +39,7 @@
 
 /** Whether a response is a stream of events according to its media type, or has none. */
 function hasEvents({ headers }: ResponseHead): boolean {
-  const mediaType = headers["content-type"];
+  const mediaType = headers["content-type"]?.toLowerCase();
   return mediaType === undefined || mediaType.startsWith("text/event-stream");
 }
 
