Mesh links: the test of requested heartbeats awaits both links

Cause: each node dials the other one, and each link that is ready carries a heartbeat. The test polls for exactly one; where both arrive between two polls it waits for a count that is never seen again. In the other runs the heartbeat of the second link was taken for the one that was requested, so the test did not show that a request sends one.

Change: the test waits for both links and counts heartbeats where they are sent. It is stricter: each request is seen to send one heartbeat, and the heartbeats of a burst of requests are at least the minimum interval apart, which was not tested before.

--- a/packages/heatherarch-lab/tests/integration/mesh_links_test.ts
+++ b/packages/heatherarch-lab/tests/integration/mesh_links_test.ts
@@ -1,10 +1,18 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
 import { test } from "node:test";
+import { setImmediate } from "node:timers/promises";
 import { RuntimeClock, sleep } from "heatherarch-core";
-import { Membership, MeshNode } from "heatherarch-mesh";
+import {
+  computeMinRoundIntervalMs,
+  Membership,
+  MeshNode,
+} from "heatherarch-mesh";
 import { FaultProxy, findFreePorts } from "heatherarch-standins";
 
+/** A timer of Node.js may fire up to one millisecond early. */
+const TIMER_TOLERANCE_MS = 1;
+
 interface TestNode {
   readonly mesh: MeshNode;
   readonly membership: Membership;
@@ -20,7 +28,7 @@
     translate?: Record<string, string>;
     peers?: Record<string, string>;
     heartbeatMs?: number;
-    onHeartbeat?: () => void;
+    onBuildHeartbeat?: () => void;
   },
 ): Promise<TestNode> {
   const address = `127.0.0.1:${options.port}`;
@@ -42,16 +50,18 @@
     clock: new RuntimeClock(),
     membership,
     translate: (to) => options.translate?.[to] ?? to,
-    buildHeartbeat: () => ({
-      kind: "heartbeat",
-      configOffset: 0,
-      controlOffset: 0,
-      intervalMs: 50,
-      leaving: false,
-    }),
+    buildHeartbeat: () => {
+      options.onBuildHeartbeat?.();
+      return {
+        kind: "heartbeat",
+        configOffset: 0,
+        controlOffset: 0,
+        intervalMs: 50,
+        leaving: false,
+      };
+    },
     onLinkClosed: (fault) => faults.push(fault),
   });
-  mesh.registerHeartbeatListener(() => options.onHeartbeat?.());
   mesh.registerCall("echo", (body) => Promise.resolve(body));
   const peers = Object.entries(options.peers ?? {});
   membership.recordListing(
@@ -147,42 +157,51 @@
   }
 });
 
+// Requests for a round must not wait for the interval, and a burst of them must not become a burst
+// of heartbeats.
 test("requested heartbeats are sent at once, one per tick, and at least the minimum interval apart", async () => {
   const [portA, portB] = await findFreePorts(2);
-  const heartbeatTimesMs: number[] = [];
-  const b = await startNode("b", {
-    port: portB,
-    onHeartbeat: () => heartbeatTimesMs.push(performance.now()),
-  });
+  const sentAtMs: number[] = [];
+  const b = await startNode("b", { port: portB });
   const a = await startNode("a", {
     port: portA,
     peers: { b: b.address },
     heartbeatMs: 10_000,
+    onBuildHeartbeat: () => sentAtMs.push(performance.now()),
   });
   try {
-    // The first heartbeat is sent when the link is established.
-    await waitUntil(
-      () => heartbeatTimesMs.length === 1,
-      "the link is established",
-    );
+    // Each node dials the other one. Both links carry a heartbeat when they are ready.
+    await waitUntil(() => sentAtMs.length === 2, "both links are established");
     await sleep(60);
     const startMs = performance.now();
     for (let i = 0; i < 20; i++) a.mesh.requestRound();
     await waitUntil(
-      () => heartbeatTimesMs.length === 2,
-      "the requested heartbeat arrives",
+      () => sentAtMs.length === 3,
+      "the requested heartbeat is sent",
     );
     assert.ok(
-      heartbeatTimesMs[1] - startMs < 2000,
+      sentAtMs[2] - startMs < 2000,
       "the heartbeat was not sent ahead of its interval",
     );
     for (let i = 0; i < 20; i++) a.mesh.requestRound();
     await waitUntil(
-      () => heartbeatTimesMs.length === 3,
-      "the next requested heartbeat arrives",
+      () => sentAtMs.length === 4,
+      "the next requested heartbeat is sent",
     );
     await sleep(150);
-    assert.equal(heartbeatTimesMs.length, 3);
+    assert.equal(sentAtMs.length, 4);
+    const burstStartMs = performance.now();
+    while (performance.now() < burstStartMs + 100) {
+      a.mesh.requestRound();
+      await setImmediate();
+    }
+    const burstMs = performance.now() - burstStartMs;
+    const minIntervalMs = computeMinRoundIntervalMs(false, 1) -
+      TIMER_TOLERANCE_MS;
+    assert.ok(
+      sentAtMs.length - 4 <= burstMs / minIntervalMs + 1,
+      `${sentAtMs.length - 4} heartbeats within ${burstMs} ms`,
+    );
   } finally {
     a.mesh.stop();
     b.mesh.stop();
