Randomised run: targets fall silent for a moment and go on, beside planned changes

A sound target may be silent for a second or so, and that is no fault: no request may end for it, also not beside a change of the configuration, a drain or a stop. Only the proof of handovers and the soak played it; the randomised run of `prove` froze single engines, which excuses what fails then.

Change: FaultProxy can hold data back and pass it on later. Every 3 to 7 s all targets, or those of one service, are silent for 1.3 s, in phases of planned changes as well as in those of faults; the silence excuses no failed request. Its draws are its own, so that a seed gives the other faults as before.

--- a/packages/heatherarch-lab/chaos/chaos_network.ts
+++ b/packages/heatherarch-lab/chaos/chaos_network.ts
@@ -73,6 +73,19 @@
     }
   }
 
+  /** Sets the mode of all zones' links to the targets of a service, or to all targets. */
+  setTargetLinks(service: string | undefined, mode: FaultProxyMode): void {
+    const { targets } = this.#deployment.fleet;
+    const addresses = new Set(
+      targets.filter((target) =>
+        service === undefined || target.service === service
+      ).map(({ address }) => address),
+    );
+    for (const { toAddress, proxy } of this.#links) {
+      if (addresses.has(toAddress)) proxy.setMode(mode);
+    }
+  }
+
   /**
    * Silences the open connections of one link: the first one with open connections, starting at
    * `index`. Returns a description of the link.
--- a/packages/heatherarch-lab/chaos/fault_driver.ts
+++ b/packages/heatherarch-lab/chaos/fault_driver.ts
@@ -71,11 +71,7 @@
       pauseVm: (f) => this.#pauseVm(f, this.#pickVm(f.selector)),
       pauseHolder: async (f) =>
         this.#pauseVm(f, await this.#findHolder(f.selector)),
-      cutZone: (f) =>
-        this.#cutZoneLinks(
-          f,
-          (zone, mode) => this.#network.setZoneLinks(zone, mode),
-        ),
+      cutZone: (f) => this.#cutZone(f),
       cutPlatform: (f) =>
         this.#cutZoneLinks(
           f,
@@ -107,6 +103,7 @@
       operatorRace: (f) => this.#raceOperators(f),
       reviseProfile: (f) => this.#reviseProfile(f),
       listLag: (f) => this.#delayVmList(f),
+      silenceTargets: (f) => this.#silenceTargets(f),
     };
     return await handlers[fault.kind](fault);
   }
@@ -179,6 +176,15 @@
     });
   }
 
+  /** Skipped while targets are silent, as the end of either fault would end the other one. */
+  #cutZone(fault: ScheduledFault): Promise<boolean> {
+    if (this.#lockedIds.has("target links")) return Promise.resolve(false);
+    return this.#cutZoneLinks(
+      fault,
+      (zone, mode) => this.#network.setZoneLinks(zone, mode),
+    );
+  }
+
   #cutZoneLinks(
     fault: ScheduledFault,
     setMode: (zone: string, mode: "cut" | "open") => void,
@@ -199,6 +205,25 @@
     return true;
   }
 
+  /**
+   * Holds back what all targets, or those of one service, send and receive. Skipped while the links of
+   * a zone are cut, for the same reason.
+   */
+  #silenceTargets(fault: ScheduledFault): Promise<boolean> {
+    const { fleet } = this.#cluster.deployment;
+    const services = new Set(fleet.targets.map(({ service }) => service));
+    const choices = [undefined, ...services];
+    const service = choices[fault.selector % choices.length];
+    const isAnyCut = fleet.availabilityZones
+      .some((zone) => this.#lockedIds.has(`links ${zone}`));
+    if (isAnyCut) return Promise.resolve(false);
+    return this.#withLock("target links", async () => {
+      this.#network.setTargetLinks(service, "held");
+      await sleep(fault.durationMs);
+      this.#network.setTargetLinks(service, "open");
+    });
+  }
+
   #injectLogFaults(
     fault: ScheduledFault,
     faults: Partial<typeof NO_LOG_FAULTS>,
--- a/packages/heatherarch-lab/chaos/fault_schedule.ts
+++ b/packages/heatherarch-lab/chaos/fault_schedule.ts
@@ -37,10 +37,14 @@
   "listLag",
 ] as const;
 
-/** Name of an unplanned fault or planned change. */
+/** What sound targets may do at any time. It must not interrupt any request either. */
+export const TARGET_BEHAVIORS = ["silenceTargets"] as const;
+
+/** Name of an unplanned fault, a planned change or a behavior of sound targets. */
 export type FaultKind =
   | typeof UNPLANNED_FAULTS[number]
-  | typeof PLANNED_CHANGES[number];
+  | typeof PLANNED_CHANGES[number]
+  | typeof TARGET_BEHAVIORS[number];
 
 /** One entry of a schedule. */
 export interface ScheduledFault {
@@ -56,6 +60,10 @@
 const PHASE_MS = 12_000;
 /** Time at the end of a phase in which no fault starts, so that the system recovers. */
 const PHASE_RECOVERY_MS = 3500;
+/** Time for which sound targets are silent before they go on, milliseconds. */
+const SILENCE_MS = 1300;
+/** Time between the starts of two silences, milliseconds. */
+const SILENCE_INTERVAL_MS = { min: 3000, max: 7000 };
 
 /** Whether a fault is unplanned. */
 export function isUnplanned(kind: FaultKind): boolean {
@@ -95,5 +103,29 @@
       }
     }
   }
-  return schedule;
+  return [...schedule, ...buildSilences(seed, totalMs)]
+    .sort((a, b) => a.atMs - b.atMs);
+}
+
+/**
+ * Builds the silences of targets, which occur beside everything else. Their draws are their own, so
+ * that the seed determines the other entries as it did without them.
+ */
+function buildSilences(seed: number, totalMs: number): ScheduledFault[] {
+  const random = new Random(seed + 2);
+  const { min, max } = SILENCE_INTERVAL_MS;
+  const silences: ScheduledFault[] = [];
+  for (
+    let atMs = random.drawInteger(min, max);
+    atMs < totalMs - SILENCE_MS;
+    atMs += random.drawInteger(min, max)
+  ) {
+    silences.push({
+      kind: "silenceTargets",
+      atMs,
+      durationMs: SILENCE_MS,
+      selector: random.drawInteger(0, 1_000_000),
+    });
+  }
+  return silences;
 }
--- a/packages/heatherarch-standins/fault_proxy.ts
+++ b/packages/heatherarch-standins/fault_proxy.ts
@@ -1,6 +1,6 @@
 /**
- * A TCP proxy on loopback that can simulate network faults: it closes and refuses connections,
- * or discards the data of one direction while connections stay open.
+ * A TCP proxy on loopback that can simulate network faults: it closes and refuses connections, holds
+ * their data back, or discards the data of one direction while connections stay open.
  *
  * @module
  */
@@ -14,9 +14,14 @@
 
 /**
  * Behavior of the proxy. `silentForward` discards data to the destination, `silentBack` discards
- * data from it.
+ * data from it. `held` accepts connections and passes their data on once the mode changes.
  */
-export type FaultProxyMode = "open" | "cut" | "silentForward" | "silentBack";
+export type FaultProxyMode =
+  | "open"
+  | "cut"
+  | "held"
+  | "silentForward"
+  | "silentBack";
 
 interface ConnectionPair {
   readonly inbound: Socket;
@@ -48,10 +53,14 @@
   /** Sets the mode. `cut` closes all connections and refuses new ones until the mode changes. */
   setMode(mode: FaultProxyMode): void {
     this.#mode = mode;
-    if (mode !== "cut") return;
-    for (const pair of this.#pairs) {
-      pair.inbound.destroy();
-      pair.outbound.destroy();
+    for (const { inbound, outbound } of this.#pairs) {
+      if (mode === "cut") {
+        inbound.destroy();
+        outbound.destroy();
+        continue;
+      }
+      this.#updateReading(inbound, outbound);
+      this.#updateReading(outbound, inbound);
     }
   }
 
@@ -85,14 +94,18 @@
     outbound.setNoDelay(true);
     inbound.on("data", (bytes) => {
       if (this.#isDropping(pair, "silentForward")) return;
-      if (!outbound.write(bytes)) inbound.pause();
+      outbound.write(bytes);
+      this.#updateReading(inbound, outbound);
     });
     outbound.on("data", (bytes) => {
       if (this.#isDropping(pair, "silentBack")) return;
-      if (!inbound.write(bytes)) outbound.pause();
+      inbound.write(bytes);
+      this.#updateReading(outbound, inbound);
     });
-    outbound.on("drain", () => inbound.resume());
-    inbound.on("drain", () => outbound.resume());
+    outbound.on("drain", () => this.#updateReading(inbound, outbound));
+    inbound.on("drain", () => this.#updateReading(outbound, inbound));
+    this.#updateReading(inbound, outbound);
+    this.#updateReading(outbound, inbound);
     const closePair = (): void => {
       this.#pairs.delete(pair);
       inbound.destroy();
@@ -104,6 +117,12 @@
     }
   }
 
+  /** Reads from `source` unless its data is held back or `sink` is full. */
+  #updateReading(source: Socket, sink: Socket): void {
+    if (this.#mode === "held" || sink.writableNeedDrain) source.pause();
+    else source.resume();
+  }
+
   #isDropping(pair: ConnectionPair, direction: FaultProxyMode): boolean {
     return this.#mode === direction || pair.silentDirection === direction;
   }
