Targets: a request that the kernel rejected at once counts as not sent

Callers saw 502 for a booking (a call that may run once) while some targets reset new connections. Its request failed with "write ECONNRESET" on a connection that was reset as it opened, and each failure after the begin of the write counted as "may have run".

Node.js first tries a write immediately. If the kernel rejects it with ECONNRESET or EPIPE, none of its bytes were taken: a write of which a part was taken does not fail, and the rest is written later. undici writes head and body with one write, between two diagnostic events and without anything else in between, so an error that the socket has right after the write is that of this request. The exchange fails with the same error, which ties the two together. Errors that are reported later, and those of the empty line that tests how a stream ended, stay "may have run".

--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -13,6 +13,7 @@
   type ResponseHead,
   TargetExchange,
 } from "./target_exchange.ts";
+import { watchRequestWrites } from "./unwritten_requests.ts";
 
 type Connector = ReturnType<typeof buildConnector>;
 
@@ -216,6 +217,7 @@
   #opened = 0;
 
   constructor(options: TargetConnectionsOptions = {}) {
+    watchRequestWrites();
     this.#options = {
       onResponseHead: () => undefined,
       findBlockReason: () => undefined,
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -8,6 +8,7 @@
 import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
+import { isUnwritten } from "./unwritten_requests.ts";
 
 /** Head of a target's response. */
 export interface ResponseHead {
@@ -292,7 +293,7 @@
 
   #fail(error: Error): void {
     if (error instanceof ExchangeError) return this.#finish(error);
-    const fault = this.isSent ? "lost" : "notSent";
+    const fault = this.isSent && !isUnwritten(error) ? "lost" : "notSent";
     this.#finish(new ExchangeError(fault, error.message, error));
   }
 
