Handover: a peer in reserve is released when the call goes on here

If the path came back between the abort of an exchange for a peer that had accepted the call and the next round, the call was sent to a target while the peer kept one of its 64 places for it until the call ended. Found by reading. Sending an attempt releases the peer now. The unit test fails on the code before.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -425,6 +425,8 @@
     { isRun = true }: { isRun?: boolean } = {},
   ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
+    // The path may be back since a peer accepted the call.
+    this.peerOffer.release();
     if (isRun) this.#recordRun();
     this.#attempts++;
     this.#lastTarget = target.id;
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -7,6 +7,7 @@
   RequestQuarantine,
 } from "heatherarch-quarantine";
 import {
+  buildWithheldExchange,
   CallContext,
   type CallDependencies,
   type ClientResponse,
@@ -19,7 +20,7 @@
   ReturnTimes,
   type TargetExchange,
 } from "../../mod.ts";
-import { buildIdlePathMonitor, buildRoute } from "./fixtures.ts";
+import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
 
 const RETRY_SHARE = 0.5;
 
@@ -52,6 +53,8 @@
     windowMs: 10_000,
   });
   const fleetDemand = new FleetDemand();
+  let closed = 0;
+  const connection = { close: () => void closed++ };
   const context = new CallContext({
     dependencies: {
       clock,
@@ -63,6 +66,8 @@
       retryBudget,
       fleetDemand,
       returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
+      connections: { send: () => buildWithheldExchange("not sent") },
+      handoverClient: { offerCall: () => Promise.resolve(connection) },
       metrics: new ForwardMetrics(),
       log: new MemoryEventLog(),
       drawUnit: () => 0,
@@ -77,7 +82,8 @@
       fail: (error: ServeError) => void failures.push(error),
     } as unknown as ClientResponse,
   });
-  return { context, failures, fleetDemand, retryBudget, clock };
+  const countClosed = (): number => closed;
+  return { context, failures, fleetDemand, retryBudget, clock, countClosed };
 }
 
 // Guards against "not run" for a call that may have run at the VM that handed it over.
@@ -133,3 +139,14 @@
   assert.equal(context.reserve({ purpose: "run", requests: 2 }), false);
   assert.ok(readLeft() > 3, `${readLeft()} left`);
 });
+
+// Guards against a peer that keeps a place for a call which goes on here, as the path is back.
+test("a peer in reserve is released when an attempt is sent to a target", async () => {
+  const { context, countClosed } = buildContext({});
+  assert.equal(await context.peerOffer.reserve(), true);
+  assert.equal(countClosed(), 0);
+  const request = { path: "/", method: "GET", headers: [], body: null };
+  context.send(buildTarget("t"), request);
+  assert.equal(countClosed(), 1);
+  context.finish("delivered");
+});
