Streams: a take-up waits for the next read of an old target list

Callers saw: 503 "it is not known which software version began the stream" for streams that one version alone could have begun, whenever the VM's process had been late by some 200 ms or more.

Change: if the records are read and the list alone is too old, the VM requests an early read and checks the list 25 times at most, 20 ms apart; one wait serves all calls, and its result is logged (`targetListAwaited`). Checks are counted, not time, as the process may be late again. Both conditions are checked again after the wait, so nothing is concluded from older knowledge than before. Without the store a take-up is refused at once, as before.

--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Clock } from "heatherarch-core";
+import { type Clock, sleep } from "heatherarch-core";
 import type { EventLog } from "../event_log.ts";
 import type { VersionRecord, WritableTopicPort } from "../ports.ts";
 import type { ActiveConfig } from "../state/active_config.ts";
@@ -32,6 +32,8 @@
   readonly isFleetRunning: () => Promise<boolean>;
   /** Number of VMs, of which all but the coordinators only read. */
   readonly countVms: () => number;
+  /** Requests an early read of the target list. */
+  readonly refreshTargetList: () => void;
   /** Draws a uniformly distributed number in [0, 1). */
   readonly drawUnit: () => number;
 }
@@ -44,6 +46,15 @@
 const RETRY_MS = 500;
 /** With that pause for each VM, the VMs that only read make 200 reads a second at most. */
 const READ_PAUSE_PER_VM_MS = 5;
+/** Interval at which the age of the target list is checked during a wait for its next read. */
+const LIST_POLL_INTERVAL_MS = 20;
+/**
+ * Largest number of these checks. A number of checks and not a time, since the list is usually old
+ * because the process was late, and a process that is late again has not read it in that time either.
+ */
+const MAX_LIST_POLLS = 25;
+/** Reads of the records for one conclusion, if the target list becomes too old during each of them. */
+const MAX_READ_ROUNDS = 4;
 
 /** The task that records versions. */
 export class VersionPersistence {
@@ -56,6 +67,8 @@
   /** Whether records were due at the last tick. */
   #wasDue = false;
   #nextMaintenanceAtMs = -Infinity;
+  /** The wait for the next read of the target list; undefined if there is none. */
+  #listWait: Promise<boolean> | undefined;
   #isStopped = false;
 
   constructor(options: VersionPersistenceOptions) {
@@ -87,7 +100,7 @@
    */
   async findOnlyVersion(service: string): Promise<string | undefined> {
     // A version that has just come is recorded before streams begin at it.
-    const isRead = await this.#refresh();
+    const isRead = await this.#refreshWithList();
     this.#options.history.observe(this.#nowMs);
     const versions = this.listVersions(service);
     const reason = this.#findDoubt(isRead, versions);
@@ -96,6 +109,51 @@
     return undefined;
   }
 
+  /**
+   * Reads the records unless they were read recently, and waits for the target list if that is too
+   * old. Either may become too old while the other is read, so both are checked again.
+   */
+  async #refreshWithList(): Promise<boolean> {
+    for (let round = 1;; round++) {
+      const isRead = await this.#refresh();
+      if (!isRead || round === MAX_READ_ROUNDS) return isRead;
+      if (this.#isListCurrent()) return true;
+      if (!await this.#awaitCurrentList()) return isRead;
+    }
+  }
+
+  #isListCurrent(): boolean {
+    const { history } = this.#options;
+    history.observe(this.#nowMs);
+    return history.isCurrent(this.#nowMs);
+  }
+
+  /**
+   * Waits until the target list is current again, but not for long. Resolves with whether it is. One
+   * wait serves all calls.
+   */
+  #awaitCurrentList(): Promise<boolean> {
+    this.#listWait ??= this.#pollList().finally(() =>
+      this.#listWait = undefined
+    );
+    return this.#listWait;
+  }
+
+  async #pollList(): Promise<boolean> {
+    const { refreshTargetList, log } = this.#options;
+    const sinceMs = this.#nowMs;
+    refreshTargetList();
+    let isCurrent = false;
+    for (let i = 0; i < MAX_LIST_POLLS && !isCurrent; i++) {
+      if (this.#isStopped) break;
+      await sleep(LIST_POLL_INTERVAL_MS);
+      isCurrent = this.#isListCurrent();
+    }
+    const waitedMs = Math.round(this.#nowMs - sinceMs);
+    log.write("info", "targetListAwaited", { waitedMs, isCurrent });
+    return isCurrent;
+  }
+
   /** Finds why no version is known as the only one; undefined if one is. */
   #findDoubt(
     isRead: boolean,
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ManualClock, Random } from "heatherarch-core";
+import { ManualClock, Random, sleep } from "heatherarch-core";
 import {
   computeStreamLifeMs,
   TargetDirectory,
@@ -73,6 +73,8 @@
   });
   readonly lives = new VersionLives();
   readonly persistence: VersionPersistence;
+  /** Early reads of the list of targets that were requested. */
+  listRefreshes = 0;
 
   constructor(
     world: World,
@@ -88,6 +90,7 @@
       log: { write: () => undefined },
       isCoordinator: () => isCoordinator,
       countVms: () => vms,
+      refreshTargetList: () => this.listRefreshes++,
       drawUnit,
       isFleetRunning: () => Promise.resolve(world.isFleetRunning),
     });
@@ -195,6 +198,39 @@
   assert.equal(await vm.find(), undefined);
 });
 
+// Guards against take-ups that are refused although the next read of the list would have come at once:
+// the list is briefly too old after each time that the process was late.
+test("the only version is known once a list that has become too old is read again", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  world.clock.advance(450);
+  const found = Promise.all([next.find(), next.find()]);
+  await sleep(50);
+  assert.equal(next.listRefreshes, 1);
+  await next.tick();
+  assert.deepEqual(await found, ["v1", "v1"]);
+  // Versions that came while the list was too old count as well.
+  world.clock.advance(450);
+  const doubtful = next.find();
+  await sleep(50);
+  world.listed = ["v1", "v2"];
+  await next.tick();
+  assert.equal(await doubtful, undefined);
+});
+
+// Guards against calls that wait to their end for a list that is not read.
+test("no version is known as the only one if the list is not read again", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  world.clock.advance(450);
+  assert.equal(await next.find(), undefined);
+  assert.equal(next.listRefreshes, 1);
+});
+
 // Guards against streams that begin at a version that VMs that start later don't know.
 test("a version counts as recorded once no VM concludes from records without it", async () => {
   const world = new World();
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -265,6 +265,7 @@
     log,
     isCoordinator: () => getComponents().mesh.isCoordinator,
     countVms: () => getComponents().countVms(),
+    refreshTargetList: () => getComponents().storeReader.refreshList(),
     drawUnit: Math.random,
     isFleetRunning: async () => {
       const { entries } = await directory.vms.load();
--- a/packages/heatherarch-lab/proofs/version_simulation.ts
+++ b/packages/heatherarch-lab/proofs/version_simulation.ts
@@ -222,6 +222,7 @@
       isCoordinator: () => true,
       isFleetRunning: () => Promise.resolve(false),
       countVms: () => 1,
+      refreshTargetList: () => undefined,
       drawUnit: () => 0,
     });
   }
