Ingress: a request that arrived before a stall gets no 408, and none runs after its 408

What callers saw: a call got 408, which says that it has not run, and ran nevertheless. A client that returns after the 408 books twice.

Cause: node:http checks from a timer whether a request is overdue (`headersTimeout`, `requestTimeout`). After a stall of the process, that timer runs before the sockets are read, so a request that waits in the socket's buffer is reported as overdue. The ingress wrote 408 and left the parser attached to the connection, so the request was read next and was run. The same happened without a stall when the rest of a slow request came after its 408.

Change: for a request that is reported as overdue, the ingress first reads what has arrived, and serves the request if it is complete. Otherwise the connection is refused: no request of it is run after the 408 (or the 400 to invalid bytes). A pipelined request that is overdue behind one that was read closes the connection, as its 408 would be taken for the response of the first one.

heatherarch-gateway responds with 408 in the same way; it is not changed here.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -21,6 +21,7 @@
 import type { EventLog } from "../event_log.ts";
 import type { ClientLimits, ForwardedCall } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
+import { LateRequests } from "./late_requests.ts";
 
 /** Options of {@linkcode Ingress}. */
 export interface IngressOptions {
@@ -51,6 +52,7 @@
   readonly #options: IngressOptions;
   readonly #http: Server;
   readonly #connections = new WeakMap<Socket, ClientConnection>();
+  readonly #lateRequests = new LateRequests();
   #limits = INITIAL_LIMITS;
   #draining = false;
   #openCalls = 0;
@@ -66,7 +68,10 @@
       void this.#handleRequest(request, response);
     });
     this.#http.on("clientError", (error, socket) => {
-      this.#handleClientError(error as NodeJS.ErrnoException, socket as Socket);
+      void this.#handleClientError(
+        error as NodeJS.ErrnoException,
+        socket as Socket,
+      );
     });
     this.applyLimits(INITIAL_LIMITS);
   }
@@ -112,6 +117,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.#lateRequests.recordHead(request);
+    if (this.#lateRequests.isRefused(request.socket)) return;
     this.#openCalls++;
     response.once("close", () => this.#openCalls--);
     if (this.#draining) response.setHeader("Connection", "close");
@@ -123,7 +130,8 @@
     try {
       const head = this.#readHead(request, arrivedAtMs);
       const body = await readBody(request, this.#limits.maxBodyBytes);
-      if (body === undefined) return;
+      const isRefused = this.#lateRequests.isRefused(request.socket);
+      if (body === undefined || isRefused) return;
       await this.#options.server.serve({ ...head, body }, clientResponse);
     } catch (error) {
       this.#rejectRequest(
@@ -179,9 +187,18 @@
   }
 
   /** Responds to invalid requests and to those that arrived too slowly. */
-  #handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  async #handleClientError(
+    error: NodeJS.ErrnoException,
+    socket: Socket,
+  ): Promise<void> {
+    const late = this.#lateRequests;
+    const isOverdue = error.code === OVERDUE_CODE;
+    if (isOverdue && await late.readArrived(socket)) return;
+    late.refuse(socket);
     const status = CLIENT_ERROR_STATUS[error.code ?? ""] ?? "400 Bad Request";
-    if (socket.writable && socket.bytesWritten === 0) {
+    // A 408 to a pipelined request would be taken for the response of the request before it.
+    const isForEarlier = isOverdue && late.hasRead(socket);
+    if (socket.writable && socket.bytesWritten === 0 && !isForEarlier) {
       socket.end(
         `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
       );
@@ -194,9 +211,11 @@
   }
 }
 
+/** Error code of `node:http` for a request that did not arrive in time. */
+const OVERDUE_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  [OVERDUE_CODE]: "408 Request Timeout",
 };
 
 /** Reads the complete body; returns undefined if the client disconnected. */
