NDJSON engines: a byte of a line that arrives in parts is copied a bounded number of times

The parser joined and searched all bytes of an unfinished line for each part that arrived. A line may have 1 MiB, so an engine that sends long lines in small parts held up all other calls of the process.

Change: the line is gathered in a ByteGatherer, and each part is searched once.

--- a/packages/heatherarch-targets/ndjson_engine.ts
+++ b/packages/heatherarch-targets/ndjson_engine.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import { z } from "zod";
-import type { EngineOrder, EngineRole, EngineState } from "heatherarch-core";
+import {
+  ByteGatherer,
+  type EngineOrder,
+  type EngineRole,
+  type EngineState,
+} from "heatherarch-core";
 import { type ParserOptions, ResponseParser } from "./response_parser.ts";
 import {
   checkEngineState,
@@ -125,21 +130,19 @@
 
 /** Parses lines, checks that each carries the id of the attempt, and delivers the tokens. */
 class NdjsonResponseParser extends ResponseParser {
-  #incompleteLine: Buffer = Buffer.alloc(0);
+  readonly #incompleteLine = new ByteGatherer();
 
   override push(bytes: Buffer): void {
-    const data = this.#incompleteLine.length === 0
-      ? bytes
-      : Buffer.concat([this.#incompleteLine, bytes]);
     const texts: string[] = [];
     let offset = 0;
     let finalLine: ResponseLine | undefined;
     for (
-      let newlineAt = data.indexOf(NEWLINE);
+      let newlineAt = bytes.indexOf(NEWLINE);
       newlineAt !== -1;
-      newlineAt = data.indexOf(NEWLINE, offset)
+      newlineAt = bytes.indexOf(NEWLINE, offset)
     ) {
-      const line = parseLine(data.toString("utf8", offset, newlineAt));
+      const text = this.#completeLine(bytes.subarray(offset, newlineAt));
+      const line = parseLine(text);
       offset = newlineAt + 1;
       if (line === undefined || !this.matchesAttempt(line.tag)) {
         return this.reportMismatch();
@@ -147,8 +150,9 @@
       if (line.s) texts.push(line.s);
       if (line.end) finalLine = line;
     }
-    this.#incompleteLine = data.subarray(offset);
+    this.#incompleteLine.append(bytes.subarray(offset));
     if (this.#incompleteLine.length > MAX_LINE_BYTES) {
+      this.#incompleteLine.clear();
       return this.sink.onFailure(
         "broken",
         "a line of the response is too long",
@@ -158,6 +162,13 @@
     if (finalLine !== undefined) this.#handleEnd(finalLine);
   }
 
+  /** Returns the text of the line that `last` completes. */
+  #completeLine(last: Buffer): string {
+    if (this.#incompleteLine.length === 0) return last.toString("utf8");
+    this.#incompleteLine.append(last);
+    return this.#incompleteLine.take().toString("utf8");
+  }
+
   #handleEnd(line: ResponseLine): void {
     this.sink.onEnd({
       reason: line.end === "stop" ? "stop" : "length",
--- /dev/null
+++ b/packages/heatherarch-targets/tests/unit/response_parsers_test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { mock, test } from "node:test";
+import {
+  createNdjsonParser,
+  type EngineCall,
+  type EngineSink,
+  type ParserFactory,
+} from "../../mod.ts";
+
+const KILOBYTE = 1024;
+const PART_BYTES = 1460;
+
+const CALL: EngineCall = {
+  tryId: "mine",
+  model: "m",
+  prompt: "p",
+  maxTokens: 100,
+  priority: 1,
+  kvExport: false,
+};
+
+/** A dialect and the bytes of an event that carries a text. */
+interface Dialect {
+  readonly name: string;
+  readonly createParser: ParserFactory;
+  readonly buildEvent: (text: string) => string;
+}
+
+const DIALECTS: readonly Dialect[] = [
+  {
+    name: "ndjson",
+    createParser: createNdjsonParser,
+    buildEvent: (text) => `${JSON.stringify({ tag: CALL.tryId, s: text })}\n`,
+  },
+];
+
+/** A sink that keeps what it gets. */
+function createRecordingSink() {
+  const texts: string[] = [];
+  const failures: string[] = [];
+  const sink: EngineSink = {
+    onTokens: (given) => texts.push(...given),
+    onEnd: () => undefined,
+    onFailure: (failure) => failures.push(failure),
+  };
+  return { sink, texts, failures };
+}
+
+/** Counts the bytes that buffers copy while `run` runs. */
+function countCopiedBytes(run: () => void): number {
+  let copied = 0;
+  const { concat } = Buffer;
+  const { copy } = Buffer.prototype;
+  const mocks = [
+    mock.method(Buffer, "concat", (list: Buffer[], length?: number) => {
+      for (const part of list) copied += part.length;
+      return concat.call(Buffer, list, length);
+    }),
+    mock.method(
+      Buffer.prototype,
+      "copy",
+      function (this: Buffer, ...args: Parameters<Buffer["copy"]>) {
+        const count = copy.apply(this, args);
+        copied += count;
+        return count;
+      },
+    ),
+  ];
+  try {
+    run();
+  } finally {
+    for (const { mock: mocked } of mocks) mocked.restore();
+  }
+  return copied;
+}
+
+function splitBytes(bytes: Buffer, partBytes: number): Buffer[] {
+  const parts: Buffer[] = [];
+  for (let at = 0; at < bytes.length; at += partBytes) {
+    parts.push(bytes.subarray(at, at + partBytes));
+  }
+  return parts;
+}
+
+for (const { name, createParser, buildEvent } of DIALECTS) {
+  // Guards against a copy of all bytes of an unfinished event for each part that arrives.
+  test(`${name}: each byte of a long event is copied fewer than three times`, () => {
+    const text = "x".repeat(512 * KILOBYTE);
+    const bytes = Buffer.from(buildEvent(text));
+    const { sink, texts, failures } = createRecordingSink();
+    const parser = createParser(CALL, sink);
+    const copied = countCopiedBytes(() => {
+      for (const part of splitBytes(bytes, PART_BYTES)) parser.push(part);
+    });
+    assert.deepEqual(failures, []);
+    assert.deepEqual(texts, [text]);
+    const perByte = copied / bytes.length;
+    assert.ok(perByte < 3, `${perByte} copies`);
+  });
+
+  // Guards against an event without end that is held without any bound.
+  test(`${name}: a response whose event never ends is given up`, () => {
+    const { sink, texts, failures } = createRecordingSink();
+    const parser = createParser(CALL, sink);
+    const part = Buffer.alloc(PART_BYTES, "x");
+    let pushed = 0;
+    while (failures.length === 0 && pushed < 4 * KILOBYTE * KILOBYTE) {
+      parser.push(part);
+      pushed += part.length;
+    }
+    assert.deepEqual(failures, ["broken"]);
+    assert.deepEqual(texts, []);
+    assert.ok(pushed <= KILOBYTE * KILOBYTE + PART_BYTES, `${pushed} bytes`);
+  });
+}
