SSE engines: an event that never ends is given up

A process that calls an engine of dialect sse held all bytes of an event without end, as nothing bounded what the parser gathers.

Test: response_parsers_test (lines and fields without end) failed before: nothing was given up within 8 MiB.

--- a/packages/heatherarch-targets/sse_engine.ts
+++ b/packages/heatherarch-targets/sse_engine.ts
@@ -34,6 +34,9 @@
   fencing: z.number(),
 });
 
+/** Largest event that does not arrive as a whole, as for lines of dialect `ndjson`. */
+const MAX_EVENT_CHARS = 1024 * 1024;
+
 interface Chunk {
   id?: string;
   choices?: { text?: string; finish_reason?: string | null }[];
@@ -124,15 +127,21 @@
   readonly #decoder = new TextDecoder();
   #pendingTexts: string[] = [];
   #finalChunk: Chunk | undefined;
+  #isGivenUp = false;
 
   constructor(call: EngineCall, sink: EngineSink, options: ParserOptions) {
     super(call, sink, options);
     this.#parser = createParser({
       onEvent: (event) => this.#handleEvent(event.data),
+      onError: (error) => {
+        if (error.type === "max-buffer-size-exceeded") this.#giveUp();
+      },
+      maxBufferSize: MAX_EVENT_CHARS,
     });
   }
 
   override push(bytes: Buffer): void {
+    if (this.#isGivenUp) return;
     this.#parser.feed(this.#decoder.decode(bytes, { stream: true }));
     if (this.#pendingTexts.length === 0) return;
     const texts = this.#pendingTexts;
@@ -140,6 +149,12 @@
     this.sink.onTokens(texts);
   }
 
+  #giveUp(): void {
+    this.#isGivenUp = true;
+    this.#pendingTexts = [];
+    this.sink.onFailure("broken", "an event of the response is too long");
+  }
+
   #handleEvent(data: string): void {
     if (data === "[DONE]") return this.#handleEnd();
     const chunk = parseChunk(data);
--- a/packages/heatherarch-targets/tests/unit/response_parsers_test.ts
+++ b/packages/heatherarch-targets/tests/unit/response_parsers_test.ts
@@ -2,6 +2,7 @@
 import { mock, test } from "node:test";
 import {
   createNdjsonParser,
+  createSseParser,
   type EngineCall,
   type EngineSink,
   type ParserFactory,
@@ -9,6 +10,7 @@
 
 const KILOBYTE = 1024;
 const PART_BYTES = 1460;
+const MAX_EVENT_BYTES = 1024 * KILOBYTE;
 
 const CALL: EngineCall = {
   tryId: "mine",
@@ -24,13 +26,23 @@
   readonly name: string;
   readonly createParser: ParserFactory;
   readonly buildEvent: (text: string) => string;
+  /** Texts that never end an event, however often they are repeated, and the share of them that is held. */
+  readonly endlessTexts: readonly (readonly [string, number])[];
 }
 
 const DIALECTS: readonly Dialect[] = [
+  {
+    name: "sse",
+    createParser: createSseParser,
+    buildEvent: (text) =>
+      `data: ${JSON.stringify({ id: CALL.tryId, choices: [{ text }] })}\n\n`,
+    endlessTexts: [["x", 1], ["data: x", 1], ["data: x\n", 2 / 8]],
+  },
   {
     name: "ndjson",
     createParser: createNdjsonParser,
     buildEvent: (text) => `${JSON.stringify({ tag: CALL.tryId, s: text })}\n`,
+    endlessTexts: [["x", 1], ["\r", 1]],
   },
 ];
 
@@ -82,7 +94,7 @@
   return parts;
 }
 
-for (const { name, createParser, buildEvent } of DIALECTS) {
+for (const { name, createParser, buildEvent, endlessTexts } of DIALECTS) {
   // Guards against a copy of all bytes of an unfinished event for each part that arrives.
   test(`${name}: each byte of a long event is copied fewer than three times`, () => {
     const text = "x".repeat(512 * KILOBYTE);
@@ -100,16 +112,21 @@
 
   // Guards against an event without end that is held without any bound.
   test(`${name}: a response whose event never ends is given up`, () => {
-    const { sink, texts, failures } = createRecordingSink();
-    const parser = createParser(CALL, sink);
-    const part = Buffer.alloc(PART_BYTES, "x");
-    let pushed = 0;
-    while (failures.length === 0 && pushed < 4 * KILOBYTE * KILOBYTE) {
+    for (const [text, share] of endlessTexts) {
+      const maxBytes = MAX_EVENT_BYTES / share + 2 * PART_BYTES;
+      const { sink, texts, failures } = createRecordingSink();
+      const parser = createParser(CALL, sink);
+      const repeats = Math.floor(PART_BYTES / text.length);
+      const part = Buffer.from(text.repeat(repeats));
+      let pushed = 0;
+      while (failures.length === 0 && pushed < 2 * maxBytes) {
+        parser.push(part);
+        pushed += part.length;
+      }
       parser.push(part);
-      pushed += part.length;
+      assert.deepEqual(failures, ["broken"]);
+      assert.deepEqual(texts, []);
+      assert.ok(pushed <= maxBytes, `${pushed} bytes`);
     }
-    assert.deepEqual(failures, ["broken"]);
-    assert.deepEqual(texts, []);
-    assert.ok(pushed <= KILOBYTE * KILOBYTE + PART_BYTES, `${pushed} bytes`);
   });
 }
