Requests to targets: a response without end is given up

The state of a target and the response to an order were kept without bound: a target that sends without end filled the memory of the process.

Test: dispatch_test failed before (the response was read up to its end at 32 MiB).

--- a/packages/heatherarch-targets/dispatch.ts
+++ b/packages/heatherarch-targets/dispatch.ts
@@ -158,7 +158,10 @@
   }
   | { readonly kind: DispatchFailure; readonly detail: string };
 
-/** Sends one request and buffers the complete response. */
+/** Largest response to a request of ours, as for the state of a target or an order. */
+const MAX_BUFFERED_BYTES = 1024 * 1024;
+
+/** Sends one request and buffers the complete response, up to a limit. */
 export function dispatchBuffered(
   dispatcher: Dispatcher,
   options: DispatchOptions & { maxResponseBytes?: number },
@@ -168,7 +171,7 @@
     let size = 0;
     let status = 0;
     let headers: Record<string, string | string[] | undefined> = {};
-    const maxBytes = options.maxResponseBytes ?? Infinity;
+    const maxBytes = options.maxResponseBytes ?? MAX_BUFFERED_BYTES;
     const request = dispatch(dispatcher, options, {
       onHead: (responseStatus, responseHeaders) => {
         status = responseStatus;
--- a/packages/heatherarch-targets/tests/unit/dispatch_test.ts
+++ b/packages/heatherarch-targets/tests/unit/dispatch_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, before, test } from "node:test";
 import { Client } from "undici";
@@ -8,12 +8,30 @@
 let server: Server;
 let url: string;
 let requests = 0;
+let endlessBytes = 0;
+/** Bytes after which a response that should not be read any more ends. */
+const MAX_ENDLESS_BYTES = 32 * 1024 * 1024;
+/** The limit on a response, and what is in the sockets. */
+const MAX_SENT_BYTES = 16 * 1024 * 1024;
+
+/** Sends a response as fast as it is read. */
+function sendEndless(res: ServerResponse): void {
+  const part = Buffer.alloc(64 * 1024, "x");
+  while (!res.destroyed && endlessBytes < MAX_ENDLESS_BYTES) {
+    endlessBytes += part.length;
+    if (res.write(part)) continue;
+    res.once("drain", () => sendEndless(res));
+    return;
+  }
+  res.end();
+}
 
 before(async () => {
   server = createServer((req, res) => {
     requests++;
     if (req.url === "/never") return;
-    if (req.url === "/break") res.socket?.destroy();
+    if (req.url === "/endless") sendEndless(res);
+    else if (req.url === "/break") res.socket?.destroy();
     else res.end("done");
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
@@ -61,3 +79,9 @@
   const response = await send("/");
   assert.equal(response.kind === "answer" && response.body.toString(), "done");
 });
+
+// Guards against the state of a target that is read until the memory is full.
+test("a response without end is given up", async () => {
+  assert.equal((await send("/endless")).kind, "broken");
+  assert.ok(endlessBytes <= MAX_SENT_BYTES, `${endlessBytes} bytes`);
+});
