Handovers: parts of a request without bytes close the connection

The limit on the body of a call that is handed over counts bytes, so parts without any could follow each other for ever: each held the connection and one of the 64 calls that a VM takes for two more seconds, and took memory. A body in parts of one byte took some hundred bytes for each.

Change: a part without bytes ends the connection (no sender sends one), and the body is gathered in a ByteGatherer.

Test: handover_connection_test failed before (the connection stayed open).

--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ByteGatherer } from "heatherarch-core";
 import type {
   DeclineReason,
   Link,
@@ -111,8 +112,7 @@
   readonly #disconnectListeners = new Set<() => void>();
   #state: SessionState = "idle";
   #head: unknown;
-  #parts: Buffer[] = [];
-  #size = 0;
+  readonly #body = new ByteGatherer();
   /** Closes a connection on which nothing follows; there is none while a call is served. */
   #timer: NodeJS.Timeout | undefined;
 
@@ -207,19 +207,18 @@
     this.#link.send({ kind: "offerReply", declined });
   }
 
+  /** A part without bytes is an error: no sender sends one, and they could follow each other for ever. */
   #addPart(bytes: Buffer): void {
+    if (bytes.length === 0) return this.destroy();
     this.#startRequestTimer();
-    this.#size += bytes.length;
-    this.#parts.push(bytes);
-    if (this.#size > this.#options.getMaxBodyBytes()) this.destroy();
+    this.#body.append(bytes);
+    if (this.#body.length > this.#options.getMaxBodyBytes()) this.destroy();
   }
 
   async #serve(): Promise<void> {
     clearTimeout(this.#timer);
     this.#state = "serving";
-    const body = Buffer.concat(this.#parts);
-    this.#parts = [];
-    this.#size = 0;
+    const body = this.#body.take();
     await this.#options.serve(this.#head, body, this);
   }
 
--- a/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
@@ -3,8 +3,10 @@
 import { RuntimeClock, sleep } from "heatherarch-core";
 import {
   type DeclineReason,
+  type Link,
   type LinkIdentity,
   Membership,
+  type MeshMessage,
   MeshNode,
 } from "heatherarch-mesh";
 import { findFreePorts } from "heatherarch-standins";
@@ -260,3 +262,31 @@
   await sleep(200);
   assert.equal(unused.isClosed, true, "no offer after the call");
 });
+
+/** A link of which only the messages and the end matter. */
+function startSession(server: HandoverServer) {
+  const sent: string[] = [];
+  const link = {
+    send: ({ kind }: MeshMessage) => {
+      sent.push(kind);
+      return true;
+    },
+    close: () => sent.push("closed"),
+  } as unknown as Link;
+  const session = server.accept(link);
+  cleanups.push(() => session.onClose());
+  return { session, sent };
+}
+
+// Guards against parts without bytes, which no limit on bytes ends: each one held the connection, and
+// one of the few calls that a peer takes, for two more seconds, and took memory.
+test("a part without bytes closes the connection", async () => {
+  const { server } = await startPeer();
+  const { session, sent } = startSession(server);
+  session.onMessage({ kind: "offer", ...OFFER });
+  await sleep(0);
+  assert.deepEqual(sent, ["offerReply"]);
+  session.onMessage({ kind: "request", head: {} });
+  session.onMessage({ kind: "bytes", bytes: Buffer.alloc(0) });
+  assert.deepEqual(sent, ["offerReply", "closed"]);
+});
