Exchanges: a body that nothing reads yet is kept up to a bound

Between the head of a response and its relay a call may wait, as while the incarnation that sent it is checked. What arrived meanwhile was kept without bound, as fast as the target sends.

Change: beyond 1 MiB, as much as a plain response may have that is buffered as a whole, the connection is not read until the body is. A listener that pauses the body itself keeps it paused.

Test: target_exchange_test failed before (1,024 parts of 64 KiB were kept).

--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -72,6 +72,12 @@
 /** Bounds of a body that tells nothing. A target that works sends it at once. */
 const DISCARDED_BODY = { maxBytes: 64 * 1024, timeoutMs: 500 };
 
+/**
+ * Bytes of a body that are kept before anything reads it, as while the incarnation that sent it is
+ * checked. No more is read from the connection until then.
+ */
+const MAX_UNREAD_BYTES = 1024 * 1024;
+
 /** Bounds of a body that is read as a whole. */
 export interface BodyLimits {
   readonly maxBytes: number;
@@ -101,6 +107,7 @@
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
+  #unreadBytes = 0;
   /** Monotonic time from which the silence of the target counts. */
   #silentSinceMs = -Infinity;
   #isPaused = false;
@@ -185,7 +192,12 @@
    */
   setBodyListener(listener: BodyListener): void {
     this.#listener = listener;
+    const isStopped = this.#unreadBytes > MAX_UNREAD_BYTES;
+    if (isStopped) this.#isPaused = false;
+    this.#unreadBytes = 0;
     for (const bytes of this.#bufferedChunks.splice(0)) listener.onData(bytes);
+    // Not before, since it may read more at once; and not if the listener has paused the body itself.
+    if (isStopped && !this.#isPaused) this.resume();
     if (this.#end === "ended") listener.onEnd();
     else if (this.#end !== "open") listener.onFault(this.#end);
   }
@@ -270,10 +282,16 @@
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
     this.#recordReceipt();
-    if (this.#listener === undefined) this.#bufferedChunks.push(bytes);
+    if (this.#listener === undefined) this.#keepUnread(bytes);
     else this.#listener.onData(bytes);
   }
 
+  #keepUnread(bytes: Buffer): void {
+    this.#bufferedChunks.push(bytes);
+    this.#unreadBytes += bytes.length;
+    if (this.#unreadBytes > MAX_UNREAD_BYTES) this.pause();
+  }
+
   #recordReceipt(): void {
     const { readMonotonicMs = () => RUNTIME_CLOCK.readMonotonicMs() } =
       this.#hooks;
--- /dev/null
+++ b/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Dispatcher } from "undici";
+import { TargetExchange } from "../../mod.ts";
+
+const PART_BYTES = 64 * 1024;
+const MAX_PARTS = 1024;
+
+/** An exchange whose target sends numbered parts as long as they are read. */
+function startExchange() {
+  let handler: Dispatcher.DispatchHandler = {};
+  let isPaused = false;
+  let sent = 0;
+  const controller = {
+    pause: () => isPaused = true,
+    resume: () => {
+      isPaused = false;
+      sendParts(1);
+    },
+    abort: () => undefined,
+  } as unknown as Dispatcher.DispatchController;
+  const sendParts = (count: number): void => {
+    for (let i = 0; i < count && !isPaused; i++) {
+      const part = Buffer.alloc(PART_BYTES);
+      part.writeUInt32BE(sent++);
+      handler.onResponseData?.(controller, part);
+    }
+  };
+  const dispatcher = {
+    dispatch: (_options: unknown, given: Dispatcher.DispatchHandler) => {
+      handler = given;
+      return true;
+    },
+  };
+  const request = { path: "/", method: "GET", headers: [], body: null };
+  const exchange = new TargetExchange(dispatcher, "", request, {
+    onRelease: () => undefined,
+    isReset: () => false,
+  });
+  handler.onRequestStart?.(controller, undefined);
+  handler.onResponseStart?.(controller, 200, {}, "OK");
+  return {
+    exchange,
+    sendParts,
+    isPaused: () => isPaused,
+    countSent: () => sent,
+  };
+}
+
+function ignore(): void {
+  // Nothing follows in these tests.
+}
+
+// Guards against a body that is kept without bound while its call waits before it reads it.
+test("a body that nothing reads yet is read up to a bound, and goes on in order", () => {
+  const { exchange, sendParts, countSent } = startExchange();
+  sendParts(MAX_PARTS);
+  assert.ok(countSent() * PART_BYTES <= 1024 * 1024 + PART_BYTES);
+  const received: number[] = [];
+  exchange.setBodyListener({
+    onData: (bytes) => received.push(bytes.readUInt32BE()),
+    onEnd: ignore,
+    onFault: ignore,
+  });
+  sendParts(3);
+  assert.ok(received.length > 3);
+  assert.deepEqual(received, Array.from({ length: countSent() }, (_, i) => i));
+});
+
+// Guards against a body that goes on although its client does not read.
+test("a listener that pauses at the first bytes stays paused", () => {
+  const { exchange, sendParts, isPaused } = startExchange();
+  sendParts(MAX_PARTS);
+  exchange.setBodyListener({
+    onData: () => exchange.pause(),
+    onEnd: ignore,
+    onFault: ignore,
+  });
+  assert.equal(isPaused(), true);
+});
