Failures: a body that falls silent is given up only for a replacement

Callers saw 502 in place of a target's failure whose body came more than a second after its head: the body had 1,000 ms in all, although a sound target may be silent for a second or so.

A body that is silent is now kept until another target is certain, with its retry, or a peer has accepted the call because the path is lost; otherwise until the call ends. The bound of 1,000 ms stays for a body that goes on without an end, and counts only the time in which bytes arrive.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -176,7 +176,7 @@
 }
 
 /** Takes the retries of a replacement. Asks first, since a denial is logged and this is repeated. */
-function takeReplacement(
+export function takeReplacement(
   context: CallContext,
   replacement: RequestPlan | undefined,
 ): boolean {
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -382,7 +382,18 @@
   ): Promise<void> {
     const context = this.#context;
     try {
-      const response = await readFailure(exchange, head);
+      const response = await readFailure(head, {
+        context,
+        target,
+        exchange,
+        isRepeatable: this.#mayContinue(),
+        mayGiveUp: () => this.#mayGiveUp(target),
+        replacement: {
+          purpose: "prefill",
+          requests: 2,
+          beginsWithPrefill: true,
+        },
+      });
       if (!await confirmResponseEnd(context, target, head)) {
         throw new ExchangeError("lost", UNCONFIRMED_END);
       }
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -33,7 +33,11 @@
   PlainSlotWait,
   type TooLate,
 } from "./plain_slot_wait.ts";
-import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
+import {
+  ExchangeError,
+  type ResponseHead,
+  type TargetExchange,
+} from "./target_exchange.ts";
 import { ABANDONED_BODY, awaitAttempt } from "./attempt_result.ts";
 import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { isSuccessStatus } from "./http_status.ts";
@@ -212,7 +216,7 @@
         ? await readResponse(exchange, result.head)
         : {
           kind: "whole" as const,
-          response: await readFailure(exchange, result.head),
+          response: await this.#readFailure(exchange, result.head, target),
         };
       if (context.hasEnded) {
         exchange.discardBody(ABANDONED_BODY);
@@ -268,6 +272,21 @@
       this.#context.remainingMs >= MIN_ATTEMPT_MS;
   }
 
+  #readFailure(
+    exchange: TargetExchange,
+    head: ResponseHead,
+    target: Target,
+  ): Promise<BufferedResponse> {
+    return readFailure(head, {
+      context: this.#context,
+      target,
+      exchange,
+      isRepeatable: this.#mayRetry(head.status),
+      mayGiveUp: () => this.#mayGiveUp(),
+      replacement: { purpose: "run", requests: 1 },
+    });
+  }
+
   /** Relays a large response. It is not retried, whatever its status. */
   async #relayPartial(
     exchange: TargetExchange,
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -8,6 +8,10 @@
 import { EventBuffers } from "./event_buffers.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import { SseSplitter } from "./sse_splitter.ts";
+import {
+  readReplaceableBody,
+  type ReplaceableBodyOptions,
+} from "./replaceable_body.ts";
 import {
   ExchangeError,
   type ResponseHead,
@@ -106,13 +110,18 @@
 }
 
 /**
- * Reads a complete failure response within limits. Rejects with an {@linkcode ExchangeError} beyond them.
+ * Reads a complete failure response within limits. Rejects with an {@linkcode ExchangeError} beyond them,
+ * or when the exchange was given up for its replacement.
  */
 export async function readFailure(
-  exchange: TargetExchange,
   head: ResponseHead,
+  options: Omit<ReplaceableBodyOptions, "limits">,
 ): Promise<BufferedResponse> {
-  return { head, body: await exchange.readBody(FAILURE_LIMITS) };
+  const body = await readReplaceableBody({
+    ...options,
+    limits: FAILURE_LIMITS,
+  });
+  return { head, body };
 }
 
 /**
