Notices: a head of another call neither begins nor ends a rate limit

A faulty target sends a late copy of an earlier response where the next one is expected. Its attempt counts as lost, but its notices were applied with the time of the new request: a copy without a limit ended a limit that the target had named since, an old limit or load counted as the newest, and peers were told.

Decision (in ResponseNotices.apply): what a target says of itself holds whatever call it answers if it only restrains this VM. So leaving and backoffs are applied as before; a limit, the lack of one and a load are taken only from a head that names the call of the request, or names none after a request of none.

The tests of backoffs, limits and loads pass the request in place of its time.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -459,7 +459,10 @@
     const needsOwnConnection = this.#sentTo.has(target.id);
     this.#sentTo.add(target.id);
     const { connections } = this.dependencies;
-    return connections.send(target, request, { needsOwnConnection });
+    return connections.send(target, request, {
+      needsOwnConnection,
+      callId: this.call.id,
+    });
   }
 
   /** Records that an engine has prefilled the prompt. */
--- a/packages/heatherarch-forward/calls/response_notices.ts
+++ b/packages/heatherarch-forward/calls/response_notices.ts
@@ -12,6 +12,7 @@
 import type { EventLog } from "../event_log.ts";
 import type { Target } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
+import type { SentRequest } from "./target_connections.ts";
 import type { ResponseHead } from "./target_exchange.ts";
 
 /** Options of {@linkcode ResponseNotices}. */
@@ -36,17 +37,22 @@
   }
 
   /**
-   * Applies the head of a response that arrived on a connection to `target`; its request was sent at
-   * the monotonic time `sentAtMs`.
+   * Applies the head of a response that arrived on a connection to `target` after `request`.
+   *
+   * A head that does not name the call of the request is an earlier one of unknown age. What it says of
+   * its target still holds if it only restrains this VM: a target that leaves does not come back, and a
+   * backoff that begins late ends late by as much. A limit or a load would count as newer than it is, and
+   * the lack of a limit would end one that has begun since.
    */
   apply(
     target: Target,
     { status, headers }: ResponseHead,
-    sentAtMs: number,
+    { sentAtMs, callId }: SentRequest,
   ): void {
     const { codec, directory, log } = this.#options;
+    const metadata = codec.decodeResponse(status, headers);
     const { answeredBy, isLeaving, backoffMs, maxRequestsPerSecond, load } =
-      codec.decodeResponse(status, headers);
+      metadata;
     const instance = target.instance ?? target.id;
     if (answeredBy !== undefined && answeredBy !== instance) return;
     if (isLeaving && directory.markLeaving(target.id)) {
@@ -56,6 +62,7 @@
       });
     }
     if (backoffMs !== undefined) this.#recordBackoff(target.id, backoffMs);
+    if (metadata.callId !== callId) return;
     this.#recordRateLimit(target.id, maxRequestsPerSecond, sentAtMs);
     if (load !== undefined) this.#recordLoad(target, load);
   }
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -23,16 +23,21 @@
  */
 export type SendPurpose = "work" | "release" | "control" | "report";
 
+/** The request after which a response arrived on its connection. */
+export interface SentRequest {
+  /** Monotonic time at which it was sent. */
+  readonly sentAtMs: number;
+  /** Id of the call to which it belongs; undefined if it belongs to none. */
+  readonly callId?: string;
+}
+
 /** Options of {@linkcode TargetConnections}. */
 export interface TargetConnectionsOptions {
-  /**
-   * Called with the head of each response, before the sender sees it, and the monotonic time at
-   * which the request was sent.
-   */
+  /** Called with the head of each response, before the sender sees it. */
   readonly onResponseHead?: (
     target: Target,
     head: ResponseHead,
-    sentAtMs: number,
+    request: SentRequest,
   ) => void;
   /**
    * Returns the number of runs in progress at a target from all VMs; undefined if VMs don't tell each
@@ -125,6 +130,8 @@
   readonly purpose?: SendPurpose;
   /** Uses a connection that is opened for this request and closed after its response. */
   readonly needsOwnConnection?: boolean;
+  /** Id of the call to which the request belongs, if it belongs to one. */
+  readonly callId?: string;
 }
 
 interface TargetPool {
@@ -310,7 +317,7 @@
   send(
     target: Target,
     request: EncodedRequest,
-    { purpose = "work", needsOwnConnection = false }: SendOptions = {},
+    { purpose = "work", needsOwnConnection = false, callId }: SendOptions = {},
   ): TargetExchange {
     const blockReason = this.#options.findBlockReason(target, purpose);
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
@@ -341,7 +348,8 @@
       },
     );
     exchange.head.then(
-      (head) => this.#options.onResponseHead(target, head, sentAtMs),
+      (head) =>
+        this.#options.onResponseHead(target, head, { sentAtMs, callId }),
       // The sender handles the error.
       () => undefined,
     );
--- a/packages/heatherarch-forward/tests/unit/load_gossip_test.ts
+++ b/packages/heatherarch-forward/tests/unit/load_gossip_test.ts
@@ -157,12 +157,12 @@
     log: new MemoryEventLog(),
   });
   const head = { status: 200, headers: {}, rawHeaders: [] };
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(targetLoads.reportsSlowdown("t@1"), false);
   answeredBy = "t";
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(targetLoads.reportsSlowdown("t@1"), true);
   assert.equal(reports, 1);
-  notices.apply(buildTarget("gone"), head, 0);
+  notices.apply(buildTarget("gone"), head, { sentAtMs: 0 });
   assert.equal(targetLoads.reportsSlowdown("gone"), false);
 });
--- a/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_backoffs_test.ts
@@ -54,11 +54,11 @@
   });
   const head = { status: 503, headers: {}, rawHeaders: [] };
   metadata = { ...metadata, answeredBy: "u" };
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(directory.isLeaving("t@1"), false);
   assert.equal(backoffs.isInBackoff("t@1", 0), false);
   metadata = { ...metadata, answeredBy: "t" };
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(directory.isLeaving("t@1"), true);
   assert.equal(backoffs.isInBackoff("t@1", 0), true);
 });
--- a/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_rate_limits_test.ts
@@ -183,11 +183,11 @@
     log: new MemoryEventLog(),
   });
   const head = { status: 200, headers: {}, rawHeaders: [] };
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(rateLimits.hasLimits, true);
   directory.applyChanges([{ key: "t" }], 100);
   rateLimits.forget("t");
-  notices.apply(target, head, 0);
+  notices.apply(target, head, { sentAtMs: 0 });
   assert.equal(rateLimits.hasLimits, false);
 });
 
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -170,10 +170,10 @@
       role === "prefill"
         ? undefined
         : workTracker.getRunLoad(id, clock.readMonotonicMs()).runs,
-    onResponseHead: (target, head, sentAtMs) => {
+    onResponseHead: (target, head, request) => {
       metrics.lastResponse.setToCurrentTime();
       pathMonitor.recordContact(target);
-      notices.apply(target, head, sentAtMs);
+      notices.apply(target, head, request);
     },
     onConnect: () => metrics.connectionsOpened.inc(),
     onSend: ({ id }) => {
