Ingress: what is written to a connection is never taken for another request's response

A client that sends one byte in each turn of the event loop gets no 408 at all. A request behind one whose response closes the connection, as while the VM drains, runs and gets no response. Calls whose client has left behind another one count as open for ever, so that each later stop waits for its whole grace period.

Cause: the status of a refused request was withheld by the state of the last request that was read, and not by whether one is being served; and responses that never get a socket report no end.

Change: LateRequests becomes RequestAdmission. It knows which requests of a connection are being served: while there is one, a refusal only stops later requests, and the connection closes after the response. Reading what has arrived is bounded by turns. A response that closes the connection ends its admission. Open calls end with their response or their connection.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -21,7 +21,7 @@
 import type { EventLog } from "../event_log.ts";
 import type { ClientLimits, ForwardedCall } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
-import { LateRequests } from "./late_requests.ts";
+import { RequestAdmission } from "./request_admission.ts";
 
 /** Options of {@linkcode Ingress}. */
 export interface IngressOptions {
@@ -47,12 +47,19 @@
 /** Connections that may wait to be accepted, enough that a burst of clients loses no SYN. */
 const ACCEPT_BACKLOG = 1024;
 
+/** Error code of `node:http` for a request that did not arrive in time. */
+const OVERDUE_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  [OVERDUE_CODE]: "408 Request Timeout",
+};
+
 /** Accepts calls from clients. */
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #http: Server;
   readonly #connections = new WeakMap<Socket, ClientConnection>();
-  readonly #lateRequests = new LateRequests();
+  readonly #admission = new RequestAdmission();
   #limits = INITIAL_LIMITS;
   #draining = false;
   #openCalls = 0;
@@ -117,21 +124,23 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#lateRequests.recordHead(request);
-    if (this.#lateRequests.isRefused(request.socket)) return;
+    this.#admission.recordHead(request);
+    if (this.#admission.isRefused(request)) return;
+    const connection = this.#findConnection(request.socket);
     this.#openCalls++;
-    response.once("close", () => this.#openCalls--);
-    if (this.#draining) response.setHeader("Connection", "close");
+    registerResponseEnd(response, connection, () => this.#openCalls--);
+    if (this.#draining) {
+      response.setHeader("Connection", "close");
+      this.#admission.refuseLater(request);
+    }
     const arrivedAtMs = this.#options.clock.readMonotonicMs();
-    const clientResponse = new HttpClientResponse(
-      response,
-      this.#findConnection(request.socket),
-    );
+    const clientResponse = new HttpClientResponse(response, connection);
     try {
       const head = this.#readHead(request, arrivedAtMs);
       const body = await readBody(request, this.#limits.maxBodyBytes);
-      const isRefused = this.#lateRequests.isRefused(request.socket);
-      if (body === undefined || isRefused) return;
+      if (body === undefined || this.#admission.isRefused(request)) return;
+      const endCall = this.#admission.beginCall(request);
+      registerResponseEnd(response, connection, endCall);
       await this.#options.server.serve({ ...head, body }, clientResponse);
     } catch (error) {
       this.#rejectRequest(
@@ -177,7 +186,10 @@
     error: ServeError,
   ): void {
     // The unread rest of the request can't be distinguished from a next request.
-    if (!request.complete) response.setHeader("Connection", "close");
+    if (!request.complete) {
+      response.setHeader("Connection", "close");
+      this.#admission.refuseLater(request);
+    }
     clientResponse.fail(error, "");
     this.#options.log.write("warn", "callRejected", {
       kind: error.kind,
@@ -191,14 +203,14 @@
     error: NodeJS.ErrnoException,
     socket: Socket,
   ): Promise<void> {
-    const late = this.#lateRequests;
     const isOverdue = error.code === OVERDUE_CODE;
-    if (isOverdue && await late.readArrived(socket)) return;
-    late.refuse(socket);
+    if (isOverdue && await this.#admission.readArrived(socket)) return;
+    this.#admission.refuse(socket);
     const status = CLIENT_ERROR_STATUS[error.code ?? ""] ?? "400 Bad Request";
-    // A 408 to a pipelined request would be taken for the response of the request before it.
-    const isForEarlier = isOverdue && late.hasRead(socket);
-    if (socket.writable && socket.bytesWritten === 0 && !isForEarlier) {
+    // A request that is being served gets its response, after which the connection closes. The status
+    // would be taken for that response.
+    if (socket.writable && this.#admission.isServing(socket)) return;
+    if (socket.writable && socket.bytesWritten === 0) {
       socket.end(
         `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
       );
@@ -211,12 +223,23 @@
   }
 }
 
-/** Error code of `node:http` for a request that did not arrive in time. */
-const OVERDUE_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
-const CLIENT_ERROR_STATUS: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  [OVERDUE_CODE]: "408 Request Timeout",
-};
+/** Calls `listener` once, when a response has ended or its connection has. */
+function registerResponseEnd(
+  response: ServerResponse,
+  connection: ClientConnection,
+  listener: () => void,
+): void {
+  let hasEnded = false;
+  const end = (): void => {
+    if (hasEnded) return;
+    hasEnded = true;
+    removeListener();
+    listener();
+  };
+  // Node.js tells nothing of the responses behind the first one of a connection that ends.
+  const removeListener = connection.registerEndListener(end);
+  response.once("close", end);
+}
 
 /** Reads the complete body; returns undefined if the client disconnected. */
 async function readBody(
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -31,18 +31,19 @@
 /** A server whose calls are recorded and responded to, and a client that has connected to it. */
 interface Connected {
   readonly client: Socket;
+  readonly ingress: Ingress;
   readonly bodies: string[];
   readonly readReceived: () => string;
 }
 
-async function connectClient(): Promise<Connected> {
+async function connectClient(serveMs = 0): Promise<Connected> {
   const bodies: string[] = [];
   const server = {
-    serve: (call, response) => {
+    serve: async (call, response) => {
       bodies.push(call.body.toString());
+      if (serveMs > 0) await sleep(serveMs);
       response.writeHead(200, ["Content-Length", "0"]);
       response.end();
-      return Promise.resolve();
     },
   } satisfies Pick<CallServer, "serve">;
   const codec = {
@@ -74,7 +75,12 @@
   await once(socket, "connect");
   // The server accepts the connection.
   await sleep(20);
-  return { client: socket, bodies, readReceived: () => received };
+  return {
+    client: socket,
+    ingress,
+    bodies,
+    readReceived: () => received,
+  };
 }
 
 async function findFreePort(): Promise<number> {
@@ -130,3 +136,74 @@
   await sleep(100);
   assert.deepEqual(bodies, []);
 });
+
+/** Longer than the limits of a request that is sent slowly, and the interval between their checks. */
+const SERVE_MS = 1200;
+/** What follows a request that is being served. */
+const FOLLOWERS = {
+  "whose body is late": REQUEST + "bo",
+  "whose head is late": "POST /book/x HT",
+  "that is invalid": "invalid\r\n\r\n",
+};
+
+for (const [name, bytes] of Object.entries(FOLLOWERS)) {
+  // Guards against a 408 or 400 to a request that runs, and against a response that is cut off as a later
+  // request of its connection is refused.
+  test(`a request that is being served gets its response before one ${name}`, async () => {
+    const { client, bodies, readReceived } = await connectClient(SERVE_MS);
+    const ended = once(client, "end");
+    client.write(REQUEST + "body");
+    while (bodies.length === 0) await sleep(5);
+    client.write(bytes);
+    await ended;
+    assert.match(readReceived(), /^HTTP\/1\.1 200 /);
+    assert.equal(readReceived().match(/HTTP\/1\.1/g)?.length, 1);
+    assert.deepEqual(bodies, ["body"]);
+  });
+}
+
+// Guards against a 408 to a request that runs, as the process stalled before it read the request.
+test("a request that arrives before a stall gets its response before one whose body is late", async () => {
+  const { client, bodies, readReceived } = await connectClient(SERVE_MS);
+  const ended = once(client, "end");
+  client.write(REQUEST + "body" + REQUEST + "bo");
+  stall();
+  await ended;
+  assert.match(readReceived(), /^HTTP\/1\.1 200 /);
+  assert.deepEqual(bodies, ["body"]);
+});
+
+// Guards against a client that puts the end of its overdue request off with a byte in each turn.
+test("a client that goes on to send its overdue request slowly gets 408", async () => {
+  const { client, readReceived } = await connectClient();
+  client.write(REQUEST.replace("4", "900000"));
+  const startMs = performance.now();
+  while (readReceived() === "" && performance.now() - startMs < 5000) {
+    client.write("b");
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.match(readReceived(), /^HTTP\/1\.1 408 /);
+});
+
+// Guards against a run whose client gets no response, as the one before it closes the connection.
+test("a request behind one whose response closes the connection is not run", async () => {
+  const { client, ingress, bodies, readReceived } = await connectClient(100);
+  const ended = once(client, "end");
+  ingress.beginDrain();
+  client.write(REQUEST + "body" + REQUEST + "more");
+  await ended;
+  assert.match(readReceived(), /^HTTP\/1\.1 200 /);
+  assert.deepEqual(bodies, ["body"]);
+  assert.equal(ingress.openCalls, 0);
+});
+
+// Guards against a shutdown that waits for responses that nobody can get any more.
+test("requests whose client has left are no open calls", async () => {
+  const { client, ingress, bodies } = await connectClient(200);
+  client.write(REQUEST + "body" + REQUEST + "more");
+  while (bodies.length < 2) await sleep(5);
+  assert.equal(ingress.openCalls, 2);
+  client.destroy();
+  await sleep(400);
+  assert.equal(ingress.openCalls, 0);
+});
