Streams: a read of the version records that a later one has overtaken is not applied

What callers could see: a stream that goes on at another software version than the one that began it. A reader found it and showed it with a stand-in topic; it needs a read of the store that takes 0.7 s as a version gets its first record.

Cause: reads of the records may overlap. The records of a slow read replaced those of a later one, and the later one's time vouched for them.

Change: reads are numbered, and one that was sent before the latest applied one is dropped, unless the store has a newer epoch by it.

--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -64,6 +64,9 @@
     | { readonly sentAtMs: number; readonly done: Promise<boolean> }
     | undefined;
   #isMaintaining = false;
+  /** Number of reads that were sent, and which of them was the latest one to be applied. */
+  #readCount = 0;
+  #appliedRead = 0;
   /** Whether records were due at the last tick. */
   #wasDue = false;
   #nextMaintenanceAtMs = -Infinity;
@@ -111,7 +114,8 @@
 
   /**
    * Reads the records unless they were read recently, and waits for the target list if that is too
-   * old. Either may become too old while the other is read, so both are checked again.
+   * old. Either may become too old while the other is read, so both are checked again. Resolves with
+   * whether the records are read; the list may still be too old, which the conclusion checks.
    */
   async #refreshWithList(): Promise<boolean> {
     for (let round = 1;; round++) {
@@ -341,8 +345,13 @@
 
   async #load(): Promise<boolean> {
     const { topic, lives } = this.#options;
+    const read = ++this.#readCount;
     try {
       const { entries, epoch = 0 } = await topic.load();
+      // A read that a later one has overtaken may lack records which that one contained.
+      const isOvertaken = read < this.#appliedRead && epoch <= lives.epoch;
+      if (isOvertaken) return true;
+      this.#appliedRead = read;
       lives.applyList(entries, epoch, this.#nowMs);
       return true;
     } catch (error) {
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -34,12 +34,16 @@
   listed: (string | undefined)[] = ["v1"];
   /** Times of the reads of all VMs. */
   readonly readsAtMs: number[] = [];
+  /** Responses to reads wait for this. */
+  responsesHeld: Promise<void> | undefined;
 
-  load(): ReturnType<WritableTopicPort<VersionRecord>["load"]> {
+  async load(): ReturnType<WritableTopicPort<VersionRecord>["load"]> {
     this.readsAtMs.push(this.clock.readMonotonicMs());
-    if (this.isDown) return Promise.reject(new Error("down"));
+    if (this.isDown) throw new Error("down");
     const entries = [...this.records].map(([key, value]) => ({ key, value }));
-    return Promise.resolve({ entries, next: 0, epoch: this.epoch });
+    const { epoch } = this;
+    await this.responsesHeld;
+    return { entries, next: 0, epoch };
   }
 
   readChanges(): Promise<undefined> {
@@ -220,6 +224,33 @@
   assert.equal(await doubtful, undefined);
 });
 
+// Guards against a stream that goes on at another version, as a slow read of the records is applied after
+// a later one that contained that version.
+test("a read of the records that a later one has overtaken is not applied", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  world.clock.advance(600);
+  await next.tick();
+  let release!: () => void;
+  world.responsesHeld = new Promise((resolve) => release = resolve);
+  const overtaken = next.find();
+  world.responsesHeld = undefined;
+  world.clock.advance(600);
+  world.records.set("s/v2", {
+    kind: "life",
+    service: "s",
+    softwareVersion: "v2",
+    endedAtUnixMs: undefined,
+  });
+  await next.tick();
+  assert.equal(await next.find(), undefined);
+  release();
+  assert.equal(await overtaken, undefined);
+  assert.equal(await next.find(), undefined);
+});
+
 // Guards against calls that wait to their end for a list that is not read.
 test("no version is known as the only one if the list is not read again", async () => {
   const world = new World();
