Exchanges: a listener hears once of the end of a body

Found by a reader: a body whose reading had stopped could end while it was read on, and its listener heard of that end twice; a listener that aborted the exchange during the bytes that had been kept heard of the fault twice, with bytes in between. No harm was shown.

Change: setBodyListener reports the end that it found, and nothing once the listener has aborted the exchange.

Measured: the two new tests of target_exchange_test pass.

--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -191,15 +191,20 @@
    * arrives.
    */
   setBodyListener(listener: BodyListener): void {
+    const end = this.#end;
     this.#listener = listener;
     const isStopped = this.#unreadBytes > MAX_UNREAD_BYTES;
     if (isStopped) this.#isPaused = false;
     this.#unreadBytes = 0;
-    for (const bytes of this.#bufferedChunks.splice(0)) listener.onData(bytes);
+    for (const bytes of this.#bufferedChunks.splice(0)) {
+      listener.onData(bytes);
+      // The listener has aborted the exchange, and knows it.
+      if (this.#end !== end) return;
+    }
+    if (end === "ended") listener.onEnd();
+    else if (end !== "open") listener.onFault(end);
     // Not before, since it may read more at once; and not if the listener has paused the body itself.
-    if (isStopped && !this.#isPaused) this.resume();
-    if (this.#end === "ended") listener.onEnd();
-    else if (this.#end !== "open") listener.onFault(this.#end);
+    else if (isStopped && !this.#isPaused) this.resume();
   }
 
   /**
--- a/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
@@ -7,7 +7,7 @@
 const MAX_PARTS = 1024;
 
 /** An exchange whose target sends numbered parts as long as they are read. */
-function startExchange() {
+function startExchange({ endsOnResume = false } = {}) {
   let handler: Dispatcher.DispatchHandler = {};
   let isPaused = false;
   let sent = 0;
@@ -16,6 +16,7 @@
     resume: () => {
       isPaused = false;
       sendParts(1);
+      if (endsOnResume) handler.onResponseEnd?.(controller, {});
     },
     abort: () => undefined,
   } as unknown as Dispatcher.DispatchController;
@@ -78,3 +79,34 @@
   });
   assert.equal(isPaused(), true);
 });
+
+// Guards against a response that is handled twice, as reading on at once may bring its end.
+test("a body that ends as it is read on ends once", () => {
+  const { exchange, sendParts } = startExchange({ endsOnResume: true });
+  sendParts(MAX_PARTS);
+  let ends = 0;
+  exchange.setBodyListener({
+    onData: ignore,
+    onEnd: () => ends++,
+    onFault: ignore,
+  });
+  assert.equal(ends, 1);
+});
+
+// Guards against a fault that is handled twice, and bytes that follow it.
+test("a listener that aborts during the first bytes hears of one fault and no more bytes", () => {
+  const { exchange, sendParts } = startExchange();
+  sendParts(3);
+  let parts = 0;
+  let faults = 0;
+  exchange.setBodyListener({
+    onData: () => {
+      parts++;
+      exchange.abort("not wanted");
+    },
+    onEnd: ignore,
+    onFault: () => faults++,
+  });
+  assert.equal(parts, 1);
+  assert.equal(faults, 1);
+});
