Prefills: a response that has begun is given up only for a replacement

A prefill whose response had begun was given up 500 ms after its head, although a sound engine may be silent for a second or so; the prompt was then prefilled anew, or read by a decode engine.

The body is read like that of a failure: while it is silent, the exchange is given up only if other engines respond, one that was not tried may take the prefill, and the retries are taken, or if a peer has accepted the call because the path is lost.

--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -25,6 +25,7 @@
 import type { LanePlacement, QueueOutcome } from "../scheduling/queued_call.ts";
 import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
 import { awaitAttempt } from "./attempt_result.ts";
+import { readReplaceableBody } from "./replaceable_body.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
 /** Time from prefill to the first token at the client: two hops, a KV transfer, a decode step. */
@@ -43,6 +44,12 @@
 const LATE_PREFILL_SHARE = 0.25;
 /** Bounds of the response to a prefill, which an engine sends in one piece. */
 const HANDLE_LIMITS = { maxBytes: 64 * 1024, timeoutMs: 500 };
+/** Requests that replace a prefill that is given up: another prefill, and the run that follows it. */
+const REPLACEMENT = {
+  purpose: "prefill",
+  requests: 2,
+  beginsWithPrefill: true,
+} as const;
 
 /** A prompt that an engine has prefilled, and the handle of its KV cache. */
 export interface PrefilledPrompt {
@@ -175,18 +182,22 @@
       expectedMs: readyMs + EXPECTED_SLACK_MS,
       extendsWhileAlive: () => true,
       mayGiveUp: () => this.#mayGiveUp(target),
-      replacement: {
-        purpose: "prefill",
-        requests: 2,
-        beginsWithPrefill: true,
-      },
+      replacement: REPLACEMENT,
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
       return this.#recordFailure(target, result.reason);
     }
     try {
-      const body = await exchange.readBody(HANDLE_LIMITS);
+      const body = await readReplaceableBody({
+        context: this.#context,
+        target,
+        exchange,
+        limits: HANDLE_LIMITS,
+        isRepeatable: true,
+        mayGiveUp: () => this.#mayGiveUp(target),
+        replacement: REPLACEMENT,
+      });
       const { status } = result.head;
       const handle = isSuccessStatus(status)
         ? this.#context.dependencies.codec.decodeKvHandle(body)
