--- a/packages/heatherarch-forward/calls/peer_offer.ts
+++ b/packages/heatherarch-forward/calls/peer_offer.ts
@@ -36,6 +36,11 @@
     return this.#options.mayOffer();
   }
 
+  /** Whether a peer is in reserve. */
+  get hasAccepted(): boolean {
+    return this.#accepted !== undefined && !this.#accepted.isClosed;
+  }
+
   /** Keeps a peer in reserve. Resolves with whether one has accepted the call. */
   async reserve(): Promise<boolean> {
     const accepted = await this.find(new Set());
