--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -51,7 +51,7 @@
   { proof: SHARES_PROOF, testRuns: 5, mutationRuns: 200 },
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 10_000 },
-  { proof: DISCONNECT_PROOF, testRuns: 40, mutationRuns: 500 },
+  { proof: DISCONNECT_PROOF, testRuns: 40, mutationRuns: 5000 },
   { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: VERSION_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: PART_QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
