Ends of responses: a new connection alone confirms none at a rate limit

At a target with a rate limit, a connection that was accepted within 150 ms of the end confirmed it. The time counts from when the VM sees the end. This gap was found by reading and is shown by a unit test.

An older connection that is still open now decides, at all times. Without one, a report is sent once the rate limit has room; it names the incarnation and counts against the limit. A refused connection still shows the end at once.

Tests: two new ones fail on the code before this. "A target that gets no requests now is confirmed by its port" expected that a limited target is confirmed by a new connection without an older one, which is the fault; it now has an older one, and the case without is expected to fail in a test of its own.

--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -26,8 +26,10 @@
     CallCodec,
     "encodeReportRequest" | "decodeReport" | "decodeResponse"
   >;
-  /** Whether requests to the target are limited, so that only a connection is opened. */
+  /** Whether the target names a rate limit, so that a report is the last resort. */
   readonly isLimited: (target: Target) => boolean;
+  /** Whether the rate limit of a target has room for a request of this VM now. */
+  readonly hasRoom: (target: Target) => boolean;
   /** Checks whether a process accepts connections at the target's address. Never rejects. */
   readonly connect: (target: Target) => Promise<ProbeResult>;
   /** Called before each probe. */
@@ -47,6 +49,9 @@
 /** What a probe tells about the incarnation that responded: it lives on, it has ended, or nothing. */
 type ProbeAnswer = "alive" | "ended" | "unknown";
 
+/** What connections tell. Without an older one, a new one doesn't tell whose it is. */
+type ConnectionAnswer = ProbeAnswer | Exclude<ProbeResult, "refused">;
+
 /** Shortest interval between probes of one target, milliseconds. All ends of the interval share one. */
 const MIN_PROBE_INTERVAL_MS = 20;
 /** A sound target may be silent for a second or so. */
@@ -175,8 +180,13 @@
     sinceMs: number,
     signal: AbortSignal,
   ): Promise<ProbeAnswer> {
-    const { connections, codec, isLimited } = this.#options;
-    if (isLimited(target)) return await this.#probeConnection(target, sinceMs);
+    const { connections, codec, isLimited, hasRoom } = this.#options;
+    if (isLimited(target)) {
+      const answer = await this.#probeConnection(target, sinceMs);
+      if (answer === "silent") return "unknown";
+      if (answer !== "accepted") return answer;
+      if (!hasRoom(target)) return "unknown";
+    }
     const request = codec.encodeReportRequest(target);
     const exchange = connections.send(target, request, { purpose: "report" });
     const abort = (): void => exchange.abort("no response to a probe");
@@ -192,7 +202,7 @@
       if (!(error instanceof ExchangeError)) throw error;
       if (error.isConnectionRefused) return "ended";
       if (error.fault !== "withheld") return "unknown";
-      return await this.#probeConnection(target, sinceMs);
+      return await this.#probeWithheld(target, sinceMs);
     } finally {
       sending.stop();
       stopTimer();
@@ -235,18 +245,29 @@
     return { isInTime: () => isInTime, stop };
   }
 
-  /** Probes a target that gets no requests now: whether the process that responded still listens. */
+  /** Probes a target that may get no report now, as it is leaving or in backoff. */
+  async #probeWithheld(target: Target, sinceMs: number): Promise<ProbeAnswer> {
+    const isInTime = this.#nowMs - sinceMs < MIN_RESTART_MS;
+    const answer = await this.#probeConnection(target, sinceMs);
+    if (answer !== "accepted" && answer !== "silent") return answer;
+    if (!isInTime) return "ended";
+    return answer === "accepted" ? "alive" : "unknown";
+  }
+
+  /**
+   * Probes by connections only. That one is accepted doesn't tell by which incarnation: a VM that was
+   * late, or whose path was, sees the end of a process when the next one listens already. The process
+   * that ended would have closed all its connections.
+   */
   async #probeConnection(
     target: Target,
     sinceMs: number,
-  ): Promise<ProbeAnswer> {
-    const isInTime = this.#nowMs - sinceMs < MIN_RESTART_MS;
-    const result = await this.#options.connect(target);
+  ): Promise<ConnectionAnswer> {
+    const { connections, connect } = this.#options;
+    const result = await connect(target);
     if (result === "refused") return "ended";
-    // The process that ended would have closed all its connections.
-    const isSame = isInTime ||
-      await this.#options.connections.checkOpenSince(target, sinceMs);
-    if (!isSame) return "ended";
+    const isOpen = await connections.checkOpenSince(target, sinceMs);
+    if (!isOpen) return result;
     return result === "accepted" ? "alive" : "unknown";
   }
 }
--- a/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -29,6 +29,8 @@
   readonly replies: readonly ProbeReply[];
   readonly replyDelayMs?: number;
   readonly isLimited?: boolean;
+  /** Number of checks after which the rate limit has room for a report; by default it never has. */
+  readonly checksUntilRoom?: number;
   readonly connectResult?: "accepted" | "refused";
   /** Whether the connections of probes are open at once. */
   readonly isSent?: boolean;
@@ -38,7 +40,7 @@
 
 function buildConfirmation(options: ConfirmationOptions) {
   const { replies, replyDelayMs = 5, isSent = true } = options;
-  const state = { probes: 0, inFlight: 0, maxInFlight: 0 };
+  const state = { probes: 0, inFlight: 0, maxInFlight: 0, roomChecks: 0 };
   const send = (): TargetExchange => {
     const reply = replies[Math.min(state.probes, replies.length - 1)];
     state.probes++;
@@ -83,6 +85,7 @@
       }),
     },
     isLimited: () => options.isLimited ?? false,
+    hasRoom: () => ++state.roomChecks > (options.checksUntilRoom ?? Infinity),
     connect: () => Promise.resolve(options.connectResult ?? "refused"),
   });
   const confirm = (target: Target, maxWaitMs?: number): Promise<boolean> =>
@@ -191,12 +194,47 @@
       replies: [REFUSED],
       isLimited: true,
       connectResult,
+      isOpenSince: true,
     });
     assert.equal(await limited.confirm(PLAIN), isAccepted);
     assert.equal(limited.state.probes, 0);
   }
 });
 
+// Guards against a response that was cut and passes for whole: a VM that was late sees the end when the
+// next process accepts connections at the address already.
+test("a new connection alone doesn't confirm the end of a target with a rate limit", async () => {
+  const options = { isLimited: true, connectResult: "accepted" } as const;
+  const other = buildConfirmation({
+    ...options,
+    replies: ["misdirected"],
+    checksUntilRoom: 0,
+  });
+  assert.equal(await other.confirm(PLAIN), false);
+  const restarted = buildConfirmation({
+    ...options,
+    replies: [2],
+    checksUntilRoom: 0,
+  });
+  assert.equal(await restarted.confirm(RESTARTABLE), false);
+  const full = buildConfirmation({ ...options, replies: ["plain"] });
+  assert.equal(await full.confirm(PLAIN, 150), false);
+  assert.equal(full.state.probes, 0);
+});
+
+// Guards against whole responses that count as cut at each target with a rate limit to which no other
+// connection is open.
+test("a target with a rate limit confirms the end by a report once there is room", async () => {
+  const { confirm, state } = buildConfirmation({
+    replies: [1],
+    isLimited: true,
+    connectResult: "accepted",
+    checksUntilRoom: 3,
+  });
+  assert.equal(await confirm(RESTARTABLE), true);
+  assert.equal(state.probes, 1);
+});
+
 // Guards against a live target that counts as ended as its probe was connected late.
 test("an older connection that is still open confirms the end at a late probe", async () => {
   const { confirm } = buildConfirmation({
@@ -235,6 +273,7 @@
       }),
     },
     isLimited: () => false,
+    hasRoom: () => true,
     connect: () => Promise.resolve("accepted"),
   });
   const { port } = server.address() as AddressInfo;
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -218,6 +218,8 @@
     connections,
     codec,
     isLimited: ({ id }) => rateLimits.getMaxPerSecond(id) !== undefined,
+    hasRoom: ({ id }) =>
+      rateLimits.getDelayMs(id, clock.readMonotonicMs()) === 0,
     connect: ({ address }) => targetProbe.probe(address),
     onProbe: () => metrics.endProbes.inc(),
     onUnconfirmed: (target) => {
--- a/packages/heatherarch-lab/bench/end_bench.ts
+++ b/packages/heatherarch-lab/bench/end_bench.ts
@@ -104,6 +104,7 @@
       decodeResponse: () => ({ misdirected: false }) as never,
     },
     isLimited: () => false,
+    hasRoom: () => true,
     connect: () => Promise.resolve("accepted"),
     onProbe,
   });
