--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -402,6 +402,8 @@
     const { retryBudget } = this.#components;
     const nowMs = this.#clock.readMonotonicMs();
     retryBudget.setLiveVms(listed.length, nowMs);
+    // From here on the VM may use its part of the fixed number of retries.
+    this.#log.write("info", "vmListLoaded", { listed: listed.length });
     const windowMs = this.#settings.retries.windowSeconds * MS_PER_SECOND;
     const runsBeforeMs = this.#vmStart.startedAtMs - windowMs;
     if (!isFleetRunning(listed, this.#settings.vm.id, runsBeforeMs)) return;
