Plain calls: a target to which nothing was written may be tried again

What callers saw: 502 for a lookup whose first target sent bytes without end, on a busy machine (endless_bytes_test, three of four traced failures).

Cause: a request that is withheld because this VM stalled before it was written counted its target as tried. After a loss at the other target of the service the call had none left.

Change: a target of a withheld request counts as not tried; whether it leaves or rests is asked again when the call is placed. The number of attempts bounds it.

Measured: the new test of call_handlers_test fails before; the file passes (14 of 14), which now also plays withheld requests in all sequences. The lookup's test was not run at its load since, so it stays a known red.

--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -202,6 +202,10 @@
       });
       if (result.kind === "over") return { kind: "over" };
       if (result.kind === "notSent" || result.kind === "notRun") {
+        // Nothing was written as this VM had stalled; whether the target leaves or rests is asked again.
+        if (result.kind === "notSent" && result.isWithheld) {
+          this.#tried.delete(target.id);
+        }
         context.undoRun();
         return { kind: result.kind };
       }
--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -10,6 +10,7 @@
 
 const RESULTS: readonly ScriptedResult[] = [
   "notSent",
+  "withheld",
   "lostBefore",
   "lostAfter",
   "refused",
@@ -102,6 +103,17 @@
   assert.deepEqual(await run("resumableStream", "cut"), [200, 2]);
 });
 
+// Guards against a call that fails as each of its targets was tried, although one of them was sent nothing
+// because this VM had stalled.
+test("a target to which nothing was written for a reason of this VM may be tried again", async () => {
+  const { status, runs } = await runScript("idempotent", [
+    { end: "withheld", restarts: false },
+    { end: "lostBefore", restarts: false },
+  ]);
+  assert.equal(status, 200);
+  assert.equal(runs.length, 1);
+});
+
 // Guards against prefills, and retries of the fleet's budget, for each decode engine that is down.
 test("a decode engine that is not reached costs no second prefill", async () => {
   const notSent: ScriptedAttempt = { end: "notSent", restarts: false };
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -22,6 +22,7 @@
   ConnectionPreference,
   type EncodedRequest,
   EngineJitter,
+  ExchangeError,
   FleetRetryBudget,
   ForwardMetrics,
   GenerationHandler,
@@ -58,6 +59,8 @@
 export type ScriptedResult =
   /** No connection. */
   | "notSent"
+  /** Nothing is written, for a reason of this VM. */
+  | "withheld"
   /** Sent, but lost before the target ran it. */
   | "lostBefore"
   /** Run, but the response is lost. */
@@ -346,8 +349,11 @@
       rawHeaders: [],
     } as unknown as Dispatcher.DispatchController;
     const isPrefill = request.path === "readPrompt";
-    const fail = () => handler.onResponseError?.(controller, new Error(end));
-    if (end === "notSent") return void fail();
+    const error = end === "withheld"
+      ? new ExchangeError("withheld", end)
+      : new Error(end);
+    const fail = () => handler.onResponseError?.(controller, error);
+    if (end === "notSent" || end === "withheld") return void fail();
     handler.onRequestStart?.(controller, {});
     if (!isPrefill && request.path !== "free") this.#runRequests++;
     if (end === "lostBefore") return void fail();
