Ingress: a refused request that has no socket any more doesn't end the process

On a VM in service each such request would end it.

Cause: since the refusal of a request looks its connection up by request.socket, which Node.js clears once the request is destroyed, as it is when its body is not read on.

Change: the connection is taken when the head is read and passed on.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -124,31 +124,34 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.#admission.recordHead(request);
-    if (this.#admission.isRefused(request)) return;
-    const connection = this.#findConnection(request.socket);
+    // A request that is destroyed has no socket any more.
+    const { socket } = request;
+    this.#admission.recordHead(socket, request);
+    if (this.#admission.isRefused(socket, request)) return;
+    const connection = this.#findConnection(socket);
     this.#openCalls++;
     registerResponseEnd(response, connection, () => this.#openCalls--);
     if (this.#draining) {
       response.setHeader("Connection", "close");
-      this.#admission.refuseLater(request);
+      this.#admission.refuseLater(socket, request);
     }
     const arrivedAtMs = this.#options.clock.readMonotonicMs();
     const clientResponse = new HttpClientResponse(response, connection);
     try {
       const head = this.#readHead(request, arrivedAtMs);
       const body = await readBody(request, this.#limits.maxBodyBytes);
-      if (body === undefined || this.#admission.isRefused(request)) return;
-      const endCall = this.#admission.beginCall(request);
+      if (body === undefined) return;
+      if (this.#admission.isRefused(socket, request)) return;
+      const endCall = this.#admission.beginCall(socket);
       registerResponseEnd(response, connection, endCall);
       await this.#options.server.serve({ ...head, body }, clientResponse);
     } catch (error) {
-      this.#rejectRequest(
-        request,
-        response,
-        clientResponse,
-        toServeError(error),
-      );
+      // The unread rest of the request can't be distinguished from a next request.
+      if (!request.complete) {
+        response.setHeader("Connection", "close");
+        this.#admission.refuseLater(socket, request);
+      }
+      this.#rejectRequest(request, clientResponse, toServeError(error));
     }
   }
 
@@ -181,15 +184,9 @@
 
   #rejectRequest(
     request: IncomingMessage,
-    response: ServerResponse,
     clientResponse: ClientResponse,
     error: ServeError,
   ): void {
-    // The unread rest of the request can't be distinguished from a next request.
-    if (!request.complete) {
-      response.setHeader("Connection", "close");
-      this.#admission.refuseLater(request);
-    }
     clientResponse.fail(error, "");
     this.#options.log.write("warn", "callRejected", {
       kind: error.kind,
--- a/packages/heatherarch-forward/tasks/request_admission.ts
+++ b/packages/heatherarch-forward/tasks/request_admission.ts
@@ -30,20 +30,20 @@
 export class RequestAdmission {
   readonly #connections = new WeakMap<Socket, ConnectionRequests>();
 
-  /** Records a request whose head has been read. */
-  recordHead(request: IncomingMessage): void {
-    this.#find(request.socket).last = request;
+  /** Records a request of a connection whose head has been read. */
+  recordHead(socket: Socket, request: IncomingMessage): void {
+    this.#find(socket).last = request;
   }
 
   /** Whether a request must not be served. */
-  isRefused(request: IncomingMessage): boolean {
-    const { isRefused, final } = this.#find(request.socket);
+  isRefused(socket: Socket, request: IncomingMessage): boolean {
+    const { isRefused, final } = this.#find(socket);
     return isRefused || (final !== undefined && final !== request);
   }
 
   /** Refuses all later requests of the connection, as the response to this one closes it. */
-  refuseLater(request: IncomingMessage): void {
-    this.#find(request.socket).final ??= request;
+  refuseLater(socket: Socket, request: IncomingMessage): void {
+    this.#find(socket).final ??= request;
   }
 
   /** Refuses all requests of a connection that are not being served. */
@@ -52,7 +52,7 @@
   }
 
   /** Records that a request is being served. Returns a function to be called when its response ended. */
-  beginCall({ socket }: IncomingMessage): () => void {
+  beginCall(socket: Socket): () => void {
     const requests = this.#find(socket);
     requests.open++;
     return () => {
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -14,6 +14,7 @@
 
 /** Time for the head of a request, and for the head and the body. */
 const HEADER_TIMEOUT_MS = 100;
+const MAX_BODY_BYTES = 1_000_000;
 const REQUEST_TIMEOUT_MS = 200;
 /** Longer than these times and the interval at which they are checked, 500 ms. */
 const STALL_MS = 800;
@@ -60,7 +61,7 @@
   });
   ingress.applyLimits({
     maxHeaderBytes: 4096,
-    maxBodyBytes: 1_000_000,
+    maxBodyBytes: MAX_BODY_BYTES,
     headerTimeoutMs: HEADER_TIMEOUT_MS,
     idleTimeoutMs: REQUEST_TIMEOUT_MS - HEADER_TIMEOUT_MS,
   });
@@ -207,3 +208,18 @@
   await sleep(400);
   assert.equal(ingress.openCalls, 0);
 });
+
+// Guards against a process that ends as it refuses a body that is too large, whose request has no socket then.
+test("a body that is too large is refused, and the next client is served", async () => {
+  const { client, bodies, readReceived } = await connectClient();
+  const size = MAX_BODY_BYTES + 1;
+  client.write(REQUEST.replace("4", String(size)) + "b".repeat(size));
+  while (readReceived() === "") await sleep(5);
+  assert.match(readReceived(), /^HTTP\/1\.1 413 /);
+  client.destroy();
+  ingress?.closeListener();
+  const next = await connectClient();
+  next.client.write(REQUEST + "body");
+  while (next.bodies.length === 0) await sleep(5);
+  assert.deepEqual(bodies, []);
+});
