--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -103,8 +103,8 @@
   assert.deepEqual(await run("resumableStream", "cut"), [200, 2]);
 });
 
-// Guards against a call that fails as each of its targets was tried, although one of them was sent nothing
-// because this VM had stalled.
+// Guards against a call that fails without a target left, although nothing was sent to one of them because
+// this VM had stalled.
 test("a target to which nothing was written for a reason of this VM may be tried again", async () => {
   const { status, runs } = await runScript("idempotent", [
     { end: "withheld", restarts: false },
--- a/packages/heatherarch-standins/free_ports.ts
+++ b/packages/heatherarch-standins/free_ports.ts
@@ -49,8 +49,8 @@
   }
 
   /**
-   * Finds `count` different free ports. A port is returned again only after all blocks of the range
-   * were tried. Rejects if the range has too few free ports.
+   * Finds `count` different free ports. A port is returned again only after the search has passed all
+   * blocks of the range. Rejects if the range has too few free ports.
    */
   find(count: number): Promise<number[]> {
     const search = this.#lastSearch.then(() => this.#search(count));
