Lost paths: an exchange is hedged at a peer, not given up for its offer

Cause: all engines of a group fall silent for 1.1 to 1.3 s, the path counts as lost, and an exchange was aborted as soon as a peer had accepted the offer. The peer may see the same silence, or have no engine or time for the call, and made no attempt; the engine would have gone on 0.6 s later.

Change: the call is sent to the peer beside the exchange (HandoverHedge), and the response that begins first wins: bytes of the exchange cancel the hedge, the peer's head aborts the exchange. The peer may run the call once, takes a retry for each request, runs streams at the same software version, and accepts only if targets of each role respond to it now.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -64,6 +64,15 @@
   readonly purpose: RetryPurpose;
 }
 
+/** Where the stream of a call is, for what goes on with it elsewhere. */
+export interface StreamPosition {
+  /** Id of the last event that the client has received; undefined if it has none. */
+  readonly lastEventId: string | undefined;
+  /** Software version at which the stream has to run; undefined if any may begin it. */
+  readonly softwareVersion: string | undefined;
+  setSoftwareVersion(softwareVersion: string): void;
+}
+
 /** Options of {@linkcode CallContext}. */
 export interface CallContextOptions {
   readonly dependencies: CallDependencies;
@@ -119,6 +128,7 @@
   readonly #ended: Promise<void>;
   #resolveEnded!: () => void;
   #exchange: TargetExchange | undefined;
+  #streamPosition: StreamPosition | undefined;
   #outcome: CallOutcome | undefined;
   readonly #ledger: AttemptLedger;
   #attempts = 0;
@@ -171,10 +181,8 @@
     this.peerOffer = new PeerOffer({
       offerCall: (offer, asked) =>
         this.dependencies.handoverClient.offerCall(offer, asked),
-      offer: {
-        service: options.service.name,
-        configVersion: options.configVersion,
-      },
+      service: options.service.name,
+      configVersion: options.configVersion,
       mayOffer: () => !this.hasEnded && this.remainingMs >= MIN_HANDOVER_MS,
     });
     this.#timer = setTimeout(
@@ -224,14 +232,15 @@
     return this.#ended;
   }
 
-  /** Whether another VM should serve the call, because this one does not reach the targets. */
+  /** Whether another VM should serve the call: this one does not reach the targets, or one has begun. */
   get mustHandOver(): boolean {
-    return this.mayHandOver &&
-      (!this.hasPath || this.#unreachable >= MAX_UNREACHABLE);
+    const isCutOff = !this.hasPath || this.#unreachable >= MAX_UNREACHABLE;
+    return this.mayHandOver && (isCutOff || this.peerOffer.hasHedge);
   }
 
-  /** Whether the call may be offered to peers before it is refused. */
+  /** Whether the call may be offered to peers before it is refused, or goes on at one. */
   get mayHandOver(): boolean {
+    if (this.peerOffer.hasHedge) return !this.hasEnded;
     const isTried = this.#unreachable > 0 || !this.hasPath;
     return isTried && this.call.handover === undefined && !this.hasEnded &&
       this.mayRunAgain;
@@ -242,6 +251,16 @@
     return this.dependencies.pathMonitor.hasPath(this.service.name);
   }
 
+  /** Where the stream of the call is; undefined for other calls. */
+  get streamPosition(): StreamPosition | undefined {
+    return this.#streamPosition;
+  }
+
+  /** Lets the handler of a stream tell where it is. */
+  setStreamPosition(position: StreamPosition): void {
+    this.#streamPosition = position;
+  }
+
   /** What a peer has to know of the call so far. */
   get handoverState(): HandoverState {
     const isUsageRecorded = this.#undoUsage !== undefined;
@@ -249,6 +268,7 @@
       runs: this.#runs,
       isUsageRecorded,
       attempts: this.#ledger.counts,
+      softwareVersion: this.#streamPosition?.softwareVersion,
     };
   }
 
@@ -360,6 +380,7 @@
    */
   async mayPeersServe(): Promise<boolean> {
     if (!this.mayHandOver) return false;
+    if (this.peerOffer.hasHedge) return true;
     if (!this.#hasRefusedConnection || !this.hasPath) return true;
     const { pathMonitor } = this.dependencies;
     const isOpen = await pathMonitor.confirmPath(this.service.name);
@@ -390,14 +411,53 @@
     };
   }
 
+  /**
+   * Records that the call is sent to a peer, beside an exchange of this VM, and may run there once.
+   * Returns a function that takes the run back.
+   */
+  beginHedge(): () => void {
+    assertInvariant(this.mayRunAgain, "runs-within-kind", this.call.id);
+    this.#attempts++;
+    this.#runs++;
+    return () => {
+      this.#runs--;
+    };
+  }
+
+  /**
+   * Chooses the software version of a target for a stream that has none. Two engines of one version may
+   * run the stream, as it does not matter then which of them begins it. Returns the version of the stream.
+   */
+  chooseSoftwareVersion({ softwareVersion }: Target): string | undefined {
+    const position = this.#streamPosition;
+    if (position === undefined) return undefined;
+    const isChosen = position.softwareVersion !== undefined;
+    if (!isChosen && softwareVersion !== undefined) {
+      position.setSoftwareVersion(softwareVersion);
+    }
+    return position.softwareVersion;
+  }
+
+  /** Records that an exchange with a peer is the one in progress, which an early end of the call aborts. */
+  setExchange(exchange: TargetExchange): void {
+    this.#exchange = exchange;
+  }
+
+  /** Whether the VM that handed the call over goes on with it, and counts it. */
+  get #isHedge(): boolean {
+    return this.call.handover?.isHedge === true;
+  }
+
   /** Counts the call at this VM, which has it now. Only one VM counts a call at a time. */
   #recordCall(): void {
+    if (this.#isHedge) return;
     const { retryBudget, fleetDemand } = this.dependencies;
     retryBudget.recordCall(this.service.name, this.nowMs);
     fleetDemand.recordCall(this.nowMs);
   }
 
   #forgetCall(): void {
+    if (this.#isHedge) return;
     const { retryBudget, fleetDemand } = this.dependencies;
     retryBudget.forgetCall(this.service.name, this.nowMs);
     fleetDemand.forgetCall(this.nowMs);
@@ -425,7 +485,7 @@
     { isRun = true }: { isRun?: boolean } = {},
   ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
-    // The path may be back since a peer accepted the call.
+    // The call goes on here, as no target of this VM may be in use beside the hedge.
     this.peerOffer.release();
     if (isRun) this.#recordRun();
     this.#attempts++;
--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -9,8 +9,9 @@
 import { type ServeError, sleep } from "heatherarch-core";
 import type { HandoverConnection } from "heatherarch-handover";
 import type { CallContext } from "./call_context.ts";
-import { encodeHandoverCall } from "./handover_codec.ts";
-import { PeerFailureError, sendToPeer } from "./peer_exchange.ts";
+import type { HandoverHedge } from "./handover_hedge.ts";
+import { sendHandover } from "./handover_request.ts";
+import { PeerFailureError } from "./peer_exchange.ts";
 import type { RelayResult, StreamRelay } from "./response_relay.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import {
@@ -27,8 +28,6 @@
   readonly context: CallContext;
   /** Relays the response to the client. */
   readonly relay: StreamRelay;
-  /** Software version at which the stream has to go on, if it has begun. */
-  readonly softwareVersion?: string;
   /** Called when a peer has accepted the call, before it is sent there. */
   readonly onAccepted?: () => void;
 }
@@ -53,13 +52,11 @@
 export class CallHandover {
   readonly #context: CallContext;
   readonly #relay: StreamRelay;
-  readonly #softwareVersion: string | undefined;
   readonly #onAccepted: () => void;
 
   constructor(options: CallHandoverOptions) {
     this.#context = options.context;
     this.#relay = options.relay;
-    this.#softwareVersion = options.softwareVersion;
     this.#onAccepted = options.onAccepted ?? (() => undefined);
   }
 
@@ -93,6 +90,11 @@
   async #serveOnce(): Promise<HandoverResult> {
     const context = this.#context;
     const asked = new Set<string>();
+    const hedge = context.peerOffer.takeHedge();
+    if (hedge !== undefined) {
+      asked.add(hedge.peer);
+      if (await this.#continueHedge(hedge) === "ended") return "ended";
+    }
     for (;;) {
       const connection = await context.peerOffer.find(asked);
       await context.awaitSendable();
@@ -110,25 +112,27 @@
     }
   }
 
+  /** Goes on with the hedge of an exchange that has ended. A refused one may be served elsewhere. */
+  async #continueHedge(hedge: HandoverHedge): Promise<HandoverResult> {
+    const context = this.#context;
+    this.#onAccepted();
+    context.setExchange(hedge.exchange);
+    const start = await hedge.start;
+    if (context.hasEnded) return "ended";
+    if (start.kind === "refused") return "declined";
+    if (start.kind === "begun") {
+      await this.#relayResponse(hedge.peer, hedge.exchange, start.head);
+    } else if (start.kind === "failed") {
+      context.endWithPeerFailure(start.error);
+    } else this.#endWithLoss(start.reason);
+    return "ended";
+  }
+
   async #serveAt(connection: HandoverConnection): Promise<PeerResult> {
     const context = this.#context;
-    const { receivedCall, handoverState, nowMs } = context;
-    const lastEventId = this.#relay.lastEventId ?? receivedCall.lastEventId;
-    const call = { ...receivedCall, lastEventId };
-    const softwareVersion = this.#softwareVersion;
-    const state = { ...handoverState, softwareVersion };
-    const exchange = sendToPeer(
-      connection,
-      encodeHandoverCall(call, state, nowMs),
-      call.body,
-    );
+    const state = context.handoverState;
+    const exchange = sendHandover(context, connection, state);
     const undo = context.beginHandover(exchange);
-    context.dependencies.log.write("info", "callHandedOver", {
-      call: call.id,
-      peer: connection.peer.id,
-      service: context.service.name,
-      atMs: Math.round(nowMs - call.arrivedAtMs),
-    });
     try {
       return await this.#relayResponse(
         connection.peer.id,
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -11,7 +11,7 @@
   StreamRelay,
   writeResponse,
 } from "./response_relay.ts";
-import type { CallContext } from "./call_context.ts";
+import type { CallContext, StreamPosition } from "./call_context.ts";
 import { DecodeEnginePicker } from "./decode_engine_picker.ts";
 import { findEngineBackoffMs } from "../scheduling/engine_selection.ts";
 import { findStreamVersion, recordStreamVersion } from "./resumable_stream.ts";
@@ -100,6 +100,7 @@
         : context.call.lastEventId,
       onFirstByte: () => this.#recordFirstByte(),
     });
+    context.setStreamPosition(this.#describePosition());
   }
 
   /** Serves the call to its end. */
@@ -111,9 +112,25 @@
     }
   }
 
+  #describePosition(): StreamPosition {
+    const relay = this.#relay;
+    const decodeEngines = this.#decodeEngines;
+    return {
+      get lastEventId() {
+        return relay.lastEventId;
+      },
+      get softwareVersion() {
+        return decodeEngines.softwareVersion;
+      },
+      setSoftwareVersion: (version) =>
+        decodeEngines.setSoftwareVersion(version),
+    };
+  }
+
   async #serve(): Promise<void> {
     if (!await this.#findSoftwareVersion()) return;
     for (let round = 0; round < MAX_ROUNDS && this.#mayContinue(); round++) {
+      if (this.#context.peerOffer.hasHedge) break;
       if (round > 0 && !await this.#context.mayRetry()) break;
       if (this.#context.mustHandOver && await this.#handOver()) return;
       if (!await this.#runRound()) return;
@@ -166,7 +183,6 @@
     const result = await new CallHandover({
       context,
       relay: this.#relay,
-      softwareVersion: this.#decodeEngines.softwareVersion,
       onAccepted,
     }).serve();
     if (result === "ended") return true;
@@ -429,7 +445,7 @@
   #resumeIfPathLost(target: Target, exchange: TargetExchange): () => void {
     const { route } = this.#context;
     if (route.kind !== "resumableStream") return () => undefined;
-    return watchPathLoss(this.#context, target, exchange);
+    return watchPathLoss({ context: this.#context, target, exchange });
   }
 
   /** Whether a silent engine may be given up: another one can run the call. */
@@ -625,7 +641,7 @@
   /** Makes the stream go on only at engines of the software version that begins it. */
   #recordSoftwareVersion(): void {
     const engine = this.#respondingEngine;
-    if (engine === undefined || this.#decodeEngines.softwareVersion) return;
+    if (engine === undefined) return;
     recordStreamVersion(this.#context, engine);
     this.#decodeEngines.setSoftwareVersion(
       engine.softwareVersion ?? UNKNOWN_SOFTWARE_VERSION,
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -42,6 +42,7 @@
   runs: z.int().min(0),
   isUsageRecorded: z.boolean(),
   softwareVersion: z.string().optional(),
+  isHedge: z.boolean().optional(),
 });
 
 const RESPONSE_HEAD = z.object({
@@ -96,6 +97,7 @@
     runs,
     isUsageRecorded,
     softwareVersion,
+    isHedge,
     ...call
   } = parsed;
   const attempts = decodeAttemptCounts(head);
@@ -103,7 +105,7 @@
     ...call,
     body,
     arrivedAtMs: nowMs - elapsedMs,
-    handover: { runs, isUsageRecorded, attempts, softwareVersion },
+    handover: { runs, isUsageRecorded, attempts, softwareVersion, isHedge },
   };
 }
 
--- a/packages/heatherarch-forward/calls/path_loss_watch.ts
+++ b/packages/heatherarch-forward/calls/path_loss_watch.ts
@@ -1,76 +1,163 @@
 /**
- * Gives up exchanges in progress when their path is lost, but only for a peer that has accepted the
- * call: targets that are silent may respond a moment later.
+ * Hedges exchanges in progress when their path is lost. Targets that are silent may respond a moment
+ * later, and a peer that accepts a call may not be able to begin it, so an exchange is given up only when
+ * the response of a peer has begun.
  *
  * @module
  */
 import { sleep } from "heatherarch-core";
 import type { Target } from "../model.ts";
 import type { CallContext } from "./call_context.ts";
+import { HandoverHedge, type HedgeStart } from "./handover_hedge.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 
-/** Interval between rounds of offers while no peer accepts the call, milliseconds. */
+/** Interval between rounds of offers while no peer serves the call, milliseconds. */
 const OFFER_INTERVAL_MS = 250;
 /**
  * A response that has begun counts as silent after this time, milliseconds. Events of a stream that
- * works are closer together; a peer accepts within a few milliseconds, which shows nothing.
+ * works are closer together.
  */
 const SILENCE_MS = 250;
+/** A peer's response with this status or a higher one is not better than waiting for the target. */
+const MIN_FAILURE_STATUS = 500;
+
+/** Options of {@linkcode PathLossWatch}. */
+export interface PathLossWatchOptions {
+  readonly context: CallContext;
+  readonly target: Target;
+  readonly exchange: TargetExchange;
+  /** Called when a peer has got the call as well. */
+  readonly onHedge?: () => void;
+}
 
 /**
- * Offers the call to peers while the path to its target is lost, and aborts the exchange once one has
- * accepted if the exchange is silent. Returns a function that stops this.
+ * Has a peer serve the call as well while the path to its target is lost and the exchange is silent.
+ * Aborts the exchange once the response of the peer begins. Returns a function that stops this.
  */
-export function watchPathLoss(
-  context: CallContext,
-  target: Target,
-  exchange: TargetExchange,
-): () => void {
-  const { pathMonitor } = context.dependencies;
-  let isStopped = false;
-  let isOffering = false;
-  let wake = (): void => undefined;
-  const isLost = (): boolean => !isStopped && !pathMonitor.hasPathTo(target);
-  const isSilent = (): boolean =>
-    exchange.isSent && exchange.getSilentMs(context.nowMs) >= SILENCE_MS;
-  /** Returns whether the exchange was given up. */
-  const offer = async (): Promise<boolean> => {
-    if (!await context.peerOffer.reserve()) return false;
-    if (!isLost() || !isSilent()) {
-      context.peerOffer.release();
-      return false;
-    }
-    context.recordLoss("pathLost");
-    exchange.abort("path lost");
-    return true;
-  };
-  const offerWhileLost = async (): Promise<void> => {
-    if (isOffering) return;
-    isOffering = true;
-    while (!isStopped && !context.hasPath && context.mayHandOver) {
+export function watchPathLoss(options: PathLossWatchOptions): () => void {
+  const watch = new PathLossWatch(options);
+  watch.start();
+  return () => watch.stop();
+}
+
+/** Watches the path of one exchange. */
+class PathLossWatch {
+  readonly #context: CallContext;
+  readonly #target: Target;
+  readonly #exchange: TargetExchange;
+  readonly #onHedge: () => void;
+  #isStopped = false;
+  #isOffering = false;
+  #wake = (): void => undefined;
+  #removeListener = (): void => undefined;
+
+  constructor(options: PathLossWatchOptions) {
+    this.#context = options.context;
+    this.#target = options.target;
+    this.#exchange = options.exchange;
+    this.#onHedge = options.onHedge ?? (() => undefined);
+  }
+
+  start(): void {
+    const { pathMonitor } = this.#context.dependencies;
+    this.#removeListener = pathMonitor.registerLossListener(
+      this.#target.service,
+      () => {
+        this.#wake();
+        void this.#offerWhileLost();
+      },
+    );
+    // The path may have been lost before.
+    void this.#offerWhileLost();
+  }
+
+  /** Cancels a hedge, unless the exchange has failed: then the call goes on at the peer. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#removeListener();
+    if (!this.#exchange.hasFailed) this.#context.peerOffer.release();
+  }
+
+  get #isLost(): boolean {
+    const { pathMonitor } = this.#context.dependencies;
+    return !this.#isStopped && !pathMonitor.hasPathTo(this.#target);
+  }
+
+  get #isSilent(): boolean {
+    const { isSent } = this.#exchange;
+    return isSent &&
+      this.#exchange.getSilentMs(this.#context.nowMs) >= SILENCE_MS;
+  }
+
+  get #mayHedge(): boolean {
+    const { mayHandOver, peerOffer } = this.#context;
+    return this.#isLost && this.#isSilent && mayHandOver && peerOffer.mayOffer;
+  }
+
+  async #offerWhileLost(): Promise<void> {
+    if (this.#isOffering) return;
+    this.#isOffering = true;
+    const context = this.#context;
+    while (!this.#isStopped && !context.hasPath && context.mayHandOver) {
       // Only the path of another role may be known as lost; nothing else asks for that of a stream.
-      if (isSilent() && !isLost()) pathMonitor.recordTrouble(target);
-      else if (isSilent() && await offer()) return;
-      // A response that goes on may fall silent later, as long as the path is lost.
-      const silentMs = exchange.getSilentMs(context.nowMs);
-      const untilSilentMs = SILENCE_MS - Math.min(silentMs, SILENCE_MS);
-      const waitMs = untilSilentMs > 0 ? untilSilentMs : OFFER_INTERVAL_MS;
-      const loss = new Promise<void>((resolve) => wake = resolve);
-      await Promise.race([sleep(Math.ceil(waitMs)), loss, context.ended]);
+      if (this.#isSilent && !this.#isLost) {
+        context.dependencies.pathMonitor.recordTrouble(this.#target);
+      } else if (this.#isSilent && await this.#tryPeers()) return;
+      await this.#awaitNextRound();
+    }
+    this.#isOffering = false;
+  }
+
+  /** A response that goes on may fall silent later, as long as the path is lost. */
+  async #awaitNextRound(): Promise<void> {
+    const silentMs = this.#exchange.getSilentMs(this.#context.nowMs);
+    const untilSilentMs = SILENCE_MS - Math.min(silentMs, SILENCE_MS);
+    const waitMs = untilSilentMs > 0 ? untilSilentMs : OFFER_INTERVAL_MS;
+    const loss = new Promise<void>((resolve) => this.#wake = resolve);
+    await Promise.race([sleep(Math.ceil(waitMs)), loss, this.#context.ended]);
+  }
+
+  /** Sends the call to peers in turn. Returns whether the exchange was given up for one. */
+  async #tryPeers(): Promise<boolean> {
+    const { peerOffer } = this.#context;
+    const asked = new Set<string>();
+    for (;;) {
+      const connection = await peerOffer.find(asked, { isHedge: true });
+      if (connection === undefined) return false;
+      if (!this.#mayHedge) {
+        connection.close();
+        return false;
+      }
+      const hedge = new HandoverHedge({
+        context: this.#context,
+        connection,
+        target: this.#target,
+      });
+      const start = await this.#awaitStart(hedge);
+      if (start === "begun") return true;
+      if (start !== "refused") return false;
     }
-    isOffering = false;
-  };
-  const removeListener = pathMonitor.registerLossListener(
-    target.service,
-    () => {
-      wake();
-      void offerWhileLost();
-    },
-  );
-  // The path may have been lost before.
-  void offerWhileLost();
-  return () => {
-    isStopped = true;
+  }
+
+  /** Waits for the response of a peer, which bytes of the exchange cancel. */
+  async #awaitStart(
+    hedge: HandoverHedge,
+  ): Promise<HedgeStart["kind"] | "cancelled"> {
+    const { peerOffer } = this.#context;
+    peerOffer.setHedge(hedge);
+    this.#onHedge();
+    const removeListener = this.#exchange.registerReceiptListener(() =>
+      peerOffer.release()
+    );
+    const start = await hedge.start;
     removeListener();
-  };
+    if (this.#isStopped || peerOffer.hedge !== hedge) return "cancelled";
+    if (start.kind === "begun" && start.head.status < MIN_FAILURE_STATUS) {
+      this.#context.recordLoss("pathLost");
+      this.#exchange.abort("path lost");
+      return "begun";
+    }
+    peerOffer.release();
+    return start.kind === "begun" ? "failed" : start.kind;
+  }
 }
--- a/packages/heatherarch-forward/calls/peer_offer.ts
+++ b/packages/heatherarch-forward/calls/peer_offer.ts
@@ -1,19 +1,19 @@
 /**
- * Offers one call to peers. A peer that has accepted is kept in reserve, so that this VM gives up an
- * exchange in progress only when the call has somewhere to go.
+ * Offers one call to peers, and keeps the hedge of an exchange in progress: the same call at a peer,
+ * whose response replaces the exchange if it begins first.
  *
  * @module
  */
-import type {
-  HandoverClient,
-  HandoverConnection,
-  HandoverOffer,
-} from "heatherarch-handover";
+import type { HandoverClient, HandoverConnection } from "heatherarch-handover";
+import type { HandoverHedge } from "./handover_hedge.ts";
 
 /** Options of {@linkcode PeerOffer}. */
 export interface PeerOfferOptions {
   readonly offerCall: HandoverClient["offerCall"];
-  readonly offer: HandoverOffer;
+  /** Name of the service that serves the call. */
+  readonly service: string;
+  /** Version of the configuration by which the call is routed. */
+  readonly configVersion: number;
   /** Whether the call is in progress and has enough time left to be served elsewhere. */
   readonly mayOffer: () => boolean;
 }
@@ -24,8 +24,7 @@
 /** The offers of one call. */
 export class PeerOffer {
   readonly #options: PeerOfferOptions;
-  /** Connection to a peer that has accepted the call, which has not been sent to it. */
-  #accepted: HandoverConnection | undefined;
+  #hedge: HandoverHedge | undefined;
 
   constructor(options: PeerOfferOptions) {
     this.#options = options;
@@ -36,44 +35,48 @@
     return this.#options.mayOffer();
   }
 
-  /** Whether a peer is in reserve. */
-  get hasAccepted(): boolean {
-    return this.#accepted !== undefined && !this.#accepted.isClosed;
+  /** The hedge in progress. */
+  get hedge(): HandoverHedge | undefined {
+    return this.#hedge;
   }
 
-  /** Keeps a peer in reserve. Resolves with whether one has accepted the call. */
-  async reserve(): Promise<boolean> {
-    const accepted = await this.find(new Set());
-    if (!this.#options.mayOffer()) {
-      accepted?.close();
-      return false;
-    }
-    this.#accepted = accepted;
-    return accepted !== undefined;
+  /** Whether a peer has the call as well, and has not given it back. */
+  get hasHedge(): boolean {
+    return this.#hedge !== undefined;
   }
 
   /**
-   * Resolves with the connection to the peer in reserve, or else to one that accepts the call now;
-   * undefined if none does. Adds each peer to `asked`.
+   * Resolves with the connection to a peer that accepts the call now; undefined if none does. Adds each
+   * peer to `asked`.
    */
-  async find(asked: Set<string>): Promise<HandoverConnection | undefined> {
-    const accepted = this.#accepted;
-    this.#accepted = undefined;
-    if (accepted !== undefined && !accepted.isClosed) {
-      asked.add(accepted.peer.id);
-      return accepted;
-    }
-    const { offerCall, offer, mayOffer } = this.#options;
+  async find(
+    asked: Set<string>,
+    { isHedge = false }: { isHedge?: boolean } = {},
+  ): Promise<HandoverConnection | undefined> {
+    const { offerCall, service, configVersion, mayOffer } = this.#options;
     while (asked.size < MAX_OFFERS && mayOffer()) {
+      const offer = { service, configVersion, isHedge };
       const reply = await offerCall(offer, asked);
       if (reply !== "declined") return reply;
     }
     return undefined;
   }
 
-  /** Releases the peer in reserve: the call goes on here, or has ended. */
+  /** Keeps a hedge until it is taken or released. */
+  setHedge(hedge: HandoverHedge): void {
+    this.release();
+    this.#hedge = hedge;
+  }
+
+  /** Takes the hedge, which serves the call from now on; undefined if there is none. */
+  takeHedge(): HandoverHedge | undefined {
+    const hedge = this.#hedge;
+    this.#hedge = undefined;
+    return hedge;
+  }
+
+  /** Cancels the hedge: the call goes on here, or has ended. */
   release(): void {
-    this.#accepted?.close();
-    this.#accepted = undefined;
+    this.takeHedge()?.exchange.abort("the call goes on at another target");
   }
 }
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -119,9 +119,9 @@
   /** Hands the call over to a peer if it could not be sent. */
   async #handOver(): Promise<HandoverResult | "kept"> {
     const context = this.#context;
-    // An attempt after the failure was given up for a peer that has accepted the call.
-    const { hasAccepted } = context.peerOffer;
-    if (this.#failure !== undefined && !hasAccepted) return "kept";
+    // An attempt after the failure was given up for a peer whose response has begun.
+    const { hasHedge } = context.peerOffer;
+    if (this.#failure !== undefined && !hasHedge) return "kept";
     if (!await context.mayPeersServe()) return "kept";
     const relay = new StreamRelay({
       clientResponse: context.clientResponse,
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -122,7 +122,12 @@
         return { kind: "noAllowance" };
       }
       const exchange = this.#send(placed, lastEventId);
-      const kvSource = await this.#awaitHandle(placement, exchange);
+      // A peer books its own prefill, and the two would count as twice the work.
+      const kvSource = await this.#awaitHandle(
+        placement,
+        exchange,
+        endPrefill,
+      );
       if ("kind" in kvSource) return kvSource;
       this.#recordPrefill(placed, startedAtMs);
       return this.#deliver({ engine: placement.target, kvSource });
@@ -172,6 +177,7 @@
   async #awaitHandle(
     { target, readyMs }: PromptPlacement,
     exchange: TargetExchange,
+    onHedge: () => void,
   ): Promise<KvHandle | PrefillResult> {
     const result = await awaitAttempt({
       context: this.#context,
@@ -183,6 +189,7 @@
       extendsWhileAlive: () => true,
       mayGiveUp: () => this.#mayGiveUp(target),
       replacement: REPLACEMENT,
+      onHedge,
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
@@ -197,6 +204,7 @@
         isRepeatable: true,
         mayGiveUp: () => this.#mayGiveUp(target),
         replacement: REPLACEMENT,
+        onHedge,
       });
       const { status } = result.head;
       const handle = isSuccessStatus(status)
--- a/packages/heatherarch-forward/calls/replaceable_body.ts
+++ b/packages/heatherarch-forward/calls/replaceable_body.ts
@@ -27,6 +27,8 @@
   readonly mayGiveUp: () => Promise<boolean>;
   /** Requests that replace the exchange, whose retries are taken when it is given up. */
   readonly replacement: RequestPlan;
+  /** Called when the call goes on at a peer as well, since the path to the target is lost. */
+  readonly onHedge?: () => void;
 }
 
 /** Interval at which a body is checked; without a byte for this long it counts as silent, milliseconds. */
@@ -36,9 +38,9 @@
 export async function readReplaceableBody(
   options: ReplaceableBodyOptions,
 ): Promise<Buffer> {
-  const { context, target, exchange, limits, isRepeatable } = options;
+  const { context, target, exchange, limits, isRepeatable, onHedge } = options;
   const stopPathWatch = isRepeatable
-    ? watchPathLoss(context, target, exchange)
+    ? watchPathLoss({ context, target, exchange, onHedge })
     : () => undefined;
   const stopBodyWatch = watchBody(options);
   try {
--- a/packages/heatherarch-forward/calls/resumable_stream.ts
+++ b/packages/heatherarch-forward/calls/resumable_stream.ts
@@ -21,13 +21,12 @@
   context: CallContext,
 ): Promise<StreamVersionResult> {
   const { call, route, dependencies } = context;
-  const isBegun = route.kind === "resumableStream" &&
-    call.lastEventId !== undefined;
-  if (!isBegun) return { kind: "any" };
+  if (route.kind !== "resumableStream") return { kind: "any" };
   const handedOver = call.handover?.softwareVersion;
   if (handedOver !== undefined) {
     return { kind: "required", softwareVersion: handedOver };
   }
+  if (call.lastEventId === undefined) return { kind: "any" };
   if (call.resumedAttemptId === undefined) return findOnlyVersion(context);
   const key = buildStreamKey(context, call.resumedAttemptId);
   const softwareVersion = await dependencies.findStreamVersion(key);
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -111,6 +111,7 @@
   /** Monotonic time from which the silence of the target counts. */
   #silentSinceMs = -Infinity;
   #isPaused = false;
+  readonly #receiptListeners = new Set<() => void>();
   readonly #hooks: ExchangeHooks;
 
   constructor(
@@ -153,6 +154,19 @@
     return this.#controller !== undefined;
   }
 
+  /** Whether the exchange ended without a complete response. */
+  get hasFailed(): boolean {
+    return this.#end instanceof ExchangeError;
+  }
+
+  /** Registers a listener for each head and each part of the body. Returns its removal. */
+  registerReceiptListener(listener: () => void): () => void {
+    this.#receiptListeners.add(listener);
+    return () => {
+      this.#receiptListeners.delete(listener);
+    };
+  }
+
   /**
    * Time without anything from the target, milliseconds: infinite before its response begins, 0 while
    * the body is not read.
@@ -181,7 +195,7 @@
 
   /** Continues to read the body after {@linkcode pause}. */
   resume(): void {
-    if (this.#isPaused) this.#recordReceipt();
+    if (this.#isPaused) this.#restartSilence();
     this.#isPaused = false;
     this.#controller?.resume();
   }
@@ -298,6 +312,11 @@
   }
 
   #recordReceipt(): void {
+    this.#restartSilence();
+    for (const listener of this.#receiptListeners) listener();
+  }
+
+  #restartSilence(): void {
     const { readMonotonicMs = () => RUNTIME_CLOCK.readMonotonicMs() } =
       this.#hooks;
     this.#silentSinceMs = readMonotonicMs();
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -86,6 +86,8 @@
 export * from "./calls/attempt_ledger.ts";
 export * from "./calls/attempt_result.ts";
 export * from "./calls/path_loss_watch.ts";
+export * from "./calls/handover_hedge.ts";
+export * from "./calls/peer_offer.ts";
 export * from "./fleet/target_feed.ts";
 export * from "./fleet/fleet_gossip.ts";
 export * from "./fleet/running_fleet.ts";
--- a/packages/heatherarch-forward/model.ts
+++ b/packages/heatherarch-forward/model.ts
@@ -191,8 +191,13 @@
   readonly isUsageRecorded: boolean;
   /** Requests of the call that count towards the retry budget. */
   readonly attempts: AttemptCounts;
-  /** Software version that began the stream, if events of it were sent to the client. */
+  /**
+   * Software version at which a stream has to run: it began the stream, or may begin it at the VM that
+   * hands the call over.
+   */
   readonly softwareVersion?: string;
+  /** The VM that hands the call over goes on with it and counts it, until a response begins. */
+  readonly isHedge?: boolean;
 }
 
 /** One attempt of a client, completely received. */
--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -130,6 +130,17 @@
     return (await Promise.all(confirmations)).every((isOpen) => isOpen);
   }
 
+  /**
+   * Resolves with whether targets of each role respond to this VM now. The path to a single target counts
+   * as open for a while although it is silent, which is enough for a call that runs nowhere else.
+   */
+  async confirmContact(service: string): Promise<boolean> {
+    const sinceMs = this.#nowMs - RECENT_CONTACT_MS;
+    if (!await this.confirmPath(service)) return false;
+    return this.#listServiceGroups(service)
+      .every(({ lastContactAtMs }) => lastContactAtMs >= sinceMs);
+  }
+
   /**
    * Resolves with whether a target that refuses connections does so by itself: another target, of the
    * same service if there is one, responds to this VM.
--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -124,6 +124,7 @@
   const context = {
     nowMs: 0,
     hasEnded: false,
+    peerOffer: { release: () => undefined },
     call: { id: "c", arrivedAtMs: 0 },
     route: buildRoute(),
     recordLoss: () => undefined,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -169,9 +169,12 @@
   const { activeConfig, pathMonitor, clock, log, metrics } = getComponents();
   return new HandoverServer({
     getMaxBodyBytes: () => activeConfig.table?.config.limits.maxBodyBytes ?? 0,
-    decideOffer: async ({ service, configVersion }) => {
+    decideOffer: async ({ service, configVersion, isHedge }) => {
       if (activeConfig.version < configVersion) return "olderConfig";
-      return await pathMonitor.confirmPath(service) ? undefined : "noPath";
+      const mayServe = isHedge
+        ? await pathMonitor.confirmContact(service)
+        : await pathMonitor.confirmPath(service);
+      return mayServe ? undefined : "noPath";
     },
     serve: async (head, body, responder) => {
       const call = decodeHandoverCall(head, body, clock.readMonotonicMs());
--- a/packages/heatherarch-handover/handover_connection.ts
+++ b/packages/heatherarch-handover/handover_connection.ts
@@ -18,6 +18,8 @@
   readonly service: string;
   /** Version of the configuration by which the sender routed the call. */
   readonly configVersion: number;
+  /** Whether the sender goes on with the call as well, until the response of the peer begins. */
+  readonly isHedge?: boolean;
 }
 
 /** Receives the response to a call that was handed over. */
--- a/packages/heatherarch-mesh/handover_messages.ts
+++ b/packages/heatherarch-mesh/handover_messages.ts
@@ -29,6 +29,8 @@
     service: z.string().max(256),
     /** Version of the configuration by which the sender routed the call. */
     configVersion: z.int(),
+    /** Whether the sender goes on with the call as well. A peer of earlier software ignores it. */
+    isHedge: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal("offerReply"),
