Lost paths: a prefill is given up for a peer that accepts its call

A call that may run once could not have run here any more at all.

Change: a prefill is no run, so it is not hedged. It is given up for a peer that accepts, which is asked as strictly as for a hedge, and the call can still be refused truthfully. Only exchanges that count as runs are hedged. The limit on runs of a hedge follows the kind of the route as well.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -66,8 +66,8 @@
   readonly mayGiveUp?: () => Promise<boolean>;
   /** Requests that replace this one, whose retries are taken when a silent target is given up. */
   readonly replacement?: RequestPlan;
-  /** Called when the call goes on at a peer as well, since the path to the target is lost. */
-  readonly onHedge?: () => void;
+  /** Whether the attempt is a prefill, which is no run; by default it is not. */
+  readonly isPrefill?: boolean;
   /**
    * Time after which the absence of any response raises the question whether this VM still reaches
    * targets, milliseconds; by default a part of the latency objective.
@@ -191,7 +191,7 @@
  * that is not sent, or may be repeated and goes on at a peer. Returns a function that stops this.
  */
 function watchPath(options: AwaitAttemptOptions): () => void {
-  const { context, target, exchange, timeoutMs, onHedge } = options;
+  const { context, target, exchange, timeoutMs, isPrefill } = options;
   const { expectedMs = computeSuspicionMs(context.route.aimMs) } = options;
   const { pathMonitor } = context.dependencies;
   const removeListener = pathMonitor.registerLossListener(
@@ -204,7 +204,7 @@
   );
   const isRepeatable = timeoutMs !== undefined;
   const stopWatch = isRepeatable
-    ? watchPathLoss({ context, target, exchange, onHedge })
+    ? watchPathLoss({ context, target, exchange, isPrefill })
     : () => undefined;
   const timer = setInterval(() => {
     const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -289,10 +289,13 @@
 
   /** Whether the call may run on one more target. */
   get mayRunAgain(): boolean {
+    return this.#runs === 0 || this.#runs < this.maxRuns;
+  }
+
+  /** Number of targets on which the call may run. */
+  get maxRuns(): number {
     const { kind, maxTargets } = this.route;
-    if (this.#runs === 0) return true;
-    if (kind === "once" || kind === "stream") return false;
-    return this.#runs < maxTargets;
+    return kind === "once" || kind === "stream" ? 1 : maxTargets;
   }
 
   /** Refuses the call if its request may not be sent. Returns whether the call continues. */
--- a/packages/heatherarch-forward/calls/handover_hedge.ts
+++ b/packages/heatherarch-forward/calls/handover_hedge.ts
@@ -58,10 +58,10 @@
 
   constructor({ context, connection, target }: HandoverHedgeOptions) {
     this.peer = connection.peer.id;
-    const { handoverState, route } = context;
+    const { handoverState, maxRuns } = context;
     const state: HandoverState = {
       // The peer may run the call once, which is the run that this VM counts for it.
-      runs: Math.max(handoverState.runs, route.maxTargets - 1),
+      runs: Math.max(handoverState.runs, maxRuns - 1),
       isUsageRecorded: true,
       attempts: HEDGE_ATTEMPTS,
       softwareVersion: context.chooseSoftwareVersion(target),
--- a/packages/heatherarch-forward/calls/path_loss_watch.ts
+++ b/packages/heatherarch-forward/calls/path_loss_watch.ts
@@ -1,7 +1,8 @@
 /**
  * Hedges exchanges in progress when their path is lost. Targets that are silent may respond a moment
  * later, and a peer that accepts a call may not be able to begin it, so an exchange is given up only when
- * the response of a peer has begun.
+ * the response of a peer has begun. A prefill is given up for a peer that accepts: a call that has not
+ * run can still be refused, and two prefills would be booked as twice the work.
  *
  * @module
  */
@@ -26,13 +27,13 @@
   readonly context: CallContext;
   readonly target: Target;
   readonly exchange: TargetExchange;
-  /** Called when a peer has got the call as well. */
-  readonly onHedge?: () => void;
+  /** Whether the exchange is a prefill, which is no run. */
+  readonly isPrefill?: boolean;
 }
 
 /**
- * Has a peer serve the call as well while the path to its target is lost and the exchange is silent.
- * Aborts the exchange once the response of the peer begins. Returns a function that stops this.
+ * Has a peer serve the call while the path to its target is lost and the exchange is silent. Returns a
+ * function that stops this.
  */
 export function watchPathLoss(options: PathLossWatchOptions): () => void {
   const watch = new PathLossWatch(options);
@@ -45,7 +46,7 @@
   readonly #context: CallContext;
   readonly #target: Target;
   readonly #exchange: TargetExchange;
-  readonly #onHedge: () => void;
+  readonly #isPrefill: boolean;
   #isStopped = false;
   #isOffering = false;
   #wake = (): void => undefined;
@@ -55,7 +56,7 @@
     this.#context = options.context;
     this.#target = options.target;
     this.#exchange = options.exchange;
-    this.#onHedge = options.onHedge ?? (() => undefined);
+    this.#isPrefill = options.isPrefill ?? false;
   }
 
   start(): void {
@@ -128,24 +129,33 @@
         connection.close();
         return false;
       }
+      if (this.#isPrefill) {
+        peerOffer.keep(connection);
+        this.#abortExchange();
+        return true;
+      }
       const hedge = new HandoverHedge({
         context: this.#context,
         connection,
         target: this.#target,
       });
+      peerOffer.setHedge(hedge);
       const start = await this.#awaitStart(hedge);
       if (start === "begun") return true;
       if (start !== "refused") return false;
     }
   }
 
+  #abortExchange(): void {
+    this.#context.recordLoss("pathLost");
+    this.#exchange.abort("path lost");
+  }
+
   /** Waits for the response of a peer, which bytes of the exchange cancel. */
   async #awaitStart(
     hedge: HandoverHedge,
   ): Promise<HedgeStart["kind"] | "cancelled"> {
     const { peerOffer } = this.#context;
-    peerOffer.setHedge(hedge);
-    this.#onHedge();
     const removeListener = this.#exchange.registerReceiptListener(() =>
       peerOffer.release()
     );
@@ -153,8 +163,7 @@
     removeListener();
     if (this.#isStopped || peerOffer.hedge !== hedge) return "cancelled";
     if (start.kind === "begun" && start.head.status < MIN_FAILURE_STATUS) {
-      this.#context.recordLoss("pathLost");
-      this.#exchange.abort("path lost");
+      this.#abortExchange();
       return "begun";
     }
     peerOffer.release();
--- a/packages/heatherarch-forward/calls/peer_offer.ts
+++ b/packages/heatherarch-forward/calls/peer_offer.ts
@@ -1,6 +1,6 @@
 /**
- * Offers one call to peers, and keeps the hedge of an exchange in progress: the same call at a peer,
- * whose response replaces the exchange if it begins first.
+ * Offers one call to peers, and keeps what replaces an exchange in progress: a peer that has accepted the
+ * call, or the hedge of the exchange, which is the same call at a peer whose response may begin first.
  *
  * @module
  */
@@ -25,6 +25,8 @@
 export class PeerOffer {
   readonly #options: PeerOfferOptions;
   #hedge: HandoverHedge | undefined;
+  /** Connection to a peer that has accepted the call, which has not been sent to it. */
+  #kept: HandoverConnection | undefined;
 
   constructor(options: PeerOfferOptions) {
     this.#options = options;
@@ -46,13 +48,19 @@
   }
 
   /**
-   * Resolves with the connection to a peer that accepts the call now; undefined if none does. Adds each
-   * peer to `asked`.
+   * Resolves with the connection that was kept, or else to a peer that accepts the call now; undefined
+   * if none does. Adds each peer to `asked`.
    */
   async find(
     asked: Set<string>,
     { isHedge = false }: { isHedge?: boolean } = {},
   ): Promise<HandoverConnection | undefined> {
+    const kept = this.#kept;
+    this.#kept = undefined;
+    if (kept !== undefined && !kept.isClosed) {
+      asked.add(kept.peer.id);
+      return kept;
+    }
     const { offerCall, service, configVersion, mayOffer } = this.#options;
     while (asked.size < MAX_OFFERS && mayOffer()) {
       const offer = { service, configVersion, isHedge };
@@ -62,6 +70,12 @@
     return undefined;
   }
 
+  /** Keeps the connection to a peer that has accepted until the call is sent to it, or released. */
+  keep(connection: HandoverConnection): void {
+    this.release();
+    this.#kept = connection;
+  }
+
   /** Keeps a hedge until it is taken or released. */
   setHedge(hedge: HandoverHedge): void {
     this.release();
@@ -75,8 +89,10 @@
     return hedge;
   }
 
-  /** Cancels the hedge: the call goes on here, or has ended. */
+  /** Cancels the hedge and lets a peer that has accepted go: the call goes on here, or has ended. */
   release(): void {
+    this.#kept?.close();
+    this.#kept = undefined;
     this.takeHedge()?.exchange.abort("the call goes on at another target");
   }
 }
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -122,12 +122,7 @@
         return { kind: "noAllowance" };
       }
       const exchange = this.#send(placed, lastEventId);
-      // A peer books its own prefill, and the two would count as twice the work.
-      const kvSource = await this.#awaitHandle(
-        placement,
-        exchange,
-        endPrefill,
-      );
+      const kvSource = await this.#awaitHandle(placement, exchange);
       if ("kind" in kvSource) return kvSource;
       this.#recordPrefill(placed, startedAtMs);
       return this.#deliver({ engine: placement.target, kvSource });
@@ -177,7 +172,6 @@
   async #awaitHandle(
     { target, readyMs }: PromptPlacement,
     exchange: TargetExchange,
-    onHedge: () => void,
   ): Promise<KvHandle | PrefillResult> {
     const result = await awaitAttempt({
       context: this.#context,
@@ -189,7 +183,7 @@
       extendsWhileAlive: () => true,
       mayGiveUp: () => this.#mayGiveUp(target),
       replacement: REPLACEMENT,
-      onHedge,
+      isPrefill: true,
     });
     if (result.kind === "over") return { kind: "over" };
     if (result.kind !== "answer") {
@@ -204,7 +198,7 @@
         isRepeatable: true,
         mayGiveUp: () => this.#mayGiveUp(target),
         replacement: REPLACEMENT,
-        onHedge,
+        isPrefill: true,
       });
       const { status } = result.head;
       const handle = isSuccessStatus(status)
--- a/packages/heatherarch-forward/calls/replaceable_body.ts
+++ b/packages/heatherarch-forward/calls/replaceable_body.ts
@@ -27,8 +27,8 @@
   readonly mayGiveUp: () => Promise<boolean>;
   /** Requests that replace the exchange, whose retries are taken when it is given up. */
   readonly replacement: RequestPlan;
-  /** Called when the call goes on at a peer as well, since the path to the target is lost. */
-  readonly onHedge?: () => void;
+  /** Whether the exchange is a prefill, which is no run; by default it is not. */
+  readonly isPrefill?: boolean;
 }
 
 /** Interval at which a body is checked; without a byte for this long it counts as silent, milliseconds. */
@@ -38,9 +38,10 @@
 export async function readReplaceableBody(
   options: ReplaceableBodyOptions,
 ): Promise<Buffer> {
-  const { context, target, exchange, limits, isRepeatable, onHedge } = options;
+  const { context, target, exchange, limits, isRepeatable, isPrefill } =
+    options;
   const stopPathWatch = isRepeatable
-    ? watchPathLoss({ context, target, exchange, onHedge })
+    ? watchPathLoss({ context, target, exchange, isPrefill })
     : () => undefined;
   const stopBodyWatch = watchBody(options);
   try {
--- a/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
@@ -24,6 +24,7 @@
 
 interface WatchedOptions {
   readonly isLostBefore?: boolean;
+  readonly isPrefill?: boolean;
   /** What the peers do with the call, in the order in which they are asked; then they begin. */
   readonly peers?: readonly PeerEnd[];
 }
@@ -31,7 +32,7 @@
 /** Starts an exchange with a decode engine, watched by a VM whose peers accept calls in 10 ms. */
 function startWatched(
   lostRoles: Set<Target["role"]>,
-  { isLostBefore = false, peers = [] }: WatchedOptions = {},
+  { isLostBefore = false, isPrefill, peers = [] }: WatchedOptions = {},
 ) {
   const peerEnds = [...peers];
   const listeners = new Set<() => void>();
@@ -98,7 +99,8 @@
       return lostRoles.size === 0;
     },
     mayHandOver: true,
-    handoverState: { runs: 1 },
+    handoverState: { runs },
+    maxRuns: 2,
     route: buildRoute({ kind: "resumableStream" }),
     receivedCall: { body: Buffer.alloc(0), arrivedAtMs: 0 },
     chooseSoftwareVersion: () => undefined,
@@ -126,6 +128,7 @@
     context,
     target: DECODE_ENGINE,
     exchange,
+    isPrefill,
   });
   if (!isLostBefore) { for (const listener of listeners) listener(); }
   return {
@@ -252,3 +255,14 @@
   assert.equal(watched.hasHedge(), true);
   assert.equal(watched.countClosed(), 0);
 });
+
+// Guards against a prefill that is booked here and at a peer, for which other VMs refuse calls.
+test("a prefill is given up for a peer that accepts its call", async () => {
+  const watched = startWatched(new Set(["decode"]), { isPrefill: true });
+  await sleep(400);
+  assert.deepEqual(watched.aborts, ["path lost"]);
+  assert.equal(watched.countRuns(), 1);
+  watched.stop();
+  // The peer is kept for the call.
+  assert.equal(watched.countClosed(), 0);
+});
