Attempts: a target's 503 without a statement promises the client nothing

What callers may have seen: a call refused with 503 (or 408, 429) that had run, and an order that ran twice, as clients repeat one after a promise. The users' reports of REFUSED and TWICE come without logs, so that this was their cause is only suspected.

Cause: a target states that it did not run a request by a header, or by 421. A response with another of these statuses and without the header was relayed to the client as the target's failure, where its status is a promise.

Change: such a response ends the attempt as one that may have run. A repeatable call is tried elsewhere, any other one gets 502.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -7,6 +7,7 @@
 import type { CallContext, RequestPlan } from "./call_context.ts";
 import type { Target } from "../model.ts";
 import type { ResponseMetadata } from "../ports.ts";
+import { isNotRunStatus } from "./http_status.ts";
 import {
   type BodyLimits,
   ExchangeError,
@@ -268,6 +269,12 @@
       refusal: "declined",
     };
   }
+  // Passed on, the status would promise what the target has not stated.
+  if (isNotRunStatus(head.status)) {
+    exchange.discardBody();
+    const reason = `status ${head.status}, and the call may have run`;
+    return { kind: "lost", reason };
+  }
   if (head.headers["content-encoding"] !== undefined) {
     exchange.abort("unexpected content encoding");
     return { kind: "lost", reason: "unexpected content encoding" };
--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -16,6 +16,7 @@
   "refused",
   "misdirected",
   "failed",
+  "falsePromise",
   "cut",
   "ok",
 ];
@@ -98,6 +99,9 @@
   }
   assert.deepEqual(await run("once", "lostBefore"), [502, 0]);
   assert.deepEqual(await run("once", "lostAfter"), [502, 1]);
+  // Guards against a target's 503 that is passed on as a promise which the target has not made.
+  assert.deepEqual(await run("once", "falsePromise"), [502, 1]);
+  assert.deepEqual(await run("stream", "falsePromise"), [502, 1]);
   assert.deepEqual(await run("stream", "lostAfter"), [502, 1]);
   assert.deepEqual(await run("idempotent", "lostAfter"), [200, 2]);
   assert.deepEqual(await run("resumableStream", "cut"), [200, 2]);
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -71,6 +71,8 @@
   | "misdirected"
   /** Run, with an error response. */
   | "failed"
+  /** Run, with a status that would promise the client that it was not, as a failing target may send. */
+  | "falsePromise"
   /** Run, but the response is truncated. */
   | "cut"
   | "ok";
@@ -361,7 +363,11 @@
       request.path !== "free";
     if (isRun) this.#executions.push(target.id);
     if (end === "lostAfter") return void fail();
-    const status = end === "refused" ? 503 : end === "failed" ? 500 : 200;
+    const status = end === "refused" || end === "falsePromise"
+      ? 503
+      : end === "failed"
+      ? 500
+      : 200;
     const headers = {
       "x-not-run": String(end === "refused"),
       "x-misdirected": String(end === "misdirected"),
