Streams: a peer that begins a stream is not recorded as another version

What callers may have seen: a stream that they take up goes on at another software version than the one that began it (ORDER).

Cause: an engine sends a head and breaks off before its first event, the call is handed over, and the first event of the peer was recorded at the version of the earlier engine, beside the record of the peer itself.

Change: the handler forgets the engine that responded last before it hands the call over.

Test: handed_over_stream_test fails before (v1 recorded) and passes now.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -180,6 +180,8 @@
   async #handOver(onAccepted?: () => void): Promise<boolean> {
     const context = this.#context;
     if (!await context.mayPeersServe()) return context.hasEnded;
+    // The engine that responded last has not begun the stream, and the peer picks another one.
+    this.#respondingEngine = undefined;
     const result = await new CallHandover({
       context,
       relay: this.#relay,
