--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -232,13 +232,13 @@
     return this.#ended;
   }
 
-  /** Whether another VM should serve the call: this one does not reach the targets, or one has begun. */
+  /** Whether another VM should serve the call: this one does not reach the targets, or a peer has it. */
   get mustHandOver(): boolean {
     const isCutOff = !this.hasPath || this.#unreachable >= MAX_UNREACHABLE;
     return this.mayHandOver && (isCutOff || this.peerOffer.hasHedge);
   }
 
-  /** Whether the call may be offered to peers before it is refused, or goes on at one. */
+  /** Whether the call may be offered to peers before it is refused, or a peer has it already. */
   get mayHandOver(): boolean {
     if (this.peerOffer.hasHedge) return !this.hasEnded;
     const isTried = this.#unreachable > 0 || !this.hasPath;
@@ -428,8 +428,8 @@
   }
 
   /**
-   * Chooses the software version of a target for a stream that has none. Two engines of one version may
-   * run the stream, as it does not matter then which of them begins it. Returns the version of the stream.
+   * Returns the software version at which a stream has to run, and chooses that of a target if there is
+   * none yet: a stream that runs at two engines may be begun by either.
    */
   chooseSoftwareVersion({ softwareVersion }: Target): string | undefined {
     const position = this.#streamPosition;
@@ -488,7 +488,7 @@
     { isRun = true }: { isRun?: boolean } = {},
   ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
-    // The call goes on here, as no target of this VM may be in use beside the hedge.
+    // The call goes on here, and a peer must not run it beside this attempt.
     this.peerOffer.release();
     if (isRun) this.#recordRun();
     this.#attempts++;
