Attempts: a test expected a 503 without a statement as a plain response

Change: the test expects the exact result of each response: "notRun" where the target states it, "lost" where it does not, and "answer" for statuses that promise nothing. It was one check for "not lost" before.

--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -51,7 +51,10 @@
 ];
 
 /** Plays an attempt of call "c" whose response has this metadata. */
-async function receive(metadata: Partial<ResponseMetadata>) {
+async function receive(
+  metadata: Partial<ResponseMetadata>,
+  { status = 503 }: { status?: number } = {},
+) {
   const aborted: string[] = [];
   const dispatch: Dispatcher["dispatch"] = (_options, handler) => {
     setImmediate(() => {
@@ -60,7 +63,7 @@
         resume: () => undefined,
       } as unknown as Dispatcher.DispatchController;
       handler.onRequestStart?.(controller, undefined);
-      handler.onResponseStart?.(controller, 503, {}, "");
+      handler.onResponseStart?.(controller, status, {}, "");
     });
     return true;
   };
@@ -102,7 +105,22 @@
       assert.equal(aborted.length, 1);
     }
     const { result } = await receive({ ...refusal, callId: "c" });
-    assert.notEqual(result.kind, "lost");
+    const isStated = Object.keys(refusal).length > 0;
+    assert.equal(result.kind, isStated ? "notRun" : "lost");
+  }
+});
+
+// Guards against a target's status that is passed on as a promise that the call has not run, which only
+// the statement of the target gives.
+test("a status that would promise that the call has not run is not passed on", async () => {
+  for (const status of [408, 429, 503]) {
+    const { result, aborted } = await receive({ callId: "c" }, { status });
+    assert.equal(result.kind, "lost", `status ${status}`);
+    assert.equal(aborted.length, 0);
+  }
+  for (const status of [200, 400, 404, 500, 502, 504]) {
+    const { result } = await receive({ callId: "c" }, { status });
+    assert.equal(result.kind, "answer", `status ${status}`);
   }
 });
 
