Lost paths: a test of what a peer asks before it takes a hedge

Cause: PathMonitor.confirmContact had no test of its own; only the tests of whole VMs passed through it. Change: path_monitor_test shows that a silent single target counts as an open path, and not as contact. It was written after the code and has not failed before.

--- a/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
@@ -179,3 +179,17 @@
   assert.equal(monitor.hasPath("s"), false);
   monitor.stop();
 });
+
+// Guards against a peer that takes a call which runs elsewhere, although its only target is silent too.
+test("a path that counts as open is no contact with its targets", async () => {
+  const target = buildTarget("a");
+  const { monitor, reachable, skip } = buildMonitor([target]);
+  reachable.clear();
+  assert.equal(await monitor.confirmPath("s"), true);
+  assert.equal(await monitor.confirmContact("s"), false);
+  monitor.recordContact(target);
+  assert.equal(await monitor.confirmContact("s"), true);
+  skip(300);
+  assert.equal(await monitor.confirmContact("s"), false);
+  monitor.stop();
+});
