--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -9,11 +9,12 @@
 import type { ResponseMetadata } from "../ports.ts";
 import { isNotRunStatus } from "./http_status.ts";
 import {
-  type BodyLimits,
+  ABANDONED_BODY,
   ExchangeError,
   type ResponseHead,
   type TargetExchange,
 } from "./target_exchange.ts";
+import { runAll, runReported } from "../report_error.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
 import type { AttemptOutcome } from "../state/target_health.ts";
 
@@ -93,40 +94,69 @@
 const OTHER_ROLE_AVOID_MS = 1500;
 
 /**
- * Bounds of the response to a call that has ended, which is completed since the call must not be repeated
- * elsewhere.
+ * Waits for the head of a response, classifies it, and records what it tells about the target. Never
+ * rejects: an error that no code expects is a result of the attempt as well.
  */
-export const ABANDONED_BODY: BodyLimits = {
-  maxBytes: 1024 * 1024,
-  timeoutMs: 5000,
-};
-
-/** Waits for the head of a response, classifies it, and records what it tells about the target. */
 export async function awaitAttempt(
   options: AwaitAttemptOptions,
 ): Promise<AttemptResult> {
   const { context, target, exchange, stage } = options;
-  const stopTimer = startSilenceTimer(options);
-  const stopPathWatch = watchPath(options);
   let result: AttemptResult;
   try {
-    result = classifyHead(context, target, exchange, await exchange.head);
+    result = await awaitHead(options);
   } catch (error) {
-    if (!(error instanceof ExchangeError)) throw error;
-    if (error.fault === "lost") context.recordLoss("connection");
-    result = classifyError(error);
-  } finally {
-    stopTimer();
-    stopPathWatch();
+    result = classifyThrown(options, error);
   }
   if (context.hasEnded) {
     exchange.discardBody(ABANDONED_BODY);
     return { kind: "over" };
   }
-  recordResult(context, target, stage, result);
+  try {
+    recordResult(context, target, stage, result);
+  } catch (error) {
+    context.reportError("attempt", error, { target: target.id });
+  }
   return result;
 }
 
+async function awaitHead(options: AwaitAttemptOptions): Promise<AttemptResult> {
+  const { context, target, exchange } = options;
+  const stops: (() => void)[] = [];
+  try {
+    stops.push(startSilenceTimer(options));
+    stops.push(watchPath(options));
+    return classifyHead(context, target, exchange, await exchange.head);
+  } finally {
+    runAll(stops);
+  }
+}
+
+/** The attempt in which an error came up. */
+export interface FailedAttempt {
+  readonly context: CallContext;
+  readonly target: Target;
+  readonly exchange: TargetExchange;
+}
+
+/**
+ * Classifies what was thrown in an attempt, and ends its exchange. An error that no code expects is
+ * reported; the attempt then counts as lost, or as not sent if nothing was written.
+ */
+export function classifyThrown(
+  { context, target, exchange }: FailedAttempt,
+  thrown: unknown,
+): Extract<AttemptResult, { kind: "lost" | "notSent" }> {
+  if (thrown instanceof ExchangeError) {
+    if (thrown.fault === "lost") context.recordLoss("connection");
+    return classifyError(thrown);
+  }
+  context.reportError("attempt", thrown, { target: target.id });
+  const reason = `internal error: ${(thrown as Error)?.message ?? thrown}`;
+  const fault = exchange.isSent ? "aborted" : "notSent";
+  exchange.abort(reason);
+  return classifyError(new ExchangeError(fault, reason, thrown));
+}
+
 /** Aborts the exchange if its target stays silent. Returns a function that stops the timer. */
 function startSilenceTimer(options: AwaitAttemptOptions): () => void {
   const {
@@ -143,33 +173,42 @@
   const { readBarrier } = context.dependencies;
   let timer: NodeJS.Timeout;
   let isStopped = false;
-  const checkSilence = async (): Promise<void> => {
+  /** Resolves with the time until the next check; undefined if there is none. */
+  const checkSilence = async (): Promise<number | undefined> => {
     // A response that has arrived is no silence, although the timer runs before it is read.
     await readBarrier.awaitRead();
-    if (isStopped) return;
+    if (isStopped) return undefined;
     const lastResponseAtMs = context.dependencies.health.getLastResponseAtMs(
       target.id,
     );
     if (
       extendsWhileAlive() &&
       context.nowMs - lastResponseAtMs < ALIVE_WINDOW_MS
-    ) {
-      startTimer(ALIVE_WINDOW_MS);
-      return;
-    }
+    ) return ALIVE_WINDOW_MS;
     const isReplaceable = await mayGiveUp();
-    if (isStopped) return;
+    if (isStopped) return undefined;
     if (!isReplaceable || !takeReplacement(context, replacement)) {
-      startTimer(RECHECK_INTERVAL_MS);
-      return;
+      return RECHECK_INTERVAL_MS;
     }
     context.recordLoss("silence");
     exchange.abort(
       `no response for ${Math.round(context.nowMs - sentAtMs)} ms`,
     );
+    return undefined;
+  };
+  const checkAgain = async (): Promise<void> => {
+    let nextMs: number | undefined = RECHECK_INTERVAL_MS;
+    try {
+      nextMs = await checkSilence();
+    } finally {
+      if (nextMs !== undefined && !isStopped) startTimer(nextMs);
+    }
   };
   const startTimer = (ms: number): void => {
-    timer = setTimeout(() => void checkSilence(), ms);
+    timer = setTimeout(
+      () => runReported(context.dependencies, "watch", checkAgain),
+      ms,
+    );
   };
   startTimer(timeoutMs);
   return () => {
@@ -207,10 +246,14 @@
   const stopWatch = isRepeatable
     ? watchPathLoss({ context, target, exchange, isPrefill })
     : () => undefined;
-  const timer = setInterval(() => {
+  const checkPath = (): void => {
     const silentMs = context.nowMs - pathMonitor.getLastContactAtMs(target);
     if (silentMs >= expectedMs) pathMonitor.recordTrouble(target);
-  }, expectedMs);
+  };
+  const timer = setInterval(
+    () => runReported(context.dependencies, "watch", checkPath),
+    expectedMs,
+  );
   return () => {
     clearInterval(timer);
     removeListener();
@@ -223,7 +266,9 @@
   return Math.min(MAX_SUSPICION_MS, Math.max(MIN_SUSPICION_MS, byAimMs));
 }
 
-function classifyError(error: ExchangeError): AttemptResult {
+function classifyError(
+  error: ExchangeError,
+): Extract<AttemptResult, { kind: "lost" | "notSent" }> {
   const { fault, message: reason, isConnectionRefused: isRefused } = error;
   const isWithheld = fault === "withheld";
   if (fault === "notSent" || isWithheld) {
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -23,6 +23,12 @@
 import type { EncodedRequest } from "../ports.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
 import { PeerOffer } from "./peer_offer.ts";
+import {
+  type ErrorPlace,
+  reportInternalError,
+  runAll,
+  runReported,
+} from "../report_error.ts";
 import type { ReturnKind } from "../scheduling/return_times.ts";
 import type { Target } from "../model.ts";
 import {
@@ -31,6 +37,8 @@
   QuarantineGuard,
 } from "./quarantine_guard.ts";
 import {
+  ABANDONED_BODY,
+  buildFailedExchange,
   buildWithheldExchange,
   type TargetExchange,
 } from "./target_exchange.ts";
@@ -96,6 +104,7 @@
 const MIN_HANDOVER_MS = 30;
 /** A call that this many targets could not be reached for is handed over to a peer. */
 const MAX_UNREACHABLE = 2;
+const INTERNAL_ERROR_REASON = "an internal error ended the call";
 const QUARANTINED_REASON =
   "the request or a part of its prompt is quarantined: it crashed the targets that ran it";
 /** `Retry-After` that is logged for a refused call without one, milliseconds. */
@@ -144,6 +153,8 @@
   /** Number of attempts that reached no target. */
   #unreachable = 0;
   #hasRefusedConnection = false;
+  /** Whether the latest attempt counts as a run, which {@linkcode undoRun} takes back. */
+  #isRunCounted = false;
   /** Whether a peer serves the call, or has done so. */
   #isHandedOver = false;
   #lossCause: LossCause = "other";
@@ -179,26 +190,40 @@
       this.#resolveEnded = resolve;
     });
     this.peerOffer = new PeerOffer({
-      offerCall: (offer, asked) =>
-        this.dependencies.handoverClient.offerCall(offer, asked),
+      offerCall: async (offer, asked) => {
+        try {
+          return await this.dependencies.handoverClient.offerCall(offer, asked);
+        } catch (error) {
+          this.reportError("offer", error);
+          return undefined;
+        }
+      },
       service: options.service.name,
       configVersion: options.configVersion,
       mayOffer: () => !this.hasEnded && this.remainingMs >= MIN_HANDOVER_MS,
     });
     this.#timer = setTimeout(
-      () => void this.#expireOnceRead(),
+      () => this.#runGuarded(() => this.#expireOnceRead()),
       Math.max(0, this.remainingMs),
     );
     this.#quarantineGuard = new QuarantineGuard({
       dependencies: options.dependencies,
       call: options.call,
       service: options.service.name,
-      onQuarantined: (quarantined) => this.#handleQuarantine(quarantined),
+      onQuarantined: (quarantined) =>
+        this.#runGuarded(() => this.#handleQuarantine(quarantined)),
     });
     this.#removeDisconnectListener = this.clientResponse
-      .registerDisconnectListener(() => this.#handleDisconnect());
-    this.#recordCall();
-    this.returnKind = this.#classifyArrival();
+      .registerDisconnectListener(() =>
+        this.#runGuarded(() => this.#handleDisconnect())
+      );
+    try {
+      this.#recordCall();
+      this.returnKind = this.#classifyArrival();
+    } catch (error) {
+      this.#releaseHoldings();
+      throw error;
+    }
     if (this.clientResponse.isDisconnected) this.#handleDisconnect();
   }
 
@@ -480,32 +505,49 @@
 
   /**
    * Sends an attempt. An early end of the call aborts the latest attempt. Without `isRun` the target
-   * only reads the prompt. An attempt that the retry budget does not cover is withheld.
+   * only reads the prompt. An attempt that the retry budget does not cover is withheld. An error before
+   * the request is sent, also of `encode`, ends the attempt like that at an unreachable target.
    */
   send(
     target: Target,
-    request: EncodedRequest,
+    encode: () => EncodedRequest,
     { isRun = true }: { isRun?: boolean } = {},
   ): TargetExchange {
     assertInvariant(!this.hasEnded, "call-open", this.call.id);
-    // The call goes on here, and a peer must not run it beside this attempt.
-    this.peerOffer.release();
-    if (isRun) this.#recordRun();
+    if (isRun) this.#countRun();
     this.#attempts++;
     this.#lastTarget = target.id;
     this.#sentAtMs = this.nowMs;
-    const purpose = isRun ? "run" : "prefill";
-    const exchange = this.#quarantineGuard.findQuarantined() !== undefined
-      ? buildWithheldExchange("the request is quarantined")
-      : this.reserve({ purpose, requests: 1 })
-      ? this.#sendTo(target, request)
-      : buildWithheldExchange("the retry budget is spent");
+    const exchange = this.#openExchange(target, encode, isRun);
     this.#exchange = exchange;
     this.#quarantineGuard.trackExchange(target, exchange, isRun);
-    this.#trackAttempt(exchange, isRun);
     return exchange;
   }
 
+  #openExchange(
+    target: Target,
+    encode: () => EncodedRequest,
+    isRun: boolean,
+  ): TargetExchange {
+    try {
+      // The call goes on here, and a peer must not run it beside this attempt.
+      this.peerOffer.release();
+      if (isRun && !this.#isStream) this.recordUsage();
+      if (this.#quarantineGuard.findQuarantined() !== undefined) {
+        return buildWithheldExchange("the request is quarantined");
+      }
+      const purpose = isRun ? "run" : "prefill";
+      if (!this.reserve({ purpose, requests: 1 })) {
+        return buildWithheldExchange("the retry budget is spent");
+      }
+      const request = encode();
+      return this.#sendTo(target, request, isRun);
+    } catch (error) {
+      this.reportError("attempt", error, { target: target.id });
+      return buildFailedExchange(error);
+    }
+  }
+
   /**
    * Records that a response has ended whose end is not confirmed. The request may have crashed the target;
    * its parts are not accused, as the response may have been whole.
@@ -518,14 +560,25 @@
    * Sends a request. A target that has had one of this call gets it on a connection of its own: a late
    * copy of the earlier response bears the id of this call as well.
    */
-  #sendTo(target: Target, request: EncodedRequest): TargetExchange {
+  #sendTo(
+    target: Target,
+    request: EncodedRequest,
+    isRun: boolean,
+  ): TargetExchange {
     const needsOwnConnection = this.#sentTo.has(target.id);
     this.#sentTo.add(target.id);
+    const undo = this.#ledger.recordSent({ isPrefill: !isRun });
     const { connections } = this.dependencies;
-    return connections.send(target, request, {
+    const exchange = connections.send(target, request, {
       needsOwnConnection,
       callId: this.call.id,
     });
+    runReported(this.dependencies, "attempt", async () => {
+      const end = await exchange.ended;
+      if (end === "ended") return;
+      if (end.fault === "notSent" || end.fault === "withheld") undo();
+    });
+    return exchange;
   }
 
   /** Records that an engine has prefilled the prompt. */
@@ -533,19 +586,11 @@
     this.#ledger.recordPrefilled();
   }
 
-  #trackAttempt(exchange: TargetExchange, isRun: boolean): void {
-    const undo = this.#ledger.recordSent({ isPrefill: !isRun });
-    void exchange.ended.then((end) => {
-      if (end === "ended") return;
-      if (end.fault === "notSent" || end.fault === "withheld") undo();
-    });
-  }
-
   /** Counts the attempt in progress as a run, until the target reports that it did not run it. */
-  #recordRun(): void {
+  #countRun(): void {
     assertInvariant(this.mayRunAgain, "runs-within-kind", this.call.id);
     this.#runs++;
-    if (!this.#isStream) this.recordUsage();
+    this.#isRunCounted = true;
   }
 
   /**
@@ -557,8 +602,13 @@
     this.#undoUsage ??= this.dependencies.usage.recordRun(this.#account.name);
   }
 
-  /** Takes back a run: the target reported that it did not run the attempt, or nothing was sent. */
+  /**
+   * Takes back the run of the latest attempt, once: the target reported that it did not run it, or nothing
+   * was sent.
+   */
   undoRun(): void {
+    if (!this.#isRunCounted) return;
+    this.#isRunCounted = false;
     this.#runs--;
     if (this.#runs > 0 || this.#isStream) return;
     this.#undoUsage?.();
@@ -613,9 +663,25 @@
   finish(outcome: CallOutcome, detail: Record<string, unknown> = {}): void {
     if (this.#outcome !== undefined) return;
     this.#outcome = outcome;
+    runAll([
+      () => this.#releaseHoldings(),
+      () => this.#resolveEnded(),
+      () => this.#recordEnd(outcome, detail),
+    ]);
+  }
+
+  /** Gives back all that the call holds, except the exchange in progress. */
+  #releaseHoldings(): void {
     clearTimeout(this.#timer);
-    this.#removeDisconnectListener();
-    this.#quarantineGuard.end(outcome === "delivered");
+    runAll([
+      () => this.#removeDisconnectListener(),
+      () => this.#quarantineGuard.end(this.#outcome === "delivered"),
+      () => this.#ledger.end(),
+      () => this.peerOffer.release(),
+    ]);
+  }
+
+  #recordEnd(outcome: CallOutcome, detail: Record<string, unknown>): void {
     const { log, metrics } = this.dependencies;
     const { kind } = this.route;
     metrics.calls.inc({ kind, outcome });
@@ -623,11 +689,8 @@
     if (lossCause !== undefined) {
       metrics.callsLost.inc({ kind, cause: lossCause });
     }
-    this.#ledger.end();
     const { retries, retriesTaken } = this.#ledger;
     metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
-    this.#exchange = undefined;
-    this.peerOffer.release();
     const level: LogLevel = outcome === "delivered" ? "info" : "warn";
     log.write(level, "callEnded", {
       call: this.call.id,
@@ -645,7 +708,6 @@
       lossCause,
       ...detail,
     });
-    this.#resolveEnded();
   }
 
   /** Returns what ended a call without a response or refusal; undefined if it got one. */
@@ -696,6 +758,52 @@
     this.finish("failed", { reason });
   }
 
+  /**
+   * Ends the call at once after an error that no code expects. A call of which nothing may have run is
+   * refused; of another one the client learns that it may have run, or that its response is cut off.
+   */
+  endAfterError(thrown: unknown): void {
+    this.reportError("call", thrown);
+    const exchange = this.#exchange;
+    runReported(this.dependencies, "call", () => this.#failAfterError());
+    if (!this.hasEnded) {
+      // The client can't be told anything any more.
+      runReported(this.dependencies, "call", () => {
+        this.clientResponse.destroy();
+        this.finish("broken", { reason: INTERNAL_ERROR_REASON });
+      });
+    }
+    if (exchange === undefined) return;
+    if (this.#mayAbort(exchange)) exchange.abort(INTERNAL_ERROR_REASON);
+    else exchange.discardBody(ABANDONED_BODY);
+  }
+
+  #failAfterError(): void {
+    if (this.clientResponse.isHeadSent || this.mayHaveRun) {
+      this.fail("targetFailed", INTERNAL_ERROR_REASON);
+    } else this.refuse("overloaded", INTERNAL_ERROR_REASON);
+  }
+
+  /** Logs and counts an error that no code expects, which the call outlasts. */
+  reportError(
+    place: ErrorPlace,
+    thrown: unknown,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): void {
+    const call = this.call.id;
+    reportInternalError(this.dependencies, place, thrown, { call, ...fields });
+  }
+
+  /** Runs a step that no handler of the call awaits. An error of it ends the call. */
+  #runGuarded(step: () => void | Promise<void>): void {
+    const end = (error: unknown): void => this.endAfterError(error);
+    try {
+      step()?.catch(end);
+    } catch (error) {
+      end(error);
+    }
+  }
+
   /**
    * Refuses a call that has not run yet. A call that runs may still succeed and clear the request.
    */
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type ErrorKind, ServeError, toServeError } from "heatherarch-core";
+import { type ErrorKind, ServeError } from "heatherarch-core";
 import type { AdmittedCall } from "./account_admission.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { CallContext } from "./call_context.ts";
@@ -17,6 +17,7 @@
   ServiceSpec,
 } from "../model.ts";
 import { PlainCallHandler } from "./plain_call_handler.ts";
+import { reportInternalError, runReported } from "../report_error.ts";
 import type { RouteTable } from "../state/route_table.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
 
@@ -51,26 +52,50 @@
 
   /** Serves one call to its end. Never rejects. */
   async serve(call: ForwardedCall, response: ClientResponse): Promise<void> {
-    const { metrics, log } = this.#dependencies;
+    const { metrics } = this.#dependencies;
     metrics.inFlight.inc();
     try {
-      const isInTime = await this.#awaitTurn(call);
-      if (response.isDisconnected) this.#dropCall(call);
-      else if (isInTime) await this.#route(call, response);
-      else this.#rejectUnserved(call, response);
+      await this.#serveInTurn(call, response);
     } catch (error) {
-      log.write("error", "callCrashed", {
-        call: call.id,
-        error: String((error as Error)?.stack ?? error),
-      });
-      // The call may or may not have run.
-      if (response.isHeadSent) response.destroy();
-      else response.fail(new ServeError("internal", "internal error"), call.id);
+      this.#endUnsent(call, response, error);
     } finally {
       metrics.inFlight.dec();
     }
   }
 
+  async #serveInTurn(
+    call: ForwardedCall,
+    response: ClientResponse,
+  ): Promise<void> {
+    const isInTime = await this.#awaitTurn(call);
+    if (response.isDisconnected) return this.#dropCall(call);
+    if (!isInTime) return this.#rejectUnserved(call, response);
+    const context = this.#openCall(call, response);
+    if (context === undefined) return;
+    try {
+      await this.#handleCall(context);
+    } catch (error) {
+      context.endAfterError(error);
+    }
+  }
+
+  /** Ends a call after an error that came up before it was known what serves it. It was not sent. */
+  #endUnsent(
+    call: ForwardedCall,
+    response: ClientResponse,
+    thrown: unknown,
+  ): void {
+    reportInternalError(this.#dependencies, "call", thrown, { call: call.id });
+    if (response.isHeadSent) return;
+    runReported(this.#dependencies, "call", () => {
+      const reason = "an internal error ended the call before it was sent";
+      response.fail(new ServeError("overloaded", reason), call.id);
+    });
+    if (!response.isHeadSent) {
+      runReported(this.#dependencies, "call", () => response.destroy());
+    }
+  }
+
   /**
    * Resolves with true when what has arrived with the call is read and it is the call's turn, or with
    * false if the timeout of its client or its route expires before that.
@@ -125,37 +150,29 @@
     });
   }
 
-  async #route(call: ForwardedCall, response: ClientResponse): Promise<void> {
+  /** Finds what serves a call; undefined if the call has been rejected. */
+  #openCall(
+    call: ForwardedCall,
+    response: ClientResponse,
+  ): CallContext | undefined {
     const { table } = this.#dependencies.activeConfig;
     if (table === undefined) {
-      return this.#reject(
-        call,
-        response,
-        "notReady",
-        "no configuration loaded yet",
-      );
+      this.#reject(call, response, "notReady", "no configuration loaded yet");
+      return undefined;
     }
     const route = table.findRoute(call.host, call.path);
     if (route === undefined) {
-      return this.#reject(
-        call,
-        response,
-        "notFound",
-        "no route matches the path",
-      );
+      this.#reject(call, response, "notFound", "no route matches the path");
+      return undefined;
     }
     const service = this.#pickService(table, route, call);
     if (service === undefined) {
-      return this.#reject(
-        call,
-        response,
-        "noTarget",
-        "the route has no service",
-      );
+      this.#reject(call, response, "noTarget", "the route has no service");
+      return undefined;
     }
     const admitted = this.#admit(call, route, response);
-    if (admitted === undefined) return;
-    const context = new CallContext({
+    if (admitted === undefined) return undefined;
+    return new CallContext({
       dependencies: this.#dependencies,
       ...admitted,
       receivedCall: call,
@@ -164,7 +181,6 @@
       configVersion: table.version,
       clientResponse: response,
     });
-    await this.#handleCall(context);
   }
 
   /** Finds the call's account; undefined if the call has been rejected. */
@@ -176,7 +192,8 @@
     try {
       return this.#dependencies.accountAdmission.admit(call, route);
     } catch (error) {
-      const { kind, message, retryAfterMs } = toServeError(error);
+      if (!(error instanceof ServeError)) throw error;
+      const { kind, message, retryAfterMs } = error;
       this.#reject(call, response, kind, message, retryAfterMs);
       return undefined;
     }
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -36,7 +36,11 @@
   type ResponseHead,
   type TargetExchange,
 } from "./target_exchange.ts";
-import { type AttemptResult, awaitAttempt } from "./attempt_result.ts";
+import {
+  type AttemptResult,
+  awaitAttempt,
+  classifyThrown,
+} from "./attempt_result.ts";
 import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { confirmIncarnation } from "./incarnation_check.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
@@ -254,7 +258,19 @@
     const { workTracker } = context.dependencies;
     const endRun = workTracker.beginRun(target.id, this.#prompt.promptTokens);
     try {
-      const exchange = this.#send(target, prefilled);
+      return await this.#attempt(target, prefilled);
+    } finally {
+      endRun();
+    }
+  }
+
+  async #attempt(
+    target: Target,
+    prefilled: PrefilledPrompt | undefined,
+  ): Promise<DecodeResult> {
+    const context = this.#context;
+    const exchange = this.#send(target, prefilled);
+    try {
       this.#logResumption(target);
       const result = await awaitAttempt({
         context,
@@ -270,8 +286,10 @@
         },
       });
       return await this.#handleResult(target, prefilled, exchange, result);
-    } finally {
-      endRun();
+    } catch (error) {
+      const end = classifyThrown({ context, target, exchange }, error);
+      if (context.hasEnded) return "done";
+      return await this.#handleResult(target, prefilled, exchange, end);
     }
   }
 
@@ -280,17 +298,20 @@
     prefilled: PrefilledPrompt | undefined,
   ): TargetExchange {
     const context = this.#context;
-    const request = context.dependencies.codec.encodeAttempt(context.call, {
+    return context.send(
       target,
-      timeoutMs: context.remainingMs,
-      stage: prefilled === undefined ? "whole" : "takeOver",
-      kvSource: prefilled?.kvSource,
-      enginePriority: computeEnginePriority(
-        computeLane(context.priority),
-      ),
-      lastEventId: this.#relay.lastEventId,
-    });
-    return context.send(target, request);
+      () =>
+        context.dependencies.codec.encodeAttempt(context.call, {
+          target,
+          timeoutMs: context.remainingMs,
+          stage: prefilled === undefined ? "whole" : "takeOver",
+          kvSource: prefilled?.kvSource,
+          enginePriority: computeEnginePriority(
+            computeLane(context.priority),
+          ),
+          lastEventId: this.#relay.lastEventId,
+        }),
+    );
   }
 
   /** Logs which software version continues a stream, and which attempt began it. */
@@ -381,8 +402,12 @@
     this.#isResponseSuccessful = isSuccess;
     if (!isSuccess) return await this.#deliverFailure(target, exchange, head);
     const stopWatch = this.#resumeIfPathLost(target, exchange);
-    const relayed = await this.#relay.relay(exchange, head);
-    stopWatch();
+    let relayed: RelayResult;
+    try {
+      relayed = await this.#relay.relay(exchange, head);
+    } finally {
+      stopWatch();
+    }
     const isComplete = relayed !== "whole" ||
       await confirmResponseEnd(this.#context, target, head);
     this.#handleRelayResult(
--- a/packages/heatherarch-forward/calls/path_loss_watch.ts
+++ b/packages/heatherarch-forward/calls/path_loss_watch.ts
@@ -9,6 +9,7 @@
 import { sleep } from "heatherarch-core";
 import type { Target } from "../model.ts";
 import type { CallContext } from "./call_context.ts";
+import { runReported } from "../report_error.ts";
 import { HandoverHedge, type HedgeStart } from "./handover_hedge.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 
@@ -65,11 +66,11 @@
       this.#target.service,
       () => {
         this.#wake();
-        void this.#offerWhileLost();
+        this.#startOffering();
       },
     );
     // The path may have been lost before.
-    void this.#offerWhileLost();
+    this.#startOffering();
   }
 
   /** Cancels a hedge, unless the exchange has failed: then the call goes on at the peer. */
@@ -95,18 +96,30 @@
     return this.#isLost && this.#isSilent && mayHandOver && peerOffer.mayOffer;
   }
 
-  async #offerWhileLost(): Promise<void> {
+  #startOffering(): void {
     if (this.#isOffering) return;
     this.#isOffering = true;
+    runReported(this.#context.dependencies, "offer", async () => {
+      let isGivenUp = false;
+      try {
+        isGivenUp = await this.#offerWhileLost();
+      } finally {
+        this.#isOffering = isGivenUp;
+      }
+    });
+  }
+
+  /** Resolves with whether the exchange was given up for a peer. */
+  async #offerWhileLost(): Promise<boolean> {
     const context = this.#context;
     while (!this.#isStopped && !context.hasPath && context.mayHandOver) {
       // Only the path of another role may be known as lost; nothing else asks for that of a stream.
       if (this.#isSilent && !this.#isLost) {
         context.dependencies.pathMonitor.recordTrouble(this.#target);
-      } else if (this.#isSilent && await this.#tryPeers()) return;
+      } else if (this.#isSilent && await this.#tryPeers()) return true;
       await this.#awaitNextRound();
     }
-    this.#isOffering = false;
+    return false;
   }
 
   /** A response that goes on may fall silent later, as long as the path is lost. */
--- a/packages/heatherarch-forward/calls/peer_offer.ts
+++ b/packages/heatherarch-forward/calls/peer_offer.ts
@@ -91,8 +91,9 @@
 
   /** Cancels the hedge and lets a peer that has accepted go: the call goes on here, or has ended. */
   release(): void {
-    this.#kept?.close();
+    const kept = this.#kept;
     this.#kept = undefined;
+    kept?.close();
     this.takeHedge()?.exchange.abort("the call goes on at another target");
   }
 }
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -34,11 +34,15 @@
   type TooLate,
 } from "./plain_slot_wait.ts";
 import {
-  ExchangeError,
+  ABANDONED_BODY,
   type ResponseHead,
   type TargetExchange,
 } from "./target_exchange.ts";
-import { ABANDONED_BODY, awaitAttempt } from "./attempt_result.ts";
+import {
+  type AttemptResult,
+  awaitAttempt,
+  classifyThrown,
+} from "./attempt_result.ts";
 import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { isSuccessStatus } from "./http_status.ts";
 import { CallHandover, type HandoverResult } from "./call_handover.ts";
@@ -175,21 +179,22 @@
     this.#tried.add(target.id);
     const exchange = context.send(
       target,
-      codec.encodeAttempt(context.call, {
-        target,
-        timeoutMs: context.remainingMs,
-        stage: "whole",
-      }),
+      () =>
+        codec.encodeAttempt(context.call, {
+          target,
+          timeoutMs: context.remainingMs,
+          stage: "whole",
+        }),
     );
-    // The booking counts as one of the runs.
-    const { runs } = workTracker.getRunLoad(target.id, sentAtMs);
-    const recordDuration = plainTimeModel.beginWork({
-      target: target.id,
-      route: context.route.name,
-      runs: runs - 1,
-      slots: target.slots,
-    }, sentAtMs);
     try {
+      // The booking counts as one of the runs.
+      const { runs } = workTracker.getRunLoad(target.id, sentAtMs);
+      const recordDuration = plainTimeModel.beginWork({
+        target: target.id,
+        route: context.route.name,
+        runs: runs - 1,
+        slots: target.slots,
+      }, sentAtMs);
       const result = await awaitAttempt({
         context,
         target,
@@ -243,9 +248,26 @@
       this.#deliver(answer, target);
       return { kind: "delivered" };
     } catch (error) {
-      if (!(error instanceof ExchangeError)) throw error;
-      return { kind: "lost", reason: error.message };
+      return this.#endAttempt(
+        classifyThrown({ context, target, exchange }, error),
+      );
+    }
+  }
+
+  /** Ends an attempt without a response that may be used. */
+  #endAttempt(
+    end: Extract<AttemptResult, { kind: "lost" | "notSent" }>,
+  ): PlainResult {
+    const context = this.#context;
+    if (context.hasEnded) return { kind: "over" };
+    if (end.kind === "notSent") {
+      context.undoRun();
+      return { kind: "notSent" };
     }
+    if (!context.clientResponse.isHeadSent) return end;
+    // What has been sent can't be continued with another response.
+    context.fail("answerIncomplete", end.reason);
+    return { kind: "over" };
   }
 
   /** Learns the time of the work. A call that had to wait at its target shows only a shorter time. */
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -15,16 +15,17 @@
   computeLane,
 } from "../scheduling/priority_lanes.ts";
 import type { EngineTraits, GenerationParams, Target } from "../model.ts";
-import type { KvHandle } from "../ports.ts";
+import type { EncodedRequest, KvHandle } from "../ports.ts";
 import type { HolderState } from "../state/prefix_index.ts";
+import { runReported } from "../report_error.ts";
 import { findHolders } from "../state/prefix_holders.ts";
 import {
   type PromptPlacement,
   sumPrefixTokens,
 } from "../scheduling/prompt_placement.ts";
 import type { LanePlacement, QueueOutcome } from "../scheduling/queued_call.ts";
-import { ExchangeError, type TargetExchange } from "./target_exchange.ts";
-import { awaitAttempt } from "./attempt_result.ts";
+import type { TargetExchange } from "./target_exchange.ts";
+import { awaitAttempt, classifyThrown } from "./attempt_result.ts";
 import { readReplaceableBody } from "./replaceable_body.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
@@ -122,10 +123,16 @@
         return { kind: "noAllowance" };
       }
       const exchange = this.#send(placed, lastEventId);
-      const kvSource = await this.#awaitHandle(placement, exchange);
-      if ("kind" in kvSource) return kvSource;
-      this.#recordPrefill(placed, startedAtMs);
-      return this.#deliver({ engine: placement.target, kvSource });
+      try {
+        const kvSource = await this.#awaitHandle(placement, exchange);
+        if ("kind" in kvSource) return kvSource;
+        this.#recordPrefill(placed, startedAtMs);
+        return this.#deliver({ engine: placement.target, kvSource });
+      } catch (error) {
+        const { target } = placement;
+        const end = classifyThrown({ context, target, exchange }, error);
+        return this.#recordFailure(target, end.reason);
+      }
     } finally {
       endPrefill();
     }
@@ -135,20 +142,20 @@
   releaseCache({ engine, kvSource }: PrefilledPrompt): void {
     const { connections, codec, directory, log } = this.#context.dependencies;
     if (directory.findTarget(engine.id) === undefined) return;
-    connections.send(
-      engine,
-      codec.encodeHandleRelease(kvSource.handle),
-      { purpose: "release" },
-    )
-      .readBody(HANDLE_LIMITS)
-      .catch((error: Error) =>
+    runReported(this.#context.dependencies, "attempt", async () => {
+      const request = codec.encodeHandleRelease(kvSource.handle);
+      try {
+        await connections.send(engine, request, { purpose: "release" })
+          .readBody(HANDLE_LIMITS);
+      } catch (error) {
         // The engine drops the cache by itself after some seconds.
         log.write("debug", "handleNotFreed", {
           call: this.#context.call.id,
           target: engine.id,
-          reason: error.message,
-        })
-      );
+          reason: (error as Error).message,
+        });
+      }
+    });
   }
 
   #send(
@@ -157,15 +164,16 @@
   ): TargetExchange {
     const context = this.#context;
     const { target, fetchFrom } = placement;
-    const request = context.dependencies.codec.encodeAttempt(context.call, {
-      target,
-      timeoutMs: context.remainingMs,
-      stage: "readPrompt",
-      fetchFrom: fetchFrom?.address,
-      enginePriority: computeEnginePriority(lane),
-      lastEventId,
-    });
-    return context.send(target, request, { isRun: false });
+    const encode = (): EncodedRequest =>
+      context.dependencies.codec.encodeAttempt(context.call, {
+        target,
+        timeoutMs: context.remainingMs,
+        stage: "readPrompt",
+        fetchFrom: fetchFrom?.address,
+        enginePriority: computeEnginePriority(lane),
+        lastEventId,
+      });
+    return context.send(target, encode, { isRun: false });
   }
 
   /** Returns the handle of the KV cache, or why there is none. */
@@ -189,30 +197,25 @@
     if (result.kind !== "answer") {
       return this.#recordFailure(target, result.reason);
     }
-    try {
-      const body = await readReplaceableBody({
-        context: this.#context,
-        target,
-        exchange,
-        limits: HANDLE_LIMITS,
-        isRepeatable: true,
-        mayGiveUp: () => this.#mayGiveUp(target),
-        replacement: REPLACEMENT,
-        isPrefill: true,
-      });
-      const { status } = result.head;
-      const handle = isSuccessStatus(status)
-        ? this.#context.dependencies.codec.decodeKvHandle(body)
-        : undefined;
-      if (handle !== undefined) {
-        this.#context.recordPrefilled();
-        return { address: target.address, handle };
-      }
+    const body = await readReplaceableBody({
+      context: this.#context,
+      target,
+      exchange,
+      limits: HANDLE_LIMITS,
+      isRepeatable: true,
+      mayGiveUp: () => this.#mayGiveUp(target),
+      replacement: REPLACEMENT,
+      isPrefill: true,
+    });
+    const { status } = result.head;
+    const handle = isSuccessStatus(status)
+      ? this.#context.dependencies.codec.decodeKvHandle(body)
+      : undefined;
+    if (handle === undefined) {
       return this.#recordFailure(target, `status ${status}`);
-    } catch (error) {
-      if (!(error instanceof ExchangeError)) throw error;
-      return this.#recordFailure(target, error.message);
     }
+    this.#context.recordPrefilled();
+    return { address: target.address, handle };
   }
 
   /**
--- a/packages/heatherarch-forward/calls/quarantine_guard.ts
+++ b/packages/heatherarch-forward/calls/quarantine_guard.ts
@@ -15,6 +15,7 @@
 } from "heatherarch-quarantine";
 import type { ForwardedCall, Target } from "../model.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
+import { runAll, runReported } from "../report_error.ts";
 import type { TargetExchange } from "./target_exchange.ts";
 
 /** The quarantine of a call: of its request, or of a part of its prompt. */
@@ -119,7 +120,7 @@
     this.#investigations = [];
     if (investigations.length > 0) {
       await Promise.race([
-        Promise.all(investigations),
+        Promise.allSettled(investigations),
         sleep(MAX_PROBE_WAIT_MS),
       ]);
     }
@@ -138,20 +139,21 @@
     exchange: TargetExchange,
     isRun: boolean,
   ): void {
-    const { crashDetector } = this.#options.dependencies;
-    void exchange.ended.then((end) => {
+    const { dependencies } = this.#options;
+    runReported(dependencies, "attempt", async () => {
+      const end = await exchange.ended;
       if (end === "ended") return;
-      if (end.isConnectionRefused) void crashDetector.recordRefusal(target.id);
       if (end.fault === "lost") this.recordLoss(target, end.message, isRun);
+      if (!end.isConnectionRefused) return;
+      await dependencies.crashDetector.recordRefusal(target.id);
     });
   }
 
   /** Reports a lost response to the crash detector, with `isRun` as for {@linkcode trackExchange}. */
   recordLoss(target: Target, reason: string, isRun: boolean): void {
-    const { crashDetector } = this.#options.dependencies;
-    const { id, host } = this.#options.call;
+    const { dependencies, call: { id, host } } = this.#options;
     this.#hasLostExchange = true;
-    this.#investigations.push(crashDetector.investigateLoss({
+    const investigation = dependencies.crashDetector.investigateLoss({
       call: id,
       request: this.digest,
       account: host,
@@ -159,7 +161,11 @@
       target: target.id,
       address: target.address,
       reason,
-    }));
+    });
+    this.#investigations.push(investigation);
+    runReported(dependencies, "attempt", async () => {
+      await investigation;
+    });
   }
 
   /** Records that an engine wrote a response on the prompt, which clears its parts. */
@@ -171,13 +177,19 @@
 
   /** Ends the guard. With `isDelivered` the call ended with a target's response. */
   end(isDelivered: boolean): void {
-    for (const remove of this.#removeListeners) remove();
-    this.#endTrial?.();
+    runAll([
+      ...this.#removeListeners,
+      () => this.#endTrial?.(),
+      () => this.#endPartTrialOnceKnown(isDelivered),
+    ]);
+  }
+
+  #endPartTrialOnceKnown(isDelivered: boolean): void {
     if (isDelivered) this.#clear();
     const endPartTrial = this.#endPartTrial;
     if (endPartTrial === undefined) return;
     // The next trial waits until it is known whether this one crashed its engine.
-    void Promise.all(this.#investigations).then(endPartTrial);
+    void Promise.allSettled(this.#investigations).then(endPartTrial);
   }
 
   #admitParts(): CallAdmission {
--- a/packages/heatherarch-forward/calls/replaceable_body.ts
+++ b/packages/heatherarch-forward/calls/replaceable_body.ts
@@ -5,11 +5,16 @@
  * @module
  */
 import { sleep } from "heatherarch-core";
-import { ABANDONED_BODY, takeReplacement } from "./attempt_result.ts";
+import { takeReplacement } from "./attempt_result.ts";
 import type { CallContext, RequestPlan } from "./call_context.ts";
 import type { Target } from "../model.ts";
+import { runReported } from "../report_error.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
-import type { BodyLimits, TargetExchange } from "./target_exchange.ts";
+import {
+  ABANDONED_BODY,
+  type BodyLimits,
+  type TargetExchange,
+} from "./target_exchange.ts";
 
 /** Options of {@linkcode readReplaceableBody}. */
 export interface ReplaceableBodyOptions {
@@ -69,17 +74,25 @@
       exchange.getSilentMs(context.nowMs) >= timeoutMs &&
       takeReplacement(context, options.replacement);
   };
+  const checkOver = async (): Promise<boolean> => {
+    try {
+      return await isOver();
+    } catch (error) {
+      context.reportError("watch", error);
+      return false;
+    }
+  };
   const watch = async (): Promise<void> => {
     while (!isStopped) {
       await sleep(CHECK_INTERVAL_MS);
       // Bytes that have arrived are no silence, although the timer runs before they are read.
       await context.dependencies.readBarrier.awaitRead();
-      if (isStopped || !await isOver() || isStopped) continue;
+      if (isStopped || !await checkOver() || isStopped) continue;
       exchange.abort(`response not complete within ${timeoutMs} ms`);
       return;
     }
   };
-  void watch();
+  runReported(context.dependencies, "watch", watch);
   return () => {
     isStopped = true;
   };
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -9,6 +9,7 @@
 import type { Target } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
 import {
+  buildFailedExchange,
   buildWithheldExchange,
   type ResponseHead,
   TargetExchange,
@@ -44,6 +45,8 @@
    * other that number.
    */
   readonly countRuns?: (target: Target) => number | undefined;
+  /** Called with an error of a hook that nothing else handles. */
+  readonly onError?: (error: unknown) => void;
   /** Called before a request is sent. */
   readonly onSend?: (target: Target) => void;
   /** Called when a connection has been opened. */
@@ -231,6 +234,7 @@
       countRuns: () => undefined,
       onSend: () => undefined,
       onConnect: () => undefined,
+      onError: () => undefined,
       clock: new RuntimeClock(),
       readBarrier: new ReadBarrier(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
@@ -312,12 +316,25 @@
 
   /**
    * Sends a request. All requests to targets pass through here, so this is the last check of
-   * whether the target may get one. A withheld request ends like one without a connection.
+   * whether the target may get one. A withheld request ends like one without a connection, and so does
+   * one that an error keeps from being sent: the caller always gets an exchange.
    */
   send(
     target: Target,
     request: EncodedRequest,
-    { purpose = "work", needsOwnConnection = false, callId }: SendOptions = {},
+    options: SendOptions = {},
+  ): TargetExchange {
+    try {
+      return this.#send(target, request, options);
+    } catch (error) {
+      return buildFailedExchange(error);
+    }
+  }
+
+  #send(
+    target: Target,
+    request: EncodedRequest,
+    { purpose = "work", needsOwnConnection = false, callId }: SendOptions,
   ): TargetExchange {
     const blockReason = this.#options.findBlockReason(target, purpose);
     if (blockReason !== undefined) return buildWithheldExchange(blockReason);
@@ -352,7 +369,7 @@
         this.#options.onResponseHead(target, head, { sentAtMs, callId }),
       // The sender handles the error.
       () => undefined,
-    );
+    ).catch(this.#options.onError);
     return exchange;
   }
 
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -85,9 +85,18 @@
   readonly timeoutMs: number;
 }
 
+/**
+ * Bounds of the response to a call that has ended, which is completed since the call must not be repeated
+ * elsewhere.
+ */
+export const ABANDONED_BODY: BodyLimits = {
+  maxBytes: 1024 * 1024,
+  timeoutMs: 5000,
+};
+
 const RUNTIME_CLOCK = new RuntimeClock();
 
-/** A withheld exchange has no connection, so its handlers never use the controller. */
+/** An unsent exchange has no connection, so its handlers never use the controller. */
 const NO_CONTROLLER = undefined as unknown as Controller;
 
 /** An exchange in progress. */
@@ -130,7 +139,19 @@
     });
     // A handler that has given up no longer awaits the head.
     this.head.catch(() => undefined);
-    const { path, method, headers, body } = request;
+    try {
+      this.#dispatch(dispatcher, origin, request);
+    } catch (error) {
+      // Nothing was written. The sender has to have the exchange before it ends.
+      queueMicrotask(() => this.#fail(toError(error)));
+    }
+  }
+
+  #dispatch(
+    dispatcher: Pick<Dispatcher, "dispatch">,
+    origin: string,
+    { path, method, headers, body }: EncodedRequest,
+  ): void {
     dispatcher.dispatch({
       origin,
       path,
@@ -301,8 +322,27 @@
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
     this.#recordReceipt();
-    if (this.#listener === undefined) this.#keepUnread(bytes);
-    else this.#listener.onData(bytes);
+    const listener = this.#listener;
+    if (listener === undefined) this.#keepUnread(bytes);
+    else this.#notify(() => listener.onData(bytes));
+  }
+
+  /**
+   * Calls the listener for the body. If it throws, the rest of the response can't be read either, and the
+   * listener is told that the exchange has failed.
+   */
+  #notify(step: () => void): void {
+    try {
+      step();
+    } catch (thrown) {
+      const error = toError(thrown);
+      const fault = new ExchangeError("aborted", error.message, error);
+      if (this.#end !== "open") this.#listener?.onFault(fault);
+      else {
+        this.#controller?.abort(error);
+        this.#finish(fault);
+      }
+    }
   }
 
   #keepUnread(bytes: Buffer): void {
@@ -345,7 +385,7 @@
     this.#hooks.onRelease();
     this.#resolveEnded(end);
     if (end === "ended") {
-      this.#listener?.onEnd();
+      this.#notify(() => this.#listener?.onEnd());
       return;
     }
     this.#rejectHead(end);
@@ -353,19 +393,29 @@
   }
 }
 
-/** Builds an exchange that ends immediately without sending anything. */
+/** Builds an exchange that ends immediately without sending anything, as it must not be sent. */
 export function buildWithheldExchange(reason: string): TargetExchange {
+  return buildUnsentExchange(new ExchangeError("withheld", reason));
+}
+
+/**
+ * Builds an exchange that ends immediately as an unreachable target's does, since an error came up before
+ * anything was sent.
+ */
+export function buildFailedExchange(thrown: unknown): TargetExchange {
+  const error = toError(thrown);
+  return buildUnsentExchange(
+    new ExchangeError("notSent", error.message, error),
+  );
+}
+
+function buildUnsentExchange(error: ExchangeError): TargetExchange {
   const dispatcher = {
     dispatch: (
       _options: Dispatcher.DispatchOptions,
       handler: Dispatcher.DispatchHandler,
     ): boolean => {
-      queueMicrotask(() =>
-        handler.onResponseError?.(
-          NO_CONTROLLER,
-          new ExchangeError("withheld", reason),
-        )
-      );
+      queueMicrotask(() => handler.onResponseError?.(NO_CONTROLLER, error));
       return true;
     },
   };
@@ -375,3 +425,7 @@
     isReset: () => false,
   });
 }
+
+function toError(thrown: unknown): Error {
+  return thrown instanceof Error ? thrown : new Error(String(thrown));
+}
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -181,11 +181,12 @@
     this.#log.write("error", "settingsRefused", { faults });
   }
 
-  /** Logs an uncaught error; the process continues. */
+  /** Logs and counts an uncaught error; the process continues. */
   reportUncaughtError(error: unknown): void {
     this.#log.write("error", "uncaught", {
       error: String((error as Error)?.stack ?? error),
     });
+    this.#resolvedComponents?.metrics.internalErrors.inc({ place: "process" });
   }
 
   /**
@@ -251,6 +252,7 @@
           server: callServer,
           clock: components.clock,
           log: components.log,
+          metrics: components.metrics,
         }),
       ),
       handoverServer: asValue(buildHandoverServer(options, callServer)),
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -20,6 +20,12 @@
     labelNames: ["kind", "outcome"] as const,
     registers: [this.registry],
   });
+  readonly internalErrors = new Counter({
+    name: "heatherarch_internal_errors_total",
+    help: "Errors that no code expects, by the place that they came up in",
+    labelNames: ["place"] as const,
+    registers: [this.registry],
+  });
   readonly firstByte = new Histogram({
     name: "heatherarch_first_byte_seconds",
     help: "Time from the head of a call to the first byte of its answer",
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -40,6 +40,7 @@
 export * from "./calls/quarantine_guard.ts";
 export * from "./fleet/list_fallback.ts";
 export * from "./metrics.ts";
+export * from "./report_error.ts";
 export * from "./model.ts";
 export * from "./ports.ts";
 export * from "./state/prefix_holders.ts";
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -11,7 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type Clock, ServeError, toServeError } from "heatherarch-core";
+import { type Clock, ServeError } from "heatherarch-core";
 import { ClientConnection } from "../calls/client_connection.ts";
 import {
   type ClientResponse,
@@ -19,6 +19,8 @@
 } from "../calls/client_response.ts";
 import type { CallServer } from "../calls/call_server.ts";
 import type { EventLog } from "../event_log.ts";
+import type { ForwardMetrics } from "../metrics.ts";
+import { reportInternalError, runReported } from "../report_error.ts";
 import type { ClientLimits, ForwardedCall } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
 import { RequestAdmission } from "./request_admission.ts";
@@ -31,6 +33,7 @@
   readonly server: CallServer;
   readonly clock: Clock;
   readonly log: EventLog;
+  readonly metrics: Pick<ForwardMetrics, "internalErrors">;
 }
 
 /** Limits in force until a configuration is applied. */
@@ -72,12 +75,21 @@
       noDelay: true,
     });
     this.#http.on("request", (request, response) => {
-      void this.#handleRequest(request, response);
+      runReported(
+        this.#options,
+        "call",
+        () => this.#handleRequest(request, response),
+      );
     });
     this.#http.on("clientError", (error, socket) => {
-      void this.#handleClientError(
-        error as NodeJS.ErrnoException,
-        socket as Socket,
+      runReported(
+        this.#options,
+        "call",
+        () =>
+          this.#handleClientError(
+            error as NodeJS.ErrnoException,
+            socket as Socket,
+          ),
       );
     });
     this.applyLimits(INITIAL_LIMITS);
@@ -151,10 +163,20 @@
         response.setHeader("Connection", "close");
         this.#admission.refuseLater(socket, request);
       }
-      this.#rejectRequest(request, clientResponse, toServeError(error));
+      this.#rejectRequest(request, clientResponse, this.#convertError(error));
     }
   }
 
+  /** Converts an error that came up before the call was served: no target has run the call. */
+  #convertError(error: unknown): ServeError {
+    if (error instanceof ServeError) return error;
+    reportInternalError(this.#options, "call", error);
+    return new ServeError(
+      "overloaded",
+      "an internal error ended the call before it was sent",
+    );
+  }
+
   #findConnection(socket: Socket): ClientConnection {
     let connection = this.#connections.get(socket);
     if (connection === undefined) {
--- a/packages/heatherarch-forward/tests/unit/disconnect_test.ts
+++ b/packages/heatherarch-forward/tests/unit/disconnect_test.ts
@@ -107,7 +107,7 @@
     const { exchange, open, isAborted } = buildOpeningExchange();
     const { buildContext, disconnect } = buildCall(kind, exchange);
     const context = buildContext();
-    context.send(buildTarget("t"), REQUEST);
+    context.send(buildTarget("t"), () => REQUEST);
     disconnect();
     const end = await exchange.ended;
     assert.ok(end !== "ended" && end.fault === "notSent", kind);
@@ -121,7 +121,7 @@
   const { exchange, open, isAborted } = buildOpeningExchange();
   const { buildContext, disconnect } = buildCall("once", exchange);
   const context = buildContext();
-  context.send(buildTarget("t"), REQUEST);
+  context.send(buildTarget("t"), () => REQUEST);
   open();
   disconnect();
   assert.equal(context.hasEnded, true);
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -161,7 +161,7 @@
   // One run at the peer, and one that is left.
   assert.equal(context.mayRunAgain, true);
   const request = { path: "/", method: "GET", headers: [], body: null };
-  context.send(buildTarget("t"), request);
+  context.send(buildTarget("t"), () => request);
   assert.equal(countClosed(), 1);
   context.finish("delivered");
 });
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -8,6 +8,7 @@
   type CallCodec,
   type CallServer,
   type ForwardedCall,
+  ForwardMetrics,
   Ingress,
   MemoryEventLog,
 } from "../../mod.ts";
@@ -58,6 +59,7 @@
     server: server as unknown as CallServer,
     clock: new RuntimeClock(),
     log: new MemoryEventLog(),
+    metrics: new ForwardMetrics(),
   });
   ingress.applyLimits({
     maxHeaderBytes: 4096,
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -75,6 +75,12 @@
   | "falsePromise"
   /** Run, but the response is truncated. */
   | "cut"
+  /** An error comes up before anything is sent. */
+  | "unsendable"
+  /** Run, but an error comes up while the head of the response is read. */
+  | "undecodable"
+  /** Run, but an error comes up while the response is sent to the client. */
+  | "unwritable"
   | "ok";
 
 /** One step of a script: how an attempt ends, and whether the target then restarts under its id. */
@@ -100,6 +106,8 @@
   readonly retries: number;
   /** Retries that the call took from the retry budget and did not give back. */
   readonly retriesTaken: number;
+  /** Events that the VM logged. */
+  readonly events: readonly string[];
   /** Counts the runs that the VM believes to be in progress at the targets now. */
   readonly countInFlight: () => number;
 }
@@ -129,6 +137,8 @@
   #prefills = 0;
   /** Runs and rejected runs that reached a target. */
   #runRequests = 0;
+  /** Whether an error comes up when the head of the response is sent to the client. */
+  #isUnwritable = false;
   readonly #log = new MemoryEventLog();
 
   constructor(kind: CallKind, script: readonly ScriptedAttempt[]) {
@@ -160,6 +170,7 @@
       retriesTaken: this.#log.lines
         .filter(({ event }) => event === "callEnded")
         .reduce((sum, { fields }) => sum + Number(fields.retriesTaken), 0),
+      events: this.#log.lines.map(({ event }) => event),
       countInFlight: () => this.#countInFlight(),
     };
   }
@@ -284,6 +295,7 @@
       registerDisconnectListener: () => () => undefined,
       registerDrainListener: () => undefined,
       writeHead: (status: number) => {
+        if (this.#isUnwritable) throw new TypeError("Invalid character");
         clientResponse.isHeadSent = true;
         this.#status = status;
       },
@@ -313,6 +325,8 @@
       ? undefined
       : this.#script.shift();
     const end = step?.end ?? "ok";
+    if (end === "unsendable") throw new TypeError("Invalid URL");
+    this.#isUnwritable = end === "unwritable";
     const dispatch = (
       _options: Dispatcher.DispatchOptions,
       handler: Dispatcher.DispatchHandler,
@@ -371,6 +385,7 @@
     const headers = {
       "x-not-run": String(end === "refused"),
       "x-misdirected": String(end === "misdirected"),
+      "x-undecodable": String(end === "undecodable"),
     };
     handler.onResponseStart?.(controller, status, headers, "");
     const first = Number(request.headers[1]) + 1;
@@ -395,12 +410,15 @@
       headers: ["last-event", options.lastEventId ?? "0"],
       body: null,
     }),
-    decodeResponse: (_status: number, headers: Record<string, string>) => ({
-      callId: "call",
-      signed: true,
-      notRun: headers["x-not-run"] === "true",
-      misdirected: headers["x-misdirected"] === "true",
-    }),
+    decodeResponse: (_status: number, headers: Record<string, string>) => {
+      if (headers["x-undecodable"] === "true") throw new TypeError("no header");
+      return {
+        callId: "call",
+        signed: true,
+        notRun: headers["x-not-run"] === "true",
+        misdirected: headers["x-misdirected"] === "true",
+      };
+    },
     decodeKvHandle: () => "handle",
     encodeHandleRelease: () => ({
       path: "free",
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -58,6 +58,7 @@
 } from "./calls/target_connections.ts";
 import { TargetProbe } from "heatherarch-quarantine";
 import { ForwardMetrics } from "./metrics.ts";
+import { reportInternalError } from "./report_error.ts";
 import type { Target } from "./model.ts";
 import type { CallCodec } from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
@@ -176,6 +177,8 @@
       notices.apply(target, head, request);
     },
     onConnect: () => metrics.connectionsOpened.inc(),
+    onError: (error) =>
+      reportInternalError({ log, metrics }, "connections", error),
     onSend: ({ id }) => {
       // What is kept of a target is dropped once, when the target is gone.
       if (directory.findTarget(id) === undefined) return;
--- a/packages/heatherarch-lab/proofs/disconnect_proof.ts
+++ b/packages/heatherarch-lab/proofs/disconnect_proof.ts
@@ -227,7 +227,7 @@
       "no call is sent long after its client has left",
       `${lateMs} ms`,
     );
-    context.send(TARGET, REQUEST);
+    context.send(TARGET, () => REQUEST);
     // What remains once the connection is open is a write.
     if (!simulated.opensConnection) {
       this.#clock.advance(this.#schedule.workMs);
