Store: a read counts as read once its entries are applied

Found while looking for places where an error of our own has lasting effects. TopicFollower moved its offset before it applied what it had read, so a change whose application met an error was never applied, and a list that met one was never loaded again: the VM went on without a target or a configuration. A list of a restored store that was loaded a second time would also have counted as an ordinary one.

The offset and the epoch are now kept after the entries are applied. After an error the topic is loaded.

--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -232,10 +232,12 @@
     }
     if (this.#stopped || !this.#isActive) return;
     this.#hasJustLoaded = false;
-    // A load brings the newest record of each key. The records in between may be many and large.
-    this.#nextOffset = slice.hasMore ? undefined : slice.next;
+    // Changes that could not be applied are not skipped: the next read loads the topic.
+    this.#nextOffset = undefined;
     this.#updateUnreadable(slice.entries);
     this.#options.onChanges(slice.entries, sentAtMs);
+    // A load brings the newest record of each key. The records in between may be many and large.
+    if (this.#isActive && !slice.hasMore) this.#nextOffset = slice.next;
   }
 
   /** Loads the topic again, as the position of this follower is gone or belongs to another epoch. */
@@ -281,13 +283,15 @@
     const slice = await port.load(timeoutMs);
     if (this.#stopped || !this.#isActive) return;
     const isRestored = this.#epoch !== undefined && slice.epoch !== this.#epoch;
-    this.#nextOffset = slice.next;
-    this.#epoch = slice.epoch;
+    const { epoch } = slice;
+    this.#nextOffset = undefined;
     this.#hasJustLoaded = true;
     this.#dropUnlisted(slice.entries);
     this.#updateUnreadable(slice.entries);
-    const { epoch } = slice;
     this.#options.onList(slice.entries, sentAtMs, { epoch, isRestored });
+    // A list that could not be applied is loaded again, and counts as restored then as well.
+    this.#epoch = epoch;
+    if (this.#isActive) this.#nextOffset = slice.next;
   }
 
   /** Logs when an entry becomes unreadable or readable, however often it is read. */
--- a/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
+++ b/packages/heatherarch-forward/tests/unit/topic_follower_test.ts
@@ -10,6 +10,8 @@
 
 const POLL_MS = 700;
 const STALL_MS = 3000;
+/** Reads after which a follower no longer loads the topic. */
+const MAX_READS = 20;
 
 /** Follows a topic that returns one slice per read; returns what the follower logged. */
 async function followSlices(
@@ -329,3 +331,58 @@
   follower.stop();
   assert.deepEqual(reads.slice(0, 3), ["load", "changes from 5", "load"]);
 });
+
+// Guards against a change, or a whole list, that is never applied because an error came up the first time.
+test("entries that could not be applied are loaded again", async () => {
+  const applied: string[] = [];
+  const restored: boolean[] = [];
+  let failures = 1;
+  const failOnce = (): void => {
+    if (failures-- > 0) throw new Error("not applied");
+  };
+  await new Promise<void>((resolve) => {
+    let loads = 0;
+    let reads = 0;
+    new TopicFollower<number>({
+      name: "numbers",
+      clock: new RuntimeClock(),
+      port: {
+        load: () => {
+          loads++;
+          if (loads === 3) failures = 1;
+          const entries = [{ key: `list ${loads}`, value: loads }];
+          return Promise.resolve({
+            entries,
+            next: 1,
+            epoch: loads < 3 ? 1 : 2,
+          });
+        },
+        readChanges: () => {
+          reads++;
+          if (loads === 4 || reads > MAX_READS) {
+            resolve();
+            return new Promise(() => undefined);
+          }
+          const entries = [{ key: "change", value: 0 }];
+          const epoch = applied.length < 2 ? 1 : 2;
+          return Promise.resolve({ entries, next: 2, epoch });
+        },
+      },
+      log: { write: () => undefined },
+      pollMs: 0,
+      waitMs: 0,
+      retryMs: 1,
+      onList: ([{ key }], _sentAtMs, { isRestored }) => {
+        if (key !== "list 1") failOnce();
+        applied.push(key);
+        restored.push(isRestored);
+      },
+      onChanges: ([{ key }]) => {
+        failOnce();
+        applied.push(key);
+      },
+    }).start();
+  });
+  assert.deepEqual(applied, ["list 1", "list 2", "list 4"]);
+  assert.deepEqual(restored, [false, false, true]);
+});
