--- a/packages/heatherarch-core/mod.ts
+++ b/packages/heatherarch-core/mod.ts
@@ -9,6 +9,7 @@
 export * from "./hash.ts";
 export * from "./ids.ts";
 export * from "./invariant.ts";
+export * from "./ip_address.ts";
 export * from "./moment.ts";
 export * from "./random.ts";
 export * from "./read_barrier.ts";
