Entries: operators see which entries a VM can't read

Cause: an unreadable entry was logged once and counted. Which ones are unreadable now could be found only by reading the whole log, and entries of the VM list were neither logged nor counted.

The VM list is reported like the configuration and the target list.

--- a/packages/heatherarch-cli/commands.ts
+++ b/packages/heatherarch-cli/commands.ts
@@ -335,6 +335,7 @@
     ),
     ...formatQueues(status.queues ?? []),
     ...(status.loads ?? []).flatMap(formatLoads),
+    ...(status.unreadable ?? []).flatMap(formatUnreadable),
   ];
   if (duties === null) return [...lines, "duties: none"];
   lines.push(
@@ -383,6 +384,18 @@
   ];
 }
 
+/** Keys are quoted, as another writer may put control characters of the terminal into them. */
+function formatUnreadable(
+  { topic, keys, others }: NonNullable<
+    FleetStatusResponse["unreadable"]
+  >[number],
+): string[] {
+  return [
+    `unreadable\t${topic}\t${keys.length} entries listed\t${others} others`,
+    ...keys.map((key) => `  entry\t${topic}\t${JSON.stringify(key)}`),
+  ];
+}
+
 function formatPercent(part: number): string {
   return `${(part * 100).toFixed(1)}%`;
 }
--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -91,7 +91,7 @@
     booked: number;
     due: number;
   }[];
-  /** Absent in the response of an older VM, as are the loads. */
+  /** Absent in the response of an older VM, as are the unreadable entries and the loads. */
   readonly queues?: readonly {
     service: string;
     kind: string;
@@ -99,6 +99,11 @@
     /** Calls per second; null if unknown. */
     ratePerS: number | null;
   }[];
+  readonly unreadable?: readonly {
+    topic: string;
+    keys: readonly string[];
+    others: number;
+  }[];
   readonly loads?: readonly {
     service: string;
     targets: readonly {
--- a/packages/heatherarch-cli/tests/unit/commands_test.ts
+++ b/packages/heatherarch-cli/tests/unit/commands_test.ts
@@ -97,3 +97,20 @@
     ],
   );
 });
+
+// Guards against odd entries that operators see in the log only, and against keys that control a terminal.
+test("the status of a fleet shows which entries are unreadable, with quoted keys", () => {
+  const unreadable = [
+    { topic: "targets", keys: ["i-1", "\u001b[2J"], others: 7 },
+    { topic: "configs", keys: ["config"], others: 0 },
+  ];
+  const lines = formatFleetStatus({ ...STATUS, unreadable });
+  const known = new Set(formatFleetStatus(STATUS));
+  assert.deepEqual(lines.filter((line) => !known.has(line)), [
+    "unreadable\ttargets\t2 entries listed\t7 others",
+    '  entry\ttargets\t"i-1"',
+    '  entry\ttargets\t"\\u001b[2J"',
+    "unreadable\tconfigs\t1 entries listed\t0 others",
+    '  entry\tconfigs\t"config"',
+  ]);
+});
--- a/packages/heatherarch-forward/fleet/fleet_mesh.ts
+++ b/packages/heatherarch-forward/fleet/fleet_mesh.ts
@@ -34,6 +34,10 @@
 import type { StreamVersions } from "../state/stream_versions.ts";
 import type { LoadScope, TargetLoads } from "heatherarch-load";
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
+import {
+  UnreadableEntries,
+  type UnreadableStatus,
+} from "../state/unreadable_entries.ts";
 import type { WorkTracker } from "../state/work_tracker.ts";
 import type { UsageMeter } from "heatherarch-usage";
 
@@ -92,6 +96,8 @@
   readonly onPeerListRead: (atMs: number) => void;
   /** Called with the duration of a stall of this process, milliseconds. */
   readonly onLoopStall: (lateMs: number) => void;
+  /** Called for each entry of the VM list that becomes unreadable. */
+  readonly onUnreadable: () => void;
   /** Whether this VM could send orders to engines now. */
   readonly mayOrder: () => boolean;
   readonly usageMeter: UsageMeter;
@@ -110,6 +116,7 @@
   readonly #sums: SumExchange;
   readonly #gossip: FleetGossip;
   readonly #vmList: VmListFollower;
+  readonly #unreadable: UnreadableEntries;
   readonly #configExchange: ConfigExchange;
   readonly #usage: UsageExchange;
   readonly #streams: StreamVersionExchange;
@@ -148,11 +155,17 @@
         }),
     });
     this.#gossip = new FleetGossip(options);
+    this.#unreadable = new UnreadableEntries({
+      topic: "vms",
+      log: options.log,
+      onUnreadable: options.onUnreadable,
+    });
     this.#vmList = new VmListFollower({
       self,
       vms: options.vms,
       clock: options.clock,
       hasFreshFeed: () => !this.mustReadStore(),
+      onEntries: (entries) => this.#unreadable.applyList(entries),
       onList: (listed) => this.#applyVmList(listed),
       onError: (error) => this.#logVmListError(error),
     });
@@ -309,6 +322,11 @@
     return this.#usage.collect(window, endMs, this.listCoordinators());
   }
 
+  /** Lists the entries of the VM list that this VM can't read. */
+  listUnreadable(): UnreadableStatus[] {
+    return this.#unreadable.listStatus();
+  }
+
   /** Updates the VM count and polls the VM list when due. To be called several times a second. */
   tick(): void {
     this.updateVmCount();
--- a/packages/heatherarch-forward/fleet/vm_list_follower.ts
+++ b/packages/heatherarch-forward/fleet/vm_list_follower.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "heatherarch-core";
 import type { VmRecord } from "../model.ts";
-import type { WritableTopicPort } from "../ports.ts";
+import type { KeyedEntry, WritableTopicPort } from "../ports.ts";
 
 /** Options of {@linkcode VmListFollower}. */
 export interface VmListFollowerOptions {
@@ -17,6 +17,8 @@
   readonly hasFreshFeed: () => boolean;
   /** Called with the VMs of each list that was read. */
   readonly onList: (listed: readonly VmRecord[]) => void;
+  /** Called with all entries of each list that was read, before the VMs. */
+  readonly onEntries?: (entries: readonly KeyedEntry<VmRecord>[]) => void;
   /** Called when the list could not be read or written. */
   readonly onError: (error: unknown) => void;
 }
@@ -88,7 +90,7 @@
   }
 
   async #poll(): Promise<void> {
-    const { vms, self, onList } = this.#options;
+    const { vms, self, onList, onEntries } = this.#options;
     if (this.#hasLeft) return;
     if (!this.#isAnnounced) await vms.put(self.id, self);
     this.#isAnnounced = true;
@@ -96,6 +98,7 @@
     this.#isAnnounced = entries.some(({ key, value }) =>
       key === self.id && value?.incarnation === self.incarnation
     );
+    onEntries?.(entries);
     onList(entries.map(({ value }) => value).filter((vm) => vm !== undefined));
   }
 
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -525,6 +525,10 @@
       returns: returnTimes.listStatus(serviceNames, nowMs),
       queues: listQueueStatus({ prefillQueue, plainCallQueues, services }),
       loads: listLoadStatus(this.#components, serviceNames, nowMs),
+      unreadable: [
+        ...this.#components.storeReader.listUnreadable(),
+        ...this.#components.mesh.listUnreadable(),
+      ],
       duties: duties?.getStatus() ?? null,
     };
   }
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -113,6 +113,7 @@
 export * from "./vm_tasks.ts";
 export * from "./state/usage_recorder.ts";
 export * from "./state/work_tracker.ts";
+export * from "./state/unreadable_entries.ts";
 export * from "./tasks/load_prober.ts";
 export * from "./tasks/path_monitor.ts";
 export * from "./calls/handover_codec.ts";
--- a/packages/heatherarch-forward/tasks/status_server.ts
+++ b/packages/heatherarch-forward/tasks/status_server.ts
@@ -16,6 +16,7 @@
 import type { DutyStatus } from "./fleet_duties.ts";
 import type { LoadStatus } from "./load_status.ts";
 import type { QueueStatus } from "./queue_status.ts";
+import type { UnreadableStatus } from "../state/unreadable_entries.ts";
 import type { ReturnStatus } from "../scheduling/return_times.ts";
 
 /** Options of {@linkcode StatusServer}. */
@@ -49,6 +50,8 @@
   readonly queues: readonly QueueStatus[];
   /** Services of which targets have reported their load, with the most loaded targets. */
   readonly loads: readonly LoadStatus[];
+  /** Topics of the store with entries that this VM can't read now. */
+  readonly unreadable: readonly UnreadableStatus[];
   /** Null if the fleet has no duties. */
   readonly duties: DutyStatus | null;
 }
--- a/packages/heatherarch-forward/tasks/store_reader.ts
+++ b/packages/heatherarch-forward/tasks/store_reader.ts
@@ -24,6 +24,7 @@
 import type { TargetRateLimits } from "../state/target_rate_limits.ts";
 import type { CrashDetector } from "heatherarch-quarantine";
 import { TopicFollower } from "./topic_follower.ts";
+import type { UnreadableStatus } from "../state/unreadable_entries.ts";
 
 /** Options of {@linkcode StoreReader}. */
 export interface StoreReaderOptions {
@@ -127,6 +128,12 @@
     this.#targetFollower.setActive(isActive);
   }
 
+  /** Lists the entries of both topics that this VM can't read. */
+  listUnreadable(): UnreadableStatus[] {
+    return [this.#configFollower, this.#targetFollower]
+      .flatMap((follower) => follower.listUnreadable());
+  }
+
   /** Reads the target list now if this VM reads it at all. */
   refreshList(): void {
     this.#targetFollower.refresh();
--- a/packages/heatherarch-forward/tasks/topic_follower.ts
+++ b/packages/heatherarch-forward/tasks/topic_follower.ts
@@ -7,6 +7,10 @@
 import { type Clock, type Moment, readMoment } from "heatherarch-core";
 import { type EventLog, formatAge } from "../event_log.ts";
 import type { KeyedEntry, KeyedTopicPort, TopicSlice } from "../ports.ts";
+import {
+  UnreadableEntries,
+  type UnreadableStatus,
+} from "../state/unreadable_entries.ts";
 
 /** Which store a load comes from. */
 export interface LoadOrigin {
@@ -66,8 +70,6 @@
  * hub that always reads right before a VM does never provides that VM with anything newer.
  */
 const JITTER_SHARE = 0.25;
-/** Keys come from other writers, so longer ones are truncated in the log. */
-const MAX_LOGGED_KEY_CHARS = 80;
 
 /** Thrown when a long poll fails. */
 class LongPollError extends Error {
@@ -99,11 +101,12 @@
   /** Whether a long poll failed. The next read is then a plain one, which the store never holds. */
   #isLongPollFailed = false;
   #readAtMs = -Infinity;
-  /** Keys whose newest record is unreadable. */
-  #unreadable = new Set<string>();
+  readonly #unreadable: UnreadableEntries;
 
   constructor(options: TopicFollowerOptions<T>) {
     this.#options = options;
+    const { name: topic, log, onUnreadable } = options;
+    this.#unreadable = new UnreadableEntries({ topic, log, onUnreadable });
   }
 
   /** Whether the last read succeeded and the topic has been loaded. */
@@ -125,6 +128,11 @@
     return this.#readAtMs;
   }
 
+  /** Lists the unreadable entries, unless others read the topic. */
+  listUnreadable(): UnreadableStatus[] {
+    return this.#isActive ? this.#unreadable.listStatus() : [];
+  }
+
   /** Returns the time since the last successful read; Infinity while reads fail. */
   getAgeMs(nowMs: number): number {
     return this.#failingSinceMs === undefined
@@ -234,7 +242,7 @@
     this.#hasJustLoaded = false;
     // Changes that could not be applied are not skipped: the next read loads the topic.
     this.#nextOffset = undefined;
-    this.#updateUnreadable(slice.entries);
+    this.#unreadable.applyChanges(slice.entries);
     this.#options.onChanges(slice.entries, sentAtMs);
     // A load brings the newest record of each key. The records in between may be many and large.
     if (this.#isActive && !slice.hasMore) this.#nextOffset = slice.next;
@@ -286,42 +294,13 @@
     const { epoch } = slice;
     this.#nextOffset = undefined;
     this.#hasJustLoaded = true;
-    this.#dropUnlisted(slice.entries);
-    this.#updateUnreadable(slice.entries);
+    this.#unreadable.applyList(slice.entries);
     this.#options.onList(slice.entries, sentAtMs, { epoch, isRestored });
     // A list that could not be applied is loaded again, and counts as restored then as well.
     this.#epoch = epoch;
     if (this.#isActive) this.#nextOffset = slice.next;
   }
 
-  /** Logs when an entry becomes unreadable or readable, however often it is read. */
-  #updateUnreadable(entries: readonly KeyedEntry<T>[]): void {
-    for (const { key, isUnreadable = false, reason } of entries) {
-      if (isUnreadable === this.#unreadable.has(key)) continue;
-      if (isUnreadable) {
-        this.#unreadable.add(key);
-        this.#options.onUnreadable?.();
-      } else this.#unreadable.delete(key);
-      this.#options.log.write(
-        isUnreadable ? "warn" : "info",
-        isUnreadable ? "entryUnreadable" : "entryReadable",
-        {
-          topic: this.#options.name,
-          key: key.slice(0, MAX_LOGGED_KEY_CHARS),
-          reason,
-        },
-      );
-    }
-  }
-
-  /** Drops unreadable keys that the full list no longer contains. */
-  #dropUnlisted(entries: readonly KeyedEntry<T>[]): void {
-    const listed = new Set(entries.map(({ key }) => key));
-    for (const key of this.#unreadable) {
-      if (!listed.has(key)) this.#updateUnreadable([{ key }]);
-    }
-  }
-
   /** Logs a failed long poll. A read follows at once, as perhaps only the connection was lost. */
   #handleLongPollFailure(error: Error, sentAtMs: number): void {
     this.#isLongPollFailed = true;
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -155,6 +155,7 @@
     listChangingRole: () => getComponents().roleController.listChangingRole(),
     acceptHandover: (link) => components.handoverServer.accept(link),
     onLoopStall: (lateMs) => components.metrics.loopLate.observe(lateMs / 1000),
+    onUnreadable: () => components.metrics.entriesUnreadable.inc(),
     mayOrder: () =>
       getComponents().storeReader.isListCurrent &&
       getComponents().mesh.isCoordinator,
