Role plan: roles go by engines that respond, not by entries

Cause: the plan counted listed decode engines that refuse connections. Three of them beside two sound decode and two prefill engines were a surplus of three, picked in the order of ids, so the sound two were ordered to prefill, back to decode when the failures showed, and to prefill again. Streams ended as "no decode engine" after tries at the three.

Change: a surplus counts only engines that respond, with the desired number for all that are listed; a shortage is that of the engines that respond. The choice of zones and versions goes by engines that respond. A VM that has sent no call knows of no failure, so the decode engines of a service are asked for their reports before one is ordered to prefill. One without a report counts as not responding for 5 s, and no lease is sought meanwhile. When all engines respond, the plan is the same as before.

--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -12,6 +12,10 @@
  * A stream goes on only at the software version that began it, so the decode engines should have one
  * version, as far as that takes no further changes.
  *
+ * Roles go by engines that respond, not by entries of the target list: an engine that nobody reaches
+ * replaces no other one. While the number of engines is uncertain, a change is due only if it is due
+ * with and without those that don't respond.
+ *
  * @module
  */
 import type { Target, TargetRole } from "../model.ts";
@@ -26,6 +30,8 @@
 export interface RolePlanOptions {
   /** Whether an engine that is still listed responds; by default all do. */
   readonly isReachable?: (engine: Target) => boolean;
+  /** Whether an engine responded when it was last asked, or was not asked; by default all did. */
+  readonly isConfirmed?: (engine: Target) => boolean;
   /** Whether an engine takes less work than usual because of a rate limit; by default none does. */
   readonly isRateLimited?: (engine: Target) => boolean;
   /** Whether an engine has runs in progress; by default none has. */
@@ -85,28 +91,40 @@
   options: RolePlanOptions = {},
 ): PlannedRoleChange[] {
   const { isReachable = () => true, isRateLimited = () => false } = options;
+  const { isConfirmed = () => true } = options;
   const { minDecodeEngines = DEFAULT_MIN_DECODE_ENGINES } = options;
+  const isAnswering = (engine: Target): boolean =>
+    isReachable(engine) && isConfirmed(engine);
   const usable = engines.filter((engine) => !engine.leaving);
+  const answering = usable.filter(isAnswering);
   const decodeEngines = usable.filter((engine) => engine.role === "decode");
+  const answeringDecodeEngines = decodeEngines.filter(isAnswering);
   const usual = computeDecodeEngineCount(usable.length, options);
   const isShort = decodeEngines.filter(isRateLimited).length >= usual;
-  const desired = isShort
-    ? Math.max(usual, Math.min(usable.length - 1, usual + 1))
-    : usual;
+  const countDesired = (count: number): number => {
+    const desired = computeDecodeEngineCount(count, options);
+    return isShort
+      ? Math.max(desired, Math.min(count - 1, desired + 1))
+      : desired;
+  };
+  const desired = countDesired(usable.length);
   const responding = decodeEngines.filter(isReachable).length;
   const urgent = Math.min(desired, minDecodeEngines) - responding;
-  const surplus = decodeEngines.length - desired;
+  const surplus = answeringDecodeEngines.length - desired;
   if (surplus > 0 && urgent <= 0) {
-    return pickSurplus(decodeEngines, surplus, options)
+    return pickSurplus(answeringDecodeEngines, surplus, options)
       .map((target) => ({ target, role: "prefill" }));
   }
   const prefillEngines = usable
     .filter((engine) => engine.role === "prefill" && isReachable(engine))
     .filter((engine) => !isShort || !isRateLimited(engine));
-  const isScattered = hasOnlySingleVersions(decodeEngines, prefillEngines);
-  const wanted = Math.max(-surplus, urgent, isScattered ? 1 : 0);
+  const isScattered = hasOnlySingleVersions(decodeEngines, prefillEngines) &&
+    hasOnlySingleVersions(answeringDecodeEngines, prefillEngines);
+  const lacking = countDesired(answering.length) - decodeEngines.length;
+  const wanted = Math.max(lacking, urgent, isScattered ? 1 : 0);
   const missing = Math.min(wanted, Math.max(0, prefillEngines.length - 1));
-  return pickForSmallestZones(prefillEngines, decodeEngines, missing)
+  const neighbors = preferEngines(decodeEngines, isAnswering);
+  return pickForSmallestZones(prefillEngines, neighbors, missing, isConfirmed)
     .map((target) => ({ target, role: "decode" }));
 }
 
@@ -155,14 +173,15 @@
 }
 
 /**
- * Picks `count` prefill engines, first those with the software version of most decode engines, then
- * from the zone that has the fewest decode engines. Spot engines are picked last: all of a zone's may
+ * Picks `count` prefill engines, first those that responded when they were asked, then those with the
+ * software version of most decode engines, then from the zone that has the fewest decode engines. Spot engines are picked last: all of a zone's may
  * be reclaimed at once, and there are few decode engines.
  */
 function pickForSmallestZones(
   prefillEngines: readonly Target[],
   decodeEngines: readonly Target[],
   count: number,
+  isConfirmed: (engine: Target) => boolean,
 ): Target[] {
   const remaining = sortById(prefillEngines);
   const zones = countByZone(decodeEngines);
@@ -172,7 +191,7 @@
       findMainVersion(remaining);
     const candidates = preferEngines(
       preferEngines(
-        remaining,
+        preferEngines(remaining, isConfirmed),
         (engine) => engine.softwareVersion === version,
       ),
       (engine) => !isSpot(engine),
--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -2,6 +2,9 @@
  * Orders engines to change to their planned roles. Any VM may do so, but only one at a time, under
  * a lease in the platform's log that is held only while there are changes to make.
  *
+ * The plan counts engines that respond. This VM may have sent none of them a call, so before a decode
+ * engine is ordered to prefill, all decode engines of the service are asked for their reports.
+ *
  * Rendezvous hashing ranks the VMs. The first one acts at once, and each next one only if the
  * change is still due some seconds later. If two act at once, the lease decides.
  *
@@ -76,6 +79,11 @@
 const MAX_IDLE_LEASE_MS = 2000;
 /** Time of two reports of a target, after which its new role is listed, milliseconds. */
 const REPORT_WAIT_MS = 2600;
+/**
+ * Time for which an engine without a report counts as one that does not respond, milliseconds: longer
+ * than the time after which the target list drops a dead one.
+ */
+const UNCONFIRMED_MS = 5000;
 const HTTP_OK = 200;
 const HTTP_FENCED = 412;
 
@@ -84,6 +92,8 @@
   readonly #options: RoleControllerOptions;
   /** Ordered changes by engine, with the new role and the time until which it is awaited. */
   readonly #pending = new Map<string, { role: TargetRole; untilMs: number }>();
+  /** Engines that did not report when they were asked, with the time until which that counts. */
+  readonly #unconfirmed = new Map<string, number>();
   readonly #lease: LeaseHolder;
   /** Monotonic time at which there was last a change to make. */
   #changesDueAtMs = -Infinity;
@@ -151,6 +161,8 @@
     }
     this.#changesDueSinceMs = Math.min(this.#changesDueSinceMs, nowMs);
     if (nowMs - this.#changesDueSinceMs < this.#computeTurnDelayMs()) return;
+    // The next plan does without the engines that did not report.
+    if (!await this.#confirmDecodeEngines(changes)) return;
     this.#changesDueAtMs = nowMs;
     this.#lease.seek();
     await this.#lease.step();
@@ -160,21 +172,20 @@
   }
 
   #plan(nowMs: number): PlannedRoleChange[] {
-    const { activeConfig, directory, health, rateLimits, isListCurrent } =
-      this.#options;
+    const { activeConfig, health, rateLimits, isListCurrent } = this.#options;
     const { table } = activeConfig;
     if (table === undefined || !isListCurrent()) return [];
+    this.#dropConfirmations(nowMs);
     const changes: PlannedRoleChange[] = [];
     let count = 0;
     for (const service of table.config.services) {
       if (service.engine === undefined) continue;
       if (!this.#options.hasPath(service.name)) continue;
-      const engines = directory.listServing(service.name)
-        .filter((target) => target.role !== undefined)
-        .map((target) => this.#applyPending(target, nowMs));
+      const engines = this.#listEngines(service.name, nowMs);
       count += engines.length;
       changes.push(...planRoles(engines, {
         isReachable: ({ id }) => health.isReachable(id),
+        isConfirmed: ({ id }) => !this.#unconfirmed.has(id),
         isRateLimited: ({ id }) => rateLimits.getMaxPerSecond(id) !== undefined,
         hasRuns: ({ id }) => this.#options.hasRuns(id),
         slots: service.engine.slots,
@@ -186,6 +197,43 @@
     return nowMs - this.#countGrewAtMs < LIST_SETTLE_MS ? [] : changes;
   }
 
+  /** Lists the engines of a service with the roles that they have after the changes in progress. */
+  #listEngines(service: string, nowMs: number): Target[] {
+    return this.#options.directory.listServing(service)
+      .filter((target) => target.role !== undefined)
+      .map((target) => this.#applyPending(target, nowMs));
+  }
+
+  /**
+   * Asks the decode engines of each service of which one is to prefill for their reports. Returns
+   * whether all of them respond, so that those that remain can serve.
+   */
+  async #confirmDecodeEngines(
+    changes: readonly PlannedRoleChange[],
+  ): Promise<boolean> {
+    const services = new Set(
+      changes.filter(({ role }) => role === "prefill")
+        .map(({ target }) => target.service),
+    );
+    const nowMs = this.#nowMs;
+    const asked = [...services]
+      .flatMap((service) => this.#listEngines(service, nowMs))
+      .filter(({ id, role, leaving }) =>
+        role === "decode" && !leaving && !this.#unconfirmed.has(id) &&
+        this.#options.health.isReachable(id)
+      );
+    const reports = await Promise.all(
+      asked.map((target) => this.#readReport(target)),
+    );
+    return reports.every((report) => report !== undefined);
+  }
+
+  #dropConfirmations(nowMs: number): void {
+    for (const [id, untilMs] of this.#unconfirmed) {
+      if (nowMs > untilMs) this.#unconfirmed.delete(id);
+    }
+  }
+
   get #hasAllPaths(): boolean {
     const { activeConfig, hasPath } = this.#options;
     const services = activeConfig.table?.config.services ?? [];
@@ -254,7 +302,16 @@
     return false;
   }
 
+  /** Reads the report of an engine; one without a report is planned as one that does not respond. */
   async #readReport(target: Target): Promise<EngineReport | undefined> {
+    const report = await this.#requestReport(target);
+    if (report === undefined) {
+      this.#unconfirmed.set(target.id, this.#nowMs + UNCONFIRMED_MS);
+    }
+    return report;
+  }
+
+  async #requestReport(target: Target): Promise<EngineReport | undefined> {
     const { codec } = this.#options;
     const response = await sendEngineRequest(
       this.#options,
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -10,6 +10,7 @@
   ForwardMetrics,
   MemoryEventLog,
   RoleController,
+  type Target,
   TargetConnections,
   TargetDirectory,
   TargetHealth,
@@ -121,7 +122,14 @@
   };
 }
 
-/** Creates the controller of one VM for four engines that share one address. */
+/** Four engines at one address, all of which prefill. */
+function buildEngines(address: string): Target[] {
+  return ["e1", "e2", "e3", "e4"].map((id) =>
+    buildEngine(id, { address, startedAtMs: LISTED_START_MS })
+  );
+}
+
+/** Creates the controller of one VM, by default for four engines that share one address. */
 function createController(
   {
     address,
@@ -129,20 +137,19 @@
     codec,
     isListCurrent = () => true,
     hasPath = () => true,
+    engines = buildEngines(address),
   }: {
     address: string;
     clock: SuspendableClock;
     codec: CallCodec;
     isListCurrent?: () => boolean;
     hasPath?: () => boolean;
+    engines?: readonly Target[];
   },
 ): { controller: RoleController; events: MemoryEventLog } {
   const directory = new TargetDirectory();
   directory.applyList(
-    ["e1", "e2", "e3", "e4"].map((id) => ({
-      key: id,
-      value: buildEngine(id, { address, startedAtMs: LISTED_START_MS }),
-    })),
+    engines.map((engine) => ({ key: engine.id, value: engine })),
     clock.readMonotonicMs(),
   );
   const activeConfig = new ActiveConfig({ clock });
@@ -278,3 +285,67 @@
   clock.skip(TRAITS.roleChangeMs + MAX_LISTING_DELAY_MS);
   assert.deepEqual(controller.listChangingRole(), []);
 });
+
+// Guards against a VM that has sent no call, and so knows nothing of engines that refuse connections,
+// and orders the sound decode engines beside them to prefill.
+test("a VM without calls orders no sound decode engine to prefill beside ones that refuse connections", async () => {
+  const engine = await startEngine(() => undefined);
+  const { address } = engine;
+  const created = createController({
+    address,
+    clock: new SuspendableClock(),
+    codec: {
+      ...buildCodec(),
+      decodeReport: () => ({
+        role: "decode",
+        isChangingRole: false,
+        ordersTaken: 0,
+      }),
+    },
+    engines: [
+      ...["r1", "r2"].map((id) => buildEngine(id, { address })),
+      ...["d1", "d2"].map((id) =>
+        buildEngine(id, { address, role: "decode" as const })
+      ),
+      ...["x1", "x2", "x3"].map((id) =>
+        buildEngine(id, { address: "127.0.0.1:1", role: "decode" as const })
+      ),
+    ],
+  });
+  controller = created.controller;
+  controller.start();
+  await new Promise((resolve) => setTimeout(resolve, 4000));
+  assert.deepEqual(engine.orders, []);
+  const names = created.events.lines.map(({ event }) => event);
+  assert.ok(!names.includes("leaseSought"), "no lease was sought");
+  const unanswered = names.filter((name) => name === "engineUnanswered");
+  assert.equal(unanswered.length, 3, "each was asked once");
+});
+
+// Guards against decode engines beyond the plan that stay because their reports are required.
+test("decode engines beyond the plan are ordered to prefill when all report", async () => {
+  const engine = await startEngine(() => undefined);
+  const { address } = engine;
+  const created = createController({
+    address,
+    clock: new SuspendableClock(),
+    codec: {
+      ...buildCodec(),
+      decodeReport: () => ({
+        role: "decode",
+        isChangingRole: false,
+        ordersTaken: 0,
+      }),
+    },
+    engines: ["d1", "d2", "d3", "d4"].map((id) =>
+      buildEngine(id, { address, role: "decode" as const })
+    ),
+  });
+  controller = created.controller;
+  controller.start();
+  const untilMs = performance.now() + 10_000;
+  while (engine.orders.length < 2 && performance.now() < untilMs) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  assert.equal(engine.orders.length, 2);
+});
--- a/packages/heatherarch-forward/tests/unit/role_plan_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_plan_test.ts
@@ -205,3 +205,85 @@
     [["d1", "prefill"]],
   );
 });
+
+/** Two sound engines of each role, beside entries of engines that don't respond. */
+function buildPartlyDown(prefill: number, decode: number): Target[] {
+  const sound = (["prefill", "decode"] as const).flatMap((role) =>
+    [1, 2].map((i) => buildEngine(`m-${role}-${i}`, { role }))
+  );
+  const down = [
+    ...Array.from(
+      { length: prefill },
+      (_, i) => buildEngine(`z-${i}`, { role: "prefill" }),
+    ),
+    ...Array.from(
+      { length: decode },
+      (_, i) => buildEngine(`z-${prefill + i}`, { role: "decode" }),
+    ),
+  ];
+  return [...sound, ...down];
+}
+
+function isSound({ id }: Target): boolean {
+  return id.startsWith("m-");
+}
+
+// Guards against sound decode engines that are ordered to prefill because engines that nobody reaches
+// are listed beside them, so that no decode engine is left.
+test("sound engines keep their roles beside listed ones that don't respond", () => {
+  for (const [prefill, decode] of [[0, 1], [0, 3], [3, 0], [0, 40], [40, 0]]) {
+    const engines = buildPartlyDown(prefill, decode);
+    const context = `${prefill} and ${decode} down`;
+    assert.deepEqual(
+      planRoles(engines, { isReachable: isSound }),
+      [],
+      context,
+    );
+    assert.deepEqual(
+      planRoles(engines, { isConfirmed: isSound }),
+      [],
+      context,
+    );
+  }
+});
+
+// Guards against orders to engines that can't be reached in place of those that can.
+test("only engines that respond are ordered to prefill", () => {
+  const engines = [
+    ...buildPartlyDown(0, 3).map((engine) => ({
+      ...engine,
+      id: engine.id.replace("z-", "a-"),
+    })),
+    ...[3, 4].map((i) => buildEngine(`m-decode-${i}`, { role: "decode" })),
+  ];
+  const changes = planRoles(engines, { isReachable: isSound });
+  assert.equal(changes.length, 2);
+  assert.ok(changes.every(({ target }) => isSound(target)));
+});
+
+// Guards against a plan that follows the version, or the one version each, of engines that are gone.
+test("engines that don't respond have no part in the choice of a software version", () => {
+  const engines = [
+    ...["v9", "v9", "v8"].map((softwareVersion, i) =>
+      buildEngine(`z-${i}`, { role: "decode", softwareVersion })
+    ),
+    buildEngine("m-d", { role: "decode", softwareVersion: "v1" }),
+    ...["v9", "v1", "v1", "v9"].map((softwareVersion, i) =>
+      buildEngine(`m-${i}`, { softwareVersion })
+    ),
+  ];
+  const changes = planRoles(engines, { isReachable: isSound });
+  assert.deepEqual(
+    changes.map(({ target, role }) => [target.softwareVersion, role]),
+    [["v1", "decode"]],
+  );
+});
+
+// Guards against replacements that are awaited from an engine that does not take its order.
+test("an engine that did not respond when it was asked is ordered to decode last", () => {
+  const engines = buildFleet(4, 1);
+  const isConfirmed = ({ id }: Target): boolean => id !== "e001";
+  const changes = planRoles(engines, { isConfirmed });
+  assert.equal(changes.length, 1);
+  assert.notEqual(changes[0].target.id, "e001");
+});
