Queue: an error of one call ends that call only

Cause: a throw of findPlacement, predictMs, mayPlaceLate, onOutcome or of the ranker left the dispatch. The calls behind it were placed with a later dispatch or, if they had been taken out to be considered, never; the error came out at the call that had just been added, or in a timer.

Change: each step of a call runs guarded. An error gives back the call's place in the queue at once, and is handed to the call (onError), whose wait is rejected: the call then ends by the rule for errors outside an attempt. A call whose error nobody takes has no place either.

--- a/packages/heatherarch-forward/calls/plain_slot_wait.ts
+++ b/packages/heatherarch-forward/calls/plain_slot_wait.ts
@@ -65,7 +65,7 @@
     const context = this.#context;
     const { plainCallQueues, pathMonitor } = context.dependencies;
     const enqueuedAtMs = context.nowMs;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let removeListener = (): void => undefined;
       let isQueued = false;
       const settle = (wait: PlainWait): void => {
@@ -89,8 +89,16 @@
           if (isQueued) this.#logWait(outcome, context.nowMs - enqueuedAtMs);
           settle(this.#book(outcome, enqueuedAtMs));
         },
+        onError: (thrown) => {
+          reject(thrown);
+          removeListener();
+        },
       });
       isQueued = true;
+      void context.ended.then(() => {
+        cancel();
+        settle({ kind: "over" });
+      });
       removeListener = pathMonitor.registerLossListener(
         context.service.name,
         () => {
@@ -98,10 +106,6 @@
           settle({ kind: "over" });
         },
       );
-      void context.ended.then(() => {
-        cancel();
-        settle({ kind: "over" });
-      });
     });
   }
 
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -261,7 +261,7 @@
       aimMs,
       ...(isResumed ? { interruptedAtMs: context.nowMs } : {}),
     });
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let removeListener = (): void => undefined;
       const settle = (result: BookedPrefill | PrefillResult): void => {
         removeListener();
@@ -286,6 +286,14 @@
               ? this.#beginPrefill(outcome.placed)
               : outcome,
           ),
+        onError: (thrown) => {
+          reject(thrown);
+          removeListener();
+        },
+      });
+      void context.ended.then(() => {
+        cancel();
+        settle({ kind: "over" });
       });
       removeListener = pathMonitor.registerLossListener(
         context.service.name,
@@ -294,10 +302,6 @@
           settle({ kind: "failed", reason: "path lost" });
         },
       );
-      void context.ended.then(() => {
-        cancel();
-        settle({ kind: "over" });
-      });
     });
   }
 
--- a/packages/heatherarch-forward/scheduling/call_queue.ts
+++ b/packages/heatherarch-forward/scheduling/call_queue.ts
@@ -28,6 +28,7 @@
   CallRanker,
   QueuedCall,
   QueueForecast,
+  QueueOutcome,
 } from "./queued_call.ts";
 import type { QueueReading } from "./return_times.ts";
 import { type Overload, predictWaitMs } from "./wait_forecast.ts";
@@ -190,14 +191,45 @@
     const index = this.#waiting.findIndex((other) => isBefore(waiting, other));
     if (index < 0) this.#waiting.push(waiting);
     else this.#waiting.splice(index, 0, waiting);
-    if (!this.#mustAwaitCapacity()) this.dispatch();
-    return () => {
+    const cancel = (): void => {
       if (!this.#remove(waiting)) return;
-      this.#size--;
+      this.#endWait(waiting, false);
       this.#recordSize(this.#clock.readMonotonicMs());
-      if (request.tokens === undefined) return;
-      this.#fairness.recordEnd(request.kind, waiting.size, false);
     };
+    try {
+      if (!this.#mustAwaitCapacity()) this.dispatch();
+    } catch (error) {
+      cancel();
+      throw error;
+    }
+    return cancel;
+  }
+
+  /** Gives back the place of a call, once. Returns whether the call had one. */
+  #endWait(call: WaitingCall<P>, isPlaced: boolean): boolean {
+    if (call.hasEnded) return false;
+    call.hasEnded = true;
+    this.#size--;
+    if (call.tokens !== undefined) {
+      this.#fairness.recordEnd(call.kind, call.size, isPlaced);
+    }
+    return true;
+  }
+
+  /**
+   * Runs a step of one call. An error of it ends the wait of this call only: the other calls wait for
+   * the same dispatch. Returns `failed` then.
+   */
+  #runStep<T>(call: WaitingCall<P>, failed: T, step: () => T): T {
+    try {
+      return step();
+    } catch (error) {
+      this.#remove(call);
+      this.#endWait(call, false);
+      if (call.onError === undefined) throw error;
+      call.onError(error);
+      return failed;
+    }
   }
 
   /**
@@ -216,19 +248,18 @@
     const size = tokens === undefined
       ? "usual"
       : this.#fairness.recordArrival(kind, tokens);
-    return {
+    const waiting: WaitingCall<P> = {
       ...request,
       rank: 0,
       expectedMs: undefined,
       size,
+      hasEnded: false,
       onOutcome: (outcome) => {
-        this.#size--;
-        if (tokens !== undefined) {
-          this.#fairness.recordEnd(kind, size, outcome.kind === "placed");
-        }
-        request.onOutcome(outcome);
+        const isPlaced = outcome.kind === "placed";
+        if (this.#endWait(waiting, isPlaced)) request.onOutcome(outcome);
       },
     };
+    return waiting;
   }
 
   /** Places the calls that can be placed now, and rejects those that are known to be too late. */
@@ -263,17 +294,25 @@
     if (ranker === undefined) return [0];
     const ranks = new Set<number>();
     for (const call of [...this.#waiting, ...this.#late]) {
-      call.rank = ranker.computeRank(buildRankedCall(call), nowMs);
-      ranks.add(call.rank);
+      this.#runStep(call, undefined, () => {
+        call.rank = ranker.computeRank(buildRankedCall(call), nowMs);
+        ranks.add(call.rank);
+      });
     }
     return [...ranks].sort((a, b) => a - b);
   }
 
+  #settle(call: WaitingCall<P>, outcome: QueueOutcome<P>): void {
+    this.#runStep(call, undefined, () => call.onOutcome(outcome));
+  }
+
   /** Searches the best placement of a call, and keeps its expected time for forecasts. */
   #findPlacement(call: WaitingCall<P>): P | undefined {
-    const placement = call.findPlacement(call.rank);
-    call.expectedMs = placement?.unloadedMs;
-    return placement;
+    return this.#runStep(call, undefined, () => {
+      const placement = call.findPlacement(call.rank);
+      call.expectedMs = placement?.unloadedMs;
+      return placement;
+    });
   }
 
   #place(
@@ -288,12 +327,14 @@
       this.#latePlaced++;
       this.#lateRate.record(placement.costMs, nowMs);
     }
-    this.#ranker?.recordDispatch?.(
-      buildRankedCall(call),
-      placement.costMs,
-      nowMs,
-    );
-    call.onOutcome({ kind: "placed", placed: { placement, lane, rank } });
+    this.#runStep(call, undefined, () => {
+      this.#ranker?.recordDispatch?.(
+        buildRankedCall(call),
+        placement.costMs,
+        nowMs,
+      );
+      call.onOutcome({ kind: "placed", placed: { placement, lane, rank } });
+    });
   }
 
   /** Records whether calls wait, after the queue has changed. */
@@ -341,7 +382,9 @@
         callsPerMs: rate.callsPerMs,
         ...(isDelayed ? { overload } : {}),
       });
-      const readyMs = predictedWaitMs + predictCallMs(call);
+      const callMs = this.#runStep(call, undefined, () => predictCallMs(call));
+      if (callMs === undefined) continue;
+      const readyMs = predictedWaitMs + callMs;
       const readyDeadlineMs = computeReadyDeadlineMs(call);
       if (nowMs + readyMs <= readyDeadlineMs) continue;
       const forecast = { rank: call.rank, callsAhead, rate, predictedWaitMs };
@@ -355,7 +398,7 @@
     if (rejected.size === 0) return;
     this.#waiting = this.#waiting.filter((call) => !rejected.has(call));
     this.#late = this.#late.filter((call) => !rejected.has(call));
-    for (const [call, outcome] of rejected) call.onOutcome(outcome);
+    for (const [call, outcome] of rejected) this.#settle(call, outcome);
   }
 
   /**
@@ -423,7 +466,7 @@
     const { waitStartedAtMs, aimMs, responseDelayMs, lane } = request;
     const placement = this.#findPlacement(request);
     if (placement === undefined) {
-      request.onOutcome({ kind: "noTarget" });
+      this.#settle(request, { kind: "noTarget" });
       return false;
     }
     const readyDeadlineMs = waitStartedAtMs + aimMs - responseDelayMs;
@@ -507,7 +550,7 @@
     nowMs: number,
   ): boolean {
     if (placement === undefined) {
-      request.onOutcome({ kind: "noTarget" });
+      this.#settle(request, { kind: "noTarget" });
       return false;
     }
     const timeoutAtMs = this.#latePolicy === "behind"
@@ -519,7 +562,7 @@
       : placement.readyMs;
     const isTooLate = nowMs + readyMs > readyDeadlineMs;
     if (isTooLate && this.#mayReject(nowMs)) {
-      request.onOutcome({
+      this.#settle(request, {
         kind: "tooLate",
         placement,
         forecast: this.#buildForecast(request, placement, nowMs),
@@ -538,11 +581,18 @@
       this.#noteCapacityInMs(placement.backlogMs - maxBacklogMs);
       return true;
     }
-    if (!isPreferred && request.mayPlaceLate?.() === false) return true;
+    const mayPlace = isPreferred || this.#mayPlaceLate(request);
+    if (request.hasEnded) return false;
+    if (!mayPlace) return true;
     this.#place(request, placement, LATE_LANE, nowMs);
     return false;
   }
 
+  #mayPlaceLate(call: WaitingCall<P>): boolean {
+    const ask = (): boolean => call.mayPlaceLate?.() ?? true;
+    return this.#runStep(call, false, ask);
+  }
+
   /**
    * Whether predictions are good enough to reject a call. Those for plain calls are learned from the
    * calls that are sent, so they are not while few have been dispatched.
--- a/packages/heatherarch-forward/scheduling/queued_call.ts
+++ b/packages/heatherarch-forward/scheduling/queued_call.ts
@@ -111,4 +111,9 @@
    * returns.
    */
   onOutcome(outcome: QueueOutcome<P>): void;
+  /**
+   * Called when a step of the call throws, {@linkcode onOutcome} included: its wait has ended without an
+   * outcome. The queue goes on with the other calls. Without it, the error ends the dispatch.
+   */
+  onError?(thrown: unknown): void;
 }
--- a/packages/heatherarch-forward/scheduling/waiting_call.ts
+++ b/packages/heatherarch-forward/scheduling/waiting_call.ts
@@ -40,6 +40,8 @@
   rank: number;
   /** Time at a target with capacity, by the last placement that was found. */
   expectedMs: number | undefined;
+  /** Whether the wait has ended, so that the call has no place in the queue any more. */
+  hasEnded: boolean;
 }
 
 type OrderedCall = Pick<QueuedCall, "waitStartedAtMs" | "aimMs" | "lane">;
