Streams: a take-up concludes only from a list that is read after it came

Clients that took a stream up at a VM without peers got events of two software versions in one stream (ORDER), when a release had just replaced the version that served.

Cause: without a record of the stream, a VM takes the only version in its target list and in the store's records for the one that began it. The list counted as current up to an age of 1.6 readings and 0.3 s. Where a release leaves only versions that are not recorded yet, other VMs begin streams at these at once, and the list and the records of the VM that is out of step lacked them. docs/design/stream_versions.md listed this under 'Left'.

Change: the take-up waits for a read of the list that was sent after it came. A version at which a stream began was listed before that, so the read contains it. Calls share reads, request one every 200 ms at most, and wait for none if several versions are known already.

--- a/packages/heatherarch-forward/state/version_history.ts
+++ b/packages/heatherarch-forward/state/version_history.ts
@@ -70,6 +70,16 @@
     return nowMs - this.#validAtMs <= this.#options.maxListAgeMs;
   }
 
+  /** Whether this VM's list contains all that was listed at the monotonic time `atMs`. */
+  isReadSince(atMs: number): boolean {
+    return this.#validAtMs >= atMs;
+  }
+
+  /** Age up to which the list is current, milliseconds. */
+  get maxListAgeMs(): number {
+    return this.#options.maxListAgeMs;
+  }
+
   /** Whether this VM's list has been known without a gap for the last `periodMs`. */
   hasHistory(periodMs: number, nowMs: number): boolean {
     return nowMs - this.#knownSinceMs >= periodMs;
--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -41,6 +41,12 @@
 /** A record that is due to be written; undefined removes the key. */
 type DueRecord = readonly [key: string, record: VersionRecord | undefined];
 
+/** A wait for a read of the target list that was sent at `sinceMs` or later. */
+interface ListWait {
+  readonly sinceMs: number;
+  readonly done: Promise<boolean>;
+}
+
 /** Time without a target of a version after which its end is recorded, milliseconds. */
 const END_DELAY_MS = 3000;
 const RETRY_MS = 500;
@@ -49,10 +55,13 @@
 /** Interval at which the age of the target list is checked during a wait for its next read. */
 const LIST_POLL_INTERVAL_MS = 20;
 /**
- * Largest number of these checks. A number of checks and not a time, since the list is usually old
- * because the process was late, and a process that is late again has not read it in that time either.
+ * Smallest number of these checks before a call gives up. A number of checks and not a time, since the
+ * list is usually old because the process was late, and a process that is late again has not read it
+ * in that time either. A VM that receives its list from a hub needs as many as the list may be old.
  */
-const MAX_LIST_POLLS = 25;
+const MIN_LIST_POLLS = 25;
+/** Shortest interval between two early reads of the target list that calls request. */
+const LIST_REQUEST_INTERVAL_MS = 200;
 /** Reads of the records for one conclusion, if the target list becomes too old during each of them. */
 const MAX_READ_ROUNDS = 4;
 
@@ -71,7 +80,8 @@
   #wasDue = false;
   #nextMaintenanceAtMs = -Infinity;
   /** The wait for the next read of the target list; undefined if there is none. */
-  #listWait: Promise<boolean> | undefined;
+  #listWait: ListWait | undefined;
+  #nextListRequestAtMs = -Infinity;
   #isStopped = false;
 
   constructor(options: VersionPersistenceOptions) {
@@ -102,75 +112,107 @@
    * taken up; undefined if there were several, or if that is not known. Never rejects.
    */
   async findOnlyVersion(service: string): Promise<string | undefined> {
-    // A version that has just come is recorded before streams begin at it.
-    const isRead = await this.#refreshWithList();
+    const sinceMs = this.#nowMs;
+    const isRead = await this.#refreshWithList(service, sinceMs);
     this.#options.history.observe(this.#nowMs);
     const versions = this.listVersions(service);
-    const reason = this.#findDoubt(isRead, versions);
+    const reason = this.#findDoubt(isRead, versions, sinceMs);
     if (reason === undefined) return versions[0];
     this.#options.log.write("info", "onlyVersionUnknown", { service, reason });
     return undefined;
   }
 
   /**
-   * Reads the records unless they were read recently, and waits for the target list if that is too
-   * old. Either may become too old while the other is read, so both are checked again. Resolves with
+   * Reads the records unless they were read recently, and waits for a read of the target list that is
+   * sent from `sinceMs` on, unless several versions are known already. A version at which a stream has
+   * begun was listed before, and its record may still be missing, so an earlier list doesn't tell.
+   * Either may become too old while the other is read, so both are checked again. Resolves with
    * whether the records are read; the list may still be too old, which the conclusion checks.
    */
-  async #refreshWithList(): Promise<boolean> {
+  async #refreshWithList(service: string, sinceMs: number): Promise<boolean> {
     for (let round = 1;; round++) {
       const isRead = await this.#refresh();
       if (!isRead || round === MAX_READ_ROUNDS) return isRead;
-      if (this.#isListCurrent()) return true;
-      if (!await this.#awaitCurrentList()) return isRead;
+      if (this.#isListRead(sinceMs)) return true;
+      if (this.listVersions(service).length > 1) return true;
+      if (!await this.#awaitList(sinceMs)) return isRead;
     }
   }
 
-  #isListCurrent(): boolean {
+  /** Whether the target list is current and was read at `sinceMs` or later. */
+  #isListRead(sinceMs: number): boolean {
     const { history } = this.#options;
     history.observe(this.#nowMs);
-    return history.isCurrent(this.#nowMs);
+    return history.isCurrent(this.#nowMs) && history.isReadSince(sinceMs);
   }
 
   /**
-   * Waits until the target list is current again, but not for long. Resolves with whether it is. One
-   * wait serves all calls.
+   * Waits until the target list is read, but not for long. Resolves with whether it is. One wait
+   * serves all calls that came before it began; later ones share the next.
    */
-  #awaitCurrentList(): Promise<boolean> {
-    this.#listWait ??= this.#pollList().finally(() =>
+  async #awaitList(sinceMs: number): Promise<boolean> {
+    const earlier = this.#listWait;
+    if (earlier !== undefined && earlier.sinceMs < sinceMs) {
+      await earlier.done;
+      if (this.#isListRead(sinceMs)) return true;
+    }
+    this.#listWait ??= this.#beginListWait();
+    return await this.#listWait.done;
+  }
+
+  #beginListWait(): ListWait {
+    const sinceMs = this.#nowMs;
+    const done = this.#pollList(sinceMs).finally(() =>
       this.#listWait = undefined
     );
-    return this.#listWait;
+    return { sinceMs, done };
   }
 
-  async #pollList(): Promise<boolean> {
-    const { refreshTargetList, log } = this.#options;
-    const sinceMs = this.#nowMs;
-    refreshTargetList();
-    let isCurrent = false;
-    for (let i = 0; i < MAX_LIST_POLLS && !isCurrent; i++) {
+  async #pollList(sinceMs: number): Promise<boolean> {
+    const { history: { maxListAgeMs }, log } = this.#options;
+    const maxPolls = Math.max(
+      MIN_LIST_POLLS,
+      Math.ceil(maxListAgeMs / LIST_POLL_INTERVAL_MS),
+    );
+    let isRequested = this.#requestList();
+    let isCurrent = this.#isListRead(sinceMs);
+    for (let i = 0; i < maxPolls && !isCurrent; i++) {
       if (this.#isStopped) break;
       await sleep(LIST_POLL_INTERVAL_MS);
-      isCurrent = this.#isListCurrent();
+      isRequested ||= this.#requestList();
+      isCurrent = this.#isListRead(sinceMs);
     }
     const waitedMs = Math.round(this.#nowMs - sinceMs);
     log.write("info", "targetListAwaited", { waitedMs, isCurrent });
     return isCurrent;
   }
 
+  /** Requests an early read of the target list, unless one was requested just before. */
+  #requestList(): boolean {
+    const nowMs = this.#nowMs;
+    if (nowMs < this.#nextListRequestAtMs) return false;
+    this.#nextListRequestAtMs = nowMs + LIST_REQUEST_INTERVAL_MS;
+    this.#options.refreshTargetList();
+    return true;
+  }
+
   /** Finds why no version is known as the only one; undefined if one is. */
   #findDoubt(
     isRead: boolean,
     versions: readonly (string | undefined)[],
+    sinceMs: number,
   ): string | undefined {
     const { history, lives, clock } = this.#options;
     if (!isRead) return "the records of versions are not read";
+    if (versions.length > 1) return "there were several versions";
     const nowMs = this.#nowMs;
-    if (!history.isCurrent(nowMs)) return "the target list is not current";
+    if (!history.isCurrent(nowMs) || !history.isReadSince(sinceMs)) {
+      return "the target list is not current";
+    }
     const isKnown = history.hasHistory(this.#streamLifeMs, nowMs) ||
       lives.hasCoverage(this.#streamLifeMs, clock.readWallMs());
     if (!isKnown) return "versions are not recorded for long enough";
-    return versions.length === 1 ? undefined : "there were several versions";
+    return versions.length === 1 ? undefined : "no version is listed";
   }
 
   /** Lists the versions that may have begun a stream that is taken up now. */
@@ -335,8 +377,8 @@
 
   /** Reads the records unless they were read at most `maxAgeMs` ago. Returns whether it succeeded. */
   async #refresh(maxAgeMs = MAX_RECORDS_AGE_MS): Promise<boolean> {
-    const nowMs = this.#nowMs;
     const { lives } = this.#options;
+    const nowMs = this.#nowMs;
     const isRecent = this.#read !== undefined &&
       nowMs - this.#read.sentAtMs < maxAgeMs;
     if (!isRecent) this.#read = { sentAtMs: nowMs, done: this.#load() };
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -224,6 +224,41 @@
   assert.equal(await doubtful, undefined);
 });
 
+// Guards against a stream that goes on at another version: it began at one that was listed after this
+// VM had read the list, which still counts as current, and before that version was recorded.
+test("the only version is known only from a list that is read after the stream began", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  world.clock.advance(300);
+  world.listed = ["v2"];
+  const found = next.find();
+  await sleep(50);
+  assert.equal(next.listRefreshes, 1);
+  await next.tick();
+  assert.equal(await found, undefined);
+});
+
+// Guards against a read of the list a call for each stream that is taken up at once.
+test("calls that need the list share its reads", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  world.clock.advance(100);
+  const first = Array.from({ length: 50 }, () => next.find());
+  await sleep(1);
+  world.clock.advance(1);
+  const later = Array.from({ length: 50 }, () => next.find());
+  await sleep(30);
+  assert.equal(next.listRefreshes, 1);
+  await next.tick();
+  const found = await Promise.all([...first, ...later]);
+  assert.ok(found.every((version) => version === "v1"));
+  assert.equal(next.listRefreshes, 1);
+});
+
 // Guards against a stream that goes on at another version, as a slow read of the records is applied after
 // a later one that contained that version.
 test("a read of the records that a later one has overtaken is not applied", async () => {
--- a/packages/heatherarch-lab/proofs/version_proof.ts
+++ b/packages/heatherarch-lab/proofs/version_proof.ts
@@ -20,6 +20,19 @@
     kind: fc.constantFrom("add" as const, "remove" as const),
     version: VERSION,
   }),
+  fc.record({
+    kind: fc.constantFrom("replace" as const, "visit" as const),
+    version: VERSION,
+  }),
+  fc.record({
+    kind: fc.constant("stand" as const),
+    vm: VM,
+    ms: fc.constantFrom(500, 1500, 8000),
+  }),
+  fc.record({
+    kind: fc.constant("failWrites" as const),
+    ms: fc.constantFrom(3000, 8000),
+  }),
   fc.record({
     kind: fc.constant("wait" as const),
     ms: fc.constantFrom(500, 1000, 4000, 30_000, 50_000),
--- a/packages/heatherarch-lab/proofs/version_simulation.ts
+++ b/packages/heatherarch-lab/proofs/version_simulation.ts
@@ -26,6 +26,7 @@
   "checksEpoch",
   "recordsFirst",
   "readsRecords",
+  "readsList",
 ] as const;
 /** Name of a guard. */
 export type VersionGuard = typeof VERSION_GUARDS[number];
@@ -33,6 +34,14 @@
 /** One step of a schedule. */
 export type VersionStep =
   | { readonly kind: "add" | "remove"; readonly version: number }
+  /** One version takes the place of all others at once. */
+  | { readonly kind: "replace"; readonly version: number }
+  /** A version comes, serves beside the others and leaves. */
+  | { readonly kind: "visit"; readonly version: number }
+  /** From now on, a VM stands still, and the others go on. */
+  | { readonly kind: "stand"; readonly vm: number; readonly ms: number }
+  /** From now on, nothing can be recorded. */
+  | { readonly kind: "failWrites"; readonly ms: number }
   | { readonly kind: "wait"; readonly ms: number }
   | { readonly kind: "kill"; readonly vm: number | undefined }
   | {
@@ -83,6 +92,9 @@
   readonly #begunAtMs = new Map<string, number>();
   readonly #wrong: string[] = [];
   #vms: SimulatedVm[];
+  #standingVm: number | undefined;
+  #standsUntilMs = -Infinity;
+  #failsWritesUntilMs = -Infinity;
 
   constructor(disabledGuard: VersionGuard | undefined) {
     this.disabledGuard = disabledGuard;
@@ -99,6 +111,7 @@
         }),
       readChanges: () => Promise.resolve(undefined),
       put: (key, value) => {
+        if (this.#failsWrites) return Promise.reject(new Error("down"));
         if (value === undefined) this.#records.delete(key);
         else this.#records.set(key, value);
         return Promise.resolve();
@@ -112,16 +125,46 @@
     return this.#wrong;
   }
 
-  /** Lists the versions that a VM knows from its list of targets. */
+  /** Lists the versions that a VM knows from its list of targets, which is behind at one VM. */
   listVersions(vm: number): string[] {
     return this.#lists.at(-1 - vm * LAG_TICKS) ?? this.#lists[0];
   }
 
+  /** Lists the versions that targets have now. */
+  listCurrentVersions(): string[] {
+    return [...this.#listed];
+  }
+
+  /** The VMs that don't stand still, with their indices. */
+  listRunning(): [number, SimulatedVm][] {
+    const isStanding = this.clock.readMonotonicMs() < this.#standsUntilMs;
+    return [...this.#vms.entries()]
+      .filter(([index]) => !isStanding || index !== this.#standingVm);
+  }
+
+  get #failsWrites(): boolean {
+    return this.clock.readMonotonicMs() < this.#failsWritesUntilMs;
+  }
+
   async #runStep(step: VersionStep): Promise<void> {
     switch (step.kind) {
       case "add":
       case "remove":
         return await this.#changeList(step.kind, VERSIONS[step.version]);
+      case "replace":
+        if (this.#failsWrites) return;
+        this.#listed = new Set([VERSIONS[step.version]]);
+        return await this.#wait(BETWEEN_CHANGES_MS);
+      case "visit":
+        await this.#changeList("add", VERSIONS[step.version]);
+        return await this.#changeList("remove", VERSIONS[step.version]);
+      case "stand":
+        this.#standingVm = step.vm;
+        this.#standsUntilMs = this.clock.readMonotonicMs() + step.ms;
+        return;
+      case "failWrites":
+        this.#failsWritesUntilMs = this.clock.readMonotonicMs() + step.ms;
+        return;
       case "wait":
         return await this.#wait(step.ms);
       case "kill":
@@ -136,14 +179,25 @@
     if (kind === "remove" && this.#listed.size === 1) return;
     await this.#wait(BETWEEN_CHANGES_MS);
     if (kind === "add") this.#listed.add(version);
-    else this.#listed.delete(version);
+    else if (this.#isRemainderRecorded(version)) this.#listed.delete(version);
     await this.#wait(TICK_MS);
   }
 
+  /** Where no listed version is recorded, streams begin at others, so such a removal is left out. */
+  #isRemainderRecorded(removed: string): boolean {
+    const recorded = [...this.#records.values()].flatMap((record) =>
+      record.kind === "life" ? [record.softwareVersion] : []
+    );
+    return [...this.#listed].some((version) =>
+      version !== removed && recorded.includes(version)
+    );
+  }
+
   /** A stream begins at each version at which a VM may begin one. */
   #beginStreams(): void {
     const atMs = this.clock.readMonotonicMs();
-    for (const version of this.#vms.flatMap((vm) => vm.listPreferred())) {
+    const running = this.listRunning();
+    for (const version of running.flatMap(([, vm]) => vm.listPreferred())) {
       // An engine that has left accepts nothing.
       if (this.#listed.has(version)) this.#begunAtMs.set(version, atMs);
     }
@@ -152,7 +206,7 @@
   /** Each VM takes up all streams, whose clients don't name them. */
   async #conclude(): Promise<void> {
     const sinceMs = this.clock.readMonotonicMs() - STREAM_LIFE_MS;
-    for (const [i, { persistence }] of this.#vms.entries()) {
+    for (const [i, { persistence }] of this.listRunning()) {
       const concluded = await persistence.findOnlyVersion(SERVICE);
       if (concluded === undefined) continue;
       for (const [version, atMs] of this.#begunAtMs) {
@@ -183,10 +237,10 @@
     for (let waitedMs = 0; waitedMs < ms; waitedMs += TICK_MS) {
       this.clock.advance(TICK_MS);
       this.#lists.push([...this.#listed]);
-      for (const vm of this.#vms) vm.readList();
+      for (const [, vm] of this.listRunning()) vm.readList();
       this.#beginStreams();
       await this.#conclude();
-      for (const vm of this.#vms) vm.persistence.tick();
+      for (const [, vm] of this.listRunning()) vm.persistence.tick();
       await new Promise((resolve) => setImmediate(resolve));
       this.#copies.push(new Map(this.#records));
     }
@@ -203,12 +257,14 @@
     maxListAgeMs: MAX_LIST_AGE_MS,
   });
   readonly #lives = new VersionLives();
+  #readAtMs = -Infinity;
 
   constructor(simulation: VersionSimulation, index: number) {
     this.#simulation = simulation;
     this.#index = index;
     const { disabledGuard, clock } = simulation;
     if (disabledGuard === "countsRecorded") this.#lives.listVersions = () => [];
+    if (disabledGuard === "readsList") this.#history.isReadSince = () => true;
     if (disabledGuard === "needsCoverage") this.#lives.hasCoverage = () => true;
     this.persistence = new VersionPersistence({
       topic: this.#buildTopic(),
@@ -222,16 +278,35 @@
       isCoordinator: () => true,
       isFleetRunning: () => Promise.resolve(false),
       countVms: () => 1,
-      refreshTargetList: () => undefined,
+      refreshTargetList: () => this.#refreshList(),
       drawUnit: () => 0,
     });
   }
 
   readList(): void {
+    const { clock } = this.#simulation;
+    const lagMs = this.#index * LAG_TICKS * TICK_MS;
+    this.#applyList(
+      this.#simulation.listVersions(this.#index),
+      clock.readMonotonicMs() - lagMs,
+    );
+  }
+
+  #refreshList(): void {
+    const { clock } = this.#simulation;
+    this.#applyList(
+      this.#simulation.listCurrentVersions(),
+      clock.readMonotonicMs(),
+    );
+  }
+
+  #applyList(versions: readonly string[], sentAtMs: number): void {
+    if (sentAtMs < this.#readAtMs) return;
+    this.#readAtMs = sentAtMs;
     const nowMs = this.#simulation.clock.readMonotonicMs();
-    const entries = this.#simulation.listVersions(this.#index)
+    const entries = versions
       .map((version) => ({ key: version, value: buildTarget(version) }));
-    this.#directory.applyList(entries, nowMs);
+    this.#directory.applyList(entries, nowMs, sentAtMs);
     this.#history.observe(nowMs);
   }
 
