Streams: records of versions age while the machine is suspended

A VM that had been suspended took records of versions that it had read before for recent, as the monotonic clock doesn't count the suspension. A version that had come and left meanwhile was missing, and a stream that it had begun could go on at another one (ORDER).

The age of the records is measured by the clock that counts suspensions.

The new test fails before the change: the version is concluded 3 s after a record of another one was written.

--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -70,7 +70,7 @@
   readonly #options: VersionPersistenceOptions;
   /** The read in progress or the latest one, and when it was sent. */
   #read:
-    | { readonly sentAtMs: number; readonly done: Promise<boolean> }
+    | { readonly sentAtBootMs: number; readonly done: Promise<boolean> }
     | undefined;
   #isMaintaining = false;
   /** Number of reads that were sent, and which of them was the latest one to be applied. */
@@ -377,11 +377,12 @@
 
   /** Reads the records unless they were read at most `maxAgeMs` ago. Returns whether it succeeded. */
   async #refresh(maxAgeMs = MAX_RECORDS_AGE_MS): Promise<boolean> {
-    const { lives } = this.#options;
-    const nowMs = this.#nowMs;
+    const { lives, clock } = this.#options;
+    // The records age also while the machine is suspended.
+    const nowBootMs = clock.readBootMs();
     const isRecent = this.#read !== undefined &&
-      nowMs - this.#read.sentAtMs < maxAgeMs;
-    if (!isRecent) this.#read = { sentAtMs: nowMs, done: this.#load() };
+      nowBootMs - this.#read.sentAtBootMs < maxAgeMs;
+    if (!isRecent) this.#read = { sentAtBootMs: nowBootMs, done: this.#load() };
     return await this.#read?.done === true && lives.isLoaded;
   }
 
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -259,6 +259,20 @@
   assert.equal(next.listRefreshes, 1);
 });
 
+// Guards against records that look recent after the machine was suspended, as the monotonic clock stood.
+test("records that were read before the machine was suspended are read again", async () => {
+  const world = new World();
+  await world.startVm().run(1000);
+  const next = world.startVm();
+  await next.run(TICK_MS);
+  assert.equal(await next.find(), "v1");
+  const life = { kind: "life", service: "s", softwareVersion: "v2" } as const;
+  world.records.set("of a peer", life);
+  world.clock.suspend(3000);
+  await next.tick();
+  assert.equal(await next.find(), undefined);
+});
+
 // Guards against a stream that goes on at another version, as a slow read of the records is applied after
 // a later one that contained that version.
 test("a read of the records that a later one has overtaken is not applied", async () => {
