Target checks: an error of one check leaves no call waiting

Cause: a throw while the report request was encoded or sent left the loop of the target's checks as an unhandled rejection. The calls that waited for it, and all later ones of this target, waited to their deadlines.

Change: an error tells nothing about the target ("unknown"): the waiters are told, and the next check is made. End probes report the error.

Evidence: on the code of the new test of incarnation_check_test fails and end_confirmation_test ends with an unhandled rejection; 11 of 11 and 18 of 18 now.

--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -36,6 +36,8 @@
   readonly onProbe?: () => void;
   /** Called for each end that was not confirmed. */
   readonly onUnconfirmed?: (target: Target) => void;
+  /** Called with each error of a probe that no code expects. Never throws. */
+  readonly onError?: (thrown: unknown) => void;
 }
 
 /** Options of {@linkcode EndConfirmation.confirm}. */
@@ -167,14 +169,29 @@
     void Promise.all(batch.map(({ settled }) => settled))
       .then(() => abandonment.abort());
     while (!abandonment.signal.aborted) {
-      this.#options.onProbe?.();
-      const answer = await this.#probe(target, sinceMs, abandonment.signal);
+      const { signal } = abandonment;
+      const answer = await this.#tryProbe(target, sinceMs, signal);
       if (answer !== "unknown") return answer === "alive";
       await sleep(RETRY_PAUSE_MS);
     }
     return false;
   }
 
+  /** Probes a target. An error that no code expects tells nothing about the target. */
+  async #tryProbe(
+    target: Target,
+    sinceMs: number,
+    signal: AbortSignal,
+  ): Promise<ProbeAnswer> {
+    try {
+      this.#options.onProbe?.();
+      return await this.#probe(target, sinceMs, signal);
+    } catch (error) {
+      this.#options.onError?.(error);
+      return "unknown";
+    }
+  }
+
   async #probe(
     target: Target,
     sinceMs: number,
--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -84,6 +84,15 @@
   }
 
   async #requestReport(target: Target): Promise<IncarnationAnswer> {
+    try {
+      return await this.#awaitReport(target);
+    } catch {
+      // Without a report it is not known which incarnation responded.
+      return "unknown";
+    }
+  }
+
+  async #awaitReport(target: Target): Promise<IncarnationAnswer> {
     const { connections, codec } = this.#options;
     // A connection that opens from now on may be to another incarnation.
     const opened = connections.findLatestOpened(target);
@@ -99,9 +108,6 @@
         this.#record(target.id, opened);
       }
       return answer;
-    } catch {
-      // Without a report it is not known which incarnation responded.
-      return "unknown";
     } finally {
       stopTimer();
     }
--- a/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -314,3 +314,43 @@
   assert.equal(await blocked(true).confirm(PLAIN), true);
   assert.equal(await blocked(false).confirm(PLAIN), false);
 });
+
+// Guards against calls whose responses are never confirmed after one error of a probe of their target.
+test("an error of a probe is reported, and the next probe confirms the end", async () => {
+  const errors: unknown[] = [];
+  let probes = 0;
+  const confirmation = new EndConfirmation({
+    clock: new RuntimeClock(),
+    connections: {
+      send: () =>
+        ({
+          head: Promise.resolve({ status: 200, headers: {} }),
+          isSent: true,
+          abort: () => undefined,
+          readBody: () => Promise.resolve(Buffer.from("1")),
+        }) as unknown as TargetExchange,
+      checkOpenSince: () => Promise.resolve(true),
+    },
+    codec: {
+      encodeReportRequest: () => {
+        if (++probes < 3) throw new RangeError("broken codec");
+        return REQUEST;
+      },
+      decodeReport: () => ({ startedAtMs: 1 }) as EngineReport,
+      decodeResponse: () => ({
+        misdirected: false,
+        notRun: false,
+        signed: false,
+        isLeaving: false,
+      }),
+    },
+    isLimited: () => false,
+    hasRoom: () => true,
+    connect: () => Promise.resolve("accepted"),
+    onError: (error) => void errors.push(error),
+  });
+  const options = { abandoned: NEVER, maxWaitMs: 1000 };
+  const confirm = () => confirmation.confirm(RESTARTABLE, options);
+  assert.deepEqual(await Promise.all([confirm(), confirm()]), [true, true]);
+  assert.equal(errors.length, 2);
+});
--- a/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
+++ b/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
@@ -213,3 +213,28 @@
   failed.fail(new ExchangeError("lost", "lost"));
   assert.equal(await failed.confirmed, false);
 });
+
+// Guards against calls that wait for a check of their target for ever, as one that failed was never ended.
+test("a check whose request can't be encoded tells nothing, and the next one is made", async () => {
+  let isBroken = true;
+  const check = new IncarnationCheck({
+    connections: {
+      findLatestOpened: () => 1,
+      send: () => {
+        throw new TypeError("no report");
+      },
+    },
+    codec: {
+      encodeReportRequest: () => {
+        if (isBroken) throw new RangeError("broken codec");
+        return REQUEST;
+      },
+      decodeResponse: () => assert.fail(),
+      decodeReport: () => assert.fail(),
+    },
+  });
+  const waiting = [check.check(TARGET), check.check(TARGET)];
+  assert.deepEqual(await Promise.all(waiting), ["unknown", "unknown"]);
+  isBroken = false;
+  assert.equal(await check.check(TARGET), "unknown");
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -229,6 +229,7 @@
       metrics.endsUnconfirmed.inc();
       log.write("info", "endUnconfirmed", { target: target.id });
     },
+    onError: (error) => reportInternalError({ log, metrics }, "watch", error),
   });
   const accountShares = buildAccountShares(settings, activeConfig, metrics);
   const ranker = accountShares.accountRanker;
