Paths: an error of one listener or the log keeps no other from a loss

Cause: a throw in recordLoss left the round of probes. The listeners behind it were not told, and no further round was scheduled, so that the path stayed lost until a target responded to something else.

Change: the steps of a loss run one by one with errors reported, and a round that fails schedules the next one.

--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "heatherarch-core";
 import type { EventLog } from "../event_log.ts";
 import type { ForwardMetrics } from "../metrics.ts";
+import { reportInternalError, runReported } from "../report_error.ts";
 import type { Target } from "../model.ts";
 import type { ProbeOutcome } from "../calls/response_probe.ts";
 import type { TargetConnections } from "../calls/target_connections.ts";
@@ -24,7 +25,7 @@
 export interface PathMonitorOptions {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly metrics: Pick<ForwardMetrics, "pathsLost">;
+  readonly metrics: Pick<ForwardMetrics, "pathsLost" | "internalErrors">;
   readonly directory: Pick<TargetDirectory, "listServing" | "listAll">;
   readonly backoffs: Pick<TargetBackoffs, "isInBackoff">;
   readonly rateLimits: Pick<TargetRateLimits, "getMaxPerSecond">;
@@ -210,9 +211,16 @@
   }
 
   #probeGroup(group: TargetGroup): Promise<boolean> {
-    group.round ??= this.#runRound(group).finally(() => {
-      group.round = undefined;
-    });
+    group.round ??= this.#runRound(group)
+      .catch((error) => {
+        reportInternalError(this.#options, "watch", error);
+        // A path that is lost is found again by further rounds only.
+        this.#scheduleRound(group);
+        return !group.isLost;
+      })
+      .finally(() => {
+        group.round = undefined;
+      });
     return group.round;
   }
 
@@ -240,12 +248,17 @@
     const isSilentForLong = targets.length > 1 ||
       failingMs >= SINGLE_TARGET_SILENCE_MS;
     if (isSilentForLong) this.#recordLoss(group, targets, probed);
+    this.#scheduleRound(group);
+    return !group.isLost;
+  }
+
+  #scheduleRound(group: TargetGroup): void {
+    if (this.#isStopped) return;
     clearTimeout(group.timer);
     group.timer = setTimeout(
       () => void this.#probeGroup(group),
       LOST_ROUND_INTERVAL_MS,
     );
-    return !group.isLost;
   }
 
   /** Lists a few targets: the one that responded last, and others, in other zones first. */
@@ -310,17 +323,23 @@
     if (group.isLost) return;
     group.isLost = true;
     const { log, connections } = this.#options;
-    this.#countLost();
-    log.write("warn", "pathLost", {
-      service: group.service,
-      role: group.role,
-      probed: probed.map(({ id }) => id),
-      silentMs: Math.round(this.#nowMs - group.lastContactAtMs),
-    });
-    // Idle connections may stay silent after the path is back.
-    connections.renew(targets.map(({ id }) => id));
     const listeners = [...this.#lossListeners.get(group.service) ?? []];
-    for (const listener of listeners) listener();
+    const steps = [
+      () => this.#countLost(),
+      () =>
+        log.write("warn", "pathLost", {
+          service: group.service,
+          role: group.role,
+          probed: probed.map(({ id }) => id),
+          silentMs: Math.round(this.#nowMs - group.lastContactAtMs),
+        }),
+      // Idle connections may stay silent after the path is back.
+      () => connections.renew(targets.map(({ id }) => id)),
+      ...listeners,
+    ];
+    for (const step of steps) {
+      runReported(this.#options, "watch", () => void step());
+    }
   }
 
   #restorePath(group: TargetGroup): void {
--- a/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
@@ -47,6 +47,7 @@
   });
   return {
     monitor,
+    log,
     health,
     reachable,
     refusing,
@@ -193,3 +194,32 @@
   assert.equal(await monitor.confirmContact("s"), false);
   monitor.stop();
 });
+
+// Guards against a path that stays lost, and calls that are not told of it, because a listener of another
+// call or the log failed.
+test("an error of a listener or the log keeps neither the loss nor its end from the others", async () => {
+  const { monitor, reachable, probed, log } = buildMonitor(PLAIN);
+  const told: string[] = [];
+  const { write } = log;
+  log.write = () => {
+    throw new Error("no log");
+  };
+  for (const name of ["first", "broken", "last"]) {
+    monitor.registerLossListener("s", () => {
+      told.push(name);
+      if (name === "broken") throw new RangeError("broken listener");
+    });
+  }
+  reachable.clear();
+  monitor.recordTrouble(PLAIN[0]);
+  await sleep(5);
+  assert.equal(monitor.hasPath("s"), false);
+  assert.deepEqual(told, ["first", "broken", "last"]);
+  const probes = probed.length;
+  await sleep(600);
+  assert.ok(probed.length > probes);
+  log.write = write;
+  monitor.recordContact(PLAIN[0]);
+  assert.equal(monitor.hasPath("s"), true);
+  monitor.stop();
+});
