Read barrier: an error of the pass listener holds no caller

Cause: the listener, which records a metric, ran before the waiters of the pass were released. If it threw, they waited for the next caller's pass.

Change: it runs last.

--- a/packages/heatherarch-core/read_barrier.ts
+++ b/packages/heatherarch-core/read_barrier.ts
@@ -131,14 +131,14 @@
     this.#beginning = [];
     this.#passBeganAtMs = this.#nowMs;
     if (this.#passing.length > 0) this.#schedule();
-    if (isRepeated) return;
-    for (const resolve of passed) resolve();
+    if (!isRepeated) { for (const resolve of passed) resolve(); }
+    // Whatever the listener throws, the waiters are released before.
+    if (passed.length > 0) this.#options.onPass(this.#lastPassMs);
   }
 
   #recordPass(): void {
     this.#readUpToMs = this.#passBeganAtMs;
     this.#lastPassMs = this.#nowMs - this.#passBeganAtMs;
-    this.#options.onPass(this.#lastPassMs);
   }
 
   #mustRepeatPass(): boolean {
--- a/packages/heatherarch-core/tests/unit/read_barrier_test.ts
+++ b/packages/heatherarch-core/tests/unit/read_barrier_test.ts
@@ -145,3 +145,27 @@
   for (let turn = 0; turn < 5; turn++) await runTurn(800);
   assert.equal(passes, 0);
 });
+
+// Guards against a process that holds all its calls because what counts its passes fails.
+test("an error of the pass listener holds nobody", async () => {
+  const checks: (() => void)[] = [];
+  let errors = 0;
+  const barrier = new ReadBarrier({
+    scheduleCheck: (run) => void checks.push(run),
+    onPass: () => {
+      throw new Error("no metrics");
+    },
+  });
+  let isReleased = false;
+  void barrier.awaitRead().then(() => isReleased = true);
+  while (checks.length > 0) {
+    try {
+      checks.shift()?.();
+    } catch {
+      errors++;
+    }
+  }
+  await sleep(1);
+  assert.equal(isReleased, true);
+  assert.equal(errors, 1);
+});
