Handover: no untrue promise and no open connection after an error

Cause: the log line of a handover was written after the call had been sent and before it counted as a run. If it threw, the call was refused with the promise that it had not run, while the peer ran it. At the peer, an error while an offer was decided or a call was served left the connection open; the call counted as open for ever, and with 64 of them the peer declined all others. At the sender, an error after an acceptance or while the call was encoded left the connection open until the peer's timeout.

Connections are closed if a step of the handover fails.

--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -117,6 +117,7 @@
 export * from "./tasks/load_prober.ts";
 export * from "./tasks/path_monitor.ts";
 export * from "./calls/handover_codec.ts";
+export * from "./calls/handover_request.ts";
 export * from "./calls/call_handover.ts";
 export * from "./calls/response_probe.ts";
 export * from "./calls/end_confirmation.ts";
--- a/packages/heatherarch-forward/tests/unit/call_errors_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_errors_test.ts
@@ -10,9 +10,11 @@
   ExchangeError,
   ForwardMetrics,
   MemoryEventLog,
+  NO_ATTEMPTS,
   reportInternalError,
   RouteTable,
   runAll,
+  sendHandover,
   TargetConnections,
   TargetExchange,
 } from "../../mod.ts";
@@ -181,3 +183,45 @@
   assert.throws(() => runAll(steps), /step 1/);
   assert.deepEqual(done, [1, 2, 3]);
 });
+
+// Guards against a promise that a call has not run, although a peer has it, because a log line failed; and
+// against a peer that waits for a call that could not be encoded.
+test("an error of the log after a call was sent to a peer leaves the call sent", () => {
+  const sent: unknown[] = [];
+  let closed = 0;
+  const connection = {
+    peer: { id: "peer" },
+    send: (head: unknown) => void sent.push(head),
+    close: () => closed++,
+  } as unknown as Parameters<typeof sendHandover>[1];
+  const metrics = new ForwardMetrics();
+  const log: EventLog = {
+    write: () => {
+      throw new Error("no log");
+    },
+  };
+  const receivedCall = { id: "call", body: Buffer.alloc(0), headers: [] };
+  const context = {
+    receivedCall,
+    streamPosition: undefined,
+    nowMs: 5,
+    call: receivedCall,
+    service: { name: "s" },
+    dependencies: { log, metrics },
+  } as unknown as Parameters<typeof sendHandover>[0];
+  const state = { runs: 0, isUsageRecorded: false, attempts: NO_ATTEMPTS };
+  const exchange = sendHandover(context, connection, state);
+  assert.equal(sent.length, 1);
+  assert.equal(exchange.isSent, true);
+  const broken = {
+    ...state,
+    get attempts(): never {
+      throw new RangeError("broken encoder");
+    },
+  };
+  assert.throws(
+    () => sendHandover(context, connection, broken),
+    /broken encoder/,
+  );
+  assert.deepEqual([sent.length, closed], [1, 1]);
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -36,6 +36,7 @@
 import { VersionPersistence } from "./tasks/version_persistence.ts";
 import { isFleetRunning } from "./fleet/running_fleet.ts";
 import { planConfigReads } from "./scheduling/config_reads.ts";
+import { reportInternalError } from "./report_error.ts";
 import { computeMaxListAgeMs } from "./vm_dependencies.ts";
 
 /** What a platform adapter provides. */
@@ -169,6 +170,7 @@
 ): HandoverServer {
   const { activeConfig, pathMonitor, clock, log, metrics } = getComponents();
   return new HandoverServer({
+    onError: (error) => reportInternalError({ log, metrics }, "offer", error),
     getMaxBodyBytes: () => activeConfig.table?.config.limits.maxBodyBytes ?? 0,
     decideOffer: async ({ service, configVersion, isHedge }) => {
       if (activeConfig.version < configVersion) return "olderConfig";
--- a/packages/heatherarch-handover/handover_client.ts
+++ b/packages/heatherarch-handover/handover_client.ts
@@ -71,7 +71,13 @@
     asked.add(peer.id);
     const connection = this.#acquireConnection(peer);
     const reply = await connection.offer(offer, OFFER_TIMEOUT_MS);
-    onOffer?.(peer, reply);
+    try {
+      onOffer?.(peer, reply);
+    } catch (error) {
+      // The call goes on elsewhere, and an accepted connection would stay open.
+      connection.close();
+      throw error;
+    }
     if (reply === "accepted") {
       this.#selection.recordAccepted(peer.id, this.#nowMs);
       return connection;
--- a/packages/heatherarch-handover/handover_connection.ts
+++ b/packages/heatherarch-handover/handover_connection.ts
@@ -102,6 +102,9 @@
       const result = await reply;
       if (result !== "accepted" && !this.isClosed) this.#options.onIdle(this);
       return result;
+    } catch (error) {
+      this.close();
+      throw error;
     } finally {
       stopTimer();
     }
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -51,6 +51,8 @@
   readonly idleTimeoutMs?: number;
   /** Time within which the next part of an accepted call arrives, milliseconds. */
   readonly requestTimeoutMs?: number;
+  /** Called with each error of {@linkcode decideOffer} and {@linkcode serve}. Never throws. */
+  readonly onError?: (thrown: unknown) => void;
 }
 
 const DEFAULT_MAX_CALLS = 64;
@@ -138,13 +140,13 @@
   onMessage(message: MeshMessage): void {
     const state = this.#state;
     if (message.kind === "offer" && state === "idle") {
-      void this.#replyToOffer(message);
+      this.#closeOnError(this.#replyToOffer(message));
     } else if (message.kind === "request" && state === "accepted") {
       this.#head = message.head;
     } else if (message.kind === "bytes" && state === "accepted") {
       this.#addPart(Buffer.from(message.bytes));
     } else if (message.kind === "end" && state === "accepted") {
-      void this.#serve();
+      this.#closeOnError(this.#serve());
     } else {
       this.destroy();
     }
@@ -215,6 +217,14 @@
     if (this.#body.length > this.#options.getMaxBodyBytes()) this.destroy();
   }
 
+  /** Closes the connection if a step fails, as neither end would do anything with it any more. */
+  #closeOnError(step: Promise<void>): void {
+    step.catch((error) => {
+      this.#options.onError?.(error);
+      this.destroy();
+    });
+  }
+
   async #serve(): Promise<void> {
     clearTimeout(this.#timer);
     this.#state = "serving";
--- a/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
@@ -290,3 +290,44 @@
   session.onMessage({ kind: "bytes", bytes: Buffer.alloc(0) });
   assert.deepEqual(sent, ["offerReply", "closed"]);
 });
+
+// Guards against calls at a peer that are counted as open for ever, so that it declines all others.
+test("a peer that fails to serve a call closes its connection and takes further calls", async () => {
+  const errors: string[] = [];
+  const { server, mesh } = await startPeer({
+    maxCalls: 1,
+    serve: () => Promise.reject(new RangeError("broken server")),
+    onError: (error) => void errors.push((error as Error).message),
+  });
+  const client = startClient(mesh);
+  for (let i = 0; i < 3; i++) {
+    const connection = await client.offerCall(OFFER, new Set());
+    assert.ok(typeof connection === "object");
+    const lost = new Promise<void>((resolve) =>
+      connection.send({}, Buffer.from("body"), {
+        onResponse: () => assert.fail(),
+        onBytes: () => assert.fail(),
+        onEnd: () => assert.fail(),
+        onFailure: () => assert.fail(),
+        onLost: () => resolve(),
+      })
+    );
+    await lost;
+    assert.equal(server.openCalls, 0);
+  }
+  assert.deepEqual(errors, Array(3).fill("broken server"));
+});
+
+// Guards against an offer that waits for its timeout because the peer can't decide on it.
+test("a peer that fails to decide on an offer closes its connection", async () => {
+  const errors: unknown[] = [];
+  const { mesh } = await startPeer({
+    decideOffer: () => Promise.reject(new RangeError("broken offer")),
+    onError: (error) => void errors.push(error),
+  });
+  const startedAtMs = performance.now();
+  const reply = await startClient(mesh).offerCall(OFFER, new Set());
+  assert.equal(reply, "declined");
+  assert.equal(errors.length, 1);
+  assert.ok(performance.now() - startedAtMs < 1000);
+});
