Streams: the timer of a sound run reports its errors

Cause: a throw in this timer, which nothing awaits, was an uncaught exception.

Change: it is reported with the other errors of a call's timers. The call is not affected either way; no test shows a difference for callers.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -43,6 +43,7 @@
 } from "./attempt_result.ts";
 import { confirmResponseEnd, UNCONFIRMED_END } from "./end_confirmation.ts";
 import { confirmIncarnation } from "./incarnation_check.ts";
+import { runReported } from "../report_error.ts";
 import { watchPathLoss } from "./path_loss_watch.ts";
 import { isSuccessStatus } from "./http_status.ts";
 
@@ -679,7 +680,9 @@
   #recordGeneratedSoon(): void {
     if (!this.#isResponseSuccessful) return;
     setTimeout(() => {
-      if (!this.#context.hasEnded) this.#context.recordGenerated();
+      if (this.#context.hasEnded) return;
+      const record = (): void => this.#context.recordGenerated();
+      runReported(this.#context.dependencies, "watch", record);
     }, SOUND_RUN_MS).unref();
   }
 
