Calls: refused connections end no call while sound targets are left

An attempt that finds a target to refuse connections is not counted in the two limits. It is counted while the target is avoided, so that calls don't try all targets while all refuse.

--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -49,7 +49,11 @@
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
-/** Bounds the attempts that reach no target, which cost no retry budget. */
+/**
+ * Bounds the attempts that reach no target, which cost no retry budget. Those that find a
+ * target to refuse connections don't count: that takes no time. They count while the target is avoided,
+ * so that calls don't try all targets while all refuse.
+ */
 const MAX_ATTEMPTS = 6;
 /**
  * If the call may be repeated, a silent target is given up this many times `aimMs` after the time at
@@ -65,7 +69,8 @@
 const MIN_DECLINED_WAIT_MS = 20;
 
 type PlainResult =
-  | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
+  | { readonly kind: "delivered" | "over" | "notRun" }
+  | { readonly kind: "notSent"; readonly isCounted: boolean }
   | { readonly kind: "lost"; readonly reason: string }
   | { readonly kind: "answer"; readonly answer: BufferedResponse };
 
@@ -138,6 +143,7 @@
   #recordResult(result: PlainResult): void {
     if (result.kind === "answer") this.#failure = result.answer;
     else if (result.kind === "lost") this.#reason = result.reason;
+    else if (result.kind === "notSent" && !result.isCounted) this.#attempts--;
   }
 
   /** Makes an attempt at a booked target; undefined if the call ended or no retry is left. */
@@ -173,9 +179,10 @@
 
   async #attempt(booked: BookedTarget): Promise<PlainResult> {
     const context = this.#context;
-    const { codec, workTracker, plainTimeModel } = context.dependencies;
+    const { codec, health, workTracker, plainTimeModel } = context.dependencies;
     const { target } = booked.placement;
     const sentAtMs = context.nowMs;
+    const wasAvoided = health.isAvoided(target.id, sentAtMs);
     this.#tried.add(target.id);
     const exchange = context.send(
       target,
@@ -212,7 +219,9 @@
           this.#tried.delete(target.id);
         }
         context.undoRun();
-        return { kind: result.kind };
+        if (result.kind === "notRun") return { kind: "notRun" };
+        const isCounted = wasAvoided || result.isRefused !== true;
+        return { kind: "notSent", isCounted };
       }
       if (result.kind === "lost") return result;
       if (isSuccessStatus(result.head.status) && !result.metadata.signed) {
@@ -262,7 +271,7 @@
     if (context.hasEnded) return { kind: "over" };
     if (end.kind === "notSent") {
       context.undoRun();
-      return { kind: "notSent" };
+      return { kind: "notSent", isCounted: true };
     }
     if (!context.clientResponse.isHeadSent) return end;
     // What has been sent can't be continued with another response.
