Streams: no gap after an error with an event; calls uncounted are refused

What clients got: a resumable stream of status 200 that ended whole without its first event, when an error came up while the event was sent on: the head, the metric or log line of the first byte, or the write.

Cause: the event counted as sent before it was written, and the stream went on behind it at another engine. In CallServer, an error of the gauge of calls in flight left `serve`, which never rejects, and the client got no response.

Change: the position is taken back if nothing was written. If the write itself fails, it is not known what the client has, so the response is cut off at once. A call that can't be counted is refused as not run.

--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -53,14 +53,16 @@
   /** Serves one call to its end. Never rejects. */
   async serve(call: ForwardedCall, response: ClientResponse): Promise<void> {
     const { metrics } = this.#dependencies;
-    metrics.inFlight.inc();
+    let isCounted = false;
     try {
+      metrics.inFlight.inc();
+      isCounted = true;
       await this.#serveInTurn(call, response);
     } catch (error) {
       this.#endUnsent(call, response, error);
-    } finally {
-      metrics.inFlight.dec();
     }
+    if (!isCounted) return;
+    runReported(this.#dependencies, "call", () => metrics.inFlight.dec());
   }
 
   async #serveInTurn(
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -279,14 +279,21 @@
     bytes: Buffer,
   ): void {
     const fresh: Buffer[] = [];
+    const lastWrittenId = this.#lastEventId;
     for (const event of splitter.push(bytes)) {
       if (this.#isRepeated(event.id)) continue;
       if (event.id !== undefined) this.#lastEventId = event.id;
       fresh.push(event.bytes);
     }
-    // One write, as a write for each of many small events would cost more than the events.
-    if (fresh.length === 1) this.#write(exchange, fresh[0]);
-    else if (fresh.length > 1) this.#write(exchange, Buffer.concat(fresh));
+    try {
+      // One write, as a write for each of many small events would cost more than the events.
+      if (fresh.length === 1) this.#write(exchange, fresh[0]);
+      else if (fresh.length > 1) this.#write(exchange, Buffer.concat(fresh));
+    } catch (error) {
+      // The stream goes on elsewhere, with the events that were not written.
+      this.#lastEventId = lastWrittenId;
+      throw error;
+    }
   }
 
   /** Event ids increase, so an event whose id does not has been sent before. */
@@ -298,12 +305,23 @@
   #write(exchange: TargetExchange, bytes: Buffer): void {
     const { clientResponse, onFirstByte } = this.#options;
     if (!this.#isStarted) {
-      this.#isStarted = true;
       onFirstByte();
       this.#writeHead();
+      this.#isStarted = true;
     }
-    if (clientResponse.write(bytes)) return;
+    if (this.#writeOrCut(bytes)) return;
     exchange.pause();
     clientResponse.registerDrainListener(() => exchange.resume());
   }
+
+  /** Cuts the response off if a write fails: the client may have some of the bytes, and none may follow. */
+  #writeOrCut(bytes: Buffer): boolean {
+    const { clientResponse } = this.#options;
+    try {
+      return clientResponse.write(bytes);
+    } catch (error) {
+      clientResponse.destroy();
+      throw error;
+    }
+  }
 }
--- a/packages/heatherarch-forward/tests/unit/call_errors_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_errors_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { ReadBarrier, RuntimeClock, type ServeError } from "heatherarch-core";
 import {
+  type BodyListener,
   type CallDependencies,
   type CallKind,
   CallServer,
@@ -15,6 +16,7 @@
   RouteTable,
   runAll,
   sendHandover,
+  StreamRelay,
   TargetConnections,
   TargetExchange,
 } from "../../mod.ts";
@@ -225,3 +227,50 @@
   );
   assert.deepEqual([sent.length, closed], [1, 1]);
 });
+
+// Guards against a stream that goes on at another engine behind events that the client never got.
+test("a stream goes on with the events that an error kept from the client", async () => {
+  const outcome = await runScript("resumableStream", [
+    { end: "unwritable", restarts: false },
+  ]);
+  assert.deepEqual(
+    [...outcome.body.matchAll(/id: (\d)/g)].map(([, id]) => id),
+    ["1", "2", "3"],
+  );
+  assert.equal(outcome.isWhole, true);
+});
+
+// Guards against bytes behind a gap: it is not known what a client got of a write that failed.
+test("a response is cut off when a write to its client fails", () => {
+  let isCut = false;
+  const clientResponse = {
+    isHeadSent: true,
+    write: () => {
+      throw new TypeError("no write");
+    },
+    destroy: () => isCut = true,
+  } as unknown as ClientResponse;
+  const relay = new StreamRelay({
+    clientResponse,
+    isResumable: false,
+    onFirstByte: () => undefined,
+  });
+  const state = { listener: undefined as BodyListener | undefined };
+  const exchange = {
+    setBodyListener: (set: BodyListener) => state.listener = set,
+  } as unknown as TargetExchange;
+  void relay.relay(exchange, { status: 200, headers: {}, rawHeaders: [] });
+  assert.throws(() => state.listener?.onData(Buffer.from("x")), /no write/);
+  assert.equal(isCut, true);
+});
+
+// Guards against calls that are not served, and a server that rejects, while the metrics fail.
+test("a call is refused while calls in flight can't be counted", async () => {
+  const metrics = new ForwardMetrics();
+  metrics.inFlight.inc = () => {
+    throw new Error("no metrics");
+  };
+  const { ended, errors } = serveAtBrokenVm({ metrics });
+  await ended;
+  assert.deepEqual(errors.map(({ run }) => run), ["no"]);
+});
