Uncaught errors: counted and logged without a throw

Cause: the handler of uncaught errors logged first. If the log failed, the error was not counted, and a throw in a handler of `uncaughtException` ends the process.

Change: it counts first, and neither step can throw. Before the VM has started there are no metrics; such errors are logged only.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -42,6 +42,7 @@
   type VmStart,
   type VmTaskOptions,
 } from "./vm_tasks.ts";
+import { reportUncaught } from "./report_error.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
 import { computeStreamLifeMs } from "./state/stream_versions.ts";
 import { listLoadStatus } from "./tasks/load_status.ts";
@@ -183,10 +184,7 @@
 
   /** Logs and counts an uncaught error; the process continues. */
   reportUncaughtError(error: unknown): void {
-    this.#log.write("error", "uncaught", {
-      error: String((error as Error)?.stack ?? error),
-    });
-    this.#resolvedComponents?.metrics.internalErrors.inc({ place: "process" });
+    reportUncaught(this.#log, this.#resolvedComponents?.metrics, error);
   }
 
   /**
--- a/packages/heatherarch-forward/report_error.ts
+++ b/packages/heatherarch-forward/report_error.ts
@@ -32,6 +32,18 @@
   readonly metrics: Pick<ForwardMetrics, "internalErrors">;
 }
 
+/** Logs and counts an error that nothing handled. Never throws, as that would end the process. */
+export function reportUncaught(
+  log: EventLog,
+  metrics: Pick<ForwardMetrics, "internalErrors"> | undefined,
+  thrown: unknown,
+): void {
+  runQuietly(() => metrics?.internalErrors.inc({ place: "process" }));
+  runQuietly(() =>
+    log.write("error", "uncaught", { error: formatThrown(thrown) })
+  );
+}
+
 /** Logs and counts an unexpected error. Never throws, as the log or the metrics may have failed. */
 export function reportInternalError(
   { log, metrics }: ErrorSink,
@@ -86,5 +98,7 @@
 }
 
 function formatThrown(thrown: unknown): string {
-  return thrown instanceof Error ? thrown.stack ?? thrown.message : `${thrown}`;
+  return thrown instanceof Error
+    ? thrown.stack ?? thrown.message
+    : String(thrown);
 }
--- a/packages/heatherarch-forward/tests/unit/call_errors_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_errors_test.ts
@@ -13,6 +13,7 @@
   MemoryEventLog,
   NO_ATTEMPTS,
   reportInternalError,
+  reportUncaught,
   RouteTable,
   runAll,
   sendHandover,
@@ -274,3 +275,26 @@
   await ended;
   assert.deepEqual(errors.map(({ run }) => run), ["no"]);
 });
+
+// Guards against a process that ends because the log fails while an uncaught error is reported, and against
+// one whose errors are not counted.
+test("an uncaught error is counted and reported without a throw, also before the metrics exist", async () => {
+  const log: EventLog = {
+    write: () => {
+      throw new Error("no log");
+    },
+  };
+  const metrics = new ForwardMetrics();
+  reportUncaught(log, metrics, new Error("cause"));
+  reportUncaught(log, undefined, Object.create(null));
+  const { values } = await metrics.internalErrors.get();
+  assert.deepEqual(
+    values.map(({ labels, value }) => [labels.place, value]),
+    [["process", 1]],
+  );
+  const lines = new MemoryEventLog();
+  reportUncaught(lines, undefined, "cause");
+  assert.deepEqual(lines.lines.map(({ event, fields }) => [event, fields]), [
+    ["uncaught", { error: "cause" }],
+  ]);
+});
