Proof of errors in the path of a call

Schedules of up to eight calls of all kinds, in which two of sixteen ports and decoders (connecting, encoding, decoding of heads and KV handles, writes to the client, offers, the retry budget, searches of targets, the target list, the configuration in force, log, metrics, health, checks of targets) throw at drawn moments, once or for as long as the calls last. Each call gets an end before its timeout; none gets 500; a promise that a call has not run is true; none runs more often than its kind allows; a complete response is whole; nothing is held and no error is unhandled; calls of all kinds are served afterwards. Three guards, which are disabled by letting errors pass: the boundary of an attempt, that of a call, and that of a call's wait in a queue.

Not covered: acceptance at a peer (handover_connection_test), and errors that only a real connection has.

--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -7,6 +7,7 @@
 import { CONFIG_PROOF } from "./config_proof.ts";
 import { CONFIG_READS_PROOF } from "./config_reads_proof.ts";
 import { DISCONNECT_PROOF } from "./disconnect_proof.ts";
+import { ERROR_PROOF } from "./error_proof.ts";
 import { GENERATION_PROOF } from "./generation_proof.ts";
 import { HANDOVER_PROOF } from "./handover_proof.ts";
 import { LEASE_PROOF } from "./lease_proof.ts";
@@ -52,6 +53,7 @@
   { proof: CONFIG_READS_PROOF, testRuns: 40, mutationRuns: 500 },
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 10_000 },
   { proof: DISCONNECT_PROOF, testRuns: 40, mutationRuns: 5000 },
+  { proof: ERROR_PROOF, testRuns: 30, mutationRuns: 500 },
   { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: VERSION_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: PART_QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
