--- a/packages/heatherarch-forward/scheduling/role_plan.ts
+++ b/packages/heatherarch-forward/scheduling/role_plan.ts
@@ -174,8 +174,8 @@
 
 /**
  * Picks `count` prefill engines, first those that responded when they were asked, then those with the
- * software version of most decode engines, then from the zone that has the fewest decode engines. Spot engines are picked last: all of a zone's may
- * be reclaimed at once, and there are few decode engines.
+ * software version of most decode engines, then from the zone that has the fewest decode engines. Spot
+ * engines are picked last: all of a zone's may be reclaimed at once, and there are few decode engines.
  */
 function pickForSmallestZones(
   prefillEngines: readonly Target[],
