Streams: a version that a VM has never listed is waited for, not refused

Cause: peers told the VM which version began the stream, and it refused the call because it listed no engine of it. The guard that holds calls after a stall acts only if the list has become too old, so a VM that stood still briefly, or that got its list late, decided by a list from before.

Change: if a VM has never listed the version, its list may be older than the stream. The take-up requests a read of the list and waits for it, within the client's time less 250 ms for the refusal. Calls share the reads. A version that was listed and is gone is refused at once, as before. ORDER is not affected: the version that is required stays the same.

--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -95,6 +95,11 @@
    * there are several, or if that is not known.
    */
   readonly findOnlyVersion: (service: string) => Promise<string | undefined>;
+  /** Waits for the next read of the target list if that has never contained a version. */
+  readonly awaitVersionListed: (
+    service: string,
+    softwareVersion: string,
+  ) => Promise<void>;
   readonly retryBudget: FleetRetryBudget;
   readonly placer: PromptPlacer;
   readonly engineJitter: EngineJitter;
--- a/packages/heatherarch-forward/calls/resumable_stream.ts
+++ b/packages/heatherarch-forward/calls/resumable_stream.ts
@@ -16,9 +16,49 @@
   /** The stream has begun, and no VM that responds knows where. */
   | { readonly kind: "unknown" };
 
-/** Finds the software version at which a call's stream has to go on. */
+/** Time that is left for the refusal of a stream whose version is not listed, milliseconds. */
+const REFUSAL_RESERVE_MS = 250;
+
+/**
+ * Finds the software version at which a call's stream has to go on. If this VM has never listed it, its
+ * list may be older than the stream, so the next read is awaited within the client's time.
+ */
 export async function findStreamVersion(
   context: CallContext,
+): Promise<StreamVersionResult> {
+  const result = await findRecordedVersion(context);
+  if (result.kind === "required") {
+    await awaitListedVersion(context, result.softwareVersion);
+  }
+  return result;
+}
+
+async function awaitListedVersion(
+  { service, dependencies, remainingMs }: CallContext,
+  softwareVersion: string,
+): Promise<void> {
+  const mayWaitMs = remainingMs - REFUSAL_RESERVE_MS;
+  if (mayWaitMs <= 0) return;
+  await waitAtMost(
+    dependencies.awaitVersionListed(service.name, softwareVersion),
+    mayWaitMs,
+  );
+}
+
+async function waitAtMost(
+  promise: Promise<unknown>,
+  waitMs: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, waitMs);
+  });
+  await Promise.race([promise, timeout]);
+  clearTimeout(timer);
+}
+
+async function findRecordedVersion(
+  context: CallContext,
 ): Promise<StreamVersionResult> {
   const { call, route, dependencies } = context;
   if (route.kind !== "resumableStream") return { kind: "any" };
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -216,6 +216,11 @@
           await this.#components.streamRecordLog.findVersion(key),
       findOnlyVersion: (service) =>
         this.#components.versionPersistence.findOnlyVersion(service),
+      awaitVersionListed: (service, softwareVersion) =>
+        this.#components.versionPersistence.awaitVersionListed(
+          service,
+          softwareVersion,
+        ),
       listPeers: () => this.#components.mesh.listPeers(),
     });
     for (const [name, component] of Object.entries(dependencies)) {
--- a/packages/heatherarch-forward/tasks/version_persistence.ts
+++ b/packages/heatherarch-forward/tasks/version_persistence.ts
@@ -122,6 +122,22 @@
     return undefined;
   }
 
+  /**
+   * Waits for the next read of the target list, but not for long, if that has never contained a version
+   * which has begun a stream: the list is older than that version. Never rejects.
+   */
+  async awaitVersionListed(
+    service: string,
+    softwareVersion: string,
+  ): Promise<void> {
+    const { history } = this.#options;
+    const nowMs = this.#nowMs;
+    history.observe(nowMs);
+    const isKnown = history.listVersions(service, Infinity, nowMs)
+      .some((observed) => observed.softwareVersion === softwareVersion);
+    if (!isKnown) await this.#awaitList(nowMs);
+  }
+
   /**
    * Reads the records unless they were read recently, and waits for a read of the target list that is
    * sent from `sinceMs` on, unless several versions are known already. A version at which a stream has
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -258,6 +258,7 @@
       versionLives: new VersionLives(),
       findStreamVersion: () => Promise.resolve(undefined),
       findOnlyVersion: () => Promise.resolve(undefined),
+      awaitVersionListed: () => Promise.resolve(),
       retryBudget: new FleetRetryBudget({
         fixedPerWindow: 1000,
         share: 1,
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -259,6 +259,27 @@
   assert.equal(next.listRefreshes, 1);
 });
 
+// Guards against streams that are refused late because each waits for a version that is gone.
+test("only a version that the list has never contained is waited for", async () => {
+  const world = new World();
+  const vm = world.startVm();
+  await vm.run(1000);
+  world.listed = ["v2"];
+  await vm.run(TICK_MS);
+  world.clock.advance(100);
+  await vm.persistence.awaitVersionListed("s", "v1");
+  await vm.persistence.awaitVersionListed("s", "v2");
+  assert.equal(vm.listRefreshes, 0);
+  let isDone = false;
+  const awaited = vm.persistence.awaitVersionListed("s", "v3")
+    .then(() => isDone = true);
+  await sleep(50);
+  assert.equal(vm.listRefreshes, 1);
+  assert.equal(isDone, false);
+  await vm.tick();
+  await awaited;
+});
+
 // Guards against records that look recent after the machine was suspended, as the monotonic clock stood.
 test("records that were read before the machine was suspended are read again", async () => {
   const world = new World();
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -83,6 +83,11 @@
   readonly findStreamVersion: (key: string) => Promise<string | undefined>;
   /** Finds the only software version that may have begun a stream of a service. */
   readonly findOnlyVersion: (service: string) => Promise<string | undefined>;
+  /** Waits for the next read of the target list if that has never contained a version. */
+  readonly awaitVersionListed: (
+    service: string,
+    softwareVersion: string,
+  ) => Promise<void>;
   /** Lists the VMs that calls may be handed over to. */
   readonly listPeers: () => readonly HandoverPeer[];
 }
@@ -262,6 +267,7 @@
     versionLives: new VersionLives(),
     findStreamVersion: options.findStreamVersion,
     findOnlyVersion: options.findOnlyVersion,
+    awaitVersionListed: options.awaitVersionListed,
     prefillTimeModel,
     countVms,
     activeConfig,
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -128,6 +128,7 @@
     streamVersions,
     findStreamVersion,
     findOnlyVersion,
+    awaitVersionListed: () => Promise.resolve(),
     versionLives,
     placer: new PromptPlacer({ model: prefillTimeModel }),
     engineJitter: new EngineJitter({ vmId: "vm", drawUnit: () => 0 }),
