--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -42,7 +42,7 @@
   type VmStart,
   type VmTaskOptions,
 } from "./vm_tasks.ts";
-import { reportUncaught } from "./report_error.ts";
+import { reportInternalError, reportUncaught } from "./report_error.ts";
 import { StoreEpoch } from "./state/store_epoch.ts";
 import { computeStreamLifeMs } from "./state/stream_versions.ts";
 import { listLoadStatus } from "./tasks/load_status.ts";
@@ -397,6 +397,7 @@
         events: components.log,
         listPrefillEngines: listEngines,
         listParticipants: () => components.mesh.listCoordinators(),
+        onError: (error) => reportInternalError(components, "process", error),
       });
       void survey.run(() => components.mesh.isCoordinator);
     }, SWEEP_INTERVAL_MS);
--- a/packages/heatherarch-forward/tasks/cache_survey.ts
+++ b/packages/heatherarch-forward/tasks/cache_survey.ts
@@ -26,6 +26,8 @@
   readonly listPrefillEngines: () => readonly Target[];
   /** Lists the ids of the live VMs that take part in surveys, this one included. */
   readonly listParticipants: () => readonly string[];
+  /** Called with each error that no code expects. Never throws. */
+  readonly onError?: (thrown: unknown) => void;
 }
 
 /** Time to connect to peers, which may already know the caches, milliseconds. */
@@ -43,13 +45,17 @@
     this.#options = options;
   }
 
-  /** Queries, in this VM's turn, the engines that no VM has surveyed; only as a coordinator. */
+  /**
+   * Queries, in this VM's turn, the engines that no VM has surveyed; only as a coordinator. An
+   * error of one query does not end the others.
+   */
   async run(isCoordinator: () => boolean = () => true): Promise<void> {
+    const report = (error: unknown): void => this.#options.onError?.(error);
     await sleep(STARTUP_DELAY_MS);
     if (!isCoordinator()) return;
     await Promise.all(
       this.#options.listPrefillEngines().map((engine) =>
-        this.#surveyInTurn(engine)
+        this.#surveyInTurn(engine).catch(report)
       ),
     );
   }
