Handover: a call that a peer could not send goes on to the next peer

When the exchange of a call that may have run breaks on a lost path, the call goes to a peer without a hedge. A peer that accepts and then has too few retries left to send it ends it without a promise, since it had run before. The call ended with that, although other peers were not asked and seconds were left: callers got 502 or a cut stream.

The counts that a peer tells show whether it sent a run. If it did not, the call counts as refused there and goes on to the next peer, as a hedge did already. A peer of earlier software tells no counts, and may have sent it.

--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -43,6 +43,14 @@
   "shuttingDown",
 ]);
 
+/**
+ * Whether another peer may serve a call that a peer has not run. One without a promise fails only since the
+ * call had run before, and this peer could not continue it.
+ */
+function isServedElsewhere({ kind, run }: ServeError): boolean {
+  return ELSEWHERE.has(kind) || run !== "no";
+}
+
 /** Result of one call sent to one peer. */
 type PeerResult =
   | { readonly kind: "ended" }
@@ -106,7 +114,7 @@
       this.#onAccepted();
       const result = await this.#serveAt(connection);
       if (result.kind === "ended" || context.hasEnded) return "ended";
-      if (ELSEWHERE.has(result.error.kind)) continue;
+      if (isServedElsewhere(result.error)) continue;
       context.endWithPeerFailure(result.error);
       return "ended";
     }
@@ -145,7 +153,7 @@
       if (!(cause instanceof PeerFailureError)) {
         return this.#endWithLoss(error.message);
       }
-      if (cause.failure.run === "no") {
+      if (cause.hasNotRun(state.attempts)) {
         undo(cause.attempts);
         return { kind: "refused", error: cause.failure };
       }
--- a/packages/heatherarch-forward/calls/handover_codec.ts
+++ b/packages/heatherarch-forward/calls/handover_codec.ts
@@ -79,9 +79,9 @@
   return { ...call, elapsedMs, ...state, ...attempts, isPromptRead };
 }
 
-/** Decodes the requests that a call or a failure tells; a VM of earlier software does not tell them. */
-export function decodeAttemptCounts(head: unknown): AttemptCounts {
-  return ATTEMPTS.safeParse(head).data ?? UNKNOWN_ATTEMPTS;
+/** Decodes the requests that a call or a failure tells; undefined if a VM of earlier software sent it. */
+export function findAttemptCounts(head: unknown): AttemptCounts | undefined {
+  return ATTEMPTS.safeParse(head).data;
 }
 
 /** Decodes a call from a peer; undefined if it is malformed. */
@@ -100,7 +100,7 @@
     isHedge,
     ...call
   } = parsed;
-  const attempts = decodeAttemptCounts(head);
+  const attempts = findAttemptCounts(head) ?? UNKNOWN_ATTEMPTS;
   return {
     ...call,
     body,
--- a/packages/heatherarch-forward/calls/handover_hedge.ts
+++ b/packages/heatherarch-forward/calls/handover_hedge.ts
@@ -84,12 +84,10 @@
     }
   }
 
-  #classifyFailure({ failure, attempts }: PeerFailureError): HedgeStart {
-    const runs = attempts.sent - attempts.prefills;
-    const runsBefore = HEDGE_ATTEMPTS.sent - HEDGE_ATTEMPTS.prefills;
-    // A peer of earlier software tells other counts, so the call may have run there.
-    const hasRun = failure.run !== "no" && runs !== runsBefore;
-    if (!hasRun) this.#undoRun();
-    return { kind: hasRun ? "failed" : "refused", error: failure };
+  #classifyFailure(cause: PeerFailureError): HedgeStart {
+    const { failure: error } = cause;
+    if (!cause.hasNotRun(HEDGE_ATTEMPTS)) return { kind: "failed", error };
+    this.#undoRun();
+    return { kind: "refused", error };
   }
 }
--- a/packages/heatherarch-forward/calls/peer_exchange.ts
+++ b/packages/heatherarch-forward/calls/peer_exchange.ts
@@ -7,11 +7,12 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { HandoverConnection } from "heatherarch-handover";
 import type { Dispatcher } from "undici";
+import { UNKNOWN_ATTEMPTS } from "./attempt_ledger.ts";
 import type { AttemptCounts } from "../model.ts";
 import {
-  decodeAttemptCounts,
   decodeHandoverFailure,
   decodeHandoverResponse,
+  findAttemptCounts,
   type HandoverResponseHead,
 } from "./handover_codec.ts";
 import { TargetExchange } from "./target_exchange.ts";
@@ -22,12 +23,21 @@
   readonly failure: ServeError;
   /** Requests of the call that the peer and the VMs before it have counted. */
   readonly attempts: AttemptCounts;
+  /** Whether the peer told these counts. One of earlier software does not. */
+  readonly hasCounts: boolean;
 
-  constructor(failure: ServeError, attempts: AttemptCounts) {
+  constructor(failure: ServeError, attempts: AttemptCounts | undefined) {
     super(failure.message);
     this.name = "PeerFailureError";
     this.failure = failure;
-    this.attempts = attempts;
+    this.attempts = attempts ?? UNKNOWN_ATTEMPTS;
+    this.hasCounts = attempts !== undefined;
+  }
+
+  /** Whether the call has not run at the peer, which got it with the counts `before`. */
+  hasNotRun(before: AttemptCounts): boolean {
+    if (this.failure.run === "no") return true;
+    return this.hasCounts && countRuns(this.attempts) === countRuns(before);
   }
 }
 
@@ -56,7 +66,7 @@
           controller,
           new PeerFailureError(
             decodeHandoverFailure(failure),
-            decodeAttemptCounts(failure),
+            findAttemptCounts(failure),
           ),
         ),
       onLost: (reason) =>
@@ -70,6 +80,10 @@
   });
 }
 
+function countRuns({ sent, prefills }: AttemptCounts): number {
+  return sent - prefills;
+}
+
 function startResponse(
   handler: Dispatcher.DispatchHandler,
   controller: PeerController,
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -6,10 +6,16 @@
   PartQuarantine,
   RequestQuarantine,
 } from "heatherarch-quarantine";
+import type {
+  HandoverConnection,
+  HandoverListener as RelayListener,
+} from "heatherarch-handover";
 import {
+  type AttemptCounts,
   buildWithheldExchange,
   CallContext,
   type CallDependencies,
+  CallHandover,
   type ClientResponse,
   FleetDemand,
   FleetRetryBudget,
@@ -19,6 +25,7 @@
   MemoryEventLog,
   NO_ATTEMPTS,
   ReturnTimes,
+  StreamRelay,
   type TargetExchange,
 } from "../../mod.ts";
 import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
@@ -26,7 +33,11 @@
 const RETRY_SHARE = 0.5;
 
 /** Builds the context of a call that may have run `runs` times at the VM that handed it over. */
-function buildContext(options: { runs?: number; isQuarantined?: boolean }) {
+function buildContext(options: {
+  runs?: number;
+  isQuarantined?: boolean;
+  offerCall?: CallDependencies["handoverClient"]["offerCall"];
+}) {
   const { runs, isQuarantined = false } = options;
   const clock = new RuntimeClock();
   const quarantine = new RequestQuarantine({ maxCrashes: 1 });
@@ -72,7 +83,10 @@
       fleetDemand,
       returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
       connections: { send: () => buildWithheldExchange("not sent") },
-      handoverClient: { offerCall: () => Promise.resolve(connection) },
+      handoverClient: {
+        offerCall: options.offerCall ?? (() => Promise.resolve(connection)),
+      },
+      targetListGuard: { isHoldingCalls: () => false },
       metrics: new ForwardMetrics(),
       log: new MemoryEventLog(),
       drawUnit: () => 0,
@@ -85,6 +99,9 @@
       isHeadSent: false,
       registerDisconnectListener: () => () => undefined,
       fail: (error: ServeError) => void failures.push(error),
+      writeHead: () => undefined,
+      write: () => true,
+      end: () => undefined,
     } as unknown as ClientResponse,
   });
   const countClosed = (): number => closed;
@@ -165,3 +182,67 @@
   assert.equal(countClosed(), 1);
   context.finish("delivered");
 });
+
+/** Counts with which a peer ends a call, or undefined for a peer of earlier software. */
+type ToldCounts = AttemptCounts | undefined;
+
+/** Hands a call that may have run here over to two peers. Returns those that got it. */
+async function handOver(told: ToldCounts): Promise<{
+  peers: string[];
+  failures: ServeError[];
+}> {
+  const peers: string[] = [];
+  const offerCall = (_offer: unknown, asked: Set<string>) => {
+    const id = `peer-${asked.size + 1}`;
+    asked.add(id);
+    return Promise.resolve({
+      peer: { id },
+      send: (_head: unknown, _body: Buffer, listener: RelayListener) => {
+        peers.push(id);
+        queueMicrotask(() => {
+          if (peers.length === 1) {
+            const error = { kind: "answerIncomplete", run: "unknown" };
+            const failure = { ...error, message: "no retries", ...told };
+            return listener.onFailure({ ...failure, retryAfterMs: 0 });
+          }
+          listener.onResponse({ status: 200, headers: [] });
+          listener.onEnd();
+        });
+      },
+      close: () => undefined,
+      isClosed: false,
+    } as unknown as HandoverConnection);
+  };
+  const { context, failures } = buildContext({ offerCall });
+  context.send(buildTarget("t"), () => ({
+    path: "/",
+    method: "GET",
+    headers: [],
+    body: null,
+  }));
+  const relay = new StreamRelay({
+    clientResponse: context.clientResponse,
+    isResumable: false,
+    onFirstByte: () => undefined,
+  });
+  await new CallHandover({ context, relay }).serve();
+  return { peers, failures };
+}
+
+// Guards against a call that fails because the first peer that accepts it has no retries left to send it,
+// although other peers could go on with it.
+test("a call that a peer could not send is handed over to the next peer", async () => {
+  const { peers, failures } = await handOver(NO_ATTEMPTS);
+  assert.deepEqual(peers, ["peer-1", "peer-2"]);
+  assert.deepEqual(failures, []);
+});
+
+// Guards against a call that runs once more after it may have run at a peer.
+test("a call that a peer may have sent is not handed over again", async () => {
+  const sent = { ...NO_ATTEMPTS, sent: 1 };
+  for (const told of [sent, undefined]) {
+    const { peers, failures } = await handOver(told);
+    assert.deepEqual(peers, ["peer-1"]);
+    assert.deepEqual(failures.map(({ kind }) => kind), ["answerIncomplete"]);
+  }
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -20,9 +20,10 @@
 import type { VmRecord } from "./model.ts";
 import type { CallServer } from "./calls/call_server.ts";
 import {
-  decodeAttemptCounts,
   decodeHandoverCall,
+  findAttemptCounts,
 } from "./calls/handover_codec.ts";
+import { UNKNOWN_ATTEMPTS } from "./calls/attempt_ledger.ts";
 import { HandoverResponse } from "./calls/handover_response.ts";
 import { FleetDuties } from "./tasks/fleet_duties.ts";
 import type { Ingress } from "./tasks/ingress.ts";
@@ -187,7 +188,7 @@
         call: call.id,
         peer: responder.peer,
       });
-      const attempts = decodeAttemptCounts(head);
+      const attempts = findAttemptCounts(head) ?? UNKNOWN_ATTEMPTS;
       await callServer.serve(call, new HandoverResponse(responder, attempts));
     },
   });
