Mesh: an address that can't be dialled ends like a refused connection

Cause: opening a socket throws for a port out of range, in the timer in which the mesh opens its links. The VM list is checked, but a peer's hello also names an address, and an operator may set such a one as the announced address.

Change: the socket is returned closed with the error, so that the link ends and is tried again like one to a VM that does not listen.

--- a/packages/heatherarch-mesh/mesh_sockets.ts
+++ b/packages/heatherarch-mesh/mesh_sockets.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { connect, createServer, type Server, type Socket } from "node:net";
+import { connect, createServer, type Server, Socket } from "node:net";
 import {
   connect as connectTls,
   createServer as createTlsServer,
@@ -33,8 +33,19 @@
   return server;
 }
 
-/** Connects to `ip:port`. The handshake of the link identifies the peer, not its host name. */
+/**
+ * Connects to `ip:port`. The handshake of the link identifies the peer, not its host name. An address
+ * that can't be dialled, which peers may announce, ends like a refused connection.
+ */
 export function dialSocket(address: string, tls: MeshTls | undefined): Socket {
+  try {
+    return openSocket(address, tls);
+  } catch (error) {
+    return new Socket().destroy(error as Error);
+  }
+}
+
+function openSocket(address: string, tls: MeshTls | undefined): Socket {
   const { host, port } = splitAddress(address);
   if (tls === undefined) return connect({ host, port });
   return connectTls({
--- a/packages/heatherarch-mesh/tests/unit/mesh_sockets_test.ts
+++ b/packages/heatherarch-mesh/tests/unit/mesh_sockets_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { test } from "node:test";
 import fc from "fast-check";
 import { parseIpAddress } from "heatherarch-core";
-import { splitAddress } from "../../mod.ts";
+import { dialSocket, splitAddress } from "../../mod.ts";
 
 const HOST = fc.oneof(fc.ipV4(), fc.ipV6().map((ip) => `[${ip}]`));
 
@@ -15,3 +16,13 @@
     assert.deepEqual(splitAddress(`${ip}:${to}`), { host, port });
   }));
 });
+
+// Guards against a timer of the mesh that a peer's address ends: no links are opened or checked then.
+test("an address that can't be dialled ends like a refused connection", async () => {
+  for (const address of ["127.0.0.1:65536", "127.0.0.1:-1", "m", "a:b:c"]) {
+    const socket = dialSocket(address, undefined);
+    const [error] = await once(socket, "error");
+    assert.ok(error instanceof Error, address);
+    assert.ok(socket.destroyed);
+  }
+});
