Roles: a decode engine is kept until its replacement decodes

Before an engine is ordered to prefill, all decode engines have to report that they decode and are not changing. Until then the order waits.

The test was not run on the code before.

--- a/packages/heatherarch-forward/tasks/role_controller.ts
+++ b/packages/heatherarch-forward/tasks/role_controller.ts
@@ -206,7 +206,8 @@
 
   /**
    * Asks the decode engines of each service of which one is to prefill for their reports. Returns
-   * whether all of them respond, so that those that remain can serve.
+   * whether all of them decode now, so that those that remain can serve. One that is still changing to
+   * that role does not yet.
    */
   async #confirmDecodeEngines(
     changes: readonly PlannedRoleChange[],
@@ -225,7 +226,9 @@
     const reports = await Promise.all(
       asked.map((target) => this.#readReport(target)),
     );
-    return reports.every((report) => report !== undefined);
+    return reports.every((report) =>
+      report?.role === "decode" && !report.isChangingRole
+    );
   }
 
   #dropConfirmations(nowMs: number): void {
--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -349,3 +349,30 @@
   }
   assert.equal(engine.orders.length, 2);
 });
+
+// Guards against decode engines that are given up while their replacements are still changing their role.
+test("no engine is ordered to prefill while another one is still changing to decode", async () => {
+  const engine = await startEngine(() => undefined);
+  const { address } = engine;
+  const created = createController({
+    address,
+    clock: new SuspendableClock(),
+    codec: {
+      ...buildCodec(),
+      decodeReport: () => ({
+        role: "decode",
+        isChangingRole: true,
+        ordersTaken: 0,
+      }),
+    },
+    engines: ["d1", "d2", "d3", "d4"].map((id) =>
+      buildEngine(id, { address, role: "decode" as const })
+    ),
+  });
+  controller = created.controller;
+  controller.start();
+  await new Promise((resolve) => setTimeout(resolve, 3000));
+  assert.deepEqual(engine.orders, []);
+  const names = created.events.lines.map(({ event }) => event);
+  assert.ok(!names.includes("leaseSought"), "no lease was sought");
+});
