Calls: a request that can't be encoded says nothing about its target

A second Host header is malformed (400), and an attempt whose request the library rejects records nothing about its target.

codec_test: 18 of 18; the unit tests of attempts, exchanges and errors pass.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -33,6 +33,8 @@
     readonly isWithheld: boolean;
     /** No process listens at the target's address. */
     readonly isRefused?: boolean;
+    /** The request itself can't be sent, which tells nothing about the target. */
+    readonly isRequestInvalid?: boolean;
   }
   /** The target refused the request and will not run it. */
   | {
@@ -272,7 +274,8 @@
   const { fault, message: reason, isConnectionRefused: isRefused } = error;
   const isWithheld = fault === "withheld";
   if (fault === "notSent" || isWithheld) {
-    return { kind: "notSent", reason, isWithheld, isRefused };
+    const { isRequestInvalid } = error;
+    return { kind: "notSent", reason, isWithheld, isRefused, isRequestInvalid };
   }
   return { kind: "lost", reason };
 }
@@ -349,14 +352,15 @@
   if (result.kind === "notRun" && result.refusal === "otherRole") {
     health.avoidUntil(target.id, nowMs + OTHER_ROLE_AVOID_MS);
   }
-  const isWithheld = result.kind === "notSent" && result.isWithheld;
-  if (result.kind === "notSent" && !isWithheld) {
+  const isUntested = result.kind === "notSent" &&
+    (result.isWithheld || result.isRequestInvalid === true);
+  if (result.kind === "notSent" && !isUntested) {
     context.recordUnreachable(result.isRefused);
   }
-  if (result.kind === "lost" || (result.kind === "notSent" && !isWithheld)) {
+  if (result.kind === "lost" || (result.kind === "notSent" && !isUntested)) {
     pathMonitor.recordTrouble(target);
   }
-  const isNowAvoided = !isWithheld &&
+  const isNowAvoided = !isUntested &&
     health.recordOutcome(target.id, rateResult(result), nowMs);
   if (isNowAvoided) {
     log.write("warn", "targetAvoided", {
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -782,7 +782,7 @@
     }
     if (exchange === undefined) return;
     if (this.#mayAbort(exchange)) exchange.abort(INTERNAL_ERROR_REASON);
-    else exchange.discardBody(ABANDONED_BODY);
+    else if (!exchange.isRead) exchange.discardBody(ABANDONED_BODY);
   }
 
   #failAfterError(): void {
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -39,6 +39,12 @@
     this.fault = fault;
   }
 
+  /** Whether the request itself could not be encoded, for example as it has two `Host` headers. */
+  get isRequestInvalid(): boolean {
+    return (this.cause as NodeJS.ErrnoException)?.code ===
+      "UND_ERR_INVALID_ARG";
+  }
+
   /** Whether no process listens at the target's address. */
   get isConnectionRefused(): boolean {
     return (this.cause as NodeJS.ErrnoException)?.code === "ECONNREFUSED";
@@ -180,6 +186,11 @@
     return this.#end instanceof ExchangeError;
   }
 
+  /** Whether something reads the body. */
+  get isRead(): boolean {
+    return this.#listener !== undefined;
+  }
+
   /** Registers a listener for each head and each part of the body. Returns its removal. */
   registerReceiptListener(listener: () => void): () => void {
     this.#receiptListeners.add(listener);
@@ -284,8 +295,8 @@
   }
 
   #start(controller: Controller): void {
-    if (this.#controller !== undefined || this.#abortReason !== undefined) {
-      // undici would write the request a second time, or after it was aborted.
+    if (this.#controller !== undefined || this.#end !== "open") {
+      // undici would write the request a second time, or after its exchange has ended.
       controller.abort(new Error("a request is sent at most once"));
       return;
     }
