--- a/packages/heatherarch-forward/tests/unit/role_controller_test.ts
+++ b/packages/heatherarch-forward/tests/unit/role_controller_test.ts
@@ -322,8 +322,10 @@
   assert.equal(unanswered.length, 3, "each was asked once");
 });
 
-// Guards against decode engines beyond the plan that stay because their reports are required.
-test("decode engines beyond the plan are ordered to prefill when all report", async () => {
+/** Starts the controller of one VM for four decode engines, two more than the plan wants. */
+async function startWithSurplus(
+  { isChangingRole }: { isChangingRole: boolean },
+) {
   const engine = await startEngine(() => undefined);
   const { address } = engine;
   const created = createController({
@@ -331,11 +333,7 @@
     clock: new SuspendableClock(),
     codec: {
       ...buildCodec(),
-      decodeReport: () => ({
-        role: "decode",
-        isChangingRole: false,
-        ordersTaken: 0,
-      }),
+      decodeReport: () => ({ role: "decode", isChangingRole, ordersTaken: 0 }),
     },
     engines: ["d1", "d2", "d3", "d4"].map((id) =>
       buildEngine(id, { address, role: "decode" as const })
@@ -343,6 +341,12 @@
   });
   controller = created.controller;
   controller.start();
+  return { engine, events: created.events };
+}
+
+// Guards against decode engines beyond the plan that stay because their reports are required.
+test("decode engines beyond the plan are ordered to prefill when all report", async () => {
+  const { engine } = await startWithSurplus({ isChangingRole: false });
   const untilMs = performance.now() + 10_000;
   while (engine.orders.length < 2 && performance.now() < untilMs) {
     await new Promise((resolve) => setTimeout(resolve, 20));
@@ -352,27 +356,9 @@
 
 // Guards against decode engines that are given up while their replacements are still changing their role.
 test("no engine is ordered to prefill while another one is still changing to decode", async () => {
-  const engine = await startEngine(() => undefined);
-  const { address } = engine;
-  const created = createController({
-    address,
-    clock: new SuspendableClock(),
-    codec: {
-      ...buildCodec(),
-      decodeReport: () => ({
-        role: "decode",
-        isChangingRole: true,
-        ordersTaken: 0,
-      }),
-    },
-    engines: ["d1", "d2", "d3", "d4"].map((id) =>
-      buildEngine(id, { address, role: "decode" as const })
-    ),
-  });
-  controller = created.controller;
-  controller.start();
+  const { engine, events } = await startWithSurplus({ isChangingRole: true });
   await new Promise((resolve) => setTimeout(resolve, 3000));
   assert.deepEqual(engine.orders, []);
-  const names = created.events.lines.map(({ event }) => event);
+  const names = events.lines.map(({ event }) => event);
   assert.ok(!names.includes("leaseSought"), "no lease was sought");
 });
