Streams: nothing follows the head of a failure after an error

Found by the independent review, by reading: if an error came up after the head of an engine's failure was sent, a resumable stream went on at another engine, whose events would have followed that head. Its response is cut off now, as that of a plain call. No test shows it; call_errors_test and the tests of handed-over streams pass.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -298,6 +298,11 @@
     } catch (error) {
       const end = classifyThrown({ context, target, exchange }, error);
       if (context.hasEnded) return "done";
+      if (context.clientResponse.isHeadSent && !this.#relay.isStarted) {
+        // No stream can follow the head of a failure.
+        context.fail("answerIncomplete", end.reason);
+        return "done";
+      }
       return await this.#handleResult(target, prefilled, exchange, end);
     }
   }
