--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -102,10 +102,7 @@
 const BACKOFF_JITTER_SHARE = 0.25;
 /** With less time left, no response can reach the client before the deadline, milliseconds. */
 const MIN_HANDOVER_MS = 30;
-/**
- * A call that this many targets could not be reached for is handed over to a peer. Those that refuse
- * connections don't count: a refusal takes no time, and comes from a host that this VM reaches.
- */
+/** A call that this many targets could not be reached for is handed over to a peer. */
 const MAX_UNREACHABLE = 2;
 const INTERNAL_ERROR_REASON = "an internal error ended the call";
 const QUARANTINED_REASON =
@@ -155,8 +152,6 @@
   #runs: number;
   /** Number of attempts that reached no target. */
   #unreachable = 0;
-  /** Those of the unreachable targets that did not refuse the connection. */
-  #silent = 0;
   #hasRefusedConnection = false;
   /** Whether the latest attempt counts as a run, which {@linkcode undoRun} takes back. */
   #isRunCounted = false;
@@ -264,7 +259,7 @@
 
   /** Whether another VM should serve the call: this one does not reach the targets, or a peer has it. */
   get mustHandOver(): boolean {
-    const isCutOff = !this.hasPath || this.#silent >= MAX_UNREACHABLE;
+    const isCutOff = !this.hasPath || this.#unreachable >= MAX_UNREACHABLE;
     return this.mayHandOver && (isCutOff || this.peerOffer.hasHedge);
   }
 
@@ -404,8 +399,7 @@
   /** Records that an attempt could not reach its target, which may have refused the connection. */
   recordUnreachable(isRefused = false): void {
     this.#unreachable++;
-    if (isRefused) this.#hasRefusedConnection = true;
-    else this.#silent++;
+    this.#hasRefusedConnection ||= isRefused;
   }
 
   /**
@@ -424,7 +418,6 @@
   /** Forgets which targets could not be reached: no peer takes the call. */
   forgetUnreachable(): void {
     this.#unreachable = -Infinity;
-    this.#silent = -Infinity;
   }
 
   /**
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -49,11 +49,7 @@
 
 /** Attempts of each stage for one call. */
 const MAX_ROUNDS = 5;
-/**
- * Decode engines that are tried in turn for one KV cache while none takes it over. Those found to
- * refuse connections don't count: that takes no time. They count while they are avoided, so that
- * calls don't try all engines while all refuse.
- */
+/** Decode engines that are tried in turn for one KV cache while none takes it over. */
 const MAX_DECODE_ENGINES = 4;
 /** With less time left, a first token can't reach the client before the deadline, milliseconds. */
 const MIN_ROUND_MS = 40;
@@ -66,8 +62,8 @@
 /** Shortest `Retry-After` of a refusal, before jitter, milliseconds. */
 const MIN_RETRY_AFTER_MS = 200;
 
-/** Whether the next decode engine takes over the same KV cache, and why this one did not. */
-type DecodeResult = "done" | "useCacheAgain" | "connectionRefused";
+/** Whether the next decode engine takes over the same KV cache. */
+type DecodeResult = "done" | "useCacheAgain";
 type AttemptResponse = Extract<AttemptResult, { kind: "answer" }>;
 type TooLate = Extract<PrefillResult, { kind: "tooLate" }>;
 
@@ -212,10 +208,9 @@
 
   /** Runs the call on a decode engine, from a KV cache or, without one, from the prompt itself. */
   async #decode(prefilled: PrefilledPrompt | undefined): Promise<void> {
-    for (let engines = 0; engines < MAX_DECODE_ENGINES;) {
+    for (let engines = 0; engines < MAX_DECODE_ENGINES; engines++) {
       const next = await this.#decodeOnce(prefilled);
-      if (next === "done") return;
-      if (next === "useCacheAgain") engines++;
+      if (next !== "useCacheAgain") return;
       if (prefilled !== undefined && !await this.#keepCache(prefilled)) return;
     }
     this.#recordFailure("no engine took the KV cache over", prefilled);
@@ -261,13 +256,10 @@
       this.#conclude();
       return "done";
     }
-    const { workTracker, health } = context.dependencies;
-    const wasAvoided = health.isAvoided(target.id, context.nowMs);
+    const { workTracker } = context.dependencies;
     const endRun = workTracker.beginRun(target.id, this.#prompt.promptTokens);
     try {
-      const result = await this.#attempt(target, prefilled);
-      const isRepeated = wasAvoided && result === "connectionRefused";
-      return isRepeated ? "useCacheAgain" : result;
+      return await this.#attempt(target, prefilled);
     } finally {
       endRun();
     }
@@ -375,9 +367,7 @@
         this.#decodeEngines.addTried(target.id);
         this.#reason = `decode failed: ${result.reason}`;
         if (prefilled !== undefined && this.#mayContinue()) {
-          return result.isRefused === true
-            ? "connectionRefused"
-            : "useCacheAgain";
+          return "useCacheAgain";
         }
         this.#recordFailure(result.reason, prefilled);
         break;
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -49,11 +49,7 @@
 
 /** A retry is useless with less time left than this, milliseconds. */
 const MIN_ATTEMPT_MS = 30;
-/**
- * Bounds the attempts that reach no target, which cost no retry budget. Those that find a
- * target to refuse connections don't count: that takes no time. They count while the target is avoided,
- * so that calls don't try all targets while all refuse.
- */
+/** Bounds the attempts that reach no target, which cost no retry budget. */
 const MAX_ATTEMPTS = 6;
 /**
  * If the call may be repeated, a silent target is given up this many times `aimMs` after the time at
@@ -69,8 +65,7 @@
 const MIN_DECLINED_WAIT_MS = 20;
 
 type PlainResult =
-  | { readonly kind: "delivered" | "over" | "notRun" }
-  | { readonly kind: "notSent"; readonly isCounted: boolean }
+  | { readonly kind: "delivered" | "over" | "notSent" | "notRun" }
   | { readonly kind: "lost"; readonly reason: string }
   | { readonly kind: "answer"; readonly answer: BufferedResponse };
 
@@ -143,7 +138,6 @@
   #recordResult(result: PlainResult): void {
     if (result.kind === "answer") this.#failure = result.answer;
     else if (result.kind === "lost") this.#reason = result.reason;
-    else if (result.kind === "notSent" && !result.isCounted) this.#attempts--;
   }
 
   /** Makes an attempt at a booked target; undefined if the call ended or no retry is left. */
@@ -179,10 +173,9 @@
 
   async #attempt(booked: BookedTarget): Promise<PlainResult> {
     const context = this.#context;
-    const { codec, health, workTracker, plainTimeModel } = context.dependencies;
+    const { codec, workTracker, plainTimeModel } = context.dependencies;
     const { target } = booked.placement;
     const sentAtMs = context.nowMs;
-    const wasAvoided = health.isAvoided(target.id, sentAtMs);
     this.#tried.add(target.id);
     const exchange = context.send(
       target,
@@ -219,9 +212,7 @@
           this.#tried.delete(target.id);
         }
         context.undoRun();
-        if (result.kind === "notRun") return { kind: "notRun" };
-        const isCounted = wasAvoided || result.isRefused !== true;
-        return { kind: "notSent", isCounted };
+        return { kind: result.kind };
       }
       if (result.kind === "lost") return result;
       if (isSuccessStatus(result.head.status) && !result.metadata.signed) {
@@ -271,7 +262,7 @@
     if (context.hasEnded) return { kind: "over" };
     if (end.kind === "notSent") {
       context.undoRun();
-      return { kind: "notSent", isCounted: true };
+      return { kind: "notSent" };
     }
     if (!context.clientResponse.isHeadSent) return end;
     // What has been sent can't be continued with another response.
