--- a/packages/heatherarch-forward/call_dependencies.ts
+++ b/packages/heatherarch-forward/call_dependencies.ts
@@ -7,6 +7,7 @@
 import type { AccountAdmission } from "./calls/account_admission.ts";
 import type { CacheRetention } from "./state/cache_retention.ts";
 import type { FairShares } from "heatherarch-shares";
+import type { CallShutdown } from "heatherarch-shutdown";
 import type { AccountRanker } from "./scheduling/account_ranker.ts";
 import type { AccountWeights } from "./state/account_weights.ts";
 import type { ActiveConfig } from "./state/active_config.ts";
@@ -116,6 +117,8 @@
   readonly prefillCandidateCache: PrefillCandidateCache;
   readonly log: EventLog;
   readonly metrics: ForwardMetrics;
+  /** What calls have to know of the VM's shutdown. */
+  readonly shutdown: CallShutdown;
   /** Draws a uniformly distributed number in [0, 1). */
   readonly drawUnit: () => number;
 }
--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -11,7 +11,7 @@
 } from "heatherarch-core";
 import { AttemptLedger, type PlannedRequests } from "./attempt_ledger.ts";
 import type { ClientResponse } from "./client_response.ts";
-import type { LogLevel } from "../event_log.ts";
+import { findShutdownPhase, type LogLevel } from "../event_log.ts";
 import type {
   AttemptCounts,
   ClientAccount,
@@ -29,7 +29,9 @@
   runAll,
   runReported,
 } from "../report_error.ts";
+import { SHUTDOWN_RETRY_AFTER_MS } from "../scheduling/retry_after.ts";
 import type { ReturnKind } from "../scheduling/return_times.ts";
+import type { ShutdownOutcome, ShutdownPhase } from "heatherarch-shutdown";
 import type { Target } from "../model.ts";
 import {
   type CallAdmission,
@@ -54,7 +56,8 @@
 
 /**
  * What ended the last attempt of a call without a response: this VM lost its path or gave up a silent
- * target, the connection broke, the peer that served the call was lost, or the call's time was over.
+ * target, the connection broke, the peer that served the call was lost, the call's time was over, or this
+ * VM shut down.
  */
 export type LossCause =
   | "pathLost"
@@ -62,6 +65,7 @@
   | "connection"
   | "peer"
   | "timeout"
+  | "shutdown"
   | "other";
 
 /** What a retry is taken for: a prefill and the run that follows it, or a run. */
@@ -104,6 +108,7 @@
 const MIN_HANDOVER_MS = 30;
 /** A call that this many targets could not be reached for is handed over to a peer. */
 const MAX_UNREACHABLE = 2;
+const SHUTDOWN_REASON = "the VM shut down before the call had ended";
 const INTERNAL_ERROR_REASON = "an internal error ended the call";
 const QUARANTINED_REASON =
   "the request or a part of its prompt is quarantined: it crashed the targets that ran it";
@@ -158,6 +163,11 @@
   /** Whether a peer serves the call, or has done so. */
   #isHandedOver = false;
   #lossCause: LossCause = "other";
+  /** Phase of the VM's shutdown in which the call arrived; undefined without a shutdown. */
+  readonly #arrivalPhase: ShutdownPhase | undefined;
+  readonly #untrack: () => void;
+  /** Whether the VM's shutdown ended the call. */
+  #isEndedByShutdown = false;
 
   constructor(options: CallContextOptions) {
     this.dependencies = options.dependencies;
@@ -189,6 +199,7 @@
     this.#ended = new Promise((resolve) => {
       this.#resolveEnded = resolve;
     });
+    this.#arrivalPhase = findShutdownPhase(this.dependencies.shutdown);
     this.peerOffer = new PeerOffer({
       offerCall: async (offer, asked) => {
         try {
@@ -217,6 +228,9 @@
       .registerDisconnectListener(() =>
         this.#runGuarded(() => this.#handleDisconnect())
       );
+    this.#untrack = this.dependencies.shutdown.trackCall({
+      endForShutdown: () => this.#runGuarded(() => this.#endForShutdown()),
+    });
     try {
       this.#recordCall();
       this.returnKind = this.#classifyArrival();
@@ -252,6 +266,11 @@
     return this.#outcome !== undefined;
   }
 
+  /** How the call has ended; undefined before. */
+  get outcome(): CallOutcome | undefined {
+    return this.#outcome;
+  }
+
   /** Resolves when the call has ended. */
   get ended(): Promise<void> {
     return this.#ended;
@@ -333,9 +352,22 @@
    * call continues.
    */
   admitRun(): boolean {
+    if (!this.admitSend()) return false;
     return this.#applyAdmission(this.#quarantineGuard.admitRun());
   }
 
+  /**
+   * Refuses a call that has waited for so long that it is not expected to end before the VM does. One that
+   * may have run goes on. Returns whether the call continues.
+   */
+  admitSend(): boolean {
+    if (this.hasEnded || this.mayHaveRun) return !this.hasEnded;
+    const call = { route: this.route.name, timeoutMs: this.remainingMs };
+    if (this.dependencies.shutdown.admits(call)) return true;
+    this.#refuseForShutdown();
+    return false;
+  }
+
   /** Records that an engine wrote a response on the prompt. */
   recordGenerated(): void {
     this.#quarantineGuard.recordPartSuccess();
@@ -674,6 +706,7 @@
   #releaseHoldings(): void {
     clearTimeout(this.#timer);
     runAll([
+      () => this.#untrack(),
       () => this.#removeDisconnectListener(),
       () => this.#quarantineGuard.end(this.#outcome === "delivered"),
       () => this.#ledger.end(),
@@ -689,6 +722,7 @@
     if (lossCause !== undefined) {
       metrics.callsLost.inc({ kind, cause: lossCause });
     }
+    this.dependencies.shutdown.recordEnd(kind, this.#classifyEnd(outcome));
     const { retries, retriesTaken } = this.#ledger;
     metrics.attemptsBeyondFirst.inc({ service: this.service.name }, retries);
     const level: LogLevel = outcome === "delivered" ? "info" : "warn";
@@ -706,10 +740,22 @@
       configVersion: this.#configVersion,
       configInForce: this.dependencies.activeConfig.version,
       lossCause,
+      arrivedInPhase: this.#arrivalPhase,
+      endedInPhase: findShutdownPhase(this.dependencies.shutdown),
       ...detail,
     });
   }
 
+  /** Classifies the end of the call for the report of a shutdown. */
+  #classifyEnd(outcome: CallOutcome): ShutdownOutcome {
+    if (outcome === "delivered") return "completed";
+    if (outcome === "refused") return "refused";
+    if (!this.#isEndedByShutdown) return "other";
+    const isWhole = outcome === "failed" ||
+      this.route.kind === "resumableStream";
+    return isWhole ? "ended" : "cut";
+  }
+
   /** Returns what ended a call without a response or refusal; undefined if it got one. */
   #findLossCause(outcome: CallOutcome): LossCause | undefined {
     if (outcome === "broken" || outcome === "failed") return this.#lossCause;
@@ -720,7 +766,7 @@
 
   /** Refuses a call that has not run. */
   refuse(
-    kind: "noTarget" | "overloaded" | "quarantined",
+    kind: "noTarget" | "overloaded" | "quarantined" | "shuttingDown",
     reason: string,
     options: ServeErrorOptions & { detail?: Record<string, unknown> } = {},
   ): void {
@@ -828,6 +874,28 @@
     });
   }
 
+  #refuseForShutdown(): void {
+    this.refuse("shuttingDown", SHUTDOWN_REASON, {
+      retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
+    });
+  }
+
+  /**
+   * Ends the call as the VM ends. One that has not run is refused. Of another one the client learns that it
+   * may have run, or its response is cut off; a stream that may be resumed has whole events.
+   */
+  #endForShutdown(): void {
+    if (this.hasEnded) return;
+    const exchange = this.#exchange;
+    this.#isEndedByShutdown = true;
+    this.recordLoss("shutdown");
+    if (this.mayHaveRun || this.clientResponse.isHeadSent) {
+      this.fail("targetFailed", SHUTDOWN_REASON);
+    } else this.#refuseForShutdown();
+    // Nothing reads the response, also of a call that must not be repeated: the process ends.
+    exchange?.abort(SHUTDOWN_REASON);
+  }
+
   #respondWithError(error: ServeError): void {
     const isGivenBack = this.call.handover !== undefined && error.run === "no";
     if (isGivenBack) this.#forgetCall();
--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -7,7 +7,7 @@
 import type { AdmittedCall } from "./account_admission.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { CallContext } from "./call_context.ts";
-import { formatAge } from "../event_log.ts";
+import { findShutdownPhase, formatAge } from "../event_log.ts";
 import { GenerationHandler } from "./generation_handler.ts";
 import type {
   EngineTraits,
@@ -19,6 +19,7 @@
 import { PlainCallHandler } from "./plain_call_handler.ts";
 import { reportInternalError, runReported } from "../report_error.ts";
 import type { RouteTable } from "../state/route_table.ts";
+import { SHUTDOWN_RETRY_AFTER_MS } from "../scheduling/retry_after.ts";
 import type { CallDependencies } from "../call_dependencies.ts";
 
 /** Default for a call that does not describe its prompt. */
@@ -39,9 +40,13 @@
 
 /** Shortest `Retry-After` of a call that was not served in time, before jitter, milliseconds. */
 const MIN_RETRY_AFTER_MS = 500;
+const SHUTDOWN_REASON = "the VM shuts down before the call is expected to end";
 /** Longest delay of a timer of the runtime, milliseconds. It fires at once with a longer one. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
+/** What came first: a call's turn, its timeout, or the end of the VM. */
+type Turn = "due" | "expired" | "shutdown";
+
 /** Serves calls by the active configuration. */
 export class CallServer {
   readonly #dependencies: CallDependencies;
@@ -69,9 +74,10 @@
     call: ForwardedCall,
     response: ClientResponse,
   ): Promise<void> {
-    const isInTime = await this.#awaitTurn(call);
+    const turn = await this.#awaitTurn(call);
     if (response.isDisconnected) return this.#dropCall(call);
-    if (!isInTime) return this.#rejectUnserved(call, response);
+    if (turn === "expired") return this.#rejectUnserved(call, response);
+    if (turn === "shutdown") return this.#rejectForShutdown(call, response);
     const context = this.#openCall(call, response);
     if (context === undefined) return;
     try {
@@ -79,6 +85,11 @@
     } catch (error) {
       context.endAfterError(error);
     }
+    if (context.outcome !== "delivered") return;
+    this.#dependencies.shutdown.recordServed(
+      context.route.name,
+      context.nowMs - call.arrivedAtMs,
+    );
   }
 
   /** Ends a call after an error that came up before it was known what serves it. It was not sent. */
@@ -99,27 +110,38 @@
   }
 
   /**
-   * Resolves with true when what has arrived with the call is read and it is the call's turn, or with
-   * false if the timeout of its client or its route expires before that.
+   * Resolves when what has arrived with the call is read and it is the call's turn, when the timeout of
+   * its client or its route expires, or when the VM ends, whichever is first.
    */
-  async #awaitTurn(call: ForwardedCall): Promise<boolean> {
-    const { clock, readBarrier } = this.#dependencies;
-    const turn = readBarrier.awaitTurn().then(() => true);
-    const timeoutMs = this.#findTimeoutMs(call);
-    if (timeoutMs === undefined) return await turn;
-    const remainingMs = call.arrivedAtMs + timeoutMs - clock.readMonotonicMs();
+  async #awaitTurn(call: ForwardedCall): Promise<Turn> {
+    const { readBarrier, shutdown } = this.#dependencies;
+    const turn = readBarrier.awaitTurn().then((): Turn => "due");
     let timer: NodeJS.Timeout | undefined;
-    const expiry = new Promise<boolean>((resolve) => {
+    let endCall = (): void => undefined;
+    const end = new Promise<Turn>((resolve) => {
+      endCall = shutdown.trackCall({
+        endForShutdown: () => resolve("shutdown"),
+      });
+      const remainingMs = this.#findRemainingMs(call);
+      if (remainingMs === undefined) return;
       const delayMs = Math.min(Math.max(0, remainingMs), MAX_TIMER_MS);
-      timer = setTimeout(() => resolve(false), delayMs);
+      timer = setTimeout(() => resolve("expired"), delayMs);
     });
     try {
-      return await Promise.race([turn, expiry]);
+      return await Promise.race([turn, end]);
     } finally {
       clearTimeout(timer);
+      endCall();
     }
   }
 
+  #findRemainingMs(call: ForwardedCall): number | undefined {
+    const timeoutMs = this.#findTimeoutMs(call);
+    if (timeoutMs === undefined) return undefined;
+    const { clock } = this.#dependencies;
+    return call.arrivedAtMs + timeoutMs - clock.readMonotonicMs();
+  }
+
   /** Finds the shorter one of the timeouts of a call's client and its route; undefined if it has none. */
   #findTimeoutMs({ host, path, clientTimeoutMs = Infinity }: ForwardedCall):
     | number
@@ -140,6 +162,23 @@
     );
   }
 
+  /** Rejects a call that this VM can't end before it ends itself. Another VM can serve it at once. */
+  #rejectForShutdown(
+    call: ForwardedCall,
+    response: ClientResponse,
+    route?: Route,
+  ): void {
+    const { shutdown } = this.#dependencies;
+    this.#reject(
+      call,
+      response,
+      "shuttingDown",
+      SHUTDOWN_REASON,
+      SHUTDOWN_RETRY_AFTER_MS,
+    );
+    shutdown.recordEnd(route?.kind ?? "unrouted", "refused");
+  }
+
   /** Drops a call whose client has disconnected before the call was read. */
   #dropCall(call: ForwardedCall): void {
     const { log, metrics, readBarrier } = this.#dependencies;
@@ -167,6 +206,12 @@
       this.#reject(call, response, "notFound", "no route matches the path");
       return undefined;
     }
+    const timeoutMs = this.#findRemainingMs(call) ?? Infinity;
+    const { shutdown } = this.#dependencies;
+    if (!shutdown.admits({ route: route.name, timeoutMs })) {
+      this.#rejectForShutdown(call, response, route);
+      return undefined;
+    }
     const service = this.#pickService(table, route, call);
     if (service === undefined) {
       this.#reject(call, response, "noTarget", "the route has no service");
@@ -232,7 +277,7 @@
     reason: string,
     retryAfterMs?: number,
   ): void {
-    const { activeConfig, log, metrics } = this.#dependencies;
+    const { activeConfig, log, metrics, shutdown } = this.#dependencies;
     response.fail(new ServeError(kind, reason, { retryAfterMs }), call.id);
     metrics.callsRejected.inc({ kind });
     log.write("warn", "callRejected", {
@@ -243,6 +288,7 @@
       path: call.path,
       configVersion: activeConfig.version,
       configAgeMs: formatAge(activeConfig.getAgeMs()),
+      shutdownPhase: findShutdownPhase(shutdown),
     });
   }
 }
--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -147,7 +147,7 @@
   /** Prefills the prompt and decodes from it. Returns whether another round may follow. */
   async #runRound(): Promise<boolean> {
     await this.#context.awaitSendable();
-    if (this.#context.hasEnded) return false;
+    if (!this.#context.admitSend()) return false;
     if (this.#decodeEngines.pick(undefined) === undefined) {
       this.#decodeEngines.beginWait();
       if (!this.#decodeEngines.mayWait()) {
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -150,7 +150,7 @@
       // The call may have been placed right after a stall, before the target list was refreshed and the
       // client's disconnect was read.
       await context.awaitSendable();
-      if (context.hasEnded) return undefined;
+      if (!context.admitSend()) return undefined;
       if (!context.reserve({ purpose: "run", requests: 1 })) return undefined;
       const result = await this.#attempt(booked);
       if (result.kind === "notRun") this.#declined.add(target.id);
--- a/packages/heatherarch-forward/event_log.ts
+++ b/packages/heatherarch-forward/event_log.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { CallShutdown, ShutdownPhase } from "heatherarch-shutdown";
 import winston from "winston";
 import Transport from "winston-transport";
 
@@ -131,3 +132,10 @@
     this.lines.push({ level, event, fields });
   }
 }
+
+/** Returns the phase of a VM's shutdown for a log line; undefined without a shutdown. */
+export function findShutdownPhase(
+  { phase }: Pick<CallShutdown, "phase">,
+): ShutdownPhase | undefined {
+  return phase === "running" ? undefined : phase;
+}
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -61,10 +61,11 @@
 const METRICS_PATH = "/metrics";
 /** Interval at which a stopping VM checks for calls in progress, milliseconds. */
 const DRAIN_POLL_MS = 50;
-/** Time reserved for the last log lines and records before the platform kills the process. */
-const EXIT_MARGIN_MS = 400;
 /** Time for the last records of streams, milliseconds. */
 const MAX_FLUSH_MS = 200;
+/** Time for the last responses to be handed to the operating system, milliseconds. */
+const MAX_WRITE_MS = 100;
+const WRITE_POLL_MS = 5;
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
 
@@ -88,7 +89,6 @@
   #resolvedComponents: VmComponents | undefined;
   #sweeper: NodeJS.Timeout | undefined;
   #removeViolationListener: (() => void) | undefined;
-  #stopping = false;
   #stopped: Promise<void> | undefined;
   #liveVms = 1;
 
@@ -113,8 +113,8 @@
 
   /** Whether this VM can serve calls: it has a configuration and targets, and is not stopping. */
   get isReady(): boolean {
-    const { activeConfig, directory } = this.#components;
-    return !this.#stopping && activeConfig.table !== undefined &&
+    const { activeConfig, directory, shutdown } = this.#components;
+    return !shutdown.isStopping && activeConfig.table !== undefined &&
       directory.size > 0;
   }
 
@@ -256,6 +256,7 @@
           clock: components.clock,
           log: components.log,
           metrics: components.metrics,
+          shutdown: components.shutdown,
         }),
       ),
       handoverServer: asValue(buildHandoverServer(options, callServer)),
@@ -385,7 +386,7 @@
         target.role === "prefill"
       );
     const timer = setInterval(() => {
-      if (this.#stopping) return clearInterval(timer);
+      if (components.shutdown.isStopping) return clearInterval(timer);
       if (listEngines().length === 0 || !components.mesh.hasVmList) return;
       clearInterval(timer);
       const survey = new CacheSurvey({
@@ -583,33 +584,63 @@
   }
 
   async #shutDown(): Promise<void> {
-    this.#stopping = true;
-    const { ingress, mesh, roleController, duties, handoverServer } =
-      this.#components;
-    const { graceSeconds, noticeMs } = this.#settings.shutdown;
-    const startedAtMs = this.#clock.readMonotonicMs();
-    const untilMs = startedAtMs + graceSeconds * 1000 - EXIT_MARGIN_MS;
+    const { shutdown, ingress } = this.#components;
     this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
-    ingress.beginDrain();
-    handoverServer.beginDrain();
-    await Promise.all([
-      roleController.stop(),
-      duties?.stop(),
-      mesh.leave(),
-      sleep(noticeMs),
-    ]);
+    shutdown.begin();
+    const left = this.#leaveFleet();
+    await shutdown.awaitPhase("draining");
     ingress.closeListener();
-    const hasOpenCalls = (): boolean =>
-      ingress.openCalls + handoverServer.openCalls > 0;
-    while (hasOpenCalls() && this.#clock.readMonotonicMs() < untilMs) {
-      await sleep(DRAIN_POLL_MS);
-    }
-    await this.#components.streamRecordLog.flush(MAX_FLUSH_MS);
+    await Promise.all([left, this.#drain()]);
     this.#log.write("info", "stopped", {
       openCalls: ingress.openCalls,
-      tookMs: Math.round(this.#clock.readMonotonicMs() - startedAtMs),
+      ...shutdown.summarize(),
+      tookMs: Math.round(shutdown.tookMs),
     });
     await this.#closeAll();
+    shutdown.conclude();
+  }
+
+  /** Leaves the fleet. Resolves when the VM ends at the latest, whether or not the store responds. */
+  async #leaveFleet(): Promise<void> {
+    const { shutdown, mesh, roleController, duties } = this.#components;
+    const leave = Promise.all([
+      roleController.stop(),
+      duties?.stop(),
+      mesh.leave(),
+    ]).catch((error) =>
+      reportInternalError(this.#components, "process", error)
+    );
+    await Promise.race([leave, shutdown.awaitPhase("ending")]);
+  }
+
+  /** Completes the open calls, ends those that are left when the grace period is over, and writes the rest. */
+  async #drain(): Promise<void> {
+    const { shutdown, ingress, handoverServer, streamRecordLog } =
+      this.#components;
+    const ending = shutdown.awaitPhase("ending");
+    let flushed: Promise<void> | undefined;
+    const hasOpenWork = (): boolean =>
+      ingress.openCalls + ingress.openConnections + handoverServer.openCalls >
+        0;
+    while (shutdown.phase === "draining" && hasOpenWork()) {
+      ingress.closeIdle();
+      if (shutdown.remainingMs <= MAX_FLUSH_MS) {
+        flushed ??= streamRecordLog.flush(MAX_FLUSH_MS);
+      }
+      await Promise.race([sleep(DRAIN_POLL_MS), ending]);
+    }
+    shutdown.end();
+    await (flushed ?? streamRecordLog.flush(MAX_FLUSH_MS));
+    await this.#awaitWritten();
+  }
+
+  /** Waits until the last responses to clients and peers are written. */
+  async #awaitWritten(): Promise<void> {
+    const { clock, ingress } = this.#components;
+    const untilMs = clock.readMonotonicMs() + MAX_WRITE_MS;
+    do await sleep(WRITE_POLL_MS); while (
+      !ingress.isWritten && clock.readMonotonicMs() < untilMs
+    );
   }
 
   async #closeAll(): Promise<void> {
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -181,6 +181,13 @@
     labelNames: ["kind", "cause"] as const,
     registers: [this.registry],
   });
+  readonly shutdownCalls = new Counter({
+    name: "heatherarch_shutdown_calls_total",
+    help:
+      "Calls that ended since this VM began to shut down, by kind and by how they ended: completed, refused, ended or cut by the shutdown, or other",
+    labelNames: ["kind", "outcome"] as const,
+    registers: [this.registry],
+  });
   readonly disconnects = new Counter({
     name: "heatherarch_client_disconnects_total",
     help:
--- a/packages/heatherarch-forward/scheduling/retry_after.ts
+++ b/packages/heatherarch-forward/scheduling/retry_after.ts
@@ -22,6 +22,9 @@
  */
 export const MAX_RATE_LIMIT_DELAY_MS = 2000;
 
+/** `Retry-After` of a VM that shuts down, in milliseconds: another VM serves the call at once. */
+export const SHUTDOWN_RETRY_AFTER_MS = 10;
+
 /** Time after which a client should retry, in milliseconds. */
 export function computeRetryAfterMs(
   /** Time that the call waited before it was refused. */
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -11,10 +11,16 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { type Clock, ServeError } from "heatherarch-core";
+import { buildErrorBody, type Clock, ServeError } from "heatherarch-core";
+import {
+  ConnectionDrainer,
+  type LateRefusal,
+  type Shutdown,
+} from "heatherarch-shutdown";
 import { ClientConnection } from "../calls/client_connection.ts";
 import {
   type ClientResponse,
+  formatRetryAfter,
   HttpClientResponse,
 } from "../calls/client_response.ts";
 import type { CallServer } from "../calls/call_server.ts";
@@ -23,6 +29,7 @@
 import { reportInternalError, runReported } from "../report_error.ts";
 import type { ClientLimits, ForwardedCall } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
+import { SHUTDOWN_RETRY_AFTER_MS } from "../scheduling/retry_after.ts";
 import { RequestAdmission } from "./request_admission.ts";
 
 /** Options of {@linkcode Ingress}. */
@@ -34,6 +41,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Pick<ForwardMetrics, "internalErrors">;
+  readonly shutdown: Pick<Shutdown, "isStopping" | "trackCall">;
 }
 
 /** Limits in force until a configuration is applied. */
@@ -63,8 +71,8 @@
   readonly #http: Server;
   readonly #connections = new WeakMap<Socket, ClientConnection>();
   readonly #admission = new RequestAdmission();
+  readonly #drainer: ConnectionDrainer;
   #limits = INITIAL_LIMITS;
-  #draining = false;
   #openCalls = 0;
 
   constructor(options: IngressOptions) {
@@ -74,6 +82,12 @@
       connectionsCheckingInterval: SLOW_HEAD_CHECK_INTERVAL_MS,
       noDelay: true,
     });
+    this.#drainer = new ConnectionDrainer({
+      server: this.#http,
+      clock: options.clock,
+      isStopping: () => options.shutdown.isStopping,
+      buildRefusal: (request) => this.#refuseBehind(request),
+    });
     this.#http.on("request", (request, response) => {
       runReported(
         this.#options,
@@ -116,15 +130,24 @@
     this.#http.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
   }
 
-  /** Makes each further response close its connection. */
-  beginDrain(): void {
-    this.#draining = true;
+  /** Number of open connections. */
+  get openConnections(): number {
+    return this.#drainer.openConnections;
+  }
+
+  /** Whether all that was written to clients has been handed to the operating system. */
+  get isWritten(): boolean {
+    return this.#drainer.isWritten;
   }
 
-  /** Stops accepting connections and closes idle ones; calls in progress continue. */
+  /** Stops accepting connections; those that are open continue. */
   closeListener(): void {
     this.#http.close();
-    this.#http.closeIdleConnections();
+  }
+
+  /** Closes the connections that have had no request for a moment. */
+  closeIdle(): void {
+    this.#drainer.closeIdle();
   }
 
   /** Closes all connections immediately. */
@@ -139,34 +162,59 @@
     // A request that is destroyed has no socket any more.
     const { socket } = request;
     this.#admission.recordHead(socket, request);
-    if (this.#admission.isRefused(socket, request)) return;
+    if (this.#admission.isRefused(socket)) return;
+    if (!this.#drainer.admit(request, response)) return;
     const connection = this.#findConnection(socket);
     this.#openCalls++;
     registerResponseEnd(response, connection, () => this.#openCalls--);
-    if (this.#draining) {
-      response.setHeader("Connection", "close");
-      this.#admission.refuseLater(socket, request);
-    }
     const arrivedAtMs = this.#options.clock.readMonotonicMs();
     const clientResponse = new HttpClientResponse(response, connection);
     try {
       const head = this.#readHead(request, arrivedAtMs);
-      const body = await readBody(request, this.#limits.maxBodyBytes);
+      const body = await this.#readBody(request);
       if (body === undefined) return;
-      if (this.#admission.isRefused(socket, request)) return;
+      if (this.#admission.isRefused(socket)) return;
       const endCall = this.#admission.beginCall(socket);
       registerResponseEnd(response, connection, endCall);
       await this.#options.server.serve({ ...head, body }, clientResponse);
     } catch (error) {
       // The unread rest of the request can't be distinguished from a next request.
-      if (!request.complete) {
-        response.setHeader("Connection", "close");
-        this.#admission.refuseLater(socket, request);
-      }
+      if (!request.complete) this.#drainer.closeAfter(request, response);
       this.#rejectRequest(request, clientResponse, this.#convertError(error));
     }
   }
 
+  /** Reads the complete body. A request that has not arrived when the VM ends is refused. */
+  async #readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+    let endCall = (): void => undefined;
+    const ending = new Promise<never>((_, reject) => {
+      endCall = this.#options.shutdown.trackCall({
+        endForShutdown: () => reject(buildShutdownError()),
+      });
+    });
+    try {
+      const body = readBody(request, this.#limits.maxBodyBytes);
+      return await Promise.race([body, ending]);
+    } finally {
+      endCall();
+    }
+  }
+
+  /** Refuses a request that follows the last response of its connection. */
+  #refuseBehind(request: IncomingMessage): LateRefusal {
+    const error = buildShutdownError();
+    this.#options.log.write("warn", "callRejected", {
+      kind: error.kind,
+      reason: "the response before it is the last one of its connection",
+      path: request.url,
+    });
+    return {
+      status: error.status,
+      retryAfter: formatRetryAfter(error.retryAfterMs),
+      body: JSON.stringify(buildErrorBody(error, "")),
+    };
+  }
+
   /** Converts an error that came up before the call was served: no target has run the call. */
   #convertError(error: unknown): ServeError {
     if (error instanceof ServeError) return error;
@@ -242,6 +290,12 @@
   }
 }
 
+function buildShutdownError(): ServeError {
+  return new ServeError("shuttingDown", "the VM is shutting down", {
+    retryAfterMs: SHUTDOWN_RETRY_AFTER_MS,
+  });
+}
+
 /** Calls `listener` once, when a response has ended or its connection has. */
 function registerResponseEnd(
   response: ServerResponse,
--- a/packages/heatherarch-forward/tasks/request_admission.ts
+++ b/packages/heatherarch-forward/tasks/request_admission.ts
@@ -15,8 +15,6 @@
 interface ConnectionRequests {
   /** The last request whose head was read. Its body may be incomplete. */
   last: IncomingMessage | undefined;
-  /** The last request that may be served; undefined if any further one may be. */
-  final: IncomingMessage | undefined;
   /** No request that is not being served yet may be. */
   isRefused: boolean;
   /** Requests that are being served: their responses have not ended. */
@@ -35,15 +33,9 @@
     this.#find(socket).last = request;
   }
 
-  /** Whether a request must not be served. */
-  isRefused(socket: Socket, request: IncomingMessage): boolean {
-    const { isRefused, final } = this.#find(socket);
-    return isRefused || (final !== undefined && final !== request);
-  }
-
-  /** Refuses all later requests of the connection, as the response to this one closes it. */
-  refuseLater(socket: Socket, request: IncomingMessage): void {
-    this.#find(socket).final ??= request;
+  /** Whether further requests of the connection must not be served. */
+  isRefused(socket: Socket): boolean {
+    return this.#find(socket).isRefused;
   }
 
   /** Refuses all requests of a connection that are not being served. */
@@ -88,7 +80,6 @@
     if (requests === undefined) {
       requests = {
         last: undefined,
-        final: undefined,
         isRefused: false,
         open: 0,
       };
--- a/packages/heatherarch-forward/tests/unit/call_errors_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_errors_test.ts
@@ -21,7 +21,12 @@
   TargetConnections,
   TargetExchange,
 } from "../../mod.ts";
-import { buildConfig, buildRoute, buildTarget } from "./fixtures.ts";
+import {
+  buildConfig,
+  buildRoute,
+  buildTarget,
+  createShutdown,
+} from "./fixtures.ts";
 import { runScript, type ScriptedResult } from "./scripted_call.ts";
 
 const REQUEST = { path: "/", method: "GET", headers: [], body: null };
@@ -115,6 +120,7 @@
     clock,
     activeConfig: { table, version: 1, getAgeMs: () => 0 },
     readBarrier: new ReadBarrier(),
+    shutdown: createShutdown(clock),
     metrics,
     log,
     drawUnit: () => 0.5,
--- a/packages/heatherarch-forward/tests/unit/call_server_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_server_test.ts
@@ -9,7 +9,7 @@
   MemoryEventLog,
   RouteTable,
 } from "../../mod.ts";
-import { buildConfig, buildRoute } from "./fixtures.ts";
+import { buildConfig, buildRoute, createShutdown } from "./fixtures.ts";
 
 /** Serves a call at a VM without processor time: nobody's turn comes at its read barrier. */
 function serveWithoutTurn(clientTimeoutMs?: number) {
@@ -22,6 +22,7 @@
     clock,
     activeConfig: { table, version: 1, getAgeMs: () => 0 },
     readBarrier: { awaitTurn: () => new Promise(() => undefined) },
+    shutdown: createShutdown(clock),
     metrics: new ForwardMetrics(),
     log: new MemoryEventLog(),
     drawUnit: () => 0.5,
--- a/packages/heatherarch-forward/tests/unit/disconnect_test.ts
+++ b/packages/heatherarch-forward/tests/unit/disconnect_test.ts
@@ -18,7 +18,12 @@
   ReturnTimes,
   TargetExchange,
 } from "../../mod.ts";
-import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
+import {
+  buildIdlePathMonitor,
+  buildRoute,
+  buildTarget,
+  createShutdown,
+} from "./fixtures.ts";
 
 const REQUEST = { path: "/", method: "POST", headers: [], body: null };
 
@@ -71,6 +76,7 @@
         returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
         connections: { send: () => exchange },
         readBarrier: new ReadBarrier(),
+        shutdown: createShutdown(clock),
         metrics,
         log: new MemoryEventLog(),
         drawUnit: () => 0,
--- a/packages/heatherarch-forward/tests/unit/fixtures.ts
+++ b/packages/heatherarch-forward/tests/unit/fixtures.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { type Clock, RuntimeClock } from "heatherarch-core";
+import { Shutdown } from "heatherarch-shutdown";
 import {
   type EngineTraits,
   FleetDemand,
@@ -139,3 +141,19 @@
     parts: [{ id: key, tokens: shared }, { id: `${key}-own`, tokens: own }],
   };
 }
+
+/** Grace period and notice of {@linkcode createShutdown}, milliseconds. */
+export const GRACE_MS = 8000;
+export const NOTICE_MS = 2800;
+
+/** Creates the shutdown of a VM; it has not begun. */
+export function createShutdown(clock: Clock = new RuntimeClock()): Shutdown {
+  return new Shutdown({
+    clock,
+    graceMs: GRACE_MS,
+    noticeMs: NOTICE_MS,
+    onError: (error) => {
+      throw error;
+    },
+  });
+}
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -28,7 +28,12 @@
   StreamRelay,
   type TargetExchange,
 } from "../../mod.ts";
-import { buildIdlePathMonitor, buildRoute, buildTarget } from "./fixtures.ts";
+import {
+  buildIdlePathMonitor,
+  buildRoute,
+  buildTarget,
+  createShutdown,
+} from "./fixtures.ts";
 
 const RETRY_SHARE = 0.5;
 
@@ -79,6 +84,7 @@
       activeConfig: { version: 1 },
       pathMonitor: buildIdlePathMonitor(),
       readBarrier: new ReadBarrier(),
+      shutdown: createShutdown(clock),
       retryBudget,
       fleetDemand,
       returnTimes: new ReturnTimes({ share: fleetDemand, drawUnit: () => 0 }),
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -4,6 +4,7 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RuntimeClock } from "heatherarch-core";
+import type { Shutdown } from "heatherarch-shutdown";
 import {
   type CallCodec,
   type CallServer,
@@ -12,6 +13,7 @@
   Ingress,
   MemoryEventLog,
 } from "../../mod.ts";
+import { createShutdown } from "./fixtures.ts";
 
 /** Time for the head of a request, and for the head and the body. */
 const HEADER_TIMEOUT_MS = 100;
@@ -34,32 +36,41 @@
 interface Connected {
   readonly client: Socket;
   readonly ingress: Ingress;
+  readonly shutdown: Shutdown;
   readonly bodies: string[];
   readonly readReceived: () => string;
 }
 
-async function connectClient(serveMs = 0): Promise<Connected> {
+async function connectClient(
+  serveMs = 0,
+  bodyPauseMs = 0,
+): Promise<Connected> {
   const bodies: string[] = [];
   const server = {
     serve: async (call, response) => {
       bodies.push(call.body.toString());
       if (serveMs > 0) await sleep(serveMs);
-      response.writeHead(200, ["Content-Length", "0"]);
-      response.end();
+      response.writeHead(200, ["Content-Length", "2"]);
+      response.write(Buffer.from("o"));
+      if (bodyPauseMs > 0) await sleep(bodyPauseMs);
+      response.end(Buffer.from("k"));
     },
   } satisfies Pick<CallServer, "serve">;
   const codec = {
     decodeCall: () => ({}) as ForwardedCall,
   } satisfies Pick<CallCodec, "decodeCall">;
   const port = await findFreePort();
+  const clock = new RuntimeClock();
+  const shutdown = createShutdown(clock);
   ingress = new Ingress({
     host: "127.0.0.1",
     port,
     codec: codec as unknown as CallCodec,
     server: server as unknown as CallServer,
-    clock: new RuntimeClock(),
+    clock,
     log: new MemoryEventLog(),
     metrics: new ForwardMetrics(),
+    shutdown,
   });
   ingress.applyLimits({
     maxHeaderBytes: 4096,
@@ -81,11 +92,23 @@
   return {
     client: socket,
     ingress,
+    shutdown,
     bodies,
     readReceived: () => received,
   };
 }
 
+/** Statuses of the responses in what a client has received. */
+function listStatuses(received: string): string[] {
+  return [...received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) =>
+    status
+  );
+}
+
+function countClosing(received: string): number {
+  return received.split("Connection: close").length - 1;
+}
+
 async function findFreePort(): Promise<number> {
   const server = createServer().listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -189,17 +212,79 @@
 });
 
 // Guards against a run whose client gets no response, as the one before it closes the connection.
-test("a request behind one whose response closes the connection is not run", async () => {
-  const { client, ingress, bodies, readReceived } = await connectClient(100);
+test("pipelined requests at a VM that shuts down are all responded to", async () => {
+  const { client, ingress, shutdown, bodies, readReceived } =
+    await connectClient(100);
   const ended = once(client, "end");
-  ingress.beginDrain();
+  shutdown.begin();
   client.write(REQUEST + "body" + REQUEST + "more");
   await ended;
-  assert.match(readReceived(), /^HTTP\/1\.1 200 /);
+  assert.deepEqual(listStatuses(readReceived()), ["200", "200"]);
+  assert.deepEqual(bodies, ["body", "more"]);
+  assert.equal(countClosing(readReceived()), 1);
+  assert.equal(ingress.openCalls, 0);
+});
+
+// Guards against a request that is read and dropped without a word, or run without a response.
+test("a request behind one whose response closes the connection is refused and not run", async () => {
+  const { client, ingress, shutdown, bodies, readReceived } =
+    await connectClient(0, 100);
+  const ended = once(client, "end");
+  shutdown.begin();
+  client.write(REQUEST + "body");
+  while (!readReceived().includes("\r\n\r\n")) await sleep(5);
+  client.write(REQUEST + "more" + REQUEST + "last");
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "503", "503"]);
   assert.deepEqual(bodies, ["body"]);
   assert.equal(ingress.openCalls, 0);
 });
 
+// Guards against a request without a response that was sent while the last response of its connection arrived.
+test("a request right after the last response of a connection is refused", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient();
+  const ended = once(client, "end");
+  shutdown.begin();
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(1);
+  client.write(REQUEST + "more");
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "503"]);
+  assert.deepEqual(bodies, ["body"]);
+});
+
+// Guards against a connection that counts as busy before its first request, and is served until the VM ends.
+test("connections without a request are closed, those with a part of one are not", async () => {
+  const { client, ingress, shutdown } = await connectClient();
+  shutdown.begin();
+  ingress.closeIdle();
+  assert.equal(ingress.openConnections, 1, "it may send a request now");
+  client.write("POST /bo");
+  await sleep(200);
+  ingress.closeIdle();
+  assert.equal(ingress.openConnections, 1);
+  client.destroy();
+  const other = await connectClient();
+  other.shutdown.begin();
+  await sleep(200);
+  const ended = once(other.client, "end");
+  other.ingress.closeIdle();
+  await ended;
+});
+
+// Guards against a request that is read in part and waits until the process is gone.
+test("a request whose body has not arrived when the VM ends is refused", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient();
+  const ended = once(client, "end");
+  client.write(REQUEST + "bo");
+  await sleep(50);
+  shutdown.begin();
+  shutdown.end();
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["503"]);
+  assert.deepEqual(bodies, []);
+});
+
 // Guards against a shutdown that waits for responses that nobody can get any more.
 test("requests whose client has left are no open calls", async () => {
   const { client, ingress, bodies } = await connectClient(200);
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -52,6 +52,7 @@
   buildRateLimits,
   buildRoute,
   buildTarget,
+  createShutdown,
   TRAITS,
 } from "./fixtures.ts";
 
@@ -239,6 +240,7 @@
       connections,
       targetListGuard: buildIdleGuard(clock),
       readBarrier: new ReadBarrier(),
+      shutdown: createShutdown(clock),
       quarantine,
       partQuarantine: new PartQuarantine(),
       incarnationCheck: { check: () => Promise.resolve("same") },
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -11,6 +11,7 @@
 import type { ForwardSettings } from "heatherarch-settings";
 import { AccountAdmission } from "./calls/account_admission.ts";
 import { FairShares } from "heatherarch-shares";
+import { Shutdown } from "heatherarch-shutdown";
 import { AccountRanker } from "./scheduling/account_ranker.ts";
 import { AccountWeights } from "./state/account_weights.ts";
 import { CacheRetention } from "./state/cache_retention.ts";
@@ -125,6 +126,13 @@
 ): CallDependencies {
   const { settings, codec, clock, log, countVms, usageMeter } = options;
   const metrics = new ForwardMetrics();
+  const shutdown = new Shutdown({
+    clock,
+    graceMs: settings.shutdown.graceSeconds * MS_PER_SECOND,
+    noticeMs: settings.shutdown.noticeMs,
+    onCallEnd: (kind, outcome) => metrics.shutdownCalls.inc({ kind, outcome }),
+    onError: (error) => reportInternalError({ log, metrics }, "call", error),
+  });
   const prefillTimeModel = new PrefillTimeModel();
   const directory = new TargetDirectory({
     targetHeartbeatMs: settings.store.targetHeartbeatMs,
@@ -294,6 +302,7 @@
     incarnationCheck: new IncarnationCheck({ connections, codec }),
     pathMonitor,
     handoverClient: buildHandoverClient(options, metrics),
+    shutdown,
     targetListGuard: buildTargetListGuard(options, metrics),
     eventBuffers: new EventBuffers(),
     readBarrier,
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -6,6 +6,7 @@
 import { type HandoverClient, HandoverServer } from "heatherarch-handover";
 import type { LinkIdentity } from "heatherarch-mesh";
 import type { LogPort } from "heatherarch-log";
+import type { Shutdown } from "heatherarch-shutdown";
 import type { UsageMeter } from "heatherarch-usage";
 import type { ForwardSettings } from "heatherarch-settings";
 import { buildFleetSums } from "./fleet/fleet_sum.ts";
@@ -57,6 +58,7 @@
   readonly storeEpoch: StoreEpoch;
   readonly handoverClient: HandoverClient;
   readonly handoverServer: HandoverServer;
+  readonly shutdown: Shutdown;
   readonly mesh: FleetMesh;
   readonly roleController: RoleController;
   readonly ingress: Ingress;
@@ -169,8 +171,10 @@
   { getComponents }: VmTaskOptions,
   callServer: CallServer,
 ): HandoverServer {
-  const { activeConfig, pathMonitor, clock, log, metrics } = getComponents();
+  const { activeConfig, pathMonitor, clock, log, metrics, shutdown } =
+    getComponents();
   return new HandoverServer({
+    isStopping: () => shutdown.isStopping,
     onError: (error) => reportInternalError({ log, metrics }, "offer", error),
     getMaxBodyBytes: () => activeConfig.table?.config.limits.maxBodyBytes ?? 0,
     decideOffer: async ({ service, configVersion, isHedge }) => {
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -37,6 +37,8 @@
   readonly decideOffer: (
     offer: HandoverOffer,
   ) => Promise<DeclineReason | undefined>;
+  /** Whether the VM shuts down and declines all offers; by default it does not. */
+  readonly isStopping?: () => boolean;
   /** Serves an accepted call to its end. */
   readonly serve: (
     head: unknown,
@@ -63,7 +65,6 @@
 export class HandoverServer {
   readonly #options: HandoverServerOptions;
   readonly #sessions = new Set<Session>();
-  #isStopping = false;
 
   constructor(options: HandoverServerOptions) {
     this.#options = options;
@@ -74,11 +75,6 @@
     return [...this.#sessions].filter(({ isBusy }) => isBusy).length;
   }
 
-  /** Declines all further calls. */
-  beginDrain(): void {
-    this.#isStopping = true;
-  }
-
   /** Accepts a connection of a peer. */
   accept(link: Link): LinkListener {
     const session = new Session(link, {
@@ -93,8 +89,12 @@
   async #decideOffer(
     offer: HandoverOffer,
   ): Promise<DeclineReason | undefined> {
-    const { decideOffer, maxCalls = DEFAULT_MAX_CALLS } = this.#options;
-    if (this.#isStopping) return "stopping";
+    const {
+      decideOffer,
+      maxCalls = DEFAULT_MAX_CALLS,
+      isStopping = () => false,
+    } = this.#options;
+    if (isStopping()) return "stopping";
     if (this.openCalls >= maxCalls) return "busy";
     return await decideOffer(offer);
   }
--- a/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
@@ -135,14 +135,16 @@
 
 // Guards against a VM that takes on more than it can serve for others.
 test("a peer takes a bounded number of calls, and none once it stops", async () => {
-  const { server, mesh } = await startPeer({
+  let isStopping = false;
+  const { mesh } = await startPeer({
     maxCalls: 1,
+    isStopping: () => isStopping,
     serve: () => new Promise(() => undefined),
   });
   const client = startClient(mesh);
   await offerCall(client);
   assert.equal(await client.offerCall(OFFER, new Set()), "declined");
-  server.beginDrain();
+  isStopping = true;
   const other = startClient(mesh);
   assert.equal(await other.offerCall(OFFER, new Set()), "declined");
 });
--- a/packages/heatherarch-lab/proofs/call_fakes.ts
+++ b/packages/heatherarch-lab/proofs/call_fakes.ts
@@ -38,6 +38,10 @@
 } from "heatherarch-forward";
 import { ReportTrust, TargetLoads } from "heatherarch-load";
 import { PartQuarantine, RequestQuarantine } from "heatherarch-quarantine";
+import { Shutdown } from "heatherarch-shutdown";
+
+/** Grace period of a shutdown that never begins, milliseconds. */
+const GRACE_MS = 8000;
 
 /** Options of {@linkcode buildFakeDependencies}. */
 export interface FakeDependenciesOptions {
@@ -112,6 +116,7 @@
     endConfirmation: { confirm: () => Promise.resolve(true) },
     targetListGuard: { isHoldingCalls: () => false },
     readBarrier: new ReadBarrier(),
+    shutdown: new Shutdown({ clock, graceMs: GRACE_MS, noticeMs: 0 }),
     quarantine,
     partQuarantine: new PartQuarantine(),
     pathMonitor,
--- /dev/null
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -0,0 +1,236 @@
+/**
+ * Closes the connections of an HTTP server's clients while it shuts down, so that each request that has been
+ * read gets a response.
+ *
+ * The last response of a connection tells its client that the connection closes. A client may have sent
+ * another request before it has read that, so the connection is read for a moment longer and such requests
+ * are refused. A connection whose response began before the shutdown can't tell its client; it is closed
+ * once it has been idle for that moment.
+ *
+ * @module
+ */
+import type {
+  IncomingMessage,
+  OutgoingHttpHeader,
+  Server,
+  ServerResponse,
+} from "node:http";
+import { Server as TlsServer } from "node:https";
+import type { Socket } from "node:net";
+import type { Clock } from "heatherarch-core";
+
+/** Options of {@linkcode ConnectionDrainer}. */
+export interface ConnectionDrainerOptions {
+  readonly server: Server;
+  readonly clock: Clock;
+  /** Whether the next response of a connection is its last one. */
+  readonly isStopping: () => boolean;
+  /** Builds the body of the refusal of a request that was read behind the last one of its connection. */
+  readonly buildRefusal: (request: IncomingMessage) => LateRefusal;
+  /** Time for which a connection that closes is read, milliseconds. */
+  readonly lingerMs?: number;
+}
+
+/** The response to a request that came too late on its connection. It has not run. */
+export interface LateRefusal {
+  readonly status: number;
+  readonly retryAfter: string;
+  readonly body: string;
+}
+
+/** The requests of one connection. */
+interface ConnectionState {
+  /** Requests whose responses have not ended. */
+  open: number;
+  /** The last request whose head was read. */
+  last: IncomingMessage | undefined;
+  /** The request whose response tells the client that the connection closes. */
+  final: IncomingMessage | undefined;
+  /** Requests behind the final one whose response has not ended. */
+  readonly behind: IncomingMessage[];
+  /** Whether the final response has ended. */
+  isFinished: boolean;
+  /** Monotonic time since which no request is open. */
+  idleSinceMs: number;
+  /** Bytes that had been read when the connection became idle. */
+  idleBytes: number;
+}
+
+/**
+ * A client sends a request that it had begun before it read the end of the connection within a round trip
+ * between regions, milliseconds.
+ */
+const LINGER_MS = 150;
+
+/** The connections of one server. */
+export class ConnectionDrainer {
+  readonly #options: ConnectionDrainerOptions;
+  readonly #connections = new Map<Socket, ConnectionState>();
+
+  constructor(options: ConnectionDrainerOptions) {
+    this.#options = options;
+    const { server } = options;
+    const event = server instanceof TlsServer
+      ? "secureConnection"
+      : "connection";
+    server.on(event, (socket: Socket) => {
+      this.#find(socket);
+    });
+  }
+
+  /** Number of open connections. */
+  get openConnections(): number {
+    return this.#connections.size;
+  }
+
+  /**
+   * Records a request whose head was read. Returns whether it may be served; otherwise its connection is
+   * closing, and the request is refused here.
+   */
+  admit(request: IncomingMessage, response: ServerResponse): boolean {
+    const { socket } = request;
+    const state = this.#find(socket);
+    state.last = request;
+    if (state.final !== undefined) {
+      this.#refuseBehind(state, request, response);
+      return false;
+    }
+    state.open++;
+    response.once("close", () => this.#recordEnd(socket, state));
+    this.#watchHead(request, response);
+    return true;
+  }
+
+  /** Makes a response the last one of its connection, unless its head has been sent. */
+  closeAfter(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    const state = this.#find(socket);
+    if (response.headersSent || state.final !== undefined) return;
+    state.final = request;
+    response.setHeader("Connection", "close");
+    // The runtime closes the connection in a listener of the same event that was added before.
+    response.prependOnceListener("finish", () => {
+      state.isFinished = true;
+      this.#answerBehind(socket, state);
+      if (this.#options.isStopping() && canLinger(request)) {
+        this.#delayClose(socket);
+      }
+    });
+  }
+
+  /** Whether all that was written has been handed to the operating system. */
+  get isWritten(): boolean {
+    for (const { writableLength } of this.#connections.keys()) {
+      if (writableLength > 0) return false;
+    }
+    return true;
+  }
+
+  /** Closes the connections that have had no request for a moment. */
+  closeIdle(): void {
+    const { clock, lingerMs = LINGER_MS } = this.#options;
+    const idleBeforeMs = clock.readMonotonicMs() - lingerMs;
+    for (const [socket, state] of this.#connections) {
+      const isIdle = state.open === 0 && state.idleSinceMs <= idleBeforeMs;
+      const hasPartialHead = socket.bytesRead > state.idleBytes;
+      if (isIdle && !hasPartialHead) socket.destroySoon();
+    }
+  }
+
+  #find(socket: Socket): ConnectionState {
+    let state = this.#connections.get(socket);
+    if (state !== undefined) return state;
+    state = {
+      open: 0,
+      last: undefined,
+      final: undefined,
+      behind: [],
+      isFinished: false,
+      idleSinceMs: this.#options.clock.readMonotonicMs(),
+      idleBytes: 0,
+    };
+    this.#connections.set(socket, state);
+    socket.once("close", () => this.#connections.delete(socket));
+    return state;
+  }
+
+  #recordEnd(socket: Socket, state: ConnectionState): void {
+    state.open--;
+    if (state.open > 0) return;
+    state.idleSinceMs = this.#options.clock.readMonotonicMs();
+    state.idleBytes = socket.bytesRead;
+  }
+
+  /** Decides as late as possible whether a response is the last one: a request may follow it until then. */
+  #watchHead(request: IncomingMessage, response: ServerResponse): void {
+    const writeHead = response.writeHead.bind(response) as (
+      status: number,
+      ...rest: (string | OutgoingHttpHeader)[]
+    ) => ServerResponse;
+    response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
+      const { last } = this.#find(request.socket);
+      if (this.#options.isStopping() && last === request) {
+        this.closeAfter(request, response);
+      }
+      return writeHead(status, ...rest);
+    };
+  }
+
+  #refuseBehind(
+    state: ConnectionState,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    request.resume();
+    if (!state.isFinished) {
+      // The runtime discards the responses behind the last one.
+      state.behind.push(request);
+      return;
+    }
+    request.once("end", () => {
+      const { status, retryAfter, body } = this.#options.buildRefusal(request);
+      response.writeHead(status, {
+        "Content-Type": "application/json",
+        "Content-Length": Buffer.byteLength(body),
+        "Retry-After": retryAfter,
+        "Connection": "close",
+      });
+      response.end(body);
+    });
+  }
+
+  /** Writes the responses of requests behind the last one; their bodies have been read as well. */
+  #answerBehind(socket: Socket, { behind }: ConnectionState): void {
+    for (const request of behind.splice(0)) {
+      if (!request.complete || !socket.writable) return;
+      socket.write(formatRefusal(this.#options.buildRefusal(request)));
+    }
+  }
+
+  /** Reads the connection for a moment before it is closed, and refuses what comes meanwhile. */
+  #delayClose(socket: Socket): void {
+    const { lingerMs = LINGER_MS } = this.#options;
+    const destroySoon = socket.destroySoon.bind(socket);
+    socket.destroySoon = () => {
+      socket.destroySoon = destroySoon;
+      const timer = setTimeout(destroySoon, lingerMs);
+      socket.once("close", () => clearTimeout(timer));
+    };
+  }
+}
+
+/** Whether the client can tell the end of a response from that of its connection. */
+function canLinger({ httpVersionMajor, httpVersionMinor }: IncomingMessage) {
+  return httpVersionMajor > 1 || httpVersionMinor > 0;
+}
+
+function formatRefusal({ status, retryAfter, body }: LateRefusal): string {
+  const head = [
+    `HTTP/1.1 ${status} Service Unavailable`,
+    "Content-Type: application/json",
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    `Retry-After: ${retryAfter}`,
+    "Connection: close",
+  ];
+  return `${head.join("\r\n")}\r\n\r\n${body}`;
+}
--- /dev/null
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -0,0 +1,263 @@
+/**
+ * The graceful shutdown of one VM: its phases, its deadline, and the calls that it still owes an end.
+ *
+ * @module
+ */
+import { assertInvariant, type Clock } from "heatherarch-core";
+import { CallDurations } from "./call_durations.ts";
+import {
+  type KindCounts,
+  type ShutdownOutcome,
+  ShutdownTally,
+} from "./shutdown_tally.ts";
+
+/**
+ * `running` until a shutdown begins; `notice` while the VM still takes new connections, as others learn of
+ * it; `draining` while it completes calls; `ending` once nothing is accepted any more; `gone` when all
+ * sockets are closed.
+ */
+export type ShutdownPhase =
+  | "running"
+  | "notice"
+  | "draining"
+  | "ending"
+  | "gone";
+
+/** Options of {@linkcode Shutdown}. */
+export interface ShutdownOptions {
+  readonly clock: Clock;
+  /** Time from the begin of the shutdown until the process is killed, milliseconds. */
+  readonly graceMs: number;
+  /** Duration of the notice, milliseconds. */
+  readonly noticeMs: number;
+  /** Time before the kill at which the last calls end, milliseconds. */
+  readonly exitMarginMs?: number;
+  /** Called with each call that has ended since the begin. */
+  readonly onCallEnd?: (kind: string, outcome: ShutdownOutcome) => void;
+  /** Called with each error of a listener or of a call that is ended. Never throws. */
+  readonly onError?: (thrown: unknown) => void;
+}
+
+/** A call that asks to be served. */
+export interface ArrivingCall {
+  /** Name of the call's route. */
+  readonly route: string;
+  /** Time until the timeout of the client or the route expires, whichever is first, milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Something in progress that has to end before the VM does. */
+export interface EndableCall {
+  /** Ends the call with what can be said of it now. */
+  endForShutdown(): void;
+}
+
+/** What serves calls has to know of a shutdown. */
+export interface CallShutdown {
+  readonly phase: ShutdownPhase;
+  /** Whether a call that arrives now can end before the VM does. */
+  admits(call: ArrivingCall): boolean;
+  /** Records how long a call took that was served. */
+  recordServed(route: string, tookMs: number): void;
+  /** Ends the call if it is still open when the VM ends. Returns a function for when it has ended. */
+  trackCall(call: EndableCall): () => void;
+  /** Counts a call that has ended. Has no effect before a shutdown. */
+  recordEnd(kind: string, outcome: ShutdownOutcome): void;
+}
+
+/**
+ * Time before the kill in which the last responses and log lines are written, milliseconds. Beside other
+ * processes, that takes up to a quarter of it.
+ */
+const EXIT_MARGIN_MS = 250;
+/** A sound target may fall silent for this long and go on, milliseconds. */
+const TARGET_SILENCE_MS = 1500;
+
+const PHASES: readonly ShutdownPhase[] = [
+  "running",
+  "notice",
+  "draining",
+  "ending",
+  "gone",
+];
+
+/** The shutdown of one VM. */
+export class Shutdown implements CallShutdown {
+  readonly #options: ShutdownOptions;
+  readonly #durations = new CallDurations();
+  readonly #tally = new ShutdownTally();
+  readonly #listeners = new Set<(phase: ShutdownPhase) => void>();
+  readonly #calls = new Set<EndableCall>();
+  /** Monotonic time at which the shutdown began; undefined before. */
+  #startedAtMs: number | undefined;
+  #hasEnded = false;
+  #isGone = false;
+  /** The last phase that the listeners were told. */
+  #announced: ShutdownPhase = "running";
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: ShutdownOptions) {
+    this.#options = options;
+  }
+
+  /** The phase by the clock. A process that stood still learns of it before its timers run. */
+  get phase(): ShutdownPhase {
+    if (this.#startedAtMs === undefined) return "running";
+    if (this.#isGone) return "gone";
+    if (this.#hasEnded || this.remainingMs <= 0) return "ending";
+    return this.#elapsedMs < this.#noticeMs ? "notice" : "draining";
+  }
+
+  /** Whether a shutdown has begun. */
+  get isStopping(): boolean {
+    return this.#startedAtMs !== undefined;
+  }
+
+  /** Time until the last calls end, milliseconds; infinite before a shutdown. */
+  get remainingMs(): number {
+    if (this.#startedAtMs === undefined) return Infinity;
+    return this.#lifeMs - this.#elapsedMs;
+  }
+
+  /** Time since the begin of the shutdown, milliseconds; 0 before it. */
+  get tookMs(): number {
+    return this.#startedAtMs === undefined ? 0 : this.#elapsedMs;
+  }
+
+  /** Begins the shutdown. Further calls have no effect. */
+  begin(): void {
+    if (this.isStopping) return;
+    this.#startedAtMs = this.#options.clock.readMonotonicMs();
+    this.#advance();
+  }
+
+  /** Ends the draining early, as no call and no connection is left. */
+  end(): void {
+    assertInvariant(this.isStopping, "end-after-begin", this.phase);
+    this.#hasEnded = true;
+    this.#advance();
+  }
+
+  /** Records that all sockets are closed. */
+  conclude(): void {
+    this.end();
+    this.#isGone = true;
+    this.#advance();
+  }
+
+  /** Registers a listener for each further phase. Returns a function that removes it. */
+  registerPhaseListener(listener: (phase: ShutdownPhase) => void): () => void {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Resolves when a phase has begun, or a later one. */
+  awaitPhase(phase: ShutdownPhase): Promise<void> {
+    if (hasReached(this.#announced, phase)) return Promise.resolve();
+    return new Promise((resolve) => {
+      const remove = this.registerPhaseListener((current) => {
+        if (!hasReached(current, phase)) return;
+        remove();
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * A call whose timeout expires before the VM ends always ends in time. Another one is served if calls
+   * of its route have lately taken less than the time left, with a silence of the target besides.
+   */
+  admits({ route, timeoutMs }: ArrivingCall): boolean {
+    const { phase, remainingMs } = this;
+    if (phase === "running") return true;
+    if (phase === "ending" || phase === "gone") return false;
+    if (timeoutMs <= remainingMs) return true;
+    const expectedMs = this.#durations.predictMs(route);
+    if (expectedMs === undefined) return false;
+    return expectedMs + TARGET_SILENCE_MS <= remainingMs;
+  }
+
+  recordServed(route: string, tookMs: number): void {
+    this.#durations.record(route, tookMs);
+  }
+
+  trackCall(call: EndableCall): () => void {
+    this.#calls.add(call);
+    if (hasReached(this.#announced, "ending")) this.#endCall(call);
+    return () => {
+      this.#calls.delete(call);
+    };
+  }
+
+  recordEnd(kind: string, outcome: ShutdownOutcome): void {
+    if (!this.isStopping) return;
+    this.#tally.record(kind, outcome);
+    this.#options.onCallEnd?.(kind, outcome);
+  }
+
+  /** Returns the numbers of calls that have ended since the begin, by outcome and kind. */
+  summarize(): Readonly<Partial<Record<ShutdownOutcome, KindCounts>>> {
+    return this.#tally.summarize();
+  }
+
+  get #elapsedMs(): number {
+    const { clock } = this.#options;
+    return clock.readMonotonicMs() - (this.#startedAtMs ?? 0);
+  }
+
+  /** Time from the begin until the last calls end, milliseconds. */
+  get #lifeMs(): number {
+    const { graceMs, exitMarginMs = EXIT_MARGIN_MS } = this.#options;
+    return Math.max(0, graceMs - exitMarginMs);
+  }
+
+  get #noticeMs(): number {
+    return Math.min(this.#options.noticeMs, this.#lifeMs);
+  }
+
+  /** Tells the listeners of each phase that has begun, and waits for the next one. */
+  #advance(): void {
+    clearTimeout(this.#timer);
+    const { phase } = this;
+    while (this.#announced !== phase) {
+      const next = PHASES[PHASES.indexOf(this.#announced) + 1];
+      this.#announced = next;
+      this.#announce(next);
+    }
+    const waitMs = this.#computeWaitMs();
+    if (waitMs === undefined) return;
+    this.#timer = setTimeout(() => this.#advance(), Math.ceil(waitMs));
+  }
+
+  #announce(phase: ShutdownPhase): void {
+    for (const listener of [...this.#listeners]) {
+      this.#runGuarded(() => listener(phase));
+    }
+    if (phase !== "ending") return;
+    for (const call of [...this.#calls]) this.#endCall(call);
+  }
+
+  #computeWaitMs(): number | undefined {
+    if (this.#announced === "notice") return this.#noticeMs - this.#elapsedMs;
+    return this.#announced === "draining" ? this.remainingMs : undefined;
+  }
+
+  #endCall(call: EndableCall): void {
+    this.#runGuarded(() => call.endForShutdown());
+  }
+
+  /** An error of one call or listener must not keep the others from their end. */
+  #runGuarded(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#options.onError?.(error);
+    }
+  }
+}
+
+function hasReached(current: ShutdownPhase, phase: ShutdownPhase): boolean {
+  return PHASES.indexOf(current) >= PHASES.indexOf(phase);
+}
