Shutdown: the last response of a connection may follow a destroyed request

Cause: a request whose body is too large is destroyed and has no socket any more, so the drainer threw as its response was to be the last one; a second refusal closed the connection before the third request behind it was read.

--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -254,22 +254,25 @@
 });
 
 // Guards against a connection that counts as busy before its first request, and is served until the VM ends.
-test("connections without a request are closed, those with a part of one are not", async () => {
+test("a connection without a request is closed after a moment", async () => {
   const { client, ingress, shutdown } = await connectClient();
   shutdown.begin();
   ingress.closeIdle();
   assert.equal(ingress.openConnections, 1, "it may send a request now");
+  await sleep(200);
+  const ended = once(client, "end");
+  ingress.closeIdle();
+  await ended;
+});
+
+// Guards against a connection that is closed while its request arrives.
+test("a connection with a part of a request is not closed as idle", async () => {
+  const { client, ingress, shutdown } = await connectClient();
+  shutdown.begin();
   client.write("POST /bo");
   await sleep(200);
   ingress.closeIdle();
   assert.equal(ingress.openConnections, 1);
-  client.destroy();
-  const other = await connectClient();
-  other.shutdown.begin();
-  await sleep(200);
-  const ended = once(other.client, "end");
-  other.ingress.closeIdle();
-  await ended;
 });
 
 // Guards against a request that is read in part and waits until the process is gone.
--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -97,13 +97,19 @@
     }
     state.open++;
     response.once("close", () => this.#recordEnd(socket, state));
-    this.#watchHead(request, response);
+    this.#watchHead(socket, request, response);
     return true;
   }
 
-  /** Makes a response the last one of its connection, unless its head has been sent. */
-  closeAfter(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
+  /**
+   * Makes a response the last one of its connection, unless its head has been sent. A request that was
+   * destroyed has no socket any more.
+   */
+  closeAfter(
+    socket: Socket,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
     const state = this.#find(socket);
     if (response.headersSent || state.final !== undefined) return;
     state.final = request;
@@ -162,15 +168,19 @@
   }
 
   /** Decides as late as possible whether a response is the last one: a request may follow it until then. */
-  #watchHead(request: IncomingMessage, response: ServerResponse): void {
+  #watchHead(
+    socket: Socket,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
     const writeHead = response.writeHead.bind(response) as (
       status: number,
       ...rest: (string | OutgoingHttpHeader)[]
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
-      const { last } = this.#find(request.socket);
+      const { last } = this.#find(socket);
       if (this.#options.isStopping() && last === request) {
-        this.closeAfter(request, response);
+        this.closeAfter(socket, request, response);
       }
       return writeHead(status, ...rest);
     };
@@ -211,11 +221,12 @@
   #delayClose(socket: Socket): void {
     const { lingerMs = LINGER_MS } = this.#options;
     const destroySoon = socket.destroySoon.bind(socket);
+    let timer: NodeJS.Timeout | undefined;
+    // The runtime calls this after each response that closes the connection, also after refusals.
     socket.destroySoon = () => {
-      socket.destroySoon = destroySoon;
-      const timer = setTimeout(destroySoon, lingerMs);
-      socket.once("close", () => clearTimeout(timer));
+      timer ??= setTimeout(destroySoon, lingerMs);
     };
+    socket.once("close", () => clearTimeout(timer));
   }
 }
 
