Shutdown: a listener may end it while phases are announced

Cause: a listener that calls end() ran #advance inside of itself. The outer loop compared with the phase it had read before, passed "ending" and "gone" and went round the list of phases without end.

Change: a nested call returns, and the outer loop reads the phase anew, so all listeners hear each phase once and in order.

Result: the test "tells all listeners each phase once, in order, if one of them ends the shutdown" ended in a fatal error of V8 before and passes now.

--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -94,6 +94,7 @@
   #isGone = false;
   /** The last phase that the listeners were told. */
   #announced: ShutdownPhase = "running";
+  #isAnnouncing = false;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: ShutdownOptions) {
@@ -219,13 +220,15 @@
 
   /** Tells the listeners of each phase that has begun, and waits for the next one. */
   #advance(): void {
+    // A listener that ends the shutdown gets the next phase after all have been told of this one.
+    if (this.#isAnnouncing) return;
     clearTimeout(this.#timer);
-    const { phase } = this;
-    while (this.#announced !== phase) {
-      const next = PHASES[PHASES.indexOf(this.#announced) + 1];
-      this.#announced = next;
-      this.#announce(next);
+    this.#isAnnouncing = true;
+    while (!hasReached(this.#announced, this.phase)) {
+      this.#announced = PHASES[PHASES.indexOf(this.#announced) + 1];
+      this.#announce(this.#announced);
     }
+    this.#isAnnouncing = false;
     const waitMs = this.#computeWaitMs();
     if (waitMs === undefined) return;
     this.#timer = setTimeout(() => this.#advance(), Math.ceil(waitMs));
