Shutdown: a call is ended once, and not after its end

Cause: the ending phase went through a copy of the open calls. A call that a listener of the same phase had tracked was ended twice, and one that another call's end had completed was ended again.

Change: a call leaves the set when it is ended, and one that is not in the set any more is passed over.

Result: two tests that failed before (2 ends for 1, 1 for 0) pass.

--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -247,7 +247,9 @@
     return this.#announced === "draining" ? this.remainingMs : undefined;
   }
 
+  /** Ends a call unless it has ended meanwhile. */
   #endCall(call: EndableCall): void {
+    if (!this.#calls.delete(call)) return;
     this.#runGuarded(() => call.endForShutdown());
   }
 
