Shutdown: connections that closed before their response are forgotten

Cause: the drainer looked up the state of a connection when a response head was written, and created a new one if the client had left. The close event had passed, so nothing removed it: a leak for each such call, also without a shutdown, and openConnections never came to 0, so a VM waited for its whole grace.

Change: the head uses the state that the request was admitted with, and a response of a closed connection is not made its last one.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -97,15 +97,17 @@
     }
     state.open++;
     response.once("close", () => this.#recordEnd(socket, state));
-    this.#watchHead(request, response);
+    this.#watchHead(request, response, state);
     return true;
   }
 
   /** Makes a response the last one of its connection, unless its head has been sent. */
   closeAfter(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    const state = this.#find(socket);
-    if (response.headersSent || state.final !== undefined) return;
+    const state = this.#connections.get(socket);
+    // The connection may have been closed meanwhile.
+    if (state === undefined || state.final !== undefined) return;
+    if (response.headersSent) return;
     state.final = request;
     response.setHeader("Connection", "close");
     // The runtime closes the connection in a listener of the same event that was added before.
@@ -162,14 +164,17 @@
   }
 
   /** Decides as late as possible whether a response is the last one: a request may follow it until then. */
-  #watchHead(request: IncomingMessage, response: ServerResponse): void {
+  #watchHead(
+    request: IncomingMessage,
+    response: ServerResponse,
+    state: ConnectionState,
+  ): void {
     const writeHead = response.writeHead.bind(response) as (
       status: number,
       ...rest: (string | OutgoingHttpHeader)[]
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
-      const { last } = this.#find(request.socket);
-      if (this.#options.isStopping() && last === request) {
+      if (this.#options.isStopping() && state.last === request) {
         this.closeAfter(request, response);
       }
       return writeHead(status, ...rest);
