Shutdown: each request behind the last response is refused

Cause: a refusal behind the last response was a response of the runtime with Connection: close, after which the runtime discards those behind it: one of three requests got an answer. A request whose body ended after the last response had been skipped when that ended, and got none. A refusal of HEAD that was written by hand had a body.

Change: requests behind the last one wait in one list. Those that have been read whole are refused in order, once the last response has ended or when their own body does.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -46,7 +46,7 @@
   last: IncomingMessage | undefined;
   /** The request whose response tells the client that the connection closes. */
   final: IncomingMessage | undefined;
-  /** Requests behind the final one whose response has not ended. */
+  /** Requests behind the final one that have not been refused. */
   readonly behind: IncomingMessage[];
   /** Whether the final response has ended. */
   isFinished: boolean;
@@ -92,7 +92,7 @@
     const state = this.#find(socket);
     state.last = request;
     if (state.final !== undefined) {
-      this.#refuseBehind(state, request, response);
+      this.#refuseBehind(state, request);
       return false;
     }
     state.open++;
@@ -181,34 +181,22 @@
     };
   }
 
-  #refuseBehind(
-    state: ConnectionState,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
+  /** Refuses a request once it has been read and the last response has ended. */
+  #refuseBehind(state: ConnectionState, request: IncomingMessage): void {
+    const { socket } = request;
+    state.behind.push(request);
+    request.once("end", () => this.#answerBehind(socket, state));
     request.resume();
-    if (!state.isFinished) {
-      // The runtime discards the responses behind the last one.
-      state.behind.push(request);
-      return;
-    }
-    request.once("end", () => {
-      const { status, retryAfter, body } = this.#options.buildRefusal(request);
-      response.writeHead(status, {
-        "Content-Type": "application/json",
-        "Content-Length": Buffer.byteLength(body),
-        "Retry-After": retryAfter,
-        "Connection": "close",
-      });
-      response.end(body);
-    });
   }
 
-  /** Writes the responses of requests behind the last one; their bodies have been read as well. */
-  #answerBehind(socket: Socket, { behind }: ConnectionState): void {
-    for (const request of behind.splice(0)) {
-      if (!request.complete || !socket.writable) return;
-      socket.write(formatRefusal(this.#options.buildRefusal(request)));
+  /** Writes the responses of the requests behind the last one that have been read, in their order. */
+  #answerBehind(socket: Socket, { behind, isFinished }: ConnectionState): void {
+    if (!isFinished) return;
+    // The runtime discards the responses behind the last one.
+    while (behind[0]?.complete && socket.writable) {
+      const request = behind.shift() as IncomingMessage;
+      const refusal = this.#options.buildRefusal(request);
+      socket.write(formatRefusal(refusal, request.method !== "HEAD"));
     }
   }
 
@@ -229,7 +217,10 @@
   return httpVersionMajor > 1 || httpVersionMinor > 0;
 }
 
-function formatRefusal({ status, retryAfter, body }: LateRefusal): string {
+function formatRefusal(
+  { status, retryAfter, body }: LateRefusal,
+  hasBody: boolean,
+): string {
   const head = [
     `HTTP/1.1 ${status} Service Unavailable`,
     "Content-Type: application/json",
@@ -237,5 +228,5 @@
     `Retry-After: ${retryAfter}`,
     "Connection: close",
   ];
-  return `${head.join("\r\n")}\r\n\r\n${body}`;
+  return `${head.join("\r\n")}\r\n\r\n${hasBody ? body : ""}`;
 }
