--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -46,7 +46,7 @@
   last: IncomingMessage | undefined;
   /** The request whose response tells the client that the connection closes. */
   final: IncomingMessage | undefined;
-  /** Requests behind the final one whose response has not ended. */
+  /** Requests behind the final one that have not been refused. */
   readonly behind: IncomingMessage[];
   /** Whether the final response has ended. */
   isFinished: boolean;
@@ -92,12 +92,12 @@
     const state = this.#find(socket);
     state.last = request;
     if (state.final !== undefined) {
-      this.#refuseBehind(state, request, response);
+      this.#refuseBehind(state, request);
       return false;
     }
     state.open++;
     response.once("close", () => this.#recordEnd(socket, state));
-    this.#watchHead(socket, request, response);
+    this.#watchHead(socket, request, response, state);
     return true;
   }
 
@@ -110,8 +110,10 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): void {
-    const state = this.#find(socket);
-    if (response.headersSent || state.final !== undefined) return;
+    const state = this.#connections.get(socket);
+    // The connection may have been closed meanwhile.
+    if (state === undefined || state.final !== undefined) return;
+    if (response.headersSent) return;
     state.final = request;
     response.setHeader("Connection", "close");
     // The runtime closes the connection in a listener of the same event that was added before.
@@ -172,48 +174,36 @@
     socket: Socket,
     request: IncomingMessage,
     response: ServerResponse,
+    state: ConnectionState,
   ): void {
     const writeHead = response.writeHead.bind(response) as (
       status: number,
       ...rest: (string | OutgoingHttpHeader)[]
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
-      const { last } = this.#find(socket);
-      if (this.#options.isStopping() && last === request) {
+      if (this.#options.isStopping() && state.last === request) {
         this.closeAfter(socket, request, response);
       }
       return writeHead(status, ...rest);
     };
   }
 
-  #refuseBehind(
-    state: ConnectionState,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
+  /** Refuses a request once it has been read and the last response has ended. */
+  #refuseBehind(state: ConnectionState, request: IncomingMessage): void {
+    const { socket } = request;
+    state.behind.push(request);
+    request.once("end", () => this.#answerBehind(socket, state));
     request.resume();
-    if (!state.isFinished) {
-      // The runtime discards the responses behind the last one.
-      state.behind.push(request);
-      return;
-    }
-    request.once("end", () => {
-      const { status, retryAfter, body } = this.#options.buildRefusal(request);
-      response.writeHead(status, {
-        "Content-Type": "application/json",
-        "Content-Length": Buffer.byteLength(body),
-        "Retry-After": retryAfter,
-        "Connection": "close",
-      });
-      response.end(body);
-    });
   }
 
-  /** Writes the responses of requests behind the last one; their bodies have been read as well. */
-  #answerBehind(socket: Socket, { behind }: ConnectionState): void {
-    for (const request of behind.splice(0)) {
-      if (!request.complete || !socket.writable) return;
-      socket.write(formatRefusal(this.#options.buildRefusal(request)));
+  /** Writes the responses of the requests behind the last one that have been read, in their order. */
+  #answerBehind(socket: Socket, { behind, isFinished }: ConnectionState): void {
+    if (!isFinished) return;
+    // The runtime discards the responses behind the last one.
+    while (behind[0]?.complete && socket.writable) {
+      const request = behind.shift() as IncomingMessage;
+      const refusal = this.#options.buildRefusal(request);
+      socket.write(formatRefusal(refusal, request.method !== "HEAD"));
     }
   }
 
@@ -235,7 +225,10 @@
   return httpVersionMajor > 1 || httpVersionMinor > 0;
 }
 
-function formatRefusal({ status, retryAfter, body }: LateRefusal): string {
+function formatRefusal(
+  { status, retryAfter, body }: LateRefusal,
+  hasBody: boolean,
+): string {
   const head = [
     `HTTP/1.1 ${status} Service Unavailable`,
     "Content-Type: application/json",
@@ -243,5 +236,5 @@
     `Retry-After: ${retryAfter}`,
     "Connection: close",
   ];
-  return `${head.join("\r\n")}\r\n\r\n${body}`;
+  return `${head.join("\r\n")}\r\n\r\n${hasBody ? body : ""}`;
 }
