--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -179,9 +179,7 @@
       await this.#options.server.serve({ ...head, body }, clientResponse);
     } catch (error) {
       // The unread rest of the request can't be distinguished from a next request.
-      if (!request.complete) {
-        this.#drainer.closeAfter(socket, request, response);
-      }
+      if (!request.complete) this.#drainer.closeAfter(request, response);
       this.#rejectRequest(request, clientResponse, this.#convertError(error));
     }
   }
--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -40,6 +40,7 @@
 
 /** The requests of one connection. */
 interface ConnectionState {
+  readonly socket: Socket;
   /** Requests whose responses have not ended. */
   open: number;
   /** The last request whose head was read. */
@@ -66,6 +67,8 @@
 export class ConnectionDrainer {
   readonly #options: ConnectionDrainerOptions;
   readonly #connections = new Map<Socket, ConnectionState>();
+  /** The connections of requests; a request that was destroyed has no socket any more. */
+  readonly #requests = new WeakMap<IncomingMessage, ConnectionState>();
 
   constructor(options: ConnectionDrainerOptions) {
     this.#options = options;
@@ -91,29 +94,23 @@
     const { socket } = request;
     const state = this.#find(socket);
     state.last = request;
+    this.#requests.set(request, state);
     if (state.final !== undefined) {
       this.#refuseBehind(state, request);
       return false;
     }
     state.open++;
     response.once("close", () => this.#recordEnd(socket, state));
-    this.#watchHead(socket, request, response, state);
+    this.#watchHead(request, response, state);
     return true;
   }
 
-  /**
-   * Makes a response the last one of its connection, unless its head has been sent. A request that was
-   * destroyed has no socket any more.
-   */
-  closeAfter(
-    socket: Socket,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): void {
-    const state = this.#connections.get(socket);
-    // The connection may have been closed meanwhile.
+  /** Makes a response the last one of its connection, unless its head has been sent. */
+  closeAfter(request: IncomingMessage, response: ServerResponse): void {
+    const state = this.#requests.get(request);
     if (state === undefined || state.final !== undefined) return;
     if (response.headersSent) return;
+    const { socket } = state;
     state.final = request;
     response.setHeader("Connection", "close");
     // The runtime closes the connection in a listener of the same event that was added before.
@@ -149,6 +146,7 @@
     let state = this.#connections.get(socket);
     if (state !== undefined) return state;
     state = {
+      socket,
       open: 0,
       last: undefined,
       final: undefined,
@@ -171,7 +169,6 @@
 
   /** Decides as late as possible whether a response is the last one: a request may follow it until then. */
   #watchHead(
-    socket: Socket,
     request: IncomingMessage,
     response: ServerResponse,
     state: ConnectionState,
@@ -182,7 +179,7 @@
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
       if (this.#options.isStopping() && state.last === request) {
-        this.closeAfter(socket, request, response);
+        this.closeAfter(request, response);
       }
       return writeHead(status, ...rest);
     };
