--- a/packages/heatherarch-standins/standin_set.ts
+++ b/packages/heatherarch-standins/standin_set.ts
@@ -18,6 +18,8 @@
   readonly fleet: Fleet;
   readonly speeds?: Partial<EngineSpeeds>;
   readonly reportLagMs?: number;
+  /** Duration of a booking, milliseconds. */
+  readonly bookingMs?: number;
   readonly log?: MemoryLogOptions;
 }
 
@@ -180,7 +182,10 @@
     );
     const port = Number(target.address.split(":")[1]);
     if (service?.kind === "plain") {
-      const server = new ServiceServer({ id: target.id });
+      const server = new ServiceServer({
+        id: target.id,
+        bookingMs: this.#options.bookingMs,
+      });
       this.services.set(target.id, server);
       await server.listen(port);
       return;
