Gateway: what arrives at a VM that stops ends before it does, or is refused

Cause: the gateway took any request until the notice ended, waited for its drain timeout and closed all connections. Bookings without time were sent to a target and cut, requests behind a closing response got no word, and streams were cut.

Change: Shutdown owns the phases of heatherarchd; the flags of EntryVm are gone. A request is admitted if its deadline, or what requests of its service and profile have lately taken, ends before the VM does. ConnectionDrainer leads the connections out, unchanged. RequestEnding ends what is open at the end: refused as not run if no attempt was written, and then none is; otherwise 502, or an error event in a stream. The connections close right after that; the claims are flushed behind it. Attempts that the end destroys accuse no target of a crash.

--- a/packages/heatherarch-daemon/components.ts
+++ b/packages/heatherarch-daemon/components.ts
@@ -19,6 +19,7 @@
 } from "heatherarch-quarantine";
 import type { DemandMeter, EngineModel, LoadTracker } from "heatherarch-policy";
 import type { ProcessSettings } from "heatherarch-settings";
+import type { Shutdown } from "heatherarch-shutdown";
 import { ClaimService } from "./claim_service.ts";
 import { ConfigReader } from "./config_reader.ts";
 import { ControlTask } from "./control_task.ts";
@@ -55,6 +56,7 @@
   readonly executor: OrderExecutor;
   readonly watcher: TargetWatcher;
   readonly heartbeatBuilder: HeartbeatBuilder;
+  readonly shutdown: Shutdown;
   readonly gateway: Gateway;
   readonly operatorServer: OperatorServer;
 }
--- a/packages/heatherarch-daemon/entry_vm.ts
+++ b/packages/heatherarch-daemon/entry_vm.ts
@@ -27,6 +27,7 @@
 } from "heatherarch-mesh";
 import { DemandMeter, EngineModel, LoadTracker } from "heatherarch-policy";
 import type { ProcessSettings } from "heatherarch-settings";
+import { Shutdown } from "heatherarch-shutdown";
 import { buildGateway, REMOTE_READ_TIMEOUT_MS } from "./gateway_builder.ts";
 import { HeartbeatBuilder } from "./heartbeat_builder.ts";
 import { INVARIANT_VIOLATED, type Logger } from "./logger.ts";
@@ -59,6 +60,7 @@
 const REPORT_LAG_MS = 300;
 const METRICS_INTERVAL_MS = 1000;
 const FLUSH_TIMEOUT_MS = 5000;
+const BUSY_POLL_MS = 20;
 /** Time after which a VM reports itself ready even if a service has no usable target. */
 const DISCOVERY_GRACE_MS = 5000;
 
@@ -67,8 +69,6 @@
   readonly #container: AwilixContainer<Components>;
   readonly #timers: NodeJS.Timeout[] = [];
   #unregisterViolationListener: (() => void) | undefined;
-  #leaving = false;
-  #rejectsRequests = false;
   #stopping: Promise<void> | undefined;
   /** Monotonic time of the first readiness check with a usable configuration. */
   #servingFromMs: number | undefined;
@@ -154,35 +154,48 @@
 
   async #stop(): Promise<void> {
     const {
-      settings,
       gateway,
       mesh,
       executor,
-      control,
       claims,
       logger,
       config,
+      shutdown,
     } = this.#components;
     logger.info("shutting down", { inFlight: gateway.inFlight });
-    this.#leaving = true;
+    shutdown.begin();
     mesh.sendHeartbeats();
     executor.stop();
-    await sleep(settings.shutdown.noticeMs);
-    this.#rejectsRequests = true;
-    const drained = await gateway.drain(settings.shutdown.drainTimeoutMs);
-    const deadlineMs = performance.now() + FLUSH_TIMEOUT_MS;
-    while (executor.isBusy && performance.now() < deadlineMs) await sleep(20);
-    await control.resign();
+    await shutdown.awaitPhase("draining");
+    const resigned = this.#resign();
+    await gateway.drain();
+    shutdown.end();
+    await gateway.awaitWritten();
+    gateway.close();
+    await resigned;
     await claims.flush(FLUSH_TIMEOUT_MS);
     for (const timer of this.#timers) clearInterval(timer);
     this.#components.watcher.stop();
     config.stop();
     this.#unregisterViolationListener?.();
-    gateway.close();
     this.#components.operatorServer.close();
     mesh.stop();
     await this.#components.table.close();
-    logger.info("stopped", { drained, inFlight: gateway.inFlight });
+    shutdown.conclude();
+    logger.info("stopped", {
+      ...shutdown.summarize(),
+      tookMs: Math.round(shutdown.tookMs),
+    });
+  }
+
+  /** Gives the lease up once the last order has ended. */
+  async #resign(): Promise<void> {
+    const { executor, control } = this.#components;
+    const deadlineMs = performance.now() + FLUSH_TIMEOUT_MS;
+    while (executor.isBusy && performance.now() < deadlineMs) {
+      await sleep(BUSY_POLL_MS);
+    }
+    await control.resign();
   }
 
   #registerComponents({ settings, logger }: EntryVmOptions): void {
@@ -200,6 +213,7 @@
       logger: asValue(logger),
       clock: asValue(clock),
       identity: asValue(identity),
+      shutdown: asValue(buildShutdown(settings, clock, logger)),
       log: asValue(new HttpLog({ url: platform.log, timeoutMs })),
       vmList: asValue(new HttpVmList({ url: platform.vmList, timeoutMs })),
       metrics: asValue(new Metrics()),
@@ -248,7 +262,7 @@
         configOffset: config.state.offset,
         controlOffset:
           table.getChanging(identity.availabilityZone).controlOffset,
-        leaving: this.#leaving,
+        leaving: components.shutdown.isStopping,
       }),
       readDemand: () => demand.read(clock.readMonotonicMs()),
       listCrashReports: (cursor) =>
@@ -262,7 +276,8 @@
     return new OperatorServer({
       settings,
       readConfig: () => config.state,
-      readStatus: () => buildStatus(this.#components, this.#leaving),
+      readStatus: () =>
+        buildStatus(this.#components, components.shutdown.isStopping),
       readMetrics: () => {
         this.#updateMetrics();
         return metrics.registry.metrics();
@@ -277,9 +292,6 @@
   }
 
   #readRefusal(): ServeError | undefined {
-    if (this.#rejectsRequests) {
-      return new ServeError("shuttingDown", "this VM is shutting down");
-    }
     const { config } = this.#components;
     if (!config.isLoaded) {
       return new ServeError(
@@ -298,7 +310,7 @@
 
   /** Returns why the load balancer should send no requests here; undefined if it should. */
   #readUnreadyReason(): string | undefined {
-    if (this.#leaving) return "shutting down";
+    if (this.#components.shutdown.isStopping) return "shutting down";
     const refusal = this.#readRefusal();
     if (refusal !== undefined) return refusal.message;
     const { table, clock } = this.#components;
@@ -399,3 +411,18 @@
     }
   }
 }
+
+/** Builds the shutdown. The grace period is that of the notice and of the requests in flight. */
+function buildShutdown(
+  { shutdown: { noticeMs, drainTimeoutMs } }: ProcessSettings,
+  clock: RuntimeClock,
+  logger: Logger,
+): Shutdown {
+  return new Shutdown({
+    clock,
+    noticeMs,
+    graceMs: noticeMs + drainTimeoutMs,
+    onError: (error) =>
+      logger.error("a request failed to end", { error: String(error) }),
+  });
+}
--- a/packages/heatherarch-daemon/gateway_builder.ts
+++ b/packages/heatherarch-daemon/gateway_builder.ts
@@ -18,7 +18,7 @@
 /** Timeout of a read from the stream of a request that another VM serves. */
 export const REMOTE_READ_TIMEOUT_MS = 3000;
 
-/** Builds the gateway. `readRefusal` returns the error if this VM accepts no requests now. */
+/** Builds the gateway. `readRefusal` returns the error if this VM can serve no request now. */
 export function buildGateway(
   components: Components,
   readRefusal: () => ServeError | undefined,
@@ -51,6 +51,7 @@
     claims: components.claims,
     requestWatch: components.quarantineWatch,
     events: metrics,
+    shutdown: components.shutdown,
     readRefusal,
     readFleet: () => components.config.state.fleet,
     findProfile: (name) => components.config.state.profiles[name]?.profile,
--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { Socket } from "node:net";
 import Koa from "koa";
@@ -14,6 +14,7 @@
   estimateTokens,
   ReadBarrier,
   ServeError,
+  sleep,
   toServeError,
 } from "heatherarch-core";
 import { parseClaimKey } from "heatherarch-claims";
@@ -26,6 +27,11 @@
   type PlainService,
   type Profile,
 } from "heatherarch-settings";
+import {
+  ConnectionDrainer,
+  type LateRefusal,
+  type ShutdownOutcome,
+} from "heatherarch-shutdown";
 import { AccountDirectory } from "./account_directory.ts";
 import { handleClientError } from "./client_error.ts";
 import type { GatewayHost } from "./gateway_host.ts";
@@ -37,11 +43,14 @@
   computeMaxTokens,
   copyRequestHeaders,
   findModelService,
+  findOwningVm,
+  formatRoute,
   isResumable,
   readRequestIdentity,
   requireMethod,
   unwrap,
 } from "./request_params.ts";
+import { buildShutdownRefusal, RequestEnding } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
 import { handleGeneration, handleResume } from "./generation_response.ts";
 
@@ -54,6 +63,13 @@
 const RESUME_PATH = /^\/v1\/streams\/([A-Za-z0-9._-]+)$/;
 const SERVICE_PATH = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
 const REQUEST_ID = /^[A-Za-z0-9._-]{1,128}$/;
+const HTTP_SERVER_ERROR = 500;
+const HTTP_UNAVAILABLE = 503;
+/** Interval at which a stopping VM checks for open connections, milliseconds. */
+const DRAIN_POLL_MS = 50;
+/** Time for the last responses to be handed to the operating system, milliseconds. */
+const MAX_WRITE_MS = 100;
+const WRITE_POLL_MS = 5;
 
 /** Serves the requests of clients. */
 export class Gateway {
@@ -63,8 +79,8 @@
   readonly #store = new GenerationStore();
   readonly #readBarrier = new ReadBarrier();
   readonly #server: Server;
+  readonly #drainer: ConnectionDrainer;
   #inFlight = 0;
-  #drainCallbacks = new Set<() => void>();
 
   constructor(host: GatewayHost, options: { tls?: GatewayTls } = {}) {
     this.#host = host;
@@ -80,8 +96,19 @@
       connectionsCheckingInterval: 1000,
     };
     this.#server = options.tls === undefined
-      ? createServer(serverOptions, app.callback())
-      : createTlsServer({ ...serverOptions, ...options.tls }, app.callback());
+      ? createServer(serverOptions)
+      : createTlsServer({ ...serverOptions, ...options.tls });
+    this.#drainer = new ConnectionDrainer({
+      server: this.#server,
+      clock: host.clock,
+      isStopping: () => host.shutdown.isStopping,
+      buildRefusal: () => this.#refuseBehind(),
+    });
+    const handle = app.callback();
+    this.#server.on("request", (request, response) => {
+      if (!this.#drainer.admit(request, response)) return;
+      void handle(request, response);
+    });
     this.#server.on(
       "clientError",
       (error, socket) => handleClientError(error, socket as Socket),
@@ -105,18 +132,24 @@
     });
   }
 
-  /** Accepts no new connections and waits for requests in flight. Returns false on a timeout. */
-  async drain(timeoutMs: number): Promise<boolean> {
+  /** Accepts no new connections. Resolves when none is left, or when the VM ends. */
+  async drain(): Promise<void> {
+    const { shutdown } = this.#host;
+    const ending = shutdown.awaitPhase("ending");
     this.#server.close();
-    this.#server.closeIdleConnections();
-    if (this.#inFlight === 0) return true;
-    return await new Promise((resolve) => {
-      const timer = setTimeout(() => resolve(false), timeoutMs);
-      this.#drainCallbacks.add(() => {
-        clearTimeout(timer);
-        resolve(true);
-      });
-    });
+    while (shutdown.phase === "draining" && this.#hasOpenConnections) {
+      this.#drainer.closeIdle();
+      await Promise.race([sleep(DRAIN_POLL_MS), ending]);
+    }
+  }
+
+  /** Waits until the last responses are written, for a short time at most. */
+  async awaitWritten(): Promise<void> {
+    const { clock } = this.#host;
+    const untilMs = clock.readMonotonicMs() + MAX_WRITE_MS;
+    do await sleep(WRITE_POLL_MS); while (
+      !this.#drainer.isWritten && clock.readMonotonicMs() < untilMs
+    );
   }
 
   /** Closes all connections. */
@@ -130,6 +163,10 @@
     this.#limits.removeIdleAccounts(this.#host.clock.readMonotonicMs());
   }
 
+  get #hasOpenConnections(): boolean {
+    return this.#inFlight + this.#drainer.openConnections > 0;
+  }
+
   async #handleRequest(ctx: Koa.Context): Promise<void> {
     const clientRequestId = ctx.get("x-request-id");
     // The id of a resumable stream names the VM that serves it, so this VM generates it.
@@ -139,40 +176,65 @@
       : createId(this.#host.vmId);
     ctx.set("x-request-id", requestId);
     this.#inFlight++;
-    ctx.res.once("close", () => this.#recordRequestEnd());
+    const ending = this.#trackRequest(ctx);
     try {
       // The disconnect of a client may have arrived together with its request.
       await this.#readBarrier.awaitTurn();
       if (hasClientLeft(ctx)) return;
-      await this.#route(ctx, requestId);
+      const route = this.#route(ctx, requestId, ending);
+      await Promise.race([route, ending.ended]);
     } catch (thrown) {
       this.#sendError(ctx, toServeError(thrown), requestId);
     }
   }
 
-  #recordRequestEnd(): void {
-    this.#inFlight--;
-    if (this.#inFlight > 0) return;
-    for (const notify of this.#drainCallbacks) notify();
-    this.#drainCallbacks.clear();
+  #trackRequest(ctx: Koa.Context): RequestEnding {
+    const { shutdown } = this.#host;
+    const ending = new RequestEnding();
+    const untrack = shutdown.trackCall(ending);
+    ctx.res.once("close", () => {
+      this.#inFlight--;
+      untrack();
+      const outcome = classifyOutcome(ctx.res, ending);
+      shutdown.recordEnd(classifyPath(ctx.path), outcome);
+    });
+    return ending;
+  }
+
+  /** Throws {@linkcode ServeError} if a request can't end before the VM does. */
+  #requireTime(route: string, deadlineAtMs: number): void {
+    const { shutdown, clock } = this.#host;
+    const timeoutMs = deadlineAtMs - clock.readMonotonicMs();
+    if (!shutdown.admits({ route, timeoutMs })) throw buildShutdownRefusal();
+  }
+
+  /** Refuses a request that follows the last response of its connection. */
+  #refuseBehind(): LateRefusal {
+    const error = this.#host.readRefusal() ?? buildShutdownRefusal();
+    return {
+      status: error.status,
+      retryAfter: formatRetryAfter(error),
+      body: JSON.stringify(buildErrorBody(error, createId(this.#host.vmId))),
+    };
   }
 
   #sendError(ctx: Koa.Context, error: ServeError, requestId: string): void {
     if (ctx.res.headersSent) return;
-    const { retryAfterMs } = error;
-    if (retryAfterMs > 0) {
-      ctx.set("retry-after", String(Math.ceil(retryAfterMs / 1000)));
-    }
+    if (error.retryAfterMs > 0) ctx.set("retry-after", formatRetryAfter(error));
     // The rest of a rejected body is not read, so the connection can't be reused.
-    if (!ctx.req.complete) ctx.set("connection", "close");
+    if (!ctx.req.complete) this.#drainer.closeAfter(ctx.req, ctx.res);
     ctx.status = error.status;
     ctx.body = buildErrorBody(error, requestId);
   }
 
-  async #route(ctx: Koa.Context, requestId: string): Promise<void> {
+  async #route(
+    ctx: Koa.Context,
+    requestId: string,
+    ending: RequestEnding,
+  ): Promise<void> {
     const refusal = this.#host.readRefusal();
     if (refusal !== undefined) {
-      ctx.set("connection", "close");
+      this.#drainer.closeAfter(ctx.req, ctx.res);
       throw refusal;
     }
     const fleet = this.#host.readFleet();
@@ -186,23 +248,36 @@
     if (path === "/v1/models") return this.#listModels(ctx, fleet);
     if (path === "/v1/chat/completions" || path === "/v1/completions") {
       requireMethod(ctx, "POST");
-      return await this.#generate(ctx, fleet, requestId);
+      return await this.#generate(ctx, fleet, requestId, ending);
     }
     const streamId = RESUME_PATH.exec(path)?.[1];
     if (streamId !== undefined) {
       requireMethod(ctx, "GET");
-      return await handleResume(ctx, this.#host, this.#store, streamId);
+      return await this.#resume(ctx, streamId, ending);
     }
     const service = SERVICE_PATH.exec(path);
     if (service !== null) {
       return await this.#callService(ctx, fleet, requestId, {
         name: service[1],
         path: `${service[2] ?? "/"}${ctx.search}`,
+        ending,
       });
     }
     throw new ServeError("notFound", `no resource exists at ${path}`);
   }
 
+  async #resume(
+    ctx: Koa.Context,
+    streamId: string,
+    ending: RequestEnding,
+  ): Promise<void> {
+    const { shutdown, vmId } = this.#host;
+    // Any other VM can read a stream that is not this one's.
+    const isOwn = findOwningVm(ctx, streamId) === vmId;
+    if (shutdown.isStopping && !isOwn) throw buildShutdownRefusal();
+    await handleResume(ctx, this.#host, this.#store, streamId, ending);
+  }
+
   #listModels(ctx: Koa.Context, fleet: Fleet): void {
     requireMethod(ctx, "GET");
     const services = fleet.services.filter((entry): entry is ModelService =>
@@ -223,6 +298,7 @@
     ctx: Koa.Context,
     fleet: Fleet,
     requestId: string,
+    ending: RequestEnding,
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
     const account = this.#accounts.find(readRequestIdentity(ctx), fleet);
@@ -239,6 +315,7 @@
     const promptTokens = estimateTokens(request.prompt);
     const maxTokens = computeMaxTokens(request, promptTokens, profile);
     const deadlineAtMs = startedAtMs + this.#readDeadlineMs(ctx, profile);
+    this.#requireTime(formatRoute(service.name, profile), deadlineAtMs);
     this.#host.demand.recordRequest(promptTokens, maxTokens, startedAtMs);
     const release = this.#acquireSlot(account, startedAtMs);
     const admitted = this.#admit(ctx, account, body, requestId, release);
@@ -254,6 +331,7 @@
       deadlineAtMs,
       resumable: isResumable(ctx),
       admitted,
+      ending,
       release,
     });
   }
@@ -262,7 +340,7 @@
     ctx: Koa.Context,
     fleet: Fleet,
     requestId: string,
-    call: { name: string; path: string },
+    call: { name: string; path: string; ending: RequestEnding },
   ): Promise<void> {
     const startedAtMs = this.#host.clock.readMonotonicMs();
     const account = this.#accounts.find(readRequestIdentity(ctx), fleet);
@@ -280,6 +358,8 @@
     );
     const deadlineAtMs = startedAtMs + this.#readDeadlineMs(ctx, profile);
     const body = await readRequestBody(ctx.req, this.#host.limits);
+    const route = formatRoute(service.name, profile);
+    this.#requireTime(route, deadlineAtMs);
     const key = this.#readIdempotencyKey(ctx, account, service, {
       path: call.path,
       body,
@@ -298,6 +378,7 @@
         deadlineAtMs,
         key,
         admitted,
+        attemptWatch: call.ending,
       });
       for (const [name, value] of Object.entries(response.headers)) {
         ctx.set(name, value);
@@ -312,6 +393,9 @@
       admitted.end(outcome === "ok");
       release();
       const nowMs = this.#host.clock.readMonotonicMs();
+      if (outcome === "ok") {
+        this.#host.shutdown.recordServed(route, nowMs - startedAtMs);
+      }
       this.#host.events.recordResult({
         service: service.name,
         profile: profile.name,
@@ -396,6 +480,27 @@
   }
 }
 
+function formatRetryAfter({ retryAfterMs }: ServeError): string {
+  return String(Math.ceil(retryAfterMs / 1000));
+}
+
+function classifyPath(path: string): string {
+  if (RESUME_PATH.test(path)) return "resume";
+  return SERVICE_PATH.test(path) ? "service" : "generation";
+}
+
+/** Classifies how a request ended that a shutdown may have ended. */
+function classifyOutcome(
+  response: ServerResponse,
+  { hasEnded }: RequestEnding,
+): ShutdownOutcome {
+  const { writableFinished, statusCode } = response;
+  if (!writableFinished) return hasEnded ? "cut" : "other";
+  if (statusCode === HTTP_UNAVAILABLE) return "refused";
+  if (hasEnded) return "ended";
+  return statusCode < HTTP_SERVER_ERROR ? "completed" : "other";
+}
+
 /** Whether the client has ended or reset its connection. */
 function hasClientLeft({ req: { socket } }: Koa.Context): boolean {
   return socket.readableEnded || socket.destroyed;
--- a/packages/heatherarch-gateway/gateway_host.ts
+++ b/packages/heatherarch-gateway/gateway_host.ts
@@ -22,6 +22,7 @@
   Target,
 } from "heatherarch-settings";
 import type { EnginePort, ServicePort } from "heatherarch-targets";
+import type { CallShutdown, ShutdownPhase } from "heatherarch-shutdown";
 import type { RequestWatch } from "./request_watch.ts";
 
 /** Limits of requests, from the process settings. */
@@ -107,6 +108,13 @@
   recordHedge(): void;
 }
 
+/** The shutdown of the process. */
+export interface GatewayShutdown extends CallShutdown {
+  readonly isStopping: boolean;
+  /** Resolves when a phase has begun, or a later one. */
+  awaitPhase(phase: ShutdownPhase): Promise<void>;
+}
+
 /** The process that hosts the gateway. */
 export interface GatewayHost {
   readonly vmId: string;
@@ -122,6 +130,7 @@
   readonly claims: ClaimClient;
   readonly requestWatch: RequestWatch;
   readonly events: GatewayEvents;
+  readonly shutdown: GatewayShutdown;
   /** Returns the error for new requests, or undefined if they are accepted. */
   readRefusal(): ServeError | undefined;
   readFleet(): Fleet | null;
--- a/packages/heatherarch-gateway/generation.ts
+++ b/packages/heatherarch-gateway/generation.ts
@@ -29,6 +29,7 @@
   EngineResult,
   KvHandle,
 } from "heatherarch-targets";
+import { buildShutdownRefusal } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
 import type { GatewayHost } from "./gateway_host.ts";
 import type { Usage } from "./openai_format.ts";
@@ -146,6 +147,17 @@
     return Ok(undefined);
   }
 
+  /** Ends the generation as the VM ends. */
+  endForShutdown(): void {
+    if (this.#delivered.length > 0) {
+      const message = `the VM shut down after ${this.#delivered.length} tokens`;
+      return this.#fail(new ServeError("answerIncomplete", message));
+    }
+    if (!this.#mayHaveRun) return this.#fail(buildShutdownRefusal());
+    const message = "the VM shut down before the response began";
+    this.#fail(new ServeError("targetFailed", message));
+  }
+
   /** Stops all work after the client has disconnected. */
   cancel(): void {
     this.#close();
@@ -442,10 +454,12 @@
     );
   }
 
+  get #mayHaveRun(): boolean {
+    return this.#hasSentRequest || (this.#leg?.attempt?.isSent ?? false);
+  }
+
   #handleDeadline(): void {
-    const hasSent = this.#hasSentRequest ||
-      (this.#leg?.attempt?.isSent ?? false);
-    const run = hasSent ? "unknown" : "no";
+    const run = this.#mayHaveRun ? "unknown" : "no";
     this.#fail(
       new ServeError("deadlineExceeded", "the deadline has passed", { run }),
     );
--- a/packages/heatherarch-gateway/generation_response.ts
+++ b/packages/heatherarch-gateway/generation_response.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type Koa from "koa";
-import { buildErrorBody, ServeError } from "heatherarch-core";
+import { buildErrorBody, type ErrorKind, ServeError } from "heatherarch-core";
 import type { Profile } from "heatherarch-settings";
 import type {
   GatewayHost,
@@ -14,6 +14,8 @@
 } from "./gateway_host.ts";
 import { Generation } from "./generation.ts";
 import type { GenerationStore } from "./generation_store.ts";
+import { findOwningVm, formatRoute } from "./request_params.ts";
+import type { RequestEnding } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
 import {
   buildCompletion,
@@ -37,6 +39,7 @@
   /** Whether the generation continues after its client disconnects, and can be resumed. */
   readonly resumable: boolean;
   readonly admitted: AdmittedRequest;
+  readonly ending: RequestEnding;
   /** Releases the slot of the client account. */
   readonly release: () => void;
 }
@@ -102,6 +105,7 @@
       reject(error);
       return finish(error);
     }
+    options.ending.setHandler(() => generation.endForShutdown());
     if (resumable) return;
     ctx.res.once("close", () => {
       // A client may disconnect between the end of the generation and that of its response.
@@ -123,6 +127,12 @@
   outcome: RequestResult["outcome"],
 ): void {
   const nowMs = options.host.clock.readMonotonicMs();
+  if (outcome === "ok") {
+    options.host.shutdown.recordServed(
+      formatRoute(options.service, options.profile),
+      nowMs - startedAtMs,
+    );
+  }
   options.host.events.recordResult({
     service: options.service,
     profile: options.profile.name,
@@ -225,12 +235,13 @@
   host: GatewayHost,
   store: GenerationStore,
   requestId: string,
+  ending: RequestEnding,
 ): Promise<void> {
   let from = Number(ctx.query.from ?? ctx.get("last-event-id") ?? 0);
   if (!Number.isInteger(from) || from < 0) {
     throw new ServeError("badRequest", "from must be a non-negative integer");
   }
-  const owningVmId = ctx.get("x-heatherarch-vm") || parseOwner(requestId);
+  const owningVmId = findOwningVm(ctx, requestId);
   const read = (index: number): Promise<StreamSlice> =>
     owningVmId === host.vmId || owningVmId === undefined
       ? store.readNext(requestId, index, RESUME_WAIT_MS)
@@ -242,7 +253,14 @@
       `no stream is stored under ${requestId}`,
     );
   }
+  if (ending.hasEnded) return;
   startEventStream(ctx);
+  const endStream = (kind: ErrorKind): void => {
+    const message = "the stream could not be read to its end";
+    const error = new ServeError(kind, message, { run: "unknown" });
+    ctx.res.end(buildSseEvent(buildErrorBody(error, requestId)));
+  };
+  ending.setHandler(() => endStream("shuttingDown"));
   const request: GenerationRequest = {
     kind: slice.requestKind ?? "chat",
     model: slice.model,
@@ -262,6 +280,7 @@
       texts: [],
       state: "unknown" as const,
     }));
+    if (ending.hasEnded) return;
   }
   if (slice.state === "ended") {
     const usage = { promptTokens: 0, outputTokens: from, cachedTokens: 0 };
@@ -271,14 +290,7 @@
   const kind = slice.state === "failed"
     ? slice.kind ?? "answerIncomplete"
     : "streamGone";
-  const error = new ServeError(kind, "the stream could not be read to its end");
-  ctx.res.end(buildSseEvent(buildErrorBody(error, requestId)));
-}
-
-/** Returns the VM that created a request id, or undefined if the id does not name a VM. */
-function parseOwner(requestId: string): string | undefined {
-  const match = /^(.+)-[A-Za-z0-9_-]{12}$/.exec(requestId);
-  return match?.[1];
+  endStream(kind);
 }
 
 function startEventStream(ctx: Koa.Context): void {
--- a/packages/heatherarch-gateway/mod.ts
+++ b/packages/heatherarch-gateway/mod.ts
@@ -11,4 +11,5 @@
 export * from "./generation_store.ts";
 export * from "./openai_format.ts";
 export * from "./plain_call.ts";
+export * from "./request_ending.ts";
 export * from "./request_watch.ts";
--- a/packages/heatherarch-gateway/plain_call.ts
+++ b/packages/heatherarch-gateway/plain_call.ts
@@ -15,6 +15,7 @@
   HeldClaim,
   StoredResponse,
 } from "./gateway_host.ts";
+import { type AttemptWatch, buildShutdownRefusal } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
 
 /** A call as the client made it. */
@@ -30,6 +31,7 @@
   /** Monotonic time by which the response must have arrived. */
   readonly deadlineAtMs: number;
   readonly admitted: AdmittedRequest;
+  readonly attemptWatch: AttemptWatch;
   /** Idempotency key, scoped to client account and service, if the client sent one. */
   readonly key:
     | { text: string; madeAtMs: number; fingerprint: string }
@@ -155,6 +157,10 @@
       return attempt.response;
     }
     if (attempt.kind === "unknown") throw attempt.error;
+    if (request.attemptWatch.hasEnded) {
+      claim?.release();
+      throw buildShutdownRefusal();
+    }
     if (attempt.withheld && claim !== undefined && !hasRenewed) {
       // The shard has a new owner or the permission expired, and nothing was sent.
       hasRenewed = true;
@@ -192,6 +198,7 @@
     }
     const attempt = await sendHedged(host, request, candidate, failedTargets);
     if (attempt.kind === "answer") return attempt.response;
+    if (request.attemptWatch.hasEnded) break;
     failedTargets.add(candidate.id);
     if (attempt.kind === "unknown") lastError = attempt.error;
     if (!request.admitted.mayRetry()) break;
@@ -255,6 +262,8 @@
   }
   const tryId = createId("try");
   const work = host.loadTracker.begin(target.id, 0, nowMs);
+  const { attemptWatch } = request;
+  let forgetSend = (): void => undefined;
   const response = await host.targets.getService(target).send({
     tryId,
     method: request.method,
@@ -262,11 +271,20 @@
     headers: request.headers,
     body: request.body,
     timeoutMs,
-    guard: () =>
-      host.clock.readMonotonicMs() < request.deadlineAtMs &&
-      (guard?.() ?? true),
+    guard: () => {
+      const mayRun = !attemptWatch.hasEnded &&
+        host.clock.readMonotonicMs() < request.deadlineAtMs &&
+        (guard?.() ?? true);
+      if (mayRun) forgetSend = attemptWatch.recordSend();
+      return mayRun;
+    },
   });
   work.end(host.clock.readMonotonicMs());
+  if (response.kind === "notSent" || response.kind === "withheld") forgetSend();
+  // The connections to the targets are closed behind the last request; that says nothing of the targets.
+  if (attemptWatch.hasEnded) {
+    return classifyResponse(response, tryId, request.service);
+  }
   if (response.kind === "answer") host.targets.recordSuccess(target.id);
   else if (response.kind !== "withheld") host.targets.recordFailure(target.id);
   if (response.kind === "broken") {
--- a/packages/heatherarch-gateway/request_params.ts
+++ b/packages/heatherarch-gateway/request_params.ts
@@ -95,3 +95,18 @@
   }
   return headers;
 }
+
+/** Formats a name for the requests of one service and profile, which take about as long as each other. */
+export function formatRoute(service: string, { name }: Profile): string {
+  return `${service} ${name}`;
+}
+
+/** Returns the VM that serves a stream, or undefined if the request does not name one. */
+export function findOwningVm(
+  ctx: Koa.Context,
+  streamId: string,
+): string | undefined {
+  const stated = ctx.get("x-heatherarch-vm");
+  if (stated !== "") return stated;
+  return /^(.+)-[A-Za-z0-9_-]{12}$/.exec(streamId)?.[1];
+}
--- a/packages/heatherarch-lab/proofs/fake_host.ts
+++ b/packages/heatherarch-lab/proofs/fake_host.ts
@@ -26,6 +26,7 @@
   type ProcessSettings,
   type Target,
 } from "heatherarch-settings";
+import { Shutdown } from "heatherarch-shutdown";
 import type {
   BufferedResponse,
   EngineCall,
@@ -46,6 +47,7 @@
 export interface FakeHostOptions {
   readonly engines: readonly string[];
   readonly clock?: Clock;
+  readonly shutdown?: Shutdown;
   /** Responds to calls of plain services. */
   readonly handleServiceCall?: (
     target: string,
@@ -75,6 +77,8 @@
 
 const PROMPT_TOKENS = 7;
 const TIMEOUT_MS = 60_000;
+const NOTICE_MS = 500;
+const GRACE_MS = 8000;
 
 /** Builds the options of a generation on a fake host. */
 export function buildGenerationOptions(
@@ -116,6 +120,8 @@
   const clock = options.clock ?? new RuntimeClock();
   const model = new EngineModel();
   const settings = buildTestSettings();
+  const shutdown = options.shutdown ??
+    new Shutdown({ clock, noticeMs: NOTICE_MS, graceMs: GRACE_MS });
   const router = createRouter("prefixAffinity", model);
   const host: GatewayHost = {
     vmId: "vm1",
@@ -162,6 +168,7 @@
       recordContinuation: () => undefined,
       recordHedge: () => undefined,
     },
+    shutdown,
     readRefusal: () => undefined,
     readFleet: () => null,
     findProfile: () => undefined,
--- a/packages/heatherarch-lab/tests/unit/generation_response_test.ts
+++ b/packages/heatherarch-lab/tests/unit/generation_response_test.ts
@@ -1,11 +1,13 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
 import { test } from "node:test";
+import { ServeError } from "heatherarch-core";
 import {
   type GenerationRequest,
   GenerationStore,
   handleGeneration,
   handleResume,
+  RequestEnding,
 } from "heatherarch-gateway";
 import {
   buildGenerationOptions,
@@ -55,6 +57,7 @@
   const ends: boolean[] = [];
   const store = new GenerationStore();
   let releases = 0;
+  const ending = new RequestEnding();
   const done = handleGeneration(ctx, {
     ...buildGenerationOptions(fake.host, 2),
     host: fake.host,
@@ -66,6 +69,7 @@
       mayRetry: () => true,
       end: (succeeded) => ends.push(succeeded),
     },
+    ending,
     release: () => releases++,
   });
   return {
@@ -74,6 +78,7 @@
     ctx,
     ends,
     store,
+    ending,
     done,
     countReleases: () => releases,
   };
@@ -113,8 +118,54 @@
   deliver(request);
   await request.done;
   request.res.written.length = 0;
-  await handleResume(request.ctx, request.host, request.store, "r");
+  await handleResume(
+    request.ctx,
+    request.host,
+    request.store,
+    "r",
+    new RequestEnding(),
+  );
   const text = request.res.written.join("");
   assert.match(text, /"text":"one"/);
   assert.doesNotMatch(text, /"delta"/);
 });
+
+// Guards against streams that are cut in the middle of an event when the VM ends.
+test("a stream in progress when the VM ends gets an error event, and its engine is stopped", async () => {
+  const request = createRequest();
+  request.attempts[0].sink.onTokens(["one"]);
+  request.ending.endForShutdown();
+  await request.done;
+  const text = request.res.written.join("");
+  assert.match(text, /"kind":"answerIncomplete"/);
+  assert.ok(text.endsWith("\n\n"));
+  assert.equal(request.attempts[0].aborted, true);
+  assert.equal(request.countReleases(), 1);
+});
+
+// Guards against a refusal of a generation that an engine may have run.
+test("a generation without a token when the VM ends may have run", async () => {
+  const request = createRequest();
+  request.ending.endForShutdown();
+  await assert.rejects(
+    request.done,
+    (error) => error instanceof ServeError && error.run === "unknown",
+  );
+});
+
+// Guards against readers that wait for a stream on another VM beyond the end of theirs.
+test("a resumed stream ends with an error event when the VM ends", async () => {
+  const request = createRequest(true);
+  request.attempts[0].sink.onTokens(["one"]);
+  request.res.written.length = 0;
+  const ending = new RequestEnding();
+  const { ctx, host, store } = request;
+  const resumed = handleResume(ctx, host, store, "r", ending);
+  await new Promise((resolve) => setImmediate(resolve));
+  ending.endForShutdown();
+  request.attempts[0].sink.onTokens(["two"]);
+  await resumed;
+  const text = request.res.written.join("");
+  assert.match(text, /"text":"one"/);
+  assert.match(text, /"kind":"shuttingDown"/);
+});
--- a/packages/heatherarch-lab/tests/unit/plain_call_test.ts
+++ b/packages/heatherarch-lab/tests/unit/plain_call_test.ts
@@ -6,6 +6,7 @@
   type ClaimResult,
   type HeldClaim,
   type PlainRequest,
+  RequestEnding,
 } from "heatherarch-gateway";
 import { DEFAULT_PROFILE, type PlainService } from "heatherarch-settings";
 import type { BufferedResponse } from "heatherarch-targets";
@@ -78,6 +79,7 @@
       deadlineAtMs: fake.host.clock.readMonotonicMs() + 1000,
       key: undefined,
       admitted: STUB_ADMITTED_REQUEST,
+      attemptWatch: new RequestEnding(),
       ...fields,
     });
   return { sent, claimEvents, call };
@@ -175,3 +177,37 @@
   await passed.call({ key: KEY, service: { ...SERVICE, honoursKey: true } });
   assert.equal(passed.sent.length, 1);
 });
+
+// Guards against a refusal as not run of a booking that is sent after it, when the VM has ended.
+test("a call that the end of the VM has refused is not sent, and gives its key back", async () => {
+  const attemptWatch = new RequestEnding();
+  const { call, sent, claimEvents } = createFixture([]);
+  const called = call({ key: KEY, attemptWatch });
+  attemptWatch.endForShutdown();
+  await assert.rejects(attemptWatch.ended, isNotRun);
+  await assert.rejects(called, isNotRun);
+  assert.deepEqual(sent, []);
+  assert.deepEqual(claimEvents, ["released"]);
+});
+
+// Guards against a refusal as not run of a booking that a target runs when the VM ends.
+test("a call in progress when the VM ends may have run", async () => {
+  const attemptWatch = new RequestEnding();
+  const { call } = createFixture([], true, {
+    handleServiceCall: (_target, { guard }) => {
+      guard?.();
+      return new Promise(() => undefined);
+    },
+  });
+  void call({ attemptWatch });
+  await new Promise((resolve) => setImmediate(resolve));
+  attemptWatch.endForShutdown();
+  await assert.rejects(
+    attemptWatch.ended,
+    (error) => error instanceof ServeError && error.run === "unknown",
+  );
+});
+
+function isNotRun(error: unknown): boolean {
+  return error instanceof ServeError && error.run === "no";
+}
