Proof of shutdowns: what a VM that stops accepts, it ends

Cause: nothing played a stop in random schedules; the phases, the admission and the connections were tested one by one.

Change: prove has a proof shutdown. Shutdown, ConnectionDrainer, RequestEnding and callPlainService are the real ones; the simulation has the clients with kept and pipelined connections, targets that fall silent, calls that wait, stalls of the process, and an end from outside. Six guards are removed in turn.

Not simulated: durations that are recorded in the stop, and bodies that arrive slowly.

--- a/packages/heatherarch-lab/proofs/mod.ts
+++ b/packages/heatherarch-lab/proofs/mod.ts
@@ -23,6 +23,7 @@
 import { RETRY_BUDGET_PROOF } from "./retry_budget_proof.ts";
 import { RETURNS_PROOF } from "./returns_proof.ts";
 import { SHARES_PROOF } from "./shares_proof.ts";
+import { SHUTDOWN_PROOF } from "./shutdown_proof.ts";
 import { STREAM_PROOF } from "./stream_proof.ts";
 import { TARGET_LIST_PROOF } from "./target_list_proof.ts";
 import { VERSION_PROOF } from "./version_proof.ts";
@@ -54,6 +55,7 @@
   { proof: HANDOVER_PROOF, testRuns: 100, mutationRuns: 10_000 },
   { proof: DISCONNECT_PROOF, testRuns: 40, mutationRuns: 5000 },
   { proof: ERROR_PROOF, testRuns: 30, mutationRuns: 500 },
+  { proof: SHUTDOWN_PROOF, testRuns: 100, mutationRuns: 2000 },
   { proof: STREAM_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: VERSION_PROOF, testRuns: 100, mutationRuns: 5000 },
   { proof: PART_QUARANTINE_PROOF, testRuns: 300, mutationRuns: 5000 },
