Proof of shutdowns: needless refusals, and requests on connections that close

Change: no call is refused whose timeout expires before the VM ends, and no connection is closed before its client can know of it; the guards admitsByTimeout and readsLonger are removed in turn too. Calls after a stall of the process are excused from the second property.

--- a/packages/heatherarch-lab/proofs/shutdown_proof.ts
+++ b/packages/heatherarch-lab/proofs/shutdown_proof.ts
@@ -63,6 +63,17 @@
     "an admitted call that can end in time is not cut",
     detail,
   );
+  assertProperty(
+    !record.isTooLate || schedule.stalls.length > 0,
+    "a connection is not closed before its client can know of it",
+    detail,
+  );
+  const canExpire = record.call.timeoutMs <= (record.refusedLeftMs ?? 0);
+  assertProperty(
+    !canExpire || schedule.endsAfterMs > 0,
+    "no call is refused whose timeout expires before the VM ends",
+    detail,
+  );
   const isEarly = refusedAfterMs !== undefined && refusedAfterMs <= EARLY_MS &&
     !isEndedFromOutside(schedule, refusedAfterMs);
   assertProperty(
--- a/packages/heatherarch-lab/proofs/shutdown_simulation.ts
+++ b/packages/heatherarch-lab/proofs/shutdown_simulation.ts
@@ -32,6 +32,8 @@
 export const SHUTDOWN_GUARDS = [
   /** A call that can't end before the VM does is refused. */
   "admitsByTime",
+  /** A call whose timeout expires before the VM ends is served. */
+  "admitsByTimeout",
   /** No call is admitted once the VM has ended. */
   "refusesAtEnd",
   /** Calls that are open when the VM ends get a response. */
@@ -42,6 +44,8 @@
   "readsClock",
   /** Requests behind the last response of a connection are refused. */
   "refusesBehind",
+  /** A connection is read for a moment behind its last response. */
+  "readsLonger",
 ] as const;
 /** Name of a guard. */
 export type ShutdownGuard = typeof SHUTDOWN_GUARDS[number];
@@ -91,6 +95,10 @@
   isAdmittedAtEnd: boolean;
   /** Time from the begin of the shutdown to its refusal for the shutdown; undefined if there was none. */
   refusedAfterMs: number | undefined;
+  /** Time left at that refusal, milliseconds; 0 once the VM has ended. */
+  refusedLeftMs: number | undefined;
+  /** Whether its connection was closed before its client could know of that. */
+  isTooLate: boolean;
   /** Number of responses. */
   responses: number;
   status: number | undefined;
@@ -114,6 +122,7 @@
 const WRITE_MS = 20;
 /** Time from then until the connections to targets are closed. */
 const FLUSH_MS = 1000;
+/** Time that bytes take between a client and the VM. */
 const LATENCY_MS = 20;
 const SERVICE: PlainService = {
   name: "bookings",
@@ -161,6 +170,9 @@
     const hasEnded = this.phase === "ending" || this.phase === "gone";
     if (this.#disabledGuard === "admitsByTime") return !hasEnded;
     if (this.#disabledGuard === "refusesAtEnd" && hasEnded) return true;
+    if (this.#disabledGuard === "admitsByTimeout" && this.isStopping) {
+      return super.admits({ ...call, timeoutMs: Infinity });
+    }
     return super.admits(call);
   }
 
@@ -205,6 +217,7 @@
       clock: this.#clock,
       isStopping: () => this.#shutdown.isStopping,
       buildRefusal: () => ({ status: 503, retryAfter: "1", body: "" }),
+      ...(disabledGuard === "readsLonger" ? { lingerMs: 0 } : {}),
     });
     this.#records = schedule.calls.map(buildRecord);
     const { host } = createFakeHost({
@@ -292,7 +305,10 @@
     connection: SimulatedConnection | undefined,
   ): void {
     if (connection === undefined) return;
-    if (connection.isClosed || connection.isKnownToClose(atMs, LATENCY_MS)) {
+    if (connection.isKnownToClose(atMs - LATENCY_MS, LATENCY_MS)) return;
+    if (connection.isClosed) {
+      const hasEnded = this.#endedAtMs !== undefined;
+      this.#records[id].isTooLate = connection.hasLastResponse && !hasEnded;
       return;
     }
     this.#records[id].isRead = true;
@@ -374,6 +390,9 @@
     const elapsedMs = this.#nowMs - STOP_AT_MS;
     if (!this.#shutdown.admits({ route, timeoutMs })) {
       record.refusedAfterMs = elapsedMs;
+      record.refusedLeftMs = this.#endedAtMs === undefined
+        ? LIFE_MS - elapsedMs
+        : 0;
       throw buildShutdownRefusal();
     }
     record.admittedLeftMs = LIFE_MS - elapsedMs;
@@ -431,6 +450,8 @@
     admittedLeftMs: undefined,
     isAdmittedAtEnd: false,
     refusedAfterMs: undefined,
+    refusedLeftMs: undefined,
+    isTooLate: false,
     responses: 0,
     status: undefined,
     isEndedByShutdown: false,
--- a/packages/heatherarch-lab/proofs/simulated_connection.ts
+++ b/packages/heatherarch-lab/proofs/simulated_connection.ts
@@ -79,9 +79,13 @@
     return !this.#isClosed;
   }
 
+  /** Whether a response has told the client that the connection closes. */
+  get hasLastResponse(): boolean {
+    return this.#lastWrittenAtMs !== undefined;
+  }
+
   /** Whether the client has read by `atMs` that the connection closes. */
   isKnownToClose(atMs: number, latencyMs: number): boolean {
-    if (this.#isClosed) return true;
     const writtenAtMs = this.#lastWrittenAtMs ?? Infinity;
     return writtenAtMs + latencyMs <= atMs;
   }
