Targets: bytes that the parser skips are limited

A target could answer 200 and then a chunk size of zeros without end. The parser of undici skips such bytes without handing anything on, so no limit on heads or bodies counted them: the connection was read as fast as the parser could until the timeout of the call, and the call was not served. The parser skips seven more kinds: empty lines before and after a response, the reason phrase, spaces before the value of a header or of a trailer, zeros of many chunk sizes, and chunk extensions.

ConnectionReads compares what was read from a connection with what its exchange got, whatever the parser skips.

--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -8,6 +8,7 @@
 import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
+import { type ConnectionReads, registerStart } from "./connection_reads.ts";
 import { isUnwritten } from "./unwritten_requests.ts";
 
 /** Head of a target's response. */
@@ -118,6 +119,8 @@
   #rejectHead!: (error: ExchangeError) => void;
   #resolveEnded!: (end: "ended" | ExchangeError) => void;
   #controller: Controller | undefined;
+  /** Reads of the connection; undefined until the request is written. */
+  #reads: ConnectionReads | undefined;
   #listener: BodyListener | undefined;
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
@@ -307,6 +310,9 @@
       return;
     }
     this.#controller = controller;
+    registerStart((reads) => {
+      this.#reads = reads;
+    });
   }
 
   #handleHead(
@@ -315,6 +321,7 @@
     headers: IncomingHttpHeaders,
   ): void {
     this.#recordReceipt();
+    this.#reads?.recordHead();
     if (status < 200) return this.#handleInterimHead();
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     const rawHeaders = raw.map((part) =>
@@ -333,6 +340,7 @@
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
     this.#recordReceipt();
+    this.#reads?.recordBody(bytes.length);
     const listener = this.#listener;
     if (listener === undefined) this.#keepUnread(bytes);
     else this.#notify(() => listener.onData(bytes));
