Shutdown: forecasts decide in the first two seconds only

Cause: a call whose timeout expires after the end was served whenever the longest of the last 32 calls of its route, and a silence, fitted in. A call of a route that had served none was refused from the first moment.

Change: the forecast decides only in the first 2 s (less with a short grace), when calls that would end must not be refused; new routes are served in that time.

--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -73,6 +73,11 @@
 /** A sound target may fall silent for this long and go on, milliseconds. */
 const TARGET_SILENCE_MS = 1500;
 
+/** Time after the begin in which calls are served whose timeouts expire after the end, milliseconds. */
+const FORECAST_MS = 2000;
+/** The same as a share of the time until the end, for short grace periods. */
+const MAX_FORECAST_SHARE = 0.3;
+
 const PHASES: readonly ShutdownPhase[] = [
   "running",
   "notice",
@@ -167,16 +172,18 @@
   }
 
   /**
-   * A call whose timeout expires before the VM ends always ends in time. Another one is served if calls
-   * of its route have lately taken less than the time left, with a silence of the target besides.
+   * A call whose timeout expires before the VM ends always ends in time. In the first seconds another one
+   * is served if calls of its route have lately taken less than the time left, with a silence of the target
+   * besides, or if nothing is known of its route. Later it is refused: another VM serves it at once, and a
+   * call that is cut off is lost.
    */
   admits({ route, timeoutMs }: ArrivingCall): boolean {
     const { phase, remainingMs } = this;
     if (phase === "running") return true;
     if (phase === "ending" || phase === "gone") return false;
     if (timeoutMs <= remainingMs) return true;
-    const expectedMs = this.#durations.predictMs(route);
-    if (expectedMs === undefined) return false;
+    if (this.#elapsedMs >= this.#forecastMs) return false;
+    const expectedMs = this.#durations.predictMs(route) ?? 0;
     return expectedMs + TARGET_SILENCE_MS <= remainingMs;
   }
 
@@ -214,6 +221,11 @@
     return Math.max(0, graceMs - exitMarginMs);
   }
 
+  /** Time from the begin in which forecasts are made, milliseconds. */
+  get #forecastMs(): number {
+    return Math.min(FORECAST_MS, this.#lifeMs * MAX_FORECAST_SHARE);
+  }
+
   get #noticeMs(): number {
     return Math.min(this.#options.noticeMs, this.#lifeMs);
   }
