--- a/packages/heatherarch-lab/bin/bench.ts
+++ b/packages/heatherarch-lab/bin/bench.ts
@@ -45,6 +45,7 @@
   runHandoverBench,
 } from "../bench/handover_bench.ts";
 import { runRetryBudgetBench } from "../bench/retry_budget_bench.ts";
+import { runShutdownBench } from "../bench/shutdown_bench.ts";
 import { runEndBench } from "../bench/end_bench.ts";
 import { runPathBench } from "../bench/path_bench.ts";
 
@@ -195,6 +196,23 @@
       if (args.json) printReport({ rows }, true);
     },
   )
+  .command(
+    "shutdown",
+    "rules for which calls a VM that shuts down still serves",
+    (y) =>
+      y.option("seed", { type: "number", default: 1 })
+        .option("shutdowns", { type: "number", default: 300 })
+        .option("by-silence", {
+          type: "boolean",
+          default: false,
+          describe: "print each case of silent targets by itself",
+        }),
+    (args) => {
+      const print = args.json ? () => {} : console.log;
+      const rows = runShutdownBench({ ...args, print });
+      if (args.json) printReport({ rows }, true);
+    },
+  )
   .command(
     "mix",
     "goodput of policies while the request mix shifts",
