Shutdown: a call that has waited goes on while it is expected to end

Cause: a call that was admitted and waited for its target was judged like one that arrives, so from the third second on one with a long timeout was refused although calls of its route took a fraction of the time left.

Change: canStillEnd judges a call before it is sent, by its timeout or by the forecast, until the end; admits stays for calls that arrive.

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -363,7 +363,7 @@
   admitSend(): boolean {
     if (this.hasEnded || this.mayHaveRun) return !this.hasEnded;
     const call = { route: this.route.name, timeoutMs: this.remainingMs };
-    if (this.dependencies.shutdown.admits(call)) return true;
+    if (this.dependencies.shutdown.canStillEnd(call)) return true;
     this.#refuseForShutdown();
     return false;
   }
--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -57,6 +57,8 @@
   readonly phase: ShutdownPhase;
   /** Whether a call that arrives now can end before the VM does. */
   admits(call: ArrivingCall): boolean;
+  /** Whether a call that was admitted, and has waited since, can end before the VM does. */
+  canStillEnd(call: ArrivingCall): boolean;
   /** Records how long a call took that was served. */
   recordServed(route: string, tookMs: number): void;
   /** Ends the call if it is still open when the VM ends. Returns a function for when it has ended. */
@@ -65,10 +67,7 @@
   recordEnd(kind: string, outcome: ShutdownOutcome): void;
 }
 
-/**
- * Time before the kill in which the last responses and log lines are written, milliseconds. Beside other
- * processes, that takes up to a quarter of it.
- */
+/** Time before the kill in which the last responses and log lines are written, milliseconds. */
 const EXIT_MARGIN_MS = 250;
 /** A sound target may fall silent for this long and go on, milliseconds. */
 const TARGET_SILENCE_MS = 1500;
@@ -177,14 +176,22 @@
    * besides, or if nothing is known of its route. Later it is refused: another VM serves it at once, and a
    * call that is cut off is lost.
    */
-  admits({ route, timeoutMs }: ArrivingCall): boolean {
-    const { phase, remainingMs } = this;
-    if (phase === "running") return true;
-    if (phase === "ending" || phase === "gone") return false;
-    if (timeoutMs <= remainingMs) return true;
-    if (this.#elapsedMs >= this.#forecastMs) return false;
+  admits(call: ArrivingCall): boolean {
+    if (!this.isStopping) return true;
+    if (hasReached(this.phase, "ending")) return false;
+    if (call.timeoutMs <= this.remainingMs) return true;
+    return this.#elapsedMs < this.#forecastMs && this.#isExpectedToEnd(call);
+  }
+
+  canStillEnd(call: ArrivingCall): boolean {
+    if (!this.isStopping) return true;
+    if (hasReached(this.phase, "ending")) return false;
+    return call.timeoutMs <= this.remainingMs || this.#isExpectedToEnd(call);
+  }
+
+  #isExpectedToEnd({ route }: ArrivingCall): boolean {
     const expectedMs = this.#durations.predictMs(route) ?? 0;
-    return expectedMs + TARGET_SILENCE_MS <= remainingMs;
+    return expectedMs + TARGET_SILENCE_MS <= this.remainingMs;
   }
 
   recordServed(route: string, tookMs: number): void {
--- a/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
@@ -366,6 +366,27 @@
   assert.equal(admits("late"), false);
 });
 
+// Guards against a call that is refused after it has waited, although it is expected to end, and against
+// one that is sent and cut.
+test("lets a call that has waited go on as long as it is expected to end", (context) => {
+  const fixture = new ShutdownFixture(context);
+  const { shutdown } = fixture;
+  const tookMs = 500;
+  const canStillEnd = (): boolean =>
+    shutdown.canStillEnd({ route: ROUTE, timeoutMs: 30_000 });
+  shutdown.recordServed(ROUTE, tookMs);
+  assert.equal(canStillEnd(), true);
+  shutdown.begin();
+  fixture.advance(LIFE_MS - tookMs - TARGET_SILENCE_MS);
+  assert.equal(canStillEnd(), true);
+  fixture.advance(1);
+  assert.equal(canStillEnd(), false);
+  const inTime = { route: ROUTE, timeoutMs: shutdown.remainingMs };
+  assert.equal(shutdown.canStillEnd(inTime), true);
+  shutdown.end();
+  assert.equal(shutdown.canStillEnd(inTime), false);
+});
+
 // Guards against calls of a route that no call was served on, which are refused until the VM has ended
 // although they would end in time.
 test("admits calls of new routes in the first seconds only", (context) => {
