--- a/packages/heatherarch-lab/bench/shutdown_kinds.ts
+++ b/packages/heatherarch-lab/bench/shutdown_kinds.ts
@@ -107,8 +107,8 @@
   return KINDS.map((kind) => ({
     ...kind,
     timeoutMs: RAISED_TIMEOUT_MS[timeouts] ?? kind.timeoutMs,
-    work: multiply(kind.work, slowdown),
-    pieces: kind.pieces && multiply(kind.pieces, slowdown),
+    work: buildMultiple(kind.work, slowdown),
+    pieces: kind.pieces && buildMultiple(kind.pieces, slowdown),
   }));
 }
 
@@ -134,6 +134,6 @@
   return Math.min(max, isTail ? value * tailFactor : value);
 }
 
-function multiply(values: SkewedSpread, factor: number): SkewedSpread {
+function buildMultiple(values: SkewedSpread, factor: number): SkewedSpread {
   return { ...values, mean: values.mean * factor, max: values.max * factor };
 }
--- a/packages/heatherarch-lab/bench/shutdown_rules.ts
+++ b/packages/heatherarch-lab/bench/shutdown_rules.ts
@@ -59,32 +59,38 @@
 export const SHUTDOWN_RULES = {
   /** Serves all calls, as VMs did before. */
   all: () => true,
-  timeout: endsByTimeout,
-  longest: forecast(({ longestMs }) => longestMs, 0),
-  longestAndSilence: forecast(({ longestMs }) => longestMs, TARGET_SILENCE_MS),
-  twiceLongest: forecast(({ longestMs }) => 2 * longestMs, TARGET_SILENCE_MS),
-  quantile: forecast(({ quantileMs }) => quantileMs, 0),
-  quantileAndSilence: forecast(
+  timeout: canEndByTimeout,
+  longest: buildForecast(({ longestMs }) => longestMs, 0),
+  longestAndSilence: buildForecast(
+    ({ longestMs }) => longestMs,
+    TARGET_SILENCE_MS,
+  ),
+  twiceLongest: buildForecast(
+    ({ longestMs }) => 2 * longestMs,
+    TARGET_SILENCE_MS,
+  ),
+  quantile: buildForecast(({ quantileMs }) => quantileMs, 0),
+  quantileAndSilence: buildForecast(
     ({ quantileMs }) => quantileMs,
     TARGET_SILENCE_MS,
   ),
-  mean: forecast(({ meanMs }) => meanMs * MEAN_FACTOR, 0),
-  meanAndSilence: forecast(
+  mean: buildForecast(({ meanMs }) => meanMs * MEAN_FACTOR, 0),
+  meanAndSilence: buildForecast(
     ({ meanMs }) => meanMs * MEAN_FACTOR,
     TARGET_SILENCE_MS,
   ),
   /** By an expectation from the latency objective if no call of the route was served. */
   objective: (call) =>
-    endsByForecast(call, call.recent?.longestMs ?? estimateByObjective(call)),
+    canEndByForecast(call, call.recent?.longestMs ?? estimateByObjective(call)),
   timeoutOrLongest: (call) =>
-    endsByTimeout(call) || SHUTDOWN_RULES.longest(call),
+    canEndByTimeout(call) || SHUTDOWN_RULES.longest(call),
   timeoutOrLongestAndSilence: (call) =>
-    endsByTimeout(call) || SHUTDOWN_RULES.longestAndSilence(call),
+    canEndByTimeout(call) || SHUTDOWN_RULES.longestAndSilence(call),
   timeoutOrObjective: (call) =>
-    endsByTimeout(call) || SHUTDOWN_RULES.objective(call),
+    canEndByTimeout(call) || SHUTDOWN_RULES.objective(call),
   /** Calls that may run once need room for a silence and the longest duration, others a quantile. */
   byKind: (call) =>
-    endsByTimeout(call) ||
+    canEndByTimeout(call) ||
     (call.mayRepeat
       ? SHUTDOWN_RULES.quantile(call)
       : SHUTDOWN_RULES.longestAndSilence(call)),
@@ -92,10 +98,10 @@
   careful: (call) =>
     call.isEarly
       ? SHUTDOWN_RULES.timeoutOrLongestAndSilence(call)
-      : endsByTimeout(call) || SHUTDOWN_RULES.twiceLongest(call),
+      : canEndByTimeout(call) || SHUTDOWN_RULES.twiceLongest(call),
   /** The forecast decides in the first two seconds only. */
   early: (call) =>
-    endsByTimeout(call) ||
+    canEndByTimeout(call) ||
     (call.isEarly && SHUTDOWN_RULES.longestAndSilence(call)),
   /** The same, and new routes are served in that time if a call may be repeated. */
   earlyOrNewRepeated: (call) =>
@@ -104,7 +110,7 @@
   earlyOrNew: (call) => SHUTDOWN_RULES.early(call) || isNew(call),
   /** In that time, only calls are refused none of whose route has lately ended in the time left. */
   earlyAtBest: (call) =>
-    endsByTimeout(call) || (call.isEarly && endsAtBest(call)),
+    canEndByTimeout(call) || (call.isEarly && mayEndInTime(call)),
 } satisfies Record<string, Admits> as Readonly<Record<RuleName, Admits>>;
 
 type RuleName =
@@ -137,7 +143,9 @@
   "product",
 ];
 
-function endsByTimeout({ timeoutMs, remainingMs }: ArrivingCallView): boolean {
+function canEndByTimeout(
+  { timeoutMs, remainingMs }: ArrivingCallView,
+): boolean {
   return timeoutMs <= remainingMs;
 }
 
@@ -145,11 +153,11 @@
   return isEarly && recent === undefined;
 }
 
-function endsAtBest({ recent, remainingMs }: ArrivingCallView): boolean {
+function mayEndInTime({ recent, remainingMs }: ArrivingCallView): boolean {
   return recent === undefined || recent.shortestMs <= remainingMs;
 }
 
-function endsByForecast(
+function canEndByForecast(
   { remainingMs }: ArrivingCallView,
   expectedMs: number,
 ): boolean {
@@ -161,7 +169,7 @@
 }
 
 /** A forecast alone. A route without calls is refused. */
-function forecast(
+function buildForecast(
   predict: (recent: RecentDurations) => number,
   allowanceMs: number,
 ): Admits {
--- a/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
@@ -50,7 +50,7 @@
   }
 
   /** Runs the timers that became due while the process stood still. */
-  wake(ms: number): void {
+  runTimers(ms: number): void {
     this.#context.mock.timers.tick(ms);
   }
 
@@ -108,7 +108,7 @@
   const { shutdown, phases } = fixture;
   shutdown.begin();
   fixture.suspend(NOTICE_MS - 0.5);
-  fixture.wake(NOTICE_MS);
+  fixture.runTimers(NOTICE_MS);
   assert.deepEqual(phases, ["notice"]);
   fixture.advance(1);
   assert.deepEqual(phases, ["notice", "draining"]);
@@ -135,7 +135,7 @@
   assert.equal(shutdown.phase, "draining");
   assert.equal(shutdown.remainingMs, LIFE_MS - NOTICE_MS - 1000);
   assert.deepEqual(phases, ["notice"]);
-  fixture.wake(NOTICE_MS);
+  fixture.runTimers(NOTICE_MS);
   assert.deepEqual(phases, ["notice", "draining"]);
   fixture.advance(LIFE_MS - NOTICE_MS - 1000);
   assert.deepEqual(phases, ["notice", "draining", "ending"]);
@@ -152,7 +152,7 @@
   assert.equal(shutdown.phase, "ending");
   assert.equal(shutdown.admits({ route: ROUTE, timeoutMs: 0 }), false);
   assert.equal(call.ends, 0);
-  fixture.wake(NOTICE_MS);
+  fixture.runTimers(NOTICE_MS);
   assert.deepEqual(phases, ["notice", "draining", "ending"]);
   assert.equal(call.ends, 1);
 });
