Ingress: bytes of clients that the parser skips are limited

A client could send a chunk size of zeros, zeros of many chunk sizes or spaces before a trailer value without end: no limit counted them, and they were read for 19.8 s, 1.2 GB from each connection. Empty lines after a request were read without end, since each read puts the idle timeout off. It is the mirror of what targets could send.

ClientReads compares the bytes read from each connection with those of its chunked body, or with nothing between requests, once in 250 ms for all connections.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -30,6 +30,7 @@
 import type { ClientLimits, ForwardedCall } from "../model.ts";
 import type { CallCodec } from "../ports.ts";
 import { SHUTDOWN_RETRY_AFTER_MS } from "../scheduling/retry_after.ts";
+import { type BodyReads, ClientReads } from "./client_reads.ts";
 import { RequestAdmission } from "./request_admission.ts";
 
 /** Options of {@linkcode Ingress}. */
@@ -72,6 +73,7 @@
   readonly #connections = new WeakMap<Socket, ClientConnection>();
   readonly #admission = new RequestAdmission();
   readonly #drainer: ConnectionDrainer;
+  readonly #reads: ClientReads;
   #limits = INITIAL_LIMITS;
   #openCalls = 0;
 
@@ -82,6 +84,14 @@
       connectionsCheckingInterval: SLOW_HEAD_CHECK_INTERVAL_MS,
       noDelay: true,
     });
+    this.#reads = new ClientReads(
+      this.#http,
+      (bytes) =>
+        options.log.write("info", "clientBytesRefused", {
+          code: "noRequest",
+          bytes,
+        }),
+    );
     this.#drainer = new ConnectionDrainer({
       server: this.#http,
       clock: options.clock,
@@ -192,10 +202,13 @@
         endForShutdown: () => reject(buildShutdownError()),
       });
     });
+    const reads = this.#reads.watchBody(request);
     try {
-      const body = readBody(request, this.#limits.maxBodyBytes);
-      return await Promise.race([body, ending]);
+      const body = readBody(request, this.#limits.maxBodyBytes, reads);
+      const exceeded = reads === undefined ? [] : [reads.exceeded];
+      return await Promise.race([body, ending, ...exceeded]);
     } finally {
+      reads?.stop();
       endCall();
     }
   }
@@ -318,12 +331,14 @@
 async function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  reads: BodyReads | undefined,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
     for await (const chunk of request) {
       size += (chunk as Buffer).length;
+      reads?.recordBody((chunk as Buffer).length);
       if (size > maxBytes) {
         throw new ServeError("payloadTooLarge", `body over ${maxBytes} bytes`);
       }
