Gateway: requests end with their connection, also pipelined ones

Cause: Node.js emits no close for the responses behind the first one of a connection that ends. Such requests counted as in flight for ever, their generations went on, and a VM that stopped waited for them until its timeout.

Change: registerResponseEnd listens to the response and to its connection.

--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -52,6 +52,7 @@
 } from "./request_params.ts";
 import { buildShutdownRefusal, RequestEnding } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
+import { registerResponseEnd } from "./response_end.ts";
 import { handleGeneration, handleResume } from "./generation_response.ts";
 
 /** Certificate and private key of the client port, in PEM. */
@@ -192,7 +193,7 @@
     const { shutdown } = this.#host;
     const ending = new RequestEnding();
     const untrack = shutdown.trackCall(ending);
-    ctx.res.once("close", () => {
+    registerResponseEnd(ctx, () => {
       this.#inFlight--;
       untrack();
       const outcome = classifyOutcome(ctx.res, ending);
--- a/packages/heatherarch-gateway/generation_response.ts
+++ b/packages/heatherarch-gateway/generation_response.ts
@@ -15,6 +15,7 @@
 import { Generation } from "./generation.ts";
 import type { GenerationStore } from "./generation_store.ts";
 import { findOwningVm, formatRoute } from "./request_params.ts";
+import { registerResponseEnd } from "./response_end.ts";
 import type { RequestEnding } from "./request_ending.ts";
 import type { AdmittedRequest } from "./request_watch.ts";
 import {
@@ -107,7 +108,7 @@
     }
     options.ending.setHandler(() => generation.endForShutdown());
     if (resumable) return;
-    ctx.res.once("close", () => {
+    registerResponseEnd(ctx, () => {
       // A client may disconnect between the end of the generation and that of its response.
       if (isFinished) return;
       isFinished = true;
--- a/packages/heatherarch-lab/tests/unit/generation_response_test.ts
+++ b/packages/heatherarch-lab/tests/unit/generation_response_test.ts
@@ -48,6 +48,7 @@
 function createRequest(resumable = false) {
   const res = new FakeResponse();
   const ctx = {
+    req: { socket: new EventEmitter() },
     res,
     query: {},
     get: () => "",
@@ -166,6 +167,13 @@
   request.attempts[0].sink.onTokens(["two"]);
   await resumed;
   const text = request.res.written.join("");
+  const result = {
+    reason: "length",
+    promptTokens: 7,
+    cachedTokens: 0,
+  } as const;
+  request.attempts[0].sink.onEnd(result);
+  await request.done;
   assert.match(text, /"text":"one"/);
   assert.match(text, /"kind":"shuttingDown"/);
 });
