Proof of shutdowns: requests behind the last response are written by the drainer

Cause: the simulated connection gave requests behind the last response to the runtime, while the drainer writes their refusals itself since it answers each of them, so the proof counted them as without a response.

Change: such requests wait for what the drainer writes.

--- a/packages/heatherarch-lab/proofs/simulated_connection.ts
+++ b/packages/heatherarch-lab/proofs/simulated_connection.ts
@@ -58,7 +58,7 @@
 export class SimulatedConnection extends EventEmitter {
   readonly #options: SimulatedConnectionOptions;
   readonly #exchanges: Exchange[] = [];
-  /** Requests whose responses the runtime has discarded. */
+  /** Requests whose responses the runtime has discarded, or that came behind the last response. */
   readonly #discarded: number[] = [];
   #isClosed = false;
   /** Time at which the last response was written; undefined before. */
@@ -98,7 +98,8 @@
       this.#writeResponses();
     });
     const exchange: Exchange = { id, response, isEnded: false };
-    this.#exchanges.push(exchange);
+    if (this.hasLastResponse) this.#discarded.push(id);
+    else this.#exchanges.push(exchange);
     const request = Object.assign(new EventEmitter(), {
       socket: this,
       complete: true,
@@ -113,7 +114,7 @@
     );
   }
 
-  /** Writes the response to the first request whose response the runtime has discarded. */
+  /** Writes the response to the first request behind the last response. */
   write(text: string): void {
     const id = this.#discarded.shift();
     const status = Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
