--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -106,7 +106,7 @@
     for (;;) {
       const connection = await context.peerOffer.find(asked);
       await context.awaitSendable();
-      if (context.hasEnded) {
+      if (!context.admitSend()) {
         connection?.close();
         return "ended";
       }
--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -65,6 +65,7 @@
 const MAX_FLUSH_MS = 200;
 /** Time for the last responses to be handed to the operating system, milliseconds. */
 const MAX_WRITE_MS = 100;
+const MIN_WRITE_MS = 20;
 const WRITE_POLL_MS = 5;
 /** Time for which an engine whose role is changing gets no work; renewed with each heartbeat. */
 const ROLE_CHANGE_HOLD_MS = 1500;
@@ -615,29 +616,37 @@
 
   /** Completes the open calls, ends those that are left when the grace period is over, and writes the rest. */
   async #drain(): Promise<void> {
-    const { shutdown, ingress, handoverServer, streamRecordLog } =
+    const { shutdown, ingress, handoverServer, streamRecordLog, readBarrier } =
       this.#components;
     const ending = shutdown.awaitPhase("ending");
-    let flushed: Promise<void> | undefined;
+    let isFlushed = false;
     const hasOpenWork = (): boolean =>
       ingress.openCalls + ingress.openConnections + handoverServer.openCalls >
         0;
     while (shutdown.phase === "draining" && hasOpenWork()) {
+      // After a standstill, this runs before the requests that have arrived meanwhile are read.
+      await readBarrier.awaitRead();
       ingress.closeIdle();
-      if (shutdown.remainingMs <= MAX_FLUSH_MS) {
-        flushed ??= streamRecordLog.flush(MAX_FLUSH_MS);
+      if (!isFlushed && shutdown.remainingMs <= MAX_FLUSH_MS) {
+        isFlushed = true;
+        void streamRecordLog.flush(MAX_FLUSH_MS);
       }
       await Promise.race([sleep(DRAIN_POLL_MS), ending]);
     }
     shutdown.end();
-    await (flushed ?? streamRecordLog.flush(MAX_FLUSH_MS));
-    await this.#awaitWritten();
+    // Streams may have begun since the flush before the end.
+    await Promise.all([
+      streamRecordLog.flush(MAX_FLUSH_MS),
+      this.#awaitWritten(),
+    ]);
   }
 
   /** Waits until the last responses to clients and peers are written. */
   async #awaitWritten(): Promise<void> {
     const { clock, ingress } = this.#components;
     const untilMs = clock.readMonotonicMs() + MAX_WRITE_MS;
+    // Peers have connections of their own, which tell nothing of what is unwritten.
+    await sleep(MIN_WRITE_MS);
     do await sleep(WRITE_POLL_MS); while (
       !ingress.isWritten && clock.readMonotonicMs() < untilMs
     );
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -42,7 +42,10 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Pick<ForwardMetrics, "internalErrors">;
-  readonly shutdown: Pick<Shutdown, "isStopping" | "trackCall">;
+  readonly shutdown: Pick<
+    Shutdown,
+    "isStopping" | "admitsByTimeoutAlone" | "trackCall"
+  >;
 }
 
 /** Limits in force until a configuration is applied. */
@@ -184,6 +187,7 @@
       const body = await this.#readBody(request);
       if (body === undefined) return;
       if (this.#admission.isRefused(socket)) return;
+      this.#requireOrder(request);
       const endCall = this.#admission.beginCall(socket);
       registerResponseEnd(response, connection, endCall);
       await this.#options.server.serve({ ...head, body }, clientResponse);
@@ -194,6 +198,16 @@
     }
   }
 
+  /**
+   * Refuses a late request behind a response that has not ended: that one may be cut at the end of the VM,
+   * and this one's with it.
+   */
+  #requireOrder(request: IncomingMessage): void {
+    const { shutdown } = this.#options;
+    if (!shutdown.admitsByTimeoutAlone) return;
+    if (this.#drainer.isBehind(request)) throw buildShutdownError();
+  }
+
   /** Reads the complete body. A request that has not arrived when the VM ends is refused. */
   async #readBody(request: IncomingMessage): Promise<Buffer | undefined> {
     let endCall = (): void => undefined;
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -50,7 +50,14 @@
     serve: async (call, response) => {
       bodies.push(call.body.toString());
       if (serveMs > 0) await sleep(serveMs);
-      response.writeHead(200, ["Content-Length", "2"]);
+      response.writeHead(200, [
+        "Content-Length",
+        "2",
+        "Set-Cookie",
+        "a=1",
+        "Set-Cookie",
+        "b=2",
+      ]);
       response.write(Buffer.from("o"));
       if (bodyPauseMs > 0) await sleep(bodyPauseMs);
       response.end(Buffer.from("k"));
@@ -253,6 +260,34 @@
   assert.deepEqual(bodies, ["body"]);
 });
 
+// Guards against a response that loses headers of the same name as it says that its connection closes.
+test("the last response of a connection keeps its repeated headers", async () => {
+  const { client, shutdown, readReceived } = await connectClient();
+  const ended = once(client, "end");
+  shutdown.begin();
+  client.write(REQUEST + "body");
+  await ended;
+  assert.equal(countClosing(readReceived()), 1);
+  assert.equal(readReceived().split("Set-Cookie: ").length - 1, 2);
+});
+
+// Guards against a call that runs behind a response which is cut when the VM ends, and its own with it.
+test("a late request behind a response that goes on is refused and not run", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient(
+    0,
+    3000,
+  );
+  const ended = once(client, "end");
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(5);
+  shutdown.begin();
+  while (!shutdown.admitsByTimeoutAlone) await sleep(20);
+  client.write(REQUEST + "more");
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "503"]);
+  assert.deepEqual(bodies, ["body"]);
+});
+
 // Guards against a connection that counts as busy before its first request, and is served until the VM ends.
 test("a connection without a request is closed after a moment", async () => {
   const { client, ingress, shutdown } = await connectClient();
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -96,7 +96,8 @@
     } = this.#options;
     if (isStopping()) return "stopping";
     if (this.openCalls >= maxCalls) return "busy";
-    return await decideOffer(offer);
+    const declined = await decideOffer(offer);
+    return isStopping() ? "stopping" : declined;
   }
 }
 
--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -62,6 +62,7 @@
  * between regions, milliseconds.
  */
 const LINGER_MS = 150;
+const CLOSE_HEADER = ["Connection", "close"] as const;
 /** Longest time for which connections that wait are accepted before the listener closes, milliseconds. */
 const MAX_ACCEPT_MS = 500;
 /** The listener closes after so many turns of the event loop without a connection. */
@@ -112,14 +113,24 @@
     return true;
   }
 
+  /** Whether the response to a request waits for one before it on its connection. */
+  isBehind(request: IncomingMessage): boolean {
+    return (this.#requests.get(request)?.open ?? 0) > 1;
+  }
+
   /** Makes a response the last one of its connection, unless its head has been sent. */
   closeAfter(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#recordFinal(request, response)) return;
+    response.setHeader(CLOSE_HEADER[0], CLOSE_HEADER[1]);
+  }
+
+  /** Records that a response is the last one of its connection. Returns whether it is told to say so. */
+  #recordFinal(request: IncomingMessage, response: ServerResponse): boolean {
     const state = this.#requests.get(request);
-    if (state === undefined || state.final !== undefined) return;
-    if (response.headersSent) return;
+    if (state === undefined || state.final !== undefined) return false;
+    if (response.headersSent) return false;
     const { socket } = state;
     state.final = request;
-    response.setHeader("Connection", "close");
     // The runtime closes the connection in a listener of the same event that was added before.
     response.prependOnceListener("finish", () => {
       state.isFinished = true;
@@ -128,6 +139,7 @@
         this.#delayClose(socket);
       }
     });
+    return true;
   }
 
   /** Whether all that was written has been handed to the operating system. */
@@ -201,8 +213,13 @@
       ...rest: (string | OutgoingHttpHeader)[]
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
-      if (this.#options.isStopping() && state.last === request) {
-        this.closeAfter(request, response);
+      const isLast = this.#options.isStopping() && state.last === request;
+      const headers: unknown = rest.at(-1);
+      if (!isLast) return writeHead(status, ...rest);
+      if (!Array.isArray(headers)) this.closeAfter(request, response);
+      else if (this.#recordFinal(request, response)) {
+        // Headers that are set before a list of headers would leave one of each name in it.
+        return writeHead(status, [...headers, ...CLOSE_HEADER] as never);
       }
       return writeHead(status, ...rest);
     };
--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -118,6 +118,11 @@
     return this.#startedAtMs !== undefined;
   }
 
+  /** Whether the timeout alone decides which calls are served. */
+  get admitsByTimeoutAlone(): boolean {
+    return this.isStopping && this.#elapsedMs >= this.#forecastMs;
+  }
+
   /** Time until the last calls end, milliseconds; infinite before a shutdown. */
   get remainingMs(): number {
     if (this.#startedAtMs === undefined) return Infinity;
