Shutdown: only requests behind an open response count as waiting

Cause: a late request counted as waiting for a response before its own if any other request was open on its connection, also one that had been read behind it, so the first of several was refused needlessly.

Change: the drainer keeps for each request the response that is due before its own.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -45,6 +45,8 @@
   open: number;
   /** The last request whose head was read. */
   last: IncomingMessage | undefined;
+  /** The response to the last request that was admitted. */
+  lastResponse: ServerResponse | undefined;
   /** The request whose response tells the client that the connection closes. */
   final: IncomingMessage | undefined;
   /** Requests behind the final one that have not been refused. */
@@ -57,6 +59,13 @@
   idleBytes: number;
 }
 
+/** A request that was read. */
+interface RequestState {
+  readonly connection: ConnectionState;
+  /** The response that is due before the one to this request. */
+  readonly before: ServerResponse | undefined;
+}
+
 /**
  * A client sends a request that it had begun before it read the end of the connection within a round trip
  * between regions, milliseconds.
@@ -72,8 +81,8 @@
 export class ConnectionDrainer {
   readonly #options: ConnectionDrainerOptions;
   readonly #connections = new Map<Socket, ConnectionState>();
-  /** The connections of requests; a request that was destroyed has no socket any more. */
-  readonly #requests = new WeakMap<IncomingMessage, ConnectionState>();
+  /** A request that was destroyed has no socket any more, by which its connection could be found. */
+  readonly #requests = new WeakMap<IncomingMessage, RequestState>();
   /** Connections that were accepted so far. */
   #accepted = 0;
 
@@ -102,12 +111,14 @@
     const { socket } = request;
     const state = this.#find(socket);
     state.last = request;
-    this.#requests.set(request, state);
+    const before = state.lastResponse;
+    this.#requests.set(request, { connection: state, before });
     if (state.final !== undefined) {
       this.#refuseBehind(state, request);
       return false;
     }
     state.open++;
+    state.lastResponse = response;
     response.once("close", () => this.#recordEnd(socket, state));
     this.#watchHead(request, response, state);
     return true;
@@ -115,7 +126,8 @@
 
   /** Whether the response to a request waits for one before it on its connection. */
   isBehind(request: IncomingMessage): boolean {
-    return (this.#requests.get(request)?.open ?? 0) > 1;
+    const before = this.#requests.get(request)?.before;
+    return before !== undefined && !before.writableFinished;
   }
 
   /** Makes a response the last one of its connection, unless its head has been sent. */
@@ -126,7 +138,7 @@
 
   /** Records that a response is the last one of its connection. Returns whether it is told to say so. */
   #recordFinal(request: IncomingMessage, response: ServerResponse): boolean {
-    const state = this.#requests.get(request);
+    const state = this.#requests.get(request)?.connection;
     if (state === undefined || state.final !== undefined) return false;
     if (response.headersSent) return false;
     const { socket } = state;
@@ -184,6 +196,7 @@
       socket,
       open: 0,
       last: undefined,
+      lastResponse: undefined,
       final: undefined,
       behind: [],
       isFinished: false,
--- a/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
@@ -264,6 +264,24 @@
   }
 }
 
+// Guards against a first request that counts as waiting, as others have been read behind it.
+test(
+  "tells which requests wait for a response before theirs",
+  BOUND,
+  async (context) => {
+    const { server, client } = await openConnection(context);
+    client.send(buildRequest("/1") + buildRequest("/2"));
+    await server.awaitRequests(2);
+    const [first, second] = server.requests;
+    assert.equal(server.drainer.isBehind(first.request), false);
+    assert.equal(server.drainer.isBehind(second.request), true);
+    server.respond(0);
+    await client.awaitText("served");
+    assert.equal(server.drainer.isBehind(second.request), false);
+    server.respond(1);
+  },
+);
+
 // Guards against connections that close with the listener, although a request is on its way.
 test(
   "keeps idle connections as the listener closes",
