Tasks: a log that fails does not end the background tasks of a VM

Cause: tasks catch the failures of their rounds and log them; an error of the log there rejected the loop's promise, which nothing awaits. RoleController, DutyController, StreamRecordLog and QuarantinePersistence have the same shape and would have ended for good.

Change: tasks and the VM itself log through TaskLog, which reports its own errors and never throws.

The unit test fails with a bare log (unhandled rejection) and passes with TaskLog.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -48,6 +48,7 @@
 import { listLoadStatus } from "./tasks/load_status.ts";
 import { countWaitingCalls, listQueueStatus } from "./tasks/queue_status.ts";
 import { listShareStatus } from "./tasks/share_status.ts";
+import { TaskLog } from "./task_log.ts";
 import { type FleetStatus, StatusServer } from "./tasks/status_server.ts";
 
 /** Options of {@linkcode ForwardVm}. */
@@ -134,13 +135,13 @@
       targetListGuard,
     } = this.#components;
     const { listen } = this.#settings;
-    this.#log.write("info", "starting", {
+    this.#taskLog.write("info", "starting", {
       pid: process.pid,
       node: process.version,
       listen,
     });
     this.#removeViolationListener = registerViolationListener((error) =>
-      this.#log.write("error", "invariantViolated", {
+      this.#taskLog.write("error", "invariantViolated", {
         invariant: error.invariant,
         detail: error.message,
       })
@@ -162,7 +163,7 @@
     this.#components.duties?.start();
     targetListGuard.recordTick();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
-    this.#log.write("info", "started", { address: listen.callers });
+    this.#taskLog.write("info", "started", { address: listen.callers });
   }
 
   /** Applies the settings that may change while the process runs. */
@@ -172,7 +173,7 @@
     }
     const { weights = {} } = settings.accounts;
     this.#components.accountWeights.apply(weights);
-    this.#log.write("info", "settingsReloaded", {
+    this.#taskLog.write("info", "settingsReloaded", {
       level: settings.logs.level,
       accountWeights: Object.keys(weights).length,
     });
@@ -180,7 +181,7 @@
 
   /** Logs that reloaded settings are invalid; the current settings stay in effect. */
   rejectSettings(faults: string): void {
-    this.#log.write("error", "settingsRefused", { faults });
+    this.#taskLog.write("error", "settingsRefused", { faults });
   }
 
   /** Logs and counts an uncaught error; the process continues. */
@@ -197,6 +198,10 @@
     return this.#stopped;
   }
 
+  get #taskLog(): TaskLog {
+    return this.#components.taskLog;
+  }
+
   get #components(): VmComponents {
     return this.#resolvedComponents ?? this.#container.cradle;
   }
@@ -245,6 +250,7 @@
     };
     const callServer = new CallServer({ ...components });
     const listenAddress = splitAddress(settings.listen.callers);
+    this.#container.register({ taskLog: asValue(new TaskLog(components)) });
     this.#container.register({
       storeEpoch: asValue(this.#buildStoreEpoch()),
     });
@@ -281,7 +287,7 @@
           topic: ports.directory.quarantine,
           quarantine: components.quarantine,
           clock: components.clock,
-          log: components.log,
+          log: components.taskLog,
         }),
       ),
       partQuarantinePersistence: asValue(
@@ -290,7 +296,7 @@
           quarantine: components.partQuarantine.evidence,
           isOfParts: true,
           clock: components.clock,
-          log: components.log,
+          log: components.taskLog,
         }),
       ),
       roleController: asValue(buildRoleController(options)),
@@ -306,7 +312,7 @@
     );
     storeEpoch.registerListener(({ epoch, before, source }) => {
       this.#components.metrics.storeEpoch.set(epoch);
-      this.#log.write("warn", "storeRestored", { epoch, before, source });
+      this.#taskLog.write("warn", "storeRestored", { epoch, before, source });
       this.#components.storeReader.handleRestoration();
       this.#components.versionHistory.handleRestoration(
         this.#clock.readMonotonicMs(),
@@ -325,7 +331,7 @@
     activeConfig.registerListener(({ table, before, source }) => {
       ingress.applyLimits(table.config.limits);
       metrics.configVersion.set(table.version);
-      this.#log.write("info", "configApplied", {
+      this.#taskLog.write("info", "configApplied", {
         version: table.version,
         before,
         routes: table.config.routes.length,
@@ -346,10 +352,10 @@
           clock.readMonotonicMs(),
         );
         if (kind === "cleared") {
-          this.#log.write("info", "partCleared", { part, source });
+          this.#taskLog.write("info", "partCleared", { part, source });
         } else if (quarantined !== undefined) {
           const { account, incarnations, sinceMs, untilMs } = quarantined;
-          this.#log.write("warn", "partQuarantined", {
+          this.#taskLog.write("warn", "partQuarantined", {
             part,
             source,
             account,
@@ -366,9 +372,9 @@
         clock.readMonotonicMs(),
       );
       if (kind === "cleared") {
-        this.#log.write("info", "quarantineLifted", { request, source });
+        this.#taskLog.write("info", "quarantineLifted", { request, source });
       } else if (quarantined !== undefined) {
-        this.#log.write("warn", "requestQuarantined", {
+        this.#taskLog.write("warn", "requestQuarantined", {
           request,
           source,
           account: quarantined.account,
@@ -396,7 +402,7 @@
         codec: components.codec,
         prefixIndex: components.prefixIndex,
         connections: components.connections,
-        events: components.log,
+        events: components.taskLog,
         listPrefillEngines: listEngines,
         listParticipants: () => components.mesh.listCoordinators(),
         onError: (error) => reportInternalError(components, "process", error),
@@ -411,12 +417,12 @@
     const nowMs = this.#clock.readMonotonicMs();
     retryBudget.setLiveVms(listed.length, nowMs);
     // From here on the VM may use its part of the fixed number of retries.
-    this.#log.write("info", "vmListLoaded", { listed: listed.length });
+    this.#taskLog.write("info", "vmListLoaded", { listed: listed.length });
     const windowMs = this.#settings.retries.windowSeconds * MS_PER_SECOND;
     const runsBeforeMs = this.#vmStart.startedAtMs - windowMs;
     if (!isFleetRunning(listed, this.#settings.vm.id, runsBeforeMs)) return;
     retryBudget.withholdFixedPart(nowMs);
-    this.#log.write("info", "retriesWithheld", { forMs: windowMs });
+    this.#taskLog.write("info", "retriesWithheld", { forMs: windowMs });
   }
 
   #applyVmCount(liveVms: number): void {
@@ -487,7 +493,7 @@
     metrics.targets.set(directory.size);
     storeReader.purgeDroppedTargets("grace");
     for (const id of gone) {
-      this.#log.write("info", "targetGone", {
+      this.#taskLog.write("info", "targetGone", {
         target: id,
         reason: "not listed again after an outage of the store",
       });
@@ -586,13 +592,13 @@
 
   async #shutDown(): Promise<void> {
     const { shutdown, ingress } = this.#components;
-    this.#log.write("info", "stopping", { openCalls: ingress.openCalls });
+    this.#taskLog.write("info", "stopping", { openCalls: ingress.openCalls });
     shutdown.begin();
     const left = this.#leaveFleet();
     await shutdown.awaitPhase("draining");
     await ingress.closeListener();
     await Promise.all([left, this.#drain()]);
-    this.#log.write("info", "stopped", {
+    this.#taskLog.write("info", "stopped", {
       openCalls: ingress.openCalls,
       ...shutdown.summarize(),
       tookMs: Math.round(shutdown.tookMs),
--- a/packages/heatherarch-forward/mod.ts
+++ b/packages/heatherarch-forward/mod.ts
@@ -41,6 +41,7 @@
 export * from "./fleet/list_fallback.ts";
 export * from "./metrics.ts";
 export * from "./report_error.ts";
+export * from "./task_log.ts";
 export * from "./model.ts";
 export * from "./ports.ts";
 export * from "./state/prefix_holders.ts";
--- /dev/null
+++ b/packages/heatherarch-forward/task_log.ts
@@ -0,0 +1,29 @@
+/**
+ * The log of a VM's background tasks. Their loops log the failures that they have caught, so an error of the
+ * log there would end the loop for good.
+ *
+ * @module
+ */
+import type { EventLog, LogLevel } from "./event_log.ts";
+import { type ErrorSink, reportInternalError } from "./report_error.ts";
+
+/** A log that reports its own errors and never throws. */
+export class TaskLog implements EventLog {
+  readonly #sink: ErrorSink;
+
+  constructor(sink: ErrorSink) {
+    this.#sink = sink;
+  }
+
+  write(
+    level: LogLevel,
+    event: string,
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    try {
+      this.#sink.log.write(level, event, fields);
+    } catch (error) {
+      reportInternalError(this.#sink, "process", error, { event });
+    }
+  }
+}
--- a/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
+++ b/packages/heatherarch-forward/tests/unit/version_persistence_test.ts
@@ -3,7 +3,10 @@
 import { ManualClock, Random, sleep } from "heatherarch-core";
 import {
   computeStreamLifeMs,
+  type EventLog,
+  ForwardMetrics,
   TargetDirectory,
+  TaskLog,
   VersionHistory,
   VersionLives,
   VersionPersistence,
@@ -66,8 +69,11 @@
   readonly isCoordinator?: boolean;
   readonly vms?: number;
   readonly drawUnit?: () => number;
+  readonly log?: EventLog;
 }
 
+const NO_LOG: EventLog = { write: () => undefined };
+
 class Vm {
   readonly #world: World;
   readonly #directory = new TargetDirectory();
@@ -82,7 +88,8 @@
 
   constructor(
     world: World,
-    { isCoordinator = true, vms = 1, drawUnit = () => 0 }: VmOptions,
+    { isCoordinator = true, vms = 1, drawUnit = () => 0, log = NO_LOG }:
+      VmOptions,
   ) {
     this.#world = world;
     this.persistence = new VersionPersistence({
@@ -91,7 +98,7 @@
       lives: this.lives,
       activeConfig: { table: { config: CONFIG } } as never,
       clock: world.clock,
-      log: { write: () => undefined },
+      log,
       isCoordinator: () => isCoordinator,
       countVms: () => vms,
       refreshTargetList: () => this.listRefreshes++,
@@ -384,3 +391,24 @@
   await vm.run(1000);
   assert.equal(world.records.size, 2);
 });
+
+// Guards against tasks that end for good, and with an unhandled rejection, as the failure that they have
+// caught can't be logged.
+test("versions are recorded after the store and the log have failed together", async () => {
+  const world = new World();
+  const metrics = new ForwardMetrics();
+  const log: EventLog = {
+    write: () => {
+      if (world.isDown) throw new RangeError("broken log");
+    },
+  };
+  world.isDown = true;
+  const vm = world.startVm({ log: new TaskLog({ log, metrics }) });
+  await vm.run(1000);
+  assert.equal(world.records.size, 0);
+  const { values } = await metrics.internalErrors.get();
+  assert.ok(values.some(({ value }) => value > 0));
+  world.isDown = false;
+  await vm.run(2000);
+  assert.ok(world.records.size > 0);
+});
--- a/packages/heatherarch-forward/vm_tasks.ts
+++ b/packages/heatherarch-forward/vm_tasks.ts
@@ -19,6 +19,7 @@
 } from "./ports.ts";
 import type { CallDependencies } from "./call_dependencies.ts";
 import type { VmRecord } from "./model.ts";
+import type { TaskLog } from "./task_log.ts";
 import type { CallServer } from "./calls/call_server.ts";
 import {
   decodeHandoverCall,
@@ -59,6 +60,7 @@
   readonly handoverClient: HandoverClient;
   readonly handoverServer: HandoverServer;
   readonly shutdown: Shutdown;
+  readonly taskLog: TaskLog;
   readonly mesh: FleetMesh;
   readonly roleController: RoleController;
   readonly ingress: Ingress;
@@ -119,7 +121,7 @@
     listen: settings.listen.mesh,
     vms: ports.directory.vms,
     clock: components.clock,
-    log: components.log,
+    log: components.taskLog,
     workTracker: components.workTracker,
     fleetDemand: components.fleetDemand,
     sums: buildFleetSums({
@@ -214,7 +216,7 @@
     rateLimits: components.rateLimits,
     connections: components.connections,
     codec: components.codec,
-    events: components.log,
+    events: components.taskLog,
     metrics: components.metrics,
     hasRuns: (engine) => {
       const nowMs = components.clock.readMonotonicMs();
@@ -233,7 +235,7 @@
 ): FleetDuties | undefined {
   const { settings, ports, incarnation, getComponents } = options;
   if (ports.platformApi === undefined) return undefined;
-  const { clock, log, metrics, activeConfig, directory } = getComponents();
+  const { clock, taskLog, metrics, activeConfig, directory } = getComponents();
   return new FleetDuties({
     vmId: settings.vm.id,
     incarnation,
@@ -244,7 +246,7 @@
     usage: settings.usage,
     capacityStrategy: settings.capacity.strategy,
     clock,
-    events: log,
+    events: taskLog,
     metrics,
     activeConfig,
     directory,
@@ -265,7 +267,7 @@
 ): VersionPersistence {
   const { settings, ports: { directory }, startedAtMs } = options;
   const { getComponents } = options;
-  const { versionHistory, versionLives, activeConfig, clock, log } =
+  const { versionHistory, versionLives, activeConfig, clock, taskLog } =
     getComponents();
   return new VersionPersistence({
     topic: directory.versions,
@@ -273,7 +275,7 @@
     lives: versionLives,
     activeConfig,
     clock,
-    log,
+    log: taskLog,
     isCoordinator: () => getComponents().mesh.isCoordinator,
     countVms: () => getComponents().countVms(),
     refreshTargetList: () => getComponents().storeReader.refreshList(),
@@ -291,11 +293,11 @@
 export function buildStreamRecordLog(
   { ports, getComponents }: VmTaskOptions,
 ): StreamRecordLog {
-  const { streamVersions, versionLives, log } = getComponents();
+  const { streamVersions, versionLives, taskLog } = getComponents();
   return new StreamRecordLog({
     store: ports.log,
     streamVersions,
-    log,
+    log: taskLog,
     hasVersions: () => versionLives.isLoaded,
     hasSeveralVersions: () =>
       getComponents().versionPersistence.hasSeveralVersions(),
@@ -318,7 +320,7 @@
     getFeedValidAtMs: () => getComponents().mesh.feedValidAtMs,
     hasStalledSince: (atMs) => components.targetListGuard.hasStalledSince(atMs),
     clock: components.clock,
-    log: components.log,
+    log: components.taskLog,
     metrics: components.metrics,
     activeConfig: components.activeConfig,
     directory: components.directory,
