Shutdown: calls end once what has arrived is read

A VM that stood still over the begin of the ending phase ran the timer of that phase before it read its sockets, and answered 502 to calls whose responses were waiting there. The shutdown now waits for a read barrier before it ends calls, for 0.1 s at most; the drain waits for that end before it flushes and writes. A call that arrives meanwhile is refused as not run.

The unit tests cover the order, and a read that takes too long or fails.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -640,6 +640,7 @@
       await Promise.race([sleep(DRAIN_POLL_MS), ending]);
     }
     shutdown.end();
+    await shutdown.awaitCallEnd();
     // Streams may have begun since the flush before the end.
     await Promise.all([
       streamRecordLog.flush(MAX_FLUSH_MS),
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -130,6 +130,7 @@
     clock,
     graceMs: settings.shutdown.graceSeconds * MS_PER_SECOND,
     noticeMs: settings.shutdown.noticeMs,
+    awaitRead: () => readBarrier.awaitRead(),
     onCallEnd: (kind, outcome) => metrics.shutdownCalls.inc({ kind, outcome }),
     onError: (error) => reportInternalError({ log, metrics }, "call", error),
   });
--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -32,6 +32,11 @@
   readonly noticeMs: number;
   /** Time before the kill at which the last calls end, milliseconds. */
   readonly exitMarginMs?: number;
+  /**
+   * Resolves when what has arrived in the sockets has been read. Calls end after it, so that a process that
+   * stood still delivers the responses that wait in its sockets. Without it they end at once.
+   */
+  readonly awaitRead?: () => Promise<void>;
   /** Called with each call that has ended since the begin. */
   readonly onCallEnd?: (kind: string, outcome: ShutdownOutcome) => void;
   /** Called with each error of a listener or of a call that is ended. Never throws. */
@@ -69,6 +74,11 @@
 
 /** Time before the kill in which the last responses and log lines are written, milliseconds. */
 const EXIT_MARGIN_MS = 300;
+/**
+ * Longest time for which the end of calls waits for what has arrived, milliseconds. It is a part of the exit
+ * margin; a pass over all sockets of a busy process takes less.
+ */
+const MAX_READ_MS = 100;
 /** A sound target may fall silent for this long and go on, milliseconds. */
 const TARGET_SILENCE_MS = 1500;
 
@@ -99,6 +109,7 @@
   /** The last phase that the listeners were told. */
   #announced: ShutdownPhase = "running";
   #isAnnouncing = false;
+  #callEnd: Promise<void> | undefined;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: ShutdownOptions) {
@@ -148,9 +159,16 @@
     this.#advance();
   }
 
+  /** Resolves when the calls that were open in the ending phase have been ended. */
+  async awaitCallEnd(): Promise<void> {
+    await this.awaitPhase("ending");
+    await this.#callEnd;
+  }
+
   /** Records that all sockets are closed. */
   conclude(): void {
     this.end();
+    this.#endOpenCalls();
     this.#isGone = true;
     this.#advance();
   }
@@ -205,6 +223,7 @@
 
   trackCall(call: EndableCall): () => void {
     this.#calls.add(call);
+    // One that is accepted while responses are read has not been sent.
     if (hasReached(this.#announced, "ending")) this.#endCall(call);
     return () => {
       this.#calls.delete(call);
@@ -262,7 +281,33 @@
     for (const listener of [...this.#listeners]) {
       this.#runGuarded(() => listener(phase));
     }
-    if (phase !== "ending") return;
+    if (phase === "ending") this.#callEnd = this.#endCalls();
+  }
+
+  async #endCalls(): Promise<void> {
+    const { awaitRead } = this.#options;
+    if (awaitRead !== undefined && this.#calls.size > 0) {
+      await this.#awaitReadBounded(awaitRead);
+    }
+    this.#endOpenCalls();
+  }
+
+  /** Never rejects. */
+  async #awaitReadBounded(awaitRead: () => Promise<void>): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const bound = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, MAX_READ_MS);
+    });
+    try {
+      await Promise.race([awaitRead(), bound]);
+    } catch (error) {
+      this.#options.onError?.(error);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  #endOpenCalls(): void {
     for (const call of [...this.#calls]) this.#endCall(call);
   }
 
--- a/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
@@ -13,6 +13,7 @@
 const LIFE_MS = GRACE_MS - EXIT_MARGIN_MS;
 const TARGET_SILENCE_MS = 1500;
 const FORECAST_MS = 2000;
+const MAX_READ_MS = 100;
 const ROUTE = "route";
 
 /** A shutdown whose clock and timers the test advances. */
@@ -292,6 +293,46 @@
   );
 });
 
+/** Lets the microtasks run that wait for a read. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+}
+
+// Guards against a failure in place of a response that waits in a socket, as the process stood still over the
+// begin of the ending phase.
+test("ends calls once what has arrived is read", async (context) => {
+  let finishRead = (): void => {};
+  const read = new Promise<void>((resolve) => finishRead = resolve);
+  const fixture = new ShutdownFixture(context, { awaitRead: () => read });
+  const answered = fixture.trackCall();
+  const open = fixture.trackCall();
+  fixture.shutdown.begin();
+  fixture.advance(GRACE_MS);
+  await settle();
+  assert.deepEqual([answered.ends, open.ends], [0, 0]);
+  // A call that arrives meanwhile has not been sent.
+  assert.equal(fixture.trackCall().ends, 1);
+  answered.remove();
+  finishRead();
+  await fixture.shutdown.awaitCallEnd();
+  assert.deepEqual([answered.ends, open.ends], [0, 1]);
+});
+
+// Guards against calls without an end, and a process that is killed, as a read takes too long or fails.
+test("ends calls although what has arrived is not read", async (context) => {
+  const reads = [new Promise<void>(() => {}), Promise.reject(new Error("r"))];
+  for (const read of reads) {
+    const fixture = new ShutdownFixture(context, { awaitRead: () => read });
+    const call = fixture.trackCall();
+    fixture.shutdown.begin();
+    fixture.advance(LIFE_MS);
+    fixture.advance(MAX_READ_MS);
+    await fixture.shutdown.awaitCallEnd();
+    assert.equal(call.ends, 1);
+    context.mock.timers.reset();
+  }
+});
+
 // Guards against a call that is ended twice, as a listener of the ending phase tracked it.
 test("ends a call once that a listener of the ending phase tracks", (context) => {
   const fixture = new ShutdownFixture(context);
