Ingress: an early pipelined request waits for a response that may be cut

A request that was pipelined in the first 2 s of a stop ran beside the response before it. If that one outlasted the VM, both were cut, and the client could not learn whether the second call had run. It now waits for the response before it, if the timeout of that call expires after the VM's end, and is then judged like any other call. When the VM ends it is refused as not run. Requests behind a response that ends in time run beside it as before.

`findBefore` replaces `isBehind`, whose test checks the same states. The new test of an early request fails before (the call behind the stream had run) and passes after; the one for a response that ends in time guards against requests that wait needlessly.

--- a/packages/heatherarch-forward/calls/call_server.ts
+++ b/packages/heatherarch-forward/calls/call_server.ts
@@ -70,6 +70,11 @@
     runReported(this.#dependencies, "call", () => metrics.inFlight.dec());
   }
 
+  /** Finds the monotonic time at which a call times out, milliseconds; infinite without a timeout. */
+  findTimeoutAtMs(call: Omit<ForwardedCall, "body">): number {
+    return call.arrivedAtMs + (this.#findTimeoutMs(call) ?? Infinity);
+  }
+
   async #serveInTurn(
     call: ForwardedCall,
     response: ClientResponse,
@@ -143,9 +148,9 @@
   }
 
   /** Finds the shorter one of the timeouts of a call's client and its route; undefined if it has none. */
-  #findTimeoutMs({ host, path, clientTimeoutMs = Infinity }: ForwardedCall):
-    | number
-    | undefined {
+  #findTimeoutMs(
+    { host, path, clientTimeoutMs = Infinity }: Omit<ForwardedCall, "body">,
+  ): number | undefined {
     const route = this.#dependencies.activeConfig.table?.findRoute(host, path);
     const timeoutMs = Math.min(clientTimeoutMs, route?.timeoutMs ?? Infinity);
     return timeoutMs === Infinity ? undefined : timeoutMs;
--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -44,7 +44,7 @@
   readonly metrics: Pick<ForwardMetrics, "internalErrors">;
   readonly shutdown: Pick<
     Shutdown,
-    "isStopping" | "admitsByTimeoutAlone" | "trackCall"
+    "isStopping" | "admitsByTimeoutAlone" | "remainingMs" | "trackCall"
   >;
 }
 
@@ -77,6 +77,8 @@
   readonly #admission = new RequestAdmission();
   readonly #drainer: ConnectionDrainer;
   readonly #reads: ClientReads;
+  /** Monotonic times at which the calls of responses time out, milliseconds. */
+  readonly #timeoutsAtMs = new WeakMap<ServerResponse, number>();
   #limits = INITIAL_LIMITS;
   #openCalls = 0;
 
@@ -184,10 +186,14 @@
     const clientResponse = new HttpClientResponse(response, connection);
     try {
       const head = this.#readHead(request, arrivedAtMs);
+      this.#timeoutsAtMs.set(
+        response,
+        this.#options.server.findTimeoutAtMs(head),
+      );
       const body = await this.#readBody(request);
       if (body === undefined) return;
+      await this.#awaitOrder(request, connection);
       if (this.#admission.isRefused(socket)) return;
-      this.#requireOrder(request);
       const endCall = this.#admission.beginCall(socket);
       registerResponseEnd(response, connection, endCall);
       await this.#options.server.serve({ ...head, body }, clientResponse);
@@ -199,31 +205,51 @@
   }
 
   /**
-   * Refuses a late request behind a response that has not ended: that one may be cut at the end of the VM,
-   * and this one's with it.
+   * Waits for the response before a request's own if that one may be cut as the VM ends, and this one's with
+   * it. Late requests are refused instead.
    */
-  #requireOrder(request: IncomingMessage): void {
-    const { shutdown } = this.#options;
-    if (!shutdown.admitsByTimeoutAlone) return;
-    if (this.#drainer.isBehind(request)) throw buildShutdownError();
+  async #awaitOrder(
+    request: IncomingMessage,
+    connection: ClientConnection,
+  ): Promise<void> {
+    const { shutdown, clock } = this.#options;
+    const before = this.#drainer.findBefore(request);
+    if (before === undefined || !shutdown.isStopping) return;
+    if (shutdown.admitsByTimeoutAlone) throw buildShutdownError();
+    const timeoutAtMs = this.#timeoutsAtMs.get(before) ?? Infinity;
+    const timeoutMs = timeoutAtMs - clock.readMonotonicMs();
+    if (timeoutMs <= shutdown.remainingMs) return;
+    await this.#refuseAtEnd(
+      new Promise((resolve) =>
+        registerResponseEnd(before, connection, () => resolve(undefined))
+      ),
+    );
   }
 
-  /** Reads the complete body. A request that has not arrived when the VM ends is refused. */
-  async #readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+  /** Waits with a request that has not been sent, and refuses it when the VM ends. */
+  async #refuseAtEnd<T>(...waits: Promise<T>[]): Promise<T> {
     let endCall = (): void => undefined;
     const ending = new Promise<never>((_, reject) => {
       endCall = this.#options.shutdown.trackCall({
         endForShutdown: () => reject(buildShutdownError()),
       });
     });
+    try {
+      return await Promise.race([...waits, ending]);
+    } finally {
+      endCall();
+    }
+  }
+
+  /** Reads the complete body. A request that has not arrived when the VM ends is refused. */
+  async #readBody(request: IncomingMessage): Promise<Buffer | undefined> {
     const reads = this.#reads.watchBody(request);
     try {
       const body = readBody(request, this.#limits.maxBodyBytes, reads);
       const exceeded = reads === undefined ? [] : [reads.exceeded];
-      return await Promise.race([body, ending, ...exceeded]);
+      return await this.#refuseAtEnd(body, ...exceeded);
     } finally {
       reads?.stop();
-      endCall();
     }
   }
 
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -44,7 +44,9 @@
 async function connectClient(
   serveMs = 0,
   bodyPauseMs = 0,
+  timeoutMs = 100,
 ): Promise<Connected> {
+  const clock = new RuntimeClock();
   const bodies: string[] = [];
   const server = {
     serve: async (call, response) => {
@@ -62,12 +64,12 @@
       if (bodyPauseMs > 0) await sleep(bodyPauseMs);
       response.end(Buffer.from("k"));
     },
-  } satisfies Pick<CallServer, "serve">;
+    findTimeoutAtMs: () => clock.readMonotonicMs() + timeoutMs,
+  } satisfies Pick<CallServer, "serve" | "findTimeoutAtMs">;
   const codec = {
     decodeCall: () => ({}) as ForwardedCall,
   } satisfies Pick<CallCodec, "decodeCall">;
   const port = await findFreePort();
-  const clock = new RuntimeClock();
   const shutdown = createShutdown(clock);
   ingress = new Ingress({
     host: "127.0.0.1",
@@ -288,6 +290,62 @@
   assert.deepEqual(bodies, ["body"]);
 });
 
+/** Longer than the grace period of {@linkcode createShutdown}. */
+const LONG_TIMEOUT_MS = 60_000;
+
+// Guards against a call that runs early in a shutdown behind a response which outlasts the VM, and is cut with
+// it although the call itself would have ended.
+test("an early request waits for a response before it that may be cut", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient(
+    0,
+    300,
+    LONG_TIMEOUT_MS,
+  );
+  const ended = once(client, "end");
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(5);
+  shutdown.begin();
+  client.write(REQUEST + "more");
+  await sleep(100);
+  assert.deepEqual(bodies, ["body"]);
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "200"]);
+  assert.deepEqual(bodies, ["body", "more"]);
+});
+
+// Guards against a request that waits behind a response which is cut, and runs although the VM has ended.
+test("a request that waits for a response which is cut is not run", async () => {
+  const { client, ingress, shutdown, bodies, readReceived } =
+    await connectClient(0, 300, LONG_TIMEOUT_MS);
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(5);
+  shutdown.begin();
+  client.write(REQUEST + "more");
+  await sleep(50);
+  shutdown.end();
+  await sleep(50);
+  ingress.closeAll();
+  await sleep(300);
+  assert.deepEqual(bodies, ["body"]);
+});
+
+// Guards against requests that wait for each other although all of them end before the VM does.
+test("an early request runs beside a response before it that ends in time", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient(
+    0,
+    300,
+  );
+  const ended = once(client, "end");
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(5);
+  shutdown.begin();
+  client.write(REQUEST + "more");
+  while (bodies.length < 2) await sleep(5);
+  assert.equal(listStatuses(readReceived()).length, 1);
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "200"]);
+});
+
 // Guards against a connection that counts as busy before its first request, and is served until the VM ends.
 test("a connection without a request is closed after a moment", async () => {
   const { client, ingress, shutdown } = await connectClient();
--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -124,10 +124,10 @@
     return true;
   }
 
-  /** Whether the response to a request waits for one before it on its connection. */
-  isBehind(request: IncomingMessage): boolean {
+  /** Finds the response that is due before the one to a request and has not ended. */
+  findBefore(request: IncomingMessage): ServerResponse | undefined {
     const before = this.#requests.get(request)?.before;
-    return before !== undefined && !before.writableFinished;
+    return before === undefined || before.writableFinished ? undefined : before;
   }
 
   /** Makes a response the last one of its connection, unless its head has been sent. */
--- a/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
@@ -273,11 +273,11 @@
     client.send(buildRequest("/1") + buildRequest("/2"));
     await server.awaitRequests(2);
     const [first, second] = server.requests;
-    assert.equal(server.drainer.isBehind(first.request), false);
-    assert.equal(server.drainer.isBehind(second.request), true);
+    assert.equal(server.drainer.findBefore(first.request), undefined);
+    assert.equal(server.drainer.findBefore(second.request), first.response);
     server.respond(0);
     await client.awaitText("served");
-    assert.equal(server.drainer.isBehind(second.request), false);
+    assert.equal(server.drainer.findBefore(second.request), undefined);
     server.respond(1);
   },
 );
