Gateway: a resumable generation whose client has left goes on while its VM stops

What callers saw: a client that lost its connection and read its resumable stream through another VM got streamGone in the middle, as the VM that runs the generation stopped with most of its grace period left.

Cause: a generation was tracked by its request, which ends with the client's connection. The VM then had no open connection, and ended after its notice. At the end nobody ended such a generation either.

Change: Shutdown tracks a resumable generation by itself, and the gateway drains until none runs.

Measured (load 15 to 20): the new test of stopping_gateway_test fails 5 of 5 times before (streamGone, in one of them since the second VM had no link yet, for which the test waits since then) and passes 5 of 5 after. The unit test of the end fails to compile before, as the store had no count. All 14 tests of stopping_gateway_test, streams_test and gateway_disconnect_test pass.

--- a/packages/heatherarch-gateway/gateway.ts
+++ b/packages/heatherarch-gateway/gateway.ts
@@ -133,12 +133,12 @@
     });
   }
 
-  /** Accepts no new connections. Resolves when none is left, or when the VM ends. */
+  /** Accepts no new connections. Resolves when nothing is open or runs any more, or when the VM ends. */
   async drain(): Promise<void> {
     const { shutdown } = this.#host;
     const ending = shutdown.awaitPhase("ending");
     await this.#drainer.closeListener();
-    while (shutdown.phase === "draining" && this.#hasOpenConnections) {
+    while (shutdown.phase === "draining" && this.#hasOpenWork) {
       this.#drainer.closeIdle();
       await Promise.race([sleep(DRAIN_POLL_MS), ending]);
     }
@@ -164,8 +164,10 @@
     this.#limits.removeIdleAccounts(this.#host.clock.readMonotonicMs());
   }
 
-  get #hasOpenConnections(): boolean {
-    return this.#inFlight + this.#drainer.openConnections > 0;
+  /** A resumable generation goes on without its client, which may read it through another VM. */
+  get #hasOpenWork(): boolean {
+    const { openConnections } = this.#drainer;
+    return this.#inFlight + openConnections + this.#store.running > 0;
   }
 
   async #handleRequest(ctx: Koa.Context): Promise<void> {
--- a/packages/heatherarch-gateway/generation_response.ts
+++ b/packages/heatherarch-gateway/generation_response.ts
@@ -69,9 +69,11 @@
       ? new StreamResponseWriter(ctx, options, reject)
       : new BufferedResponseWriter(ctx, options, reject);
     let isFinished = false;
+    let untrack = (): void => undefined;
     const finish = (error: ServeError | undefined): void => {
       if (isFinished) return;
       isFinished = true;
+      untrack();
       options.admitted.end(error === undefined);
       options.release();
       store.complete(requestId, error, host.limits.resumeWindowMs);
@@ -107,7 +109,12 @@
       return finish(error);
     }
     options.ending.setHandler(() => generation.endForShutdown());
-    if (resumable) return;
+    if (resumable) {
+      // It outlasts its request, which is tracked until the client has left.
+      untrack = host.shutdown.trackCall(generation);
+      if (isFinished) untrack();
+      return;
+    }
     registerResponseEnd(ctx, () => {
       // A client may disconnect between the end of the generation and that of its response.
       if (isFinished) return;
--- a/packages/heatherarch-gateway/generation_store.ts
+++ b/packages/heatherarch-gateway/generation_store.ts
@@ -22,6 +22,12 @@
 export class GenerationStore {
   readonly #entries = new Map<string, StoredGeneration>();
 
+  /** Number of generations that have not ended. */
+  get running(): number {
+    return [...this.#entries.values()]
+      .filter(({ state }) => state === "running").length;
+  }
+
   /** Adds a generation. */
   open(
     requestId: string,
--- a/packages/heatherarch-lab/tests/integration/stopping_gateway_test.ts
+++ b/packages/heatherarch-lab/tests/integration/stopping_gateway_test.ts
@@ -18,12 +18,14 @@
 
 let cluster: Cluster;
 
-async function startCluster({ bookingMs = BOOKING_MS } = {}): Promise<void> {
+async function startCluster(
+  { bookingMs = BOOKING_MS, vms = 1 } = {},
+): Promise<void> {
   cluster = new Cluster({
     deployment: await buildDeployment({
       ...SHAPES.small,
       availabilityZones: ["zone-a"],
-      vmsPerZone: 1,
+      vmsPerZone: vms,
     }),
     standins: { bookingMs, speeds: { stepMs: 60 } },
     settings: {
@@ -201,3 +203,26 @@
     assert.equal(JSON.parse(body).error.run, "unknown");
   }
 });
+
+// Guards against a resumable generation that a stopping VM ends although its grace period is not over: its
+// client has left and reads it through another VM, so no connection of the stopping VM is open.
+test("a resumable generation whose client has left goes on while its VM stops", async () => {
+  await startCluster({ vms: 2 });
+  const [first, second] = cluster.deployment.vms;
+  const abort = new AbortController();
+  const { body = "" } = buildStream(30);
+  const begun = await fetch(`http://${first.callers}/v1/completions`, {
+    method: "POST",
+    headers: { "x-heatherarch-resumable": "true" },
+    body,
+    signal: abort.signal,
+  });
+  const id = begun.headers.get("x-request-id") as string;
+  abort.abort();
+  const url = `http://${second.callers}/v1/streams/${id}?from=0`;
+  // The link between the VMs may not be ready yet.
+  let resumed = await fetch(url);
+  while (!resumed.ok) resumed = await fetch(url);
+  stopVm();
+  assert.match(await resumed.text(), /\[DONE\]/);
+});
--- a/packages/heatherarch-lab/tests/unit/generation_response_test.ts
+++ b/packages/heatherarch-lab/tests/unit/generation_response_test.ts
@@ -9,6 +9,7 @@
   handleResume,
   RequestEnding,
 } from "heatherarch-gateway";
+import type { Shutdown } from "heatherarch-shutdown";
 import {
   buildGenerationOptions,
   createFakeHost,
@@ -131,6 +132,25 @@
   assert.doesNotMatch(text, /"delta"/);
 });
 
+// Guards against a resumable generation that a VM leaves running as it ends: its client, which reads it
+// through another VM, is told nothing.
+test("a resumable generation whose client has left ends with the VM", async () => {
+  const request = createRequest(true);
+  request.attempts[0].sink.onTokens(["one"]);
+  request.res.emit("close");
+  assert.equal(request.store.running, 1);
+  const shutdown = request.host.shutdown as Shutdown;
+  shutdown.begin();
+  shutdown.end();
+  await request.done;
+  assert.equal(request.store.running, 0);
+  const { state, kind } = request.store.read("r", 0);
+  assert.deepEqual({ state, kind }, {
+    state: "failed",
+    kind: "answerIncomplete",
+  });
+});
+
 // Guards against streams that are cut in the middle of an event when the VM ends.
 test("a stream in progress when the VM ends gets an error event, and its engine is stopped", async () => {
   const request = createRequest();
