Ingress: an early pipelined request waits for each response before it that may be cut

Cause: a request behind a response that ends in time ran beside it, also if that one itself waited behind a response that outlasts the VM; all of them are cut together. A response now counts as ending no sooner than the one ahead of it.

Measured: the new test of ingress_test failed before (the third request had run) and passes.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -77,7 +77,7 @@
   readonly #admission = new RequestAdmission();
   readonly #drainer: ConnectionDrainer;
   readonly #reads: ClientReads;
-  /** Monotonic times at which the calls of responses time out, milliseconds. */
+  /** Monotonic times at which responses end at the latest, milliseconds. */
   readonly #timeoutsAtMs = new WeakMap<ServerResponse, number>();
   #limits = INITIAL_LIMITS;
   #openCalls = 0;
@@ -186,10 +186,7 @@
     const clientResponse = new HttpClientResponse(response, connection);
     try {
       const head = this.#readHead(request, arrivedAtMs);
-      this.#timeoutsAtMs.set(
-        response,
-        this.#options.server.findTimeoutAtMs(head),
-      );
+      this.#recordTimeout(request, response, head);
       const body = await this.#readBody(request);
       if (body === undefined) return;
       await this.#awaitOrder(request, connection);
@@ -204,6 +201,20 @@
     }
   }
 
+  /** Records when a response ends at the latest, which is not before the one ahead of it. */
+  #recordTimeout(
+    request: IncomingMessage,
+    response: ServerResponse,
+    head: Omit<ForwardedCall, "body">,
+  ): void {
+    const before = this.#drainer.findBefore(request);
+    const beforeAtMs = before === undefined
+      ? 0
+      : this.#timeoutsAtMs.get(before) ?? Infinity;
+    const timeoutAtMs = this.#options.server.findTimeoutAtMs(head);
+    this.#timeoutsAtMs.set(response, Math.max(timeoutAtMs, beforeAtMs));
+  }
+
   /**
    * Waits for the response before a request's own if that one may be cut as the VM ends, and this one's with
    * it. Late requests are refused instead.
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -44,7 +44,7 @@
 async function connectClient(
   serveMs = 0,
   bodyPauseMs = 0,
-  timeoutMs = 100,
+  ...timeoutsMs: number[]
 ): Promise<Connected> {
   const clock = new RuntimeClock();
   const bodies: string[] = [];
@@ -64,7 +64,10 @@
       if (bodyPauseMs > 0) await sleep(bodyPauseMs);
       response.end(Buffer.from("k"));
     },
-    findTimeoutAtMs: () => clock.readMonotonicMs() + timeoutMs,
+    findTimeoutAtMs: () => {
+      const timeoutMs = timeoutsMs.shift() ?? SHORT_TIMEOUT_MS;
+      return clock.readMonotonicMs() + timeoutMs;
+    },
   } satisfies Pick<CallServer, "serve" | "findTimeoutAtMs">;
   const codec = {
     decodeCall: () => ({}) as ForwardedCall,
@@ -292,6 +295,7 @@
 
 /** Longer than the grace period of {@linkcode createShutdown}. */
 const LONG_TIMEOUT_MS = 60_000;
+const SHORT_TIMEOUT_MS = 100;
 
 // Guards against a call that runs early in a shutdown behind a response which outlasts the VM, and is cut with
 // it although the call itself would have ended.
@@ -329,6 +333,25 @@
   assert.deepEqual(bodies, ["body"]);
 });
 
+// Guards against a call that runs beside a response that ends in time, but waits behind one that is cut.
+test("an early request waits for all responses before it if one of them may be cut", async () => {
+  const { client, shutdown, bodies, readReceived } = await connectClient(
+    0,
+    300,
+    LONG_TIMEOUT_MS,
+  );
+  const ended = once(client, "end");
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(5);
+  shutdown.begin();
+  client.write(REQUEST + "more");
+  client.write(REQUEST + "last");
+  await sleep(100);
+  assert.deepEqual(bodies, ["body"]);
+  await ended;
+  assert.deepEqual(bodies, ["body", "more", "last"]);
+});
+
 // Guards against requests that wait for each other although all of them end before the VM does.
 test("an early request runs beside a response before it that ends in time", async () => {
   const { client, shutdown, bodies, readReceived } = await connectClient(
