Handover: a VM that stops waits until peers have what it has sent them

What callers saw: by reading, a response of a VM that does not stop is cut although its call has ended: the peer that served it stopped while the connection of a slow client held back what the peer had written.

Cause: a call that a peer sends counts as ended with the last write to the peer's link, up to one write buffer before its bytes are gone. A VM with no other call ends then, and closes the link with what is in it. Connections of clients count until they are written.

Change: HandoverServer tells whether all is written; the VM drains until it is, and waits for it, within the same bound, as it ends.

Not shown with two whole VMs.

--- a/packages/heatherarch-forward/forward_vm.ts
+++ b/packages/heatherarch-forward/forward_vm.ts
@@ -628,7 +628,7 @@
     let isFlushed = false;
     const hasOpenWork = (): boolean =>
       ingress.openCalls + ingress.openConnections + handoverServer.openCalls >
-        0;
+        0 || !handoverServer.isWritten;
     while (shutdown.phase === "draining" && hasOpenWork()) {
       // After a standstill, this runs before the requests that have arrived meanwhile are read.
       await readBarrier.awaitRead();
@@ -650,12 +650,13 @@
 
   /** Waits until the last responses to clients and peers are written. */
   async #awaitWritten(): Promise<void> {
-    const { clock, ingress } = this.#components;
+    const { clock, ingress, handoverServer } = this.#components;
     const untilMs = clock.readMonotonicMs() + MAX_WRITE_MS;
-    // Peers have connections of their own, which tell nothing of what is unwritten.
+    // Calls that the end of the VM has ended write their last response some steps later.
     await sleep(MIN_WRITE_MS);
+    const isWritten = () => ingress.isWritten && handoverServer.isWritten;
     do await sleep(WRITE_POLL_MS); while (
-      !ingress.isWritten && clock.readMonotonicMs() < untilMs
+      !isWritten() && clock.readMonotonicMs() < untilMs
     );
   }
 
--- a/packages/heatherarch-handover/handover_server.ts
+++ b/packages/heatherarch-handover/handover_server.ts
@@ -75,6 +75,11 @@
     return [...this.#sessions].filter(({ isBusy }) => isBusy).length;
   }
 
+  /** Whether all that was sent to peers has been handed to the operating system. */
+  get isWritten(): boolean {
+    return [...this.#sessions].every(({ isWritten }) => isWritten);
+  }
+
   /** Accepts a connection of a peer. */
   accept(link: Link): LinkListener {
     const session = new Session(link, {
@@ -134,6 +139,10 @@
     return this.#state === "accepted" || this.#state === "serving";
   }
 
+  get isWritten(): boolean {
+    return this.#link.isWritten;
+  }
+
   get isDisconnected(): boolean {
     return this.#state === "closed";
   }
--- a/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
+++ b/packages/heatherarch-handover/tests/unit/handover_connection_test.ts
@@ -35,7 +35,7 @@
 async function startPeer(
   options: Partial<HandoverServerOptions> = {},
   hasHandovers = true,
-): Promise<{ server: HandoverServer; mesh: string }> {
+): Promise<{ server: HandoverServer; mesh: string; stop: () => void }> {
   const server = new HandoverServer({
     decideOffer: () => Promise.resolve(undefined),
     serve: (_head, body, responder) => {
@@ -66,7 +66,7 @@
   });
   await node.start();
   cleanups.push(() => node.stop());
-  return { server, mesh };
+  return { server, mesh, stop: () => node.stop() };
 }
 
 function startClient(mesh: string, sharedKey = KEY): HandoverClient {
@@ -230,6 +230,32 @@
   assert.equal(body.length, total);
 });
 
+// Guards against a response that is cut although its call has ended: the peer stops while the connection of a
+// slow client holds back what it has written.
+test("a peer that stops when all is written sends whole responses to slow clients", async () => {
+  const total = 15 * 1024 * 1024;
+  const { server, mesh, stop } = await startPeer({
+    serve: (_head, _body, responder) => {
+      responder.sendHead({});
+      responder.sendBytes(Buffer.alloc(total));
+      responder.end();
+      return Promise.resolve();
+    },
+  });
+  const connection = await offerCall(startClient(mesh));
+  const ended = sendCall(connection, Buffer.alloc(0));
+  connection.pause();
+  await sleep(200);
+  const isOpen = () => server.openCalls > 0 || !server.isWritten;
+  assert.ok(isOpen(), "the response is not written");
+  setTimeout(() => connection.resume(), 200);
+  while (isOpen()) await sleep(5);
+  stop();
+  const { end, body } = await ended;
+  assert.equal(end, "end");
+  assert.equal(body.length, total);
+});
+
 // Guards against a rolling upgrade in which a call is lost at a peer that knows no handovers.
 test("a peer without handovers is unreachable for offers", async () => {
   const { mesh } = await startPeer({}, false);
--- a/packages/heatherarch-mesh/link.ts
+++ b/packages/heatherarch-mesh/link.ts
@@ -109,6 +109,11 @@
     return this.#bytesReceived;
   }
 
+  /** Whether all that was sent has been handed to the operating system. */
+  get isWritten(): boolean {
+    return this.#options.socket.writableLength === 0;
+  }
+
   /**
    * Sends a message. A message to a closed link is dropped. Returns false if the next one should
    * wait for {@linkcode registerDrainListener}.
