Handover: a call whose peer ended before it was sent goes to the next peer

What callers saw: by reading, 502 answerIncomplete for a call that no VM had sent, also one that may run once and so must not be sent again by its client.

Cause: a call waits between the acceptance of its peer and its sending, for a fresh target list or as its own VM stands still. A peer that ends meanwhile, or closes the connection after 2 s without the call, was taken for one that may have run it.

Change: CallHandover asks the next peer if the connection has closed.

Measured: the new test of handover_context_test failed before (the call went to the closed connection of peer-1) and passes now, 9 of 9 in the file. Not shown with whole VMs. A hedge has no wait between the two.

--- a/packages/heatherarch-forward/calls/call_handover.ts
+++ b/packages/heatherarch-forward/calls/call_handover.ts
@@ -111,6 +111,8 @@
         return "ended";
       }
       if (connection === undefined) return "declined";
+      // The peer has ended meanwhile, and the call has not been sent.
+      if (connection.isClosed) continue;
       this.#onAccepted();
       const result = await this.#serveAt(connection);
       if (result.kind === "ended" || context.hasEnded) return "ended";
--- a/packages/heatherarch-forward/tests/unit/handover_context_test.ts
+++ b/packages/heatherarch-forward/tests/unit/handover_context_test.ts
@@ -192,8 +192,14 @@
 /** Counts with which a peer ends a call, or undefined for a peer of earlier software. */
 type ToldCounts = AttemptCounts | undefined;
 
-/** Hands a call that may have run here over to two peers. Returns those that got it. */
-async function handOver(told: ToldCounts): Promise<{
+/**
+ * Hands a call that may have run here over to two peers. Returns those that got it. The first one ends it
+ * with a failure, or has closed its connection since it accepted.
+ */
+async function handOver(
+  told: ToldCounts,
+  { hasClosed = false } = {},
+): Promise<{
   peers: string[];
   failures: ServeError[];
 }> {
@@ -206,7 +212,8 @@
       send: (_head: unknown, _body: Buffer, listener: RelayListener) => {
         peers.push(id);
         queueMicrotask(() => {
-          if (peers.length === 1) {
+          if (hasClosed && id === "peer-1") return listener.onLost("closed");
+          if (!hasClosed && peers.length === 1) {
             const error = { kind: "answerIncomplete", run: "unknown" };
             const failure = { ...error, message: "no retries", ...told };
             return listener.onFailure({ ...failure, retryAfterMs: 0 });
@@ -216,7 +223,7 @@
         });
       },
       close: () => undefined,
-      isClosed: false,
+      isClosed: hasClosed && id === "peer-1",
     } as unknown as HandoverConnection);
   };
   const { context, failures } = buildContext({ offerCall });
@@ -252,3 +259,11 @@
     assert.deepEqual(failures.map(({ kind }) => kind), ["answerIncomplete"]);
   }
 });
+
+// Guards against a call that fails as one that may have run at a peer, although it was never sent: the peer
+// ended while the call waited for a fresh target list.
+test("a call whose peer ended before it was sent is handed over to the next peer", async () => {
+  const { peers, failures } = await handOver(undefined, { hasClosed: true });
+  assert.deepEqual(peers, ["peer-2"]);
+  assert.deepEqual(failures, []);
+});
