Streams: a silent engine is kept if no other one can begin in time

A resumable stream without a head is given up after 0.9 s of silence, and one whose engine does not report which incarnation it is after 1.5 s or half of the time left. Then the queue refused the prompt, as its client is expected to leave before another engine can begin, and the client got 502 ("no time left to resume at another engine") while its engine went on a moment later. The VM gave up what it had before it had anything better.

It now asks the queue's own limits first: without time for another prefill, the engine is kept until it responds, its exchange fails or the call times out. Streams that have begun are judged as before, since their client's timeout begins anew with each event.

--- a/packages/heatherarch-forward/calls/generation_handler.ts
+++ b/packages/heatherarch-forward/calls/generation_handler.ts
@@ -201,6 +201,11 @@
     return context.hasEnded;
   }
 
+  /** Whether another engine can begin the stream in time. If not, a silent one is kept as long as the call. */
+  #canRunAgainInTime(): boolean {
+    return this.#prefill.canPrefillInTime(this.#relay.lastEventId);
+  }
+
   #mayContinue(): boolean {
     const { hasEnded, remainingMs, mayRunAgain } = this.#context;
     return !hasEnded && mayRunAgain && remainingMs >= MIN_ROUND_MS;
@@ -470,7 +475,9 @@
     }
     if (!signed) return "successful response without a signature";
     if (this.#context.route.kind !== "resumableStream") return undefined;
-    const isListed = await confirmIncarnation(this.#context, target, exchange);
+    const isListed = await confirmIncarnation(this.#context, target, exchange, {
+      canGoElsewhere: () => this.#canRunAgainInTime(),
+    });
     return isListed ? undefined : "the engine may be another incarnation";
   }
 
@@ -487,7 +494,7 @@
     if (!this.#mayContinue()) return false;
     const { pathMonitor } = context.dependencies;
     if (!await pathMonitor.confirmPath(context.service.name)) return false;
-    return this.#decodeEngines.hasOther(target.id);
+    return this.#decodeEngines.hasOther(target.id) && this.#canRunAgainInTime();
   }
 
   #handleRelayResult(
--- a/packages/heatherarch-forward/calls/incarnation_check.ts
+++ b/packages/heatherarch-forward/calls/incarnation_check.ts
@@ -141,15 +141,22 @@
   }
 }
 
+/** Options of {@linkcode confirmIncarnation}. */
+export interface ConfirmIncarnationOptions {
+  /** Whether the call can still be served by another target in time. */
+  readonly canGoElsewhere: () => boolean;
+}
+
 /**
  * Resolves with whether what has arrived of a response is from the listed incarnation of its target.
  * While that is not known, it asks again: until the call or the exchange has failed, or until a call
- * that may run elsewhere has to go on.
+ * that can run elsewhere has to go on.
  */
 export async function confirmIncarnation(
   context: CallContext,
   target: Target,
   exchange: TargetExchange,
+  { canGoElsewhere }: ConfirmIncarnationOptions,
 ): Promise<boolean> {
   const { incarnationCheck } = context.dependencies;
   const maxWaitMs = computeMaxWaitMs(context);
@@ -159,7 +166,7 @@
   });
   const stopTimer = maxWaitMs === undefined
     ? () => undefined
-    : startStallAwareTimer(giveUp, maxWaitMs);
+    : startStallAwareTimer(() => canGoElsewhere() && giveUp(), maxWaitMs);
   void context.ended.then(giveUp);
   void exchange.ended.then((end) => end !== "ended" && giveUp());
   try {
--- a/packages/heatherarch-forward/calls/prompt_prefill.ts
+++ b/packages/heatherarch-forward/calls/prompt_prefill.ts
@@ -5,7 +5,11 @@
  * @module
  */
 import type { CallContext } from "./call_context.ts";
-import { computeWaitLimits } from "../scheduling/client_timeout.ts";
+import {
+  computeWaitLimits,
+  type WaitLimits,
+} from "../scheduling/client_timeout.ts";
+import { computeLateTimeoutAtMs } from "../scheduling/waiting_call.ts";
 import {
   listAvailableEngines,
   listUsableEngines,
@@ -138,6 +142,19 @@
     }
   }
 
+  /**
+   * Whether the queue would still accept the prompt. It refuses one whose stream would begin after its client
+   * is expected to have left. Without a prefill engine, a decode engine can take the prompt at any time.
+   */
+  canPrefillInTime(lastEventId: string | undefined): boolean {
+    const placement = this.#findPlacement();
+    if (placement === undefined) return true;
+    const { nowMs, route: { aimMs } } = this.#context;
+    const limits = { aimMs, ...this.#computeLimits(lastEventId !== undefined) };
+    const timeoutAtMs = computeLateTimeoutAtMs(limits, placement);
+    return nowMs + placement.readyMs <= timeoutAtMs - this.#responseDelayMs;
+  }
+
   /** Releases a KV cache that no engine will take over. */
   releaseCache({ engine, kvSource }: PrefilledPrompt): void {
     const { connections, codec, directory, log } = this.#context.dependencies;
@@ -252,15 +269,9 @@
   /** Waits until an engine is about to be free, and books the prefill there. */
   #awaitBooking(isResumed: boolean): Promise<BookedPrefill | PrefillResult> {
     const context = this.#context;
-    const { prefillQueue, prefillTimeModel, pathMonitor } =
-      context.dependencies;
+    const { prefillQueue, pathMonitor } = context.dependencies;
     const { priority, route: { aimMs } } = context;
-    const { waitStartedAtMs, timeoutAtMs } = computeWaitLimits({
-      arrivedAtMs: context.call.arrivedAtMs,
-      deadlineAtMs: context.deadlineAtMs,
-      aimMs,
-      ...(isResumed ? { interruptedAtMs: context.nowMs } : {}),
-    });
+    const { waitStartedAtMs, timeoutAtMs } = this.#computeLimits(isResumed);
     return new Promise((resolve, reject) => {
       let removeListener = (): void => undefined;
       const settle = (result: BookedPrefill | PrefillResult): void => {
@@ -277,7 +288,7 @@
         waitStartedAtMs,
         aimMs,
         timeoutAtMs,
-        responseDelayMs: FIRST_TOKEN_MS + prefillTimeModel.latencyMs,
+        responseDelayMs: this.#responseDelayMs,
         findPlacement: () => this.#findPlacement(),
         mayPlaceLate: () => this.#mayPrefillLate(),
         onOutcome: (outcome) =>
@@ -305,6 +316,22 @@
     });
   }
 
+  #computeLimits(isResumed: boolean): WaitLimits {
+    const { call, deadlineAtMs, route: { aimMs }, nowMs } = this.#context;
+    return computeWaitLimits({
+      arrivedAtMs: call.arrivedAtMs,
+      deadlineAtMs,
+      aimMs,
+      ...(isResumed ? { interruptedAtMs: nowMs } : {}),
+    });
+  }
+
+  /** Time from the end of a prefill to the first event, milliseconds. */
+  get #responseDelayMs(): number {
+    const { prefillTimeModel } = this.#context.dependencies;
+    return FIRST_TOKEN_MS + prefillTimeModel.latencyMs;
+  }
+
   #beginPrefill(placed: LanePlacement): BookedPrefill {
     const { placement: { target, costMs }, lane } = placed;
     const { workTracker, prefillTimeModel, metrics } =
--- a/packages/heatherarch-forward/scheduling/waiting_call.ts
+++ b/packages/heatherarch-forward/scheduling/waiting_call.ts
@@ -44,6 +44,12 @@
   hasEnded: boolean;
 }
 
+/** What decides until when a call waits. */
+export type CallLimits = Pick<
+  QueuedCall,
+  "waitStartedAtMs" | "aimMs" | "timeoutAtMs"
+>;
+
 type OrderedCall = Pick<QueuedCall, "waitStartedAtMs" | "aimMs" | "lane">;
 
 /** A call with the placement that it may get. */
@@ -60,7 +66,10 @@
 
 /** Whether a prompt takes so long that it is seldom on time. */
 export function isLarge<P extends CallPlacement>(
-  { request, placement }: ConsideredCall<P>,
+  { request, placement }: {
+    readonly request: Pick<QueuedCall, "aimMs">;
+    readonly placement: P | undefined;
+  },
 ): boolean {
   if (placement === undefined) return false;
   return placement.costMs > request.aimMs * LARGE_COST_FRACTION;
@@ -106,7 +115,7 @@
 
 /** Time until which a late call waits. */
 export function computeLateTimeoutAtMs<P extends CallPlacement>(
-  request: WaitingCall<P>,
+  request: CallLimits,
   placement: P,
 ): number {
   const { waitStartedAtMs, timeoutAtMs } = request;
--- a/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
+++ b/packages/heatherarch-forward/tests/unit/incarnation_check_test.ts
@@ -91,6 +91,17 @@
   assert.equal(await check.check(TARGET), "other");
 });
 
+// Guards against a stream that is given up although no other engine could begin it in time.
+test("a stream that can't go elsewhere waits for its silent engine", async () => {
+  const { check, state } = buildCheck(undefined);
+  const { confirmed } = buildStream(check, {
+    remainingMs: 400,
+    canGoElsewhere: false,
+  });
+  setTimeout(() => state.startedAtMs = 1, 600);
+  assert.equal(await confirmed, true);
+});
+
 // Guards against a stream that waits until its deadline for the report of a silent engine.
 test("a target that sends no report is not confirmed, and is not waited for", async () => {
   const { check } = buildCheck(undefined);
@@ -170,7 +181,7 @@
 /** Builds a call with a stream whose head has arrived. */
 function buildStream(
   check: IncarnationCheck,
-  { mayRunAgain = true, remainingMs = 5000 } = {},
+  { mayRunAgain = true, remainingMs = 5000, canGoElsewhere = true } = {},
 ) {
   let end!: () => void;
   let fail!: (error: ExchangeError) => void;
@@ -187,7 +198,9 @@
       fail = resolve;
     }),
   } as unknown as TargetExchange;
-  const confirmed = confirmIncarnation(context, TARGET, exchange);
+  const confirmed = confirmIncarnation(context, TARGET, exchange, {
+    canGoElsewhere: () => canGoElsewhere,
+  });
   return { confirmed, end, fail };
 }
 
