Shutdown: a refusal that closes its connection leaves no request behind it

What callers saw: pipelined requests at a VM of our own daemon without a configuration: the first one was refused, the others, read whole, got neither a response nor a refusal.

Cause: closeAfter made a response the last one of its connection although another request had been read and admitted behind it; the runtime discards the responses behind the last one. Only heads written in a shutdown looked.

Change: closeAfter and heads follow the same rule; the response to the last request that was read closes the connection.

Measured: the new test of connection_drainer_test failed before (1 response of 2) and passes now; all 79 tests of heatherarch-shutdown, ingress_test and the gateway's unit tests pass. Not shown with a whole VM.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -130,7 +130,10 @@
     return before === undefined || before.writableFinished ? undefined : before;
   }
 
-  /** Makes a response the last one of its connection, unless its head has been sent. */
+  /**
+   * Makes a response the last one of its connection, unless its head has been sent or another request has been
+   * read behind it.
+   */
   closeAfter(request: IncomingMessage, response: ServerResponse): void {
     if (!this.#recordFinal(request, response)) return;
     response.setHeader(CLOSE_HEADER[0], CLOSE_HEADER[1]);
@@ -140,7 +143,7 @@
   #recordFinal(request: IncomingMessage, response: ServerResponse): boolean {
     const state = this.#requests.get(request)?.connection;
     if (state === undefined || state.final !== undefined) return false;
-    if (response.headersSent) return false;
+    if (response.headersSent || state.last !== request) return false;
     const { socket } = state;
     state.final = request;
     // The runtime closes the connection in a listener of the same event that was added before.
@@ -226,9 +229,8 @@
       ...rest: (string | OutgoingHttpHeader)[]
     ) => ServerResponse;
     response.writeHead = (status: number, ...rest: never[]): ServerResponse => {
-      const isLast = this.#options.isStopping() && state.last === request;
       const headers: unknown = rest.at(-1);
-      if (!isLast) return writeHead(status, ...rest);
+      if (!this.#options.isStopping()) return writeHead(status, ...rest);
       if (!Array.isArray(headers)) this.closeAfter(request, response);
       else if (this.#recordFinal(request, response)) {
         // Headers that are set before a list of headers would leave one of each name in it.
--- a/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
@@ -436,3 +436,22 @@
   await once(response, "drain");
   assert.equal(server.drainer.isWritten, true);
 });
+
+// Guards against requests without a response behind one that is refused with the end of its connection, as at
+// a VM that has no configuration yet.
+test(
+  "closes a connection behind the last request that was read",
+  BOUND,
+  async (context) => {
+    const { server, client } = await openConnection(context);
+    client.send(buildRequest("/1") + buildRequest("/2"));
+    await server.awaitRequests(2);
+    for (const [index, { request, response }] of server.requests.entries()) {
+      server.drainer.closeAfter(request, response);
+      server.respond(index);
+    }
+    await client.awaitClose();
+    assert.equal(client.countResponses(200), 2);
+    assert.match(client.received, CLOSE_HEADER);
+  },
+);
