Ingress: requests behind the last response are refused although the log fails

What callers saw: requests that were read whole behind the last response of their connection got neither a response nor a refusal, if the log line of the refusal could not be written.

Cause: the refusal is built in a listener of the response's end. An error of the log there also kept the runtime from closing the connection, which stayed open until the VM ended.

Change: the line is written guarded, as those of calls are.

Measured: the new test of ingress_test failed before (uncaught "broken log", and no end of the connection within 5 s) and passes now, 20 of 20 in the file.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -267,11 +267,16 @@
   /** Refuses a request that follows the last response of its connection. */
   #refuseBehind(request: IncomingMessage): LateRefusal {
     const error = buildShutdownError();
-    this.#options.log.write("warn", "callRejected", {
-      kind: error.kind,
-      reason: "the response before it is the last one of its connection",
-      path: request.url,
-    });
+    runReported(
+      this.#options,
+      "call",
+      () =>
+        this.#options.log.write("warn", "callRejected", {
+          kind: error.kind,
+          reason: "the response before it is the last one of its connection",
+          path: request.url,
+        }),
+    );
     return {
       status: error.status,
       retryAfter: formatRetryAfter(error.retryAfterMs),
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -8,6 +8,7 @@
 import {
   type CallCodec,
   type CallServer,
+  type EventLog,
   type ForwardedCall,
   ForwardMetrics,
   Ingress,
@@ -41,11 +42,21 @@
   readonly readReceived: () => string;
 }
 
+interface ConnectOptions {
+  /** Time that a call takes, milliseconds. */
+  readonly serveMs?: number;
+  /** Time between the head and the body of each response, milliseconds. */
+  readonly bodyPauseMs?: number;
+  /** Timeouts of the first calls; that of the others is short, milliseconds. */
+  readonly timeoutsMs?: readonly number[];
+  readonly log?: EventLog;
+}
+
 async function connectClient(
-  serveMs = 0,
-  bodyPauseMs = 0,
-  ...timeoutsMs: number[]
+  { serveMs = 0, bodyPauseMs = 0, timeoutsMs = [], log = new MemoryEventLog() }:
+    ConnectOptions = {},
 ): Promise<Connected> {
+  const remainingTimeoutsMs = [...timeoutsMs];
   const clock = new RuntimeClock();
   const bodies: string[] = [];
   const server = {
@@ -65,7 +76,7 @@
       response.end(Buffer.from("k"));
     },
     findTimeoutAtMs: () => {
-      const timeoutMs = timeoutsMs.shift() ?? SHORT_TIMEOUT_MS;
+      const timeoutMs = remainingTimeoutsMs.shift() ?? SHORT_TIMEOUT_MS;
       return clock.readMonotonicMs() + timeoutMs;
     },
   } satisfies Pick<CallServer, "serve" | "findTimeoutAtMs">;
@@ -80,7 +91,7 @@
     codec: codec as unknown as CallCodec,
     server: server as unknown as CallServer,
     clock,
-    log: new MemoryEventLog(),
+    log,
     metrics: new ForwardMetrics(),
     shutdown,
   });
@@ -188,7 +199,9 @@
   // Guards against a 408 or 400 to a request that runs, and against a response that is cut off as a later
   // request of its connection is refused.
   test(`a request that is being served gets its response before one ${name}`, async () => {
-    const { client, bodies, readReceived } = await connectClient(SERVE_MS);
+    const { client, bodies, readReceived } = await connectClient({
+      serveMs: SERVE_MS,
+    });
     const ended = once(client, "end");
     client.write(REQUEST + "body");
     while (bodies.length === 0) await sleep(5);
@@ -202,7 +215,9 @@
 
 // Guards against a 408 to a request that runs, as the process stalled before it read the request.
 test("a request that arrives before a stall gets its response before one whose body is late", async () => {
-  const { client, bodies, readReceived } = await connectClient(SERVE_MS);
+  const { client, bodies, readReceived } = await connectClient({
+    serveMs: SERVE_MS,
+  });
   const ended = once(client, "end");
   client.write(REQUEST + "body" + REQUEST + "bo");
   stall();
@@ -226,7 +241,7 @@
 // Guards against a run whose client gets no response, as the one before it closes the connection.
 test("pipelined requests at a VM that shuts down are all responded to", async () => {
   const { client, ingress, shutdown, bodies, readReceived } =
-    await connectClient(100);
+    await connectClient({ serveMs: 100 });
   const ended = once(client, "end");
   shutdown.begin();
   client.write(REQUEST + "body" + REQUEST + "more");
@@ -240,7 +255,7 @@
 // Guards against a request that is read and dropped without a word, or run without a response.
 test("a request behind one whose response closes the connection is refused and not run", async () => {
   const { client, ingress, shutdown, bodies, readReceived } =
-    await connectClient(0, 100);
+    await connectClient({ bodyPauseMs: 100 });
   const ended = once(client, "end");
   shutdown.begin();
   client.write(REQUEST + "body");
@@ -265,6 +280,26 @@
   assert.deepEqual(bodies, ["body"]);
 });
 
+// Guards against refusals that are not written, on a connection that stays open, as their log line fails.
+test("requests behind the last response are refused although the log fails", async () => {
+  const log: EventLog = {
+    write: (_level, event) => {
+      if (event === "callRejected") throw new RangeError("broken log");
+    },
+  };
+  const { client, shutdown, readReceived } = await connectClient({
+    bodyPauseMs: 50,
+    log,
+  });
+  const ended = once(client, "end");
+  shutdown.begin();
+  client.write(REQUEST + "body");
+  while (readReceived() === "") await sleep(1);
+  client.write(REQUEST + "more" + REQUEST + "last");
+  await ended;
+  assert.deepEqual(listStatuses(readReceived()), ["200", "503", "503"]);
+});
+
 // Guards against a response that loses headers of the same name as it says that its connection closes.
 test("the last response of a connection keeps its repeated headers", async () => {
   const { client, shutdown, readReceived } = await connectClient();
@@ -278,10 +313,9 @@
 
 // Guards against a call that runs behind a response which is cut when the VM ends, and its own with it.
 test("a late request behind a response that goes on is refused and not run", async () => {
-  const { client, shutdown, bodies, readReceived } = await connectClient(
-    0,
-    3000,
-  );
+  const { client, shutdown, bodies, readReceived } = await connectClient({
+    bodyPauseMs: 3000,
+  });
   const ended = once(client, "end");
   client.write(REQUEST + "body");
   while (readReceived() === "") await sleep(5);
@@ -300,11 +334,10 @@
 // Guards against a call that runs early in a shutdown behind a response which outlasts the VM, and is cut with
 // it although the call itself would have ended.
 test("an early request waits for a response before it that may be cut", async () => {
-  const { client, shutdown, bodies, readReceived } = await connectClient(
-    0,
-    300,
-    LONG_TIMEOUT_MS,
-  );
+  const { client, shutdown, bodies, readReceived } = await connectClient({
+    bodyPauseMs: 300,
+    timeoutsMs: [LONG_TIMEOUT_MS],
+  });
   const ended = once(client, "end");
   client.write(REQUEST + "body");
   while (readReceived() === "") await sleep(5);
@@ -320,7 +353,7 @@
 // Guards against a request that waits behind a response which is cut, and runs although the VM has ended.
 test("a request that waits for a response which is cut is not run", async () => {
   const { client, ingress, shutdown, bodies, readReceived } =
-    await connectClient(0, 300, LONG_TIMEOUT_MS);
+    await connectClient({ bodyPauseMs: 300, timeoutsMs: [LONG_TIMEOUT_MS] });
   client.write(REQUEST + "body");
   while (readReceived() === "") await sleep(5);
   shutdown.begin();
@@ -335,11 +368,10 @@
 
 // Guards against a call that runs beside a response that ends in time, but waits behind one that is cut.
 test("an early request waits for all responses before it if one of them may be cut", async () => {
-  const { client, shutdown, bodies, readReceived } = await connectClient(
-    0,
-    300,
-    LONG_TIMEOUT_MS,
-  );
+  const { client, shutdown, bodies, readReceived } = await connectClient({
+    bodyPauseMs: 300,
+    timeoutsMs: [LONG_TIMEOUT_MS],
+  });
   const ended = once(client, "end");
   client.write(REQUEST + "body");
   while (readReceived() === "") await sleep(5);
@@ -354,10 +386,9 @@
 
 // Guards against requests that wait for each other although all of them end before the VM does.
 test("an early request runs beside a response before it that ends in time", async () => {
-  const { client, shutdown, bodies, readReceived } = await connectClient(
-    0,
-    300,
-  );
+  const { client, shutdown, bodies, readReceived } = await connectClient({
+    bodyPauseMs: 300,
+  });
   const ended = once(client, "end");
   client.write(REQUEST + "body");
   while (readReceived() === "") await sleep(5);
@@ -406,7 +437,7 @@
 
 // Guards against a shutdown that waits for responses that nobody can get any more.
 test("requests whose client has left are no open calls", async () => {
-  const { client, ingress, bodies } = await connectClient(200);
+  const { client, ingress, bodies } = await connectClient({ serveMs: 200 });
   client.write(REQUEST + "body" + REQUEST + "more");
   while (bodies.length < 2) await sleep(5);
   assert.equal(ingress.openCalls, 2);
