--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -120,7 +120,7 @@
     state.open++;
     state.lastResponse = response;
     response.once("close", () => this.#recordEnd(socket, state));
-    this.#watchHead(request, response, state);
+    this.#watchHead(request, response);
     return true;
   }
 
@@ -222,7 +222,6 @@
   #watchHead(
     request: IncomingMessage,
     response: ServerResponse,
-    state: ConnectionState,
   ): void {
     const writeHead = response.writeHead.bind(response) as (
       status: number,
