Shutdown: only a late process reads before it ends its calls

Each end of calls waited for a read, which takes a part of the exit margin on a busy machine. That the wait is the cause is suspected, not shown. A process whose timer is in time has read what had arrived, so only one that is late by 20 ms waits now.

--- a/packages/heatherarch-shutdown/shutdown.ts
+++ b/packages/heatherarch-shutdown/shutdown.ts
@@ -33,8 +33,8 @@
   /** Time before the kill at which the last calls end, milliseconds. */
   readonly exitMarginMs?: number;
   /**
-   * Resolves when what has arrived in the sockets has been read. Calls end after it, so that a process that
-   * stood still delivers the responses that wait in its sockets. Without it they end at once.
+   * Resolves when what has arrived in the sockets has been read. If the process stood still over the end,
+   * calls end after it, so that the responses that wait in the sockets are delivered.
    */
   readonly awaitRead?: () => Promise<void>;
   /** Called with each call that has ended since the begin. */
@@ -74,9 +74,11 @@
 
 /** Time before the kill in which the last responses and log lines are written, milliseconds. */
 const EXIT_MARGIN_MS = 300;
+/** A process that learns this late of its end has stood still, and has not read what arrived, milliseconds. */
+const LATE_MS = 20;
 /**
- * Longest time for which the end of calls waits for what has arrived, milliseconds. It is a part of the exit
- * margin; a pass over all sockets of a busy process takes less.
+ * Longest time for which a late end of calls waits for what has arrived, milliseconds. It is a part of the
+ * exit margin; a pass over all sockets of a busy process takes less.
  */
 const MAX_READ_MS = 100;
 /** A sound target may fall silent for this long and go on, milliseconds. */
@@ -286,7 +288,8 @@
 
   async #endCalls(): Promise<void> {
     const { awaitRead } = this.#options;
-    if (awaitRead !== undefined && this.#calls.size > 0) {
+    const isLate = -this.remainingMs >= LATE_MS;
+    if (awaitRead !== undefined && isLate && this.#calls.size > 0) {
       await this.#awaitReadBounded(awaitRead);
     }
     this.#endOpenCalls();
--- a/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/shutdown_test.ts
@@ -13,6 +13,7 @@
 const LIFE_MS = GRACE_MS - EXIT_MARGIN_MS;
 const TARGET_SILENCE_MS = 1500;
 const FORECAST_MS = 2000;
+const LATE_MS = 20;
 const MAX_READ_MS = 100;
 const ROUTE = "route";
 
@@ -325,6 +326,7 @@
     const fixture = new ShutdownFixture(context, { awaitRead: () => read });
     const call = fixture.trackCall();
     fixture.shutdown.begin();
+    fixture.suspend(LATE_MS);
     fixture.advance(LIFE_MS);
     fixture.advance(MAX_READ_MS);
     await fixture.shutdown.awaitCallEnd();
@@ -333,6 +335,18 @@
   }
 });
 
+// Guards against a process that is killed, as each stop takes a part of its exit margin to read.
+test("ends calls at once if the process is not late", (context) => {
+  const awaitRead = (): Promise<void> => new Promise(() => {});
+  const fixture = new ShutdownFixture(context, { awaitRead });
+  const call = fixture.trackCall();
+  fixture.shutdown.begin();
+  fixture.advance(NOTICE_MS);
+  fixture.suspend(LATE_MS - 1);
+  fixture.advance(LIFE_MS - NOTICE_MS);
+  assert.equal(call.ends, 1);
+});
+
 // Guards against a call that is ended twice, as a listener of the ending phase tracked it.
 test("ends a call once that a listener of the ending phase tracks", (context) => {
   const fixture = new ShutdownFixture(context);
