end_confirmation_test: probes are counted by a paused clock

Cause: the test sent 100 ends with a sleep of 2 ms between them and allowed 40 probes. Probes have an interval of 20 ms, so their number follows from the time that the sleeps really take: with an event loop that is blocked for 15, 40 or 100 ms after each 10 ms, it counted 53, 100 and 100 probes (3 of 3 runs red). Change: the ends come each 2 ms of a paused clock, 11 probes are allowed for their 200 ms, and none waits for more than 40 ms (200 ms before). Green with the loop blocked for 15 ms after each 10 ms. Evidence: the test fails with an interval of 0 ms (41 probes, of which the earlier bound took 40) and with one of 60 ms.

--- a/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -12,6 +12,7 @@
   type TargetExchange,
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
+import { PausedTime } from "./paused_time.ts";
 
 /** How a target responds to a probe: with a report of a start, as a plain target, or not at all. */
 type ProbeReply = "plain" | "misdirected" | "lost" | ExchangeError | number;
@@ -111,17 +112,23 @@
   assert.equal(state.maxInFlight, 1);
 });
 
-test("many ends in a row cost few probes, and none waits for long", async () => {
+// Guards against a probe for each of many responses without length, and against ends that wait for the
+// end of a row of others.
+test("many ends in a row cost few probes, and none waits for long", async (t) => {
+  const time = new PausedTime(t);
   const { confirm, state } = buildConfirmation({ replies: ["plain"] });
-  const waits: Promise<number>[] = [];
+  const waits: number[] = [];
   for (let i = 0; i < 100; i++) {
-    const endedAtMs = performance.now();
-    waits.push(confirm(PLAIN).then(() => performance.now() - endedAtMs));
-    await sleep(2);
+    const endedAtMs = time.nowMs;
+    void confirm(PLAIN).then(() => waits.push(time.nowMs - endedAtMs));
+    await time.advance(2);
   }
-  const longestMs = Math.max(...await Promise.all(waits));
-  assert.ok(state.probes <= 40, `${state.probes} probes`);
-  assert.ok(longestMs < 200, `${longestMs} ms`);
+  await time.advance(40);
+  assert.equal(waits.length, 100);
+  // One each 20 ms.
+  assert.ok(state.probes <= 11, `${state.probes} probes`);
+  // An interval between probes, and a reply.
+  assert.ok(Math.max(...waits) <= 40, `${Math.max(...waits)} ms`);
 });
 
 // Guards against a whole response that counts as cut as its target is silent for a second.
