target_connections_test: control requests are not withheld in a late process

Cause: of six requests on two connections the last ones are written over 200 ms after they were sent if the process is late, and are withheld then, as requests of a VM that stalled are meant to be ("the process stalled before the request was written"). Besides, it judged after 50 ms whether connections were closed. Change: the clock by which requests count as late stands still in this test, and it waits for the end of each connection, for less than the idle timeout.

--- a/packages/heatherarch-forward/tests/unit/target_connections_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_connections_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type Server } from "node:http";
 import {
   type AddressInfo,
@@ -7,6 +8,7 @@
   type Socket,
 } from "node:net";
 import { afterEach, test } from "node:test";
+import { type Clock, ManualClock, RuntimeClock } from "heatherarch-core";
 import {
   ExchangeError,
   type SendPurpose,
@@ -15,6 +17,8 @@
 } from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
 
+/** Below the idle timeout of both ends, which would close the connections as well, milliseconds. */
+const MAX_CLOSE_MS = 2000;
 const REQUEST = { path: "/", method: "GET", headers: [], body: null };
 
 let server: Server | undefined;
@@ -28,6 +32,7 @@
 /** Builds connections to a server that counts requests, with a check of whether one may be sent. */
 async function build(
   findBlockReason: (purpose: SendPurpose) => string | undefined,
+  clock: Clock = new RuntimeClock(),
 ) {
   let requests = 0;
   server = createServer((_request, response) => {
@@ -40,6 +45,7 @@
   const { port } = server.address() as AddressInfo;
   const target = buildTarget("t", { address: `127.0.0.1:${port}` });
   connections = new TargetConnections({
+    clock,
     findBlockReason: (_target, purpose) => findBlockReason(purpose),
   });
   return { target, connections, count: () => requests };
@@ -129,6 +135,12 @@
   return ends;
 }
 
+/** Resolves once a connection is closed; rejects if it stays open. */
+async function awaitClose(socket: Socket): Promise<void> {
+  if (socket.destroyed) return;
+  await once(socket, "close", { signal: AbortSignal.timeout(MAX_CLOSE_MS) });
+}
+
 function blockEventLoop(ms: number): void {
   const untilMs = performance.now() + ms;
   while (performance.now() < untilMs);
@@ -195,7 +207,11 @@
 
 // Guards against a late copy of a response without an id that a call takes for its own.
 test("control requests have a few connections of their own, which are closed with the others", async () => {
-  const { target, count } = await build(() => undefined);
+  const { target, count } = await build(
+    () => undefined,
+    // No request is withheld as late.
+    new ManualClock(),
+  );
   const sockets = new Set<Socket>();
   server?.on("request", ({ socket }) => sockets.add(socket));
   const send = (purpose: SendPurpose): TargetExchange =>
@@ -215,12 +231,7 @@
   assert.equal(sockets.size, 3);
   assert.equal(connections!.findLatestOpened(target), 1);
   connections!.renew([target.id]);
-  await new Promise((resolve) => setTimeout(resolve, 50));
-  assert.deepEqual([...sockets].map(({ destroyed }) => destroyed), [
-    true,
-    true,
-    true,
-  ]);
+  await Promise.all([...sockets].map(awaitClose));
 });
 
 // Guards against a late copy of an earlier response to the same call.
