EndConfirmation: a log that fails does not end the call

Cause: confirm() promises not to reject, but passed on an error of the listener that logs and counts an unconfirmed end. Found by reading. Its caller then ends the call with that error, before it has recorded the unconfirmed end and tried another target. Change: the error is reported as those of probes are, and the end stays unconfirmed. Evidence: end_confirmation_test "an end is not confirmed although the log of it fails" rejects with the error of the log before, and passes with the change; the file is green twice.

--- a/packages/heatherarch-forward/calls/end_confirmation.ts
+++ b/packages/heatherarch-forward/calls/end_confirmation.ts
@@ -36,7 +36,7 @@
   readonly onProbe?: () => void;
   /** Called for each end that was not confirmed. */
   readonly onUnconfirmed?: (target: Target) => void;
-  /** Called with each error of a probe that no code expects. Never throws. */
+  /** Called with each error of a probe or of a listener that no code expects. Never throws. */
   readonly onError?: (thrown: unknown) => void;
 }
 
@@ -124,10 +124,19 @@
     this.#addEnd(target, end);
     const isConfirmed = await end.settled;
     stopTimer();
-    if (!isConfirmed) this.#options.onUnconfirmed?.(target);
+    if (!isConfirmed) this.#reportUnconfirmed(target);
     return isConfirmed;
   }
 
+  /** An error of the log must not end a call that may go on elsewhere. */
+  #reportUnconfirmed(target: Target): void {
+    try {
+      this.#options.onUnconfirmed?.(target);
+    } catch (error) {
+      this.#options.onError?.(error);
+    }
+  }
+
   get #nowMs(): number {
     return this.#options.clock.readMonotonicMs();
   }
--- a/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
+++ b/packages/heatherarch-forward/tests/unit/end_confirmation_test.ts
@@ -33,6 +33,8 @@
   /** Number of checks after which the rate limit has room for a report; by default it never has. */
   readonly checksUntilRoom?: number;
   readonly connectResult?: "accepted" | "refused";
+  readonly onUnconfirmed?: () => void;
+  readonly onError?: (thrown: unknown) => void;
   /** Whether the connections of probes are open at once. */
   readonly isSent?: boolean;
   /** Whether a connection from before the end is still open. */
@@ -88,6 +90,8 @@
     isLimited: () => options.isLimited ?? false,
     hasRoom: () => ++state.roomChecks > (options.checksUntilRoom ?? Infinity),
     connect: () => Promise.resolve(options.connectResult ?? "refused"),
+    onUnconfirmed: options.onUnconfirmed,
+    onError: options.onError,
   });
   const confirm = (target: Target, maxWaitMs?: number): Promise<boolean> =>
     confirmation.confirm(target, { abandoned: NEVER, maxWaitMs });
@@ -361,3 +365,18 @@
   assert.deepEqual(await Promise.all([confirm(), confirm()]), [true, true]);
   assert.equal(errors.length, 2);
 });
+
+// Guards against a call that ends with an error of the log, though it may run at another target.
+test("an end is not confirmed although the log of it fails", async () => {
+  const errors: unknown[] = [];
+  const failure = new Error("log failed");
+  const { confirm } = buildConfirmation({
+    replies: [REFUSED],
+    onUnconfirmed: () => {
+      throw failure;
+    },
+    onError: (thrown) => void errors.push(thrown),
+  });
+  assert.equal(await confirm(RESTARTABLE), false);
+  assert.deepEqual(errors, [failure]);
+});
