Shutdown: a connection releases requests whose responses have ended

Cause: for each request, ConnectionDrainer kept the response before it on the connection, and a response refers to its request. So a connection held all requests and responses since it was opened, for as long as it was open: 2,511 bytes for each request with a head of 200 bytes (10,000 requests on one connection). A client that keeps its connection for hours takes the VM's memory. The gateway of our own daemon uses the same class.

Change: what is recorded is whether the request waits for the response before it, until that one is written.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -62,8 +62,8 @@
 /** A request that was read. */
 interface RequestState {
   readonly connection: ConnectionState;
-  /** The response that is due before the one to this request. */
-  readonly before: ServerResponse | undefined;
+  /** The response that is due before the one to this request; undefined once it has ended. */
+  before: ServerResponse | undefined;
 }
 
 /**
@@ -111,8 +111,7 @@
     const { socket } = request;
     const state = this.#find(socket);
     state.last = request;
-    const before = state.lastResponse;
-    this.#requests.set(request, { connection: state, before });
+    this.#recordRequest(request, state);
     if (state.final !== undefined) {
       this.#refuseBehind(state, request);
       return false;
@@ -126,8 +125,7 @@
 
   /** Finds the response that is due before the one to a request and has not ended. */
   findBefore(request: IncomingMessage): ServerResponse | undefined {
-    const before = this.#requests.get(request)?.before;
-    return before === undefined || before.writableFinished ? undefined : before;
+    return this.#requests.get(request)?.before;
   }
 
   /**
@@ -211,6 +209,22 @@
     return state;
   }
 
+  /**
+   * Records the response before a request until it has ended. Kept for longer, it would hold its own request
+   * and so all that came before on the connection, for as long as the connection is open.
+   */
+  #recordRequest(request: IncomingMessage, state: ConnectionState): void {
+    const last = state.lastResponse;
+    const before = last === undefined || last.writableFinished
+      ? undefined
+      : last;
+    const requestState: RequestState = { connection: state, before };
+    this.#requests.set(request, requestState);
+    before?.once("finish", () => {
+      requestState.before = undefined;
+    });
+  }
+
   #recordEnd(socket: Socket, state: ConnectionState): void {
     state.open--;
     if (state.open > 0) return;
