Shutdown: time for which the process stands still is no time to accept connections

Cause: waiting connections are accepted for 0.5 s at most, by the clock. A process that stands still for that long accepts a few of them.

Change: a turn of the event loop counts as 20 ms at most.

Measured: with 16 waiting connections and a process that stands still for 60 ms as it accepts each, 9 were accepted before, 16 now.

--- a/packages/heatherarch-shutdown/connection_drainer.ts
+++ b/packages/heatherarch-shutdown/connection_drainer.ts
@@ -74,6 +74,8 @@
 const CLOSE_HEADER = ["Connection", "close"] as const;
 /** Longest time for which connections that wait are accepted before the listener closes, milliseconds. */
 const MAX_ACCEPT_MS = 500;
+/** A turn counts as no longer than this, milliseconds: a process that stands still accepts nothing. */
+const MAX_TURN_MS = 20;
 /** The listener closes after so many turns of the event loop without a connection. */
 const ACCEPT_TURNS = 3;
 
@@ -169,16 +171,28 @@
    * its way, and end the checks for slow heads.
    */
   async closeListener(): Promise<void> {
-    const { clock } = this.#options;
-    const untilMs = clock.readMonotonicMs() + MAX_ACCEPT_MS;
     let accepted = -1;
-    while (accepted !== this.#accepted && clock.readMonotonicMs() < untilMs) {
+    let waitedMs = 0;
+    while (accepted !== this.#accepted && waitedMs < MAX_ACCEPT_MS) {
       accepted = this.#accepted;
-      for (let turn = 0; turn < ACCEPT_TURNS; turn++) await awaitTurn();
+      for (let turn = 0; turn < ACCEPT_TURNS; turn++) {
+        waitedMs += Math.min(await this.#awaitTurn(), MAX_TURN_MS);
+      }
     }
     NetServer.prototype.close.call(this.#options.server);
   }
 
+  /**
+   * Waits for a turn of the event loop, in which at least one waiting connection is accepted. Resolves with
+   * how long it took, milliseconds.
+   */
+  async #awaitTurn(): Promise<number> {
+    const { clock } = this.#options;
+    const startedAtMs = clock.readMonotonicMs();
+    await new Promise((resolve) => setImmediate(resolve));
+    return clock.readMonotonicMs() - startedAtMs;
+  }
+
   /** Closes the connections that have had no request for a moment. */
   closeIdle(): void {
     const { clock, lingerMs = LINGER_MS } = this.#options;
@@ -285,11 +299,6 @@
   }
 }
 
-/** Waits for a turn of the event loop, in which at least one waiting connection is accepted. */
-function awaitTurn(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
-
 /** Whether the client can tell the end of a response from that of its connection. */
 function canLinger({ httpVersionMajor, httpVersionMinor }: IncomingMessage) {
   return httpVersionMajor > 1 || httpVersionMinor > 0;
--- a/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
+++ b/packages/heatherarch-shutdown/tests/unit/connection_drainer_test.ts
@@ -302,6 +302,20 @@
   },
 );
 
+// Guards against connections that the close of the listener resets, since the process stands still meanwhile.
+test(
+  "accepts the connections that wait although the process stands still",
+  BOUND,
+  async (context) => {
+    const server = new DrainedServer(context);
+    await server.start();
+    server.acceptStallMs = 60;
+    await server.openUnaccepted(context, 16);
+    await server.drainer.closeListener();
+    assert.equal(server.drainer.openConnections, 16);
+  },
+);
+
 // Guards against the close of a connection with an open request.
 test("keeps a connection with an open request", BOUND, async (context) => {
   const { server, client } = await openConnection(context);
--- a/packages/heatherarch-shutdown/tests/unit/drained_server.ts
+++ b/packages/heatherarch-shutdown/tests/unit/drained_server.ts
@@ -37,11 +37,18 @@
   readonly response: ServerResponse;
 }
 
+function blockLoop(ms: number): void {
+  const untilMs = performance.now() + ms;
+  while (performance.now() < untilMs);
+}
+
 /** A server whose admitted requests the test responds to. */
 export class DrainedServer {
   readonly drainer: ConnectionDrainer;
   readonly requests: AdmittedRequest[] = [];
   isStopping = false;
+  /** Time for which the process stands still as it accepts a connection, milliseconds. */
+  acceptStallMs = 0;
   readonly #server: Server;
   readonly #isSecure: boolean;
 
@@ -62,6 +69,7 @@
       buildRefusal: () => ({ status: 503, retryAfter: "0.01", body: REFUSAL }),
       lingerMs: LINGER_MS,
     });
+    this.#server.on("connection", () => blockLoop(this.acceptStallMs));
     this.#server.on("request", (request, response) => {
       if (!this.drainer.admit(request, response)) return;
       request.resume();
@@ -102,6 +110,18 @@
     response.end(BODY);
   }
 
+  /** Opens connections and doesn't wait until they are accepted. */
+  async openUnaccepted(context: TestContext, count: number): Promise<void> {
+    const { port } = this.#server.address() as AddressInfo;
+    const sockets = Array.from(
+      { length: count },
+      () => connect({ port, host: "127.0.0.1" }).on("error", () => undefined),
+    );
+    context.after(() => sockets.forEach((socket) => socket.destroy()));
+    // The runtime connects a moment later.
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+  }
+
   async connect(context: TestContext): Promise<DrainedClient> {
     const { port } = this.#server.address() as AddressInfo;
     const socket = this.#isSecure
