--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -45,6 +45,7 @@
 import { PlainCallQueues } from "./scheduling/plain_call_queues.ts";
 import { PlainWorkModel } from "./scheduling/plain_work_model.ts";
 import type { EventLog } from "./event_log.ts";
+import { TaskLog } from "./task_log.ts";
 import { EndConfirmation } from "./calls/end_confirmation.ts";
 import { EventBuffers } from "./calls/event_buffers.ts";
 import { IncarnationCheck } from "./calls/incarnation_check.ts";
@@ -126,6 +127,9 @@
 ): CallDependencies {
   const { settings, codec, clock, log, countVms, usageMeter } = options;
   const metrics = new ForwardMetrics();
+  // Listeners run in the middle of other work, which must not end with an error of the log.
+  const taskLog = new TaskLog({ log, metrics });
+  const listenerOptions = { ...options, log: taskLog };
   const shutdown = new Shutdown({
     clock,
     graceMs: settings.shutdown.graceSeconds * MS_PER_SECOND,
@@ -241,7 +245,7 @@
     onProbe: () => metrics.endProbes.inc(),
     onUnconfirmed: (target) => {
       metrics.endsUnconfirmed.inc();
-      log.write("info", "endUnconfirmed", { target: target.id });
+      taskLog.write("info", "endUnconfirmed", { target: target.id });
     },
     onError: (error) => reportInternalError({ log, metrics }, "watch", error),
   });
@@ -264,7 +268,7 @@
       targetLoads,
       reportTrust,
       onReportsIgnored: (target) =>
-        log.write("warn", "targetLoadIgnored", { target }),
+        taskLog.write("warn", "targetLoadIgnored", { target }),
     }),
     quarantine,
     partQuarantine,
@@ -295,16 +299,16 @@
       directory,
       pathMonitor,
       clock,
-      log,
+      log: taskLog,
       metrics,
     }),
     connections,
     endConfirmation,
     incarnationCheck: new IncarnationCheck({ connections, codec }),
     pathMonitor,
-    handoverClient: buildHandoverClient(options, metrics),
+    handoverClient: buildHandoverClient(listenerOptions, metrics),
     shutdown,
-    targetListGuard: buildTargetListGuard(options, metrics),
+    targetListGuard: buildTargetListGuard(listenerOptions, metrics),
     eventBuffers: new EventBuffers(),
     readBarrier,
     usage: new UsageRecorder({
