--- a/packages/heatherarch-forward/task_log.ts
+++ b/packages/heatherarch-forward/task_log.ts
@@ -1,6 +1,6 @@
 /**
- * The log of a VM's background tasks. Their loops log the failures that they have caught, so an error of the
- * log there would end the loop for good.
+ * The log of a VM's background tasks and listeners. The loop of a task logs the failures that it has caught, so
+ * an error of the log there would end it for good; one in a listener would end the work that called it.
  *
  * @module
  */
