Ingress: what it needs of the call server is a narrow type

Cause: config_figures_test builds an ingress with a part of a call server that is cast to the whole one.

--- a/packages/heatherarch-forward/tasks/ingress.ts
+++ b/packages/heatherarch-forward/tasks/ingress.ts
@@ -38,7 +38,7 @@
   readonly host: string;
   readonly port: number;
   readonly codec: CallCodec;
-  readonly server: CallServer;
+  readonly server: Pick<CallServer, "serve" | "findTimeoutAtMs">;
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Pick<ForwardMetrics, "internalErrors">;
--- a/packages/heatherarch-forward/tests/unit/ingress_test.ts
+++ b/packages/heatherarch-forward/tests/unit/ingress_test.ts
@@ -89,7 +89,7 @@
     host: "127.0.0.1",
     port,
     codec: codec as unknown as CallCodec,
-    server: server as unknown as CallServer,
+    server,
     clock,
     log,
     metrics: new ForwardMetrics(),
