Target responses: a reset during a long upload is an error, not an end

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The client got the part as a complete response.

Cause: undici ends a body without a length as complete when its connection is reset. It does so after ECONNRESET, and after the end of the stream, as which Node.js reports a reset behind unread bytes (libuv reads the bytes, and sees EPOLLHUP). ResetDetector tested such an end by a write and looked at the result at once. While the upload was being written, its write waited behind the upload, so it had no result yet, and the end counted as in order.

Change: connections to targets pass undici an end only after a write behind the whole request has succeeded, and a reset as an error that undici doesn't take for an end. The VM then knows that the connection was not reset before the request was written, and no flag has to hold for a turn of the event loop. A target that ends its response in order and reads the request on is still served. The hook isReset of exchanges is gone. isUnwritten knows the error by its cause.

--- a/packages/heatherarch-core/mod.ts
+++ b/packages/heatherarch-core/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./byte_gatherer.ts";
 export * from "./clock.ts";
+export * from "./connection_resets.ts";
 export * from "./errors.ts";
 export * from "./hash.ts";
 export * from "./ids.ts";
--- a/packages/heatherarch-forward/calls/peer_exchange.ts
+++ b/packages/heatherarch-forward/calls/peer_exchange.ts
@@ -76,7 +76,6 @@
   };
   return new TargetExchange({ dispatch }, "", NO_REQUEST, {
     onRelease: () => undefined,
-    isReset: () => false,
   });
 }
 
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import type { Socket } from "node:net";
-import { type Clock, ReadBarrier, RuntimeClock } from "heatherarch-core";
+import {
+  type Clock,
+  ReadBarrier,
+  RuntimeClock,
+  wrapConnector,
+} from "heatherarch-core";
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
 import type { EncodedRequest } from "../ports.ts";
@@ -139,7 +143,6 @@
 
 interface TargetPool {
   readonly pool: Pool;
-  readonly resetDetector: ResetDetector;
   inFlight: number;
   /** Number of the connection that was opened last, from 1; 0 if none was. */
   latestOpened: number;
@@ -156,66 +159,18 @@
   readonly pools: Partial<Record<ConnectionKind, TargetPool>>;
 }
 
-/** Written to test how a stream ended; servers ignore an empty line before a request. */
-const RESET_PROBE = "\r\n";
-
-/**
- * Distinguishes a response that ended with its connection from a truncated one. undici treats a
- * reset as the end of a body without a length, so this class observes the reset before undici does.
- *
- * Node.js reports a reset that follows unread bytes as the end of the stream. A write tells the two
- * apart, because it fails immediately after a reset. Without the write, every response without a
- * length that was reset right after its last bytes passed as complete.
- */
-class ResetDetector {
-  readonly #isInUse: () => boolean;
-  readonly #readBarrier: Pick<ReadBarrier, "awaitTurn">;
-  #isResetting = false;
-
-  constructor(
-    isInUse: () => boolean,
-    readBarrier: Pick<ReadBarrier, "awaitTurn">,
-  ) {
-    this.#isInUse = isInUse;
-    this.#readBarrier = readBarrier;
-  }
-
-  /** Whether the error of a connection is being emitted. */
-  get isResetting(): boolean {
-    return this.#isResetting;
-  }
-
-  /**
-   * Wraps a connector so that this class sees the errors of its sockets first, and a connection is used
-   * once what has arrived with it is read.
-   */
-  wrapConnector(connector: Connector): Connector {
-    return (options, callback) =>
-      connector(options, (...result) => {
-        const [error, socket] = result;
-        if (error === null) {
-          socket.prependListener("error", () => this.#recordReset());
-          socket.prependListener("end", () => this.#checkEnd(socket));
-          // The requests that wait are written then. Those whose clients have left are aborted before.
-          void this.#readBarrier.awaitTurn({ isInProgress: true })
-            .then(() => callback(...result));
-        } else callback(...result);
-      });
-  }
-
-  /** Checks whether a stream ended by a reset. An idle connection has no response to truncate. */
-  #checkEnd(socket: Socket): void {
-    if (!this.#isInUse()) return;
-    socket.write(RESET_PROBE);
-    if (socket.errored !== null) this.#recordReset();
-  }
-
-  #recordReset(): void {
-    this.#isResetting = true;
-    process.nextTick(() => {
-      this.#isResetting = false;
+/** Wraps a connector, so that a connection is used once what has arrived with it is read. */
+function awaitReads(
+  connector: Connector,
+  readBarrier: Pick<ReadBarrier, "awaitTurn">,
+): Connector {
+  return (options, callback) =>
+    connector(options, (...result) => {
+      if (result[0] !== null) return callback(...result);
+      // The requests that wait are written then. Those whose clients have left are aborted before.
+      void readBarrier.awaitTurn({ isInProgress: true })
+        .then(() => callback(...result));
     });
-  }
 }
 
 /** All connections of this VM to targets. */
@@ -354,7 +309,6 @@
           entry.inFlight--;
           pool.inFlight--;
         },
-        isReset: () => pool.resetDetector.isResetting,
         readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
         mayWrite: () => {
           if (!WITHHELD_IF_LATE.has(purpose)) return true;
@@ -409,22 +363,22 @@
 
   #createPool(target: Target, kind: ConnectionKind): TargetPool {
     const { connectTimeoutMs, idleTimeoutMs, onConnect } = this.#options;
-    const resetDetector = new ResetDetector(
-      () => created.inFlight > 0,
+    const connector = awaitReads(
+      buildConnector({ timeout: connectTimeoutMs }),
       this.#options.readBarrier,
     );
-    const connector = buildConnector({ timeout: connectTimeoutMs });
     const pool = new Pool(`http://${target.address}`, {
       pipelining: 1,
       connections: null,
-      connect: resetDetector.wrapConnector(connector),
+      connect: wrapConnector(connector, {
+        isInUse: () => created.inFlight > 0,
+      }),
       keepAliveTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       ...POOL_OPTIONS[kind],
     });
     const created: TargetPool = {
       pool,
-      resetDetector,
       inFlight: 0,
       latestOpened: 0,
       open: new Map(),
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -66,8 +66,6 @@
 export interface ExchangeHooks {
   /** Called once, when the connection is free or closed. */
   readonly onRelease: () => void;
-  /** Whether the response that is ending ends because its connection was reset. */
-  readonly isReset: () => boolean;
   /** Asked right before the request is written: whether that may still be done. By default it may. */
   readonly mayWrite?: () => boolean;
   /** Returns the current monotonic time, milliseconds. */
@@ -174,7 +172,7 @@
       onResponseStart: (controller, status, headers) =>
         this.#handleHead(controller, status, headers),
       onResponseData: (_controller, bytes) => this.#handleData(bytes),
-      onResponseEnd: () => this.#handleEnd(),
+      onResponseEnd: () => this.#finish("ended"),
       onResponseError: (_controller, error) => this.#fail(error),
     });
   }
@@ -381,17 +379,6 @@
     this.#silentSinceMs = readMonotonicMs();
   }
 
-  #handleEnd(): void {
-    if (this.#hooks.isReset()) {
-      this.#finish(
-        new ExchangeError(
-          "lost",
-          "connection reset before the end of the response",
-        ),
-      );
-    } else this.#finish("ended");
-  }
-
   #fail(error: Error): void {
     if (error instanceof ExchangeError) return this.#finish(error);
     const fault = this.isSent && !isUnwritten(error) ? "lost" : "notSent";
@@ -441,7 +428,6 @@
   const request = { path: "/", method: "GET", headers: [], body: null };
   return new TargetExchange(dispatcher, "", request, {
     onRelease: () => undefined,
-    isReset: () => false,
   });
 }
 
--- a/packages/heatherarch-forward/calls/unwritten_requests.ts
+++ b/packages/heatherarch-forward/calls/unwritten_requests.ts
@@ -13,6 +13,7 @@
  */
 import { subscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
+import { ConnectionResetError } from "heatherarch-core";
 
 /** Published by undici right before it writes a request. */
 const BEFORE_WRITE = "undici:client:sendHeaders";
@@ -59,5 +60,6 @@
 
 /** Whether a request that failed with this error was not written: none of its bytes left the process. */
 export function isUnwritten(error: Error): boolean {
-  return unwrittenErrors.has(error);
+  const cause = error instanceof ConnectionResetError ? error.cause : error;
+  return unwrittenErrors.has(cause as Error);
 }
--- a/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
+++ b/packages/heatherarch-forward/tests/unit/attempt_result_test.ts
@@ -89,7 +89,7 @@
       { dispatch },
       "http://10.0.0.1:80",
       { path: "/", method: "POST", headers: [], body: null },
-      { onRelease: () => undefined, isReset: () => false },
+      { onRelease: () => undefined },
     ),
     stage: "whole",
   });
@@ -169,7 +169,7 @@
       { dispatch },
       "http://10.0.0.1:80",
       { path: "/", method: "POST", headers: [], body: null },
-      { onRelease: () => undefined, isReset: () => false },
+      { onRelease: () => undefined },
     ),
     stage: "whole",
     timeoutMs: 10,
--- a/packages/heatherarch-forward/tests/unit/call_errors_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_errors_test.ts
@@ -104,7 +104,6 @@
   };
   const exchange = new TargetExchange(dispatcher, "", REQUEST, {
     onRelease: () => releases++,
-    isReset: () => false,
   });
   await assert.rejects(exchange.head, /invalid header/);
   assert.equal(releases, 1);
--- a/packages/heatherarch-forward/tests/unit/disconnect_test.ts
+++ b/packages/heatherarch-forward/tests/unit/disconnect_test.ts
@@ -43,7 +43,6 @@
   } as unknown as Dispatcher.DispatchController;
   const exchange = new TargetExchange({ dispatch }, "", REQUEST, {
     onRelease: () => undefined,
-    isReset: () => false,
   });
   return {
     exchange,
--- a/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_loss_watch_test.ts
@@ -55,7 +55,7 @@
     { dispatch },
     "http://10.0.0.1:80",
     { path: "/", method: "POST", headers: [], body: null },
-    { onRelease: () => undefined, isReset: () => false },
+    { onRelease: () => undefined },
   );
   let offers = 0;
   let troubles = 0;
--- a/packages/heatherarch-forward/tests/unit/scripted_call.ts
+++ b/packages/heatherarch-forward/tests/unit/scripted_call.ts
@@ -381,7 +381,7 @@
       { dispatch } as unknown as Dispatcher,
       `http://${target.address}`,
       request,
-      { onRelease: () => undefined, isReset: () => false },
+      { onRelease: () => undefined },
     );
   }
 
--- a/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
@@ -36,7 +36,6 @@
   const request = { path: "/", method: "GET", headers: [], body: null };
   const exchange = new TargetExchange(dispatcher, "", request, {
     onRelease: () => undefined,
-    isReset: () => false,
   });
   handler.onRequestStart?.(controller, undefined);
   handler.onResponseStart?.(controller, 200, {}, "OK");
--- a/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
+++ b/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { afterEach, test } from "node:test";
 import {
   ExchangeError,
@@ -8,6 +13,7 @@
   TargetConnections,
   type TargetExchange,
 } from "../../mod.ts";
+import type { EncodedRequest } from "../../ports.ts";
 import { buildTarget } from "./fixtures.ts";
 
 const undos: (() => Promise<void> | void)[] = [];
@@ -39,6 +45,19 @@
 };
 const UNFRAMED = `${STATUS_LINE}${CLOSE}\r\n${BODY}`;
 
+const REQUEST: EncodedRequest = {
+  path: "/",
+  method: "GET",
+  headers: [],
+  body: null,
+};
+/** More than the kernel takes at once, so that it is still being written when the response arrives. */
+const LONG_REQUEST: EncodedRequest = {
+  ...REQUEST,
+  method: "POST",
+  body: Buffer.alloc(16 * 1024 * 1024),
+};
+
 type Ending = "in order" | "by reset";
 
 interface Truncation {
@@ -74,17 +93,24 @@
       else void endAfter(socket, truncation);
     });
   });
+  const send = await listen(server);
+  return {
+    send: () => send(REQUEST),
+    countOpened: () => opened,
+  };
+}
+
+/** Starts a target. Returns a function that sends a request to it. */
+async function listen(
+  server: Server,
+): Promise<(request: EncodedRequest) => TargetExchange> {
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const connections = new TargetConnections();
   undos.push(() => void server.close(), () => connections.close());
   const { port } = server.address() as AddressInfo;
   const target = buildTarget("t", { address: `127.0.0.1:${port}` });
-  const request = { path: "/", method: "GET", headers: [], body: null };
-  return {
-    send: () => connections.send(target, request),
-    countOpened: () => opened,
-  };
+  return (request) => connections.send(target, request);
 }
 
 /** Reads a response; undefined if the exchange ended without a complete one. */
@@ -158,3 +184,32 @@
     }
   }
 });
+
+// Guards against losing a whole response that a target sends, and ends, before it has read a long request.
+test("a response without a length is complete if its target ends it and reads the request on", async () => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.end(UNFRAMED);
+      // The end arrives while the request is still being written.
+      socket.pause();
+      setTimeout(() => socket.resume(), 50);
+    });
+  });
+  const send = await listen(server);
+  assert.equal((await read(send(LONG_REQUEST)))?.body, BODY);
+});
+
+// Guards against the same as complete although the target stops reading, since it has crashed.
+test("a response without a length is not complete if the rest of its request is rejected", async () => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.end(UNFRAMED);
+      socket.pause();
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+  });
+  const send = await listen(server);
+  assert.equal(await read(send(LONG_REQUEST)), undefined);
+});
--- a/packages/heatherarch-forward/tests/unit/unwritten_requests_test.ts
+++ b/packages/heatherarch-forward/tests/unit/unwritten_requests_test.ts
@@ -91,8 +91,6 @@
     assert.equal((await readFault(target, request)).fault, "lost");
   });
 
-  // A request that is still being written has no write after it that could fail.
-  if (name === "with a large body") continue;
   // Guards against the write that tests how a connection ended being taken for that of the request.
   test(`a request ${name} may have run if its response is reset`, async () => {
     const target = await listen((socket) => {
--- a/packages/heatherarch-lab/proofs/error_simulation.ts
+++ b/packages/heatherarch-lab/proofs/error_simulation.ts
@@ -462,7 +462,7 @@
       { dispatch },
       `http://${target.address}`,
       request,
-      { onRelease: () => undefined, isReset: () => false },
+      { onRelease: () => undefined },
     );
   }
 
--- a/packages/heatherarch-lab/proofs/handover_simulation.ts
+++ b/packages/heatherarch-lab/proofs/handover_simulation.ts
@@ -368,7 +368,6 @@
       request,
       {
         onRelease: () => void this.#silentExchanges.delete(exchange),
-        isReset: () => false,
       },
     );
     if (end === "late") this.#silentExchanges.add(exchange);
--- a/packages/heatherarch-lab/proofs/stream_simulation.ts
+++ b/packages/heatherarch-lab/proofs/stream_simulation.ts
@@ -262,7 +262,7 @@
       { dispatch },
       `http://${target.address}`,
       request,
-      { onRelease: () => undefined, isReset: () => false },
+      { onRelease: () => undefined },
     );
   }
 
--- a/packages/heatherarch-lab/tests/unit/handed_over_stream_test.ts
+++ b/packages/heatherarch-lab/tests/unit/handed_over_stream_test.ts
@@ -93,7 +93,6 @@
     };
     return new TargetExchange({ dispatch }, "http://127.0.0.1:1", request, {
       onRelease: () => undefined,
-      isReset: () => false,
     });
   };
   const connection = {
--- a/packages/heatherarch-lab/tests/unit/silent_prefill_test.ts
+++ b/packages/heatherarch-lab/tests/unit/silent_prefill_test.ts
@@ -106,7 +106,6 @@
     };
     return new TargetExchange({ dispatch }, "http://127.0.0.1:1", request, {
       onRelease: () => undefined,
-      isReset: () => false,
     });
   };
   let body = "";
