Target responses: a paused body without a length ends with its connection

What was seen: an exchange whose body was paused, since its client reads slowly, never ended if the connection of the target ended in that moment. The call waited until its timeout, and the connection pool counted the connection as open from then on. Before a reset in that moment did the same.

Cause: undici fails an assertion if a connection ends while its parser is paused, and the VM logs that as an uncaught error. Resuming the parser hands on an empty part, at which a listener pauses it again.

Change: an exchange resumes its body before undici handles the end of the connection: Node.js emits the end once all bytes are read, so nothing follows. Empty parts are not handed on.

A client that saw this was not produced: at a whole VM the pause and the end rarely meet.

--- a/packages/heatherarch-forward/calls/connection_reads.ts
+++ b/packages/heatherarch-forward/calls/connection_reads.ts
@@ -36,14 +36,21 @@
   readonly #socket: Socket;
   #readBytes: number;
   #skippedBytes = 0;
+  #endListener: (() => void) | undefined;
 
   constructor(socket: Socket) {
     this.#socket = socket;
     this.#readBytes = socket.bytesRead;
+    socket.prependListener("end", () => this.#endListener?.());
     // undici listens already, so it has parsed what is counted here unless the response is not read.
     socket.on("readable", () => this.#check());
   }
 
+  /** Sets the listener that is called before undici handles the end of the connection. */
+  setEndListener(listener: () => void): void {
+    this.#endListener = listener;
+  }
+
   /** Records the head of a response, whose length the parser limits. */
   recordHead(): void {
     this.#readBytes = this.#socket.bytesRead;
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -310,6 +310,8 @@
     this.#controller = controller;
     registerStart((reads) => {
       this.#reads = reads;
+      // undici fails an assertion when the connection of a paused body ends. Nothing is left to read then.
+      reads.setEndListener(() => this.resume());
     });
   }
 
@@ -337,6 +339,8 @@
 
   #handleData(bytes: Buffer): void {
     if (this.#end !== "open") return;
+    // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
+    if (bytes.length === 0) return;
     this.#recordReceipt();
     this.#reads?.recordBody(bytes.length);
     const listener = this.#listener;
--- a/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
+++ b/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
@@ -58,6 +58,9 @@
   body: Buffer.alloc(16 * 1024 * 1024),
 };
 
+/** More than one read of a socket, so that a listener can pause it. */
+const LARGE_BYTES = 100_000;
+
 type Ending = "in order" | "by reset";
 
 interface Truncation {
@@ -213,3 +216,37 @@
   const send = await listen(server);
   assert.equal(await read(send(LONG_REQUEST)), undefined);
 });
+
+for (const ending of ["in order", "by reset"] as const) {
+  // Guards against an exchange that never ends: undici fails an assertion when the connection of a body that
+  // is paused ends.
+  test(`a paused response without a length ends with its connection (${ending})`, async () => {
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      socket.once("data", () => {
+        socket.write(`${STATUS_LINE}\r\n${"p".repeat(LARGE_BYTES)}`);
+        setTimeout(() => {
+          if (ending === "in order") socket.end();
+          else socket.resetAndDestroy();
+        }, 50);
+      });
+    });
+    const exchange = (await listen(server))(REQUEST);
+    await exchange.head;
+    let received = 0;
+    exchange.setBodyListener({
+      onData: (bytes) => {
+        received += bytes.length;
+        exchange.pause();
+        // Later than the end of the connection, once all bytes are read.
+        setTimeout(() => exchange.resume(), 200);
+      },
+      onEnd: () => undefined,
+      onFault: () => undefined,
+    });
+    const end = await exchange.ended;
+    if (ending === "by reset") return assert.notEqual(end, "ended");
+    assert.equal(end, "ended");
+    assert.equal(received, LARGE_BYTES);
+  });
+}
