Own daemon: a response of a plain service that is reset is broken

What callers saw: a target of a plain service that sent a part of a response without a length and reset the connection gave its caller that part as an answer, with any request, long or short.

The client of plain services had no test of how a connection ended. Streams of engines end with a marker of their dialect, and the other responses are JSON objects, so a part of them is noticed.

Change: the connections of HttpService are wrapped as those of the forwarding VM, so a reset fails the dispatch as broken.

--- a/packages/heatherarch-targets/service_port.ts
+++ b/packages/heatherarch-targets/service_port.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { z } from "zod";
-import type { ServiceState } from "heatherarch-core";
+import { type ServiceState, wrapConnector } from "heatherarch-core";
 import { type BufferedResponse, dispatchBuffered } from "./dispatch.ts";
 import type { EngineOptions } from "./engine_client.ts";
 
@@ -41,10 +41,13 @@
   readonly #pool: Pool;
 
   constructor(options: EngineOptions) {
+    const connector = buildConnector({ timeout: options.timeouts.connectMs });
     this.#pool = new Pool(`http://${options.address}`, {
       connections: options.maxConnections,
       pipelining: 1,
-      connect: { timeout: options.timeouts.connectMs },
+      connect: wrapConnector(connector, {
+        isInUse: () => this.#pool.stats.running > 0,
+      }),
     });
   }
 
