Target connections: an idle connection does not keep its last response

Cause: since a connection kept the listener of its last exchange, and with it what the exchange had read, up to 1 MB, until the next request or the end of the connection. Found by reading the change again.

Change: an exchange removes its listener when it ends.

Evidence: by reading; the tests of target connections and exchanges are green. No memory was measured.

--- a/packages/heatherarch-forward/calls/connection_reads.ts
+++ b/packages/heatherarch-forward/calls/connection_reads.ts
@@ -46,8 +46,8 @@
     socket.on("readable", () => this.#check());
   }
 
-  /** Sets the listener that is called before undici handles the end of the connection. */
-  setEndListener(listener: () => void): void {
+  /** Sets or removes the listener that is called before undici handles the end of the connection. */
+  setEndListener(listener: (() => void) | undefined): void {
     this.#endListener = listener;
   }
 
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -392,6 +392,8 @@
   #finish(end: "ended" | ExchangeError): void {
     if (this.#end !== "open") return;
     this.#end = end;
+    // An idle connection would keep this exchange and what it has read.
+    this.#reads?.setEndListener(undefined);
     this.#hooks.onRelease();
     this.#resolveEnded(end);
     if (end === "ended") {
