reportResets: name and comments of the connector that reports resets

What a newcomer would stop at: wrapConnector did not say what it wraps for, nor why the error has no code, nor what bounds the wait of a held end. No behaviour changes.

--- a/packages/heatherarch-core/connection_resets.ts
+++ b/packages/heatherarch-core/connection_resets.ts
@@ -20,13 +20,16 @@
   callback: ConnectCallback,
 ) => void;
 
-/** Options of {@linkcode wrapConnector}. */
+/** Options of {@linkcode reportResets}. */
 export interface ConnectionResetOptions {
   /** Whether a response may be in progress on the connection. By default one always may. */
   readonly isInUse?: () => boolean;
 }
 
-/** Ends a connection that was reset. Its cause is the error of the socket. */
+/**
+ * The error of a connection that was reset. Its cause is the error of the socket, whose code it lacks: by that
+ * code undici would take it for an end.
+ */
 export class ConnectionResetError extends Error {
   constructor(cause: Error) {
     super(cause.message, { cause });
@@ -39,21 +42,21 @@
 /** Written to test how a stream ended; servers ignore an empty line before a request. */
 const RESET_PROBE = "\r\n";
 
-/** Wraps a connector, so that its connections end in order only if they were not reset. */
-export function wrapConnector<Options>(
+/** Wraps a connector, so that its connections report a reset as an error and never as an end. */
+export function reportResets<Options>(
   connector: Connector<Options>,
   { isInUse = () => true }: ConnectionResetOptions = {},
 ): Connector<Options> {
   return (options, callback) =>
     connector(options, (...result) => {
       const [error, socket] = result;
-      if (error === null) watchResets(socket, isInUse);
+      if (error === null) watchEnd(socket, isInUse);
       callback(...result);
     });
 }
 
 /** Replaces `emit`, since a listener can't keep an event from the listeners of undici. */
-function watchResets(socket: Socket, isInUse: () => boolean): void {
+function watchEnd(socket: Socket, isInUse: () => boolean): void {
   const emit: Emit = socket.emit.bind(socket);
   const emitChecked: Emit = (event, ...args) => {
     if (event === "error") return emit(event, convertError(args[0] as Error));
@@ -72,7 +75,8 @@
 /**
  * Calls `onConfirmed` if a stream ended in order. After a reset, a write fails and destroys the socket with
  * its error. The write waits for the rest of the request, so a response that ends before its request is
- * written counts only once the connection has taken the whole request.
+ * written counts only once the connection has taken the whole request. Until then, the timeouts of the
+ * response apply.
  */
 function confirmEnd(socket: Socket, onConfirmed: () => void): void {
   socket.write(RESET_PROBE, (error) => {
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -6,8 +6,8 @@
 import {
   type Clock,
   ReadBarrier,
+  reportResets,
   RuntimeClock,
-  wrapConnector,
 } from "heatherarch-core";
 import { buildConnector, Pool } from "undici";
 import type { Target } from "../model.ts";
@@ -370,7 +370,7 @@
     const pool = new Pool(`http://${target.address}`, {
       pipelining: 1,
       connections: null,
-      connect: wrapConnector(connector, {
+      connect: reportResets(connector, {
         isInUse: () => created.inFlight > 0,
       }),
       keepAliveTimeout: idleTimeoutMs,
--- a/packages/heatherarch-forward/calls/unwritten_requests.ts
+++ b/packages/heatherarch-forward/calls/unwritten_requests.ts
@@ -4,7 +4,8 @@
  *
  * undici writes the head and a body that is a buffer, or none, with one write, between two of its diagnostic
  * events. Requests to targets have no other bodies: a part of a stream could be delivered before another one
- * fails. The exchange fails with the error of that write, so the error itself tells which request it is.
+ * fails. The exchange fails with the error of that write or with a ConnectionResetError that it caused, so
+ * the error itself tells which request it is.
  * Node.js first tries that write immediately. If the kernel rejects it, the socket has an error as soon as
  * the write returns, and no part of the request was taken: a write of which a part was taken does not
  * fail. An error that is reported later may follow bytes that were delivered, and proves nothing.
--- a/packages/heatherarch-targets/service_port.ts
+++ b/packages/heatherarch-targets/service_port.ts
@@ -5,7 +5,7 @@
  */
 import { buildConnector, Pool } from "undici";
 import { z } from "zod";
-import { type ServiceState, wrapConnector } from "heatherarch-core";
+import { reportResets, type ServiceState } from "heatherarch-core";
 import { type BufferedResponse, dispatchBuffered } from "./dispatch.ts";
 import type { EngineOptions } from "./engine_client.ts";
 
@@ -45,7 +45,7 @@
     this.#pool = new Pool(`http://${options.address}`, {
       connections: options.maxConnections,
       pipelining: 1,
-      connect: wrapConnector(connector, {
+      connect: reportResets(connector, {
         isInUse: () => this.#pool.stats.running > 0,
       }),
     });
