Held ends: tests of their limit

A response that ends in order before its request is written waits until the connection has taken the request. The comment of confirmEnd says that the timeouts of the response apply until then; no test showed it. Two do now, with a target that ends its response and reads no more: the exchange is aborted by the timeout of its body, and the own daemon's call ends as silent. Both pass on; the product is not changed.

--- a/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
+++ b/packages/heatherarch-forward/tests/unit/truncated_responses_test.ts
@@ -217,6 +217,24 @@
   assert.equal(await read(send(LONG_REQUEST)), undefined);
 });
 
+// Guards against an end that is held back without a bound while the target stops reading.
+test("a response without a length is aborted in time if its target reads no more of the request", async () => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.end(UNFRAMED);
+      socket.pause();
+    });
+  });
+  const exchange = (await listen(server))(LONG_REQUEST);
+  await exchange.head;
+  await assert.rejects(
+    exchange.readBody({ maxBytes: 1024, timeoutMs: 300 }),
+    /^ExchangeError: response not complete within 300 ms$/,
+  );
+  assert.equal(exchange.hasFailed, true);
+});
+
 for (const ending of ["in order", "by reset"] as const) {
   // Guards against an exchange that never ends: undici fails an assertion when the connection of a body that
   // is paused ends.
--- a/packages/heatherarch-targets/tests/unit/service_port_test.ts
+++ b/packages/heatherarch-targets/tests/unit/service_port_test.ts
@@ -10,7 +10,10 @@
 let server: Server | undefined;
 let service: HttpService | undefined;
 
+const undos: (() => void)[] = [];
+
 afterEach(async () => {
+  for (const undo of undos.splice(0)) undo();
   await service?.close();
   server?.close();
 });
@@ -20,17 +23,23 @@
   readonly body?: Buffer;
   /** Head of the response without the empty line that ends it. */
   readonly head?: string;
+  /** The target stops reading once it has ended its response. */
+  readonly stopsReading?: boolean;
 }
 
 /** Sends a call to a target that sends a response without a length as soon as the call begins to arrive. */
-async function send({ ending, body, head = "HTTP/1.1 200 OK" }: SentCall) {
+async function send(
+  { ending, body, head = "HTTP/1.1 200 OK", stopsReading = false }: SentCall,
+) {
   server = createServer({ allowHalfOpen: true }, (socket) => {
     socket.on("error", () => undefined);
     socket.once("data", () => {
       socket.write(`${head}\r\n\r\n${ANSWER}`);
       if (ending === "in order") socket.end();
       else socket.resetAndDestroy();
+      if (stopsReading) socket.pause();
     });
+    undos.push(() => void socket.destroy());
   });
   await new Promise<void>((resolve) =>
     server?.listen(0, "127.0.0.1", () => resolve())
@@ -47,7 +56,7 @@
     path: "/",
     headers: {},
     body,
-    timeoutMs: 5000,
+    timeoutMs: 1000,
   });
 }
 
@@ -69,6 +78,13 @@
   });
 }
 
+// Guards against an end that is held back without a bound while the target stops reading.
+test("a response whose target reads no more of the call is silent in the end", async () => {
+  const call = { ending: "in order", body: LONG_BODY } as const;
+  const response = await send({ ...call, stopsReading: true });
+  assert.equal(response.kind, "silent");
+});
+
 // Guards against a status that is none, and a field whose name is none, in an answer.
 test("a response with a broken head is broken", async () => {
   const fields = ["x own: 1", "x-own : 1", "x\x01own: 1"];
