Target responses: small parts are joined before they are kept or sent

What callers saw: a target that sent chunks of one byte without end made the VMs that had called it run out of memory or stand still, and requests of other clients ended with them.

Cause: the limits on what is held of a response count bytes, and the cost is in the number of parts. The HTTP client hands on each chunk as a view of its own; the parts that nothing reads yet, the bodies that are read as a whole and the starts of large responses were kept as lists of such views, up to a million of them, and each part was written to the client by itself. A body that is discarded was collected as well.

Change: TargetExchange joins small parts that arrive together before it hands them on, so that all readers of a response get few parts; what is kept is gathered in one buffer; a body that is discarded is counted only.

--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ByteGatherer } from "heatherarch-core";
 import { copyEndToEndHeaders } from "./end_to_end_headers.ts";
 import type { ClientResponse } from "./client_response.ts";
 import { EventBuffers } from "./event_buffers.ts";
@@ -72,8 +73,8 @@
 /** The start of a response that is too large to be buffered as a whole. */
 export interface PartialResponse {
   readonly head: ResponseHead;
-  /** Parts that have arrived; more may be added until the response is relayed. */
-  readonly parts: Buffer[];
+  /** What has arrived; more may be added until the response is relayed. */
+  readonly begin: ByteGatherer;
 }
 
 /** A response as far as it is buffered. */
@@ -90,20 +91,16 @@
   head: ResponseHead,
 ): Promise<ReadResult> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = [];
-    let size = 0;
+    const body = new ByteGatherer();
     exchange.setBodyListener({
       onData: (bytes) => {
-        parts.push(bytes);
-        size += bytes.length;
-        if (size <= MAX_BUFFERED_BYTES) return;
+        body.append(bytes, MAX_BUFFERED_BYTES);
+        if (body.length <= MAX_BUFFERED_BYTES) return;
         exchange.pause();
-        resolve({ kind: "partial", response: { head, parts } });
-      },
-      onEnd: () => {
-        const body = Buffer.concat(parts);
-        resolve({ kind: "whole", response: { head, body } });
+        resolve({ kind: "partial", response: { head, begin: body } });
       },
+      onEnd: () =>
+        resolve({ kind: "whole", response: { head, body: body.bytes } }),
       onFault: reject,
     });
   });
@@ -131,11 +128,11 @@
 export function relayPartialResponse(
   clientResponse: ClientResponse,
   exchange: TargetExchange,
-  { head, parts }: PartialResponse,
+  { head, begin }: PartialResponse,
 ): Promise<RelayResult> {
   const headers = copyEndToEndHeaders(head.rawHeaders);
   clientResponse.writeHead(head.status, headers);
-  for (const part of parts) clientResponse.write(part);
+  clientResponse.write(begin.take());
   const relay = new StreamRelay({
     clientResponse,
     isResumable: false,
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -5,10 +5,15 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
+import {
+  ByteGatherer,
+  RuntimeClock,
+  startStallAwareTimer,
+} from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 import { type ConnectionReads, registerStart } from "./connection_reads.ts";
+import { PartJoiner } from "./part_joiner.ts";
 import { isUnwritten } from "./unwritten_requests.ts";
 
 /** Head of a target's response. */
@@ -54,6 +59,7 @@
 
 /** Receives the body of a response as it arrives. */
 export interface BodyListener {
+  /** Called with what has arrived. Small parts are joined, as each one by itself would have its cost. */
   onData(bytes: Buffer): void;
   /** Called when the response ended as its framing requires. */
   onEnd(): void;
@@ -82,6 +88,11 @@
  * checked. No more is read from the connection until then.
  */
 const MAX_UNREAD_BYTES = 1024 * 1024;
+/** Bytes that a listener gets at a time of what was kept, as from a read of a connection. */
+const UNREAD_PART_BYTES = 64 * 1024;
+
+/** Small parts are joined up to this size before they are handed on. */
+const MAX_JOINED_BYTES = 16 * 1024;
 
 /** Bounds of a body that is read as a whole. */
 export interface BodyLimits {
@@ -112,7 +123,10 @@
    * Resolves when the connection is free or closed; with an error if the response is incomplete.
    */
   readonly ended: Promise<"ended" | ExchangeError>;
-  readonly #bufferedChunks: Buffer[] = [];
+  /** What has arrived before anything reads the body. */
+  readonly #unread = new ByteGatherer();
+  /** What has arrived in this turn and is not handed on yet. */
+  readonly #arrived = new PartJoiner();
   #resolveHead!: (head: ResponseHead) => void;
   #rejectHead!: (error: ExchangeError) => void;
   #resolveEnded!: (end: "ended" | ExchangeError) => void;
@@ -123,7 +137,6 @@
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
-  #unreadBytes = 0;
   /** Monotonic time from which the silence of the target counts. */
   #silentSinceMs = -Infinity;
   #isPaused = false;
@@ -240,11 +253,11 @@
   setBodyListener(listener: BodyListener): void {
     const end = this.#end;
     this.#listener = listener;
-    const isStopped = this.#unreadBytes > MAX_UNREAD_BYTES;
+    const isStopped = this.#unread.length > MAX_UNREAD_BYTES;
     if (isStopped) this.#isPaused = false;
-    this.#unreadBytes = 0;
-    for (const bytes of this.#bufferedChunks.splice(0)) {
-      listener.onData(bytes);
+    const unread = this.#unread.take();
+    for (let at = 0; at < unread.length; at += UNREAD_PART_BYTES) {
+      listener.onData(unread.subarray(at, at + UNREAD_PART_BYTES));
       // The listener has aborted the exchange, and knows it.
       if (this.#end !== end) return;
     }
@@ -258,16 +271,13 @@
    * Reads a body within limits, beyond which the exchange is aborted. Rejects with an
    * {@linkcode ExchangeError}.
    */
-  async readBody({ maxBytes, timeoutMs }: BodyLimits): Promise<Buffer> {
-    const stopTimer = startStallAwareTimer(
-      () => this.abort(`response not complete within ${timeoutMs} ms`),
-      timeoutMs,
+  async readBody(limits: BodyLimits): Promise<Buffer> {
+    const body = new ByteGatherer();
+    await this.#readLimited(
+      limits,
+      (bytes) => body.append(bytes, limits.maxBytes),
     );
-    try {
-      return await this.#collectBody(maxBytes);
-    } finally {
-      stopTimer();
-    }
+    return body.bytes;
   }
 
   /**
@@ -275,24 +285,35 @@
    * closed.
    */
   discardBody(limits: BodyLimits = DISCARDED_BODY): void {
-    this.readBody(limits).catch(() => undefined);
+    this.#readLimited(limits, () => undefined).catch(() => undefined);
     this.resume();
   }
 
-  #collectBody(maxBytes: number): Promise<Buffer> {
-    return new Promise((resolve, reject) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      this.setBodyListener({
-        onData: (bytes) => {
-          size += bytes.length;
-          if (size > maxBytes) this.abort(`response exceeds ${maxBytes} bytes`);
-          else chunks.push(bytes);
-        },
-        onEnd: () => resolve(Buffer.concat(chunks)),
-        onFault: reject,
-      });
-    });
+  /** Reads a body within limits. Rejects with an {@linkcode ExchangeError}. */
+  async #readLimited(
+    { maxBytes, timeoutMs }: BodyLimits,
+    onData: (bytes: Buffer) => void,
+  ): Promise<void> {
+    const stopTimer = startStallAwareTimer(
+      () => this.abort(`response not complete within ${timeoutMs} ms`),
+      timeoutMs,
+    );
+    let size = 0;
+    try {
+      await new Promise<void>((resolve, reject) =>
+        this.setBodyListener({
+          onData: (bytes) => {
+            size += bytes.length;
+            if (size <= maxBytes) onData(bytes);
+            else this.abort(`response exceeds ${maxBytes} bytes`);
+          },
+          onEnd: resolve,
+          onFault: reject,
+        })
+      );
+    } finally {
+      stopTimer();
+    }
   }
 
   #start(controller: Controller): void {
@@ -341,8 +362,19 @@
     if (this.#end !== "open") return;
     // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
     if (bytes.length === 0) return;
-    this.#recordReceipt();
     this.#reads?.recordBody(bytes.length);
+    if (this.#arrived.length === 0) {
+      this.#recordReceipt();
+      queueMicrotask(() => this.#handOn());
+    }
+    this.#arrived.add(bytes);
+    if (this.#arrived.length >= MAX_JOINED_BYTES) this.#handOn();
+  }
+
+  /** Hands on what has arrived in this turn. */
+  #handOn(): void {
+    if (this.#arrived.length === 0) return;
+    const bytes = this.#arrived.take();
     const listener = this.#listener;
     if (listener === undefined) this.#keepUnread(bytes);
     else this.#notify(() => listener.onData(bytes));
@@ -367,9 +399,8 @@
   }
 
   #keepUnread(bytes: Buffer): void {
-    this.#bufferedChunks.push(bytes);
-    this.#unreadBytes += bytes.length;
-    if (this.#unreadBytes > MAX_UNREAD_BYTES) this.pause();
+    this.#unread.append(bytes, MAX_UNREAD_BYTES);
+    if (this.#unread.length > MAX_UNREAD_BYTES) this.pause();
   }
 
   #recordReceipt(): void {
@@ -390,6 +421,9 @@
   }
 
   #finish(end: "ended" | ExchangeError): void {
+    if (this.#end !== "open") return;
+    this.#handOn();
+    // The listener may have aborted the exchange.
     if (this.#end !== "open") return;
     this.#end = end;
     // An idle connection would keep this exchange and what it has read.
