Target responses: the work on very small chunks is bounded for all together

What callers saw: VMs that had called a target with bytes without end stood still.

Cause: a VM parses as much as a target sends until the call ends. Each chunk is handed on by itself, so chunks of one byte cost thousands of times the processor time of a few large ones, and nothing bounded it for targets, as FramingBudget does for the bodies of clients.

Change: TargetConnections has a FramingBudget. Framing no longer counts after a while, since a long stream of small events is no such response. While it waits, a response does not count as silent.

--- a/packages/heatherarch-client-limits/framing_budget.ts
+++ b/packages/heatherarch-client-limits/framing_budget.ts
@@ -1,6 +1,7 @@
 /**
- * Limits the work on chunked bodies in very small chunks. The parser hands on each chunk by itself, so a body
- * of one byte a chunk costs thousands of times the processor time of one in a few chunks.
+ * Limits the work on chunked bodies in very small chunks, those of clients' requests or of targets' responses.
+ * The parser hands on each chunk by itself, so a body of one byte a chunk costs thousands of times the
+ * processor time of one in a few chunks.
  *
  * @module
  */
@@ -9,13 +10,17 @@
 
 /** Options of {@linkcode FramingBudget}. */
 export interface FramingBudgetOptions {
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, "readMonotonicMs">;
   /** Framing that is read in a second of several costly bodies together, bytes. */
   readonly bytesPerSecond?: number;
   /** Costly bodies that are read at the same time. */
   readonly maxBodies?: number;
   /** Framing from which a body is costly, bytes. */
   readonly freeBytes?: number;
+  /** Part of a body's framing that no longer counts, for each second, bytes. By default all of it counts. */
+  readonly forgottenBytesPerSecond?: number;
+  /** Whether a costly body is read without pauses while it is the only one. By default it is. */
+  readonly isOnlyBodyFree?: boolean;
   readonly onRefused?: () => void;
 }
 
@@ -45,24 +50,33 @@
 
   /** Adds a chunked body. */
   open(): FramedBody {
-    return new FramedBody(this);
+    return new FramedBody(this, this.#options.clock);
   }
 
-  /** Waits until a body may be read on. Rejects if too many costly bodies are being read. */
-  async admit(
-    body: FramedBody,
-    framingBytes: number,
-    addedBytes: number,
-  ): Promise<void> {
+  /** Whether a body with so much framing that counts has to wait for its turns. */
+  isCostly(countedBytes: number): boolean {
+    const { freeBytes = DEFAULT_FREE_BYTES } = this.#options;
+    return countedBytes > freeBytes;
+  }
+
+  /** Returns how much framing no longer counts now that did at an earlier time, at most. */
+  computeForgottenBytes(sinceMs: number): number {
+    const { clock, forgottenBytesPerSecond = 0 } = this.#options;
+    if (forgottenBytesPerSecond === 0) return 0;
+    const elapsedMs = clock.readMonotonicMs() - sinceMs;
+    return elapsedMs / MS_PER_SECOND * forgottenBytesPerSecond;
+  }
+
+  /** Waits until a costly body may be read on. Rejects if too many costly bodies are being read. */
+  async admit(body: FramedBody, addedBytes: number): Promise<void> {
     const {
       clock,
       bytesPerSecond = DEFAULT_BYTES_PER_SECOND,
-      freeBytes = DEFAULT_FREE_BYTES,
+      isOnlyBodyFree = true,
     } = this.#options;
-    if (framingBytes <= freeBytes) return;
     this.#recordCostly(body);
     // A single client is served in calm, whatever its chunks.
-    if (this.#costlyBodies.size === 1) return;
+    if (isOnlyBodyFree && this.#costlyBodies.size === 1) return;
     const nowMs = clock.readMonotonicMs();
     const readMs = Math.min(nowMs - body.resumedAtMs, MAX_READ_MS);
     const costMs = Math.max(
@@ -98,17 +112,48 @@
   /** Monotonic time since which the body is read, milliseconds; infinite before its first pause. */
   resumedAtMs = Infinity;
   readonly #budget: FramingBudget;
+  readonly #clock: FramingBudgetOptions["clock"];
+  /** All framing that was read, bytes. */
   #recordedBytes = 0;
+  /** The part of it that counts. */
+  #countedBytes = 0;
+  #countedAtMs: number;
+  /** Framing since the last turn. */
+  #unpaidBytes = 0;
 
-  constructor(budget: FramingBudget) {
+  constructor(budget: FramingBudget, clock: FramingBudgetOptions["clock"]) {
     this.#budget = budget;
+    this.#clock = clock;
+    this.#countedAtMs = clock.readMonotonicMs();
+  }
+
+  /** Records that reading begins. What was waited for before does not count as work. */
+  beginRead(): void {
+    this.resumedAtMs = this.#clock.readMonotonicMs();
+  }
+
+  /** Records the bytes that were read beside the body's own. Returns whether it has to wait for its turn. */
+  record(framingBytes: number): boolean {
+    const addedBytes = Math.max(0, framingBytes - this.#recordedBytes);
+    this.#recordedBytes += addedBytes;
+    this.#unpaidBytes += addedBytes;
+    const forgottenBytes = this.#budget.computeForgottenBytes(
+      this.#countedAtMs,
+    );
+    this.#countedAtMs = this.#clock.readMonotonicMs();
+    this.#countedBytes = addedBytes +
+      Math.max(0, this.#countedBytes - forgottenBytes);
+    const isCostly = this.#budget.isCostly(this.#countedBytes);
+    if (!isCostly) this.#unpaidBytes = 0;
+    return isCostly;
   }
 
   /** Records the bytes that were read beside the body's own, and waits until it may be read on. */
   async awaitTurn(framingBytes: number): Promise<void> {
-    const addedBytes = Math.max(0, framingBytes - this.#recordedBytes);
-    this.#recordedBytes = Math.max(framingBytes, this.#recordedBytes);
-    await this.#budget.admit(this, framingBytes, addedBytes);
+    if (!this.record(framingBytes)) return;
+    const unpaidBytes = this.#unpaidBytes;
+    this.#unpaidBytes = 0;
+    await this.#budget.admit(this, unpaidBytes);
   }
 
   close(): void {
--- a/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
+++ b/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
@@ -78,3 +78,44 @@
     mock.timers.reset();
   }
 });
+
+// Guards against a long stream of small events that counts as costly although it comes slowly.
+test("framing no longer counts after a while", async () => {
+  const clock = new ManualClock();
+  const budget = new FramingBudget({
+    clock,
+    ...OPTIONS,
+    forgottenBytesPerSecond: 100,
+  });
+  const body = budget.open();
+  assert.equal(body.record(100), false);
+  assert.equal(body.record(101), true);
+  clock.advance(1000);
+  assert.equal(body.record(200), false);
+  assert.equal(body.record(202), true);
+});
+
+// Guards against a target whose response in very small chunks takes all of a process's time.
+test("the only costly body pauses if no body is read at full speed", async () => {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  try {
+    const clock = new ManualClock();
+    const budget = new FramingBudget({
+      clock,
+      ...OPTIONS,
+      isOnlyBodyFree: false,
+    });
+    const body = budget.open();
+    body.beginRead();
+    clock.advance(100);
+    let hasEnded = false;
+    const turn = body.awaitTurn(150).then(() => hasEnded = true);
+    mock.timers.tick(299);
+    await Promise.resolve();
+    assert.equal(hasEnded, false);
+    mock.timers.tick(1);
+    await turn;
+  } finally {
+    mock.timers.reset();
+  }
+});
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { FramingBudget } from "heatherarch-client-limits";
 import {
   type Clock,
   ReadBarrier,
@@ -141,6 +142,18 @@
   readonly callId?: string;
 }
 
+/**
+ * Work on responses in very small chunks. A body of ordinary chunks stays below what is free, and so does a
+ * stream of events that comes as fast as engines generate.
+ */
+const FRAMING_LIMITS = {
+  bytesPerSecond: 1_000_000,
+  freeBytes: 8 * 1024,
+  forgottenBytesPerSecond: 8 * 1024,
+  maxBodies: Infinity,
+  isOnlyBodyFree: false,
+};
+
 interface TargetPool {
   readonly pool: Pool;
   inFlight: number;
@@ -177,6 +190,7 @@
 export class TargetConnections {
   readonly #options: Required<TargetConnectionsOptions>;
   readonly #targets = new Map<string, TargetPools>();
+  readonly #framing: FramingBudget;
   #liveVms = 1;
   /** Number of connections to all targets that were opened so far. */
   #opened = 0;
@@ -196,6 +210,8 @@
       idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
       ...options,
     };
+    const { clock } = this.#options;
+    this.#framing = new FramingBudget({ clock, ...FRAMING_LIMITS });
   }
 
   /** Sets the number of VMs that share each target's connections. */
@@ -310,6 +326,7 @@
           pool.inFlight--;
         },
         readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
+        framing: this.#framing,
         mayWrite: () => {
           if (!WITHHELD_IF_LATE.has(purpose)) return true;
           const readyAtMs = Math.max(sentAtMs, pool.connectedAtMs);
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -10,6 +10,7 @@
   RuntimeClock,
   startStallAwareTimer,
 } from "heatherarch-core";
+import type { FramedBody, FramingBudget } from "heatherarch-client-limits";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 import { type ConnectionReads, registerStart } from "./connection_reads.ts";
@@ -76,6 +77,8 @@
   readonly mayWrite?: () => boolean;
   /** Returns the current monotonic time, milliseconds. */
   readonly readMonotonicMs?: () => number;
+  /** The work on bodies in very small chunks. By default it is not limited. */
+  readonly framing?: FramingBudget;
 }
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
@@ -93,6 +96,8 @@
 
 /** Small parts are joined up to this size before they are handed on. */
 const MAX_JOINED_BYTES = 16 * 1024;
+/** The size of a chunk in one digit, and the ends of two lines. */
+const MIN_CHUNK_FRAMING_BYTES = 5;
 
 /** Bounds of a body that is read as a whole. */
 export interface BodyLimits {
@@ -139,7 +144,14 @@
   #interimResponses = 0;
   /** Monotonic time from which the silence of the target counts. */
   #silentSinceMs = -Infinity;
+  /** Whether the body is not read for the sake of its listener. */
   #isPaused = false;
+  /** The work on a body in very small parts; undefined if it is not limited. */
+  #framing: FramedBody | undefined;
+  #framingBytes = 0;
+  #partsInTurn = 0;
+  /** Whether the body is not read for the sake of other work. */
+  #isAwaitingTurn = false;
   readonly #receiptListeners = new Set<() => void>();
   readonly #hooks: ExchangeHooks;
 
@@ -205,6 +217,11 @@
     return this.#listener !== undefined;
   }
 
+  /** Whether the rest of a body in very small parts waits, so that other work goes on. */
+  get isAwaitingTurn(): boolean {
+    return this.#isAwaitingTurn;
+  }
+
   /** Registers a listener for each head and each part of the body. Returns its removal. */
   registerReceiptListener(listener: () => void): () => void {
     this.#receiptListeners.add(listener);
@@ -218,7 +235,8 @@
    * the body is not read.
    */
   getSilentMs(nowMs: number): number {
-    return this.#isPaused ? 0 : nowMs - this.#silentSinceMs;
+    const isUnread = this.#isPaused || this.#isAwaitingTurn;
+    return isUnread ? 0 : nowMs - this.#silentSinceMs;
   }
 
   /** Aborts the exchange by closing its connection, which most targets treat as a cancellation. */
@@ -243,7 +261,7 @@
   resume(): void {
     if (this.#isPaused) this.#restartSilence();
     this.#isPaused = false;
-    this.#controller?.resume();
+    this.#readOn();
   }
 
   /**
@@ -332,7 +350,10 @@
     registerStart((reads) => {
       this.#reads = reads;
       // undici fails an assertion when the connection of a paused body ends. Nothing is left to read then.
-      reads.setEndListener(() => this.resume());
+      reads.setEndListener(() => {
+        this.#isAwaitingTurn = false;
+        this.resume();
+      });
     });
   }
 
@@ -348,6 +369,7 @@
     const rawHeaders = raw.map((part) =>
       typeof part === "string" ? part : part.toString("latin1")
     );
+    this.#framing = this.#hooks.framing?.open();
     this.#resolveHead({ status, headers, rawHeaders });
   }
 
@@ -363,14 +385,44 @@
     // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
     if (bytes.length === 0) return;
     this.#reads?.recordBody(bytes.length);
-    if (this.#arrived.length === 0) {
-      this.#recordReceipt();
-      queueMicrotask(() => this.#handOn());
-    }
+    if (this.#partsInTurn++ === 0) this.#beginTurn();
     this.#arrived.add(bytes);
     if (this.#arrived.length >= MAX_JOINED_BYTES) this.#handOn();
   }
 
+  #beginTurn(): void {
+    this.#recordReceipt();
+    this.#framing?.beginRead();
+    queueMicrotask(() => this.#endTurn());
+  }
+
+  /** Hands on what has arrived, and waits before more is read if it came in very small parts. */
+  #endTurn(): void {
+    this.#framingBytes += this.#partsInTurn * MIN_CHUNK_FRAMING_BYTES;
+    this.#partsInTurn = 0;
+    this.#handOn();
+    const framing = this.#framing;
+    if (framing === undefined || this.#end !== "open") return;
+    // One more part arrives after a pause.
+    if (this.#isAwaitingTurn || !framing.record(this.#framingBytes)) return;
+    this.#awaitTurn(framing.awaitTurn(this.#framingBytes));
+  }
+
+  #awaitTurn(turn: Promise<void>): void {
+    this.#isAwaitingTurn = true;
+    this.#controller?.pause();
+    void turn.then(() => {
+      this.#isAwaitingTurn = false;
+      this.#restartSilence();
+      if (this.#end === "open") this.#readOn();
+    });
+  }
+
+  /** Continues to read the body unless something else has to happen first. */
+  #readOn(): void {
+    if (!this.#isPaused && !this.#isAwaitingTurn) this.#controller?.resume();
+  }
+
   /** Hands on what has arrived in this turn. */
   #handOn(): void {
     if (this.#arrived.length === 0) return;
@@ -426,6 +478,7 @@
     // The listener may have aborted the exchange.
     if (this.#end !== "open") return;
     this.#end = end;
+    this.#framing?.close();
     // An idle connection would keep this exchange and what it has read.
     this.#reads?.setEndListener(undefined);
     this.#hooks.onRelease();
--- a/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
+++ b/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
@@ -16,6 +16,10 @@
 /** A connection with bytes without end is read for less than this time; it allows for a busy machine. */
 const MAX_READ_MS = 2000;
 const PART_BYTES = 64 * 1024;
+/** The bound on the framing of small chunks, of which each has five bytes. */
+const MAX_PARTS_PER_SECOND = 1_000_000 / 5;
+/** What is free, and two reads of a connection, of whose bytes each chunk has six. */
+const PARTS_AHEAD = 8 * 1024 / 5 + 2 * PART_BYTES / 6;
 
 let server: Server | undefined;
 let connections: TargetConnections | undefined;
@@ -146,6 +150,57 @@
   assert.equal(await countBody(exchange), 100_000);
 });
 
+// Guards against a process whose time goes into chunks of one byte, as fast as a target sends them.
+test("responses in chunks of one byte without end are read at a bounded rate", async () => {
+  let sent: Promise<number> | undefined;
+  const exchange = await send((socket) => {
+    const part = "1\r\nx\r\n".repeat(10_000);
+    sent = sendEndless(socket, { begin: CHUNKED, part });
+  });
+  let parts = 0;
+  exchange.setBodyListener({
+    onData: ({ length }) => parts += length,
+    onEnd: () => undefined,
+    onFault: () => undefined,
+  });
+  const startedAtMs = performance.now();
+  await pause(1000);
+  exchange.abort("enough");
+  const tookS = (performance.now() - startedAtMs) / 1000;
+  await sent;
+  assert.ok(parts > 1000, `${parts}`);
+  assert.ok(
+    parts < MAX_PARTS_PER_SECOND * tookS + PARTS_AHEAD,
+    `${parts} in ${tookS} s`,
+  );
+});
+
+// Guards against a stream that waits although it comes as slowly as engines generate.
+test("a long stream in small chunks is read at once", async () => {
+  const exchange = await send((socket) => {
+    socket.write(CHUNKED);
+    const timer = setInterval(
+      () => !socket.destroyed && socket.write("1\r\nx\r\n".repeat(10)),
+      10,
+    );
+    socket.on("close", () => clearInterval(timer));
+    setTimeout(() => socket.destroyed || socket.end("0\r\n\r\n"), 1000);
+  });
+  let wasLate = false;
+  exchange.setBodyListener({
+    onData: () => undefined,
+    onEnd: () => undefined,
+    onFault: () => undefined,
+  });
+  const stopAt = performance.now() + 900;
+  while (performance.now() < stopAt) {
+    await pause(5);
+    wasLate ||= exchange.isAwaitingTurn;
+  }
+  assert.equal(wasLate, false);
+  assert.equal(await exchange.ended, "ended");
+});
+
 // Guards against a sound response that is cut as it waits in the sockets, unread.
 test("a large response is read as a whole although it is paused again and again", async () => {
   const parts = 300;
