--- a/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
+++ b/packages/heatherarch-forward/tests/unit/call_handlers_test.ts
@@ -1,62 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { CallKind } from "../../mod.ts";
+import { describe, runAll, STEPS } from "./call_sequences.ts";
 import {
   runScript,
   type ScriptedAttempt,
   type ScriptedResult,
-  type ScriptOutcome,
 } from "./scripted_call.ts";
 
-const RESULTS: readonly ScriptedResult[] = [
-  "notSent",
-  "withheld",
-  "lostBefore",
-  "lostAfter",
-  "refused",
-  "misdirected",
-  "failed",
-  "falsePromise",
-  "cut",
-  "ok",
-];
-const STEPS = RESULTS.flatMap((end): ScriptedAttempt[] => [
-  { end, restarts: false },
-  { end, restarts: true },
-]);
-/** Number of attempts whose results are enumerated in all sequences; later attempts succeed. */
-const DEPTH = 3;
 const MAX_TARGETS = 2;
 /** Statuses that promise that the call did not run and will not run. */
 const NOT_RUN: ReadonlySet<number | undefined> = new Set([408, 421, 429, 503]);
 
-/** Runs all sequences of results, each as long as attempts are made. */
-async function runAll(
-  kind: CallKind,
-  check: (outcome: ScriptOutcome, script: readonly ScriptedAttempt[]) => void,
-): Promise<number> {
-  let sequences = 0;
-  const runFrom = async (
-    script: readonly ScriptedAttempt[],
-  ): Promise<void> => {
-    const outcome = await runScript(kind, script);
-    sequences++;
-    check(outcome, script);
-    // If the call made fewer attempts than scripted, longer scripts give the same outcome.
-    if (outcome.used < script.length || script.length === DEPTH) return;
-    for (const step of STEPS) await runFrom([...script, step]);
-  };
-  for (const step of STEPS) await runFrom([step]);
-  return sequences;
-}
-
-function describe(
-  outcome: ScriptOutcome,
-  script: readonly ScriptedAttempt[],
-): string {
-  return JSON.stringify({ script, outcome });
-}
-
 for (
   const kind of ["once", "idempotent", "stream", "resumableStream"] as const
 ) {
@@ -76,18 +31,6 @@
   });
 }
 
-// Guards against requests that exceed the fleet's retry budget because no retry is taken for them.
-for (
-  const kind of ["once", "idempotent", "stream", "resumableStream"] as const
-) {
-  test(`${kind}: each request beyond the first is taken from the retry budget`, async () => {
-    await runAll(kind, (outcome, script) => {
-      const { retries, retriesTaken } = outcome;
-      assert.ok(retries <= retriesTaken, describe(outcome, script));
-    });
-  });
-}
-
 test("a call is retried if it has not run, and only a repeatable one if it may have run", async () => {
   const run = async (kind: CallKind, end: ScriptedResult) => {
     const { status, runs } = await runScript(kind, [{ end, restarts: true }]);
