Target responses: the memory of all bodies together is bounded

What callers saw: machines that had called targets with bytes without end ran out of memory.

Cause: each response may hold 1 MiB until it is complete or relayed, and nothing bounds their sum. At targets with 80 slots each, 300 calls hold 300 MB, which the heap's bound does not see.

Change: the connections to targets have a BodyMemory of 32 MiB, as the bodies of clients have. The largest body gives way: a successful response to a plain call is relayed from where it is, other attempts end. A response that met this bound or the one on very small chunks is logged and counted (responseLimited, heatherarch_responses_limited_total).

--- a/packages/heatherarch-client-limits/body_memory.ts
+++ b/packages/heatherarch-client-limits/body_memory.ts
@@ -1,6 +1,6 @@
 /**
- * Limits the memory of the request bodies of all connections together. A limit for each body is not enough:
- * clients may send many at once and never end them.
+ * Limits the memory of all bodies together, those of clients' requests or those of targets' responses. A limit
+ * for each body is not enough: many may be sent at once and never end.
  *
  * @module
  */
@@ -14,7 +14,7 @@
 /** Bodies up to this size are not evicted, so that ordinary clients are served beside many large bodies. */
 const SMALL_BODY_BYTES = 16 * 1024;
 
-/** Memory of request bodies, from their first byte until their requests have ended. */
+/** Memory of bodies, from their first byte until they are released. */
 export class BodyMemory {
   readonly #options: BodyMemoryOptions;
   readonly #incomplete = new Set<HeldBody>();
@@ -29,8 +29,8 @@
     return this.#heldBytes;
   }
 
-  /** Adds a body. `onEvicted` is called if it is incomplete and has to give way. */
-  open(onEvicted: () => void): HeldBody {
+  /** Adds a body. `onEvicted` is called with what has arrived if it is incomplete and has to give way. */
+  open(onEvicted: (bytes: Buffer) => void): HeldBody {
     const body: HeldBody = new HeldBody({
       onResized: (bytes) => this.#resize(bytes),
       onSettled: () => this.#incomplete.delete(body),
@@ -66,10 +66,10 @@
 interface HeldBodyListeners {
   readonly onResized: (bytes: number) => void;
   readonly onSettled: () => void;
-  readonly onEvicted: () => void;
+  readonly onEvicted: (bytes: Buffer) => void;
 }
 
-/** The body of one request. Small parts share a buffer, as each part of its own would cost more than its bytes. */
+/** One body. Small parts share a buffer, as each part of its own would cost more than its bytes. */
 export class HeldBody {
   readonly #listeners: HeldBodyListeners;
   readonly #gatherer = new ByteGatherer();
@@ -111,10 +111,11 @@
     this.#resize(0);
   }
 
-  /** Drops what has arrived and tells the owner. */
+  /** Gives what has arrived to the owner, which no longer counts. */
   evict(): void {
+    const { bytes } = this.#gatherer;
     this.release();
-    this.#listeners.onEvicted();
+    this.#listeners.onEvicted(bytes);
   }
 
   #resize(bytes: number): void {
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -70,7 +70,7 @@
   readonly body: Buffer;
 }
 
-/** The start of a response that is too large to be buffered as a whole. */
+/** The start of a response that is not buffered as a whole, as it or all responses together are too large. */
 export interface PartialResponse {
   readonly head: ResponseHead;
   /** What has arrived; more may be added until the response is relayed. */
@@ -84,24 +84,40 @@
 
 /**
  * Reads a complete response, so that the call can be retried at another target if the response is
- * truncated. Of a large response, only the start is read. Rejects with an {@linkcode ExchangeError}.
+ * truncated. Of a large response, or if all responses take too much memory, only the start is read. Rejects with an {@linkcode ExchangeError}.
  */
 export function readResponse(
   exchange: TargetExchange,
   head: ResponseHead,
 ): Promise<ReadResult> {
   return new Promise((resolve, reject) => {
-    const body = new ByteGatherer();
+    const begin = new ByteGatherer();
+    const held = exchange.holdBody((bytes) => relayFrom(bytes));
+    /** Stops buffering: the response is relayed from here on. */
+    const relayFrom = (bytes: Buffer): void => {
+      begin.append(bytes, bytes.length);
+      held.release();
+      exchange.pause();
+      resolve({ kind: "partial", response: { head, begin } });
+    };
     exchange.setBodyListener({
       onData: (bytes) => {
-        body.append(bytes, MAX_BUFFERED_BYTES);
-        if (body.length <= MAX_BUFFERED_BYTES) return;
-        exchange.pause();
-        resolve({ kind: "partial", response: { head, begin: body } });
+        if (begin.length > 0) {
+          begin.append(bytes, begin.length + bytes.length);
+          return;
+        }
+        held.append(bytes, MAX_BUFFERED_BYTES);
+        if (held.length > MAX_BUFFERED_BYTES) relayFrom(held.complete());
+      },
+      onEnd: () => {
+        const body = held.complete();
+        held.release();
+        resolve({ kind: "whole", response: { head, body } });
+      },
+      onFault: (error) => {
+        held.release();
+        reject(error);
       },
-      onEnd: () =>
-        resolve({ kind: "whole", response: { head, body: body.bytes } }),
-      onFault: reject,
     });
   });
 }
--- a/packages/heatherarch-forward/calls/target_connections.ts
+++ b/packages/heatherarch-forward/calls/target_connections.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { FramingBudget } from "heatherarch-client-limits";
+import { BodyMemory, FramingBudget } from "heatherarch-client-limits";
 import {
   type Clock,
   ReadBarrier,
@@ -17,6 +17,7 @@
   buildFailedExchange,
   buildWithheldExchange,
   type ResponseHead,
+  type ResponseLimit,
   TargetExchange,
 } from "./target_exchange.ts";
 import { watchRequestWrites } from "./unwritten_requests.ts";
@@ -52,6 +53,12 @@
   readonly countRuns?: (target: Target) => number | undefined;
   /** Called with an error of a hook that nothing else handles. */
   readonly onError?: (error: unknown) => void;
+  /** Called when a response has met a bound on what all responses together may take. */
+  readonly onLimited?: (
+    target: Target,
+    limit: ResponseLimit,
+    callId: string | undefined,
+  ) => void;
   /** Called before a request is sent. */
   readonly onSend?: (target: Target) => void;
   /** Called when a connection has been opened. */
@@ -154,6 +161,9 @@
   isOnlyBodyFree: false,
 };
 
+/** Memory for the bodies of all responses: 32 of the largest that are buffered as a whole, bytes. */
+const MAX_BODY_MEMORY_BYTES = 32 * 1024 * 1024;
+
 interface TargetPool {
   readonly pool: Pool;
   inFlight: number;
@@ -191,6 +201,7 @@
   readonly #options: Required<TargetConnectionsOptions>;
   readonly #targets = new Map<string, TargetPools>();
   readonly #framing: FramingBudget;
+  readonly #bodies = new BodyMemory({ maxBytes: MAX_BODY_MEMORY_BYTES });
   #liveVms = 1;
   /** Number of connections to all targets that were opened so far. */
   #opened = 0;
@@ -204,6 +215,7 @@
       onSend: () => undefined,
       onConnect: () => undefined,
       onError: () => undefined,
+      onLimited: () => undefined,
       clock: new RuntimeClock(),
       readBarrier: new ReadBarrier(),
       connectTimeoutMs: DEFAULT_CONNECT_TIMEOUT_MS,
@@ -327,6 +339,8 @@
         },
         readMonotonicMs: () => this.#options.clock.readMonotonicMs(),
         framing: this.#framing,
+        bodies: this.#bodies,
+        onLimited: (limit) => this.#options.onLimited(target, limit, callId),
         mayWrite: () => {
           if (!WITHHELD_IF_LATE.has(purpose)) return true;
           const readyAtMs = Math.max(sentAtMs, pool.connectedAtMs);
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
 import {
-  ByteGatherer,
-  RuntimeClock,
-  startStallAwareTimer,
-} from "heatherarch-core";
-import type { FramedBody, FramingBudget } from "heatherarch-client-limits";
+  BodyMemory,
+  type FramedBody,
+  type FramingBudget,
+  type HeldBody,
+} from "heatherarch-client-limits";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 import { type ConnectionReads, registerStart } from "./connection_reads.ts";
@@ -69,6 +70,9 @@
 
 type Controller = Dispatcher.DispatchController;
 
+/** A bound on what the responses of all targets together may take, which a response has met. */
+export type ResponseLimit = "smallChunks" | "bodyMemory";
+
 /** Hooks of the owner of the connections. */
 export interface ExchangeHooks {
   /** Called once, when the connection is free or closed. */
@@ -79,6 +83,10 @@
   readonly readMonotonicMs?: () => number;
   /** The work on bodies in very small chunks. By default it is not limited. */
   readonly framing?: FramingBudget;
+  /** The memory for the bodies of all responses. By default it is not limited. */
+  readonly bodies?: BodyMemory;
+  /** Called when a response has met a limit, once for each. */
+  readonly onLimited?: (limit: ResponseLimit) => void;
 }
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
@@ -116,6 +124,8 @@
 };
 
 const RUNTIME_CLOCK = new RuntimeClock();
+const UNLIMITED_MEMORY = new BodyMemory({ maxBytes: Infinity });
+const NO_BYTES = Buffer.alloc(0);
 
 /** An unsent exchange has no connection, so its handlers never use the controller. */
 const NO_CONTROLLER = undefined as unknown as Controller;
@@ -129,7 +139,9 @@
    */
   readonly ended: Promise<"ended" | ExchangeError>;
   /** What has arrived before anything reads the body. */
-  readonly #unread = new ByteGatherer();
+  #unread: HeldBody | undefined;
+  /** The same, once the exchange has ended. */
+  #unreadAtEnd: Buffer = NO_BYTES;
   /** What has arrived in this turn and is not handed on yet. */
   readonly #arrived = new PartJoiner();
   #resolveHead!: (head: ResponseHead) => void;
@@ -152,6 +164,7 @@
   #partsInTurn = 0;
   /** Whether the body is not read for the sake of other work. */
   #isAwaitingTurn = false;
+  readonly #metLimits = new Set<ResponseLimit>();
   readonly #receiptListeners = new Set<() => void>();
   readonly #hooks: ExchangeHooks;
 
@@ -271,9 +284,9 @@
   setBodyListener(listener: BodyListener): void {
     const end = this.#end;
     this.#listener = listener;
-    const isStopped = this.#unread.length > MAX_UNREAD_BYTES;
+    const unread = this.#takeUnread();
+    const isStopped = unread.length > MAX_UNREAD_BYTES;
     if (isStopped) this.#isPaused = false;
-    const unread = this.#unread.take();
     for (let at = 0; at < unread.length; at += UNREAD_PART_BYTES) {
       listener.onData(unread.subarray(at, at + UNREAD_PART_BYTES));
       // The listener has aborted the exchange, and knows it.
@@ -290,12 +303,37 @@
    * {@linkcode ExchangeError}.
    */
   async readBody(limits: BodyLimits): Promise<Buffer> {
-    const body = new ByteGatherer();
-    await this.#readLimited(
-      limits,
-      (bytes) => body.append(bytes, limits.maxBytes),
-    );
-    return body.bytes;
+    const body = this.holdBody();
+    try {
+      await this.#readLimited(
+        limits,
+        (bytes) => body.append(bytes, limits.maxBytes),
+      );
+      return body.complete();
+    } finally {
+      body.release();
+    }
+  }
+
+  /**
+   * Opens a buffer in the memory for the bodies of all responses. If it has to give way, `onEvicted` is called
+   * with what it holds; by default the exchange is aborted.
+   */
+  holdBody(
+    onEvicted: (bytes: Buffer) => void = () =>
+      this.abort("too much memory of responses at this VM"),
+  ): HeldBody {
+    const { bodies = UNLIMITED_MEMORY } = this.#hooks;
+    return bodies.open((bytes) => {
+      this.#reportLimit("bodyMemory");
+      onEvicted(bytes);
+    });
+  }
+
+  #reportLimit(limit: ResponseLimit): void {
+    if (this.#metLimits.has(limit)) return;
+    this.#metLimits.add(limit);
+    this.#hooks.onLimited?.(limit);
   }
 
   /**
@@ -405,6 +443,7 @@
     if (framing === undefined || this.#end !== "open") return;
     // One more part arrives after a pause.
     if (this.#isAwaitingTurn || !framing.record(this.#framingBytes)) return;
+    this.#reportLimit("smallChunks");
     this.#awaitTurn(framing.awaitTurn(this.#framingBytes));
   }
 
@@ -451,8 +490,17 @@
   }
 
   #keepUnread(bytes: Buffer): void {
-    this.#unread.append(bytes, MAX_UNREAD_BYTES);
-    if (this.#unread.length > MAX_UNREAD_BYTES) this.pause();
+    const unread = this.#unread ??= this.holdBody();
+    unread.append(bytes, MAX_UNREAD_BYTES);
+    if (unread.length > MAX_UNREAD_BYTES) this.pause();
+  }
+
+  #takeUnread(): Buffer {
+    const bytes = this.#unread?.complete() ?? this.#unreadAtEnd;
+    this.#unread?.release();
+    this.#unread = undefined;
+    this.#unreadAtEnd = NO_BYTES;
+    return bytes;
   }
 
   #recordReceipt(): void {
@@ -479,6 +527,7 @@
     if (this.#end !== "open") return;
     this.#end = end;
     this.#framing?.close();
+    this.#unreadAtEnd = this.#takeUnread();
     // An idle connection would keep this exchange and what it has read.
     this.#reads?.setEndListener(undefined);
     this.#hooks.onRelease();
--- a/packages/heatherarch-forward/metrics.ts
+++ b/packages/heatherarch-forward/metrics.ts
@@ -33,6 +33,13 @@
     labelNames: ["limit"] as const,
     registers: [this.registry],
   });
+  readonly responsesLimited = new Counter({
+    name: "heatherarch_responses_limited_total",
+    help:
+      "Responses of targets that met a bound on what all of them together may take, by the bound",
+    labelNames: ["limit"] as const,
+    registers: [this.registry],
+  });
   readonly firstByte = new Histogram({
     name: "heatherarch_first_byte_seconds",
     help: "Time from the head of a call to the first byte of its answer",
--- a/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
+++ b/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
@@ -6,7 +6,11 @@
   type Socket,
 } from "node:net";
 import { afterEach, test } from "node:test";
-import { TargetConnections, type TargetExchange } from "../../mod.ts";
+import {
+  TargetConnections,
+  type TargetConnectionsOptions,
+  type TargetExchange,
+} from "../../mod.ts";
 import { buildTarget } from "./fixtures.ts";
 
 const REQUEST = { path: "/", method: "GET", headers: [], body: null };
@@ -32,6 +36,7 @@
 /** Starts a server that answers the first bytes of each connection, and connections to it. */
 async function send(
   respond: (socket: Socket) => void,
+  options: TargetConnectionsOptions = {},
 ): Promise<TargetExchange> {
   server = createServer((socket) => {
     socket.on("error", () => undefined);
@@ -41,10 +46,11 @@
     server?.listen(0, "127.0.0.1", () => resolve())
   );
   const { port } = server.address() as AddressInfo;
-  connections = new TargetConnections();
+  connections = new TargetConnections(options);
   return connections.send(
     buildTarget("t", { address: `127.0.0.1:${port}` }),
     REQUEST,
+    { callId: "c" },
   );
 }
 
@@ -153,9 +159,12 @@
 // Guards against a process whose time goes into chunks of one byte, as fast as a target sends them.
 test("responses in chunks of one byte without end are read at a bounded rate", async () => {
   let sent: Promise<number> | undefined;
+  const limited: unknown[] = [];
   const exchange = await send((socket) => {
     const part = "1\r\nx\r\n".repeat(10_000);
     sent = sendEndless(socket, { begin: CHUNKED, part });
+  }, {
+    onLimited: ({ id }, limit, callId) => limited.push([id, limit, callId]),
   });
   let parts = 0;
   exchange.setBodyListener({
@@ -168,6 +177,7 @@
   exchange.abort("enough");
   const tookS = (performance.now() - startedAtMs) / 1000;
   await sent;
+  assert.deepEqual(limited, [["t", "smallChunks", "c"]]);
   assert.ok(parts > 1000, `${parts}`);
   assert.ok(
     parts < MAX_PARTS_PER_SECOND * tookS + PARTS_AHEAD,
--- a/packages/heatherarch-forward/tests/unit/small_parts_test.ts
+++ b/packages/heatherarch-forward/tests/unit/small_parts_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { BodyMemory } from "heatherarch-client-limits";
 import type { Dispatcher } from "undici";
 import type { BodyListener, ResponseHead } from "../../mod.ts";
 import { readResponse } from "../../calls/response_relay.ts";
@@ -12,7 +13,7 @@
 const MANY_PARTS = 10_000;
 
 /** An exchange whose response has begun, and what its connection hands on. */
-function startExchange() {
+function startExchange(bodies = new BodyMemory({ maxBytes: Infinity })) {
   let handler: Dispatcher.DispatchHandler = {};
   const controller = {
     pause: () => undefined,
@@ -27,6 +28,7 @@
   };
   const exchange = new TargetExchange(dispatcher, "", REQUEST, {
     onRelease: () => undefined,
+    bodies,
   });
   handler.onRequestStart?.(controller, undefined);
   handler.onResponseStart?.(controller, 200, {}, "OK");
@@ -114,3 +116,51 @@
     }),
   );
 });
+
+const HEAD: ResponseHead = { status: 200, headers: {}, rawHeaders: [] };
+
+// Guards against a process that runs out of memory by many responses, each within its limit.
+test("beyond the memory for all responses, the largest one is relayed from where it is", async () => {
+  // A buffer takes up to four times what has arrived of its body.
+  const bodies = new BodyMemory({ maxBytes: 1_200_000 });
+  const large = startExchange(bodies);
+  const small = startExchange(bodies);
+  const first = readResponse(large.exchange, HEAD);
+  const second = readResponse(small.exchange, HEAD);
+  large.send(Buffer.alloc(300_000));
+  small.send(Buffer.alloc(250_000));
+  const read = await first;
+  assert.ok(read.kind === "partial");
+  assert.equal(read.response.begin.length, 300_000);
+  large.send(Buffer.alloc(10));
+  await Promise.resolve();
+  assert.equal(read.response.begin.length, 300_010);
+  small.end();
+  const { kind } = await second;
+  assert.equal(kind, "whole");
+  assert.equal(bodies.heldBytes, 0);
+});
+
+// Guards against memory that counts as taken after its exchange has ended.
+test("a response that nothing reads takes no memory of the others after its end", async () => {
+  const bodies = new BodyMemory({ maxBytes: 2_000_000 });
+  const { exchange, send, end } = startExchange(bodies);
+  send(Buffer.alloc(300_000, "x"));
+  assert.ok(bodies.heldBytes > 0);
+  end();
+  assert.equal(bodies.heldBytes, 0);
+  const body = await exchange.readBody({ maxBytes: 400_000, timeoutMs: 1000 });
+  assert.equal(body.length, 300_000);
+  assert.equal(bodies.heldBytes, 0);
+});
+
+// Guards against a body whose memory is not given back when its limit aborts it.
+test("a body beyond its limit gives its memory back", async () => {
+  const bodies = new BodyMemory({ maxBytes: 2_000_000 });
+  const { exchange, send } = startExchange(bodies);
+  const body = exchange.readBody({ maxBytes: 40_000, timeoutMs: 1000 });
+  send(Buffer.alloc(30_000));
+  send(Buffer.alloc(30_000));
+  await assert.rejects(body, /exceeds 40000 bytes/);
+  assert.equal(bodies.heldBytes, 0);
+});
--- a/packages/heatherarch-forward/vm_dependencies.ts
+++ b/packages/heatherarch-forward/vm_dependencies.ts
@@ -195,6 +195,10 @@
       notices.apply(target, head, request);
     },
     onConnect: () => metrics.connectionsOpened.inc(),
+    onLimited: ({ id }, limit, callId) => {
+      metrics.responsesLimited.inc({ limit });
+      log.write("warn", "responseLimited", { target: id, limit, call: callId });
+    },
     onError: (error) =>
       reportInternalError({ log, metrics }, "connections", error),
     onSend: ({ id }) => {
