Very small chunks: turns of bodies that have ended are not waited for

What callers saw: after a target had sent chunks of one byte without end, sound responses in many small chunks waited for seconds, although all calls to that target had ended. Such a wait counts as no silence, so nothing replaced them.

Cause: each costly body adds its cost to the time until which FramingBudget admits no other one, and an exchange that ended while it waited left its cost there. Every call to such a target adds the cost of its first read. Timers kept the ended exchanges.

Change: a body that ends leaves the queue, and those behind it move up.

The new test of FramingBudget fails before: no turn of a body that was closed ends.

--- a/packages/heatherarch-client-limits/framing_budget.ts
+++ b/packages/heatherarch-client-limits/framing_budget.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-import { setTimeout as sleep } from "node:timers/promises";
 import { type Clock, ServeError } from "heatherarch-core";
 
 /** Options of {@linkcode FramingBudget}. */
@@ -37,11 +36,23 @@
 const DEFAULT_FREE_BYTES = 32 * 1024;
 const MS_PER_SECOND = 1000;
 
+/** A body that waits until it may be read on. */
+interface Turn {
+  readonly body: FramedBody;
+  readonly costMs: number;
+  /** Monotonic time at which the body is read on, milliseconds. */
+  endsAtMs: number;
+  timer?: NodeJS.Timeout;
+  readonly resolve: () => void;
+}
+
 /** The work on the chunked bodies of one process. */
 export class FramingBudget {
   readonly #options: FramingBudgetOptions;
   readonly #costlyBodies = new Set<FramedBody>();
-  /** Monotonic time at which the work that was admitted so far is paid for, milliseconds. */
+  /** In the order of their ends. */
+  readonly #turns: Turn[] = [];
+  /** Monotonic time at which the last turn ends, milliseconds. */
   #paidAtMs = 0;
 
   constructor(options: FramingBudgetOptions) {
@@ -84,13 +95,48 @@
       readMs * PAUSE_PER_READ_MS,
     );
     this.#paidAtMs = Math.max(this.#paidAtMs, nowMs) + costMs;
-    await sleep(this.#paidAtMs - nowMs);
+    await this.#awaitTurn(body, costMs);
     body.resumedAtMs = clock.readMonotonicMs();
   }
 
-  /** Removes a body that has ended. */
+  /** Removes a body that has ended. Those behind it wait for its turn no longer. */
   remove(body: FramedBody): void {
     this.#costlyBodies.delete(body);
+    const turn = this.#turns.find((waiting) => waiting.body === body);
+    if (turn !== undefined) this.#cancelTurn(turn);
+  }
+
+  #awaitTurn(body: FramedBody, costMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const turn: Turn = { body, costMs, endsAtMs: this.#paidAtMs, resolve };
+      this.#turns.push(turn);
+      this.#startTimer(turn);
+    });
+  }
+
+  #startTimer(turn: Turn): void {
+    clearTimeout(turn.timer);
+    const remainingMs = turn.endsAtMs - this.#options.clock.readMonotonicMs();
+    turn.timer = setTimeout(() => this.#endTurn(turn), remainingMs);
+  }
+
+  #endTurn(turn: Turn): void {
+    clearTimeout(turn.timer);
+    this.#turns.splice(this.#turns.indexOf(turn), 1);
+    turn.resolve();
+  }
+
+  /** Ends a turn early, and all later ones by as much earlier. */
+  #cancelTurn(turn: Turn): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const remainingMs = Math.max(0, turn.endsAtMs - nowMs);
+    const unusedMs = Math.min(turn.costMs, remainingMs);
+    this.#paidAtMs -= unusedMs;
+    for (const later of this.#turns.slice(this.#turns.indexOf(turn) + 1)) {
+      later.endsAtMs -= unusedMs;
+      this.#startTimer(later);
+    }
+    this.#endTurn(turn);
   }
 
   #recordCostly(body: FramedBody): void {
--- a/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
+++ b/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
@@ -5,6 +5,11 @@
 
 const OPTIONS = { bytesPerSecond: 1000, maxBodies: 2, freeBytes: 100 };
 
+/** Resolves once all callbacks of promises that have resolved have run. */
+function awaitCallbacks(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 // Guards against ordinary chunked bodies that wait.
 test("a body in ordinary chunks is read on at once", async () => {
   const budget = new FramingBudget({ clock: new ManualClock(), ...OPTIONS });
@@ -119,3 +124,38 @@
     mock.timers.reset();
   }
 });
+
+// Guards against sound bodies that wait for seconds behind the turns of bodies that have ended.
+test("the turn of a body that ends passes to those behind it", async () => {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  try {
+    const clock = new ManualClock();
+    const budget = new FramingBudget({
+      clock,
+      ...OPTIONS,
+      maxBodies: Infinity,
+      isOnlyBodyFree: false,
+    });
+    const ending = Array.from({ length: 20 }, () => budget.open());
+    let endedTurns = 0;
+    for (const body of ending) {
+      void body.awaitTurn(1000).then(() => endedTurns++);
+    }
+    const sound = budget.open();
+    let isRead = false;
+    void sound.awaitTurn(200).then(() => isRead = true);
+    mock.timers.tick(500);
+    clock.advance(500);
+    for (const body of ending) body.close();
+    await awaitCallbacks();
+    assert.equal(endedTurns, ending.length);
+    mock.timers.tick(199);
+    await awaitCallbacks();
+    assert.equal(isRead, false);
+    mock.timers.tick(1);
+    await awaitCallbacks();
+    assert.equal(isRead, true);
+  } finally {
+    mock.timers.reset();
+  }
+});
