Dispatch: a buffered response is gathered in one buffer

What callers saw: a target that answers a call or the read of its state in chunks of one byte makes the daemon's process run out of memory, and all requests end with it.

Cause: as with target responses: the limit counts bytes, and the cost is in the number of parts. dispatchBuffered kept each part as a view of its own until the response ended.

Change: the parts are gathered in a ByteGatherer.

Evidence: dispatch_test, "a response in very small parts takes little more memory than its size", fails before with 87 bytes for each part of one byte, and passes with the change.

--- a/packages/heatherarch-targets/dispatch.ts
+++ b/packages/heatherarch-targets/dispatch.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { ByteGatherer } from "heatherarch-core";
 import { type Dispatcher } from "undici";
 
 /**
@@ -167,8 +168,7 @@
   options: DispatchOptions & { maxResponseBytes?: number },
 ): Promise<BufferedResponse> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = new ByteGatherer();
     let status = 0;
     let headers: Record<string, string | string[] | undefined> = {};
     const maxBytes = options.maxResponseBytes ?? MAX_BUFFERED_BYTES;
@@ -178,22 +178,18 @@
         headers = responseHeaders;
       },
       onData: (bytes) => {
-        size += bytes.length;
-        if (size > maxBytes) {
-          request.abort();
-          resolve({
-            kind: "broken",
-            detail: `the response is longer than ${maxBytes} bytes`,
-          });
-        } else chunks.push(bytes);
+        if (body.length + bytes.length <= maxBytes) {
+          body.append(bytes, maxBytes);
+          return;
+        }
+        request.abort();
+        resolve({
+          kind: "broken",
+          detail: `the response is longer than ${maxBytes} bytes`,
+        });
       },
       onDone: () =>
-        resolve({
-          kind: "answer",
-          status,
-          headers,
-          body: Buffer.concat(chunks),
-        }),
+        resolve({ kind: "answer", status, headers, body: body.bytes }),
       onFailure: (kind, detail) => resolve({ kind, detail }),
     });
   });
--- a/packages/heatherarch-targets/tests/unit/dispatch_test.ts
+++ b/packages/heatherarch-targets/tests/unit/dispatch_test.ts
@@ -2,9 +2,18 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, before, test } from "node:test";
-import { Client } from "undici";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { Client, type Dispatcher } from "undici";
 import { dispatchBuffered } from "../../mod.ts";
 
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+const SMALL_PARTS = 200_000;
+/** A buffer takes four times its bytes at most; the rest is for what else the process does. */
+const MAX_HELD_BYTES_PER_PART = 16;
+
 let server: Server;
 let url: string;
 let requests = 0;
@@ -85,3 +94,35 @@
   assert.equal((await send("/endless")).kind, "broken");
   assert.ok(endlessBytes <= MAX_SENT_BYTES, `${endlessBytes} bytes`);
 });
+
+/** Returns the memory that the process holds, bytes. */
+function readHeldBytes(): number {
+  collectGarbage();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+// Guards against a target whose chunks of one byte take hundreds of times their size, until the memory is full.
+test("a response in very small parts takes little more memory than its size", async () => {
+  let handler: Dispatcher.DispatchHandler = {};
+  const dispatch = (_options: unknown, given: Dispatcher.DispatchHandler) => {
+    handler = given;
+    return true;
+  };
+  const controller = {} as Dispatcher.DispatchController;
+  const options = { path: "/", method: "GET", firstByteMs: 1000, gapMs: 1000 };
+  const response = dispatchBuffered({ dispatch } as Dispatcher, options);
+  handler.onRequestStart?.(controller, undefined);
+  handler.onResponseStart?.(controller, 200, {}, "OK");
+  const read = Buffer.alloc(64 * 1024, "x");
+  const before = readHeldBytes();
+  for (let i = 0; i < SMALL_PARTS; i++) {
+    const at = i % read.length;
+    handler.onResponseData?.(controller, read.subarray(at, at + 1));
+  }
+  const perPart = (readHeldBytes() - before) / SMALL_PARTS;
+  handler.onResponseEnd?.(controller, {});
+  const result = await response;
+  assert.ok(result.kind === "answer" && result.body.length === SMALL_PARTS);
+  assert.ok(perPart < MAX_HELD_BYTES_PER_PART, `${perPart} bytes for each`);
+});
