Dispatch: a buffered response has a time to be complete

What callers saw: a call to a target that sends bytes without end took a connection and the processor of the daemon long after its deadline; reads of its state never ended.

Cause: the timeouts applied to the first byte and to the gaps between bytes, and a response that goes on has no gap.

Change: dispatchBuffered takes one timeout, from when the request is written until its response is complete. Its callers gave the same time for the first byte and the gaps.

Evidence: dispatch_test, "a response that goes on after its timeout is given up", fails before and passes with the change (load 13, one run each).

--- a/packages/heatherarch-targets/dispatch.ts
+++ b/packages/heatherarch-targets/dispatch.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import { ByteGatherer } from "heatherarch-core";
+import { ByteGatherer, startStallAwareTimer } from "heatherarch-core";
 import { type Dispatcher } from "undici";
 
 /**
@@ -162,35 +162,61 @@
 /** Largest response to a request of ours, as for the state of a target or an order. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
+/** Options of {@linkcode dispatchBuffered}. */
+export interface BufferedDispatchOptions
+  extends Omit<DispatchOptions, "firstByteMs" | "gapMs"> {
+  /** Longest time from when the request is written until its response is complete. */
+  readonly timeoutMs: number;
+  readonly maxResponseBytes?: number;
+}
+
 /** Sends one request and buffers the complete response, up to a limit. */
 export function dispatchBuffered(
   dispatcher: Dispatcher,
-  options: DispatchOptions & { maxResponseBytes?: number },
+  options: BufferedDispatchOptions,
 ): Promise<BufferedResponse> {
-  return new Promise((resolve) => {
+  const { maxResponseBytes: maxBytes = MAX_BUFFERED_BYTES, timeoutMs } =
+    options;
+  let stopTimer = (): void => undefined;
+  const response = new Promise<BufferedResponse>((resolve) => {
     const body = new ByteGatherer();
     let status = 0;
     let headers: Record<string, string | string[] | undefined> = {};
-    const maxBytes = options.maxResponseBytes ?? MAX_BUFFERED_BYTES;
-    const request = dispatch(dispatcher, options, {
+    const giveUp = (kind: DispatchFailure, detail: string): void => {
+      request.abort();
+      resolve({ kind, detail });
+    };
+    const startTimer = (): void => {
+      stopTimer();
+      const detail = `the response is not complete within ${timeoutMs} ms`;
+      stopTimer = startStallAwareTimer(
+        () => giveUp("silent", detail),
+        timeoutMs,
+      );
+    };
+    const request = dispatch(dispatcher, {
+      ...options,
+      firstByteMs: 0,
+      gapMs: 0,
+      guard: () => {
+        if (options.guard?.() === false) return false;
+        startTimer();
+        return true;
+      },
+    }, {
       onHead: (responseStatus, responseHeaders) => {
         status = responseStatus;
         headers = responseHeaders;
       },
       onData: (bytes) => {
-        if (body.length + bytes.length <= maxBytes) {
-          body.append(bytes, maxBytes);
-          return;
-        }
-        request.abort();
-        resolve({
-          kind: "broken",
-          detail: `the response is longer than ${maxBytes} bytes`,
-        });
+        if (body.length + bytes.length > maxBytes) {
+          giveUp("broken", `the response is longer than ${maxBytes} bytes`);
+        } else body.append(bytes, maxBytes);
       },
       onDone: () =>
         resolve({ kind: "answer", status, headers, body: body.bytes }),
       onFailure: (kind, detail) => resolve({ kind, detail }),
     });
   });
+  return response.finally(() => stopTimer());
 }
--- a/packages/heatherarch-targets/engine_client.ts
+++ b/packages/heatherarch-targets/engine_client.ts
@@ -61,8 +61,7 @@
       const response = await dispatchBuffered(client ?? this.#pool, {
         path,
         method: "GET",
-        firstByteMs: options.timeoutMs,
-        gapMs: options.timeoutMs,
+        timeoutMs: options.timeoutMs,
       });
       if (response.kind !== "answer") {
         throw new Error(`engine state: ${response.detail}`);
@@ -89,8 +88,7 @@
         method: "POST",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
-        firstByteMs: options.timeoutMs,
-        gapMs: options.timeoutMs,
+        timeoutMs: options.timeoutMs,
         guard: options.guard,
       });
       return buildOrderResponse(response);
--- a/packages/heatherarch-targets/service_port.ts
+++ b/packages/heatherarch-targets/service_port.ts
@@ -55,8 +55,7 @@
     const response = await dispatchBuffered(this.#pool, {
       path: LOAD_PATH,
       method: "GET",
-      firstByteMs: options.timeoutMs,
-      gapMs: options.timeoutMs,
+      timeoutMs: options.timeoutMs,
     });
     if (response.kind !== "answer") {
       throw new Error(`service load: ${response.detail}`);
@@ -70,8 +69,7 @@
       method: call.method,
       headers: { ...call.headers, "x-try-id": call.tryId },
       body: call.body,
-      firstByteMs: call.timeoutMs,
-      gapMs: call.timeoutMs,
+      timeoutMs: call.timeoutMs,
       guard: call.guard,
       maxResponseBytes: MAX_RESPONSE_BYTES,
     });
--- a/packages/heatherarch-targets/tests/unit/dispatch_test.ts
+++ b/packages/heatherarch-targets/tests/unit/dispatch_test.ts
@@ -10,6 +10,8 @@
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
 
+const SLOW_PARTS = 150;
+const SLOW_PART_MS = 20;
 const SMALL_PARTS = 200_000;
 /** A buffer takes four times its bytes at most; the rest is for what else the process does. */
 const MAX_HELD_BYTES_PER_PART = 16;
@@ -35,11 +37,22 @@
   res.end();
 }
 
+/** Sends a response that goes on for long without a pause. */
+function sendSlowly(res: ServerResponse): void {
+  let parts = 0;
+  const timer = setInterval(() => {
+    if (parts++ < SLOW_PARTS) res.write("x");
+    else res.end();
+  }, SLOW_PART_MS);
+  res.on("close", () => clearInterval(timer));
+}
+
 before(async () => {
   server = createServer((req, res) => {
     requests++;
     if (req.url === "/never") return;
     if (req.url === "/endless") sendEndless(res);
+    else if (req.url === "/slow") sendSlowly(res);
     else if (req.url === "/break") res.socket?.destroy();
     else res.end("done");
   });
@@ -52,14 +65,22 @@
   server.close();
 });
 
-function send(path: string, guard?: () => boolean, origin = url) {
+interface SendOptions {
+  readonly guard?: () => boolean;
+  readonly origin?: string;
+  readonly timeoutMs?: number;
+}
+
+function send(
+  path: string,
+  { guard, origin = url, timeoutMs = 1000 }: SendOptions = {},
+) {
   const client = new Client(origin, { connect: { timeout: 500 } });
   const response = dispatchBuffered(client, {
     path,
     method: "POST",
     body: "x",
-    firstByteMs: 1000,
-    gapMs: 1000,
+    timeoutMs,
     guard,
   });
   return response.finally(() => void client.destroy());
@@ -67,14 +88,14 @@
 
 test("a withheld request is not sent to the server", async () => {
   const requestsBefore = requests;
-  assert.equal((await send("/", () => false)).kind, "withheld");
+  assert.equal((await send("/", { guard: () => false })).kind, "withheld");
   await new Promise((resolve) => setTimeout(resolve, 50));
   assert.equal(requests, requestsBefore);
 });
 
 test("a refused connection is reported as notSent, a broken response as broken", async () => {
   assert.equal(
-    (await send("/", undefined, "http://127.0.0.1:1")).kind,
+    (await send("/", { origin: "http://127.0.0.1:1" })).kind,
     "notSent",
   );
   assert.equal((await send("/break")).kind, "broken");
@@ -95,6 +116,14 @@
   assert.ok(endlessBytes <= MAX_SENT_BYTES, `${endlessBytes} bytes`);
 });
 
+// Guards against a response that takes a connection and the processor long after its call has ended.
+test("a response that goes on after its timeout is given up", async () => {
+  const startedAtMs = performance.now();
+  assert.equal((await send("/slow", { timeoutMs: 200 })).kind, "silent");
+  const elapsedMs = performance.now() - startedAtMs;
+  assert.ok(elapsedMs < SLOW_PARTS * SLOW_PART_MS / 2, `${elapsedMs} ms`);
+});
+
 /** Returns the memory that the process holds, bytes. */
 function readHeldBytes(): number {
   collectGarbage();
@@ -110,7 +139,7 @@
     return true;
   };
   const controller = {} as Dispatcher.DispatchController;
-  const options = { path: "/", method: "GET", firstByteMs: 1000, gapMs: 1000 };
+  const options = { path: "/", method: "GET", timeoutMs: 1000 };
   const response = dispatchBuffered({ dispatch } as Dispatcher, options);
   handler.onRequestStart?.(controller, undefined);
   handler.onResponseStart?.(controller, 200, {}, "OK");
