Target responses: reads of a body without small chunks are no framing

What callers saw: a large response that came in many reads waited between them like one in very small chunks, for seconds if a target sent such chunks without end.

Cause: each part that the HTTP client hands on counted as a chunk. A body with a length or without chunks comes in a part for each read, often a TCP segment; from about 1,640 reads a second on it counted as costly and waited for its turns.

Change: only parts of less than 512 bytes count.

Evidence: the new test of small_parts_test fails before.

--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -96,6 +96,8 @@
 
 /** Small parts are joined up to this size before they are handed on. */
 const MAX_JOINED_BYTES = 16 * 1024;
+/** Parts below this size count as very small chunks. Larger ones may be reads of a body without chunks. */
+const SMALL_PART_BYTES = 512;
 /** The size of a chunk in one digit, and the ends of two lines. */
 const MIN_CHUNK_FRAMING_BYTES = 5;
 
@@ -149,7 +151,8 @@
   /** The work on a body in very small parts; undefined if it is not limited. */
   #framing: FramedBody | undefined;
   #framingBytes = 0;
-  #partsInTurn = 0;
+  /** Whether what has arrived in this turn is not handed on yet. */
+  #isInTurn = false;
   /** Whether the body is not read for the sake of other work. */
   #isAwaitingTurn = false;
   readonly #receiptListeners = new Set<() => void>();
@@ -385,12 +388,16 @@
     // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
     if (bytes.length === 0) return;
     this.#reads?.recordBody(bytes.length);
-    if (this.#partsInTurn++ === 0) this.#beginTurn();
+    if (!this.#isInTurn) this.#beginTurn();
+    if (bytes.length < SMALL_PART_BYTES) {
+      this.#framingBytes += MIN_CHUNK_FRAMING_BYTES;
+    }
     this.#arrived.add(bytes);
     if (this.#arrived.length >= MAX_JOINED_BYTES) this.#handOn();
   }
 
   #beginTurn(): void {
+    this.#isInTurn = true;
     this.#recordReceipt();
     this.#framing?.beginRead();
     queueMicrotask(() => this.#endTurn());
@@ -398,8 +405,7 @@
 
   /** Hands on what has arrived, and waits before more is read if it came in very small parts. */
   #endTurn(): void {
-    this.#framingBytes += this.#partsInTurn * MIN_CHUNK_FRAMING_BYTES;
-    this.#partsInTurn = 0;
+    this.#isInTurn = false;
     this.#handOn();
     const framing = this.#framing;
     if (framing === undefined || this.#end !== "open") return;
--- a/packages/heatherarch-forward/tests/unit/small_parts_test.ts
+++ b/packages/heatherarch-forward/tests/unit/small_parts_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { FramingBudget } from "heatherarch-client-limits";
+import { RuntimeClock } from "heatherarch-core";
 import type { Dispatcher } from "undici";
 import type { BodyListener, ResponseHead } from "../../mod.ts";
 import { readResponse } from "../../calls/response_relay.ts";
@@ -12,7 +14,7 @@
 const MANY_PARTS = 10_000;
 
 /** An exchange whose response has begun, and what its connection hands on. */
-function startExchange() {
+function startExchange(framing?: FramingBudget) {
   let handler: Dispatcher.DispatchHandler = {};
   const controller = {
     pause: () => undefined,
@@ -27,6 +29,7 @@
   };
   const exchange = new TargetExchange(dispatcher, "", REQUEST, {
     onRelease: () => undefined,
+    framing,
   });
   handler.onRequestStart?.(controller, undefined);
   handler.onResponseStart?.(controller, 200, {}, "OK");
@@ -114,3 +117,24 @@
     }),
   );
 });
+
+// Guards against large responses that wait like those in small chunks, as they come in many reads.
+test("the reads of a body without small chunks do not count as framing", async () => {
+  const framing = new FramingBudget({
+    clock: new RuntimeClock(),
+    freeBytes: 100,
+    isOnlyBodyFree: false,
+  });
+  const { exchange, send } = startExchange(framing);
+  exchange.setBodyListener(buildListener(() => undefined));
+  const segment = Buffer.alloc(1448);
+  for (let i = 0; i < MANY_PARTS; i++) {
+    send(segment);
+    await Promise.resolve();
+    assert.equal(exchange.isAwaitingTurn, false);
+  }
+  for (let i = 0; i < 100; i++) send(Buffer.from("x"));
+  await Promise.resolve();
+  assert.equal(exchange.isAwaitingTurn, true);
+  exchange.abort("enough");
+});
