--- a/packages/heatherarch-forward/tests/unit/small_parts_test.ts
+++ b/packages/heatherarch-forward/tests/unit/small_parts_test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { BodyMemory } from "heatherarch-client-limits";
+import { BodyMemory, FramingBudget } from "heatherarch-client-limits";
+import { RuntimeClock } from "heatherarch-core";
 import type { Dispatcher } from "undici";
-import type { BodyListener, ResponseHead } from "../../mod.ts";
+import type { BodyListener, ExchangeHooks, ResponseHead } from "../../mod.ts";
 import { readResponse } from "../../calls/response_relay.ts";
 import { TargetExchange } from "../../mod.ts";
 
@@ -13,7 +14,9 @@
 const MANY_PARTS = 10_000;
 
 /** An exchange whose response has begun, and what its connection hands on. */
-function startExchange(bodies = new BodyMemory({ maxBytes: Infinity })) {
+function startExchange(
+  limits: Pick<ExchangeHooks, "bodies" | "framing"> = {},
+) {
   let handler: Dispatcher.DispatchHandler = {};
   const controller = {
     pause: () => undefined,
@@ -28,7 +31,7 @@
   };
   const exchange = new TargetExchange(dispatcher, "", REQUEST, {
     onRelease: () => undefined,
-    bodies,
+    ...limits,
   });
   handler.onRequestStart?.(controller, undefined);
   handler.onResponseStart?.(controller, 200, {}, "OK");
@@ -123,8 +126,8 @@
 test("beyond the memory for all responses, the largest one is relayed from where it is", async () => {
   // A buffer takes up to four times what has arrived of its body.
   const bodies = new BodyMemory({ maxBytes: 1_200_000 });
-  const large = startExchange(bodies);
-  const small = startExchange(bodies);
+  const large = startExchange({ bodies });
+  const small = startExchange({ bodies });
   const first = readResponse(large.exchange, HEAD);
   const second = readResponse(small.exchange, HEAD);
   large.send(Buffer.alloc(300_000));
@@ -144,7 +147,7 @@
 // Guards against memory that counts as taken after its exchange has ended.
 test("a response that nothing reads takes no memory of the others after its end", async () => {
   const bodies = new BodyMemory({ maxBytes: 2_000_000 });
-  const { exchange, send, end } = startExchange(bodies);
+  const { exchange, send, end } = startExchange({ bodies });
   send(Buffer.alloc(300_000, "x"));
   assert.ok(bodies.heldBytes > 0);
   end();
@@ -157,10 +160,31 @@
 // Guards against a body whose memory is not given back when its limit aborts it.
 test("a body beyond its limit gives its memory back", async () => {
   const bodies = new BodyMemory({ maxBytes: 2_000_000 });
-  const { exchange, send } = startExchange(bodies);
+  const { exchange, send } = startExchange({ bodies });
   const body = exchange.readBody({ maxBytes: 40_000, timeoutMs: 1000 });
   send(Buffer.alloc(30_000));
   send(Buffer.alloc(30_000));
   await assert.rejects(body, /exceeds 40000 bytes/);
   assert.equal(bodies.heldBytes, 0);
 });
+
+// Guards against large responses that wait like those in small chunks, as they come in many reads.
+test("the reads of a body without small chunks do not count as framing", async () => {
+  const framing = new FramingBudget({
+    clock: new RuntimeClock(),
+    freeBytes: 100,
+    isOnlyBodyFree: false,
+  });
+  const { exchange, send } = startExchange({ framing });
+  exchange.setBodyListener(buildListener(() => undefined));
+  const segment = Buffer.alloc(1448);
+  for (let i = 0; i < MANY_PARTS; i++) {
+    send(segment);
+    await Promise.resolve();
+    assert.equal(exchange.isAwaitingTurn, false);
+  }
+  for (let i = 0; i < 100; i++) send(Buffer.from("x"));
+  await Promise.resolve();
+  assert.equal(exchange.isAwaitingTurn, true);
+  exchange.abort("enough");
+});
