Path monitor: a lost path whose targets all end is no longer lost

Cause: while a path is lost, only rounds of probes find out that it is back, and each round schedules the next. A round in which all targets refuse connections while those of other services respond returned without doing either: the path stayed lost, and no call is tried over a lost path.

Change: such a round ends the loss. The path works, as for targets that refuse connections before any loss.

Evidence: path_monitor_test, "a lost path whose targets all end is no longer lost", fails before the change and passes with it.

--- a/packages/heatherarch-forward/tasks/path_monitor.ts
+++ b/packages/heatherarch-forward/tasks/path_monitor.ts
@@ -241,6 +241,8 @@
       group.lastContactAtMs >= startedAtMs;
     if (this.#isStopped || hasResponse) return true;
     if (outcome === "refused" && await this.#reachesOthers(targets)) {
+      // No further round would find the targets that replace these.
+      this.#restorePath(group);
       return false;
     }
     group.failingSinceMs = Math.min(group.failingSinceMs, startedAtMs);
--- a/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
+++ b/packages/heatherarch-forward/tests/unit/path_monitor_test.ts
@@ -181,6 +181,26 @@
   monitor.stop();
 });
 
+// Guards against a VM that refuses all calls of a service for good, as its targets were silent and then ended.
+test("a lost path whose targets all end is no longer lost", async () => {
+  const decodeEngines = ["d1", "d2"].map((id) =>
+    buildEngine(id, { role: "decode" })
+  );
+  const { monitor, reachable, refusing, events } = buildMonitor([
+    ...decodeEngines,
+    buildEngine("r1"),
+  ]);
+  for (const { id } of decodeEngines) reachable.delete(id);
+  monitor.recordTrouble(decodeEngines[0]);
+  await sleep(5);
+  assert.equal(monitor.hasPath("s"), false);
+  for (const { id } of decodeEngines) refusing.add(id);
+  await sleep(600);
+  assert.equal(monitor.hasPath("s"), true);
+  assert.deepEqual(events(), ["pathLost", "pathRegained"]);
+  monitor.stop();
+});
+
 // Guards against a peer that takes a call which runs elsewhere, although its only target is silent too.
 test("a path that counts as open is no contact with its targets", async () => {
   const target = buildTarget("a");
