Operator server: the memory of request bodies is bounded

What callers saw: a client of the operator port whose chunks have one byte makes the daemon's process run out of memory, without a token where no operators are configured.

Cause: as with target responses: the limit of 8 MiB counts bytes, and the cost is in the number of parts, each of which was kept as a view of its own. Nothing bounded all bodies together, nor the time of one.

Change: bodies are read as those of the gateway's clients: in the buffers of a BodyMemory, within 10 s. A connection closes after a body that was not read to its end.

--- a/packages/heatherarch-daemon/operator_server.ts
+++ b/packages/heatherarch-daemon/operator_server.ts
@@ -7,7 +7,7 @@
 import { createServer, type Server } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import Koa from "koa";
-import { ConnectionLimiter } from "heatherarch-client-limits";
+import { BodyMemory, ConnectionLimiter } from "heatherarch-client-limits";
 import {
   buildErrorBody,
   createId,
@@ -16,6 +16,7 @@
   ServeError,
   toServeError,
 } from "heatherarch-core";
+import { parseJsonBody, readRequestBody } from "heatherarch-gateway";
 import {
   type ConfigChange,
   type ConfigState,
@@ -63,7 +64,9 @@
   baseRevision: z.int(),
   change: z.unknown(),
 });
-const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const BODY_LIMITS = { maxBodyBytes: 8 * 1024 * 1024, bodyTimeoutMs: 10_000 };
+/** The buffer of a body takes four times its bytes at most, and operators publish one change at a time. */
+const MAX_BODY_MEMORY_BYTES = 4 * BODY_LIMITS.maxBodyBytes;
 /** Operators, the load balancer and the collectors of metrics use few connections, one request at a time. */
 const CONNECTION_LIMITS = { maxConnections: 256, maxRequestsAhead: 8 };
 const LEAVING_DIRECTIVES = ["drain", "replace", "withdraw"];
@@ -72,6 +75,7 @@
 export class OperatorServer {
   readonly #host: OperatorHost;
   readonly #server: Server;
+  readonly #bodies = new BodyMemory({ maxBytes: MAX_BODY_MEMORY_BYTES });
 
   constructor(
     host: OperatorHost,
@@ -112,6 +116,8 @@
       const error = toServeError(thrown);
       ctx.status = error.status;
       ctx.body = buildErrorBody(error, requestId);
+      // The rest of a body that is not read any more may never end.
+      if (!ctx.req.complete) ctx.set("connection", "close");
     }
   }
 
@@ -179,8 +185,15 @@
     return operator.name;
   }
 
+  async #readJson(ctx: Koa.Context): Promise<unknown> {
+    const body = await readRequestBody(ctx, BODY_LIMITS, this.#bodies);
+    const parsed = parseJsonBody(body);
+    if (parsed.ok) return parsed.val;
+    throw parsed.val;
+  }
+
   async #publish(ctx: Koa.Context, author: string): Promise<unknown> {
-    const body = PUBLISH_BODY.safeParse(await readJson(ctx));
+    const body = PUBLISH_BODY.safeParse(await this.#readJson(ctx));
     if (!body.success) {
       throw new ServeError("badRequest", formatIssues(buildIssues(body.error)));
     }
@@ -224,23 +237,3 @@
   }
   return record.change;
 }
-
-async function readJson(ctx: Koa.Context): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of ctx.req) {
-    size += (chunk as Buffer).length;
-    if (size > MAX_BODY_BYTES) {
-      throw new ServeError("payloadTooLarge", "the body is too large");
-    }
-    chunks.push(chunk as Buffer);
-  }
-  try {
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
-  } catch (error) {
-    throw new ServeError(
-      "badRequest",
-      `the body is not JSON: ${(error as Error).message}`,
-    );
-  }
-}
--- a/packages/heatherarch-gateway/mod.ts
+++ b/packages/heatherarch-gateway/mod.ts
@@ -11,5 +11,6 @@
 export * from "./generation_store.ts";
 export * from "./openai_format.ts";
 export * from "./plain_call.ts";
+export * from "./request_body.ts";
 export * from "./request_ending.ts";
 export * from "./request_watch.ts";
