Streams: blank lines are part of the event that they follow

What callers saw: VMs that had called a target with line feeds without end stood still.

Cause: every second line feed counted as an event, with an object, a search for its id and a copy. A read of 64 KiB made 32,768 of them.

Change: SseSplitter adds the blank lines that arrive right behind an event to it. They are no events.

--- a/packages/heatherarch-forward/calls/sse_splitter.ts
+++ b/packages/heatherarch-forward/calls/sse_splitter.ts
@@ -8,7 +8,7 @@
 
 /** A complete event. */
 export interface SseEvent {
-  /** Bytes of the event, including the blank line that ends it. */
+  /** Bytes of the event, including the blank line that ends it and those that arrived right behind it. */
   readonly bytes: Buffer;
   /** Value of the event's `id` field, if it has one. */
   readonly id?: string;
@@ -66,6 +66,7 @@
     let start = 0;
     let end = this.#findEventEnd(bytes, start);
     while (end >= 0) {
+      end = skipBlankLines(bytes, end);
       events.push(buildEvent(this.#complete(bytes.subarray(start, end))));
       start = end;
       end = this.#findEventEnd(bytes, start);
@@ -149,6 +150,20 @@
   }
 }
 
+/**
+ * Returns the index after the blank lines from `start` on. They are no events, and without an end each of
+ * them would cost as much as one.
+ */
+function skipBlankLines(bytes: Buffer, start: number): number {
+  let at = start;
+  while (true) {
+    if (bytes[at] === LINE_FEED) at++;
+    else if (bytes[at] === CARRIAGE_RETURN && bytes[at + 1] === LINE_FEED) {
+      at += 2;
+    } else return at;
+  }
+}
+
 function buildEvent(bytes: Buffer): SseEvent {
   const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
   return id === undefined ? { bytes } : { bytes, id };
--- a/packages/heatherarch-forward/tests/unit/sse_splitter_test.ts
+++ b/packages/heatherarch-forward/tests/unit/sse_splitter_test.ts
@@ -30,6 +30,19 @@
   assertSplit([...STREAM]);
 });
 
+// Guards against an object, a copy and a search for each of 32,768 line feeds that arrive together.
+test("blank lines are part of the event that they follow", () => {
+  for (const blank of ["\n", "\r\n"]) {
+    const lines = blank.repeat(32 * KILOBYTE);
+    const text = `${lines}id: 1\n\n${lines}id: 2\n\n${lines}id: 3`;
+    const splitter = new SseSplitter();
+    const events = splitter.push(Buffer.from(text));
+    assert.deepEqual(events.map(({ id }) => id), [undefined, "1", "2"]);
+    const bytes = [...events.map((event) => event.bytes), splitter.remainder];
+    assert.equal(Buffer.concat(bytes).toString(), text);
+  }
+});
+
 /** Time in milliseconds to split this many KiB without an end, which arrive in parts. */
 function measureEndless(kilobytes: number, part: Buffer): number {
   const splitter = new SseSplitter({ maxEventBytes: Infinity });
