Operator client: a response has a limit

What callers saw: a command of the CLI whose VM responds without end fills the memory of the operator's machine for 15 s.

Cause: the body was read as a whole without a limit on its size, and chunks of one byte were kept as a list of parts.

Change: the body is gathered in one buffer, up to 64 MiB.

--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request } from "undici";
-import { sleep } from "heatherarch-core";
+import { ByteGatherer, sleep } from "heatherarch-core";
 import { CommandError } from "./exit_codes.ts";
 
 /** Options of {@linkcode OperatorClient}. */
@@ -150,6 +150,8 @@
 
 const DEFAULT_TIMEOUT_MS = 15_000;
 const WAIT_POLL_MS = 100;
+/** The audit trail of a large fleet takes some MiB. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
 /** Sends requests to the operator port of one of several VMs. */
 export class OperatorClient {
@@ -246,10 +248,21 @@
       body: body === undefined ? undefined : JSON.stringify(body),
       signal: AbortSignal.timeout(timeoutMs ?? DEFAULT_TIMEOUT_MS),
     });
-    return { status: response.statusCode, body: await response.body.json() };
+    return { status: response.statusCode, body: await readJson(response.body) };
   }
 }
 
+async function readJson(body: AsyncIterable<Buffer>): Promise<unknown> {
+  const received = new ByteGatherer();
+  for await (const part of body) {
+    if (received.length + part.length > MAX_RESPONSE_BYTES) {
+      throw new Error(`response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+    }
+    received.append(part, MAX_RESPONSE_BYTES);
+  }
+  return JSON.parse(received.bytes.toString("utf8"));
+}
+
 /** Codes of errors after which nothing was sent. */
 const CONNECT_FAILURE_CODES: ReadonlySet<unknown> = new Set([
   "ECONNREFUSED",
--- a/packages/heatherarch-cli/tests/unit/operator_client_test.ts
+++ b/packages/heatherarch-cli/tests/unit/operator_client_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, test } from "node:test";
 import { CommandError, OperatorClient } from "../../mod.ts";
@@ -27,6 +27,19 @@
   return { url: `http://127.0.0.1:${port}`, received };
 }
 
+/** Starts a VM's operator port that responds without end. */
+async function startEndlessVm(): Promise<string> {
+  const part = Buffer.alloc(1024 * 1024, " ");
+  const sendOn = (response: ServerResponse): void => {
+    while (!response.destroyed && response.write(part));
+    response.once("drain", () => sendOn(response));
+  };
+  const server = createServer((_request, response) => sendOn(response));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 const UNREACHABLE = "http://127.0.0.1:1";
 const CHANGE = { kind: "putProfile", profile: { name: "desk" } };
 
@@ -55,3 +68,9 @@
   await client.readStatus();
   assert.equal(other.received.length, 1);
 });
+
+// Guards against a response without end, which is read until the memory is full.
+test("a response that is too long is given up", async () => {
+  const client = new OperatorClient({ urls: [await startEndlessVm()] });
+  await assert.rejects(client.readStatus(), /exceeds 67108864 bytes/);
+});
