Target responses: read on when the client of a booking leaves

Callers saw nothing at once: the connection to the target stayed open, with up to 1 MiB of its response, until the target closed it. A target that sends without end never does, so each such client cost a connection and its memory for good.

Cause: a response beyond 1 MiB is relayed as its client takes it, and pauses while it takes too little. A booking is completed when its client leaves rather than aborted, and a client that has left lets nothing be read on: the bounds for the response to an ended call were set only where nothing read it yet.

An exchange whose call has ended is now read within these bounds (1 MiB, 5 s) whoever reads it; the reader learns how it ends and gets no more of it.

abandoned_responses_test failed before for all three kinds (5 connections open after 2.5 s) and passes now; unit tests of heatherarch-forward: 576 of 576 (load 13 to 24).

--- a/packages/heatherarch-forward/calls/call_context.ts
+++ b/packages/heatherarch-forward/calls/call_context.ts
@@ -39,7 +39,6 @@
   QuarantineGuard,
 } from "./quarantine_guard.ts";
 import {
-  ABANDONED_BODY,
   buildFailedExchange,
   buildWithheldExchange,
   type TargetExchange,
@@ -828,7 +827,7 @@
     }
     if (exchange === undefined) return;
     if (this.#mayAbort(exchange)) exchange.abort(INTERNAL_ERROR_REASON);
-    else if (!exchange.isRead) exchange.discardBody(ABANDONED_BODY);
+    else exchange.abandon();
   }
 
   #failAfterError(): void {
@@ -960,9 +959,10 @@
     if (this.hasEnded) return;
     const exchange = this.#exchange;
     this.#recordDisconnect();
-    if (exchange !== undefined && this.#mayAbort(exchange)) {
-      exchange.abort("client disconnected");
-    }
+    if (exchange === undefined) return;
+    if (this.#mayAbort(exchange)) exchange.abort("client disconnected");
+    // Before its head, the target is still at work, for as long as that takes.
+    else if (exchange.isRead) exchange.abandon();
   }
 }
 
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -139,6 +139,8 @@
   /** Reads of the connection; undefined until the request is written. */
   #reads: ConnectionReads | undefined;
   #listener: BodyListener | undefined;
+  /** Bytes that may still arrive once the call has ended; undefined before. */
+  #abandonedBytes: number | undefined;
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
@@ -251,8 +253,28 @@
     this.#finish(new ExchangeError("aborted", reason));
   }
 
+  /**
+   * Reads the rest of the body within limits, since its call has ended: the listener learns how it ends, and gets no
+   * more of it. A client that has left would never let it be read on.
+   */
+  abandon({ maxBytes, timeoutMs }: BodyLimits = ABANDONED_BODY): void {
+    if (this.#listener === undefined) {
+      this.discardBody({ maxBytes, timeoutMs });
+      return;
+    }
+    if (this.#end !== "open" || this.#abandonedBytes !== undefined) return;
+    this.#abandonedBytes = maxBytes;
+    const stopTimer = startStallAwareTimer(
+      () => this.abort(`response not complete within ${timeoutMs} ms`),
+      timeoutMs,
+    );
+    void this.ended.then(stopTimer);
+    this.resume();
+  }
+
   /** Stops reading the body, for a client that reads more slowly than the target sends. */
   pause(): void {
+    if (this.#abandonedBytes !== undefined) return;
     this.#isPaused = true;
     this.#controller?.pause();
   }
@@ -427,6 +449,11 @@
   #handOn(): void {
     if (this.#arrived.length === 0) return;
     const bytes = this.#arrived.take();
+    if (this.#abandonedBytes !== undefined) {
+      this.#abandonedBytes -= bytes.length;
+      if (this.#abandonedBytes < 0) this.abort("response of an ended call");
+      return;
+    }
     const listener = this.#listener;
     if (listener === undefined) this.#keepUnread(bytes);
     else this.#notify(() => listener.onData(bytes));
