Target responses: small parts of an ended call are not waited for

Connections with bytes without end in very small parts stayed open for up to 5 s after the client of their booking had left, and took turns from the calls that go on. Cause: a body of an ended call is read for 1 MiB or 5 s at most; in small parts it waits for its turns, so that only the time ends it. Such a body is now closed once it has to wait. Bodies that nobody read when their call ended take the same way.

--- a/packages/heatherarch-forward/calls/attempt_result.ts
+++ b/packages/heatherarch-forward/calls/attempt_result.ts
@@ -9,7 +9,6 @@
 import type { ResponseMetadata } from "../ports.ts";
 import { isNotRunStatus } from "./http_status.ts";
 import {
-  ABANDONED_BODY,
   ExchangeError,
   type ResponseHead,
   type TargetExchange,
@@ -110,7 +109,7 @@
     result = classifyThrown(options, error);
   }
   if (context.hasEnded) {
-    exchange.discardBody(ABANDONED_BODY);
+    exchange.abandon();
     return { kind: "over" };
   }
   try {
--- a/packages/heatherarch-forward/calls/plain_call_handler.ts
+++ b/packages/heatherarch-forward/calls/plain_call_handler.ts
@@ -33,11 +33,7 @@
   PlainSlotWait,
   type TooLate,
 } from "./plain_slot_wait.ts";
-import {
-  ABANDONED_BODY,
-  type ResponseHead,
-  type TargetExchange,
-} from "./target_exchange.ts";
+import { type ResponseHead, type TargetExchange } from "./target_exchange.ts";
 import {
   type AttemptResult,
   awaitAttempt,
@@ -230,7 +226,7 @@
           response: await this.#readFailure(exchange, result.head, target),
         };
       if (context.hasEnded) {
-        exchange.discardBody(ABANDONED_BODY);
+        exchange.abandon();
         return { kind: "over" };
       }
       this.#learnWork(booked, sentAtMs);
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -115,6 +115,13 @@
   timeoutMs: 5000,
 };
 
+const SMALL_PARTS_REASON = "response of an ended call in very small parts";
+const NO_LISTENER: BodyListener = {
+  onData: () => undefined,
+  onEnd: () => undefined,
+  onFault: () => undefined,
+};
+
 const RUNTIME_CLOCK = new RuntimeClock();
 
 /** An unsent exchange has no connection, so its handlers never use the controller. */
@@ -255,15 +262,17 @@
 
   /**
    * Reads the rest of the body within limits, since its call has ended: the listener learns how it ends, and gets no
-   * more of it. A client that has left would never let it be read on.
+   * more of it. A client that has left would never let it be read on. A body in very small parts is not waited for:
+   * the work on them is for calls that go on.
    */
   abandon({ maxBytes, timeoutMs }: BodyLimits = ABANDONED_BODY): void {
-    if (this.#listener === undefined) {
-      this.discardBody({ maxBytes, timeoutMs });
-      return;
-    }
     if (this.#end !== "open" || this.#abandonedBytes !== undefined) return;
     this.#abandonedBytes = maxBytes;
+    if (this.#listener === undefined) this.setBodyListener(NO_LISTENER);
+    if (this.#isAwaitingTurn) {
+      this.abort(SMALL_PARTS_REASON);
+      return;
+    }
     const stopTimer = startStallAwareTimer(
       () => this.abort(`response not complete within ${timeoutMs} ms`),
       timeoutMs,
@@ -427,6 +436,10 @@
     if (framing === undefined || this.#end !== "open") return;
     // One more part arrives after a pause.
     if (this.#isAwaitingTurn || !framing.record(this.#framingBytes)) return;
+    if (this.#abandonedBytes !== undefined) {
+      this.abort(SMALL_PARTS_REASON);
+      return;
+    }
     this.#awaitTurn(framing.awaitTurn(this.#framingBytes));
   }
 
