Target responses: an ended exchange leaves its connection alone

What may be seen: a response that stops or goes on for another exchange's client.

Change: pause and resume do nothing once the exchange has ended. Beside it, the words for a pass of the event loop and for a wait differ ("batch" and "turn").

--- a/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
+++ b/packages/heatherarch-client-limits/tests/unit/framing_budget_test.ts
@@ -101,7 +101,7 @@
 });
 
 // Guards against a target whose response in very small chunks takes all of a process's time.
-test("the only costly body pauses if no body is read at full speed", async () => {
+test("the only costly body pauses too, if so configured", async () => {
   mock.timers.enable({ apis: ["setTimeout"] });
   try {
     const clock = new ManualClock();
--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -151,7 +151,7 @@
   #unread: HeldBody | undefined;
   /** The same, once the exchange has ended. */
   #unreadAtEnd: Buffer = NO_BYTES;
-  /** What has arrived in this turn and is not handed on yet. */
+  /** What has arrived and is not handed on yet. */
   readonly #arrived = new PartJoiner();
   #resolveHead!: (head: ResponseHead) => void;
   #rejectHead!: (error: ExchangeError) => void;
@@ -172,8 +172,8 @@
   /** The work on a body in very small parts; undefined if it is not limited. */
   #framing: FramedBody | undefined;
   #framingBytes = 0;
-  /** Whether what has arrived in this turn is not handed on yet. */
-  #isInTurn = false;
+  /** Whether more may arrive in this pass of the event loop. */
+  #isInBatch = false;
   /** Whether the body is not read for the sake of other work. */
   #isAwaitingTurn = false;
   readonly #metLimits = new Set<ResponseLimit>();
@@ -299,13 +299,15 @@
 
   /** Stops reading the body, for a client that reads more slowly than the target sends. */
   pause(): void {
-    if (this.#abandonedBytes !== undefined) return;
+    if (this.#end !== "open" || this.#abandonedBytes !== undefined) return;
     this.#isPaused = true;
     this.#controller?.pause();
   }
 
   /** Continues to read the body after {@linkcode pause}. */
   resume(): void {
+    // The connection may be in use for another exchange.
+    if (this.#end !== "open") return;
     if (this.#isPaused) this.#restartSilence();
     this.#isPaused = false;
     this.#readOn();
@@ -457,7 +459,7 @@
     // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
     if (bytes.length === 0) return;
     this.#reads?.recordBody(bytes.length);
-    if (!this.#isInTurn) this.#beginTurn();
+    if (!this.#isInBatch) this.#beginBatch();
     if (bytes.length < SMALL_PART_BYTES) {
       this.#framingBytes += MIN_CHUNK_FRAMING_BYTES;
     }
@@ -465,16 +467,16 @@
     if (this.#arrived.length >= MAX_JOINED_BYTES) this.#handOn();
   }
 
-  #beginTurn(): void {
-    this.#isInTurn = true;
+  #beginBatch(): void {
+    this.#isInBatch = true;
     this.#recordReceipt();
     this.#framing?.beginRead();
-    queueMicrotask(() => this.#endTurn());
+    queueMicrotask(() => this.#endBatch());
   }
 
   /** Hands on what has arrived, and waits before more is read if it came in very small parts. */
-  #endTurn(): void {
-    this.#isInTurn = false;
+  #endBatch(): void {
+    this.#isInBatch = false;
     this.#handOn();
     const framing = this.#framing;
     if (framing === undefined || this.#end !== "open") return;
@@ -503,7 +505,7 @@
     if (!this.#isPaused && !this.#isAwaitingTurn) this.#controller?.resume();
   }
 
-  /** Hands on what has arrived in this turn. */
+  /** Hands on what has arrived. */
   #handOn(): void {
     if (this.#arrived.length === 0) return;
     const bytes = this.#arrived.take();
--- a/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
+++ b/packages/heatherarch-forward/tests/unit/connection_reads_test.ts
@@ -196,7 +196,7 @@
     socket.on("close", () => clearInterval(timer));
     setTimeout(() => socket.destroyed || socket.end("0\r\n\r\n"), 1000);
   });
-  let wasLate = false;
+  let hasWaited = false;
   exchange.setBodyListener({
     onData: () => undefined,
     onEnd: () => undefined,
@@ -205,9 +205,9 @@
   const stopAt = performance.now() + 900;
   while (performance.now() < stopAt) {
     await pause(5);
-    wasLate ||= exchange.isAwaitingTurn;
+    hasWaited ||= exchange.isAwaitingTurn;
   }
-  assert.equal(wasLate, false);
+  assert.equal(hasWaited, false);
   assert.equal(await exchange.ended, "ended");
 });
 
--- a/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
+++ b/packages/heatherarch-forward/tests/unit/target_exchange_test.ts
@@ -44,6 +44,7 @@
     sendParts,
     isPaused: () => isPaused,
     countSent: () => sent,
+    end: () => handler.onResponseEnd?.(controller, {}),
   };
 }
 
@@ -109,3 +110,14 @@
   assert.equal(parts, 1);
   assert.equal(faults, 1);
 });
+
+// Guards against a client that is slow or leaves late, and pauses or resumes the next response of the connection.
+test("an exchange that has ended does not pause or resume its connection", () => {
+  const { exchange, sendParts, isPaused, countSent, end } = startExchange();
+  sendParts(1);
+  end();
+  exchange.pause();
+  assert.equal(isPaused(), false);
+  exchange.resume();
+  assert.equal(countSent(), 1);
+});
