endless_responses_test, response_memory_test: one at a time

Both fill their VM and the sockets for a minute, and check that other calls are served within 2 s. Beside other test files, both they and those files wait for processor time, as client_crowd_test does. No bound changes.

--- a/packages/heatherarch-lab/bin/test.ts
+++ b/packages/heatherarch-lab/bin/test.ts
@@ -16,7 +16,7 @@
  * for processor time, and the bounds fail for that reason. They run one at a time, after the others.
  */
 const TIMED_TEST_FILE =
-  /integration\/(account_load|call_queue|client_crowd|crowded_vm|duties|handover|hubs|path_loss|rate_limit|return_times|soak_load|target_load)_test\.js$/;
+  /integration\/(account_load|call_queue|client_crowd|crowded_vm|duties|endless_responses|handover|hubs|path_loss|rate_limit|response_memory|return_times|soak_load|target_load)_test\.js$/;
 /** Test files that run at the same time, apart from the timed ones. */
 const CONCURRENCY = 4;
 /** Largest number of runs of tests that were not judged, as a process had no processor. */
