--- a/packages/heatherarch-forward/calls/target_exchange.ts
+++ b/packages/heatherarch-forward/calls/target_exchange.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { RuntimeClock, startStallAwareTimer } from "heatherarch-core";
 import {
-  ByteGatherer,
-  RuntimeClock,
-  startStallAwareTimer,
-} from "heatherarch-core";
-import type { FramedBody, FramingBudget } from "heatherarch-client-limits";
+  BodyMemory,
+  type FramedBody,
+  type FramingBudget,
+  type HeldBody,
+} from "heatherarch-client-limits";
 import type { Dispatcher } from "undici";
 import type { EncodedRequest } from "../ports.ts";
 import { type ConnectionReads, registerStart } from "./connection_reads.ts";
@@ -69,6 +70,9 @@
 
 type Controller = Dispatcher.DispatchController;
 
+/** A bound on what the responses of all targets together may take, which a response has met. */
+export type ResponseLimit = "smallChunks" | "bodyMemory";
+
 /** Hooks of the owner of the connections. */
 export interface ExchangeHooks {
   /** Called once, when the connection is free or closed. */
@@ -79,6 +83,10 @@
   readonly readMonotonicMs?: () => number;
   /** The work on bodies in very small chunks. By default it is not limited. */
   readonly framing?: FramingBudget;
+  /** The memory for the bodies of all responses. By default it is not limited. */
+  readonly bodies?: BodyMemory;
+  /** Called when a response has met a limit, once for each. */
+  readonly onLimited?: (limit: ResponseLimit) => void;
 }
 
 /** Interim responses that a target may send before its response; beyond them they may never end. */
@@ -96,6 +104,8 @@
 
 /** Small parts are joined up to this size before they are handed on. */
 const MAX_JOINED_BYTES = 16 * 1024;
+/** Parts below this size count as very small chunks. Larger ones may be reads of a body without chunks. */
+const SMALL_PART_BYTES = 512;
 /** The size of a chunk in one digit, and the ends of two lines. */
 const MIN_CHUNK_FRAMING_BYTES = 5;
 
@@ -115,7 +125,16 @@
   timeoutMs: 5000,
 };
 
+const SMALL_PARTS_REASON = "response of an ended call in very small parts";
+const NO_LISTENER: BodyListener = {
+  onData: () => undefined,
+  onEnd: () => undefined,
+  onFault: () => undefined,
+};
+
 const RUNTIME_CLOCK = new RuntimeClock();
+const UNLIMITED_MEMORY = new BodyMemory({ maxBytes: Infinity });
+const NO_BYTES = Buffer.alloc(0);
 
 /** An unsent exchange has no connection, so its handlers never use the controller. */
 const NO_CONTROLLER = undefined as unknown as Controller;
@@ -129,7 +148,9 @@
    */
   readonly ended: Promise<"ended" | ExchangeError>;
   /** What has arrived before anything reads the body. */
-  readonly #unread = new ByteGatherer();
+  #unread: HeldBody | undefined;
+  /** The same, once the exchange has ended. */
+  #unreadAtEnd: Buffer = NO_BYTES;
   /** What has arrived in this turn and is not handed on yet. */
   readonly #arrived = new PartJoiner();
   #resolveHead!: (head: ResponseHead) => void;
@@ -139,6 +160,8 @@
   /** Reads of the connection; undefined until the request is written. */
   #reads: ConnectionReads | undefined;
   #listener: BodyListener | undefined;
+  /** Bytes that may still arrive once the call has ended; undefined before. */
+  #abandonedBytes: number | undefined;
   #end: "open" | "ended" | ExchangeError = "open";
   #abortReason: string | undefined;
   #interimResponses = 0;
@@ -149,9 +172,11 @@
   /** The work on a body in very small parts; undefined if it is not limited. */
   #framing: FramedBody | undefined;
   #framingBytes = 0;
-  #partsInTurn = 0;
+  /** Whether what has arrived in this turn is not handed on yet. */
+  #isInTurn = false;
   /** Whether the body is not read for the sake of other work. */
   #isAwaitingTurn = false;
+  readonly #metLimits = new Set<ResponseLimit>();
   readonly #receiptListeners = new Set<() => void>();
   readonly #hooks: ExchangeHooks;
 
@@ -251,8 +276,30 @@
     this.#finish(new ExchangeError("aborted", reason));
   }
 
+  /**
+   * Reads the rest of the body within limits, since its call has ended: the listener learns how it ends, and gets no
+   * more of it. A client that has left would never let it be read on. A body in very small parts is not waited for:
+   * the work on them is for calls that go on.
+   */
+  abandon({ maxBytes, timeoutMs }: BodyLimits = ABANDONED_BODY): void {
+    if (this.#end !== "open" || this.#abandonedBytes !== undefined) return;
+    this.#abandonedBytes = maxBytes;
+    if (this.#listener === undefined) this.setBodyListener(NO_LISTENER);
+    if (this.#isAwaitingTurn) {
+      this.abort(SMALL_PARTS_REASON);
+      return;
+    }
+    const stopTimer = startStallAwareTimer(
+      () => this.abort(`response not complete within ${timeoutMs} ms`),
+      timeoutMs,
+    );
+    void this.ended.then(stopTimer);
+    this.resume();
+  }
+
   /** Stops reading the body, for a client that reads more slowly than the target sends. */
   pause(): void {
+    if (this.#abandonedBytes !== undefined) return;
     this.#isPaused = true;
     this.#controller?.pause();
   }
@@ -271,9 +318,9 @@
   setBodyListener(listener: BodyListener): void {
     const end = this.#end;
     this.#listener = listener;
-    const isStopped = this.#unread.length > MAX_UNREAD_BYTES;
+    const unread = this.#takeUnread();
+    const isStopped = unread.length > MAX_UNREAD_BYTES;
     if (isStopped) this.#isPaused = false;
-    const unread = this.#unread.take();
     for (let at = 0; at < unread.length; at += UNREAD_PART_BYTES) {
       listener.onData(unread.subarray(at, at + UNREAD_PART_BYTES));
       // The listener has aborted the exchange, and knows it.
@@ -290,12 +337,37 @@
    * {@linkcode ExchangeError}.
    */
   async readBody(limits: BodyLimits): Promise<Buffer> {
-    const body = new ByteGatherer();
-    await this.#readLimited(
-      limits,
-      (bytes) => body.append(bytes, limits.maxBytes),
-    );
-    return body.bytes;
+    const body = this.holdBody();
+    try {
+      await this.#readLimited(
+        limits,
+        (bytes) => body.append(bytes, limits.maxBytes),
+      );
+      return body.complete();
+    } finally {
+      body.release();
+    }
+  }
+
+  /**
+   * Opens a buffer in the memory for the bodies of all responses. If it has to give way, `onEvicted` is called
+   * with what it holds; by default the exchange is aborted.
+   */
+  holdBody(
+    onEvicted: (bytes: Buffer) => void = () =>
+      this.abort("too much memory of responses at this VM"),
+  ): HeldBody {
+    const { bodies = UNLIMITED_MEMORY } = this.#hooks;
+    return bodies.open((bytes) => {
+      this.#reportLimit("bodyMemory");
+      onEvicted(bytes);
+    });
+  }
+
+  #reportLimit(limit: ResponseLimit): void {
+    if (this.#metLimits.has(limit)) return;
+    this.#metLimits.add(limit);
+    this.#hooks.onLimited?.(limit);
   }
 
   /**
@@ -385,12 +457,16 @@
     // undici hands on an empty part when a paused body is resumed. A listener would pause it again.
     if (bytes.length === 0) return;
     this.#reads?.recordBody(bytes.length);
-    if (this.#partsInTurn++ === 0) this.#beginTurn();
+    if (!this.#isInTurn) this.#beginTurn();
+    if (bytes.length < SMALL_PART_BYTES) {
+      this.#framingBytes += MIN_CHUNK_FRAMING_BYTES;
+    }
     this.#arrived.add(bytes);
     if (this.#arrived.length >= MAX_JOINED_BYTES) this.#handOn();
   }
 
   #beginTurn(): void {
+    this.#isInTurn = true;
     this.#recordReceipt();
     this.#framing?.beginRead();
     queueMicrotask(() => this.#endTurn());
@@ -398,13 +474,17 @@
 
   /** Hands on what has arrived, and waits before more is read if it came in very small parts. */
   #endTurn(): void {
-    this.#framingBytes += this.#partsInTurn * MIN_CHUNK_FRAMING_BYTES;
-    this.#partsInTurn = 0;
+    this.#isInTurn = false;
     this.#handOn();
     const framing = this.#framing;
     if (framing === undefined || this.#end !== "open") return;
     // One more part arrives after a pause.
     if (this.#isAwaitingTurn || !framing.record(this.#framingBytes)) return;
+    this.#reportLimit("smallChunks");
+    if (this.#abandonedBytes !== undefined) {
+      this.abort(SMALL_PARTS_REASON);
+      return;
+    }
     this.#awaitTurn(framing.awaitTurn(this.#framingBytes));
   }
 
@@ -427,6 +507,11 @@
   #handOn(): void {
     if (this.#arrived.length === 0) return;
     const bytes = this.#arrived.take();
+    if (this.#abandonedBytes !== undefined) {
+      this.#abandonedBytes -= bytes.length;
+      if (this.#abandonedBytes < 0) this.abort("response of an ended call");
+      return;
+    }
     const listener = this.#listener;
     if (listener === undefined) this.#keepUnread(bytes);
     else this.#notify(() => listener.onData(bytes));
@@ -451,8 +536,17 @@
   }
 
   #keepUnread(bytes: Buffer): void {
-    this.#unread.append(bytes, MAX_UNREAD_BYTES);
-    if (this.#unread.length > MAX_UNREAD_BYTES) this.pause();
+    const unread = this.#unread ??= this.holdBody();
+    unread.append(bytes, MAX_UNREAD_BYTES);
+    if (unread.length > MAX_UNREAD_BYTES) this.pause();
+  }
+
+  #takeUnread(): Buffer {
+    const bytes = this.#unread?.complete() ?? this.#unreadAtEnd;
+    this.#unread?.release();
+    this.#unread = undefined;
+    this.#unreadAtEnd = NO_BYTES;
+    return bytes;
   }
 
   #recordReceipt(): void {
@@ -479,6 +573,7 @@
     if (this.#end !== "open") return;
     this.#end = end;
     this.#framing?.close();
+    this.#unreadAtEnd = this.#takeUnread();
     // An idle connection would keep this exchange and what it has read.
     this.#reads?.setEndListener(undefined);
     this.#hooks.onRelease();
