--- a/packages/heatherarch-client-limits/body_memory.ts
+++ b/packages/heatherarch-client-limits/body_memory.ts
@@ -111,7 +111,7 @@
     this.#resize(0);
   }
 
-  /** Gives what has arrived to the owner, which no longer counts. */
+  /** Releases the memory and gives what has arrived to the owner. */
   evict(): void {
     const { bytes } = this.#gatherer;
     this.release();
--- a/packages/heatherarch-forward/calls/part_joiner.ts
+++ b/packages/heatherarch-forward/calls/part_joiner.ts
@@ -23,6 +23,7 @@
       : this.#first?.length ?? 0;
   }
 
+  /** Adds a part, which is copied unless it is the only one. */
   add(part: Buffer): void {
     if (this.#first === undefined) {
       this.#first = part;
--- a/packages/heatherarch-forward/calls/response_relay.ts
+++ b/packages/heatherarch-forward/calls/response_relay.ts
@@ -84,7 +84,8 @@
 
 /**
  * Reads a complete response, so that the call can be retried at another target if the response is
- * truncated. Of a large response, or if all responses take too much memory, only the start is read. Rejects with an {@linkcode ExchangeError}.
+ * truncated. Of a large response, or if all responses take too much memory, only the start is read. Rejects
+ * with an {@linkcode ExchangeError}.
  */
 export function readResponse(
   exchange: TargetExchange,
