Log, list of VMs: a response has a limit; one reader of whole bodies

The own daemon reads responses of the platform's log and of its list of VMs whole, whatever their size.

Cause: the same class as in the responses of targets: response.body.json() keeps a list of as many parts as the server sends, and nothing bounds their size. The review of other readers had left these two out.

Change: readBytes (heatherarch-core) reads a body up to a limit in one buffer: 64 MiB for the log, 16 MiB for the list.

Evidence: http_log_test, "responses of the log and of the list of VMs have a limit", fails on (read on until the timeout of 10 s) and passes with the change.

--- a/packages/heatherarch-cli/operator_client.ts
+++ b/packages/heatherarch-cli/operator_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request } from "undici";
-import { ByteGatherer, sleep } from "heatherarch-core";
+import { readBytes, sleep } from "heatherarch-core";
 import { CommandError } from "./exit_codes.ts";
 
 /** Options of {@linkcode OperatorClient}. */
@@ -248,19 +248,14 @@
       body: body === undefined ? undefined : JSON.stringify(body),
       signal: AbortSignal.timeout(timeoutMs ?? DEFAULT_TIMEOUT_MS),
     });
-    return { status: response.statusCode, body: await readJson(response.body) };
-  }
-}
-
-async function readJson(body: AsyncIterable<Buffer>): Promise<unknown> {
-  const received = new ByteGatherer();
-  for await (const part of body) {
-    if (received.length + part.length > MAX_RESPONSE_BYTES) {
-      throw new Error(`response exceeds ${MAX_RESPONSE_BYTES} bytes`);
-    }
-    received.append(part, MAX_RESPONSE_BYTES);
+    const bytes = await readBytes(response.body, {
+      maxBytes: MAX_RESPONSE_BYTES,
+    });
+    return {
+      status: response.statusCode,
+      body: JSON.parse(bytes.toString("utf8")),
+    };
   }
-  return JSON.parse(received.bytes.toString("utf8"));
 }
 
 /** Codes of errors after which nothing was sent. */
--- a/packages/heatherarch-core/byte_gatherer.ts
+++ b/packages/heatherarch-core/byte_gatherer.ts
@@ -64,6 +64,32 @@
   }
 }
 
+/** Options of {@linkcode readBytes}. */
+export interface ReadBytesOptions {
+  readonly maxBytes: number;
+  /** Called for each part that has arrived. */
+  readonly onPart?: () => void;
+}
+
+/**
+ * Reads a body as a whole. Rejects beyond `maxBytes`. The bytes are a copy of their size, so that views of them
+ * don't keep a larger buffer.
+ */
+export async function readBytes(
+  body: AsyncIterable<Buffer>,
+  { maxBytes, onPart = () => undefined }: ReadBytesOptions,
+): Promise<Buffer> {
+  const received = new ByteGatherer();
+  for await (const part of body) {
+    onPart();
+    if (received.length + part.length > maxBytes) {
+      throw new Error(`response exceeds ${maxBytes} bytes`);
+    }
+    received.append(part, maxBytes);
+  }
+  return Buffer.from(received.bytes);
+}
+
 /** A known total is divided, so that the last growth, which copies most, comes at its quarter. */
 function computeSize(length: number, totalBytes: number): number {
   const needed = Math.max(length, MIN_BUFFER_BYTES);
--- a/packages/heatherarch-core/tests/unit/byte_gatherer_test.ts
+++ b/packages/heatherarch-core/tests/unit/byte_gatherer_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ByteGatherer } from "../../mod.ts";
+import { ByteGatherer, readBytes } from "../../mod.ts";
 
 /** Gathers `totalBytes` in parts and returns the bytes that growth has copied again. */
 function countRegrownBytes(
@@ -56,3 +56,23 @@
   }
   assert.equal(gatherer.capacity, 5000);
 });
+
+async function* sendParts(count: number): AsyncGenerator<Buffer> {
+  for (let i = 0; i < count; i++) yield Buffer.from([i % 256]);
+}
+
+// Guards against a body without end, and against views of it that keep a buffer larger than the body.
+test("a body is read up to a limit, in a buffer of its size", async () => {
+  let parts = 0;
+  const onPart = (): void => void parts++;
+  const body = await readBytes(sendParts(100), { maxBytes: 100, onPart });
+  assert.deepEqual([...body], Array.from({ length: 100 }, (_, i) => i));
+  assert.equal(parts, 100);
+  const large = await readBytes(sendParts(9000), { maxBytes: 1_000_000 });
+  assert.equal(large.buffer.byteLength, 9000);
+  await assert.rejects(
+    readBytes(sendParts(1000), { maxBytes: 100, onPart }),
+    /exceeds 100 bytes/,
+  );
+  assert.equal(parts, 201);
+});
--- a/packages/heatherarch-forward/tests/unit/small_parts_test.ts
+++ b/packages/heatherarch-forward/tests/unit/small_parts_test.ts
@@ -15,7 +15,7 @@
 
 /** An exchange whose response has begun, and what its connection hands on. */
 function startExchange(
-  limits: Pick<ExchangeHooks, "bodies" | "framing"> = {},
+  limits: Pick<ExchangeHooks, "bodies" | "framing" | "onLimited"> = {},
 ) {
   let handler: Dispatcher.DispatchHandler = {};
   const controller = {
@@ -126,7 +126,9 @@
 test("beyond the memory for all responses, the largest one is relayed from where it is", async () => {
   // A buffer takes up to four times what has arrived of its body.
   const bodies = new BodyMemory({ maxBytes: 1_200_000 });
-  const large = startExchange({ bodies });
+  const limited: string[] = [];
+  const onLimited = (limit: string) => limited.push(limit);
+  const large = startExchange({ bodies, onLimited });
   const small = startExchange({ bodies });
   const first = readResponse(large.exchange, HEAD);
   const second = readResponse(small.exchange, HEAD);
@@ -135,6 +137,7 @@
   const read = await first;
   assert.ok(read.kind === "partial");
   assert.equal(read.response.begin.length, 300_000);
+  assert.deepEqual(limited, ["bodyMemory"]);
   large.send(Buffer.alloc(10));
   await Promise.resolve();
   assert.equal(read.response.begin.length, 300_010);
--- a/packages/heatherarch-log/http_log.ts
+++ b/packages/heatherarch-log/http_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Agent, request } from "undici";
+import { readBytes } from "heatherarch-core";
 import { z } from "zod";
 import {
   type LogPort,
@@ -12,6 +13,8 @@
   type ReadOptions,
 } from "./log_port.ts";
 
+/** A read asks for a thousand records, and a record holds a change of the configuration. */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 const APPEND_RESPONSE = z.object({ offset: z.int().min(0) });
 const READ_RESPONSE = z.object({
   records: z.array(
@@ -97,8 +100,12 @@
         dispatcher: agent,
         signal,
       });
-      const body = await response.body.json();
-      if (response.statusCode === 200) return body;
+      const bytes = await readBytes(response.body, {
+        maxBytes: MAX_RESPONSE_BYTES,
+      });
+      if (response.statusCode === 200) {
+        return JSON.parse(bytes.toString("utf8"));
+      }
       throw new LogUnavailableError(`status ${response.statusCode}`);
     } catch (error) {
       if (error instanceof LogUnavailableError) throw error;
--- a/packages/heatherarch-log/tests/unit/http_log_test.ts
+++ b/packages/heatherarch-log/tests/unit/http_log_test.ts
@@ -2,11 +2,13 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { afterEach, test } from "node:test";
-import { HttpLog, LogUnavailableError } from "../../mod.ts";
+import { HttpLog, HttpVmList, LogUnavailableError } from "../../mod.ts";
 
 /** Long enough for the first requests of a new process on a busy machine, milliseconds. */
 const TIMEOUT_MS = 500;
 const CONNECTIONS = 3;
+/** Time in which some tens of MiB arrive on a busy machine, milliseconds. */
+const LONG_TIMEOUT_MS = 10_000;
 
 const cleanups: (() => unknown)[] = [];
 afterEach(async () => {
@@ -51,3 +53,28 @@
   await assert.rejects(log.read("s", 0), LogUnavailableError);
   assert.equal((await log.read("s", 0)).next, 0);
 });
+
+/** Starts a server that responds without end, and resolves with its URL. */
+async function startEndlessServer(): Promise<string> {
+  const part = Buffer.alloc(1024 * 1024, " ");
+  const server = createServer((_request, response) => {
+    const sendOn = (): void => {
+      while (!response.destroyed && response.write(part));
+    };
+    response.on("drain", sendOn);
+    sendOn();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  cleanups.push(() => server.closeAllConnections(), () => server.close());
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+// Guards against a response without end, which is read until the timeout or until the memory is full.
+test("responses of the log and of the list of VMs have a limit", async () => {
+  const url = await startEndlessServer();
+  const log = new HttpLog({ url, timeoutMs: LONG_TIMEOUT_MS });
+  cleanups.push(() => log.close());
+  await assert.rejects(log.read("s", 0), /exceeds \d+ bytes/);
+  const list = new HttpVmList({ url, timeoutMs: LONG_TIMEOUT_MS });
+  await assert.rejects(list.readVms(), /exceeds \d+ bytes/);
+});
--- a/packages/heatherarch-log/vm_list.ts
+++ b/packages/heatherarch-log/vm_list.ts
@@ -5,8 +5,12 @@
  * @module
  */
 import { request } from "undici";
+import { readBytes } from "heatherarch-core";
 import { z } from "zod";
 
+/** A list of a thousand VMs takes some hundred KiB. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 const VM_LIST = z.object({
   vms: z.array(z.object({
     id: z.string(),
@@ -39,7 +43,9 @@
   async readVms(): Promise<readonly ListedVm[]> {
     const signal = AbortSignal.timeout(this.#timeoutMs);
     const response = await request(this.#url, { signal });
-    const body = await response.body.json();
-    return VM_LIST.parse(body).vms;
+    const bytes = await readBytes(response.body, {
+      maxBytes: MAX_RESPONSE_BYTES,
+    });
+    return VM_LIST.parse(JSON.parse(bytes.toString("utf8"))).vms;
   }
 }
